--- /dev/null
+++ b/src/account.rs
@@ -0,0 +1,123 @@
+//! Client accounts, and the templates they are made from.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// How an account weighs the three measures when a request is placed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Weights {
+    /// Weight of a millisecond before the first token.
+    pub first_token: f64,
+    /// Weight of a millisecond spent on recomputing context.
+    pub recompute: f64,
+    /// Weight of a millisecond of link time.
+    pub link: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self { first_token: 1.0, recompute: 0.2, link: 0.2 }
+    }
+}
+
+/// What a client account is entitled to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Share of the fleet, relative to the other accounts; 0 shuts it out.
+    pub share: f64,
+    /// Order of work, lower first; it never starves others.
+    pub priority: i8,
+    /// How long context is worth keeping after its last use, in seconds.
+    pub keep_for_s: u64,
+    /// Weights of the three measures.
+    pub weights: Weights,
+    /// Weight versions allowed, by model; an empty list allows each version.
+    pub models: BTreeMap<String, Vec<String>>,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            priority: 0,
+            keep_for_s: 3600,
+            weights: Weights::default(),
+            models: BTreeMap::new(),
+        }
+    }
+}
+
+impl Terms {
+    /// Whether the account may use `version` of `model`.
+    #[must_use]
+    pub fn allows(&self, model: &str, version: &str) -> bool {
+        let versions = self.models.get(model);
+        versions.is_some_and(|all| all.is_empty() || all.iter().any(|one| one == version))
+    }
+
+    /// Faults of these terms, one line each.
+    #[must_use]
+    pub fn faults(&self) -> Vec<String> {
+        let weights = [self.weights.first_token, self.weights.recompute, self.weights.link];
+        let mut faults = Vec::new();
+        if !self.share.is_finite() || self.share < 0.0 {
+            faults.push(format!("share {} is not a number from 0 up", self.share));
+        }
+        if !(-2..=2).contains(&self.priority) {
+            faults.push(format!("priority {} is not between -2 and 2", self.priority));
+        }
+        if weights.iter().any(|weight| !weight.is_finite() || *weight < 0.0) {
+            faults.push("a weight is not a number from 0 up".to_owned());
+        }
+        faults
+    }
+}
+
+/// Terms of one account that differ from its template's.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Overrides {
+    /// See [`Terms::share`].
+    pub share: Option<f64>,
+    /// See [`Terms::priority`].
+    pub priority: Option<i8>,
+    /// See [`Terms::keep_for_s`].
+    pub keep_for_s: Option<u64>,
+    /// See [`Terms::weights`].
+    pub weights: Option<Weights>,
+    /// See [`Terms::models`].
+    pub models: Option<BTreeMap<String, Vec<String>>>,
+}
+
+/// A client account.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Template that the account is made from.
+    pub template: String,
+    /// What differs from the template.
+    pub overrides: Overrides,
+    /// Hashes of the API keys in force, in hex.
+    pub key_hashes: Vec<String>,
+}
+
+impl Account {
+    /// The account's terms under its template.
+    #[must_use]
+    pub fn terms(&self, template: &Terms) -> Terms {
+        let own = &self.overrides;
+        Terms {
+            share: own.share.unwrap_or(template.share),
+            priority: own.priority.unwrap_or(template.priority),
+            keep_for_s: own.keep_for_s.unwrap_or(template.keep_for_s),
+            weights: own.weights.unwrap_or(template.weights),
+            models: own.models.clone().unwrap_or_else(|| template.models.clone()),
+        }
+    }
+}
+
+/// The hash under which an API key is stored.
+#[must_use]
+pub fn key_hash(api_key: &str) -> String {
+    let hash = blake3::derive_key("coursestile api key", api_key.as_bytes());
+    blake3::Hash::from_bytes(hash).to_hex().to_string()
+}
--- /dev/null
+++ b/src/bin/coursestile/change.rs
@@ -0,0 +1,132 @@
+//! Verbs that change something.
+
+use std::collections::BTreeMap;
+
+use coursestile::account::{Account, Overrides, Terms, Weights, key_hash};
+use coursestile::clock::now_ms;
+use coursestile::configlog::{Change, Proposal, State};
+use coursestile::consul::Consul;
+use coursestile::error::{Error, Result};
+use coursestile::operator::{propose, read};
+
+use crate::args::{Args, number, usage};
+
+/// Makes the change that `words` ask for.
+pub async fn make(args: &Args, words: &[&str]) -> Result<()> {
+    let platform = Consul::new(args.platform()?);
+    let (_, state) = read(&platform).await?;
+    let change = change(args, &state, words)?;
+    let object = change.object();
+    let proposal = Proposal {
+        id: args.id.clone().unwrap_or_else(|| format!("{:032x}", fastrand::u128(..))),
+        operator: args.operator.clone(),
+        at_ms: now_ms(),
+        expects_revision: state.object_revision(&object),
+        change,
+    };
+    let revision = propose(&platform, &proposal).await?;
+    if args.json {
+        println!("{}", serde_json::json!({ "revision": revision, "id": proposal.id }));
+    } else {
+        println!("revision {revision}: {object:?} changed (id {})", proposal.id);
+    }
+    Ok(())
+}
+
+fn change(args: &Args, state: &State, words: &[&str]) -> Result<Change> {
+    let named = |name: &str| name.to_owned();
+    match words {
+        ["template", "set", name] => {
+            let old = state.templates.get(*name).cloned().unwrap_or_default();
+            Ok(Change::SetTemplate { name: named(name), terms: template(args, &old)? })
+        }
+        ["template", "remove", name] => Ok(Change::RemoveTemplate { name: named(name) }),
+        ["account", "set", name] => {
+            let old = state.accounts.get(*name).cloned().unwrap_or_default();
+            Ok(Change::SetAccount { name: named(name), account: account(args, old)? })
+        }
+        ["account", "remove", name] => Ok(Change::RemoveAccount { name: named(name) }),
+        ["model", "set", model, version] => {
+            Ok(Change::SetModel { model: named(model), version: named(version) })
+        }
+        ["upstream", "leave", name] => {
+            Ok(Change::SetLeaving { upstream: named(name), leaving: true })
+        }
+        ["upstream", "stay", name] => {
+            Ok(Change::SetLeaving { upstream: named(name), leaving: false })
+        }
+        _ => Err(usage(format!("there is no verb '{}'", words.join(" ")))),
+    }
+}
+
+fn template(args: &Args, old: &Terms) -> Result<Terms> {
+    let own = overrides(args, Overrides::default())?;
+    Ok(Account { overrides: own, ..Account::default() }.terms(old))
+}
+
+fn account(args: &Args, mut account: Account) -> Result<Account> {
+    if let Some(template) = &args.template {
+        account.template.clone_from(template);
+    }
+    account.overrides = overrides(args, account.overrides)?;
+    if let Some(key) = &args.drop_key {
+        let hash = key_hash(key);
+        let before = account.key_hashes.len();
+        account.key_hashes.retain(|held| *held != hash);
+        if account.key_hashes.len() == before {
+            return Err(Error::Usage("the account has no such key to drop".to_owned()));
+        }
+    }
+    account.key_hashes.extend(args.add_key.as_deref().map(key_hash));
+    account.key_hashes.dedup();
+    Ok(account)
+}
+
+fn overrides(args: &Args, old: Overrides) -> Result<Overrides> {
+    let terms = &args.terms;
+    let weights = terms.weights.as_deref().map(weights).transpose()?;
+    let models = terms.models.as_deref().map(models);
+    Ok(Overrides {
+        share: terms.share.or(old.share),
+        priority: terms.priority.or(old.priority),
+        keep_for_s: terms.keep_for_s.or(old.keep_for_s),
+        weights: weights.or(old.weights),
+        models: models.or(old.models),
+    })
+}
+
+fn weights(text: &str) -> Result<Weights> {
+    let parts: Vec<_> = text.split(',').collect();
+    let [first_token, recompute, link] = parts.as_slice() else {
+        return Err(usage("weights: three numbers are needed"));
+    };
+    Ok(Weights {
+        first_token: number("weights", first_token)?,
+        recompute: number("weights", recompute)?,
+        link: number("weights", link)?,
+    })
+}
+
+fn models(text: &str) -> BTreeMap<String, Vec<String>> {
+    let items = text.split(',').filter(|item| !item.is_empty());
+    items
+        .map(|item| {
+            let (model, versions) = item.split_once('=').unwrap_or((item, ""));
+            let versions = versions.split(':').filter(|version| !version.is_empty());
+            (model.to_owned(), versions.map(str::to_owned).collect())
+        })
+        .collect()
+}
+
+/// Asks a box to stop as planned.
+pub async fn drain_box(address: &str) -> Result<()> {
+    let answer = reqwest::Client::new().post(format!("http://{address}/drain")).send().await;
+    match answer {
+        Ok(answer) if answer.status().is_success() => {
+            println!("{address} stops as planned");
+            Ok(())
+        }
+        Ok(answer) => Err(Error::Usage(format!("{address}: {}", answer.status()))),
+        Err(error) => Err(Error::Usage(format!("{address}: {error}"))),
+    }
+}
--- /dev/null
+++ b/src/callers.rs
@@ -0,0 +1,443 @@
+//! The HTTP interface towards callers.
+//!
+//! Completions follow the usual completions protocol. Calls to plain services
+//! go below `/app/<service>/`. Every refusal says whether the call has run, why
+//! it is refused, and when to come back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::{Stream as Events, StreamExt, stream};
+use log::error;
+use poem::http::StatusCode;
+use poem::listener::TcpListener;
+use poem::web::sse::{Event, SSE};
+use poem::web::{Data, Json, Path, Query};
+use poem::{
+    Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::account::Terms;
+use crate::calls::{give_ticket, repeatable, serve_once, serve_plain, single_key};
+use crate::clock::now_ms;
+use crate::completion::{self, Job};
+use crate::context::tokens;
+use crate::kernel::{Kernel, Phase, Plugin};
+use crate::ledger::{Answer, CallKey};
+use crate::refusal::{Reason, Refusal};
+use crate::streams::{News, Reader, Stream, StreamEnd};
+use crate::trace::TraceId;
+use crate::wire::Call;
+
+/// Header with the time that the caller waits, in milliseconds.
+pub const TIMEOUT_HEADER: &str = "x-timeout-ms";
+/// Header with the name of a request.
+pub const REQUEST_HEADER: &str = "x-request-id";
+/// Header that says whether a refused call has run.
+pub const RAN_HEADER: &str = "x-coursestile-ran";
+/// Header with the trace of a request.
+pub const TRACE_HEADER: &str = "x-trace-id";
+/// Longest time that a caller may wait, in milliseconds.
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// Most tokens that a request may ask for.
+const MAX_TOKENS: u32 = 32_768;
+/// Time in which connections close after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
+inventory::submit! {
+    Plugin { name: "callers", start, receive: None }
+}
+
+/// A refusal on its way to the caller.
+struct Rejection {
+    refusal: Refusal,
+    detail: String,
+}
+
+impl From<Refusal> for Rejection {
+    fn from(refusal: Refusal) -> Self {
+        let detail = refusal.reason.to_string();
+        Self { refusal, detail }
+    }
+}
+
+impl From<Reason> for Rejection {
+    fn from(reason: Reason) -> Self {
+        Refusal::not_run(reason).into()
+    }
+}
+
+impl IntoResponse for Rejection {
+    fn into_response(self) -> Response {
+        let Refusal { ran, reason, retry_at_ms } = self.refusal;
+        let labels = [("ran", ran.to_string()), ("reason", reason.name())];
+        metrics::counter!("coursestile_refusals_total", &labels).increment(1);
+        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut response = (status, Json(error_body(&self.refusal, &self.detail))).into_response();
+        response.headers_mut().insert(RAN_HEADER, header(&ran.to_string()));
+        if let Some(retry_at_ms) = retry_at_ms {
+            let seconds = retry_at_ms.saturating_sub(now_ms()).div_ceil(1000);
+            response.headers_mut().insert("retry-after", header(&seconds.to_string()));
+        }
+        response
+    }
+}
+
+fn header(text: &str) -> poem::http::HeaderValue {
+    poem::http::HeaderValue::from_str(text)
+        .unwrap_or_else(|_| poem::http::HeaderValue::from_static("unprintable"))
+}
+
+fn error_body(refusal: &Refusal, detail: &str) -> Value {
+    json!({ "error": {
+        "message": format!("{}: {detail}", refusal.ran),
+        "type": refusal.reason.name(),
+        "ran": refusal.ran.to_string(),
+        "retry_at_ms": refusal.retry_at_ms,
+    }})
+}
+
+/// Who calls, and until when.
+struct Caller {
+    account: String,
+    terms: Terms,
+    deadline_ms: u64,
+    trace: TraceId,
+}
+
+fn caller(kernel: &Kernel, request: &Request) -> Result<Caller, Rejection> {
+    let config = kernel.configuration.current();
+    if config.state.revision == 0 {
+        return Err(Refusal::not_run(Reason::NotReady).retry_at(now_ms() + 1000).into());
+    }
+    if kernel.phase() >= Phase::Draining {
+        return Err(Refusal::not_run(Reason::Stopping).retry_at(now_ms()).into());
+    }
+    let bearer = request.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let account = bearer.and_then(|key| config.account_of(key)).ok_or(Reason::BadKey)?;
+    let terms = config.terms(account).ok_or(Reason::BadKey)?;
+    if terms.share <= 0.0 {
+        return Err(Reason::NoShare.into());
+    }
+    let timeout_ms = timeout_ms(kernel, request)?;
+    let trace = TraceId::from_header(request.header("traceparent"));
+    let deadline_ms = now_ms() + timeout_ms;
+    Ok(Caller { account: account.to_owned(), terms, deadline_ms, trace })
+}
+
+fn timeout_ms(kernel: &Kernel, request: &Request) -> Result<u64, Rejection> {
+    let Some(text) = request.header(TIMEOUT_HEADER) else {
+        return Ok(kernel.settings.default_timeout_ms);
+    };
+    let parsed = text.parse().ok().filter(|timeout_ms| (1..=MAX_TIMEOUT_MS).contains(timeout_ms));
+    parsed.ok_or_else(|| bad_request(format!("{TIMEOUT_HEADER}: '{text}' is no time to wait")))
+}
+
+fn bad_request(detail: String) -> Rejection {
+    Rejection { refusal: Refusal::not_run(Reason::BadRequest), detail }
+}
+
+async fn read_body(kernel: &Kernel, body: Body) -> Result<Vec<u8>, Rejection> {
+    let limit = kernel.settings.max_body_bytes;
+    let bytes = body.into_bytes_limit(limit).await.map_err(|_| {
+        let detail = format!("the body is longer than {limit} bytes, or broke off");
+        Rejection { refusal: Refusal::not_run(Reason::TooLong), detail }
+    })?;
+    Ok(bytes.to_vec())
+}
+
+#[derive(Deserialize)]
+struct Completion {
+    model: String,
+    prompt: String,
+    #[serde(default = "default_max_tokens")]
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+}
+
+fn default_max_tokens() -> u32 {
+    16
+}
+
+fn job(kernel: &Kernel, caller: Caller, body: &[u8]) -> Result<(Job, bool), Rejection> {
+    let request: Completion =
+        serde_json::from_slice(body).map_err(|error| bad_request(error.to_string()))?;
+    if !(1..=MAX_TOKENS).contains(&request.max_tokens) {
+        return Err(bad_request(format!("max_tokens must be between 1 and {MAX_TOKENS}")));
+    }
+    let config = kernel.configuration.current();
+    let (model, version) = match request.model.split_once('@') {
+        Some((model, version)) => (model, Some(version)),
+        None => {
+            (request.model.as_str(), config.state.models.get(&request.model).map(String::as_str))
+        }
+    };
+    let (model, version) = (model.to_owned(), version.ok_or(Reason::NoUpstream)?.to_owned());
+    if !caller.terms.allows(&model, &version) {
+        return Err(Reason::ModelNotAllowed.into());
+    }
+    let Caller { account, terms, deadline_ms, trace } = caller;
+    let (prompt, max_tokens) = (request.prompt, request.max_tokens);
+    let job = Job { account, terms, model, version, prompt, max_tokens, deadline_ms, trace };
+    Ok((job, request.stream))
+}
+
+#[handler]
+async fn complete(request: &Request, body: Body, Data(kernel): Data<&Arc<Kernel>>) -> Response {
+    match start_completion(kernel, request, body).await {
+        Ok((stream, true)) => send_events(stream, 0).await,
+        Ok((stream, false)) => send_whole(&stream).await,
+        Err(rejection) => rejection.into_response(),
+    }
+}
+
+async fn start_completion(
+    kernel: &Arc<Kernel>,
+    request: &Request,
+    body: Body,
+) -> Result<(Arc<Stream>, bool), Rejection> {
+    let caller = caller(kernel, request)?;
+    let body = read_body(kernel, body).await?;
+    let (job, streamed) = job(kernel, caller, &body)?;
+    metrics::counter!("coursestile_requests_total", "kind" => "completion").increment(1);
+    let id = format!("{}-{:x}", kernel.me.name, fastrand::u128(..));
+    let prompt_tokens = tokens(job.prompt.len());
+    let stream = kernel.streams.open(id, &job.account, &job.model, prompt_tokens);
+    tokio::spawn(completion::serve(kernel.clone(), job, stream.clone()));
+    Ok((stream, streamed))
+}
+
+fn chunk(stream: &Stream, seq: usize, text: &str, finish: Option<&str>) -> Value {
+    let (version, cached_tokens) = stream.ran_with();
+    json!({
+        "id": stream.id,
+        "object": "text_completion",
+        "model": stream.model,
+        "system_fingerprint": version,
+        "seq": seq,
+        "choices": [{ "index": 0, "text": text, "finish_reason": finish }],
+        "usage": {
+            "prompt_tokens": stream.prompt_tokens,
+            "prompt_tokens_details": { "cached_tokens": cached_tokens },
+        },
+    })
+}
+
+async fn send_whole(stream: &Arc<Stream>) -> Response {
+    let _reader = stream.read();
+    let mut read = 0;
+    loop {
+        match stream.next(read).await {
+            News::Texts(texts) => read += texts.len(),
+            News::End(StreamEnd::Refused(refusal)) => {
+                return Rejection::from(refusal).into_response();
+            }
+            News::End(StreamEnd::Finished(reason)) => {
+                let body = Json(chunk(stream, 0, &stream.text(), Some(&reason)));
+                return body.with_header(REQUEST_HEADER, &stream.id).into_response();
+            }
+        }
+    }
+}
+
+/// Sends the answer as events, once it is known that there is one.
+async fn send_events(stream: Arc<Stream>, from: usize) -> Response {
+    let reader = stream.read();
+    if let News::End(StreamEnd::Refused(refusal)) = stream.next(from).await {
+        return Rejection::from(refusal).into_response();
+    }
+    let id = stream.id.clone();
+    SSE::new(events(stream, reader, from)).with_header(REQUEST_HEADER, id).into_response()
+}
+
+struct Cursor {
+    stream: Arc<Stream>,
+    next: usize,
+    ended: bool,
+    _reader: Reader,
+}
+
+fn events(stream: Arc<Stream>, reader: Reader, from: usize) -> impl Events<Item = Event> {
+    let cursor = Cursor { stream, next: from, ended: false, _reader: reader };
+    let batches = stream::unfold(cursor, |mut cursor| async move {
+        if cursor.ended {
+            return None;
+        }
+        let batch = cursor.next_batch().await;
+        Some((stream::iter(batch), cursor))
+    });
+    batches.flatten()
+}
+
+impl Cursor {
+    /// The next events. The end mark follows only a whole answer.
+    async fn next_batch(&mut self) -> Vec<Event> {
+        match self.stream.next(self.next).await {
+            News::Texts(texts) => texts.iter().map(|text| self.piece(text)).collect(),
+            News::End(StreamEnd::Finished(reason)) => {
+                self.ended = true;
+                let last = chunk(&self.stream, self.next, "", Some(&reason));
+                vec![Event::message(last.to_string()), Event::message("[DONE]")]
+            }
+            News::End(StreamEnd::Refused(refusal)) => {
+                self.ended = true;
+                let detail = refusal.reason.to_string();
+                vec![Event::message(error_body(&refusal, &detail).to_string())]
+            }
+        }
+    }
+
+    fn piece(&mut self, text: &str) -> Event {
+        let piece = chunk(&self.stream, self.next, text, None);
+        self.next += 1;
+        Event::message(piece.to_string())
+    }
+}
+
+#[derive(Deserialize)]
+struct ResumeQuery {
+    #[serde(default)]
+    from: usize,
+}
+
+fn find(kernel: &Kernel, request: &Request, id: &str) -> Result<Arc<Stream>, Rejection> {
+    let caller = caller(kernel, request)?;
+    Ok(kernel.streams.find(&caller.account, id).ok_or(Reason::NotFound)?)
+}
+
+#[handler]
+async fn resume(
+    request: &Request,
+    Path(id): Path<String>,
+    Query(query): Query<ResumeQuery>,
+    Data(kernel): Data<&Arc<Kernel>>,
+) -> Response {
+    match find(kernel, request, &id) {
+        Ok(stream) => send_events(stream, query.from).await,
+        Err(rejection) => rejection.into_response(),
+    }
+}
+
+#[handler]
+fn cancel(request: &Request, Path(id): Path<String>, Data(kernel): Data<&Arc<Kernel>>) -> Response {
+    match find(kernel, request, &id) {
+        Ok(stream) => {
+            stream.cancel();
+            StatusCode::OK.into()
+        }
+        Err(rejection) => rejection.into_response(),
+    }
+}
+
+#[handler]
+fn ticket(request: &Request, Data(kernel): Data<&Arc<Kernel>>) -> Response {
+    match caller(kernel, request) {
+        Ok(caller) => {
+            let (prefix, expires_at_ms) = give_ticket(kernel, &caller.account);
+            Json(json!({ "prefix": prefix, "expires_at_ms": expires_at_ms })).into_response()
+        }
+        Err(rejection) => rejection.into_response(),
+    }
+}
+
+#[handler]
+async fn application(
+    request: &Request,
+    Path((service, _)): Path<(String, String)>,
+    body: Body,
+    Data(kernel): Data<&Arc<Kernel>>,
+) -> Response {
+    match call_service(kernel, request, service, body).await {
+        Ok(answer) => answer_response(answer),
+        Err(rejection) => rejection.into_response(),
+    }
+}
+
+fn answer_response(answer: Answer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let response = Response::builder().status(status);
+    let response = match &answer.content_type {
+        Some(content_type) => response.content_type(content_type),
+        None => response,
+    };
+    response.body(answer.body)
+}
+
+async fn call_service(
+    kernel: &Arc<Kernel>,
+    request: &Request,
+    service: String,
+    body: Body,
+) -> Result<Answer, Rejection> {
+    let caller = caller(kernel, request)?;
+    let uri = request.uri();
+    let prefix = format!("/app/{service}");
+    let path = uri.path().strip_prefix(&prefix).unwrap_or(uri.path());
+    let repeatable = repeatable(kernel, &service, path).ok_or(Reason::NotFound)?;
+    let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let key = request.header("idempotency-key").map(str::to_owned);
+    let account = caller.account;
+    let call_key = match &key {
+        Some(key) => CallKey { account, key: key.clone() },
+        None => single_key(kernel, &account),
+    };
+    let call = Call {
+        key: call_key,
+        ticket_expires_at_ms: 0,
+        method: request.method().to_string(),
+        path: format!("/app{path}{query}"),
+        content_type: request.header("content-type").map(str::to_owned),
+        body: read_body(kernel, body).await?,
+        deadline_ms: caller.deadline_ms,
+        trace: caller.trace,
+        service,
+    };
+    metrics::counter!("coursestile_requests_total", "kind" => "call").increment(1);
+    let answer = match key {
+        Some(key) if !repeatable => serve_once(kernel, call, &key).await,
+        _ => serve_plain(kernel, &call, repeatable).await,
+    };
+    Ok(answer?)
+}
+
+/// Adds the trace to each answer, and closes connections of a stopping box.
+async fn with_headers<E: Endpoint>(
+    kernel: Arc<Kernel>,
+    endpoint: Arc<E>,
+    mut request: Request,
+) -> poem::Result<Response> {
+    let trace = TraceId::from_header(request.header("traceparent"));
+    request.headers_mut().insert("traceparent", header(&trace.header()));
+    let mut response = endpoint.call(request).await?.into_response();
+    response.headers_mut().insert(TRACE_HEADER, header(&trace.to_string()));
+    if kernel.phase() > Phase::Serving {
+        response.headers_mut().insert("connection", header("close"));
+    }
+    Ok(response)
+}
+
+fn start(kernel: &Arc<Kernel>) {
+    let kernel = kernel.clone();
+    tokio::spawn(async move {
+        let calls = get(application).post(application).put(application).delete(application);
+        let layered = kernel.clone();
+        let app = Route::new()
+            .at("/v1/completions", post(complete))
+            .at("/v1/completions/:id", get(resume).delete(cancel))
+            .at("/v1/tickets", post(ticket))
+            .at("/app/:service/*path", calls)
+            .data(kernel.clone())
+            .around(move |endpoint, request| with_headers(layered.clone(), endpoint, request));
+        let server = Server::new(TcpListener::bind(kernel.settings.callers));
+        let stopped = kernel.stopped();
+        if let Err(error) =
+            server.run_with_graceful_shutdown(app, stopped, Some(CLOSE_TIMEOUT)).await
+        {
+            error!(target: "callers", "Cannot serve {}: {error}.", kernel.settings.callers);
+            std::process::exit(1);
+        }
+    });
+}
--- /dev/null
+++ b/src/calls.rs
@@ -0,0 +1,449 @@
+//! Calls to plain services, and the promise that some run at most once.
+//!
+//! A call with a ticket is run by the incarnation that gave the ticket, under
+//! its ledger; any other box forwards it there. When that incarnation cannot
+//! be reached the outcome is unknown. When it has stopped as planned, its heir
+//! answers from the ledger that it was given.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::sync::{oneshot, watch};
+
+use crate::clock::{instant_at, now_ms, now_us};
+use crate::edge::PlainServices;
+use crate::invariant::{Invariant, check};
+use crate::kernel::{Kernel, Phase, Plugin, Topic};
+use crate::ledger::{Answer, Begin, CallKey, Ledger, Outcome};
+use crate::member::{Health, Member};
+use crate::refusal::{Reason, Refusal};
+use crate::settings::UpstreamKind;
+use crate::sync::locked;
+use crate::ticket::{BoxRef, Ticket, TicketError};
+use crate::trace::Hop;
+use crate::wire::{Call, CallEnd, Envelope, Message};
+
+/// Time for which a ticket prefix may be used.
+pub const TICKET_TTL_MS: u64 = 600_000;
+/// How often a call looks whether the first one with its key has ended.
+const WAIT_POLL: Duration = Duration::from_millis(10);
+/// How often expired keys are forgotten.
+const EXPIRE_PERIOD: Duration = Duration::from_secs(5);
+/// Time in which an heir confirms a handover.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Boxes that are asked in turn to take a ledger over.
+const HANDOVER_TRIES: usize = 3;
+/// Time in which news of the heir spreads before the box stops.
+const HEIR_NEWS_TIME: Duration = Duration::from_millis(1200);
+/// Time to come back when the spender cannot be reached.
+const UNREACHABLE_RETRY_MS: u64 = 2000;
+/// Time for which a worker that could not be reached is left alone.
+const WORKER_COOLDOWN_MS: u64 = 1000;
+
+inventory::submit! {
+    Plugin { name: "calls", start, receive: Some((Topic::Calls, receive)) }
+}
+
+/// Ledgers, forwarded calls and the workers of plain services.
+pub struct Calls {
+    own: Mutex<Ledger>,
+    inherited: Mutex<HashMap<BoxRef, Ledger>>,
+    forwarded: Mutex<HashMap<u64, oneshot::Sender<CallEnd>>>,
+    cooldowns: Mutex<BTreeMap<String, u64>>,
+    running: AtomicUsize,
+    turn: AtomicUsize,
+    handover_taken: watch::Sender<Option<(BoxRef, BoxRef)>>,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            own: Mutex::default(),
+            inherited: Mutex::default(),
+            forwarded: Mutex::default(),
+            cooldowns: Mutex::default(),
+            running: AtomicUsize::new(0),
+            turn: AtomicUsize::new(0),
+            handover_taken: watch::Sender::new(None),
+        }
+    }
+}
+
+/// Counts a running call for as long as it lives.
+struct Running<'a>(&'a AtomicUsize);
+
+impl<'a> Running<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Calls {
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        locked(&self.own)
+    }
+
+    /// Number of calls that have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Number of keys in the ledger.
+    #[must_use]
+    pub fn keys(&self) -> usize {
+        self.ledger().len()
+    }
+}
+
+/// A new ticket prefix for `account`.
+#[must_use]
+pub fn give_ticket(kernel: &Kernel, account: &str) -> (String, u64) {
+    let ticket = Ticket {
+        spender: kernel.me.clone(),
+        expires_at_ms: now_ms() + TICKET_TTL_MS,
+        serial: kernel.take_number(),
+    };
+    (ticket.seal(&kernel.settings.cluster_key, account), ticket.expires_at_ms)
+}
+
+/// Serves a call that its caller may repeat, or that has no key.
+///
+/// # Errors
+/// Fails with a refusal that says whether it may have run.
+pub async fn serve_plain(
+    kernel: &Arc<Kernel>,
+    call: &Call,
+    repeatable: bool,
+) -> Result<Answer, Refusal> {
+    let _running = Running::new(&kernel.calls.running);
+    let end = run(kernel, call, repeatable).await;
+    answer_of(end)
+}
+
+/// Serves a call under its ticket.
+///
+/// # Errors
+/// Fails with a refusal that says whether it may have run.
+pub async fn serve_once(
+    kernel: &Arc<Kernel>,
+    mut call: Call,
+    idempotency_key: &str,
+) -> Result<Answer, Refusal> {
+    let _running = Running::new(&kernel.calls.running);
+    let key = &kernel.settings.cluster_key;
+    let ticket = Ticket::open(key, &call.key.account, idempotency_key).map_err(bad_ticket)?;
+    call.ticket_expires_at_ms = ticket.expires_at_ms;
+    let end = if ticket.spender == kernel.me {
+        spend(kernel, &call).await
+    } else {
+        forward(kernel, &ticket.spender, call).await
+    };
+    answer_of(end)
+}
+
+fn bad_ticket(error: TicketError) -> Refusal {
+    info!(target: "calls", "Ticket refused: {error}.");
+    Refusal::not_run(Reason::BadTicket)
+}
+
+fn answer_of(end: CallEnd) -> Result<Answer, Refusal> {
+    let retry_at_ms = now_ms() + UNREACHABLE_RETRY_MS;
+    match end.outcome {
+        Outcome::Answered(answer) => Ok(answer),
+        Outcome::Unknown => Err(Refusal::unknown(end.reason).retry_at(retry_at_ms)),
+        Outcome::NotRun => Err(Refusal::not_run(end.reason).retry_at(retry_at_ms)),
+    }
+}
+
+fn not_run(reason: Reason) -> CallEnd {
+    CallEnd { outcome: Outcome::NotRun, reason }
+}
+
+fn unknown(reason: Reason) -> CallEnd {
+    CallEnd { outcome: Outcome::Unknown, reason }
+}
+
+/// Runs a call under this incarnation's ledger.
+async fn spend(kernel: &Arc<Kernel>, call: &Call) -> CallEnd {
+    let fingerprint = fingerprint(call);
+    loop {
+        if now_ms() >= call.deadline_ms {
+            // An earlier call with this key may still run.
+            return unknown(Reason::DeadlinePassed);
+        }
+        let expires_at_ms = call.ticket_expires_at_ms;
+        let begin = kernel.calls.ledger().begin(now_ms(), &call.key, fingerprint, expires_at_ms);
+        match begin {
+            Begin::Run => break,
+            Begin::Wait => tokio::time::sleep(WAIT_POLL).await,
+            begin => return end_of(begin),
+        }
+    }
+    // The run goes on also when its caller hangs up, so that it gets its line.
+    let (kernel, call) = (kernel.clone(), call.clone());
+    let spent = tokio::spawn(async move {
+        let _running = Running::new(&kernel.calls.running);
+        let end = run(&kernel, &call, false).await;
+        kernel.calls.ledger().finish(&call.key, &end.outcome);
+        end
+    });
+    spent.await.unwrap_or_else(|_| unknown(Reason::UpstreamFailed))
+}
+
+fn end_of(begin: Begin) -> CallEnd {
+    match begin {
+        Begin::Replay(answer) => {
+            CallEnd { outcome: Outcome::Answered(answer), reason: Reason::UpstreamFailed }
+        }
+        Begin::Unknown | Begin::Run | Begin::Wait => unknown(Reason::UpstreamFailed),
+        Begin::Mismatch => not_run(Reason::KeyMismatch),
+        Begin::Expired => unknown(Reason::TicketExpired),
+        Begin::Full => not_run(Reason::TooManyKeys),
+        Begin::Closed => not_run(Reason::Stopping),
+    }
+}
+
+fn fingerprint(call: &Call) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for part in [&call.service, &call.method, &call.path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(&call.body);
+    let mut bytes = [0; 8];
+    hasher.finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
+
+/// Runs a call at a worker. It goes to a second one only when no byte of it
+/// has left for the first, or when it may be repeated.
+async fn run(kernel: &Arc<Kernel>, call: &Call, repeatable: bool) -> CallEnd {
+    let workers = workers(kernel, &call.service);
+    let mut sent = 0;
+    let mut end = not_run(Reason::NoUpstream);
+    for (name, url) in workers {
+        if now_ms() >= call.deadline_ms {
+            break;
+        }
+        let began_at_us = now_us();
+        let outcome = kernel.upstreams.call(&url, call).await;
+        let note = format!("{} {} on {name}", call.method, call.path);
+        kernel.span(call.trace, Hop::Upstream, began_at_us, note);
+        if outcome != Outcome::NotRun {
+            sent += 1;
+            check(Invariant::SentOnce, repeatable || sent == 1, || call.key.key.clone());
+        }
+        match outcome {
+            Outcome::Answered(_) => {
+                return CallEnd { outcome, reason: Reason::UpstreamFailed };
+            }
+            Outcome::NotRun => cool_down(kernel, name),
+            Outcome::Unknown => {
+                end = unknown(Reason::UpstreamFailed);
+                let budget = &kernel.placing.retries;
+                let may_repeat = repeatable && locked(budget).spend();
+                if !may_repeat {
+                    break;
+                }
+            }
+        }
+    }
+    end
+}
+
+/// Workers of a service that take work, another one first each time.
+fn workers(kernel: &Kernel, service: &str) -> Vec<(String, String)> {
+    let config = kernel.configuration.current();
+    let cooldowns = locked(&kernel.calls.cooldowns);
+    let now_ms = now_ms();
+    let own = kernel.settings.upstreams.iter().filter(|upstream| match &upstream.kind {
+        UpstreamKind::Service { service: name, .. } => name == service,
+        UpstreamKind::Engine(_) | UpstreamKind::Store(_) => false,
+    });
+    let staying = own.filter(|upstream| !config.state.leaving.contains(&upstream.name));
+    let all: Vec<_> = staying.map(|one| (one.name.clone(), one.url.clone())).collect();
+    let cooled = |name: &String| cooldowns.get(name).is_none_or(|until_ms| *until_ms <= now_ms);
+    let (mut workers, cooling): (Vec<_>, Vec<_>) =
+        all.into_iter().partition(|(name, _)| cooled(name));
+    if !workers.is_empty() {
+        let turn = kernel.calls.turn.fetch_add(1, Ordering::Relaxed) % workers.len();
+        workers.rotate_left(turn);
+    }
+    workers.extend(cooling);
+    workers
+}
+
+fn cool_down(kernel: &Kernel, worker: String) {
+    let until_ms = now_ms() + WORKER_COOLDOWN_MS;
+    locked(&kernel.calls.cooldowns).insert(worker, until_ms);
+}
+
+/// Whether calls to `path` of `service` may be repeated; `None` when there is
+/// no such service.
+#[must_use]
+pub fn repeatable(kernel: &Kernel, service: &str, path: &str) -> Option<bool> {
+    kernel.settings.upstreams.iter().find_map(|upstream| match &upstream.kind {
+        UpstreamKind::Service { service: name, repeatable } if name == service => {
+            Some(repeatable.iter().any(|prefix| path.starts_with(prefix.as_str())))
+        }
+        _ => None,
+    })
+}
+
+/// Forwards a call to the box that may spend its ticket, or to its heir.
+async fn forward(kernel: &Arc<Kernel>, spender: &BoxRef, call: Call) -> CallEnd {
+    let began_at_us = now_us();
+    let (trace, deadline_ms) = (call.trace, call.deadline_ms);
+    let answers = kernel.membership().answers_for(spender).cloned();
+    let address = match answers {
+        Some(member) if member.id == kernel.me => {
+            return answer_as_heir(kernel, spender, &call)
+                .unwrap_or_else(|| unknown(Reason::SpenderUnreachable));
+        }
+        Some(member) => member.address,
+        None => return unknown(Reason::SpenderUnreachable),
+    };
+    let number = kernel.take_number();
+    let (waiting, answered) = oneshot::channel();
+    locked(&kernel.calls.forwarded).insert(number, waiting);
+    kernel.send(&address, Message::Call { number, spender: spender.clone(), call: Box::new(call) });
+    let answer = tokio::time::timeout_at(instant_at(deadline_ms), answered).await;
+    locked(&kernel.calls.forwarded).remove(&number);
+    kernel.span(trace, Hop::Spender, began_at_us, spender.to_string());
+    match answer {
+        Ok(Ok(end)) => end,
+        Ok(Err(_)) | Err(_) => unknown(Reason::SpenderUnreachable),
+    }
+}
+
+/// Answers from the ledger of a box that has stopped; it is closed, so that
+/// nothing runs.
+fn answer_as_heir(kernel: &Kernel, spender: &BoxRef, call: &Call) -> Option<CallEnd> {
+    let mut inherited = locked(&kernel.calls.inherited);
+    let ledger = inherited.get_mut(spender)?;
+    let begin = ledger.begin(now_ms(), &call.key, fingerprint(call), call.ticket_expires_at_ms);
+    check(Invariant::SentOnce, begin != Begin::Run, || call.key.key.clone());
+    Some(end_of(begin))
+}
+
+fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
+    match envelope.message {
+        Message::Call { number, spender, call } => {
+            tokio::spawn(take_call(kernel.clone(), envelope.reply_to, number, spender, call));
+        }
+        Message::CallEnd { number, end } => {
+            let waiting = locked(&kernel.calls.forwarded).remove(&number);
+            // A caller that has given up does not wait any more.
+            let _ = waiting.map(|waiting| waiting.send(end));
+        }
+        Message::Handover { of, ledger } => {
+            info!(target: "calls", "Took over {} keys of {of}.", ledger.len());
+            let mut inherited = locked(&kernel.calls.inherited);
+            inherited.insert(of.clone(), *ledger);
+            kernel.send(&envelope.reply_to, Message::HandoverTaken { of });
+        }
+        Message::HandoverTaken { of } => {
+            kernel.calls.handover_taken.send_replace(Some((envelope.from, of)));
+        }
+        _ => {}
+    }
+}
+
+async fn take_call(
+    kernel: Arc<Kernel>,
+    reply_to: String,
+    number: u64,
+    spender: BoxRef,
+    call: Box<Call>,
+) {
+    let _running = Running::new(&kernel.calls.running);
+    let end = if spender == kernel.me {
+        spend(&kernel, &call).await
+    } else {
+        answer_as_heir(&kernel, &spender, &call)
+            .unwrap_or_else(|| unknown(Reason::SpenderUnreachable))
+    };
+    kernel.send(&reply_to, Message::CallEnd { number, end });
+}
+
+/// Stops spending, and gives the own ledger and those inherited to a peer.
+pub async fn hand_over(kernel: &Arc<Kernel>) {
+    let mut ledgers = std::mem::take(&mut *locked(&kernel.calls.inherited));
+    {
+        let mut own = kernel.calls.ledger();
+        own.close();
+        ledgers.insert(kernel.me.clone(), own.handover());
+    }
+    ledgers.retain(|_, ledger| !ledger.is_empty());
+    if ledgers.is_empty() {
+        return;
+    }
+    for heir in heirs(kernel) {
+        if give_to(kernel, &heir, &ledgers).await {
+            info!(target: "calls", "{} ledgers given to {}.", ledgers.len(), heir.id);
+            kernel.membership().leave(Some(heir.id));
+            tokio::time::sleep(HEIR_NEWS_TIME).await;
+            return;
+        }
+    }
+    warn!(target: "calls", "Nobody took the ledger: outcomes of its calls become unknown.");
+}
+
+/// Gives all ledgers to one heir; true when it has confirmed each.
+async fn give_to(kernel: &Arc<Kernel>, heir: &Member, ledgers: &HashMap<BoxRef, Ledger>) -> bool {
+    for (of, ledger) in ledgers {
+        let mut taken = kernel.calls.handover_taken.subscribe();
+        let ledger = Box::new(ledger.clone());
+        kernel.send(&heir.address, Message::Handover { of: of.clone(), ledger });
+        let expected = Some((heir.id.clone(), of.clone()));
+        let confirmed = taken.wait_for(|by| *by == expected);
+        if tokio::time::timeout(HANDOVER_TIMEOUT, confirmed).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Boxes that may take the ledger, those of the own hall first.
+fn heirs(kernel: &Kernel) -> Vec<Member> {
+    let membership = kernel.membership();
+    let alive = membership.members().skip(1).filter(|member| member.health == Health::Alive);
+    let mut heirs: Vec<_> = alive.cloned().collect();
+    fastrand::shuffle(&mut heirs);
+    heirs.sort_by_key(|member| member.hall != kernel.settings.hall);
+    heirs.truncate(HANDOVER_TRIES);
+    heirs
+}
+
+fn start(kernel: &Arc<Kernel>) {
+    let kernel = kernel.clone();
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(EXPIRE_PERIOD);
+        while kernel.phase() != Phase::Stopped {
+            ticks.tick().await;
+            kernel.calls.ledger().expire(now_ms());
+            let mut inherited = locked(&kernel.calls.inherited);
+            for ledger in inherited.values_mut() {
+                ledger.expire(now_ms());
+            }
+            inherited.retain(|_, ledger| !ledger.is_empty());
+        }
+    });
+}
+
+/// Names the key of a call that has none of its own.
+#[must_use]
+pub fn single_key(kernel: &Kernel, account: &str) -> CallKey {
+    CallKey { account: account.to_owned(), key: format!("{}-{}", kernel.me, kernel.take_number()) }
+}
--- /dev/null
+++ b/src/completion.rs
@@ -0,0 +1,421 @@
+//! Serves one completion: finds places, runs attempts, keeps the answer whole.
+//!
+//! An attempt that breaks off is resumed at its engine or, when that fails,
+//! continued at another engine from the text so far, under the same weight
+//! version. Before the first piece the request may still move to a newer
+//! version. Retries come out of a budget.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use log::info;
+
+use crate::account::Terms;
+use crate::ask::{Ask, AskId, End, Import, ImportResult, Imported, Report};
+use crate::assembler::Assembler;
+use crate::clock::{instant_at, now_ms, now_us};
+use crate::context::{Scope, marks, salt, tokens};
+use crate::edge::{
+    ContextStores, EngineError, EnginePiece, Generate, ModelEngines, Pieces, Staged,
+};
+use crate::invariant::{Invariant, check};
+use crate::kernel::{Kernel, Plugin};
+use crate::placing::{Placed, place};
+use crate::refusal::{Ran, Reason, Refusal};
+use crate::retry::RetryBudget;
+use crate::streams::{Stream, StreamEnd};
+use crate::sync::locked;
+use crate::trace::{Hop, TraceId};
+
+/// Most attempts for one request.
+const MAX_ATTEMPTS: u32 = 6;
+/// Time to come back after an upstream failed.
+const FAILED_RETRY_MS: u64 = 1000;
+/// How often ended and unread answers are looked for.
+const TIDY_PERIOD: Duration = Duration::from_secs(1);
+
+inventory::submit! {
+    Plugin { name: "completion", start, receive: None }
+}
+
+/// A completion to serve.
+pub struct Job {
+    /// Client account.
+    pub account: String,
+    /// The account's terms when the request came.
+    pub terms: Terms,
+    /// Model.
+    pub model: String,
+    /// Weight version; settled by the first piece.
+    pub version: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// When the caller gives up, in Unix milliseconds.
+    pub deadline_ms: u64,
+    /// Trace that it belongs to.
+    pub trace: TraceId,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    Finished(String),
+    Cancelled,
+    Refused,
+    OtherVersion { ran: bool },
+    Unreachable,
+    Failed(String),
+}
+
+/// One completion under way.
+struct Serving<'a> {
+    kernel: &'a Arc<Kernel>,
+    job: Job,
+    stream: &'a Stream,
+    assembler: Assembler,
+    avoid: Vec<String>,
+    attempts: u32,
+    may_have_run: bool,
+}
+
+/// Serves `job` to the end of `stream`.
+pub async fn serve(kernel: Arc<Kernel>, job: Job, stream: Arc<Stream>) {
+    let began_at_us = now_us();
+    let (trace, deadline_ms) = (job.trace, job.deadline_ms);
+    budget(&kernel.placing.retries).earn();
+    let mut serving = Serving {
+        kernel: &kernel,
+        job,
+        stream: &stream,
+        assembler: Assembler::default(),
+        avoid: Vec::new(),
+        attempts: 0,
+        may_have_run: false,
+    };
+    let served = tokio::time::timeout_at(instant_at(deadline_ms), serving.run()).await;
+    let end = served.unwrap_or_else(|_| StreamEnd::Refused(serving.late()));
+    let note = match &end {
+        StreamEnd::Finished(_) => format!("whole after {} attempts", serving.attempts),
+        StreamEnd::Refused(refusal) => format!("{}: {}", refusal.ran, refusal.reason),
+    };
+    kernel.span(trace, Hop::Caller, began_at_us, note);
+    stream.finish(end);
+}
+
+impl Serving<'_> {
+    async fn run(&mut self) -> StreamEnd {
+        loop {
+            let placed = match place(self.kernel, self.ask()).await {
+                Ok(placed) => placed,
+                Err(refusal) => return StreamEnd::Refused(self.as_it_ran(refusal)),
+            };
+            let engine = placed.grant.engine.clone();
+            match self.attempt(placed).await {
+                Attempt::Finished(reason) => return StreamEnd::Finished(reason),
+                Attempt::Cancelled => return StreamEnd::Refused(self.refuse(Reason::Cancelled)),
+                Attempt::Refused => self.avoid.push(engine),
+                Attempt::OtherVersion { .. } => self.follow_version(engine),
+                Attempt::Unreachable | Attempt::Failed(_) => {
+                    self.avoid.push(engine);
+                    if !budget(&self.kernel.placing.retries).spend() {
+                        return StreamEnd::Refused(self.refuse(Reason::RetryBudget));
+                    }
+                }
+            }
+            if self.attempts >= MAX_ATTEMPTS {
+                return StreamEnd::Refused(self.refuse(Reason::UpstreamFailed));
+            }
+        }
+    }
+
+    fn begun(&self) -> bool {
+        self.assembler.next_seq() > 0
+    }
+
+    /// Moves to the version in force, as long as no piece has come.
+    fn follow_version(&mut self, engine: String) {
+        let config = self.kernel.configuration.current();
+        let newer = config.state.models.get(&self.job.model);
+        match newer.filter(|version| !self.begun() && **version != self.job.version) {
+            Some(version) => self.job.version.clone_from(version),
+            None => self.avoid.push(engine),
+        }
+    }
+
+    fn scope(&self) -> Scope {
+        let Job { account, model, version, .. } = &self.job;
+        Scope { account: account.clone(), model: model.clone(), version: version.clone() }
+    }
+
+    fn prompt(&self) -> String {
+        format!("{}{}", self.job.prompt, self.stream.text())
+    }
+
+    fn tokens_left(&self) -> u32 {
+        let done = u32::try_from(self.assembler.next_seq()).unwrap_or(u32::MAX);
+        self.job.max_tokens.saturating_sub(done)
+    }
+
+    fn ask(&self) -> Ask {
+        let scope = self.scope();
+        let prompt = self.prompt();
+        let terms = &self.job.terms;
+        Ask {
+            id: AskId { entry: self.kernel.me.clone(), number: self.kernel.take_number() },
+            marks: marks(&scope, &prompt),
+            scope,
+            prompt_tokens: tokens(prompt.len()),
+            max_tokens: self.tokens_left(),
+            share: terms.share,
+            priority: terms.priority,
+            weights: terms.weights,
+            worthless_at_ms: now_ms() + terms.keep_for_s * 1000,
+            deadline_ms: self.job.deadline_ms,
+            avoid: self.avoid.clone(),
+            no_wait: false,
+            trace: self.job.trace,
+        }
+    }
+
+    async fn attempt(&mut self, placed: Placed) -> Attempt {
+        let leaving = &self.kernel.configuration.current().state.leaving;
+        if leaving.contains(&placed.grant.engine) {
+            placed.done(self.kernel, "", 0, End::Refused);
+            return Attempt::Refused;
+        }
+        let began_at_us = now_us();
+        self.attempts += 1;
+        let run = format!("{}-{}", self.stream.id, self.attempts);
+        let first_seq = self.assembler.next_seq();
+        let mut guard = PlaceGuard::new(self.kernel, placed, &run);
+        let placed = guard.placed();
+        if let Some(import) = placed.grant.import.clone() {
+            self.import(placed, &import).await;
+        }
+        let stream = self.stream;
+        let ran_before = std::mem::replace(&mut self.may_have_run, true);
+        let ended = tokio::select! {
+            ended = self.generate(placed, &run, first_seq) => ended,
+            () = stream.cancelled() => Attempt::Cancelled,
+        };
+        let generated = self.assembler.next_seq() - first_seq;
+        let (end, ran) = match &ended {
+            Attempt::Finished(_) => (End::Finished, true),
+            Attempt::Cancelled => (End::Cancelled, true),
+            Attempt::Refused => (End::Refused, false),
+            Attempt::OtherVersion { ran } => (End::Refused, *ran),
+            Attempt::Unreachable => (End::Failed, false),
+            Attempt::Failed(why) => {
+                info!(target: "completion", "{run} failed: {why}.");
+                (End::Failed, true)
+            }
+        };
+        self.may_have_run = ran_before || ran;
+        let note = format!("{} on {}: {end:?}", run, placed.grant.engine);
+        self.kernel.span(self.job.trace, Hop::Upstream, began_at_us, note);
+        guard.done(u32::try_from(generated).unwrap_or(u32::MAX), end);
+        ended
+    }
+
+    /// Runs on one engine, resuming there once when the stream breaks off.
+    async fn generate(&mut self, placed: &Placed, run: &str, first_seq: u64) -> Attempt {
+        let began_at_ms = now_ms();
+        let (scope, prompt) = (self.scope(), self.prompt());
+        let request = Generate {
+            request_id: run,
+            model: &self.job.model,
+            weight_version: &self.job.version,
+            prompt: &prompt,
+            max_tokens: self.tokens_left(),
+            priority: self.job.terms.priority,
+            cache_salt: &salt(&scope),
+            stream: true,
+        };
+        let url = &placed.grant.url;
+        let number = self.assembler.start_attempt();
+        let pieces = self.kernel.upstreams.generate(url, &request, number, first_seq).await;
+        let ended = match pieces {
+            Ok(pieces) => self.read(placed, run, pieces, began_at_ms).await,
+            Err(error) => Err(error),
+        };
+        let ended = match ended {
+            Err(EngineError::Broken(_)) if self.begun() => {
+                let from = self.assembler.next_seq() - first_seq;
+                let number = self.assembler.start_attempt();
+                let upstreams = &self.kernel.upstreams;
+                match upstreams.resume(url, run, number, from, first_seq).await {
+                    Ok(pieces) => self.read(placed, run, pieces, began_at_ms).await,
+                    Err(error) => Err(error),
+                }
+            }
+            ended => ended,
+        };
+        match ended {
+            Ok(reason) => Attempt::Finished(reason),
+            Err(EngineError::OtherVersion) => Attempt::OtherVersion { ran: false },
+            Err(EngineError::RanOtherVersion) => Attempt::OtherVersion { ran: true },
+            Err(EngineError::Refused) => Attempt::Refused,
+            Err(EngineError::Unreachable) => Attempt::Unreachable,
+            Err(error @ EngineError::Broken(_)) => Attempt::Failed(error.to_string()),
+        }
+    }
+
+    async fn read(
+        &mut self,
+        placed: &Placed,
+        run: &str,
+        mut pieces: Pieces,
+        began_at_ms: u64,
+    ) -> Result<String, EngineError> {
+        let mut first = true;
+        while let Some(piece) = pieces.next().await {
+            let piece = piece?;
+            if std::mem::take(&mut first) {
+                self.first_piece(placed, &piece, began_at_ms);
+            }
+            if piece.version != self.job.version {
+                // The engine did not check; nothing of this run is let through.
+                metrics::counter!("coursestile_other_version_runs_total").increment(1);
+                self.kernel.upstreams.cancel(&placed.grant.url, run).await;
+                return Err(EngineError::RanOtherVersion);
+            }
+            self.take(run, piece)?;
+            if let Some(reason) = self.assembler.finish() {
+                return Ok(reason.to_owned());
+            }
+        }
+        Err(EngineError::Broken("the stream ended early".to_owned()))
+    }
+
+    fn first_piece(&self, placed: &Placed, piece: &EnginePiece, began_at_ms: u64) {
+        let took_ms = u32::try_from(now_ms() - began_at_ms).unwrap_or(u32::MAX);
+        let (id, cached_tokens) = (placed.id().clone(), piece.cached_tokens);
+        placed.report(self.kernel, Report::FirstToken { id, cached_tokens, took_ms });
+    }
+
+    fn take(&mut self, run: &str, piece: EnginePiece) -> Result<(), EngineError> {
+        let own = piece.request_id == run;
+        if !check(Invariant::PieceOfOwnRequest, own, || piece.request_id.clone()) {
+            return Err(EngineError::Broken("a piece of another request".to_owned()));
+        }
+        let (version, cached_tokens) = (piece.version, piece.cached_tokens);
+        let ready = self.assembler.take(piece.piece).unwrap_or_default();
+        for piece in ready {
+            let expected = version == self.job.version;
+            check(Invariant::ExpectedVersion, expected, || run.to_owned());
+            self.stream.push(piece.text, &version, cached_tokens);
+        }
+        Ok(())
+    }
+
+    /// Brings kept context to the engine; without it, the run recomputes.
+    async fn import(&self, placed: &Placed, import: &Import) {
+        let (span_at_us, began_at_ms) = (now_us(), now_ms());
+        let deadline = instant_at(import.deadline_ms);
+        let bring = self.bring(&placed.grant.url, import);
+        let brought = tokio::time::timeout_at(deadline, bring).await;
+        let result = brought.unwrap_or(ImportResult::TimedOut);
+        let took_ms = u32::try_from(now_ms() - began_at_ms).unwrap_or(u32::MAX);
+        metrics::counter!("coursestile_imports_total", "result" => format!("{result:?}"))
+            .increment(1);
+        let note = format!("{} to {}: {result:?}", import.block.0, placed.grant.engine);
+        self.kernel.span(self.job.trace, Hop::Import, span_at_us, note);
+        let (block, expected_ms) = (import.block.clone(), import.expected_ms);
+        let imported = Imported { block, expected_ms, took_ms, result };
+        placed.report(self.kernel, Report::Imported { id: placed.id().clone(), imported });
+    }
+
+    /// Pins the block, has it staged, and uses it only as it was sealed.
+    async fn bring(&self, url: &str, import: &Import) -> ImportResult {
+        let upstreams = &self.kernel.upstreams;
+        let Import { block, store_url, seal, pinned_until_ms, .. } = import;
+        let pinned = upstreams.pin(store_url, block, *pinned_until_ms).await;
+        if pinned.as_ref() != Some(seal) {
+            return ImportResult::NotFound;
+        }
+        let (prompt, salt) = (self.prompt(), salt(&self.scope()));
+        let arrived = match upstreams.stage(url, store_url, block, &prompt, &salt).await {
+            Staged::Arrived(arrived) => arrived,
+            Staged::NotFound => return ImportResult::NotFound,
+            Staged::Failed => return ImportResult::TimedOut,
+        };
+        let in_time = now_ms() < *pinned_until_ms;
+        if arrived != *seal || !in_time {
+            upstreams.commit(url, block, true).await;
+            return ImportResult::NotFound;
+        }
+        check(Invariant::BlockReadAsSealed, arrived == *seal, || block.0.clone());
+        if upstreams.commit(url, block, false).await {
+            ImportResult::Done
+        } else {
+            ImportResult::NotFound
+        }
+    }
+
+    fn refuse(&self, reason: Reason) -> Refusal {
+        let refusal = Refusal::unknown(reason).retry_at(now_ms() + FAILED_RETRY_MS);
+        self.as_it_ran(refusal)
+    }
+
+    fn late(&self) -> Refusal {
+        self.as_it_ran(Refusal::unknown(Reason::DeadlinePassed))
+    }
+
+    /// Says "not run" only when no byte left, or the engine said so.
+    fn as_it_ran(&self, mut refusal: Refusal) -> Refusal {
+        refusal.ran = if self.may_have_run { Ran::Unknown } else { Ran::NotRun };
+        refusal
+    }
+}
+
+/// Gives a place back also when the attempt is dropped at its deadline.
+struct PlaceGuard<'a> {
+    kernel: &'a Arc<Kernel>,
+    placed: Option<Placed>,
+    run: &'a str,
+}
+
+impl<'a> PlaceGuard<'a> {
+    fn new(kernel: &'a Arc<Kernel>, placed: Placed, run: &'a str) -> Self {
+        Self { kernel, placed: Some(placed), run }
+    }
+
+    fn placed(&self) -> &Placed {
+        self.placed.as_ref().expect("the place is held until it is given back")
+    }
+
+    fn done(&mut self, generated_tokens: u32, end: End) {
+        let Some(placed) = self.placed.take() else {
+            return;
+        };
+        if end == End::Cancelled {
+            let (kernel, run) = (self.kernel.clone(), self.run.to_owned());
+            let url = placed.grant.url.clone();
+            tokio::spawn(async move { kernel.upstreams.cancel(&url, &run).await });
+        }
+        placed.done(self.kernel, self.run, generated_tokens, end);
+    }
+}
+
+impl Drop for PlaceGuard<'_> {
+    fn drop(&mut self) {
+        self.done(0, End::Cancelled);
+    }
+}
+
+fn budget(retries: &Mutex<RetryBudget>) -> std::sync::MutexGuard<'_, RetryBudget> {
+    locked(retries)
+}
+
+fn start(kernel: &Arc<Kernel>) {
+    let kernel = kernel.clone();
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(TIDY_PERIOD);
+        loop {
+            ticks.tick().await;
+            kernel.streams.tidy(now_ms());
+        }
+    });
+}
--- /dev/null
+++ b/src/configlog.rs
@@ -0,0 +1,366 @@
+//! The operators' configuration as a log of changes.
+//!
+//! One head key in the platform's key-value service, taken by
+//! compare-and-swap, holds the revision and the last changes; an immutable
+//! base key holds the state before them. One write accepts a change. Each
+//! change has an id, so that a write whose answer was lost is settled by
+//! reading back, and names the revision of the object that it replaces, so
+//! that of two racing operators one learns that it lost.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::account::{Account, Terms, key_hash};
+use crate::error::Error;
+
+/// Changes that the head holds before they move into a base.
+pub const MAX_HEAD_ENTRIES: usize = 64;
+/// Change ids that a state remembers.
+const MAX_APPLIED_IDS: usize = 512;
+/// Changes that a box keeps for its peers.
+const MAX_RECENT_ENTRIES: usize = 256;
+
+/// What a change does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// Creates or replaces a template.
+    SetTemplate { name: String, terms: Terms },
+    /// Removes a template that no account uses.
+    RemoveTemplate { name: String },
+    /// Creates or replaces a client account.
+    SetAccount { name: String, account: Account },
+    /// Removes a client account.
+    RemoveAccount { name: String },
+    /// Marks an upstream as leaving, or takes the mark back.
+    SetLeaving { upstream: String, leaving: bool },
+    /// Sets the weight version that new requests of a model use.
+    SetModel { model: String, version: String },
+}
+
+/// The object that a change touches.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Object {
+    /// A template, by name.
+    Template(String),
+    /// A client account, by name.
+    Account(String),
+    /// An upstream, by name.
+    Upstream(String),
+    /// A model, by name.
+    Model(String),
+}
+
+impl Change {
+    /// The object that this change touches.
+    #[must_use]
+    pub fn object(&self) -> Object {
+        match self {
+            Self::SetTemplate { name, .. } | Self::RemoveTemplate { name } => {
+                Object::Template(name.clone())
+            }
+            Self::SetAccount { name, .. } | Self::RemoveAccount { name } => {
+                Object::Account(name.clone())
+            }
+            Self::SetLeaving { upstream, .. } => Object::Upstream(upstream.clone()),
+            Self::SetModel { model, .. } => Object::Model(model.clone()),
+        }
+    }
+}
+
+/// A change that an operator wants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Names the change, also when it is sent again.
+    pub id: String,
+    /// Who wants it.
+    pub operator: String,
+    /// When it was made, in Unix milliseconds.
+    pub at_ms: u64,
+    /// Revision at which the object was last changed when the operator read it.
+    pub expects_revision: u64,
+    /// What it does.
+    pub change: Change,
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Place in the log, from 1 on.
+    pub revision: u64,
+    /// The change.
+    pub proposal: Proposal,
+}
+
+/// The head key's value.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// Revision of the base that the entries follow; 0 means none.
+    pub base_revision: u64,
+    /// Accepted changes after the base.
+    pub entries: Vec<Entry>,
+}
+
+impl Head {
+    /// Revision of the newest change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.entries.last().map_or(self.base_revision, |entry| entry.revision)
+    }
+}
+
+/// The configuration at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Revision of the newest change applied.
+    pub revision: u64,
+    /// Templates by name.
+    pub templates: BTreeMap<String, Terms>,
+    /// Client accounts by name.
+    pub accounts: BTreeMap<String, Account>,
+    /// Upstreams that are to get no new work.
+    pub leaving: BTreeSet<String>,
+    /// Weight version of each model for new requests.
+    pub models: BTreeMap<String, String>,
+    /// Revision at which each object was last changed.
+    pub changed_at: BTreeMap<Object, u64>,
+    /// Ids of the newest changes, with their revisions.
+    pub applied: VecDeque<(String, u64)>,
+}
+
+impl State {
+    /// Revision at which `object` was last changed; 0 means never.
+    #[must_use]
+    pub fn object_revision(&self, object: &Object) -> u64 {
+        self.changed_at.get(object).copied().unwrap_or(0)
+    }
+
+    /// Revision that accepted the change `id`.
+    #[must_use]
+    pub fn accepted_at(&self, id: &str) -> Option<u64> {
+        self.applied.iter().find(|(applied, _)| applied == id).map(|(_, revision)| *revision)
+    }
+
+    /// Turns a proposal into the next entry.
+    ///
+    /// # Errors
+    /// Fails when the object was changed since the operator read it, or with
+    /// every fault of the change.
+    pub fn accept(&self, proposal: &Proposal) -> Result<Entry, Error> {
+        let object = proposal.change.object();
+        let found_revision = self.object_revision(&object);
+        if found_revision != proposal.expects_revision {
+            let expected_revision = proposal.expects_revision;
+            return Err(Error::Conflict { object, expected_revision, found_revision });
+        }
+        let faults = self.faults(&proposal.change);
+        if !faults.is_empty() {
+            return Err(Error::BadChange(faults));
+        }
+        Ok(Entry { revision: self.revision + 1, proposal: proposal.clone() })
+    }
+
+    fn faults(&self, change: &Change) -> Vec<String> {
+        match change {
+            Change::SetTemplate { name, terms } => {
+                let mut faults = name_faults(name);
+                faults.extend(terms.faults());
+                faults
+            }
+            Change::RemoveTemplate { name } => self.removal_faults(name),
+            Change::SetAccount { name, account } => self.account_faults(name, account),
+            Change::RemoveAccount { name } if !self.accounts.contains_key(name) => {
+                vec![format!("no account '{name}'")]
+            }
+            Change::SetModel { model, version } => {
+                [name_faults(model), name_faults(version)].concat()
+            }
+            Change::SetLeaving { upstream, .. } => name_faults(upstream),
+            Change::RemoveAccount { .. } => Vec::new(),
+        }
+    }
+
+    fn removal_faults(&self, name: &str) -> Vec<String> {
+        if !self.templates.contains_key(name) {
+            return vec![format!("no template '{name}'")];
+        }
+        let users = self.accounts.iter().filter(|(_, account)| account.template == name);
+        users.map(|(user, _)| format!("account '{user}' uses template '{name}'")).collect()
+    }
+
+    fn account_faults(&self, name: &str, account: &Account) -> Vec<String> {
+        let mut faults = name_faults(name);
+        match self.templates.get(&account.template) {
+            None => faults.push(format!("no template '{}'", account.template)),
+            Some(template) => faults.extend(account.terms(template).faults()),
+        }
+        for (other, held) in self.accounts.iter().filter(|(other, _)| *other != name) {
+            if held.key_hashes.iter().any(|hash| account.key_hashes.contains(hash)) {
+                faults.push(format!("an API key belongs to account '{other}' already"));
+            }
+        }
+        faults
+    }
+
+    /// Applies the next entry.
+    ///
+    /// # Panics
+    /// Panics when the entry is not the next one: a change would be lost.
+    pub fn apply(&mut self, entry: &Entry) {
+        assert_eq!(entry.revision, self.revision + 1, "changes apply in order");
+        self.revision = entry.revision;
+        self.changed_at.insert(entry.proposal.change.object(), entry.revision);
+        self.applied.push_back((entry.proposal.id.clone(), entry.revision));
+        if self.applied.len() > MAX_APPLIED_IDS {
+            self.applied.pop_front();
+        }
+        match entry.proposal.change.clone() {
+            Change::SetTemplate { name, terms } => {
+                self.templates.insert(name, terms);
+            }
+            Change::RemoveTemplate { name } => {
+                self.templates.remove(&name);
+            }
+            Change::SetAccount { name, account } => {
+                self.accounts.insert(name, account);
+            }
+            Change::RemoveAccount { name } => {
+                self.accounts.remove(&name);
+            }
+            Change::SetLeaving { upstream, leaving: true } => {
+                self.leaving.insert(upstream);
+            }
+            Change::SetLeaving { upstream, leaving: false } => {
+                self.leaving.remove(&upstream);
+            }
+            Change::SetModel { model, version } => {
+                self.models.insert(model, version);
+            }
+        }
+    }
+}
+
+fn name_faults(name: &str) -> Vec<String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+    if !name.is_empty() && name.len() <= 64 && name.chars().all(plain) {
+        return Vec::new();
+    }
+    vec![format!("'{name}' is not a name: 1 to 64 letters, digits, '-', '_', '.' or ':'")]
+}
+
+/// The configuration as a box serves it: a state and lookups in it.
+#[derive(Debug, Default)]
+pub struct Config {
+    /// The state.
+    pub state: State,
+    by_key: HashMap<String, String>,
+}
+
+impl Config {
+    /// Prepares a state for serving.
+    #[must_use]
+    pub fn new(state: State) -> Self {
+        let mut by_key = HashMap::new();
+        for (name, account) in &state.accounts {
+            by_key.extend(account.key_hashes.iter().map(|hash| (hash.clone(), name.clone())));
+        }
+        Self { state, by_key }
+    }
+
+    /// The account that an API key belongs to.
+    ///
+    /// Keys are found by their hash, so that the time taken tells nothing
+    /// about a key.
+    #[must_use]
+    pub fn account_of(&self, api_key: &str) -> Option<&str> {
+        self.by_key.get(&key_hash(api_key)).map(String::as_str)
+    }
+
+    /// The terms of an account.
+    #[must_use]
+    pub fn terms(&self, account: &str) -> Option<Terms> {
+        let account = self.state.accounts.get(account)?;
+        let template = self.state.templates.get(&account.template)?;
+        Some(account.terms(template))
+    }
+}
+
+/// What came of news about the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adopted {
+    /// It was newer and is in force.
+    Newer,
+    /// It was known.
+    Known,
+    /// Changes before it are missing.
+    Gap,
+}
+
+/// A box's copy of the log. Its revision only rises.
+#[derive(Debug, Default)]
+pub struct ConfigLog {
+    state: State,
+    recent: VecDeque<Entry>,
+}
+
+impl ConfigLog {
+    /// Revision in force.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.revision
+    }
+
+    /// State in force.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The state prepared for serving.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        Arc::new(Config::new(self.state.clone()))
+    }
+
+    /// Takes changes, oldest first.
+    pub fn adopt_entries(&mut self, entries: &[Entry]) -> Adopted {
+        let mut adopted = Adopted::Known;
+        for entry in entries {
+            if entry.revision <= self.state.revision {
+                continue;
+            }
+            if entry.revision > self.state.revision + 1 {
+                return Adopted::Gap;
+            }
+            self.state.apply(entry);
+            self.recent.push_back(entry.clone());
+            adopted = Adopted::Newer;
+        }
+        while self.recent.len() > MAX_RECENT_ENTRIES {
+            self.recent.pop_front();
+        }
+        adopted
+    }
+
+    /// Takes a whole state, if it is newer.
+    pub fn adopt_state(&mut self, state: State) -> Adopted {
+        if state.revision <= self.state.revision {
+            return Adopted::Known;
+        }
+        self.state = state;
+        self.recent.clear();
+        Adopted::Newer
+    }
+
+    /// The changes after `revision`, when all of them are still here.
+    #[must_use]
+    pub fn entries_after(&self, revision: u64) -> Option<Vec<Entry>> {
+        if revision >= self.state.revision {
+            return Some(Vec::new());
+        }
+        let first = self.recent.front()?.revision;
+        let newer = self.recent.iter().filter(|entry| entry.revision > revision);
+        (first <= revision + 1).then(|| newer.cloned().collect())
+    }
+}
--- /dev/null
+++ b/src/configuration.rs
@@ -0,0 +1,264 @@
+//! The configuration in force on this box, and how it comes here.
+//!
+//! A few boxes of each hall watch the head key in the platform's service;
+//! the others hear of a change from them at once, and look themselves now and
+//! then. A box adopts only higher revisions, and one that starts while the
+//! platform is out learns the configuration from its peers.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::sync::watch;
+
+use crate::clock::now_ms;
+use crate::configlog::{Adopted, Config, ConfigLog, Entry, Head, State};
+use crate::edge::KeyValue;
+use crate::error::{Error, Result};
+use crate::invariant::{Invariant, check};
+use crate::kernel::{Kernel, Plugin, Topic};
+use crate::owner::ranked;
+use crate::sync::locked;
+use crate::wire::{Envelope, Message};
+
+/// Key of the head.
+pub const HEAD_KEY: &str = "coursestile/config/head";
+/// Prefix of the keys of bases.
+pub const BASE_KEY: &str = "coursestile/config/base/";
+/// Boxes of a hall that watch the platform.
+const WATCHERS_PER_HALL: usize = 2;
+/// How often a box that does not watch looks at the platform, in milliseconds.
+const LOOK_PERIOD_MS: u64 = 30_000;
+/// Boxes that hear of a change from one that has adopted it.
+const FANOUT: usize = 4;
+/// Wait after the platform did not answer.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+inventory::submit! {
+    Plugin { name: "config", start, receive: Some((Topic::Config, receive)) }
+}
+
+/// The configuration in force.
+pub struct Configuration {
+    log: Mutex<ConfigLog>,
+    current: watch::Sender<Arc<Config>>,
+    revision: AtomicU64,
+    platform_heard_at_ms: AtomicU64,
+}
+
+impl Default for Configuration {
+    fn default() -> Self {
+        Self {
+            log: Mutex::default(),
+            current: watch::Sender::new(Arc::default()),
+            revision: AtomicU64::new(0),
+            platform_heard_at_ms: AtomicU64::new(0),
+        }
+    }
+}
+
+impl Configuration {
+    /// Revision in force.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
+    /// Configuration in force.
+    pub fn current(&self) -> Arc<Config> {
+        self.current.borrow().clone()
+    }
+
+    /// Tells of each change.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Config>> {
+        self.current.subscribe()
+    }
+
+    /// When the platform answered last, in Unix milliseconds; 0 means never.
+    pub fn platform_heard_at_ms(&self) -> u64 {
+        self.platform_heard_at_ms.load(Ordering::Relaxed)
+    }
+
+    fn heard_platform(&self) {
+        self.platform_heard_at_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    fn adopt(&self, take: impl FnOnce(&mut ConfigLog) -> Adopted) -> Adopted {
+        let mut log = locked(&self.log);
+        let before = log.revision();
+        let adopted = take(&mut log);
+        let after = log.revision();
+        check(Invariant::ConfigNeverReverts, after >= before, || format!("{before} to {after}"));
+        if adopted == Adopted::Newer {
+            self.revision.store(after, Ordering::Release);
+            self.current.send_replace(log.config());
+            metrics::gauge!("coursestile_config_revision").set(u32::try_from(after).unwrap_or(0));
+            info!(target: "config", "Revision {after} is in force.");
+        }
+        adopted
+    }
+
+    fn entries_after(&self, revision: u64) -> Option<Vec<Entry>> {
+        locked(&self.log).entries_after(revision)
+    }
+
+    fn state(&self) -> State {
+        locked(&self.log).state().clone()
+    }
+}
+
+/// Reads the head.
+///
+/// # Errors
+/// Fails when the platform does not answer or its value cannot be read.
+pub fn read_head(bytes: &[u8]) -> Result<Head> {
+    if bytes.is_empty() {
+        return Ok(Head::default());
+    }
+    read_json(HEAD_KEY, bytes)
+}
+
+/// Reads the state that a head stands for.
+///
+/// # Errors
+/// Fails when the platform does not answer or its value cannot be read.
+pub async fn read_state(platform: &impl KeyValue, head: &Head) -> Result<State> {
+    let mut state = State::default();
+    if head.base_revision > 0 {
+        let key = format!("{BASE_KEY}{}", head.base_revision);
+        state = read_json(&key, &platform.read(&key).await?.bytes)?;
+    }
+    for entry in &head.entries {
+        state.apply(entry);
+    }
+    Ok(state)
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T> {
+    serde_json::from_slice(bytes)
+        .map_err(|error| Error::PlatformValue(key.to_owned(), error.to_string()))
+}
+
+fn start(kernel: &Arc<Kernel>) {
+    tokio::spawn(follow_platform(kernel.clone()));
+}
+
+async fn follow_platform(kernel: Arc<Kernel>) {
+    let mut index = 0;
+    let mut next_look_at_ms = 0;
+    loop {
+        let watcher = is_watcher(&kernel);
+        let due = now_ms() >= next_look_at_ms;
+        if !watcher && !due {
+            tokio::time::sleep(RETRY_WAIT).await;
+            continue;
+        }
+        let answer = if watcher && index > 0 {
+            kernel.platform.watch(HEAD_KEY, index).await
+        } else {
+            kernel.platform.read(HEAD_KEY).await
+        };
+        next_look_at_ms = now_ms() + fastrand::u64(LOOK_PERIOD_MS / 2..LOOK_PERIOD_MS);
+        match answer {
+            Ok(value) => {
+                kernel.configuration.heard_platform();
+                if value.index == index {
+                    // Nothing new; a key that does not exist is not waited for.
+                    tokio::time::sleep(RETRY_WAIT).await;
+                    continue;
+                }
+                match adopt_head(&kernel, &value.bytes).await {
+                    Ok(()) => index = value.index,
+                    Err(error) => {
+                        warn!(target: "config", "Head not adopted: {error}.");
+                        tokio::time::sleep(RETRY_WAIT).await;
+                    }
+                }
+            }
+            Err(error) => {
+                warn!(target: "config", "Platform not heard: {error}.");
+                index = 0;
+                next_look_at_ms = now_ms() + fastrand::u64(500..2000);
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+    }
+}
+
+fn is_watcher(kernel: &Kernel) -> bool {
+    let membership = kernel.membership();
+    let hall = membership.hall(&kernel.settings.hall);
+    let names = hall.iter().map(|member| member.id.name.as_str());
+    ranked("config watcher", names, WATCHERS_PER_HALL).contains(&kernel.me.name.as_str())
+}
+
+async fn adopt_head(kernel: &Arc<Kernel>, bytes: &[u8]) -> Result<()> {
+    let head = read_head(bytes)?;
+    let before = kernel.configuration.revision();
+    if head.revision() < before {
+        warn!(target: "config", "Platform shows old revision {}; kept {before}.", head.revision());
+        return Ok(());
+    }
+    let adopted = if before >= head.base_revision {
+        kernel.configuration.adopt(|log| log.adopt_entries(&head.entries))
+    } else {
+        let state = read_state(&kernel.platform, &head).await?;
+        kernel.configuration.adopt(|log| log.adopt_state(state))
+    };
+    if adopted == Adopted::Newer {
+        tell_peers(kernel, before);
+    }
+    Ok(())
+}
+
+/// Tells some boxes, mostly of the own hall, of what was adopted.
+fn tell_peers(kernel: &Kernel, before: u64) {
+    let message = match kernel.configuration.entries_after(before) {
+        Some(entries) => Message::ConfigEntries(entries),
+        None => Message::ConfigState(Box::new(kernel.configuration.state())),
+    };
+    let mut addresses = Vec::new();
+    {
+        let membership = kernel.membership();
+        let own = &kernel.settings.hall;
+        let others = membership.members().skip(1).filter(|member| member.takes_work());
+        let (mut near, mut far): (Vec<_>, Vec<_>) = others.partition(|one| one.hall == *own);
+        fastrand::shuffle(&mut near);
+        fastrand::shuffle(&mut far);
+        let chosen = near.into_iter().take(FANOUT - 1).chain(far.into_iter().take(1));
+        addresses.extend(chosen.map(|member| member.address.clone()));
+    }
+    for address in addresses {
+        kernel.send(&address, message.clone());
+    }
+}
+
+fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
+    let before = kernel.configuration.revision();
+    let adopted = match envelope.message {
+        Message::PullConfig { after_revision } => {
+            return answer_pull(kernel, &envelope.reply_to, after_revision);
+        }
+        Message::ConfigEntries(entries) => {
+            kernel.configuration.adopt(|log| log.adopt_entries(&entries))
+        }
+        Message::ConfigState(state) => kernel.configuration.adopt(|log| log.adopt_state(*state)),
+        _ => return,
+    };
+    match adopted {
+        Adopted::Newer => tell_peers(kernel, before),
+        Adopted::Gap => {
+            kernel.send(&envelope.reply_to, Message::PullConfig { after_revision: before });
+        }
+        Adopted::Known => {}
+    }
+}
+
+fn answer_pull(kernel: &Kernel, to: &str, after_revision: u64) {
+    let message = match kernel.configuration.entries_after(after_revision) {
+        Some(entries) if entries.is_empty() => return,
+        Some(entries) => Message::ConfigEntries(entries),
+        None => Message::ConfigState(Box::new(kernel.configuration.state())),
+    };
+    kernel.send(to, message);
+}
--- /dev/null
+++ b/src/directory.rs
@@ -0,0 +1,229 @@
+//! Which prompts are known, and where their context is.
+//!
+//! A record stands for prompts that share a course: one is a prefix of the
+//! other, by their marks. It says which engines are believed to hold how much
+//! of it, and which sealed block a store keeps. What engines hold is a belief,
+//! corrected by what they report with each answer.
+
+use std::collections::HashMap;
+
+use crate::blocks::BlockId;
+use crate::context::{Mark, common_tokens};
+use crate::keep::{Prior, Returns};
+
+/// Most records that start with the same block.
+const MAX_RECORDS_PER_ROOT: usize = 8;
+
+/// What an engine is believed to hold of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Copy {
+    /// Index of the engine in the fleet.
+    pub engine: u16,
+    /// Tokens from the start on.
+    pub tokens: u32,
+    /// The engine's count of tokens computed when this copy was used.
+    pub at_computed_tokens: u64,
+}
+
+/// A known course of prompts.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Client account that it belongs to.
+    pub account: String,
+    /// Points along the longest prompt seen.
+    pub marks: Box<[Mark]>,
+    /// Engines that are believed to hold some of it.
+    pub copies: Vec<Copy>,
+    /// Block that a store keeps or is being given.
+    pub block: Option<BlockId>,
+    /// How often it comes back.
+    pub returns: Returns,
+    /// When its context is no longer worth keeping, in Unix milliseconds.
+    pub worthless_at_ms: u64,
+}
+
+/// All records of one dispatcher.
+#[derive(Debug, Default)]
+pub struct Directory {
+    by_root: HashMap<u64, Vec<Record>>,
+    priors: HashMap<String, Prior>,
+    len: usize,
+    capacity: usize,
+}
+
+impl Directory {
+    /// An empty directory of at most `capacity` records.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self { capacity, ..Self::default() }
+    }
+
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Records that share their start with `marks`, with the tokens in common.
+    pub fn matching<'a>(&'a self, marks: &'a [Mark]) -> impl Iterator<Item = (&'a Record, u32)> {
+        let records = marks.first().and_then(|root| self.by_root.get(&root.hash));
+        records.into_iter().flatten().map(move |record| {
+            let common = common_tokens(marks, &record.marks);
+            (record, common)
+        })
+    }
+
+    /// What is known of the prompts of an account.
+    #[must_use]
+    pub fn prior(&self, account: &str) -> Prior {
+        self.priors.get(account).copied().unwrap_or_default()
+    }
+
+    /// Counts a use of the prompt; its record is made when there is none.
+    pub fn used(
+        &mut self,
+        now_ms: u64,
+        account: &str,
+        marks: &[Mark],
+        worthless_at_ms: u64,
+    ) -> Option<&mut Record> {
+        let root = marks.first()?.hash;
+        let prior = self.priors.entry(account.to_owned()).or_default();
+        let records = self.by_root.entry(root).or_default();
+        let index = if let Some(index) = course_of(records, marks) {
+            let record = &mut records[index];
+            let gap_ms = now_ms.saturating_sub(record.returns.last_used_at_ms);
+            prior.return_after(gap_ms, record.returns.returns == 0);
+            record.returns.used(now_ms);
+            record.worthless_at_ms = record.worthless_at_ms.max(worthless_at_ms);
+            index
+        } else {
+            prior.first_use();
+            if records.len() >= MAX_RECORDS_PER_ROOT {
+                self.len -= usize::from(drop_oldest(records));
+            }
+            self.len += 1;
+            records.push(Record::new(now_ms, account, marks, worthless_at_ms));
+            records.len() - 1
+        };
+        let record = &mut records[index];
+        if marks.len() > record.marks.len() {
+            record.marks = marks.into();
+        }
+        Some(record)
+    }
+
+    /// Takes over a block that a store listed.
+    pub fn adopt_block(
+        &mut self,
+        now_ms: u64,
+        account: &str,
+        marks: &[Mark],
+        worthless_at_ms: u64,
+        block: &BlockId,
+    ) {
+        let Some(root) = marks.first() else {
+            return;
+        };
+        let records = self.by_root.entry(root.hash).or_default();
+        let index = course_of(records, marks).unwrap_or_else(|| {
+            self.len += 1;
+            records.push(Record::new(now_ms, account, marks, worthless_at_ms));
+            records.len() - 1
+        });
+        records[index].block.get_or_insert_with(|| block.clone());
+    }
+
+    /// The record of the course that `marks` belong to.
+    pub fn record_mut(&mut self, marks: &[Mark]) -> Option<&mut Record> {
+        let records = self.by_root.get_mut(&marks.first()?.hash)?;
+        let index = course_of(records, marks)?;
+        Some(&mut records[index])
+    }
+
+    /// All records.
+    pub fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.by_root.values().flatten()
+    }
+
+    /// Forgets what an engine is believed to hold.
+    pub fn forget_engine(&mut self, engine: u16) {
+        for record in self.by_root.values_mut().flatten() {
+            record.copies.retain(|copy| copy.engine != engine);
+        }
+    }
+
+    /// Forgets a block; true when a record knew it.
+    pub fn forget_block(&mut self, root: u64, block: &BlockId) -> bool {
+        let records = self.by_root.get_mut(&root).into_iter().flatten();
+        let mut known = records.filter(|record| record.block.as_ref() == Some(block));
+        known.next().is_some_and(|record| record.block.take().is_some())
+    }
+
+    /// Drops records that are past their deadline and have no block, and the
+    /// oldest ones when there are too many.
+    pub fn prune(&mut self, now_ms: u64) {
+        let mut oldest_kept_ms = 0;
+        if self.len > self.capacity {
+            let mut uses: Vec<_> = self.iter().map(|one| one.returns.last_used_at_ms).collect();
+            let excess = self.len - self.capacity * 9 / 10;
+            let (_, cut, _) = uses.select_nth_unstable(excess);
+            oldest_kept_ms = *cut;
+        }
+        self.by_root.retain(|_, records| {
+            records.retain(|record| {
+                let wanted = record.worthless_at_ms > now_ms
+                    && record.returns.last_used_at_ms >= oldest_kept_ms;
+                wanted || record.block.is_some()
+            });
+            !records.is_empty()
+        });
+        self.len = self.by_root.values().map(Vec::len).sum();
+    }
+}
+
+impl Record {
+    fn new(now_ms: u64, account: &str, marks: &[Mark], worthless_at_ms: u64) -> Self {
+        Self {
+            account: account.to_owned(),
+            marks: marks.into(),
+            copies: Vec::new(),
+            block: None,
+            returns: Returns::new(now_ms),
+            worthless_at_ms,
+        }
+    }
+
+    /// Notes that an engine holds `tokens` of this course.
+    pub fn held(&mut self, engine: u16, tokens: u32, at_computed_tokens: u64) {
+        let copy = Copy { engine, tokens, at_computed_tokens };
+        match self.copies.iter_mut().find(|copy| copy.engine == engine) {
+            Some(known) => *known = copy,
+            None => self.copies.push(copy),
+        }
+    }
+}
+
+/// The record that continues `marks` or is continued by them.
+fn course_of(records: &[Record], marks: &[Mark]) -> Option<usize> {
+    let same_course = |record: &Record| {
+        let shorter = marks.len().min(record.marks.len());
+        let end_tokens = marks[shorter - 1].tokens.min(record.marks[shorter - 1].tokens);
+        common_tokens(marks, &record.marks) >= end_tokens
+    };
+    records.iter().position(same_course)
+}
+
+/// Drops the record used longest ago among those without a block.
+fn drop_oldest(records: &mut Vec<Record>) -> bool {
+    let free = records.iter().enumerate().filter(|(_, record)| record.block.is_none());
+    let oldest = free.min_by_key(|(_, record)| record.returns.last_used_at_ms);
+    let index = oldest.map(|(index, _)| index);
+    index.map(|index| records.swap_remove(index)).is_some()
+}
--- /dev/null
+++ b/src/dispatcher.rs
@@ -0,0 +1,459 @@
+//! Decides for one model in one data hall: who runs next, and where.
+//!
+//! The dispatcher counts exactly what it has granted, queues the rest by fair
+//! shares, and looks after kept context. Each box can act as the dispatcher
+//! of each model; the owner of the model in the hall does, and any other box
+//! for itself when the owner does not answer. A place whose holder does not
+//! renew it falls free.
+
+use std::collections::HashMap;
+
+use crate::ask::{Ask, AskId, End, Grant, Imported, Report, Verdict};
+use crate::fleet::Engine;
+use crate::keeper::{Export, Keeper};
+use crate::refusal::{Reason, Refusal};
+use crate::route::{Demand, RoutePolicy, choose};
+use crate::share::{GENERATED_TOKEN_WEIGHT, SharePolicy, ShareQueue};
+
+/// Time for which a place is held without a renewal.
+pub const HOLD_MS: u64 = 4000;
+/// Shortest time to come back after an overload.
+const LEAST_RETRY_MS: u64 = 200;
+/// Longest time to come back after an overload.
+const MOST_RETRY_MS: u64 = 10_000;
+/// Window over which throughput is measured.
+const RATE_WINDOW_MS: u64 = 1000;
+/// Weight of a new window in the mean throughput.
+const RATE_WEIGHT: f64 = 0.3;
+/// Time to come back when no engine serves the request now.
+const NO_UPSTREAM_RETRY_MS: u64 = 2000;
+
+/// Policies in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Policies {
+    /// Where a request runs.
+    pub route: RoutePolicy,
+    /// Who is served next.
+    pub share: SharePolicy,
+}
+
+/// What the dispatcher wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Answer an ask.
+    Answer { to: AskId, verdict: Verdict },
+    /// Write context to a store.
+    Export(Export),
+}
+
+struct Running {
+    ask: Ask,
+    grant: Grant,
+    engine: usize,
+    uncached_tokens: u32,
+    first_token: bool,
+    work_tokens: f64,
+    held_until_ms: u64,
+}
+
+#[derive(Default)]
+struct Throughput {
+    window_ends_at_ms: u64,
+    window_tokens: f64,
+    tokens_per_ms: Option<f64>,
+}
+
+/// The dispatcher of one model in one data hall.
+pub struct Dispatcher {
+    policies: Policies,
+    engines: Vec<Engine>,
+    queue: ShareQueue<Ask>,
+    running: HashMap<AskId, Running>,
+    throughput: Throughput,
+    /// Kept context.
+    pub keeper: Keeper,
+    turn: usize,
+}
+
+impl Dispatcher {
+    /// Starts with nothing running.
+    #[must_use]
+    pub fn new(policies: Policies, engines: Vec<Engine>, keeper: Keeper) -> Self {
+        Self {
+            policies,
+            engines,
+            queue: ShareQueue::new(policies.share),
+            running: HashMap::new(),
+            throughput: Throughput::default(),
+            keeper,
+            turn: 0,
+        }
+    }
+
+    /// The engines.
+    #[must_use]
+    pub fn engines(&self) -> &[Engine] {
+        &self.engines
+    }
+
+    /// Number of asks that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of places in use.
+    #[must_use]
+    pub fn places_in_use(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Work served over share, by account.
+    pub fn virtual_tokens(&self) -> impl Iterator<Item = (&str, f64)> {
+        self.queue.virtual_tokens()
+    }
+
+    /// Takes an ask.
+    pub fn ask(&mut self, now_ms: u64, ask: Ask) -> Vec<Action> {
+        if let Some(verdict) = self.known_verdict(&ask.id) {
+            return vec![Action::Answer { to: ask.id, verdict }];
+        }
+        if let Some(refusal) = self.refusal(now_ms, &ask) {
+            return vec![Action::Answer { to: ask.id, verdict: Verdict::Refuse(refusal) }];
+        }
+        let id = ask.id.clone();
+        let account = ask.scope.account.clone();
+        let (share, priority, deadline_ms) = (ask.share, ask.priority, ask.deadline_ms);
+        let no_wait = ask.no_wait;
+        let work_tokens = self.expected_work(&ask);
+        self.queue.push(&account, share, priority, ask, work_tokens, deadline_ms);
+        let mut actions = self.place_waiting(now_ms);
+        let placed =
+            actions.iter().any(|one| matches!(one, Action::Answer { to, .. } if *to == id));
+        if !placed && no_wait {
+            self.withdraw(&id);
+            let refusal = Refusal::not_run(Reason::Overloaded).retry_at(now_ms + LEAST_RETRY_MS);
+            actions.push(Action::Answer { to: id, verdict: Verdict::Refuse(refusal) });
+        } else if !placed {
+            actions.push(Action::Answer { to: id, verdict: Verdict::Wait });
+        }
+        actions
+    }
+
+    /// The verdict on an ask that came before: its answer may have been lost.
+    fn known_verdict(&self, id: &AskId) -> Option<Verdict> {
+        if let Some(running) = self.running.get(id) {
+            return Some(Verdict::Run(running.grant.clone()));
+        }
+        self.queue.contains(|waiting| waiting.id == *id).then_some(Verdict::Wait)
+    }
+
+    /// Takes a report on a place.
+    pub fn report(&mut self, now_ms: u64, report: &Report) -> Vec<Action> {
+        match report {
+            Report::Imported { id, imported } => self.imported(now_ms, id, imported),
+            Report::FirstToken { id, cached_tokens, took_ms } => {
+                self.first_token(now_ms, id, *cached_tokens, *took_ms);
+            }
+            Report::Done { id, request, generated_tokens, end } => {
+                return self.done(now_ms, id, request, *generated_tokens, *end);
+            }
+            Report::Renew { ids } => self.renew(now_ms, ids),
+        }
+        Vec::new()
+    }
+
+    /// Drops an ask that waits.
+    pub fn withdraw(&mut self, id: &AskId) {
+        self.queue.take_out(|waiting| waiting.item.id == *id);
+    }
+
+    /// Takes in an engine's own report: `None` when it did not answer.
+    pub fn engine_report(&mut self, now_ms: u64, name: &str, version: Option<&str>, leaving: bool) {
+        let Some(index) = self.engines.iter().position(|engine| engine.name == name) else {
+            return;
+        };
+        let engine = &mut self.engines[index];
+        let Some(version) = version else {
+            return engine.failed(now_ms);
+        };
+        engine.works();
+        engine.leaving = leaving;
+        if engine.version.as_deref() != Some(version) {
+            engine.version = Some(version.to_owned());
+            self.keeper.directory.forget_engine(narrow(index));
+        }
+    }
+
+    /// Marks which engines operators want to leave.
+    pub fn set_leaving(&mut self, leaving: impl Fn(&str) -> bool) {
+        for engine in &mut self.engines {
+            engine.ordered_to_leave = leaving(&engine.name);
+        }
+    }
+
+    /// Does what is due: places fall free, waiting asks are placed or refused.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        let lapsed = self.running.iter().filter(|(_, running)| running.held_until_ms <= now_ms);
+        for id in lapsed.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.release(now_ms, &id, 0, End::Cancelled);
+        }
+        let mut actions = self.place_waiting(now_ms);
+        let late = self.queue.take_out(|waiting| waiting.deadline_ms <= now_ms);
+        let engines = &self.engines;
+        let lost = self.queue.take_out(|waiting| !any_serves(engines, &waiting.item));
+        let late = late.into_iter().map(|ask| (ask, Refusal::not_run(Reason::DeadlinePassed)));
+        let lost = lost.into_iter().map(|ask| (ask, no_upstream(now_ms)));
+        actions.extend(late.chain(lost).map(|(ask, refusal)| Action::Answer {
+            to: ask.id,
+            verdict: Verdict::Refuse(refusal),
+        }));
+        actions
+    }
+
+    fn refusal(&self, now_ms: u64, ask: &Ask) -> Option<Refusal> {
+        if ask.deadline_ms <= now_ms {
+            return Some(Refusal::not_run(Reason::DeadlinePassed));
+        }
+        if !any_serves(&self.engines, ask) {
+            return Some(no_upstream(now_ms));
+        }
+        let wait_ms = self.expected_wait_ms(ask);
+        let left_ms = ask.deadline_ms - now_ms;
+        if wait_ms <= left_ms {
+            return None;
+        }
+        let retry_ms = (wait_ms - left_ms).clamp(LEAST_RETRY_MS, MOST_RETRY_MS);
+        Some(Refusal::not_run(Reason::Overloaded).retry_at(now_ms + retry_ms))
+    }
+
+    /// How long the ask would wait for a place, by the work ahead of it.
+    fn expected_wait_ms(&self, ask: &Ask) -> u64 {
+        let Some(rate) = self.throughput.tokens_per_ms else {
+            return 0;
+        };
+        let ahead = self.queue.tokens_ahead(&ask.scope.account, ask.share);
+        let wait_ms = ahead / rate.max(1e-3);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "waits are positive, and a float cast saturates"
+        )]
+        let wait_ms = wait_ms as u64;
+        wait_ms
+    }
+
+    fn expected_work(&self, ask: &Ask) -> f64 {
+        let matching = self.keeper.directory.matching(&ask.marks);
+        let held = matching.map(|(_, common)| common).max().unwrap_or(0);
+        work_tokens(ask.prompt_tokens.saturating_sub(held), ask.max_tokens)
+    }
+
+    fn place_waiting(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        loop {
+            let engines = &self.engines;
+            let fits = |ask: &Ask| engines.iter().any(|engine| fits(engine, now_ms, ask));
+            let Some((_, waiting)) = self.queue.pop(fits) else {
+                return actions;
+            };
+            let to = waiting.item.id.clone();
+            let grant = self.grant(now_ms, waiting.item, waiting.work_tokens);
+            actions.push(Action::Answer { to, verdict: Verdict::Run(grant) });
+        }
+    }
+
+    fn grant(&mut self, now_ms: u64, ask: Ask, work_tokens: f64) -> Grant {
+        let offer = self.keeper.offer(now_ms, &ask);
+        let demand = Demand {
+            prompt_tokens: ask.prompt_tokens,
+            weights: ask.weights,
+            offer: offer.as_ref().map(|(_, offer)| *offer),
+        };
+        let cached = self.cached_tokens(&ask);
+        let fit = self.engines.iter().enumerate().filter(|(_, one)| fits(one, now_ms, &ask));
+        let candidates: Vec<_> =
+            fit.map(|(index, engine)| engine.candidate(index, cached[index])).collect();
+        let choice = choose(self.policies.route, &demand, &candidates, self.turn)
+            .expect("an ask is popped only when an engine fits");
+        self.turn += 1;
+        let import = offer.filter(|_| choice.import).and_then(|(block, offer)| {
+            self.keeper.start_import(now_ms, &ask.scope, &block, &offer)
+        });
+        let held_tokens = match (&import, demand.offer) {
+            (Some(_), Some(offer)) => offer.tokens,
+            _ => cached[choice.engine],
+        };
+        let engine = &self.engines[choice.engine];
+        let grant = Grant { engine: engine.name.clone(), url: engine.url.clone(), import };
+        let uncached_tokens = ask.prompt_tokens.saturating_sub(held_tokens);
+        self.occupy(now_ms, &ask, choice.engine, uncached_tokens);
+        let id = ask.id.clone();
+        let running = Running {
+            ask,
+            grant: grant.clone(),
+            engine: choice.engine,
+            uncached_tokens,
+            first_token: false,
+            work_tokens,
+            held_until_ms: now_ms + HOLD_MS,
+        };
+        self.running.insert(id, running);
+        grant
+    }
+
+    /// Counts a place as used, and notes what the engine will hold.
+    fn occupy(&mut self, now_ms: u64, ask: &Ask, engine: usize, uncached_tokens: u32) {
+        let used = &mut self.engines[engine];
+        used.outstanding += 1;
+        used.pending_tokens += u64::from(uncached_tokens);
+        used.computed_tokens += u64::from(uncached_tokens);
+        let computed = used.computed_tokens;
+        let (account, until_ms) = (&ask.scope.account, ask.worthless_at_ms);
+        let record = self.keeper.directory.used(now_ms, account, &ask.marks, until_ms);
+        if let (Some(record), Some(mark)) = (record, ask.marks.last()) {
+            record.held(narrow(engine), mark.tokens, computed);
+        }
+    }
+
+    /// Tokens of the prompt that each engine is believed to hold.
+    fn cached_tokens(&self, ask: &Ask) -> Vec<u32> {
+        let mut cached = vec![0; self.engines.len()];
+        for (record, common) in self.keeper.directory.matching(&ask.marks) {
+            for copy in &record.copies {
+                let engine = usize::from(copy.engine);
+                if self.engines[engine].still_caches(copy.at_computed_tokens) {
+                    cached[engine] = cached[engine].max(copy.tokens.min(common));
+                }
+            }
+        }
+        cached
+    }
+
+    fn imported(&mut self, now_ms: u64, id: &AskId, imported: &Imported) {
+        if let Some(running) = self.running.get(id) {
+            self.keeper.imported(now_ms, &running.ask.marks, imported);
+        }
+    }
+
+    fn first_token(&mut self, now_ms: u64, id: &AskId, cached_tokens: u32, took_ms: u32) {
+        let Some(running) = self.running.get_mut(id).filter(|running| !running.first_token) else {
+            return;
+        };
+        running.first_token = true;
+        running.held_until_ms = now_ms + HOLD_MS;
+        let engine = &mut self.engines[running.engine];
+        let pending = u64::from(running.uncached_tokens);
+        let alone = engine.pending_tokens == pending;
+        engine.pending_tokens = engine.pending_tokens.saturating_sub(pending);
+        let computed = running.ask.prompt_tokens.saturating_sub(cached_tokens);
+        if alone {
+            engine.measured(computed, f64::from(took_ms));
+        }
+        engine.works();
+        let unexpected = computed.saturating_sub(running.uncached_tokens);
+        engine.computed_tokens += u64::from(unexpected);
+    }
+
+    fn done(
+        &mut self,
+        now_ms: u64,
+        id: &AskId,
+        request: &str,
+        generated_tokens: u32,
+        end: End,
+    ) -> Vec<Action> {
+        let Some((ask, engine)) = self.release(now_ms, id, generated_tokens, end) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        if end == End::Finished {
+            let Engine { url, token_ms, .. } = &self.engines[engine];
+            let export = self.keeper.plan_export(now_ms, &ask, url, request, *token_ms);
+            actions.extend(export.map(Action::Export));
+        }
+        actions.extend(self.place_waiting(now_ms));
+        actions
+    }
+
+    /// Frees a place and settles its account.
+    fn release(
+        &mut self,
+        now_ms: u64,
+        id: &AskId,
+        generated_tokens: u32,
+        end: End,
+    ) -> Option<(Ask, usize)> {
+        let running = self.running.remove(id)?;
+        let engine = &mut self.engines[running.engine];
+        engine.outstanding -= 1;
+        if !running.first_token {
+            let pending = u64::from(running.uncached_tokens);
+            engine.pending_tokens = engine.pending_tokens.saturating_sub(pending);
+        }
+        if end == End::Failed {
+            engine.failed(now_ms);
+        }
+        let took = match end {
+            End::Finished | End::Cancelled => {
+                work_tokens(running.uncached_tokens, generated_tokens)
+            }
+            End::Failed | End::Refused => 0.0,
+        };
+        self.queue.finish(&running.ask.scope.account, took - running.work_tokens);
+        self.throughput.add(now_ms, took, !self.queue.is_empty());
+        Some((running.ask, running.engine))
+    }
+
+    fn renew(&mut self, now_ms: u64, ids: &[AskId]) {
+        for id in ids {
+            if let Some(running) = self.running.get_mut(id) {
+                running.held_until_ms = now_ms + HOLD_MS;
+            }
+        }
+    }
+}
+
+impl Throughput {
+    /// Counts work done; only windows with work waiting tell the capacity.
+    fn add(&mut self, now_ms: u64, tokens: f64, backlogged: bool) {
+        self.window_tokens += tokens;
+        if now_ms < self.window_ends_at_ms {
+            return;
+        }
+        let began_at_ms = self.window_ends_at_ms.saturating_sub(RATE_WINDOW_MS);
+        let elapsed_ms = u32::try_from(now_ms - began_at_ms).unwrap_or(u32::MAX);
+        let rate = self.window_tokens / f64::from(elapsed_ms);
+        if backlogged && u64::from(elapsed_ms) < 3 * RATE_WINDOW_MS {
+            let mean = self.tokens_per_ms.unwrap_or(rate);
+            self.tokens_per_ms = Some(mean + RATE_WEIGHT * (rate - mean));
+        }
+        self.window_ends_at_ms = now_ms + RATE_WINDOW_MS;
+        self.window_tokens = 0.0;
+    }
+}
+
+/// Work of a request, in prompt tokens.
+fn work_tokens(uncached_tokens: u32, generated_tokens: u32) -> f64 {
+    f64::from(uncached_tokens) + GENERATED_TOKEN_WEIGHT * f64::from(generated_tokens)
+}
+
+fn fits(engine: &Engine, now_ms: u64, ask: &Ask) -> bool {
+    engine.has_room(now_ms) && wanted(engine, ask)
+}
+
+fn wanted(engine: &Engine, ask: &Ask) -> bool {
+    engine.serves(&ask.scope.version) && !ask.avoid.contains(&engine.name)
+}
+
+fn any_serves(engines: &[Engine], ask: &Ask) -> bool {
+    engines.iter().any(|engine| wanted(engine, ask))
+}
+
+fn no_upstream(now_ms: u64) -> Refusal {
+    Refusal::not_run(Reason::NoUpstream).retry_at(now_ms + NO_UPSTREAM_RETRY_MS)
+}
+
+fn narrow(engine: usize) -> u16 {
+    u16::try_from(engine).expect("a hall has fewer than 65,536 engines")
+}
--- /dev/null
+++ b/src/gossip.rs
@@ -0,0 +1,41 @@
+//! Runs the membership of this box.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::now_ms;
+use crate::kernel::{Kernel, Plugin, Topic};
+use crate::member::Outgoing;
+use crate::wire::{Envelope, Message};
+
+/// How often the membership looks what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+inventory::submit! {
+    Plugin { name: "gossip", start, receive: Some((Topic::Gossip, receive)) }
+}
+
+fn start(kernel: &Arc<Kernel>) {
+    let kernel = kernel.clone();
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(TICK);
+        loop {
+            ticks.tick().await;
+            let outgoing = kernel.membership().tick(now_ms());
+            send_all(&kernel, outgoing);
+        }
+    });
+}
+
+fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
+    if let Message::Gossip(gossip) = envelope.message {
+        let outgoing = kernel.membership().receive(now_ms(), &envelope.reply_to, gossip);
+        send_all(kernel, outgoing);
+    }
+}
+
+fn send_all(kernel: &Kernel, outgoing: Vec<Outgoing>) {
+    for Outgoing { to, gossip } in outgoing {
+        kernel.send(&to, Message::Gossip(gossip));
+    }
+}
--- /dev/null
+++ b/src/invariant.rs
@@ -0,0 +1,53 @@
+//! Invariants, checked where they would break.
+//!
+//! The checks are always on. A violation is counted, logged by name, and the
+//! caller takes the safe way: it refuses rather than go on.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use log::error;
+
+/// What must always hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Invariant {
+    /// a block id is used once
+    BlockIdUsedOnce,
+    /// a block is read only as it was sealed
+    BlockReadAsSealed,
+    /// context stays within its client account, model and version
+    ContextStaysInScope,
+    /// a new request runs on the expected weight version
+    ExpectedVersion,
+    /// the pieces of an answer belong to its request
+    PieceOfOwnRequest,
+    /// the configuration never goes back
+    ConfigNeverReverts,
+    /// a call that may not be repeated is sent once
+    SentOnce,
+    /// "not run" is said only of a call that did not leave
+    NotRunIsTrue,
+    /// an upstream that leaves gets no new work
+    NoWorkWhenLeaving,
+    /// an order carries the fencing token of a lease in force
+    OrderUnderLease,
+}
+
+static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
+
+/// Violations since the start of the process.
+#[must_use]
+pub fn violations() -> u64 {
+    VIOLATIONS.load(Ordering::Relaxed)
+}
+
+/// Counts and logs a violation when `holds` is false; returns `holds`.
+pub fn check(invariant: Invariant, holds: bool, place: impl FnOnce() -> String) -> bool {
+    if !holds {
+        VIOLATIONS.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!("coursestile_invariant_violations_total",
+            "invariant" => format!("{invariant:?}"))
+        .increment(1);
+        error!(target: "invariant", "Violated: {invariant}. Place: {}.", place());
+    }
+    holds
+}
--- /dev/null
+++ b/src/keep.rs
@@ -0,0 +1,173 @@
+//! Which kept context is worth its place.
+//!
+//! The worth of a block is the rate at which its prompt is expected to come
+//! back, times the recompute that it saves, over its size. The rate follows
+//! from the prompt's own returns, with the account's as a prior, and falls the
+//! longer the prompt stays away. Past the account's deadline the worth is 0.
+
+/// Which block goes first when room is needed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum KeepPolicy {
+    /// The least recently used.
+    Lru,
+    /// The least recently used, and each after a fixed time.
+    Ttl,
+    /// The one worth least.
+    #[default]
+    Worth,
+}
+
+impl KeepPolicy {
+    /// The policy called `name` in the settings.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "lru" => Some(Self::Lru),
+            "ttl" => Some(Self::Ttl),
+            "worth" => Some(Self::Worth),
+            _ => None,
+        }
+    }
+}
+
+/// Age at which the fixed-time policy drops a block, in milliseconds.
+pub const FIXED_TTL_MS: u64 = 600_000;
+/// Chance of a return below which context is not written to a store.
+const LEAST_RETURN_CHANCE: f64 = 0.25;
+
+/// How often a prompt, or the prompts of an account, come back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Returns {
+    /// First use, in Unix milliseconds.
+    pub first_used_at_ms: u64,
+    /// Newest use, in Unix milliseconds.
+    pub last_used_at_ms: u64,
+    /// Uses after the first.
+    pub returns: u32,
+}
+
+impl Returns {
+    /// Starts with a first use.
+    #[must_use]
+    pub fn new(now_ms: u64) -> Self {
+        Self { first_used_at_ms: now_ms, last_used_at_ms: now_ms, returns: 0 }
+    }
+
+    /// Counts a use.
+    pub fn used(&mut self, now_ms: u64) {
+        self.last_used_at_ms = now_ms;
+        self.returns += 1;
+    }
+}
+
+/// What is known of an account's prompts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prior {
+    prompts: f64,
+    returned: f64,
+    gap_ms: f64,
+}
+
+impl Default for Prior {
+    fn default() -> Self {
+        Self { prompts: 1.0, returned: 0.5, gap_ms: 60_000.0 }
+    }
+}
+
+/// Weight of a new gap in the account's mean.
+const GAP_WEIGHT: f64 = 0.05;
+
+impl Prior {
+    /// Counts a prompt seen for the first time.
+    pub fn first_use(&mut self) {
+        self.prompts += 1.0;
+    }
+
+    /// Counts a return after `gap_ms`; `first` says that it is the prompt's
+    /// first return.
+    pub fn return_after(&mut self, gap_ms: u64, first: bool) {
+        self.returned += if first { 1.0 } else { 0.0 };
+        self.gap_ms += GAP_WEIGHT * (millis(gap_ms) - self.gap_ms);
+    }
+
+    /// Share of the account's prompts that come back.
+    #[must_use]
+    pub fn return_chance(&self) -> f64 {
+        (self.returned / self.prompts).min(1.0)
+    }
+}
+
+/// Returns per millisecond that are expected of a prompt.
+#[must_use]
+pub fn return_rate(now_ms: u64, returns: &Returns, prior: &Prior) -> f64 {
+    let idle_ms = millis(now_ms.saturating_sub(returns.last_used_at_ms));
+    let active_ms = millis(returns.last_used_at_ms - returns.first_used_at_ms);
+    let seen = prior.return_chance() + f64::from(returns.returns);
+    seen / (prior.gap_ms + active_ms + idle_ms)
+}
+
+/// A block as the policies see it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kept {
+    /// Use of its prompt.
+    pub returns: Returns,
+    /// When it is no longer worth keeping, in Unix milliseconds.
+    pub worthless_at_ms: u64,
+    /// Recompute that it saves, in milliseconds.
+    pub saved_ms: f64,
+    /// Its size.
+    pub size_bytes: u64,
+    /// Whether its account holds more than its share of the store.
+    pub over_share: bool,
+}
+
+/// Order in which blocks give way: the least goes first.
+#[must_use]
+pub fn rank(policy: KeepPolicy, now_ms: u64, kept: &Kept, prior: &Prior) -> f64 {
+    let last_used = millis(kept.returns.last_used_at_ms);
+    match policy {
+        KeepPolicy::Lru | KeepPolicy::Ttl => last_used,
+        KeepPolicy::Worth if now_ms >= kept.worthless_at_ms => -1.0,
+        KeepPolicy::Worth => {
+            let rate = return_rate(now_ms, &kept.returns, prior);
+            let worth = rate * kept.saved_ms / millis(kept.size_bytes.max(1));
+            // An account over its share gives way to all that are within.
+            if kept.over_share { worth - 0.5 } else { worth }
+        }
+    }
+}
+
+/// Whether a block has outlived its use.
+#[must_use]
+pub fn expired(policy: KeepPolicy, now_ms: u64, kept: &Kept) -> bool {
+    match policy {
+        KeepPolicy::Lru => false,
+        KeepPolicy::Ttl => now_ms >= kept.returns.last_used_at_ms + FIXED_TTL_MS,
+        KeepPolicy::Worth => now_ms >= kept.worthless_at_ms,
+    }
+}
+
+/// Whether context is worth writing to a store.
+#[must_use]
+pub fn worth_writing(
+    policy: KeepPolicy,
+    now_ms: u64,
+    kept: &Kept,
+    prior: &Prior,
+    transfer_ms: f64,
+) -> bool {
+    match policy {
+        KeepPolicy::Lru | KeepPolicy::Ttl => true,
+        KeepPolicy::Worth => {
+            let left_ms = millis(kept.worthless_at_ms.saturating_sub(now_ms));
+            let expected = return_rate(now_ms, &kept.returns, prior) * left_ms;
+            let chance = 1.0 - (-expected).exp();
+            chance >= LEAST_RETURN_CHANCE && kept.saved_ms > transfer_ms
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times and sizes stay far below 2^52")]
+fn millis(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/src/keeper.rs
@@ -0,0 +1,423 @@
+//! Kept context of one dispatcher: what to write, bring and free.
+//!
+//! Brings together the directory of prompts, the life of blocks and the
+//! policy of their worth. Transfers are planned against each store's link, so
+//! that an offer includes what the link has to do before.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ask::{Ask, Import, ImportResult, Imported};
+use crate::blocks::{Block, BlockId, Blocks, Phase, Seal};
+use crate::context::{Mark, Scope};
+use crate::directory::{Directory, Record};
+use crate::keep::{self, KeepPolicy, Kept};
+use crate::owner::owner;
+use crate::route::Offer;
+
+/// Least context worth a block, in tokens.
+const LEAST_BLOCK_TOKENS: u32 = 512;
+/// Time in which a write must be done.
+const WRITE_TIMEOUT_MS: u64 = 10_000;
+/// Fill of a store above which blocks are freed, in percent.
+const HIGH_FILL_PERCENT: u64 = 92;
+/// Fill of a store down to which blocks are freed, in percent.
+const LOW_FILL_PERCENT: u64 = 85;
+/// Time for which a store that failed is left alone.
+const COOLDOWN_MS: u64 = 3000;
+/// Backlog of a link above which nothing is written over it.
+const MAX_WRITE_BACKLOG_MS: f64 = 100.0;
+/// An import may take so many times its estimate, and the slack.
+const IMPORT_PATIENCE: f64 = 2.0;
+/// Slack of an import's deadline.
+const IMPORT_SLACK_MS: f64 = 20.0;
+/// Time for which a block is pinned past its import's deadline.
+const PIN_EXTRA_MS: u64 = 5000;
+/// Weight of a new measurement in a link's mean rate.
+const RATE_WEIGHT: f64 = 0.2;
+
+/// A store box as its users see it.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Where it listens.
+    pub url: String,
+    /// Bytes that this dispatcher may use there.
+    pub capacity_bytes: u64,
+    /// Rate of its link, measured.
+    pub bytes_per_ms: f64,
+    /// When the link has done what was planned on it, in Unix milliseconds.
+    pub busy_until_ms: f64,
+    /// It is left alone until then, in Unix milliseconds.
+    pub cooldown_until_ms: u64,
+}
+
+/// What a block says of itself, for dispatchers that come after.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BlockMeta {
+    /// Whose context it is.
+    pub scope: Scope,
+    /// Points along its prompt.
+    pub marks: Vec<Mark>,
+    /// When it is no longer worth keeping, in Unix milliseconds.
+    pub worthless_at_ms: u64,
+}
+
+/// A block that a store lists.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// The block.
+    pub id: BlockId,
+    /// Its size as the store counts it.
+    pub size_bytes: u64,
+    /// What its content must match.
+    pub seal: Seal,
+    /// What it says of itself.
+    pub meta: BlockMeta,
+}
+
+/// An order to write context to a store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Export {
+    /// The new block.
+    pub block: BlockId,
+    /// Where the engine listens that holds the context.
+    pub engine_url: String,
+    /// Request whose context it is.
+    pub request: String,
+    /// Where the store listens.
+    pub store_url: String,
+    /// What the block says of itself.
+    pub meta: BlockMeta,
+}
+
+/// An order to delete a block.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delete {
+    /// The block.
+    pub block: BlockId,
+    /// Where its store listens.
+    pub store_url: String,
+}
+
+/// Kept context of one dispatcher.
+#[derive(Debug)]
+pub struct Keeper {
+    policy: KeepPolicy,
+    /// Known prompts.
+    pub directory: Directory,
+    blocks: Blocks,
+    stores: BTreeMap<String, Store>,
+    shares: BTreeMap<String, f64>,
+    writer: String,
+    next_nonce: u64,
+    token_bytes: u64,
+}
+
+impl Keeper {
+    /// Starts without knowledge of prompts or blocks.
+    #[must_use]
+    pub fn new(
+        policy: KeepPolicy,
+        stores: BTreeMap<String, Store>,
+        capacity: usize,
+        token_bytes: u64,
+        writer: &str,
+    ) -> Self {
+        Self {
+            policy,
+            directory: Directory::new(capacity),
+            blocks: Blocks::default(),
+            stores,
+            shares: BTreeMap::new(),
+            writer: writer.to_owned(),
+            next_nonce: 1,
+            token_bytes,
+        }
+    }
+
+    /// The best kept block for a prompt, and what bringing it takes.
+    #[must_use]
+    pub fn offer(&self, now_ms: u64, ask: &Ask) -> Option<(BlockId, Offer)> {
+        let offers = self.directory.matching(&ask.marks).filter_map(|(record, common)| {
+            let id = record.block.as_ref()?;
+            let block = self.blocks.get(id).filter(|block| block.scope == ask.scope)?;
+            let store = self.stores.get(&block.store)?;
+            let usable =
+                matches!(block.phase, Phase::Sealed(_)) && now_ms >= store.cooldown_until_ms;
+            usable.then(|| (id.clone(), store.offer(now_ms, block, common)))
+        });
+        offers.max_by_key(|(_, offer)| offer.tokens)
+    }
+
+    /// Plans the import of a block that was offered.
+    pub fn start_import(
+        &mut self,
+        now_ms: u64,
+        scope: &Scope,
+        id: &BlockId,
+        offer: &Offer,
+    ) -> Option<Import> {
+        let patience_ms = whole_ms(offer.link_ms * IMPORT_PATIENCE + IMPORT_SLACK_MS);
+        let deadline_ms = now_ms + patience_ms;
+        let pinned_until_ms = deadline_ms + PIN_EXTRA_MS;
+        let (block, seal) = self.blocks.pin(id, scope, pinned_until_ms)?;
+        let store = self.stores.get_mut(&block.store)?;
+        store.plan(now_ms, offer.transfer_ms);
+        Some(Import {
+            block: id.clone(),
+            store_url: store.url.clone(),
+            seal: seal.clone(),
+            expected_ms: u32::try_from(whole_ms(offer.link_ms)).unwrap_or(u32::MAX),
+            deadline_ms,
+            pinned_until_ms,
+        })
+    }
+
+    /// Takes in how an import went.
+    pub fn imported(&mut self, now_ms: u64, marks: &[Mark], imported: &Imported) {
+        let Some(block) = self.blocks.get(&imported.block) else {
+            return;
+        };
+        let Some(store) = self.stores.get_mut(&block.store) else {
+            return;
+        };
+        match imported.result {
+            ImportResult::Done => store.measured(imported.expected_ms, imported.took_ms),
+            ImportResult::TimedOut => store.fail(now_ms),
+            ImportResult::NotFound => {
+                self.blocks.free(&imported.block);
+                if let Some(root) = marks.first() {
+                    self.directory.forget_block(root.hash, &imported.block);
+                }
+            }
+        }
+    }
+
+    /// Plans to write the context of a finished request, if it is worth it.
+    pub fn plan_export(
+        &mut self,
+        now_ms: u64,
+        ask: &Ask,
+        engine_url: &str,
+        request: &str,
+        token_ms: f64,
+    ) -> Option<Export> {
+        let mark = *ask.marks.last().filter(|mark| mark.tokens >= LEAST_BLOCK_TOKENS)?;
+        let root = ask.marks.first()?;
+        self.shares.insert(ask.scope.account.clone(), ask.share);
+        let record = self.directory.record_mut(&ask.marks)?;
+        if record.block.is_some() {
+            return None;
+        }
+        let size_bytes = u64::from(mark.tokens) * self.token_bytes;
+        let name = self.store_for(now_ms, root.hash, size_bytes)?;
+        let store = self.stores.get_mut(&name)?;
+        let transfer_ms = exact(size_bytes) / store.bytes_per_ms;
+        let record = self.directory.record_mut(&ask.marks)?;
+        let kept = Kept {
+            returns: record.returns,
+            worthless_at_ms: record.worthless_at_ms,
+            saved_ms: f64::from(mark.tokens) * token_ms,
+            size_bytes,
+            over_share: false,
+        };
+        let account = record.account.clone();
+        let prior = self.directory.prior(&account);
+        if !keep::worth_writing(self.policy, now_ms, &kept, &prior, transfer_ms) {
+            return None;
+        }
+        store.plan(now_ms, transfer_ms);
+        let store_url = store.url.clone();
+        let id = BlockId::new(&ask.scope, mark, &self.writer, self.next_nonce);
+        self.next_nonce += 1;
+        let phase = Phase::Writing { deadline_ms: now_ms + WRITE_TIMEOUT_MS };
+        let scope = ask.scope.clone();
+        let block = Block { scope, store: name, mark, size_bytes, phase, pinned_until_ms: 0 };
+        self.blocks.begin_write(&id, block);
+        self.directory.record_mut(&ask.marks)?.block = Some(id.clone());
+        let worthless_at_ms = ask.worthless_at_ms;
+        let meta =
+            BlockMeta { scope: ask.scope.clone(), marks: ask.marks.clone(), worthless_at_ms };
+        let (engine_url, request) = (engine_url.to_owned(), request.to_owned());
+        Some(Export { block: id, engine_url, request, store_url, meta })
+    }
+
+    /// Takes in how a write ended: with a seal and a size, or not.
+    pub fn exported(&mut self, now_ms: u64, export: &Export, sealed: Option<(Seal, u64)>) {
+        let written = sealed.is_some();
+        let in_force = sealed
+            .is_some_and(|(seal, size_bytes)| self.blocks.seal(&export.block, seal, size_bytes));
+        if in_force {
+            return;
+        }
+        self.drop_block(&export.block, &export.meta.marks);
+        let store = self.stores.values_mut().find(|store| store.url == export.store_url);
+        if let Some(store) = store.filter(|_| !written) {
+            store.fail(now_ms);
+        }
+    }
+
+    /// Takes over a block that a store lists.
+    pub fn adopt(&mut self, now_ms: u64, store: &str, listed: Listed) {
+        let Some(mark) = listed.meta.marks.last().copied() else {
+            return;
+        };
+        let meta = listed.meta;
+        let block = Block {
+            scope: meta.scope.clone(),
+            store: store.to_owned(),
+            mark,
+            size_bytes: listed.size_bytes,
+            phase: Phase::Sealed(listed.seal),
+            pinned_until_ms: now_ms,
+        };
+        self.blocks.adopt(&listed.id, block);
+        let account = &meta.scope.account;
+        self.directory.adopt_block(now_ms, account, &meta.marks, meta.worthless_at_ms, &listed.id);
+    }
+
+    /// Forgets a block that was deleted.
+    pub fn deleted(&mut self, id: &BlockId) {
+        self.blocks.deleted(id);
+    }
+
+    /// Frees what is expired or must give way; returns what to delete now.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Delete> {
+        self.blocks.expire_writes(now_ms);
+        for name in self.stores.keys().cloned().collect::<Vec<_>>() {
+            self.make_room(now_ms, &name);
+        }
+        self.directory.prune(now_ms);
+        let deletable = self.blocks.deletable(now_ms);
+        deletable.into_iter().filter_map(|block| self.delete(block)).collect()
+    }
+
+    fn delete(&self, block: BlockId) -> Option<Delete> {
+        let store = self.stores.get(&self.blocks.get(&block)?.store)?;
+        Some(Delete { block, store_url: store.url.clone() })
+    }
+
+    fn make_room(&mut self, now_ms: u64, name: &str) {
+        let capacity_bytes = self.stores[name].capacity_bytes;
+        let mut used_bytes = self.blocks.used_bytes(name);
+        let target_bytes = if used_bytes > capacity_bytes / 100 * HIGH_FILL_PERCENT {
+            capacity_bytes / 100 * LOW_FILL_PERCENT
+        } else {
+            u64::MAX
+        };
+        let mut kept = self.kept_in(name, capacity_bytes);
+        kept.sort_by(|left, right| {
+            let rank = |one: &KeptBlock| {
+                keep::rank(self.policy, now_ms, &one.kept, &self.directory.prior(&one.account))
+            };
+            rank(left).total_cmp(&rank(right))
+        });
+        for one in kept {
+            let expired = keep::expired(self.policy, now_ms, &one.kept);
+            if expired || used_bytes > target_bytes {
+                used_bytes -= one.kept.size_bytes;
+                self.drop_block(&one.id, &one.marks);
+            }
+        }
+    }
+
+    fn kept_in(&self, name: &str, capacity_bytes: u64) -> Vec<KeptBlock> {
+        let mut by_account: BTreeMap<&str, u64> = BTreeMap::new();
+        for (_, block) in self.blocks.iter().filter(|(_, block)| block.store == name) {
+            *by_account.entry(&block.scope.account).or_default() += block.size_bytes;
+        }
+        let share_of = |account: &str| self.shares.get(account).copied().unwrap_or(1.0);
+        let all_shares: f64 = by_account.keys().map(|account| share_of(account)).sum();
+        let over = |account: &str| {
+            let fair_bytes = exact(capacity_bytes) * share_of(account) / all_shares.max(1e-6);
+            exact(by_account.get(account).copied().unwrap_or(0)) > fair_bytes
+        };
+        let records = self.directory.iter().filter_map(|record| {
+            let id = record.block.as_ref()?;
+            let block = self.blocks.get(id).filter(|block| block.store == name)?;
+            let sealed = matches!(block.phase, Phase::Sealed(_));
+            sealed.then(|| KeptBlock::new(id, record, block, over(&record.account)))
+        });
+        records.collect()
+    }
+
+    fn drop_block(&mut self, id: &BlockId, marks: &[Mark]) {
+        self.blocks.free(id);
+        if let Some(root) = marks.first() {
+            self.directory.forget_block(root.hash, id);
+        }
+    }
+
+    fn store_for(&self, now_ms: u64, root: u64, size_bytes: u64) -> Option<String> {
+        let fit = self.stores.iter().filter(|(name, store)| {
+            let fits = self.blocks.used_bytes(name) + size_bytes <= store.capacity_bytes;
+            let calm = store.backlog_ms(now_ms) <= MAX_WRITE_BACKLOG_MS;
+            fits && calm && now_ms >= store.cooldown_until_ms
+        });
+        owner(&root.to_string(), fit.map(|(name, _)| name.as_str())).map(str::to_owned)
+    }
+}
+
+struct KeptBlock {
+    id: BlockId,
+    account: String,
+    marks: Vec<Mark>,
+    kept: Kept,
+}
+
+impl KeptBlock {
+    fn new(id: &BlockId, record: &Record, block: &Block, over_share: bool) -> Self {
+        let kept = Kept {
+            returns: record.returns,
+            worthless_at_ms: record.worthless_at_ms,
+            saved_ms: f64::from(block.mark.tokens),
+            size_bytes: block.size_bytes,
+            over_share,
+        };
+        let marks = record.marks[..1].to_vec();
+        Self { id: id.clone(), account: record.account.clone(), marks, kept }
+    }
+}
+
+impl Store {
+    fn backlog_ms(&self, now_ms: u64) -> f64 {
+        (self.busy_until_ms - exact(now_ms)).max(0.0)
+    }
+
+    fn offer(&self, now_ms: u64, block: &Block, common: u32) -> Offer {
+        let transfer_ms = exact(block.size_bytes) / self.bytes_per_ms;
+        let link_ms = self.backlog_ms(now_ms) + transfer_ms;
+        Offer { tokens: common.min(block.mark.tokens), link_ms, transfer_ms }
+    }
+
+    fn plan(&mut self, now_ms: u64, transfer_ms: f64) {
+        self.busy_until_ms = self.busy_until_ms.max(exact(now_ms)) + transfer_ms;
+    }
+
+    /// Corrects the rate by how far the estimate was off; the estimate
+    /// includes what the link had to do before.
+    fn measured(&mut self, expected_ms: u32, took_ms: u32) {
+        let ratio = f64::from(expected_ms.max(1)) / f64::from(took_ms.max(1));
+        self.bytes_per_ms *= 1.0 + RATE_WEIGHT * (ratio.clamp(0.25, 4.0) - 1.0);
+    }
+
+    fn fail(&mut self, now_ms: u64) {
+        self.cooldown_until_ms = now_ms + COOLDOWN_MS;
+        self.busy_until_ms = 0.0;
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times and sizes stay far below 2^52")]
+fn exact(value: u64) -> f64 {
+    value as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "waits are positive and far below 2^52"
+)]
+fn whole_ms(value: f64) -> u64 {
+    value.max(0.0).ceil() as u64
+}
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,282 @@
+//! The kernel: state shared on one box, and the plug-ins that act on it.
+//!
+//! A plug-in registers itself with [`inventory`]. The kernel starts each of
+//! them, hands the messages of peers to the plug-in of their topic, and takes
+//! the box through its life: serving, draining, stopped.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use log::{debug, info, warn};
+use tokio::sync::watch;
+
+use crate::calls::Calls;
+use crate::clock::{now_ms, now_us};
+use crate::configuration::Configuration;
+use crate::consul::Consul;
+use crate::dispatch::Dispatch;
+use crate::error::Result;
+use crate::link::{self, Link};
+use crate::member::{Health, Member};
+use crate::membership::Membership;
+use crate::placing::Placing;
+use crate::settings::Settings;
+use crate::streams::Streams;
+use crate::sync::locked;
+use crate::ticket::BoxRef;
+use crate::trace::{Hop, Span, TraceId, Traces};
+use crate::upstream::HttpUpstreams;
+use crate::wire::{Envelope, Message, decode, encode};
+
+/// Age from which on a message is dropped.
+const MAX_MESSAGE_AGE_MS: u64 = 10_000;
+/// Time in which a stopping box still takes requests, so that the balancer
+/// can notice.
+const DRAIN_GRACE_MS: u64 = 2500;
+
+/// What a message is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Topic {
+    /// Membership.
+    Gossip,
+    /// Configuration.
+    Config,
+    /// Asks and reports, at the dispatcher.
+    Dispatch,
+    /// Verdicts, at the entry box.
+    Placing,
+    /// Calls that run at most once.
+    Calls,
+}
+
+impl Message {
+    /// What this message is about.
+    #[must_use]
+    pub fn topic(&self) -> Topic {
+        match self {
+            Self::Gossip(_) => Topic::Gossip,
+            Self::PullConfig { .. } | Self::ConfigEntries(_) | Self::ConfigState(_) => {
+                Topic::Config
+            }
+            Self::Ask(_) | Self::Withdraw { .. } | Self::Report { .. } => Topic::Dispatch,
+            Self::Verdict { .. } => Topic::Placing,
+            Self::Call { .. }
+            | Self::CallEnd { .. }
+            | Self::Handover { .. }
+            | Self::HandoverTaken { .. } => Topic::Calls,
+        }
+    }
+}
+
+/// A part of the daemon that registers itself.
+pub struct Plugin {
+    /// Name, and prefix of its log lines.
+    pub name: &'static str,
+    /// Starts its tasks.
+    pub start: fn(&Arc<Kernel>),
+    /// Takes the messages of a topic.
+    pub receive: Option<(Topic, Receive)>,
+}
+
+/// Takes a message of a peer.
+pub type Receive = fn(&Arc<Kernel>, Envelope);
+
+inventory::collect!(Plugin);
+
+/// Where the box is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Still takes requests, but is not ready for more.
+    Leaving,
+    /// Finishes what runs.
+    Draining,
+    /// Done.
+    Stopped,
+}
+
+/// State shared by the plug-ins of one box.
+pub struct Kernel {
+    /// Settings of the box.
+    pub settings: Settings,
+    /// The box and its incarnation.
+    pub me: BoxRef,
+    /// The platform's key-value service.
+    pub platform: Consul,
+    /// All upstreams.
+    pub upstreams: HttpUpstreams,
+    /// Spans of this box.
+    pub traces: Traces,
+    /// Configuration in force.
+    pub configuration: Configuration,
+    /// Asks made from this box.
+    pub placing: Placing,
+    /// Dispatchers that act on this box.
+    pub dispatch: Dispatch,
+    /// Calls that run at most once.
+    pub calls: Calls,
+    /// Answers under way.
+    pub streams: Streams,
+    link: Link,
+    membership: Mutex<Membership>,
+    phase: watch::Sender<Phase>,
+    next_number: AtomicU64,
+}
+
+impl Kernel {
+    /// Prepares a box.
+    #[must_use]
+    pub fn new(settings: Settings) -> Arc<Self> {
+        let me = BoxRef { name: settings.name.clone(), incarnation: now_ms() };
+        let member = Member {
+            id: me.clone(),
+            hall: settings.hall.clone(),
+            region: settings.region.clone(),
+            address: settings.advertise.clone(),
+            beat: 0,
+            health: Health::Alive,
+            heir: None,
+        };
+        let membership = Membership::new(member, settings.seeds.clone(), fastrand::u64(..));
+        Arc::new(Self {
+            me,
+            platform: Consul::new(&settings.platform_url),
+            upstreams: HttpUpstreams::default(),
+            traces: Traces::default(),
+            configuration: Configuration::default(),
+            placing: Placing::default(),
+            dispatch: Dispatch::default(),
+            calls: Calls::default(),
+            streams: Streams::default(),
+            link: Link::default(),
+            membership: Mutex::new(membership),
+            phase: watch::Sender::new(Phase::Serving),
+            next_number: AtomicU64::new(1),
+            settings,
+        })
+    }
+
+    /// Serves until [`Kernel::stop`] was called and everything has ended.
+    ///
+    /// # Errors
+    /// Fails when the address for peers cannot be bound.
+    pub async fn run(self: &Arc<Self>) -> Result<()> {
+        let mut received = link::listen(&self.settings.peers.to_string())?;
+        let mut receivers = BTreeMap::new();
+        for plugin in inventory::iter::<Plugin> {
+            debug!(target: "kernel", "Starting {}.", plugin.name);
+            (plugin.start)(self);
+            receivers.extend(plugin.receive);
+        }
+        info!(target: "kernel", "Box {} of hall {} serves.", self.me, self.settings.hall);
+        let mut phase = self.phase.subscribe();
+        loop {
+            tokio::select! {
+                Some(bytes) = received.recv() => self.receive(&receivers, &bytes),
+                _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return Ok(()),
+            }
+        }
+    }
+
+    fn receive(self: &Arc<Self>, receivers: &BTreeMap<Topic, Receive>, bytes: &[u8]) {
+        metrics::counter!("coursestile_peer_received_bytes_total").increment(bytes.len() as u64);
+        let envelope = match decode(&self.settings.cluster_key, bytes) {
+            Ok(envelope) => envelope,
+            Err(error) => {
+                metrics::counter!("coursestile_peer_rejected_messages_total").increment(1);
+                return warn!(target: "kernel", "Message dropped: {error}.");
+            }
+        };
+        let for_me = envelope.to == self.settings.advertise;
+        let fresh = envelope.sent_at_ms + MAX_MESSAGE_AGE_MS > now_ms();
+        if !for_me || !fresh {
+            return debug!(target: "kernel", "Stale message from {} dropped.", envelope.from);
+        }
+        if envelope.config_revision > self.configuration.revision() {
+            let after_revision = self.configuration.revision();
+            self.send(&envelope.reply_to, Message::PullConfig { after_revision });
+        }
+        if let Some(receive) = receivers.get(&envelope.message.topic()) {
+            receive(self, envelope);
+        }
+    }
+
+    /// Sends a message to a peer, or loses it.
+    pub fn send(&self, to: &str, message: Message) {
+        let envelope = Envelope {
+            from: self.me.clone(),
+            reply_to: self.settings.advertise.clone(),
+            to: to.to_owned(),
+            sent_at_ms: now_ms(),
+            config_revision: self.configuration.revision(),
+            message,
+        };
+        match encode(&self.settings.cluster_key, &envelope) {
+            Ok(bytes) => self.link.send(to, &bytes),
+            Err(error) => warn!(target: "kernel", "Message not sent: {error}."),
+        }
+    }
+
+    /// The view of all boxes.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        locked(&self.membership)
+    }
+
+    /// A number that this incarnation never gives again.
+    pub fn take_number(&self) -> u64 {
+        self.next_number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Where the box is in its life.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Waits until the box has stopped.
+    pub fn stopped(&self) -> impl Future<Output = ()> + use<> {
+        let mut phase = self.phase.subscribe();
+        async move {
+            // The sender lives as long as the process.
+            let _ = phase.wait_for(|phase| *phase == Phase::Stopped).await;
+        }
+    }
+
+    /// Adds a span that ends now.
+    pub fn span(&self, trace: TraceId, hop: Hop, started_at_us: u64, note: String) {
+        self.traces.add(Span {
+            trace: trace.to_string(),
+            hop,
+            entry_box: self.me.name.clone(),
+            started_at_us,
+            ended_at_us: now_us(),
+            note,
+        });
+    }
+
+    /// Stops as planned: no request is cut, and the ledger goes to a peer.
+    pub async fn stop(self: &Arc<Self>) {
+        info!(target: "kernel", "Stopping: taking no more requests soon.");
+        self.phase.send_replace(Phase::Leaving);
+        self.membership().leave(None);
+        tokio::time::sleep(Duration::from_millis(DRAIN_GRACE_MS)).await;
+        self.phase.send_replace(Phase::Draining);
+        let deadline_ms = now_ms() + self.settings.drain_timeout_ms;
+        while self.busy() && now_ms() < deadline_ms {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        if self.busy() {
+            warn!(target: "kernel", "Stopping with requests still running.");
+        }
+        crate::calls::hand_over(self).await;
+        info!(target: "kernel", "Box {} has stopped.", self.me);
+        self.phase.send_replace(Phase::Stopped);
+    }
+
+    fn busy(&self) -> bool {
+        self.streams.running() > 0 || self.calls.running() > 0
+    }
+}
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,87 @@
+//! What an operator's tool does at the platform's service.
+
+use std::time::Duration;
+
+use crate::configlog::{Head, MAX_HEAD_ENTRIES, Proposal, State};
+use crate::configuration::{BASE_KEY, HEAD_KEY, read_head, read_state};
+use crate::edge::KeyValue;
+use crate::error::{Error, Result};
+
+/// Changes that stay in the head when the older ones move into a base, so that
+/// a box that is a little behind needs no whole state.
+const KEPT_HEAD_ENTRIES: usize = 16;
+/// Most tries for one change.
+const MAX_TRIES: u32 = 40;
+/// Wait between tries.
+const TRY_WAIT: Duration = Duration::from_millis(150);
+
+/// Reads the head and the state that it stands for.
+///
+/// # Errors
+/// Fails when the platform does not answer or its value cannot be read.
+pub async fn read(platform: &impl KeyValue) -> Result<(Head, State)> {
+    let head = read_head(&platform.read(HEAD_KEY).await?.bytes)?;
+    let state = read_state(platform, &head).await?;
+    Ok((head, state))
+}
+
+/// Has a change accepted; returns its revision. Whether an answer was lost
+/// after the write is settled by reading back, so a change applies once.
+///
+/// # Errors
+/// Fails when the object was changed meanwhile, when the change is refused,
+/// or when the platform does not answer for long.
+pub async fn propose(platform: &impl KeyValue, proposal: &Proposal) -> Result<u64> {
+    let mut last = Error::Contended(MAX_TRIES);
+    for _ in 0..MAX_TRIES {
+        match try_once(platform, proposal).await {
+            Ok(Some(revision)) => return Ok(revision),
+            Ok(None) => last = Error::Contended(MAX_TRIES),
+            Err(error @ Error::Platform(_)) => last = error,
+            Err(error) => return Err(error),
+        }
+        tokio::time::sleep(TRY_WAIT).await;
+    }
+    Err(last)
+}
+
+async fn try_once(platform: &impl KeyValue, proposal: &Proposal) -> Result<Option<u64>> {
+    let value = platform.read(HEAD_KEY).await?;
+    let mut head = read_head(&value.bytes)?;
+    let state = read_state(platform, &head).await?;
+    if let Some(revision) = state.accepted_at(&proposal.id) {
+        return Ok(Some(revision));
+    }
+    let entry = state.accept(proposal)?;
+    let revision = entry.revision;
+    let old_base_revision = head.base_revision;
+    head.entries.push(entry);
+    if head.entries.len() > MAX_HEAD_ENTRIES {
+        head = compact(platform, head).await?;
+    }
+    let bytes = to_json(&head)?;
+    if !platform.compare_and_swap(HEAD_KEY, value.index, &bytes).await? {
+        return Ok(None);
+    }
+    if head.base_revision > old_base_revision && old_base_revision > 0 {
+        // A base that stays behind costs room and nothing else.
+        let _ = platform.delete(&format!("{BASE_KEY}{old_base_revision}")).await;
+    }
+    Ok(Some(revision))
+}
+
+/// Moves the older entries of a head into a new base.
+async fn compact(platform: &impl KeyValue, head: Head) -> Result<Head> {
+    let split = head.entries.len() - KEPT_HEAD_ENTRIES;
+    let mut older = head;
+    let entries = older.entries.split_off(split);
+    let base = read_state(platform, &older).await?;
+    let key = format!("{BASE_KEY}{}", base.revision);
+    // False means that the same base was written before.
+    platform.compare_and_swap(&key, 0, &to_json(&base)?).await?;
+    Ok(Head { base_revision: base.revision, entries })
+}
+
+fn to_json(value: &impl serde::Serialize) -> Result<Vec<u8>> {
+    serde_json::to_vec(value).map_err(|error| Error::Usage(error.to_string()))
+}
--- /dev/null
+++ b/src/refusal.rs
@@ -0,0 +1,118 @@
+//! Refusals, typed by what they say about the run.
+
+use serde::{Deserialize, Serialize};
+
+/// What is known about the run of a refused call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display)]
+pub enum Ran {
+    /// not run
+    NotRun,
+    /// outcome unknown
+    Unknown,
+}
+
+/// Why a call is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display)]
+pub enum Reason {
+    /// the API key is missing or not in force
+    BadKey,
+    /// the request is malformed
+    BadRequest,
+    /// the request is too long
+    TooLong,
+    /// the client account may not use this model or version
+    ModelNotAllowed,
+    /// the client account has no share of the fleet
+    NoShare,
+    /// no upstream serves this
+    NoUpstream,
+    /// the fleet is busy and the request would wait past its deadline
+    Overloaded,
+    /// the deadline has passed
+    DeadlinePassed,
+    /// the upstream failed
+    UpstreamFailed,
+    /// the retry budget is spent
+    RetryBudget,
+    /// this box has no configuration yet
+    NotReady,
+    /// this box is stopping
+    Stopping,
+    /// the ticket is not valid
+    BadTicket,
+    /// the ticket has expired
+    TicketExpired,
+    /// the key was used for another call
+    KeyMismatch,
+    /// the client account holds too many keys
+    TooManyKeys,
+    /// the box that may spend this ticket cannot be reached
+    SpenderUnreachable,
+    /// the call was cancelled
+    Cancelled,
+    /// nothing by this name
+    NotFound,
+}
+
+impl Reason {
+    /// HTTP status of the refusal.
+    #[must_use]
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::BadTicket => 400,
+            Self::BadKey => 401,
+            Self::ModelNotAllowed | Self::NoShare => 403,
+            Self::NotFound => 404,
+            Self::Cancelled | Self::KeyMismatch => 409,
+            Self::TooLong => 413,
+            Self::Overloaded | Self::TooManyKeys => 429,
+            Self::UpstreamFailed | Self::SpenderUnreachable | Self::TicketExpired => 502,
+            Self::NoUpstream | Self::NotReady | Self::RetryBudget | Self::Stopping => 503,
+            Self::DeadlinePassed => 504,
+        }
+    }
+
+    /// Name used in answers and metrics.
+    #[must_use]
+    pub fn name(self) -> String {
+        let mut name = String::new();
+        for c in format!("{self:?}").chars() {
+            if c.is_ascii_uppercase() && !name.is_empty() {
+                name.push('_');
+            }
+            name.push(c.to_ascii_lowercase());
+        }
+        name
+    }
+}
+
+/// A refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// What is known about the run.
+    pub ran: Ran,
+    /// Why.
+    pub reason: Reason,
+    /// When to come back, in Unix milliseconds; none when it is of no use.
+    pub retry_at_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// A refusal of a call that has not run.
+    #[must_use]
+    pub fn not_run(reason: Reason) -> Self {
+        Self { ran: Ran::NotRun, reason, retry_at_ms: None }
+    }
+
+    /// A refusal of a call that may have run.
+    #[must_use]
+    pub fn unknown(reason: Reason) -> Self {
+        Self { ran: Ran::Unknown, reason, retry_at_ms: None }
+    }
+
+    /// The same with a time to come back at.
+    #[must_use]
+    pub fn retry_at(self, retry_at_ms: u64) -> Self {
+        Self { retry_at_ms: Some(retry_at_ms), ..self }
+    }
+}
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,140 @@
+//! Where a request runs.
+//!
+//! For each engine that has a place free, the cost of running there is its
+//! wait, plus recomputing what it does not hold, or bringing kept context
+//! over a link and recomputing the rest, whichever is less. The account's
+//! weights say how much each part counts. The baselines look at less.
+
+use crate::account::Weights;
+
+/// How an engine is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RoutePolicy {
+    /// Each in turn.
+    RoundRobin,
+    /// Least work in progress.
+    LeastOutstanding,
+    /// Most of the prompt in the engine's own cache.
+    LongestPrefix,
+    /// Least cost.
+    #[default]
+    Cost,
+}
+
+impl RoutePolicy {
+    /// The policy called `name` in the settings.
+    #[must_use]
+    pub fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "round_robin" => Some(Self::RoundRobin),
+            "least_outstanding" => Some(Self::LeastOutstanding),
+            "longest_prefix" => Some(Self::LongestPrefix),
+            "cost" => Some(Self::Cost),
+            _ => None,
+        }
+    }
+}
+
+/// Kept context that could be brought to an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offer {
+    /// Tokens of the prompt that it covers.
+    pub tokens: u32,
+    /// Time until it is there, with what the link has to do before.
+    pub link_ms: f64,
+    /// Time that the transfer itself takes the link.
+    pub transfer_ms: f64,
+}
+
+/// An engine that could run the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Index of the engine at the caller's.
+    pub engine: usize,
+    /// Requests in progress there.
+    pub outstanding: u32,
+    /// Time until its prefill queue is done.
+    pub wait_ms: f64,
+    /// Time to prefill a token there.
+    pub token_ms: f64,
+    /// Tokens of the prompt in its cache.
+    pub cached_tokens: u32,
+}
+
+/// The request to place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Demand {
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+    /// The account's weights.
+    pub weights: Weights,
+    /// Kept context, if there is any.
+    pub offer: Option<Offer>,
+}
+
+/// A place for the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// The engine.
+    pub engine: usize,
+    /// Whether kept context is brought there first.
+    pub import: bool,
+    /// Expected time to prefill, in milliseconds.
+    pub recompute_ms: f64,
+}
+
+/// Chooses among `candidates`; `turn` counts the choices made so far.
+#[must_use]
+pub fn choose(
+    policy: RoutePolicy,
+    demand: &Demand,
+    candidates: &[Candidate],
+    turn: usize,
+) -> Option<Choice> {
+    let best = match policy {
+        RoutePolicy::RoundRobin => candidates.get(turn % candidates.len().max(1)),
+        RoutePolicy::LeastOutstanding => candidates.iter().min_by_key(|one| one.outstanding),
+        RoutePolicy::LongestPrefix => candidates
+            .iter()
+            .min_by_key(|one| (std::cmp::Reverse(one.cached_tokens), one.outstanding)),
+        RoutePolicy::Cost => return cheapest(demand, candidates),
+    };
+    best.map(|one| plan(demand, one).choice)
+}
+
+struct Plan {
+    choice: Choice,
+    cost: f64,
+}
+
+fn cheapest(demand: &Demand, candidates: &[Candidate]) -> Option<Choice> {
+    let plans = candidates.iter().map(|one| (plan(demand, one), one.outstanding));
+    let best =
+        plans.min_by(|left, right| left.0.cost.total_cmp(&right.0.cost).then(left.1.cmp(&right.1)));
+    best.map(|(plan, _)| plan.choice)
+}
+
+/// The cheaper way to run on one engine: with or without the kept context.
+fn plan(demand: &Demand, candidate: &Candidate) -> Plan {
+    let weights = &demand.weights;
+    let plain = recompute_ms(demand, candidate, candidate.cached_tokens);
+    let first_token = candidate.wait_ms + plain;
+    let cost = weights.first_token * first_token + weights.recompute * plain;
+    let engine = candidate.engine;
+    let without = Plan { choice: Choice { engine, import: false, recompute_ms: plain }, cost };
+    let Some(offer) = demand.offer.filter(|offer| offer.tokens > candidate.cached_tokens) else {
+        return without;
+    };
+    let rest = recompute_ms(demand, candidate, offer.tokens);
+    // The link works while the engine is still busy with others.
+    let first_token = candidate.wait_ms.max(offer.link_ms) + rest;
+    let cost = weights.first_token * first_token
+        + weights.recompute * rest
+        + weights.link * offer.transfer_ms;
+    let with = Plan { choice: Choice { engine, import: true, recompute_ms: rest }, cost };
+    if with.cost < without.cost { with } else { without }
+}
+
+fn recompute_ms(demand: &Demand, candidate: &Candidate, held_tokens: u32) -> f64 {
+    f64::from(demand.prompt_tokens.saturating_sub(held_tokens)) * candidate.token_ms
+}
--- /dev/null
+++ b/src/streams.rs
@@ -0,0 +1,216 @@
+//! Answers under way: what was generated so far, and who reads it.
+//!
+//! An answer is generated whether or not its caller is connected, so that a
+//! caller whose connection broke can go on reading by the request's id. One
+//! that nobody reads is cancelled after a while.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::watch;
+
+use crate::clock::now_ms;
+use crate::refusal::Refusal;
+use crate::sync::locked;
+
+/// Time for which an ended answer can still be read.
+const KEPT_FOR_MS: u64 = 30_000;
+/// Time after which an answer that nobody reads is cancelled.
+pub const UNREAD_FOR_MS: u64 = 15_000;
+
+/// How an answer ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// It is whole; the reason is the engine's.
+    Finished(String),
+    /// It was refused, or broke off.
+    Refused(Refusal),
+}
+
+#[derive(Default)]
+struct Content {
+    texts: Vec<String>,
+    version: String,
+    cached_tokens: u32,
+    end: Option<StreamEnd>,
+    ended_at_ms: u64,
+    unread_since_ms: u64,
+}
+
+/// One answer.
+pub struct Stream {
+    /// Name of the request.
+    pub id: String,
+    /// Client account that it belongs to.
+    pub account: String,
+    /// Model that was asked.
+    pub model: String,
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+    content: Mutex<Content>,
+    changed: watch::Sender<()>,
+    cancelled: watch::Sender<bool>,
+    readers: AtomicUsize,
+}
+
+/// What a reader finds past the place that it has read to.
+pub enum News {
+    /// More text, one for each piece.
+    Texts(Vec<String>),
+    /// The end.
+    End(StreamEnd),
+}
+
+/// Counts a reader for as long as it lives.
+pub struct Reader(Arc<Stream>);
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.0.readers.fetch_sub(1, Ordering::AcqRel);
+        self.0.content().unread_since_ms = now_ms();
+    }
+}
+
+impl Stream {
+    fn content(&self) -> std::sync::MutexGuard<'_, Content> {
+        locked(&self.content)
+    }
+
+    /// Adds a piece.
+    pub fn push(&self, text: String, version: &str, cached_tokens: u32) {
+        {
+            let mut content = self.content();
+            if content.texts.is_empty() {
+                version.clone_into(&mut content.version);
+                content.cached_tokens = cached_tokens;
+            }
+            content.texts.push(text);
+        }
+        self.changed.send_replace(());
+    }
+
+    /// Ends the answer; the first end counts.
+    pub fn finish(&self, end: StreamEnd) {
+        {
+            let mut content = self.content();
+            if content.end.is_some() {
+                return;
+            }
+            content.end = Some(end);
+            content.ended_at_ms = now_ms();
+        }
+        self.changed.send_replace(());
+    }
+
+    /// Version that ran and prompt tokens that were cached, once known.
+    #[must_use]
+    pub fn ran_with(&self) -> (String, u32) {
+        let content = self.content();
+        (content.version.clone(), content.cached_tokens)
+    }
+
+    /// The text so far.
+    #[must_use]
+    pub fn text(&self) -> String {
+        self.content().texts.concat()
+    }
+
+    /// Waits for news past the first `read` pieces.
+    pub async fn next(&self, read: usize) -> News {
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let content = self.content();
+                if content.texts.len() > read {
+                    return News::Texts(content.texts[read..].to_vec());
+                }
+                if let Some(end) = &content.end {
+                    return News::End(end.clone());
+                }
+            }
+            // The sender lives as long as this stream.
+            let _ = changed.changed().await;
+        }
+    }
+
+    /// Counts a reader.
+    pub fn read(self: &Arc<Self>) -> Reader {
+        self.readers.fetch_add(1, Ordering::AcqRel);
+        Reader(self.clone())
+    }
+
+    /// Cancels the answer.
+    pub fn cancel(&self) {
+        self.cancelled.send_replace(true);
+    }
+
+    /// Waits until the answer is cancelled.
+    pub async fn cancelled(&self) {
+        let mut cancelled = self.cancelled.subscribe();
+        // The sender lives as long as this stream.
+        let _ = cancelled.wait_for(|cancelled| *cancelled).await;
+    }
+
+    fn ended(&self) -> bool {
+        self.content().end.is_some()
+    }
+
+    fn forgotten(&self, now_ms: u64) -> bool {
+        let content = self.content();
+        content.end.is_some() && now_ms >= content.ended_at_ms + KEPT_FOR_MS
+    }
+
+    fn unread(&self, now_ms: u64) -> bool {
+        let unread_since_ms = self.content().unread_since_ms;
+        self.readers.load(Ordering::Acquire) == 0 && now_ms >= unread_since_ms + UNREAD_FOR_MS
+    }
+}
+
+/// All answers of this box.
+#[derive(Default)]
+pub struct Streams {
+    by_id: Mutex<HashMap<String, Arc<Stream>>>,
+}
+
+impl Streams {
+    /// Opens an answer.
+    pub fn open(&self, id: String, account: &str, model: &str, prompt_tokens: u32) -> Arc<Stream> {
+        let content = Content { unread_since_ms: now_ms(), ..Content::default() };
+        let stream = Arc::new(Stream {
+            id: id.clone(),
+            account: account.to_owned(),
+            model: model.to_owned(),
+            prompt_tokens,
+            content: Mutex::new(content),
+            changed: watch::Sender::new(()),
+            cancelled: watch::Sender::new(false),
+            readers: AtomicUsize::new(0),
+        });
+        locked(&self.by_id).insert(id, stream.clone());
+        stream
+    }
+
+    /// The answer called `id`, if it belongs to `account`.
+    #[must_use]
+    pub fn find(&self, account: &str, id: &str) -> Option<Arc<Stream>> {
+        let by_id = locked(&self.by_id);
+        by_id.get(id).filter(|stream| stream.account == account).cloned()
+    }
+
+    /// Number of answers that have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        let by_id = locked(&self.by_id);
+        by_id.values().filter(|stream| !stream.ended()).count()
+    }
+
+    /// Forgets answers that ended long ago and cancels those that nobody reads.
+    pub fn tidy(&self, now_ms: u64) {
+        let mut by_id = locked(&self.by_id);
+        by_id.retain(|_, stream| !stream.forgotten(now_ms));
+        for stream in by_id.values().filter(|stream| stream.unread(now_ms)) {
+            stream.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,317 @@
+//! Upstreams over HTTP: model engines, context stores and plain services.
+//!
+//! Engines speak the usual completions protocol, streamed as server-sent
+//! events.
+
+use std::time::Duration;
+
+use eventsource_stream::Eventsource;
+use futures_util::{StreamExt, stream};
+use reqwest::{Client, Method, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::assembler::Piece;
+use crate::blocks::{BlockId, Seal};
+use crate::clock::{instant_at, now_ms};
+use crate::edge::{
+    ContextStores, EngineError, EnginePiece, EngineReport, Generate, ModelEngines, Order, Pieces,
+    PlainServices, Staged,
+};
+use crate::keeper::{BlockMeta, Export, Listed};
+use crate::ledger::{Answer, Outcome};
+use crate::wire::Call;
+
+/// Time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a short call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a transfer of context, or a load of weights.
+const LONG_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time without a piece after which a stream counts as broken.
+const PIECE_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Last event of a stream.
+const END_MARK: &str = "[DONE]";
+
+/// Type of an engine's refusal of another weight version.
+const VERSION_MISMATCH: &str = "version_mismatch";
+
+/// A client of all upstreams.
+pub struct HttpUpstreams {
+    http: Client,
+}
+
+impl Default for HttpUpstreams {
+    fn default() -> Self {
+        let http = Client::builder().connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true).build();
+        Self { http: http.expect("a client without TLS can be built") }
+    }
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    id: String,
+    system_fingerprint: String,
+    seq: u64,
+    choices: Vec<ChunkChoice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct ChunkChoice {
+    text: String,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens_details: Option<PromptDetails>,
+}
+
+#[derive(Deserialize)]
+struct PromptDetails {
+    cached_tokens: u32,
+}
+
+fn broken(error: impl std::fmt::Display) -> EngineError {
+    EngineError::Broken(error.to_string())
+}
+
+/// Reads a chunk of a stream.
+fn read_chunk(data: &str, attempt: u32, first_seq: u64) -> Result<EnginePiece, EngineError> {
+    let chunk: Chunk = serde_json::from_str(data).map_err(broken)?;
+    let choice = chunk.choices.into_iter().next().ok_or_else(|| broken("a piece without text"))?;
+    let details = chunk.usage.and_then(|usage| usage.prompt_tokens_details);
+    let seq = first_seq + chunk.seq;
+    let piece = Piece { attempt, seq, text: choice.text, finish: choice.finish_reason };
+    Ok(EnginePiece {
+        request_id: chunk.id,
+        version: chunk.system_fingerprint,
+        cached_tokens: details.map_or(0, |details| details.cached_tokens),
+        piece,
+    })
+}
+
+/// Reads a stream up to its end mark, its first fault or a silence.
+fn read_stream(response: Response, attempt: u32, first_seq: u64) -> Pieces {
+    let events = Some(Box::pin(response.bytes_stream().eventsource()));
+    Box::pin(stream::unfold(events, move |events| async move {
+        let mut events = events?;
+        match tokio::time::timeout(PIECE_TIMEOUT, events.next()).await {
+            Err(_) => Some((Err(broken("no piece in time")), None)),
+            Ok(None) => None,
+            Ok(Some(Err(error))) => Some((Err(broken(error)), None)),
+            Ok(Some(Ok(event))) if event.data == END_MARK => None,
+            Ok(Some(Ok(event))) => {
+                let piece = read_chunk(&event.data, attempt, first_seq);
+                let rest = piece.is_ok().then_some(events);
+                Some((piece, rest))
+            }
+        }
+    }))
+}
+
+#[derive(Deserialize)]
+struct Rejection {
+    error: RejectionDetails,
+}
+
+#[derive(Deserialize)]
+struct RejectionDetails {
+    #[serde(rename = "type")]
+    kind: String,
+    not_run: bool,
+}
+
+/// Passes an accepted run on. Only an engine that says so has not run it.
+async fn accepted(response: Response) -> Result<Response, EngineError> {
+    let status = response.status();
+    if status == StatusCode::OK {
+        return Ok(response);
+    }
+    match response.json::<Rejection>().await {
+        Ok(Rejection { error }) if error.not_run && error.kind == VERSION_MISMATCH => {
+            Err(EngineError::OtherVersion)
+        }
+        Ok(Rejection { error }) if error.not_run => Err(EngineError::Refused),
+        Ok(_) | Err(_) => Err(broken(status)),
+    }
+}
+
+fn send_error(error: &reqwest::Error) -> EngineError {
+    if error.is_connect() { EngineError::Unreachable } else { broken(error) }
+}
+
+impl ModelEngines for HttpUpstreams {
+    async fn generate(
+        &self,
+        url: &str,
+        request: &Generate<'_>,
+        attempt: u32,
+        first_seq: u64,
+    ) -> Result<Pieces, EngineError> {
+        let call = self.http.post(format!("{url}/v1/completions")).json(request).send();
+        let answer = tokio::time::timeout(PIECE_TIMEOUT, call).await;
+        let response = answer.map_err(|_| broken("no answer in time"))?;
+        let response = accepted(response.map_err(|error| send_error(&error))?).await?;
+        Ok(read_stream(response, attempt, first_seq))
+    }
+
+    async fn resume(
+        &self,
+        url: &str,
+        request_id: &str,
+        attempt: u32,
+        from: u64,
+        first_seq: u64,
+    ) -> Result<Pieces, EngineError> {
+        let url = format!("{url}/v1/completions/{request_id}?from={from}");
+        let answer = tokio::time::timeout(CALL_TIMEOUT, self.http.get(url).send()).await;
+        let response = answer.map_err(|_| broken("no answer in time"))?;
+        let response = accepted(response.map_err(|error| send_error(&error))?).await?;
+        Ok(read_stream(response, attempt, first_seq))
+    }
+
+    async fn cancel(&self, url: &str, request_id: &str) {
+        let url = format!("{url}/v1/completions/{request_id}");
+        // An engine that cannot be reached has nothing left to cancel.
+        let _ = self.http.delete(url).timeout(CALL_TIMEOUT).send().await;
+    }
+
+    async fn report(&self, url: &str) -> Option<EngineReport> {
+        let call = self.http.get(format!("{url}/load")).timeout(CALL_TIMEOUT);
+        let load: Value = call.send().await.ok()?.json().await.ok()?;
+        let version = load["version"].as_str()?.to_owned();
+        let leaving = load["leaving"] == true || load["loading"] == true;
+        Some(EngineReport { version, leaving })
+    }
+
+    async fn export(&self, export: &Export) -> Option<(Seal, u64)> {
+        let body = json!({
+            "block_id": export.block, "store": export.store_url,
+            "request_id": export.request, "meta": export.meta,
+        });
+        let call = self.http.post(format!("{}/kv/export", export.engine_url));
+        let response = call.json(&body).timeout(LONG_TIMEOUT).send().await.ok()?;
+        let done: Value = response.error_for_status().ok()?.json().await.ok()?;
+        Some((read_seal(&done)?, done["size_bytes"].as_u64()?))
+    }
+
+    async fn stage(
+        &self,
+        url: &str,
+        store_url: &str,
+        block: &BlockId,
+        prompt: &str,
+        salt: &str,
+    ) -> Staged {
+        let body = json!({
+            "block_id": block, "store": store_url, "prompt": prompt, "cache_salt": salt,
+        });
+        let call = self.http.post(format!("{url}/kv/import")).json(&body).timeout(LONG_TIMEOUT);
+        let Ok(response) = call.send().await else {
+            return Staged::Failed;
+        };
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND | StatusCode::GONE => return Staged::NotFound,
+            _ => return Staged::Failed,
+        }
+        let staged = response.json::<Value>().await.ok();
+        staged.as_ref().and_then(read_seal).map_or(Staged::Failed, Staged::Arrived)
+    }
+
+    async fn commit(&self, url: &str, block: &BlockId, discard: bool) -> bool {
+        let body = json!({ "block_id": block, "discard": discard });
+        let call = self.http.post(format!("{url}/kv/commit")).json(&body).timeout(CALL_TIMEOUT);
+        call.send().await.is_ok_and(|response| response.status().is_success())
+    }
+
+    async fn order(&self, url: &str, order: &Order<'_>) -> bool {
+        let call = self.http.post(format!("{url}/orders")).json(order).timeout(LONG_TIMEOUT);
+        call.send().await.is_ok_and(|response| response.status().is_success())
+    }
+}
+
+fn read_seal(value: &Value) -> Option<Seal> {
+    let len_bytes = value["len_bytes"].as_u64()?;
+    let checksum = value["checksum"].as_str()?.to_owned();
+    Some(Seal { len_bytes, checksum })
+}
+
+#[derive(Deserialize)]
+struct ListedBlock {
+    id: BlockId,
+    size_bytes: u64,
+    seal: ListedSeal,
+}
+
+#[derive(Deserialize)]
+struct ListedSeal {
+    len_bytes: u64,
+    checksum: String,
+    meta: BlockMeta,
+}
+
+impl ContextStores for HttpUpstreams {
+    async fn pin(&self, url: &str, block: &BlockId, until_ms: u64) -> Option<Seal> {
+        let call = self.http.post(format!("{url}/blocks/{}/pin", block.0));
+        let call = call.json(&json!({ "until_ms": until_ms })).timeout(CALL_TIMEOUT);
+        let response = call.send().await.ok()?.error_for_status().ok()?;
+        read_seal(&response.json::<Value>().await.ok()?)
+    }
+
+    async fn delete(&self, url: &str, block: &BlockId) -> bool {
+        let call = self.http.delete(format!("{url}/blocks/{}", block.0)).timeout(CALL_TIMEOUT);
+        let status = call.send().await.map(|response| response.status());
+        matches!(status, Ok(StatusCode::OK | StatusCode::NOT_FOUND))
+    }
+
+    async fn list(&self, url: &str) -> Option<Vec<Listed>> {
+        let call = self.http.get(format!("{url}/blocks")).timeout(LONG_TIMEOUT);
+        let blocks: Vec<ListedBlock> = call.send().await.ok()?.json().await.ok()?;
+        let listed = blocks.into_iter().map(|block| {
+            let ListedSeal { len_bytes, checksum, meta } = block.seal;
+            let seal = Seal { len_bytes, checksum };
+            Listed { id: block.id, size_bytes: block.size_bytes, seal, meta }
+        });
+        Some(listed.collect())
+    }
+}
+
+impl PlainServices for HttpUpstreams {
+    async fn call(&self, url: &str, call: &Call) -> Outcome {
+        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+            return Outcome::NotRun;
+        };
+        let mut request = self.http.request(method, format!("{url}{}", call.path));
+        if let Some(content_type) = &call.content_type {
+            request = request.header("content-type", content_type);
+        }
+        let request = request
+            .header("traceparent", call.trace.header())
+            .header("x-call-id", &call.key.key)
+            .body(call.body.clone());
+        if call.deadline_ms <= now_ms() {
+            return Outcome::NotRun;
+        }
+        let answer = tokio::time::timeout_at(instant_at(call.deadline_ms), request.send()).await;
+        match answer {
+            Ok(Ok(response)) => {
+                read_answer(response).await.map_or(Outcome::Unknown, Outcome::Answered)
+            }
+            // Without a connection, no byte of the call has left.
+            Ok(Err(error)) if error.is_connect() => Outcome::NotRun,
+            Ok(Err(_)) | Err(_) => Outcome::Unknown,
+        }
+    }
+}
+
+async fn read_answer(response: Response) -> Option<Answer> {
+    let status = response.status().as_u16();
+    let content_type = response.headers().get("content-type");
+    let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let body = response.bytes().await.ok()?.to_vec();
+    Some(Answer { status, content_type, body })
+}
--- /dev/null
+++ b/standins/src/engine/runs.rs
@@ -0,0 +1,131 @@
+//! One run of a request in the engine.
+
+use std::sync::Mutex;
+
+use tokio::sync::watch;
+
+use super::cache::{BLOCK_TOKENS, ChainHash, TOKEN_BYTES, chain};
+use crate::answer::Generator;
+
+struct Progress {
+    prefill_left: usize,
+    cached: usize,
+    prefilled: bool,
+    taken: bool,
+    generator: Generator,
+    words: Vec<String>,
+    cancelled: bool,
+}
+
+/// A run: its prompt, its progress and the words so far.
+pub struct Run {
+    pub version: String,
+    pub priority: i64,
+    pub chain: Vec<ChainHash>,
+    pub prompt_tokens: usize,
+    pub max_tokens: usize,
+    progress: Mutex<Progress>,
+    changed: watch::Sender<usize>,
+}
+
+impl Run {
+    pub fn new(prompt: &str, salt: &str, version: &str, max_tokens: usize, priority: i64) -> Self {
+        let prompt_tokens = prompt.len().div_ceil(TOKEN_BYTES).max(1);
+        let progress = Progress {
+            prefill_left: prompt_tokens,
+            cached: 0,
+            prefilled: false,
+            taken: false,
+            generator: Generator::new(version, prompt),
+            words: Vec::new(),
+            cancelled: false,
+        };
+        Self {
+            version: version.to_owned(),
+            priority,
+            chain: chain(salt, version, prompt),
+            prompt_tokens,
+            max_tokens,
+            progress: Mutex::new(progress),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    pub fn set_cached(&self, cached: usize) {
+        let mut progress = self.progress.lock().expect("run lock");
+        progress.cached = cached.min(self.prompt_tokens);
+        progress.prefill_left = self.prompt_tokens - progress.cached;
+    }
+
+    pub fn cached(&self) -> usize {
+        self.progress.lock().expect("run lock").cached
+    }
+
+    pub fn prefill_left(&self) -> usize {
+        self.progress.lock().expect("run lock").prefill_left
+    }
+
+    /// Prefills up to `budget` tokens; returns how many.
+    pub fn prefill(&self, budget: usize) -> usize {
+        let mut progress = self.progress.lock().expect("run lock");
+        let tokens = progress.prefill_left.min(budget);
+        progress.prefill_left -= tokens;
+        progress.prefilled = progress.prefill_left == 0;
+        tokens
+    }
+
+    /// True once, after the last prefill step.
+    pub fn take_prefilled(&self) -> bool {
+        let mut progress = self.progress.lock().expect("run lock");
+        let first = progress.prefilled && !progress.taken;
+        progress.taken |= first;
+        first
+    }
+
+    /// Generates a word when the prefill is over; true when the run has ended.
+    pub fn decode(&self) -> bool {
+        let mut progress = self.progress.lock().expect("run lock");
+        if progress.prefilled && !progress.cancelled {
+            let word = progress.generator.next_word();
+            progress.words.push(word);
+        }
+        let ended = progress.cancelled || progress.words.len() >= self.max_tokens;
+        self.changed.send_replace(progress.words.len());
+        ended
+    }
+
+    pub fn cancel(&self) {
+        self.progress.lock().expect("run lock").cancelled = true;
+        self.changed.send_replace(usize::MAX);
+    }
+
+    /// Corrupts the answer, as a read of another prompt's context would.
+    pub fn corrupt(&self) {
+        let mut progress = self.progress.lock().expect("run lock");
+        progress.generator = Generator::new("corrupt", "context");
+    }
+
+    /// Waits for words past `from`; `None` after the end.
+    pub async fn words_from(&self, from: usize) -> Option<Vec<String>> {
+        let mut changed = self.changed.subscribe();
+        loop {
+            {
+                let progress = self.progress.lock().expect("run lock");
+                if progress.words.len() > from {
+                    return Some(progress.words[from..].to_vec());
+                }
+                if progress.cancelled || from >= self.max_tokens {
+                    return None;
+                }
+            }
+            if changed.changed().await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    /// Whole blocks of the prompt, in tokens.
+    pub fn block_tokens(&self) -> usize {
+        self.chain.len() * BLOCK_TOKENS
+    }
+}
--- /dev/null
+++ b/standins/src/faults.rs
@@ -0,0 +1,124 @@
+//! Faults by command, the same for every stand-in.
+//!
+//! `POST /fault` takes a JSON object; fields that are left out keep their
+//! value. `{"die": true}` ends the process at once.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::listener::TcpListener;
+use poem::web::{Data, Json};
+use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, handler, post};
+use serde::{Deserialize, Serialize};
+
+/// How long a lost answer is held; callers time out long before.
+const LOST_ANSWER: Duration = Duration::from_secs(8);
+/// How often a frozen call looks whether it may go on.
+const FREEZE_POLL: Duration = Duration::from_millis(20);
+
+/// Faults in force.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[allow(clippy::struct_excessive_bools, reason = "each fault is switched by itself")]
+#[serde(default)]
+pub struct FaultState {
+    /// Delay before each call, in milliseconds.
+    pub slow_ms: u64,
+    /// Holds every call until lifted.
+    pub frozen: bool,
+    /// Refuses every call with 503.
+    pub outage: bool,
+    /// How many answers to lose after their effect.
+    pub lose_answers: u64,
+    /// Share of events dropped, in percent.
+    pub drop_events_percent: u64,
+    /// Work is slower by this factor; 0 and 1 mean none.
+    pub slowdown: u64,
+    /// Breaks streams after this many pieces; 0 means never.
+    pub break_after_pieces: u64,
+    /// Swaps neighbouring pieces of a stream.
+    pub reorder: bool,
+    /// Serves blocks that were not sealed, as a faulty store would.
+    pub serve_unsealed: bool,
+    /// Ends the process.
+    pub die: bool,
+}
+
+/// Shared handle on the faults in force.
+#[derive(Clone, Default)]
+pub struct Faults(Arc<Mutex<FaultState>>);
+
+impl Faults {
+    /// A copy of the faults in force.
+    ///
+    /// # Panics
+    /// Panics when another thread panicked while it held the lock.
+    #[must_use]
+    pub fn now(&self) -> FaultState {
+        self.0.lock().expect("fault lock").clone()
+    }
+
+    fn set(&self, change: &serde_json::Value) -> Result<(), serde_json::Error> {
+        let mut state = self.0.lock().expect("fault lock");
+        let mut merged = serde_json::to_value(&*state)?;
+        if let (Some(target), Some(fields)) = (merged.as_object_mut(), change.as_object()) {
+            target.extend(fields.clone());
+        }
+        *state = serde_json::from_value(merged)?;
+        Ok(())
+    }
+
+    /// Takes one answer to lose, if any is left.
+    fn take_lost_answer(&self) -> bool {
+        let mut state = self.0.lock().expect("fault lock");
+        let lose = state.lose_answers > 0;
+        state.lose_answers = state.lose_answers.saturating_sub(1);
+        lose
+    }
+}
+
+#[handler]
+fn set_fault(Json(change): Json<serde_json::Value>, Data(faults): Data<&Faults>) -> Response {
+    match faults.set(&change) {
+        Ok(()) if faults.now().die => std::process::exit(9),
+        Ok(()) => StatusCode::OK.into(),
+        Err(error) => (StatusCode::BAD_REQUEST, error.to_string()).into_response(),
+    }
+}
+
+async fn with_faults<E: Endpoint>(
+    faults: Faults,
+    endpoint: Arc<E>,
+    request: Request,
+) -> poem::Result<Response> {
+    if matches!(request.uri().path(), "/fault" | "/counts" | "/runs") {
+        return endpoint.call(request).await.map(IntoResponse::into_response);
+    }
+    while faults.now().frozen {
+        tokio::time::sleep(FREEZE_POLL).await;
+    }
+    let state = faults.now();
+    if state.outage {
+        return Ok(StatusCode::SERVICE_UNAVAILABLE.into());
+    }
+    tokio::time::sleep(Duration::from_millis(state.slow_ms)).await;
+    let response = endpoint.call(request).await.map(IntoResponse::into_response);
+    if faults.take_lost_answer() {
+        tokio::time::sleep(LOST_ANSWER).await;
+        return Ok(StatusCode::GATEWAY_TIMEOUT.into());
+    }
+    response
+}
+
+/// Serves `routes` with the fault page beside them until the process ends.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub async fn serve(listen: &str, routes: Route, faults: Faults) -> std::io::Result<()> {
+    let layered = faults.clone();
+    let app = routes
+        .at("/fault", post(set_fault))
+        .data(faults)
+        .around(move |endpoint, request| with_faults(layered.clone(), endpoint, request));
+    Server::new(TcpListener::bind(listen.to_owned())).run(app).await
+}
--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,485 @@
+//! Starts a small fleet as plain processes on loopback addresses.
+//!
+//! Every fleet has a loopback network of its own, so that fleets beside each
+//! other do not meet. All processes end with the fleet.
+
+use std::fmt::Write as _;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Key shared by all boxes of a fleet.
+pub const CLUSTER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+/// Time in which a process must answer.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+static NETWORKS: AtomicU16 = AtomicU16::new(0);
+
+/// What a hall has.
+#[derive(Clone)]
+pub struct HallPlan {
+    /// Name.
+    pub name: String,
+    /// Entry boxes.
+    pub boxes: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Workers of the plain service.
+    pub workers: usize,
+}
+
+impl HallPlan {
+    /// A hall of that size.
+    #[must_use]
+    pub fn new(name: &str, boxes: usize, engines: usize, workers: usize) -> Self {
+        Self { name: name.to_owned(), boxes, engines, workers }
+    }
+}
+
+/// What a fleet has.
+#[derive(Clone)]
+pub struct Plan {
+    /// Data halls.
+    pub halls: Vec<HallPlan>,
+    /// Context stores, shared by all halls.
+    pub stores: usize,
+    /// Bytes of a store.
+    pub store_bytes: u64,
+    /// Rate of a store's link.
+    pub link_bytes_per_ms: u64,
+    /// Further arguments of engines.
+    pub engine_args: Vec<(String, String)>,
+    /// Further arguments of workers.
+    pub worker_args: Vec<(String, String)>,
+    /// Lines of the settings' policy section.
+    pub policy: String,
+    /// Lines of the settings' limits section.
+    pub limits: String,
+    /// Whether engines check who orders.
+    pub checks_orders: bool,
+}
+
+impl Plan {
+    /// A fleet of these halls, without stores.
+    #[must_use]
+    pub fn new(halls: Vec<HallPlan>) -> Self {
+        Self {
+            halls,
+            stores: 0,
+            store_bytes: 4_000_000_000,
+            link_bytes_per_ms: 2_000_000,
+            engine_args: Vec::new(),
+            worker_args: Vec::new(),
+            policy: String::new(),
+            limits: String::new(),
+            checks_orders: true,
+        }
+    }
+
+    /// One hall.
+    #[must_use]
+    pub fn one_hall(boxes: usize, engines: usize, workers: usize) -> Self {
+        Self::new(vec![HallPlan::new("north", boxes, engines, workers)])
+    }
+
+    /// The size of today: three halls, 9 boxes, 18 engines, 2 stores, 3 workers.
+    #[must_use]
+    pub fn today() -> Self {
+        let halls = ["north", "east", "west"].map(|name| HallPlan::new(name, 3, 6, 1));
+        Self { stores: 2, ..Self::new(halls.to_vec()) }
+    }
+}
+
+/// A running process.
+pub struct Process {
+    /// Name in the fleet.
+    pub name: String,
+    /// Data hall; empty for what all halls share.
+    pub hall: String,
+    /// Where it is called.
+    pub address: String,
+    child: Child,
+    command: Vec<String>,
+    log: PathBuf,
+}
+
+impl Process {
+    fn start(name: &str, hall: &str, address: &str, command: Vec<String>, log: PathBuf) -> Self {
+        let child = spawn(&command, &log);
+        let (name, hall, address) = (name.to_owned(), hall.to_owned(), address.to_owned());
+        Self { name, hall, address, child, command, log }
+    }
+
+    /// Sends a signal, by its name.
+    ///
+    /// # Panics
+    /// Panics when it cannot be sent.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "kill {signal} {}", self.name);
+    }
+
+    /// Ends the process without a warning.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts it again with the same command.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.command, &self.log);
+    }
+
+    /// Whether the process has ended.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Process id.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Base URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(command: &[String], log: &Path) -> Child {
+    let out = File::options().create(true).append(true).open(log).expect("log file");
+    Command::new(&command[0])
+        .args(&command[1..])
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(out)
+        .spawn()
+        .unwrap_or_else(|error| panic!("{}: {error}", command[0]))
+}
+
+/// An entry box.
+pub struct EntryBox {
+    /// Its process; the address is the callers'.
+    pub process: Process,
+    /// Operators' address.
+    pub operators: String,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    /// The platform's service.
+    pub platform: Process,
+    /// Entry boxes.
+    pub boxes: Vec<EntryBox>,
+    /// Model engines.
+    pub engines: Vec<Process>,
+    /// Context stores.
+    pub stores: Vec<Process>,
+    /// Workers of the plain service.
+    pub workers: Vec<Process>,
+    /// Client for calls.
+    pub http: reqwest::Client,
+    dir: PathBuf,
+}
+
+/// Folder of the programs beside the running one.
+///
+/// # Panics
+/// Panics when the running program's path is not known.
+#[must_use]
+pub fn programs() -> PathBuf {
+    let mut dir = std::env::current_exe().expect("own path");
+    dir.pop();
+    if dir.ends_with("deps") {
+        dir.pop();
+    }
+    dir
+}
+
+struct Starter<'a> {
+    plan: &'a Plan,
+    dir: PathBuf,
+    network: String,
+    next_host: u8,
+}
+
+impl Starter<'_> {
+    fn address(&mut self) -> String {
+        self.next_host += 1;
+        format!("{}.{}", self.network, self.next_host)
+    }
+
+    fn standin(
+        &mut self,
+        kind: &str,
+        name: &str,
+        hall: &str,
+        args: &[(String, String)],
+    ) -> Process {
+        let address = format!("{}:7000", self.address());
+        let program = programs().join(format!("standin-{kind}")).to_string_lossy().into_owned();
+        let mut command = vec![program, "--listen".to_owned(), address.clone()];
+        for (option, value) in args {
+            command.extend([format!("--{option}"), value.clone()]);
+        }
+        Process::start(name, hall, &address, command, self.dir.join(format!("{name}.log")))
+    }
+
+    fn entry_box(&self, name: &str, hall: &str, host: &str, settings: &str) -> EntryBox {
+        let path = self.dir.join(format!("{name}.ini"));
+        std::fs::write(&path, settings).expect("settings file");
+        let program = programs().join("coursestiled").to_string_lossy().into_owned();
+        let command = vec![program, path.to_string_lossy().into_owned()];
+        let log = self.dir.join(format!("{name}.log"));
+        let process = Process::start(name, hall, &format!("{host}:8000"), command, log);
+        EntryBox { process, operators: format!("{host}:9000") }
+    }
+
+    fn settings(
+        &self,
+        name: &str,
+        hall: &str,
+        host: &str,
+        seeds: &str,
+        platform: &Process,
+        upstreams: &str,
+    ) -> String {
+        format!(
+            "[box]\nname = {name}\nhall = {hall}\nregion = home\ncallers = {host}:8000\n\
+             operators = {host}:9000\npeers = {host}:7000\nseeds = {seeds}\n\
+             cluster_key = {CLUSTER_KEY}\n\n[platform]\nurl = {}\n\n[policy]\n{}\n\n\
+             [limits]\n{}\n\n{upstreams}",
+            platform.url(),
+            self.plan.policy,
+            self.plan.limits
+        )
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until each process answers.
+    ///
+    /// # Panics
+    /// Panics when a process does not answer in time.
+    pub async fn start(plan: &Plan) -> Self {
+        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let network = format!(
+            "127.{}.{}",
+            16 + (pid / 16 + u32::from(count)) % 200,
+            (pid % 16) * 16 + u32::from(count) % 16
+        );
+        let dir = std::env::temp_dir().join(format!("coursestile-{pid}-{count}"));
+        std::fs::create_dir_all(&dir).expect("folder for logs");
+        let mut starter = Starter { plan, dir: dir.clone(), network, next_host: 0 };
+        let platform = starter.standin("kv", "platform", "", &[]);
+        let mut fleet = Self {
+            platform,
+            boxes: Vec::new(),
+            engines: Vec::new(),
+            stores: Vec::new(),
+            workers: Vec::new(),
+            http: reqwest::Client::new(),
+            dir,
+        };
+        fleet.start_upstreams(&mut starter);
+        fleet.start_boxes(&mut starter);
+        fleet.wait_started().await;
+        fleet
+    }
+
+    fn start_upstreams(&mut self, starter: &mut Starter<'_>) {
+        let plan = starter.plan.clone();
+        let option = |name: &str, value: u64| (name.to_owned(), value.to_string());
+        for number in 1..=plan.stores {
+            let args = [
+                option("memory-bytes", plan.store_bytes / 4),
+                option("disk-bytes", plan.store_bytes - plan.store_bytes / 4),
+                option("bytes-per-ms", plan.link_bytes_per_ms),
+            ];
+            self.stores.push(starter.standin("store", &format!("store{number}"), "", &args));
+        }
+        for hall in &plan.halls {
+            for number in 1..=hall.engines {
+                let name = format!("{}-e{number}", hall.name);
+                self.engines.push(starter.standin("engine", &name, &hall.name, &plan.engine_args));
+            }
+            for number in 1..=hall.workers {
+                let name = format!("{}-w{number}", hall.name);
+                self.workers.push(starter.standin("service", &name, &hall.name, &plan.worker_args));
+            }
+        }
+    }
+
+    fn start_boxes(&mut self, starter: &mut Starter<'_>) {
+        let plan = starter.plan.clone();
+        let mut hosts = Vec::new();
+        for hall in &plan.halls {
+            for number in 1..=hall.boxes {
+                let name = format!("{}-b{number}", hall.name);
+                hosts.push((name, hall.name.clone(), starter.address()));
+            }
+        }
+        let seeds: Vec<_> = hosts.iter().map(|(_, _, host)| format!("{host}:7000")).collect();
+        for (name, hall, host) in &hosts {
+            let upstreams = self.upstream_settings(&plan, hall);
+            let platform = &self.platform;
+            let settings =
+                starter.settings(name, hall, host, &seeds.join(", "), platform, &upstreams);
+            self.boxes.push(starter.entry_box(name, hall, host, &settings));
+        }
+    }
+
+    fn upstream_settings(&self, plan: &Plan, hall: &str) -> String {
+        let mut text = String::new();
+        for engine in self.engines.iter().filter(|engine| engine.hall == hall) {
+            let _ = writeln!(
+                text,
+                "[upstream.{}]\nkind = engine\nurl = {}\nmodel = summary\nslots = 8\n\
+                 prefill_token_us = 30\nchecks_orders = {}\n",
+                engine.name,
+                engine.url(),
+                plan.checks_orders
+            );
+        }
+        let share = plan.store_bytes / plan.halls.len() as u64;
+        for store in &self.stores {
+            let _ = writeln!(
+                text,
+                "[upstream.{}]\nkind = store\nurl = {}\ncapacity_bytes = {share}\n\
+                 link_bytes_per_ms = {}\n",
+                store.name,
+                store.url(),
+                plan.link_bytes_per_ms
+            );
+        }
+        // Every hall may use the workers of the others, its own first.
+        let mut workers: Vec<_> = self.workers.iter().collect();
+        workers.sort_by_key(|worker| worker.hall != hall);
+        for worker in workers {
+            let _ = writeln!(
+                text,
+                "[upstream.{}]\nkind = service\nurl = {}\nservice = scores\n\
+                 repeatable = /fixtures\n",
+                worker.name,
+                worker.url()
+            );
+        }
+        text
+    }
+
+    async fn wait_started(&self) {
+        let upstreams = self.engines.iter().chain(&self.stores);
+        for process in upstreams.chain(&self.workers) {
+            self.wait_for(&format!("{}/fault", process.url())).await;
+        }
+        self.wait_for(&format!("{}/counts", self.platform.url())).await;
+        for entry_box in &self.boxes {
+            self.wait_for(&format!("http://{}/live", entry_box.operators)).await;
+        }
+    }
+
+    /// Waits until something answers at `url`.
+    ///
+    /// # Panics
+    /// Panics when nothing does in time.
+    pub async fn wait_for(&self, url: &str) {
+        let until = Instant::now() + START_TIMEOUT;
+        while self.http.get(url).send().await.is_err() {
+            assert!(Instant::now() < until, "{url} does not answer; see {}", self.dir.display());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sets a fault at a stand-in.
+    ///
+    /// # Panics
+    /// Panics when the stand-in refuses it.
+    pub async fn fault(&self, process: &Process, fault: Value) {
+        let call = self.http.post(format!("{}/fault", process.url())).json(&fault);
+        let answer = call.send().await;
+        // A process that is told to die does not answer.
+        let died = fault == json!({ "die": true });
+        assert!(died || answer.is_ok_and(|answer| answer.status().is_success()), "{fault}");
+    }
+
+    /// Reads a page of JSON.
+    pub async fn get(&self, url: &str) -> Option<Value> {
+        let call = self.http.get(url).timeout(Duration::from_secs(3));
+        call.send().await.ok()?.json().await.ok()
+    }
+
+    /// A box's status page.
+    pub async fn status(&self, entry_box: &EntryBox) -> Option<Value> {
+        self.get(&format!("http://{}/status", entry_box.operators)).await
+    }
+
+    /// Waits until each of `boxes` serves `revision` and sees `members` boxes.
+    ///
+    /// # Panics
+    /// Panics when that takes too long.
+    pub async fn wait_in_force(&self, boxes: &[&EntryBox], revision: u64, members: usize) {
+        let until = Instant::now() + START_TIMEOUT;
+        for entry_box in boxes {
+            loop {
+                let status = self.status(entry_box).await.unwrap_or_default();
+                let seen = status["members"].as_array().map_or(0, Vec::len);
+                if status["revision"].as_u64() >= Some(revision) && seen >= members {
+                    break;
+                }
+                let name = &entry_box.process.name;
+                assert!(Instant::now() < until, "{name} is behind: {status}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Runs the operators' tool; returns its exit code and what it printed.
+    ///
+    /// # Panics
+    /// Panics when the tool cannot be started.
+    #[must_use]
+    pub fn operate(&self, args: &[&str]) -> (i32, String) {
+        let boxes: Vec<_> = self.boxes.iter().map(|one| one.operators.clone()).collect();
+        let output = Command::new(programs().join("coursestile"))
+            .args(args)
+            .env("COURSESTILE_PLATFORM", self.platform.url())
+            .env("COURSESTILE_BOXES", boxes.join(","))
+            .env("USER", "tester")
+            .output()
+            .expect("operators' tool");
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Runs the operators' tool, which must succeed.
+    ///
+    /// # Panics
+    /// Panics when it fails.
+    #[allow(clippy::must_use_candidate, reason = "most callers want the effect only")]
+    pub fn must_operate(&self, args: &[&str]) -> String {
+        let (code, text) = self.operate(args);
+        assert_eq!(code, 0, "{args:?}: {text}");
+        text
+    }
+
+    /// Folder of settings and logs.
+    #[must_use]
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+}
