--- /dev/null
+++ b/standins/src/kv.rs
@@ -0,0 +1,289 @@
+//! The platform's key-value service.
+//!
+//! Speaks the key-value and session calls of Consul's HTTP interface:
+//! compare-and-swap by `?cas=`, leases by sessions and `?acquire=`, watches by
+//! blocking queries (`?index=&wait=`). Every call counts against a rate, a
+//! waiting watch as one.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use poem::http::StatusCode;
+use poem::web::{Data, Json, Path, Query};
+use poem::{EndpointExt, IntoResponse, Response, Route, get, handler, put};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::faults::{Faults, serve};
+
+/// Largest value taken, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Longest wait of a blocking query.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+#[derive(Clone)]
+struct Entry {
+    value: Vec<u8>,
+    modify_index: u64,
+    lock_index: u64,
+    session: Option<String>,
+}
+
+struct Session {
+    ttl: Duration,
+    expires_at: Instant,
+}
+
+#[derive(Default)]
+struct Rate {
+    second: u64,
+    used: u64,
+    total: u64,
+    refused: u64,
+}
+
+impl Rate {
+    fn take(&mut self, second: u64, limit: u64) -> bool {
+        if self.second != second {
+            (self.second, self.used) = (second, 0);
+        }
+        self.total += 1;
+        self.used += 1;
+        let taken = self.used <= limit;
+        self.refused += u64::from(!taken);
+        taken
+    }
+}
+
+#[derive(Default)]
+struct Tables {
+    index: u64,
+    entries: BTreeMap<String, Entry>,
+    sessions: BTreeMap<String, Session>,
+    reads: Rate,
+    writes: Rate,
+}
+
+impl Tables {
+    fn expire_sessions(&mut self) {
+        let now = Instant::now();
+        self.sessions.retain(|_, session| session.expires_at > now);
+        let sessions = &self.sessions;
+        for entry in self.entries.values_mut() {
+            let held = entry.session.as_ref();
+            if held.is_some_and(|id| !sessions.contains_key(id)) {
+                entry.session = None;
+            }
+        }
+    }
+}
+
+/// The service's state.
+struct Kv {
+    tables: Mutex<Tables>,
+    changed: watch::Sender<u64>,
+    started_at: Instant,
+    reads_per_s: u64,
+    writes_per_s: u64,
+}
+
+enum Call {
+    Read,
+    Write,
+}
+
+impl Kv {
+    fn admit(&self, call: &Call) -> Result<(), poem::Error> {
+        let second = self.started_at.elapsed().as_secs();
+        let mut tables = self.tables.lock().expect("kv lock");
+        let taken = match call {
+            Call::Read => tables.reads.take(second, self.reads_per_s),
+            Call::Write => tables.writes.take(second, self.writes_per_s),
+        };
+        if taken {
+            return Ok(());
+        }
+        Err(poem::Error::from_status(StatusCode::TOO_MANY_REQUESTS))
+    }
+
+    fn read(&self, key: &str) -> (u64, Option<Value>) {
+        let mut tables = self.tables.lock().expect("kv lock");
+        tables.expire_sessions();
+        let entry = tables.entries.get(key).map(|entry| describe(key, entry));
+        (tables.index, entry)
+    }
+}
+
+fn describe(key: &str, entry: &Entry) -> Value {
+    json!([{
+        "Key": key,
+        "Value": STANDARD.encode(&entry.value),
+        "ModifyIndex": entry.modify_index,
+        "LockIndex": entry.lock_index,
+        "Session": entry.session,
+    }])
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    index: Option<u64>,
+    wait: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct WriteQuery {
+    cas: Option<u64>,
+    acquire: Option<String>,
+    release: Option<String>,
+}
+
+fn seconds(text: &str) -> Duration {
+    let digits = text.trim_end_matches('s').parse().unwrap_or(10);
+    Duration::from_secs(digits).min(MAX_WAIT)
+}
+
+fn modify_index(entry: Option<&Value>) -> u64 {
+    entry.map_or(0, |value| value[0]["ModifyIndex"].as_u64().unwrap_or(0))
+}
+
+#[handler]
+async fn read_key(
+    Path(key): Path<String>,
+    Query(query): Query<ReadQuery>,
+    Data(kv): Data<&Arc<Kv>>,
+) -> poem::Result<Response> {
+    kv.admit(&Call::Read)?;
+    let mut changed = kv.changed.subscribe();
+    let wait = query.wait.as_deref().map_or(MAX_WAIT, seconds);
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let (index, entry) = kv.read(&key);
+        let news = query.index.is_none_or(|seen| modify_index(entry.as_ref()) > seen);
+        let waited = !news && tokio::time::timeout_at(until, changed.changed()).await.is_err();
+        if news || waited {
+            let status = entry.as_ref().map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
+            let body = Json(entry.unwrap_or(Value::Null));
+            return Ok((status, body).with_header("X-Consul-Index", index.max(1)).into_response());
+        }
+    }
+}
+
+#[handler]
+fn write_key(
+    Path(key): Path<String>,
+    Query(query): Query<WriteQuery>,
+    body: Vec<u8>,
+    Data(kv): Data<&Arc<Kv>>,
+) -> poem::Result<Response> {
+    kv.admit(&Call::Write)?;
+    if body.len() > MAX_VALUE_BYTES {
+        return Ok(StatusCode::PAYLOAD_TOO_LARGE.into());
+    }
+    let mut tables = kv.tables.lock().expect("kv lock");
+    tables.expire_sessions();
+    let done = write(&mut tables, &key, &query, body);
+    kv.changed.send_replace(tables.index);
+    Ok(Json(done).into_response())
+}
+
+#[handler]
+fn delete_key(Path(key): Path<String>, Data(kv): Data<&Arc<Kv>>) -> poem::Result<Json<bool>> {
+    kv.admit(&Call::Write)?;
+    let mut tables = kv.tables.lock().expect("kv lock");
+    tables.index += 1;
+    tables.entries.remove(&key);
+    Ok(Json(true))
+}
+
+fn write(tables: &mut Tables, key: &str, query: &WriteQuery, value: Vec<u8>) -> bool {
+    let old = tables.entries.get(key).cloned();
+    let old_index = old.as_ref().map_or(0, |entry| entry.modify_index);
+    if query.cas.is_some_and(|expected| expected != old_index) {
+        return false;
+    }
+    let mut lock_index = old.as_ref().map_or(0, |entry| entry.lock_index);
+    let mut session = old.and_then(|entry| entry.session);
+    if let Some(id) = &query.acquire {
+        let free = session.as_ref().is_none_or(|holder| holder == id);
+        if !free || !tables.sessions.contains_key(id) {
+            return false;
+        }
+        lock_index += u64::from(session.is_none());
+        session = Some(id.clone());
+    }
+    if let Some(id) = &query.release {
+        if session.as_ref() != Some(id) {
+            return false;
+        }
+        session = None;
+    }
+    tables.index += 1;
+    let modify_index = tables.index;
+    let entry = Entry { value, modify_index, lock_index, session };
+    tables.entries.insert(key.to_owned(), entry);
+    true
+}
+
+#[derive(Deserialize)]
+struct SessionRequest {
+    #[serde(rename = "TTL")]
+    ttl: String,
+}
+
+#[handler]
+fn create_session(
+    Json(request): Json<SessionRequest>,
+    Data(kv): Data<&Arc<Kv>>,
+) -> poem::Result<Json<Value>> {
+    kv.admit(&Call::Write)?;
+    let ttl = seconds(&request.ttl);
+    let id = format!("{:016x}", fastrand::u64(..));
+    let session = Session { ttl, expires_at: Instant::now() + ttl };
+    kv.tables.lock().expect("kv lock").sessions.insert(id.clone(), session);
+    Ok(Json(json!({ "ID": id })))
+}
+
+#[handler]
+fn renew_session(Path(id): Path<String>, Data(kv): Data<&Arc<Kv>>) -> poem::Result<StatusCode> {
+    kv.admit(&Call::Write)?;
+    let mut tables = kv.tables.lock().expect("kv lock");
+    tables.expire_sessions();
+    let Some(session) = tables.sessions.get_mut(&id) else {
+        return Ok(StatusCode::NOT_FOUND);
+    };
+    session.expires_at = Instant::now() + session.ttl;
+    Ok(StatusCode::OK)
+}
+
+#[handler]
+fn counts(Data(kv): Data<&Arc<Kv>>) -> Json<Value> {
+    let tables = kv.tables.lock().expect("kv lock");
+    Json(json!({
+        "reads": tables.reads.total, "reads_refused": tables.reads.refused,
+        "writes": tables.writes.total, "writes_refused": tables.writes.refused,
+    }))
+}
+
+/// Runs the service until the process ends.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub async fn run(listen: &str, reads_per_s: u64, writes_per_s: u64) -> std::io::Result<()> {
+    let kv = Arc::new(Kv {
+        tables: Mutex::default(),
+        changed: watch::Sender::new(0),
+        started_at: Instant::now(),
+        reads_per_s,
+        writes_per_s,
+    });
+    let routes = Route::new()
+        .at("/v1/kv/*key", get(read_key).put(write_key).delete(delete_key).data(kv.clone()))
+        .at("/v1/session/create", put(create_session.data(kv.clone())))
+        .at("/v1/session/renew/:id", put(renew_session.data(kv.clone())))
+        .at("/counts", get(counts.data(kv)));
+    serve(listen, routes, Faults::default()).await
+}
--- /dev/null
+++ b/standins/src/service.rs
@@ -0,0 +1,58 @@
+//! A plain service whose calls may not all be repeated.
+//!
+//! Records every run under the caller's `x-call-id`, so that a second run of
+//! the same call is seen at `/runs`.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use poem::web::{Data, Json, Path};
+use poem::{EndpointExt, Request, Route, get, handler};
+use serde_json::{Value, json};
+
+use crate::faults::{Faults, serve};
+
+#[derive(Default)]
+struct Service {
+    runs: Mutex<BTreeMap<String, u64>>,
+    work_ms: u64,
+    faults: Faults,
+}
+
+#[handler]
+async fn run_call(
+    request: &Request,
+    Path(path): Path<String>,
+    Data(service): Data<&Arc<Service>>,
+) -> Json<Value> {
+    let call = request.header("x-call-id").unwrap_or("none").to_owned();
+    let runs = {
+        let mut runs = service.runs.lock().expect("runs lock");
+        let count = runs.entry(call.clone()).or_default();
+        *count += 1;
+        *count
+    };
+    let slowdown = service.faults.now().slowdown.max(1);
+    tokio::time::sleep(Duration::from_millis(service.work_ms * slowdown)).await;
+    Json(json!({ "call": call, "path": path, "run": runs }))
+}
+
+#[handler]
+fn list_runs(Data(service): Data<&Arc<Service>>) -> Json<BTreeMap<String, u64>> {
+    Json(service.runs.lock().expect("runs lock").clone())
+}
+
+/// Runs the service until the process ends.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub async fn run(listen: &str, work_ms: u64) -> std::io::Result<()> {
+    let faults = Faults::default();
+    let service = Arc::new(Service { work_ms, faults: faults.clone(), ..Service::default() });
+    let calls = get(run_call).post(run_call).put(run_call).delete(run_call);
+    let routes = Route::new()
+        .at("/app/*path", calls.data(service.clone()))
+        .at("/runs", get(list_runs.data(service)));
+    serve(listen, routes, faults).await
+}
