Make views of membership converge; add the load tool and the demo

Cause: in the demo's second fleet one of nine boxes never heard of two others. A box joined through whichever seed answered and heard the rest only from news that each holder repeats eight times; lost or late news was never repaired, and boxes that joined through different seeds formed islands.

Ruled out: lost datagrams (nothing was dropped), a slow start (20 s passed).

Change: probes carry a digest of the view; peers whose views differ, and that have no news under way, compare digests of 32 buckets and send what differs; each tenth probe goes to a seed.

Conclusion: convergence no longer rests on luck, at constant cost a box.

--- /dev/null
+++ b/load/src/bench.rs
@@ -0,0 +1,3 @@
+pub async fn run() -> std::process::ExitCode {
+    std::process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/load/src/control.rs
@@ -0,0 +1,4 @@
+use crate::Options;
+pub async fn run(_: &Options) -> std::process::ExitCode {
+    std::process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/load/src/decide.rs
@@ -0,0 +1,3 @@
+pub fn run() -> std::process::ExitCode {
+    std::process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/load/src/demo.rs
@@ -0,0 +1,44 @@
+//! Both workloads on a fleet of today's size, with what an operator sees.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use coursestile_standins::fleet::{Fleet, Plan};
+
+use crate::Options;
+use crate::report::{Usage, print_head, print_row, refusals};
+use crate::runner::{create_accounts, send};
+use crate::workload::{Kind, Workload};
+
+/// Runs the demo; fails on a lost, doubled or wrong answer.
+pub async fn run(options: &Options) -> ExitCode {
+    let mut faults = 0;
+    for kind in [Kind::Sanam, Kind::Petra] {
+        faults += show(kind, options).await;
+    }
+    if faults == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn show(kind: Kind, options: &Options) -> u64 {
+    println!("== {}: 3 halls, 9 boxes, 18 engines, 2 stores, 3 workers", kind.name());
+    let fleet = Arc::new(Fleet::start(&Plan::today()).await);
+    let workload = Workload::new(kind, options.seed, options.rate_per_s, options.seconds);
+    let revision = create_accounts(&fleet, &workload);
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, revision, boxes.len()).await;
+    println!("\n$ coursestile account list\n{}", fleet.must_operate(&["account", "list"]));
+    let outcome = send(&fleet, &workload, true).await;
+    if let Some(trace) = &outcome.trace {
+        println!("\n$ coursestile trace {trace}\n{}", fleet.operate(&["trace", trace]).1);
+    }
+    println!("$ coursestile status\n{}", fleet.operate(&["status"]).1);
+    print_head();
+    print_row(kind.name(), &outcome, &Usage::read(&fleet).await);
+    println!("\nrequests sent {}, whole answers {}", outcome.sent, outcome.whole);
+    println!("refusals: {}", refusals(&outcome));
+    println!(
+        "lost {}, doubled {}, wrong {}, untrue 'not run' {}\n",
+        outcome.lost, outcome.doubled, outcome.wrong, outcome.untrue
+    );
+    outcome.faults()
+}
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,1 +1,98 @@
-fn main() {}
+//! Load and experiment tool for coursestile.
+//!
+//! Starts fleets of real processes with stand-ins around them, sends open-loop
+//! loads that are the same for each policy compared, and prints tables.
+
+mod bench;
+mod compare;
+mod control;
+mod decide;
+mod demo;
+mod report;
+mod runner;
+mod workload;
+
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+
+const HELP: &str = "\
+Load and experiments on fleets of real processes.
+
+Usage: coursestile-load [options] EXPERIMENT
+
+Experiments:
+  demo     Both workloads on a fleet of today's size; fails on a lost, doubled
+           or wrong answer
+  compare  Policies against each other, same seed and arrivals
+  faults   Our policies, with faults in the middle
+  bench    Time to first token, relay rate, memory, changes in force
+  control  Cost of control on fleets of growing size
+  decide   Time and memory of decisions at the size to come
+
+Options:
+      --seconds N   Length of each load (default 20)
+      --rate N      Requests a second; compare: at 100 percent (default 60)
+      --seed N      Seed of arrivals (default 1)
+      --plot FILE   Where compare writes its plot (default: none)
+  -h, --help        Print this help
+";
+
+/// Options of all experiments.
+pub struct Options {
+    /// Length of each load.
+    pub seconds: u64,
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Seed of arrivals.
+    pub seed: u64,
+    /// Where to write a plot.
+    pub plot: Option<String>,
+}
+
+fn parse() -> Result<(Option<String>, Options), lexopt::Error> {
+    let mut options = Options { seconds: 20, rate_per_s: 60.0, seed: 1, plot: None };
+    let mut experiment = None;
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("seconds") => options.seconds = parser.value()?.parse()?,
+            Long("rate") => options.rate_per_s = parser.value()?.parse()?,
+            Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("plot") => options.plot = Some(parser.value()?.parse()?),
+            Short('h') | Long("help") => return Ok((None, options)),
+            Value(word) if experiment.is_none() => {
+                experiment = Some(word.to_string_lossy().into_owned());
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok((experiment, options))
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let (experiment, options) = match parse() {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            eprintln!("error: {error}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    match experiment.as_deref() {
+        None => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Some("demo") => demo::run(&options).await,
+        Some("compare") => compare::run(&options).await,
+        Some("faults") => compare::run_faults(&options).await,
+        Some("bench") => bench::run().await,
+        Some("control") => control::run(&options).await,
+        Some("decide") => decide::run(),
+        Some(other) => {
+            eprintln!("error: there is no experiment '{other}'; see --help");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/load/src/workload.rs
@@ -0,0 +1,189 @@
+//! Arrivals of both users' workloads, the same for each seed.
+//!
+//! A prompt is a long context, shared by many requests of one account, and a
+//! short question. Contexts come back after gaps in which engines forget them.
+
+use std::fmt::Write as _;
+
+/// A kind of workload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Match summaries from rulebooks, and short questions of fans.
+    Sanam,
+    /// Page checks against style packs that return late.
+    Petra,
+}
+
+impl Kind {
+    /// Name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Sanam => "sanam",
+            Self::Petra => "petra",
+        }
+    }
+
+    /// Contexts of all accounts together.
+    fn contexts(self) -> usize {
+        match self {
+            Self::Sanam => 120,
+            Self::Petra => 260,
+        }
+    }
+
+    fn context_tokens(self) -> usize {
+        match self {
+            Self::Sanam => 4000,
+            Self::Petra => 6000,
+        }
+    }
+
+    /// Share of requests that go to the plain service, in percent.
+    fn call_percent(self) -> u64 {
+        match self {
+            Self::Sanam => 20,
+            Self::Petra => 15,
+        }
+    }
+
+    /// Share of completions that are short questions, in percent.
+    fn question_percent(self) -> u64 {
+        match self {
+            Self::Sanam => 30,
+            Self::Petra => 0,
+        }
+    }
+
+    /// How strongly requests prefer some contexts: 0 is not at all.
+    fn skew(self) -> f64 {
+        match self {
+            Self::Sanam => 0.9,
+            Self::Petra => 0.3,
+        }
+    }
+
+    /// Arguments of `template set` that weigh the measures as this user does.
+    pub fn weights(self) -> &'static str {
+        match self {
+            Self::Sanam => "1,0.1,0.1",
+            Self::Petra => "0.5,1,0.5",
+        }
+    }
+}
+
+/// Accounts of a workload: a few large ones among ten.
+pub const ACCOUNT_WEIGHTS: [f64; 10] = [6.0, 4.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0];
+
+/// What a request is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A completion on a context, or on none.
+    Completion {
+        /// Number of the context.
+        context: Option<usize>,
+        /// Number of the question.
+        question: u64,
+        /// Tokens to generate.
+        max_tokens: u32,
+    },
+    /// A call that may not be repeated.
+    CallOnce,
+    /// A call that may be repeated.
+    Call,
+}
+
+/// A request to come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When, since the start.
+    pub at_ms: u64,
+    /// Account that sends it.
+    pub account: usize,
+    /// What it is.
+    pub work: Work,
+}
+
+/// A workload.
+#[derive(Clone)]
+pub struct Workload {
+    /// Whose it is.
+    pub kind: Kind,
+    /// All arrivals, in order.
+    pub arrivals: Vec<Arrival>,
+}
+
+impl Workload {
+    /// Arrivals at random times, `rate_per_s` in the mean.
+    pub fn new(kind: Kind, seed: u64, rate_per_s: f64, seconds: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut arrivals = Vec::new();
+        let mut at_s = 0.0;
+        let end_s = u32::try_from(seconds).map_or(0.0, f64::from);
+        loop {
+            at_s += -(1.0 - rng.f64()).ln() / rate_per_s;
+            if at_s >= end_s {
+                return Self { kind, arrivals };
+            }
+            let account = weighted(&mut rng, &ACCOUNT_WEIGHTS);
+            let work = work(&mut rng, kind, account);
+            arrivals.push(Arrival { at_ms: to_ms(at_s), account, work });
+        }
+    }
+
+    /// Adds requests of one account, at `rate_per_s`.
+    pub fn flood(&mut self, account: usize, seed: u64, rate_per_s: f64, seconds: u64) {
+        let flood = Self::new(self.kind, seed, rate_per_s, seconds);
+        let own = flood.arrivals.into_iter().map(|arrival| Arrival { account, ..arrival });
+        self.arrivals.extend(own);
+        self.arrivals.sort_by_key(|arrival| arrival.at_ms);
+    }
+
+    /// The prompt of a completion.
+    pub fn prompt(&self, account: usize, context: Option<usize>, question: u64) -> String {
+        let name = self.kind.name();
+        let mut prompt = String::new();
+        if let Some(context) = context {
+            let bytes = self.kind.context_tokens() * 4;
+            let mut line = 0;
+            while prompt.len() < bytes {
+                line += 1;
+                let _ = write!(prompt, "{name} {account} book {context} rule {line}. ");
+            }
+            prompt.truncate(bytes);
+        }
+        let _ = write!(prompt, "{name} {account} question {question}: what happened, and why?");
+        prompt
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "times are small")]
+fn to_ms(seconds: f64) -> u64 {
+    (seconds * 1000.0) as u64
+}
+
+fn weighted(rng: &mut fastrand::Rng, weights: &[f64]) -> usize {
+    let mut left = rng.f64() * weights.iter().sum::<f64>();
+    for (index, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return index;
+        }
+    }
+    weights.len() - 1
+}
+
+fn work(rng: &mut fastrand::Rng, kind: Kind, account: usize) -> Work {
+    if rng.u64(0..100) < kind.call_percent() {
+        return if rng.bool() { Work::CallOnce } else { Work::Call };
+    }
+    let question = rng.u64(..);
+    if rng.u64(0..100) < kind.question_percent() {
+        return Work::Completion { context: None, question, max_tokens: rng.u32(8..24) };
+    }
+    let accounts = ACCOUNT_WEIGHTS.len();
+    let own: Vec<_> = (account..kind.contexts()).step_by(accounts).collect();
+    let ranks = 1..=u32::try_from(own.len()).unwrap_or(1);
+    let weights: Vec<_> = ranks.map(|rank| f64::from(rank).powf(-kind.skew())).collect();
+    let context = own[weighted(rng, &weights)];
+    Work::Completion { context: Some(context), question, max_tokens: rng.u32(16..48) }
+}
--- a/src/bin/coursestile/show.rs
+++ b/src/bin/coursestile/show.rs
@@ -122,18 +122,21 @@
             continue;
         };
         if !args.json {
-            let text = |key: &str| status[key].as_str().unwrap_or_default().to_owned();
+            let text = |key: &str| match &status[key] {
+                Value::String(text) => text.clone(),
+                other => other.to_string(),
+            };
             let members = status["members"].as_array().map_or(0, Vec::len);
             println!(
                 "{:<22} {:<10} {:>6} {:>9} {:>8} {:>8} {:>8} {:>10}",
                 text("name"),
                 text("hall"),
-                status["ready"],
-                status["revision"],
+                text("ready"),
+                text("revision"),
                 members,
-                status["streams"],
-                status["ledger_keys"],
-                status["violations"]
+                text("streams"),
+                text("ledger_keys"),
+                text("violations")
             );
         }
         all.push(status);
--- a/src/member.rs
+++ b/src/member.rs
@@ -42,6 +42,24 @@
         (self.id.incarnation, self.beat, self.health, self.heir.is_some())
     }
 
+    /// Hash of what is said of this box; a suspicion alone does not change it.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.id.name.as_bytes());
+        hasher.update(&self.id.incarnation.to_le_bytes());
+        hasher.update(&self.beat.to_le_bytes());
+        hasher.update(&[u8::from(self.takes_work()), u8::from(self.heir.is_some())]);
+        let mut bytes = [0; 8];
+        hasher.finalize_xof().fill(&mut bytes);
+        u64::from_le_bytes(bytes)
+    }
+
+    /// Bucket of the table that this box falls into.
+    pub(crate) fn bucket(&self, buckets: usize) -> usize {
+        let hash = blake3::hash(self.id.name.as_bytes());
+        usize::from(hash.as_bytes()[0]) % buckets
+    }
+
     /// Whether new work may be sent there.
     #[must_use]
     pub fn takes_work(&self) -> bool {
@@ -53,11 +71,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Gossip {
     /// Asks for an [`Gossip::Ack`].
-    Ping { seq: u64, updates: Vec<Member> },
+    Ping { seq: u64, digest: u64, updates: Vec<Member> },
     /// Answers a [`Gossip::Ping`].
-    Ack { seq: u64, updates: Vec<Member> },
+    Ack { seq: u64, digest: u64, updates: Vec<Member> },
     /// Asks to probe `target` in the sender's place.
     PingReq { seq: u64, target: String, updates: Vec<Member> },
+    /// Asks for the members in buckets whose digest differs.
+    Compare { digests: Vec<u64> },
     /// Asks for the whole table.
     Join { member: Member },
     /// A part of the table.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -35,6 +35,16 @@
 const FAR_PROBE_EVERY: u64 = 4;
 /// Every so many probes one goes to a dead member, to notice a healed cut.
 const DEAD_PROBE_EVERY: u64 = 5;
+/// Shortest time between comparisons with peers whose view differs.
+const SYNC_PERIOD_MS: u64 = 2000;
+/// Time in which news is left to spread by itself.
+const NEWS_TIME_MS: u64 = 3000;
+/// Buckets of the table that are compared by digest.
+const SYNC_BUCKETS: usize = 32;
+/// Differing buckets answered in one message.
+const MAX_SYNCED_BUCKETS: usize = 4;
+/// Every so many probes one goes to a seed, so that islands meet.
+const SEED_PROBE_EVERY: u64 = 10;
 /// Members in one message of a table transfer.
 pub const TABLE_CHUNK: usize = 64;
 
@@ -72,6 +82,7 @@
     relays: HashMap<u64, Relay>,
     order: Vec<String>,
     next_probe_at_ms: u64,
+    next_sync_at_ms: u64,
     next_seq: u64,
     probes_sent: u64,
     rng: fastrand::Rng,
@@ -90,6 +101,7 @@
             relays: HashMap::new(),
             order: Vec::new(),
             next_probe_at_ms: 0,
+            next_sync_at_ms: 0,
             next_seq: 1,
             probes_sent: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -158,19 +170,23 @@
     /// Takes a message from a peer that listens at `from`.
     pub fn receive(&mut self, now_ms: u64, from: &str, gossip: Gossip) -> Vec<Outgoing> {
         match gossip {
-            Gossip::Ping { seq, updates } => {
+            Gossip::Ping { seq, digest, updates } => {
                 self.merge_all(now_ms, updates);
-                let updates = self.updates();
-                vec![Outgoing { to: from.to_owned(), gossip: Gossip::Ack { seq, updates } }]
+                let mut outgoing = vec![self.ack(from, seq)];
+                outgoing.extend(self.sync(now_ms, from, digest));
+                outgoing
             }
-            Gossip::Ack { seq, updates } => {
+            Gossip::Ack { seq, digest, updates } => {
                 self.merge_all(now_ms, updates);
-                self.acknowledge(seq)
+                let mut outgoing = self.acknowledge(seq);
+                outgoing.extend(self.sync(now_ms, from, digest));
+                outgoing
             }
             Gossip::PingReq { seq, target, updates } => {
                 self.merge_all(now_ms, updates);
                 self.relay(now_ms, from, seq, &target)
             }
+            Gossip::Compare { digests } => self.differing(from, &digests),
             Gossip::Join { member } => {
                 self.merge(now_ms, member);
                 self.table(from)
@@ -201,7 +217,8 @@
         if target.health != Health::Alive {
             updates.push(target);
         }
-        Some(Outgoing { to, gossip: Gossip::Ping { seq, updates } })
+        let digest = self.digest();
+        Some(Outgoing { to, gossip: Gossip::Ping { seq, digest, updates } })
     }
 
     fn pick(&mut self, wanted: impl Fn(&Member, &Member) -> bool) -> Option<String> {
@@ -230,13 +247,20 @@
     }
 
     fn join_seed(&mut self) -> Option<Outgoing> {
-        let alone = self.others.values().all(|known| known.member.health == Health::Dead);
-        if !alone || self.seeds.is_empty() {
+        let to = self.seeds.get(self.rng.usize(..self.seeds.len().max(1)))?.clone();
+        if to == self.me.address {
             return None;
         }
-        let to = self.seeds[self.rng.usize(..self.seeds.len())].clone();
-        let member = self.me.clone();
-        (to != self.me.address).then_some(Outgoing { to, gossip: Gossip::Join { member } })
+        let alone = self.others.values().all(|known| known.member.health == Health::Dead);
+        if alone {
+            let member = self.me.clone();
+            return Some(Outgoing { to, gossip: Gossip::Join { member } });
+        }
+        let due = self.probes_sent.is_multiple_of(SEED_PROBE_EVERY);
+        due.then(|| {
+            let (seq, digest, updates) = (self.take_seq(), self.digest(), self.updates());
+            Outgoing { to, gossip: Gossip::Ping { seq, digest, updates } }
+        })
     }
 
     fn relay_late_probes(&mut self, now_ms: u64) -> Vec<Outgoing> {
@@ -279,15 +303,56 @@
         let expires_at_ms = now_ms + PROBE_TIMEOUT_MS;
         self.relays.insert(own_seq, Relay { to: from.to_owned(), seq, expires_at_ms });
         let updates = self.updates();
-        let gossip = Gossip::Ping { seq: own_seq, updates };
+        let gossip = Gossip::Ping { seq: own_seq, digest: self.digest(), updates };
         vec![Outgoing { to: target.to_owned(), gossip }]
     }
 
+    fn ack(&mut self, to: &str, seq: u64) -> Outgoing {
+        let updates = self.updates();
+        let gossip = Gossip::Ack { seq, digest: self.digest(), updates };
+        Outgoing { to: to.to_owned(), gossip }
+    }
+
+    fn digest(&self) -> u64 {
+        self.members().map(Member::digest).fold(0, u64::wrapping_add)
+    }
+
+    /// Compares the table with a peer whose view differs, when no news under
+    /// way explains that: views converge whatever was lost.
+    fn sync(&mut self, now_ms: u64, to: &str, digest: u64) -> Option<Outgoing> {
+        let news = self.others.values().any(|known| now_ms < known.since_ms + NEWS_TIME_MS);
+        if news || now_ms < self.next_sync_at_ms || digest == self.digest() {
+            return None;
+        }
+        self.next_sync_at_ms = now_ms + SYNC_PERIOD_MS;
+        let gossip = Gossip::Compare { digests: self.bucket_digests() };
+        Some(Outgoing { to: to.to_owned(), gossip })
+    }
+
+    fn bucket_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0_u64; SYNC_BUCKETS];
+        for member in self.members() {
+            let digest = &mut digests[member.bucket(SYNC_BUCKETS)];
+            *digest = digest.wrapping_add(member.digest());
+        }
+        digests
+    }
+
+    /// The members of some buckets in which a peer's view differs.
+    fn differing(&mut self, to: &str, digests: &[u64]) -> Vec<Outgoing> {
+        let own = self.bucket_digests();
+        let differ = |bucket: &usize| digests.get(*bucket).is_some_and(|one| *one != own[*bucket]);
+        let mut buckets: Vec<_> = (0..SYNC_BUCKETS).filter(differ).collect();
+        self.rng.shuffle(&mut buckets);
+        buckets.truncate(MAX_SYNCED_BUCKETS);
+        let in_buckets = |one: &&Member| buckets.contains(&one.bucket(SYNC_BUCKETS));
+        let members = self.members().filter(in_buckets).cloned().collect();
+        vec![Outgoing { to: to.to_owned(), gossip: Gossip::Table { members } }]
+    }
+
     fn acknowledge(&mut self, seq: u64) -> Vec<Outgoing> {
         if let Some(relay) = self.relays.remove(&seq) {
-            let updates = self.updates();
-            let gossip = Gossip::Ack { seq: relay.seq, updates };
-            return vec![Outgoing { to: relay.to, gossip }];
+            return vec![self.ack(&relay.to, relay.seq)];
         }
         self.probes.remove(&seq);
         Vec::new()
@@ -377,8 +442,7 @@
         }
     }
 
-    /// The newest states, filled up with random ones, so that views converge
-    /// also when news was lost.
+    /// This box's state and the newest ones of others.
     fn updates(&mut self) -> Vec<Member> {
         let mut updates = vec![self.me.clone()];
         let mut fresh: Vec<_> =
@@ -388,11 +452,6 @@
             known.sends_left -= 1;
             updates.push(known.member.clone());
         }
-        if updates.len() < MAX_UPDATES / 2 {
-            let name = self.pick(|_, _| true);
-            let filler = name.and_then(|name| self.others.get(&name));
-            updates.extend(filler.map(|known| known.member.clone()));
-        }
         updates
     }
 
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,151 @@
+//! Membership on a simulated network: pure state, seeded losses and cuts.
+
+use std::collections::VecDeque;
+
+use coursestile::member::{Gossip, Health, Member};
+use coursestile::membership::Membership;
+use coursestile::ticket::BoxRef;
+
+const STEP_MS: u64 = 100;
+
+/// Boxes on a network that loses messages and can be cut.
+struct Network {
+    boxes: Vec<Membership>,
+    up: Vec<bool>,
+    cut_halls: bool,
+    loss_percent: u64,
+    now_ms: u64,
+    rng: fastrand::Rng,
+}
+
+fn member(number: usize, halls: usize, incarnation: u64) -> Member {
+    Member {
+        id: BoxRef { name: format!("b{number}"), incarnation },
+        hall: format!("h{}", number % halls),
+        region: "home".to_owned(),
+        address: number.to_string(),
+        beat: 0,
+        health: Health::Alive,
+        heir: None,
+    }
+}
+
+impl Network {
+    fn new(count: usize, halls: usize, loss_percent: u64, seed: u64) -> Self {
+        let seeds = vec!["0".to_owned(), "1".to_owned()];
+        let boxes = (0..count)
+            .map(|number| {
+                Membership::new(member(number, halls, 1), seeds.clone(), seed + number as u64)
+            })
+            .collect();
+        let up = vec![true; count];
+        let rng = fastrand::Rng::with_seed(seed);
+        Self { boxes, up, cut_halls: false, loss_percent, now_ms: 1000, rng }
+    }
+
+    fn run(&mut self, seconds: u64) {
+        for _ in 0..seconds * 1000 / STEP_MS {
+            self.now_ms += STEP_MS;
+            let mut queue: VecDeque<(usize, String, Gossip)> = VecDeque::new();
+            for number in 0..self.boxes.len() {
+                if self.up[number] {
+                    let outgoing = self.boxes[number].tick(self.now_ms);
+                    queue.extend(outgoing.into_iter().map(|one| (number, one.to, one.gossip)));
+                }
+            }
+            while let Some((from, to, gossip)) = queue.pop_front() {
+                let to: usize = to.parse().unwrap();
+                if !self.delivers(from, to) {
+                    continue;
+                }
+                let answers = self.boxes[to].receive(self.now_ms, &from.to_string(), gossip);
+                queue.extend(answers.into_iter().map(|one| (to, one.to, one.gossip)));
+            }
+        }
+    }
+
+    fn delivers(&mut self, from: usize, to: usize) -> bool {
+        let halls_differ = self.boxes[from].me().hall != self.boxes[to].me().hall;
+        let cut = self.cut_halls && halls_differ;
+        self.up[to] && !cut && self.rng.u64(0..100) >= self.loss_percent
+    }
+
+    fn health(&self, at: usize, of: usize) -> Option<Health> {
+        self.boxes[at].member(&format!("b{of}")).map(|member| member.health)
+    }
+
+    /// Pairs of boxes of which the first does not see the second alive.
+    fn unseen(&self) -> Vec<(usize, usize, Option<Health>)> {
+        let count = self.boxes.len();
+        let pairs = (0..count).flat_map(|at| (0..count).map(move |of| (at, of)));
+        let seen = pairs.map(|(at, of)| (at, of, self.health(at, of)));
+        seen.filter(|(_, _, health)| *health != Some(Health::Alive)).collect()
+    }
+}
+
+#[test]
+fn views_converge() {
+    for seed in 0..20 {
+        let mut network = Network::new(9, 3, 10, seed);
+        network.run(30);
+        network.loss_percent = 0;
+        network.run(10);
+        assert_eq!(network.unseen(), [], "seed {seed}");
+    }
+}
+
+#[test]
+fn large_fleet() {
+    let mut network = Network::new(120, 6, 1, 7);
+    network.run(60);
+    network.loss_percent = 0;
+    network.run(15);
+    assert_eq!(network.unseen(), []);
+}
+
+#[test]
+fn death_noticed() {
+    let mut network = Network::new(9, 3, 5, 3);
+    network.run(20);
+    network.up[4] = false;
+    network.run(25);
+    let live = (0..9).filter(|number| *number != 4);
+    assert!(live.clone().all(|at| network.health(at, 4) == Some(Health::Dead)));
+    network.up[4] = true;
+    network.loss_percent = 0;
+    network.run(60);
+    assert_eq!(network.unseen(), [], "a thawed box refutes its death");
+}
+
+#[test]
+fn cut_heals() {
+    let mut network = Network::new(9, 3, 0, 5);
+    network.run(20);
+    network.cut_halls = true;
+    network.run(40);
+    assert_eq!(network.health(0, 1), Some(Health::Dead));
+    assert_eq!(network.health(0, 3), Some(Health::Alive));
+    network.cut_halls = false;
+    network.run(90);
+    assert_eq!(network.unseen(), []);
+}
+
+#[test]
+fn heirs_followed() {
+    let mut network = Network::new(6, 2, 0, 9);
+    network.run(20);
+    // b0 leaves its ledger to b2, b2 its own to b4; both are replaced.
+    for (leaver, heir) in [(0, 2), (2, 4)] {
+        let heir = network.boxes[heir].me().id.clone();
+        network.boxes[leaver].leave(Some(heir));
+        network.run(10);
+        let seeds = vec!["1".to_owned()];
+        network.boxes[leaver] = Membership::new(member(leaver, 2, 2), seeds, 77);
+        network.run(10);
+    }
+    let old = BoxRef { name: "b0".to_owned(), incarnation: 1 };
+    for at in 0..6 {
+        let keeper = network.boxes[at].answers_for(&old).map(|member| member.id.name.as_str());
+        assert_eq!(keeper, Some("b4"), "as b{at} sees it");
+    }
+}
