Prove at-most-once calls, configuration and whole answers under failure

Cause: the promises had mechanisms but no proof under kills, freezes, lost answers, an outage of the platform and racing operators.

Found by the new tests, failing first: - `head_compacted`: the 65th change could not be written at all ("key must be a string"): the state mapped objects, which JSON cannot have as keys. Objects are now keyed by their name. - `answer_lost` (configuration): the operators' tool gave up when the answer to its first read was lost. Reads and proposals now share one patient loop with a deadline.

Ruled out: raising the tool's time-out (a lost answer never comes).

Conclusion: killed, frozen and stopped spenders, lost answers and double sends run a call once; broken, frozen, killed and reordering engines leave answers whole.

--- a/src/bin/coursestile/change.rs
+++ b/src/bin/coursestile/change.rs
@@ -28,7 +28,7 @@
     if args.json {
         println!("{}", serde_json::json!({ "revision": revision, "id": proposal.id }));
     } else {
-        println!("revision {revision}: {object:?} changed (id {})", proposal.id);
+        println!("revision {revision}: {object} changed (id {})", proposal.id);
     }
     Ok(())
 }
--- a/src/configlog.rs
+++ b/src/configlog.rs
@@ -40,15 +40,15 @@
 }
 
 /// The object that a change touches.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Object {
-    /// A template, by name.
+    /// template {0}
     Template(String),
-    /// A client account, by name.
+    /// account {0}
     Account(String),
-    /// An upstream, by name.
+    /// upstream {0}
     Upstream(String),
-    /// A model, by name.
+    /// model {0}
     Model(String),
 }
 
@@ -124,7 +124,7 @@
     /// Weight version of each model for new requests.
     pub models: BTreeMap<String, String>,
     /// Revision at which each object was last changed.
-    pub changed_at: BTreeMap<Object, u64>,
+    pub changed_at: BTreeMap<String, u64>,
     /// Ids of the newest changes, with their revisions.
     pub applied: VecDeque<(String, u64)>,
 }
@@ -133,7 +133,7 @@
     /// Revision at which `object` was last changed; 0 means never.
     #[must_use]
     pub fn object_revision(&self, object: &Object) -> u64 {
-        self.changed_at.get(object).copied().unwrap_or(0)
+        self.changed_at.get(&object.to_string()).copied().unwrap_or(0)
     }
 
     /// Revision that accepted the change `id`.
@@ -210,7 +210,7 @@
     pub fn apply(&mut self, entry: &Entry) {
         assert_eq!(entry.revision, self.revision + 1, "changes apply in order");
         self.revision = entry.revision;
-        self.changed_at.insert(entry.proposal.change.object(), entry.revision);
+        self.changed_at.insert(entry.proposal.change.object().to_string(), entry.revision);
         self.applied.push_back((entry.proposal.id.clone(), entry.revision));
         if self.applied.len() > MAX_APPLIED_IDS {
             self.applied.pop_front();
--- a/src/error.rs
+++ b/src/error.rs
@@ -8,7 +8,7 @@
     /// {0} findings in the settings: {1}
     Settings(usize, String),
     #[displaydoc(
-        "{object:?} was changed since it was read: at revision {found_revision}, not {expected_revision}"
+        "{object} was changed since it was read: at revision {found_revision}, not {expected_revision}"
     )]
     Conflict { object: Object, expected_revision: u64, found_revision: u64 },
     /// the change is refused: {0:?}
@@ -17,8 +17,8 @@
     Platform(String),
     /// the platform's value of '{0}' cannot be read: {1}
     PlatformValue(String, String),
-    /// another operator was faster {0} times; try again
-    Contended(u32),
+    /// other operators were faster each time; try again
+    Contended,
     /// cannot listen on {0}: {1}
     Listen(String, String),
     /// message between boxes: {0}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::configlog::{Head, MAX_HEAD_ENTRIES, Proposal, State};
 use crate::configuration::{BASE_KEY, HEAD_KEY, read_head, read_state};
 use crate::edge::KeyValue;
@@ -10,8 +12,8 @@
 /// Changes that stay in the head when the older ones move into a base, so that
 /// a box that is a little behind needs no whole state.
 const KEPT_HEAD_ENTRIES: usize = 16;
-/// Most tries for one change.
-const MAX_TRIES: u32 = 40;
+/// Time for which the platform is tried.
+const PATIENCE: Duration = Duration::from_secs(15);
 /// Wait between tries.
 const TRY_WAIT: Duration = Duration::from_millis(150);
 
@@ -20,9 +22,30 @@
 /// # Errors
 /// Fails when the platform does not answer or its value cannot be read.
 pub async fn read(platform: &impl KeyValue) -> Result<(Head, State)> {
-    let head = read_head(&platform.read(HEAD_KEY).await?.bytes)?;
-    let state = read_state(platform, &head).await?;
-    Ok((head, state))
+    patiently(async || {
+        let head = read_head(&platform.read(HEAD_KEY).await?.bytes)?;
+        let state = read_state(platform, &head).await?;
+        Ok(Some((head, state)))
+    })
+    .await
+}
+
+/// Tries until there is a result, or patience is over. A platform that does
+/// not answer is tried again, and so is a race that was lost.
+async fn patiently<T>(once: impl AsyncFn() -> Result<Option<T>>) -> Result<T> {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let error = match once().await {
+            Ok(Some(done)) => return Ok(done),
+            Ok(None) => Error::Contended,
+            Err(error @ Error::Platform(_)) => error,
+            Err(error) => return Err(error),
+        };
+        if Instant::now() >= until {
+            return Err(error);
+        }
+        tokio::time::sleep(TRY_WAIT).await;
+    }
 }
 
 /// Has a change accepted; returns its revision. Whether an answer was lost
@@ -32,17 +55,7 @@
 /// Fails when the object was changed meanwhile, when the change is refused,
 /// or when the platform does not answer for long.
 pub async fn propose(platform: &impl KeyValue, proposal: &Proposal) -> Result<u64> {
-    let mut last = Error::Contended(MAX_TRIES);
-    for _ in 0..MAX_TRIES {
-        match try_once(platform, proposal).await {
-            Ok(Some(revision)) => return Ok(revision),
-            Ok(None) => last = Error::Contended(MAX_TRIES),
-            Err(error @ Error::Platform(_)) => last = error,
-            Err(error) => return Err(error),
-        }
-        tokio::time::sleep(TRY_WAIT).await;
-    }
-    Err(last)
+    patiently(async || try_once(platform, proposal).await).await
 }
 
 async fn try_once(platform: &impl KeyValue, proposal: &Proposal) -> Result<Option<u64>> {
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,138 @@
+//! A caller gets the whole answer to its own request, whatever its upstream does.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{check_completion, completion, fleet, text};
+use coursestile_standins::answer::whole;
+use coursestile_standins::fleet::{Fleet, Plan};
+use serde_json::{Value, json};
+
+const KEY: &str = "sanam-key";
+
+/// Starts a long answer at box 0 and waits until an engine runs it.
+async fn start_long(fleet: &Fleet) -> (tokio::task::JoinHandle<String>, usize) {
+    let request = completion(fleet, 0, KEY, "A long report, please.", 300);
+    let answer = tokio::spawn(async move { text(request.send().await.unwrap()).await });
+    loop {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for (index, engine) in fleet.engines.iter().enumerate() {
+            let runs = fleet.get(&format!("{}/runs", engine.url())).await.unwrap_or_default();
+            if runs["started"].as_array().is_some_and(|started| !started.is_empty()) {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                return (answer, index);
+            }
+        }
+    }
+}
+
+fn long_answer() -> String {
+    whole("v1", "A long report, please.", 300)
+}
+
+#[tokio::test]
+async fn engine_killed() {
+    let mut fleet = fleet(&Plan::one_hall(2, 3, 0)).await;
+    let (answer, engine) = start_long(&fleet).await;
+    fleet.engines[engine].kill();
+    assert_eq!(answer.await.unwrap(), long_answer());
+}
+
+#[tokio::test]
+async fn engine_frozen() {
+    let fleet = fleet(&Plan::one_hall(2, 3, 0)).await;
+    let (answer, engine) = start_long(&fleet).await;
+    fleet.engines[engine].signal("-STOP");
+    assert_eq!(answer.await.unwrap(), long_answer());
+    fleet.engines[engine].signal("-CONT");
+}
+
+#[tokio::test]
+async fn pieces_reordered() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    fleet.fault(&fleet.engines[0], json!({ "reorder": true, "slow_ms": 50 })).await;
+    for number in 0..5 {
+        check_completion(&fleet, 0, KEY, &format!("Question {number}?"), 60).await;
+    }
+}
+
+#[tokio::test]
+async fn stream_broken() {
+    let fleet = fleet(&Plan::one_hall(1, 2, 0)).await;
+    for engine in &fleet.engines {
+        fleet.fault(engine, json!({ "break_after_pieces": 25 })).await;
+    }
+    check_completion(&fleet, 0, KEY, "Broken once?", 40).await;
+}
+
+#[tokio::test]
+async fn dispatcher_killed() {
+    let mut fleet = fleet(&Plan::one_hall(3, 2, 0)).await;
+    check_completion(&fleet, 0, KEY, "Who decides?", 5).await;
+    let mut owner = None;
+    for (index, entry_box) in fleet.boxes.iter().enumerate() {
+        let status = fleet.status(entry_box).await.unwrap();
+        owner = owner.or((!status["dispatchers"].as_array().unwrap().is_empty()).then_some(index));
+    }
+    let owner = owner.unwrap();
+    let other = (owner + 1) % 3;
+    fleet.boxes[owner].process.kill();
+    for number in 0..10 {
+        check_completion(&fleet, other, KEY, &format!("Question {number}?"), 5).await;
+    }
+}
+
+#[tokio::test]
+async fn caller_resumes() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    let body = json!({ "model": "summary", "prompt": "Go on?", "max_tokens": 80, "stream": true });
+    let url = format!("{}/v1/completions", fleet.boxes[0].process.url());
+    let mut first = fleet.http.post(&url).bearer_auth(KEY).json(&body).send().await.unwrap();
+    let id = first.headers()["x-request-id"].to_str().unwrap().to_owned();
+    first.chunk().await.unwrap().unwrap();
+    drop(first);
+    let read = |from: usize, key: &str| {
+        let call = fleet.http.get(format!("{url}/{id}?from={from}")).bearer_auth(key);
+        async { call.send().await.unwrap() }
+    };
+    assert_eq!(read(0, "petra-key").await.status(), 404, "another account's answer");
+    let rest = read(10, KEY).await.text().await.unwrap();
+    let pieces = rest.lines().filter_map(|line| line.strip_prefix("data: "));
+    let pieces: Vec<_> = pieces.filter(|data| *data != "[DONE]").collect();
+    let text: String = pieces
+        .iter()
+        .map(|data| serde_json::from_str::<Value>(data).unwrap())
+        .map(|piece| piece["choices"][0]["text"].as_str().unwrap().to_owned())
+        .collect();
+    let expected = whole("v1", "Go on?", 80);
+    assert_eq!(text, expected[10 * 5..], "each word has five bytes");
+    assert!(rest.contains("[DONE]"));
+}
+
+#[tokio::test]
+async fn caller_cancels() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    let body = json!({ "model": "summary", "prompt": "Stop?", "max_tokens": 9000, "stream": true });
+    let url = format!("{}/v1/completions", fleet.boxes[0].process.url());
+    let first = fleet.http.post(&url).bearer_auth(KEY).json(&body).send().await.unwrap();
+    let id = first.headers()["x-request-id"].to_str().unwrap().to_owned();
+    let stopped = fleet.http.delete(format!("{url}/{id}")).bearer_auth(KEY).send().await.unwrap();
+    assert_eq!(stopped.status(), 200);
+    let rest = first.text().await.unwrap();
+    assert!(rest.contains("cancelled") && !rest.contains("[DONE]"), "no end mark: {rest}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let load = fleet.get(&format!("{}/load", fleet.engines[0].url())).await.unwrap();
+    assert_eq!(load["running"], 0, "the engine stopped too");
+}
+
+#[tokio::test]
+async fn deadline_kept() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    let late = completion(&fleet, 0, KEY, "Too late?", 9000).header("x-timeout-ms", 400);
+    let begun_at = std::time::Instant::now();
+    let answer = late.send().await.unwrap();
+    assert_eq!(answer.status(), 504);
+    assert_eq!(answer.headers()["x-coursestile-ran"], "outcome unknown");
+    assert!(begun_at.elapsed() < Duration::from_secs(5), "the final answer comes at once");
+}
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,137 @@
+//! An accepted change is in force everywhere within seconds, applies once and
+//! never reverts.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{completion, fleet};
+use coursestile::clock::now_ms;
+use coursestile::configlog::{Change, Object, Proposal};
+use coursestile::consul::Consul;
+use coursestile::error::Error;
+use coursestile::operator::{propose, read};
+use coursestile_standins::fleet::{Fleet, HallPlan, Plan};
+use serde_json::json;
+
+async fn status_of(fleet: &Fleet, at: usize, key: &str) -> u16 {
+    completion(fleet, at, key, "Who scored?", 2).send().await.unwrap().status().as_u16()
+}
+
+fn set_version(id: &str, expects_revision: u64, version: &str) -> Proposal {
+    let change = Change::SetModel { model: "summary".to_owned(), version: version.to_owned() };
+    let (id, operator) = (id.to_owned(), "tester".to_owned());
+    Proposal { id, operator, at_ms: now_ms(), expects_revision, change }
+}
+
+#[tokio::test]
+async fn answer_lost() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    fleet.fault(&fleet.platform, json!({ "lose_answers": 2 })).await;
+    fleet.must_operate(&["account", "set", "extra", "--template", "group"]);
+    let history = fleet.must_operate(&["history"]);
+    assert_eq!(history.matches("name: \"extra\"").count(), 1, "{history}");
+    let first = fleet.must_operate(&["model", "set", "summary", "v1", "--id", "mine"]);
+    let again = fleet.must_operate(&["model", "set", "summary", "v1", "--id", "mine"]);
+    assert_eq!(first, again, "the same change sent again applies once");
+}
+
+#[tokio::test]
+async fn operators_race() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    let platform = Consul::new(&fleet.platform.url());
+    let (_, state) = read(&platform).await.unwrap();
+    let seen = state.object_revision(&Object::Model("summary".to_owned()));
+    let (one, other) = (set_version("one", seen, "v2"), set_version("other", seen, "v3"));
+    let (one, other) = tokio::join!(propose(&platform, &one), propose(&platform, &other));
+    let won = [&one, &other].iter().filter(|result| result.is_ok()).count();
+    assert_eq!(won, 1, "{one:?} {other:?}");
+    let lost = one.err().or(other.err()).unwrap();
+    assert!(matches!(lost, Error::Conflict { .. }), "{lost}");
+}
+
+#[tokio::test]
+async fn key_revoked() {
+    let halls = vec![HallPlan::new("north", 2, 1, 0), HallPlan::new("east", 2, 1, 0)];
+    let fleet = fleet(&Plan::new(halls)).await;
+    fleet.fault(&fleet.platform, json!({ "slow_ms": 300 })).await;
+    fleet.must_operate(&["account", "set", "sanam", "--drop-key", "sanam-key"]);
+    fleet.must_operate(&["account", "set", "petra", "--share", "0"]);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for at in 0..4 {
+        assert_eq!(status_of(&fleet, at, "sanam-key").await, 401, "box {at}");
+        assert_eq!(status_of(&fleet, at, "petra-key").await, 403, "box {at}");
+    }
+}
+
+#[tokio::test]
+async fn platform_out() {
+    let mut fleet = fleet(&Plan::one_hall(3, 1, 0)).await;
+    fleet.fault(&fleet.platform, json!({ "outage": true })).await;
+    // All boxes but one are replaced while the platform is out.
+    for at in [0, 1] {
+        fleet.boxes[at].process.restart();
+        fleet.wait_in_force(&[&fleet.boxes[at]], 4, 3).await;
+        assert_eq!(status_of(&fleet, at, "sanam-key").await, 200);
+    }
+    assert_ne!(fleet.operate(&["model", "set", "summary", "v1"]).0, 0);
+    fleet.fault(&fleet.platform, json!({ "outage": false })).await;
+    fleet.must_operate(&["account", "set", "sanam", "--drop-key", "sanam-key"]);
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 5, 3).await;
+    assert_eq!(status_of(&fleet, 0, "sanam-key").await, 401);
+}
+
+#[tokio::test]
+async fn box_frozen() {
+    let fleet = fleet(&Plan::one_hall(2, 1, 0)).await;
+    fleet.boxes[0].process.signal("-STOP");
+    fleet.must_operate(&["account", "set", "sanam", "--drop-key", "sanam-key"]);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.boxes[0].process.signal("-CONT");
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 5, 2).await;
+    for _ in 0..20 {
+        let revision = fleet.status(&fleet.boxes[0]).await.unwrap()["revision"].as_u64().unwrap();
+        assert!(revision >= 5, "the revision went back to {revision}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(status_of(&fleet, 0, "sanam-key").await, 401);
+}
+
+#[tokio::test]
+async fn head_compacted() {
+    let fleet = fleet(&Plan::one_hall(2, 1, 0)).await;
+    let platform = Consul::new(&fleet.platform.url());
+    for number in 0..90 {
+        let (_, state) = read(&platform).await.unwrap();
+        let seen = state.object_revision(&Object::Model("summary".to_owned()));
+        let version = if number == 89 { "v1" } else { "v2" };
+        propose(&platform, &set_version(&number.to_string(), seen, version)).await.unwrap();
+        // The service takes a hundred writes a second.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let (head, state) = read(&platform).await.unwrap();
+    assert!(head.base_revision > 0 && head.entries.len() <= 64);
+    assert_eq!((state.revision, state.accounts.len()), (94, 2));
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 94, 2).await;
+    let (code, text) = fleet.operate(&["in-force", "94"]);
+    assert_eq!(code, 0, "{text}");
+}
+
+#[tokio::test]
+async fn change_refused() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    let (code, text) = fleet.operate(&["account", "set", "new", "--template", "none"]);
+    assert_eq!((code, text.contains("no template 'none'")), (1, true), "{text}");
+    let (code, text) = fleet.operate(&["template", "remove", "group"]);
+    assert_eq!((code, text.contains("account 'petra' uses")), (1, true), "{text}");
+    let bad = ["template", "set", "t!", "--share", "-1", "--priority", "9"];
+    let (code, text) = fleet.operate(&bad);
+    assert_eq!(code, 1);
+    for finding in ["'t!' is not a name", "share -1", "priority 9"] {
+        assert!(text.contains(finding), "{text}");
+    }
+    assert_eq!(fleet.operate(&["account", "fly"]).0, 2);
+}
--- /dev/null
+++ b/tests/once.rs
@@ -0,0 +1,160 @@
+//! A call that may not be repeated runs at most once, whatever fails.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{call, fleet, runs, ticket};
+use coursestile_standins::fleet::{Fleet, Plan};
+use reqwest::Response;
+use serde_json::json;
+
+const KEY: &str = "petra-key";
+
+/// Two halls' worth of boxes in one, and a worker that takes its time.
+async fn slow_worker(work_ms: u64) -> Fleet {
+    let mut plan = Plan::one_hall(3, 1, 1);
+    plan.worker_args = vec![("work-ms".to_owned(), work_ms.to_string())];
+    fleet(&plan).await
+}
+
+async fn order(fleet: &Fleet, at: usize, key: &str, timeout_ms: u64) -> Option<Response> {
+    let order = call(fleet, at, KEY, "/orders/7").header("idempotency-key", key);
+    order.header("x-timeout-ms", timeout_ms).send().await.ok()
+}
+
+fn ran(response: &Response) -> &str {
+    response.headers()["x-coursestile-ran"].to_str().unwrap()
+}
+
+async fn run_of(response: Response) -> u64 {
+    assert_eq!(response.status(), 200);
+    response.json::<serde_json::Value>().await.unwrap()["run"].as_u64().unwrap()
+}
+
+#[tokio::test]
+async fn spender_killed() {
+    let mut fleet = slow_worker(600).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    let first = call(&fleet, 0, KEY, "/orders/7").header("idempotency-key", &key).send();
+    let first = tokio::spawn(first);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.boxes[0].process.kill();
+    assert!(first.await.unwrap().is_err(), "the first connection broke");
+    for at in [1, 2, 1] {
+        let again = order(&fleet, at, &key, 700).await.unwrap();
+        assert_eq!((again.status().as_u16(), ran(&again)), (502, "outcome unknown"));
+    }
+    fleet.boxes[0].process.restart();
+    fleet.wait_for(&format!("http://{}/live", fleet.boxes[0].operators)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for at in 0..3 {
+        let again = order(&fleet, at, &key, 700).await.unwrap();
+        assert_ne!(again.status(), 200, "a new incarnation does not spend an old ticket");
+    }
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[tokio::test]
+async fn spender_frozen() {
+    let fleet = slow_worker(5).await;
+    let prefix = ticket(&fleet, 0, KEY).await;
+    let (spent, fresh) = (format!("{prefix}/1"), format!("{prefix}/2"));
+    assert_eq!(run_of(order(&fleet, 0, &spent, 1000).await.unwrap()).await, 1);
+    fleet.boxes[0].process.signal("-STOP");
+    for key in [&spent, &fresh] {
+        let frozen = order(&fleet, 1, key, 600).await.unwrap();
+        assert_eq!(ran(&frozen), "outcome unknown");
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.boxes[0].process.signal("-CONT");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // The forwarded call was past its deadline when the box woke.
+    assert_eq!(runs(&fleet, &fresh).await, 0);
+    assert_eq!(run_of(order(&fleet, 1, &spent, 2000).await.unwrap()).await, 1);
+    assert_eq!(run_of(order(&fleet, 2, &fresh, 2000).await.unwrap()).await, 1);
+    assert_eq!((runs(&fleet, &spent).await, runs(&fleet, &fresh).await), (1, 1));
+}
+
+#[tokio::test]
+async fn answer_lost() {
+    let fleet = slow_worker(5).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    fleet.fault(&fleet.workers[0], json!({ "lose_answers": 1 })).await;
+    for at in [0, 1, 0] {
+        let lost = order(&fleet, at, &key, 500).await.unwrap();
+        assert_eq!(ran(&lost), "outcome unknown");
+    }
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[tokio::test]
+async fn sent_twice() {
+    let fleet = slow_worker(300).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    let sent = [0, 0, 1, 2].map(|at| order(&fleet, at, &key, 5000));
+    for answer in futures_util::future::join_all(sent).await {
+        assert_eq!(run_of(answer.unwrap()).await, 1);
+    }
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
+#[tokio::test]
+async fn key_refused() {
+    let fleet = slow_worker(5).await;
+    let prefix = ticket(&fleet, 0, KEY).await;
+    let forged = format!("{}/1", prefix.replace("north-b1", "north-b2"));
+    for key in ["no-prefix", "a/b", &forged] {
+        let refused = order(&fleet, 0, key, 1000).await.unwrap();
+        assert_eq!((refused.status().as_u16(), ran(&refused)), (400, "not run"));
+    }
+    let others =
+        call(&fleet, 0, "sanam-key", "/orders/7").header("idempotency-key", format!("{prefix}/1"));
+    assert_eq!(others.send().await.unwrap().status(), 400, "another account's ticket");
+    let key = format!("{prefix}/2");
+    assert_eq!(run_of(order(&fleet, 0, &key, 1000).await.unwrap()).await, 1);
+    let other =
+        call(&fleet, 0, KEY, "/orders/8").header("idempotency-key", &key).send().await.unwrap();
+    assert_eq!((other.status().as_u16(), ran(&other)), (409, "not run"));
+    assert_eq!(runs(&fleet, &key).await, 1);
+    assert_eq!(runs(&fleet, &forged).await, 0);
+}
+
+#[tokio::test]
+async fn worker_gone() {
+    let mut fleet = slow_worker(5).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    fleet.workers[0].kill();
+    let refused = order(&fleet, 1, &key, 1000).await.unwrap();
+    assert_eq!((refused.status().as_u16(), ran(&refused)), (503, "not run"));
+    assert!(refused.headers().contains_key("retry-after"));
+    fleet.workers[0].restart();
+    fleet.wait_for(&format!("{}/runs", fleet.workers[0].url())).await;
+    assert_eq!(run_of(order(&fleet, 1, &key, 3000).await.unwrap()).await, 1);
+}
+
+#[tokio::test]
+async fn ledger_inherited() {
+    let mut fleet = slow_worker(5).await;
+    let prefix = ticket(&fleet, 0, KEY).await;
+    let (spent, fresh) = (format!("{prefix}/1"), format!("{prefix}/2"));
+    assert_eq!(run_of(order(&fleet, 0, &spent, 1000).await.unwrap()).await, 1);
+    // Every box is replaced, one after another; the ledger goes along.
+    for at in 0..3 {
+        fleet.boxes[at].process.signal("-TERM");
+        while !fleet.boxes[at].process.ended() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        fleet.boxes[at].process.restart();
+        fleet.wait_for(&format!("http://{}/live", fleet.boxes[at].operators)).await;
+        fleet.wait_in_force(&[&fleet.boxes[at]], 4, 3).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        for ask in 0..3 {
+            let again = order(&fleet, ask, &spent, 1500).await.unwrap();
+            assert_eq!(run_of(again).await, 1, "asked at {ask} after {at} was replaced");
+            let refused = order(&fleet, ask, &fresh, 1500).await.unwrap();
+            assert_eq!(ran(&refused), "not run", "asked at {ask} after {at} was replaced");
+        }
+    }
+    assert_eq!((runs(&fleet, &spent).await, runs(&fleet, &fresh).await), (1, 0));
+}
