Prove versions, planned stops, kept context, overload and bad input

Cause: proofs were missing for weight swaps, leaving upstreams, rolling restarts, freed, half-written and corrupt blocks, overload and bad input.

Found by the new tests, failing first: - `swap_mid_run`, `swap_under_load`: while engines loaded a new version, new requests were refused ("no upstream serves this"): no engine reported the new version yet, and an engine that refused once was avoided for good. A box that is no candidate gives its lease back.

Ruled out: slow loads (the engines had not been ordered at all after 6 s), lost reports (the status page showed all engines at v1).

--- a/src/ask.rs
+++ b/src/ask.rs
@@ -99,6 +99,8 @@
     Failed,
     /// The engine refused, and has not run it.
     Refused,
+    /// The place was not used.
+    Unused,
 }
 
 /// How the import of a block went.
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -28,8 +28,8 @@
 use crate::sync::locked;
 use crate::trace::{Hop, TraceId};
 
-/// Most attempts for one request.
-const MAX_ATTEMPTS: u32 = 6;
+/// Most attempts for one request, refused ones among them.
+const MAX_ATTEMPTS: u32 = 16;
 /// Time to come back after an upstream failed.
 const FAILED_RETRY_MS: u64 = 1000;
 /// How often ended and unread answers are looked for.
@@ -115,8 +115,9 @@
             match self.attempt(placed).await {
                 Attempt::Finished(reason) => return StreamEnd::Finished(reason),
                 Attempt::Cancelled => return StreamEnd::Refused(self.refuse(Reason::Cancelled)),
-                Attempt::Refused => self.avoid.push(engine),
-                Attempt::OtherVersion { .. } => self.follow_version(engine),
+                // The dispatcher leaves the engine alone until it reports.
+                Attempt::Refused => {}
+                Attempt::OtherVersion { ran } => self.follow_version(engine, ran),
                 Attempt::Unreachable | Attempt::Failed(_) => {
                     self.avoid.push(engine);
                     if !budget(&self.kernel.placing.retries).spend() {
@@ -135,12 +136,15 @@
     }
 
     /// Moves to the version in force, as long as no piece has come.
-    fn follow_version(&mut self, engine: String) {
+    /// An engine that ran another version does not check, and is avoided.
+    fn follow_version(&mut self, engine: String, ran: bool) {
         let config = self.kernel.configuration.current();
-        let newer = config.state.models.get(&self.job.model);
-        match newer.filter(|version| !self.begun() && **version != self.job.version) {
-            Some(version) => self.job.version.clone_from(version),
-            None => self.avoid.push(engine),
+        let newer = config.state.models.get(&self.job.model).filter(|_| !self.begun());
+        if let Some(version) = newer {
+            self.job.version.clone_from(version);
+        }
+        if ran {
+            self.avoid.push(engine);
         }
     }
 
@@ -180,9 +184,10 @@
     }
 
     async fn attempt(&mut self, placed: Placed) -> Attempt {
-        let leaving = &self.kernel.configuration.current().state.leaving;
-        if leaving.contains(&placed.grant.engine) {
-            placed.done(self.kernel, "", 0, End::Refused);
+        let engine = placed.grant.engine.clone();
+        if self.kernel.configuration.current().state.leaving.contains(&engine) {
+            placed.done(self.kernel, "", 0, End::Unused);
+            self.avoid.push(engine);
             return Attempt::Refused;
         }
         let began_at_us = now_us();
--- a/src/consul.rs
+++ b/src/consul.rs
@@ -111,4 +111,9 @@
         let response = self.put(&format!("kv/{key}?acquire={session}"), Vec::new()).await?;
         response.json().await.map_err(failed)
     }
+
+    async fn release(&self, key: &str, session: &str) -> Result<bool> {
+        let response = self.put(&format!("kv/{key}?release={session}"), Vec::new()).await?;
+        response.json().await.map_err(failed)
+    }
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 use crate::ask::{Ask, AskId, Grant, Report, Verdict};
 use crate::clock::{now_ms, now_us};
+use crate::configlog::Config;
 use crate::dispatcher::{Action, Dispatcher};
 use crate::edge::{ContextStores, ModelEngines};
 use crate::fleet::Engine;
@@ -26,8 +27,10 @@
 
 /// How often the dispatchers look what is due.
 const TICK: Duration = Duration::from_millis(50);
-/// How often engines are asked for their report, and stores are tidied.
-const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// How often engines are asked for their report while they load weights.
+const FAST_REPORT_PERIOD: Duration = Duration::from_millis(200);
+/// Every so many of those periods all engines are asked, and stores are tidied.
+const SLOW_REPORT_EVERY: u64 = 5;
 /// Time after its last ask for which a dispatcher acts.
 const ACTS_FOR_MS: u64 = 30_000;
 /// Stands for this box as the asker.
@@ -43,6 +46,15 @@
     askers: BTreeMap<AskId, Asker>,
 }
 
+impl Acting {
+    /// Takes in what operators want.
+    fn follow(&mut self, model: &str, config: &Config) {
+        self.dispatcher.set_leaving(|name| config.state.leaving.contains(name));
+        let version = config.state.models.get(model).map(String::as_str);
+        self.dispatcher.set_version(now_ms(), version);
+    }
+}
+
 /// Who waits for a verdict.
 #[derive(Clone)]
 struct Asker {
@@ -116,9 +128,11 @@
 /// Takes an ask that came from `reply_to`; [`LOCAL`] is this box.
 pub fn ask(kernel: &Arc<Kernel>, reply_to: &str, ask: Ask) {
     let (model, id) = (ask.scope.model.clone(), ask.id.clone());
+    let config = kernel.configuration.current();
     let actions = kernel.dispatch.with(kernel, &model, |acting| {
         let now_ms = now_ms();
         acting.asked_at_ms = now_ms;
+        acting.follow(&model, &config);
         let reply_to = reply_to.to_owned();
         let asker = Asker { reply_to, trace: ask.trace, asked_at_us: now_us() };
         acting.askers.entry(id).or_insert(asker);
@@ -230,11 +244,19 @@
 
 /// Asks engines for reports and tidies stores, for models that are acted for.
 async fn look_after(kernel: Arc<Kernel>) {
-    let mut ticks = tokio::time::interval(REPORT_PERIOD);
-    loop {
+    let mut ticks = tokio::time::interval(FAST_REPORT_PERIOD);
+    for tick in 0_u64.. {
         ticks.tick().await;
+        let slow = tick.is_multiple_of(SLOW_REPORT_EVERY);
         for model in kernel.dispatch.models() {
-            ask_engines(&kernel, &model);
+            let awaits =
+                kernel.dispatch.with(&kernel, &model, |acting| acting.dispatcher.awaits_version());
+            if slow || awaits {
+                ask_engines(&kernel, &model);
+            }
+            if !slow {
+                continue;
+            }
             let deletes = kernel
                 .dispatch
                 .with(&kernel, &model, |acting| acting.dispatcher.keeper.tick(now_ms()));
@@ -248,7 +270,7 @@
 fn ask_engines(kernel: &Arc<Kernel>, model: &str) {
     let config = kernel.configuration.current();
     let engines = kernel.dispatch.with(kernel, model, |acting| {
-        acting.dispatcher.set_leaving(|name| config.state.leaving.contains(name));
+        acting.follow(model, &config);
         let engines = acting.dispatcher.engines().iter();
         engines.map(|engine| (engine.name.clone(), engine.url.clone())).collect::<Vec<_>>()
     });
@@ -256,11 +278,8 @@
         let (kernel, model) = (kernel.clone(), model.to_owned());
         tokio::spawn(async move {
             let report = kernel.upstreams.report(&url).await;
-            let leaving = report.as_ref().is_some_and(|report| report.leaving);
-            let version = report.map(|report| report.version);
             kernel.dispatch.with(&kernel, &model, |acting| {
-                let version = version.as_deref();
-                acting.dispatcher.engine_report(now_ms(), &name, version, leaving);
+                acting.dispatcher.engine_report(now_ms(), &name, report.as_ref());
             });
         });
     }
@@ -281,10 +300,10 @@
     }
     let writer = kernel.me.to_string();
     let keeper = Keeper::new(settings.keep, stores, settings.prompt_records, token_bytes, &writer);
-    let mut dispatcher = Dispatcher::new(settings.policies, engines, keeper);
-    let config = kernel.configuration.current();
-    dispatcher.set_leaving(|name| config.state.leaving.contains(name));
-    Acting { dispatcher, asked_at_ms: now_ms(), askers: BTreeMap::new() }
+    let dispatcher = Dispatcher::new(settings.policies, engines, keeper);
+    let mut acting = Acting { dispatcher, asked_at_ms: now_ms(), askers: BTreeMap::new() };
+    acting.follow(model, &kernel.configuration.current());
+    acting
 }
 
 fn engines_of(settings: &Settings, model: &str) -> (Vec<Engine>, u64) {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use crate::ask::{Ask, AskId, End, Grant, Imported, Report, Verdict};
+use crate::edge::EngineReport;
 use crate::fleet::Engine;
 use crate::keeper::{Export, Keeper};
 use crate::refusal::{Reason, Refusal};
@@ -17,6 +18,8 @@
 
 /// Time for which a place is held without a renewal.
 pub const HOLD_MS: u64 = 4000;
+/// Time for which requests wait for engines to load a new version.
+const VERSION_WAIT_MS: u64 = 15_000;
 /// Shortest time to come back after an overload.
 const LEAST_RETRY_MS: u64 = 200;
 /// Longest time to come back after an overload.
@@ -56,6 +59,12 @@
     held_until_ms: u64,
 }
 
+/// The version that operators want for new requests.
+struct WantedVersion {
+    name: String,
+    awaited_until_ms: u64,
+}
+
 #[derive(Default)]
 struct Throughput {
     window_ends_at_ms: u64,
@@ -70,6 +79,7 @@
     queue: ShareQueue<Ask>,
     running: HashMap<AskId, Running>,
     throughput: Throughput,
+    version: Option<WantedVersion>,
     /// Kept context.
     pub keeper: Keeper,
     turn: usize,
@@ -85,6 +95,7 @@
             queue: ShareQueue::new(policies.share),
             running: HashMap::new(),
             throughput: Throughput::default(),
+            version: None,
             keeper,
             turn: 0,
         }
@@ -169,22 +180,52 @@
     }
 
     /// Takes in an engine's own report: `None` when it did not answer.
-    pub fn engine_report(&mut self, now_ms: u64, name: &str, version: Option<&str>, leaving: bool) {
+    pub fn engine_report(&mut self, now_ms: u64, name: &str, report: Option<&EngineReport>) {
         let Some(index) = self.engines.iter().position(|engine| engine.name == name) else {
             return;
         };
         let engine = &mut self.engines[index];
-        let Some(version) = version else {
+        let Some(report) = report else {
             return engine.failed(now_ms);
         };
         engine.works();
-        engine.leaving = leaving;
-        if engine.version.as_deref() != Some(version) {
-            engine.version = Some(version.to_owned());
+        engine.leaving = report.leaving;
+        engine.loading = report.loading;
+        if engine.version.as_ref() != Some(&report.version) {
+            engine.version = Some(report.version.clone());
             self.keeper.directory.forget_engine(narrow(index));
         }
     }
 
+    /// Notes the version that operators want: engines will load it soon.
+    pub fn set_version(&mut self, now_ms: u64, version: Option<&str>) {
+        if self.version.as_ref().map(|wanted| wanted.name.as_str()) != version {
+            let name = version.map(str::to_owned);
+            let awaited_until_ms = now_ms + VERSION_WAIT_MS;
+            self.version = name.map(|name| WantedVersion { name, awaited_until_ms });
+        }
+    }
+
+    /// Whether some engine has yet to load the version that operators want.
+    #[must_use]
+    pub fn awaits_version(&self) -> bool {
+        let Some(wanted) = &self.version else {
+            return false;
+        };
+        let differs = |engine: &Engine| engine.version.as_ref() != Some(&wanted.name);
+        self.engines.iter().any(|engine| engine.loading || differs(engine))
+    }
+
+    /// Whether the ask can be served, now or after a load that is awaited.
+    fn can_serve(&self, now_ms: u64, ask: &Ask) -> bool {
+        let awaited = self.version.as_ref().is_some_and(|wanted| {
+            wanted.name == ask.scope.version && now_ms < wanted.awaited_until_ms
+        });
+        let allowed = |engine: &Engine| !ask.avoid.contains(&engine.name);
+        let mut engines = self.engines.iter().filter(|engine| allowed(engine));
+        engines.any(|engine| engine.serves(&ask.scope.version) || (awaited && engine.stays()))
+    }
+
     /// Marks which engines operators want to leave.
     pub fn set_leaving(&mut self, leaving: impl Fn(&str) -> bool) {
         for engine in &mut self.engines {
@@ -200,8 +241,9 @@
         }
         let mut actions = self.place_waiting(now_ms);
         let late = self.queue.take_out(|waiting| waiting.deadline_ms <= now_ms);
-        let engines = &self.engines;
-        let lost = self.queue.take_out(|waiting| !any_serves(engines, &waiting.item));
+        let mut queue = std::mem::replace(&mut self.queue, ShareQueue::new(self.policies.share));
+        let lost = queue.take_out(|waiting| !self.can_serve(now_ms, &waiting.item));
+        self.queue = queue;
         let late = late.into_iter().map(|ask| (ask, Refusal::not_run(Reason::DeadlinePassed)));
         let lost = lost.into_iter().map(|ask| (ask, no_upstream(now_ms)));
         actions.extend(late.chain(lost).map(|(ask, refusal)| Action::Answer {
@@ -215,7 +257,7 @@
         if ask.deadline_ms <= now_ms {
             return Some(Refusal::not_run(Reason::DeadlinePassed));
         }
-        if !any_serves(&self.engines, ask) {
+        if !self.can_serve(now_ms, ask) {
             return Some(no_upstream(now_ms));
         }
         let wait_ms = self.expected_wait_ms(ask);
@@ -391,14 +433,16 @@
             let pending = u64::from(running.uncached_tokens);
             engine.pending_tokens = engine.pending_tokens.saturating_sub(pending);
         }
-        if end == End::Failed {
-            engine.failed(now_ms);
+        match end {
+            End::Failed => engine.failed(now_ms),
+            End::Refused => engine.refused(now_ms),
+            End::Finished | End::Cancelled | End::Unused => {}
         }
         let took = match end {
             End::Finished | End::Cancelled => {
                 work_tokens(running.uncached_tokens, generated_tokens)
             }
-            End::Failed | End::Refused => 0.0,
+            End::Failed | End::Refused | End::Unused => 0.0,
         };
         self.queue.finish(&running.ask.scope.account, took - running.work_tokens);
         self.throughput.add(now_ms, took, !self.queue.is_empty());
@@ -439,15 +483,8 @@
 }
 
 fn fits(engine: &Engine, now_ms: u64, ask: &Ask) -> bool {
-    engine.has_room(now_ms) && wanted(engine, ask)
-}
-
-fn wanted(engine: &Engine, ask: &Ask) -> bool {
-    engine.serves(&ask.scope.version) && !ask.avoid.contains(&engine.name)
-}
-
-fn any_serves(engines: &[Engine], ask: &Ask) -> bool {
-    engines.iter().any(|engine| wanted(engine, ask))
+    let allowed = engine.serves(&ask.scope.version) && !ask.avoid.contains(&engine.name);
+    allowed && engine.has_room(now_ms)
 }
 
 fn no_upstream(now_ms: u64) -> Refusal {
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -55,6 +55,9 @@
 
     /// Takes the lease on `key` for a session; false when another holds it.
     fn acquire(&self, key: &str, session: &str) -> impl Future<Output = Result<bool>> + Send;
+
+    /// Gives the lease on `key` back; false when the session did not hold it.
+    fn release(&self, key: &str, session: &str) -> impl Future<Output = Result<bool>> + Send;
 }
 
 /// What a model engine is asked to run.
@@ -116,6 +119,8 @@
     pub version: String,
     /// It takes no new work.
     pub leaving: bool,
+    /// It loads weights and takes no work until that is done.
+    pub loading: bool,
 }
 
 /// An order to an engine.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,6 +4,8 @@
 
 /// First wait after a failure.
 const FIRST_COOLDOWN_MS: u64 = 500;
+/// Wait after a refusal.
+const REFUSED_COOLDOWN_MS: u64 = 250;
 /// Longest wait after repeated failures.
 const MAX_COOLDOWN_MS: u64 = 15_000;
 /// Weight of a new measurement in a mean.
@@ -26,6 +28,8 @@
     pub version: Option<String>,
     /// It reports that it leaves.
     pub leaving: bool,
+    /// It loads weights.
+    pub loading: bool,
     /// Operators want it to leave.
     pub ordered_to_leave: bool,
     /// Requests granted to it and not ended.
@@ -52,6 +56,7 @@
             cache_tokens,
             version: None,
             leaving: false,
+            loading: false,
             ordered_to_leave: false,
             outstanding: 0,
             pending_tokens: 0,
@@ -62,17 +67,22 @@
         }
     }
 
-    /// Whether a request that expects `version` may run here, now or later.
+    /// Whether the engine is to get new work at all.
+    #[must_use]
+    pub fn stays(&self) -> bool {
+        !self.leaving && !self.ordered_to_leave
+    }
+
+    /// Whether a request that expects `version` may run here.
     #[must_use]
     pub fn serves(&self, version: &str) -> bool {
-        let leaves = self.leaving || self.ordered_to_leave;
-        !leaves && self.version.as_deref().is_none_or(|own| own == version)
+        self.stays() && self.version.as_deref().is_none_or(|own| own == version)
     }
 
     /// Whether a request may be sent now.
     #[must_use]
     pub fn has_room(&self, now_ms: u64) -> bool {
-        self.outstanding < self.slots && now_ms >= self.cooldown_until_ms
+        !self.loading && self.outstanding < self.slots && now_ms >= self.cooldown_until_ms
     }
 
     /// The engine as a candidate that holds `cached_tokens` of the prompt.
@@ -97,6 +107,11 @@
         self.cooldown_until_ms = now_ms + cooldown_ms.min(MAX_COOLDOWN_MS);
     }
 
+    /// Notes that the engine refused work: its next report will say why.
+    pub fn refused(&mut self, now_ms: u64) {
+        self.cooldown_until_ms = self.cooldown_until_ms.max(now_ms + REFUSED_COOLDOWN_MS);
+    }
+
     /// Notes that the engine works.
     pub fn works(&mut self) {
         self.failures = 0;
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -47,7 +47,7 @@
     loop {
         ticks.tick().await;
         if !is_candidate(&kernel) {
-            holder.lease = None;
+            give_back(&kernel, &mut holder).await;
             continue;
         }
         if let Err(error) = keep_lease(&kernel, &mut holder).await {
@@ -94,6 +94,16 @@
     renewed.map(|_| ())
 }
 
+/// Gives the lease back, so that the next holder need not wait for its end.
+async fn give_back(kernel: &Kernel, holder: &mut Holder) {
+    let Some(lease) = holder.lease.take() else {
+        return;
+    };
+    let released = kernel.platform.release(&lease_key(kernel), &lease.session).await;
+    let outcome = if released.is_ok_and(|done| done) { "given back" } else { "left to lapse" };
+    info!(target: "orders", "Lease with token {} {outcome}.", lease.fence);
+}
+
 async fn take_lease(kernel: &Kernel, sent_at_ms: u64) -> Result<Option<Lease>> {
     let key = lease_key(kernel);
     let session = kernel.platform.open_session(LEASE_TTL_S).await?;
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -329,7 +329,7 @@
     let in_use = locked(&kernel.placing.held).contains(&held);
     if granted && !taken && !in_use {
         let request = String::new();
-        let done = Report::Done { id, request, generated_tokens: 0, end: End::Refused };
+        let done = Report::Done { id, request, generated_tokens: 0, end: End::Unused };
         send_report(kernel, from, model, done);
     }
 }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -183,8 +183,8 @@
         let call = self.http.get(format!("{url}/load")).timeout(CALL_TIMEOUT);
         let load: Value = call.send().await.ok()?.json().await.ok()?;
         let version = load["version"].as_str()?.to_owned();
-        let leaving = load["leaving"] == true || load["loading"] == true;
-        Some(EngineReport { version, leaving })
+        let (leaving, loading) = (load["leaving"] == true, load["loading"] == true);
+        Some(EngineReport { version, leaving, loading })
     }
 
     async fn export(&self, export: &Export) -> Option<(Seal, u64)> {
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -294,6 +294,9 @@
 
 #[handler]
 async fn order(Json(order): Json<Order>, Data(engine): Data<&Arc<Engine>>) -> Response {
+    if engine.faults.now().refuse_orders {
+        return refuse(StatusCode::FORBIDDEN, "deaf");
+    }
     {
         let mut state = engine.state.lock().expect("engine lock");
         if engine.config.check_orders && order.fence < state.fence {
@@ -329,6 +332,12 @@
     }))
 }
 
+#[handler]
+fn counts(Data(engine): Data<&Arc<Engine>>) -> Json<Value> {
+    let started = engine.state.lock().expect("engine lock").started.len() as u64;
+    Json(json!({ "completions": started + engine.faults.refused_completions() }))
+}
+
 /// Runs the engine until the process ends.
 ///
 /// # Errors
@@ -348,6 +357,7 @@
         .at("/load", get(report_load))
         .at("/events", get(list_events))
         .at("/orders", post(order))
+        .at("/counts", get(counts))
         .at("/runs", get(runs));
     serve(&listen, Route::new().nest("/", routes.data(engine)), faults).await
 }
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -3,6 +3,7 @@
 //! `POST /fault` takes a JSON object; fields that are left out keep their
 //! value. `{"die": true}` ends the process at once.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -40,13 +41,20 @@
     pub reorder: bool,
     /// Serves blocks that were not sealed, as a faulty store would.
     pub serve_unsealed: bool,
+    /// Serves other bytes than were written.
+    pub corrupt_reads: bool,
+    /// Refuses every order.
+    pub refuse_orders: bool,
     /// Ends the process.
     pub die: bool,
 }
 
 /// Shared handle on the faults in force.
 #[derive(Clone, Default)]
-pub struct Faults(Arc<Mutex<FaultState>>);
+pub struct Faults {
+    state: Arc<Mutex<FaultState>>,
+    refused: Arc<AtomicU64>,
+}
 
 impl Faults {
     /// A copy of the faults in force.
@@ -55,11 +63,17 @@
     /// Panics when another thread panicked while it held the lock.
     #[must_use]
     pub fn now(&self) -> FaultState {
-        self.0.lock().expect("fault lock").clone()
+        self.state.lock().expect("fault lock").clone()
+    }
+
+    /// Completions refused in an outage.
+    #[must_use]
+    pub fn refused_completions(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
     }
 
     fn set(&self, change: &serde_json::Value) -> Result<(), serde_json::Error> {
-        let mut state = self.0.lock().expect("fault lock");
+        let mut state = self.state.lock().expect("fault lock");
         let mut merged = serde_json::to_value(&*state)?;
         if let (Some(target), Some(fields)) = (merged.as_object_mut(), change.as_object()) {
             target.extend(fields.clone());
@@ -70,7 +84,7 @@
 
     /// Takes one answer to lose, if any is left.
     fn take_lost_answer(&self) -> bool {
-        let mut state = self.0.lock().expect("fault lock");
+        let mut state = self.state.lock().expect("fault lock");
         let lose = state.lose_answers > 0;
         state.lose_answers = state.lose_answers.saturating_sub(1);
         lose
@@ -99,6 +113,9 @@
     }
     let state = faults.now();
     if state.outage {
+        if request.uri().path() == "/v1/completions" {
+            faults.refused.fetch_add(1, Ordering::Relaxed);
+        }
         return Ok(StatusCode::SERVICE_UNAVAILABLE.into());
     }
     tokio::time::sleep(Duration::from_millis(state.slow_ms)).await;
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -142,6 +142,10 @@
     store.transfer(size_bytes, on_disk).await;
     let blocks = store.blocks.lock().expect("block lock");
     match blocks.get(&id) {
+        Some(block) if store.faults.now().corrupt_reads => {
+            let corrupt: Vec<u8> = block.payload.iter().map(|byte| !byte).collect();
+            corrupt.into_response()
+        }
         Some(block) => block.payload.clone().into_response(),
         None => StatusCode::GONE.into(),
     }
--- /dev/null
+++ b/tests/kept_context.rs
@@ -0,0 +1,147 @@
+//! Kept context comes back as it was written, to its own account only.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{check_completion, completion, context, fleet};
+use coursestile_standins::fleet::{Fleet, Plan};
+use serde_json::{Value, json};
+
+/// Engines that hold two contexts of 3,000 tokens, and one store.
+fn plan() -> Plan {
+    let mut plan = Plan::one_hall(2, 1, 0);
+    plan.stores = 1;
+    plan.engine_args = vec![("cache-tokens".to_owned(), "6400".to_owned())];
+    plan
+}
+
+async fn ask(fleet: &Fleet, key: &str, book: &str) -> u64 {
+    let prompt = format!("{}What now?", context(book, 3000));
+    let answer = completion(fleet, 0, key, &prompt, 5).send().await.unwrap();
+    let body: Value = answer.json().await.unwrap();
+    let expected = coursestile_standins::answer::whole("v1", &prompt, 5);
+    assert_eq!(body["choices"][0]["text"], expected, "{body}");
+    body["usage"]["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap()
+}
+
+/// Uses a book often enough to be kept, then pushes it out of the engine.
+async fn keep_and_forget(fleet: &Fleet, key: &str, book: &str) {
+    for _ in 0..3 {
+        ask(fleet, key, book).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    for other in 0..4 {
+        ask(fleet, "petra-key", &format!("other {other}")).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+async fn blocks(fleet: &Fleet) -> Vec<Value> {
+    let listed = fleet.get(&format!("{}/blocks", fleet.stores[0].url())).await.unwrap();
+    listed.as_array().unwrap().clone()
+}
+
+#[tokio::test]
+async fn context_returns() {
+    let fleet = fleet(&plan()).await;
+    keep_and_forget(&fleet, "sanam-key", "rulebook").await;
+    let cached = ask(&fleet, "sanam-key", "rulebook").await;
+    assert!(cached >= 2560, "only {cached} tokens came back");
+    let load = fleet.get(&format!("{}/load", fleet.stores[0].url())).await.unwrap();
+    assert!(load["link_bytes"].as_u64().unwrap() > 0);
+}
+
+#[tokio::test]
+async fn accounts_apart() {
+    let fleet = fleet(&plan()).await;
+    keep_and_forget(&fleet, "sanam-key", "shared text").await;
+    ask(&fleet, "sanam-key", "shared text").await;
+    assert_eq!(ask(&fleet, "petra-key", "shared text").await, 0, "equal text, nothing shared");
+}
+
+#[tokio::test]
+async fn content_checked() {
+    let fleet = fleet(&plan()).await;
+    keep_and_forget(&fleet, "sanam-key", "rulebook").await;
+    // The store hands out other bytes than were sealed.
+    fleet.fault(&fleet.stores[0], json!({ "corrupt_reads": true })).await;
+    for _ in 0..2 {
+        assert_eq!(ask(&fleet, "sanam-key", "rulebook").await % 3000, 0);
+        keep_and_forget(&fleet, "sanam-key", "pushed out").await;
+    }
+}
+
+#[tokio::test]
+async fn half_written() {
+    let mut fleet = fleet(&plan()).await;
+    // The engine dies in the middle of a write; the store serves what it has.
+    fleet.fault(&fleet.stores[0], json!({ "slowdown": 40, "serve_unsealed": true })).await;
+    let prompt = format!("{}What now?", context("rulebook", 3000));
+    for _ in 0..3 {
+        check_completion(&fleet, 0, "sanam-key", &prompt, 5).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.engines[0].restart();
+    fleet.wait_for(&format!("{}/load", fleet.engines[0].url())).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(blocks(&fleet).await.len(), 0, "nothing was sealed");
+    for _ in 0..3 {
+        check_completion(&fleet, 1, "sanam-key", &prompt, 5).await;
+    }
+}
+
+#[tokio::test]
+async fn block_freed() {
+    let fleet = fleet(&plan()).await;
+    keep_and_forget(&fleet, "sanam-key", "rulebook").await;
+    // Another holder freed the blocks, which the dispatcher has not heard.
+    for block in blocks(&fleet).await {
+        let id = block["id"].as_str().unwrap();
+        let url = format!("{}/blocks/{id}?force=true", fleet.stores[0].url());
+        fleet.http.delete(url).send().await.unwrap();
+    }
+    assert_eq!(ask(&fleet, "sanam-key", "rulebook").await, 0, "recomputed, not read");
+}
+
+#[tokio::test]
+async fn store_dead() {
+    let fleet = fleet(&plan()).await;
+    keep_and_forget(&fleet, "sanam-key", "rulebook").await;
+    fleet.stores[0].signal("-STOP");
+    for _ in 0..3 {
+        ask(&fleet, "sanam-key", "rulebook").await;
+    }
+    fleet.stores[0].signal("-CONT");
+}
+
+#[tokio::test]
+async fn store_full() {
+    let mut plan = plan();
+    plan.store_bytes = 100_000_000;
+    let fleet = fleet(&plan).await;
+    for book in 0..6 {
+        for _ in 0..2 {
+            ask(&fleet, "sanam-key", &format!("book {book}")).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    let load = fleet.get(&format!("{}/load", fleet.stores[0].url())).await.unwrap();
+    assert!(load["used_bytes"].as_u64().unwrap() <= 100_000_000);
+}
+
+#[tokio::test]
+async fn directory_rebuilt() {
+    let mut fleet = fleet(&plan()).await;
+    keep_and_forget(&fleet, "sanam-key", "rulebook").await;
+    for at in 0..2 {
+        fleet.boxes[at].process.restart();
+    }
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 4, 2).await;
+    // The first request makes the new dispatcher ask the store what it keeps.
+    check_completion(&fleet, 0, "sanam-key", "Wake up.", 2).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let cached = ask(&fleet, "sanam-key", "rulebook").await;
+    assert!(cached >= 2560, "only {cached} tokens came back");
+}
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,126 @@
+//! Planned stops cut nothing, and what leaves gets no new work.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use common::{check_completion, completion, fleet, text};
+use coursestile_standins::answer::whole;
+use coursestile_standins::fleet::{Fleet, HallPlan, Plan};
+use serde_json::json;
+
+const KEY: &str = "sanam-key";
+
+async fn started(fleet: &Fleet, engine: usize) -> usize {
+    let runs = fleet.get(&format!("{}/runs", fleet.engines[engine].url())).await.unwrap();
+    runs["started"].as_array().unwrap().len()
+}
+
+/// Sends short requests through each box in turn; returns their number.
+async fn send_some(fleet: &Fleet, count: usize) {
+    for number in 0..count {
+        let at = number % fleet.boxes.len();
+        check_completion(fleet, at, KEY, &format!("Question {number}?"), 3).await;
+    }
+}
+
+#[tokio::test]
+async fn upstream_leaves() {
+    let halls = vec![HallPlan::new("north", 2, 2, 0), HallPlan::new("east", 2, 1, 0)];
+    let fleet = fleet(&Plan::new(halls)).await;
+    let long = completion(&fleet, 0, KEY, "A long one.", 600);
+    let long = tokio::spawn(async move { text(long.send().await.unwrap()).await });
+    send_some(&fleet, 8).await;
+    fleet.must_operate(&["upstream", "leave", "north-e1"]);
+    // The change is accepted; from here on the platform is out.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.fault(&fleet.platform, json!({ "outage": true })).await;
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let before = started(&fleet, 0).await;
+    send_some(&fleet, 40).await;
+    assert_eq!(started(&fleet, 0).await, before, "no new work after 3 s");
+    assert_eq!(long.await.unwrap(), whole("v1", "A long one.", 600));
+}
+
+#[tokio::test]
+async fn engine_says_so() {
+    let fleet = fleet(&Plan::one_hall(2, 2, 0)).await;
+    send_some(&fleet, 4).await;
+    let leave = json!({ "fence": 999, "leave": true });
+    let order = fleet.http.post(format!("{}/orders", fleet.engines[0].url())).json(&leave);
+    assert!(order.send().await.unwrap().status().is_success());
+    let before = started(&fleet, 0).await;
+    send_some(&fleet, 20).await;
+    assert_eq!(started(&fleet, 0).await, before);
+}
+
+#[tokio::test]
+async fn box_stops() {
+    let mut fleet = fleet(&Plan::one_hall(2, 2, 0)).await;
+    let long = completion(&fleet, 0, KEY, "A long one.", 900);
+    let long = tokio::spawn(async move { text(long.send().await.unwrap()).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.boxes[0].process.signal("-TERM");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let ready = fleet.http.get(format!("http://{}/ready", fleet.boxes[0].operators)).send().await;
+    assert_eq!(ready.unwrap().status(), 503, "the balancer is told");
+    check_completion(&fleet, 0, KEY, "Still taken?", 3).await;
+    assert_eq!(long.await.unwrap(), whole("v1", "A long one.", 900));
+    for _ in 0..100 {
+        if fleet.boxes[0].process.ended() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the box did not end");
+}
+
+#[tokio::test]
+async fn rolling_restart() {
+    let mut fleet = fleet(&Plan::one_hall(3, 3, 0)).await;
+    let urls: Vec<_> = fleet.boxes.iter().map(|one| one.process.url()).collect();
+    let ready: Vec<_> =
+        fleet.boxes.iter().map(|one| format!("http://{}/ready", one.operators)).collect();
+    let over = Arc::new(AtomicBool::new(false));
+    let sent = Arc::new(AtomicU64::new(0));
+    let callers: Vec<_> = (0..6)
+        .map(|caller| {
+            let (urls, ready) = (urls.clone(), ready.clone());
+            let (over, sent, http) = (over.clone(), sent.clone(), fleet.http.clone());
+            tokio::spawn(async move {
+                let mut number = 0;
+                while !over.load(Ordering::Relaxed) {
+                    number += 1;
+                    // The balancer sends to a box that was ready a moment ago.
+                    let at = (caller + number) % urls.len();
+                    let probe = http.get(&ready[at]).send().await;
+                    if !probe.is_ok_and(|answer| answer.status().is_success()) {
+                        continue;
+                    }
+                    let prompt = format!("Caller {caller} asks {number}");
+                    let body = json!({ "model": "summary", "prompt": prompt, "max_tokens": 40 });
+                    let call = http.post(format!("{}/v1/completions", urls[at])).bearer_auth(KEY);
+                    let answer = call.json(&body).send().await.expect("the request was cut");
+                    assert_eq!(text(answer).await, whole("v1", &prompt, 40));
+                    sent.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        })
+        .collect();
+    for at in 0..3 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet.boxes[at].process.signal("-TERM");
+        while !fleet.boxes[at].process.ended() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        fleet.boxes[at].process.restart();
+        fleet.wait_in_force(&[&fleet.boxes[at]], 4, 3).await;
+    }
+    over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    assert!(sent.load(Ordering::Relaxed) > 50);
+}
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,117 @@
+//! New requests run on the version in force; a run that goes on keeps its own.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{completion, fleet, text};
+use coursestile_standins::answer::whole;
+use coursestile_standins::fleet::{Fleet, Plan};
+use serde_json::{Value, json};
+
+const KEY: &str = "sanam-key";
+
+fn with(mut plan: Plan, option: &str, value: &str) -> Plan {
+    plan.engine_args.push((option.to_owned(), value.to_owned()));
+    plan
+}
+
+async fn wait_version(fleet: &Fleet, version: &str) {
+    for engine in &fleet.engines {
+        loop {
+            let load = fleet.get(&format!("{}/load", engine.url())).await.unwrap_or_default();
+            if load["version"] == version && load["loading"] == false {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn swap_mid_run() {
+    let fleet = fleet(&Plan::one_hall(2, 2, 0)).await;
+    let long = completion(&fleet, 0, KEY, "A long one.", 500);
+    let long = tokio::spawn(async move { text(long.send().await.unwrap()).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.must_operate(&["model", "set", "summary", "v2"]);
+    wait_version(&fleet, "v2").await;
+    let new = completion(&fleet, 1, KEY, "A new one.", 10).send().await.unwrap();
+    assert_eq!(text(new).await, whole("v2", "A new one.", 10));
+    assert_eq!(long.await.unwrap(), whole("v1", "A long one.", 500), "it kept its own");
+}
+
+#[tokio::test]
+async fn swap_under_load() {
+    let fleet = fleet(&Plan::one_hall(2, 4, 0)).await;
+    for round in 0..40 {
+        if round == 10 {
+            fleet.must_operate(&["model", "set", "summary", "v2"]);
+        }
+        let prompt = format!("Question {round}?");
+        let answer = completion(&fleet, round % 2, KEY, &prompt, 5).send().await.unwrap();
+        let body: Value = answer.json().await.unwrap();
+        let version = body["system_fingerprint"].as_str().unwrap_or_else(|| panic!("{body}"));
+        assert!(round < 10 || round < 15 || version == "v2", "round {round}: {body}");
+        assert_eq!(body["choices"][0]["text"], whole(version, &prompt, 5));
+    }
+}
+
+#[tokio::test]
+async fn version_unchecked() {
+    // The engine does not check what a request expects, and ignores orders.
+    let fleet = fleet(&with(Plan::one_hall(1, 1, 0), "check-version", "false")).await;
+    fleet.fault(&fleet.engines[0], json!({ "refuse_orders": true })).await;
+    fleet.must_operate(&["model", "set", "summary", "v2"]);
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 5, 1).await;
+    for _ in 0..3 {
+        let refused = completion(&fleet, 0, KEY, "Which version?", 5).send().await.unwrap();
+        assert!(!refused.status().is_success(), "nothing of v1 is let through");
+    }
+}
+
+#[tokio::test]
+async fn version_not_allowed() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 0)).await;
+    fleet.must_operate(&["account", "set", "sanam", "--models", "summary=v1"]);
+    fleet.must_operate(&["model", "set", "summary", "v2"]);
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 6, 1).await;
+    let refused = completion(&fleet, 0, KEY, "Mine?", 5).send().await.unwrap();
+    assert_eq!(refused.status(), 403);
+    wait_version(&fleet, "v2").await;
+    let other = completion(&fleet, 0, "petra-key", "Mine?", 5).send().await.unwrap();
+    assert_eq!(text(other).await, whole("v2", "Mine?", 5));
+}
+
+/// The box of the fleet that holds the hall's lease.
+fn holder(fleet: &Fleet) -> Option<usize> {
+    fleet.boxes.iter().position(|entry_box| {
+        let log = fleet.dir().join(format!("{}.log", entry_box.process.name));
+        std::fs::read_to_string(log).unwrap_or_default().contains("Holds the lease")
+    })
+}
+
+#[tokio::test]
+async fn orderer_frozen() {
+    let fleet = fleet(&Plan::one_hall(2, 2, 0)).await;
+    while holder(&fleet).is_none() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let (old, new) = if holder(&fleet) == Some(0) { (0, 1) } else { (1, 0) };
+    fleet.boxes[old].process.signal("-STOP");
+    fleet.must_operate(&["model", "set", "summary", "v2"]);
+    // The lease lapses, and the other box takes it and orders under a new token.
+    wait_version(&fleet, "v2").await;
+    fleet.boxes[old].process.signal("-CONT");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let stale = json!({ "fence": 1, "expect_version": "v2", "version": "v1" });
+    let order = fleet.http.post(format!("{}/orders", fleet.engines[0].url())).json(&stale);
+    assert_eq!(order.send().await.unwrap().status(), 403, "the old token is refused");
+    wait_version(&fleet, "v2").await;
+    for at in [old, new] {
+        let status = fleet.status(&fleet.boxes[at]).await.unwrap();
+        assert_eq!(status["violations"], 0);
+    }
+}
