Fuzz the pure state, and run long under random faults

Cause: focused tests show single failures; the promises must hold under many at once, and pure state over all orders of events.

The process clock never goes back.

--- /dev/null
+++ b/load/src/chaos.rs
@@ -0,0 +1,247 @@
+//! A long run under random faults of every kind, from a seed.
+//!
+//! One task injects faults, alone and several at once, while a load runs and
+//! operators change the configuration. In the end everything is healed, and
+//! every promise is checked from outside: by the answers, by the service's own
+//! record of runs, by the boxes' count of violated invariants and by their
+//! agreement on the configuration.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestile_standins::fleet::{Fleet, HallPlan, Plan, Process};
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::Options;
+use crate::report::refusals;
+use crate::runner::{Sending, create_accounts, send};
+use crate::workload::{Kind, Workload};
+
+/// Longest time that a fault stays.
+const MAX_FAULT_MS: u64 = 4000;
+/// Time without faults at the end, in seconds.
+const CALM_S: u64 = 8;
+/// Time in which the boxes must agree after the heal.
+const AGREE_WITHIN: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Fault {
+    BoxKilled,
+    BoxFrozen,
+    BoxStopped,
+    EngineKilled,
+    EngineFrozen,
+    EngineSlow,
+    StreamsBroken,
+    PiecesReordered,
+    StoreFrozen,
+    LinkSlow,
+    ReadsCorrupt,
+    WorkerLosesAnswer,
+    WorkerKilled,
+    PlatformOut,
+    PlatformLosesAnswers,
+    PlatformSlow,
+    OperatorsRace,
+    UpstreamLeaves,
+    VersionSwapped,
+}
+
+const FAULTS: [Fault; 19] = [
+    Fault::BoxKilled,
+    Fault::BoxFrozen,
+    Fault::BoxStopped,
+    Fault::EngineKilled,
+    Fault::EngineFrozen,
+    Fault::EngineSlow,
+    Fault::StreamsBroken,
+    Fault::PiecesReordered,
+    Fault::StoreFrozen,
+    Fault::LinkSlow,
+    Fault::ReadsCorrupt,
+    Fault::WorkerLosesAnswer,
+    Fault::WorkerKilled,
+    Fault::PlatformOut,
+    Fault::PlatformLosesAnswers,
+    Fault::PlatformSlow,
+    Fault::OperatorsRace,
+    Fault::UpstreamLeaves,
+    Fault::VersionSwapped,
+];
+
+/// Injects faults until `until`; returns how many of each kind.
+async fn inject(fleet: Arc<Fleet>, seed: u64, until: Instant) -> BTreeMap<Fault, u32> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut counts = BTreeMap::new();
+    let mut healing = Vec::new();
+    while Instant::now() < until {
+        let fault = FAULTS[rng.usize(..FAULTS.len())];
+        let stays = Duration::from_millis(rng.u64(200..MAX_FAULT_MS));
+        let pick = rng.usize(..1000);
+        *counts.entry(fault).or_default() += 1;
+        let fleet = fleet.clone();
+        healing.push(tokio::spawn(async move {
+            if let Some((process, with)) = victim(&fleet, fault, pick) {
+                let pid = process.pid();
+                signal(process, with);
+                tokio::time::sleep(stays).await;
+                process.start_again(pid).await;
+                return;
+            }
+            set(&fleet, fault, pick, true).await;
+            tokio::time::sleep(stays).await;
+            set(&fleet, fault, pick, false).await;
+        }));
+        tokio::time::sleep(Duration::from_millis(rng.u64(100..1500))).await;
+    }
+    for heal in healing {
+        let _ = heal.await;
+    }
+    counts
+}
+
+/// The process that a fault ends, and the signal that it gets.
+fn victim(fleet: &Fleet, fault: Fault, pick: usize) -> Option<(&Process, &'static str)> {
+    let entry_box = &fleet.boxes[pick % fleet.boxes.len()].process;
+    match fault {
+        Fault::BoxKilled => Some((entry_box, "-KILL")),
+        Fault::BoxStopped => Some((entry_box, "-TERM")),
+        Fault::EngineKilled => Some((&fleet.engines[pick % fleet.engines.len()], "-KILL")),
+        Fault::WorkerKilled => Some((&fleet.workers[pick % fleet.workers.len()], "-KILL")),
+        _ => None,
+    }
+}
+
+/// Sets a fault, or heals it.
+async fn set(fleet: &Arc<Fleet>, fault: Fault, pick: usize, on: bool) {
+    let entry_box = &fleet.boxes[pick % fleet.boxes.len()].process;
+    let engine = &fleet.engines[pick % fleet.engines.len()];
+    let store = &fleet.stores[pick % fleet.stores.len()];
+    let worker = &fleet.workers[pick % fleet.workers.len()];
+    let stop = if on { "-STOP" } else { "-CONT" };
+    let slowdown = json!({ "slowdown": if on { 10 } else { 1 } });
+    match fault {
+        Fault::BoxFrozen => signal(entry_box, stop),
+        Fault::EngineFrozen => signal(engine, stop),
+        Fault::StoreFrozen => signal(store, stop),
+        Fault::EngineSlow => fleet.try_fault(engine, slowdown).await,
+        Fault::LinkSlow => fleet.try_fault(store, slowdown).await,
+        Fault::StreamsBroken => {
+            let pieces = if on { 7 } else { 0 };
+            fleet.try_fault(engine, json!({ "break_after_pieces": pieces })).await;
+        }
+        Fault::PiecesReordered => fleet.try_fault(engine, json!({ "reorder": on })).await,
+        Fault::ReadsCorrupt => fleet.try_fault(store, json!({ "corrupt_reads": on })).await,
+        Fault::WorkerLosesAnswer => {
+            fleet.try_fault(worker, json!({ "lose_answers": u8::from(on) })).await;
+        }
+        Fault::PlatformOut => fleet.try_fault(&fleet.platform, json!({ "outage": on })).await,
+        Fault::PlatformLosesAnswers => {
+            fleet.try_fault(&fleet.platform, json!({ "lose_answers": u8::from(on) })).await;
+        }
+        Fault::PlatformSlow => {
+            let slow_ms = if on { 700 } else { 0 };
+            fleet.try_fault(&fleet.platform, json!({ "slow_ms": slow_ms })).await;
+        }
+        Fault::OperatorsRace if on => race(fleet).await,
+        Fault::UpstreamLeaves => {
+            let verb = if on { "leave" } else { "stay" };
+            operate(fleet, &["upstream", verb, &engine.name]).await;
+        }
+        Fault::VersionSwapped if on => {
+            let version = if pick.is_multiple_of(2) { "v1" } else { "v2" };
+            operate(fleet, &["model", "set", "summary", version]).await;
+        }
+        Fault::OperatorsRace
+        | Fault::VersionSwapped
+        | Fault::BoxKilled
+        | Fault::BoxStopped
+        | Fault::EngineKilled
+        | Fault::WorkerKilled => {}
+    }
+}
+
+/// Sends a signal; a process that has ended meanwhile is past that fault.
+fn signal(process: &Process, with: &str) {
+    let _ = process.try_signal(with);
+}
+
+async fn operate(fleet: &Arc<Fleet>, args: &[&str]) -> i32 {
+    let fleet = fleet.clone();
+    let args: Vec<_> = args.iter().map(|arg| (*arg).to_owned()).collect();
+    let run = move || {
+        let args: Vec<_> = args.iter().map(String::as_str).collect();
+        fleet.operate(&args).0
+    };
+    tokio::task::spawn_blocking(run).await.unwrap_or(-1)
+}
+
+/// Two operators change one account at the same time.
+async fn race(fleet: &Arc<Fleet>) {
+    let args = ["account", "set", "sanam-9", "--share", "2"];
+    let other = ["account", "set", "sanam-9", "--share", "1"];
+    tokio::join!(operate(fleet, &args), operate(fleet, &other));
+}
+
+/// Runs the load under faults and checks the promises.
+pub async fn run(options: &Options) -> ExitCode {
+    let halls = ["north", "east", "west"].map(|name| HallPlan::new(name, 2, 2, 1));
+    let mut plan = Plan::new(halls.to_vec());
+    plan.stores = 2;
+    plan.engine_args = vec![("cache-tokens".to_owned(), "24576".to_owned())];
+    plan.limits = "drain_timeout_ms = 15000".to_owned();
+    let fleet = Arc::new(Fleet::start(&plan).await);
+    let rate_per_s = options.rate_per_s.min(30.0);
+    let workload = Workload::new(Kind::Sanam, options.seed, rate_per_s, options.seconds);
+    let revision = create_accounts(&fleet, &workload);
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, revision, boxes.len()).await;
+    let faults_s = options.seconds.saturating_sub(CALM_S).max(1);
+    let until = Instant::now() + Duration::from_secs(faults_s);
+    let injector = tokio::spawn(inject(fleet.clone(), options.seed, until));
+    let sending = Sending { progress: true, boxes_die: true, ..Sending::default() };
+    let outcome = send(&fleet, &workload, sending).await;
+    let counts = injector.await.unwrap_or_default();
+    let (agreed, violations) = agree(&fleet).await;
+    println!(
+        "seed {}, requests sent {}, whole answers {}",
+        options.seed, outcome.sent, outcome.whole
+    );
+    println!("refusals: {}", refusals(&outcome));
+    let total: u32 = counts.values().sum();
+    let kinds: Vec<_> = counts.iter().map(|(kind, count)| format!("{kind:?} {count}")).collect();
+    println!("faults injected: {total} ({})", kinds.join(", "));
+    println!(
+        "lost {}, doubled {}, wrong {}, untrue 'not run' {}, violated invariants {violations}, \
+         boxes agree: {agreed}",
+        outcome.lost, outcome.doubled, outcome.wrong, outcome.untrue
+    );
+    if outcome.faults() == 0 && violations == 0 && agreed {
+        return ExitCode::SUCCESS;
+    }
+    println!("logs: {}", fleet.dir().display());
+    ExitCode::FAILURE
+}
+
+/// Whether all boxes come to serve the same revision, and the invariants that
+/// they saw violated.
+async fn agree(fleet: &Arc<Fleet>) -> (bool, u64) {
+    let until = Instant::now() + AGREE_WITHIN;
+    loop {
+        let mut revisions = Vec::new();
+        let mut violations = 0;
+        for entry_box in &fleet.boxes {
+            let status = fleet.status(entry_box).await.unwrap_or_default();
+            revisions.push(status["revision"].as_u64());
+            violations += status["violations"].as_u64().unwrap_or(0);
+        }
+        let same = revisions[0].is_some() && revisions.iter().all(|one| *one == revisions[0]);
+        if same || Instant::now() >= until {
+            return (same, violations);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
--- a/load/src/compare.rs
+++ b/load/src/compare.rs
@@ -9,8 +9,8 @@
 use serde_json::json;
 
 use crate::Options;
-use crate::report::{Usage, plot, print_head, print_row, quantile_ms, refusals};
-use crate::runner::{Outcome, create_accounts, send};
+use crate::report::{plot, print_head, print_row, quantile_ms, refusals};
+use crate::runner::{Outcome, Sending, create_accounts, send};
 use crate::workload::{Kind, Workload};
 
 /// Percent of `--rate` at which policies are compared.
@@ -88,8 +88,10 @@
             print_head();
             for policy in &POLICIES {
                 let fleet = start(policy, &workload).await;
-                let outcome = send(&fleet, &workload, false).await;
-                print_row(policy.name, &outcome, &Usage::read(&fleet).await);
+                let warm_ms = options.seconds * 1000 / 3;
+                let sending = Sending { warm_ms, ..Sending::default() };
+                let outcome = send(&fleet, &workload, sending).await;
+                print_row(policy.name, &outcome);
                 faults += outcome.faults();
                 times.push((
                     format!("{} {percent}% {}", kind.name(), policy.name),
@@ -128,7 +130,7 @@
             workload.flood(3, options.seed + 2, rate_per_s * 2.0, options.seconds);
         }
         let fleet = start(&policy, &workload).await;
-        let outcome = send(&fleet, &workload, false).await;
+        let outcome = send(&fleet, &workload, Sending::default()).await;
         let name = format!("{share}{}", if flooded { ", flooded" } else { "" });
         print_shares(&name, &outcome);
         faults += outcome.faults();
@@ -224,7 +226,8 @@
             tokio::time::sleep(Duration::from_secs(third_s)).await;
             fault.set(&faulty, false).await;
         });
-        let outcome = send(&fleet, &workload, false).await;
+        let sending = Sending { boxes_die: true, ..Sending::default() };
+        let outcome = send(&fleet, &workload, sending).await;
         let _ = injector.await;
         let p95 = |from_s, to_s| p95_between(&outcome, from_s, to_s);
         // The first seconds warm the caches; the heal gets three seconds.
--- a/load/src/demo.rs
+++ b/load/src/demo.rs
@@ -6,8 +6,8 @@
 use coursestile_standins::fleet::{Fleet, Plan};
 
 use crate::Options;
-use crate::report::{Usage, print_head, print_row, refusals};
-use crate::runner::{create_accounts, send};
+use crate::report::{print_head, print_row, refusals};
+use crate::runner::{Sending, create_accounts, send};
 use crate::workload::{Kind, Workload};
 
 /// Runs the demo; fails on a lost, doubled or wrong answer.
@@ -27,13 +27,13 @@
     let boxes: Vec<_> = fleet.boxes.iter().collect();
     fleet.wait_in_force(&boxes, revision, boxes.len()).await;
     println!("\n$ coursestile account list\n{}", fleet.must_operate(&["account", "list"]));
-    let outcome = send(&fleet, &workload, true).await;
+    let outcome = send(&fleet, &workload, Sending { progress: true, ..Sending::default() }).await;
     if let Some(trace) = &outcome.trace {
         println!("\n$ coursestile trace {trace}\n{}", fleet.operate(&["trace", trace]).1);
     }
     println!("$ coursestile status\n{}", fleet.operate(&["status"]).1);
     print_head();
-    print_row(kind.name(), &outcome, &Usage::read(&fleet).await);
+    print_row(kind.name(), &outcome);
     println!("\nrequests sent {}, whole answers {}", outcome.sent, outcome.whole);
     println!("refusals: {}", refusals(&outcome));
     println!(
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -4,6 +4,7 @@
 //! loads that are the same for each policy compared, and prints tables.
 
 mod bench;
+mod chaos;
 mod compare;
 mod control;
 mod decide;
@@ -27,6 +28,7 @@
   compare  Policies against each other, same seed and arrivals
   faults   Our policies, with faults in the middle
   bench    Time to first token, relay rate, memory, changes in force
+  chaos    Random faults of every kind for a while; fails on a broken promise
   control  Cost of control on fleets of growing size
   decide   Time and memory of decisions at the size to come
 
@@ -88,6 +90,7 @@
         Some("compare") => compare::run(&options).await,
         Some("faults") => compare::run_faults(&options).await,
         Some("bench") => bench::run().await,
+        Some("chaos") => chaos::run(&options).await,
         Some("control") => control::run(&options).await,
         Some("decide") => decide::run(),
         Some(other) => {
--- a/load/src/report.rs
+++ b/load/src/report.rs
@@ -35,6 +35,15 @@
         usage
     }
 
+    /// What was used since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            prompt_tokens: self.prompt_tokens.saturating_sub(earlier.prompt_tokens),
+            cached_tokens: self.cached_tokens.saturating_sub(earlier.cached_tokens),
+            link_bytes: self.link_bytes.saturating_sub(earlier.link_bytes),
+        }
+    }
+
     /// Share of prompt tokens that were computed, in percent.
     pub fn recomputed_percent(&self) -> f64 {
         let computed = self.prompt_tokens - self.cached_tokens.min(self.prompt_tokens);
@@ -76,7 +85,8 @@
 }
 
 /// A row of the table of loads.
-pub fn print_row(name: &str, outcome: &Outcome, usage: &Usage) {
+pub fn print_row(name: &str, outcome: &Outcome) {
+    let usage = &outcome.usage;
     let first = |quantile| quantile_ms(&outcome.first_token_us, quantile);
     let refused: u64 = outcome.refusals.values().sum();
     println!(
--- a/load/src/runner.rs
+++ b/load/src/runner.rs
@@ -12,6 +12,7 @@
 use reqwest::{RequestBuilder, Response};
 use serde_json::{Value, json};
 
+use crate::report::Usage;
 use crate::workload::{ACCOUNT_WEIGHTS, Arrival, Work, Workload};
 
 /// Time that a caller waits.
@@ -21,6 +22,17 @@
 /// Wait between those tries.
 const TRY_WAIT: Duration = Duration::from_millis(300);
 
+/// How a load is sent.
+#[derive(Clone, Copy, Default)]
+pub struct Sending {
+    /// Shows progress.
+    pub progress: bool,
+    /// Arrivals before this time warm the fleet and are not measured.
+    pub warm_ms: u64,
+    /// Entry boxes are killed meanwhile, which breaks their callers' connections.
+    pub boxes_die: bool,
+}
+
 /// What came of a load.
 pub struct Outcome {
     /// Requests sent.
@@ -49,6 +61,8 @@
     pub trace: Option<String>,
     /// Whole answers by account.
     pub whole_by_account: Vec<u64>,
+    /// Recompute and link use after the warm-up.
+    pub usage: Usage,
     once_keys: Vec<(String, bool)>,
 }
 
@@ -72,6 +86,7 @@
             by_second_us: BTreeMap::new(),
             trace: None,
             whole_by_account: vec![0; ACCOUNT_WEIGHTS.len()],
+            usage: Usage::default(),
             once_keys: Vec::new(),
         }
     }
@@ -123,11 +138,12 @@
     fleet: Arc<Fleet>,
     workload: Arc<Workload>,
     outcome: Arc<Mutex<Outcome>>,
+    sending: Sending,
     tickets: Vec<Vec<String>>,
 }
 
 /// Sends all arrivals, waits for their ends and checks the service's runs.
-pub async fn send(fleet: &Arc<Fleet>, workload: &Workload, progress: bool) -> Outcome {
+pub async fn send(fleet: &Arc<Fleet>, workload: &Workload, sending: Sending) -> Outcome {
     let outcome = Arc::new(Mutex::new(Outcome::default()));
     let workload = Arc::new(workload.clone());
     let tickets = fetch_tickets(fleet, &workload).await;
@@ -135,15 +151,20 @@
         fleet: fleet.clone(),
         workload: workload.clone(),
         outcome: outcome.clone(),
+        sending,
         tickets,
     });
     let begun_at = tokio::time::Instant::now();
     let mut tasks = Vec::new();
     let mut shown_s = 0;
+    let mut warm = Usage::default();
     for (number, arrival) in workload.arrivals.iter().enumerate() {
         tokio::time::sleep_until(begun_at + Duration::from_millis(arrival.at_ms)).await;
+        if arrival.at_ms >= sending.warm_ms && warm.prompt_tokens == 0 && sending.warm_ms > 0 {
+            warm = Usage::read(fleet).await;
+        }
         let second = arrival.at_ms / 1000;
-        if progress && second >= shown_s + 5 {
+        if sending.progress && second >= shown_s + 5 {
             shown_s = second;
             let so_far = outcome.lock().expect("outcome lock");
             eprintln!("  {second:>4} s: {} sent, {} whole", so_far.sent, so_far.whole);
@@ -160,6 +181,7 @@
     let outcome = Arc::into_inner(outcome).expect("all tasks have ended");
     let mut outcome = outcome.into_inner().expect("outcome lock");
     outcome.lost += lost;
+    outcome.usage = Usage::read(fleet).await.since(&warm);
     check_runs(fleet, &mut outcome).await;
     outcome
 }
@@ -198,6 +220,13 @@
     }
 }
 
+/// How an answer was read.
+enum Read {
+    Whole { text: String, version: String },
+    Refused(String),
+    Broken,
+}
+
 impl Run {
     async fn serve(&self, number: usize, arrival: &Arrival) {
         match &arrival.work {
@@ -240,38 +269,35 @@
                 Err(_) => break,
             }
         }
-        self.outcome.lock().expect("outcome lock").lost += 1;
+        self.check(arrival, Read::Broken, prompt, max_tokens);
     }
 
-    /// The text of a whole answer; an error tells a clear end that is not.
-    async fn read(
-        &self,
-        response: Response,
-        arrival: &Arrival,
-        begun_at: Instant,
-    ) -> Option<Result<String, String>> {
+    async fn read(&self, response: Response, arrival: &Arrival, begun_at: Instant) -> Read {
         let trace = response.headers().get("x-trace-id").cloned();
         let mut events = Box::pin(response.bytes_stream().eventsource());
-        let mut text = String::new();
+        let (mut text, mut version) = (String::new(), String::new());
         let mut last_at = None;
-        while let Some(event) = events.next().await {
-            let event = event.ok()?;
+        while let Some(Ok(event)) = events.next().await {
             if event.data == "[DONE]" {
-                return Some(Ok(text));
+                return Read::Whole { text, version };
             }
-            let chunk: Value = serde_json::from_str(&event.data).ok()?;
+            let Ok(chunk) = serde_json::from_str::<Value>(&event.data) else {
+                break;
+            };
             if let Some(kind) = chunk["error"]["type"].as_str() {
-                return Some(Err(format!("broke off: {kind}")));
+                return Read::Refused(format!("broke off: {kind}"));
             }
             let piece = chunk["choices"][0]["text"].as_str().unwrap_or_default();
             if piece.is_empty() {
                 continue;
             }
             text.push_str(piece);
+            version = chunk["system_fingerprint"].as_str().unwrap_or_default().to_owned();
             let mut outcome = self.outcome.lock().expect("outcome lock");
             let now = Instant::now();
             match last_at.replace(now) {
                 Some(last_at) => outcome.between_us.saturating_record(micros(now - last_at)),
+                None if arrival.at_ms < self.sending.warm_ms => {}
                 None => {
                     let took_us = micros(now - begun_at);
                     outcome.first_token_us.saturating_record(took_us);
@@ -286,26 +312,21 @@
                 }
             }
         }
-        None
+        Read::Broken
     }
 
-    fn check(
-        &self,
-        arrival: &Arrival,
-        read: Option<Result<String, String>>,
-        prompt: &str,
-        max_tokens: u32,
-    ) {
-        let right = |text: &String| *text == whole("v1", prompt, max_tokens as usize);
+    fn check(&self, arrival: &Arrival, read: Read, prompt: &str, max_tokens: u32) {
         let mut outcome = self.outcome.lock().expect("outcome lock");
         match read {
-            Some(Ok(text)) if right(&text) => {
-                outcome.whole += 1;
-                outcome.whole_by_account[arrival.account] += 1;
+            Read::Whole { text, version } => {
+                let right = text == whole(&version, prompt, max_tokens as usize);
+                outcome.whole += u64::from(right);
+                outcome.wrong += u64::from(!right);
+                outcome.whole_by_account[arrival.account] += u64::from(right);
             }
-            Some(Ok(_)) => outcome.wrong += 1,
-            Some(Err(end)) => outcome.refused(&end),
-            None => outcome.lost += 1,
+            Read::Refused(end) => outcome.refused(&end),
+            Read::Broken if self.sending.boxes_die => outcome.refused("connection broke"),
+            Read::Broken => outcome.lost += 1,
         }
     }
 
@@ -322,7 +343,12 @@
     }
 
     async fn call_ended(&self, response: Option<Response>) {
+        let ours = |response: &Response| response.headers().contains_key("x-coursestile-ran");
         match response {
+            Some(response) if !response.status().is_success() && !ours(&response) => {
+                let answer = format!("worker answered {}", response.status().as_u16());
+                self.outcome.lock().expect("outcome lock").refused(&answer);
+            }
             Some(response) if response.status().is_success() => {
                 self.outcome.lock().expect("outcome lock").whole += 1;
             }
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,9 +1,23 @@
-//! The wall clock, read at the edges only.
+//! The clock, read at the edges only.
+//!
+//! Follows the wall clock as it stood at the process's start and never goes
+//! back, so that what has expired stays expired when the wall clock is set.
 
+use std::sync::LazyLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::time::Instant;
 
+struct Start {
+    since_epoch: Duration,
+    at: std::time::Instant,
+}
+
+static START: LazyLock<Start> = LazyLock::new(|| Start {
+    since_epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+    at: std::time::Instant::now(),
+});
+
 /// Unix time in milliseconds.
 #[must_use]
 pub fn now_ms() -> u64 {
@@ -23,5 +37,5 @@
 }
 
 fn since_epoch() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    START.since_epoch + START.at.elapsed()
 }
--- a/standins/src/bin/standin-service.rs
+++ b/standins/src/bin/standin-service.rs
@@ -5,5 +5,7 @@
 #[tokio::main]
 async fn main() -> std::io::Result<()> {
     let args = Args::parse();
-    coursestile_standins::service::run(&args.listen(), args.get("work-ms", 3)).await
+    let record = Some(args.get("record", String::new())).filter(|path| !path.is_empty());
+    let record = record.map(std::path::PathBuf::from);
+    coursestile_standins::service::run(&args.listen(), args.get("work-ms", 3), record).await
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -102,14 +103,14 @@
     pub hall: String,
     /// Where it is called.
     pub address: String,
-    child: Child,
+    child: Mutex<Child>,
     command: Vec<String>,
     log: PathBuf,
 }
 
 impl Process {
     fn start(name: &str, hall: &str, address: &str, command: Vec<String>, log: PathBuf) -> Self {
-        let child = spawn(&command, &log);
+        let child = Mutex::new(spawn(&command, &log));
         let (name, hall, address) = (name.to_owned(), hall.to_owned(), address.to_owned());
         Self { name, hall, address, child, command, log }
     }
@@ -119,32 +120,58 @@
     /// # Panics
     /// Panics when it cannot be sent.
     pub fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
+        assert!(self.try_signal(signal), "kill {signal} {}", self.name);
+    }
+
+    /// Sends a signal, unless the process has ended.
+    pub fn try_signal(&self, signal: &str) -> bool {
+        if self.ended() {
+            return false;
+        }
+        let pid = self.pid().to_string();
         let sent = Command::new("kill").args([signal, &pid]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "kill {signal} {}", self.name);
+        sent.is_ok_and(|status| status.success())
     }
 
     /// Ends the process without a warning.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    pub fn kill(&self) {
+        let mut child = self.child();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 
-    /// Starts it again with the same command.
-    pub fn restart(&mut self) {
+    /// Starts it again with the same command, ending it before if need be.
+    pub fn restart(&self) {
         self.kill();
-        self.child = spawn(&self.command, &self.log);
+        *self.child() = spawn(&self.command, &self.log);
+    }
+
+    /// Starts it again once the process `pid` has ended, unless another one was
+    /// started in its place meanwhile.
+    pub async fn start_again(&self, pid: u32) {
+        while self.pid() == pid && !self.ended() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let mut child = self.child();
+        if child.id() == pid {
+            *child = spawn(&self.command, &self.log);
+        }
     }
 
     /// Whether the process has ended.
-    pub fn ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        matches!(self.child().try_wait(), Ok(Some(_)))
     }
 
     /// Process id.
     #[must_use]
     pub fn pid(&self) -> u32 {
-        self.child.id()
+        self.child().id()
+    }
+
+    fn child(&self) -> MutexGuard<'_, Child> {
+        self.child.lock().expect("child lock")
     }
 
     /// Base URL.
@@ -320,7 +347,10 @@
             }
             for number in 1..=hall.workers {
                 let name = format!("{}-w{number}", hall.name);
-                self.workers.push(starter.standin("service", &name, &hall.name, &plan.worker_args));
+                let record = starter.dir.join(format!("{name}.runs"));
+                let mut args = plan.worker_args.clone();
+                args.push(("record".to_owned(), record.to_string_lossy().into_owned()));
+                self.workers.push(starter.standin("service", &name, &hall.name, &args));
             }
         }
     }
@@ -417,6 +447,14 @@
         assert!(died || answer.is_ok_and(|answer| answer.status().is_success()), "{fault}");
     }
 
+    /// Sets a fault at a stand-in, unless it does not answer.
+    pub async fn try_fault(&self, process: &Process, fault: Value) {
+        let call = self.http.post(format!("{}/fault", process.url())).json(&fault);
+        // A killed or frozen process comes back without the fault, or keeps it
+        // until it is healed.
+        let _ = call.timeout(Duration::from_secs(5)).send().await;
+    }
+
     /// Reads a page of JSON.
     pub async fn get(&self, url: &str) -> Option<Value> {
         let call = self.http.get(url).timeout(Duration::from_secs(3));
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -4,6 +4,9 @@
 //! the same call is seen at `/runs`.
 
 use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write as _;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,13 +16,34 @@
 
 use crate::faults::{Faults, serve};
 
-#[derive(Default)]
 struct Service {
     runs: Mutex<BTreeMap<String, u64>>,
+    record: Option<PathBuf>,
     work_ms: u64,
     faults: Faults,
 }
 
+impl Service {
+    /// Writes a run to the record, which outlives the process.
+    fn write_down(&self, call: &str) {
+        let Some(path) = &self.record else {
+            return;
+        };
+        let file = File::options().create(true).append(true).open(path);
+        let written = file.and_then(|mut file| writeln!(file, "{call}"));
+        written.expect("the record can be written");
+    }
+}
+
+fn read_record(record: Option<&PathBuf>) -> BTreeMap<String, u64> {
+    let text = record.and_then(|path| std::fs::read_to_string(path).ok()).unwrap_or_default();
+    let mut runs = BTreeMap::new();
+    for call in text.lines() {
+        *runs.entry(call.to_owned()).or_default() += 1;
+    }
+    runs
+}
+
 #[handler]
 async fn run_call(
     request: &Request,
@@ -31,6 +55,7 @@
         let mut runs = service.runs.lock().expect("runs lock");
         let count = runs.entry(call.clone()).or_default();
         *count += 1;
+        service.write_down(&call);
         *count
     };
     let slowdown = service.faults.now().slowdown.max(1);
@@ -47,9 +72,10 @@
 ///
 /// # Errors
 /// Fails when the address cannot be bound.
-pub async fn run(listen: &str, work_ms: u64) -> std::io::Result<()> {
+pub async fn run(listen: &str, work_ms: u64, record: Option<PathBuf>) -> std::io::Result<()> {
     let faults = Faults::default();
-    let service = Arc::new(Service { work_ms, faults: faults.clone(), ..Service::default() });
+    let runs = Mutex::new(read_record(record.as_ref()));
+    let service = Arc::new(Service { runs, record, work_ms, faults: faults.clone() });
     let calls = get(run_call).post(run_call).put(run_call).delete(run_call);
     let routes = Route::new()
         .at("/app/*path", calls.data(service.clone()))
--- /dev/null
+++ b/tests/blocks_model.rs
@@ -0,0 +1,163 @@
+//! Kept blocks against a store that knows what each read would find: freed and
+//! half-written blocks are never offered, pinned ones never deleted.
+
+#[path = "common/model.rs"]
+mod model;
+
+use std::collections::HashMap;
+
+use coursestile::blocks::{Block, BlockId, Blocks, PIN_MARGIN_MS, Phase, Seal};
+use coursestile::context::{Mark, Scope};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write { account: u8 },
+    Seal { index: usize },
+    Pin { index: usize, account: u8, for_ms: u64 },
+    Free { index: usize },
+    Sweep,
+    Pass { ms: u64 },
+}
+
+#[derive(Clone, Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = u64;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        Just(0).boxed()
+    }
+
+    fn transitions(_: &u64) -> BoxedStrategy<Step> {
+        let index = || 0..8_usize;
+        prop_oneof![
+            3 => (0..2_u8).prop_map(|account| Step::Write { account }),
+            3 => index().prop_map(|index| Step::Seal { index }),
+            5 => (index(), 0..2_u8, 0..5000_u64)
+                .prop_map(|(index, account, for_ms)| Step::Pin { index, account, for_ms }),
+            2 => index().prop_map(|index| Step::Free { index }),
+            2 => Just(Step::Sweep),
+            2 => (0..4000_u64).prop_map(|ms| Step::Pass { ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply(now_ms: u64, step: &Step) -> u64 {
+        if let Step::Pass { ms } = step { now_ms + ms } else { now_ms }
+    }
+}
+
+/// What the store holds under an id.
+struct Stored {
+    account: u8,
+    whole: bool,
+    freed: bool,
+    readers_until_ms: u64,
+}
+
+#[derive(Default)]
+struct World {
+    blocks: Blocks,
+    ids: Vec<BlockId>,
+    stored: HashMap<BlockId, Stored>,
+}
+
+const WRITE_MS: u64 = 3000;
+
+fn scope(account: u8) -> Scope {
+    let (model, version) = ("m".to_owned(), "v1".to_owned());
+    Scope { account: format!("a{account}"), model, version }
+}
+
+impl World {
+    fn id(&self, index: usize) -> Option<BlockId> {
+        let newest = self.ids.iter().rev();
+        newest.take(8).nth(index).cloned()
+    }
+
+    fn write(&mut self, now_ms: u64, account: u8) {
+        let mark = Mark { tokens: 512, hash: 7 };
+        let id = BlockId::new(&scope(account), mark, "box", self.ids.len() as u64);
+        let phase = Phase::Writing { deadline_ms: now_ms + WRITE_MS };
+        let block = Block {
+            scope: scope(account),
+            store: "s".to_owned(),
+            mark,
+            size_bytes: 10,
+            phase,
+            pinned_until_ms: 0,
+        };
+        self.blocks.begin_write(&id, block);
+        let stored = Stored { account, whole: false, freed: false, readers_until_ms: 0 };
+        assert!(self.stored.insert(id.clone(), stored).is_none(), "an id came twice");
+        self.ids.push(id);
+    }
+
+    fn seal(&mut self, id: &BlockId) {
+        let stored = self.stored.get_mut(id).unwrap();
+        let seal = Seal { len_bytes: 10, checksum: "c".to_owned() };
+        if self.blocks.seal(id, seal, 10) {
+            assert!(!stored.freed && !stored.whole);
+            stored.whole = true;
+        }
+    }
+
+    fn pin(&mut self, now_ms: u64, id: &BlockId, account: u8, for_ms: u64) {
+        let stored = self.stored.get_mut(id).unwrap();
+        if stored.account != account {
+            // The dispatcher never asks across accounts; a pin is refused too.
+            assert!(self.blocks.pin(id, &scope(account), now_ms + for_ms).is_none());
+            return;
+        }
+        if self.blocks.pin(id, &scope(account), now_ms + for_ms).is_some() {
+            assert!(stored.whole && !stored.freed, "a freed or partial block was offered");
+            stored.readers_until_ms = stored.readers_until_ms.max(now_ms + for_ms);
+        }
+    }
+
+    fn sweep(&mut self, now_ms: u64) {
+        self.blocks.expire_writes(now_ms);
+        for id in self.blocks.deletable(now_ms) {
+            let stored = self.stored.get_mut(&id).unwrap();
+            assert!(now_ms >= stored.readers_until_ms + PIN_MARGIN_MS || !stored.whole);
+            stored.freed = true;
+            self.blocks.deleted(&id);
+        }
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = Self;
+    type Reference = Steps;
+
+    fn init_test(_: &u64) -> Self {
+        Self::default()
+    }
+
+    fn apply(mut world: Self, now_ms: &u64, step: Step) -> Self {
+        match step {
+            Step::Write { account } => world.write(*now_ms, account),
+            Step::Seal { index } => {
+                let _ = world.id(index).map(|id| world.seal(&id));
+            }
+            Step::Pin { index, account, for_ms } => {
+                let _ = world.id(index).map(|id| world.pin(*now_ms, &id, account, for_ms));
+            }
+            Step::Free { index } => {
+                let _ = world.id(index).map(|id| world.blocks.free(&id));
+            }
+            Step::Sweep => world.sweep(*now_ms),
+            Step::Pass { .. } => {}
+        }
+        world
+    }
+}
+
+#[test]
+fn read_as_sealed() {
+    model::run::<World>(400, 80);
+}
--- /dev/null
+++ b/tests/shares.rs
@@ -0,0 +1,98 @@
+//! Fair shares, against what a fluid server would give.
+
+use coursestile::share::{SharePolicy, ShareQueue};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const FAR_MS: u64 = u64::MAX;
+
+/// Serves `rounds` items with every account always waiting; returns the work
+/// that each got.
+fn serve(shares: &[f64], work: &[f64], rounds: usize) -> Vec<f64> {
+    let mut queue = ShareQueue::new(SharePolicy::Fair);
+    let mut served = vec![0.0; shares.len()];
+    for (account, share) in shares.iter().enumerate() {
+        for _ in 0..3 {
+            queue.push(&account.to_string(), *share, 0, account, work[account], FAR_MS);
+        }
+    }
+    for _ in 0..rounds {
+        let (name, waiting) = queue.pop(|_| true).unwrap();
+        let account = waiting.item;
+        served[account] += waiting.work_tokens;
+        queue.finish(&name, 0.0);
+        queue.push(&name, shares[account], 0, account, work[account], FAR_MS);
+    }
+    served
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn shares_kept(
+        shares in proptest::collection::vec(0.5..10.0_f64, 2..8),
+        work in proptest::collection::vec(10.0..1000.0_f64, 8),
+    ) {
+        let served = serve(&shares, &work, 4000);
+        let per_share: Vec<_> = served.iter().zip(&shares).map(|(got, share)| got / share).collect();
+        let most = per_share.iter().copied().fold(0.0, f64::max);
+        let least = per_share.iter().copied().fold(f64::MAX, f64::min);
+        // Accounts differ by at most one item each, over their share.
+        let step = work.iter().zip(&shares).map(|(work, share)| work / share).fold(0.0, f64::max);
+        prop_assert!(most - least <= step + 1e-6, "{per_share:?}");
+    }
+}
+
+#[test]
+fn return_saves_nothing() {
+    let mut queue = ShareQueue::new(SharePolicy::Fair);
+    for number in 0..100 {
+        queue.push("busy", 1.0, 0, number, 100.0, FAR_MS);
+    }
+    for _ in 0..50 {
+        let (name, _) = queue.pop(|_| true).unwrap();
+        queue.finish(&name, 0.0);
+    }
+    for number in 0..50 {
+        queue.push("away", 1.0, 0, number, 100.0, FAR_MS);
+    }
+    let next: Vec<_> = (0..20).map(|_| queue.pop(|_| true).unwrap().0).collect();
+    let away = next.iter().filter(|name| *name == "away").count();
+    assert!((9..=11).contains(&away), "the account that was away got {away} of 20");
+}
+
+#[test]
+fn priority_bounded() {
+    let mut queue = ShareQueue::new(SharePolicy::Fair);
+    for number in 0..400 {
+        queue.push("first", 1.0, -2, number, 100.0, FAR_MS);
+        queue.push("last", 1.0, 2, number, 100.0, FAR_MS);
+    }
+    let order: Vec<_> = (0..300).map(|_| queue.pop(|_| true).unwrap().0).collect();
+    assert!(order[..50].iter().all(|name| name == "first"), "priority orders work");
+    let late = order[100..].iter().filter(|name| *name == "last").count();
+    assert!(late >= 90, "and starves nobody: {late}");
+}
+
+#[rstest]
+#[case(SharePolicy::Fifo, 1000.0)]
+#[case(SharePolicy::Fair, 0.0)]
+fn work_ahead(#[case] policy: SharePolicy, #[case] expected: f64) {
+    let mut queue = ShareQueue::new(policy);
+    for number in 0..10 {
+        queue.push("busy", 1.0, 0, number, 100.0, FAR_MS);
+    }
+    let ahead = queue.tokens_ahead("new", 1.0);
+    assert!((ahead - expected).abs() < 1e-9, "{ahead}");
+}
+
+#[test]
+fn unfit_passed_over() {
+    let mut queue = ShareQueue::new(SharePolicy::Fair);
+    queue.push("a", 1.0, 0, 1, 10.0, FAR_MS);
+    queue.push("b", 1.0, 0, 2, 10.0, FAR_MS);
+    assert_eq!(queue.pop(|item| *item == 2).unwrap().0, "b");
+    assert!(queue.pop(|item| *item == 2).is_none());
+    assert_eq!(queue.take_out(|_| true), [1]);
+}
