--- a/load/src/bench.rs
+++ b/load/src/bench.rs
@@ -1,3 +1,228 @@
-pub async fn run() -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+//! Speed of the daemon: what it adds to the first token, how much it relays,
+//! its memory when full, and how fast a change is in force.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coursestile::configlog::Head;
+use coursestile::configuration::{BASE_KEY, HEAD_KEY};
+use coursestile::consul::Consul;
+use coursestile::edge::KeyValue;
+use coursestile_standins::fleet::{Fleet, Plan};
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+use crate::control::{cpu_ticks, resident_mb};
+use crate::decide::full_state;
+use crate::report::{quantile_ms, ratio};
+
+/// Requests of each kind for the first token.
+const FIRST_TOKENS: usize = 400;
+/// Streams open at once.
+const OPEN_STREAMS: usize = 500;
+/// Prompts that the dispatcher knows.
+const PROMPTS: usize = 10_000;
+/// Changes that are timed.
+const CHANGES: usize = 20;
+/// API key of the first account of the full state.
+const KEY: &str = "0";
+
+/// Runs all benchmarks.
+pub async fn run() -> ExitCode {
+    first_token().await;
+    relay().await;
+    in_force().await;
+    ExitCode::SUCCESS
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 120_000_000, 3).expect("bounds are in order")
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn options(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
+    pairs.iter().map(|(name, value)| ((*name).to_owned(), (*value).to_owned())).collect()
+}
+
+/// A fleet whose platform holds 1,300 accounts.
+async fn full_fleet(plan: &Plan) -> Arc<Fleet> {
+    let fleet = Arc::new(Fleet::start(plan).await);
+    let state = full_state();
+    let platform = Consul::new(&fleet.platform.url());
+    let base = serde_json::to_vec(&state).expect("a state can be written");
+    let key = format!("{BASE_KEY}{}", state.revision);
+    platform.compare_and_swap(&key, 0, &base).await.expect("the platform answers");
+    let head = Head { base_revision: state.revision, entries: Vec::new() };
+    let head = serde_json::to_vec(&head).expect("a head can be written");
+    platform.compare_and_swap(HEAD_KEY, 0, &head).await.expect("the platform answers");
+    fleet.must_operate(&["model", "set", "summary", "v1"]);
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, state.revision + 1, boxes.len()).await;
+    fleet
+}
+
+async fn time_first(fleet: &Fleet, url: &str, body: &Value) -> u64 {
+    let begun_at = Instant::now();
+    let call = fleet.http.post(format!("{url}/v1/completions")).bearer_auth(KEY).json(body);
+    let response = call.send().await.expect("an answer");
+    let mut events = Box::pin(response.bytes_stream().eventsource());
+    let mut took_us = 0;
+    while let Some(Ok(event)) = events.next().await {
+        if took_us == 0 && event.data.contains("\"text\"") {
+            took_us = micros(begun_at.elapsed());
+        }
+    }
+    took_us
+}
+
+/// The first token through the daemon, and from the engine itself, in turn.
+async fn first_token() {
+    let mut plan = Plan::one_hall(2, 1, 0);
+    plan.engine_args = options(&[("step-us", "500"), ("cache-tokens", "1000000")]);
+    let fleet = full_fleet(&plan).await;
+    println!("\nfirst token, {FIRST_TOKENS} requests each, in turn, two boxes");
+    println!("{:<28} {:>10} {:>10} {:>10}", "way", "p50 ms", "p95 ms", "p99 ms");
+    for (name, length) in [("short prompt", 40), ("prompt of 6,000 tokens", 24_000)] {
+        let (mut direct, mut through) = (histogram(), histogram());
+        for number in 0..FIRST_TOKENS {
+            let prompt = format!("{}{number}", "x".repeat(length));
+            let id = format!("direct-{length}-{number}");
+            let own = json!({
+                "model": "summary", "prompt": prompt, "max_tokens": 2, "stream": true,
+                "request_id": id,
+            });
+            let url = fleet.engines[0].url();
+            let direct_us = time_first(&fleet, &url, &own).await;
+            let url = fleet.boxes[number % 2].process.url();
+            let through_us = time_first(&fleet, &url, &own).await;
+            // The first ones fill the caches.
+            if number >= 20 {
+                direct.saturating_record(direct_us);
+                through.saturating_record(through_us);
+            }
+        }
+        for (way, times) in [("engine", &direct), ("daemon", &through)] {
+            println!(
+                "{:<28} {:>10.2} {:>10.2} {:>10.2}",
+                format!("{name}, {way}"),
+                quantile_ms(times, 0.5),
+                quantile_ms(times, 0.95),
+                quantile_ms(times, 0.99)
+            );
+        }
+    }
+}
+
+/// Many open streams through one daemon that knows many prompts.
+async fn relay() {
+    let mut plan = Plan::one_hall(1, 8, 0);
+    plan.slots = 128;
+    plan.engine_args = options(&[
+        ("step-us", "18000"),
+        ("prefill-token-us", "0"),
+        ("chunk-tokens", "1000000"),
+        ("batch-slots", "128"),
+        ("cache-tokens", "1000000"),
+    ]);
+    let fleet = full_fleet(&plan).await;
+    fill_prompts(&fleet).await;
+    let pid = fleet.boxes[0].process.pid();
+    let status = fleet.status(&fleet.boxes[0]).await.unwrap_or_default();
+    let prompts = status["dispatchers"][0]["prompts"].as_u64().unwrap_or(0);
+    println!("\nrelay: {OPEN_STREAMS} open streams, {prompts} prompts known, 1,300 accounts");
+    let (begun_at, ticks) = (Instant::now(), cpu_ticks(pid));
+    let streams: Vec<_> = (0..OPEN_STREAMS)
+        .map(|number| {
+            let fleet = fleet.clone();
+            tokio::spawn(async move { read_stream(&fleet, number).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let memory_mb = resident_mb(pid);
+    let mut between = histogram();
+    let mut tokens = 0;
+    for stream in streams {
+        let (count, times) = stream.await.expect("a stream ends");
+        tokens += count;
+        between.add(times).expect("histograms have the same bounds");
+    }
+    let elapsed = begun_at.elapsed();
+    let cpu_percent = ratio(cpu_ticks(pid) - ticks, 1) / elapsed.as_secs_f64();
+    println!(
+        "{:.0} tokens/s; between tokens p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms; \
+         daemon {memory_mb:.1} MB, {cpu_percent:.0}% of a core",
+        ratio(tokens, 1) / elapsed.as_secs_f64(),
+        quantile_ms(&between, 0.5),
+        quantile_ms(&between, 0.95),
+        quantile_ms(&between, 0.99)
+    );
+}
+
+/// Has the dispatcher get to know many prompts.
+async fn fill_prompts(fleet: &Arc<Fleet>) {
+    let prompts = futures_util::stream::iter(0..PROMPTS).map(|number| {
+        let fleet = fleet.clone();
+        async move {
+            let prompt = format!("{number:>6000}");
+            let body = json!({ "model": "summary", "prompt": prompt, "max_tokens": 1 });
+            let url = format!("{}/v1/completions", fleet.boxes[0].process.url());
+            let answer = fleet.http.post(url).bearer_auth(KEY).json(&body).send().await;
+            assert!(answer.is_ok_and(|answer| answer.status().is_success()));
+        }
+    });
+    prompts.buffer_unordered(200).collect::<Vec<()>>().await;
+}
+
+async fn read_stream(fleet: &Fleet, number: usize) -> (u64, Histogram<u64>) {
+    let prompt = format!("stream {number}");
+    let body = json!({ "model": "summary", "prompt": prompt, "max_tokens": 500, "stream": true });
+    let url = format!("{}/v1/completions", fleet.boxes[0].process.url());
+    let response = fleet.http.post(url).bearer_auth(KEY).json(&body).send().await;
+    let mut events = Box::pin(response.expect("an answer").bytes_stream().eventsource());
+    let (mut tokens, mut times) = (0, histogram());
+    let mut last_at = None;
+    while let Some(Ok(event)) = events.next().await {
+        if !event.data.contains("\"text\"") {
+            continue;
+        }
+        tokens += 1;
+        if let Some(last_at) = last_at.replace(Instant::now()) {
+            times.saturating_record(micros(last_at.elapsed()));
+        }
+    }
+    (tokens, times)
+}
+
+/// Time from a change's acceptance until all nine boxes serve it.
+async fn in_force() {
+    let fleet = full_fleet(&Plan::today()).await;
+    let mut times = histogram();
+    for number in 0..CHANGES {
+        let share = (1 + number % 3).to_string();
+        let text =
+            fleet.must_operate(&["account", "set", "account-1", "--share", &share, "--json"]);
+        let accepted_at = Instant::now();
+        let made: Value = serde_json::from_str(&text).unwrap_or_default();
+        let revision = made["revision"].as_u64().expect("a revision");
+        let waits = fleet.boxes.iter().map(|entry_box| async {
+            while fleet.status(entry_box).await.unwrap_or_default()["revision"].as_u64()
+                < Some(revision)
+            {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        });
+        futures_util::future::join_all(waits).await;
+        times.saturating_record(micros(accepted_at.elapsed()));
+    }
+    println!(
+        "\nchange in force on 9 boxes, {CHANGES} changes: p50 {:.1} ms, slowest {:.1} ms",
+        quantile_ms(&times, 0.5),
+        quantile_ms(&times, 1.0)
+    );
 }
--- a/load/src/chaos.rs
+++ b/load/src/chaos.rs
@@ -48,9 +48,10 @@
     OperatorsRace,
     UpstreamLeaves,
     VersionSwapped,
+    HallCut,
 }
 
-const FAULTS: [Fault; 19] = [
+const FAULTS: [Fault; 20] = [
     Fault::BoxKilled,
     Fault::BoxFrozen,
     Fault::BoxStopped,
@@ -70,6 +71,7 @@
     Fault::OperatorsRace,
     Fault::UpstreamLeaves,
     Fault::VersionSwapped,
+    Fault::HallCut,
 ];
 
 /// Injects faults until `until`; returns how many of each kind.
@@ -146,6 +148,10 @@
             let slow_ms = if on { 700 } else { 0 };
             fleet.try_fault(&fleet.platform, json!({ "slow_ms": slow_ms })).await;
         }
+        Fault::HallCut => {
+            let hall = ["north", "east", "west"][pick % 3];
+            fleet.cut_hall(hall, on).await;
+        }
         Fault::OperatorsRace if on => race(fleet).await,
         Fault::UpstreamLeaves => {
             let verb = if on { "leave" } else { "stay" };
@@ -191,8 +197,9 @@
     let halls = ["north", "east", "west"].map(|name| HallPlan::new(name, 2, 2, 1));
     let mut plan = Plan::new(halls.to_vec());
     plan.stores = 2;
+    plan.wires = true;
     plan.engine_args = vec![("cache-tokens".to_owned(), "24576".to_owned())];
-    plan.limits = "drain_timeout_ms = 15000".to_owned();
+    "drain_timeout_ms = 15000".clone_into(&mut plan.limits);
     let fleet = Arc::new(Fleet::start(&plan).await);
     let rate_per_s = options.rate_per_s.min(30.0);
     let workload = Workload::new(Kind::Sanam, options.seed, rate_per_s, options.seconds);
--- a/load/src/compare.rs
+++ b/load/src/compare.rs
@@ -22,52 +22,65 @@
     keep: &'static str,
     share: &'static str,
     stores: usize,
+    store_bytes: u64,
+    link_bytes_per_ms: u64,
 }
 
-const POLICIES: [Policy; 6] = [
-    Policy {
-        name: "round robin, no store",
-        route: "round_robin",
-        keep: "lru",
-        share: "fifo",
-        stores: 0,
-    },
-    Policy {
-        name: "least outstanding, no store",
-        route: "least_outstanding",
-        keep: "lru",
-        share: "fifo",
-        stores: 0,
-    },
+/// Engines with little cache, so that gaps outlast it within a short run.
+const CACHE_TOKENS: usize = 24_576;
+/// Bytes of a store, too few for all contexts.
+const STORE_BYTES: u64 = 9_000_000_000;
+/// Rate of a store's link.
+const LINK_BYTES_PER_MS: u64 = 2_000_000;
+/// Bytes of kept context a token.
+const KV_TOKEN_BYTES: u64 = 20_000;
+
+const OURS: Policy = Policy {
+    name: "cost, keep worth (ours)",
+    route: "cost",
+    keep: "worth",
+    share: "fair",
+    stores: 2,
+    store_bytes: STORE_BYTES,
+    link_bytes_per_ms: LINK_BYTES_PER_MS,
+};
+
+const BASELINE: Policy = Policy { keep: "lru", share: "fifo", stores: 0, ..OURS };
+
+const POLICIES: [Policy; 7] = [
+    Policy { name: "round robin, no store", route: "round_robin", ..BASELINE },
+    Policy { name: "least outstanding, no store", route: "least_outstanding", ..BASELINE },
+    Policy { name: "longest prefix, no store", route: "longest_prefix", ..BASELINE },
+    Policy { name: "cost, keep lru", keep: "lru", ..OURS },
+    Policy { name: "cost, keep ttl", keep: "ttl", ..OURS },
+    OURS,
     Policy {
-        name: "longest prefix, no store",
-        route: "longest_prefix",
+        name: "bound: all kept, link free",
         keep: "lru",
-        share: "fifo",
-        stores: 0,
-    },
-    Policy { name: "cost, keep lru", route: "cost", keep: "lru", share: "fair", stores: 2 },
-    Policy { name: "cost, keep ttl", route: "cost", keep: "ttl", share: "fair", stores: 2 },
-    Policy {
-        name: "cost, keep worth (ours)",
-        route: "cost",
-        keep: "worth",
-        share: "fair",
-        stores: 2,
+        store_bytes: STORE_BYTES * 100,
+        link_bytes_per_ms: LINK_BYTES_PER_MS * 1000,
+        ..OURS
     },
 ];
 
-/// Engines with little cache, so that gaps outlast it within a short run.
 fn plan(policy: &Policy) -> Plan {
     let mut plan = Plan::today();
     plan.stores = policy.stores;
-    plan.engine_args = vec![("cache-tokens".to_owned(), "24576".to_owned())];
-    plan.store_bytes = 9_000_000_000;
+    plan.engine_args = vec![("cache-tokens".to_owned(), CACHE_TOKENS.to_string())];
+    plan.store_bytes = policy.store_bytes;
+    plan.link_bytes_per_ms = policy.link_bytes_per_ms;
     plan.policy =
         format!("route = {}\nkeep = {}\nshare = {}", policy.route, policy.keep, policy.share);
     plan
 }
 
+/// Context that a fleet can keep in engines and stores together, in tokens.
+fn kept_tokens(plan: &Plan) -> usize {
+    let engines: usize = plan.halls.iter().map(|hall| hall.engines).sum();
+    let stored = plan.store_bytes * plan.stores as u64 / KV_TOKEN_BYTES;
+    engines * CACHE_TOKENS + usize::try_from(stored).unwrap_or(usize::MAX)
+}
+
 async fn start(policy: &Policy, workload: &Workload) -> Arc<Fleet> {
     let fleet = Arc::new(Fleet::start(&plan(policy)).await);
     let revision = create_accounts(&fleet, workload);
@@ -84,12 +97,14 @@
         for percent in LOADS_PERCENT {
             let rate_per_s = options.rate_per_s * percent / 100.0;
             let workload = Workload::new(kind, options.seed, rate_per_s, options.seconds);
+            let workload = workload.warmed(options.seed);
+            let hindsight = workload.hindsight_percent(kept_tokens(&plan(&OURS)));
             println!("\n{} at {percent}% ({rate_per_s:.0} requests/s)", kind.name());
+            println!("least recompute in hindsight, with the same room: {hindsight:.1}%");
             print_head();
             for policy in &POLICIES {
                 let fleet = start(policy, &workload).await;
-                let warm_ms = options.seconds * 1000 / 3;
-                let sending = Sending { warm_ms, ..Sending::default() };
+                let sending = Sending { warm_ms: workload.warm_ms, ..Sending::default() };
                 let outcome = send(&fleet, &workload, sending).await;
                 print_row(policy.name, &outcome);
                 faults += outcome.faults();
@@ -120,8 +135,7 @@
     );
     let mut faults = 0;
     for (share, flooded) in [("fair", false), ("fifo", true), ("fair", true)] {
-        let ours = &POLICIES[5];
-        let policy = Policy { share, ..*ours };
+        let policy = Policy { share, ..OURS };
         let rate_per_s = options.rate_per_s * 0.5;
         let mut workload = Workload::new(Kind::Sanam, options.seed, rate_per_s, options.seconds);
         if flooded {
@@ -218,13 +232,13 @@
         let third_s = (options.seconds / 3).max(4);
         let rate_per_s = options.rate_per_s * 0.5;
         let workload = Workload::new(Kind::Sanam, options.seed, rate_per_s, third_s * 3);
-        let fleet = start(&POLICIES[5], &workload).await;
-        let faulty = fleet.clone();
+        let fleet = start(&OURS, &workload).await;
+        let injected = fleet.clone();
         let injector = tokio::spawn(async move {
             tokio::time::sleep(Duration::from_secs(third_s)).await;
-            fault.set(&faulty, true).await;
+            fault.set(&injected, true).await;
             tokio::time::sleep(Duration::from_secs(third_s)).await;
-            fault.set(&faulty, false).await;
+            fault.set(&injected, false).await;
         });
         let sending = Sending { boxes_die: true, ..Sending::default() };
         let outcome = send(&fleet, &workload, sending).await;
--- a/load/src/control.rs
+++ b/load/src/control.rs
@@ -1,4 +1,117 @@
+//! Cost of control on fleets of growing size: real processes, measured from
+//! outside.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coursestile_standins::fleet::{EntryBox, Fleet, HallPlan, Plan};
+
 use crate::Options;
-pub async fn run(_: &Options) -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+use crate::report::ratio;
+use crate::runner::{Sending, create_accounts, send};
+use crate::workload::{Kind, Workload};
+
+/// Entry boxes of the fleets.
+const FLEETS: [usize; 4] = [3, 9, 30, 60];
+/// Data halls of each fleet.
+const HALLS: usize = 3;
+/// Time until a new fleet is calm.
+const SETTLE: Duration = Duration::from_secs(12);
+/// Requests a second for each box under load.
+const LOAD_PER_BOX: f64 = 2.0;
+
+/// Memory of a process, in megabytes.
+pub fn resident_mb(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    ratio(pages.unwrap_or(0) * 4096, 1_000_000)
+}
+
+/// Processor time of a process, in hundredths of a second.
+pub fn cpu_ticks(pid: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<_> = text.rsplit(')').next().unwrap_or_default().split(' ').collect();
+    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok());
+    ticks(12).unwrap_or(0) + ticks(13).unwrap_or(0)
+}
+
+/// What all boxes together have used.
+#[derive(Clone, Copy, Default)]
+struct Sample {
+    sent_bytes: u64,
+    sent_messages: u64,
+    cpu_ticks: u64,
+    platform_calls: u64,
+}
+
+async fn counter(fleet: &Fleet, entry_box: &EntryBox, name: &str) -> u64 {
+    let url = format!("http://{}/metrics", entry_box.operators);
+    let page = match fleet.http.get(url).send().await {
+        Ok(answer) => answer.text().await.unwrap_or_default(),
+        Err(_) => String::new(),
+    };
+    let line = page.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
+async fn sample(fleet: &Fleet) -> Sample {
+    let mut sample = Sample::default();
+    for entry_box in &fleet.boxes {
+        sample.cpu_ticks += cpu_ticks(entry_box.process.pid());
+        let sent = "coursestile_peer_sent";
+        sample.sent_bytes += counter(fleet, entry_box, &format!("{sent}_bytes_total")).await;
+        sample.sent_messages += counter(fleet, entry_box, &format!("{sent}_messages_total")).await;
+        let calls = "coursestile_platform_calls_total";
+        sample.platform_calls += counter(fleet, entry_box, calls).await;
+    }
+    sample
+}
+
+fn plan(boxes: usize) -> Plan {
+    let hall = |index: usize| HallPlan::new(&format!("hall{index}"), boxes / HALLS, 2, 0);
+    Plan::new((0..HALLS).map(hall).collect())
+}
+
+fn print(name: &str, boxes: usize, before: Sample, after: Sample, took: Duration, memory_mb: f64) {
+    let each = |part: u64| ratio(part, boxes as u64) / took.as_secs_f64();
+    println!(
+        "{boxes:>6} {name:<8} {:>12.0} {:>12.1} {:>10.2} {memory_mb:>10.1} {:>14.2}",
+        each(after.sent_bytes - before.sent_bytes),
+        each(after.sent_messages - before.sent_messages),
+        each(after.cpu_ticks - before.cpu_ticks),
+        ratio(after.platform_calls - before.platform_calls, 1) / took.as_secs_f64()
+    );
+}
+
+/// Prints a row for each fleet, idle and under load.
+pub async fn run(options: &Options) -> ExitCode {
+    println!(
+        "{:>6} {:<8} {:>12} {:>12} {:>10} {:>10} {:>14}",
+        "boxes", "state", "B/s a box", "msg/s a box", "cpu % box", "MB a box", "platform/s all"
+    );
+    let mut faults = 0;
+    for boxes in FLEETS {
+        let fleet = Arc::new(Fleet::start(&plan(boxes)).await);
+        let rate_per_s = LOAD_PER_BOX * f64::from(u32::try_from(boxes).unwrap_or(1));
+        let workload = Workload::new(Kind::Sanam, options.seed, rate_per_s, options.seconds);
+        let revision = create_accounts(&fleet, &workload);
+        let all: Vec<_> = fleet.boxes.iter().collect();
+        fleet.wait_in_force(&all, revision, boxes).await;
+        tokio::time::sleep(SETTLE).await;
+        let (begun_at, before) = (Instant::now(), sample(&fleet).await);
+        tokio::time::sleep(Duration::from_secs(options.seconds)).await;
+        let after = sample(&fleet).await;
+        print("idle", boxes, before, after, begun_at.elapsed(), memory(&fleet));
+        let (begun_at, before) = (Instant::now(), sample(&fleet).await);
+        faults += send(&fleet, &workload, Sending::default()).await.faults();
+        let after = sample(&fleet).await;
+        print("load", boxes, before, after, begun_at.elapsed(), memory(&fleet));
+    }
+    if faults == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn memory(fleet: &Fleet) -> f64 {
+    let all: f64 = fleet.boxes.iter().map(|one| resident_mb(one.process.pid())).sum();
+    all / f64::from(u32::try_from(fleet.boxes.len()).unwrap_or(1))
 }
--- a/load/src/decide.rs
+++ b/load/src/decide.rs
@@ -1,3 +1,254 @@
-pub fn run() -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+//! Time and memory of the decisions at the size to come, on the real structures.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use coursestile::account::{Account, Terms, Weights, key_hash};
+use coursestile::ask::{Ask, AskId, End, Report, Verdict};
+use coursestile::configlog::{Change, Config, Entry, Proposal, State};
+use coursestile::context::{Scope, marks};
+use coursestile::dispatcher::{Action, Dispatcher, Policies};
+use coursestile::fleet::Engine;
+use coursestile::keep::KeepPolicy;
+use coursestile::keeper::Keeper;
+use coursestile::ledger::{Answer, CallKey, Ledger, Outcome};
+use coursestile::member::{Health, Member};
+use coursestile::membership::Membership;
+use coursestile::owner::owner;
+use coursestile::store::Store;
+use coursestile::ticket::BoxRef;
+use coursestile::trace::TraceId;
+
+use crate::report::ratio;
+
+/// Engines of one hall, when one model has them all.
+const HALL_ENGINES: usize = 128;
+/// Client accounts.
+const ACCOUNTS: usize = 1300;
+/// Boxes of all halls.
+const BOXES: usize = 350;
+/// Boxes of one hall.
+const HALL_BOXES: usize = 58;
+
+/// Prints the table.
+pub fn run() -> ExitCode {
+    println!("{:<52} {:>12} {:>12}", "what", "time us", "memory");
+    for prompts in [6_600, 40_000] {
+        dispatcher(prompts);
+    }
+    configuration();
+    ownership();
+    membership();
+    ledger();
+    ExitCode::SUCCESS
+}
+
+fn row(what: &str, time_us: Option<f64>, bytes: Option<u64>) {
+    let time = time_us.map_or(String::new(), |time| format!("{time:.2}"));
+    let memory = bytes.map_or(String::new(), |bytes| format!("{:.2} MB", ratio(bytes, 1_000_000)));
+    println!("{what:<52} {time:>12} {memory:>12}");
+}
+
+/// Memory of this process, in bytes.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+/// Mean time of `count` calls, in microseconds.
+fn time_us(count: usize, mut call: impl FnMut(usize)) -> f64 {
+    let begun_at = Instant::now();
+    for number in 0..count {
+        call(number);
+    }
+    begun_at.elapsed().as_secs_f64() * 1e6 / f64::from(u32::try_from(count).unwrap_or(1))
+}
+
+fn ask(number: usize, prompts: usize) -> Ask {
+    let account = format!("account-{}", number % ACCOUNTS);
+    let (model, version) = ("model".to_owned(), "v1".to_owned());
+    let scope = Scope { account, model, version };
+    let prompt = format!("{:>24000}", number % prompts);
+    Ask {
+        id: AskId {
+            entry: BoxRef { name: "box".to_owned(), incarnation: 1 },
+            number: number as u64,
+        },
+        marks: marks(&scope, &prompt),
+        scope,
+        prompt_tokens: 6000,
+        max_tokens: 200,
+        share: 1.0,
+        priority: 0,
+        weights: Weights::default(),
+        worthless_at_ms: u64::MAX / 2,
+        deadline_ms: u64::MAX / 2,
+        avoid: Vec::new(),
+        no_wait: false,
+        trace: TraceId(1),
+    }
+}
+
+fn new_dispatcher(prompts: usize) -> Dispatcher {
+    let engines = (0..HALL_ENGINES)
+        .map(|number| Engine::new(&format!("engine-{number}"), "http://e", 8, 65_536, 0.03))
+        .collect();
+    let store = Store {
+        url: "http://s".to_owned(),
+        capacity_bytes: u64::MAX / 2,
+        bytes_per_ms: 2e6,
+        busy_until_ms: 0.0,
+        cooldown_until_ms: 0,
+    };
+    let stores = BTreeMap::from([("s".to_owned(), store)]);
+    let keeper = Keeper::new(KeepPolicy::Worth, stores, prompts * 2, 20_000, "box");
+    Dispatcher::new(Policies::default(), engines, keeper)
+}
+
+/// A request's whole way through the dispatcher, with the fleet 70% busy.
+fn dispatcher(prompts: usize) {
+    let asks: Vec<_> = (0..prompts).map(|number| ask(number, prompts)).collect();
+    let before = resident_bytes();
+    let mut dispatcher = new_dispatcher(prompts);
+    let mut open = std::collections::VecDeque::new();
+    let mut number = 0;
+    let mut turn = |dispatcher: &mut Dispatcher, source: &Ask| {
+        number += 1;
+        let mut one = source.clone();
+        one.id.number = number;
+        let id = one.id.clone();
+        let now_ms = 1_000_000 + number;
+        let actions = dispatcher.ask(now_ms, one);
+        let granted = actions
+            .iter()
+            .any(|action| matches!(action, Action::Answer { verdict: Verdict::Run(_), .. }));
+        assert!(granted, "the fleet has places free");
+        let first = Report::FirstToken { id: id.clone(), cached_tokens: 0, took_ms: 180 };
+        dispatcher.report(now_ms, &first);
+        open.push_back(id);
+        if open.len() > HALL_ENGINES * 8 * 7 / 10 {
+            let id = open.pop_front().expect("it is not empty");
+            let request = "request".to_owned();
+            let done = Report::Done { id, request, generated_tokens: 200, end: End::Finished };
+            dispatcher.report(now_ms, &done);
+        }
+    };
+    for source in &asks {
+        turn(&mut dispatcher, source);
+    }
+    let memory = resident_bytes().saturating_sub(before);
+    let name = format!("decide, {HALL_ENGINES} engines, {prompts} prompts, all returning");
+    let time = time_us(20_000, |number| turn(&mut dispatcher, &asks[number % asks.len()]));
+    row(&name, Some(time), Some(memory));
+    let ticks = time_us(20, |_| {
+        dispatcher.tick(1_000_000);
+    });
+    row("  its tick, 20 a second", Some(ticks), None);
+    let keeps = time_us(5, |_| {
+        dispatcher.keeper.tick(1_000_000);
+    });
+    row("  its look at what is kept, once a second", Some(keeps), None);
+}
+
+fn set_account(number: usize) -> Change {
+    let account = Account {
+        template: "group".to_owned(),
+        key_hashes: vec![key_hash(&number.to_string())],
+        ..Account::default()
+    };
+    Change::SetAccount { name: format!("account-{number}"), account }
+}
+
+fn entry(revision: u64, change: Change) -> Entry {
+    let (id, operator) = (format!("{revision:032x}"), "operator".to_owned());
+    let proposal = Proposal { id, operator, at_ms: 1, expects_revision: 0, change };
+    Entry { revision, proposal }
+}
+
+/// A state with all accounts.
+pub fn full_state() -> State {
+    let mut state = State::default();
+    let terms =
+        Terms { models: BTreeMap::from([("summary".to_owned(), vec![])]), ..Terms::default() };
+    state.apply(&entry(1, Change::SetTemplate { name: "group".to_owned(), terms }));
+    for number in 0..ACCOUNTS {
+        let revision = state.revision + 1;
+        state.apply(&entry(revision, set_account(number)));
+    }
+    state
+}
+
+fn configuration() {
+    let before = resident_bytes();
+    let state = full_state();
+    let config = Config::new(state.clone());
+    let memory = resident_bytes().saturating_sub(before);
+    row("configuration of 1,300 accounts", None, Some(memory));
+    let json = serde_json::to_vec(&state).unwrap_or_default().len() as u64;
+    row("  as a base in the platform's service", None, Some(json));
+    let change = entry(1, set_account(1));
+    let delta = serde_json::to_vec(&change).unwrap_or_default().len();
+    println!("{:<52} {:>12} {delta:>10} B", "  one change on the wire, at most", "");
+    let adopt = time_us(20, |_| drop(Config::new(state.clone())));
+    row("  adopt a change", Some(adopt), None);
+    let lookup = time_us(100_000, |number| {
+        std::hint::black_box(config.account_of(&(number % ACCOUNTS).to_string()));
+    });
+    row("  find an account by its key", Some(lookup), None);
+}
+
+fn ownership() {
+    let names: Vec<_> = (0..HALL_BOXES).map(|number| format!("box-{number}")).collect();
+    let time = time_us(10_000, |number| {
+        let key = number.to_string();
+        std::hint::black_box(owner(&key, names.iter().map(String::as_str)));
+    });
+    row("owner among 58 boxes", Some(time), None);
+}
+
+fn membership() {
+    let member = |number: usize| Member {
+        id: BoxRef { name: format!("box-{number}"), incarnation: 1_796_213_873_408 },
+        hall: format!("hall-{}", number % 6),
+        region: format!("region-{}", number % 2),
+        address: format!("10.0.{}.{}:7000", number / 250, number % 250),
+        beat: 0,
+        health: Health::Alive,
+        heir: None,
+    };
+    let before = resident_bytes();
+    let mut membership = Membership::new(member(0), Vec::new(), 1);
+    for number in 1..BOXES {
+        membership.merge(0, member(number));
+    }
+    let memory = resident_bytes().saturating_sub(before);
+    let mut now_ms = 100_000;
+    let time = time_us(200, |_| {
+        now_ms += 1000;
+        membership.tick(now_ms);
+        // Answers keep the others alive.
+        for number in 1..BOXES {
+            membership.merge(now_ms, member(number));
+        }
+    });
+    row("membership of 350 boxes, a period with all news", Some(time), Some(memory));
+}
+
+fn ledger() {
+    let before = resident_bytes();
+    let mut ledger = Ledger::default();
+    let key = |number: usize| CallKey {
+        account: format!("account-{}", number % ACCOUNTS),
+        key: format!("box.18a2b3c4d5e.18a2b3c4d5e.1.0123456789abcdef0123456789abcdef/{number}"),
+    };
+    let answer = Answer { status: 200, content_type: None, body: vec![0; 200] };
+    let outcome = Outcome::Answered(answer);
+    let time = time_us(10_000, |number| {
+        ledger.begin(1, &key(number), 1, u64::MAX);
+        ledger.finish(&key(number), &outcome);
+    });
+    let memory = resident_bytes().saturating_sub(before);
+    row("ledger, 10,000 calls with answers of 200 bytes", Some(time), Some(memory));
 }
--- a/load/src/runner.rs
+++ b/load/src/runner.rs
@@ -292,7 +292,7 @@
                 continue;
             }
             text.push_str(piece);
-            version = chunk["system_fingerprint"].as_str().unwrap_or_default().to_owned();
+            chunk["system_fingerprint"].as_str().unwrap_or_default().clone_into(&mut version);
             let mut outcome = self.outcome.lock().expect("outcome lock");
             let now = Instant::now();
             match last_at.replace(now) {
--- a/load/src/workload.rs
+++ b/load/src/workload.rs
@@ -103,11 +103,29 @@
     pub work: Work,
 }
 
+impl Arrival {
+    fn context_used(&self) -> Option<(u64, usize)> {
+        match self.work {
+            Work::Completion { context: Some(context), .. } => Some((self.at_ms, context)),
+            Work::Completion { .. } | Work::CallOnce | Work::Call => None,
+        }
+    }
+}
+
+/// Accounts from this one on send contexts that never come back.
+const FIRST_ONE_OFF_ACCOUNT: usize = 6;
+/// Numbers of contexts that never come back start here.
+const FIRST_ONE_OFF_CONTEXT: usize = 1 << 20;
+/// Rate of the pass over all contexts that warms a fleet, a second.
+const WARM_RATE_PER_S: usize = 60;
+
 /// A workload.
 #[derive(Clone)]
 pub struct Workload {
     /// Whose it is.
     pub kind: Kind,
+    /// When the warming pass is over.
+    pub warm_ms: u64,
     /// All arrivals, in order.
     pub arrivals: Vec<Arrival>,
 }
@@ -122,7 +140,7 @@
         loop {
             at_s += -(1.0 - rng.f64()).ln() / rate_per_s;
             if at_s >= end_s {
-                return Self { kind, arrivals };
+                return Self { kind, warm_ms: 0, arrivals };
             }
             let account = weighted(&mut rng, &ACCOUNT_WEIGHTS);
             let work = work(&mut rng, kind, account);
@@ -130,6 +148,54 @@
         }
     }
 
+    /// Puts a pass over all contexts before the arrivals.
+    pub fn warmed(mut self, seed: u64) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut contexts: Vec<_> = (0..self.kind.contexts()).collect();
+        rng.shuffle(&mut contexts);
+        let pass = contexts.into_iter().enumerate().map(|(number, context)| Arrival {
+            at_ms: (number * 1000 / WARM_RATE_PER_S) as u64,
+            account: context % ACCOUNT_WEIGHTS.len(),
+            work: Work::Completion { context: Some(context), question: rng.u64(..), max_tokens: 8 },
+        });
+        let pass: Vec<_> = pass.collect();
+        // The last ones of the pass get a second to end.
+        self.warm_ms = pass.last().map_or(0, |arrival| arrival.at_ms + 1000);
+        for arrival in &mut self.arrivals {
+            arrival.at_ms += self.warm_ms;
+        }
+        self.arrivals.splice(0..0, pass);
+        self
+    }
+
+    /// Least share of prompt tokens that can be recomputed when at most
+    /// `capacity_tokens` of context are kept and the future is known, in
+    /// percent: the context needed last is dropped first.
+    pub fn hindsight_percent(&self, capacity_tokens: usize) -> f64 {
+        let capacity = capacity_tokens / self.kind.context_tokens();
+        let uses: Vec<_> = self.arrivals.iter().filter_map(Arrival::context_used).collect();
+        let mut kept: Vec<usize> = Vec::new();
+        let (mut prompts, mut missed) = (0, 0);
+        for (index, (at_ms, context)) in uses.iter().enumerate() {
+            let measured = *at_ms >= self.warm_ms;
+            prompts += usize::from(measured);
+            if kept.contains(context) {
+                continue;
+            }
+            missed += usize::from(measured);
+            kept.push(*context);
+            if kept.len() > capacity {
+                let next_use = |kept: &usize| {
+                    let later = uses[index + 1..].iter();
+                    later.clone().position(|(_, later)| later == kept).unwrap_or(usize::MAX)
+                };
+                let last = (0..kept.len()).max_by_key(|place| next_use(&kept[*place]));
+                kept.swap_remove(last.unwrap_or(0));
+            }
+        }
+        100.0 * crate::report::ratio(missed as u64, prompts as u64)
+    }
+
     /// Adds requests of one account, at `rate_per_s`.
     pub fn flood(&mut self, account: usize, seed: u64, rate_per_s: f64, seconds: u64) {
         let flood = Self::new(self.kind, seed, rate_per_s, seconds);
@@ -180,6 +246,10 @@
     if rng.u64(0..100) < kind.question_percent() {
         return Work::Completion { context: None, question, max_tokens: rng.u32(8..24) };
     }
+    if kind == Kind::Petra && account >= FIRST_ONE_OFF_ACCOUNT {
+        let context = Some(FIRST_ONE_OFF_CONTEXT + rng.usize(..1 << 40));
+        return Work::Completion { context, question, max_tokens: rng.u32(16..48) };
+    }
     let accounts = ACCOUNT_WEIGHTS.len();
     let own: Vec<_> = (account..kind.contexts()).step_by(accounts).collect();
     let ranks = 1..=u32::try_from(own.len()).unwrap_or(1);
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -20,23 +20,23 @@
 use serde_json::{Value, json};
 
 use crate::account::Terms;
-use crate::calls::{give_ticket, repeatable, serve_once, serve_plain, single_key};
+use crate::calls::{give_ticket, serve_once, serve_plain, single_key};
 use crate::clock::now_ms;
 use crate::completion::{self, Job};
 use crate::context::tokens;
 use crate::kernel::{Kernel, Phase, Plugin};
 use crate::ledger::{Answer, CallKey};
 use crate::refusal::{Reason, Refusal};
+use crate::rejection::{Rejection, bad_request, error_body, header};
 use crate::streams::{News, Reader, Stream, StreamEnd};
 use crate::trace::TraceId;
 use crate::wire::Call;
+use crate::workers::repeatable;
 
 /// Header with the time that the caller waits, in milliseconds.
 pub const TIMEOUT_HEADER: &str = "x-timeout-ms";
 /// Header with the name of a request.
 pub const REQUEST_HEADER: &str = "x-request-id";
-/// Header that says whether a refused call has run.
-pub const RAN_HEADER: &str = "x-coursestile-ran";
 /// Header with the trace of a request.
 pub const TRACE_HEADER: &str = "x-trace-id";
 /// Longest time that a caller may wait, in milliseconds.
@@ -50,55 +50,6 @@
     Plugin { name: "callers", start, receive: None }
 }
 
-/// A refusal on its way to the caller.
-struct Rejection {
-    refusal: Refusal,
-    detail: String,
-}
-
-impl From<Refusal> for Rejection {
-    fn from(refusal: Refusal) -> Self {
-        let detail = refusal.reason.to_string();
-        Self { refusal, detail }
-    }
-}
-
-impl From<Reason> for Rejection {
-    fn from(reason: Reason) -> Self {
-        Refusal::not_run(reason).into()
-    }
-}
-
-impl IntoResponse for Rejection {
-    fn into_response(self) -> Response {
-        let Refusal { ran, reason, retry_at_ms } = self.refusal;
-        let labels = [("ran", ran.to_string()), ("reason", reason.name())];
-        metrics::counter!("coursestile_refusals_total", &labels).increment(1);
-        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-        let mut response = (status, Json(error_body(&self.refusal, &self.detail))).into_response();
-        response.headers_mut().insert(RAN_HEADER, header(&ran.to_string()));
-        if let Some(retry_at_ms) = retry_at_ms {
-            let seconds = retry_at_ms.saturating_sub(now_ms()).div_ceil(1000);
-            response.headers_mut().insert("retry-after", header(&seconds.to_string()));
-        }
-        response
-    }
-}
-
-fn header(text: &str) -> poem::http::HeaderValue {
-    poem::http::HeaderValue::from_str(text)
-        .unwrap_or_else(|_| poem::http::HeaderValue::from_static("unprintable"))
-}
-
-fn error_body(refusal: &Refusal, detail: &str) -> Value {
-    json!({ "error": {
-        "message": format!("{}: {detail}", refusal.ran),
-        "type": refusal.reason.name(),
-        "ran": refusal.ran.to_string(),
-        "retry_at_ms": refusal.retry_at_ms,
-    }})
-}
-
 /// Who calls, and until when.
 struct Caller {
     account: String,
@@ -135,10 +86,6 @@
     parsed.ok_or_else(|| bad_request(format!("{TIMEOUT_HEADER}: '{text}' is no time to wait")))
 }
 
-fn bad_request(detail: String) -> Rejection {
-    Rejection { refusal: Refusal::not_run(Reason::BadRequest), detail }
-}
-
 async fn read_body(kernel: &Kernel, body: Body) -> Result<Vec<u8>, Rejection> {
     let limit = kernel.settings.max_body_bytes;
     let bytes = body.into_bytes_limit(limit).await.map_err(|_| {
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -5,26 +5,24 @@
 //! be reached the outcome is unknown. When it has stopped as planned, its heir
 //! answers from the ledger that it was given.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use log::{info, warn};
+use log::info;
 use tokio::sync::{oneshot, watch};
 
 use crate::clock::{instant_at, now_ms, now_us};
-use crate::edge::PlainServices;
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Phase, Plugin, Topic};
 use crate::ledger::{Answer, Begin, CallKey, Ledger, Outcome};
-use crate::member::{Health, Member};
 use crate::refusal::{Reason, Refusal};
-use crate::settings::UpstreamKind;
 use crate::sync::locked;
 use crate::ticket::{BoxRef, Ticket, TicketError};
 use crate::trace::Hop;
 use crate::wire::{Call, CallEnd, Envelope, Message};
+use crate::workers::{Workers, run};
 
 /// Time for which a ticket prefix may be used.
 pub const TICKET_TTL_MS: u64 = 600_000;
@@ -32,16 +30,8 @@
 const WAIT_POLL: Duration = Duration::from_millis(10);
 /// How often expired keys are forgotten.
 const EXPIRE_PERIOD: Duration = Duration::from_secs(5);
-/// Time in which an heir confirms a handover.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Boxes that are asked in turn to take a ledger over.
-const HANDOVER_TRIES: usize = 3;
-/// Time in which news of the heir spreads before the box stops.
-const HEIR_NEWS_TIME: Duration = Duration::from_millis(1200);
 /// Time to come back when the spender cannot be reached.
 const UNREACHABLE_RETRY_MS: u64 = 2000;
-/// Time for which a worker that could not be reached is left alone.
-const WORKER_COOLDOWN_MS: u64 = 1000;
 
 inventory::submit! {
     Plugin { name: "calls", start, receive: Some((Topic::Calls, receive)) }
@@ -49,13 +39,13 @@
 
 /// Ledgers, forwarded calls and the workers of plain services.
 pub struct Calls {
-    own: Mutex<Ledger>,
-    inherited: Mutex<HashMap<BoxRef, Ledger>>,
+    pub(crate) own: Mutex<Ledger>,
+    pub(crate) inherited: Mutex<HashMap<BoxRef, Ledger>>,
     forwarded: Mutex<HashMap<u64, oneshot::Sender<CallEnd>>>,
-    cooldowns: Mutex<BTreeMap<String, u64>>,
+    /// The workers of plain services.
+    pub workers: Workers,
     running: AtomicUsize,
-    turn: AtomicUsize,
-    handover_taken: watch::Sender<Option<(BoxRef, BoxRef)>>,
+    pub(crate) handover_taken: watch::Sender<Option<(BoxRef, BoxRef)>>,
 }
 
 impl Default for Calls {
@@ -64,9 +54,8 @@
             own: Mutex::default(),
             inherited: Mutex::default(),
             forwarded: Mutex::default(),
-            cooldowns: Mutex::default(),
+            workers: Workers::default(),
             running: AtomicUsize::new(0),
-            turn: AtomicUsize::new(0),
             handover_taken: watch::Sender::new(None),
         }
     }
@@ -89,7 +78,7 @@
 }
 
 impl Calls {
-    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
         locked(&self.own)
     }
 
@@ -166,21 +155,13 @@
     }
 }
 
-fn not_run(reason: Reason) -> CallEnd {
-    CallEnd { outcome: Outcome::NotRun, reason }
-}
-
-fn unknown(reason: Reason) -> CallEnd {
-    CallEnd { outcome: Outcome::Unknown, reason }
-}
-
 /// Runs a call under this incarnation's ledger.
 async fn spend(kernel: &Arc<Kernel>, call: &Call) -> CallEnd {
     let fingerprint = fingerprint(call);
     loop {
         if now_ms() >= call.deadline_ms {
             // An earlier call with this key may still run.
-            return unknown(Reason::DeadlinePassed);
+            return CallEnd::unknown(Reason::DeadlinePassed);
         }
         let expires_at_ms = call.ticket_expires_at_ms;
         let begin = kernel.calls.ledger().begin(now_ms(), &call.key, fingerprint, expires_at_ms);
@@ -198,7 +179,7 @@
         kernel.calls.ledger().finish(&call.key, &end.outcome);
         end
     });
-    spent.await.unwrap_or_else(|_| unknown(Reason::UpstreamFailed))
+    spent.await.unwrap_or_else(|_| CallEnd::unknown(Reason::UpstreamFailed))
 }
 
 fn end_of(begin: Begin) -> CallEnd {
@@ -206,11 +187,11 @@
         Begin::Replay(answer) => {
             CallEnd { outcome: Outcome::Answered(answer), reason: Reason::UpstreamFailed }
         }
-        Begin::Unknown | Begin::Run | Begin::Wait => unknown(Reason::UpstreamFailed),
-        Begin::Mismatch => not_run(Reason::KeyMismatch),
-        Begin::Expired => unknown(Reason::TicketExpired),
-        Begin::Full => not_run(Reason::TooManyKeys),
-        Begin::Closed => not_run(Reason::Stopping),
+        Begin::Unknown | Begin::Run | Begin::Wait => CallEnd::unknown(Reason::UpstreamFailed),
+        Begin::Mismatch => CallEnd::not_run(Reason::KeyMismatch),
+        Begin::Expired => CallEnd::unknown(Reason::TicketExpired),
+        Begin::Full => CallEnd::not_run(Reason::TooManyKeys),
+        Begin::Closed => CallEnd::not_run(Reason::Stopping),
     }
 }
 
@@ -226,81 +207,6 @@
     u64::from_le_bytes(bytes)
 }
 
-/// Runs a call at a worker. It goes to a second one only when no byte of it
-/// has left for the first, or when it may be repeated.
-async fn run(kernel: &Arc<Kernel>, call: &Call, repeatable: bool) -> CallEnd {
-    let workers = workers(kernel, &call.service);
-    let mut sent = 0;
-    let mut end = not_run(Reason::NoUpstream);
-    for (name, url) in workers {
-        if now_ms() >= call.deadline_ms {
-            break;
-        }
-        let began_at_us = now_us();
-        let outcome = kernel.upstreams.call(&url, call).await;
-        let note = format!("{} {} on {name}", call.method, call.path);
-        kernel.span(call.trace, Hop::Upstream, began_at_us, note);
-        if outcome != Outcome::NotRun {
-            sent += 1;
-            check(Invariant::SentOnce, repeatable || sent == 1, || call.key.key.clone());
-        }
-        match outcome {
-            Outcome::Answered(_) => {
-                return CallEnd { outcome, reason: Reason::UpstreamFailed };
-            }
-            Outcome::NotRun => cool_down(kernel, name),
-            Outcome::Unknown => {
-                end = unknown(Reason::UpstreamFailed);
-                let budget = &kernel.placing.retries;
-                let may_repeat = repeatable && locked(budget).spend();
-                if !may_repeat {
-                    break;
-                }
-            }
-        }
-    }
-    end
-}
-
-/// Workers of a service that take work, another one first each time.
-fn workers(kernel: &Kernel, service: &str) -> Vec<(String, String)> {
-    let config = kernel.configuration.current();
-    let cooldowns = locked(&kernel.calls.cooldowns);
-    let now_ms = now_ms();
-    let own = kernel.settings.upstreams.iter().filter(|upstream| match &upstream.kind {
-        UpstreamKind::Service { service: name, .. } => name == service,
-        UpstreamKind::Engine(_) | UpstreamKind::Store(_) => false,
-    });
-    let staying = own.filter(|upstream| !config.state.leaving.contains(&upstream.name));
-    let all: Vec<_> = staying.map(|one| (one.name.clone(), one.url.clone())).collect();
-    let cooled = |name: &String| cooldowns.get(name).is_none_or(|until_ms| *until_ms <= now_ms);
-    let (mut workers, cooling): (Vec<_>, Vec<_>) =
-        all.into_iter().partition(|(name, _)| cooled(name));
-    if !workers.is_empty() {
-        let turn = kernel.calls.turn.fetch_add(1, Ordering::Relaxed) % workers.len();
-        workers.rotate_left(turn);
-    }
-    workers.extend(cooling);
-    workers
-}
-
-fn cool_down(kernel: &Kernel, worker: String) {
-    let until_ms = now_ms() + WORKER_COOLDOWN_MS;
-    locked(&kernel.calls.cooldowns).insert(worker, until_ms);
-}
-
-/// Whether calls to `path` of `service` may be repeated; `None` when there is
-/// no such service.
-#[must_use]
-pub fn repeatable(kernel: &Kernel, service: &str, path: &str) -> Option<bool> {
-    kernel.settings.upstreams.iter().find_map(|upstream| match &upstream.kind {
-        UpstreamKind::Service { service: name, repeatable } if name == service => {
-            Some(repeatable.iter().any(|prefix| path.starts_with(prefix.as_str())))
-        }
-        _ => None,
-    })
-}
-
 /// Forwards a call to the box that may spend its ticket, or to its heir.
 async fn forward(kernel: &Arc<Kernel>, spender: &BoxRef, call: Call) -> CallEnd {
     let began_at_us = now_us();
@@ -309,10 +215,10 @@
     let address = match answers {
         Some(member) if member.id == kernel.me => {
             return answer_as_heir(kernel, spender, &call)
-                .unwrap_or_else(|| unknown(Reason::SpenderUnreachable));
+                .unwrap_or_else(|| CallEnd::unknown(Reason::SpenderUnreachable));
         }
         Some(member) => member.address,
-        None => return unknown(Reason::SpenderUnreachable),
+        None => return CallEnd::unknown(Reason::SpenderUnreachable),
     };
     let number = kernel.take_number();
     let (waiting, answered) = oneshot::channel();
@@ -323,7 +229,7 @@
     kernel.span(trace, Hop::Spender, began_at_us, spender.to_string());
     match answer {
         Ok(Ok(end)) => end,
-        Ok(Err(_)) | Err(_) => unknown(Reason::SpenderUnreachable),
+        Ok(Err(_)) | Err(_) => CallEnd::unknown(Reason::SpenderUnreachable),
     }
 }
 
@@ -372,60 +278,11 @@
         spend(&kernel, &call).await
     } else {
         answer_as_heir(&kernel, &spender, &call)
-            .unwrap_or_else(|| unknown(Reason::SpenderUnreachable))
+            .unwrap_or_else(|| CallEnd::unknown(Reason::SpenderUnreachable))
     };
     kernel.send(&reply_to, Message::CallEnd { number, end });
 }
 
-/// Stops spending, and gives the own ledger and those inherited to a peer.
-pub async fn hand_over(kernel: &Arc<Kernel>) {
-    let mut ledgers = std::mem::take(&mut *locked(&kernel.calls.inherited));
-    {
-        let mut own = kernel.calls.ledger();
-        own.close();
-        ledgers.insert(kernel.me.clone(), own.handover());
-    }
-    ledgers.retain(|_, ledger| !ledger.is_empty());
-    if ledgers.is_empty() {
-        return;
-    }
-    for heir in heirs(kernel) {
-        if give_to(kernel, &heir, &ledgers).await {
-            info!(target: "calls", "{} ledgers given to {}.", ledgers.len(), heir.id);
-            kernel.membership().leave(Some(heir.id));
-            tokio::time::sleep(HEIR_NEWS_TIME).await;
-            return;
-        }
-    }
-    warn!(target: "calls", "Nobody took the ledger: outcomes of its calls become unknown.");
-}
-
-/// Gives all ledgers to one heir; true when it has confirmed each.
-async fn give_to(kernel: &Arc<Kernel>, heir: &Member, ledgers: &HashMap<BoxRef, Ledger>) -> bool {
-    for (of, ledger) in ledgers {
-        let mut taken = kernel.calls.handover_taken.subscribe();
-        let ledger = Box::new(ledger.clone());
-        kernel.send(&heir.address, Message::Handover { of: of.clone(), ledger });
-        let expected = Some((heir.id.clone(), of.clone()));
-        let confirmed = taken.wait_for(|by| *by == expected);
-        if tokio::time::timeout(HANDOVER_TIMEOUT, confirmed).await.is_err() {
-            return false;
-        }
-    }
-    true
-}
-
-/// Boxes that may take the ledger, those of the own hall first.
-fn heirs(kernel: &Kernel) -> Vec<Member> {
-    let membership = kernel.membership();
-    let alive = membership.members().skip(1).filter(|member| member.health == Health::Alive);
-    let mut heirs: Vec<_> = alive.cloned().collect();
-    fastrand::shuffle(&mut heirs);
-    heirs.sort_by_key(|member| member.hall != kernel.settings.hall);
-    heirs.truncate(HANDOVER_TRIES);
-    heirs
-}
-
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
     tokio::spawn(async move {
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -12,15 +12,15 @@
 use log::info;
 
 use crate::account::Terms;
-use crate::ask::{Ask, AskId, End, Import, ImportResult, Imported, Report};
+use crate::ask::{Ask, AskId, End, Report};
 use crate::assembler::Assembler;
 use crate::clock::{instant_at, now_ms, now_us};
 use crate::context::{Scope, marks, salt, tokens};
-use crate::edge::{
-    ContextStores, EngineError, EnginePiece, Generate, ModelEngines, Pieces, Staged,
-};
+use crate::edge::{EngineError, EnginePiece, Generate, ModelEngines, Pieces};
+use crate::import::Bringing;
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin};
+use crate::place::PlaceGuard;
 use crate::placing::{Placed, place};
 use crate::refusal::{Ran, Reason, Refusal};
 use crate::retry::RetryBudget;
@@ -197,7 +197,9 @@
         let mut guard = PlaceGuard::new(self.kernel, placed, &run);
         let placed = guard.placed();
         if let Some(import) = placed.grant.import.clone() {
-            self.import(placed, &import).await;
+            let (prompt, salt, trace) = (self.prompt(), salt(&self.scope()), self.job.trace);
+            let (prompt, salt) = (prompt.as_str(), salt.as_str());
+            Bringing { kernel: self.kernel, placed, prompt, salt, trace }.import(&import).await;
         }
         let stream = self.stream;
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
@@ -315,50 +317,6 @@
         Ok(())
     }
 
-    /// Brings kept context to the engine; without it, the run recomputes.
-    async fn import(&self, placed: &Placed, import: &Import) {
-        let (span_at_us, began_at_ms) = (now_us(), now_ms());
-        let deadline = instant_at(import.deadline_ms);
-        let bring = self.bring(&placed.grant.url, import);
-        let brought = tokio::time::timeout_at(deadline, bring).await;
-        let result = brought.unwrap_or(ImportResult::TimedOut);
-        let took_ms = u32::try_from(now_ms() - began_at_ms).unwrap_or(u32::MAX);
-        metrics::counter!("coursestile_imports_total", "result" => format!("{result:?}"))
-            .increment(1);
-        let note = format!("{} to {}: {result:?}", import.block.0, placed.grant.engine);
-        self.kernel.span(self.job.trace, Hop::Import, span_at_us, note);
-        let (block, expected_ms) = (import.block.clone(), import.expected_ms);
-        let imported = Imported { block, expected_ms, took_ms, result };
-        placed.report(self.kernel, Report::Imported { id: placed.id().clone(), imported });
-    }
-
-    /// Pins the block, has it staged, and uses it only as it was sealed.
-    async fn bring(&self, url: &str, import: &Import) -> ImportResult {
-        let upstreams = &self.kernel.upstreams;
-        let Import { block, store_url, seal, pinned_until_ms, .. } = import;
-        let pinned = upstreams.pin(store_url, block, *pinned_until_ms).await;
-        if pinned.as_ref() != Some(seal) {
-            return ImportResult::NotFound;
-        }
-        let (prompt, salt) = (self.prompt(), salt(&self.scope()));
-        let arrived = match upstreams.stage(url, store_url, block, &prompt, &salt).await {
-            Staged::Arrived(arrived) => arrived,
-            Staged::NotFound => return ImportResult::NotFound,
-            Staged::Failed => return ImportResult::TimedOut,
-        };
-        let in_time = now_ms() < *pinned_until_ms;
-        if arrived != *seal || !in_time {
-            upstreams.commit(url, block, true).await;
-            return ImportResult::NotFound;
-        }
-        check(Invariant::BlockReadAsSealed, arrived == *seal, || block.0.clone());
-        if upstreams.commit(url, block, false).await {
-            ImportResult::Done
-        } else {
-            ImportResult::NotFound
-        }
-    }
-
     fn refuse(&self, reason: Reason) -> Refusal {
         let refusal = Refusal::unknown(reason).retry_at(now_ms() + FAILED_RETRY_MS);
         self.as_it_ran(refusal)
@@ -375,41 +333,6 @@
     }
 }
 
-/// Gives a place back also when the attempt is dropped at its deadline.
-struct PlaceGuard<'a> {
-    kernel: &'a Arc<Kernel>,
-    placed: Option<Placed>,
-    run: &'a str,
-}
-
-impl<'a> PlaceGuard<'a> {
-    fn new(kernel: &'a Arc<Kernel>, placed: Placed, run: &'a str) -> Self {
-        Self { kernel, placed: Some(placed), run }
-    }
-
-    fn placed(&self) -> &Placed {
-        self.placed.as_ref().expect("the place is held until it is given back")
-    }
-
-    fn done(&mut self, generated_tokens: u32, end: End) {
-        let Some(placed) = self.placed.take() else {
-            return;
-        };
-        if end == End::Cancelled {
-            let (kernel, run) = (self.kernel.clone(), self.run.to_owned());
-            let url = placed.grant.url.clone();
-            tokio::spawn(async move { kernel.upstreams.cancel(&url, &run).await });
-        }
-        placed.done(self.kernel, self.run, generated_tokens, end);
-    }
-}
-
-impl Drop for PlaceGuard<'_> {
-    fn drop(&mut self) {
-        self.done(0, End::Cancelled);
-    }
-}
-
 fn budget(retries: &Mutex<RetryBudget>) -> std::sync::MutexGuard<'_, RetryBudget> {
     locked(retries)
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -15,6 +15,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::route::{Demand, RoutePolicy, choose};
 use crate::share::{GENERATED_TOKEN_WEIGHT, SharePolicy, ShareQueue};
+use crate::throughput::Throughput;
 
 /// Time for which a place is held without a renewal.
 pub const HOLD_MS: u64 = 4000;
@@ -24,10 +25,6 @@
 const LEAST_RETRY_MS: u64 = 200;
 /// Longest time to come back after an overload.
 const MOST_RETRY_MS: u64 = 10_000;
-/// Window over which throughput is measured.
-const RATE_WINDOW_MS: u64 = 1000;
-/// Weight of a new window in the mean throughput.
-const RATE_WEIGHT: f64 = 0.3;
 /// Time to come back when no engine serves the request now.
 const NO_UPSTREAM_RETRY_MS: u64 = 2000;
 
@@ -65,13 +62,6 @@
     awaited_until_ms: u64,
 }
 
-#[derive(Default)]
-struct Throughput {
-    window_ends_at_ms: u64,
-    window_tokens: f64,
-    tokens_per_ms: Option<f64>,
-}
-
 /// The dispatcher of one model in one data hall.
 pub struct Dispatcher {
     policies: Policies,
@@ -271,18 +261,8 @@
 
     /// How long the ask would wait for a place, by the work ahead of it.
     fn expected_wait_ms(&self, ask: &Ask) -> u64 {
-        let Some(rate) = self.throughput.tokens_per_ms else {
-            return 0;
-        };
         let ahead = self.queue.tokens_ahead(&ask.scope.account, ask.share);
-        let wait_ms = ahead / rate.max(1e-3);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "waits are positive, and a float cast saturates"
-        )]
-        let wait_ms = wait_ms as u64;
-        wait_ms
+        self.throughput.time_ms(ahead)
     }
 
     fn expected_work(&self, ask: &Ask) -> f64 {
@@ -458,25 +438,6 @@
     }
 }
 
-impl Throughput {
-    /// Counts work done; only windows with work waiting tell the capacity.
-    fn add(&mut self, now_ms: u64, tokens: f64, backlogged: bool) {
-        self.window_tokens += tokens;
-        if now_ms < self.window_ends_at_ms {
-            return;
-        }
-        let began_at_ms = self.window_ends_at_ms.saturating_sub(RATE_WINDOW_MS);
-        let elapsed_ms = u32::try_from(now_ms - began_at_ms).unwrap_or(u32::MAX);
-        let rate = self.window_tokens / f64::from(elapsed_ms);
-        if backlogged && u64::from(elapsed_ms) < 3 * RATE_WINDOW_MS {
-            let mean = self.tokens_per_ms.unwrap_or(rate);
-            self.tokens_per_ms = Some(mean + RATE_WEIGHT * (rate - mean));
-        }
-        self.window_ends_at_ms = now_ms + RATE_WINDOW_MS;
-        self.window_tokens = 0.0;
-    }
-}
-
 /// Work of a request, in prompt tokens.
 fn work_tokens(uncached_tokens: u32, generated_tokens: u32) -> f64 {
     f64::from(uncached_tokens) + GENERATED_TOKEN_WEIGHT * f64::from(generated_tokens)
--- /dev/null
+++ b/src/handover.rs
@@ -0,0 +1,70 @@
+//! Gives the ledgers of a box that stops to a peer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+
+use crate::kernel::Kernel;
+use crate::ledger::Ledger;
+use crate::member::{Health, Member};
+use crate::sync::locked;
+use crate::ticket::BoxRef;
+use crate::wire::Message;
+
+/// Time in which an heir confirms a handover.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Boxes that are asked in turn to take a ledger over.
+const HANDOVER_TRIES: usize = 3;
+/// Time in which news of the heir spreads before the box stops.
+const HEIR_NEWS_TIME: Duration = Duration::from_millis(1200);
+
+/// Stops spending, and gives the own ledger and those inherited to a peer.
+pub async fn hand_over(kernel: &Arc<Kernel>) {
+    let mut ledgers = std::mem::take(&mut *locked(&kernel.calls.inherited));
+    {
+        let mut own = kernel.calls.ledger();
+        own.close();
+        ledgers.insert(kernel.me.clone(), own.handover());
+    }
+    ledgers.retain(|_, ledger| !ledger.is_empty());
+    if ledgers.is_empty() {
+        return;
+    }
+    for heir in heirs(kernel) {
+        if give_to(kernel, &heir, &ledgers).await {
+            info!(target: "calls", "{} ledgers given to {}.", ledgers.len(), heir.id);
+            kernel.membership().leave(Some(heir.id));
+            tokio::time::sleep(HEIR_NEWS_TIME).await;
+            return;
+        }
+    }
+    warn!(target: "calls", "Nobody took the ledger: outcomes of its calls become unknown.");
+}
+
+/// Gives all ledgers to one heir; true when it has confirmed each.
+async fn give_to(kernel: &Arc<Kernel>, heir: &Member, ledgers: &HashMap<BoxRef, Ledger>) -> bool {
+    for (of, ledger) in ledgers {
+        let mut taken = kernel.calls.handover_taken.subscribe();
+        let ledger = Box::new(ledger.clone());
+        kernel.send(&heir.address, Message::Handover { of: of.clone(), ledger });
+        let expected = Some((heir.id.clone(), of.clone()));
+        let confirmed = taken.wait_for(|by| *by == expected);
+        if tokio::time::timeout(HANDOVER_TIMEOUT, confirmed).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Boxes that may take the ledger, those of the own hall first.
+fn heirs(kernel: &Kernel) -> Vec<Member> {
+    let membership = kernel.membership();
+    let alive = membership.members().skip(1).filter(|member| member.health == Health::Alive);
+    let mut heirs: Vec<_> = alive.cloned().collect();
+    fastrand::shuffle(&mut heirs);
+    heirs.sort_by_key(|member| member.hall != kernel.settings.hall);
+    heirs.truncate(HANDOVER_TRIES);
+    heirs
+}
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -15,6 +15,7 @@
 use crate::keep::{self, KeepPolicy, Kept};
 use crate::owner::owner;
 use crate::route::Offer;
+use crate::store::{Store, exact, whole_ms};
 
 /// Least context worth a block, in tokens.
 const LEAST_BLOCK_TOKENS: u32 = 512;
@@ -24,8 +25,6 @@
 const HIGH_FILL_PERCENT: u64 = 92;
 /// Fill of a store down to which blocks are freed, in percent.
 const LOW_FILL_PERCENT: u64 = 85;
-/// Time for which a store that failed is left alone.
-const COOLDOWN_MS: u64 = 3000;
 /// Backlog of a link above which nothing is written over it.
 const MAX_WRITE_BACKLOG_MS: f64 = 100.0;
 /// An import may take so many times its estimate, and the slack.
@@ -34,23 +33,6 @@
 const IMPORT_SLACK_MS: f64 = 20.0;
 /// Time for which a block is pinned past its import's deadline.
 const PIN_EXTRA_MS: u64 = 5000;
-/// Weight of a new measurement in a link's mean rate.
-const RATE_WEIGHT: f64 = 0.2;
-
-/// A store box as its users see it.
-#[derive(Clone, Debug)]
-pub struct Store {
-    /// Where it listens.
-    pub url: String,
-    /// Bytes that this dispatcher may use there.
-    pub capacity_bytes: u64,
-    /// Rate of its link, measured.
-    pub bytes_per_ms: f64,
-    /// When the link has done what was planned on it, in Unix milliseconds.
-    pub busy_until_ms: f64,
-    /// It is left alone until then, in Unix milliseconds.
-    pub cooldown_until_ms: u64,
-}
 
 /// What a block says of itself, for dispatchers that come after.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -379,45 +361,3 @@
         Self { id: id.clone(), account: record.account.clone(), marks, kept }
     }
 }
-
-impl Store {
-    fn backlog_ms(&self, now_ms: u64) -> f64 {
-        (self.busy_until_ms - exact(now_ms)).max(0.0)
-    }
-
-    fn offer(&self, now_ms: u64, block: &Block, common: u32) -> Offer {
-        let transfer_ms = exact(block.size_bytes) / self.bytes_per_ms;
-        let link_ms = self.backlog_ms(now_ms) + transfer_ms;
-        Offer { tokens: common.min(block.mark.tokens), link_ms, transfer_ms }
-    }
-
-    fn plan(&mut self, now_ms: u64, transfer_ms: f64) {
-        self.busy_until_ms = self.busy_until_ms.max(exact(now_ms)) + transfer_ms;
-    }
-
-    /// Corrects the rate by how far the estimate was off; the estimate
-    /// includes what the link had to do before.
-    fn measured(&mut self, expected_ms: u32, took_ms: u32) {
-        let ratio = f64::from(expected_ms.max(1)) / f64::from(took_ms.max(1));
-        self.bytes_per_ms *= 1.0 + RATE_WEIGHT * (ratio.clamp(0.25, 4.0) - 1.0);
-    }
-
-    fn fail(&mut self, now_ms: u64) {
-        self.cooldown_until_ms = now_ms + COOLDOWN_MS;
-        self.busy_until_ms = 0.0;
-    }
-}
-
-#[expect(clippy::cast_precision_loss, reason = "times and sizes stay far below 2^52")]
-fn exact(value: u64) -> f64 {
-    value as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "waits are positive and far below 2^52"
-)]
-fn whole_ms(value: f64) -> u64 {
-    value.max(0.0).ceil() as u64
-}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -151,7 +151,7 @@
             dispatch: Dispatch::default(),
             calls: Calls::default(),
             streams: Streams::default(),
-            link: Link::default(),
+            link: Link::new(settings.routes.clone()),
             membership: Mutex::new(membership),
             phase: watch::Sender::new(Phase::Serving),
             next_number: AtomicU64::new(1),
@@ -271,7 +271,7 @@
         if self.busy() {
             warn!(target: "kernel", "Stopping with requests still running.");
         }
-        crate::calls::hand_over(self).await;
+        crate::handover::hand_over(self).await;
         info!(target: "kernel", "Box {} has stopped.", self.me);
         self.phase.send_replace(Phase::Stopped);
     }
--- a/src/link.rs
+++ b/src/link.rs
@@ -4,7 +4,7 @@
 //! that it talks to. A message that cannot be sent at once is dropped: all
 //! that is said here is said again, or its absence is noticed by a deadline.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -29,8 +29,8 @@
 }
 
 /// Sends to peers, and counts what it sends.
-#[derive(Default)]
 pub struct Link {
+    routes: BTreeMap<String, String>,
     peers: Mutex<HashMap<String, Peer>>,
 }
 
@@ -61,13 +61,20 @@
 }
 
 impl Link {
+    /// A link that reaches some peers by `routes`.
+    #[must_use]
+    pub fn new(routes: BTreeMap<String, String>) -> Self {
+        Self { routes, peers: Mutex::default() }
+    }
+
     /// Sends bytes to a peer, or drops them.
     pub fn send(&self, address: &str, bytes: &[u8]) {
         let size = bytes.len() as u64;
         let mut peers = locked(&self.peers);
         if !peers.contains_key(address) {
             close_idle(&mut peers);
-            let Some(peer) = dial(address) else {
+            let way = self.routes.get(address).map_or(address, String::as_str);
+            let Some(peer) = dial(way) else {
                 return;
             };
             peers.insert(address.to_owned(), peer);
--- /dev/null
+++ b/src/place.rs
@@ -0,0 +1,51 @@
+//! A place on an engine, for as long as an attempt holds it.
+
+use std::sync::Arc;
+
+use crate::ask::End;
+use crate::edge::ModelEngines;
+use crate::kernel::Kernel;
+use crate::placing::Placed;
+
+/// Gives a place back also when the attempt is dropped at its deadline.
+pub struct PlaceGuard<'a> {
+    kernel: &'a Arc<Kernel>,
+    placed: Option<Placed>,
+    run: &'a str,
+}
+
+impl<'a> PlaceGuard<'a> {
+    /// Holds a place for `run`.
+    #[must_use]
+    pub fn new(kernel: &'a Arc<Kernel>, placed: Placed, run: &'a str) -> Self {
+        Self { kernel, placed: Some(placed), run }
+    }
+
+    /// The place.
+    ///
+    /// # Panics
+    /// Panics when it was given back.
+    #[must_use]
+    pub fn placed(&self) -> &Placed {
+        self.placed.as_ref().expect("the place is held until it is given back")
+    }
+
+    /// Gives the place back.
+    pub fn done(&mut self, generated_tokens: u32, end: End) {
+        let Some(placed) = self.placed.take() else {
+            return;
+        };
+        if end == End::Cancelled {
+            let (kernel, run) = (self.kernel.clone(), self.run.to_owned());
+            let url = placed.grant.url.clone();
+            tokio::spawn(async move { kernel.upstreams.cancel(&url, &run).await });
+        }
+        placed.done(self.kernel, self.run, generated_tokens, end);
+    }
+}
+
+impl Drop for PlaceGuard<'_> {
+    fn drop(&mut self) {
+        self.done(0, End::Cancelled);
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,6 +2,7 @@
 //!
 //! Every finding is collected with its line, and all are reported together.
 
+use std::collections::BTreeMap;
 use std::fmt::{Display, Write as _};
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -102,6 +103,8 @@
     pub peers: SocketAddr,
     /// Where its peers reach it.
     pub advertise: String,
+    /// Ways to peers that are not reached where they say: address and way.
+    pub routes: BTreeMap<String, String>,
     /// Peers to learn the others from.
     pub seeds: Vec<String>,
     /// Key shared by all boxes.
@@ -171,6 +174,7 @@
             operators: self.optional(ini, "box", "operators", local),
             peers,
             advertise: self.optional(ini, "box", "advertise", peers.to_string()),
+            routes: self.routes(ini),
             seeds: list(&self.optional(ini, "box", "seeds", String::new())),
             cluster_key: self.cluster_key(&key),
             platform_url: self.url(ini, "platform"),
@@ -285,6 +289,19 @@
         })
     }
 
+    fn routes(&mut self, ini: &Ini) -> BTreeMap<String, String> {
+        let mut routes = BTreeMap::new();
+        for pair in list(&self.optional(ini, "box", "routes", String::new())) {
+            if let Some((address, way)) = pair.split_once('>') {
+                routes.insert(address.to_owned(), way.to_owned());
+            } else {
+                let text = format!("routes: '{pair}' is not address>way");
+                self.find_at("box", "routes", text);
+            }
+        }
+        routes
+    }
+
     fn url(&mut self, ini: &Ini, section: &str) -> String {
         let url: String = self.required(ini, section, "url");
         if !url.is_empty() && !url.starts_with("http://") && !url.starts_with("https://") {
@@ -322,6 +339,7 @@
             "operators",
             "peers",
             "advertise",
+            "routes",
             "seeds",
             "cluster_key",
         ],
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,76 @@
+//! A store box and its link, as a dispatcher plans with them.
+
+use crate::blocks::Block;
+use crate::route::Offer;
+
+/// Time for which a store that failed is left alone.
+const COOLDOWN_MS: u64 = 3000;
+/// Weight of a new measurement in a link's mean rate.
+const RATE_WEIGHT: f64 = 0.2;
+
+/// A store box as its users see it.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// Where it listens.
+    pub url: String,
+    /// Bytes that this dispatcher may use there.
+    pub capacity_bytes: u64,
+    /// Rate of its link, measured.
+    pub bytes_per_ms: f64,
+    /// When the link has done what was planned on it, in Unix milliseconds.
+    pub busy_until_ms: f64,
+    /// It is left alone until then, in Unix milliseconds.
+    pub cooldown_until_ms: u64,
+}
+
+impl Store {
+    /// Time until the link has done what was planned on it.
+    #[must_use]
+    pub fn backlog_ms(&self, now_ms: u64) -> f64 {
+        (self.busy_until_ms - exact(now_ms)).max(0.0)
+    }
+
+    /// What bringing a block takes that has `common` tokens of the prompt.
+    #[must_use]
+    pub fn offer(&self, now_ms: u64, block: &Block, common: u32) -> Offer {
+        let transfer_ms = exact(block.size_bytes) / self.bytes_per_ms;
+        let link_ms = self.backlog_ms(now_ms) + transfer_ms;
+        Offer { tokens: common.min(block.mark.tokens), link_ms, transfer_ms }
+    }
+
+    /// Plans a transfer.
+    pub fn plan(&mut self, now_ms: u64, transfer_ms: f64) {
+        self.busy_until_ms = self.busy_until_ms.max(exact(now_ms)) + transfer_ms;
+    }
+
+    /// Corrects the rate by how far the estimate was off; the estimate
+    /// includes what the link had to do before.
+    pub fn measured(&mut self, expected_ms: u32, took_ms: u32) {
+        let ratio = f64::from(expected_ms.max(1)) / f64::from(took_ms.max(1));
+        self.bytes_per_ms *= 1.0 + RATE_WEIGHT * (ratio.clamp(0.25, 4.0) - 1.0);
+    }
+
+    /// Notes a failure: the store is left alone for a while.
+    pub fn fail(&mut self, now_ms: u64) {
+        self.cooldown_until_ms = now_ms + COOLDOWN_MS;
+        self.busy_until_ms = 0.0;
+    }
+}
+
+/// A whole number as a float.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "times and sizes stay far below 2^52")]
+pub fn exact(value: u64) -> f64 {
+    value as f64
+}
+
+/// A time as whole milliseconds, rounded up.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "waits are positive and far below 2^52"
+)]
+pub fn whole_ms(value: f64) -> u64 {
+    value.max(0.0).ceil() as u64
+}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Every fleet has a loopback network of its own, so that fleets beside each
 //! other do not meet. All processes end with the fleet.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -52,6 +53,8 @@
     pub store_bytes: u64,
     /// Rate of a store's link.
     pub link_bytes_per_ms: u64,
+    /// Requests that an engine is given at once.
+    pub slots: u32,
     /// Further arguments of engines.
     pub engine_args: Vec<(String, String)>,
     /// Further arguments of workers.
@@ -62,6 +65,8 @@
     pub limits: String,
     /// Whether engines check who orders.
     pub checks_orders: bool,
+    /// Whether messages between halls go over wires that can be cut.
+    pub wires: bool,
 }
 
 impl Plan {
@@ -73,11 +78,13 @@
             stores: 0,
             store_bytes: 4_000_000_000,
             link_bytes_per_ms: 2_000_000,
+            slots: 8,
             engine_args: Vec::new(),
             worker_args: Vec::new(),
             policy: String::new(),
             limits: String::new(),
             checks_orders: true,
+            wires: false,
         }
     }
 
@@ -218,6 +225,8 @@
     pub stores: Vec<Process>,
     /// Workers of the plain service.
     pub workers: Vec<Process>,
+    /// Wires between halls, one for each direction, named `from-to`.
+    pub wires: Vec<Process>,
     /// Client for calls.
     pub http: reqwest::Client,
     dir: PathBuf,
@@ -281,13 +290,13 @@
         name: &str,
         hall: &str,
         host: &str,
-        seeds: &str,
+        peers: &str,
         platform: &Process,
         upstreams: &str,
     ) -> String {
         format!(
             "[box]\nname = {name}\nhall = {hall}\nregion = home\ncallers = {host}:8000\n\
-             operators = {host}:9000\npeers = {host}:7000\nseeds = {seeds}\n\
+             operators = {host}:9000\npeers = {host}:7000\n{peers}\n\
              cluster_key = {CLUSTER_KEY}\n\n[platform]\nurl = {}\n\n[policy]\n{}\n\n\
              [limits]\n{}\n\n{upstreams}",
             platform.url(),
@@ -320,6 +329,7 @@
             engines: Vec::new(),
             stores: Vec::new(),
             workers: Vec::new(),
+            wires: Vec::new(),
             http: reqwest::Client::new(),
             dir,
         };
@@ -364,25 +374,64 @@
                 hosts.push((name, hall.name.clone(), starter.address()));
             }
         }
+        let routes = self.start_wires(starter, &plan, &hosts);
         let seeds: Vec<_> = hosts.iter().map(|(_, _, host)| format!("{host}:7000")).collect();
         for (name, hall, host) in &hosts {
             let upstreams = self.upstream_settings(&plan, hall);
             let platform = &self.platform;
-            let settings =
-                starter.settings(name, hall, host, &seeds.join(", "), platform, &upstreams);
+            let routes = routes.get(hall).map_or("", String::as_str);
+            let peers = format!("seeds = {}\nroutes = {routes}", seeds.join(", "));
+            let settings = starter.settings(name, hall, host, &peers, platform, &upstreams);
             self.boxes.push(starter.entry_box(name, hall, host, &settings));
         }
     }
 
+    /// Starts the wires; returns the routes of each hall's boxes.
+    fn start_wires(
+        &mut self,
+        starter: &mut Starter<'_>,
+        plan: &Plan,
+        hosts: &[(String, String, String)],
+    ) -> BTreeMap<String, String> {
+        let mut routes = BTreeMap::new();
+        let halls = plan.halls.iter().filter(|_| plan.wires);
+        for from in halls.clone() {
+            let mut own = Vec::new();
+            for to in halls.clone().filter(|to| to.name != from.name) {
+                let far = hosts.iter().filter(|(_, hall, _)| *hall == to.name);
+                let way = |host: &String| (format!("{}:7000", starter.address()), host.clone());
+                let ways: Vec<_> = far.map(|(_, _, host)| host).map(way).collect();
+                let pairs = ways.iter().map(|(way, host)| format!("{way}>{host}:7000"));
+                let pairs = pairs.collect::<Vec<_>>().join(",");
+                own.extend(ways.iter().map(|(way, host)| format!("{host}:7000>{way}")));
+                let name = format!("{}-{}", from.name, to.name);
+                self.wires.push(starter.standin("wire", &name, "", &[("pairs".to_owned(), pairs)]));
+            }
+            routes.insert(from.name.clone(), own.join(", "));
+        }
+        routes
+    }
+
+    /// Cuts a hall off from the others, or heals that.
+    pub async fn cut_hall(&self, hall: &str, cut: bool) {
+        for wire in &self.wires {
+            let (from, to) = wire.name.split_once('-').unwrap_or_default();
+            if from == hall || to == hall {
+                self.try_fault(wire, json!({ "outage": cut })).await;
+            }
+        }
+    }
+
     fn upstream_settings(&self, plan: &Plan, hall: &str) -> String {
         let mut text = String::new();
         for engine in self.engines.iter().filter(|engine| engine.hall == hall) {
             let _ = writeln!(
                 text,
-                "[upstream.{}]\nkind = engine\nurl = {}\nmodel = summary\nslots = 8\n\
+                "[upstream.{}]\nkind = engine\nurl = {}\nmodel = summary\nslots = {}\n\
                  prefill_token_us = 30\nchecks_orders = {}\n",
                 engine.name,
                 engine.url(),
+                plan.slots,
                 plan.checks_orders
             );
         }
@@ -413,7 +462,7 @@
     }
 
     async fn wait_started(&self) {
-        let upstreams = self.engines.iter().chain(&self.stores);
+        let upstreams = self.engines.iter().chain(&self.stores).chain(&self.wires);
         for process in upstreams.chain(&self.workers) {
             self.wait_for(&format!("{}/fault", process.url())).await;
         }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod kv;
 pub mod service;
 pub mod store;
+pub mod wire;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -33,7 +33,7 @@
 
 #[tokio::test]
 async fn engine_killed() {
-    let mut fleet = fleet(&Plan::one_hall(2, 3, 0)).await;
+    let fleet = fleet(&Plan::one_hall(2, 3, 0)).await;
     let (answer, engine) = start_long(&fleet).await;
     fleet.engines[engine].kill();
     assert_eq!(answer.await.unwrap(), long_answer());
@@ -68,7 +68,7 @@
 
 #[tokio::test]
 async fn dispatcher_killed() {
-    let mut fleet = fleet(&Plan::one_hall(3, 2, 0)).await;
+    let fleet = fleet(&Plan::one_hall(3, 2, 0)).await;
     check_completion(&fleet, 0, KEY, "Who decides?", 5).await;
     let mut owner = None;
     for (index, entry_box) in fleet.boxes.iter().enumerate() {
--- a/tests/assembling.rs
+++ b/tests/assembling.rs
@@ -35,8 +35,8 @@
             }
         }
         prop_assert_eq!(assembler.finish(), Some("length"));
-        let expected: String = (0..20).map(|seq| format!("{seq} ")).collect();
-        prop_assert_eq!(text, expected);
+        let expected: Vec<_> = (0..20).map(|seq| format!("{seq} ")).collect();
+        prop_assert_eq!(text, expected.concat());
     }
 }
 
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -66,7 +66,7 @@
 
 #[tokio::test]
 async fn platform_out() {
-    let mut fleet = fleet(&Plan::one_hall(3, 1, 0)).await;
+    let fleet = fleet(&Plan::one_hall(3, 1, 0)).await;
     fleet.fault(&fleet.platform, json!({ "outage": true })).await;
     // All boxes but one are replaced while the platform is out.
     for at in [0, 1] {
--- /dev/null
+++ b/tests/halls_cut.rs
@@ -0,0 +1,80 @@
+//! Halls that are cut off from each other and from the platform go on serving.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{call, check_completion, context, fleet, runs, ticket};
+use coursestile_standins::fleet::{Fleet, HallPlan, Plan};
+use serde_json::json;
+
+const KEY: &str = "sanam-key";
+
+async fn three_halls() -> Fleet {
+    let halls = ["north", "east", "west"].map(|name| HallPlan::new(name, 2, 2, 1));
+    let mut plan = Plan::new(halls.to_vec());
+    plan.wires = true;
+    fleet(&plan).await
+}
+
+async fn serve_everywhere(fleet: &Fleet, round: &str) {
+    for at in 0..fleet.boxes.len() {
+        for number in 0..4 {
+            let prompt = format!("{}?", context(&format!("{round} {at} {number}"), 600));
+            check_completion(fleet, at, KEY, &prompt, 5).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn each_serves() {
+    let fleet = three_halls().await;
+    serve_everywhere(&fleet, "before").await;
+    fleet.cut_hall("east", true).await;
+    fleet.fault(&fleet.platform, json!({ "outage": true })).await;
+    serve_everywhere(&fleet, "cut just now").await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    serve_everywhere(&fleet, "cut for long").await;
+    fleet.cut_hall("east", false).await;
+    fleet.fault(&fleet.platform, json!({ "outage": false })).await;
+    serve_everywhere(&fleet, "healed").await;
+}
+
+#[tokio::test]
+async fn boxes_agree() {
+    let fleet = three_halls().await;
+    fleet.cut_hall("east", true).await;
+    // All of the hall's boxes are replaced while it is cut off.
+    let east: Vec<_> = fleet.boxes.iter().filter(|one| one.process.hall == "east").collect();
+    for entry_box in &east {
+        entry_box.process.restart();
+    }
+    fleet.must_operate(&["account", "set", "petra", "--drop-key", "petra-key"]);
+    let others: Vec<_> = fleet.boxes.iter().filter(|one| one.process.hall != "east").collect();
+    fleet.wait_in_force(&others, 5, 4).await;
+    // The platform is reached from each hall, so that a cut hall hears of it too.
+    fleet.wait_in_force(&east, 5, 2).await;
+    fleet.cut_hall("east", false).await;
+    let all: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&all, 5, 6).await;
+}
+
+#[tokio::test]
+async fn ticket_across() {
+    let fleet = three_halls().await;
+    let prefix = ticket(&fleet, 0, KEY).await;
+    let order = |at: usize, key: String| {
+        let order = call(&fleet, at, KEY, "/orders/1").header("idempotency-key", key);
+        async { order.header("x-timeout-ms", 800).send().await.unwrap() }
+    };
+    let key = format!("{prefix}/1");
+    assert_eq!(order(0, key.clone()).await.status(), 200);
+    fleet.cut_hall("north", true).await;
+    let cut = order(2, key.clone()).await;
+    assert_eq!(cut.headers()["x-coursestile-ran"], "outcome unknown");
+    assert_eq!(order(1, key.clone()).await.status(), 200, "the own hall is not cut");
+    fleet.cut_hall("north", false).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(order(2, key.clone()).await.status(), 200);
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
--- a/tests/kept_context.rs
+++ b/tests/kept_context.rs
@@ -74,7 +74,7 @@
 
 #[tokio::test]
 async fn half_written() {
-    let mut fleet = fleet(&plan()).await;
+    let fleet = fleet(&plan()).await;
     // The engine dies in the middle of a write; the store serves what it has.
     fleet.fault(&fleet.stores[0], json!({ "slowdown": 40, "serve_unsealed": true })).await;
     let prompt = format!("{}What now?", context("rulebook", 3000));
@@ -132,7 +132,7 @@
 
 #[tokio::test]
 async fn directory_rebuilt() {
-    let mut fleet = fleet(&plan()).await;
+    let fleet = fleet(&plan()).await;
     keep_and_forget(&fleet, "sanam-key", "rulebook").await;
     for at in 0..2 {
         fleet.boxes[at].process.restart();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -58,7 +58,7 @@
 
 #[tokio::test]
 async fn box_stops() {
-    let mut fleet = fleet(&Plan::one_hall(2, 2, 0)).await;
+    let fleet = fleet(&Plan::one_hall(2, 2, 0)).await;
     let long = completion(&fleet, 0, KEY, "A long one.", 900);
     let long = tokio::spawn(async move { text(long.send().await.unwrap()).await });
     tokio::time::sleep(Duration::from_millis(300)).await;
@@ -79,7 +79,7 @@
 
 #[tokio::test]
 async fn rolling_restart() {
-    let mut fleet = fleet(&Plan::one_hall(3, 3, 0)).await;
+    let fleet = fleet(&Plan::one_hall(3, 3, 0)).await;
     let urls: Vec<_> = fleet.boxes.iter().map(|one| one.process.url()).collect();
     let ready: Vec<_> =
         fleet.boxes.iter().map(|one| format!("http://{}/ready", one.operators)).collect();
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -34,7 +34,7 @@
 
 #[tokio::test]
 async fn spender_killed() {
-    let mut fleet = slow_worker(600).await;
+    let fleet = slow_worker(600).await;
     let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
     let first = call(&fleet, 0, KEY, "/orders/7").header("idempotency-key", &key).send();
     let first = tokio::spawn(first);
@@ -122,7 +122,7 @@
 
 #[tokio::test]
 async fn worker_gone() {
-    let mut fleet = slow_worker(5).await;
+    let fleet = slow_worker(5).await;
     let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
     fleet.workers[0].kill();
     let refused = order(&fleet, 1, &key, 1000).await.unwrap();
@@ -135,7 +135,7 @@
 
 #[tokio::test]
 async fn ledger_inherited() {
-    let mut fleet = slow_worker(5).await;
+    let fleet = slow_worker(5).await;
     let prefix = ticket(&fleet, 0, KEY).await;
     let (spent, fresh) = (format!("{prefix}/1"), format!("{prefix}/2"));
     assert_eq!(run_of(order(&fleet, 0, &spent, 1000).await.unwrap()).await, 1);
