--- a/load/src/bench.rs
+++ b/load/src/bench.rs
@@ -84,7 +84,8 @@
 /// The first token through the daemon, and from the engine itself, in turn.
 async fn first_token() {
     let mut plan = Plan::one_hall(2, 1, 0);
-    plan.engine_args = options(&[("step-us", "500"), ("cache-tokens", "1000000")]);
+    plan.cache_tokens = 1_000_000;
+    plan.engine_args = options(&[("step-us", "500")]);
     let fleet = full_fleet(&plan).await;
     println!("\nfirst token, {FIRST_TOKENS} requests each, in turn, two boxes");
     println!("{:<28} {:>10} {:>10} {:>10}", "way", "p50 ms", "p95 ms", "p99 ms");
@@ -123,19 +124,22 @@
 async fn relay() {
     let mut plan = Plan::one_hall(1, 8, 0);
     plan.slots = 128;
+    plan.cache_tokens = 1_000_000;
     plan.engine_args = options(&[
         ("step-us", "18000"),
         ("prefill-token-us", "0"),
         ("chunk-tokens", "1000000"),
         ("batch-slots", "128"),
-        ("cache-tokens", "1000000"),
     ]);
     let fleet = full_fleet(&plan).await;
-    fill_prompts(&fleet).await;
     let pid = fleet.boxes[0].process.pid();
+    let idle_mb = resident_mb(pid);
+    fill_prompts(&fleet).await;
+    let filled_mb = resident_mb(pid);
     let status = fleet.status(&fleet.boxes[0]).await.unwrap_or_default();
     let prompts = status["dispatchers"][0]["prompts"].as_u64().unwrap_or(0);
-    println!("\nrelay: {OPEN_STREAMS} open streams, {prompts} prompts known, 1,300 accounts");
+    println!("\ndaemon {idle_mb:.1} MB idle, {filled_mb:.1} MB with its prompts");
+    println!("relay: {OPEN_STREAMS} open streams, {prompts} prompts known, 1,300 accounts");
     let (begun_at, ticks) = (Instant::now(), cpu_ticks(pid));
     let streams: Vec<_> = (0..OPEN_STREAMS)
         .map(|number| {
@@ -169,7 +173,7 @@
     let prompts = futures_util::stream::iter(0..PROMPTS).map(|number| {
         let fleet = fleet.clone();
         async move {
-            let prompt = format!("{number:>6000}");
+            let prompt = format!("{number:<6000}");
             let body = json!({ "model": "summary", "prompt": prompt, "max_tokens": 1 });
             let url = format!("{}/v1/completions", fleet.boxes[0].process.url());
             let answer = fleet.http.post(url).bearer_auth(KEY).json(&body).send().await;
--- a/load/src/chaos.rs
+++ b/load/src/chaos.rs
@@ -198,7 +198,7 @@
     let mut plan = Plan::new(halls.to_vec());
     plan.stores = 2;
     plan.wires = true;
-    plan.engine_args = vec![("cache-tokens".to_owned(), "24576".to_owned())];
+    plan.cache_tokens = 24_576;
     "drain_timeout_ms = 15000".clone_into(&mut plan.limits);
     let fleet = Arc::new(Fleet::start(&plan).await);
     let rate_per_s = options.rate_per_s.min(30.0);
--- a/load/src/compare.rs
+++ b/load/src/compare.rs
@@ -27,7 +27,7 @@
 }
 
 /// Engines with little cache, so that gaps outlast it within a short run.
-const CACHE_TOKENS: usize = 24_576;
+const CACHE_TOKENS: u64 = 24_576;
 /// Bytes of a store, too few for all contexts.
 const STORE_BYTES: u64 = 9_000_000_000;
 /// Rate of a store's link.
@@ -66,7 +66,7 @@
 fn plan(policy: &Policy) -> Plan {
     let mut plan = Plan::today();
     plan.stores = policy.stores;
-    plan.engine_args = vec![("cache-tokens".to_owned(), CACHE_TOKENS.to_string())];
+    plan.cache_tokens = CACHE_TOKENS;
     plan.store_bytes = policy.store_bytes;
     plan.link_bytes_per_ms = policy.link_bytes_per_ms;
     plan.policy =
@@ -78,7 +78,8 @@
 fn kept_tokens(plan: &Plan) -> usize {
     let engines: usize = plan.halls.iter().map(|hall| hall.engines).sum();
     let stored = plan.store_bytes * plan.stores as u64 / KV_TOKEN_BYTES;
-    engines * CACHE_TOKENS + usize::try_from(stored).unwrap_or(usize::MAX)
+    let cached = engines as u64 * CACHE_TOKENS;
+    usize::try_from(cached + stored).unwrap_or(usize::MAX)
 }
 
 async fn start(policy: &Policy, workload: &Workload) -> Arc<Fleet> {
--- a/load/src/decide.rs
+++ b/load/src/decide.rs
@@ -34,7 +34,7 @@
 /// Prints the table.
 pub fn run() -> ExitCode {
     println!("{:<52} {:>12} {:>12}", "what", "time us", "memory");
-    for prompts in [6_600, 40_000] {
+    for prompts in [40_000, 6_600] {
         dispatcher(prompts);
     }
     configuration();
@@ -70,7 +70,7 @@
     let account = format!("account-{}", number % ACCOUNTS);
     let (model, version) = ("model".to_owned(), "v1".to_owned());
     let scope = Scope { account, model, version };
-    let prompt = format!("{:>24000}", number % prompts);
+    let prompt = format!("{:<24000}", number % prompts);
     Ask {
         id: AskId {
             entry: BoxRef { name: "box".to_owned(), incarnation: 1 },
--- a/src/ask.rs
+++ b/src/ask.rs
@@ -56,6 +56,8 @@
     pub block: BlockId,
     /// Where the store listens.
     pub store_url: String,
+    /// Tokens of it that the prompt has in common, which alone are used.
+    pub tokens: u32,
     /// What the block's content must match.
     pub seal: Seal,
     /// Time that it is expected to take.
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -7,28 +7,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::{Stream as Events, StreamExt, stream};
 use log::error;
 use poem::http::StatusCode;
-use poem::listener::TcpListener;
-use poem::web::sse::{Event, SSE};
+use poem::web::sse::SSE;
 use poem::web::{Data, Json, Path, Query};
 use poem::{
-    Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post,
+    Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, get, handler, post,
 };
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::account::Terms;
 use crate::calls::{give_ticket, serve_once, serve_plain, single_key};
+use crate::chunk::{events, last_chunk};
 use crate::clock::now_ms;
 use crate::completion::{self, Job};
 use crate::context::tokens;
 use crate::kernel::{Kernel, Phase, Plugin};
 use crate::ledger::{Answer, CallKey};
+use crate::listen::server;
 use crate::refusal::{Reason, Refusal};
-use crate::rejection::{Rejection, bad_request, error_body, header};
-use crate::streams::{News, Reader, Stream, StreamEnd};
+use crate::rejection::{Rejection, bad_request, header};
+use crate::streams::{News, Stream, StreamEnd};
 use crate::trace::TraceId;
 use crate::wire::Call;
 use crate::workers::repeatable;
@@ -157,22 +157,6 @@
     Ok((stream, streamed))
 }
 
-fn chunk(stream: &Stream, seq: usize, text: &str, finish: Option<&str>) -> Value {
-    let (version, cached_tokens) = stream.ran_with();
-    json!({
-        "id": stream.id,
-        "object": "text_completion",
-        "model": stream.model,
-        "system_fingerprint": version,
-        "seq": seq,
-        "choices": [{ "index": 0, "text": text, "finish_reason": finish }],
-        "usage": {
-            "prompt_tokens": stream.prompt_tokens,
-            "prompt_tokens_details": { "cached_tokens": cached_tokens },
-        },
-    })
-}
-
 async fn send_whole(stream: &Arc<Stream>) -> Response {
     let _reader = stream.read();
     let mut read = 0;
@@ -183,7 +167,8 @@
                 return Rejection::from(refusal).into_response();
             }
             News::End(StreamEnd::Finished(reason)) => {
-                let body = Json(chunk(stream, 0, &stream.text(), Some(&reason)));
+                let (version, text) = (stream.ran_with().0, stream.text());
+                let body = Json(last_chunk(stream, &version, read, &text, &reason));
                 return body.with_header(REQUEST_HEADER, &stream.id).into_response();
             }
         }
@@ -200,50 +185,6 @@
     SSE::new(events(stream, reader, from)).with_header(REQUEST_HEADER, id).into_response()
 }
 
-struct Cursor {
-    stream: Arc<Stream>,
-    next: usize,
-    ended: bool,
-    _reader: Reader,
-}
-
-fn events(stream: Arc<Stream>, reader: Reader, from: usize) -> impl Events<Item = Event> {
-    let cursor = Cursor { stream, next: from, ended: false, _reader: reader };
-    let batches = stream::unfold(cursor, |mut cursor| async move {
-        if cursor.ended {
-            return None;
-        }
-        let batch = cursor.next_batch().await;
-        Some((stream::iter(batch), cursor))
-    });
-    batches.flatten()
-}
-
-impl Cursor {
-    /// The next events. The end mark follows only a whole answer.
-    async fn next_batch(&mut self) -> Vec<Event> {
-        match self.stream.next(self.next).await {
-            News::Texts(texts) => texts.iter().map(|text| self.piece(text)).collect(),
-            News::End(StreamEnd::Finished(reason)) => {
-                self.ended = true;
-                let last = chunk(&self.stream, self.next, "", Some(&reason));
-                vec![Event::message(last.to_string()), Event::message("[DONE]")]
-            }
-            News::End(StreamEnd::Refused(refusal)) => {
-                self.ended = true;
-                let detail = refusal.reason.to_string();
-                vec![Event::message(error_body(&refusal, &detail).to_string())]
-            }
-        }
-    }
-
-    fn piece(&mut self, text: &str) -> Event {
-        let piece = chunk(&self.stream, self.next, text, None);
-        self.next += 1;
-        Event::message(piece.to_string())
-    }
-}
-
 #[derive(Deserialize)]
 struct ResumeQuery {
     #[serde(default)]
@@ -378,12 +319,15 @@
             .at("/app/:service/*path", calls)
             .data(kernel.clone())
             .around(move |endpoint, request| with_headers(layered.clone(), endpoint, request));
-        let server = Server::new(TcpListener::bind(kernel.settings.callers));
-        let stopped = kernel.stopped();
-        if let Err(error) =
-            server.run_with_graceful_shutdown(app, stopped, Some(CLOSE_TIMEOUT)).await
-        {
-            error!(target: "callers", "Cannot serve {}: {error}.", kernel.settings.callers);
+        let address = kernel.settings.callers;
+        let served = match server(address) {
+            Ok(server) => {
+                server.run_with_graceful_shutdown(app, kernel.stopped(), Some(CLOSE_TIMEOUT)).await
+            }
+            Err(error) => Err(error),
+        };
+        if let Err(error) = served {
+            error!(target: "callers", "Cannot serve {address}: {error}.");
             std::process::exit(1);
         }
     });
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -211,7 +211,7 @@
 async fn forward(kernel: &Arc<Kernel>, spender: &BoxRef, call: Call) -> CallEnd {
     let began_at_us = now_us();
     let (trace, deadline_ms) = (call.trace, call.deadline_ms);
-    let answers = kernel.membership().answers_for(spender).cloned();
+    let answers = kernel.membership().view().answers_for(spender).cloned();
     let address = match answers {
         Some(member) if member.id == kernel.me => {
             return answer_as_heir(kernel, spender, &call)
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -290,7 +290,10 @@
             }
             self.take(run, piece)?;
             if let Some(reason) = self.assembler.finish() {
-                return Ok(reason.to_owned());
+                let reason = reason.to_owned();
+                // What is left is the end mark; reading it frees the connection.
+                tokio::spawn(async move { while pieces.next().await.is_some() {} });
+                return Ok(reason);
             }
         }
         Err(EngineError::Broken("the stream ended early".to_owned()))
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -187,7 +187,7 @@
 
 fn is_watcher(kernel: &Kernel) -> bool {
     let membership = kernel.membership();
-    let hall = membership.hall(&kernel.settings.hall);
+    let hall = membership.view().hall(&kernel.settings.hall);
     let names = hall.iter().map(|member| member.id.name.as_str());
     ranked("config watcher", names, WATCHERS_PER_HALL).contains(&kernel.me.name.as_str())
 }
@@ -221,7 +221,7 @@
     {
         let membership = kernel.membership();
         let own = &kernel.settings.hall;
-        let others = membership.members().skip(1).filter(|member| member.takes_work());
+        let others = membership.view().members().skip(1).filter(|member| member.takes_work());
         let (mut near, mut far): (Vec<_>, Vec<_>) = others.partition(|one| one.hall == *own);
         fastrand::shuffle(&mut near);
         fastrand::shuffle(&mut far);
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -50,9 +50,9 @@
 impl Acting {
     /// Takes in what operators want.
     fn follow(&mut self, model: &str, config: &Config) {
-        self.dispatcher.set_leaving(|name| config.state.leaving.contains(name));
+        self.dispatcher.fleet.set_leaving(|name| config.state.leaving.contains(name));
         let version = config.state.models.get(model).map(String::as_str);
-        self.dispatcher.set_version(now_ms(), version);
+        self.dispatcher.fleet.set_version(now_ms(), version);
     }
 }
 
@@ -111,7 +111,7 @@
         let acting = locked(&self.acting);
         let all = acting.iter().map(|(model, one)| {
             let dispatcher = &one.dispatcher;
-            let engines = dispatcher.engines().iter();
+            let engines = dispatcher.fleet.engines.iter();
             let served = dispatcher.virtual_tokens();
             DispatcherStatus {
                 model: model.clone(),
@@ -250,8 +250,9 @@
         ticks.tick().await;
         let slow = tick.is_multiple_of(SLOW_REPORT_EVERY);
         for model in kernel.dispatch.models() {
-            let awaits =
-                kernel.dispatch.with(&kernel, &model, |acting| acting.dispatcher.awaits_version());
+            let awaits = kernel
+                .dispatch
+                .with(&kernel, &model, |acting| acting.dispatcher.fleet.awaits_version());
             if slow || awaits {
                 ask_engines(&kernel, &model);
             }
@@ -272,7 +273,7 @@
     let config = kernel.configuration.current();
     let engines = kernel.dispatch.with(kernel, model, |acting| {
         acting.follow(model, &config);
-        let engines = acting.dispatcher.engines().iter();
+        let engines = acting.dispatcher.fleet.engines.iter();
         engines.map(|engine| (engine.name.clone(), engine.url.clone())).collect::<Vec<_>>()
     });
     for (name, url) in engines {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use crate::ask::{Ask, AskId, End, Grant, Imported, Report, Verdict};
 use crate::edge::EngineReport;
-use crate::fleet::Engine;
+use crate::fleet::{Engine, Fleet};
 use crate::keeper::{Export, Keeper};
 use crate::refusal::{Reason, Refusal};
 use crate::route::{Demand, RoutePolicy, choose};
@@ -19,8 +19,8 @@
 
 /// Time for which a place is held without a renewal.
 pub const HOLD_MS: u64 = 4000;
-/// Time for which requests wait for engines to load a new version.
-const VERSION_WAIT_MS: u64 = 15_000;
+/// Tokens that an engine may hold less than believed, for its block size.
+const SLACK_TOKENS: u32 = 256;
 /// Shortest time to come back after an overload.
 const LEAST_RETRY_MS: u64 = 200;
 /// Longest time to come back after an overload.
@@ -46,30 +46,33 @@
     Export(Export),
 }
 
+/// What an engine is believed to hold of a prompt, and how many tokens it has
+/// computed since.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    tokens: u32,
+    age_tokens: u64,
+}
+
 struct Running {
     ask: Ask,
     grant: Grant,
     engine: usize,
     uncached_tokens: u32,
+    believed: Held,
     first_token: bool,
     work_tokens: f64,
     held_until_ms: u64,
 }
 
-/// The version that operators want for new requests.
-struct WantedVersion {
-    name: String,
-    awaited_until_ms: u64,
-}
-
 /// The dispatcher of one model in one data hall.
 pub struct Dispatcher {
     policies: Policies,
-    engines: Vec<Engine>,
+    /// The engines.
+    pub fleet: Fleet,
     queue: ShareQueue<Ask>,
     running: HashMap<AskId, Running>,
     throughput: Throughput,
-    version: Option<WantedVersion>,
     /// Kept context.
     pub keeper: Keeper,
     turn: usize,
@@ -81,20 +84,21 @@
     pub fn new(policies: Policies, engines: Vec<Engine>, keeper: Keeper) -> Self {
         Self {
             policies,
-            engines,
+            fleet: Fleet::new(engines),
             queue: ShareQueue::new(policies.share),
             running: HashMap::new(),
             throughput: Throughput::default(),
-            version: None,
             keeper,
             turn: 0,
         }
     }
 
-    /// The engines.
-    #[must_use]
-    pub fn engines(&self) -> &[Engine] {
-        &self.engines
+    /// Takes in an engine's own report, `None` when it did not answer.
+    pub fn engine_report(&mut self, now_ms: u64, name: &str, report: Option<&EngineReport>) {
+        // With another version, an engine holds nothing of what it held.
+        if let Some(engine) = self.fleet.engine_report(now_ms, name, report) {
+            self.keeper.directory.forget_engine(narrow(engine));
+        }
     }
 
     /// Number of asks that wait.
@@ -169,60 +173,6 @@
         self.queue.take_out(|waiting| waiting.item.id == *id);
     }
 
-    /// Takes in an engine's own report: `None` when it did not answer.
-    pub fn engine_report(&mut self, now_ms: u64, name: &str, report: Option<&EngineReport>) {
-        let Some(index) = self.engines.iter().position(|engine| engine.name == name) else {
-            return;
-        };
-        let engine = &mut self.engines[index];
-        let Some(report) = report else {
-            return engine.failed(now_ms);
-        };
-        engine.works();
-        engine.leaving = report.leaving;
-        engine.loading = report.loading;
-        if engine.version.as_ref() != Some(&report.version) {
-            engine.version = Some(report.version.clone());
-            self.keeper.directory.forget_engine(narrow(index));
-        }
-    }
-
-    /// Notes the version that operators want: engines will load it soon.
-    pub fn set_version(&mut self, now_ms: u64, version: Option<&str>) {
-        if self.version.as_ref().map(|wanted| wanted.name.as_str()) != version {
-            let name = version.map(str::to_owned);
-            let awaited_until_ms = now_ms + VERSION_WAIT_MS;
-            self.version = name.map(|name| WantedVersion { name, awaited_until_ms });
-        }
-    }
-
-    /// Whether some engine has yet to load the version that operators want.
-    #[must_use]
-    pub fn awaits_version(&self) -> bool {
-        let Some(wanted) = &self.version else {
-            return false;
-        };
-        let differs = |engine: &Engine| engine.version.as_ref() != Some(&wanted.name);
-        self.engines.iter().any(|engine| engine.loading || differs(engine))
-    }
-
-    /// Whether the ask can be served, now or after a load that is awaited.
-    fn can_serve(&self, now_ms: u64, ask: &Ask) -> bool {
-        let awaited = self.version.as_ref().is_some_and(|wanted| {
-            wanted.name == ask.scope.version && now_ms < wanted.awaited_until_ms
-        });
-        let allowed = |engine: &Engine| !ask.avoid.contains(&engine.name);
-        let mut engines = self.engines.iter().filter(|engine| allowed(engine));
-        engines.any(|engine| engine.serves(&ask.scope.version) || (awaited && engine.stays()))
-    }
-
-    /// Marks which engines operators want to leave.
-    pub fn set_leaving(&mut self, leaving: impl Fn(&str) -> bool) {
-        for engine in &mut self.engines {
-            engine.ordered_to_leave = leaving(&engine.name);
-        }
-    }
-
     /// Does what is due: places fall free, waiting asks are placed or refused.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
         let lapsed = self.running.iter().filter(|(_, running)| running.held_until_ms <= now_ms);
@@ -231,9 +181,8 @@
         }
         let mut actions = self.place_waiting(now_ms);
         let late = self.queue.take_out(|waiting| waiting.deadline_ms <= now_ms);
-        let mut queue = std::mem::replace(&mut self.queue, ShareQueue::new(self.policies.share));
-        let lost = queue.take_out(|waiting| !self.can_serve(now_ms, &waiting.item));
-        self.queue = queue;
+        let fleet = &self.fleet;
+        let lost = self.queue.take_out(|waiting| !fleet.can_serve(now_ms, &waiting.item));
         let late = late.into_iter().map(|ask| (ask, Refusal::not_run(Reason::DeadlinePassed)));
         let lost = lost.into_iter().map(|ask| (ask, no_upstream(now_ms)));
         actions.extend(late.chain(lost).map(|(ask, refusal)| Action::Answer {
@@ -247,7 +196,7 @@
         if ask.deadline_ms <= now_ms {
             return Some(Refusal::not_run(Reason::DeadlinePassed));
         }
-        if !self.can_serve(now_ms, ask) {
+        if !self.fleet.can_serve(now_ms, ask) {
             return Some(no_upstream(now_ms));
         }
         let wait_ms = self.expected_wait_ms(ask);
@@ -274,9 +223,8 @@
     fn place_waiting(&mut self, now_ms: u64) -> Vec<Action> {
         let mut actions = Vec::new();
         loop {
-            let engines = &self.engines;
-            let fits = |ask: &Ask| engines.iter().any(|engine| fits(engine, now_ms, ask));
-            let Some((_, waiting)) = self.queue.pop(fits) else {
+            let fleet = &self.fleet;
+            let Some((_, waiting)) = self.queue.pop(|ask| fleet.has_place(now_ms, ask)) else {
                 return actions;
             };
             let to = waiting.item.id.clone();
@@ -292,10 +240,8 @@
             weights: ask.weights,
             offer: offer.as_ref().map(|(_, offer)| *offer),
         };
-        let cached = self.cached_tokens(&ask);
-        let fit = self.engines.iter().enumerate().filter(|(_, one)| fits(one, now_ms, &ask));
-        let candidates: Vec<_> =
-            fit.map(|(index, engine)| engine.candidate(index, cached[index])).collect();
+        let cached = self.held(&ask);
+        let candidates = self.fleet.candidates(now_ms, &ask, |engine| cached[engine].tokens);
         let choice = choose(self.policies.route, &demand, &candidates, self.turn)
             .expect("an ask is popped only when an engine fits");
         self.turn += 1;
@@ -304,9 +250,10 @@
         });
         let held_tokens = match (&import, demand.offer) {
             (Some(_), Some(offer)) => offer.tokens,
-            _ => cached[choice.engine],
+            _ => cached[choice.engine].tokens,
         };
-        let engine = &self.engines[choice.engine];
+        let believed = cached[choice.engine];
+        let engine = &self.fleet.engines[choice.engine];
         let grant = Grant { engine: engine.name.clone(), url: engine.url.clone(), import };
         let uncached_tokens = ask.prompt_tokens.saturating_sub(held_tokens);
         self.occupy(now_ms, &ask, choice.engine, uncached_tokens);
@@ -316,6 +263,7 @@
             grant: grant.clone(),
             engine: choice.engine,
             uncached_tokens,
+            believed: if grant.import.is_none() { believed } else { Held::default() },
             first_token: false,
             work_tokens,
             held_until_ms: now_ms + HOLD_MS,
@@ -326,7 +274,7 @@
 
     /// Counts a place as used, and notes what the engine will hold.
     fn occupy(&mut self, now_ms: u64, ask: &Ask, engine: usize, uncached_tokens: u32) {
-        let used = &mut self.engines[engine];
+        let used = &mut self.fleet.engines[engine];
         used.outstanding += 1;
         used.pending_tokens += u64::from(uncached_tokens);
         used.computed_tokens += u64::from(uncached_tokens);
@@ -339,13 +287,16 @@
     }
 
     /// Tokens of the prompt that each engine is believed to hold.
-    fn cached_tokens(&self, ask: &Ask) -> Vec<u32> {
-        let mut cached = vec![0; self.engines.len()];
+    fn held(&self, ask: &Ask) -> Vec<Held> {
+        let mut cached = vec![Held::default(); self.fleet.engines.len()];
         for (record, common) in self.keeper.directory.matching(&ask.marks) {
             for copy in &record.copies {
-                let engine = usize::from(copy.engine);
-                if self.engines[engine].still_caches(copy.at_computed_tokens) {
-                    cached[engine] = cached[engine].max(copy.tokens.min(common));
+                let index = usize::from(copy.engine);
+                let engine = &self.fleet.engines[index];
+                let age_tokens = engine.computed_tokens - copy.at_computed_tokens;
+                let held = Held { tokens: copy.tokens.min(common), age_tokens };
+                if engine.still_caches(age_tokens) && held.tokens > cached[index].tokens {
+                    cached[index] = held;
                 }
             }
         }
@@ -364,7 +315,7 @@
         };
         running.first_token = true;
         running.held_until_ms = now_ms + HOLD_MS;
-        let engine = &mut self.engines[running.engine];
+        let engine = &mut self.fleet.engines[running.engine];
         let pending = u64::from(running.uncached_tokens);
         let alone = engine.pending_tokens == pending;
         engine.pending_tokens = engine.pending_tokens.saturating_sub(pending);
@@ -373,6 +324,10 @@
             engine.measured(computed, f64::from(took_ms));
         }
         engine.works();
+        if running.believed.tokens > 0 {
+            let hit = cached_tokens + SLACK_TOKENS >= running.believed.tokens;
+            engine.learn_cache(running.believed.age_tokens, hit);
+        }
         let unexpected = computed.saturating_sub(running.uncached_tokens);
         engine.computed_tokens += u64::from(unexpected);
     }
@@ -390,7 +345,7 @@
         };
         let mut actions = Vec::new();
         if end == End::Finished {
-            let Engine { url, token_ms, .. } = &self.engines[engine];
+            let Engine { url, token_ms, .. } = &self.fleet.engines[engine];
             let export = self.keeper.plan_export(now_ms, &ask, url, request, *token_ms);
             actions.extend(export.map(Action::Export));
         }
@@ -407,7 +362,7 @@
         end: End,
     ) -> Option<(Ask, usize)> {
         let running = self.running.remove(id)?;
-        let engine = &mut self.engines[running.engine];
+        let engine = &mut self.fleet.engines[running.engine];
         engine.outstanding -= 1;
         if !running.first_token {
             let pending = u64::from(running.uncached_tokens);
@@ -443,11 +398,6 @@
     f64::from(uncached_tokens) + GENERATED_TOKEN_WEIGHT * f64::from(generated_tokens)
 }
 
-fn fits(engine: &Engine, now_ms: u64, ask: &Ask) -> bool {
-    let allowed = engine.serves(&ask.scope.version) && !ask.avoid.contains(&engine.name);
-    allowed && engine.has_room(now_ms)
-}
-
 fn no_upstream(now_ms: u64) -> Refusal {
     Refusal::not_run(Reason::NoUpstream).retry_at(now_ms + NO_UPSTREAM_RETRY_MS)
 }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -175,13 +175,8 @@
         salt: &str,
     ) -> impl Future<Output = Staged> + Send;
 
-    /// Uses a staged block, or discards it.
-    fn commit(
-        &self,
-        url: &str,
-        block: &BlockId,
-        discard: bool,
-    ) -> impl Future<Output = bool> + Send;
+    /// Uses the first `tokens` of a staged block; 0 discards it.
+    fn commit(&self, url: &str, block: &BlockId, tokens: u32) -> impl Future<Output = bool> + Send;
 
     /// Gives an order; true when it was carried out.
     fn order(&self, url: &str, order: &Order<'_>) -> impl Future<Output = bool> + Send;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The engines of one model in one data hall, as their dispatcher sees them.
 
+use crate::ask::Ask;
+use crate::edge::EngineReport;
 use crate::route::Candidate;
 
 /// First wait after a failure.
@@ -8,10 +10,16 @@
 const REFUSED_COOLDOWN_MS: u64 = 250;
 /// Longest wait after repeated failures.
 const MAX_COOLDOWN_MS: u64 = 15_000;
+/// A hit lets the believed size of a cache grow by one part in so many.
+const CACHE_GROWTH: u64 = 100;
+/// Least size that a cache is believed to have.
+const LEAST_CACHE_TOKENS: u64 = 4096;
 /// Weight of a new measurement in a mean.
 const RATE_WEIGHT: f64 = 0.1;
 /// Prompt tokens from which on a measured prefill tells its rate.
 const LEAST_MEASURED_TOKENS: u32 = 512;
+/// Time for which requests wait for engines to load a new version.
+const VERSION_WAIT_MS: u64 = 15_000;
 
 /// An engine.
 #[derive(Clone, Debug)]
@@ -22,7 +30,7 @@
     pub url: String,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Size of its prefix cache.
+    /// Size of its prefix cache, learned from hits and misses.
     pub cache_tokens: u64,
     /// Weight version that it reported last.
     pub version: Option<String>,
@@ -85,6 +93,13 @@
         !self.loading && self.outstanding < self.slots && now_ms >= self.cooldown_until_ms
     }
 
+    /// Whether the ask may be sent here now.
+    #[must_use]
+    pub fn fits(&self, now_ms: u64, ask: &Ask) -> bool {
+        let allowed = self.serves(&ask.scope.version) && !ask.avoid.contains(&self.name);
+        allowed && self.has_room(now_ms)
+    }
+
     /// The engine as a candidate that holds `cached_tokens` of the prompt.
     #[must_use]
     pub fn candidate(&self, engine: usize, cached_tokens: u32) -> Candidate {
@@ -94,10 +109,20 @@
         Candidate { engine, outstanding, wait_ms, token_ms, cached_tokens }
     }
 
-    /// Whether a copy used at that count of computed tokens is still there.
+    /// Whether context is still there, `age_tokens` of computed tokens later.
     #[must_use]
-    pub fn still_caches(&self, at_computed_tokens: u64) -> bool {
-        self.computed_tokens - at_computed_tokens < self.cache_tokens
+    pub fn still_caches(&self, age_tokens: u64) -> bool {
+        age_tokens < self.cache_tokens
+    }
+
+    /// Learns from a use of context that was last used `age_tokens` of computed
+    /// tokens ago, and was still there or not.
+    pub fn learn_cache(&mut self, age_tokens: u64, hit: bool) {
+        self.cache_tokens = if hit {
+            (self.cache_tokens + self.cache_tokens / CACHE_GROWTH).max(age_tokens)
+        } else {
+            self.cache_tokens.min(age_tokens).max(LEAST_CACHE_TOKENS)
+        };
     }
 
     /// Notes a failure: the engine is left alone for a while.
@@ -125,3 +150,104 @@
         }
     }
 }
+
+/// All engines, and the version that operators want.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The engines; an index stays with its engine.
+    pub engines: Vec<Engine>,
+    version: Option<WantedVersion>,
+}
+
+/// The version that operators want for new requests.
+#[derive(Debug)]
+struct WantedVersion {
+    name: String,
+    awaited_until_ms: u64,
+}
+
+impl Fleet {
+    /// A fleet of these engines.
+    #[must_use]
+    pub fn new(engines: Vec<Engine>) -> Self {
+        Self { engines, version: None }
+    }
+
+    /// Takes in an engine's own report, `None` when it did not answer; returns
+    /// the engine when it runs another version than before.
+    pub fn engine_report(
+        &mut self,
+        now_ms: u64,
+        name: &str,
+        report: Option<&EngineReport>,
+    ) -> Option<usize> {
+        let index = self.engines.iter().position(|engine| engine.name == name)?;
+        let engine = &mut self.engines[index];
+        let Some(report) = report else {
+            engine.failed(now_ms);
+            return None;
+        };
+        engine.works();
+        engine.leaving = report.leaving;
+        engine.loading = report.loading;
+        let changed = engine.version.as_ref() != Some(&report.version);
+        engine.version = Some(report.version.clone());
+        changed.then_some(index)
+    }
+
+    /// Notes the version that operators want: engines will load it soon.
+    pub fn set_version(&mut self, now_ms: u64, version: Option<&str>) {
+        if self.version.as_ref().map(|wanted| wanted.name.as_str()) != version {
+            let name = version.map(str::to_owned);
+            let awaited_until_ms = now_ms + VERSION_WAIT_MS;
+            self.version = name.map(|name| WantedVersion { name, awaited_until_ms });
+        }
+    }
+
+    /// Whether some engine has yet to load the version that operators want.
+    #[must_use]
+    pub fn awaits_version(&self) -> bool {
+        let Some(wanted) = &self.version else {
+            return false;
+        };
+        let differs = |engine: &Engine| engine.version.as_ref() != Some(&wanted.name);
+        self.engines.iter().any(|engine| engine.loading || differs(engine))
+    }
+
+    /// Whether the ask can be served, now or after a load that is awaited.
+    #[must_use]
+    pub fn can_serve(&self, now_ms: u64, ask: &Ask) -> bool {
+        let awaited = self.version.as_ref().is_some_and(|wanted| {
+            wanted.name == ask.scope.version && now_ms < wanted.awaited_until_ms
+        });
+        let allowed = |engine: &Engine| !ask.avoid.contains(&engine.name);
+        let mut engines = self.engines.iter().filter(|engine| allowed(engine));
+        engines.any(|engine| engine.serves(&ask.scope.version) || (awaited && engine.stays()))
+    }
+
+    /// Marks which engines operators want to leave.
+    pub fn set_leaving(&mut self, leaving: impl Fn(&str) -> bool) {
+        for engine in &mut self.engines {
+            engine.ordered_to_leave = leaving(&engine.name);
+        }
+    }
+
+    /// Whether some engine has a place for the ask now.
+    #[must_use]
+    pub fn has_place(&self, now_ms: u64, ask: &Ask) -> bool {
+        self.engines.iter().any(|engine| engine.fits(now_ms, ask))
+    }
+
+    /// Engines with a place for the ask; `cached` tells what each holds.
+    #[must_use]
+    pub fn candidates(
+        &self,
+        now_ms: u64,
+        ask: &Ask,
+        cached: impl Fn(usize) -> u32,
+    ) -> Vec<Candidate> {
+        let all = self.engines.iter().enumerate();
+        let fit = all.filter(|(_, engine)| engine.fits(now_ms, ask));
+        fit.map(|(index, engine)| engine.candidate(index, cached(index))).collect()
+    }
+}
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -61,7 +61,7 @@
 /// Boxes that may take the ledger, those of the own hall first.
 fn heirs(kernel: &Kernel) -> Vec<Member> {
     let membership = kernel.membership();
-    let alive = membership.members().skip(1).filter(|member| member.health == Health::Alive);
+    let alive = membership.view().members().skip(1).filter(|member| member.health == Health::Alive);
     let mut heirs: Vec<_> = alive.cloned().collect();
     fastrand::shuffle(&mut heirs);
     heirs.sort_by_key(|member| member.hall != kernel.settings.hall);
--- a/src/import.rs
+++ b/src/import.rs
@@ -58,11 +58,11 @@
         };
         let in_time = now_ms() < *pinned_until_ms;
         if arrived != *seal || !in_time {
-            upstreams.commit(url, block, true).await;
+            upstreams.commit(url, block, 0).await;
             return ImportResult::NotFound;
         }
         check(Invariant::BlockReadAsSealed, arrived == *seal, || block.0.clone());
-        if upstreams.commit(url, block, false).await {
+        if upstreams.commit(url, block, import.tokens).await {
             ImportResult::Done
         } else {
             ImportResult::NotFound
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -148,6 +148,7 @@
         store.plan(now_ms, offer.transfer_ms);
         Some(Import {
             block: id.clone(),
+            tokens: offer.tokens,
             store_url: store.url.clone(),
             seal: seal.clone(),
             expected_ms: u32::try_from(whole_ms(offer.link_ms)).unwrap_or(u32::MAX),
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -4,15 +4,15 @@
 
 use log::error;
 use poem::http::StatusCode;
-use poem::listener::TcpListener;
 use poem::web::{Data, Json, Path};
-use poem::{EndpointExt, Route, Server, get, handler, post};
+use poem::{EndpointExt, Route, get, handler, post};
 use serde::Serialize;
 
 use crate::clock::now_ms;
 use crate::dispatch::DispatcherStatus;
 use crate::invariant::violations;
 use crate::kernel::{Kernel, Phase, Plugin};
+use crate::listen::server;
 use crate::member::Member;
 use crate::metering::render;
 use crate::trace::Span;
@@ -54,7 +54,7 @@
         ready: ready(kernel),
         revision: kernel.configuration.revision(),
         platform_silent_ms: (heard_at_ms > 0).then(|| now_ms().saturating_sub(heard_at_ms)),
-        members: kernel.membership().members().cloned().collect(),
+        members: kernel.membership().view().members().cloned().collect(),
         dispatchers: kernel.dispatch.status(),
         streams: kernel.streams.running(),
         ledger_keys: kernel.calls.keys(),
@@ -109,9 +109,13 @@
             .at("/traces/:id", get(trace))
             .at("/drain", post(drain))
             .data(kernel.clone());
-        let server = Server::new(TcpListener::bind(kernel.settings.operators));
-        if let Err(error) = server.run(app).await {
-            error!(target: "operators", "Cannot serve {}: {error}.", kernel.settings.operators);
+        let address = kernel.settings.operators;
+        let served = match server(address) {
+            Ok(server) => server.run(app).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = served {
+            error!(target: "operators", "Cannot serve {address}: {error}.");
             std::process::exit(1);
         }
     });
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -62,7 +62,7 @@
 /// Only the owner tries, so that the platform is not asked by every box.
 fn is_candidate(kernel: &Kernel) -> bool {
     let membership = kernel.membership();
-    let hall = membership.hall(&kernel.settings.hall);
+    let hall = membership.view().hall(&kernel.settings.hall);
     let first = owner("hall lease", hall.iter().map(|member| member.id.name.as_str()));
     kernel.phase() == Phase::Serving && first == Some(kernel.me.name.as_str())
 }
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -269,7 +269,7 @@
     let own = &kernel.settings;
     let mut near = BTreeSet::new();
     let mut far = BTreeSet::new();
-    for member in membership.members().filter(|member| member.takes_work()) {
+    for member in membership.view().members().filter(|member| member.takes_work()) {
         let halls = if member.region == own.region { &mut near } else { &mut far };
         halls.insert(member.hall.as_str());
     }
@@ -282,9 +282,9 @@
     let passed_over = locked(&kernel.placing.passed_over);
     let now_ms = now_ms();
     let owners = halls.into_iter().filter_map(|hall| {
-        let members = membership.hall(hall);
+        let members = membership.view().hall(hall);
         let name = owner(&ask.scope.model, members.iter().map(|one| one.id.name.as_str()))?;
-        let address = &membership.member(name)?.address;
+        let address = &membership.view().member(name)?.address;
         let answers = passed_over.get(address).is_none_or(|until_ms| *until_ms <= now_ms);
         answers.then(|| address.clone())
     });
@@ -294,7 +294,7 @@
 /// Halls of this box's region that have boxes.
 pub fn halls_in_region(kernel: &Kernel) -> Vec<String> {
     let membership = kernel.membership();
-    let near = membership.members().filter(|one| one.region == kernel.settings.region);
+    let near = membership.view().members().filter(|one| one.region == kernel.settings.region);
     let halls: BTreeSet<_> =
         near.filter(|one| one.takes_work()).map(|one| one.hall.clone()).collect();
     halls.into_iter().collect()
--- a/src/share.rs
+++ b/src/share.rs
@@ -5,7 +5,7 @@
 //! one, so that idling saves nothing up. Priority is a bounded head start: it
 //! orders work and cannot starve anyone.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Head start of one step of priority, in tokens of a share of 1.
 const PRIORITY_CREDIT_TOKENS: f64 = 2048.0;
@@ -50,6 +50,7 @@
 
 #[derive(Debug)]
 struct AccountQueue<T> {
+    name: String,
     waiting: VecDeque<Waiting<T>>,
     virtual_tokens: f64,
     share: f64,
@@ -73,30 +74,47 @@
 }
 
 /// Waiting work of all accounts.
+///
+/// Only accounts with waiting or running work are looked at, so that a
+/// decision does not slow down with the number of accounts.
 #[derive(Debug)]
 pub struct ShareQueue<T> {
     policy: SharePolicy,
-    accounts: BTreeMap<String, AccountQueue<T>>,
+    queues: Vec<AccountQueue<T>>,
+    by_name: HashMap<String, usize>,
+    waiting: BTreeSet<usize>,
+    active: BTreeSet<usize>,
+    len: usize,
     arrivals: u64,
+    floor_tokens: f64,
 }
 
 impl<T> ShareQueue<T> {
     /// An empty queue.
     #[must_use]
     pub fn new(policy: SharePolicy) -> Self {
-        Self { policy, accounts: BTreeMap::new(), arrivals: 0 }
+        Self {
+            policy,
+            queues: Vec::new(),
+            by_name: HashMap::new(),
+            waiting: BTreeSet::new(),
+            active: BTreeSet::new(),
+            len: 0,
+            arrivals: 0,
+            floor_tokens: 0.0,
+        }
     }
 
     /// Number of waiting items.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.accounts.values().map(|queue| queue.waiting.len()).sum()
+        self.len
     }
 
     /// Whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.len == 0
     }
 
     /// Adds an item of `account`.
@@ -109,68 +127,83 @@
         work_tokens: f64,
         deadline_ms: u64,
     ) {
-        let floor = self.least_active();
-        let queue = self.queue(account);
-        if !queue.active() {
-            queue.virtual_tokens = queue.virtual_tokens.max(floor.unwrap_or(0.0));
+        let index = self.index_of(account);
+        if self.active.insert(index) {
+            self.lift(index);
         }
-        (queue.share, queue.priority) = (share, priority);
-        let arrival = self.arrivals;
+        let waiting = Waiting { item, work_tokens, deadline_ms, arrival: self.arrivals };
         self.arrivals += 1;
-        let waiting = Waiting { item, work_tokens, deadline_ms, arrival };
-        self.queue(account).waiting.push_back(waiting);
+        self.len += 1;
+        self.waiting.insert(index);
+        let queue = &mut self.queues[index];
+        (queue.share, queue.priority) = (share, priority);
+        queue.waiting.push_back(waiting);
+    }
+
+    /// Lifts an account that was away to the least active one.
+    fn lift(&mut self, index: usize) {
+        let others = self.active.iter().filter(|other| **other != index);
+        let tokens = others.map(|other| self.queues[*other].virtual_tokens);
+        if let Some(least) = tokens.min_by(f64::total_cmp) {
+            self.floor_tokens = self.floor_tokens.max(least);
+        }
+        let queue = &mut self.queues[index];
+        queue.virtual_tokens = queue.virtual_tokens.max(self.floor_tokens);
     }
 
     /// Takes the next item that `fits`, and charges its account for it.
     pub fn pop(&mut self, fits: impl Fn(&T) -> bool) -> Option<(String, Waiting<T>)> {
-        let policy = self.policy;
-        let candidates = self.accounts.iter().filter_map(|(name, queue)| {
-            let index = queue.waiting.iter().position(|waiting| fits(&waiting.item))?;
-            let rank = match policy {
+        let candidates = self.waiting.iter().filter_map(|index| {
+            let queue = &self.queues[*index];
+            let place = queue.waiting.iter().position(|waiting| fits(&waiting.item))?;
+            let rank = match self.policy {
                 SharePolicy::Fair => queue.rank(),
                 #[expect(clippy::cast_precision_loss, reason = "arrivals stay far below 2^52")]
-                SharePolicy::Fifo => queue.waiting[index].arrival as f64,
+                SharePolicy::Fifo => queue.waiting[place].arrival as f64,
             };
-            Some((rank, name, index))
+            Some((rank, *index, place))
         });
-        let (_, name, index) = candidates.min_by(|left, right| left.0.total_cmp(&right.0))?;
-        let name = name.clone();
-        let queue = self.accounts.get_mut(&name)?;
-        let waiting = queue.waiting.remove(index)?;
+        let (_, index, place) = candidates.min_by(|left, right| left.0.total_cmp(&right.0))?;
+        let queue = &mut self.queues[index];
+        let waiting = queue.waiting.remove(place)?;
         queue.running += 1;
         queue.virtual_tokens += waiting.work_tokens / queue.share.max(LEAST_SHARE);
+        let name = queue.name.clone();
+        self.len -= 1;
+        self.settle(index);
         Some((name, waiting))
     }
 
     /// Ends work of `account`; `extra_tokens` is what it took beyond the
     /// expected.
     pub fn finish(&mut self, account: &str, extra_tokens: f64) {
-        let Some(queue) = self.accounts.get_mut(account) else {
+        let Some(&index) = self.by_name.get(account) else {
             return;
         };
+        let queue = &mut self.queues[index];
         queue.running = queue.running.saturating_sub(1);
         queue.virtual_tokens += extra_tokens / queue.share.max(LEAST_SHARE);
+        self.settle(index);
     }
 
     /// Whether an item that `wanted` says waits.
     pub fn contains(&self, wanted: impl Fn(&T) -> bool) -> bool {
-        let mut all = self.accounts.values().flat_map(|queue| &queue.waiting);
+        let queues = self.waiting.iter().map(|index| &self.queues[*index]);
+        let mut all = queues.flat_map(|queue| &queue.waiting);
         all.any(|waiting| wanted(&waiting.item))
     }
 
     /// Takes out all items that `gone` says are not wanted any more.
     pub fn take_out(&mut self, mut gone: impl FnMut(&Waiting<T>) -> bool) -> Vec<T> {
         let mut out = Vec::new();
-        for queue in self.accounts.values_mut() {
-            let all = std::mem::take(&mut queue.waiting);
-            for waiting in all {
-                if gone(&waiting) {
-                    out.push(waiting.item);
-                } else {
-                    queue.waiting.push_back(waiting);
-                }
-            }
+        for index in self.waiting.clone() {
+            let all = std::mem::take(&mut self.queues[index].waiting);
+            let (lost, kept): (Vec<_>, Vec<_>) = all.into_iter().partition(&mut gone);
+            self.queues[index].waiting = kept.into();
+            out.extend(lost.into_iter().map(|waiting| waiting.item));
+            self.settle(index);
         }
+        self.len -= out.len();
         out
     }
 
@@ -178,34 +211,49 @@
     /// what the others get meanwhile by their shares.
     #[must_use]
     pub fn tokens_ahead(&self, account: &str, share: f64) -> f64 {
-        let queued = |queue: &AccountQueue<T>| queue.queued_tokens();
+        let own_index = self.by_name.get(account);
+        let queued = |index: &usize| self.queues[*index].queued_tokens();
         if self.policy == SharePolicy::Fifo {
-            return self.accounts.values().map(queued).sum();
+            return self.waiting.iter().map(queued).sum();
         }
-        let own = self.accounts.get(account).map_or(0.0, queued);
+        let own = own_index.map_or(0.0, queued);
         let share = share.max(LEAST_SHARE);
-        let others = self.accounts.iter().filter(|(name, _)| *name != account);
-        let meanwhile = others.map(|(_, queue)| queued(queue).min(own * queue.share / share));
+        let others = self.waiting.iter().filter(|index| Some(*index) != own_index);
+        let meanwhile =
+            others.map(|index| queued(index).min(own * self.queues[*index].share / share));
         own + meanwhile.sum::<f64>()
     }
 
     /// Work served over share, by account.
     pub fn virtual_tokens(&self) -> impl Iterator<Item = (&str, f64)> {
-        self.accounts.iter().map(|(name, queue)| (name.as_str(), queue.virtual_tokens))
+        self.queues.iter().map(|queue| (queue.name.as_str(), queue.virtual_tokens))
     }
 
-    fn queue(&mut self, account: &str) -> &mut AccountQueue<T> {
-        self.accounts.entry(account.to_owned()).or_insert_with(|| AccountQueue {
+    fn index_of(&mut self, account: &str) -> usize {
+        if let Some(index) = self.by_name.get(account) {
+            return *index;
+        }
+        let index = self.queues.len();
+        self.by_name.insert(account.to_owned(), index);
+        self.queues.push(AccountQueue {
+            name: account.to_owned(),
             waiting: VecDeque::new(),
             virtual_tokens: 0.0,
             share: 1.0,
             priority: 0,
             running: 0,
-        })
+        });
+        index
     }
 
-    fn least_active(&self) -> Option<f64> {
-        let active = self.accounts.values().filter(|queue| queue.active());
-        active.map(|queue| queue.virtual_tokens).min_by(f64::total_cmp)
+    /// Takes an account off the lists that it no longer belongs to.
+    fn settle(&mut self, index: usize) {
+        let queue = &self.queues[index];
+        if queue.waiting.is_empty() {
+            self.waiting.remove(&index);
+        }
+        if !queue.active() {
+            self.active.remove(&index);
+        }
     }
 }
--- a/src/streams.rs
+++ b/src/streams.rs
@@ -16,6 +16,8 @@
 
 /// Time for which an ended answer can still be read.
 const KEPT_FOR_MS: u64 = 30_000;
+/// Ended answers that are kept at most.
+const MAX_ENDED: usize = 512;
 /// Time after which an answer that nobody reads is cancelled.
 pub const UNREAD_FOR_MS: u64 = 15_000;
 
@@ -152,13 +154,10 @@
         let _ = cancelled.wait_for(|cancelled| *cancelled).await;
     }
 
-    fn ended(&self) -> bool {
-        self.content().end.is_some()
-    }
-
-    fn forgotten(&self, now_ms: u64) -> bool {
+    /// When it ended; none while it runs.
+    fn ended_at_ms(&self) -> Option<u64> {
         let content = self.content();
-        content.end.is_some() && now_ms >= content.ended_at_ms + KEPT_FOR_MS
+        content.end.as_ref().map(|_| content.ended_at_ms)
     }
 
     fn unread(&self, now_ms: u64) -> bool {
@@ -202,13 +201,19 @@
     #[must_use]
     pub fn running(&self) -> usize {
         let by_id = locked(&self.by_id);
-        by_id.values().filter(|stream| !stream.ended()).count()
+        by_id.values().filter(|stream| stream.ended_at_ms().is_none()).count()
     }
 
     /// Forgets answers that ended long ago and cancels those that nobody reads.
     pub fn tidy(&self, now_ms: u64) {
         let mut by_id = locked(&self.by_id);
-        by_id.retain(|_, stream| !stream.forgotten(now_ms));
+        let ended = by_id.values().filter_map(|stream| stream.ended_at_ms());
+        let mut ended: Vec<_> = ended.collect();
+        ended.sort_unstable_by(|left, right| right.cmp(left));
+        // Under a high rate the newest ones are kept only.
+        let crowded_out_ms = ended.get(MAX_ENDED).copied().unwrap_or(0);
+        let forget_before_ms = crowded_out_ms.max(now_ms.saturating_sub(KEPT_FOR_MS));
+        by_id.retain(|_, stream| stream.ended_at_ms().is_none_or(|at_ms| at_ms > forget_before_ms));
         for stream in by_id.values().filter(|stream| stream.unread(now_ms)) {
             stream.cancel();
         }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -24,6 +24,10 @@
 
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connections kept open to one upstream for later calls.
+const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Time for which they are kept.
+const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a short call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a transfer of context, or a load of weights.
@@ -31,6 +35,8 @@
 /// Time without a piece after which a stream counts as broken.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Time in which a stream ends after its end mark.
+const END_TIMEOUT: Duration = Duration::from_millis(100);
 /// Last event of a stream.
 const END_MARK: &str = "[DONE]";
 
@@ -44,7 +50,12 @@
 
 impl Default for HttpUpstreams {
     fn default() -> Self {
-        let http = Client::builder().connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true).build();
+        let http = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+            .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
+            .build();
         Self { http: http.expect("a client without TLS can be built") }
     }
 }
@@ -102,7 +113,11 @@
             Err(_) => Some((Err(broken("no piece in time")), None)),
             Ok(None) => None,
             Ok(Some(Err(error))) => Some((Err(broken(error)), None)),
-            Ok(Some(Ok(event))) if event.data == END_MARK => None,
+            Ok(Some(Ok(event))) if event.data == END_MARK => {
+                // Read to the very end, so that the connection can be used again.
+                let _ = tokio::time::timeout(END_TIMEOUT, events.next()).await;
+                None
+            }
             Ok(Some(Ok(event))) => {
                 let piece = read_chunk(&event.data, attempt, first_seq);
                 let rest = piece.is_ok().then_some(events);
@@ -222,8 +237,8 @@
         staged.as_ref().and_then(read_seal).map_or(Staged::Failed, Staged::Arrived)
     }
 
-    async fn commit(&self, url: &str, block: &BlockId, discard: bool) -> bool {
-        let body = json!({ "block_id": block, "discard": discard });
+    async fn commit(&self, url: &str, block: &BlockId, tokens: u32) -> bool {
+        let body = json!({ "block_id": block, "tokens": tokens });
         let call = self.http.post(format!("{url}/kv/commit")).json(&body).timeout(CALL_TIMEOUT);
         call.send().await.is_ok_and(|response| response.status().is_success())
     }
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -241,20 +241,19 @@
 #[derive(Deserialize)]
 struct Commit {
     block_id: String,
-    discard: bool,
+    tokens: usize,
 }
 
-/// Uses a staged block, or discards it; checking it is the caller's part.
+/// Uses the first tokens of a staged block; 0 discards it; checking it is the caller's part.
 #[handler]
 fn commit(Json(commit): Json<Commit>, Data(engine): Data<&Arc<Engine>>) -> StatusCode {
     let mut state = engine.state.lock().expect("engine lock");
     let Some((keys, content)) = state.staged.remove(&commit.block_id) else {
         return StatusCode::NOT_FOUND;
     };
-    if !commit.discard {
-        let events = state.cache.insert_content(&keys, &content);
-        engine.record(&mut state, events);
-    }
+    let used = (commit.tokens / BLOCK_TOKENS).min(content.len());
+    let events = state.cache.insert_content(&keys, &content[..used]);
+    engine.record(&mut state, events);
     StatusCode::OK
 }
 
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -3,15 +3,17 @@
 //! `POST /fault` takes a JSON object; fields that are left out keep their
 //! value. `{"die": true}` ends the process at once.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use poem::http::StatusCode;
-use poem::listener::TcpListener;
+use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json};
 use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, handler, post};
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpSocket;
 
 /// How long a lost answer is held; callers time out long before.
 const LOST_ANSWER: Duration = Duration::from_secs(8);
@@ -137,5 +139,12 @@
         .at("/fault", post(set_fault))
         .data(faults)
         .around(move |endpoint, request| with_faults(layered.clone(), endpoint, request));
-    Server::new(TcpListener::bind(listen.to_owned())).run(app).await
+    let address: SocketAddr = listen.parse().map_err(std::io::Error::other)?;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit that pieces are sent at once.
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    let acceptor = TcpAcceptor::from_tokio(socket.listen(1024)?)?;
+    Server::new_with_acceptor(acceptor).run(app).await
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -53,6 +53,8 @@
     pub store_bytes: u64,
     /// Rate of a store's link.
     pub link_bytes_per_ms: u64,
+    /// Size of an engine's prefix cache.
+    pub cache_tokens: u64,
     /// Requests that an engine is given at once.
     pub slots: u32,
     /// Further arguments of engines.
@@ -78,6 +80,7 @@
             stores: 0,
             store_bytes: 4_000_000_000,
             link_bytes_per_ms: 2_000_000,
+            cache_tokens: 65_536,
             slots: 8,
             engine_args: Vec::new(),
             worker_args: Vec::new(),
@@ -353,7 +356,9 @@
         for hall in &plan.halls {
             for number in 1..=hall.engines {
                 let name = format!("{}-e{number}", hall.name);
-                self.engines.push(starter.standin("engine", &name, &hall.name, &plan.engine_args));
+                let mut args = vec![option("cache-tokens", plan.cache_tokens)];
+                args.extend(plan.engine_args.iter().cloned());
+                self.engines.push(starter.standin("engine", &name, &hall.name, &args));
             }
             for number in 1..=hall.workers {
                 let name = format!("{}-w{number}", hall.name);
@@ -427,11 +432,12 @@
         for engine in self.engines.iter().filter(|engine| engine.hall == hall) {
             let _ = writeln!(
                 text,
-                "[upstream.{}]\nkind = engine\nurl = {}\nmodel = summary\nslots = {}\n\
+                "[upstream.{}]\nkind = engine\nurl = {}\nmodel = summary\nslots = {}\ncache_tokens = {}\n\
                  prefill_token_us = 30\nchecks_orders = {}\n",
                 engine.name,
                 engine.url(),
                 plan.slots,
+                plan.cache_tokens,
                 plan.checks_orders
             );
         }
--- a/tests/kept_context.rs
+++ b/tests/kept_context.rs
@@ -12,7 +12,7 @@
 fn plan() -> Plan {
     let mut plan = Plan::one_hall(2, 1, 0);
     plan.stores = 1;
-    plan.engine_args = vec![("cache-tokens".to_owned(), "6400".to_owned())];
+    plan.cache_tokens = 6400;
     plan
 }
 
@@ -145,3 +145,25 @@
     let cached = ask(&fleet, "sanam-key", "rulebook").await;
     assert!(cached >= 2560, "only {cached} tokens came back");
 }
+
+#[tokio::test]
+async fn start_shared() {
+    let fleet = fleet(&plan()).await;
+    let prompt = |page: &str| format!("{}{}", context("style pack", 2048), context(page, 1024));
+    for _ in 0..3 {
+        check_completion(&fleet, 0, "sanam-key", &prompt("page one"), 5).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    for other in 0..4 {
+        ask(&fleet, "petra-key", &format!("other {other}")).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // The kept block goes on with another page than this prompt.
+    let answer = completion(&fleet, 0, "sanam-key", &prompt("page two"), 5).send().await.unwrap();
+    let body: Value = answer.json().await.unwrap();
+    let expected = coursestile_standins::answer::whole("v1", &prompt("page two"), 5);
+    assert_eq!(body["choices"][0]["text"], expected, "{body}");
+    let cached = &body["usage"]["prompt_tokens_details"]["cached_tokens"];
+    assert_eq!(cached.as_u64(), Some(2048), "just what both have in common");
+    check_completion(&fleet, 0, "sanam-key", &prompt("page two"), 5).await;
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -65,13 +65,13 @@
     }
 
     fn delivers(&mut self, from: usize, to: usize) -> bool {
-        let halls_differ = self.boxes[from].me().hall != self.boxes[to].me().hall;
+        let halls_differ = self.boxes[from].view().me().hall != self.boxes[to].view().me().hall;
         let cut = self.cut_halls && halls_differ;
         self.up[to] && !cut && self.rng.u64(0..100) >= self.loss_percent
     }
 
     fn health(&self, at: usize, of: usize) -> Option<Health> {
-        self.boxes[at].member(&format!("b{of}")).map(|member| member.health)
+        self.boxes[at].view().member(&format!("b{of}")).map(|member| member.health)
     }
 
     /// Pairs of boxes of which the first does not see the second alive.
@@ -136,7 +136,7 @@
     network.run(20);
     // b0 leaves its ledger to b2, b2 its own to b4; both are replaced.
     for (leaver, heir) in [(0, 2), (2, 4)] {
-        let heir = network.boxes[heir].me().id.clone();
+        let heir = network.boxes[heir].view().me().id.clone();
         network.boxes[leaver].leave(Some(heir));
         network.run(10);
         let seeds = vec!["1".to_owned()];
@@ -145,7 +145,8 @@
     }
     let old = BoxRef { name: "b0".to_owned(), incarnation: 1 };
     for at in 0..6 {
-        let keeper = network.boxes[at].answers_for(&old).map(|member| member.id.name.as_str());
+        let keeper =
+            network.boxes[at].view().answers_for(&old).map(|member| member.id.name.as_str());
         assert_eq!(keeper, Some("b4"), "as b{at} sees it");
     }
 }
