Describe prompts by courses; put writes off; find another way when a dispatcher dies

Cause: a dispatcher took 1,170 bytes a prompt (46.8 MB at 40,000). Reading the code for it showed that a prompt that grew past 32 blocks changed its root, and so its home hall. Requests that waited at a dispatcher that died were refused.

Ruled out: the room in the stores (all contexts fit), imports that failed (the link carried 1 GB only).

Change: a course holds the root block's hash and hashes at a stride; records are allocated one by one. Writes are put off for up to three seconds while links are busy; an engine that no longer holds the context does not count against the store. A search whose dispatcher falls silent starts again. Invariants are checked before a call or a run is sent, and "not run" where it is said.

--- a/load/src/compare.rs
+++ b/load/src/compare.rs
@@ -13,9 +13,6 @@
 use crate::runner::{Outcome, Sending, create_accounts, send};
 use crate::workload::{Kind, Workload};
 
-/// Percent of `--rate` at which policies are compared.
-const LOADS_PERCENT: [f64; 3] = [50.0, 80.0, 110.0];
-
 struct Policy {
     name: &'static str,
     route: &'static str,
@@ -95,7 +92,7 @@
     let mut faults = 0;
     let mut times: Vec<(String, Histogram<u64>)> = Vec::new();
     for kind in [Kind::Sanam, Kind::Petra] {
-        for percent in LOADS_PERCENT {
+        for percent in options.loads_percent.iter().copied() {
             let rate_per_s = options.rate_per_s * percent / 100.0;
             let workload = Workload::new(kind, options.seed, rate_per_s, options.seconds);
             let workload = workload.warmed(options.seed);
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -36,6 +36,7 @@
       --seconds N   Length of each load (default 20)
       --rate N      Requests a second; compare: at 100 percent (default 60)
       --seed N      Seed of arrivals (default 1)
+      --loads A,B   Percents of the rate that compare runs at (default 50,80,110)
       --plot FILE   Where compare writes its plot (default: none)
   -h, --help        Print this help
 ";
@@ -48,12 +49,15 @@
     pub rate_per_s: f64,
     /// Seed of arrivals.
     pub seed: u64,
+    /// Percents of the rate that are compared.
+    pub loads_percent: Vec<f64>,
     /// Where to write a plot.
     pub plot: Option<String>,
 }
 
 fn parse() -> Result<(Option<String>, Options), lexopt::Error> {
-    let mut options = Options { seconds: 20, rate_per_s: 60.0, seed: 1, plot: None };
+    let loads_percent = vec![50.0, 80.0, 110.0];
+    let mut options = Options { seconds: 20, rate_per_s: 60.0, seed: 1, loads_percent, plot: None };
     let mut experiment = None;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -61,6 +65,11 @@
             Long("seconds") => options.seconds = parser.value()?.parse()?,
             Long("rate") => options.rate_per_s = parser.value()?.parse()?,
             Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("loads") => {
+                let text: String = parser.value()?.parse()?;
+                let percents = text.split(',').map(str::parse).collect::<Result<_, _>>();
+                options.loads_percent = percents.map_err(|_| "--loads: not a list of numbers")?;
+            }
             Long("plot") => options.plot = Some(parser.value()?.parse()?),
             Short('h') | Long("help") => return Ok((None, options)),
             Value(word) if experiment.is_none() => {
--- a/src/ask.rs
+++ b/src/ask.rs
@@ -4,7 +4,7 @@
 
 use crate::account::Weights;
 use crate::blocks::{BlockId, Seal};
-use crate::context::{Mark, Scope};
+use crate::context::{Course, Scope};
 use crate::refusal::Refusal;
 use crate::ticket::BoxRef;
 use crate::trace::TraceId;
@@ -25,8 +25,8 @@
     pub id: AskId,
     /// Account, model and weight version of the request.
     pub scope: Scope,
-    /// Points along the prompt.
-    pub marks: Vec<Mark>,
+    /// Course of the prompt.
+    pub course: Course,
     /// Length of the prompt.
     pub prompt_tokens: u32,
     /// Most tokens to generate.
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -15,7 +15,7 @@
 use crate::ask::{Ask, AskId, End, Report};
 use crate::assembler::Assembler;
 use crate::clock::{instant_at, now_ms, now_us};
-use crate::context::{Scope, marks, salt, tokens};
+use crate::context::{Course, Scope, salt, tokens};
 use crate::edge::{EngineError, EnginePiece, Generate, ModelEngines, Pieces};
 use crate::import::Bringing;
 use crate::invariant::{Invariant, check};
@@ -96,6 +96,10 @@
     };
     let served = tokio::time::timeout_at(instant_at(deadline_ms), serving.run()).await;
     let end = served.unwrap_or_else(|_| StreamEnd::Refused(serving.late()));
+    if let StreamEnd::Refused(refusal) = &end {
+        let honest = refusal.ran == Ran::Unknown || !serving.may_have_run;
+        check(Invariant::NotRunIsTrue, honest, || stream.id.clone());
+    }
     let note = match &end {
         StreamEnd::Finished(_) => format!("whole after {} attempts", serving.attempts),
         StreamEnd::Refused(refusal) => format!("{}: {}", refusal.ran, refusal.reason),
@@ -168,7 +172,7 @@
         let terms = &self.job.terms;
         Ask {
             id: AskId { entry: self.kernel.me.clone(), number: self.kernel.take_number() },
-            marks: marks(&scope, &prompt),
+            course: Course::new(&scope, &prompt),
             scope,
             prompt_tokens: tokens(prompt.len()),
             max_tokens: self.tokens_left(),
@@ -183,13 +187,11 @@
         }
     }
 
+    fn leaves(&self, engine: &str) -> bool {
+        self.kernel.configuration.current().state.leaving.contains(engine)
+    }
+
     async fn attempt(&mut self, placed: Placed) -> Attempt {
-        let engine = placed.grant.engine.clone();
-        if self.kernel.configuration.current().state.leaving.contains(&engine) {
-            placed.done(self.kernel, "", 0, End::Unused);
-            self.avoid.push(engine);
-            return Attempt::Refused;
-        }
         let began_at_us = now_us();
         self.attempts += 1;
         let run = format!("{}-{}", self.stream.id, self.attempts);
@@ -201,6 +203,11 @@
             let (prompt, salt) = (prompt.as_str(), salt.as_str());
             Bringing { kernel: self.kernel, placed, prompt, salt, trace }.import(&import).await;
         }
+        if self.leaves(&placed.grant.engine) {
+            self.avoid.push(placed.grant.engine.clone());
+            guard.done(0, End::Unused);
+            return Attempt::Refused;
+        }
         let stream = self.stream;
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let ended = tokio::select! {
@@ -241,6 +248,10 @@
             stream: true,
         };
         let url = &placed.grant.url;
+        let stays = !self.leaves(&placed.grant.engine);
+        if !check(Invariant::NoWorkWhenLeaving, stays, || placed.grant.engine.clone()) {
+            return Attempt::Refused;
+        }
         let number = self.assembler.start_attempt();
         let pieces = self.kernel.upstreams.generate(url, &request, number, first_seq).await;
         let ended = match pieces {
--- a/src/context.rs
+++ b/src/context.rs
@@ -11,8 +11,8 @@
 pub const TOKEN_BYTES: usize = 4;
 /// Tokens in a block.
 pub const BLOCK_TOKENS: usize = 256;
-/// Most marks that describe a prompt; longer prompts get coarser marks.
-pub const MAX_MARKS: usize = 32;
+/// Most hashes that describe a prompt; longer prompts get coarser courses.
+const MAX_HASHES: usize = 32;
 
 /// Whose context it is, and for which weights.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -34,30 +34,99 @@
     pub hash: u64,
 }
 
+/// Points along a prompt, each named by everything before it.
+///
+/// Courses of prompts that share a start share their hashes up to there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Course {
+    /// Hash of the first block; 0 for a prompt shorter than that.
+    pub root: u64,
+    /// Blocks between two points.
+    stride_blocks: u32,
+    hashes: Box<[u64]>,
+}
+
+impl Course {
+    /// The course of a prompt.
+    #[must_use]
+    pub fn new(scope: &Scope, prompt: &str) -> Self {
+        let block_bytes = BLOCK_TOKENS * TOKEN_BYTES;
+        let blocks = prompt.len() / block_bytes;
+        if blocks == 0 {
+            return Self::default();
+        }
+        let stride = blocks.div_ceil(MAX_HASHES).next_power_of_two();
+        let mut hasher = scope_hasher(scope);
+        let mut root = 0;
+        let mut hashes = Vec::with_capacity(blocks / stride);
+        for (index, block) in prompt.as_bytes().chunks_exact(block_bytes).enumerate() {
+            hasher.update(block);
+            if index == 0 {
+                root = short_hash(&hasher);
+            }
+            if (index + 1).is_multiple_of(stride) {
+                hashes.push(short_hash(&hasher));
+            }
+        }
+        let stride_blocks = u32::try_from(stride).unwrap_or(u32::MAX);
+        Self { root, stride_blocks, hashes: hashes.into() }
+    }
+
+    /// Whether the prompt is too short to have context.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.hashes.is_empty()
+    }
+
+    /// The last point.
+    #[must_use]
+    pub fn end(&self) -> Option<Mark> {
+        let hash = *self.hashes.last()?;
+        Some(Mark { tokens: self.tokens_at(self.hashes.len()), hash })
+    }
+
+    /// Tokens up to the last point.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        self.tokens_at(self.hashes.len())
+    }
+
+    fn tokens_at(&self, points: usize) -> u32 {
+        let blocks = u32::try_from(points).unwrap_or(u32::MAX).saturating_mul(self.stride_blocks);
+        blocks.saturating_mul(u32::try_from(BLOCK_TOKENS).unwrap_or(u32::MAX))
+    }
+
+    /// Tokens that two prompts have in common, by the points of both.
+    #[must_use]
+    pub fn common_tokens(&self, other: &Self) -> u32 {
+        if self.stride_blocks > other.stride_blocks {
+            return other.common_tokens(self);
+        }
+        let Some(step) = other.stride_blocks.checked_div(self.stride_blocks) else {
+            return 0;
+        };
+        // Strides are powers of two, so the coarser points are among the finer.
+        let step = usize::try_from(step).unwrap_or(usize::MAX);
+        let finer = self.hashes.iter().skip(step - 1).step_by(step);
+        let common = finer.zip(&other.hashes).take_while(|(own, other)| own == other).count();
+        other.tokens_at(common)
+    }
+
+    /// Whether one prompt continues the other, as far as their points tell.
+    #[must_use]
+    pub fn continues(&self, other: &Self) -> bool {
+        let coarser = if self.stride_blocks > other.stride_blocks { self } else { other };
+        let shorter = self.tokens().min(other.tokens());
+        self.root == other.root && self.common_tokens(other) + coarser.tokens_at(1) > shorter
+    }
+}
+
 /// Tokens of a prompt of `len_bytes`.
 #[must_use]
 pub fn tokens(len_bytes: usize) -> u32 {
     u32::try_from(len_bytes.div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX)
 }
 
-/// The marks of a prompt, shortest first.
-#[must_use]
-pub fn marks(scope: &Scope, prompt: &str) -> Vec<Mark> {
-    let block_bytes = BLOCK_TOKENS * TOKEN_BYTES;
-    let blocks = prompt.len() / block_bytes;
-    let stride = blocks.div_ceil(MAX_MARKS).max(1).next_power_of_two();
-    let mut hasher = scope_hasher(scope);
-    let strides = prompt.as_bytes().chunks_exact(block_bytes * stride);
-    let mut at_tokens = 0;
-    strides
-        .map(|stride_bytes| {
-            hasher.update(stride_bytes);
-            at_tokens += tokens(stride_bytes.len());
-            Mark { tokens: at_tokens, hash: short_hash(&hasher) }
-        })
-        .collect()
-}
-
 /// The salt that keeps an account's context apart in an engine's cache.
 #[must_use]
 pub fn salt(scope: &Scope) -> String {
@@ -78,19 +147,3 @@
     hasher.finalize_xof().fill(&mut bytes);
     u64::from_le_bytes(bytes)
 }
-
-/// Tokens that two prompts have in common, by their marks.
-#[must_use]
-pub fn common_tokens(left: &[Mark], right: &[Mark]) -> u32 {
-    let mut common = 0;
-    let mut right = right.iter().peekable();
-    for mark in left {
-        while right.next_if(|other| other.tokens < mark.tokens).is_some() {}
-        match right.peek() {
-            Some(other) if other.tokens > mark.tokens => {}
-            Some(other) if other.hash == mark.hash => common = mark.tokens,
-            _ => break,
-        }
-    }
-    common
-}
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,14 +1,13 @@
 //! Which prompts are known, and where their context is.
 //!
-//! A record stands for prompts that share a course: one is a prefix of the
-//! other, by their marks. It says which engines are believed to hold how much
+//! A record stands for prompts that share a course: one continues the other. It says which engines are believed to hold how much
 //! of it, and which sealed block a store keeps. What engines hold is a belief,
 //! corrected by what they report with each answer.
 
 use std::collections::HashMap;
 
 use crate::blocks::BlockId;
-use crate::context::{Mark, common_tokens};
+use crate::context::Course;
 use crate::keep::{Prior, Returns};
 
 /// Most records that start with the same block.
@@ -30,8 +29,8 @@
 pub struct Record {
     /// Client account that it belongs to.
     pub account: String,
-    /// Points along the longest prompt seen.
-    pub marks: Box<[Mark]>,
+    /// Course of the longest prompt seen.
+    pub course: Course,
     /// Engines that are believed to hold some of it.
     pub copies: Vec<Copy>,
     /// Block that a store keeps or is being given.
@@ -70,13 +69,10 @@
         self.len == 0
     }
 
-    /// Records that share their start with `marks`, with the tokens in common.
-    pub fn matching<'a>(&'a self, marks: &'a [Mark]) -> impl Iterator<Item = (&'a Record, u32)> {
-        let records = marks.first().and_then(|root| self.by_root.get(&root.hash));
-        records.into_iter().flatten().map(move |record| {
-            let common = common_tokens(marks, &record.marks);
-            (record, common)
-        })
+    /// Records that share their start with `course`, with the tokens in common.
+    pub fn matching<'a>(&'a self, course: &'a Course) -> impl Iterator<Item = (&'a Record, u32)> {
+        let records = self.by_root.get(&course.root).into_iter().flatten();
+        records.map(move |record| (record, course.common_tokens(&record.course)))
     }
 
     /// What is known of the prompts of an account.
@@ -90,13 +86,15 @@
         &mut self,
         now_ms: u64,
         account: &str,
-        marks: &[Mark],
+        course: &Course,
         worthless_at_ms: u64,
     ) -> Option<&mut Record> {
-        let root = marks.first()?.hash;
+        if course.is_empty() {
+            return None;
+        }
         let prior = self.priors.entry(account.to_owned()).or_default();
-        let records = self.by_root.entry(root).or_default();
-        let index = if let Some(index) = course_of(records, marks) {
+        let records = self.by_root.entry(course.root).or_default();
+        let index = if let Some(index) = course_of(records, course) {
             let record = &mut records[index];
             let gap_ms = now_ms.saturating_sub(record.returns.last_used_at_ms);
             prior.return_after(gap_ms, record.returns.returns == 0);
@@ -109,12 +107,13 @@
                 self.len -= usize::from(drop_oldest(records));
             }
             self.len += 1;
-            records.push(Record::new(now_ms, account, marks, worthless_at_ms));
+            records.reserve_exact(1);
+            records.push(Record::new(now_ms, account, course, worthless_at_ms));
             records.len() - 1
         };
         let record = &mut records[index];
-        if marks.len() > record.marks.len() {
-            record.marks = marks.into();
+        if course.tokens() > record.course.tokens() {
+            record.course = course.clone();
         }
         Some(record)
     }
@@ -124,26 +123,27 @@
         &mut self,
         now_ms: u64,
         account: &str,
-        marks: &[Mark],
+        course: &Course,
         worthless_at_ms: u64,
         block: &BlockId,
     ) {
-        let Some(root) = marks.first() else {
+        if course.is_empty() {
             return;
-        };
-        let records = self.by_root.entry(root.hash).or_default();
-        let index = course_of(records, marks).unwrap_or_else(|| {
+        }
+        let records = self.by_root.entry(course.root).or_default();
+        let index = course_of(records, course).unwrap_or_else(|| {
             self.len += 1;
-            records.push(Record::new(now_ms, account, marks, worthless_at_ms));
+            records.reserve_exact(1);
+            records.push(Record::new(now_ms, account, course, worthless_at_ms));
             records.len() - 1
         });
         records[index].block.get_or_insert_with(|| block.clone());
     }
 
-    /// The record of the course that `marks` belong to.
-    pub fn record_mut(&mut self, marks: &[Mark]) -> Option<&mut Record> {
-        let records = self.by_root.get_mut(&marks.first()?.hash)?;
-        let index = course_of(records, marks)?;
+    /// The record that `course` belongs to.
+    pub fn record_mut(&mut self, course: &Course) -> Option<&mut Record> {
+        let records = self.by_root.get_mut(&course.root)?;
+        let index = course_of(records, course)?;
         Some(&mut records[index])
     }
 
@@ -189,10 +189,10 @@
 }
 
 impl Record {
-    fn new(now_ms: u64, account: &str, marks: &[Mark], worthless_at_ms: u64) -> Self {
+    fn new(now_ms: u64, account: &str, course: &Course, worthless_at_ms: u64) -> Self {
         Self {
             account: account.to_owned(),
-            marks: marks.into(),
+            course: course.clone(),
             copies: Vec::new(),
             block: None,
             returns: Returns::new(now_ms),
@@ -210,14 +210,9 @@
     }
 }
 
-/// The record that continues `marks` or is continued by them.
-fn course_of(records: &[Record], marks: &[Mark]) -> Option<usize> {
-    let same_course = |record: &Record| {
-        let shorter = marks.len().min(record.marks.len());
-        let end_tokens = marks[shorter - 1].tokens.min(record.marks[shorter - 1].tokens);
-        common_tokens(marks, &record.marks) >= end_tokens
-    };
-    records.iter().position(same_course)
+/// The record that continues `course` or is continued by it.
+fn course_of(records: &[Record], course: &Course) -> Option<usize> {
+    records.iter().position(|record| record.course.continues(course))
 }
 
 /// Drops the record used longest ago among those without a block.
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -16,7 +16,7 @@
 use crate::dispatcher::{Action, Dispatcher};
 use crate::edge::{ContextStores, ModelEngines};
 use crate::fleet::Engine;
-use crate::keeper::{Delete, Export, Keeper};
+use crate::keeper::{Delete, Export, Keeper, Written};
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::owner::owner;
 use crate::placing;
@@ -210,11 +210,15 @@
 }
 
 async fn write_out(kernel: Arc<Kernel>, model: String, export: Export) {
-    let sealed = kernel.upstreams.export(&export).await;
-    let outcome = if sealed.is_some() { "written" } else { "failed" };
+    let written = kernel.upstreams.export(&export).await;
+    let outcome = match written {
+        Written::Sealed(..) => "sealed",
+        Written::Gone => "gone",
+        Written::Failed => "failed",
+    };
     metrics::counter!("coursestile_exports_total", "outcome" => outcome).increment(1);
     kernel.dispatch.with(&kernel, &model, |acting| {
-        acting.dispatcher.keeper.exported(now_ms(), &export, sealed);
+        acting.dispatcher.keeper.exported(now_ms(), &export, written);
     });
 }
 
@@ -349,7 +353,7 @@
         return warn!(target: "dispatch", "Store {store} does not list its blocks.");
     };
     let own = listed.into_iter().filter(|block| block.meta.scope.model == model);
-    let own: Vec<_> = own.filter(|block| is_home(&kernel, block.meta.marks.first())).collect();
+    let own: Vec<_> = own.filter(|block| is_home(&kernel, block.meta.course.root)).collect();
     info!(target: "dispatch", "Took over {} blocks of store {store}.", own.len());
     kernel.dispatch.with(&kernel, &model, |acting| {
         for block in own {
@@ -358,9 +362,8 @@
     });
 }
 
-fn is_home(kernel: &Kernel, root: Option<&crate::context::Mark>) -> bool {
+fn is_home(kernel: &Kernel, root: u64) -> bool {
     let halls = placing::halls_in_region(kernel);
-    let home =
-        root.and_then(|root| owner(&root.hash.to_string(), halls.iter().map(String::as_str)));
+    let home = owner(&root.to_string(), halls.iter().map(String::as_str));
     home.is_none_or(|home| home == kernel.settings.hall)
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::ask::{Ask, AskId, End, Grant, Imported, Report, Verdict};
 use crate::edge::EngineReport;
 use crate::fleet::{Engine, Fleet};
-use crate::keeper::{Export, Keeper};
+use crate::keeper::{Export, Keeper, Source};
 use crate::refusal::{Reason, Refusal};
 use crate::route::{Demand, RoutePolicy, choose};
 use crate::share::{GENERATED_TOKEN_WEIGHT, SharePolicy, ShareQueue};
@@ -180,6 +180,7 @@
             self.release(now_ms, &id, 0, End::Cancelled);
         }
         let mut actions = self.place_waiting(now_ms);
+        actions.extend(self.keeper.plan_put_off(now_ms).map(Action::Export));
         let late = self.queue.take_out(|waiting| waiting.deadline_ms <= now_ms);
         let fleet = &self.fleet;
         let lost = self.queue.take_out(|waiting| !fleet.can_serve(now_ms, &waiting.item));
@@ -215,7 +216,7 @@
     }
 
     fn expected_work(&self, ask: &Ask) -> f64 {
-        let matching = self.keeper.directory.matching(&ask.marks);
+        let matching = self.keeper.directory.matching(&ask.course);
         let held = matching.map(|(_, common)| common).max().unwrap_or(0);
         work_tokens(ask.prompt_tokens.saturating_sub(held), ask.max_tokens)
     }
@@ -280,8 +281,8 @@
         used.computed_tokens += u64::from(uncached_tokens);
         let computed = used.computed_tokens;
         let (account, until_ms) = (&ask.scope.account, ask.worthless_at_ms);
-        let record = self.keeper.directory.used(now_ms, account, &ask.marks, until_ms);
-        if let (Some(record), Some(mark)) = (record, ask.marks.last()) {
+        let record = self.keeper.directory.used(now_ms, account, &ask.course, until_ms);
+        if let (Some(record), Some(mark)) = (record, ask.course.end()) {
             record.held(narrow(engine), mark.tokens, computed);
         }
     }
@@ -289,7 +290,7 @@
     /// Tokens of the prompt that each engine is believed to hold.
     fn held(&self, ask: &Ask) -> Vec<Held> {
         let mut cached = vec![Held::default(); self.fleet.engines.len()];
-        for (record, common) in self.keeper.directory.matching(&ask.marks) {
+        for (record, common) in self.keeper.directory.matching(&ask.course) {
             for copy in &record.copies {
                 let index = usize::from(copy.engine);
                 let engine = &self.fleet.engines[index];
@@ -305,7 +306,7 @@
 
     fn imported(&mut self, now_ms: u64, id: &AskId, imported: &Imported) {
         if let Some(running) = self.running.get(id) {
-            self.keeper.imported(now_ms, &running.ask.marks, imported);
+            self.keeper.imported(now_ms, &running.ask.course, imported);
         }
     }
 
@@ -346,8 +347,9 @@
         let mut actions = Vec::new();
         if end == End::Finished {
             let Engine { url, token_ms, .. } = &self.fleet.engines[engine];
-            let export = self.keeper.plan_export(now_ms, &ask, url, request, *token_ms);
-            actions.extend(export.map(Action::Export));
+            let (engine_url, request, token_ms) = (url.clone(), request.to_owned(), *token_ms);
+            let source = Source { ask, engine_url, request, token_ms };
+            actions.extend(self.keeper.plan_export(now_ms, source).map(Action::Export));
         }
         actions.extend(self.place_waiting(now_ms));
         actions
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -12,7 +12,7 @@
 use crate::assembler::Piece;
 use crate::blocks::{BlockId, Seal};
 use crate::error::Result;
-use crate::keeper::{Export, Listed};
+use crate::keeper::{Export, Listed, Written};
 use crate::ledger::Outcome;
 use crate::wire::Call;
 
@@ -163,7 +163,7 @@
     fn report(&self, url: &str) -> impl Future<Output = Option<EngineReport>> + Send;
 
     /// Has a run's context written to a store.
-    fn export(&self, export: &Export) -> impl Future<Output = Option<(Seal, u64)>> + Send;
+    fn export(&self, export: &Export) -> impl Future<Output = Written> + Send;
 
     /// Has a block staged from a store; returns what arrived.
     fn stage(
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -4,13 +4,13 @@
 //! policy of their worth. Transfers are planned against each store's link, so
 //! that an offer includes what the link has to do before.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
 use crate::ask::{Ask, Import, ImportResult, Imported};
 use crate::blocks::{Block, BlockId, Blocks, Phase, Seal};
-use crate::context::{Mark, Scope};
+use crate::context::{Course, Scope};
 use crate::directory::{Directory, Record};
 use crate::keep::{self, KeepPolicy, Kept};
 use crate::owner::owner;
@@ -27,6 +27,10 @@
 const LOW_FILL_PERCENT: u64 = 85;
 /// Backlog of a link above which nothing is written over it.
 const MAX_WRITE_BACKLOG_MS: f64 = 100.0;
+/// Time for which a write may be put off.
+const PUT_OFF_MS: u64 = 3000;
+/// Writes put off at most.
+const MAX_PUT_OFF: usize = 64;
 /// An import may take so many times its estimate, and the slack.
 const IMPORT_PATIENCE: f64 = 2.0;
 /// Slack of an import's deadline.
@@ -39,8 +43,8 @@
 pub struct BlockMeta {
     /// Whose context it is.
     pub scope: Scope,
-    /// Points along its prompt.
-    pub marks: Vec<Mark>,
+    /// Course of its prompt.
+    pub course: Course,
     /// When it is no longer worth keeping, in Unix milliseconds.
     pub worthless_at_ms: u64,
 }
@@ -73,6 +77,30 @@
     pub meta: BlockMeta,
 }
 
+/// Context that an engine holds after a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// The request.
+    pub ask: Ask,
+    /// Where the engine listens.
+    pub engine_url: String,
+    /// The request's name at the engine.
+    pub request: String,
+    /// Time to prefill a token there.
+    pub token_ms: f64,
+}
+
+/// How a write ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// It is sealed, and takes so many bytes.
+    Sealed(Seal, u64),
+    /// The engine does not hold the context any more.
+    Gone,
+    /// The store or the engine failed.
+    Failed,
+}
+
 /// An order to delete a block.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delete {
@@ -91,6 +119,7 @@
     blocks: Blocks,
     stores: BTreeMap<String, Store>,
     shares: BTreeMap<String, f64>,
+    put_off: VecDeque<(u64, Source)>,
     writer: String,
     next_nonce: u64,
     token_bytes: u64,
@@ -112,6 +141,7 @@
             blocks: Blocks::default(),
             stores,
             shares: BTreeMap::new(),
+            put_off: VecDeque::new(),
             writer: writer.to_owned(),
             next_nonce: 1,
             token_bytes,
@@ -121,7 +151,7 @@
     /// The best kept block for a prompt, and what bringing it takes.
     #[must_use]
     pub fn offer(&self, now_ms: u64, ask: &Ask) -> Option<(BlockId, Offer)> {
-        let offers = self.directory.matching(&ask.marks).filter_map(|(record, common)| {
+        let offers = self.directory.matching(&ask.course).filter_map(|(record, common)| {
             let id = record.block.as_ref()?;
             let block = self.blocks.get(id).filter(|block| block.scope == ask.scope)?;
             let store = self.stores.get(&block.store)?;
@@ -158,7 +188,7 @@
     }
 
     /// Takes in how an import went.
-    pub fn imported(&mut self, now_ms: u64, marks: &[Mark], imported: &Imported) {
+    pub fn imported(&mut self, now_ms: u64, course: &Course, imported: &Imported) {
         let Some(block) = self.blocks.get(&imported.block) else {
             return;
         };
@@ -170,34 +200,51 @@
             ImportResult::TimedOut => store.fail(now_ms),
             ImportResult::NotFound => {
                 self.blocks.free(&imported.block);
-                if let Some(root) = marks.first() {
-                    self.directory.forget_block(root.hash, &imported.block);
-                }
+                self.directory.forget_block(course.root, &imported.block);
             }
         }
     }
 
     /// Plans to write the context of a finished request, if it is worth it.
-    pub fn plan_export(
-        &mut self,
-        now_ms: u64,
-        ask: &Ask,
-        engine_url: &str,
-        request: &str,
-        token_ms: f64,
-    ) -> Option<Export> {
-        let mark = *ask.marks.last().filter(|mark| mark.tokens >= LEAST_BLOCK_TOKENS)?;
-        let root = ask.marks.first()?;
+    /// While the links are busy it is put off for a little.
+    pub fn plan_export(&mut self, now_ms: u64, source: Source) -> Option<Export> {
+        let size_bytes = self.worth_writing(now_ms, &source)?;
+        let root = source.ask.course.root;
+        if let Some(store) = self.store_for(now_ms, root, size_bytes) {
+            return self.begin_export(now_ms, source, &store, size_bytes);
+        }
+        if self.put_off.len() < MAX_PUT_OFF {
+            self.put_off.push_back((now_ms + PUT_OFF_MS, source));
+        }
+        None
+    }
+
+    /// Plans one of the writes that were put off.
+    pub fn plan_put_off(&mut self, now_ms: u64) -> Option<Export> {
+        let (until_ms, source) = self.put_off.pop_front()?;
+        if until_ms <= now_ms {
+            return None;
+        }
+        let size_bytes = self.worth_writing(now_ms, &source)?;
+        match self.store_for(now_ms, source.ask.course.root, size_bytes) {
+            Some(store) => self.begin_export(now_ms, source, &store, size_bytes),
+            None => {
+                self.put_off.push_front((until_ms, source));
+                None
+            }
+        }
+    }
+
+    /// Size of the block that would be written; none when it is not worth it.
+    fn worth_writing(&mut self, now_ms: u64, source: &Source) -> Option<u64> {
+        let Source { ask, token_ms, .. } = source;
+        let mark = ask.course.end().filter(|mark| mark.tokens >= LEAST_BLOCK_TOKENS)?;
         self.shares.insert(ask.scope.account.clone(), ask.share);
-        let record = self.directory.record_mut(&ask.marks)?;
+        let record = self.directory.record_mut(&ask.course)?;
         if record.block.is_some() {
             return None;
         }
         let size_bytes = u64::from(mark.tokens) * self.token_bytes;
-        let name = self.store_for(now_ms, root.hash, size_bytes)?;
-        let store = self.stores.get_mut(&name)?;
-        let transfer_ms = exact(size_bytes) / store.bytes_per_ms;
-        let record = self.directory.record_mut(&ask.marks)?;
         let kept = Kept {
             returns: record.returns,
             worthless_at_ms: record.worthless_at_ms,
@@ -205,45 +252,59 @@
             size_bytes,
             over_share: false,
         };
-        let account = record.account.clone();
-        let prior = self.directory.prior(&account);
-        if !keep::worth_writing(self.policy, now_ms, &kept, &prior, transfer_ms) {
-            return None;
-        }
-        store.plan(now_ms, transfer_ms);
+        let rates = self.stores.values().map(|store| store.bytes_per_ms);
+        let transfer_ms = exact(size_bytes) / rates.fold(1.0, f64::max);
+        let prior = self.directory.prior(&ask.scope.account);
+        keep::worth_writing(self.policy, now_ms, &kept, &prior, transfer_ms).then_some(size_bytes)
+    }
+
+    fn begin_export(
+        &mut self,
+        now_ms: u64,
+        source: Source,
+        store_name: &str,
+        size_bytes: u64,
+    ) -> Option<Export> {
+        let Source { ask, engine_url, request, .. } = source;
+        let store = self.stores.get_mut(store_name)?;
+        store.plan(now_ms, exact(size_bytes) / store.bytes_per_ms);
         let store_url = store.url.clone();
+        let mark = ask.course.end()?;
         let id = BlockId::new(&ask.scope, mark, &self.writer, self.next_nonce);
         self.next_nonce += 1;
-        let phase = Phase::Writing { deadline_ms: now_ms + WRITE_TIMEOUT_MS };
-        let scope = ask.scope.clone();
-        let block = Block { scope, store: name, mark, size_bytes, phase, pinned_until_ms: 0 };
+        let block = Block {
+            scope: ask.scope.clone(),
+            store: store_name.to_owned(),
+            mark,
+            size_bytes,
+            phase: Phase::Writing { deadline_ms: now_ms + WRITE_TIMEOUT_MS },
+            pinned_until_ms: 0,
+        };
         self.blocks.begin_write(&id, block);
-        self.directory.record_mut(&ask.marks)?.block = Some(id.clone());
-        let worthless_at_ms = ask.worthless_at_ms;
-        let meta =
-            BlockMeta { scope: ask.scope.clone(), marks: ask.marks.clone(), worthless_at_ms };
-        let (engine_url, request) = (engine_url.to_owned(), request.to_owned());
+        self.directory.record_mut(&ask.course)?.block = Some(id.clone());
+        let Ask { scope, course, worthless_at_ms, .. } = ask;
+        let meta = BlockMeta { scope, course, worthless_at_ms };
         Some(Export { block: id, engine_url, request, store_url, meta })
     }
 
-    /// Takes in how a write ended: with a seal and a size, or not.
-    pub fn exported(&mut self, now_ms: u64, export: &Export, sealed: Option<(Seal, u64)>) {
-        let written = sealed.is_some();
-        let in_force = sealed
-            .is_some_and(|(seal, size_bytes)| self.blocks.seal(&export.block, seal, size_bytes));
-        if in_force {
-            return;
+    /// Takes in how a write ended.
+    pub fn exported(&mut self, now_ms: u64, export: &Export, written: Written) {
+        let failed = written == Written::Failed;
+        if let Written::Sealed(seal, size_bytes) = written {
+            if self.blocks.seal(&export.block, seal, size_bytes) {
+                return;
+            }
         }
-        self.drop_block(&export.block, &export.meta.marks);
+        self.drop_block(&export.block, export.meta.course.root);
         let store = self.stores.values_mut().find(|store| store.url == export.store_url);
-        if let Some(store) = store.filter(|_| !written) {
+        if let Some(store) = store.filter(|_| failed) {
             store.fail(now_ms);
         }
     }
 
     /// Takes over a block that a store lists.
     pub fn adopt(&mut self, now_ms: u64, store: &str, listed: Listed) {
-        let Some(mark) = listed.meta.marks.last().copied() else {
+        let Some(mark) = listed.meta.course.end() else {
             return;
         };
         let meta = listed.meta;
@@ -257,7 +318,7 @@
         };
         self.blocks.adopt(&listed.id, block);
         let account = &meta.scope.account;
-        self.directory.adopt_block(now_ms, account, &meta.marks, meta.worthless_at_ms, &listed.id);
+        self.directory.adopt_block(now_ms, account, &meta.course, meta.worthless_at_ms, &listed.id);
     }
 
     /// Forgets a block that was deleted.
@@ -300,7 +361,7 @@
             let expired = keep::expired(self.policy, now_ms, &one.kept);
             if expired || used_bytes > target_bytes {
                 used_bytes -= one.kept.size_bytes;
-                self.drop_block(&one.id, &one.marks);
+                self.drop_block(&one.id, one.root);
             }
         }
     }
@@ -325,11 +386,9 @@
         records.collect()
     }
 
-    fn drop_block(&mut self, id: &BlockId, marks: &[Mark]) {
+    fn drop_block(&mut self, id: &BlockId, root: u64) {
         self.blocks.free(id);
-        if let Some(root) = marks.first() {
-            self.directory.forget_block(root.hash, id);
-        }
+        self.directory.forget_block(root, id);
     }
 
     fn store_for(&self, now_ms: u64, root: u64, size_bytes: u64) -> Option<String> {
@@ -345,7 +404,7 @@
 struct KeptBlock {
     id: BlockId,
     account: String,
-    marks: Vec<Mark>,
+    root: u64,
     kept: Kept,
 }
 
@@ -358,7 +417,7 @@
             size_bytes: block.size_bytes,
             over_share,
         };
-        let marks = record.marks[..1].to_vec();
-        Self { id: id.clone(), account: record.account.clone(), marks, kept }
+        let (account, root) = (record.account.clone(), record.course.root);
+        Self { id: id.clone(), account, root, kept }
     }
 }
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -94,6 +94,8 @@
     inbox: mpsc::Receiver<Heard>,
     waits_at: Option<String>,
     refusal: Option<Refusal>,
+    /// The dispatcher fell silent while the request waited there.
+    lost_dispatcher: bool,
 }
 
 /// Finds a place for `ask`.
@@ -105,8 +107,12 @@
     let (id, trace) = (ask.id.clone(), ask.trace);
     locked(&kernel.placing.inboxes).insert(id.clone(), sender);
     let began_at_us = now_us();
-    let mut search = Search { kernel, ask, inbox, waits_at: None, refusal: None };
-    let result = search.run().await;
+    let mut search =
+        Search { kernel, ask, inbox, waits_at: None, refusal: None, lost_dispatcher: false };
+    let mut result = search.run().await;
+    if std::mem::take(&mut search.lost_dispatcher) {
+        result = search.run().await;
+    }
     locked(&kernel.placing.inboxes).remove(&id);
     if result.is_err() {
         search.withdraw();
@@ -200,6 +206,8 @@
             }
             if unheard > 2 {
                 pass_over(self.kernel, target);
+                self.waits_at = None;
+                self.lost_dispatcher = true;
                 return Err(unplaced());
             }
         }
@@ -261,10 +269,7 @@
 /// Dispatchers to ask, in order: the home hall's, then the region's others by
 /// the same ranking, then the other regions'.
 fn targets(kernel: &Kernel, ask: &Ask) -> Vec<String> {
-    let key = ask
-        .marks
-        .first()
-        .map_or_else(|| kernel.settings.hall.clone(), |root| root.hash.to_string());
+    let key = ask.course.root.to_string();
     let membership = kernel.membership();
     let own = &kernel.settings;
     let mut near = BTreeSet::new();
@@ -274,7 +279,7 @@
         halls.insert(member.hall.as_str());
     }
     let mut halls = ranked(&key, near.iter().copied(), near.len());
-    if ask.marks.is_empty() {
+    if ask.course.is_empty() {
         // Nothing to gather: the own hall is the nearest.
         halls.sort_by_key(|hall| *hall != own.hall);
     }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -18,7 +18,7 @@
     ContextStores, EngineError, EnginePiece, EngineReport, Generate, ModelEngines, Order, Pieces,
     PlainServices, Staged,
 };
-use crate::keeper::{BlockMeta, Export, Listed};
+use crate::keeper::{BlockMeta, Export, Listed, Written};
 use crate::ledger::{Answer, Outcome};
 use crate::wire::Call;
 
@@ -202,15 +202,23 @@
         Some(EngineReport { version, leaving, loading })
     }
 
-    async fn export(&self, export: &Export) -> Option<(Seal, u64)> {
+    async fn export(&self, export: &Export) -> Written {
         let body = json!({
             "block_id": export.block, "store": export.store_url,
             "request_id": export.request, "meta": export.meta,
         });
         let call = self.http.post(format!("{}/kv/export", export.engine_url));
-        let response = call.json(&body).timeout(LONG_TIMEOUT).send().await.ok()?;
-        let done: Value = response.error_for_status().ok()?.json().await.ok()?;
-        Some((read_seal(&done)?, done["size_bytes"].as_u64()?))
+        let Ok(response) = call.json(&body).timeout(LONG_TIMEOUT).send().await else {
+            return Written::Failed;
+        };
+        if response.status() == StatusCode::NOT_FOUND {
+            return Written::Gone;
+        }
+        let done: Value = response.json().await.unwrap_or_default();
+        match (read_seal(&done), done["size_bytes"].as_u64()) {
+            (Some(seal), Some(size_bytes)) => Written::Sealed(seal, size_bytes),
+            _ => Written::Failed,
+        }
     }
 
     async fn stage(
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -49,14 +49,15 @@
         if now_ms() >= call.deadline_ms {
             break;
         }
+        let first = repeatable || sent == 0;
+        if !check(Invariant::SentOnce, first, || call.key.key.clone()) {
+            break;
+        }
         let began_at_us = now_us();
         let outcome = kernel.upstreams.call(&url, call).await;
         let note = format!("{} {} on {name}", call.method, call.path);
         kernel.span(call.trace, Hop::Upstream, began_at_us, note);
-        if outcome != Outcome::NotRun {
-            sent += 1;
-            check(Invariant::SentOnce, repeatable || sent == 1, || call.key.key.clone());
-        }
+        sent += u32::from(outcome != Outcome::NotRun);
         match outcome {
             Outcome::Answered(_) => {
                 return CallEnd { outcome, reason: Reason::UpstreamFailed };
@@ -72,6 +73,10 @@
             }
         }
     }
+    let honest = end.outcome != Outcome::NotRun || sent == 0;
+    if !check(Invariant::NotRunIsTrue, honest, || call.key.key.clone()) {
+        return CallEnd::unknown(end.reason);
+    }
     end
 }
 
--- /dev/null
+++ b/tests/courses.rs
@@ -0,0 +1,63 @@
+//! Courses of prompts: what they have in common, and what they do not.
+
+use coursestile::context::{Course, Scope, salt};
+use rstest::rstest;
+
+const BLOCK_BYTES: usize = 1024;
+
+fn scope(account: &str, version: &str) -> Scope {
+    let (account, version) = (account.to_owned(), version.to_owned());
+    Scope { account, model: "m".to_owned(), version }
+}
+
+/// A prompt of blocks, each filled with one letter.
+fn prompt(letters: &str) -> String {
+    letters.chars().map(|letter| letter.to_string().repeat(BLOCK_BYTES)).collect()
+}
+
+fn course(letters: &str) -> Course {
+    Course::new(&scope("a", "v1"), &prompt(letters))
+}
+
+#[rstest]
+#[case("abcd", "abcd", 4, true)]
+#[case("abcd", "ab", 2, true)]
+#[case("abcd", "abxx", 2, false)]
+#[case("abcd", "xbcd", 0, false)]
+#[case("abcd", "", 0, false)]
+fn common_start(
+    #[case] left: &str,
+    #[case] right: &str,
+    #[case] blocks: u32,
+    #[case] continues: bool,
+) {
+    let (left, right) = (course(left), course(right));
+    assert_eq!(left.common_tokens(&right), blocks * 256);
+    assert_eq!(right.common_tokens(&left), blocks * 256);
+    assert_eq!(left.continues(&right), continues);
+}
+
+#[rstest]
+#[case(30, 40, 30)]
+#[case(31, 40, 30)]
+#[case(40, 200, 40)]
+#[case(63, 130, 56)]
+fn strides_differ(#[case] short: usize, #[case] long: usize, #[case] blocks: u32) {
+    let letters: String = ('a'..='z').cycle().take(long).collect();
+    let (short, long) = (course(&letters[..short]), course(&letters));
+    assert_eq!(short.root, long.root, "a prompt keeps its root while it grows");
+    assert_eq!(short.common_tokens(&long), blocks * 256);
+    assert!(short.continues(&long) && long.continues(&short));
+}
+
+#[test]
+fn scopes_apart() {
+    let text = prompt("abcd");
+    let own = Course::new(&scope("a", "v1"), &text);
+    for other in [scope("b", "v1"), scope("a", "v2")] {
+        let other_course = Course::new(&other, &text);
+        assert_ne!(own.root, other_course.root);
+        assert_eq!(own.common_tokens(&other_course), 0);
+        assert_ne!(salt(&scope("a", "v1")), salt(&other));
+    }
+}
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use common::{call, fleet, runs, ticket};
-use coursestile_standins::fleet::{Fleet, Plan};
+use coursestile_standins::fleet::{Fleet, Plan, Process};
 use reqwest::Response;
 use serde_json::json;
 
 const KEY: &str = "petra-key";
 
-/// Two halls' worth of boxes in one, and a worker that takes its time.
+/// Three boxes, and two workers that take their time.
 async fn slow_worker(work_ms: u64) -> Fleet {
-    let mut plan = Plan::one_hall(3, 1, 1);
+    let mut plan = Plan::one_hall(3, 1, 2);
     plan.worker_args = vec![("work-ms".to_owned(), work_ms.to_string())];
     fleet(&plan).await
 }
@@ -80,7 +80,9 @@
 async fn answer_lost() {
     let fleet = slow_worker(5).await;
     let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
-    fleet.fault(&fleet.workers[0], json!({ "lose_answers": 1 })).await;
+    for worker in &fleet.workers {
+        fleet.fault(worker, json!({ "lose_answers": 1 })).await;
+    }
     for at in [0, 1, 0] {
         let lost = order(&fleet, at, &key, 500).await.unwrap();
         assert_eq!(ran(&lost), "outcome unknown");
@@ -124,12 +126,14 @@
 async fn worker_gone() {
     let fleet = slow_worker(5).await;
     let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
-    fleet.workers[0].kill();
+    fleet.workers.iter().for_each(Process::kill);
     let refused = order(&fleet, 1, &key, 1000).await.unwrap();
     assert_eq!((refused.status().as_u16(), ran(&refused)), (503, "not run"));
     assert!(refused.headers().contains_key("retry-after"));
-    fleet.workers[0].restart();
-    fleet.wait_for(&format!("{}/runs", fleet.workers[0].url())).await;
+    fleet.workers.iter().for_each(Process::restart);
+    for worker in &fleet.workers {
+        fleet.wait_for(&format!("{}/runs", worker.url())).await;
+    }
     assert_eq!(run_of(order(&fleet, 1, &key, 3000).await.unwrap()).await, 1);
 }
 
--- /dev/null
+++ b/tests/placing.rs
@@ -0,0 +1,35 @@
+//! Requests that wait find another way when their dispatcher falls silent.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{completion, context, fleet, text};
+use coursestile_standins::answer::whole;
+use coursestile_standins::fleet::Plan;
+use futures_util::future::join_all;
+
+#[tokio::test]
+async fn dispatcher_dies() {
+    let fleet = fleet(&Plan::one_hall(3, 1, 0)).await;
+    let prompt = |number: usize| format!("{}?", context(&format!("book {number}"), 2000));
+    let call = |at: usize, number: usize| {
+        let call = completion(&fleet, at, "sanam-key", &prompt(number), 150);
+        tokio::spawn(async move { text(call.send().await.unwrap()).await })
+    };
+    call(0, 0).await.unwrap();
+    let mut owner = 0;
+    for (index, entry_box) in fleet.boxes.iter().enumerate() {
+        let status = fleet.status(entry_box).await.unwrap();
+        if !status["dispatchers"].as_array().unwrap().is_empty() {
+            owner = index;
+        }
+    }
+    // Eight run and the others wait at the dispatcher, which dies.
+    let waiting: Vec<_> = (1..20).map(|number| call((owner + 1) % 3, number)).collect();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.boxes[owner].process.kill();
+    for (number, answer) in join_all(waiting).await.into_iter().enumerate() {
+        assert_eq!(answer.unwrap(), whole("v1", &prompt(number + 1), 150));
+    }
+}
