Follow each engine's cache by its uses

Ruled out by the status and metrics pages of a running fleet: contexts that were not written (all 120 were sealed), failed imports (64 of 64 done).

Change: the dispatcher follows each engine's cache as least recently used, by every request that it places there, instead of counting computed tokens; the believed size grows slowly with hits and shrinks at a miss.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use crate::blocks::BlockId;
+use crate::cache::Use;
 use crate::context::Course;
 use crate::keep::{Prior, Returns};
 
@@ -20,8 +21,8 @@
     pub engine: u16,
     /// Tokens from the start on.
     pub tokens: u32,
-    /// The engine's count of tokens computed when this copy was used.
-    pub at_computed_tokens: u64,
+    /// When the engine used it last.
+    pub used: Use,
 }
 
 /// A known course of prompts.
@@ -200,9 +201,15 @@
         }
     }
 
+    /// When an engine used this course last.
+    #[must_use]
+    pub fn used_at(&self, engine: u16) -> Option<Use> {
+        self.copies.iter().find(|copy| copy.engine == engine).map(|copy| copy.used)
+    }
+
     /// Notes that an engine holds `tokens` of this course.
-    pub fn held(&mut self, engine: u16, tokens: u32, at_computed_tokens: u64) {
-        let copy = Copy { engine, tokens, at_computed_tokens };
+    pub fn held(&mut self, engine: u16, tokens: u32, used: Use) {
+        let copy = Copy { engine, tokens, used };
         match self.copies.iter_mut().find(|copy| copy.engine == engine) {
             Some(known) => *known = copy,
             None => self.copies.push(copy),
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -46,12 +46,11 @@
     Export(Export),
 }
 
-/// What an engine is believed to hold of a prompt, and how many tokens it has
-/// computed since.
+/// What an engine is believed to hold of a prompt, and how deep in its cache.
 #[derive(Clone, Copy, Debug, Default)]
 struct Held {
     tokens: u32,
-    age_tokens: u64,
+    depth_tokens: u64,
 }
 
 struct Running {
@@ -278,12 +277,12 @@
         let used = &mut self.fleet.engines[engine];
         used.outstanding += 1;
         used.pending_tokens += u64::from(uncached_tokens);
-        used.computed_tokens += u64::from(uncached_tokens);
-        let computed = used.computed_tokens;
         let (account, until_ms) = (&ask.scope.account, ask.worthless_at_ms);
         let record = self.keeper.directory.used(now_ms, account, &ask.course, until_ms);
         if let (Some(record), Some(mark)) = (record, ask.course.end()) {
-            record.held(narrow(engine), mark.tokens, computed);
+            let before = record.used_at(narrow(engine));
+            let now = used.cache.touch(before, mark.tokens);
+            record.held(narrow(engine), mark.tokens, now);
         }
     }
 
@@ -294,10 +293,10 @@
             for copy in &record.copies {
                 let index = usize::from(copy.engine);
                 let engine = &self.fleet.engines[index];
-                let age_tokens = engine.computed_tokens - copy.at_computed_tokens;
-                let held = Held { tokens: copy.tokens.min(common), age_tokens };
-                if engine.still_caches(age_tokens) && held.tokens > cached[index].tokens {
-                    cached[index] = held;
+                let tokens = copy.tokens.min(common);
+                if engine.cache.holds(copy.used) && tokens > cached[index].tokens {
+                    let depth_tokens = engine.cache.depth_tokens(copy.used);
+                    cached[index] = Held { tokens, depth_tokens };
                 }
             }
         }
@@ -327,10 +326,8 @@
         engine.works();
         if running.believed.tokens > 0 {
             let hit = cached_tokens + SLACK_TOKENS >= running.believed.tokens;
-            engine.learn_cache(running.believed.age_tokens, hit);
+            engine.cache.learn(running.believed.depth_tokens, hit);
         }
-        let unexpected = computed.saturating_sub(running.uncached_tokens);
-        engine.computed_tokens += u64::from(unexpected);
     }
 
     fn done(
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The engines of one model in one data hall, as their dispatcher sees them.
 
 use crate::ask::Ask;
+use crate::cache::Cache;
 use crate::edge::EngineReport;
 use crate::route::Candidate;
 
@@ -10,10 +11,6 @@
 const REFUSED_COOLDOWN_MS: u64 = 250;
 /// Longest wait after repeated failures.
 const MAX_COOLDOWN_MS: u64 = 15_000;
-/// A hit lets the believed size of a cache grow by one part in so many.
-const CACHE_GROWTH: u64 = 100;
-/// Least size that a cache is believed to have.
-const LEAST_CACHE_TOKENS: u64 = 4096;
 /// Weight of a new measurement in a mean.
 const RATE_WEIGHT: f64 = 0.1;
 /// Prompt tokens from which on a measured prefill tells its rate.
@@ -30,8 +27,8 @@
     pub url: String,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Size of its prefix cache, learned from hits and misses.
-    pub cache_tokens: u64,
+    /// What its prefix cache is believed to hold.
+    pub cache: Cache,
     /// Weight version that it reported last.
     pub version: Option<String>,
     /// It reports that it leaves.
@@ -44,8 +41,6 @@
     pub outstanding: u32,
     /// Prompt tokens granted to it and not yet prefilled.
     pub pending_tokens: u64,
-    /// Prompt tokens computed there since the start.
-    pub computed_tokens: u64,
     /// Time to prefill a token, measured.
     pub token_ms: f64,
     /// It is left alone until then, in Unix milliseconds.
@@ -61,14 +56,13 @@
             name: name.to_owned(),
             url: url.to_owned(),
             slots,
-            cache_tokens,
+            cache: Cache::new(cache_tokens),
             version: None,
             leaving: false,
             loading: false,
             ordered_to_leave: false,
             outstanding: 0,
             pending_tokens: 0,
-            computed_tokens: 0,
             token_ms,
             cooldown_until_ms: 0,
             failures: 0,
@@ -109,22 +103,6 @@
         Candidate { engine, outstanding, wait_ms, token_ms, cached_tokens }
     }
 
-    /// Whether context is still there, `age_tokens` of computed tokens later.
-    #[must_use]
-    pub fn still_caches(&self, age_tokens: u64) -> bool {
-        age_tokens < self.cache_tokens
-    }
-
-    /// Learns from a use of context that was last used `age_tokens` of computed
-    /// tokens ago, and was still there or not.
-    pub fn learn_cache(&mut self, age_tokens: u64, hit: bool) {
-        self.cache_tokens = if hit {
-            (self.cache_tokens + self.cache_tokens / CACHE_GROWTH).max(age_tokens)
-        } else {
-            self.cache_tokens.min(age_tokens).max(LEAST_CACHE_TOKENS)
-        };
-    }
-
     /// Notes a failure: the engine is left alone for a while.
     pub fn failed(&mut self, now_ms: u64) {
         let cooldown_ms = FIRST_COOLDOWN_MS << self.failures.min(5);
@@ -191,6 +169,9 @@
         engine.leaving = report.leaving;
         engine.loading = report.loading;
         let changed = engine.version.as_ref() != Some(&report.version);
+        if changed {
+            engine.cache.clear();
+        }
         engine.version = Some(report.version.clone());
         changed.then_some(index)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ask;
 pub mod assembler;
 pub mod blocks;
+pub mod cache;
 pub mod callers;
 pub mod calls;
 pub mod chunk;
