--- a/src/context.rs
+++ b/src/context.rs
@@ -58,18 +58,18 @@
         let stride = blocks.div_ceil(MAX_HASHES).next_power_of_two();
         let mut hasher = scope_hasher(scope);
         let mut root = 0;
-        let mut hashes = Vec::with_capacity(blocks / stride);
+        let mut points = Vec::with_capacity(blocks / stride);
         for (index, block) in prompt.as_bytes().chunks_exact(block_bytes).enumerate() {
             hasher.update(block);
             if index == 0 {
                 root = short_hash(&hasher);
             }
             if (index + 1).is_multiple_of(stride) {
-                hashes.push(short_hash(&hasher));
+                points.push(short_hash(&hasher));
             }
         }
         let stride_blocks = u32::try_from(stride).unwrap_or(u32::MAX);
-        Self { root, stride_blocks, hashes: hashes.into() }
+        Self { root, stride_blocks, hashes: points.into() }
     }
 
     /// Whether the prompt is too short to have context.
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -226,13 +226,11 @@
             return None;
         }
         let size_bytes = self.worth_writing(now_ms, &source)?;
-        match self.store_for(now_ms, source.ask.course.root, size_bytes) {
-            Some(store) => self.begin_export(now_ms, source, &store, size_bytes),
-            None => {
-                self.put_off.push_front((until_ms, source));
-                None
-            }
+        if let Some(store) = self.store_for(now_ms, source.ask.course.root, size_bytes) {
+            return self.begin_export(now_ms, source, &store, size_bytes);
         }
+        self.put_off.push_front((until_ms, source));
+        None
     }
 
     /// Size of the block that would be written; none when it is not worth it.
@@ -290,10 +288,12 @@
     /// Takes in how a write ended.
     pub fn exported(&mut self, now_ms: u64, export: &Export, written: Written) {
         let failed = written == Written::Failed;
-        if let Written::Sealed(seal, size_bytes) = written {
-            if self.blocks.seal(&export.block, seal, size_bytes) {
-                return;
-            }
+        let sealed = match written {
+            Written::Sealed(seal, size_bytes) => self.blocks.seal(&export.block, seal, size_bytes),
+            Written::Gone | Written::Failed => false,
+        };
+        if sealed {
+            return;
         }
         self.drop_block(&export.block, export.meta.course.root);
         let store = self.stores.values_mut().find(|store| store.url == export.store_url);
