--- a/src/callers.rs
+++ b/src/callers.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use log::error;
 use poem::http::StatusCode;
 use poem::web::sse::SSE;
@@ -41,6 +42,8 @@
 pub const TRACE_HEADER: &str = "x-trace-id";
 /// Longest time that a caller may wait, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
+/// A body that is too long is read up to so many times the limit.
+const DISCARD_FACTOR: usize = 16;
 /// Most tokens that a request may ask for.
 const MAX_TOKENS: u32 = 32_768;
 /// Time in which connections close after the last answer.
@@ -86,13 +89,27 @@
     parsed.ok_or_else(|| bad_request(format!("{TIMEOUT_HEADER}: '{text}' is no time to wait")))
 }
 
+/// Reads a body. One that is too long is read on for a while, so that its
+/// sender gets to read the refusal.
 async fn read_body(kernel: &Kernel, body: Body) -> Result<Vec<u8>, Rejection> {
     let limit = kernel.settings.max_body_bytes;
-    let bytes = body.into_bytes_limit(limit).await.map_err(|_| {
-        let detail = format!("the body is longer than {limit} bytes, or broke off");
-        Rejection { refusal: Refusal::not_run(Reason::TooLong), detail }
-    })?;
-    Ok(bytes.to_vec())
+    let mut chunks = body.into_bytes_stream();
+    let mut bytes = Vec::new();
+    let mut read = 0;
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|_| bad_request("the body broke off".to_owned()))?;
+        read += chunk.len();
+        if read <= limit {
+            bytes.extend_from_slice(&chunk);
+        } else if read > limit.saturating_mul(DISCARD_FACTOR) {
+            break;
+        }
+    }
+    if read <= limit {
+        return Ok(bytes);
+    }
+    let detail = format!("the body is longer than {limit} bytes");
+    Err(Rejection { refusal: Refusal::not_run(Reason::TooLong), detail })
 }
 
 #[derive(Deserialize)]
