Wait until a cut between halls has broken open connections

Ruled out: the daemon (the call ran once, and was answered truly).

Change: the harness's cut_hall returns half a second after the wires were told. The assertions are as they were.

Conclusion: a race of the scaffolding, mended there.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -19,6 +19,9 @@
 /// Time in which a process must answer.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time in which a cut has broken all open connections.
+const CUT_TIME: Duration = Duration::from_millis(500);
+
 static NETWORKS: AtomicU16 = AtomicU16::new(0);
 
 /// What a hall has.
@@ -425,6 +428,8 @@
                 self.try_fault(wire, json!({ "outage": cut })).await;
             }
         }
+        // Open connections break at the wires' next look.
+        tokio::time::sleep(CUT_TIME).await;
     }
 
     fn upstream_settings(&self, plan: &Plan, hall: &str) -> String {
