--- a/src/error.rs
+++ b/src/error.rs
@@ -19,6 +19,8 @@
     PlatformValue(String, String),
     /// other operators were faster each time; try again
     Contended,
+    /// an upstream does not answer as it should: {0}
+    Upstream(String),
     /// cannot listen on {0}: {1}
     Listen(String, String),
     /// message between boxes: {0}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,106 @@
+//! Answers to clients: an upstream's, passed on, or a refusal of our own.
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Response, StatusCode, header};
+
+use crate::platform::exchange;
+
+/// Why a body broke off; the client's connection is closed, so that the answer
+/// does not look complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum BrokenOff {
+    /// the upstream broke off
+    Upstream,
+    /// the time is over
+    TimeOver,
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, BrokenOff>;
+
+/// An answer to a client.
+pub type Answer = Response<Body>;
+
+/// Why a request is refused or failed by us.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Reason {
+    /// bad_request
+    BadRequest,
+    /// unknown_key
+    UnknownKey,
+    /// no_route
+    NoRoute,
+    /// body_too_long
+    BodyTooLong,
+    /// body_incomplete
+    BodyIncomplete,
+    /// not_ready
+    NotReady,
+    /// no_upstream
+    NoUpstream,
+    /// upstreams_full
+    UpstreamsFull,
+    /// deadline_passed
+    DeadlinePassed,
+    /// upstream_failed
+    UpstreamFailed,
+    /// upstream_silent
+    UpstreamSilent,
+}
+
+impl Reason {
+    /// The status of the answer. 503 says that the request has not run and
+    /// never will; 502 and 504 say nothing of it.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotReady | Self::NoUpstream | Self::UpstreamsFull | Self::DeadlinePassed => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
+            Self::UpstreamSilent => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// An answer of our own.
+#[must_use]
+pub fn refusal(reason: Reason, request_id: Option<&str>, retry_after_ms: Option<u64>) -> Answer {
+    let mut answer = Response::new(whole(Bytes::from(format!("{reason}\n"))));
+    *answer.status_mut() = reason.status();
+    let head = answer.headers_mut();
+    head.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if let Some(request_id) = request_id {
+        exchange::set_request_id(head, request_id);
+    }
+    if let Some(after_ms) = retry_after_ms {
+        exchange::set_retry_after(head, after_ms);
+    }
+    answer
+}
+
+/// An upstream's answer, with its status and headers.
+#[must_use]
+pub fn passed_on(status: StatusCode, upstream_head: &HeaderMap, body: Body) -> Answer {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    for (name, value) in exchange::passed_on(upstream_head) {
+        answer.headers_mut().append(name, value.clone());
+    }
+    answer
+}
+
+/// A body that is there already.
+#[must_use]
+pub fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,287 @@
+//! One attempt to have a request run by one upstream.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use tokio::time::timeout_at;
+
+use crate::clock::{instant_at, now_ms};
+use crate::gateway::choose::{Choice, ContextPlan, Source};
+use crate::gateway::connections::{SendError, Sender, send};
+use crate::gateway::kernel::Gateway;
+use crate::gateway::site::Repeat;
+use crate::platform::exchange::{self, Forward, Told};
+
+/// Time that a transfer of context may take.
+const TRANSFER_MS: u64 = 2000;
+/// Longest whole answer that is kept in memory before it is passed on.
+const MAX_WHOLE_BYTES: usize = 256 << 10;
+
+/// A request as it is sent, whichever upstream gets it.
+#[derive(Clone)]
+pub struct Outgoing {
+    /// Id of the request.
+    pub request_id: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The client's headers.
+    pub head: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Client account.
+    pub account: Option<String>,
+    /// Order of work.
+    pub priority: u8,
+    /// Whether it may run again.
+    pub repeat: Repeat,
+    /// When it is given up.
+    pub deadline_ms: u64,
+}
+
+/// How an attempt ended.
+pub enum Attempted {
+    /// The upstream answers; the body follows.
+    Answered(Box<Reply>),
+    /// The upstream did not run the request and never will.
+    NotRun {
+        /// What it said.
+        cause: String,
+    },
+    /// No byte of the request left.
+    NotSent {
+        /// Why.
+        cause: String,
+    },
+    /// The request may have run.
+    Unknown {
+        /// Why there is no answer.
+        cause: String,
+    },
+    /// The time was over.
+    TimeOver,
+}
+
+/// The head of an upstream's answer, with all that is needed to read on.
+pub struct Reply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub head: HeaderMap,
+    /// What it says of itself.
+    pub told: Told,
+    /// Body.
+    pub body: Incoming,
+    /// The place at the upstream.
+    pub place: Place,
+    sender: Sender,
+}
+
+impl Reply {
+    /// Gives the connection back after the whole body was read.
+    pub fn finished(self) {
+        let Self { head, place, sender, .. } = self;
+        place.succeeded();
+        let gateway = place.gateway.clone();
+        let id = place.id.clone();
+        drop(place);
+        tokio::spawn(async move { gateway.connections.give_back(&id, &head, sender).await });
+    }
+
+    /// Reads the whole body; `None` when it is longer than is kept in memory.
+    ///
+    /// # Errors
+    /// Fails when the upstream breaks off.
+    pub async fn read_whole(&mut self) -> Result<Option<Bytes>, String> {
+        let mut bytes = Vec::new();
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|error| error.to_string())?;
+            let Ok(data) = frame.into_data() else { continue };
+            self.place.heard();
+            bytes.extend_from_slice(&data);
+            if bytes.len() > MAX_WHOLE_BYTES {
+                return Ok(None);
+            }
+        }
+        Ok(Some(bytes.into()))
+    }
+}
+
+/// A place that a request takes at an upstream, for as long as this lives.
+pub struct Place {
+    gateway: Arc<Gateway>,
+    /// Id of the upstream.
+    pub id: String,
+    unread_tokens: u32,
+}
+
+impl Place {
+    /// Takes a place.
+    #[must_use]
+    pub fn take(gateway: &Arc<Gateway>, id: &str, context: Option<&ContextPlan>) -> Self {
+        let unread_tokens = context.map_or(0, |plan| plan.read_tokens);
+        if let Some(upstream) = gateway.state().upstreams.get_mut(id) {
+            upstream.sent(now_ms(), unread_tokens);
+        }
+        Self { gateway: gateway.clone(), id: id.to_owned(), unread_tokens }
+    }
+
+    /// Notes that bytes have arrived.
+    pub fn heard(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.heard(now_ms());
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub fn read_prompt(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.read_prompt(tokens);
+        }
+    }
+
+    /// Notes an answer as it should be.
+    pub fn succeeded(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.succeeded();
+        }
+    }
+
+    /// Notes a failure that says something about the upstream.
+    pub fn failed(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.failed(now_ms());
+        }
+    }
+
+    /// Avoids the upstream for a while.
+    pub fn avoid(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.avoid(now_ms());
+        }
+    }
+
+    /// Notes the weight version that the upstream was seen to have.
+    pub fn saw_version(&self, model: &str, version: u64) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.saw_version(model, version);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.read_prompt();
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.ended();
+        }
+        self.gateway.places.notify_waiters();
+    }
+}
+
+/// Makes one attempt.
+pub async fn attempt(
+    gateway: &Arc<Gateway>,
+    outgoing: &Outgoing,
+    choice: &Choice,
+    after_event: Option<&str>,
+) -> Attempted {
+    let Some(address) = gateway.state().upstreams.address(&choice.id) else {
+        return Attempted::NotSent { cause: "the upstream is gone".to_owned() };
+    };
+    let place = Place::take(gateway, &choice.id, choice.context.as_ref());
+    let deadline = instant_at(outgoing.deadline_ms);
+    let connecting = gateway.connections.take(&choice.id, address);
+    let mut sender = match timeout_at(deadline, connecting).await {
+        Ok(Ok(sender)) => sender,
+        Ok(Err(cause)) => {
+            place.avoid();
+            return Attempted::NotSent { cause };
+        }
+        Err(_) => return Attempted::NotSent { cause: "the time is over".to_owned() },
+    };
+    count_moves(gateway, choice);
+    let now_ms = now_ms();
+    let request = exchange::forward(
+        &outgoing.method,
+        &outgoing.uri,
+        &outgoing.head,
+        outgoing.body.clone(),
+        &Forward {
+            upstream_id: &choice.id,
+            left_ms: outgoing.deadline_ms.saturating_sub(now_ms),
+            account: outgoing.account.as_deref(),
+            priority: outgoing.priority,
+            context: choice.context.as_ref(),
+            transfers_until_ms: transfers_until_ms(gateway, now_ms),
+            after_event,
+        },
+    );
+    let response = match timeout_at(deadline, send(&mut sender, request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(SendError::NotSent(cause))) => return Attempted::NotSent { cause },
+        Ok(Err(SendError::Unknown(cause))) => {
+            place.failed();
+            return Attempted::Unknown { cause };
+        }
+        Err(_) => return Attempted::TimeOver,
+    };
+    place.heard();
+    judge(outgoing, response, place, sender)
+}
+
+/// Whether the answer is this request's own, and what it says.
+fn judge(
+    outgoing: &Outgoing,
+    response: Response<Incoming>,
+    place: Place,
+    sender: Sender,
+) -> Attempted {
+    let (parts, body) = response.into_parts();
+    let told = exchange::told(parts.status, &parts.headers);
+    let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
+    if told.not_run && (own || told.request_id.is_none()) {
+        let cause = format!("status {}", parts.status.as_u16());
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            place.avoid();
+        }
+        return Attempted::NotRun { cause };
+    }
+    if !own {
+        place.failed();
+        return Attempted::Unknown { cause: "the answer is another request's".to_owned() };
+    }
+    if parts.status.is_success() && (!told.sealed || told.encoded) {
+        place.failed();
+        return Attempted::Unknown { cause: "the answer is not the upstream's own".to_owned() };
+    }
+    let reply = Reply { status: parts.status, head: parts.headers, told, body, place, sender };
+    Attempted::Answered(Box::new(reply))
+}
+
+/// Counts the moves of context that the choice makes over the stores' links.
+fn count_moves(gateway: &Gateway, choice: &Choice) {
+    let Some(context) = &choice.context else { return };
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    for source in &context.sources {
+        if let Source::From { store: Some(name), tokens, .. } = source
+            && let Some((store, store_state)) = state.stores.get_mut(name)
+        {
+            let bits = f64::from(*tokens) * 18_432.0 * 8.0;
+            let move_ms = store.first_ms + bits / (store.link_mbps.max(1.0) * 1000.0);
+            store_state.moves(now_ms, move_ms);
+        }
+    }
+}
+
+/// Until when transfers may run, on the upstreams' clock.
+fn transfers_until_ms(gateway: &Gateway, now_ms: u64) -> Option<u64> {
+    let ahead_ms = gateway.state().upstream_clock_ahead_ms?;
+    now_ms.checked_add_signed(ahead_ms).map(|clock_ms| clock_ms + TRANSFER_MS)
+}
--- /dev/null
+++ b/src/gateway/budget.rs
@@ -0,0 +1,86 @@
+//! The fleet's budget for repeats, and this box's share of it.
+//!
+//! Over any window, a service may get `ratio` repeats for each request and
+//! `extra` more, from all boxes together. Each box spends what its own
+//! requests earn, and its part of the extra; a new process starts with
+//! nothing of the extra, since the one before may have spent it.
+
+use std::collections::{HashMap, VecDeque};
+
+/// Part of the budget that is spent at most; the rest covers boxes that do not
+/// know of each other, and windows that are counted otherwise.
+const USED_PART: f64 = 0.7;
+
+/// Terms of the budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Repeats earned by each request.
+    pub ratio: f64,
+    /// Window in which repeats are counted.
+    pub window_ms: u64,
+    /// Repeats in a window beside those earned, over the whole fleet.
+    pub extra: f64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    requests_at_ms: VecDeque<u64>,
+    repeats_at_ms: VecDeque<u64>,
+}
+
+/// One box's share of the budget.
+#[derive(Debug)]
+pub struct Budget {
+    terms: Terms,
+    started_at_ms: u64,
+    by_service: HashMap<String, Counts>,
+}
+
+impl Budget {
+    /// Starts with nothing earned.
+    #[must_use]
+    pub fn new(terms: Terms, started_at_ms: u64) -> Self {
+        Self { terms, started_at_ms, by_service: HashMap::new() }
+    }
+
+    /// Counts a request to a service.
+    pub fn earn(&mut self, now_ms: u64, service: &str) {
+        let counts = self.counts(now_ms, service);
+        counts.requests_at_ms.push_back(now_ms);
+    }
+
+    /// Takes one repeat; false when the share of one of `boxes` is spent.
+    pub fn spend(&mut self, now_ms: u64, service: &str, boxes: usize) -> bool {
+        let age_ms = now_ms.saturating_sub(self.started_at_ms).min(self.terms.window_ms);
+        let grown = as_f64(age_ms) / as_f64(self.terms.window_ms.max(1));
+        let extra = self.terms.extra * grown / as_f64(boxes.max(1) as u64);
+        let ratio = self.terms.ratio;
+        let counts = self.counts(now_ms, service);
+        let earned = ratio * as_f64(counts.requests_at_ms.len() as u64);
+        let spent = as_f64(counts.repeats_at_ms.len() as u64);
+        if spent + 1.0 > USED_PART * (earned + extra) {
+            return false;
+        }
+        counts.repeats_at_ms.push_back(now_ms);
+        true
+    }
+
+    fn counts(&mut self, now_ms: u64, service: &str) -> &mut Counts {
+        let from_ms = now_ms.saturating_sub(self.terms.window_ms);
+        if !self.by_service.contains_key(service) {
+            self.by_service.insert(service.to_owned(), Counts::default());
+        }
+        let counts = self.by_service.get_mut(service).expect("it was inserted above");
+        for times in [&mut counts.requests_at_ms, &mut counts.repeats_at_ms] {
+            while times.front().is_some_and(|at_ms| *at_ms < from_ms) {
+                times.pop_front();
+            }
+        }
+        counts
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts and times are far below 2^52")]
+fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/src/gateway/connections.rs
@@ -0,0 +1,180 @@
+//! Connections to upstreams, one request at a time on each.
+//!
+//! A connection is used again only after a whole answer, and not for long: an
+//! upstream may close an idle one at any time, and a request that crosses the
+//! close may or may not have run. Whether a byte of a request left is known
+//! here and nowhere else.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, Response, header};
+use hyper_util::rt::TokioIo;
+use log::debug;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+use crate::clock::now_ms;
+use crate::sync::locked;
+
+/// Time in which a connection must come up: many round trips, less than the
+/// second after which a lost packet is sent again.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which unacknowledged bytes end a connection.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
+/// Time between probes of a connection on which nothing moves.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+/// Longest idle time when the upstream names none.
+const IDLE_MS: u64 = 3000;
+/// Margin kept to the idle time that the upstream names.
+const IDLE_MARGIN_MS: u64 = 500;
+/// Time that the rest of a request may take to leave after its answer.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A connection to an upstream.
+pub type Sender = SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    until_ms: u64,
+}
+
+/// Connections that wait for a request, by the id of their upstream.
+#[derive(Default)]
+pub struct Connections {
+    idle: Mutex<HashMap<String, Vec<Idle>>>,
+}
+
+/// Why a request was not answered.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of it left.
+    NotSent(String),
+    /// It may have arrived.
+    Unknown(String),
+}
+
+impl Connections {
+    /// A connection to an upstream, used before or new.
+    ///
+    /// # Errors
+    /// Fails when none comes up in time.
+    pub async fn take(&self, id: &str, address: SocketAddr) -> Result<Sender, String> {
+        if let Some(sender) = self.take_idle(id) {
+            return Ok(sender);
+        }
+        metrics::counter!("coursestile_connections_opened_total").increment(1);
+        let connecting = TcpStream::connect(address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| "no connection in time".to_owned())?
+            .map_err(|error| error.to_string())?;
+        tune(&stream).map_err(|error| error.to_string())?;
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                debug!(target: "connections", "event=closed upstream={address} cause=\"{error}\"");
+            }
+        });
+        Ok(sender)
+    }
+
+    fn take_idle(&self, id: &str) -> Option<Sender> {
+        let now_ms = now_ms();
+        let mut idle = locked(&self.idle);
+        let waiting = idle.get_mut(id)?;
+        while let Some(one) = waiting.pop() {
+            if one.until_ms > now_ms && one.sender.is_ready() {
+                return Some(one.sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request, once the last one has left it.
+    pub async fn give_back(&self, id: &str, head: &HeaderMap, mut sender: Sender) {
+        let Some(idle_ms) = idle_ms(head) else {
+            return;
+        };
+        let settled = tokio::time::timeout(SETTLE_TIMEOUT, sender.ready()).await;
+        if matches!(settled, Ok(Ok(()))) {
+            let until_ms = now_ms() + idle_ms;
+            locked(&self.idle).entry(id.to_owned()).or_default().push(Idle { sender, until_ms });
+        }
+    }
+
+    /// Closes connections that have been idle for long.
+    pub fn tidy(&self, now_ms: u64) {
+        let mut idle = locked(&self.idle);
+        for waiting in idle.values_mut() {
+            waiting.retain(|one| one.until_ms > now_ms && !one.sender.is_closed());
+        }
+        idle.retain(|_, waiting| !waiting.is_empty());
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn forget(&self, id: &str) {
+        locked(&self.idle).remove(id);
+    }
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+/// Fails with whether the request can have arrived.
+pub async fn send(
+    sender: &mut Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, SendError> {
+    match sender.try_send_request(request).await {
+        Ok(response) => Ok(response),
+        Err(mut error) => {
+            let cause = with_cause(error.error());
+            let unsent = error.take_message().is_some();
+            Err(if unsent { SendError::NotSent(cause) } else { SendError::Unknown(cause) })
+        }
+    }
+}
+
+/// An error with what caused it.
+#[must_use]
+pub fn with_cause(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
+/// Makes silence of the other side visible in bounded time.
+///
+/// # Errors
+/// Fails when the socket refuses an option.
+pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_PERIOD).with_interval(KEEPALIVE_PERIOD);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// How long a connection may be idle after this answer; `None` when it closes.
+fn idle_ms(head: &HeaderMap) -> Option<u64> {
+    let text = |name| head.get(name).and_then(|value| value.to_str().ok());
+    if text(header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let named_s = text(header::HeaderName::from_static("keep-alive"))
+        .and_then(|value| value.split(',').find_map(|item| item.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse::<u64>().ok());
+    match named_s {
+        Some(seconds) => (seconds * 1000).checked_sub(IDLE_MARGIN_MS).map(|ms| ms.min(IDLE_MS)),
+        None => Some(IDLE_MS),
+    }
+}
--- /dev/null
+++ b/src/gateway/daemon.rs
@@ -0,0 +1,96 @@
+//! The gateway's life: start, serve, stop as planned.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::sleep;
+
+use crate::clock::now_ms;
+use crate::error::{Error, Result};
+use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::settings::Settings;
+use crate::gateway::{follow, follow_caches, listener, news};
+
+/// Time for which a stopping box still takes requests: the balancer asks each
+/// second and sends nobody after two refusals; clients learn by each answer.
+const LEAVE_MS: u64 = 2500;
+/// Part of the time to stop that is left unused.
+const STOP_MARGIN_MS: u64 = 400;
+/// How often a stopping box looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Serves until [`stop`] has ended.
+///
+/// # Errors
+/// Fails when an address cannot be bound.
+pub async fn run(gateway: Arc<Gateway>) -> Result<()> {
+    let settings = &gateway.settings;
+    let clients = listen(settings.clients).await?;
+    let ready = listen(settings.ready).await?;
+    let peers = listen(settings.peers).await?;
+    let socket = UdpSocket::bind(settings.peers).await;
+    let socket = socket.map_err(|error| unbound(settings.peers, &error))?;
+    let socket = Arc::new(socket);
+    info!(target: "daemon", "event=started box={} hall={} version={}",
+        settings.name, settings.hall, env!("CARGO_PKG_VERSION"));
+    if let Some(address) = settings.metrics {
+        match listen(address).await {
+            Ok(metrics) => {
+                tokio::spawn(listener::metrics(gateway.clone(), metrics));
+            }
+            Err(error) => warn!(target: "daemon", "event=no_metrics cause=\"{error}\""),
+        }
+    }
+    tokio::spawn(listener::readiness(gateway.clone(), ready));
+    tokio::spawn(follow::run(gateway.clone()));
+    tokio::spawn(follow::tick(gateway.clone()));
+    tokio::spawn(follow_caches::run(gateway.clone()));
+    tokio::spawn(news::hear(gateway.clone(), socket.clone()));
+    tokio::spawn(news::tell(gateway.clone(), socket, now_ms()));
+    tokio::spawn(news::catch_up(gateway.clone()));
+    tokio::spawn(news::give(gateway.clone(), peers));
+    tokio::spawn(listener::clients(gateway.clone(), clients));
+    gateway.reached(Phase::Stopped).await;
+    info!(target: "daemon", "event=stopped box={}", gateway.settings.name);
+    Ok(())
+}
+
+/// Stops as planned: no request is cut.
+pub async fn stop(gateway: Arc<Gateway>) {
+    let stop_at_ms = now_ms() + gateway.settings.bounds.stop_ms - STOP_MARGIN_MS;
+    info!(target: "daemon", "event=stopping box={}", gateway.settings.name);
+    gateway.enter(Phase::Leaving);
+    sleep(Duration::from_millis(LEAVE_MS)).await;
+    gateway.enter(Phase::Draining);
+    // Connections that were idle close first.
+    sleep(STOP_POLL).await;
+    while gateway.state().serving > 0 && now_ms() < stop_at_ms {
+        sleep(STOP_POLL).await;
+    }
+    let serving = gateway.state().serving;
+    if serving > 0 {
+        warn!(target: "daemon", "event=requests_cut count={serving} reason=time_to_stop_is_over");
+    }
+    // The last answers are on their way to the clients.
+    sleep(STOP_POLL).await;
+    gateway.enter(Phase::Stopped);
+}
+
+/// Reads the settings again; what cannot change while it runs is logged.
+pub fn reload(gateway: &Gateway, settings: &Settings) {
+    if *settings == gateway.settings {
+        info!(target: "daemon", "event=reloaded changed=false");
+    } else {
+        info!(target: "daemon", "event=reloaded changed=true applied=at_next_start");
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| unbound(address, &error))
+}
+
+fn unbound(address: std::net::SocketAddr, error: &std::io::Error) -> Error {
+    Error::Listen(address.to_string(), error.to_string())
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,250 @@
+//! Follows the metadata store, and peers when the store is out of reach.
+//!
+//! One watch covers all keys, so that knowing a change means knowing all that
+//! came before it. After any fault the watch goes on from the same revision;
+//! when the store has forgotten it, everything is listed again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::sleep;
+
+use crate::clock::now_ms;
+use crate::error::Result;
+use crate::gateway::kernel::{Gateway, NamedWeights, Phase, State};
+use crate::gateway::view::{Changed, Snapshot, Written};
+use crate::platform::keys::{self, Kind};
+use crate::platform::metadata::{Change, Item, Watched};
+
+/// Longest wait of a watch: a quarter of the calls that a second's wait makes,
+/// and soon enough to see that a silent store is away.
+const WATCH_WAIT_MS: u64 = 8000;
+/// Least pause after a failed call.
+const LEAST_PAUSE_MS: u64 = 100;
+/// Longest pause after failed calls: upstreams that left while the store was
+/// away must be known soon after its return.
+const MOST_PAUSE_MS: u64 = 400;
+/// How often due removals are carried out and peers are compared.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Follows the metadata store until the box stops.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut pause_ms = LEAST_PAUSE_MS;
+    let mut listed = false;
+    while gateway.phase() != Phase::Stopped {
+        let result = if listed { watch(&gateway).await } else { list(&gateway).await };
+        match result {
+            Ok(goes_on) => {
+                listed = goes_on;
+                pause_ms = LEAST_PAUSE_MS;
+                answered(&gateway);
+            }
+            Err(error) => {
+                failed(&gateway, &error);
+                sleep(Duration::from_millis(pause_ms + fastrand::u64(0..pause_ms))).await;
+                pause_ms = (pause_ms * 2).min(MOST_PAUSE_MS);
+            }
+        }
+    }
+}
+
+/// Carries out due removals.
+pub async fn tick(gateway: Arc<Gateway>) {
+    while gateway.phase() != Phase::Stopped {
+        sleep(TICK).await;
+        let mut state = gateway.state();
+        let now_ms = now_ms();
+        let changes = state.view.tick(now_ms);
+        apply(&gateway, &mut state, now_ms, changes);
+        drop(state);
+        gateway.connections.tidy(now_ms);
+    }
+}
+
+/// Takes in what a peer knows.
+pub fn take_snapshot(gateway: &Gateway, snapshot: Snapshot) {
+    let mut state = gateway.state();
+    if snapshot.at_revision <= state.view.changed_revision() {
+        return;
+    }
+    let now_ms = now_ms();
+    let at_revision = snapshot.at_revision;
+    // The peer keeps items whose removal is in doubt, so none is here.
+    let changes = state.view.replace(now_ms, snapshot, is_covered, |_| false);
+    info!(target: "follow",
+        "event=snapshot_taken at_revision={at_revision} changes={}", changes.len());
+    apply(gateway, &mut state, now_ms, changes);
+}
+
+async fn list(gateway: &Gateway) -> Result<bool> {
+    let mut snapshot = Snapshot::default();
+    for prefix in [keys::OPERATOR_PREFIX, keys::UPSTREAM_PREFIX] {
+        let listing = gateway.metadata.list(prefix).await?;
+        // The watch goes on from the first listing, so nothing is missed.
+        if snapshot.at_revision == 0 {
+            snapshot.at_revision = listing.at_revision;
+        }
+        for Item { key, value, revision } in listing.items {
+            snapshot.items.insert(key, Written { revision, value });
+        }
+    }
+    answered(gateway);
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
+    let changes = state.view.replace(now_ms, snapshot, is_covered, lapses);
+    info!(target: "follow",
+        "event=listed at_revision={at_revision} items={items} changes={}", changes.len());
+    apply(gateway, &mut state, now_ms, changes);
+    Ok(true)
+}
+
+/// Waits for changes; false when everything must be listed again.
+async fn watch(gateway: &Gateway) -> Result<bool> {
+    let after = gateway.state().view.at_revision();
+    let wait_ms = WATCH_WAIT_MS - fastrand::u64(0..WATCH_WAIT_MS / 4);
+    let watched = tokio::select! {
+        watched = gateway.metadata.watch("", after, wait_ms) => watched?,
+        () = gateway.behind.notified() => return Ok(true),
+    };
+    let (changes, at_revision) = match watched {
+        Watched::Changes { changes, at_revision } => (changes, at_revision),
+        Watched::HistoryLost => {
+            info!(target: "follow", "event=history_lost after_revision={after}");
+            return Ok(false);
+        }
+    };
+    answered(gateway);
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    let mut applied = Vec::new();
+    for change in changes {
+        match change {
+            Change::Put(Item { key, value, revision }) if is_covered(&key) => {
+                applied.extend(state.view.put(key, Written { revision, value }));
+            }
+            Change::Removed { key, revision } if is_covered(&key) => {
+                let lapses = lapses(&key);
+                applied.extend(state.view.remove(now_ms, &key, revision, lapses));
+            }
+            Change::Put(_) | Change::Removed { .. } => {}
+        }
+    }
+    state.view.complete_to(at_revision);
+    apply(gateway, &mut state, now_ms, applied);
+    Ok(true)
+}
+
+fn is_covered(key: &str) -> bool {
+    keys::kind(key) != Kind::Other
+}
+
+/// Whether an item goes by itself when its writer is silent.
+fn lapses(key: &str) -> bool {
+    matches!(keys::kind(key), Kind::Upstream { .. })
+}
+
+fn answered(gateway: &Gateway) {
+    if gateway.state().view.store_answered(now_ms()) {
+        info!(target: "follow", "event=dependency_regained dependency=metadata_store");
+    }
+}
+
+fn failed(gateway: &Gateway, error: &crate::error::Error) {
+    metrics::counter!("coursestile_metadata_failures_total").increment(1);
+    if gateway.state().view.store_failed() {
+        warn!(target: "follow",
+            "event=dependency_lost dependency=metadata_store cause=\"{error}\"");
+    }
+}
+
+/// Puts changes of the view in force.
+fn apply(gateway: &Gateway, state: &mut State, now_ms: u64, changes: Vec<Changed>) {
+    let mut upstreams_changed = false;
+    for change in changes {
+        let (key, value) = match &change {
+            Changed::Put { key, value } => (key, Some(value.as_slice())),
+            Changed::Removed { key } => (key, None),
+        };
+        match (keys::kind(key), value) {
+            (Kind::Configuration, Some(value)) => {
+                upstreams_changed |= put_site(state, value);
+            }
+            (Kind::Weights { model }, Some(value)) => put_weights(state, now_ms, model, value),
+            (Kind::Upstream { id }, Some(value)) => {
+                upstreams_changed |= put_upstream(state, id, value);
+            }
+            (Kind::Upstream { id }, None) => {
+                info!(target: "follow", "event=upstream_gone upstream={id}");
+                state.upstreams.remove(id);
+                gateway.connections.forget(id);
+                upstreams_changed = true;
+            }
+            (Kind::Configuration | Kind::Weights { .. }, None) => {
+                warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
+            }
+            (Kind::Other, _) => {}
+        }
+    }
+    if upstreams_changed {
+        gateway.upstreams_changed.send_modify(|count| *count += 1);
+        gateway.places.notify_waiters();
+    }
+}
+
+fn put_site(state: &mut State, value: &[u8]) -> bool {
+    let site = match keys::read_site(value) {
+        Ok(site) => site,
+        Err(error) => {
+            warn!(target: "follow", "event=configuration_unreadable kept=last cause=\"{error}\"");
+            return false;
+        }
+    };
+    let in_force = state.site.as_ref().map_or(0, |site| site.version);
+    if state.site.is_some() && site.version <= in_force {
+        warn!(target: "follow",
+            "event=configuration_older version={} in_force={in_force}", site.version);
+        return false;
+    }
+    info!(target: "follow",
+        "event=configuration_in_force version={} before={in_force} routes={} accounts={}",
+        site.version, site.routes.len(), site.accounts.len());
+    state.stores.configure(&site.stores);
+    state.site = Some(Arc::new(site));
+    true
+}
+
+fn put_weights(state: &mut State, now_ms: u64, model: &str, value: &[u8]) {
+    match keys::read_weights(model, value) {
+        Ok(version) => {
+            let known = state.weights.get(model).map_or(0, |named| named.version);
+            if version > known {
+                info!(target: "follow", "event=weights_named model={model} version={version}");
+                let named = NamedWeights { version, known_at_ms: now_ms };
+                state.weights.insert(model.to_owned(), named);
+            }
+        }
+        Err(error) => warn!(target: "follow", "event=weights_unreadable cause=\"{error}\""),
+    }
+}
+
+fn put_upstream(state: &mut State, id: &str, value: &[u8]) -> bool {
+    match keys::read_upstream(id, value) {
+        Ok(entry) => {
+            let known = state.upstreams.get(id);
+            let news = known.is_none_or(|known| known.entry.leaving != entry.leaving);
+            if news {
+                info!(target: "follow",
+                    "event=upstream_seen upstream={id} service={} hall={} leaving={}",
+                    entry.service, entry.hall, entry.leaving);
+            }
+            state.upstreams.put(id, entry);
+            news
+        }
+        Err(error) => {
+            warn!(target: "follow", "event=upstream_unreadable cause=\"{error}\"");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/kernel.rs
@@ -0,0 +1,154 @@
+//! What one gateway process shares among its tasks.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::{Notify, watch};
+
+use crate::clock::now_ms;
+use crate::error::{Error, Result};
+use crate::gateway::budget::{Budget, Terms};
+use crate::gateway::connections::Connections;
+use crate::gateway::peers::Peers;
+use crate::gateway::settings::Settings;
+use crate::gateway::site::Site;
+use crate::gateway::stores::Stores;
+use crate::gateway::upstreams::Upstreams;
+use crate::gateway::view::View;
+use crate::platform::caches::Caches;
+use crate::platform::engine::Engines;
+use crate::platform::metadata::MetadataStore;
+use crate::sync::locked;
+
+/// Where the box is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Tells the balancer to send nobody new, and clients to go elsewhere.
+    Leaving,
+    /// Takes no more requests; what runs goes on.
+    Draining,
+    /// Done.
+    Stopped,
+}
+
+/// A named weight version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamedWeights {
+    /// Version.
+    pub version: u64,
+    /// When this box learned of it.
+    pub known_at_ms: u64,
+}
+
+/// State that decisions read and change; no call is awaited under its lock.
+pub struct State {
+    /// Items of the metadata store.
+    pub view: View,
+    /// Configuration in force.
+    pub site: Option<Arc<Site>>,
+    /// Weight versions named by operators, by model.
+    pub weights: HashMap<String, NamedWeights>,
+    /// Upstreams of all services.
+    pub upstreams: Upstreams,
+    /// Stores of kept context.
+    pub stores: Stores,
+    /// Budget for repeats.
+    pub budget: Budget,
+    /// The other boxes.
+    pub peers: Peers,
+    /// Difference of the upstreams' clock to ours, once it was told.
+    pub upstream_clock_ahead_ms: Option<i64>,
+    /// Requests that are being served.
+    pub serving: usize,
+}
+
+/// What one gateway process shares among its tasks.
+pub struct Gateway {
+    /// Settings of the box.
+    pub settings: Settings,
+    /// The platform's metadata store.
+    pub metadata: MetadataStore,
+    /// Calls about kept context.
+    pub caches: Caches,
+    /// Calls to model engines.
+    pub engines: Engines,
+    /// Connections to upstreams.
+    pub connections: Connections,
+    /// Wakes requests that wait for an upstream.
+    pub places: Notify,
+    /// Wakes the follower of the metadata store.
+    pub behind: Notify,
+    /// Wakes those who follow the set of upstreams and stores.
+    pub upstreams_changed: watch::Sender<u64>,
+    state: Mutex<State>,
+    phase: watch::Sender<Phase>,
+}
+
+impl Gateway {
+    /// Prepares a gateway.
+    ///
+    /// # Errors
+    /// Fails when an HTTP client cannot be made.
+    pub fn new(settings: Settings) -> Result<Arc<Self>> {
+        let bounds = &settings.bounds;
+        let terms = Terms {
+            ratio: bounds.retry_ratio,
+            window_ms: bounds.retry_window_ms,
+            extra: bounds.retry_extra,
+        };
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(std::time::Duration::from_millis(500))
+            .tcp_user_timeout(std::time::Duration::from_millis(1500))
+            .build()
+            .map_err(|error| Error::Upstream(error.to_string()))?;
+        let state = State {
+            view: View::default(),
+            site: None,
+            weights: HashMap::new(),
+            upstreams: Upstreams::default(),
+            stores: Stores::default(),
+            budget: Budget::new(terms, now_ms()),
+            peers: Peers::new(settings.peers, &settings.seeds),
+            upstream_clock_ahead_ms: None,
+            serving: 0,
+        };
+        Ok(Arc::new(Self {
+            metadata: MetadataStore::new(&settings.metadata)?,
+            caches: Caches::new(http.clone()),
+            engines: Engines::new(http),
+            connections: Connections::default(),
+            places: Notify::new(),
+            behind: Notify::new(),
+            upstreams_changed: watch::Sender::new(0),
+            state: Mutex::new(state),
+            phase: watch::Sender::new(Phase::Serving),
+            settings,
+        }))
+    }
+
+    /// The state, locked.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        locked(&self.state)
+    }
+
+    /// Where the box is in its life.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Goes on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Waits until a phase is reached.
+    pub async fn reached(&self, phase: Phase) {
+        let mut seen = self.phase.subscribe();
+        // The sender lives as long as the gateway.
+        let _ = seen.wait_for(|now| *now >= phase).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/listener.rs
@@ -0,0 +1,133 @@
+//! Accepts clients' connections, and serves the balancer's question and the
+//! metrics.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+use crate::gateway::connections::tune;
+use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::serve::serve;
+use crate::gateway::site::ClientLimits;
+use crate::metering;
+
+/// Pause after a connection that could not be accepted, for want of
+/// descriptors mostly.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least buffer that the HTTP library allows.
+const LEAST_BUFFER_BYTES: usize = 8192;
+
+/// Accepts clients until the box drains.
+pub async fn clients(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gateway.reached(Phase::Draining) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(gateway.clone(), stream));
+            }
+            Err(error) => {
+                debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(gateway: Arc<Gateway>, stream: TcpStream) {
+    if let Err(error) = tune(&stream) {
+        debug!(target: "listener", "event=socket_option_refused cause=\"{error}\"");
+    }
+    let limits = gateway.state().site.as_ref().map(|site| site.limits.clone()).unwrap_or_default();
+    let serving = gateway.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let gateway = serving.clone();
+        async move {
+            let mut answer = serve(gateway.clone(), request).await;
+            if gateway.phase() >= Phase::Leaving {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut connection = pin!(builder(&limits).serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = gateway.reached(Phase::Draining) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(target: "listener", "event=client_connection_broken cause=\"{error}\"");
+    }
+}
+
+fn builder(limits: &ClientLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(
+            limits.header_timeout_ms.max(limits.idle_timeout_ms),
+        ))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_BUFFER_BYTES));
+    builder
+}
+
+/// Answers the balancer's question whether to send new connections.
+pub async fn readiness(gateway: Arc<Gateway>, listener: TcpListener) {
+    small_server(gateway, listener, |gateway| {
+        let known = gateway.state().site.is_some();
+        let ready = known && gateway.phase() == Phase::Serving;
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        (status, String::new())
+    })
+    .await;
+}
+
+/// Serves the metrics.
+pub async fn metrics(gateway: Arc<Gateway>, listener: TcpListener) {
+    small_server(gateway, listener, |_| (StatusCode::OK, metering::render())).await;
+}
+
+async fn small_server(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    respond: fn(&Gateway) -> (StatusCode, String),
+) {
+    while gateway.phase() != Phase::Stopped {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let (status, text) = respond(&gateway);
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                debug!(target: "listener", "event=question_broken cause=\"{error}\"");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,29 @@
+//! The gateway: passes requests on to upstreams whose protocol it does not
+//! need to know, for many client accounts that share them.
+//!
+//! Decisions are pure functions of state and time (`budget`, `choose`,
+//! `holder`, `peers`, `stores`, `upstreams`, `view`). Everything else carries
+//! them out: `follow` and `news` bring in what the box knows, `listener`,
+//! `serve`, `attempt` and `relay` take a request through.
+
+pub mod answer;
+pub mod attempt;
+pub mod budget;
+pub mod choose;
+pub mod connections;
+pub mod daemon;
+pub mod follow;
+pub mod follow_caches;
+pub mod holder;
+pub mod kernel;
+pub mod listener;
+pub mod news;
+pub mod peers;
+pub mod prompt;
+pub mod relay;
+pub mod serve;
+pub mod settings;
+pub mod site;
+pub mod stores;
+pub mod upstreams;
+pub mod view;
--- /dev/null
+++ b/src/gateway/news.rs
@@ -0,0 +1,146 @@
+//! Carries news between boxes: datagrams out and in, and snapshots by TCP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{debug, info, warn};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{sleep, timeout};
+
+use crate::clock::now_ms;
+use crate::error::{Error, Result};
+use crate::gateway::follow;
+use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::peers::{NEWS_PERIOD_MS, News, told_loads};
+use crate::gateway::view::Snapshot;
+
+/// Longest datagram that is read.
+const MAX_DATAGRAM_BYTES: usize = 8192;
+/// Longest snapshot that is read: the store's largest value and its upstreams.
+const MAX_SNAPSHOT_BYTES: u64 = 8 << 20;
+/// Time in which a peer must send a snapshot.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Least time between two looks for a peer that knows more.
+const COMPARE_PERIOD: Duration = Duration::from_millis(200);
+
+/// Tells peers, a few times a second.
+pub async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
+    while gateway.phase() != Phase::Stopped {
+        let (news, targets) = compose(&gateway, incarnation);
+        match postcard::to_stdvec(&news) {
+            Ok(bytes) => {
+                for target in targets {
+                    if let Err(error) = socket.send_to(&bytes, target).await {
+                        debug!(target: "news", "event=news_lost peer={target} cause=\"{error}\"");
+                    }
+                }
+            }
+            Err(error) => warn!(target: "news", "event=news_unwritable cause=\"{error}\""),
+        }
+        sleep(Duration::from_millis(NEWS_PERIOD_MS)).await;
+    }
+}
+
+fn compose(gateway: &Gateway, incarnation: u64) -> (News, Vec<SocketAddr>) {
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    let targets = state.peers.next_targets(now_ms);
+    let news = News {
+        incarnation,
+        changed_revision: state.view.changed_revision(),
+        site_version: state.site.as_ref().map_or(0, |site| site.version),
+        peers: state.peers.named(now_ms),
+        loads: told_loads(state.upstreams.iter().map(|one| (one.number, one.own))),
+        loading: Vec::new(),
+    };
+    (news, targets)
+}
+
+/// Hears peers.
+pub async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    while gateway.phase() != Phase::Stopped {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                debug!(target: "news", "event=receive_failed cause=\"{error}\"");
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let news: News = match postcard::from_bytes(&buffer[..length]) {
+            Ok(news) => news,
+            Err(error) => {
+                warn!(target: "news", "event=news_unreadable peer={from} cause=\"{error}\"");
+                continue;
+            }
+        };
+        let mut state = gateway.state();
+        let now_ms = now_ms();
+        let own_changed = state.view.changed_revision();
+        state.peers.hear(now_ms, from.ip(), news, own_changed);
+        let loads = state.peers.loads(now_ms);
+        for upstream in state.upstreams.iter_mut() {
+            upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
+        }
+    }
+}
+
+/// Asks a peer that knows more for a snapshot.
+pub async fn catch_up(gateway: Arc<Gateway>) {
+    while gateway.phase() != Phase::Stopped {
+        sleep(COMPARE_PERIOD).await;
+        let peer = {
+            let state = gateway.state();
+            let urgent = !state.view.store_answers();
+            state.peers.ahead(now_ms(), state.view.changed_revision(), urgent)
+        };
+        let Some(peer) = peer else { continue };
+        match fetch(peer).await {
+            Ok(snapshot) => {
+                info!(target: "news", "event=caught_up peer={peer} at_revision={}",
+                    snapshot.at_revision);
+                follow::take_snapshot(&gateway, snapshot);
+                gateway.behind.notify_one();
+            }
+            Err(error) => info!(target: "news", "event=catch_up_failed cause=\"{error}\""),
+        }
+    }
+}
+
+async fn fetch(peer: SocketAddr) -> Result<Snapshot> {
+    let read = async {
+        let stream = TcpStream::connect(peer).await?;
+        let mut bytes = Vec::new();
+        stream.take(MAX_SNAPSHOT_BYTES).read_to_end(&mut bytes).await?;
+        std::io::Result::Ok(bytes)
+    };
+    let bytes = timeout(SNAPSHOT_TIMEOUT, read)
+        .await
+        .map_err(|_| Error::Message(format!("{peer}: no snapshot in time")))?
+        .map_err(|error| Error::Message(format!("{peer}: {error}")))?;
+    postcard::from_bytes(&bytes).map_err(|error| Error::Message(format!("{peer}: {error}")))
+}
+
+/// Gives snapshots to peers that ask.
+pub async fn give(gateway: Arc<Gateway>, listener: TcpListener) {
+    while gateway.phase() != Phase::Stopped {
+        let Ok((mut stream, from)) = listener.accept().await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let snapshot = gateway.state().view.snapshot();
+        tokio::spawn(async move {
+            let bytes = postcard::to_stdvec(&snapshot).unwrap_or_default();
+            let written = timeout(SNAPSHOT_TIMEOUT, async {
+                stream.write_all(&bytes).await?;
+                stream.shutdown().await
+            });
+            if let Ok(Err(error)) = written.await {
+                debug!(target: "news", "event=snapshot_lost peer={from} cause=\"{error}\"");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,425 @@
+//! Serves one request: checks it, finds an upstream, passes its answer on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, StatusCode, header};
+use log::info;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::clock::{instant_at, now_ms};
+use crate::gateway::answer::{self, Answer, Reason};
+use crate::gateway::attempt::{Attempted, Outgoing, Reply, attempt};
+use crate::gateway::choose::{Choice, Demand, choose};
+use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::prompt::Prompt;
+use crate::gateway::relay;
+use crate::gateway::site::{Account, Repeat, Route, Site};
+use crate::platform::exchange::{self, Asked};
+
+/// Time that a client without a deadline of its own will wait.
+const DEFAULT_PATIENCE_MS: u64 = 30_000;
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When a refused client may come back.
+const RETRY_AFTER_MS: u64 = 400;
+/// Part of the aim after which a request that found no place is refused.
+const WAIT_PART: u64 = 4;
+/// Pause before an attempt when the last one was turned away.
+const AGAIN_PAUSE: Duration = Duration::from_millis(5);
+
+/// A request that has been checked.
+pub struct Job {
+    /// As it is sent.
+    pub outgoing: Outgoing,
+    /// Prompt, when it has one.
+    pub prompt: Option<Prompt>,
+    /// Service.
+    pub service: String,
+    /// Its route.
+    pub route: Route,
+    /// Account whose context is kept apart.
+    pub isolated_account: Option<String>,
+    /// When it arrived.
+    pub arrived_at_ms: u64,
+    /// Upstreams that it was sent to.
+    pub tried: Vec<String>,
+}
+
+impl Job {
+    /// The job, to be carried on elsewhere.
+    #[must_use]
+    pub fn take(&mut self) -> Self {
+        let tried = std::mem::take(&mut self.tried);
+        Self {
+            outgoing: self.outgoing.clone(),
+            prompt: self.prompt.clone(),
+            service: self.service.clone(),
+            route: self.route.clone(),
+            isolated_account: self.isolated_account.clone(),
+            arrived_at_ms: self.arrived_at_ms,
+            tried,
+        }
+    }
+}
+
+/// Counts a request for as long as it is served.
+struct Serving(Arc<Gateway>);
+
+impl Serving {
+    fn new(gateway: &Arc<Gateway>) -> Self {
+        gateway.state().serving += 1;
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.state().serving -= 1;
+    }
+}
+
+/// Serves a request.
+pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Answer {
+    let serving = Serving::new(&gateway);
+    let arrived_at_ms = now_ms();
+    let (parts, body) = request.into_parts();
+    let asked = exchange::asked(&parts.uri, &parts.headers);
+    let request_id = asked.request_id.clone();
+    let job = match check(&gateway, &asked, parts, body, arrived_at_ms).await {
+        Ok(job) => job,
+        Err(reason) => {
+            let retry_after_ms = (reason == Reason::NotReady).then_some(RETRY_AFTER_MS);
+            log_refusal(request_id.as_deref(), reason, arrived_at_ms);
+            return answer::refusal(reason, request_id.as_deref(), retry_after_ms);
+        }
+    };
+    gateway.state().budget.earn(arrived_at_ms, &job.service);
+    let mut answer = run(&gateway, job).await;
+    // The request is served until its body has been passed on.
+    let body = std::mem::replace(answer.body_mut(), answer::whole(Bytes::new()));
+    *answer.body_mut() = relay::with(body, serving);
+    answer
+}
+
+/// Checks a request and reads its body.
+async fn check(
+    gateway: &Gateway,
+    asked: &Asked,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at_ms: u64,
+) -> Result<Job, Reason> {
+    let Some(site) = gateway.state().site.clone() else {
+        return Err(Reason::NotReady);
+    };
+    if is_ambiguous(&parts.headers) {
+        return Err(Reason::BadRequest);
+    }
+    let (Some(host), Some(request_id)) = (&asked.host, &asked.request_id) else {
+        return Err(Reason::BadRequest);
+    };
+    let route = site.route(host, parts.uri.path()).ok_or(Reason::NoRoute)?.clone();
+    let account = account(&site, &route, asked)?.cloned();
+    let bytes = read_body(&site, body).await?;
+    // A change may have come into force while the body arrived.
+    let service = route.service(number(request_id)).ok_or(Reason::NoUpstream)?;
+    let patience_ms = asked.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+    let priority = account.as_ref().and_then(|one| one.priority).unwrap_or(route.priority);
+    let isolated = account.as_ref().filter(|one| one.isolated);
+    Ok(Job {
+        prompt: asked.prompt.clone(),
+        service: service.to_owned(),
+        isolated_account: isolated.map(|one| one.name.clone()),
+        arrived_at_ms,
+        tried: Vec::new(),
+        outgoing: Outgoing {
+            request_id: request_id.clone(),
+            method: parts.method,
+            uri: parts.uri,
+            head: parts.headers,
+            body: bytes,
+            account: account.map(|one| one.name),
+            priority,
+            repeat: route.repeat,
+            deadline_ms: arrived_at_ms + patience_ms.min(route.timeout_ms),
+        },
+        route,
+    })
+}
+
+/// A number that spreads requests evenly over the targets of a route.
+fn number(request_id: &str) -> u64 {
+    let hash = blake3::hash(request_id.as_bytes());
+    let bytes: [u8; 8] = hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes");
+    u64::from_le_bytes(bytes)
+}
+
+/// Whether it is open where the request's body ends.
+fn is_ambiguous(head: &HeaderMap) -> bool {
+    let lengths = head.get_all(header::CONTENT_LENGTH).iter().count();
+    let encodings = head.get_all(header::TRANSFER_ENCODING).iter().count();
+    lengths + encodings > 1 || head.get_all(header::HOST).iter().count() > 1
+}
+
+fn account<'a>(
+    site: &'a Site,
+    route: &Route,
+    asked: &Asked,
+) -> Result<Option<&'a Account>, Reason> {
+    let account = asked.key.as_deref().and_then(|key| site.account(key));
+    if account.is_none() && site.asks_for_keys() && !route.public {
+        return Err(Reason::UnknownKey);
+    }
+    Ok(account)
+}
+
+async fn read_body(site: &Site, body: Incoming) -> Result<Bytes, Reason> {
+    let limited = Limited::new(body, site.limits.max_body_bytes);
+    match timeout(BODY_TIMEOUT, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Reason::BodyTooLong)
+        }
+        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete),
+    }
+}
+
+/// Has a request run, at one upstream after the other if need be.
+async fn run(gateway: &Arc<Gateway>, mut job: Job) -> Answer {
+    let mut ran_perhaps = false;
+    let mut failures = 0_u32;
+    let wait_until = instant_at(job.arrived_at_ms + job.route.aim_ms / WAIT_PART);
+    loop {
+        let Some(choice) = find_place(gateway, &job, wait_until).await else {
+            return give_up(gateway, &job, ran_perhaps, no_place_reason(gateway, &job));
+        };
+        log_attempt(&job, &choice);
+        let attempted = attempt(gateway, &job.outgoing, &choice, None).await;
+        let cause = match attempted {
+            Attempted::Answered(reply) => match pass_on(gateway, &mut job, *reply, &choice).await {
+                Passed::Answer(answer) => return *answer,
+                Passed::TryAgain(cause) => {
+                    ran_perhaps = true;
+                    cause
+                }
+            },
+            Attempted::NotRun { cause } => {
+                note_turned_away(gateway, &job, &choice, &cause);
+                cause
+            }
+            Attempted::NotSent { cause } => {
+                log_attempt_end(&job, &choice, "not_sent", &cause);
+                failures += 1;
+                // It reached nobody, so that it costs neither an attempt nor budget.
+                if failures < 4 && now_ms() < job.outgoing.deadline_ms {
+                    job.tried.push(choice.id.clone());
+                    let all_tried = gateway.state().upstreams.of(&job.service).all(|one| {
+                        job.tried.contains(&one.id)
+                    });
+                    if all_tried {
+                        job.tried.clear();
+                    }
+                    continue;
+                }
+                return give_up(gateway, &job, ran_perhaps, Reason::NoUpstream);
+            }
+            Attempted::Unknown { cause } => {
+                ran_perhaps = true;
+                cause
+            }
+            Attempted::TimeOver => {
+                log_attempt_end(&job, &choice, "time_over", "");
+                return give_up(gateway, &job, true, Reason::UpstreamSilent);
+            }
+        };
+        log_attempt_end(&job, &choice, if ran_perhaps { "unknown" } else { "not_run" }, &cause);
+        job.tried.push(choice.id);
+        if !may_try_again(gateway, &job, ran_perhaps) {
+            let reason =
+                if ran_perhaps { Reason::UpstreamFailed } else { Reason::UpstreamsFull };
+            return give_up(gateway, &job, ran_perhaps, reason);
+        }
+        tokio::time::sleep(AGAIN_PAUSE).await;
+    }
+}
+
+/// Whether the request can be sent to another upstream.
+fn may_try_again(gateway: &Gateway, job: &Job, ran_perhaps: bool) -> bool {
+    let allowed = !ran_perhaps || job.outgoing.repeat.may_run_again();
+    let attempts_left = u32::try_from(job.tried.len()).is_ok_and(|sent| sent < job.route.attempts);
+    // An upstream that did not run it was asked all the same.
+    let now_ms = now_ms();
+    let time_left = now_ms + 20 < job.outgoing.deadline_ms;
+    allowed && attempts_left && time_left && spend(gateway, job, now_ms)
+}
+
+fn spend(gateway: &Gateway, job: &Job, now_ms: u64) -> bool {
+    let mut state = gateway.state();
+    let boxes = state.peers.boxes(now_ms);
+    state.budget.spend(now_ms, &job.service, boxes)
+}
+
+enum Passed {
+    Answer(Box<Answer>),
+    TryAgain(String),
+}
+
+/// Passes an upstream's answer on.
+async fn pass_on(
+    gateway: &Arc<Gateway>,
+    job: &mut Job,
+    mut reply: Reply,
+    choice: &Choice,
+) -> Passed {
+    if let (Some(version), Some(prompt)) = (reply.told.ran_version, &job.prompt) {
+        reply.place.saw_version(&prompt.model, version);
+    }
+    if job.outgoing.repeat.is_stream() && reply.status.is_success() {
+        return Passed::Answer(Box::new(relay::stream(gateway, job, reply, choice)));
+    }
+    let deadline = instant_at(job.outgoing.deadline_ms);
+    match timeout_at(deadline, reply.read_whole()).await {
+        Ok(Ok(Some(bytes))) => {
+            let (status, head) = (reply.status, reply.head.clone());
+            reply.finished();
+            if status.is_server_error() && can_repeat(gateway, job) {
+                return Passed::TryAgain(format!("status {}", status.as_u16()));
+            }
+            log_end(job, choice, status, bytes.len());
+            let answer = answer::passed_on(status, &head, answer::whole(bytes));
+            Passed::Answer(Box::new(answer))
+        }
+        // Too long for memory: begin again from what was read is not possible.
+        Ok(Ok(None)) => Passed::TryAgain("the answer is too long".to_owned()),
+        Ok(Err(cause)) => {
+            reply.place.failed();
+            Passed::TryAgain(cause)
+        }
+        Err(_) => {
+            log_attempt_end(job, choice, "time_over", "");
+            Passed::Answer(Box::new(give_up(gateway, job, true, Reason::UpstreamSilent)))
+        }
+    }
+}
+
+/// An upstream that goes on with a stream, if it may be sent again.
+pub async fn resume_place(gateway: &Arc<Gateway>, job: &Job) -> Option<Choice> {
+    if !may_try_again(gateway, job, true) {
+        return None;
+    }
+    let until = instant_at(now_ms() + job.route.aim_ms / WAIT_PART);
+    let choice = find_place(gateway, job, until).await?;
+    log_attempt(job, &choice);
+    Some(choice)
+}
+
+fn can_repeat(gateway: &Gateway, job: &Job) -> bool {
+    let others = gateway
+        .state()
+        .upstreams
+        .of(&job.service)
+        .filter(|one| !job.tried.contains(&one.id))
+        .count();
+    let sent = u32::try_from(job.tried.len()).unwrap_or(u32::MAX).saturating_add(1);
+    job.outgoing.repeat == Repeat::Repeatable && sent < job.route.attempts && others > 1
+}
+
+/// Waits for an upstream that can take the request.
+async fn find_place(gateway: &Arc<Gateway>, job: &Job, until: Instant) -> Option<Choice> {
+    loop {
+        let woken = gateway.places.notified();
+        if let Some(choice) = choose_now(&mut gateway.state(), gateway, job) {
+            return Some(choice);
+        }
+        if timeout_at(until, woken).await.is_err() {
+            return choose_now(&mut gateway.state(), gateway, job);
+        }
+    }
+}
+
+fn choose_now(state: &mut State, gateway: &Gateway, job: &Job) -> Option<Choice> {
+    let now_ms = now_ms();
+    let boxes = u32::try_from(state.peers.boxes(now_ms)).unwrap_or(u32::MAX);
+    let site = state.site.as_ref()?;
+    let service = site.services.get(&job.service)?;
+    let newest = job.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
+    let demand = Demand {
+        service: &job.service,
+        hall: &gateway.settings.hall,
+        prompt: job.prompt.as_ref(),
+        isolated_account: job.isolated_account.as_deref(),
+        newest_version: newest.map_or(0, |named| named.version),
+        tried: &job.tried,
+        max_requests: (service.max_connections / (boxes + 1)).max(2),
+    };
+    choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
+}
+
+fn no_place_reason(gateway: &Gateway, job: &Job) -> Reason {
+    let known = gateway.state().upstreams.of(&job.service).next().is_some();
+    if known { Reason::UpstreamsFull } else { Reason::NoUpstream }
+}
+
+fn note_turned_away(gateway: &Gateway, job: &Job, choice: &Choice, cause: &str) {
+    let Some(prompt) = &job.prompt else { return };
+    if cause != "status 421" {
+        return;
+    }
+    let mut state = gateway.state();
+    let named = state.weights.get(&prompt.model).map_or(0, |named| named.version);
+    if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
+        upstream.saw_version(&prompt.model, named);
+    }
+}
+
+/// The final answer to a request that was not served.
+fn give_up(_gateway: &Gateway, job: &Job, ran_perhaps: bool, reason: Reason) -> Answer {
+    let reason = match (ran_perhaps, reason.status()) {
+        (true, StatusCode::SERVICE_UNAVAILABLE) => Reason::UpstreamFailed,
+        _ => reason,
+    };
+    let retry_after_ms =
+        (reason.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER_MS);
+    log_refusal(Some(&job.outgoing.request_id), reason, job.arrived_at_ms);
+    answer::refusal(reason, Some(&job.outgoing.request_id), retry_after_ms)
+}
+
+fn log_refusal(request_id: Option<&str>, reason: Reason, arrived_at_ms: u64) {
+    metrics::counter!("coursestile_requests_total", "end" => reason.to_string()).increment(1);
+    info!(target: "serve", "event=refused request={} reason={reason} status={} held_ms={}",
+        request_id.unwrap_or("-"), reason.status().as_u16(), now_ms() - arrived_at_ms);
+}
+
+fn log_attempt(job: &Job, choice: &Choice) {
+    let context = choice.context.as_ref();
+    info!(target: "serve",
+        "event=routed request={} route={} upstream={} attempt={} left_ms={} version={} \
+         read_tokens={} reread_tokens={} sources={}",
+        job.outgoing.request_id,
+        job.route.name,
+        choice.id,
+        job.tried.len() + 1,
+        job.outgoing.deadline_ms.saturating_sub(now_ms()),
+        context.map_or(0, |plan| plan.version),
+        context.map_or(0, |plan| plan.read_tokens),
+        context.map_or(0, |plan| plan.reread_tokens),
+        context.map_or(0, |plan| plan.sources.iter().filter(|one| **one
+            != crate::gateway::choose::Source::Own).count()));
+}
+
+fn log_attempt_end(job: &Job, choice: &Choice, end: &str, cause: &str) {
+    info!(target: "serve", "event=attempt_ended request={} upstream={} end={end} cause=\"{cause}\"",
+        job.outgoing.request_id, choice.id);
+}
+
+/// Logs the end of a request that was served.
+pub fn log_end(job: &Job, choice: &Choice, status: StatusCode, bytes: usize) {
+    metrics::counter!("coursestile_requests_total", "end" => "answered").increment(1);
+    info!(target: "serve",
+        "event=answered request={} upstream={} status={} bytes={bytes} held_ms={}",
+        job.outgoing.request_id, choice.id, status.as_u16(), now_ms() - job.arrived_at_ms);
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,158 @@
+//! Settings of a gateway: an INI file, checked whole.
+//!
+//! Bounds hold durations, since a deadline begins with the event that it
+//! belongs to. Each default is the figure of the smallest known deployment.
+
+use std::net::{IpAddr, SocketAddr};
+
+use crate::error::Result;
+use crate::ini_file::IniFile;
+
+/// Time in which a configuration change must be in force, by default.
+const DEFAULT_CONFIG_APPLY_MS: u64 = 2000;
+/// Time after which a leaving upstream must get no new work, by default.
+const DEFAULT_LEAVE_MS: u64 = 2000;
+/// Time between SIGTERM and SIGKILL, by default.
+const DEFAULT_STOP_MS: u64 = 8000;
+/// Repeats allowed for each request, by default.
+const DEFAULT_RETRY_RATIO: f64 = 0.1;
+/// Window of the retry budget, by default.
+const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
+/// Repeats allowed in a window beside the ratio, by default.
+const DEFAULT_RETRY_EXTRA: f64 = 10.0;
+/// Time for which orders of two holders must not follow each other, by default.
+const DEFAULT_LEASE_MS: u64 = 3000;
+/// Time in which a new weight version must be everywhere, by default.
+const DEFAULT_WEIGHTS_APPLY_MS: u64 = 10_000;
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the box.
+    pub name: String,
+    /// Data hall.
+    pub hall: String,
+    /// Where clients reach it.
+    pub clients: SocketAddr,
+    /// Where the balancer asks whether it takes new connections.
+    pub ready: SocketAddr,
+    /// Where peers reach it, by datagram and by TCP.
+    pub peers: SocketAddr,
+    /// Where metrics are read, when they are.
+    pub metrics: Option<SocketAddr>,
+    /// Addresses of boxes from which to learn the others.
+    pub seeds: Vec<IpAddr>,
+    /// Where the platform's metadata store listens.
+    pub metadata: String,
+    /// Memory of the process.
+    pub memory_mb: u64,
+    /// Bounds that the deployment asks for.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the deployment asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time in which a configuration change must be in force.
+    pub config_apply_ms: u64,
+    /// Time after which a leaving upstream must get no new work.
+    pub leave_ms: u64,
+    /// Time between SIGTERM and SIGKILL.
+    pub stop_ms: u64,
+    /// Repeats allowed for each request to a service, over the whole fleet.
+    pub retry_ratio: f64,
+    /// Window of the retry budget.
+    pub retry_window_ms: u64,
+    /// Repeats allowed in a window beside the ratio, over the whole fleet.
+    pub retry_extra: f64,
+    /// Time for which orders of two holders must not follow each other.
+    pub lease_ms: u64,
+    /// Time in which a new weight version must be everywhere.
+    pub weights_apply_ms: u64,
+    /// Whether upstreams refuse orders with an older fencing token.
+    pub orders_fenced: bool,
+}
+
+impl Settings {
+    /// Reads settings from the text of `file`.
+    ///
+    /// # Errors
+    /// Fails with every finding.
+    pub fn parse(file: &str, text: &str) -> Result<Self> {
+        let mut reader = IniFile::read(file, text);
+        reader.check_names(known_keys);
+        let unset: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let metrics: SocketAddr = reader.optional("box", "metrics", unset);
+        let settings = Self {
+            name: reader.required("box", "name"),
+            hall: reader.required("box", "hall"),
+            clients: required_address(&mut reader, "clients"),
+            ready: required_address(&mut reader, "ready"),
+            peers: required_address(&mut reader, "peers"),
+            metrics: (metrics.port() != 0).then_some(metrics),
+            seeds: seeds(&mut reader),
+            metadata: reader.required("platform", "address"),
+            memory_mb: reader.optional("limits", "memory_mb", 256),
+            bounds: bounds(&mut reader),
+        };
+        reader.finish(settings)
+    }
+}
+
+fn bounds(reader: &mut IniFile<'_>) -> Bounds {
+    let stop_s = reader.optional("bounds", "stop_s", DEFAULT_STOP_MS / 1000);
+    let window_s = reader.optional("bounds", "retry_window_s", DEFAULT_RETRY_WINDOW_MS / 1000);
+    Bounds {
+        config_apply_ms: reader.optional("bounds", "config_apply_ms", DEFAULT_CONFIG_APPLY_MS),
+        leave_ms: reader.optional("bounds", "leave_ms", DEFAULT_LEAVE_MS),
+        stop_ms: stop_s * 1000,
+        retry_ratio: reader.optional("bounds", "retry_ratio", DEFAULT_RETRY_RATIO),
+        retry_window_ms: window_s * 1000,
+        retry_extra: reader.optional("bounds", "retry_extra", DEFAULT_RETRY_EXTRA),
+        lease_ms: reader.optional("bounds", "lease_ms", DEFAULT_LEASE_MS),
+        weights_apply_ms: reader.optional("bounds", "weights_apply_ms", DEFAULT_WEIGHTS_APPLY_MS),
+        orders_fenced: reader.optional("bounds", "orders_fenced", false),
+    }
+}
+
+fn required_address(reader: &mut IniFile<'_>, key: &str) -> SocketAddr {
+    let unset: SocketAddr = ([127, 0, 0, 1], 0).into();
+    if reader.text("box", key).is_none() {
+        reader.find_at("box", "", format!("[box] has no {key}"));
+        return unset;
+    }
+    reader.optional("box", key, unset)
+}
+
+/// The seeds' addresses; a port beside one is of no use and is dropped.
+fn seeds(reader: &mut IniFile<'_>) -> Vec<IpAddr> {
+    let mut seeds = Vec::new();
+    for seed in reader.list("box", "seeds") {
+        let host = seed.rsplit_once(':').map_or(seed.as_str(), |(host, _)| host);
+        match host.parse() {
+            Ok(address) => seeds.push(address),
+            Err(_) => reader.find_at("box", "seeds", format!("seeds: '{seed}' is no address")),
+        }
+    }
+    seeds
+}
+
+fn known_keys(section: &str) -> &'static [&'static str] {
+    match section {
+        "box" => &["name", "hall", "clients", "ready", "peers", "metrics", "seeds"],
+        "platform" => &["address"],
+        "limits" => &["memory_mb"],
+        "bounds" => &[
+            "config_apply_ms",
+            "leave_ms",
+            "stop_s",
+            "retry_ratio",
+            "retry_window_s",
+            "retry_extra",
+            "lease_ms",
+            "weights_apply_ms",
+            "orders_fenced",
+        ],
+        _ => &[],
+    }
+}
--- /dev/null
+++ b/src/gateway/upstreams.rs
@@ -0,0 +1,233 @@
+//! The upstreams of all services: who they are, how loaded, how sound.
+//!
+//! Health is judged by what answers show, not by probes: an upstream that
+//! fails is avoided for a while, and one that owes answers and says nothing at
+//! all is not given more.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use crate::gateway::holder::Holder;
+use crate::platform::entry::Entry;
+
+/// Silence after which an upstream that owes answers gets no more work; well
+/// over the longest step of a loaded engine.
+const SILENT_MS: u64 = 800;
+/// First time for which an upstream that failed is avoided.
+const AVOID_MS: u64 = 500;
+/// Longest time for which an upstream that failed is avoided.
+const AVOID_MAX_MS: u64 = 4000;
+/// Weight of the newest answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Share of failures from which on an upstream is avoided.
+const FAILURE_LIMIT: f64 = 0.12;
+
+/// Load that one box puts on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Prompt tokens that are still to be read.
+    pub unread_tokens: u32,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Id of its incarnation.
+    pub id: String,
+    /// Number that names it in messages between boxes.
+    pub number: u32,
+    /// What it tells of itself.
+    pub entry: Entry,
+    /// Load from this box.
+    pub own: Load,
+    /// Load from all other boxes, as they told last.
+    pub others: Load,
+    /// Kept context.
+    pub holder: Holder,
+    versions: HashMap<String, u64>,
+    avoid_until_ms: u64,
+    avoid_ms: u64,
+    failure_share: f64,
+    heard_at_ms: u64,
+    owes_since_ms: Option<u64>,
+    loading_until_ms: u64,
+}
+
+impl Upstream {
+    fn new(id: String, entry: Entry) -> Self {
+        Self {
+            number: number(&id),
+            id,
+            entry,
+            own: Load::default(),
+            others: Load::default(),
+            holder: Holder::default(),
+            versions: HashMap::new(),
+            avoid_until_ms: 0,
+            avoid_ms: AVOID_MS,
+            failure_share: 0.0,
+            heard_at_ms: 0,
+            owes_since_ms: None,
+            loading_until_ms: 0,
+        }
+    }
+
+    /// Version of a model's weights; 0 when it does not have the model.
+    #[must_use]
+    pub fn version(&self, model: &str) -> u64 {
+        let told = self.entry.models.iter().find(|(name, _)| name == model);
+        let told = told.map_or(0, |(_, version)| *version);
+        told.max(self.versions.get(model).copied().unwrap_or_default())
+    }
+
+    /// Notes the version of a model's weights that it was seen to have.
+    pub fn saw_version(&mut self, model: &str, version: u64) {
+        if version > self.version(model) {
+            self.versions.insert(model.to_owned(), version);
+            self.holder.forget();
+        }
+    }
+
+    /// Load from all boxes.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            requests: self.own.requests + self.others.requests,
+            unread_tokens: self.own.unread_tokens + self.others.unread_tokens,
+        }
+    }
+
+    /// Whether it failed or fell silent lately.
+    #[must_use]
+    pub fn is_doubtful(&self, now_ms: u64) -> bool {
+        now_ms < self.avoid_until_ms || self.is_silent(now_ms)
+    }
+
+    /// Whether it owes answers and has said nothing for long.
+    #[must_use]
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        let Some(since_ms) = self.owes_since_ms else {
+            return false;
+        };
+        now_ms.saturating_sub(since_ms.max(self.heard_at_ms)) > SILENT_MS
+    }
+
+    /// Whether it loads weights and takes no requests meanwhile.
+    #[must_use]
+    pub fn is_loading(&self, now_ms: u64) -> bool {
+        now_ms < self.loading_until_ms
+    }
+
+    /// Notes that it loads weights until a deadline, or has ended to (0).
+    pub fn loads_until(&mut self, until_ms: u64) {
+        self.loading_until_ms = until_ms;
+    }
+
+    /// Counts a request that is sent.
+    pub fn sent(&mut self, now_ms: u64, unread_tokens: u32) {
+        self.own.requests += 1;
+        self.own.unread_tokens += unread_tokens;
+        self.owes_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Counts a prompt that has been read.
+    pub fn read_prompt(&mut self, tokens: u32) {
+        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(tokens);
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&mut self) {
+        self.own.requests = self.own.requests.saturating_sub(1);
+        if self.own.requests == 0 {
+            self.owes_since_ms = None;
+        }
+    }
+
+    /// Notes that bytes have arrived from it.
+    pub fn heard(&mut self, now_ms: u64) {
+        self.heard_at_ms = now_ms;
+    }
+
+    /// Notes an answer as it should be.
+    pub fn succeeded(&mut self) {
+        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+        self.avoid_ms = AVOID_MS;
+    }
+
+    /// Notes a failure that says something about it.
+    pub fn failed(&mut self, now_ms: u64) {
+        self.failure_share = self.failure_share * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+        if self.failure_share >= FAILURE_LIMIT {
+            self.avoid(now_ms);
+        }
+    }
+
+    /// Avoids it for a while, longer each time.
+    pub fn avoid(&mut self, now_ms: u64) {
+        self.avoid_until_ms = now_ms + self.avoid_ms;
+        self.avoid_ms = (self.avoid_ms * 2).min(AVOID_MAX_MS);
+    }
+}
+
+/// The upstreams of all services.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    by_id: BTreeMap<String, Upstream>,
+}
+
+impl Upstreams {
+    /// Takes what an upstream tells of itself.
+    pub fn put(&mut self, id: &str, entry: Entry) {
+        if let Some(known) = self.by_id.get_mut(id) {
+            known.entry = entry;
+            return;
+        }
+        self.by_id.insert(id.to_owned(), Upstream::new(id.to_owned(), entry));
+    }
+
+    /// Takes an upstream out; what runs there goes on.
+    pub fn remove(&mut self, id: &str) {
+        self.by_id.remove(id);
+    }
+
+    /// An upstream.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Upstream> {
+        self.by_id.get(id)
+    }
+
+    /// An upstream, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
+        self.by_id.get_mut(id)
+    }
+
+    /// All upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.by_id.values()
+    }
+
+    /// All upstreams, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.by_id.values_mut()
+    }
+
+    /// The upstreams of a service that are not about to leave.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        self.iter().filter(move |one| one.entry.service == service && !one.entry.leaving)
+    }
+
+    /// The address of an upstream.
+    #[must_use]
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.get(id).map(|upstream| upstream.entry.address)
+    }
+}
+
+/// Names an upstream in messages between boxes.
+fn number(id: &str) -> u32 {
+    let hash = blake3::hash(id.as_bytes());
+    let bytes: [u8; 4] = hash.as_bytes()[..4].try_into().expect("a hash has 32 bytes");
+    u32::from_le_bytes(bytes)
+}
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,13 +10,13 @@
 /// Pattern of a line; the part's name is the log target.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {t}: {m}{n}";
 
-/// Starts to log to standard error.
+/// Starts to log to standard output.
 ///
 /// # Errors
 /// Fails when the process logs already.
 pub fn start(level: LevelFilter) -> Result<()> {
     let encoder = Box::new(PatternEncoder::new(PATTERN));
-    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let console = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder).build();
     let appender = Appender::builder().build("console", Box::new(console));
     let root = Root::builder().appender("console").build(level);
     let config = Config::builder().appender(appender).build(root);
--- /dev/null
+++ b/src/platform/exchange.rs
@@ -0,0 +1,219 @@
+//! Requests and answers on the wire: decoded from clients and upstreams into
+//! typed views, and encoded towards them.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, StatusCode, Uri};
+
+use crate::gateway::choose::{ContextPlan, Source};
+use crate::gateway::prompt::Prompt;
+use crate::platform::headers;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// What a client's request says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// Id of the request.
+    pub request_id: Option<String>,
+    /// Host, in lower case and without a port.
+    pub host: Option<String>,
+    /// Key of the client.
+    pub key: Option<String>,
+    /// Time that the client will wait.
+    pub patience_ms: Option<u64>,
+    /// Prompt, when it describes one.
+    pub prompt: Option<Prompt>,
+}
+
+/// What an upstream's answer says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// Request that it answers.
+    pub request_id: Option<String>,
+    /// Whether the upstream vouches for it.
+    pub sealed: bool,
+    /// Whether the request was not run and never will be.
+    pub not_run: bool,
+    /// Incarnation that answers, when it is not the one that was meant.
+    pub upstream_id: Option<String>,
+    /// Weight version that ran.
+    pub ran_version: Option<u64>,
+    /// Whether the body is encoded, and so not the upstream's own.
+    pub encoded: bool,
+}
+
+/// What is set towards an upstream beside the client's own headers.
+pub struct Forward<'a> {
+    /// Incarnation that may run the request.
+    pub upstream_id: &'a str,
+    /// Time that is left.
+    pub left_ms: u64,
+    /// Client account.
+    pub account: Option<&'a str>,
+    /// Order of work.
+    pub priority: u8,
+    /// Kept context.
+    pub context: Option<&'a ContextPlan>,
+    /// Moment on the upstreams' clock at which transfers are given up.
+    pub transfers_until_ms: Option<u64>,
+    /// Last event that the client has, when a stream is taken up again.
+    pub after_event: Option<&'a str>,
+}
+
+/// Reads what a client's request says.
+#[must_use]
+pub fn asked(uri: &Uri, head: &HeaderMap) -> Asked {
+    let host = text(head, &header::HOST).or_else(|| uri.authority().map(|host| host.as_str()));
+    let prompt = match (
+        text(head, &headers::MODEL),
+        text(head, &headers::TOKENS),
+        text(head, &headers::PARTS),
+    ) {
+        (Some(model), Some(lengths), Some(parts)) => Prompt::parse(model, lengths, parts),
+        _ => None,
+    };
+    Asked {
+        request_id: text(head, &headers::REQUEST_ID).map(str::to_owned),
+        host: host.map(|host| host.split(':').next().unwrap_or(host).to_ascii_lowercase()),
+        key: text(head, &headers::CLIENT_KEY).map(str::to_owned),
+        patience_ms: text(head, &headers::TIME_LEFT_MS).and_then(whole_ms),
+        prompt,
+    }
+}
+
+/// The request as an upstream gets it.
+#[must_use]
+pub fn forward(
+    method: &Method,
+    uri: &Uri,
+    client_head: &HeaderMap,
+    body: Bytes,
+    forward: &Forward<'_>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body.clone()));
+    *request.method_mut() = method.clone();
+    *request.uri_mut() = origin_form(uri);
+    let head = request.headers_mut();
+    for (name, value) in passed_on(client_head) {
+        let ours = headers::OURS.contains(name) || *name == header::CONTENT_LENGTH;
+        if !ours && *name != header::EXPECT {
+            head.append(name, value.clone());
+        }
+    }
+    if !body.is_empty() || client_head.contains_key(header::CONTENT_LENGTH) {
+        head.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    set(head, headers::UPSTREAM_ID, forward.upstream_id);
+    head.insert(headers::TIME_LEFT_MS, HeaderValue::from(forward.left_ms));
+    head.insert(headers::PRIORITY, HeaderValue::from(u16::from(forward.priority.min(9))));
+    if let Some(account) = forward.account {
+        set(head, headers::ACCOUNT, account);
+    }
+    if let Some(event) = forward.after_event {
+        set(head, headers::LAST_EVENT_ID, event);
+    }
+    if let Some(context) = forward.context {
+        set_context(head, context, forward.transfers_until_ms);
+    }
+    request
+}
+
+fn set_context(head: &mut HeaderMap, context: &ContextPlan, until_ms: Option<u64>) {
+    set(head, headers::CONTEXT_SCOPE, &context.scope);
+    head.insert(headers::WEIGHT_VERSION, HeaderValue::from(context.version));
+    let sources: Vec<&str> = context
+        .sources
+        .iter()
+        .map(|source| match source {
+            Source::Own => "-",
+            Source::From { address, .. } => address,
+        })
+        .collect();
+    if let Some(until_ms) = until_ms
+        && sources.iter().any(|source| *source != "-")
+    {
+        set(head, headers::CONTEXT_FROM, &sources.join(","));
+        head.insert(headers::CONTEXT_UNTIL_MS, HeaderValue::from(until_ms));
+    }
+    if context.saves.iter().any(Option::is_some) {
+        let saves: Vec<&str> =
+            context.saves.iter().map(|store| store.as_deref().unwrap_or("-")).collect();
+        set(head, headers::CONTEXT_TO, &saves.join(","));
+    }
+}
+
+/// Reads what an upstream's answer says.
+#[must_use]
+pub fn told(status: StatusCode, head: &HeaderMap) -> Told {
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    Told {
+        request_id: text(head, &headers::REQUEST_ID).map(str::to_owned),
+        sealed: head.contains_key(headers::SEAL),
+        not_run: misdirected || head.contains_key(headers::NOT_RUN),
+        upstream_id: text(head, &HeaderName::from_static("x-instance-id")).map(str::to_owned),
+        ran_version: text(head, &headers::RAN_VERSION).and_then(|version| version.parse().ok()),
+        encoded: head.contains_key(header::CONTENT_ENCODING),
+    }
+}
+
+/// The headers that are passed on from one side to the other.
+pub fn passed_on(head: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
+    let named: Vec<String> = head
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    head.iter().filter(move |(name, _)| {
+        !HOP_BY_HOP.contains(name) && !named.iter().any(|listed| listed == name.as_str())
+    })
+}
+
+/// Sets when a refused client may come back; fractions of a second count.
+pub fn set_retry_after(head: &mut HeaderMap, after_ms: u64) {
+    let seconds = format!("{}.{:03}", after_ms / 1000, after_ms % 1000);
+    set(head, header::RETRY_AFTER, &seconds);
+}
+
+/// Names the request that an answer of ours belongs to.
+pub fn set_request_id(head: &mut HeaderMap, request_id: &str) {
+    set(head, headers::REQUEST_ID, request_id);
+}
+
+fn set(head: &mut HeaderMap, name: HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            head.insert(name, value);
+        }
+        Err(error) => {
+            log::warn!(target: "exchange", "event=header_left_out name={name} cause=\"{error}\"");
+        }
+    }
+}
+
+fn text<'a>(head: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    head.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn whole_ms(text: &str) -> Option<u64> {
+    text.trim().parse::<f64>().ok().filter(|ms| *ms >= 0.0).map(crate::platform::caches::whole_ms)
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
+}
--- /dev/null
+++ b/src/platform/keys.rs
@@ -0,0 +1,85 @@
+//! Keys of the metadata store, and what each holds.
+
+use crate::error::{Error, Result};
+use crate::gateway::site::Site;
+use crate::platform::document;
+use crate::platform::entry::{self, Entry};
+
+/// Start of all keys that operators write.
+pub const OPERATOR_PREFIX: &str = "op/";
+/// Start of the keys of upstreams.
+pub const UPSTREAM_PREFIX: &str = "servers/";
+/// Key of the configuration.
+const CONFIGURATION: &str = "op/config";
+/// Start of the keys that name weight versions.
+const WEIGHTS_PREFIX: &str = "op/version/";
+/// Start of our own keys.
+const OWN_PREFIX: &str = "coursestile/";
+
+/// What a key holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind<'a> {
+    /// The configuration.
+    Configuration,
+    /// The weight version that a model is to have.
+    Weights {
+        /// Model.
+        model: &'a str,
+    },
+    /// An upstream.
+    Upstream {
+        /// Its id.
+        id: &'a str,
+    },
+    /// Nothing that concerns us.
+    Other,
+}
+
+/// What `key` holds.
+#[must_use]
+pub fn kind(key: &str) -> Kind<'_> {
+    if key == CONFIGURATION {
+        return Kind::Configuration;
+    }
+    if let Some(model) = key.strip_prefix(WEIGHTS_PREFIX) {
+        return Kind::Weights { model };
+    }
+    match key.strip_prefix(UPSTREAM_PREFIX) {
+        Some(id) => Kind::Upstream { id },
+        None => Kind::Other,
+    }
+}
+
+/// The key of a duty that one box holds.
+#[must_use]
+pub fn duty(name: &str) -> String {
+    format!("{OWN_PREFIX}duty/{name}")
+}
+
+/// Reads the configuration.
+///
+/// # Errors
+/// Fails with what cannot be read and where.
+pub fn read_site(bytes: &[u8]) -> Result<Site> {
+    document::site(bytes).map_err(|fault| unreadable(CONFIGURATION, &fault))
+}
+
+/// Reads a named weight version.
+///
+/// # Errors
+/// Fails with what cannot be read and where.
+pub fn read_weights(model: &str, bytes: &[u8]) -> Result<u64> {
+    document::weights(bytes).map_err(|fault| unreadable(&format!("{WEIGHTS_PREFIX}{model}"), &fault))
+}
+
+/// Reads an upstream's entry.
+///
+/// # Errors
+/// Fails with what cannot be read and where.
+pub fn read_upstream(id: &str, bytes: &[u8]) -> Result<Entry> {
+    entry::entry(bytes).map_err(|fault| unreadable(&format!("{UPSTREAM_PREFIX}{id}"), &fault))
+}
+
+fn unreadable(key: &str, fault: &serde_json::Error) -> Error {
+    Error::PlatformValue(key.to_owned(), fault.to_string())
+}
--- /dev/null
+++ b/src/platform/metadata.rs
@@ -0,0 +1,358 @@
+//! The platform's metadata store: items, watches, transactions, leases.
+//!
+//! Every call has a deadline. A call that got no answer may have been done, or
+//! may be done later; its connection is dropped, since the store says nothing
+//! more on it.
+
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use reqwest::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::error::{Error, Result};
+
+/// Time in which a call must be answered: 250 times the usual 4 ms.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time that a watch's answer may be late.
+const WATCH_SLACK: Duration = Duration::from_millis(1000);
+/// Time in which a connection must come up: some round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which unacknowledged bytes end a connection.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between probes of an idle connection.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Content.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// A change that a watch tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// An item was written.
+    Put(Item),
+    /// An item is gone.
+    Removed {
+        /// Its key.
+        key: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
+}
+
+/// What a watch answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes up to a revision; none when the wait is over.
+    Changes {
+        /// The changes, in order.
+        changes: Vec<Change>,
+        /// Revision to go on from.
+        at_revision: u64,
+    },
+    /// The store has forgotten the changes in between.
+    HistoryLost,
+}
+
+/// The items of a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Items.
+    pub items: Vec<Item>,
+    /// Revision from which to watch.
+    pub at_revision: u64,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is done, as this revision.
+    Done {
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// Its condition does not hold.
+    Conflict,
+    /// Its lease is over.
+    LeaseOver,
+}
+
+/// A lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Id.
+    pub id: u64,
+    /// Time for which each renewal holds.
+    pub ttl_ms: u64,
+}
+
+/// The platform's metadata store.
+#[derive(Clone)]
+pub struct MetadataStore {
+    http: reqwest::Client,
+    address: String,
+}
+
+#[derive(Deserialize)]
+struct ItemBody {
+    key: String,
+    #[serde(default)]
+    value: String,
+    rev: u64,
+    /// A watch says so of an item that is no more.
+    #[serde(default)]
+    gone: bool,
+}
+
+#[derive(Deserialize)]
+struct ReadBody {
+    #[serde(flatten)]
+    item: ItemBody,
+}
+
+#[derive(Deserialize)]
+struct RangeBody {
+    items: Vec<ItemBody>,
+    more: bool,
+    /// Revision of the store.
+    at: u64,
+}
+
+#[derive(Deserialize)]
+struct WatchBody {
+    events: Vec<ItemBody>,
+    at: u64,
+}
+
+#[derive(Serialize)]
+struct TxnBody<'a> {
+    expected: Vec<Expected<'a>>,
+    put: Vec<Put<'a>>,
+    remove: Vec<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Expected<'a> {
+    key: &'a str,
+    /// 0: the key is absent.
+    rev: u64,
+}
+
+#[derive(Serialize)]
+struct Put<'a> {
+    key: &'a str,
+    value: String,
+    lease: u64,
+}
+
+#[derive(Deserialize)]
+struct TxnDone {
+    rev: u64,
+}
+
+#[derive(Serialize)]
+struct LeaseAsk {
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    lease: u64,
+    ttl_ms: u64,
+}
+
+impl MetadataStore {
+    /// The store at `address` (IP and port).
+    ///
+    /// # Errors
+    /// Fails when the HTTP client cannot be made.
+    pub fn new(address: &str) -> Result<Self> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_user_timeout(SILENCE_TIMEOUT)
+            .tcp_keepalive(KEEPALIVE_PERIOD)
+            .tcp_keepalive_interval(KEEPALIVE_PERIOD)
+            .build()
+            .map_err(|error| Error::Platform(error.to_string()))?;
+        Ok(Self { http, address: address.to_owned() })
+    }
+
+    /// Reads an item; `None` when there is none.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer as it should.
+    pub async fn read(&self, key: &str) -> Result<Option<Item>> {
+        let path = format!("kv-key?key={key}");
+        let answer = self.call(Method::GET, &path, None::<&()>, CALL_TIMEOUT).await?;
+        if answer.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let body: ReadBody = decode(&path, answer).await?;
+        item(body.item).map(Some)
+    }
+
+    /// Reads all items whose keys begin with `prefix`. The pages are no
+    /// snapshot: go on by watching from the listing's revision.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer as it should.
+    pub async fn list(&self, prefix: &str) -> Result<Listing> {
+        let mut listing = Listing::default();
+        let mut after = String::new();
+        loop {
+            let path = format!("kv-range?path_prefix={prefix}{after}");
+            let answer = self.call(Method::GET, &path, None::<&()>, CALL_TIMEOUT).await?;
+            let page: RangeBody = decode(&path, answer).await?;
+            if listing.items.is_empty() {
+                listing.at_revision = page.at;
+            }
+            let last = page.items.last().map(|body| body.key.clone());
+            for body in page.items {
+                listing.items.push(item(body)?);
+            }
+            let Some(last) = last.filter(|_| page.more) else {
+                return Ok(listing);
+            };
+            after = format!("&after={last}");
+        }
+    }
+
+    /// Waits up to `wait_ms` for changes after a revision.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer as it should.
+    pub async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watched> {
+        let path = format!("kv-watch?path_prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let timeout = Duration::from_millis(wait_ms) + WATCH_SLACK;
+        let answer = self.call(Method::GET, &path, None::<&()>, timeout).await?;
+        if answer.status() == StatusCode::GONE {
+            return Ok(Watched::HistoryLost);
+        }
+        let body: WatchBody = decode(&path, answer).await?;
+        let changes: Result<Vec<Change>> = body.events.into_iter().map(change).collect();
+        Ok(Watched::Changes { changes: changes?, at_revision: body.at })
+    }
+
+    /// Writes `value` under a lease if the item's revision is `expected` (0:
+    /// there is none).
+    ///
+    /// # Errors
+    /// Fails when the store does not answer; the write may be done all the same.
+    pub async fn write(
+        &self,
+        key: &str,
+        expected: u64,
+        value: &[u8],
+        lease: Lease,
+    ) -> Result<Outcome> {
+        let put = Put { key, value: BASE64_STANDARD.encode(value), lease: lease.id };
+        let expected = vec![Expected { key, rev: expected }];
+        self.transact(&TxnBody { expected, put: vec![put], remove: Vec::new() }).await
+    }
+
+    async fn transact(&self, body: &TxnBody<'_>) -> Result<Outcome> {
+        let answer = self.call(Method::POST, "kv-txn", Some(body), CALL_TIMEOUT).await?;
+        match answer.status() {
+            StatusCode::PRECONDITION_FAILED => Ok(Outcome::Conflict),
+            StatusCode::NOT_FOUND => Ok(Outcome::LeaseOver),
+            _ => {
+                let done: TxnDone = decode("kv-txn", answer).await?;
+                Ok(Outcome::Done { revision: done.rev })
+            }
+        }
+    }
+
+    /// Opens a lease. Its time runs from the arrival of the call.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer as it should.
+    pub async fn open_lease(&self, ttl_ms: u64) -> Result<Lease> {
+        let ask = LeaseAsk { ttl_ms };
+        let answer = self.call(Method::POST, "kv-lease", Some(&ask), CALL_TIMEOUT).await?;
+        let body: LeaseBody = decode("kv-lease", answer).await?;
+        Ok(Lease { id: body.lease, ttl_ms: body.ttl_ms })
+    }
+
+    /// Renews a lease; false when it is over.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer as it should.
+    pub async fn renew_lease(&self, lease: Lease) -> Result<bool> {
+        let path = format!("kv-keep/{}", lease.id);
+        let answer = self.call(Method::POST, &path, None::<&()>, CALL_TIMEOUT).await?;
+        Ok(answer.status() != StatusCode::NOT_FOUND)
+    }
+
+    /// Ends a lease, and with it the items written under it.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer as it should.
+    pub async fn end_lease(&self, lease: Lease) -> Result<()> {
+        let path = format!("kv-lease-end/{}", lease.id);
+        self.call(Method::DELETE, &path, None::<&()>, CALL_TIMEOUT).await.map(drop)
+    }
+
+    /// Makes a call; answers that mean something to the caller come back, all
+    /// others are errors.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&impl Serialize>,
+        timeout: Duration,
+    ) -> Result<Response> {
+        let url = format!("http://{}/coursestile/{path}", self.address);
+        let mut request = self.http.request(method, url).timeout(timeout);
+        if let Some(body) = body {
+            request = request.json(body);
+        }
+        let answer = request.send().await.map_err(|error| failed(path, &error))?;
+        match answer.status() {
+            status if status.is_success() => Ok(answer),
+            StatusCode::NOT_FOUND | StatusCode::GONE | StatusCode::PRECONDITION_FAILED => Ok(answer),
+            status => Err(Error::Platform(format!("{path}: {status}"))),
+        }
+    }
+}
+
+async fn decode<T: DeserializeOwned>(path: &str, answer: Response) -> Result<T> {
+    let status = answer.status();
+    if !status.is_success() {
+        return Err(Error::Platform(format!("{path}: {status}")));
+    }
+    answer.json().await.map_err(|error| failed(path, &error))
+}
+
+fn failed(path: &str, error: &reqwest::Error) -> Error {
+    let mut text = format!("{path}: {error}");
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    Error::Platform(text)
+}
+
+fn item(body: ItemBody) -> Result<Item> {
+    let value = BASE64_STANDARD
+        .decode(&body.value)
+        .map_err(|error| Error::PlatformValue(body.key.clone(), error.to_string()))?;
+    Ok(Item { key: body.key, value, revision: body.rev })
+}
+
+fn change(body: ItemBody) -> Result<Change> {
+    if body.gone {
+        return Ok(Change::Removed { key: body.key, revision: body.rev });
+    }
+    item(body).map(Change::Put)
+}
