Bring engines to named weights and free what stores keep for nobody

Change: one box at a time has a duty under a lease of the platform's store. It empties engines, orders the newest named version with the fence of its lease and the number of orders that the engine has taken, and frees parts of old weights once no engine has them. A new holder waits until orders of the one before are in the past. Boxes tell each other which engines load and what they have reached.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -42,6 +42,9 @@
     pub isolated_account: Option<&'a str>,
     /// Newest weight version that was named.
     pub newest_version: u64,
+    /// Whether stores may still be read under older versions: their content is
+    /// freed once no engine has that version any more.
+    pub old_context_lasts: bool,
     /// Upstreams that were tried already.
     pub tried: &'a [String],
     /// Most requests that this box may have at one upstream.
@@ -51,8 +54,10 @@
 /// Where a part of a prompt comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// The engine keeps it, or reads it.
-    Own,
+    /// The engine keeps it.
+    Kept,
+    /// The engine reads it.
+    Read,
     /// Another engine or a store keeps it.
     From {
         /// Address, as upstreams take it.
@@ -81,6 +86,23 @@
     pub reread_tokens: u32,
 }
 
+impl ContextPlan {
+    /// The source of each part, for a log line.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        let sources = self.sources.iter().zip(&self.saves).map(|(source, save)| {
+            let source = match source {
+                Source::Kept => "kept",
+                Source::Read => "read",
+                Source::From { store: Some(name), .. } => name,
+                Source::From { address, .. } => address,
+            };
+            if save.is_some() { format!("{source}+save") } else { source.to_owned() }
+        });
+        sources.collect::<Vec<_>>().join(",")
+    }
+}
+
 /// A choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -200,7 +222,8 @@
 ) -> Planned {
     let version = upstream.version(&prompt.model);
     let scope = scope(&prompt.model, version, demand.isolated_account);
-    let with_stores = version >= demand.newest_version;
+    let newest = version >= demand.newest_version;
+    let with_stores = newest || demand.old_context_lasts;
     let mut sources = Vec::with_capacity(prompt.parts.len());
     let mut saves = Vec::with_capacity(prompt.parts.len());
     let mut fetch_ms = 0.0;
@@ -211,11 +234,12 @@
         let key = PartKey::new(&scope, &part.id);
         shared_tokens += part.tokens;
         let own = upstream.holder.tokens(key).min(part.tokens);
-        let mut source = Source::Own;
+        let mut source = Source::Read;
         if broken {
             // Context after a hole is of no use.
         } else if own >= part.tokens {
             kept_tokens += part.tokens;
+            source = Source::Kept;
         } else {
             let left = part.tokens - own;
             let offer =
@@ -232,12 +256,12 @@
                 }
             }
         }
-        let save = with_stores.then(|| stores.place_for(key, part.tokens, &upstream.entry.hall));
+        let save = newest.then(|| stores.place_for(key, part.tokens, &upstream.entry.hall));
         saves.push(save.flatten());
         sources.push(source);
     }
     if !prompt.parts.is_empty() {
-        sources.push(Source::Own);
+        sources.push(Source::Read);
         saves.push(None);
     }
     let read_tokens = prompt.tokens.saturating_sub(kept_tokens);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -79,7 +79,7 @@
 
 async fn list(gateway: &Gateway) -> Result<bool> {
     let mut snapshot = Snapshot::default();
-    for prefix in [keys::OPERATOR_PREFIX, keys::UPSTREAM_PREFIX] {
+    for prefix in [keys::OPERATOR_PREFIX, keys::UPSTREAM_PREFIX, keys::OWN_PREFIX] {
         let listing = gateway.metadata.list(prefix).await?;
         // The watch goes on from the first listing, so nothing is missed.
         if snapshot.at_revision == 0 {
@@ -184,7 +184,7 @@
             (Kind::Configuration | Kind::Weights { .. }, None) => {
                 warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
             }
-            (Kind::Other, _) => {}
+            (Kind::Own | Kind::Other, _) => {}
         }
     }
     if upstreams_changed {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -1,6 +1,6 @@
 //! What one gateway process shares among its tasks.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::{Notify, watch};
@@ -9,6 +9,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::budget::{Budget, Terms};
 use crate::gateway::connections::Connections;
+use crate::gateway::duty::Held;
 use crate::gateway::peers::Peers;
 use crate::gateway::settings::Settings;
 use crate::gateway::site::Site;
@@ -62,6 +63,27 @@
     pub upstream_clock_ahead_ms: Option<i64>,
     /// Requests that are being served.
     pub serving: usize,
+    /// The duty, while this box has it.
+    pub duty: Option<Held>,
+    /// Engines that this box brings to other weights; they get no new work.
+    pub loading: HashSet<String>,
+    /// Engines among them that were given the order.
+    pub ordered: HashSet<String>,
+    /// Versions that engines were seen to reach lately.
+    pub told_versions: Vec<ToldVersion>,
+}
+
+/// A version that an engine was seen to reach.
+#[derive(Clone, Debug)]
+pub struct ToldVersion {
+    /// Number of the engine.
+    pub engine: u32,
+    /// Number of the model.
+    pub model: u32,
+    /// Version.
+    pub version: u64,
+    /// Until when peers are told.
+    pub until_ms: u64,
 }
 
 /// What one gateway process shares among its tasks.
@@ -80,6 +102,8 @@
     pub places: Notify,
     /// Wakes the follower of the metadata store.
     pub behind: Notify,
+    /// Wakes the teller of news.
+    pub tell_now: Notify,
     /// Wakes those who follow the set of upstreams and stores.
     pub upstreams_changed: watch::Sender<u64>,
     state: Mutex<State>,
@@ -114,6 +138,10 @@
             peers: Peers::new(settings.peers, &settings.seeds),
             upstream_clock_ahead_ms: None,
             serving: 0,
+            duty: None,
+            loading: HashSet::new(),
+            ordered: HashSet::new(),
+            told_versions: Vec::new(),
         };
         Ok(Arc::new(Self {
             metadata: MetadataStore::new(&settings.metadata)?,
@@ -122,6 +150,7 @@
             connections: Connections::default(),
             places: Notify::new(),
             behind: Notify::new(),
+            tell_now: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
             state: Mutex::new(state),
             phase: watch::Sender::new(Phase::Serving),
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -12,8 +12,10 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::follow;
-use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::kernel::{Gateway, Phase, State};
 use crate::gateway::peers::{NEWS_PERIOD_MS, News, told_loads};
+use crate::gateway::steward::LOADING_NEWS_MS;
+use crate::gateway::upstreams::number;
 use crate::gateway::view::Snapshot;
 
 /// Longest datagram that is read.
@@ -39,7 +41,8 @@
             }
             Err(error) => warn!(target: "news", "event=news_unwritable cause=\"{error}\""),
         }
-        sleep(Duration::from_millis(NEWS_PERIOD_MS)).await;
+        // Either is fine: the period is over, or there is something to tell.
+        let _ = timeout(Duration::from_millis(NEWS_PERIOD_MS), gateway.tell_now.notified()).await;
     }
 }
 
@@ -53,11 +56,22 @@
         site_version: state.site.as_ref().map_or(0, |site| site.version),
         peers: state.peers.named(now_ms),
         loads: told_loads(state.upstreams.iter().map(|one| (one.number, one.own))),
-        loading: Vec::new(),
+        loading: loading(&state),
+        versions: versions(&mut state, now_ms),
     };
     (news, targets)
 }
 
+fn loading(state: &State) -> Vec<(u32, u16)> {
+    let left_ms = u16::try_from(LOADING_NEWS_MS).unwrap_or(u16::MAX);
+    state.loading.iter().map(|id| (number(id), left_ms)).collect()
+}
+
+fn versions(state: &mut State, now_ms: u64) -> Vec<(u32, u32, u64)> {
+    state.told_versions.retain(|told| told.until_ms > now_ms);
+    state.told_versions.iter().map(|told| (told.engine, told.model, told.version)).collect()
+}
+
 /// Hears peers.
 pub async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -80,6 +94,7 @@
         let mut state = gateway.state();
         let now_ms = now_ms();
         let own_changed = state.view.changed_revision();
+        take_weights(&mut state, now_ms, &news);
         state.peers.hear(now_ms, from.ip(), news, own_changed);
         let loads = state.peers.loads(now_ms);
         for upstream in state.upstreams.iter_mut() {
@@ -88,6 +103,26 @@
     }
 }
 
+/// Takes what the holder of the duty tells of engines' weights.
+fn take_weights(state: &mut State, now_ms: u64, news: &News) {
+    for upstream in state.upstreams.iter_mut() {
+        let loads = news.loading.iter().find(|(engine, _)| *engine == upstream.number);
+        if let Some((_, left_ms)) = loads {
+            upstream.loads_until(now_ms + u64::from(*left_ms));
+        }
+        for (engine, model, version) in &news.versions {
+            if *engine == upstream.number
+                && let Some(model) = upstream.model_of(*model)
+            {
+                if *version > upstream.version(&model) {
+                    upstream.loads_until(0);
+                }
+                upstream.saw_version(&model, *version);
+            }
+        }
+    }
+}
+
 /// Asks a peer that knows more for a snapshot.
 pub async fn catch_up(gateway: Arc<Gateway>) {
     while gateway.phase() != Phase::Stopped {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -43,6 +43,8 @@
     pub loads: Vec<(u32, u16, u32)>,
     /// Engines that load weights, by their numbers, and for how long still.
     pub loading: Vec<(u32, u16)>,
+    /// Weight versions that engines have reached: engine, model, version.
+    pub versions: Vec<(u32, u32, u64)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -69,7 +71,7 @@
         Self { own, seeds, known: BTreeMap::new(), turn: 0 }
     }
 
-    /// Takes news; returns the upstreams that load weights, for how long.
+    /// Takes news.
     pub fn hear(&mut self, now_ms: u64, from: IpAddr, news: News, own_changed: u64) {
         for address in &news.peers {
             self.learn(now_ms, *address);
--- /dev/null
+++ b/src/gateway/rollout.rs
@@ -0,0 +1,46 @@
+//! Which engines get new weights next.
+//!
+//! A few at a time, so that loads stay quick and the others carry the work;
+//! those with the least to lose go first. A version that a newer one has
+//! replaced is passed over.
+
+/// Least number of engines that load at once: loads stay quick up to it.
+const LEAST_AT_ONCE: usize = 5;
+/// Engines for each one that loads at once: 12 of 60 load as quickly as one.
+const ENGINES_FOR_ONE: usize = 5;
+/// Engines that get no new work ahead of their load, so that what runs there
+/// ends meanwhile.
+const AHEAD: usize = 3;
+
+/// Engines that load at once, of `count`.
+#[must_use]
+pub fn at_once(count: usize) -> usize {
+    LEAST_AT_ONCE.max(count / ENGINES_FOR_ONE)
+}
+
+/// An engine, as the roll-out sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Id.
+    pub id: String,
+    /// Version that it has.
+    pub version: u64,
+    /// Whether it is being brought to the newest version.
+    pub under_way: bool,
+    /// Requests that it runs.
+    pub requests: u32,
+    /// Whether it failed or fell silent lately.
+    pub doubtful: bool,
+}
+
+/// The engines that are to get no more work, and then `version`.
+#[must_use]
+pub fn next(candidates: &[Candidate], version: u64) -> Vec<String> {
+    let prepared = at_once(candidates.len()) + AHEAD;
+    let under_way = candidates.iter().filter(|one| one.under_way && !one.doubtful).count();
+    let mut behind: Vec<&Candidate> =
+        candidates.iter().filter(|one| one.version < version && !one.under_way).collect();
+    behind.sort_by_key(|one| (one.doubtful, one.requests, one.id.clone()));
+    let free = prepared.saturating_sub(under_way);
+    behind.into_iter().take(free).map(|one| one.id.clone()).collect()
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,7 +13,7 @@
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Reason};
 use crate::gateway::attempt::{Attempted, Outgoing, Reply, attempt};
-use crate::gateway::choose::{Choice, Demand, choose};
+use crate::gateway::choose::{Choice, ContextPlan, Demand, choose};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::prompt::Prompt;
 use crate::gateway::relay;
@@ -353,6 +353,9 @@
         prompt: job.prompt.as_ref(),
         isolated_account: job.isolated_account.as_deref(),
         newest_version: newest.map_or(0, |named| named.version),
+        old_context_lasts: newest.is_none_or(|named| {
+            now_ms < named.known_at_ms + gateway.settings.bounds.weights_apply_ms
+        }),
         tried: &job.tried,
         max_requests: (service.max_connections / (boxes + 1)).max(2),
     };
@@ -398,7 +401,7 @@
     let context = choice.context.as_ref();
     info!(target: "serve",
         "event=routed request={} route={} upstream={} attempt={} left_ms={} version={} \
-         read_tokens={} reread_tokens={} sources={}",
+         read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={}",
         job.outgoing.request_id,
         job.route.name,
         choice.id,
@@ -407,8 +410,9 @@
         context.map_or(0, |plan| plan.version),
         context.map_or(0, |plan| plan.read_tokens),
         context.map_or(0, |plan| plan.reread_tokens),
-        context.map_or(0, |plan| plan.sources.iter().filter(|one| **one
-            != crate::gateway::choose::Source::Own).count()));
+        choice.expected_ms,
+        context.map_or_else(|| "-".to_owned(), ContextPlan::summary),
+        job.prompt.as_ref().and_then(|one| one.shared_parts().last()).map_or("-", |one| &one.id));
 }
 
 fn log_attempt_end(job: &Job, choice: &Choice, end: &str, cause: &str) {
--- /dev/null
+++ b/src/gateway/steward.rs
@@ -0,0 +1,387 @@
+//! What the holder of the duty does: brings engines to the named weights, and
+//! frees what stores keep for nobody.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::sleep;
+
+use crate::clock::now_ms;
+use crate::error::Result;
+use crate::gateway::choose::{scope_model, scope_version};
+use crate::gateway::duty::Held;
+use crate::gateway::holder::PartKey;
+use crate::gateway::invariants;
+use crate::gateway::kernel::{Gateway, Phase, State, ToldVersion};
+use crate::gateway::rollout::{self, Candidate};
+use crate::gateway::upstreams::number;
+use crate::platform::caches::{CacheListing, Freed, KeptPart};
+use crate::platform::engine::{Ordered, WeightsOrder};
+
+/// How often the holder looks what is to be done.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// Time that the news of a load takes to the other boxes.
+const NEWS_LEAD: Duration = Duration::from_millis(15);
+/// Time after which a load may be over; it takes 760 ms and more.
+const LOAD_TIME: Duration = Duration::from_millis(800);
+/// Time between two looks at a load: reports are 100 ms late.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Longest time for which the order waits until running requests have ended.
+const EMPTY_MS: u64 = 1500;
+/// Time between two looks whether they have.
+const EMPTY_PERIOD: Duration = Duration::from_millis(50);
+/// Longest time for which one order is followed up.
+const ORDER_MS: u64 = 4000;
+/// Pause before an engine that failed is tried again.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which peers are told that an engine loads, with each news.
+pub const LOADING_NEWS_MS: u64 = 700;
+/// Time for which peers are told of a version after it was seen.
+pub const VERSION_NEWS_MS: u64 = 4000;
+/// Time that any transfer named under old weights takes at most, and more.
+const TRANSFERS_OVER_MS: u64 = 2600;
+/// How often stores are looked through for parts whose writing broke off.
+const PARTIAL_PERIOD_MS: u64 = 6000;
+/// Time after which a part that did not grow is taken as broken off.
+const BROKEN_OFF_MS: u64 = 5000;
+/// Parts that are freed with one call.
+const FREE_BATCH: usize = 256;
+/// Time in which an order to free must arrive.
+const FREE_MS: u64 = 800;
+
+/// Does what the duty asks for, while this box has it.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut stores = StoreWork::default();
+    while gateway.phase() == Phase::Serving {
+        sleep(LOOK_PERIOD).await;
+        let Some(held) = gateway.state().duty else {
+            stores = StoreWork::default();
+            continue;
+        };
+        if !held.allows_orders(now_ms()) {
+            continue;
+        }
+        for load in loads_to_start(&gateway) {
+            tokio::spawn(bring(gateway.clone(), load));
+        }
+        stores.step(&gateway).await;
+    }
+}
+
+/// An engine that is to be brought to a version.
+struct Load {
+    id: String,
+    address: SocketAddr,
+    model: String,
+    version: u64,
+}
+
+fn loads_to_start(gateway: &Gateway) -> Vec<Load> {
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    let named: Vec<(String, u64)> =
+        state.weights.iter().map(|(model, named)| (model.clone(), named.version)).collect();
+    let mut loads = Vec::new();
+    for (model, version) in named {
+        let candidates = candidates(&state, now_ms, &model);
+        for id in rollout::next(&candidates, version) {
+            let Some(address) = state.upstreams.address(&id) else { continue };
+            state.loading.insert(id.clone());
+            loads.push(Load { id, address, model: model.clone(), version });
+        }
+    }
+    if !loads.is_empty() {
+        for load in &loads {
+            note_loading(&mut state, &load.id, now_ms);
+        }
+        gateway.tell_now.notify_one();
+    }
+    loads
+}
+
+fn candidates(state: &State, now_ms: u64, model: &str) -> Vec<Candidate> {
+    let engines = state.upstreams.iter().filter(|one| one.version(model) > 0);
+    engines
+        .filter(|engine| !engine.entry.leaving)
+        .map(|engine| Candidate {
+            id: engine.id.clone(),
+            version: engine.version(model),
+            under_way: state.loading.contains(&engine.id),
+            requests: engine.load().requests,
+            doubtful: engine.is_doubtful(now_ms),
+        })
+        .collect()
+}
+
+fn note_loading(state: &mut State, id: &str, now_ms: u64) {
+    if let Some(upstream) = state.upstreams.get_mut(id) {
+        upstream.loads_until(now_ms + LOADING_NEWS_MS);
+    }
+}
+
+/// Brings one engine to a version, and says how it went.
+async fn bring(gateway: Arc<Gateway>, mut load: Load) {
+    sleep(NEWS_LEAD).await;
+    empty(&gateway, &load).await;
+    let _turn = wait_turn(&gateway, &load).await;
+    // A newer version may have been named meanwhile.
+    if let Some(named) = gateway.state().weights.get(&load.model) {
+        load.version = named.version;
+    }
+    let end = match order_and_wait(&gateway, &load).await {
+        Ok(end) => end,
+        Err(error) => {
+            info!(target: "steward", "event=order_failed upstream={} cause=\"{error}\"", load.id);
+            sleep(FAILED_PAUSE).await;
+            "failed"
+        }
+    };
+    let mut state = gateway.state();
+    state.loading.remove(&load.id);
+    if let Some(upstream) = state.upstreams.get_mut(&load.id) {
+        upstream.loads_until(0);
+        if end == "done" {
+            upstream.saw_version(&load.model, load.version);
+        }
+    }
+    if end == "done" {
+        state.told_versions.push(ToldVersion {
+            engine: number(&load.id),
+            model: number(&load.model),
+            version: load.version,
+            until_ms: now_ms() + VERSION_NEWS_MS,
+        });
+    }
+    drop(state);
+    info!(target: "steward", "event=order_ended upstream={} model={} version={} end={end}",
+        load.id, load.model, load.version);
+    gateway.tell_now.notify_one();
+    gateway.places.notify_waiters();
+}
+
+/// A turn to load, for as long as it lives.
+struct Turn(Arc<Gateway>, String);
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.0.state().ordered.remove(&self.1);
+    }
+}
+
+/// Waits until few enough engines load.
+async fn wait_turn(gateway: &Arc<Gateway>, load: &Load) -> Turn {
+    loop {
+        {
+            let mut state = gateway.state();
+            note_loading(&mut state, &load.id, now_ms());
+            let count = state.upstreams.iter().filter(|one| one.version(&load.model) > 0).count();
+            if state.ordered.len() < rollout::at_once(count) {
+                state.ordered.insert(load.id.clone());
+                return Turn(gateway.clone(), load.id.clone());
+            }
+        }
+        sleep(EMPTY_PERIOD).await;
+    }
+}
+
+/// Waits until what runs at the engine has ended, for a while.
+async fn empty(gateway: &Gateway, load: &Load) {
+    let until_ms = now_ms() + EMPTY_MS;
+    while now_ms() < until_ms {
+        note_loading(&mut gateway.state(), &load.id, now_ms());
+        let requests = gateway.state().upstreams.get(&load.id).map_or(0, |one| one.load().requests);
+        if requests == 0 {
+            return;
+        }
+        sleep(EMPTY_PERIOD).await;
+    }
+}
+
+/// Gives the order and waits until the engine has the version.
+async fn order_and_wait(gateway: &Gateway, load: &Load) -> Result<&'static str> {
+    let give_up_at_ms = now_ms() + ORDER_MS;
+    let report = gateway.engines.report(load.address).await?;
+    let has = |models: &[(String, u64)]| {
+        models.iter().any(|(model, version)| *model == load.model && *version >= load.version)
+    };
+    if has(&report.models) {
+        return Ok("done");
+    }
+    if !report.busy {
+        let Some(held) = gateway.state().duty else {
+            return Ok("duty_lost");
+        };
+        if !invariants::order_under_lease(&held, now_ms()) {
+            return Ok("duty_lost");
+        }
+        let ordered = order(gateway, load, &held, report.orders_taken).await?;
+        if matches!(ordered, Ordered::Fenced | Ordered::OtherEngine) {
+            return Ok("turned_away");
+        }
+    }
+    sleep(LOAD_TIME).await;
+    while now_ms() < give_up_at_ms {
+        note_loading(&mut gateway.state(), &load.id, now_ms());
+        let report = gateway.engines.report(load.address).await?;
+        if has(&report.models) {
+            return Ok("done");
+        }
+        sleep(POLL_PERIOD).await;
+    }
+    Ok("too_slow")
+}
+
+async fn order(gateway: &Gateway, load: &Load, held: &Held, taken: u64) -> Result<Ordered> {
+    let order = WeightsOrder {
+        engine_id: &load.id,
+        model: &load.model,
+        version: load.version,
+        holder: &gateway.settings.name,
+        fence: held.fence,
+        orders_taken: taken,
+    };
+    info!(target: "steward",
+        "event=order_given upstream={} model={} version={} fence={} orders_taken={taken}",
+        load.id, load.model, load.version, held.fence);
+    gateway.engines.order(load.address, &order).await
+}
+
+/// What the holder remembers of the stores.
+#[derive(Default)]
+struct StoreWork {
+    settled_at_ms: HashMap<String, u64>,
+    freed_below: HashMap<String, u64>,
+    partial_looked_at_ms: u64,
+    partial: HashMap<(String, PartKey), (u32, u64)>,
+}
+
+impl StoreWork {
+    async fn step(&mut self, gateway: &Arc<Gateway>) {
+        let now_ms = now_ms();
+        let old = self.old_scopes(gateway, now_ms);
+        let look_for_partial = now_ms >= self.partial_looked_at_ms + PARTIAL_PERIOD_MS;
+        if old.is_empty() && !look_for_partial {
+            return;
+        }
+        if look_for_partial {
+            self.partial_looked_at_ms = now_ms;
+        }
+        for (name, address) in managed_stores(gateway) {
+            match gateway.caches.list(address).await {
+                Ok(listing) => {
+                    let parts = self.parts_to_free(now_ms, &name, &listing, &old);
+                    free(gateway, &name, address, &listing, parts).await;
+                }
+                Err(error) => {
+                    info!(target: "steward", "event=store_not_listed store={name} cause=\"{error}\"");
+                }
+            }
+        }
+        for (model, version) in old {
+            self.freed_below.insert(model, version);
+        }
+    }
+
+    /// Models whose old context can be freed, with the oldest version that is
+    /// still of use: every engine has had it for longer than any transfer.
+    fn old_scopes(&mut self, gateway: &Gateway, now_ms: u64) -> Vec<(String, u64)> {
+        let state = gateway.state();
+        let mut old = Vec::new();
+        for (model, named) in &state.weights {
+            let behind = state
+                .upstreams
+                .iter()
+                .any(|one| one.version(model) > 0 && one.version(model) < named.version);
+            if behind {
+                self.settled_at_ms.remove(model);
+                continue;
+            }
+            let settled_at_ms = *self.settled_at_ms.entry(model.clone()).or_insert(now_ms);
+            let freed = self.freed_below.get(model).is_some_and(|below| *below >= named.version);
+            if !freed && now_ms >= settled_at_ms + TRANSFERS_OVER_MS {
+                old.push((model.clone(), named.version));
+            }
+        }
+        old
+    }
+
+    fn parts_to_free(
+        &mut self,
+        now_ms: u64,
+        store: &str,
+        listing: &CacheListing,
+        old: &[(String, u64)],
+    ) -> Vec<KeptPart> {
+        let is_old = |kept: &KeptPart| {
+            let version = scope_version(&kept.scope);
+            old.iter().any(|(model, least)| {
+                scope_model(&kept.scope) == Some(model) && version.is_some_and(|one| one < *least)
+            })
+        };
+        let mut parts: Vec<KeptPart> = listing
+            .held
+            .iter()
+            .map(|held| &held.kept)
+            .filter(|kept| is_old(kept))
+            .cloned()
+            .collect();
+        let mut seen = HashSet::new();
+        for partial in &listing.partial {
+            let key = (store.to_owned(), PartKey::new(&partial.kept.scope, &partial.kept.part));
+            seen.insert(key.clone());
+            let known = self.partial.entry(key).or_insert((partial.whole_tokens, now_ms));
+            if known.0 != partial.whole_tokens {
+                *known = (partial.whole_tokens, now_ms);
+            }
+            if now_ms >= known.1 + BROKEN_OFF_MS {
+                parts.push(partial.kept.clone());
+            }
+        }
+        self.partial.retain(|key, _| key.0 != store || seen.contains(key));
+        parts
+    }
+}
+
+fn managed_stores(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
+    let state = gateway.state();
+    let managed = state.stores.iter().filter(|(store, _)| store.managed);
+    managed.map(|(store, _)| (store.name.clone(), store.address)).collect()
+}
+
+async fn free(
+    gateway: &Gateway,
+    name: &str,
+    address: SocketAddr,
+    listing: &CacheListing,
+    parts: Vec<KeptPart>,
+) {
+    for batch in parts.chunks(FREE_BATCH) {
+        let now_ms = now_ms();
+        let (allowed, ahead_ms) = {
+            let state = gateway.state();
+            let allowed = state.duty.is_some_and(|held| held.allows_orders(now_ms));
+            (allowed, state.upstream_clock_ahead_ms)
+        };
+        let Some(ahead_ms) = ahead_ms.filter(|_| allowed) else { return };
+        let until_ms = now_ms.saturating_add_signed(ahead_ms) + FREE_MS;
+        match gateway.caches.free(address, batch, listing.boot, until_ms).await {
+            Ok(Freed::Done) => {
+                info!(target: "steward", "event=parts_freed store={name} count={}", batch.len());
+                if let Some((_, state)) = gateway.state().stores.get_mut(name) {
+                    for kept in batch {
+                        state.holder.note(PartKey::new(&kept.scope, &kept.part), 0);
+                    }
+                }
+            }
+            Ok(Freed::Refused) => {
+                warn!(target: "steward", "event=parts_not_freed store={name} reason=refused");
+            }
+            Err(error) => {
+                info!(target: "steward", "event=parts_not_freed store={name} cause=\"{error}\"");
+            }
+        }
+    }
+}
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -90,6 +90,12 @@
         }
     }
 
+    /// The model that a number stands for, among those that it has.
+    #[must_use]
+    pub fn model_of(&self, model: u32) -> Option<String> {
+        self.entry.models.iter().map(|(name, _)| name).find(|name| number(name) == model).cloned()
+    }
+
     /// Load from all boxes.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -225,8 +231,9 @@
     }
 }
 
-/// Names an upstream in messages between boxes.
-fn number(id: &str) -> u32 {
+/// The number that stands for a name in messages between boxes.
+#[must_use]
+pub fn number(id: &str) -> u32 {
     let hash = blake3::hash(id.as_bytes());
     let bytes: [u8; 4] = hash.as_bytes()[..4].try_into().expect("a hash has 32 bytes");
     u32::from_le_bytes(bytes)
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -86,6 +86,12 @@
         self.store_answers
     }
 
+    /// Whether there is an item under `key`.
+    #[must_use]
+    pub fn has(&self, key: &str) -> bool {
+        self.items.contains_key(key)
+    }
+
     /// A copy for a peer.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -138,7 +138,7 @@
         .sources
         .iter()
         .map(|source| match source {
-            Source::Own => "-",
+            Source::Kept | Source::Read => "-",
             Source::From { address, .. } => address,
         })
         .collect();
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -14,7 +14,7 @@
 /// Start of the keys that name weight versions.
 const WEIGHTS_PREFIX: &str = "op/version/";
 /// Start of our own keys.
-const OWN_PREFIX: &str = "coursestile/";
+pub const OWN_PREFIX: &str = "coursestile/";
 
 /// What a key holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +31,8 @@
         /// Its id.
         id: &'a str,
     },
+    /// One of ours.
+    Own,
     /// Nothing that concerns us.
     Other,
 }
@@ -44,6 +46,9 @@
     if let Some(model) = key.strip_prefix(WEIGHTS_PREFIX) {
         return Kind::Weights { model };
     }
+    if key.starts_with(OWN_PREFIX) {
+        return Kind::Own;
+    }
     match key.strip_prefix(UPSTREAM_PREFIX) {
         Some(id) => Kind::Upstream { id },
         None => Kind::Other,
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -15,6 +15,8 @@
 
 /// Time in which a call must be answered: 250 times the usual 4 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time in which a renewal must be answered: there must be time for another.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that a watch's answer may be late.
 const WATCH_SLACK: Duration = Duration::from_millis(1000);
 /// Time in which a connection must come up: some round trips.
@@ -289,7 +291,7 @@
     /// Fails when the store does not answer as it should.
     pub async fn renew_lease(&self, lease: Lease) -> Result<bool> {
         let path = format!("kv-keep/{}", lease.id);
-        let answer = self.call(Method::POST, &path, None::<&()>, CALL_TIMEOUT).await?;
+        let answer = self.call(Method::POST, &path, None::<&()>, RENEW_TIMEOUT).await?;
         Ok(answer.status() != StatusCode::NOT_FOUND)
     }
 
