Name a source for every part of a prompt from its first

Cause: engines follow the list of sources from its start and stop at the first '-', also when they keep that part themselves.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -278,6 +278,11 @@
             store_state.moves(now_ms, move_ms);
         }
     }
+    for save in context.saves.iter().flatten() {
+        if let Some((_, store_state)) = state.stores.get_mut(&save.store) {
+            store_state.saves(now_ms, save.part, save.tokens);
+        }
+    }
 }
 
 /// Until when transfers may run, on the upstreams' clock.
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -54,8 +54,12 @@
 /// Where a part of a prompt comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// The engine keeps it.
-    Kept,
+    /// The engine keeps it; another holder is named all the same, since
+    /// engines follow the list of sources from its start.
+    Kept {
+        /// Address of the other holder, as upstreams take it.
+        address: Option<String>,
+    },
     /// The engine reads it.
     Read,
     /// Another engine or a store keeps it.
@@ -69,6 +73,19 @@
     },
 }
 
+/// A part that a store is to take.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Save {
+    /// Address of the store, as upstreams take it.
+    pub address: String,
+    /// Name of the store.
+    pub store: String,
+    /// The part.
+    pub part: PartKey,
+    /// Its length.
+    pub tokens: u32,
+}
+
 /// What an engine is told about kept context.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ContextPlan {
@@ -78,8 +95,8 @@
     pub version: u64,
     /// Source of each part.
     pub sources: Vec<Source>,
-    /// Store that takes each part, by its address.
-    pub saves: Vec<Option<String>>,
+    /// Store that takes each part.
+    pub saves: Vec<Option<Save>>,
     /// Tokens that are read at the engine.
     pub read_tokens: u32,
     /// Tokens of shared parts among them.
@@ -92,7 +109,7 @@
     pub fn summary(&self) -> String {
         let sources = self.sources.iter().zip(&self.saves).map(|(source, save)| {
             let source = match source {
-                Source::Kept => "kept",
+                Source::Kept { .. } => "kept",
                 Source::Read => "read",
                 Source::From { store: Some(name), .. } => name,
                 Source::From { address, .. } => address,
@@ -239,7 +256,13 @@
             // Context after a hole is of no use.
         } else if own >= part.tokens {
             kept_tokens += part.tokens;
-            source = Source::Kept;
+            let offer =
+                cheapest(now_ms, upstreams, stores, engine, upstream, key, part.tokens, with_stores);
+            let address = offer.and_then(|offer| match offer.source {
+                Source::From { address, .. } => Some(address),
+                Source::Kept { .. } | Source::Read => None,
+            });
+            source = Source::Kept { address };
         } else {
             let left = part.tokens - own;
             let offer =
@@ -256,8 +279,15 @@
                 }
             }
         }
-        let save = newest.then(|| stores.place_for(key, part.tokens, &upstream.entry.hall));
-        saves.push(save.flatten());
+        let place = newest
+            .then(|| stores.place_for(now_ms, key, part.tokens, &upstream.entry.hall))
+            .flatten();
+        saves.push(place.map(|store| Save {
+            address: store.address.to_string(),
+            store: store.name.clone(),
+            part: key,
+            tokens: part.tokens,
+        }));
         sources.push(source);
     }
     if !prompt.parts.is_empty() {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -57,6 +57,9 @@
         let now_ms = now_ms();
         let changes = state.view.tick(now_ms);
         apply(&gateway, &mut state, now_ms, changes);
+        for (store, count) in state.stores.tick(now_ms) {
+            info!(target: "stores", "event=saves_lost store={store} count={count}");
+        }
         drop(state);
         gateway.connections.tidy(now_ms);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
-use log::info;
+use log::{debug, info};
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
@@ -109,6 +109,7 @@
                 Read::Data(bytes) => {
                     if !std::mem::replace(&mut self.begun, true) {
                         reply.place.read_prompt();
+                        self.log_begun();
                     }
                     let bytes = self.take(bytes);
                     if !bytes.is_empty() {
@@ -180,6 +181,11 @@
         }
     }
 
+    fn log_begun(&self) {
+        debug!(target: "relay", "event=begun request={} upstream={}",
+            self.job.outgoing.request_id, self.choice.id);
+    }
+
     fn log_broken(&self, cause: &str) {
         info!(target: "relay",
             "event=stream_broken request={} upstream={} cause=\"{cause}\" passed_bytes={} held_ms={}",
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -138,19 +138,20 @@
         .sources
         .iter()
         .map(|source| match source {
-            Source::Kept | Source::Read => "-",
+            Source::Read => "-",
+            Source::Kept { address } => address.as_deref().unwrap_or("-"),
             Source::From { address, .. } => address,
         })
         .collect();
     if let Some(until_ms) = until_ms
-        && sources.iter().any(|source| *source != "-")
+        && context.sources.iter().any(|source| matches!(source, Source::From { .. }))
     {
         set(head, headers::CONTEXT_FROM, &sources.join(","));
         head.insert(headers::CONTEXT_UNTIL_MS, HeaderValue::from(until_ms));
     }
     if context.saves.iter().any(Option::is_some) {
         let saves: Vec<&str> =
-            context.saves.iter().map(|store| store.as_deref().unwrap_or("-")).collect();
+            context.saves.iter().map(|save| save.as_ref().map_or("-", |one| &one.address)).collect();
         set(head, headers::CONTEXT_TO, &saves.join(","));
     }
 }
