Hurry the roll-out of weights when the time is short

Change: the number that load at once follows from the time that is left; a new holder empties engines while it waits for its first order; the bound counts from the first version that is not everywhere.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -221,10 +221,15 @@
 fn put_weights(state: &mut State, now_ms: u64, model: &str, value: &[u8]) {
     match keys::read_weights(model, value) {
         Ok(version) => {
-            let known = state.weights.get(model).map_or(0, |named| named.version);
-            if version > known {
+            let known = state.weights.get(model).copied();
+            if known.is_none_or(|known| version > known.version) {
                 info!(target: "follow", "event=weights_named model={model} version={version}");
-                let named = NamedWeights { version, known_at_ms: now_ms };
+                let lasting = known.filter(|known| {
+                    let mut engines = state.upstreams.iter();
+                    engines.any(|one| (1..known.version).contains(&one.version(model)))
+                });
+                let behind_since_ms = lasting.map_or(now_ms, |known| known.behind_since_ms);
+                let named = NamedWeights { version, known_at_ms: now_ms, behind_since_ms };
                 state.weights.insert(model.to_owned(), named);
             }
         }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -41,6 +41,9 @@
     pub version: u64,
     /// When this box learned of it.
     pub known_at_ms: u64,
+    /// When it learned of the first version that not every engine had reached
+    /// when this one was named.
+    pub behind_since_ms: u64,
 }
 
 /// State that decisions read and change; no call is awaited under its lock.
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -5,17 +5,24 @@
 //! replaced is passed over.
 
 /// Least number of engines that load at once: loads stay quick up to it.
-const LEAST_AT_ONCE: usize = 5;
+const LEAST_AT_ONCE: usize = 4;
 /// Engines for each one that loads at once: 12 of 60 load as quickly as one.
 const ENGINES_FOR_ONE: usize = 5;
+/// Engines for each one that loads at once when the time is short.
+const ENGINES_FOR_ONE_HURRIED: usize = 2;
+/// Time that one engine takes, with what runs there before and the news after.
+const LOAD_MS: u64 = 1400;
 /// Engines that get no new work ahead of their load, so that what runs there
 /// ends meanwhile.
 const AHEAD: usize = 3;
 
-/// Engines that load at once, of `count`.
+/// Engines that load at once, of `count` with `behind` left to do.
 #[must_use]
-pub fn at_once(count: usize) -> usize {
-    LEAST_AT_ONCE.max(count / ENGINES_FOR_ONE)
+pub fn at_once(count: usize, behind: usize, left_ms: u64) -> usize {
+    let usual = LEAST_AT_ONCE.max(count / ENGINES_FOR_ONE);
+    let rounds = usize::try_from(left_ms / LOAD_MS).unwrap_or(usize::MAX).max(1);
+    let needed = behind.div_ceil(rounds);
+    needed.clamp(usual, usual.max(count / ENGINES_FOR_ONE_HURRIED))
 }
 
 /// An engine, as the roll-out sees it.
@@ -35,8 +42,9 @@
 
 /// The engines that are to get no more work, and then `version`.
 #[must_use]
-pub fn next(candidates: &[Candidate], version: u64) -> Vec<String> {
-    let prepared = at_once(candidates.len()) + AHEAD;
+pub fn next(candidates: &[Candidate], version: u64, left_ms: u64) -> Vec<String> {
+    let all_behind = candidates.iter().filter(|one| one.version < version).count();
+    let prepared = at_once(candidates.len(), all_behind, left_ms) + AHEAD;
     let under_way = candidates.iter().filter(|one| one.under_way && !one.doubtful).count();
     let mut behind: Vec<&Candidate> =
         candidates.iter().filter(|one| one.version < version && !one.under_way).collect();
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -35,6 +35,8 @@
 const EMPTY_PERIOD: Duration = Duration::from_millis(50);
 /// Longest time for which one order is followed up.
 const ORDER_MS: u64 = 4000;
+/// Time kept for the last engines, whose requests begin late.
+const FINISH_MS: u64 = 1200;
 /// Pause before an engine that failed is tried again.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 /// Time for which peers are told that an engine loads, with each news.
@@ -61,16 +63,27 @@
             stores = StoreWork::default();
             continue;
         };
-        if !held.allows_orders(now_ms()) {
+        if now_ms() >= held.until_ms {
             continue;
         }
         for load in loads_to_start(&gateway) {
             tokio::spawn(bring(gateway.clone(), load));
         }
-        stores.step(&gateway).await;
+        if held.allows_orders(now_ms()) {
+            stores.step(&gateway).await;
+        }
     }
 }
 
+/// Time in which all engines must have the newest weights; what is left of it
+/// for the oldest version that some engine still has.
+fn left_ms(gateway: &Gateway, state: &State, now_ms: u64, model: &str) -> u64 {
+    let bound_ms = gateway.settings.bounds.weights_apply_ms;
+    let Some(named) = state.weights.get(model) else { return bound_ms };
+    let until_ms = named.behind_since_ms + bound_ms;
+    until_ms.saturating_sub(now_ms + FINISH_MS)
+}
+
 /// An engine that is to be brought to a version.
 struct Load {
     id: String,
@@ -87,7 +100,7 @@
     let mut loads = Vec::new();
     for (model, version) in named {
         let candidates = candidates(&state, now_ms, &model);
-        for id in rollout::next(&candidates, version) {
+        for id in rollout::next(&candidates, version, left_ms(gateway, &state, now_ms, &model)) {
             let Some(address) = state.upstreams.address(&id) else { continue };
             state.loading.insert(id.clone());
             loads.push(Load { id, address, model: model.clone(), version });
@@ -177,8 +190,8 @@
         {
             let mut state = gateway.state();
             note_loading(&mut state, &load.id, now_ms());
-            let count = state.upstreams.iter().filter(|one| one.version(&load.model) > 0).count();
-            if state.ordered.len() < rollout::at_once(count) {
+            let allowed = state.duty.is_none_or(|held| held.allows_orders(now_ms()));
+            if allowed && state.ordered.len() < turns(gateway, &state, &load.model) {
                 state.ordered.insert(load.id.clone());
                 return Turn(gateway.clone(), load.id.clone());
             }
@@ -187,6 +200,18 @@
     }
 }
 
+fn turns(gateway: &Gateway, state: &State, model: &str) -> usize {
+    let version = state.weights.get(model).map_or(0, |named| named.version);
+    let versions: Vec<u64> = state
+        .upstreams
+        .iter()
+        .map(|one| one.version(model))
+        .filter(|one| *one > 0)
+        .collect();
+    let behind = versions.iter().filter(|one| **one < version).count();
+    rollout::at_once(versions.len(), behind, left_ms(gateway, state, now_ms(), model))
+}
+
 /// Waits until what runs at the engine has ended, for a while.
 async fn empty(gateway: &Gateway, load: &Load) {
     let until_ms = now_ms() + EMPTY_MS;
