--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -99,7 +99,7 @@
     pub saves: Vec<Option<Save>>,
     /// Tokens that are read at the engine.
     pub read_tokens: u32,
-    /// Tokens of shared parts among them.
+    /// Tokens of shared parts among them that some holder keeps.
     pub reread_tokens: u32,
 }
 
@@ -244,15 +244,15 @@
     let mut saves = Vec::with_capacity(prompt.parts.len());
     let mut fetch_ms = 0.0;
     let mut kept_tokens = 0;
-    let mut shared_tokens = 0;
+    let mut reread_tokens = 0;
     let mut broken = false;
     for part in prompt.shared_parts() {
         let key = PartKey::new(&scope, &part.id);
-        shared_tokens += part.tokens;
         let own = upstream.holder.tokens(key).min(part.tokens);
         let mut source = Source::Read;
         if broken {
             // Context after a hole is of no use.
+            reread_tokens += if is_kept(upstreams, stores, upstream, key) { part.tokens } else { 0 };
         } else if own >= part.tokens {
             kept_tokens += part.tokens;
             let offer = cheapest(
@@ -290,6 +290,7 @@
                 }
                 _ => {
                     kept_tokens += own;
+                    reread_tokens += if is_kept(upstreams, stores, upstream, key) { left } else { 0 };
                     broken = true;
                 }
             }
@@ -310,11 +311,16 @@
         saves.push(None);
     }
     let read_tokens = prompt.tokens.saturating_sub(kept_tokens);
-    let reread_tokens = shared_tokens.saturating_sub(kept_tokens);
     let context = ContextPlan { scope, version, sources, saves, read_tokens, reread_tokens };
     Planned { context, fetch_ms }
 }
 
+/// Whether any engine or store keeps a part: reading it again is a waste then.
+fn is_kept(upstreams: &Upstreams, stores: &Stores, upstream: &Upstream, key: PartKey) -> bool {
+    upstreams.of(&upstream.entry.service).any(|one| one.holder.tokens(key) > 0)
+        || stores.iter().any(|(_, state)| state.holder.tokens(key) > 0)
+}
+
 struct Offer {
     source: Source,
     move_ms: f64,
