Send no request on weights whose time is over; load three engines at once

Change: engines whose version should be gone come after all others; a new holder gives its first order 200 ms sooner. The named versions of a model are one type.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -10,6 +10,7 @@
 use crate::gateway::site::{EngineSpec, Store};
 use crate::gateway::stores::Stores;
 use crate::gateway::upstreams::{Upstream, Upstreams};
+use crate::gateway::weights::NamedWeights;
 
 /// Prompt tokens that an engine reads in a millisecond, until it is measured.
 pub const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -25,6 +26,13 @@
 const DOUBTFUL_COST_MS: f64 = 100_000.0;
 /// Cost of weights that are older than the newest named.
 const OLD_WEIGHTS_COST_MS: f64 = 200.0;
+/// Time for which older weights are as good as new ones.
+const OLD_WEIGHTS_GRACE_MS: u64 = 1500;
+/// Cost of weights that should not be there any more: any other engine goes
+/// before, but for doubtful ones.
+const OVERDUE_COST_MS: f64 = 20_000.0;
+/// Time by which a request may begin after it was sent.
+const BEGIN_MS: u64 = 1000;
 /// A transfer that would wait longer is not begun by engines.
 const MAX_LINK_WAIT_MS: f64 = 1000.0;
 /// Overhead of any transfer beside its bytes.
@@ -40,17 +48,29 @@
     pub prompt: Option<&'a Prompt>,
     /// Account whose context is kept apart.
     pub isolated_account: Option<&'a str>,
-    /// Newest weight version that was named.
-    pub newest_version: u64,
-    /// Whether stores may still be read under older versions: their content is
-    /// freed once no engine has that version any more.
-    pub old_context_lasts: bool,
+    /// Weight versions named for the prompt's model.
+    pub weights: Option<&'a NamedWeights>,
+    /// Time in which a named version must be everywhere.
+    pub weights_apply_ms: u64,
     /// Upstreams that were tried already.
     pub tried: &'a [String],
     /// Most requests that this box may have at one upstream.
     pub max_requests: u32,
 }
 
+impl Demand<'_> {
+    /// Since when an engine with `version` is behind.
+    fn behind_since_ms(&self, version: u64) -> Option<u64> {
+        self.weights.and_then(|weights| weights.behind_since_ms(version))
+    }
+
+    /// Whether a request sent now may begin when `version` must be gone.
+    fn is_overdue(&self, now_ms: u64, version: u64) -> bool {
+        let since_ms = self.behind_since_ms(version);
+        since_ms.is_some_and(|since_ms| now_ms + BEGIN_MS >= since_ms + self.weights_apply_ms)
+    }
+}
+
 /// Where a part of a prompt comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -151,7 +171,7 @@
         let (cost, context, expected_ms) = match (demand.prompt, engine) {
             (Some(prompt), Some(engine)) => {
                 let plan = plan(now_ms, upstreams, stores, engine, upstream, prompt, demand);
-                let (cost, expected_ms) = engine_cost(upstream, engine, &plan, demand);
+                let (cost, expected_ms) = engine_cost(now_ms, upstream, engine, &plan, demand);
                 (cost, Some(plan.context), expected_ms)
             }
             _ => (plain_cost(upstream), None, 0.0),
@@ -184,6 +204,7 @@
 }
 
 fn engine_cost(
+    now_ms: u64,
     upstream: &Upstream,
     engine: &EngineSpec,
     plan: &Planned,
@@ -195,13 +216,18 @@
     let reread_ms = f64::from(plan.context.reread_tokens) / READ_TOKENS_PER_MS;
     let over = load.requests.saturating_sub(engine.slots);
     let expected_ms = waiting_ms.max(plan.fetch_ms) + read_ms;
-    let old = plan.context.version < demand.newest_version;
+    let behind = demand.behind_since_ms(plan.context.version);
+    let old_cost = match behind {
+        Some(_) if demand.is_overdue(now_ms, plan.context.version) => OVERDUE_COST_MS,
+        Some(since_ms) if now_ms >= since_ms + OLD_WEIGHTS_GRACE_MS => OLD_WEIGHTS_COST_MS,
+        Some(_) | None => 0.0,
+    };
     let cost = expected_ms
         + reread_ms * REREAD_WEIGHT
         + plan.fetch_ms * 0.5
         + f64::from(load.requests) * RUNNING_COST_MS
         + f64::from(over) * 50.0
-        + if old { OLD_WEIGHTS_COST_MS } else { 0.0 };
+        + old_cost;
     (cost, expected_ms)
 }
 
@@ -238,8 +264,10 @@
 ) -> Planned {
     let version = upstream.version(&prompt.model);
     let scope = scope(&prompt.model, version, demand.isolated_account);
-    let newest = version >= demand.newest_version;
-    let with_stores = newest || demand.old_context_lasts;
+    let behind_since_ms = demand.behind_since_ms(version);
+    let newest = behind_since_ms.is_none();
+    // Old context is freed once no engine has its version any more.
+    let with_stores = !demand.is_overdue(now_ms, version);
     let mut sources = Vec::with_capacity(prompt.parts.len());
     let mut saves = Vec::with_capacity(prompt.parts.len());
     let mut fetch_ms = 0.0;
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -30,11 +30,11 @@
 /// Part of the bound between orders of two holders that has passed when a new
 /// one takes over: the one before gave its last order `MARGIN_MS` before its
 /// lease ended. Less than that, since orders take time to arrive.
-const PASSED_MS: u64 = 100;
+const PASSED_MS: u64 = 300;
 /// Longest pause before a free duty is taken, so that boxes do not race.
-const TAKE_JITTER_MS: u64 = 300;
+const TAKE_JITTER_MS: u64 = 150;
 /// How often a box looks whether the duty is free.
-const LOOK_PERIOD: Duration = Duration::from_millis(200);
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
 /// The duty, as its holder has it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
-use crate::gateway::kernel::{Gateway, NamedWeights, Phase, State};
+use crate::gateway::kernel::{Gateway, Phase, State};
 use crate::gateway::view::{Changed, Snapshot, Written};
 use crate::platform::keys::{self, Kind};
 use crate::platform::metadata::{Change, Item, Watched};
@@ -221,16 +221,9 @@
 fn put_weights(state: &mut State, now_ms: u64, model: &str, value: &[u8]) {
     match keys::read_weights(model, value) {
         Ok(version) => {
-            let known = state.weights.get(model).copied();
-            if known.is_none_or(|known| version > known.version) {
+            let named = state.weights.entry(model.to_owned()).or_default();
+            if named.learn(now_ms, version) {
                 info!(target: "follow", "event=weights_named model={model} version={version}");
-                let lasting = known.filter(|known| {
-                    let mut engines = state.upstreams.iter();
-                    engines.any(|one| (1..known.version).contains(&one.version(model)))
-                });
-                let behind_since_ms = lasting.map_or(now_ms, |known| known.behind_since_ms);
-                let named = NamedWeights { version, known_at_ms: now_ms, behind_since_ms };
-                state.weights.insert(model.to_owned(), named);
             }
         }
         Err(error) => warn!(target: "follow", "event=weights_unreadable cause=\"{error}\""),
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -16,6 +16,7 @@
 use crate::gateway::stores::Stores;
 use crate::gateway::upstreams::Upstreams;
 use crate::gateway::view::View;
+use crate::gateway::weights::NamedWeights;
 use crate::platform::caches::Caches;
 use crate::platform::engine::Engines;
 use crate::platform::metadata::MetadataStore;
@@ -34,18 +35,6 @@
     Stopped,
 }
 
-/// A named weight version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NamedWeights {
-    /// Version.
-    pub version: u64,
-    /// When this box learned of it.
-    pub known_at_ms: u64,
-    /// When it learned of the first version that not every engine had reached
-    /// when this one was named.
-    pub behind_since_ms: u64,
-}
-
 /// State that decisions read and change; no call is awaited under its lock.
 pub struct State {
     /// Items of the metadata store.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,3 +31,4 @@
 pub mod stores;
 pub mod upstreams;
 pub mod view;
+pub mod weights;
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -5,7 +5,7 @@
 //! replaced is passed over.
 
 /// Least number of engines that load at once: loads stay quick up to it.
-const LEAST_AT_ONCE: usize = 4;
+const LEAST_AT_ONCE: usize = 3;
 /// Engines for each one that loads at once: 12 of 60 load as quickly as one.
 const ENGINES_FOR_ONE: usize = 5;
 /// Engines for each one that loads at once when the time is short.
@@ -14,7 +14,7 @@
 const LOAD_MS: u64 = 1400;
 /// Engines that get no new work ahead of their load, so that what runs there
 /// ends meanwhile.
-const AHEAD: usize = 3;
+const AHEAD: usize = 1;
 
 /// Engines that load at once, of `count` with `behind` left to do.
 #[must_use]
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -18,6 +18,7 @@
 use crate::gateway::prompt::Prompt;
 use crate::gateway::relay;
 use crate::gateway::site::{Account, Repeat, Route, Site};
+use crate::gateway::weights::NamedWeights;
 use crate::platform::exchange::{self, Asked};
 
 /// Time that a client without a deadline of its own will wait.
@@ -347,16 +348,14 @@
     let boxes = u32::try_from(state.peers.boxes(now_ms)).unwrap_or(u32::MAX);
     let site = state.site.as_ref()?;
     let service = site.services.get(&job.service)?;
-    let newest = job.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
+    let weights = job.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
     let demand = Demand {
         service: &job.service,
         hall: &gateway.settings.hall,
         prompt: job.prompt.as_ref(),
         isolated_account: job.isolated_account.as_deref(),
-        newest_version: newest.map_or(0, |named| named.version),
-        old_context_lasts: newest.is_none_or(|named| {
-            now_ms < named.known_at_ms + gateway.settings.bounds.weights_apply_ms
-        }),
+        weights,
+        weights_apply_ms: gateway.settings.bounds.weights_apply_ms,
         tried: &job.tried,
         max_requests: (service.max_connections / (boxes + 1)).max(2),
     };
@@ -374,7 +373,7 @@
         return;
     }
     let mut state = gateway.state();
-    let named = state.weights.get(&prompt.model).map_or(0, |named| named.version);
+    let named = state.weights.get(&prompt.model).map_or(0, NamedWeights::newest);
     if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
         upstream.saw_version(&prompt.model, named);
     }
--- a/src/gateway/steward.rs
+++ b/src/gateway/steward.rs
@@ -18,6 +18,7 @@
 use crate::gateway::kernel::{Gateway, Phase, State, ToldVersion};
 use crate::gateway::rollout::{self, Candidate};
 use crate::gateway::upstreams::number;
+use crate::gateway::weights::NamedWeights;
 use crate::platform::caches::{CacheListing, Freed, KeptPart};
 use crate::platform::engine::{Ordered, WeightsOrder};
 
@@ -79,8 +80,11 @@
 /// for the oldest version that some engine still has.
 fn left_ms(gateway: &Gateway, state: &State, now_ms: u64, model: &str) -> u64 {
     let bound_ms = gateway.settings.bounds.weights_apply_ms;
-    let Some(named) = state.weights.get(model) else { return bound_ms };
-    let until_ms = named.behind_since_ms + bound_ms;
+    let versions = state.upstreams.iter().map(|one| one.version(model)).filter(|one| *one > 0);
+    let oldest = versions.min().unwrap_or_default();
+    let behind_since_ms = state.weights.get(model).and_then(|one| one.behind_since_ms(oldest));
+    let Some(behind_since_ms) = behind_since_ms else { return bound_ms };
+    let until_ms = behind_since_ms + bound_ms;
     until_ms.saturating_sub(now_ms + FINISH_MS)
 }
 
@@ -96,7 +100,7 @@
     let mut state = gateway.state();
     let now_ms = now_ms();
     let named: Vec<(String, u64)> =
-        state.weights.iter().map(|(model, named)| (model.clone(), named.version)).collect();
+        state.weights.iter().map(|(model, named)| (model.clone(), named.newest())).collect();
     let mut loads = Vec::new();
     for (model, version) in named {
         let candidates = candidates(&state, now_ms, &model);
@@ -142,7 +146,7 @@
     let _turn = wait_turn(&gateway, &load).await;
     // A newer version may have been named meanwhile.
     if let Some(named) = gateway.state().weights.get(&load.model) {
-        load.version = named.version;
+        load.version = named.newest();
     }
     let end = match order_and_wait(&gateway, &load).await {
         Ok(end) => end,
@@ -201,7 +205,7 @@
 }
 
 fn turns(gateway: &Gateway, state: &State, model: &str) -> usize {
-    let version = state.weights.get(model).map_or(0, |named| named.version);
+    let version = state.weights.get(model).map_or(0, NamedWeights::newest);
     let versions: Vec<u64> =
         state.upstreams.iter().map(|one| one.version(model)).filter(|one| *one > 0).collect();
     let behind = versions.iter().filter(|one| **one < version).count();
@@ -312,18 +316,17 @@
         let state = gateway.state();
         let mut old = Vec::new();
         for (model, named) in &state.weights {
-            let behind = state
-                .upstreams
-                .iter()
-                .any(|one| one.version(model) > 0 && one.version(model) < named.version);
+            let newest = named.newest();
+            let mut engines = state.upstreams.iter();
+            let behind = engines.any(|one| (1..newest).contains(&one.version(model)));
             if behind {
                 self.settled_at_ms.remove(model);
                 continue;
             }
             let settled_at_ms = *self.settled_at_ms.entry(model.clone()).or_insert(now_ms);
-            let freed = self.freed_below.get(model).is_some_and(|below| *below >= named.version);
+            let freed = self.freed_below.get(model).is_some_and(|below| *below >= newest);
             if !freed && now_ms >= settled_at_ms + TRANSFERS_OVER_MS {
-                old.push((model.clone(), named.version));
+                old.push((model.clone(), newest));
             }
         }
         old
