Choose sources by what is being fetched, and by how slow stores are

Change: boxes tell each other the tokens that they fetch from each store; a store that takes longer than expected is believed to be slow for a while.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
-use crate::gateway::choose::{Choice, ContextPlan, Source};
+use crate::gateway::choose::{Choice, ContextPlan};
 use crate::gateway::connections::{SendError, Sender, send};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::site::Repeat;
@@ -17,6 +17,8 @@
 
 /// Time that a transfer of context may take.
 const TRANSFER_MS: u64 = 2000;
+/// Time to the first token beside reading and fetching, and some more.
+const FIRST_TOKEN_MS: f64 = 60.0;
 /// Longest whole answer that is kept in memory before it is passed on.
 const MAX_WHOLE_BYTES: usize = 256 << 10;
 
@@ -117,17 +119,39 @@
     /// Id of the upstream.
     pub id: String,
     unread_tokens: u32,
+    fetches: Vec<(String, u32)>,
+    fetch_ms: f64,
+    expected_ms: f64,
+    taken_at_ms: u64,
 }
 
 impl Place {
     /// Takes a place.
     #[must_use]
-    pub fn take(gateway: &Arc<Gateway>, id: &str, context: Option<&ContextPlan>) -> Self {
+    pub fn take(gateway: &Arc<Gateway>, choice: &Choice) -> Self {
+        let context = choice.context.as_ref();
         let unread_tokens = context.map_or(0, |plan| plan.read_tokens);
-        if let Some(upstream) = gateway.state().upstreams.get_mut(id) {
-            upstream.sent(now_ms(), unread_tokens);
+        let fetches: Vec<(String, u32)> = context.map(ContextPlan::store_fetches).unwrap_or_default();
+        let taken_at_ms = now_ms();
+        let mut state = gateway.state();
+        if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
+            upstream.sent(taken_at_ms, unread_tokens);
+        }
+        for (name, tokens) in &fetches {
+            if let Some((_, store)) = state.stores.get_mut(name) {
+                store.fetch_begins(*tokens);
+            }
+        }
+        drop(state);
+        Self {
+            gateway: gateway.clone(),
+            id: choice.id.clone(),
+            unread_tokens,
+            fetches,
+            fetch_ms: context.map_or(0.0, |plan| plan.fetch_ms),
+            expected_ms: choice.expected_ms,
+            taken_at_ms,
         }
-        Self { gateway: gateway.clone(), id: id.to_owned(), unread_tokens }
     }
 
     /// Notes that bytes have arrived.
@@ -137,12 +161,24 @@
         }
     }
 
-    /// Notes that the prompt has been read.
+    /// Notes that the prompt has been read, and how long its fetches took.
     pub fn read_prompt(&mut self) {
+        let late_ms = as_f64(now_ms() - self.taken_at_ms) - self.expected_ms - FIRST_TOKEN_MS;
+        let ratio = (self.fetch_ms > 0.0).then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
+        self.prompt_is_over(ratio);
+    }
+
+    fn prompt_is_over(&mut self, ratio: Option<f64>) {
         let tokens = std::mem::take(&mut self.unread_tokens);
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+        let mut state = self.gateway.state();
+        if let Some(upstream) = state.upstreams.get_mut(&self.id) {
             upstream.read_prompt(tokens);
         }
+        for (name, tokens) in std::mem::take(&mut self.fetches) {
+            if let Some((_, store)) = state.stores.get_mut(&name) {
+                store.fetch_ended(now_ms(), tokens, ratio);
+            }
+        }
     }
 
     /// Notes an answer as it should be.
@@ -176,7 +212,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.read_prompt();
+        self.prompt_is_over(None);
         if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
             upstream.ended();
         }
@@ -194,7 +230,7 @@
     let Some(address) = gateway.state().upstreams.address(&choice.id) else {
         return Attempted::NotSent { cause: "the upstream is gone".to_owned() };
     };
-    let place = Place::take(gateway, &choice.id, choice.context.as_ref());
+    let place = Place::take(gateway, choice);
     let deadline = instant_at(outgoing.deadline_ms);
     let connecting = gateway.connections.take(&choice.id, address);
     let mut sender = match timeout_at(deadline, connecting).await {
@@ -205,7 +241,7 @@
         }
         Err(_) => return Attempted::NotSent { cause: "the time is over".to_owned() },
     };
-    count_moves(gateway, choice);
+    note_saves(gateway, choice);
     let now_ms = now_ms();
     let request = exchange::forward(
         &outgoing.method,
@@ -264,20 +300,11 @@
     Attempted::Answered(Box::new(reply))
 }
 
-/// Counts the moves of context that the choice makes over the stores' links.
-fn count_moves(gateway: &Gateway, choice: &Choice) {
+/// Notes the parts that are being saved.
+fn note_saves(gateway: &Gateway, choice: &Choice) {
     let Some(context) = &choice.context else { return };
     let mut state = gateway.state();
     let now_ms = now_ms();
-    for source in &context.sources {
-        if let Source::From { store: Some(name), tokens, .. } = source
-            && let Some((store, store_state)) = state.stores.get_mut(name)
-        {
-            let bits = f64::from(*tokens) * 18_432.0 * 8.0;
-            let move_ms = store.first_ms + bits / (store.link_mbps.max(1.0) * 1000.0);
-            store_state.moves(now_ms, move_ms);
-        }
-    }
     for save in context.saves.iter().flatten() {
         if let Some((_, store_state)) = state.stores.get_mut(&save.store) {
             store_state.saves(now_ms, save.part, save.tokens);
@@ -290,3 +317,8 @@
     let ahead_ms = gateway.state().upstream_clock_ahead_ms?;
     now_ms.checked_add_signed(ahead_ms).map(|clock_ms| clock_ms + TRANSFER_MS)
 }
+
+#[expect(clippy::cast_precision_loss, reason = "times are far below 2^52")]
+fn as_f64(time_ms: u64) -> f64 {
+    time_ms as f64
+}
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -8,7 +8,7 @@
 use crate::gateway::holder::PartKey;
 use crate::gateway::prompt::Prompt;
 use crate::gateway::site::{EngineSpec, Store};
-use crate::gateway::stores::Stores;
+use crate::gateway::stores::{StoreState, Stores};
 use crate::gateway::upstreams::{Upstream, Upstreams};
 use crate::gateway::weights::NamedWeights;
 
@@ -117,6 +117,8 @@
     pub sources: Vec<Source>,
     /// Store that takes each part.
     pub saves: Vec<Option<Save>>,
+    /// Time that the fetches are expected to take.
+    pub fetch_ms: f64,
     /// Tokens that are read at the engine.
     pub read_tokens: u32,
     /// Tokens of shared parts among them that some holder keeps.
@@ -124,6 +126,16 @@
 }
 
 impl ContextPlan {
+    /// Stores that are read, with the tokens of each part.
+    #[must_use]
+    pub fn store_fetches(&self) -> Vec<(String, u32)> {
+        let fetches = self.sources.iter().filter_map(|source| match source {
+            Source::From { store: Some(name), tokens, .. } => Some((name.clone(), *tokens)),
+            Source::From { store: None, .. } | Source::Kept { .. } | Source::Read => None,
+        });
+        fetches.collect()
+    }
+
     /// The source of each part, for a log line.
     #[must_use]
     pub fn summary(&self) -> String {
@@ -339,7 +351,7 @@
         saves.push(None);
     }
     let read_tokens = prompt.tokens.saturating_sub(kept_tokens);
-    let context = ContextPlan { scope, version, sources, saves, read_tokens, reread_tokens };
+    let context = ContextPlan { scope, version, sources, saves, fetch_ms, read_tokens, reread_tokens };
     Planned { context, fetch_ms }
 }
 
@@ -384,8 +396,7 @@
             if state.holder.tokens(key) < tokens || state.is_doubtful(now_ms) {
                 continue;
             }
-            let move_ms =
-                store_move_ms(now_ms, store, state.wait_ms(now_ms), engine, upstream, tokens);
+            let move_ms = store_move_ms(now_ms, store, state, engine, upstream, tokens);
             let address = store.address.to_string();
             let source = Source::From { address, store: Some(store.name.clone()), tokens };
             consider(Offer { source, move_ms });
@@ -407,15 +418,18 @@
 }
 
 fn store_move_ms(
-    _now_ms: u64,
+    now_ms: u64,
     store: &Store,
-    wait_ms: f64,
+    state: &StoreState,
     engine: &EngineSpec,
     upstream: &Upstream,
     tokens: u32,
 ) -> f64 {
     let factor = hall_factor(&store.hall, &upstream.entry.hall);
-    wait_ms + store.first_ms + MOVE_OVERHEAD_MS + bytes_ms(tokens, engine, store.link_mbps) * factor
+    let waiting = u32::try_from(state.fetch_tokens()).unwrap_or(u32::MAX);
+    let wait_ms = bytes_ms(waiting, engine, store.link_mbps);
+    let move_ms = bytes_ms(tokens, engine, store.link_mbps) * factor;
+    MOVE_OVERHEAD_MS + store.first_ms + (wait_ms + move_ms) * state.slowness(now_ms)
 }
 
 /// Time that tokens take over a link.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -56,12 +56,22 @@
         site_version: state.site.as_ref().map_or(0, |site| site.version),
         peers: state.peers.named(now_ms),
         loads: told_loads(state.upstreams.iter().map(|one| (one.number, one.own))),
+        fetches: fetches(&state),
         loading: loading(&state),
         versions: versions(&mut state, now_ms),
     };
     (news, targets)
 }
 
+/// Tokens that this box fetches from stores, by their numbers.
+fn fetches(state: &State) -> Vec<(u32, u32)> {
+    let stores = state.stores.iter().filter(|(_, one)| one.own_fetch_tokens() > 0);
+    let told = stores.map(|(store, one)| {
+        (number(&store.name), u32::try_from(one.own_fetch_tokens()).unwrap_or(u32::MAX))
+    });
+    told.collect()
+}
+
 fn loading(state: &State) -> Vec<(u32, u16)> {
     let left_ms = u16::try_from(LOADING_NEWS_MS).unwrap_or(u16::MAX);
     state.loading.iter().map(|id| (number(id), left_ms)).collect()
@@ -100,6 +110,10 @@
         for upstream in state.upstreams.iter_mut() {
             upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
         }
+        let fetches = state.peers.fetches(now_ms);
+        for (store, one) in state.stores.iter_mut() {
+            one.others_fetch(fetches.get(&number(&store.name)).copied().unwrap_or_default());
+        }
     }
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -41,6 +41,8 @@
     pub peers: Vec<IpAddr>,
     /// Load that it puts on upstreams, by their numbers.
     pub loads: Vec<(u32, u16, u32)>,
+    /// Tokens that it fetches from stores, by their numbers.
+    pub fetches: Vec<(u32, u32)>,
     /// Engines that load weights, by their numbers, and for how long still.
     pub loading: Vec<(u32, u16)>,
     /// Weight versions that engines have reached: engine, model, version.
@@ -129,6 +131,18 @@
         loads
     }
 
+    /// Tokens that all other boxes fetch from stores, by their numbers.
+    #[must_use]
+    pub fn fetches(&self, now_ms: u64) -> BTreeMap<u32, u64> {
+        let mut fetches = BTreeMap::new();
+        for (_, peer) in self.alive(now_ms) {
+            for (number, tokens) in &peer.news.fetches {
+                *fetches.entry(*number).or_default() += u64::from(*tokens);
+            }
+        }
+        fetches
+    }
+
     /// Who is told next.
     pub fn next_targets(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let boxes = &mut self.known;
--- a/src/gateway/stores.rs
+++ b/src/gateway/stores.rs
@@ -8,6 +8,12 @@
 /// Part of a store that is filled at most, so that the estimate of its content
 /// may be off.
 const FILLED_PART: f64 = 0.97;
+/// Weight of the newest fetch in the belief how slow a store is.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+/// Time in which that belief fades to a third.
+const SLOWNESS_FADES_MS: f64 = 3000.0;
+/// Slowest that a store is believed to be.
+const MOST_SLOWNESS: f64 = 12.0;
 /// Time in which a saved part must be told of: the prompt has to be read and
 /// sent before.
 const SAVE_MS: u64 = 3000;
@@ -24,7 +30,10 @@
     /// Tokens of parts that are not whole.
     pub partial_tokens: u64,
     avoid_until_ms: u64,
-    busy_until_ms: f64,
+    own_fetch_tokens: u64,
+    other_fetch_tokens: u64,
+    slowness: f64,
+    slowness_at_ms: u64,
     full_until_ms: u64,
     saves: HashMap<PartKey, Save>,
 }
@@ -48,10 +57,46 @@
         self.avoid_until_ms = now_ms + AVOID_MS;
     }
 
-    /// Expected wait for its link.
+    /// Tokens that are being fetched from it, by all boxes.
     #[must_use]
-    pub fn wait_ms(&self, now_ms: u64) -> f64 {
-        (self.busy_until_ms - as_f64(now_ms)).max(0.0)
+    pub fn fetch_tokens(&self) -> u64 {
+        self.own_fetch_tokens + self.other_fetch_tokens
+    }
+
+    /// Tokens that are being fetched from it by this box.
+    #[must_use]
+    pub fn own_fetch_tokens(&self) -> u64 {
+        self.own_fetch_tokens
+    }
+
+    /// Notes what all other boxes fetch.
+    pub fn others_fetch(&mut self, tokens: u64) {
+        self.other_fetch_tokens = tokens;
+    }
+
+    /// How many times as long as it should a fetch takes; the belief fades, so
+    /// that a link that has recovered is used again.
+    #[must_use]
+    pub fn slowness(&self, now_ms: u64) -> f64 {
+        let age_ms = as_f64(now_ms.saturating_sub(self.slowness_at_ms));
+        1.0 + (self.slowness.max(1.0) - 1.0) * (-age_ms / SLOWNESS_FADES_MS).exp()
+    }
+
+    /// Counts a fetch that begins.
+    pub fn fetch_begins(&mut self, tokens: u32) {
+        self.own_fetch_tokens += u64::from(tokens);
+    }
+
+    /// Counts a fetch that has ended, which took so many times as long as it
+    /// was expected to.
+    pub fn fetch_ended(&mut self, now_ms: u64, tokens: u32, ratio: Option<f64>) {
+        self.own_fetch_tokens = self.own_fetch_tokens.saturating_sub(u64::from(tokens));
+        if let Some(ratio) = ratio {
+            let ratio = ratio.clamp(1.0, MOST_SLOWNESS);
+            let believed = self.slowness(now_ms);
+            self.slowness = believed + (ratio - believed) * SLOWNESS_WEIGHT;
+            self.slowness_at_ms = now_ms;
+        }
     }
 
     /// Notes that a part is being saved there.
@@ -79,10 +124,6 @@
         lost
     }
 
-    /// Counts a move over its link.
-    pub fn moves(&mut self, now_ms: u64, move_ms: f64) {
-        self.busy_until_ms = self.busy_until_ms.max(as_f64(now_ms)) + move_ms;
-    }
 }
 
 /// The stores of kept context.
@@ -107,6 +148,11 @@
         self.by_name.values()
     }
 
+    /// All stores, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut (Store, StoreState)> {
+        self.by_name.values_mut()
+    }
+
     /// A store.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&(Store, StoreState)> {
