Prefer the own hall: other halls cost 25 ms

Cause: two of three bodies crossed halls (priced), and requests in other halls are lost when halls are cut off from each other.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -17,9 +17,9 @@
 /// Cost of another running request: each slows the others' tokens.
 const RUNNING_COST_MS: f64 = 3.0;
 /// Weight of a millisecond of reading again against one of waiting.
-const REREAD_WEIGHT: f64 = 3.0;
+const REREAD_WEIGHT: f64 = 6.0;
 /// Cost of an upstream in another hall: bytes between halls are dear.
-const OTHER_HALL_COST_MS: f64 = 3.0;
+const OTHER_HALL_COST_MS: f64 = 25.0;
 /// Moves between halls take this many times as long.
 const OTHER_HALL_FACTOR: f64 = 2.0;
 /// Cost of a doubtful upstream; it is chosen when all are.
