Look for unreachable upstreams by connections, not by requests

Change: after a failed connection, or silence while answers are owed, an upstream gets no work until a connection comes up; two failed connections into one hall speak against the whole hall. Requests that may be repeated leave a silent upstream. A box that has just started lets requests wait 250 ms for its first configuration.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to have a request run by one upstream.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -19,6 +20,9 @@
 const TRANSFER_MS: u64 = 2000;
 /// Time to the first token beside reading and fetching, and some more.
 const FIRST_TOKEN_MS: f64 = 60.0;
+/// How often a request that may be repeated looks whether its upstream is
+/// silent.
+const SILENCE_LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// Longest whole answer that is kept in memory before it is passed on.
 const MAX_WHOLE_BYTES: usize = 256 << 10;
 
@@ -195,6 +199,19 @@
         }
     }
 
+    /// Whether the upstream owes answers and has said nothing for long.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        let state = self.gateway.state();
+        state.upstreams.get(&self.id).is_none_or(|upstream| upstream.is_silent(now_ms()))
+    }
+
+    /// Notes that no connection to the upstream came up.
+    pub fn unreached(&self) {
+        let own_hall = &self.gateway.settings.hall;
+        self.gateway.state().upstreams.unreached(now_ms(), &self.id, own_hall);
+    }
+
     /// Avoids the upstream for a while.
     pub fn avoid(&self) {
         if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
@@ -236,7 +253,7 @@
     let mut sender = match timeout_at(deadline, connecting).await {
         Ok(Ok(sender)) => sender,
         Ok(Err(cause)) => {
-            place.avoid();
+            place.unreached();
             return Attempted::NotSent { cause };
         }
         Err(_) => return Attempted::NotSent { cause: "the time is over".to_owned() },
@@ -258,7 +275,14 @@
             after_event,
         },
     );
-    let response = match timeout_at(deadline, send(&mut sender, request)).await {
+    let sending = timeout_at(deadline, send(&mut sender, request));
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = silence(&place), if outgoing.repeat.may_run_again() => {
+            return Attempted::Unknown { cause: "the upstream is silent".to_owned() };
+        }
+    };
+    let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(SendError::NotSent(cause))) => return Attempted::NotSent { cause },
         Ok(Err(SendError::Unknown(cause))) => {
@@ -271,6 +295,13 @@
     judge(outgoing, response, place, sender)
 }
 
+/// Waits until the upstream owes answers and says nothing at all.
+pub async fn silence(place: &Place) {
+    while !place.is_silent() {
+        tokio::time::sleep(SILENCE_LOOK_PERIOD).await;
+    }
+}
+
 /// Whether the answer is this request's own, and what it says.
 fn judge(
     outgoing: &Outgoing,
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -25,7 +25,7 @@
 
 /// Time in which a connection must come up: many round trips, less than the
 /// second after which a lost packet is sent again.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which unacknowledged bytes end a connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Time between probes of a connection on which nothing moves.
@@ -105,11 +105,20 @@
         };
         let settled = tokio::time::timeout(SETTLE_TIMEOUT, sender.ready()).await;
         if matches!(settled, Ok(Ok(()))) {
-            let until_ms = now_ms() + idle_ms;
-            locked(&self.idle).entry(id.to_owned()).or_default().push(Idle { sender, until_ms });
+            self.push(id, sender, idle_ms);
         }
     }
 
+    /// Keeps a new connection for the next request.
+    pub fn keep(&self, id: &str, sender: Sender) {
+        self.push(id, sender, IDLE_MS);
+    }
+
+    fn push(&self, id: &str, sender: Sender, idle_ms: u64) {
+        let until_ms = now_ms() + idle_ms;
+        locked(&self.idle).entry(id.to_owned()).or_default().push(Idle { sender, until_ms });
+    }
+
     /// Closes connections that have been idle for long.
     pub fn tidy(&self, now_ms: u64) {
         let mut idle = locked(&self.idle);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -11,7 +11,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::kernel::{Gateway, Phase};
 use crate::gateway::settings::Settings;
-use crate::gateway::{duty, follow, follow_caches, listener, news, steward};
+use crate::gateway::{duty, follow, follow_caches, listener, news, reach, steward};
 
 /// Time for which a stopping box still takes requests: the balancer asks each
 /// second and sends nobody after two refusals; clients learn by each answer.
@@ -51,6 +51,7 @@
     tokio::spawn(news::tell(gateway.clone(), socket, now_ms()));
     tokio::spawn(news::catch_up(gateway.clone()));
     tokio::spawn(news::give(gateway.clone(), peers));
+    tokio::spawn(reach::run(gateway.clone()));
     tokio::spawn(duty::run(gateway.clone()));
     tokio::spawn(steward::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod news;
 pub mod peers;
 pub mod prompt;
+pub mod reach;
 pub mod relay;
 pub mod rollout;
 pub mod serve;
--- /dev/null
+++ b/src/gateway/reach.rs
@@ -0,0 +1,47 @@
+//! Looks whether upstreams that could not be reached are there again.
+//!
+//! A connection costs no request: what may run only once is not risked on an
+//! upstream that is dark.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use tokio::time::sleep;
+
+use crate::clock::now_ms;
+use crate::gateway::kernel::{Gateway, Phase};
+
+/// Time between two looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(400);
+
+/// Looks until the box stops.
+pub async fn run(gateway: Arc<Gateway>) {
+    while gateway.phase() != Phase::Stopped {
+        sleep(LOOK_PERIOD).await;
+        for (id, address) in unreachable(&gateway) {
+            tokio::spawn(look(gateway.clone(), id, address));
+        }
+    }
+}
+
+fn unreachable(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
+    let mut state = gateway.state();
+    state.upstreams.suspect_silent(now_ms());
+    let unreachable = state.upstreams.iter().filter(|one| one.is_unreachable());
+    unreachable.map(|one| (one.id.clone(), one.entry.address)).collect()
+}
+
+async fn look(gateway: Arc<Gateway>, id: String, address: SocketAddr) {
+    gateway.connections.forget(&id);
+    let Ok(sender) = gateway.connections.take(&id, address).await else {
+        return;
+    };
+    gateway.connections.keep(&id, sender);
+    if let Some(upstream) = gateway.state().upstreams.get_mut(&id) {
+        upstream.reached();
+    }
+    info!(target: "reach", "event=upstream_reached upstream={id}");
+    gateway.places.notify_waiters();
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,13 +10,13 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use log::{debug, info};
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Body, BrokenOff};
-use crate::gateway::attempt::{Attempted, Reply, attempt};
+use crate::gateway::attempt::{Attempted, Reply, attempt, silence};
 use crate::gateway::choose::Choice;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::{Job, log_end, resume_place};
@@ -100,13 +100,22 @@
         loop {
             let reply = self.reply.as_mut()?;
             let deadline = instant_at(self.job.outgoing.deadline_ms);
-            let Ok(read) = timeout_at(deadline, read(reply)).await else {
+            let resumable = self.job.outgoing.repeat == Repeat::StreamResumable;
+            let next = timeout_at(deadline, read(&mut reply.body));
+            let next = tokio::select! {
+                next = next => next,
+                () = silence(&reply.place), if resumable => {
+                    Ok(Read::Broken("the upstream is silent".to_owned()))
+                }
+            };
+            let Ok(next) = next else {
                 self.reply = None;
                 self.log_broken("time_over");
                 return Some(Err(BrokenOff::TimeOver));
             };
-            match read {
+            match next {
                 Read::Data(bytes) => {
+                    reply.place.heard();
                     if !std::mem::replace(&mut self.begun, true) {
                         reply.place.read_prompt();
                         self.log_begun();
@@ -196,16 +205,15 @@
     }
 }
 
-async fn read(reply: &mut Reply) -> Read {
+async fn read(body: &mut Incoming) -> Read {
     loop {
-        match reply.body.frame().await {
+        match body.frame().await {
             None => return Read::End,
             Some(Err(error)) => {
                 return Read::Broken(crate::gateway::connections::with_cause(&error));
             }
             Some(Ok(frame)) => {
                 if let Ok(bytes) = frame.into_data() {
-                    reply.place.heard();
                     return Read::Data(bytes);
                 }
             }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -25,6 +25,8 @@
 const DEFAULT_PATIENCE_MS: u64 = 30_000;
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a request waits for the first configuration.
+const FIRST_SITE_TIMEOUT: Duration = Duration::from_millis(250);
 /// When a refused client may come back.
 const RETRY_AFTER_MS: u64 = 400;
 /// Part of the aim after which a request that found no place is refused.
@@ -114,9 +116,7 @@
     body: Incoming,
     arrived_at_ms: u64,
 ) -> Result<Job, Reason> {
-    let Some(site) = gateway.state().site.clone() else {
-        return Err(Reason::NotReady);
-    };
+    let site = known_site(gateway).await.ok_or(Reason::NotReady)?;
     if is_ambiguous(&parts.headers) {
         return Err(Reason::BadRequest);
     }
@@ -152,6 +152,19 @@
     })
 }
 
+/// The configuration in force; a box that has just started waits for it a
+/// little, since it takes some round trips.
+async fn known_site(gateway: &Gateway) -> Option<Arc<Site>> {
+    let known = gateway.state().site.clone();
+    if known.is_some() {
+        return known;
+    }
+    let mut changed = gateway.upstreams_changed.subscribe();
+    // Without news in time, what is known now is the answer.
+    let _ = timeout(FIRST_SITE_TIMEOUT, changed.changed()).await;
+    gateway.state().site.clone()
+}
+
 /// A number that spreads requests evenly over the targets of a route.
 fn number(request_id: &str) -> u64 {
     let mut bytes = [0; 8];
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -13,6 +13,8 @@
 /// Silence after which an upstream that owes answers gets no more work; well
 /// over the longest step of a loaded engine.
 const SILENT_MS: u64 = 800;
+/// Time within which failed connections count as one event.
+const SAME_TIME_MS: u64 = 1500;
 /// First time for which an upstream that failed is avoided.
 const AVOID_MS: u64 = 500;
 /// Longest time for which an upstream that failed is avoided.
@@ -53,6 +55,8 @@
     heard_at_ms: u64,
     owes_since_ms: Option<u64>,
     loading_until_ms: u64,
+    unreachable: bool,
+    unreached_at_ms: Option<u64>,
 }
 
 impl Upstream {
@@ -71,6 +75,8 @@
             heard_at_ms: 0,
             owes_since_ms: None,
             loading_until_ms: 0,
+            unreachable: false,
+            unreached_at_ms: None,
         }
     }
 
@@ -108,7 +114,7 @@
     /// Whether it failed or fell silent lately.
     #[must_use]
     pub fn is_doubtful(&self, now_ms: u64) -> bool {
-        now_ms < self.avoid_until_ms || self.is_silent(now_ms)
+        self.unreachable || now_ms < self.avoid_until_ms || self.is_silent(now_ms)
     }
 
     /// Whether it owes answers and has said nothing for long.
@@ -120,6 +126,17 @@
         now_ms.saturating_sub(since_ms.max(self.heard_at_ms)) > SILENT_MS
     }
 
+    /// Whether no connection to it came up; it gets no work until one does.
+    #[must_use]
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
+    /// Notes that a connection to it came up.
+    pub fn reached(&mut self) {
+        self.unreachable = false;
+    }
+
     /// Whether it loads weights and takes no requests meanwhile.
     #[must_use]
     pub fn is_loading(&self, now_ms: u64) -> bool {
@@ -193,6 +210,34 @@
         self.by_id.insert(id.to_owned(), Upstream::new(id.to_owned(), entry));
     }
 
+    /// Notes that no connection to an upstream came up in time. Two in one
+    /// hall at about the same time speak against the way to that hall.
+    pub fn unreached(&mut self, now_ms: u64, id: &str, own_hall: &str) {
+        let Some(upstream) = self.by_id.get_mut(id) else { return };
+        upstream.unreachable = true;
+        upstream.unreached_at_ms = Some(now_ms);
+        let hall = upstream.entry.hall.clone();
+        let lately = self.by_id.values().filter(|one| {
+            let at_ms = one.unreached_at_ms;
+            one.entry.hall == hall && at_ms.is_some_and(|at_ms| now_ms < at_ms + SAME_TIME_MS)
+        });
+        if hall != own_hall && lately.count() > 1 {
+            for one in self.by_id.values_mut().filter(|one| one.entry.hall == hall) {
+                one.unreachable = true;
+            }
+        }
+    }
+
+    /// Notes those that owe answers and say nothing; they get no work until a
+    /// connection to them comes up.
+    pub fn suspect_silent(&mut self, now_ms: u64) {
+        for upstream in self.by_id.values_mut() {
+            if upstream.is_silent(now_ms) {
+                upstream.unreachable = true;
+            }
+        }
+    }
+
     /// Takes an upstream out; what runs there goes on.
     pub fn remove(&mut self, id: &str) {
         self.by_id.remove(id);
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -113,6 +113,21 @@
     assert_eq!(choose(0, &upstreams, &stores, None, &demand(None, &tried)), None);
 }
 
+#[test]
+fn hall_unreachable() {
+    let mut upstreams = Upstreams::default();
+    for (id, hall) in [("a", "north"), ("b", "south"), ("c", "south"), ("d", "south")] {
+        upstreams.put(id, entry(hall, 1, 1));
+    }
+    upstreams.unreached(1000, "b", "north");
+    assert!(!upstreams.get("d").unwrap().is_unreachable());
+    upstreams.unreached(1200, "c", "north");
+    assert!(upstreams.get("d").unwrap().is_doubtful(1200), "the way to the hall is cut");
+    assert!(!upstreams.get("a").unwrap().is_doubtful(1200));
+    upstreams.get_mut("d").unwrap().reached();
+    assert!(!upstreams.get("d").unwrap().is_doubtful(1200));
+}
+
 #[test]
 fn overdue_weights_avoided() {
     let mut upstreams = Upstreams::default();
