Explain a request from the logs; split the gateway's large files

Change: logs go through a bounded queue to a thread that writes them; coursestile explain ID prints a request's story over the logs of many boxes; histograms of first events and whole requests. choose, serve and steward are split (context, check, space); the look for sources is one type; both daemons share the phases of a box.

--- a/src/bin/coursestile-gateway/main.rs
+++ b/src/bin/coursestile-gateway/main.rs
@@ -50,7 +50,9 @@
         .enable_all()
         .build()
         .map_err(|error| Error::Usage(error.to_string()))?;
-    runtime.block_on(serve(settings, args.settings))
+    let ended = runtime.block_on(serve(settings, args.settings));
+    log::logger().flush();
+    ended
 }
 
 fn read(path: &str) -> Result<Settings> {
--- a/src/bin/coursestile/args.rs
+++ b/src/bin/coursestile/args.rs
@@ -21,6 +21,7 @@
   in-force REVISION   Whether a revision is in force on all boxes
   status              What each box says of itself
   trace ID            A request's hops over all boxes
+  explain ID [LOG...] A request's story from the logs of gateways
   box drain ADDRESS   Stop a box as planned
   version             Print the version
 
@@ -77,6 +78,15 @@
 and 'in-force' ask the boxes given by --boxes.
 ";
 
+const EXPLAIN_HELP: &str = "\
+Usage: coursestile explain ID [LOG...]
+
+Prints the lines that tell what became of a request, in order: its own, and
+those by which its boxes changed what they believe of its upstreams, of the
+configuration and of their dependencies in the 15 s before. Reads standard input
+when no log is named.
+";
+
 const BOX_HELP: &str = "\
 Usage: coursestile box drain ADDRESS
 
@@ -92,6 +102,7 @@
         "model" => MODEL_HELP,
         "upstream" => UPSTREAM_HELP,
         "history" | "diff" | "in-force" | "status" | "trace" => READ_HELP,
+        "explain" => EXPLAIN_HELP,
         "box" => BOX_HELP,
         _ => HELP,
     }
--- a/src/bin/coursestile/main.rs
+++ b/src/bin/coursestile/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod change;
 mod show;
+mod story;
 
 use std::process::ExitCode;
 
@@ -47,6 +48,7 @@
             return show::in_force(&args, args::number("in-force", revision)?).await;
         }
         ["trace", id] => show::trace(&args, id).await?,
+        ["explain", id, logs @ ..] => return story::tell(id, logs),
         ["box", "drain", address] => change::drain_box(address).await?,
         words => change::make(&args, words).await?,
     }
--- /dev/null
+++ b/src/bin/coursestile/story.rs
@@ -0,0 +1,39 @@
+//! The verb `explain`.
+
+use std::io::Read;
+use std::process::ExitCode;
+
+use coursestile::error::{Error, Result};
+use coursestile::explain::{Line, story};
+
+/// Prints the story of a request; fails when no line names it.
+pub fn tell(request: &str, logs: &[&str]) -> Result<ExitCode> {
+    let mut lines = Vec::new();
+    if logs.is_empty() {
+        let mut text = String::new();
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map_err(|error| Error::Usage(format!("standard input: {error}")))?;
+        add(&mut lines, "-", &text);
+    }
+    for log in logs {
+        let text = std::fs::read_to_string(log);
+        let text = text.map_err(|error| Error::Usage(format!("{log}: {error}")))?;
+        add(&mut lines, log, &text);
+    }
+    let story = story(&lines, request);
+    if story.is_empty() {
+        println!("no line names request {request}");
+        return Ok(ExitCode::FAILURE);
+    }
+    for line in story {
+        println!("{}", line.text);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn add(lines: &mut Vec<Line>, log: &str, text: &str) {
+    for one in text.lines() {
+        let number = lines.len();
+        lines.extend(Line::read(number, log, one));
+    }
+}
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -15,8 +15,9 @@
 
 use crate::clock::{instant_at, now_ms, now_us};
 use crate::invariant::{Invariant, check};
-use crate::kernel::{Kernel, Phase, Plugin, Topic};
+use crate::kernel::{Kernel, Plugin, Topic};
 use crate::ledger::{Answer, Begin, CallKey, Ledger, Outcome};
+use crate::phase::Phase;
 use crate::refusal::{Reason, Refusal};
 use crate::sync::locked;
 use crate::ticket::{BoxRef, Ticket, TicketError};
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,8 +10,9 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
-use crate::gateway::choose::{Choice, ContextPlan};
+use crate::gateway::choose::Choice;
 use crate::gateway::connections::{SendError, Sender, send};
+use crate::gateway::context::ContextPlan;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::site::Repeat;
 use crate::platform::exchange::{self, Forward, Told};
@@ -135,7 +136,8 @@
     pub fn take(gateway: &Arc<Gateway>, choice: &Choice) -> Self {
         let context = choice.context.as_ref();
         let unread_tokens = context.map_or(0, |plan| plan.read_tokens);
-        let fetches: Vec<(String, u32)> = context.map(ContextPlan::store_fetches).unwrap_or_default();
+        let fetches: Vec<(String, u32)> =
+            context.map(ContextPlan::store_fetches).unwrap_or_default();
         let taken_at_ms = now_ms();
         let mut state = gateway.state();
         if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
--- /dev/null
+++ b/src/gateway/check.rs
@@ -0,0 +1,156 @@
+//! Checks a request: its route, its key, its body.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, header};
+use tokio::time::timeout;
+
+use crate::gateway::answer::Reason;
+use crate::gateway::attempt::Outgoing;
+use crate::gateway::kernel::Gateway;
+use crate::gateway::prompt::Prompt;
+use crate::gateway::site::{Account, Route, Site};
+use crate::platform::exchange::Asked;
+
+/// Time that a client without a deadline of its own will wait.
+const DEFAULT_PATIENCE_MS: u64 = 30_000;
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a request waits for the first configuration.
+const FIRST_SITE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A request that has been checked.
+pub struct Job {
+    /// As it is sent.
+    pub outgoing: Outgoing,
+    /// Prompt, when it has one.
+    pub prompt: Option<Prompt>,
+    /// Service.
+    pub service: String,
+    /// Its route.
+    pub route: Route,
+    /// Account whose context is kept apart.
+    pub isolated_account: Option<String>,
+    /// When it arrived.
+    pub arrived_at_ms: u64,
+    /// Upstreams that it was sent to.
+    pub tried: Vec<String>,
+}
+
+impl Job {
+    /// The job, to be carried on elsewhere.
+    #[must_use]
+    pub fn take(&mut self) -> Self {
+        let tried = std::mem::take(&mut self.tried);
+        Self {
+            outgoing: self.outgoing.clone(),
+            prompt: self.prompt.clone(),
+            service: self.service.clone(),
+            route: self.route.clone(),
+            isolated_account: self.isolated_account.clone(),
+            arrived_at_ms: self.arrived_at_ms,
+            tried,
+        }
+    }
+}
+
+/// Checks a request and reads its body.
+///
+/// # Errors
+/// Fails with why the request is refused; it has reached nobody.
+pub async fn check(
+    gateway: &Gateway,
+    asked: &Asked,
+    parts: hyper::http::request::Parts,
+    body: Incoming,
+    arrived_at_ms: u64,
+) -> Result<Job, Reason> {
+    let site = known_site(gateway).await.ok_or(Reason::NotReady)?;
+    if is_ambiguous(&parts.headers) {
+        return Err(Reason::BadRequest);
+    }
+    let (Some(host), Some(request_id)) = (&asked.host, &asked.request_id) else {
+        return Err(Reason::BadRequest);
+    };
+    let route = site.route(host, parts.uri.path()).ok_or(Reason::NoRoute)?.clone();
+    let account = account(&site, &route, asked)?.cloned();
+    let bytes = read_body(&site, body).await?;
+    // A change may have come into force while the body arrived.
+    let service = route.service(number(request_id)).ok_or(Reason::NoUpstream)?;
+    let patience_ms = asked.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+    let priority = account.as_ref().and_then(|one| one.priority).unwrap_or(route.priority);
+    let isolated = account.as_ref().filter(|one| one.isolated);
+    Ok(Job {
+        prompt: asked.prompt.clone(),
+        service: service.to_owned(),
+        isolated_account: isolated.map(|one| one.name.clone()),
+        arrived_at_ms,
+        tried: Vec::new(),
+        outgoing: Outgoing {
+            request_id: request_id.clone(),
+            method: parts.method,
+            uri: parts.uri,
+            head: parts.headers,
+            body: bytes,
+            account: account.map(|one| one.name),
+            priority,
+            repeat: route.repeat,
+            deadline_ms: arrived_at_ms + patience_ms.min(route.timeout_ms),
+        },
+        route,
+    })
+}
+
+/// The configuration in force; a box that has just started waits for it a
+/// little, since it takes some round trips.
+async fn known_site(gateway: &Gateway) -> Option<Arc<Site>> {
+    let known = gateway.state().site.clone();
+    if known.is_some() {
+        return known;
+    }
+    let mut changed = gateway.upstreams_changed.subscribe();
+    // Without news in time, what is known now is the answer.
+    let _ = timeout(FIRST_SITE_TIMEOUT, changed.changed()).await;
+    gateway.state().site.clone()
+}
+
+/// A number that spreads requests evenly over the targets of a route.
+fn number(request_id: &str) -> u64 {
+    let mut bytes = [0; 8];
+    blake3::Hasher::new().update(request_id.as_bytes()).finalize_xof().fill(&mut bytes);
+    u64::from_le_bytes(bytes)
+}
+
+/// Whether it is open where the request's body ends.
+fn is_ambiguous(head: &HeaderMap) -> bool {
+    let lengths = head.get_all(header::CONTENT_LENGTH).iter().count();
+    let encodings = head.get_all(header::TRANSFER_ENCODING).iter().count();
+    lengths + encodings > 1 || head.get_all(header::HOST).iter().count() > 1
+}
+
+fn account<'a>(
+    site: &'a Site,
+    route: &Route,
+    asked: &Asked,
+) -> Result<Option<&'a Account>, Reason> {
+    let account = asked.key.as_deref().and_then(|key| site.account(key));
+    if account.is_none() && site.asks_for_keys() && !route.public {
+        return Err(Reason::UnknownKey);
+    }
+    Ok(account)
+}
+
+async fn read_body(site: &Site, body: Incoming) -> Result<Bytes, Reason> {
+    let limited = Limited::new(body, site.limits.max_body_bytes);
+    match timeout(BODY_TIMEOUT, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Reason::BodyTooLong)
+        }
+        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete),
+    }
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -9,9 +9,10 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
-use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Settings;
 use crate::gateway::{duty, follow, follow_caches, listener, news, reach, steward};
+use crate::phase::Phase;
 
 /// Time for which a stopping box still takes requests: the balancer asks each
 /// second and sends nobody after two refusals; clients learn by each answer.
--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -14,7 +14,8 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
-use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::kernel::Gateway;
+use crate::phase::Phase;
 use crate::platform::keys;
 use crate::platform::metadata::{Lease, Outcome};
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,8 +12,9 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
-use crate::gateway::kernel::{Gateway, Phase, State};
+use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::view::{Changed, Snapshot, Written};
+use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
 use crate::platform::metadata::{Change, Item, Watched};
 
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -12,7 +12,8 @@
 use crate::clock::now_ms;
 use crate::error::Result;
 use crate::gateway::holder::Holder;
-use crate::gateway::kernel::{Gateway, Phase, State};
+use crate::gateway::kernel::{Gateway, State};
+use crate::phase::Phase;
 use crate::platform::caches::{CacheChanges, CacheListing};
 
 /// Pause after a holder that did not answer.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -17,24 +17,12 @@
 use crate::gateway::upstreams::Upstreams;
 use crate::gateway::view::View;
 use crate::gateway::weights::NamedWeights;
+use crate::phase::Phase;
 use crate::platform::caches::Caches;
 use crate::platform::engine::Engines;
 use crate::platform::metadata::MetadataStore;
 use crate::sync::locked;
 
-/// Where the box is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Takes requests.
-    Serving,
-    /// Tells the balancer to send nobody new, and clients to go elsewhere.
-    Leaving,
-    /// Takes no more requests; what runs goes on.
-    Draining,
-    /// Done.
-    Stopped,
-}
-
 /// State that decisions read and change; no call is awaited under its lock.
 pub struct State {
     /// Items of the metadata store.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -19,10 +19,11 @@
 use tokio::time::sleep;
 
 use crate::gateway::connections::tune;
-use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::serve;
 use crate::gateway::site::ClientLimits;
 use crate::metering;
+use crate::phase::Phase;
 
 /// Pause after a connection that could not be accepted, for want of
 /// descriptors mostly.
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -12,11 +12,12 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::follow;
-use crate::gateway::kernel::{Gateway, Phase, State};
+use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::peers::{NEWS_PERIOD_MS, News, told_loads};
 use crate::gateway::steward::LOADING_NEWS_MS;
 use crate::gateway::upstreams::number;
 use crate::gateway::view::Snapshot;
+use crate::phase::Phase;
 
 /// Longest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 8192;
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -11,7 +11,8 @@
 use tokio::time::sleep;
 
 use crate::clock::now_ms;
-use crate::gateway::kernel::{Gateway, Phase};
+use crate::gateway::kernel::Gateway;
+use crate::phase::Phase;
 
 /// Time between two looks.
 const LOOK_PERIOD: Duration = Duration::from_millis(400);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,9 +17,10 @@
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Body, BrokenOff};
 use crate::gateway::attempt::{Attempted, Reply, attempt, silence};
+use crate::gateway::check::Job;
 use crate::gateway::choose::Choice;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::serve::{Job, log_end, resume_place};
+use crate::gateway::serve::{log_end, resume_place, seconds_since};
 use crate::gateway::site::Repeat;
 
 /// What ends an event.
@@ -193,6 +194,8 @@
     }
 
     fn log_begun(&self) {
+        let first_s = seconds_since(self.job.arrived_at_ms);
+        metrics::histogram!("coursestile_first_event_seconds").record(first_s);
         debug!(target: "relay", "event=begun request={} upstream={}",
             self.job.outgoing.request_id, self.choice.id);
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -4,29 +4,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, StatusCode, header};
+use hyper::{Request, StatusCode};
 use log::info;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Reason};
-use crate::gateway::attempt::{Attempted, Outgoing, Reply, attempt};
-use crate::gateway::choose::{Choice, ContextPlan, Demand, choose};
+use crate::gateway::attempt::{Attempted, Reply, attempt};
+use crate::gateway::check::{Job, check};
+use crate::gateway::choose::{Choice, Demand, choose};
+use crate::gateway::context::ContextPlan;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::prompt::Prompt;
 use crate::gateway::relay;
-use crate::gateway::site::{Account, Repeat, Route, Site};
+use crate::gateway::site::Repeat;
 use crate::gateway::weights::NamedWeights;
-use crate::platform::exchange::{self, Asked};
+use crate::platform::exchange;
 
-/// Time that a client without a deadline of its own will wait.
-const DEFAULT_PATIENCE_MS: u64 = 30_000;
-/// Longest time for a body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which a request waits for the first configuration.
-const FIRST_SITE_TIMEOUT: Duration = Duration::from_millis(250);
 /// When a refused client may come back.
 const RETRY_AFTER_MS: u64 = 400;
 /// Part of the aim after which a request that found no place is refused.
@@ -34,41 +28,6 @@
 /// Pause before an attempt when the last one was turned away.
 const AGAIN_PAUSE: Duration = Duration::from_millis(5);
 
-/// A request that has been checked.
-pub struct Job {
-    /// As it is sent.
-    pub outgoing: Outgoing,
-    /// Prompt, when it has one.
-    pub prompt: Option<Prompt>,
-    /// Service.
-    pub service: String,
-    /// Its route.
-    pub route: Route,
-    /// Account whose context is kept apart.
-    pub isolated_account: Option<String>,
-    /// When it arrived.
-    pub arrived_at_ms: u64,
-    /// Upstreams that it was sent to.
-    pub tried: Vec<String>,
-}
-
-impl Job {
-    /// The job, to be carried on elsewhere.
-    #[must_use]
-    pub fn take(&mut self) -> Self {
-        let tried = std::mem::take(&mut self.tried);
-        Self {
-            outgoing: self.outgoing.clone(),
-            prompt: self.prompt.clone(),
-            service: self.service.clone(),
-            route: self.route.clone(),
-            isolated_account: self.isolated_account.clone(),
-            arrived_at_ms: self.arrived_at_ms,
-            tried,
-        }
-    }
-}
-
 /// Counts a request for as long as it is served.
 struct Serving(Arc<Gateway>);
 
@@ -108,100 +67,6 @@
     answer
 }
 
-/// Checks a request and reads its body.
-async fn check(
-    gateway: &Gateway,
-    asked: &Asked,
-    parts: hyper::http::request::Parts,
-    body: Incoming,
-    arrived_at_ms: u64,
-) -> Result<Job, Reason> {
-    let site = known_site(gateway).await.ok_or(Reason::NotReady)?;
-    if is_ambiguous(&parts.headers) {
-        return Err(Reason::BadRequest);
-    }
-    let (Some(host), Some(request_id)) = (&asked.host, &asked.request_id) else {
-        return Err(Reason::BadRequest);
-    };
-    let route = site.route(host, parts.uri.path()).ok_or(Reason::NoRoute)?.clone();
-    let account = account(&site, &route, asked)?.cloned();
-    let bytes = read_body(&site, body).await?;
-    // A change may have come into force while the body arrived.
-    let service = route.service(number(request_id)).ok_or(Reason::NoUpstream)?;
-    let patience_ms = asked.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
-    let priority = account.as_ref().and_then(|one| one.priority).unwrap_or(route.priority);
-    let isolated = account.as_ref().filter(|one| one.isolated);
-    Ok(Job {
-        prompt: asked.prompt.clone(),
-        service: service.to_owned(),
-        isolated_account: isolated.map(|one| one.name.clone()),
-        arrived_at_ms,
-        tried: Vec::new(),
-        outgoing: Outgoing {
-            request_id: request_id.clone(),
-            method: parts.method,
-            uri: parts.uri,
-            head: parts.headers,
-            body: bytes,
-            account: account.map(|one| one.name),
-            priority,
-            repeat: route.repeat,
-            deadline_ms: arrived_at_ms + patience_ms.min(route.timeout_ms),
-        },
-        route,
-    })
-}
-
-/// The configuration in force; a box that has just started waits for it a
-/// little, since it takes some round trips.
-async fn known_site(gateway: &Gateway) -> Option<Arc<Site>> {
-    let known = gateway.state().site.clone();
-    if known.is_some() {
-        return known;
-    }
-    let mut changed = gateway.upstreams_changed.subscribe();
-    // Without news in time, what is known now is the answer.
-    let _ = timeout(FIRST_SITE_TIMEOUT, changed.changed()).await;
-    gateway.state().site.clone()
-}
-
-/// A number that spreads requests evenly over the targets of a route.
-fn number(request_id: &str) -> u64 {
-    let mut bytes = [0; 8];
-    blake3::Hasher::new().update(request_id.as_bytes()).finalize_xof().fill(&mut bytes);
-    u64::from_le_bytes(bytes)
-}
-
-/// Whether it is open where the request's body ends.
-fn is_ambiguous(head: &HeaderMap) -> bool {
-    let lengths = head.get_all(header::CONTENT_LENGTH).iter().count();
-    let encodings = head.get_all(header::TRANSFER_ENCODING).iter().count();
-    lengths + encodings > 1 || head.get_all(header::HOST).iter().count() > 1
-}
-
-fn account<'a>(
-    site: &'a Site,
-    route: &Route,
-    asked: &Asked,
-) -> Result<Option<&'a Account>, Reason> {
-    let account = asked.key.as_deref().and_then(|key| site.account(key));
-    if account.is_none() && site.asks_for_keys() && !route.public {
-        return Err(Reason::UnknownKey);
-    }
-    Ok(account)
-}
-
-async fn read_body(site: &Site, body: Incoming) -> Result<Bytes, Reason> {
-    let limited = Limited::new(body, site.limits.max_body_bytes);
-    match timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Reason::BodyTooLong)
-        }
-        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete),
-    }
-}
-
 /// Has a request run, at one upstream after the other if need be.
 async fn run(gateway: &Arc<Gateway>, mut job: Job) -> Answer {
     let mut ran_perhaps = false;
@@ -433,9 +298,16 @@
         job.outgoing.request_id, choice.id);
 }
 
+/// Time since a moment, in seconds, as metrics have it.
+#[must_use]
+pub fn seconds_since(at_ms: u64) -> f64 {
+    std::time::Duration::from_millis(now_ms().saturating_sub(at_ms)).as_secs_f64()
+}
+
 /// Logs the end of a request that was served.
 pub fn log_end(job: &Job, choice: &Choice, status: StatusCode, bytes: usize) {
     metrics::counter!("coursestile_requests_total", "end" => "answered").increment(1);
+    metrics::histogram!("coursestile_request_seconds").record(seconds_since(job.arrived_at_ms));
     info!(target: "serve",
         "event=answered request={} upstream={} status={} bytes={bytes} held_ms={}",
         job.outgoing.request_id, choice.id, status.as_u16(), now_ms() - job.arrived_at_ms);
--- a/src/gateway/stores.rs
+++ b/src/gateway/stores.rs
@@ -123,7 +123,6 @@
         }
         lost
     }
-
 }
 
 /// The stores of kept context.
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -21,6 +21,7 @@
 use crate::link::{self, Link};
 use crate::member::{Health, Member};
 use crate::membership::Membership;
+use crate::phase::Phase;
 use crate::placing::Placing;
 use crate::settings::Settings;
 use crate::streams::Streams;
@@ -85,19 +86,6 @@
 
 inventory::collect!(Plugin);
 
-/// Where the box is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Takes requests.
-    Serving,
-    /// Still takes requests, but is not ready for more.
-    Leaving,
-    /// Finishes what runs.
-    Draining,
-    /// Done.
-    Stopped,
-}
-
 /// State shared by the plug-ins of one box.
 pub struct Kernel {
     /// Settings of the box.
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -11,10 +11,11 @@
 use crate::clock::now_ms;
 use crate::dispatch::DispatcherStatus;
 use crate::invariant::violations;
-use crate::kernel::{Kernel, Phase, Plugin};
+use crate::kernel::{Kernel, Plugin};
 use crate::listen::server;
 use crate::member::Member;
 use crate::metering::render;
+use crate::phase::Phase;
 use crate::trace::Span;
 
 inventory::submit! {
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -16,9 +16,10 @@
 use crate::edge::{KeyValue, ModelEngines, Order};
 use crate::error::{Error, Result};
 use crate::invariant::{Invariant, check};
-use crate::kernel::{Kernel, Phase, Plugin};
+use crate::kernel::{Kernel, Plugin};
 use crate::lease::{LEASE_TTL_S, Lease, Load, Observed, RENEW_PERIOD_MS, plan_loads};
 use crate::owner::owner;
+use crate::phase::Phase;
 use crate::settings::{EngineSettings, Upstream, UpstreamKind};
 use crate::sync::locked;
 
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::http::uri::Authority;
 use hyper::{Method, Request, StatusCode, Uri};
 
-use crate::gateway::choose::{ContextPlan, Source};
+use crate::gateway::context::{ContextPlan, Source};
 use crate::gateway::prompt::Prompt;
 use crate::platform::headers;
 
--- /dev/null
+++ b/tests/explaining.rs
@@ -0,0 +1,53 @@
+//! From a request's id to its cause, by logs alone.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::process::Command;
+
+use common::scene;
+use coursestile::explain::{Line, story};
+use coursestile_standins::fleet::programs;
+use coursestile_standins::site::eventually;
+use coursestile_standins::site::server::Act;
+
+#[tokio::test]
+async fn cause_told() {
+    let scene = scene(1).await;
+    scene.servers[0].then(&[Act::Close, Act::NotRun]);
+    assert_eq!(scene.send("POST", "/once/", "r-lost").await.status(), 502);
+    assert_eq!(scene.send("POST", "/once/", "r-full").await.status(), 503);
+    assert_eq!(scene.send("POST", "/once/", "r-good").await.status(), 200);
+    eventually("it is logged", async || scene.gateway.logged().contains("answered request=r-good"))
+        .await;
+    for (id, told) in [
+        ("r-lost", ["event=routed", "end=unknown cause=", "reason=\"upstream failed\" status=502"]),
+        ("r-full", ["event=routed", "end=not_run cause=\"status 503\"", "status=503"]),
+        ("r-good", ["event=routed", "upstream=s-0", "event=answered"]),
+    ] {
+        let output = Command::new(programs().join("coursestile"))
+            .args(["explain", id])
+            .arg(&scene.gateway.log)
+            .output()
+            .unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert!(
+            output.status.success() && told.iter().all(|one| text.contains(one)),
+            "{id}: {text}"
+        );
+        assert!(text.contains("event=upstream_seen upstream=s-0"), "what was believed: {text}");
+    }
+}
+
+#[test]
+fn fields_read() {
+    let text = "2026-12-02T14:10:01.250Z INFO  serve: event=refused request=r-1 \
+                reason=\"no route\" status=404";
+    let line = Line::read(0, "a", text).unwrap();
+    assert_eq!(line.field("reason"), Some("no route"));
+    assert_eq!(line.field("status"), Some("404"));
+    assert_eq!(line.field("upstream"), None);
+    assert_eq!(Line::read(0, "a", "no time at all"), None);
+    let other = Line::read(1, "a", &text.replace("r-1", "r-2")).unwrap();
+    assert_eq!(story(&[other, line.clone()], "r-1"), [&line]);
+}
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -3,7 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use coursestile::gateway::budget::{Budget, Terms};
-use coursestile::gateway::choose::{Demand, choose, scope_model, scope_version};
+use coursestile::gateway::choose::{Demand, choose};
+use coursestile::gateway::context::{scope_model, scope_version};
 use coursestile::gateway::holder::PartKey;
 use coursestile::gateway::peers::{News, Peers};
 use coursestile::gateway::prompt::Prompt;
