Let older weights cost 60 ms, not 200

Cause: engines with new weights were flooded first, so that first tokens came late; a late answer costs four fifths, old weights one.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -19,7 +19,7 @@
 /// Cost of a doubtful upstream; it is chosen when all are.
 const DOUBTFUL_COST_MS: f64 = 100_000.0;
 /// Cost of weights that are older than the newest named.
-const OLD_WEIGHTS_COST_MS: f64 = 200.0;
+const OLD_WEIGHTS_COST_MS: f64 = 60.0;
 /// Time for which older weights are as good as new ones.
 const OLD_WEIGHTS_GRACE_MS: u64 = 1500;
 /// Cost of weights that should not be there any more: any other engine goes
