--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -16,8 +16,11 @@
 use crate::phase::Phase;
 use crate::platform::caches::{CacheChanges, CacheListing};
 
-/// Pause after a holder that did not answer.
+/// First pause after a holder that did not answer.
 const PAUSE: Duration = Duration::from_millis(700);
+/// Longest pause: a holder with as many followers as it takes refuses all
+/// others, and each refusal is priced.
+const MOST_PAUSE: Duration = Duration::from_secs(6);
 
 /// Who keeps context.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -67,9 +70,10 @@
 
 async fn follow(gateway: Arc<Gateway>, keeper: Keeper, address: SocketAddr) {
     let mut known = false;
+    let mut pause = PAUSE;
     loop {
         match step(&gateway, &keeper, address, &mut known).await {
-            Ok(()) => {}
+            Ok(()) => pause = PAUSE,
             Err(error) => {
                 debug!(target: "caches", "event=holder_silent holder={keeper:?} cause=\"{error}\"");
                 if let Keeper::Store(name) = &keeper
@@ -77,7 +81,8 @@
                 {
                     state.failed(now_ms());
                 }
-                sleep(PAUSE).await;
+                sleep(pause).await;
+                pause = (pause * 2).min(MOST_PAUSE);
             }
         }
     }
