Pass on an upstream's own failure, long answers, and streams with any bytes

Cause, found by reading the change again, each by a test that failed first: - a repeatable request that an upstream had answered with 500 got 502 when the budget for repeats was spent (failure_unrepeated: 502 for 500); - an answer of more than 256 KB to a plain request could never be delivered: 502 after it had run (long_answers); - an event with bytes that are no text hid its id, so that a stream taken up elsewhere repeated events (taken_up_after_bytes: 1 2 1 2 for 1 2 3 4). Change: the budget is asked before an answer is dropped; a long body is passed on as it arrives; ids are found in bytes. Why an upstream did not run a request is an enum, not a text; another incarnation at the address is told apart from other weights. A path that could not be written again became '/': the target is settled once, when the request is checked.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -35,7 +35,7 @@
     /// Method.
     pub method: Method,
     /// Path and query.
-    pub uri: Uri,
+    pub target: Uri,
     /// The client's headers.
     pub head: HeaderMap,
     /// Body.
@@ -56,8 +56,8 @@
     Answered(Box<Reply>),
     /// The upstream did not run the request and never will.
     NotRun {
-        /// What it said.
-        cause: String,
+        /// Why.
+        cause: NotRunCause,
     },
     /// No byte of the request left.
     NotSent {
@@ -73,6 +73,25 @@
     TimeOver,
 }
 
+/// Why an upstream did not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum NotRunCause {
+    /// another incarnation has the address
+    OtherIncarnation,
+    /// it has other weights
+    OtherVersion,
+    /// it refused with status {0}
+    Refused(u16),
+}
+
+/// How much of a body was read at once.
+pub enum Start {
+    /// All of it.
+    Whole(Bytes),
+    /// As much as is kept in memory; the rest follows.
+    Part(Bytes),
+}
+
 /// The head of an upstream's answer, with all that is needed to read on.
 pub struct Reply {
     /// Status.
@@ -99,11 +118,11 @@
         tokio::spawn(async move { gateway.connections.give_back(&id, &head, sender).await });
     }
 
-    /// Reads the whole body; `None` when it is longer than is kept in memory.
+    /// Reads the body, as far as it is kept in memory.
     ///
     /// # Errors
     /// Fails when the upstream breaks off.
-    pub async fn read_whole(&mut self) -> Result<Option<Bytes>, String> {
+    pub async fn read_start(&mut self) -> Result<Start, String> {
         let mut bytes = Vec::new();
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
@@ -111,10 +130,10 @@
             self.place.heard();
             bytes.extend_from_slice(&data);
             if bytes.len() > MAX_WHOLE_BYTES {
-                return Ok(None);
+                return Ok(Start::Part(bytes.into()));
             }
         }
-        Ok(Some(bytes.into()))
+        Ok(Start::Whole(bytes.into()))
     }
 }
 
@@ -264,7 +283,7 @@
     let now_ms = now_ms();
     let request = exchange::forward(
         &outgoing.method,
-        &outgoing.uri,
+        &outgoing.target,
         &outgoing.head,
         &outgoing.body,
         &Forward {
@@ -315,8 +334,8 @@
     let told = exchange::told(parts.status, &parts.headers);
     let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if told.not_run && (own || told.request_id.is_none()) {
-        let cause = format!("status {}", parts.status.as_u16());
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        let cause = not_run_cause(parts.status, &told, &place.id);
+        if cause == NotRunCause::OtherIncarnation {
             place.avoid();
         }
         return Attempted::NotRun { cause };
@@ -333,6 +352,16 @@
     Attempted::Answered(Box::new(reply))
 }
 
+fn not_run_cause(status: StatusCode, told: &Told, upstream_id: &str) -> NotRunCause {
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        return NotRunCause::Refused(status.as_u16());
+    }
+    match &told.upstream_id {
+        Some(id) if id != upstream_id => NotRunCause::OtherIncarnation,
+        Some(_) | None => NotRunCause::OtherVersion,
+    }
+}
+
 /// Notes the parts that are being saved.
 fn note_saves(gateway: &Gateway, choice: &Choice) {
     let Some(context) = &choice.context else { return };
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{HeaderMap, header};
+use hyper::{HeaderMap, Uri, header};
 use tokio::time::timeout;
 
 use crate::gateway::answer::Reason;
@@ -39,6 +39,10 @@
     pub arrived_at_ms: u64,
     /// Upstreams that it was sent to.
     pub tried: Vec<String>,
+    /// Attempts that reached nobody.
+    pub unsent: u32,
+    /// Whether an attempt may have run.
+    pub ran_perhaps: bool,
 }
 
 impl Job {
@@ -54,6 +58,8 @@
             isolated_account: self.isolated_account.clone(),
             arrived_at_ms: self.arrived_at_ms,
             tried,
+            unsent: self.unsent,
+            ran_perhaps: self.ran_perhaps,
         }
     }
 }
@@ -76,7 +82,8 @@
     let (Some(host), Some(request_id)) = (&asked.host, &asked.request_id) else {
         return Err(Reason::BadRequest);
     };
-    let route = site.route(host, parts.uri.path()).ok_or(Reason::NoRoute)?.clone();
+    let target = parts.uri.path_and_query().cloned().map(Uri::from).ok_or(Reason::BadRequest)?;
+    let route = site.route(host, target.path()).ok_or(Reason::NoRoute)?.clone();
     let account = account(&site, &route, asked)?.cloned();
     let bytes = read_body(&site, body).await?;
     // A change may have come into force while the body arrived.
@@ -90,10 +97,12 @@
         isolated_account: isolated.map(|one| one.name.clone()),
         arrived_at_ms,
         tried: Vec::new(),
+        unsent: 0,
+        ran_perhaps: false,
         outgoing: Outgoing {
             request_id: request_id.clone(),
             method: parts.method,
-            uri: parts.uri,
+            target,
             head: parts.headers,
             body: bytes,
             account: account.map(|one| one.name),
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -113,9 +113,13 @@
     respond: fn(&Gateway) -> (StatusCode, String),
 ) {
     while gateway.phase() != Phase::Stopped {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let gateway = gateway.clone();
         tokio::spawn(async move {
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -25,6 +25,8 @@
 const MAX_SNAPSHOT_BYTES: u64 = 8 << 20;
 /// Time in which a peer must send a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause after a socket that failed, so that a lasting fault does not spin.
+const FAILED_PAUSE: Duration = Duration::from_millis(10);
 /// Least time between two looks for a peer that knows more.
 const COMPARE_PERIOD: Duration = Duration::from_millis(200);
 
@@ -91,7 +93,7 @@
             Ok(received) => received,
             Err(error) => {
                 debug!(target: "news", "event=receive_failed cause=\"{error}\"");
-                sleep(Duration::from_millis(10)).await;
+                sleep(FAILED_PAUSE).await;
                 continue;
             }
         };
@@ -177,13 +179,22 @@
 /// Gives snapshots to peers that ask.
 pub async fn give(gateway: Arc<Gateway>, listener: TcpListener) {
     while gateway.phase() != Phase::Stopped {
-        let Ok((mut stream, from)) = listener.accept().await else {
-            sleep(Duration::from_millis(10)).await;
-            continue;
+        let (mut stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                debug!(target: "news", "event=accept_failed cause=\"{error}\"");
+                sleep(FAILED_PAUSE).await;
+                continue;
+            }
         };
         let snapshot = gateway.state().view.snapshot();
         tokio::spawn(async move {
-            let bytes = postcard::to_stdvec(&snapshot).unwrap_or_default();
+            let bytes = match postcard::to_stdvec(&snapshot) {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    return warn!(target: "news", "event=snapshot_unwritable cause=\"{error}\"");
+                }
+            };
             let written = timeout(SNAPSHOT_TIMEOUT, async {
                 stream.write_all(&bytes).await?;
                 stream.shutdown().await
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -65,12 +65,20 @@
     reply: Option<Reply>,
     buffer: BytesMut,
     last_event: Option<String>,
+    /// What was read before, and not passed on yet.
+    pending: Bytes,
     passed_bytes: usize,
     begun: bool,
 }
 
-/// Passes a stream on.
-pub fn stream(gateway: &Arc<Gateway>, job: &mut Job, reply: Reply, choice: &Choice) -> Answer {
+/// Passes a body on as it arrives, after what was read of it already.
+pub fn stream(
+    gateway: &Arc<Gateway>,
+    job: &mut Job,
+    reply: Reply,
+    choice: &Choice,
+    pending: Bytes,
+) -> Answer {
     let (status, head) = (reply.status, reply.head.clone());
     let relay = Relay {
         gateway: gateway.clone(),
@@ -79,6 +87,7 @@
         reply: Some(reply),
         buffer: BytesMut::new(),
         last_event: None,
+        pending,
         passed_bytes: 0,
         begun: false,
     };
@@ -98,6 +107,11 @@
 impl Relay {
     /// The next bytes for the client; `None` at the end.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        if !self.pending.is_empty() {
+            let pending = std::mem::take(&mut self.pending);
+            self.passed_bytes += pending.len();
+            return Some(Ok(pending));
+        }
         loop {
             let reply = self.reply.as_mut()?;
             let deadline = instant_at(self.job.outgoing.deadline_ms);
@@ -175,6 +189,7 @@
             return Some(BrokenOff::Upstream);
         }
         loop {
+            self.job.ran_perhaps = true;
             self.job.tried.push(self.choice.id.clone());
             let Some(choice) = resume_place(&self.gateway, &self.job).await else {
                 return Some(BrokenOff::Upstream);
@@ -232,7 +247,7 @@
 
 /// Id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    let mut ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
-    ids.next_back().map(|id| id.trim().to_owned())
+    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Reason};
-use crate::gateway::attempt::{Attempted, Reply, attempt};
+use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
 use crate::gateway::choose::{Choice, Demand, choose};
 use crate::gateway::context::ContextPlan;
@@ -25,6 +25,11 @@
 const RETRY_AFTER_MS: u64 = 400;
 /// Part of the aim after which a request that found no place is refused.
 const WAIT_PART: u64 = 4;
+/// Attempts that may reach nobody before the request is given up: each may
+/// take the 300 ms of a connection.
+const MAX_UNSENT: u32 = 4;
+/// Least time that must be left for another attempt: some round trips.
+const LEAST_LEFT_MS: u64 = 20;
 /// Pause before an attempt when the last one was turned away.
 const AGAIN_PAUSE: Duration = Duration::from_millis(5);
 
@@ -69,71 +74,94 @@
 
 /// Has a request run, at one upstream after the other if need be.
 async fn run(gateway: &Arc<Gateway>, mut job: Job) -> Answer {
-    let mut ran_perhaps = false;
-    let mut failures = 0_u32;
     let wait_until = instant_at(job.arrived_at_ms + job.route.aim_ms / WAIT_PART);
     loop {
         let Some(choice) = find_place(gateway, &job, wait_until).await else {
-            return give_up(gateway, &job, ran_perhaps, no_place_reason(gateway, &job));
+            return give_up(&job, no_place_reason(gateway, &job));
         };
         log_attempt(&job, &choice);
         let attempted = attempt(gateway, &job.outgoing, &choice, None).await;
-        let cause = match attempted {
-            Attempted::Answered(reply) => match pass_on(gateway, &mut job, *reply, &choice).await {
-                Passed::Answer(answer) => return *answer,
-                Passed::TryAgain(cause) => {
-                    ran_perhaps = true;
-                    cause
-                }
-            },
-            Attempted::NotRun { cause } => {
-                note_turned_away(gateway, &job, &choice, &cause);
-                cause
-            }
-            Attempted::NotSent { cause } => {
-                log_attempt_end(&job, &choice, "not_sent", &cause);
-                failures += 1;
-                // It reached nobody, so that it costs neither an attempt nor budget.
-                if failures < 4 && now_ms() < job.outgoing.deadline_ms {
-                    job.tried.push(choice.id.clone());
-                    let all_tried = gateway
-                        .state()
-                        .upstreams
-                        .of(&job.service)
-                        .all(|one| job.tried.contains(&one.id));
-                    if all_tried {
-                        job.tried.clear();
-                    }
-                    continue;
-                }
-                return give_up(gateway, &job, ran_perhaps, Reason::NoUpstream);
-            }
-            Attempted::Unknown { cause } => {
-                ran_perhaps = true;
-                cause
-            }
-            Attempted::TimeOver => {
-                log_attempt_end(&job, &choice, "time_over", "");
-                return give_up(gateway, &job, true, Reason::UpstreamSilent);
-            }
-        };
-        log_attempt_end(&job, &choice, if ran_perhaps { "unknown" } else { "not_run" }, &cause);
-        job.tried.push(choice.id);
-        if !may_try_again(gateway, &job, ran_perhaps) {
-            let reason = if ran_perhaps { Reason::UpstreamFailed } else { Reason::UpstreamsFull };
-            return give_up(gateway, &job, ran_perhaps, reason);
+        if let Some(answer) = settle(gateway, &mut job, &choice, attempted).await {
+            return answer;
         }
         tokio::time::sleep(AGAIN_PAUSE).await;
     }
 }
 
-/// Whether the request can be sent to another upstream.
-fn may_try_again(gateway: &Gateway, job: &Job, ran_perhaps: bool) -> bool {
-    let allowed = !ran_perhaps || job.outgoing.repeat.may_run_again();
+/// What an attempt means for its request: an answer, or `None` when it is to
+/// be sent again.
+async fn settle(
+    gateway: &Arc<Gateway>,
+    job: &mut Job,
+    choice: &Choice,
+    attempted: Attempted,
+) -> Option<Answer> {
+    match attempted {
+        Attempted::Answered(reply) => pass_on(gateway, job, *reply, choice).await,
+        Attempted::NotRun { cause } => {
+            note_turned_away(gateway, job, choice, cause);
+            log_attempt_end(job, choice, "not_run", &cause.to_string());
+            try_elsewhere(gateway, job, choice, Reason::UpstreamsFull)
+        }
+        Attempted::NotSent { cause } => {
+            log_attempt_end(job, choice, "not_sent", &cause);
+            unsent(gateway, job, choice)
+        }
+        Attempted::Unknown { cause } => lost(gateway, job, choice, &cause),
+        Attempted::TimeOver => Some(time_over(job, choice)),
+    }
+}
+
+/// After an attempt that reached nobody, which costs neither an attempt nor
+/// budget.
+fn unsent(gateway: &Gateway, job: &mut Job, choice: &Choice) -> Option<Answer> {
+    job.unsent += 1;
+    if job.unsent >= MAX_UNSENT || now_ms() >= job.outgoing.deadline_ms {
+        return Some(give_up(job, Reason::NoUpstream));
+    }
+    job.tried.push(choice.id.clone());
+    if untried(gateway, job) == 0 {
+        job.tried.clear();
+    }
+    None
+}
+
+/// After an attempt that may have run.
+fn lost(gateway: &Gateway, job: &mut Job, choice: &Choice, cause: &str) -> Option<Answer> {
+    job.ran_perhaps = true;
+    log_attempt_end(job, choice, "unknown", cause);
+    try_elsewhere(gateway, job, choice, Reason::UpstreamFailed)
+}
+
+fn time_over(job: &mut Job, choice: &Choice) -> Answer {
+    job.ran_perhaps = true;
+    log_attempt_end(job, choice, "time_over", "");
+    give_up(job, Reason::UpstreamSilent)
+}
+
+/// `None` when the request is to be sent to another upstream.
+fn try_elsewhere(
+    gateway: &Gateway,
+    job: &mut Job,
+    choice: &Choice,
+    reason: Reason,
+) -> Option<Answer> {
+    job.tried.push(choice.id.clone());
+    (!may_try_again(gateway, job)).then(|| give_up(job, reason))
+}
+
+/// Upstreams of the service that the request was not sent to.
+fn untried(gateway: &Gateway, job: &Job) -> usize {
+    let state = gateway.state();
+    state.upstreams.of(&job.service).filter(|one| !job.tried.contains(&one.id)).count()
+}
+
+/// Whether the request can be sent to another upstream; takes the budget.
+fn may_try_again(gateway: &Gateway, job: &Job) -> bool {
+    let allowed = !job.ran_perhaps || job.outgoing.repeat.may_run_again();
     let attempts_left = u32::try_from(job.tried.len()).is_ok_and(|sent| sent < job.route.attempts);
-    // An upstream that did not run it was asked all the same.
     let now_ms = now_ms();
-    let time_left = now_ms + 20 < job.outgoing.deadline_ms;
+    let time_left = now_ms + LEAST_LEFT_MS < job.outgoing.deadline_ms;
     allowed && attempts_left && time_left && spend(gateway, job, now_ms)
 }
 
@@ -143,52 +171,57 @@
     state.budget.spend(now_ms, &job.service, boxes)
 }
 
-enum Passed {
-    Answer(Box<Answer>),
-    TryAgain(String),
-}
-
-/// Passes an upstream's answer on.
+/// Passes an upstream's answer on; `None` when the request is to be sent again.
 async fn pass_on(
     gateway: &Arc<Gateway>,
     job: &mut Job,
     mut reply: Reply,
     choice: &Choice,
-) -> Passed {
+) -> Option<Answer> {
     if let (Some(version), Some(prompt)) = (reply.told.ran_version, &job.prompt) {
         reply.place.saw_version(&prompt.model, version);
     }
     if job.outgoing.repeat.is_stream() && reply.status.is_success() {
-        return Passed::Answer(Box::new(relay::stream(gateway, job, reply, choice)));
+        return Some(relay::stream(gateway, job, reply, choice, Bytes::new()));
     }
     let deadline = instant_at(job.outgoing.deadline_ms);
-    match timeout_at(deadline, reply.read_whole()).await {
-        Ok(Ok(Some(bytes))) => {
+    match timeout_at(deadline, reply.read_start()).await {
+        Ok(Ok(Start::Whole(bytes))) => {
             let (status, head) = (reply.status, reply.head.clone());
             reply.finished();
-            if status.is_server_error() && can_repeat(gateway, job) {
-                return Passed::TryAgain(format!("status {}", status.as_u16()));
+            if status.is_server_error() && repeats_failure(gateway, job, choice, status) {
+                return None;
             }
             log_end(job, choice, status, bytes.len());
-            let answer = answer::passed_on(status, &head, answer::whole(bytes));
-            Passed::Answer(Box::new(answer))
+            Some(answer::passed_on(status, &head, answer::whole(bytes)))
         }
-        // Too long for memory: begin again from what was read is not possible.
-        Ok(Ok(None)) => Passed::TryAgain("the answer is too long".to_owned()),
+        Ok(Ok(Start::Part(bytes))) => Some(relay::stream(gateway, job, reply, choice, bytes)),
         Ok(Err(cause)) => {
             reply.place.failed();
-            Passed::TryAgain(cause)
-        }
-        Err(_) => {
-            log_attempt_end(job, choice, "time_over", "");
-            Passed::Answer(Box::new(give_up(gateway, job, true, Reason::UpstreamSilent)))
+            lost(gateway, job, choice, &cause)
         }
+        Err(_) => Some(time_over(job, choice)),
+    }
+}
+
+/// Whether a request that an upstream has failed is sent to another; if not,
+/// the upstream's own answer is the answer.
+fn repeats_failure(gateway: &Gateway, job: &mut Job, choice: &Choice, status: StatusCode) -> bool {
+    if job.outgoing.repeat != Repeat::Repeatable {
+        return false;
+    }
+    job.tried.push(choice.id.clone());
+    let repeats = untried(gateway, job) > 0 && may_try_again(gateway, job);
+    if repeats {
+        job.ran_perhaps = true;
+        log_attempt_end(job, choice, "failed", &format!("status {}", status.as_u16()));
     }
+    repeats
 }
 
 /// An upstream that goes on with a stream, if it may be sent again.
 pub async fn resume_place(gateway: &Arc<Gateway>, job: &Job) -> Option<Choice> {
-    if !may_try_again(gateway, job, true) {
+    if !may_try_again(gateway, job) {
         return None;
     }
     let until = instant_at(now_ms() + job.route.aim_ms / WAIT_PART);
@@ -197,17 +230,6 @@
     Some(choice)
 }
 
-fn can_repeat(gateway: &Gateway, job: &Job) -> bool {
-    let others = gateway
-        .state()
-        .upstreams
-        .of(&job.service)
-        .filter(|one| !job.tried.contains(&one.id))
-        .count();
-    let sent = u32::try_from(job.tried.len()).unwrap_or(u32::MAX).saturating_add(1);
-    job.outgoing.repeat == Repeat::Repeatable && sent < job.route.attempts && others > 1
-}
-
 /// Waits for an upstream that can take the request.
 async fn find_place(gateway: &Arc<Gateway>, job: &Job, until: Instant) -> Option<Choice> {
     loop {
@@ -245,11 +267,11 @@
     if known { Reason::UpstreamsFull } else { Reason::NoUpstream }
 }
 
-fn note_turned_away(gateway: &Gateway, job: &Job, choice: &Choice, cause: &str) {
-    let Some(prompt) = &job.prompt else { return };
-    if cause != "status 421" {
+/// Takes note of why an upstream turned a request away.
+fn note_turned_away(gateway: &Gateway, job: &Job, choice: &Choice, cause: NotRunCause) {
+    let Some(prompt) = job.prompt.as_ref().filter(|_| cause == NotRunCause::OtherVersion) else {
         return;
-    }
+    };
     let mut state = gateway.state();
     let named = state.weights.get(&prompt.model).map_or(0, NamedWeights::newest);
     if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
@@ -258,8 +280,9 @@
 }
 
 /// The final answer to a request that was not served.
-fn give_up(_gateway: &Gateway, job: &Job, ran_perhaps: bool, reason: Reason) -> Answer {
-    let reason = match (ran_perhaps, reason.status()) {
+fn give_up(job: &Job, reason: Reason) -> Answer {
+    // "Not run" is said only when no attempt may have run.
+    let reason = match (job.ran_perhaps, reason.status()) {
         (true, StatusCode::SERVICE_UNAVAILABLE) => Reason::UpstreamFailed,
         _ => reason,
     };
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -99,14 +99,14 @@
 #[must_use]
 pub fn forward(
     method: &Method,
-    uri: &Uri,
+    target: &Uri,
     client_head: &HeaderMap,
     body: &Bytes,
     forward: &Forward<'_>,
 ) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = method.clone();
-    *request.uri_mut() = origin_form(uri);
+    *request.uri_mut() = target.clone();
     let head = request.headers_mut();
     for (name, value) in passed_on(client_head) {
         let ours = headers::OURS.contains(name) || *name == header::CONTENT_LENGTH;
@@ -217,8 +217,3 @@
 fn whole_ms(text: &str) -> Option<u64> {
     text.trim().parse::<f64>().ok().filter(|ms| *ms >= 0.0).map(crate::platform::caches::whole_ms)
 }
-
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_else(|_| Uri::from_static("/"))
-}
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -82,6 +82,8 @@
 pub struct Site {
     /// Its metadata store.
     pub metadata: Metadata,
+    /// Repeats in a window beside the ratio, for gateways started from now on.
+    pub retry_extra: u32,
     folder: PathBuf,
     peer_port: u16,
     next_box: u8,
@@ -97,7 +99,7 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("folder");
         let metadata = Metadata::start().await;
-        Self { metadata, folder, peer_port: free_port(), next_box: 10 }
+        Self { metadata, retry_extra: 1_000_000, folder, peer_port: free_port(), next_box: 10 }
     }
 
     /// Starts a gateway that knows the boxes in `seeds`.
@@ -115,9 +117,10 @@
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\nseeds = {}\n[platform]\naddress = {}\n\
-             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = 1000000\nlease_ms = 1000\n",
+             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = 1000\n",
             seeds.join(","),
             self.metadata.address,
+            self.retry_extra,
         );
         let path = self.folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings).expect("settings");
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -33,8 +33,14 @@
     Twice,
     /// Answers, without a length, and closes.
     Unframed,
+    /// Answers with a body of so many bytes.
+    Long(usize),
+    /// Breaks off halfway through a body of so many bytes.
+    LongCut(usize),
     /// Answers after a while.
     After(Duration),
+    /// As `Events`, with data that is no text.
+    RawEvents(u32),
     /// Sends so many of five events, then breaks off within the next.
     Events(u32),
 }
@@ -149,7 +155,16 @@
             write.write_all(format!("{head}{body}").as_bytes()).await.ok()?;
             return None;
         }
-        Act::Events(count) => return events(write, request, *count).await,
+        Act::Long(length) | Act::LongCut(length) => {
+            let sealed = format!("X-Server-Seal: seal-{id}\r\nContent-Length: {length}\r\n\r\n");
+            let cut = matches!(act, Act::LongCut(_));
+            let sent = if cut { length / 2 } else { *length };
+            write.write_all(head(200, id, &sealed).as_bytes()).await.ok()?;
+            write.write_all("x".repeat(sent).as_bytes()).await.ok()?;
+            return (!cut).then_some(());
+        }
+        Act::Events(count) => return events(write, request, *count, b"piece").await,
+        Act::RawEvents(count) => return events(write, request, *count, b"\xff\xfe").await,
     };
     write.write_all(text.as_bytes()).await.ok()
 }
@@ -157,7 +172,12 @@
 /// Number of events of a whole stream.
 const EVENTS: u32 = 5;
 
-async fn events(write: &mut OwnedWriteHalf, request: &Message, count: u32) -> Option<()> {
+async fn events(
+    write: &mut OwnedWriteHalf,
+    request: &Message,
+    count: u32,
+    data: &[u8],
+) -> Option<()> {
     let id = request.header("x-request-id").unwrap_or("-");
     let after: u32 = request.header("last-event-id").map_or(0, |id| id.parse().unwrap_or(0));
     let head = format!(
@@ -166,9 +186,13 @@
     );
     write.write_all(head.as_bytes()).await.ok()?;
     for number in after + 1..=(after + count).min(EVENTS) {
-        let event = format!("id: {number}\ndata: piece {number} of {id}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        write.write_all(chunk.as_bytes()).await.ok()?;
+        let mut event = format!("id: {number}\ndata: ").into_bytes();
+        event.extend_from_slice(data);
+        event.extend_from_slice(format!(" {number} of {id}\n\n").as_bytes());
+        let mut chunk = format!("{:x}\r\n", event.len()).into_bytes();
+        chunk.extend_from_slice(&event);
+        chunk.extend_from_slice(b"\r\n");
+        write.write_all(&chunk).await.ok()?;
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     if after + count >= EVENTS {
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -15,7 +15,11 @@
 
 /// Starts a scene whose gateway is ready and knows all upstreams.
 pub async fn scene(servers: usize) -> Scene {
-    let mut site = Site::start().await;
+    scene_at(Site::start().await, servers).await
+}
+
+/// Starts a scene on a platform that was prepared.
+pub async fn scene_at(mut site: Site, servers: usize) -> Scene {
     let mut started = Vec::new();
     for number in 0..servers {
         let server = Server::start(&format!("s-{number}")).await;
--- a/tests/gateway_routing.rs
+++ b/tests/gateway_routing.rs
@@ -67,6 +67,36 @@
     assert_eq!((scene.count("r-2"), answer.status()), (1, 200));
 }
 
+/// Without budget for a repeat, the upstream's own answer is the answer.
+#[tokio::test]
+async fn failure_unrepeated() {
+    use coursestile_standins::site::server::Act;
+    let mut site = Site::start().await;
+    site.retry_extra = 0;
+    let scene = common::scene_at(site, 2).await;
+    for server in &scene.servers {
+        server.then(&[Act::Status(500)]);
+    }
+    let answer = scene.send("GET", "/safe/", "r-1").await;
+    assert_eq!((answer.status(), answer.header("x-server-seal")), (500, Some("seal-r-1")));
+    assert_eq!(scene.count("r-1"), 1);
+}
+
+#[tokio::test]
+async fn long_answers() {
+    use coursestile_standins::site::server::Act;
+    let scene = scene(1).await;
+    for (path, id) in [("/once/", "r-1"), ("/safe/", "r-2")] {
+        scene.servers[0].then(&[Act::Long(700_000)]);
+        let answer = scene.send("POST", path, id).await;
+        assert_eq!((answer.status(), answer.whole, answer.body.len()), (200, true, 700_000));
+        assert_eq!(scene.count(id), 1);
+    }
+    scene.servers[0].then(&[Act::LongCut(700_000)]);
+    let answer = scene.send("POST", "/once/", "r-3").await;
+    assert!(answer.status() == 200 && !answer.whole, "it must not look complete");
+}
+
 #[tokio::test]
 async fn own_failure_kept() {
     use coursestile_standins::site::server::Act;
--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -52,6 +52,20 @@
     assert_eq!(after, ["2", "4"]);
 }
 
+/// Bytes that are no text do not hide an event's id: what was passed on is not
+/// passed on again.
+#[tokio::test]
+async fn taken_up_after_bytes() {
+    let scene = scene(2).await;
+    for server in &scene.servers {
+        server.then(&[Act::RawEvents(2)]);
+    }
+    let answer = scene.send("POST", "/resume/", "r-1").await;
+    let ids: Vec<_> =
+        answer.body.split(|byte| *byte == b'\n').filter(|line| line.starts_with(b"id:")).collect();
+    assert_eq!(ids, [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]);
+}
+
 #[tokio::test]
 async fn attempts_used_up() {
     let scene = scene(4).await;
