Split the files that had grown large; one command line for both daemons

Change: dispatcher/{mod,places}, keeper/{mod,room}, fleet/{mod,plan,process, starter}; command_line::Daemon; scene_with. coursestiled says so when it can handle no signal. Moved code is as it was.

--- a/src/bin/coursestile-gateway/main.rs
+++ b/src/bin/coursestile-gateway/main.rs
@@ -1,64 +1,50 @@
 //! The daemon of an entry box on the users' platform.
 
-mod args;
-
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use coursestile::command_line::{Daemon, read_text};
 use coursestile::error::{Error, Result};
 use coursestile::gateway::daemon;
 use coursestile::gateway::kernel::Gateway;
 use coursestile::gateway::settings::Settings;
-use coursestile::{logging, metering};
 use log::warn;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::args::{Args, HELP, Mode};
+/// Text of `--help`.
+const HELP: &str = "\
+Serves an entry box on the users' platform.
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::from(2)
-        }
-    }
-}
+Usage: coursestile-gateway [options] [SETTINGS]
 
-fn run() -> Result<()> {
-    let args = Args::parse()?;
-    match args.mode {
-        Mode::Help => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Mode::Version => {
-            println!("coursestile-gateway {}", env!("CARGO_PKG_VERSION"));
-            return Ok(());
-        }
-        Mode::CheckSettings | Mode::Serve => {}
-    }
-    let settings = read(&args.settings)?;
-    if args.mode == Mode::CheckSettings {
-        println!("{}: no findings", args.settings);
-        return Ok(());
-    }
-    logging::start(args.level)?;
-    metering::record();
-    // Entry boxes are small: one thread does.
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| Error::Usage(error.to_string()))?;
-    let ended = runtime.block_on(serve(settings, args.settings));
-    log::logger().flush();
-    ended
-}
+SETTINGS is an INI file; without it, the file that COURSESTILE_BOOT names.
+
+Options:
+      --check-settings  Report every finding in the settings and exit
+      --log LEVEL       error, warn, info (default), debug or trace
+  -h, --help            Print this help
+  -V, --version         Print the version
 
-fn read(path: &str) -> Result<Settings> {
-    let text = std::fs::read_to_string(path);
-    let text = text.map_err(|error| Error::Usage(format!("{path}: {error}")))?;
-    Settings::parse(path, &text)
+SIGTERM stops as planned: running requests end, none is cut. SIGHUP reads the
+settings again.
+";
+
+const DAEMON: Daemon = Daemon {
+    name: "coursestile-gateway",
+    help: HELP,
+    settings_variable: Some("COURSESTILE_BOOT"),
+    // Entry boxes have a quarter of a core: one thread does.
+    threads: None,
+};
+
+fn main() -> ExitCode {
+    DAEMON.start(Settings::parse, |settings, args| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| Error::Usage(error.to_string()))?;
+        runtime.block_on(serve(settings, args.settings.clone()))
+    })
 }
 
 async fn serve(settings: Settings, path: String) -> Result<()> {
@@ -79,7 +65,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => match read(&path) {
+            _ = hangup.recv() => match read_text(&path).and_then(|text| Settings::parse(&path, &text)) {
                 Ok(settings) => daemon::reload(&gateway, &settings),
                 Err(error) => warn!(target: "daemon", "event=reload_refused cause=\"{error}\""),
             },
--- a/src/bin/coursestiled/main.rs
+++ b/src/bin/coursestiled/main.rs
@@ -1,58 +1,48 @@
 //! The daemon of an entry box.
 
-mod args;
-
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use coursestile::command_line::Daemon;
 use coursestile::error::{Error, Result};
 use coursestile::kernel::Kernel;
 use coursestile::settings::Settings;
-use coursestile::{logging, metering};
+use log::warn;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::args::{Args, HELP, Mode};
+/// Text of `--help`.
+const HELP: &str = "\
+Serves an entry box.
 
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::from(2)
-        }
-    }
-}
+Usage: coursestiled [options] SETTINGS
 
-fn run() -> Result<()> {
-    let args = Args::parse()?;
-    match args.mode {
-        Mode::Help => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Mode::Version => {
-            println!("coursestiled {}", env!("CARGO_PKG_VERSION"));
-            return Ok(());
-        }
-        Mode::CheckSettings | Mode::Serve => {}
-    }
-    let text = std::fs::read_to_string(&args.settings)
-        .map_err(|error| Error::Usage(format!("{}: {error}", args.settings)))?;
-    let settings = Settings::parse(&args.settings, &text)?;
-    if args.mode == Mode::CheckSettings {
-        println!("{}: no findings", args.settings);
-        return Ok(());
-    }
-    logging::start(args.level)?;
-    metering::record();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(args.threads)
-        .enable_all()
-        .build()
-        .map_err(|error| Error::Usage(error.to_string()))?;
-    let ended = runtime.block_on(serve(settings));
-    log::logger().flush();
-    ended
+Options:
+      --check-settings  Report every finding in the settings and exit
+      --log LEVEL       error, warn, info (default), debug or trace
+      --threads N       Worker threads (default 2)
+  -h, --help            Print this help
+  -V, --version         Print the version
+
+SIGTERM stops as planned: running requests end, none is cut.
+";
+
+const DAEMON: Daemon = Daemon {
+    name: "coursestiled",
+    help: HELP,
+    settings_variable: None,
+    // Entry boxes are small.
+    threads: Some(2),
+};
+
+fn main() -> ExitCode {
+    DAEMON.start(Settings::parse, |settings, args| {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(args.threads)
+            .enable_all()
+            .build()
+            .map_err(|error| Error::Usage(error.to_string()))?;
+        runtime.block_on(serve(settings))
+    })
 }
 
 async fn serve(settings: Settings) -> Result<()> {
@@ -66,7 +56,7 @@
     let terminate = signal(SignalKind::terminate());
     let interrupt = signal(SignalKind::interrupt());
     let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        return;
+        return warn!(target: "kernel", "No signal can be handled: this box cannot stop as planned.");
     };
     tokio::select! {
         _ = terminate.recv() => {}
--- /dev/null
+++ b/src/dispatcher/places.rs
@@ -0,0 +1,216 @@
+//! Places at engines: given to those who wait, followed, and freed.
+
+use crate::ask::{Ask, AskId, End, Grant, Imported, Verdict};
+use crate::dispatcher::{Action, Dispatcher, narrow};
+use crate::fleet::Engine;
+use crate::keeper::Source;
+use crate::route::{Demand, choose};
+use crate::share::GENERATED_TOKEN_WEIGHT;
+
+/// Time for which a place is held without a renewal.
+pub const HOLD_MS: u64 = 4000;
+/// Tokens that an engine may hold less than believed, for its block size.
+const SLACK_TOKENS: u32 = 256;
+
+/// What an engine is believed to hold of a prompt, and how deep in its cache.
+#[derive(Clone, Copy, Debug, Default)]
+struct Held {
+    tokens: u32,
+    depth_tokens: u64,
+}
+
+/// A place in use.
+pub(super) struct Running {
+    pub(super) ask: Ask,
+    pub(super) grant: Grant,
+    engine: usize,
+    uncached_tokens: u32,
+    believed: Held,
+    first_token: bool,
+    work_tokens: f64,
+    pub(super) held_until_ms: u64,
+}
+
+impl Dispatcher {
+    pub(super) fn place_waiting(&mut self, now_ms: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        loop {
+            let fleet = &self.fleet;
+            let Some((_, waiting)) = self.queue.pop(|ask| fleet.has_place(now_ms, ask)) else {
+                return actions;
+            };
+            let to = waiting.item.id.clone();
+            let grant = self.grant(now_ms, waiting.item, waiting.work_tokens);
+            actions.push(Action::Answer { to, verdict: Verdict::Run(grant) });
+        }
+    }
+
+    fn grant(&mut self, now_ms: u64, ask: Ask, work_tokens: f64) -> Grant {
+        let offer = self.keeper.offer(now_ms, &ask);
+        let demand = Demand {
+            prompt_tokens: ask.prompt_tokens,
+            weights: ask.weights,
+            offer: offer.as_ref().map(|(_, offer)| *offer),
+        };
+        let cached = self.held(&ask);
+        let candidates = self.fleet.candidates(now_ms, &ask, |engine| cached[engine].tokens);
+        let choice = choose(self.policies.route, &demand, &candidates, self.turn)
+            .expect("an ask is popped only when an engine fits");
+        self.turn += 1;
+        let import = offer.filter(|_| choice.import).and_then(|(block, offer)| {
+            self.keeper.start_import(now_ms, &ask.scope, &block, &offer)
+        });
+        let held_tokens = match (&import, demand.offer) {
+            (Some(_), Some(offer)) => offer.tokens,
+            _ => cached[choice.engine].tokens,
+        };
+        let believed = cached[choice.engine];
+        let engine = &self.fleet.engines[choice.engine];
+        let grant = Grant { engine: engine.name.clone(), url: engine.url.clone(), import };
+        let uncached_tokens = ask.prompt_tokens.saturating_sub(held_tokens);
+        self.occupy(now_ms, &ask, choice.engine, uncached_tokens);
+        let id = ask.id.clone();
+        let running = Running {
+            ask,
+            grant: grant.clone(),
+            engine: choice.engine,
+            uncached_tokens,
+            believed: if grant.import.is_none() { believed } else { Held::default() },
+            first_token: false,
+            work_tokens,
+            held_until_ms: now_ms + HOLD_MS,
+        };
+        self.running.insert(id, running);
+        grant
+    }
+
+    /// Counts a place as used, and notes what the engine will hold.
+    fn occupy(&mut self, now_ms: u64, ask: &Ask, engine: usize, uncached_tokens: u32) {
+        let used = &mut self.fleet.engines[engine];
+        used.outstanding += 1;
+        used.pending_tokens += u64::from(uncached_tokens);
+        let (account, until_ms) = (&ask.scope.account, ask.worthless_at_ms);
+        let record = self.keeper.directory.used(now_ms, account, &ask.course, until_ms);
+        if let (Some(record), Some(mark)) = (record, ask.course.end()) {
+            let before = record.used_at(narrow(engine));
+            let now = used.cache.touch(before, mark.tokens);
+            record.held(narrow(engine), mark.tokens, now);
+        }
+    }
+
+    /// Tokens of the prompt that each engine is believed to hold.
+    fn held(&self, ask: &Ask) -> Vec<Held> {
+        let mut cached = vec![Held::default(); self.fleet.engines.len()];
+        for (record, common) in self.keeper.directory.matching(&ask.course) {
+            for copy in &record.copies {
+                let index = usize::from(copy.engine);
+                let engine = &self.fleet.engines[index];
+                let tokens = copy.tokens.min(common);
+                if engine.cache.holds(copy.used) && tokens > cached[index].tokens {
+                    let depth_tokens = engine.cache.depth_tokens(copy.used);
+                    cached[index] = Held { tokens, depth_tokens };
+                }
+            }
+        }
+        cached
+    }
+
+    pub(super) fn imported(&mut self, now_ms: u64, id: &AskId, imported: &Imported) {
+        if let Some(running) = self.running.get(id) {
+            self.keeper.imported(now_ms, &running.ask.course, imported);
+        }
+    }
+
+    pub(super) fn first_token(
+        &mut self,
+        now_ms: u64,
+        id: &AskId,
+        cached_tokens: u32,
+        took_ms: u32,
+    ) {
+        let Some(running) = self.running.get_mut(id).filter(|running| !running.first_token) else {
+            return;
+        };
+        running.first_token = true;
+        running.held_until_ms = now_ms + HOLD_MS;
+        let engine = &mut self.fleet.engines[running.engine];
+        let pending = u64::from(running.uncached_tokens);
+        let alone = engine.pending_tokens == pending;
+        engine.pending_tokens = engine.pending_tokens.saturating_sub(pending);
+        let computed = running.ask.prompt_tokens.saturating_sub(cached_tokens);
+        if alone {
+            engine.measured(computed, f64::from(took_ms));
+        }
+        engine.works();
+        if running.believed.tokens > 0 {
+            let hit = cached_tokens + SLACK_TOKENS >= running.believed.tokens;
+            engine.cache.learn(running.believed.depth_tokens, hit);
+        }
+    }
+
+    pub(super) fn done(
+        &mut self,
+        now_ms: u64,
+        id: &AskId,
+        request: &str,
+        generated_tokens: u32,
+        end: End,
+    ) -> Vec<Action> {
+        let Some((ask, engine)) = self.release(now_ms, id, generated_tokens, end) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        if end == End::Finished {
+            let Engine { url, token_ms, .. } = &self.fleet.engines[engine];
+            let (engine_url, request, token_ms) = (url.clone(), request.to_owned(), *token_ms);
+            let source = Source { ask, engine_url, request, token_ms };
+            actions.extend(self.keeper.plan_export(now_ms, source).map(Action::Export));
+        }
+        actions.extend(self.place_waiting(now_ms));
+        actions
+    }
+
+    /// Frees a place and settles its account.
+    pub(super) fn release(
+        &mut self,
+        now_ms: u64,
+        id: &AskId,
+        generated_tokens: u32,
+        end: End,
+    ) -> Option<(Ask, usize)> {
+        let running = self.running.remove(id)?;
+        let engine = &mut self.fleet.engines[running.engine];
+        engine.outstanding -= 1;
+        if !running.first_token {
+            let pending = u64::from(running.uncached_tokens);
+            engine.pending_tokens = engine.pending_tokens.saturating_sub(pending);
+        }
+        match end {
+            End::Failed => engine.failed(now_ms),
+            End::Refused => engine.refused(now_ms),
+            End::Finished | End::Cancelled | End::Unused => {}
+        }
+        let took = match end {
+            End::Finished | End::Cancelled => {
+                work_tokens(running.uncached_tokens, generated_tokens)
+            }
+            End::Failed | End::Refused | End::Unused => 0.0,
+        };
+        self.queue.finish(&running.ask.scope.account, took - running.work_tokens);
+        self.throughput.add(now_ms, took, !self.queue.is_empty());
+        Some((running.ask, running.engine))
+    }
+
+    pub(super) fn renew(&mut self, now_ms: u64, ids: &[AskId]) {
+        for id in ids {
+            if let Some(running) = self.running.get_mut(id) {
+                running.held_until_ms = now_ms + HOLD_MS;
+            }
+        }
+    }
+}
+
+/// Work of a request, in prompt tokens.
+pub(super) fn work_tokens(uncached_tokens: u32, generated_tokens: u32) -> f64 {
+    f64::from(uncached_tokens) + GENERATED_TOKEN_WEIGHT * f64::from(generated_tokens)
+}
--- a/src/keeper.rs
+++ b/src/keeper/mod.rs
@@ -4,6 +4,8 @@
 //! policy of their worth. Transfers are planned against each store's link, so
 //! that an offer includes what the link has to do before.
 
+mod room;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
@@ -11,9 +13,8 @@
 use crate::ask::{Ask, Import, ImportResult, Imported};
 use crate::blocks::{Block, BlockId, Blocks, Phase, Seal};
 use crate::context::{Course, Scope};
-use crate::directory::{Directory, Record};
+use crate::directory::Directory;
 use crate::keep::{self, KeepPolicy, Kept};
-use crate::owner::owner;
 use crate::route::Offer;
 use crate::store::{Store, exact, whole_ms};
 
@@ -21,12 +22,6 @@
 const LEAST_BLOCK_TOKENS: u32 = 512;
 /// Time in which a write must be done.
 const WRITE_TIMEOUT_MS: u64 = 10_000;
-/// Fill of a store above which blocks are freed, in percent.
-const HIGH_FILL_PERCENT: u64 = 92;
-/// Fill of a store down to which blocks are freed, in percent.
-const LOW_FILL_PERCENT: u64 = 85;
-/// Backlog of a link above which nothing is written over it.
-const MAX_WRITE_BACKLOG_MS: f64 = 100.0;
 /// Time for which a write may be put off.
 const PUT_OFF_MS: u64 = 3000;
 /// Writes put off at most.
@@ -344,84 +339,4 @@
         let store = self.stores.get(&self.blocks.get(&block)?.store)?;
         Some(Delete { block, store_url: store.url.clone() })
     }
-
-    fn make_room(&mut self, now_ms: u64, name: &str) {
-        let capacity_bytes = self.stores[name].capacity_bytes;
-        // What is being freed needs no more room made for it.
-        let mut used_bytes = self.blocks.live_bytes(name);
-        let target_bytes = if used_bytes > capacity_bytes / 100 * HIGH_FILL_PERCENT {
-            capacity_bytes / 100 * LOW_FILL_PERCENT
-        } else {
-            u64::MAX
-        };
-        let mut kept = self.kept_in(name, capacity_bytes);
-        kept.sort_by(|left, right| {
-            let rank = |one: &KeptBlock| {
-                keep::rank(self.policy, now_ms, &one.kept, &self.directory.prior(&one.account))
-            };
-            rank(left).total_cmp(&rank(right))
-        });
-        for one in kept {
-            let expired = keep::expired(self.policy, now_ms, &one.kept);
-            if expired || used_bytes > target_bytes {
-                used_bytes -= one.kept.size_bytes;
-                self.drop_block(&one.id, one.root);
-            }
-        }
-    }
-
-    fn kept_in(&self, name: &str, capacity_bytes: u64) -> Vec<KeptBlock> {
-        let mut by_account: BTreeMap<&str, u64> = BTreeMap::new();
-        for (_, block) in self.blocks.iter().filter(|(_, block)| block.store == name) {
-            *by_account.entry(&block.scope.account).or_default() += block.size_bytes;
-        }
-        let share_of = |account: &str| self.shares.get(account).copied().unwrap_or(1.0);
-        let all_shares: f64 = by_account.keys().map(|account| share_of(account)).sum();
-        let over = |account: &str| {
-            let fair_bytes = exact(capacity_bytes) * share_of(account) / all_shares.max(1e-6);
-            exact(by_account.get(account).copied().unwrap_or(0)) > fair_bytes
-        };
-        let records = self.directory.iter().filter_map(|record| {
-            let id = record.block.as_ref()?;
-            let block = self.blocks.get(id).filter(|block| block.store == name)?;
-            let sealed = matches!(block.phase, Phase::Sealed(_));
-            sealed.then(|| KeptBlock::new(id, record, block, over(&record.account)))
-        });
-        records.collect()
-    }
-
-    fn drop_block(&mut self, id: &BlockId, root: u64) {
-        self.blocks.free(id);
-        self.directory.forget_block(root, id);
-    }
-
-    fn store_for(&self, now_ms: u64, root: u64, size_bytes: u64) -> Option<String> {
-        let fit = self.stores.iter().filter(|(name, store)| {
-            let fits = self.blocks.used_bytes(name) + size_bytes <= store.capacity_bytes;
-            let calm = store.backlog_ms(now_ms) <= MAX_WRITE_BACKLOG_MS;
-            fits && calm && now_ms >= store.cooldown_until_ms
-        });
-        owner(&root.to_string(), fit.map(|(name, _)| name.as_str())).map(str::to_owned)
-    }
-}
-
-struct KeptBlock {
-    id: BlockId,
-    account: String,
-    root: u64,
-    kept: Kept,
-}
-
-impl KeptBlock {
-    fn new(id: &BlockId, record: &Record, block: &Block, over_share: bool) -> Self {
-        let kept = Kept {
-            returns: record.returns,
-            worthless_at_ms: record.worthless_at_ms,
-            saved_ms: f64::from(block.mark.tokens),
-            size_bytes: block.size_bytes,
-            over_share,
-        };
-        let (account, root) = (record.account.clone(), record.course.root);
-        Self { id: id.clone(), account, root, kept }
-    }
 }
--- /dev/null
+++ b/src/keeper/room.rs
@@ -0,0 +1,100 @@
+//! Room in stores: what is freed for what, and where a block goes.
+
+use std::collections::BTreeMap;
+
+use crate::blocks::{Block, BlockId, Phase};
+use crate::directory::Record;
+use crate::keep::{self, Kept};
+use crate::keeper::Keeper;
+use crate::owner::owner;
+use crate::store::exact;
+
+/// Fill of a store above which blocks are freed, in percent.
+const HIGH_FILL_PERCENT: u64 = 92;
+/// Fill of a store down to which blocks are freed, in percent.
+const LOW_FILL_PERCENT: u64 = 85;
+/// Backlog of a link above which nothing is written over it.
+const MAX_WRITE_BACKLOG_MS: f64 = 100.0;
+
+impl Keeper {
+    pub(super) fn make_room(&mut self, now_ms: u64, name: &str) {
+        let capacity_bytes = self.stores[name].capacity_bytes;
+        // What is being freed needs no more room made for it.
+        let mut used_bytes = self.blocks.live_bytes(name);
+        let target_bytes = if used_bytes > capacity_bytes / 100 * HIGH_FILL_PERCENT {
+            capacity_bytes / 100 * LOW_FILL_PERCENT
+        } else {
+            u64::MAX
+        };
+        let mut kept = self.kept_in(name, capacity_bytes);
+        kept.sort_by(|left, right| {
+            let rank = |one: &KeptBlock| {
+                keep::rank(self.policy, now_ms, &one.kept, &self.directory.prior(&one.account))
+            };
+            rank(left).total_cmp(&rank(right))
+        });
+        for one in kept {
+            let expired = keep::expired(self.policy, now_ms, &one.kept);
+            if expired || used_bytes > target_bytes {
+                used_bytes -= one.kept.size_bytes;
+                self.drop_block(&one.id, one.root);
+            }
+        }
+    }
+
+    fn kept_in(&self, name: &str, capacity_bytes: u64) -> Vec<KeptBlock> {
+        let mut by_account: BTreeMap<&str, u64> = BTreeMap::new();
+        for (_, block) in self.blocks.iter().filter(|(_, block)| block.store == name) {
+            *by_account.entry(&block.scope.account).or_default() += block.size_bytes;
+        }
+        let share_of = |account: &str| self.shares.get(account).copied().unwrap_or(1.0);
+        let all_shares: f64 = by_account.keys().map(|account| share_of(account)).sum();
+        let over = |account: &str| {
+            let fair_bytes = exact(capacity_bytes) * share_of(account) / all_shares.max(1e-6);
+            exact(by_account.get(account).copied().unwrap_or(0)) > fair_bytes
+        };
+        let records = self.directory.iter().filter_map(|record| {
+            let id = record.block.as_ref()?;
+            let block = self.blocks.get(id).filter(|block| block.store == name)?;
+            let sealed = matches!(block.phase, Phase::Sealed(_));
+            sealed.then(|| KeptBlock::new(id, record, block, over(&record.account)))
+        });
+        records.collect()
+    }
+
+    pub(super) fn drop_block(&mut self, id: &BlockId, root: u64) {
+        self.blocks.free(id);
+        self.directory.forget_block(root, id);
+    }
+
+    pub(super) fn store_for(&self, now_ms: u64, root: u64, size_bytes: u64) -> Option<String> {
+        let fit = self.stores.iter().filter(|(name, store)| {
+            let fits = self.blocks.used_bytes(name) + size_bytes <= store.capacity_bytes;
+            let calm = store.backlog_ms(now_ms) <= MAX_WRITE_BACKLOG_MS;
+            fits && calm && now_ms >= store.cooldown_until_ms
+        });
+        owner(&root.to_string(), fit.map(|(name, _)| name.as_str())).map(str::to_owned)
+    }
+}
+
+/// A block that may be freed.
+struct KeptBlock {
+    id: BlockId,
+    account: String,
+    root: u64,
+    kept: Kept,
+}
+
+impl KeptBlock {
+    fn new(id: &BlockId, record: &Record, block: &Block, over_share: bool) -> Self {
+        let kept = Kept {
+            returns: record.returns,
+            worthless_at_ms: record.worthless_at_ms,
+            saved_ms: f64::from(block.mark.tokens),
+            size_bytes: block.size_bytes,
+            over_share,
+        };
+        let (account, root) = (record.account.clone(), record.course.root);
+        Self { id: id.clone(), account, root, kept }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod calls;
 pub mod chunk;
 pub mod clock;
+pub mod command_line;
 pub mod completion;
 pub mod configlog;
 pub mod configuration;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet/mod.rs
@@ -3,17 +3,23 @@
 //! Every fleet has a loopback network of its own, so that fleets beside each
 //! other do not meet. All processes end with the fleet.
 
+mod plan;
+mod process;
+mod starter;
+
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::fs::File;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
+pub use plan::{HallPlan, Plan};
+pub use process::Process;
+use starter::Starter;
+
 /// Key shared by all boxes of a fleet.
 pub const CLUSTER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 /// Time in which a process must answer.
@@ -24,194 +30,6 @@
 
 static NETWORKS: AtomicU16 = AtomicU16::new(0);
 
-/// What a hall has.
-#[derive(Clone)]
-pub struct HallPlan {
-    /// Name.
-    pub name: String,
-    /// Entry boxes.
-    pub boxes: usize,
-    /// Model engines.
-    pub engines: usize,
-    /// Workers of the plain service.
-    pub workers: usize,
-}
-
-impl HallPlan {
-    /// A hall of that size.
-    #[must_use]
-    pub fn new(name: &str, boxes: usize, engines: usize, workers: usize) -> Self {
-        Self { name: name.to_owned(), boxes, engines, workers }
-    }
-}
-
-/// What a fleet has.
-#[derive(Clone)]
-pub struct Plan {
-    /// Data halls.
-    pub halls: Vec<HallPlan>,
-    /// Context stores, shared by all halls.
-    pub stores: usize,
-    /// Bytes of a store.
-    pub store_bytes: u64,
-    /// Rate of a store's link.
-    pub link_bytes_per_ms: u64,
-    /// Size of an engine's prefix cache.
-    pub cache_tokens: u64,
-    /// Requests that an engine is given at once.
-    pub slots: u32,
-    /// Further arguments of engines.
-    pub engine_args: Vec<(String, String)>,
-    /// Further arguments of workers.
-    pub worker_args: Vec<(String, String)>,
-    /// Lines of the settings' policy section.
-    pub policy: String,
-    /// Lines of the settings' limits section.
-    pub limits: String,
-    /// Whether engines check who orders.
-    pub checks_orders: bool,
-    /// Whether messages between halls go over wires that can be cut.
-    pub wires: bool,
-}
-
-impl Plan {
-    /// A fleet of these halls, without stores.
-    #[must_use]
-    pub fn new(halls: Vec<HallPlan>) -> Self {
-        Self {
-            halls,
-            stores: 0,
-            store_bytes: 4_000_000_000,
-            link_bytes_per_ms: 2_000_000,
-            cache_tokens: 65_536,
-            slots: 8,
-            engine_args: Vec::new(),
-            worker_args: Vec::new(),
-            policy: String::new(),
-            limits: String::new(),
-            checks_orders: true,
-            wires: false,
-        }
-    }
-
-    /// One hall.
-    #[must_use]
-    pub fn one_hall(boxes: usize, engines: usize, workers: usize) -> Self {
-        Self::new(vec![HallPlan::new("north", boxes, engines, workers)])
-    }
-
-    /// The size of today: three halls, 9 boxes, 18 engines, 2 stores, 3 workers.
-    #[must_use]
-    pub fn today() -> Self {
-        let halls = ["north", "east", "west"].map(|name| HallPlan::new(name, 3, 6, 1));
-        Self { stores: 2, ..Self::new(halls.to_vec()) }
-    }
-}
-
-/// A running process.
-pub struct Process {
-    /// Name in the fleet.
-    pub name: String,
-    /// Data hall; empty for what all halls share.
-    pub hall: String,
-    /// Where it is called.
-    pub address: String,
-    child: Mutex<Child>,
-    command: Vec<String>,
-    log: PathBuf,
-}
-
-impl Process {
-    fn start(name: &str, hall: &str, address: &str, command: Vec<String>, log: PathBuf) -> Self {
-        let child = Mutex::new(spawn(&command, &log));
-        let (name, hall, address) = (name.to_owned(), hall.to_owned(), address.to_owned());
-        Self { name, hall, address, child, command, log }
-    }
-
-    /// Sends a signal, by its name.
-    ///
-    /// # Panics
-    /// Panics when it cannot be sent.
-    pub fn signal(&self, signal: &str) {
-        assert!(self.try_signal(signal), "kill {signal} {}", self.name);
-    }
-
-    /// Sends a signal, unless the process has ended.
-    pub fn try_signal(&self, signal: &str) -> bool {
-        if self.ended() {
-            return false;
-        }
-        let pid = self.pid().to_string();
-        let sent = Command::new("kill").args([signal, &pid]).status();
-        sent.is_ok_and(|status| status.success())
-    }
-
-    /// Ends the process without a warning.
-    pub fn kill(&self) {
-        let mut child = self.child();
-        let _ = child.kill();
-        let _ = child.wait();
-    }
-
-    /// Starts it again with the same command, ending it before if need be.
-    pub fn restart(&self) {
-        self.kill();
-        *self.child() = spawn(&self.command, &self.log);
-    }
-
-    /// Starts it again once the process `pid` has ended, unless another one was
-    /// started in its place meanwhile.
-    pub async fn start_again(&self, pid: u32) {
-        while self.pid() == pid && !self.ended() {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        let mut child = self.child();
-        if child.id() == pid {
-            *child = spawn(&self.command, &self.log);
-        }
-    }
-
-    /// Whether the process has ended.
-    #[must_use]
-    pub fn ended(&self) -> bool {
-        matches!(self.child().try_wait(), Ok(Some(_)))
-    }
-
-    /// Process id.
-    #[must_use]
-    pub fn pid(&self) -> u32 {
-        self.child().id()
-    }
-
-    fn child(&self) -> MutexGuard<'_, Child> {
-        self.child.lock().expect("child lock")
-    }
-
-    /// Base URL.
-    #[must_use]
-    pub fn url(&self) -> String {
-        format!("http://{}", self.address)
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-fn spawn(command: &[String], log: &Path) -> Child {
-    let errors = File::options().create(true).append(true).open(log).expect("log file");
-    let out = errors.try_clone().expect("log file");
-    Command::new(&command[0])
-        .args(&command[1..])
-        .stdin(Stdio::null())
-        .stdout(out)
-        .stderr(errors)
-        .spawn()
-        .unwrap_or_else(|error| panic!("{}: {error}", command[0]))
-}
-
 /// An entry box.
 pub struct EntryBox {
     /// Its process; the address is the callers'.
@@ -253,66 +71,6 @@
     dir
 }
 
-struct Starter<'a> {
-    plan: &'a Plan,
-    dir: PathBuf,
-    network: String,
-    next_host: u8,
-}
-
-impl Starter<'_> {
-    fn address(&mut self) -> String {
-        self.next_host += 1;
-        format!("{}.{}", self.network, self.next_host)
-    }
-
-    fn standin(
-        &mut self,
-        kind: &str,
-        name: &str,
-        hall: &str,
-        args: &[(String, String)],
-    ) -> Process {
-        let address = format!("{}:7000", self.address());
-        let program = programs().join(format!("standin-{kind}")).to_string_lossy().into_owned();
-        let mut command = vec![program, "--listen".to_owned(), address.clone()];
-        for (option, value) in args {
-            command.extend([format!("--{option}"), value.clone()]);
-        }
-        Process::start(name, hall, &address, command, self.dir.join(format!("{name}.log")))
-    }
-
-    fn entry_box(&self, name: &str, hall: &str, host: &str, settings: &str) -> EntryBox {
-        let path = self.dir.join(format!("{name}.ini"));
-        std::fs::write(&path, settings).expect("settings file");
-        let program = programs().join("coursestiled").to_string_lossy().into_owned();
-        let command = vec![program, path.to_string_lossy().into_owned()];
-        let log = self.dir.join(format!("{name}.log"));
-        let process = Process::start(name, hall, &format!("{host}:8000"), command, log);
-        EntryBox { process, operators: format!("{host}:9000") }
-    }
-
-    fn settings(
-        &self,
-        name: &str,
-        hall: &str,
-        host: &str,
-        peers: &str,
-        platform: &Process,
-        upstreams: &str,
-    ) -> String {
-        format!(
-            "[box]\nname = {name}\nhall = {hall}\nregion = home\ncallers = {host}:8000\n\
-             operators = {host}:9000\npeers = {host}:7000\n{peers}\n\
-             cluster_key = {CLUSTER_KEY}\n\n[platform]\nurl = {}\n\n[policy]\n{}\n\n\
-             [limits]\n{}\n\n{upstreams}",
-            platform.url(),
-            self.plan.policy,
-            self.plan.limits
-        )
-    }
-}
-
 impl Fleet {
     /// Starts a fleet and waits until each process answers.
     ///
--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -3,7 +3,7 @@
 #[path = "common/site.rs"]
 mod common;
 
-use common::scene;
+use common::{Scene, scene};
 use coursestile_standins::site::server::{Act, Server};
 
 fn events(id: &str, count: u32) -> String {
@@ -12,6 +12,15 @@
     events.collect::<Vec<_>>().concat()
 }
 
+/// A scene in which every upstream does `act` with its first request.
+async fn scene_with(servers: usize, act: &Act) -> Scene {
+    let scene = scene(servers).await;
+    for server in &scene.servers {
+        server.then(std::slice::from_ref(act));
+    }
+    scene
+}
+
 #[tokio::test]
 async fn passed_on() {
     let scene = scene(1).await;
@@ -25,10 +34,7 @@
 
 #[tokio::test]
 async fn broken_visibly() {
-    let scene = scene(2).await;
-    for server in &scene.servers {
-        server.then(&[Act::Events(2)]);
-    }
+    let scene = scene_with(2, &Act::Events(2)).await;
     let answer = scene.send("POST", "/stream/", "r-1").await;
     assert!(!answer.whole);
     assert_eq!(scene.count("r-1"), 1);
@@ -36,10 +42,7 @@
 
 #[tokio::test]
 async fn taken_up() {
-    let scene = scene(3).await;
-    for server in &scene.servers {
-        server.then(&[Act::Events(2)]);
-    }
+    let scene = scene_with(3, &Act::Events(2)).await;
     // Two events from each of three upstreams; the rest of an event that broke
     // off is not passed on.
     let answer = scene.send("POST", "/resume/", "r-1").await;
@@ -56,10 +59,7 @@
 /// passed on again.
 #[tokio::test]
 async fn taken_up_after_bytes() {
-    let scene = scene(2).await;
-    for server in &scene.servers {
-        server.then(&[Act::RawEvents(2)]);
-    }
+    let scene = scene_with(2, &Act::RawEvents(2)).await;
     let answer = scene.send("POST", "/resume/", "r-1").await;
     let ids: Vec<_> =
         answer.body.split(|byte| *byte == b'\n').filter(|line| line.starts_with(b"id:")).collect();
@@ -68,10 +68,7 @@
 
 #[tokio::test]
 async fn attempts_used_up() {
-    let scene = scene(4).await;
-    for server in &scene.servers {
-        server.then(&[Act::Events(1)]);
-    }
+    let scene = scene_with(4, &Act::Events(1)).await;
     let answer = scene.send("POST", "/resume/", "r-1").await;
     assert!(!answer.whole);
     assert_eq!(answer.text(), events("r-1", 3));
