--- a/src/explain.rs
+++ b/src/explain.rs
@@ -16,8 +16,8 @@
     "weights_named",
     "started",
     "stopping",
-    "duty_taken",
-    "duty_ended",
+    "leadership_taken",
+    "leadership_ended",
 ];
 
 /// A line of a log.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,9 +13,10 @@
 use crate::gateway::choose::Choice;
 use crate::gateway::connections::{SendError, Sender, send};
 use crate::gateway::context::ContextPlan;
+use crate::gateway::heads::{AnswerHead, Forward};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::site::Repeat;
-use crate::platform::exchange::{self, Forward, Told};
+use crate::platform::exchange;
 
 /// Time that a transfer of context may take.
 const TRANSFER_MS: u64 = 2000;
@@ -99,7 +100,7 @@
     /// Headers.
     pub head: HeaderMap,
     /// What it says of itself.
-    pub told: Told,
+    pub told: AnswerHead,
     /// Body.
     pub body: Incoming,
     /// The place at the upstream.
@@ -331,7 +332,7 @@
     sender: Sender,
 ) -> Attempted {
     let (parts, body) = response.into_parts();
-    let told = exchange::told(parts.status, &parts.headers);
+    let told = exchange::answer_head(parts.status, &parts.headers);
     let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if told.not_run && (own || told.request_id.is_none()) {
         let cause = not_run_cause(parts.status, &told, &place.id);
@@ -352,7 +353,7 @@
     Attempted::Answered(Box::new(reply))
 }
 
-fn not_run_cause(status: StatusCode, told: &Told, upstream_id: &str) -> NotRunCause {
+fn not_run_cause(status: StatusCode, told: &AnswerHead, upstream_id: &str) -> NotRunCause {
     if status != StatusCode::MISDIRECTED_REQUEST {
         return NotRunCause::Refused(status.as_u16());
     }
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -11,13 +11,13 @@
 
 use crate::gateway::answer::Reason;
 use crate::gateway::attempt::Outgoing;
+use crate::gateway::heads::RequestHead;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::prompt::Prompt;
 use crate::gateway::site::{Account, Route, Site};
-use crate::platform::exchange::Asked;
 
 /// Time that a client without a deadline of its own will wait.
-const DEFAULT_PATIENCE_MS: u64 = 30_000;
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 /// Longest time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a request waits for the first configuration.
@@ -70,7 +70,7 @@
 /// Fails with why the request is refused; it has reached nobody.
 pub async fn check(
     gateway: &Gateway,
-    asked: &Asked,
+    asked: &RequestHead,
     parts: hyper::http::request::Parts,
     body: Incoming,
     arrived_at_ms: u64,
@@ -88,7 +88,7 @@
     let bytes = read_body(&site, body).await?;
     // A change may have come into force while the body arrived.
     let service = route.service(number(request_id)).ok_or(Reason::NoUpstream)?;
-    let patience_ms = asked.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+    let timeout_ms = asked.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let priority = account.as_ref().and_then(|one| one.priority).unwrap_or(route.priority);
     let isolated = account.as_ref().filter(|one| one.isolated);
     Ok(Job {
@@ -108,7 +108,7 @@
             account: account.map(|one| one.name),
             priority,
             repeat: route.repeat,
-            deadline_ms: arrived_at_ms + patience_ms.min(route.timeout_ms),
+            deadline_ms: arrived_at_ms + timeout_ms.min(route.timeout_ms),
         },
         route,
     })
@@ -122,7 +122,7 @@
         return known;
     }
     let mut changed = gateway.upstreams_changed.subscribe();
-    // Without news in time, what is known now is the answer.
+    // After the time-out, what is known now decides.
     let _ = timeout(FIRST_SITE_TIMEOUT, changed.changed()).await;
     gateway.state().site.clone()
 }
@@ -144,7 +144,7 @@
 fn account<'a>(
     site: &'a Site,
     route: &Route,
-    asked: &Asked,
+    asked: &RequestHead,
 ) -> Result<Option<&'a Account>, Reason> {
     let account = asked.key.as_deref().and_then(|key| site.account(key));
     if account.is_none() && site.asks_for_keys() && !route.public {
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -12,20 +12,30 @@
 use crate::gateway::upstreams::{Upstream, Upstreams};
 use crate::gateway::weights::NamedWeights;
 
-/// Cost of another running request: each slows the others' tokens.
+/// Cost of another running request: an engine's step grows by 0.1 ms for each,
+/// over some thirty steps.
 const RUNNING_COST_MS: f64 = 3.0;
-/// Cost of an upstream in another hall: bytes between halls are dear.
+/// Cost of an upstream in another hall, for the bytes and for what a cut between
+/// halls would lose; of 3, 25, 80 and 200 ms this served best on both sites.
 const OTHER_HALL_COST_MS: f64 = 25.0;
+/// Cost of an upstream whose places are all taken, a part of it for each.
+const FULL_COST_MS: f64 = 100.0;
+/// Cost of each request that waits for a place: the work of a usual one.
+const QUEUED_COST_MS: f64 = 30.0;
+/// Weight of fetching beside its time, for the use of links.
+const FETCH_WEIGHT: f64 = 0.5;
 /// Cost of a doubtful upstream; it is chosen when all are.
 const DOUBTFUL_COST_MS: f64 = 100_000.0;
-/// Cost of weights that are older than the newest named.
+/// Cost of weights that are older than the newest named: below the wait that
+/// makes a first token late.
 const OLD_WEIGHTS_COST_MS: f64 = 60.0;
-/// Time for which older weights are as good as new ones.
+/// Time for which older weights are as good as new ones, as the platform has it.
 const OLD_WEIGHTS_GRACE_MS: u64 = 1500;
 /// Cost of weights that should not be there any more: any other engine goes
 /// before, but for doubtful ones.
 const OVERDUE_COST_MS: f64 = 20_000.0;
-/// Time by which a request may begin after it was sent.
+/// Time by which a request may begin after it was sent, by the slowest first
+/// tokens seen under load.
 const BEGIN_MS: u64 = 1000;
 
 /// What a request asks of an upstream.
@@ -117,8 +127,9 @@
 fn plain_cost(upstream: &Upstream) -> f64 {
     let slots = upstream.entry.slots.max(1);
     let requests = upstream.load().requests;
-    let full = if requests >= slots { f64::from(requests - slots + 1) * 30.0 } else { 0.0 };
-    f64::from(requests) * 100.0 / f64::from(slots) + full
+    let full =
+        if requests >= slots { f64::from(requests - slots + 1) * QUEUED_COST_MS } else { 0.0 };
+    f64::from(requests) * FULL_COST_MS / f64::from(slots) + full
 }
 
 fn engine_cost(
@@ -142,9 +153,9 @@
     };
     let cost = expected_ms
         + reread_ms * REREAD_WEIGHT
-        + plan.fetch_ms * 0.5
+        + plan.fetch_ms * FETCH_WEIGHT
         + f64::from(load.requests) * RUNNING_COST_MS
-        + f64::from(over) * 50.0
+        + f64::from(over) * QUEUED_COST_MS
         + old_cost;
     (cost, expected_ms)
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -77,6 +77,9 @@
     pub version: u64,
     /// Source of each part.
     pub sources: Vec<Source>,
+    /// Whether the engine takes a source for each part; else it takes just one
+    /// for the whole prompt.
+    pub per_part: bool,
     /// Store that takes each part.
     pub saves: Vec<Option<Save>>,
     /// Time that the fetches are expected to take.
@@ -176,8 +179,12 @@
         tally.sources.push(Source::Read);
         tally.saves.push(None);
     }
+    if !engine.per_part_sources {
+        tally.name_one_holder();
+    }
     let context = ContextPlan {
         version,
+        per_part: engine.per_part_sources,
         sources: tally.sources,
         saves: tally.saves,
         fetch_ms: tally.fetch_ms,
@@ -202,6 +209,29 @@
     unnamed: bool,
 }
 
+impl Tally {
+    /// Names just one source and one store, those of the longest part.
+    fn name_one_holder(&mut self) {
+        let tokens_of = |source: &Source| match source {
+            Source::From { tokens, .. } => *tokens,
+            Source::Kept { .. } | Source::Read => 0,
+        };
+        let longest = self.sources.iter().map(tokens_of).max().unwrap_or_default();
+        for source in &mut self.sources {
+            let tokens = tokens_of(source);
+            if tokens > 0 && tokens < longest {
+                *source = Source::Read;
+                self.kept_tokens -= tokens;
+                self.reread_tokens += tokens;
+            }
+        }
+        let longest = self.saves.iter().flatten().map(|save| save.tokens).max();
+        for save in &mut self.saves {
+            *save = save.take().filter(|save| Some(save.tokens) == longest);
+        }
+    }
+}
+
 /// Looks for the parts of a prompt, on behalf of one engine.
 struct Planner<'a> {
     now_ms: u64,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -11,7 +11,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Settings;
-use crate::gateway::{duty, follow, follow_caches, listener, news, reach, steward};
+use crate::gateway::{follow, follow_caches, gossip, leader, leadership, listener, reach};
 use crate::phase::Phase;
 
 /// Time for which a stopping box still takes requests: the balancer asks each
@@ -48,13 +48,13 @@
     tokio::spawn(follow::run(gateway.clone()));
     tokio::spawn(follow::tick(gateway.clone()));
     tokio::spawn(follow_caches::run(gateway.clone()));
-    tokio::spawn(news::hear(gateway.clone(), socket.clone()));
-    tokio::spawn(news::tell(gateway.clone(), socket, now_ms()));
-    tokio::spawn(news::catch_up(gateway.clone()));
-    tokio::spawn(news::give(gateway.clone(), peers));
+    tokio::spawn(gossip::receive(gateway.clone(), socket.clone()));
+    tokio::spawn(gossip::send(gateway.clone(), socket, now_ms()));
+    tokio::spawn(gossip::catch_up(gateway.clone()));
+    tokio::spawn(gossip::give(gateway.clone(), peers));
     tokio::spawn(reach::run(gateway.clone()));
-    tokio::spawn(duty::run(gateway.clone()));
-    tokio::spawn(steward::run(gateway.clone()));
+    tokio::spawn(leadership::run(gateway.clone()));
+    tokio::spawn(leader::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
     gateway.reached(Phase::Stopped).await;
     info!(target: "daemon", "event=stopped box={}", gateway.settings.name);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,10 +13,10 @@
 use crate::clock::now_ms;
 use crate::error::Result;
 use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::metadata::{Change, Item, Watched};
 use crate::gateway::view::{Changed, Snapshot, Written};
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
-use crate::platform::metadata::{Change, Item, Watched};
 
 /// Longest wait of a watch: a quarter of the calls that a second's wait makes,
 /// and soon enough to see that a silent store is away.
@@ -235,14 +235,14 @@
     match keys::read_upstream(id, value) {
         Ok(entry) => {
             let known = state.upstreams.get(id);
-            let news = known.is_none_or(|known| known.entry.leaving != entry.leaving);
-            if news {
+            let changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
+            if changed {
                 info!(target: "follow",
                     "event=upstream_seen upstream={id} service={} hall={} leaving={}",
                     entry.service, entry.hall, entry.leaving);
             }
             state.upstreams.put(id, entry);
-            news
+            changed
         }
         Err(error) => {
             warn!(target: "follow", "event=upstream_unreadable cause=\"{error}\"");
--- a/src/gateway/news.rs
+++ b/src/gateway/gossip.rs
@@ -1,4 +1,4 @@
-//! Carries news between boxes: datagrams out and in, and snapshots by TCP.
+//! Carries gossip between boxes: datagrams out and in, and snapshots by TCP.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,8 +13,8 @@
 use crate::error::{Error, Result};
 use crate::gateway::follow;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::peers::{NEWS_PERIOD_MS, News, told_loads};
-use crate::gateway::steward::LOADING_NEWS_MS;
+use crate::gateway::leader::LOADING_GOSSIP_MS;
+use crate::gateway::peers::{GOSSIP_PERIOD_MS, Gossip, told_loads};
 use crate::gateway::upstreams::number;
 use crate::gateway::view::Snapshot;
 use crate::phase::Phase;
@@ -31,29 +31,30 @@
 const COMPARE_PERIOD: Duration = Duration::from_millis(200);
 
 /// Tells peers, a few times a second.
-pub async fn tell(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
+pub async fn send(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
     while gateway.phase() != Phase::Stopped {
-        let (news, targets) = compose(&gateway, incarnation);
-        match postcard::to_stdvec(&news) {
+        let (gossip, targets) = compose(&gateway, incarnation);
+        match postcard::to_stdvec(&gossip) {
             Ok(bytes) => {
                 for target in targets {
                     if let Err(error) = socket.send_to(&bytes, target).await {
-                        debug!(target: "news", "event=news_lost peer={target} cause=\"{error}\"");
+                        debug!(target: "gossip", "event=gossip_lost peer={target} cause=\"{error}\"");
                     }
                 }
             }
-            Err(error) => warn!(target: "news", "event=news_unwritable cause=\"{error}\""),
+            Err(error) => warn!(target: "gossip", "event=gossip_unwritable cause=\"{error}\""),
         }
         // Either is fine: the period is over, or there is something to tell.
-        let _ = timeout(Duration::from_millis(NEWS_PERIOD_MS), gateway.tell_now.notified()).await;
+        let _ =
+            timeout(Duration::from_millis(GOSSIP_PERIOD_MS), gateway.gossip_now.notified()).await;
     }
 }
 
-fn compose(gateway: &Gateway, incarnation: u64) -> (News, Vec<SocketAddr>) {
+fn compose(gateway: &Gateway, incarnation: u64) -> (Gossip, Vec<SocketAddr>) {
     let mut state = gateway.state();
     let now_ms = now_ms();
     let targets = state.peers.next_targets(now_ms);
-    let news = News {
+    let gossip = Gossip {
         incarnation,
         changed_revision: state.view.changed_revision(),
         site_version: state.site.as_ref().map_or(0, |site| site.version),
@@ -63,7 +64,7 @@
         loading: loading(&state),
         versions: versions(&mut state, now_ms),
     };
-    (news, targets)
+    (gossip, targets)
 }
 
 /// Tokens that this box fetches from stores, by their numbers.
@@ -76,7 +77,7 @@
 }
 
 fn loading(state: &State) -> Vec<(u32, u16)> {
-    let left_ms = u16::try_from(LOADING_NEWS_MS).unwrap_or(u16::MAX);
+    let left_ms = u16::try_from(LOADING_GOSSIP_MS).unwrap_or(u16::MAX);
     state.loading.iter().map(|id| (number(id), left_ms)).collect()
 }
 
@@ -86,29 +87,29 @@
 }
 
 /// Hears peers.
-pub async fn hear(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+pub async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     while gateway.phase() != Phase::Stopped {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                debug!(target: "news", "event=receive_failed cause=\"{error}\"");
+                debug!(target: "gossip", "event=receive_failed cause=\"{error}\"");
                 sleep(FAILED_PAUSE).await;
                 continue;
             }
         };
-        let news: News = match postcard::from_bytes(&buffer[..length]) {
-            Ok(news) => news,
+        let gossip: Gossip = match postcard::from_bytes(&buffer[..length]) {
+            Ok(gossip) => gossip,
             Err(error) => {
-                warn!(target: "news", "event=news_unreadable peer={from} cause=\"{error}\"");
+                warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
                 continue;
             }
         };
         let mut state = gateway.state();
         let now_ms = now_ms();
         let own_changed = state.view.changed_revision();
-        take_weights(&mut state, now_ms, &news);
-        state.peers.hear(now_ms, from.ip(), news, own_changed);
+        take_weights(&mut state, now_ms, &gossip);
+        state.peers.hear(now_ms, from.ip(), gossip, own_changed);
         let loads = state.peers.loads(now_ms);
         for upstream in state.upstreams.iter_mut() {
             upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
@@ -120,14 +121,14 @@
     }
 }
 
-/// Takes what the holder of the duty tells of engines' weights.
-fn take_weights(state: &mut State, now_ms: u64, news: &News) {
+/// Takes what the leader tells of engines' weights.
+fn take_weights(state: &mut State, now_ms: u64, gossip: &Gossip) {
     for upstream in state.upstreams.iter_mut() {
-        let loads = news.loading.iter().find(|(engine, _)| *engine == upstream.number);
+        let loads = gossip.loading.iter().find(|(engine, _)| *engine == upstream.number);
         if let Some((_, left_ms)) = loads {
             upstream.loads_until(now_ms + u64::from(*left_ms));
         }
-        for (engine, model, version) in &news.versions {
+        for (engine, model, version) in &gossip.versions {
             if *engine == upstream.number
                 && let Some(model) = upstream.model_of(*model)
             {
@@ -152,12 +153,12 @@
         let Some(peer) = peer else { continue };
         match fetch(peer).await {
             Ok(snapshot) => {
-                info!(target: "news", "event=caught_up peer={peer} at_revision={}",
+                info!(target: "gossip", "event=caught_up peer={peer} at_revision={}",
                     snapshot.at_revision);
                 follow::take_snapshot(&gateway, snapshot);
                 gateway.behind.notify_one();
             }
-            Err(error) => info!(target: "news", "event=catch_up_failed cause=\"{error}\""),
+            Err(error) => info!(target: "gossip", "event=catch_up_failed cause=\"{error}\""),
         }
     }
 }
@@ -182,7 +183,7 @@
         let (mut stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
             Err(error) => {
-                debug!(target: "news", "event=accept_failed cause=\"{error}\"");
+                debug!(target: "gossip", "event=accept_failed cause=\"{error}\"");
                 sleep(FAILED_PAUSE).await;
                 continue;
             }
@@ -192,7 +193,7 @@
             let bytes = match postcard::to_stdvec(&snapshot) {
                 Ok(bytes) => bytes,
                 Err(error) => {
-                    return warn!(target: "news", "event=snapshot_unwritable cause=\"{error}\"");
+                    return warn!(target: "gossip", "event=snapshot_unwritable cause=\"{error}\"");
                 }
             };
             let written = timeout(SNAPSHOT_TIMEOUT, async {
@@ -200,7 +201,7 @@
                 stream.shutdown().await
             });
             if let Ok(Err(error)) = written.await {
-                debug!(target: "news", "event=snapshot_lost peer={from} cause=\"{error}\"");
+                debug!(target: "gossip", "event=snapshot_lost peer={from} cause=\"{error}\"");
             }
         });
     }
--- a/src/gateway/holder.rs
+++ b/src/gateway/holder.rs
@@ -4,7 +4,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::sync::LazyLock;
 
-use crate::platform::caches::{CacheChange, CacheChanges, CacheListing};
+use crate::gateway::kept::{CacheChange, CacheChanges, CacheListing};
 
 /// Hashes names of parts; a collision makes a wrong belief, and a miss.
 static HASHER: LazyLock<RandomState> = LazyLock::new(RandomState::new);
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -6,10 +6,10 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::now_ms;
-use crate::error::{Error, Result};
+use crate::error::Result;
 use crate::gateway::budget::{Budget, Terms};
 use crate::gateway::connections::Connections;
-use crate::gateway::duty::Held;
+use crate::gateway::leadership::Leadership;
 use crate::gateway::peers::Peers;
 use crate::gateway::settings::Settings;
 use crate::gateway::site::Site;
@@ -20,6 +20,7 @@
 use crate::phase::Phase;
 use crate::platform::caches::Caches;
 use crate::platform::engine::Engines;
+use crate::platform::http::Http;
 use crate::platform::metadata::MetadataStore;
 use crate::sync::locked;
 
@@ -43,8 +44,8 @@
     pub upstream_clock_ahead_ms: Option<i64>,
     /// Requests that are being served.
     pub serving: usize,
-    /// The duty, while this box has it.
-    pub duty: Option<Held>,
+    /// The leadership, while this box has it.
+    pub leadership: Option<Leadership>,
     /// Engines that this box brings to other weights; they get no new work.
     pub loading: HashSet<String>,
     /// Engines among them that were given the order.
@@ -82,8 +83,8 @@
     pub places: Notify,
     /// Wakes the follower of the metadata store.
     pub behind: Notify,
-    /// Wakes the teller of news.
-    pub tell_now: Notify,
+    /// Wakes the sender of gossip.
+    pub gossip_now: Notify,
     /// Wakes those who follow the set of upstreams and stores.
     pub upstreams_changed: watch::Sender<u64>,
     state: Mutex<State>,
@@ -102,12 +103,7 @@
             window_ms: bounds.retry_window_ms,
             extra: bounds.retry_extra,
         };
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(std::time::Duration::from_millis(500))
-            .tcp_user_timeout(std::time::Duration::from_millis(1500))
-            .build()
-            .map_err(|error| Error::Upstream(error.to_string()))?;
+        let http = Http::new()?;
         let state = State {
             view: View::default(),
             site: None,
@@ -118,19 +114,19 @@
             peers: Peers::new(settings.peers, &settings.seeds),
             upstream_clock_ahead_ms: None,
             serving: 0,
-            duty: None,
+            leadership: None,
             loading: HashSet::new(),
             ordered: HashSet::new(),
             told_versions: Vec::new(),
         };
         Ok(Arc::new(Self {
-            metadata: MetadataStore::new(&settings.metadata)?,
+            metadata: MetadataStore::new(http.to_metadata_store(), &settings.metadata),
             caches: Caches::new(http.clone()),
             engines: Engines::new(http),
             connections: Connections::default(),
             places: Notify::new(),
             behind: Notify::new(),
-            tell_now: Notify::new(),
+            gossip_now: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
             state: Mutex::new(state),
             phase: watch::Sender::new(Phase::Serving),
--- a/src/gateway/steward.rs
+++ b/src/gateway/leader.rs
@@ -1,4 +1,4 @@
-//! What the holder of the duty does: brings engines to the named weights, and
+//! What the leader does: replaces the weights of engines by the named ones, and
 //! frees what stores keep for nobody.
 
 use std::net::SocketAddr;
@@ -10,45 +10,45 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
-use crate::gateway::duty::Held;
 use crate::gateway::invariants;
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
+use crate::gateway::leadership::Leadership;
+use crate::gateway::orders::{Ordered, WeightsOrder};
 use crate::gateway::rollout::{self, Candidate};
 use crate::gateway::space::Space;
 use crate::gateway::upstreams::number;
 use crate::gateway::weights::NamedWeights;
 use crate::phase::Phase;
-use crate::platform::engine::{Ordered, WeightsOrder};
 
 /// How often the holder looks what is to be done.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
-/// Time that the news of a load takes to the other boxes.
-const NEWS_LEAD: Duration = Duration::from_millis(15);
+/// Time that gossip takes to the other boxes.
+const GOSSIP_LEAD: Duration = Duration::from_millis(15);
 /// Time after which a load may be over; it takes 760 ms and more.
 const LOAD_TIME: Duration = Duration::from_millis(800);
 /// Time between two looks at a load: reports are 100 ms late.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Longest time for which the order waits until running requests have ended.
-const EMPTY_MS: u64 = 1500;
+const DRAIN_MS: u64 = 1500;
 /// Time between two looks whether they have.
-const EMPTY_PERIOD: Duration = Duration::from_millis(50);
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 /// Longest time for which one order is followed up.
 const ORDER_MS: u64 = 4000;
 /// Time kept for the last engines, whose requests begin late.
 const FINISH_MS: u64 = 1200;
 /// Pause before an engine that failed is tried again.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
-/// Time for which peers are told that an engine loads, with each news.
-pub const LOADING_NEWS_MS: u64 = 700;
+/// Time for which one message says that an engine loads.
+pub const LOADING_GOSSIP_MS: u64 = 700;
 /// Time for which peers are told of a version after it was seen.
-pub const VERSION_NEWS_MS: u64 = 4000;
+pub const VERSION_GOSSIP_MS: u64 = 4000;
 
-/// Does what the duty asks for, while this box has it.
+/// Leads, while this box is the leader.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut space = Space::default();
     while gateway.phase() == Phase::Serving {
         sleep(LOOK_PERIOD).await;
-        let Some(held) = gateway.state().duty else {
+        let Some(held) = gateway.state().leadership else {
             space = Space::default();
             continue;
         };
@@ -56,7 +56,7 @@
             continue;
         }
         for load in loads_to_start(&gateway) {
-            tokio::spawn(bring(gateway.clone(), load));
+            tokio::spawn(replace_weights(gateway.clone(), load));
         }
         if held.allows_orders(now_ms()) {
             space.step(&gateway).await;
@@ -76,6 +76,21 @@
     until_ms.saturating_sub(now_ms + FINISH_MS)
 }
 
+/// How a load ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+enum LoadEnd {
+    /// done
+    Done,
+    /// this box is not the leader any more
+    LeadershipLost,
+    /// the engine turned the order away
+    TurnedAway,
+    /// the engine does not have the version in time
+    TooSlow,
+    /// the engine does not answer
+    Failed,
+}
+
 /// An engine that is to be brought to a version.
 struct Load {
     id: String,
@@ -102,7 +117,7 @@
         for load in &loads {
             note_loading(&mut state, &load.id, now_ms);
         }
-        gateway.tell_now.notify_one();
+        gateway.gossip_now.notify_one();
     }
     loads
 }
@@ -123,15 +138,15 @@
 
 fn note_loading(state: &mut State, id: &str, now_ms: u64) {
     if let Some(upstream) = state.upstreams.get_mut(id) {
-        upstream.loads_until(now_ms + LOADING_NEWS_MS);
+        upstream.loads_until(now_ms + LOADING_GOSSIP_MS);
     }
 }
 
-/// Brings one engine to a version, and says how it went.
-async fn bring(gateway: Arc<Gateway>, mut load: Load) {
-    sleep(NEWS_LEAD).await;
-    empty(&gateway, &load).await;
-    let _turn = wait_turn(&gateway, &load).await;
+/// Replaces the weights of one engine, and says how it went.
+async fn replace_weights(gateway: Arc<Gateway>, mut load: Load) {
+    sleep(GOSSIP_LEAD).await;
+    drain(&gateway, &load).await;
+    let _turn = acquire_permit(&gateway, &load).await;
     // A newer version may have been named meanwhile.
     if let Some(named) = gateway.state().weights.get(&load.model) {
         load.version = named.newest();
@@ -139,60 +154,60 @@
     let end = match order_and_wait(&gateway, &load).await {
         Ok(end) => end,
         Err(error) => {
-            info!(target: "steward", "event=order_failed upstream={} cause=\"{error}\"", load.id);
+            info!(target: "leader", "event=order_failed upstream={} cause=\"{error}\"", load.id);
             sleep(FAILED_PAUSE).await;
-            "failed"
+            LoadEnd::Failed
         }
     };
     let mut state = gateway.state();
     state.loading.remove(&load.id);
     if let Some(upstream) = state.upstreams.get_mut(&load.id) {
         upstream.loads_until(0);
-        if end == "done" {
+        if end == LoadEnd::Done {
             upstream.saw_version(&load.model, load.version);
         }
     }
-    if end == "done" {
+    if end == LoadEnd::Done {
         state.told_versions.push(ToldVersion {
             engine: number(&load.id),
             model: number(&load.model),
             version: load.version,
-            until_ms: now_ms() + VERSION_NEWS_MS,
+            until_ms: now_ms() + VERSION_GOSSIP_MS,
         });
     }
     drop(state);
-    info!(target: "steward", "event=order_ended upstream={} model={} version={} end={end}",
+    info!(target: "leader", "event=order_ended upstream={} model={} version={} end=\"{end}\"",
         load.id, load.model, load.version);
-    gateway.tell_now.notify_one();
+    gateway.gossip_now.notify_one();
     gateway.places.notify_waiters();
 }
 
-/// A turn to load, for as long as it lives.
-struct Turn(Arc<Gateway>, String);
+/// A permit to load, for as long as it lives.
+struct LoadPermit(Arc<Gateway>, String);
 
-impl Drop for Turn {
+impl Drop for LoadPermit {
     fn drop(&mut self) {
         self.0.state().ordered.remove(&self.1);
     }
 }
 
 /// Waits until few enough engines load.
-async fn wait_turn(gateway: &Arc<Gateway>, load: &Load) -> Turn {
+async fn acquire_permit(gateway: &Arc<Gateway>, load: &Load) -> LoadPermit {
     loop {
         {
             let mut state = gateway.state();
             note_loading(&mut state, &load.id, now_ms());
-            let allowed = state.duty.is_none_or(|held| held.allows_orders(now_ms()));
-            if allowed && state.ordered.len() < turns(gateway, &state, &load.model) {
+            let allowed = state.leadership.is_none_or(|held| held.allows_orders(now_ms()));
+            if allowed && state.ordered.len() < permits(gateway, &state, &load.model) {
                 state.ordered.insert(load.id.clone());
-                return Turn(gateway.clone(), load.id.clone());
+                return LoadPermit(gateway.clone(), load.id.clone());
             }
         }
-        sleep(EMPTY_PERIOD).await;
+        sleep(DRAIN_PERIOD).await;
     }
 }
 
-fn turns(gateway: &Gateway, state: &State, model: &str) -> usize {
+fn permits(gateway: &Gateway, state: &State, model: &str) -> usize {
     let version = state.weights.get(model).map_or(0, NamedWeights::newest);
     let versions: Vec<u64> =
         state.upstreams.iter().map(|one| one.version(model)).filter(|one| *one > 0).collect();
@@ -201,38 +216,38 @@
 }
 
 /// Waits until what runs at the engine has ended, for a while.
-async fn empty(gateway: &Gateway, load: &Load) {
-    let until_ms = now_ms() + EMPTY_MS;
+async fn drain(gateway: &Gateway, load: &Load) {
+    let until_ms = now_ms() + DRAIN_MS;
     while now_ms() < until_ms {
         note_loading(&mut gateway.state(), &load.id, now_ms());
         let requests = gateway.state().upstreams.get(&load.id).map_or(0, |one| one.load().requests);
         if requests == 0 {
             return;
         }
-        sleep(EMPTY_PERIOD).await;
+        sleep(DRAIN_PERIOD).await;
     }
 }
 
 /// Gives the order and waits until the engine has the version.
-async fn order_and_wait(gateway: &Gateway, load: &Load) -> Result<&'static str> {
+async fn order_and_wait(gateway: &Gateway, load: &Load) -> Result<LoadEnd> {
     let give_up_at_ms = now_ms() + ORDER_MS;
     let report = gateway.engines.report(load.address).await?;
     let has = |models: &[(String, u64)]| {
         models.iter().any(|(model, version)| *model == load.model && *version >= load.version)
     };
     if has(&report.models) {
-        return Ok("done");
+        return Ok(LoadEnd::Done);
     }
     if !report.busy {
-        let Some(held) = gateway.state().duty else {
-            return Ok("duty_lost");
+        let Some(held) = gateway.state().leadership else {
+            return Ok(LoadEnd::LeadershipLost);
         };
         if !invariants::order_under_lease(&held, now_ms()) {
-            return Ok("duty_lost");
+            return Ok(LoadEnd::LeadershipLost);
         }
         let ordered = order(gateway, load, &held, report.orders_taken).await?;
         if matches!(ordered, Ordered::Fenced | Ordered::OtherEngine) {
-            return Ok("turned_away");
+            return Ok(LoadEnd::TurnedAway);
         }
     }
     sleep(LOAD_TIME).await;
@@ -240,14 +255,14 @@
         note_loading(&mut gateway.state(), &load.id, now_ms());
         let report = gateway.engines.report(load.address).await?;
         if has(&report.models) {
-            return Ok("done");
+            return Ok(LoadEnd::Done);
         }
         sleep(POLL_PERIOD).await;
     }
-    Ok("too_slow")
+    Ok(LoadEnd::TooSlow)
 }
 
-async fn order(gateway: &Gateway, load: &Load, held: &Held, taken: u64) -> Result<Ordered> {
+async fn order(gateway: &Gateway, load: &Load, held: &Leadership, taken: u64) -> Result<Ordered> {
     let order = WeightsOrder {
         engine_id: &load.id,
         model: &load.model,
@@ -256,7 +271,7 @@
         fence: held.fence,
         orders_taken: taken,
     };
-    info!(target: "steward",
+    info!(target: "leader",
         "event=order_given upstream={} model={} version={} fence={} orders_taken={taken}",
         load.id, load.model, load.version, held.fence);
     gateway.engines.order(load.address, &order).await
--- a/src/gateway/duty.rs
+++ b/src/gateway/leadership.rs
@@ -1,9 +1,9 @@
-//! The duty that one box at a time has: it brings weights to engines and frees
-//! space in stores. The platform's metadata store decides who has it, by a
+//! Leadership, which one box at a time has: the leader replaces the weights of
+//! engines and frees space in stores. The platform's metadata store decides who has it, by a
 //! lease.
 //!
 //! The holder counts its time from before each renewal left, and stops before
-//! the store can give the duty to another. A new holder gives its first order
+//! the store can give the lease to another. A new holder gives its first order
 //! only when orders of the one before are surely in the past.
 
 use std::sync::Arc;
@@ -15,12 +15,12 @@
 use crate::clock::now_ms;
 use crate::error::Result;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::metadata::{Lease, Outcome};
 use crate::phase::Phase;
 use crate::platform::keys;
-use crate::platform::metadata::{Lease, Outcome};
 
-/// Name of the duty.
-pub const NAME: &str = "steward";
+/// Name of the lease.
+pub const NAME: &str = "leader";
 /// Time for which a renewal holds: short, so that a dead holder is replaced
 /// well within the time that new weights may take.
 const TTL_MS: u64 = 1500;
@@ -32,14 +32,14 @@
 /// one takes over: the one before gave its last order `MARGIN_MS` before its
 /// lease ended. Less than that, since orders take time to arrive.
 const PASSED_MS: u64 = 300;
-/// Longest pause before a free duty is taken, so that boxes do not race.
+/// Longest pause before a free lease is taken, so that boxes do not race.
 const TAKE_JITTER_MS: u64 = 150;
-/// How often a box looks whether the duty is free.
+/// How often a box looks whether the lease is free.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
-/// The duty, as its holder has it.
+/// The leadership, as its holder has it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Held {
+pub struct Leadership {
     /// Fencing token: rises with each holder.
     pub fence: u64,
     /// When it ends unless it is renewed.
@@ -48,7 +48,7 @@
     pub orders_from_ms: u64,
 }
 
-impl Held {
+impl Leadership {
     /// Whether an order may be given now.
     #[must_use]
     pub fn allows_orders(&self, now_ms: u64) -> bool {
@@ -56,7 +56,7 @@
     }
 }
 
-/// Takes the duty when it is free, and holds it.
+/// Takes the lease when it is free, and holds it.
 pub async fn run(gateway: Arc<Gateway>) {
     while gateway.phase() == Phase::Serving {
         sleep(LOOK_PERIOD).await;
@@ -71,7 +71,7 @@
             Ok(Some((lease, held))) => hold(&gateway, lease, held).await,
             Ok(None) => {}
             Err(error) => {
-                info!(target: "duty", "event=duty_not_taken cause=\"{error}\"");
+                info!(target: "leadership", "event=leadership_not_taken cause=\"{error}\"");
                 sleep(LOOK_PERIOD).await;
             }
         }
@@ -80,13 +80,13 @@
 
 fn is_free(gateway: &Gateway) -> bool {
     let state = gateway.state();
-    state.view.store_answers() && state.site.is_some() && !state.view.has(&keys::duty(NAME))
+    state.view.store_answers() && state.site.is_some() && !state.view.has(&keys::lease(NAME))
 }
 
-async fn take(gateway: &Gateway) -> Result<Option<(Lease, Held)>> {
+async fn take(gateway: &Gateway) -> Result<Option<(Lease, Leadership)>> {
     let asked_at_ms = now_ms();
     let lease = gateway.metadata.open_lease(TTL_MS).await?;
-    let key = keys::duty(NAME);
+    let key = keys::lease(NAME);
     let address = gateway.settings.peers.ip().to_string();
     let outcome = gateway.metadata.write(&key, 0, address.as_bytes(), lease).await;
     let fence = match outcome {
@@ -100,31 +100,31 @@
     };
     let until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
     let wait_ms = gateway.settings.bounds.lease_ms.saturating_sub(PASSED_MS);
-    let held = Held { fence, until_ms, orders_from_ms: now_ms() + wait_ms };
-    info!(target: "duty", "event=duty_taken fence={fence}");
+    let held = Leadership { fence, until_ms, orders_from_ms: now_ms() + wait_ms };
+    info!(target: "leadership", "event=leadership_taken fence={fence}");
     Ok(Some((lease, held)))
 }
 
-/// Renews the duty until it is lost or the box stops.
-async fn hold(gateway: &Arc<Gateway>, lease: Lease, mut held: Held) {
-    gateway.state().duty = Some(held);
+/// Renews the lease until it is lost or the box stops.
+async fn hold(gateway: &Arc<Gateway>, lease: Lease, mut held: Leadership) {
+    gateway.state().leadership = Some(held);
     while gateway.phase() == Phase::Serving {
         sleep(RENEW_PERIOD).await;
         let asked_at_ms = now_ms();
         match gateway.metadata.renew_lease(lease).await {
             Ok(true) => {
                 held.until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
-                gateway.state().duty = Some(held);
+                gateway.state().leadership = Some(held);
             }
             Err(error) if now_ms() < held.until_ms => {
-                info!(target: "duty", "event=renewal_failed cause=\"{error}\"");
+                info!(target: "leadership", "event=renewal_failed cause=\"{error}\"");
             }
             Ok(false) | Err(_) => break,
         }
     }
-    gateway.state().duty = None;
-    info!(target: "duty", "event=duty_ended fence={} until_ms={}", held.fence, held.until_ms);
+    gateway.state().leadership = None;
+    info!(target: "leadership", "event=leadership_ended fence={} until_ms={}", held.fence, held.until_ms);
     if let Err(error) = gateway.metadata.end_lease(lease).await {
-        warn!(target: "duty", "event=lease_not_ended cause=\"{error}\"");
+        warn!(target: "leadership", "event=lease_not_ended cause=\"{error}\"");
     }
 }
--- /dev/null
+++ b/src/gateway/metadata.rs
@@ -0,0 +1,72 @@
+//! What the metadata store holds and answers.
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Content.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// A change that a watch tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// An item was written.
+    Put(Item),
+    /// An item is gone.
+    Removed {
+        /// Its key.
+        key: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
+}
+
+/// What a watch answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes up to a revision; none when the wait is over.
+    Changes {
+        /// The changes, in order.
+        changes: Vec<Change>,
+        /// Revision to go on from.
+        at_revision: u64,
+    },
+    /// The store has forgotten the changes in between.
+    HistoryLost,
+}
+
+/// The items of a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Items.
+    pub items: Vec<Item>,
+    /// Revision from which to watch.
+    pub at_revision: u64,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is done, as this revision.
+    Done {
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// Its condition does not hold.
+    Conflict,
+    /// Its lease is over.
+    LeaseOver,
+}
+
+/// A lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Id.
+    pub id: u64,
+    /// Time for which each renewal holds.
+    pub ttl_ms: u64,
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,8 +4,8 @@
 //! Decisions are pure functions of state and time: `budget`, `choose`,
 //! `context`, `holder`, `peers`, `rollout`, `stores`, `upstreams`, `view` and
 //! `weights`. Everything else carries them out. `follow`, `follow_caches` and
-//! `news` bring in what the box knows; `listener`, `check`, `serve`, `attempt`
-//! and `relay` take a request through; `duty`, `steward` and `space` do what
+//! `gossip` bring in what the box knows; `listener`, `check`, `serve`, `attempt`
+//! and `relay` take a request through; `leadership`, `leader` and `space` do what
 //! one box does for all.
 
 pub mod answer;
@@ -16,14 +16,19 @@
 pub mod connections;
 pub mod context;
 pub mod daemon;
-pub mod duty;
 pub mod follow;
 pub mod follow_caches;
+pub mod gossip;
+pub mod heads;
 pub mod holder;
 pub mod invariants;
+pub mod kept;
 pub mod kernel;
+pub mod leader;
+pub mod leadership;
 pub mod listener;
-pub mod news;
+pub mod metadata;
+pub mod orders;
 pub mod peers;
 pub mod prompt;
 pub mod reach;
@@ -33,7 +38,6 @@
 pub mod settings;
 pub mod site;
 pub mod space;
-pub mod steward;
 pub mod stores;
 pub mod upstreams;
 pub mod view;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,8 +12,8 @@
 
 use crate::gateway::upstreams::Load;
 
-/// Time between two news to the same peers.
-pub const NEWS_PERIOD_MS: u64 = 250;
+/// Time between two messages to the same peers.
+pub const GOSSIP_PERIOD_MS: u64 = 250;
 /// Peers that are told at once; a larger fleet is told in turn.
 const FANOUT: usize = 10;
 /// Time after which a peer that says nothing is not counted.
@@ -25,12 +25,12 @@
 /// Upstreams whose load is told in one message.
 const NAMED_LOADS: usize = 80;
 /// Time for which a peer must have known more before it is asked: the store's
-/// own news is usually on its way.
+/// own change is usually on its way.
 const BEHIND_MS: u64 = 300;
 
 /// What a box tells the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct News {
+pub struct Gossip {
     /// Start of the process; rises with each.
     pub incarnation: u64,
     /// Newest change of the metadata store that it knows.
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     heard_at_ms: u64,
-    news: News,
+    gossip: Gossip,
     ahead_since_ms: Option<u64>,
 }
 
@@ -73,22 +73,22 @@
         Self { own, seeds, known: BTreeMap::new(), turn: 0 }
     }
 
-    /// Takes news.
-    pub fn hear(&mut self, now_ms: u64, from: IpAddr, news: News, own_changed: u64) {
-        for address in &news.peers {
+    /// Takes gossip.
+    pub fn hear(&mut self, now_ms: u64, from: IpAddr, gossip: Gossip, own_changed: u64) {
+        for address in &gossip.peers {
             self.learn(now_ms, *address);
         }
         let peer = self.known.entry(from).or_default();
-        if news.incarnation < peer.news.incarnation {
+        if gossip.incarnation < peer.gossip.incarnation {
             return;
         }
         peer.heard_at_ms = now_ms;
-        if news.changed_revision > own_changed {
+        if gossip.changed_revision > own_changed {
             peer.ahead_since_ms.get_or_insert(now_ms);
         } else {
             peer.ahead_since_ms = None;
         }
-        peer.news = news;
+        peer.gossip = gossip;
     }
 
     /// Learns of a box that may be there.
@@ -104,10 +104,10 @@
     pub fn ahead(&self, now_ms: u64, own_changed: u64, urgent: bool) -> Option<SocketAddr> {
         let least_ms = if urgent { 0 } else { BEHIND_MS };
         let ahead = self.alive(now_ms).filter(|(_, peer)| {
-            peer.news.changed_revision > own_changed
+            peer.gossip.changed_revision > own_changed
                 && peer.ahead_since_ms.is_some_and(|since_ms| now_ms >= since_ms + least_ms)
         });
-        let (address, _) = ahead.max_by_key(|(_, peer)| peer.news.changed_revision)?;
+        let (address, _) = ahead.max_by_key(|(_, peer)| peer.gossip.changed_revision)?;
         Some(SocketAddr::new(*address, self.own.port()))
     }
 
@@ -122,7 +122,7 @@
     pub fn loads(&self, now_ms: u64) -> BTreeMap<u32, Load> {
         let mut loads: BTreeMap<u32, Load> = BTreeMap::new();
         for (_, peer) in self.alive(now_ms) {
-            for (number, requests, unread_tokens) in &peer.news.loads {
+            for (number, requests, unread_tokens) in &peer.gossip.loads {
                 let load = loads.entry(*number).or_default();
                 load.requests += u32::from(*requests);
                 load.unread_tokens += unread_tokens;
@@ -136,7 +136,7 @@
     pub fn fetches(&self, now_ms: u64) -> BTreeMap<u32, u64> {
         let mut fetches = BTreeMap::new();
         for (_, peer) in self.alive(now_ms) {
-            for (number, tokens) in &peer.news.fetches {
+            for (number, tokens) in &peer.gossip.fetches {
                 *fetches.entry(*number).or_default() += u64::from(*tokens);
             }
         }
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -10,7 +10,7 @@
 const ENGINES_FOR_ONE: usize = 5;
 /// Engines for each one that loads at once when the time is short.
 const ENGINES_FOR_ONE_HURRIED: usize = 2;
-/// Time that one engine takes, with what runs there before and the news after.
+/// Time that one engine takes, with the requests that end before and the report after.
 const LOAD_MS: u64 = 1400;
 /// Engines that get no new work ahead of their load, so that what runs there
 /// ends meanwhile.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,8 +23,11 @@
 
 /// When a refused client may come back.
 const RETRY_AFTER_MS: u64 = 400;
-/// Part of the aim after which a request that found no place is refused.
+/// Part of the latency objective after which a request that found no place is refused.
 const WAIT_PART: u64 = 4;
+/// Connections to an upstream that a box may have in any case: one for a request
+/// and one for the look whether it can be reached.
+const LEAST_CONNECTIONS: u32 = 2;
 /// Attempts that may reach nobody before the request is given up: each may
 /// take the 300 ms of a connection.
 const MAX_UNSENT: u32 = 4;
@@ -54,7 +57,7 @@
     let serving = Serving::new(&gateway);
     let arrived_at_ms = now_ms();
     let (parts, body) = request.into_parts();
-    let asked = exchange::asked(&parts.uri, &parts.headers);
+    let asked = exchange::request_head(&parts.uri, &parts.headers);
     let request_id = asked.request_id.clone();
     let job = match check(&gateway, &asked, parts, body, arrived_at_ms).await {
         Ok(job) => job,
@@ -74,7 +77,7 @@
 
 /// Has a request run, at one upstream after the other if need be.
 async fn run(gateway: &Arc<Gateway>, mut job: Job) -> Answer {
-    let wait_until = instant_at(job.arrived_at_ms + job.route.aim_ms / WAIT_PART);
+    let wait_until = instant_at(job.arrived_at_ms + job.route.latency_objective_ms / WAIT_PART);
     loop {
         let Some(choice) = find_place(gateway, &job, wait_until).await else {
             return give_up(&job, no_place_reason(gateway, &job));
@@ -224,7 +227,7 @@
     if !may_try_again(gateway, job) {
         return None;
     }
-    let until = instant_at(now_ms() + job.route.aim_ms / WAIT_PART);
+    let until = instant_at(now_ms() + job.route.latency_objective_ms / WAIT_PART);
     let choice = find_place(gateway, job, until).await?;
     log_attempt(job, &choice);
     Some(choice)
@@ -257,7 +260,7 @@
         weights,
         weights_apply_ms: gateway.settings.bounds.weights_apply_ms,
         tried: &job.tried,
-        max_requests: (service.max_connections / (boxes + 1)).max(2),
+        max_requests: (service.max_connections / (boxes + 1)).max(LEAST_CONNECTIONS),
     };
     choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,10 +8,6 @@
 use crate::error::Result;
 use crate::ini_file::IniFile;
 
-/// Time in which a configuration change must be in force, by default.
-const DEFAULT_CONFIG_APPLY_MS: u64 = 2000;
-/// Time after which a leaving upstream must get no new work, by default.
-const DEFAULT_LEAVE_MS: u64 = 2000;
 /// Time between SIGTERM and SIGKILL, by default.
 const DEFAULT_STOP_MS: u64 = 8000;
 /// Repeats allowed for each request, by default.
@@ -44,8 +40,6 @@
     pub seeds: Vec<IpAddr>,
     /// Where the platform's metadata store listens.
     pub metadata: String,
-    /// Memory of the process.
-    pub memory_mb: u64,
     /// Bounds that the deployment asks for.
     pub bounds: Bounds,
 }
@@ -53,10 +47,6 @@
 /// Bounds that the deployment asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
-    /// Time in which a configuration change must be in force.
-    pub config_apply_ms: u64,
-    /// Time after which a leaving upstream must get no new work.
-    pub leave_ms: u64,
     /// Time between SIGTERM and SIGKILL.
     pub stop_ms: u64,
     /// Repeats allowed for each request to a service, over the whole fleet.
@@ -69,8 +59,6 @@
     pub lease_ms: u64,
     /// Time in which a new weight version must be everywhere.
     pub weights_apply_ms: u64,
-    /// Whether upstreams refuse orders with an older fencing token.
-    pub orders_fenced: bool,
 }
 
 impl Settings {
@@ -92,7 +80,6 @@
             metrics: (metrics.port() != 0).then_some(metrics),
             seeds: seeds(&mut reader),
             metadata: reader.required("platform", "address"),
-            memory_mb: reader.optional("limits", "memory_mb", 256),
             bounds: bounds(&mut reader),
         };
         reader.finish(settings)
@@ -103,15 +90,12 @@
     let stop_s = reader.optional("bounds", "stop_s", DEFAULT_STOP_MS / 1000);
     let window_s = reader.optional("bounds", "retry_window_s", DEFAULT_RETRY_WINDOW_MS / 1000);
     Bounds {
-        config_apply_ms: reader.optional("bounds", "config_apply_ms", DEFAULT_CONFIG_APPLY_MS),
-        leave_ms: reader.optional("bounds", "leave_ms", DEFAULT_LEAVE_MS),
         stop_ms: stop_s * 1000,
         retry_ratio: reader.optional("bounds", "retry_ratio", DEFAULT_RETRY_RATIO),
         retry_window_ms: window_s * 1000,
         retry_extra: reader.optional("bounds", "retry_extra", DEFAULT_RETRY_EXTRA),
         lease_ms: reader.optional("bounds", "lease_ms", DEFAULT_LEASE_MS),
         weights_apply_ms: reader.optional("bounds", "weights_apply_ms", DEFAULT_WEIGHTS_APPLY_MS),
-        orders_fenced: reader.optional("bounds", "orders_fenced", false),
     }
 }
 
@@ -141,17 +125,13 @@
     match section {
         "box" => &["name", "hall", "clients", "ready", "peers", "metrics", "seeds"],
         "platform" => &["address"],
-        "limits" => &["memory_mb"],
         "bounds" => &[
-            "config_apply_ms",
-            "leave_ms",
             "stop_s",
             "retry_ratio",
             "retry_window_s",
             "retry_extra",
             "lease_ms",
             "weights_apply_ms",
-            "orders_fenced",
         ],
         _ => &[],
     }
--- a/src/gateway/site.rs
+++ b/src/gateway/site.rs
@@ -39,10 +39,8 @@
     pub repeat: Repeat,
     /// Longest time that a request may be held.
     pub timeout_ms: u64,
-    /// Time within which an answer is worth most.
-    pub aim_ms: u64,
-    /// Longest pause between events of a timely stream.
-    pub pause_aim_ms: u64,
+    /// Time within which an answer, or its first event, is wanted.
+    pub latency_objective_ms: u64,
     /// Most upstreams that a request may be sent to.
     pub attempts: u32,
     /// Order of work, 0 first.
@@ -101,16 +99,12 @@
 pub struct EngineSpec {
     /// Requests that run at once.
     pub slots: u32,
-    /// Tokens that fit its memory.
-    pub cache_tokens: u64,
     /// Size of kept context, in bytes a token.
     pub token_bytes: u64,
     /// Rate of its link for context.
     pub link_mbps: f64,
     /// Whether a source may be named for each part of a prompt.
     pub per_part_sources: bool,
-    /// Models that it serves.
-    pub models: Vec<String>,
 }
 
 /// A store of kept context.
--- a/src/gateway/space.rs
+++ b/src/gateway/space.rs
@@ -13,8 +13,8 @@
 use crate::clock::now_ms;
 use crate::gateway::context::{scope_model, scope_version};
 use crate::gateway::holder::PartKey;
+use crate::gateway::kept::{CacheListing, Freed, KeptPart};
 use crate::gateway::kernel::Gateway;
-use crate::platform::caches::{CacheListing, Freed, KeptPart};
 
 /// Time that any transfer named under old weights takes at most, and more.
 const TRANSFERS_OVER_MS: u64 = 2600;
@@ -55,7 +55,7 @@
                     free(gateway, &name, address, &listing, parts).await;
                 }
                 Err(error) => {
-                    info!(target: "steward", "event=store_not_listed store={name} cause=\"{error}\"");
+                    info!(target: "leader", "event=store_not_listed store={name} cause=\"{error}\"");
                 }
             }
         }
@@ -140,14 +140,14 @@
         let now_ms = now_ms();
         let (allowed, ahead_ms) = {
             let state = gateway.state();
-            let allowed = state.duty.is_some_and(|held| held.allows_orders(now_ms));
+            let allowed = state.leadership.is_some_and(|held| held.allows_orders(now_ms));
             (allowed, state.upstream_clock_ahead_ms)
         };
         let Some(ahead_ms) = ahead_ms.filter(|_| allowed) else { return };
         let until_ms = now_ms.saturating_add_signed(ahead_ms) + FREE_MS;
         match gateway.caches.free(address, batch, listing.boot, until_ms).await {
             Ok(Freed::Done) => {
-                info!(target: "steward", "event=parts_freed store={name} count={}", batch.len());
+                info!(target: "leader", "event=parts_freed store={name} count={}", batch.len());
                 if let Some((_, state)) = gateway.state().stores.get_mut(name) {
                     for kept in batch {
                         state.holder.note(PartKey::new(&kept.scope, &kept.part), 0);
@@ -155,10 +155,10 @@
                 }
             }
             Ok(Freed::Refused) => {
-                warn!(target: "steward", "event=parts_not_freed store={name} reason=refused");
+                warn!(target: "leader", "event=parts_not_freed store={name} reason=refused");
             }
             Err(error) => {
-                info!(target: "steward", "event=parts_not_freed store={name} cause=\"{error}\"");
+                info!(target: "leader", "event=parts_not_freed store={name} cause=\"{error}\"");
             }
         }
     }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 
 use crate::gateway::holder::Holder;
-use crate::platform::entry::Entry;
 
 /// Silence after which an upstream that owes answers gets no more work; well
 /// over the longest step of a loaded engine.
@@ -24,6 +23,23 @@
 /// Share of failures from which on an upstream is avoided.
 const FAILURE_LIMIT: f64 = 0.12;
 
+/// An upstream, as it tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data hall.
+    pub hall: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Models with the versions of their weights.
+    pub models: Vec<(String, u64)>,
+}
+
 /// Load that one box puts on an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -7,7 +7,9 @@
 use reqwest::StatusCode;
 use serde::{Deserialize, Serialize};
 
-use crate::error::{Error, Result};
+use crate::error::Result;
+use crate::gateway::kept::{CacheChange, CacheChanges, CacheListing, Freed, KeptPart, PartialPart};
+use crate::platform::http::{Http, whole_ms};
 
 /// Time for which a call for events waits; calls that wait 200 ms or more cost
 /// nothing.
@@ -15,70 +17,6 @@
 /// Time in which a call must be answered beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A part of a prompt whose context is kept.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct KeptPart {
-    /// Name under which it is found.
-    pub scope: String,
-    /// Id of the part.
-    pub part: String,
-}
-
-/// A change of what is kept.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CacheChange {
-    /// The part.
-    pub kept: KeptPart,
-    /// Tokens that are kept now.
-    pub tokens: u32,
-}
-
-/// Changes since an earlier call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CacheChanges {
-    /// Changes when the holder restarts, and all is gone.
-    pub boot: u64,
-    /// Place to go on from.
-    pub next: u64,
-    /// Some changes in between are missing.
-    pub gap: bool,
-    /// The changes, in order.
-    pub changes: Vec<CacheChange>,
-    /// The upstreams' clock as the answer left, when it is told.
-    pub clock_ms: Option<u64>,
-}
-
-/// All that a holder keeps.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CacheListing {
-    /// Changes when the holder restarts.
-    pub boot: u64,
-    /// Place from which to ask for changes.
-    pub next: u64,
-    /// Whole parts.
-    pub held: Vec<CacheChange>,
-    /// Parts whose writing broke off, or goes on.
-    pub partial: Vec<PartialPart>,
-}
-
-/// A part that is not whole.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PartialPart {
-    /// The part.
-    pub kept: KeptPart,
-    /// Tokens that are whole.
-    pub whole_tokens: u32,
-}
-
-/// What became of an order to free parts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Freed {
-    /// They are freed.
-    Done,
-    /// The store has restarted, or the deadline had passed.
-    Refused,
-}
-
 #[derive(Deserialize)]
 struct EventsBody {
     boot_epoch: u64,
@@ -111,13 +49,13 @@
 /// Calls to engines and stores about kept context.
 #[derive(Clone)]
 pub struct Caches {
-    http: reqwest::Client,
+    http: Http,
 }
 
 impl Caches {
     /// Calls over `http`.
     #[must_use]
-    pub fn new(http: reqwest::Client) -> Self {
+    pub fn new(http: Http) -> Self {
         Self { http }
     }
 
@@ -129,9 +67,7 @@
         let url = format!("http://{address}/coursestile/kv-events?since={since}");
         let timeout = CALL_TIMEOUT + Duration::from_millis(EVENTS_WAIT_MS);
         let request = self.http.get(&url).header("Wait-Ms", EVENTS_WAIT_MS).timeout(timeout);
-        let answer = request.send().await.map_err(|error| failed(&url, &error))?;
-        let answer = answer.error_for_status().map_err(|error| failed(&url, &error))?;
-        let body: EventsBody = answer.json().await.map_err(|error| failed(&url, &error))?;
+        let body: EventsBody = self.http.json(request).await?;
         // The sign says no more than the tokens that are kept now.
         let changes = body.events.into_iter().map(|(_, _sign, scope, part, tokens, _model)| {
             CacheChange { kept: KeptPart { scope, part }, tokens }
@@ -151,10 +87,7 @@
     /// Fails when the holder does not answer as it should.
     pub async fn list(&self, address: SocketAddr) -> Result<CacheListing> {
         let url = format!("http://{address}/coursestile/kv-list");
-        let request = self.http.get(&url).timeout(CALL_TIMEOUT);
-        let answer = request.send().await.map_err(|error| failed(&url, &error))?;
-        let answer = answer.error_for_status().map_err(|error| failed(&url, &error))?;
-        let body: ListBody = answer.json().await.map_err(|error| failed(&url, &error))?;
+        let body: ListBody = self.http.json(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
         let held = body
             .held
             .into_iter()
@@ -188,20 +121,11 @@
         let parts = parts.iter().map(|kept| (kept.scope.as_str(), kept.part.as_str()));
         let body = FreeBody { parts: parts.collect(), boot_epoch: boot, until_ms };
         let request = self.http.post(&url).json(&body).timeout(CALL_TIMEOUT);
-        let answer = request.send().await.map_err(|error| failed(&url, &error))?;
-        match answer.status() {
-            StatusCode::CONFLICT => Ok(Freed::Refused),
-            status if status.is_success() => Ok(Freed::Done),
-            status => Err(Error::Upstream(format!("{url}: {status}"))),
+        let answer = self.http.send(request).await?;
+        if answer.status() == StatusCode::CONFLICT {
+            return Ok(Freed::Refused);
         }
+        self.http.success(answer)?;
+        Ok(Freed::Done)
     }
 }
-
-fn failed(url: &str, error: &reqwest::Error) -> Error {
-    Error::Upstream(format!("{url}: {error}"))
-}
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
-pub(super) fn whole_ms(figure_ms: f64) -> u64 {
-    figure_ms.max(0.0) as u64
-}
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -12,10 +12,8 @@
 
 /// Longest time of a request whose route names none.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
-/// Aim of a route that names none.
+/// Latency objective of a route that names none.
 const DEFAULT_AIM_MS: u64 = 1000;
-/// Longest pause in a stream whose route names none.
-const DEFAULT_PAUSE_MS: u64 = 1000;
 
 #[derive(Deserialize)]
 struct Document {
@@ -38,10 +36,8 @@
     kind: DocumentKind,
     #[serde(default)]
     timeout_ms: Option<f64>,
-    /// Time within which an answer is worth most.
+    /// Time within which an answer, or its first event, is wanted.
     slo_ms: Option<f64>,
-    /// Longest pause between events of a timely stream.
-    gap_aim_ms: Option<f64>,
     #[serde(default)]
     priority: u8,
     service: Option<String>,
@@ -94,9 +90,6 @@
 struct DocumentEngine {
     #[serde(default)]
     slots: u32,
-    /// Tokens that fit its memory.
-    #[serde(default)]
-    kv_capacity: u64,
     #[serde(default)]
     kv_token_bytes: f64,
     #[serde(default)]
@@ -104,13 +97,6 @@
     /// Whether a source may be named for each part of a prompt.
     #[serde(default)]
     managed: bool,
-    #[serde(default)]
-    models: Vec<DocumentModel>,
-}
-
-#[derive(Deserialize)]
-struct DocumentModel {
-    name: String,
 }
 
 #[derive(Deserialize)]
@@ -152,7 +138,7 @@
         if let Some(address) = service.kv_store {
             site.stores.push(store(service, address));
         } else {
-            let engine = service.engine.map(engine);
+            let engine = service.engine.as_ref().map(engine);
             let max_connections = service.max_conns.unwrap_or(u32::MAX);
             site.services.insert(service.name, Service { max_connections, engine });
         }
@@ -186,8 +172,7 @@
             (DocumentKind::Streaming, true) => Repeat::StreamResumable,
         },
         timeout_ms: route.timeout_ms.map_or(DEFAULT_TIMEOUT_MS, whole_ms),
-        aim_ms: route.slo_ms.map_or(DEFAULT_AIM_MS, whole_ms),
-        pause_aim_ms: route.gap_aim_ms.map_or(DEFAULT_PAUSE_MS, whole_ms),
+        latency_objective_ms: route.slo_ms.map_or(DEFAULT_AIM_MS, whole_ms),
         attempts: route.max_attempts.max(1),
         priority: route.priority,
         public: route.public,
@@ -206,14 +191,12 @@
     }
 }
 
-fn engine(engine: DocumentEngine) -> EngineSpec {
+fn engine(engine: &DocumentEngine) -> EngineSpec {
     EngineSpec {
         slots: engine.slots,
-        cache_tokens: engine.kv_capacity,
         token_bytes: u64::from(whole(engine.kv_token_bytes)),
         link_mbps: engine.link_mbps,
         per_part_sources: engine.managed,
-        models: engine.models.into_iter().map(|model| model.name).collect(),
     }
 }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -7,62 +7,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
-use crate::platform::caches::whole_ms;
+use crate::gateway::orders::{EngineReport, Ordered, WeightsOrder};
 use crate::platform::entry::Model;
 use crate::platform::headers;
+use crate::platform::http::Http;
 
 /// Time in which a report or an order must be answered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// An engine's report, as of some hundred milliseconds earlier.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineReport {
-    /// Models with the versions of their weights.
-    pub models: Vec<(String, u64)>,
-    /// Whether an order is under way.
-    pub busy: bool,
-    /// Orders taken since its start.
-    pub orders_taken: u64,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// The upstreams' clock, when it is told.
-    pub clock_ms: Option<u64>,
-}
-
-/// An order to bring a model to a weight version.
-#[derive(Clone, Debug)]
-pub struct WeightsOrder<'a> {
-    /// The only engine that may carry it out.
-    pub engine_id: &'a str,
-    /// Model.
-    pub model: &'a str,
-    /// Version to load.
-    pub version: u64,
-    /// Box that gives it.
-    pub holder: &'a str,
-    /// Fencing token of the lease under which it is given.
-    pub fence: u64,
-    /// Orders that the engine has taken so far; the order is void otherwise.
-    pub orders_taken: u64,
-}
-
-/// What became of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ordered {
-    /// It is under way.
-    Taken,
-    /// The engine already has that version.
-    AlreadyHolds,
-    /// Another order is under way, or has come in between.
-    Conflict,
-    /// A newer holder has given orders.
-    Fenced,
-    /// Another engine has the address.
-    OtherEngine,
-}
-
 #[derive(Deserialize)]
 struct ReportBody {
     #[serde(default)]
@@ -72,11 +24,6 @@
     /// Orders taken.
     #[serde(default)]
     seq: u64,
-    #[serde(default)]
-    queued: u32,
-    #[serde(default)]
-    in_flight: u32,
-    clock_ms: Option<f64>,
 }
 
 #[derive(Serialize)]
@@ -94,13 +41,13 @@
 /// Calls to model engines.
 #[derive(Clone)]
 pub struct Engines {
-    http: reqwest::Client,
+    http: Http,
 }
 
 impl Engines {
     /// Calls over `http`.
     #[must_use]
-    pub fn new(http: reqwest::Client) -> Self {
+    pub fn new(http: Http) -> Self {
         Self { http }
     }
 
@@ -110,17 +57,11 @@
     /// Fails when the engine does not answer as it should.
     pub async fn report(&self, address: SocketAddr) -> Result<EngineReport> {
         let url = format!("http://{address}/coursestile/report");
-        let request = self.http.get(&url).timeout(CALL_TIMEOUT);
-        let answer = request.send().await.map_err(|error| failed(&url, &error))?;
-        let answer = answer.error_for_status().map_err(|error| failed(&url, &error))?;
-        let body: ReportBody = answer.json().await.map_err(|error| failed(&url, &error))?;
+        let body: ReportBody = self.http.json(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
         Ok(EngineReport {
             models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
             busy: body.busy,
             orders_taken: body.seq,
-            running: body.in_flight,
-            waiting: body.queued,
-            clock_ms: body.clock_ms.map(whole_ms),
         })
     }
 
@@ -142,7 +83,7 @@
         };
         let request = self.http.post(&url).json(&body).timeout(CALL_TIMEOUT);
         let request = request.header(headers::UPSTREAM_ID, order.engine_id);
-        let answer = request.send().await.map_err(|error| failed(&url, &error))?;
+        let answer = self.http.send(request).await?;
         match answer.status() {
             StatusCode::ACCEPTED => Ok(Ordered::Taken),
             StatusCode::OK => Ok(Ordered::AlreadyHolds),
@@ -153,7 +94,3 @@
         }
     }
 }
-
-fn failed(url: &str, error: &reqwest::Error) -> Error {
-    Error::Upstream(format!("{url}: {error}"))
-}
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -4,22 +4,7 @@
 
 use serde::Deserialize;
 
-/// An upstream, as it tells of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
-    /// Service that it belongs to.
-    pub service: String,
-    /// Address.
-    pub address: SocketAddr,
-    /// Data hall.
-    pub hall: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is about to leave.
-    pub leaving: bool,
-    /// Models with the versions of their weights.
-    pub models: Vec<(String, u64)>,
-}
+use crate::gateway::upstreams::Entry;
 
 /// The entry as it is written.
 #[derive(Deserialize)]
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 
 use crate::gateway::context::{ContextPlan, Source};
+use crate::gateway::heads::{AnswerHead, Forward, RequestHead};
 use crate::gateway::prompt::Prompt;
 use crate::platform::headers;
 
@@ -24,59 +25,9 @@
     header::UPGRADE,
 ];
 
-/// What a client's request says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Asked {
-    /// Id of the request.
-    pub request_id: Option<String>,
-    /// Host, in lower case and without a port.
-    pub host: Option<String>,
-    /// Key of the client.
-    pub key: Option<String>,
-    /// Time that the client will wait.
-    pub patience_ms: Option<u64>,
-    /// Prompt, when it describes one.
-    pub prompt: Option<Prompt>,
-}
-
-/// What an upstream's answer says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Told {
-    /// Request that it answers.
-    pub request_id: Option<String>,
-    /// Whether the upstream vouches for it.
-    pub sealed: bool,
-    /// Whether the request was not run and never will be.
-    pub not_run: bool,
-    /// Incarnation that answers, when it is not the one that was meant.
-    pub upstream_id: Option<String>,
-    /// Weight version that ran.
-    pub ran_version: Option<u64>,
-    /// Whether the body is encoded, and so not the upstream's own.
-    pub encoded: bool,
-}
-
-/// What is set towards an upstream beside the client's own headers.
-pub struct Forward<'a> {
-    /// Incarnation that may run the request.
-    pub upstream_id: &'a str,
-    /// Time that is left.
-    pub left_ms: u64,
-    /// Client account.
-    pub account: Option<&'a str>,
-    /// Order of work.
-    pub priority: u8,
-    /// Kept context.
-    pub context: Option<&'a ContextPlan>,
-    /// Moment on the upstreams' clock at which transfers are given up.
-    pub transfers_until_ms: Option<u64>,
-    /// Last event that the client has, when a stream is taken up again.
-    pub after_event: Option<&'a str>,
-}
-
 /// Reads what a client's request says.
 #[must_use]
-pub fn asked(uri: &Uri, head: &HeaderMap) -> Asked {
+pub fn request_head(uri: &Uri, head: &HeaderMap) -> RequestHead {
     let host = text(head, &header::HOST).or_else(|| uri.authority().map(Authority::as_str));
     let prompt = match (
         text(head, &headers::MODEL),
@@ -86,11 +37,11 @@
         (Some(model), Some(lengths), Some(parts)) => Prompt::parse(model, lengths, parts),
         _ => None,
     };
-    Asked {
+    RequestHead {
         request_id: text(head, &headers::REQUEST_ID).map(str::to_owned),
         host: host.map(|host| host.split(':').next().unwrap_or(host).to_ascii_lowercase()),
         key: text(head, &headers::CLIENT_KEY).map(str::to_owned),
-        patience_ms: text(head, &headers::TIME_LEFT_MS).and_then(whole_ms),
+        timeout_ms: text(head, &headers::TIME_LEFT_MS).and_then(whole_ms),
         prompt,
     }
 }
@@ -135,36 +86,37 @@
 fn set_context(head: &mut HeaderMap, context: &ContextPlan, until_ms: Option<u64>) {
     set(head, headers::CONTEXT_SCOPE, &context.scope);
     head.insert(headers::WEIGHT_VERSION, HeaderValue::from(context.version));
-    let sources: Vec<&str> = context
-        .sources
-        .iter()
-        .map(|source| match source {
-            Source::Read => "-",
-            Source::Kept { address } => address.as_deref().unwrap_or("-"),
-            Source::From { address, .. } => address,
-        })
-        .collect();
-    if let Some(until_ms) = until_ms
-        && context.sources.iter().any(|source| matches!(source, Source::From { .. }))
-    {
-        set(head, headers::CONTEXT_FROM, &sources.join(","));
+    let fetches = context.sources.iter().any(|source| matches!(source, Source::From { .. }));
+    if let Some(until_ms) = until_ms.filter(|_| fetches) {
+        let sources = context.sources.iter().map(|source| match source {
+            Source::Read => None,
+            Source::Kept { address } => address.as_deref().filter(|_| context.per_part),
+            Source::From { address, .. } => Some(address.as_str()),
+        });
+        set(head, headers::CONTEXT_FROM, &addresses(context, sources));
         head.insert(headers::CONTEXT_UNTIL_MS, HeaderValue::from(until_ms));
     }
     if context.saves.iter().any(Option::is_some) {
-        let saves: Vec<&str> = context
-            .saves
-            .iter()
-            .map(|save| save.as_ref().map_or("-", |one| &one.address))
-            .collect();
-        set(head, headers::CONTEXT_TO, &saves.join(","));
+        let saves = context.saves.iter().map(|save| save.as_ref().map(|one| one.address.as_str()));
+        set(head, headers::CONTEXT_TO, &addresses(context, saves));
+    }
+}
+
+/// Addresses as a header has them: one for each part (`-` for none), or the one
+/// that there is.
+fn addresses<'a>(context: &ContextPlan, parts: impl Iterator<Item = Option<&'a str>>) -> String {
+    if context.per_part {
+        let parts: Vec<&str> = parts.map(|address| address.unwrap_or("-")).collect();
+        return parts.join(",");
     }
+    parts.flatten().next().unwrap_or("-").to_owned()
 }
 
 /// Reads what an upstream's answer says.
 #[must_use]
-pub fn told(status: StatusCode, head: &HeaderMap) -> Told {
+pub fn answer_head(status: StatusCode, head: &HeaderMap) -> AnswerHead {
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-    Told {
+    AnswerHead {
         request_id: text(head, &headers::REQUEST_ID).map(str::to_owned),
         sealed: head.contains_key(headers::SEAL),
         not_run: misdirected || head.contains_key(headers::NOT_RUN),
@@ -215,5 +167,5 @@
 }
 
 fn whole_ms(text: &str) -> Option<u64> {
-    text.trim().parse::<f64>().ok().filter(|ms| *ms >= 0.0).map(crate::platform::caches::whole_ms)
+    text.trim().parse::<f64>().ok().filter(|ms| *ms >= 0.0).map(crate::platform::http::whole_ms)
 }
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -2,8 +2,9 @@
 
 use crate::error::{Error, Result};
 use crate::gateway::site::Site;
+use crate::gateway::upstreams::Entry;
 use crate::platform::document;
-use crate::platform::entry::{self, Entry};
+use crate::platform::entry;
 
 /// Start of all keys that operators write.
 pub const OPERATOR_PREFIX: &str = "op/";
@@ -55,10 +56,10 @@
     }
 }
 
-/// The key of a duty that one box holds.
+/// The key of a lease that one box holds.
 #[must_use]
-pub fn duty(name: &str) -> String {
-    format!("{OWN_PREFIX}duty/{name}")
+pub fn lease(name: &str) -> String {
+    format!("{OWN_PREFIX}lease/{name}")
 }
 
 /// Reads the configuration.
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::error::{Error, Result};
+use crate::gateway::metadata::{Change, Item, Lease, Listing, Outcome, Watched};
+use crate::platform::http::Http;
 
 /// Time in which a call must be answered: 250 times the usual 4 ms.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -19,88 +21,10 @@
 const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that a watch's answer may be late.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
-/// Time in which a connection must come up: some round trips.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which unacknowledged bytes end a connection.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time between probes of an idle connection.
-const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
-
-/// An item of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Item {
-    /// Key.
-    pub key: String,
-    /// Content.
-    pub value: Vec<u8>,
-    /// Revision of its last change.
-    pub revision: u64,
-}
-
-/// A change that a watch tells.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// An item was written.
-    Put(Item),
-    /// An item is gone.
-    Removed {
-        /// Its key.
-        key: String,
-        /// Revision of the removal.
-        revision: u64,
-    },
-}
-
-/// What a watch answers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Watched {
-    /// Changes up to a revision; none when the wait is over.
-    Changes {
-        /// The changes, in order.
-        changes: Vec<Change>,
-        /// Revision to go on from.
-        at_revision: u64,
-    },
-    /// The store has forgotten the changes in between.
-    HistoryLost,
-}
-
-/// The items of a prefix.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Listing {
-    /// Items.
-    pub items: Vec<Item>,
-    /// Revision from which to watch.
-    pub at_revision: u64,
-}
-
-/// What became of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// It is done, as this revision.
-    Done {
-        /// Revision of the change.
-        revision: u64,
-    },
-    /// Its condition does not hold.
-    Conflict,
-    /// Its lease is over.
-    LeaseOver,
-}
-
-/// A lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lease {
-    /// Id.
-    pub id: u64,
-    /// Time for which each renewal holds.
-    pub ttl_ms: u64,
-}
-
 /// The platform's metadata store.
 #[derive(Clone)]
 pub struct MetadataStore {
-    http: reqwest::Client,
+    http: Http,
     address: String,
 }
 
@@ -115,12 +39,6 @@
     gone: bool,
 }
 
-#[derive(Deserialize)]
-struct ReadBody {
-    #[serde(flatten)]
-    item: ItemBody,
-}
-
 #[derive(Deserialize)]
 struct RangeBody {
     items: Vec<ItemBody>,
@@ -174,33 +92,9 @@
 
 impl MetadataStore {
     /// The store at `address` (IP and port).
-    ///
-    /// # Errors
-    /// Fails when the HTTP client cannot be made.
-    pub fn new(address: &str) -> Result<Self> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_user_timeout(SILENCE_TIMEOUT)
-            .tcp_keepalive(KEEPALIVE_PERIOD)
-            .tcp_keepalive_interval(KEEPALIVE_PERIOD)
-            .build()
-            .map_err(|error| Error::Platform(error.to_string()))?;
-        Ok(Self { http, address: address.to_owned() })
-    }
-
-    /// Reads an item; `None` when there is none.
-    ///
-    /// # Errors
-    /// Fails when the store does not answer as it should.
-    pub async fn read(&self, key: &str) -> Result<Option<Item>> {
-        let path = format!("kv-key?key={key}");
-        let answer = self.call(Method::GET, &path, None::<&()>, CALL_TIMEOUT).await?;
-        if answer.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        let body: ReadBody = decode(&path, answer).await?;
-        item(body.item).map(Some)
+    #[must_use]
+    pub fn new(http: Http, address: &str) -> Self {
+        Self { http, address: address.to_owned() }
     }
 
     /// Reads all items whose keys begin with `prefix`. The pages are no
@@ -214,7 +108,7 @@
         loop {
             let path = format!("kv-range?path_prefix={prefix}{after}");
             let answer = self.call(Method::GET, &path, None::<&()>, CALL_TIMEOUT).await?;
-            let page: RangeBody = decode(&path, answer).await?;
+            let page: RangeBody = self.decode(answer).await?;
             if listing.items.is_empty() {
                 listing.at_revision = page.at;
             }
@@ -240,7 +134,7 @@
         if answer.status() == StatusCode::GONE {
             return Ok(Watched::HistoryLost);
         }
-        let body: WatchBody = decode(&path, answer).await?;
+        let body: WatchBody = self.decode(answer).await?;
         let changes: Result<Vec<Change>> = body.events.into_iter().map(change).collect();
         Ok(Watched::Changes { changes: changes?, at_revision: body.at })
     }
@@ -268,7 +162,7 @@
             StatusCode::PRECONDITION_FAILED => Ok(Outcome::Conflict),
             StatusCode::NOT_FOUND => Ok(Outcome::LeaseOver),
             _ => {
-                let done: TxnDone = decode("kv-txn", answer).await?;
+                let done: TxnDone = self.decode(answer).await?;
                 Ok(Outcome::Done { revision: done.rev })
             }
         }
@@ -281,7 +175,7 @@
     pub async fn open_lease(&self, ttl_ms: u64) -> Result<Lease> {
         let ask = LeaseAsk { ttl_ms };
         let answer = self.call(Method::POST, "kv-lease", Some(&ask), CALL_TIMEOUT).await?;
-        let body: LeaseBody = decode("kv-lease", answer).await?;
+        let body: LeaseBody = self.decode(answer).await?;
         Ok(Lease { id: body.lease, ttl_ms: body.ttl_ms })
     }
 
@@ -314,37 +208,22 @@
         timeout: Duration,
     ) -> Result<Response> {
         let url = format!("http://{}/coursestile/{path}", self.address);
-        let mut request = self.http.request(method, url).timeout(timeout);
+        let mut request = self.http.request(method, &url).timeout(timeout);
         if let Some(body) = body {
             request = request.json(body);
         }
-        let answer = request.send().await.map_err(|error| failed(path, &error))?;
+        let answer = self.http.send(request).await?;
         match answer.status() {
-            status if status.is_success() => Ok(answer),
             StatusCode::NOT_FOUND | StatusCode::GONE | StatusCode::PRECONDITION_FAILED => {
                 Ok(answer)
             }
-            status => Err(Error::Platform(format!("{path}: {status}"))),
+            _ => self.http.success(answer),
         }
     }
-}
-
-async fn decode<T: DeserializeOwned>(path: &str, answer: Response) -> Result<T> {
-    let status = answer.status();
-    if !status.is_success() {
-        return Err(Error::Platform(format!("{path}: {status}")));
-    }
-    answer.json().await.map_err(|error| failed(path, &error))
-}
 
-fn failed(path: &str, error: &reqwest::Error) -> Error {
-    let mut text = format!("{path}: {error}");
-    let mut source = std::error::Error::source(error);
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
+    async fn decode<T: DeserializeOwned>(&self, answer: Response) -> Result<T> {
+        self.http.body(self.http.success(answer)?).await
     }
-    Error::Platform(text)
 }
 
 fn item(body: ItemBody) -> Result<Item> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,5 +11,6 @@
 pub mod entry;
 pub mod exchange;
 pub mod headers;
+pub mod http;
 pub mod keys;
 pub mod metadata;
--- a/tests/explaining.rs
+++ b/tests/explaining.rs
@@ -22,7 +22,10 @@
         .await;
     for (id, told) in [
         ("r-lost", ["event=routed", "end=unknown cause=", "reason=\"upstream failed\" status=502"]),
-        ("r-full", ["event=routed", "end=not_run cause=\"status 503\"", "status=503"]),
+        (
+            "r-full",
+            ["event=routed", "end=not_run cause=\"it refused with status 503\"", "status=503"],
+        ),
         ("r-good", ["event=routed", "upstream=s-0", "event=answered"]),
     ] {
         let output = Command::new(programs().join("coursestile"))
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -2,19 +2,23 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use bytes::Bytes;
 use coursestile::gateway::budget::{Budget, Terms};
 use coursestile::gateway::choose::{Demand, choose};
 use coursestile::gateway::context::{scope_model, scope_version};
+use coursestile::gateway::heads::Forward;
 use coursestile::gateway::holder::PartKey;
-use coursestile::gateway::peers::{News, Peers};
+use coursestile::gateway::kept::{CacheChange, CacheListing, KeptPart};
+use coursestile::gateway::peers::{Gossip, Peers};
 use coursestile::gateway::prompt::Prompt;
 use coursestile::gateway::rollout::{Candidate, at_once, next};
-use coursestile::gateway::site::EngineSpec;
+use coursestile::gateway::site::{EngineSpec, Store};
 use coursestile::gateway::stores::Stores;
-use coursestile::gateway::upstreams::Upstreams;
+use coursestile::gateway::upstreams::{Entry, Upstreams};
 use coursestile::gateway::view::{Snapshot, View, Written};
 use coursestile::gateway::weights::NamedWeights;
-use coursestile::platform::entry::Entry;
+use coursestile::platform::exchange;
+use hyper::{HeaderMap, Method, Uri};
 use proptest::prelude::*;
 
 fn entry(hall: &str, port: u16, version: u64) -> Entry {
@@ -29,14 +33,7 @@
 }
 
 fn spec() -> EngineSpec {
-    EngineSpec {
-        slots: 4,
-        cache_tokens: 40_000,
-        token_bytes: 18_432,
-        link_mbps: 100_000.0,
-        per_part_sources: true,
-        models: vec!["m".to_owned()],
-    }
+    EngineSpec { slots: 4, token_bytes: 18_432, link_mbps: 100_000.0, per_part_sources: true }
 }
 
 fn demand<'a>(prompt: Option<&'a Prompt>, tried: &'a [String]) -> Demand<'a> {
@@ -114,6 +111,66 @@
     assert_eq!(choose(0, &upstreams, &stores, None, &demand(None, &tried)), None);
 }
 
+/// Headers of context that an engine gets which takes sources in this way.
+fn context_headers(per_part_sources: bool) -> [Option<String>; 2] {
+    let mut upstreams = Upstreams::default();
+    upstreams.put("a", entry("north", 1, 1));
+    let held = |part: &str, tokens| CacheChange {
+        kept: KeptPart { scope: "1.m".to_owned(), part: part.to_owned() },
+        tokens,
+    };
+    let mut stores = Stores::default();
+    stores.configure(&[store("big", 2, 29_000.0), store("small", 3, 100_000.0)]);
+    for (name, part, tokens) in [("big", "bb", 4000), ("small", "aa", 1000)] {
+        let listing =
+            CacheListing { boot: 1, next: 0, held: vec![held(part, tokens)], partial: Vec::new() };
+        stores.get_mut(name).unwrap().1.holder.listed(&listing);
+    }
+    let prompt = Prompt::parse("m", "5300,10", "aa:1000,bb:4000,cc:100,dd:200").unwrap();
+    let spec = EngineSpec { per_part_sources, ..spec() };
+    let choice = choose(0, &upstreams, &stores, Some(&spec), &demand(Some(&prompt), &[])).unwrap();
+    let request = exchange::forward(
+        &Method::POST,
+        &Uri::from_static("/a/"),
+        &HeaderMap::new(),
+        &Bytes::new(),
+        &Forward {
+            upstream_id: "a",
+            left_ms: 1000,
+            account: None,
+            priority: 0,
+            context: choice.context.as_ref(),
+            transfers_until_ms: Some(5000),
+            after_event: None,
+        },
+    );
+    ["kv-fetch", "kv-save"]
+        .map(|name| request.headers().get(name).map(|value| value.to_str().unwrap().to_owned()))
+}
+
+fn store(name: &str, port: u16, link_mbps: f64) -> Store {
+    Store {
+        name: name.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        hall: "north".to_owned(),
+        capacity_tokens: 1_000_000,
+        link_mbps,
+        first_ms: 1.0,
+        managed: true,
+    }
+}
+
+#[test]
+fn one_source_named() {
+    let [fetch, save] = context_headers(true);
+    assert_eq!(fetch.as_deref(), Some("127.0.0.1:3,127.0.0.1:2,-,-"));
+    assert_eq!(save.as_deref(), Some("-,-,127.0.0.1:3,-"));
+    // An engine that takes no lists gets the address of the longest part.
+    let [fetch, save] = context_headers(false);
+    assert_eq!(fetch.as_deref(), Some("127.0.0.1:2"));
+    assert_eq!(save.as_deref(), Some("127.0.0.1:3"));
+}
+
 #[test]
 fn hall_unreachable() {
     let mut upstreams = Upstreams::default();
@@ -195,7 +252,7 @@
     let other = IpAddr::from([10, 0, 0, 2]);
     let mut peers = Peers::new(own, &[other, own.ip()]);
     assert_eq!(peers.next_targets(0), [SocketAddr::new(other, 7000)]);
-    let news = News { changed_revision: 9, ..News::default() };
+    let news = Gossip { changed_revision: 9, ..Gossip::default() };
     peers.hear(1000, other, news, 5);
     assert_eq!(peers.boxes(1000), 2);
     assert_eq!(peers.ahead(1100, 5, false), None, "the store's own news may be on its way");
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -86,7 +86,7 @@
 #[tokio::test]
 async fn one_holder() {
     let fleet = fleet(3).await;
-    fleet.wait_logged("event=duty_taken").await;
+    fleet.wait_logged("event=leadership_taken").await;
     fleet.site.name_weights(MODEL, 2);
     fleet.wait_version(2).await;
     fleet.site.name_weights(MODEL, 3);
@@ -100,10 +100,11 @@
 #[tokio::test]
 async fn holder_replaced() {
     let mut fleet = fleet(3).await;
-    fleet.wait_logged("event=duty_taken").await;
+    fleet.wait_logged("event=leadership_taken").await;
     fleet.site.name_weights(MODEL, 2);
     fleet.wait_version(2).await;
-    let holder = fleet.gateways.iter().position(|one| one.logged().contains("event=duty_taken"));
+    let holder =
+        fleet.gateways.iter().position(|one| one.logged().contains("event=leadership_taken"));
     let killed = fleet.gateways.remove(holder.expect("a holder"));
     killed.signal("-KILL");
     drop(killed);
@@ -119,7 +120,7 @@
 #[tokio::test]
 async fn lost_answers() {
     let fleet = fleet(2).await;
-    fleet.wait_logged("event=duty_taken").await;
+    fleet.wait_logged("event=leadership_taken").await;
     fleet.site.metadata.trouble(Trouble::AnswersLost);
     fleet.site.name_weights(MODEL, 2);
     fleet.wait_version(2).await;
@@ -153,7 +154,7 @@
         run.get("kv-fetch") == Some(&source) && run.contains_key("kv-until")
     })
     .await;
-    fleet.wait_logged("event=duty_taken").await;
+    fleet.wait_logged("event=leadership_taken").await;
     fleet.site.name_weights(MODEL, 2);
     fleet.wait_version(2).await;
     eventually("the new scope is used", async || {
