Give each test fleet loopback addresses that no other has

The stand-in of the platform asked the system for a free port, gave it back, and let a gateway bind it later on 127.0.0.11, which every test used for its first gateway; the system may hand a port that was given back to the next who asks. Change: loopback::Network takes a network (127.x.y) for as long as a fleet lives, by a bound port; fixed ports on it; both stand-in fleets use it. A gateway that has ended fails the test at once with its log, so that it cannot stay unexplained.

--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -20,6 +20,8 @@
 pub use process::Process;
 use starter::Starter;
 
+use crate::loopback::Network;
+
 /// Key shared by all boxes of a fleet.
 pub const CLUSTER_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 /// Time in which a process must answer.
@@ -28,7 +30,7 @@
 /// Time in which a cut has broken all open connections.
 const CUT_TIME: Duration = Duration::from_millis(500);
 
-static NETWORKS: AtomicU16 = AtomicU16::new(0);
+static FLEETS: AtomicU16 = AtomicU16::new(0);
 
 /// An entry box.
 pub struct EntryBox {
@@ -55,6 +57,8 @@
     /// Client for calls.
     pub http: reqwest::Client,
     dir: PathBuf,
+    /// Held for as long as the fleet lives.
+    _network: Network,
 }
 
 /// Folder of the programs beside the running one.
@@ -77,16 +81,13 @@
     /// # Panics
     /// Panics when a process does not answer in time.
     pub async fn start(plan: &Plan) -> Self {
-        let count = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        let count = FLEETS.fetch_add(1, Ordering::Relaxed);
         let pid = std::process::id();
-        let network = format!(
-            "127.{}.{}",
-            16 + (pid / 16 + u32::from(count)) % 200,
-            (pid % 16) * 16 + u32::from(count) % 16
-        );
+        let network = Network::take();
         let dir = std::env::temp_dir().join(format!("coursestile-{pid}-{count}"));
         std::fs::create_dir_all(&dir).expect("folder for logs");
-        let mut starter = Starter { plan, dir: dir.clone(), network, next_host: 0 };
+        let prefix = network.prefix().to_owned();
+        let mut starter = Starter { plan, dir: dir.clone(), network: prefix, next_host: 0 };
         let platform = starter.standin("kv", "platform", "", &[]);
         let mut fleet = Self {
             platform,
@@ -97,6 +98,7 @@
             wires: Vec::new(),
             http: reqwest::Client::new(),
             dir,
+            _network: network,
         };
         fleet.start_upstreams(&mut starter);
         fleet.start_boxes(&mut starter);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod kv;
+pub mod loopback;
 pub mod service;
 pub mod site;
 pub mod store;
--- a/standins/src/site/metadata.rs
+++ b/standins/src/site/metadata.rs
@@ -2,6 +2,7 @@
 //! and leases, and the faults that it can have.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,10 @@
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Json, Path, Query};
-use poem::{EndpointExt, IntoResponse, Response, Route, Server, delete, get, handler, post};
+use poem::{
+    Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, delete, get, handler,
+    post,
+};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -116,18 +120,10 @@
     /// Panics when no address can be had.
     pub async fn start() -> Self {
         let shared = Arc::new(Shared { tables: Mutex::default(), changed: watch::Sender::new(0) });
-        let app = Route::new()
-            .at("/coursestile/kv-key", get(read))
-            .at("/coursestile/kv-range", get(range))
-            .at("/coursestile/kv-watch", get(watch_items))
-            .at("/coursestile/kv-txn", post(transact))
-            .at("/coursestile/kv-lease", post(open_lease))
-            .at("/coursestile/kv-keep/:id", post(keep_lease))
-            .at("/coursestile/kv-lease-end/:id", delete(end_lease))
-            .data(shared.clone());
         let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await.expect("address");
         let address = acceptor.local_addr()[0].as_socket_addr().expect("address").to_string();
         let lapsing = shared.clone();
+        let app = routes(&shared);
         let serving = tokio::spawn(async move {
             tokio::select! {
                 result = Server::new_with_acceptor(acceptor).run(app) => drop(result),
@@ -137,6 +133,31 @@
         Self { address, shared, serving }
     }
 
+    /// Opens another address of the same store, for one box.
+    ///
+    /// # Panics
+    /// Panics when no address can be had.
+    pub async fn door(&self) -> Door {
+        let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await.expect("address");
+        let address = acceptor.local_addr()[0].as_socket_addr().expect("address").to_string();
+        let closed = Arc::new(AtomicBool::new(false));
+        let turned_away = closed.clone();
+        let app = routes(&self.shared).before(move |request: Request| {
+            let turned_away = turned_away.load(Ordering::Relaxed);
+            async move {
+                if turned_away {
+                    return Err(poem::Error::from_status(StatusCode::SERVICE_UNAVAILABLE));
+                }
+                Ok(request)
+            }
+        });
+        let serving = tokio::spawn(async move {
+            // It ends with the test.
+            let _ = Server::new_with_acceptor(acceptor).run(app).await;
+        });
+        Door { address, closed, serving }
+    }
+
     /// Writes an item, as the operator or an upstream does.
     pub fn put(&self, key: &str, value: &[u8], lease: u64) {
         self.shared.tables().put(key, value, lease);
@@ -178,12 +199,47 @@
     }
 }
 
+/// An address of the store for one box, which the store may turn away.
+pub struct Door {
+    /// Address.
+    pub address: String,
+    closed: Arc<AtomicBool>,
+    serving: JoinHandle<()>,
+}
+
+impl Door {
+    /// Turns the box away from now on; a waiting watch goes on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
+
 impl Drop for Metadata {
     fn drop(&mut self) {
         self.serving.abort();
     }
 }
 
+/// The store's calls.
+fn routes(shared: &Arc<Shared>) -> impl Endpoint<Output = Response> + 'static {
+    Route::new()
+        .at("/coursestile/kv-key", get(read))
+        .at("/coursestile/kv-range", get(range))
+        .at("/coursestile/kv-watch", get(watch_items))
+        .at("/coursestile/kv-txn", post(transact))
+        .at("/coursestile/kv-lease", post(open_lease))
+        .at("/coursestile/kv-keep/:id", post(keep_lease))
+        .at("/coursestile/kv-lease-end/:id", delete(end_lease))
+        .data(shared.clone())
+        .map_to_response()
+}
+
 async fn lapse(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(LEASE_PERIOD).await;
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -13,11 +13,13 @@
 use std::fs::File;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
 use crate::fleet::programs;
+use crate::loopback::Network;
 use metadata::Metadata;
 
 /// How long a test waits for what must come.
@@ -25,9 +27,17 @@
 /// How often it looks.
 const LOOK_PERIOD: Duration = Duration::from_millis(10);
 
+/// Port of each gateway for clients; like the others below the ports that the
+/// system hands out by itself.
+const CLIENTS_PORT: u16 = 8000;
+/// Port of each gateway for the balancer's question.
+const READY_PORT: u16 = 8001;
+/// Port of each gateway for its peers.
+const PEERS_PORT: u16 = 7000;
+
 /// A gateway process.
 pub struct Gateway {
-    child: Child,
+    child: Mutex<Child>,
     /// Where clients reach it.
     pub clients: String,
     /// Where the balancer asks.
@@ -44,7 +54,9 @@
     /// # Panics
     /// Panics when it cannot be sent.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        let status = Command::new("kill")
+            .args([name, &self.child.lock().expect("child").id().to_string()])
+            .status();
         assert!(status.expect("kill").success());
     }
 
@@ -55,7 +67,7 @@
     pub async fn ended(&mut self) -> Option<i32> {
         let until = Instant::now() + PATIENCE;
         loop {
-            if let Some(status) = self.child.try_wait().expect("child") {
+            if let Some(status) = self.child.get_mut().expect("child").try_wait().expect("child") {
                 return status.code();
             }
             assert!(Instant::now() < until, "the gateway does not end");
@@ -63,6 +75,12 @@
         }
     }
 
+    /// Whether the process runs.
+    #[must_use]
+    pub fn is_alive(&self) -> bool {
+        self.child.lock().expect("child").try_wait().expect("child").is_none()
+    }
+
     /// What it has logged so far.
     #[must_use]
     pub fn logged(&self) -> String {
@@ -73,8 +91,10 @@
 impl Drop for Gateway {
     fn drop(&mut self) {
         // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        if let Ok(child) = self.child.get_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
@@ -85,7 +105,7 @@
     /// Repeats in a window beside the ratio, for gateways started from now on.
     pub retry_extra: u32,
     folder: PathBuf,
-    peer_port: u16,
+    network: Network,
     next_box: u8,
 }
 
@@ -99,7 +119,7 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("folder");
         let metadata = Metadata::start().await;
-        Self { metadata, retry_extra: 1_000_000, folder, peer_port: free_port(), next_box: 10 }
+        Self { metadata, retry_extra: 1_000_000, folder, network: Network::take(), next_box: 10 }
     }
 
     /// Starts a gateway that knows the boxes in `seeds`.
@@ -107,19 +127,28 @@
     /// # Panics
     /// Panics when it cannot be started.
     pub fn gateway(&mut self, hall: &str, seeds: &[&Gateway]) -> Gateway {
+        let metadata = self.metadata.address.clone();
+        self.gateway_at(hall, seeds, &metadata)
+    }
+
+    /// Starts a gateway that reaches the metadata store at an address of its own.
+    ///
+    /// # Panics
+    /// Panics when it cannot be started.
+    pub fn gateway_at(&mut self, hall: &str, seeds: &[&Gateway], metadata: &str) -> Gateway {
         self.next_box += 1;
-        let ip = format!("127.0.0.{}", self.next_box);
+        let ip = format!("{}.{}", self.network.prefix(), self.next_box);
         let name = format!("{hall}-{}", self.next_box);
-        let clients = format!("{ip}:{}", free_port());
-        let ready = format!("{ip}:{}", free_port());
-        let peers = format!("{ip}:{}", self.peer_port);
+        let clients = format!("{ip}:{CLIENTS_PORT}");
+        let ready = format!("{ip}:{READY_PORT}");
+        let peers = format!("{ip}:{PEERS_PORT}");
         let seeds: Vec<&str> = seeds.iter().map(|seed| seed.peers.as_str()).collect();
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = 1000\n",
             seeds.join(","),
-            self.metadata.address,
+            metadata,
             self.retry_extra,
         );
         let path = self.folder.join(format!("{name}.ini"));
@@ -134,7 +163,7 @@
             .stderr(out)
             .spawn()
             .expect("gateway");
-        Gateway { child, clients, ready, peers, log }
+        Gateway { child: Mutex::new(child), clients, ready, peers, log }
     }
 
     /// Writes the configuration, as an operator does.
@@ -219,8 +248,3 @@
         tokio::time::sleep(LOOK_PERIOD).await;
     }
 }
-
-fn free_port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("address").port()
-}
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -34,7 +34,12 @@
 
 /// Waits until a gateway calls itself ready.
 pub async fn wait_ready(gateway: &Gateway) {
-    eventually("ready", async || is_ready(gateway).await).await;
+    eventually("ready", async || {
+        let ready = is_ready(gateway).await;
+        assert!(ready || gateway.is_alive(), "it has ended: {}", gateway.logged());
+        ready
+    })
+    .await;
 }
 
 /// Whether a gateway calls itself ready.
