Renew the leader's lease through peers when the store turns the leader away

Its lease ran out, and the next leader had to wait until orders of two holders were far enough apart: the first order 4 to 5 s late. Change: a leader whose renewal fails or takes 150 ms asks two peers that the store answers, by datagram, other ones each time; they renew the lease and say so. Boxes tell in their gossip whether the store answers them. Ruled out: a shorter lease (a slow store would end it); letting the old leader go on without a lease (two holders). Test: gateway_weights::holder_turned_away (a door of the stand-in store that closes for one box).

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -49,11 +49,11 @@
     tokio::spawn(follow::tick(gateway.clone()));
     tokio::spawn(follow_caches::run(gateway.clone()));
     tokio::spawn(gossip::receive(gateway.clone(), socket.clone()));
-    tokio::spawn(gossip::send(gateway.clone(), socket, now_ms()));
+    tokio::spawn(gossip::send(gateway.clone(), socket.clone(), now_ms()));
     tokio::spawn(gossip::catch_up(gateway.clone()));
     tokio::spawn(gossip::give(gateway.clone(), peers));
     tokio::spawn(reach::run(gateway.clone()));
-    tokio::spawn(leadership::run(gateway.clone()));
+    tokio::spawn(leadership::run(gateway.clone(), socket));
     tokio::spawn(leader::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
     gateway.reached(Phase::Stopped).await;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,10 +1,11 @@
 //! Carries gossip between boxes: datagrams out and in, and snapshots by TCP.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::{debug, info, warn};
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::time::{sleep, timeout};
@@ -15,6 +16,7 @@
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::leader::LOADING_GOSSIP_MS;
 use crate::gateway::peers::{GOSSIP_PERIOD_MS, Gossip, told_loads};
+use crate::gateway::renewal::{RenewalReply, RenewalRequest, renew_for_peer};
 use crate::gateway::upstreams::number;
 use crate::gateway::view::Snapshot;
 use crate::phase::Phase;
@@ -30,11 +32,22 @@
 /// Least time between two looks for a peer that knows more.
 const COMPARE_PERIOD: Duration = Duration::from_millis(200);
 
+/// What boxes send each other by datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What the sender knows and does.
+    Gossip(Gossip),
+    /// The sender cannot renew its lease itself.
+    RenewalRequest(RenewalRequest),
+    /// The answer to that.
+    RenewalReply(RenewalReply),
+}
+
 /// Tells peers, a few times a second.
 pub async fn send(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
     while gateway.phase() != Phase::Stopped {
         let (gossip, targets) = compose(&gateway, incarnation);
-        match postcard::to_stdvec(&gossip) {
+        match postcard::to_stdvec(&Datagram::Gossip(gossip)) {
             Ok(bytes) => {
                 for target in targets {
                     if let Err(error) = socket.send_to(&bytes, target).await {
@@ -58,6 +71,7 @@
         incarnation,
         changed_revision: state.view.changed_revision(),
         site_version: state.site.as_ref().map_or(0, |site| site.version),
+        store_answers: state.view.store_answers(),
         peers: state.peers.named(now_ms),
         loads: told_loads(state.upstreams.iter().map(|one| (one.number, one.own))),
         fetches: fetches(&state),
@@ -98,29 +112,38 @@
                 continue;
             }
         };
-        let gossip: Gossip = match postcard::from_bytes(&buffer[..length]) {
-            Ok(gossip) => gossip,
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(Datagram::Gossip(gossip)) => hear(&gateway, from.ip(), gossip),
+            Ok(Datagram::RenewalRequest(request)) => {
+                tokio::spawn(renew_for_peer(gateway.clone(), socket.clone(), request, from));
+            }
+            Ok(Datagram::RenewalReply(reply)) => {
+                gateway.renewal_replies.send_replace(Some(reply));
+            }
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
-                continue;
             }
-        };
-        let mut state = gateway.state();
-        let now_ms = now_ms();
-        let own_changed = state.view.changed_revision();
-        take_weights(&mut state, now_ms, &gossip);
-        state.peers.hear(now_ms, from.ip(), gossip, own_changed);
-        let loads = state.peers.loads(now_ms);
-        for upstream in state.upstreams.iter_mut() {
-            upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
-        }
-        let fetches = state.peers.fetches(now_ms);
-        for (store, one) in state.stores.iter_mut() {
-            one.others_fetch(fetches.get(&number(&store.name)).copied().unwrap_or_default());
         }
     }
 }
 
+/// Takes what a peer knows and does.
+fn hear(gateway: &Gateway, from: IpAddr, gossip: Gossip) {
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    let own_changed = state.view.changed_revision();
+    take_weights(&mut state, now_ms, &gossip);
+    state.peers.hear(now_ms, from, gossip, own_changed);
+    let loads = state.peers.loads(now_ms);
+    for upstream in state.upstreams.iter_mut() {
+        upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
+    }
+    let fetches = state.peers.fetches(now_ms);
+    for (store, one) in state.stores.iter_mut() {
+        one.others_fetch(fetches.get(&number(&store.name)).copied().unwrap_or_default());
+    }
+}
+
 /// Takes what the leader tells of engines' weights.
 fn take_weights(state: &mut State, now_ms: u64, gossip: &Gossip) {
     for upstream in state.upstreams.iter_mut() {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -11,6 +11,7 @@
 use crate::gateway::connections::Connections;
 use crate::gateway::leadership::Leadership;
 use crate::gateway::peers::Peers;
+use crate::gateway::renewal::RenewalReply;
 use crate::gateway::settings::Settings;
 use crate::gateway::site::Site;
 use crate::gateway::stores::Stores;
@@ -87,6 +88,8 @@
     pub gossip_now: Notify,
     /// Wakes those who follow the set of upstreams and stores.
     pub upstreams_changed: watch::Sender<u64>,
+    /// Answers of peers that were asked to renew a lease.
+    pub renewal_replies: watch::Sender<Option<RenewalReply>>,
     state: Mutex<State>,
     phase: watch::Sender<Phase>,
 }
@@ -128,6 +131,7 @@
             behind: Notify::new(),
             gossip_now: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
+            renewal_replies: watch::Sender::new(None),
             state: Mutex::new(state),
             phase: watch::Sender::new(Phase::Serving),
             settings,
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::clock::now_ms;
 use crate::error::Result;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::metadata::{Lease, Outcome};
+use crate::gateway::renewal::renew;
 use crate::phase::Phase;
 use crate::platform::keys;
 
@@ -57,7 +59,7 @@
 }
 
 /// Takes the lease when it is free, and holds it.
-pub async fn run(gateway: Arc<Gateway>) {
+pub async fn run(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     while gateway.phase() == Phase::Serving {
         sleep(LOOK_PERIOD).await;
         if !is_free(&gateway) {
@@ -68,7 +70,7 @@
             continue;
         }
         match take(&gateway).await {
-            Ok(Some((lease, held))) => hold(&gateway, lease, held).await,
+            Ok(Some((lease, held))) => hold(&gateway, &socket, lease, held).await,
             Ok(None) => {}
             Err(error) => {
                 info!(target: "leadership", "event=leadership_not_taken cause=\"{error}\"");
@@ -106,12 +108,12 @@
 }
 
 /// Renews the lease until it is lost or the box stops.
-async fn hold(gateway: &Arc<Gateway>, lease: Lease, mut held: Leadership) {
+async fn hold(gateway: &Gateway, socket: &UdpSocket, lease: Lease, mut held: Leadership) {
     gateway.state().leadership = Some(held);
     while gateway.phase() == Phase::Serving {
         sleep(RENEW_PERIOD).await;
         let asked_at_ms = now_ms();
-        match gateway.metadata.renew_lease(lease).await {
+        match renew(gateway, socket, lease).await {
             Ok(true) => {
                 held.until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
                 gateway.state().leadership = Some(held);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod prompt;
 pub mod reach;
 pub mod relay;
+pub mod renewal;
 pub mod rollout;
 pub mod serve;
 pub mod settings;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -27,6 +27,8 @@
 /// Time for which a peer must have known more before it is asked: the store's
 /// own change is usually on its way.
 const BEHIND_MS: u64 = 300;
+/// Peers that are asked at once to renew a lease: one may be gone by now.
+const HELPERS: usize = 2;
 
 /// What a box tells the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +39,8 @@
     pub changed_revision: u64,
     /// Version of the configuration that is in force there.
     pub site_version: u64,
+    /// Whether the metadata store answers it.
+    pub store_answers: bool,
     /// Other boxes that it has heard of lately.
     pub peers: Vec<IpAddr>,
     /// Load that it puts on upstreams, by their numbers.
@@ -63,6 +67,7 @@
     seeds: Vec<IpAddr>,
     known: BTreeMap<IpAddr, Peer>,
     turn: usize,
+    helper_turn: usize,
 }
 
 impl Peers {
@@ -70,7 +75,7 @@
     #[must_use]
     pub fn new(own: SocketAddr, seeds: &[IpAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own.ip()).collect();
-        Self { own, seeds, known: BTreeMap::new(), turn: 0 }
+        Self { own, seeds, known: BTreeMap::new(), turn: 0, helper_turn: 0 }
     }
 
     /// Takes gossip.
@@ -164,6 +169,22 @@
         all.into_iter().map(|address| SocketAddr::new(address, self.own.port())).collect()
     }
 
+    /// Peers that the metadata store answers, other ones each time.
+    pub fn next_helpers(&mut self, now_ms: u64) -> Vec<SocketAddr> {
+        let mut able: Vec<IpAddr> = self
+            .alive(now_ms)
+            .filter(|(_, peer)| peer.gossip.store_answers)
+            .map(|(address, _)| *address)
+            .collect();
+        if !able.is_empty() {
+            let start = self.helper_turn % able.len();
+            able.rotate_left(start);
+        }
+        self.helper_turn = self.helper_turn.wrapping_add(HELPERS);
+        able.truncate(HELPERS);
+        able.into_iter().map(|address| SocketAddr::new(address, self.own.port())).collect()
+    }
+
     /// Some boxes that were heard lately, to be named to others.
     #[must_use]
     pub fn named(&self, now_ms: u64) -> Vec<IpAddr> {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -76,6 +76,9 @@
     }
 
     /// Whether the process runs.
+    ///
+    /// # Panics
+    /// Panics when the system does not tell.
     #[must_use]
     pub fn is_alive(&self) -> bool {
         self.child.lock().expect("child").try_wait().expect("child").is_none()
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -22,7 +22,17 @@
 }
 
 async fn fleet(gateways: usize) -> Fleet {
-    let mut site = Site::start().await;
+    let mut fleet = upstreams().await;
+    for _ in 0..gateways {
+        let metadata = fleet.site.metadata.address.clone();
+        fleet.add_gateway(&metadata).await;
+    }
+    fleet
+}
+
+/// A fleet without a gateway yet.
+async fn upstreams() -> Fleet {
+    let site = Site::start().await;
     let store = Engine::start().await;
     let mut engines = Vec::new();
     for number in 0..4 {
@@ -42,17 +52,17 @@
     ]);
     site.configure(&config);
     site.name_weights(MODEL, 1);
-    let mut started: Vec<Gateway> = Vec::new();
-    for _ in 0..gateways {
-        let seeds: Vec<&Gateway> = started.iter().collect();
-        let gateway = site.gateway("north", &seeds);
-        wait_ready(&gateway).await;
-        started.push(gateway);
-    }
-    Fleet { gateways: started, engines, store, site }
+    Fleet { gateways: Vec::new(), engines, store, site }
 }
 
 impl Fleet {
+    async fn add_gateway(&mut self, metadata: &str) {
+        let seeds: Vec<&Gateway> = self.gateways.iter().collect();
+        let gateway = self.site.gateway_at("north", &seeds, metadata);
+        wait_ready(&gateway).await;
+        self.gateways.push(gateway);
+    }
+
     async fn wait_version(&self, version: u64) {
         eventually("all engines have the version", async || {
             self.engines.iter().all(|engine| engine.version() == version)
@@ -117,6 +127,24 @@
     }
 }
 
+#[tokio::test]
+async fn holder_turned_away() {
+    let mut fleet = upstreams().await;
+    let door = fleet.site.metadata.door().await;
+    fleet.add_gateway(&door.address).await;
+    fleet.wait_logged("event=leadership_taken").await;
+    let metadata = fleet.site.metadata.address.clone();
+    fleet.add_gateway(&metadata).await;
+    fleet.add_gateway(&metadata).await;
+    door.close();
+    fleet.wait_logged("event=renewed_through_peer renewed=true").await;
+    fleet.site.name_weights(MODEL, 2);
+    fleet.wait_version(2).await;
+    let orders: Vec<_> = fleet.engines.iter().flat_map(Engine::orders).collect();
+    assert!(orders.iter().all(|order| order.fence == orders[0].fence));
+    assert!(!fleet.gateways[0].logged().contains("event=leadership_ended"));
+}
+
 #[tokio::test]
 async fn lost_answers() {
     let fleet = fleet(2).await;
