Hurry each engine by the deadline of its own weights

Two versions were named 4 s apart; all 18 engines were taken to be due when the oldest weights were (seven out of service at once), and when the last of those were gone only three loaded at a time, while the others waited out of service. Engines that are dark counted too. Ruled out: leadership (held all the time), placement (expected waits of 270 to 600 ms on the engines that were left), reading again (1 token a ms at most then). Change: rollout::at_once takes, for each engine that is behind, the time left for its own version, and the most that any deadline asks for; doubtful ones hurry nobody. A line says when an engine is drained.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -64,16 +64,13 @@
     }
 }
 
-/// Time in which all engines must have the newest weights; what is left of it
-/// for the oldest version that some engine still has.
-fn left_ms(gateway: &Gateway, state: &State, now_ms: u64, model: &str) -> u64 {
+/// What is left of the time in which an engine with `version` must have newer
+/// weights.
+fn left_ms(gateway: &Gateway, named: Option<&NamedWeights>, now_ms: u64, version: u64) -> u64 {
     let bound_ms = gateway.settings.bounds.weights_apply_ms;
-    let versions = state.upstreams.iter().map(|one| one.version(model)).filter(|one| *one > 0);
-    let oldest = versions.min().unwrap_or_default();
-    let behind_since_ms = state.weights.get(model).and_then(|one| one.behind_since_ms(oldest));
+    let behind_since_ms = named.and_then(|named| named.behind_since_ms(version));
     let Some(behind_since_ms) = behind_since_ms else { return bound_ms };
-    let until_ms = behind_since_ms + bound_ms;
-    until_ms.saturating_sub(now_ms + FINISH_MS)
+    (behind_since_ms + bound_ms).saturating_sub(now_ms + FINISH_MS)
 }
 
 /// How a load ended.
@@ -106,8 +103,8 @@
         state.weights.iter().map(|(model, named)| (model.clone(), named.newest())).collect();
     let mut loads = Vec::new();
     for (model, version) in named {
-        let candidates = candidates(&state, now_ms, &model);
-        for id in rollout::next(&candidates, version, left_ms(gateway, &state, now_ms, &model)) {
+        let candidates = candidates(gateway, &state, now_ms, &model);
+        for id in rollout::next(&candidates, version) {
             let Some(address) = state.upstreams.address(&id) else { continue };
             state.loading.insert(id.clone());
             loads.push(Load { id, address, model: model.clone(), version });
@@ -115,6 +112,8 @@
     }
     if !loads.is_empty() {
         for load in &loads {
+            info!(target: "leader", "event=drain_started upstream={} model={} version={}",
+                load.id, load.model, load.version);
             note_loading(&mut state, &load.id, now_ms);
         }
         gateway.gossip_now.notify_one();
@@ -122,13 +121,15 @@
     loads
 }
 
-fn candidates(state: &State, now_ms: u64, model: &str) -> Vec<Candidate> {
+fn candidates(gateway: &Gateway, state: &State, now_ms: u64, model: &str) -> Vec<Candidate> {
+    let named = state.weights.get(model);
     let engines = state.upstreams.iter().filter(|one| one.version(model) > 0);
     engines
         .filter(|engine| !engine.entry.leaving)
         .map(|engine| Candidate {
             id: engine.id.clone(),
             version: engine.version(model),
+            left_ms: left_ms(gateway, named, now_ms, engine.version(model)),
             under_way: state.loading.contains(&engine.id),
             requests: engine.load().requests,
             doubtful: engine.is_doubtful(now_ms),
@@ -209,10 +210,7 @@
 
 fn permits(gateway: &Gateway, state: &State, model: &str) -> usize {
     let version = state.weights.get(model).map_or(0, NamedWeights::newest);
-    let versions: Vec<u64> =
-        state.upstreams.iter().map(|one| one.version(model)).filter(|one| *one > 0).collect();
-    let behind = versions.iter().filter(|one| **one < version).count();
-    rollout::at_once(versions.len(), behind, left_ms(gateway, state, now_ms(), model))
+    rollout::at_once(&candidates(gateway, state, now_ms(), model), version)
 }
 
 /// Waits until what runs at the engine has ended, for a while.
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -16,12 +16,20 @@
 /// ends meanwhile.
 const AHEAD: usize = 1;
 
-/// Engines that load at once, of `count` with `behind` left to do.
+/// Engines that load at once, so that each has `version` when its time is over.
 #[must_use]
-pub fn at_once(count: usize, behind: usize, left_ms: u64) -> usize {
+pub fn at_once(candidates: &[Candidate], version: u64) -> usize {
+    let count = candidates.len();
     let usual = LEAST_AT_ONCE.max(count / ENGINES_FOR_ONE);
-    let rounds = usize::try_from(left_ms / LOAD_MS).unwrap_or(usize::MAX).max(1);
-    let needed = behind.div_ceil(rounds);
+    let behind = candidates.iter().filter(|one| one.version < version && !one.doubtful);
+    let mut left_ms: Vec<u64> = behind.map(|one| one.left_ms).collect();
+    left_ms.sort_unstable();
+    // Those with older weights have less time than the others.
+    let needed = left_ms.iter().enumerate().map(|(before, left_ms)| {
+        let rounds = usize::try_from(left_ms / LOAD_MS).unwrap_or(usize::MAX).max(1);
+        (before + 1).div_ceil(rounds)
+    });
+    let needed = needed.max().unwrap_or_default();
     needed.clamp(usual, usual.max(count / ENGINES_FOR_ONE_HURRIED))
 }
 
@@ -32,6 +40,8 @@
     pub id: String,
     /// Version that it has.
     pub version: u64,
+    /// Time left until it must have a newer one.
+    pub left_ms: u64,
     /// Whether it is being brought to the newest version.
     pub under_way: bool,
     /// Requests that it runs.
@@ -42,9 +52,8 @@
 
 /// The engines that are to get no more work, and then `version`.
 #[must_use]
-pub fn next(candidates: &[Candidate], version: u64, left_ms: u64) -> Vec<String> {
-    let all_behind = candidates.iter().filter(|one| one.version < version).count();
-    let prepared = at_once(candidates.len(), all_behind, left_ms) + AHEAD;
+pub fn next(candidates: &[Candidate], version: u64) -> Vec<String> {
+    let prepared = at_once(candidates, version) + AHEAD;
     let under_way = candidates.iter().filter(|one| one.under_way && !one.doubtful).count();
     let mut behind: Vec<&Candidate> =
         candidates.iter().filter(|one| one.version < version && !one.under_way).collect();
