Tell the own hall of a long prompt at once

Change: a box that sends a prompt with 1,000 tokens or more to read tells the boxes of its hall, 20 ms after the last message at the earliest; all others every 250 ms as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,6 +22,9 @@
 const TRANSFER_MS: u64 = 2000;
 /// Time to the first token beside reading and fetching, and some more.
 const FIRST_TOKEN_MS: f64 = 60.0;
+/// Prompts that keep an engine for some 20 ms or more: others should know at
+/// once, and not only with the next message.
+const LONG_PROMPT_TOKENS: u32 = 1000;
 /// How often a request that may be repeated looks whether its upstream is
 /// silent.
 const SILENCE_LOOK_PERIOD: Duration = Duration::from_millis(100);
@@ -170,6 +173,9 @@
             }
         }
         drop(state);
+        if unread_tokens >= LONG_PROMPT_TOKENS {
+            gateway.load_changed.notify_one();
+        }
         Self {
             gateway: gateway.clone(),
             id: choice.id.clone(),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,7 +15,7 @@
 use crate::gateway::follow;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::leader::LOADING_GOSSIP_MS;
-use crate::gateway::peers::{GOSSIP_PERIOD_MS, Gossip, ToldLoad, told_loads};
+use crate::gateway::peers::{Audience, GOSSIP_PERIOD_MS, Gossip, ToldLoad, told_loads};
 use crate::gateway::renewal::{RenewalReply, RenewalRequest, renew_for_peer};
 use crate::gateway::store_news::teach;
 use crate::gateway::upstreams::number;
@@ -28,6 +28,8 @@
 const MAX_SNAPSHOT_BYTES: u64 = 8 << 20;
 /// Time in which a peer must send a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Least time between two messages: changes meanwhile are told together.
+const LEAST_PERIOD: Duration = Duration::from_millis(20);
 /// Pause after a socket that failed, so that a lasting fault does not spin.
 const FAILED_PAUSE: Duration = Duration::from_millis(10);
 /// Longest time between two looks for a peer that knows more.
@@ -59,8 +61,9 @@
 
 /// Tells peers, a few times a second.
 pub async fn send(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
+    let mut audience = Audience::All;
     while gateway.phase() != Phase::Stopped {
-        let (gossip, targets) = compose(&gateway, incarnation);
+        let (gossip, targets) = compose(&gateway, incarnation, audience);
         match postcard::to_stdvec(&Datagram::Gossip(gossip)) {
             Ok(bytes) => {
                 for target in targets {
@@ -71,16 +74,25 @@
             }
             Err(error) => warn!(target: "gossip", "event=gossip_unwritable cause=\"{error}\""),
         }
-        // Either is fine: the period is over, or there is something to tell.
-        let _ =
-            timeout(Duration::from_millis(GOSSIP_PERIOD_MS), gateway.gossip_now.notified()).await;
+        audience = next_audience(&gateway).await;
     }
 }
 
-fn compose(gateway: &Gateway, incarnation: u64) -> (Gossip, Vec<SocketAddr>) {
+/// Waits until there is something to tell; who is to hear it.
+async fn next_audience(gateway: &Gateway) -> Audience {
+    sleep(LEAST_PERIOD).await;
+    let period = Duration::from_millis(GOSSIP_PERIOD_MS);
+    tokio::select! {
+        () = sleep(period) => Audience::All,
+        () = gateway.gossip_now.notified() => Audience::All,
+        () = gateway.load_changed.notified() => Audience::OwnHall,
+    }
+}
+
+fn compose(gateway: &Gateway, incarnation: u64, audience: Audience) -> (Gossip, Vec<SocketAddr>) {
     let mut state = gateway.state();
     let now_ms = now_ms();
-    let targets = state.peers.next_targets(now_ms);
+    let targets = state.peers.next_targets(now_ms, audience);
     let gossip = Gossip {
         incarnation,
         hall: state.peers.own().hall,
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -115,6 +115,8 @@
     pub behind: Notify,
     /// Wakes who fetches what this box lacks.
     pub peer_ahead: Notify,
+    /// Wakes the sender of gossip, for what the own hall should know at once.
+    pub load_changed: Notify,
     /// Wakes the sender of gossip.
     pub gossip_now: Notify,
     /// Wakes those who follow the set of upstreams and stores.
@@ -162,6 +164,7 @@
             places: Notify::new(),
             behind: Notify::new(),
             peer_ahead: Notify::new(),
+            load_changed: Notify::new(),
             gossip_now: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
             renewal_replies: watch::Sender::new(None),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -76,6 +76,15 @@
     pub load: Load,
 }
 
+/// Who is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// All that are told at all.
+    All,
+    /// The boxes of the own hall, which mostly use the same upstreams.
+    OwnHall,
+}
+
 /// How the metadata store answers a box.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreLink {
@@ -237,13 +246,16 @@
     }
 
     /// Who is told next.
-    pub fn next_targets(&mut self, now_ms: u64) -> Vec<SocketAddr> {
+    pub fn next_targets(&mut self, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
         let boxes = &mut self.known;
         boxes.retain(|_, peer| now_ms < peer.heard_at_ms + FORGET_MS);
-        let small = boxes.len() <= SMALL_FLEET;
+        let small = boxes.len() <= SMALL_FLEET && audience == Audience::All;
         let hall = self.own.hall;
         let (mut all, mut others): (Vec<IpAddr>, Vec<IpAddr>) =
             boxes.keys().copied().partition(|address| small || boxes[address].gossip.hall == hall);
+        if audience == Audience::OwnHall {
+            return self.at_peer_port(all);
+        }
         if !others.is_empty() {
             let start = self.turn % others.len();
             others.rotate_left(start);
@@ -256,7 +268,7 @@
                 all.push(seed);
             }
         }
-        all.into_iter().map(|address| SocketAddr::new(address, self.own.address.port())).collect()
+        self.at_peer_port(all)
     }
 
     /// The peer from which this box learns what stores keep: one of its hall that
@@ -284,7 +296,7 @@
         }
         self.helper_turn = self.helper_turn.wrapping_add(HELPERS);
         able.truncate(HELPERS);
-        able.into_iter().map(|address| SocketAddr::new(address, self.own.address.port())).collect()
+        self.at_peer_port(able)
     }
 
     /// Some boxes that were heard lately, to be named to others.
@@ -299,6 +311,11 @@
             .collect()
     }
 
+    fn at_peer_port(&self, addresses: Vec<IpAddr>) -> Vec<SocketAddr> {
+        let port = self.own.address.port();
+        addresses.into_iter().map(|address| SocketAddr::new(address, port)).collect()
+    }
+
     fn alive(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> + Clone {
         let turns = (self.known.len() / OTHER_HALLS_FANOUT) as u64;
         let small = self.is_small_fleet();
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use coursestile::gateway::peers::{Gossip, Own, Peers, StoreLink};
+use coursestile::gateway::peers::{Audience, Gossip, Own, Peers, StoreLink};
 use coursestile::gateway::view::{Mark, View, Written};
 use proptest::prelude::*;
 
@@ -31,7 +31,7 @@
     let own = Own { address: SocketAddr::from(([10, 0, 0, 1], 7000)), hall: 1, millicores: 250 };
     let other = IpAddr::from([10, 0, 0, 2]);
     let mut peers = Peers::new(own, &[other, own.address.ip()]);
-    assert_eq!(peers.next_targets(0), [SocketAddr::new(other, 7000)]);
+    assert_eq!(peers.next_targets(0, Audience::All), [SocketAddr::new(other, 7000)]);
     let known = Mark { changed_revision: 5, checksum: 1 };
     let mark = Mark { changed_revision: 9, checksum: 2 };
     let news = Gossip { incarnation: 1, mark, ..Gossip::default() };
@@ -50,7 +50,7 @@
     hear(&mut peers, 0, OTHER_HALL, 20, 120, StoreLink::Unasked);
     let mut told = std::collections::BTreeSet::new();
     for _ in 0..5 {
-        let targets = peers.next_targets(0);
+        let targets = peers.next_targets(0, Audience::All);
         assert_eq!(targets.iter().filter(|one| is_in(one, HALL)).count(), 20);
         told.extend(targets.into_iter().filter(|one| is_in(one, OTHER_HALL)));
     }
