--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Settings;
 use crate::gateway::{
-    follow, follow_caches, gossip, leader, leadership, listener, reach, store_news,
+    follow, follow_caches, gossip, leader, leadership, listener, reach, store_updates,
 };
 use crate::phase::Phase;
 
@@ -54,7 +54,7 @@
     tokio::spawn(gossip::send(gateway.clone(), socket.clone(), now_ms()));
     tokio::spawn(gossip::catch_up(gateway.clone()));
     tokio::spawn(gossip::give(gateway.clone(), peers));
-    tokio::spawn(store_news::learn(gateway.clone()));
+    tokio::spawn(store_updates::subscribe(gateway.clone()));
     tokio::spawn(reach::run(gateway.clone()));
     tokio::spawn(leadership::run(gateway.clone(), socket));
     tokio::spawn(leader::run(gateway.clone()));
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,7 +17,7 @@
 use crate::gateway::leader::LOADING_GOSSIP_MS;
 use crate::gateway::peers::{Audience, GOSSIP_PERIOD_MS, Gossip, ToldLoad, told_loads};
 use crate::gateway::renewal::{RenewalReply, RenewalRequest, renew_for_peer};
-use crate::gateway::store_news::teach;
+use crate::gateway::store_updates::publish;
 use crate::gateway::upstreams::number;
 use crate::gateway::view::{CatchUp, Mark};
 use crate::phase::Phase;
@@ -278,7 +278,7 @@
             });
             in_time(written.await)
         }
-        Question::Stores => teach(gateway, stream).await,
+        Question::Stores => publish(gateway, stream).await,
     }
 }
 
--- a/src/gateway/holder.rs
+++ b/src/gateway/holder.rs
@@ -35,12 +35,12 @@
     }
 }
 
-/// Changes that are remembered to be told: those of some seconds.
-const CHANGES_TOLD: usize = 2048;
+/// Changes that are remembered to be log: those of some seconds.
+const LOGGED_CHANGES: usize = 2048;
 
-/// What is told of a holder.
+/// What is log of a holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum News {
+pub enum Update {
     /// Nothing is known of it now.
     Unknown,
     /// All that it keeps.
@@ -49,28 +49,28 @@
     Changes(Vec<(PartKey, u32)>),
 }
 
-/// Changes of a holder, kept to be told to other boxes.
+/// Changes of a holder, kept to be log to other boxes.
 #[derive(Debug, Default)]
-struct Told {
+struct ChangeLog {
     changes: VecDeque<(PartKey, u32)>,
     /// Number of the first of them.
     from: u64,
 }
 
-impl Told {
+impl ChangeLog {
     fn next(&self) -> u64 {
         self.from + u64::try_from(self.changes.len()).unwrap_or_default()
     }
 
     fn push(&mut self, part: PartKey, tokens: u32) {
         self.changes.push_back((part, tokens));
-        if self.changes.len() > CHANGES_TOLD {
+        if self.changes.len() > LOGGED_CHANGES {
             self.changes.pop_front();
             self.from += 1;
         }
     }
 
-    /// Forgets all; whoever was told before must be told everything.
+    /// Forgets all; whoever was log before must be log everything.
     fn restart(&mut self) {
         self.from = self.next() + 1;
         self.changes.clear();
@@ -85,47 +85,47 @@
     known: bool,
     tokens: HashMap<PartKey, u32>,
     held_tokens: u64,
-    /// Changes to be told, when they are.
-    told: Option<Told>,
+    /// Changes to be log, when they are.
+    log: Option<ChangeLog>,
 }
 
 impl Holder {
-    /// A holder whose changes are kept to be told.
+    /// A holder whose changes are kept to be log.
     #[must_use]
-    pub fn that_is_told() -> Self {
-        Self { told: Some(Told::default()), ..Self::default() }
+    pub fn with_log() -> Self {
+        Self { log: Some(ChangeLog::default()), ..Self::default() }
     }
 
     /// What has changed since the change with a number, if anything, and the
     /// number to go on from.
     #[must_use]
-    pub fn news_since(&self, after: Option<u64>) -> (Option<News>, u64) {
-        let Some(told) = &self.told else {
+    pub fn update_since(&self, after: Option<u64>) -> (Option<Update>, u64) {
+        let Some(log) = &self.log else {
             return (None, 0);
         };
-        let next = told.next();
-        let news = match after {
+        let next = log.next();
+        let update = match after {
             Some(after) if after == next => None,
-            _ if !self.known => Some(News::Unknown),
-            Some(after) if (told.from..next).contains(&after) => {
-                let skip = usize::try_from(after - told.from).unwrap_or_default();
-                Some(News::Changes(told.changes.iter().skip(skip).copied().collect()))
+            _ if !self.known => Some(Update::Unknown),
+            Some(after) if (log.from..next).contains(&after) => {
+                let skip = usize::try_from(after - log.from).unwrap_or_default();
+                Some(Update::Changes(log.changes.iter().skip(skip).copied().collect()))
             }
-            _ => Some(News::Whole(self.tokens.iter().map(|(key, held)| (*key, *held)).collect())),
+            _ => Some(Update::Whole(self.tokens.iter().map(|(key, held)| (*key, *held)).collect())),
         };
-        (news, next)
+        (update, next)
     }
 
     /// Takes what another box tells.
-    pub fn take_news(&mut self, news: News) {
-        let changes = match news {
-            News::Unknown => return self.lose(),
-            News::Whole(all) => {
+    pub fn apply_update(&mut self, update: Update) {
+        let changes = match update {
+            Update::Unknown => return self.lose(),
+            Update::Whole(all) => {
                 self.lose();
                 self.set_known(true);
                 all
             }
-            News::Changes(changes) => changes,
+            Update::Changes(changes) => changes,
         };
         for (part, tokens) in changes {
             self.note(part, tokens);
@@ -191,8 +191,8 @@
     pub fn note(&mut self, part: PartKey, tokens: u32) {
         let before =
             if tokens == 0 { self.tokens.remove(&part) } else { self.tokens.insert(part, tokens) };
-        if let Some(told) = &mut self.told {
-            told.push(part, tokens);
+        if let Some(log) = &mut self.log {
+            log.push(part, tokens);
         }
         self.held_tokens += u64::from(tokens);
         self.held_tokens -= u64::from(before.unwrap_or_default());
@@ -200,19 +200,19 @@
 
     /// Forgets all that it kept.
     pub fn forget(&mut self) {
-        if let Some(told) = &mut self.told {
-            told.restart();
+        if let Some(log) = &mut self.log {
+            log.restart();
         }
         self.tokens.clear();
         self.held_tokens = 0;
     }
 
-    /// Whoever was told before must be told when this changes.
+    /// Whoever was log before must be log when this changes.
     fn set_known(&mut self, known: bool) {
         if std::mem::replace(&mut self.known, known) != known
-            && let Some(told) = &mut self.told
+            && let Some(log) = &mut self.log
         {
-            told.restart();
+            log.restart();
         }
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,7 +40,7 @@
 pub mod site;
 pub mod sources;
 pub mod space;
-pub mod store_news;
+pub mod store_updates;
 pub mod stores;
 pub mod upstreams;
 pub mod view;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -274,7 +274,7 @@
     /// The peer from which this box learns what stores keep: one of its hall that
     /// follows them, other boxes another.
     #[must_use]
-    pub fn teacher(&self, now_ms: u64) -> Option<SocketAddr> {
+    pub fn publisher(&self, now_ms: u64) -> Option<SocketAddr> {
         let following = self.alive(now_ms).filter(|(_, peer)| {
             peer.gossip.hall == self.own.hall && peer.gossip.store_link == StoreLink::Answers
         });
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -21,6 +21,9 @@
 /// Time in which a new weight version must be everywhere, by default.
 const DEFAULT_WEIGHTS_APPLY_MS: u64 = 10_000;
 
+/// Longest duration that is taken for one: a day.
+const MAX_DURATION_MS: f64 = 86_400_000.0;
+
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -90,16 +93,29 @@
 }
 
 fn bounds(reader: &mut IniFile<'_>) -> Bounds {
-    let stop_s = reader.optional("bounds", "stop_s", DEFAULT_STOP_MS / 1000);
-    let window_s = reader.optional("bounds", "retry_window_s", DEFAULT_RETRY_WINDOW_MS / 1000);
     Bounds {
-        stop_ms: stop_s * 1000,
+        stop_ms: duration_ms(reader, "stop_s", 1000.0, DEFAULT_STOP_MS),
         retry_ratio: reader.optional("bounds", "retry_ratio", DEFAULT_RETRY_RATIO),
-        retry_window_ms: window_s * 1000,
+        retry_window_ms: duration_ms(reader, "retry_window_s", 1000.0, DEFAULT_RETRY_WINDOW_MS),
         retry_extra: reader.optional("bounds", "retry_extra", DEFAULT_RETRY_EXTRA),
-        lease_ms: reader.optional("bounds", "lease_ms", DEFAULT_LEASE_MS),
-        weights_apply_ms: reader.optional("bounds", "weights_apply_ms", DEFAULT_WEIGHTS_APPLY_MS),
+        lease_ms: duration_ms(reader, "lease_ms", 1.0, DEFAULT_LEASE_MS),
+        weights_apply_ms: duration_ms(reader, "weights_apply_ms", 1.0, DEFAULT_WEIGHTS_APPLY_MS),
+    }
+}
+
+/// A duration in milliseconds, given in units of `unit_ms`; fractions count.
+fn duration_ms(reader: &mut IniFile<'_>, key: &str, unit_ms: f64, default_ms: u64) -> u64 {
+    if reader.text("bounds", key).is_none() {
+        return default_ms;
+    }
+    let duration_ms = reader.optional("bounds", key, 0.0) * unit_ms;
+    if !(0.0..MAX_DURATION_MS).contains(&duration_ms) {
+        reader.find_at("bounds", key, format!("{key}: it is no duration"));
+        return default_ms;
     }
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked above")]
+    let duration_ms = duration_ms.round() as u64;
+    duration_ms
 }
 
 fn required_address(reader: &mut IniFile<'_>, key: &str) -> SocketAddr {
--- a/src/gateway/store_news.rs
+++ b/src/gateway/store_updates.rs
@@ -21,7 +21,7 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::gossip::Question;
-use crate::gateway::holder::News;
+use crate::gateway::holder::Update;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::peers::StoreLink;
 use crate::gateway::upstreams::number;
@@ -44,33 +44,33 @@
 
 /// What is told of one store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreNews {
+pub struct StoreUpdate {
     /// Number of its name.
     pub store: u32,
     /// What has changed.
-    pub news: News,
+    pub update: Update,
 }
 
 /// Learns from a box that follows the stores, while this one does not.
-pub async fn learn(gateway: Arc<Gateway>) {
+pub async fn subscribe(gateway: Arc<Gateway>) {
     while gateway.phase() != Phase::Stopped {
         sleep(PAUSE).await;
         let peer = {
             let state = gateway.state();
             let asks = state.store_link() == StoreLink::Unasked;
-            state.peers.teacher(now_ms()).filter(|_| asks)
+            state.peers.publisher(now_ms()).filter(|_| asks)
         };
         let Some(peer) = peer else { continue };
-        let ended = learn_from(&gateway, peer).await;
+        let ended = subscribe_to(&gateway, peer).await;
         gateway.state().lose_stores();
         match ended {
-            Ok(()) => info!(target: "stores", "event=teacher_left peer={peer}"),
-            Err(error) => info!(target: "stores", "event=teacher_lost cause=\"{error}\""),
+            Ok(()) => info!(target: "stores", "event=publisher_left peer={peer}"),
+            Err(error) => info!(target: "stores", "event=publisher_lost cause=\"{error}\""),
         }
     }
 }
 
-async fn learn_from(gateway: &Gateway, peer: SocketAddr) -> Result<()> {
+async fn subscribe_to(gateway: &Gateway, peer: SocketAddr) -> Result<()> {
     let question = to_bytes(&Question::Stores)?;
     let connected = timeout(CALL_TIMEOUT, async {
         let mut stream = TcpStream::connect(peer).await?;
@@ -79,15 +79,15 @@
         Ok(stream)
     });
     let mut stream = in_time(connected.await, peer)?;
-    info!(target: "stores", "event=teacher_found peer={peer}");
+    info!(target: "stores", "event=subscribed peer={peer}");
     while gateway.state().store_link() == StoreLink::Unasked {
-        let news = in_time(timeout(SILENCE_TIMEOUT, read_message(&mut stream)).await, peer)?;
-        take(&mut gateway.state(), news);
+        let update = in_time(timeout(SILENCE_TIMEOUT, read_message(&mut stream)).await, peer)?;
+        take(&mut gateway.state(), update);
     }
     Ok(())
 }
 
-async fn read_message(stream: &mut TcpStream) -> std::io::Result<Vec<StoreNews>> {
+async fn read_message(stream: &mut TcpStream) -> std::io::Result<Vec<StoreUpdate>> {
     let length = stream.read_u32().await?;
     let invalid = |text| std::io::Error::new(std::io::ErrorKind::InvalidData, text);
     if length > MAX_MESSAGE_BYTES {
@@ -98,11 +98,11 @@
     postcard::from_bytes(&bytes).map_err(|error| invalid(error.to_string()))
 }
 
-fn take(state: &mut State, all: Vec<StoreNews>) {
-    for StoreNews { store: told, news } in all {
+fn take(state: &mut State, all: Vec<StoreUpdate>) {
+    for StoreUpdate { store: told, update } in all {
         let found = state.stores.iter_mut().find(|(store, _)| number(&store.name) == told);
         if let Some((_, one)) = found {
-            one.holder.take_news(news);
+            one.holder.apply_update(update);
         }
     }
 }
@@ -111,16 +111,16 @@
 ///
 /// # Errors
 /// Fails when the other box takes no message in time.
-pub async fn teach(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
+pub async fn publish(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
     let mut told: HashMap<u32, u64> = HashMap::new();
     let mut quiet = 0;
     while gateway.phase() != Phase::Stopped && gateway.state().follows_store {
-        let news = compose(&gateway.state(), &mut told);
-        if news.is_empty() && quiet < QUIET_TURNS {
+        let update = compose(&gateway.state(), &mut told);
+        if update.is_empty() && quiet < QUIET_TURNS {
             quiet += 1;
         } else {
             quiet = 0;
-            send(stream, &news).await?;
+            send(stream, &update).await?;
         }
         sleep(TELL_PERIOD).await;
     }
@@ -128,19 +128,19 @@
 }
 
 /// What has changed since it was told last.
-fn compose(state: &State, told: &mut HashMap<u32, u64>) -> Vec<StoreNews> {
+fn compose(state: &State, told: &mut HashMap<u32, u64>) -> Vec<StoreUpdate> {
     let mut all = Vec::new();
     for (store, one) in state.stores.iter() {
         let store = number(&store.name);
-        let (news, next) = one.holder.news_since(told.get(&store).copied());
+        let (update, next) = one.holder.update_since(told.get(&store).copied());
         told.insert(store, next);
-        all.extend(news.map(|news| StoreNews { store, news }));
+        all.extend(update.map(|update| StoreUpdate { store, update }));
     }
     all
 }
 
-async fn send(stream: &mut TcpStream, news: &[StoreNews]) -> Result<()> {
-    let bytes = to_bytes(&news)?;
+async fn send(stream: &mut TcpStream, update: &[StoreUpdate]) -> Result<()> {
+    let bytes = to_bytes(&update)?;
     let length = u32::try_from(bytes.len()).map_err(|error| Error::Message(error.to_string()))?;
     let written = timeout(CALL_TIMEOUT, async {
         stream.write_u32(length).await?;
--- a/src/gateway/stores.rs
+++ b/src/gateway/stores.rs
@@ -63,8 +63,8 @@
 
 impl StoreState {
     /// The state of a store of which other boxes are told.
-    fn told() -> Self {
-        Self { holder: Holder::that_is_told(), ..Self::default() }
+    fn with_log() -> Self {
+        Self { holder: Holder::with_log(), ..Self::default() }
     }
 
     /// Whether it failed lately.
@@ -168,7 +168,7 @@
         let mut before = std::mem::take(&mut self.by_name);
         for store in stores {
             let known = before.remove(&store.name).filter(|(old, _)| old.address == store.address);
-            let mut state = known.map_or_else(StoreState::told, |(_, state)| state);
+            let mut state = known.map_or_else(StoreState::with_log, |(_, state)| state);
             state.seed = number(&store.name);
             self.by_name.insert(store.name.clone(), (store.clone(), state));
         }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -13,7 +13,7 @@
 /// has come back.
 const REWRITE_MS: u64 = 2000;
 /// Removals that are remembered for peers that are behind.
-const REMOVALS_TOLD: usize = 512;
+const LOGGED_REMOVALS: usize = 512;
 /// Time after trouble in which removals are still put down to it.
 const TROUBLE_ECHO_MS: u64 = 1000;
 
@@ -87,7 +87,7 @@
     /// The last removals, oldest first.
     removed: VecDeque<(String, u64)>,
     /// Changes since this revision can be told.
-    told_from_revision: u64,
+    log_from_revision: u64,
     checksum: u32,
     store_answers: bool,
     trouble_ended_at_ms: Option<u64>,
@@ -146,7 +146,7 @@
     pub fn catch_up(&self, mark: Mark) -> CatchUp {
         let after = mark.changed_revision;
         // With the same changes known, it is the items that differ.
-        if after < self.told_from_revision || after >= self.changed_revision {
+        if after < self.log_from_revision || after >= self.changed_revision {
             return CatchUp::Whole(self.snapshot());
         }
         let items = self.items.iter().filter(|(_, written)| written.revision > after);
@@ -208,7 +208,7 @@
             return None;
         }
         // One that is carried out later shows by the checksum alone.
-        self.tell_removal(key, revision);
+        self.log_removal(key, revision);
         self.take_out(key)
     }
 
@@ -223,7 +223,7 @@
         let mut changes = Vec::new();
         let at_revision = snapshot.at_revision;
         // It does not say what was removed in between.
-        self.told_from_revision = at_revision;
+        self.log_from_revision = at_revision;
         let missing: Vec<String> = self
             .items
             .keys()
@@ -309,12 +309,12 @@
         true
     }
 
-    fn tell_removal(&mut self, key: &str, revision: u64) {
+    fn log_removal(&mut self, key: &str, revision: u64) {
         self.removed.push_back((key.to_owned(), revision));
-        if self.removed.len() > REMOVALS_TOLD
+        if self.removed.len() > LOGGED_REMOVALS
             && let Some((_, revision)) = self.removed.pop_front()
         {
-            self.told_from_revision = revision;
+            self.log_from_revision = revision;
         }
     }
 }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -98,34 +98,34 @@
 
     #[test]
     fn views_alike(steps in steps()) {
-        let (mut follower, mut learner) = (View::default(), View::default());
+        let (mut follower, mut behind) = (View::default(), View::default());
         for (step, revision) in steps.into_iter().zip(1_u64..) {
             match step {
                 Step::Write { key } => {
                     follower.put(key.to_string(), Written { revision, value: vec![key] });
                 }
                 Step::Remove { key } => drop(follower.remove(0, &key.to_string(), revision, false)),
-                Step::CatchUp => drop(learner.take(0, follower.catch_up(learner.mark()), |_| true)),
+                Step::CatchUp => drop(behind.take(0, follower.catch_up(behind.mark()), |_| true)),
             }
         }
-        learner.take(0, follower.catch_up(learner.mark()), |_| true);
-        prop_assert_eq!(learner.mark().checksum, follower.mark().checksum);
-        prop_assert_eq!(learner.snapshot().items, follower.snapshot().items);
+        behind.take(0, follower.catch_up(behind.mark()), |_| true);
+        prop_assert_eq!(behind.mark().checksum, follower.mark().checksum);
+        prop_assert_eq!(behind.snapshot().items, follower.snapshot().items);
     }
 }
 
 #[test]
 fn late_removal() {
-    let (mut follower, mut learner) = (View::default(), View::default());
+    let (mut follower, mut behind) = (View::default(), View::default());
     follower.store_answered(0);
     follower.put("u".to_owned(), Written { revision: 1, value: vec![1] });
     follower.store_failed();
     follower.remove(1000, "u", 2, true);
-    learner.take(1000, follower.catch_up(learner.mark()), |_| true);
-    assert!(learner.has("u"), "its removal is in doubt");
+    behind.take(1000, follower.catch_up(behind.mark()), |_| true);
+    assert!(behind.has("u"), "its removal is in doubt");
     follower.store_answered(2000);
     assert_eq!(follower.tick(9000).len(), 1);
-    assert_ne!(learner.mark(), follower.mark());
-    learner.take(9000, follower.catch_up(learner.mark()), |_| true);
-    assert!(!learner.has("u"));
+    assert_ne!(behind.mark(), follower.mark());
+    behind.take(9000, follower.catch_up(behind.mark()), |_| true);
+    assert!(!behind.has("u"));
 }
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use coursestile::gateway::holder::{Holder, News, PartKey};
+use coursestile::gateway::holder::{Holder, PartKey, Update};
 use coursestile::gateway::kept::{CacheChange, CacheChanges, CacheListing, KeptPart};
 use coursestile::gateway::site::Store;
 use coursestile::gateway::stores::{Placing, Stores};
@@ -48,17 +48,17 @@
 
 /// A box that learns from another, as it is told now and then.
 #[derive(Default)]
-struct Learner {
+struct Subscriber {
     holder: Holder,
     told: Option<u64>,
 }
 
-impl Learner {
-    fn hear(&mut self, teacher: &Holder) {
-        let (news, next) = teacher.news_since(self.told);
+impl Subscriber {
+    fn hear(&mut self, publisher: &Holder) {
+        let (update, next) = publisher.update_since(self.told);
         self.told = Some(next);
-        if let Some(news) = news {
-            self.holder.take_news(news);
+        if let Some(update) = update {
+            self.holder.apply_update(update);
         }
     }
 }
@@ -68,47 +68,50 @@
 
     #[test]
     fn beliefs_alike(steps in steps()) {
-        let (mut teacher, mut learner) = (Holder::that_is_told(), Learner::default());
+        let (mut publisher, mut subscriber) = (Holder::with_log(), Subscriber::default());
         let mut boot = 1;
         for step in steps {
             match step {
                 Step::Keeps { part, tokens } => {
-                    teacher.changed(&changes(boot, vec![change(part, tokens)]));
+                    publisher.changed(&changes(boot, vec![change(part, tokens)]));
                 }
                 Step::Restarts => boot += 1,
-                Step::Lost => teacher.lose(),
-                Step::Listed => teacher.listed(&listing(boot)),
-                Step::Told => learner.hear(&teacher),
+                Step::Lost => publisher.lose(),
+                Step::Listed => publisher.listed(&listing(boot)),
+                Step::Told => subscriber.hear(&publisher),
             }
         }
-        learner.hear(&teacher);
-        prop_assert_eq!(learner.holder.is_known(), teacher.is_known());
-        prop_assert_eq!(learner.holder.held_tokens(), teacher.held_tokens());
+        subscriber.hear(&publisher);
+        prop_assert_eq!(subscriber.holder.is_known(), publisher.is_known());
+        prop_assert_eq!(subscriber.holder.held_tokens(), publisher.held_tokens());
         for part in 0..40 {
-            prop_assert_eq!(learner.holder.tokens(key(part)), teacher.tokens(key(part)));
+            prop_assert_eq!(subscriber.holder.tokens(key(part)), publisher.tokens(key(part)));
         }
     }
 }
 
 #[test]
 fn known_again() {
-    let (mut teacher, mut learner) = (Holder::that_is_told(), Learner::default());
-    learner.hear(&teacher);
-    teacher.changed(&changes(1, Vec::new()));
-    learner.hear(&teacher);
-    assert!(learner.holder.is_known(), "it keeps nothing, and that is known");
+    let (mut publisher, mut subscriber) = (Holder::with_log(), Subscriber::default());
+    subscriber.hear(&publisher);
+    publisher.changed(&changes(1, Vec::new()));
+    subscriber.hear(&publisher);
+    assert!(subscriber.holder.is_known(), "it keeps nothing, and that is known");
 }
 
 #[test]
 fn many_changes() {
-    let mut teacher = Holder::that_is_told();
-    teacher.listed(&listing(1));
-    let (_, told) = teacher.news_since(None);
+    let mut publisher = Holder::with_log();
+    publisher.listed(&listing(1));
+    let (_, told) = publisher.update_since(None);
     for part in 0..5000 {
-        teacher.changed(&changes(1, vec![change(part, 1)]));
+        publisher.changed(&changes(1, vec![change(part, 1)]));
     }
-    let (news, _) = teacher.news_since(Some(told));
-    assert!(matches!(news, Some(News::Whole(all)) if all.len() == 5000), "too many to remember");
+    let (update, _) = publisher.update_since(Some(told));
+    assert!(
+        matches!(update, Some(Update::Whole(all)) if all.len() == 5000),
+        "too many to remember"
+    );
 }
 
 fn store(name: &str, capacity_tokens: u64) -> Store {
