Subscribers keep to one follower; a pause after changes in a large fleet

Cause, found by reading: two followers of a hall may hold different items for seconds (removals in doubt end at different times), and a box that follows nothing went back and forth between their whole copies. Each change of an entry woke the followers of all halls: 5 calls a second each. Change: a box believes its publisher at once and compares checksums with it alone; others only when they have known more for 300 ms. A follower waits 400 ms after an answer, in a large fleet. Test: gateway_peers::one_believed.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -21,6 +21,10 @@
 /// Longest wait of a watch: a quarter of the calls that a second's wait makes,
 /// and soon enough to see that a silent store is away.
 const WATCH_WAIT_MS: u64 = 8000;
+/// Pause after changes, in a large fleet, where each wakes the followers of all
+/// halls: several are told by one answer. A small part of the two seconds in which
+/// a change must be in force.
+const CHANGES_PAUSE: Duration = Duration::from_millis(400);
 /// Least pause after a failed call.
 const LEAST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls: upstreams that left while the store was
@@ -44,6 +48,10 @@
                 listed = goes_on;
                 pause_ms = LEAST_PAUSE_MS;
                 answered(&gateway);
+                let small_fleet = gateway.state().peers.is_small_fleet();
+                if !small_fleet {
+                    sleep(CHANGES_PAUSE).await;
+                }
             }
             Err(error) => {
                 failed(&gateway, &error);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -166,20 +166,24 @@
     }
 
     /// A peer that has known more than this box for a while. A box that does
-    /// not follow the store itself believes those that do at once.
+    /// not follow the store itself believes its publisher at once, and keeps to
+    /// it when two followers differ: removals in doubt end at different times.
     #[must_use]
     pub fn ahead(&self, now_ms: u64, own: Mark, link: StoreLink) -> Option<SocketAddr> {
-        let least_ms = if link == StoreLink::Answers { BEHIND_MS } else { 0 };
-        let ahead = self.alive(now_ms).filter(|(_, peer)| {
-            let differs = link == StoreLink::Unasked
-                && peer.gossip.store_link == StoreLink::Answers
-                && peer.gossip.mark.changed_revision == own.changed_revision
-                && peer.gossip.mark.checksum != own.checksum;
-            let since_ms = peer.ahead_since_ms.filter(|_| is_ahead(peer.gossip.mark, own));
-            differs || since_ms.is_some_and(|since_ms| now_ms >= since_ms + least_ms)
+        let publisher = self.publisher(now_ms).filter(|_| link == StoreLink::Unasked);
+        let ahead = self.alive(now_ms).filter(|(address, peer)| {
+            let mark = peer.gossip.mark;
+            let believed = publisher.is_some_and(|publisher| publisher.ip() == **address);
+            if believed && mark.changed_revision == own.changed_revision {
+                return mark.checksum != own.checksum;
+            }
+            let at_once = believed || link == StoreLink::Fails;
+            let least_ms = if at_once { 0 } else { BEHIND_MS };
+            let since_ms = peer.ahead_since_ms.filter(|_| is_ahead(mark, own));
+            since_ms.is_some_and(|since_ms| now_ms >= since_ms + least_ms)
         });
         let (address, _) = ahead.max_by_key(|(_, peer)| {
-            (peer.gossip.mark.changed_revision, peer.gossip.hall == self.own.hall)
+            (peer.gossip.hall == self.own.hall, peer.gossip.mark.changed_revision)
         })?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -129,3 +129,27 @@
     behind.take(9000, follower.catch_up(behind.mark()), |_| true);
     assert!(!behind.has("u"));
 }
+
+#[test]
+fn one_believed() {
+    let mut peers = Peers::new(own(), &[]);
+    hear(&mut peers, 0, HALL, 20, 120, StoreLink::Unasked);
+    let known = Mark { changed_revision: 5, checksum: 1 };
+    let mut tell = |host: u8, mark: Mark| {
+        let store_link = StoreLink::Answers;
+        let gossip = Gossip { incarnation: 1, hall: HALL, store_link, mark, ..Gossip::default() };
+        peers.hear(1000, address(HALL, host), gossip, known);
+    };
+    tell(1, known);
+    tell(2, known);
+    let publisher = peers.publisher(1000).unwrap().ip();
+    let other = if publisher == address(HALL, 1) { 2 } else { 1 };
+    let differs = Mark { checksum: 2, ..known };
+    let gossip = Gossip { incarnation: 1, hall: HALL, mark: differs, ..Gossip::default() };
+    let answers = Gossip { store_link: StoreLink::Answers, ..gossip };
+    peers.hear(1000, address(HALL, other), answers.clone(), known);
+    assert_eq!(peers.ahead(2000, known, StoreLink::Unasked), None, "the publisher does not");
+    peers.hear(1000, publisher, answers, known);
+    let found = peers.ahead(1000, known, StoreLink::Unasked).map(|found| found.ip());
+    assert_eq!(found, Some(publisher));
+}
