--- a/src/gateway/holder.rs
+++ b/src/gateway/holder.rs
@@ -35,10 +35,10 @@
     }
 }
 
-/// Changes that are remembered to be log: those of some seconds.
+/// Changes that a log keeps: those of some seconds.
 const LOGGED_CHANGES: usize = 2048;
 
-/// What is log of a holder.
+/// What is told of a holder to another box.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Update {
     /// Nothing is known of it now.
@@ -49,7 +49,7 @@
     Changes(Vec<(PartKey, u32)>),
 }
 
-/// Changes of a holder, kept to be log to other boxes.
+/// Changes of a holder, kept to be told to other boxes.
 #[derive(Debug, Default)]
 struct ChangeLog {
     changes: VecDeque<(PartKey, u32)>,
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Forgets all; whoever was log before must be log everything.
+    /// Forgets all; whoever was told before must be told everything.
     fn restart(&mut self) {
         self.from = self.next() + 1;
         self.changes.clear();
@@ -85,12 +85,12 @@
     known: bool,
     tokens: HashMap<PartKey, u32>,
     held_tokens: u64,
-    /// Changes to be log, when they are.
+    /// Changes to be told, when other boxes learn from this one.
     log: Option<ChangeLog>,
 }
 
 impl Holder {
-    /// A holder whose changes are kept to be log.
+    /// A holder whose changes are kept to be told.
     #[must_use]
     pub fn with_log() -> Self {
         Self { log: Some(ChangeLog::default()), ..Self::default() }
@@ -207,7 +207,7 @@
         self.held_tokens = 0;
     }
 
-    /// Whoever was log before must be log when this changes.
+    /// Whoever was told before must be told when this changes.
     fn set_known(&mut self, known: bool) {
         if std::mem::replace(&mut self.known, known) != known
             && let Some(log) = &mut self.log
