Follow caches once peers have been heard

Ruled out: gossip (0.65 Mbit/s of 10), publishing of stores (57 KB a box). Change: a box with seeds waits until a first peer was heard and 200 ms more, at most 3 s; a change between a small and a large fleet makes it choose again what it follows. Test: gateway_peers::fleet_unknown.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -48,8 +48,7 @@
             Ok(ended) => {
                 listed = ended == Followed::Answered;
                 pause_ms = LEAST_PAUSE_MS;
-                let small_fleet = gateway.state().peers.is_small_fleet();
-                if !small_fleet {
+                if !gateway.state().small_fleet {
                     sleep(CHANGES_PAUSE).await;
                 }
             }
@@ -62,14 +61,17 @@
     }
 }
 
-/// Decides again whether this box is to follow the store itself.
+/// Decides again what this box is to follow itself.
 fn choose_role(gateway: &Gateway, state: &mut State, now_ms: u64) {
-    let (follows, boxes) = (state.peers.is_follower(now_ms), state.peers.boxes(now_ms));
-    if follows == state.follows_store {
+    let follows = state.peers.is_follower(now_ms);
+    let small_fleet = state.peers.is_small_fleet();
+    if (follows, small_fleet) == (state.follows_store, state.small_fleet) {
         return;
     }
-    info!(target: "follow", "event=follower_changed follows={follows} boxes={boxes}");
+    info!(target: "follow", "event=role_changed follows={follows} small_fleet={small_fleet} boxes={}",
+        state.peers.boxes(now_ms));
     state.follows_store = follows;
+    state.small_fleet = small_fleet;
     gateway.upstreams_changed.send_modify(|count| *count += 1);
     // A watch would go on for seconds.
     gateway.behind.notify_one();
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -7,7 +7,7 @@
 
 use log::{debug, info};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::now_ms;
 use crate::error::Result;
@@ -16,11 +16,11 @@
 use crate::gateway::kernel::{Gateway, State};
 use crate::phase::Phase;
 
-/// Time after the start in which a box hears of its peers, more than one period of
-/// their gossip. Else all boxes of a large fleet that start at once would have
-/// every store listed and every engine's history sent: 12 MB over a link of
-/// 10 Mbit/s (sanam-live-grown, ten seconds after a loss of power).
-const START_PAUSE: Duration = Duration::from_millis(400);
+/// Longest time for which a box that starts waits to hear of its peers; the first
+/// boxes of a fleet that lost power may be seconds behind others.
+const ALONE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often it looks whether it has.
+const FLEET_POLL: Duration = Duration::from_millis(20);
 /// First pause after a holder that did not answer.
 const PAUSE: Duration = Duration::from_millis(700);
 /// Longest pause: a holder with as many followers as it takes refuses all
@@ -40,8 +40,10 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let mut followed: HashMap<(HolderId, SocketAddr), JoinHandle<()>> = HashMap::new();
     let mut changed = gateway.upstreams_changed.subscribe();
-    // A box that knows no peer yet takes the fleet for a small one.
-    sleep(START_PAUSE).await;
+    // Else all boxes of a large fleet that start at once would have every store
+    // listed and every engine's history sent: 12 MB over a link of 10 Mbit/s.
+    // Without an answer in time, the box is alone.
+    let _ = timeout(ALONE_TIMEOUT, fleet_known(&gateway)).await;
     while gateway.phase() != Phase::Stopped {
         let wanted = holders(&gateway);
         followed.retain(|holder_id, task| {
@@ -62,6 +64,13 @@
     }
 }
 
+/// Waits until the box has learned of its peers.
+async fn fleet_known(gateway: &Gateway) {
+    while !gateway.state().peers.is_fleet_known(now_ms()) {
+        sleep(FLEET_POLL).await;
+    }
+}
+
 fn holders(gateway: &Gateway) -> Vec<(HolderId, SocketAddr)> {
     let state = gateway.state();
     let Some(site) = &state.site else {
@@ -71,7 +80,7 @@
         return Vec::new();
     }
     // In a large fleet, what engines keep is gone before all boxes could know.
-    let follows_engines = state.peers.is_small_fleet();
+    let follows_engines = state.small_fleet;
     let engines = state.upstreams.iter().filter(|upstream| {
         follows_engines
             && site.services.get(&upstream.entry.service).is_some_and(|one| one.engine.is_some())
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -35,6 +35,8 @@
 /// Time for which a peer must have known more before it is asked: the store's
 /// own change is usually on its way.
 const BEHIND_MS: u64 = 300;
+/// Time in which the peers that a first one names answer, and name others.
+const LEARN_MS: u64 = 200;
 /// Peers that are asked at once to renew a lease: one may be gone by now.
 const HELPERS: usize = 2;
 
@@ -125,6 +127,7 @@
     known: BTreeMap<IpAddr, Peer>,
     turn: usize,
     helper_turn: usize,
+    first_heard_at_ms: Option<u64>,
 }
 
 impl Peers {
@@ -132,7 +135,8 @@
     #[must_use]
     pub fn new(own: Own, seeds: &[IpAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own.address.ip()).collect();
-        Self { own, seeds, known: BTreeMap::new(), turn: 0, helper_turn: 0 }
+        let known = BTreeMap::new();
+        Self { own, seeds, known, turn: 0, helper_turn: 0, first_heard_at_ms: None }
     }
 
     /// What this box tells of itself.
@@ -153,6 +157,7 @@
         // Another incarnation at the same address knows nothing of this box.
         peer.told &= gossip.incarnation == peer.gossip.incarnation;
         peer.heard_at_ms = now_ms;
+        self.first_heard_at_ms.get_or_insert(now_ms);
         if is_ahead(gossip.mark, own) {
             peer.ahead_since_ms.get_or_insert(now_ms);
         } else {
@@ -193,6 +198,13 @@
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 
+    /// Whether the size of the fleet can be told by the peers that are known.
+    #[must_use]
+    pub fn is_fleet_known(&self, now_ms: u64) -> bool {
+        self.seeds.is_empty()
+            || self.first_heard_at_ms.is_some_and(|heard_at_ms| now_ms >= heard_at_ms + LEARN_MS)
+    }
+
     /// Whether all boxes tell each other everything.
     #[must_use]
     pub fn is_small_fleet(&self) -> bool {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -72,6 +72,16 @@
     assert!(peers.hear(0, address(HALL, 1), restarted, Mark::default()), "it knows nothing");
 }
 
+#[test]
+fn fleet_unknown() {
+    let mut peers = Peers::new(own(), &[address(HALL, 1)]);
+    assert!(!peers.is_fleet_known(60_000), "the seed has said nothing");
+    hear(&mut peers, 60_000, HALL, 1, 120, StoreLink::Answers);
+    assert!(!peers.is_fleet_known(60_100), "those that it names may follow");
+    assert!(peers.is_fleet_known(60_200));
+    assert!(Peers::new(own(), &[]).is_fleet_known(0), "it is alone");
+}
+
 fn is_in(address: &SocketAddr, hall: u32) -> bool {
     matches!(address.ip(), IpAddr::V4(ip) if u32::from(ip.octets()[2]) == hall)
 }
