Let only prompts that waited for no engine speak of stores

Change: a choice says whether the engine should begin at once (an expected wait under 20 ms); only then does a late first token make a store look slow.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -151,6 +151,7 @@
     fetches: Vec<(String, u32)>,
     fetch_ms: f64,
     expected_ms: f64,
+    calm: bool,
     taken_at_ms: u64,
 }
 
@@ -184,6 +185,7 @@
             fetches,
             fetch_ms: context.map_or(0.0, |plan| plan.fetch_ms),
             expected_ms: choice.expected_ms,
+            calm: choice.calm,
             taken_at_ms,
         }
     }
@@ -195,10 +197,12 @@
         }
     }
 
-    /// Notes that the prompt has been read, and how long its fetches took.
+    /// Notes that the prompt has been read, and how long its fetches took. A prompt
+    /// that had to wait for the engine says nothing of the stores.
     pub fn read_prompt(&mut self) {
         let late_ms = as_f64(now_ms() - self.taken_at_ms) - self.expected_ms - FIRST_TOKEN_MS;
-        let ratio = (self.fetch_ms > 0.0).then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
+        let ratio =
+            (self.calm && self.fetch_ms > 0.0).then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
         self.prompt_is_over(ratio);
     }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -45,6 +45,10 @@
 /// tokens seen under load.
 const BEGIN_MS: u64 = 1000;
 
+/// Expected wait for an engine below which a late first token speaks against the
+/// store that sent a part: less than the usual fetch from a large store.
+const CALM_WAIT_MS: f64 = 20.0;
+
 /// What a request asks of an upstream.
 pub struct Demand<'a> {
     /// Service.
@@ -91,6 +95,8 @@
     pub context: Option<ContextPlan>,
     /// Expected time to the first token.
     pub expected_ms: f64,
+    /// Whether nothing but fetches should keep the first token waiting.
+    pub calm: bool,
     /// Memory that the request takes.
     pub memory_tokens: u32,
     /// Load of the upstream as it was believed to be.
@@ -106,7 +112,7 @@
     engine: Option<&EngineSpec>,
     demand: &Demand<'a>,
 ) -> Option<Choice> {
-    let mut best: Option<(f64, &Upstream, Option<ContextPlan>, f64)> = None;
+    let mut best: Option<(f64, &Upstream, Option<ContextPlan>, Expected)> = None;
     let mut lookups: Vec<Lookup<'_>> = Vec::new();
     for upstream in upstreams.of(demand.service) {
         if demand.tried.contains(&upstream.id) || upstream.own.requests >= demand.max_requests {
@@ -115,7 +121,7 @@
         if upstream.is_loading(now_ms) {
             continue;
         }
-        let (cost, context, expected_ms) = match (demand.prompt, engine) {
+        let (cost, context, expected) = match (demand.prompt, engine) {
             (Some(prompt), Some(engine)) => {
                 let version = upstream.version(&prompt.model);
                 if !lookups.iter().any(|one| one.version == version) {
@@ -124,27 +130,37 @@
                 }
                 let lookup = lookups.iter().find(|one| one.version == version);
                 let plan = lookup.map(|lookup| lookup.plan(engine, upstream))?;
-                let (cost, expected_ms) = engine_cost(now_ms, upstream, engine, &plan, demand);
-                (cost, Some(plan), expected_ms)
+                let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
+                (cost, Some(plan), expected)
             }
-            _ => (plain_cost(upstream), None, 0.0),
+            _ => (plain_cost(upstream), None, Expected::default()),
         };
         let hall_cost = if upstream.entry.hall == demand.hall { 0.0 } else { OTHER_HALL_COST_MS };
         let doubt_cost = if upstream.is_doubtful(now_ms) { DOUBTFUL_COST_MS } else { 0.0 };
         let cost = cost + hall_cost + doubt_cost;
         if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-            best = Some((cost, upstream, context, expected_ms));
+            best = Some((cost, upstream, context, expected));
         }
     }
-    best.map(|(_, upstream, context, expected_ms)| Choice {
+    best.map(|(_, upstream, context, expected)| Choice {
         id: upstream.id.clone(),
         context,
-        expected_ms,
+        expected_ms: expected.first_token_ms,
+        calm: expected.wait_ms < CALM_WAIT_MS,
         memory_tokens: demand.prompt.map_or(0, Prompt::memory_tokens),
         load: upstream.load(),
     })
 }
 
+/// What is expected of an engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Expected {
+    /// Time until it begins with the prompt, if nothing is fetched.
+    wait_ms: f64,
+    /// Time to the first token.
+    first_token_ms: f64,
+}
+
 /// Cost of an upstream of a plain service, in milliseconds.
 fn plain_cost(upstream: &Upstream) -> f64 {
     let slots = upstream.entry.slots.max(1);
@@ -160,27 +176,28 @@
     engine: &EngineSpec,
     plan: &ContextPlan,
     demand: &Demand<'_>,
-) -> (f64, f64) {
+) -> (f64, Expected) {
     let load = upstream.load();
     let waiting_ms = f64::from(load.unread_tokens) / READ_TOKENS_PER_MS;
     let read_ms = f64::from(plan.read_tokens) / READ_TOKENS_PER_MS;
     let reread_ms = f64::from(plan.reread_tokens) / READ_TOKENS_PER_MS;
     let over = load.requests.saturating_sub(engine.slots);
     let memory_ms = memory_wait_ms(load.memory_tokens, engine, demand);
-    let expected_ms = waiting_ms.max(memory_ms).max(plan.fetch_ms) + read_ms;
+    let wait_ms = waiting_ms.max(memory_ms);
+    let first_token_ms = wait_ms.max(plan.fetch_ms) + read_ms;
     let behind = demand.behind_since_ms(plan.version);
     let old_cost = match behind {
         Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
         Some(since_ms) if now_ms >= since_ms + OLD_WEIGHTS_GRACE_MS => OLD_WEIGHTS_COST_MS,
         Some(_) | None => 0.0,
     };
-    let cost = expected_ms
+    let cost = first_token_ms
         + reread_ms * REREAD_WEIGHT
         + plan.fetch_ms * FETCH_WEIGHT
         + f64::from(load.requests) * RUNNING_COST_MS
         + f64::from(over) * QUEUED_COST_MS
         + old_cost;
-    (cost, expected_ms)
+    (cost, Expected { wait_ms, first_token_ms })
 }
 
 /// Expected wait until there is memory for a request: what is too much goes as
