Keep a list of boxes in the metadata store, so that they find each other at once

Change: the leader keeps the addresses of all boxes that it heard under a key of ours, compared every two seconds and written when it differs; a box that starts reads it with its first listing and tells all at once. Boxes that were not heard are taken out once they had 30 s. Ruled out: writing it from every box (a call for each start), a lease for each box. Tests: gateway_members (list_kept, found_without_seeds).

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Settings;
 use crate::gateway::{
-    follow, follow_caches, gossip, leader, leadership, listener, reach, store_updates,
+    follow, follow_caches, gossip, leader, leadership, listener, members, reach, store_updates,
 };
 use crate::phase::Phase;
 
@@ -58,6 +58,7 @@
     tokio::spawn(reach::run(gateway.clone()));
     tokio::spawn(leadership::run(gateway.clone(), socket));
     tokio::spawn(leader::run(gateway.clone()));
+    tokio::spawn(members::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
     gateway.reached(Phase::Stopped).await;
     info!(target: "daemon", "event=stopped box={}", gateway.settings.name);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -13,6 +13,7 @@
 use crate::clock::now_ms;
 use crate::error::Result;
 use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::members;
 use crate::gateway::metadata::{Change, Item, Watched};
 use crate::gateway::view::{CatchUp, Changed, Snapshot, Written};
 use crate::phase::Phase;
@@ -234,7 +235,8 @@
             (Kind::Configuration | Kind::Weights { .. }, None) => {
                 warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
             }
-            (Kind::Own | Kind::Other, _) => {}
+            (Kind::Members, Some(value)) => members::take(gateway, &mut state.peers, value),
+            (Kind::Members, None) | (Kind::Own | Kind::Other, _) => {}
         }
     }
     if upstreams_changed {
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -93,7 +93,7 @@
     let lease = gateway.metadata.open_lease(TTL_MS).await?;
     let key = keys::lease(NAME);
     let address = gateway.settings.peers.ip().to_string();
-    let outcome = gateway.metadata.write(&key, 0, address.as_bytes(), lease).await;
+    let outcome = gateway.metadata.write(&key, 0, address.as_bytes(), Some(lease)).await;
     let fence = match outcome {
         Ok(Outcome::Done { revision }) => revision,
         Ok(Outcome::Conflict | Outcome::LeaseOver) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod leader;
 pub mod leadership;
 pub mod listener;
+pub mod members;
 pub mod metadata;
 pub mod orders;
 pub mod peers;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 //! knows and does. A lost datagram is made up for by the next. What needs
 //! more room than a datagram is fetched by TCP from the peer that has it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
@@ -27,7 +27,7 @@
 /// Messages of a peer of another hall that may be lost in a row.
 const LOST_MESSAGES: u64 = 3;
 /// Time after which a peer that says nothing is forgotten.
-const FORGET_MS: u64 = 30_000;
+pub const FORGET_MS: u64 = 30_000;
 /// Peers named in one message.
 const NAMED_PEERS: usize = 24;
 /// Upstreams whose load is told in one message.
@@ -326,6 +326,13 @@
         self.at_peer_port(able)
     }
 
+    /// Every box that was heard and not forgotten, this one included.
+    #[must_use]
+    pub fn heard(&self) -> BTreeSet<IpAddr> {
+        let heard = self.known.iter().filter(|(_, peer)| peer.gossip.incarnation > 0);
+        heard.map(|(address, _)| *address).chain([self.own.address.ip()]).collect()
+    }
+
     /// Some boxes that were heard lately, to be named to others.
     #[must_use]
     pub fn named(&self, now_ms: u64) -> Vec<IpAddr> {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -124,6 +124,12 @@
         self.items.contains_key(key)
     }
 
+    /// The item under `key`, as it was written.
+    #[must_use]
+    pub fn written(&self, key: &str) -> Option<&Written> {
+        self.items.get(key)
+    }
+
     /// What tells whether another view is like this one.
     #[must_use]
     pub fn mark(&self) -> Mark {
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -32,7 +32,9 @@
         /// Its id.
         id: &'a str,
     },
-    /// One of ours.
+    /// Addresses of our boxes.
+    Members,
+    /// Another one of ours.
     Own,
     /// Nothing that concerns us.
     Other,
@@ -47,6 +49,9 @@
     if let Some(model) = key.strip_prefix(WEIGHTS_PREFIX) {
         return Kind::Weights { model };
     }
+    if key == members() {
+        return Kind::Members;
+    }
     if key.starts_with(OWN_PREFIX) {
         return Kind::Own;
     }
@@ -56,6 +61,12 @@
     }
 }
 
+/// The key of the list of our boxes.
+#[must_use]
+pub fn members() -> String {
+    format!("{OWN_PREFIX}members")
+}
+
 /// The key of a lease that one box holds.
 #[must_use]
 pub fn lease(name: &str) -> String {
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -21,6 +21,9 @@
 const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time that a watch's answer may be late.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
+/// Stands for no lease.
+const NO_LEASE: u64 = 0;
+
 /// The platform's metadata store.
 #[derive(Clone)]
 pub struct MetadataStore {
@@ -139,8 +142,8 @@
         Ok(Watched::Changes { changes: changes?, at_revision: body.at })
     }
 
-    /// Writes `value` under a lease if the item's revision is `expected` (0:
-    /// there is none).
+    /// Writes `value`, under a lease or to stay, if the item's revision is
+    /// `expected` (0: there is none).
     ///
     /// # Errors
     /// Fails when the store does not answer; the write may be done all the same.
@@ -149,9 +152,10 @@
         key: &str,
         expected: u64,
         value: &[u8],
-        lease: Lease,
+        lease: Option<Lease>,
     ) -> Result<Outcome> {
-        let put = Put { key, value: BASE64_STANDARD.encode(value), lease: lease.id };
+        let lease = lease.map_or(NO_LEASE, |lease| lease.id);
+        let put = Put { key, value: BASE64_STANDARD.encode(value), lease };
         let expected = vec![Expected { key, rev: expected }];
         self.transact(&TxnBody { expected, put: vec![put], remove: Vec::new() }).await
     }
--- /dev/null
+++ b/tests/gateway_members.rs
@@ -0,0 +1,43 @@
+//! How boxes find each other through the list in the metadata store.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+
+use common::{scene, wait_ready};
+use coursestile::gateway::members::{Members, next_list};
+use coursestile_standins::site::eventually;
+
+fn members(hosts: &[u8]) -> Members {
+    hosts.iter().map(|host| IpAddr::from([10, 0, 0, *host])).collect()
+}
+
+#[test]
+fn list_kept() {
+    let listed = members(&[1, 2, 3]);
+    assert_eq!(next_list(&listed, &members(&[1, 2]), false), None, "3 may not have been heard yet");
+    assert_eq!(next_list(&listed, &members(&[1, 4]), false), Some(members(&[1, 2, 3, 4])));
+    assert_eq!(next_list(&listed, &members(&[1, 2]), true), Some(members(&[1, 2])));
+    assert_eq!(next_list(&listed, &listed, true), None);
+}
+
+#[tokio::test]
+async fn found_without_seeds() {
+    let mut scene = scene(1).await;
+    let seeded = scene.site.gateway("east", &[&scene.gateway]);
+    wait_ready(&seeded).await;
+    let listed = || -> BTreeSet<IpAddr> {
+        let value = scene.site.metadata.value("coursestile/members");
+        value.map(|value| postcard::from_bytes(&value).unwrap()).unwrap_or_default()
+    };
+    eventually("two are listed", async || listed().len() == 2).await;
+    let unseeded = scene.site.gateway("west", &[]);
+    wait_ready(&unseeded).await;
+    let listed = || -> BTreeSet<IpAddr> {
+        let value = scene.site.metadata.value("coursestile/members").unwrap();
+        postcard::from_bytes(&value).unwrap()
+    };
+    eventually("it was heard", async || listed().len() == 3).await;
+}
