Avoid an address that another incarnation has, and count no attempt for it

The old one looked idle, so that it was chosen first, by each box again after each pause of 0.5 to 4 s; routes with one attempt were then refused. Ruled out: full engines and other weights (no such cause in the logs). Change: such an answer makes the old incarnation out of question for good, and peers are told; it costs the budget for repeats, but not the route's attempts. Roll-outs, the freeing of space and looks for unreachable upstreams pass over it too.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use log::info;
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
@@ -246,11 +247,13 @@
         self.gateway.state().upstreams.unreached(now_ms(), &self.id, own_hall);
     }
 
-    /// Avoids the upstream for a while.
-    pub fn avoid(&self) {
+    /// Notes that another incarnation has the upstream's address.
+    pub fn supersede(&self) {
         if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
-            upstream.avoid(now_ms());
+            info!(target: "serve", "event=upstream_superseded upstream={}", self.id);
+            upstream.supersede();
         }
+        self.gateway.load_changed.notify_one();
     }
 
     /// Notes the weight version that the upstream was seen to have.
@@ -349,7 +352,7 @@
     if told.not_run && (own || told.request_id.is_none()) {
         let cause = not_run_cause(parts.status, &told, &place.id);
         if cause == NotRunCause::OtherIncarnation {
-            place.avoid();
+            place.supersede();
         }
         return Attempted::NotRun { cause };
     }
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -39,13 +39,21 @@
     pub arrived_at_ms: u64,
     /// Upstreams that it was sent to.
     pub tried: Vec<String>,
-    /// Attempts that reached nobody.
+    /// Attempts that count: the upstream that was meant got the request.
+    pub sent: u32,
+    /// Attempts that reached nobody, or another than was meant.
     pub unsent: u32,
     /// Whether an attempt may have run.
     pub ran_perhaps: bool,
 }
 
 impl Job {
+    /// Notes an attempt that counts.
+    pub fn note_sent(&mut self, upstream_id: &str) {
+        self.tried.push(upstream_id.to_owned());
+        self.sent += 1;
+    }
+
     /// The job, to be carried on elsewhere.
     #[must_use]
     pub fn take(&mut self) -> Self {
@@ -58,6 +66,7 @@
             isolated_account: self.isolated_account.clone(),
             arrived_at_ms: self.arrived_at_ms,
             tried,
+            sent: self.sent,
             unsent: self.unsent,
             ran_perhaps: self.ran_perhaps,
         }
@@ -97,6 +106,7 @@
         isolated_account: isolated.map(|one| one.name.clone()),
         arrived_at_ms,
         tried: Vec::new(),
+        sent: 0,
         unsent: 0,
         ran_perhaps: false,
         outgoing: Outgoing {
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -81,7 +81,7 @@
     }
     // In a large fleet, what engines keep is gone before all boxes could know.
     let follows_engines = state.small_fleet;
-    let engines = state.upstreams.iter().filter(|upstream| {
+    let engines = state.upstreams.current().filter(|upstream| {
         follows_engines
             && site.services.get(&upstream.entry.service).is_some_and(|one| one.engine.is_some())
     });
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -106,6 +106,7 @@
         ),
         fetches: fetches(&state),
         loading: loading(&state),
+        superseded: superseded(&state),
         upstream_clock_ms: state
             .upstream_clock_ahead_ms
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
@@ -123,6 +124,11 @@
     told.collect()
 }
 
+fn superseded(state: &State) -> Vec<u32> {
+    let superseded = state.upstreams.iter().filter(|one| one.is_superseded());
+    superseded.map(|one| one.number).collect()
+}
+
 fn loading(state: &State) -> Vec<(u32, u16)> {
     let left_ms = u16::try_from(LOADING_GOSSIP_MS).unwrap_or(u16::MAX);
     state.loading.iter().map(|id| (number(id), left_ms)).collect()
@@ -166,6 +172,11 @@
     let now_ms = now_ms();
     let own = state.view.mark();
     take_weights(&mut state, now_ms, &gossip);
+    for upstream in state.upstreams.iter_mut() {
+        if gossip.superseded.contains(&upstream.number) {
+            upstream.supersede();
+        }
+    }
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.take_upstream_clock(now_ms, clock_ms);
     }
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -123,7 +123,7 @@
 
 fn candidates(gateway: &Gateway, state: &State, now_ms: u64, model: &str) -> Vec<Candidate> {
     let named = state.weights.get(model);
-    let engines = state.upstreams.iter().filter(|one| one.version(model) > 0);
+    let engines = state.upstreams.current().filter(|one| one.version(model) > 0);
     engines
         .filter(|engine| !engine.entry.leaving)
         .map(|engine| Candidate {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -63,6 +63,8 @@
     pub fetches: Vec<(u32, u32)>,
     /// Engines that load weights, by their numbers, and for how long still.
     pub loading: Vec<(u32, u16)>,
+    /// Upstreams whose address another incarnation has, by their numbers.
+    pub superseded: Vec<u32>,
     /// The upstreams' clock as the message left, once the box was told.
     pub upstream_clock_ms: Option<u64>,
     /// Weight versions that engines have reached: engine, model, version.
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -30,7 +30,7 @@
 fn unreachable(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
     let mut state = gateway.state();
     state.upstreams.suspect_silent(now_ms());
-    let unreachable = state.upstreams.iter().filter(|one| one.is_unreachable());
+    let unreachable = state.upstreams.current().filter(|one| one.is_unreachable());
     unreachable.map(|one| (one.id.clone(), one.entry.address)).collect()
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -190,7 +190,8 @@
         }
         loop {
             self.job.ran_perhaps = true;
-            self.job.tried.push(self.choice.id.clone());
+            let id = self.choice.id.clone();
+            self.job.note_sent(&id);
             let Some(choice) = resume_place(&self.gateway, &self.job).await else {
                 return Some(BrokenOff::Upstream);
             };
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -105,6 +105,9 @@
         Attempted::NotRun { cause } => {
             note_turned_away(gateway, job, choice, cause);
             log_attempt_end(job, choice, "not_run", &cause.to_string());
+            if cause == NotRunCause::OtherIncarnation {
+                return misdirected(gateway, job, choice);
+            }
             try_elsewhere(gateway, job, choice, Reason::UpstreamsFull)
         }
         Attempted::NotSent { cause } => {
@@ -130,6 +133,15 @@
     None
 }
 
+/// After an attempt that reached another upstream than was meant, which turned
+/// it away. The one that was meant is gone, so that it costs budget only.
+fn misdirected(gateway: &Gateway, job: &mut Job, choice: &Choice) -> Option<Answer> {
+    if !spend(gateway, job, now_ms()) {
+        return Some(give_up(job, Reason::UpstreamsFull));
+    }
+    unsent(gateway, job, choice)
+}
+
 /// After an attempt that may have run.
 fn lost(gateway: &Gateway, job: &mut Job, choice: &Choice, cause: &str) -> Option<Answer> {
     job.ran_perhaps = true;
@@ -150,7 +162,7 @@
     choice: &Choice,
     reason: Reason,
 ) -> Option<Answer> {
-    job.tried.push(choice.id.clone());
+    job.note_sent(&choice.id);
     (!may_try_again(gateway, job)).then(|| give_up(job, reason))
 }
 
@@ -163,7 +175,7 @@
 /// Whether the request can be sent to another upstream; takes the budget.
 fn may_try_again(gateway: &Gateway, job: &Job) -> bool {
     let allowed = !job.ran_perhaps || job.outgoing.repeat.may_run_again();
-    let attempts_left = u32::try_from(job.tried.len()).is_ok_and(|sent| sent < job.route.attempts);
+    let attempts_left = job.sent < job.route.attempts;
     let now_ms = now_ms();
     let time_left = now_ms + LEAST_LEFT_MS < job.outgoing.deadline_ms;
     allowed && attempts_left && time_left && spend(gateway, job, now_ms)
@@ -214,7 +226,7 @@
     if job.outgoing.repeat != Repeat::Repeatable {
         return false;
     }
-    job.tried.push(choice.id.clone());
+    job.note_sent(&choice.id);
     let repeats = untried(gateway, job) > 0 && may_try_again(gateway, job);
     if repeats {
         job.ran_perhaps = true;
--- a/src/gateway/space.rs
+++ b/src/gateway/space.rs
@@ -71,7 +71,7 @@
         let mut old = Vec::new();
         for (model, named) in &state.weights {
             let newest = named.newest();
-            let mut engines = state.upstreams.iter();
+            let mut engines = state.upstreams.current();
             let behind = engines.any(|one| (1..newest).contains(&one.version(model)));
             if behind {
                 self.settled_at_ms.remove(model);
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -77,6 +77,7 @@
     loading_until_ms: u64,
     unreachable: bool,
     unreached_at_ms: Option<u64>,
+    superseded: bool,
 }
 
 impl Upstream {
@@ -97,6 +98,7 @@
             loading_until_ms: 0,
             unreachable: false,
             unreached_at_ms: None,
+            superseded: false,
         }
     }
 
@@ -153,6 +155,18 @@
         self.unreachable
     }
 
+    /// Whether another incarnation has its address: it never comes back, while its
+    /// entry may stay for seconds.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Notes that another incarnation answered at its address.
+    pub fn supersede(&mut self) {
+        self.superseded = true;
+    }
+
     /// Notes that a connection to it came up.
     pub fn reached(&mut self) {
         self.unreachable = false;
@@ -211,7 +225,7 @@
     }
 
     /// Avoids it for a while, longer each time.
-    pub fn avoid(&mut self, now_ms: u64) {
+    fn avoid(&mut self, now_ms: u64) {
         self.avoid_until_ms = now_ms + self.avoid_ms;
         self.avoid_ms = (self.avoid_ms * 2).min(AVOID_MAX_MS);
     }
@@ -287,9 +301,14 @@
         self.by_id.values_mut()
     }
 
-    /// The upstreams of a service that are not about to leave.
+    /// The upstreams of a service that live and are not about to leave.
     pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
-        self.iter().filter(move |one| one.entry.service == service && !one.entry.leaving)
+        self.current().filter(move |one| one.entry.service == service && !one.entry.leaving)
+    }
+
+    /// All upstreams but those whose address another incarnation has.
+    pub fn current(&self) -> impl Iterator<Item = &Upstream> {
+        self.iter().filter(|one| !one.superseded)
     }
 
     /// The address of an upstream.
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -21,6 +21,8 @@
     Status(u16),
     /// Says that it did not run the request.
     NotRun,
+    /// Says that another incarnation has its address.
+    OtherIncarnation,
     /// Closes the connection without an answer.
     Close,
     /// Answers another request's id.
@@ -139,6 +141,9 @@
         }
         Act::Status(status) => format!("{}{body}", head(*status, id, &sealed)),
         Act::NotRun => head(503, id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+        Act::OtherIncarnation => {
+            head(421, id, "X-Instance-Id: another\r\nContent-Length: 0\r\n\r\n")
+        }
         Act::Close => return None,
         Act::OtherId => format!("{}{body}", head(200, "another", &sealed)),
         Act::NoSeal => {
--- a/tests/gateway_once.rs
+++ b/tests/gateway_once.rs
@@ -4,8 +4,9 @@
 #[path = "common/site.rs"]
 mod common;
 
-use common::scene;
-use coursestile_standins::site::server::Act;
+use common::{scene, wait_ready};
+use coursestile_standins::site::client::once;
+use coursestile_standins::site::server::{Act, Server};
 use coursestile_standins::site::{entry, eventually};
 use rstest::rstest;
 
@@ -41,6 +42,38 @@
     assert_eq!((answer.status(), scene.count("r-2")), (200, 1));
 }
 
+/// The path of a route that allows one attempt.
+const ONE_ATTEMPT: &str = "/stream/";
+
+#[tokio::test]
+async fn again_when_misdirected() {
+    let mut scene = scene(1).await;
+    let server = Server::start("a-old").await;
+    server.then(&vec![Act::OtherIncarnation; 100]);
+    scene.site.enter("a-old", &entry("plain", &server.address, "ready"));
+    let peer = scene.site.gateway("north", &[&scene.gateway]);
+    wait_ready(&peer).await;
+    let known = async || {
+        [&scene.gateway, &peer].iter().all(|gateway| gateway.logged().contains("upstream=a-old"))
+    };
+    eventually("it is known", known).await;
+    // It got the request of somebody else; the one that was meant is gone.
+    for number in 0..8 {
+        let id = format!("r-{number}");
+        let answer = scene.send("POST", ONE_ATTEMPT, &id).await;
+        assert_eq!((answer.status(), scene.count(&id)), (200, 1));
+    }
+    assert_eq!(server.arrived().len(), 1, "one answer says enough");
+    eventually("peers are told", async || {
+        let before = server.arrived().len();
+        for number in 0..4 {
+            once(&peer.clients, "POST", ONE_ATTEMPT, &format!("p-{number}")).await.unwrap();
+        }
+        server.arrived().len() == before
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn again_when_unsent() {
     let scene = scene(1).await;
