Have boxes that know of no load choose different upstreams

Cause: after a loss of power the loads of upstreams are unknown, and all boxes chose the same ones first: 38 of 60 engines got the first 190 prompts, some of them ten. Change: an upstream costs each box up to 5 ms more, by the numbers of both. Ruled out: a random draw (a run would not repeat).

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -41,6 +41,9 @@
 /// Cost of weights that should not be there any more: any other engine goes
 /// before, but for doubtful ones.
 const OVERDUE_COST_MS: f64 = 20_000.0;
+/// Most that an upstream costs one box more than another box: boxes that know of
+/// no load would all choose the same one. Less than the work of a short prompt.
+const SPREAD_MS: f64 = 5.0;
 /// Time by which a request may begin after it was sent, by the slowest first
 /// tokens seen under load.
 const BEGIN_MS: u64 = 1000;
@@ -53,6 +56,8 @@
 pub struct Demand<'a> {
     /// Service.
     pub service: &'a str,
+    /// Number of this box.
+    pub box_number: u32,
     /// Data hall of this box.
     pub hall: &'a str,
     /// Prompt, when there is one.
@@ -137,7 +142,7 @@
         };
         let hall_cost = if upstream.entry.hall == demand.hall { 0.0 } else { OTHER_HALL_COST_MS };
         let doubt_cost = if upstream.is_doubtful(now_ms) { DOUBTFUL_COST_MS } else { 0.0 };
-        let cost = cost + hall_cost + doubt_cost;
+        let cost = cost + hall_cost + doubt_cost + spread_ms(demand.box_number, upstream.number);
         if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
             best = Some((cost, upstream, context, expected));
         }
@@ -152,6 +157,13 @@
     })
 }
 
+/// A part of [`SPREAD_MS`] that depends on the box and the upstream only.
+fn spread_ms(box_number: u32, upstream_number: u32) -> f64 {
+    // Fibonacci hashing: the upper bits depend on all lower ones.
+    let mixed = (box_number ^ upstream_number).wrapping_mul(0x9e37_79b9);
+    f64::from(mixed) / f64::from(u32::MAX) * SPREAD_MS
+}
+
 /// What is expected of an engine.
 #[derive(Clone, Copy, Debug, Default)]
 struct Expected {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -209,5 +209,7 @@
         reason = "a box has far fewer than 2^32 thousandths of a core"
     )]
     let millicores = (settings.cores * 1000.0) as u32;
-    Own { address: settings.peers, hall: number(&settings.hall), millicores }
+    let address = settings.peers;
+    let own_number = number(&address.ip().to_string());
+    Own { number: own_number, address, hall: number(&settings.hall), millicores }
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -52,7 +52,7 @@
     let key = keys::members();
     let (revision, next) = {
         let state = gateway.state();
-        if !state.leadership.is_some_and(|held| now_ms() < held.until_ms) {
+        if state.leadership.is_none_or(|held| now_ms() >= held.until_ms) {
             return Ok(());
         }
         let written = state.view.written(&key);
@@ -61,7 +61,7 @@
         (written.map_or(0, |written| written.revision), next)
     };
     let Some(next) = next else { return Ok(()) };
-    let value = postcard::to_stdvec(&next).map_err(unreadable)?;
+    let value = postcard::to_stdvec(&next).map_err(|error| unreadable(&error))?;
     let outcome = gateway.metadata.write(&key, revision, &value, None).await?;
     info!(target: "members", "event=members_written count={} done={}", next.len(),
         matches!(outcome, Outcome::Done { .. }));
@@ -82,9 +82,9 @@
 }
 
 fn read(value: &[u8]) -> Result<Members> {
-    postcard::from_bytes(value).map_err(unreadable)
+    postcard::from_bytes(value).map_err(|error| unreadable(&error))
 }
 
-fn unreadable(error: postcard::Error) -> Error {
+fn unreadable(error: &postcard::Error) -> Error {
     Error::Message(error.to_string())
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -104,6 +104,8 @@
 /// What a box tells of itself in every message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Own {
+    /// Number of the box, from its address.
+    pub number: u32,
     /// Where peers reach it.
     pub address: SocketAddr,
     /// Number of its data hall.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -267,6 +267,7 @@
     let weights = job.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
     let demand = Demand {
         service: &job.service,
+        box_number: state.peers.own().number,
         hall: &gateway.settings.hall,
         prompt: job.prompt.as_ref(),
         isolated_account: job.isolated_account.as_deref(),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -44,6 +44,7 @@
 fn demand<'a>(prompt: Option<&'a Prompt>, tried: &'a [String]) -> Demand<'a> {
     Demand {
         service: "llm",
+        box_number: 0,
         hall: "north",
         prompt,
         isolated_account: None,
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -10,7 +10,12 @@
 const OTHER_HALL: u32 = 2;
 
 fn own() -> Own {
-    Own { address: SocketAddr::from(([10, 0, 1, 100], 7000)), hall: HALL, millicores: 120 }
+    Own {
+        number: 1,
+        address: SocketAddr::from(([10, 0, 1, 100], 7000)),
+        hall: HALL,
+        millicores: 120,
+    }
 }
 
 fn address(hall: u32, host: u8) -> IpAddr {
@@ -28,7 +33,12 @@
 
 #[test]
 fn peers_ahead() {
-    let own = Own { address: SocketAddr::from(([10, 0, 0, 1], 7000)), hall: 1, millicores: 250 };
+    let own = Own {
+        number: 1,
+        address: SocketAddr::from(([10, 0, 0, 1], 7000)),
+        hall: 1,
+        millicores: 250,
+    };
     let other = IpAddr::from([10, 0, 0, 2]);
     let mut peers = Peers::new(own, &[other, own.address.ip()]);
     assert_eq!(peers.next_targets(0, Audience::All), [SocketAddr::new(other, 7000)]);
