--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -70,7 +70,7 @@
     UpstreamLeaves,
 }
 
-const FAULTS: [Event; 17] = [
+const FAULTS: [Event; 20] = [
     Event::BoxKilled,
     Event::BoxKilled,
     Event::BoxPaused,
@@ -88,6 +88,9 @@
     Event::UpstreamLink(Link::OneWay),
     Event::UpstreamLink(Link::Silent),
     Event::UpstreamMisbehaves,
+    Event::UpstreamMisbehaves,
+    Event::UpstreamMisbehaves,
+    Event::UpstreamMisbehaves,
 ];
 const PLANNED: [Event; 6] = [
     Event::BoxStopped,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 use crate::gateway::heads::{AnswerHead, Forward};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::site::Repeat;
+use crate::gateway::units::as_f64;
 use crate::platform::exchange;
 
 /// Time that a transfer of context may take.
@@ -395,8 +396,3 @@
     let ahead_ms = gateway.state().upstream_clock_ahead_ms?;
     now_ms.checked_add_signed(ahead_ms).map(|clock_ms| clock_ms + TRANSFER_MS)
 }
-
-#[expect(clippy::cast_precision_loss, reason = "times are far below 2^52")]
-fn as_f64(time_ms: u64) -> f64 {
-    time_ms as f64
-}
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -7,6 +7,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use crate::gateway::units::as_f64;
+
 /// Part of the budget that is spent at most; the rest covers boxes that do not
 /// know of each other, and windows that are counted otherwise.
 const USED_PART: f64 = 0.7;
@@ -79,8 +81,3 @@
         counts
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "counts and times are far below 2^52")]
-fn as_f64(count: u64) -> f64 {
-    count as f64
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod space;
 pub mod store_updates;
 pub mod stores;
+pub mod units;
 pub mod upstreams;
 pub mod view;
 pub mod weights;
--- a/src/gateway/stores.rs
+++ b/src/gateway/stores.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::holder::{Holder, PartKey};
 use crate::gateway::site::Store;
+use crate::gateway::units::as_f64;
 use crate::gateway::upstreams::number;
 
 /// Part of a store that is filled at most, so that the estimate of its content
@@ -275,8 +276,3 @@
         able.min_by(|one, other| distance(one).total_cmp(&distance(other)))
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "times and tokens are far below 2^52")]
-fn as_f64(count: u64) -> f64 {
-    count as f64
-}
