Follow stores of context also while the metadata store is away

Ruled out: saves that found no room (246), zone cuts (they come later). Change: the two strongest boxes of a hall follow the stores of context, whatever the metadata store does, say so by gossip, and publish; the others' view of the metadata store is as before. Test: gateway_peers::caches_without_store.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -65,13 +65,17 @@
 /// Decides again what this box is to follow itself.
 fn choose_role(gateway: &Gateway, state: &mut State, now_ms: u64) {
     let follows = state.peers.is_follower(now_ms);
+    let caches = state.peers.is_cache_follower(now_ms);
     let small_fleet = state.peers.is_small_fleet();
-    if (follows, small_fleet) == (state.follows_store, state.small_fleet) {
+    let before = (state.follows_store, state.follows_caches, state.small_fleet);
+    if (follows, caches, small_fleet) == before {
         return;
     }
-    info!(target: "follow", "event=role_changed follows={follows} small_fleet={small_fleet} boxes={}",
+    info!(target: "follow",
+        "event=role_changed follows={follows} caches={caches} small_fleet={small_fleet} boxes={}",
         state.peers.boxes(now_ms));
     state.follows_store = follows;
+    state.follows_caches = caches;
     state.small_fleet = small_fleet;
     gateway.upstreams_changed.send_modify(|count| *count += 1);
     // A watch would go on for seconds.
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -76,7 +76,7 @@
     let Some(site) = &state.site else {
         return Vec::new();
     };
-    if !state.follows_store {
+    if !state.follows_caches {
         return Vec::new();
     }
     // In a large fleet, what engines keep is gone before all boxes could know.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -100,6 +100,7 @@
         mark: state.view.mark(),
         site_version: state.site.as_ref().map_or(0, |site| site.version),
         store_link: state.store_link(),
+        follows_caches: state.follows_caches,
         peers: state.peers.named(now_ms),
         loads: told_loads(
             state.upstreams.iter().map(|one| ToldLoad { upstream: one.number, load: one.own }),
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -43,6 +43,8 @@
     pub peers: Peers,
     /// Whether this box follows the metadata store itself.
     pub follows_store: bool,
+    /// Whether this box follows the stores of context itself.
+    pub follows_caches: bool,
     /// Whether all boxes follow everything, as it was decided last.
     pub small_fleet: bool,
     /// Difference of the upstreams' clock to ours, once it was told.
@@ -151,6 +153,7 @@
             budget: Budget::new(terms, now_ms()),
             peers: Peers::new(own(&settings), &settings.seeds),
             follows_store: true,
+            follows_caches: true,
             small_fleet: true,
             upstream_clock_ahead_ms: None,
             serving: 0,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -55,6 +55,8 @@
     pub site_version: u64,
     /// Whether the metadata store answers it.
     pub store_link: StoreLink,
+    /// Whether it follows the stores of context.
+    pub follows_caches: bool,
     /// Other boxes that it has heard of lately.
     pub peers: Vec<IpAddr>,
     /// Load that it puts on upstreams.
@@ -223,13 +225,8 @@
         if self.is_small_fleet() {
             return true;
         }
-        let rank = |millicores: u32, address: IpAddr| (std::cmp::Reverse(millicores), address);
-        let own_rank = rank(self.own.millicores, self.own.address.ip());
-        let stronger = self.alive(now_ms).filter(|(address, peer)| {
-            peer.gossip.hall == self.own.hall
-                && peer.gossip.store_link != StoreLink::Fails
-                && rank(peer.gossip.millicores, **address) < own_rank
-        });
+        let stronger =
+            self.stronger(now_ms).filter(|(_, peer)| peer.gossip.store_link != StoreLink::Fails);
         // Those that are to follow may not have begun to.
         let following = self.alive(now_ms).filter(|(_, peer)| {
             peer.gossip.hall == self.own.hall && peer.gossip.store_link == StoreLink::Answers
@@ -237,6 +234,23 @@
         stronger.count() < FOLLOWERS || following.count() == 0
     }
 
+    /// Whether this box is to follow the stores of context itself: all do in a
+    /// small fleet, the strongest of each hall in a large one, also while the
+    /// metadata store answers nobody.
+    #[must_use]
+    pub fn is_cache_follower(&self, now_ms: u64) -> bool {
+        self.is_small_fleet() || self.stronger(now_ms).count() < FOLLOWERS
+    }
+
+    /// Boxes of the own hall that go before this one.
+    fn stronger(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> {
+        let rank = |millicores: u32, address: IpAddr| (std::cmp::Reverse(millicores), address);
+        let own_rank = rank(self.own.millicores, self.own.address.ip());
+        self.alive(now_ms).filter(move |(address, peer)| {
+            peer.gossip.hall == self.own.hall && rank(peer.gossip.millicores, **address) < own_rank
+        })
+    }
+
     /// Number of boxes that serve, this one included.
     #[must_use]
     pub fn boxes(&self, now_ms: u64) -> usize {
@@ -302,13 +316,23 @@
         self.at_peer_port(all)
     }
 
-    /// The peer from which this box learns what stores keep: one of its hall that
-    /// follows them, other boxes another.
+    /// The peer from which this box learns of the metadata store: one of its hall
+    /// that the store answers, other boxes another.
     #[must_use]
     pub fn publisher(&self, now_ms: u64) -> Option<SocketAddr> {
-        let following = self.alive(now_ms).filter(|(_, peer)| {
-            peer.gossip.hall == self.own.hall && peer.gossip.store_link == StoreLink::Answers
-        });
+        self.one_of_hall(now_ms, |gossip| gossip.store_link == StoreLink::Answers)
+    }
+
+    /// The peer from which this box learns what stores of context keep.
+    #[must_use]
+    pub fn cache_publisher(&self, now_ms: u64) -> Option<SocketAddr> {
+        self.one_of_hall(now_ms, |gossip| gossip.follows_caches)
+    }
+
+    fn one_of_hall(&self, now_ms: u64, able: impl Fn(&Gossip) -> bool) -> Option<SocketAddr> {
+        let following = self
+            .alive(now_ms)
+            .filter(|(_, peer)| peer.gossip.hall == self.own.hall && able(&peer.gossip));
         let distance = |address: &IpAddr| number(&format!("{address} {}", self.own.address.ip()));
         let (address, _) = following.min_by_key(|(address, _)| distance(address))?;
         Some(SocketAddr::new(*address, self.own.address.port()))
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -23,7 +23,6 @@
 use crate::gateway::gossip::Question;
 use crate::gateway::holder::Update;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::peers::StoreLink;
 use crate::gateway::upstreams::number;
 use crate::phase::Phase;
 
@@ -57,8 +56,7 @@
         sleep(PAUSE).await;
         let peer = {
             let state = gateway.state();
-            let asks = state.store_link() == StoreLink::Unasked;
-            state.peers.publisher(now_ms()).filter(|_| asks)
+            state.peers.cache_publisher(now_ms()).filter(|_| !state.follows_caches)
         };
         let Some(peer) = peer else { continue };
         let ended = subscribe_to(&gateway, peer).await;
@@ -80,7 +78,7 @@
     });
     let mut stream = in_time(connected.await, peer)?;
     info!(target: "stores", "event=subscribed peer={peer}");
-    while gateway.state().store_link() == StoreLink::Unasked {
+    while !gateway.state().follows_caches {
         let update = in_time(timeout(SILENCE_TIMEOUT, read_message(&mut stream)).await, peer)?;
         take(&mut gateway.state(), update);
     }
@@ -114,7 +112,7 @@
 pub async fn publish(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
     let mut told: HashMap<u32, u64> = HashMap::new();
     let mut quiet = 0;
-    while gateway.phase() != Phase::Stopped && gateway.state().follows_store {
+    while gateway.phase() != Phase::Stopped && gateway.state().follows_caches {
         let update = compose(&gateway.state(), &mut told);
         if update.is_empty() && quiet < QUIET_TURNS {
             quiet += 1;
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -110,6 +110,20 @@
     assert!(peers.is_follower(9000), "all are silent");
 }
 
+#[test]
+fn caches_without_store() {
+    let mut peers = Peers::new(own(), &[]);
+    hear(&mut peers, 0, HALL, 20, 120, StoreLink::Fails);
+    assert!(peers.is_follower(0), "somebody must find out when the store is back");
+    hear(&mut peers, 0, HALL, 2, 500, StoreLink::Fails);
+    assert!(!peers.is_cache_follower(0), "the two strongest still follow the stores of context");
+    assert_eq!(peers.cache_publisher(0), None, "nobody has said so");
+    let follows_caches = true;
+    let gossip = Gossip { incarnation: 1, hall: HALL, follows_caches, ..Gossip::default() };
+    peers.hear(0, address(HALL, 1), gossip, Mark::default());
+    assert_eq!(peers.cache_publisher(0).map(|found| found.ip()), Some(address(HALL, 1)));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Write { key: u8 },
