Let the soak ask for slow work, which a planned stop must wait for

Requests lasted some milliseconds, so that hardly any was under way when a box ended. Change: one request in twelve keeps its upstream for 200 to 700 ms. Ruled out: the check (a request cut without a fault is told whatever cut it).

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -6,6 +6,7 @@
 
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::http::Message;
+use coursestile_standins::site::server::WORK_HEADER;
 use tokio::time::{sleep, timeout};
 
 use crate::world::{World, version_path};
@@ -21,6 +22,10 @@
 /// One request in so many asks which configuration is in force.
 const PROBE_ONE_IN: u32 = 8;
 
+/// One request in so many keeps its upstream for longer.
+const SLOW_ONE_IN: u32 = 12;
+/// For how long: a stop must wait for them.
+const SLOW_MS: std::ops::Range<u64> = 200..700;
 /// Newest versions among which it asks for one.
 const PROBED_VERSIONS: u64 = 6;
 
@@ -115,7 +120,8 @@
                 probe(&mut connection, &id, version, &mut in_force, &record).await
             } else {
                 let kind = Kind::ALL[rng.usize(..Kind::ALL.len())];
-                call(&mut connection, id, kind, box_number, &record).await
+                let work_ms = if rng.u32(..SLOW_ONE_IN) == 0 { rng.u64(SLOW_MS) } else { 0 };
+                call(&mut connection, id, kind, work_ms, box_number, &record).await
             };
             if !goes_on {
                 break;
@@ -130,10 +136,12 @@
     connection: &mut Client,
     id: String,
     kind: Kind,
+    work_ms: u64,
     box_number: usize,
     record: &Mutex<Seen>,
 ) -> bool {
-    let bytes = request("POST", kind.path(), &id, "", &id);
+    let work = format!("{WORK_HEADER}: {work_ms}\r\n");
+    let bytes = request("POST", kind.path(), &id, &work, &id);
     let sent = Instant::now();
     let answer = timeout(PATIENCE, connection.send(&bytes)).await.ok().flatten();
     let goes_on = answer.as_ref().is_some_and(is_kept);
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -12,6 +12,9 @@
 
 use super::http::{Message, Reader};
 
+/// Header that says how long an upstream works on a request, in milliseconds.
+pub const WORK_HEADER: &str = "x-work-ms";
+
 /// What an upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Act {
@@ -178,6 +181,8 @@
 
 /// Writes an answer; `None` when the connection ends with it.
 async fn answer(write: &mut OwnedWriteHalf, request: &Message, act: &Act) -> Option<()> {
+    let work_ms = request.header(WORK_HEADER).and_then(|text| text.parse().ok());
+    tokio::time::sleep(Duration::from_millis(work_ms.unwrap_or_default())).await;
     let id = request.header("x-request-id").unwrap_or("-");
     let body = if is_stream(request) {
         events_text(id, last_event(request))
