Tests for busy engines and for alike upstreams

Change: gateway_decisions::busy_engine_speaks_not, alike_are_spread. Ruled out: nothing to rule out. Measured: both pass; the code is unchanged.

--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -260,6 +260,36 @@
     assert_eq!(at_once(&engines, 3), 5, "27 / 5; the dark ones hurry nobody");
 }
 
+#[test]
+fn busy_engine_speaks_not() {
+    let mut upstreams = Upstreams::default();
+    upstreams.put("a", entry("north", 1, 1));
+    let prompt = Prompt::parse("m", "5200,10", "aa:5000,bb:200").unwrap();
+    let stores = Stores::default();
+    let asked = demand(Some(&prompt), &[]);
+    let calm =
+        |upstreams: &Upstreams| choose(0, upstreams, &stores, Some(&spec()), &asked).unwrap().calm;
+    assert!(calm(&upstreams), "a late first token would be the store's");
+    upstreams.get_mut("a").unwrap().sent(0, 4000, 0);
+    assert!(!calm(&upstreams), "the engine reads for some 80 ms before");
+}
+
+#[test]
+fn alike_are_spread() {
+    let mut upstreams = Upstreams::default();
+    for number in 0..8 {
+        upstreams.put(&format!("u-{number}"), entry("north", number, 1));
+    }
+    let stores = Stores::default();
+    let chosen = |box_number| {
+        let asked = Demand { box_number, ..demand(None, &[]) };
+        choose(0, &upstreams, &stores, None, &asked).unwrap().id
+    };
+    let all: std::collections::BTreeSet<String> = (0..40).map(chosen).collect();
+    assert!(all.len() > 4, "boxes that know of no load choose {all:?}");
+    assert_eq!(chosen(7), chosen(7));
+}
+
 fn written(revision: u64) -> Written {
     Written { revision, value: revision.to_string().into_bytes() }
 }
