--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -22,6 +22,9 @@
 /// Longest wait of a watch: a quarter of the calls that a second's wait makes,
 /// and soon enough to see that a silent store is away.
 const WATCH_WAIT_MS: u64 = 8000;
+/// Wait of a watch after a failed call: soon over, and longer than an answer takes
+/// under load.
+const SHORT_WAIT_MS: u64 = 200;
 /// Pause after changes, in a large fleet, where each wakes the followers of all
 /// halls: several are told by one answer. A small part of the two seconds in which
 /// a change must be in force.
@@ -152,8 +155,13 @@
 
 /// Waits for changes.
 async fn watch(gateway: &Gateway) -> Result<Followed> {
-    let after = gateway.state().view.at_revision();
-    let wait_ms = WATCH_WAIT_MS - fastrand::u64(0..WATCH_WAIT_MS / 4);
+    let (after, answers) = {
+        let state = gateway.state();
+        (state.view.at_revision(), state.view.store_answers())
+    };
+    // After a failure, a short wait shows whether the store is back.
+    let wait_ms = if answers { WATCH_WAIT_MS } else { SHORT_WAIT_MS };
+    let wait_ms = wait_ms - fastrand::u64(0..wait_ms / 4);
     let watched = tokio::select! {
         watched = gateway.metadata.watch("", after, wait_ms) => watched?,
         () = gateway.behind.notified() => return Ok(Followed::Woken),
--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -202,6 +202,11 @@
 }
 
 impl Door {
+    /// Serves the box again.
+    pub fn open(&self) {
+        self.closed.store(false, Ordering::Relaxed);
+    }
+
     /// Turns the box away from now on; a waiting watch goes on.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Relaxed);
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -84,6 +84,13 @@
     let logged = cut.logged();
     let after = logged.split("event=dependency_lost").nth(1).expect("the store turns it away");
     assert!(!after.contains("event=dependency_regained"), "only an answer may say so: {after}");
+    door.open();
+    eventually("it is regained", async || {
+        let logged = cut.logged();
+        let after = logged.split("event=dependency_lost").nth(1).unwrap_or_default();
+        after.contains("event=dependency_regained")
+    })
+    .await;
 }
 
 #[tokio::test]
