--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -47,7 +47,6 @@
 /// Time by which a request may begin after it was sent, by the slowest first
 /// tokens seen under load.
 const BEGIN_MS: u64 = 1000;
-
 /// Expected wait for an engine below which a late first token speaks against the
 /// store that sent a part: less than the usual fetch from a large store.
 const CALM_WAIT_MS: f64 = 20.0;
--- /dev/null
+++ b/src/gateway/gossip_message.rs
@@ -0,0 +1,74 @@
+//! What boxes tell each other, a few times a second and by datagram.
+
+use std::net::IpAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::upstreams::Load;
+use crate::gateway::view::Mark;
+
+/// Upstreams whose load is told in one message.
+const NAMED_LOADS: usize = 80;
+
+/// What a box tells the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Start of the process; rises with each.
+    pub incarnation: u64,
+    /// Number of its data hall.
+    pub hall: u32,
+    /// Processor share that it has, in thousandths of a core.
+    pub millicores: u32,
+    /// What it knows of the metadata store.
+    pub mark: Mark,
+    /// Version of the configuration that is in force there.
+    pub site_version: u64,
+    /// Whether the metadata store answers it.
+    pub store_link: StoreLink,
+    /// Whether it follows the stores of context.
+    pub follows_caches: bool,
+    /// Other boxes that it has heard of lately.
+    pub peers: Vec<IpAddr>,
+    /// Load that it puts on upstreams.
+    pub loads: Vec<ToldLoad>,
+    /// Tokens that it fetches from stores, by their numbers.
+    pub fetches: Vec<(u32, u32)>,
+    /// Engines that load weights, by their numbers, and for how long still.
+    pub loading: Vec<(u32, u16)>,
+    /// Upstreams whose address another incarnation has, by their numbers.
+    pub superseded: Vec<u32>,
+    /// The upstreams' clock as the message left, once the box was told.
+    pub upstream_clock_ms: Option<u64>,
+    /// Weight versions that engines have reached: engine, model, version.
+    pub versions: Vec<(u32, u32, u64)>,
+}
+
+/// Load that a box puts on one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLoad {
+    /// Number of the upstream.
+    pub upstream: u32,
+    /// The load.
+    pub load: Load,
+}
+
+/// How the metadata store answers a box.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreLink {
+    /// The box does not ask.
+    #[default]
+    Unasked,
+    /// It answers.
+    Answers,
+    /// It does not answer as it should.
+    Fails,
+}
+
+/// The loads that fit one message, the largest first.
+#[must_use]
+pub fn told_loads(loads: impl Iterator<Item = ToldLoad>) -> Vec<ToldLoad> {
+    let mut told: Vec<ToldLoad> = loads.filter(|one| one.load.requests > 0).collect();
+    told.sort_by_key(|one| std::cmp::Reverse(one.load.requests));
+    told.truncate(NAMED_LOADS);
+    told
+}
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -15,9 +15,9 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::gateway::gossip_message::StoreLink;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::metadata::{Lease, Outcome};
-use crate::gateway::peers::StoreLink;
 use crate::gateway::renewal::renew;
 use crate::phase::Phase;
 use crate::platform::keys;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod follow;
 pub mod follow_caches;
 pub mod gossip;
+pub mod gossip_message;
 pub mod heads;
 pub mod holder;
 pub mod invariants;
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -2,7 +2,8 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use coursestile::gateway::peers::{Audience, Gossip, Own, Peers, StoreLink};
+use coursestile::gateway::gossip_message::{Gossip, StoreLink};
+use coursestile::gateway::peers::{Audience, Own, Peers};
 use coursestile::gateway::view::{Mark, View, Written};
 use proptest::prelude::*;
 
