Keep the fifth seed that failed

Cause: seed 151 had failed for the same cause as 123 and was not among the kept cases. Change: a case of soak/tests/short.rs, and a comment on what seeds mean now. Ruled out: nothing to rule out.

--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -11,6 +11,7 @@
     holds(Options { seed, seconds: 10, boxes: 3 }).await;
 }
 
+// The plan has been changed since: a seed means other steps than it did then.
 #[rstest]
 // The soak itself: overlapping leaves of one upstream were taken for one.
 #[case::overlapping_leaves(100)]
@@ -19,6 +20,7 @@
 #[case::plain_on_stream_again(140)]
 // The stand-in: an event that breaks off began with an id of no event.
 #[case::made_up_event(123)]
+#[case::made_up_event_again(151)]
 #[tokio::test]
 async fn failed_once(#[case] seed: u64) {
     holds(Options { seed, seconds: 14, boxes: 4 }).await;
