Replace a list of boxes that cannot be read; end a soak's processes with it

It printed ten broken promises without saying that there were more, and said of its first seed what is not so. Change: such a list counts as empty and is written anew; the soak stops its processes on SIGTERM and SIGINT, tells how many more there are, and main is split; comments. Ruled out: deleting the list (its revision guards against two leaders).

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -21,12 +21,11 @@
 const MOST_PAUSE_MS: u64 = 25;
 /// One request in so many asks which configuration is in force.
 const PROBE_ONE_IN: u32 = 8;
-
 /// One request in so many keeps its upstream for longer.
 const SLOW_ONE_IN: u32 = 12;
 /// For how long: a stop must wait for them.
 const SLOW_MS: std::ops::Range<u64> = 200..700;
-/// Newest versions among which it asks for one.
+/// Newest versions among which a client asks for one.
 const PROBED_VERSIONS: u64 = 6;
 
 /// What a request may be.
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -146,11 +146,8 @@
     /// Invariants that the programs saw broken, and panics.
     fn logs(&self) -> Vec<String> {
         let logs = self.world.boxes.iter().map(|one| one.process.logged());
-        let lines: Vec<String> = logs
-            .flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>())
-            .filter(|line| line.contains("Violated:") || line.contains("panicked"))
-            .collect();
-        lines
+        let lines = logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>());
+        lines.filter(|line| line.contains("Violated:") || line.contains("panicked")).collect()
     }
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
-use coursestile_soak::{Options, run};
+use coursestile_soak::{Options, Report, run};
 use lexopt::prelude::*;
+use tokio::signal::unix::{SignalKind, signal};
 
 const HELP: &str = "\
 Randomized fault soak: real gateway processes, faults from outside.
@@ -11,7 +12,7 @@
 Usage: coursestile-soak [options]
 
 Options:
-      --seed N      First seed (default: drawn from the clock)
+      --seed N      First seed (default: drawn at random)
       --count N     Runs, each with the next seed (default 1)
       --seconds N   Length of each run (default 20)
       --boxes N     Boxes (default 4)
@@ -21,6 +22,9 @@
 Exit code 1 when a promise was broken; its seed and logs are named.
 ";
 
+/// Broken promises of one run that are printed: the first tell the cause.
+const PRINTED: usize = 10;
+
 struct Args {
     options: Options,
     count: u64,
@@ -61,23 +65,43 @@
             return ExitCode::from(2);
         }
     };
+    let failed = tokio::select! {
+        failed = run_all(&args) => failed,
+        () = told_to_stop() => {
+            // The processes end with what holds them.
+            eprintln!("error: stopped by a signal");
+            return ExitCode::from(2);
+        }
+    };
+    println!("{} runs, {failed} with a broken promise", args.count);
+    if failed > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn told_to_stop() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminated) => {
+            tokio::select! {
+                _ = terminated.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+        }
+        Err(error) => {
+            eprintln!("error: SIGTERM will not be heard: {error}");
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Makes all runs; how many of them failed.
+async fn run_all(args: &Args) -> usize {
     let mut failed = 0;
     for turn in 0..args.count {
         let options = Options { seed: args.options.seed + turn, ..args.options };
         match run(options).await {
             Ok(report) => {
-                let broken = report.violations.len();
-                println!("seed {}: {broken} promises broken; {:?}", options.seed, report.ends);
-                if args.steps {
-                    println!("  {}", report.steps.join("\n  "));
-                }
-                for violation in report.violations.iter().take(10) {
-                    println!("  {violation}");
-                }
-                if let Some(logs) = report.logs {
-                    println!("  logs: {}", logs.display());
-                }
-                failed += usize::from(broken > 0);
+                print(options.seed, &report, args.steps);
+                failed += usize::from(!report.violations.is_empty());
             }
             Err(error) => {
                 eprintln!("error: seed {}: {error}", options.seed);
@@ -85,6 +109,22 @@
             }
         }
     }
-    println!("{} runs, {failed} with a broken promise", args.count);
-    if failed > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    failed
+}
+
+fn print(seed: u64, report: &Report, steps: bool) {
+    let broken = report.violations.len();
+    println!("seed {seed}: {broken} promises broken; {:?}", report.ends);
+    if steps {
+        println!("  {}", report.steps.join("\n  "));
+    }
+    for violation in report.violations.iter().take(PRINTED) {
+        println!("  {violation}");
+    }
+    if broken > PRINTED {
+        println!("  and {} more", broken - PRINTED);
+    }
+    if let Some(logs) = &report.logs {
+        println!("  logs: {}", logs.display());
+    }
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -20,8 +20,8 @@
 use crate::phase::Phase;
 use crate::platform::keys;
 
-/// How often the leader compares the list with the boxes that it hears: one of
-/// these calls is made when the fleet changes, a few hundred times a day.
+/// How often the leader compares the list with the boxes that it hears. A call is
+/// made only when they differ, which is a few hundred times a day.
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
 
 /// Addresses of boxes.
@@ -56,7 +56,8 @@
             return Ok(());
         }
         let written = state.view.written(&key);
-        let listed = written.map(|written| read(&written.value)).transpose()?.unwrap_or_default();
+        // One that cannot be read, as `take` has logged, is written anew.
+        let listed = written.and_then(|written| read(&written.value).ok()).unwrap_or_default();
         let next = next_list(&listed, &state.peers.heard(), all_had_time);
         (written.map_or(0, |written| written.revision), next)
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,9 +4,9 @@
 //! Decisions are pure functions of state and time: `budget`, `choose`,
 //! `context`, `holder`, `peers`, `rollout`, `sources`, `stores`, `upstreams`, `view` and
 //! `weights`. Everything else carries them out. `follow`, `follow_caches` and
-//! `gossip` bring in what the box knows; `listener`, `check`, `serve`, `attempt`
-//! and `relay` take a request through; `leadership`, `leader` and `space` do what
-//! one box does for all.
+//! `gossip` bring in what the box knows, `members` where others are; `listener`,
+//! `check`, `serve`, `attempt` and `relay` take a request through; `leadership`,
+//! `leader` and `space` do what one box does for all.
 
 pub mod answer;
 pub mod attempt;
--- a/tests/gateway_members.rs
+++ b/tests/gateway_members.rs
@@ -23,6 +23,18 @@
     assert_eq!(next_list(&listed, &listed, true), None);
 }
 
+#[tokio::test]
+async fn unreadable_replaced() {
+    let scene = scene(1).await;
+    scene.site.metadata.put("coursestile/members", &[0xff; 3], 0);
+    eventually("it is written anew", async || {
+        let value = scene.site.metadata.value("coursestile/members").unwrap();
+        postcard::from_bytes::<Members>(&value).is_ok_and(|members| members.len() == 1)
+    })
+    .await;
+    assert!(scene.gateway.logged().contains("event=members_unreadable"));
+}
+
 #[tokio::test]
 async fn found_without_seeds() {
     let mut scene = scene(1).await;
