--- a/src/member.rs
+++ b/src/member.rs
@@ -80,7 +80,9 @@
     Compare { digests: Vec<u64> },
     /// Asks for the whole table.
     Join { member: Member },
-    /// A part of the table.
+    /// Answers a [`Gossip::Join`] with a part of the whole table.
+    Joined { members: Vec<Member> },
+    /// Some members.
     Table { members: Vec<Member> },
 }
 
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -30,6 +30,9 @@
 const MAX_SYNCED_BUCKETS: usize = 4;
 /// Every so many probes one goes to a seed, so that islands meet.
 const SEED_PROBE_EVERY: u64 = 10;
+/// Askings after which a box takes it that no older one is there to answer: with a
+/// seed in three down, all miss it once in 240 starts.
+const JOIN_TRIES: u32 = 5;
 /// Members in one message of a table transfer.
 pub const TABLE_CHUNK: usize = 64;
 
@@ -52,6 +55,10 @@
     probes: HashMap<u64, Probe>,
     relays: HashMap<u64, Relay>,
     order: Vec<String>,
+    /// Whether a peer has answered with its whole table. Only that tells of the
+    /// heirs of boxes that were replaced before.
+    joined: bool,
+    joins_sent: u32,
     next_probe_at_ms: u64,
     next_sync_at_ms: u64,
     next_seq: u64,
@@ -69,6 +76,8 @@
             probes: HashMap::new(),
             relays: HashMap::new(),
             order: Vec::new(),
+            joined: false,
+            joins_sent: 0,
             next_probe_at_ms: 0,
             next_sync_at_ms: 0,
             next_seq: 1,
@@ -130,6 +139,11 @@
                 self.view.merge(now_ms, member);
                 self.table(from)
             }
+            Gossip::Joined { members } => {
+                self.joined = true;
+                self.view.merge_all(now_ms, members);
+                Vec::new()
+            }
             Gossip::Table { members } => {
                 self.view.merge_all(now_ms, members);
                 Vec::new()
@@ -185,13 +199,22 @@
         self.order.pop()
     }
 
+    /// Asks for the whole table while this box is alone or nobody has sent it: a
+    /// box that is probed before it has asked knows others, but not all.
     fn join_seed(&mut self) -> Option<Outgoing> {
-        let to = self.seeds.get(self.rng.usize(..self.seeds.len().max(1)))?.clone();
+        let live: Vec<_> = self.view.others().filter(|member| member.takes_work()).collect();
+        let alone = live.is_empty();
+        let to = if alone || self.joined {
+            self.seeds.get(self.rng.usize(..self.seeds.len().max(1)))?.clone()
+        } else {
+            live[self.rng.usize(..live.len())].address.clone()
+        };
         if to == self.view.me().address {
             return None;
         }
-        let alone = self.view.others().all(|member| member.health == Health::Dead);
-        if alone {
+        if alone || !self.joined {
+            self.joins_sent += 1;
+            self.joined = self.joins_sent >= JOIN_TRIES;
             let member = self.view.me().clone();
             return Some(Outgoing { to, gossip: Gossip::Join { member } });
         }
@@ -300,12 +323,15 @@
         self.relays.retain(|_, relay| relay.expires_at_ms > now_ms);
     }
 
+    /// The whole table, as far as this box knows it.
     fn table(&self, to: &str) -> Vec<Outgoing> {
         let all: Vec<_> = self.view.members().chain(self.view.departed()).cloned().collect();
+        let message = |members: Vec<Member>| {
+            if self.joined { Gossip::Joined { members } } else { Gossip::Table { members } }
+        };
         let chunks = all.chunks(TABLE_CHUNK);
         chunks
-            .map(|chunk| Gossip::Table { members: chunk.to_vec() })
-            .map(|gossip| Outgoing { to: to.to_owned(), gossip })
+            .map(|chunk| Outgoing { to: to.to_owned(), gossip: message(chunk.to_vec()) })
             .collect()
     }
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -150,3 +150,23 @@
         assert_eq!(keeper, Some("b4"), "as b{at} sees it");
     }
 }
+
+#[test]
+fn pinged_before_joining() {
+    let mut network = Network::new(6, 2, 0, 9);
+    network.run(20);
+    // b0 leaves its ledger to b2; both are replaced.
+    for (leaver, heir) in [(0, 2), (2, 4)] {
+        let heir = network.boxes[heir].view().me().id.clone();
+        network.boxes[leaver].leave(Some(heir));
+        network.run(10);
+        network.boxes[leaver] = Membership::new(member(leaver, 2, 2), vec!["1".to_owned()], 77);
+        // A probe of another box comes before its own first step.
+        let ping = Gossip::Ping { seq: 9, digest: 0, updates: vec![member(4, 2, 1)] };
+        network.boxes[leaver].receive(network.now_ms, "4", ping);
+        network.run(10);
+    }
+    let old = BoxRef { name: "b0".to_owned(), incarnation: 1 };
+    let unaware = (0..6).filter(|at| network.boxes[*at].view().answers_for(&old).is_none());
+    assert_eq!(unaware.collect::<Vec<_>>(), Vec::<usize>::new(), "boxes that know no heir");
+}
