Have requests that can still meet their objective go first at engines

Cause: after a loss of power or with engines dark, more arrives than engines can take. Ruled out: boxes' start (first request passed on 0.1 s after the process begins), the balance of engines. Change: a client's own time limit tells how long it has waited, against the longest limit seen on its route in the last 10 to 20 s. What cannot meet its objective any more, by the time expected at its engine, is ranked four steps lower there. A stream that is taken up keeps its rank. Nothing is refused or held back; late answers are delivered as before. Test: gateway_urgency.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -17,7 +17,8 @@
 use crate::gateway::heads::{AnswerHead, Forward};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::site::Repeat;
-use crate::gateway::units::as_f64;
+use crate::gateway::units::{as_f64, whole_ms};
+use crate::gateway::urgency;
 use crate::platform::exchange;
 
 /// Time that a transfer of context may take.
@@ -54,6 +55,19 @@
     pub repeat: Repeat,
     /// When it is given up.
     pub deadline_ms: u64,
+    /// Until when an answer, or its first event, is wanted.
+    pub objective_at_ms: u64,
+}
+
+impl Outgoing {
+    /// Rank at an engine. A stream that has begun is as urgent as ever.
+    fn rank(&self, now_ms: u64, choice: &Choice, after_event: Option<&str>) -> u8 {
+        if after_event.is_some() {
+            return self.priority;
+        }
+        let expected_at_ms = now_ms + whole_ms(choice.expected_ms);
+        urgency::rank(self.priority, expected_at_ms, self.objective_at_ms)
+    }
 }
 
 /// How an attempt ended.
@@ -307,7 +321,7 @@
             upstream_id: &choice.id,
             left_ms: outgoing.deadline_ms.saturating_sub(now_ms),
             account: outgoing.account.as_deref(),
-            priority: outgoing.priority,
+            priority: outgoing.rank(now_ms, choice, after_event),
             context: choice.context.as_ref(),
             transfers_until_ms: transfers_until_ms(gateway, now_ms),
             after_event,
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -100,6 +100,8 @@
     let timeout_ms = asked.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let priority = account.as_ref().and_then(|one| one.priority).unwrap_or(route.priority);
     let isolated = account.as_ref().filter(|one| one.isolated);
+    let waited_ms = gateway.state().usual_limits.waited_ms(arrived_at_ms, &route.name, timeout_ms);
+    let objective_at_ms = (arrived_at_ms + route.latency_objective_ms).saturating_sub(waited_ms);
     Ok(Job {
         prompt: asked.prompt.clone(),
         service: service.to_owned(),
@@ -119,6 +121,7 @@
             priority,
             repeat: route.repeat,
             deadline_ms: arrived_at_ms + timeout_ms.min(route.timeout_ms),
+            objective_at_ms,
         },
         route,
     })
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -275,6 +275,7 @@
         "event=configuration_in_force version={} before={in_force} routes={} accounts={}",
         site.version, site.routes.len(), site.accounts.len());
     state.stores.configure(&site.stores);
+    state.usual_limits.retain(|route| site.has_route(route));
     state.site = Some(Arc::new(site));
     true
 }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -17,6 +17,7 @@
 use crate::gateway::site::Site;
 use crate::gateway::stores::Stores;
 use crate::gateway::upstreams::{Upstreams, number};
+use crate::gateway::urgency::UsualLimits;
 use crate::gateway::view::View;
 use crate::gateway::weights::NamedWeights;
 use crate::phase::Phase;
@@ -38,6 +39,8 @@
     pub upstreams: Upstreams,
     /// Stores of kept context.
     pub stores: Stores,
+    /// Time that clients usually give, by route.
+    pub usual_limits: UsualLimits,
     /// Budget for repeats.
     pub budget: Budget,
     /// The other boxes.
@@ -151,6 +154,7 @@
             weights: HashMap::new(),
             upstreams: Upstreams::default(),
             stores: Stores::default(),
+            usual_limits: UsualLimits::default(),
             budget: Budget::new(terms, now_ms()),
             peers: Peers::new(own(&settings), &settings.seeds),
             follows_store: true,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,5 +46,6 @@
 pub mod stores;
 pub mod units;
 pub mod upstreams;
+pub mod urgency;
 pub mod view;
 pub mod weights;
--- a/src/gateway/site.rs
+++ b/src/gateway/site.rs
@@ -190,6 +190,12 @@
         routes.into_iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether there is a route of this name.
+    #[must_use]
+    pub fn has_route(&self, name: &str) -> bool {
+        self.routes.iter().any(|route| route.name == name)
+    }
+
     /// The account of a key.
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Account> {
--- a/src/gateway/units.rs
+++ b/src/gateway/units.rs
@@ -6,3 +6,14 @@
 pub fn as_f64(count: u64) -> f64 {
     count as f64
 }
+
+/// A time as whole milliseconds.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times are neither negative nor above 2^52"
+)]
+#[must_use]
+pub fn whole_ms(time_ms: f64) -> u64 {
+    time_ms.max(0.0).round() as u64
+}
--- /dev/null
+++ b/tests/gateway_urgency.rs
@@ -0,0 +1,45 @@
+//! Requests that can still meet their objective go first at engines.
+
+use coursestile::gateway::urgency::{UsualLimits, rank};
+use rstest::rstest;
+
+const ROUTE: &str = "summaries";
+
+#[test]
+fn waits_from_limits() {
+    let mut limits = UsualLimits::default();
+    assert_eq!(limits.waited_ms(100, ROUTE, 2500), 0, "nothing longer was seen");
+    assert_eq!(limits.waited_ms(200, ROUTE, 4000), 0);
+    assert_eq!(limits.waited_ms(300, ROUTE, 2500), 1500);
+    assert_eq!(limits.waited_ms(300, "questions", 2500), 0, "each route has its own");
+}
+
+#[test]
+fn limits_lowered() {
+    let mut limits = UsualLimits::default();
+    limits.waited_ms(9_000, ROUTE, 12_000);
+    assert_eq!(limits.waited_ms(15_000, ROUTE, 4000), 8000);
+    assert_eq!(limits.waited_ms(25_000, ROUTE, 4000), 0, "the longer limit is forgotten");
+    assert_eq!(limits.waited_ms(26_000, ROUTE, 4000), 0);
+}
+
+#[test]
+fn routes_dropped() {
+    let mut limits = UsualLimits::default();
+    limits.waited_ms(100, ROUTE, 4000);
+    limits.retain(|route| route != ROUTE);
+    assert_eq!(limits.waited_ms(200, ROUTE, 2500), 0);
+}
+
+#[rstest]
+#[case::in_time(1, 1500, 1500, 1)]
+#[case::late(1, 1501, 1500, 5)]
+#[case::least_urgent(7, 9000, 1500, 9)]
+fn late_ones_after(
+    #[case] priority: u8,
+    #[case] expected_at_ms: u64,
+    #[case] objective_at_ms: u64,
+    #[case] expected: u8,
+) {
+    assert_eq!(rank(priority, expected_at_ms, objective_at_ms), expected);
+}
