Tell all halls in time, however often the own hall is told

Cause: a long prompt has the own hall told at once, and each such message began the wait for the next message to all anew. With nine or more long prompts a second at a box the other halls were hardly told: engines that were to load weights got requests again after 0.7 s (front-bkk-b-1 and c-1 sent to them 1.01 to 1.05 s after the drain began, which then took its 1.5 s), and loads and fetches of other halls were a second old. Change: the peers keep when all are due; a message that comes later goes to all. Test: gateway_peers::other_halls_in_time.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -75,6 +75,8 @@
     seeds: Vec<IpAddr>,
     known: BTreeMap<IpAddr, Peer>,
     turn: usize,
+    /// When all are told next, however often the own hall is told before.
+    all_due_at_ms: u64,
     helper_turn: usize,
     first_heard_at_ms: Option<u64>,
 }
@@ -85,7 +87,15 @@
     pub fn new(own: Own, seeds: &[IpAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own.address.ip()).collect();
         let known = BTreeMap::new();
-        Self { own, seeds, known, turn: 0, helper_turn: 0, first_heard_at_ms: None }
+        Self {
+            own,
+            seeds,
+            known,
+            turn: 0,
+            all_due_at_ms: 0,
+            helper_turn: 0,
+            first_heard_at_ms: None,
+        }
     }
 
     /// What this box tells of itself.
@@ -229,6 +239,10 @@
 
     /// Who is told next.
     pub fn next_targets(&mut self, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
+        let audience = if now_ms >= self.all_due_at_ms { Audience::All } else { audience };
+        if audience == Audience::All {
+            self.all_due_at_ms = now_ms + GOSSIP_PERIOD_MS;
+        }
         let boxes = &mut self.known;
         boxes.retain(|_, peer| now_ms < peer.heard_at_ms + FORGET_MS);
         let small = boxes.len() <= SMALL_FLEET && audience == Audience::All;
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -201,3 +201,14 @@
     let found = peers.ahead(1000, known, StoreLink::Unasked).map(|found| found.ip());
     assert_eq!(found, Some(publisher));
 }
+
+/// Long prompts have the own hall told at once, several times in a period.
+#[test]
+fn other_halls_in_time() {
+    let mut peers = Peers::new(own(), &[]);
+    hear(&mut peers, 0, OTHER_HALL, 1, 120, StoreLink::Unasked);
+    peers.next_targets(0, Audience::All);
+    let told = (1..=20).map(|turn| (turn * 90, peers.next_targets(turn * 90, Audience::OwnHall)));
+    let told: Vec<u64> = told.filter(|(_, targets)| !targets.is_empty()).map(|one| one.0).collect();
+    assert_eq!(told, [270, 540, 810, 1080, 1350, 1620]);
+}
