Have streams leave engines that are to load weights, or are silent, only for another

A silent upstream was left although none could take the stream, which then broke; what is silent after an overload is mostly busy. The leader alone sent to an engine again in the last 100 ms of its load. All engines of a pool of four were drained at once. Budget is taken only once there is a place. One engine of a pool always serves.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -256,6 +256,13 @@
         state.upstreams.get(&self.id).is_none_or(|upstream| upstream.is_silent(now_ms()))
     }
 
+    /// Whether the upstream is to load weights, and gets no more work.
+    #[must_use]
+    pub fn is_loading(&self) -> bool {
+        let state = self.gateway.state();
+        state.upstreams.get(&self.id).is_some_and(|upstream| upstream.is_loading(now_ms()))
+    }
+
     /// Notes that no connection to the upstream came up.
     pub fn unreached(&self) {
         let own_hall = &self.gateway.settings.hall;
@@ -348,7 +355,7 @@
 }
 
 /// Waits until the upstream owes answers and says nothing at all.
-pub async fn silence(place: &Place) {
+async fn silence(place: &Place) {
     while !place.is_silent() {
         tokio::time::sleep(SILENCE_LOOK_PERIOD).await;
     }
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -25,7 +25,7 @@
 /// Time that gossip takes to the other boxes.
 const GOSSIP_LEAD: Duration = Duration::from_millis(15);
 /// Time after which a load may be over; it takes 760 ms and more.
-const LOAD_TIME: Duration = Duration::from_millis(800);
+const LOAD_MS: u64 = 800;
 /// Time between two looks at a load: reports are 100 ms late.
 const POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Longest time for which the order waits until running requests have ended.
@@ -114,7 +114,7 @@
         for load in &loads {
             info!(target: "leader", "event=drain_started upstream={} model={} version={}",
                 load.id, load.model, load.version);
-            note_loading(&mut state, &load.id, now_ms);
+            note_loading(&mut state, &load.id, now_ms + LOADING_GOSSIP_MS);
         }
         gateway.gossip_now.notify_one();
     }
@@ -137,9 +137,10 @@
         .collect()
 }
 
-fn note_loading(state: &mut State, id: &str, now_ms: u64) {
+/// Keeps this box from sending to an engine until a deadline.
+fn note_loading(state: &mut State, id: &str, until_ms: u64) {
     if let Some(upstream) = state.upstreams.get_mut(id) {
-        upstream.loads_until(now_ms + LOADING_GOSSIP_MS);
+        upstream.loads_until(until_ms);
     }
 }
 
@@ -197,7 +198,7 @@
     loop {
         {
             let mut state = gateway.state();
-            note_loading(&mut state, &load.id, now_ms());
+            note_loading(&mut state, &load.id, now_ms() + LOADING_GOSSIP_MS);
             let allowed = state.leadership.is_none_or(|held| held.allows_orders(now_ms()));
             if allowed && state.ordered.len() < permits(gateway, &state, &load.model) {
                 state.ordered.insert(load.id.clone());
@@ -217,7 +218,7 @@
 async fn drain(gateway: &Gateway, load: &Load) {
     let until_ms = now_ms() + DRAIN_MS;
     while now_ms() < until_ms {
-        note_loading(&mut gateway.state(), &load.id, now_ms());
+        note_loading(&mut gateway.state(), &load.id, now_ms() + LOADING_GOSSIP_MS);
         let requests = gateway.state().upstreams.get(&load.id).map_or(0, |one| one.load().requests);
         if requests == 0 {
             return;
@@ -248,9 +249,11 @@
             return Ok(LoadEnd::TurnedAway);
         }
     }
-    sleep(LOAD_TIME).await;
+    // Else this box alone would send to it before the load is over.
+    note_loading(&mut gateway.state(), &load.id, now_ms() + LOAD_MS + LOADING_GOSSIP_MS);
+    sleep(Duration::from_millis(LOAD_MS)).await;
     while now_ms() < give_up_at_ms {
-        note_loading(&mut gateway.state(), &load.id, now_ms());
+        note_loading(&mut gateway.state(), &load.id, now_ms() + LOADING_GOSSIP_MS);
         let report = gateway.engines.report(load.address).await?;
         if has(&report.models) {
             return Ok(LoadEnd::Done);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,28 +1,39 @@
 //! Streams of events, passed on as they arrive.
 //!
 //! A stream that may be taken up again is passed on by whole events, so that
-//! another upstream can go on after the last one when the first breaks off.
+//! another upstream can go on after the last one when the first breaks off, or is
+//! to load weights, which waits for all that it runs.
 
+use std::future::pending;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use log::{debug, info};
-use tokio::time::timeout_at;
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Body, BrokenOff};
-use crate::gateway::attempt::{Attempted, Reply, attempt, silence};
+use crate::gateway::attempt::{Attempted, Place, Reply, attempt};
 use crate::gateway::check::Job;
 use crate::gateway::choose::Choice;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::{log_end, resume_place, seconds_since};
 use crate::gateway::site::Repeat;
 
+/// Time in which another upstream must go on with a stream: less than the pause
+/// between two events that clients take, and than two runs of it may overlap.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between two looks whether a stream should leave its upstream: short beside
+/// a load of weights.
+const LEAVE_LOOK_PERIOD: Duration = Duration::from_millis(50);
+/// Time until another upstream is looked for again: that in which places change.
+const LEAVE_AGAIN_PAUSE: Duration = Duration::from_millis(200);
 /// What ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -69,6 +80,8 @@
     pending: Bytes,
     passed_bytes: usize,
     begun: bool,
+    /// When the stream may leave an upstream that could go on, if it did not before.
+    may_leave_at: Option<Instant>,
 }
 
 /// Passes a body on as it arrives, after what was read of it already.
@@ -90,6 +103,7 @@
         pending,
         passed_bytes: 0,
         begun: false,
+        may_leave_at: Some(Instant::now()),
     };
     let frames = stream::unfold(relay, |mut relay| async move {
         let next = relay.next().await?;
@@ -102,6 +116,10 @@
     Data(Bytes),
     End,
     Broken(String),
+    /// The upstream owes answers and says nothing.
+    Silent,
+    /// The upstream is to load weights.
+    Displaced,
 }
 
 impl Relay {
@@ -116,12 +134,12 @@
             let reply = self.reply.as_mut()?;
             let deadline = instant_at(self.job.outgoing.deadline_ms);
             let resumable = self.job.outgoing.repeat == Repeat::StreamResumable;
+            let may_leave_at = self.may_leave_at.filter(|_| resumable);
+            let begun = self.last_event.is_some();
             let next = timeout_at(deadline, read(&mut reply.body));
             let next = tokio::select! {
                 next = next => next,
-                () = silence(&reply.place), if resumable => {
-                    Ok(Read::Broken("the upstream is silent".to_owned()))
-                }
+                reason = left(&reply.place, begun, may_leave_at) => Ok(reason),
             };
             let Ok(next) = next else {
                 self.reply = None;
@@ -154,6 +172,8 @@
                         return Some(Err(broken));
                     }
                 }
+                Read::Silent => self.leave_silent().await,
+                Read::Displaced => self.move_on().await,
                 Read::Broken(cause) => {
                     reply.place.failed();
                     if let Some(broken) = self.resume(&cause).await {
@@ -184,31 +204,90 @@
     async fn resume(&mut self, cause: &str) -> Option<BrokenOff> {
         self.log_broken(cause);
         self.reply = None;
-        self.buffer.clear();
         if self.job.outgoing.repeat != Repeat::StreamResumable {
             return Some(BrokenOff::Upstream);
         }
         loop {
-            self.job.ran_perhaps = true;
-            let id = self.choice.id.clone();
-            self.job.note_sent(&id);
-            let Some(choice) = resume_place(&self.gateway, &self.job).await else {
+            let Some(choice) = self.other_place().await else {
                 return Some(BrokenOff::Upstream);
             };
-            self.choice = choice;
-            let after = self.last_event.as_deref();
-            let attempted = attempt(&self.gateway, &self.job.outgoing, &self.choice, after).await;
-            if let Attempted::Answered(reply) = attempted
-                && reply.status.is_success()
-            {
-                info!(target: "relay", "event=resumed request={} upstream={} after_event={}",
-                    self.job.outgoing.request_id, self.choice.id, after.unwrap_or("-"));
-                self.reply = Some(*reply);
+            if self.go_on_at(choice).await {
                 return None;
             }
         }
     }
 
+    /// Leaves a silent upstream for another, if one can take the stream: what is
+    /// silent may only be busy, and is better than none.
+    async fn leave_silent(&mut self) {
+        let Some(mut choice) = self.place_to_leave_for().await else { return };
+        self.log_broken("the upstream is silent");
+        while !self.go_on_at(choice).await {
+            let Some(next) = self.other_place().await else { return };
+            choice = next;
+        }
+    }
+
+    /// Another upstream for a stream that its own could go on with. It leaves once
+    /// only; when there is none, it is looked for again later.
+    async fn place_to_leave_for(&mut self) -> Option<Choice> {
+        let choice = self.other_place().await;
+        self.may_leave_at = choice.is_none().then(|| Instant::now() + LEAVE_AGAIN_PAUSE);
+        choice
+    }
+
+    /// Another upstream that may go on with the stream; takes the budget.
+    async fn other_place(&mut self) -> Option<Choice> {
+        self.job.ran_perhaps = true;
+        if !self.job.tried.contains(&self.choice.id) {
+            self.job.note_sent(&self.choice.id);
+        }
+        resume_place(&self.gateway, &self.job).await
+    }
+
+    /// Takes the stream from another upstream, which begins after the last event.
+    fn go_on_with(&mut self, reply: Reply, choice: Choice) {
+        self.reply = Some(reply);
+        self.buffer.clear();
+        self.choice = choice;
+    }
+
+    /// Whether an upstream goes on with the stream.
+    async fn go_on_at(&mut self, choice: Choice) -> bool {
+        let after = self.last_event.as_deref();
+        let attempted = attempt(&self.gateway, &self.job.outgoing, &choice, after).await;
+        let Attempted::Answered(reply) = attempted else {
+            self.job.note_sent(&choice.id);
+            return false;
+        };
+        if !reply.status.is_success() {
+            self.job.note_sent(&choice.id);
+            return false;
+        }
+        info!(target: "relay", "event=resumed request={} upstream={} after_event={}",
+            self.job.outgoing.request_id, choice.id, after.unwrap_or("-"));
+        self.go_on_with(*reply, choice);
+        true
+    }
+
+    /// Has another upstream go on. Until it answers, this one keeps the stream.
+    async fn move_on(&mut self) {
+        let before = self.choice.id.clone();
+        let Some(choice) = self.place_to_leave_for().await else { return };
+        let after = self.last_event.as_deref();
+        let attempted = attempt(&self.gateway, &self.job.outgoing, &choice, after);
+        let end = match timeout(MOVE_TIMEOUT, attempted).await {
+            Ok(Attempted::Answered(reply)) if reply.status.is_success() => {
+                self.go_on_with(*reply, choice.clone());
+                "moved"
+            }
+            Ok(_) => "not_answered",
+            Err(_) => "too_slow",
+        };
+        info!(target: "relay", "event=stream_moved request={} from={before} to={} end={end}",
+            self.job.outgoing.request_id, choice.id);
+    }
+
     fn log_begun(&self) {
         let first_s = seconds_since(self.job.arrived_at_ms);
         metrics::histogram!("coursestile_first_event_seconds").record(first_s);
@@ -224,6 +303,21 @@
     }
 }
 
+/// Waits until there is a reason to leave an upstream that may still go on.
+async fn left(place: &Place, begun: bool, may_leave_at: Option<Instant>) -> Read {
+    let Some(may_leave_at) = may_leave_at else { return pending().await };
+    sleep_until(may_leave_at).await;
+    loop {
+        if place.is_silent() {
+            return Read::Silent;
+        }
+        if begun && place.is_loading() {
+            return Read::Displaced;
+        }
+        sleep(LEAVE_LOOK_PERIOD).await;
+    }
+}
+
 async fn read(body: &mut Incoming) -> Read {
     loop {
         match body.frame().await {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -20,7 +20,8 @@
 #[must_use]
 pub fn at_once(candidates: &[Candidate], version: u64) -> usize {
     let count = candidates.len();
-    let usual = LEAST_AT_ONCE.max(count / ENGINES_FOR_ONE);
+    let half = (count / ENGINES_FOR_ONE_HURRIED).max(1);
+    let usual = LEAST_AT_ONCE.max(count / ENGINES_FOR_ONE).min(half);
     let behind = candidates.iter().filter(|one| one.version < version && !one.doubtful);
     let mut left_ms: Vec<u64> = behind.map(|one| one.left_ms).collect();
     left_ms.sort_unstable();
@@ -30,7 +31,7 @@
         (before + 1).div_ceil(rounds)
     });
     let needed = needed.max().unwrap_or_default();
-    needed.clamp(usual, usual.max(count / ENGINES_FOR_ONE_HURRIED))
+    needed.clamp(usual, half)
 }
 
 /// An engine, as the roll-out sees it.
@@ -53,7 +54,9 @@
 /// The engines that are to get no more work, and then `version`.
 #[must_use]
 pub fn next(candidates: &[Candidate], version: u64) -> Vec<String> {
-    let prepared = at_once(candidates, version) + AHEAD;
+    // One engine at least carries the work, if there are two.
+    let most = candidates.len().saturating_sub(1).max(1);
+    let prepared = (at_once(candidates, version) + AHEAD).min(most);
     let under_way = candidates.iter().filter(|one| one.under_way && !one.doubtful).count();
     let mut behind: Vec<&Candidate> =
         candidates.iter().filter(|one| one.version < version && !one.under_way).collect();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -237,11 +237,11 @@
 
 /// An upstream that goes on with a stream, if it may be sent again.
 pub async fn resume_place(gateway: &Arc<Gateway>, job: &Job) -> Option<Choice> {
+    let until = instant_at(now_ms() + job.route.latency_objective_ms / WAIT_PART);
+    let choice = find_place(gateway, job, until).await?;
     if !may_try_again(gateway, job) {
         return None;
     }
-    let until = instant_at(now_ms() + job.route.latency_objective_ms / WAIT_PART);
-    let choice = find_place(gateway, job, until).await?;
     log_attempt(job, &choice);
     Some(choice)
 }
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use futures_util::{StreamExt, stream};
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Json, Query};
 use poem::{
-    Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, endpoint, get, handler,
-    post,
+    Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, endpoint, get,
+    handler, post,
 };
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -55,6 +56,7 @@
     events: Vec<Value>,
     freed: Vec<(String, String)>,
     runs: Vec<Run>,
+    holds_streams: bool,
 }
 
 type Shared = Arc<Mutex<State>>;
@@ -81,6 +83,7 @@
             .at("/coursestile/kv-list", get(list))
             .at("/coursestile/kv-free", post(free))
             .nest("/run", runs(state.clone()))
+            .nest("/resume", runs(state.clone()))
             .data(state.clone());
         let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await.expect("address");
         let address = acceptor.local_addr()[0].as_socket_addr().expect("address").to_string();
@@ -127,6 +130,11 @@
         state.events.push(json!([number, "+", scope, part, tokens, MODEL]));
     }
 
+    /// Lets streams stand still after their first event, unless they go on with one.
+    pub fn hold_streams(&self) {
+        self.state().holds_streams = true;
+    }
+
     /// Has a part whose writing broke off.
     pub fn keep_partial(&self, scope: &str, part: &str) {
         self.state().partial.push((scope.to_owned(), part.to_owned(), 16, 500));
@@ -223,6 +231,13 @@
     StatusCode::OK
 }
 
+/// The events of a run; one that holds never ends.
+fn stream_body(holds: bool, goes_on: bool) -> Body {
+    let event = if goes_on { "id: 2\ndata: end\n\n" } else { "id: 1\ndata: piece\n\n" };
+    let first = stream::once(async move { std::io::Result::Ok(event) });
+    if holds { Body::from_bytes_stream(first.chain(stream::pending())) } else { event.into() }
+}
+
 fn runs(shared: Shared) -> impl Endpoint<Output = Response> {
     endpoint::make_sync(move |request: Request| {
         let headers: BTreeMap<String, String> = request
@@ -233,6 +248,8 @@
         let mut state = shared.lock().expect("state");
         let id = headers.get("x-request-id").cloned().unwrap_or_default();
         let expected = headers.get("expect-version").and_then(|text| text.parse::<u64>().ok());
+        let goes_on = headers.contains_key("last-event-id");
+        let holds = state.holds_streams && !goes_on;
         state.runs.push(Run { headers });
         let version = state.version;
         if expected.is_some_and(|expected| expected != version) {
@@ -243,6 +260,6 @@
             .header("x-server-seal", "seal")
             .header("versions", version.to_string())
             .header("content-type", "text/event-stream")
-            .body("id: 1\ndata: piece\n\n")
+            .body(stream_body(holds, goes_on))
     })
 }
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -7,6 +7,7 @@
 use common::wait_ready;
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::engine::{Engine, MODEL};
+use coursestile_standins::site::http::Message;
 use coursestile_standins::site::metadata::Trouble;
 use coursestile_standins::site::{Gateway, Site, document, engine_entry, eventually};
 use serde_json::json;
@@ -43,6 +44,8 @@
     let mut config = document(7);
     config["routes"][2]["service"] = json!("llm");
     config["routes"][2]["path_prefix"] = json!("/run/");
+    config["routes"][3]["service"] = json!("llm");
+    config["routes"][3]["timeout_ms"] = json!(20_000);
     config["services"] = json!([
         { "name": "llm", "max_conns": 100, "engine": { "slots": 8, "kv_capacity": 40000,
             "kv_token_bytes": 18432, "link_mbps": 100_000, "managed": true,
@@ -84,6 +87,12 @@
         client.send(&bytes).await.expect("an answer").status()
     }
 
+    /// How often the run `id` has arrived.
+    fn run_count(&self, id: &str) -> usize {
+        let all = self.engines.iter().flat_map(Engine::runs);
+        all.filter(|run| run.headers.get("x-request-id").is_some_and(|it| it == id)).count()
+    }
+
     /// Headers of the run `id`.
     fn run(&self, id: &str) -> std::collections::BTreeMap<String, String> {
         let all = self.engines.iter().flat_map(Engine::runs);
@@ -211,3 +220,34 @@
     })
     .await;
 }
+
+/// Streams that another engine can go on with do not keep one from loading.
+#[tokio::test]
+async fn streams_moved() {
+    let fleet = fleet(1).await;
+    fleet.wait_logged("event=leadership_taken").await;
+    // They earn the budget for the repeats.
+    for number in 0..40 {
+        assert_eq!(fleet.prompt(&format!("p-{number}")).await, 200);
+    }
+    fleet.engines.iter().for_each(Engine::hold_streams);
+    let ids = ["r-1", "r-2", "r-3", "r-4"];
+    let streams = ids.map(|id| tokio::spawn(stream(fleet.gateways[0].clients.clone(), id)));
+    eventually("all run", async || ids.iter().all(|id| fleet.run_count(id) == 1)).await;
+    fleet.site.name_weights(MODEL, 2);
+    for stream in streams {
+        let answer = stream.await.unwrap();
+        assert!(answer.whole);
+        assert_eq!(answer.text(), "id: 1\ndata: piece\n\nid: 2\ndata: end\n\n");
+    }
+    assert!(ids.iter().all(|id| fleet.run_count(id) == 2));
+    fleet.wait_version(2).await;
+    fleet.wait_logged("end=moved").await;
+}
+
+async fn stream(clients: String, id: &str) -> Message {
+    let extra =
+        format!("X-Model: {MODEL}\r\nX-Token-Count: 300,10\r\nX-Prefix-Hash: aa:100,cc:200\r\n");
+    let bytes = request("POST", "/resume/x", id, &extra, "prompt");
+    Client::connect(&clients).await.send(&bytes).await.expect("an answer")
+}
