Look for a lost store of context again after 0.3 s

Ruled out: the listing itself (some ms), lost publishers (none between the cut and its end). Change: only a holder that is busy (429, an error of its own now) is asked ever less often; one that cannot be reached is asked again after 0.3 s. Test: gateway_weights::lost_store_known (waited in vain for 20 s before).

--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,8 @@
     Contended,
     /// an upstream does not answer as it should: {0}
     Upstream(String),
+    /// an upstream takes no more calls for now: {0}
+    Busy(String),
     /// cannot listen on {0}: {1}
     Listen(String, String),
     /// message between boxes: {0}
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clock::now_ms;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::gateway::holder::Holder;
 use crate::gateway::kept::{CacheChanges, CacheListing};
 use crate::gateway::kernel::{Gateway, State};
@@ -21,8 +21,11 @@
 const ALONE_TIMEOUT: Duration = Duration::from_secs(3);
 /// How often it looks whether it has.
 const FLEET_POLL: Duration = Duration::from_millis(20);
-/// First pause after a holder that did not answer.
-const PAUSE: Duration = Duration::from_millis(700);
+/// Pause after a holder that could not be reached: short, since nothing is fetched
+/// from a store that is not known.
+const UNREACHED_PAUSE: Duration = Duration::from_millis(300);
+/// First pause after a holder that takes no more followers.
+const BUSY_PAUSE: Duration = Duration::from_millis(700);
 /// Longest pause: a holder with as many followers as it takes refuses all
 /// others, and each refusal costs it a call.
 const MOST_PAUSE: Duration = Duration::from_secs(6);
@@ -93,10 +96,10 @@
 
 async fn follow(gateway: Arc<Gateway>, holder_id: HolderId, address: SocketAddr) {
     let mut known = false;
-    let mut pause = PAUSE;
+    let mut pause = BUSY_PAUSE;
     loop {
         match step(&gateway, &holder_id, address, &mut known).await {
-            Ok(()) => pause = PAUSE,
+            Ok(()) => pause = BUSY_PAUSE,
             Err(error) => {
                 debug!(target: "caches", "event=holder_silent holder={holder_id:?} cause=\"{error}\"");
                 if let HolderId::Store(name) = &holder_id
@@ -107,8 +110,12 @@
                     state.holder.lose();
                     known = false;
                 }
-                sleep(pause).await;
-                pause = (pause * 2).min(MOST_PAUSE);
+                if matches!(error, Error::Busy(_)) {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(MOST_PAUSE);
+                } else {
+                    sleep(UNREACHED_PAUSE).await;
+                }
             }
         }
     }
@@ -127,7 +134,7 @@
     }
     let since = with_holder(&mut gateway.state(), holder_id, |holder| holder.next());
     let Some(since) = since else {
-        sleep(PAUSE).await;
+        sleep(BUSY_PAUSE).await;
         return Ok(());
     };
     let changes = gateway.caches.changes(address, since).await?;
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use reqwest::StatusCode;
+use reqwest::{RequestBuilder, StatusCode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::gateway::kept::{CacheChange, CacheChanges, CacheListing, Freed, KeptPart, PartialPart};
 use crate::platform::http::{Http, whole_ms};
 
@@ -67,7 +68,7 @@
         let url = format!("http://{address}/coursestile/kv-events?since={since}");
         let timeout = CALL_TIMEOUT + Duration::from_millis(EVENTS_WAIT_MS);
         let request = self.http.get(&url).header("Wait-Ms", EVENTS_WAIT_MS).timeout(timeout);
-        let body: EventsBody = self.http.json(request).await?;
+        let body: EventsBody = self.json(request).await?;
         // The sign says no more than the tokens that are kept now.
         let changes = body.events.into_iter().map(|(_, _sign, scope, part, tokens, _model)| {
             CacheChange { kept: KeptPart { scope, part }, tokens }
@@ -87,7 +88,7 @@
     /// Fails when the holder does not answer as it should.
     pub async fn list(&self, address: SocketAddr) -> Result<CacheListing> {
         let url = format!("http://{address}/coursestile/kv-list");
-        let body: ListBody = self.http.json(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
+        let body: ListBody = self.json(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
         let held = body
             .held
             .into_iter()
@@ -104,6 +105,16 @@
         })
     }
 
+    /// Sends a call and decodes the body of its answer.
+    async fn json<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T> {
+        let answer = self.http.send(request).await?;
+        // Each holder serves a few such calls at once.
+        if answer.status() == StatusCode::TOO_MANY_REQUESTS {
+            return Err(Error::Busy(answer.url().to_string()));
+        }
+        self.http.body(self.http.success(answer)?).await
+    }
+
     /// Frees parts of a store, unless it has restarted since `boot` or
     /// `until_ms` on the upstreams' clock is over when the call arrives.
     ///
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -57,6 +57,7 @@
     freed: Vec<(String, String)>,
     runs: Vec<Run>,
     holds_streams: bool,
+    failing_listings: u32,
 }
 
 type Shared = Arc<Mutex<State>>;
@@ -135,6 +136,11 @@
         self.state().holds_streams = true;
     }
 
+    /// Fails the next calls that list what is kept.
+    pub fn fail_listings(&self, count: u32) {
+        self.state().failing_listings = count;
+    }
+
     /// Has a part whose writing broke off.
     pub fn keep_partial(&self, scope: &str, part: &str) {
         self.state().partial.push((scope.to_owned(), part.to_owned(), 16, 500));
@@ -202,15 +208,19 @@
 }
 
 #[handler]
-fn list(Data(shared): Data<&Shared>) -> Json<Value> {
-    let state = shared.lock().expect("state");
+fn list(Data(shared): Data<&Shared>) -> poem::Result<Json<Value>> {
+    let mut state = shared.lock().expect("state");
+    if state.failing_listings > 0 {
+        state.failing_listings -= 1;
+        return Err(StatusCode::INTERNAL_SERVER_ERROR.into());
+    }
     let held: Vec<Value> = state
         .held
         .iter()
         .map(|(scope, part, tokens)| json!([scope, part, tokens, MODEL]))
         .collect();
-    Json(json!({ "boot_epoch": 7, "next_token": state.events.len(), "held": held,
-        "partial": state.partial }))
+    Ok(Json(json!({ "boot_epoch": 7, "next_token": state.events.len(), "held": held,
+        "partial": state.partial })))
 }
 
 #[derive(Deserialize)]
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -221,6 +221,16 @@
     .await;
 }
 
+/// A store that could not be listed is asked again soon, however often it failed.
+#[tokio::test]
+async fn lost_store_known() {
+    let mut fleet = upstreams().await;
+    fleet.store.fail_listings(14);
+    let metadata = fleet.site.metadata.address.clone();
+    fleet.add_gateway(&metadata).await;
+    fleet.wait_logged("event=holder_listed").await;
+}
+
 /// Streams that another engine can go on with do not keep one from loading.
 #[tokio::test]
 async fn streams_moved() {
