--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,10 +2,10 @@
 //! need to know, for many client accounts that share them.
 //!
 //! Decisions are pure functions of state and time: `budget`, `choose`,
-//! `context`, `holder`, `peers`, `rollout`, `sources`, `stores`, `upstreams`, `view` and
-//! `weights`. Everything else carries them out. `follow`, `follow_caches` and
+//! `context`, `holder`, `peers`, `rollout`, `sources`, `stores`, `upstreams`, `urgency`,
+//! `view` and `weights`. Everything else carries them out. `follow`, `follow_caches` and
 //! `gossip` bring in what the box knows, `members` where others are; `listener`,
-//! `check`, `serve`, `attempt` and `relay` take a request through; `leadership`,
+//! `check`, `serve`, `attempt`, `place` and `relay` take a request through; `leadership`,
 //! `leader` and `space` do what one box does for all.
 
 pub mod answer;
@@ -32,6 +32,7 @@
 pub mod metadata;
 pub mod orders;
 pub mod peers;
+pub mod place;
 pub mod prompt;
 pub mod reach;
 pub mod relay;
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,158 @@
+//! A place that a request takes at an upstream, and what its answers show of the
+//! upstream and of the stores that its parts are fetched from.
+
+use std::sync::Arc;
+
+use log::info;
+
+use crate::clock::now_ms;
+use crate::gateway::choose::Choice;
+use crate::gateway::context::ContextPlan;
+use crate::gateway::kernel::Gateway;
+use crate::gateway::units::as_f64;
+
+/// Time to the first token beside reading and fetching, and some more.
+const FIRST_TOKEN_MS: f64 = 60.0;
+/// Prompts that keep an engine for some 20 ms or more: others should know at
+/// once, and not only with the next message.
+const LONG_PROMPT_TOKENS: u32 = 1000;
+
+/// A place that a request takes at an upstream, for as long as this lives.
+pub struct Place {
+    /// Who has the state.
+    pub(super) gateway: Arc<Gateway>,
+    /// Id of the upstream.
+    pub id: String,
+    unread_tokens: u32,
+    memory_tokens: u32,
+    fetches: Vec<(String, u32)>,
+    fetch_ms: f64,
+    expected_ms: f64,
+    calm: bool,
+    taken_at_ms: u64,
+}
+
+impl Place {
+    /// Takes a place.
+    #[must_use]
+    pub fn take(gateway: &Arc<Gateway>, choice: &Choice) -> Self {
+        let context = choice.context.as_ref();
+        let unread_tokens = context.map_or(0, |plan| plan.read_tokens);
+        let fetches: Vec<(String, u32)> =
+            context.map(ContextPlan::store_fetches).unwrap_or_default();
+        let taken_at_ms = now_ms();
+        let mut state = gateway.state();
+        if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
+            upstream.sent(taken_at_ms, unread_tokens, choice.memory_tokens);
+        }
+        for (name, tokens) in &fetches {
+            if let Some((_, store)) = state.stores.get_mut(name) {
+                store.fetch_begins(*tokens);
+            }
+        }
+        drop(state);
+        if unread_tokens >= LONG_PROMPT_TOKENS {
+            gateway.load_changed.notify_one();
+        }
+        Self {
+            gateway: gateway.clone(),
+            id: choice.id.clone(),
+            unread_tokens,
+            memory_tokens: choice.memory_tokens,
+            fetches,
+            fetch_ms: context.map_or(0.0, |plan| plan.fetch_ms),
+            expected_ms: choice.expected_ms,
+            calm: choice.calm,
+            taken_at_ms,
+        }
+    }
+
+    /// Notes that bytes have arrived.
+    pub fn heard(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.heard(now_ms());
+        }
+    }
+
+    /// Notes that the prompt has been read, and how long its fetches took. A prompt
+    /// that had to wait for the engine says nothing of the stores.
+    pub fn read_prompt(&mut self) {
+        let late_ms = as_f64(now_ms() - self.taken_at_ms) - self.expected_ms - FIRST_TOKEN_MS;
+        let ratio =
+            (self.calm && self.fetch_ms > 0.0).then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
+        self.prompt_is_over(ratio);
+    }
+
+    fn prompt_is_over(&mut self, ratio: Option<f64>) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        let mut state = self.gateway.state();
+        if let Some(upstream) = state.upstreams.get_mut(&self.id) {
+            upstream.read_prompt(tokens);
+        }
+        for (name, tokens) in std::mem::take(&mut self.fetches) {
+            if let Some((_, store)) = state.stores.get_mut(&name) {
+                store.fetch_ended(now_ms(), tokens, ratio);
+            }
+        }
+    }
+
+    /// Notes an answer as it should be.
+    pub fn succeeded(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.succeeded();
+        }
+    }
+
+    /// Notes a failure that says something about the upstream.
+    pub fn failed(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.failed(now_ms());
+        }
+    }
+
+    /// Whether the upstream owes answers and has said nothing for long.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        let state = self.gateway.state();
+        state.upstreams.get(&self.id).is_none_or(|upstream| upstream.is_silent(now_ms()))
+    }
+
+    /// Whether the upstream is to load weights, and gets no more work.
+    #[must_use]
+    pub fn is_loading(&self) -> bool {
+        let state = self.gateway.state();
+        state.upstreams.get(&self.id).is_some_and(|upstream| upstream.is_loading(now_ms()))
+    }
+
+    /// Notes that no connection to the upstream came up.
+    pub fn unreached(&self) {
+        let own_hall = &self.gateway.settings.hall;
+        self.gateway.state().upstreams.unreached(now_ms(), &self.id, own_hall);
+    }
+
+    /// Notes that another incarnation has the upstream's address.
+    pub fn supersede(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            info!(target: "serve", "event=upstream_superseded upstream={}", self.id);
+            upstream.supersede();
+        }
+        self.gateway.load_changed.notify_one();
+    }
+
+    /// Notes the weight version that the upstream was seen to have.
+    pub fn saw_version(&self, model: &str, version: u64) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.saw_version(model, version);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.prompt_is_over(None);
+        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+            upstream.ended(self.memory_tokens);
+        }
+        self.gateway.places.notify_waiters();
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,10 +19,11 @@
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::answer::{self, Answer, Body, BrokenOff};
-use crate::gateway::attempt::{Attempted, Place, Reply, attempt};
+use crate::gateway::attempt::{Attempted, Reply, attempt};
 use crate::gateway::check::Job;
 use crate::gateway::choose::Choice;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::place::Place;
 use crate::gateway::serve::{log_end, resume_place, seconds_since};
 use crate::gateway::site::Repeat;
 
