Log each request that is ranked as late

Cause: ranking is a decision that touches a request, and no line told of it. Change: one line with the rank, the one before and by how much the objective would be missed. Test: gateway_urgency::told_to_upstreams, from the client's time limit to the upstream's header.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use log::info;
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
@@ -60,7 +61,13 @@
             return self.priority;
         }
         let expected_at_ms = now_ms + whole_ms(choice.expected_ms);
-        urgency::rank(self.priority, expected_at_ms, self.objective_at_ms)
+        let rank = urgency::rank(self.priority, expected_at_ms, self.objective_at_ms);
+        if rank != self.priority {
+            info!(target: "serve",
+                "event=ranked_late request={} upstream={} rank={rank} before={} late_ms={}",
+                self.request_id, choice.id, self.priority, expected_at_ms - self.objective_at_ms);
+        }
+        rank
     }
 }
 
--- a/tests/gateway_urgency.rs
+++ b/tests/gateway_urgency.rs
@@ -1,6 +1,11 @@
 //! Requests that can still meet their objective go first at engines.
 
+#[path = "common/site.rs"]
+mod common;
+
+use common::scene;
 use coursestile::gateway::urgency::{UsualLimits, rank};
+use coursestile_standins::site::client::request;
 use rstest::rstest;
 
 const ROUTE: &str = "summaries";
@@ -43,3 +48,17 @@
 ) {
     assert_eq!(rank(priority, expected_at_ms, objective_at_ms), expected);
 }
+
+#[tokio::test]
+async fn told_to_upstreams() {
+    let scene = scene(1).await;
+    let first = request("GET", "/safe/x", "r-1", "", "");
+    let second = String::from_utf8(request("GET", "/safe/x", "r-2", "", "")).unwrap();
+    let second = second.replace("X-Deadline-Ms: 3000", "X-Deadline-Ms: 1500");
+    for bytes in [&first, second.as_bytes()] {
+        assert_eq!(scene.raw(bytes).await.expect("an answer").status(), 200);
+    }
+    let rank = |id| scene.arrived(id).header("priority").map(str::to_owned);
+    assert_eq!((rank("r-1").as_deref(), rank("r-2").as_deref()), (Some("1"), Some("5")));
+    assert!(scene.gateway.logged().contains("event=ranked_late request=r-2"));
+}
