--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -33,6 +33,8 @@
     pub service: String,
     /// Its route.
     pub route: Route,
+    /// Version of the configuration that it was admitted under.
+    pub configuration: u64,
     /// Account whose context is kept apart.
     pub isolated_account: Option<String>,
     /// When it arrived.
@@ -63,6 +65,7 @@
             prompt: self.prompt.clone(),
             service: self.service.clone(),
             route: self.route.clone(),
+            configuration: self.configuration,
             isolated_account: self.isolated_account.clone(),
             arrived_at_ms: self.arrived_at_ms,
             tried,
@@ -105,6 +108,7 @@
     Ok(Job {
         prompt: asked.prompt.clone(),
         service: service.to_owned(),
+        configuration: site.version,
         isolated_account: isolated.map(|one| one.name.clone()),
         arrived_at_ms,
         tried: Vec::new(),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,11 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use tokio::time::sleep;
 
 use crate::clock::now_ms;
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
 use crate::gateway::metadata::{Change, Item, Watched};
@@ -46,6 +46,7 @@
             sleep(TICK).await;
             continue;
         }
+        let asked_at_ms = now_ms();
         let result = if listed { watch(&gateway).await } else { list(&gateway).await };
         match result {
             Ok(Followed::Woken) => {}
@@ -57,7 +58,7 @@
                 }
             }
             Err(error) => {
-                failed(&gateway, &error);
+                failed(&gateway, asked_at_ms, &error);
                 sleep(Duration::from_millis(pause_ms + fastrand::u64(0..pause_ms))).await;
                 pause_ms = (pause_ms * 2).min(MOST_PAUSE_MS);
             }
@@ -210,11 +211,19 @@
     }
 }
 
-fn failed(gateway: &Gateway, error: &crate::error::Error) {
+fn failed(gateway: &Gateway, asked_at_ms: u64, error: &Error) {
     metrics::counter!("coursestile_metadata_failures_total").increment(1);
-    if gateway.state().view.store_failed() {
+    let mut state = gateway.state();
+    let after_revision = state.view.at_revision();
+    let waited_ms = now_ms().saturating_sub(asked_at_ms);
+    if state.view.store_failed() {
         warn!(target: "follow",
-            "event=dependency_lost dependency=metadata_store cause=\"{error}\"");
+            "event=dependency_lost dependency=metadata_store after_revision={after_revision} \
+             waited_ms={waited_ms} cause=\"{error}\"");
+    } else {
+        debug!(target: "follow",
+            "event=store_call_failed after_revision={after_revision} waited_ms={waited_ms} \
+             cause=\"{error}\"");
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -64,7 +64,8 @@
         Ok(job) => job,
         Err(reason) => {
             let retry_after_ms = (reason == Reason::NotReady).then_some(RETRY_AFTER_MS);
-            log_refusal(request_id.as_deref(), reason, arrived_at_ms);
+            let configuration = gateway.state().site.as_ref().map_or(0, |site| site.version);
+            log_refusal(request_id.as_deref(), reason, configuration, arrived_at_ms);
             return answer::refusal(reason, request_id.as_deref(), retry_after_ms);
         }
     };
@@ -310,24 +311,28 @@
     };
     let retry_after_ms =
         (reason.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER_MS);
-    log_refusal(Some(&job.outgoing.request_id), reason, job.arrived_at_ms);
+    let request_id = Some(job.outgoing.request_id.as_str());
+    log_refusal(request_id, reason, job.configuration, job.arrived_at_ms);
     answer::refusal(reason, Some(&job.outgoing.request_id), retry_after_ms)
 }
 
-fn log_refusal(request_id: Option<&str>, reason: Reason, arrived_at_ms: u64) {
+fn log_refusal(request_id: Option<&str>, reason: Reason, configuration: u64, arrived_at_ms: u64) {
     metrics::counter!("coursestile_requests_total", "end" => reason.to_string()).increment(1);
-    info!(target: "serve", "event=refused request={} reason=\"{reason}\" status={} held_ms={}",
+    info!(target: "serve",
+        "event=refused request={} reason=\"{reason}\" status={} configuration={configuration} \
+         held_ms={}",
         request_id.unwrap_or("-"), reason.status().as_u16(), now_ms() - arrived_at_ms);
 }
 
 fn log_attempt(job: &Job, choice: &Choice) {
     let context = choice.context.as_ref();
     info!(target: "serve",
-        "event=routed request={} route={} upstream={} attempt={} left_ms={} version={} \
-         read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
+        "event=routed request={} route={} configuration={} upstream={} attempt={} left_ms={} \
+         version={} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
          load_requests={} load_unread={} load_memory={}",
         job.outgoing.request_id,
         job.route.name,
+        job.configuration,
         choice.id,
         job.tried.len() + 1,
         job.outgoing.deadline_ms.saturating_sub(now_ms()),
