Tests that fail: a change and a departure after a wait for news was lost

Cause shown on the code as it is: a wait for the metadata store's news that nobody will answer goes on for its 6 to 8 s and 1 s more. All boxes begin theirs at the same moment, since a change ends all of them, so that no peer knows more.

--- /dev/null
+++ b/tests/gateway_watch.rs
@@ -0,0 +1,59 @@
+//! A long wait for news of the metadata store that nobody will answer is noticed in
+//! time, so that changes and departures are in force when they must be.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Scene, scene};
+use coursestile_standins::site::metadata::Trouble;
+use coursestile_standins::site::{Gateway, document, entry, eventually};
+
+/// Time after which a change counts as late: twice the bound of the smallest
+/// deployment, and half of what a lost wait took before.
+const LATE: Duration = Duration::from_secs(4);
+
+fn in_force(gateway: &Gateway, version: u64) -> bool {
+    gateway.logged().contains(&format!("event=configuration_in_force version={version} "))
+}
+
+/// Loses the wait that a change has just made the gateway begin: the store falls
+/// silent and is back.
+async fn lose_wait(scene: &Scene) {
+    scene.site.configure(&document(8));
+    eventually("the change is in force", async || in_force(&scene.gateway, 8)).await;
+    scene.site.metadata.trouble(Trouble::Silent);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    scene.site.metadata.trouble(Trouble::None);
+}
+
+/// A change ended the waits of all boxes at once, and they asked again at once; the
+/// store had just fallen silent and never answered these. It was back after 1.5 s,
+/// while the boxes waited on, 6 to 9 s: `configuration_in_force` at 12.000 s and next
+/// at 19.528 s, with `dependency_lost` at 19.1 to 19.5 s on all of them, though changes
+/// were acknowledged from 14.5 s on. Requests were served and refused as before.
+#[tokio::test]
+async fn change_after_lost() {
+    let scene = scene(1).await;
+    lose_wait(&scene).await;
+    scene.site.configure(&document(9));
+    let changed = Instant::now();
+    eventually("the change is in force", async || in_force(&scene.gateway, 9)).await;
+    assert!(changed.elapsed() < LATE, "in force only after {:?}", changed.elapsed());
+}
+
+/// The same wait brings the news that an upstream leaves. In the same seconds boxes
+/// sent requests to one 2.8 and 3.1 s after it had said so, since none knew.
+#[tokio::test]
+async fn departure_after_lost() {
+    let scene = scene(2).await;
+    lose_wait(&scene).await;
+    let leaving = &scene.servers[0];
+    scene.site.enter(&leaving.id, &entry("plain", &leaving.address, "draining"));
+    tokio::time::sleep(LATE).await;
+    for number in 0..10 {
+        scene.send("GET", "/safe/", &format!("r-{number}")).await;
+    }
+    assert_eq!(leaving.arrived().len(), 0, "it was asked after it had said that it leaves");
+}
