--- a/tests/gateway_watch.rs
+++ b/tests/gateway_watch.rs
@@ -51,7 +51,10 @@
     lose_wait(&scene).await;
     let leaving = &scene.servers[0];
     scene.site.enter(&leaving.id, &entry("plain", &leaving.address, "draining"));
-    tokio::time::sleep(LATE).await;
+    let left = Instant::now();
+    let known = "upstream=s-0 service=plain hall=north leaving=true";
+    eventually("it is known", async || scene.gateway.logged().contains(known)).await;
+    assert!(left.elapsed() < LATE, "known only after {:?}", left.elapsed());
     for number in 0..10 {
         scene.send("GET", "/safe/", &format!("r-{number}")).await;
     }
