Have the store say something well within the time in which a change must be in force

Cause: a watch that nobody will answer looks like a store without news. It was waited for up to 9 s; a change ends the watches of all boxes at once, so that all were lost together when the store fell silent just then, and no peer knew more. With all connections silent only a keep-alive showed it, after 4 s (the library sends three probes), and the pool gave out others that were silent too. Change: a watch waits half of the time in which changes and departures must be in force, by the settings; an answer that is a quarter of it late is a failure; after a call that was not answered in time the client of the store gives up its waiting connections; one lost probe ends an idle one. Weighed: one box of each hall asks often and the others hear by gossip (a third of the added calls; a box that freezes with the connections' silence adds 1.5 s, over the bound); only a shorter keep-alive (says nothing of a store that takes bytes and does not answer); this one costs a call a second for each box that follows, two a hall in a large fleet.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,17 +14,21 @@
 use crate::error::{Error, Result};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
-use crate::gateway::metadata::{Change, Item, Watched};
+use crate::gateway::metadata::{Change, Item, Wait, Watched};
+use crate::gateway::settings::Bounds;
 use crate::gateway::view::{CatchUp, Changed, Snapshot, Written};
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
 
-/// Longest wait of a watch: a quarter of the calls that a second's wait makes,
-/// and soon enough to see that a silent store is away.
-const WATCH_WAIT_MS: u64 = 8000;
-/// Wait of a watch after a failed call: soon over, and longer than an answer takes
-/// under load.
-const SHORT_WAIT_MS: u64 = 200;
+/// Part of the time in which a change must be in force for which a watch may wait.
+const WAIT_PART: u64 = 2;
+/// Part of it by which a watch's answer may be late; the rest is for another watch.
+const LATE_PART: u64 = 4;
+/// Least wait of a watch, whatever the bounds say: ten calls a second.
+const LEAST_WAIT_MS: u64 = 100;
+/// Watch after a failed call: soon over, so that the store's return is seen, and with
+/// patience for a store that is only slow.
+const AFTER_FAILURE: Wait = Wait { wait_ms: 200, late_ms: 1000 };
 /// Pause after changes, in a large fleet, where each wakes the followers of all
 /// halls: several are told by one answer. A small part of the two seconds in which
 /// a change must be in force.
@@ -160,11 +164,9 @@
         let state = gateway.state();
         (state.view.at_revision(), state.view.store_answers())
     };
-    // After a failure, a short wait shows whether the store is back.
-    let wait_ms = if answers { WATCH_WAIT_MS } else { SHORT_WAIT_MS };
-    let wait_ms = wait_ms - fastrand::u64(0..wait_ms / 4);
+    let wait = if answers { usual_wait(&gateway.settings.bounds) } else { AFTER_FAILURE };
     let watched = tokio::select! {
-        watched = gateway.metadata.watch("", after, wait_ms) => watched?,
+        watched = gateway.metadata.watch("", after, spread(wait)) => watched?,
         () = gateway.behind.notified() => return Ok(Followed::Woken),
     };
     let (changes, at_revision) = match watched {
@@ -196,6 +198,18 @@
     Ok(Followed::Answered)
 }
 
+/// How long a watch is waited for while the store answers.
+fn usual_wait(bounds: &Bounds) -> Wait {
+    let change_ms = bounds.change_apply_ms.min(bounds.departure_apply_ms);
+    let wait_ms = (change_ms / WAIT_PART).max(LEAST_WAIT_MS);
+    Wait { wait_ms, late_ms: (change_ms / LATE_PART).max(LEAST_WAIT_MS) }
+}
+
+/// A wait of another length at each box, so that not all watches end together.
+fn spread(wait: Wait) -> Wait {
+    Wait { wait_ms: wait.wait_ms - fastrand::u64(0..=wait.wait_ms / 4), ..wait }
+}
+
 fn is_covered(key: &str) -> bool {
     keys::kind(key) != Kind::Other
 }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -168,7 +168,7 @@
             told_versions: Vec::new(),
         };
         Ok(Arc::new(Self {
-            metadata: MetadataStore::new(http.to_metadata_store(), &settings.metadata),
+            metadata: MetadataStore::new(Http::to_metadata_store()?, &settings.metadata),
             caches: Caches::new(http.clone()),
             engines: Engines::new(http),
             connections: Connections::default(),
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -25,6 +25,15 @@
     },
 }
 
+/// How long a watch is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Wait {
+    /// Time after which the store answers that nothing has changed.
+    pub wait_ms: u64,
+    /// Time by which that answer may be late before the store counts as silent.
+    pub late_ms: u64,
+}
+
 /// What a watch answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Watched {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -18,6 +18,10 @@
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 /// Time for which orders of two holders must not follow each other, by default.
 const DEFAULT_LEASE_MS: u64 = 3000;
+/// Time in which a change of the configuration must be in force, by default.
+const DEFAULT_CHANGE_APPLY_MS: u64 = 2000;
+/// Time after which an upstream that leaves must get nothing more, by default.
+const DEFAULT_DEPARTURE_APPLY_MS: u64 = 2000;
 /// Time in which a new weight version must be everywhere, by default.
 const DEFAULT_WEIGHTS_APPLY_MS: u64 = 10_000;
 
@@ -62,6 +66,10 @@
     pub retry_extra: f64,
     /// Time for which orders of two holders must not follow each other.
     pub lease_ms: u64,
+    /// Time in which a change of the configuration must be in force.
+    pub change_apply_ms: u64,
+    /// Time after which an upstream that leaves must get nothing more.
+    pub departure_apply_ms: u64,
     /// Time in which a new weight version must be everywhere.
     pub weights_apply_ms: u64,
 }
@@ -99,6 +107,13 @@
         retry_window_ms: duration_ms(reader, "retry_window_s", 1000.0, DEFAULT_RETRY_WINDOW_MS),
         retry_extra: reader.optional("bounds", "retry_extra", DEFAULT_RETRY_EXTRA),
         lease_ms: duration_ms(reader, "lease_ms", 1.0, DEFAULT_LEASE_MS),
+        change_apply_ms: duration_ms(reader, "change_apply_ms", 1.0, DEFAULT_CHANGE_APPLY_MS),
+        departure_apply_ms: duration_ms(
+            reader,
+            "departure_apply_ms",
+            1.0,
+            DEFAULT_DEPARTURE_APPLY_MS,
+        ),
         weights_apply_ms: duration_ms(reader, "weights_apply_ms", 1.0, DEFAULT_WEIGHTS_APPLY_MS),
     }
 }
@@ -150,6 +165,8 @@
             "retry_window_s",
             "retry_extra",
             "lease_ms",
+            "change_apply_ms",
+            "departure_apply_ms",
             "weights_apply_ms",
         ],
         _ => &[],
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,12 +1,19 @@
 //! The HTTP client of all calls to the platform's store, engines and stores of
 //! context. Silence ends every call in bounded time.
+//!
+//! Connections that wait for the next call may have gone silent together with one on
+//! which a call was not answered in time. A client of one place gives all of them up
+//! then, so that the next call opens a new one.
 
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use log::warn;
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
 
 use crate::error::{Error, Result};
+use crate::sync::locked;
 
 /// Time in which a connection must come up: many round trips of some ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -16,39 +23,49 @@
 /// [`SILENCE_TIMEOUT`] and this.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Probes that may be lost until an idle connection ends: each takes another
+/// [`KEEPALIVE_PERIOD`].
+const KEEPALIVE_PROBES: u32 = 1;
+
+/// Whom a client calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Called {
+    /// One place, so that silence on one connection speaks against all.
+    One,
+    /// Many, which have nothing to do with each other.
+    Many,
+}
+
 /// Makes calls; `fault` says whose failure theirs is.
 #[derive(Clone)]
 pub struct Http {
-    client: Client,
+    client: Arc<Mutex<Client>>,
+    called: Called,
     fault: fn(String) -> Error,
 }
 
 impl Http {
-    /// A client.
+    /// A client of many places.
     ///
     /// # Errors
     /// Fails when the library cannot make one.
     pub fn new() -> Result<Self> {
-        let client = Client::builder()
-            .no_proxy()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_user_timeout(SILENCE_TIMEOUT)
-            .tcp_keepalive(KEEPALIVE_PERIOD)
-            .tcp_keepalive_interval(KEEPALIVE_PERIOD)
-            .build()
-            .map_err(|error| Error::Upstream(error.to_string()))?;
-        Ok(Self { client, fault: Error::Upstream })
+        let client = Arc::new(Mutex::new(build()?));
+        Ok(Self { client, called: Called::Many, fault: Error::Upstream })
     }
 
-    /// The same client, for calls whose failures are the metadata store's.
-    #[must_use]
-    pub fn to_metadata_store(&self) -> Self {
-        Self { client: self.client.clone(), fault: Error::Platform }
+    /// A client of the metadata store.
+    ///
+    /// # Errors
+    /// Fails when the library cannot make one.
+    pub fn to_metadata_store() -> Result<Self> {
+        let client = Arc::new(Mutex::new(build()?));
+        Ok(Self { client, called: Called::One, fault: Error::Platform })
     }
 
     /// A request.
     pub fn request(&self, method: Method, url: &str) -> RequestBuilder {
-        self.client.request(method, url)
+        locked(&self.client).request(method, url)
     }
 
     /// A request to read.
@@ -94,8 +111,19 @@
         self.body(self.success(answer)?).await
     }
 
+    /// Gives up the connections that wait for a call.
+    fn renew(&self) {
+        match build() {
+            Ok(client) => *locked(&self.client) = client,
+            Err(error) => warn!(target: "http", "event=client_kept cause=\"{error}\""),
+        }
+    }
+
     /// The error with its causes; the library names the call's address.
     fn failed(&self, error: &reqwest::Error) -> Error {
+        if error.is_timeout() && self.called == Called::One {
+            self.renew();
+        }
         let mut text = error.to_string();
         let mut source = std::error::Error::source(error);
         while let Some(cause) = source {
@@ -106,6 +134,18 @@
     }
 }
 
+fn build() -> Result<Client> {
+    Client::builder()
+        .no_proxy()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_user_timeout(SILENCE_TIMEOUT)
+        .tcp_keepalive(KEEPALIVE_PERIOD)
+        .tcp_keepalive_interval(KEEPALIVE_PERIOD)
+        .tcp_keepalive_retries(KEEPALIVE_PROBES)
+        .build()
+        .map_err(|error| Error::Upstream(error.to_string()))
+}
+
 /// Milliseconds that are written with a fraction, rounded down.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
 pub(super) fn whole_ms(figure_ms: f64) -> u64 {
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -12,15 +12,13 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::error::{Error, Result};
-use crate::gateway::metadata::{Change, Item, Lease, Listing, Outcome, Watched};
+use crate::gateway::metadata::{Change, Item, Lease, Listing, Outcome, Wait, Watched};
 use crate::platform::http::Http;
 
 /// Time in which a call must be answered: 250 times the usual 4 ms.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time in which a renewal must be answered: there must be time for another.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time that a watch's answer may be late.
-const WATCH_SLACK: Duration = Duration::from_secs(1);
 /// Stands for no lease.
 const NO_LEASE: u64 = 0;
 
@@ -126,13 +124,14 @@
         }
     }
 
-    /// Waits up to `wait_ms` for changes after a revision.
+    /// Waits for changes after a revision.
     ///
     /// # Errors
     /// Fails when the store does not answer as it should.
-    pub async fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Watched> {
+    pub async fn watch(&self, prefix: &str, after: u64, wait: Wait) -> Result<Watched> {
+        let Wait { wait_ms, late_ms } = wait;
         let path = format!("kv-watch?path_prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let timeout = Duration::from_millis(wait_ms) + WATCH_SLACK;
+        let timeout = Duration::from_millis(wait_ms + late_ms);
         let answer = self.call(Method::GET, &path, None::<&()>, timeout).await?;
         if answer.status() == StatusCode::GONE {
             return Ok(Watched::HistoryLost);
