Stand-ins: a path whose open connections go silent

Purpose: tests of silence need a connection on which nothing is acknowledged while new ones work. A relay that merely stops reading still has its system acknowledge bytes and probes, so that no time-out of the system shows.

--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod metadata;
 pub mod server;
+pub mod silencer;
 
 use std::fs::File;
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/standins/src/site/silencer.rs
@@ -0,0 +1,139 @@
+//! A network path to one address whose open connections can go silent, or be
+//! reset, while new ones work.
+//!
+//! A silent connection stays open and moves nothing: what arrives on it is
+//! dropped before the system acknowledges it, so that neither bytes nor probes of
+//! either side are answered, as when a device between two machines forgets a
+//! connection.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use socket2::{SockFilter, SockRef};
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::broadcast::{Receiver, Sender, channel};
+use tokio::task::JoinHandle;
+
+/// Filter that accepts no byte of any packet: "return 0".
+const DROP_ALL: (u16, u32) = (0x06, 0);
+/// Time for which a silent connection is held open: longer than any test.
+const HOLD: Duration = Duration::from_secs(600);
+/// Orders that a slow connection may be behind with.
+const ORDERS: usize = 16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Order {
+    Silence,
+    Reset,
+}
+
+/// A path to one address.
+pub struct Silencer {
+    /// Where the path begins.
+    pub address: String,
+    target: Arc<Mutex<String>>,
+    orders: Sender<Order>,
+    opened: Arc<AtomicUsize>,
+    accepting: JoinHandle<()>,
+}
+
+impl Silencer {
+    /// Opens a path to `target`.
+    ///
+    /// # Panics
+    /// Panics when no address can be had.
+    pub async fn start(target: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("address");
+        let address = listener.local_addr().expect("address").to_string();
+        let target = Arc::new(Mutex::new(target.to_owned()));
+        let (orders, _) = channel(ORDERS);
+        let opened = Arc::new(AtomicUsize::new(0));
+        let accepting =
+            tokio::spawn(accept(listener, target.clone(), orders.clone(), opened.clone()));
+        Self { address, target, orders, opened, accepting }
+    }
+
+    /// Leads new connections elsewhere; open ones stay.
+    ///
+    /// # Panics
+    /// Panics when a task has panicked under the lock.
+    pub fn lead_to(&self, target: &str) {
+        target.clone_into(&mut self.target.lock().expect("target"));
+    }
+
+    /// Silences all open connections, for ever; new ones work.
+    pub fn silence_open(&self) {
+        // Nobody listens when none is open.
+        let _ = self.orders.send(Order::Silence);
+    }
+
+    /// Resets all open connections; new ones work.
+    pub fn reset_open(&self) {
+        let _ = self.orders.send(Order::Reset);
+    }
+
+    /// Number of connections taken so far.
+    #[must_use]
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Silencer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: Arc<Mutex<String>>,
+    orders: Sender<Order>,
+    opened: Arc<AtomicUsize>,
+) {
+    while let Ok((near, _)) = listener.accept().await {
+        opened.fetch_add(1, Ordering::Relaxed);
+        let target = target.lock().expect("target").clone();
+        tokio::spawn(relay(near, target, orders.subscribe()));
+    }
+}
+
+async fn relay(mut near: TcpStream, target: String, mut orders: Receiver<Order>) {
+    let Ok(mut far) = TcpStream::connect(&target).await else {
+        return;
+    };
+    // A relay must not hold back small messages, else it would slow what it carries.
+    let prompt = near.set_nodelay(true).and(far.set_nodelay(true));
+    prompt.expect("socket option");
+    let order = tokio::select! {
+        _ = copy_bidirectional(&mut near, &mut far) => return,
+        order = orders.recv() => order,
+    };
+    match order {
+        Ok(Order::Silence) => {
+            deafen(&near);
+            deafen(&far);
+            tokio::time::sleep(HOLD).await;
+        }
+        Ok(Order::Reset) => {
+            reset(&near);
+            reset(&far);
+        }
+        // The path is gone.
+        Err(_) => {}
+    }
+}
+
+/// Has the system drop all that arrives on a connection.
+fn deafen(stream: &TcpStream) {
+    let (code, accepted_bytes) = DROP_ALL;
+    let filter = SockFilter::new(code, 0, 0, accepted_bytes);
+    SockRef::from(stream).attach_filter(&[filter]).expect("socket filter");
+}
+
+/// Has the system reset a connection when it is dropped.
+fn reset(stream: &TcpStream) {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("socket option");
+}
