Close idle connections to upstreams when one is silent

Cause: what was seen of one silent connection said nothing of the idle ones beside it, and where the system does not go by the user time-out, its own number of probes let a silent connection live for ten seconds.

Now silence of an upstream that owes answers (800 ms; seen by whoever may send again, and every 400 ms for the rest) and a time-out by the system close all idle connections, once for each silence; two probes without an answer end a connection (3 s at most).

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -4,10 +4,14 @@
 //! upstream may close an idle one at any time, and a request that crosses the
 //! close may or may not have run. Whether a byte of a request left is known
 //! here and nowhere else.
+//!
+//! Open connections may go silent while new ones work, mostly many at once. When
+//! one was found so, all that are idle are suspects and are closed: a new one
+//! costs a round trip, a request on a silent one is lost if it may run only once.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +20,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, header};
 use hyper_util::rt::TokioIo;
-use log::debug;
+use log::{debug, info};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
@@ -28,8 +32,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after which unacknowledged bytes end a connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
-/// Time between probes of a connection on which nothing moves.
-const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+/// Time between probes of a connection on which nothing moves, in seconds.
+const KEEPALIVE_S: u64 = 1;
+/// Probes without an answer that end a connection, where the system does not go by
+/// [`SILENCE_TIMEOUT`]: its own number would let silence last for ten seconds.
+const KEEPALIVE_PROBES: u32 = 2;
 /// Longest idle time when the upstream names none.
 const IDLE_MS: u64 = 3000;
 /// Margin kept to the idle time that the upstream names.
@@ -45,10 +52,31 @@
     until_ms: u64,
 }
 
-/// Connections that wait for a request, by the id of their upstream.
+/// Connections that wait for a request.
+#[derive(Default)]
+struct Pool {
+    /// By the id of their upstream.
+    idle: HashMap<String, Vec<Idle>>,
+    /// When all were closed as suspects.
+    suspected_at_ms: u64,
+}
+
+impl Pool {
+    /// Closes all; their number. Silence that began before they were closed the
+    /// last time says nothing of those that wait now.
+    fn suspect(&mut self, now_ms: u64, silent_since_ms: u64) -> Option<usize> {
+        if silent_since_ms < self.suspected_at_ms {
+            return None;
+        }
+        self.suspected_at_ms = now_ms;
+        Some(self.idle.drain().map(|(_, waiting)| waiting.len()).sum())
+    }
+}
+
+/// Connections to upstreams.
 #[derive(Default)]
 pub struct Connections {
-    idle: Mutex<HashMap<String, Vec<Idle>>>,
+    pool: Arc<Mutex<Pool>>,
 }
 
 /// Why a request was not answered.
@@ -78,9 +106,14 @@
         tune(&stream).map_err(|error| error.to_string())?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+        let pool = self.pool.clone();
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 debug!(target: "connections", "event=closed upstream={address} cause=\"{error}\"");
+                if is_timeout(&error) {
+                    // The first probe without an answer left that long ago.
+                    suspect(&pool, now_ms().saturating_sub(KEEPALIVE_S * 1000));
+                }
             }
         });
         Ok(sender)
@@ -88,8 +121,8 @@
 
     fn take_idle(&self, id: &str) -> Option<Sender> {
         let now_ms = now_ms();
-        let mut idle = locked(&self.idle);
-        let waiting = idle.get_mut(id)?;
+        let mut pool = locked(&self.pool);
+        let waiting = pool.idle.get_mut(id)?;
         while let Some(one) = waiting.pop() {
             if one.until_ms > now_ms && one.sender.is_ready() {
                 return Some(one.sender);
@@ -116,24 +149,45 @@
 
     fn push(&self, id: &str, sender: Sender, idle_ms: u64) {
         let until_ms = now_ms() + idle_ms;
-        locked(&self.idle).entry(id.to_owned()).or_default().push(Idle { sender, until_ms });
+        locked(&self.pool).idle.entry(id.to_owned()).or_default().push(Idle { sender, until_ms });
     }
 
     /// Closes connections that have been idle for long.
     pub fn tidy(&self, now_ms: u64) {
-        let mut idle = locked(&self.idle);
-        for waiting in idle.values_mut() {
+        let mut pool = locked(&self.pool);
+        for waiting in pool.idle.values_mut() {
             waiting.retain(|one| one.until_ms > now_ms && !one.sender.is_closed());
         }
-        idle.retain(|_, waiting| !waiting.is_empty());
+        pool.idle.retain(|_, waiting| !waiting.is_empty());
+    }
+
+    /// Closes all idle connections, since one to an upstream is silent.
+    pub fn suspect(&self, silent_since_ms: u64) {
+        suspect(&self.pool, silent_since_ms);
     }
 
     /// Closes the idle connections to an upstream.
     pub fn forget(&self, id: &str) {
-        locked(&self.idle).remove(id);
+        locked(&self.pool).idle.remove(id);
     }
 }
 
+fn suspect(pool: &Mutex<Pool>, silent_since_ms: u64) {
+    let closed = locked(pool).suspect(now_ms(), silent_since_ms);
+    if let Some(count) = closed.filter(|count| *count > 0) {
+        info!(target: "connections",
+            "event=connections_suspected closed={count} silent_since_ms={silent_since_ms}");
+        metrics::counter!("coursestile_connections_suspected_total").increment(count as u64);
+    }
+}
+
+/// Whether the system gave a connection up for its silence.
+fn is_timeout(error: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(error);
+    let cause = cause.and_then(|cause| cause.downcast_ref::<std::io::Error>());
+    cause.is_some_and(|cause| cause.kind() == std::io::ErrorKind::TimedOut)
+}
+
 /// Sends a request and waits for the head of its answer.
 ///
 /// # Errors
@@ -169,7 +223,9 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_PERIOD).with_interval(KEEPALIVE_PERIOD);
+    let period = Duration::from_secs(KEEPALIVE_S);
+    let keepalive =
+        TcpKeepalive::new().with_time(period).with_interval(period).with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -110,11 +110,18 @@
         }
     }
 
-    /// Whether the upstream owes answers and has said nothing for long.
+    /// Whether the upstream owes answers and has said nothing for long. If so, idle
+    /// connections are suspects: the next attempt would meet one.
     #[must_use]
     pub fn is_silent(&self) -> bool {
         let state = self.gateway.state();
-        state.upstreams.get(&self.id).is_none_or(|upstream| upstream.is_silent(now_ms()))
+        let Some(upstream) = state.upstreams.get(&self.id) else { return true };
+        let since_ms = upstream.silent_since_ms(now_ms());
+        drop(state);
+        if let Some(since_ms) = since_ms {
+            self.gateway.connections.suspect(since_ms);
+        }
+        since_ms.is_some()
     }
 
     /// Whether the upstream is to load weights, and gets no more work.
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -1,7 +1,8 @@
 //! Looks whether upstreams that could not be reached are there again.
 //!
 //! A connection costs no request: what may run only once is not risked on an
-//! upstream that is dark.
+//! upstream that is dark. Nor is it risked on idle connections beside one that is
+//! silent.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,7 +30,9 @@
 
 fn unreachable(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
     let mut state = gateway.state();
-    state.upstreams.suspect_silent(now_ms());
+    if let Some(silent_since_ms) = state.upstreams.suspect_silent(now_ms()) {
+        gateway.connections.suspect(silent_since_ms);
+    }
     let unreachable = state.upstreams.current().filter(|one| one.is_unreachable());
     unreachable.map(|one| (one.id.clone(), one.entry.address)).collect()
 }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -143,10 +143,14 @@
     /// Whether it owes answers and has said nothing for long.
     #[must_use]
     pub fn is_silent(&self, now_ms: u64) -> bool {
-        let Some(since_ms) = self.owes_since_ms else {
-            return false;
-        };
-        now_ms.saturating_sub(since_ms.max(self.heard_at_ms)) > SILENT_MS
+        self.silent_since_ms(now_ms).is_some()
+    }
+
+    /// Since when it owes answers and has said nothing, if that is long.
+    #[must_use]
+    pub fn silent_since_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.owes_since_ms?.max(self.heard_at_ms);
+        (now_ms.saturating_sub(since_ms) > SILENT_MS).then_some(since_ms)
     }
 
     /// Whether no connection to it came up; it gets no work until one does.
@@ -266,13 +270,17 @@
     }
 
     /// Notes those that owe answers and say nothing; they get no work until a
-    /// connection to them comes up.
-    pub fn suspect_silent(&mut self, now_ms: u64) {
+    /// connection to them comes up. Since when the one that fell silent last has
+    /// said nothing.
+    pub fn suspect_silent(&mut self, now_ms: u64) -> Option<u64> {
+        let mut last_ms = None;
         for upstream in self.by_id.values_mut() {
-            if upstream.is_silent(now_ms) {
+            if let Some(since_ms) = upstream.silent_since_ms(now_ms) {
                 upstream.unreachable = true;
+                last_ms = last_ms.max(Some(since_ms));
             }
         }
+        last_ms
     }
 
     /// Takes an upstream out; what runs there goes on.
