A peer that gossips and never answers: a test, red

Cause: who is behind asks the peer of its hall that knows the newest change. If that one takes connections and never answers, the box asks it again after each 800 ms for as long as its gossip arrives, and never another: in other_peer_asked the new configuration is not in force after 20 s.

--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -4,16 +4,24 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use common::{Scene, scene};
+use common::{Scene, scene, wait_ready};
+use coursestile::gateway::gossip::Datagram;
+use coursestile::gateway::gossip_message::Gossip;
+use coursestile::gateway::upstreams::number;
+use coursestile::gateway::view::Mark;
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Server, WORK_HEADER};
 use coursestile_standins::site::silencer::Silencer;
-use coursestile_standins::site::{entry, eventually};
+use coursestile_standins::site::{document, entry, eventually};
 use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// A path whose open connections are silenced passes nothing on them, shows a
@@ -194,3 +202,74 @@
     while upstream.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
     since.elapsed()
 }
+
+/// A box was cut from the store. The peer that knew the newest change still gossiped,
+/// but took connections without ever answering; the box asked it again and again,
+/// and never the other peer that knew the change too.
+#[tokio::test]
+async fn other_peer_asked() {
+    let mut scene = scene(1).await;
+    let store = Silencer::start(&scene.site.metadata.address).await;
+    let cut = scene.site.gateway_at("north", &[&scene.gateway], &store.address);
+    wait_ready(&cut).await;
+    let deaf = DeafPeer::start(&cut.peers).await;
+    eventually("it is asked", async || deaf.asked() > 0).await;
+    store.lead_to("127.0.0.1:1");
+    store.reset_open();
+    scene.site.configure(&document(8));
+    let since = Instant::now();
+    let in_force = async || cut.logged().contains("configuration_in_force version=8");
+    eventually("it is in force", in_force).await;
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    assert!(scene.gateway.is_alive());
+}
+
+/// A peer that gossips of much that it knows, and takes connections without ever
+/// answering.
+struct DeafPeer {
+    asked: Arc<AtomicUsize>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl DeafPeer {
+    /// Starts one that tells the box at an address, in whose network it is.
+    async fn start(told: &str) -> Self {
+        let told: SocketAddr = told.parse().expect("address");
+        let IpAddr::V4(ip) = told.ip() else { panic!("it is IPv4") };
+        let [first, second, third, _] = ip.octets();
+        let own = SocketAddr::from(([first, second, third, 200], told.port()));
+        let socket = UdpSocket::bind(own).await.expect("address");
+        let listener = TcpListener::bind(own).await.expect("address");
+        let mark = Mark { changed_revision: 1_000_000, checksum: 1 };
+        let gossip = Gossip { incarnation: 1, hall: number("north"), mark, ..Gossip::default() };
+        let datagram = postcard::to_stdvec(&Datagram::Gossip(gossip)).expect("datagram");
+        let telling = tokio::spawn(async move {
+            loop {
+                socket.send_to(&datagram, told).await.expect("send");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        let asked = Arc::new(AtomicUsize::new(0));
+        let count = asked.clone();
+        let taking = tokio::spawn(async move {
+            let mut taken = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::Relaxed);
+                taken.push(stream);
+            }
+        });
+        Self { asked, tasks: [telling, taking] }
+    }
+
+    fn asked(&self) -> usize {
+        self.asked.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for DeafPeer {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
