Ask a peer that did not answer only when no other knows more

Cause: the peer that is asked was chosen by hall and revision alone, so that one whose gossip arrives and which answers no connection was asked for ever. Now one that was asked in vain is asked last for 2 s: a box that is behind waits 0.8 s for the first, 0.1 to 0.3 s until the next look, and asks another.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -235,7 +235,10 @@
                 follow::take_from_peer(&gateway, told);
                 gateway.behind.notify_one();
             }
-            Err(error) => info!(target: "gossip", "event=catch_up_failed cause=\"{error}\""),
+            Err(error) => {
+                info!(target: "gossip", "event=catch_up_failed cause=\"{error}\"");
+                gateway.state().peers.unanswered(now_ms(), peer.ip());
+            }
         }
         sleep(CATCH_UP_PAUSE).await;
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -32,6 +32,9 @@
 /// Time for which a peer must have known more before it is asked: the store's
 /// own change is usually on its way.
 const BEHIND_MS: u64 = 300;
+/// Time for which a peer that was asked and did not answer is asked only when no
+/// other knows more: the rest of it would pass with asking the same one again.
+const UNANSWERED_MS: u64 = 2000;
 /// Time in which the peers that a first one names answer, and name others.
 const LEARN_MS: u64 = 200;
 /// Peers that are asked at once to renew a lease: one may be gone by now.
@@ -64,6 +67,8 @@
     heard_at_ms: u64,
     gossip: Gossip,
     ahead_since_ms: Option<u64>,
+    /// Until when others are asked first.
+    asked_last_until_ms: u64,
     /// Whether it was told of this box at least once.
     told: bool,
 }
@@ -152,11 +157,19 @@
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + least_ms)
         });
         let (address, _) = ahead.max_by_key(|(_, peer)| {
-            (peer.gossip.hall == self.own.hall, peer.gossip.mark.changed_revision)
+            let answers = now_ms >= peer.asked_last_until_ms;
+            (answers, peer.gossip.hall == self.own.hall, peer.gossip.mark.changed_revision)
         })?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 
+    /// Notes that a peer was asked and did not answer: its gossip may still arrive.
+    pub fn unanswered(&mut self, now_ms: u64, address: IpAddr) {
+        if let Some(peer) = self.known.get_mut(&address) {
+            peer.asked_last_until_ms = now_ms + UNANSWERED_MS;
+        }
+    }
+
     /// Whether the size of the fleet can be told by the peers that are known.
     #[must_use]
     pub fn is_fleet_known(&self, now_ms: u64) -> bool {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -212,3 +212,26 @@
     let told: Vec<u64> = told.filter(|(_, targets)| !targets.is_empty()).map(|one| one.0).collect();
     assert_eq!(told, [270, 540, 810, 1080, 1350, 1620]);
 }
+
+/// A peer of the own hall took connections and never answered; its gossip arrived,
+/// and no other was asked.
+#[test]
+fn unanswered_last() {
+    let mut peers = Peers::new(own(), &[]);
+    let mut tell = |hall: u32| {
+        let mark = Mark { changed_revision: 9, checksum: 2 };
+        let gossip = Gossip { incarnation: 1, hall, mark, ..Gossip::default() };
+        peers.hear(1000, address(hall, 1), gossip, Mark::default());
+    };
+    tell(HALL);
+    tell(OTHER_HALL);
+    let asked = |peers: &Peers, now_ms: u64| {
+        peers.ahead(now_ms, Mark::default(), StoreLink::Fails).map(|found| found.ip())
+    };
+    assert_eq!(asked(&peers, 1000), Some(address(HALL, 1)));
+    peers.unanswered(1000, address(HALL, 1));
+    assert_eq!(asked(&peers, 1000), Some(address(OTHER_HALL, 1)));
+    peers.unanswered(1000, address(OTHER_HALL, 1));
+    assert_eq!(asked(&peers, 1000), Some(address(HALL, 1)), "one is asked in any case");
+    assert_eq!(asked(&peers, 3000), None, "both are silent by now");
+}
