Have the system time out connections on which boxes tell of the stores

Cause: the teller writes some bytes twice a second to a subscriber whose connection fell silent, and the system repeats them for a quarter of an hour; each such connection keeps a task and a descriptor meanwhile. Now the same bounds hold as for upstreams: 1.8 s for bytes, 3 s for probes.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::connections::tune;
 use crate::gateway::follow;
 use crate::gateway::gossip_message::{Gossip, ToldLoad, told_loads};
 use crate::gateway::kernel::{Gateway, State};
@@ -284,6 +285,8 @@
 
 async fn answer(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
     let unreadable = |error: postcard::Error| Error::Message(error.to_string());
+    // Else bytes for a subscriber that fell silent would wait for a quarter of an hour.
+    tune(stream).map_err(|error| Error::Message(error.to_string()))?;
     let mut question = Vec::new();
     let mut limited = (&mut *stream).take(MAX_QUESTION_BYTES);
     in_time(timeout(SNAPSHOT_TIMEOUT, limited.read_to_end(&mut question)).await)?;
