Bound a peer's answer by the time in which a change must be in force

Cause: 800 ms suit the bounds of the deployments that are known; where a change must be in force within a second, a silent peer would take all of it. Now a peer may take two fifths of the shorter bound, 800 ms at most: the same as before at 2000 ms and 3000 ms.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,6 +19,7 @@
 use crate::gateway::leader::LOADING_GOSSIP_MS;
 use crate::gateway::peers::{Audience, GOSSIP_PERIOD_MS};
 use crate::gateway::renewal::{RenewalReply, RenewalRequest, renew_for_peer};
+use crate::gateway::settings::Bounds;
 use crate::gateway::store_updates::publish;
 use crate::gateway::upstreams::number;
 use crate::gateway::view::{CatchUp, Mark};
@@ -28,8 +29,11 @@
 const MAX_DATAGRAM_BYTES: usize = 8192;
 /// Longest snapshot that is read: the store's largest value and its upstreams.
 const MAX_SNAPSHOT_BYTES: u64 = 8 << 20;
-/// Time in which a peer must send a snapshot.
+/// Longest time in which a peer must send a snapshot.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Part, in percent, of the time in which a change must be in force that one peer may
+/// take: if it is silent, there must be time for another.
+const SNAPSHOT_PERCENT: u64 = 40;
 /// Least time between two messages: changes meanwhile are told together.
 const LEAST_PERIOD: Duration = Duration::from_millis(20);
 /// Pause after a socket that failed, so that a lasting fault does not spin.
@@ -231,7 +235,7 @@
             (state.peers.ahead(now_ms(), own, state.store_link()), own)
         };
         let Some(peer) = peer else { continue };
-        match fetch(peer, own).await {
+        match fetch(peer, own, snapshot_timeout(&gateway.settings.bounds)).await {
             Ok(told) => {
                 follow::take_from_peer(&gateway, told);
                 gateway.behind.notify_one();
@@ -245,7 +249,12 @@
     }
 }
 
-async fn fetch(peer: SocketAddr, own: Mark) -> Result<CatchUp> {
+fn snapshot_timeout(bounds: &Bounds) -> Duration {
+    let change_ms = bounds.change_apply_ms.min(bounds.departure_apply_ms);
+    SNAPSHOT_TIMEOUT.min(Duration::from_millis(change_ms * SNAPSHOT_PERCENT / 100))
+}
+
+async fn fetch(peer: SocketAddr, own: Mark, longest: Duration) -> Result<CatchUp> {
     let question = postcard::to_stdvec(&Question::CatchUp(own))
         .map_err(|error| Error::Message(error.to_string()))?;
     let read = async {
@@ -256,7 +265,7 @@
         stream.take(MAX_SNAPSHOT_BYTES).read_to_end(&mut bytes).await?;
         std::io::Result::Ok(bytes)
     };
-    let bytes = timeout(SNAPSHOT_TIMEOUT, read)
+    let bytes = timeout(longest, read)
         .await
         .map_err(|_| Error::Message(format!("{peer}: no snapshot in time")))?
         .map_err(|error| Error::Message(format!("{peer}: {error}")))?;
