--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -1,11 +1,27 @@
 //! Open connections that go silent: the other side lives and takes new ones, but
 //! nothing moves on the old, and nothing says so.
 
+#[path = "common/site.rs"]
+mod common;
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use common::{Scene, scene, wait_ready};
+use coursestile::gateway::gossip::Datagram;
+use coursestile::gateway::gossip_message::Gossip;
+use coursestile::gateway::upstreams::number;
+use coursestile::gateway::view::Mark;
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::server::{Server, WORK_HEADER};
 use coursestile_standins::site::silencer::Silencer;
+use coursestile_standins::site::{document, entry, eventually};
+use futures_util::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 /// A path whose open connections are silenced passes nothing on them, shows a
@@ -48,3 +64,212 @@
     let read = timeout(Duration::from_millis(300), stream.read_exact(&mut answer));
     matches!(read.await, Ok(Ok(_)))
 }
+
+/// A scene whose upstreams are reached by paths that can be silenced.
+struct Paths {
+    scene: Scene,
+    paths: Vec<Silencer>,
+}
+
+impl Paths {
+    async fn start(upstreams: usize) -> Self {
+        let scene = scene(0).await;
+        Self::lead(scene, upstreams).await
+    }
+
+    async fn lead(mut scene: Scene, upstreams: usize) -> Self {
+        let mut paths = Vec::new();
+        for number in 0..upstreams {
+            let server = Server::start(&format!("s-{number}")).await;
+            let path = Silencer::start(&server.address).await;
+            scene.site.enter(&server.id, &entry("plain", &path.address, "ready"));
+            let seen = format!("upstream_seen upstream={}", server.id);
+            eventually("it is known", async || scene.gateway.logged().contains(&seen)).await;
+            scene.servers.push(server);
+            paths.push(path);
+        }
+        Self { scene, paths }
+    }
+
+    /// Has some connections to each upstream open and idle.
+    async fn warm(&self) {
+        let requests = (0..4 * self.paths.len()).map(async |number| {
+            let id = format!("w-{number}");
+            self.send("GET", "/safe/", &id, "100").await
+        });
+        assert!(join_all(requests).await.iter().all(|status| *status == 200));
+        assert!(self.paths.iter().all(|path| path.opened() > 1));
+    }
+
+    fn silence(&self) {
+        for path in &self.paths {
+            path.silence_open();
+        }
+    }
+
+    async fn send(&self, method: &str, path: &str, id: &str, work_ms: &str) -> u16 {
+        let extra = format!("{WORK_HEADER}: {work_ms}\r\n");
+        let bytes = request(method, path, id, &extra, "");
+        self.scene.raw(&bytes).await.expect("an answer").status()
+    }
+}
+
+/// All connections to upstreams went silent at once. A request that may run only
+/// once was lost on the first; the box then sent others on idle connections to the
+/// other upstreams, which were as silent, though it had seen the first one's silence.
+#[tokio::test]
+async fn idle_suspected() {
+    let paths = Paths::start(3).await;
+    paths.warm().await;
+    paths.silence();
+    let lost = paths.send("POST", "/once/", "r-lost", "0");
+    let later = async {
+        // Long enough for the silence of the first to be seen, and less than the
+        // time for which idle connections are kept.
+        tokio::time::sleep(Duration::from_millis(1400)).await;
+        let requests = (0..9).map(async |number| {
+            let id = format!("r-{number}");
+            paths.send("POST", "/once/", &id, "50").await
+        });
+        join_all(requests).await
+    };
+    let (lost, later) = tokio::join!(lost, later);
+    assert_eq!(lost, 502, "it may have run");
+    assert_eq!(later, [200; 9]);
+}
+
+/// A request that may run again met a silent connection. It was sent to another
+/// upstream after 800 ms, on an idle connection that was silent too, and so on.
+#[tokio::test]
+async fn repeat_on_new() {
+    let paths = Paths::start(3).await;
+    paths.warm().await;
+    paths.silence();
+    let since = Instant::now();
+    assert_eq!(paths.send("GET", "/safe/", "r-1", "0").await, 200);
+    assert!(since.elapsed() < Duration::from_millis(1400), "{:?}", since.elapsed());
+}
+
+/// No request was under way when the connections went silent: the box finds out by
+/// probes within two seconds, and what comes then goes by new ones.
+#[tokio::test]
+async fn probes_find_silence() {
+    let paths = Paths::start(2).await;
+    paths.warm().await;
+    paths.silence();
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let requests = (0..6).map(async |number| {
+        let id = format!("r-{number}");
+        paths.send("POST", "/once/", &id, "50").await
+    });
+    assert_eq!(join_all(requests).await, [200; 6]);
+}
+
+/// A caller's connection went silent while its request ran. Its place and the run at
+/// the upstream were held until probes showed the silence.
+#[tokio::test]
+async fn silent_caller_freed() {
+    let held = held_by_caller(Silencer::silence_open).await;
+    assert!(held < Duration::from_millis(2500), "{held:?}");
+}
+
+/// A caller's connection was reset while its request ran.
+#[tokio::test]
+async fn reset_caller_freed() {
+    let held = held_by_caller(Silencer::reset_open).await;
+    assert!(held < Duration::from_millis(500), "{held:?}");
+}
+
+/// How long the connection to an upstream is held after a caller's connection met
+/// with `fault`.
+async fn held_by_caller(fault: fn(&Silencer)) -> Duration {
+    let scene = scene(0).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("address");
+    let address = listener.local_addr().expect("address").to_string();
+    scene.site.enter("s-0", &entry("plain", &address, "ready"));
+    let known = async || scene.gateway.logged().contains("upstream_seen upstream=s-0");
+    eventually("it is known", known).await;
+    let callers = Silencer::start(&scene.gateway.clients).await;
+    let mut client = Client::connect(&callers.address).await;
+    let patient = "X-Deadline-Ms: 20000\r\n";
+    client.write(&request("POST", "/once/", "r-1", patient, "")).await;
+    let (mut upstream, _) = listener.accept().await.expect("connection");
+    let mut bytes = [0; 4096];
+    assert!(upstream.read(&mut bytes).await.expect("request") > 0);
+    fault(&callers);
+    let since = Instant::now();
+    // A read ends when the gateway closes.
+    while upstream.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
+    since.elapsed()
+}
+
+/// A box was cut from the store. The peer that knew the newest change still gossiped,
+/// but took connections without ever answering; the box asked it again and again,
+/// and never the other peer that knew the change too.
+#[tokio::test]
+async fn other_peer_asked() {
+    let mut scene = scene(1).await;
+    let store = Silencer::start(&scene.site.metadata.address).await;
+    let cut = scene.site.gateway_at("north", &[&scene.gateway], &store.address);
+    wait_ready(&cut).await;
+    let deaf = DeafPeer::start(&cut.peers).await;
+    eventually("it is asked", async || deaf.asked() > 0).await;
+    store.lead_to("127.0.0.1:1");
+    store.reset_open();
+    scene.site.configure(&document(8));
+    let since = Instant::now();
+    let in_force = async || cut.logged().contains("configuration_in_force version=8");
+    eventually("it is in force", in_force).await;
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    assert!(scene.gateway.is_alive());
+}
+
+/// A peer that gossips of much that it knows, and takes connections without ever
+/// answering.
+struct DeafPeer {
+    asked: Arc<AtomicUsize>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl DeafPeer {
+    /// Starts one that tells the box at an address, in whose network it is.
+    async fn start(told: &str) -> Self {
+        let told: SocketAddr = told.parse().expect("address");
+        let IpAddr::V4(ip) = told.ip() else { panic!("it is IPv4") };
+        let [first, second, third, _] = ip.octets();
+        let own = SocketAddr::from(([first, second, third, 200], told.port()));
+        let socket = UdpSocket::bind(own).await.expect("address");
+        let listener = TcpListener::bind(own).await.expect("address");
+        let mark = Mark { changed_revision: 1_000_000, checksum: 1 };
+        let gossip = Gossip { incarnation: 1, hall: number("north"), mark, ..Gossip::default() };
+        let datagram = postcard::to_stdvec(&Datagram::Gossip(gossip)).expect("datagram");
+        let telling = tokio::spawn(async move {
+            loop {
+                socket.send_to(&datagram, told).await.expect("send");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        let asked = Arc::new(AtomicUsize::new(0));
+        let count = asked.clone();
+        let taking = tokio::spawn(async move {
+            let mut taken = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::Relaxed);
+                taken.push(stream);
+            }
+        });
+        Self { asked, tasks: [telling, taking] }
+    }
+
+    fn asked(&self) -> usize {
+        self.asked.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for DeafPeer {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
