Tests: connections that go silent while both ends stay up

The stand-in for the network could be cut, which both ends notice at once. It can now silence its open connections (both ends stay up, bytes go nowhere) and lose what is sent for a while; a fleet can have a relay on each kind of way.

--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -47,6 +47,10 @@
     pub corrupt_reads: bool,
     /// Refuses every order.
     pub refuse_orders: bool,
+    /// How often the open connections of a wire were silenced.
+    pub silences: u64,
+    /// A wire loses what is sent.
+    pub dark: bool,
     /// Ends the process.
     pub die: bool,
 }
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod plan;
 mod process;
+mod relays;
 mod starter;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,8 @@
 
 pub use plan::{HallPlan, Plan};
 pub use process::Process;
+pub use relays::Kind;
+use relays::Relays;
 use starter::Starter;
 
 use crate::loopback::Network;
@@ -54,6 +57,8 @@
     pub workers: Vec<Process>,
     /// Wires between halls, one for each direction, named `from-to`.
     pub wires: Vec<Process>,
+    /// Relays on the ways of boxes, if the plan has them.
+    pub relays: Relays,
     /// Client for calls.
     pub http: reqwest::Client,
     dir: PathBuf,
@@ -96,6 +101,7 @@
             stores: Vec::new(),
             workers: Vec::new(),
             wires: Vec::new(),
+            relays: Relays::default(),
             http: reqwest::Client::new(),
             dir,
             _network: network,
@@ -143,14 +149,18 @@
                 hosts.push((name, hall.name.clone(), starter.address()));
             }
         }
-        let routes = self.start_wires(starter, &plan, &hosts);
+        let mut routes = self.start_wires(starter, &plan, &hosts);
+        if plan.relays {
+            let all = self.start_relays(starter, &hosts);
+            routes = plan.halls.iter().map(|hall| (hall.name.clone(), all.clone())).collect();
+        }
         let seeds: Vec<_> = hosts.iter().map(|(_, _, host)| format!("{host}:7000")).collect();
         for (name, hall, host) in &hosts {
             let upstreams = self.upstream_settings(&plan, hall);
-            let platform = &self.platform;
+            let platform = self.relays.way(&self.platform);
             let routes = routes.get(hall).map_or("", String::as_str);
             let peers = format!("seeds = {}\nroutes = {routes}", seeds.join(", "));
-            let settings = starter.settings(name, hall, host, &peers, platform, &upstreams);
+            let settings = starter.settings(name, hall, host, &peers, &platform, &upstreams);
             self.boxes.push(starter.entry_box(name, hall, host, &settings));
         }
     }
@@ -201,7 +211,7 @@
                 "[upstream.{}]\nkind = engine\nurl = {}\nmodel = summary\nslots = {}\ncache_tokens = {}\n\
                  prefill_token_us = 30\nchecks_orders = {}\n",
                 engine.name,
-                engine.url(),
+                self.relays.way(engine),
                 plan.slots,
                 plan.cache_tokens,
                 plan.checks_orders
@@ -214,7 +224,7 @@
                 "[upstream.{}]\nkind = store\nurl = {}\ncapacity_bytes = {share}\n\
                  link_bytes_per_ms = {}\n",
                 store.name,
-                store.url(),
+                self.relays.way(store),
                 plan.link_bytes_per_ms
             );
         }
@@ -227,7 +237,7 @@
                 "[upstream.{}]\nkind = service\nurl = {}\nservice = scores\n\
                  repeatable = /fixtures\n",
                 worker.name,
-                worker.url()
+                self.relays.way(worker)
             );
         }
         text
@@ -235,6 +245,7 @@
 
     async fn wait_started(&self) {
         let upstreams = self.engines.iter().chain(&self.stores).chain(&self.wires);
+        let upstreams = upstreams.chain(self.relays.processes());
         for process in upstreams.chain(&self.workers) {
             self.wait_for(&format!("{}/fault", process.url())).await;
         }
--- a/standins/src/fleet/plan.rs
+++ b/standins/src/fleet/plan.rs
@@ -48,6 +48,9 @@
     pub checks_orders: bool,
     /// Whether messages between halls go over wires that can be cut.
     pub wires: bool,
+    /// Whether boxes reach the platform, each other and upstreams over relays
+    /// that can be silenced.
+    pub relays: bool,
 }
 
 impl Plan {
@@ -67,6 +70,7 @@
             limits: String::new(),
             checks_orders: true,
             wires: false,
+            relays: false,
         }
     }
 
--- /dev/null
+++ b/standins/src/fleet/relays.rs
@@ -0,0 +1,118 @@
+//! Relays on the ways from boxes to the platform, to each other and to upstreams.
+//!
+//! One for each kind of way, so that the connections of a kind can be silenced
+//! while both their ends stay up.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde_json::json;
+
+use super::starter::Starter;
+use super::{Fleet, Process};
+
+/// A kind of way that boxes' connections take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// To the platform's service.
+    Platform,
+    /// To other boxes.
+    Peers,
+    /// To model engines.
+    Engines,
+    /// To context stores.
+    Stores,
+    /// To workers of the plain service.
+    Workers,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 5] =
+        [Self::Platform, Self::Peers, Self::Engines, Self::Stores, Self::Workers];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Platform => "relay-platform",
+            Self::Peers => "relay-peers",
+            Self::Engines => "relay-engines",
+            Self::Stores => "relay-stores",
+            Self::Workers => "relay-workers",
+        }
+    }
+}
+
+/// The relays of a fleet, and the ways over them.
+#[derive(Default)]
+pub struct Relays {
+    by_kind: BTreeMap<Kind, Process>,
+    ways: BTreeMap<String, String>,
+    silences: AtomicU64,
+}
+
+impl Relays {
+    /// URL at which boxes reach a process.
+    pub(super) fn way(&self, process: &Process) -> String {
+        self.ways.get(&process.address).map_or_else(|| process.url(), |way| format!("http://{way}"))
+    }
+
+    /// All relays.
+    pub(super) fn processes(&self) -> impl Iterator<Item = &Process> {
+        self.by_kind.values()
+    }
+
+    fn start(&mut self, starter: &mut Starter<'_>, kind: Kind, addresses: Vec<String>) {
+        let mut pairs = Vec::new();
+        for address in addresses {
+            let way = format!("{}:7000", starter.address());
+            pairs.push(format!("{way}>{address}"));
+            self.ways.insert(address, way);
+        }
+        let pairs = ("pairs".to_owned(), pairs.join(","));
+        self.by_kind.insert(kind, starter.standin("wire", kind.name(), "", &[pairs]));
+    }
+}
+
+impl Fleet {
+    /// Starts a relay for each kind of way; returns the routes to all boxes.
+    pub(super) fn start_relays(
+        &mut self,
+        starter: &mut Starter<'_>,
+        hosts: &[(String, String, String)],
+    ) -> String {
+        let boxes: Vec<_> = hosts.iter().map(|(_, _, host)| format!("{host}:7000")).collect();
+        for kind in Kind::ALL {
+            let addresses = match kind {
+                Kind::Platform => vec![self.platform.address.clone()],
+                Kind::Peers => boxes.clone(),
+                Kind::Engines => addresses(&self.engines),
+                Kind::Stores => addresses(&self.stores),
+                Kind::Workers => addresses(&self.workers),
+            };
+            self.relays.start(starter, kind, addresses);
+        }
+        let ways = boxes.iter().map(|address| format!("{address}>{}", self.relays.ways[address]));
+        ways.collect::<Vec<_>>().join(", ")
+    }
+
+    /// Silences the connections of a kind that are open; later ones are sound.
+    ///
+    /// # Panics
+    /// Panics when the fleet has no relays.
+    pub async fn silence(&self, kind: Kind) {
+        let silences = self.relays.silences.fetch_add(1, Ordering::Relaxed) + 1;
+        self.fault(&self.relays.by_kind[&kind], json!({ "silences": silences })).await;
+    }
+
+    /// Has a relay lose what is sent, or no more.
+    ///
+    /// # Panics
+    /// Panics when the fleet has no relays.
+    pub async fn darken(&self, kind: Kind, dark: bool) {
+        self.fault(&self.relays.by_kind[&kind], json!({ "dark": dark })).await;
+    }
+}
+
+fn addresses(processes: &[Process]) -> Vec<String> {
+    processes.iter().map(|process| process.address.clone()).collect()
+}
--- a/standins/src/fleet/starter.rs
+++ b/standins/src/fleet/starter.rs
@@ -52,17 +52,15 @@
         hall: &str,
         host: &str,
         peers: &str,
-        platform: &Process,
+        platform_url: &str,
         upstreams: &str,
     ) -> String {
         format!(
             "[box]\nname = {name}\nhall = {hall}\nregion = home\ncallers = {host}:8000\n\
              operators = {host}:9000\npeers = {host}:7000\n{peers}\n\
-             cluster_key = {CLUSTER_KEY}\n\n[platform]\nurl = {}\n\n[policy]\n{}\n\n\
+             cluster_key = {CLUSTER_KEY}\n\n[platform]\nurl = {platform_url}\n\n[policy]\n{}\n\n\
              [limits]\n{}\n\n{upstreams}",
-            platform.url(),
-            self.plan.policy,
-            self.plan.limits
+            self.plan.policy, self.plan.limits
         )
     }
 }
--- /dev/null
+++ b/tests/silence.rs
@@ -0,0 +1,97 @@
+//! Connections that go silent while both their ends stay up are noticed, and a
+//! change is in force at each box in time all the same.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{check_completion, completion, fleet};
+use coursestile_standins::fleet::{Fleet, HallPlan, Kind, Plan};
+use futures_util::future::join_all;
+
+const KEY: &str = "sanam-key";
+/// Time in which a change is promised to be in force at each box.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(15);
+/// Requests at once, so that connections stay open for later ones.
+const AT_ONCE: usize = 6;
+
+/// Two halls, with a box in each that does not watch the platform.
+async fn two_halls() -> Fleet {
+    let halls = ["north", "east"].map(|name| HallPlan::new(name, 3, 2, 1));
+    fleet(&Plan { relays: true, ..Plan::new(halls.to_vec()) }).await
+}
+
+async fn change_share(fleet: &Fleet, share: &str) {
+    fleet.must_operate(&["account", "set", "petra", "--share", share]);
+}
+
+/// Waits for `revision` at all boxes, for as long as is promised.
+async fn wait_in_time(fleet: &Fleet, revision: u64) {
+    let until = Instant::now() + IN_FORCE_WITHIN;
+    for entry_box in &fleet.boxes {
+        let name = &entry_box.process.name;
+        loop {
+            let status = fleet.status(entry_box).await.unwrap_or_default();
+            if status["revision"].as_u64() >= Some(revision) {
+                break;
+            }
+            assert!(Instant::now() < until, "{name} is behind: {}", status["revision"]);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Opens several connections to each upstream.
+async fn warm_up(fleet: &Fleet) {
+    let boxes = 0..fleet.boxes.len();
+    let all = boxes.flat_map(|at| (0..AT_ONCE).map(move |number| (at, number)));
+    join_all(all.map(|(at, number)| async move {
+        check_completion(fleet, at, KEY, &format!("Who scored {number}?"), 5).await;
+    }))
+    .await;
+}
+
+// A change had just answered the watches of all boxes, which were sent again, when
+// the connections to the platform went silent. Each watch waited for twenty seconds
+// and more; no box could tell the others of the next change, since none had it.
+#[tokio::test]
+async fn watches_silenced() {
+    let fleet = two_halls().await;
+    change_share(&fleet, "2").await;
+    wait_in_time(&fleet, 5).await;
+    fleet.silence(Kind::Platform).await;
+    change_share(&fleet, "3").await;
+    wait_in_time(&fleet, 6).await;
+}
+
+// The platform fell silent as a change came, and answered again a second later. The
+// answers to the watches were lost, and each watch hung for its whole wait.
+#[tokio::test]
+async fn platform_dark() {
+    let fleet = two_halls().await;
+    fleet.darken(Kind::Platform, true).await;
+    change_share(&fleet, "2").await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.darken(Kind::Platform, false).await;
+    wait_in_time(&fleet, 5).await;
+}
+
+// The connections to the engines went silent, those kept for later requests among
+// them. Each request that met one waited 2.5 s for its first piece, and the next try
+// was given another silent connection.
+#[tokio::test]
+async fn engines_silenced() {
+    let fleet = two_halls().await;
+    warm_up(&fleet).await;
+    fleet.silence(Kind::Engines).await;
+    let boxes = 0..fleet.boxes.len();
+    let asked = boxes.flat_map(|at| (0..AT_ONCE).map(move |number| (at, number)));
+    let answers = asked.map(|(at, number)| {
+        completion(&fleet, at, KEY, &format!("Who saved {number}?"), 5)
+            .header("x-timeout-ms", 15_000)
+            .send()
+    });
+    let statuses = join_all(answers).await.into_iter().map(|answer| answer.unwrap().status());
+    let failed = statuses.filter(|status| !status.is_success()).count();
+    assert_eq!(failed, 0, "requests that were not served");
+}
