Watches at the platform are answered each second, and a silent connection ends its pool

Cause: a watch waited 20 s and counted as lost after 21.5 s; boxes that do not watch looked each 15 to 30 s. When the watches' connections went silent (both ends up), no box learned of a change within the 15 s that are promised, and the next call of the client could be given another silent connection from its pool.

Others look each 6 to 12 s.

Ruled out: a wait of 1 s with the value itself: each answer repeats the whole head, some 10 KB a second at a watcher, where control may use 4 KB.

--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -28,12 +28,15 @@
 pub const BASE_KEY: &str = "coursestile/config/base/";
 /// Boxes of a hall that watch the platform.
 const WATCHERS_PER_HALL: usize = 2;
-/// How often a box that does not watch looks at the platform, in milliseconds.
-const LOOK_PERIOD_MS: u64 = 30_000;
+/// Longest time between the looks of a box that does not watch, in milliseconds:
+/// less than that in which a change is promised to be in force.
+const LOOK_PERIOD_MS: u64 = 12_000;
+/// How often such a box looks whether it is to watch.
+const LOOK_POLL: Duration = Duration::from_millis(500);
 /// Boxes that hear of a change from one that has adopted it.
 const FANOUT: usize = 4;
 /// Wait after the platform did not answer.
-const RETRY_WAIT: Duration = Duration::from_millis(500);
+const RETRY_WAIT: Duration = Duration::from_millis(250);
 
 inventory::submit! {
     Plugin { name: "config", start, receive: Some((Topic::Config, receive)) }
@@ -144,40 +147,22 @@
 }
 
 async fn follow_platform(kernel: Arc<Kernel>) {
-    let mut index = 0;
+    let mut seen = 0;
     let mut next_look_at_ms = 0;
     loop {
         let watcher = is_watcher(&kernel);
-        let due = now_ms() >= next_look_at_ms;
-        if !watcher && !due {
-            tokio::time::sleep(RETRY_WAIT).await;
+        if !watcher && now_ms() < next_look_at_ms {
+            tokio::time::sleep(LOOK_POLL).await;
             continue;
         }
-        let answer = if watcher && index > 0 {
-            kernel.platform.watch(HEAD_KEY, index).await
-        } else {
-            kernel.platform.read(HEAD_KEY).await
-        };
-        next_look_at_ms = now_ms() + fastrand::u64(LOOK_PERIOD_MS / 2..LOOK_PERIOD_MS);
-        match answer {
-            Ok(value) => {
-                kernel.configuration.heard_platform();
-                if value.index == index {
-                    // Nothing new; a key that does not exist is not waited for.
-                    tokio::time::sleep(RETRY_WAIT).await;
-                    continue;
-                }
-                match adopt_head(&kernel, &value.bytes).await {
-                    Ok(()) => index = value.index,
-                    Err(error) => {
-                        warn!(target: "config", "Head not adopted: {error}.");
-                        tokio::time::sleep(RETRY_WAIT).await;
-                    }
-                }
+        match look(&kernel, seen, watcher).await {
+            Ok(index) => {
+                seen = index;
+                next_look_at_ms = now_ms() + fastrand::u64(LOOK_PERIOD_MS / 2..LOOK_PERIOD_MS);
             }
             Err(error) => {
-                warn!(target: "config", "Platform not heard: {error}.");
-                index = 0;
+                warn!(target: "config", "Head not followed: {error}.");
+                seen = 0;
                 next_look_at_ms = now_ms() + fastrand::u64(500..2000);
                 tokio::time::sleep(RETRY_WAIT).await;
             }
@@ -185,6 +170,19 @@
     }
 }
 
+/// Adopts the head if its index is not `seen`; one who watches waits for that.
+/// Returns its index.
+async fn look(kernel: &Arc<Kernel>, seen: u64, watch: bool) -> Result<u64> {
+    let index = kernel.platform.watch(HEAD_KEY, if watch { seen } else { 0 }).await?;
+    kernel.configuration.heard_platform();
+    if index != seen {
+        let head = kernel.platform.read(HEAD_KEY).await?;
+        adopt_head(kernel, &head.bytes).await?;
+    }
+    // The service never answers 0, and answers one who asks with 0 at once.
+    Ok(index.max(1))
+}
+
 fn is_watcher(kernel: &Kernel) -> bool {
     let membership = kernel.membership();
     let hall = membership.view().hall(&kernel.settings.hall);
--- a/src/consul.rs
+++ b/src/consul.rs
@@ -1,24 +1,41 @@
 //! The platform's key-value service over Consul's HTTP interface.
+//!
+//! A watch is a blocking query for the names of keys: its answer has the index and
+//! some fifty bytes, where the value of the head may have twenty thousand. It is
+//! answered once a second at the latest, so that one which is not shows within two
+//! seconds that its connection has gone silent.
 
 use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use reqwest::{RequestBuilder, Response, StatusCode};
+use reqwest::{Method, StatusCode};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use crate::edge::{KeyValue, Value};
 use crate::error::{Error, Result};
+use crate::pool::Pool;
 
 /// Time after which a call counts as lost.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time that a watch waits at the service.
-const WATCH_WAIT_S: u64 = 20;
+const WATCH_WAIT_S: u64 = 1;
+/// Time by which its answer may be late; the service adds up to a sixteenth to the wait.
+const WATCH_SLACK: Duration = Duration::from_millis(750);
+/// Header with the index of what was asked for.
+const INDEX_HEADER: &str = "x-consul-index";
 
 /// A client of the service.
 pub struct Consul {
     url: String,
-    http: reqwest::Client,
+    pool: Pool,
+}
+
+struct Reply {
+    status: StatusCode,
+    index: Option<u64>,
+    body: Vec<u8>,
 }
 
 #[derive(Deserialize)]
@@ -39,81 +56,102 @@
     Error::Platform(error.to_string())
 }
 
+impl Reply {
+    async fn read(call: reqwest::RequestBuilder) -> reqwest::Result<Self> {
+        let response = call.send().await?;
+        let status = response.status();
+        let index = response.headers().get(INDEX_HEADER).and_then(|value| value.to_str().ok());
+        let index = index.and_then(|text| text.parse().ok());
+        let body = response.bytes().await?.to_vec();
+        Ok(Self { status, index, body })
+    }
+
+    fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(failed)
+    }
+}
+
 impl Consul {
     /// A client of the service at `url`.
     #[must_use]
     pub fn new(url: &str) -> Self {
-        Self { url: url.to_owned(), http: reqwest::Client::new() }
+        Self { url: url.to_owned(), pool: Pool::default() }
     }
 
-    async fn send(&self, request: RequestBuilder, timeout: Duration) -> Result<Response> {
+    /// Makes a call; one that is not answered in time ends all kept connections.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Reply> {
         metrics::counter!("coursestile_platform_calls_total").increment(1);
-        let response = request.timeout(timeout).send().await.map_err(failed)?;
-        match response.status() {
-            StatusCode::OK | StatusCode::NOT_FOUND => Ok(response),
+        let connections = self.pool.connections();
+        let call = connections.http.request(method, format!("{}/v1/{path}", self.url));
+        let call = call.header("content-type", "application/json").body(body).timeout(timeout);
+        let reply = Reply::read(call).await.inspect_err(|error| {
+            if error.is_timeout() {
+                self.pool.silent(&connections);
+            }
+        });
+        let reply = reply.map_err(failed)?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(reply),
             status => Err(failed(status)),
         }
     }
 
-    async fn get(&self, query: &str, timeout: Duration) -> Result<Value> {
-        let request = self.http.get(format!("{}/v1/kv/{query}", self.url));
-        let response = self.send(request, timeout).await?;
-        if response.status() == StatusCode::NOT_FOUND {
-            return Ok(Value::default());
-        }
-        let found: Vec<Found> = response.json().await.map_err(failed)?;
-        let found = found.into_iter().next().ok_or_else(|| failed("an empty list"))?;
-        let bytes = STANDARD.decode(found.value.unwrap_or_default()).map_err(failed)?;
-        Ok(Value { bytes, index: found.modify_index, fence: found.lock_index })
-    }
-
-    async fn put(&self, path: &str, body: Vec<u8>) -> Result<Response> {
-        let request = self.http.put(format!("{}/v1/{path}", self.url)).body(body);
-        self.send(request, CALL_TIMEOUT).await
+    async fn put(&self, path: &str, body: Vec<u8>) -> Result<Reply> {
+        self.send(Method::PUT, path, body, CALL_TIMEOUT).await
     }
 }
 
 impl KeyValue for Consul {
     async fn read(&self, key: &str) -> Result<Value> {
-        self.get(key, CALL_TIMEOUT).await
+        let path = format!("kv/{key}");
+        let reply = self.send(Method::GET, &path, Vec::new(), CALL_TIMEOUT).await?;
+        if reply.status == StatusCode::NOT_FOUND {
+            return Ok(Value::default());
+        }
+        let found: Vec<Found> = reply.json()?;
+        let found = found.into_iter().next().ok_or_else(|| failed("an empty list"))?;
+        let bytes = STANDARD.decode(found.value.unwrap_or_default()).map_err(failed)?;
+        Ok(Value { bytes, index: found.modify_index, fence: found.lock_index })
     }
 
-    async fn watch(&self, key: &str, index: u64) -> Result<Value> {
-        let query = format!("{key}?index={index}&wait={WATCH_WAIT_S}s");
-        self.get(&query, CALL_TIMEOUT + Duration::from_secs(WATCH_WAIT_S)).await
+    async fn watch(&self, key: &str, index: u64) -> Result<u64> {
+        let path = format!("kv/{key}?keys&index={index}&wait={WATCH_WAIT_S}s");
+        let timeout = Duration::from_secs(WATCH_WAIT_S) + WATCH_SLACK;
+        let reply = self.send(Method::GET, &path, Vec::new(), timeout).await?;
+        reply.index.ok_or_else(|| failed("a watch's answer without an index"))
     }
 
     async fn compare_and_swap(&self, key: &str, index: u64, bytes: &[u8]) -> Result<bool> {
-        let response = self.put(&format!("kv/{key}?cas={index}"), bytes.to_vec()).await?;
-        response.json().await.map_err(failed)
+        self.put(&format!("kv/{key}?cas={index}"), bytes.to_vec()).await?.json()
     }
 
     async fn delete(&self, key: &str) -> Result<()> {
-        let request = self.http.delete(format!("{}/v1/kv/{key}", self.url));
-        self.send(request, CALL_TIMEOUT).await.map(|_| ())
+        let path = format!("kv/{key}");
+        self.send(Method::DELETE, &path, Vec::new(), CALL_TIMEOUT).await.map(|_| ())
     }
 
     async fn open_session(&self, ttl_s: u64) -> Result<String> {
-        let body = format!(r#"{{"TTL":"{ttl_s}s"}}"#);
-        let request = self.http.put(format!("{}/v1/session/create", self.url));
-        let request = request.header("content-type", "application/json").body(body);
-        let response = self.send(request, CALL_TIMEOUT).await?;
-        let session: Session = response.json().await.map_err(failed)?;
+        let body = format!(r#"{{"TTL":"{ttl_s}s"}}"#).into_bytes();
+        let session: Session = self.put("session/create", body).await?.json()?;
         Ok(session.id)
     }
 
     async fn renew_session(&self, session: &str) -> Result<bool> {
-        let response = self.put(&format!("session/renew/{session}"), Vec::new()).await?;
-        Ok(response.status() == StatusCode::OK)
+        let reply = self.put(&format!("session/renew/{session}"), Vec::new()).await?;
+        Ok(reply.status == StatusCode::OK)
     }
 
     async fn acquire(&self, key: &str, session: &str) -> Result<bool> {
-        let response = self.put(&format!("kv/{key}?acquire={session}"), Vec::new()).await?;
-        response.json().await.map_err(failed)
+        self.put(&format!("kv/{key}?acquire={session}"), Vec::new()).await?.json()
     }
 
     async fn release(&self, key: &str, session: &str) -> Result<bool> {
-        let response = self.put(&format!("kv/{key}?release={session}"), Vec::new()).await?;
-        response.json().await.map_err(failed)
+        self.put(&format!("kv/{key}?release={session}"), Vec::new()).await?.json()
     }
 }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -32,8 +32,9 @@
     /// Reads a key.
     fn read(&self, key: &str) -> impl Future<Output = Result<Value>> + Send;
 
-    /// Waits until the key is written after `index`, or for some seconds.
-    fn watch(&self, key: &str, index: u64) -> impl Future<Output = Result<Value>> + Send;
+    /// Waits until the key is written after `index`, or for a second; returns its
+    /// index then. Index 0 is answered at once.
+    fn watch(&self, key: &str, index: u64) -> impl Future<Output = Result<u64>> + Send;
 
     /// Writes a key if its index is still `index`; false when it is not. An
     /// error says nothing about the write.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod place;
 pub mod placing;
 pub mod platform;
+pub mod pool;
 pub mod refusal;
 pub mod rejection;
 pub mod retry;
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -110,6 +110,27 @@
         Err(poem::Error::from_status(StatusCode::TOO_MANY_REQUESTS))
     }
 
+    /// Names of the keys that begin with `prefix`, and the index of the last write
+    /// to one of them.
+    fn list(&self, prefix: &str) -> (u64, Option<Value>) {
+        let tables = self.tables.lock().expect("kv lock");
+        let found = tables.entries.iter().filter(|(key, _)| key.starts_with(prefix));
+        let (names, indexes): (Vec<_>, Vec<_>) =
+            found.map(|(key, entry)| (key.clone(), entry.modify_index)).unzip();
+        let index = indexes.into_iter().max();
+        (index.unwrap_or(0), index.map(|_| json!(names)))
+    }
+
+    /// What is answered for a key, after the index to show and that of the last write.
+    fn look(&self, key: &str, names_only: bool) -> (u64, u64, Option<Value>) {
+        if names_only {
+            let (index, names) = self.list(key);
+            return (index, index, names);
+        }
+        let (index, entry) = self.read(key);
+        (index, modify_index(entry.as_ref()), entry)
+    }
+
     fn read(&self, key: &str) -> (u64, Option<Value>) {
         let mut tables = self.tables.lock().expect("kv lock");
         tables.expire_sessions();
@@ -130,6 +151,7 @@
 
 #[derive(Deserialize)]
 struct ReadQuery {
+    keys: Option<String>,
     index: Option<u64>,
     wait: Option<String>,
 }
@@ -161,8 +183,9 @@
     let wait = query.wait.as_deref().map_or(MAX_WAIT, seconds);
     let until = tokio::time::Instant::now() + wait;
     loop {
-        let (index, entry) = kv.read(&key);
-        let news = query.index.is_none_or(|seen| modify_index(entry.as_ref()) > seen);
+        let (index, modify_index, entry) = kv.look(&key, query.keys.is_some());
+        // Index 0 asks for an answer at once.
+        let news = query.index.is_none_or(|seen| seen == 0 || modify_index > seen);
         let waited = !news && tokio::time::timeout_at(until, changed.changed()).await.is_err();
         if news || waited {
             let status = entry.as_ref().map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -21,7 +21,7 @@
     fleet(&Plan { relays: true, ..Plan::new(halls.to_vec()) }).await
 }
 
-async fn change_share(fleet: &Fleet, share: &str) {
+fn change_share(fleet: &Fleet, share: &str) {
     fleet.must_operate(&["account", "set", "petra", "--share", share]);
 }
 
@@ -57,10 +57,10 @@
 #[tokio::test]
 async fn watches_silenced() {
     let fleet = two_halls().await;
-    change_share(&fleet, "2").await;
+    change_share(&fleet, "2");
     wait_in_time(&fleet, 5).await;
     fleet.silence(Kind::Platform).await;
-    change_share(&fleet, "3").await;
+    change_share(&fleet, "3");
     wait_in_time(&fleet, 6).await;
 }
 
@@ -70,7 +70,7 @@
 async fn platform_dark() {
     let fleet = two_halls().await;
     fleet.darken(Kind::Platform, true).await;
-    change_share(&fleet, "2").await;
+    change_share(&fleet, "2");
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.darken(Kind::Platform, false).await;
     wait_in_time(&fleet, 5).await;
