--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{check_completion, completion, fleet};
+use common::{call, check_completion, completion, fleet, ticket};
 use coursestile_standins::fleet::{Fleet, HallPlan, Kind, Plan};
 use futures_util::future::join_all;
 
@@ -76,6 +76,24 @@
     wait_in_time(&fleet, 5).await;
 }
 
+// The connections between boxes went silent. What was sent to a peer went nowhere
+// for as long as the sender kept its socket, which was for ever, and a call under a
+// ticket never reached the box that gave it.
+#[tokio::test]
+async fn peers_silenced() {
+    let fleet = two_halls().await;
+    let prefix = ticket(&fleet, 0, KEY).await;
+    fleet.silence(Kind::Peers).await;
+    change_share(&fleet, "2");
+    wait_in_time(&fleet, 5).await;
+    for at in 0..fleet.boxes.len() {
+        let order = call(&fleet, at, KEY, "/orders/1")
+            .header("idempotency-key", format!("{prefix}/{at}"))
+            .header("x-timeout-ms", 15_000);
+        assert_eq!(order.send().await.unwrap().status(), 200, "asked at {at}");
+    }
+}
+
 // The connections to the engines went silent, those kept for later requests among
 // them. Each request that met one waited 2.5 s for its first piece, and the next try
 // was given another silent connection.
@@ -95,3 +113,37 @@
     let failed = statuses.filter(|status| !status.is_success()).count();
     assert_eq!(failed, 0, "requests that were not served");
 }
+
+// The connections to the workers of a plain service went silent. A call over a kept
+// one waited until its caller gave up, and its outcome was unknown for ever.
+#[tokio::test]
+async fn workers_silenced() {
+    let fleet = two_halls().await;
+    let prefix = ticket(&fleet, 0, KEY).await;
+    let order = |number: usize| {
+        let order = call(&fleet, 0, KEY, "/orders/1").header("x-timeout-ms", 5000);
+        order.header("idempotency-key", format!("{prefix}/{number}")).send()
+    };
+    for answer in join_all((0..AT_ONCE).map(order)).await {
+        assert_eq!(answer.unwrap().status(), 200);
+    }
+    fleet.silence(Kind::Workers).await;
+    for answer in join_all((AT_ONCE..2 * AT_ONCE).map(order)).await {
+        assert_eq!(answer.unwrap().status(), 200, "a call after the silence");
+    }
+}
+
+// All connections of all boxes went silent at once, and a change came.
+#[tokio::test]
+async fn all_silenced() {
+    let fleet = two_halls().await;
+    warm_up(&fleet).await;
+    change_share(&fleet, "2");
+    wait_in_time(&fleet, 5).await;
+    for kind in Kind::ALL {
+        fleet.silence(kind).await;
+    }
+    change_share(&fleet, "3");
+    wait_in_time(&fleet, 6).await;
+    warm_up(&fleet).await;
+}
