Silent connections to upstreams: pools let go together, workers' calls connect anew

Cause: all engines, stores and workers shared one pool of kept connections. A call that met a silent one waited for its time-out, and the next was given another silent one; a call to a worker waited until its caller gave up, and its outcome stayed unknown. The box that holds a hall's lease asked engines one after another, a second for each silent one, and renewed the lease between.

Change: a pool for each engine and store, let go when a call or a piece is not in time (2.5 s a piece, 1 s a short call); calls to workers open a connection each; the engines' reports are asked for at once.

Weighed: a time-out for calls to workers (they may take as long as their caller waits); one pool, let go whole (a busy engine would cost the others theirs).

--- a/src/consul.rs
+++ b/src/consul.rs
@@ -5,6 +5,7 @@
 //! answered once a second at the latest, so that one which is not shows within two
 //! seconds that its connection has gone silent.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -29,7 +30,7 @@
 /// A client of the service.
 pub struct Consul {
     url: String,
-    pool: Pool,
+    pool: Arc<Pool>,
 }
 
 struct Reply {
@@ -75,7 +76,7 @@
     /// A client of the service at `url`.
     #[must_use]
     pub fn new(url: &str) -> Self {
-        Self { url: url.to_owned(), pool: Pool::default() }
+        Self { url: url.to_owned(), pool: Arc::default() }
     }
 
     /// Makes a call; one that is not answered in time ends all kept connections.
@@ -92,7 +93,7 @@
         let call = call.header("content-type", "application/json").body(body).timeout(timeout);
         let reply = Reply::read(call).await.inspect_err(|error| {
             if error.is_timeout() {
-                self.pool.silent(&connections);
+                connections.silent();
             }
         });
         let reply = reply.map_err(failed)?;
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use log::{info, warn};
 
 use crate::clock::now_ms;
@@ -128,16 +129,15 @@
     if config.state.models.is_empty() {
         return;
     }
-    let mut observed = Vec::new();
-    for (upstream, engine) in engines(kernel) {
-        if locked(loading).contains(&upstream.name) {
-            continue;
-        }
-        if let Some(report) = kernel.upstreams.report(&upstream.url).await {
-            let (name, model) = (upstream.name.clone(), engine.model.clone());
-            observed.push(Observed { name, model, version: report.version });
-        }
-    }
+    // All at once: engines that do not answer would put the lease's renewal off, one
+    // second each.
+    let idle = engines(kernel).filter(|(upstream, _)| !locked(loading).contains(&upstream.name));
+    let reports = idle.map(async |(upstream, engine)| {
+        let report = kernel.upstreams.report(&upstream.url).await?;
+        let (name, model) = (upstream.name.clone(), engine.model.clone());
+        Some(Observed { name, model, version: report.version })
+    });
+    let observed: Vec<_> = join_all(reports).await.into_iter().flatten().collect();
     let under_way = locked(loading).len();
     for load in plan_loads(&observed, |model| config.state.models.get(model).cloned(), under_way) {
         locked(loading).insert(load.engine.clone());
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -6,10 +6,11 @@
 //! likely gone the same way, so all are let go together, and the next call connects
 //! anew.
 
-use std::sync::Mutex;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use reqwest::Client;
+use reqwest::{Client, RequestBuilder, Response};
 
 use crate::sync::locked;
 
@@ -28,54 +29,94 @@
 
 /// The connections to one system.
 pub struct Pool {
-    current: Mutex<Connections>,
+    current: Mutex<Generation>,
     max_idle: usize,
 }
 
+/// Connections that are let go together.
+#[derive(Clone)]
+struct Generation {
+    http: Client,
+    number: u64,
+}
+
 /// The connections that a call uses.
 #[derive(Clone)]
 pub struct Connections {
     /// Client that opens and keeps them.
     pub http: Client,
-    generation: u64,
+    number: u64,
+    pool: Arc<Pool>,
 }
 
 impl Default for Pool {
     fn default() -> Self {
-        Self::new(MAX_IDLE_CONNECTIONS)
+        Self::keeping(MAX_IDLE_CONNECTIONS)
     }
 }
 
 impl Pool {
-    fn new(max_idle: usize) -> Self {
-        let current = Mutex::new(Connections { http: client(max_idle), generation: 0 });
+    fn keeping(max_idle: usize) -> Self {
+        let current = Mutex::new(Generation { http: client(max_idle), number: 0 });
         Self { current, max_idle }
     }
 
     /// A pool that keeps no connection: each call opens its own.
     #[must_use]
     pub fn unkept() -> Self {
-        Self::new(0)
+        Self::keeping(0)
     }
 
     /// The connections to use for a call.
     #[must_use]
-    pub fn connections(&self) -> Connections {
-        locked(&self.current).clone()
+    pub fn connections(self: &Arc<Self>) -> Connections {
+        let Generation { http, number } = locked(&self.current).clone();
+        Connections { http, number, pool: self.clone() }
+    }
+}
+
+impl Connections {
+    /// Sends a call; when it is not answered in time, the others are let go.
+    ///
+    /// # Errors
+    /// Fails as the call does.
+    pub async fn send(&self, call: RequestBuilder) -> reqwest::Result<Response> {
+        let answer = call.send().await;
+        if answer.as_ref().is_err_and(reqwest::Error::is_timeout) {
+            self.silent();
+        }
+        answer
     }
 
-    /// Lets the kept connections go, since a call over `used` was not answered in
-    /// time; does nothing when that was done already.
-    pub fn silent(&self, used: &Connections) {
-        let mut current = locked(&self.current);
-        if current.generation == used.generation {
-            let generation = used.generation + 1;
-            *current = Connections { http: client(self.max_idle), generation };
+    /// Lets the kept connections go, since one was silent; does nothing when that
+    /// was done since this call began.
+    pub fn silent(&self) {
+        let mut current = locked(&self.pool.current);
+        if current.number == self.number {
+            *current = Generation { http: client(self.pool.max_idle), number: self.number + 1 };
             metrics::counter!("coursestile_silent_connections_total").increment(1);
         }
     }
 }
 
+/// A pool for each of several systems.
+#[derive(Default)]
+pub struct Pools {
+    by_url: Mutex<HashMap<String, Arc<Pool>>>,
+}
+
+impl Pools {
+    /// The connections to use for a call to the system at `url`.
+    #[must_use]
+    pub fn connections(&self, url: &str) -> Connections {
+        let mut by_url = locked(&self.by_url);
+        if let Some(pool) = by_url.get(url) {
+            return pool.connections();
+        }
+        by_url.entry(url.to_owned()).or_default().connections()
+    }
+}
+
 fn client(max_idle: usize) -> Client {
     let http = Client::builder()
         .connect_timeout(CONNECT_TIMEOUT)
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -3,11 +3,12 @@
 //! Engines speak the usual completions protocol, streamed as server-sent
 //! events.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use eventsource_stream::Eventsource;
 use futures_util::{StreamExt, stream};
-use reqwest::{Client, Method, Response, StatusCode};
+use reqwest::{Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -20,14 +21,9 @@
 };
 use crate::keeper::{BlockMeta, Export, Listed, Written};
 use crate::ledger::{Answer, Outcome};
+use crate::pool::{Connections, Pool, Pools};
 use crate::wire::Call;
 
-/// Time to connect.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Connections kept open to one upstream for later calls.
-const MAX_IDLE_CONNECTIONS: usize = 16;
-/// Time for which they are kept.
-const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a short call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a transfer of context, or a load of weights.
@@ -45,18 +41,16 @@
 
 /// A client of all upstreams.
 pub struct HttpUpstreams {
-    http: Client,
+    /// Engines and stores.
+    pools: Pools,
+    /// Workers of plain services. A kept connection saves a call some tenths of a
+    /// millisecond; one that has gone silent costs a call that may not be repeated.
+    workers: Arc<Pool>,
 }
 
 impl Default for HttpUpstreams {
     fn default() -> Self {
-        let http = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
-            .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-            .build();
-        Self { http: http.expect("a client without TLS can be built") }
+        Self { pools: Pools::default(), workers: Arc::new(Pool::unkept()) }
     }
 }
 
@@ -105,12 +99,20 @@
 }
 
 /// Reads a stream up to its end mark, its first fault or a silence.
-fn read_stream(response: Response, attempt: u32, first_seq: u64) -> Pieces {
-    let events = Some(Box::pin(response.bytes_stream().eventsource()));
-    Box::pin(stream::unfold(events, move |events| async move {
-        let mut events = events?;
+fn read_stream(
+    response: Response,
+    connections: Connections,
+    attempt: u32,
+    first_seq: u64,
+) -> Pieces {
+    let events = Box::pin(response.bytes_stream().eventsource());
+    Box::pin(stream::unfold(Some((events, connections)), move |open| async move {
+        let (mut events, connections) = open?;
         match tokio::time::timeout(PIECE_TIMEOUT, events.next()).await {
-            Err(_) => Some((Err(broken("no piece in time")), None)),
+            Err(_) => {
+                connections.silent();
+                Some((Err(broken("no piece in time")), None))
+            }
             Ok(None) => None,
             Ok(Some(Err(error))) => Some((Err(broken(error)), None)),
             Ok(Some(Ok(event))) if event.data == END_MARK => {
@@ -120,7 +122,7 @@
             }
             Ok(Some(Ok(event))) => {
                 let piece = read_chunk(&event.data, attempt, first_seq);
-                let rest = piece.is_ok().then_some(events);
+                let rest = piece.is_ok().then_some((events, connections));
                 Some((piece, rest))
             }
         }
@@ -158,6 +160,19 @@
     if error.is_connect() { EngineError::Unreachable } else { broken(error) }
 }
 
+/// Waits for the begin of a run's answer.
+async fn answered(
+    connections: &Connections,
+    call: RequestBuilder,
+    timeout: Duration,
+) -> Result<Response, EngineError> {
+    let Ok(answer) = tokio::time::timeout(timeout, call.send()).await else {
+        connections.silent();
+        return Err(broken("no answer in time"));
+    };
+    accepted(answer.map_err(|error| send_error(&error))?).await
+}
+
 impl ModelEngines for HttpUpstreams {
     async fn generate(
         &self,
@@ -166,11 +181,10 @@
         attempt: u32,
         first_seq: u64,
     ) -> Result<Pieces, EngineError> {
-        let call = self.http.post(format!("{url}/v1/completions")).json(request).send();
-        let answer = tokio::time::timeout(PIECE_TIMEOUT, call).await;
-        let response = answer.map_err(|_| broken("no answer in time"))?;
-        let response = accepted(response.map_err(|error| send_error(&error))?).await?;
-        Ok(read_stream(response, attempt, first_seq))
+        let connections = self.pools.connections(url);
+        let call = connections.http.post(format!("{url}/v1/completions")).json(request);
+        let response = answered(&connections, call, PIECE_TIMEOUT).await?;
+        Ok(read_stream(response, connections, attempt, first_seq))
     }
 
     async fn resume(
@@ -181,22 +195,23 @@
         from: u64,
         first_seq: u64,
     ) -> Result<Pieces, EngineError> {
+        let connections = self.pools.connections(url);
         let url = format!("{url}/v1/completions/{request_id}?from={from}");
-        let answer = tokio::time::timeout(CALL_TIMEOUT, self.http.get(url).send()).await;
-        let response = answer.map_err(|_| broken("no answer in time"))?;
-        let response = accepted(response.map_err(|error| send_error(&error))?).await?;
-        Ok(read_stream(response, attempt, first_seq))
+        let response = answered(&connections, connections.http.get(url), CALL_TIMEOUT).await?;
+        Ok(read_stream(response, connections, attempt, first_seq))
     }
 
     async fn cancel(&self, url: &str, request_id: &str) {
+        let connections = self.pools.connections(url);
         let url = format!("{url}/v1/completions/{request_id}");
         // An engine that cannot be reached has nothing left to cancel.
-        let _ = self.http.delete(url).timeout(CALL_TIMEOUT).send().await;
+        let _ = connections.send(connections.http.delete(url).timeout(CALL_TIMEOUT)).await;
     }
 
     async fn report(&self, url: &str) -> Option<EngineReport> {
-        let call = self.http.get(format!("{url}/load")).timeout(CALL_TIMEOUT);
-        let load: Value = call.send().await.ok()?.json().await.ok()?;
+        let connections = self.pools.connections(url);
+        let call = connections.http.get(format!("{url}/load")).timeout(CALL_TIMEOUT);
+        let load: Value = connections.send(call).await.ok()?.json().await.ok()?;
         let version = load["version"].as_str()?.to_owned();
         let (leaving, loading) = (load["leaving"] == true, load["loading"] == true);
         Some(EngineReport { version, leaving, loading })
@@ -207,8 +222,9 @@
             "block_id": export.block, "store": export.store_url,
             "request_id": export.request, "meta": export.meta,
         });
-        let call = self.http.post(format!("{}/kv/export", export.engine_url));
-        let Ok(response) = call.json(&body).timeout(LONG_TIMEOUT).send().await else {
+        let connections = self.pools.connections(&export.engine_url);
+        let call = connections.http.post(format!("{}/kv/export", export.engine_url));
+        let Ok(response) = connections.send(call.json(&body).timeout(LONG_TIMEOUT)).await else {
             return Written::Failed;
         };
         if response.status() == StatusCode::NOT_FOUND {
@@ -232,8 +248,9 @@
         let body = json!({
             "block_id": block, "store": store_url, "prompt": prompt, "cache_salt": salt,
         });
-        let call = self.http.post(format!("{url}/kv/import")).json(&body).timeout(LONG_TIMEOUT);
-        let Ok(response) = call.send().await else {
+        let connections = self.pools.connections(url);
+        let call = connections.http.post(format!("{url}/kv/import")).json(&body);
+        let Ok(response) = connections.send(call.timeout(LONG_TIMEOUT)).await else {
             return Staged::Failed;
         };
         match response.status() {
@@ -247,13 +264,16 @@
 
     async fn commit(&self, url: &str, block: &BlockId, tokens: u32) -> bool {
         let body = json!({ "block_id": block, "tokens": tokens });
-        let call = self.http.post(format!("{url}/kv/commit")).json(&body).timeout(CALL_TIMEOUT);
-        call.send().await.is_ok_and(|response| response.status().is_success())
+        let connections = self.pools.connections(url);
+        let call =
+            connections.http.post(format!("{url}/kv/commit")).json(&body).timeout(CALL_TIMEOUT);
+        connections.send(call).await.is_ok_and(|response| response.status().is_success())
     }
 
     async fn order(&self, url: &str, order: &Order<'_>) -> bool {
-        let call = self.http.post(format!("{url}/orders")).json(order).timeout(LONG_TIMEOUT);
-        call.send().await.is_ok_and(|response| response.status().is_success())
+        let connections = self.pools.connections(url);
+        let call = connections.http.post(format!("{url}/orders")).json(order).timeout(LONG_TIMEOUT);
+        connections.send(call).await.is_ok_and(|response| response.status().is_success())
     }
 }
 
@@ -279,21 +299,25 @@
 
 impl ContextStores for HttpUpstreams {
     async fn pin(&self, url: &str, block: &BlockId, until_ms: u64) -> Option<Seal> {
-        let call = self.http.post(format!("{url}/blocks/{}/pin", block.0));
+        let connections = self.pools.connections(url);
+        let call = connections.http.post(format!("{url}/blocks/{}/pin", block.0));
         let call = call.json(&json!({ "until_ms": until_ms })).timeout(CALL_TIMEOUT);
-        let response = call.send().await.ok()?.error_for_status().ok()?;
+        let response = connections.send(call).await.ok()?.error_for_status().ok()?;
         read_seal(&response.json::<Value>().await.ok()?)
     }
 
     async fn delete(&self, url: &str, block: &BlockId) -> bool {
-        let call = self.http.delete(format!("{url}/blocks/{}", block.0)).timeout(CALL_TIMEOUT);
-        let status = call.send().await.map(|response| response.status());
+        let connections = self.pools.connections(url);
+        let call = connections.http.delete(format!("{url}/blocks/{}", block.0));
+        let status =
+            connections.send(call.timeout(CALL_TIMEOUT)).await.map(|response| response.status());
         matches!(status, Ok(StatusCode::OK | StatusCode::NOT_FOUND))
     }
 
     async fn list(&self, url: &str) -> Option<Vec<Listed>> {
-        let call = self.http.get(format!("{url}/blocks")).timeout(LONG_TIMEOUT);
-        let blocks: Vec<ListedBlock> = call.send().await.ok()?.json().await.ok()?;
+        let connections = self.pools.connections(url);
+        let call = connections.http.get(format!("{url}/blocks")).timeout(LONG_TIMEOUT);
+        let blocks: Vec<ListedBlock> = connections.send(call).await.ok()?.json().await.ok()?;
         let listed = blocks.into_iter().map(|block| {
             let ListedSeal { len_bytes, checksum, meta } = block.seal;
             let seal = Seal { len_bytes, checksum };
@@ -308,7 +332,8 @@
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
             return Outcome::NotRun;
         };
-        let mut request = self.http.request(method, format!("{url}{}", call.path));
+        let http = self.workers.connections().http;
+        let mut request = http.request(method, format!("{url}{}", call.path));
         if let Some(content_type) = &call.content_type {
             request = request.header("content-type", content_type);
         }
