Heartbeats show a silent way to a peer

Cause: the sockets between boxes carry messages one way each and have no time-out of their own. One that has gone silent took messages for as long as its box lived: a call under a ticket, a configuration or a verdict sent over it went nowhere.

Change: a message to a peer from which no answer came in the last 1.5 s must be followed by one within 0.3 s, else a heartbeat (a probe's ping, which every version answers) asks for it; one that is not answered within 1.5 s has the peer dialled anew.

Ruled out: TCP keep-alive and user time-out (nng does not let them be set, and a peer's kernel may be up while nothing is read); a heartbeat to each peer each second (128 sockets of 150 bytes are 19 KB a second, where control may use 4).

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Runs the membership of this box.
+//! Runs the membership of this box, and its heartbeats to peers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,7 @@
             ticks.tick().await;
             let outgoing = kernel.membership().tick(now_ms());
             send_all(&kernel, outgoing);
+            kernel.beat();
         }
     });
 }
--- /dev/null
+++ b/src/heartbeat.rs
@@ -0,0 +1,87 @@
+//! Whether what is sent to peers arrives.
+//!
+//! The sockets between boxes carry messages one way each, so that one which has gone
+//! silent takes messages for ever and says nothing. Here each message to a peer must
+//! be followed by an answer of that peer to something; when none has come, a heartbeat
+//! asks for one, and when that is not answered either, the peer is dialled anew.
+//! Most messages are answered in any case, so that few heartbeats are sent.
+
+use std::collections::HashMap;
+
+/// Time in which a message's own answer is waited for.
+const OWN_ANSWER_MS: u64 = 300;
+/// Time in which a heartbeat must be answered: that of a handover, which may be a
+/// long message before it.
+const BEAT_TIMEOUT_MS: u64 = 1500;
+/// Time after an answer in which more messages need none. A heartbeat's own answer is
+/// a message too: it falls into this time, so that two boxes do not go on for ever.
+const CONFIRMED_FOR_MS: u64 = 1500;
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Ask the peer for an answer.
+    Beat(String),
+    /// Dial the peer anew, then ask it.
+    Redial(String),
+}
+
+/// What is known of the way to a peer.
+enum Way {
+    /// The peer has answered.
+    Confirmed { until_ms: u64 },
+    /// A message is not answered yet.
+    Sent { beat_at_ms: u64 },
+    /// Nor is a heartbeat.
+    Asked { deadline_ms: u64, redialled: bool },
+}
+
+/// The ways to all peers that were sent something of late.
+#[derive(Default)]
+pub struct Heartbeats {
+    ways: HashMap<String, Way>,
+}
+
+impl Heartbeats {
+    /// Takes note of a message to the peer at `to`.
+    pub fn sent(&mut self, now_ms: u64, to: &str) {
+        match self.ways.get(to) {
+            Some(Way::Sent { .. } | Way::Asked { .. }) => {}
+            Some(Way::Confirmed { until_ms }) if now_ms < *until_ms => {}
+            Some(Way::Confirmed { .. }) | None => {
+                let way = Way::Sent { beat_at_ms: now_ms + OWN_ANSWER_MS };
+                self.ways.insert(to.to_owned(), way);
+            }
+        }
+    }
+
+    /// Takes note of an answer of the peer at `from`.
+    pub fn answered(&mut self, now_ms: u64, from: &str) {
+        if let Some(way) = self.ways.get_mut(from) {
+            *way = Way::Confirmed { until_ms: now_ms + CONFIRMED_FOR_MS };
+        }
+    }
+
+    /// What is due. A peer that does not answer anew is left until the next message.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.ways.retain(|peer, way| match way {
+            Way::Confirmed { until_ms } => now_ms < *until_ms,
+            Way::Sent { beat_at_ms } if now_ms >= *beat_at_ms => {
+                steps.push(Step::Beat(peer.clone()));
+                *way = Way::Asked { deadline_ms: now_ms + BEAT_TIMEOUT_MS, redialled: false };
+                true
+            }
+            Way::Asked { deadline_ms, redialled } if now_ms >= *deadline_ms => {
+                let again = !*redialled;
+                if again {
+                    steps.push(Step::Redial(peer.clone()));
+                    *way = Way::Asked { deadline_ms: now_ms + BEAT_TIMEOUT_MS, redialled: true };
+                }
+                again
+            }
+            Way::Sent { .. } | Way::Asked { .. } => true,
+        });
+        steps
+    }
+}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -18,8 +18,9 @@
 use crate::consul::Consul;
 use crate::dispatch::Dispatch;
 use crate::error::Result;
+use crate::heartbeat::{Heartbeats, Step};
 use crate::link::{self, Link};
-use crate::member::{Health, Member};
+use crate::member::{Gossip, Health, Member};
 use crate::membership::Membership;
 use crate::phase::Phase;
 use crate::placing::Placing;
@@ -71,6 +72,21 @@
     }
 }
 
+impl Message {
+    /// Whether this answers a message, which must have arrived then.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        matches!(
+            self,
+            Self::Gossip(Gossip::Ack { .. } | Gossip::Joined { .. })
+                | Self::Verdict { .. }
+                | Self::Report { .. }
+                | Self::CallEnd { .. }
+                | Self::HandoverTaken { .. }
+        )
+    }
+}
+
 /// A part of the daemon that registers itself.
 pub struct Plugin {
     /// Name, and prefix of its log lines.
@@ -109,6 +125,7 @@
     /// Answers under way.
     pub streams: Streams,
     link: Link,
+    heartbeats: Mutex<Heartbeats>,
     membership: Mutex<Membership>,
     phase: watch::Sender<Phase>,
     next_number: AtomicU64,
@@ -140,6 +157,7 @@
             calls: Calls::default(),
             streams: Streams::default(),
             link: Link::new(settings.routes.clone()),
+            heartbeats: Mutex::default(),
             membership: Mutex::new(membership),
             phase: watch::Sender::new(Phase::Serving),
             next_number: AtomicU64::new(1),
@@ -183,6 +201,9 @@
         if !for_me || !fresh {
             return debug!(target: "kernel", "Stale message from {} dropped.", envelope.from);
         }
+        if envelope.message.is_answer() {
+            locked(&self.heartbeats).answered(now_ms(), &envelope.reply_to);
+        }
         if envelope.config_revision > self.configuration.revision() {
             let after_revision = self.configuration.revision();
             self.send(&envelope.reply_to, Message::PullConfig { after_revision });
@@ -192,8 +213,26 @@
         }
     }
 
+    /// Asks peers that have not answered, and dials anew those that are silent.
+    pub fn beat(&self) {
+        let steps = locked(&self.heartbeats).tick(now_ms());
+        for step in steps {
+            let peer = match step {
+                Step::Beat(peer) => peer,
+                Step::Redial(peer) => {
+                    info!(target: "kernel", "Peer {peer} is silent: dialled anew.");
+                    self.link.redial(&peer);
+                    peer
+                }
+            };
+            let beat = self.membership().heartbeat();
+            self.send(&peer, Message::Gossip(beat));
+        }
+    }
+
     /// Sends a message to a peer, or loses it.
     pub fn send(&self, to: &str, message: Message) {
+        locked(&self.heartbeats).sent(now_ms(), to);
         let envelope = Envelope {
             from: self.me.clone(),
             reply_to: self.settings.advertise.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod gateway;
 pub mod gossip;
 pub mod handover;
+pub mod heartbeat;
 pub mod import;
 pub mod ini_file;
 pub mod invariant;
--- a/src/link.rs
+++ b/src/link.rs
@@ -3,6 +3,7 @@
 //! Each box listens on one pull socket and dials a push socket to each peer
 //! that it talks to. A message that cannot be sent at once is dropped: all
 //! that is said here is said again, or its absence is noticed by a deadline.
+//! A socket that has gone silent is noticed by `heartbeat`.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Mutex;
@@ -90,6 +91,15 @@
             metrics::counter!("coursestile_peer_dropped_messages_total").increment(1);
         }
     }
+
+    /// Gives up the socket to a peer; the next message dials anew.
+    pub fn redial(&self, address: &str) {
+        // Closed after the lock is let go, since that may take a while.
+        let closed = locked(&self.peers).remove(address);
+        if closed.is_some() {
+            metrics::counter!("coursestile_peer_redials_total").increment(1);
+        }
+    }
 }
 
 fn dial(address: &str) -> Option<Peer> {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -33,6 +33,8 @@
 /// Askings after which a box takes it that no older one is there to answer: with a
 /// seed in three down, all miss it once in 240 starts.
 const JOIN_TRIES: u32 = 5;
+/// Number of heartbeats, which no probe has.
+const HEARTBEAT_SEQ: u64 = 0;
 /// Members in one message of a table transfer.
 pub const TABLE_CHUNK: usize = 64;
 
@@ -102,6 +104,12 @@
         self.view.leave(heir);
     }
 
+    /// A message that is answered and says what this box knows, like a probe.
+    #[must_use]
+    pub fn heartbeat(&self) -> Gossip {
+        Gossip::Ping { seq: HEARTBEAT_SEQ, digest: self.view.digest(), updates: Vec::new() }
+    }
+
     /// Does what is due.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
         let mut outgoing = self.relay_late_probes(now_ms);
