--- a/tests/once.rs
+++ b/tests/once.rs
@@ -184,3 +184,33 @@
     }
     assert_eq!((runs(&fleet, &spent).await, runs(&fleet, &fresh).await), (1, 0));
 }
+
+// A box that was replaced was asked for a call of its predecessor before a peer had
+// told it of the heir. It answered that the outcome is unknown, though the answer was
+// kept.
+#[tokio::test]
+async fn asked_before_joining() {
+    let fleet = slow_worker(5).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    assert_eq!(run_of(order(&fleet, 0, &key, 1000).await.unwrap()).await, 1);
+    let (replaced, others) = fleet.boxes.split_first().unwrap();
+    replaced.process.signal("-TERM");
+    while !replaced.process.ended() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for other in others {
+        other.process.signal("-STOP");
+    }
+    replaced.process.restart();
+    fleet.wait_for(&format!("http://{}/live", replaced.operators)).await;
+    fleet.wait_in_force(&[replaced], 4, 1).await;
+    let thaw = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for other in others {
+            other.process.signal("-CONT");
+        }
+    };
+    let (again, ()) = tokio::join!(order(&fleet, 0, &key, 5000), thaw);
+    assert_eq!(run_of(again.unwrap()).await, 1);
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
