Soak: silence open connections of every kind, and hold changes to their bound

The soak had a silent store, but asked for the configuration only at the end of a run, with 30 s of patience, and held leaving upstreams to their 2 s only where no fault had come for 2.5 s. A watch that is lost with all boxes for 6 to 9 s broke no check. And connections that are silent for good while new ones work were never played: a silenced proxy went on with the bytes it had held back.

Change: the proxy silences open connections for good, at the store, between boxes, at upstreams and engines, at callers, alone or together. Each box has a port of its own for peers, where a proxy stands for each direction of each pair: datagrams and connections between boxes are spoiled both ways or one. The store falls silent 0 to 24 ms after a configuration or a leave, for 1 to 3 s, overlapping and in series. Checks: each box is asked ten times a second for the newest configuration, which must be in force within 2 s of the store's ack or of the end of the faults; the same bound for an upstream that leaves. Versions are now written in their order.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -9,10 +9,16 @@
 use coursestile_standins::site::server::WORK_HEADER;
 use tokio::time::{sleep, timeout};
 
-use crate::world::{World, version_path};
+use crate::world::{Newest, World, version_path};
 
 /// Pause before another connection is tried.
 const CONNECT_PAUSE: Duration = Duration::from_millis(60);
+/// Pause before another connection is used after one that ended.
+const LOST_PAUSE: Duration = Duration::from_millis(10);
+/// Pause between two questions for the newest configuration.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which one must be answered.
+const ASK_PATIENCE: Duration = Duration::from_millis(500);
 /// Time in which a connection must come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which a client gives up; its requests say 3 s.
@@ -82,9 +88,25 @@
     pub answer: Option<Message>,
 }
 
+/// A box that did not go by the newest configuration.
+pub struct Behind {
+    /// The box.
+    pub box_number: usize,
+    /// The version.
+    pub version: u64,
+    /// When the store had taken it.
+    pub taken: Instant,
+    /// When the box was asked.
+    pub asked: Instant,
+}
+
 /// What all clients saw.
 #[derive(Default)]
 pub struct Seen {
+    /// Boxes that went by an older configuration than the newest.
+    pub behind: Vec<Behind>,
+    /// How often a box was found to go by the newest.
+    pub in_force: usize,
     /// Requests.
     pub calls: Vec<Call>,
     /// Configurations that went back on one connection.
@@ -103,7 +125,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
-        let address = &world.boxes[box_number].process.clients;
+        let address = &world.boxes[box_number].callers.address;
         let connected = timeout(CONNECT_TIMEOUT, Client::try_connect(address)).await;
         let Ok(Ok(mut connection)) = connected else {
             sleep(CONNECT_PAUSE).await;
@@ -114,7 +136,7 @@
             count += 1;
             let id = format!("{box_number}-{client}-{count}");
             let goes_on = if rng.u32(..PROBE_ONE_IN) == 0 {
-                let newest = world.version();
+                let newest = world.newest().version;
                 let version = newest - rng.u64(0..newest.min(PROBED_VERSIONS));
                 probe(&mut connection, &id, version, &mut in_force, &record).await
             } else {
@@ -123,6 +145,8 @@
                 call(&mut connection, id, kind, work_ms, box_number, &record).await
             };
             if !goes_on {
+                // The proxy takes connections also while the box is down.
+                sleep(LOST_PAUSE).await;
                 break;
             }
             sleep(Duration::from_millis(rng.u64(..MOST_PAUSE_MS))).await;
@@ -175,3 +199,34 @@
     }
     is_kept(&answer)
 }
+
+/// Asks one box for the newest configuration until `stop`, by no proxy.
+pub async fn ask(
+    world: Arc<World>,
+    record: Arc<Mutex<Seen>>,
+    stop: Arc<AtomicBool>,
+    box_number: usize,
+) {
+    while !stop.load(Ordering::Relaxed) {
+        sleep(ASK_PAUSE).await;
+        let address = &world.boxes[box_number].process.clients;
+        let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, Client::try_connect(address)).await
+        else {
+            continue;
+        };
+        let (Newest { version, taken }, asked) = (world.newest(), Instant::now());
+        let bytes = request("GET", &version_path(version), "newest", "", "");
+        let Ok(Some(answer)) = timeout(ASK_PATIENCE, connection.send(&bytes)).await else {
+            continue;
+        };
+        let mut record = record.lock().expect("no task panics under the lock");
+        match answer.status() {
+            200 => record.in_force += 1,
+            // It has no such route: it goes by another version.
+            404 if world.newest().version == version => {
+                record.behind.push(Behind { box_number, version, taken, asked });
+            }
+            _ => {}
+        }
+    }
+}
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -6,14 +6,16 @@
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::{Ran, events_text};
 
-use crate::callers::{Call, Seen};
-use crate::plan::{Step, is_calm};
+use crate::callers::{Behind, Call, Seen};
+use crate::plan::{Step, is_calm, known_by_ms};
 use crate::world::World;
 
 /// Time within which a request that crosses the close of its connection ends.
 const CROSSED: Duration = Duration::from_millis(200);
 /// Time after which an upstream that is about to leave gets no more work.
-const LEAVE_BOUND: Duration = Duration::from_secs(2);
+const LEAVE_BOUND_MS: u64 = 2000;
+/// Time after which a configuration is in force.
+const CONFIGURATION_BOUND_MS: u64 = 2000;
 
 /// All that a run is judged by.
 pub struct Evidence<'a> {
@@ -44,6 +46,7 @@
             found.extend(faults.into_iter().flatten().map(|fault| self.describe(call, &fault)));
         }
         found.extend(self.work_for_leaving());
+        found.extend(self.behind());
         found.extend(self.orders());
         found.extend(self.logs());
         found
@@ -102,11 +105,8 @@
         let mut found = Vec::new();
         for leave in self.world.leaves().iter() {
             let upstream = self.world.upstreams.iter().find(|one| one.process.id == leave.id);
-            let from = leave.from + LEAVE_BOUND;
-            let late = |one: &Ran| {
-                let undisturbed = is_calm(self.steps, self.at_ms(leave.from), self.at_ms(one.at));
-                one.at > from && one.at < leave.until && undisturbed
-            };
+            let by_ms = known_by_ms(self.steps, self.at_ms(leave.from), LEAVE_BOUND_MS);
+            let late = |one: &Ran| self.at_ms(one.at) > by_ms && one.at < leave.until;
             let late: Vec<Ran> = upstream
                 .map(|one| one.process.ran())
                 .unwrap_or_default()
@@ -115,14 +115,39 @@
                 .collect();
             if let Some(first) = late.first() {
                 let (count, id, at_ms) = (late.len(), &leave.id, self.at_ms(first.at));
+                let from_ms = self.at_ms(leave.from);
                 found.push(format!(
-                    "{id} was about to leave and got {count} requests, first at {at_ms} ms"
+                    "{id} was about to leave from {from_ms} ms and got {count} requests \
+                     after {by_ms} ms, first at {at_ms} ms"
                 ));
             }
         }
         found
     }
 
+    /// A configuration that the store has taken is in force in time, counted from the
+    /// end of the faults.
+    fn behind(&self) -> Vec<String> {
+        let mut late: BTreeMap<(usize, u64), Vec<u64>> = BTreeMap::new();
+        let mut due = HashMap::new();
+        for Behind { box_number, version, taken, asked } in &self.seen.behind {
+            let (taken_ms, at_ms) = (self.at_ms(*taken), self.at_ms(*asked));
+            let by_ms = known_by_ms(self.steps, taken_ms, CONFIGURATION_BOUND_MS);
+            if at_ms > by_ms {
+                due.insert(*version, (taken_ms, by_ms));
+                late.entry((*box_number, *version)).or_default().push(at_ms);
+            }
+        }
+        let text = |((box_number, version), at_ms): (&(usize, u64), &Vec<u64>)| {
+            let ((taken_ms, by_ms), first, last) = (due[version], at_ms[0], at_ms[at_ms.len() - 1]);
+            format!(
+                "box {box_number} goes by an older version than {version}, taken at {taken_ms} ms \
+                 and due by {by_ms} ms, from {first} to {last} ms"
+            )
+        };
+        late.iter().map(text).collect()
+    }
+
     /// Fencing tokens rise at every engine, and each has one holder.
     fn orders(&self) -> Vec<String> {
         let mut found = Vec::new();
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod checks;
+mod mesh;
 mod plan;
 mod proxy;
 mod world;
@@ -45,13 +46,16 @@
     pub seconds: u64,
     /// Boxes.
     pub boxes: usize,
+    /// Whether the steps of the second stream happen too: connections and datagrams
+    /// between boxes that go silent, a store that goes silent after a change.
+    pub silences: bool,
 }
 
 /// What came of a run.
 pub struct Report {
     /// Broken promises, in words.
     pub violations: Vec<String>,
-    /// Requests by how they ended.
+    /// Requests by how they ended, and how often the newest configuration was in force.
     pub ends: BTreeMap<String, usize>,
     /// What happened, a line each.
     pub steps: Vec<String>,
@@ -70,7 +74,10 @@
     let world = Arc::new(World::start(options.boxes).await?);
     let mut violations = agree(&world).await;
     let began = Instant::now();
-    let steps = plan::steps(options.seed, options.seconds * 1000);
+    let mut steps = plan::steps(options.seed, options.seconds * 1000);
+    if options.silences {
+        steps.extend(plan::silences(options.seed, options.seconds * 1000));
+    }
     let record = Arc::new(Mutex::new(Seen::default()));
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
@@ -81,6 +88,10 @@
             callers::run(world.clone(), record.clone(), stop.clone(), box_number, client, seed);
         clients.push(tokio::spawn(calling));
     }
+    for box_number in 0..options.boxes {
+        let asking = callers::ask(world.clone(), record.clone(), stop.clone(), box_number);
+        clients.push(tokio::spawn(asking));
+    }
     play(&world, &steps, began).await;
     world.heal();
     violations.extend(agree(&world).await);
@@ -117,7 +128,7 @@
 /// Waits until the newest configuration is in force in every box.
 async fn agree(world: &World) -> Vec<String> {
     let until = Instant::now() + AGREE_TIMEOUT;
-    let version = world.version();
+    let version = world.newest().version;
     let mut behind = Vec::new();
     for (number, one) in world.boxes.iter().enumerate() {
         while !serves_version(&one.process.clients, version).await {
@@ -150,6 +161,7 @@
         };
         *ends.entry(end).or_default() += 1;
     }
+    ends.insert("newest in force".to_owned(), record.in_force);
     ends
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,6 +16,7 @@
       --count N     Runs, each with the next seed (default 1)
       --seconds N   Length of each run (default 20)
       --boxes N     Boxes (default 4)
+      --first-only  Without the steps of the second stream, as seeds once were
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -32,7 +33,7 @@
 }
 
 fn parse() -> Result<Option<Args>, lexopt::Error> {
-    let options = Options { seed: fastrand::u64(..1 << 32), seconds: 20, boxes: 4 };
+    let options = Options { seed: fastrand::u64(..1 << 32), seconds: 20, boxes: 4, silences: true };
     let mut args = Args { options, count: 1, steps: false };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -41,6 +42,7 @@
             Long("count") => args.count = parser.value()?.parse()?,
             Long("seconds") => args.options.seconds = parser.value()?.parse()?,
             Long("boxes") => args.options.boxes = parser.value()?.parse()?,
+            Long("first-only") => args.options.silences = false,
             Long("steps") => args.steps = true,
             Short('h') | Long("help") => return Ok(None),
             other => return Err(other.unexpected()),
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -19,6 +19,15 @@
 /// Steps of a series, and the time between them.
 const SERIES: (u64, u64) = (3, 180);
 
+/// Sets the second stream of steps apart from the first.
+const SECOND_STREAM: u64 = 0x5117_e4ce;
+/// Longest pause before the first step of the second stream in a cycle.
+const FIRST_SILENCE_MS: u64 = 1200;
+/// How long a step of the second stream takes.
+const SILENCE_MS: std::ops::Range<u64> = 1000..3000;
+/// Pause between two of them: they overlap.
+const SILENCE_PAUSE_MS: std::ops::Range<u64> = 100..1300;
+
 /// How a connection is spoiled on its way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Link {
@@ -35,6 +44,41 @@
     Silent,
 }
 
+/// Whose connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Those of boxes to the store: calls and watches.
+    Store,
+    /// Those of boxes to each other.
+    Peers,
+    /// Those of boxes to plain upstreams and engines.
+    Upstreams,
+    /// Those of callers to boxes.
+    Callers,
+    /// All of them.
+    All,
+}
+
+/// Which direction between a box and all others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// What the box sends.
+    From,
+    /// What is sent to it.
+    To,
+    /// Either.
+    Both,
+}
+
+/// What the store takes last before it falls silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastWord {
+    /// A configuration.
+    Configuration,
+    /// An upstream is about to leave.
+    Leave,
+}
+
 /// What happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -58,6 +102,12 @@
     UpstreamLink(Link),
     /// An upstream misbehaves in some of its next answers.
     UpstreamMisbehaves,
+    /// The store falls silent some milliseconds after a change.
+    StoreSilentAfter(LastWord),
+    /// Open connections go silent for good; new ones work.
+    Silenced(Way),
+    /// Datagrams and connections between a box and the others are spoiled.
+    PeersLink(Link, Side),
     /// Planned: a box is stopped, and started again when it has ended.
     BoxStopped,
     /// Planned: a box reads its settings again.
@@ -92,6 +142,26 @@
     Event::UpstreamMisbehaves,
     Event::UpstreamMisbehaves,
 ];
+/// Faults of the second stream.
+const SILENCES: [Event; 17] = [
+    Event::StoreSilentAfter(LastWord::Configuration),
+    Event::StoreSilentAfter(LastWord::Configuration),
+    Event::StoreSilentAfter(LastWord::Configuration),
+    Event::StoreSilentAfter(LastWord::Configuration),
+    Event::StoreSilentAfter(LastWord::Leave),
+    Event::StoreSilentAfter(LastWord::Leave),
+    Event::Silenced(Way::Store),
+    Event::Silenced(Way::Peers),
+    Event::Silenced(Way::Upstreams),
+    Event::Silenced(Way::Callers),
+    Event::Silenced(Way::All),
+    Event::Silenced(Way::All),
+    Event::PeersLink(Link::Silent, Side::From),
+    Event::PeersLink(Link::Silent, Side::To),
+    Event::PeersLink(Link::Silent, Side::Both),
+    Event::PeersLink(Link::Delayed, Side::Both),
+    Event::PeersLink(Link::Reset, Side::Both),
+];
 const PLANNED: [Event; 6] = [
     Event::BoxStopped,
     Event::BoxStopped,
@@ -138,6 +208,44 @@
     steps
 }
 
+/// More steps of the same run, from a stream of their own: a seed's first steps are
+/// the same with and without them.
+#[must_use]
+pub fn silences(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ SECOND_STREAM);
+    let mut steps = Vec::new();
+    let mut cycle_ms = 0;
+    while cycle_ms < length_ms {
+        let end_ms = cycle_ms + FAULTS_MS;
+        let mut at_ms = cycle_ms + rng.u64(..FIRST_SILENCE_MS);
+        while at_ms + FAULT_MS.start < end_ms {
+            let event = SILENCES[rng.usize(..SILENCES.len())];
+            let until_ms = (at_ms + rng.u64(SILENCE_MS)).min(end_ms);
+            let until_ms = if matches!(event, Event::Silenced(_)) { at_ms } else { until_ms };
+            steps.push(Step { at_ms, until_ms, event, pick: rng.usize(..1000) });
+            at_ms += rng.u64(SILENCE_PAUSE_MS);
+        }
+        cycle_ms += CYCLE_MS;
+    }
+    steps
+}
+
+/// When all boxes must go by what the store took at `from_ms`: `bound_ms` later, or
+/// that long after the end of the faults that come up to then.
+#[must_use]
+pub fn known_by_ms(steps: &[Step], from_ms: u64, bound_ms: u64) -> u64 {
+    let mut by_ms = from_ms + bound_ms;
+    loop {
+        let faults = steps.iter().filter(|step| !PLANNED.contains(&step.event));
+        let ends = faults.filter(|step| step.at_ms <= by_ms).map(|step| step.until_ms + bound_ms);
+        let next_ms = ends.max().unwrap_or_default().max(by_ms);
+        if next_ms == by_ms {
+            return by_ms;
+        }
+        by_ms = next_ms;
+    }
+}
+
 /// Whether nothing unplanned has an effect between two times.
 #[must_use]
 pub fn is_calm(steps: &[Step], from_ms: u64, to_ms: u64) -> bool {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -12,7 +12,8 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::plan::{Event, Link};
+use crate::mesh::Mesh;
+use crate::plan::{Event, LastWord, Link, Way};
 use crate::proxy::Proxy;
 
 /// Plain upstreams.
@@ -26,6 +27,9 @@
 /// Time for which an upstream is about to leave at least: beyond the two seconds
 /// in which it may still get work.
 const LEAVES: Duration = Duration::from_secs(3);
+/// The store falls silent less than this many milliseconds after a change: within
+/// that time boxes have asked for the next one.
+const SILENT_AFTER_MS: usize = 25;
 /// How often a box that is to stop is looked at.
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// Answers that an upstream spoils at a time.
@@ -52,6 +56,25 @@
     pub proxy: Proxy,
 }
 
+/// A box.
+pub struct OneBox {
+    /// The process.
+    pub process: Gateway,
+    /// The proxy before the store.
+    pub store: Proxy,
+    /// The proxy before the box, which callers use.
+    pub callers: Proxy,
+}
+
+/// The newest configuration.
+#[derive(Clone, Copy)]
+pub struct Newest {
+    /// Its version.
+    pub version: u64,
+    /// When the store had taken it.
+    pub taken: Instant,
+}
+
 /// A time for which an upstream was about to leave.
 pub struct Leave {
     /// Id of the upstream.
@@ -66,13 +89,14 @@
 pub struct World {
     /// The platform.
     pub site: Site,
-    /// Boxes, each with the proxy to the store.
-    pub boxes: Vec<Behind<Gateway>>,
+    /// Boxes.
+    pub boxes: Vec<OneBox>,
     /// Plain upstreams.
     pub upstreams: Vec<Behind<Server>>,
     /// Engines.
     pub engines: Vec<Behind<Engine>>,
-    version: AtomicU64,
+    mesh: Mesh,
+    newest: Mutex<Newest>,
     weights: AtomicU64,
     leaves: Mutex<Vec<Leave>>,
     /// For each upstream, the steps in which it is about to leave.
@@ -107,6 +131,7 @@
     /// Fails when an address cannot be had.
     pub async fn start(boxes: usize) -> Result<Self> {
         let mut site = Site::start().await;
+        site.own_peer_ports = true;
         let mut upstreams = Vec::new();
         for number in 0..UPSTREAMS {
             let process = Server::start(&format!("s-{number}")).await;
@@ -124,18 +149,22 @@
         }
         site.name_weights(MODEL, 1);
         site.configure(&configuration(1));
-        let mut started: Vec<Behind<Gateway>> = Vec::new();
+        let newest = Mutex::new(Newest { version: 1, taken: Instant::now() });
+        let mut started: Vec<OneBox> = Vec::new();
         for number in 0..boxes {
-            let proxy = Proxy::start(&site.metadata.address).await?;
+            let store = Proxy::start(&site.metadata.address).await?;
             let seeds: Vec<&Gateway> = started.iter().take(2).map(|one| &one.process).collect();
             let hall = HALLS[number % HALLS.len()];
-            let process = site.gateway_at(hall, &seeds, &proxy.address);
-            started.push(Behind { process, proxy });
+            let process = site.gateway_at(hall, &seeds, &store.address);
+            let callers = Proxy::start(&process.clients).await?;
+            started.push(OneBox { process, store, callers });
         }
-        let (version, weights) = (AtomicU64::new(1), AtomicU64::new(1));
-        let leaves = Mutex::default();
+        let peers: Vec<&str> = started.iter().map(|one| one.process.peers.as_str()).collect();
+        let mesh = Mesh::start(&peers).await?;
+        let (weights, leaves) = (AtomicU64::new(1), Mutex::default());
         let leaving = upstreams.iter().map(|_| AtomicUsize::new(0)).collect();
-        Ok(Self { site, boxes: started, upstreams, engines, version, weights, leaves, leaving })
+        let boxes = started;
+        Ok(Self { site, boxes, upstreams, engines, mesh, newest, weights, leaves, leaving })
     }
 
     /// When upstreams were about to leave.
@@ -143,9 +172,17 @@
         self.leaves.lock().expect("no task panics under the lock")
     }
 
-    /// Newest version of the configuration.
-    pub fn version(&self) -> u64 {
-        self.version.load(Ordering::SeqCst)
+    /// The newest configuration.
+    pub fn newest(&self) -> Newest {
+        *self.newest.lock().expect("no task panics under the lock")
+    }
+
+    fn configure(&self, step: u64) {
+        // Under the lock, the store takes versions in their order.
+        let mut newest = self.newest.lock().expect("no task panics under the lock");
+        newest.version += step;
+        self.site.configure(&configuration(newest.version));
+        newest.taken = Instant::now();
     }
 
     /// Has something happen for a while.
@@ -170,7 +207,14 @@
             Event::StoreSilent => self.trouble(Trouble::Silent, time).await,
             Event::StoreLosesAnswers => self.trouble(Trouble::AnswersLost, time).await,
             Event::StoreForgets => self.site.metadata.compact(),
-            Event::StoreLink(link) => spoil(&one_box.proxy, link, time).await,
+            Event::StoreLink(link) => spoil(&one_box.store, link, time).await,
+            Event::StoreSilentAfter(word) => self.store_silent_after(word, pick, time).await,
+            Event::Silenced(way) => self.silence(way),
+            Event::PeersLink(link, side) => {
+                self.mesh.set(pick % self.boxes.len(), side, link);
+                sleep(time).await;
+                self.mesh.set(pick % self.boxes.len(), side, Link::Sound);
+            }
             Event::UpstreamLink(link) => spoil(&upstream.proxy, link, time).await,
             Event::UpstreamMisbehaves => {
                 let mut acts = MISBEHAVIOUR;
@@ -189,34 +233,67 @@
                 self.start_ended();
             }
             Event::BoxReloads => one_box.process.try_signal("-HUP"),
-            Event::Configured => {
-                let step = 1 + u64::from(pick.is_multiple_of(3)) * 4;
-                let version = self.version.fetch_add(step, Ordering::SeqCst) + step;
-                self.site.configure(&configuration(version));
-            }
+            Event::Configured => self.configure(1 + u64::from(pick.is_multiple_of(3)) * 4),
             Event::WeightsNamed => {
                 let version = self.weights.fetch_add(1, Ordering::SeqCst) + 1;
                 self.site.name_weights(MODEL, version);
             }
-            Event::UpstreamLeaves => {
-                let leaving = &self.leaving[pick % self.upstreams.len()];
-                leaving.fetch_add(1, Ordering::SeqCst);
-                let from = Instant::now();
-                self.enter(upstream, "draining");
-                sleep(time + LEAVES).await;
-                self.leaves().push(Leave {
-                    id: upstream.process.id.clone(),
-                    from,
-                    until: Instant::now(),
-                });
-                // Other steps may go on.
-                if leaving.fetch_sub(1, Ordering::SeqCst) == 1 {
-                    self.enter(upstream, "ready");
-                }
+            Event::UpstreamLeaves => self.leave(pick, time + LEAVES).await,
+        }
+    }
+
+    /// Has an upstream be about to leave for a while.
+    async fn leave(&self, pick: usize, time: Duration) {
+        let upstream = &self.upstreams[pick % self.upstreams.len()];
+        let leaving = &self.leaving[pick % self.upstreams.len()];
+        leaving.fetch_add(1, Ordering::SeqCst);
+        let from = Instant::now();
+        self.enter(upstream, "draining");
+        sleep(time).await;
+        let id = upstream.process.id.clone();
+        self.leaves().push(Leave { id, from, until: Instant::now() });
+        // Other steps may go on.
+        if leaving.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.enter(upstream, "ready");
+        }
+    }
+
+    /// Has the store take a change and say nothing soon after.
+    async fn store_silent_after(&self, word: LastWord, pick: usize, time: Duration) {
+        let silent = async {
+            let pause_ms = u64::try_from(pick % SILENT_AFTER_MS).unwrap_or_default();
+            sleep(Duration::from_millis(pause_ms)).await;
+            self.trouble(Trouble::Silent, time).await;
+        };
+        match word {
+            LastWord::Configuration => {
+                self.configure(1);
+                silent.await;
+            }
+            LastWord::Leave => {
+                tokio::join!(self.leave(pick, time + LEAVES), silent);
             }
         }
     }
 
+    /// Silences open connections.
+    fn silence(&self, way: Way) {
+        let on = |one| way == one || way == Way::All;
+        for one in self.boxes.iter().filter(|_| on(Way::Store)) {
+            one.store.silence();
+        }
+        for one in self.boxes.iter().filter(|_| on(Way::Callers)) {
+            one.callers.silence();
+        }
+        if on(Way::Upstreams) {
+            self.upstreams.iter().for_each(|one| one.proxy.silence());
+            self.engines.iter().for_each(|one| one.proxy.silence());
+        }
+        if on(Way::Peers) {
+            self.mesh.silence();
+        }
+    }
+
     fn enter(&self, upstream: &Behind<Server>, state: &str) {
         let entry = entry("plain", &upstream.proxy.address, state);
         self.site.enter(&upstream.process.id, &entry);
@@ -233,8 +310,9 @@
         self.site.metadata.trouble(Trouble::None);
         for one in &self.boxes {
             one.process.try_signal("-CONT");
-            one.proxy.set(Link::Sound);
+            one.store.set(Link::Sound);
         }
+        self.mesh.heal();
         self.start_ended();
         for one in &self.upstreams {
             one.proxy.set(Link::Sound);
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -8,10 +8,11 @@
 #[case::two(2)]
 #[tokio::test]
 async fn short_runs(#[case] seed: u64) {
-    holds(Options { seed, seconds: 10, boxes: 3 }).await;
+    holds(Options { seed, seconds: 10, boxes: 3, silences: false }).await;
 }
 
-// The plan has been changed since: a seed means other steps than it did then.
+// The plan has been changed since: a seed means other steps than it did then. Steps of
+// the second stream, which came last, are left out of the first cases.
 #[rstest]
 // The soak itself: overlapping leaves of one upstream were taken for one.
 #[case::overlapping_leaves(100)]
@@ -23,7 +24,7 @@
 #[case::made_up_event_again(151)]
 #[tokio::test]
 async fn failed_once(#[case] seed: u64) {
-    holds(Options { seed, seconds: 14, boxes: 4 }).await;
+    holds(Options { seed, seconds: 14, boxes: 4, silences: false }).await;
 }
 
 async fn holds(options: Options) {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -134,6 +134,9 @@
     pub metadata: Metadata,
     /// Repeats in a window beside the ratio, for gateways started from now on.
     pub retry_extra: u32,
+    /// Whether each gateway started from now on has a port of its own for peers. It
+    /// then calls others at that port of their addresses, where a proxy can stand.
+    pub own_peer_ports: bool,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -149,7 +152,9 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("folder");
         let metadata = Metadata::start().await;
-        Self { metadata, retry_extra: 1_000_000, folder, network: Network::take(), next_box: 10 }
+        let network = Network::take();
+        let (retry_extra, own_peer_ports) = (1_000_000, false);
+        Self { metadata, retry_extra, own_peer_ports, folder, network, next_box: 10 }
     }
 
     /// Starts a gateway that knows the boxes in `seeds`.
@@ -171,7 +176,8 @@
         let name = format!("{hall}-{}", self.next_box);
         let clients = format!("{ip}:{CLIENTS_PORT}");
         let ready = format!("{ip}:{READY_PORT}");
-        let peers = format!("{ip}:{PEERS_PORT}");
+        let own_port = if self.own_peer_ports { u16::from(self.next_box) } else { 0 };
+        let peers = format!("{ip}:{}", PEERS_PORT + own_port);
         let seeds: Vec<&str> = seeds.iter().map(|seed| seed.peers.as_str()).collect();
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
