--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -27,6 +27,19 @@
     holds(Options { seed, seconds: 14, boxes: 4, silences: false }).await;
 }
 
+// All boxes' watches were lost: the store fell silent right after a change had ended
+// them and they had been sent again. They hung for seconds after its return.
+#[tokio::test]
+async fn watches_lost() {
+    holds(Options { seed: 9121, seconds: 14, boxes: 4, silences: true }).await;
+}
+
+// The same, and upstreams that said meanwhile that they leave still got work.
+#[tokio::test]
+async fn leaves_missed() {
+    holds(Options { seed: 9322, seconds: 14, boxes: 4, silences: true }).await;
+}
+
 async fn holds(options: Options) {
     let report = run(options).await.unwrap();
     assert!(report.violations.is_empty(), "{options:?}: {:#?}", report.violations);
