--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -3,6 +3,10 @@
 //! One watch covers all keys, so that knowing a change means knowing all that
 //! came before it. After any fault the watch goes on from the same revision;
 //! when the store has forgotten it, everything is listed again.
+//!
+//! A watch that nobody will answer looks like a store without news, and a change ends
+//! the watches of all boxes at once, so that all of them may be lost together. The
+//! store has to say something well within the time in which a change must be in force.
 
 use std::sync::Arc;
 use std::time::Duration;
