A call to the box that gave its ticket is sent again until it is answered

Cause: a forwarded call was one message. Lost on a silent socket, it made its caller wait until its deadline and hear 'outcome unknown'; so it did at once where a box that was just replaced did not know yet who keeps its predecessor's ledger.

Change (src/forwarding.rs): the call is sent again after 0.5 s, 1 s, 2 s and so on, to whoever answers for the ticket by then; where nobody is known to, or the box asked does not, news is waited for, 2 s at most. It keeps its number. The other box does not begin again what is under way there, nor what it has said has not run: its caller was told so. All else is answered from the ledger.

Ruled out: sending it again without a memory of numbers: a call of which 'not run' was said ran when it came again (forwarded::not_run_stays failed so on the code before).

--- a/src/calls.rs
+++ b/src/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services, and the promise that some run at most once.
 //!
 //! A call with a ticket is run by the incarnation that gave the ticket, under
-//! its ledger; any other box forwards it there. When that incarnation cannot
+//! its ledger; any other box forwards it there (`forwarding`). When that incarnation cannot
 //! be reached the outcome is unknown. When it has stopped as planned, its heir
 //! answers from the ledger that it was given.
 
@@ -11,9 +11,10 @@
 use std::time::Duration;
 
 use log::info;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
-use crate::clock::{instant_at, now_ms, now_us};
+use crate::clock::now_ms;
+use crate::forwarding::{Forwarding, forward, take_call};
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::ledger::{Answer, Begin, CallKey, Ledger, Outcome};
@@ -21,7 +22,6 @@
 use crate::refusal::{Reason, Refusal};
 use crate::sync::locked;
 use crate::ticket::{BoxRef, Ticket, TicketError};
-use crate::trace::Hop;
 use crate::wire::{Call, CallEnd, Envelope, Message};
 use crate::workers::{Workers, run};
 
@@ -42,7 +42,7 @@
 pub struct Calls {
     pub(crate) own: Mutex<Ledger>,
     pub(crate) inherited: Mutex<HashMap<BoxRef, Ledger>>,
-    forwarded: Mutex<HashMap<u64, oneshot::Sender<CallEnd>>>,
+    pub(crate) forwarding: Forwarding,
     /// The workers of plain services.
     pub workers: Workers,
     running: AtomicUsize,
@@ -54,7 +54,7 @@
         Self {
             own: Mutex::default(),
             inherited: Mutex::default(),
-            forwarded: Mutex::default(),
+            forwarding: Forwarding::default(),
             workers: Workers::default(),
             running: AtomicUsize::new(0),
             handover_taken: watch::Sender::new(None),
@@ -63,7 +63,7 @@
 }
 
 /// Counts a running call for as long as it lives.
-struct Running<'a>(&'a AtomicUsize);
+pub(crate) struct Running<'a>(&'a AtomicUsize);
 
 impl<'a> Running<'a> {
     fn new(count: &'a AtomicUsize) -> Self {
@@ -79,6 +79,11 @@
 }
 
 impl Calls {
+    /// Counts a call that runs until the value is dropped.
+    pub(crate) fn count_running(&self) -> Running<'_> {
+        Running::new(&self.running)
+    }
+
     pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
         locked(&self.own)
     }
@@ -116,7 +121,7 @@
     call: &Call,
     repeatable: bool,
 ) -> Result<Answer, Refusal> {
-    let _running = Running::new(&kernel.calls.running);
+    let _running = kernel.calls.count_running();
     let end = run(kernel, call, repeatable).await;
     answer_of(end)
 }
@@ -130,7 +135,7 @@
     mut call: Call,
     idempotency_key: &str,
 ) -> Result<Answer, Refusal> {
-    let _running = Running::new(&kernel.calls.running);
+    let _running = kernel.calls.count_running();
     let key = &kernel.settings.cluster_key;
     let ticket = Ticket::open(key, &call.key.account, idempotency_key).map_err(bad_ticket)?;
     call.ticket_expires_at_ms = ticket.expires_at_ms;
@@ -157,7 +162,7 @@
 }
 
 /// Runs a call under this incarnation's ledger.
-async fn spend(kernel: &Arc<Kernel>, call: &Call) -> CallEnd {
+pub(crate) async fn spend(kernel: &Arc<Kernel>, call: &Call) -> CallEnd {
     let fingerprint = fingerprint(call);
     loop {
         if now_ms() >= call.deadline_ms {
@@ -175,7 +180,7 @@
     // The run goes on also when its caller hangs up, so that it gets its line.
     let (kernel, call) = (kernel.clone(), call.clone());
     let spent = tokio::spawn(async move {
-        let _running = Running::new(&kernel.calls.running);
+        let _running = kernel.calls.count_running();
         let end = run(&kernel, &call, false).await;
         kernel.calls.ledger().finish(&call.key, &end.outcome);
         end
@@ -208,35 +213,9 @@
     u64::from_le_bytes(bytes)
 }
 
-/// Forwards a call to the box that may spend its ticket, or to its heir.
-async fn forward(kernel: &Arc<Kernel>, spender: &BoxRef, call: Call) -> CallEnd {
-    let began_at_us = now_us();
-    let (trace, deadline_ms) = (call.trace, call.deadline_ms);
-    let answers = kernel.membership().view().answers_for(spender).cloned();
-    let address = match answers {
-        Some(member) if member.id == kernel.me => {
-            return answer_as_heir(kernel, spender, &call)
-                .unwrap_or_else(|| CallEnd::unknown(Reason::SpenderUnreachable));
-        }
-        Some(member) => member.address,
-        None => return CallEnd::unknown(Reason::SpenderUnreachable),
-    };
-    let number = kernel.take_number();
-    let (waiting, answered) = oneshot::channel();
-    locked(&kernel.calls.forwarded).insert(number, waiting);
-    kernel.send(&address, Message::Call { number, spender: spender.clone(), call: Box::new(call) });
-    let answer = tokio::time::timeout_at(instant_at(deadline_ms), answered).await;
-    locked(&kernel.calls.forwarded).remove(&number);
-    kernel.span(trace, Hop::Spender, began_at_us, spender.to_string());
-    match answer {
-        Ok(Ok(end)) => end,
-        Ok(Err(_)) | Err(_) => CallEnd::unknown(Reason::SpenderUnreachable),
-    }
-}
-
 /// Answers from the ledger of a box that has stopped; it is closed, so that
 /// nothing runs.
-fn answer_as_heir(kernel: &Kernel, spender: &BoxRef, call: &Call) -> Option<CallEnd> {
+pub(crate) fn answer_as_heir(kernel: &Kernel, spender: &BoxRef, call: &Call) -> Option<CallEnd> {
     let mut inherited = locked(&kernel.calls.inherited);
     let ledger = inherited.get_mut(spender)?;
     let begin = ledger.begin(now_ms(), &call.key, fingerprint(call), call.ticket_expires_at_ms);
@@ -247,12 +226,17 @@
 fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
     match envelope.message {
         Message::Call { number, spender, call } => {
-            tokio::spawn(take_call(kernel.clone(), envelope.reply_to, number, spender, call));
+            tokio::spawn(take_call(
+                kernel.clone(),
+                envelope.from,
+                envelope.reply_to,
+                number,
+                spender,
+                call,
+            ));
         }
         Message::CallEnd { number, end } => {
-            let waiting = locked(&kernel.calls.forwarded).remove(&number);
-            // A caller that has given up does not wait any more.
-            let _ = waiting.map(|waiting| waiting.send(end));
+            kernel.calls.forwarding.answered(number, end);
         }
         Message::Handover { of, ledger } => {
             info!(target: "calls", "Took over {} keys of {of}.", ledger.len());
@@ -267,23 +251,6 @@
     }
 }
 
-async fn take_call(
-    kernel: Arc<Kernel>,
-    reply_to: String,
-    number: u64,
-    spender: BoxRef,
-    call: Box<Call>,
-) {
-    let _running = Running::new(&kernel.calls.running);
-    let end = if spender == kernel.me {
-        spend(&kernel, &call).await
-    } else {
-        answer_as_heir(&kernel, &spender, &call)
-            .unwrap_or_else(|| CallEnd::unknown(Reason::SpenderUnreachable))
-    };
-    kernel.send(&reply_to, Message::CallEnd { number, end });
-}
-
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
     tokio::spawn(async move {
@@ -291,6 +258,7 @@
         while kernel.phase() != Phase::Stopped {
             ticks.tick().await;
             kernel.calls.ledger().expire(now_ms());
+            kernel.calls.forwarding.expire(now_ms());
             let mut inherited = locked(&kernel.calls.inherited);
             for ledger in inherited.values_mut() {
                 ledger.expire(now_ms());
--- /dev/null
+++ b/src/forwarding.rs
@@ -0,0 +1,151 @@
+//! Calls that another box must answer: the one that gave their ticket, or its heir.
+//!
+//! A message may be lost, and news of an heir come late, so a call is sent again until
+//! it is answered, to whoever answers for the ticket by then. It keeps its number: the
+//! other box does not begin a call again that is under way there, nor one of which it
+//! has said that it has not run. All else it answers from the ledger.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use crate::calls::{answer_as_heir, spend};
+use crate::clock::{instant_at, now_ms, now_us};
+use crate::kernel::Kernel;
+use crate::ledger::Outcome;
+use crate::refusal::Reason;
+use crate::sync::locked;
+use crate::ticket::BoxRef;
+use crate::trace::Hop;
+use crate::wire::{Call, CallEnd, Message};
+
+/// Time after which a call is sent again; each next time is twice as long, since the
+/// other box may be at work on it.
+const RESEND_AFTER_MS: u64 = 500;
+/// Time in which news of who answers for a ticket is waited for: a box that starts
+/// asks for all of it once a second.
+const NEWS_TIMEOUT_MS: u64 = 2000;
+/// How often that is looked for.
+const NEWS_POLL: Duration = Duration::from_millis(100);
+/// Answers to one call that may wait to be read.
+const ANSWERS_LEN: usize = 4;
+
+/// Calls forwarded to other boxes, and by them to this one.
+#[derive(Default)]
+pub struct Forwarding {
+    waiting: Mutex<HashMap<u64, mpsc::Sender<CallEnd>>>,
+    taken: Mutex<HashMap<(BoxRef, u64), Taken>>,
+}
+
+/// A call that another box forwarded.
+struct Taken {
+    /// How it ended, if it has not run; none while it is under way.
+    not_run: Option<CallEnd>,
+    /// When it may be forgotten, since it would not be begun again.
+    deadline_ms: u64,
+}
+
+impl Forwarding {
+    /// Takes the answer to a forwarded call.
+    pub fn answered(&self, number: u64, end: CallEnd) {
+        if let Some(waiting) = locked(&self.waiting).get(&number) {
+            // A caller that has its answer, or has given up, does not read this one.
+            let _ = waiting.try_send(end);
+        }
+    }
+
+    /// Forgets calls past their deadline.
+    pub fn expire(&self, now_ms: u64) {
+        locked(&self.taken)
+            .retain(|_, taken| taken.not_run.is_none() || now_ms < taken.deadline_ms);
+    }
+}
+
+/// Forwards a call to the box that may spend its ticket, or to its heir.
+pub async fn forward(kernel: &Arc<Kernel>, spender: &BoxRef, call: Call) -> CallEnd {
+    let (began_at_us, trace) = (now_us(), call.trace);
+    let number = kernel.take_number();
+    let (waiting, answers) = mpsc::channel(ANSWERS_LEN);
+    locked(&kernel.calls.forwarding.waiting).insert(number, waiting);
+    let end = forward_until_answered(kernel, spender, &call, number, answers).await;
+    locked(&kernel.calls.forwarding.waiting).remove(&number);
+    kernel.span(trace, Hop::Spender, began_at_us, spender.to_string());
+    end
+}
+
+async fn forward_until_answered(
+    kernel: &Arc<Kernel>,
+    spender: &BoxRef,
+    call: &Call,
+    number: u64,
+    mut answers: mpsc::Receiver<CallEnd>,
+) -> CallEnd {
+    let unreachable = CallEnd::unknown(Reason::SpenderUnreachable);
+    let news_deadline_ms = now_ms() + NEWS_TIMEOUT_MS;
+    let mut resend_after_ms = RESEND_AFTER_MS;
+    while now_ms() < call.deadline_ms {
+        let found = kernel.membership().view().answers_for(spender).cloned();
+        let end = match found {
+            Some(member) if member.id == kernel.me => answer_as_heir(kernel, spender, call),
+            Some(member) => {
+                let (spender, call) = (spender.clone(), Box::new(call.clone()));
+                let resend_at_ms = call.deadline_ms.min(now_ms() + resend_after_ms);
+                kernel.send(&member.address, Message::Call { number, spender, call });
+                resend_after_ms *= 2;
+                let answer = tokio::time::timeout_at(instant_at(resend_at_ms), answers.recv());
+                match answer.await {
+                    Ok(end) => end,
+                    Err(_) => continue,
+                }
+            }
+            None => None,
+        };
+        match end {
+            Some(end) if end != unreachable => return end,
+            // Nobody is known to answer, or the box asked does not: news may be due.
+            Some(_) | None if now_ms() < news_deadline_ms => {
+                tokio::time::sleep(NEWS_POLL).await;
+            }
+            Some(_) | None => break,
+        }
+    }
+    unreachable
+}
+
+/// Answers a call that the box `from`, which listens at `reply_to`, has forwarded.
+pub async fn take_call(
+    kernel: Arc<Kernel>,
+    from: BoxRef,
+    reply_to: String,
+    number: u64,
+    spender: BoxRef,
+    call: Box<Call>,
+) {
+    let _running = kernel.calls.count_running();
+    let name = (from, number);
+    let deadline_ms = call.deadline_ms;
+    let known = {
+        let mut taken = locked(&kernel.calls.forwarding.taken);
+        let known = taken.get(&name).map(|taken| taken.not_run.clone());
+        taken.entry(name.clone()).or_insert(Taken { not_run: None, deadline_ms });
+        known
+    };
+    let end = match known {
+        Some(None) => return,
+        Some(Some(not_run)) => not_run,
+        None if spender == kernel.me => spend(&kernel, &call).await,
+        None => answer_as_heir(&kernel, &spender, &call)
+            .unwrap_or_else(|| CallEnd::unknown(Reason::SpenderUnreachable)),
+    };
+    {
+        let mut taken = locked(&kernel.calls.forwarding.taken);
+        if end.outcome == Outcome::NotRun {
+            taken.insert(name, Taken { not_run: Some(end.clone()), deadline_ms });
+        } else {
+            taken.remove(&name);
+        }
+    }
+    kernel.send(&reply_to, Message::CallEnd { number, end });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod error;
 pub mod explain;
 pub mod fleet;
+pub mod forwarding;
 pub mod gateway;
 pub mod gossip;
 pub mod handover;
--- /dev/null
+++ b/tests/forwarded.rs
@@ -0,0 +1,128 @@
+//! A call that is forwarded again is the same call: it does not run twice, and one
+//! of which it was said that it has not run does not run later.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{fleet, runs};
+use coursestile::clock::now_ms;
+use coursestile::ledger::{CallKey, Outcome};
+use coursestile::link::{Link, listen};
+use coursestile::ticket::{BoxRef, ClusterKey};
+use coursestile::trace::TraceId;
+use coursestile::wire::{Call, CallEnd, Envelope, Message, decode, encode};
+use coursestile_standins::fleet::{CLUSTER_KEY, Fleet, Plan, Process};
+use coursestile_standins::loopback::Network;
+use tokio::sync::mpsc;
+
+/// A peer played by the test, that forwards calls to the first box.
+struct Forwarder {
+    me: BoxRef,
+    address: String,
+    spender: BoxRef,
+    to: String,
+    link: Link,
+    received: mpsc::Receiver<Vec<u8>>,
+    _network: Network,
+}
+
+fn cluster_key() -> ClusterKey {
+    let digit = |at: usize| u8::from_str_radix(&CLUSTER_KEY[at..at + 2], 16).unwrap();
+    std::array::from_fn(|byte| digit(2 * byte))
+}
+
+impl Forwarder {
+    async fn new(fleet: &Fleet) -> Self {
+        let network = Network::take();
+        let address = format!("{}.1:7000", network.prefix());
+        let status = fleet.status(&fleet.boxes[0]).await.unwrap();
+        let (name, incarnation) =
+            status["name"].as_str().and_then(|text| text.split_once('#')).unwrap();
+        let incarnation = u64::from_str_radix(incarnation, 16).unwrap();
+        let host = fleet.boxes[0].process.address.replace(":8000", ":7000");
+        Self {
+            me: BoxRef { name: "other".to_owned(), incarnation: 1 },
+            received: listen(&address).unwrap(),
+            address,
+            spender: BoxRef { name: name.to_owned(), incarnation },
+            to: host,
+            link: Link::new(std::collections::BTreeMap::new()),
+            _network: network,
+        }
+    }
+
+    fn forward(&self, number: u64, key: &str) {
+        let call = Call {
+            key: CallKey { account: "petra".to_owned(), key: key.to_owned() },
+            ticket_expires_at_ms: now_ms() + 60_000,
+            service: "scores".to_owned(),
+            method: "POST".to_owned(),
+            path: "/app/orders/1".to_owned(),
+            content_type: None,
+            body: Vec::new(),
+            deadline_ms: now_ms() + 20_000,
+            trace: TraceId::from_header(None),
+        };
+        let message = Message::Call { number, spender: self.spender.clone(), call: Box::new(call) };
+        let envelope = Envelope {
+            from: self.me.clone(),
+            reply_to: self.address.clone(),
+            to: self.to.clone(),
+            sent_at_ms: now_ms(),
+            config_revision: 0,
+            message,
+        };
+        self.link.send(&self.to, &encode(&cluster_key(), &envelope).unwrap());
+    }
+
+    /// The next end of a call, with its number.
+    async fn end(&mut self) -> (u64, CallEnd) {
+        loop {
+            let bytes = self.received.recv().await.unwrap();
+            let envelope = decode(&cluster_key(), &bytes).unwrap();
+            if let Message::CallEnd { number, end } = envelope.message {
+                return (number, end);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn not_run_stays() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 1)).await;
+    let mut forwarder = Forwarder::new(&fleet).await;
+    fleet.workers.iter().for_each(Process::kill);
+    forwarder.forward(1, "lost");
+    let (_, first) = forwarder.end().await;
+    assert_eq!(first.outcome, Outcome::NotRun);
+    fleet.workers.iter().for_each(Process::restart);
+    fleet.wait_for(&format!("{}/runs", fleet.workers[0].url())).await;
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    // The answer was lost on its way, so the call comes again under its number.
+    forwarder.forward(1, "lost");
+    assert_eq!(forwarder.end().await, (1, first));
+    assert_eq!(runs(&fleet, "lost").await, 0);
+    // Its caller heard that it has not run, and makes it again.
+    forwarder.forward(2, "lost");
+    let (number, second) = forwarder.end().await;
+    assert!(matches!((number, second.outcome), (2, Outcome::Answered(_))));
+    assert_eq!(runs(&fleet, "lost").await, 1);
+}
+
+#[tokio::test]
+async fn runs_once() {
+    let mut plan = Plan::one_hall(1, 1, 1);
+    plan.worker_args = vec![("work-ms".to_owned(), "600".to_owned())];
+    let fleet = fleet(&plan).await;
+    let mut forwarder = Forwarder::new(&fleet).await;
+    for _ in 0..3 {
+        forwarder.forward(1, "again");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let (_, first) = forwarder.end().await;
+    assert!(matches!(first.outcome, Outcome::Answered(_)), "{first:?}");
+    forwarder.forward(1, "again");
+    assert_eq!(forwarder.end().await, (1, first));
+    assert_eq!(runs(&fleet, "again").await, 1);
+}
