--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -5,9 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-use common::{call, check_completion, completion, fleet, ticket};
+use common::{call, check_completion, completion, fleet, runs, ticket};
 use coursestile_standins::fleet::{Fleet, HallPlan, Kind, Plan};
 use futures_util::future::join_all;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const KEY: &str = "sanam-key";
 /// Time in which a change is promised to be in force at each box.
@@ -147,3 +149,46 @@
     wait_in_time(&fleet, 6).await;
     warm_up(&fleet).await;
 }
+
+// A caller fell silent in the middle of its request. The box waited for the rest of
+// the body for ever, past the time that the caller had said it waits.
+#[tokio::test]
+async fn caller_silent() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 1)).await;
+    let mut caller = TcpStream::connect(&fleet.boxes[0].process.address).await.unwrap();
+    let begun = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: box\r\nauthorization: Bearer {KEY}\r\n\
+         x-timeout-ms: 1000\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n{{\"mod"
+    );
+    caller.write_all(begun.as_bytes()).await.unwrap();
+    let mut answer = [0; 512];
+    let read = tokio::time::timeout(IN_FORCE_WITHIN, caller.read(&mut answer)).await;
+    let answer = String::from_utf8_lossy(&answer[..read.expect("an answer").unwrap()]);
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    assert!(answer.contains("x-coursestile-ran: not run"), "{answer}");
+}
+
+// The connections between boxes went silent as a box stopped. Each peer that was asked
+// to take its ledger over was asked once, over a silent socket; nobody took it.
+#[tokio::test]
+async fn handover_silenced() {
+    let plan = Plan { relays: true, ..Plan::one_hall(3, 1, 1) };
+    let fleet = fleet(&plan).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    let order = |at: usize| {
+        let order = call(&fleet, at, KEY, "/orders/1").header("idempotency-key", &key);
+        order.header("x-timeout-ms", 5000).send()
+    };
+    assert_eq!(order(0).await.unwrap().status(), 200);
+    fleet.boxes[0].process.signal("-TERM");
+    // The ledger is given away when the balancer has had time to notice.
+    tokio::time::sleep(Duration::from_millis(2400)).await;
+    fleet.silence(Kind::Peers).await;
+    while !fleet.boxes[0].process.ended() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for at in [1, 2] {
+        assert_eq!(order(at).await.unwrap().status(), 200, "asked at {at}");
+    }
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
