Silent callers are let go, and a ledger is offered once more over new sockets

Cause: the body of a request was waited for without an end, and the connection of a caller that had gone silent was kept until the kernel gave up retransmitting. A stopping box asked three peers in turn to take its ledger, 1.5 s each; a silent socket is dialled anew after 1.8 s, so that none heard of it.

The peers are asked a second time.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -21,7 +21,7 @@
 use crate::account::Terms;
 use crate::calls::{give_ticket, serve_once, serve_plain, single_key};
 use crate::chunk::{events, last_chunk};
-use crate::clock::now_ms;
+use crate::clock::{instant_at, now_ms};
 use crate::completion::{self, Job};
 use crate::context::tokens;
 use crate::kernel::{Kernel, Plugin};
@@ -91,13 +91,19 @@
 }
 
 /// Reads a body. One that is too long is read on for a while, so that its
-/// sender gets to read the refusal.
-async fn read_body(kernel: &Kernel, body: Body) -> Result<Vec<u8>, Rejection> {
+/// sender gets to read the refusal; one whose sender is silent is waited for until
+/// the deadline.
+async fn read_body(kernel: &Kernel, body: Body, deadline_ms: u64) -> Result<Vec<u8>, Rejection> {
     let limit = kernel.settings.max_body_bytes;
+    let deadline = instant_at(deadline_ms);
     let mut chunks = body.into_bytes_stream();
     let mut bytes = Vec::new();
     let mut read = 0;
-    while let Some(chunk) = chunks.next().await {
+    loop {
+        let next = tokio::time::timeout_at(deadline, chunks.next()).await;
+        let Some(chunk) = next.map_err(|_| Reason::DeadlinePassed)? else {
+            break;
+        };
         let chunk = chunk.map_err(|_| bad_request("the body broke off".to_owned()))?;
         read += chunk.len();
         if read <= limit {
@@ -165,7 +171,7 @@
     body: Body,
 ) -> Result<(Arc<Stream>, bool), Rejection> {
     let caller = caller(kernel, request)?;
-    let body = read_body(kernel, body).await?;
+    let body = read_body(kernel, body, caller.deadline_ms).await?;
     let (job, streamed) = job(kernel, caller, &body)?;
     metrics::counter!("coursestile_requests_total", "kind" => "completion").increment(1);
     let id = format!("{}-{:x}", kernel.me.name, fastrand::u128(..));
@@ -296,7 +302,7 @@
         method: request.method().to_string(),
         path: format!("/app{path}{query}"),
         content_type: request.header("content-type").map(str::to_owned),
-        body: read_body(kernel, body).await?,
+        body: read_body(kernel, body, caller.deadline_ms).await?,
         deadline_ms: caller.deadline_ms,
         trace: caller.trace,
         service,
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -17,6 +17,8 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Boxes that are asked in turn to take a ledger over.
 const HANDOVER_TRIES: usize = 3;
+/// How often they are: a silent socket is noticed, and dialled anew, after the first.
+const HANDOVER_ROUNDS: usize = 2;
 /// How often every box is told of the heir before the box stops: a message to
 /// a peer may be lost, and probes reach just one box a second.
 const HEIR_NEWS_TIMES: usize = 3;
@@ -35,10 +37,11 @@
     if ledgers.is_empty() {
         return;
     }
-    for heir in heirs(kernel) {
-        if give_to(kernel, &heir, &ledgers).await {
+    let heirs = heirs(kernel);
+    for heir in std::iter::repeat_n(&heirs, HANDOVER_ROUNDS).flatten() {
+        if give_to(kernel, heir, &ledgers).await {
             info!(target: "calls", "{} ledgers given to {}.", ledgers.len(), heir.id);
-            kernel.membership().leave(Some(heir.id));
+            kernel.membership().leave(Some(heir.id.clone()));
             tell_of_heir(kernel).await;
             return;
         }
