--- a/tests/forwarded.rs
+++ b/tests/forwarded.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
-use common::{fleet, runs};
+use common::{call, fleet, runs};
 use coursestile::clock::now_ms;
-use coursestile::ledger::{CallKey, Outcome};
+use coursestile::ledger::{CallKey, Ledger, Outcome};
 use coursestile::link::{Link, listen};
-use coursestile::ticket::{BoxRef, ClusterKey};
+use coursestile::member::{Gossip, Health, Member};
+use coursestile::ticket::{BoxRef, ClusterKey, Ticket};
 use coursestile::trace::TraceId;
 use coursestile::wire::{Call, CallEnd, Envelope, Message, decode, encode};
 use coursestile_standins::fleet::{CLUSTER_KEY, Fleet, Plan, Process};
@@ -64,7 +65,11 @@
             deadline_ms: now_ms() + 20_000,
             trace: TraceId::from_header(None),
         };
-        let message = Message::Call { number, spender: self.spender.clone(), call: Box::new(call) };
+        let spender = self.spender.clone();
+        self.send(Message::Call { number, spender, call: Box::new(call) });
+    }
+
+    fn send(&self, message: Message) {
         let envelope = Envelope {
             from: self.me.clone(),
             reply_to: self.address.clone(),
@@ -126,3 +131,41 @@
     assert_eq!(forwarder.end().await, (1, first));
     assert_eq!(runs(&fleet, "again").await, 1);
 }
+
+// A box gave its ledger to a peer and was gone before it had told anyone. The others
+// sent its calls to where it had been.
+#[tokio::test]
+async fn heir_speaks() {
+    let fleet = fleet(&Plan::one_hall(2, 1, 1)).await;
+    let leaver = Forwarder::new(&fleet).await;
+    let member = Member {
+        id: leaver.me.clone(),
+        hall: "north".to_owned(),
+        region: "home".to_owned(),
+        address: leaver.address.clone(),
+        beat: 0,
+        health: Health::Alive,
+        heir: None,
+    };
+    leaver.send(Message::Gossip(Gossip::Join { member }));
+    let boxes: Vec<_> = fleet.boxes.iter().collect();
+    fleet.wait_in_force(&boxes, 4, 3).await;
+    let ticket = Ticket { spender: leaver.me.clone(), expires_at_ms: now_ms() + 60_000, serial: 1 };
+    let key = format!("{}/1", ticket.seal(&cluster_key(), "petra"));
+    let order = |at: usize| {
+        let order = call(&fleet, at, "petra-key", "/orders/1").header("idempotency-key", &key);
+        order.header("x-timeout-ms", 8000).send()
+    };
+    // An empty ledger is not kept.
+    let mut ledger = Ledger::default();
+    let other = CallKey { account: "petra".to_owned(), key: "other".to_owned() };
+    ledger.begin(now_ms(), &other, 0, now_ms() + 60_000);
+    let ledger = ledger.handover();
+    let (of, ledger) = (leaver.me.clone(), Box::new(ledger));
+    leaver.send(Message::Handover { of, ledger });
+    for at in [0, 1] {
+        // A closed ledger that does not know a call says that it has not run.
+        let answer = order(at).await.unwrap();
+        assert_eq!(answer.headers()["x-coursestile-ran"], "not run", "asked at {at}");
+    }
+}
