Ask another box for the stores' content after one that told nothing

Cause: the box from which another learns what stores keep was chosen by its address alone, so that one whose gossip arrives and which tells nothing was chosen for ever. Now it is chosen only when there is no other, for 2 s.

Test: other_teller_asked fails before (after 20 s), passes now (1.2 s, three runs).

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -32,8 +32,8 @@
 /// Time for which a peer must have known more before it is asked: the store's
 /// own change is usually on its way.
 const BEHIND_MS: u64 = 300;
-/// Time for which a peer that was asked and did not answer is asked only when no
-/// other knows more: the rest of it would pass with asking the same one again.
+/// Time for which a peer that was asked and did not answer is asked only when there is
+/// no other: the rest of it would pass with asking the same one again.
 const UNANSWERED_MS: u64 = 2000;
 /// Time in which the peers that a first one names answer, and name others.
 const LEARN_MS: u64 = 200;
@@ -73,6 +73,13 @@
     told: bool,
 }
 
+impl Peer {
+    /// Whether nothing speaks against asking it.
+    fn answers_at(&self, now_ms: u64) -> bool {
+        now_ms >= self.asked_last_until_ms
+    }
+}
+
 /// The other boxes.
 #[derive(Debug)]
 pub struct Peers {
@@ -157,8 +164,11 @@
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + least_ms)
         });
         let (address, _) = ahead.max_by_key(|(_, peer)| {
-            let answers = now_ms >= peer.asked_last_until_ms;
-            (answers, peer.gossip.hall == self.own.hall, peer.gossip.mark.changed_revision)
+            (
+                peer.answers_at(now_ms),
+                peer.gossip.hall == self.own.hall,
+                peer.gossip.mark.changed_revision,
+            )
         })?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
@@ -304,7 +314,8 @@
             .alive(now_ms)
             .filter(|(_, peer)| peer.gossip.hall == self.own.hall && able(&peer.gossip));
         let distance = |address: &IpAddr| number(&format!("{address} {}", self.own.address.ip()));
-        let (address, _) = following.min_by_key(|(address, _)| distance(address))?;
+        let (address, _) = following
+            .min_by_key(|(address, peer)| (!peer.answers_at(now_ms), distance(address)))?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -60,10 +60,14 @@
         };
         let Some(peer) = peer else { continue };
         let ended = subscribe_to(&gateway, peer).await;
-        gateway.state().lose_stores();
+        let mut state = gateway.state();
+        state.lose_stores();
         match ended {
             Ok(()) => info!(target: "stores", "event=publisher_left peer={peer}"),
-            Err(error) => info!(target: "stores", "event=publisher_lost cause=\"{error}\""),
+            Err(error) => {
+                state.peers.unanswered(now_ms(), peer.ip());
+                info!(target: "stores", "event=publisher_lost cause=\"{error}\"");
+            }
         }
     }
 }
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -169,20 +169,27 @@
 /// the upstream were held until probes showed the silence.
 #[tokio::test]
 async fn silent_caller_freed() {
-    let held = held_by_caller(Silencer::silence_open).await;
+    let held = held_by_caller(|path, _| path.silence_open()).await;
     assert!(held < Duration::from_millis(2500), "{held:?}");
 }
 
 /// A caller's connection was reset while its request ran.
 #[tokio::test]
 async fn reset_caller_freed() {
-    let held = held_by_caller(Silencer::reset_open).await;
+    let held = held_by_caller(|path, _| path.reset_open()).await;
+    assert!(held < Duration::from_millis(500), "{held:?}");
+}
+
+/// A caller closed its connection while its request ran.
+#[tokio::test]
+async fn closed_caller_freed() {
+    let held = held_by_caller(|_, client| drop(client.take())).await;
     assert!(held < Duration::from_millis(500), "{held:?}");
 }
 
 /// How long the connection to an upstream is held after a caller's connection met
 /// with `fault`.
-async fn held_by_caller(fault: fn(&Silencer)) -> Duration {
+async fn held_by_caller(fault: fn(&Silencer, &mut Option<Client>)) -> Duration {
     let scene = scene(0).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("address");
     let address = listener.local_addr().expect("address").to_string();
@@ -196,7 +203,8 @@
     let (mut upstream, _) = listener.accept().await.expect("connection");
     let mut bytes = [0; 4096];
     assert!(upstream.read(&mut bytes).await.expect("request") > 0);
-    fault(&callers);
+    let mut client = Some(client);
+    fault(&callers, &mut client);
     let since = Instant::now();
     // A read ends when the gateway closes.
     while upstream.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
@@ -212,7 +220,9 @@
     let store = Silencer::start(&scene.site.metadata.address).await;
     let cut = scene.site.gateway_at("north", &[&scene.gateway], &store.address);
     wait_ready(&cut).await;
-    let deaf = DeafPeer::start(&cut.peers).await;
+    let mark = Mark { changed_revision: 1_000_000, checksum: 1 };
+    let gossip = Gossip { incarnation: 1, hall: number("north"), mark, ..Gossip::default() };
+    let deaf = DeafPeer::start(&cut.peers, DEAF_HOST, gossip).await;
     eventually("it is asked", async || deaf.asked() > 0).await;
     store.lead_to("127.0.0.1:1");
     store.reset_open();
@@ -224,8 +234,30 @@
     assert!(scene.gateway.is_alive());
 }
 
-/// A peer that gossips of much that it knows, and takes connections without ever
-/// answering.
+/// In a large fleet a box learns from another what stores keep. The one that it chose
+/// still gossiped and took connections without ever telling anything; the box asked it
+/// again and again, and never the other one of its hall.
+#[tokio::test]
+async fn other_teller_asked() {
+    let scene = scene(1).await;
+    let hall = number("north");
+    let gossip = Gossip { incarnation: 1, hall, millicores: 10_000, ..Gossip::default() };
+    let mut fleet = Vec::new();
+    for host in 0..LARGE_FLEET {
+        let follows_caches = host < 2;
+        let gossip = Gossip { follows_caches, ..gossip.clone() };
+        fleet.push(DeafPeer::start(&scene.gateway.peers, DEAF_HOST + host, gossip).await);
+    }
+    eventually("both are asked", async || fleet[..2].iter().all(|one| one.asked() > 0)).await;
+    assert!(fleet[2..].iter().all(|one| one.asked() == 0), "they follow no store");
+}
+
+/// First host number of peers that are none.
+const DEAF_HOST: u8 = 200;
+/// Peers that make a fleet a large one.
+const LARGE_FLEET: u8 = 14;
+
+/// A peer that gossips, and takes connections without ever answering.
 struct DeafPeer {
     asked: Arc<AtomicUsize>,
     tasks: [JoinHandle<()>; 2],
@@ -233,15 +265,13 @@
 
 impl DeafPeer {
     /// Starts one that tells the box at an address, in whose network it is.
-    async fn start(told: &str) -> Self {
+    async fn start(told: &str, host: u8, gossip: Gossip) -> Self {
         let told: SocketAddr = told.parse().expect("address");
         let IpAddr::V4(ip) = told.ip() else { panic!("it is IPv4") };
         let [first, second, third, _] = ip.octets();
-        let own = SocketAddr::from(([first, second, third, 200], told.port()));
+        let own = SocketAddr::from(([first, second, third, host], told.port()));
         let socket = UdpSocket::bind(own).await.expect("address");
         let listener = TcpListener::bind(own).await.expect("address");
-        let mark = Mark { changed_revision: 1_000_000, checksum: 1 };
-        let gossip = Gossip { incarnation: 1, hall: number("north"), mark, ..Gossip::default() };
         let datagram = postcard::to_stdvec(&Datagram::Gossip(gossip)).expect("datagram");
         let telling = tokio::spawn(async move {
             loop {
