--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,6 +9,7 @@
 use crate::gateway::choose::Choice;
 use crate::gateway::context::ContextPlan;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::silence;
 use crate::gateway::units::as_f64;
 
 /// Time to the first token beside reading and fetching, and some more.
@@ -114,14 +115,7 @@
     /// connections are suspects: the next attempt would meet one.
     #[must_use]
     pub fn is_silent(&self) -> bool {
-        let state = self.gateway.state();
-        let Some(upstream) = state.upstreams.get(&self.id) else { return true };
-        let since_ms = upstream.silent_since_ms(now_ms());
-        drop(state);
-        if let Some(since_ms) = since_ms {
-            self.gateway.connections.suspect(since_ms);
-        }
-        since_ms.is_some()
+        silence::is_silent(&self.gateway, &self.id)
     }
 
     /// Whether the upstream is to load weights, and gets no more work.
