Refuse at once what no engine can begin with in time

Admission as a pure mechanism (gateway::admission): an engine has room while less than 0.9 of its memory (0.1 less for each more urgent rank of the service, half of that for requests that are late already) and slots are asked for, and while what is to be read there before takes under a quarter of the objective. Engines with room go before all others; when there is none the request gets a 503 (not run) with a time to come back, spread over 0.4 s to a third of its time. Judged by the load before, not by the request's own size.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -5,6 +5,7 @@
 //! what it must read again. A part read again although it is kept somewhere
 //! costs more than its time, since it takes the engine from others.
 
+use crate::gateway::admission::{Asked, Capacity, has_room};
 use crate::gateway::context::ContextPlan;
 use crate::gateway::prompt::Prompt;
 use crate::gateway::site::EngineSpec;
@@ -33,6 +34,9 @@
 const FETCH_WEIGHT: f64 = 0.5;
 /// Cost of a doubtful upstream; it is chosen when all are.
 const DOUBTFUL_COST_MS: f64 = 100_000.0;
+/// Cost of an engine that has no room: any other goes before, but for doubtful ones
+/// and for those whose weights are overdue.
+const NO_ROOM_COST_MS: f64 = 10_000.0;
 /// Cost of weights that are older than the newest named: below the wait that
 /// makes a first token late.
 const OLD_WEIGHTS_COST_MS: f64 = 60.0;
@@ -73,6 +77,8 @@
     pub tried: &'a [String],
     /// Most requests that this box may have at one upstream.
     pub max_requests: u32,
+    /// What decides whether an engine has room for it.
+    pub asked: Asked,
 }
 
 impl Demand<'_> {
@@ -101,6 +107,8 @@
     pub expected_ms: f64,
     /// Whether nothing but fetches should keep the first token waiting.
     pub calm: bool,
+    /// Whether it can begin there in time.
+    pub has_room: bool,
     /// Memory that the request takes.
     pub memory_tokens: u32,
     /// Load of the upstream as it was believed to be.
@@ -137,7 +145,7 @@
                 let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
                 (cost, Some(plan), expected)
             }
-            _ => (plain_cost(upstream), None, Expected::default()),
+            _ => (plain_cost(upstream), None, Expected::UNKNOWN),
         };
         let hall_cost = if upstream.entry.hall == demand.hall { 0.0 } else { OTHER_HALL_COST_MS };
         let doubt_cost = if upstream.is_doubtful(now_ms) { DOUBTFUL_COST_MS } else { 0.0 };
@@ -151,6 +159,7 @@
         context,
         expected_ms: expected.first_token_ms,
         calm: expected.wait_ms < CALM_WAIT_MS,
+        has_room: expected.has_room,
         memory_tokens: demand.prompt.map_or(0, Prompt::memory_tokens),
         load: upstream.load(),
     })
@@ -164,12 +173,26 @@
 }
 
 /// What is expected of an engine.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Expected {
     /// Time until it begins with the prompt, if nothing is fetched.
     wait_ms: f64,
     /// Time to the first token.
     first_token_ms: f64,
+    /// Whether it can begin there in time.
+    has_room: bool,
+}
+
+impl Expected {
+    /// Nothing is known of a plain service's times.
+    const UNKNOWN: Self = Self { wait_ms: 0.0, first_token_ms: 0.0, has_room: true };
+}
+
+fn capacity(engine: &EngineSpec) -> Capacity {
+    Capacity {
+        slots: engine.slots,
+        memory_tokens: u32::try_from(engine.memory_tokens).unwrap_or(u32::MAX),
+    }
 }
 
 /// Cost of an upstream of a plain service, in milliseconds.
@@ -196,6 +219,7 @@
     let memory_ms = memory_wait_ms(load.memory_tokens, engine, demand);
     let wait_ms = waiting_ms.max(memory_ms);
     let first_token_ms = wait_ms.max(plan.fetch_ms) + read_ms;
+    let has_room = has_room(load, capacity(engine), demand.asked);
     let behind = demand.behind_since_ms(plan.version);
     let old_cost = match behind {
         Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
@@ -207,8 +231,9 @@
         + plan.fetch_ms * FETCH_WEIGHT
         + f64::from(load.requests) * RUNNING_COST_MS
         + f64::from(over) * QUEUED_COST_MS
-        + old_cost;
-    (cost, Expected { wait_ms, first_token_ms })
+        + old_cost
+        + if has_room { 0.0 } else { NO_ROOM_COST_MS };
+    (cost, Expected { wait_ms, first_token_ms, has_room })
 }
 
 /// Expected wait until there is memory for a request: what is too much goes as
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,13 +1,14 @@
 //! The gateway: passes requests on to upstreams whose protocol it does not
 //! need to know, for many client accounts that share them.
 //!
-//! Decisions are pure functions of state and time: `budget`, `choose`,
+//! Decisions are pure functions of state and time: `admission`, `budget`, `choose`,
 //! `context`, `holder`, `peers`, `rollout`, `sources`, `stores`, `upstreams`, `urgency`,
 //! `view` and `weights`. Everything else carries them out. `follow`, `follow_caches` and
 //! `gossip` bring in what the box knows, `members` where others are; `listener`,
 //! `check`, `serve`, `attempt`, `place` and `relay` take a request through; `leadership`,
 //! `leader` and `space` do what one box does for all.
 
+pub mod admission;
 pub mod answer;
 pub mod attempt;
 pub mod budget;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
+use crate::gateway::admission::{self, Asked};
 use crate::gateway::answer::{self, Answer, Reason};
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
@@ -19,6 +20,7 @@
 use crate::gateway::relay;
 use crate::gateway::site::Repeat;
 use crate::gateway::stores::Placing;
+use crate::gateway::upstreams::number;
 use crate::gateway::weights::NamedWeights;
 use crate::platform::exchange;
 
@@ -83,6 +85,9 @@
         let Some(choice) = find_place(gateway, &job, wait_until).await else {
             return give_up(&job, no_place_reason(gateway, &job));
         };
+        if !choice.has_room && !job.ran_perhaps {
+            return refuse_at_once(&job);
+        }
         log_attempt(&job, &choice);
         let attempted = attempt(gateway, &job.outgoing, &choice, None).await;
         if let Some(answer) = settle(gateway, &mut job, &choice, attempted).await {
@@ -92,6 +97,16 @@
     }
 }
 
+/// The answer to a request that no engine can begin with in time.
+fn refuse_at_once(job: &Job) -> Answer {
+    let reason = Reason::UpstreamsFull;
+    let request_id = &job.outgoing.request_id;
+    let left_ms = job.outgoing.deadline_ms.saturating_sub(now_ms());
+    let after_ms = admission::return_after_ms(number(request_id).into(), left_ms);
+    log_refusal(Some(request_id), reason, job.arrived_at_ms);
+    answer::refusal(reason, Some(request_id), Some(after_ms))
+}
+
 /// What an attempt means for its request: an answer, or `None` when it is to
 /// be sent again.
 async fn settle(
@@ -280,6 +295,11 @@
         },
         tried: &job.tried,
         max_requests: (service.max_connections / (boxes + 1)).max(LEAST_CONNECTIONS),
+        asked: Asked {
+            ranks_before: job.outgoing.priority.saturating_sub(site.most_urgent(&job.service)),
+            objective_ms: job.route.latency_objective_ms,
+            late: now_ms >= job.outgoing.objective_at_ms,
+        },
     };
     choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
 }
--- a/src/gateway/site.rs
+++ b/src/gateway/site.rs
@@ -196,6 +196,13 @@
         self.routes.iter().any(|route| route.name == name)
     }
 
+    /// The most urgent rank of a service's routes.
+    #[must_use]
+    pub fn most_urgent(&self, service: &str) -> u8 {
+        let leads_to = |route: &&Route| route.targets.iter().any(|one| one.service == service);
+        self.routes.iter().filter(leads_to).map(|route| route.priority).min().unwrap_or_default()
+    }
+
     /// The account of a key.
     #[must_use]
     pub fn account(&self, key: &str) -> Option<&Account> {
--- /dev/null
+++ b/tests/gateway_admission.rs
@@ -0,0 +1,70 @@
+//! Which engines have room for another request, and when a refused one comes back.
+
+use coursestile::gateway::admission::{Asked, Capacity, has_room, return_after_ms};
+use coursestile::gateway::upstreams::Load;
+
+const CAPACITY: Capacity = Capacity { slots: 64, memory_tokens: 40_000 };
+const URGENT: Asked = Asked { ranks_before: 0, objective_ms: 500, late: false };
+
+fn memory(memory_tokens: u32) -> Load {
+    Load { requests: 4, unread_tokens: 0, memory_tokens }
+}
+
+#[test]
+fn memory_taken() {
+    assert!(has_room(memory(30_000), CAPACITY, URGENT));
+    assert!(!has_room(memory(40_000), CAPACITY, URGENT));
+}
+
+#[test]
+fn reading_taken() {
+    let load = |unread_tokens| Load { requests: 4, unread_tokens, memory_tokens: 9000 };
+    assert!(has_room(load(3000), CAPACITY, URGENT));
+    assert!(!has_room(load(30_000), CAPACITY, URGENT));
+}
+
+#[test]
+fn slots_taken() {
+    let load = |requests| Load { requests, unread_tokens: 0, memory_tokens: 9000 };
+    assert!(has_room(load(30), CAPACITY, URGENT));
+    assert!(!has_room(load(64), CAPACITY, URGENT));
+}
+
+/// Wherever a less urgent request has room, a more urgent one has.
+#[test]
+fn urgent_first() {
+    for taken in (0..60_000).step_by(500) {
+        let room =
+            |ranks_before| has_room(memory(taken), CAPACITY, Asked { ranks_before, ..URGENT });
+        assert!((0..9).all(|rank| room(rank) || !room(rank + 1)), "{taken}");
+    }
+    assert!(has_room(memory(0), CAPACITY, Asked { ranks_before: 9, late: true, ..URGENT }));
+}
+
+/// A late request takes only what would stay empty.
+#[test]
+fn late_last() {
+    let late = Asked { late: true, ..URGENT };
+    assert!(has_room(memory(10_000), CAPACITY, late));
+    assert!(!has_room(memory(30_000), CAPACITY, late));
+}
+
+/// What is not known does not keep anybody away.
+#[test]
+fn capacity_unknown() {
+    let unknown = Capacity { slots: 0, memory_tokens: 0 };
+    assert!(has_room(memory(1_000_000), unknown, URGENT));
+}
+
+/// Those refused together come back spread, and in the time that they have.
+#[test]
+fn returns_spread() {
+    let mut buckets = [0; 9];
+    for seed in 0..9000_u64 {
+        let after_ms = return_after_ms(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 8, 3900);
+        assert!((400..1300).contains(&after_ms), "{after_ms}");
+        buckets[usize::try_from((after_ms - 400) / 100).unwrap()] += 1;
+    }
+    assert!(buckets.iter().all(|count| (800..1200).contains(count)), "{buckets:?}");
+    assert!(return_after_ms(7, 100) >= 400);
+}
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use coursestile::gateway::admission::Asked;
 use coursestile::gateway::budget::{Budget, Terms};
 use coursestile::gateway::choose::{Demand, choose};
 use coursestile::gateway::context::{scope_model, scope_version};
@@ -53,6 +54,7 @@
         placing: Placing::Quickest { hall: "north" },
         tried,
         max_requests: 100,
+        asked: Asked { ranks_before: 0, objective_ms: 500, late: false },
     }
 }
 
