Have the limit of admission found by late first tokens

A limit for each service and box: each late first token of an engine that was nearly full takes 0.06 of it away, each in time adds 0.003, so that it stays where one in twenty is late; late ones from engines with room do not count (they speak of crashes and slow stores). It begins at 1.1 of a room that is larger than before (1.2 of memory for the most urgent, 0.85 for the next; half the objective of reading). Requests that are late get as much room as others until the limit has fallen, then its square.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -8,25 +8,77 @@
 //! judged by what is there already, not by the request's own size, so that large
 //! prompts are refused as often as small ones.
 
+use std::collections::HashMap;
+
 use crate::gateway::sources::READ_TOKENS_PER_MS;
 use crate::gateway::units::as_f64;
 use crate::gateway::upstreams::Load;
 
-/// Part of an engine's memory that requests may take, those of the most urgent rank.
-const MEMORY_PART: f64 = 0.9;
-/// Part that each less urgent rank leaves to those before it.
-const RANK_PART: f64 = 0.1;
+/// Part of an engine's memory that requests may ask for, those of the most urgent rank:
+/// they ask for all that they may generate, and most of them end before.
+const MEMORY_PART: f64 = 1.2;
+/// Part that each less urgent rank leaves to those before it, so that these are not
+/// refused more often although their objective is shorter.
+const RANK_PART: f64 = 0.35;
 /// Ranks that leave room to those before them: the others are treated alike.
 const MAX_RANKS: u8 = 3;
-/// Part of that room that a request may take which is late already.
-const LATE_PART: f64 = 0.5;
 /// Part of a latency objective for which prompts read before may keep one waiting.
-const READ_WAIT_PART: f64 = 0.25;
+const READ_WAIT_PART: f64 = 0.5;
 /// Least time after which a refused request is to come back.
 const RETURN_LEAST_MS: u64 = 400;
 
-/// What is asked of an engine.
+/// Growth of the limit with each first token that comes in time from an engine that
+/// had little room left.
+const GROWTH: f64 = 0.003;
+/// Part of the limit that each late first token takes away: with [`GROWTH`] it stays
+/// where one in twenty is late.
+const CUT_PART: f64 = 0.06;
+/// Least and largest limit. It begins at the largest: a short crowd at one moment of an
+/// ordinary day is better queued than refused. Of 1.0, 1.1 and 1.3, 1.1 gave the best sum
+/// of worth over two overloaded and four ordinary days of two sites.
+const LIMITS: (f64, f64) = (0.3, 1.1);
+/// Part of its room from which on an engine's answers speak for a larger limit.
+const NEARLY_FULL_PART: f64 = 0.7;
+
+/// The limits that a box has found for each service, as parts of what the engines'
+/// memory and the objectives would suggest. They grow while first tokens come in time
+/// from engines that are nearly full, and shrink with each that is late.
+#[derive(Debug, Default)]
+pub struct Limits {
+    by_service: HashMap<String, f64>,
+}
+
+impl Limits {
+    /// The limit of a service.
+    #[must_use]
+    pub fn of(&self, service: &str) -> f64 {
+        self.by_service.get(service).copied().unwrap_or(LIMITS.1)
+    }
+
+    /// Takes the end of a wait for a first token.
+    pub fn first_token(&mut self, service: &str, end: FirstToken) {
+        let limit = self.of(service);
+        let (least, most) = LIMITS;
+        let limit = match end {
+            FirstToken::InTime => limit + GROWTH,
+            FirstToken::Late => limit * (1.0 - CUT_PART),
+        };
+        self.by_service.insert(service.to_owned(), limit.clamp(least, most));
+    }
+}
+
+/// How a wait for a first token ended at an engine that was nearly full: what other
+/// engines do late is not for their load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstToken {
+    /// It came in time.
+    InTime,
+    /// It came late, or not at all.
+    Late,
+}
+
+/// What is asked of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Asked {
     /// Ranks of the service's routes that are more urgent.
     pub ranks_before: u8,
@@ -34,6 +86,19 @@
     pub objective_ms: u64,
     /// Whether the objective, counted from the first try, has passed.
     pub late: bool,
+    /// Limit found for the service.
+    pub limit: f64,
+}
+
+/// How much of its room an engine has given away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// Some is left.
+    Left,
+    /// Little is left.
+    NearlyFull,
+    /// It cannot begin with the request in time.
+    Full,
 }
 
 /// What an engine can take.
@@ -45,22 +110,29 @@
     pub memory_tokens: u32,
 }
 
-/// Whether an engine under `load` can begin in time with another request.
+/// Room that an engine under `load` has for another request.
 #[must_use]
-pub fn has_room(load: Load, capacity: Capacity, asked: Asked) -> bool {
+pub fn room(load: Load, capacity: Capacity, asked: Asked) -> Room {
     let part = room_part(asked);
-    let memory = f64::from(capacity.memory_tokens) * part;
-    let memory_left = capacity.memory_tokens == 0 || f64::from(load.memory_tokens) < memory;
-    let slots_left =
-        capacity.slots == 0 || f64::from(load.requests) < f64::from(capacity.slots) * part;
-    let read_ms = f64::from(load.unread_tokens) / READ_TOKENS_PER_MS;
-    memory_left && slots_left && read_ms <= as_f64(asked.objective_ms) * READ_WAIT_PART
+    let taken_part = |taken: u32, of: f64| if of > 0.0 { f64::from(taken) / of } else { 0.0 };
+    let memory_part = taken_part(load.memory_tokens, f64::from(capacity.memory_tokens) * part);
+    let slots_part = taken_part(load.requests, f64::from(capacity.slots) * part.min(1.0));
+    let read_ms = as_f64(asked.objective_ms) * READ_WAIT_PART * asked.limit;
+    let read_part = taken_part(load.unread_tokens, read_ms * READ_TOKENS_PER_MS);
+    match memory_part.max(slots_part).max(read_part) {
+        taken if taken < NEARLY_FULL_PART => Room::Left,
+        taken if taken < 1.0 => Room::NearlyFull,
+        _ => Room::Full,
+    }
 }
 
-/// Part of an engine that must be taken before a request is refused there.
+/// Part of an engine that must be taken before a request is refused there. One that
+/// is late earns little: it gets as much as others until the limit has fallen, and
+/// then mostly what would stay empty.
 fn room_part(asked: Asked) -> f64 {
     let part = MEMORY_PART - RANK_PART * f64::from(asked.ranks_before.min(MAX_RANKS));
-    if asked.late { part * LATE_PART } else { part }
+    let late_part = if asked.late { asked.limit.min(1.0).powi(2) } else { 1.0 };
+    asked.limit * part * late_part
 }
 
 /// When a refused request may come back: spread over as long again, so that those
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -5,7 +5,7 @@
 //! what it must read again. A part read again although it is kept somewhere
 //! costs more than its time, since it takes the engine from others.
 
-use crate::gateway::admission::{Asked, Capacity, has_room};
+use crate::gateway::admission::{Asked, Capacity, Room, room};
 use crate::gateway::context::ContextPlan;
 use crate::gateway::prompt::Prompt;
 use crate::gateway::site::EngineSpec;
@@ -79,6 +79,8 @@
     pub max_requests: u32,
     /// What decides whether an engine has room for it.
     pub asked: Asked,
+    /// Until when the first token is wanted.
+    pub objective_at_ms: Option<u64>,
 }
 
 impl Demand<'_> {
@@ -107,8 +109,10 @@
     pub expected_ms: f64,
     /// Whether nothing but fetches should keep the first token waiting.
     pub calm: bool,
-    /// Whether it can begin there in time.
-    pub has_room: bool,
+    /// Room that there is for it.
+    pub room: Room,
+    /// Until when the first token is wanted, if that can be met still.
+    pub objective_at_ms: Option<u64>,
     /// Memory that the request takes.
     pub memory_tokens: u32,
     /// Load of the upstream as it was believed to be.
@@ -159,7 +163,8 @@
         context,
         expected_ms: expected.first_token_ms,
         calm: expected.wait_ms < CALM_WAIT_MS,
-        has_room: expected.has_room,
+        room: expected.room,
+        objective_at_ms: demand.prompt.and(demand.objective_at_ms).filter(|_| !demand.asked.late),
         memory_tokens: demand.prompt.map_or(0, Prompt::memory_tokens),
         load: upstream.load(),
     })
@@ -179,13 +184,13 @@
     wait_ms: f64,
     /// Time to the first token.
     first_token_ms: f64,
-    /// Whether it can begin there in time.
-    has_room: bool,
+    /// Room that there is.
+    room: Room,
 }
 
 impl Expected {
     /// Nothing is known of a plain service's times.
-    const UNKNOWN: Self = Self { wait_ms: 0.0, first_token_ms: 0.0, has_room: true };
+    const UNKNOWN: Self = Self { wait_ms: 0.0, first_token_ms: 0.0, room: Room::Left };
 }
 
 fn capacity(engine: &EngineSpec) -> Capacity {
@@ -219,7 +224,7 @@
     let memory_ms = memory_wait_ms(load.memory_tokens, engine, demand);
     let wait_ms = waiting_ms.max(memory_ms);
     let first_token_ms = wait_ms.max(plan.fetch_ms) + read_ms;
-    let has_room = has_room(load, capacity(engine), demand.asked);
+    let room = room(load, capacity(engine), demand.asked);
     let behind = demand.behind_since_ms(plan.version);
     let old_cost = match behind {
         Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
@@ -232,8 +237,8 @@
         + f64::from(load.requests) * RUNNING_COST_MS
         + f64::from(over) * QUEUED_COST_MS
         + old_cost
-        + if has_room { 0.0 } else { NO_ROOM_COST_MS };
-    (cost, Expected { wait_ms, first_token_ms, has_room })
+        + if room == Room::Full { NO_ROOM_COST_MS } else { 0.0 };
+    (cost, Expected { wait_ms, first_token_ms, room })
 }
 
 /// Expected wait until there is memory for a request: what is too much goes as
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::gateway::admission::Limits;
 use crate::gateway::budget::{Budget, Terms};
 use crate::gateway::connections::Connections;
 use crate::gateway::gossip_message::StoreLink;
@@ -41,6 +42,8 @@
     pub stores: Stores,
     /// Time that clients usually give, by route.
     pub usual_limits: UsualLimits,
+    /// Limits found for the load of engines.
+    pub limits: Limits,
     /// Budget for repeats.
     pub budget: Budget,
     /// The other boxes.
@@ -155,6 +158,7 @@
             upstreams: Upstreams::default(),
             stores: Stores::default(),
             usual_limits: UsualLimits::default(),
+            limits: Limits::default(),
             budget: Budget::new(terms, now_ms()),
             peers: Peers::new(own(&settings), &settings.seeds),
             follows_store: true,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -6,6 +6,7 @@
 use log::info;
 
 use crate::clock::now_ms;
+use crate::gateway::admission::{FirstToken, Room};
 use crate::gateway::choose::Choice;
 use crate::gateway::context::ContextPlan;
 use crate::gateway::kernel::Gateway;
@@ -30,6 +31,9 @@
     expected_ms: f64,
     calm: bool,
     taken_at_ms: u64,
+    /// Until when a first token is wanted, as long as it is waited for at an engine
+    /// that was nearly full.
+    objective_at_ms: Option<u64>,
 }
 
 impl Place {
@@ -64,6 +68,7 @@
             expected_ms: choice.expected_ms,
             calm: choice.calm,
             taken_at_ms,
+            objective_at_ms: choice.objective_at_ms.filter(|_| choice.room == Room::NearlyFull),
         }
     }
 
@@ -80,9 +85,22 @@
         let late_ms = as_f64(now_ms() - self.taken_at_ms) - self.expected_ms - FIRST_TOKEN_MS;
         let ratio =
             (self.calm && self.fetch_ms > 0.0).then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
+        self.wait_is_over();
         self.prompt_is_over(ratio);
     }
 
+    /// Tells the limits how the wait for a first token ended.
+    fn wait_is_over(&mut self) {
+        let Some(objective_at_ms) = self.objective_at_ms.take() else { return };
+        let late = now_ms() > objective_at_ms;
+        let end = if late { FirstToken::Late } else { FirstToken::InTime };
+        let mut state = self.gateway.state();
+        let service = state.upstreams.get(&self.id).map(|one| one.entry.service.clone());
+        if let Some(service) = service {
+            state.limits.first_token(&service, end);
+        }
+    }
+
     fn prompt_is_over(&mut self, ratio: Option<f64>) {
         let tokens = std::mem::take(&mut self.unread_tokens);
         let mut state = self.gateway.state();
@@ -149,6 +167,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        self.wait_is_over();
         self.prompt_is_over(None);
         if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
             upstream.ended(self.memory_tokens);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
-use crate::gateway::admission::{self, Asked};
+use crate::gateway::admission::{self, Asked, Room};
 use crate::gateway::answer::{self, Answer, Reason};
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
@@ -85,10 +85,10 @@
         let Some(choice) = find_place(gateway, &job, wait_until).await else {
             return give_up(&job, no_place_reason(gateway, &job));
         };
-        if !choice.has_room && !job.ran_perhaps {
+        if choice.room == Room::Full && !job.ran_perhaps {
             return refuse_at_once(&job);
         }
-        log_attempt(&job, &choice);
+        log_attempt(gateway, &job, &choice);
         let attempted = attempt(gateway, &job.outgoing, &choice, None).await;
         if let Some(answer) = settle(gateway, &mut job, &choice, attempted).await {
             return answer;
@@ -257,7 +257,7 @@
     if !may_try_again(gateway, job) {
         return None;
     }
-    log_attempt(job, &choice);
+    log_attempt(gateway, job, &choice);
     Some(choice)
 }
 
@@ -299,7 +299,9 @@
             ranks_before: job.outgoing.priority.saturating_sub(site.most_urgent(&job.service)),
             objective_ms: job.route.latency_objective_ms,
             late: now_ms >= job.outgoing.objective_at_ms,
+            limit: state.limits.of(&job.service),
         },
+        objective_at_ms: Some(job.outgoing.objective_at_ms),
     };
     choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
 }
@@ -340,12 +342,13 @@
         request_id.unwrap_or("-"), reason.status().as_u16(), now_ms() - arrived_at_ms);
 }
 
-fn log_attempt(job: &Job, choice: &Choice) {
+fn log_attempt(gateway: &Gateway, job: &Job, choice: &Choice) {
+    let limit = gateway.state().limits.of(&job.service);
     let context = choice.context.as_ref();
     info!(target: "serve",
         "event=routed request={} route={} upstream={} attempt={} left_ms={} version={} \
          read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
-         load_requests={} load_unread={} load_memory={}",
+         load_requests={} load_unread={} load_memory={} limit={limit:.2}",
         job.outgoing.request_id,
         job.route.name,
         choice.id,
