--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -223,7 +223,7 @@
         let Some(choice) = beside else { return };
         let Some(mut first) = self.reply.take() else { return };
         self.note_ran();
-        log_attempt(&self.job, &choice);
+        log_attempt(&self.gateway, &self.job, &choice);
         let after = self.last_event.as_deref();
         let attempted = attempt(&self.gateway, &self.job.outgoing, &choice, after);
         let (other, read) = first_of(&mut first.body, attempted).await;
@@ -283,7 +283,7 @@
                 other = silence::other_place(&self.gateway, &self.job, &choice) => {
                     leave_silent(&mut self.job, &choice);
                     choice = other;
-                    log_attempt(&self.job, &choice);
+                    log_attempt(&self.gateway, &self.job, &choice);
                 }
             }
         };
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
+use crate::gateway::admission::{self, Asked, Room};
 use crate::gateway::answer::{self, Answer, Reason};
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
@@ -20,6 +21,7 @@
 use crate::gateway::silence;
 use crate::gateway::site::Repeat;
 use crate::gateway::stores::Placing;
+use crate::gateway::upstreams::number;
 use crate::gateway::weights::NamedWeights;
 use crate::platform::exchange;
 
@@ -90,7 +92,10 @@
         let Some(choice) = found else {
             return give_up(&job, no_place_reason(gateway, &job));
         };
-        log_attempt(&job, &choice);
+        if choice.room == Room::Full && !job.ran_perhaps {
+            return refuse_at_once(&job);
+        }
+        log_attempt(gateway, &job, &choice);
         let attempted = tokio::select! {
             // An answer that is there is not left for another place.
             biased;
@@ -108,6 +113,16 @@
     }
 }
 
+/// The answer to a request that no engine can begin with in time.
+fn refuse_at_once(job: &Job) -> Answer {
+    let reason = Reason::UpstreamsFull;
+    let request_id = &job.outgoing.request_id;
+    let left_ms = job.outgoing.deadline_ms.saturating_sub(now_ms());
+    let after_ms = admission::return_after_ms(number(request_id).into(), left_ms);
+    log_refusal(Some(request_id), reason, job.configuration, job.arrived_at_ms);
+    answer::refusal(reason, Some(request_id), Some(after_ms))
+}
+
 /// What an attempt means for its request: an answer, or `None` when it is to
 /// be sent again.
 async fn settle(
@@ -270,7 +285,7 @@
     if !may_try_again(gateway, job) {
         return None;
     }
-    log_attempt(job, &choice);
+    log_attempt(gateway, job, &choice);
     Some(choice)
 }
 
@@ -309,6 +324,13 @@
         },
         tried: &job.tried,
         max_requests: (service.max_connections / (boxes + 1)).max(LEAST_CONNECTIONS),
+        asked: Asked {
+            ranks_before: job.outgoing.priority.saturating_sub(site.most_urgent(&job.service)),
+            objective_ms: job.route.latency_objective_ms,
+            late: now_ms >= job.outgoing.objective_at_ms,
+            limit: state.limits.of(&job.service),
+        },
+        objective_at_ms: Some(job.outgoing.objective_at_ms),
     };
     choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
 }
@@ -353,12 +375,13 @@
 }
 
 /// Logs an attempt that begins.
-pub fn log_attempt(job: &Job, choice: &Choice) {
+pub fn log_attempt(gateway: &Gateway, job: &Job, choice: &Choice) {
+    let limit = gateway.state().limits.of(&job.service);
     let context = choice.context.as_ref();
     info!(target: "serve",
         "event=routed request={} route={} configuration={} upstream={} attempt={} left_ms={} \
          version={} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
-         load_requests={} load_unread={} load_memory={}",
+         load_requests={} load_unread={} load_memory={} limit={limit:.2}",
         job.outgoing.request_id,
         job.route.name,
         job.configuration,
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::clock::now_ms;
+use crate::gateway::admission::Room;
 use crate::gateway::check::Job;
 use crate::gateway::choose::Choice;
 use crate::gateway::kernel::Gateway;
@@ -52,8 +53,8 @@
     }
 }
 
-/// Another upstream, neither failing nor silent, for a request that runs at one already;
-/// takes the budget.
+/// Another upstream, neither failing nor silent nor full, for a request that runs at one
+/// already; takes the budget.
 pub fn place_beside(gateway: &Gateway, job: &Job, asked_id: &str) -> Option<Choice> {
     let now_ms = now_ms();
     let mut job = job.clone();
@@ -67,5 +68,6 @@
     let choice = choose_now(&mut state, gateway, &job)?;
     let doubtful = state.upstreams.get(&choice.id).is_none_or(|one| one.is_doubtful(now_ms));
     drop(state);
-    (!doubtful && spend(gateway, &job, now_ms)).then_some(choice)
+    let full = choice.room == Room::Full;
+    (!doubtful && !full && spend(gateway, &job, now_ms)).then_some(choice)
 }
