An heir says that it is one, and a ledger is given until that is confirmed

Worked out, not seen: taken just before the silence, the news of the heir, told for 1.2 s, reaches nobody either.

Change: who takes a ledger over says so in the leaver's place; an heir once named is not forgotten for a newer beat of the box that left; a ledger is given to the same heir each 0.5 s of the 1.5 s in which it is to confirm. Two heirs hold the same closed ledger and answer alike.

--- a/src/calls.rs
+++ b/src/calls.rs
@@ -242,6 +242,10 @@
             info!(target: "calls", "Took over {} keys of {of}.", ledger.len());
             let mut inherited = locked(&kernel.calls.inherited);
             inherited.insert(of.clone(), *ledger);
+            drop(inherited);
+            if of == envelope.from {
+                kernel.membership().inherit(now_ms(), &of);
+            }
             kernel.send(&envelope.reply_to, Message::HandoverTaken { of });
         }
         Message::HandoverTaken { of } => {
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -15,6 +15,8 @@
 
 /// Time in which an heir confirms a handover.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which a ledger is given to the same heir again.
+const HANDOVER_RESEND_AFTER: Duration = Duration::from_millis(500);
 /// Boxes that are asked in turn to take a ledger over.
 const HANDOVER_TRIES: usize = 3;
 /// How often they are: a silent socket is noticed, and dialled anew, after the first.
@@ -70,16 +72,27 @@
 /// Gives all ledgers to one heir; true when it has confirmed each.
 async fn give_to(kernel: &Arc<Kernel>, heir: &Member, ledgers: &HashMap<BoxRef, Ledger>) -> bool {
     for (of, ledger) in ledgers {
-        let mut taken = kernel.calls.handover_taken.subscribe();
+        let given = give_one(kernel, heir, of, ledger);
+        if tokio::time::timeout(HANDOVER_TIMEOUT, given).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Gives a ledger to an heir until it has confirmed that. Taking it again changes
+/// nothing, and its confirmation may have been lost.
+async fn give_one(kernel: &Arc<Kernel>, heir: &Member, of: &BoxRef, ledger: &Ledger) {
+    let mut taken = kernel.calls.handover_taken.subscribe();
+    let expected = Some((heir.id.clone(), of.clone()));
+    loop {
         let ledger = Box::new(ledger.clone());
         kernel.send(&heir.address, Message::Handover { of: of.clone(), ledger });
-        let expected = Some((heir.id.clone(), of.clone()));
         let confirmed = taken.wait_for(|by| *by == expected);
-        if tokio::time::timeout(HANDOVER_TIMEOUT, confirmed).await.is_err() {
-            return false;
+        if tokio::time::timeout(HANDOVER_RESEND_AFTER, confirmed).await.is_ok() {
+            return;
         }
     }
-    true
 }
 
 /// Boxes that may take the ledger, those of the own hall first.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -105,6 +105,11 @@
         self.view.leave(heir);
     }
 
+    /// Announces that this box keeps the ledger of `leaver`.
+    pub fn inherit(&mut self, now_ms: u64, leaver: &BoxRef) {
+        self.view.inherit(now_ms, leaver);
+    }
+
     /// A message that is answered and says what this box knows, like a probe.
     #[must_use]
     pub fn heartbeat(&self) -> Gossip {
--- a/src/view.rs
+++ b/src/view.rs
@@ -94,6 +94,17 @@
         self.me.heir = heir;
     }
 
+    /// Takes note that this box keeps the ledger of `leaver`, which may have had no
+    /// time to say so.
+    pub fn inherit(&mut self, now_ms: u64, leaver: &BoxRef) {
+        let known = self.others.get(&leaver.name).map(|known| &known.member);
+        if let Some(member) = known.filter(|member| member.id == *leaver) {
+            let health = member.health.max(Health::Leaving);
+            let heir = Some(self.me.id.clone());
+            self.merge(now_ms, Member { health, heir, ..member.clone() });
+        }
+    }
+
     /// Hash of all that is known.
     #[must_use]
     pub fn digest(&self) -> u64 {
@@ -139,7 +150,7 @@
     }
 
     /// Takes what is said of a member, if it is newer than what is known.
-    pub fn merge(&mut self, now_ms: u64, member: Member) {
+    pub fn merge(&mut self, now_ms: u64, mut member: Member) {
         if member.id.name == self.me.id.name {
             self.refute(&member);
             if member.id.incarnation < self.me.id.incarnation {
@@ -148,6 +159,10 @@
             return;
         }
         let known = self.others.get(&member.id.name).map(|known| &known.member);
+        // A box that has left its ledger to an heir may not know that it was taken.
+        if let Some(known) = known.filter(|known| known.id == member.id) {
+            member.heir = member.heir.or_else(|| known.heir.clone());
+        }
         if let Some(known) = known.filter(|known| known.rank() >= member.rank()) {
             if known.id != member.id {
                 self.depart(now_ms, member);
