Wait 400 ms again after a renewal that failed

Cause: a renewal tried again after 50 ms meets the same silence of the store and takes 550 ms of its own; with the pause of 400 ms the next leaves when a store that was away for a second is back.

--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -29,9 +29,6 @@
 const TTL_MS: u64 = 1500;
 /// Time between renewals.
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
-/// Pause after a renewal that failed: what is left until [`MARGIN_MS`] is enough for
-/// one more on a new connection.
-const FAILED_PAUSE: Duration = Duration::from_millis(50);
 /// Margin by which the holder stops before its lease ends.
 const MARGIN_MS: u64 = 400;
 /// Part of the bound between orders of two holders that has passed when a new
@@ -116,19 +113,16 @@
 /// Renews the lease until it is lost or the box stops.
 async fn hold(gateway: &Gateway, socket: &UdpSocket, lease: Lease, mut held: Leadership) {
     gateway.state().leadership = Some(held);
-    let mut pause = RENEW_PERIOD;
     while gateway.phase() == Phase::Serving {
-        sleep(pause).await;
+        sleep(RENEW_PERIOD).await;
         let asked_at_ms = now_ms();
         match renew(gateway, socket, lease).await {
             Ok(true) => {
                 held.until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
                 gateway.state().leadership = Some(held);
-                pause = RENEW_PERIOD;
             }
             Err(error) if now_ms() < held.until_ms => {
                 info!(target: "leadership", "event=renewal_failed cause=\"{error}\"");
-                pause = FAILED_PAUSE;
             }
             Ok(false) | Err(_) => break,
         }
