--- a/src/membership.rs
+++ b/src/membership.rs
@@ -71,7 +71,8 @@
 impl Membership {
     /// Starts with a view of `me` alone; `seeds` are asked for the others.
     #[must_use]
-    pub fn new(me: Member, seeds: Vec<String>, seed: u64) -> Self {
+    pub fn new(me: Member, mut seeds: Vec<String>, seed: u64) -> Self {
+        seeds.retain(|seed| *seed != me.address);
         Self {
             view: View::new(me),
             seeds,
@@ -104,6 +105,11 @@
         self.view.leave(heir);
     }
 
+    /// Announces that this box keeps the ledger of `leaver`.
+    pub fn inherit(&mut self, now_ms: u64, leaver: &BoxRef) {
+        self.view.inherit(now_ms, leaver);
+    }
+
     /// A message that is answered and says what this box knows, like a probe.
     #[must_use]
     pub fn heartbeat(&self) -> Gossip {
@@ -217,9 +223,6 @@
         } else {
             live[self.rng.usize(..live.len())].address.clone()
         };
-        if to == self.view.me().address {
-            return None;
-        }
         if alone || !self.joined {
             self.joins_sent += 1;
             self.joined = self.joins_sent >= JOIN_TRIES;
