--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::sources::READ_TOKENS_PER_MS;
 use crate::gateway::units::as_f64;
-use crate::gateway::upstreams::Load;
+use crate::gateway::upstreams::{Load, number};
 
 /// Part of an engine's memory that requests may ask for, those of the most urgent rank:
 /// they ask for all that they may generate, and most of them end before.
@@ -33,6 +33,10 @@
 /// Part of the limit that each late first token takes away: with [`GROWTH`] it stays
 /// where one in twenty is late.
 const CUT_PART: f64 = 0.06;
+/// Thousandths in one.
+const THOUSAND: f64 = 1000.0;
+/// Part by which a limit is drawn to the mean of all boxes with each first token.
+const DRAW_PART: f64 = 0.1;
 /// Least and largest limit. It begins at the largest: a short crowd at one moment of an
 /// ordinary day is better queued than refused. Of 1.0, 1.1 and 1.3, 1.1 gave the best sum
 /// of worth over two overloaded and four ordinary days of two sites.
@@ -43,27 +47,63 @@
 /// The limits that a box has found for each service, as parts of what the engines'
 /// memory and the objectives would suggest. They grow while first tokens come in time
 /// from engines that are nearly full, and shrink with each that is late.
+///
+/// Boxes share engines, so they share limits: each goes by the mean of its own and of
+/// what its peers told. Else those that find smaller ones make room for the others,
+/// and the callers of a hall are refused while those of another are not.
 #[derive(Debug, Default)]
 pub struct Limits {
-    by_service: HashMap<String, f64>,
+    own: HashMap<u32, f64>,
+    others: Vec<(u32, u16)>,
 }
 
 impl Limits {
     /// The limit of a service.
     #[must_use]
     pub fn of(&self, service: &str) -> f64 {
-        self.by_service.get(service).copied().unwrap_or(LIMITS.1)
+        self.mean(number(service))
     }
 
     /// Takes the end of a wait for a first token.
     pub fn first_token(&mut self, service: &str, end: FirstToken) {
-        let limit = self.of(service);
+        let service = number(service);
+        let mean = self.mean(service);
+        let own = self.own(service);
         let (least, most) = LIMITS;
+        let drawn = own + (mean - own) * DRAW_PART;
         let limit = match end {
-            FirstToken::InTime => limit + GROWTH,
-            FirstToken::Late => limit * (1.0 - CUT_PART),
+            FirstToken::InTime => drawn + GROWTH,
+            FirstToken::Late => drawn * (1.0 - CUT_PART),
         };
-        self.by_service.insert(service.to_owned(), limit.clamp(least, most));
+        self.own.insert(service, limit.clamp(least, most));
+    }
+
+    /// What this box has found, in thousandths, by the numbers of services.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "limits are positive and far below 65"
+    )]
+    pub fn found(&self) -> Vec<(u32, u16)> {
+        self.own.iter().map(|(service, limit)| (*service, (limit * THOUSAND) as u16)).collect()
+    }
+
+    /// Takes what other boxes have found.
+    pub fn hear(&mut self, others: Vec<(u32, u16)>) {
+        self.others = others;
+    }
+
+    fn own(&self, service: u32) -> f64 {
+        self.own.get(&service).copied().unwrap_or(LIMITS.1)
+    }
+
+    fn mean(&self, service: u32) -> f64 {
+        let others = self.others.iter().filter(|(other, _)| *other == service);
+        let (sum, count) = others.fold((self.own(service), 1.0), |(sum, count), (_, limit)| {
+            (sum + f64::from(*limit) / THOUSAND, count + 1.0)
+        });
+        sum / count
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -107,6 +107,7 @@
             state.upstreams.iter().map(|one| ToldLoad { upstream: one.number, load: one.own }),
         ),
         fetches: fetches(&state),
+        limits: state.limits.found(),
         loading: loading(&state),
         superseded: superseded(&state),
         upstream_clock_ms: state
@@ -193,6 +194,8 @@
     for upstream in state.upstreams.iter_mut() {
         upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
     }
+    let limits = state.peers.limits(now_ms);
+    state.limits.hear(limits);
     let fetches = state.peers.fetches(now_ms);
     for (store, one) in state.stores.iter_mut() {
         one.others_fetch(fetches.get(&number(&store.name)).copied().unwrap_or_default());
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -33,6 +33,9 @@
     pub loads: Vec<ToldLoad>,
     /// Tokens that it fetches from stores, by their numbers.
     pub fetches: Vec<(u32, u32)>,
+    /// Limits of admission that it has found, in thousandths, by the numbers of
+    /// services.
+    pub limits: Vec<(u32, u16)>,
     /// Engines that load weights, by their numbers, and for how long still.
     pub loading: Vec<(u32, u16)>,
     /// Upstreams whose address another incarnation has, by their numbers.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -225,6 +225,13 @@
         loads
     }
 
+    /// Limits of admission that all other boxes have found, in thousandths, by the
+    /// numbers of services.
+    #[must_use]
+    pub fn limits(&self, now_ms: u64) -> Vec<(u32, u16)> {
+        self.alive(now_ms).flat_map(|(_, peer)| peer.gossip.limits.iter().copied()).collect()
+    }
+
     /// Tokens that all other boxes fetch from stores, by their numbers.
     #[must_use]
     pub fn fetches(&self, now_ms: u64) -> BTreeMap<u32, u64> {
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -113,3 +113,20 @@
         assert!(seen.iter().all(|limit| (limit - good).abs() < 0.1), "{good}");
     }
 }
+
+/// Boxes go by the mean of what all have found, and come together.
+#[test]
+fn limits_shared() {
+    let (mut one, mut other) = (Limits::default(), Limits::default());
+    (0..20).for_each(|_| one.first_token("llm", FirstToken::Late));
+    other.first_token("llm", FirstToken::InTime);
+    assert!(other.of("llm") - one.of("llm") > 0.3);
+    for _ in 0..60 {
+        one.hear(other.found());
+        other.hear(one.found());
+        one.first_token("llm", FirstToken::InTime);
+        other.first_token("llm", FirstToken::InTime);
+    }
+    assert!((one.of("llm") - other.of("llm")).abs() < 0.01);
+    assert!(one.found()[0].1.abs_diff(other.found()[0].1) < 50);
+}
