Take what is gone beside a mere reset for gone

Change: the view takes trouble for such only when the store has said itself that it does not serve (a status), or was away for two heartbeats of upstreams, before which nothing can lapse; `heartbeat_ms` is a setting.

--- a/src/error.rs
+++ b/src/error.rs
@@ -15,6 +15,8 @@
     BadChange(Vec<String>),
     /// the platform's key-value service does not answer: {0}
     Platform(String),
+    /// the platform's key-value service does not serve: {0}
+    PlatformUnable(String),
     /// the platform's value of '{0}' cannot be read: {1}
     PlatformValue(String, String),
     /// other operators were faster each time; try again
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -230,6 +230,9 @@
     let mut state = gateway.state();
     let after_revision = state.view.at_revision();
     let waited_ms = now_ms().saturating_sub(asked_at_ms);
+    if matches!(error, Error::PlatformUnable(_)) {
+        state.view.store_unable();
+    }
     if state.view.store_failed() {
         warn!(target: "follow",
             "event=dependency_lost dependency=metadata_store after_revision={after_revision} \
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -27,6 +27,11 @@
 use crate::platform::metadata::MetadataStore;
 use crate::sync::locked;
 
+/// Heartbeats for which the metadata store must have been away before an upstream's
+/// item can have lapsed: it does after three that are missed, the first of which may
+/// have been due at any time in the first period.
+const LAPSE_HEARTBEATS: u64 = 2;
+
 /// State that decisions read and change; no call is awaited under its lock.
 pub struct State {
     /// Items of the metadata store.
@@ -149,7 +154,7 @@
         };
         let http = Http::new()?;
         let state = State {
-            view: View::default(),
+            view: View::new(LAPSE_HEARTBEATS * bounds.heartbeat_ms),
             site: None,
             weights: HashMap::new(),
             upstreams: Upstreams::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,6 +22,8 @@
 const DEFAULT_CHANGE_APPLY_MS: u64 = 2000;
 /// Time after which an upstream that leaves must get nothing more, by default.
 const DEFAULT_DEPARTURE_APPLY_MS: u64 = 2000;
+/// Period of upstreams' signs of life, by default.
+const DEFAULT_HEARTBEAT_MS: u64 = 1200;
 /// Time in which a new weight version must be everywhere, by default.
 const DEFAULT_WEIGHTS_APPLY_MS: u64 = 10_000;
 
@@ -70,6 +72,8 @@
     pub change_apply_ms: u64,
     /// Time after which an upstream that leaves must get nothing more.
     pub departure_apply_ms: u64,
+    /// Period of upstreams' signs of life at the metadata store.
+    pub heartbeat_ms: u64,
     /// Time in which a new weight version must be everywhere.
     pub weights_apply_ms: u64,
 }
@@ -114,6 +118,7 @@
             1.0,
             DEFAULT_DEPARTURE_APPLY_MS,
         ),
+        heartbeat_ms: duration_ms(reader, "heartbeat_ms", 1.0, DEFAULT_HEARTBEAT_MS),
         weights_apply_ms: duration_ms(reader, "weights_apply_ms", 1.0, DEFAULT_WEIGHTS_APPLY_MS),
     }
 }
@@ -167,6 +172,7 @@
             "lease_ms",
             "change_apply_ms",
             "departure_apply_ms",
+            "heartbeat_ms",
             "weights_apply_ms",
         ],
         _ => &[],
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -3,7 +3,8 @@
 //! The view takes listings and changes from the store, and snapshots from
 //! peers, in any order; the revision of each item decides which is newer. An
 //! upstream's item that vanishes while the store has trouble stays for a
-//! while, since live upstreams write theirs again after the trouble.
+//! while, since live upstreams write theirs again after the trouble. A connection
+//! that breaks is no such trouble yet: items lapse only after a time without the store.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -90,10 +91,20 @@
     log_from_revision: u64,
     checksum: u32,
     store_answers: bool,
+    answered_at_ms: u64,
+    said_unable: bool,
     trouble_ended_at_ms: Option<u64>,
+    least_trouble_ms: u64,
 }
 
 impl View {
+    /// An empty view. Items can lapse once the store has been away for
+    /// `least_trouble_ms`, or has said that it does not serve.
+    #[must_use]
+    pub fn new(least_trouble_ms: u64) -> Self {
+        Self { least_trouble_ms, ..Self::default() }
+    }
+
     /// Whether anything is known yet.
     #[must_use]
     pub fn is_known(&self) -> bool {
@@ -167,10 +178,21 @@
         std::mem::replace(&mut self.store_answers, false)
     }
 
+    /// Notes that the store has said itself that it does not serve.
+    pub fn store_unable(&mut self) {
+        self.said_unable = true;
+    }
+
     /// Notes an answer of the store; true when it did not answer before.
     pub fn store_answered(&mut self, now_ms: u64) -> bool {
         let was_away = !std::mem::replace(&mut self.store_answers, true);
-        if was_away && self.is_known() {
+        let away_since_ms = std::mem::replace(&mut self.answered_at_ms, now_ms);
+        let away_ms = now_ms.saturating_sub(away_since_ms);
+        let said_unable = std::mem::take(&mut self.said_unable);
+        let may_have_lapsed = said_unable || away_ms >= self.least_trouble_ms;
+        // After a mere reset, what is gone has left: held in doubt, it got work for up to
+        // 3.3 s more, where 2 s were allowed.
+        if was_away && may_have_lapsed && self.is_known() {
             self.trouble_ended_at_ms = Some(now_ms);
             for until_ms in self.removals.values_mut() {
                 *until_ms = (*until_ms).max(now_ms + REWRITE_MS);
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -130,7 +130,12 @@
             text = format!("{text}: {cause}");
             source = cause.source();
         }
-        (self.fault)(text)
+        // A store that answers, though with a failure, speaks of itself; a connection that
+        // breaks does not.
+        match (self.called, error.status()) {
+            (Called::One, Some(_)) => Error::PlatformUnable(text),
+            _ => (self.fault)(text),
+        }
     }
 }
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -320,6 +320,27 @@
     assert!(view.remove(90_000, "v", 6, true).is_some(), "the trouble is long over");
 }
 
+#[test]
+fn removal_after_reset() {
+    let mut view = View::new(2400);
+    view.store_answered(0);
+    view.put("u".to_owned(), written(1));
+    view.put("v".to_owned(), written(2));
+    view.store_failed();
+    view.store_answered(2399);
+    assert!(view.remove(2400, "u", 3, true).is_some(), "nothing lapses in so short a time");
+    view.store_failed();
+    view.store_answered(4799);
+    assert_eq!(view.remove(4800, "v", 4, true), None);
+    let mut view = View::new(2400);
+    view.store_answered(0);
+    view.put("u".to_owned(), written(1));
+    view.store_unable();
+    view.store_failed();
+    view.store_answered(100);
+    assert_eq!(view.remove(100, "u", 3, true), None, "the store has said that it was away");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
 
