--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -32,6 +32,9 @@
 /// Time for which a peer must have known more before it is asked: the store's
 /// own change is usually on its way.
 const BEHIND_MS: u64 = 300;
+/// Time for which a peer that was asked and did not answer is asked only when there is
+/// no other: the rest of it would pass with asking the same one again.
+const UNANSWERED_MS: u64 = 2000;
 /// Time in which the peers that a first one names answer, and name others.
 const LEARN_MS: u64 = 200;
 /// Peers that are asked at once to renew a lease: one may be gone by now.
@@ -64,10 +67,19 @@
     heard_at_ms: u64,
     gossip: Gossip,
     ahead_since_ms: Option<u64>,
+    /// Until when others are asked first.
+    asked_last_until_ms: u64,
     /// Whether it was told of this box at least once.
     told: bool,
 }
 
+impl Peer {
+    /// Whether nothing speaks against asking it.
+    fn answers_at(&self, now_ms: u64) -> bool {
+        now_ms >= self.asked_last_until_ms
+    }
+}
+
 /// The other boxes.
 #[derive(Debug)]
 pub struct Peers {
@@ -152,11 +164,22 @@
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + least_ms)
         });
         let (address, _) = ahead.max_by_key(|(_, peer)| {
-            (peer.gossip.hall == self.own.hall, peer.gossip.mark.changed_revision)
+            (
+                peer.answers_at(now_ms),
+                peer.gossip.hall == self.own.hall,
+                peer.gossip.mark.changed_revision,
+            )
         })?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 
+    /// Notes that a peer was asked and did not answer: its gossip may still arrive.
+    pub fn unanswered(&mut self, now_ms: u64, address: IpAddr) {
+        if let Some(peer) = self.known.get_mut(&address) {
+            peer.asked_last_until_ms = now_ms + UNANSWERED_MS;
+        }
+    }
+
     /// Whether the size of the fleet can be told by the peers that are known.
     #[must_use]
     pub fn is_fleet_known(&self, now_ms: u64) -> bool {
@@ -291,7 +314,8 @@
             .alive(now_ms)
             .filter(|(_, peer)| peer.gossip.hall == self.own.hall && able(&peer.gossip));
         let distance = |address: &IpAddr| number(&format!("{address} {}", self.own.address.ip()));
-        let (address, _) = following.min_by_key(|(address, _)| distance(address))?;
+        let (address, _) = following
+            .min_by_key(|(address, peer)| (!peer.answers_at(now_ms), distance(address)))?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 
