--- a/tests/gateway_departure.rs
+++ b/tests/gateway_departure.rs
@@ -192,3 +192,23 @@
     let answer = answer.await.unwrap();
     assert_whole("/resume/", &answer);
 }
+
+/// An upstream hung, and the one that was asked to go on with its stream turned it away:
+/// the stream was then left where it hung until its deadline, with places and attempts to
+/// spare. It is left again.
+#[tokio::test]
+async fn left_again() {
+    let scene = scene(3, 3, 1000).await;
+    scene.servers.iter().for_each(|server| server.then(&[Act::HeldEvents(2)]));
+    let answer = send(&scene, "/resume/", "r-1");
+    let first = arrived(&scene, "r-1", 1).await[0];
+    let others = scene.servers.iter().filter(|server| server.id != first.id);
+    others.for_each(|server| {
+        server.then_nothing();
+        server.then(&[Act::NotRun]);
+    });
+    eventually("both others are asked", async || scene.count("r-1") == 3).await;
+    scene.servers.iter().for_each(Server::release);
+    let answer = answer.await.unwrap();
+    assert_whole("/resume/", &answer);
+}
