--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod reach;
 pub mod relay;
 pub mod renewal;
+pub mod request_log;
 pub mod rollout;
 pub mod serve;
 pub mod settings;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,12 +24,13 @@
 use crate::gateway::events::{last_event_end, last_event_id};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::place::Place;
-use crate::gateway::serve::{leave_silent, log_attempt, log_end, resume_place, seconds_since};
+use crate::gateway::request_log::{log_attempt, log_end, seconds_since};
+use crate::gateway::serve::{note_left, resume_place};
 use crate::gateway::silence::{self, place_beside};
 use crate::gateway::site::Repeat;
 
 /// Time in which another upstream must go on with a stream that its own could go on
-/// with; of 250 and 600 ms this moved more (journal of 2 December, 19:52).
+/// with; of 250 and 600 ms this moved more.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time between two looks whether a stream should leave its upstream: short beside
 /// a load of weights.
@@ -280,8 +281,8 @@
                 attempted = attempt(&self.gateway, &self.job.outgoing, &choice, after) => {
                     break attempted;
                 }
-                other = silence::other_place(&self.gateway, &self.job, &choice) => {
-                    leave_silent(&mut self.job, &choice);
+                other = silence::place_when_silent(&self.gateway, &self.job, &choice) => {
+                    note_left(&mut self.job, &choice);
                     choice = other;
                     log_attempt(&self.gateway, &self.job, &choice);
                 }
--- /dev/null
+++ b/src/gateway/request_log.rs
@@ -0,0 +1,73 @@
+//! Log lines and metrics of requests: where each went and how it ended.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use log::info;
+
+use crate::clock::now_ms;
+use crate::gateway::answer::Reason;
+use crate::gateway::check::Job;
+use crate::gateway::choose::Choice;
+use crate::gateway::context::ContextPlan;
+use crate::gateway::kernel::Gateway;
+
+/// Logs a request that is refused or given up.
+pub fn log_refusal(
+    request_id: Option<&str>,
+    reason: Reason,
+    configuration: u64,
+    arrived_at_ms: u64,
+) {
+    metrics::counter!("coursestile_requests_total", "end" => reason.to_string()).increment(1);
+    info!(target: "serve",
+        "event=refused request={} reason=\"{reason}\" status={} configuration={configuration} \
+         held_ms={}",
+        request_id.unwrap_or("-"), reason.status().as_u16(), now_ms() - arrived_at_ms);
+}
+
+/// Logs an attempt that begins.
+pub fn log_attempt(gateway: &Gateway, job: &Job, choice: &Choice) {
+    let limit = gateway.state().limits.of(&job.service);
+    let context = choice.context.as_ref();
+    info!(target: "serve",
+        "event=routed request={} route={} configuration={} upstream={} attempt={} left_ms={} \
+         version={} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
+         load_requests={} load_unread={} load_memory={} limit={limit:.2}",
+        job.outgoing.request_id,
+        job.route.name,
+        job.configuration,
+        choice.id,
+        job.tried.len() + 1,
+        job.outgoing.deadline_ms.saturating_sub(now_ms()),
+        context.map_or(0, |plan| plan.version),
+        context.map_or(0, |plan| plan.read_tokens),
+        context.map_or(0, |plan| plan.reread_tokens),
+        choice.expected_ms,
+        context.map_or_else(|| "-".to_owned(), ContextPlan::summary),
+        job.prompt.as_ref().and_then(|one| one.shared_parts().last()).map_or("-", |one| &one.id),
+        choice.load.requests,
+        choice.load.unread_tokens,
+        choice.load.memory_tokens);
+}
+
+/// Logs an attempt that ended without an answer.
+pub fn log_attempt_end(job: &Job, choice: &Choice, end: &str, cause: &str) {
+    info!(target: "serve", "event=attempt_ended request={} upstream={} end={end} cause=\"{cause}\"",
+        job.outgoing.request_id, choice.id);
+}
+
+/// Time since a moment, in seconds, as metrics have it.
+#[must_use]
+pub fn seconds_since(at_ms: u64) -> f64 {
+    Duration::from_millis(now_ms().saturating_sub(at_ms)).as_secs_f64()
+}
+
+/// Logs the end of a request that was served.
+pub fn log_end(job: &Job, choice: &Choice, status: StatusCode, bytes: usize) {
+    metrics::counter!("coursestile_requests_total", "end" => "answered").increment(1);
+    metrics::histogram!("coursestile_request_seconds").record(seconds_since(job.arrived_at_ms));
+    info!(target: "serve",
+        "event=answered request={} upstream={} status={} bytes={bytes} held_ms={}",
+        job.outgoing.request_id, choice.id, status.as_u16(), now_ms() - job.arrived_at_ms);
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
-use log::info;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
@@ -15,9 +14,9 @@
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
 use crate::gateway::choose::{Choice, Demand, choose};
-use crate::gateway::context::ContextPlan;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::relay;
+use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
 use crate::gateway::silence;
 use crate::gateway::site::Repeat;
 use crate::gateway::stores::Placing;
@@ -100,8 +99,8 @@
             // An answer that is there is not left for another place.
             biased;
             attempted = attempt(gateway, &job.outgoing, &choice, None) => attempted,
-            other = silence::other_place(gateway, &job, &choice) => {
-                leave_silent(&mut job, &choice);
+            other = silence::place_when_silent(gateway, &job, &choice) => {
+                note_left(&mut job, &choice);
                 next = Some(other);
                 continue;
             }
@@ -181,7 +180,7 @@
 }
 
 /// After an attempt that was left for another upstream.
-pub fn leave_silent(job: &mut Job, choice: &Choice) {
+pub fn note_left(job: &mut Job, choice: &Choice) {
     job.ran_perhaps = true;
     job.note_sent(&choice.id);
     log_attempt_end(job, choice, "unknown", "the upstream is silent");
@@ -365,56 +364,3 @@
     log_refusal(request_id, reason, job.configuration, job.arrived_at_ms);
     answer::refusal(reason, Some(&job.outgoing.request_id), retry_after_ms)
 }
-
-fn log_refusal(request_id: Option<&str>, reason: Reason, configuration: u64, arrived_at_ms: u64) {
-    metrics::counter!("coursestile_requests_total", "end" => reason.to_string()).increment(1);
-    info!(target: "serve",
-        "event=refused request={} reason=\"{reason}\" status={} configuration={configuration} \
-         held_ms={}",
-        request_id.unwrap_or("-"), reason.status().as_u16(), now_ms() - arrived_at_ms);
-}
-
-/// Logs an attempt that begins.
-pub fn log_attempt(gateway: &Gateway, job: &Job, choice: &Choice) {
-    let limit = gateway.state().limits.of(&job.service);
-    let context = choice.context.as_ref();
-    info!(target: "serve",
-        "event=routed request={} route={} configuration={} upstream={} attempt={} left_ms={} \
-         version={} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
-         load_requests={} load_unread={} load_memory={} limit={limit:.2}",
-        job.outgoing.request_id,
-        job.route.name,
-        job.configuration,
-        choice.id,
-        job.tried.len() + 1,
-        job.outgoing.deadline_ms.saturating_sub(now_ms()),
-        context.map_or(0, |plan| plan.version),
-        context.map_or(0, |plan| plan.read_tokens),
-        context.map_or(0, |plan| plan.reread_tokens),
-        choice.expected_ms,
-        context.map_or_else(|| "-".to_owned(), ContextPlan::summary),
-        job.prompt.as_ref().and_then(|one| one.shared_parts().last()).map_or("-", |one| &one.id),
-        choice.load.requests,
-        choice.load.unread_tokens,
-        choice.load.memory_tokens);
-}
-
-fn log_attempt_end(job: &Job, choice: &Choice, end: &str, cause: &str) {
-    info!(target: "serve", "event=attempt_ended request={} upstream={} end={end} cause=\"{cause}\"",
-        job.outgoing.request_id, choice.id);
-}
-
-/// Time since a moment, in seconds, as metrics have it.
-#[must_use]
-pub fn seconds_since(at_ms: u64) -> f64 {
-    std::time::Duration::from_millis(now_ms().saturating_sub(at_ms)).as_secs_f64()
-}
-
-/// Logs the end of a request that was served.
-pub fn log_end(job: &Job, choice: &Choice, status: StatusCode, bytes: usize) {
-    metrics::counter!("coursestile_requests_total", "end" => "answered").increment(1);
-    metrics::histogram!("coursestile_request_seconds").record(seconds_since(job.arrived_at_ms));
-    info!(target: "serve",
-        "event=answered request={} upstream={} status={} bytes={bytes} held_ms={}",
-        job.outgoing.request_id, choice.id, status.as_u16(), now_ms() - job.arrived_at_ms);
-}
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -38,7 +38,7 @@
 
 /// Waits until the upstream of a request is silent and another can take the request;
 /// takes the budget. Never ends for a request that runs at most once.
-pub async fn other_place(gateway: &Arc<Gateway>, job: &Job, asked: &Choice) -> Choice {
+pub async fn place_when_silent(gateway: &Arc<Gateway>, job: &Job, asked: &Choice) -> Choice {
     if !job.outgoing.repeat.may_run_again() {
         return pending().await;
     }
