Leave a hanging upstream again, as long as there are attempts

Cause: the first try to leave a silent upstream was the last, also when the other turned the stream away; it stayed where it hung until its deadline. Attempts and budget bound the tries. gateway_departure::left_again fails before (waited in vain for the third upstream) and passes.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -220,7 +220,9 @@
     async fn leave_silent(&mut self) {
         let before = self.choice.id.clone();
         let beside = place_beside(&self.gateway, &self.job, &before);
-        self.may_leave_at = beside.is_none().then(|| Instant::now() + LEAVE_AGAIN_PAUSE);
+        // An upstream that hangs is left again, as long as there are attempts: the other may
+        // turn the stream away, or hang too.
+        self.may_leave_at = Some(Instant::now() + LEAVE_AGAIN_PAUSE);
         let Some(choice) = beside else { return };
         let Some(mut first) = self.reply.take() else { return };
         self.note_ran();
