Let only first tokens speak for a larger limit, and time

A limit that fell rose only by tokens of nearly full engines, which the less urgent never bring about, and stayed for ever. An account's own priority was taken for the rank of its route, which leaves it a seventh of the engines where it is higher by 3. Now: late ones count, and those that came; 0.01 a second is given back; the room goes by the ranks of the service's routes. gateway_admission::limit_recovers is new.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -37,6 +37,9 @@
 const THOUSAND: f64 = 1000.0;
 /// Part by which a limit is drawn to the mean of all boxes with each first token.
 const DRAW_PART: f64 = 0.1;
+/// Growth of the limit in a second without any first token: one that fell rises again
+/// within two minutes when nothing that comes shows that it may.
+const RECOVERY_PER_S: f64 = 0.01;
 /// Least and largest limit. It begins at the largest: a short crowd at one moment of an
 /// ordinary day is better queued than refused. Of 1.1 and 1.3, 1.1 gave the better sum of
 /// worth over two overloaded and four ordinary days of two sites, 4.09 against 4.03.
@@ -78,6 +81,14 @@
         self.own.insert(service, limit.clamp(least, most));
     }
 
+    /// Lets limits that fell rise, as time passes.
+    pub fn recover(&mut self, passed_s: f64) {
+        let (least, most) = LIMITS;
+        for limit in self.own.values_mut() {
+            *limit = (*limit + passed_s * RECOVERY_PER_S).clamp(least, most);
+        }
+    }
+
     /// What this box has found, in thousandths, by the numbers of services.
     #[must_use]
     #[expect(
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -127,7 +127,8 @@
 impl Reply {
     /// Gives the connection back after the whole body was read.
     pub fn finished(self) {
-        let Self { head, place, sender, .. } = self;
+        let Self { head, mut place, sender, .. } = self;
+        place.answered();
         place.succeeded();
         let gateway = place.gateway.clone();
         let id = place.id.clone();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -101,6 +101,7 @@
         let mut state = gateway.state();
         let now_ms = now_ms();
         choose_role(&gateway, &mut state, now_ms);
+        state.limits.recover(TICK.as_secs_f64());
         let changes = state.view.tick(now_ms);
         apply(&gateway, &mut state, now_ms, changes);
         for (store, count) in state.stores.tick(now_ms) {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -86,15 +86,27 @@
         let late_ms = as_f64(now_ms() - self.taken_at_ms) - self.expected_ms - FIRST_TOKEN_MS;
         let ratio =
             (self.calm && self.fetch_ms > 0.0).then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
-        self.wait_is_over();
+        self.answered();
         self.prompt_is_over(ratio);
     }
 
-    /// Tells the limits how the wait for a first token ended.
-    fn wait_is_over(&mut self) {
+    /// Tells the limits when the wait for a first token ended.
+    pub(super) fn answered(&mut self) {
         let Some(objective_at_ms) = self.objective_at_ms.take() else { return };
         let late = now_ms() > objective_at_ms;
-        let end = if late { FirstToken::Late } else { FirstToken::InTime };
+        self.note_wait(if late { FirstToken::Late } else { FirstToken::InTime });
+    }
+
+    /// Tells the limits of a first token that never came, if it is late by now: one that
+    /// was turned away at once, or whose client has left, says nothing of the load.
+    fn unanswered(&mut self) {
+        let objective_at_ms = self.objective_at_ms.take();
+        if objective_at_ms.is_some_and(|objective_at_ms| now_ms() > objective_at_ms) {
+            self.note_wait(FirstToken::Late);
+        }
+    }
+
+    fn note_wait(&self, end: FirstToken) {
         let mut state = self.gateway.state();
         let service = state.upstreams.get(&self.id).map(|one| one.entry.service.clone());
         if let Some(service) = service {
@@ -168,7 +180,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.wait_is_over();
+        self.unanswered();
         self.prompt_is_over(None);
         if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
             upstream.ended(self.memory_tokens);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -324,7 +324,7 @@
         tried: &job.tried,
         max_requests: (service.max_connections / (boxes + 1)).max(LEAST_CONNECTIONS),
         asked: Asked {
-            ranks_before: job.outgoing.priority.saturating_sub(site.most_urgent(&job.service)),
+            ranks_before: site.ranks_before(&job.service, job.route.priority),
             objective_ms: job.route.latency_objective_ms,
             late: now_ms >= job.outgoing.objective_at_ms,
             limit: state.limits.of(&job.service),
--- a/src/gateway/site.rs
+++ b/src/gateway/site.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Site`] is one version of it, whole. Only newer versions replace it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// One version of the configuration.
@@ -196,11 +196,14 @@
         self.routes.iter().any(|route| route.name == name)
     }
 
-    /// The most urgent rank of a service's routes.
+    /// Number of ranks among a service's routes that go before one: what an account has
+    /// in its place says nothing of them.
     #[must_use]
-    pub fn most_urgent(&self, service: &str) -> u8 {
+    pub fn ranks_before(&self, service: &str, priority: u8) -> u8 {
         let leads_to = |route: &&Route| route.targets.iter().any(|one| one.service == service);
-        self.routes.iter().filter(leads_to).map(|route| route.priority).min().unwrap_or_default()
+        let ranks = self.routes.iter().filter(leads_to).map(|route| route.priority);
+        let before: BTreeSet<u8> = ranks.filter(|rank| *rank < priority).collect();
+        u8::try_from(before.len()).unwrap_or(u8::MAX)
     }
 
     /// The account of a key.
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -130,3 +130,19 @@
     assert!((one.of("llm") - other.of("llm")).abs() < 0.01);
     assert!(one.found()[0].1.abs_diff(other.found()[0].1) < 50);
 }
+
+/// A limit that fell rises again with time alone: what it turns away cannot show that it
+/// may.
+#[test]
+fn limit_recovers() {
+    let mut limits = Limits::default();
+    let most = limits.of("a");
+    for _ in 0..100 {
+        limits.first_token("a", FirstToken::Late);
+    }
+    let fallen = limits.of("a");
+    limits.recover(20.0);
+    assert!(limits.of("a") > fallen + 0.1, "{fallen} to {}", limits.of("a"));
+    limits.recover(600.0);
+    assert!((limits.of("a") - most).abs() < f64::EPSILON);
+}
