Keep to one publisher of the store's items, also when it did not answer once

Two followers end removals in doubt at different times; at equal revisions the other's whole copy brought back an upstream that was gone, as new and ready. gateway_peers::publisher_kept fails before and passes.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -304,25 +304,40 @@
     }
 
     /// The peer from which this box learns of the metadata store: one of its hall
-    /// that the store answers, other boxes another.
+    /// that the store answers, other boxes another. It is the same one whether or not it
+    /// answers this box: another, which holds a removal in doubt still, would bring back
+    /// what is gone. Newer changes are fetched from any peer.
     #[must_use]
     pub fn publisher(&self, now_ms: u64) -> Option<SocketAddr> {
-        self.one_of_hall(now_ms, |gossip| gossip.store_link == StoreLink::Answers)
+        let answers = |gossip: &Gossip| gossip.store_link == StoreLink::Answers;
+        self.nearest(self.of_hall(now_ms, answers), |_| true)
     }
 
     /// The peer from which this box learns what stores of context keep.
     #[must_use]
     pub fn cache_publisher(&self, now_ms: u64) -> Option<SocketAddr> {
-        self.one_of_hall(now_ms, |gossip| gossip.follows_caches)
+        let follows = |gossip: &Gossip| gossip.follows_caches;
+        self.nearest(self.of_hall(now_ms, follows), |peer| peer.answers_at(now_ms))
     }
 
-    fn one_of_hall(&self, now_ms: u64, able: impl Fn(&Gossip) -> bool) -> Option<SocketAddr> {
-        let following = self
-            .alive(now_ms)
-            .filter(|(_, peer)| peer.gossip.hall == self.own.hall && able(&peer.gossip));
+    fn of_hall(
+        &self,
+        now_ms: u64,
+        able: impl Fn(&Gossip) -> bool,
+    ) -> impl Iterator<Item = (&IpAddr, &Peer)> {
+        self.alive(now_ms)
+            .filter(move |(_, peer)| peer.gossip.hall == self.own.hall && able(&peer.gossip))
+    }
+
+    /// One of some peers, for each box another; those go first that `answers` accepts.
+    fn nearest<'a>(
+        &self,
+        peers: impl Iterator<Item = (&'a IpAddr, &'a Peer)>,
+        answers: impl Fn(&Peer) -> bool,
+    ) -> Option<SocketAddr> {
         let distance = |address: &IpAddr| number(&format!("{address} {}", self.own.address.ip()));
-        let (address, _) = following
-            .min_by_key(|(address, peer)| (!peer.answers_at(now_ms), distance(address)))?;
+        let (address, _) =
+            peers.min_by_key(|(address, peer)| (!answers(peer), distance(address)))?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -235,3 +235,19 @@
     assert_eq!(asked(&peers, 1000), Some(address(HALL, 1)), "one is asked in any case");
     assert_eq!(asked(&peers, 3000), None, "both are silent by now");
 }
+
+/// A box kept to the follower that it believes of equal revisions, also when that did not
+/// answer once: another still held in doubt an upstream that was gone, and would have
+/// brought it back.
+#[test]
+fn publisher_kept() {
+    let mut peers = Peers::new(own(), &[]);
+    for number in 1..4 {
+        let store_link = StoreLink::Answers;
+        let gossip = Gossip { incarnation: 1, hall: HALL, store_link, ..Gossip::default() };
+        peers.hear(1000, address(HALL, number), gossip, Mark::default());
+    }
+    let publisher = peers.publisher(1000).expect("some follow");
+    peers.unanswered(1000, publisher.ip());
+    assert_eq!(peers.publisher(1100), Some(publisher));
+}
