--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -214,13 +214,14 @@
     rollout::at_once(&candidates(gateway, state, now_ms(), model), version)
 }
 
-/// Waits until what runs at the engine has ended, for a while.
+/// Waits until what runs at the engine has ended, for a while. What runs at one whose
+/// entry has gone is not known, and may go on for as long.
 async fn drain(gateway: &Gateway, load: &Load) {
     let until_ms = now_ms() + DRAIN_MS;
     while now_ms() < until_ms {
         note_loading(&mut gateway.state(), &load.id, now_ms() + LOADING_GOSSIP_MS);
-        let requests = gateway.state().upstreams.get(&load.id).map_or(0, |one| one.load().requests);
-        if requests == 0 {
+        let requests = gateway.state().upstreams.get(&load.id).map(|one| one.load().requests);
+        if requests == Some(0) {
             return;
         }
         sleep(DRAIN_PERIOD).await;
