--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,6 +20,7 @@
 use crate::gateway::members;
 use crate::gateway::metadata::{Change, Item, Wait, Watched};
 use crate::gateway::settings::Bounds;
+use crate::gateway::units::whole_ms;
 use crate::gateway::view::{CatchUp, Changed, Snapshot, Written};
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
@@ -210,6 +211,14 @@
     Wait { wait_ms, late_ms: (change_ms / LATE_PART).max(LEAST_WAIT_MS) }
 }
 
+/// Time without an answer that one lost watch explains.
+#[must_use]
+pub fn lost_watch_ms(bounds: &Bounds) -> u64 {
+    let Wait { wait_ms, late_ms } = usual_wait(bounds);
+    let pauses_ms = 2 * LEAST_PAUSE_MS + whole_ms(CHANGES_PAUSE.as_secs_f64() * 1000.0);
+    wait_ms + late_ms + pauses_ms
+}
+
 /// A wait of another length at each box, so that not all watches end together.
 fn spread(wait: Wait) -> Wait {
     Wait { wait_ms: wait.wait_ms - fastrand::u64(0..=wait.wait_ms / 4), ..wait }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -10,11 +10,12 @@
 use crate::gateway::admission::Limits;
 use crate::gateway::budget::{Budget, Terms};
 use crate::gateway::connections::Connections;
+use crate::gateway::follow;
 use crate::gateway::gossip_message::StoreLink;
 use crate::gateway::leadership::Leadership;
 use crate::gateway::peers::{Own, Peers};
 use crate::gateway::renewal::RenewalReply;
-use crate::gateway::settings::Settings;
+use crate::gateway::settings::{Bounds, Settings};
 use crate::gateway::site::Site;
 use crate::gateway::stores::Stores;
 use crate::gateway::upstreams::{Upstreams, number};
@@ -33,6 +34,9 @@
 /// have been due at any time in the first period.
 const LAPSE_HEARTBEATS: u64 = 2;
 
+/// Time in which the store answers a new watch, and boxes that are slow.
+const ANSWER_MS: u64 = 100;
+
 /// State that decisions read and change; no call is awaited under its lock.
 pub struct State {
     /// Items of the metadata store.
@@ -157,7 +161,7 @@
         };
         let http = Http::new()?;
         let state = State {
-            view: View::new(LAPSE_HEARTBEATS * bounds.heartbeat_ms),
+            view: View::new(least_trouble_ms(bounds)),
             site: None,
             weights: HashMap::new(),
             upstreams: Upstreams::default(),
@@ -218,6 +222,13 @@
     }
 }
 
+/// Time for which the metadata store must not have answered before an upstream's item can
+/// have lapsed: a watch that was lost with its connection alone says nothing of the store.
+fn least_trouble_ms(bounds: &Bounds) -> u64 {
+    let lost_watch_ms = follow::lost_watch_ms(bounds) + ANSWER_MS;
+    (LAPSE_HEARTBEATS * bounds.heartbeat_ms).max(lost_watch_ms)
+}
+
 /// What a box tells of itself.
 fn own(settings: &Settings) -> Own {
     #[expect(
