--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! `context`, `holder`, `peers`, `rollout`, `sources`, `stores`, `upstreams`, `urgency`,
 //! `view` and `weights`. Everything else carries them out. `follow`, `follow_caches` and
 //! `gossip` bring in what the box knows, `members` where others are; `listener`,
-//! `check`, `serve`, `attempt`, `place`, `silence` and `relay` take a request through;
+//! `check`, `serve`, `attempt`, `place`, `silence` and `relay` take a request through,
+//! `request_log` tells of it;
 //! `leadership`, `leader` and `space` do what one box does for all.
 
 pub mod admission;
--- a/tests/gateway_departure.rs
+++ b/tests/gateway_departure.rs
@@ -8,10 +8,11 @@
 //!  8.2223 relay: event=stream_broken upstream=i-76a1cd9648 cause="the upstream is silent"
 //! ```
 //!
-//! On such a day 32 streams were broken off that way, each 4 to 91 ms after an entry had
-//! gone; 11 went on elsewhere. The same day 405 attempts that waited for the first byte of
-//! an answer were given up as silent, though all engines ran and were only busy, and 59
-//! requests were answered 502 for want of an attempt or of budget:
+//! In one run of that traffic 32 streams were broken off so, each 4 to 91 ms after an
+//! entry had gone; 11 went on elsewhere. Silence was taken for death as well: 405 attempts
+//! that waited for the first byte of an answer were given up, though all engines ran and
+//! were only busy. Once streams left only for another place, requests were still answered
+//! 502 for want of an attempt or of budget, 59 in a run:
 //!
 //! ```text
 //! serve: event=attempt_ended end=unknown cause="the upstream is silent"
