Tests that fail: upstreams that start again under their id, entries of another writer

A worker may start again under the id that it had, told by `born` alone; and an entry may come from another writer. Neither is looked at yet.

An engine that is back with older weights counts as new for good, since the highest version that was ever seen goes before what its entry tells; it is never loaded again.

An entry that cannot be read leaves the one before it in force; fields that are missing are made up; and one item whose content is no text of bytes fails every listing and watch, so that a box that starts is never ready.

The stand-in of an engine can start again (`restart`), and that of the store can hold an item that is told as a text of no bytes (`put_spoiled`).

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -48,6 +48,10 @@
 #[derive(Default)]
 struct State {
     version: u64,
+    /// Start of this run, in Unix milliseconds.
+    born: u64,
+    /// Changes with each run, for those who follow what is kept.
+    boot: u64,
     orders: Vec<Order>,
     taken: u64,
     busy: bool,
@@ -60,6 +64,14 @@
     failing_listings: u32,
 }
 
+impl State {
+    /// The state of a run that has just started.
+    fn of_run(version: u64) -> Self {
+        let born = now_ms();
+        Self { version, born, boot: born, ..Self::default() }
+    }
+}
+
 type Shared = Arc<Mutex<State>>;
 
 /// An engine or a store.
@@ -76,7 +88,7 @@
     /// # Panics
     /// Panics when no address can be had.
     pub async fn start() -> Self {
-        let state: Shared = Arc::new(Mutex::new(State { version: 1, ..State::default() }));
+        let state: Shared = Arc::new(Mutex::new(State::of_run(1)));
         let app = Route::new()
             .at("/coursestile/report", get(report))
             .at("/coursestile/order", post(order))
@@ -105,6 +117,21 @@
         self.state().version
     }
 
+    /// Start of its run, in Unix milliseconds.
+    #[must_use]
+    pub fn born(&self) -> u64 {
+        self.state().born
+    }
+
+    /// Starts again, with older or newer weights: nothing of before is known or kept, and
+    /// the orders taken are counted anew. What a test asks of the past stays.
+    pub fn restart(&self, version: u64) {
+        let mut state = self.state();
+        let (orders, runs) = (state.orders.clone(), state.runs.clone());
+        let born = now_ms().max(state.born + 1);
+        *state = State { born, boot: born, orders, runs, ..State::of_run(version) };
+    }
+
     /// Orders that have arrived.
     #[must_use]
     pub fn orders(&self) -> Vec<Order> {
@@ -163,6 +190,7 @@
     let state = state.lock().expect("state");
     Json(json!({ "stage": "both", "busy": state.busy, "seq": state.taken, "queued": 0,
         "in_flight": 0, "kv_used": 0, "kv_total": 100_000, "handles": 0, "clock_ms": now_ms(),
+        "born": state.born,
         "models": [{ "name": MODEL, "version": state.version, "adapters": [] }] }))
 }
 
@@ -179,9 +207,14 @@
     state.busy = true;
     state.taken += 1;
     let later = shared.clone();
+    let born = state.born;
     tokio::spawn(async move {
         tokio::time::sleep(LOAD_TIME).await;
         let mut state = later.lock().expect("state");
+        // A run that has ended loads no more.
+        if state.born != born {
+            return;
+        }
         state.version = order.version;
         state.busy = false;
     });
@@ -203,8 +236,8 @@
     }
     let state = shared.lock().expect("state");
     let events: Vec<Value> = state.events.iter().skip(since).cloned().collect();
-    Json(json!({ "boot_epoch": 7, "next_token": state.events.len(), "lost": false,
-        "events": events, "clock_ms": now_ms() }))
+    Json(json!({ "boot_epoch": state.boot, "next_token": state.events.len(), "lost": false,
+        "events": events, "clock_ms": now_ms(), "born": state.born }))
 }
 
 #[handler]
@@ -219,8 +252,8 @@
         .iter()
         .map(|(scope, part, tokens)| json!([scope, part, tokens, MODEL]))
         .collect();
-    Ok(Json(json!({ "boot_epoch": 7, "next_token": state.events.len(), "held": held,
-        "partial": state.partial })))
+    Ok(Json(json!({ "boot_epoch": state.boot, "next_token": state.events.len(), "held": held,
+        "partial": state.partial, "born": state.born })))
 }
 
 #[derive(Deserialize)]
@@ -232,10 +265,10 @@
 
 #[handler]
 fn free(Data(shared): Data<&Shared>, Json(free): Json<Free>) -> StatusCode {
-    if free.boot_epoch != 7 || free.until_ms < now_ms() {
+    let mut state = shared.lock().expect("state");
+    if free.boot_epoch != state.boot || free.until_ms < now_ms() {
         return StatusCode::CONFLICT;
     }
-    let mut state = shared.lock().expect("state");
     state.held.retain(|(scope, part, _)| !free.parts.contains(&(scope.clone(), part.clone())));
     state.freed.extend(free.parts);
     StatusCode::OK
--- a/standins/src/site/metadata/calls.rs
+++ b/standins/src/site/metadata/calls.rs
@@ -53,7 +53,9 @@
 }
 
 fn item_body(key: &str, item: &Item) -> Value {
-    json!({ "key": key, "value": STANDARD.encode(&item.value), "rev": item.rev,
+    let mark = if item.spoiled { "!" } else { "" };
+    let value = format!("{mark}{}", STANDARD.encode(&item.value));
+    json!({ "key": key, "value": value, "rev": item.rev,
         "made": item.made, "lease": item.lease })
 }
 
--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -39,6 +39,8 @@
     rev: u64,
     made: u64,
     lease: u64,
+    /// Its content is told as a text that stands for no bytes.
+    spoiled: bool,
 }
 
 #[derive(Default)]
@@ -56,7 +58,7 @@
     fn put(&mut self, key: &str, value: &[u8], lease: u64) {
         self.rev += 1;
         let made = self.items.get(key).map_or(self.rev, |item| item.made);
-        let item = Item { value: value.to_vec(), rev: self.rev, made, lease };
+        let item = Item { value: value.to_vec(), rev: self.rev, made, lease, spoiled: false };
         self.items.insert(key.to_owned(), item.clone());
         self.history.push_back((self.rev, key.to_owned(), Some(item)));
     }
@@ -158,6 +160,22 @@
         self.shared.tell();
     }
 
+    /// Writes an item whose content is told as a text that stands for no bytes.
+    ///
+    /// # Panics
+    /// Panics when a task has panicked under the lock.
+    pub fn put_spoiled(&self, key: &str) {
+        let mut tables = self.shared.tables();
+        tables.put(key, b"spoiled", 0);
+        let items = tables.items.values_mut();
+        let newest = items.max_by_key(|item| item.rev).expect("it was written");
+        newest.spoiled = true;
+        let newest = newest.clone();
+        tables.history.back_mut().expect("it was written").2 = Some(newest);
+        drop(tables);
+        self.shared.tell();
+    }
+
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         self.shared.tables().remove(key);
--- /dev/null
+++ b/tests/gateway_entries.rs
@@ -0,0 +1,126 @@
+//! Entries of upstreams that come from another writer name no upstream, and take out what
+//! their key named before; the others hold.
+
+#[path = "common/site.rs"]
+mod common;
+
+use common::{Scene, is_ready, scene};
+use coursestile_standins::site::{entry, eventually};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// How an entry is not what an upstream writes of itself.
+#[derive(Clone, Copy, Debug)]
+enum Flaw {
+    NoText,
+    NoEntry,
+    Missing(&'static str),
+    OtherType(&'static str),
+    TooLarge(&'static str),
+    OtherState,
+    Twice,
+    BornAsText,
+    NegativeBorn,
+    Spoiled,
+}
+
+/// Writes a flawed entry under the id of an upstream.
+fn write(scene: &Scene, server: usize, flaw: Flaw) {
+    let server = &scene.servers[server];
+    let key = format!("servers/{}", server.id);
+    let mut entry = entry("plain", &server.address, "ready");
+    let metadata = &scene.site.metadata;
+    match flaw {
+        Flaw::NoText => return metadata.put(&key, &[0xff, 0x00, 0xfe], 0),
+        Flaw::NoEntry => return metadata.put(&key, b"[1, 2]", 0),
+        Flaw::Spoiled => return metadata.put_spoiled(&key),
+        Flaw::Twice => {
+            let text = entry.to_string().replacen('{', "{\"slots\":9,", 1);
+            return metadata.put(&key, text.as_bytes(), 0);
+        }
+        Flaw::Missing(field) => {
+            entry.as_object_mut().unwrap().remove(field);
+        }
+        Flaw::OtherType(field) => entry[field] = json!({ "of": "another type" }),
+        Flaw::TooLarge(field) => entry[field] = json!(1_u64 << 40),
+        Flaw::OtherState => entry["state"] = json!("asleep"),
+        Flaw::BornAsText => entry["born"] = json!("1790000000000"),
+        Flaw::NegativeBorn => entry["born"] = json!(-1),
+    }
+    metadata.put(&key, entry.to_string().as_bytes(), 0);
+}
+
+/// Asks until the upstreams in `left` alone get requests, which are all answered.
+async fn served_by(scene: &Scene, left: &[usize]) {
+    for number in 0..8 {
+        let id = format!("q-{number}");
+        assert_eq!(scene.send("GET", "/safe/", &id).await.status(), 200);
+        let by = scene.servers.iter().position(|server| server.count(&id) > 0);
+        assert!(left.contains(&by.expect("it ran")), "{by:?}");
+    }
+}
+
+#[rstest]
+#[case(Flaw::NoText)]
+#[case(Flaw::NoEntry)]
+#[case(Flaw::Missing("service"))]
+#[case(Flaw::Missing("addr"))]
+#[case(Flaw::Missing("slots"))]
+#[case(Flaw::Missing("state"))]
+#[case(Flaw::Missing("seq"))]
+#[case(Flaw::OtherType("zone"))]
+#[case(Flaw::OtherType("version"))]
+#[case(Flaw::OtherType("cold_left_ms"))]
+#[case(Flaw::OtherType("models"))]
+#[case(Flaw::TooLarge("slots"))]
+#[case(Flaw::OtherState)]
+#[case(Flaw::Twice)]
+#[case(Flaw::BornAsText)]
+#[case(Flaw::NegativeBorn)]
+#[case(Flaw::Spoiled)]
+#[tokio::test]
+async fn taken_out(#[case] flaw: Flaw) {
+    let scene = scene(2).await;
+    write(&scene, 0, flaw);
+    eventually("it is said", async || scene.gateway.logged().contains("upstream_unreadable")).await;
+    served_by(&scene, &[1]).await;
+    assert!(is_ready(&scene.gateway).await);
+}
+
+#[rstest]
+#[case(Flaw::NoText)]
+#[case(Flaw::Spoiled)]
+#[tokio::test]
+async fn listed_beside_others(#[case] flaw: Flaw) {
+    let mut scene = scene(2).await;
+    write(&scene, 0, flaw);
+    let gateway = scene.site.gateway("north", &[]);
+    common::wait_ready(&gateway).await;
+    scene.gateway = gateway;
+    served_by(&scene, &[1]).await;
+}
+
+#[tokio::test]
+async fn back_when_readable() {
+    let scene = scene(1).await;
+    write(&scene, 0, Flaw::NoText);
+    eventually("it is said", async || scene.gateway.logged().contains("upstream_unreadable")).await;
+    assert_eq!(scene.send("GET", "/safe/", "r-1").await.status(), 502);
+    let server = &scene.servers[0];
+    scene.site.enter(&server.id, &entry("plain", &server.address, "ready"));
+    eventually("it serves", async || scene.send("GET", "/safe/", "r-2").await.status() == 200)
+        .await;
+}
+
+#[tokio::test]
+async fn said_once() {
+    let scene = scene(2).await;
+    write(&scene, 0, Flaw::NoText);
+    eventually("it is said", async || scene.gateway.logged().contains("upstream_unreadable")).await;
+    write(&scene, 0, Flaw::NoText);
+    let other: Value = entry("plain", &scene.servers[1].address, "draining");
+    scene.site.enter("s-1", &other);
+    eventually("a later change is known", async || scene.gateway.logged().contains("leaving=true"))
+        .await;
+    assert_eq!(scene.gateway.logged().matches("upstream_unreadable").count(), 1);
+}
--- /dev/null
+++ b/tests/gateway_restarts.rs
@@ -0,0 +1,178 @@
+//! An upstream that starts again under the id that it had knows and keeps nothing of
+//! before, and is taken as new, whoever tells of it first.
+
+#[path = "common/site.rs"]
+mod common;
+
+use common::wait_ready;
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::engine::{Engine, MODEL};
+use coursestile_standins::site::server::{Act, Server};
+use coursestile_standins::site::{Gateway, Site, document, engine_entry, entry, eventually};
+use serde_json::{Value, json};
+
+const SCOPE: &str = "1.model-a";
+
+/// Engines of one service behind one gateway.
+struct Fleet {
+    gateway: Gateway,
+    engines: Vec<Engine>,
+    site: Site,
+}
+
+/// The entry of an engine's present run.
+fn entry_of(engine: &Engine, version: u64) -> Value {
+    let mut entry = engine_entry("llm", &engine.address, MODEL, version);
+    entry["born"] = json!(engine.born());
+    entry
+}
+
+async fn fleet(engines: usize) -> Fleet {
+    let mut site = Site::start().await;
+    let mut started = Vec::new();
+    for number in 0..engines {
+        let engine = Engine::start().await;
+        site.enter(&format!("e-{number}"), &entry_of(&engine, 1));
+        started.push(engine);
+    }
+    let mut config = document(7);
+    config["routes"][2]["service"] = json!("llm");
+    config["routes"][2]["path_prefix"] = json!("/run/");
+    config["services"] = json!([{ "name": "llm", "max_conns": 100, "engine": { "slots": 8,
+        "kv_capacity": 40000, "kv_token_bytes": 18432, "link_mbps": 100_000, "managed": true,
+        "models": [{ "name": MODEL }] } }]);
+    site.configure(&config);
+    site.name_weights(MODEL, 1);
+    let gateway = site.gateway("north", &[]);
+    wait_ready(&gateway).await;
+    Fleet { gateway, engines: started, site }
+}
+
+impl Fleet {
+    async fn prompt(&self, id: &str) -> u16 {
+        let extra = format!(
+            "X-Model: {MODEL}\r\nX-Token-Count: 700,10\r\nX-Prefix-Hash: aa:100,bb:400,cc:200\r\n"
+        );
+        let bytes = request("POST", "/run/x", id, &extra, "prompt");
+        let mut client = Client::connect(&self.gateway.clients).await;
+        client.send(&bytes).await.expect("an answer").status()
+    }
+
+    async fn wait_version(&self, version: u64) {
+        eventually("all engines have the version", async || {
+            self.engines.iter().all(|engine| engine.version() == version)
+        })
+        .await;
+    }
+
+    async fn wait_logged(&self, text: &str) {
+        eventually(text, async || self.gateway.logged().contains(text)).await;
+    }
+
+    /// Prompt tokens that the last attempt of a request was expected to have read.
+    fn read_tokens(&self, id: &str) -> Option<u32> {
+        let logged = self.gateway.logged();
+        let line = logged.lines().rfind(|line| line.contains(&format!("routed request={id} ")))?;
+        let rest = line.split(" read_tokens=").nth(1)?;
+        rest.split(' ').next()?.parse().ok()
+    }
+
+    /// Asks until a prompt's shared parts are known to be kept by the only engine.
+    async fn wait_kept(&self) {
+        let mut number = 0;
+        eventually("the parts are known to be kept", async || {
+            number += 1;
+            let id = format!("warm-{number}");
+            assert_eq!(self.prompt(&id).await, 200);
+            self.read_tokens(&id) == Some(200)
+        })
+        .await;
+    }
+
+    fn keep_parts(&self) {
+        self.engines[0].keep(SCOPE, "aa", 100);
+        self.engines[0].keep(SCOPE, "bb", 400);
+    }
+}
+
+#[tokio::test]
+async fn older_weights_again() {
+    let fleet = fleet(3).await;
+    fleet.wait_logged("event=leadership_taken").await;
+    fleet.site.name_weights(MODEL, 2);
+    fleet.wait_version(2).await;
+    fleet.wait_logged("upstream=e-0 model=model-a version=2 end=\"done\"").await;
+    fleet.engines[0].restart(1);
+    fleet.site.enter("e-0", &entry_of(&fleet.engines[0], 1));
+    fleet.wait_version(2).await;
+    assert_eq!(fleet.prompt("r-1").await, 200);
+}
+
+#[tokio::test]
+async fn restarted_in_a_load() {
+    let fleet = fleet(2).await;
+    fleet.wait_logged("event=leadership_taken").await;
+    fleet.site.name_weights(MODEL, 2);
+    eventually("an order has come", async || !fleet.engines[0].orders().is_empty()).await;
+    fleet.engines[0].restart(1);
+    fleet.site.enter("e-0", &entry_of(&fleet.engines[0], 1));
+    fleet.engines[0].restart(1);
+    fleet.site.enter("e-0", &entry_of(&fleet.engines[0], 1));
+    fleet.wait_version(2).await;
+}
+
+#[tokio::test]
+async fn context_forgotten() {
+    let fleet = fleet(1).await;
+    fleet.keep_parts();
+    fleet.wait_kept().await;
+    fleet.engines[0].restart(1);
+    let mut restarted = entry_of(&fleet.engines[0], 1);
+    // The entry alone is to tell: events would do so a moment later.
+    restarted["seq"] = json!(0);
+    fleet.site.enter("e-0", &restarted);
+    fleet.wait_logged("event=upstream_restarted upstream=e-0").await;
+    assert_eq!(fleet.prompt("r-1").await, 200);
+    assert_ne!(fleet.read_tokens("r-1"), Some(200));
+}
+
+#[tokio::test]
+async fn events_tell_first() {
+    let fleet = fleet(1).await;
+    fleet.keep_parts();
+    fleet.wait_kept().await;
+    let mut before = entry_of(&fleet.engines[0], 1);
+    fleet.engines[0].restart(1);
+    fleet.wait_logged("event=upstream_restarted upstream=e-0").await;
+    fleet.keep_parts();
+    fleet.wait_kept().await;
+    // The store tells of the run of before once more.
+    before["seq"] = json!(9);
+    fleet.site.enter("e-0", &before);
+    fleet.wait_logged("event=upstream_outdated upstream=e-0").await;
+    fleet.wait_kept().await;
+}
+
+#[tokio::test]
+async fn never_twice() {
+    let mut site = Site::start().await;
+    let server = Server::start("s-0").await;
+    let run = |born: u64| {
+        let mut entry = entry("plain", &server.address, "ready");
+        entry["born"] = json!(born);
+        entry
+    };
+    site.enter("s-0", &run(1));
+    site.configure(&document(7));
+    let gateway = site.gateway("north", &[]);
+    wait_ready(&gateway).await;
+    server.then(&[Act::Close]);
+    let send = async |id: &str| {
+        let bytes = request("POST", "/once/x", id, "", "");
+        Client::connect(&gateway.clients).await.send(&bytes).await.expect("an answer").status()
+    };
+    let (first, ()) = tokio::join!(send("r-1"), async { site.enter("s-0", &run(2)) });
+    assert_eq!(first, 502, "whether it ran is not known");
+    assert_eq!(server.count("r-1"), 1);
+    assert_eq!(send("r-2").await, 200);
+}
