Tell runs of an upstream apart by their start; entries of another writer name nobody

Cause: an id alone stood for a running upstream. One that started again under it kept what was believed of the run before: its weights as the highest version ever seen, its kept context, its load, its health, and that its address belongs to another. And an entry that could not be read left the one before it in force.

Ruled out: that `boot_epoch` of the events is enough. It clears what an engine is believed to keep, and nothing else, and not before the next events.

Change: `Incarnation` is an id and the start that is told as `born`. Choices, places, the list of those that were tried, loads of weights and the numbers in gossip go by it, so that what ends late for a run of before changes nothing. The entry, reports, events and listings are each looked at; from the store the newer revision counts, and of an engine's own answer that it was asked for after the known run was learned of. Two starts that differ are two runs, whatever the clocks say; without `born` it is as before. A 421 for the newest version means that the version that was seen is gone: what the entry tells counts again. One item whose content is no text of bytes does not keep the others from being read.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -61,7 +61,7 @@
         if rank != self.priority {
             info!(target: "serve",
                 "event=ranked_late request={} upstream={} rank={rank} before={} late_ms={}",
-                self.request_id, choice.id, self.priority, expected_at_ms - self.objective_at_ms);
+                self.request_id, choice.upstream.id, self.priority, expected_at_ms - self.objective_at_ms);
         }
         rank
     }
@@ -131,7 +131,7 @@
         place.answered();
         place.succeeded();
         let gateway = place.gateway.clone();
-        let id = place.id.clone();
+        let id = place.upstream.id.clone();
         drop(place);
         tokio::spawn(async move { gateway.connections.give_back(&id, &head, sender).await });
     }
@@ -162,12 +162,12 @@
     choice: &Choice,
     after_event: Option<&str>,
 ) -> Attempted {
-    let Some(address) = gateway.state().upstreams.address(&choice.id) else {
+    let Some(address) = gateway.state().upstreams.address(&choice.upstream.id) else {
         return Attempted::NotSent { cause: "the upstream is gone".to_owned() };
     };
     let place = Place::take(gateway, choice);
     let deadline = instant_at(outgoing.deadline_ms);
-    let connecting = gateway.connections.take(&choice.id, address);
+    let connecting = gateway.connections.take(&choice.upstream.id, address);
     let mut sender = match timeout_at(deadline, connecting).await {
         Ok(Ok(sender)) => sender,
         Ok(Err(cause)) => {
@@ -184,7 +184,7 @@
         &outgoing.head,
         &outgoing.body,
         &Forward {
-            upstream_id: &choice.id,
+            upstream_id: &choice.upstream.id,
             left_ms: outgoing.deadline_ms.saturating_sub(now_ms),
             account: outgoing.account.as_deref(),
             priority: outgoing.rank(now_ms, choice, after_event),
@@ -217,7 +217,7 @@
     let told = exchange::answer_head(parts.status, &parts.headers);
     let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if told.not_run && (own || told.request_id.is_none()) {
-        let cause = not_run_cause(parts.status, &told, &place.id);
+        let cause = not_run_cause(parts.status, &told, &place.upstream.id);
         if cause == NotRunCause::OtherIncarnation {
             place.supersede();
         }
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -12,6 +12,7 @@
 use crate::gateway::answer::Reason;
 use crate::gateway::attempt::Outgoing;
 use crate::gateway::heads::RequestHead;
+use crate::gateway::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::prompt::Prompt;
 use crate::gateway::site::{Account, Route, Site};
@@ -41,7 +42,7 @@
     /// When it arrived.
     pub arrived_at_ms: u64,
     /// Upstreams that it was sent to.
-    pub tried: Vec<String>,
+    pub tried: Vec<Incarnation>,
     /// Attempts that count: the upstream that was meant got the request.
     pub sent: u32,
     /// Attempts that reached nobody, or another than was meant.
@@ -52,8 +53,8 @@
 
 impl Job {
     /// Notes an attempt that counts.
-    pub fn note_sent(&mut self, upstream_id: &str) {
-        self.tried.push(upstream_id.to_owned());
+    pub fn note_sent(&mut self, upstream: &Incarnation) {
+        self.tried.push(upstream.clone());
         self.sent += 1;
     }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::admission::{Asked, Capacity, Room, room};
 use crate::gateway::context::ContextPlan;
+use crate::gateway::incarnation::Incarnation;
 use crate::gateway::prompt::Prompt;
 use crate::gateway::site::EngineSpec;
 use crate::gateway::sources::{Lookup, READ_TOKENS_PER_MS, REREAD_WEIGHT};
@@ -74,7 +75,7 @@
     /// How the store that takes a part is chosen.
     pub placing: Placing<'a>,
     /// Upstreams that were tried already.
-    pub tried: &'a [String],
+    pub tried: &'a [Incarnation],
     /// Most requests that this box may have at one upstream.
     pub max_requests: u32,
     /// What decides whether an engine has room for it.
@@ -101,8 +102,8 @@
 /// A choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
-    /// Id of the upstream.
-    pub id: String,
+    /// The upstream.
+    pub upstream: Incarnation,
     /// What it is told about kept context.
     pub context: Option<ContextPlan>,
     /// Expected time to the first token.
@@ -131,7 +132,8 @@
     let mut best: Option<(f64, &Upstream, Option<ContextPlan>, Expected)> = None;
     let mut lookups: Vec<Lookup<'_>> = Vec::new();
     for upstream in upstreams.of(demand.service) {
-        if demand.tried.contains(&upstream.id) || upstream.own.requests >= demand.max_requests {
+        let tried = demand.tried.iter().any(|one| upstream.is(one));
+        if tried || upstream.own.requests >= demand.max_requests {
             continue;
         }
         if upstream.is_loading(now_ms) {
@@ -159,7 +161,7 @@
         }
     }
     best.map(|(_, upstream, context, expected)| Choice {
-        id: upstream.id.clone(),
+        upstream: upstream.incarnation(),
         context,
         expected_ms: expected.first_token_ms,
         calm: expected.wait_ms < CALM_WAIT_MS,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -139,7 +139,8 @@
 
 fn loading(state: &State) -> Vec<(u32, u16)> {
     let left_ms = u16::try_from(LOADING_GOSSIP_MS).unwrap_or(u16::MAX);
-    state.loading.iter().map(|id| (number(id), left_ms)).collect()
+    let loading = state.loading.iter().filter_map(|id| state.upstreams.get(id));
+    loading.map(|engine| (engine.number, left_ms)).collect()
 }
 
 fn versions(state: &mut State, now_ms: u64) -> Vec<(u32, u32, u64)> {
--- a/src/gateway/kept.rs
+++ b/src/gateway/kept.rs
@@ -31,6 +31,8 @@
     pub changes: Vec<CacheChange>,
     /// The upstreams' clock as the answer left, when it is told.
     pub clock_ms: Option<u64>,
+    /// Start of the holder's run, if it is told.
+    pub born_ms: Option<u64>,
 }
 
 /// All that a holder keeps.
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -10,13 +10,15 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::gateway::follow;
+use crate::gateway::incarnation::Incarnation;
 use crate::gateway::invariants;
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::leadership::Leadership;
-use crate::gateway::orders::{Ordered, WeightsOrder};
+use crate::gateway::orders::{EngineReport, Ordered, WeightsOrder};
 use crate::gateway::rollout::{self, Candidate};
 use crate::gateway::space::Space;
-use crate::gateway::upstreams::number;
+use crate::gateway::upstreams::{Told, number};
 use crate::gateway::weights::NamedWeights;
 use crate::phase::Phase;
 
@@ -90,7 +92,7 @@
 
 /// An engine that is to be brought to a version.
 struct Load {
-    id: String,
+    upstream: Incarnation,
     address: SocketAddr,
     model: String,
     version: u64,
@@ -105,16 +107,17 @@
     for (model, version) in named {
         let candidates = candidates(gateway, &state, now_ms, &model);
         for id in rollout::next(&candidates, version) {
-            let Some(address) = state.upstreams.address(&id) else { continue };
-            state.loading.insert(id.clone());
-            loads.push(Load { id, address, model: model.clone(), version });
+            let Some(engine) = state.upstreams.get(&id) else { continue };
+            let (upstream, address) = (engine.incarnation(), engine.entry.address);
+            state.loading.insert(id);
+            loads.push(Load { upstream, address, model: model.clone(), version });
         }
     }
     if !loads.is_empty() {
         for load in &loads {
             info!(target: "leader", "event=drain_started upstream={} model={} version={}",
-                load.id, load.model, load.version);
-            note_loading(&mut state, &load.id, now_ms + LOADING_GOSSIP_MS);
+                load.upstream.id, load.model, load.version);
+            note_loading(&mut state, &load.upstream.id, now_ms + LOADING_GOSSIP_MS);
         }
         gateway.gossip_now.notify_one();
     }
@@ -153,17 +156,17 @@
     if let Some(named) = gateway.state().weights.get(&load.model) {
         load.version = named.newest();
     }
-    let end = match order_and_wait(&gateway, &load).await {
+    let end = match order_and_wait(&gateway, &mut load).await {
         Ok(end) => end,
         Err(error) => {
-            info!(target: "leader", "event=order_failed upstream={} cause=\"{error}\"", load.id);
+            info!(target: "leader", "event=order_failed upstream={} cause=\"{error}\"", load.upstream.id);
             sleep(FAILED_PAUSE).await;
             LoadEnd::Failed
         }
     };
     let mut state = gateway.state();
-    state.loading.remove(&load.id);
-    if let Some(upstream) = state.upstreams.get_mut(&load.id) {
+    state.loading.remove(&load.upstream.id);
+    if let Some(upstream) = state.upstreams.get_run_mut(&load.upstream) {
         upstream.loads_until(0);
         if end == LoadEnd::Done {
             upstream.saw_version(&load.model, load.version);
@@ -171,7 +174,7 @@
     }
     if end == LoadEnd::Done {
         state.told_versions.push(ToldVersion {
-            engine: number(&load.id),
+            engine: load.upstream.number(),
             model: number(&load.model),
             version: load.version,
             until_ms: now_ms() + VERSION_GOSSIP_MS,
@@ -179,7 +182,7 @@
     }
     drop(state);
     info!(target: "leader", "event=order_ended upstream={} model={} version={} end=\"{end}\"",
-        load.id, load.model, load.version);
+        load.upstream.id, load.model, load.version);
     gateway.gossip_now.notify_one();
     gateway.places.notify_waiters();
 }
@@ -198,11 +201,11 @@
     loop {
         {
             let mut state = gateway.state();
-            note_loading(&mut state, &load.id, now_ms() + LOADING_GOSSIP_MS);
+            note_loading(&mut state, &load.upstream.id, now_ms() + LOADING_GOSSIP_MS);
             let allowed = state.leadership.is_none_or(|held| held.allows_orders(now_ms()));
             if allowed && state.ordered.len() < permits(gateway, &state, &load.model) {
-                state.ordered.insert(load.id.clone());
-                return LoadPermit(gateway.clone(), load.id.clone());
+                state.ordered.insert(load.upstream.id.clone());
+                return LoadPermit(gateway.clone(), load.upstream.id.clone());
             }
         }
         sleep(DRAIN_PERIOD).await;
@@ -219,8 +222,9 @@
 async fn drain(gateway: &Gateway, load: &Load) {
     let until_ms = now_ms() + DRAIN_MS;
     while now_ms() < until_ms {
-        note_loading(&mut gateway.state(), &load.id, now_ms() + LOADING_GOSSIP_MS);
-        let requests = gateway.state().upstreams.get(&load.id).map(|one| one.load().requests);
+        note_loading(&mut gateway.state(), &load.upstream.id, now_ms() + LOADING_GOSSIP_MS);
+        let requests =
+            gateway.state().upstreams.get(&load.upstream.id).map(|one| one.load().requests);
         if requests == Some(0) {
             return;
         }
@@ -229,13 +233,10 @@
 }
 
 /// Gives the order and waits until the engine has the version.
-async fn order_and_wait(gateway: &Gateway, load: &Load) -> Result<LoadEnd> {
+async fn order_and_wait(gateway: &Gateway, load: &mut Load) -> Result<LoadEnd> {
     let give_up_at_ms = now_ms() + ORDER_MS;
-    let report = gateway.engines.report(load.address).await?;
-    let has = |models: &[(String, u64)]| {
-        models.iter().any(|(model, version)| *model == load.model && *version >= load.version)
-    };
-    if has(&report.models) {
+    let report = fetch_report(gateway, load).await?;
+    if has_version(&report, load) {
         return Ok(LoadEnd::Done);
     }
     if !report.busy {
@@ -251,12 +252,12 @@
         }
     }
     // Else this box alone would send to it before the load is over.
-    note_loading(&mut gateway.state(), &load.id, now_ms() + LOAD_MS + LOADING_GOSSIP_MS);
+    note_loading(&mut gateway.state(), &load.upstream.id, now_ms() + LOAD_MS + LOADING_GOSSIP_MS);
     sleep(Duration::from_millis(LOAD_MS)).await;
     while now_ms() < give_up_at_ms {
-        note_loading(&mut gateway.state(), &load.id, now_ms() + LOADING_GOSSIP_MS);
-        let report = gateway.engines.report(load.address).await?;
-        if has(&report.models) {
+        note_loading(&mut gateway.state(), &load.upstream.id, now_ms() + LOADING_GOSSIP_MS);
+        let report = fetch_report(gateway, load).await?;
+        if has_version(&report, load) {
             return Ok(LoadEnd::Done);
         }
         sleep(POLL_PERIOD).await;
@@ -264,9 +265,25 @@
     Ok(LoadEnd::TooSlow)
 }
 
+/// Asks an engine for its report; the load is of the run that answers.
+async fn fetch_report(gateway: &Gateway, load: &mut Load) -> Result<EngineReport> {
+    let asked_at_ms = now_ms();
+    let report = gateway.engines.report(load.address).await?;
+    let id = &load.upstream.id;
+    if follow::answered_by(gateway, id, report.born_ms, asked_at_ms) == Told::Restarted {
+        load.upstream.born_ms = report.born_ms;
+    }
+    Ok(report)
+}
+
+fn has_version(report: &EngineReport, load: &Load) -> bool {
+    let mut models = report.models.iter();
+    models.any(|(model, version)| *model == load.model && *version >= load.version)
+}
+
 async fn order(gateway: &Gateway, load: &Load, held: &Leadership, taken: u64) -> Result<Ordered> {
     let order = WeightsOrder {
-        engine_id: &load.id,
+        engine_id: &load.upstream.id,
         model: &load.model,
         version: load.version,
         holder: &gateway.settings.name,
@@ -275,6 +292,6 @@
     };
     info!(target: "leader",
         "event=order_given upstream={} model={} version={} fence={} orders_taken={taken}",
-        load.id, load.model, load.version, held.fence);
+        load.upstream.id, load.model, load.version, held.fence);
     gateway.engines.order(load.address, &order).await
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod gossip_message;
 pub mod heads;
 pub mod holder;
+pub mod incarnation;
 pub mod invariants;
 pub mod kept;
 pub mod kernel;
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -9,6 +9,8 @@
     pub busy: bool,
     /// Orders taken since its start.
     pub orders_taken: u64,
+    /// Start of the engine's run, if it is told.
+    pub born_ms: Option<u64>,
 }
 
 /// An order to bring a model to a weight version.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,6 +9,7 @@
 use crate::gateway::admission::{FirstToken, Room};
 use crate::gateway::choose::Choice;
 use crate::gateway::context::ContextPlan;
+use crate::gateway::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::silence;
 use crate::gateway::units::as_f64;
@@ -23,8 +24,8 @@
 pub struct Place {
     /// Who has the state.
     pub(super) gateway: Arc<Gateway>,
-    /// Id of the upstream.
-    pub id: String,
+    /// The upstream.
+    pub upstream: Incarnation,
     unread_tokens: u32,
     memory_tokens: u32,
     fetches: Vec<(String, u32)>,
@@ -47,7 +48,7 @@
             context.map(ContextPlan::store_fetches).unwrap_or_default();
         let taken_at_ms = now_ms();
         let mut state = gateway.state();
-        if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
+        if let Some(upstream) = state.upstreams.get_run_mut(&choice.upstream) {
             upstream.sent(taken_at_ms, unread_tokens, choice.memory_tokens);
         }
         for (name, tokens) in &fetches {
@@ -61,7 +62,7 @@
         }
         Self {
             gateway: gateway.clone(),
-            id: choice.id.clone(),
+            upstream: choice.upstream.clone(),
             unread_tokens,
             memory_tokens: choice.memory_tokens,
             fetches,
@@ -75,7 +76,7 @@
 
     /// Notes that bytes have arrived.
     pub fn heard(&self) {
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
             upstream.heard(now_ms());
         }
     }
@@ -108,7 +109,7 @@
 
     fn note_wait(&self, end: FirstToken) {
         let mut state = self.gateway.state();
-        let service = state.upstreams.get(&self.id).map(|one| one.entry.service.clone());
+        let service = state.upstreams.get_run(&self.upstream).map(|one| one.entry.service.clone());
         if let Some(service) = service {
             state.limits.first_token(&service, end);
         }
@@ -117,7 +118,7 @@
     fn prompt_is_over(&mut self, ratio: Option<f64>) {
         let tokens = std::mem::take(&mut self.unread_tokens);
         let mut state = self.gateway.state();
-        if let Some(upstream) = state.upstreams.get_mut(&self.id) {
+        if let Some(upstream) = state.upstreams.get_run_mut(&self.upstream) {
             upstream.read_prompt(tokens);
         }
         for (name, tokens) in std::mem::take(&mut self.fetches) {
@@ -129,14 +130,14 @@
 
     /// Notes an answer as it should be.
     pub fn succeeded(&self) {
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
             upstream.succeeded();
         }
     }
 
     /// Notes a failure that says something about the upstream.
     pub fn failed(&self) {
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
             upstream.failed(now_ms());
         }
     }
@@ -145,26 +146,29 @@
     /// connections are suspects: the next attempt would meet one.
     #[must_use]
     pub fn is_silent(&self) -> bool {
-        silence::is_silent(&self.gateway, &self.id)
+        silence::is_silent(&self.gateway, &self.upstream)
     }
 
     /// Whether the upstream is to load weights, and gets no more work.
     #[must_use]
     pub fn is_loading(&self) -> bool {
         let state = self.gateway.state();
-        state.upstreams.get(&self.id).is_some_and(|upstream| upstream.is_loading(now_ms()))
+        state
+            .upstreams
+            .get_run(&self.upstream)
+            .is_some_and(|upstream| upstream.is_loading(now_ms()))
     }
 
     /// Notes that no connection to the upstream came up.
     pub fn unreached(&self) {
         let own_hall = &self.gateway.settings.hall;
-        self.gateway.state().upstreams.unreached(now_ms(), &self.id, own_hall);
+        self.gateway.state().upstreams.unreached(now_ms(), &self.upstream, own_hall);
     }
 
     /// Notes that another incarnation has the upstream's address.
     pub fn supersede(&self) {
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
-            info!(target: "serve", "event=upstream_superseded upstream={}", self.id);
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
+            info!(target: "serve", "event=upstream_superseded upstream={}", self.upstream.id);
             upstream.supersede();
         }
         self.gateway.load_changed.notify_one();
@@ -172,7 +176,7 @@
 
     /// Notes the weight version that the upstream was seen to have.
     pub fn saw_version(&self, model: &str, version: u64) {
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
             upstream.saw_version(model, version);
         }
     }
@@ -182,7 +186,7 @@
     fn drop(&mut self) {
         self.unanswered();
         self.prompt_is_over(None);
-        if let Some(upstream) = self.gateway.state().upstreams.get_mut(&self.id) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
             upstream.ended(self.memory_tokens);
         }
         self.gateway.places.notify_waiters();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -218,7 +218,7 @@
     /// Asks another upstream to go on in the place of a silent one, if one can. What is
     /// silent may only be busy: it is listened to until the other answers.
     async fn leave_silent(&mut self) {
-        let before = self.choice.id.clone();
+        let before = self.choice.upstream.clone();
         let beside = place_beside(&self.gateway, &self.job, &before);
         // An upstream that hangs is left again, as long as there are attempts: the other may
         // turn the stream away, or hang too.
@@ -235,11 +235,11 @@
             (None, Some(Read::Data(_) | Read::End)) => MoveEnd::FirstWentOn,
             (None, _) => MoveEnd::NotAnswered,
         };
-        self.log_move(&before, &choice, end);
+        self.log_move(&before.id, &choice, end);
         if let Some(other) = other {
             self.go_on_with(other, choice);
         } else {
-            self.job.note_sent(&choice.id);
+            self.job.note_sent(&choice.upstream);
             self.reply = Some(first);
             self.ahead = read;
         }
@@ -262,8 +262,8 @@
     /// Notes that the stream ran where it is.
     fn note_ran(&mut self) {
         self.job.ran_perhaps = true;
-        if !self.job.tried.contains(&self.choice.id) {
-            self.job.note_sent(&self.choice.id);
+        if !self.job.tried.contains(&self.choice.upstream) {
+            self.job.note_sent(&self.choice.upstream);
         }
     }
 
@@ -291,18 +291,18 @@
             }
         };
         let Some(reply) = success(attempted) else {
-            self.job.note_sent(&choice.id);
+            self.job.note_sent(&choice.upstream);
             return false;
         };
         info!(target: "relay", "event=resumed request={} upstream={} after_event={}",
-            self.job.outgoing.request_id, choice.id, after.unwrap_or("-"));
+            self.job.outgoing.request_id, choice.upstream.id, after.unwrap_or("-"));
         self.go_on_with(reply, choice);
         true
     }
 
     /// Has another upstream go on. Until it answers, this one keeps the stream.
     async fn move_on(&mut self) {
-        let before = self.choice.id.clone();
+        let before = self.choice.upstream.id.clone();
         let Some(choice) = self.place_to_leave_for().await else { return };
         let after = self.last_event.as_deref();
         let attempted = attempt(&self.gateway, &self.job.outgoing, &choice, after);
@@ -315,26 +315,26 @@
         match reply {
             Some(reply) => self.go_on_with(reply, choice),
             // It may have begun there.
-            None => self.job.note_sent(&choice.id),
+            None => self.job.note_sent(&choice.upstream),
         }
     }
 
     fn log_move(&self, before: &str, choice: &Choice, end: MoveEnd) {
         info!(target: "relay", "event=stream_moved request={} from={before} to={} end=\"{end}\"",
-            self.job.outgoing.request_id, choice.id);
+            self.job.outgoing.request_id, choice.upstream.id);
     }
 
     fn log_begun(&self) {
         let first_s = seconds_since(self.job.arrived_at_ms);
         metrics::histogram!("coursestile_first_event_seconds").record(first_s);
         debug!(target: "relay", "event=begun request={} upstream={}",
-            self.job.outgoing.request_id, self.choice.id);
+            self.job.outgoing.request_id, self.choice.upstream.id);
     }
 
     fn log_broken(&self, cause: &str) {
         info!(target: "relay",
             "event=stream_broken request={} upstream={} cause=\"{cause}\" passed_bytes={} held_ms={}",
-            self.job.outgoing.request_id, self.choice.id, self.passed_bytes,
+            self.job.outgoing.request_id, self.choice.upstream.id, self.passed_bytes,
             now_ms() - self.job.arrived_at_ms);
     }
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -37,7 +37,7 @@
         job.outgoing.request_id,
         job.route.name,
         job.configuration,
-        choice.id,
+        choice.upstream.id,
         job.tried.len() + 1,
         job.outgoing.deadline_ms.saturating_sub(now_ms()),
         context.map_or(0, |plan| plan.version),
@@ -54,7 +54,7 @@
 /// Logs an attempt that ended without an answer.
 pub fn log_attempt_end(job: &Job, choice: &Choice, end: &str, cause: &str) {
     info!(target: "serve", "event=attempt_ended request={} upstream={} end={end} cause=\"{cause}\"",
-        job.outgoing.request_id, choice.id);
+        job.outgoing.request_id, choice.upstream.id);
 }
 
 /// Time since a moment, in seconds, as metrics have it.
@@ -69,5 +69,5 @@
     metrics::histogram!("coursestile_request_seconds").record(seconds_since(job.arrived_at_ms));
     info!(target: "serve",
         "event=answered request={} upstream={} status={} bytes={bytes} held_ms={}",
-        job.outgoing.request_id, choice.id, status.as_u16(), now_ms() - job.arrived_at_ms);
+        job.outgoing.request_id, choice.upstream.id, status.as_u16(), now_ms() - job.arrived_at_ms);
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,7 +20,7 @@
 use crate::gateway::silence;
 use crate::gateway::site::Repeat;
 use crate::gateway::stores::Placing;
-use crate::gateway::upstreams::number;
+use crate::gateway::upstreams::{Upstream, number};
 use crate::gateway::weights::NamedWeights;
 use crate::platform::exchange;
 
@@ -156,7 +156,7 @@
     if job.unsent >= MAX_UNSENT || now_ms() >= job.outgoing.deadline_ms {
         return Some(give_up(job, Reason::NoUpstream));
     }
-    job.tried.push(choice.id.clone());
+    job.tried.push(choice.upstream.clone());
     if untried(gateway, job) == 0 {
         job.tried.clear();
     }
@@ -182,7 +182,7 @@
 /// After an attempt that was left for another upstream.
 pub fn note_left(job: &mut Job, choice: &Choice) {
     job.ran_perhaps = true;
-    job.note_sent(&choice.id);
+    job.note_sent(&choice.upstream);
     log_attempt_end(job, choice, "unknown", "the upstream is silent");
 }
 
@@ -199,14 +199,15 @@
     choice: &Choice,
     reason: Reason,
 ) -> Option<Answer> {
-    job.note_sent(&choice.id);
+    job.note_sent(&choice.upstream);
     (!may_try_again(gateway, job)).then(|| give_up(job, reason))
 }
 
 /// Upstreams of the service that the request was not sent to.
 fn untried(gateway: &Gateway, job: &Job) -> usize {
     let state = gateway.state();
-    state.upstreams.of(&job.service).filter(|one| !job.tried.contains(&one.id)).count()
+    let tried = |one: &Upstream| job.tried.iter().any(|tried| one.is(tried));
+    state.upstreams.of(&job.service).filter(|one| !tried(one)).count()
 }
 
 /// Whether the request can be sent to another upstream; takes the budget.
@@ -268,7 +269,7 @@
     if job.outgoing.repeat != Repeat::Repeatable {
         return false;
     }
-    job.note_sent(&choice.id);
+    job.note_sent(&choice.upstream);
     let repeats = untried(gateway, job) > 0 && may_try_again(gateway, job);
     if repeats {
         job.ran_perhaps = true;
@@ -346,7 +347,11 @@
     };
     let mut state = gateway.state();
     let named = state.weights.get(&prompt.model).map_or(0, NamedWeights::newest);
-    if let Some(upstream) = state.upstreams.get_mut(&choice.id) {
+    let Some(upstream) = state.upstreams.get_run_mut(&choice.upstream) else { return };
+    if choice.context.as_ref().is_some_and(|plan| plan.version >= named) {
+        // It has started again with older weights, or was brought back to them.
+        upstream.lacks_version(&prompt.model);
+    } else {
         upstream.saw_version(&prompt.model, named);
     }
 }
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -16,6 +16,7 @@
 use crate::gateway::admission::Room;
 use crate::gateway::check::Job;
 use crate::gateway::choose::Choice;
+use crate::gateway::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::{choose_now, has_attempt_left, spend};
 
@@ -26,9 +27,9 @@
 /// gone is not: it may serve on for seconds, and what it runs is not cut. Beside a silent
 /// one, idle connections are suspects: the next attempt would meet one.
 #[must_use]
-pub fn is_silent(gateway: &Gateway, id: &str) -> bool {
+pub fn is_silent(gateway: &Gateway, upstream: &Incarnation) -> bool {
     let state = gateway.state();
-    let since_ms = state.upstreams.get(id).and_then(|one| one.silent_since_ms(now_ms()));
+    let since_ms = state.upstreams.get_run(upstream).and_then(|one| one.silent_since_ms(now_ms()));
     drop(state);
     if let Some(since_ms) = since_ms {
         gateway.connections.suspect(since_ms);
@@ -44,10 +45,10 @@
     }
     loop {
         sleep(LOOK_PERIOD).await;
-        if !is_silent(gateway, &asked.id) {
+        if !is_silent(gateway, &asked.upstream) {
             continue;
         }
-        if let Some(choice) = place_beside(gateway, job, &asked.id) {
+        if let Some(choice) = place_beside(gateway, job, &asked.upstream) {
             return choice;
         }
     }
@@ -55,18 +56,19 @@
 
 /// Another upstream, neither failing nor silent nor full, for a request that runs at one
 /// already; takes the budget.
-pub fn place_beside(gateway: &Gateway, job: &Job, asked_id: &str) -> Option<Choice> {
+pub fn place_beside(gateway: &Gateway, job: &Job, asked: &Incarnation) -> Option<Choice> {
     let now_ms = now_ms();
     let mut job = job.clone();
-    if !job.tried.iter().any(|id| id == asked_id) {
-        job.note_sent(asked_id);
+    if !job.tried.contains(asked) {
+        job.note_sent(asked);
     }
     if !has_attempt_left(&job, now_ms) {
         return None;
     }
     let mut state = gateway.state();
     let choice = choose_now(&mut state, gateway, &job)?;
-    let doubtful = state.upstreams.get(&choice.id).is_none_or(|one| one.is_doubtful(now_ms));
+    let doubtful =
+        state.upstreams.get_run(&choice.upstream).is_none_or(|one| one.is_doubtful(now_ms));
     drop(state);
     let full = choice.room == Room::Full;
     (!doubtful && !full && spend(gateway, &job, now_ms)).then_some(choice)
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::holder::Holder;
+use crate::gateway::incarnation::{Incarnation, is_other_run};
 
 /// Silence after which an upstream that owes answers gets no more work; well
 /// over the longest step of a loaded engine.
@@ -40,6 +41,19 @@
     pub leaving: bool,
     /// Models with the versions of their weights.
     pub models: Vec<(String, u64)>,
+    /// Start of its run, in Unix milliseconds, if it is told.
+    pub born_ms: Option<u64>,
+}
+
+/// What was told of an upstream means this for what is known of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It speaks of the run that is known.
+    Known,
+    /// It speaks of a new run, of which nothing else is known.
+    Restarted,
+    /// It speaks of a run that has ended.
+    Outdated,
 }
 
 /// Load that one box puts on an upstream.
@@ -56,9 +70,9 @@
 /// An upstream.
 #[derive(Debug)]
 pub struct Upstream {
-    /// Id of its incarnation.
+    /// Id.
     pub id: String,
-    /// Number that names it in messages between boxes.
+    /// Number that names its run in messages between boxes.
     pub number: u32,
     /// What it tells of itself.
     pub entry: Entry,
@@ -68,6 +82,10 @@
     pub others: Load,
     /// Kept context.
     pub holder: Holder,
+    /// Start of its run, as whoever told of it last has it.
+    born_ms: Option<u64>,
+    /// When this box learned of that run.
+    known_since_ms: u64,
     versions: HashMap<String, u64>,
     avoid_until_ms: u64,
     avoid_ms: u64,
@@ -81,10 +99,12 @@
 }
 
 impl Upstream {
-    fn new(id: String, entry: Entry) -> Self {
+    fn new(now_ms: u64, incarnation: Incarnation, entry: Entry) -> Self {
         Self {
-            number: number(&id),
-            id,
+            number: incarnation.number(),
+            id: incarnation.id,
+            born_ms: incarnation.born_ms,
+            known_since_ms: now_ms,
             entry,
             own: Load::default(),
             others: Load::default(),
@@ -102,6 +122,32 @@
         }
     }
 
+    /// Its present run.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), born_ms: self.born_ms }
+    }
+
+    /// Whether a run may be its present one.
+    #[must_use]
+    pub fn is(&self, incarnation: &Incarnation) -> bool {
+        self.id == incarnation.id && !is_other_run(self.born_ms, incarnation.born_ms)
+    }
+
+    /// Takes the start of the run that is known, if it was not told before.
+    fn learn_born(&mut self, born_ms: Option<u64>) {
+        if self.born_ms.is_none() && born_ms.is_some() {
+            self.born_ms = born_ms;
+            self.number = self.incarnation().number();
+        }
+    }
+
+    /// Takes a new run, of which nothing is known but its entry.
+    fn restart(&mut self, now_ms: u64, born_ms: Option<u64>, entry: Entry) {
+        let incarnation = Incarnation { id: self.id.clone(), born_ms };
+        *self = Self::new(now_ms, incarnation, entry);
+    }
+
     /// Version of a model's weights; 0 when it does not have the model.
     #[must_use]
     pub fn version(&self, model: &str) -> u64 {
@@ -118,6 +164,12 @@
         }
     }
 
+    /// Notes that it does not have the version that it was seen to have: what its entry
+    /// tells counts again.
+    pub fn lacks_version(&mut self, model: &str) {
+        self.versions.remove(model);
+    }
+
     /// The model that a number stands for, among those that it has.
     #[must_use]
     pub fn model_of(&self, model: u32) -> Option<String> {
@@ -242,19 +294,53 @@
 }
 
 impl Upstreams {
-    /// Takes what an upstream tells of itself.
-    pub fn put(&mut self, id: &str, entry: Entry) {
-        if let Some(known) = self.by_id.get_mut(id) {
+    /// Takes what an upstream tells of itself in the metadata store, where what is newer
+    /// comes later.
+    pub fn put(&mut self, now_ms: u64, id: &str, entry: Entry) -> Told {
+        let Some(known) = self.by_id.get_mut(id) else {
+            let incarnation = Incarnation { id: id.to_owned(), born_ms: entry.born_ms };
+            self.by_id.insert(id.to_owned(), Upstream::new(now_ms, incarnation, entry));
+            return Told::Known;
+        };
+        if !is_other_run(known.born_ms, entry.born_ms) {
+            known.learn_born(entry.born_ms);
             known.entry = entry;
-            return;
+            return Told::Known;
+        }
+        if known.entry.born_ms == entry.born_ms {
+            // It told of its new run itself, before its entry did.
+            return Told::Outdated;
+        }
+        known.restart(now_ms, entry.born_ms, entry);
+        Told::Restarted
+    }
+
+    /// Takes the start of the run that answered a call made at `asked_at_ms`.
+    pub fn answered_by(
+        &mut self,
+        now_ms: u64,
+        id: &str,
+        born_ms: Option<u64>,
+        asked_at_ms: u64,
+    ) -> Told {
+        let Some(known) = self.by_id.get_mut(id) else { return Told::Known };
+        if !is_other_run(known.born_ms, born_ms) {
+            known.learn_born(born_ms);
+            return Told::Known;
+        }
+        if asked_at_ms < known.known_since_ms {
+            // The answer may be older than the run that is known.
+            return Told::Outdated;
         }
-        self.by_id.insert(id.to_owned(), Upstream::new(id.to_owned(), entry));
+        let entry = known.entry.clone();
+        known.restart(now_ms, born_ms, entry);
+        Told::Restarted
     }
 
     /// Notes that no connection to an upstream came up in time. Two in one
     /// hall at about the same time speak against the way to that hall.
-    pub fn unreached(&mut self, now_ms: u64, id: &str, own_hall: &str) {
-        let Some(upstream) = self.by_id.get_mut(id) else { return };
+    pub fn unreached(&mut self, now_ms: u64, upstream: &Incarnation, own_hall: &str) {
+        let Some(upstream) = self.get_run_mut(upstream) else { return };
         upstream.unreachable = true;
         upstream.unreached_at_ms = Some(now_ms);
         let hall = upstream.entry.hall.clone();
@@ -299,6 +385,17 @@
         self.by_id.get_mut(id)
     }
 
+    /// An upstream, if a run may be its present one.
+    #[must_use]
+    pub fn get_run(&self, incarnation: &Incarnation) -> Option<&Upstream> {
+        self.get(&incarnation.id).filter(|one| one.is(incarnation))
+    }
+
+    /// An upstream, to be changed, if a run may be its present one.
+    pub fn get_run_mut(&mut self, incarnation: &Incarnation) -> Option<&mut Upstream> {
+        self.get_mut(&incarnation.id).filter(|one| one.is(incarnation))
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.by_id.values()
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -28,6 +28,8 @@
     #[serde(default)]
     events: Vec<(u64, String, String, String, u32, String)>,
     clock_ms: Option<f64>,
+    /// Unix milliseconds of its start.
+    born: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -79,6 +81,7 @@
             gap: body.lost,
             changes: changes.collect(),
             clock_ms: body.clock_ms.map(whole_ms),
+            born_ms: body.born,
         })
     }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -24,6 +24,8 @@
     /// Orders taken.
     #[serde(default)]
     seq: u64,
+    /// Unix milliseconds of its start.
+    born: Option<u64>,
 }
 
 #[derive(Serialize)]
@@ -62,6 +64,7 @@
             models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
             busy: body.busy,
             orders_taken: body.seq,
+            born_ms: body.born,
         })
     }
 
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -6,7 +6,8 @@
 
 use crate::gateway::upstreams::Entry;
 
-/// The entry as it is written.
+/// The entry as every upstream writes it: one that lacks a field, or has it of another
+/// type, is not its own.
 #[derive(Deserialize)]
 struct Written {
     service: String,
@@ -14,18 +15,26 @@
     addr: SocketAddr,
     /// Data hall.
     zone: String,
-    #[serde(default)]
+    /// Version of its software, of no concern here.
+    #[serde(rename = "version")]
+    _software: String,
     slots: u32,
-    #[serde(default)]
     state: State,
+    /// How long it is still slow from its start, in milliseconds.
+    #[serde(rename = "cold_left_ms")]
+    _cold_left_ms: f64,
+    /// Orders taken.
+    #[serde(rename = "seq")]
+    _orders_taken: u64,
     #[serde(default)]
     models: Vec<Model>,
+    /// Unix milliseconds of its start.
+    born: Option<u64>,
 }
 
-#[derive(Default, Deserialize, PartialEq, Eq)]
+#[derive(Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 enum State {
-    #[default]
     Ready,
     Draining,
 }
@@ -47,5 +56,6 @@
         slots: written.slots,
         leaving: written.state == State::Draining,
         models: written.models.into_iter().map(|model| (model.name, model.version)).collect(),
+        born_ms: written.born,
     })
 }
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -8,10 +8,11 @@
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
+use log::warn;
 use reqwest::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::error::{Error, Result};
+use crate::error::Result;
 use crate::gateway::metadata::{Change, Item, Lease, Listing, Outcome, Wait, Watched};
 use crate::platform::http::Http;
 
@@ -115,7 +116,7 @@
             }
             let last = page.items.last().map(|body| body.key.clone());
             for body in page.items {
-                listing.items.push(item(body)?);
+                listing.items.push(item(body));
             }
             let Some(last) = last.filter(|_| page.more) else {
                 return Ok(listing);
@@ -137,8 +138,8 @@
             return Ok(Watched::HistoryLost);
         }
         let body: WatchBody = self.decode(answer).await?;
-        let changes: Result<Vec<Change>> = body.events.into_iter().map(change).collect();
-        Ok(Watched::Changes { changes: changes?, at_revision: body.at })
+        let changes = body.events.into_iter().map(change).collect();
+        Ok(Watched::Changes { changes, at_revision: body.at })
     }
 
     /// Writes `value`, under a lease or to stay, if the item's revision is
@@ -229,16 +230,19 @@
     }
 }
 
-fn item(body: ItemBody) -> Result<Item> {
-    let value = BASE64_STANDARD
-        .decode(&body.value)
-        .map_err(|error| Error::PlatformValue(body.key.clone(), error.to_string()))?;
-    Ok(Item { key: body.key, value, revision: body.rev })
+/// Reads an item. One whose content is no text of bytes is there, but holds nothing: it
+/// must not keep the others from being read.
+fn item(body: ItemBody) -> Item {
+    let value = BASE64_STANDARD.decode(&body.value).unwrap_or_else(|error| {
+        warn!(target: "metadata", "event=item_unreadable key={} cause=\"{error}\"", body.key);
+        Vec::new()
+    });
+    Item { key: body.key, value, revision: body.rev }
 }
 
-fn change(body: ItemBody) -> Result<Change> {
+fn change(body: ItemBody) -> Change {
     if body.gone {
-        return Ok(Change::Removed { key: body.key, revision: body.rev });
+        return Change::Removed { key: body.key, revision: body.rev };
     }
-    item(body).map(Change::Put)
+    Change::Put(item(body))
 }
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -4,7 +4,12 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::net::SocketAddr;
+
 use common::wait_ready;
+use coursestile::gateway::holder::PartKey;
+use coursestile::gateway::incarnation::Incarnation;
+use coursestile::gateway::upstreams::{Entry, Told, Upstreams};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::server::{Act, Server};
@@ -176,3 +181,68 @@
     assert_eq!(server.count("r-1"), 1);
     assert_eq!(send("r-2").await, 200);
 }
+
+/// An entry of an engine that has older weights.
+fn told(born_ms: Option<u64>) -> Entry {
+    Entry {
+        service: "llm".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        hall: "north".to_owned(),
+        slots: 4,
+        leaving: false,
+        models: vec![("m".to_owned(), 1)],
+        born_ms,
+    }
+}
+
+/// Upstreams with one of which much is known.
+fn with_past(born_ms: Option<u64>) -> (Upstreams, Incarnation) {
+    let mut upstreams = Upstreams::default();
+    assert_eq!(upstreams.put(10, "e", told(born_ms)), Told::Known);
+    let engine = upstreams.get_mut("e").unwrap();
+    engine.sent(20, 500, 900);
+    engine.saw_version("m", 3);
+    engine.holder.note(PartKey::new("3.m", "aa"), 100);
+    engine.supersede();
+    let run = engine.incarnation();
+    (upstreams, run)
+}
+
+/// Whether nothing of before is known, and what ends late changes nothing.
+fn is_new(upstreams: &mut Upstreams, before: &Incarnation) -> bool {
+    assert!(upstreams.get_run(before).is_none());
+    let engine = upstreams.get("e").unwrap();
+    engine.load().requests == 0
+        && engine.version("m") == 1
+        && !engine.is_superseded()
+        && engine.holder.held_tokens() == 0
+        && engine.number != before.number()
+}
+
+#[test]
+fn entry_tells() {
+    let (mut upstreams, before) = with_past(Some(5));
+    assert_eq!(upstreams.put(30, "e", told(Some(4))), Told::Restarted, "clocks may be off");
+    assert!(is_new(&mut upstreams, &before));
+}
+
+#[test]
+fn answer_tells() {
+    let (mut upstreams, before) = with_past(Some(5));
+    assert_eq!(upstreams.answered_by(40, "e", Some(6), 30), Told::Restarted);
+    assert!(is_new(&mut upstreams, &before));
+    assert_eq!(upstreams.put(50, "e", told(Some(5))), Told::Outdated, "its entry comes late");
+    assert_eq!(upstreams.answered_by(60, "e", Some(5), 35), Told::Outdated, "so does an answer");
+    assert_eq!(upstreams.put(70, "e", told(Some(6))), Told::Known);
+    assert_eq!(upstreams.put(80, "e", told(Some(7))), Told::Restarted);
+}
+
+#[test]
+fn start_unknown() {
+    let (mut upstreams, before) = with_past(None);
+    assert_eq!(upstreams.put(30, "e", told(None)), Told::Known, "as without it");
+    assert_eq!(upstreams.answered_by(40, "e", None, 30), Told::Known);
+    assert_eq!(upstreams.answered_by(40, "e", Some(5), 30), Told::Known, "told late");
+    assert_eq!(upstreams.get_run(&before).unwrap().load().requests, 1);
+    assert_eq!(upstreams.put(50, "e", told(Some(6))), Told::Restarted);
+}
