Take an upstream that other boxes hear for busy, not for silent

Cause: an upstream that owed a box answers and said nothing to it for 800 ms was taken for silent. Such a box then sent the request to another engine too, so that the prompt was read twice, closed all its idle connections as suspects, and opened one more to look.

Change: boxes tell in gossip how long ago they heard each upstream. One is silent when no box has heard it for 800 ms, or when it has said nothing here for 1600 ms, since the way may be cut.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -108,9 +108,11 @@
         store_link: state.store_link(),
         follows_caches: state.follows_caches,
         peers: state.peers.named(now_ms),
-        loads: told_loads(
-            state.upstreams.iter().map(|one| ToldLoad { upstream: one.number, load: one.own }),
-        ),
+        loads: told_loads(state.upstreams.iter().map(|one| ToldLoad {
+            upstream: one.number,
+            load: one.own,
+            heard_age_ms: one.heard_age_ms(now_ms),
+        })),
         fetches: fetches(&state, now_ms),
         limits: state.limits.found(),
         loading: loading(&state),
@@ -197,8 +199,10 @@
         gateway.peer_ahead.notify_one();
     }
     let loads = state.peers.loads(now_ms);
+    let heard = state.peers.heard_upstreams(now_ms);
     for upstream in state.upstreams.iter_mut() {
         upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
+        upstream.others_heard(heard.get(&upstream.number).copied().unwrap_or_default());
     }
     let limits = state.peers.limits(now_ms);
     state.limits.hear(limits);
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::upstreams::Load;
+use crate::gateway::upstreams::{Load, SILENT_MS};
 use crate::gateway::view::Mark;
 
 /// Upstreams whose load is told in one message.
@@ -46,13 +46,15 @@
     pub versions: Vec<(u32, u32, u64)>,
 }
 
-/// Load that a box puts on one upstream.
+/// What a box has to do with one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
     /// Number of the upstream.
     pub upstream: u32,
-    /// The load.
+    /// The load that it puts on it.
     pub load: Load,
+    /// Time since bytes came from it, in milliseconds.
+    pub heard_age_ms: u16,
 }
 
 /// How the metadata store answers a box.
@@ -67,10 +69,12 @@
     Fails,
 }
 
-/// The loads that fit one message, the largest first.
+/// The loads that fit one message, the largest first. An upstream without any is told of if
+/// it was heard lately, which shows others that it is not silent.
 #[must_use]
 pub fn told_loads(loads: impl Iterator<Item = ToldLoad>) -> Vec<ToldLoad> {
-    let mut told: Vec<ToldLoad> = loads.filter(|one| one.load.requests > 0).collect();
+    let is_told = |one: &ToldLoad| one.load.requests > 0 || u64::from(one.heard_age_ms) < SILENT_MS;
+    let mut told: Vec<ToldLoad> = loads.filter(is_told).collect();
     told.sort_by_key(|one| std::cmp::Reverse(one.load.requests));
     told.truncate(NAMED_LOADS);
     told
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -248,6 +248,20 @@
         loads
     }
 
+    /// When any other box heard each upstream last, by their numbers.
+    #[must_use]
+    pub fn heard_upstreams(&self, now_ms: u64) -> BTreeMap<u32, u64> {
+        let mut heard: BTreeMap<u32, u64> = BTreeMap::new();
+        for (_, peer) in self.alive(now_ms) {
+            for told in &peer.gossip.loads {
+                let at_ms = peer.heard_at_ms.saturating_sub(told.heard_age_ms.into());
+                let last_ms = heard.entry(told.upstream).or_default();
+                *last_ms = at_ms.max(*last_ms);
+            }
+        }
+        heard
+    }
+
     /// Limits of admission that all other boxes have found, in thousandths, by the
     /// numbers of services.
     #[must_use]
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -14,7 +14,10 @@
 
 /// Silence after which an upstream that owes answers gets no more work; well
 /// over the longest step of a loaded engine.
-const SILENT_MS: u64 = 800;
+pub const SILENT_MS: u64 = 800;
+/// Silence towards one box after which it gets no more work from there, though others
+/// hear it: the way to it may be cut.
+const SILENT_HERE_MS: u64 = 1600;
 /// Time within which failed connections count as one event.
 const SAME_TIME_MS: u64 = 1500;
 /// First time for which an upstream that failed is avoided.
@@ -91,6 +94,7 @@
     avoid_ms: u64,
     failure_share: f64,
     heard_at_ms: u64,
+    others_heard_at_ms: u64,
     owes_since_ms: Option<u64>,
     loading_until_ms: u64,
     unreachable: bool,
@@ -114,6 +118,7 @@
             avoid_ms: AVOID_MS,
             failure_share: 0.0,
             heard_at_ms: 0,
+            others_heard_at_ms: 0,
             owes_since_ms: None,
             loading_until_ms: 0,
             unreachable: false,
@@ -198,11 +203,15 @@
         self.silent_since_ms(now_ms).is_some()
     }
 
-    /// Since when it owes answers and has said nothing, if that is long.
+    /// Since when it owes answers and has said nothing, if that is long. One that other
+    /// boxes hear is busy, not dead: taken for silent, it had two of five long prompts of an
+    /// overload read twice, and six of ten connections opened anew.
     #[must_use]
     pub fn silent_since_ms(&self, now_ms: u64) -> Option<u64> {
         let since_ms = self.owes_since_ms?.max(self.heard_at_ms);
-        (now_ms.saturating_sub(since_ms) > SILENT_MS).then_some(since_ms)
+        let is_past = |since_ms: u64, least_ms: u64| now_ms.saturating_sub(since_ms) > least_ms;
+        let nobody_hears = is_past(since_ms.max(self.others_heard_at_ms), SILENT_MS);
+        (nobody_hears || is_past(since_ms, SILENT_HERE_MS)).then_some(since_ms)
     }
 
     /// Whether no connection to it came up; it gets no work until one does.
@@ -266,6 +275,17 @@
         self.heard_at_ms = now_ms;
     }
 
+    /// Notes when other boxes heard it last.
+    pub fn others_heard(&mut self, at_ms: u64) {
+        self.others_heard_at_ms = at_ms;
+    }
+
+    /// Time since bytes arrived from it, as far as it can be told.
+    #[must_use]
+    pub fn heard_age_ms(&self, now_ms: u64) -> u16 {
+        u16::try_from(now_ms.saturating_sub(self.heard_at_ms)).unwrap_or(u16::MAX)
+    }
+
     /// Notes an answer as it should be.
     pub fn succeeded(&mut self) {
         self.failure_share *= 1.0 - FAILURE_WEIGHT;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -188,6 +188,24 @@
     assert_eq!(save.as_deref(), Some("127.0.0.1:3"));
 }
 
+/// A busy engine says nothing to one box for a second, and streams to others meanwhile.
+#[test]
+fn busy_is_not_silent() {
+    let mut upstreams = Upstreams::default();
+    upstreams.put(0, "a", entry("north", 1, 1));
+    let engine = upstreams.get_mut("a").unwrap();
+    engine.sent(0, 0, 0);
+    assert!(engine.is_silent(801), "nobody hears it");
+    engine.others_heard(500);
+    assert!(!engine.is_silent(1300), "others heard it 800 ms before");
+    assert!(engine.is_silent(1301));
+    engine.others_heard(1600);
+    assert!(!engine.is_silent(1600));
+    assert!(engine.is_silent(1601), "the way to it may be cut");
+    engine.heard(1600);
+    assert!(!engine.is_silent(2400));
+}
+
 #[test]
 fn hall_unreachable() {
     let mut upstreams = Upstreams::default();
