--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -347,7 +347,7 @@
     let known = state.upstreams.get(id);
     let mut changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
     let seen = format!(
-        "upstream={id} service={} hall={} leaving={} born_ms={} ",
+        "upstream={id} service={} hall={} leaving={} born_ms={}",
         entry.service,
         entry.hall,
         entry.leaving,
