--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -284,6 +284,20 @@
     })
 }
 
+/// The services of a configuration with a pool of engines, `llm`, and a store of their
+/// context at an address, if there is one.
+#[must_use]
+pub fn engine_services(store: Option<&str>) -> Value {
+    let mut services = vec![json!({ "name": "llm", "max_conns": 100, "engine": { "slots": 8,
+        "kv_capacity": 40000, "kv_token_bytes": 18432, "link_mbps": 100_000, "managed": true,
+        "models": [{ "name": engine::MODEL }] } })];
+    if let Some(address) = store {
+        services.push(json!({ "name": "vault", "kv_store": address, "zone": "north",
+            "kv_capacity": 100_000, "link_mbps": 100_000, "managed": true, "first_ms": 1 }));
+    }
+    services.into()
+}
+
 /// Waits until `holds`.
 ///
 /// # Panics
--- a/tests/gateway_release.rs
+++ b/tests/gateway_release.rs
@@ -10,8 +10,7 @@
 use coursestile::gateway::context::OLD_STORES_MS;
 use coursestile::gateway::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use coursestile_standins::site::engine::{Engine, MODEL};
-use coursestile_standins::site::{Site, document, engine_entry, eventually};
-use serde_json::json;
+use coursestile_standins::site::{Site, document, engine_entry, engine_services, eventually};
 
 fn address(last: u8) -> IpAddr {
     Ipv4Addr::new(10, 0, 0, last).into()
@@ -62,13 +61,7 @@
     }
     engines[0].refuse_orders();
     let mut config = document(7);
-    config["services"] = json!([
-        { "name": "llm", "max_conns": 100, "engine": { "slots": 8, "kv_capacity": 40000,
-            "kv_token_bytes": 18432, "link_mbps": 100_000, "managed": true,
-            "models": [{ "name": MODEL }] } },
-        { "name": "vault", "kv_store": store.address, "zone": "north", "kv_capacity": 100_000,
-            "link_mbps": 100_000, "managed": true, "first_ms": 1 }
-    ]);
+    config["services"] = engine_services(Some(&store.address));
     site.configure(&config);
     site.name_weights(MODEL, 1);
     let first = site.gateway("north", &[]);
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -13,7 +13,9 @@
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::server::{Act, Server};
-use coursestile_standins::site::{Gateway, Site, document, engine_entry, entry, eventually};
+use coursestile_standins::site::{
+    Gateway, Site, document, engine_entry, engine_services, entry, eventually,
+};
 use serde_json::{Value, json};
 
 const SCOPE: &str = "1.model-a";
@@ -43,9 +45,7 @@
     let mut config = document(7);
     config["routes"][2]["service"] = json!("llm");
     config["routes"][2]["path_prefix"] = json!("/run/");
-    config["services"] = json!([{ "name": "llm", "max_conns": 100, "engine": { "slots": 8,
-        "kv_capacity": 40000, "kv_token_bytes": 18432, "link_mbps": 100_000, "managed": true,
-        "models": [{ "name": MODEL }] } }]);
+    config["services"] = engine_services(None);
     site.configure(&config);
     site.name_weights(MODEL, 1);
     let gateway = site.gateway("north", &[]);
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -9,7 +9,9 @@
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::metadata::Trouble;
-use coursestile_standins::site::{Gateway, Site, document, engine_entry, eventually};
+use coursestile_standins::site::{
+    Gateway, Site, document, engine_entry, engine_services, eventually,
+};
 use serde_json::json;
 
 const OLD_SCOPE: &str = "1.model-a";
@@ -46,13 +48,7 @@
     config["routes"][2]["path_prefix"] = json!("/run/");
     config["routes"][3]["service"] = json!("llm");
     config["routes"][3]["timeout_ms"] = json!(20_000);
-    config["services"] = json!([
-        { "name": "llm", "max_conns": 100, "engine": { "slots": 8, "kv_capacity": 40000,
-            "kv_token_bytes": 18432, "link_mbps": 100_000, "managed": true,
-            "models": [{ "name": MODEL }] } },
-        { "name": "vault", "kv_store": store.address, "zone": "north", "kv_capacity": 100_000,
-            "link_mbps": 100_000, "managed": true, "first_ms": 1 }
-    ]);
+    config["services"] = engine_services(Some(&store.address));
     site.configure(&config);
     site.name_weights(MODEL, 1);
     Fleet { gateways: Vec::new(), engines, store, site }
