Call the start of a run by the house's word, started_at_ms

Cause: `born` is the users' word for it, and stood in the gateway's fields and log lines. It is read in `src/platform` alone now. Ruled out: another meaning, since no clock is compared with it.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -347,11 +347,11 @@
     let known = state.upstreams.get(id);
     let mut changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
     let seen = format!(
-        "upstream={id} service={} hall={} leaving={} born_ms={}",
+        "upstream={id} service={} hall={} leaving={} started_at_ms={}",
         entry.service,
         entry.hall,
         entry.leaving,
-        entry.born_ms.unwrap_or_default()
+        entry.started_at_ms.unwrap_or_default()
     );
     match state.upstreams.put(now_ms, id, entry) {
         Told::Known if changed => info!(target: "follow", "event=upstream_seen {seen}"),
@@ -374,11 +374,16 @@
 
 /// Takes the start of the run that answered a call made at `asked_at_ms`, by which it may
 /// be known sooner than by its entry that an upstream has started again.
-pub fn answered_by(gateway: &Gateway, id: &str, born_ms: Option<u64>, asked_at_ms: u64) -> Told {
-    let told = gateway.state().upstreams.answered_by(now_ms(), id, born_ms, asked_at_ms);
+pub fn answered_by(
+    gateway: &Gateway,
+    id: &str,
+    started_at_ms: Option<u64>,
+    asked_at_ms: u64,
+) -> Told {
+    let told = gateway.state().upstreams.answered_by(now_ms(), id, started_at_ms, asked_at_ms);
     if told == Told::Restarted {
-        info!(target: "follow", "event=upstream_restarted upstream={id} born_ms={} told_by=itself",
-            born_ms.unwrap_or_default());
+        info!(target: "follow", "event=upstream_restarted upstream={id} started_at_ms={} told_by=itself",
+            started_at_ms.unwrap_or_default());
         gateway.connections.forget(id);
         gateway.places.notify_waiters();
     }
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -142,7 +142,7 @@
     let asked_at_ms = now_ms();
     let changes = gateway.caches.changes(address, since).await?;
     if let HolderId::Engine(id) = holder_id
-        && follow::answered_by(gateway, id, changes.born_ms, asked_at_ms) != Told::Known
+        && follow::answered_by(gateway, id, changes.started_at_ms, asked_at_ms) != Told::Known
     {
         // A new run has told only what came after a place in the events of the old one.
         return Ok(());
--- a/src/gateway/incarnation.rs
+++ b/src/gateway/incarnation.rs
@@ -9,15 +9,15 @@
     /// Id of the upstream.
     pub id: String,
     /// Its start by its own clock, in Unix milliseconds; unknown until it is told.
-    pub born_ms: Option<u64>,
+    pub started_at_ms: Option<u64>,
 }
 
 impl Incarnation {
     /// The number that stands for it in messages between boxes.
     #[must_use]
     pub fn number(&self) -> u32 {
-        match self.born_ms {
-            Some(born_ms) => number(&format!("{}/{born_ms}", self.id)),
+        match self.started_at_ms {
+            Some(started_at_ms) => number(&format!("{}/{started_at_ms}", self.id)),
             None => number(&self.id),
         }
     }
--- a/src/gateway/kept.rs
+++ b/src/gateway/kept.rs
@@ -32,7 +32,7 @@
     /// The upstreams' clock as the answer left, when it is told.
     pub clock_ms: Option<u64>,
     /// Start of the holder's run, if it is told.
-    pub born_ms: Option<u64>,
+    pub started_at_ms: Option<u64>,
 }
 
 /// All that a holder keeps.
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -270,8 +270,8 @@
     let asked_at_ms = now_ms();
     let report = gateway.engines.report(load.address).await?;
     let id = &load.upstream.id;
-    if follow::answered_by(gateway, id, report.born_ms, asked_at_ms) == Told::Restarted {
-        load.upstream.born_ms = report.born_ms;
+    if follow::answered_by(gateway, id, report.started_at_ms, asked_at_ms) == Told::Restarted {
+        load.upstream.started_at_ms = report.started_at_ms;
     }
     Ok(report)
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -10,7 +10,7 @@
     /// Orders taken since its start.
     pub orders_taken: u64,
     /// Start of the engine's run, if it is told.
-    pub born_ms: Option<u64>,
+    pub started_at_ms: Option<u64>,
 }
 
 /// An order to bring a model to a weight version.
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -45,7 +45,7 @@
     /// Models with the versions of their weights.
     pub models: Vec<(String, u64)>,
     /// Start of its run, in Unix milliseconds, if it is told.
-    pub born_ms: Option<u64>,
+    pub started_at_ms: Option<u64>,
 }
 
 /// What was told of an upstream means this for what is known of it.
@@ -86,7 +86,7 @@
     /// Kept context.
     pub holder: Holder,
     /// Start of its run, as whoever told of it last has it.
-    born_ms: Option<u64>,
+    started_at_ms: Option<u64>,
     /// When this box learned of that run.
     known_since_ms: u64,
     versions: HashMap<String, u64>,
@@ -107,7 +107,7 @@
         Self {
             number: incarnation.number(),
             id: incarnation.id,
-            born_ms: incarnation.born_ms,
+            started_at_ms: incarnation.started_at_ms,
             known_since_ms: now_ms,
             entry,
             own: Load::default(),
@@ -130,26 +130,26 @@
     /// Its present run.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
-        Incarnation { id: self.id.clone(), born_ms: self.born_ms }
+        Incarnation { id: self.id.clone(), started_at_ms: self.started_at_ms }
     }
 
     /// Whether a run may be its present one.
     #[must_use]
     pub fn is(&self, incarnation: &Incarnation) -> bool {
-        self.id == incarnation.id && !is_other_run(self.born_ms, incarnation.born_ms)
+        self.id == incarnation.id && !is_other_run(self.started_at_ms, incarnation.started_at_ms)
     }
 
     /// Takes the start of the run that is known, if it was not told before.
-    fn learn_born(&mut self, born_ms: Option<u64>) {
-        if self.born_ms.is_none() && born_ms.is_some() {
-            self.born_ms = born_ms;
+    fn learn_start(&mut self, started_at_ms: Option<u64>) {
+        if self.started_at_ms.is_none() && started_at_ms.is_some() {
+            self.started_at_ms = started_at_ms;
             self.number = self.incarnation().number();
         }
     }
 
     /// Takes a new run, of which nothing is known but its entry.
-    fn restart(&mut self, now_ms: u64, born_ms: Option<u64>, entry: Entry) {
-        let incarnation = Incarnation { id: self.id.clone(), born_ms };
+    fn restart(&mut self, now_ms: u64, started_at_ms: Option<u64>, entry: Entry) {
+        let incarnation = Incarnation { id: self.id.clone(), started_at_ms };
         *self = Self::new(now_ms, incarnation, entry);
     }
 
@@ -318,20 +318,20 @@
     /// comes later.
     pub fn put(&mut self, now_ms: u64, id: &str, entry: Entry) -> Told {
         let Some(known) = self.by_id.get_mut(id) else {
-            let incarnation = Incarnation { id: id.to_owned(), born_ms: entry.born_ms };
+            let incarnation = Incarnation { id: id.to_owned(), started_at_ms: entry.started_at_ms };
             self.by_id.insert(id.to_owned(), Upstream::new(now_ms, incarnation, entry));
             return Told::Known;
         };
-        if !is_other_run(known.born_ms, entry.born_ms) {
-            known.learn_born(entry.born_ms);
+        if !is_other_run(known.started_at_ms, entry.started_at_ms) {
+            known.learn_start(entry.started_at_ms);
             known.entry = entry;
             return Told::Known;
         }
-        if known.entry.born_ms == entry.born_ms {
+        if known.entry.started_at_ms == entry.started_at_ms {
             // It told of its new run itself, before its entry did.
             return Told::Outdated;
         }
-        known.restart(now_ms, entry.born_ms, entry);
+        known.restart(now_ms, entry.started_at_ms, entry);
         Told::Restarted
     }
 
@@ -340,12 +340,12 @@
         &mut self,
         now_ms: u64,
         id: &str,
-        born_ms: Option<u64>,
+        started_at_ms: Option<u64>,
         asked_at_ms: u64,
     ) -> Told {
         let Some(known) = self.by_id.get_mut(id) else { return Told::Known };
-        if !is_other_run(known.born_ms, born_ms) {
-            known.learn_born(born_ms);
+        if !is_other_run(known.started_at_ms, started_at_ms) {
+            known.learn_start(started_at_ms);
             return Told::Known;
         }
         if asked_at_ms < known.known_since_ms {
@@ -353,7 +353,7 @@
             return Told::Outdated;
         }
         let entry = known.entry.clone();
-        known.restart(now_ms, born_ms, entry);
+        known.restart(now_ms, started_at_ms, entry);
         Told::Restarted
     }
 
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -81,7 +81,7 @@
             gap: body.lost,
             changes: changes.collect(),
             clock_ms: body.clock_ms.map(whole_ms),
-            born_ms: body.born,
+            started_at_ms: body.born,
         })
     }
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -64,7 +64,7 @@
             models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
             busy: body.busy,
             orders_taken: body.seq,
-            born_ms: body.born,
+            started_at_ms: body.born,
         })
     }
 
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -56,6 +56,6 @@
         slots: written.slots,
         leaving: written.state == State::Draining,
         models: written.models.into_iter().map(|model| (model.name, model.version)).collect(),
-        born_ms: written.born,
+        started_at_ms: written.born,
     })
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -30,12 +30,12 @@
         slots: 4,
         leaving: false,
         models: vec![("m".to_owned(), version)],
-        born_ms: None,
+        started_at_ms: None,
     }
 }
 
 fn run(id: &str) -> Incarnation {
-    Incarnation { id: id.to_owned(), born_ms: None }
+    Incarnation { id: id.to_owned(), started_at_ms: None }
 }
 
 fn spec() -> EngineSpec {
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -183,7 +183,7 @@
 }
 
 /// An entry of an engine that has older weights.
-fn told(born_ms: Option<u64>) -> Entry {
+fn told(started_at_ms: Option<u64>) -> Entry {
     Entry {
         service: "llm".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
@@ -191,14 +191,14 @@
         slots: 4,
         leaving: false,
         models: vec![("m".to_owned(), 1)],
-        born_ms,
+        started_at_ms,
     }
 }
 
 /// Upstreams with one of which much is known.
-fn with_past(born_ms: Option<u64>) -> (Upstreams, Incarnation) {
+fn with_past(started_at_ms: Option<u64>) -> (Upstreams, Incarnation) {
     let mut upstreams = Upstreams::default();
-    assert_eq!(upstreams.put(10, "e", told(born_ms)), Told::Known);
+    assert_eq!(upstreams.put(10, "e", told(started_at_ms)), Told::Known);
     let engine = upstreams.get_mut("e").unwrap();
     engine.sent(20, 500, 900);
     engine.saw_version("m", 3);
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -19,7 +19,7 @@
 }
 
 fn changes(boot: u64, changes: Vec<CacheChange>) -> CacheChanges {
-    CacheChanges { boot, next: 0, gap: false, changes, clock_ms: None, born_ms: None }
+    CacheChanges { boot, next: 0, gap: false, changes, clock_ms: None, started_at_ms: None }
 }
 
 fn listing(boot: u64) -> CacheListing {
