One upstream and all of them in files of their own; entries likewise

Cause: upstreams.rs had 452 lines, with one upstream, their table and names' numbers in it, and the follower of the metadata store had grown the taking of entries, which the leader and the followers of caches called there. `upstream` decides what an entry or an answer means for it (`take_entry`, `answered_by`), `upstreams` is the table, `entries` acts on it, `names` has the numbers. Ruled out: a module for health alone, since placing asks both at once.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -12,7 +12,8 @@
 use crate::gateway::site::EngineSpec;
 use crate::gateway::sources::{Lookup, READ_TOKENS_PER_MS, REREAD_WEIGHT};
 use crate::gateway::stores::{Placing, Stores};
-use crate::gateway::upstreams::{Load, Upstream, Upstreams};
+use crate::gateway::upstream::{Load, Upstream};
+use crate::gateway::upstreams::Upstreams;
 use crate::gateway::weights::NamedWeights;
 
 /// Cost of another running request: an engine's step grows by 0.1 ms for each,
--- /dev/null
+++ b/src/gateway/entries.rs
@@ -0,0 +1,67 @@
+//! Takes what upstreams tell of themselves, in the metadata store or in an answer, and acts
+//! on what it means: one that has gone or started again has no connection that is of use.
+
+use log::{info, warn};
+
+use crate::clock::now_ms;
+use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::upstream::Told;
+use crate::platform::keys;
+
+/// Takes an upstream's entry; whether who can be asked has changed.
+pub fn put(gateway: &Gateway, state: &mut State, now_ms: u64, id: &str, value: &[u8]) -> bool {
+    let entry = match keys::read_upstream(id, value) {
+        Ok(entry) => entry,
+        Err(error) => {
+            // Whoever wrote this, what the key named before is not there any more.
+            warn!(target: "entries", "event=upstream_unreadable upstream={id} cause=\"{error}\"");
+            metrics::counter!("coursestile_entries_unreadable_total").increment(1);
+            take_out(gateway, state, id);
+            return true;
+        }
+    };
+    let known = state.upstreams.get(id);
+    let mut changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
+    let seen = format!(
+        "upstream={id} service={} hall={} leaving={} started_at_ms={}",
+        entry.service,
+        entry.hall,
+        entry.leaving,
+        entry.started_at_ms.unwrap_or_default()
+    );
+    match state.upstreams.put(now_ms, id, entry) {
+        Told::Known if changed => info!(target: "entries", "event=upstream_seen {seen}"),
+        Told::Known => {}
+        Told::Outdated => info!(target: "entries", "event=upstream_outdated {seen}"),
+        Told::Restarted => {
+            info!(target: "entries", "event=upstream_restarted {seen}");
+            gateway.connections.forget(id);
+            changed = true;
+        }
+    }
+    changed
+}
+
+/// Takes an upstream out; what runs there goes on.
+pub fn take_out(gateway: &Gateway, state: &mut State, id: &str) {
+    state.upstreams.remove(id);
+    gateway.connections.forget(id);
+}
+
+/// Takes the start of the run that answered a call made at `asked_at_ms`, by which it may
+/// be known sooner than by its entry that an upstream has started again.
+pub fn answered_by(
+    gateway: &Gateway,
+    id: &str,
+    started_at_ms: Option<u64>,
+    asked_at_ms: u64,
+) -> Told {
+    let told = gateway.state().upstreams.answered_by(now_ms(), id, started_at_ms, asked_at_ms);
+    if told == Told::Restarted {
+        info!(target: "entries", "event=upstream_restarted upstream={id} started_at_ms={} told_by=itself",
+            started_at_ms.unwrap_or_default());
+        gateway.connections.forget(id);
+        gateway.places.notify_waiters();
+    }
+    told
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,12 +16,12 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::entries;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
 use crate::gateway::metadata::{Change, Item, Wait, Watched};
 use crate::gateway::settings::Bounds;
 use crate::gateway::units::whole_ms;
-use crate::gateway::upstreams::Told;
 use crate::gateway::view::{CatchUp, Changed, Snapshot, Written};
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
@@ -277,11 +277,11 @@
             }
             (Kind::Weights { model }, Some(value)) => put_weights(state, now_ms, model, value),
             (Kind::Upstream { id }, Some(value)) => {
-                upstreams_changed |= put_upstream(gateway, state, now_ms, id, value);
+                upstreams_changed |= entries::put(gateway, state, now_ms, id, value);
             }
             (Kind::Upstream { id }, None) => {
                 info!(target: "follow", "event=upstream_gone upstream={id}");
-                take_out(gateway, state, id);
+                entries::take_out(gateway, state, id);
                 upstreams_changed = true;
             }
             (Kind::Configuration | Kind::Weights { .. }, None) => {
@@ -331,61 +331,3 @@
         Err(error) => warn!(target: "follow", "event=weights_unreadable cause=\"{error}\""),
     }
 }
-
-/// Takes an upstream's entry; whether who can be asked has changed.
-fn put_upstream(gateway: &Gateway, state: &mut State, now_ms: u64, id: &str, value: &[u8]) -> bool {
-    let entry = match keys::read_upstream(id, value) {
-        Ok(entry) => entry,
-        Err(error) => {
-            // Whoever wrote this, what the key named before is not there any more.
-            warn!(target: "follow", "event=upstream_unreadable upstream={id} cause=\"{error}\"");
-            metrics::counter!("coursestile_entries_unreadable_total").increment(1);
-            take_out(gateway, state, id);
-            return true;
-        }
-    };
-    let known = state.upstreams.get(id);
-    let mut changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
-    let seen = format!(
-        "upstream={id} service={} hall={} leaving={} started_at_ms={}",
-        entry.service,
-        entry.hall,
-        entry.leaving,
-        entry.started_at_ms.unwrap_or_default()
-    );
-    match state.upstreams.put(now_ms, id, entry) {
-        Told::Known if changed => info!(target: "follow", "event=upstream_seen {seen}"),
-        Told::Known => {}
-        Told::Outdated => info!(target: "follow", "event=upstream_outdated {seen}"),
-        Told::Restarted => {
-            info!(target: "follow", "event=upstream_restarted {seen}");
-            gateway.connections.forget(id);
-            changed = true;
-        }
-    }
-    changed
-}
-
-/// Takes an upstream out; what runs there goes on.
-fn take_out(gateway: &Gateway, state: &mut State, id: &str) {
-    state.upstreams.remove(id);
-    gateway.connections.forget(id);
-}
-
-/// Takes the start of the run that answered a call made at `asked_at_ms`, by which it may
-/// be known sooner than by its entry that an upstream has started again.
-pub fn answered_by(
-    gateway: &Gateway,
-    id: &str,
-    started_at_ms: Option<u64>,
-    asked_at_ms: u64,
-) -> Told {
-    let told = gateway.state().upstreams.answered_by(now_ms(), id, started_at_ms, asked_at_ms);
-    if told == Told::Restarted {
-        info!(target: "follow", "event=upstream_restarted upstream={id} started_at_ms={} told_by=itself",
-            started_at_ms.unwrap_or_default());
-        gateway.connections.forget(id);
-        gateway.places.notify_waiters();
-    }
-    told
-}
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -11,11 +11,11 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
-use crate::gateway::follow;
+use crate::gateway::entries;
 use crate::gateway::holder::Holder;
 use crate::gateway::kept::{CacheChanges, CacheListing};
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::upstreams::Told;
+use crate::gateway::upstream::Told;
 use crate::phase::Phase;
 
 /// Longest time for which a box that starts waits to hear of its peers; the first
@@ -142,7 +142,7 @@
     let asked_at_ms = now_ms();
     let changes = gateway.caches.changes(address, since).await?;
     if let HolderId::Engine(id) = holder_id
-        && follow::answered_by(gateway, id, changes.started_at_ms, asked_at_ms) != Told::Known
+        && entries::answered_by(gateway, id, changes.started_at_ms, asked_at_ms) != Told::Known
     {
         // A new run has told only what came after a place in the events of the old one.
         return Ok(());
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/gossip_message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::upstreams::{Load, SILENT_MS};
+use crate::gateway::upstream::{Load, SILENT_MS};
 use crate::gateway::view::Mark;
 
 /// Upstreams whose load is told in one message.
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -10,15 +10,16 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
-use crate::gateway::follow;
+use crate::gateway::entries;
 use crate::gateway::incarnation::Incarnation;
 use crate::gateway::invariants;
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::leadership::Leadership;
+use crate::gateway::names::number;
 use crate::gateway::orders::{EngineReport, Ordered, WeightsOrder};
 use crate::gateway::rollout::{self, Candidate};
 use crate::gateway::space::Space;
-use crate::gateway::upstreams::{Told, number};
+use crate::gateway::upstream::Told;
 use crate::gateway::weights::NamedWeights;
 use crate::phase::Phase;
 
@@ -270,7 +271,7 @@
     let asked_at_ms = now_ms();
     let report = gateway.engines.report(load.address).await?;
     let id = &load.upstream.id;
-    if follow::answered_by(gateway, id, report.started_at_ms, asked_at_ms) == Told::Restarted {
+    if entries::answered_by(gateway, id, report.started_at_ms, asked_at_ms) == Told::Restarted {
         load.upstream.started_at_ms = report.started_at_ms;
     }
     Ok(report)
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,7 +9,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::gossip_message::{Gossip, StoreLink};
-use crate::gateway::upstreams::{Load, number};
+use crate::gateway::names::number;
+use crate::gateway::upstream::Load;
 use crate::gateway::view::Mark;
 
 /// Time between two messages to the same peers.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,12 +15,13 @@
 use crate::gateway::check::{Job, check};
 use crate::gateway::choose::{Choice, Demand, choose};
 use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::names::number;
 use crate::gateway::relay;
 use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
 use crate::gateway::silence;
 use crate::gateway::site::Repeat;
 use crate::gateway::stores::Placing;
-use crate::gateway::upstreams::{Upstream, number};
+use crate::gateway::upstream::Upstream;
 use crate::gateway::weights::NamedWeights;
 use crate::platform::exchange;
 
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -13,7 +13,8 @@
 use crate::gateway::site::{EngineSpec, Store};
 use crate::gateway::stores::{StoreState, Stores};
 use crate::gateway::units::as_f64;
-use crate::gateway::upstreams::{Upstream, Upstreams};
+use crate::gateway::upstream::Upstream;
+use crate::gateway::upstreams::Upstreams;
 
 /// Prompt tokens that an engine reads in a millisecond, until it is measured.
 pub const READ_TOKENS_PER_MS: f64 = 50.0;
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -23,7 +23,7 @@
 use crate::gateway::gossip::Question;
 use crate::gateway::holder::Update;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::upstreams::number;
+use crate::gateway::names::number;
 use crate::phase::Phase;
 
 /// Time between two messages when there is something to tell: short beside the
--- a/src/gateway/stores.rs
+++ b/src/gateway/stores.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::gateway::holder::{Holder, PartKey};
+use crate::gateway::names::number;
 use crate::gateway::site::Store;
 use crate::gateway::units::as_f64;
-use crate::gateway::upstreams::number;
 
 /// Part of a store that is filled at most, so that the estimate of its content
 /// may be off.
--- /dev/null
+++ b/src/gateway/upstream.rs
@@ -0,0 +1,361 @@
+//! An upstream: who it is, how loaded, how sound.
+//!
+//! Health is judged by what answers show, not by probes: an upstream that
+//! fails is avoided for a while, and one that owes answers and says nothing at
+//! all is not given more.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::holder::Holder;
+use crate::gateway::incarnation::{Incarnation, is_other_run};
+use crate::gateway::names::number;
+
+/// Silence after which an upstream that owes answers gets no more work; well
+/// over the longest step of a loaded engine.
+pub const SILENT_MS: u64 = 800;
+/// Silence towards one box after which it gets no more work from there, though others
+/// hear it, since the way to it may be cut: twice the usual, and sooner than the 1.8 s
+/// after which the system gives a connection up.
+const SILENT_HERE_MS: u64 = 2 * SILENT_MS;
+/// Time within which failed connections count as one event.
+const SAME_TIME_MS: u64 = 1500;
+/// First time for which an upstream that failed is avoided.
+const AVOID_MS: u64 = 500;
+/// Longest time for which an upstream that failed is avoided.
+const AVOID_MAX_MS: u64 = 4000;
+/// Weight of the newest answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Share of failures from which on an upstream is avoided.
+const FAILURE_LIMIT: f64 = 0.12;
+
+/// An upstream, as it tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data hall.
+    pub hall: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+    /// Models with the versions of their weights.
+    pub models: Vec<(String, u64)>,
+    /// Start of its run, in Unix milliseconds, if it is told.
+    pub started_at_ms: Option<u64>,
+}
+
+/// What was told of an upstream means this for what is known of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It speaks of the run that is known.
+    Known,
+    /// It speaks of a new run, of which nothing else is known.
+    Restarted,
+    /// It speaks of a run that has ended.
+    Outdated,
+}
+
+/// Load that one box puts on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Prompt tokens that are still to be read.
+    pub unread_tokens: u32,
+    /// Memory that these requests take.
+    pub memory_tokens: u32,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Id.
+    pub id: String,
+    /// Number that names its run in messages between boxes.
+    pub number: u32,
+    /// What it tells of itself.
+    pub entry: Entry,
+    /// Load from this box.
+    pub own: Load,
+    /// Load from all other boxes, as they told last.
+    pub others: Load,
+    /// Kept context.
+    pub holder: Holder,
+    /// Start of its run, as whoever told of it last has it.
+    started_at_ms: Option<u64>,
+    /// When this box learned of that run.
+    known_since_ms: u64,
+    versions: HashMap<String, u64>,
+    avoid_until_ms: u64,
+    avoid_ms: u64,
+    failure_share: f64,
+    heard_at_ms: u64,
+    others_heard_at_ms: u64,
+    owes_since_ms: Option<u64>,
+    loading_until_ms: u64,
+    unreachable: bool,
+    unreached_at_ms: Option<u64>,
+    superseded: bool,
+}
+
+impl Upstream {
+    /// One of which nothing is known but its entry.
+    #[must_use]
+    pub fn new(now_ms: u64, id: &str, entry: Entry) -> Self {
+        let incarnation = Incarnation { id: id.to_owned(), started_at_ms: entry.started_at_ms };
+        Self {
+            number: incarnation.number(),
+            id: incarnation.id,
+            started_at_ms: incarnation.started_at_ms,
+            known_since_ms: now_ms,
+            entry,
+            own: Load::default(),
+            others: Load::default(),
+            holder: Holder::default(),
+            versions: HashMap::new(),
+            avoid_until_ms: 0,
+            avoid_ms: AVOID_MS,
+            failure_share: 0.0,
+            heard_at_ms: 0,
+            others_heard_at_ms: 0,
+            owes_since_ms: None,
+            loading_until_ms: 0,
+            unreachable: false,
+            unreached_at_ms: None,
+            superseded: false,
+        }
+    }
+
+    /// Its present run.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), started_at_ms: self.started_at_ms }
+    }
+
+    /// Whether a run may be its present one.
+    #[must_use]
+    pub fn is(&self, incarnation: &Incarnation) -> bool {
+        self.id == incarnation.id && !is_other_run(self.started_at_ms, incarnation.started_at_ms)
+    }
+
+    /// Takes an entry of the metadata store, where what is newer comes later.
+    pub fn take_entry(&mut self, now_ms: u64, entry: Entry) -> Told {
+        if !is_other_run(self.started_at_ms, entry.started_at_ms) {
+            self.learn_start(entry.started_at_ms);
+            self.entry = entry;
+            return Told::Known;
+        }
+        if self.entry.started_at_ms == entry.started_at_ms {
+            // It told of its new run itself, before its entry did.
+            return Told::Outdated;
+        }
+        *self = Self::new(now_ms, &self.id, entry);
+        Told::Restarted
+    }
+
+    /// Takes the start of the run that answered a call made at `asked_at_ms`.
+    pub fn answered_by(
+        &mut self,
+        now_ms: u64,
+        started_at_ms: Option<u64>,
+        asked_at_ms: u64,
+    ) -> Told {
+        if !is_other_run(self.started_at_ms, started_at_ms) {
+            self.learn_start(started_at_ms);
+            return Told::Known;
+        }
+        if asked_at_ms < self.known_since_ms {
+            // The answer may be older than the run that is known.
+            return Told::Outdated;
+        }
+        // What its earlier run told of itself is the best that is known until its entry comes.
+        let told = self.entry.started_at_ms;
+        *self = Self::new(now_ms, &self.id, Entry { started_at_ms, ..self.entry.clone() });
+        self.entry.started_at_ms = told;
+        Told::Restarted
+    }
+
+    /// Takes the start of the run that is known, if it was not told before.
+    fn learn_start(&mut self, started_at_ms: Option<u64>) {
+        if self.started_at_ms.is_none() && started_at_ms.is_some() {
+            self.started_at_ms = started_at_ms;
+            self.number = self.incarnation().number();
+        }
+    }
+
+    /// Version of a model's weights; 0 when it does not have the model.
+    #[must_use]
+    pub fn version(&self, model: &str) -> u64 {
+        let told = self.entry.models.iter().find(|(name, _)| name == model);
+        let told = told.map_or(0, |(_, version)| *version);
+        told.max(self.versions.get(model).copied().unwrap_or_default())
+    }
+
+    /// Notes the version of a model's weights that it was seen to have.
+    pub fn saw_version(&mut self, model: &str, version: u64) {
+        if version > self.version(model) {
+            self.versions.insert(model.to_owned(), version);
+            self.holder.forget();
+        }
+    }
+
+    /// Notes that it does not have the version that it was seen to have: what its entry
+    /// tells counts again.
+    pub fn lacks_version(&mut self, model: &str) {
+        self.versions.remove(model);
+    }
+
+    /// The model that a number stands for, among those that it has.
+    #[must_use]
+    pub fn model_of(&self, model: u32) -> Option<String> {
+        self.entry.models.iter().map(|(name, _)| name).find(|name| number(name) == model).cloned()
+    }
+
+    /// Load from all boxes.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            requests: self.own.requests + self.others.requests,
+            unread_tokens: self.own.unread_tokens + self.others.unread_tokens,
+            memory_tokens: self.own.memory_tokens + self.others.memory_tokens,
+        }
+    }
+
+    /// Whether it failed or fell silent lately.
+    #[must_use]
+    pub fn is_doubtful(&self, now_ms: u64) -> bool {
+        self.unreachable || now_ms < self.avoid_until_ms || self.is_silent(now_ms)
+    }
+
+    /// Whether it owes answers and has said nothing for long.
+    #[must_use]
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        self.silent_since_ms(now_ms).is_some()
+    }
+
+    /// Since when it owes answers and has said nothing, if that is long. One that other
+    /// boxes hear is busy, not dead: taken for silent, it had two of five long prompts of an
+    /// overload read twice, and six of ten connections opened anew.
+    #[must_use]
+    pub fn silent_since_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.owes_since_ms?.max(self.heard_at_ms);
+        let is_past = |since_ms: u64, least_ms: u64| now_ms.saturating_sub(since_ms) > least_ms;
+        let nobody_hears = is_past(since_ms.max(self.others_heard_at_ms), SILENT_MS);
+        (nobody_hears || is_past(since_ms, SILENT_HERE_MS)).then_some(since_ms)
+    }
+
+    /// Whether no connection to it came up; it gets no work until one does.
+    #[must_use]
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
+    /// Whether another incarnation has its address: it never comes back, while its
+    /// entry may stay for seconds.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Notes that another incarnation answered at its address.
+    pub fn supersede(&mut self) {
+        self.superseded = true;
+    }
+
+    /// Notes that no connection to it came up in time.
+    pub fn unreached(&mut self, now_ms: u64) {
+        self.unreachable = true;
+        self.unreached_at_ms = Some(now_ms);
+    }
+
+    /// Whether that was lately, as far as failed connections count as one event.
+    #[must_use]
+    pub fn unreached_lately(&self, now_ms: u64) -> bool {
+        self.unreached_at_ms.is_some_and(|at_ms| now_ms < at_ms + SAME_TIME_MS)
+    }
+
+    /// Gives it no more work until a connection to it comes up.
+    pub fn suspect(&mut self) {
+        self.unreachable = true;
+    }
+
+    /// Notes that a connection to it came up.
+    pub fn reached(&mut self) {
+        self.unreachable = false;
+    }
+
+    /// Whether it loads weights and takes no requests meanwhile.
+    #[must_use]
+    pub fn is_loading(&self, now_ms: u64) -> bool {
+        now_ms < self.loading_until_ms
+    }
+
+    /// Notes that it loads weights until a deadline, or has ended to (0).
+    pub fn loads_until(&mut self, until_ms: u64) {
+        self.loading_until_ms = until_ms;
+    }
+
+    /// Counts a request that is sent.
+    pub fn sent(&mut self, now_ms: u64, unread_tokens: u32, memory_tokens: u32) {
+        self.own.requests += 1;
+        self.own.unread_tokens += unread_tokens;
+        self.own.memory_tokens += memory_tokens;
+        self.owes_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Counts a prompt that has been read.
+    pub fn read_prompt(&mut self, tokens: u32) {
+        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(tokens);
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&mut self, memory_tokens: u32) {
+        self.own.requests = self.own.requests.saturating_sub(1);
+        self.own.memory_tokens = self.own.memory_tokens.saturating_sub(memory_tokens);
+        if self.own.requests == 0 {
+            self.owes_since_ms = None;
+        }
+    }
+
+    /// Notes that bytes have arrived from it.
+    pub fn heard(&mut self, now_ms: u64) {
+        self.heard_at_ms = now_ms;
+    }
+
+    /// Notes when other boxes heard it last.
+    pub fn others_heard(&mut self, at_ms: u64) {
+        self.others_heard_at_ms = at_ms;
+    }
+
+    /// Time since bytes arrived from it, as far as it can be told.
+    #[must_use]
+    pub fn heard_age_ms(&self, now_ms: u64) -> u16 {
+        u16::try_from(now_ms.saturating_sub(self.heard_at_ms)).unwrap_or(u16::MAX)
+    }
+
+    /// Notes an answer as it should be.
+    pub fn succeeded(&mut self) {
+        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+        self.avoid_ms = AVOID_MS;
+    }
+
+    /// Notes a failure that says something about it.
+    pub fn failed(&mut self, now_ms: u64) {
+        self.failure_share = self.failure_share * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+        if self.failure_share >= FAILURE_LIMIT {
+            self.avoid(now_ms);
+        }
+    }
+
+    /// Avoids it for a while, longer each time.
+    fn avoid(&mut self, now_ms: u64) {
+        self.avoid_until_ms = now_ms + self.avoid_ms;
+        self.avoid_ms = (self.avoid_ms * 2).min(AVOID_MAX_MS);
+    }
+}
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -1,311 +1,10 @@
-//! The upstreams of all services: who they are, how loaded, how sound.
-//!
-//! Health is judged by what answers show, not by probes: an upstream that
-//! fails is avoided for a while, and one that owes answers and says nothing at
-//! all is not given more.
+//! The upstreams of all services, by their ids.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-
-use crate::gateway::holder::Holder;
-use crate::gateway::incarnation::{Incarnation, is_other_run};
-
-/// Silence after which an upstream that owes answers gets no more work; well
-/// over the longest step of a loaded engine.
-pub const SILENT_MS: u64 = 800;
-/// Silence towards one box after which it gets no more work from there, though others
-/// hear it: the way to it may be cut.
-const SILENT_HERE_MS: u64 = 1600;
-/// Time within which failed connections count as one event.
-const SAME_TIME_MS: u64 = 1500;
-/// First time for which an upstream that failed is avoided.
-const AVOID_MS: u64 = 500;
-/// Longest time for which an upstream that failed is avoided.
-const AVOID_MAX_MS: u64 = 4000;
-/// Weight of the newest answer in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.15;
-/// Share of failures from which on an upstream is avoided.
-const FAILURE_LIMIT: f64 = 0.12;
-
-/// An upstream, as it tells of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
-    /// Service that it belongs to.
-    pub service: String,
-    /// Address.
-    pub address: SocketAddr,
-    /// Data hall.
-    pub hall: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is about to leave.
-    pub leaving: bool,
-    /// Models with the versions of their weights.
-    pub models: Vec<(String, u64)>,
-    /// Start of its run, in Unix milliseconds, if it is told.
-    pub started_at_ms: Option<u64>,
-}
-
-/// What was told of an upstream means this for what is known of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// It speaks of the run that is known.
-    Known,
-    /// It speaks of a new run, of which nothing else is known.
-    Restarted,
-    /// It speaks of a run that has ended.
-    Outdated,
-}
-
-/// Load that one box puts on an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests sent and not ended.
-    pub requests: u32,
-    /// Prompt tokens that are still to be read.
-    pub unread_tokens: u32,
-    /// Memory that these requests take.
-    pub memory_tokens: u32,
-}
-
-/// An upstream.
-#[derive(Debug)]
-pub struct Upstream {
-    /// Id.
-    pub id: String,
-    /// Number that names its run in messages between boxes.
-    pub number: u32,
-    /// What it tells of itself.
-    pub entry: Entry,
-    /// Load from this box.
-    pub own: Load,
-    /// Load from all other boxes, as they told last.
-    pub others: Load,
-    /// Kept context.
-    pub holder: Holder,
-    /// Start of its run, as whoever told of it last has it.
-    started_at_ms: Option<u64>,
-    /// When this box learned of that run.
-    known_since_ms: u64,
-    versions: HashMap<String, u64>,
-    avoid_until_ms: u64,
-    avoid_ms: u64,
-    failure_share: f64,
-    heard_at_ms: u64,
-    others_heard_at_ms: u64,
-    owes_since_ms: Option<u64>,
-    loading_until_ms: u64,
-    unreachable: bool,
-    unreached_at_ms: Option<u64>,
-    superseded: bool,
-}
-
-impl Upstream {
-    fn new(now_ms: u64, incarnation: Incarnation, entry: Entry) -> Self {
-        Self {
-            number: incarnation.number(),
-            id: incarnation.id,
-            started_at_ms: incarnation.started_at_ms,
-            known_since_ms: now_ms,
-            entry,
-            own: Load::default(),
-            others: Load::default(),
-            holder: Holder::default(),
-            versions: HashMap::new(),
-            avoid_until_ms: 0,
-            avoid_ms: AVOID_MS,
-            failure_share: 0.0,
-            heard_at_ms: 0,
-            others_heard_at_ms: 0,
-            owes_since_ms: None,
-            loading_until_ms: 0,
-            unreachable: false,
-            unreached_at_ms: None,
-            superseded: false,
-        }
-    }
-
-    /// Its present run.
-    #[must_use]
-    pub fn incarnation(&self) -> Incarnation {
-        Incarnation { id: self.id.clone(), started_at_ms: self.started_at_ms }
-    }
-
-    /// Whether a run may be its present one.
-    #[must_use]
-    pub fn is(&self, incarnation: &Incarnation) -> bool {
-        self.id == incarnation.id && !is_other_run(self.started_at_ms, incarnation.started_at_ms)
-    }
-
-    /// Takes the start of the run that is known, if it was not told before.
-    fn learn_start(&mut self, started_at_ms: Option<u64>) {
-        if self.started_at_ms.is_none() && started_at_ms.is_some() {
-            self.started_at_ms = started_at_ms;
-            self.number = self.incarnation().number();
-        }
-    }
-
-    /// Takes a new run, of which nothing is known but its entry.
-    fn restart(&mut self, now_ms: u64, started_at_ms: Option<u64>, entry: Entry) {
-        let incarnation = Incarnation { id: self.id.clone(), started_at_ms };
-        *self = Self::new(now_ms, incarnation, entry);
-    }
-
-    /// Version of a model's weights; 0 when it does not have the model.
-    #[must_use]
-    pub fn version(&self, model: &str) -> u64 {
-        let told = self.entry.models.iter().find(|(name, _)| name == model);
-        let told = told.map_or(0, |(_, version)| *version);
-        told.max(self.versions.get(model).copied().unwrap_or_default())
-    }
-
-    /// Notes the version of a model's weights that it was seen to have.
-    pub fn saw_version(&mut self, model: &str, version: u64) {
-        if version > self.version(model) {
-            self.versions.insert(model.to_owned(), version);
-            self.holder.forget();
-        }
-    }
-
-    /// Notes that it does not have the version that it was seen to have: what its entry
-    /// tells counts again.
-    pub fn lacks_version(&mut self, model: &str) {
-        self.versions.remove(model);
-    }
-
-    /// The model that a number stands for, among those that it has.
-    #[must_use]
-    pub fn model_of(&self, model: u32) -> Option<String> {
-        self.entry.models.iter().map(|(name, _)| name).find(|name| number(name) == model).cloned()
-    }
-
-    /// Load from all boxes.
-    #[must_use]
-    pub fn load(&self) -> Load {
-        Load {
-            requests: self.own.requests + self.others.requests,
-            unread_tokens: self.own.unread_tokens + self.others.unread_tokens,
-            memory_tokens: self.own.memory_tokens + self.others.memory_tokens,
-        }
-    }
-
-    /// Whether it failed or fell silent lately.
-    #[must_use]
-    pub fn is_doubtful(&self, now_ms: u64) -> bool {
-        self.unreachable || now_ms < self.avoid_until_ms || self.is_silent(now_ms)
-    }
-
-    /// Whether it owes answers and has said nothing for long.
-    #[must_use]
-    pub fn is_silent(&self, now_ms: u64) -> bool {
-        self.silent_since_ms(now_ms).is_some()
-    }
-
-    /// Since when it owes answers and has said nothing, if that is long. One that other
-    /// boxes hear is busy, not dead: taken for silent, it had two of five long prompts of an
-    /// overload read twice, and six of ten connections opened anew.
-    #[must_use]
-    pub fn silent_since_ms(&self, now_ms: u64) -> Option<u64> {
-        let since_ms = self.owes_since_ms?.max(self.heard_at_ms);
-        let is_past = |since_ms: u64, least_ms: u64| now_ms.saturating_sub(since_ms) > least_ms;
-        let nobody_hears = is_past(since_ms.max(self.others_heard_at_ms), SILENT_MS);
-        (nobody_hears || is_past(since_ms, SILENT_HERE_MS)).then_some(since_ms)
-    }
-
-    /// Whether no connection to it came up; it gets no work until one does.
-    #[must_use]
-    pub fn is_unreachable(&self) -> bool {
-        self.unreachable
-    }
-
-    /// Whether another incarnation has its address: it never comes back, while its
-    /// entry may stay for seconds.
-    #[must_use]
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Notes that another incarnation answered at its address.
-    pub fn supersede(&mut self) {
-        self.superseded = true;
-    }
-
-    /// Notes that a connection to it came up.
-    pub fn reached(&mut self) {
-        self.unreachable = false;
-    }
-
-    /// Whether it loads weights and takes no requests meanwhile.
-    #[must_use]
-    pub fn is_loading(&self, now_ms: u64) -> bool {
-        now_ms < self.loading_until_ms
-    }
-
-    /// Notes that it loads weights until a deadline, or has ended to (0).
-    pub fn loads_until(&mut self, until_ms: u64) {
-        self.loading_until_ms = until_ms;
-    }
-
-    /// Counts a request that is sent.
-    pub fn sent(&mut self, now_ms: u64, unread_tokens: u32, memory_tokens: u32) {
-        self.own.requests += 1;
-        self.own.unread_tokens += unread_tokens;
-        self.own.memory_tokens += memory_tokens;
-        self.owes_since_ms.get_or_insert(now_ms);
-    }
-
-    /// Counts a prompt that has been read.
-    pub fn read_prompt(&mut self, tokens: u32) {
-        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(tokens);
-    }
-
-    /// Counts a request that has ended.
-    pub fn ended(&mut self, memory_tokens: u32) {
-        self.own.requests = self.own.requests.saturating_sub(1);
-        self.own.memory_tokens = self.own.memory_tokens.saturating_sub(memory_tokens);
-        if self.own.requests == 0 {
-            self.owes_since_ms = None;
-        }
-    }
-
-    /// Notes that bytes have arrived from it.
-    pub fn heard(&mut self, now_ms: u64) {
-        self.heard_at_ms = now_ms;
-    }
-
-    /// Notes when other boxes heard it last.
-    pub fn others_heard(&mut self, at_ms: u64) {
-        self.others_heard_at_ms = at_ms;
-    }
-
-    /// Time since bytes arrived from it, as far as it can be told.
-    #[must_use]
-    pub fn heard_age_ms(&self, now_ms: u64) -> u16 {
-        u16::try_from(now_ms.saturating_sub(self.heard_at_ms)).unwrap_or(u16::MAX)
-    }
-
-    /// Notes an answer as it should be.
-    pub fn succeeded(&mut self) {
-        self.failure_share *= 1.0 - FAILURE_WEIGHT;
-        self.avoid_ms = AVOID_MS;
-    }
-
-    /// Notes a failure that says something about it.
-    pub fn failed(&mut self, now_ms: u64) {
-        self.failure_share = self.failure_share * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
-        if self.failure_share >= FAILURE_LIMIT {
-            self.avoid(now_ms);
-        }
-    }
-
-    /// Avoids it for a while, longer each time.
-    fn avoid(&mut self, now_ms: u64) {
-        self.avoid_until_ms = now_ms + self.avoid_ms;
-        self.avoid_ms = (self.avoid_ms * 2).min(AVOID_MAX_MS);
-    }
-}
+use crate::gateway::incarnation::Incarnation;
+use crate::gateway::upstream::{Entry, Told, Upstream};
 
 /// The upstreams of all services.
 #[derive(Debug, Default)]
@@ -318,21 +17,10 @@
     /// comes later.
     pub fn put(&mut self, now_ms: u64, id: &str, entry: Entry) -> Told {
         let Some(known) = self.by_id.get_mut(id) else {
-            let incarnation = Incarnation { id: id.to_owned(), started_at_ms: entry.started_at_ms };
-            self.by_id.insert(id.to_owned(), Upstream::new(now_ms, incarnation, entry));
+            self.by_id.insert(id.to_owned(), Upstream::new(now_ms, id, entry));
             return Told::Known;
         };
-        if !is_other_run(known.started_at_ms, entry.started_at_ms) {
-            known.learn_start(entry.started_at_ms);
-            known.entry = entry;
-            return Told::Known;
-        }
-        if known.entry.started_at_ms == entry.started_at_ms {
-            // It told of its new run itself, before its entry did.
-            return Told::Outdated;
-        }
-        known.restart(now_ms, entry.started_at_ms, entry);
-        Told::Restarted
+        known.take_entry(now_ms, entry)
     }
 
     /// Takes the start of the run that answered a call made at `asked_at_ms`.
@@ -343,34 +31,21 @@
         started_at_ms: Option<u64>,
         asked_at_ms: u64,
     ) -> Told {
-        let Some(known) = self.by_id.get_mut(id) else { return Told::Known };
-        if !is_other_run(known.started_at_ms, started_at_ms) {
-            known.learn_start(started_at_ms);
-            return Told::Known;
-        }
-        if asked_at_ms < known.known_since_ms {
-            // The answer may be older than the run that is known.
-            return Told::Outdated;
-        }
-        let entry = known.entry.clone();
-        known.restart(now_ms, started_at_ms, entry);
-        Told::Restarted
+        let known = self.by_id.get_mut(id);
+        known.map_or(Told::Known, |known| known.answered_by(now_ms, started_at_ms, asked_at_ms))
     }
 
     /// Notes that no connection to an upstream came up in time. Two in one
     /// hall at about the same time speak against the way to that hall.
     pub fn unreached(&mut self, now_ms: u64, upstream: &Incarnation, own_hall: &str) {
         let Some(upstream) = self.get_run_mut(upstream) else { return };
-        upstream.unreachable = true;
-        upstream.unreached_at_ms = Some(now_ms);
+        upstream.unreached(now_ms);
         let hall = upstream.entry.hall.clone();
-        let lately = self.by_id.values().filter(|one| {
-            let at_ms = one.unreached_at_ms;
-            one.entry.hall == hall && at_ms.is_some_and(|at_ms| now_ms < at_ms + SAME_TIME_MS)
-        });
+        let of_hall = |one: &Upstream| one.entry.hall == hall;
+        let lately = self.by_id.values().filter(|one| of_hall(one) && one.unreached_lately(now_ms));
         if hall != own_hall && lately.count() > 1 {
-            for one in self.by_id.values_mut().filter(|one| one.entry.hall == hall) {
-                one.unreachable = true;
+            for one in self.by_id.values_mut().filter(|one| of_hall(one)) {
+                one.suspect();
             }
         }
     }
@@ -382,7 +57,7 @@
         let mut last_ms = None;
         for upstream in self.by_id.values_mut() {
             if let Some(since_ms) = upstream.silent_since_ms(now_ms) {
-                upstream.unreachable = true;
+                upstream.suspect();
                 last_ms = last_ms.max(Some(since_ms));
             }
         }
@@ -433,7 +108,7 @@
 
     /// All upstreams but those whose address another incarnation has.
     pub fn current(&self) -> impl Iterator<Item = &Upstream> {
-        self.iter().filter(|one| !one.superseded)
+        self.iter().filter(|one| !one.is_superseded())
     }
 
     /// The address of an upstream.
@@ -442,11 +117,3 @@
         self.get(id).map(|upstream| upstream.entry.address)
     }
 }
-
-/// The number that stands for a name in messages between boxes.
-#[must_use]
-pub fn number(id: &str) -> u32 {
-    let mut bytes = [0; 4];
-    blake3::Hasher::new().update(id.as_bytes()).finalize_xof().fill(&mut bytes);
-    u32::from_le_bytes(bytes)
-}
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -2,7 +2,7 @@
 
 use crate::error::{Error, Result};
 use crate::gateway::site::Site;
-use crate::gateway::upstreams::Entry;
+use crate::gateway::upstream::Entry;
 use crate::platform::document;
 use crate::platform::entry;
 
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -3,7 +3,7 @@
 use coursestile::gateway::admission::{
     Asked, Capacity, FirstToken, Limits, Room, return_after_ms, room,
 };
-use coursestile::gateway::upstreams::Load;
+use coursestile::gateway::upstream::Load;
 
 const CAPACITY: Capacity = Capacity { slots: 64, memory_tokens: 40_000 };
 const URGENT: Asked = Asked { ranks_before: 0, objective_ms: 500, late: false, limit: 1.0 };
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -12,7 +12,7 @@
 use common::{Scene, scene, wait_ready};
 use coursestile::gateway::gossip::Datagram;
 use coursestile::gateway::gossip_message::Gossip;
-use coursestile::gateway::upstreams::number;
+use coursestile::gateway::names::number;
 use coursestile::gateway::view::Mark;
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Server, WORK_HEADER};
