Peers: who follows whom, and what all told, in files of their own

`peers/roles.rs` says who follows the stores and from whom the others learn, `peers/sums.rs` puts together what all told; both are parts of `Peers`, so that no field is opened. Ruled out: types of their own, since both look at who is alive. And the list of old context is two lists put together, without an iterator that collects first (`space`).

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers/mod.rs
@@ -5,12 +5,13 @@
 //! knows and does. A lost datagram is made up for by the next. What needs
 //! more room than a datagram is fetched by TCP from the peer that has it.
 
+mod roles;
+mod sums;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::gossip_message::{Gossip, StoreLink};
-use crate::gateway::names::number;
-use crate::gateway::upstream::Load;
 use crate::gateway::view::Mark;
 
 /// Time between two messages to the same peers.
@@ -19,9 +20,6 @@
 const SMALL_FLEET: usize = 12;
 /// Peers of other halls that a larger fleet tells at once, in turn.
 const OTHER_HALLS_FANOUT: usize = 4;
-/// Boxes of a hall that follow the metadata store in a larger fleet; the others
-/// learn from them. One may fail.
-const FOLLOWERS: usize = 2;
 /// Time after which a peer that says nothing is not counted.
 const ALIVE_MS: u64 = 1500;
 /// Messages of a peer of another hall that may be lost in a row.
@@ -188,100 +186,12 @@
             || self.first_heard_at_ms.is_some_and(|heard_at_ms| now_ms >= heard_at_ms + LEARN_MS)
     }
 
-    /// Whether all boxes tell each other everything.
-    #[must_use]
-    pub fn is_small_fleet(&self) -> bool {
-        self.known.len() <= SMALL_FLEET
-    }
-
-    /// Whether this box is to follow the metadata store itself: all do in a
-    /// small fleet, the strongest that the store answers in each hall of a
-    /// large one.
-    #[must_use]
-    pub fn is_follower(&self, now_ms: u64) -> bool {
-        if self.is_small_fleet() {
-            return true;
-        }
-        let stronger =
-            self.stronger(now_ms).filter(|(_, peer)| peer.gossip.store_link != StoreLink::Fails);
-        // Those that are to follow may not have begun to.
-        let following = self.alive(now_ms).filter(|(_, peer)| {
-            peer.gossip.hall == self.own.hall && peer.gossip.store_link == StoreLink::Answers
-        });
-        stronger.count() < FOLLOWERS || following.count() == 0
-    }
-
-    /// Whether this box is to follow the stores of context itself: all do in a
-    /// small fleet, the strongest of each hall in a large one, also while the
-    /// metadata store answers nobody.
-    #[must_use]
-    pub fn is_cache_follower(&self, now_ms: u64) -> bool {
-        self.is_small_fleet() || self.stronger(now_ms).count() < FOLLOWERS
-    }
-
-    /// Boxes of the own hall that go before this one.
-    fn stronger(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> {
-        let rank = |millicores: u32, address: IpAddr| (std::cmp::Reverse(millicores), address);
-        let own_rank = rank(self.own.millicores, self.own.address.ip());
-        self.alive(now_ms).filter(move |(address, peer)| {
-            peer.gossip.hall == self.own.hall && rank(peer.gossip.millicores, **address) < own_rank
-        })
-    }
-
     /// Number of boxes that serve, this one included.
     #[must_use]
     pub fn boxes(&self, now_ms: u64) -> usize {
         1 + self.alive(now_ms).count()
     }
 
-    /// Load that all other boxes put on upstreams, by their numbers.
-    #[must_use]
-    pub fn loads(&self, now_ms: u64) -> BTreeMap<u32, Load> {
-        let mut loads: BTreeMap<u32, Load> = BTreeMap::new();
-        for (_, peer) in self.alive(now_ms) {
-            for told in &peer.gossip.loads {
-                let load = loads.entry(told.upstream).or_default();
-                load.requests += told.load.requests;
-                load.unread_tokens += told.load.unread_tokens;
-                load.memory_tokens += told.load.memory_tokens;
-            }
-        }
-        loads
-    }
-
-    /// When any other box heard each upstream last, by their numbers.
-    #[must_use]
-    pub fn heard_upstreams(&self, now_ms: u64) -> BTreeMap<u32, u64> {
-        let mut heard: BTreeMap<u32, u64> = BTreeMap::new();
-        for (_, peer) in self.alive(now_ms) {
-            for told in &peer.gossip.loads {
-                let at_ms = peer.heard_at_ms.saturating_sub(told.heard_age_ms.into());
-                let last_ms = heard.entry(told.upstream).or_default();
-                *last_ms = at_ms.max(*last_ms);
-            }
-        }
-        heard
-    }
-
-    /// Limits of admission that all other boxes have found, in thousandths, by the
-    /// numbers of services.
-    #[must_use]
-    pub fn limits(&self, now_ms: u64) -> Vec<(u32, u16)> {
-        self.alive(now_ms).flat_map(|(_, peer)| peer.gossip.limits.iter().copied()).collect()
-    }
-
-    /// Tokens that all other boxes fetch from stores, by their numbers.
-    #[must_use]
-    pub fn fetches(&self, now_ms: u64) -> BTreeMap<u32, u64> {
-        let mut fetches = BTreeMap::new();
-        for (_, peer) in self.alive(now_ms) {
-            for (number, tokens) in &peer.gossip.fetches {
-                *fetches.entry(*number).or_default() += u64::from(*tokens);
-            }
-        }
-        fetches
-    }
-
     /// Who is told next.
     pub fn next_targets(&mut self, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
         let audience = if now_ms >= self.all_due_at_ms { Audience::All } else { audience };
@@ -318,44 +228,6 @@
         self.at_peer_port(all)
     }
 
-    /// The peer from which this box learns of the metadata store: one of its hall
-    /// that the store answers, other boxes another. It is the same one whether or not it
-    /// answers this box: another, which holds a removal in doubt still, would bring back
-    /// what is gone. Newer changes are fetched from any peer.
-    #[must_use]
-    pub fn publisher(&self, now_ms: u64) -> Option<SocketAddr> {
-        let answers = |gossip: &Gossip| gossip.store_link == StoreLink::Answers;
-        self.nearest(self.of_hall(now_ms, answers), |_| true)
-    }
-
-    /// The peer from which this box learns what stores of context keep.
-    #[must_use]
-    pub fn cache_publisher(&self, now_ms: u64) -> Option<SocketAddr> {
-        let follows = |gossip: &Gossip| gossip.follows_caches;
-        self.nearest(self.of_hall(now_ms, follows), |peer| peer.answers_at(now_ms))
-    }
-
-    fn of_hall(
-        &self,
-        now_ms: u64,
-        able: impl Fn(&Gossip) -> bool,
-    ) -> impl Iterator<Item = (&IpAddr, &Peer)> {
-        self.alive(now_ms)
-            .filter(move |(_, peer)| peer.gossip.hall == self.own.hall && able(&peer.gossip))
-    }
-
-    /// One of some peers, for each box another; those go first that `answers` accepts.
-    fn nearest<'a>(
-        &self,
-        peers: impl Iterator<Item = (&'a IpAddr, &'a Peer)>,
-        answers: impl Fn(&Peer) -> bool,
-    ) -> Option<SocketAddr> {
-        let distance = |address: &IpAddr| number(&format!("{address} {}", self.own.address.ip()));
-        let (address, _) =
-            peers.min_by_key(|(address, peer)| (!answers(peer), distance(address)))?;
-        Some(SocketAddr::new(*address, self.own.address.port()))
-    }
-
     /// Peers that the metadata store answers, other ones each time.
     pub fn next_helpers(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let mut able: Vec<IpAddr> = self
--- a/src/gateway/space.rs
+++ b/src/gateway/space.rs
@@ -72,7 +72,9 @@
         let mut more = false;
         let state = gateway.state();
         self.note_namings(&state, now_ms);
-        for (model, version) in self.unread(now_ms).chain(self.settled(&state, now_ms)) {
+        let mut old = self.unread(now_ms);
+        old.extend(self.settled(&state, now_ms));
+        for (model, version) in old {
             let oldest = self.oldest_read.entry(model).or_default();
             more |= version > *oldest;
             *oldest = version.max(*oldest);
@@ -102,10 +104,9 @@
     }
 
     /// Models with the oldest version that boxes may read from stores.
-    fn unread(&self, now_ms: u64) -> impl Iterator<Item = (String, u64)> + use<> {
+    fn unread(&self, now_ms: u64) -> Vec<(String, u64)> {
         let over = self.namings.iter().filter(|naming| naming.is_over(now_ms));
-        let over: Vec<_> = over.map(|naming| (naming.model.clone(), naming.version)).collect();
-        over.into_iter()
+        over.map(|naming| (naming.model.clone(), naming.version)).collect()
     }
 
     /// Models whose engines have all had the newest version for longer than any transfer.
