Tests: a seed for the readers, one for a version that was lost, files by feature

And nothing showed what a 421 for the newest version is good for: older_weights_unsaid has an engine start again with older weights that tells nobody when it started.

The start of engines and the prompt that two and three files had for themselves stand in common/site.rs. Ruled out: one fleet for all three, since each needs other stores and entries.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -50,6 +50,7 @@
     version: u64,
     /// Start of this run, in Unix milliseconds.
     born: u64,
+    hides_start: bool,
     /// Changes with each run, for those who follow what is kept.
     boot: u64,
     orders: Vec<Order>,
@@ -66,6 +67,10 @@
 }
 
 impl State {
+    fn told_start(&self) -> Option<u64> {
+        (!self.hides_start).then_some(self.born)
+    }
+
     /// The state of a run that has just started.
     fn of_run(version: u64) -> Self {
         let born = now_ms();
@@ -129,8 +134,9 @@
     pub fn restart(&self, version: u64) {
         let mut state = self.state();
         let (orders, runs) = (state.orders.clone(), state.runs.clone());
+        let hides_start = state.hides_start;
         let born = now_ms().max(state.born + 1);
-        *state = State { born, boot: born, orders, runs, ..State::of_run(version) };
+        *state = State { born, boot: born, hides_start, orders, runs, ..State::of_run(version) };
     }
 
     /// Orders that have arrived.
@@ -164,6 +170,11 @@
         self.state().holds_streams = true;
     }
 
+    /// Tells nobody when it started, as upstreams of older software.
+    pub fn hide_start(&self) {
+        self.state().hides_start = true;
+    }
+
     /// Takes no order from now on.
     pub fn refuse_orders(&self) {
         self.state().refuses_orders = true;
@@ -196,7 +207,7 @@
     let state = state.lock().expect("state");
     Json(json!({ "stage": "both", "busy": state.busy, "seq": state.taken, "queued": 0,
         "in_flight": 0, "kv_used": 0, "kv_total": 100_000, "handles": 0, "clock_ms": now_ms(),
-        "born": state.born,
+        "born": state.told_start(),
         "models": [{ "name": MODEL, "version": state.version, "adapters": [] }] }))
 }
 
@@ -246,7 +257,7 @@
     let state = shared.lock().expect("state");
     let events: Vec<Value> = state.events.iter().skip(since).cloned().collect();
     Json(json!({ "boot_epoch": state.boot, "next_token": state.events.len(), "lost": false,
-        "events": events, "clock_ms": now_ms(), "born": state.born }))
+        "events": events, "clock_ms": now_ms(), "born": state.told_start() }))
 }
 
 #[handler]
@@ -262,7 +273,7 @@
         .map(|(scope, part, tokens)| json!([scope, part, tokens, MODEL]))
         .collect();
     Ok(Json(json!({ "boot_epoch": state.boot, "next_token": state.events.len(), "held": held,
-        "partial": state.partial, "born": state.born })))
+        "partial": state.partial, "born": state.told_start() })))
 }
 
 #[derive(Deserialize)]
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -2,9 +2,10 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use coursestile_standins::site::client::{Client, once, request};
+use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::Server;
-use coursestile_standins::site::{Gateway, Site, document, entry, eventually};
+use coursestile_standins::site::{Gateway, Site, document, engine_entry, entry, eventually};
 
 /// A platform with one gateway that serves `servers` upstreams of `plain`.
 pub struct Scene {
@@ -32,6 +33,27 @@
     Scene { gateway, servers: started, site }
 }
 
+/// Starts engines of `llm`, whose weights have version 1, and writes their entries.
+pub async fn start_engines(site: &Site, count: usize) -> Vec<Engine> {
+    let mut engines = Vec::new();
+    for number in 0..count {
+        let engine = Engine::start().await;
+        site.enter(&format!("e-{number}"), &engine_entry("llm", &engine.address, MODEL, 1));
+        engines.push(engine);
+    }
+    engines
+}
+
+/// Sends a prompt of two shared parts and one of its own; the status of the answer.
+pub async fn prompt(gateway: &Gateway, id: &str) -> u16 {
+    let extra = format!(
+        "X-Model: {MODEL}\r\nX-Token-Count: 700,10\r\nX-Prefix-Hash: aa:100,bb:400,cc:200\r\n"
+    );
+    let bytes = request("POST", "/run/x", id, &extra, "prompt");
+    let mut client = Client::connect(&gateway.clients).await;
+    client.send(&bytes).await.expect("an answer").status()
+}
+
 /// Waits until a gateway calls itself ready.
 pub async fn wait_ready(gateway: &Gateway) {
     eventually("ready", async || {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -12,12 +12,10 @@
 use coursestile::gateway::incarnation::Incarnation;
 use coursestile::gateway::kept::{CacheChange, CacheListing, KeptPart};
 use coursestile::gateway::prompt::Prompt;
-use coursestile::gateway::rollout::{Candidate, at_once, next};
 use coursestile::gateway::site::{EngineSpec, Store};
 use coursestile::gateway::stores::{Placing, Stores};
 use coursestile::gateway::upstream::Entry;
 use coursestile::gateway::upstreams::Upstreams;
-use coursestile::gateway::view::{Snapshot, View, Written};
 use coursestile::gateway::weights::NamedWeights;
 use coursestile::platform::exchange;
 use hyper::{HeaderMap, Method, Uri};
@@ -266,59 +264,6 @@
     assert_eq!(at(10_100), "b", "a request might begin after the bound");
 }
 
-#[test]
-fn oldest_weights_first() {
-    let candidate = |id: &str, version, requests| Candidate {
-        id: id.to_owned(),
-        version,
-        left_ms: 10_000,
-        under_way: false,
-        requests,
-        doubtful: false,
-    };
-    let all = [candidate("a", 2, 0), candidate("b", 1, 9), candidate("c", 3, 0)];
-    assert_eq!(next(&all, 3), ["b", "a"]);
-    assert_eq!(at_once(&behind(18, 10_000), 2), 3);
-    assert_eq!(at_once(&behind(18, 3000), 2), 9, "a hurry, up to half of them");
-    assert_eq!(at_once(&behind(60, 10_000), 2), 12);
-}
-
-/// Engines with version 1 that must have a newer one in `left_ms`.
-fn behind(count: usize, left_ms: u64) -> Vec<Candidate> {
-    let engine = |number| Candidate {
-        id: format!("e-{number}"),
-        version: 1,
-        left_ms,
-        under_way: false,
-        requests: 0,
-        doubtful: false,
-    };
-    (0..count).map(engine).collect()
-}
-
-#[test]
-fn hurry_for_oldest() {
-    let mut engines = behind(6, 4400);
-    let mut newer = behind(12, 8400);
-    for one in &mut newer {
-        one.version = 2;
-    }
-    engines.extend(newer);
-    // Six have three rounds, all have six.
-    assert_eq!(at_once(&engines, 3), 3);
-    let dark = behind(9, 0).into_iter().map(|one| Candidate { doubtful: true, ..one });
-    engines.extend(dark);
-    assert_eq!(at_once(&engines, 3), 5, "27 / 5; the dark ones hurry nobody");
-}
-
-#[test]
-fn small_pool_serves() {
-    for (count, expected) in [(1, 1), (2, 1), (3, 2), (4, 3), (6, 3), (9, 3), (18, 4)] {
-        assert_eq!(next(&behind(count, 10_000), 2).len(), expected, "of {count}");
-    }
-    assert_eq!(next(&behind(4, 0), 2).len(), 3, "one serves, also in a hurry");
-}
-
 #[test]
 fn busy_engine_speaks_not() {
     let mut upstreams = Upstreams::default();
@@ -349,78 +294,9 @@
     assert_eq!(chosen(7), chosen(7));
 }
 
-fn written(revision: u64) -> Written {
-    Written { revision, value: revision.to_string().into_bytes() }
-}
-
-#[test]
-fn removal_in_doubt() {
-    let mut view = View::default();
-    view.store_answered(0);
-    view.put("u".to_owned(), written(1));
-    view.put("v".to_owned(), written(2));
-    view.store_failed();
-    assert_eq!(view.remove(1000, "u", 3, true), None);
-    assert_eq!(view.remove(1000, "v", 4, true), None);
-    assert!(view.tick(60_000).is_empty(), "nothing goes while the store is away");
-    view.store_answered(60_000);
-    view.put("v".to_owned(), written(5));
-    assert!(view.tick(61_000).is_empty());
-    assert_eq!(view.tick(62_100).len(), 1);
-    assert!(view.has("v") && !view.has("u"));
-    assert!(view.remove(90_000, "v", 6, true).is_some(), "the trouble is long over");
-}
-
-#[test]
-fn removal_after_reset() {
-    let mut view = View::new(2400);
-    view.store_answered(0);
-    view.put("u".to_owned(), written(1));
-    view.put("v".to_owned(), written(2));
-    view.store_failed();
-    view.store_answered(2399);
-    assert!(view.remove(2400, "u", 3, true).is_some(), "nothing lapses in so short a time");
-    view.store_failed();
-    view.store_answered(4799);
-    assert_eq!(view.remove(4800, "v", 4, true), None);
-    let mut view = View::new(2400);
-    view.store_answered(0);
-    view.put("u".to_owned(), written(1));
-    view.store_unable();
-    view.store_failed();
-    view.store_answered(100);
-    assert_eq!(view.remove(100, "u", 3, true), None, "the store has said that it was away");
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
 
-    /// Whatever the order of listings, changes and snapshots, the newest
-    /// revision of each item stays.
-    #[test]
-    fn view_only_rises(steps in prop::collection::vec((0_u8..3, 0_u8..4, 1_u64..40), 1..60)) {
-        let mut view = View::default();
-        view.store_answered(0);
-        let mut newest = std::collections::BTreeMap::new();
-        for (kind, key, revision) in steps {
-            let key = format!("k{key}");
-            let before = newest.get(&key).copied().unwrap_or(0);
-            if kind == 2 {
-                let at_revision = view.changed_revision() + 1;
-                let mut items = view.snapshot().items;
-                items.insert(key.clone(), written(revision));
-                let snapshot = Snapshot { at_revision, changed_revision: at_revision, items };
-                view.replace(0, snapshot, |_| true, |_| false);
-            } else {
-                view.put(key.clone(), written(revision));
-            }
-            newest.insert(key, before.max(revision));
-        }
-        for (key, item) in view.snapshot().items {
-            prop_assert_eq!(item.revision, newest[&key]);
-        }
-    }
-
     #[test]
     fn prompt_never_panics(model in ".*", lengths in ".*", parts in ".*") {
         let _ = Prompt::parse(&model, &lengths, &parts);
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -137,7 +137,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(21), ..ProptestConfig::default() })]
 
     #[test]
     fn readers_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
--- a/tests/gateway_release.rs
+++ b/tests/gateway_release.rs
@@ -6,11 +6,11 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 
-use common::wait_ready;
+use common::{start_engines, wait_ready};
 use coursestile::gateway::context::OLD_STORES_MS;
 use coursestile::gateway::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use coursestile_standins::site::engine::{Engine, MODEL};
-use coursestile_standins::site::{Site, document, engine_entry, engine_services, eventually};
+use coursestile_standins::site::{Site, document, engine_services, eventually};
 
 fn address(last: u8) -> IpAddr {
     Ipv4Addr::new(10, 0, 0, last).into()
@@ -53,12 +53,7 @@
 async fn freed_beside_old_engine() {
     let mut site = Site::start().await;
     let store = Engine::start().await;
-    let mut engines = Vec::new();
-    for number in 0..3 {
-        let engine = Engine::start().await;
-        site.enter(&format!("e-{number}"), &engine_entry("llm", &engine.address, MODEL, 1));
-        engines.push(engine);
-    }
+    let engines = start_engines(&site, 3).await;
     engines[0].refuse_orders();
     let mut config = document(7);
     config["services"] = engine_services(Some(&store.address));
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -56,12 +56,7 @@
 
 impl Fleet {
     async fn prompt(&self, id: &str) -> u16 {
-        let extra = format!(
-            "X-Model: {MODEL}\r\nX-Token-Count: 700,10\r\nX-Prefix-Hash: aa:100,bb:400,cc:200\r\n"
-        );
-        let bytes = request("POST", "/run/x", id, &extra, "prompt");
-        let mut client = Client::connect(&self.gateway.clients).await;
-        client.send(&bytes).await.expect("an answer").status()
+        common::prompt(&self.gateway, id).await
     }
 
     async fn wait_version(&self, version: u64) {
@@ -114,6 +109,25 @@
     assert_eq!(fleet.prompt("r-1").await, 200);
 }
 
+/// Nobody tells of the restart but the engine, by turning prompts away.
+#[tokio::test]
+async fn older_weights_unsaid() {
+    let fleet = fleet(1).await;
+    let engine = &fleet.engines[0];
+    engine.hide_start();
+    fleet.site.enter("e-0", &engine_entry("llm", &engine.address, MODEL, 1));
+    fleet.wait_logged("event=leadership_taken").await;
+    fleet.site.name_weights(MODEL, 2);
+    fleet.wait_logged("upstream=e-0 model=model-a version=2 end=\"done\"").await;
+    engine.restart(1);
+    let mut number = 0;
+    eventually("it serves with new weights", async || {
+        number += 1;
+        fleet.prompt(&format!("r-{number}")).await == 200 && engine.version() == 2
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn restarted_in_a_load() {
     let fleet = fleet(2).await;
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -4,7 +4,7 @@
 #[path = "common/site.rs"]
 mod common;
 
-use common::wait_ready;
+use common::{start_engines, wait_ready};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::http::Message;
@@ -37,12 +37,7 @@
 async fn upstreams() -> Fleet {
     let site = Site::start().await;
     let store = Engine::start().await;
-    let mut engines = Vec::new();
-    for number in 0..4 {
-        let engine = Engine::start().await;
-        site.enter(&format!("e-{number}"), &engine_entry("llm", &engine.address, MODEL, 1));
-        engines.push(engine);
-    }
+    let engines = start_engines(&site, 4).await;
     let mut config = document(7);
     config["routes"][2]["service"] = json!("llm");
     config["routes"][2]["path_prefix"] = json!("/run/");
@@ -75,12 +70,7 @@
     }
 
     async fn prompt(&self, id: &str) -> u16 {
-        let extra = format!(
-            "X-Model: {MODEL}\r\nX-Token-Count: 700,10\r\nX-Prefix-Hash: aa:100,bb:400,cc:200\r\n"
-        );
-        let bytes = request("POST", "/run/x", id, &extra, "prompt");
-        let mut client = Client::connect(&self.gateways[0].clients).await;
-        client.send(&bytes).await.expect("an answer").status()
+        common::prompt(&self.gateways[0], id).await
     }
 
     /// How often the run `id` has arrived.
