--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -27,7 +27,7 @@
         entry.service,
         entry.hall,
         entry.leaving,
-        entry.started_at_ms.unwrap_or_default()
+        shown(entry.started_at_ms)
     );
     match state.upstreams.put(now_ms, id, entry) {
         Told::Known if changed => info!(target: "entries", "event=upstream_seen {seen}"),
@@ -59,9 +59,14 @@
     let told = gateway.state().upstreams.answered_by(now_ms(), id, started_at_ms, asked_at_ms);
     if told == Told::Restarted {
         info!(target: "entries", "event=upstream_restarted upstream={id} started_at_ms={} told_by=itself",
-            started_at_ms.unwrap_or_default());
+            shown(started_at_ms));
         gateway.connections.forget(id);
         gateway.places.notify_waiters();
     }
     told
 }
+
+/// A start, for a log line.
+fn shown(started_at_ms: Option<u64>) -> String {
+    started_at_ms.map_or_else(|| "-".to_owned(), |started_at_ms| started_at_ms.to_string())
+}
