Stand-in: what a test makes an engine do wrong has a type of its own

Clippy refused the state of the stand-in's engine for its four switches (struct_excessive_bools), so that nothing could land. Cause: hiding the start came as the fourth. The three switches and the count of listings that fail are now `Faults`; a restart forgets them as before, but for the hidden start. Behaviour is unchanged; clippy passes again.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -45,12 +45,20 @@
     pub headers: BTreeMap<String, String>,
 }
 
+/// What a test makes it do wrong.
+#[derive(Default)]
+struct Faults {
+    hides_start: bool,
+    holds_streams: bool,
+    refuses_orders: bool,
+    failing_listings: u32,
+}
+
 #[derive(Default)]
 struct State {
     version: u64,
     /// Start of this run, in Unix milliseconds.
     born: u64,
-    hides_start: bool,
     /// Changes with each run, for those who follow what is kept.
     boot: u64,
     orders: Vec<Order>,
@@ -61,14 +69,12 @@
     events: Vec<Value>,
     freed: Vec<(String, String)>,
     runs: Vec<Run>,
-    holds_streams: bool,
-    refuses_orders: bool,
-    failing_listings: u32,
+    faults: Faults,
 }
 
 impl State {
     fn told_start(&self) -> Option<u64> {
-        (!self.hides_start).then_some(self.born)
+        (!self.faults.hides_start).then_some(self.born)
     }
 
     /// The state of a run that has just started.
@@ -134,9 +140,9 @@
     pub fn restart(&self, version: u64) {
         let mut state = self.state();
         let (orders, runs) = (state.orders.clone(), state.runs.clone());
-        let hides_start = state.hides_start;
+        let faults = Faults { hides_start: state.faults.hides_start, ..Faults::default() };
         let born = now_ms().max(state.born + 1);
-        *state = State { born, boot: born, hides_start, orders, runs, ..State::of_run(version) };
+        *state = State { born, boot: born, faults, orders, runs, ..State::of_run(version) };
     }
 
     /// Orders that have arrived.
@@ -167,22 +173,22 @@
 
     /// Lets streams stand still after their first event, unless they go on with one.
     pub fn hold_streams(&self) {
-        self.state().holds_streams = true;
+        self.state().faults.holds_streams = true;
     }
 
     /// Tells nobody when it started, as upstreams of older software.
     pub fn hide_start(&self) {
-        self.state().hides_start = true;
+        self.state().faults.hides_start = true;
     }
 
     /// Takes no order from now on.
     pub fn refuse_orders(&self) {
-        self.state().refuses_orders = true;
+        self.state().faults.refuses_orders = true;
     }
 
     /// Fails the next calls that list what is kept.
     pub fn fail_listings(&self, count: u32) {
-        self.state().failing_listings = count;
+        self.state().faults.failing_listings = count;
     }
 
     /// Has a part whose writing broke off.
@@ -218,7 +224,7 @@
     if order.version == state.version {
         return StatusCode::OK;
     }
-    if state.refuses_orders
+    if state.faults.refuses_orders
         || state.busy
         || order.expected.is_some_and(|expected| expected != state.taken)
     {
@@ -263,8 +269,8 @@
 #[handler]
 fn list(Data(shared): Data<&Shared>) -> poem::Result<Json<Value>> {
     let mut state = shared.lock().expect("state");
-    if state.failing_listings > 0 {
-        state.failing_listings -= 1;
+    if state.faults.failing_listings > 0 {
+        state.faults.failing_listings -= 1;
         return Err(StatusCode::INTERNAL_SERVER_ERROR.into());
     }
     let held: Vec<Value> = state
@@ -312,7 +318,7 @@
         let id = headers.get("x-request-id").cloned().unwrap_or_default();
         let expected = headers.get("expect-version").and_then(|text| text.parse::<u64>().ok());
         let goes_on = headers.contains_key("last-event-id");
-        let holds = state.holds_streams && !goes_on;
+        let holds = state.faults.holds_streams && !goes_on;
         state.runs.push(Run { headers });
         let version = state.version;
         if expected.is_some_and(|expected| expected != version) {
