Tests: what stores of context tell, with items that cannot be read

Ten of thirteen fail on this code: a list with one item of another writer is not read at all, so that nothing of the store is known as long as the item is there; an impossible clock is taken (i64::MIN ends the follower's task with an overflow in a debug build). Those after a spoiled change pass: the call fails, and the store is listed again, each time.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -52,6 +52,7 @@
     holds_streams: bool,
     refuses_orders: bool,
     failing_listings: u32,
+    clock_ms: Option<f64>,
 }
 
 #[derive(Default)]
@@ -66,6 +67,8 @@
     busy: bool,
     held: Vec<(String, String, u32)>,
     partial: Vec<(String, String, u32, u32)>,
+    /// What it lists beside the parts that it keeps.
+    spoiled: Vec<Value>,
     events: Vec<Value>,
     freed: Vec<(String, String)>,
     runs: Vec<Run>,
@@ -77,6 +80,10 @@
         (!self.faults.hides_start).then_some(self.born)
     }
 
+    fn clock(&self) -> Value {
+        self.faults.clock_ms.map_or_else(|| json!(now_ms()), |clock_ms| json!(clock_ms))
+    }
+
     /// The state of a run that has just started.
     fn of_run(version: u64) -> Self {
         let born = now_ms();
@@ -191,6 +198,21 @@
         self.state().faults.failing_listings = count;
     }
 
+    /// Lists something in place of a part that it keeps.
+    pub fn list_also(&self, item: Value) {
+        self.state().spoiled.push(item);
+    }
+
+    /// Tells something in place of a change.
+    pub fn tell_also(&self, change: Value) {
+        self.state().events.push(change);
+    }
+
+    /// Shows this on its clock, in Unix milliseconds.
+    pub fn show_clock(&self, clock_ms: f64) {
+        self.state().faults.clock_ms = Some(clock_ms);
+    }
+
     /// Has a part whose writing broke off.
     pub fn keep_partial(&self, scope: &str, part: &str) {
         self.state().partial.push((scope.to_owned(), part.to_owned(), 16, 500));
@@ -263,7 +285,7 @@
     let state = shared.lock().expect("state");
     let events: Vec<Value> = state.events.iter().skip(since).cloned().collect();
     Json(json!({ "boot_epoch": state.boot, "next_token": state.events.len(), "lost": false,
-        "events": events, "clock_ms": now_ms(), "born": state.told_start() }))
+        "events": events, "clock_ms": state.clock(), "born": state.told_start() }))
 }
 
 #[handler]
@@ -277,6 +299,7 @@
         .held
         .iter()
         .map(|(scope, part, tokens)| json!([scope, part, tokens, MODEL]))
+        .chain(state.spoiled.iter().cloned())
         .collect();
     Ok(Json(json!({ "boot_epoch": state.boot, "next_token": state.events.len(), "held": held,
         "partial": state.partial, "born": state.told_start() })))
--- /dev/null
+++ b/tests/gateway_listings.rs
@@ -0,0 +1,85 @@
+//! What a store of context tells is read item by item: one that cannot be read spoils no
+//! other, and no figure stops a box.
+
+#[path = "common/site.rs"]
+mod common;
+
+use common::{prompt, start_engines, wait_ready};
+use coursestile_standins::site::engine::{Engine, MODEL};
+use coursestile_standins::site::{Gateway, Site, document, engine_services, eventually};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Keeps a sound part.
+const SCOPE: &str = "1.model-a";
+
+/// A box, engines, and a store that was prepared.
+struct Fleet {
+    gateway: Gateway,
+    _engines: Vec<Engine>,
+    _site: Site,
+}
+
+async fn fleet(store: &Engine) -> Fleet {
+    let mut site = Site::start().await;
+    let engines = start_engines(&site, 2).await;
+    let mut config = document(7);
+    config["services"] = engine_services(Some(&store.address));
+    site.configure(&config);
+    site.name_weights(MODEL, 1);
+    let gateway = site.gateway("north", &[]);
+    wait_ready(&gateway).await;
+    Fleet { gateway, _engines: engines, _site: site }
+}
+
+/// Waits for a line of the log.
+async fn logged(gateway: &Gateway, line: &str, count: usize) {
+    eventually(line, async || gateway.logged().matches(line).count() >= count).await;
+}
+
+#[rstest]
+#[case(json!(null))]
+#[case(json!("a part"))]
+#[case(json!({ "scope": SCOPE, "part": "aa" }))]
+#[case(json!([SCOPE, "aa"]))]
+#[case(json!([SCOPE, 7, 100, MODEL]))]
+#[case(json!([SCOPE, "aa", -1, MODEL]))]
+#[case(json!([SCOPE, "aa", 1_u64 << 40, MODEL]))]
+#[tokio::test]
+async fn listed_beside_spoiled(#[case] item: Value) {
+    let store = Engine::start().await;
+    store.keep(SCOPE, "aa", 100);
+    store.list_also(item);
+    let fleet = fleet(&store).await;
+    logged(&fleet.gateway, "parts=1 ", 1).await;
+    logged(&fleet.gateway, "event=items_unreadable", 1).await;
+}
+
+#[rstest]
+#[case(json!(null))]
+#[case(json!([7, "-", SCOPE, "aa"]))]
+#[case(json!([7, "-", SCOPE, "aa", -100, MODEL]))]
+#[tokio::test]
+async fn listed_after_spoiled(#[case] change: Value) {
+    let store = Engine::start().await;
+    let fleet = fleet(&store).await;
+    let listed = "event=holder_listed";
+    logged(&fleet.gateway, listed, 1).await;
+    // What it said is not known, so all must be listed again.
+    store.tell_also(change);
+    logged(&fleet.gateway, listed, 2).await;
+}
+
+#[rstest]
+#[case(f64::MAX)]
+#[case(9_223_372_036_854_775_807.0)]
+#[case(-1e300)]
+#[tokio::test]
+async fn impossible_clock(#[case] clock_ms: f64) {
+    let store = Engine::start().await;
+    store.show_clock(clock_ms);
+    let fleet = fleet(&store).await;
+    logged(&fleet.gateway, "event=items_unreadable", 1).await;
+    assert_eq!(prompt(&fleet.gateway, "p-1").await, 200);
+    assert!(!fleet.gateway.logged().contains("panicked"), "{}", fleet.gateway.logged());
+}
