Read what holders tell item by item; refuse a clock that none can show

Cause: a list or a row of changes was decoded as a whole, so that one item of another writer kept all of a store unknown, and each try listed it again, which stops engines. A clock of any size was taken as the difference of clocks: i64::MIN overflows, and since the largest difference counts, one that is far ahead would have let orders to free run for ever.

--- a/src/gateway/kept.rs
+++ b/src/gateway/kept.rs
@@ -25,7 +25,7 @@
     pub boot: u64,
     /// Place to go on from.
     pub next: u64,
-    /// Some changes in between are missing.
+    /// Some changes in between are missing, or could not be read.
     pub gap: bool,
     /// The changes, in order.
     pub changes: Vec<CacheChange>,
@@ -33,6 +33,8 @@
     pub clock_ms: Option<u64>,
     /// Start of the holder's run, if it is told.
     pub started_at_ms: Option<u64>,
+    /// Items and figures that could not be read.
+    pub unreadable: usize,
 }
 
 /// All that a holder keeps.
@@ -46,6 +48,8 @@
     pub held: Vec<CacheChange>,
     /// Parts whose writing broke off, or goes on.
     pub partial: Vec<PartialPart>,
+    /// Items that could not be read.
+    pub unreadable: usize,
 }
 
 /// A part that is not whole.
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use reqwest::{RequestBuilder, StatusCode};
-use serde::de::DeserializeOwned;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
@@ -17,6 +18,24 @@
 pub const EVENTS_WAIT_MS: u64 = 1000;
 /// Time in which a call must be answered beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// What no clock shows, in Unix milliseconds: the year 10000.
+const MOST_CLOCK_MS: f64 = 253_402_300_800_000.0;
+
+/// An item of a list. Each is read by itself: what another writer put there spoils no other.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Item<T> {
+    Read(T),
+    Unreadable(IgnoredAny),
+}
+
+/// Number, sign, scope, part, tokens that are kept now, model. The sign says no more than
+/// the tokens.
+type Event = (u64, String, String, String, u32, String);
+/// Scope, part, tokens, model.
+type Held = (String, String, u32, String);
+/// Scope, part, whole tokens, all tokens.
+type Partial = (String, String, u32, u32);
 
 #[derive(Deserialize)]
 struct EventsBody {
@@ -26,7 +45,7 @@
     #[serde(default)]
     lost: bool,
     #[serde(default)]
-    events: Vec<(u64, String, String, String, u32, String)>,
+    events: Vec<Item<Event>>,
     clock_ms: Option<f64>,
     /// Unix milliseconds of its start.
     born: Option<u64>,
@@ -37,9 +56,9 @@
     boot_epoch: u64,
     next_token: u64,
     #[serde(default)]
-    held: Vec<(String, String, u32, String)>,
+    held: Vec<Item<Held>>,
     #[serde(default)]
-    partial: Vec<(String, String, u32, u32)>,
+    partial: Vec<Item<Partial>>,
 }
 
 #[derive(Serialize)]
@@ -70,19 +89,7 @@
         let url = format!("http://{address}/coursestile/kv-events?since={since}");
         let timeout = CALL_TIMEOUT + Duration::from_millis(EVENTS_WAIT_MS);
         let request = self.http.get(&url).header("Wait-Ms", EVENTS_WAIT_MS).timeout(timeout);
-        let body: EventsBody = self.json(request).await?;
-        // The sign says no more than the tokens that are kept now.
-        let changes = body.events.into_iter().map(|(_, _sign, scope, part, tokens, _model)| {
-            CacheChange { kept: KeptPart { scope, part }, tokens }
-        });
-        Ok(CacheChanges {
-            boot: body.boot_epoch,
-            next: body.next_token,
-            gap: body.lost,
-            changes: changes.collect(),
-            clock_ms: body.clock_ms.map(whole_ms),
-            started_at_ms: body.born,
-        })
+        read_changes(&self.bytes(request).await?)
     }
 
     /// Lists all that is kept. Engines stop working meanwhile.
@@ -91,31 +98,17 @@
     /// Fails when the holder does not answer as it should.
     pub async fn list(&self, address: SocketAddr) -> Result<CacheListing> {
         let url = format!("http://{address}/coursestile/kv-list");
-        let body: ListBody = self.json(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
-        let held = body
-            .held
-            .into_iter()
-            .map(|(scope, part, tokens, _)| CacheChange { kept: KeptPart { scope, part }, tokens });
-        let partial = body.partial.into_iter().map(|(scope, part, whole_tokens, _)| PartialPart {
-            kept: KeptPart { scope, part },
-            whole_tokens,
-        });
-        Ok(CacheListing {
-            boot: body.boot_epoch,
-            next: body.next_token,
-            held: held.collect(),
-            partial: partial.collect(),
-        })
+        read_listing(&self.bytes(self.http.get(&url).timeout(CALL_TIMEOUT)).await?)
     }
 
-    /// Sends a call and decodes the body of its answer.
-    async fn json<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T> {
+    /// Sends a call; the body of its answer.
+    async fn bytes(&self, request: RequestBuilder) -> Result<Bytes> {
         let answer = self.http.send(request).await?;
         // Each holder serves a few such calls at once.
         if answer.status() == StatusCode::TOO_MANY_REQUESTS {
             return Err(Error::Busy(answer.url().to_string()));
         }
-        self.http.body(self.http.success(answer)?).await
+        self.http.bytes(self.http.success(answer)?).await
     }
 
     /// Frees parts of a store, unless it has restarted since `boot` or
@@ -143,3 +136,74 @@
         Ok(Freed::Done)
     }
 }
+
+/// Reads changes of what is kept.
+///
+/// # Errors
+/// Fails when they are not such; an event that is none makes a gap.
+pub fn read_changes(body: &[u8]) -> Result<CacheChanges> {
+    let body: EventsBody = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
+    let (events, spoiled) = readable(body.events);
+    let clock_ms = body.clock_ms.map(read_clock);
+    let bad_clock = usize::from(clock_ms == Some(None));
+    let changes = events.into_iter().map(|(_, _, scope, part, tokens, _)| CacheChange {
+        kept: KeptPart { scope, part },
+        tokens,
+    });
+    Ok(CacheChanges {
+        boot: body.boot_epoch,
+        next: body.next_token,
+        gap: body.lost || spoiled > 0,
+        changes: changes.collect(),
+        clock_ms: clock_ms.flatten(),
+        started_at_ms: body.born,
+        unreadable: spoiled + bad_clock,
+    })
+}
+
+/// Reads a list of all that is kept.
+///
+/// # Errors
+/// Fails when it is none; an item that is no part is left out.
+pub fn read_listing(body: &[u8]) -> Result<CacheListing> {
+    let body: ListBody = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
+    let (held, spoiled_held) = readable(body.held);
+    let (partial, spoiled_partial) = readable(body.partial);
+    let held = held
+        .into_iter()
+        .map(|(scope, part, tokens, _)| CacheChange { kept: KeptPart { scope, part }, tokens });
+    let partial = partial.into_iter().map(|(scope, part, whole_tokens, _)| PartialPart {
+        kept: KeptPart { scope, part },
+        whole_tokens,
+    });
+    Ok(CacheListing {
+        boot: body.boot_epoch,
+        next: body.next_token,
+        held: held.collect(),
+        partial: partial.collect(),
+        unreadable: spoiled_held + spoiled_partial,
+    })
+}
+
+/// The items that can be read, and how many cannot.
+fn readable<T>(items: Vec<Item<T>>) -> (Vec<T>, usize) {
+    let all = items.len();
+    let read: Vec<T> = items
+        .into_iter()
+        .filter_map(|item| match item {
+            Item::Read(read) => Some(read),
+            Item::Unreadable(_) => None,
+        })
+        .collect();
+    let unreadable = all - read.len();
+    (read, unreadable)
+}
+
+/// A clock in whole milliseconds, if it can be one.
+fn read_clock(clock_ms: f64) -> Option<u64> {
+    (0.0..MOST_CLOCK_MS).contains(&clock_ms).then(|| whole_ms(clock_ms))
+}
+
+fn unreadable(error: &serde_json::Error) -> Error {
+    Error::Upstream(error.to_string())
+}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -59,13 +59,8 @@
     /// Fails when the engine does not answer as it should.
     pub async fn report(&self, address: SocketAddr) -> Result<EngineReport> {
         let url = format!("http://{address}/coursestile/report");
-        let body: ReportBody = self.http.json(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
-        Ok(EngineReport {
-            models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
-            busy: body.busy,
-            orders_taken: body.seq,
-            started_at_ms: body.born,
-        })
+        let answer = self.http.send(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
+        read_report(&self.http.bytes(self.http.success(answer)?).await?)
     }
 
     /// Gives an order.
@@ -97,3 +92,18 @@
         }
     }
 }
+
+/// Reads an engine's report.
+///
+/// # Errors
+/// Fails when it is none.
+pub fn read_report(body: &[u8]) -> Result<EngineReport> {
+    let body: ReportBody =
+        serde_json::from_slice(body).map_err(|error| Error::Upstream(error.to_string()))?;
+    Ok(EngineReport {
+        models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
+        busy: body.busy,
+        orders_taken: body.seq,
+        started_at_ms: body.born,
+    })
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use log::warn;
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde::de::DeserializeOwned;
@@ -94,21 +95,20 @@
         answer.error_for_status().map_err(|error| self.failed(&error))
     }
 
-    /// Decodes an answer's body.
+    /// An answer's body as it is.
     ///
     /// # Errors
-    /// Fails when it is not what was expected.
-    pub async fn body<T: DeserializeOwned>(&self, answer: Response) -> Result<T> {
-        answer.json().await.map_err(|error| self.failed(&error))
+    /// Fails when it does not arrive whole.
+    pub async fn bytes(&self, answer: Response) -> Result<Bytes> {
+        answer.bytes().await.map_err(|error| self.failed(&error))
     }
 
-    /// Sends a request and decodes the body of its answer.
+    /// Decodes an answer's body.
     ///
     /// # Errors
-    /// Fails when any of that does.
-    pub async fn json<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T> {
-        let answer = self.send(request).await?;
-        self.body(self.success(answer)?).await
+    /// Fails when it is not what was expected.
+    pub async fn body<T: DeserializeOwned>(&self, answer: Response) -> Result<T> {
+        answer.json().await.map_err(|error| self.failed(&error))
     }
 
     /// Gives up the connections that wait for a call.
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -1,11 +1,12 @@
 //! Entries of upstreams that come from another writer name no upstream, and take out what
-//! their key named before; the others hold.
+//! their key named before; the others hold. No reader of what others write ever panics.
 
 #[path = "common/site.rs"]
 mod common;
 
 use common::{Scene, is_ready, scene};
-use coursestile::platform::keys;
+use coursestile::gateway::holder::Holder;
+use coursestile::platform::{caches, engine, keys};
 use coursestile_standins::site::{entry, eventually};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -127,6 +128,31 @@
     assert_eq!(scene.gateway.logged().matches("upstream_unreadable").count(), 1);
 }
 
+/// What holders and engines tell, as they write it.
+fn told() -> [String; 3] {
+    let change = json!([4, "+", "1.m", "aa", 100, "m"]);
+    let events = json!({ "boot_epoch": 7, "next_token": 9, "lost": false, "events": [change],
+        "clock_ms": 1_790_000_000_000.5, "born": 1_790_000_000_000_u64 });
+    let list = json!({ "boot_epoch": 7, "next_token": 9, "held": [["1.m", "aa", 100, "m"]],
+        "partial": [["1.m", "bb", 16, 500]] });
+    let report = json!({ "busy": true, "seq": 3, "born": 1_790_000_000_000_u64,
+        "models": [{ "name": "m", "version": 2 }] });
+    [events, list, report].map(|one| one.to_string())
+}
+
+/// Puts what one reads into a box's picture of a holder: no figure may stop it.
+fn take(text: &[u8]) {
+    let mut holder = Holder::with_log();
+    if let Ok(changes) = caches::read_changes(text) {
+        holder.changed(&changes);
+    }
+    if let Ok(listing) = caches::read_listing(text) {
+        holder.listed(&listing);
+    }
+    // What it says of such bytes is of no concern here.
+    let _ = engine::read_report(text);
+}
+
 /// An entry as upstreams write it, with one of its fields put in the place of another.
 fn mixed_entry(from: usize, to: usize) -> Vec<u8> {
     let mut entry = entry("plain", "10.0.0.1:80", "ready");
@@ -145,6 +171,16 @@
         let _ = keys::read_upstream("u", &bytes);
         let _ = keys::read_site(&bytes);
         let _ = keys::read_weights("m", &bytes);
+        take(&bytes);
+    }
+
+    #[test]
+    fn told_with_flaws(which in 0_usize..3, at in 0_usize..200, bytes in "[0-9eE.,\\[\\]\"{}a-]{0,24}", cut in 0_usize..4) {
+        let mut text = told()[which].clone().into_bytes();
+        let at = at % text.len();
+        let end = (at + cut).min(text.len());
+        text.splice(at..end, bytes.into_bytes());
+        take(&text);
     }
 
     #[test]
--- a/tests/gateway_listings.rs
+++ b/tests/gateway_listings.rs
@@ -24,6 +24,8 @@
     let mut site = Site::start().await;
     let engines = start_engines(&site, 2).await;
     let mut config = document(7);
+    config["routes"][2]["service"] = json!("llm");
+    config["routes"][2]["path_prefix"] = json!("/run/");
     config["services"] = engine_services(Some(&store.address));
     site.configure(&config);
     site.name_weights(MODEL, 1);
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -19,11 +19,19 @@
 }
 
 fn changes(boot: u64, changes: Vec<CacheChange>) -> CacheChanges {
-    CacheChanges { boot, next: 0, gap: false, changes, clock_ms: None, started_at_ms: None }
+    CacheChanges {
+        boot,
+        next: 0,
+        gap: false,
+        changes,
+        clock_ms: None,
+        started_at_ms: None,
+        unreadable: 0,
+    }
 }
 
 fn listing(boot: u64) -> CacheListing {
-    CacheListing { boot, next: 0, held: Vec::new(), partial: Vec::new() }
+    CacheListing { boot, next: 0, held: Vec::new(), partial: Vec::new(), unreadable: 0 }
 }
 
 #[derive(Clone, Debug)]
