Soak: upstreams that start again under their id, in a third stream of steps

The earlier streams keep their steps, so that each seed of before means what it did. Plain upstreams and engines lose their connections and have another start in their entry; one restart of an engine in three is told by nobody but itself, and engines come back with the weights that they had first. New promise, for all streams: in the end each engine has the weights that were named last. `--first-only` is now `--streams 1`.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -46,9 +46,19 @@
     pub seconds: u64,
     /// Boxes.
     pub boxes: usize,
-    /// Whether the steps of the second stream happen too: connections and datagrams
-    /// between boxes that go silent, a store that goes silent after a change.
-    pub silences: bool,
+    /// Which streams of steps happen.
+    pub streams: Streams,
+}
+
+/// Streams of steps. Each adds to those before, whose steps stay what they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Streams {
+    /// Faults and planned work.
+    First,
+    /// Connections and datagrams between boxes go silent too, and a store after a change.
+    Silences,
+    /// Upstreams start again under their id too.
+    Restarts,
 }
 
 /// What came of a run.
@@ -75,9 +85,12 @@
     let mut violations = agree(&world).await;
     let began = Instant::now();
     let mut steps = plan::steps(options.seed, options.seconds * 1000);
-    if options.silences {
+    if options.streams >= Streams::Silences {
         steps.extend(plan::silences(options.seed, options.seconds * 1000));
     }
+    if options.streams >= Streams::Restarts {
+        steps.extend(plan::restarts(options.seed, options.seconds * 1000));
+    }
     let record = Arc::new(Mutex::new(Seen::default()));
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
@@ -95,6 +108,7 @@
     play(&world, &steps, began).await;
     world.heal();
     violations.extend(agree(&world).await);
+    violations.extend(loaded(&world).await);
     stop.store(true, Ordering::Relaxed);
     for client in clients {
         client.await?;
@@ -142,6 +156,18 @@
     behind
 }
 
+/// Waits until every engine has the weights that were named last.
+async fn loaded(world: &World) -> Vec<String> {
+    let until = Instant::now() + AGREE_TIMEOUT;
+    loop {
+        let behind = world.engines_behind();
+        if behind.is_empty() || Instant::now() > until {
+            return behind;
+        }
+        sleep(ASK_PAUSE).await;
+    }
+}
+
 async fn serves_version(address: &str, version: u64) -> bool {
     let asking = async {
         let mut client = Client::try_connect(address).await.ok()?;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use coursestile_soak::{Options, Report, run};
+use coursestile_soak::{Options, Report, Streams, run};
 use lexopt::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -16,7 +16,8 @@
       --count N     Runs, each with the next seed (default 1)
       --seconds N   Length of each run (default 20)
       --boxes N     Boxes (default 4)
-      --first-only  Without the steps of the second stream, as seeds once were
+      --streams N   1: faults and planned work; 2: silences too; 3: upstreams
+                    start again too (default 3)
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -33,7 +34,12 @@
 }
 
 fn parse() -> Result<Option<Args>, lexopt::Error> {
-    let options = Options { seed: fastrand::u64(..1 << 32), seconds: 20, boxes: 4, silences: true };
+    let options = Options {
+        seed: fastrand::u64(..1 << 32),
+        seconds: 20,
+        boxes: 4,
+        streams: Streams::Restarts,
+    };
     let mut args = Args { options, count: 1, steps: false };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -42,7 +48,7 @@
             Long("count") => args.count = parser.value()?.parse()?,
             Long("seconds") => args.options.seconds = parser.value()?.parse()?,
             Long("boxes") => args.options.boxes = parser.value()?.parse()?,
-            Long("first-only") => args.options.silences = false,
+            Long("streams") => args.options.streams = streams(&parser.value()?.string()?)?,
             Long("steps") => args.steps = true,
             Short('h') | Long("help") => return Ok(None),
             other => return Err(other.unexpected()),
@@ -54,6 +60,15 @@
     Ok(Some(args))
 }
 
+fn streams(text: &str) -> Result<Streams, lexopt::Error> {
+    match text {
+        "1" => Ok(Streams::First),
+        "2" => Ok(Streams::Silences),
+        "3" => Ok(Streams::Restarts),
+        _ => Err("--streams: 1, 2 or 3 is needed".into()),
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args = match parse() {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -21,6 +21,10 @@
 
 /// Sets the second stream of steps apart from the first.
 const SECOND_STREAM: u64 = 0x5117_e4ce;
+/// Sets the third stream apart from both.
+const THIRD_STREAM: u64 = 0x0a9a_1d5e;
+/// Pause between two steps of the third stream: some come twice within a second.
+const RESTART_PAUSE_MS: std::ops::Range<u64> = 200..1800;
 /// Longest pause before the first step of the second stream in a cycle.
 const FIRST_SILENCE_MS: u64 = 1200;
 /// How long a step of the second stream takes.
@@ -108,6 +112,10 @@
     Silenced(Way),
     /// Datagrams and connections between a box and the others are spoiled.
     PeersLink(Link, Side),
+    /// An upstream starts again under the id that it had.
+    UpstreamRestarts,
+    /// An engine does, with the weights that it had first.
+    EngineRestarts,
     /// Planned: a box is stopped, and started again when it has ended.
     BoxStopped,
     /// Planned: a box reads its settings again.
@@ -230,6 +238,23 @@
     steps
 }
 
+/// Upstreams that start again under their id, from a third stream.
+#[must_use]
+pub fn restarts(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ THIRD_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.u64(RESTART_PAUSE_MS);
+    while at_ms < length_ms {
+        if at_ms % CYCLE_MS < FAULTS_MS {
+            let event = if rng.bool() { Event::EngineRestarts } else { Event::UpstreamRestarts };
+            let until_ms = at_ms + FAULT_MS.start;
+            steps.push(Step { at_ms, until_ms, event, pick: rng.usize(..1000) });
+        }
+        at_ms += rng.u64(RESTART_PAUSE_MS);
+    }
+    steps
+}
+
 /// When all boxes must go by what the store took at `from_ms`: `bound_ms` later, or
 /// that long after the end of the faults that come up to then.
 #[must_use]
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -3,7 +3,7 @@
 use std::io::Result;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::metadata::Trouble;
@@ -32,6 +32,8 @@
 const SILENT_AFTER_MS: usize = 25;
 /// How often a box that is to stop is looked at.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// One restart of an engine in so many is told by no entry.
+const UNTOLD_ONE_IN: usize = 3;
 /// Answers that an upstream spoils at a time.
 const ACTS: usize = 5;
 /// What an upstream may do in place of an answer.
@@ -101,6 +103,8 @@
     leaves: Mutex<Vec<Leave>>,
     /// For each upstream, the steps in which it is about to leave.
     leaving: Vec<AtomicUsize>,
+    /// For each upstream, the start that its entry tells; none at first.
+    starts_ms: Vec<AtomicU64>,
 }
 
 /// Path of a route that only one version of the configuration has.
@@ -162,9 +166,20 @@
         let peers: Vec<&str> = started.iter().map(|one| one.process.peers.as_str()).collect();
         let mesh = Mesh::start(&peers).await?;
         let (weights, leaves) = (AtomicU64::new(1), Mutex::default());
-        let leaving = upstreams.iter().map(|_| AtomicUsize::new(0)).collect();
-        let boxes = started;
-        Ok(Self { site, boxes, upstreams, engines, mesh, newest, weights, leaves, leaving })
+        let leaving = upstreams.iter().map(|_| AtomicUsize::default()).collect();
+        let starts_ms = upstreams.iter().map(|_| AtomicU64::default()).collect();
+        Ok(Self {
+            site,
+            boxes: started,
+            upstreams,
+            engines,
+            mesh,
+            newest,
+            weights,
+            leaves,
+            leaving,
+            starts_ms,
+        })
     }
 
     /// When upstreams were about to leave.
@@ -239,22 +254,61 @@
                 self.site.name_weights(MODEL, version);
             }
             Event::UpstreamLeaves => self.leave(pick, time + LEAVES).await,
+            Event::UpstreamRestarts => self.restart_upstream(pick, time).await,
+            Event::EngineRestarts => self.restart_engine(pick, time).await,
         }
     }
 
+    /// Has an upstream start again under its id: its connections break, and its entry tells
+    /// of another start.
+    async fn restart_upstream(&self, pick: usize, time: Duration) {
+        let number = pick % self.upstreams.len();
+        spoil(&self.upstreams[number].proxy, Link::Reset, time).await;
+        self.starts_ms[number].store(now_ms(), Ordering::SeqCst);
+        let is_leaving = self.leaving[number].load(Ordering::SeqCst) > 0;
+        self.enter(number, if is_leaving { "draining" } else { "ready" });
+    }
+
+    /// Has an engine start again under its id, with the weights that it had first. One in
+    /// so many times no entry tells of it, but the engine itself.
+    async fn restart_engine(&self, pick: usize, time: Duration) {
+        let number = pick % self.engines.len();
+        let engine = &self.engines[number];
+        engine.process.restart(1);
+        spoil(&engine.proxy, Link::Reset, time).await;
+        if pick.is_multiple_of(UNTOLD_ONE_IN) {
+            return;
+        }
+        let mut entry = engine_entry(ENGINE_SERVICE, &engine.proxy.address, MODEL, 1);
+        entry["born"] = json!(engine.process.born());
+        entry["seq"] = json!(0);
+        self.site.enter(&format!("e-{number}"), &entry);
+    }
+
+    /// Engines that do not have the weights named last, in words.
+    #[must_use]
+    pub fn engines_behind(&self) -> Vec<String> {
+        let named = self.weights.load(Ordering::SeqCst);
+        let versions = self.engines.iter().map(|engine| engine.process.version()).enumerate();
+        let behind = versions.filter(|(_, version)| *version != named);
+        behind
+            .map(|(one, version)| format!("engine {one} has weights {version}, not {named}"))
+            .collect()
+    }
+
     /// Has an upstream be about to leave for a while.
     async fn leave(&self, pick: usize, time: Duration) {
-        let upstream = &self.upstreams[pick % self.upstreams.len()];
-        let leaving = &self.leaving[pick % self.upstreams.len()];
+        let number = pick % self.upstreams.len();
+        let leaving = &self.leaving[number];
         leaving.fetch_add(1, Ordering::SeqCst);
         let from = Instant::now();
-        self.enter(upstream, "draining");
+        self.enter(number, "draining");
         sleep(time).await;
-        let id = upstream.process.id.clone();
+        let id = self.upstreams[number].process.id.clone();
         self.leaves().push(Leave { id, from, until: Instant::now() });
         // Other steps may go on.
         if leaving.fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.enter(upstream, "ready");
+            self.enter(number, "ready");
         }
     }
 
@@ -294,8 +348,13 @@
         }
     }
 
-    fn enter(&self, upstream: &Behind<Server>, state: &str) {
-        let entry = entry("plain", &upstream.proxy.address, state);
+    fn enter(&self, number: usize, state: &str) {
+        let upstream = &self.upstreams[number];
+        let mut entry = entry("plain", &upstream.proxy.address, state);
+        let start_ms = self.starts_ms[number].load(Ordering::SeqCst);
+        if start_ms > 0 {
+            entry["born"] = json!(start_ms);
+        }
         self.site.enter(&upstream.process.id, &entry);
     }
 
@@ -314,9 +373,12 @@
         }
         self.mesh.heal();
         self.start_ended();
-        for one in &self.upstreams {
+        for one in &self.engines {
+            one.proxy.set(Link::Sound);
+        }
+        for (number, one) in self.upstreams.iter().enumerate() {
             one.proxy.set(Link::Sound);
-            self.enter(one, "ready");
+            self.enter(number, "ready");
         }
     }
 
@@ -338,3 +400,8 @@
     sleep(time).await;
     proxy.set(Link::Sound);
 }
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or_default()
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -1,6 +1,6 @@
 //! Short runs with fixed seeds, and every seed that ever failed.
 
-use coursestile_soak::{Options, run};
+use coursestile_soak::{Options, Streams, run};
 use rstest::rstest;
 
 #[rstest]
@@ -8,7 +8,7 @@
 #[case::two(2)]
 #[tokio::test]
 async fn short_runs(#[case] seed: u64) {
-    holds(Options { seed, seconds: 10, boxes: 3, silences: false }).await;
+    holds(Options { seed, seconds: 10, boxes: 3, streams: Streams::First }).await;
 }
 
 // The plan has been changed since: a seed means other steps than it did then. Steps of
@@ -24,20 +24,28 @@
 #[case::made_up_event_again(151)]
 #[tokio::test]
 async fn failed_once(#[case] seed: u64) {
-    holds(Options { seed, seconds: 14, boxes: 4, silences: false }).await;
+    holds(Options { seed, seconds: 14, boxes: 4, streams: Streams::First }).await;
 }
 
 // All boxes' watches were lost: the store fell silent right after a change had ended
 // them and they had been sent again. They hung for seconds after its return.
 #[tokio::test]
 async fn watches_lost() {
-    holds(Options { seed: 9121, seconds: 14, boxes: 4, silences: true }).await;
+    holds(Options { seed: 9121, seconds: 14, boxes: 4, streams: Streams::Silences }).await;
 }
 
 // The same, and upstreams that said meanwhile that they leave still got work.
 #[tokio::test]
 async fn leaves_missed() {
-    holds(Options { seed: 9322, seconds: 14, boxes: 4, silences: true }).await;
+    holds(Options { seed: 9322, seconds: 14, boxes: 4, streams: Streams::Silences }).await;
+}
+
+#[rstest]
+#[case::one(31)]
+#[case::two(32)]
+#[tokio::test]
+async fn with_restarts(#[case] seed: u64) {
+    holds(Options { seed, seconds: 12, boxes: 3, streams: Streams::Restarts }).await;
 }
 
 async fn holds(options: Options) {
