Gateway: what is decided in a folder of its own, decisions/

25 files of the gateway read no clock and make no call; they stood among those that do, and only a table in CONTRIBUTING.md told which they were. A move, with paths of imports changed and no logic: `cargo clippy` clean, the tests of decisions, restarts, releases and listings pass.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,14 +10,14 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
-use crate::gateway::choose::Choice;
 use crate::gateway::connections::{SendError, Sender, send};
+use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::site::Repeat;
+use crate::gateway::decisions::units::whole_ms;
+use crate::gateway::decisions::urgency;
 use crate::gateway::heads::{AnswerHead, Forward};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::place::Place;
-use crate::gateway::site::Repeat;
-use crate::gateway::units::whole_ms;
-use crate::gateway::urgency;
 use crate::platform::exchange;
 
 /// Time that a transfer of context may take.
--- a/src/gateway/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -10,10 +10,10 @@
 
 use std::collections::HashMap;
 
-use crate::gateway::names::number;
-use crate::gateway::sources::READ_TOKENS_PER_MS;
-use crate::gateway::units::as_f64;
-use crate::gateway::upstream::Load;
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::sources::READ_TOKENS_PER_MS;
+use crate::gateway::decisions::units::as_f64;
+use crate::gateway::decisions::upstream::Load;
 
 /// Part of an engine's memory that requests may ask for, those of the most urgent rank:
 /// they ask for all that they may generate, and most of them end before.
--- a/src/gateway/budget.rs
+++ b/src/gateway/decisions/budget.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::gateway::units::as_f64;
+use crate::gateway::decisions::units::as_f64;
 
 /// Part of the budget that is spent at most; the rest covers boxes that do not
 /// know of each other, and windows that are counted otherwise.
--- a/src/gateway/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -5,16 +5,16 @@
 //! what it must read again. A part read again although it is kept somewhere
 //! costs more than its time, since it takes the engine from others.
 
-use crate::gateway::admission::{Asked, Capacity, Room, room};
-use crate::gateway::context::ContextPlan;
-use crate::gateway::incarnation::Incarnation;
-use crate::gateway::prompt::Prompt;
-use crate::gateway::site::EngineSpec;
-use crate::gateway::sources::{Lookup, READ_TOKENS_PER_MS, REREAD_WEIGHT};
-use crate::gateway::stores::{Placing, Stores};
-use crate::gateway::upstream::{Load, Upstream};
-use crate::gateway::upstreams::Upstreams;
-use crate::gateway::weights::NamedWeights;
+use crate::gateway::decisions::admission::{Asked, Capacity, Room, room};
+use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::site::EngineSpec;
+use crate::gateway::decisions::sources::{Lookup, READ_TOKENS_PER_MS, REREAD_WEIGHT};
+use crate::gateway::decisions::stores::{Placing, Stores};
+use crate::gateway::decisions::upstream::{Load, Upstream};
+use crate::gateway::decisions::upstreams::Upstreams;
+use crate::gateway::decisions::weights::NamedWeights;
 
 /// Cost of another running request: an engine's step grows by 0.1 ms for each,
 /// over some thirty steps.
--- a/src/gateway/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::upstream::{Load, SILENT_MS};
-use crate::gateway::view::Mark;
+use crate::gateway::decisions::upstream::{Load, SILENT_MS};
+use crate::gateway::decisions::view::Mark;
 
 /// Upstreams whose load is told in one message.
 const NAMED_LOADS: usize = 80;
--- a/src/gateway/holder.rs
+++ b/src/gateway/decisions/holder.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::kept::{CacheChange, CacheChanges, CacheListing};
+use crate::gateway::decisions::kept::{CacheChange, CacheChanges, CacheListing};
 
 /// Names a part under a scope, the same in every box. Should two parts have the
 /// same name, one is believed to be where the other is, and missed there.
--- /dev/null
+++ b/src/gateway/decisions/mod.rs
@@ -0,0 +1,34 @@
+//! What the gateway decides, and what it decides by: no clock, no I/O, no tasks. Time is an
+//! argument, and randomness is seeded.
+//!
+//! - Where a request runs: `choose`, by `prompt`, `upstream`, `upstreams` and `incarnation`.
+//! - Where its context comes from and goes: `sources`, `stores`, `holder`, `kept`, `context`.
+//! - Who is served and who has had its share: `admission`, `budget`, `urgency`.
+//! - Which weights engines get, and when old context may go: `rollout`, `weights`, `orders`,
+//!   `release`.
+//! - What is known, from whom: `view`, `peers`, `site`, `gossip_message`.
+//! - Numbers and names that all share: `units`, `names`.
+
+pub mod admission;
+pub mod budget;
+pub mod choose;
+pub mod context;
+pub mod gossip_message;
+pub mod holder;
+pub mod incarnation;
+pub mod kept;
+pub mod names;
+pub mod orders;
+pub mod peers;
+pub mod prompt;
+pub mod release;
+pub mod rollout;
+pub mod site;
+pub mod sources;
+pub mod stores;
+pub mod units;
+pub mod upstream;
+pub mod upstreams;
+pub mod urgency;
+pub mod view;
+pub mod weights;
--- a/src/gateway/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -11,8 +11,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
-use crate::gateway::gossip_message::{Gossip, StoreLink};
-use crate::gateway::view::Mark;
+use crate::gateway::decisions::gossip_message::{Gossip, StoreLink};
+use crate::gateway::decisions::view::Mark;
 
 /// Time between two messages to the same peers.
 pub const GOSSIP_PERIOD_MS: u64 = 250;
--- a/src/gateway/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -2,9 +2,9 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use crate::gateway::gossip_message::{Gossip, StoreLink};
-use crate::gateway::names::number;
-use crate::gateway::peers::{Peer, Peers, SMALL_FLEET};
+use crate::gateway::decisions::gossip_message::{Gossip, StoreLink};
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::peers::{Peer, Peers, SMALL_FLEET};
 
 /// Boxes of a hall that follow the metadata store in a larger fleet; the others
 /// learn from them. One may fail.
--- a/src/gateway/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::gateway::peers::Peers;
-use crate::gateway::upstream::Load;
+use crate::gateway::decisions::peers::Peers;
+use crate::gateway::decisions::upstream::Load;
 
 impl Peers {
     /// Load that all other boxes put on upstreams, by their numbers.
--- a/src/gateway/release.rs
+++ b/src/gateway/decisions/release.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 
-use crate::gateway::context::OLD_STORES_MS;
+use crate::gateway::decisions::context::OLD_STORES_MS;
 
 /// Time that any transfer named under old weights takes at most, and more.
 pub const TRANSFERS_OVER_MS: u64 = 2600;
--- a/src/gateway/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -6,15 +6,15 @@
 //! it again is cheaper. Only a part that is known to be whole is fetched from a
 //! store.
 
-use crate::gateway::choose::Demand;
-use crate::gateway::context::{ContextPlan, OLD_STORES_MS, Save, Source, scope};
-use crate::gateway::holder::PartKey;
-use crate::gateway::prompt::Prompt;
-use crate::gateway::site::{EngineSpec, Store};
-use crate::gateway::stores::{StoreState, Stores};
-use crate::gateway::units::as_f64;
-use crate::gateway::upstream::Upstream;
-use crate::gateway::upstreams::Upstreams;
+use crate::gateway::decisions::choose::Demand;
+use crate::gateway::decisions::context::{ContextPlan, OLD_STORES_MS, Save, Source, scope};
+use crate::gateway::decisions::holder::PartKey;
+use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::site::{EngineSpec, Store};
+use crate::gateway::decisions::stores::{StoreState, Stores};
+use crate::gateway::decisions::units::as_f64;
+use crate::gateway::decisions::upstream::Upstream;
+use crate::gateway::decisions::upstreams::Upstreams;
 
 /// Prompt tokens that an engine reads in a millisecond, until it is measured.
 pub const READ_TOKENS_PER_MS: f64 = 50.0;
--- a/src/gateway/stores.rs
+++ b/src/gateway/decisions/stores.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::gateway::holder::{Holder, PartKey};
-use crate::gateway::names::number;
-use crate::gateway::site::Store;
-use crate::gateway::units::as_f64;
+use crate::gateway::decisions::holder::{Holder, PartKey};
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::site::Store;
+use crate::gateway::decisions::units::as_f64;
 
 /// Part of a store that is filled at most, so that the estimate of its content
 /// may be off.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -9,9 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::holder::Holder;
-use crate::gateway::incarnation::{Incarnation, is_other_run};
-use crate::gateway::names::number;
+use crate::gateway::decisions::holder::Holder;
+use crate::gateway::decisions::incarnation::{Incarnation, is_other_run};
+use crate::gateway::decisions::names::number;
 
 /// Silence after which an upstream that owes answers gets no more work; well
 /// over the longest step of a loaded engine.
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::gateway::incarnation::Incarnation;
-use crate::gateway::upstream::{Entry, Told, Upstream};
+use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::upstream::{Entry, Told, Upstream};
 
 /// The upstreams of all services.
 #[derive(Debug, Default)]
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -4,8 +4,8 @@
 use log::{info, warn};
 
 use crate::clock::now_ms;
+use crate::gateway::decisions::upstream::Told;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::upstream::Told;
 use crate::platform::keys;
 
 /// Takes an upstream's entry; whether who can be asked has changed.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,13 +16,13 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::decisions::units::whole_ms;
+use crate::gateway::decisions::view::{CatchUp, Changed, Snapshot, Written};
 use crate::gateway::entries;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
 use crate::gateway::metadata::{Change, Item, Wait, Watched};
 use crate::gateway::settings::Bounds;
-use crate::gateway::units::whole_ms;
-use crate::gateway::view::{CatchUp, Changed, Snapshot, Written};
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
 
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -11,11 +11,11 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::decisions::holder::Holder;
+use crate::gateway::decisions::kept::{CacheChanges, CacheListing};
+use crate::gateway::decisions::upstream::Told;
 use crate::gateway::entries;
-use crate::gateway::holder::Holder;
-use crate::gateway::kept::{CacheChanges, CacheListing};
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::upstream::Told;
 use crate::phase::Phase;
 
 /// Longest time for which a box that starts waits to hear of its peers; the first
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,16 +13,16 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::connections::tune;
+use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad, told_loads};
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS};
+use crate::gateway::decisions::view::{CatchUp, Mark};
 use crate::gateway::follow;
-use crate::gateway::gossip_message::{Gossip, ToldLoad, told_loads};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::leader::LOADING_GOSSIP_MS;
-use crate::gateway::names::number;
-use crate::gateway::peers::{Audience, GOSSIP_PERIOD_MS};
 use crate::gateway::renewal::{RenewalReply, RenewalRequest, renew_for_peer};
 use crate::gateway::settings::Bounds;
 use crate::gateway::store_updates::publish;
-use crate::gateway::view::{CatchUp, Mark};
 use crate::phase::Phase;
 
 /// Longest datagram that is read.
--- a/src/gateway/heads.rs
+++ b/src/gateway/heads.rs
@@ -1,7 +1,7 @@
 //! What the heads of requests and answers say.
 
-use crate::gateway::context::ContextPlan;
-use crate::gateway::prompt::Prompt;
+use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::prompt::Prompt;
 
 /// What a client's request says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -10,17 +10,17 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::orders::{EngineReport, Ordered, WeightsOrder};
+use crate::gateway::decisions::rollout::{self, Candidate};
+use crate::gateway::decisions::upstream::Told;
+use crate::gateway::decisions::weights::NamedWeights;
 use crate::gateway::entries;
-use crate::gateway::incarnation::Incarnation;
 use crate::gateway::invariants;
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::leadership::Leadership;
-use crate::gateway::names::number;
-use crate::gateway::orders::{EngineReport, Ordered, WeightsOrder};
-use crate::gateway::rollout::{self, Candidate};
 use crate::gateway::space::Space;
-use crate::gateway::upstream::Told;
-use crate::gateway::weights::NamedWeights;
 use crate::phase::Phase;
 
 /// How often the holder looks what is to be done.
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
-use crate::gateway::gossip_message::StoreLink;
+use crate::gateway::decisions::gossip_message::StoreLink;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::metadata::{Lease, Outcome};
 use crate::gateway::renewal::renew;
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -19,9 +19,9 @@
 use tokio::time::sleep;
 
 use crate::gateway::connections::tune;
+use crate::gateway::decisions::site::ClientLimits;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::serve;
-use crate::gateway::site::ClientLimits;
 use crate::metering;
 use crate::phase::Phase;
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -14,9 +14,9 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::decisions::peers::{FORGET_MS, Peers};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::metadata::Outcome;
-use crate::gateway::peers::{FORGET_MS, Peers};
 use crate::phase::Phase;
 use crate::platform::keys;
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -6,13 +6,13 @@
 use log::info;
 
 use crate::clock::now_ms;
-use crate::gateway::admission::{FirstToken, Room};
-use crate::gateway::choose::Choice;
-use crate::gateway::context::ContextPlan;
-use crate::gateway::incarnation::Incarnation;
+use crate::gateway::decisions::admission::{FirstToken, Room};
+use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::units::as_f64;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::silence;
-use crate::gateway::units::as_f64;
 
 /// Time to the first token beside reading and fetching, and some more.
 const FIRST_TOKEN_MS: f64 = 60.0;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,14 +20,14 @@
 use crate::gateway::answer::{self, Answer, BrokenOff};
 use crate::gateway::attempt::{Attempted, Reply, attempt};
 use crate::gateway::check::Job;
-use crate::gateway::choose::Choice;
+use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::site::Repeat;
 use crate::gateway::events::{last_event_end, last_event_id};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::place::Place;
 use crate::gateway::request_log::{log_attempt, log_end, seconds_since};
 use crate::gateway::serve::{note_left, resume_place};
 use crate::gateway::silence::{self, place_beside};
-use crate::gateway::site::Repeat;
 
 /// Time in which another upstream must go on with a stream that its own could go on
 /// with; of 250 and 600 ms this moved more.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,8 +8,8 @@
 use crate::clock::now_ms;
 use crate::gateway::answer::Reason;
 use crate::gateway::check::Job;
-use crate::gateway::choose::Choice;
-use crate::gateway::context::ContextPlan;
+use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::kernel::Gateway;
 
 /// Logs a request that is refused or given up.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -9,20 +9,20 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
-use crate::gateway::admission::{self, Asked, Room};
 use crate::gateway::answer::{self, Answer, Reason};
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
-use crate::gateway::choose::{Choice, Demand, choose};
+use crate::gateway::decisions::admission::{self, Asked, Room};
+use crate::gateway::decisions::choose::{Choice, Demand, choose};
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::site::Repeat;
+use crate::gateway::decisions::stores::Placing;
+use crate::gateway::decisions::upstream::Upstream;
+use crate::gateway::decisions::weights::NamedWeights;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::names::number;
 use crate::gateway::relay;
 use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
 use crate::gateway::silence;
-use crate::gateway::site::Repeat;
-use crate::gateway::stores::Placing;
-use crate::gateway::upstream::Upstream;
-use crate::gateway::weights::NamedWeights;
 use crate::platform::exchange;
 
 /// When a refused client may come back.
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -13,10 +13,10 @@
 use tokio::time::sleep;
 
 use crate::clock::now_ms;
-use crate::gateway::admission::Room;
 use crate::gateway::check::Job;
-use crate::gateway::choose::Choice;
-use crate::gateway::incarnation::Incarnation;
+use crate::gateway::decisions::admission::Room;
+use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::{choose_now, has_attempt_left, spend};
 
--- a/src/gateway/space.rs
+++ b/src/gateway/space.rs
@@ -12,11 +12,11 @@
 use log::{info, warn};
 
 use crate::clock::now_ms;
-use crate::gateway::context::{scope_model, scope_version};
-use crate::gateway::holder::PartKey;
-use crate::gateway::kept::{CacheListing, Freed, KeptPart};
+use crate::gateway::decisions::context::{scope_model, scope_version};
+use crate::gateway::decisions::holder::PartKey;
+use crate::gateway::decisions::kept::{CacheListing, Freed, KeptPart};
+use crate::gateway::decisions::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use crate::platform::keys;
 
 /// How often stores are looked through for parts whose writing broke off.
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -20,10 +20,10 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::decisions::holder::Update;
+use crate::gateway::decisions::names::number;
 use crate::gateway::gossip::Question;
-use crate::gateway::holder::Update;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::names::number;
 use crate::phase::Phase;
 
 /// Time between two messages when there is something to tell: short beside the
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -10,7 +10,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
-use crate::gateway::kept::{CacheChange, CacheChanges, CacheListing, Freed, KeptPart, PartialPart};
+use crate::gateway::decisions::kept::{
+    CacheChange, CacheChanges, CacheListing, Freed, KeptPart, PartialPart,
+};
 use crate::platform::http::{Http, whole_ms};
 
 /// Time for which a call for events waits; calls that wait 200 ms or more cost
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 
-use crate::gateway::site::{
+use crate::gateway::decisions::site::{
     Account, ClientLimits, EngineSpec, Repeat, Route, Service, Site, Store, Target,
 };
 
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
-use crate::gateway::orders::{EngineReport, Ordered, WeightsOrder};
+use crate::gateway::decisions::orders::{EngineReport, Ordered, WeightsOrder};
 use crate::platform::entry::Model;
 use crate::platform::headers;
 use crate::platform::http::Http;
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::gateway::upstream::Entry;
+use crate::gateway::decisions::upstream::Entry;
 
 /// The entry as every upstream writes it: one that lacks a field, or has it of another
 /// type, is not its own.
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -7,9 +7,9 @@
 use hyper::http::uri::Authority;
 use hyper::{Method, Request, StatusCode, Uri};
 
-use crate::gateway::context::{ContextPlan, Source};
+use crate::gateway::decisions::context::{ContextPlan, Source};
+use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::heads::{AnswerHead, Forward, RequestHead};
-use crate::gateway::prompt::Prompt;
 use crate::platform::headers;
 
 /// Headers that concern one connection only.
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -1,8 +1,8 @@
 //! Keys of the metadata store, and what each holds.
 
 use crate::error::{Error, Result};
-use crate::gateway::site::Site;
-use crate::gateway::upstream::Entry;
+use crate::gateway::decisions::site::Site;
+use crate::gateway::decisions::upstream::Entry;
 use crate::platform::document;
 use crate::platform::entry;
 
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -1,9 +1,9 @@
 //! Which engines have room for another request, and when a refused one comes back.
 
-use coursestile::gateway::admission::{
+use coursestile::gateway::decisions::admission::{
     Asked, Capacity, FirstToken, Limits, Room, return_after_ms, room,
 };
-use coursestile::gateway::upstream::Load;
+use coursestile::gateway::decisions::upstream::Load;
 
 const CAPACITY: Capacity = Capacity { slots: 64, memory_tokens: 40_000 };
 const URGENT: Asked = Asked { ranks_before: 0, objective_ms: 500, late: false, limit: 1.0 };
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::{Scene, is_ready, scene};
-use coursestile::gateway::holder::Holder;
+use coursestile::gateway::decisions::holder::Holder;
 use coursestile::platform::{caches, engine, keys};
 use coursestile_standins::site::{entry, eventually};
 use proptest::prelude::*;
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -2,9 +2,9 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use coursestile::gateway::gossip_message::{Gossip, StoreLink};
-use coursestile::gateway::peers::{Audience, Own, Peers};
-use coursestile::gateway::view::{Mark, View, Written};
+use coursestile::gateway::decisions::gossip_message::{Gossip, StoreLink};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers};
+use coursestile::gateway::decisions::view::{Mark, View, Written};
 use proptest::prelude::*;
 
 const HALL: u32 = 1;
--- a/tests/gateway_release.rs
+++ b/tests/gateway_release.rs
@@ -7,8 +7,8 @@
 use std::net::{IpAddr, Ipv4Addr};
 
 use common::{start_engines, wait_ready};
-use coursestile::gateway::context::OLD_STORES_MS;
-use coursestile::gateway::release::{Boxes, Naming, TRANSFERS_OVER_MS};
+use coursestile::gateway::decisions::context::OLD_STORES_MS;
+use coursestile::gateway::decisions::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::{Site, document, engine_services, eventually};
 
--- a/tests/gateway_removals.rs
+++ b/tests/gateway_removals.rs
@@ -1,6 +1,6 @@
 //! What a box believes of items that vanish, or are told in any order.
 
-use coursestile::gateway::view::{Snapshot, View, Written};
+use coursestile::gateway::decisions::view::{Snapshot, View, Written};
 use proptest::prelude::*;
 
 fn written(revision: u64) -> Written {
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -7,10 +7,10 @@
 use std::net::SocketAddr;
 
 use common::wait_ready;
-use coursestile::gateway::holder::PartKey;
-use coursestile::gateway::incarnation::Incarnation;
-use coursestile::gateway::upstream::{Entry, Told};
-use coursestile::gateway::upstreams::Upstreams;
+use coursestile::gateway::decisions::holder::PartKey;
+use coursestile::gateway::decisions::incarnation::Incarnation;
+use coursestile::gateway::decisions::upstream::{Entry, Told};
+use coursestile::gateway::decisions::upstreams::Upstreams;
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::server::{Act, Server};
--- a/tests/gateway_rollout.rs
+++ b/tests/gateway_rollout.rs
@@ -1,6 +1,6 @@
 //! Which engines get new weights next, and how many at once.
 
-use coursestile::gateway::rollout::{Candidate, at_once, next};
+use coursestile::gateway::decisions::rollout::{Candidate, at_once, next};
 
 #[test]
 fn oldest_weights_first() {
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use coursestile::gateway::holder::{Holder, PartKey, Update};
-use coursestile::gateway::kept::{CacheChange, CacheChanges, CacheListing, KeptPart};
-use coursestile::gateway::site::Store;
-use coursestile::gateway::stores::{Placing, Stores};
+use coursestile::gateway::decisions::holder::{Holder, PartKey, Update};
+use coursestile::gateway::decisions::kept::{CacheChange, CacheChanges, CacheListing, KeptPart};
+use coursestile::gateway::decisions::site::Store;
+use coursestile::gateway::decisions::stores::{Placing, Stores};
 use proptest::prelude::*;
 
 const SCOPE: &str = "1.m";
--- a/tests/gateway_urgency.rs
+++ b/tests/gateway_urgency.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::scene;
-use coursestile::gateway::urgency::{UsualLimits, rank};
+use coursestile::gateway::decisions::urgency::{UsualLimits, rank};
 use coursestile_standins::site::client::request;
 use rstest::rstest;
 
