Streams leave an engine that is to load only where another goes on within 100 ms

Cause: each stream that could be taken up left its engine as soon as that was to load weights, and its prompt was read again elsewhere. Now a stream leaves at once where another engine is expected to go on within 100 ms, else only when its engine is late by a quarter of the bound. Tests: long_prompts_stay failed before; streams_moved is unchanged in what it asks; long_prompts_moved holds the bound.

--- a/src/gateway/decisions/weights.rs
+++ b/src/gateway/decisions/weights.rs
@@ -3,6 +3,9 @@
 
 /// Versions that are remembered.
 const REMEMBERED: usize = 16;
+/// All streams make way for a load that is late by this part of its time: an engine must
+/// not have old weights for one and a half of it, and the load itself takes a second.
+const MAKE_WAY_PART: u64 = 4;
 
 /// The weight versions named for one model.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -36,4 +39,13 @@
         let newer = self.named.iter().find(|(named, _)| *named > version);
         newer.map(|(_, known_at_ms)| *known_at_ms)
     }
+
+    /// Whether an engine with `version` is held up by what runs there: it is behind for
+    /// longer than `apply_ms`, in which it should have had newer weights, and a part of it.
+    #[must_use]
+    pub fn is_held_up(&self, now_ms: u64, version: u64, apply_ms: u64) -> bool {
+        let behind_since_ms = self.behind_since_ms(version);
+        behind_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + apply_ms + apply_ms / MAKE_WAY_PART)
+    }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -159,6 +159,18 @@
             .is_some_and(|upstream| upstream.is_loading(now_ms()))
     }
 
+    /// Whether what runs at the upstream keeps it from loading weights for too long.
+    #[must_use]
+    pub fn is_held_up(&self) -> bool {
+        let (now_ms, apply_ms) = (now_ms(), self.gateway.settings.bounds.weights_apply_ms);
+        let state = self.gateway.state();
+        let Some(upstream) = state.upstreams.get_run(&self.upstream) else { return false };
+        state.weights.iter().any(|(model, named)| {
+            let version = upstream.version(model);
+            version > 0 && named.is_held_up(now_ms, version, apply_ms)
+        })
+    }
+
     /// Notes that no connection to the upstream came up.
     pub fn unreached(&self) {
         let own_hall = &self.gateway.settings.hall;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,12 +26,16 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::place::Place;
 use crate::gateway::request_log::{log_attempt, log_end, seconds_since};
-use crate::gateway::serve::{note_left, resume_place};
+use crate::gateway::serve::{note_left, quick_place, resume_place};
 use crate::gateway::silence::{self, place_beside};
 
 /// Time in which another upstream must go on with a stream that its own could go on
 /// with; of 250 and 600 ms this moved more.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time in which another engine must be expected to go on with a stream, that it may leave
+/// one which is to load weights: what it reads again there others wait for. With any time
+/// taken, 0.10 of worth was lost where prompts have thousands of tokens of their own.
+const QUICK_MOVE_MS: f64 = 100.0;
 /// Time between two looks whether a stream should leave its upstream: short beside
 /// a load of weights.
 const LEAVE_LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -245,10 +249,16 @@
         }
     }
 
-    /// Another upstream for a stream that its own could go on with. It leaves once
-    /// only; when there is none, it is looked for again later.
+    /// Another upstream for a stream that its own could go on with, which then loads the
+    /// sooner. It leaves once only; when there is none, it is looked for again later.
     async fn place_to_leave_for(&mut self) -> Option<Choice> {
-        let choice = self.other_place().await;
+        let held_up = self.reply.as_ref().is_some_and(|reply| reply.place.is_held_up());
+        let choice = if held_up {
+            self.other_place().await
+        } else {
+            self.note_ran();
+            quick_place(&self.gateway, &self.job, QUICK_MOVE_MS)
+        };
         self.may_leave_at = choice.is_none().then(|| Instant::now() + LEAVE_AGAIN_PAUSE);
         choice
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -291,6 +291,16 @@
     Some(choice)
 }
 
+/// An upstream that is expected to go on with a stream in `most_ms`, if it may be sent again.
+pub fn quick_place(gateway: &Gateway, job: &Job, most_ms: f64) -> Option<Choice> {
+    let choice = choose_now(&mut gateway.state(), gateway, job)?;
+    if choice.expected_ms > most_ms || !may_try_again(gateway, job) {
+        return None;
+    }
+    log_attempt(gateway, job, &choice);
+    Some(choice)
+}
+
 /// Waits for an upstream that can take the request.
 async fn find_place(gateway: &Arc<Gateway>, job: &Job, until: Instant) -> Option<Choice> {
     loop {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -138,6 +138,8 @@
     /// Whether each gateway started from now on has a port of its own for peers. It
     /// then calls others at that port of their addresses, where a proxy can stand.
     pub own_peer_ports: bool,
+    /// Time in which gateways started from now on bring engines to named weights.
+    pub weights_apply_ms: u64,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -154,8 +156,15 @@
         std::fs::create_dir_all(&folder).expect("folder");
         let metadata = Metadata::start().await;
         let network = Network::take();
-        let (retry_extra, own_peer_ports) = (1_000_000, false);
-        Self { metadata, retry_extra, own_peer_ports, folder, network, next_box: 10 }
+        Self {
+            metadata,
+            retry_extra: 1_000_000,
+            own_peer_ports: false,
+            weights_apply_ms: 10_000,
+            folder,
+            network,
+            next_box: 10,
+        }
     }
 
     /// Starts a gateway that knows the boxes in `seeds`.
@@ -183,10 +192,12 @@
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\nseeds = {}\n[platform]\naddress = {}\n\
-             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = 1000\n",
+             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = 1000\n\
+             weights_apply_ms = {}\n",
             seeds.join(","),
             metadata,
             self.retry_extra,
+            self.weights_apply_ms,
         );
         let path = self.folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings).expect("settings");
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -4,6 +4,8 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::time::Duration;
+
 use common::{start_engines, wait_ready};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::engine::{Engine, MODEL};
@@ -13,6 +15,8 @@
     Gateway, Site, document, engine_entry, engine_services, eventually,
 };
 use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 const OLD_SCOPE: &str = "1.model-a";
 const NEW_SCOPE: &str = "2.model-a";
@@ -35,7 +39,10 @@
 
 /// A fleet without a gateway yet.
 async fn upstreams() -> Fleet {
-    let site = Site::start().await;
+    upstreams_of(Site::start().await).await
+}
+
+async fn upstreams_of(site: Site) -> Fleet {
     let store = Engine::start().await;
     let engines = start_engines(&site, 4).await;
     let mut config = document(7);
@@ -217,33 +224,74 @@
     fleet.wait_logged("event=holder_listed").await;
 }
 
-/// Streams that another engine can go on with do not keep one from loading.
-#[tokio::test]
-async fn streams_moved() {
-    let fleet = fleet(1).await;
+/// Ids of the streams of a test.
+const STREAMS: [&str; 4] = ["r-1", "r-2", "r-3", "r-4"];
+/// Tokens that take an engine 180 ms to read again.
+const LONG_TOKENS: u32 = 9000;
+
+/// Starts streams that stand still at their engines, and names new weights.
+async fn streams_at_loads(fleet: &Fleet, own_tokens: u32) -> [JoinHandle<Message>; 4] {
     fleet.wait_logged("event=leadership_taken").await;
     // They earn the budget for the repeats.
     for number in 0..40 {
         assert_eq!(fleet.prompt(&format!("p-{number}")).await, 200);
     }
     fleet.engines.iter().for_each(Engine::hold_streams);
-    let ids = ["r-1", "r-2", "r-3", "r-4"];
-    let streams = ids.map(|id| tokio::spawn(stream(fleet.gateways[0].clients.clone(), id)));
-    eventually("all run", async || ids.iter().all(|id| fleet.run_count(id) == 1)).await;
+    let clients = &fleet.gateways[0].clients;
+    let streams = STREAMS.map(|id| tokio::spawn(stream(clients.clone(), id, own_tokens)));
+    eventually("all run", async || STREAMS.iter().all(|id| fleet.run_count(id) == 1)).await;
     fleet.site.name_weights(MODEL, 2);
+    streams
+}
+
+/// All streams have gone on elsewhere, and the engines have loaded.
+async fn all_moved(fleet: &Fleet, streams: [JoinHandle<Message>; 4]) {
     for stream in streams {
         let answer = stream.await.unwrap();
         assert!(answer.whole);
         assert_eq!(answer.text(), "id: 1\ndata: piece\n\nid: 2\ndata: end\n\n");
     }
-    assert!(ids.iter().all(|id| fleet.run_count(id) == 2));
+    assert!(STREAMS.iter().all(|id| fleet.run_count(id) == 2));
     fleet.wait_version(2).await;
     fleet.wait_logged("end=\"moved\"").await;
 }
 
-async fn stream(clients: String, id: &str) -> Message {
-    let extra =
-        format!("X-Model: {MODEL}\r\nX-Token-Count: 300,10\r\nX-Prefix-Hash: aa:100,cc:200\r\n");
+/// Streams that another engine can go on with do not keep one from loading.
+#[tokio::test]
+async fn streams_moved() {
+    let fleet = fleet(1).await;
+    let streams = streams_at_loads(&fleet, 200).await;
+    all_moved(&fleet, streams).await;
+}
+
+/// Long prompts stay, since others would wait while they are read again.
+#[tokio::test]
+async fn long_prompts_stay() {
+    let fleet = fleet(1).await;
+    let streams = streams_at_loads(&fleet, LONG_TOKENS).await;
+    fleet.wait_logged("event=order_given").await;
+    sleep(Duration::from_secs(1)).await;
+    assert!(STREAMS.iter().all(|id| fleet.run_count(id) == 1));
+    streams.iter().for_each(JoinHandle::abort);
+}
+
+/// They leave an engine that is late, as any other.
+#[tokio::test]
+async fn long_prompts_moved() {
+    let mut site = Site::start().await;
+    site.weights_apply_ms = 100;
+    let metadata = site.metadata.address.clone();
+    let mut fleet = upstreams_of(site).await;
+    fleet.add_gateway(&metadata).await;
+    let streams = streams_at_loads(&fleet, LONG_TOKENS).await;
+    all_moved(&fleet, streams).await;
+}
+
+async fn stream(clients: String, id: &str, own_tokens: u32) -> Message {
+    let extra = format!(
+        "X-Model: {MODEL}\r\nX-Token-Count: {},10\r\nX-Prefix-Hash: aa:100,cc:{own_tokens}\r\n",
+        100 + own_tokens
+    );
     let bytes = request("POST", "/resume/x", id, &extra, "prompt");
     Client::connect(&clients).await.send(&bytes).await.expect("an answer")
 }
