Two circles of imports less: what came of a load, and what operators change, in files of their own

load/: report, runner and workload imported each other; `outcome` and `figures` now stand below them. configlog and error did; `object` stands below both.

--- a/load/src/bench.rs
+++ b/load/src/bench.rs
@@ -17,7 +17,7 @@
 
 use crate::control::{cpu_ticks, resident_mb};
 use crate::decide::full_state;
-use crate::report::{quantile_ms, ratio};
+use crate::figures::{quantile_ms, ratio};
 
 /// Requests of each kind for the first token.
 const FIRST_TOKENS: usize = 400;
--- a/load/src/compare.rs
+++ b/load/src/compare.rs
@@ -9,8 +9,10 @@
 use serde_json::json;
 
 use crate::Options;
-use crate::report::{plot, print_head, print_row, quantile_ms, refusals};
-use crate::runner::{Outcome, Sending, create_accounts, send};
+use crate::figures::quantile_ms;
+use crate::outcome::Outcome;
+use crate::report::{plot, print_head, print_row, refusals};
+use crate::runner::{Sending, create_accounts, send};
 use crate::workload::{Kind, Workload};
 
 struct Policy {
--- a/load/src/control.rs
+++ b/load/src/control.rs
@@ -8,7 +8,7 @@
 use coursestile_standins::fleet::{EntryBox, Fleet, HallPlan, Plan};
 
 use crate::Options;
-use crate::report::ratio;
+use crate::figures::ratio;
 use crate::runner::{Sending, create_accounts, send};
 use crate::workload::{Kind, Workload};
 
--- a/load/src/decide.rs
+++ b/load/src/decide.rs
@@ -20,7 +20,7 @@
 use coursestile::ticket::BoxRef;
 use coursestile::trace::TraceId;
 
-use crate::report::ratio;
+use crate::figures::ratio;
 
 /// Engines of one hall, when one model has them all.
 const HALL_ENGINES: usize = 128;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -9,6 +9,8 @@
 mod control;
 mod decide;
 mod demo;
+mod figures;
+mod outcome;
 mod report;
 mod runner;
 mod workload;
--- /dev/null
+++ b/load/src/outcome.rs
@@ -0,0 +1,130 @@
+//! What came of a load, and what it used.
+
+use std::collections::BTreeMap;
+
+use coursestile_standins::fleet::Fleet;
+use hdrhistogram::Histogram;
+
+use crate::figures::ratio;
+use crate::workload::ACCOUNT_WEIGHTS;
+
+/// What came of a load.
+pub struct Outcome {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Answers with other content than expected.
+    pub wrong: u64,
+    /// Requests without an answer or a refusal.
+    pub lost: u64,
+    /// Calls that may not be repeated and ran more than once.
+    pub doubled: u64,
+    /// Calls refused as not run that had run.
+    pub untrue: u64,
+    /// Refusals, by reason.
+    pub refusals: BTreeMap<String, u64>,
+    /// Time to first token of completions, in microseconds.
+    pub first_token_us: Histogram<u64>,
+    /// Time to first token by account, in microseconds.
+    pub by_account_us: Vec<Histogram<u64>>,
+    /// Time between tokens, in microseconds.
+    pub between_us: Histogram<u64>,
+    /// Time to first token by second of arrival, in microseconds.
+    pub by_second_us: BTreeMap<u64, Histogram<u64>>,
+    /// A trace to show.
+    pub trace: Option<String>,
+    /// Whole answers by account.
+    pub whole_by_account: Vec<u64>,
+    /// Recompute and link use after the warm-up.
+    pub usage: Usage,
+    /// Keys of calls that may not be repeated, and whether each was refused as not run.
+    pub once_keys: Vec<(String, bool)>,
+}
+
+/// An empty histogram of microseconds, up to two minutes.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 120_000_000, 3).expect("bounds are in order")
+}
+
+impl Default for Outcome {
+    fn default() -> Self {
+        Self {
+            sent: 0,
+            whole: 0,
+            wrong: 0,
+            lost: 0,
+            doubled: 0,
+            untrue: 0,
+            refusals: BTreeMap::new(),
+            first_token_us: histogram(),
+            by_account_us: ACCOUNT_WEIGHTS.iter().map(|_| histogram()).collect(),
+            between_us: histogram(),
+            by_second_us: BTreeMap::new(),
+            trace: None,
+            whole_by_account: vec![0; ACCOUNT_WEIGHTS.len()],
+            usage: Usage::default(),
+            once_keys: Vec::new(),
+        }
+    }
+}
+
+impl Outcome {
+    /// Answers that must not be: wrong, lost, doubled or untrue ones.
+    pub fn faults(&self) -> u64 {
+        self.wrong + self.lost + self.doubled + self.untrue
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&mut self, reason: &str) {
+        *self.refusals.entry(reason.to_owned()).or_default() += 1;
+    }
+}
+
+/// Recompute and link use, as the stand-ins counted them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Prompt tokens of all runs.
+    pub prompt_tokens: u64,
+    /// Prompt tokens found in caches.
+    pub cached_tokens: u64,
+    /// Bytes over the stores' links.
+    pub link_bytes: u64,
+}
+
+impl Usage {
+    /// Reads what the stand-ins counted.
+    pub async fn read(fleet: &Fleet) -> Self {
+        let mut usage = Self::default();
+        for engine in &fleet.engines {
+            let page = fleet.get(&format!("{}/runs", engine.url())).await.unwrap_or_default();
+            usage.prompt_tokens += page["prompt_tokens"].as_u64().unwrap_or(0);
+            usage.cached_tokens += page["cached_tokens"].as_u64().unwrap_or(0);
+        }
+        for store in &fleet.stores {
+            let page = fleet.get(&format!("{}/load", store.url())).await.unwrap_or_default();
+            usage.link_bytes += page["link_bytes"].as_u64().unwrap_or(0);
+        }
+        usage
+    }
+
+    /// What was used since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            prompt_tokens: self.prompt_tokens.saturating_sub(earlier.prompt_tokens),
+            cached_tokens: self.cached_tokens.saturating_sub(earlier.cached_tokens),
+            link_bytes: self.link_bytes.saturating_sub(earlier.link_bytes),
+        }
+    }
+
+    /// Share of prompt tokens that were computed, in percent.
+    pub fn recomputed_percent(&self) -> f64 {
+        let computed = self.prompt_tokens - self.cached_tokens.min(self.prompt_tokens);
+        100.0 * ratio(computed, self.prompt_tokens)
+    }
+
+    /// Bytes over the links, in gigabytes.
+    pub fn link_gb(&self) -> f64 {
+        ratio(self.link_bytes, 1_000_000_000)
+    }
+}
--- a/load/src/report.rs
+++ b/load/src/report.rs
@@ -2,70 +2,11 @@
 
 use std::error::Error;
 
-use coursestile_standins::fleet::Fleet;
 use hdrhistogram::Histogram;
 use plotters::prelude::*;
 
-use crate::runner::Outcome;
-
-/// Recompute and link use, as the stand-ins counted them.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Usage {
-    /// Prompt tokens of all runs.
-    pub prompt_tokens: u64,
-    /// Prompt tokens found in caches.
-    pub cached_tokens: u64,
-    /// Bytes over the stores' links.
-    pub link_bytes: u64,
-}
-
-impl Usage {
-    /// Reads what the stand-ins counted.
-    pub async fn read(fleet: &Fleet) -> Self {
-        let mut usage = Self::default();
-        for engine in &fleet.engines {
-            let page = fleet.get(&format!("{}/runs", engine.url())).await.unwrap_or_default();
-            usage.prompt_tokens += page["prompt_tokens"].as_u64().unwrap_or(0);
-            usage.cached_tokens += page["cached_tokens"].as_u64().unwrap_or(0);
-        }
-        for store in &fleet.stores {
-            let page = fleet.get(&format!("{}/load", store.url())).await.unwrap_or_default();
-            usage.link_bytes += page["link_bytes"].as_u64().unwrap_or(0);
-        }
-        usage
-    }
-
-    /// What was used since `earlier`.
-    pub fn since(&self, earlier: &Self) -> Self {
-        Self {
-            prompt_tokens: self.prompt_tokens.saturating_sub(earlier.prompt_tokens),
-            cached_tokens: self.cached_tokens.saturating_sub(earlier.cached_tokens),
-            link_bytes: self.link_bytes.saturating_sub(earlier.link_bytes),
-        }
-    }
-
-    /// Share of prompt tokens that were computed, in percent.
-    pub fn recomputed_percent(&self) -> f64 {
-        let computed = self.prompt_tokens - self.cached_tokens.min(self.prompt_tokens);
-        100.0 * ratio(computed, self.prompt_tokens)
-    }
-
-    /// Bytes over the links, in gigabytes.
-    pub fn link_gb(&self) -> f64 {
-        ratio(self.link_bytes, 1_000_000_000)
-    }
-}
-
-/// `part` over `whole`; 0 when there is nothing.
-#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
-pub fn ratio(part: u64, whole: u64) -> f64 {
-    part as f64 / whole.max(1) as f64
-}
-
-/// A quantile of a histogram of microseconds, in milliseconds.
-pub fn quantile_ms(histogram: &Histogram<u64>, quantile: f64) -> f64 {
-    ratio(histogram.value_at_quantile(quantile), 1000)
-}
+use crate::figures::quantile_ms;
+use crate::outcome::Outcome;
 
 /// Refusals in one line.
 pub fn refusals(outcome: &Outcome) -> String {
--- a/load/src/runner.rs
+++ b/load/src/runner.rs
@@ -8,11 +8,10 @@
 use coursestile_standins::fleet::Fleet;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
-use hdrhistogram::Histogram;
 use reqwest::{RequestBuilder, Response};
 use serde_json::{Value, json};
 
-use crate::report::Usage;
+use crate::outcome::{Outcome, Usage, histogram};
 use crate::workload::{ACCOUNT_WEIGHTS, Arrival, Work, Workload};
 
 /// Time that a caller waits.
@@ -33,76 +32,6 @@
     pub boxes_die: bool,
 }
 
-/// What came of a load.
-pub struct Outcome {
-    /// Requests sent.
-    pub sent: u64,
-    /// Whole answers.
-    pub whole: u64,
-    /// Answers with other content than expected.
-    pub wrong: u64,
-    /// Requests without an answer or a refusal.
-    pub lost: u64,
-    /// Calls that may not be repeated and ran more than once.
-    pub doubled: u64,
-    /// Calls refused as not run that had run.
-    pub untrue: u64,
-    /// Refusals, by reason.
-    pub refusals: BTreeMap<String, u64>,
-    /// Time to first token of completions, in microseconds.
-    pub first_token_us: Histogram<u64>,
-    /// Time to first token by account, in microseconds.
-    pub by_account_us: Vec<Histogram<u64>>,
-    /// Time between tokens, in microseconds.
-    pub between_us: Histogram<u64>,
-    /// Time to first token by second of arrival, in microseconds.
-    pub by_second_us: BTreeMap<u64, Histogram<u64>>,
-    /// A trace to show.
-    pub trace: Option<String>,
-    /// Whole answers by account.
-    pub whole_by_account: Vec<u64>,
-    /// Recompute and link use after the warm-up.
-    pub usage: Usage,
-    once_keys: Vec<(String, bool)>,
-}
-
-fn histogram() -> Histogram<u64> {
-    Histogram::new_with_bounds(1, 120_000_000, 3).expect("bounds are in order")
-}
-
-impl Default for Outcome {
-    fn default() -> Self {
-        Self {
-            sent: 0,
-            whole: 0,
-            wrong: 0,
-            lost: 0,
-            doubled: 0,
-            untrue: 0,
-            refusals: BTreeMap::new(),
-            first_token_us: histogram(),
-            by_account_us: ACCOUNT_WEIGHTS.iter().map(|_| histogram()).collect(),
-            between_us: histogram(),
-            by_second_us: BTreeMap::new(),
-            trace: None,
-            whole_by_account: vec![0; ACCOUNT_WEIGHTS.len()],
-            usage: Usage::default(),
-            once_keys: Vec::new(),
-        }
-    }
-}
-
-impl Outcome {
-    /// Answers that must not be: wrong, lost, doubled or untrue ones.
-    pub fn faults(&self) -> u64 {
-        self.wrong + self.lost + self.doubled + self.untrue
-    }
-
-    fn refused(&mut self, reason: &str) {
-        *self.refusals.entry(reason.to_owned()).or_default() += 1;
-    }
-}
-
 /// API key of an account of a workload.
 pub fn api_key(workload: &Workload, account: usize) -> String {
     format!("{}-{account}-key", workload.kind.name())
--- a/load/src/workload.rs
+++ b/load/src/workload.rs
@@ -5,6 +5,8 @@
 
 use std::fmt::Write as _;
 
+use crate::figures::ratio;
+
 /// A kind of workload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -193,7 +195,7 @@
                 kept.swap_remove(last.unwrap_or(0));
             }
         }
-        100.0 * crate::report::ratio(missed as u64, prompts as u64)
+        100.0 * ratio(missed as u64, prompts as u64)
     }
 
     /// Adds requests of one account, at `rate_per_s`.
--- a/src/configlog.rs
+++ b/src/configlog.rs
@@ -14,6 +14,7 @@
 
 use crate::account::{Account, Terms, key_hash};
 use crate::error::Error;
+use crate::object::Object;
 
 /// Changes that the head holds before they move into a base.
 pub const MAX_HEAD_ENTRIES: usize = 64;
@@ -39,19 +40,6 @@
     SetModel { model: String, version: String },
 }
 
-/// The object that a change touches.
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
-pub enum Object {
-    /// template {0}
-    Template(String),
-    /// account {0}
-    Account(String),
-    /// upstream {0}
-    Upstream(String),
-    /// model {0}
-    Model(String),
-}
-
 impl Change {
     /// The object that this change touches.
     #[must_use]
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the library.
 
-use crate::configlog::Object;
+use crate::object::Object;
 
 /// An error.
 #[derive(Debug, displaydoc::Display)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod member;
 pub mod membership;
 pub mod metering;
+pub mod object;
 pub mod operator;
 pub mod operators;
 pub mod orders;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -7,9 +7,10 @@
 
 use common::{completion, fleet};
 use coursestile::clock::now_ms;
-use coursestile::configlog::{Change, Object, Proposal};
+use coursestile::configlog::{Change, Proposal};
 use coursestile::consul::Consul;
 use coursestile::error::Error;
+use coursestile::object::Object;
 use coursestile::operator::{propose, read};
 use coursestile_standins::fleet::{Fleet, HallPlan, Plan};
 use serde_json::json;
