--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -114,7 +114,7 @@
     PeersLink(Link, Side),
     /// An upstream starts again under the id that it had.
     UpstreamRestarts,
-    /// An engine does, with the weights that it had first.
+    /// An engine does, as if it had lost the weights that it got since.
     EngineRestarts,
     /// Planned: a box is stopped, and started again when it has ended.
     BoxStopped,
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -48,6 +48,12 @@
     holds(Options { seed, seconds: 12, boxes: 3, streams: Streams::Restarts }).await;
 }
 
+// The soak itself: an engine lost its weights and told nobody, which the platform rules out.
+#[tokio::test]
+async fn weights_lost_untold() {
+    holds(Options { seed: 12041, seconds: 14, boxes: 4, streams: Streams::Restarts }).await;
+}
+
 async fn holds(options: Options) {
     let report = run(options).await.unwrap();
     assert!(report.violations.is_empty(), "{options:?}: {:#?}", report.violations);
