--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -56,8 +56,7 @@
     /// # Panics
     /// Panics when it cannot be sent.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").args([name, &self.pid().to_string()]).status();
-        assert!(status.expect("kill").success());
+        assert!(kill(name, self.pid()), "{name}");
     }
 
     /// Id of the process.
@@ -70,9 +69,14 @@
     }
 
     /// Sends a signal to the process if it still runs.
+    ///
+    /// # Panics
+    /// Panics when the system does not tell.
     pub fn try_signal(&self, name: &str) {
-        if self.is_alive() {
-            self.signal(name);
+        // Under the lock nobody else sees its end, after which its id may be another's.
+        let mut child = self.child.lock().expect("child");
+        if child.try_wait().expect("child").is_none() {
+            assert!(kill(name, child.id()), "{name}");
         }
     }
 
@@ -241,6 +245,12 @@
     }
 }
 
+/// Sends a signal by its number; whether it could be sent.
+fn kill(name: &str, pid: u32) -> bool {
+    let status = Command::new("kill").args([name, &pid.to_string()]).status();
+    status.expect("kill").success()
+}
+
 /// Starts a gateway that logs to `out`.
 fn start(settings: &Path, out: File) -> Child {
     Command::new(programs().join("coursestile-gateway"))
