An entry that begins to tell a start is of another run

Cause, from its logs: the box that led had an entry of the engine without a start and had seen it reach version 3; the entry that came with the next run, with a start and version 1, counted as the same run that tells its start late, and 3 stayed (the larger of told and seen). Other boxes knew the start by a report and logged upstream_restarted. Ruled out: starts told first by a report or answer of the same run still count as told late (start_unknown). Test: entry_begins_to_tell failed before.

--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -146,8 +146,9 @@
 
     /// Takes an entry of the metadata store, where what is newer comes later.
     pub fn take_entry(&mut self, now_ms: u64, entry: Entry) -> Told {
-        if !is_other_run(self.started_at_ms, entry.started_at_ms) {
-            self.learn_start(entry.started_at_ms);
+        // One run tells its start in all entries or in none.
+        let begins_to_tell = self.started_at_ms.is_none() && entry.started_at_ms.is_some();
+        if !begins_to_tell && !is_other_run(self.started_at_ms, entry.started_at_ms) {
             self.entry = entry;
             return Told::Known;
         }
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -210,6 +210,18 @@
     }
 }
 
+/// An entry that begins to tell a start is of another run than those without one: a run
+/// tells it in each or in none.
+#[test]
+fn entry_begins_to_tell() {
+    let (mut upstreams, _) = with_past(None);
+    assert_eq!(upstreams.put(30, "e", told(Some(5))), Told::Restarted);
+    let engine = upstreams.get("e").unwrap();
+    assert_eq!(engine.version("m"), 1, "it lost its weights");
+    assert_eq!(engine.holder.held_tokens(), 0);
+    assert!(!engine.is_superseded());
+}
+
 /// Upstreams with one of which much is known.
 fn with_past(started_at_ms: Option<u64>) -> (Upstreams, Incarnation) {
     let mut upstreams = Upstreams::default();
