--- a/tests/gateway_listings.rs
+++ b/tests/gateway_listings.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 
-/// Keeps a sound part.
+/// Scope of a sound part.
 const SCOPE: &str = "1.model-a";
 
 /// A box, engines, and a store that was prepared.
