--- a/src/gateway/decisions/kept.rs
+++ b/src/gateway/decisions/kept.rs
@@ -33,8 +33,6 @@
     pub clock_ms: Option<u64>,
     /// Start of the holder's run, if it is told.
     pub started_at_ms: Option<u64>,
-    /// Items and figures that could not be read.
-    pub unreadable: usize,
 }
 
 /// All that a holder keeps.
@@ -48,8 +46,6 @@
     pub held: Vec<CacheChange>,
     /// Parts whose writing broke off, or goes on.
     pub partial: Vec<PartialPart>,
-    /// Items that could not be read.
-    pub unreadable: usize,
 }
 
 /// A part that is not whole.
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{debug, info, warn};
+use log::{debug, info};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -41,23 +41,6 @@
     Store(String),
 }
 
-impl HolderId {
-    fn name(&self) -> &str {
-        match self {
-            Self::Engine(id) => id,
-            Self::Store(name) => name,
-        }
-    }
-}
-
-/// Says that a holder tells what cannot be read, if it does.
-fn note_unreadable(name: &str, count: usize) {
-    if count > 0 {
-        warn!(target: "caches", "event=items_unreadable holder={name} count={count}");
-        metrics::counter!("coursestile_items_unreadable_total").increment(count as u64);
-    }
-}
-
 /// Follows every holder of context until the box stops.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut followed: HashMap<(HolderId, SocketAddr), JoinHandle<()>> = HashMap::new();
@@ -165,7 +148,6 @@
         return Ok(());
     }
     *known = true;
-    note_unreadable(holder_id.name(), changes.unreadable);
     let gap = take(gateway, holder_id, &changes);
     if gap && matches!(holder_id, HolderId::Store(_)) {
         list(gateway, holder_id, address).await?;
@@ -177,7 +159,6 @@
     let listing: CacheListing = gateway.caches.list(address).await?;
     info!(target: "caches", "event=holder_listed holder={holder_id:?} boot={} parts={} partial={}",
         listing.boot, listing.held.len(), listing.partial.len());
-    note_unreadable(holder_id.name(), listing.unreadable);
     with_holder(&mut gateway.state(), holder_id, |holder| holder.listed(&listing));
     Ok(())
 }
--- a/src/platform/caches.rs
+++ b/src/platform/caches.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use log::warn;
 use reqwest::{RequestBuilder, StatusCode};
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
@@ -13,14 +14,15 @@
 use crate::gateway::decisions::kept::{
     CacheChange, CacheChanges, CacheListing, Freed, KeptPart, PartialPart,
 };
-use crate::platform::http::{Http, whole_ms};
+use crate::platform::http::{Http, decoded, whole_ms};
 
 /// Time for which a call for events waits; calls that wait 200 ms or more cost
 /// nothing.
 pub const EVENTS_WAIT_MS: u64 = 1000;
 /// Time in which a call must be answered beyond its wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// What no clock shows, in Unix milliseconds: the year 10000.
+/// What no clock shows, in Unix milliseconds: the year 10000, so that no sum with a
+/// difference of clocks overflows.
 const MOST_CLOCK_MS: f64 = 253_402_300_800_000.0;
 
 /// An item of a list. Each is read by itself: what another writer put there spoils no other.
@@ -91,7 +93,7 @@
         let url = format!("http://{address}/coursestile/kv-events?since={since}");
         let timeout = CALL_TIMEOUT + Duration::from_millis(EVENTS_WAIT_MS);
         let request = self.http.get(&url).header("Wait-Ms", EVENTS_WAIT_MS).timeout(timeout);
-        read_changes(&self.bytes(request).await?)
+        read_changes(address, &self.bytes(request).await?)
     }
 
     /// Lists all that is kept. Engines stop working meanwhile.
@@ -100,7 +102,8 @@
     /// Fails when the holder does not answer as it should.
     pub async fn list(&self, address: SocketAddr) -> Result<CacheListing> {
         let url = format!("http://{address}/coursestile/kv-list");
-        read_listing(&self.bytes(self.http.get(&url).timeout(CALL_TIMEOUT)).await?)
+        let body = self.bytes(self.http.get(&url).timeout(CALL_TIMEOUT)).await?;
+        read_listing(address, &body)
     }
 
     /// Sends a call; the body of its answer.
@@ -139,15 +142,15 @@
     }
 }
 
-/// Reads changes of what is kept.
+/// Reads the changes that a holder tells.
 ///
 /// # Errors
 /// Fails when they are not such; an event that is none makes a gap.
-pub fn read_changes(body: &[u8]) -> Result<CacheChanges> {
-    let body: EventsBody = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
-    let (events, spoiled) = readable(body.events);
-    let clock_ms = body.clock_ms.map(read_clock);
-    let bad_clock = usize::from(clock_ms == Some(None));
+pub fn read_changes(holder: SocketAddr, body: &[u8]) -> Result<CacheChanges> {
+    let body: EventsBody = decoded(body)?;
+    let told = body.events.len();
+    let events = readable(holder, body.events);
+    let all_read = events.len() == told;
     let changes = events.into_iter().map(|(_, _, scope, part, tokens, _)| CacheChange {
         kept: KeptPart { scope, part },
         tokens,
@@ -155,41 +158,37 @@
     Ok(CacheChanges {
         boot: body.boot_epoch,
         next: body.next_token,
-        gap: body.lost || spoiled > 0,
+        gap: body.lost || !all_read,
         changes: changes.collect(),
-        clock_ms: clock_ms.flatten(),
+        clock_ms: body.clock_ms.and_then(|clock_ms| read_clock(holder, clock_ms)),
         started_at_ms: body.born,
-        unreadable: spoiled + bad_clock,
     })
 }
 
-/// Reads a list of all that is kept.
+/// Reads a holder's list of all that it keeps.
 ///
 /// # Errors
 /// Fails when it is none; an item that is no part is left out.
-pub fn read_listing(body: &[u8]) -> Result<CacheListing> {
-    let body: ListBody = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
-    let (held, spoiled_held) = readable(body.held);
-    let (partial, spoiled_partial) = readable(body.partial);
-    let held = held
+pub fn read_listing(holder: SocketAddr, body: &[u8]) -> Result<CacheListing> {
+    let body: ListBody = decoded(body)?;
+    let held = readable(holder, body.held)
         .into_iter()
         .map(|(scope, part, tokens, _)| CacheChange { kept: KeptPart { scope, part }, tokens });
-    let partial = partial.into_iter().map(|(scope, part, whole_tokens, _)| PartialPart {
-        kept: KeptPart { scope, part },
-        whole_tokens,
-    });
+    let partial =
+        readable(holder, body.partial).into_iter().map(|(scope, part, whole_tokens, _)| {
+            PartialPart { kept: KeptPart { scope, part }, whole_tokens }
+        });
     Ok(CacheListing {
         boot: body.boot_epoch,
         next: body.next_token,
         held: held.collect(),
         partial: partial.collect(),
-        unreadable: spoiled_held + spoiled_partial,
     })
 }
 
-/// The items that can be read, and how many cannot.
-fn readable<T>(items: Vec<Item<T>>) -> (Vec<T>, usize) {
-    let all = items.len();
+/// The items that can be read.
+fn readable<T>(holder: SocketAddr, items: Vec<Item<T>>) -> Vec<T> {
+    let told = items.len();
     let read: Vec<T> = items
         .into_iter()
         .filter_map(|item| match item {
@@ -197,15 +196,19 @@
             Item::Unreadable(_) => None,
         })
         .collect();
-    let unreadable = all - read.len();
-    (read, unreadable)
+    if read.len() < told {
+        let count = told - read.len();
+        warn!(target: "caches", "event=items_unreadable holder={holder} count={count}");
+        metrics::counter!("coursestile_items_unreadable_total").increment(count as u64);
+    }
+    read
 }
 
 /// A clock in whole milliseconds, if it can be one.
-fn read_clock(clock_ms: f64) -> Option<u64> {
-    (0.0..MOST_CLOCK_MS).contains(&clock_ms).then(|| whole_ms(clock_ms))
-}
-
-fn unreadable(error: &serde_json::Error) -> Error {
-    Error::Upstream(error.to_string())
+fn read_clock(holder: SocketAddr, clock_ms: f64) -> Option<u64> {
+    if (0.0..MOST_CLOCK_MS).contains(&clock_ms) {
+        return Some(whole_ms(clock_ms));
+    }
+    warn!(target: "caches", "event=clock_unreadable holder={holder} clock_ms={clock_ms}");
+    None
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -10,7 +10,7 @@
 use crate::gateway::decisions::orders::{EngineReport, Ordered, WeightsOrder};
 use crate::platform::entry::Model;
 use crate::platform::headers;
-use crate::platform::http::Http;
+use crate::platform::http::{Http, decoded};
 
 /// Time in which a report or an order must be answered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
@@ -98,8 +98,7 @@
 /// # Errors
 /// Fails when it is none.
 pub fn read_report(body: &[u8]) -> Result<EngineReport> {
-    let body: ReportBody =
-        serde_json::from_slice(body).map_err(|error| Error::Upstream(error.to_string()))?;
+    let body: ReportBody = decoded(body)?;
     Ok(EngineReport {
         models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
         busy: body.busy,
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -156,3 +156,11 @@
 pub(super) fn whole_ms(figure_ms: f64) -> u64 {
     figure_ms.max(0.0) as u64
 }
+
+/// Decodes what an upstream tells.
+///
+/// # Errors
+/// Fails when it is not what was expected.
+pub(super) fn decoded<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| Error::Upstream(error.to_string()))
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod args;
+pub mod clock;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -16,6 +16,8 @@
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
+use crate::clock::now_ms;
+
 /// Time that a load of weights takes.
 const LOAD_TIME: Duration = Duration::from_millis(60);
 /// Longest wait for events.
@@ -225,11 +227,6 @@
     }
 }
 
-fn now_ms() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    u64::try_from(since.expect("a time after 1970").as_millis()).unwrap_or_default()
-}
-
 #[handler]
 fn report(Data(state): Data<&Shared>) -> Json<Value> {
     let state = state.lock().expect("state");
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use poem::http::StatusCode;
 use poem::web::{Data, Json, Path, Query};
@@ -16,6 +16,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Mutex as Link;
 
+use crate::clock::now_ms;
 use crate::faults::{Faults, serve};
 
 /// How much slower the disk tier is than the memory tier.
@@ -47,11 +48,6 @@
     faults: Faults,
 }
 
-fn now_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Store {
     /// Holds the link for as long as `size_bytes` take.
     async fn transfer(&self, size_bytes: u64, on_disk: bool) {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -139,13 +139,8 @@
     let mut stores = Stores::default();
     stores.configure(&[store("big", 2, 29_000.0), store("small", 3, 100_000.0)]);
     for (name, part, tokens) in [("big", "bb", 4000), ("small", "aa", 1000)] {
-        let listing = CacheListing {
-            boot: 1,
-            next: 0,
-            held: vec![held(part, tokens)],
-            partial: Vec::new(),
-            unreadable: 0,
-        };
+        let listing =
+            CacheListing { boot: 1, next: 0, held: vec![held(part, tokens)], partial: Vec::new() };
         stores.get_mut(name).unwrap().1.holder.listed(&listing);
     }
     let prompt = Prompt::parse("m", "5300,10", "aa:1000,bb:4000,cc:100,dd:200").unwrap();
--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -4,6 +4,8 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
 use common::{Scene, is_ready, scene};
 use coursestile::gateway::decisions::holder::Holder;
 use coursestile::platform::{caches, engine, keys};
@@ -140,13 +142,16 @@
     [events, list, report].map(|one| one.to_string())
 }
 
+/// Whoever told it.
+const HOLDER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 80);
+
 /// Puts what one reads into a box's picture of a holder: no figure may stop it.
 fn take(text: &[u8]) {
     let mut holder = Holder::with_log();
-    if let Ok(changes) = caches::read_changes(text) {
+    if let Ok(changes) = caches::read_changes(HOLDER, text) {
         holder.changed(&changes);
     }
-    if let Ok(listing) = caches::read_listing(text) {
+    if let Ok(listing) = caches::read_listing(HOLDER, text) {
         holder.listed(&listing);
     }
     // What it says of such bytes is of no concern here.
--- a/tests/gateway_listings.rs
+++ b/tests/gateway_listings.rs
@@ -81,7 +81,7 @@
     let store = Engine::start().await;
     store.show_clock(clock_ms);
     let fleet = fleet(&store).await;
-    logged(&fleet.gateway, "event=items_unreadable", 1).await;
+    logged(&fleet.gateway, "event=clock_unreadable", 1).await;
     assert_eq!(prompt(&fleet.gateway, "p-1").await, 200);
     assert!(!fleet.gateway.logged().contains("panicked"), "{}", fleet.gateway.logged());
 }
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -19,19 +19,11 @@
 }
 
 fn changes(boot: u64, changes: Vec<CacheChange>) -> CacheChanges {
-    CacheChanges {
-        boot,
-        next: 0,
-        gap: false,
-        changes,
-        clock_ms: None,
-        started_at_ms: None,
-        unreadable: 0,
-    }
+    CacheChanges { boot, next: 0, gap: false, changes, clock_ms: None, started_at_ms: None }
 }
 
 fn listing(boot: u64) -> CacheListing {
-    CacheListing { boot, next: 0, held: Vec::new(), partial: Vec::new(), unreadable: 0 }
+    CacheListing { boot, next: 0, held: Vec::new(), partial: Vec::new() }
 }
 
 #[derive(Clone, Debug)]
