Test: a listing read in pages is complete up to its first page only (red)

Found by reading while looking for ways in which a box may not know of a named version: the view takes the revision of an item of a later page for what it knows of all pages, and its watch goes on from there. A configuration or a version written between two pages is then not known to this box until the next change of the same item.

--- a/tests/gateway_removals.rs
+++ b/tests/gateway_removals.rs
@@ -75,3 +75,18 @@
         }
     }
 }
+
+/// A listing is read page by page. When something was written to a first page after it was
+/// read, and something to a later one before that was, the box took the later one's revision
+/// for all that it knew, and its watch never told it of the first.
+#[test]
+fn listing_in_pages() {
+    let written = Written { revision: 12, value: b"page read later".to_vec() };
+    let items = [("own/b".to_owned(), written)].into();
+    let mut view = View::new(1000);
+    view.store_answered(0);
+    // The first page was read as of revision 10, and a change of revision 11 belongs to it.
+    let listing = Snapshot { at_revision: 10, changed_revision: 10, items };
+    view.replace(0, listing, |_| true, |_| false);
+    assert_eq!(view.at_revision(), 10, "the watch goes on from here");
+}
