Stand-in engines record when orders arrived and loads ended, and may hang on orders

Tests of leaders that come and go need the engines' own record: when each order arrived, and since when each version is there. An engine may now also leave orders and questions for its report unanswered, or take an order and load for ever, and take orders again after it refused them; what becomes of orders is one of four. The time between orders of two holders, 1000 ms in all settings so far, is a field of the site with that default.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use futures_util::{StreamExt, stream};
+use futures_util::{StreamExt, future, stream};
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Json, Query};
@@ -38,6 +38,18 @@
     pub fence: u64,
     /// Orders that must have been taken before.
     pub expected: Option<u64>,
+    /// When it arrived, in Unix milliseconds.
+    #[serde(skip)]
+    pub at_ms: u64,
+}
+
+/// A load of weights that ended well.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// Version that it has since.
+    pub version: u64,
+    /// Since when, in Unix milliseconds.
+    pub at_ms: u64,
 }
 
 /// A request for a run as it arrived.
@@ -47,12 +59,26 @@
     pub headers: BTreeMap<String, String>,
 }
 
+/// What becomes of orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Orders {
+    /// They are carried out.
+    #[default]
+    Taken,
+    /// They are turned away.
+    Refused,
+    /// Neither they nor questions for its report are answered.
+    Unanswered,
+    /// They are taken, and their loads never end.
+    Endless,
+}
+
 /// What a test makes it do wrong.
 #[derive(Default)]
 struct Faults {
     hides_start: bool,
     holds_streams: bool,
-    refuses_orders: bool,
+    orders: Orders,
     failing_listings: u32,
     clock_ms: Option<f64>,
 }
@@ -65,6 +91,7 @@
     /// Changes with each run, for those who follow what is kept.
     boot: u64,
     orders: Vec<Order>,
+    loaded: Vec<Loaded>,
     taken: u64,
     busy: bool,
     held: Vec<(String, String, u32)>,
@@ -149,9 +176,10 @@
     pub fn restart(&self, version: u64) {
         let mut state = self.state();
         let (orders, runs) = (state.orders.clone(), state.runs.clone());
+        let loaded = state.loaded.clone();
         let faults = Faults { hides_start: state.faults.hides_start, ..Faults::default() };
         let born = now_ms().max(state.born + 1);
-        *state = State { born, boot: born, faults, orders, runs, ..State::of_run(version) };
+        *state = State { born, boot: born, faults, orders, loaded, runs, ..State::of_run(version) };
     }
 
     /// Orders that have arrived.
@@ -160,6 +188,12 @@
         self.state().orders.clone()
     }
 
+    /// Loads that have ended well, the first one first.
+    #[must_use]
+    pub fn loaded(&self) -> Vec<Loaded> {
+        self.state().loaded.clone()
+    }
+
     /// Runs that have arrived.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -192,7 +226,22 @@
 
     /// Takes no order from now on.
     pub fn refuse_orders(&self) {
-        self.state().faults.refuses_orders = true;
+        self.state().faults.orders = Orders::Refused;
+    }
+
+    /// Takes orders again.
+    pub fn take_orders(&self) {
+        self.state().faults.orders = Orders::Taken;
+    }
+
+    /// Answers no order and no question for its report from now on; it still serves.
+    pub fn hang(&self) {
+        self.state().faults.orders = Orders::Unanswered;
+    }
+
+    /// Takes orders, and never ends the load, from now on.
+    pub fn load_for_ever(&self) {
+        self.state().faults.orders = Orders::Endless;
     }
 
     /// Fails the next calls that list what is kept.
@@ -227,8 +276,17 @@
     }
 }
 
+/// Waits for ever if it answers nothing.
+async fn pass(shared: &Shared) {
+    let orders = shared.lock().expect("state").faults.orders;
+    if orders == Orders::Unanswered {
+        future::pending::<()>().await;
+    }
+}
+
 #[handler]
-fn report(Data(state): Data<&Shared>) -> Json<Value> {
+async fn report(Data(state): Data<&Shared>) -> Json<Value> {
+    pass(state).await;
     let state = state.lock().expect("state");
     Json(json!({ "stage": "both", "busy": state.busy, "seq": state.taken, "queued": 0,
         "in_flight": 0, "kv_used": 0, "kv_total": 100_000, "handles": 0, "clock_ms": now_ms(),
@@ -237,13 +295,15 @@
 }
 
 #[handler]
-fn order(Data(shared): Data<&Shared>, Json(order): Json<Order>) -> StatusCode {
+async fn order(Data(shared): Data<&Shared>, Json(order): Json<Order>) -> StatusCode {
+    pass(shared).await;
     let mut state = shared.lock().expect("state");
+    let order = Order { at_ms: now_ms(), ..order };
     state.orders.push(order.clone());
     if order.version == state.version {
         return StatusCode::OK;
     }
-    if state.faults.refuses_orders
+    if state.faults.orders == Orders::Refused
         || state.busy
         || order.expected.is_some_and(|expected| expected != state.taken)
     {
@@ -251,6 +311,9 @@
     }
     state.busy = true;
     state.taken += 1;
+    if state.faults.orders == Orders::Endless {
+        return StatusCode::ACCEPTED;
+    }
     let later = shared.clone();
     let born = state.born;
     tokio::spawn(async move {
@@ -261,6 +324,7 @@
             return;
         }
         state.version = order.version;
+        state.loaded.push(Loaded { version: order.version, at_ms: now_ms() });
         state.busy = false;
     });
     StatusCode::ACCEPTED
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -144,6 +144,9 @@
     pub own_peer_ports: bool,
     /// Time in which gateways started from now on bring engines to named weights.
     pub weights_apply_ms: u64,
+    /// Time for which orders of two holders must not follow each other, for gateways
+    /// started from now on.
+    pub lease_ms: u64,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -165,6 +168,7 @@
             retry_extra: 1_000_000,
             own_peer_ports: false,
             weights_apply_ms: 10_000,
+            lease_ms: 1000,
             folder,
             network,
             next_box: 10,
@@ -196,11 +200,12 @@
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\nseeds = {}\n[platform]\naddress = {}\n\
-             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = 1000\n\
+             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
              weights_apply_ms = {}\n",
             seeds.join(","),
             metadata,
             self.retry_extra,
+            self.lease_ms,
             self.weights_apply_ms,
         );
         let path = self.folder.join(format!("{name}.ini"));
