Tests that fail: weights stay old while leaders come and go, and overdue ones are used

Cause: a leader begins its wait before the first order anew whatever was ordered before it, so that leaders which end sooner give none; an engine's weights being overdue is a cost and no bar; a box that starts again counts from when it learned; engines that answer no order hold the places of those that load. Ruled out: that the checks fail by themselves. The time without leader is 0.1 s after a stop and about 1.6 s after a kill.

--- /dev/null
+++ b/tests/gateway_leaders.rs
@@ -0,0 +1,378 @@
+//! Weights stayed old while boxes came and went. A box that takes over the orders first
+//! waits until those of the one before are surely in the past, and began that wait anew
+//! whatever had been ordered before. Boxes that were stopped in turn, or killed while they
+//! led, ended before their wait did: twelve leaders in a row gave no order (`leadership_taken`
+//! to `leadership_ended` after 0.4 to 1.7 s, where the wait is 2.7 s), so that there was none
+//! for 21.9 s where 10 s are allowed, and requests began on weights that should have been
+//! gone. A box that started again took the time at which it learned of a version for that of
+//! its naming, and one that knew better sent to engines whose weights were overdue all the
+//! same, since that was a cost and no bar.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::time::Duration;
+
+use common::{start_engines, wait_ready};
+use coursestile_standins::clock::now_ms;
+use coursestile_standins::site::engine::{Engine, MODEL, Order};
+use coursestile_standins::site::{Gateway, Site, document, engine_services, eventually};
+use futures_util::future::join_all;
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// Time in which every engine must have a named version, where boxes come and go.
+const APPLY_MS: u64 = 10_000;
+/// Time for which boxes come and go.
+const TROUBLE_MS: u64 = 22_000;
+/// When versions 2 and on are named, after the trouble has begun.
+const NAMED_AFTER_MS: [u64; 4] = [1000, 5000, 11_000, 12_000];
+/// Longest wait for somebody to lead before the trouble goes on with any box.
+const LEADER_WAIT_MS: u64 = 5000;
+/// How often a test looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+/// Time in which boxes tell each other what they know, well above what it takes.
+const TELL_MS: u64 = 300;
+/// Time for which a box is away after a version was named, before it starts again.
+const AWAY_MS: u64 = 2000;
+/// Pause between two prompts of a series.
+const PROMPT_PERIOD: Duration = Duration::from_millis(250);
+
+struct Fleet {
+    gateways: Vec<Gateway>,
+    engines: Vec<Engine>,
+    site: Site,
+}
+
+/// A fleet whose boxes are ready, and one of them leads.
+async fn fleet(mut site: Site, gateways: usize, engines: usize) -> Fleet {
+    let engines = start_engines(&site, engines).await;
+    let mut config = document(7);
+    config["routes"][2]["service"] = "llm".into();
+    config["routes"][2]["path_prefix"] = "/run/".into();
+    config["services"] = engine_services(None);
+    site.configure(&config);
+    site.name_weights(MODEL, 1);
+    let mut started: Vec<Gateway> = Vec::new();
+    for _ in 0..gateways {
+        let seeds: Vec<&Gateway> = started.iter().collect();
+        let gateway = site.gateway("north", &seeds);
+        wait_ready(&gateway).await;
+        started.push(gateway);
+    }
+    let fleet = Fleet { gateways: started, engines, site };
+    eventually("a box leads", async || fleet.leader_after(0).is_some()).await;
+    fleet
+}
+
+/// A platform with bounds of its own.
+async fn site_of(lease_ms: u64, weights_apply_ms: u64) -> Site {
+    let mut site = Site::start().await;
+    site.lease_ms = lease_ms;
+    site.weights_apply_ms = weights_apply_ms;
+    site
+}
+
+/// A box that took over.
+struct Leader {
+    /// Index among the boxes.
+    index: usize,
+    fence: u64,
+}
+
+/// A version that was named.
+struct Naming {
+    version: u64,
+    at_ms: u64,
+}
+
+impl Fleet {
+    /// The box that took over last, if its fence is above `fence`.
+    fn leader_after(&self, fence: u64) -> Option<Leader> {
+        let leaders = self.gateways.iter().enumerate().filter_map(|(index, gateway)| {
+            Some(Leader { index, fence: held_fence(&gateway.logged())? })
+        });
+        leaders.filter(|leader| leader.fence > fence).max_by_key(|leader| leader.fence)
+    }
+
+    /// Waits a while for a box that takes over after the one with `fence`.
+    async fn next_leader(&self, fence: u64) -> Option<Leader> {
+        let until_ms = now_ms() + LEADER_WAIT_MS;
+        while now_ms() < until_ms {
+            if let Some(leader) = self.leader_after(fence) {
+                return Some(leader);
+            }
+            sleep(LOOK_PERIOD).await;
+        }
+        None
+    }
+
+    fn name(&self, version: u64) -> Naming {
+        self.site.name_weights(MODEL, version);
+        Naming { version, at_ms: now_ms() }
+    }
+
+    /// Names versions, while the trouble goes on.
+    async fn name_versions(&self) -> Vec<Naming> {
+        let begin_ms = now_ms();
+        let mut namings = Vec::new();
+        for (version, after_ms) in (2..).zip(NAMED_AFTER_MS) {
+            wait_until(begin_ms + after_ms).await;
+            namings.push(self.name(version));
+        }
+        namings
+    }
+
+    /// Asks boxes to stop in turn, `period_ms` apart, and starts each again once it has.
+    async fn stop_in_turn(&self, period_ms: u64) {
+        let begin_ms = now_ms();
+        for (gateway, round) in self.gateways.iter().cycle().zip(0..) {
+            while now_ms() < begin_ms + period_ms * round {
+                self.gateways.iter().for_each(Gateway::start_if_ended);
+                sleep(LOOK_PERIOD).await;
+            }
+            if now_ms() >= begin_ms + TROUBLE_MS {
+                break;
+            }
+            gateway.try_signal("-TERM");
+        }
+        eventually("all have started again", async || {
+            self.gateways.iter().for_each(Gateway::start_if_ended);
+            self.gateways.iter().all(|gateway| !is_stopping(&gateway.logged()))
+        })
+        .await;
+    }
+
+    /// Does something to each box that leads, `lead_ms` after it has taken over.
+    async fn strike_leaders(&self, lead_ms: u64, mut strike: impl AsyncFnMut(&Gateway)) {
+        let until_ms = now_ms() + TROUBLE_MS;
+        let mut fence = 0;
+        let mut struck = 0;
+        while now_ms() < until_ms {
+            if let Some(leader) = self.next_leader(fence).await {
+                (struck, fence) = (leader.index, leader.fence);
+                sleep(Duration::from_millis(lead_ms)).await;
+            } else {
+                struck = (struck + 1) % self.gateways.len();
+            }
+            strike(&self.gateways[struck]).await;
+        }
+    }
+
+    /// Each engine had each version, or a newer one, in time.
+    async fn assert_in_time(&self, namings: &[Naming]) {
+        let last_ms = namings.iter().map(|naming| naming.at_ms).max().unwrap_or_default();
+        wait_until(last_ms + APPLY_MS).await;
+        let late: Vec<String> = namings.iter().flat_map(|naming| self.late_with(naming)).collect();
+        let figures = format!("{}; {}", late.join(", "), self.order_figures());
+        assert!(late.is_empty(), "later than {APPLY_MS} ms: {figures}");
+    }
+
+    fn late_with(&self, naming: &Naming) -> Vec<String> {
+        let late = self.engines.iter().enumerate().filter(|(_, engine)| is_late(engine, naming));
+        let told = late.map(|(number, engine)| {
+            format!("e-{number} version {} after {:?}", naming.version, took_ms(engine, naming))
+        });
+        told.collect()
+    }
+
+    /// How many leaders and orders there were, and the longest time without an order.
+    fn order_figures(&self) -> String {
+        let mut at_ms: Vec<u64> =
+            self.engines.iter().flat_map(Engine::orders).map(|order| order.at_ms).collect();
+        at_ms.sort_unstable();
+        let longest_ms = at_ms.windows(2).map(|pair| pair[1] - pair[0]).max();
+        let logs = self.gateways.iter().map(Gateway::logged);
+        let leaders: usize = logs.map(|log| log.matches("event=leadership_taken").count()).sum();
+        let orders = at_ms.len();
+        format!("{leaders} leaders, {orders} orders, longest time between two {longest_ms:?} ms")
+    }
+
+    /// No engine had orders of two holders within the time of a lease, and its fences rise.
+    fn assert_one_holder_at_once(&self) {
+        for (number, engine) in self.engines.iter().enumerate() {
+            for pair in engine.orders().windows(2) {
+                assert!(pair[0].fence <= pair[1].fence, "e-{number}: {pair:?}");
+                assert!(are_apart(pair, self.site.lease_ms), "e-{number}: {pair:?}");
+            }
+        }
+    }
+
+    /// Waits until all boxes know of a version; since when they do.
+    async fn wait_known(&self, version: u64) -> u64 {
+        let text = format!("event=weights_named model={MODEL} version={version}");
+        eventually("all know of it", async || {
+            self.gateways.iter().all(|gateway| gateway.logged().contains(&text))
+        })
+        .await;
+        now_ms()
+    }
+
+    /// Prompts through a box are turned away, and reach no engine.
+    async fn assert_barred(&self, gateway: &Gateway) {
+        let ids: Vec<String> = (0..4).map(|number| format!("r-{number}")).collect();
+        let prompts = ids.iter().zip(0..).map(async |(id, number)| {
+            sleep(PROMPT_PERIOD * number).await;
+            common::prompt(gateway, id).await
+        });
+        let statuses = join_all(prompts).await;
+        let reached = ids.iter().filter(|id| self.has_run(id)).count();
+        assert_eq!((statuses, reached), (vec![503; ids.len()], 0));
+    }
+
+    fn has_run(&self, id: &str) -> bool {
+        let mut runs = self.engines.iter().flat_map(Engine::runs);
+        runs.any(|run| run.headers.get("x-request-id").is_some_and(|one| one == id))
+    }
+
+    /// Engines load again, and prompts are served.
+    async fn assert_served_again(&self, gateway: &Gateway) {
+        self.engines.iter().for_each(Engine::take_orders);
+        let mut number = 0;
+        eventually("prompts are served again", async || {
+            number += 1;
+            common::prompt(gateway, &format!("again-{number}")).await == 200
+        })
+        .await;
+    }
+}
+
+/// How long it took until an engine had a named version or a newer one.
+fn took_ms(engine: &Engine, naming: &Naming) -> Option<u64> {
+    let loaded = engine.loaded().into_iter().find(|one| one.version >= naming.version);
+    loaded.map(|one| one.at_ms.saturating_sub(naming.at_ms))
+}
+
+fn is_late(engine: &Engine, naming: &Naming) -> bool {
+    took_ms(engine, naming).is_none_or(|took_ms| took_ms > APPLY_MS)
+}
+
+/// Whether two orders are of one holder, or far enough apart.
+fn are_apart(pair: &[Order], lease_ms: u64) -> bool {
+    pair[0].holder == pair[1].holder || pair[1].at_ms >= pair[0].at_ms + lease_ms
+}
+
+/// The fence that a box has by its log, if it leads.
+fn held_fence(log: &str) -> Option<u64> {
+    let mut held = None;
+    for line in log.lines() {
+        if let Some((_, rest)) = line.split_once("event=leadership_taken fence=") {
+            held = rest.split(' ').next().and_then(|text| text.trim().parse().ok());
+        } else if line.contains("event=leadership_ended") || line.contains("event=started ") {
+            held = None;
+        }
+    }
+    held
+}
+
+/// Whether the last run of a box, by its log, has been asked to stop.
+fn is_stopping(log: &str) -> bool {
+    let asked = log.rfind("event=stopping");
+    asked.is_some() && asked > log.rfind("event=started ")
+}
+
+async fn wait_until(at_ms: u64) {
+    sleep(Duration::from_millis(at_ms.saturating_sub(now_ms()))).await;
+}
+
+/// Kills a box, and starts it again.
+async fn kill_and_start(gateway: &Gateway) {
+    gateway.try_signal("-KILL");
+    eventually("it has ended", async || !gateway.is_alive()).await;
+    gateway.start_if_ended();
+}
+
+/// Stops of boxes in turn, each of which serves for less than the pause between the orders
+/// of two holders.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn boxes_stopped_in_turn() {
+    let fleet = fleet(site_of(3000, APPLY_MS).await, 5, 6).await;
+    let (namings, ()) = tokio::join!(fleet.name_versions(), fleet.stop_in_turn(1000));
+    fleet.assert_one_holder_at_once();
+    fleet.assert_in_time(&namings).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_killed_again() {
+    let fleet = fleet(site_of(2000, APPLY_MS).await, 5, 6).await;
+    let kills = fleet.strike_leaders(1200, kill_and_start);
+    let (namings, ()) = tokio::join!(fleet.name_versions(), kills);
+    fleet.assert_one_holder_at_once();
+    fleet.assert_in_time(&namings).await;
+}
+
+/// A leader stands still until another has surely taken over, and goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_paused_again() {
+    let fleet = fleet(site_of(2000, APPLY_MS).await, 5, 6).await;
+    let pauses = fleet.strike_leaders(1200, async |gateway| {
+        gateway.signal("-STOP");
+        sleep(Duration::from_millis(1600)).await;
+        gateway.signal("-CONT");
+    });
+    let (namings, ()) = tokio::join!(fleet.name_versions(), pauses);
+    fleet.assert_one_holder_at_once();
+    fleet.assert_in_time(&namings).await;
+}
+
+/// Without an engine whose weights are allowed, a prompt has not run.
+#[tokio::test]
+async fn overdue_is_barred() {
+    let fleet = fleet(site_of(1000, 3000).await, 1, 4).await;
+    fleet.engines.iter().for_each(Engine::refuse_orders);
+    fleet.name(2);
+    let known_at_ms = fleet.wait_known(2).await;
+    wait_until(known_at_ms + fleet.site.weights_apply_ms).await;
+    fleet.assert_barred(&fleet.gateways[0]).await;
+    fleet.assert_served_again(&fleet.gateways[0]).await;
+}
+
+/// A box that was not there goes by the time of naming that the others know: of the newest
+/// version, and of the first that is newer than the one an engine has.
+#[rstest]
+#[case::newest(&[2])]
+#[case::passed_over(&[2, 3])]
+#[tokio::test]
+async fn restarted_box_knows(#[case] versions: &[u64]) {
+    let fleet = fleet(site_of(1000, 4000).await, 3, 4).await;
+    fleet.engines.iter().for_each(Engine::refuse_orders);
+    fleet.name(versions[0]);
+    let known_at_ms = fleet.wait_known(versions[0]).await;
+    let restarted = &fleet.gateways[2];
+    restarted.signal("-KILL");
+    eventually("it has ended", async || !restarted.is_alive()).await;
+    wait_until(known_at_ms + AWAY_MS).await;
+    versions[1..].iter().for_each(|version| fleet.site.name_weights(MODEL, *version));
+    restarted.start_if_ended();
+    wait_ready(restarted).await;
+    wait_until(known_at_ms + fleet.site.weights_apply_ms + TELL_MS).await;
+    fleet.assert_barred(restarted).await;
+    fleet.assert_served_again(restarted).await;
+}
+
+/// Engines that answer no order, or load for ever, hold up no other, though they are more
+/// than load at once.
+#[rstest]
+#[case::few_silent(8, 3, Engine::hang)]
+#[case::many_silent(10, 6, Engine::hang)]
+#[case::endless_loads(10, 6, Engine::load_for_ever)]
+#[tokio::test]
+async fn hanging_engines(
+    #[case] engines: usize,
+    #[case] hanging: usize,
+    #[case] hang: impl Fn(&Engine),
+) {
+    let fleet = fleet(site_of(1000, APPLY_MS).await, 2, engines).await;
+    let (hanging, sound) = fleet.engines.split_at(hanging);
+    hanging.iter().for_each(hang);
+    let naming = fleet.name(2);
+    let mut statuses = Vec::new();
+    while now_ms() < naming.at_ms + APPLY_MS && sound.iter().any(|one| one.version() < 2) {
+        statuses.push(common::prompt(&fleet.gateways[0], &format!("r-{}", statuses.len())).await);
+        sleep(LOOK_PERIOD).await;
+    }
+    let took_ms: Vec<Option<u64>> = sound.iter().map(|one| took_ms(one, &naming)).collect();
+    let figures = format!("{took_ms:?}; {}", fleet.order_figures());
+    assert!(!sound.iter().any(|one| is_late(one, &naming)), "{figures}");
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
