A listing is complete up to its first page, whatever later pages tell

Cause: View::replace took the revision of each listed item for what the view knows of all keys. A listing reads three prefixes one after the other; an item of the last that is newer than the first page let the watch go on after it, so that a configuration or a version written between the pages was not told to this box.

--- a/src/gateway/decisions/view.rs
+++ b/src/gateway/decisions/view.rs
@@ -263,11 +263,13 @@
             // A listing does not say when the item went.
             changes.extend(self.remove(now_ms, &key, at_revision, lapses));
         }
+        // Later pages of a listing tell newer items, and not what happened before those.
+        let complete_to = self.at_revision.max(at_revision);
         for (key, written) in snapshot.items {
             changes.extend(self.put(key, written));
         }
         self.changed_revision = self.changed_revision.max(snapshot.changed_revision);
-        self.at_revision = self.at_revision.max(at_revision);
+        self.at_revision = complete_to;
         changes
     }
 
