Sight: for how long weights are behind, in each routed line and as a gauge; orders counted

The logs could not tell whether a box sent a request to overdue weights knowingly (a cost that no other engine outweighed) or because it counted the version from its own start: the routed line now has behind_ms as the box believes it, the leadership line when orders may begin, and two metrics show engines that are behind and orders given.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -106,6 +106,7 @@
         state.limits.recover(TICK.as_secs_f64());
         let changes = state.view.tick(now_ms);
         apply(&gateway, &mut state, now_ms, changes);
+        metrics::gauge!("coursestile_weights_behind_seconds").set(behind_s(&state, now_ms));
         for (store, count) in state.stores.tick(now_ms) {
             info!(target: "stores", "event=saves_lost store={store} count={count}");
         }
@@ -114,6 +115,16 @@
     }
 }
 
+/// For how long the engine that is behind longest has been, as far as this box knows.
+fn behind_s(state: &State, now_ms: u64) -> f64 {
+    let since_ms = state.weights.iter().flat_map(|(model, named)| {
+        let engines = state.upstreams.current().map(|engine| engine.version(model));
+        engines.filter(|version| *version > 0).filter_map(|version| named.behind_since_ms(version))
+    });
+    let first_ms = since_ms.min().unwrap_or(now_ms);
+    Duration::from_millis(now_ms.saturating_sub(first_ms)).as_secs_f64()
+}
+
 /// Takes in what a peer knows.
 pub fn take_from_peer(gateway: &Gateway, told: CatchUp) {
     let mut state = gateway.state();
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -291,6 +291,7 @@
         fence: held.fence,
         orders_taken: taken,
     };
+    metrics::counter!("coursestile_orders_total").increment(1);
     info!(target: "leader",
         "event=order_given upstream={} model={} version={} fence={} orders_taken={taken}",
         load.upstream.id, load.model, load.version, held.fence);
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -106,7 +106,8 @@
     let until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
     let wait_ms = gateway.settings.bounds.lease_ms.saturating_sub(PASSED_MS);
     let held = Leadership { fence, until_ms, orders_from_ms: now_ms() + wait_ms };
-    info!(target: "leadership", "event=leadership_taken fence={fence}");
+    info!(target: "leadership", "event=leadership_taken fence={fence} orders_from_ms={}",
+        held.orders_from_ms);
     Ok(Some((lease, held)))
 }
 
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -10,7 +10,7 @@
 use crate::gateway::check::Job;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
-use crate::gateway::kernel::Gateway;
+use crate::gateway::kernel::{Gateway, State};
 
 /// Logs a request that is refused or given up.
 pub fn log_refusal(
@@ -28,11 +28,14 @@
 
 /// Logs an attempt that begins.
 pub fn log_attempt(gateway: &Gateway, job: &Job, choice: &Choice) {
-    let limit = gateway.state().limits.of(&job.service);
+    let (limit, behind_ms) = {
+        let state = gateway.state();
+        (state.limits.of(&job.service), behind_ms(&state, job, choice))
+    };
     let context = choice.context.as_ref();
     info!(target: "serve",
         "event=routed request={} route={} configuration={} upstream={} attempt={} left_ms={} \
-         version={} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
+         version={} behind_ms={behind_ms} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
          load_requests={} load_unread={} load_memory={} limit={limit:.2}",
         job.outgoing.request_id,
         job.route.name,
@@ -51,6 +54,15 @@
         choice.load.memory_tokens);
 }
 
+/// For how long a newer version than the chosen engine has was named, as far as this box
+/// knows; 0 when none was.
+fn behind_ms(state: &State, job: &Job, choice: &Choice) -> u64 {
+    let named = job.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
+    let version = choice.context.as_ref().map_or(0, |plan| plan.version);
+    let since_ms = named.and_then(|named| named.behind_since_ms(version));
+    since_ms.map_or(0, |since_ms| now_ms().saturating_sub(since_ms))
+}
+
 /// Logs an attempt that ended without an answer.
 pub fn log_attempt_end(job: &Job, choice: &Choice, end: &str, cause: &str) {
     info!(target: "serve", "event=attempt_ended request={} upstream={} end={end} cause=\"{cause}\"",
