Weights: no request begins on overdue ones, and the time of naming outlives each box

Cause: overdue weights were a cost that any engine without room outweighed, and a box that started again counted a version from when it found it in the store. Shown with behind_ms in the routed lines: a box that started at 29.74 sent to version 2 at 34.54 with behind_ms=4798, where version 3 had been named 24.5 s before. Ruled out for these requests: a wrong belief about the engine (the version it ran is the one in the line).

Change: overdue engines are barred in choose; each box tells for how long versions have been named and which one each replaced (ages, no clocks are compared), and what nobody tells is long ago.

--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -37,17 +37,13 @@
 const FETCH_WEIGHT: f64 = 0.5;
 /// Cost of a doubtful upstream; it is chosen when all are.
 const DOUBTFUL_COST_MS: f64 = 100_000.0;
-/// Cost of an engine that has no room: any other goes before, but for doubtful ones
-/// and for those whose weights are overdue.
+/// Cost of an engine that has no room: any other goes before, but for doubtful ones.
 const NO_ROOM_COST_MS: f64 = 10_000.0;
 /// Cost of weights that are older than the newest named: below the wait that
 /// makes a first token late.
 const OLD_WEIGHTS_COST_MS: f64 = 60.0;
 /// Time for which older weights are as good as new ones, as the platform has it.
 const OLD_WEIGHTS_GRACE_MS: u64 = 1500;
-/// Cost of weights that should not be there any more: any other engine goes
-/// before, but for doubtful ones.
-const OVERDUE_COST_MS: f64 = 20_000.0;
 /// Most that an upstream costs one box more than another box: boxes that know of
 /// no load would all choose the same one. Less than the work of a short prompt.
 const SPREAD_MS: f64 = 5.0;
@@ -104,6 +100,10 @@
                     let lookup = Lookup::new(now_ms, upstreams, stores, prompt, demand, version);
                     lookups.push(lookup);
                 }
+                // A request must not begin on such weights, also where no other engine is left.
+                if demand.is_overdue(now_ms, version) {
+                    continue;
+                }
                 let lookup = lookups.iter().find(|one| one.version == version);
                 let plan = lookup.map(|lookup| lookup.plan(engine, upstream))?;
                 let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
@@ -188,7 +188,6 @@
     let room = room(load, capacity(engine), demand.asked);
     let behind = demand.behind_since_ms(plan.version);
     let old_cost = match behind {
-        Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
         Some(since_ms) if now_ms >= since_ms + OLD_WEIGHTS_GRACE_MS => OLD_WEIGHTS_COST_MS,
         Some(_) | None => 0.0,
     };
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -45,10 +45,11 @@
         self.weights.and_then(|weights| weights.behind_since_ms(version))
     }
 
-    /// Whether a request sent now may begin when `version` must be gone.
+    /// Whether a request sent now may begin when `version` must be gone. An engine that
+    /// tells of no version (0) is not known to be behind.
     #[must_use]
     pub fn is_overdue(&self, now_ms: u64, version: u64) -> bool {
-        let since_ms = self.behind_since_ms(version);
+        let since_ms = self.behind_since_ms(version).filter(|_| version > 0);
         since_ms.is_some_and(|since_ms| now_ms + BEGIN_MS >= since_ms + self.weights_apply_ms)
     }
 }
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -44,6 +44,8 @@
     pub upstream_clock_ms: Option<u64>,
     /// Weight versions that engines have reached: engine, model, version.
     pub versions: Vec<(u32, u32, u64)>,
+    /// Weight versions that were named lately.
+    pub named: Vec<ToldNaming>,
 }
 
 /// What a box has to do with one upstream.
@@ -57,6 +59,19 @@
     pub heard_age_ms: u16,
 }
 
+/// A weight version that was named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldNaming {
+    /// Number of the model.
+    pub model: u32,
+    /// The version.
+    pub version: u64,
+    /// The one that it replaced, 0 for none.
+    pub replaced: u64,
+    /// Time since it was named, in milliseconds: clocks of boxes may differ.
+    pub age_ms: u32,
+}
+
 /// How the metadata store answers a box.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreLink {
--- a/src/gateway/decisions/view.rs
+++ b/src/gateway/decisions/view.rs
@@ -94,6 +94,7 @@
     answered_at_ms: u64,
     said_unable: bool,
     trouble_ended_at_ms: Option<u64>,
+    complete_at_ms: Option<u64>,
     least_trouble_ms: u64,
 }
 
@@ -129,6 +130,18 @@
         self.store_answers
     }
 
+    /// When the store told this box all that there was to know; `None` before the first
+    /// listing.
+    #[must_use]
+    pub fn complete_at_ms(&self) -> Option<u64> {
+        self.complete_at_ms
+    }
+
+    /// Notes that the store has told all that there is to know.
+    pub fn completed(&mut self, now_ms: u64) {
+        self.complete_at_ms = Some(now_ms);
+    }
+
     /// Whether there is an item under `key`.
     #[must_use]
     pub fn has(&self, key: &str) -> bool {
--- a/src/gateway/decisions/weights.rs
+++ b/src/gateway/decisions/weights.rs
@@ -1,43 +1,90 @@
 //! The weight versions that operators have named for a model, and since when
 //! an engine with an older one is behind.
+//!
+//! When a version was named is a fact of the fleet. A box that has just started finds only
+//! the newest version in the metadata store, and not since when; it hears that from
+//! the boxes that were there. What nobody tells is taken for long ago: taken for new, it
+//! kept engines in use for the whole bound after each start of a box.
+
+use serde::{Deserialize, Serialize};
 
 /// Versions that are remembered.
 const REMEMBERED: usize = 16;
 /// All streams make way for a load that is late by this part of its time: an engine must
 /// not have old weights for one and a half of it, and the load itself takes a second.
 const MAKE_WAY_PART: u64 = 4;
+/// Stands for a time that is not known: before all others.
+pub const LONG_AGO_MS: u64 = 0;
+
+/// A version that was named.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Naming {
+    /// The version.
+    pub version: u64,
+    /// The one that it replaced, 0 for none: no other was named between them.
+    pub replaced: u64,
+    /// When the first box learned of it.
+    pub at_ms: u64,
+}
 
 /// The weight versions named for one model.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NamedWeights {
-    /// Versions with the time at which this box learned of each, rising.
-    named: Vec<(u64, u64)>,
+    /// Rising, by version.
+    named: Vec<Naming>,
 }
 
 impl NamedWeights {
-    /// Takes a named version; false when it is not newer than all before.
-    pub fn learn(&mut self, now_ms: u64, version: u64) -> bool {
-        if version <= self.newest() {
+    /// Takes a version that was named at some time, or [`LONG_AGO_MS`]; false when it is not
+    /// newer than all before.
+    pub fn learn(&mut self, at_ms: u64, version: u64) -> bool {
+        let replaced = self.newest();
+        if version <= replaced {
             return false;
         }
-        self.named.push((version, now_ms));
+        self.named.push(Naming { version, replaced, at_ms });
         if self.named.len() > REMEMBERED {
             self.named.remove(0);
         }
         true
     }
 
+    /// Takes what a peer tells of a version. The newest comes from the metadata store alone.
+    pub fn hear(&mut self, told: Naming) {
+        if told.version > self.newest() {
+            return;
+        }
+        match self.named.binary_search_by_key(&told.version, |one| one.version) {
+            Ok(known) => {
+                let known = &mut self.named[known];
+                if known.at_ms == LONG_AGO_MS {
+                    *known = told;
+                }
+                known.at_ms = known.at_ms.min(told.at_ms);
+            }
+            Err(place) if self.named.len() < REMEMBERED => self.named.insert(place, told),
+            Err(_) => {}
+        }
+    }
+
+    /// The versions that were named after a time.
+    pub fn named_after(&self, at_ms: u64) -> impl Iterator<Item = Naming> {
+        self.named.iter().copied().filter(move |one| one.at_ms > at_ms)
+    }
+
     /// The newest version; 0 when none was named.
     #[must_use]
     pub fn newest(&self) -> u64 {
-        self.named.last().map_or(0, |(version, _)| *version)
+        self.named.last().map_or(0, |newest| newest.version)
     }
 
     /// Since when an engine with `version` is behind; `None` when it is not.
     #[must_use]
     pub fn behind_since_ms(&self, version: u64) -> Option<u64> {
-        let newer = self.named.iter().find(|(named, _)| *named > version);
-        newer.map(|(_, known_at_ms)| *known_at_ms)
+        let newer = self.named.iter().find(|one| one.version > version)?;
+        // Else another may have been named before that one.
+        let is_next = newer.replaced <= version;
+        Some(if is_next { newer.at_ms } else { LONG_AGO_MS })
     }
 
     /// Whether an engine with `version` is held up by what runs there: it is behind for
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,6 +18,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::decisions::units::whole_ms;
 use crate::gateway::decisions::view::{CatchUp, Changed, Snapshot, Written};
+use crate::gateway::decisions::weights::LONG_AGO_MS;
 use crate::gateway::entries;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
@@ -105,7 +106,7 @@
         choose_role(&gateway, &mut state, now_ms);
         state.limits.recover(TICK.as_secs_f64());
         let changes = state.view.tick(now_ms);
-        apply(&gateway, &mut state, now_ms, changes);
+        apply(&gateway, &mut state, now_ms, now_ms, changes);
         metrics::gauge!("coursestile_weights_behind_seconds").set(behind_s(&state, now_ms));
         for (store, count) in state.stores.tick(now_ms) {
             info!(target: "stores", "event=saves_lost store={store} count={count}");
@@ -136,10 +137,12 @@
         return;
     }
     let now_ms = now_ms();
+    // Peers that were there tell since when; this one may have just started.
+    let named_at_ms = if state.view.is_known() { now_ms } else { LONG_AGO_MS };
     let changes = state.view.take(now_ms, told, is_covered);
     info!(target: "follow",
         "event=caught_up at_revision={at_revision} whole={whole} changes={}", changes.len());
-    apply(gateway, &mut state, now_ms, changes);
+    apply(gateway, &mut state, now_ms, named_at_ms, changes);
 }
 
 /// How a call to the store has ended.
@@ -168,11 +171,14 @@
     answered(gateway);
     let mut state = gateway.state();
     let now_ms = now_ms();
+    // What is new was named after the store told all before, if it did.
+    let named_at_ms = state.view.complete_at_ms().unwrap_or(LONG_AGO_MS);
+    state.view.completed(now_ms);
     let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
     let changes = state.view.replace(now_ms, snapshot, is_covered, lapses);
     info!(target: "follow",
         "event=listed at_revision={at_revision} items={items} changes={}", changes.len());
-    apply(gateway, &mut state, now_ms, changes);
+    apply(gateway, &mut state, now_ms, named_at_ms, changes);
     Ok(Followed::Answered)
 }
 
@@ -212,7 +218,8 @@
         }
     }
     state.view.complete_to(at_revision);
-    apply(gateway, &mut state, now_ms, applied);
+    state.view.completed(now_ms);
+    apply(gateway, &mut state, now_ms, now_ms, applied);
     Ok(Followed::Answered)
 }
 
@@ -270,8 +277,15 @@
     }
 }
 
-/// Puts changes of the view in force.
-fn apply(gateway: &Gateway, state: &mut State, now_ms: u64, changes: Vec<Changed>) {
+/// Puts changes of the view in force. Versions of weights among them were named at
+/// `named_at_ms` or later.
+fn apply(
+    gateway: &Gateway,
+    state: &mut State,
+    now_ms: u64,
+    named_at_ms: u64,
+    changes: Vec<Changed>,
+) {
     if !changes.is_empty() && state.follows_store {
         // Others learn from this box.
         gateway.gossip_now.notify_one();
@@ -286,7 +300,7 @@
             (Kind::Configuration, Some(value)) => {
                 upstreams_changed |= put_site(state, value);
             }
-            (Kind::Weights { model }, Some(value)) => put_weights(state, now_ms, model, value),
+            (Kind::Weights { model }, Some(value)) => put_weights(state, named_at_ms, model, value),
             (Kind::Upstream { id }, Some(value)) => {
                 upstreams_changed |= entries::put(gateway, state, now_ms, id, value);
             }
@@ -331,12 +345,13 @@
     true
 }
 
-fn put_weights(state: &mut State, now_ms: u64, model: &str, value: &[u8]) {
+fn put_weights(state: &mut State, named_at_ms: u64, model: &str, value: &[u8]) {
     match keys::read_weights(model, value) {
         Ok(version) => {
             let named = state.weights.entry(model.to_owned()).or_default();
-            if named.learn(now_ms, version) {
-                info!(target: "follow", "event=weights_named model={model} version={version}");
+            if named.learn(named_at_ms, version) {
+                info!(target: "follow",
+                    "event=weights_named model={model} version={version} named_at_ms={named_at_ms}");
             }
         }
         Err(error) => warn!(target: "follow", "event=weights_unreadable cause=\"{error}\""),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,10 +13,11 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::connections::tune;
-use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad, told_loads};
+use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad, ToldNaming, told_loads};
 use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS};
 use crate::gateway::decisions::view::{CatchUp, Mark};
+use crate::gateway::decisions::weights::Naming;
 use crate::gateway::follow;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::leader::LOADING_GOSSIP_MS;
@@ -49,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Datagram {
     /// What the sender knows and does.
-    Gossip(Gossip),
+    Gossip(Box<Gossip>),
     /// The sender cannot renew its lease itself.
     RenewalRequest(RenewalRequest),
     /// The answer to that.
@@ -70,7 +71,7 @@
     let mut audience = Audience::All;
     while gateway.phase() != Phase::Stopped {
         let (gossip, targets) = compose(&gateway, incarnation, audience);
-        match postcard::to_stdvec(&Datagram::Gossip(gossip)) {
+        match postcard::to_stdvec(&Datagram::Gossip(Box::new(gossip))) {
             Ok(bytes) => {
                 for target in targets {
                     if let Err(error) = socket.send_to(&bytes, target).await {
@@ -121,6 +122,7 @@
             .upstream_clock_ahead_ms
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
         versions: versions(&mut state, now_ms),
+        named: named(&state, now_ms, gateway.settings.bounds.weights_apply_ms),
     };
     (gossip, targets)
 }
@@ -150,6 +152,26 @@
     state.told_versions.iter().map(|told| (told.engine, told.model, told.version)).collect()
 }
 
+/// The versions of weights that were named while an engine with older ones may still be in
+/// time, and as long again: all others are long overdue.
+fn named(state: &State, now_ms: u64, apply_ms: u64) -> Vec<ToldNaming> {
+    let since_ms = now_ms.saturating_sub(2 * apply_ms);
+    let models = state.weights.iter().flat_map(|(model, named)| {
+        let model = number(model);
+        named.named_after(since_ms).map(move |naming| ToldNaming {
+            model,
+            version: naming.version,
+            replaced: naming.replaced,
+            age_ms: age_ms(now_ms, naming.at_ms),
+        })
+    });
+    models.collect()
+}
+
+fn age_ms(now_ms: u64, at_ms: u64) -> u32 {
+    u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
+}
+
 /// Hears peers.
 pub async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -163,7 +185,7 @@
             }
         };
         match postcard::from_bytes(&buffer[..length]) {
-            Ok(Datagram::Gossip(gossip)) => hear(&gateway, from.ip(), gossip),
+            Ok(Datagram::Gossip(gossip)) => hear(&gateway, from.ip(), *gossip),
             Ok(Datagram::RenewalRequest(request)) => {
                 tokio::spawn(renew_for_peer(gateway.clone(), socket.clone(), request, from));
             }
@@ -183,6 +205,7 @@
     let now_ms = now_ms();
     let own = state.view.mark();
     take_weights(&mut state, now_ms, &gossip);
+    take_namings(&mut state, now_ms, &gossip);
     for upstream in state.upstreams.iter_mut() {
         if gossip.superseded.contains(&upstream.number) {
             upstream.supersede();
@@ -232,6 +255,18 @@
     }
 }
 
+/// Takes since when versions of weights are named.
+fn take_namings(state: &mut State, now_ms: u64, gossip: &Gossip) {
+    for told in &gossip.named {
+        let mut known = state.weights.iter_mut();
+        if let Some((_, named)) = known.find(|(model, _)| number(model) == told.model) {
+            let at_ms = now_ms.saturating_sub(u64::from(told.age_ms));
+            let naming = Naming { version: told.version, replaced: told.replaced, at_ms };
+            named.hear(naming);
+        }
+    }
+}
+
 /// Asks a peer that knows more for what this box lacks.
 pub async fn catch_up(gateway: Arc<Gateway>) {
     while gateway.phase() != Phase::Stopped {
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -272,7 +272,7 @@
         let own = SocketAddr::from(([first, second, third, host], told.port()));
         let socket = UdpSocket::bind(own).await.expect("address");
         let listener = TcpListener::bind(own).await.expect("address");
-        let datagram = postcard::to_stdvec(&Datagram::Gossip(gossip)).expect("datagram");
+        let datagram = postcard::to_stdvec(&Datagram::Gossip(Box::new(gossip))).expect("datagram");
         let telling = tokio::spawn(async move {
             loop {
                 socket.send_to(&datagram, told).await.expect("send");
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -8,7 +8,7 @@
 
 use common::{start_engines, wait_ready};
 use coursestile_standins::site::client::{Client, request};
-use coursestile_standins::site::engine::{Engine, MODEL};
+use coursestile_standins::site::engine::{Engine, MODEL, Run};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::metadata::Trouble;
 use coursestile_standins::site::{
@@ -275,16 +275,23 @@
     streams.iter().for_each(JoinHandle::abort);
 }
 
-/// They leave an engine that is late, as any other.
+/// They leave an engine that is late, as any other, for one that has the new weights: no
+/// request may begin on those that should be gone.
 #[tokio::test]
 async fn long_prompts_moved() {
     let mut site = Site::start().await;
     site.weights_apply_ms = 100;
     let metadata = site.metadata.address.clone();
     let mut fleet = upstreams_of(site).await;
+    let idle = Engine::start().await;
+    fleet.site.enter("e-4", &engine_entry("llm", &idle.address, MODEL, 1));
+    fleet.engines.push(idle);
     fleet.add_gateway(&metadata).await;
     let streams = streams_at_loads(&fleet, LONG_TOKENS).await;
     all_moved(&fleet, streams).await;
+    let resumed = |run: &Run| run.headers.contains_key("last-event-id");
+    let runs = fleet.engines.iter().flat_map(Engine::runs).filter(resumed);
+    assert!(runs.map(|run| run.headers["expect-version"].clone()).all(|version| version == "2"));
 }
 
 async fn stream(clients: String, id: &str, own_tokens: u32) -> Message {
