Weights move on whatever becomes of the boxes: claims in place of a pause of each leader

Cause: a new leader gave no order for 2.7 s from its takeover, whatever the one before had ordered; leaders that last less gave none at all (twelve in a row, 21.9 s), and a leader gave up as soon as its box was told to stop, while all others were stopping too. Loads that could not go on kept engines out of use, engines that had just failed went before those never ordered (no requests), and hanging ones held the permits. Ruled out: a wrong belief about engines (the versions in the routed lines are the ones that ran).

Change: a leader writes down whom it is about to order (claims), in the metadata store and only while its lease's item is its own; it strikes out what it ordered longer ago than the pause. The next leader orders at once what nobody may have ordered lately, and pauses for the others alone, counted from when any box saw the leader that ordered them to be over (ages by gossip, no clocks compared). Stores of context are claimed alike. Peers make the claims too for a leader that the store turns away. A box that stops leads until its last requests have ended, and takes the lease when no box that stays does. Loads end with the leadership and give the engine back; engines that did not answer wait 500 ms and go after those never ordered; a permit lasts 1.6 s.

Tests: the five that were red of gateway_leaders pass, nine of nine; gateway_weights 10, gateway_restarts 10, gateway_rollout 3 pass.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -56,8 +56,8 @@
     tokio::spawn(gossip::give(gateway.clone(), peers));
     tokio::spawn(store_updates::subscribe(gateway.clone()));
     tokio::spawn(reach::run(gateway.clone()));
-    tokio::spawn(leadership::run(gateway.clone(), socket));
-    tokio::spawn(leader::run(gateway.clone()));
+    tokio::spawn(leadership::run(gateway.clone(), socket.clone()));
+    tokio::spawn(leader::run(gateway.clone(), socket));
     tokio::spawn(members::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
     gateway.reached(Phase::Stopped).await;
@@ -83,6 +83,7 @@
     }
     // The last answers are on their way to the clients.
     sleep(STOP_POLL).await;
+    leadership::resign(&gateway).await;
     gateway.enter(Phase::Stopped);
 }
 
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -46,6 +46,9 @@
     pub versions: Vec<(u32, u32, u64)>,
     /// Weight versions that were named lately.
     pub named: Vec<ToldNaming>,
+    /// Revisions of the metadata store before which all leaders are over, each with the
+    /// time since that is known, in milliseconds.
+    pub terms: Vec<(u64, u32)>,
 }
 
 /// What a box has to do with one upstream.
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -5,13 +5,14 @@
 //! - Where its context comes from and goes: `sources`, `stores`, `holder`, `kept`, `context`.
 //! - Who is served and who has had its share: `admission`, `budget`, `urgency`.
 //! - Which weights engines get, and when old context may go: `rollout`, `weights`, `orders`,
-//!   `release`.
+//!   `claims`, `release`.
 //! - What is known, from whom: `view`, `peers`, `site`, `gossip_message`.
 //! - Numbers and names that all share: `units`, `names`.
 
 pub mod admission;
 pub mod budget;
 pub mod choose;
+pub mod claims;
 pub mod context;
 pub mod demand;
 pub mod gossip_message;
--- a/src/gateway/decisions/rollout.rs
+++ b/src/gateway/decisions/rollout.rs
@@ -46,6 +46,10 @@
     pub left_ms: u64,
     /// Whether it is being brought to the newest version.
     pub under_way: bool,
+    /// Whether the leader may order it now.
+    pub may_be_ordered: bool,
+    /// Orders that it did not answer or carry out, one after the other.
+    pub failed_orders: u32,
     /// Requests that it runs.
     pub requests: u32,
     /// Whether it failed or fell silent lately.
@@ -59,10 +63,15 @@
     let most = candidates.len().saturating_sub(1).max(1);
     let prepared = (at_once(candidates, version) + AHEAD).min(most);
     let under_way = candidates.iter().filter(|one| one.under_way && !one.doubtful).count();
-    let mut behind: Vec<&Candidate> =
-        candidates.iter().filter(|one| one.version < version && !one.under_way).collect();
-    // The oldest version first: its time is over first.
-    behind.sort_by_key(|one| (one.doubtful, one.version, one.requests, one.id.clone()));
+    // An engine gets no more work only once its order may follow.
+    let is_next = |one: &&Candidate| one.version < version && !one.under_way && one.may_be_ordered;
+    let mut behind: Vec<&Candidate> = candidates.iter().filter(is_next).collect();
+    // The oldest version first: its time is over first. But one that failed has no requests and
+    // would always go before those that were never ordered: on a day on which all orders were
+    // late, five of nine engines got all of them until the time of the others was over.
+    behind.sort_by_key(|one| {
+        (one.doubtful, one.failed_orders, one.version, one.requests, one.id.clone())
+    });
     let free = prepared.saturating_sub(under_way);
     behind.into_iter().take(free).map(|one| one.id.clone()).collect()
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::claims;
 use crate::gateway::decisions::units::whole_ms;
 use crate::gateway::decisions::view::{CatchUp, Changed, Snapshot, Written};
 use crate::gateway::decisions::weights::LONG_AGO_MS;
@@ -286,6 +287,7 @@
     named_at_ms: u64,
     changes: Vec<Changed>,
 ) {
+    claims::note_leader(state, now_ms);
     if !changes.is_empty() && state.follows_store {
         // Others learn from this box.
         gateway.gossip_now.notify_one();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::claims::pause_ms;
 use crate::gateway::connections::tune;
 use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad, ToldNaming, told_loads};
 use crate::gateway::decisions::names::number;
@@ -19,9 +20,9 @@
 use crate::gateway::decisions::view::{CatchUp, Mark};
 use crate::gateway::decisions::weights::Naming;
 use crate::gateway::follow;
+use crate::gateway::helpers::{HelpReply, HelpRequest, help};
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::leader::LOADING_GOSSIP_MS;
-use crate::gateway::renewal::{RenewalReply, RenewalRequest, renew_for_peer};
+use crate::gateway::loads::LOADING_GOSSIP_MS;
 use crate::gateway::settings::Bounds;
 use crate::gateway::store_updates::publish;
 use crate::phase::Phase;
@@ -51,10 +52,10 @@
 pub enum Datagram {
     /// What the sender knows and does.
     Gossip(Box<Gossip>),
-    /// The sender cannot renew its lease itself.
-    RenewalRequest(RenewalRequest),
+    /// The sender leads, and the metadata store does not answer it.
+    HelpRequest(HelpRequest),
     /// The answer to that.
-    RenewalReply(RenewalReply),
+    HelpReply(HelpReply),
 }
 
 /// What a box asks another by TCP.
@@ -123,6 +124,7 @@
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
         versions: versions(&mut state, now_ms),
         named: named(&state, now_ms, gateway.settings.bounds.weights_apply_ms),
+        terms: terms(&state, now_ms, pause_ms(&gateway.settings.bounds)),
     };
     (gossip, targets)
 }
@@ -168,6 +170,11 @@
     models.collect()
 }
 
+fn terms(state: &State, now_ms: u64, pause_ms: u64) -> Vec<(u64, u32)> {
+    let told = state.terms.told(now_ms, pause_ms);
+    told.map(|(revision, at_ms)| (revision, age_ms(now_ms, at_ms))).collect()
+}
+
 fn age_ms(now_ms: u64, at_ms: u64) -> u32 {
     u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
 }
@@ -186,11 +193,11 @@
         };
         match postcard::from_bytes(&buffer[..length]) {
             Ok(Datagram::Gossip(gossip)) => hear(&gateway, from.ip(), *gossip),
-            Ok(Datagram::RenewalRequest(request)) => {
-                tokio::spawn(renew_for_peer(gateway.clone(), socket.clone(), request, from));
+            Ok(Datagram::HelpRequest(request)) => {
+                tokio::spawn(help(gateway.clone(), socket.clone(), request, from));
             }
-            Ok(Datagram::RenewalReply(reply)) => {
-                gateway.renewal_replies.send_replace(Some(reply));
+            Ok(Datagram::HelpReply(reply)) => {
+                gateway.help_replies.send_replace(Some(reply));
             }
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
@@ -206,6 +213,9 @@
     let own = state.view.mark();
     take_weights(&mut state, now_ms, &gossip);
     take_namings(&mut state, now_ms, &gossip);
+    for (revision, age_ms) in &gossip.terms {
+        state.terms.hear(*revision, now_ms.saturating_sub(u64::from(*age_ms)));
+    }
     for upstream in state.upstreams.iter_mut() {
         if gossip.superseded.contains(&upstream.number) {
             upstream.supersede();
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -7,9 +7,11 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::gateway::claims::Book;
 use crate::gateway::connections::Connections;
 use crate::gateway::decisions::admission::Limits;
-use crate::gateway::decisions::budget::{Budget, Terms};
+use crate::gateway::decisions::budget::{self, Budget};
+use crate::gateway::decisions::claims::Terms;
 use crate::gateway::decisions::gossip_message::StoreLink;
 use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::{Own, Peers};
@@ -20,8 +22,8 @@
 use crate::gateway::decisions::view::View;
 use crate::gateway::decisions::weights::NamedWeights;
 use crate::gateway::follow;
+use crate::gateway::helpers::HelpReply;
 use crate::gateway::leadership::Leadership;
-use crate::gateway::renewal::RenewalReply;
 use crate::gateway::settings::{Bounds, Settings};
 use crate::phase::Phase;
 use crate::platform::caches::Caches;
@@ -70,15 +72,35 @@
     pub serving: usize,
     /// The leadership, while this box has it.
     pub leadership: Option<Leadership>,
+    /// When leaders were seen to be over.
+    pub terms: Terms,
+    /// What leaders have written down, while this box leads.
+    pub book: Option<Book>,
     /// Engines that this box brings to other weights; they get no new work.
     pub loading: HashSet<String>,
-    /// Engines among them that were given the order.
-    pub ordered: HashSet<String>,
+    /// Engines among them that may load, with when they no longer count as loading.
+    pub permits: HashMap<String, u64>,
+    /// Engines whose last orders have failed.
+    pub failed_orders: HashMap<String, FailedOrders>,
     /// Versions that engines were seen to reach lately.
     pub told_versions: Vec<ToldVersion>,
 }
 
 impl State {
+    /// Whether this box leads with `fence`.
+    #[must_use]
+    pub fn leads(&self, now_ms: u64, fence: u64) -> bool {
+        self.leadership.is_some_and(|held| held.fence == fence && now_ms < held.until_ms)
+    }
+
+    /// Orders nothing from now on.
+    pub fn stop_leading(&mut self) {
+        self.book = None;
+        if let Some(held) = &mut self.leadership {
+            held.until_ms = 0;
+        }
+    }
+
     /// Forgets what stores of context keep.
     pub fn lose_stores(&mut self) {
         for (_, store) in self.stores.iter_mut() {
@@ -105,6 +127,15 @@
     }
 }
 
+/// Orders to an engine that have failed, one after the other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FailedOrders {
+    /// How many.
+    pub count: u32,
+    /// When it may be tried again.
+    pub again_at_ms: u64,
+}
+
 /// A version that an engine was seen to reach.
 #[derive(Clone, Debug)]
 pub struct ToldVersion {
@@ -142,8 +173,12 @@
     pub gossip_now: Notify,
     /// Wakes those who follow the set of upstreams and stores.
     pub upstreams_changed: watch::Sender<u64>,
-    /// Answers of peers that were asked to renew a lease.
-    pub renewal_replies: watch::Sender<Option<RenewalReply>>,
+    /// Whether this box is to lead no more, since it stops.
+    pub resigned: watch::Sender<bool>,
+    /// Answers of peers that made a call for the leader.
+    pub help_replies: watch::Sender<Option<HelpReply>>,
+    /// Held while a claim is written: one after the other.
+    pub claiming: tokio::sync::Mutex<()>,
     state: Mutex<State>,
     phase: watch::Sender<Phase>,
 }
@@ -155,7 +190,7 @@
     /// Fails when an HTTP client cannot be made.
     pub fn new(settings: Settings) -> Result<Arc<Self>> {
         let bounds = &settings.bounds;
-        let terms = Terms {
+        let terms = budget::Terms {
             ratio: bounds.retry_ratio,
             window_ms: bounds.retry_window_ms,
             extra: bounds.retry_extra,
@@ -177,8 +212,11 @@
             upstream_clock_ahead_ms: None,
             serving: 0,
             leadership: None,
+            terms: Terms::default(),
+            book: None,
             loading: HashSet::new(),
-            ordered: HashSet::new(),
+            permits: HashMap::new(),
+            failed_orders: HashMap::new(),
             told_versions: Vec::new(),
         };
         Ok(Arc::new(Self {
@@ -192,7 +230,9 @@
             load_changed: Notify::new(),
             gossip_now: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
-            renewal_replies: watch::Sender::new(None),
+            resigned: watch::Sender::new(false),
+            help_replies: watch::Sender::new(None),
+            claiming: tokio::sync::Mutex::new(()),
             state: Mutex::new(state),
             phase: watch::Sender::new(Phase::Serving),
             settings,
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -3,22 +3,23 @@
 //! lease.
 //!
 //! The holder counts its time from before each renewal left, and stops before
-//! the store can give the lease to another. A new holder gives its first order
-//! only when orders of the one before are surely in the past.
+//! the store can give the lease to another. It orders at once what no leader before
+//! may have ordered lately, as these have written down (`claims`): a pause of each new holder
+//! would keep all engines from new weights for as long as holders follow each other quickly.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::now_ms;
 use crate::error::Result;
 use crate::gateway::decisions::gossip_message::StoreLink;
+use crate::gateway::helpers::{self, CallOutcome, LeaderCall};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::metadata::{Lease, Outcome};
-use crate::gateway::renewal::renew;
 use crate::phase::Phase;
 use crate::platform::keys;
 
@@ -31,12 +32,15 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(400);
 /// Margin by which the holder stops before its lease ends.
 const MARGIN_MS: u64 = 400;
-/// Part of the bound between orders of two holders that has passed when a new
-/// one takes over: the one before gave its last order `MARGIN_MS` before its
-/// lease ended. Less than that, since orders take time to arrive.
-const PASSED_MS: u64 = 300;
 /// Longest pause before a free lease is taken, so that boxes do not race.
 const TAKE_JITTER_MS: u64 = 150;
+/// Pause before a box that stops takes a free lease: one that stays goes first.
+const STOPPING_PAUSE_MS: u64 = 2 * TAKE_JITTER_MS;
+/// Longest time for which a box that stops waits until its lease has ended: some calls to
+/// the metadata store.
+const RESIGN_MS: u64 = 100;
+/// How often it looks.
+const RESIGN_POLL: Duration = Duration::from_millis(5);
 /// How often a box looks whether the lease is free.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -45,28 +49,23 @@
 pub struct Leadership {
     /// Fencing token: rises with each holder.
     pub fence: u64,
+    /// When it was taken.
+    pub taken_at_ms: u64,
     /// When it ends unless it is renewed.
     pub until_ms: u64,
-    /// When the first order may be given.
-    pub orders_from_ms: u64,
 }
 
-impl Leadership {
-    /// Whether an order may be given now.
-    #[must_use]
-    pub fn allows_orders(&self, now_ms: u64) -> bool {
-        now_ms >= self.orders_from_ms && now_ms < self.until_ms
-    }
-}
-
-/// Takes the lease when it is free, and holds it.
+/// Takes the lease when it is free, and holds it. A box that stops does so too, until its
+/// last requests have ended: when all boxes are stopped in turn, there may be no other.
 pub async fn run(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    while gateway.phase() == Phase::Serving {
+    while !*gateway.resigned.borrow() {
         sleep(LOOK_PERIOD).await;
         if !is_free(&gateway) {
             continue;
         }
-        sleep(Duration::from_millis(fastrand::u64(0..TAKE_JITTER_MS))).await;
+        let stays = gateway.phase() == Phase::Serving;
+        let pause_ms = if stays { 0 } else { STOPPING_PAUSE_MS };
+        sleep(Duration::from_millis(pause_ms + fastrand::u64(0..TAKE_JITTER_MS))).await;
         if !is_free(&gateway) {
             continue;
         }
@@ -81,9 +80,20 @@
     }
 }
 
+/// Gives the leadership up for good, so that another box need not wait for the end of the
+/// lease.
+pub async fn resign(gateway: &Gateway) {
+    gateway.resigned.send_replace(true);
+    let until_ms = now_ms() + RESIGN_MS;
+    while gateway.state().leadership.is_some() && now_ms() < until_ms {
+        sleep(RESIGN_POLL).await;
+    }
+}
+
 fn is_free(gateway: &Gateway) -> bool {
     let state = gateway.state();
-    state.store_link() == StoreLink::Answers
+    !*gateway.resigned.borrow()
+        && state.store_link() == StoreLink::Answers
         && state.site.is_some()
         && !state.view.has(&keys::lease(NAME))
 }
@@ -104,33 +114,39 @@
         Err(error) => return Err(error),
     };
     let until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
-    let wait_ms = gateway.settings.bounds.lease_ms.saturating_sub(PASSED_MS);
-    let held = Leadership { fence, until_ms, orders_from_ms: now_ms() + wait_ms };
-    info!(target: "leadership", "event=leadership_taken fence={fence} orders_from_ms={}",
-        held.orders_from_ms);
+    let held = Leadership { fence, taken_at_ms: now_ms(), until_ms };
+    info!(target: "leadership", "event=leadership_taken fence={fence}");
     Ok(Some((lease, held)))
 }
 
-/// Renews the lease until it is lost or the box stops.
+/// Renews the lease until it is lost or the box has done its last.
 async fn hold(gateway: &Gateway, socket: &UdpSocket, lease: Lease, mut held: Leadership) {
     gateway.state().leadership = Some(held);
-    while gateway.phase() == Phase::Serving {
-        sleep(RENEW_PERIOD).await;
+    while pauses_leading(gateway, RENEW_PERIOD).await {
         let asked_at_ms = now_ms();
-        match renew(gateway, socket, lease).await {
-            Ok(true) => {
+        let call = LeaderCall::Renew { lease_id: lease.id, ttl_ms: lease.ttl_ms };
+        match helpers::make(gateway, socket, call).await {
+            Ok(CallOutcome::Renewed) => {
                 held.until_ms = asked_at_ms + lease.ttl_ms.saturating_sub(MARGIN_MS);
                 gateway.state().leadership = Some(held);
             }
             Err(error) if now_ms() < held.until_ms => {
                 info!(target: "leadership", "event=renewal_failed cause=\"{error}\"");
             }
-            Ok(false) | Err(_) => break,
+            Ok(_) | Err(_) => break,
         }
     }
-    gateway.state().leadership = None;
+    gateway.state().stop_leading();
     info!(target: "leadership", "event=leadership_ended fence={} until_ms={}", held.fence, held.until_ms);
     if let Err(error) = gateway.metadata.end_lease(lease).await {
         warn!(target: "leadership", "event=lease_not_ended cause=\"{error}\"");
     }
+    gateway.state().leadership = None;
+}
+
+/// Sleeps until the next renewal is due; false when this box is to lead no more.
+async fn pauses_leading(gateway: &Gateway, period: Duration) -> bool {
+    let mut resigned = gateway.resigned.subscribe();
+    // The sender lives as long as the gateway.
+    timeout(period, resigned.wait_for(|resigned| *resigned)).await.is_err()
 }
--- /dev/null
+++ b/src/gateway/loads.rs
@@ -0,0 +1,286 @@
+//! One engine's load of new weights: no new work for it, the claim, the order, and a look
+//! until it has them. A load that cannot go on gives the engine back at once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::clock::now_ms;
+use crate::error::Result;
+use crate::gateway::claims;
+use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::orders::{EngineReport, Ordered, WeightsOrder};
+use crate::gateway::decisions::upstream::Told;
+use crate::gateway::entries;
+use crate::gateway::invariants;
+use crate::gateway::kernel::{Gateway, State, ToldVersion};
+use crate::gateway::leader::permits;
+
+/// Time that gossip takes to the other boxes.
+const GOSSIP_LEAD: Duration = Duration::from_millis(15);
+/// Time after which a load may be over; it takes 760 ms and more.
+const LOAD_MS: u64 = 800;
+/// Time between two looks at a load: reports are 100 ms late.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// Longest time for which the order waits until running requests have ended.
+const DRAIN_MS: u64 = 1500;
+/// Time between two looks whether they have.
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+/// Longest time for which one order is followed up.
+const ORDER_MS: u64 = 4000;
+/// Time for which an engine counts as loading: twice the usual. One that hangs must not
+/// keep others from loading for as long as it is followed up.
+const PERMIT_MS: u64 = 2 * LOAD_MS;
+/// Pause before an engine that failed is tried again.
+const FAILED_PAUSE_MS: u64 = 500;
+/// Time for which one message says that an engine loads.
+pub const LOADING_GOSSIP_MS: u64 = 700;
+/// Time for which peers are told of a version after it was seen.
+const VERSION_GOSSIP_MS: u64 = 4000;
+
+/// How a load ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+enum LoadEnd {
+    /// done
+    Done,
+    /// this box is not the leader any more
+    LeadershipLost,
+    /// the engine turned the order away
+    TurnedAway,
+    /// the engine does not have the version in time
+    TooSlow,
+    /// the engine does not answer
+    Failed,
+}
+
+/// An engine that is to be brought to a version.
+pub struct Load {
+    /// The engine.
+    pub upstream: Incarnation,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Fencing token of the leader.
+    pub fence: u64,
+}
+
+/// Keeps this box from sending to an engine until a deadline.
+pub fn note_loading(state: &mut State, id: &str, until_ms: u64) {
+    if let Some(upstream) = state.upstreams.get_mut(id) {
+        upstream.loads_until(until_ms);
+    }
+}
+
+/// Replaces the weights of one engine, and says how it went.
+pub async fn replace_weights(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, mut load: Load) {
+    sleep(GOSSIP_LEAD).await;
+    let end = match drain_and_order(&gateway, &socket, &mut load).await {
+        Ok(end) => end,
+        Err(error) => {
+            info!(target: "leader", "event=order_failed upstream={} cause=\"{error}\"", load.upstream.id);
+            LoadEnd::Failed
+        }
+    };
+    let mut state = gateway.state();
+    state.loading.remove(&load.upstream.id);
+    match end {
+        LoadEnd::Done => {
+            state.failed_orders.remove(&load.upstream.id);
+        }
+        LoadEnd::LeadershipLost => {}
+        LoadEnd::TurnedAway | LoadEnd::TooSlow | LoadEnd::Failed => {
+            let failed = state.failed_orders.entry(load.upstream.id.clone()).or_default();
+            failed.count += 1;
+            failed.again_at_ms = now_ms() + FAILED_PAUSE_MS;
+        }
+    }
+    if let Some(upstream) = state.upstreams.get_run_mut(&load.upstream) {
+        upstream.loads_until(0);
+        if end == LoadEnd::Done {
+            upstream.saw_version(&load.model, load.version);
+        }
+    }
+    if end == LoadEnd::Done {
+        state.told_versions.push(ToldVersion {
+            engine: load.upstream.number(),
+            model: number(&load.model),
+            version: load.version,
+            until_ms: now_ms() + VERSION_GOSSIP_MS,
+        });
+    }
+    drop(state);
+    info!(target: "leader", "event=order_ended upstream={} model={} version={} end=\"{end}\"",
+        load.upstream.id, load.model, load.version);
+    gateway.gossip_now.notify_one();
+    gateway.places.notify_waiters();
+}
+
+async fn drain_and_order(
+    gateway: &Arc<Gateway>,
+    socket: &UdpSocket,
+    load: &mut Load,
+) -> Result<LoadEnd> {
+    drain(gateway, load).await;
+    let Some(_permit) = acquire_permit(gateway, load).await else {
+        return Ok(LoadEnd::LeadershipLost);
+    };
+    // A newer version may have been named meanwhile.
+    if let Some(named) = gateway.state().weights.get(&load.model) {
+        load.version = named.newest();
+    }
+    order_and_wait(gateway, socket, load).await
+}
+
+/// A permit to load, for as long as it lives.
+struct LoadPermit(Arc<Gateway>, String);
+
+impl Drop for LoadPermit {
+    fn drop(&mut self) {
+        self.0.state().permits.remove(&self.1);
+    }
+}
+
+/// Waits until few enough engines load; `None` when this box leads no more.
+async fn acquire_permit(gateway: &Arc<Gateway>, load: &Load) -> Option<LoadPermit> {
+    loop {
+        {
+            let mut state = gateway.state();
+            let now_ms = now_ms();
+            if !state.leads(now_ms, load.fence) {
+                return None;
+            }
+            note_loading(&mut state, &load.upstream.id, now_ms + LOADING_GOSSIP_MS);
+            let taken = state.permits.values().filter(|until_ms| now_ms < **until_ms).count();
+            if taken < permits(gateway, &state, now_ms, &load.model) {
+                let id = load.upstream.id.clone();
+                state.permits.insert(id.clone(), now_ms + PERMIT_MS);
+                return Some(LoadPermit(gateway.clone(), id));
+            }
+        }
+        sleep(DRAIN_PERIOD).await;
+    }
+}
+
+/// Waits until what runs at the engine has ended, for a while. What runs at one whose
+/// entry has gone is not known, and may go on for as long.
+///
+/// Where leaders follow each other quickly, one that has just taken over waits no longer than
+/// it has led: each would be replaced while it waits.
+async fn drain(gateway: &Gateway, load: &Load) {
+    let from_ms = now_ms();
+    let until_ms = from_ms + quick_drain_ms(gateway, from_ms).unwrap_or(DRAIN_MS).min(DRAIN_MS);
+    while now_ms() < until_ms && runs_work(gateway, load) {
+        sleep(DRAIN_PERIOD).await;
+    }
+}
+
+/// For how long this box has led, where leaders follow each other quickly.
+fn quick_drain_ms(gateway: &Gateway, now_ms: u64) -> Option<u64> {
+    let state = gateway.state();
+    let held = state.leadership?;
+    let follows = claims::has_waiting(&state, &gateway.settings.bounds, now_ms);
+    follows.then(|| now_ms.saturating_sub(held.taken_at_ms))
+}
+
+/// Whether the engine runs anything that this box, which leads, waits for.
+fn runs_work(gateway: &Gateway, load: &Load) -> bool {
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    note_loading(&mut state, &load.upstream.id, now_ms + LOADING_GOSSIP_MS);
+    let requests = state.upstreams.get(&load.upstream.id).map(|one| one.load().requests);
+    requests != Some(0) && state.leads(now_ms, load.fence)
+}
+
+/// Gives the order and waits until the engine has the version.
+async fn order_and_wait(gateway: &Gateway, socket: &UdpSocket, load: &mut Load) -> Result<LoadEnd> {
+    let give_up_at_ms = now_ms() + ORDER_MS;
+    let mut report = fetch_report(gateway, load).await?;
+    // It may carry out an older order, which was left unanswered.
+    while report.busy && !has_version(&report, load) && now_ms() < give_up_at_ms {
+        note_loading(&mut gateway.state(), &load.upstream.id, now_ms() + LOADING_GOSSIP_MS);
+        sleep(POLL_PERIOD).await;
+        report = fetch_report(gateway, load).await?;
+    }
+    if has_version(&report, load) {
+        return Ok(LoadEnd::Done);
+    }
+    if let Some(end) = claim_and_order(gateway, socket, load, report.orders_taken).await? {
+        return Ok(end);
+    }
+    // Else this box alone would send to it before the load is over.
+    note_loading(&mut gateway.state(), &load.upstream.id, now_ms() + LOAD_MS + LOADING_GOSSIP_MS);
+    sleep(Duration::from_millis(LOAD_MS)).await;
+    while now_ms() < give_up_at_ms {
+        note_loading(&mut gateway.state(), &load.upstream.id, now_ms() + LOADING_GOSSIP_MS);
+        let report = fetch_report(gateway, load).await?;
+        if has_version(&report, load) {
+            return Ok(LoadEnd::Done);
+        }
+        if !report.busy {
+            // It has carried out another order, or none.
+            return Ok(LoadEnd::TurnedAway);
+        }
+        sleep(POLL_PERIOD).await;
+    }
+    Ok(LoadEnd::TooSlow)
+}
+
+/// Writes down that the engine may be ordered, and orders it; how the load has ended, if it
+/// has.
+async fn claim_and_order(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    load: &Load,
+    taken: u64,
+) -> Result<Option<LoadEnd>> {
+    let target = number(&load.upstream.id);
+    if !claims::claim(gateway, socket, load.fence, target).await? {
+        return Ok(Some(LoadEnd::LeadershipLost));
+    }
+    if !invariants::order_under_lease(&gateway.state(), now_ms(), load.fence, target) {
+        return Ok(Some(LoadEnd::LeadershipLost));
+    }
+    let ordered = order(gateway, load, taken).await?;
+    let turned_away = matches!(ordered, Ordered::Fenced | Ordered::OtherEngine);
+    Ok(turned_away.then_some(LoadEnd::TurnedAway))
+}
+
+/// Asks an engine for its report; the load is of the run that answers.
+async fn fetch_report(gateway: &Gateway, load: &mut Load) -> Result<EngineReport> {
+    let asked_at_ms = now_ms();
+    let report = gateway.engines.report(load.address).await?;
+    let id = &load.upstream.id;
+    if entries::answered_by(gateway, id, report.started_at_ms, asked_at_ms) == Told::Restarted {
+        load.upstream.started_at_ms = report.started_at_ms;
+    }
+    Ok(report)
+}
+
+fn has_version(report: &EngineReport, load: &Load) -> bool {
+    let mut models = report.models.iter();
+    models.any(|(model, version)| *model == load.model && *version >= load.version)
+}
+
+async fn order(gateway: &Gateway, load: &Load, taken: u64) -> Result<Ordered> {
+    let order = WeightsOrder {
+        engine_id: &load.upstream.id,
+        model: &load.model,
+        version: load.version,
+        holder: &gateway.settings.name,
+        fence: load.fence,
+        orders_taken: taken,
+    };
+    metrics::counter!("coursestile_orders_total").increment(1);
+    info!(target: "leader",
+        "event=order_given upstream={} model={} version={} fence={} orders_taken={taken}",
+        load.upstream.id, load.model, load.version, load.fence);
+    gateway.engines.order(load.address, &order).await
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -39,7 +39,7 @@
 /// Keeps the list, while this box is the leader.
 pub async fn run(gateway: Arc<Gateway>) {
     let started_at_ms = now_ms();
-    while gateway.phase() == Phase::Serving {
+    while gateway.phase() != Phase::Stopped {
         sleep(COMPARE_PERIOD).await;
         let all_had_time = now_ms() >= started_at_ms + FORGET_MS;
         if let Err(error) = keep(&gateway, all_had_time).await {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,12 +5,13 @@
 //! carries it out. `follow`, `follow_caches` and `gossip` bring in what the box knows,
 //! `entries` what upstreams tell of themselves, `members` where other boxes are;
 //! `listener`, `check`, `serve`, `attempt`, `place`, `silence` and `relay` take a request
-//! through, `request_log` tells of it; `leadership`, `leader` and `space` do what one box
-//! does for all.
+//! through, `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
+//! `space` do what one box does for all, with the calls that `helpers` make for it.
 
 pub mod answer;
 pub mod attempt;
 pub mod check;
+pub mod claims;
 pub mod connections;
 pub mod daemon;
 pub mod decisions;
@@ -20,17 +21,18 @@
 pub mod follow_caches;
 pub mod gossip;
 pub mod heads;
+pub mod helpers;
 pub mod invariants;
 pub mod kernel;
 pub mod leader;
 pub mod leadership;
 pub mod listener;
+pub mod loads;
 pub mod members;
 pub mod metadata;
 pub mod place;
 pub mod reach;
 pub mod relay;
-pub mod renewal;
 pub mod request_log;
 pub mod serve;
 pub mod settings;
--- a/src/gateway/space.rs
+++ b/src/gateway/space.rs
@@ -10,11 +10,14 @@
 use std::sync::Arc;
 
 use log::{info, warn};
+use tokio::net::UdpSocket;
 
 use crate::clock::now_ms;
+use crate::gateway::claims;
 use crate::gateway::decisions::context::{scope_model, scope_version};
 use crate::gateway::decisions::holder::PartKey;
 use crate::gateway::decisions::kept::{CacheListing, Freed, KeptPart};
+use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use crate::gateway::kernel::{Gateway, State};
 use crate::platform::keys;
@@ -44,8 +47,11 @@
 
 impl Space {
     /// Frees what is due.
-    pub async fn step(&mut self, gateway: &Arc<Gateway>) {
+    pub async fn step(&mut self, gateway: &Arc<Gateway>, socket: &UdpSocket, fence: u64) {
         let now_ms = now_ms();
+        if !may_order_stores(gateway, now_ms) {
+            return;
+        }
         let more_is_old = self.note_old(gateway, now_ms);
         let look_for_partial = now_ms >= self.partial_looked_at_ms + PARTIAL_PERIOD_MS;
         if !more_is_old && !look_for_partial {
@@ -58,7 +64,8 @@
             match gateway.caches.list(address).await {
                 Ok(listing) => {
                     let parts = self.parts_to_free(now_ms, &name, &listing);
-                    free(gateway, &name, address, &listing, parts).await;
+                    let store = ManagedStore { name: &name, address, fence };
+                    free(gateway, socket, store, &listing, parts).await;
                 }
                 Err(error) => {
                     info!(target: "leader", "event=store_not_listed store={name} cause=\"{error}\"");
@@ -163,19 +170,39 @@
     managed.map(|(store, _)| (store.name.clone(), store.address)).collect()
 }
 
+/// Whether no leader before this one may have ordered a store lately.
+fn may_order_stores(gateway: &Gateway, now_ms: u64) -> bool {
+    let state = gateway.state();
+    let bounds = &gateway.settings.bounds;
+    let mut managed = state.stores.iter().filter(|(store, _)| store.managed);
+    managed.all(|(store, _)| claims::may_order(&state, bounds, now_ms, number(&store.name)))
+}
+
+/// A store that is to free parts.
+#[derive(Clone, Copy)]
+struct ManagedStore<'a> {
+    name: &'a str,
+    address: SocketAddr,
+    /// Fencing token of the leader.
+    fence: u64,
+}
+
 async fn free(
     gateway: &Gateway,
-    name: &str,
-    address: SocketAddr,
+    socket: &UdpSocket,
+    store: ManagedStore<'_>,
     listing: &CacheListing,
     parts: Vec<KeptPart>,
 ) {
+    let ManagedStore { name, address, fence } = store;
     for batch in parts.chunks(FREE_BATCH) {
+        if !claimed(gateway, socket, store).await {
+            return;
+        }
         let now_ms = now_ms();
         let (allowed, ahead_ms) = {
             let state = gateway.state();
-            let allowed = state.leadership.is_some_and(|held| held.allows_orders(now_ms));
-            (allowed, state.upstream_clock_ahead_ms)
+            (state.leads(now_ms, fence), state.upstream_clock_ahead_ms)
         };
         let Some(ahead_ms) = ahead_ms.filter(|_| allowed) else { return };
         let until_ms = now_ms.saturating_add_signed(ahead_ms) + FREE_MS;
@@ -197,3 +224,15 @@
         }
     }
 }
+
+/// Writes down that a store may be ordered; whether it may.
+async fn claimed(gateway: &Gateway, socket: &UdpSocket, store: ManagedStore<'_>) -> bool {
+    let target = number(store.name);
+    match claims::claim(gateway, socket, store.fence, target).await {
+        Ok(claimed) => claimed,
+        Err(error) => {
+            info!(target: "leader", "event=store_not_claimed store={} cause=\"{error}\"", store.name);
+            false
+        }
+    }
+}
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -73,6 +73,12 @@
     format!("{OWN_PREFIX}lease/{name}")
 }
 
+/// The key of the engines that leaders may have ordered.
+#[must_use]
+pub fn claims() -> String {
+    format!("{OWN_PREFIX}claims")
+}
+
 /// The key that names a model's weight version.
 #[must_use]
 pub fn weights(model: &str) -> String {
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -160,6 +160,24 @@
         self.transact(&TxnBody { expected, put: vec![put], remove: Vec::new() }).await
     }
 
+    /// Writes `value` to stay, if the item's revision is `expected` (0: there is none) and
+    /// that of the item `guard` is still `guard_revision`.
+    ///
+    /// # Errors
+    /// Fails when the store does not answer; the write may be done all the same.
+    pub async fn write_guarded(
+        &self,
+        key: &str,
+        expected: u64,
+        value: &[u8],
+        (guard, guard_revision): (&str, u64),
+    ) -> Result<Outcome> {
+        let put = Put { key, value: BASE64_STANDARD.encode(value), lease: NO_LEASE };
+        let expected =
+            vec![Expected { key, rev: expected }, Expected { key: guard, rev: guard_revision }];
+        self.transact(&TxnBody { expected, put: vec![put], remove: Vec::new() }).await
+    }
+
     async fn transact(&self, body: &TxnBody<'_>) -> Result<Outcome> {
         let answer = self.call(Method::POST, "kv-txn", Some(body), CALL_TIMEOUT).await?;
         match answer.status() {
--- a/tests/gateway_rollout.rs
+++ b/tests/gateway_rollout.rs
@@ -9,6 +9,8 @@
         version,
         left_ms: 10_000,
         under_way: false,
+        may_be_ordered: true,
+        failed_orders: 0,
         requests,
         doubtful: false,
     };
@@ -26,6 +28,8 @@
         version: 1,
         left_ms,
         under_way: false,
+        may_be_ordered: true,
+        failed_orders: 0,
         requests: 0,
         doubtful: false,
     };
