--- a/tests/gateway_rollout.rs
+++ b/tests/gateway_rollout.rs
@@ -1,6 +1,10 @@
 //! Which engines get new weights next, and how many at once.
 
+use std::net::SocketAddr;
+
 use coursestile::gateway::decisions::rollout::{Candidate, at_once, next};
+use coursestile::gateway::decisions::upstream::Entry;
+use coursestile::gateway::decisions::upstreams::Upstreams;
 
 #[test]
 fn oldest_weights_first() {
@@ -58,3 +62,53 @@
     }
     assert_eq!(next(&behind(4, 0), 2).len(), 3, "one serves, also in a hurry");
 }
+
+/// A leader whose way to the engines was cut found each of them doubtful, counted none of the
+/// loads that it had begun, and took all 18 out of service within a second.
+#[test]
+fn doubtful_stay_in_use() {
+    let mut engines = behind(18, 10_000);
+    for one in &mut engines {
+        one.doubtful = true;
+    }
+    for _ in 0..18 {
+        for id in next(&engines, 2) {
+            let begun = engines.iter_mut().find(|one| one.id == id).unwrap();
+            begun.under_way = true;
+        }
+    }
+    assert_eq!(engines.iter().filter(|one| one.under_way).count(), 9, "half of them serve");
+    let mut sound = behind(1, 10_000);
+    sound[0].id = "sound".to_owned();
+    engines.extend(sound);
+    assert_eq!(next(&engines, 2), ["sound"], "they hold up no other");
+}
+
+/// Such a leader is to leave the orders to a box that reaches the engines.
+#[test]
+fn way_is_cut() {
+    let mut upstreams = Upstreams::default();
+    for number in 0..4 {
+        let entry = Entry {
+            service: "llm".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 8000 + number)),
+            hall: "north".to_owned(),
+            slots: 8,
+            leaving: false,
+            models: vec![("m".to_owned(), 1)],
+            started_at_ms: None,
+        };
+        upstreams.put(0, &format!("e-{number}"), entry);
+    }
+    for one in upstreams.iter_mut() {
+        one.others_heard(9000);
+    }
+    assert!(!upstreams.is_way_cut(9500, "m"));
+    for id in ["e-0", "e-1"] {
+        upstreams.get_mut(id).unwrap().unreached(9400);
+    }
+    assert!(!upstreams.is_way_cut(9500, "m"), "half of them may be dark");
+    upstreams.get_mut("e-2").unwrap().unreached(9400);
+    assert!(upstreams.is_way_cut(9500, "m"));
+    assert!(!upstreams.is_way_cut(12_000, "m"), "nobody hears them: it is they");
+}
