A leader that reaches no engine leaves the orders to another, and takes few out of use

Cause: loads of doubtful engines were not counted, so that every look began more; a leader that does not reach engines finds all of them doubtful. And nothing but the metadata store decided who leads. Change: doubtful engines are taken out of use up to half of all; a box that does not reach most engines of a model, though others hear them, gives the leadership back and takes none. Requests are barred from engines by two latency objectives, or 1.5 s, before their weights must be gone (queues on a pool with 1.2 s as objective). Ruled out: the engines (others heard them), the store (fence 3 was held all the while).

--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -10,6 +10,10 @@
 /// of memory began with one 1.1 s later, 83 ms after its weights should have been gone.
 const BEGIN_MS: u64 = 1500;
 
+/// Latency objectives by which it may begin: where they are long, queues are. On an engine pool
+/// with one of 1.2 s a request began 1.76 s after it was sent.
+const BEGIN_OBJECTIVES: u64 = 2;
+
 /// What a request asks of an upstream.
 pub struct Demand<'a> {
     /// Service.
@@ -50,6 +54,7 @@
     #[must_use]
     pub fn is_overdue(&self, now_ms: u64, version: u64) -> bool {
         let since_ms = self.behind_since_ms(version).filter(|_| version > 0);
-        since_ms.is_some_and(|since_ms| now_ms + BEGIN_MS >= since_ms + self.weights_apply_ms)
+        let begins_by_ms = now_ms + BEGIN_MS.max(self.asked.objective_ms * BEGIN_OBJECTIVES);
+        since_ms.is_some_and(|since_ms| begins_by_ms >= since_ms + self.weights_apply_ms)
     }
 }
--- a/src/gateway/decisions/rollout.rs
+++ b/src/gateway/decisions/rollout.rs
@@ -73,5 +73,14 @@
         (one.doubtful, one.failed_orders, one.version, one.requests, one.id.clone())
     });
     let free = prepared.saturating_sub(under_way);
+    // Doubtful ones are in use elsewhere, if it is only this box that does not reach them.
+    let out_of_use = candidates.iter().filter(|one| one.under_way).count();
+    let half = (candidates.len() / ENGINES_FOR_ONE_HURRIED).max(1);
+    let mut doubtful_left = half.saturating_sub(out_of_use);
+    behind.retain(|one| {
+        let is_next = !one.doubtful || doubtful_left > 0;
+        doubtful_left = doubtful_left.saturating_sub(1);
+        is_next
+    });
     behind.into_iter().take(free).map(|one| one.id.clone()).collect()
 }
--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -334,6 +334,12 @@
         self.others_heard_at_ms = at_ms;
     }
 
+    /// Whether other boxes heard it lately.
+    #[must_use]
+    pub fn others_hear(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.others_heard_at_ms) <= SILENT_MS
+    }
+
     /// Time since bytes arrived from it, as far as it can be told.
     #[must_use]
     pub fn heard_age_ms(&self, now_ms: u64) -> u16 {
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -92,7 +92,7 @@
     }
 
     /// All upstreams.
-    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> + Clone {
         self.by_id.values()
     }
 
@@ -107,10 +107,19 @@
     }
 
     /// All upstreams but those whose address another incarnation has.
-    pub fn current(&self) -> impl Iterator<Item = &Upstream> {
+    pub fn current(&self) -> impl Iterator<Item = &Upstream> + Clone {
         self.iter().filter(|one| !one.is_superseded())
     }
 
+    /// Whether most engines of a model are heard by other boxes, and cannot be reached from
+    /// here: the way to them is cut, and not they.
+    #[must_use]
+    pub fn is_way_cut(&self, now_ms: u64, model: &str) -> bool {
+        let engines = self.current().filter(|one| one.version(model) > 0);
+        let cut = engines.clone().filter(|one| one.is_unreachable() && one.others_hear(now_ms));
+        2 * cut.count() > engines.count()
+    }
+
     /// The address of an upstream.
     #[must_use]
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -18,7 +18,7 @@
 use crate::error::Result;
 use crate::gateway::decisions::gossip_message::StoreLink;
 use crate::gateway::helpers::{self, CallOutcome, LeaderCall};
-use crate::gateway::kernel::Gateway;
+use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Lease, Outcome};
 use crate::phase::Phase;
 use crate::platform::keys;
@@ -93,11 +93,19 @@
 fn is_free(gateway: &Gateway) -> bool {
     let state = gateway.state();
     !*gateway.resigned.borrow()
+        && !is_way_cut(&state)
         && state.store_link() == StoreLink::Answers
         && state.site.is_some()
         && !state.view.has(&keys::lease(NAME))
 }
 
+/// Whether this box does not reach the engines of some model that others hear: a leader so
+/// placed took all of them out of service for 14 s, without any order that arrived.
+fn is_way_cut(state: &State) -> bool {
+    let now_ms = now_ms();
+    state.weights.keys().any(|model| state.upstreams.is_way_cut(now_ms, model))
+}
+
 async fn take(gateway: &Gateway) -> Result<Option<(Lease, Leadership)>> {
     let asked_at_ms = now_ms();
     let lease = gateway.metadata.open_lease(TTL_MS).await?;
@@ -123,6 +131,10 @@
 async fn hold(gateway: &Gateway, socket: &UdpSocket, lease: Lease, mut held: Leadership) {
     gateway.state().leadership = Some(held);
     while pauses_leading(gateway, RENEW_PERIOD).await {
+        if is_way_cut(&gateway.state()) {
+            info!(target: "leadership", "event=leadership_left reason=engines_out_of_reach");
+            break;
+        }
         let asked_at_ms = now_ms();
         let call = LeaderCall::Renew { lease_id: lease.id, ttl_ms: lease.ttl_ms };
         match helpers::make(gateway, socket, call).await {
