--- a/tests/gateway_removals.rs
+++ b/tests/gateway_removals.rs
@@ -1,6 +1,6 @@
 //! What a box believes of items that vanish, or are told in any order.
 
-use coursestile::gateway::decisions::view::{Snapshot, View, Written};
+use coursestile::gateway::decisions::view::{CatchUp, Snapshot, View, Written};
 use proptest::prelude::*;
 
 fn written(revision: u64) -> Written {
@@ -90,3 +90,16 @@
     view.replace(0, listing, |_| true, |_| false);
     assert_eq!(view.at_revision(), 10, "the watch goes on from here");
 }
+
+/// What a peer tells of changes since is complete up to what the peer knows, whatever the
+/// items' own revisions: else the watch would pass over a change that neither had.
+#[test]
+fn since_is_complete() {
+    let mut view = View::new(1000);
+    view.store_answered(0);
+    view.put("own/a".to_owned(), written(10));
+    let items = [("own/b".to_owned(), written(14))].into();
+    let told = Snapshot { at_revision: 12, changed_revision: 14, items };
+    view.take(0, CatchUp::Since { written: told, removed: Vec::new() }, |_| true);
+    assert_eq!(view.at_revision(), 12, "the watch goes on from here");
+}
--- a/tests/gateway_rollout.rs
+++ b/tests/gateway_rollout.rs
@@ -112,3 +112,19 @@
     assert!(upstreams.is_way_cut(9500, "m"));
     assert!(!upstreams.is_way_cut(12_000, "m"), "nobody hears them: it is they");
 }
+
+/// An engine whose order failed once went after all that never failed. While versions were
+/// named faster than all engines load, those were behind again and again, and the one got no
+/// order for 17.3 s.
+#[test]
+fn failed_goes_on() {
+    let mut engines = behind(18, 8000);
+    for one in &mut engines[1..] {
+        one.version = 2;
+    }
+    engines[0].failed_orders = 1;
+    assert!(next(&engines, 3).contains(&engines[0].id), "the oldest weights go first");
+    let mut alike = behind(18, 10_000);
+    alike[0].failed_orders = 1;
+    assert!(!next(&alike, 2).contains(&alike[0].id), "of these, those never ordered");
+}
