Weights: what a review of the mend found

Each by reading or a simulation of the pure parts, none seen on a run of the whole: - An engine that failed goes after others of its version only, and waits twice as long each time. - The bar on overdue weights holds where this box has been in touch with the metadata store for 1.5 s; without the store nobody can replace weights, and refusing all work helps nobody.

--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -28,6 +28,8 @@
 const CALL_MS: u64 = 600;
 /// Pause before a claim is written again that met another write of this box.
 const AGAIN_PAUSE: Duration = Duration::from_millis(20);
+/// Writes that may fail in a row, each after half a second or more.
+const MOST_FAILED_WRITES: u32 = 3;
 /// Longest time in which a claim is written; an order waits for it.
 const CLAIM_MS: u64 = 1000;
 
@@ -40,6 +42,8 @@
     revision: u64,
     /// What this leader has ordered or is about to order, with the last time.
     ordered_at_ms: BTreeMap<u32, u64>,
+    /// Writes that have failed, one after the other.
+    failed_writes: u32,
 }
 
 impl Book {
@@ -77,7 +81,8 @@
     let (claims, revision) = written(state, held.fence);
     info!(target: "leadership", "event=claims_known fence={} engines={}", held.fence, claims.len());
     let ordered_at_ms = BTreeMap::new();
-    state.book = Some(Book { fence: held.fence, claims, revision, ordered_at_ms });
+    let fence = held.fence;
+    state.book = Some(Book { fence, claims, revision, ordered_at_ms, failed_writes: 0 });
     true
 }
 
@@ -124,6 +129,12 @@
     })
 }
 
+/// Whether the leader cannot write down whom it orders, so that another should lead.
+#[must_use]
+pub fn is_stuck(state: &State) -> bool {
+    state.book.as_ref().is_some_and(|book| book.failed_writes >= MOST_FAILED_WRITES)
+}
+
 /// Whether the leader with `fence` has claimed `target`.
 #[must_use]
 pub fn is_claimed(state: &State, fence: u64, target: u32) -> bool {
@@ -181,9 +192,13 @@
 async fn write(gateway: &Gateway, socket: &UdpSocket, fence: u64) -> Result<()> {
     let Some((call, next)) = next_write(gateway, fence) else { return Ok(()) };
     let outcome = tokio::select! {
-        outcome = helpers::make(gateway, socket, call) => outcome?,
-        revision = seen(gateway, fence, &next) => CallOutcome::Written(revision),
+        outcome = helpers::make(gateway, socket, call) => outcome,
+        revision = seen(gateway, fence, &next) => Ok(CallOutcome::Written(revision)),
     };
+    if let Some(book) = &mut gateway.state().book {
+        book.failed_writes = if outcome.is_ok() { 0 } else { book.failed_writes + 1 };
+    }
+    let outcome = outcome?;
     if let CallOutcome::Written(revision) = outcome {
         note_written(gateway, fence, next, revision);
     } else {
@@ -234,8 +249,15 @@
 /// Takes up a write of this box whose answer was lost.
 fn refresh(state: &mut State) {
     let Some(item) = state.view.written(&keys::claims()) else { return };
-    let Ok(claims) = postcard::from_bytes::<Claims>(&item.value) else { return };
     let revision = item.revision;
+    let claims = match postcard::from_bytes::<Claims>(&item.value) {
+        Ok(claims) => claims,
+        Err(error) => {
+            // What is lost of it is only what this leader wrote itself.
+            warn!(target: "leadership", "event=claims_unreadable cause=\"{error}\"");
+            Claims::default()
+        }
+    };
     if let Some(book) = state.book.as_mut().filter(|book| book.revision < revision) {
         book.claims = claims;
         book.revision = revision;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -57,7 +57,9 @@
     tokio::spawn(store_updates::subscribe(gateway.clone()));
     tokio::spawn(reach::run(gateway.clone()));
     tokio::spawn(leadership::run(gateway.clone(), socket.clone()));
-    tokio::spawn(leader::run(gateway.clone(), socket));
+    tokio::spawn(leader::run(gateway.clone(), socket.clone()));
+    tokio::spawn(leader::free(gateway.clone(), socket.clone()));
+    tokio::spawn(leader::tidy(gateway.clone(), socket));
     tokio::spawn(members::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
     gateway.reached(Phase::Stopped).await;
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -44,6 +44,9 @@
 const OLD_WEIGHTS_COST_MS: f64 = 60.0;
 /// Time for which older weights are as good as new ones, as the platform has it.
 const OLD_WEIGHTS_GRACE_MS: u64 = 1500;
+/// Cost of weights that should not be there any more, where they are not barred: any other
+/// engine goes before, but for doubtful ones.
+const OVERDUE_COST_MS: f64 = 20_000.0;
 /// Most that an upstream costs one box more than another box: boxes that know of
 /// no load would all choose the same one. Less than the work of a short prompt.
 const SPREAD_MS: f64 = 5.0;
@@ -101,7 +104,7 @@
                     lookups.push(lookup);
                 }
                 // A request must not begin on such weights, also where no other engine is left.
-                if demand.is_overdue(now_ms, version) {
+                if demand.bars_overdue && demand.is_overdue(now_ms, version) {
                     continue;
                 }
                 let lookup = lookups.iter().find(|one| one.version == version);
@@ -188,6 +191,7 @@
     let room = room(load, capacity(engine), demand.asked);
     let behind = demand.behind_since_ms(plan.version);
     let old_cost = match behind {
+        Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
         Some(since_ms) if now_ms >= since_ms + OLD_WEIGHTS_GRACE_MS => OLD_WEIGHTS_COST_MS,
         Some(_) | None => 0.0,
     };
--- a/src/gateway/decisions/claims.rs
+++ b/src/gateway/decisions/claims.rs
@@ -127,18 +127,23 @@
     leader: Option<u64>,
     /// The first leader that this box saw itself.
     first_leader: Option<u64>,
+    /// The last one.
+    last_leader: Option<u64>,
 }
 
 impl Terms {
     /// Takes who leads, as of a revision of the metadata store.
     pub fn note(&mut self, now_ms: u64, leader: Option<u64>, at_revision: u64) {
-        let revision = leader.unwrap_or(at_revision);
         let is_known = !self.changes.is_empty() && leader == self.leader;
-        if !is_known {
-            self.leader = leader;
-            self.first_leader = self.first_leader.or(leader);
-            self.hear(revision, now_ms);
+        if is_known {
+            return;
         }
+        self.leader = leader;
+        self.first_leader = self.first_leader.or(leader);
+        self.last_leader = self.last_leader.max(leader);
+        // Boxes see its end at different revisions; one entry for all keeps them few.
+        let ended = self.last_leader.map_or(at_revision, |last| last + 1);
+        self.hear(leader.unwrap_or(ended), now_ms);
     }
 
     /// Takes from a peer since when leaders before a revision are over. The time that this was
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -30,6 +30,8 @@
     pub weights: Option<&'a NamedWeights>,
     /// Time in which a named version must be everywhere.
     pub weights_apply_ms: u64,
+    /// Whether overdue weights are out of the question, not only the last resort.
+    pub bars_overdue: bool,
     /// How the store that takes a part is chosen.
     pub placing: Placing<'a>,
     /// Upstreams that were tried already.
--- a/src/gateway/decisions/rollout.rs
+++ b/src/gateway/decisions/rollout.rs
@@ -66,11 +66,11 @@
     // An engine gets no more work only once its order may follow.
     let is_next = |one: &&Candidate| one.version < version && !one.under_way && one.may_be_ordered;
     let mut behind: Vec<&Candidate> = candidates.iter().filter(is_next).collect();
-    // The oldest version first: its time is over first. But one that failed has no requests and
-    // would always go before those that were never ordered: on a day on which all orders were
+    // The oldest version first: its time is over first. Of these one that failed has no requests,
+    // and would always go before those that were never ordered: on a day on which all orders were
     // late, five of nine engines got all of them until the time of the others was over.
     behind.sort_by_key(|one| {
-        (one.doubtful, one.failed_orders, one.version, one.requests, one.id.clone())
+        (one.doubtful, one.version, one.failed_orders, one.requests, one.id.clone())
     });
     let free = prepared.saturating_sub(under_way);
     // Doubtful ones are in use elsewhere, if it is only this box that does not reach them.
--- a/src/gateway/decisions/view.rs
+++ b/src/gateway/decisions/view.rs
@@ -92,6 +92,8 @@
     checksum: u32,
     store_answers: bool,
     answered_at_ms: u64,
+    /// Since when the store answers, while it does.
+    answers_since_ms: u64,
     said_unable: bool,
     trouble_ended_at_ms: Option<u64>,
     complete_at_ms: Option<u64>,
@@ -142,6 +144,12 @@
         self.complete_at_ms = Some(now_ms);
     }
 
+    /// Whether the store has answered this box for a while.
+    #[must_use]
+    pub fn has_answered_for(&self, now_ms: u64, least_ms: u64) -> bool {
+        self.store_answers && now_ms >= self.answers_since_ms + least_ms
+    }
+
     /// Whether there is an item under `key`.
     #[must_use]
     pub fn has(&self, key: &str) -> bool {
@@ -201,6 +209,9 @@
         let was_away = !std::mem::replace(&mut self.store_answers, true);
         let away_since_ms = std::mem::replace(&mut self.answered_at_ms, now_ms);
         let away_ms = now_ms.saturating_sub(away_since_ms);
+        if was_away {
+            self.answers_since_ms = now_ms;
+        }
         let said_unable = std::mem::take(&mut self.said_unable);
         let may_have_lapsed = said_unable || away_ms >= self.least_trouble_ms;
         // After a mere reset, what is gone has left: held in doubt, it got work for up to
@@ -298,13 +309,15 @@
             CatchUp::Whole(snapshot) => self.replace(now_ms, snapshot, covers, |_| false),
             CatchUp::Since { written, removed } => {
                 let mut changes = Vec::new();
+                // Its items may be newer than what it knows of all keys.
+                let complete_to = self.at_revision.max(written.at_revision);
                 for (key, revision) in removed {
                     changes.extend(self.remove(now_ms, &key, revision, false));
                 }
                 for (key, item) in written.items {
                     changes.extend(self.put(key, item));
                 }
-                self.complete_to(written.at_revision);
+                self.at_revision = complete_to;
                 self.changed_revision = self.changed_revision.max(written.changed_revision);
                 changes
             }
--- a/src/gateway/decisions/weights.rs
+++ b/src/gateway/decisions/weights.rs
@@ -27,22 +27,39 @@
     pub at_ms: u64,
 }
 
+/// A version that was named, as this box knows of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Known {
+    naming: Naming,
+    /// Whether its time is only the latest before which it was not named.
+    estimated: bool,
+}
+
 /// The weight versions named for one model.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NamedWeights {
     /// Rising, by version.
-    named: Vec<Naming>,
+    named: Vec<Known>,
 }
 
 impl NamedWeights {
-    /// Takes a version that was named at some time, or [`LONG_AGO_MS`]; false when it is not
-    /// newer than all before.
+    /// Takes a version that has just been named; false when it is not newer than all before.
     pub fn learn(&mut self, at_ms: u64, version: u64) -> bool {
+        self.add(version, at_ms, false)
+    }
+
+    /// Takes a version that was named at some time after `after_ms`, which may be
+    /// [`LONG_AGO_MS`].
+    pub fn find(&mut self, after_ms: u64, version: u64) -> bool {
+        self.add(version, after_ms, true)
+    }
+
+    fn add(&mut self, version: u64, at_ms: u64, estimated: bool) -> bool {
         let replaced = self.newest();
         if version <= replaced {
             return false;
         }
-        self.named.push(Naming { version, replaced, at_ms });
+        self.named.push(Known { naming: Naming { version, replaced, at_ms }, estimated });
         if self.named.len() > REMEMBERED {
             self.named.remove(0);
         }
@@ -54,34 +71,39 @@
         if told.version > self.newest() {
             return;
         }
-        match self.named.binary_search_by_key(&told.version, |one| one.version) {
+        match self.named.binary_search_by_key(&told.version, |one| one.naming.version) {
+            Ok(known) if self.named[known].estimated => {
+                self.named[known] = Known { naming: told, estimated: false };
+            }
             Ok(known) => {
-                let known = &mut self.named[known];
-                if known.at_ms == LONG_AGO_MS {
-                    *known = told;
-                }
+                let known = &mut self.named[known].naming;
                 known.at_ms = known.at_ms.min(told.at_ms);
+                known.replaced = known.replaced.max(told.replaced);
+            }
+            Err(place) if self.named.len() < REMEMBERED => {
+                self.named.insert(place, Known { naming: told, estimated: false });
             }
-            Err(place) if self.named.len() < REMEMBERED => self.named.insert(place, told),
             Err(_) => {}
         }
     }
 
-    /// The versions that were named after a time.
+    /// The versions that were named after a time, as far as a box that was there knows it: an
+    /// estimate that spread would count for all.
     pub fn named_after(&self, at_ms: u64) -> impl Iterator<Item = Naming> {
-        self.named.iter().copied().filter(move |one| one.at_ms > at_ms)
+        let known = self.named.iter().filter(|one| !one.estimated).map(|one| one.naming);
+        known.filter(move |one| one.at_ms > at_ms)
     }
 
     /// The newest version; 0 when none was named.
     #[must_use]
     pub fn newest(&self) -> u64 {
-        self.named.last().map_or(0, |newest| newest.version)
+        self.named.last().map_or(0, |newest| newest.naming.version)
     }
 
     /// Since when an engine with `version` is behind; `None` when it is not.
     #[must_use]
     pub fn behind_since_ms(&self, version: u64) -> Option<u64> {
-        let newer = self.named.iter().find(|one| one.version > version)?;
+        let newer = self.named.iter().map(|one| one.naming).find(|one| one.version > version)?;
         // Else another may have been named before that one.
         let is_next = newer.replaced <= version;
         Some(if is_next { newer.at_ms } else { LONG_AGO_MS })
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -107,7 +107,7 @@
         choose_role(&gateway, &mut state, now_ms);
         state.limits.recover(TICK.as_secs_f64());
         let changes = state.view.tick(now_ms);
-        apply(&gateway, &mut state, now_ms, now_ms, changes);
+        apply(&gateway, &mut state, now_ms, Named::Now, changes);
         metrics::gauge!("coursestile_weights_behind_seconds").set(behind_s(&state, now_ms));
         for (store, count) in state.stores.tick(now_ms) {
             info!(target: "stores", "event=saves_lost store={store} count={count}");
@@ -121,7 +121,8 @@
 fn behind_s(state: &State, now_ms: u64) -> f64 {
     let since_ms = state.weights.iter().flat_map(|(model, named)| {
         let engines = state.upstreams.current().map(|engine| engine.version(model));
-        engines.filter(|version| *version > 0).filter_map(|version| named.behind_since_ms(version))
+        let since_ms = engines.filter_map(|version| named.behind_since_ms(version));
+        since_ms.filter(|since_ms| *since_ms != LONG_AGO_MS)
     });
     let first_ms = since_ms.min().unwrap_or(now_ms);
     Duration::from_millis(now_ms.saturating_sub(first_ms)).as_secs_f64()
@@ -138,12 +139,11 @@
         return;
     }
     let now_ms = now_ms();
-    // Peers that were there tell since when; this one may have just started.
-    let named_at_ms = if state.view.is_known() { now_ms } else { LONG_AGO_MS };
+    let named = named_since(gateway, &state, now_ms);
     let changes = state.view.take(now_ms, told, is_covered);
     info!(target: "follow",
         "event=caught_up at_revision={at_revision} whole={whole} changes={}", changes.len());
-    apply(gateway, &mut state, now_ms, named_at_ms, changes);
+    apply(gateway, &mut state, now_ms, named, changes);
 }
 
 /// How a call to the store has ended.
@@ -172,14 +172,13 @@
     answered(gateway);
     let mut state = gateway.state();
     let now_ms = now_ms();
-    // What is new was named after the store told all before, if it did.
-    let named_at_ms = state.view.complete_at_ms().unwrap_or(LONG_AGO_MS);
+    let named = Named::After(state.view.complete_at_ms().unwrap_or(LONG_AGO_MS));
     state.view.completed(now_ms);
     let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
     let changes = state.view.replace(now_ms, snapshot, is_covered, lapses);
     info!(target: "follow",
         "event=listed at_revision={at_revision} items={items} changes={}", changes.len());
-    apply(gateway, &mut state, now_ms, named_at_ms, changes);
+    apply(gateway, &mut state, now_ms, named, changes);
     Ok(Followed::Answered)
 }
 
@@ -219,8 +218,9 @@
         }
     }
     state.view.complete_to(at_revision);
+    let named = named_since(gateway, &state, now_ms);
     state.view.completed(now_ms);
-    apply(gateway, &mut state, now_ms, now_ms, applied);
+    apply(gateway, &mut state, now_ms, named, applied);
     Ok(Followed::Answered)
 }
 
@@ -278,15 +278,31 @@
     }
 }
 
-/// Puts changes of the view in force. Versions of weights among them were named at
-/// `named_at_ms` or later.
-fn apply(
-    gateway: &Gateway,
-    state: &mut State,
-    now_ms: u64,
-    named_at_ms: u64,
-    changes: Vec<Changed>,
-) {
+/// When versions of weights were named that are among changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Named {
+    /// Just now, as far as a box can know.
+    Now,
+    /// After a time; boxes that were there tell when.
+    After(u64),
+}
+
+/// When what is told now was named: after the store told all before, if that is longer ago
+/// than a watch explains.
+fn named_since(gateway: &Gateway, state: &State, now_ms: u64) -> Named {
+    let complete_at_ms = state.view.complete_at_ms();
+    let late_ms = lost_watch_ms(&gateway.settings.bounds);
+    match complete_at_ms {
+        Some(at_ms) if now_ms > at_ms + late_ms => Named::After(at_ms),
+        Some(_) => Named::Now,
+        // It learns from peers only, or has just started.
+        None if state.view.is_known() => Named::Now,
+        None => Named::After(LONG_AGO_MS),
+    }
+}
+
+/// Puts changes of the view in force.
+fn apply(gateway: &Gateway, state: &mut State, now_ms: u64, named: Named, changes: Vec<Changed>) {
     claims::note_leader(state, now_ms);
     if !changes.is_empty() && state.follows_store {
         // Others learn from this box.
@@ -302,7 +318,9 @@
             (Kind::Configuration, Some(value)) => {
                 upstreams_changed |= put_site(state, value);
             }
-            (Kind::Weights { model }, Some(value)) => put_weights(state, named_at_ms, model, value),
+            (Kind::Weights { model }, Some(value)) => {
+                put_weights(state, now_ms, named, model, value);
+            }
             (Kind::Upstream { id }, Some(value)) => {
                 upstreams_changed |= entries::put(gateway, state, now_ms, id, value);
             }
@@ -347,13 +365,16 @@
     true
 }
 
-fn put_weights(state: &mut State, named_at_ms: u64, model: &str, value: &[u8]) {
+fn put_weights(state: &mut State, now_ms: u64, named: Named, model: &str, value: &[u8]) {
     match keys::read_weights(model, value) {
         Ok(version) => {
-            let named = state.weights.entry(model.to_owned()).or_default();
-            if named.learn(named_at_ms, version) {
-                info!(target: "follow",
-                    "event=weights_named model={model} version={version} named_at_ms={named_at_ms}");
+            let known = state.weights.entry(model.to_owned()).or_default();
+            let is_new = match named {
+                Named::Now => known.learn(now_ms, version),
+                Named::After(after_ms) => known.find(after_ms, version),
+            };
+            if is_new {
+                info!(target: "follow", "event=weights_named model={model} version={version} named={named:?}");
             }
         }
         Err(error) => warn!(target: "follow", "event=weights_unreadable cause=\"{error}\""),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -224,6 +224,10 @@
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.take_upstream_clock(now_ms, clock_ms);
     }
+    if !gossip.versions.is_empty() {
+        // Requests may wait for an engine that has its new weights now.
+        gateway.places.notify_waiters();
+    }
     if state.peers.hear(now_ms, from, gossip, own) {
         // Boxes that start together know each other within some round trips.
         gateway.gossip_now.notify_one();
--- a/src/gateway/helpers.rs
+++ b/src/gateway/helpers.rs
@@ -139,8 +139,12 @@
         Ok(Ok(reply)) => {
             let outcome = reply.map(|one| one.outcome);
             let outcome = outcome.ok_or_else(|| Error::Message("no answer".to_owned()))?;
-            let renewed = outcome == CallOutcome::Renewed;
-            info!(target: "leadership", "event=renewed_through_peer renewed={renewed} outcome={outcome:?}");
+            match outcome {
+                CallOutcome::Renewed | CallOutcome::LeaseOver => info!(target: "leadership",
+                    "event=renewed_through_peer renewed={}", outcome == CallOutcome::Renewed),
+                CallOutcome::Written(_) | CallOutcome::Conflict => info!(target: "leadership",
+                    "event=claimed_through_peer outcome={outcome:?}"),
+            }
             Ok(outcome)
         }
         Ok(Err(_)) | Err(_) => {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -76,6 +76,8 @@
     pub terms: Terms,
     /// What leaders have written down, while this box leads.
     pub book: Option<Book>,
+    /// Orders of this box that are not answered yet.
+    pub orders_in_flight: usize,
     /// Engines that this box brings to other weights; they get no new work.
     pub loading: HashSet<String>,
     /// Engines among them that may load, with when they no longer count as loading.
@@ -214,6 +216,7 @@
             leadership: None,
             terms: Terms::default(),
             book: None,
+            orders_in_flight: 0,
             loading: HashSet::new(),
             permits: HashMap::new(),
             failed_orders: HashMap::new(),
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -22,37 +22,53 @@
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 /// How often it is looked whether claims can be struck out, so that a box that leads next
 /// finds few: a third of the pause that it would make for them.
-const TIDY_PERIOD_MS: u64 = 1000;
+const TIDY_PERIOD: Duration = Duration::from_secs(1);
 /// Time kept for the last engines, whose requests begin late.
 const FINISH_MS: u64 = 1200;
 
-/// Leads, while this box is the leader.
+/// Has engines load, while this box is the leader.
 pub async fn run(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let mut space = Space::default();
-    let mut tidy_at_ms = 0;
     while gateway.phase() != Phase::Stopped {
         sleep(LOOK_PERIOD).await;
-        let now_ms = now_ms();
-        let Some(held) = gateway.state().leadership else {
-            space = Space::default();
-            continue;
-        };
-        if now_ms >= held.until_ms || !claims::open(&mut gateway.state(), &held) {
-            continue;
-        }
-        for load in loads_to_start(&gateway, held.fence) {
+        let Some(fence) = leading(&gateway) else { continue };
+        for load in loads_to_start(&gateway, fence) {
             tokio::spawn(replace_weights(gateway.clone(), socket.clone(), load));
         }
-        space.step(&gateway, &socket, held.fence).await;
-        if now_ms >= tidy_at_ms {
-            tidy_at_ms = now_ms + TIDY_PERIOD_MS;
-            if let Err(error) = claims::tidy(&gateway, &socket, held.fence).await {
-                info!(target: "leader", "event=claims_not_tidied cause=\"{error}\"");
-            }
+    }
+}
+
+/// Frees what stores keep for nobody, while this box is the leader. On its own, since a store
+/// that does not answer must not hold up loads.
+pub async fn free(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut space = Space::default();
+    while gateway.phase() != Phase::Stopped {
+        sleep(LOOK_PERIOD).await;
+        match leading(&gateway) {
+            Some(fence) => space.step(&gateway, &socket, fence).await,
+            None => space = Space::default(),
         }
     }
 }
 
+/// Strikes claims out, while this box is the leader.
+pub async fn tidy(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    while gateway.phase() != Phase::Stopped {
+        sleep(TIDY_PERIOD).await;
+        let Some(fence) = leading(&gateway) else { continue };
+        if let Err(error) = claims::tidy(&gateway, &socket, fence).await {
+            info!(target: "leader", "event=claims_not_tidied cause=\"{error}\"");
+        }
+    }
+}
+
+/// The fencing token under which this box may order now, once it knows what leaders before
+/// have claimed.
+fn leading(gateway: &Gateway) -> Option<u64> {
+    let mut state = gateway.state();
+    let held = state.leadership.filter(|held| now_ms() < held.until_ms)?;
+    claims::open(&mut state, &held).then_some(held.fence)
+}
+
 /// What is left of the time in which an engine with `version` must have newer
 /// weights.
 fn left_ms(gateway: &Gateway, named: Option<&NamedWeights>, now_ms: u64, version: u64) -> u64 {
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::gateway::claims;
 use crate::gateway::decisions::gossip_message::StoreLink;
 use crate::gateway::helpers::{self, CallOutcome, LeaderCall};
 use crate::gateway::kernel::{Gateway, State};
@@ -106,6 +107,14 @@
     state.weights.keys().any(|model| state.upstreams.is_way_cut(now_ms, model))
 }
 
+/// Why another box had better lead.
+fn reason_to_leave(state: &State) -> Option<&'static str> {
+    if is_way_cut(state) {
+        return Some("engines_out_of_reach");
+    }
+    claims::is_stuck(state).then_some("claims_not_written")
+}
+
 async fn take(gateway: &Gateway) -> Result<Option<(Lease, Leadership)>> {
     let asked_at_ms = now_ms();
     let lease = gateway.metadata.open_lease(TTL_MS).await?;
@@ -131,8 +140,8 @@
 async fn hold(gateway: &Gateway, socket: &UdpSocket, lease: Lease, mut held: Leadership) {
     gateway.state().leadership = Some(held);
     while pauses_leading(gateway, RENEW_PERIOD).await {
-        if is_way_cut(&gateway.state()) {
-            info!(target: "leadership", "event=leadership_left reason=engines_out_of_reach");
+        if let Some(reason) = reason_to_leave(&gateway.state()) {
+            info!(target: "leadership", "event=leadership_left reason={reason}");
             break;
         }
         let asked_at_ms = now_ms();
@@ -150,7 +159,10 @@
     }
     gateway.state().stop_leading();
     info!(target: "leadership", "event=leadership_ended fence={} until_ms={}", held.fence, held.until_ms);
-    if let Err(error) = gateway.metadata.end_lease(lease).await {
+    if gateway.state().orders_in_flight > 0 {
+        // The next leader's pause counts from the end of the lease; they arrive before.
+        info!(target: "leadership", "event=lease_left_to_lapse");
+    } else if let Err(error) = gateway.metadata.end_lease(lease).await {
         warn!(target: "leadership", "event=lease_not_ended cause=\"{error}\"");
     }
     gateway.state().leadership = None;
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -36,8 +36,10 @@
 /// Time for which an engine counts as loading: twice the usual. One that hangs must not
 /// keep others from loading for as long as it is followed up.
 const PERMIT_MS: u64 = 2 * LOAD_MS;
-/// Pause before an engine that failed is tried again.
+/// Pause before an engine that failed is tried again; twice as long each time.
 const FAILED_PAUSE_MS: u64 = 500;
+/// How often it doubles: up to 4 s, so that engines that hang leave the others most permits.
+const MOST_DOUBLINGS: u32 = 3;
 /// Time for which one message says that an engine loads.
 pub const LOADING_GOSSIP_MS: u64 = 700;
 /// Time for which peers are told of a version after it was seen.
@@ -56,6 +58,8 @@
     TooSlow,
     /// the engine does not answer
     Failed,
+    /// the claim could not be written
+    NotClaimed,
 }
 
 /// An engine that is to be brought to a version.
@@ -95,11 +99,12 @@
         LoadEnd::Done => {
             state.failed_orders.remove(&load.upstream.id);
         }
-        LoadEnd::LeadershipLost => {}
+        LoadEnd::LeadershipLost | LoadEnd::NotClaimed => {}
         LoadEnd::TurnedAway | LoadEnd::TooSlow | LoadEnd::Failed => {
             let failed = state.failed_orders.entry(load.upstream.id.clone()).or_default();
             failed.count += 1;
-            failed.again_at_ms = now_ms() + FAILED_PAUSE_MS;
+            let doublings = failed.count.min(MOST_DOUBLINGS + 1) - 1;
+            failed.again_at_ms = now_ms() + (FAILED_PAUSE_MS << doublings);
         }
     }
     if let Some(upstream) = state.upstreams.get_run_mut(&load.upstream) {
@@ -242,8 +247,14 @@
     taken: u64,
 ) -> Result<Option<LoadEnd>> {
     let target = number(&load.upstream.id);
-    if !claims::claim(gateway, socket, load.fence, target).await? {
-        return Ok(Some(LoadEnd::LeadershipLost));
+    match claims::claim(gateway, socket, load.fence, target).await {
+        Ok(true) => {}
+        Ok(false) => return Ok(Some(LoadEnd::LeadershipLost)),
+        Err(error) => {
+            info!(target: "leader", "event=engine_not_claimed upstream={} cause=\"{error}\"",
+                load.upstream.id);
+            return Ok(Some(LoadEnd::NotClaimed));
+        }
     }
     if !invariants::order_under_lease(&gateway.state(), now_ms(), load.fence, target) {
         return Ok(Some(LoadEnd::LeadershipLost));
@@ -282,5 +293,8 @@
     info!(target: "leader",
         "event=order_given upstream={} model={} version={} fence={} orders_taken={taken}",
         load.upstream.id, load.model, load.version, load.fence);
-    gateway.engines.order(load.address, &order).await
+    gateway.state().orders_in_flight += 1;
+    let ordered = gateway.engines.order(load.address, &order).await;
+    gateway.state().orders_in_flight -= 1;
+    ordered
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -12,6 +12,9 @@
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::kernel::{Gateway, State};
 
+/// Longest time that is shown: a day.
+const LONG_MS: u64 = 86_400_000;
+
 /// Logs a request that is refused or given up.
 pub fn log_refusal(
     request_id: Option<&str>,
@@ -60,7 +63,8 @@
     let named = job.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
     let version = choice.context.as_ref().map_or(0, |plan| plan.version);
     let since_ms = named.and_then(|named| named.behind_since_ms(version));
-    since_ms.map_or(0, |since_ms| now_ms().saturating_sub(since_ms))
+    // A time that is not known would show as that since 1970.
+    since_ms.map_or(0, |since_ms| now_ms().saturating_sub(since_ms).min(LONG_MS))
 }
 
 /// Logs an attempt that ended without an answer.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -57,6 +57,7 @@
         isolated_account: None,
         weights: None,
         weights_apply_ms: 10_000,
+        bars_overdue: true,
         placing: Placing::Quickest { hall: "north" },
         tried,
         max_requests: 100,
--- a/tests/gateway_weights.rs
+++ b/tests/gateway_weights.rs
@@ -287,6 +287,8 @@
     fleet.site.enter("e-4", &engine_entry("llm", &idle.address, MODEL, 1));
     fleet.engines.push(idle);
     fleet.add_gateway(&metadata).await;
+    // A box that has just started may not know yet since when weights should be gone.
+    sleep(Duration::from_millis(1600)).await;
     let streams = streams_at_loads(&fleet, LONG_TOKENS).await;
     all_moved(&fleet, streams).await;
     let resumed = |run: &Run| run.headers.contains_key("last-event-id");
