--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 use super::cache::{BLOCK_TOKENS, ChainHash, chain};
-use super::{Engine, EngineConfig, Run};
+use super::{Engine, EngineConfig, Run, TakenOrder};
 use crate::faults::{Faults, serve};
 
 fn refuse(status: StatusCode, kind: &str) -> Response {
@@ -306,6 +306,8 @@
             return refuse(StatusCode::CONFLICT, "unexpected_state");
         }
         state.fence = state.fence.max(order.fence);
+        let taken = TakenOrder { fence: order.fence, version: order.version.clone() };
+        state.orders.push(taken);
         state.leaving = order.leave.unwrap_or(state.leaving);
         state.loading = order.version.is_some();
     }
@@ -326,6 +328,7 @@
     let state = engine.state.lock().expect("engine lock");
     Json(json!({
         "started": state.started,
+        "orders": state.orders,
         "prompt_tokens": state.prompt_tokens,
         "cached_tokens": state.cached_tokens,
     }))
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
 use serde_json::Value;
 use tokio::sync::Notify;
 
@@ -60,6 +61,13 @@
     prefill_tokens: usize,
 }
 
+/// An order that was taken.
+#[derive(Clone, Serialize)]
+struct TakenOrder {
+    fence: u64,
+    version: Option<String>,
+}
+
 /// A cache event.
 struct CacheEvent {
     seq: u64,
@@ -70,6 +78,7 @@
 struct State {
     version: String,
     fence: u64,
+    orders: Vec<TakenOrder>,
     leaving: bool,
     loading: bool,
     waiting: Vec<Arc<Run>>,
@@ -99,6 +108,7 @@
         let state = State {
             version: config.version.clone(),
             fence: 0,
+            orders: Vec::new(),
             leaving: false,
             loading: false,
             waiting: Vec::new(),
