A hall's lease is taken from a holder that has gone, where engines check orders

Cause: the lease of a killed holder stayed with its session until it lapsed (10 s), and the next box looked only each 3 s, and only if it was the rendezvous owner of the boxes in view. A holder that lives for half a second gives three orders; then all wait again. Ruled out: stops in turn (the lease is given back, orders began within 3.5 s before this change too); a pause of new holders (there is none); orders lost with the killed box (the engines' records show all three of each holder carried out).

Change: the lease's key names its holder. When engines of the hall all check their orderer, a box that knows that this run of the holder has ended (it has started again, or is dead to the membership) releases its session's lock and takes the lease: the new token makes engines refuse what the old holder may have left behind. Three boxes of a hall may take it, look each second, and one that holds it keeps it until it stops. A session is kept for the next try; a lease whose taking was not answered is found by its session or its name. Halls with an engine that does not check wait for the lapse, as before: nothing but time keeps a late order of a dead holder from such an engine.

Open: each killed holder of a hall with engines that do not check costs up to 11 s anew.

--- a/src/consul.rs
+++ b/src/consul.rs
@@ -45,6 +45,7 @@
     value: Option<String>,
     modify_index: u64,
     lock_index: u64,
+    session: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -118,7 +119,8 @@
         let found: Vec<Found> = reply.json()?;
         let found = found.into_iter().next().ok_or_else(|| failed("an empty list"))?;
         let bytes = STANDARD.decode(found.value.unwrap_or_default()).map_err(failed)?;
-        Ok(Value { bytes, index: found.modify_index, fence: found.lock_index })
+        let (index, fence) = (found.modify_index, found.lock_index);
+        Ok(Value { bytes, index, fence, session: found.session })
     }
 
     async fn watch(&self, key: &str, index: u64) -> Result<u64> {
@@ -148,8 +150,8 @@
         Ok(reply.status == StatusCode::OK)
     }
 
-    async fn acquire(&self, key: &str, session: &str) -> Result<bool> {
-        self.put(&format!("kv/{key}?acquire={session}"), Vec::new()).await?.json()
+    async fn acquire(&self, key: &str, session: &str, bytes: &[u8]) -> Result<bool> {
+        self.put(&format!("kv/{key}?acquire={session}"), bytes.to_vec()).await?.json()
     }
 
     async fn release(&self, key: &str, session: &str) -> Result<bool> {
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -25,6 +25,8 @@
     pub index: u64,
     /// Fencing token of the newest lease on the key.
     pub fence: u64,
+    /// Session that holds the lease on the key.
+    pub session: Option<String>,
 }
 
 /// The platform's key-value service.
@@ -54,8 +56,14 @@
     /// Renews a session; false when it has ended.
     fn renew_session(&self, session: &str) -> impl Future<Output = Result<bool>> + Send;
 
-    /// Takes the lease on `key` for a session; false when another holds it.
-    fn acquire(&self, key: &str, session: &str) -> impl Future<Output = Result<bool>> + Send;
+    /// Takes the lease on `key` for a session and writes `bytes` there; false when
+    /// another holds it.
+    fn acquire(
+        &self,
+        key: &str,
+        session: &str,
+        bytes: &[u8],
+    ) -> impl Future<Output = Result<bool>> + Send;
 
     /// Gives the lease on `key` back; false when the session did not hold it.
     fn release(&self, key: &str, session: &str) -> impl Future<Output = Result<bool>> + Send;
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -2,12 +2,20 @@
 //!
 //! The holder counts its lease as over some time before the platform does,
 //! from the moment at which it sent the last renewal. Each order carries the
-//! lease's fencing token.
+//! lease's fencing token, so that engines which check it may get orders of a
+//! successor before the lease of a dead holder has lapsed.
+
+use crate::ticket::BoxRef;
 
 /// Time to live of the lease at the platform, in seconds.
 pub const LEASE_TTL_S: u64 = 10;
 /// How often the lease is renewed, in milliseconds.
 pub const RENEW_PERIOD_MS: u64 = 3000;
+/// How often boxes that may take the lease look whether they can, in milliseconds.
+pub const LOOK_PERIOD_MS: u64 = 1000;
+/// Boxes of a hall that may take the lease: the others may be dead for some time
+/// before that is noticed.
+pub const CANDIDATES: usize = 3;
 /// Time that must be left for an order to an upstream that checks its orderer.
 pub const CHECKED_MARGIN_MS: u64 = 1000;
 /// Time that must be left for an order to an upstream that does not.
@@ -27,12 +35,6 @@
 }
 
 impl Lease {
-    /// A lease taken or renewed by a call that was sent at `sent_at_ms`.
-    #[must_use]
-    pub fn new(session: String, fence: u64, sent_at_ms: u64) -> Self {
-        Self { session, fence, valid_until_ms: sent_at_ms + LEASE_TTL_S * 1000 }
-    }
-
     /// Whether an order may be sent now.
     #[must_use]
     pub fn may_order(&self, now_ms: u64, upstream_checks: bool) -> bool {
@@ -41,6 +43,51 @@
     }
 }
 
+/// The lease as the platform has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Session that holds it.
+    pub session: String,
+    /// Box that took it, if that can be read.
+    pub holder: Option<BoxRef>,
+}
+
+/// Whose the lease is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// This box holds it.
+    Own,
+    /// Another box holds it.
+    Others,
+    /// Nobody does.
+    Free,
+    /// It is held by this session for nobody: it may be released for it.
+    Orphaned(String),
+}
+
+/// Whose the lease is, to box `me` with the session `own`. A holder that `is_gone` may
+/// have left orders on their way.
+#[must_use]
+pub fn standing(
+    held: Option<Held>,
+    me: &BoxRef,
+    own: Option<&str>,
+    is_gone: impl FnOnce(&BoxRef) -> bool,
+) -> Standing {
+    let Some(Held { session, holder }) = held else {
+        return Standing::Free;
+    };
+    if own == Some(session.as_str()) {
+        return Standing::Own;
+    }
+    // Taken by a call whose answer was lost, and whose session this box has given up.
+    let lost = holder.as_ref() == Some(me);
+    if lost || holder.as_ref().is_some_and(is_gone) {
+        return Standing::Orphaned(session);
+    }
+    Standing::Others
+}
+
 /// An engine as the reconciliation sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Observed {
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -14,15 +14,19 @@
 use log::{info, warn};
 
 use crate::clock::now_ms;
-use crate::edge::{KeyValue, ModelEngines, Order};
-use crate::error::{Error, Result};
+use crate::edge::{KeyValue, ModelEngines, Order, Value};
+use crate::error::Result;
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin};
-use crate::lease::{LEASE_TTL_S, Lease, Load, Observed, RENEW_PERIOD_MS, plan_loads};
-use crate::owner::owner;
+use crate::lease::{
+    CANDIDATES, Held, LEASE_TTL_S, LOOK_PERIOD_MS, Lease, Load, Observed, RENEW_PERIOD_MS,
+    Standing, plan_loads, standing,
+};
+use crate::owner::ranked;
 use crate::phase::Phase;
 use crate::settings::{EngineSettings, Upstream, UpstreamKind};
 use crate::sync::locked;
+use crate::ticket::BoxRef;
 
 /// How often engines are compared with what operators want.
 const RECONCILE_PERIOD: Duration = Duration::from_secs(1);
@@ -31,10 +35,40 @@
     Plugin { name: "orders", start, receive: None }
 }
 
+/// A session at the platform, under which this box may hold the lease.
+struct Session {
+    id: String,
+    valid_until_ms: u64,
+}
+
+/// What this box has of the lease.
 #[derive(Default)]
 struct Holder {
-    lease: Option<Lease>,
-    renew_at_ms: u64,
+    session: Option<Session>,
+    /// Token of the lease, while it is held.
+    fence: Option<u64>,
+    look_at_ms: u64,
+}
+
+impl Holder {
+    fn lease(&self) -> Option<Lease> {
+        let session = self.session.as_ref()?;
+        let (fence, valid_until_ms) = (self.fence?, session.valid_until_ms);
+        Some(Lease { session: session.id.clone(), fence, valid_until_ms })
+    }
+
+    /// Gives up a session that has ended, or that has too little time left to begin with.
+    fn expire(&mut self, now_ms: u64) {
+        let needed_ms = if self.fence.is_some() { 0 } else { LEASE_TTL_S * 1000 - RENEW_PERIOD_MS };
+        if self.session.as_ref().is_some_and(|session| session.valid_until_ms <= now_ms + needed_ms)
+        {
+            self.lose();
+        }
+    }
+
+    fn lose(&mut self) {
+        (self.session, self.fence) = (None, None);
+    }
 }
 
 fn start(kernel: &Arc<Kernel>) {
@@ -48,25 +82,31 @@
     let loading = Arc::new(Mutex::new(BTreeSet::new()));
     loop {
         ticks.tick().await;
-        if !is_candidate(&kernel) {
+        if !is_candidate(&kernel, &holder) {
             give_back(&kernel, &mut holder).await;
             continue;
         }
         if let Err(error) = keep_lease(&kernel, &mut holder).await {
             warn!(target: "orders", "Lease not held: {error}.");
         }
-        if let Some(lease) = &holder.lease {
-            reconcile(&kernel, lease, &loading).await;
+        if let Some(lease) = holder.lease() {
+            reconcile(&kernel, &lease, &loading).await;
         }
     }
 }
 
-/// Only the owner tries, so that the platform is not asked by every box.
-fn is_candidate(kernel: &Kernel) -> bool {
+/// Whether this box may hold the lease. Only some may take it, so that the platform is
+/// not asked by every box; one that holds it keeps it, so that a change of the view
+/// costs no time without orders.
+fn is_candidate(kernel: &Kernel, holder: &Holder) -> bool {
+    if kernel.phase() != Phase::Serving {
+        return false;
+    }
     let membership = kernel.membership();
     let hall = membership.view().hall(&kernel.settings.hall);
-    let first = owner("hall lease", hall.iter().map(|member| member.id.name.as_str()));
-    kernel.phase() == Phase::Serving && first == Some(kernel.me.name.as_str())
+    let names = hall.iter().map(|member| member.id.name.as_str());
+    let first = ranked("hall lease", names, CANDIDATES);
+    holder.fence.is_some() || first.contains(&kernel.me.name.as_str())
 }
 
 fn lease_key(kernel: &Kernel) -> String {
@@ -75,30 +115,62 @@
 
 async fn keep_lease(kernel: &Kernel, holder: &mut Holder) -> Result<()> {
     let now_ms = now_ms();
-    if holder.lease.as_ref().is_some_and(|lease| lease.valid_until_ms <= now_ms) {
-        holder.lease = None;
-    }
-    if now_ms < holder.renew_at_ms {
+    holder.expire(now_ms);
+    if now_ms < holder.look_at_ms {
         return Ok(());
     }
-    holder.renew_at_ms = now_ms + RENEW_PERIOD_MS;
-    let Some(lease) = holder.lease.take() else {
-        holder.lease = take_lease(kernel, now_ms).await?;
-        return Ok(());
-    };
-    let renewed = kernel.platform.renew_session(&lease.session).await;
-    if matches!(renewed, Ok(false)) {
-        return Err(Error::Platform("the session has ended".to_owned()));
+    let holds = holder.fence.is_some();
+    holder.look_at_ms = now_ms + if holds { RENEW_PERIOD_MS } else { LOOK_PERIOD_MS };
+    if let Some(session) = holder.session.as_ref().filter(|_| holds) {
+        // A lost answer leaves the lease as it was.
+        if !kernel.platform.renew_session(&session.id).await? {
+            holder.lose();
+        }
+    }
+    let value = kernel.platform.read(&lease_key(kernel)).await?;
+    match stands(kernel, holder, &value) {
+        Standing::Own => {
+            holder.fence = Some(value.fence);
+            renewed(holder.session.as_mut().filter(|_| holds), now_ms);
+            Ok(())
+        }
+        Standing::Others => {
+            if let Some(fence) = holder.fence.take() {
+                info!(target: "orders", "Lease with token {fence} lost to another box.");
+            }
+            Ok(())
+        }
+        Standing::Free => take_lease(kernel, holder, now_ms).await,
+        Standing::Orphaned(session) => {
+            kernel.platform.release(&lease_key(kernel), &session).await?;
+            take_lease(kernel, holder, now_ms).await
+        }
     }
-    // A lost answer leaves the lease as it was.
-    let valid = Lease::new(lease.session.clone(), lease.fence, now_ms);
-    holder.lease = Some(if renewed.is_ok() { valid } else { lease });
-    renewed.map(|_| ())
+}
+
+fn renewed(session: Option<&mut Session>, sent_at_ms: u64) {
+    if let Some(session) = session {
+        session.valid_until_ms = sent_at_ms + LEASE_TTL_S * 1000;
+    }
+}
+
+fn stands(kernel: &Kernel, holder: &Holder, value: &Value) -> Standing {
+    let held = value.session.clone().map(|session| {
+        let holder = serde_json::from_slice(&value.bytes).ok();
+        Held { session, holder }
+    });
+    let own = holder.session.as_ref().map(|session| session.id.as_str());
+    // Only engines that check refuse a late order of the holder that has gone.
+    let checked = engines(kernel).all(|(_, engine)| engine.checks_orders);
+    let is_gone = |holder: &BoxRef| checked && kernel.membership().view().is_gone(holder);
+    standing(held, &kernel.me, own, is_gone)
 }
 
 /// Gives the lease back, so that the next holder need not wait for its end.
 async fn give_back(kernel: &Kernel, holder: &mut Holder) {
-    let Some(lease) = holder.lease.take() else {
+    let lease = holder.lease();
+    holder.lose();
+    let Some(lease) = lease else {
         return;
     };
     let released = kernel.platform.release(&lease_key(kernel), &lease.session).await;
@@ -106,15 +178,29 @@
     info!(target: "orders", "Lease with token {} {outcome}.", lease.fence);
 }
 
-async fn take_lease(kernel: &Kernel, sent_at_ms: u64) -> Result<Option<Lease>> {
-    let key = lease_key(kernel);
-    let session = kernel.platform.open_session(LEASE_TTL_S).await?;
-    if !kernel.platform.acquire(&key, &session).await? {
-        return Ok(None);
+async fn take_lease(kernel: &Kernel, holder: &mut Holder, sent_at_ms: u64) -> Result<()> {
+    let (key, hall) = (lease_key(kernel), &kernel.settings.hall);
+    let session = match &holder.session {
+        Some(session) => session.id.clone(),
+        None => open_session(kernel, holder, sent_at_ms).await?,
+    };
+    let me = serde_json::to_vec(&kernel.me).unwrap_or_default();
+    if !kernel.platform.acquire(&key, &session, &me).await? {
+        return Ok(());
     }
-    let fence = kernel.platform.read(&key).await?.fence;
-    info!(target: "orders", "Holds the lease of hall {} with token {fence}.", kernel.settings.hall);
-    Ok(Some(Lease::new(session, fence, sent_at_ms)))
+    let value = kernel.platform.read(&key).await?;
+    if value.session == Some(session) {
+        holder.fence = Some(value.fence);
+        info!(target: "orders", "Holds the lease of hall {hall} with token {}.", value.fence);
+    }
+    Ok(())
+}
+
+async fn open_session(kernel: &Kernel, holder: &mut Holder, sent_at_ms: u64) -> Result<String> {
+    let id = kernel.platform.open_session(LEASE_TTL_S).await?;
+    let valid_until_ms = sent_at_ms + LEASE_TTL_S * 1000;
+    holder.session = Some(Session { id: id.clone(), valid_until_ms });
+    Ok(id)
 }
 
 fn engines(kernel: &Kernel) -> impl Iterator<Item = (&Upstream, &EngineSettings)> {
--- a/src/view.rs
+++ b/src/view.rs
@@ -65,6 +65,15 @@
         self.members().find(|member| member.id.name == name)
     }
 
+    /// Whether a box's process is known to have ended, or is taken for dead.
+    #[must_use]
+    pub fn is_gone(&self, id: &BoxRef) -> bool {
+        self.member(&id.name).is_some_and(|member| {
+            member.id.incarnation > id.incarnation
+                || (member.id == *id && member.health == Health::Dead)
+        })
+    }
+
     /// Boxes of `hall` that take work, this one among them.
     #[must_use]
     pub fn hall(&self, hall: &str) -> Vec<&Member> {
