Engines that hang or refuse hold up no loads of others

Cause: a load counted among the three at once until its call ended (15 s), an engine that reported a load was ordered all the same, and each round began with the first engines of the settings: three that load for long, or refuse, were ordered first for ever. Ruled out: engines that answer no report; they were left out before.

Change: a load takes a place for 3 s, a multiple of the second it takes; an engine that loads is left alone; the engine ordered longest ago comes first.

--- a/src/lease.rs
+++ b/src/lease.rs
@@ -5,6 +5,8 @@
 //! lease's fencing token, so that engines which check it may get orders of a
 //! successor before the lease of a dead holder has lapsed.
 
+use std::collections::BTreeMap;
+
 use crate::ticket::BoxRef;
 
 /// Time to live of the lease at the platform, in seconds.
@@ -22,6 +24,8 @@
 pub const UNCHECKED_MARGIN_MS: u64 = 4000;
 /// Weight loads at once.
 pub const MAX_LOADS: usize = 3;
+/// Time for which a load takes a place, in milliseconds: most take under a second.
+pub const LOAD_TIME_MS: u64 = 3000;
 
 /// A lease that this box believes it holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,6 +101,8 @@
     pub model: String,
     /// Weight version that it reports.
     pub version: String,
+    /// It loads weights.
+    pub loading: bool,
 }
 
 /// A load of weights to order.
@@ -110,17 +116,56 @@
     pub version: String,
 }
 
-/// The loads to order now, with `loading` under way already.
-#[must_use]
-pub fn plan_loads(
-    observed: &[Observed],
-    wanted: impl Fn(&str) -> Option<String>,
-    loading: usize,
-) -> Vec<Load> {
-    let differing = observed.iter().filter_map(|engine| {
-        let version = wanted(&engine.model).filter(|version| *version != engine.version)?;
-        let (engine, expect_version) = (engine.name.clone(), engine.version.clone());
-        Some(Load { engine, expect_version, version })
-    });
-    differing.take(MAX_LOADS.saturating_sub(loading)).collect()
+/// Loads that this box has ordered, by engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Loads(BTreeMap<String, Ordered>);
+
+/// The newest order of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Ordered {
+    at_ms: u64,
+    under_way: bool,
+}
+
+impl Loads {
+    /// Takes note that `engine` is ordered.
+    pub fn begin(&mut self, now_ms: u64, engine: &str) {
+        self.0.insert(engine.to_owned(), Ordered { at_ms: now_ms, under_way: true });
+    }
+
+    /// Takes note that the order of `engine` was answered, or given up.
+    pub fn end(&mut self, engine: &str) {
+        if let Some(ordered) = self.0.get_mut(engine) {
+            ordered.under_way = false;
+        }
+    }
+
+    /// Whether the order of `engine` has no end yet.
+    #[must_use]
+    pub fn is_under_way(&self, engine: &str) -> bool {
+        self.0.get(engine).is_some_and(|ordered| ordered.under_way)
+    }
+
+    /// The loads to order now. An engine that hangs takes a place for as long as loads
+    /// take, and one that refuses goes behind the others: neither holds them up.
+    #[must_use]
+    pub fn plan(
+        &self,
+        now_ms: u64,
+        observed: &[Observed],
+        wanted: impl Fn(&str) -> Option<String>,
+    ) -> Vec<Load> {
+        let ordered_at_ms = |engine: &str| self.0.get(engine).map_or(0, |ordered| ordered.at_ms);
+        let mut ready: Vec<_> = observed.iter().filter(|engine| !engine.loading).collect();
+        ready.sort_by_key(|engine| ordered_at_ms(&engine.name));
+        let differing = ready.into_iter().filter_map(|engine| {
+            let version = wanted(&engine.model).filter(|version| *version != engine.version)?;
+            let (engine, expect_version) = (engine.name.clone(), engine.version.clone());
+            Some(Load { engine, expect_version, version })
+        });
+        let loading =
+            |ordered: &&Ordered| ordered.under_way && now_ms < ordered.at_ms + LOAD_TIME_MS;
+        let places = MAX_LOADS.saturating_sub(self.0.values().filter(loading).count());
+        differing.take(places).collect()
+    }
 }
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -6,7 +6,6 @@
 //! does not check its orderer gets an order only after the lease was read
 //! again, with a wide margin of its time left.
 
-use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,8 +18,8 @@
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin};
 use crate::lease::{
-    CANDIDATES, Held, LEASE_TTL_S, LOOK_PERIOD_MS, Lease, Load, Observed, RENEW_PERIOD_MS,
-    Standing, plan_loads, standing,
+    CANDIDATES, Held, LEASE_TTL_S, LOOK_PERIOD_MS, Lease, Load, Loads, Observed, RENEW_PERIOD_MS,
+    Standing, standing,
 };
 use crate::owner::ranked;
 use crate::phase::Phase;
@@ -79,7 +78,7 @@
     let mut ticks = tokio::time::interval(RECONCILE_PERIOD);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut holder = Holder::default();
-    let loading = Arc::new(Mutex::new(BTreeSet::new()));
+    let loads = Arc::<Mutex<Loads>>::default();
     loop {
         ticks.tick().await;
         if !is_candidate(&kernel, &holder) {
@@ -90,7 +89,7 @@
             warn!(target: "orders", "Lease not held: {error}.");
         }
         if let Some(lease) = holder.lease() {
-            reconcile(&kernel, &lease, &loading).await;
+            reconcile(&kernel, &lease, &loads).await;
         }
     }
 }
@@ -210,27 +209,28 @@
     })
 }
 
-async fn reconcile(kernel: &Arc<Kernel>, lease: &Lease, loading: &Arc<Mutex<BTreeSet<String>>>) {
+async fn reconcile(kernel: &Arc<Kernel>, lease: &Lease, loads: &Arc<Mutex<Loads>>) {
     let config = kernel.configuration.current();
     if config.state.models.is_empty() {
         return;
     }
     // All at once: engines that do not answer would put the lease's renewal off, one
     // second each.
-    let idle = engines(kernel).filter(|(upstream, _)| !locked(loading).contains(&upstream.name));
+    let idle = engines(kernel).filter(|(upstream, _)| !locked(loads).is_under_way(&upstream.name));
     let reports = idle.map(async |(upstream, engine)| {
         let report = kernel.upstreams.report(&upstream.url).await?;
         let (name, model) = (upstream.name.clone(), engine.model.clone());
-        Some(Observed { name, model, version: report.version })
+        Some(Observed { name, model, version: report.version, loading: report.loading })
     });
     let observed: Vec<_> = join_all(reports).await.into_iter().flatten().collect();
-    let under_way = locked(loading).len();
-    for load in plan_loads(&observed, |model| config.state.models.get(model).cloned(), under_way) {
-        locked(loading).insert(load.engine.clone());
-        let (kernel, lease, loading) = (kernel.clone(), lease.clone(), loading.clone());
+    let wanted = |model: &str| config.state.models.get(model).cloned();
+    let planned = locked(loads).plan(now_ms(), &observed, wanted);
+    for load in planned {
+        locked(loads).begin(now_ms(), &load.engine);
+        let (kernel, lease, loads) = (kernel.clone(), lease.clone(), loads.clone());
         tokio::spawn(async move {
             give_order(&kernel, &lease, &load).await;
-            locked(&loading).remove(&load.engine);
+            locked(&loads).end(&load.engine);
         });
     }
 }
--- /dev/null
+++ b/tests/loads.rs
@@ -0,0 +1,61 @@
+//! Which engines are ordered to load weights, and when.
+
+use coursestile::lease::{LOAD_TIME_MS, Loads, MAX_LOADS, Observed};
+
+const NAMES: [&str; 6] = ["e1", "e2", "e3", "e4", "e5", "e6"];
+
+fn observed(name: &str, version: &str, loading: bool) -> Observed {
+    let (name, version) = (name.to_owned(), version.to_owned());
+    Observed { name, model: "summary".to_owned(), version, loading }
+}
+
+/// Plans and begins the loads of `version` on engines that have v1.
+fn order(loads: &mut Loads, now_ms: u64, engines: &[Observed]) -> Vec<String> {
+    let planned = loads.plan(now_ms, engines, |_| Some("v2".to_owned()));
+    for load in &planned {
+        assert_eq!((load.expect_version.as_str(), load.version.as_str()), ("v1", "v2"));
+        loads.begin(now_ms, &load.engine);
+    }
+    planned.into_iter().map(|load| load.engine).collect()
+}
+
+fn all() -> Vec<Observed> {
+    NAMES.iter().map(|name| observed(name, "v1", false)).collect()
+}
+
+#[test]
+fn three_at_once() {
+    let mut loads = Loads::default();
+    assert_eq!(order(&mut loads, 1000, &all()), NAMES[..MAX_LOADS]);
+    assert!(order(&mut loads, 1001, &all()[MAX_LOADS..]).is_empty());
+    loads.end("e2");
+    assert_eq!(order(&mut loads, 1002, &all()[MAX_LOADS..]), ["e4"]);
+}
+
+#[test]
+fn hanging_passed() {
+    let mut loads = Loads::default();
+    order(&mut loads, 1000, &all());
+    assert_eq!(order(&mut loads, 1000 + LOAD_TIME_MS, &all()[MAX_LOADS..]), NAMES[MAX_LOADS..]);
+}
+
+#[test]
+fn refusing_last() {
+    let mut loads = Loads::default();
+    let expected = [&NAMES[..MAX_LOADS], &NAMES[MAX_LOADS..], &NAMES[..MAX_LOADS]];
+    for (now_ms, expected) in (1000..).step_by(1000).zip(expected) {
+        let ordered = order(&mut loads, now_ms, &all());
+        assert_eq!(ordered, expected);
+        for engine in &ordered {
+            loads.end(engine);
+        }
+    }
+}
+
+#[test]
+fn loading_left() {
+    let mut engines = all();
+    engines[0].loading = true;
+    engines[1].version = "v2".to_owned();
+    assert_eq!(order(&mut Loads::default(), 1000, &engines), ["e3", "e4", "e5"]);
+}
