An engine's first report forgets nothing

Cause: the version of an engine is not known before its first report, and "unknown, then v1" counted as a change of weights: what it had run before was forgotten. A dispatcher starts with a request, so this met each new one.

Change: only another version than a known one is a change.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -168,7 +168,8 @@
         engine.works();
         engine.leaving = report.leaving;
         engine.loading = report.loading;
-        let changed = engine.version.as_ref() != Some(&report.version);
+        // The first report changes nothing: what the engine was given before ran on it.
+        let changed = engine.version.as_ref().is_some_and(|own| *own != report.version);
         if changed {
             engine.cache.clear();
         }
