Test: an import is given up though reading again takes longer (fails)

dispatcher::import_patience: bringing the context takes 28 ms, reading it 140 ms; the import is given up after 77 ms.

--- a/tests/dispatcher.rs
+++ b/tests/dispatcher.rs
@@ -4,12 +4,14 @@
 
 use coursestile::account::Weights;
 use coursestile::ask::{Ask, AskId, End, Report, Verdict};
+use coursestile::blocks::{BlockId, Seal};
 use coursestile::context::{Course, Scope};
 use coursestile::dispatcher::{Action, Dispatcher, Policies};
 use coursestile::edge::EngineReport;
 use coursestile::fleet::Engine;
 use coursestile::keep::KeepPolicy;
-use coursestile::keeper::Keeper;
+use coursestile::keeper::{BlockMeta, Keeper, Listed};
+use coursestile::store::Store;
 use coursestile::ticket::BoxRef;
 use coursestile::trace::TraceId;
 use rstest::rstest;
@@ -18,10 +20,25 @@
 
 fn dispatcher() -> Dispatcher {
     let engine = |name: &str| Engine::new(name, "http://127.0.0.1:1", 8, 65_536, 0.05);
-    let keeper = Keeper::new(KeepPolicy::default(), BTreeMap::new(), 100, 20_000, "b1");
+    let store = Store::new("http://127.0.0.1:2", 4_000_000_000, 2e6);
+    let stores = BTreeMap::from([("store1".to_owned(), store)]);
+    let keeper = Keeper::new(KeepPolicy::default(), stores, 100, 20_000, "b1");
     Dispatcher::new(Policies::default(), vec![engine("e1"), engine("e2")], keeper)
 }
 
+/// A store whose link moves 2 GB/s keeps the context of `ask`.
+fn keep(dispatcher: &mut Dispatcher, ask: &Ask) {
+    let meta = BlockMeta {
+        scope: ask.scope.clone(),
+        course: ask.course.clone(),
+        worthless_at_ms: ask.worthless_at_ms,
+    };
+    let seal = Seal { len_bytes: 1, checksum: "c".to_owned() };
+    let size_bytes = u64::from(ask.course.tokens()) * 20_000;
+    let listed = Listed { id: BlockId("kept".to_owned()), size_bytes, seal, meta };
+    dispatcher.keeper.adopt(NOW_MS, "store1", listed);
+}
+
 /// An ask with always the same prompt.
 fn ask(number: u64, avoid: &[&str]) -> Ask {
     let text = |text: &str| text.to_owned();
@@ -81,3 +98,20 @@
     }
     assert_eq!(run(&mut dispatcher, ask(2, &[])), expected);
 }
+
+// An import that was given up 50 ms after it was due was followed by 140 ms of reading
+// again: giving up earlier than that costs more than going on may.
+#[test]
+fn import_patience() {
+    let mut dispatcher = dispatcher();
+    let ask = ask(1, &[]);
+    keep(&mut dispatcher, &ask);
+    let actions = dispatcher.ask(NOW_MS, ask);
+    let [Action::Answer { verdict: Verdict::Run(grant), .. }] = actions.as_slice() else {
+        panic!("not placed: {actions:?}");
+    };
+    let import = grant.import.as_ref().expect("bringing 56 MB takes 28 ms, reading 140");
+    assert_eq!((import.tokens, import.expected_ms), (2816, 29));
+    let reading_ms = 2816 * 50 / 1000;
+    assert!(import.deadline_ms >= NOW_MS + 28 + reading_ms, "{}", import.deadline_ms - NOW_MS);
+}
