An import is not given up before it is late by what reading takes

Cause: an import was given up at twice its estimate and 20 ms (77 ms for 56 MB), however long reading again takes instead (140 ms); the caller then waits for both. On a busy machine, three calls and a transfer of 28 ms take that long. It is the shape "given up at its deadline" of the red kept_context::context_returns. Ruled out: a longer slack for all; it would have no reason, and short prompts would wait longer than reading them takes.

Change: the deadline is the estimate and the time that the import spares, if that is more than before. At worst the caller waits for the import's estimate and twice for reading, where it was twice for the estimate, 20 ms, and once for reading.

--- a/src/dispatcher/places.rs
+++ b/src/dispatcher/places.rs
@@ -58,7 +58,9 @@
             .expect("an ask is popped only when an engine fits");
         self.turn += 1;
         let import = offer.filter(|_| choice.import).and_then(|(block, offer)| {
-            self.keeper.start_import(now_ms, &ask.scope, &block, &offer)
+            let spared_tokens = offer.tokens.saturating_sub(cached[choice.engine].tokens);
+            let spared_ms = f64::from(spared_tokens) * self.fleet.engines[choice.engine].token_ms;
+            self.keeper.start_import(now_ms, &ask.scope, &block, &offer, spared_ms)
         });
         let held_tokens = match (&import, demand.offer) {
             (Some(_), Some(offer)) => offer.tokens,
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -157,15 +157,18 @@
         offers.max_by_key(|(_, offer)| offer.tokens)
     }
 
-    /// Plans the import of a block that was offered.
+    /// Plans the import of a block that was offered; it spares `spared_ms` of reading.
     pub fn start_import(
         &mut self,
         now_ms: u64,
         scope: &Scope,
         id: &BlockId,
         offer: &Offer,
+        spared_ms: f64,
     ) -> Option<Import> {
-        let patience_ms = whole_ms(offer.link_ms * IMPORT_PATIENCE + IMPORT_SLACK_MS);
+        // Given up before it is late by what reading takes, it would cost more than it may.
+        let least_ms = offer.link_ms * IMPORT_PATIENCE + IMPORT_SLACK_MS;
+        let patience_ms = whole_ms(least_ms.max(offer.link_ms + spared_ms));
         let deadline_ms = now_ms + patience_ms;
         let pinned_until_ms = deadline_ms + PIN_EXTRA_MS;
         let (block, seal) = self.blocks.pin(id, scope, pinned_until_ms)?;
