--- a/tests/once.rs
+++ b/tests/once.rs
@@ -214,3 +214,31 @@
     assert_eq!(run_of(again.unwrap()).await, 1);
     assert_eq!(runs(&fleet, &key).await, 1);
 }
+
+// A box stood still while another one was replaced, and for longer than messages are
+// believed: it had missed who keeps the ledger, and nobody told it later. It answered that
+// the outcome is unknown, though the answer was kept.
+#[tokio::test]
+async fn heir_missed() {
+    let fleet = slow_worker(5).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    assert_eq!(run_of(order(&fleet, 0, &key, 1000).await.unwrap()).await, 1);
+    let replaced = &fleet.boxes[0];
+    // Until then, a box that started asks for all that the others know.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    fleet.boxes[2].process.signal("-STOP");
+    replaced.process.signal("-TERM");
+    while !replaced.process.ended() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    replaced.process.restart();
+    fleet.wait_for(&format!("http://{}/live", replaced.operators)).await;
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    fleet.boxes[2].process.signal("-CONT");
+    fleet.wait_in_force(&[&fleet.boxes[2], replaced], 4, 3).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for at in [0, 1, 2] {
+        assert_eq!(run_of(order(&fleet, at, &key, 3000).await.unwrap()).await, 1, "at {at}");
+    }
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
