A box that does not know who keeps a ledger asks its peers

Cause: news of an heir is told three times by the box that stops, and goes along with news of that box until it is replaced; digests compare boxes that are there, not those that were replaced. A box that missed it (paused for longer than the 10 s for which messages are believed) never heard of it, and answered 502 "outcome unknown" where the kept answer was due. Weighed: comparing digests of replaced boxes too; two boxes that forget them at different times would give them to each other for ever.

Change: while a call waits for news, three peers are asked each 0.4 s for the box's chain of heirs. Nothing is asked when the heir is known.

--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -13,6 +13,7 @@
 
 use crate::calls::{answer_as_heir, spend};
 use crate::clock::{instant_at, now_ms, now_us};
+use crate::gossip::send_all;
 use crate::kernel::Kernel;
 use crate::ledger::Outcome;
 use crate::refusal::Reason;
@@ -27,6 +28,8 @@
 /// Time in which news of who answers for a ticket is waited for: a box that starts
 /// asks for all of it once a second.
 const NEWS_TIMEOUT_MS: u64 = 2000;
+/// How often some peers are asked for it.
+const NEWS_ASK_PERIOD_MS: u64 = 400;
 /// How often that is looked for.
 const NEWS_POLL: Duration = Duration::from_millis(100);
 /// Answers to one call that may wait to be read.
@@ -85,6 +88,7 @@
     let unreachable = CallEnd::unknown(Reason::SpenderUnreachable);
     let news_deadline_ms = now_ms() + NEWS_TIMEOUT_MS;
     let mut resend_after_ms = RESEND_AFTER_MS;
+    let mut ask_at_ms = now_ms();
     while now_ms() < call.deadline_ms {
         let found = kernel.membership().view().answers_for(spender).cloned();
         let end = match found {
@@ -106,6 +110,11 @@
             Some(end) if end != unreachable => return end,
             // Nobody is known to answer, or the box asked does not: news may be due.
             Some(_) | None if now_ms() < news_deadline_ms => {
+                if now_ms() >= ask_at_ms {
+                    ask_at_ms = now_ms() + NEWS_ASK_PERIOD_MS;
+                    let asked = kernel.membership().ask_heirs(spender);
+                    send_all(kernel, asked);
+                }
                 tokio::time::sleep(NEWS_POLL).await;
             }
             Some(_) | None => break,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -35,7 +35,8 @@
     }
 }
 
-fn send_all(kernel: &Kernel, outgoing: Vec<Outgoing>) {
+/// Sends what the membership wants sent.
+pub fn send_all(kernel: &Kernel, outgoing: Vec<Outgoing>) {
     for Outgoing { to, gossip } in outgoing {
         kernel.send(&to, Message::Gossip(gossip));
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -84,6 +84,8 @@
     Joined { members: Vec<Member> },
     /// Some members.
     Table { members: Vec<Member> },
+    /// Asks who keeps the ledger of a box, and hears a [`Gossip::Table`].
+    Heirs { of: BoxRef },
 }
 
 /// A message to send.
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -35,6 +35,8 @@
 const JOIN_TRIES: u32 = 5;
 /// Number of heartbeats, which no probe has.
 const HEARTBEAT_SEQ: u64 = 0;
+/// Peers asked at once who keeps a ledger.
+const HEIRS_ASKED: usize = 3;
 /// Members in one message of a table transfer.
 pub const TABLE_CHUNK: usize = 64;
 
@@ -110,6 +112,25 @@
         self.view.inherit(now_ms, leaver);
     }
 
+    /// Asks some peers who keeps the ledger of a box. Who was away when that was told
+    /// hears of it in no other way.
+    pub fn ask_heirs(&mut self, of: &BoxRef) -> Vec<Outgoing> {
+        let live = self.view.others().filter(|member| member.takes_work());
+        let mut peers: Vec<_> = live.map(|member| member.address.clone()).collect();
+        self.rng.shuffle(&mut peers);
+        peers.truncate(HEIRS_ASKED);
+        let gossip = Gossip::Heirs { of: of.clone() };
+        peers.into_iter().map(|to| Outgoing { to, gossip: gossip.clone() }).collect()
+    }
+
+    fn tell_heirs(&self, to: &str, of: &BoxRef) -> Vec<Outgoing> {
+        let members: Vec<_> = self.view.heirs(of).into_iter().cloned().collect();
+        if members.iter().all(|member| member.heir.is_none()) {
+            return Vec::new();
+        }
+        vec![Outgoing { to: to.to_owned(), gossip: Gossip::Table { members } }]
+    }
+
     /// A message that is answered and says what this box knows, like a probe.
     #[must_use]
     pub fn heartbeat(&self) -> Gossip {
@@ -162,6 +183,7 @@
                 self.view.merge_all(now_ms, members);
                 Vec::new()
             }
+            Gossip::Heirs { of } => self.tell_heirs(from, &of),
         }
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -84,17 +84,22 @@
     /// its heirs.
     #[must_use]
     pub fn answers_for(&self, spender: &BoxRef) -> Option<&Member> {
-        let mut current = spender;
-        for _ in 0..MAX_HEIRS {
-            let member = self.member(&current.name).filter(|member| member.id == *current);
-            let departed = self.departed.get(current).map(|departed| &departed.member);
-            let found = member.or(departed)?;
-            match &found.heir {
-                Some(heir) => current = heir,
-                None => return Some(found).filter(|member| member.health != Health::Dead),
-            }
-        }
-        None
+        let last = self.heirs(spender).into_iter().last()?;
+        let answers = last.heir.is_none() && last.health != Health::Dead;
+        answers.then_some(last)
+    }
+
+    /// A box and its heirs, as far as they are known.
+    #[must_use]
+    pub fn heirs(&self, of: &BoxRef) -> Vec<&Member> {
+        let next = |member: &&Member| member.heir.as_ref().and_then(|heir| self.run(heir));
+        std::iter::successors(self.run(of), next).take(MAX_HEIRS).collect()
+    }
+
+    /// A run of a box's process, which may have been replaced.
+    fn run(&self, id: &BoxRef) -> Option<&Member> {
+        let member = self.member(&id.name).filter(|member| member.id == *id);
+        member.or_else(|| self.departed.get(id).map(|departed| &departed.member))
     }
 
     /// Announces a planned stop, and who answers for the ledger.
