--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -5,6 +5,7 @@
 use coursestile::member::{Gossip, Health, Member};
 use coursestile::membership::Membership;
 use coursestile::ticket::BoxRef;
+use coursestile::view::View;
 
 const STEP_MS: u64 = 100;
 
@@ -151,6 +152,21 @@
     }
 }
 
+// A box was out of sight when it stopped as planned, and taken for dead. What it had left
+// behind was older news than its death, so that its heir was not taken in.
+#[test]
+fn heir_of_dead() {
+    let mut view = View::new(member(0, 1, 1));
+    for health in [Health::Alive, Health::Dead] {
+        view.merge(1000, Member { health, ..member(1, 1, 1) });
+    }
+    view.merge(1000, member(2, 1, 1));
+    let (left, heir) = (member(1, 1, 1), member(2, 1, 1).id);
+    view.merge(2000, Member { health: Health::Leaving, heir: Some(heir.clone()), ..left.clone() });
+    assert_eq!(view.answers_for(&left.id).map(|member| &member.id), Some(&heir));
+    assert!(!view.member("b1").unwrap().takes_work());
+}
+
 #[test]
 fn pinged_before_joining() {
     let mut network = Network::new(6, 2, 0, 9);
