The heir of a box that is taken for dead is taken in

Cause: what is said of one run of a box is ordered by health before its heir; "dead" hid "stops, its heir is b2" from a box that had lost sight of it, until others counted it as dead too (120 s) or it was replaced. Ruled out: ordering heirs before health; a leaving box would then look alive again.

Change: an heir that was not known is taken in, with the later of both beats and healths.

--- a/src/view.rs
+++ b/src/view.rs
@@ -175,6 +175,11 @@
         let known = self.others.get(&member.id.name).map(|known| &known.member);
         // A box that has left its ledger to an heir may not know that it was taken.
         if let Some(known) = known.filter(|known| known.id == member.id) {
+            // Nor may one that takes it for dead know of the heir.
+            if known.heir.is_none() && member.heir.is_some() {
+                member.beat = member.beat.max(known.beat);
+                member.health = member.health.max(known.health);
+            }
             member.heir = member.heir.or_else(|| known.heir.clone());
         }
         if let Some(known) = known.filter(|known| known.rank() >= member.rank()) {
