What is in force of the configuration stands below the kernel

The kernel holds it and the plug-in that fetches it uses the kernel: a circle. Configuration moves to config_in_force as it was; four of its functions are visible in the crate now.

--- /dev/null
+++ b/src/config_in_force.rs
@@ -0,0 +1,85 @@
+//! The configuration in force on this box: the copy of the log, and what the
+//! rest of the box reads of it. Its revision only rises.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use log::info;
+use tokio::sync::watch;
+
+use crate::clock::now_ms;
+use crate::configlog::{Adopted, Config, ConfigLog, Entry, State};
+use crate::invariant::{Invariant, check};
+use crate::sync::locked;
+
+/// The configuration in force.
+pub struct Configuration {
+    log: Mutex<ConfigLog>,
+    current: watch::Sender<Arc<Config>>,
+    revision: AtomicU64,
+    platform_heard_at_ms: AtomicU64,
+}
+
+impl Default for Configuration {
+    fn default() -> Self {
+        Self {
+            log: Mutex::default(),
+            current: watch::Sender::new(Arc::default()),
+            revision: AtomicU64::new(0),
+            platform_heard_at_ms: AtomicU64::new(0),
+        }
+    }
+}
+
+impl Configuration {
+    /// Revision in force.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Acquire)
+    }
+
+    /// Configuration in force.
+    pub fn current(&self) -> Arc<Config> {
+        self.current.borrow().clone()
+    }
+
+    /// Tells of each change.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Config>> {
+        self.current.subscribe()
+    }
+
+    /// When the platform answered last, in Unix milliseconds; 0 means never.
+    pub fn platform_heard_at_ms(&self) -> u64 {
+        self.platform_heard_at_ms.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the platform has answered.
+    pub(crate) fn heard_platform(&self) {
+        self.platform_heard_at_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    /// Takes news into the log and, if it is newer, into force.
+    pub(crate) fn adopt(&self, take: impl FnOnce(&mut ConfigLog) -> Adopted) -> Adopted {
+        let mut log = locked(&self.log);
+        let before = log.revision();
+        let adopted = take(&mut log);
+        let after = log.revision();
+        check(Invariant::ConfigNeverReverts, after >= before, || format!("{before} to {after}"));
+        if adopted == Adopted::Newer {
+            self.revision.store(after, Ordering::Release);
+            self.current.send_replace(log.config());
+            metrics::gauge!("coursestile_config_revision").set(u32::try_from(after).unwrap_or(0));
+            info!(target: "config", "Revision {after} is in force.");
+        }
+        adopted
+    }
+
+    /// The changes after `revision`, when all of them are still here.
+    pub(crate) fn entries_after(&self, revision: u64) -> Option<Vec<Entry>> {
+        locked(&self.log).entries_after(revision)
+    }
+
+    /// The state in force.
+    pub(crate) fn state(&self) -> State {
+        locked(&self.log).state().clone()
+    }
+}
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -1,25 +1,21 @@
-//! The configuration in force on this box, and how it comes here.
+//! How the configuration comes to this box.
 //!
 //! A few boxes of each hall watch the head key in the platform's service;
 //! the others hear of a change from them at once, and look themselves now and
 //! then. A box adopts only higher revisions, and one that starts while the
 //! platform is out learns the configuration from its peers.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use log::{info, warn};
-use tokio::sync::watch;
+use log::warn;
 
 use crate::clock::now_ms;
-use crate::configlog::{Adopted, Config, ConfigLog, Entry, Head, State};
+use crate::configlog::{Adopted, Head, State};
 use crate::edge::KeyValue;
 use crate::error::{Error, Result};
-use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::owner::ranked;
-use crate::sync::locked;
 use crate::wire::{Envelope, Message};
 
 /// Key of the head.
@@ -42,74 +38,6 @@
     Plugin { name: "config", start, receive: Some((Topic::Config, receive)) }
 }
 
-/// The configuration in force.
-pub struct Configuration {
-    log: Mutex<ConfigLog>,
-    current: watch::Sender<Arc<Config>>,
-    revision: AtomicU64,
-    platform_heard_at_ms: AtomicU64,
-}
-
-impl Default for Configuration {
-    fn default() -> Self {
-        Self {
-            log: Mutex::default(),
-            current: watch::Sender::new(Arc::default()),
-            revision: AtomicU64::new(0),
-            platform_heard_at_ms: AtomicU64::new(0),
-        }
-    }
-}
-
-impl Configuration {
-    /// Revision in force.
-    pub fn revision(&self) -> u64 {
-        self.revision.load(Ordering::Acquire)
-    }
-
-    /// Configuration in force.
-    pub fn current(&self) -> Arc<Config> {
-        self.current.borrow().clone()
-    }
-
-    /// Tells of each change.
-    pub fn subscribe(&self) -> watch::Receiver<Arc<Config>> {
-        self.current.subscribe()
-    }
-
-    /// When the platform answered last, in Unix milliseconds; 0 means never.
-    pub fn platform_heard_at_ms(&self) -> u64 {
-        self.platform_heard_at_ms.load(Ordering::Relaxed)
-    }
-
-    fn heard_platform(&self) {
-        self.platform_heard_at_ms.store(now_ms(), Ordering::Relaxed);
-    }
-
-    fn adopt(&self, take: impl FnOnce(&mut ConfigLog) -> Adopted) -> Adopted {
-        let mut log = locked(&self.log);
-        let before = log.revision();
-        let adopted = take(&mut log);
-        let after = log.revision();
-        check(Invariant::ConfigNeverReverts, after >= before, || format!("{before} to {after}"));
-        if adopted == Adopted::Newer {
-            self.revision.store(after, Ordering::Release);
-            self.current.send_replace(log.config());
-            metrics::gauge!("coursestile_config_revision").set(u32::try_from(after).unwrap_or(0));
-            info!(target: "config", "Revision {after} is in force.");
-        }
-        adopted
-    }
-
-    fn entries_after(&self, revision: u64) -> Option<Vec<Entry>> {
-        locked(&self.log).entries_after(revision)
-    }
-
-    fn state(&self) -> State {
-        locked(&self.log).state().clone()
-    }
-}
-
 /// Reads the head.
 ///
 /// # Errors
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -14,7 +14,7 @@
 
 use crate::calls::Calls;
 use crate::clock::{now_ms, now_us};
-use crate::configuration::Configuration;
+use crate::config_in_force::Configuration;
 use crate::consul::Consul;
 use crate::dispatch::Dispatch;
 use crate::error::Result;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod command_line;
 pub mod completion;
+pub mod config_in_force;
 pub mod configlog;
 pub mod configuration;
 pub mod consul;
