What a box knows of calls stands below the kernel, the ledger's run below forwarding

Ledgers, forwarded calls and workers' cooldowns move to call_state as they were, since the kernel holds them; the run under a ledger and the answer of an heir move to spending, which calls and forwarding both use; the ends of a call move to wire, beside their type.

--- /dev/null
+++ b/src/call_state.rs
@@ -0,0 +1,117 @@
+//! What a box knows of calls: ledgers, calls forwarded, and workers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+use tokio::sync::{mpsc, watch};
+
+use crate::ledger::Ledger;
+use crate::sync::locked;
+use crate::ticket::BoxRef;
+use crate::wire::CallEnd;
+
+/// Ledgers, forwarded calls and the workers of plain services.
+pub struct Calls {
+    pub(crate) own: Mutex<Ledger>,
+    pub(crate) inherited: Mutex<HashMap<BoxRef, Ledger>>,
+    pub(crate) forwarding: Forwarding,
+    /// The workers of plain services.
+    pub workers: Workers,
+    running: AtomicUsize,
+    pub(crate) handover_taken: watch::Sender<Option<(BoxRef, BoxRef)>>,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            own: Mutex::default(),
+            inherited: Mutex::default(),
+            forwarding: Forwarding::default(),
+            workers: Workers::default(),
+            running: AtomicUsize::new(0),
+            handover_taken: watch::Sender::new(None),
+        }
+    }
+}
+
+/// Counts a running call for as long as it lives.
+pub(crate) struct Running<'a>(&'a AtomicUsize);
+
+impl<'a> Running<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Calls {
+    /// Counts a call that runs until the value is dropped.
+    pub(crate) fn count_running(&self) -> Running<'_> {
+        Running::new(&self.running)
+    }
+
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        locked(&self.own)
+    }
+
+    /// Number of calls that have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
+    /// Number of keys in the ledger.
+    #[must_use]
+    pub fn keys(&self) -> usize {
+        self.ledger().len()
+    }
+}
+
+/// Calls forwarded to other boxes, and by them to this one.
+#[derive(Default)]
+pub struct Forwarding {
+    /// Where the answers to calls forwarded go, by the number of the call.
+    pub(crate) waiting: Mutex<HashMap<u64, mpsc::Sender<CallEnd>>>,
+    /// Calls that other boxes forwarded, by box and number.
+    pub(crate) taken: Mutex<HashMap<(BoxRef, u64), Taken>>,
+}
+
+/// A call that another box forwarded.
+pub(crate) struct Taken {
+    /// How it ended, if it has not run; none while it is under way.
+    pub(crate) not_run: Option<CallEnd>,
+    /// When it may be forgotten, since it would not be begun again.
+    pub(crate) deadline_ms: u64,
+}
+
+impl Forwarding {
+    /// Takes the answer to a forwarded call.
+    pub fn answered(&self, number: u64, end: CallEnd) {
+        if let Some(waiting) = locked(&self.waiting).get(&number) {
+            // A caller that has its answer, or has given up, does not read this one.
+            let _ = waiting.try_send(end);
+        }
+    }
+
+    /// Forgets calls past their deadline.
+    pub fn expire(&self, now_ms: u64) {
+        locked(&self.taken)
+            .retain(|_, taken| taken.not_run.is_none() || now_ms < taken.deadline_ms);
+    }
+}
+
+/// What this box knows of the workers.
+#[derive(Default)]
+pub struct Workers {
+    /// Until when each worker that could not be reached is left alone.
+    pub(crate) cooldowns: Mutex<BTreeMap<String, u64>>,
+    /// Counts calls, so that each begins at another worker.
+    pub(crate) turn: AtomicUsize,
+}
--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -5,17 +5,17 @@
 //! other box does not begin a call again that is under way there, nor one of which it
 //! has said that it has not run. All else it answers from the ledger.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
 
-use crate::calls::{answer_as_heir, spend};
+use crate::call_state::Taken;
 use crate::clock::{instant_at, now_ms, now_us};
 use crate::kernel::Kernel;
 use crate::ledger::Outcome;
 use crate::refusal::Reason;
+use crate::spending::{answer_as_heir, spend};
 use crate::sync::locked;
 use crate::ticket::BoxRef;
 use crate::trace::Hop;
@@ -32,37 +32,6 @@
 /// Answers to one call that may wait to be read.
 const ANSWERS_LEN: usize = 4;
 
-/// Calls forwarded to other boxes, and by them to this one.
-#[derive(Default)]
-pub struct Forwarding {
-    waiting: Mutex<HashMap<u64, mpsc::Sender<CallEnd>>>,
-    taken: Mutex<HashMap<(BoxRef, u64), Taken>>,
-}
-
-/// A call that another box forwarded.
-struct Taken {
-    /// How it ended, if it has not run; none while it is under way.
-    not_run: Option<CallEnd>,
-    /// When it may be forgotten, since it would not be begun again.
-    deadline_ms: u64,
-}
-
-impl Forwarding {
-    /// Takes the answer to a forwarded call.
-    pub fn answered(&self, number: u64, end: CallEnd) {
-        if let Some(waiting) = locked(&self.waiting).get(&number) {
-            // A caller that has its answer, or has given up, does not read this one.
-            let _ = waiting.try_send(end);
-        }
-    }
-
-    /// Forgets calls past their deadline.
-    pub fn expire(&self, now_ms: u64) {
-        locked(&self.taken)
-            .retain(|_, taken| taken.not_run.is_none() || now_ms < taken.deadline_ms);
-    }
-}
-
 /// Forwards a call to the box that may spend its ticket, or to its heir.
 pub async fn forward(kernel: &Arc<Kernel>, spender: &BoxRef, call: Call) -> CallEnd {
     let (began_at_us, trace) = (now_us(), call.trace);
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -12,7 +12,7 @@
 use log::{debug, info, warn};
 use tokio::sync::watch;
 
-use crate::calls::Calls;
+use crate::call_state::Calls;
 use crate::clock::{now_ms, now_us};
 use crate::config_in_force::Configuration;
 use crate::consul::Consul;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -57,6 +57,20 @@
     pub reason: Reason,
 }
 
+impl CallEnd {
+    /// The end of a call of which no byte has left.
+    #[must_use]
+    pub fn not_run(reason: Reason) -> Self {
+        Self { outcome: Outcome::NotRun, reason }
+    }
+
+    /// The end of a call that may have run.
+    #[must_use]
+    pub fn unknown(reason: Reason) -> Self {
+        Self { outcome: Outcome::Unknown, reason }
+    }
+}
+
 /// What boxes say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -1,8 +1,7 @@
 //! The workers of plain services, and one call at them.
 
-use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use crate::clock::{now_ms, now_us};
 use crate::edge::PlainServices;
@@ -18,27 +17,6 @@
 /// Time for which a worker that could not be reached is left alone.
 const WORKER_COOLDOWN_MS: u64 = 1000;
 
-/// What this box knows of the workers.
-#[derive(Default)]
-pub struct Workers {
-    cooldowns: Mutex<BTreeMap<String, u64>>,
-    turn: AtomicUsize,
-}
-
-impl CallEnd {
-    /// The end of a call of which no byte has left.
-    #[must_use]
-    pub fn not_run(reason: Reason) -> Self {
-        Self { outcome: Outcome::NotRun, reason }
-    }
-
-    /// The end of a call that may have run.
-    #[must_use]
-    pub fn unknown(reason: Reason) -> Self {
-        Self { outcome: Outcome::Unknown, reason }
-    }
-}
-
 /// Runs a call at a worker. It goes to a second one only when no byte of it
 /// has left for the first, or when it may be repeated.
 pub async fn run(kernel: &Arc<Kernel>, call: &Call, repeatable: bool) -> CallEnd {
