Dispatch and placing speak through the kernel; what they keep stands below it

Each called the other when the dispatcher was on the same box: a circle. A message for the own box is now handed by the kernel to the plug-in of its topic, in the same call and unencoded, so the three places that told the own box from others are gone. The maps of both move below the kernel, to dispatch_state and placing_state, and the halls of a region to dispatch, their one user. Kernel::hand is the one piece here that is not a move.

One difference is known: an ask that came over the network from an earlier incarnation of this box is answered by hand, too; before, the answer went out and came in again.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -3,27 +3,24 @@
 //! Takes asks and reports from entry boxes, asks the engines for their own
 //! reports, and carries out what the dispatchers want done.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
-use serde::Serialize;
 
 use crate::ask::{Ask, AskId, Grant, Report, Verdict};
 use crate::clock::{now_ms, now_us};
-use crate::configlog::Config;
+use crate::dispatch_state::{Acting, Asker};
 use crate::dispatcher::{Action, Dispatcher};
 use crate::edge::{ContextStores, ModelEngines};
 use crate::fleet::Engine;
 use crate::keeper::{Delete, Export, Keeper, Written};
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::owner::owner;
-use crate::placing;
 use crate::settings::{Settings, UpstreamKind};
 use crate::store::Store;
-use crate::sync::locked;
-use crate::trace::{Hop, TraceId};
+use crate::trace::Hop;
 use crate::wire::{Envelope, Message};
 
 /// How often the dispatchers look what is due.
@@ -32,105 +29,21 @@
 const FAST_REPORT_PERIOD: Duration = Duration::from_millis(200);
 /// Every so many of those periods all engines are asked, and stores are tidied.
 const SLOW_REPORT_EVERY: u64 = 5;
-/// Time after its last ask for which a dispatcher acts.
-const ACTS_FOR_MS: u64 = 30_000;
-/// Stands for this box as the asker.
-const LOCAL: &str = "";
 
 inventory::submit! {
     Plugin { name: "dispatch", start, receive: Some((Topic::Dispatch, receive)) }
 }
 
-struct Acting {
-    dispatcher: Dispatcher,
-    asked_at_ms: u64,
-    askers: BTreeMap<AskId, Asker>,
+/// Runs `act` on the dispatcher of `model`, which is made if need be.
+fn with<T>(kernel: &Arc<Kernel>, model: &str, act: impl FnOnce(&mut Acting) -> T) -> T {
+    kernel.dispatch.with(model, || start_acting(kernel, model), act)
 }
 
-impl Acting {
-    /// Takes in what operators want.
-    fn follow(&mut self, model: &str, config: &Config) {
-        self.dispatcher.fleet.set_leaving(|name| config.state.leaving.contains(name));
-        let version = config.state.models.get(model).map(String::as_str);
-        self.dispatcher.fleet.set_version(now_ms(), version);
-    }
-}
-
-/// Who waits for a verdict.
-#[derive(Clone)]
-struct Asker {
-    reply_to: String,
-    trace: TraceId,
-    asked_at_us: u64,
-}
-
-/// The dispatchers of this box.
-#[derive(Default)]
-pub struct Dispatch {
-    acting: Mutex<BTreeMap<String, Acting>>,
-}
-
-/// A dispatcher as the status page shows it.
-#[derive(Debug, Serialize)]
-pub struct DispatcherStatus {
-    /// Model.
-    pub model: String,
-    /// Asks that wait.
-    pub waiting: usize,
-    /// Places in use.
-    pub places_in_use: usize,
-    /// Prompts known.
-    pub prompts: usize,
-    /// Engines, with the places in use on each.
-    pub engines: BTreeMap<String, u32>,
-    /// Work served over share, by account, in tokens.
-    pub served_tokens: BTreeMap<String, f64>,
-}
-
-impl Dispatch {
-    /// Runs `act` on the dispatcher of `model`, which is made if need be.
-    fn with<T>(&self, kernel: &Arc<Kernel>, model: &str, act: impl FnOnce(&mut Acting) -> T) -> T {
-        let mut acting = locked(&self.acting);
-        if !acting.contains_key(model) {
-            let new = start_acting(kernel, model);
-            acting.insert(model.to_owned(), new);
-        }
-        act(acting.get_mut(model).expect("it was just made"))
-    }
-
-    fn models(&self) -> Vec<String> {
-        let acting = locked(&self.acting);
-        let asked_after_ms = now_ms().saturating_sub(ACTS_FOR_MS);
-        let live = acting.iter().filter(|(_, one)| one.asked_at_ms > asked_after_ms);
-        live.map(|(model, _)| model.clone()).collect()
-    }
-
-    /// What the dispatchers do now.
-    #[must_use]
-    pub fn status(&self) -> Vec<DispatcherStatus> {
-        let acting = locked(&self.acting);
-        let all = acting.iter().map(|(model, one)| {
-            let dispatcher = &one.dispatcher;
-            let engines = dispatcher.fleet.engines.iter();
-            let served = dispatcher.virtual_tokens();
-            DispatcherStatus {
-                model: model.clone(),
-                waiting: dispatcher.waiting(),
-                places_in_use: dispatcher.places_in_use(),
-                prompts: dispatcher.keeper.directory.len(),
-                engines: engines.map(|one| (one.name.clone(), one.outstanding)).collect(),
-                served_tokens: served.map(|(name, tokens)| (name.to_owned(), tokens)).collect(),
-            }
-        });
-        all.collect()
-    }
-}
-
-/// Takes an ask that came from `reply_to`; [`LOCAL`] is this box.
-pub fn ask(kernel: &Arc<Kernel>, reply_to: &str, ask: Ask) {
+/// Takes an ask that came from `reply_to`.
+fn ask(kernel: &Arc<Kernel>, reply_to: &str, ask: Ask) {
     let (model, id) = (ask.scope.model.clone(), ask.id.clone());
     let config = kernel.configuration.current();
-    let actions = kernel.dispatch.with(kernel, &model, |acting| {
+    let actions = with(kernel, &model, |acting| {
         let now_ms = now_ms();
         acting.asked_at_ms = now_ms;
         acting.follow(&model, &config);
@@ -142,21 +55,15 @@
     carry_out(kernel, &model, actions);
 }
 
-/// Takes an ask of this box.
-pub fn ask_local(kernel: &Arc<Kernel>, one: Ask) {
-    ask(kernel, LOCAL, one);
-}
-
 /// Takes a report on a place.
-pub fn report(kernel: &Arc<Kernel>, model: &str, report: &Report) {
-    let actions =
-        kernel.dispatch.with(kernel, model, |acting| acting.dispatcher.report(now_ms(), report));
+fn report(kernel: &Arc<Kernel>, model: &str, report: &Report) {
+    let actions = with(kernel, model, |acting| acting.dispatcher.report(now_ms(), report));
     carry_out(kernel, model, actions);
 }
 
 /// Takes an ask back.
-pub fn withdraw(kernel: &Arc<Kernel>, model: &str, id: &AskId) {
-    kernel.dispatch.with(kernel, model, |acting| {
+fn withdraw(kernel: &Arc<Kernel>, model: &str, id: &AskId) {
+    with(kernel, model, |acting| {
         acting.dispatcher.withdraw(id);
         acting.askers.remove(id);
     });
@@ -184,7 +91,7 @@
 
 fn answer(kernel: &Arc<Kernel>, model: &str, id: AskId, verdict: Verdict) {
     let last = verdict != Verdict::Wait;
-    let found = kernel.dispatch.with(kernel, model, |acting| {
+    let found = with(kernel, model, |acting| {
         if last { acting.askers.remove(&id) } else { acting.askers.get(&id).cloned() }
     });
     let Some(Asker { reply_to, trace, asked_at_us }) = found else {
@@ -193,11 +100,7 @@
     if last {
         kernel.span(trace, Hop::Owner, asked_at_us, describe(&verdict));
     }
-    if reply_to == LOCAL {
-        placing::deliver(kernel, &kernel.settings.advertise, model, id, verdict);
-    } else {
-        kernel.send(&reply_to, Message::Verdict { model: model.to_owned(), id, verdict });
-    }
+    kernel.hand(&reply_to, Message::Verdict { model: model.to_owned(), id, verdict });
 }
 
 fn describe(verdict: &Verdict) -> String {
@@ -217,14 +120,14 @@
         Written::Failed => "failed",
     };
     metrics::counter!("coursestile_exports_total", "outcome" => outcome).increment(1);
-    kernel.dispatch.with(&kernel, &model, |acting| {
+    with(&kernel, &model, |acting| {
         acting.dispatcher.keeper.exported(now_ms(), &export, written);
     });
 }
 
 async fn delete(kernel: Arc<Kernel>, model: String, delete: Delete) {
     if kernel.upstreams.delete(&delete.store_url, &delete.block).await {
-        kernel.dispatch.with(&kernel, &model, |acting| {
+        with(&kernel, &model, |acting| {
             acting.dispatcher.keeper.deleted(&delete.block);
         });
     }
@@ -240,8 +143,7 @@
     loop {
         ticks.tick().await;
         for model in kernel.dispatch.models() {
-            let actions =
-                kernel.dispatch.with(&kernel, &model, |acting| acting.dispatcher.tick(now_ms()));
+            let actions = with(&kernel, &model, |acting| acting.dispatcher.tick(now_ms()));
             carry_out(&kernel, &model, actions);
         }
     }
@@ -254,18 +156,14 @@
         ticks.tick().await;
         let slow = tick.is_multiple_of(SLOW_REPORT_EVERY);
         for model in kernel.dispatch.models() {
-            let awaits = kernel
-                .dispatch
-                .with(&kernel, &model, |acting| acting.dispatcher.fleet.awaits_version());
+            let awaits = with(&kernel, &model, |acting| acting.dispatcher.fleet.awaits_version());
             if slow || awaits {
                 ask_engines(&kernel, &model);
             }
             if !slow {
                 continue;
             }
-            let deletes = kernel
-                .dispatch
-                .with(&kernel, &model, |acting| acting.dispatcher.keeper.tick(now_ms()));
+            let deletes = with(&kernel, &model, |acting| acting.dispatcher.keeper.tick(now_ms()));
             for one in deletes {
                 tokio::spawn(delete(kernel.clone(), model.clone(), one));
             }
@@ -275,7 +173,7 @@
 
 fn ask_engines(kernel: &Arc<Kernel>, model: &str) {
     let config = kernel.configuration.current();
-    let engines = kernel.dispatch.with(kernel, model, |acting| {
+    let engines = with(kernel, model, |acting| {
         acting.follow(model, &config);
         let engines = acting.dispatcher.fleet.engines.iter();
         engines.map(|engine| (engine.name.clone(), engine.url.clone())).collect::<Vec<_>>()
@@ -284,7 +182,7 @@
         let (kernel, model) = (kernel.clone(), model.to_owned());
         tokio::spawn(async move {
             let report = kernel.upstreams.report(&url).await;
-            kernel.dispatch.with(&kernel, &model, |acting| {
+            with(&kernel, &model, |acting| {
                 acting.dispatcher.engine_report(now_ms(), &name, report.as_ref());
             });
         });
@@ -349,7 +247,7 @@
     let own = listed.into_iter().filter(|block| block.meta.scope.model == model);
     let own: Vec<_> = own.filter(|block| is_home(&kernel, block.meta.course.root)).collect();
     info!(target: "dispatch", "Took over {} blocks of store {store}.", own.len());
-    kernel.dispatch.with(&kernel, &model, |acting| {
+    with(&kernel, &model, |acting| {
         for block in own {
             acting.dispatcher.keeper.adopt(now_ms(), &store, block);
         }
@@ -357,7 +255,16 @@
 }
 
 fn is_home(kernel: &Kernel, root: u64) -> bool {
-    let halls = placing::halls_in_region(kernel);
+    let halls = halls_in_region(kernel);
     let home = owner(&root.to_string(), halls.iter().map(String::as_str));
     home.is_none_or(|home| home == kernel.settings.hall)
 }
+
+/// Halls of this box's region that have boxes.
+fn halls_in_region(kernel: &Kernel) -> Vec<String> {
+    let membership = kernel.membership();
+    let near = membership.view().members().filter(|one| one.region == kernel.settings.region);
+    let halls: BTreeSet<_> =
+        near.filter(|one| one.takes_work()).map(|one| one.hall.clone()).collect();
+    halls.into_iter().collect()
+}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -16,14 +16,14 @@
 use crate::clock::{now_ms, now_us};
 use crate::config_in_force::Configuration;
 use crate::consul::Consul;
-use crate::dispatch::Dispatch;
+use crate::dispatch_state::Dispatch;
 use crate::error::Result;
 use crate::heartbeat::{Heartbeats, Step};
 use crate::link::{self, Link};
 use crate::member::{Gossip, Health, Member};
 use crate::membership::Membership;
 use crate::phase::Phase;
-use crate::placing::Placing;
+use crate::placing_state::Placing;
 use crate::settings::Settings;
 use crate::streams::Streams;
 use crate::sync::locked;
@@ -230,17 +230,35 @@
         }
     }
 
-    /// Sends a message to a peer, or loses it.
-    pub fn send(&self, to: &str, message: Message) {
-        locked(&self.heartbeats).sent(now_ms(), to);
-        let envelope = Envelope {
+    /// Hands a message to this box's own plug-in when it is for this box, and
+    /// else sends it.
+    pub fn hand(self: &Arc<Self>, to: &str, message: Message) {
+        if to != self.settings.advertise {
+            return self.send(to, message);
+        }
+        let topic = message.topic();
+        let plugins = inventory::iter::<Plugin>.into_iter();
+        let mut receivers = plugins.filter_map(|plugin| plugin.receive);
+        if let Some((_, receive)) = receivers.find(|(of, _)| *of == topic) {
+            receive(self, self.envelope(to, message));
+        }
+    }
+
+    fn envelope(&self, to: &str, message: Message) -> Envelope {
+        Envelope {
             from: self.me.clone(),
             reply_to: self.settings.advertise.clone(),
             to: to.to_owned(),
             sent_at_ms: now_ms(),
             config_revision: self.configuration.revision(),
             message,
-        };
+        }
+    }
+
+    /// Sends a message to a peer, or loses it.
+    pub fn send(&self, to: &str, message: Message) {
+        locked(&self.heartbeats).sent(now_ms(), to);
+        let envelope = self.envelope(to, message);
         match encode(&self.settings.cluster_key, &envelope) {
             Ok(bytes) => self.link.send(to, &bytes),
             Err(error) => warn!(target: "kernel", "Message not sent: {error}."),
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use crate::clock::now_ms;
-use crate::dispatch::DispatcherStatus;
+use crate::dispatch_state::DispatcherStatus;
 use crate::invariant::violations;
 use crate::kernel::{Kernel, Plugin};
 use crate::listen::server;
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -7,7 +7,7 @@
 //! waits for a hall that is cut off.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::debug;
@@ -16,11 +16,10 @@
 
 use crate::ask::{Ask, AskId, End, Grant, Report, Verdict};
 use crate::clock::{instant_at, now_ms, now_us};
-use crate::dispatch;
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::owner::{owner, ranked};
+use crate::placing_state::Heard;
 use crate::refusal::{Reason, Refusal};
-use crate::retry::RetryBudget;
 use crate::sync::locked;
 use crate::trace::Hop;
 use crate::wire::{Envelope, Message};
@@ -42,21 +41,6 @@
     Plugin { name: "placing", start, receive: Some((Topic::Placing, receive)) }
 }
 
-struct Heard {
-    from: String,
-    verdict: Verdict,
-}
-
-/// Asks made from this box, and the places that it holds.
-#[derive(Default)]
-pub struct Placing {
-    inboxes: Mutex<BTreeMap<AskId, mpsc::Sender<Heard>>>,
-    held: Mutex<BTreeSet<(String, String, AskId)>>,
-    passed_over: Mutex<BTreeMap<String, u64>>,
-    /// Budget for further attempts.
-    pub retries: Mutex<RetryBudget>,
-}
-
 /// A place that this box holds.
 pub struct Placed {
     /// The place.
@@ -223,11 +207,7 @@
     }
 
     fn send_ask(&self, target: &str) {
-        if target == self.kernel.settings.advertise {
-            dispatch::ask_local(self.kernel, self.ask.clone());
-        } else {
-            self.kernel.send(target, Message::Ask(Box::new(self.ask.clone())));
-        }
+        self.kernel.hand(target, Message::Ask(Box::new(self.ask.clone())));
     }
 
     fn take(&mut self, from: String, grant: Grant) -> Placed {
@@ -246,11 +226,7 @@
             return;
         };
         let (model, id) = (self.ask.scope.model.clone(), self.ask.id.clone());
-        if target == self.kernel.settings.advertise {
-            dispatch::withdraw(self.kernel, &model, &id);
-        } else {
-            self.kernel.send(&target, Message::Withdraw { model, id });
-        }
+        self.kernel.hand(&target, Message::Withdraw { model, id });
     }
 
     /// Keeps the refusal that tells the caller most.
@@ -296,15 +272,6 @@
     owners.collect()
 }
 
-/// Halls of this box's region that have boxes.
-pub fn halls_in_region(kernel: &Kernel) -> Vec<String> {
-    let membership = kernel.membership();
-    let near = membership.view().members().filter(|one| one.region == kernel.settings.region);
-    let halls: BTreeSet<_> =
-        near.filter(|one| one.takes_work()).map(|one| one.hall.clone()).collect();
-    halls.into_iter().collect()
-}
-
 fn pass_over(kernel: &Kernel, target: &str) {
     if target == kernel.settings.advertise {
         return;
@@ -316,16 +283,12 @@
 }
 
 fn send_report(kernel: &Arc<Kernel>, dispatcher: &str, model: &str, report: Report) {
-    if dispatcher == kernel.settings.advertise {
-        dispatch::report(kernel, model, &report);
-    } else {
-        kernel.send(dispatcher, Message::Report { model: model.to_owned(), report });
-    }
+    kernel.hand(dispatcher, Message::Report { model: model.to_owned(), report });
 }
 
 /// Hands a verdict to the search that waits for it. A place that nobody waits
 /// for any more is given back.
-pub fn deliver(kernel: &Arc<Kernel>, from: &str, model: &str, id: AskId, verdict: Verdict) {
+fn deliver(kernel: &Arc<Kernel>, from: &str, model: &str, id: AskId, verdict: Verdict) {
     let inbox = locked(&kernel.placing.inboxes).get(&id).cloned();
     let granted = matches!(verdict, Verdict::Run(_));
     let heard = Heard { from: from.to_owned(), verdict };
