The planned stop stands above the kernel

Kernel::stop called handover, which uses the kernel: the last of the circle. It moves to stopping as a function of the kernel; the kernel keeps the phase and enter, which sets it. The daemon and the operators' interface call stop.

--- a/src/bin/coursestiled/main.rs
+++ b/src/bin/coursestiled/main.rs
@@ -7,6 +7,7 @@
 use coursestile::error::{Error, Result};
 use coursestile::kernel::Kernel;
 use coursestile::settings::Settings;
+use coursestile::stopping::stop;
 use log::warn;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -62,5 +63,5 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    kernel.stop().await;
+    stop(&kernel).await;
 }
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -1,13 +1,12 @@
 //! The kernel: state shared on one box, and the plug-ins that act on it.
 //!
 //! A plug-in registers itself with [`inventory`]. The kernel starts each of
-//! them, hands the messages of peers to the plug-in of their topic, and takes
-//! the box through its life: serving, draining, stopped.
+//! them, hands the messages of peers to the plug-in of their topic, and knows
+//! where the box is in its life: serving, draining, stopped (`stopping`).
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
 
 use log::{debug, info, warn};
 use tokio::sync::watch;
@@ -34,9 +33,6 @@
 
 /// Age from which on a message is dropped.
 const MAX_MESSAGE_AGE_MS: u64 = 10_000;
-/// Time in which a stopping box still takes requests, so that the balancer
-/// can notice.
-const DRAIN_GRACE_MS: u64 = 2500;
 
 /// What a message is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -165,7 +161,7 @@
         })
     }
 
-    /// Serves until [`Kernel::stop`] was called and everything has ended.
+    /// Serves until the box was told to stop and everything has ended.
     ///
     /// # Errors
     /// Fails when the address for peers cannot be bound.
@@ -281,6 +277,11 @@
         *self.phase.borrow()
     }
 
+    /// Takes the box on in its life.
+    pub(crate) fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
     /// Waits until the box has stopped.
     pub fn stopped(&self) -> impl Future<Output = ()> + use<> {
         let mut phase = self.phase.subscribe();
@@ -301,27 +302,4 @@
             note,
         });
     }
-
-    /// Stops as planned: no request is cut, and the ledger goes to a peer.
-    pub async fn stop(self: &Arc<Self>) {
-        info!(target: "kernel", "Stopping: taking no more requests soon.");
-        self.phase.send_replace(Phase::Leaving);
-        self.membership().leave(None);
-        tokio::time::sleep(Duration::from_millis(DRAIN_GRACE_MS)).await;
-        self.phase.send_replace(Phase::Draining);
-        let deadline_ms = now_ms() + self.settings.drain_timeout_ms;
-        while self.busy() && now_ms() < deadline_ms {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        if self.busy() {
-            warn!(target: "kernel", "Stopping with requests still running.");
-        }
-        crate::handover::hand_over(self).await;
-        info!(target: "kernel", "Box {} has stopped.", self.me);
-        self.phase.send_replace(Phase::Stopped);
-    }
-
-    fn busy(&self) -> bool {
-        self.streams.running() > 0 || self.calls.running() > 0
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod settings;
 pub mod share;
 pub mod spending;
+pub mod stopping;
 pub mod store;
 pub mod streams;
 pub mod sync;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -16,6 +16,7 @@
 use crate::member::Member;
 use crate::metering::render;
 use crate::phase::Phase;
+use crate::stopping::stop;
 use crate::trace::Span;
 
 inventory::submit! {
@@ -95,7 +96,7 @@
 #[handler]
 fn drain(Data(kernel): Data<&Arc<Kernel>>) -> StatusCode {
     let kernel = kernel.clone();
-    tokio::spawn(async move { kernel.stop().await });
+    tokio::spawn(async move { stop(&kernel).await });
     StatusCode::ACCEPTED
 }
 
