A request that an engine has not begun with leaves it before its weights are overdue

Cause: a box does not know when a queued request begins; the bar looked at the moment of sending only, with 1.5 s or two objectives to spare. Ruled out: the time of naming (the box was there), orders (none was possible sooner). Change: an attempt without an answer is withdrawn 150 ms before the bound, and goes elsewhere if it may run again; else the caller hears that it may have run (502). The bar and this stand in one file, overdue.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,8 +4,8 @@
 //! `decisions` holds what is decided, as pure functions of state and time; everything else
 //! carries it out. `follow`, `follow_caches` and `gossip` bring in what the box knows,
 //! `entries` what upstreams tell of themselves, `members` where other boxes are;
-//! `listener`, `check`, `serve`, `attempt`, `place`, `silence` and `relay` take a request
-//! through, `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
+//! `listener`, `check`, `serve`, `attempt`, `place`, `silence`, `overdue` and `relay` take a
+//! request through, `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
 //! `space` do what one box does for all, with the calls that `helpers` make for it.
 
 pub mod answer;
@@ -30,6 +30,7 @@
 pub mod loads;
 pub mod members;
 pub mod metadata;
+pub mod overdue;
 pub mod place;
 pub mod reach;
 pub mod relay;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -21,6 +21,7 @@
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedWeights;
 use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::overdue;
 use crate::gateway::relay;
 use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
 use crate::gateway::silence;
@@ -38,9 +39,6 @@
 const MAX_UNSENT: u32 = 4;
 /// Least time that must be left for another attempt: some round trips.
 const LEAST_LEFT_MS: u64 = 20;
-/// Time after which a box that the metadata store answers is bound by what it should know: the
-/// bound on contact is 3 s, and a request may begin 1.5 s after it was sent.
-const IN_TOUCH_MS: u64 = 1500;
 /// Pause before an attempt when the last one was turned away.
 const AGAIN_PAUSE: Duration = Duration::from_millis(5);
 
@@ -109,6 +107,9 @@
                 next = Some(other);
                 continue;
             }
+            () = overdue::must_not_begin(gateway, &job, &choice) => {
+                Attempted::Unknown { cause: "its weights are overdue".to_owned() }
+            }
         };
         if let Some(answer) = settle(gateway, &mut job, &choice, attempted).await {
             return answer;
@@ -332,7 +333,7 @@
         isolated_account: job.isolated_account.as_deref(),
         weights,
         weights_apply_ms: gateway.settings.bounds.weights_apply_ms,
-        bars_overdue: bars_overdue(state, now_ms),
+        bars_overdue: overdue::is_barred(state, now_ms),
         placing: if state.peers.is_small_fleet() {
             Placing::Quickest { hall: &gateway.settings.hall }
         } else {
@@ -351,13 +352,6 @@
     choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
 }
 
-/// Whether requests are kept from overdue weights at any price. Without the metadata store
-/// nobody can have them replaced, and a box that has just started may not have heard since
-/// when they are: to refuse all work would help nobody.
-fn bars_overdue(state: &State, now_ms: u64) -> bool {
-    !state.follows_store || state.view.has_answered_for(now_ms, IN_TOUCH_MS)
-}
-
 fn no_place_reason(gateway: &Gateway, job: &Job) -> Reason {
     let known = gateway.state().upstreams.of(&job.service).next().is_some();
     if known { Reason::UpstreamsFull } else { Reason::NoUpstream }
