Soak: a fourth stream, weights on the move, and what it must not break

A stream of steps of its own from the seed (`--streams 4`; `only-4` plays it without the others): versions of weights are named all the time; for 9 s of 20 boxes are stopped, killed and paused in series of 4 to 8, 0.2 to 0.7 s apart, in turn or always the one that leads; engines leave orders unanswered and carry them out 0.3 to 3 s later, hang, and start again under their id with the weights that they had. Earlier streams' steps, engines and settings are what they were.

Checks, from the engines' own records. Once the faults are over, an engine has new weights within weights_apply_ms of their naming. No request of a box that has run for 3 s begins on weights due to be gone, counted from the naming or the end of what spoils the store or connections. lease_ms is 1500 and weights_apply_ms 5000, half of the platform's 3 and 10 s: with 1000 and 4000 a dead leader's lease (1.5 s), the pause and two loads of 1 s each leave nothing.

Stand-in engine: arrival times of orders and runs, the version that a run began on, orders late, a hang. Site: lease_ms is a field.

Work ran on weights that should have been replaced, and no run of ours could show it.

Entries in the soak tell the weights that an engine had at its start, also after a load.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -4,17 +4,23 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use coursestile_standins::clock::now_ms;
 use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::engine::MODEL;
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::WORK_HEADER;
 use tokio::time::{sleep, timeout};
 
-use crate::world::{Newest, World, version_path};
+use crate::world::{Newest, RUN_PATH, World, version_path};
 
 /// Pause before another connection is tried.
 const CONNECT_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before another connection is used after one that ended.
 const LOST_PAUSE: Duration = Duration::from_millis(10);
+/// Pause between two prompts of a client.
+const PROMPT_PAUSE: Duration = Duration::from_millis(30);
+/// Pause between two looks at the engines.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between two questions for the newest configuration.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
 /// Time in which one must be answered.
@@ -88,6 +94,18 @@
     pub answer: Option<Message>,
 }
 
+/// What was seen of an engine's weights.
+pub struct OnWeights {
+    /// The engine.
+    pub engine: usize,
+    /// Their version.
+    pub version: u64,
+    /// When, in Unix milliseconds.
+    pub at_ms: u64,
+    /// The request that began there, if it was seen by one.
+    pub id: String,
+}
+
 /// A box that did not go by the newest configuration.
 pub struct Behind {
     /// The box.
@@ -105,6 +123,8 @@
 pub struct Seen {
     /// Boxes that went by an older configuration than the newest.
     pub behind: Vec<Behind>,
+    /// Engines with older weights than the newest.
+    pub outdated: Vec<OnWeights>,
     /// How often a box was found to go by the newest.
     pub in_force: usize,
     /// Requests.
@@ -125,9 +145,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
-        let address = &world.boxes[box_number].callers.address;
-        let connected = timeout(CONNECT_TIMEOUT, Client::try_connect(address)).await;
-        let Ok(Ok(mut connection)) = connected else {
+        let Some(mut connection) = connect(&world.boxes[box_number].callers.address).await else {
             sleep(CONNECT_PAUSE).await;
             continue;
         };
@@ -154,6 +172,37 @@
     }
 }
 
+async fn connect(address: &str) -> Option<Client> {
+    timeout(CONNECT_TIMEOUT, Client::try_connect(address)).await.ok()?.ok()
+}
+
+/// Sends prompts for engines to one box until `stop`; engines tell what became of them.
+pub async fn prompt(world: Arc<World>, stop: Arc<AtomicBool>, box_number: usize) {
+    let headers = format!("X-Model: {MODEL}\r\nX-Token-Count: 20,10\r\nX-Prefix-Hash: aa:20\r\n");
+    for count in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        sleep(PROMPT_PAUSE).await;
+        let id = format!("{box_number}-prompt-{count}");
+        let bytes = request("POST", RUN_PATH, &id, &headers, &id);
+        if let Some(mut connection) = connect(&world.boxes[box_number].callers.address).await {
+            drop(timeout(PATIENCE, connection.send(&bytes)).await);
+        }
+    }
+}
+
+/// Looks which engines have older weights than the newest until `stop`.
+pub async fn look(world: Arc<World>, record: Arc<Mutex<Seen>>, stop: Arc<AtomicBool>) {
+    while !stop.load(Ordering::Relaxed) {
+        sleep(LOOK_PAUSE).await;
+        let (behind, at_ms) = (world.engines_behind(), now_ms());
+        let at = |(engine, version)| OnWeights { engine, version, at_ms, id: String::new() };
+        let outdated = behind.into_iter().map(at);
+        record.lock().expect("no task panics under the lock").outdated.extend(outdated);
+    }
+}
+
 /// Sends a request; false when the connection is of no more use.
 async fn call(
     connection: &mut Client,
@@ -210,10 +259,7 @@
     while !stop.load(Ordering::Relaxed) {
         sleep(ASK_PAUSE).await;
         let address = &world.boxes[box_number].process.clients;
-        let Ok(Ok(mut connection)) = timeout(CONNECT_TIMEOUT, Client::try_connect(address)).await
-        else {
-            continue;
-        };
+        let Some(mut connection) = connect(address).await else { continue };
         let (Newest { version, taken }, asked) = (world.newest(), Instant::now());
         let bytes = request("GET", &version_path(version), "newest", "", "");
         let Ok(Some(answer)) = timeout(ASK_PATIENCE, connection.send(&bytes)).await else {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use coursestile_standins::site::engine::Order;
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::{Ran, events_text};
 
-use crate::callers::{Behind, Call, Seen};
+use crate::callers::{Behind, Call, OnWeights, Seen};
 use crate::plan::{Step, is_calm, known_by_ms};
-use crate::world::World;
+use crate::world::{Away, World};
 
 /// Time within which a request that crosses the close of its connection ends.
 const CROSSED: Duration = Duration::from_millis(200);
@@ -17,6 +18,11 @@
 /// Time after which a configuration is in force.
 const CONFIGURATION_BOUND_MS: u64 = 2000;
 
+/// Time for which orders of a holder do not count after a pause of it.
+const THAW_SLACK_MS: u64 = 300;
+/// Time after which a box is bound again by what has a time bound.
+const STEADY_MS: u64 = 3000;
+
 /// All that a run is judged by.
 pub struct Evidence<'a> {
     /// The programs.
@@ -27,6 +33,8 @@
     pub steps: &'a [Step],
     /// When the run began.
     pub began: Instant,
+    /// The same, in Unix milliseconds.
+    pub began_ms: u64,
 }
 
 impl Evidence<'_> {
@@ -48,6 +56,11 @@
         found.extend(self.work_for_leaving());
         found.extend(self.behind());
         found.extend(self.orders());
+        if self.world.moving {
+            let (outdated, runs) = (&self.seen.outdated, self.steady_runs());
+            found.extend(self.on_old_weights("has them", outdated, Step::holds_up_weights));
+            found.extend(self.on_old_weights("begins requests", &runs, Step::spoils_links));
+        }
         found.extend(self.logs());
         found
     }
@@ -105,7 +118,8 @@
         let mut found = Vec::new();
         for leave in self.world.leaves().iter() {
             let upstream = self.world.upstreams.iter().find(|one| one.process.id == leave.id);
-            let by_ms = known_by_ms(self.steps, self.at_ms(leave.from), LEAVE_BOUND_MS);
+            let by_ms =
+                known_by_ms(self.steps, self.at_ms(leave.from), LEAVE_BOUND_MS, Step::is_unplanned);
             let late = |one: &Ran| self.at_ms(one.at) > by_ms && one.at < leave.until;
             let late: Vec<Ran> = upstream
                 .map(|one| one.process.ran())
@@ -132,7 +146,8 @@
         let mut due = HashMap::new();
         for Behind { box_number, version, taken, asked } in &self.seen.behind {
             let (taken_ms, at_ms) = (self.at_ms(*taken), self.at_ms(*asked));
-            let by_ms = known_by_ms(self.steps, taken_ms, CONFIGURATION_BOUND_MS);
+            let by_ms =
+                known_by_ms(self.steps, taken_ms, CONFIGURATION_BOUND_MS, Step::is_unplanned);
             if at_ms > by_ms {
                 due.insert(*version, (taken_ms, by_ms));
                 late.entry((*box_number, *version)).or_default().push(at_ms);
@@ -148,7 +163,8 @@
         late.iter().map(text).collect()
     }
 
-    /// Fencing tokens rise at every engine, and each has one holder.
+    /// Fencing tokens rise at every engine, and each has one holder; orders of two holders
+    /// keep their distance.
     fn orders(&self) -> Vec<String> {
         let mut found = Vec::new();
         let mut holders: BTreeMap<u64, String> = BTreeMap::new();
@@ -164,10 +180,100 @@
                     found.push(format!("fence {}: {holder} and {}", order.fence, order.holder));
                 }
             }
+            if self.world.moving {
+                let close = self.orders_too_close(engine.process.orders());
+                found.extend(close.into_iter().map(|text| format!("engine {number}: {text}")));
+            }
         }
         found
     }
 
+    /// Orders of two holders that came to an engine within the pause between them. Those of
+    /// a holder that was paused shortly before do not count.
+    fn orders_too_close(&self, mut orders: Vec<Order>) -> Vec<String> {
+        let is_thawed = |order: &Order| {
+            let holder = self.world.box_named(&order.holder);
+            self.is_away(holder, order.at_ms, THAW_SLACK_MS, |away| away.paused)
+        };
+        orders.retain(|order| !is_thawed(order));
+        let apart_ms = |pair: &[Order]| pair[1].at_ms.saturating_sub(pair[0].at_ms);
+        let pairs = orders.windows(2).filter(|pair| {
+            pair[0].holder != pair[1].holder && apart_ms(pair) < self.world.site.lease_ms
+        });
+        let text = |pair: &[Order]| {
+            let at_ms = pair[1].at_ms.saturating_sub(self.began_ms);
+            let (before, after, apart_ms) = (&pair[0].holder, &pair[1].holder, apart_ms(pair));
+            format!("{apart_ms} ms between orders of {before} and {after}, at {at_ms} ms")
+        };
+        pairs.map(text).collect()
+    }
+
+    /// Whether a box was away at a time or up to `slack_ms` before.
+    fn is_away(
+        &self,
+        box_number: Option<usize>,
+        at_ms: u64,
+        slack_ms: u64,
+        counts: fn(&Away) -> bool,
+    ) -> bool {
+        let aways = self.world.aways();
+        aways
+            .iter()
+            .filter(|away| counts(away) && Some(away.box_number) == box_number)
+            .any(|away| (*away.times_ms.start()..=away.times_ms.end() + slack_ms).contains(&at_ms))
+    }
+
+    /// Requests that began at engines, of boxes that had run for a while.
+    #[must_use]
+    pub fn steady_runs(&self) -> Vec<OnWeights> {
+        let mut found = Vec::new();
+        for (number, engine) in self.world.engines.iter().enumerate() {
+            for run in engine.process.runs() {
+                let id = run.headers.get("x-request-id").cloned().unwrap_or_default();
+                let sender = id.split('-').next().and_then(|sender| sender.parse().ok());
+                let is_steady = !self.is_away(sender, run.at_ms, STEADY_MS, |_| true);
+                if let Some(version) = run.version.filter(|_| is_steady) {
+                    found.push(OnWeights { engine: number, version, at_ms: run.at_ms, id });
+                }
+            }
+        }
+        found
+    }
+
+    /// Of what was seen at engines with a version of weights, all after that version had to
+    /// be gone: a bound after the next was named, or after the end of faults.
+    fn on_old_weights(
+        &self,
+        what: &str,
+        seen: &[OnWeights],
+        is_fault: fn(&Step) -> bool,
+    ) -> Vec<String> {
+        let named_ms = self.world.named_ms().clone();
+        let from_start_ms = |unix_ms: u64| unix_ms.saturating_sub(self.began_ms);
+        let due_ms = |version: u64| {
+            let next_ms = *named_ms.get(usize::try_from(version).ok()?)?;
+            let bound_ms = self.world.site.weights_apply_ms;
+            Some(known_by_ms(self.steps, from_start_ms(next_ms), bound_ms, is_fault))
+        };
+        let mut late: BTreeMap<(usize, u64), Vec<&OnWeights>> = BTreeMap::new();
+        for one in seen {
+            if due_ms(one.version).is_some_and(|due_ms| from_start_ms(one.at_ms) > due_ms) {
+                late.entry((one.engine, one.version)).or_default().push(one);
+            }
+        }
+        let text = |((engine, version), late): (&(usize, u64), &Vec<&OnWeights>)| {
+            let (count, first, due_ms) = (late.len(), late[0], due_ms(*version).unwrap_or(0));
+            let (from_ms, to_ms) =
+                (from_start_ms(first.at_ms), from_start_ms(late[count - 1].at_ms));
+            format!(
+                "engine {engine}, weights {version}, due to be gone by {due_ms} ms: it {what}, \
+                 {from_ms} to {to_ms} ms, {count} times, first {}",
+                first.id
+            )
+        };
+        late.iter().map(text).collect()
+    }
+
     /// Invariants that the programs saw broken, and panics.
     fn logs(&self) -> Vec<String> {
         let logs = self.world.boxes.iter().map(|one| one.process.logged());
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,6 +18,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use coursestile_standins::clock::now_ms;
 use coursestile_standins::site::client::{Client, request};
 use tokio::time::{sleep, sleep_until, timeout};
 
@@ -59,6 +60,19 @@
     Silences,
     /// Upstreams start again under their id too.
     Restarts,
+    /// Weights are on the move too.
+    Moves,
+    /// Weights are on the move, and nothing else happens.
+    MovesAlone,
+}
+
+impl Streams {
+    fn steps(self, seed: u64, length_ms: u64) -> Vec<Step> {
+        let all = [plan::steps, plan::silences, plan::restarts, plan::moves];
+        let first = if self == Self::MovesAlone { 3 } else { 0 };
+        let played = all.iter().take(self as usize + 1).skip(first);
+        played.flat_map(|steps| steps(seed, length_ms)).collect()
+    }
 }
 
 /// What came of a run.
@@ -81,16 +95,11 @@
 /// # Panics
 /// Panics when a part of the soak itself has failed.
 pub async fn run(options: Options) -> Result<Report> {
-    let world = Arc::new(World::start(options.boxes).await?);
+    let moving = options.streams >= Streams::Moves;
+    let world = Arc::new(World::start(options.boxes, moving).await?);
     let mut violations = agree(&world).await;
-    let began = Instant::now();
-    let mut steps = plan::steps(options.seed, options.seconds * 1000);
-    if options.streams >= Streams::Silences {
-        steps.extend(plan::silences(options.seed, options.seconds * 1000));
-    }
-    if options.streams >= Streams::Restarts {
-        steps.extend(plan::restarts(options.seed, options.seconds * 1000));
-    }
+    let (began, began_ms) = (Instant::now(), now_ms());
+    let steps = options.streams.steps(options.seed, options.seconds * 1000);
     let record = Arc::new(Mutex::new(Seen::default()));
     let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
@@ -104,6 +113,13 @@
     for box_number in 0..options.boxes {
         let asking = callers::ask(world.clone(), record.clone(), stop.clone(), box_number);
         clients.push(tokio::spawn(asking));
+        if moving {
+            let prompting = callers::prompt(world.clone(), stop.clone(), box_number);
+            clients.push(tokio::spawn(prompting));
+        }
+    }
+    if moving {
+        clients.push(tokio::spawn(callers::look(world.clone(), record.clone(), stop.clone())));
     }
     play(&world, &steps, began).await;
     world.heal();
@@ -115,11 +131,11 @@
     }
     sleep(SETTLE).await;
     let record = record.lock().expect("no task panics under the lock");
-    let evidence = Evidence { world: &world, seen: &record, steps: &steps, began };
+    let evidence = Evidence { world: &world, seen: &record, steps: &steps, began, began_ms };
     violations.extend(evidence.violations());
     let logs = if violations.is_empty() { None } else { Some(keep_logs(&world, options.seed)?) };
     let steps = steps.iter().map(describe).collect();
-    Ok(Report { violations, ends: ends(&record), steps, logs })
+    Ok(Report { violations, ends: ends(&evidence), steps, logs })
 }
 
 /// Has every step happen at its time.
@@ -162,7 +178,8 @@
     loop {
         let behind = world.engines_behind();
         if behind.is_empty() || Instant::now() > until {
-            return behind;
+            let text = |(one, version)| format!("engine {one} has weights {version} in the end");
+            return behind.into_iter().map(text).collect();
         }
         sleep(ASK_PAUSE).await;
     }
@@ -177,7 +194,8 @@
     answer.is_some_and(|answer| answer.status() == 200)
 }
 
-fn ends(record: &Seen) -> BTreeMap<String, usize> {
+fn ends(evidence: &Evidence<'_>) -> BTreeMap<String, usize> {
+    let record = evidence.seen;
     let mut ends = BTreeMap::new();
     for call in &record.calls {
         let end = match &call.answer {
@@ -188,6 +206,11 @@
         *ends.entry(end).or_default() += 1;
     }
     ends.insert("newest in force".to_owned(), record.in_force);
+    if evidence.world.moving {
+        let orders = evidence.world.engines.iter().map(|engine| engine.process.orders().len());
+        ends.insert("orders".to_owned(), orders.sum());
+        ends.insert("runs of steady boxes".to_owned(), evidence.steady_runs().len());
+    }
     ends
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -17,7 +17,8 @@
       --seconds N   Length of each run (default 20)
       --boxes N     Boxes (default 4)
       --streams N   1: faults and planned work; 2: silences too; 3: upstreams
-                    start again too (default 3)
+                    start again too (default); 4: weights are on the move too;
+                    only-4: nothing else
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -65,7 +66,9 @@
         "1" => Ok(Streams::First),
         "2" => Ok(Streams::Silences),
         "3" => Ok(Streams::Restarts),
-        _ => Err("--streams: 1, 2 or 3 is needed".into()),
+        "4" => Ok(Streams::Moves),
+        "only-4" => Ok(Streams::MovesAlone),
+        _ => Err("--streams: 1, 2, 3, 4 or only-4 is needed".into()),
     }
 }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -32,6 +32,24 @@
 /// Pause between two of them: they overlap.
 const SILENCE_PAUSE_MS: std::ops::Range<u64> = 100..1300;
 
+/// Sets the fourth stream apart from the others.
+const FOURTH_STREAM: u64 = 0x3e16_4275;
+/// Length of a phase of the fourth stream with faults and the calm one after it, which
+/// has no faults of the other streams in its second half.
+const MOVES_CYCLE_MS: u64 = 2 * CYCLE_MS;
+/// Length of a phase of the fourth stream with faults.
+const MOVES_MS: u64 = 9000;
+/// Pause between two versions that are named.
+const NAMING_PAUSE_MS: std::ops::Range<u64> = 200..2500;
+/// Pause between two steps of the fourth stream: series of them overlap.
+const MOVE_PAUSE_MS: std::ops::Range<u64> = 300..1500;
+/// Steps of a series, each with the next box or each with the leader.
+const MOVES: std::ops::Range<u64> = 4..9;
+/// Time between two of them: less than the pause between orders of two holders.
+const MOVE_APART_MS: std::ops::Range<u64> = 200..700;
+/// Picks the box that leads; other picks are below.
+pub const LEADER: usize = 1000;
+
 /// How a connection is spoiled on its way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Link {
@@ -116,6 +134,10 @@
     UpstreamRestarts,
     /// An engine does, as if it had lost the weights that it got since.
     EngineRestarts,
+    /// An engine leaves orders unanswered and carries them out late.
+    EngineOrdersLate,
+    /// An engine says nothing.
+    EngineHangs,
     /// Planned: a box is stopped, and started again when it has ended.
     BoxStopped,
     /// Planned: a box reads its settings again.
@@ -170,6 +192,17 @@
     Event::PeersLink(Link::Delayed, Side::Both),
     Event::PeersLink(Link::Reset, Side::Both),
 ];
+/// Steps of the fourth stream beside the versions that are named. Those of boxes come in
+/// series.
+const MOVED: [Event; 7] = [
+    Event::BoxStopped,
+    Event::BoxStopped,
+    Event::BoxKilled,
+    Event::BoxPaused,
+    Event::EngineOrdersLate,
+    Event::EngineHangs,
+    Event::EngineRestarts,
+];
 const PLANNED: [Event; 6] = [
     Event::BoxStopped,
     Event::BoxStopped,
@@ -192,6 +225,38 @@
     pub pick: usize,
 }
 
+impl Step {
+    /// Whether it is a fault, and not planned work.
+    #[must_use]
+    pub fn is_unplanned(&self) -> bool {
+        !PLANNED.contains(&self.event)
+    }
+
+    /// Whether it may hold up new weights: a fault, or a stop among those of the fourth
+    /// stream.
+    #[must_use]
+    pub fn holds_up_weights(&self) -> bool {
+        let among_moves = self.at_ms % MOVES_CYCLE_MS < MOVES_MS;
+        self.is_unplanned() || self.event == Event::BoxStopped && among_moves
+    }
+
+    /// Whether it spoils the store or connections.
+    #[must_use]
+    pub fn spoils_links(&self) -> bool {
+        matches!(
+            self.event,
+            Event::StoreBusy
+                | Event::StoreSilent
+                | Event::StoreLosesAnswers
+                | Event::StoreSilentAfter(_)
+                | Event::StoreLink(_)
+                | Event::UpstreamLink(_)
+                | Event::Silenced(_)
+                | Event::PeersLink(..)
+        )
+    }
+}
+
 /// The steps of a run.
 #[must_use]
 pub fn steps(seed: u64, length_ms: u64) -> Vec<Step> {
@@ -255,13 +320,50 @@
     steps
 }
 
-/// When all boxes must go by what the store took at `from_ms`: `bound_ms` later, or
-/// that long after the end of the faults that come up to then.
+/// Weights on the move, from a fourth stream: versions are named all the time, and for a
+/// part of it boxes go in series and engines are in trouble.
+#[must_use]
+pub fn moves(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ FOURTH_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.u64(NAMING_PAUSE_MS);
+    while at_ms < length_ms {
+        steps.push(Step { at_ms, until_ms: at_ms, event: Event::WeightsNamed, pick: 0 });
+        at_ms += rng.u64(NAMING_PAUSE_MS);
+    }
+    let mut begin_ms = rng.u64(MOVE_PAUSE_MS);
+    while begin_ms < length_ms {
+        let end_ms = begin_ms / MOVES_CYCLE_MS * MOVES_CYCLE_MS + MOVES_MS;
+        let event = MOVED[rng.usize(..MOVED.len())];
+        let of_boxes = matches!(event, Event::BoxStopped | Event::BoxKilled | Event::BoxPaused);
+        let times = if of_boxes { rng.u64(MOVES) } else { 1 };
+        let (apart_ms, first) = (rng.u64(MOVE_APART_MS), rng.usize(..LEADER));
+        let of_leader = of_boxes && rng.bool();
+        for (turn, next) in (0..times).zip(first..) {
+            let pick = if of_leader { LEADER } else { next % LEADER };
+            let at_ms = begin_ms + turn * apart_ms;
+            let until_ms = (at_ms + rng.u64(FAULT_MS)).min(end_ms);
+            if at_ms + FAULT_MS.start <= end_ms {
+                steps.push(Step { at_ms, until_ms, event, pick });
+            }
+        }
+        begin_ms += rng.u64(MOVE_PAUSE_MS);
+    }
+    steps
+}
+
+/// When all must go by what the store took at `from_ms`: `bound_ms` later, or that long
+/// after the end of the faults that come up to then.
 #[must_use]
-pub fn known_by_ms(steps: &[Step], from_ms: u64, bound_ms: u64) -> u64 {
+pub fn known_by_ms(
+    steps: &[Step],
+    from_ms: u64,
+    bound_ms: u64,
+    is_fault: fn(&Step) -> bool,
+) -> u64 {
     let mut by_ms = from_ms + bound_ms;
     loop {
-        let faults = steps.iter().filter(|step| !PLANNED.contains(&step.event));
+        let faults = steps.iter().filter(|step| is_fault(step));
         let ends = faults.filter(|step| step.at_ms <= by_ms).map(|step| step.until_ms + bound_ms);
         let next_ms = ends.max().unwrap_or_default().max(by_ms);
         if next_ms == by_ms {
@@ -275,7 +377,6 @@
 #[must_use]
 pub fn is_calm(steps: &[Step], from_ms: u64, to_ms: u64) -> bool {
     !steps.iter().any(|step| {
-        let unplanned = !PLANNED.contains(&step.event);
-        unplanned && step.at_ms <= to_ms && step.until_ms + AFTERMATH_MS >= from_ms
+        step.is_unplanned() && step.at_ms <= to_ms && step.until_ms + AFTERMATH_MS >= from_ms
     })
 }
--- a/soak/src/world/happening.rs
+++ b/soak/src/world/happening.rs
@@ -11,8 +11,8 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use super::{ENGINE_SERVICE, Leave, World};
-use crate::plan::{Event, LastWord, Link, Way};
+use super::{Away, ENGINE_SERVICE, Leave, World};
+use crate::plan::{Event, LEADER, LastWord, Link, Way};
 use crate::proxy::Proxy;
 
 /// Time for which an upstream is about to leave at least: beyond the two seconds
@@ -25,6 +25,10 @@
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// Answers that an upstream spoils at a time.
 const ACTS: usize = 5;
+/// Least time after which an unanswered order is carried out, and what is added for each
+/// of a thousand picks.
+const LATE: Duration = Duration::from_millis(300);
+const LATE_STEP: Duration = Duration::from_micros(2700);
 /// One restart of an engine in so many is told by no entry.
 const UNTOLD_ONE_IN: usize = 3;
 /// What an upstream may do in place of an answer.
@@ -44,7 +48,8 @@
 impl World {
     /// Has something happen for a while.
     pub async fn happen(&self, event: Event, pick: usize, time: Duration) {
-        let one_box = &self.boxes[pick % self.boxes.len()];
+        let number = if pick == LEADER { self.leader() } else { pick % self.boxes.len() };
+        let (one_box, from_ms) = (&self.boxes[number], now_ms());
         let upstream = &self.upstreams[pick % self.upstreams.len()];
         match event {
             Event::BoxKilled => restart(&one_box.process, time).await,
@@ -91,14 +96,29 @@
             }
             Event::BoxReloads => one_box.process.try_signal("-HUP"),
             Event::Configured => self.configure(1 + u64::from(pick.is_multiple_of(3)) * 4),
-            Event::WeightsNamed => {
-                let version = self.weights.fetch_add(1, Ordering::SeqCst) + 1;
-                self.site.name_weights(MODEL, version);
-            }
+            Event::WeightsNamed => self.name_weights(),
             Event::UpstreamLeaves => self.leave(pick, time + LEAVES).await,
             Event::UpstreamRestarts => self.restart_upstream(pick, time).await,
             Event::EngineRestarts => self.restart_engine(pick, time).await,
+            Event::EngineOrdersLate => {
+                let engine = &self.engines[pick % self.engines.len()].process;
+                engine.take_orders_late(Some(LATE + LATE_STEP * u32::try_from(pick).unwrap_or(0)));
+                sleep(time).await;
+                engine.take_orders_late(None);
+            }
+            Event::EngineHangs => {
+                let time_ms = u64::try_from(time.as_millis()).unwrap_or_default();
+                self.engines[pick % self.engines.len()].process.hang_until(now_ms() + time_ms);
+            }
         }
+        let gone = match event {
+            Event::AllKilled => 0..self.boxes.len(),
+            Event::BoxKilled | Event::BoxPaused | Event::BoxStopped => number..number + 1,
+            _ => 0..0,
+        };
+        let (times_ms, paused) = (from_ms..=now_ms(), event == Event::BoxPaused);
+        let away = |box_number| Away { box_number, times_ms: times_ms.clone(), paused };
+        self.aways().extend(gone.map(away));
     }
 
     /// Has an upstream start again under its id: its connections break, and its entry tells
@@ -118,7 +138,7 @@
         let number = pick % self.engines.len();
         let engine = &self.engines[number];
         let is_told = !(pick / self.engines.len()).is_multiple_of(UNTOLD_ONE_IN);
-        let version = if is_told { 1 } else { engine.process.version() };
+        let version = if is_told && !self.moving { 1 } else { engine.process.version() };
         engine.process.restart(version);
         spoil(&engine.proxy, Link::Reset, time).await;
         if !is_told {
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -3,14 +3,16 @@
 mod happening;
 
 use std::io::Result;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
+use coursestile_standins::clock::now_ms;
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::metadata::Trouble;
 use coursestile_standins::site::server::Server;
-use coursestile_standins::site::{Gateway, Site, document, engine_entry, entry};
+use coursestile_standins::site::{Gateway, Site, document, engine_entry, engine_services, entry};
 use serde_json::{Value, json};
 
 use crate::mesh::Mesh;
@@ -21,10 +23,18 @@
 const UPSTREAMS: usize = 4;
 /// Model engines.
 const ENGINES: usize = 3;
+/// Model engines when weights are on the move: half of them may load at a time.
+const MOVING_ENGINES: usize = 4;
+/// Pause between orders of two holders then, and time in which weights must be everywhere:
+/// half of what the platform asks.
+const MOVING_LEASE_MS: u64 = 1500;
+const MOVING_APPLY_MS: u64 = 5000;
 /// Halls, which boxes are dealt to in turn.
 const HALLS: [&str; 3] = ["north", "east", "west"];
 /// Service of the engines.
 const ENGINE_SERVICE: &str = "engines";
+/// Path of the route to them.
+pub const RUN_PATH: &str = "/run/";
 
 /// A process behind a proxy.
 pub struct Behind<T> {
@@ -63,6 +73,16 @@
     pub until: Instant,
 }
 
+/// A time for which a box was stopped, killed or paused, in Unix milliseconds.
+pub struct Away {
+    /// The box.
+    pub box_number: usize,
+    /// From the signal until it runs again.
+    pub times_ms: RangeInclusive<u64>,
+    /// Whether it was paused.
+    pub paused: bool,
+}
+
 /// All that takes part in a run.
 pub struct World {
     /// The platform.
@@ -75,7 +95,12 @@
     pub engines: Vec<Behind<Engine>>,
     mesh: Mesh,
     newest: Mutex<Newest>,
-    weights: AtomicU64,
+    /// Whether weights are on the move: engines get requests, and keep their weights when
+    /// they start again.
+    pub moving: bool,
+    /// When each version of the weights was named, from the first, in Unix milliseconds.
+    named_ms: Mutex<Vec<u64>>,
+    aways: Mutex<Vec<Away>>,
     leaves: Mutex<Vec<Leave>>,
     /// For each upstream, the steps in which it is about to leave.
     leaving: Vec<AtomicUsize>,
@@ -89,17 +114,28 @@
     format!("/version-{version}/")
 }
 
-fn configuration(version: u64) -> Value {
+/// A configuration; if `with_runs`, with a route to the engines.
+fn configuration(version: u64, with_runs: bool) -> Value {
     let mut document = document(version);
     let mut own = document["routes"][0].clone();
     own["name"] = json!(format!("version-{version}"));
     own["path_prefix"] = json!(version_path(version));
+    let mut to_engines = document["routes"][2].clone();
+    to_engines["name"] = json!("run");
+    to_engines["path_prefix"] = json!(RUN_PATH);
+    to_engines["service"] = json!(ENGINE_SERVICE);
     if let Some(routes) = document["routes"].as_array_mut() {
         routes.push(own);
+        routes.extend(with_runs.then_some(to_engines));
+    }
+    let mut service = json!({ "name": ENGINE_SERVICE, "health_path": "/health",
+        "max_conns": 100, "protocol": "h1", "tls": false });
+    if with_runs {
+        service = engine_services(None)[0].take();
+        service["name"] = json!(ENGINE_SERVICE);
     }
     if let Some(services) = document["services"].as_array_mut() {
-        services.push(json!({ "name": ENGINE_SERVICE, "health_path": "/health",
-            "max_conns": 100, "protocol": "h1", "tls": false }));
+        services.push(service);
     }
     document
 }
@@ -109,9 +145,12 @@
     ///
     /// # Errors
     /// Fails when an address cannot be had.
-    pub async fn start(boxes: usize) -> Result<Self> {
+    pub async fn start(boxes: usize, moving: bool) -> Result<Self> {
         let mut site = Site::start().await;
         site.own_peer_ports = true;
+        if moving {
+            (site.lease_ms, site.weights_apply_ms) = (MOVING_LEASE_MS, MOVING_APPLY_MS);
+        }
         let mut upstreams = Vec::new();
         for number in 0..UPSTREAMS {
             let process = Server::start(&format!("s-{number}")).await;
@@ -120,7 +159,7 @@
             upstreams.push(Behind { process, proxy });
         }
         let mut engines = Vec::new();
-        for number in 0..ENGINES {
+        for number in 0..if moving { MOVING_ENGINES } else { ENGINES } {
             let process = Engine::start().await;
             let proxy = Proxy::start(&process.address).await?;
             let entry = engine_entry(ENGINE_SERVICE, &proxy.address, MODEL, 1);
@@ -128,7 +167,7 @@
             engines.push(Behind { process, proxy });
         }
         site.name_weights(MODEL, 1);
-        site.configure(&configuration(1));
+        site.configure(&configuration(1, moving));
         let newest = Mutex::new(Newest { version: 1, taken: Instant::now() });
         let mut started: Vec<OneBox> = Vec::new();
         for number in 0..boxes {
@@ -141,7 +180,7 @@
         }
         let peers: Vec<&str> = started.iter().map(|one| one.process.peers.as_str()).collect();
         let mesh = Mesh::start(&peers).await?;
-        let (weights, leaves) = (AtomicU64::new(1), Mutex::default());
+        let named_ms = Mutex::new(vec![now_ms()]);
         let leaving = upstreams.iter().map(|_| AtomicUsize::default()).collect();
         let starts_ms = upstreams.iter().map(|_| AtomicU64::default()).collect();
         Ok(Self {
@@ -151,8 +190,10 @@
             engines,
             mesh,
             newest,
-            weights,
-            leaves,
+            moving,
+            named_ms,
+            aways: Mutex::default(),
+            leaves: Mutex::default(),
             leaving,
             starts_ms,
         })
@@ -163,6 +204,41 @@
         self.leaves.lock().expect("no task panics under the lock")
     }
 
+    /// When boxes were away.
+    pub fn aways(&self) -> MutexGuard<'_, Vec<Away>> {
+        self.aways.lock().expect("no task panics under the lock")
+    }
+
+    /// When each version of the weights was named, from the first, in Unix milliseconds.
+    pub fn named_ms(&self) -> MutexGuard<'_, Vec<u64>> {
+        self.named_ms.lock().expect("no task panics under the lock")
+    }
+
+    /// Names the next version of the weights.
+    fn name_weights(&self) {
+        // Under the lock, the store takes versions in their order.
+        let mut named_ms = self.named_ms();
+        self.site.name_weights(MODEL, named_ms.len() as u64 + 1);
+        named_ms.push(now_ms());
+    }
+
+    /// The box that was the last to take the leadership, by its log.
+    fn leader(&self) -> usize {
+        let fence = |one: &OneBox| -> Option<u64> {
+            let log = one.process.logged();
+            let (_, taken) = log.rsplit_once("event=leadership_taken fence=")?;
+            taken.lines().next()?.parse().ok()
+        };
+        let fences = self.boxes.iter().map(fence).enumerate();
+        fences.max_by_key(|(_, fence)| *fence).map_or(0, |(number, _)| number)
+    }
+
+    /// The box with a name.
+    pub fn box_named(&self, name: &str) -> Option<usize> {
+        let is_named = |one: &OneBox| one.process.log.file_stem().is_some_and(|stem| stem == name);
+        self.boxes.iter().position(is_named)
+    }
+
     /// The newest configuration.
     pub fn newest(&self) -> Newest {
         *self.newest.lock().expect("no task panics under the lock")
@@ -172,19 +248,16 @@
         // Under the lock, the store takes versions in their order.
         let mut newest = self.newest.lock().expect("no task panics under the lock");
         newest.version += step;
-        self.site.configure(&configuration(newest.version));
+        self.site.configure(&configuration(newest.version, self.moving));
         newest.taken = Instant::now();
     }
 
-    /// Engines that do not have the weights named last, in words.
+    /// Engines that do not have the weights named last, with their weights.
     #[must_use]
-    pub fn engines_behind(&self) -> Vec<String> {
-        let named = self.weights.load(Ordering::SeqCst);
+    pub fn engines_behind(&self) -> Vec<(usize, u64)> {
+        let named = self.named_ms().len() as u64;
         let versions = self.engines.iter().map(|engine| engine.process.version()).enumerate();
-        let behind = versions.filter(|(_, version)| *version != named);
-        behind
-            .map(|(one, version)| format!("engine {one} has weights {version}, not {named}"))
-            .collect()
+        versions.filter(|(_, version)| *version != named).collect()
     }
 
     fn enter(&self, number: usize, state: &str) {
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -54,6 +54,14 @@
     holds(Options { seed: 12041, seconds: 14, boxes: 4, streams: Streams::Restarts }).await;
 }
 
+// Boxes go in series, the leader among them, faster than a new leader may give its first
+// order: for seconds nobody gives any, and boxes send requests to engines whose weights
+// had to be replaced by then.
+#[tokio::test]
+async fn weights_on_the_move() {
+    holds(Options { seed: 6, seconds: 15, boxes: 5, streams: Streams::MovesAlone }).await;
+}
+
 async fn holds(options: Options) {
     let report = run(options).await.unwrap();
     assert!(report.violations.is_empty(), "{options:?}: {:#?}", report.violations);
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -38,6 +38,9 @@
     pub fence: u64,
     /// Orders that must have been taken before.
     pub expected: Option<u64>,
+    /// When it arrived, in Unix milliseconds.
+    #[serde(skip)]
+    pub at_ms: u64,
 }
 
 /// A request for a run as it arrived.
@@ -45,14 +48,26 @@
 pub struct Run {
     /// Headers.
     pub headers: BTreeMap<String, String>,
+    /// When it arrived, in Unix milliseconds.
+    pub at_ms: u64,
+    /// Version that it began on; none when it was turned away or came during a load,
+    /// when engines of the platform turn it away.
+    pub version: Option<u64>,
 }
 
+/// When a request arrived, in Unix milliseconds.
+#[derive(Clone, Copy)]
+struct Arrived(u64);
+
 /// What a test makes it do wrong.
 #[derive(Default)]
 struct Faults {
     hides_start: bool,
     holds_streams: bool,
     refuses_orders: bool,
+    /// Time after which orders are carried out, none of which is answered.
+    late_orders: Option<Duration>,
+    hangs_until_ms: u64,
     failing_listings: u32,
     clock_ms: Option<f64>,
 }
@@ -110,15 +125,24 @@
     /// Panics when no address can be had.
     pub async fn start() -> Self {
         let state: Shared = Arc::new(Mutex::new(State::of_run(1)));
+        let hanging = state.clone();
         let app = Route::new()
             .at("/coursestile/report", get(report))
-            .at("/coursestile/order", post(order))
             .at("/coursestile/kv-events", get(events))
             .at("/coursestile/kv-list", get(list))
             .at("/coursestile/kv-free", post(free))
             .nest("/run", runs(state.clone()))
             .nest("/resume", runs(state.clone()))
-            .data(state.clone());
+            .around(move |app, mut request| {
+                let hanging = hanging.clone();
+                async move {
+                    request.set_data(Arrived(now_ms()));
+                    hang(&hanging).await;
+                    app.call(request).await
+                }
+            });
+        let app =
+            Route::new().at("/coursestile/order", post(order)).nest("/", app).data(state.clone());
         let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await.expect("address");
         let address = acceptor.local_addr()[0].as_socket_addr().expect("address").to_string();
         let serving = tokio::spawn(async move {
@@ -195,6 +219,17 @@
         self.state().faults.refuses_orders = true;
     }
 
+    /// Leaves orders without an answer, and carries them out after a time if they are not
+    /// void by then; or ends that.
+    pub fn take_orders_late(&self, delay: Option<Duration>) {
+        self.state().faults.late_orders = delay;
+    }
+
+    /// Says nothing and begins nothing until a deadline, in Unix milliseconds.
+    pub fn hang_until(&self, until_ms: u64) {
+        self.state().faults.hangs_until_ms = until_ms;
+    }
+
     /// Fails the next calls that list what is kept.
     pub fn fail_listings(&self, count: u32) {
         self.state().faults.failing_listings = count;
@@ -236,23 +271,51 @@
         "models": [{ "name": MODEL, "version": state.version, "adapters": [] }] }))
 }
 
+/// Waits while the engine hangs.
+async fn hang(shared: &Shared) {
+    while now_ms() < shared.lock().expect("state").faults.hangs_until_ms {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[handler]
-fn order(Data(shared): Data<&Shared>, Json(order): Json<Order>) -> StatusCode {
+async fn order(Data(shared): Data<&Shared>, Json(mut order): Json<Order>) -> StatusCode {
+    order.at_ms = now_ms();
+    let (born, late) = {
+        let mut state = shared.lock().expect("state");
+        state.orders.push(order.clone());
+        (state.born, state.faults.late_orders)
+    };
+    let Some(delay) = late else {
+        hang(shared).await;
+        return carry_out(shared, &order, born);
+    };
+    let later = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(delay).await;
+        carry_out(&later, &order, born);
+    });
+    std::future::pending().await
+}
+
+/// Carries out an order of the run that it came to.
+fn carry_out(shared: &Shared, given: &Order, born: u64) -> StatusCode {
     let mut state = shared.lock().expect("state");
-    state.orders.push(order.clone());
-    if order.version == state.version {
+    if state.born != born {
+        return StatusCode::MISDIRECTED_REQUEST;
+    }
+    if given.version == state.version {
         return StatusCode::OK;
     }
     if state.faults.refuses_orders
         || state.busy
-        || order.expected.is_some_and(|expected| expected != state.taken)
+        || given.expected.is_some_and(|expected| expected != state.taken)
     {
         return StatusCode::CONFLICT;
     }
     state.busy = true;
     state.taken += 1;
-    let later = shared.clone();
-    let born = state.born;
+    let (later, version) = (shared.clone(), given.version);
     tokio::spawn(async move {
         tokio::time::sleep(LOAD_TIME).await;
         let mut state = later.lock().expect("state");
@@ -260,7 +323,7 @@
         if state.born != born {
             return;
         }
-        state.version = order.version;
+        state.version = version;
         state.busy = false;
     });
     StatusCode::ACCEPTED
@@ -339,9 +402,12 @@
         let expected = headers.get("expect-version").and_then(|text| text.parse::<u64>().ok());
         let goes_on = headers.contains_key("last-event-id");
         let holds = state.faults.holds_streams && !goes_on;
-        state.runs.push(Run { headers });
         let version = state.version;
-        if expected.is_some_and(|expected| expected != version) {
+        let turned_away = expected.is_some_and(|expected| expected != version);
+        let began = (!turned_away && !state.busy).then_some(version);
+        let at_ms = request.data::<Arrived>().map_or_else(now_ms, |arrived| arrived.0);
+        state.runs.push(Run { headers, at_ms, version: began });
+        if turned_away {
             return StatusCode::MISDIRECTED_REQUEST.into_response();
         }
         Response::builder()
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -142,6 +142,8 @@
     /// Whether each gateway started from now on has a port of its own for peers. It
     /// then calls others at that port of their addresses, where a proxy can stand.
     pub own_peer_ports: bool,
+    /// Pause between orders of two holders, for gateways started from now on.
+    pub lease_ms: u64,
     /// Time in which gateways started from now on bring engines to named weights.
     pub weights_apply_ms: u64,
     folder: PathBuf,
@@ -164,6 +166,7 @@
             metadata,
             retry_extra: 1_000_000,
             own_peer_ports: false,
+            lease_ms: 1000,
             weights_apply_ms: 10_000,
             folder,
             network,
@@ -196,11 +199,12 @@
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\nseeds = {}\n[platform]\naddress = {}\n\
-             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = 1000\n\
+             [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
              weights_apply_ms = {}\n",
             seeds.join(","),
             metadata,
             self.retry_extra,
+            self.lease_ms,
             self.weights_apply_ms,
         );
         let path = self.folder.join(format!("{name}.ini"));
