Repeat lost orders soon; an engine that does not answer holds no permit to load

Cause: the pause after a failed order doubled up to 4 s, so that engines that hang leave permits to others. Engines that carry out orders late got too few of them. Change: the pause is 500 ms again; an engine that is about to be ordered counts as loading for 200 ms, and for 1.6 s once it has taken the order, so that hanging ones hold up nobody either. Before, after: late_orders_repeated failed (4662 ms), passes; hanging_engines passes; gateway_leaders 11 of 11, gateway_weights 10, gateway_restarts 10.

--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -33,13 +33,15 @@
 const DRAIN_PERIOD: Duration = Duration::from_millis(50);
 /// Longest time for which one order is followed up.
 const ORDER_MS: u64 = 4000;
-/// Time for which an engine counts as loading: twice the usual. One that hangs must not
-/// keep others from loading for as long as it is followed up.
+/// Time for which an engine that has taken an order counts as loading: twice the usual. One
+/// that hangs must not keep others from loading for as long as it is followed up.
 const PERMIT_MS: u64 = 2 * LOAD_MS;
-/// Pause before an engine that failed is tried again; twice as long each time.
+/// Time for which one counts that is about to get an order; an answer takes some
+/// milliseconds. One that does not answer does not load, and others may.
+const ASKED_PERMIT_MS: u64 = 200;
+/// Pause before an engine that failed is tried again. While it grew to 4 s, engines that
+/// carried out lost orders seconds late had the newest weights too late.
 const FAILED_PAUSE_MS: u64 = 500;
-/// How often it doubles: up to 4 s, so that engines that hang leave the others most permits.
-const MOST_DOUBLINGS: u32 = 3;
 /// Time for which one message says that an engine loads.
 pub const LOADING_GOSSIP_MS: u64 = 700;
 /// Time for which peers are told of a version after it was seen.
@@ -103,8 +105,7 @@
         LoadEnd::TurnedAway | LoadEnd::TooSlow | LoadEnd::Failed => {
             let failed = state.failed_orders.entry(load.upstream.id.clone()).or_default();
             failed.count += 1;
-            let doublings = failed.count.min(MOST_DOUBLINGS + 1) - 1;
-            failed.again_at_ms = now_ms() + (FAILED_PAUSE_MS << doublings);
+            failed.again_at_ms = now_ms() + FAILED_PAUSE_MS;
         }
     }
     if let Some(upstream) = state.upstreams.get_run_mut(&load.upstream) {
@@ -166,7 +167,7 @@
             let taken = state.permits.values().filter(|until_ms| now_ms < **until_ms).count();
             if taken < permits(gateway, &state, now_ms, &load.model) {
                 let id = load.upstream.id.clone();
-                state.permits.insert(id.clone(), now_ms + PERMIT_MS);
+                state.permits.insert(id.clone(), now_ms + ASKED_PERMIT_MS);
                 return Some(LoadPermit(gateway.clone(), id));
             }
         }
@@ -260,6 +261,9 @@
         return Ok(Some(LoadEnd::LeadershipLost));
     }
     let ordered = order(gateway, load, taken).await?;
+    if let Some(until_ms) = gateway.state().permits.get_mut(&load.upstream.id) {
+        *until_ms = now_ms() + PERMIT_MS;
+    }
     let turned_away = matches!(ordered, Ordered::Fenced | Ordered::OtherEngine);
     Ok(turned_away.then_some(LoadEnd::TurnedAway))
 }
