--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -253,7 +253,7 @@
     let claims = match postcard::from_bytes::<Claims>(&item.value) {
         Ok(claims) => claims,
         Err(error) => {
-            // What is lost of it is only what this leader wrote itself.
+            // Another writer was here: what leaders before had claimed is lost with it.
             warn!(target: "leadership", "event=claims_unreadable cause=\"{error}\"");
             Claims::default()
         }
--- a/src/gateway/decisions/claims.rs
+++ b/src/gateway/decisions/claims.rs
@@ -1,9 +1,9 @@
 //! Which leader may have ordered which engine, and when another may order it.
 //!
 //! A leader writes down each engine in the metadata store before it orders it, and strikes it
-//! out once the order lies back for long enough. So whoever leads next knows the engines that it may order at once, and
-//! pauses for the others alone: from when any box saw the leader that ordered them to be
-//! over, however many have led since. Boxes tell each other how long ago that was, so that
+//! out once the order lies back for long enough. So whoever leads next knows the engines that
+//! it may order at once, and pauses for the others alone: from when any box saw the leader
+//! that ordered them to be over, however many have led since. Boxes tell each other how long ago that was, so that
 //! no two boxes' clocks are compared.
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -6,7 +6,7 @@
 use crate::gateway::decisions::stores::Placing;
 use crate::gateway::decisions::weights::NamedWeights;
 
-/// Time by which a request may begin after it was sent, beside what is expected: an engine short
+/// Time by which a request may begin after it was sent, whatever is expected: an engine short
 /// of memory began with one 1.1 s later, 83 ms after its weights should have been gone.
 const BEGIN_MS: u64 = 1500;
 
