What peers tell is added up by difference; a change of load is told alone

Cause: for each datagram a box summed the loads, the times heard and the fetches of all peers for all engines anew, looked for a peer that knows more among all, and hashed names: 370 us a message with 300 boxes, which grows with the square of the fleet.

Change: sums are kept by difference as news comes and lapses; upstreams are found by their numbers; what orders publishers is hashed once; a box looks for a peer that knows more only when the sender does; a change of load is told to the hall as that change (10 bytes in place of 250) and in full with the next gossip.

coursestile-load gateway, us a message heard, with 30, 100, 300, 1000 boxes: 16.9, 65.5, 370, 2172 before, 1.2, 1.3, 1.6, 1.8 now.

--- /dev/null
+++ b/load/src/gateway.rs
@@ -0,0 +1,197 @@
+//! What the gateway's pure parts cost on one box as the fleet grows: hearing its peers, and
+//! choosing an engine.
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::ExitCode;
+use std::time::Instant;
+
+use coursestile::gateway::decisions::admission::Asked;
+use coursestile::gateway::decisions::choose::choose;
+use coursestile::gateway::decisions::context::scope;
+use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::gossip_message::{Gossip, LoadChanges, ToldLoad};
+use coursestile::gateway::decisions::holder::PartKey;
+use coursestile::gateway::decisions::kept::{CacheChange, CacheListing, KeptPart};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers};
+use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::site::{EngineSpec, Store};
+use coursestile::gateway::decisions::stores::{Placing, Stores};
+use coursestile::gateway::decisions::upstream::{Entry, Load};
+use coursestile::gateway::decisions::upstreams::Upstreams;
+use coursestile::gateway::decisions::view::Mark;
+
+use crate::figures::ratio;
+
+/// Boxes of the fleets that are compared.
+const FLEETS: [u32; 4] = [30, 100, 300, 1000];
+/// Data halls.
+const HALLS: u32 = 5;
+/// Engines for each hundred boxes.
+const ENGINES_PERCENT: u32 = 87;
+/// Stores for each hundred boxes.
+const STORES_PERCENT: u32 = 20;
+/// Upstreams of whose load a box tells.
+const TOLD_LOADS: u32 = 16;
+/// Parts that a store keeps.
+const KEPT_PARTS: u32 = 400;
+/// Times that each step is repeated.
+const ROUNDS: u32 = 400;
+/// Model of all engines.
+const MODEL: &str = "m";
+/// Service of all engines.
+const SERVICE: &str = "llm";
+
+/// Prints the table.
+pub fn run() -> ExitCode {
+    println!("| boxes | peers told of a change | bytes of gossip | of a change | hear gossip, us | hear a change, us | choose, us |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for boxes in FLEETS {
+        let (mut peers, told) = known_peers(boxes);
+        let targets = peers.next_targets(1, Audience::OwnHall).len();
+        let gossip_bytes = encoded_bytes(&gossip(boxes, 1));
+        let change_bytes = encoded_bytes(&changes(boxes, 1, 1));
+        let hear_us = mean_us(|round| {
+            let peer = 1 + round % (boxes - 1);
+            peers.hear(2, address(peer), gossip(boxes, peer + round), Mark::default());
+        });
+        let change_us = mean_us(|round| {
+            let peer = 1 + round % (boxes - 1);
+            peers.hear_loads(2, address(peer), &changes(boxes, peer, round));
+        });
+        black_box(told);
+        println!(
+            "| {boxes} | {targets} | {gossip_bytes} | {change_bytes} | {hear_us:.1} | {change_us:.1} | {:.1} |",
+            choice_us(boxes)
+        );
+    }
+    ExitCode::SUCCESS
+}
+
+fn mean_us(mut step: impl FnMut(u32)) -> f64 {
+    let begun_at = Instant::now();
+    for round in 0..ROUNDS {
+        step(round);
+    }
+    let took_ns = u64::try_from(begun_at.elapsed().as_nanos()).unwrap_or(u64::MAX);
+    ratio(took_ns, u64::from(ROUNDS) * 1000)
+}
+
+fn encoded_bytes(message: &impl serde::Serialize) -> usize {
+    postcard::to_stdvec(message).map_or(0, |bytes| bytes.len())
+}
+
+fn address(number: u32) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::from(0x0a00_0000 | number))
+}
+
+fn told(boxes: u32, upstream: u32, requests: u32) -> ToldLoad {
+    let load = Load { requests, unread_tokens: 4000, memory_tokens: 6000 };
+    ToldLoad { upstream: upstream % engines(boxes), load, heard_age_ms: 40 }
+}
+
+fn engines(boxes: u32) -> u32 {
+    boxes * ENGINES_PERCENT / 100
+}
+
+fn gossip(boxes: u32, seed: u32) -> Gossip {
+    let loads = (0..TOLD_LOADS).map(|one| told(boxes, seed * TOLD_LOADS + one, 2)).collect();
+    let peers = (1..25).map(|one| address((seed + one) % boxes)).collect();
+    Gossip { incarnation: 1, hall: seed % HALLS, loads, peers, ..Gossip::default() }
+}
+
+fn changes(boxes: u32, seed: u32, requests: u32) -> LoadChanges {
+    let loads = vec![told(boxes, seed, requests % 7)];
+    LoadChanges { incarnation: 1, loads, ..LoadChanges::default() }
+}
+
+/// The peers of a box that has heard all others.
+fn known_peers(boxes: u32) -> (Peers, usize) {
+    let own = Own { number: 0, address: SocketAddr::new(address(0), 7000), hall: 0, millicores: 120 };
+    let mut peers = Peers::new(own, &[]);
+    for peer in 1..boxes {
+        peers.hear(0, address(peer), gossip(boxes, peer), Mark::default());
+    }
+    let told = peers.next_targets(0, Audience::All).len();
+    (peers, told)
+}
+
+fn choice_us(boxes: u32) -> f64 {
+    let mut upstreams = Upstreams::default();
+    for engine in 0..engines(boxes) {
+        let entry = Entry {
+            service: SERVICE.to_owned(),
+            address: SocketAddr::new(address(engine), 8080),
+            hall: format!("hall-{}", engine % HALLS),
+            slots: 24,
+            leaving: false,
+            models: vec![(MODEL.to_owned(), 1)],
+            started_at_ms: None,
+        };
+        let id = format!("engine-{engine}");
+        upstreams.put(0, &id, entry);
+        if let Some(upstream) = upstreams.get_mut(&id) {
+            upstream.others = Load { requests: 4, unread_tokens: 3000 + engine, memory_tokens: 9000 };
+        }
+    }
+    let stores = stores(boxes);
+    let engine = EngineSpec {
+        slots: 24,
+        memory_tokens: 40_097,
+        token_bytes: 18_432,
+        link_mbps: 130_000.0,
+        per_part_sources: true,
+    };
+    mean_us(|round| {
+        let part = round % (KEPT_PARTS * boxes * STORES_PERCENT / 100);
+        let prompt = Prompt::parse(MODEL, "9000,60", &format!("aa:2500,{part:x}:5000,ff{round:x}:1500"));
+        black_box(choose(1, &upstreams, &stores, Some(&engine), &demand(prompt.as_ref())));
+    })
+}
+
+fn demand(prompt: Option<&Prompt>) -> Demand<'_> {
+    Demand {
+        service: SERVICE,
+        box_number: 7,
+        hall: "hall-0",
+        prompt,
+        isolated_account: None,
+        weights: None,
+        weights_apply_ms: 12_000,
+        bars_overdue: true,
+        placing: Placing::Home,
+        tried: &[],
+        max_requests: 100,
+        asked: Asked { ranks_before: 1, objective_ms: 500, late: false, limit: 1.1 },
+        objective_at_ms: Some(500),
+    }
+}
+
+fn stores(boxes: u32) -> Stores {
+    let count = boxes * STORES_PERCENT / 100;
+    let configured: Vec<Store> = (0..count).map(store).collect();
+    let mut stores = Stores::default();
+    stores.configure(&configured);
+    for (place, (_, state)) in (0_u32..).zip(stores.iter_mut()) {
+        let parts = (0..KEPT_PARTS).map(|part| part * count + place);
+        let held = parts.map(|part| CacheChange {
+            kept: KeptPart { scope: scope(MODEL, 1, None), part: format!("{part:x}") },
+            tokens: 5000,
+        });
+        let listing = CacheListing { boot: 1, next: 1, held: held.collect(), partial: Vec::new() };
+        state.holder.listed(&listing);
+    }
+    stores
+}
+
+fn store(number: u32) -> Store {
+    Store {
+        name: format!("store-{number}"),
+        address: SocketAddr::new(address(number), 9090),
+        hall: format!("hall-{}", number % HALLS),
+        capacity_tokens: 20_000_000,
+        link_mbps: 29_000.0,
+        first_ms: 6.0,
+        managed: true,
+    }
+}
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -10,6 +10,7 @@
 mod decide;
 mod demo;
 mod figures;
+mod gateway;
 mod outcome;
 mod report;
 mod runner;
@@ -33,6 +34,7 @@
   chaos    Random faults of every kind for a while; fails on a broken promise
   control  Cost of control on fleets of growing size
   decide   Time and memory of decisions at the size to come
+  gateway  What hearing peers and choosing an engine cost as the fleet grows
 
 Options:
       --seconds N   Length of each load (default 20)
@@ -104,6 +106,7 @@
         Some("chaos") => chaos::run(&options).await,
         Some("control") => control::run(&options).await,
         Some("decide") => decide::run(),
+        Some("gateway") => gateway::run(),
         Some(other) => {
             eprintln!("error: there is no experiment '{other}'; see --help");
             ExitCode::from(2)
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -1,5 +1,6 @@
 //! What boxes tell each other, a few times a second and by datagram.
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,29 @@
     pub terms: Vec<(u64, u32)>,
 }
 
+impl Gossip {
+    /// Puts newer loads in the place of those that were told before.
+    pub fn change_loads(&mut self, changed: &[ToldLoad]) {
+        for told in changed {
+            match self.loads.iter_mut().find(|known| known.upstream == told.upstream) {
+                Some(known) => *known = *told,
+                None => self.loads.push(*told),
+            }
+        }
+    }
+}
+
+/// The loads that have changed since a box told of them last.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadChanges {
+    /// Start of the process that tells.
+    pub incarnation: u64,
+    /// The loads as they are now.
+    pub loads: Vec<ToldLoad>,
+    /// Upstreams whose address another incarnation has, by their numbers.
+    pub superseded: Vec<u32>,
+}
+
 /// What a box has to do with one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
@@ -87,6 +111,15 @@
     Fails,
 }
 
+/// Those of `now` that differ from what was told last, also where no load is left.
+#[must_use]
+pub fn changed_loads(last: &[ToldLoad], now: impl Iterator<Item = ToldLoad>) -> Vec<ToldLoad> {
+    let last: HashMap<u32, Load> = last.iter().map(|told| (told.upstream, told.load)).collect();
+    let changed =
+        now.filter(|one| last.get(&one.upstream).copied().unwrap_or_default() != one.load);
+    changed.take(NAMED_LOADS).collect()
+}
+
 /// The loads that fit one message, the largest first. An upstream without any is told of if
 /// it was heard lately, which shows others that it is not silent.
 #[must_use]
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -11,7 +11,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
-use crate::gateway::decisions::gossip_message::{Gossip, StoreLink};
+use crate::gateway::decisions::gossip_message::{Gossip, LoadChanges, StoreLink};
+use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::peers::sums::Sums;
 use crate::gateway::decisions::view::Mark;
 
 /// Time between two messages to the same peers.
@@ -70,9 +72,18 @@
     asked_last_until_ms: u64,
     /// Whether it was told of this box at least once.
     told: bool,
+    /// Whether what it told is in the sums.
+    counted: bool,
+    /// Orders those that this box may learn from; another number in each box.
+    distance: u32,
 }
 
 impl Peer {
+    /// One that was not heard yet.
+    fn new(own_address: IpAddr, address: IpAddr) -> Self {
+        Self { distance: number(&format!("{address} {own_address}")), ..Self::default() }
+    }
+
     /// Whether nothing speaks against asking it.
     fn answers_at(&self, now_ms: u64) -> bool {
         now_ms >= self.asked_last_until_ms
@@ -90,6 +101,10 @@
     all_due_at_ms: u64,
     helper_turn: usize,
     first_heard_at_ms: Option<u64>,
+    /// Whether some peer was not told of this box yet.
+    has_untold: bool,
+    /// What the peers that count told, put together.
+    sums: Sums,
 }
 
 impl Peers {
@@ -106,6 +121,8 @@
             all_due_at_ms: 0,
             helper_turn: 0,
             first_heard_at_ms: None,
+            has_untold: false,
+            sums: Sums::default(),
         }
     }
 
@@ -120,12 +137,14 @@
         for address in &gossip.peers {
             self.learn(now_ms, *address);
         }
-        let peer = self.known.entry(from).or_default();
+        let own_address = self.own.address.ip();
+        let peer = self.known.entry(from).or_insert_with(|| Peer::new(own_address, from));
         if gossip.incarnation < peer.gossip.incarnation {
             return false;
         }
         // Another incarnation at the same address knows nothing of this box.
         peer.told &= gossip.incarnation == peer.gossip.incarnation;
+        self.has_untold |= !peer.told;
         peer.heard_at_ms = now_ms;
         self.first_heard_at_ms.get_or_insert(now_ms);
         if is_ahead(gossip.mark, own) {
@@ -133,18 +152,54 @@
         } else {
             peer.ahead_since_ms = None;
         }
+        if peer.counted {
+            self.sums.subtract(&peer.gossip);
+        }
+        self.sums.add(&gossip);
+        self.sums.heard(now_ms, &gossip.loads);
+        peer.counted = true;
         peer.gossip = gossip;
-        self.known.values().any(|peer| !peer.told)
+        self.has_untold
+    }
+
+    /// Takes the loads that a peer has changed since its last gossip. Those of a box that has
+    /// not introduced itself wait for its gossip.
+    pub fn hear_loads(&mut self, now_ms: u64, from: IpAddr, changes: &LoadChanges) {
+        let Some(peer) = self.known.get_mut(&from) else { return };
+        if changes.incarnation != peer.gossip.incarnation {
+            return;
+        }
+        peer.heard_at_ms = now_ms;
+        if peer.counted {
+            self.sums.subtract(&peer.gossip);
+        }
+        peer.gossip.change_loads(&changes.loads);
+        self.sums.add(&peer.gossip);
+        self.sums.heard(now_ms, &changes.loads);
+        peer.counted = true;
     }
 
     /// Learns of a box that may be there.
     pub fn learn(&mut self, now_ms: u64, address: IpAddr) {
-        if address != self.own.address.ip() && !self.known.contains_key(&address) {
+        let own_address = self.own.address.ip();
+        if address != own_address && !self.known.contains_key(&address) {
             let heard_at_ms = now_ms.saturating_sub(ALIVE_MS);
-            self.known.insert(address, Peer { heard_at_ms, ..Peer::default() });
+            let peer = Peer { heard_at_ms, ..Peer::new(own_address, address) };
+            self.known.insert(address, peer);
+            self.has_untold = true;
         }
     }
 
+    /// Whether a peer knows something of the metadata store that this box does not.
+    #[must_use]
+    pub fn differs(&self, address: IpAddr, own: Mark) -> bool {
+        self.known.get(&address).is_some_and(|peer| {
+            let mark = peer.gossip.mark;
+            is_ahead(mark, own)
+                || mark.changed_revision == own.changed_revision && mark.checksum != own.checksum
+        })
+    }
+
     /// A peer that has known more than this box for a while. A box that does
     /// not follow the store itself believes its publisher at once, and keeps to
     /// it when two followers differ: removals in doubt end at different times.
@@ -192,14 +247,21 @@
         1 + self.alive(now_ms).count()
     }
 
-    /// Who is told next.
+    /// Who is to be told next, when `audience` has something to hear: all are in time, and
+    /// once some box was not told of this one.
+    #[must_use]
+    pub fn due_audience(&self, now_ms: u64, audience: Audience) -> Audience {
+        if self.has_untold || now_ms >= self.all_due_at_ms { Audience::All } else { audience }
+    }
+
+    /// The addresses of those who are told next.
     pub fn next_targets(&mut self, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
-        let audience = if now_ms >= self.all_due_at_ms { Audience::All } else { audience };
+        let audience = self.due_audience(now_ms, audience);
         if audience == Audience::All {
             self.all_due_at_ms = now_ms + GOSSIP_PERIOD_MS;
         }
+        self.forget(now_ms);
         let boxes = &mut self.known;
-        boxes.retain(|_, peer| now_ms < peer.heard_at_ms + FORGET_MS);
         let small = boxes.len() <= SMALL_FLEET && audience == Audience::All;
         let hall = self.own.hall;
         let (mut all, mut others): (Vec<IpAddr>, Vec<IpAddr>) =
@@ -207,12 +269,13 @@
                 let peer = &boxes[address];
                 small || peer.gossip.hall == hall || !peer.told
             });
-        for address in &all {
-            boxes.entry(*address).and_modify(|peer| peer.told = true);
-        }
         if audience == Audience::OwnHall {
             return self.at_peer_port(all);
         }
+        for address in &all {
+            boxes.entry(*address).and_modify(|peer| peer.told = true);
+        }
+        self.has_untold = false;
         if !others.is_empty() {
             let start = self.turn % others.len();
             others.rotate_left(start);
@@ -228,6 +291,18 @@
         self.at_peer_port(all)
     }
 
+    /// Forgets peers that have said nothing for long.
+    fn forget(&mut self, now_ms: u64) {
+        let sums = &mut self.sums;
+        self.known.retain(|_, peer| {
+            let stays = now_ms < peer.heard_at_ms + FORGET_MS;
+            if !stays && peer.counted {
+                sums.subtract(&peer.gossip);
+            }
+            stays
+        });
+    }
+
     /// Peers that the metadata store answers, other ones each time.
     pub fn next_helpers(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let mut able: Vec<IpAddr> = self
@@ -282,14 +357,31 @@
     }
 
     fn alive(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> + Clone {
-        let turns = (self.known.len() / OTHER_HALLS_FANOUT) as u64;
-        let small = self.is_small_fleet();
+        let bounds = self.silence_bounds();
         let heard = self.known.iter().filter(|(_, peer)| peer.gossip.incarnation > 0);
-        heard.filter(move |(_, peer)| {
-            let often = small || peer.gossip.hall == self.own.hall;
-            let pause_ms = if often { 0 } else { LOST_MESSAGES * turns * GOSSIP_PERIOD_MS };
-            now_ms < peer.heard_at_ms + ALIVE_MS + pause_ms
-        })
+        heard.filter(move |(_, peer)| bounds.is_alive(now_ms, peer))
+    }
+
+    fn silence_bounds(&self) -> SilenceBounds {
+        let turns = (self.known.len() / OTHER_HALLS_FANOUT) as u64;
+        let turns_ms = LOST_MESSAGES * turns * GOSSIP_PERIOD_MS;
+        let other_hall_ms = ALIVE_MS + if self.is_small_fleet() { 0 } else { turns_ms };
+        SilenceBounds { own_hall: self.own.hall, other_hall_ms }
+    }
+}
+
+/// For how long peers may be silent and still count.
+#[derive(Clone, Copy, Debug)]
+struct SilenceBounds {
+    own_hall: u32,
+    /// Longest silence of a peer of another hall, which tells this box in turn with others.
+    other_hall_ms: u64,
+}
+
+impl SilenceBounds {
+    fn is_alive(&self, now_ms: u64, peer: &Peer) -> bool {
+        let is_near = peer.gossip.hall == self.own_hall;
+        now_ms < peer.heard_at_ms + if is_near { ALIVE_MS } else { self.other_hall_ms }
     }
 }
 
--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -3,7 +3,6 @@
 use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::decisions::gossip_message::{Gossip, StoreLink};
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::{Peer, Peers, SMALL_FLEET};
 
 /// Boxes of a hall that follow the metadata store in a larger fleet; the others
@@ -83,9 +82,7 @@
         peers: impl Iterator<Item = (&'a IpAddr, &'a Peer)>,
         answers: impl Fn(&Peer) -> bool,
     ) -> Option<SocketAddr> {
-        let distance = |address: &IpAddr| number(&format!("{address} {}", self.own.address.ip()));
-        let (address, _) =
-            peers.min_by_key(|(address, peer)| (!answers(peer), distance(address)))?;
+        let (address, _) = peers.min_by_key(|(_, peer)| (!answers(peer), peer.distance))?;
         Some(SocketAddr::new(*address, self.own.address.port()))
     }
 }
--- a/src/gateway/decisions/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -1,38 +1,112 @@
 //! What all other boxes told of upstreams, stores and services, put together.
+//!
+//! The sums are kept by difference, as news comes and lapses. Summed anew for each message,
+//! they cost a box the square of the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
-use crate::gateway::decisions::peers::Peers;
+use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad};
+use crate::gateway::decisions::peers::{FORGET_MS, Peers};
 use crate::gateway::decisions::upstream::Load;
 
-impl Peers {
-    /// Load that all other boxes put on upstreams, by their numbers.
-    #[must_use]
-    pub fn loads(&self, now_ms: u64) -> BTreeMap<u32, Load> {
-        let mut loads: BTreeMap<u32, Load> = BTreeMap::new();
-        for (_, peer) in self.alive(now_ms) {
-            for told in &peer.gossip.loads {
-                let load = loads.entry(told.upstream).or_default();
-                load.requests += told.load.requests;
-                load.unread_tokens += told.load.unread_tokens;
-                load.memory_tokens += told.load.memory_tokens;
+/// Sums over the peers that count.
+#[derive(Debug, Default)]
+pub(super) struct Sums {
+    /// Load on upstreams, by their numbers.
+    loads: HashMap<u32, Load>,
+    /// Tokens that are fetched from stores, by their numbers.
+    fetch_tokens: HashMap<u32, u64>,
+    /// When any peer heard an upstream last, by its number.
+    heard_at_ms: HashMap<u32, u64>,
+}
+
+impl Sums {
+    /// Counts what a peer tells.
+    pub(super) fn add(&mut self, gossip: &Gossip) {
+        for told in &gossip.loads {
+            let load = self.loads.entry(told.upstream).or_default();
+            load.requests += told.load.requests;
+            load.unread_tokens += told.load.unread_tokens;
+            load.memory_tokens += told.load.memory_tokens;
+        }
+        for (store, tokens) in &gossip.fetches {
+            *self.fetch_tokens.entry(*store).or_default() += u64::from(*tokens);
+        }
+    }
+
+    /// Takes out what a peer told before.
+    pub(super) fn subtract(&mut self, gossip: &Gossip) {
+        for told in &gossip.loads {
+            let Some(load) = self.loads.get_mut(&told.upstream) else { continue };
+            load.requests -= told.load.requests;
+            load.unread_tokens -= told.load.unread_tokens;
+            load.memory_tokens -= told.load.memory_tokens;
+            if *load == Load::default() {
+                self.loads.remove(&told.upstream);
+            }
+        }
+        for (store, tokens) in &gossip.fetches {
+            let Some(sum) = self.fetch_tokens.get_mut(store) else { continue };
+            *sum -= u64::from(*tokens);
+            if *sum == 0 {
+                self.fetch_tokens.remove(store);
             }
         }
-        loads
     }
 
-    /// When any other box heard each upstream last, by their numbers.
-    #[must_use]
-    pub fn heard_upstreams(&self, now_ms: u64) -> BTreeMap<u32, u64> {
-        let mut heard: BTreeMap<u32, u64> = BTreeMap::new();
-        for (_, peer) in self.alive(now_ms) {
-            for told in &peer.gossip.loads {
-                let at_ms = peer.heard_at_ms.saturating_sub(told.heard_age_ms.into());
-                let last_ms = heard.entry(told.upstream).or_default();
-                *last_ms = at_ms.max(*last_ms);
+    /// Notes when a peer heard upstreams. That stays true, whatever becomes of the peer.
+    pub(super) fn heard(&mut self, now_ms: u64, loads: &[ToldLoad]) {
+        for told in loads {
+            let at_ms = now_ms.saturating_sub(told.heard_age_ms.into());
+            let last_ms = self.heard_at_ms.entry(told.upstream).or_default();
+            *last_ms = at_ms.max(*last_ms);
+        }
+    }
+
+    /// Forgets upstreams that nobody has heard for long.
+    fn forget(&mut self, now_ms: u64) {
+        self.heard_at_ms.retain(|_, at_ms| now_ms < *at_ms + FORGET_MS);
+    }
+}
+
+impl Peers {
+    /// Takes peers out of the sums that say nothing any more.
+    pub fn lapse(&mut self, now_ms: u64) {
+        let bounds = self.silence_bounds();
+        for peer in self.known.values_mut() {
+            if peer.counted && !bounds.is_alive(now_ms, peer) {
+                peer.counted = false;
+                self.sums.subtract(&peer.gossip);
             }
         }
-        heard
+        self.sums.forget(now_ms);
+    }
+
+    /// Load that all other boxes put on an upstream.
+    #[must_use]
+    pub fn load(&self, upstream: u32) -> Load {
+        self.sums.loads.get(&upstream).copied().unwrap_or_default()
+    }
+
+    /// When any other box heard an upstream last; 0 when none did lately.
+    #[must_use]
+    pub fn heard_at_ms(&self, upstream: u32) -> u64 {
+        self.sums.heard_at_ms.get(&upstream).copied().unwrap_or_default()
+    }
+
+    /// Tokens that all other boxes fetch from a store.
+    #[must_use]
+    pub fn fetch_tokens(&self, store: u32) -> u64 {
+        self.sums.fetch_tokens.get(&store).copied().unwrap_or_default()
+    }
+
+    /// Upstreams of whose load a peer told last.
+    #[must_use]
+    pub fn upstreams_told_by(&self, address: std::net::IpAddr) -> Vec<u32> {
+        let peer = self.known.get(&address).filter(|peer| peer.counted);
+        peer.map_or_else(Vec::new, |peer| {
+            peer.gossip.loads.iter().map(|told| told.upstream).collect()
+        })
     }
 
     /// Limits of admission that all other boxes have found, in thousandths, by the
@@ -41,16 +115,4 @@
     pub fn limits(&self, now_ms: u64) -> Vec<(u32, u16)> {
         self.alive(now_ms).flat_map(|(_, peer)| peer.gossip.limits.iter().copied()).collect()
     }
-
-    /// Tokens that all other boxes fetch from stores, by their numbers.
-    #[must_use]
-    pub fn fetches(&self, now_ms: u64) -> BTreeMap<u32, u64> {
-        let mut fetches = BTreeMap::new();
-        for (_, peer) in self.alive(now_ms) {
-            for (number, tokens) in &peer.gossip.fetches {
-                *fetches.entry(*number).or_default() += u64::from(*tokens);
-            }
-        }
-        fetches
-    }
 }
--- a/src/gateway/decisions/stores.rs
+++ b/src/gateway/decisions/stores.rs
@@ -81,6 +81,12 @@
         -key.fraction(self.seed).ln()
     }
 
+    /// Number that names it in messages between boxes.
+    #[must_use]
+    pub fn number(&self) -> u32 {
+        self.seed
+    }
+
     /// Avoids it for a while.
     pub fn failed(&mut self, now_ms: u64) {
         self.avoid_until_ms = now_ms + AVOID_MS;
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams of all services, by their ids.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use crate::gateway::decisions::incarnation::Incarnation;
@@ -10,17 +10,23 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     by_id: BTreeMap<String, Upstream>,
+    /// Ids by the numbers that stand for them in messages.
+    ids: HashMap<u32, String>,
 }
 
 impl Upstreams {
     /// Takes what an upstream tells of itself in the metadata store, where what is newer
     /// comes later.
     pub fn put(&mut self, now_ms: u64, id: &str, entry: Entry) -> Told {
-        let Some(known) = self.by_id.get_mut(id) else {
-            self.by_id.insert(id.to_owned(), Upstream::new(now_ms, id, entry));
-            return Told::Known;
+        let told = match self.by_id.get_mut(id) {
+            Some(known) => known.take_entry(now_ms, entry),
+            None => {
+                self.by_id.insert(id.to_owned(), Upstream::new(now_ms, id, entry));
+                Told::Known
+            }
         };
-        known.take_entry(now_ms, entry)
+        self.note_number(id);
+        told
     }
 
     /// Takes the start of the run that answered a call made at `asked_at_ms`.
@@ -31,8 +37,24 @@
         started_at_ms: Option<u64>,
         asked_at_ms: u64,
     ) -> Told {
-        let known = self.by_id.get_mut(id);
-        known.map_or(Told::Known, |known| known.answered_by(now_ms, started_at_ms, asked_at_ms))
+        let Some(known) = self.by_id.get_mut(id) else { return Told::Known };
+        let told = known.answered_by(now_ms, started_at_ms, asked_at_ms);
+        self.note_number(id);
+        told
+    }
+
+    /// Another run of an upstream has another number.
+    fn note_number(&mut self, id: &str) {
+        let Some(number) = self.get(id).map(|one| one.number) else { return };
+        if self.ids.get(&number).is_none_or(|known| known != id) {
+            self.ids.retain(|_, known| known != id);
+            self.ids.insert(number, id.to_owned());
+        }
+    }
+
+    /// The upstream whose present run has a number, to be changed.
+    pub fn numbered_mut(&mut self, number: u32) -> Option<&mut Upstream> {
+        self.by_id.get_mut(self.ids.get(&number)?)
     }
 
     /// Notes that no connection to an upstream came up in time. Two in one
@@ -67,6 +89,7 @@
     /// Takes an upstream out; what runs there goes on.
     pub fn remove(&mut self, id: &str) {
         self.by_id.remove(id);
+        self.ids.retain(|_, known| known != id);
     }
 
     /// An upstream.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -105,6 +105,7 @@
         let mut state = gateway.state();
         let now_ms = now_ms();
         choose_role(&gateway, &mut state, now_ms);
+        state.take_others(now_ms);
         state.limits.recover(TICK.as_secs_f64());
         let changes = state.view.tick(now_ms);
         apply(&gateway, &mut state, now_ms, Named::Now, changes);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,9 @@
 use crate::error::{Error, Result};
 use crate::gateway::claims::pause_ms;
 use crate::gateway::connections::tune;
-use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad, ToldNaming, told_loads};
+use crate::gateway::decisions::gossip_message::{
+    Gossip, LoadChanges, ToldLoad, ToldNaming, changed_loads, told_loads,
+};
 use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS};
 use crate::gateway::decisions::view::{CatchUp, Mark};
@@ -52,6 +54,8 @@
 pub enum Datagram {
     /// What the sender knows and does.
     Gossip(Box<Gossip>),
+    /// What has changed since the sender's gossip; for the own hall, many times a second.
+    LoadChanges(LoadChanges),
     /// The sender leads, and the metadata store does not answer it.
     HelpRequest(HelpRequest),
     /// The answer to that.
@@ -70,9 +74,10 @@
 /// Tells peers, a few times a second.
 pub async fn send(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
     let mut audience = Audience::All;
+    let mut told = Vec::new();
     while gateway.phase() != Phase::Stopped {
-        let (gossip, targets) = compose(&gateway, incarnation, audience);
-        match postcard::to_stdvec(&Datagram::Gossip(Box::new(gossip))) {
+        let (datagram, targets) = compose(&gateway, incarnation, audience, &mut told);
+        match postcard::to_stdvec(&datagram) {
             Ok(bytes) => {
                 for target in targets {
                     if let Err(error) = socket.send_to(&bytes, target).await {
@@ -86,6 +91,43 @@
     }
 }
 
+/// What is told next, and to whom. `told` is what was told of loads last.
+fn compose(
+    gateway: &Gateway,
+    incarnation: u64,
+    audience: Audience,
+    told: &mut Vec<ToldLoad>,
+) -> (Datagram, Vec<SocketAddr>) {
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    let audience = state.peers.due_audience(now_ms, audience);
+    let targets = state.peers.next_targets(now_ms, audience);
+    let datagram = match audience {
+        Audience::All => {
+            let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation);
+            told.clone_from(&gossip.loads);
+            Datagram::Gossip(Box::new(gossip))
+        }
+        Audience::OwnHall => {
+            let loads = changed_loads(told, own_loads(&state, now_ms));
+            let changes = LoadChanges { incarnation, loads, superseded: superseded(&state) };
+            told.retain(|known| changes.loads.iter().all(|one| one.upstream != known.upstream));
+            told.extend(&changes.loads);
+            Datagram::LoadChanges(changes)
+        }
+    };
+    (datagram, targets)
+}
+
+/// What this box has to do with each upstream.
+fn own_loads(state: &State, now_ms: u64) -> impl Iterator<Item = ToldLoad> {
+    state.upstreams.iter().map(move |one| ToldLoad {
+        upstream: one.number,
+        load: one.own,
+        heard_age_ms: one.heard_age_ms(now_ms),
+    })
+}
+
 /// Waits until there is something to tell; who is to hear it.
 async fn next_audience(gateway: &Gateway) -> Audience {
     sleep(LEAST_PERIOD).await;
@@ -97,11 +139,8 @@
     }
 }
 
-fn compose(gateway: &Gateway, incarnation: u64, audience: Audience) -> (Gossip, Vec<SocketAddr>) {
-    let mut state = gateway.state();
-    let now_ms = now_ms();
-    let targets = state.peers.next_targets(now_ms, audience);
-    let gossip = Gossip {
+fn compose_gossip(gateway: &Gateway, state: &mut State, now_ms: u64, incarnation: u64) -> Gossip {
+    Gossip {
         incarnation,
         hall: state.peers.own().hall,
         millicores: state.peers.own().millicores,
@@ -110,30 +149,25 @@
         store_link: state.store_link(),
         follows_caches: state.follows_caches,
         peers: state.peers.named(now_ms),
-        loads: told_loads(state.upstreams.iter().map(|one| ToldLoad {
-            upstream: one.number,
-            load: one.own,
-            heard_age_ms: one.heard_age_ms(now_ms),
-        })),
-        fetches: fetches(&state),
+        loads: told_loads(own_loads(state, now_ms)),
+        fetches: fetches(state),
         limits: state.limits.found(),
-        loading: loading(&state),
-        superseded: superseded(&state),
+        loading: loading(state),
+        superseded: superseded(state),
         upstream_clock_ms: state
             .upstream_clock_ahead_ms
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
-        versions: versions(&mut state, now_ms),
-        named: named(&state, now_ms, gateway.settings.bounds.weights_apply_ms),
-        terms: terms(&state, now_ms, pause_ms(&gateway.settings.bounds)),
-    };
-    (gossip, targets)
+        versions: versions(state, now_ms),
+        named: named(state, now_ms, gateway.settings.bounds.weights_apply_ms),
+        terms: terms(state, now_ms, pause_ms(&gateway.settings.bounds)),
+    }
 }
 
 /// Tokens that this box fetches from stores, by their numbers.
 fn fetches(state: &State) -> Vec<(u32, u32)> {
     let stores = state.stores.iter().filter(|(_, one)| one.own_fetch_tokens() > 0);
-    let told = stores.map(|(store, one)| {
-        (number(&store.name), u32::try_from(one.own_fetch_tokens()).unwrap_or(u32::MAX))
+    let told = stores.map(|(_, one)| {
+        (one.number(), u32::try_from(one.own_fetch_tokens()).unwrap_or(u32::MAX))
     });
     told.collect()
 }
@@ -193,6 +227,7 @@
         };
         match postcard::from_bytes(&buffer[..length]) {
             Ok(Datagram::Gossip(gossip)) => hear(&gateway, from.ip(), *gossip),
+            Ok(Datagram::LoadChanges(changes)) => hear_loads(&gateway, from.ip(), &changes),
             Ok(Datagram::HelpRequest(request)) => {
                 tokio::spawn(help(gateway.clone(), socket.clone(), request, from));
             }
@@ -216,11 +251,7 @@
     for (revision, age_ms) in &gossip.terms {
         state.terms.hear(*revision, now_ms.saturating_sub(u64::from(*age_ms)));
     }
-    for upstream in state.upstreams.iter_mut() {
-        if gossip.superseded.contains(&upstream.number) {
-            upstream.supersede();
-        }
-    }
+    supersede(&mut state, &gossip.superseded);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.take_upstream_clock(now_ms, clock_ms);
     }
@@ -228,43 +259,57 @@
         // Requests may wait for an engine that has its new weights now.
         gateway.places.notify_waiters();
     }
+    let mut upstreams = state.peers.upstreams_told_by(from);
+    upstreams.extend(gossip.loads.iter().map(|told| told.upstream));
     if state.peers.hear(now_ms, from, gossip, own) {
         // Boxes that start together know each other within some round trips.
         gateway.gossip_now.notify_one();
     }
-    if state.peers.ahead(now_ms, own, state.store_link()).is_some() {
+    if state.peers.differs(from, own) {
         gateway.peer_ahead.notify_one();
     }
-    let loads = state.peers.loads(now_ms);
-    let heard = state.peers.heard_upstreams(now_ms);
-    for upstream in state.upstreams.iter_mut() {
-        upstream.others = loads.get(&upstream.number).copied().unwrap_or_default();
-        upstream.others_heard(heard.get(&upstream.number).copied().unwrap_or_default());
+    for upstream in upstreams {
+        state.take_others_load(upstream);
+    }
+    let State { stores, peers, .. } = &mut *state;
+    for (_, store) in stores.iter_mut() {
+        store.others_fetch(peers.fetch_tokens(store.number()));
+    }
+}
+
+/// Takes the loads that a peer has changed.
+fn hear_loads(gateway: &Gateway, from: IpAddr, changes: &LoadChanges) {
+    let mut state = gateway.state();
+    supersede(&mut state, &changes.superseded);
+    state.peers.hear_loads(now_ms(), from, changes);
+    for told in &changes.loads {
+        state.take_others_load(told.upstream);
     }
-    let limits = state.peers.limits(now_ms);
-    state.limits.hear(limits);
-    let fetches = state.peers.fetches(now_ms);
-    for (store, one) in state.stores.iter_mut() {
-        one.others_fetch(fetches.get(&number(&store.name)).copied().unwrap_or_default());
+}
+
+fn supersede(state: &mut State, upstreams: &[u32]) {
+    for upstream in upstreams {
+        if let Some(upstream) = state.upstreams.numbered_mut(*upstream) {
+            upstream.supersede();
+        }
     }
 }
 
 /// Takes what the leader tells of engines' weights.
 fn take_weights(state: &mut State, now_ms: u64, gossip: &Gossip) {
-    for upstream in state.upstreams.iter_mut() {
-        let loads = gossip.loading.iter().find(|(engine, _)| *engine == upstream.number);
-        if let Some((_, left_ms)) = loads {
-            upstream.loads_until(now_ms + u64::from(*left_ms));
+    for (engine, left_ms) in &gossip.loading {
+        if let Some(engine) = state.upstreams.numbered_mut(*engine) {
+            engine.loads_until(now_ms + u64::from(*left_ms));
         }
-        for (engine, model, version) in &gossip.versions {
-            if *engine == upstream.number
-                && let Some(model) = upstream.model_of(*model)
-            {
-                if *version > upstream.version(&model) {
-                    upstream.loads_until(0);
-                }
-                upstream.saw_version(&model, *version);
+    }
+    for (engine, model, version) in &gossip.versions {
+        if let Some(engine) = state.upstreams.numbered_mut(*engine)
+            && let Some(model) = engine.model_of(*model)
+        {
+            if *version > engine.version(&model) {
+                engine.loads_until(0);
             }
+            engine.saw_version(&model, *version);
         }
     }
 }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -110,6 +110,29 @@
         }
     }
 
+    /// Takes what all other boxes together told of an upstream.
+    pub fn take_others_load(&mut self, number: u32) {
+        if let Some(upstream) = self.upstreams.numbered_mut(number) {
+            upstream.others = self.peers.load(number);
+            upstream.others_heard(self.peers.heard_at_ms(number));
+        }
+    }
+
+    /// Takes what all other boxes told: of those that fell silent no load is left, and an
+    /// upstream may be new to this box alone.
+    pub fn take_others(&mut self, now_ms: u64) {
+        let Self { peers, upstreams, stores, limits, .. } = self;
+        peers.lapse(now_ms);
+        for upstream in upstreams.iter_mut() {
+            upstream.others = peers.load(upstream.number);
+            upstream.others_heard(peers.heard_at_ms(upstream.number));
+        }
+        for (_, store) in stores.iter_mut() {
+            store.others_fetch(peers.fetch_tokens(store.number()));
+        }
+        limits.hear(peers.limits(now_ms));
+    }
+
     /// Takes what the upstreams' clock showed when a message left. The time that
     /// it was under way makes the clock look late, never early.
     pub fn take_upstream_clock(&mut self, now_ms: u64, clock_ms: u64) {
--- /dev/null
+++ b/tests/gateway_sums.rs
@@ -0,0 +1,134 @@
+//! What a box adds up of its peers' news is what they told last, whatever came before.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, SocketAddr};
+
+use coursestile::gateway::decisions::gossip_message::{
+    Gossip, LoadChanges, ToldLoad, changed_loads,
+};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers};
+use coursestile::gateway::decisions::upstream::Load;
+use coursestile::gateway::decisions::view::Mark;
+use proptest::prelude::*;
+
+const HALL: u32 = 1;
+/// Silence after which a peer of the own hall does not count.
+const SILENT_MS: u64 = 1500;
+const UPSTREAMS: u32 = 6;
+const STORE: u32 = 99;
+
+fn peers() -> Peers {
+    let address = SocketAddr::from(([10, 0, 1, 100], 7000));
+    Peers::new(Own { number: 1, address, hall: HALL, millicores: 120 }, &[])
+}
+
+fn address(host: u8) -> IpAddr {
+    IpAddr::from([10, 0, 1, host])
+}
+
+fn told(upstream: u32, requests: u32) -> ToldLoad {
+    let load = Load { requests, unread_tokens: requests * 100, memory_tokens: requests * 10 };
+    ToldLoad { upstream, load, heard_age_ms: 0 }
+}
+
+fn gossip(loads: Vec<ToldLoad>, fetch_tokens: u32) -> Gossip {
+    let fetches = vec![(STORE, fetch_tokens)];
+    Gossip { incarnation: 1, hall: HALL, loads, fetches, ..Gossip::default() }
+}
+
+/// What happens to a box.
+#[derive(Clone, Debug)]
+enum Step {
+    Gossip { host: u8, loads: BTreeMap<u32, u32> },
+    Changes { host: u8, loads: BTreeMap<u32, u32> },
+    Pause { ms: u64 },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let loads = || prop::collection::btree_map(0..UPSTREAMS, 0_u32..9, 0..4);
+    let step = prop_oneof![
+        (1_u8..20, loads()).prop_map(|(host, loads)| Step::Gossip { host, loads }),
+        (1_u8..20, loads()).prop_map(|(host, loads)| Step::Changes { host, loads }),
+        (0_u64..2000).prop_map(|ms| Step::Pause { ms }),
+    ];
+    prop::collection::vec(step, 1..80)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn sums_kept(steps in steps()) {
+        let mut peers = peers();
+        let mut now_ms = 1000;
+        let mut last: HashMap<u8, (u64, BTreeMap<u32, u32>)> = HashMap::new();
+        for step in steps {
+            match step {
+                Step::Gossip { host, loads } => {
+                    let all = loads.iter().map(|(upstream, requests)| told(*upstream, *requests));
+                    let gossip = gossip(all.collect(), u32::from(host));
+                    peers.hear(now_ms, address(host), gossip, Mark::default());
+                    last.insert(host, (now_ms, loads));
+                }
+                Step::Changes { host, loads } => {
+                    let all = loads.iter().map(|(upstream, requests)| told(*upstream, *requests));
+                    let changes =
+                        LoadChanges { incarnation: 1, loads: all.collect(), superseded: vec![] };
+                    peers.hear_loads(now_ms, address(host), &changes);
+                    if let Some((at_ms, known)) = last.get_mut(&host) {
+                        *at_ms = now_ms;
+                        known.extend(loads);
+                    }
+                }
+                Step::Pause { ms } => {
+                    now_ms += ms;
+                    peers.next_targets(now_ms, Audience::All);
+                    // A peer that is forgotten has to introduce itself again.
+                    last.retain(|_, (at_ms, _)| now_ms < *at_ms + 30_000);
+                }
+            }
+            peers.lapse(now_ms);
+            let alive: Vec<_> =
+                last.iter().filter(|(_, (at_ms, _))| now_ms < *at_ms + SILENT_MS).collect();
+            for upstream in 0..UPSTREAMS {
+                let requests = alive.iter().filter_map(|(_, (_, loads))| loads.get(&upstream));
+                prop_assert_eq!(peers.load(upstream), told(upstream, requests.sum()).load);
+            }
+            let fetched: u64 = alive.iter().map(|(host, _)| u64::from(**host)).sum();
+            prop_assert_eq!(peers.fetch_tokens(STORE), fetched);
+        }
+    }
+}
+
+#[test]
+fn changes_suffice() {
+    let before = [told(1, 2), told(2, 3)];
+    let now = [told(1, 2), told(2, 0), told(3, 1), told(4, 0)];
+    assert_eq!(changed_loads(&before, now.into_iter()), [told(2, 0), told(3, 1)]);
+}
+
+#[test]
+fn strangers_wait() {
+    let mut peers = peers();
+    let loads = vec![told(1, 4)];
+    let changes = LoadChanges { incarnation: 1, loads: loads.clone(), superseded: vec![] };
+    peers.hear_loads(0, address(1), &changes);
+    assert_eq!(peers.load(1), Load::default(), "it has not introduced itself");
+    peers.hear(0, address(1), gossip(Vec::new(), 0), Mark::default());
+    peers.hear_loads(0, address(1), &changes);
+    assert_eq!(peers.load(1).requests, 4);
+    // It starts again, and an old message arrives late.
+    let reborn = Gossip { incarnation: 2, ..gossip(Vec::new(), 0) };
+    peers.hear(10, address(1), reborn, Mark::default());
+    peers.hear_loads(20, address(1), &changes);
+    assert_eq!(peers.load(1), Load::default(), "of an earlier start");
+}
+
+#[test]
+fn hearing_remembered() {
+    let mut peers = peers();
+    peers.hear(1000, address(1), gossip(vec![told(1, 1)], 0), Mark::default());
+    peers.lapse(1000 + SILENT_MS);
+    assert_eq!(peers.load(1), Load::default(), "the peer is silent");
+    assert_eq!(peers.heard_at_ms(1), 1000, "the upstream was heard all the same");
+}
