Relays pass on between halls; other boxes only show themselves there

Change: the two strongest boxes of each hall (and the leader) tell those of all other halls at once, and pass on to their own hall which engines load, which versions they reached, and the loads and fetches of all other halls as sums; other boxes only show who they are. One box of a hall follows the metadata store, since relays tell of its changes.

Ruled out: passing everything on by rumour (each box tells four others), which takes some 500 ms and the bytes.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -13,7 +13,7 @@
 use coursestile::gateway::decisions::gossip_message::{Gossip, LoadChanges, ToldLoad};
 use coursestile::gateway::decisions::holder::PartKey;
 use coursestile::gateway::decisions::kept::{CacheChange, CacheListing, KeptPart};
-use coursestile::gateway::decisions::peers::{Audience, Own, Peers};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers, Reach};
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::site::{EngineSpec, Store};
 use coursestile::gateway::decisions::stores::{Placing, Stores};
@@ -44,11 +44,13 @@
 
 /// Prints the table.
 pub fn run() -> ExitCode {
-    println!("| boxes | peers told of a change | bytes of gossip | of a change | hear gossip, us | hear a change, us | choose, us |");
+    println!(
+        "| boxes | peers told of a change | bytes of gossip | of a change | hear gossip, us | hear a change, us | choose, us |"
+    );
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for boxes in FLEETS {
         let (mut peers, told) = known_peers(boxes);
-        let targets = peers.next_targets(1, Audience::OwnHall).len();
+        let targets = peers.next_targets(1, Audience::OwnHall, Reach::OwnHall).whole.len();
         let gossip_bytes = encoded_bytes(&gossip(boxes, 1));
         let change_bytes = encoded_bytes(&changes(boxes, 1, 1));
         let hear_us = mean_us(|round| {
@@ -107,12 +109,13 @@
 
 /// The peers of a box that has heard all others.
 fn known_peers(boxes: u32) -> (Peers, usize) {
-    let own = Own { number: 0, address: SocketAddr::new(address(0), 7000), hall: 0, millicores: 120 };
+    let own =
+        Own { number: 0, address: SocketAddr::new(address(0), 7000), hall: 0, millicores: 120 };
     let mut peers = Peers::new(own, &[]);
     for peer in 1..boxes {
         peers.hear(0, address(peer), gossip(boxes, peer), Mark::default());
     }
-    let told = peers.next_targets(0, Audience::All).len();
+    let told = peers.next_targets(0, Audience::All, Reach::OwnHall).whole.len();
     (peers, told)
 }
 
@@ -131,7 +134,8 @@
         let id = format!("engine-{engine}");
         upstreams.put(0, &id, entry);
         if let Some(upstream) = upstreams.get_mut(&id) {
-            upstream.others = Load { requests: 4, unread_tokens: 3000 + engine, memory_tokens: 9000 };
+            upstream.others =
+                Load { requests: 4, unread_tokens: 3000 + engine, memory_tokens: 9000 };
         }
     }
     let stores = stores(boxes);
@@ -144,7 +148,8 @@
     };
     mean_us(|round| {
         let part = round % (KEPT_PARTS * boxes * STORES_PERCENT / 100);
-        let prompt = Prompt::parse(MODEL, "9000,60", &format!("aa:2500,{part:x}:5000,ff{round:x}:1500"));
+        let prompt =
+            Prompt::parse(MODEL, "9000,60", &format!("aa:2500,{part:x}:5000,ff{round:x}:1500"));
         black_box(choose(1, &upstreams, &stores, Some(&engine), &demand(prompt.as_ref())));
     })
 }
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -53,6 +53,23 @@
 }
 
 impl Gossip {
+    /// What boxes of other halls hear in turn: who the box is and what it knows, and not what
+    /// it does, which relays tell of whole halls.
+    #[must_use]
+    pub fn brief(&self) -> Self {
+        Self {
+            incarnation: self.incarnation,
+            hall: self.hall,
+            millicores: self.millicores,
+            mark: self.mark,
+            site_version: self.site_version,
+            store_link: self.store_link,
+            follows_caches: self.follows_caches,
+            limits: self.limits.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Puts newer loads in the place of those that were told before.
     pub fn change_loads(&mut self, changed: &[ToldLoad]) {
         for told in changed {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -6,7 +6,7 @@
 //! - Who is served and who has had its share: `admission`, `budget`, `urgency`.
 //! - Which weights engines get, and when old context may go: `rollout`, `weights`, `orders`,
 //!   `claims`, `release`.
-//! - What is known, from whom: `view`, `peers`, `site`, `gossip_message`.
+//! - What is known, from whom: `view`, `peers`, `site`, `gossip_message`, `hall_news`.
 //! - Numbers and names that all share: `units`, `names`.
 
 pub mod admission;
@@ -16,6 +16,7 @@
 pub mod context;
 pub mod demand;
 pub mod gossip_message;
+pub mod hall_news;
 pub mod holder;
 pub mod incarnation;
 pub mod kept;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -5,22 +5,26 @@
 //! knows and does. A lost datagram is made up for by the next. What needs
 //! more room than a datagram is fetched by TCP from the peer that has it.
 
+mod halls;
 mod roles;
 mod sums;
+mod targets;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::decisions::gossip_message::{Gossip, LoadChanges, StoreLink};
 use crate::gateway::decisions::names::number;
+use crate::gateway::decisions::peers::halls::Halls;
 use crate::gateway::decisions::peers::sums::Sums;
+pub use crate::gateway::decisions::peers::targets::{Audience, Reach, Targets};
 use crate::gateway::decisions::view::Mark;
 
 /// Time between two messages to the same peers.
 pub const GOSSIP_PERIOD_MS: u64 = 250;
 /// Peers up to which all are told at once, whatever their hall.
 const SMALL_FLEET: usize = 12;
-/// Peers of other halls that a larger fleet tells at once, in turn.
+/// Peers of other halls that a box of a larger fleet introduces itself to at once, in turn.
 const OTHER_HALLS_FANOUT: usize = 4;
 /// Time after which a peer that says nothing is not counted.
 const ALIVE_MS: u64 = 1500;
@@ -41,15 +45,6 @@
 /// Peers that are asked at once to renew a lease: one may be gone by now.
 const HELPERS: usize = 2;
 
-/// Who is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Audience {
-    /// All that are told at all.
-    All,
-    /// The boxes of the own hall, which mostly use the same upstreams.
-    OwnHall,
-}
-
 /// What a box tells of itself in every message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Own {
@@ -74,6 +69,8 @@
     told: bool,
     /// Whether what it told is in the sums.
     counted: bool,
+    /// Revision of the metadata store that it knows, by the word of its hall's relay.
+    relayed_revision: u64,
     /// Orders those that this box may learn from; another number in each box.
     distance: u32,
 }
@@ -103,8 +100,12 @@
     first_heard_at_ms: Option<u64>,
     /// Whether some peer was not told of this box yet.
     has_untold: bool,
+    /// When the next news of whole halls is due.
+    halls_due_at_ms: u64,
     /// What the peers that count told, put together.
     sums: Sums,
+    /// What relays told of whole halls.
+    halls: Halls,
 }
 
 impl Peers {
@@ -122,7 +123,9 @@
             helper_turn: 0,
             first_heard_at_ms: None,
             has_untold: false,
+            halls_due_at_ms: 0,
             sums: Sums::default(),
+            halls: Halls::default(),
         }
     }
 
@@ -138,6 +141,7 @@
             self.learn(now_ms, *address);
         }
         let own_address = self.own.address.ip();
+        let is_small = self.is_small_fleet();
         let peer = self.known.entry(from).or_insert_with(|| Peer::new(own_address, from));
         if gossip.incarnation < peer.gossip.incarnation {
             return false;
@@ -155,9 +159,12 @@
         if peer.counted {
             self.sums.subtract(&peer.gossip);
         }
-        self.sums.add(&gossip);
-        self.sums.heard(now_ms, &gossip.loads);
-        peer.counted = true;
+        // Relays tell what other halls do together.
+        peer.counted = is_small || gossip.hall == self.own.hall;
+        if peer.counted {
+            self.sums.add(&gossip);
+            self.sums.heard(now_ms, &gossip.loads);
+        }
         peer.gossip = gossip;
         self.has_untold
     }
@@ -170,6 +177,9 @@
             return;
         }
         peer.heard_at_ms = now_ms;
+        if peer.gossip.hall != self.own.hall {
+            return;
+        }
         if peer.counted {
             self.sums.subtract(&peer.gossip);
         }
@@ -247,50 +257,6 @@
         1 + self.alive(now_ms).count()
     }
 
-    /// Who is to be told next, when `audience` has something to hear: all are in time, and
-    /// once some box was not told of this one.
-    #[must_use]
-    pub fn due_audience(&self, now_ms: u64, audience: Audience) -> Audience {
-        if self.has_untold || now_ms >= self.all_due_at_ms { Audience::All } else { audience }
-    }
-
-    /// The addresses of those who are told next.
-    pub fn next_targets(&mut self, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
-        let audience = self.due_audience(now_ms, audience);
-        if audience == Audience::All {
-            self.all_due_at_ms = now_ms + GOSSIP_PERIOD_MS;
-        }
-        self.forget(now_ms);
-        let boxes = &mut self.known;
-        let small = boxes.len() <= SMALL_FLEET && audience == Audience::All;
-        let hall = self.own.hall;
-        let (mut all, mut others): (Vec<IpAddr>, Vec<IpAddr>) =
-            boxes.keys().copied().partition(|address| {
-                let peer = &boxes[address];
-                small || peer.gossip.hall == hall || !peer.told
-            });
-        if audience == Audience::OwnHall {
-            return self.at_peer_port(all);
-        }
-        for address in &all {
-            boxes.entry(*address).and_modify(|peer| peer.told = true);
-        }
-        self.has_untold = false;
-        if !others.is_empty() {
-            let start = self.turn % others.len();
-            others.rotate_left(start);
-        }
-        self.turn = self.turn.wrapping_add(OTHER_HALLS_FANOUT);
-        all.extend(others.into_iter().take(OTHER_HALLS_FANOUT));
-        if !self.seeds.is_empty() {
-            let seed = self.seeds[self.turn % self.seeds.len()];
-            if !all.contains(&seed) {
-                all.push(seed);
-            }
-        }
-        self.at_peer_port(all)
-    }
-
     /// Forgets peers that have said nothing for long.
     fn forget(&mut self, now_ms: u64) {
         let sums = &mut self.sums;
@@ -336,7 +302,9 @@
     #[must_use]
     pub fn knows(&self, address: IpAddr, revision: u64) -> bool {
         let peer = self.known.get(&address).filter(|peer| peer.gossip.incarnation > 0);
-        peer.is_some_and(|peer| peer.gossip.mark.changed_revision >= revision)
+        peer.is_some_and(|peer| {
+            peer.gossip.mark.changed_revision.max(peer.relayed_revision) >= revision
+        })
     }
 
     /// Some boxes that were heard lately, to be named to others.
@@ -351,11 +319,6 @@
             .collect()
     }
 
-    fn at_peer_port(&self, addresses: Vec<IpAddr>) -> Vec<SocketAddr> {
-        let port = self.own.address.port();
-        addresses.into_iter().map(|address| SocketAddr::new(address, port)).collect()
-    }
-
     fn alive(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> + Clone {
         let bounds = self.silence_bounds();
         let heard = self.known.iter().filter(|(_, peer)| peer.gossip.incarnation > 0);
--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -5,9 +5,12 @@
 use crate::gateway::decisions::gossip_message::{Gossip, StoreLink};
 use crate::gateway::decisions::peers::{Peer, Peers, SMALL_FLEET};
 
-/// Boxes of a hall that follow the metadata store in a larger fleet; the others
-/// learn from them. One may fail.
-const FOLLOWERS: usize = 2;
+/// Boxes of a hall that follow the metadata store in a larger fleet; the others learn from
+/// them. Should one fail, its hall's relays hear of changes from those of other halls.
+const FOLLOWERS: usize = 1;
+/// Boxes of a hall that follow the stores of context, and pass on between halls. One may
+/// fail.
+pub(super) const RELAYS: usize = 2;
 
 impl Peers {
     /// Whether all boxes tell each other everything.
@@ -38,7 +41,7 @@
     /// metadata store answers nobody.
     #[must_use]
     pub fn is_cache_follower(&self, now_ms: u64) -> bool {
-        self.is_small_fleet() || self.stronger(now_ms).count() < FOLLOWERS
+        self.is_small_fleet() || self.stronger(now_ms).count() < RELAYS
     }
 
     /// Boxes of the own hall that go before this one.
--- a/src/gateway/decisions/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -24,10 +24,7 @@
     /// Counts what a peer tells.
     pub(super) fn add(&mut self, gossip: &Gossip) {
         for told in &gossip.loads {
-            let load = self.loads.entry(told.upstream).or_default();
-            load.requests += told.load.requests;
-            load.unread_tokens += told.load.unread_tokens;
-            load.memory_tokens += told.load.memory_tokens;
+            self.loads.entry(told.upstream).or_default().add(told.load);
         }
         for (store, tokens) in &gossip.fetches {
             *self.fetch_tokens.entry(*store).or_default() += u64::from(*tokens);
@@ -38,9 +35,7 @@
     pub(super) fn subtract(&mut self, gossip: &Gossip) {
         for told in &gossip.loads {
             let Some(load) = self.loads.get_mut(&told.upstream) else { continue };
-            load.requests -= told.load.requests;
-            load.unread_tokens -= told.load.unread_tokens;
-            load.memory_tokens -= told.load.memory_tokens;
+            load.subtract(told.load);
             if *load == Load::default() {
                 self.loads.remove(&told.upstream);
             }
@@ -54,6 +49,16 @@
         }
     }
 
+    /// Load by the numbers of upstreams.
+    pub(super) fn loads(&self) -> &HashMap<u32, Load> {
+        &self.loads
+    }
+
+    /// Tokens that are fetched, by the numbers of stores.
+    pub(super) fn all_fetch_tokens(&self) -> &HashMap<u32, u64> {
+        &self.fetch_tokens
+    }
+
     /// Notes when a peer heard upstreams. That stays true, whatever becomes of the peer.
     pub(super) fn heard(&mut self, now_ms: u64, loads: &[ToldLoad]) {
         for told in loads {
@@ -80,12 +85,15 @@
             }
         }
         self.sums.forget(now_ms);
+        self.halls.lapse(now_ms);
     }
 
     /// Load that all other boxes put on an upstream.
     #[must_use]
     pub fn load(&self, upstream: u32) -> Load {
-        self.sums.loads.get(&upstream).copied().unwrap_or_default()
+        let mut load = self.halls.load(upstream);
+        load.add(self.sums.loads.get(&upstream).copied().unwrap_or_default());
+        load
     }
 
     /// When any other box heard an upstream last; 0 when none did lately.
@@ -97,7 +105,8 @@
     /// Tokens that all other boxes fetch from a store.
     #[must_use]
     pub fn fetch_tokens(&self, store: u32) -> u64 {
-        self.sums.fetch_tokens.get(&store).copied().unwrap_or_default()
+        let own_hall = self.sums.fetch_tokens.get(&store).copied().unwrap_or_default();
+        own_hall + self.halls.fetch_tokens(store)
     }
 
     /// Upstreams of whose load a peer told last.
--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -72,6 +72,22 @@
     pub memory_tokens: u32,
 }
 
+impl Load {
+    /// Counts another's load.
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
+    }
+
+    /// Takes out a load that was counted.
+    pub fn subtract(&mut self, counted: Self) {
+        self.requests -= counted.requests;
+        self.unread_tokens -= counted.unread_tokens;
+        self.memory_tokens -= counted.memory_tokens;
+    }
+}
+
 /// An upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -221,11 +237,9 @@
     /// Load from all boxes.
     #[must_use]
     pub fn load(&self) -> Load {
-        Load {
-            requests: self.own.requests + self.others.requests,
-            unread_tokens: self.own.unread_tokens + self.others.unread_tokens,
-            memory_tokens: self.own.memory_tokens + self.others.memory_tokens,
-        }
+        let mut load = self.own;
+        load.add(self.others);
+        load
     }
 
     /// Whether it failed or fell silent lately.
@@ -297,6 +311,12 @@
         now_ms < self.loading_until_ms
     }
 
+    /// Time for which it loads weights still.
+    #[must_use]
+    pub fn loading_left_ms(&self, now_ms: u64) -> u64 {
+        self.loading_until_ms.saturating_sub(now_ms)
+    }
+
     /// Notes that it loads weights until a deadline, or has ended to (0).
     pub fn loads_until(&mut self, until_ms: u64) {
         self.loading_until_ms = until_ms;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,14 +17,15 @@
 use crate::gateway::decisions::gossip_message::{
     Gossip, LoadChanges, ToldLoad, ToldNaming, changed_loads, told_loads,
 };
+use crate::gateway::decisions::hall_news::{HallNews, OtherHalls};
 use crate::gateway::decisions::names::number;
-use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS};
+use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, Reach};
 use crate::gateway::decisions::view::{CatchUp, Mark};
 use crate::gateway::decisions::weights::Naming;
 use crate::gateway::follow;
 use crate::gateway::helpers::{HelpReply, HelpRequest, help};
-use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::loads::LOADING_GOSSIP_MS;
+use crate::gateway::kernel::{Gateway, State, ToldVersion};
+use crate::gateway::loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
 use crate::gateway::settings::Bounds;
 use crate::gateway::store_updates::publish;
 use crate::phase::Phase;
@@ -56,6 +57,10 @@
     Gossip(Box<Gossip>),
     /// What has changed since the sender's gossip; for the own hall, many times a second.
     LoadChanges(LoadChanges),
+    /// What the sender's hall does and knows.
+    HallNews(HallNews),
+    /// What all halls but the sender's do.
+    OtherHalls(OtherHalls),
     /// The sender leads, and the metadata store does not answer it.
     HelpRequest(HelpRequest),
     /// The answer to that.
@@ -76,47 +81,80 @@
     let mut audience = Audience::All;
     let mut told = Vec::new();
     while gateway.phase() != Phase::Stopped {
-        let (datagram, targets) = compose(&gateway, incarnation, audience, &mut told);
-        match postcard::to_stdvec(&datagram) {
-            Ok(bytes) => {
-                for target in targets {
-                    if let Err(error) = socket.send_to(&bytes, target).await {
-                        debug!(target: "gossip", "event=gossip_lost peer={target} cause=\"{error}\"");
-                    }
-                }
-            }
-            Err(error) => warn!(target: "gossip", "event=gossip_unwritable cause=\"{error}\""),
+        for (datagram, targets) in compose(&gateway, incarnation, audience, &mut told) {
+            send_to(&socket, &datagram, &targets).await;
         }
         audience = next_audience(&gateway).await;
     }
 }
 
+async fn send_to(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
+    if targets.is_empty() {
+        return;
+    }
+    let bytes = match postcard::to_stdvec(datagram) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(target: "gossip", "event=gossip_unwritable cause=\"{error}\"");
+            return;
+        }
+    };
+    for target in targets {
+        if let Err(error) = socket.send_to(&bytes, target).await {
+            debug!(target: "gossip", "event=gossip_lost peer={target} cause=\"{error}\"");
+        }
+    }
+}
+
 /// What is told next, and to whom. `told` is what was told of loads last.
 fn compose(
     gateway: &Gateway,
     incarnation: u64,
     audience: Audience,
     told: &mut Vec<ToldLoad>,
-) -> (Datagram, Vec<SocketAddr>) {
+) -> Vec<(Datagram, Vec<SocketAddr>)> {
     let mut state = gateway.state();
     let now_ms = now_ms();
     let audience = state.peers.due_audience(now_ms, audience);
-    let targets = state.peers.next_targets(now_ms, audience);
-    let datagram = match audience {
-        Audience::All => {
-            let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation);
-            told.clone_from(&gossip.loads);
-            Datagram::Gossip(Box::new(gossip))
-        }
-        Audience::OwnHall => {
-            let loads = changed_loads(told, own_loads(&state, now_ms));
-            let changes = LoadChanges { incarnation, loads, superseded: superseded(&state) };
-            told.retain(|known| changes.loads.iter().all(|one| one.upstream != known.upstream));
-            told.extend(&changes.loads);
-            Datagram::LoadChanges(changes)
-        }
-    };
-    (datagram, targets)
+    let reach = reach(&state);
+    let targets = state.peers.next_targets(now_ms, audience, reach);
+    if audience == Audience::OwnHall {
+        let changes = compose_changes(&state, now_ms, incarnation, told);
+        return vec![(Datagram::LoadChanges(changes), targets.whole)];
+    }
+    let mut composed = Vec::new();
+    if !targets.relays.is_empty() {
+        let fetches = fetches(&state);
+        let news = state.peers.hall_news(now_ms, own_loads(&state, now_ms), &fetches);
+        composed.push((Datagram::HallNews(news), targets.relays));
+        let others = state.peers.other_halls(now_ms);
+        composed.push((Datagram::OtherHalls(others), targets.own_hall));
+    }
+    let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation);
+    told.clone_from(&gossip.loads);
+    let brief = Datagram::Gossip(Box::new(gossip.brief()));
+    composed.push((Datagram::Gossip(Box::new(gossip)), targets.whole));
+    composed.push((brief, targets.brief));
+    composed
+}
+
+/// How far the word of this box reaches.
+fn reach(state: &State) -> Reach {
+    let reaches_halls = state.is_relay() || state.leadership.is_some();
+    if reaches_halls { Reach::Relays } else { Reach::OwnHall }
+}
+
+/// The loads that have changed since they were told.
+fn compose_changes(
+    state: &State,
+    now_ms: u64,
+    incarnation: u64,
+    told: &mut Vec<ToldLoad>,
+) -> LoadChanges {
+    let loads = changed_loads(told, own_loads(state, now_ms));
+    told.retain(|known| loads.iter().all(|one| one.upstream != known.upstream));
+    told.extend(&loads);
+    LoadChanges { incarnation, loads, superseded: superseded(state) }
 }
 
 /// What this box has to do with each upstream.
@@ -152,7 +190,7 @@
         loads: told_loads(own_loads(state, now_ms)),
         fetches: fetches(state),
         limits: state.limits.found(),
-        loading: loading(state),
+        loading: loading(state, now_ms),
         superseded: superseded(state),
         upstream_clock_ms: state
             .upstream_clock_ahead_ms
@@ -166,9 +204,8 @@
 /// Tokens that this box fetches from stores, by their numbers.
 fn fetches(state: &State) -> Vec<(u32, u32)> {
     let stores = state.stores.iter().filter(|(_, one)| one.own_fetch_tokens() > 0);
-    let told = stores.map(|(_, one)| {
-        (one.number(), u32::try_from(one.own_fetch_tokens()).unwrap_or(u32::MAX))
-    });
+    let told = stores
+        .map(|(_, one)| (one.number(), u32::try_from(one.own_fetch_tokens()).unwrap_or(u32::MAX)));
     told.collect()
 }
 
@@ -177,10 +214,17 @@
     superseded.map(|one| one.number).collect()
 }
 
-fn loading(state: &State) -> Vec<(u32, u16)> {
-    let left_ms = u16::try_from(LOADING_GOSSIP_MS).unwrap_or(u16::MAX);
-    let loading = state.loading.iter().filter_map(|id| state.upstreams.get(id));
-    loading.map(|engine| (engine.number, left_ms)).collect()
+/// Engines that load weights: those that this box orders, and at a relay those that it has
+/// heard of, for as long as they load still.
+fn loading(state: &State, now_ms: u64) -> Vec<(u32, u16)> {
+    let in_message = |left_ms: u64| u16::try_from(left_ms).unwrap_or(u16::MAX);
+    let ordered = state.loading.iter().filter_map(|id| state.upstreams.get(id));
+    let ordered = ordered.map(|engine| (engine.number, in_message(LOADING_GOSSIP_MS)));
+    let heard = state.upstreams.iter().filter(|one| {
+        state.is_relay() && one.is_loading(now_ms) && !state.loading.contains(&one.id)
+    });
+    let heard = heard.map(|one| (one.number, in_message(one.loading_left_ms(now_ms))));
+    ordered.chain(heard).collect()
 }
 
 fn versions(state: &mut State, now_ms: u64) -> Vec<(u32, u32, u64)> {
@@ -228,6 +272,10 @@
         match postcard::from_bytes(&buffer[..length]) {
             Ok(Datagram::Gossip(gossip)) => hear(&gateway, from.ip(), *gossip),
             Ok(Datagram::LoadChanges(changes)) => hear_loads(&gateway, from.ip(), &changes),
+            Ok(Datagram::HallNews(news)) => gateway.state().peers.hear_hall(now_ms(), news),
+            Ok(Datagram::OtherHalls(news)) => {
+                gateway.state().peers.hear_other_halls(now_ms(), &news);
+            }
             Ok(Datagram::HelpRequest(request)) => {
                 tokio::spawn(help(gateway.clone(), socket.clone(), request, from));
             }
@@ -246,7 +294,10 @@
     let mut state = gateway.state();
     let now_ms = now_ms();
     let own = state.view.mark();
-    take_weights(&mut state, now_ms, &gossip);
+    if take_weights(&mut state, now_ms, &gossip) && state.is_relay() {
+        // The own hall hears it from this relay.
+        gateway.gossip_now.notify_one();
+    }
     take_namings(&mut state, now_ms, &gossip);
     for (revision, age_ms) in &gossip.terms {
         state.terms.hear(*revision, now_ms.saturating_sub(u64::from(*age_ms)));
@@ -295,23 +346,33 @@
     }
 }
 
-/// Takes what the leader tells of engines' weights.
-fn take_weights(state: &mut State, now_ms: u64, gossip: &Gossip) {
+/// Takes what the leader tells of engines' weights; whether some of it is new.
+fn take_weights(state: &mut State, now_ms: u64, gossip: &Gossip) -> bool {
+    let mut is_new = false;
     for (engine, left_ms) in &gossip.loading {
-        if let Some(engine) = state.upstreams.numbered_mut(*engine) {
-            engine.loads_until(now_ms + u64::from(*left_ms));
-        }
+        let Some(engine) = state.upstreams.numbered_mut(*engine) else { continue };
+        is_new |= !engine.is_loading(now_ms);
+        engine.loads_until(now_ms + u64::from(*left_ms));
     }
-    for (engine, model, version) in &gossip.versions {
-        if let Some(engine) = state.upstreams.numbered_mut(*engine)
-            && let Some(model) = engine.model_of(*model)
+    for (number, model, version) in &gossip.versions {
+        if let Some(engine) = state.upstreams.numbered_mut(*number)
+            && let Some(name) = engine.model_of(*model)
+            && *version > engine.version(&name)
         {
-            if *version > engine.version(&model) {
-                engine.loads_until(0);
+            engine.loads_until(0);
+            engine.saw_version(&name, *version);
+            is_new = true;
+            if state.is_relay() {
+                state.told_versions.push(ToldVersion {
+                    engine: *number,
+                    model: *model,
+                    version: *version,
+                    until_ms: now_ms + VERSION_GOSSIP_MS,
+                });
             }
-            engine.saw_version(&model, *version);
         }
     }
+    is_new
 }
 
 /// Takes since when versions of weights are named.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -64,6 +64,8 @@
     pub follows_store: bool,
     /// Whether this box follows the stores of context itself.
     pub follows_caches: bool,
+    /// Whether the box has had time to hear of its peers since it started.
+    pub is_settled: bool,
     /// Whether all boxes follow everything, as it was decided last.
     pub small_fleet: bool,
     /// Difference of the upstreams' clock to ours, once it was told.
@@ -110,6 +112,13 @@
         }
     }
 
+    /// Whether this box passes on between its hall and others: the strongest of each hall do
+    /// in a large fleet, those that follow the stores of context.
+    #[must_use]
+    pub fn is_relay(&self) -> bool {
+        self.follows_caches && !self.small_fleet
+    }
+
     /// Takes what all other boxes together told of an upstream.
     pub fn take_others_load(&mut self, number: u32) {
         if let Some(upstream) = self.upstreams.numbered_mut(number) {
@@ -233,6 +242,7 @@
             peers: Peers::new(own(&settings), &settings.seeds),
             follows_store: true,
             follows_caches: true,
+            is_settled: false,
             small_fleet: true,
             upstream_clock_ahead_ms: None,
             serving: 0,
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -45,7 +45,7 @@
 /// Time for which one message says that an engine loads.
 pub const LOADING_GOSSIP_MS: u64 = 700;
 /// Time for which peers are told of a version after it was seen.
-const VERSION_GOSSIP_MS: u64 = 4000;
+pub const VERSION_GOSSIP_MS: u64 = 4000;
 
 /// How a load ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use coursestile::gateway::decisions::gossip_message::{Gossip, StoreLink};
-use coursestile::gateway::decisions::peers::{Audience, Own, Peers};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers, Reach};
 use coursestile::gateway::decisions::view::{Mark, View, Written};
 use proptest::prelude::*;
 
@@ -23,6 +23,13 @@
     IpAddr::from([10, 0, u8::try_from(hall).unwrap(), host])
 }
 
+/// Whom a box tells that is neither a relay nor leads, in full or in brief.
+fn addresses_told(peers: &mut Peers, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
+    let targets = peers.next_targets(now_ms, audience, Reach::OwnHall);
+    assert_eq!((targets.relays.len(), targets.own_hall.len()), (0, 0));
+    targets.whole.into_iter().chain(targets.brief).collect()
+}
+
 /// Has `count` peers of a hall heard at `now_ms`.
 fn hear(peers: &mut Peers, now_ms: u64, hall: u32, count: u8, millicores: u32, link: StoreLink) {
     for host in 1..=count {
@@ -42,7 +49,7 @@
     };
     let other = IpAddr::from([10, 0, 0, 2]);
     let mut peers = Peers::new(own, &[other, own.address.ip()]);
-    assert_eq!(peers.next_targets(0, Audience::All), [SocketAddr::new(other, 7000)]);
+    assert_eq!(addresses_told(&mut peers, 0, Audience::All), [SocketAddr::new(other, 7000)]);
     let known = Mark { changed_revision: 5, checksum: 1 };
     let mark = Mark { changed_revision: 9, checksum: 2 };
     let news = Gossip { incarnation: 1, mark, ..Gossip::default() };
@@ -61,7 +68,7 @@
     hear(&mut peers, 0, OTHER_HALL, 20, 120, StoreLink::Unasked);
     let mut told = std::collections::BTreeSet::new();
     for _ in 0..5 {
-        let targets = peers.next_targets(0, Audience::All);
+        let targets = addresses_told(&mut peers, 0, Audience::All);
         assert_eq!(targets.iter().filter(|one| is_in(one, HALL)).count(), 20);
         told.extend(targets.into_iter().filter(|one| is_in(one, OTHER_HALL)));
     }
@@ -76,9 +83,9 @@
     let named = (2..40).map(|host| address(OTHER_HALL, host)).collect();
     let gossip = Gossip { incarnation: 1, hall: HALL, peers: named, ..Gossip::default() };
     assert!(peers.hear(0, address(HALL, 1), gossip.clone(), Mark::default()));
-    assert_eq!(peers.next_targets(0, Audience::OwnHall).len(), 39, "all at once");
+    assert_eq!(addresses_told(&mut peers, 0, Audience::OwnHall).len(), 39, "all at once");
     assert!(!peers.hear(0, address(HALL, 1), gossip.clone(), Mark::default()));
-    assert_eq!(peers.next_targets(0, Audience::All).len(), 5, "the others in turn");
+    assert_eq!(addresses_told(&mut peers, 0, Audience::All).len(), 5, "the others in turn");
     let restarted = Gossip { incarnation: 2, ..gossip };
     assert!(peers.hear(0, address(HALL, 1), restarted, Mark::default()), "it knows nothing");
 }
@@ -207,9 +214,10 @@
 fn other_halls_in_time() {
     let mut peers = Peers::new(own(), &[]);
     hear(&mut peers, 0, OTHER_HALL, 1, 120, StoreLink::Unasked);
-    peers.next_targets(0, Audience::All);
-    let told = (1..=20).map(|turn| (turn * 90, peers.next_targets(turn * 90, Audience::OwnHall)));
-    let told: Vec<u64> = told.filter(|(_, targets)| !targets.is_empty()).map(|one| one.0).collect();
+    addresses_told(&mut peers, 0, Audience::All);
+    let all =
+        (1..=20).map(|turn| (turn * 90, addresses_told(&mut peers, turn * 90, Audience::OwnHall)));
+    let told: Vec<u64> = all.filter(|(_, targets)| !targets.is_empty()).map(|one| one.0).collect();
     assert_eq!(told, [270, 540, 810, 1080, 1350, 1620]);
 }
 
--- /dev/null
+++ b/tests/gateway_relays.rs
@@ -0,0 +1,130 @@
+//! What crosses halls in a large fleet: relays tell each other of their halls, and their halls of
+//! the others.
+
+use std::net::{IpAddr, SocketAddr};
+
+use coursestile::gateway::decisions::gossip_message::{Gossip, ToldLoad};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers, Reach, Targets};
+use coursestile::gateway::decisions::upstream::Load;
+use coursestile::gateway::decisions::view::Mark;
+
+const HALLS: u32 = 5;
+/// Boxes of a hall: three strong ones first, as on a fleet of 295.
+const BOXES: u8 = 59;
+const STRONG: u8 = 3;
+const UPSTREAM: u32 = 7;
+const STORE: u32 = 8;
+
+fn address(hall: u32, host: u8) -> IpAddr {
+    IpAddr::from([10, u8::try_from(hall).unwrap(), 0, host])
+}
+
+fn told(requests: u32) -> ToldLoad {
+    let load = Load { requests, unread_tokens: requests * 100, memory_tokens: requests * 10 };
+    ToldLoad { upstream: UPSTREAM, load, heard_age_ms: 0 }
+}
+
+fn gossip(hall: u32, host: u8, requests: u32) -> Gossip {
+    let loads = if requests > 0 { vec![told(requests)] } else { Vec::new() };
+    let mark = Mark { changed_revision: 5, checksum: 0 };
+    Gossip {
+        incarnation: 1,
+        hall,
+        millicores: if host <= STRONG { 500 } else { 120 },
+        loads,
+        mark,
+        fetches: vec![(STORE, 10)],
+        ..Gossip::default()
+    }
+}
+
+/// A box that has heard all others, each of which sends `requests` to one upstream.
+fn fleet_box(hall: u32, host: u8, requests: u32) -> Peers {
+    let address_of_box = SocketAddr::new(address(hall, host), 7000);
+    let own = Own { number: 1, address: address_of_box, hall, millicores: 120 };
+    let mut peers = Peers::new(own, &[]);
+    for other_hall in 0..HALLS {
+        for other in 1..=BOXES {
+            let heard = gossip(other_hall, other, requests);
+            let heard = if other_hall == hall { heard } else { heard.brief() };
+            if (other_hall, other) != (hall, host) {
+                peers.hear(0, address(other_hall, other), heard, Mark::default());
+            }
+        }
+    }
+    peers.next_targets(0, Audience::All, Reach::OwnHall);
+    peers
+}
+
+fn ips(targets: &[SocketAddr]) -> Vec<IpAddr> {
+    targets.iter().map(SocketAddr::ip).collect()
+}
+
+/// Two relays of each of the four other halls.
+fn relays_of_others(hall: u32) -> Vec<IpAddr> {
+    let others = (0..HALLS).filter(|other| *other != hall);
+    others.flat_map(|other| [address(other, 1), address(other, 2)]).collect()
+}
+
+#[test]
+fn relays_reached() {
+    let mut peers = fleet_box(0, 1, 0);
+    let Targets { whole, brief, relays, own_hall } =
+        peers.next_targets(300, Audience::All, Reach::Relays);
+    let whole = ips(&whole);
+    assert!(relays_of_others(0).iter().all(|relay| whole.contains(relay)));
+    assert_eq!(whole.len(), 58 + 8, "the own hall, and the relays of all others");
+    assert_eq!(brief.len(), 4, "others in turn");
+    assert_eq!(ips(&relays), relays_of_others(0));
+    assert_eq!(own_hall.len(), 58);
+    let again = peers.next_targets(320, Audience::All, Reach::Relays);
+    assert_eq!((again.relays.len(), again.own_hall.len()), (0, 0), "halls have their own period");
+    let usual = peers.next_targets(600, Audience::All, Reach::OwnHall);
+    assert_eq!((usual.whole.len(), usual.brief.len()), (58, 4), "any other box");
+}
+
+#[test]
+fn new_relay_reached() {
+    let mut peers = fleet_box(0, 1, 0);
+    let successor = Gossip { follows_caches: true, ..gossip(1, 3, 0) };
+    peers.hear(300, address(1, 3), successor, Mark::default());
+    let targets = peers.next_targets(310, Audience::All, Reach::Relays);
+    assert!(ips(&targets.relays).contains(&address(1, 3)), "it says that it is one");
+}
+
+#[test]
+fn loads_cross_halls() {
+    let north = fleet_box(0, 1, 2);
+    let news = north.hall_news(100, [told(3)].into_iter(), &[(STORE, 5)]);
+    let mut south = fleet_box(1, 1, 1);
+    assert_eq!(south.load(UPSTREAM).requests, 58, "its own hall alone");
+    south.hear_hall(100, news.clone());
+    assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3);
+    assert_eq!(south.fetch_tokens(STORE), 580 + 580 + 5);
+    south.hear_hall(110, news);
+    assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3, "told once more by the other relay");
+    // A box of the south that is no relay hears it from there.
+    let mut other = fleet_box(1, 40, 1);
+    other.hear_other_halls(200, &south.other_halls(200));
+    assert_eq!(other.load(UPSTREAM).requests, 58 + 58 * 2 + 3);
+    assert_eq!(other.fetch_tokens(STORE), 580 + 580 + 5);
+    other.lapse(1200);
+    assert_eq!(other.load(UPSTREAM).requests, 58 + 58 * 2 + 3);
+    other.lapse(1700);
+    assert_eq!(other.load(UPSTREAM), Load::default(), "all are silent");
+}
+
+#[test]
+fn revisions_cross_halls() {
+    let mut leader = fleet_box(0, 1, 0);
+    let mut south = fleet_box(1, 1, 0);
+    let mark = Mark { changed_revision: 9, checksum: 0 };
+    for host in 2..=BOXES {
+        let heard = Gossip { mark, ..gossip(1, host, 0) };
+        south.hear(1000, address(1, host), heard, Mark::default());
+    }
+    assert!(!leader.knows(address(1, 50), 9), "its turn has not come");
+    leader.hear_hall(1010, south.hall_news(1000, std::iter::empty(), &[]));
+    assert!((2..=BOXES).all(|host| leader.knows(address(1, host), 9)));
+    assert!(!leader.knows(address(2, 50), 9));
+}
--- a/tests/gateway_sums.rs
+++ b/tests/gateway_sums.rs
@@ -6,7 +6,7 @@
 use coursestile::gateway::decisions::gossip_message::{
     Gossip, LoadChanges, ToldLoad, changed_loads,
 };
-use coursestile::gateway::decisions::peers::{Audience, Own, Peers};
+use coursestile::gateway::decisions::peers::{Audience, Own, Peers, Reach};
 use coursestile::gateway::decisions::upstream::Load;
 use coursestile::gateway::decisions::view::Mark;
 use proptest::prelude::*;
@@ -82,7 +82,7 @@
                 }
                 Step::Pause { ms } => {
                     now_ms += ms;
-                    peers.next_targets(now_ms, Audience::All);
+                    peers.next_targets(now_ms, Audience::All, Reach::OwnHall);
                     // A peer that is forgotten has to introduce itself again.
                     last.retain(|_, (at_ms, _)| now_ms < *at_ms + 30_000);
                 }
