First listing of the store may be stale; few boxes contend for the lease

Change: the first listing is a stale one, which costs a tenth; the watch goes on from the oldest page, so that nothing is missed. A box waits for its peers, 500 ms at most, before it watches or contends, so that only those that follow the store do.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -23,7 +23,7 @@
 use crate::gateway::entries;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
-use crate::gateway::metadata::{Change, Item, Wait, Watched};
+use crate::gateway::metadata::{Change, Freshness, Item, Wait, Watched};
 use crate::gateway::settings::Bounds;
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
@@ -46,6 +46,9 @@
 /// Longest pause after failed calls: upstreams that left while the store was
 /// away must be known soon after its return.
 const MOST_PAUSE_MS: u64 = 400;
+/// Longest time for which a box that has just started waits to hear of its peers before it
+/// follows the store: in a large fleet a few boxes do so for all.
+const SETTLE_MS: u64 = 500;
 /// How often due removals are carried out and peers are compared.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -53,17 +56,21 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let mut pause_ms = LEAST_PAUSE_MS;
     let mut listed = false;
+    // All boxes of a fleet may start at once.
+    let mut freshness = Freshness::Stale;
     while gateway.phase() != Phase::Stopped {
         if listed && !gateway.state().follows_store {
             sleep(TICK).await;
             continue;
         }
         let asked_at_ms = now_ms();
-        let result = if listed { watch(&gateway).await } else { list(&gateway).await };
+        let result = if listed { watch(&gateway).await } else { list(&gateway, freshness).await };
         match result {
             Ok(Followed::Woken) => {}
             Ok(ended) => {
                 listed = ended == Followed::Answered;
+                freshness = Freshness::Latest;
+                settle(&gateway).await;
                 pause_ms = LEAST_PAUSE_MS;
                 if !gateway.state().small_fleet {
                     sleep(CHANGES_PAUSE).await;
@@ -78,6 +85,20 @@
     }
 }
 
+/// Waits until the box knows whether its fleet is a large one, once after its start.
+async fn settle(gateway: &Gateway) {
+    if gateway.state().is_settled {
+        return;
+    }
+    let until_ms = now_ms() + SETTLE_MS;
+    while now_ms() < until_ms && !gateway.state().peers.is_fleet_known(now_ms()) {
+        sleep(TICK).await;
+    }
+    let mut state = gateway.state();
+    choose_role(gateway, &mut state, now_ms());
+    state.is_settled = true;
+}
+
 /// Decides again what this box is to follow itself.
 fn choose_role(gateway: &Gateway, state: &mut State, now_ms: u64) {
     let follows = state.peers.is_follower(now_ms);
@@ -158,14 +179,12 @@
     Woken,
 }
 
-async fn list(gateway: &Gateway) -> Result<Followed> {
-    let mut snapshot = Snapshot::default();
+async fn list(gateway: &Gateway, freshness: Freshness) -> Result<Followed> {
+    let mut snapshot = Snapshot { at_revision: u64::MAX, ..Snapshot::default() };
     for prefix in [keys::OPERATOR_PREFIX, keys::UPSTREAM_PREFIX, keys::OWN_PREFIX] {
-        let listing = gateway.metadata.list(prefix).await?;
-        // The watch goes on from the first listing, so nothing is missed.
-        if snapshot.at_revision == 0 {
-            snapshot.at_revision = listing.at_revision;
-        }
+        let listing = gateway.metadata.list(prefix, freshness).await?;
+        // The watch goes on from the oldest listing, so nothing is missed.
+        snapshot.at_revision = snapshot.at_revision.min(listing.at_revision);
         for Item { key, value, revision } in listing.items {
             snapshot.items.insert(key, Written { revision, value });
         }
@@ -174,7 +193,9 @@
     let mut state = gateway.state();
     let now_ms = now_ms();
     let named = Named::After(state.view.complete_at_ms().unwrap_or(LONG_AGO_MS));
-    state.view.completed(now_ms);
+    if freshness == Freshness::Latest {
+        state.view.completed(now_ms);
+    }
     let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
     let changes = state.view.replace(now_ms, snapshot, is_covered, lapses);
     info!(target: "follow",
--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -93,7 +93,9 @@
 
 fn is_free(gateway: &Gateway) -> bool {
     let state = gateway.state();
-    !*gateway.resigned.borrow()
+    // Else all boxes of a large fleet that start at once would ask for it at once.
+    state.is_settled
+        && !*gateway.resigned.borrow()
         && !is_way_cut(&state)
         && state.store_link() == StoreLink::Answers
         && state.site.is_some()
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -48,12 +48,21 @@
     HistoryLost,
 }
 
+/// How new a listing has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// All that the store has acknowledged is in it.
+    Latest,
+    /// It may be seconds old, and costs the store little: a watch tells the rest.
+    Stale,
+}
+
 /// The items of a prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Listing {
     /// Items.
     pub items: Vec<Item>,
-    /// Revision from which to watch.
+    /// Revision from which to watch: of the oldest page.
     pub at_revision: u64,
 }
 
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::error::Result;
-use crate::gateway::metadata::{Change, Item, Lease, Listing, Outcome, Wait, Watched};
+use crate::gateway::metadata::{Change, Freshness, Item, Lease, Listing, Outcome, Wait, Watched};
 use crate::platform::http::Http;
 
 /// Time in which a call must be answered: 250 times the usual 4 ms.
@@ -104,16 +104,18 @@
     ///
     /// # Errors
     /// Fails when the store does not answer as it should.
-    pub async fn list(&self, prefix: &str) -> Result<Listing> {
-        let mut listing = Listing::default();
+    pub async fn list(&self, prefix: &str, freshness: Freshness) -> Result<Listing> {
+        let mut listing = Listing { at_revision: u64::MAX, ..Listing::default() };
         let mut after = String::new();
+        let stale = match freshness {
+            Freshness::Latest => "",
+            Freshness::Stale => "&stale=1",
+        };
         loop {
-            let path = format!("kv-range?path_prefix={prefix}{after}");
+            let path = format!("kv-range?path_prefix={prefix}{stale}{after}");
             let answer = self.call(Method::GET, &path, None::<&()>, CALL_TIMEOUT).await?;
             let page: RangeBody = self.decode(answer).await?;
-            if listing.items.is_empty() {
-                listing.at_revision = page.at;
-            }
+            listing.at_revision = listing.at_revision.min(page.at);
             let last = page.items.last().map(|body| body.key.clone());
             for body in page.items {
                 listing.items.push(item(body));
