A box of a large fleet draws a few upstreams for each request

Cause: all boxes of a hall weighed all its engines by news some ten to some hundred milliseconds old, and those that chose within that time chose the same one, which read their prompts one after the other while others idled.

Change: two upstreams of the own hall and one of another are drawn for each request, and the better is taken; sixteen, then all, only when none has room (`look`). Small fleets weigh all, as before.

Model of a hall (tests/gateway_crowds.rs), late first tokens of 1,130 on an ordinary load with news 20, 100, 250, 500 ms old: 4, 4, 14, 37 before, 0, 0, 0, 0 now; of 1,906 at 1.7 times the load: 34, 281, 312, 366 before, none now.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -13,6 +13,7 @@
 use coursestile::gateway::decisions::gossip_message::{Gossip, LoadChanges, ToldLoad};
 use coursestile::gateway::decisions::holder::PartKey;
 use coursestile::gateway::decisions::kept::{CacheChange, CacheListing, KeptPart};
+use coursestile::gateway::decisions::look::Look;
 use coursestile::gateway::decisions::peers::{Audience, Own, Peers, Reach};
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::site::{EngineSpec, Store};
@@ -150,11 +151,17 @@
         let part = round % (KEPT_PARTS * boxes * STORES_PERCENT / 100);
         let prompt =
             Prompt::parse(MODEL, "9000,60", &format!("aa:2500,{part:x}:5000,ff{round:x}:1500"));
-        black_box(choose(1, &upstreams, &stores, Some(&engine), &demand(prompt.as_ref())));
+        black_box(choose(
+            1,
+            &upstreams,
+            &stores,
+            Some(&engine),
+            &demand(prompt.as_ref(), round.into()),
+        ));
     })
 }
 
-fn demand(prompt: Option<&Prompt>) -> Demand<'_> {
+fn demand(prompt: Option<&Prompt>, seed: u64) -> Demand<'_> {
     Demand {
         service: SERVICE,
         box_number: 7,
@@ -165,6 +172,7 @@
         weights_apply_ms: 12_000,
         bars_overdue: true,
         placing: Placing::Home,
+        look: Look::Drawn { seed },
         tried: &[],
         max_requests: 100,
         asked: Asked { ranks_before: 1, objective_ms: 500, late: false, limit: 1.1 },
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -86,29 +86,84 @@
     engine: Option<&EngineSpec>,
     demand: &Demand<'a>,
 ) -> Option<Choice> {
-    let mut best: Option<(f64, &Upstream, Option<ContextPlan>, Expected)> = None;
-    let mut lookups: Vec<Lookup<'_>> = Vec::new();
-    for upstream in upstreams.of(demand.service) {
-        let tried = demand.tried.iter().any(|one| upstream.is(one));
-        if tried || upstream.own.requests >= demand.max_requests {
-            continue;
+    let usable: Vec<&Upstream> =
+        upstreams.of(demand.service).filter(|one| is_usable(now_ms, one, demand)).collect();
+    let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
+    for round in demand.look.rounds(&usable, demand.hall) {
+        let best = chooser.best(&round);
+        let is_last = round.len() == usable.len();
+        if let Some(best) = best.filter(|best| is_last || best.is_good(now_ms)) {
+            return Some(best.into_choice(now_ms, demand));
         }
-        if upstream.is_loading(now_ms) {
-            continue;
+    }
+    None
+}
+
+/// Whether a request may be sent to an upstream at all.
+fn is_usable(now_ms: u64, upstream: &Upstream, demand: &Demand<'_>) -> bool {
+    let tried = demand.tried.iter().any(|one| upstream.is(one));
+    if tried || upstream.own.requests >= demand.max_requests || upstream.is_loading(now_ms) {
+        return false;
+    }
+    // A request must not begin on such weights, also where no other engine is left.
+    let version = demand.prompt.map_or(0, |prompt| upstream.version(&prompt.model));
+    !(demand.bars_overdue && demand.is_overdue(now_ms, version))
+}
+
+/// The best of some upstreams.
+struct Best<'a> {
+    cost: f64,
+    upstream: &'a Upstream,
+    context: Option<ContextPlan>,
+    expected: Expected,
+}
+
+impl Best<'_> {
+    /// Whether there is no need to look at others.
+    fn is_good(&self, now_ms: u64) -> bool {
+        self.expected.room != Room::Full && !self.upstream.is_doubtful(now_ms)
+    }
+
+    fn into_choice(self, now_ms: u64, demand: &Demand<'_>) -> Choice {
+        Choice {
+            upstream: self.upstream.incarnation(),
+            context: self.context,
+            expected_ms: self.expected.first_token_ms,
+            calm: self.expected.wait_ms < CALM_WAIT_MS,
+            room: self.expected.room,
+            objective_at_ms: demand
+                .prompt
+                .and(demand.objective_at_ms)
+                .filter(|_| !demand.asked.late),
+            memory_tokens: demand.prompt.map_or(0, Prompt::memory_tokens),
+            load: self.upstream.load(),
+            chosen_at_ms: now_ms,
         }
-        let (cost, context, expected) = match (demand.prompt, engine) {
+    }
+}
+
+/// Weighs upstreams for one request.
+struct Chooser<'a, 'b> {
+    now_ms: u64,
+    upstreams: &'a Upstreams,
+    stores: &'a Stores,
+    engine: Option<&'b EngineSpec>,
+    demand: &'b Demand<'a>,
+    /// Where the prompt's parts are kept, by weight version.
+    lookups: Vec<Lookup<'a>>,
+}
+
+impl<'a> Chooser<'a, '_> {
+    fn best(&mut self, candidates: &[&'a Upstream]) -> Option<Best<'a>> {
+        let weighed = candidates.iter().map(|upstream| self.weigh(upstream));
+        weighed.min_by(|one, other| one.cost.total_cmp(&other.cost))
+    }
+
+    fn weigh(&mut self, upstream: &'a Upstream) -> Best<'a> {
+        let (now_ms, demand) = (self.now_ms, self.demand);
+        let (cost, context, expected) = match (demand.prompt, self.engine) {
             (Some(prompt), Some(engine)) => {
-                let version = upstream.version(&prompt.model);
-                if !lookups.iter().any(|one| one.version == version) {
-                    let lookup = Lookup::new(now_ms, upstreams, stores, prompt, demand, version);
-                    lookups.push(lookup);
-                }
-                // A request must not begin on such weights, also where no other engine is left.
-                if demand.bars_overdue && demand.is_overdue(now_ms, version) {
-                    continue;
-                }
-                let lookup = lookups.iter().find(|one| one.version == version);
-                let plan = lookup.map(|lookup| lookup.plan(engine, upstream))?;
+                let plan = self.plan(prompt, engine, upstream);
                 let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
                 (cost, Some(plan), expected)
             }
@@ -117,21 +172,25 @@
         let hall_cost = if upstream.entry.hall == demand.hall { 0.0 } else { OTHER_HALL_COST_MS };
         let doubt_cost = if upstream.is_doubtful(now_ms) { DOUBTFUL_COST_MS } else { 0.0 };
         let cost = cost + hall_cost + doubt_cost + spread_ms(demand.box_number, upstream.number);
-        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-            best = Some((cost, upstream, context, expected));
-        }
+        Best { cost, upstream, context, expected }
+    }
+
+    fn plan(
+        &mut self,
+        prompt: &'a Prompt,
+        engine: &EngineSpec,
+        upstream: &Upstream,
+    ) -> ContextPlan {
+        let version = upstream.version(&prompt.model);
+        let known = self.lookups.iter().position(|lookup| lookup.version == version);
+        let place = known.unwrap_or_else(|| {
+            let (upstreams, stores) = (self.upstreams, self.stores);
+            let lookup = Lookup::new(self.now_ms, upstreams, stores, prompt, self.demand, version);
+            self.lookups.push(lookup);
+            self.lookups.len() - 1
+        });
+        self.lookups[place].plan(engine, upstream)
     }
-    best.map(|(_, upstream, context, expected)| Choice {
-        upstream: upstream.incarnation(),
-        context,
-        expected_ms: expected.first_token_ms,
-        calm: expected.wait_ms < CALM_WAIT_MS,
-        room: expected.room,
-        objective_at_ms: demand.prompt.and(demand.objective_at_ms).filter(|_| !demand.asked.late),
-        memory_tokens: demand.prompt.map_or(0, Prompt::memory_tokens),
-        load: upstream.load(),
-        chosen_at_ms: now_ms,
-    })
 }
 
 /// A part of [`SPREAD_MS`] that depends on the box and the upstream only.
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::decisions::admission::Asked;
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::look::Look;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::stores::Placing;
 use crate::gateway::decisions::weights::NamedWeights;
@@ -34,6 +35,8 @@
     pub bars_overdue: bool,
     /// How the store that takes a part is chosen.
     pub placing: Placing<'a>,
+    /// Which upstreams are looked at.
+    pub look: Look,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Most requests that this box may have at one upstream.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,6 +15,7 @@
 use crate::gateway::decisions::admission::{self, Asked, Room};
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::demand::Demand;
+use crate::gateway::decisions::look::Look;
 use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::site::Repeat;
 use crate::gateway::decisions::stores::Placing;
@@ -339,6 +340,11 @@
         } else {
             Placing::Home
         },
+        look: if state.peers.is_small_fleet() {
+            Look::All
+        } else {
+            Look::Drawn { seed: now_ms ^ u64::from(number(&job.outgoing.request_id)) << 32 }
+        },
         tried: &job.tried,
         max_requests: (service.max_connections / (boxes + 1)).max(LEAST_CONNECTIONS),
         asked: Asked {
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -8,6 +8,7 @@
 use coursestile::gateway::decisions::admission::Asked;
 use coursestile::gateway::decisions::choose::choose;
 use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::look::Look;
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::site::EngineSpec;
 use coursestile::gateway::decisions::stores::{Placing, Stores};
@@ -168,7 +169,7 @@
     }
 }
 
-fn chosen(view: &Upstreams, now_ms: u64, from: usize, tokens: u32, _seed: u64) -> usize {
+fn chosen(view: &Upstreams, now_ms: u64, from: usize, tokens: u32, seed: u64) -> usize {
     let prompt = Prompt::parse(MODEL, &format!("{tokens},60"), &format!("ff:{tokens}")).unwrap();
     let engine = EngineSpec {
         slots: 24,
@@ -187,6 +188,7 @@
         weights_apply_ms: 10_000,
         bars_overdue: true,
         placing: Placing::Home,
+        look: Look::Drawn { seed },
         tried: &[],
         max_requests: 100,
         asked: Asked { ranks_before: 0, objective_ms: OBJECTIVE_MS, late: false, limit: 1.1 },
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -11,6 +11,7 @@
 use coursestile::gateway::decisions::holder::PartKey;
 use coursestile::gateway::decisions::incarnation::Incarnation;
 use coursestile::gateway::decisions::kept::{CacheChange, CacheListing, KeptPart};
+use coursestile::gateway::decisions::look::Look;
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::site::{EngineSpec, Store};
 use coursestile::gateway::decisions::stores::{Placing, Stores};
@@ -59,6 +60,7 @@
         weights_apply_ms: 10_000,
         bars_overdue: true,
         placing: Placing::Quickest { hall: "north" },
+        look: Look::All,
         tried,
         max_requests: 100,
         asked: Asked { ranks_before: 0, objective_ms: 500, late: false, limit: 1.0 },
