Engines of the hall in which a prompt's context is kept are drawn too

Cause: a part crosses halls in twice the time, and its store's link is taken for as long.

Change: beside two engines of the own hall, two of the hall of the store that keeps the longest part are weighed, in place of one of any other hall.

Ruled out: saving a session's part in the hall that asks: it comes back in another.

--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -9,6 +9,7 @@
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::demand::Demand;
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::look::{Draw, Look};
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::site::EngineSpec;
 use crate::gateway::decisions::sources::{Lookup, REREAD_WEIGHT};
@@ -89,14 +90,11 @@
     let usable: Vec<&Upstream> =
         upstreams.of(demand.service).filter(|one| is_usable(now_ms, one, demand)).collect();
     let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
-    for round in demand.look.rounds(&usable, demand.hall) {
-        let best = chooser.best(&round);
-        let is_last = round.len() == usable.len();
-        if let Some(best) = best.filter(|best| is_last || best.is_good(now_ms)) {
-            return Some(best.into_choice(now_ms, demand));
-        }
-    }
-    None
+    let best = match demand.look {
+        Look::All => chooser.best(&usable),
+        Look::Drawn { seed } => chooser.best_drawn(&mut Draw::new(seed, &usable), &usable),
+    };
+    best.map(|best| best.into_choice(now_ms, demand))
 }
 
 /// Whether a request may be sent to an upstream at all.
@@ -159,11 +157,32 @@
         weighed.min_by(|one, other| one.cost.total_cmp(&other.cost))
     }
 
+    /// The best of a few, and of more only when none of these is good.
+    fn best_drawn(&mut self, draw: &mut Draw<'_, 'a>, usable: &[&'a Upstream]) -> Option<Best<'a>> {
+        let mut few = draw.near(self.demand.hall);
+        let context_hall = few.first().and_then(|upstream| self.context_hall(upstream));
+        few.extend(draw.far(self.demand.hall, context_hall));
+        let mut best = self.best(&few);
+        if !best.as_ref().is_some_and(|best| best.is_good(self.now_ms)) {
+            best = self.best(&draw.wide());
+        }
+        if !best.as_ref().is_some_and(|best| best.is_good(self.now_ms)) {
+            best = self.best(usable);
+        }
+        best
+    }
+
+    /// The hall in which the longest part of the prompt is kept, for the weights of an engine.
+    fn context_hall(&mut self, upstream: &Upstream) -> Option<&'a str> {
+        let prompt = self.demand.prompt.filter(|_| self.engine.is_some())?;
+        self.lookup(prompt, upstream).context_hall()
+    }
+
     fn weigh(&mut self, upstream: &'a Upstream) -> Best<'a> {
         let (now_ms, demand) = (self.now_ms, self.demand);
         let (cost, context, expected) = match (demand.prompt, self.engine) {
             (Some(prompt), Some(engine)) => {
-                let plan = self.plan(prompt, engine, upstream);
+                let plan = self.lookup(prompt, upstream).plan(engine, upstream);
                 let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
                 (cost, Some(plan), expected)
             }
@@ -175,12 +194,8 @@
         Best { cost, upstream, context, expected }
     }
 
-    fn plan(
-        &mut self,
-        prompt: &'a Prompt,
-        engine: &EngineSpec,
-        upstream: &Upstream,
-    ) -> ContextPlan {
+    /// Where the prompt's parts are kept, for the weights of an engine.
+    fn lookup(&mut self, prompt: &'a Prompt, upstream: &Upstream) -> &Lookup<'a> {
         let version = upstream.version(&prompt.model);
         let known = self.lookups.iter().position(|lookup| lookup.version == version);
         let place = known.unwrap_or_else(|| {
@@ -189,7 +204,7 @@
             self.lookups.push(lookup);
             self.lookups.len() - 1
         });
-        self.lookups[place].plan(engine, upstream)
+        &self.lookups[place]
     }
 }
 
--- a/src/gateway/decisions/look.rs
+++ b/src/gateway/decisions/look.rs
@@ -12,8 +12,10 @@
 
 /// Upstreams of the own hall that are drawn first.
 const NEAR: usize = 2;
-/// Those of other halls that are drawn beside them.
+/// Those of another hall that are drawn beside them.
 const FAR: usize = 1;
+/// Those of the hall in which the prompt's context is kept.
+const AT_CONTEXT: usize = 2;
 /// Those that are drawn from all halls when none of the first has room.
 const WIDE: usize = 16;
 
@@ -29,20 +31,41 @@
     },
 }
 
-impl Look {
-    /// The upstreams to look at, round by round; the last has them all.
+/// Draws upstreams for one request.
+pub struct Draw<'u, 'a> {
+    random: Rng,
+    usable: &'u [&'a Upstream],
+}
+
+impl<'u, 'a> Draw<'u, 'a> {
+    /// Draws from those that can be used.
     #[must_use]
-    pub fn rounds<'a>(self, usable: &[&'a Upstream], hall: &str) -> Vec<Vec<&'a Upstream>> {
-        let Self::Drawn { seed } = self else { return vec![usable.to_vec()] };
-        let mut random = Rng::with_seed(seed);
-        let (near, far): (Vec<&Upstream>, Vec<&Upstream>) =
-            usable.iter().copied().partition(|one| one.entry.hall == hall);
-        let mut first = draw(&mut random, &near, NEAR);
-        first.extend(draw(&mut random, &far, FAR));
-        vec![first, draw(&mut random, usable, WIDE), usable.to_vec()]
+    pub fn new(seed: u64, usable: &'u [&'a Upstream]) -> Self {
+        Self { random: Rng::with_seed(seed), usable }
+    }
+
+    /// Some of the own hall.
+    pub fn near(&mut self, hall: &str) -> Vec<&'a Upstream> {
+        self.some(NEAR, |one| one.entry.hall == hall)
     }
-}
 
-fn draw<'a>(random: &mut Rng, from: &[&'a Upstream], count: usize) -> Vec<&'a Upstream> {
-    random.choose_multiple(from.iter().copied(), count)
+    /// Some of other halls: of the one in which the prompt's context is kept, since it crosses
+    /// halls in twice the time, else of any.
+    pub fn far(&mut self, hall: &str, context_hall: Option<&str>) -> Vec<&'a Upstream> {
+        match context_hall {
+            Some(context_hall) if context_hall == hall => Vec::new(),
+            Some(context_hall) => self.some(AT_CONTEXT, |one| one.entry.hall == context_hall),
+            None => self.some(FAR, |one| one.entry.hall != hall),
+        }
+    }
+
+    /// Many of all halls.
+    pub fn wide(&mut self) -> Vec<&'a Upstream> {
+        self.some(WIDE, |_| true)
+    }
+
+    fn some(&mut self, count: usize, is_wanted: impl Fn(&Upstream) -> bool) -> Vec<&'a Upstream> {
+        let wanted = self.usable.iter().copied().filter(|one| is_wanted(one));
+        self.random.choose_multiple(wanted, count)
+    }
 }
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -106,6 +106,14 @@
         Self { version, scope, now_ms, objective_ms, prompt, parts }
     }
 
+    /// The hall of a store that keeps the longest part.
+    #[must_use]
+    pub fn context_hall(&self) -> Option<&'a str> {
+        let kept = self.parts.iter().filter(|found| !found.common && !found.stores.is_empty());
+        let longest = kept.max_by_key(|found| found.tokens)?;
+        longest.stores.first().map(|(store, _)| store.hall.as_str())
+    }
+
     /// What an engine would be told.
     #[must_use]
     pub fn plan(&self, engine: &EngineSpec, upstream: &Upstream) -> ContextPlan {
