--- /dev/null
+++ b/tests/gateway_commons.rs
@@ -0,0 +1,117 @@
+//! Parts that most requests share, in a large fleet: each hall keeps them near its engines.
+
+use std::net::SocketAddr;
+
+use coursestile::gateway::decisions::admission::Asked;
+use coursestile::gateway::decisions::choose::{Choice, choose};
+use coursestile::gateway::decisions::context::Source;
+use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::holder::PartKey;
+use coursestile::gateway::decisions::kept::CacheListing;
+use coursestile::gateway::decisions::look::Look;
+use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::site::{EngineSpec, Store};
+use coursestile::gateway::decisions::stores::{Placing, Stores};
+use coursestile::gateway::decisions::upstream::Entry;
+use coursestile::gateway::decisions::upstreams::Upstreams;
+
+const HALLS: [&str; 2] = ["north", "south"];
+const COMMON: &str = "aa";
+const COMMON_TOKENS: u32 = 2500;
+
+fn store(name: &str, hall: &str, port: u16) -> Store {
+    Store {
+        name: name.to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        hall: hall.to_owned(),
+        capacity_tokens: 1_000_000,
+        link_mbps: 29_000.0,
+        first_ms: 6.0,
+        managed: true,
+    }
+}
+
+/// Two stores in each hall, empty and known.
+fn stores() -> Stores {
+    let mut stores = Stores::default();
+    stores.configure(&[
+        store("n1", "north", 1),
+        store("n2", "north", 2),
+        store("s1", "south", 3),
+        store("s2", "south", 4),
+    ]);
+    for (_, state) in stores.iter_mut() {
+        let listing = CacheListing { boot: 1, next: 1, held: Vec::new(), partial: Vec::new() };
+        state.holder.listed(&listing);
+    }
+    stores
+}
+
+fn engines() -> Upstreams {
+    let mut upstreams = Upstreams::default();
+    for (hall, port) in HALLS.into_iter().zip(100..) {
+        let entry = Entry {
+            service: "llm".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            hall: hall.to_owned(),
+            slots: 24,
+            leaving: false,
+            models: vec![("m".to_owned(), 1)],
+            started_at_ms: None,
+        };
+        upstreams.put(0, &format!("engine-{hall}"), entry);
+    }
+    upstreams
+}
+
+/// What a box of a hall chooses for a prompt with a common part.
+fn chosen(stores: &Stores, hall: &str) -> Choice {
+    let prompt = Prompt::parse("m", "9000,10", "aa:2500,bb:5000,cc:1500").unwrap();
+    let engine = EngineSpec {
+        slots: 24,
+        memory_tokens: 40_000,
+        token_bytes: 18_432,
+        link_mbps: 130_000.0,
+        per_part_sources: true,
+    };
+    let demand = Demand {
+        service: "llm",
+        box_number: 0,
+        hall,
+        prompt: Some(&prompt),
+        isolated_account: None,
+        weights: None,
+        weights_apply_ms: 10_000,
+        bars_overdue: true,
+        placing: Placing::Home,
+        look: Look::Drawn { seed: 3 },
+        tried: &[],
+        max_requests: 100,
+        asked: Asked { ranks_before: 0, objective_ms: 500, late: false, limit: 1.1 },
+        objective_at_ms: None,
+    };
+    choose(0, &engines(), stores, Some(&engine), &demand).unwrap()
+}
+
+/// The store that a choice has take the common part.
+fn saved_at(choice: &Choice) -> Option<String> {
+    choice.context.as_ref()?.saves[0].as_ref().map(|save| save.store.clone())
+}
+
+/// Engines of all halls that had lost the common part fetched it from the one store that
+/// kept it, and waited for two seconds.
+#[test]
+fn kept_in_each_hall() {
+    let mut stores = stores();
+    let first = saved_at(&chosen(&stores, "north")).unwrap();
+    assert!(first.starts_with('n'), "{first} is in another hall");
+    let common = PartKey::new("1.m", COMMON);
+    stores.get_mut(&first).unwrap().1.holder.note(common, COMMON_TOKENS);
+    assert_eq!(saved_at(&chosen(&stores, "north")), None, "it is kept there");
+    let second = saved_at(&chosen(&stores, "south")).unwrap();
+    assert!(second.starts_with('s'), "{second} is in another hall");
+    stores.get_mut(&second).unwrap().1.holder.note(common, COMMON_TOKENS);
+    let choice = chosen(&stores, "south");
+    let near = stores.get(&second).unwrap().0.address.to_string();
+    assert_eq!(choice.context.unwrap().sources[0], Source::Kept { address: Some(near) });
+}
