--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -54,7 +54,7 @@
 
 impl Gossip {
     /// What boxes of other halls hear in turn: who the box is and what it knows, and not what
-    /// it does, which relays tell of whole halls.
+    /// it does, which bridges tell of whole halls.
     #[must_use]
     pub fn brief(&self) -> Self {
         Self {
--- a/src/gateway/decisions/hall_news.rs
+++ b/src/gateway/decisions/hall_news.rs
@@ -1,4 +1,4 @@
-//! What relays tell each other and their halls, in a fleet too large for every box to hear
+//! What bridges tell each other and their halls, in a fleet too large for every box to hear
 //! every other.
 
 use std::net::IpAddr;
@@ -7,7 +7,7 @@
 
 use crate::gateway::decisions::gossip_message::ToldLoad;
 
-/// What the boxes of one hall do and know, told to the relays of other halls.
+/// What the boxes of one hall do and know, told to the bridges of other halls.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HallNews {
     /// Number of the hall.
@@ -20,7 +20,7 @@
     pub revisions: Vec<(IpAddr, u64)>,
 }
 
-/// What all other halls do, told to the boxes of a hall by its relays.
+/// What all other halls do, told to the boxes of a hall by its bridges.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OtherHalls {
     /// Load that they put on upstreams.
--- a/src/gateway/decisions/peers/halls.rs
+++ b/src/gateway/decisions/peers/halls.rs
@@ -1,4 +1,4 @@
-//! What relays tell of whole halls: the load that a hall puts on upstreams, what it fetches from
+//! What bridges tell of whole halls: the load that a hall puts on upstreams, what it fetches from
 //! stores, and what its boxes know.
 //!
 //! Without it a box sees of another hall's engines only what its own hall sends there: with
@@ -11,10 +11,10 @@
 use crate::gateway::decisions::peers::{ALIVE_MS, Peers};
 use crate::gateway::decisions::upstream::Load;
 
-/// What relays told.
+/// What bridges told.
 #[derive(Debug, Default)]
 pub(super) struct Halls {
-    /// The last news of each other hall, with when it came; relays alone hear it.
+    /// The last news of each other hall, with when it came; bridges alone hear it.
     by_hall: BTreeMap<u32, (u64, HallNews)>,
     /// All other halls together.
     loads: HashMap<u32, Load>,
@@ -69,14 +69,14 @@
 }
 
 impl Peers {
-    /// Takes what the relay of another hall tells of it.
+    /// Takes what the bridge of another hall tells of it.
     pub fn hear_hall(&mut self, now_ms: u64, news: HallNews) {
         if news.hall == self.own.hall {
             return;
         }
         for (address, revision) in &news.revisions {
             if let Some(peer) = self.known.get_mut(address) {
-                peer.relayed_revision = peer.relayed_revision.max(*revision);
+                peer.bridged_revision = peer.bridged_revision.max(*revision);
             }
         }
         self.sums.heard(now_ms, &news.loads);
@@ -84,7 +84,7 @@
         self.halls.add_up(now_ms);
     }
 
-    /// Takes what a relay of the own hall tells of all others.
+    /// Takes what a bridge of the own hall tells of all others.
     pub fn hear_other_halls(&mut self, now_ms: u64, news: &OtherHalls) {
         if !self.halls.by_hall.is_empty() {
             // This box hears the halls themselves.
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -69,8 +69,8 @@
     told: bool,
     /// Whether what it told is in the sums.
     counted: bool,
-    /// Revision of the metadata store that it knows, by the word of its hall's relay.
-    relayed_revision: u64,
+    /// Revision of the metadata store that it knows, by the word of its hall's bridge.
+    bridged_revision: u64,
     /// Orders those that this box may learn from; another number in each box.
     distance: u32,
 }
@@ -104,7 +104,7 @@
     halls_due_at_ms: u64,
     /// What the peers that count told, put together.
     sums: Sums,
-    /// What relays told of whole halls.
+    /// What bridges told of whole halls.
     halls: Halls,
 }
 
@@ -159,7 +159,7 @@
         if peer.counted {
             self.sums.subtract(&peer.gossip);
         }
-        // Relays tell what other halls do together.
+        // Bridges tell what other halls do together.
         peer.counted = is_small || gossip.hall == self.own.hall;
         if peer.counted {
             self.sums.add(&gossip);
@@ -303,7 +303,7 @@
     pub fn knows(&self, address: IpAddr, revision: u64) -> bool {
         let peer = self.known.get(&address).filter(|peer| peer.gossip.incarnation > 0);
         peer.is_some_and(|peer| {
-            peer.gossip.mark.changed_revision.max(peer.relayed_revision) >= revision
+            peer.gossip.mark.changed_revision.max(peer.bridged_revision) >= revision
         })
     }
 
--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -6,11 +6,11 @@
 use crate::gateway::decisions::peers::{Peer, Peers, SMALL_FLEET};
 
 /// Boxes of a hall that follow the metadata store in a larger fleet; the others learn from
-/// them. Should one fail, its hall's relays hear of changes from those of other halls.
+/// them. Should one fail, its hall's bridges hear of changes from those of other halls.
 const FOLLOWERS: usize = 1;
 /// Boxes of a hall that follow the stores of context, and pass on between halls. One may
 /// fail.
-pub(super) const RELAYS: usize = 2;
+pub(super) const BRIDGES: usize = 2;
 
 impl Peers {
     /// Whether all boxes tell each other everything.
@@ -41,7 +41,7 @@
     /// metadata store answers nobody.
     #[must_use]
     pub fn is_cache_follower(&self, now_ms: u64) -> bool {
-        self.is_small_fleet() || self.stronger(now_ms).count() < RELAYS
+        self.is_small_fleet() || self.stronger(now_ms).count() < BRIDGES
     }
 
     /// Boxes of the own hall that go before this one.
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -1,14 +1,14 @@
 //! Whom a box tells what it knows.
 //!
 //! In a small fleet everybody tells all others. In a large one a box tells its own hall, and
-//! shows itself to a few boxes of other halls in turn. The relays of each hall, its
-//! strongest boxes, and whoever leads tell the relays of other halls at once, which pass
+//! shows itself to a few boxes of other halls in turn. The bridges of each hall, its
+//! strongest boxes, and whoever leads tell the bridges of other halls at once, which pass
 //! on what their hall must know: else news crosses halls as slowly as the turns go.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
-use crate::gateway::decisions::peers::roles::RELAYS;
+use crate::gateway::decisions::peers::roles::BRIDGES;
 use crate::gateway::decisions::peers::{
     ALIVE_MS, GOSSIP_PERIOD_MS, OTHER_HALLS_FANOUT, Peer, Peers, SMALL_FLEET,
 };
@@ -27,8 +27,8 @@
 pub enum Reach {
     /// Its own hall.
     OwnHall,
-    /// The relays of all halls too: it is one, or it leads.
-    Relays,
+    /// The bridges of all halls too: it is one, or it leads.
+    Bridges,
 }
 
 /// Whom a box tells next.
@@ -38,8 +38,8 @@
     pub whole: Vec<SocketAddr>,
     /// Boxes of other halls that hear who this box is and what it knows.
     pub brief: Vec<SocketAddr>,
-    /// Relays of other halls, when news of the own hall as a whole is due.
-    pub relays: Vec<SocketAddr>,
+    /// Bridges of other halls, when news of the own hall as a whole is due.
+    pub bridges: Vec<SocketAddr>,
     /// Boxes of the own hall, when news of all other halls is due.
     pub own_hall: Vec<SocketAddr>,
 }
@@ -78,13 +78,13 @@
         }
         self.has_untold = false;
         let mut targets = Targets::default();
-        if reach == Reach::Relays && !small {
-            let relays = self.relays(now_ms);
-            whole.extend(relays.iter().filter(|relay| others.contains(relay)));
-            others.retain(|other| !relays.contains(other));
+        if reach == Reach::Bridges && !small {
+            let bridges = self.bridges(now_ms);
+            whole.extend(bridges.iter().filter(|bridge| others.contains(bridge)));
+            others.retain(|other| !bridges.contains(other));
             if now_ms >= self.halls_due_at_ms {
                 self.halls_due_at_ms = now_ms + GOSSIP_PERIOD_MS;
-                targets.relays = self.at_peer_port(relays);
+                targets.bridges = self.at_peer_port(bridges);
                 targets.own_hall = self.at_peer_port(self.in_own_hall());
             }
         }
@@ -105,27 +105,27 @@
         targets
     }
 
-    /// The relays of other halls, by the rank that their own boxes go by. One that says that
+    /// The bridges of other halls, by the rank that their own boxes go by. One that says that
     /// it follows the stores of context is one as well, as it may know better.
-    fn relays(&self, now_ms: u64) -> Vec<IpAddr> {
+    fn bridges(&self, now_ms: u64) -> Vec<IpAddr> {
         let mut by_hall: BTreeMap<u32, Vec<_>> = BTreeMap::new();
-        let mut relays = Vec::new();
+        let mut bridges = Vec::new();
         for (address, peer) in
             self.alive(now_ms).filter(|(_, one)| one.gossip.hall != self.own.hall)
         {
             let rank = (std::cmp::Reverse(peer.gossip.millicores), *address);
             by_hall.entry(peer.gossip.hall).or_default().push(rank);
             if peer.gossip.follows_caches && now_ms < peer.heard_at_ms + ALIVE_MS {
-                relays.push(*address);
+                bridges.push(*address);
             }
         }
         for mut ranks in by_hall.into_values() {
             ranks.sort_unstable();
-            relays.extend(ranks.into_iter().take(RELAYS).map(|(_, address)| address));
+            bridges.extend(ranks.into_iter().take(BRIDGES).map(|(_, address)| address));
         }
-        relays.sort_unstable();
-        relays.dedup();
-        relays
+        bridges.sort_unstable();
+        bridges.dedup();
+        bridges
     }
 
     fn in_own_hall(&self) -> Vec<IpAddr> {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -123,10 +123,10 @@
         return vec![(Datagram::LoadChanges(changes), targets.whole)];
     }
     let mut composed = Vec::new();
-    if !targets.relays.is_empty() {
+    if !targets.bridges.is_empty() {
         let fetches = fetches(&state);
         let news = state.peers.hall_news(now_ms, own_loads(&state, now_ms), &fetches);
-        composed.push((Datagram::HallNews(news), targets.relays));
+        composed.push((Datagram::HallNews(news), targets.bridges));
         let others = state.peers.other_halls(now_ms);
         composed.push((Datagram::OtherHalls(others), targets.own_hall));
     }
@@ -140,8 +140,8 @@
 
 /// How far the word of this box reaches.
 fn reach(state: &State) -> Reach {
-    let reaches_halls = state.is_relay() || state.leadership.is_some();
-    if reaches_halls { Reach::Relays } else { Reach::OwnHall }
+    let reaches_halls = state.is_bridge() || state.leadership.is_some();
+    if reaches_halls { Reach::Bridges } else { Reach::OwnHall }
 }
 
 /// The loads that have changed since they were told.
@@ -214,14 +214,14 @@
     superseded.map(|one| one.number).collect()
 }
 
-/// Engines that load weights: those that this box orders, and at a relay those that it has
+/// Engines that load weights: those that this box orders, and at a bridge those that it has
 /// heard of, for as long as they load still.
 fn loading(state: &State, now_ms: u64) -> Vec<(u32, u16)> {
     let in_message = |left_ms: u64| u16::try_from(left_ms).unwrap_or(u16::MAX);
     let ordered = state.loading.iter().filter_map(|id| state.upstreams.get(id));
     let ordered = ordered.map(|engine| (engine.number, in_message(LOADING_GOSSIP_MS)));
     let heard = state.upstreams.iter().filter(|one| {
-        state.is_relay() && one.is_loading(now_ms) && !state.loading.contains(&one.id)
+        state.is_bridge() && one.is_loading(now_ms) && !state.loading.contains(&one.id)
     });
     let heard = heard.map(|one| (one.number, in_message(one.loading_left_ms(now_ms))));
     ordered.chain(heard).collect()
@@ -294,8 +294,8 @@
     let mut state = gateway.state();
     let now_ms = now_ms();
     let own = state.view.mark();
-    if take_weights(&mut state, now_ms, &gossip) && state.is_relay() {
-        // The own hall hears it from this relay.
+    if take_weights(&mut state, now_ms, &gossip) && state.is_bridge() {
+        // The own hall hears it from this bridge.
         gateway.gossip_now.notify_one();
     }
     take_namings(&mut state, now_ms, &gossip);
@@ -362,7 +362,7 @@
             engine.loads_until(0);
             engine.saw_version(&name, *version);
             is_new = true;
-            if state.is_relay() {
+            if state.is_bridge() {
                 state.told_versions.push(ToldVersion {
                     engine: *number,
                     model: *model,
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -115,7 +115,7 @@
     /// Whether this box passes on between its hall and others: the strongest of each hall do
     /// in a large fleet, those that follow the stores of context.
     #[must_use]
-    pub fn is_relay(&self) -> bool {
+    pub fn is_bridge(&self) -> bool {
         self.follows_caches && !self.small_fleet
     }
 
--- a/tests/gateway_relays.rs
+++ b/tests/gateway_bridges.rs
@@ -1,4 +1,4 @@
-//! What crosses halls in a large fleet: relays tell each other of their halls, and their halls of
+//! What crosses halls in a large fleet: bridges tell each other of their halls, and their halls of
 //! the others.
 
 use std::net::{IpAddr, SocketAddr};
@@ -60,36 +60,36 @@
     targets.iter().map(SocketAddr::ip).collect()
 }
 
-/// Two relays of each of the four other halls.
-fn relays_of_others(hall: u32) -> Vec<IpAddr> {
+/// Two bridges of each of the four other halls.
+fn bridges_of_others(hall: u32) -> Vec<IpAddr> {
     let others = (0..HALLS).filter(|other| *other != hall);
     others.flat_map(|other| [address(other, 1), address(other, 2)]).collect()
 }
 
 #[test]
-fn relays_reached() {
+fn bridges_reached() {
     let mut peers = fleet_box(0, 1, 0);
-    let Targets { whole, brief, relays, own_hall } =
-        peers.next_targets(300, Audience::All, Reach::Relays);
+    let Targets { whole, brief, bridges, own_hall } =
+        peers.next_targets(300, Audience::All, Reach::Bridges);
     let whole = ips(&whole);
-    assert!(relays_of_others(0).iter().all(|relay| whole.contains(relay)));
-    assert_eq!(whole.len(), 58 + 8, "the own hall, and the relays of all others");
+    assert!(bridges_of_others(0).iter().all(|bridge| whole.contains(bridge)));
+    assert_eq!(whole.len(), 58 + 8, "the own hall, and the bridges of all others");
     assert_eq!(brief.len(), 4, "others in turn");
-    assert_eq!(ips(&relays), relays_of_others(0));
+    assert_eq!(ips(&bridges), bridges_of_others(0));
     assert_eq!(own_hall.len(), 58);
-    let again = peers.next_targets(320, Audience::All, Reach::Relays);
-    assert_eq!((again.relays.len(), again.own_hall.len()), (0, 0), "halls have their own period");
+    let again = peers.next_targets(320, Audience::All, Reach::Bridges);
+    assert_eq!((again.bridges.len(), again.own_hall.len()), (0, 0), "halls have their own period");
     let usual = peers.next_targets(600, Audience::All, Reach::OwnHall);
     assert_eq!((usual.whole.len(), usual.brief.len()), (58, 4), "any other box");
 }
 
 #[test]
-fn new_relay_reached() {
+fn new_bridge_reached() {
     let mut peers = fleet_box(0, 1, 0);
     let successor = Gossip { follows_caches: true, ..gossip(1, 3, 0) };
     peers.hear(300, address(1, 3), successor, Mark::default());
-    let targets = peers.next_targets(310, Audience::All, Reach::Relays);
-    assert!(ips(&targets.relays).contains(&address(1, 3)), "it says that it is one");
+    let targets = peers.next_targets(310, Audience::All, Reach::Bridges);
+    assert!(ips(&targets.bridges).contains(&address(1, 3)), "it says that it is one");
 }
 
 #[test]
@@ -102,8 +102,8 @@
     assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3);
     assert_eq!(south.fetch_tokens(STORE), 580 + 580 + 5);
     south.hear_hall(110, news);
-    assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3, "told once more by the other relay");
-    // A box of the south that is no relay hears it from there.
+    assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3, "told once more by the other bridge");
+    // A box of the south that is no bridge hears it from there.
     let mut other = fleet_box(1, 40, 1);
     other.hear_other_halls(200, &south.other_halls(200));
     assert_eq!(other.load(UPSTREAM).requests, 58 + 58 * 2 + 3);
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -23,10 +23,10 @@
     IpAddr::from([10, 0, u8::try_from(hall).unwrap(), host])
 }
 
-/// Whom a box tells that is neither a relay nor leads, in full or in brief.
+/// Whom a box tells that is neither a bridge nor leads, in full or in brief.
 fn addresses_told(peers: &mut Peers, now_ms: u64, audience: Audience) -> Vec<SocketAddr> {
     let targets = peers.next_targets(now_ms, audience, Reach::OwnHall);
-    assert_eq!((targets.relays.len(), targets.own_hall.len()), (0, 0));
+    assert_eq!((targets.bridges.len(), targets.own_hall.len()), (0, 0));
     targets.whole.into_iter().chain(targets.brief).collect()
 }
 
