--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -11,7 +11,6 @@
 use coursestile::gateway::decisions::context::scope;
 use coursestile::gateway::decisions::demand::Demand;
 use coursestile::gateway::decisions::gossip_message::{Gossip, LoadChanges, ToldLoad};
-use coursestile::gateway::decisions::holder::PartKey;
 use coursestile::gateway::decisions::kept::{CacheChange, CacheListing, KeptPart};
 use coursestile::gateway::decisions::look::Look;
 use coursestile::gateway::decisions::peers::{Audience, Own, Peers, Reach};
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -18,12 +18,11 @@
     /// Takes what an upstream tells of itself in the metadata store, where what is newer
     /// comes later.
     pub fn put(&mut self, now_ms: u64, id: &str, entry: Entry) -> Told {
-        let told = match self.by_id.get_mut(id) {
-            Some(known) => known.take_entry(now_ms, entry),
-            None => {
-                self.by_id.insert(id.to_owned(), Upstream::new(now_ms, id, entry));
-                Told::Known
-            }
+        let told = if let Some(known) = self.by_id.get_mut(id) {
+            known.take_entry(now_ms, entry)
+        } else {
+            self.by_id.insert(id.to_owned(), Upstream::new(now_ms, id, entry));
+            Told::Known
         };
         self.note_number(id);
         told
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -87,7 +87,7 @@
 
 /// Waits until the box knows whether its fleet is a large one, once after its start.
 async fn settle(gateway: &Gateway) {
-    if gateway.state().is_settled {
+    if gateway.state().settled_at_ms.is_some() {
         return;
     }
     let until_ms = now_ms() + SETTLE_MS;
@@ -95,8 +95,9 @@
         sleep(TICK).await;
     }
     let mut state = gateway.state();
-    choose_role(gateway, &mut state, now_ms());
-    state.is_settled = true;
+    let now_ms = now_ms();
+    choose_role(gateway, &mut state, now_ms);
+    state.settled_at_ms = Some(now_ms);
 }
 
 /// Decides again what this box is to follow itself.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -64,8 +64,8 @@
     pub follows_store: bool,
     /// Whether this box follows the stores of context itself.
     pub follows_caches: bool,
-    /// Whether the box has had time to hear of its peers since it started.
-    pub is_settled: bool,
+    /// When the box had had time to hear of its peers, since it started.
+    pub settled_at_ms: Option<u64>,
     /// Whether all boxes follow everything, as it was decided last.
     pub small_fleet: bool,
     /// Difference of the upstreams' clock to ours, once it was told.
@@ -242,7 +242,7 @@
             peers: Peers::new(own(&settings), &settings.seeds),
             follows_store: true,
             follows_caches: true,
-            is_settled: false,
+            settled_at_ms: None,
             small_fleet: true,
             upstream_clock_ahead_ms: None,
             serving: 0,
--- a/tests/gateway_bridges.rs
+++ b/tests/gateway_bridges.rs
@@ -102,7 +102,11 @@
     assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3);
     assert_eq!(south.fetch_tokens(STORE), 580 + 580 + 5);
     south.hear_hall(110, news);
-    assert_eq!(south.load(UPSTREAM).requests, 58 + 58 * 2 + 3, "told once more by the other bridge");
+    assert_eq!(
+        south.load(UPSTREAM).requests,
+        58 + 58 * 2 + 3,
+        "told once more by the other bridge"
+    );
     // A box of the south that is no bridge hears it from there.
     let mut other = fleet_box(1, 40, 1);
     other.hear_other_halls(200, &south.other_halls(200));
