--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,8 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Settings;
 use crate::gateway::{
-    follow, follow_caches, gossip, leader, leadership, listener, members, reach, store_updates,
+    catch_up, follow, follow_caches, gossip, leader, leadership, listener, members, reach,
+    store_updates,
 };
 use crate::phase::Phase;
 
@@ -52,8 +53,8 @@
     tokio::spawn(follow_caches::run(gateway.clone()));
     tokio::spawn(gossip::receive(gateway.clone(), socket.clone()));
     tokio::spawn(gossip::send(gateway.clone(), socket.clone(), now_ms()));
-    tokio::spawn(gossip::catch_up(gateway.clone()));
-    tokio::spawn(gossip::give(gateway.clone(), peers));
+    tokio::spawn(catch_up::run(gateway.clone()));
+    tokio::spawn(catch_up::give(gateway.clone(), peers));
     tokio::spawn(store_updates::subscribe(gateway.clone()));
     tokio::spawn(reach::run(gateway.clone()));
     tokio::spawn(leadership::run(gateway.clone(), socket.clone()));
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,54 +1,35 @@
-//! Carries gossip between boxes: datagrams out and in, and snapshots by TCP.
+//! Carries gossip between boxes: datagrams out and in. What needs more room is asked for by
+//! TCP (`catch_up`).
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{debug, info, warn};
+use log::{debug, warn};
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::time::{sleep, timeout};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 use crate::clock::now_ms;
-use crate::error::{Error, Result};
 use crate::gateway::claims::pause_ms;
-use crate::gateway::connections::tune;
 use crate::gateway::decisions::gossip_message::{
     Gossip, LoadChanges, ToldLoad, ToldNaming, changed_loads, told_loads,
 };
 use crate::gateway::decisions::hall_news::{HallNews, OtherHalls};
 use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, Reach};
-use crate::gateway::decisions::view::{CatchUp, Mark};
 use crate::gateway::decisions::weights::Naming;
-use crate::gateway::follow;
 use crate::gateway::helpers::{HelpReply, HelpRequest, help};
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
-use crate::gateway::settings::Bounds;
-use crate::gateway::store_updates::publish;
 use crate::phase::Phase;
 
 /// Longest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 8192;
-/// Longest snapshot that is read: the store's largest value and its upstreams.
-const MAX_SNAPSHOT_BYTES: u64 = 8 << 20;
-/// Longest time in which a peer must send a snapshot.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Part, in percent, of the time in which a change must be in force that one peer may
-/// take: if it is silent, there must be time for another.
-const SNAPSHOT_PERCENT: u64 = 40;
 /// Least time between two messages: changes meanwhile are told together.
 const LEAST_PERIOD: Duration = Duration::from_millis(20);
 /// Pause after a socket that failed, so that a lasting fault does not spin.
 const FAILED_PAUSE: Duration = Duration::from_millis(10);
-/// Longest time between two looks for a peer that knows more.
-const COMPARE_PERIOD: Duration = Duration::from_millis(200);
-/// Pause after each, so that several changes are fetched at once.
-const CATCH_UP_PAUSE: Duration = Duration::from_millis(100);
-/// Longest question of a peer that is behind.
-const MAX_QUESTION_BYTES: u64 = 64;
 
 /// What boxes send each other by datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,15 +48,6 @@
     HelpReply(HelpReply),
 }
 
-/// What a box asks another by TCP.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Question {
-    /// What it lacks of the metadata store's items.
-    CatchUp(Mark),
-    /// What stores of context keep, from now on.
-    Stores,
-}
-
 /// Tells peers, a few times a second.
 pub async fn send(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
     let mut audience = Audience::All;
@@ -386,100 +358,3 @@
         }
     }
 }
-
-/// Asks a peer that knows more for what this box lacks.
-pub async fn catch_up(gateway: Arc<Gateway>) {
-    while gateway.phase() != Phase::Stopped {
-        // Either is fine: a peer is ahead, or it is time to compare.
-        let _ = timeout(COMPARE_PERIOD, gateway.peer_ahead.notified()).await;
-        let (peer, own) = {
-            let state = gateway.state();
-            let own = state.view.mark();
-            (state.peers.ahead(now_ms(), own, state.store_link()), own)
-        };
-        let Some(peer) = peer else { continue };
-        match fetch(peer, own, snapshot_timeout(&gateway.settings.bounds)).await {
-            Ok(told) => {
-                follow::take_from_peer(&gateway, told);
-                gateway.behind.notify_one();
-            }
-            Err(error) => {
-                info!(target: "gossip", "event=catch_up_failed cause=\"{error}\"");
-                gateway.state().peers.unanswered(now_ms(), peer.ip());
-            }
-        }
-        sleep(CATCH_UP_PAUSE).await;
-    }
-}
-
-fn snapshot_timeout(bounds: &Bounds) -> Duration {
-    let change_ms = bounds.change_apply_ms.min(bounds.departure_apply_ms);
-    SNAPSHOT_TIMEOUT.min(Duration::from_millis(change_ms * SNAPSHOT_PERCENT / 100))
-}
-
-async fn fetch(peer: SocketAddr, own: Mark, longest: Duration) -> Result<CatchUp> {
-    let question = postcard::to_stdvec(&Question::CatchUp(own))
-        .map_err(|error| Error::Message(error.to_string()))?;
-    let read = async {
-        let mut stream = TcpStream::connect(peer).await?;
-        stream.write_all(&question).await?;
-        stream.shutdown().await?;
-        let mut bytes = Vec::new();
-        stream.take(MAX_SNAPSHOT_BYTES).read_to_end(&mut bytes).await?;
-        std::io::Result::Ok(bytes)
-    };
-    let bytes = timeout(longest, read)
-        .await
-        .map_err(|_| Error::Message(format!("{peer}: no snapshot in time")))?
-        .map_err(|error| Error::Message(format!("{peer}: {error}")))?;
-    postcard::from_bytes(&bytes).map_err(|error| Error::Message(format!("{peer}: {error}")))
-}
-
-/// Tells peers that ask what they lack.
-pub async fn give(gateway: Arc<Gateway>, listener: TcpListener) {
-    while gateway.phase() != Phase::Stopped {
-        let (mut stream, from) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                debug!(target: "gossip", "event=accept_failed cause=\"{error}\"");
-                sleep(FAILED_PAUSE).await;
-                continue;
-            }
-        };
-        let gateway = gateway.clone();
-        tokio::spawn(async move {
-            if let Err(error) = answer(&gateway, &mut stream).await {
-                debug!(target: "gossip", "event=answer_lost peer={from} cause=\"{error}\"");
-            }
-        });
-    }
-}
-
-async fn answer(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
-    let unreadable = |error: postcard::Error| Error::Message(error.to_string());
-    // Else bytes for a subscriber that fell silent would wait for a quarter of an hour.
-    tune(stream).map_err(|error| Error::Message(error.to_string()))?;
-    let mut question = Vec::new();
-    let mut limited = (&mut *stream).take(MAX_QUESTION_BYTES);
-    in_time(timeout(SNAPSHOT_TIMEOUT, limited.read_to_end(&mut question)).await)?;
-    match postcard::from_bytes(&question).map_err(unreadable)? {
-        Question::CatchUp(mark) => {
-            let told = gateway.state().view.catch_up(mark);
-            let bytes = postcard::to_stdvec(&told).map_err(unreadable)?;
-            let written = timeout(SNAPSHOT_TIMEOUT, async {
-                stream.write_all(&bytes).await?;
-                stream.shutdown().await
-            });
-            in_time(written.await)
-        }
-        Question::Stores => publish(gateway, stream).await,
-    }
-}
-
-fn in_time<T>(
-    ended: std::result::Result<std::io::Result<T>, tokio::time::error::Elapsed>,
-) -> Result<T> {
-    ended
-        .map_err(|_| Error::Message("not in time".to_owned()))?
-        .map_err(|error| Error::Message(error.to_string()))
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //! need to know, for many client accounts that share them.
 //!
 //! `decisions` holds what is decided, as pure functions of state and time; everything else
-//! carries it out. `follow`, `follow_caches` and `gossip` bring in what the box knows,
+//! carries it out. `follow`, `follow_caches`, `gossip` and `catch_up` bring in what the box knows,
 //! `entries` what upstreams tell of themselves, `members` where other boxes are;
 //! `listener`, `check`, `serve`, `attempt`, `place`, `silence`, `overdue` and `relay` take a
 //! request through, `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
@@ -10,6 +10,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod catch_up;
 pub mod check;
 pub mod claims;
 pub mod connections;
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -20,9 +20,9 @@
 
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::catch_up::Question;
 use crate::gateway::decisions::holder::Update;
 use crate::gateway::decisions::names::number;
-use crate::gateway::gossip::Question;
 use crate::gateway::kernel::{Gateway, State};
 use crate::phase::Phase;
 
