--- a/src/gateway/decisions/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -4,6 +4,7 @@
 //! they cost a box the square of the fleet.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 
 use crate::gateway::decisions::gossip_message::{Gossip, ToldLoad};
 use crate::gateway::decisions::peers::{FORGET_MS, Peers};
@@ -111,7 +112,7 @@
 
     /// Upstreams of whose load a peer told last.
     #[must_use]
-    pub fn upstreams_told_by(&self, address: std::net::IpAddr) -> Vec<u32> {
+    pub fn upstreams_told_by(&self, address: IpAddr) -> Vec<u32> {
         let peer = self.known.get(&address).filter(|peer| peer.counted);
         peer.map_or_else(Vec::new, |peer| {
             peer.gossip.loads.iter().map(|told| told.upstream).collect()
