--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -41,9 +41,7 @@
 /// within two minutes when nothing that comes shows that it may.
 const RECOVERY_PER_S: f64 = 0.01;
 /// Least and largest limit. It begins at the largest: a short crowd at one moment of an
-/// ordinary load is better queued than refused. Of 1.1 and 1.3, 1.1 served callers better:
-/// 4.09 against 4.03 of 6 in what they had of what they were owed, summed over two
-/// overloads and four ordinary loads.
+/// ordinary load is better queued than refused.
 const LIMITS: (f64, f64) = (0.3, 1.1);
 /// Part of its room from which on an engine's answers speak for a larger limit.
 const NEARLY_FULL_PART: f64 = 0.7;
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -22,7 +22,7 @@
 /// over some thirty steps.
 const RUNNING_COST_MS: f64 = 3.0;
 /// Cost of an upstream in another hall, for the bytes and for what a cut between
-/// halls would lose; of 3, 25, 80 and 200 ms this served best on both sites.
+/// halls would lose.
 const OTHER_HALL_COST_MS: f64 = 25.0;
 /// Cost of an upstream whose places are all taken, a part of it for each.
 const FULL_COST_MS: f64 = 100.0;
--- a/src/gateway/decisions/context.rs
+++ b/src/gateway/decisions/context.rs
@@ -5,7 +5,7 @@
 
 /// Time for which context of old weights is read from stores after newer ones were named;
 /// then its space is for theirs. Engines that are not loaded yet would have to read it
-/// again: two seconds cost 0.02 of worth on an ordinary day with new weights.
+/// again.
 pub const OLD_STORES_MS: u64 = 4500;
 
 /// Where a part of a prompt comes from.
--- a/src/gateway/decisions/rollout.rs
+++ b/src/gateway/decisions/rollout.rs
@@ -4,8 +4,8 @@
 //! those with the least to lose go first. A version that a newer one has
 //! replaced is passed over.
 
-/// Least number of engines that load at once, if there are so many: of nine, three out of
-/// service at a time cost 0.02 of the worth of a day on which weights are named twice.
+/// Least number of engines that load at once, if there are so many: in a small pool each one
+/// out of service is much of what carries the work.
 const LEAST_AT_ONCE: usize = 2;
 /// Engines for each one that loads at once: 12 of 60 load as quickly as one.
 const ENGINES_FOR_ONE: usize = 5;
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -21,8 +21,7 @@
 /// Moves between halls take this many times as long.
 const OTHER_HALL_FACTOR: f64 = 2.0;
 /// Part of a latency objective that a transfer may take where reading again would cost less
-/// time: it leaves the engine its own for others. Callers wait for a second, yet short parts
-/// were mostly read again under overload: 0.026 (0.012) more of worth with nine engines.
+/// time: it leaves the engine its own for others.
 const TRANSFER_PART: f64 = 0.5;
 /// A transfer that would wait longer is not begun by engines.
 const MAX_LINK_WAIT_MS: f64 = 1000.0;
