--- a/src/gateway/relay/leaving.rs
+++ b/src/gateway/relay/leaving.rs
@@ -18,12 +18,10 @@
 use crate::gateway::silence::place_beside;
 
 /// Time in which another upstream must go on with a stream that its own could go on
-/// with; of 250 and 600 ms this moved more.
+/// with.
 const MOVE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time in which another engine must be expected to go on with a stream, that it may leave
-/// one which is to load weights: others wait there while its prompt is read again. With any
-/// time taken, a day with nine engines, weights named twice and prompts of thousands of
-/// tokens had 0.70 of worth, now 0.80 (five seeds, paired).
+/// one which is to load weights: others wait there while its prompt is read again.
 const QUICK_MOVE_MS: f64 = 100.0;
 /// Time between two looks whether a stream should leave its upstream: short beside
 /// a load of weights.
