Logs: what a request asks, and whether an upstream that broke off has crashed

What callers saw: streams cut, engine after engine. The logs name requests by ids that are new with each try, so that they cannot tell one request that crashes engines from engines that end by themselves. A fingerprint of account, method, target and body stands in 'routed' now; when requests break off, one new connection tells a crash (refused) from a reset, and 'upstream_broke_off' lists the fingerprints that ran there. Nothing is decided by it yet.

--- /dev/null
+++ b/src/fingerprint.rs
@@ -0,0 +1,33 @@
+//! What a request asks, in one number. A client that sends a request again gives it another
+//! id, so that only this relates the two.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Hash of a caller, what it asks for, and the body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of `body`, sent by `caller` to `target`, which is described by any
+    /// number of words.
+    #[must_use]
+    pub fn new(caller: &str, target: &[&str], body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for word in std::iter::once(&caller).chain(target) {
+            // With its length, so that words cannot run into each other.
+            hasher.update(&(word.len() as u64).to_le_bytes());
+            hasher.update(word.as_bytes());
+        }
+        let mut bytes = [0; 8];
+        hasher.update(body).finalize_xof().fill(&mut bytes);
+        Self(u64::from_le_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,7 +10,9 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
+use crate::fingerprint::Fingerprint;
 use crate::gateway::connections::{SendError, Sender, send};
+use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::site::Repeat;
 use crate::gateway::decisions::units::whole_ms;
@@ -30,6 +32,8 @@
 pub struct Outgoing {
     /// Id of the request.
     pub request_id: String,
+    /// What it asks, whatever its id.
+    pub fingerprint: Fingerprint,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -198,6 +202,7 @@
         Ok(Err(SendError::NotSent(cause))) => return Attempted::NotSent { cause },
         Ok(Err(SendError::Unknown(cause))) => {
             place.failed();
+            crashes::note_broken_off(gateway, &place.upstream, outgoing.fingerprint);
             return Attempted::Unknown { cause };
         }
         Err(_) => return Attempted::TimeOver,
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Uri, header};
 use tokio::time::timeout;
 
+use crate::fingerprint::Fingerprint;
 use crate::gateway::answer::Reason;
 use crate::gateway::attempt::Outgoing;
 use crate::gateway::decisions::incarnation::Incarnation;
@@ -106,6 +107,15 @@
         ran_perhaps: false,
         outgoing: Outgoing {
             request_id: request_id.clone(),
+            fingerprint: Fingerprint::new(
+                account.as_ref().map_or("", |one| &one.name),
+                &[
+                    parts.method.as_str(),
+                    host,
+                    target.path_and_query().map_or("", |one| one.as_str()),
+                ],
+                &bytes,
+            ),
             method: parts.method,
             target,
             head: parts.headers,
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -10,6 +10,7 @@
 //! costs a round trip, a request on a silent one is lost if it may run only once.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -97,15 +98,21 @@
         if let Some(sender) = self.take_idle(id) {
             return Ok(sender);
         }
+        self.open(address).await.map_err(|error| error.to_string())
+    }
+
+    /// A new connection to an upstream.
+    ///
+    /// # Errors
+    /// Fails when none comes up in time; `ConnectionRefused` says that nobody listens there.
+    pub async fn open(&self, address: SocketAddr) -> io::Result<Sender> {
         metrics::counter!("coursestile_connections_opened_total").increment(1);
-        let connecting = TcpStream::connect(address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(|_| "no connection in time".to_owned())?
-            .map_err(|error| error.to_string())?;
-        tune(&stream).map_err(|error| error.to_string())?;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time");
+        let stream = connecting.await.map_err(late)??;
+        tune(&stream)?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
         let pool = self.pool.clone();
         tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::now_ms;
 use crate::error::Result;
+use crate::fingerprint::Fingerprint;
 use crate::gateway::claims::Book;
 use crate::gateway::connections::Connections;
 use crate::gateway::decisions::admission::Limits;
@@ -211,6 +212,8 @@
     pub resigned: watch::Sender<bool>,
     /// Answers of peers that made a call for the leader.
     pub help_replies: watch::Sender<Option<HelpReply>>,
+    /// Requests that broke off, by upstreams of which it is not known yet whether they crashed.
+    pub broken_off: Mutex<HashMap<String, Vec<Fingerprint>>>,
     /// Held while a claim is written: one after the other.
     pub claiming: tokio::sync::Mutex<()>,
     state: Mutex<State>,
@@ -268,6 +271,7 @@
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
             help_replies: watch::Sender::new(None),
+            broken_off: Mutex::default(),
             claiming: tokio::sync::Mutex::new(()),
             state: Mutex::new(state),
             phase: watch::Sender::new(Phase::Serving),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod check;
 pub mod claims;
 pub mod connections;
+pub mod crashes;
 pub mod daemon;
 pub mod decisions;
 pub mod entries;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -19,6 +19,7 @@
 use crate::gateway::answer::{self, Answer, BrokenOff};
 use crate::gateway::attempt::{Attempted, Reply, attempt};
 use crate::gateway::check::Job;
+use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::site::Repeat;
 use crate::gateway::events::{last_event_end, last_event_id};
@@ -178,6 +179,11 @@
     async fn resume(&mut self, cause: &str) -> Option<BrokenOff> {
         self.log_broken(cause);
         self.reply = None;
+        crashes::note_broken_off(
+            &self.gateway,
+            &self.choice.upstream,
+            self.job.outgoing.fingerprint,
+        );
         if self.job.outgoing.repeat != Repeat::StreamResumable {
             return Some(BrokenOff::Upstream);
         }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -37,10 +37,11 @@
     };
     let context = choice.context.as_ref();
     info!(target: "serve",
-        "event=routed request={} route={} configuration={} upstream={} attempt={} left_ms={} \
+        "event=routed request={} fingerprint={} route={} configuration={} upstream={} attempt={} left_ms={} \
          version={} behind_ms={behind_ms} read_tokens={} reread_tokens={} expected_ms={:.0} context={} part={} \
          load_requests={} load_unread={} load_memory={} limit={limit:.2}",
         job.outgoing.request_id,
+        job.outgoing.fingerprint,
         job.route.name,
         job.configuration,
         choice.upstream.id,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use crate::gateway::answer::{self, Answer, Reason};
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
+use crate::gateway::crashes;
 use crate::gateway::decisions::admission::{self, Asked, Room};
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::demand::Demand;
@@ -264,6 +265,7 @@
         Ok(Ok(Start::Part(bytes))) => Some(relay::stream(gateway, job, reply, choice, bytes)),
         Ok(Err(cause)) => {
             reply.place.failed();
+            crashes::note_broken_off(gateway, &choice.upstream, job.outgoing.fingerprint);
             lost(gateway, job, choice, &cause)
         }
         Err(_) => Some(time_over(job, choice)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod edge;
 pub mod error;
 pub mod explain;
+pub mod fingerprint;
 pub mod fleet;
 pub mod forwarding;
 pub mod gateway;
