Tests (red): a request that crashes its upstreams comes again

Two boxes before twelve upstreams, each of which crashes when it begins to run one body. After three crashes and 3 s the request comes six times more: it is sent on each time and answered 502 ('not run' was due), on a route of each kind, and also when all boxes were killed in between. Two tests hold what must stay: a bystander of two crashes is served, and resets without a crash hold nothing back.

--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -9,6 +9,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::http::{Message, Reader};
@@ -71,6 +72,9 @@
     ran: Vec<Ran>,
     script: VecDeque<Act>,
     released: bool,
+    /// Body that crashes it.
+    deadly: Option<Vec<u8>>,
+    crashed: watch::Sender<bool>,
 }
 
 type Shared = Arc<Mutex<Seen>>;
@@ -96,8 +100,20 @@
         let seen = Shared::default();
         let shared = seen.clone();
         let accepting = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, shared.clone()));
+            let accept = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let shared = shared.clone();
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = serve(stream, shared.clone()) => {}
+                            () = crashed(&shared) => {}
+                        }
+                    });
+                }
+            };
+            tokio::select! {
+                () = accept => {}
+                () = crashed(&shared) => {}
             }
         });
         Self { address, id: id.to_owned(), seen, accepting }
@@ -118,6 +134,17 @@
         self.seen().script.clear();
     }
 
+    /// Crashes, with all that runs there, when it begins to run a request with this body.
+    pub fn crash_on(&self, body: &str) {
+        self.seen().deadly = Some(body.as_bytes().to_vec());
+    }
+
+    /// Whether it has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        *self.seen().crashed.borrow()
+    }
+
     /// Goes on with what it holds.
     pub fn release(&self) {
         self.seen().released = true;
@@ -154,6 +181,10 @@
     let mut reader = Reader::new(read);
     while let Some(request) = reader.next(false).await {
         let act = note(&mut shared.lock().expect("no task panics under the lock"), &request);
+        if is_deadly(&shared, &request) {
+            shared.lock().expect("no task panics under the lock").crashed.send_replace(true);
+            return;
+        }
         if answer(&mut write, &request, &act, &shared).await.is_none() {
             return;
         }
@@ -172,6 +203,11 @@
     act
 }
 
+fn is_deadly(shared: &Shared, request: &Message) -> bool {
+    let seen = shared.lock().expect("no task panics under the lock");
+    seen.deadly.as_ref().is_some_and(|deadly| *deadly == request.body)
+}
+
 /// Whether a request is on a route of streams.
 fn is_stream(request: &Message) -> bool {
     let path = request.second();
@@ -198,6 +234,13 @@
     }
 }
 
+/// Waits until it crashes.
+async fn crashed(shared: &Shared) {
+    let mut crashed = shared.lock().expect("no task panics under the lock").crashed.subscribe();
+    // The sender lives as long as `shared`.
+    let _ = crashed.wait_for(|crashed| *crashed).await;
+}
+
 /// Writes an answer; `None` when the connection ends with it.
 async fn answer(
     write: &mut OwnedWriteHalf,
