Requests under which upstreams crash are quarantined

What callers saw: one request ended 33 engines, and each took up to nine streams of other callers with it. Cause: what a box learns from a failure it puts down to the upstream alone. The request comes again under a new id, at any box, and nothing relates the tries. Ruled out: repeats by the box itself (one attempt an id), a coincidence with changes of configuration, ends for want of memory (12 s pauses at equal load). Change: a request is known by its account, method, target and body. When an upstream breaks requests off and refuses new connections, it counts as crashed under all that it ran; boxes tell each other at once and pass on what they hear. One under which three upstreams crashed, and which none answered since, gets 503 (it has not run) with when it may come back, before it reaches anybody; copies that wait for an answer are withdrawn. The leader keeps the list in the platform's store, for boxes that start. Why three: a bystander's tries meet one crash each; two would hold back callers who came back once.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -49,6 +49,8 @@
     NoUpstream,
     /// upstreams full
     UpstreamsFull,
+    /// upstreams crash under it
+    Quarantined,
     /// deadline passed
     DeadlinePassed,
     /// upstream failed
@@ -67,9 +69,11 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady | Self::NoUpstream | Self::UpstreamsFull | Self::DeadlinePassed => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoUpstream
+            | Self::UpstreamsFull
+            | Self::Quarantined
+            | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::UpstreamSilent => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -8,9 +8,11 @@
 
 use log::info;
 
+use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::quarantine;
 use crate::sync::locked;
 
 /// Notes that an upstream broke a request off before the end of its answer. A crash ends all
@@ -29,6 +31,34 @@
     let requests = locked(&gateway.broken_off).remove(&upstream.id).unwrap_or_default();
     info!(target: "crashes", "event=upstream_broke_off upstream={} crashed={crashed} requests={}",
         upstream.id, listed(&requests));
+    if crashed {
+        metrics::counter!("coursestile_upstream_crashes_total").increment(1);
+        note_crash(&gateway, &upstream, &requests);
+    }
+}
+
+fn note_crash(gateway: &Gateway, upstream: &Incarnation, requests: &[Fingerprint]) {
+    let mut state = gateway.state();
+    let now_ms = now_ms();
+    if let Some(upstream) = state.upstreams.get_run_mut(upstream) {
+        upstream.suspect();
+    }
+    for request in requests {
+        if state.quarantine.crashed(now_ms, *request, upstream.number(), now_ms) {
+            quarantine::log_crash(&state, now_ms, *request);
+        }
+    }
+    drop(state);
+    gateway.gossip_now.notify_one();
+    gateway.quarantined.notify_waiters();
+}
+
+/// Notes that an upstream has answered a request to its end.
+pub fn note_answered(gateway: &Gateway, request: Fingerprint) {
+    if gateway.state().quarantine.answered(request, now_ms()) {
+        info!(target: "crashes", "event=suspect_answered fingerprint={request}");
+        gateway.gossip_now.notify_one();
+    }
 }
 
 /// Whether nobody listens at the upstream's address any more.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,8 +12,8 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Settings;
 use crate::gateway::{
-    catch_up, follow, follow_caches, gossip, leader, leadership, listener, members, reach,
-    store_updates,
+    catch_up, follow, follow_caches, gossip, leader, leadership, listener, members, quarantine,
+    reach, store_updates,
 };
 use crate::phase::Phase;
 
@@ -62,6 +62,7 @@
     tokio::spawn(leader::free(gateway.clone(), socket.clone()));
     tokio::spawn(leader::tidy(gateway.clone(), socket));
     tokio::spawn(members::run(gateway.clone()));
+    tokio::spawn(quarantine::run(gateway.clone()));
     tokio::spawn(listener::clients(gateway.clone(), clients));
     gateway.reached(Phase::Stopped).await;
     info!(target: "daemon", "event=stopped box={}", gateway.settings.name);
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::Mark;
+use crate::quarantine::{ToldAnswer, ToldCrash};
 
 /// Upstreams whose load is told in one message.
 const NAMED_LOADS: usize = 80;
@@ -50,6 +51,10 @@
     /// Revisions of the metadata store before which all leaders are over, each with the
     /// time since that is known, in milliseconds.
     pub terms: Vec<(u64, u32)>,
+    /// Upstreams that crashed, with the requests that they had.
+    pub crashes: Vec<ToldCrash>,
+    /// Requests that were answered though upstreams had crashed under them.
+    pub answers: Vec<ToldAnswer>,
 }
 
 impl Gossip {
@@ -66,6 +71,8 @@
             store_link: self.store_link,
             follows_caches: self.follows_caches,
             limits: self.limits.clone(),
+            crashes: self.crashes.clone(),
+            answers: self.answers.clone(),
             ..Self::default()
         }
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -24,6 +24,7 @@
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::members;
 use crate::gateway::metadata::{Change, Freshness, Item, Wait, Watched};
+use crate::gateway::quarantine;
 use crate::gateway::settings::Bounds;
 use crate::phase::Phase;
 use crate::platform::keys::{self, Kind};
@@ -356,7 +357,8 @@
                 warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
             }
             (Kind::Members, Some(value)) => members::take(gateway, &mut state.peers, value),
-            (Kind::Members, None) | (Kind::Own | Kind::Other, _) => {}
+            (Kind::Quarantine, Some(value)) => quarantine::take(gateway, state, now_ms, value),
+            (Kind::Members | Kind::Quarantine, None) | (Kind::Own | Kind::Other, _) => {}
         }
     }
     if upstreams_changed {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,6 +22,7 @@
 use crate::gateway::helpers::{HelpReply, HelpRequest, help};
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
+use crate::gateway::quarantine;
 use crate::phase::Phase;
 
 /// Longest datagram that is read.
@@ -170,6 +171,8 @@
         versions: versions(state, now_ms),
         named: named(state, now_ms, gateway.settings.bounds.weights_apply_ms),
         terms: terms(state, now_ms, pause_ms(&gateway.settings.bounds)),
+        crashes: state.quarantine.told_crashes(now_ms),
+        answers: state.quarantine.told_answers(now_ms),
     }
 }
 
@@ -275,6 +278,7 @@
         state.terms.hear(*revision, now_ms.saturating_sub(u64::from(*age_ms)));
     }
     supersede(&mut state, &gossip.superseded);
+    quarantine::hear(gateway, &mut state, now_ms, &gossip);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.take_upstream_clock(now_ms, clock_ms);
     }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -31,6 +31,7 @@
 use crate::platform::engine::Engines;
 use crate::platform::http::Http;
 use crate::platform::metadata::MetadataStore;
+use crate::quarantine::Quarantine;
 use crate::sync::locked;
 
 /// Heartbeats for which the metadata store must have been away before an upstream's
@@ -59,6 +60,8 @@
     pub limits: Limits,
     /// Budget for repeats.
     pub budget: Budget,
+    /// Requests under which upstreams crashed.
+    pub quarantine: Quarantine,
     /// The other boxes.
     pub peers: Peers,
     /// Whether this box follows the metadata store itself.
@@ -206,6 +209,8 @@
     pub load_changed: Notify,
     /// Wakes the sender of gossip.
     pub gossip_now: Notify,
+    /// Wakes who acts when a request is quarantined.
+    pub quarantined: Notify,
     /// Wakes those who follow the set of upstreams and stores.
     pub upstreams_changed: watch::Sender<u64>,
     /// Whether this box is to lead no more, since it stops.
@@ -242,6 +247,7 @@
             usual_limits: UsualLimits::default(),
             limits: Limits::default(),
             budget: Budget::new(terms, now_ms()),
+            quarantine: Quarantine::default(),
             peers: Peers::new(own(&settings), &settings.seeds),
             follows_store: true,
             follows_caches: true,
@@ -268,6 +274,7 @@
             peer_ahead: Notify::new(),
             load_changed: Notify::new(),
             gossip_now: Notify::new(),
+            quarantined: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
             help_replies: watch::Sender::new(None),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod metadata;
 pub mod overdue;
 pub mod place;
+pub mod quarantine;
 pub mod reach;
 pub mod relay;
 pub mod request_log;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -139,6 +139,7 @@
                     if let Some(reply) = self.reply.take() {
                         reply.finished();
                     }
+                    crashes::note_answered(&self.gateway, self.job.outgoing.fingerprint);
                     log_end(&self.job, &self.choice, status, self.passed_bytes);
                     return None;
                 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,6 +24,7 @@
 use crate::gateway::decisions::weights::NamedWeights;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::overdue;
+use crate::gateway::quarantine;
 use crate::gateway::relay;
 use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
 use crate::gateway::silence;
@@ -96,6 +97,9 @@
         let Some(choice) = found else {
             return give_up(&job, no_place_reason(gateway, &job));
         };
+        if let Some(until_ms) = quarantine::until_ms(gateway, job.outgoing.fingerprint) {
+            return hold_back(&job, until_ms);
+        }
         if choice.room == Room::Full && !job.ran_perhaps {
             return refuse_at_once(&job);
         }
@@ -112,6 +116,9 @@
             () = overdue::must_not_begin(gateway, &job, &choice) => {
                 Attempted::Unknown { cause: "its weights are overdue".to_owned() }
             }
+            () = quarantine::entered(gateway, job.outgoing.fingerprint) => {
+                Attempted::Unknown { cause: "upstreams crash under it".to_owned() }
+            }
         };
         if let Some(answer) = settle(gateway, &mut job, &choice, attempted).await {
             return answer;
@@ -120,6 +127,17 @@
     }
 }
 
+/// The answer to a request under which upstreams crash.
+fn hold_back(job: &Job, until_ms: u64) -> Answer {
+    if job.ran_perhaps {
+        return give_up(job, Reason::UpstreamFailed);
+    }
+    let reason = Reason::Quarantined;
+    let request_id = &job.outgoing.request_id;
+    log_refusal(Some(request_id), reason, job.configuration, job.arrived_at_ms);
+    answer::refusal(reason, Some(request_id), Some(until_ms.saturating_sub(now_ms())))
+}
+
 /// The answer to a request that no engine can begin with in time.
 fn refuse_at_once(job: &Job) -> Answer {
     let reason = Reason::UpstreamsFull;
@@ -231,9 +249,12 @@
     allowed && job.sent < job.route.attempts && time_left
 }
 
-/// Takes a repeat from the budget.
+/// Takes a repeat from the budget; there is none for what upstreams crash under.
 pub(super) fn spend(gateway: &Gateway, job: &Job, now_ms: u64) -> bool {
     let mut state = gateway.state();
+    if state.quarantine.until_ms(now_ms, job.outgoing.fingerprint).is_some() {
+        return false;
+    }
     let boxes = state.peers.boxes(now_ms);
     state.budget.spend(now_ms, &job.service, boxes)
 }
@@ -256,6 +277,7 @@
         Ok(Ok(Start::Whole(bytes))) => {
             let (status, head) = (reply.status, reply.head.clone());
             reply.finished();
+            crashes::note_answered(gateway, job.outgoing.fingerprint);
             if status.is_server_error() && repeats_failure(gateway, job, choice, status) {
                 return None;
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod placing_state;
 pub mod platform;
 pub mod pool;
+pub mod quarantine;
 pub mod refusal;
 pub mod rejection;
 pub mod retry;
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -34,6 +34,8 @@
     },
     /// Addresses of our boxes.
     Members,
+    /// Requests under which upstreams crash.
+    Quarantine,
     /// Another one of ours.
     Own,
     /// Nothing that concerns us.
@@ -52,6 +54,9 @@
     if key == members() {
         return Kind::Members;
     }
+    if key == quarantine() {
+        return Kind::Quarantine;
+    }
     if key.starts_with(OWN_PREFIX) {
         return Kind::Own;
     }
@@ -67,6 +72,12 @@
     format!("{OWN_PREFIX}members")
 }
 
+/// The key of the requests that are quarantined.
+#[must_use]
+pub fn quarantine() -> String {
+    format!("{OWN_PREFIX}quarantine")
+}
+
 /// The key of a lease that one box holds.
 #[must_use]
 pub fn lease(name: &str) -> String {
--- /dev/null
+++ b/src/quarantine.rs
@@ -0,0 +1,246 @@
+//! Requests under which upstreams crash.
+//!
+//! Some requests crash whatever begins to run them, and come again under another id, at any
+//! box. Each crash also ends what else runs there, so that it says little of any one request:
+//! one under which [`CRASHES`] upstreams have crashed, and which none has run to an end since,
+//! is quarantined. Its next run after that decides: an answer clears it, a crash quarantines
+//! it again.
+//!
+//! Boxes tell each other of crashes for a while, and pass on what they hear; quarantined
+//! requests are kept in the platform's store as well.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fingerprint::Fingerprint;
+
+/// Upstreams that must crash under a request before it is quarantined: a bystander meets
+/// one with each of its tries at most.
+pub const CRASHES: usize = 3;
+/// Time for which a request is quarantined.
+pub const QUARANTINE_MS: u64 = 3_600_000;
+/// Time for which a request is suspect after a crash, quarantine included.
+const SUSPECT_MS: u64 = 2 * QUARANTINE_MS;
+/// Time for which a crash is told to other boxes.
+const TELL_MS: u64 = 3000;
+/// Crashes told in one message.
+const TOLD_CRASHES: usize = 48;
+/// Quarantined requests told in one message, in turn.
+const TOLD_QUARANTINED: usize = 8;
+/// Suspects remembered; a crash of a large upstream brings dozens.
+const MAX_SUSPECTS: usize = 4096;
+
+/// An upstream that crashed while it had a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldCrash {
+    /// The request.
+    pub request: Fingerprint,
+    /// Number of the upstream's run.
+    pub upstream: u32,
+    /// Time since, in milliseconds: clocks of boxes may differ.
+    pub age_ms: u32,
+}
+
+/// A suspect request that an upstream has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldAnswer {
+    /// The request.
+    pub request: Fingerprint,
+    /// Time since, in milliseconds.
+    pub age_ms: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    upstream: u32,
+    at_ms: u64,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// Crashes since it was answered last, [`CRASHES`] at most.
+    crashes: Vec<Crash>,
+    answered_at_ms: Option<u64>,
+}
+
+impl Suspect {
+    fn last_at_ms(&self) -> u64 {
+        self.crashes.iter().map(|crash| crash.at_ms).max().unwrap_or_default()
+    }
+
+    /// Until when it is quarantined; 0 if it never was.
+    fn until_ms(&self) -> u64 {
+        if self.crashes.len() < CRASHES { 0 } else { self.last_at_ms() + QUARANTINE_MS }
+    }
+
+    /// Counts a crash; whether it was not known.
+    fn crashed(&mut self, crash: Crash) -> bool {
+        let is_over = self.answered_at_ms.is_some_and(|at_ms| crash.at_ms <= at_ms);
+        let is_known = self.crashes.iter().any(|known| known.upstream == crash.upstream);
+        if is_over || is_known {
+            return false;
+        }
+        if self.crashes.len() == CRASHES {
+            if crash.at_ms <= self.last_at_ms() {
+                return false;
+            }
+            self.crashes.sort_unstable_by_key(|known| known.at_ms);
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    fn answered(&mut self, at_ms: u64) {
+        self.answered_at_ms = self.answered_at_ms.max(Some(at_ms));
+        self.crashes.retain(|crash| crash.at_ms > at_ms);
+    }
+
+    fn is_recent(&self, now_ms: u64) -> bool {
+        let last_ms = self.last_at_ms().max(self.answered_at_ms.unwrap_or_default());
+        now_ms < last_ms + SUSPECT_MS
+    }
+}
+
+/// The requests under which upstreams crashed.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<Fingerprint, Suspect>,
+    turn: usize,
+}
+
+impl Quarantine {
+    /// Counts an upstream that crashed while it had a request; whether that was not known.
+    pub fn crashed(
+        &mut self,
+        now_ms: u64,
+        request: Fingerprint,
+        upstream: u32,
+        at_ms: u64,
+    ) -> bool {
+        let is_new = self.suspects.entry(request).or_default().crashed(Crash { upstream, at_ms });
+        if self.suspects.len() > MAX_SUSPECTS {
+            self.forget(now_ms);
+        }
+        is_new
+    }
+
+    /// Notes that an upstream has answered a request; whether it was a suspect.
+    pub fn answered(&mut self, request: Fingerprint, at_ms: u64) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&request) else { return false };
+        let was_suspect = !suspect.crashes.is_empty();
+        suspect.answered(at_ms);
+        was_suspect
+    }
+
+    /// Until when a request is quarantined; `None` if it is not.
+    #[must_use]
+    pub fn until_ms(&self, now_ms: u64, request: Fingerprint) -> Option<u64> {
+        let until_ms = self.suspects.get(&request)?.until_ms();
+        (now_ms < until_ms).then_some(until_ms)
+    }
+
+    /// The requests that are quarantined, with the upstreams that crashed.
+    pub fn quarantined(&self, now_ms: u64) -> impl Iterator<Item = (Fingerprint, Vec<u32>)> {
+        let held = self.suspects.iter().filter(move |(_, one)| now_ms < one.until_ms());
+        held.map(|(request, one)| {
+            let mut upstreams: Vec<u32> = one.crashes.iter().map(|crash| crash.upstream).collect();
+            upstreams.sort_unstable();
+            (*request, upstreams)
+        })
+    }
+
+    /// Takes a quarantined request from a list that tells no times.
+    pub fn hear_listed(&mut self, now_ms: u64, request: Fingerprint, upstreams: &[u32]) {
+        let suspect = self.suspects.entry(request).or_default();
+        // The list may be older than the answer.
+        if suspect.answered_at_ms.is_none() {
+            for upstream in upstreams {
+                suspect.crashed(Crash { upstream: *upstream, at_ms: now_ms });
+            }
+        }
+    }
+
+    /// Takes what another box told; whether some of it was not known.
+    pub fn hear(&mut self, now_ms: u64, crashes: &[ToldCrash], answers: &[ToldAnswer]) -> bool {
+        let mut is_new = false;
+        for told in answers {
+            let at_ms = now_ms.saturating_sub(told.age_ms.into());
+            // It may be told of before the crash that it clears.
+            self.suspects.entry(told.request).or_default().answered(at_ms);
+        }
+        for told in crashes {
+            let at_ms = now_ms.saturating_sub(told.age_ms.into());
+            is_new |= self.crashed(now_ms, told.request, told.upstream, at_ms);
+        }
+        is_new
+    }
+
+    /// The crashes to tell other boxes of: the latest, those first that matter most, and all
+    /// of some quarantined requests in turn.
+    pub fn told_crashes(&mut self, now_ms: u64) -> Vec<ToldCrash> {
+        let mut recent: Vec<(usize, ToldCrash)> = Vec::new();
+        for (request, suspect) in &self.suspects {
+            let late = suspect.crashes.iter().filter(|crash| now_ms < crash.at_ms + TELL_MS);
+            recent
+                .extend(late.map(|crash| (suspect.crashes.len(), told(now_ms, *request, *crash))));
+        }
+        recent.sort_unstable_by_key(|(crashes, _)| std::cmp::Reverse(*crashes));
+        recent.truncate(TOLD_CRASHES);
+        let recent = recent.into_iter().map(|(_, crash)| crash);
+        recent.chain(self.told_quarantined(now_ms)).collect()
+    }
+
+    fn told_quarantined(&mut self, now_ms: u64) -> Vec<ToldCrash> {
+        let mut held: Vec<Fingerprint> = self.quarantined(now_ms).map(|(one, _)| one).collect();
+        if held.is_empty() {
+            return Vec::new();
+        }
+        held.sort_unstable();
+        let start = self.turn % held.len();
+        self.turn = self.turn.wrapping_add(TOLD_QUARANTINED);
+        let due = held.iter().cycle().skip(start).take(held.len().min(TOLD_QUARANTINED));
+        let all = due.filter_map(|request| Some((request, self.suspects.get(request)?)));
+        let crashes = all.flat_map(|(request, suspect)| {
+            suspect.crashes.iter().map(|crash| told(now_ms, *request, *crash))
+        });
+        crashes.collect()
+    }
+
+    /// The suspects that were answered lately, to tell other boxes of.
+    #[must_use]
+    pub fn told_answers(&self, now_ms: u64) -> Vec<ToldAnswer> {
+        let answered = self.suspects.iter().filter_map(|(request, suspect)| {
+            let at_ms = suspect.answered_at_ms.filter(|at_ms| now_ms < at_ms + TELL_MS)?;
+            Some(ToldAnswer { request: *request, age_ms: age_ms(now_ms, at_ms) })
+        });
+        answered.take(TOLD_CRASHES).collect()
+    }
+
+    /// Forgets what is long ago, and of the rest what has the fewest and oldest crashes.
+    fn forget(&mut self, now_ms: u64) {
+        self.suspects.retain(|_, suspect| suspect.is_recent(now_ms));
+        if self.suspects.len() <= MAX_SUSPECTS {
+            return;
+        }
+        // The request tells those apart that are equal otherwise.
+        let rank = |request: &Fingerprint, suspect: &Suspect| {
+            (suspect.crashes.len(), suspect.last_at_ms(), *request)
+        };
+        let mut ranks: Vec<_> = self.suspects.iter().map(|(one, two)| rank(one, two)).collect();
+        ranks.sort_unstable();
+        // Half of the room, so that this is done seldom.
+        let least = ranks[ranks.len() - MAX_SUSPECTS / 2];
+        self.suspects.retain(|request, suspect| rank(request, suspect) >= least);
+    }
+}
+
+fn told(now_ms: u64, request: Fingerprint, crash: Crash) -> ToldCrash {
+    ToldCrash { request, upstream: crash.upstream, age_ms: age_ms(now_ms, crash.at_ms) }
+}
+
+fn age_ms(now_ms: u64, at_ms: u64) -> u32 {
+    u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
+}
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -23,7 +23,8 @@
 
 /// Two boxes before upstreams, all of which end under one request.
 struct Fleet {
-    site: Site,
+    /// The platform, for as long as the boxes run.
+    _site: Site,
     gateways: Vec<Gateway>,
     servers: Vec<Server>,
     sent: usize,
@@ -46,7 +47,7 @@
         for gateway in &gateways {
             wait_ready(gateway).await;
         }
-        Self { site, gateways, servers: started, sent: 0 }
+        Self { _site: site, gateways, servers: started, sent: 0 }
     }
 
     /// Sends the request through the boxes in turn, each time under another id.
