The clock counts the time for which a machine was suspended

The users' machines may be suspended for seconds, which the steady clock does not count. A leader that woke went by a lease that had long lapsed, and a box by deadlines that others saw pass. By reading; no test can suspend a machine: tests/clock.rs holds how the clock counts, and that the process's follows the machine's.

--- /dev/null
+++ b/tests/clock.rs
@@ -0,0 +1,25 @@
+//! A machine may be suspended for seconds, which the steady clock does not count: a box went
+//! by leases and deadlines that had long passed for everybody else.
+
+use std::time::Duration;
+
+use coursestile::clock::{Clock, now_ms, since_boot};
+
+#[test]
+fn suspension_counts() {
+    let clock = Clock::new(Duration::from_secs(1000), Duration::from_secs(50));
+    assert_eq!(clock.at(Duration::from_secs(57)), Duration::from_secs(1007));
+    assert_eq!(clock.at(Duration::from_secs(49)), Duration::from_secs(1000), "it never goes back");
+}
+
+/// The process's clock counts as the machine's time since its start does.
+#[test]
+fn follows_boot() {
+    let (earliest, begun_ms, begun) = (since_boot(), now_ms(), since_boot());
+    std::thread::sleep(Duration::from_millis(30));
+    let (ended, ended_ms, latest) = (since_boot(), now_ms(), since_boot());
+    let passed = Duration::from_millis(ended_ms - begun_ms);
+    let rounding = Duration::from_millis(1);
+    assert!(passed + rounding >= ended - begun);
+    assert!(passed <= latest - earliest + rounding);
+}
