Own interface: requests under which upstreams crash are quarantined

The same fault stood in the own interface, and worse: a completion that crashed its engine went to the next one within one request. Before: one completion ended 6 of 8 engines, one call that may be repeated 6 of 8 workers (tests/crashing_requests.rs). Now three end, the caller gets 'outcome unknown', and the same request through any box 503, 'not run'. The decisions are those of the gateway (quarantine); boxes tell four others, which tell on what is new. Not kept in the platform's service: a fleet that loses all boxes learns anew.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -16,7 +16,9 @@
 use crate::assembler::Assembler;
 use crate::clock::{instant_at, now_ms, now_us};
 use crate::context::{Course, Scope, salt, tokens};
+use crate::crashes::{note_answered, note_broken_off, quarantined_until_ms};
 use crate::edge::{EngineError, EnginePiece, Generate, ModelEngines, Pieces};
+use crate::fingerprint::Fingerprint;
 use crate::import::Bringing;
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin};
@@ -30,6 +32,8 @@
 
 /// Most attempts for one request, refused ones among them.
 const MAX_ATTEMPTS: u32 = 16;
+/// What a completion is, beside its account and prompt, where fingerprints are compared.
+const KIND: &str = "completion";
 /// Time to come back after an upstream failed.
 const FAILED_RETRY_MS: u64 = 1000;
 /// How often ended and unread answers are looked for.
@@ -74,6 +78,7 @@
     kernel: &'a Arc<Kernel>,
     job: Job,
     stream: &'a Stream,
+    fingerprint: Fingerprint,
     assembler: Assembler,
     avoid: Vec<String>,
     attempts: u32,
@@ -87,6 +92,7 @@
     budget(&kernel.placing.retries).earn();
     let mut serving = Serving {
         kernel: &kernel,
+        fingerprint: Fingerprint::new(&job.account, &[KIND, &job.model], job.prompt.as_bytes()),
         job,
         stream: &stream,
         assembler: Assembler::default(),
@@ -111,18 +117,28 @@
 impl Serving<'_> {
     async fn run(&mut self) -> StreamEnd {
         loop {
+            if let Some(until_ms) = quarantined_until_ms(self.kernel, self.fingerprint) {
+                let refusal = Refusal::unknown(Reason::Quarantined).retry_at(until_ms);
+                return StreamEnd::Refused(self.as_it_ran(refusal));
+            }
             let placed = match place(self.kernel, self.ask()).await {
                 Ok(placed) => placed,
                 Err(refusal) => return StreamEnd::Refused(self.as_it_ran(refusal)),
             };
-            let engine = placed.grant.engine.clone();
+            let (engine, url) = (placed.grant.engine.clone(), placed.grant.url.clone());
             match self.attempt(placed).await {
-                Attempt::Finished(reason) => return StreamEnd::Finished(reason),
+                Attempt::Finished(reason) => {
+                    note_answered(self.kernel, self.fingerprint);
+                    return StreamEnd::Finished(reason);
+                }
                 Attempt::Cancelled => return StreamEnd::Refused(self.refuse(Reason::Cancelled)),
                 // The dispatcher leaves the engine alone until it reports.
                 Attempt::Refused => {}
                 Attempt::OtherVersion { ran } => self.follow_version(engine, ran),
-                Attempt::Unreachable | Attempt::Failed(_) => {
+                ended @ (Attempt::Unreachable | Attempt::Failed(_)) => {
+                    if matches!(ended, Attempt::Failed(_)) {
+                        note_broken_off(self.kernel, &engine, &url, self.fingerprint).await;
+                    }
                     self.avoid.push(engine);
                     if !budget(&self.kernel.placing.retries).spend() {
                         return StreamEnd::Refused(self.refuse(Reason::RetryBudget));
--- a/src/gateway/claims.rs
+++ b/src/gateway/claims.rs
@@ -14,11 +14,11 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::decisions::claims::Claims;
-use crate::gateway::decisions::names::number;
 use crate::gateway::helpers::{self, CallOutcome, LeaderCall};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::leadership::{Leadership, NAME};
 use crate::gateway::settings::Bounds;
+use crate::names::number;
 use crate::platform::keys;
 
 /// Time that an order may take to arrive; the pause between the orders of two leaders
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -101,11 +101,7 @@
         self.open(address).await.map_err(|error| error.to_string())
     }
 
-    /// A new connection to an upstream.
-    ///
-    /// # Errors
-    /// Fails when none comes up in time; `ConnectionRefused` says that nobody listens there.
-    pub async fn open(&self, address: SocketAddr) -> io::Result<Sender> {
+    async fn open(&self, address: SocketAddr) -> io::Result<Sender> {
         metrics::counter!("coursestile_connections_opened_total").increment(1);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let late = |_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time");
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -3,25 +3,18 @@
 //! A connection that ends early says little: the upstream may have dropped that request
 //! alone. One that has crashed refuses new connections until it is started again.
 
-use std::io::ErrorKind;
 use std::sync::Arc;
-use std::time::Duration;
 
 use log::info;
-use tokio::time::sleep;
 
 use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::quarantine;
+use crate::port::is_closed;
 use crate::sync::locked;
 
-/// Connections that are tried, while each comes up and is closed again.
-const LOOKS: u32 = 3;
-/// Time in which a process that ends closes all of its sockets.
-const SETTLE_TIME: Duration = Duration::from_millis(50);
-
 /// Notes that an upstream broke a request off before the end of its answer. A crash ends all
 /// that ran there, and is looked for once.
 pub fn note_broken_off(gateway: &Arc<Gateway>, upstream: &Incarnation, request: Fingerprint) {
@@ -71,20 +64,7 @@
 /// Whether nobody listens at the upstream's address any more.
 async fn has_crashed(gateway: &Gateway, upstream: &Incarnation) -> bool {
     let Some(address) = gateway.state().upstreams.address(&upstream.id) else { return false };
-    for _ in 0..LOOKS {
-        match gateway.connections.open(address).await {
-            Ok(sender) => {
-                // A process that ends may close its connections before its port.
-                sleep(SETTLE_TIME).await;
-                if !sender.is_closed() {
-                    gateway.connections.keep(&upstream.id, sender);
-                    return false;
-                }
-            }
-            Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
-        }
-    }
-    false
+    is_closed(address).await
 }
 
 fn listed(requests: &[Fingerprint]) -> String {
--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -10,9 +10,9 @@
 
 use std::collections::HashMap;
 
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::units::{READ_TOKENS_PER_MS, as_f64};
 use crate::gateway::decisions::upstream::Load;
+use crate::names::number;
 
 /// Part of an engine's memory that requests may ask for, those of the most urgent rank:
 /// they ask for all that they may generate, and most of them end before.
--- a/src/gateway/decisions/incarnation.rs
+++ b/src/gateway/decisions/incarnation.rs
@@ -1,7 +1,7 @@
 //! Runs of one upstream. An upstream may start again under the id that it had; it then
 //! keeps and knows nothing of before, and the time of its start alone tells the two apart.
 
-use crate::gateway::decisions::names::number;
+use crate::names::number;
 
 /// A run of an upstream, from its start to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -7,7 +7,7 @@
 //! - Which weights engines get, and when old context may go: `rollout`, `weights`, `orders`,
 //!   `claims`, `release`.
 //! - What is known, from whom: `view`, `peers`, `site`, `gossip_message`, `hall_news`.
-//! - Numbers and names that all share: `units`, `names`.
+//! - Units that all share: `units`.
 
 pub mod admission;
 pub mod budget;
@@ -21,7 +21,6 @@
 pub mod incarnation;
 pub mod kept;
 pub mod look;
-pub mod names;
 pub mod orders;
 pub mod peers;
 pub mod prompt;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -14,11 +14,11 @@
 use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::decisions::gossip_message::{Gossip, LoadChanges, StoreLink};
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::halls::Halls;
 use crate::gateway::decisions::peers::sums::Sums;
 pub use crate::gateway::decisions::peers::targets::{Audience, Reach, Targets};
 use crate::gateway::decisions::view::Mark;
+use crate::names::number;
 
 /// Time between two messages to the same peers.
 pub const GOSSIP_PERIOD_MS: u64 = 250;
--- a/src/gateway/decisions/stores.rs
+++ b/src/gateway/decisions/stores.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::gateway::decisions::holder::{Holder, PartKey};
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::site::Store;
 use crate::gateway::decisions::units::as_f64;
+use crate::names::number;
 
 /// Part of a store that is filled at most, so that the estimate of its content
 /// may be off.
--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::decisions::holder::Holder;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_run};
-use crate::gateway::decisions::names::number;
+use crate::names::number;
 
 /// Silence after which an upstream that owes answers gets no more work; well
 /// over the longest step of a loaded engine.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,13 +16,13 @@
     Gossip, LoadChanges, ToldLoad, ToldNaming, changed_loads, told_loads,
 };
 use crate::gateway::decisions::hall_news::{HallNews, OtherHalls};
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, Reach};
 use crate::gateway::decisions::weights::Naming;
 use crate::gateway::helpers::{HelpReply, HelpRequest, help};
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
 use crate::gateway::quarantine;
+use crate::names::number;
 use crate::phase::Phase;
 
 /// Longest datagram that is read.
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -10,12 +10,12 @@
 
 use crate::clock::now_ms;
 use crate::gateway::claims;
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::rollout::{self, Candidate};
 use crate::gateway::decisions::weights::NamedWeights;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::loads::{LOADING_GOSSIP_MS, Load, note_loading, replace_weights};
 use crate::gateway::space::Space;
+use crate::names::number;
 use crate::phase::Phase;
 
 /// How often the holder looks what is to be done.
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -13,13 +13,13 @@
 use crate::error::Result;
 use crate::gateway::claims;
 use crate::gateway::decisions::incarnation::Incarnation;
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::orders::{EngineReport, Ordered, WeightsOrder};
 use crate::gateway::decisions::upstream::Told;
 use crate::gateway::entries;
 use crate::gateway::invariants;
 use crate::gateway::kernel::{Gateway, State, ToldVersion};
 use crate::gateway::leader::permits;
+use crate::names::number;
 
 /// Time that gossip takes to the other boxes.
 const GOSSIP_LEAD: Duration = Duration::from_millis(15);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,7 +17,6 @@
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::demand::Demand;
 use crate::gateway::decisions::look::Look;
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::site::Repeat;
 use crate::gateway::decisions::stores::Placing;
 use crate::gateway::decisions::upstream::Upstream;
@@ -28,6 +27,7 @@
 use crate::gateway::relay;
 use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
 use crate::gateway::silence;
+use crate::names::number;
 use crate::platform::exchange;
 
 /// When a refused client may come back.
--- a/src/gateway/space.rs
+++ b/src/gateway/space.rs
@@ -17,9 +17,9 @@
 use crate::gateway::decisions::context::{scope_model, scope_version};
 use crate::gateway::decisions::holder::PartKey;
 use crate::gateway::decisions::kept::{CacheListing, Freed, KeptPart};
-use crate::gateway::decisions::names::number;
 use crate::gateway::decisions::release::{Boxes, Naming, TRANSFERS_OVER_MS};
 use crate::gateway::kernel::{Gateway, State};
+use crate::names::number;
 use crate::platform::keys;
 
 /// How often stores are looked through for parts whose writing broke off.
--- a/src/gateway/store_updates.rs
+++ b/src/gateway/store_updates.rs
@@ -22,8 +22,8 @@
 use crate::error::{Error, Result};
 use crate::gateway::catch_up::Question;
 use crate::gateway::decisions::holder::Update;
-use crate::gateway::decisions::names::number;
 use crate::gateway::kernel::{Gateway, State};
+use crate::names::number;
 use crate::phase::Phase;
 
 /// Time between two messages when there is something to tell: short beside the
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -23,6 +23,7 @@
 use crate::membership::Membership;
 use crate::phase::Phase;
 use crate::placing_state::Placing;
+use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 use crate::streams::Streams;
 use crate::sync::locked;
@@ -47,6 +48,8 @@
     Placing,
     /// Calls that run at most once.
     Calls,
+    /// Requests under which upstreams crash.
+    Crashes,
 }
 
 impl Message {
@@ -64,6 +67,7 @@
             | Self::CallEnd { .. }
             | Self::Handover { .. }
             | Self::HandoverTaken { .. } => Topic::Calls,
+            Self::Crashes { .. } => Topic::Crashes,
         }
     }
 }
@@ -120,6 +124,8 @@
     pub calls: Calls,
     /// Answers under way.
     pub streams: Streams,
+    /// Requests under which upstreams crash.
+    pub quarantine: Mutex<Quarantine>,
     link: Link,
     heartbeats: Mutex<Heartbeats>,
     membership: Mutex<Membership>,
@@ -152,6 +158,7 @@
             dispatch: Dispatch::default(),
             calls: Calls::default(),
             streams: Streams::default(),
+            quarantine: Mutex::default(),
             link: Link::new(settings.routes.clone()),
             heartbeats: Mutex::default(),
             membership: Mutex::new(membership),
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -93,9 +93,12 @@
         true
     }
 
-    fn answered(&mut self, at_ms: u64) {
+    /// Notes an answer; whether it clears crashes.
+    fn answered(&mut self, at_ms: u64) -> bool {
+        let before = self.crashes.len();
         self.answered_at_ms = self.answered_at_ms.max(Some(at_ms));
         self.crashes.retain(|crash| crash.at_ms > at_ms);
+        self.crashes.len() < before
     }
 
     fn is_recent(&self, now_ms: u64) -> bool {
@@ -129,10 +132,7 @@
 
     /// Notes that an upstream has answered a request; whether it was a suspect.
     pub fn answered(&mut self, request: Fingerprint, at_ms: u64) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&request) else { return false };
-        let was_suspect = !suspect.crashes.is_empty();
-        suspect.answered(at_ms);
-        was_suspect
+        self.suspects.get_mut(&request).is_some_and(|suspect| suspect.answered(at_ms))
     }
 
     /// Until when a request is quarantined; `None` if it is not.
@@ -169,7 +169,7 @@
         for told in answers {
             let at_ms = now_ms.saturating_sub(told.age_ms.into());
             // It may be told of before the crash that it clears.
-            self.suspects.entry(told.request).or_default().answered(at_ms);
+            is_new |= self.suspects.entry(told.request).or_default().answered(at_ms);
         }
         for told in crashes {
             let at_ms = now_ms.saturating_sub(told.age_ms.into());
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -32,6 +32,8 @@
     DeadlinePassed,
     /// the upstream failed
     UpstreamFailed,
+    /// upstreams crash under this request
+    Quarantined,
     /// the retry budget is spent
     RetryBudget,
     /// this box has no configuration yet
@@ -67,7 +69,11 @@
             Self::TooLong => 413,
             Self::Overloaded | Self::TooManyKeys => 429,
             Self::UpstreamFailed | Self::SpenderUnreachable | Self::TicketExpired => 502,
-            Self::NoUpstream | Self::NotReady | Self::RetryBudget | Self::Stopping => 503,
+            Self::NoUpstream
+            | Self::NotReady
+            | Self::Quarantined
+            | Self::RetryBudget
+            | Self::Stopping => 503,
             Self::DeadlinePassed => 504,
         }
     }
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -22,6 +22,7 @@
 use crate::keeper::{BlockMeta, Export, Listed, Written};
 use crate::ledger::{Answer, Outcome};
 use crate::pool::{Connections, Pool, Pools};
+use crate::port::is_closed;
 use crate::wire::Call;
 
 /// Time for a short call.
@@ -54,6 +55,15 @@
     }
 }
 
+/// Whether nobody listens at the address of `url`.
+pub async fn refuses_connections(url: &str) -> bool {
+    let Ok(url) = reqwest::Url::parse(url) else { return false };
+    match (url.host_str(), url.port_or_known_default()) {
+        (Some(host), Some(port)) => is_closed((host, port)).await,
+        _ => false,
+    }
+}
+
 #[derive(Deserialize)]
 struct Chunk {
     id: String,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -14,6 +14,7 @@
 use crate::error::{Error, Result};
 use crate::ledger::{CallKey, Ledger, Outcome};
 use crate::member::Gossip;
+use crate::quarantine::{ToldAnswer, ToldCrash};
 use crate::refusal::Reason;
 use crate::ticket::{BoxRef, ClusterKey};
 use crate::trace::TraceId;
@@ -98,6 +99,9 @@
     Handover { of: BoxRef, ledger: Box<Ledger> },
     /// Confirms a handover.
     HandoverTaken { of: BoxRef },
+    /// Tells of upstreams that crashed with the requests that they had, and of such requests
+    /// that were answered since.
+    Crashes { crashes: Vec<ToldCrash>, answers: Vec<ToldAnswer> },
 }
 
 /// A message with its sender and receiver.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::Ordering;
 
 use crate::clock::{now_ms, now_us};
+use crate::crashes::{note_answered, note_broken_off, quarantined_until_ms};
 use crate::edge::PlainServices;
+use crate::fingerprint::Fingerprint;
 use crate::invariant::{Invariant, check};
 use crate::kernel::Kernel;
 use crate::ledger::Outcome;
@@ -22,11 +24,18 @@
 pub async fn run(kernel: &Arc<Kernel>, call: &Call, repeatable: bool) -> CallEnd {
     let workers = workers(kernel, &call.service);
     let mut sent = 0;
+    let fingerprint = fingerprint(call);
     let mut end = CallEnd::not_run(Reason::NoUpstream);
     for (name, url) in workers {
         if now_ms() >= call.deadline_ms {
             break;
         }
+        if quarantined_until_ms(kernel, fingerprint).is_some() {
+            if sent == 0 {
+                end = CallEnd::not_run(Reason::Quarantined);
+            }
+            break;
+        }
         let first = repeatable || sent == 0;
         if !check(Invariant::SentOnce, first, || call.key.key.clone()) {
             break;
@@ -38,10 +47,12 @@
         sent += u32::from(outcome != Outcome::NotRun);
         match outcome {
             Outcome::Answered(_) => {
+                note_answered(kernel, fingerprint);
                 return CallEnd { outcome, reason: Reason::UpstreamFailed };
             }
             Outcome::NotRun => cool_down(kernel, name),
             Outcome::Unknown => {
+                note_broken_off(kernel, &name, &url, fingerprint).await;
                 end = CallEnd::unknown(Reason::UpstreamFailed);
                 let budget = &kernel.placing.retries;
                 let may_repeat = repeatable && locked(budget).spend();
@@ -58,6 +69,10 @@
     end
 }
 
+fn fingerprint(call: &Call) -> Fingerprint {
+    Fingerprint::new(&call.key.account, &[&call.service, &call.method, &call.path], &call.body)
+}
+
 /// Workers of a service that take work, another one first each time.
 fn workers(kernel: &Kernel, service: &str) -> Vec<(String, String)> {
     let config = kernel.configuration.current();
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -50,6 +50,7 @@
     if engine.config.check_version && *expected != state.version {
         return refuse(StatusCode::CONFLICT, "version_mismatch");
     }
+    engine.faults.begin(&request.prompt);
     let run = Arc::new(Run::new(
         &request.prompt,
         &request.cache_salt,
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -53,6 +53,8 @@
     pub dark: bool,
     /// Ends the process.
     pub die: bool,
+    /// Ends the process when it begins with work that has this in its text.
+    pub die_on: Option<String>,
 }
 
 /// Shared handle on the faults in force.
@@ -72,6 +74,13 @@
         self.state.lock().expect("fault lock").clone()
     }
 
+    /// Ends the process if it is to die on work with this text.
+    pub fn begin(&self, text: &str) {
+        if self.now().die_on.is_some_and(|deadly| text.contains(&deadly)) {
+            std::process::exit(1);
+        }
+    }
+
     /// Completions refused in an outage.
     #[must_use]
     pub fn refused_completions(&self) -> u64 {
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -50,6 +50,7 @@
     Path(path): Path<String>,
     Data(service): Data<&Arc<Service>>,
 ) -> Json<Value> {
+    service.faults.begin(&path);
     let call = request.header("x-call-id").unwrap_or("none").to_owned();
     let runs = {
         let mut runs = service.runs.lock().expect("runs lock");
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -20,6 +20,6 @@
     let (ended, ended_ms, latest) = (since_boot(), now_ms(), since_boot());
     let passed = Duration::from_millis(ended_ms - begun_ms);
     let rounding = Duration::from_millis(1);
-    assert!(passed + rounding >= ended - begun);
-    assert!(passed <= latest - earliest + rounding);
+    assert!(passed + rounding >= ended.saturating_sub(begun));
+    assert!(passed <= latest.saturating_sub(earliest) + rounding);
 }
--- /dev/null
+++ b/tests/crashing_requests.rs
@@ -0,0 +1,69 @@
+//! A completion that crashed the engine that began with it was sent to the next one, up to
+//! sixteen times, and so was a call that may be repeated; and both came again at another box.
+
+mod common;
+
+use common::{call, check_completion, completion, fleet};
+use coursestile_standins::fleet::{Fleet, Plan, Process};
+use coursestile_standins::site::eventually;
+use reqwest::Response;
+use serde_json::{Value, json};
+
+const KEY: &str = "sanam-key";
+/// Upstreams that one request may crash.
+const CRASHES: usize = 3;
+
+/// A hall of two boxes whose upstreams all end when they begin with deadly work.
+async fn deadly_hall() -> Fleet {
+    let fleet = fleet(&Plan::one_hall(2, 8, 8)).await;
+    for upstream in fleet.engines.iter().chain(&fleet.workers) {
+        fleet.fault(upstream, json!({ "die_on": "deadly" })).await;
+    }
+    fleet
+}
+
+async fn alive(fleet: &Fleet, upstreams: &[Process]) -> usize {
+    let mut count = 0;
+    for upstream in upstreams {
+        count += usize::from(fleet.get(&format!("{}/runs", upstream.url())).await.is_some());
+    }
+    count
+}
+
+async fn is_held_back(answer: Response) -> bool {
+    let status = answer.status();
+    let comes_back = answer.headers().contains_key("retry-after");
+    let body: Value = answer.json().await.unwrap();
+    status == 503 && comes_back && body["error"]["ran"] == "not run"
+}
+
+#[tokio::test]
+async fn completion_crashes() {
+    let fleet = deadly_hall().await;
+    let answer = completion(&fleet, 0, KEY, "deadly", 10).send().await.unwrap();
+    let body: Value = answer.json().await.unwrap();
+    assert_eq!(body["error"]["ran"], "outcome unknown", "{body}");
+    assert_eq!(alive(&fleet, &fleet.engines).await, 8 - CRASHES);
+    eventually("the other box knows", async || {
+        let answer = completion(&fleet, 1, KEY, "deadly", 10).send().await.unwrap();
+        is_held_back(answer).await
+    })
+    .await;
+    assert!(is_held_back(completion(&fleet, 0, KEY, "deadly", 10).send().await.unwrap()).await);
+    assert_eq!(alive(&fleet, &fleet.engines).await, 8 - CRASHES);
+    check_completion(&fleet, 1, KEY, "sound", 10).await;
+}
+
+#[tokio::test]
+async fn call_crashes() {
+    let fleet = deadly_hall().await;
+    let answer = call(&fleet, 0, KEY, "/fixtures/deadly").send().await.unwrap();
+    assert_eq!(answer.status(), 502);
+    assert_eq!(alive(&fleet, &fleet.workers).await, 8 - CRASHES);
+    eventually("the other box knows", async || {
+        is_held_back(call(&fleet, 1, KEY, "/fixtures/deadly").send().await.unwrap()).await
+    })
+    .await;
+    assert_eq!(alive(&fleet, &fleet.workers).await, 8 - CRASHES);
+    assert_eq!(call(&fleet, 1, KEY, "/fixtures/sound").send().await.unwrap().status(), 200);
+}
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -11,9 +11,9 @@
 
 use common::{Scene, scene, wait_ready};
 use coursestile::gateway::decisions::gossip_message::Gossip;
-use coursestile::gateway::decisions::names::number;
 use coursestile::gateway::decisions::view::Mark;
 use coursestile::gateway::gossip::Datagram;
+use coursestile::names::number;
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Server, WORK_HEADER};
 use coursestile_standins::site::silencer::Silencer;
