Logs: what upstreams say of themselves in their answers

That an upstream leaves, or wants no requests for a while, stood in no line, so that a box which did not read it looked like one that forgot it. Nothing is decided by it yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -220,6 +220,7 @@
 ) -> Attempted {
     let (parts, body) = response.into_parts();
     let told = exchange::answer_head(parts.status, &parts.headers);
+    log_told(&place.upstream.id, &told);
     let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if told.not_run && (own || told.request_id.is_none()) {
         let cause = not_run_cause(parts.status, &told, &place.upstream.id);
@@ -240,6 +241,14 @@
     Attempted::Answered(Box::new(reply))
 }
 
+/// Logs what an upstream says of itself beside its answer.
+fn log_told(upstream_id: &str, told: &AnswerHead) {
+    if told.leaving || told.rest_ms.is_some() {
+        info!(target: "serve", "event=upstream_says upstream={upstream_id} leaving={} rest_ms={}",
+            told.leaving, told.rest_ms.unwrap_or_default());
+    }
+}
+
 fn not_run_cause(status: StatusCode, told: &AnswerHead, upstream_id: &str) -> NotRunCause {
     if status != StatusCode::MISDIRECTED_REQUEST {
         return NotRunCause::Refused(status.as_u16());
--- a/src/gateway/heads.rs
+++ b/src/gateway/heads.rs
@@ -33,6 +33,10 @@
     pub ran_version: Option<u64>,
     /// Whether the body is encoded, and so not the upstream's own.
     pub encoded: bool,
+    /// Whether the upstream is about to leave.
+    pub leaving: bool,
+    /// Time for which the upstream wants no requests from this box.
+    pub rest_ms: Option<u64>,
 }
 
 /// What is set towards an upstream beside the client's own headers.
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -123,9 +123,22 @@
         upstream_id: text(head, &HeaderName::from_static("x-instance-id")).map(str::to_owned),
         ran_version: text(head, &headers::RAN_VERSION).and_then(|version| version.parse().ok()),
         encoded: head.contains_key(header::CONTENT_ENCODING),
+        leaving: text(head, &headers::LEAVING).is_some_and(|told| told.trim() == "1"),
+        rest_ms: Some(head)
+            .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+            .and_then(|head| rest_ms(text(head, &header::RETRY_AFTER)?)),
     }
 }
 
+/// Reads a time in seconds; fractions count.
+fn rest_ms(text: &str) -> Option<u64> {
+    let seconds = text.trim().parse::<f64>().ok().filter(|seconds| seconds.is_finite());
+    if seconds.is_none() {
+        log::debug!(target: "exchange", "event=retry_after_unreadable value=\"{text}\"");
+    }
+    seconds.map(|seconds| crate::platform::http::whole_ms((seconds * 1000.0).ceil()))
+}
+
 /// The headers that are passed on from one side to the other.
 pub fn passed_on(head: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     let named: Vec<String> = head
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -17,6 +17,8 @@
 pub const SEAL: HeaderName = HeaderName::from_static("x-server-seal");
 /// An upstream's word that it did not run the request.
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
+/// An upstream's word that it is about to leave.
+pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Model of a prompt.
 pub const MODEL: HeaderName = HeaderName::from_static("x-model");
 /// Lengths of a prompt and of its answer.
