--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use crate::gateway::connections::{SendError, Sender, send};
 use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::notice::Notice;
 use crate::gateway::decisions::site::Repeat;
 use crate::gateway::decisions::units::whole_ms;
 use crate::gateway::decisions::urgency;
@@ -243,9 +244,10 @@
 
 /// Logs what an upstream says of itself beside its answer.
 fn log_told(upstream_id: &str, told: &AnswerHead) {
-    if told.leaving || told.rest_ms.is_some() {
-        info!(target: "serve", "event=upstream_says upstream={upstream_id} leaving={} rest_ms={}",
-            told.leaving, told.rest_ms.unwrap_or_default());
+    let Notice { leaving, rest_ms } = told.notice;
+    if leaving || rest_ms.is_some() {
+        info!(target: "serve", "event=upstream_says upstream={upstream_id} leaving={leaving} rest_ms={}",
+            rest_ms.unwrap_or_default());
     }
 }
 
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -21,6 +21,7 @@
 pub mod incarnation;
 pub mod kept;
 pub mod look;
+pub mod notice;
 pub mod orders;
 pub mod peers;
 pub mod prompt;
--- a/src/gateway/heads.rs
+++ b/src/gateway/heads.rs
@@ -1,6 +1,7 @@
 //! What the heads of requests and answers say.
 
 use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::notice::Notice;
 use crate::gateway::decisions::prompt::Prompt;
 
 /// What a client's request says of itself.
@@ -33,10 +34,8 @@
     pub ran_version: Option<u64>,
     /// Whether the body is encoded, and so not the upstream's own.
     pub encoded: bool,
-    /// Whether the upstream is about to leave.
-    pub leaving: bool,
-    /// Time for which the upstream wants no requests from this box.
-    pub rest_ms: Option<u64>,
+    /// What the upstream asks of this box from now on.
+    pub notice: Notice,
 }
 
 /// What is set towards an upstream beside the client's own headers.
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 
 use crate::gateway::decisions::context::{ContextPlan, Source};
+use crate::gateway::decisions::notice::Notice;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::heads::{AnswerHead, Forward, RequestHead};
 use crate::platform::headers;
@@ -123,15 +124,19 @@
         upstream_id: text(head, &HeaderName::from_static("x-instance-id")).map(str::to_owned),
         ran_version: text(head, &headers::RAN_VERSION).and_then(|version| version.parse().ok()),
         encoded: head.contains_key(header::CONTENT_ENCODING),
-        leaving: text(head, &headers::LEAVING).is_some_and(|told| told.trim() == "1"),
-        rest_ms: Some(head)
-            .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
-            .and_then(|head| rest_ms(text(head, &header::RETRY_AFTER)?)),
+        notice: Notice { leaving: is_leaving(head), rest_ms: rest_ms(status, head) },
     }
 }
 
-/// Reads a time in seconds; fractions count.
-fn rest_ms(text: &str) -> Option<u64> {
+fn is_leaving(head: &HeaderMap) -> bool {
+    text(head, &headers::LEAVING).is_some_and(|told| told.trim() == "1")
+}
+
+/// How long an upstream that turns a request away wants no other; in seconds on the wire,
+/// where fractions count.
+fn rest_ms(status: StatusCode, head: &HeaderMap) -> Option<u64> {
+    let told = text(head, &header::RETRY_AFTER);
+    let text = told.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)?;
     let seconds = text.trim().parse::<f64>().ok().filter(|seconds| seconds.is_finite());
     if seconds.is_none() {
         log::debug!(target: "exchange", "event=retry_after_unreadable value=\"{text}\"");
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -26,6 +26,10 @@
     Status(u16),
     /// Says that it did not run the request.
     NotRun,
+    /// Says so, and wants no other request for so long.
+    Rest(Duration),
+    /// Answers, and says that it leaves.
+    Leaving,
     /// Says that another incarnation has its address.
     OtherIncarnation,
     /// Closes the connection without an answer.
@@ -196,7 +200,7 @@
     let usual = if is_stream(request) { Act::Events(EVENTS) } else { Act::Answer };
     let act = seen.script.pop_front().unwrap_or(usual);
     seen.arrived.push(request.clone());
-    if !matches!(act, Act::NotRun | Act::OtherIncarnation) {
+    if !matches!(act, Act::NotRun | Act::Rest(_) | Act::OtherIncarnation) {
         let request_id = request.header("x-request-id").unwrap_or_default().to_owned();
         seen.ran.push(Ran { request_id, at: Instant::now() });
     }
@@ -269,6 +273,13 @@
         }
         Act::Status(status) => format!("{}{body}", head(*status, id, &sealed)),
         Act::NotRun => head(503, id, "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+        Act::Rest(time) => {
+            let rest = format!("Retry-After: {}\r\n", time.as_secs_f64());
+            head(503, id, &format!("X-Not-Executed: 1\r\n{rest}Content-Length: 0\r\n\r\n"))
+        }
+        Act::Leaving => {
+            format!("{}{body}", head(200, id, &format!("Server-Leaving: 1\r\n{sealed}")))
+        }
         Act::OtherIncarnation => {
             head(421, id, "X-Instance-Id: another\r\nContent-Length: 0\r\n\r\n")
         }
