What upstreams ask in their answers is heeded: that they leave, or rest

What callers saw: requests went on to an upstream that was about to end, and half of the spread checks were refused while a third of the engines turned all away. Cause: a box knew departures from the metadata store's entries alone, which was silent, and read of a 503 only that the request had not run; an engine that turns all away has the least load, so that it was the first choice each time. Ruled out: that it was read and undone by the entry, or known at another box (no line of any log has it). Change: both words are read from each answer and kept for the run of the upstream that said them, whatever its entry says, and while it has none. It gets no request while it leaves or rests. Other boxes hear of both: one that leaves gets none from them either; one that rests is their last choice, and they go back to it one after the other. While all rest, requests are refused at once, with the end of the rest.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,7 +14,6 @@
 use crate::gateway::connections::{SendError, Sender, send};
 use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
-use crate::gateway::decisions::notice::Notice;
 use crate::gateway::decisions::site::Repeat;
 use crate::gateway::decisions::units::whole_ms;
 use crate::gateway::decisions::urgency;
@@ -221,7 +220,9 @@
 ) -> Attempted {
     let (parts, body) = response.into_parts();
     let told = exchange::answer_head(parts.status, &parts.headers);
-    log_told(&place.upstream.id, &told);
+    if !told.notice.is_empty() {
+        place.heed(told.notice);
+    }
     let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if told.not_run && (own || told.request_id.is_none()) {
         let cause = not_run_cause(parts.status, &told, &place.upstream.id);
@@ -242,15 +243,6 @@
     Attempted::Answered(Box::new(reply))
 }
 
-/// Logs what an upstream says of itself beside its answer.
-fn log_told(upstream_id: &str, told: &AnswerHead) {
-    let Notice { leaving, rest_ms } = told.notice;
-    if leaving || rest_ms.is_some() {
-        info!(target: "serve", "event=upstream_says upstream={upstream_id} leaving={leaving} rest_ms={}",
-            rest_ms.unwrap_or_default());
-    }
-}
-
 fn not_run_cause(status: StatusCode, told: &AnswerHead, upstream_id: &str) -> NotRunCause {
     if status != StatusCode::MISDIRECTED_REQUEST {
         return NotRunCause::Refused(status.as_u16());
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -103,6 +103,9 @@
     if tried || upstream.own.requests >= demand.max_requests || upstream.is_loading(now_ms) {
         return false;
     }
+    if upstream.rests_until_ms(now_ms).is_some() {
+        return false;
+    }
     // A request must not begin on such weights, also where no other engine is left.
     let version = demand.prompt.map_or(0, |prompt| upstream.version(&prompt.model));
     !(demand.bars_overdue && demand.is_overdue(now_ms, version))
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -42,6 +42,10 @@
     pub loading: Vec<(u32, u16)>,
     /// Upstreams whose address another incarnation has, by their numbers.
     pub superseded: Vec<u32>,
+    /// Upstreams that say that they leave, by their numbers.
+    pub leaving: Vec<u32>,
+    /// Upstreams that want no requests from the box, by their numbers, and for how long still.
+    pub resting: Vec<(u32, u16)>,
     /// The upstreams' clock as the message left, once the box was told.
     pub upstream_clock_ms: Option<u64>,
     /// Weight versions that engines have reached: engine, model, version.
--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::decisions::holder::Holder;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_run};
+use crate::gateway::decisions::notice::Heeded;
 use crate::names::number;
 
 /// Silence after which an upstream that owes answers gets no more work; well
@@ -118,6 +119,10 @@
     unreachable: bool,
     unreached_at_ms: Option<u64>,
     superseded: bool,
+    /// What its answers asked.
+    heeded: Heeded,
+    /// Until when it rests, by the word of other boxes.
+    rests_for_others_until_ms: u64,
 }
 
 impl Upstream {
@@ -145,9 +150,39 @@
             unreachable: false,
             unreached_at_ms: None,
             superseded: false,
+            heeded: Heeded::default(),
+            rests_for_others_until_ms: 0,
         }
     }
 
+    /// What its answers asked.
+    #[must_use]
+    pub fn heeded(&self) -> Heeded {
+        self.heeded
+    }
+
+    /// Takes what its answers asked.
+    pub fn heed(&mut self, asked: Heeded) {
+        self.heeded.add(asked);
+    }
+
+    /// Whether it is about to leave, by its entry or its answers.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.entry.leaving || self.heeded.leaving
+    }
+
+    /// Until when it wants no requests from this box; `None` if it takes them.
+    #[must_use]
+    pub fn rests_until_ms(&self, now_ms: u64) -> Option<u64> {
+        Some(self.heeded.rest_until_ms).filter(|until_ms| now_ms < *until_ms)
+    }
+
+    /// Notes that another box has been turned away, and for how long.
+    pub fn rests_for_others(&mut self, until_ms: u64) {
+        self.rests_for_others_until_ms = until_ms.max(self.rests_for_others_until_ms);
+    }
+
     /// Its present run.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
@@ -242,10 +277,11 @@
         load
     }
 
-    /// Whether it failed or fell silent lately.
+    /// Whether it failed, fell silent or turned other boxes away lately.
     #[must_use]
     pub fn is_doubtful(&self, now_ms: u64) -> bool {
-        self.unreachable || now_ms < self.avoid_until_ms || self.is_silent(now_ms)
+        let avoid_until_ms = self.avoid_until_ms.max(self.rests_for_others_until_ms);
+        self.unreachable || now_ms < avoid_until_ms || self.is_silent(now_ms)
     }
 
     /// Whether it owes answers and has said nothing for long.
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::notice::{Heeded, Unlisted};
 use crate::gateway::decisions::upstream::{Entry, Told, Upstream};
 
 /// The upstreams of all services.
@@ -12,6 +13,8 @@
     by_id: BTreeMap<String, Upstream>,
     /// Ids by the numbers that stand for them in messages.
     ids: HashMap<u32, String>,
+    /// What those asked that are not listed.
+    unlisted: Unlisted,
 }
 
 impl Upstreams {
@@ -21,7 +24,9 @@
         let told = if let Some(known) = self.by_id.get_mut(id) {
             known.take_entry(now_ms, entry)
         } else {
-            self.by_id.insert(id.to_owned(), Upstream::new(now_ms, id, entry));
+            let mut upstream = Upstream::new(now_ms, id, entry);
+            upstream.heed(self.unlisted.take(&upstream.incarnation()));
+            self.by_id.insert(id.to_owned(), upstream);
             Told::Known
         };
         self.note_number(id);
@@ -86,8 +91,10 @@
     }
 
     /// Takes an upstream out; what runs there goes on.
-    pub fn remove(&mut self, id: &str) {
-        self.by_id.remove(id);
+    pub fn remove(&mut self, now_ms: u64, id: &str) {
+        if let Some(upstream) = self.by_id.remove(id) {
+            self.unlisted.keep(now_ms, &upstream.incarnation(), upstream.heeded());
+        }
         self.ids.retain(|_, known| known != id);
     }
 
@@ -123,9 +130,32 @@
         self.by_id.values_mut()
     }
 
+    /// Takes what the run of an upstream asked in an answer.
+    pub fn heed(&mut self, now_ms: u64, upstream: &Incarnation, asked: Heeded) {
+        match self.by_id.get_mut(&upstream.id) {
+            Some(known) if known.is(upstream) => known.heed(asked),
+            Some(_) => {}
+            None => self.unlisted.keep(now_ms, upstream, asked),
+        }
+    }
+
+    /// When the first upstream of a service, but for those in `tried`, takes requests again
+    /// from this box, while all rest; `None` when one takes them now, or there is none.
+    #[must_use]
+    pub fn all_rest_until_ms(
+        &self,
+        now_ms: u64,
+        service: &str,
+        tried: &[Incarnation],
+    ) -> Option<u64> {
+        let untried = self.of(service).filter(|one| !tried.iter().any(|tried| one.is(tried)));
+        let rests: Option<Vec<u64>> = untried.map(|one| one.rests_until_ms(now_ms)).collect();
+        rests?.into_iter().min()
+    }
+
     /// The upstreams of a service that live and are not about to leave.
     pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
-        self.current().filter(move |one| one.entry.service == service && !one.entry.leaving)
+        self.current().filter(move |one| one.entry.service == service && !one.is_leaving())
     }
 
     /// All upstreams but those whose address another incarnation has.
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -16,7 +16,7 @@
             // Whoever wrote this, what the key named before is not there any more.
             warn!(target: "entries", "event=upstream_unreadable upstream={id} cause=\"{error}\"");
             metrics::counter!("coursestile_entries_unreadable_total").increment(1);
-            take_out(gateway, state, id);
+            take_out(gateway, state, now_ms, id);
             return true;
         }
     };
@@ -43,8 +43,8 @@
 }
 
 /// Takes an upstream out; what runs there goes on.
-pub fn take_out(gateway: &Gateway, state: &mut State, id: &str) {
-    state.upstreams.remove(id);
+pub fn take_out(gateway: &Gateway, state: &mut State, now_ms: u64, id: &str) {
+    state.upstreams.remove(now_ms, id);
     gateway.connections.forget(id);
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -350,7 +350,7 @@
             }
             (Kind::Upstream { id }, None) => {
                 info!(target: "follow", "event=upstream_gone upstream={id}");
-                entries::take_out(gateway, state, id);
+                entries::take_out(gateway, state, now_ms, id);
                 upstreams_changed = true;
             }
             (Kind::Configuration | Kind::Weights { .. }, None) => {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,6 +16,7 @@
     Gossip, LoadChanges, ToldLoad, ToldNaming, changed_loads, told_loads,
 };
 use crate::gateway::decisions::hall_news::{HallNews, OtherHalls};
+use crate::gateway::decisions::notice::Heeded;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, Reach};
 use crate::gateway::decisions::weights::Naming;
 use crate::gateway::helpers::{HelpReply, HelpRequest, help};
@@ -29,6 +30,9 @@
 const MAX_DATAGRAM_BYTES: usize = 8192;
 /// Least time between two messages: changes meanwhile are told together.
 const LEAST_PERIOD: Duration = Duration::from_millis(20);
+/// Time over which boxes spread that go back to an upstream that rested: the first is turned
+/// away and tells the others, if it rests on.
+const REST_SPREAD_MS: u64 = 500;
 /// Pause after a socket that failed, so that a lasting fault does not spin.
 const FAILED_PAUSE: Duration = Duration::from_millis(10);
 
@@ -165,6 +169,8 @@
         limits: state.limits.found(),
         loading: loading(state, now_ms),
         superseded: superseded(state),
+        leaving: leaving(state),
+        resting: resting(state, now_ms),
         upstream_clock_ms: state
             .upstream_clock_ahead_ms
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
@@ -189,6 +195,19 @@
     superseded.map(|one| one.number).collect()
 }
 
+fn leaving(state: &State) -> Vec<u32> {
+    let leaving = state.upstreams.iter().filter(|one| one.heeded().leaving);
+    leaving.map(|one| one.number).collect()
+}
+
+fn resting(state: &State, now_ms: u64) -> Vec<(u32, u16)> {
+    let resting = state.upstreams.iter().filter_map(|one| {
+        let left_ms = one.rests_until_ms(now_ms)? - now_ms;
+        Some((one.number, u16::try_from(left_ms).unwrap_or(u16::MAX)))
+    });
+    resting.collect()
+}
+
 /// Engines that load weights: those that this box orders, and at a bridge those that it has
 /// heard of, for as long as they load still.
 fn loading(state: &State, now_ms: u64) -> Vec<(u32, u16)> {
@@ -278,6 +297,7 @@
         state.terms.hear(*revision, now_ms.saturating_sub(u64::from(*age_ms)));
     }
     supersede(&mut state, &gossip.superseded);
+    take_notices(&mut state, now_ms, &gossip);
     quarantine::hear(gateway, &mut state, now_ms, &gossip);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.take_upstream_clock(now_ms, clock_ms);
@@ -314,6 +334,21 @@
     }
 }
 
+/// Takes what upstreams asked of a peer.
+fn take_notices(state: &mut State, now_ms: u64, gossip: &Gossip) {
+    let spread_ms = u64::from(state.peers.own().number) % REST_SPREAD_MS;
+    for number in &gossip.leaving {
+        if let Some(upstream) = state.upstreams.numbered_mut(*number) {
+            upstream.heed(Heeded { leaving: true, ..Heeded::default() });
+        }
+    }
+    for (number, left_ms) in &gossip.resting {
+        if let Some(upstream) = state.upstreams.numbered_mut(*number) {
+            upstream.rests_for_others(now_ms + u64::from(*left_ms) + spread_ms);
+        }
+    }
+}
+
 fn supersede(state: &mut State, upstreams: &[u32]) {
     for upstream in upstreams {
         if let Some(upstream) = state.upstreams.numbered_mut(*upstream) {
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -111,7 +111,7 @@
     let bounds = &gateway.settings.bounds;
     let engines = state.upstreams.current().filter(|one| one.version(model) > 0);
     engines
-        .filter(|engine| !engine.entry.leaving)
+        .filter(|engine| !engine.is_leaving())
         .map(|engine| {
             let failed = state.failed_orders.get(&engine.id).copied().unwrap_or_default();
             Candidate {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -10,6 +10,7 @@
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::notice::{Heeded, Notice};
 use crate::gateway::decisions::units::as_f64;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::silence;
@@ -149,6 +150,16 @@
         silence::is_silent(&self.gateway, &self.upstream)
     }
 
+    /// Takes what the upstream asks of this box, and tells others.
+    pub fn heed(&self, notice: Notice) {
+        let now_ms = now_ms();
+        info!(target: "serve", "event=upstream_says upstream={} leaving={} rest_ms={}",
+            self.upstream.id, notice.leaving, notice.rest_ms.unwrap_or_default());
+        let asked = Heeded::new(now_ms, notice);
+        self.gateway.state().upstreams.heed(now_ms, &self.upstream, asked);
+        self.gateway.gossip_now.notify_one();
+    }
+
     /// Whether the upstream is to load weights, and gets no more work.
     #[must_use]
     pub fn is_loading(&self) -> bool {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -95,10 +95,10 @@
             None => find_place(gateway, &job, wait_until).await,
         };
         let Some(choice) = found else {
-            return give_up(&job, no_place_reason(gateway, &job));
+            return no_place(gateway, &job);
         };
         if let Some(until_ms) = quarantine::until_ms(gateway, job.outgoing.fingerprint) {
-            return hold_back(&job, until_ms);
+            return hold_back(&job, Reason::Quarantined, until_ms);
         }
         if choice.room == Room::Full && !job.ran_perhaps {
             return refuse_at_once(&job);
@@ -127,12 +127,27 @@
     }
 }
 
-/// The answer to a request under which upstreams crash.
-fn hold_back(job: &Job, until_ms: u64) -> Answer {
+/// The answer to a request for which no upstream was found in time.
+fn no_place(gateway: &Gateway, job: &Job) -> Answer {
+    let state = gateway.state();
+    let rest_until_ms = state.upstreams.all_rest_until_ms(now_ms(), &job.service, &job.tried);
+    let is_known = state.upstreams.of(&job.service).next().is_some();
+    drop(state);
+    match rest_until_ms {
+        Some(until_ms) => {
+            let spread_ms = u64::from(number(&job.outgoing.request_id)) % RETRY_AFTER_MS;
+            hold_back(job, Reason::UpstreamsFull, until_ms + spread_ms)
+        }
+        None if is_known => give_up(job, Reason::UpstreamsFull),
+        None => give_up(job, Reason::NoUpstream),
+    }
+}
+
+/// The answer to a request that no upstream may get until a deadline.
+fn hold_back(job: &Job, reason: Reason, until_ms: u64) -> Answer {
     if job.ran_perhaps {
         return give_up(job, Reason::UpstreamFailed);
     }
-    let reason = Reason::Quarantined;
     let request_id = &job.outgoing.request_id;
     log_refusal(Some(request_id), reason, job.configuration, job.arrived_at_ms);
     answer::refusal(reason, Some(request_id), Some(until_ms.saturating_sub(now_ms())))
@@ -337,12 +352,22 @@
         if let Some(choice) = choose_now(&mut gateway.state(), gateway, job) {
             return Some(choice);
         }
+        if rests_past(gateway, job, until) {
+            return None;
+        }
         if timeout_at(until, woken).await.is_err() {
             return choose_now(&mut gateway.state(), gateway, job);
         }
     }
 }
 
+/// Whether all upstreams that are left rest beyond a deadline.
+fn rests_past(gateway: &Gateway, job: &Job, until: Instant) -> bool {
+    let state = gateway.state();
+    let rest_until_ms = state.upstreams.all_rest_until_ms(now_ms(), &job.service, &job.tried);
+    rest_until_ms.is_some_and(|rest_until_ms| instant_at(rest_until_ms) > until)
+}
+
 /// The upstream that can take the request now.
 pub(super) fn choose_now(state: &mut State, gateway: &Gateway, job: &Job) -> Option<Choice> {
     let now_ms = now_ms();
@@ -382,11 +407,6 @@
     choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
 }
 
-fn no_place_reason(gateway: &Gateway, job: &Job) -> Reason {
-    let known = gateway.state().upstreams.of(&job.service).next().is_some();
-    if known { Reason::UpstreamsFull } else { Reason::NoUpstream }
-}
-
 /// Takes note of why an upstream turned a request away.
 fn note_turned_away(gateway: &Gateway, job: &Job, choice: &Choice, cause: NotRunCause) {
     let Some(prompt) = job.prompt.as_ref().filter(|_| cause == NotRunCause::OtherVersion) else {
--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -8,10 +8,13 @@
 use std::time::{Duration, Instant};
 
 use common::{Scene, scene_at, wait_ready};
+use coursestile::gateway::decisions::notice::{Heeded, Notice};
+use coursestile::platform::exchange::answer_head;
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::{Act, Server};
 use coursestile_standins::site::{Gateway, Site, entry, eventually};
+use hyper::{HeaderMap, StatusCode};
 use rstest::rstest;
 use serde_json::json;
 
@@ -181,3 +184,30 @@
     })
     .await;
 }
+
+/// Times that are none ask for nothing, and the longest rest is bounded.
+#[rstest]
+#[case("0.25", Some(250))]
+#[case(" 3 ", Some(3000))]
+#[case("0", Some(0))]
+#[case("-1", Some(0))]
+#[case("soon", None)]
+#[case("NaN", None)]
+#[case("1e999", None)]
+#[case("Wed, 21 Oct 2026 07:28:00 GMT", None)]
+fn times_read(#[case] text: &str, #[case] rest_ms: Option<u64>) {
+    let mut head = HeaderMap::new();
+    head.insert("retry-after", text.parse().unwrap());
+    let told = answer_head(StatusCode::SERVICE_UNAVAILABLE, &head);
+    assert_eq!(told.notice, Notice { leaving: false, rest_ms });
+    let other = answer_head(StatusCode::INTERNAL_SERVER_ERROR, &head);
+    assert!(other.notice.is_empty(), "it speaks of the request alone");
+}
+
+#[test]
+fn longest_rest() {
+    let asked = Heeded::new(1000, Notice { leaving: false, rest_ms: Some(u64::MAX) });
+    assert_eq!(asked.rest_until_ms, 601_000);
+    let nothing = Heeded::new(1000, Notice { leaving: false, rest_ms: Some(0) });
+    assert_eq!(nothing, Heeded::default());
+}
