--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -185,6 +185,22 @@
     .await;
 }
 
+/// One that turns all away and names no time has the least load of all, and is tried seldom
+/// all the same.
+#[tokio::test]
+async fn turned_away() {
+    let scene = scene(2).await;
+    let full = favourite(&scene, &scene.gateway, "/once/").await;
+    full.then(&vec![Act::NotRun; 40]);
+    let tried = come_to(&scene, &scene.gateway, "/once/", full).await;
+    assert!((1..=4).contains(&tried), "{tried} of 20");
+    full.then_nothing();
+    eventually("it gets requests again", async || {
+        come_to(&scene, &scene.gateway, "/once/", full).await > 0
+    })
+    .await;
+}
+
 /// Times that are none ask for nothing, and the longest rest is bounded.
 #[rstest]
 #[case("0.25", Some(250))]
