An upstream that turns requests away is the last choice for a while

What callers saw: while a third of the engines turned all away, a tenth of all requests was refused though the others had room. Cause: an engine that turns all away has no load, so that it is the first choice each time, whether or not it names a time; a route with one attempt refuses then. Same class as the rest that was not heeded: a refusal was taken to speak of the request alone. Change: 200 ms, doubled with each request in a row up to 3.2 s, in which others go first; a request that it takes ends that. Own halls hear at once.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -226,8 +226,10 @@
     let own = told.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if told.not_run && (own || told.request_id.is_none()) {
         let cause = not_run_cause(parts.status, &told, &place.upstream.id);
-        if cause == NotRunCause::OtherIncarnation {
-            place.supersede();
+        match cause {
+            NotRunCause::OtherIncarnation => place.supersede(),
+            NotRunCause::Refused(_) => place.turned_away(),
+            NotRunCause::OtherVersion => {}
         }
         return Attempted::NotRun { cause };
     }
@@ -239,6 +241,7 @@
         place.failed();
         return Attempted::Unknown { cause: "the answer is not the upstream's own".to_owned() };
     }
+    place.took_request();
     let reply = Reply { status: parts.status, head: parts.headers, told, body, place, sender };
     Attempted::Answered(Box::new(reply))
 }
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -44,7 +44,8 @@
     pub superseded: Vec<u32>,
     /// Upstreams that say that they leave, by their numbers.
     pub leaving: Vec<u32>,
-    /// Upstreams that want no requests from the box, by their numbers, and for how long still.
+    /// Upstreams that the box leaves alone, since they turned it away, by their numbers, and
+    /// for how long still.
     pub resting: Vec<(u32, u16)>,
     /// The upstreams' clock as the message left, once the box was told.
     pub upstream_clock_ms: Option<u64>,
@@ -101,6 +102,8 @@
     pub loads: Vec<ToldLoad>,
     /// Upstreams whose address another incarnation has, by their numbers.
     pub superseded: Vec<u32>,
+    /// Upstreams that the box leaves alone, as in its gossip.
+    pub resting: Vec<(u32, u16)>,
 }
 
 /// What a box has to do with one upstream.
--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -27,6 +27,10 @@
 const AVOID_MS: u64 = 500;
 /// Longest time for which an upstream that failed is avoided.
 const AVOID_MAX_MS: u64 = 4000;
+/// First time for which an upstream that turned a request away is the last choice.
+const TURNED_AWAY_MS: u64 = 200;
+/// Longest time for that; it doubles with each request that is turned away in a row.
+const TURNED_AWAY_MAX_MS: u64 = 3200;
 /// Weight of the newest answer in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Share of failures from which on an upstream is avoided.
@@ -123,6 +127,9 @@
     heeded: Heeded,
     /// Until when it rests, by the word of other boxes.
     rests_for_others_until_ms: u64,
+    turned_away_until_ms: u64,
+    /// Requests in a row that it turned away.
+    turned_away: u32,
 }
 
 impl Upstream {
@@ -152,6 +159,8 @@
             superseded: false,
             heeded: Heeded::default(),
             rests_for_others_until_ms: 0,
+            turned_away_until_ms: 0,
+            turned_away: 0,
         }
     }
 
@@ -178,6 +187,26 @@
         Some(self.heeded.rest_until_ms).filter(|until_ms| now_ms < *until_ms)
     }
 
+    /// Notes that it turned a request away. It looks idle, and would be chosen again and again.
+    pub fn turned_away(&mut self, now_ms: u64) {
+        let for_ms = TURNED_AWAY_MS << self.turned_away.min(u32::BITS / 2);
+        self.turned_away_until_ms = now_ms + for_ms.min(TURNED_AWAY_MAX_MS);
+        self.turned_away += 1;
+    }
+
+    /// Notes that it took a request.
+    pub fn took_request(&mut self) {
+        self.turned_away_until_ms = 0;
+        self.turned_away = 0;
+    }
+
+    /// Until when this box leaves it alone if others serve; `None` if it does not.
+    #[must_use]
+    pub fn left_alone_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let until_ms = self.heeded.rest_until_ms.max(self.turned_away_until_ms);
+        (now_ms < until_ms).then_some(until_ms)
+    }
+
     /// Notes that another box has been turned away, and for how long.
     pub fn rests_for_others(&mut self, until_ms: u64) {
         self.rests_for_others_until_ms = until_ms.max(self.rests_for_others_until_ms);
@@ -281,7 +310,8 @@
     #[must_use]
     pub fn is_doubtful(&self, now_ms: u64) -> bool {
         let avoid_until_ms = self.avoid_until_ms.max(self.rests_for_others_until_ms);
-        self.unreachable || now_ms < avoid_until_ms || self.is_silent(now_ms)
+        let is_avoided = now_ms < avoid_until_ms.max(self.turned_away_until_ms);
+        self.unreachable || is_avoided || self.is_silent(now_ms)
     }
 
     /// Whether it owes answers and has said nothing for long.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -131,7 +131,8 @@
     let loads = changed_loads(told, own_loads(state, now_ms));
     told.retain(|known| loads.iter().all(|one| one.upstream != known.upstream));
     told.extend(&loads);
-    LoadChanges { incarnation, loads, superseded: superseded(state) }
+    let resting = resting(state, now_ms);
+    LoadChanges { incarnation, loads, superseded: superseded(state), resting }
 }
 
 /// What this box has to do with each upstream.
@@ -202,7 +203,7 @@
 
 fn resting(state: &State, now_ms: u64) -> Vec<(u32, u16)> {
     let resting = state.upstreams.iter().filter_map(|one| {
-        let left_ms = one.rests_until_ms(now_ms)? - now_ms;
+        let left_ms = one.left_alone_until_ms(now_ms)? - now_ms;
         Some((one.number, u16::try_from(left_ms).unwrap_or(u16::MAX)))
     });
     resting.collect()
@@ -297,7 +298,8 @@
         state.terms.hear(*revision, now_ms.saturating_sub(u64::from(*age_ms)));
     }
     supersede(&mut state, &gossip.superseded);
-    take_notices(&mut state, now_ms, &gossip);
+    take_leaving(&mut state, &gossip.leaving);
+    take_resting(&mut state, now_ms, &gossip.resting);
     quarantine::hear(gateway, &mut state, now_ms, &gossip);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.take_upstream_clock(now_ms, clock_ms);
@@ -327,22 +329,28 @@
 /// Takes the loads that a peer has changed.
 fn hear_loads(gateway: &Gateway, from: IpAddr, changes: &LoadChanges) {
     let mut state = gateway.state();
+    let now_ms = now_ms();
     supersede(&mut state, &changes.superseded);
-    state.peers.hear_loads(now_ms(), from, changes);
+    take_resting(&mut state, now_ms, &changes.resting);
+    state.peers.hear_loads(now_ms, from, changes);
     for told in &changes.loads {
         state.take_others_load(told.upstream);
     }
 }
 
-/// Takes what upstreams asked of a peer.
-fn take_notices(state: &mut State, now_ms: u64, gossip: &Gossip) {
-    let spread_ms = u64::from(state.peers.own().number) % REST_SPREAD_MS;
-    for number in &gossip.leaving {
+/// Takes which upstreams said to a peer that they leave.
+fn take_leaving(state: &mut State, leaving: &[u32]) {
+    for number in leaving {
         if let Some(upstream) = state.upstreams.numbered_mut(*number) {
             upstream.heed(Heeded { leaving: true, ..Heeded::default() });
         }
     }
-    for (number, left_ms) in &gossip.resting {
+}
+
+/// Takes which upstreams a peer leaves alone, and for how long.
+fn take_resting(state: &mut State, now_ms: u64, resting: &[(u32, u16)]) {
+    let spread_ms = u64::from(state.peers.own().number) % REST_SPREAD_MS;
+    for (number, left_ms) in resting {
         if let Some(upstream) = state.upstreams.numbered_mut(*number) {
             upstream.rests_for_others(now_ms + u64::from(*left_ms) + spread_ms);
         }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -150,6 +150,21 @@
         silence::is_silent(&self.gateway, &self.upstream)
     }
 
+    /// Notes that the upstream turned the request away.
+    pub fn turned_away(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
+            upstream.turned_away(now_ms());
+        }
+        self.gateway.load_changed.notify_one();
+    }
+
+    /// Notes that the upstream took the request.
+    pub fn took_request(&self) {
+        if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
+            upstream.took_request();
+        }
+    }
+
     /// Takes what the upstream asks of this box, and tells others.
     pub fn heed(&self, notice: Notice) {
         let now_ms = now_ms();
--- a/tests/gateway_sums.rs
+++ b/tests/gateway_sums.rs
@@ -73,7 +73,7 @@
                 Step::Changes { host, loads } => {
                     let all = loads.iter().map(|(upstream, requests)| told(*upstream, *requests));
                     let changes =
-                        LoadChanges { incarnation: 1, loads: all.collect(), superseded: vec![] };
+                        LoadChanges { incarnation: 1, loads: all.collect(), superseded: vec![], resting: vec![] };
                     peers.hear_loads(now_ms, address(host), &changes);
                     if let Some((at_ms, known)) = last.get_mut(&host) {
                         *at_ms = now_ms;
@@ -111,7 +111,8 @@
 fn strangers_wait() {
     let mut peers = peers();
     let loads = vec![told(1, 4)];
-    let changes = LoadChanges { incarnation: 1, loads: loads.clone(), superseded: vec![] };
+    let changes =
+        LoadChanges { incarnation: 1, loads: loads.clone(), superseded: vec![], resting: vec![] };
     peers.hear_loads(0, address(1), &changes);
     assert_eq!(peers.load(1), Load::default(), "it has not introduced itself");
     peers.hear(0, address(1), gossip(Vec::new(), 0), Mark::default());
