Own interface: a worker that turns calls away and names a time is heeded

Now each gets one call, the others go elsewhere, and while all rest calls are refused at once, not run, with the end of the rest. What ends a call carries when to come back, also for quarantined ones. Crashes: bystanders of one crash wait for the next gossip; only what has met two is told at once, so that a crash of many engines wakes no large hall for each of hundreds of requests. A quarantined request is refused before a place is looked for.

--- a/src/call_state.rs
+++ b/src/call_state.rs
@@ -112,6 +112,8 @@
 pub struct Workers {
     /// Until when each worker that could not be reached is left alone.
     pub(crate) cooldowns: Mutex<BTreeMap<String, u64>>,
+    /// Until when each worker that turned a call away wants no other.
+    pub(crate) rests: Mutex<BTreeMap<String, u64>>,
     /// Counts calls, so that each begins at another worker.
     pub(crate) turn: AtomicUsize,
 }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -15,7 +15,6 @@
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::ledger::{Answer, CallKey, Outcome};
 use crate::phase::Phase;
-use crate::quarantine::QUARANTINE_MS;
 use crate::refusal::{Reason, Refusal};
 use crate::spending::spend;
 use crate::sync::locked;
@@ -86,9 +85,7 @@
 }
 
 fn answer_of(end: CallEnd) -> Result<Answer, Refusal> {
-    let retry_ms =
-        if end.reason == Reason::Quarantined { QUARANTINE_MS } else { UNREACHABLE_RETRY_MS };
-    let retry_at_ms = now_ms() + retry_ms;
+    let retry_at_ms = end.retry_at_ms.unwrap_or_else(|| now_ms() + UNREACHABLE_RETRY_MS);
     match end.outcome {
         Outcome::Answered(answer) => Ok(answer),
         Outcome::Unknown => Err(Refusal::unknown(end.reason).retry_at(retry_at_ms)),
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -9,6 +9,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::names::number;
+use crate::quarantine::News;
 use crate::sync::locked;
 use crate::upstream::refuses_connections;
 use crate::wire::{Envelope, Message};
@@ -37,10 +38,8 @@
     info!(target: "crashes", "Upstream {upstream} has crashed with request {request}.");
     let now_ms = now_ms();
     let crash = number(&format!("{upstream}/{}", now_ms / RESTART_MS));
-    let is_new = locked(&kernel.quarantine).crashed(now_ms, request, crash, now_ms);
-    if is_new {
-        tell_peers(kernel);
-    }
+    locked(&kernel.quarantine).crashed(now_ms, request, crash, now_ms);
+    tell_peers(kernel);
 }
 
 /// Notes that an upstream has answered a request to its end.
@@ -73,8 +72,8 @@
 
 fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
     let Message::Crashes { crashes, answers } = envelope.message else { return };
-    let is_new = locked(&kernel.quarantine).hear(now_ms(), &crashes, &answers);
-    if is_new {
+    let news = locked(&kernel.quarantine).hear(now_ms(), &crashes, &answers);
+    if news != News::Nothing {
         tell_peers(kernel);
     }
 }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -219,8 +219,23 @@
     fn list(&self, url: &str) -> impl Future<Output = Option<Vec<Listed>>> + Send;
 }
 
+/// What a worker of a plain service made of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerReply {
+    /// Whether the call can have run, and the answer.
+    pub outcome: Outcome,
+    /// Time for which the worker, which turned the call away, wants no other.
+    pub rest_ms: Option<u64>,
+}
+
+impl From<Outcome> for WorkerReply {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, rest_ms: None }
+    }
+}
+
 /// The plain services.
 pub trait PlainServices: Send + Sync {
-    /// Makes a call; the outcome says whether it can have run.
-    fn call(&self, url: &str, call: &Call) -> impl Future<Output = Outcome> + Send;
+    /// Makes a call.
+    fn call(&self, url: &str, call: &Call) -> impl Future<Output = WorkerReply> + Send;
 }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -13,6 +13,7 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::quarantine;
 use crate::port::is_closed;
+use crate::quarantine::News;
 use crate::sync::locked;
 
 /// Notes that an upstream broke a request off before the end of its answer. A crash ends all
@@ -43,14 +44,18 @@
     if let Some(upstream) = state.upstreams.get_run_mut(upstream) {
         upstream.suspect();
     }
+    let mut is_urgent = false;
     for request in requests {
-        if state.quarantine.crashed(now_ms, *request, upstream.number(), now_ms) {
+        if state.quarantine.crashed(now_ms, *request, upstream.number(), now_ms) == News::Urgent {
             quarantine::log_crash(&state, now_ms, *request);
+            is_urgent = true;
         }
     }
     drop(state);
-    gateway.gossip_now.notify_one();
-    gateway.quarantined.notify_waiters();
+    if is_urgent {
+        gateway.gossip_now.notify_one();
+        gateway.quarantined.notify_waiters();
+    }
 }
 
 /// Notes that an upstream has answered a request to its end.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -18,6 +18,7 @@
 use crate::gateway::metadata::Outcome;
 use crate::phase::Phase;
 use crate::platform::keys;
+use crate::quarantine::News;
 
 /// How often the leader compares the list with what it knows, if nothing wakes it before.
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
@@ -44,7 +45,7 @@
 
 /// Takes what a peer told of crashes.
 pub fn hear(gateway: &Gateway, state: &mut State, now_ms: u64, gossip: &Gossip) {
-    if !state.quarantine.hear(now_ms, &gossip.crashes, &gossip.answers) {
+    if state.quarantine.hear(now_ms, &gossip.crashes, &gossip.answers) != News::Urgent {
         return;
     }
     for told in &gossip.crashes {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -90,6 +90,9 @@
     let wait_until = instant_at(job.arrived_at_ms + job.route.latency_objective_ms / WAIT_PART);
     let mut next = None;
     loop {
+        if let Some(until_ms) = quarantine::until_ms(gateway, job.outgoing.fingerprint) {
+            return hold_back(&job, Reason::Quarantined, until_ms);
+        }
         let found = match next.take() {
             Some(choice) => Some(choice),
             None => find_place(gateway, &job, wait_until).await,
@@ -97,9 +100,6 @@
         let Some(choice) = found else {
             return no_place(gateway, &job);
         };
-        if let Some(until_ms) = quarantine::until_ms(gateway, job.outgoing.fingerprint) {
-            return hold_back(&job, Reason::Quarantined, until_ms);
-        }
         if choice.room == Room::Full && !job.ran_perhaps {
             return refuse_at_once(&job);
         }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -31,6 +31,17 @@
 /// Suspects remembered; a crash of a large upstream brings dozens.
 const MAX_SUSPECTS: usize = 4096;
 
+/// What a message brought, the more the later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum News {
+    /// Nothing that was not known.
+    Nothing,
+    /// The first crash under a request, which each bystander has.
+    First,
+    /// What others should know at once.
+    Urgent,
+}
+
 /// An upstream that crashed while it had a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldCrash {
@@ -115,19 +126,25 @@
 }
 
 impl Quarantine {
-    /// Counts an upstream that crashed while it had a request; whether that was not known.
+    /// Counts an upstream that crashed while it had a request.
     pub fn crashed(
         &mut self,
         now_ms: u64,
         request: Fingerprint,
         upstream: u32,
         at_ms: u64,
-    ) -> bool {
-        let is_new = self.suspects.entry(request).or_default().crashed(Crash { upstream, at_ms });
+    ) -> News {
+        let suspect = self.suspects.entry(request).or_default();
+        let is_new = suspect.crashed(Crash { upstream, at_ms });
+        let news = match suspect.crashes.len() {
+            _ if !is_new => News::Nothing,
+            1 => News::First,
+            _ => News::Urgent,
+        };
         if self.suspects.len() > MAX_SUSPECTS {
             self.forget(now_ms);
         }
-        is_new
+        news
     }
 
     /// Notes that an upstream has answered a request; whether it was a suspect.
@@ -163,19 +180,21 @@
         }
     }
 
-    /// Takes what another box told; whether some of it was not known.
-    pub fn hear(&mut self, now_ms: u64, crashes: &[ToldCrash], answers: &[ToldAnswer]) -> bool {
-        let mut is_new = false;
+    /// Takes what another box told.
+    pub fn hear(&mut self, now_ms: u64, crashes: &[ToldCrash], answers: &[ToldAnswer]) -> News {
+        let mut news = News::Nothing;
         for told in answers {
             let at_ms = now_ms.saturating_sub(told.age_ms.into());
             // It may be told of before the crash that it clears.
-            is_new |= self.suspects.entry(told.request).or_default().answered(at_ms);
+            if self.suspects.entry(told.request).or_default().answered(at_ms) {
+                news = News::Urgent;
+            }
         }
         for told in crashes {
             let at_ms = now_ms.saturating_sub(told.age_ms.into());
-            is_new |= self.crashed(now_ms, told.request, told.upstream, at_ms);
+            news = news.max(self.crashed(now_ms, told.request, told.upstream, at_ms));
         }
-        is_new
+        news
     }
 
     /// The crashes to tell other boxes of: the latest, those first that matter most, and all
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -26,6 +26,8 @@
     NoShare,
     /// no upstream serves this
     NoUpstream,
+    /// all upstreams of this service want no calls for a while
+    UpstreamsRest,
     /// the fleet is busy and the request would wait past its deadline
     Overloaded,
     /// the deadline has passed
@@ -73,7 +75,8 @@
             | Self::NotReady
             | Self::Quarantined
             | Self::RetryBudget
-            | Self::Stopping => 503,
+            | Self::Stopping
+            | Self::UpstreamsRest => 503,
             Self::DeadlinePassed => 504,
         }
     }
--- a/src/spending.rs
+++ b/src/spending.rs
@@ -6,7 +6,7 @@
 use crate::clock::now_ms;
 use crate::invariant::{Invariant, check};
 use crate::kernel::Kernel;
-use crate::ledger::{Begin, Outcome};
+use crate::ledger::Begin;
 use crate::refusal::Reason;
 use crate::sync::locked;
 use crate::ticket::BoxRef;
@@ -45,9 +45,7 @@
 
 fn end_of(begin: Begin) -> CallEnd {
     match begin {
-        Begin::Replay(answer) => {
-            CallEnd { outcome: Outcome::Answered(answer), reason: Reason::UpstreamFailed }
-        }
+        Begin::Replay(answer) => CallEnd::answered(answer),
         Begin::Unknown | Begin::Run | Begin::Wait => CallEnd::unknown(Reason::UpstreamFailed),
         Begin::Mismatch => CallEnd::not_run(Reason::KeyMismatch),
         Begin::Expired => CallEnd::unknown(Reason::TicketExpired),
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -8,6 +8,8 @@
 
 use eventsource_stream::Eventsource;
 use futures_util::{StreamExt, stream};
+use log::debug;
+use reqwest::header::RETRY_AFTER;
 use reqwest::{Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -17,7 +19,7 @@
 use crate::clock::{instant_at, now_ms};
 use crate::edge::{
     ContextStores, EngineError, EnginePiece, EngineReport, Generate, ModelEngines, Order, Pieces,
-    PlainServices, Staged,
+    PlainServices, Staged, WorkerReply,
 };
 use crate::keeper::{BlockMeta, Export, Listed, Written};
 use crate::ledger::{Answer, Outcome};
@@ -34,6 +36,8 @@
 
 /// Time in which a stream ends after its end mark.
 const END_TIMEOUT: Duration = Duration::from_millis(100);
+/// Longest rest of a worker that is heeded.
+const MAX_REST_MS: u64 = 600_000;
 /// Last event of a stream.
 const END_MARK: &str = "[DONE]";
 
@@ -338,9 +342,9 @@
 }
 
 impl PlainServices for HttpUpstreams {
-    async fn call(&self, url: &str, call: &Call) -> Outcome {
+    async fn call(&self, url: &str, call: &Call) -> WorkerReply {
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
-            return Outcome::NotRun;
+            return Outcome::NotRun.into();
         };
         let http = self.workers.connections().http;
         let mut request = http.request(method, format!("{url}{}", call.path));
@@ -352,20 +356,33 @@
             .header("x-call-id", &call.key.key)
             .body(call.body.clone());
         if call.deadline_ms <= now_ms() {
-            return Outcome::NotRun;
+            return Outcome::NotRun.into();
         }
         let answer = tokio::time::timeout_at(instant_at(call.deadline_ms), request.send()).await;
         match answer {
             Ok(Ok(response)) => {
-                read_answer(response).await.map_or(Outcome::Unknown, Outcome::Answered)
+                let rest_ms = rest_ms(&response);
+                let answer = read_answer(response).await;
+                WorkerReply { outcome: answer.map_or(Outcome::Unknown, Outcome::Answered), rest_ms }
             }
             // Without a connection, no byte of the call has left.
-            Ok(Err(error)) if error.is_connect() => Outcome::NotRun,
-            Ok(Err(_)) | Err(_) => Outcome::Unknown,
+            Ok(Err(error)) if error.is_connect() => Outcome::NotRun.into(),
+            Ok(Err(_)) | Err(_) => Outcome::Unknown.into(),
         }
     }
 }
 
+/// How long a worker that turns a call away wants no other; in whole seconds on the wire.
+fn rest_ms(response: &Response) -> Option<u64> {
+    let told = response.headers().get(RETRY_AFTER);
+    let told = told.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE)?;
+    let seconds: Option<u64> = told.to_str().ok().and_then(|text| text.trim().parse().ok());
+    if seconds.is_none() {
+        debug!(target: "upstream", "Time to come back not read: {told:?}.");
+    }
+    Some(seconds?.saturating_mul(1000).min(MAX_REST_MS))
+}
+
 async fn read_answer(response: Response) -> Option<Answer> {
     let status = response.status().as_u16();
     let content_type = response.headers().get("content-type");
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,7 +12,7 @@
 use crate::ask::{Ask, AskId, Report, Verdict};
 use crate::configlog::{Entry, State};
 use crate::error::{Error, Result};
-use crate::ledger::{CallKey, Ledger, Outcome};
+use crate::ledger::{Answer, CallKey, Ledger, Outcome};
 use crate::member::Gossip;
 use crate::quarantine::{ToldAnswer, ToldCrash};
 use crate::refusal::Reason;
@@ -56,19 +56,34 @@
     pub outcome: Outcome,
     /// Why, when it was refused.
     pub reason: Reason,
+    /// When to come back, in Unix milliseconds, if that is known.
+    pub retry_at_ms: Option<u64>,
 }
 
 impl CallEnd {
+    /// The end of a call that was answered.
+    #[must_use]
+    pub fn answered(answer: Answer) -> Self {
+        let outcome = Outcome::Answered(answer);
+        Self { outcome, reason: Reason::UpstreamFailed, retry_at_ms: None }
+    }
+
     /// The end of a call of which no byte has left.
     #[must_use]
     pub fn not_run(reason: Reason) -> Self {
-        Self { outcome: Outcome::NotRun, reason }
+        Self { outcome: Outcome::NotRun, reason, retry_at_ms: None }
     }
 
     /// The end of a call that may have run.
     #[must_use]
     pub fn unknown(reason: Reason) -> Self {
-        Self { outcome: Outcome::Unknown, reason }
+        Self { outcome: Outcome::Unknown, reason, retry_at_ms: None }
+    }
+
+    /// The same with a time to come back at.
+    #[must_use]
+    pub fn retry_at(self, retry_at_ms: u64) -> Self {
+        Self { retry_at_ms: Some(retry_at_ms), ..self }
     }
 }
 
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::{now_ms, now_us};
 use crate::crashes::{note_answered, note_broken_off, quarantined_until_ms};
-use crate::edge::PlainServices;
+use crate::edge::{PlainServices, WorkerReply};
 use crate::fingerprint::Fingerprint;
 use crate::invariant::{Invariant, check};
 use crate::kernel::Kernel;
@@ -25,14 +25,19 @@
     let workers = workers(kernel, &call.service);
     let mut sent = 0;
     let fingerprint = fingerprint(call);
-    let mut end = CallEnd::not_run(Reason::NoUpstream);
-    for (name, url) in workers {
+    let mut end = match workers.rest_until_ms {
+        Some(until_ms) if workers.ready.is_empty() => {
+            CallEnd::not_run(Reason::UpstreamsRest).retry_at(until_ms)
+        }
+        Some(_) | None => CallEnd::not_run(Reason::NoUpstream),
+    };
+    for (name, url) in workers.ready {
         if now_ms() >= call.deadline_ms {
             break;
         }
-        if quarantined_until_ms(kernel, fingerprint).is_some() {
+        if let Some(until_ms) = quarantined_until_ms(kernel, fingerprint) {
             if sent == 0 {
-                end = CallEnd::not_run(Reason::Quarantined);
+                end = CallEnd::not_run(Reason::Quarantined).retry_at(until_ms);
             }
             break;
         }
@@ -41,14 +46,17 @@
             break;
         }
         let began_at_us = now_us();
-        let outcome = kernel.upstreams.call(&url, call).await;
+        let WorkerReply { outcome, rest_ms } = kernel.upstreams.call(&url, call).await;
+        if let Some(rest_ms) = rest_ms {
+            locked(&kernel.calls.workers.rests).insert(name.clone(), now_ms() + rest_ms);
+        }
         let note = format!("{} {} on {name}", call.method, call.path);
         kernel.span(call.trace, Hop::Upstream, began_at_us, note);
         sent += u32::from(outcome != Outcome::NotRun);
         match outcome {
-            Outcome::Answered(_) => {
+            Outcome::Answered(answer) => {
                 note_answered(kernel, fingerprint);
-                return CallEnd { outcome, reason: Reason::UpstreamFailed };
+                return CallEnd::answered(answer);
             }
             Outcome::NotRun => cool_down(kernel, name),
             Outcome::Unknown => {
@@ -73,8 +81,16 @@
     Fingerprint::new(&call.key.account, &[&call.service, &call.method, &call.path], &call.body)
 }
 
+/// The workers of a service.
+struct Workers {
+    /// Names and addresses of those that may be called, in the order to try them.
+    ready: Vec<(String, String)>,
+    /// When the first of the others may be called again.
+    rest_until_ms: Option<u64>,
+}
+
 /// Workers of a service that take work, another one first each time.
-fn workers(kernel: &Kernel, service: &str) -> Vec<(String, String)> {
+fn workers(kernel: &Kernel, service: &str) -> Workers {
     let config = kernel.configuration.current();
     let cooldowns = locked(&kernel.calls.workers.cooldowns);
     let now_ms = now_ms();
@@ -84,15 +100,20 @@
     });
     let staying = own.filter(|upstream| !config.state.leaving.contains(&upstream.name));
     let all: Vec<_> = staying.map(|one| (one.name.clone(), one.url.clone())).collect();
+    let rests = locked(&kernel.calls.workers.rests);
+    let rest_until_ms = |name: &str| rests.get(name).copied().filter(|until_ms| now_ms < *until_ms);
+    let (resting, all): (Vec<_>, Vec<_>) =
+        all.into_iter().partition(|(name, _)| rest_until_ms(name).is_some());
     let cooled = |name: &String| cooldowns.get(name).is_none_or(|until_ms| *until_ms <= now_ms);
-    let (mut workers, cooling): (Vec<_>, Vec<_>) =
+    let (mut ready, cooling): (Vec<_>, Vec<_>) =
         all.into_iter().partition(|(name, _)| cooled(name));
-    if !workers.is_empty() {
-        let turn = kernel.calls.workers.turn.fetch_add(1, Ordering::Relaxed) % workers.len();
-        workers.rotate_left(turn);
+    if !ready.is_empty() {
+        let turn = kernel.calls.workers.turn.fetch_add(1, Ordering::Relaxed) % ready.len();
+        ready.rotate_left(turn);
     }
-    workers.extend(cooling);
-    workers
+    ready.extend(cooling);
+    let rest_until_ms = resting.iter().filter_map(|(name, _)| rest_until_ms(name)).min();
+    Workers { ready, rest_until_ms }
 }
 
 fn cool_down(kernel: &Kernel, worker: String) {
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -338,7 +338,7 @@
 #[handler]
 fn counts(Data(engine): Data<&Arc<Engine>>) -> Json<Value> {
     let started = engine.state.lock().expect("engine lock").started.len() as u64;
-    Json(json!({ "completions": started + engine.faults.refused_completions() }))
+    Json(json!({ "completions": started + engine.faults.refused_calls() }))
 }
 
 /// Runs the engine until the process ends.
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -11,7 +11,9 @@
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json};
-use poem::{Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, handler, post};
+use poem::{
+    Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post,
+};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpSocket;
 
@@ -31,6 +33,8 @@
     pub frozen: bool,
     /// Refuses every call with 503.
     pub outage: bool,
+    /// What an outage names as the time to come back, in seconds; 0 names none.
+    pub outage_retry_s: u64,
     /// How many answers to lose after their effect.
     pub lose_answers: u64,
     /// Share of events dropped, in percent.
@@ -81,9 +85,9 @@
         }
     }
 
-    /// Completions refused in an outage.
+    /// Calls of callers refused in an outage.
     #[must_use]
-    pub fn refused_completions(&self) -> u64 {
+    pub fn refused_calls(&self) -> u64 {
         self.refused.load(Ordering::Relaxed)
     }
 
@@ -106,6 +110,11 @@
     }
 }
 
+fn outage(retry_s: u64) -> Response {
+    let response = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+    if retry_s == 0 { response.finish() } else { response.header("retry-after", retry_s).finish() }
+}
+
 #[handler]
 fn set_fault(Json(change): Json<serde_json::Value>, Data(faults): Data<&Faults>) -> Response {
     match faults.set(&change) {
@@ -115,6 +124,11 @@
     }
 }
 
+#[handler]
+fn refused(Data(faults): Data<&Faults>) -> Json<u64> {
+    Json(faults.refused_calls())
+}
+
 async fn with_faults<E: Endpoint>(
     faults: Faults,
     endpoint: Arc<E>,
@@ -128,10 +142,11 @@
     }
     let state = faults.now();
     if state.outage {
-        if request.uri().path() == "/v1/completions" {
+        let path = request.uri().path();
+        if path == "/v1/completions" || path.starts_with("/app/") {
             faults.refused.fetch_add(1, Ordering::Relaxed);
         }
-        return Ok(StatusCode::SERVICE_UNAVAILABLE.into());
+        return Ok(outage(state.outage_retry_s));
     }
     tokio::time::sleep(Duration::from_millis(state.slow_ms)).await;
     let response = endpoint.call(request).await.map(IntoResponse::into_response);
@@ -150,6 +165,7 @@
     let layered = faults.clone();
     let app = routes
         .at("/fault", post(set_fault))
+        .at("/refused", get(refused))
         .data(faults)
         .around(move |endpoint, request| with_faults(layered.clone(), endpoint, request));
     let address: SocketAddr = listen.parse().map_err(std::io::Error::other)?;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use coursestile::fingerprint::Fingerprint;
 use coursestile::gateway::decisions::gossip_message::Gossip;
-use coursestile::quarantine::{CRASHES, QUARANTINE_MS, Quarantine};
+use coursestile::quarantine::{CRASHES, News, QUARANTINE_MS, Quarantine};
 
 const NOW_MS: u64 = 1_000_000;
 const REQUEST: Fingerprint = Fingerprint(7);
@@ -21,7 +21,7 @@
 }
 
 /// One box tells another, as gossip does.
-fn tell(now_ms: u64, from: &mut Quarantine, to: &mut Quarantine) -> bool {
+fn tell(now_ms: u64, from: &mut Quarantine, to: &mut Quarantine) -> News {
     let crashes = from.told_crashes(now_ms);
     let answers = from.told_answers(now_ms);
     to.hear(now_ms, &crashes, &answers)
@@ -80,7 +80,8 @@
             let to = random.usize(0..9);
             if from != to {
                 let mut sender = std::mem::take(&mut boxes[from]);
-                news += usize::from(tell(now_ms, &mut sender, &mut boxes[to]));
+                let told = tell(now_ms, &mut sender, &mut boxes[to]);
+                news += usize::from(told != News::Nothing);
                 boxes[from] = sender;
             }
         }
@@ -95,7 +96,7 @@
     let mut known = after(&[1, 2, 3]);
     let mut late = Quarantine::default();
     let now_ms = NOW_MS + 60_000;
-    assert!(tell(now_ms, &mut known, &mut late));
+    assert_eq!(tell(now_ms, &mut known, &mut late), News::Urgent);
     assert!(is_held(&late, now_ms));
     let left_ms = late.until_ms(now_ms, REQUEST).unwrap() - now_ms;
     assert_eq!(left_ms, QUARANTINE_MS - 60_000 + 20, "no longer than where it was seen");
@@ -162,3 +163,15 @@
         assert_ne!(one, other);
     }
 }
+
+/// Many bystanders of one crash wait for the next gossip; what is suspect does not.
+#[test]
+fn urgent_news() {
+    let mut quarantine = Quarantine::default();
+    assert_eq!(quarantine.crashed(NOW_MS, REQUEST, 1, NOW_MS), News::First);
+    assert_eq!(quarantine.crashed(NOW_MS + 10, REQUEST, 2, NOW_MS + 10), News::Urgent);
+    assert_eq!(quarantine.crashed(NOW_MS + 20, REQUEST, 2, NOW_MS + 20), News::Nothing);
+    let mut other = Quarantine::default();
+    assert_eq!(tell(NOW_MS + 30, &mut quarantine, &mut other), News::Urgent);
+    assert_eq!(tell(NOW_MS + 40, &mut quarantine, &mut other), News::Nothing);
+}
--- /dev/null
+++ b/tests/resting_workers.rs
@@ -0,0 +1,57 @@
+//! A worker of a plain service turned calls away and named a time to come back, and got every
+//! other call all the same.
+
+mod common;
+
+use common::{call, fleet};
+use coursestile_standins::fleet::{Fleet, Plan, Process};
+use serde_json::{Value, json};
+
+const KEY: &str = "sanam-key";
+
+async fn turn_away(fleet: &Fleet, worker: &Process, turns_away: bool) {
+    fleet.fault(worker, json!({ "outage": turns_away, "outage_retry_s": 30 })).await;
+}
+
+/// Calls that a worker has turned away.
+async fn refused(fleet: &Fleet, worker: &Process) -> u64 {
+    turn_away(fleet, worker, false).await;
+    let count = fleet.get(&format!("{}/refused", worker.url())).await.expect("a number");
+    count.as_u64().expect("a number")
+}
+
+#[tokio::test]
+async fn one_rests() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 2)).await;
+    turn_away(&fleet, &fleet.workers[0], true).await;
+    let mut served = 0;
+    for number in 0..20 {
+        let path = format!("/fixtures/{number}");
+        let answer = call(&fleet, 0, KEY, &path).send().await.unwrap();
+        served += u32::from(answer.status().is_success());
+    }
+    assert!(served >= 19, "{served} of 20");
+    assert_eq!(refused(&fleet, &fleet.workers[0]).await, 1);
+}
+
+#[tokio::test]
+async fn all_rest() {
+    let fleet = fleet(&Plan::one_hall(1, 1, 2)).await;
+    for worker in &fleet.workers {
+        turn_away(&fleet, worker, true).await;
+    }
+    for number in 0..10 {
+        let path = format!("/orders/{number}");
+        let answer = call(&fleet, 0, KEY, &path).send().await.unwrap();
+        assert_eq!(answer.status(), 503);
+        if number >= 2 {
+            let after_s: u64 = answer.headers()["retry-after"].to_str().unwrap().parse().unwrap();
+            assert!((20..=30).contains(&after_s), "{after_s}");
+            let body: Value = answer.json().await.unwrap();
+            assert_eq!(body["error"]["ran"], "not run", "{body}");
+        }
+    }
+    for worker in &fleet.workers {
+        assert_eq!(refused(&fleet, worker).await, 1);
+    }
+}
