Soak: upstreams that crash under one request, and that say in their answers what they want

A fifth stream (--streams words): a client sends one request under new ids to any box, upstreams that begin with it crash and come back under other ids; others rest, or say that they leave and start again; boxes and the store go away beside. Checked: no more than three retries 3 s after the third crash, by boxes that were there and in touch; nothing to an upstream 2 s after it said that it leaves; two requests at most in a rest.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -21,7 +21,7 @@
 /// Time for which orders of a holder do not count after a pause of it.
 const THAW_SLACK_MS: u64 = 300;
 /// Time after which a box is bound again by what has a time bound.
-const STEADY_MS: u64 = 3000;
+pub(crate) const STEADY_MS: u64 = 3000;
 
 /// All that a run is judged by.
 pub struct Evidence<'a> {
@@ -56,6 +56,8 @@
         found.extend(self.work_for_leaving());
         found.extend(self.behind());
         found.extend(self.orders());
+        found.extend(self.unheeded());
+        found.extend(self.sent_again());
         if self.world.moving {
             let (outdated, runs) = (&self.seen.outdated, self.steady_runs());
             found.extend(self.on_old_weights("has them", outdated, Step::holds_up_weights));
@@ -82,7 +84,7 @@
         )
     }
 
-    fn at_ms(&self, at: Instant) -> u64 {
+    pub(crate) fn at_ms(&self, at: Instant) -> u64 {
         u64::try_from((at - self.began).as_millis()).unwrap_or(u64::MAX)
     }
 
@@ -209,7 +211,7 @@
     }
 
     /// Whether a box was away at a time or up to `slack_ms` before.
-    fn is_away(
+    pub(crate) fn is_away(
         &self,
         box_number: Option<usize>,
         at_ms: u64,
--- /dev/null
+++ b/soak/src/frail.rs
@@ -0,0 +1,148 @@
+//! Upstreams that crash under one request, and a client that sends it again and again, each
+//! time under another id and to another box.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::server::{Ran, Server};
+use coursestile_standins::site::{Site, entry};
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
+
+use crate::checks::{Evidence, STEADY_MS};
+use crate::world::World;
+
+/// Service of these upstreams, and path of the route to them.
+const SERVICE: &str = "frail";
+const PATH: &str = "/frail/";
+/// How many there are at a time.
+const SERVERS: usize = 4;
+/// The request that they crash under.
+const DEADLY: &str = "deadly";
+/// Crashes after which it is not sent again, but for some retries.
+const CRASHES: usize = 3;
+const RETRIES: usize = 3;
+/// Time until one that crashed is back under another id, and its old entry is gone.
+const BACK_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between two tries of the client.
+const SEND_PAUSE: Duration = Duration::from_millis(120);
+/// Time in which a try must be answered.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// The upstreams, with those that have crashed.
+pub struct Frail {
+    servers: Mutex<Vec<Server>>,
+}
+
+/// Adds the route to them to a configuration.
+pub fn add(document: &mut Value) {
+    let mut route = document["routes"][0].clone();
+    route["name"] = json!(SERVICE);
+    route["path_prefix"] = json!(PATH);
+    route["service"] = json!(SERVICE);
+    let service = json!({ "name": SERVICE, "health_path": "/health", "max_conns": 100,
+        "protocol": "h1", "tls": false });
+    for (list, item) in [("routes", route), ("services", service)] {
+        if let Some(items) = document[list].as_array_mut() {
+            items.push(item);
+        }
+    }
+}
+
+impl Frail {
+    /// Starts them.
+    pub async fn start(site: &Site) -> Self {
+        let frail = Self { servers: Mutex::default() };
+        for _ in 0..SERVERS {
+            frail.start_one(site).await;
+        }
+        frail
+    }
+
+    fn servers(&self) -> MutexGuard<'_, Vec<Server>> {
+        self.servers.lock().expect("no task panics under the lock")
+    }
+
+    async fn start_one(&self, site: &Site) {
+        let number = self.servers().len();
+        let server = Server::start(&format!("frail-{number}")).await;
+        server.crash_on(DEADLY);
+        site.enter(&server.id, &entry(SERVICE, &server.address, "ready"));
+        self.servers().push(server);
+    }
+
+    /// Ids of those that have crashed.
+    fn crashed(&self) -> Vec<String> {
+        let crashed = self.servers();
+        crashed.iter().filter(|one| one.has_crashed()).map(|one| one.id.clone()).collect()
+    }
+
+    /// The tries that came to each of them.
+    fn tries(&self) -> Vec<Vec<Ran>> {
+        self.servers().iter().map(Server::ran).collect()
+    }
+}
+
+/// Starts another one for each that has crashed.
+pub async fn tend(world: Arc<World>, stop: Arc<AtomicBool>) {
+    let Some(frail) = &world.frail else { return };
+    let mut replaced = 0;
+    while !stop.load(Ordering::Relaxed) {
+        sleep(BACK_PAUSE).await;
+        for id in frail.crashed().into_iter().skip(replaced) {
+            replaced += 1;
+            world.site.leave(&id);
+            frail.start_one(&world.site).await;
+        }
+    }
+}
+
+/// Sends the request that they crash under.
+pub async fn send(world: Arc<World>, stop: Arc<AtomicBool>, seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let box_number = rng.usize(..world.boxes.len());
+        let bytes = request("POST", PATH, &format!("{box_number}-d-{number}"), "", DEADLY);
+        let sending = async {
+            let mut client = Client::try_connect(&world.boxes[box_number].process.clients).await;
+            if let Ok(client) = &mut client {
+                client.send(&bytes).await;
+            }
+        };
+        // Whatever comes of it: the upstreams tell what arrived.
+        let _ = timeout(PATIENCE, sending).await;
+        sleep(SEND_PAUSE).await;
+    }
+}
+
+impl Evidence<'_> {
+    /// A request under which three upstreams have crashed comes to few others.
+    pub(crate) fn sent_again(&self) -> Option<String> {
+        let tries = self.world.frail.as_ref()?.tries();
+        let mut crashes: Vec<Instant> =
+            tries.iter().filter_map(|tries| tries.first()).map(|first| first.at).collect();
+        crashes.sort_unstable();
+        let third_ms = self.at_ms(*crashes.get(CRASHES - 1)?);
+        let late = tries.iter().flatten().filter(|one| self.is_bound(one, third_ms + STEADY_MS));
+        let late: Vec<String> =
+            late.map(|one| format!("{} at {} ms", one.request_id, self.at_ms(one.at))).collect();
+        (late.len() > RETRIES).then(|| {
+            format!("three upstreams had crashed at {third_ms} ms; sent again: {}", late.join(", "))
+        })
+    }
+
+    /// Whether a try came after a time from a box that had to know better.
+    fn is_bound(&self, one: &Ran, from_ms: u64) -> bool {
+        let at_ms = self.at_ms(one.at);
+        let sender = one.request_id.split('-').next().and_then(|sender| sender.parse().ok());
+        let is_away = self.is_away(sender, self.began_ms + at_ms, STEADY_MS, |_| true);
+        let is_cut_off = self.steps.iter().any(|step| {
+            step.keeps_news() && step.at_ms <= at_ms && step.until_ms + STEADY_MS >= at_ms
+        });
+        at_ms > from_ms && !is_away && !is_cut_off
+    }
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod callers;
 mod checks;
+mod frail;
 mod mesh;
+mod notices;
 mod plan;
 mod proxy;
 mod world;
@@ -64,14 +66,23 @@
     Moves,
     /// Weights are on the move, and nothing else happens.
     MovesAlone,
+    /// Upstreams crash under one request, and say in their answers that they leave or rest;
+    /// beside that only boxes and the store go away.
+    Words,
 }
 
 impl Streams {
     fn steps(self, seed: u64, length_ms: u64) -> Vec<Step> {
         let all = [plan::steps, plan::silences, plan::restarts, plan::moves];
-        let first = if self == Self::MovesAlone { 3 } else { 0 };
-        let played = all.iter().take(self as usize + 1).skip(first);
-        played.flat_map(|steps| steps(seed, length_ms)).collect()
+        let played = match self {
+            Self::Words => &[plan::words as fn(u64, u64) -> Vec<Step>][..],
+            Self::MovesAlone => &all[3..],
+            Self::First => &all[..1],
+            Self::Silences => &all[..2],
+            Self::Restarts => &all[..3],
+            Self::Moves => &all[..],
+        };
+        played.iter().flat_map(|steps| steps(seed, length_ms)).collect()
     }
 }
 
@@ -95,8 +106,9 @@
 /// # Panics
 /// Panics when a part of the soak itself has failed.
 pub async fn run(options: Options) -> Result<Report> {
-    let moving = options.streams >= Streams::Moves;
-    let world = Arc::new(World::start(options.boxes, moving).await?);
+    let moving = matches!(options.streams, Streams::Moves | Streams::MovesAlone);
+    let with_frail = options.streams == Streams::Words;
+    let world = Arc::new(World::start(options.boxes, moving, with_frail).await?);
     let mut violations = agree(&world).await;
     let (began, began_ms) = (Instant::now(), now_ms());
     let steps = options.streams.steps(options.seed, options.seconds * 1000);
@@ -118,6 +130,10 @@
             clients.push(tokio::spawn(prompting));
         }
     }
+    if with_frail {
+        clients.push(tokio::spawn(frail::tend(world.clone(), stop.clone())));
+        clients.push(tokio::spawn(frail::send(world.clone(), stop.clone(), options.seed)));
+    }
     if moving {
         clients.push(tokio::spawn(callers::look(world.clone(), record.clone(), stop.clone())));
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -18,7 +18,8 @@
       --boxes N     Boxes (default 4)
       --streams N   1: faults and planned work; 2: silences too; 3: upstreams
                     start again too (default); 4: weights are on the move too;
-                    only-4: nothing else
+                    only-4: nothing else; words: upstreams crash under one
+                    request, and say in their answers that they leave or rest
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -68,7 +69,8 @@
         "3" => Ok(Streams::Restarts),
         "4" => Ok(Streams::Moves),
         "only-4" => Ok(Streams::MovesAlone),
-        _ => Err("--streams: 1, 2, 3, 4 or only-4 is needed".into()),
+        "words" => Ok(Streams::Words),
+        _ => Err("--streams: 1, 2, 3, 4, only-4 or words is needed".into()),
     }
 }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -47,6 +47,13 @@
 const MOVES: std::ops::Range<u64> = 4..9;
 /// Time between two of them: less than the pause between orders of two holders.
 const MOVE_APART_MS: std::ops::Range<u64> = 200..700;
+/// Sets the fifth stream apart from the others.
+const FIFTH_STREAM: u64 = 0x7a11_0f2d;
+/// Length of a phase of the fifth stream with steps, and of one with the calm after it.
+const WORDS_MS: u64 = 6000;
+const WORDS_CYCLE_MS: u64 = 12_000;
+/// Pause between two steps of the fifth stream.
+const WORD_PAUSE_MS: std::ops::Range<u64> = 150..900;
 /// Picks the box that leads; other picks are below.
 pub const LEADER: usize = 1000;
 
@@ -138,6 +145,10 @@
     EngineOrdersLate,
     /// An engine says nothing.
     EngineHangs,
+    /// An upstream turns requests away and wants no others for a while.
+    UpstreamRests,
+    /// An upstream says in its answers that it leaves, and starts again later.
+    UpstreamSaysLeaving,
     /// Planned: a box is stopped, and started again when it has ended.
     BoxStopped,
     /// Planned: a box reads its settings again.
@@ -203,6 +214,18 @@
     Event::EngineHangs,
     Event::EngineRestarts,
 ];
+/// Steps of the fifth stream.
+const WORDS: [Event; 9] = [
+    Event::UpstreamRests,
+    Event::UpstreamRests,
+    Event::UpstreamSaysLeaving,
+    Event::UpstreamSaysLeaving,
+    Event::BoxKilled,
+    Event::BoxPaused,
+    Event::BoxStopped,
+    Event::StoreSilent,
+    Event::StoreBusy,
+];
 const PLANNED: [Event; 6] = [
     Event::BoxStopped,
     Event::BoxStopped,
@@ -255,6 +278,13 @@
                 | Event::PeersLink(..)
         )
     }
+
+    /// Whether it keeps news from boxes: the store does not answer, or ways between them are
+    /// spoiled.
+    #[must_use]
+    pub fn keeps_news(&self) -> bool {
+        self.spoils_links() && !matches!(self.event, Event::UpstreamLink(_))
+    }
 }
 
 /// The steps of a run.
@@ -352,6 +382,24 @@
     steps
 }
 
+/// Upstreams that say what they want in their answers, from a fifth stream, beside boxes and a
+/// store that go away.
+#[must_use]
+pub fn words(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ FIFTH_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.u64(WORD_PAUSE_MS);
+    while at_ms < length_ms {
+        if at_ms % WORDS_CYCLE_MS < WORDS_MS {
+            let event = WORDS[rng.usize(..WORDS.len())];
+            let until_ms = at_ms + rng.u64(FAULT_MS);
+            steps.push(Step { at_ms, until_ms, event, pick: rng.usize(..1000) });
+        }
+        at_ms += rng.u64(WORD_PAUSE_MS);
+    }
+    steps
+}
+
 /// When all must go by what the store took at `from_ms`: `bound_ms` later, or that long
 /// after the end of the faults that come up to then.
 #[must_use]
--- a/soak/src/world/happening.rs
+++ b/soak/src/world/happening.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use super::{Away, ENGINE_SERVICE, Leave, World};
+use super::{Away, ENGINE_SERVICE, Leave, Reborn, World};
 use crate::plan::{Event, LEADER, LastWord, Link, Way};
 use crate::proxy::Proxy;
 
@@ -23,6 +23,8 @@
 const SILENT_AFTER_MS: usize = 25;
 /// How often a box that is to stop is looked at.
 const STOP_POLL: Duration = Duration::from_millis(20);
+/// Least time for which an upstream wants no requests.
+const REST: Duration = Duration::from_millis(800);
 /// Answers that an upstream spoils at a time.
 const ACTS: usize = 5;
 /// Least time after which an unanswered order is carried out, and what is added for each
@@ -85,6 +87,12 @@
                 sleep(time).await;
                 upstream.process.then_nothing();
             }
+            Event::UpstreamRests => upstream.process.then(&[Act::Rest(REST + time), Act::Answer]),
+            Event::UpstreamSaysLeaving => {
+                upstream.process.then(&[Act::Leaving, Act::Leaving]);
+                sleep(time + LEAVES).await;
+                self.restart_upstream(pick, Duration::ZERO).await;
+            }
             Event::BoxStopped => {
                 let pid = one_box.process.pid();
                 one_box.process.try_signal("-TERM");
@@ -129,6 +137,8 @@
         self.starts_ms[number].store(now_ms(), Ordering::SeqCst);
         let is_leaving = self.leaving[number].load(Ordering::SeqCst) > 0;
         self.enter(number, if is_leaving { "draining" } else { "ready" });
+        let id = self.upstreams[number].process.id.clone();
+        self.reborn().push(Reborn { id, at: Instant::now() });
     }
 
     /// Has an engine start again under its id. Mostly its entry tells of it, also of the
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -15,6 +15,7 @@
 use coursestile_standins::site::{Gateway, Site, document, engine_entry, engine_services, entry};
 use serde_json::{Value, json};
 
+use crate::frail::{self, Frail};
 use crate::mesh::Mesh;
 use crate::plan::Link;
 use crate::proxy::Proxy;
@@ -106,6 +107,19 @@
     leaving: Vec<AtomicUsize>,
     /// For each upstream, the start that its entry tells; none at first.
     starts_ms: Vec<AtomicU64>,
+    /// Upstreams that crash under one request, if there are any.
+    pub frail: Option<Frail>,
+    /// When upstreams started again under their ids.
+    reborn: Mutex<Vec<Reborn>>,
+}
+
+/// An upstream that started again under its id.
+#[derive(Clone)]
+pub struct Reborn {
+    /// Its id.
+    pub id: String,
+    /// When its entry told of it.
+    pub at: Instant,
 }
 
 /// Path of a route that only one version of the configuration has.
@@ -114,8 +128,9 @@
     format!("/version-{version}/")
 }
 
-/// A configuration; if `with_runs`, with a route to the engines.
-fn configuration(version: u64, with_runs: bool) -> Value {
+/// A configuration; if `with_runs`, with a route to the engines, and if `with_frail` to the
+/// upstreams that crash.
+fn configuration(version: u64, with_runs: bool, with_frail: bool) -> Value {
     let mut document = document(version);
     let mut own = document["routes"][0].clone();
     own["name"] = json!(format!("version-{version}"));
@@ -137,6 +152,9 @@
     if let Some(services) = document["services"].as_array_mut() {
         services.push(service);
     }
+    if with_frail {
+        frail::add(&mut document);
+    }
     document
 }
 
@@ -145,7 +163,7 @@
     ///
     /// # Errors
     /// Fails when an address cannot be had.
-    pub async fn start(boxes: usize, moving: bool) -> Result<Self> {
+    pub async fn start(boxes: usize, moving: bool, with_frail: bool) -> Result<Self> {
         let mut site = Site::start().await;
         site.own_peer_ports = true;
         if moving {
@@ -167,7 +185,8 @@
             engines.push(Behind { process, proxy });
         }
         site.name_weights(MODEL, 1);
-        site.configure(&configuration(1, moving));
+        let frail = if with_frail { Some(Frail::start(&site).await) } else { None };
+        site.configure(&configuration(1, moving, with_frail));
         let newest = Mutex::new(Newest { version: 1, taken: Instant::now() });
         let mut started: Vec<OneBox> = Vec::new();
         for number in 0..boxes {
@@ -196,6 +215,8 @@
             leaves: Mutex::default(),
             leaving,
             starts_ms,
+            frail,
+            reborn: Mutex::default(),
         })
     }
 
@@ -204,6 +225,11 @@
         self.leaves.lock().expect("no task panics under the lock")
     }
 
+    /// When upstreams started again under their ids.
+    pub fn reborn(&self) -> MutexGuard<'_, Vec<Reborn>> {
+        self.reborn.lock().expect("no task panics under the lock")
+    }
+
     /// When boxes were away.
     pub fn aways(&self) -> MutexGuard<'_, Vec<Away>> {
         self.aways.lock().expect("no task panics under the lock")
@@ -248,7 +274,8 @@
         // Under the lock, the store takes versions in their order.
         let mut newest = self.newest.lock().expect("no task panics under the lock");
         newest.version += step;
-        self.site.configure(&configuration(newest.version, self.moving));
+        let document = configuration(newest.version, self.moving, self.frail.is_some());
+        self.site.configure(&document);
         newest.taken = Instant::now();
     }
 
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -62,6 +62,16 @@
     holds(Options { seed: 6, seconds: 15, boxes: 5, streams: Streams::MovesAlone }).await;
 }
 
+// One request crashed upstream after upstream, and what upstreams said in their answers was
+// not heeded: both seeds broke both promises.
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[tokio::test]
+async fn words_heeded(#[case] seed: u64) {
+    holds(Options { seed, seconds: 14, boxes: 4, streams: Streams::Words }).await;
+}
+
 async fn holds(options: Options) {
     let report = run(options).await.unwrap();
     assert!(report.violations.is_empty(), "{options:?}: {:#?}", report.violations);
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -61,6 +61,17 @@
     HeldEvents(u32),
 }
 
+/// What an upstream did with a request.
+#[derive(Clone, Debug)]
+pub struct Done {
+    /// Id of the request.
+    pub request_id: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// What was done.
+    pub act: Act,
+}
+
 /// A request that an upstream ran.
 #[derive(Clone, Debug)]
 pub struct Ran {
@@ -74,6 +85,7 @@
 struct Seen {
     arrived: Vec<Message>,
     ran: Vec<Ran>,
+    done: Vec<Done>,
     script: VecDeque<Act>,
     released: bool,
     /// Body that crashes it.
@@ -166,6 +178,12 @@
         self.seen().ran.clone()
     }
 
+    /// What it did with each request, in order.
+    #[must_use]
+    pub fn done(&self) -> Vec<Done> {
+        self.seen().done.clone()
+    }
+
     /// How often a request has arrived.
     #[must_use]
     pub fn count(&self, request_id: &str) -> usize {
@@ -200,9 +218,11 @@
     let usual = if is_stream(request) { Act::Events(EVENTS) } else { Act::Answer };
     let act = seen.script.pop_front().unwrap_or(usual);
     seen.arrived.push(request.clone());
+    let request_id = request.header("x-request-id").unwrap_or_default().to_owned();
+    let at = Instant::now();
+    seen.done.push(Done { request_id: request_id.clone(), at, act: act.clone() });
     if !matches!(act, Act::NotRun | Act::Rest(_) | Act::OtherIncarnation) {
-        let request_id = request.header("x-request-id").unwrap_or_default().to_owned();
-        seen.ran.push(Ran { request_id, at: Instant::now() });
+        seen.ran.push(Ran { request_id, at });
     }
     act
 }
