Ledgers go to suspects too when nobody else is there

One cause of once::ledger_inherited beside load: a box that stops offers its ledger to peers that answer its probes alone. Ruled out for this one: late news of the heir; 'Nobody took the ledger' is in the leaver's log. Whether it was the only cause left is not shown. Calls have one fingerprint now, in place of two hashes of the same.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -95,13 +95,14 @@
     }
 }
 
-/// Boxes that may take the ledger, those of the own hall first.
+/// Boxes that may take the ledger: those that answer before suspects, and of each those of
+/// the own hall first.
 fn heirs(kernel: &Kernel) -> Vec<Member> {
     let membership = kernel.membership();
-    let alive = membership.view().members().skip(1).filter(|member| member.health == Health::Alive);
-    let mut heirs: Vec<_> = alive.cloned().collect();
+    let staying = membership.view().members().skip(1).filter(|member| member.takes_work());
+    let mut heirs: Vec<_> = staying.cloned().collect();
     fastrand::shuffle(&mut heirs);
-    heirs.sort_by_key(|member| member.hall != kernel.settings.hall);
+    heirs.sort_by_key(|member| (member.health, member.hall != kernel.settings.hall));
     heirs.truncate(HANDOVER_TRIES);
     heirs
 }
--- a/src/spending.rs
+++ b/src/spending.rs
@@ -11,14 +11,14 @@
 use crate::sync::locked;
 use crate::ticket::BoxRef;
 use crate::wire::{Call, CallEnd};
-use crate::workers::run;
+use crate::workers::{fingerprint, run};
 
 /// How often a call looks whether the first one with its key has ended.
 const WAIT_POLL: Duration = Duration::from_millis(10);
 
 /// Runs a call under this incarnation's ledger.
 pub(crate) async fn spend(kernel: &Arc<Kernel>, call: &Call) -> CallEnd {
-    let fingerprint = fingerprint(call);
+    let fingerprint = fingerprint(call).0;
     loop {
         if now_ms() >= call.deadline_ms {
             // An earlier call with this key may still run.
@@ -54,24 +54,12 @@
     }
 }
 
-fn fingerprint(call: &Call) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    for part in [&call.service, &call.method, &call.path] {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    hasher.update(&call.body);
-    let mut bytes = [0; 8];
-    hasher.finalize_xof().fill(&mut bytes);
-    u64::from_le_bytes(bytes)
-}
-
 /// Answers from the ledger of a box that has stopped; it is closed, so that
 /// nothing runs.
 pub(crate) fn answer_as_heir(kernel: &Kernel, spender: &BoxRef, call: &Call) -> Option<CallEnd> {
     let mut inherited = locked(&kernel.calls.inherited);
     let ledger = inherited.get_mut(spender)?;
-    let begin = ledger.begin(now_ms(), &call.key, fingerprint(call), call.ticket_expires_at_ms);
+    let begin = ledger.begin(now_ms(), &call.key, fingerprint(call).0, call.ticket_expires_at_ms);
     check(Invariant::SentOnce, begin != Begin::Run, || call.key.key.clone());
     Some(end_of(begin))
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -77,7 +77,9 @@
     end
 }
 
-fn fingerprint(call: &Call) -> Fingerprint {
+/// What a call asks, whatever its key.
+#[must_use]
+pub fn fingerprint(call: &Call) -> Fingerprint {
     Fingerprint::new(&call.key.account, &[&call.service, &call.method, &call.path], &call.body)
 }
 
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -185,6 +185,31 @@
     assert_eq!((runs(&fleet, &spent).await, runs(&fleet, &fresh).await), (1, 0));
 }
 
+// A box that stopped took both others for failing, since they had stood still, and gave its
+// ledger to nobody: the outcomes of its calls were unknown from then on.
+#[tokio::test]
+async fn heirs_suspected() {
+    let fleet = slow_worker(5).await;
+    let key = format!("{}/1", ticket(&fleet, 0, KEY).await);
+    assert_eq!(run_of(order(&fleet, 0, &key, 1000).await.unwrap()).await, 1);
+    let (leaver, others) = fleet.boxes.split_first().unwrap();
+    for other in others {
+        other.process.signal("-STOP");
+    }
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    leaver.process.signal("-TERM");
+    // Both are suspects when the ledger is given away, and answer soon after.
+    tokio::time::sleep(Duration::from_millis(2900)).await;
+    for other in others {
+        other.process.signal("-CONT");
+    }
+    while !leaver.process.ended() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let again = order(&fleet, 1, &key, 3000).await.unwrap();
+    assert_eq!(run_of(again).await, 1, "the kept answer");
+}
+
 // A box that was replaced was asked for a call of its predecessor before a peer had
 // told it of the heir. It answered that the outcome is unknown, though the answer was
 // kept.
