--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -26,14 +26,15 @@
         for told in &done {
             // Questions for the configuration do not tell their box.
             let Some(box_number) = sender(told) else { continue };
+            let said_at = told.answered_at;
+            let next_start = self.next_start(upstream, told.at);
             let (from, until, most) = match told.act {
-                Act::Leaving => {
-                    let reborn = self.world.reborn().clone();
-                    let starts = reborn.iter().filter(|one| one.id == upstream.id);
-                    let next = starts.map(|one| one.at).find(|at| *at > told.at);
-                    (told.at + LEAVE_BOUND + ON_ITS_WAY, next, 0)
+                Act::Leaving => (said_at + LEAVE_BOUND + ON_ITS_WAY, next_start, 0),
+                Act::Rest(time) => {
+                    let rest_end = said_at + time;
+                    let until = next_start.map_or(rest_end, |start| start.min(rest_end));
+                    (said_at + REST_BEGINS, Some(until), MOST_IN_REST)
                 }
-                Act::Rest(time) => (told.at + REST_BEGINS, Some(told.at + time), MOST_IN_REST),
                 _ => continue,
             };
             let came = done.iter().filter(|one| {
@@ -57,6 +58,14 @@
         found
     }
 
+    /// When an upstream was known to have started again after a time: what it said before
+    /// holds no longer.
+    fn next_start(&self, upstream: &Server, after: Instant) -> Option<Instant> {
+        let reborn = self.world.reborn();
+        let starts = reborn.iter().filter(|one| one.id == upstream.id && one.at > after);
+        starts.map(|one| one.at).min()
+    }
+
     /// Whether a box was away between two times, and may have forgotten what it was told.
     fn was_away(&self, box_number: usize, from: Instant, until: Instant) -> bool {
         let at_ms = |at| self.began_ms + self.at_ms(at);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -17,6 +17,8 @@
 
 /// Time to the first token beside reading and fetching, and some more.
 const FIRST_TOKEN_MS: f64 = 60.0;
+/// Time in which an upstream answers that it does not even queue a request: some round trips.
+const AT_ONCE_MS: u64 = 100;
 /// Prompts that keep an engine for some 20 ms or more: others should know at
 /// once, and not only with the next message.
 const LONG_PROMPT_TOKENS: u32 = 1000;
@@ -150,10 +152,15 @@
         silence::is_silent(&self.gateway, &self.upstream)
     }
 
-    /// Notes that the upstream turned the request away.
+    /// Notes that the upstream turned the request away. One that did so only once the request
+    /// had waited there for its time has no place, but is no sink for all that comes.
     pub fn turned_away(&self) {
+        let now_ms = now_ms();
+        if now_ms >= self.taken_at_ms + AT_ONCE_MS {
+            return;
+        }
         if let Some(upstream) = self.gateway.state().upstreams.get_run_mut(&self.upstream) {
-            upstream.turned_away(now_ms());
+            upstream.turned_away(now_ms);
         }
         self.gateway.load_changed.notify_one();
     }
