Logs: refusals name what the request asks; its quarantine is part of its story

A request that is held back has no line that says why, since its earlier tries had other ids. 'refused' names the fingerprint, and coursestile explain shows the lines of it that name no request, however long before.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -80,6 +80,8 @@
         return Vec::new();
     };
     let upstreams: BTreeSet<&str> = own.iter().filter_map(|line| line.field("upstream")).collect();
+    let fingerprints: BTreeSet<&str> =
+        own.iter().filter_map(|line| line.field("fingerprint")).collect();
     let logs: BTreeSet<&str> = own.iter().map(|line| line.log.as_str()).collect();
     let beside = lines.iter().filter(|line| {
         let near = line.time_ms >= from_ms - BEFORE_MS && line.time_ms <= to_ms;
@@ -89,7 +91,13 @@
             && line.field("request").is_none()
             && (general || of_upstream)
     });
-    let mut story: Vec<&Line> = own.iter().copied().chain(beside).collect();
+    // A request may be held back for long after what its earlier tries did.
+    let earlier = lines.iter().filter(|line| {
+        let of_same = line.field("fingerprint").is_some_and(|one| fingerprints.contains(one));
+        of_same && line.field("request").is_none() && line.time_ms <= to_ms
+    });
+    let mut story: Vec<&Line> = own.iter().copied().chain(beside).chain(earlier).collect();
     story.sort_by_key(|line| (line.time_ms, line.number));
+    story.dedup_by_key(|line| line.number);
     story
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -6,6 +6,7 @@
 use log::info;
 
 use crate::clock::now_ms;
+use crate::fingerprint::Fingerprint;
 use crate::gateway::answer::Reason;
 use crate::gateway::check::Job;
 use crate::gateway::decisions::choose::Choice;
@@ -15,18 +16,38 @@
 /// Longest time that is shown: a day.
 const LONG_MS: u64 = 86_400_000;
 
-/// Logs a request that is refused or given up.
-pub fn log_refusal(
+/// Logs a request that is refused before all of it is known.
+pub fn log_unread(
     request_id: Option<&str>,
     reason: Reason,
     configuration: u64,
     arrived_at_ms: u64,
+) {
+    let held_ms = now_ms() - arrived_at_ms;
+    log_refused(request_id, None, reason, configuration, held_ms);
+}
+
+/// Logs a request that is refused or given up.
+pub fn log_refusal(job: &Job, reason: Reason) {
+    let request_id = Some(job.outgoing.request_id.as_str());
+    let held_ms = now_ms() - job.arrived_at_ms;
+    log_refused(request_id, Some(job.outgoing.fingerprint), reason, job.configuration, held_ms);
+}
+
+fn log_refused(
+    request_id: Option<&str>,
+    fingerprint: Option<Fingerprint>,
+    reason: Reason,
+    configuration: u64,
+    held_ms: u64,
 ) {
     metrics::counter!("coursestile_requests_total", "end" => reason.to_string()).increment(1);
     info!(target: "serve",
-        "event=refused request={} reason=\"{reason}\" status={} configuration={configuration} \
-         held_ms={}",
-        request_id.unwrap_or("-"), reason.status().as_u16(), now_ms() - arrived_at_ms);
+        "event=refused request={} fingerprint={} reason=\"{reason}\" status={} \
+         configuration={configuration} held_ms={held_ms}",
+        request_id.unwrap_or("-"),
+        fingerprint.map_or_else(|| "-".to_owned(), |one| one.to_string()),
+        reason.status().as_u16());
 }
 
 /// Logs an attempt that begins.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -25,7 +25,7 @@
 use crate::gateway::overdue;
 use crate::gateway::quarantine;
 use crate::gateway::relay;
-use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal};
+use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal, log_unread};
 use crate::gateway::silence;
 use crate::names::number;
 use crate::platform::exchange;
@@ -73,7 +73,7 @@
         Err(reason) => {
             let retry_after_ms = (reason == Reason::NotReady).then_some(RETRY_AFTER_MS);
             let configuration = gateway.state().site.as_ref().map_or(0, |site| site.version);
-            log_refusal(request_id.as_deref(), reason, configuration, arrived_at_ms);
+            log_unread(request_id.as_deref(), reason, configuration, arrived_at_ms);
             return answer::refusal(reason, request_id.as_deref(), retry_after_ms);
         }
     };
@@ -149,7 +149,7 @@
         return give_up(job, Reason::UpstreamFailed);
     }
     let request_id = &job.outgoing.request_id;
-    log_refusal(Some(request_id), reason, job.configuration, job.arrived_at_ms);
+    log_refusal(job, reason);
     answer::refusal(reason, Some(request_id), Some(until_ms.saturating_sub(now_ms())))
 }
 
@@ -159,7 +159,7 @@
     let request_id = &job.outgoing.request_id;
     let left_ms = job.outgoing.deadline_ms.saturating_sub(now_ms());
     let after_ms = admission::return_after_ms(number(request_id).into(), left_ms);
-    log_refusal(Some(request_id), reason, job.configuration, job.arrived_at_ms);
+    log_refusal(job, reason);
     answer::refusal(reason, Some(request_id), Some(after_ms))
 }
 
@@ -432,7 +432,6 @@
     };
     let retry_after_ms =
         (reason.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER_MS);
-    let request_id = Some(job.outgoing.request_id.as_str());
-    log_refusal(request_id, reason, job.configuration, job.arrived_at_ms);
+    log_refusal(job, reason);
     answer::refusal(reason, Some(&job.outgoing.request_id), retry_after_ms)
 }
--- a/tests/explaining.rs
+++ b/tests/explaining.rs
@@ -54,3 +54,17 @@
     let other = Line::read(1, "a", &text.replace("r-1", "r-2")).unwrap();
     assert_eq!(story(&[other, line.clone()], "r-1"), [&line]);
 }
+
+/// Why a request is held back stands in no line of its own.
+#[test]
+fn quarantine_told() {
+    let read = |number, text: &str| {
+        Line::read(number, "a", &format!("2026-12-02T14:1{number}:00.000Z INFO {text}")).unwrap()
+    };
+    let lines = [
+        read(0, "quarantine: event=request_quarantined fingerprint=00000000000000aa"),
+        read(1, "quarantine: event=request_quarantined fingerprint=00000000000000bb"),
+        read(2, "serve: event=refused request=r-1 fingerprint=00000000000000aa status=503"),
+    ];
+    assert_eq!(story(&lines, "r-1"), [&lines[0], &lines[2]]);
+}
