--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -1,7 +1,8 @@
 //! What the gateway decides, and what it decides by: no clock, no I/O, no tasks. Time is an
 //! argument, and randomness is seeded.
 //!
-//! - Where a request runs: `choose`, by `look`, `demand`, `prompt`, `upstream`, `upstreams` and `incarnation`.
+//! - Where a request runs: `choose`, by `look`, `demand`, `prompt`, `upstream`, `upstreams`,
+//!   `notice` and `incarnation`.
 //! - Where its context comes from and goes: `sources`, `stores`, `holder`, `kept`, `context`.
 //! - Who is served and who has had its share: `admission`, `budget`, `urgency`.
 //! - Which weights engines get, and when old context may go: `rollout`, `weights`, `orders`,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //! carries it out. `follow`, `follow_caches`, `gossip` and `catch_up` bring in what the box knows,
 //! `entries` what upstreams tell of themselves, `members` where other boxes are;
 //! `listener`, `check`, `serve`, `attempt`, `place`, `silence`, `overdue` and `relay` take a
-//! request through, `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
+//! request through, `crashes` and `quarantine` keep it from upstreams that would crash under it,
+//! `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
 //! `space` do what one box does for all, with the calls that `helpers` make for it.
 
 pub mod answer;
