--- a/src/gateway/decisions/notice.rs
+++ b/src/gateway/decisions/notice.rs
@@ -31,14 +31,14 @@
 
 /// What an upstream has asked in its notices.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Heeded {
+pub struct Notices {
     /// Whether it is about to leave.
     pub leaving: bool,
     /// Until when it wants no requests from this box.
     pub rest_until_ms: u64,
 }
 
-impl Heeded {
+impl Notices {
     /// What a notice asks from now on.
     #[must_use]
     pub fn new(now_ms: u64, notice: Notice) -> Self {
@@ -63,26 +63,26 @@
 #[derive(Debug)]
 struct Kept {
     upstream: Incarnation,
-    heeded: Heeded,
+    notices: Notices,
     until_ms: u64,
 }
 
 impl Unlisted {
     /// Keeps what the run of an upstream asked that is not listed.
-    pub fn keep(&mut self, now_ms: u64, upstream: &Incarnation, mut heeded: Heeded) {
+    pub fn keep(&mut self, now_ms: u64, upstream: &Incarnation, mut notices: Notices) {
         self.by_id.retain(|_, kept| now_ms < kept.until_ms);
-        heeded.add(self.take(upstream));
-        if heeded != Heeded::default() {
-            let kept = Kept { upstream: upstream.clone(), heeded, until_ms: now_ms + KEEP_MS };
+        notices.add(self.take(upstream));
+        if notices != Notices::default() {
+            let kept = Kept { upstream: upstream.clone(), notices, until_ms: now_ms + KEEP_MS };
             self.by_id.insert(upstream.id.clone(), kept);
         }
     }
 
     /// What the run of an upstream asked that is listed again.
-    pub fn take(&mut self, upstream: &Incarnation) -> Heeded {
+    pub fn take(&mut self, upstream: &Incarnation) -> Notices {
         let kept = self.by_id.remove(&upstream.id);
         let same_run =
             kept.filter(|kept| !is_other_run(kept.upstream.started_at_ms, upstream.started_at_ms));
-        same_run.map(|kept| kept.heeded).unwrap_or_default()
+        same_run.map(|kept| kept.notices).unwrap_or_default()
     }
 }
--- a/src/gateway/decisions/upstream.rs
+++ b/src/gateway/decisions/upstream.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::decisions::holder::Holder;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_run};
-use crate::gateway::decisions::notice::Heeded;
+use crate::gateway::decisions::notice::Notices;
 use crate::names::number;
 
 /// Silence after which an upstream that owes answers gets no more work; well
@@ -124,7 +124,7 @@
     unreached_at_ms: Option<u64>,
     superseded: bool,
     /// What its answers asked.
-    heeded: Heeded,
+    notices: Notices,
     /// Until when it rests, by the word of other boxes.
     rests_for_others_until_ms: u64,
     turned_away_until_ms: u64,
@@ -157,7 +157,7 @@
             unreachable: false,
             unreached_at_ms: None,
             superseded: false,
-            heeded: Heeded::default(),
+            notices: Notices::default(),
             rests_for_others_until_ms: 0,
             turned_away_until_ms: 0,
             turned_away: 0,
@@ -166,25 +166,25 @@
 
     /// What its answers asked.
     #[must_use]
-    pub fn heeded(&self) -> Heeded {
-        self.heeded
+    pub fn notices(&self) -> Notices {
+        self.notices
     }
 
     /// Takes what its answers asked.
-    pub fn heed(&mut self, asked: Heeded) {
-        self.heeded.add(asked);
+    pub fn heed(&mut self, asked: Notices) {
+        self.notices.add(asked);
     }
 
     /// Whether it is about to leave, by its entry or its answers.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.entry.leaving || self.heeded.leaving
+        self.entry.leaving || self.notices.leaving
     }
 
     /// Until when it wants no requests from this box; `None` if it takes them.
     #[must_use]
     pub fn rests_until_ms(&self, now_ms: u64) -> Option<u64> {
-        Some(self.heeded.rest_until_ms).filter(|until_ms| now_ms < *until_ms)
+        Some(self.notices.rest_until_ms).filter(|until_ms| now_ms < *until_ms)
     }
 
     /// Notes that it turned a request away. It looks idle, and would be chosen again and again.
@@ -203,7 +203,7 @@
     /// Until when this box leaves it alone if others serve; `None` if it does not.
     #[must_use]
     pub fn left_alone_until_ms(&self, now_ms: u64) -> Option<u64> {
-        let until_ms = self.heeded.rest_until_ms.max(self.turned_away_until_ms);
+        let until_ms = self.notices.rest_until_ms.max(self.turned_away_until_ms);
         (now_ms < until_ms).then_some(until_ms)
     }
 
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::decisions::incarnation::Incarnation;
-use crate::gateway::decisions::notice::{Heeded, Unlisted};
+use crate::gateway::decisions::notice::{Notices, Unlisted};
 use crate::gateway::decisions::upstream::{Entry, Told, Upstream};
 
 /// The upstreams of all services.
@@ -93,7 +93,7 @@
     /// Takes an upstream out; what runs there goes on.
     pub fn remove(&mut self, now_ms: u64, id: &str) {
         if let Some(upstream) = self.by_id.remove(id) {
-            self.unlisted.keep(now_ms, &upstream.incarnation(), upstream.heeded());
+            self.unlisted.keep(now_ms, &upstream.incarnation(), upstream.notices());
         }
         self.ids.retain(|_, known| known != id);
     }
@@ -131,7 +131,7 @@
     }
 
     /// Takes what the run of an upstream asked in an answer.
-    pub fn heed(&mut self, now_ms: u64, upstream: &Incarnation, asked: Heeded) {
+    pub fn heed(&mut self, now_ms: u64, upstream: &Incarnation, asked: Notices) {
         match self.by_id.get_mut(&upstream.id) {
             Some(known) if known.is(upstream) => known.heed(asked),
             Some(_) => {}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,7 +16,7 @@
     Gossip, LoadChanges, ToldLoad, ToldNaming, changed_loads, told_loads,
 };
 use crate::gateway::decisions::hall_news::{HallNews, OtherHalls};
-use crate::gateway::decisions::notice::Heeded;
+use crate::gateway::decisions::notice::Notices;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, Reach};
 use crate::gateway::decisions::weights::Naming;
 use crate::gateway::helpers::{HelpReply, HelpRequest, help};
@@ -197,7 +197,7 @@
 }
 
 fn leaving(state: &State) -> Vec<u32> {
-    let leaving = state.upstreams.iter().filter(|one| one.heeded().leaving);
+    let leaving = state.upstreams.iter().filter(|one| one.notices().leaving);
     leaving.map(|one| one.number).collect()
 }
 
@@ -342,7 +342,7 @@
 fn take_leaving(state: &mut State, leaving: &[u32]) {
     for number in leaving {
         if let Some(upstream) = state.upstreams.numbered_mut(*number) {
-            upstream.heed(Heeded { leaving: true, ..Heeded::default() });
+            upstream.heed(Notices { leaving: true, ..Notices::default() });
         }
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -10,7 +10,7 @@
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::incarnation::Incarnation;
-use crate::gateway::decisions::notice::{Heeded, Notice};
+use crate::gateway::decisions::notice::{Notice, Notices};
 use crate::gateway::decisions::units::as_f64;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::silence;
@@ -152,8 +152,8 @@
         silence::is_silent(&self.gateway, &self.upstream)
     }
 
-    /// Notes that the upstream turned the request away. One that did so only once the request
-    /// had waited there for its time has no place, but is no sink for all that comes.
+    /// Notes that the upstream turned the request away. One that did so after a wait in its
+    /// queue is full, which its load shows.
     pub fn turned_away(&self) {
         let now_ms = now_ms();
         if now_ms >= self.taken_at_ms + AT_ONCE_MS {
@@ -177,7 +177,7 @@
         let now_ms = now_ms();
         info!(target: "serve", "event=upstream_says upstream={} leaving={} rest_ms={}",
             self.upstream.id, notice.leaving, notice.rest_ms.unwrap_or_default());
-        let asked = Heeded::new(now_ms, notice);
+        let asked = Notices::new(now_ms, notice);
         self.gateway.state().upstreams.heed(now_ms, &self.upstream, asked);
         self.gateway.gossip_now.notify_one();
     }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -31,7 +31,7 @@
 /// Suspects remembered; a crash of a large upstream brings dozens.
 const MAX_SUSPECTS: usize = 4096;
 
-/// What a message brought, the more the later.
+/// What a message brought; later variants matter more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum News {
     /// Nothing that was not known.
