--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! `decisions` holds what is decided, as pure functions of state and time; everything else
 //! carries it out. `follow`, `follow_caches`, `gossip` and `catch_up` bring in what the box knows,
 //! `entries` what upstreams tell of themselves, `members` where other boxes are;
-//! `listener`, `check`, `serve`, `attempt`, `place`, `silence`, `overdue` and `relay` take a
+//! `listener`, `check`, `serve`, `refuse`, `attempt`, `place`, `silence`, `overdue` and `relay` take a
 //! request through, `crashes` and `quarantine` keep it from upstreams that would crash under it,
 //! `request_log` tells of it; `leadership`, `claims`, `leader`, `loads` and
 //! `space` do what one box does for all, with the calls that `helpers` make for it.
@@ -37,6 +37,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod reach;
+pub mod refuse;
 pub mod relay;
 pub mod request_log;
 pub mod serve;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,7 +13,7 @@
 use crate::gateway::attempt::{Attempted, NotRunCause, Reply, Start, attempt};
 use crate::gateway::check::{Job, check};
 use crate::gateway::crashes;
-use crate::gateway::decisions::admission::{self, Asked, Room};
+use crate::gateway::decisions::admission::{Asked, Room};
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::demand::Demand;
 use crate::gateway::decisions::look::Look;
@@ -24,14 +24,13 @@
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::overdue;
 use crate::gateway::quarantine;
+use crate::gateway::refuse::{RETRY_AFTER_MS, give_up, hold_back, no_place, refuse_at_once};
 use crate::gateway::relay;
-use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_refusal, log_unread};
+use crate::gateway::request_log::{log_attempt, log_attempt_end, log_end, log_unread};
 use crate::gateway::silence;
 use crate::names::number;
 use crate::platform::exchange;
 
-/// When a refused client may come back.
-const RETRY_AFTER_MS: u64 = 400;
 /// Part of the latency objective after which a request that found no place is refused.
 const WAIT_PART: u64 = 4;
 /// Connections to an upstream that a box may have in any case: one for a request
@@ -127,42 +126,6 @@
     }
 }
 
-/// The answer to a request for which no upstream was found in time.
-fn no_place(gateway: &Gateway, job: &Job) -> Answer {
-    let state = gateway.state();
-    let rest_until_ms = state.upstreams.all_rest_until_ms(now_ms(), &job.service, &job.tried);
-    let is_known = state.upstreams.of(&job.service).next().is_some();
-    drop(state);
-    match rest_until_ms {
-        Some(until_ms) => {
-            let spread_ms = u64::from(number(&job.outgoing.request_id)) % RETRY_AFTER_MS;
-            hold_back(job, Reason::UpstreamsFull, until_ms + spread_ms)
-        }
-        None if is_known => give_up(job, Reason::UpstreamsFull),
-        None => give_up(job, Reason::NoUpstream),
-    }
-}
-
-/// The answer to a request that no upstream may get until a deadline.
-fn hold_back(job: &Job, reason: Reason, until_ms: u64) -> Answer {
-    if job.ran_perhaps {
-        return give_up(job, Reason::UpstreamFailed);
-    }
-    let request_id = &job.outgoing.request_id;
-    log_refusal(job, reason);
-    answer::refusal(reason, Some(request_id), Some(until_ms.saturating_sub(now_ms())))
-}
-
-/// The answer to a request that no engine can begin with in time.
-fn refuse_at_once(job: &Job) -> Answer {
-    let reason = Reason::UpstreamsFull;
-    let request_id = &job.outgoing.request_id;
-    let left_ms = job.outgoing.deadline_ms.saturating_sub(now_ms());
-    let after_ms = admission::return_after_ms(number(request_id).into(), left_ms);
-    log_refusal(job, reason);
-    answer::refusal(reason, Some(request_id), Some(after_ms))
-}
-
 /// What an attempt means for its request: an answer, or `None` when it is to
 /// be sent again.
 async fn settle(
@@ -422,16 +385,3 @@
         upstream.saw_version(&prompt.model, named);
     }
 }
-
-/// The final answer to a request that was not served.
-fn give_up(job: &Job, reason: Reason) -> Answer {
-    // "Not run" is said only when no attempt may have run.
-    let reason = match (job.ran_perhaps, reason.status()) {
-        (true, StatusCode::SERVICE_UNAVAILABLE) => Reason::UpstreamFailed,
-        _ => reason,
-    };
-    let retry_after_ms =
-        (reason.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(RETRY_AFTER_MS);
-    log_refusal(job, reason);
-    answer::refusal(reason, Some(&job.outgoing.request_id), retry_after_ms)
-}
