Cold upstreams and regions: limits that hold over all boxes

Cause: nothing read cold_left_ms, cold_per_s or allowed_regions.

Ruled out: a limit guessed from the mean load (fails in a burst); a token bucket for each box with the mean rate (71 boxes with a burst of one each exceed 21 requests in a second); a rotating order of boxes (two may send around each change, and clocks differ); health checks for X-Cold-Ms (priced, and at the moment when an upstream turns cold its load is the usual one).

Change: each hall has an equal share of the limit; within a hall the boxes that rank first for the upstream send one request more. A box that does not know its hall sends none. A request that waits looks again every 50 ms. allowed_regions of route and account both bind in the choice of the upstream and of the store that saves context; the two share the settings of halls, so they come in one commit.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -16,6 +16,7 @@
 use coursestile::gateway::decisions::gossip_message::{Gossip, LoadChanges, LoadReport};
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
 use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::upstream::{Load, UpstreamEntry};
 use coursestile::gateway::decisions::upstreams::Upstreams;
@@ -140,6 +141,7 @@
             hall: format!("hall-{}", engine % HALLS),
             slots: 24,
             leaving: false,
+            cold_left_ms: 0,
             models: vec![(MODEL.to_owned(), 1)],
             started_at_ms: None,
         };
@@ -184,6 +186,7 @@
         excludes_overdue: true,
         placement: Placement::RendezvousHash,
         candidates: Candidates::Sampled { seed },
+        allowed_halls: AllowedHalls::ALL,
         tried: &[],
         max_requests_per_upstream: 100,
         admission: AdmissionCriteria {
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -38,6 +38,8 @@
     pub config_version: u64,
     /// Account whose cached context is not shared with other accounts.
     pub isolated_account: Option<String>,
+    /// Regions to which its account is restricted; empty if it is not.
+    pub account_regions: Vec<String>,
     pub arrived_at_ms: u64,
     /// Upstreams that it has been sent to.
     pub tried: Vec<Incarnation>,
@@ -99,6 +101,10 @@
         service: service.to_owned(),
         config_version: configuration.version,
         isolated_account: isolated_account.map(|account| account.name.clone()),
+        account_regions: account
+            .as_ref()
+            .map(|account| account.allowed_regions.clone())
+            .unwrap_or_default(),
         arrived_at_ms,
         tried: Vec::new(),
         attempts_made: 0,
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -105,8 +105,10 @@
 fn is_usable(now_ms: u64, upstream: &Upstream, demand: &Demand<'_>) -> bool {
     let tried = demand.tried.iter().any(|incarnation| upstream.is_incarnation(incarnation));
     if tried
+        || !demand.allowed_halls.includes(&upstream.entry.hall)
         || upstream.own_load.requests >= demand.max_requests_per_upstream
         || upstream.is_loading(now_ms)
+        || !upstream.cold.may_send(now_ms)
     {
         return false;
     }
--- a/src/gateway/decisions/configuration.rs
+++ b/src/gateway/decisions/configuration.rs
@@ -5,6 +5,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use crate::gateway::decisions::cold_start::ColdStart;
+
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Configuration {
@@ -44,6 +46,8 @@
     pub priority: u8,
     /// Whether requests without a key are accepted.
     pub public: bool,
+    /// Regions in which its requests may run; empty for all.
+    pub allowed_regions: Vec<String>,
 }
 
 /// A service that gets part of a route's requests.
@@ -87,6 +91,8 @@
 pub struct Service {
     /// Connections that one upstream accepts from all boxes together.
     pub max_connections: u32,
+    /// How its upstreams behave after a start.
+    pub cold_start: ColdStart,
     /// Properties of its upstreams if they are model engines; `None` for other services.
     pub engine: Option<EngineSpec>,
 }
@@ -157,6 +163,8 @@
     pub priority: Option<u8>,
     /// Whether its cached context is never shared with other accounts.
     pub isolated: bool,
+    /// Regions in which its requests may run; empty for all.
+    pub allowed_regions: Vec<String>,
 }
 
 impl Configuration {
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -4,6 +4,7 @@
 use crate::gateway::decisions::candidates::Candidates;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::weights::NamedVersions;
 
@@ -37,6 +38,8 @@
     pub placement: Placement<'a>,
     /// The upstreams that are compared.
     pub candidates: Candidates,
+    /// The halls in which it may run.
+    pub allowed_halls: AllowedHalls<'a>,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Maximum number of requests from this box to one upstream.
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -6,9 +6,11 @@
 //!
 //! - Upstream of a request: `choose`, with `candidates`, `demand`, `prompt`, `upstream`,
 //!   `upstreams`, `notice` and `incarnation`.
+//! - Where it may run: `regions`.
 //! - Sources and destinations of context: `sources`, `stores`, `cache_contents`, `cache_reports`,
 //!   `context`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
+//! - Load on upstreams that have just started: `cold_start`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
 //! - State received from the metadata store and from other boxes: `view`, `peers`, `configuration`,
@@ -22,6 +24,7 @@
 pub mod candidates;
 pub mod choose;
 pub mod claims;
+pub mod cold_start;
 pub mod configuration;
 pub mod context;
 pub mod demand;
@@ -32,6 +35,7 @@
 pub mod orders;
 pub mod peers;
 pub mod prompt;
+pub mod regions;
 pub mod release;
 pub mod rollout;
 pub mod sources;
--- /dev/null
+++ b/src/gateway/decisions/peers/hall_rank.rs
@@ -0,0 +1,51 @@
+//! Position of this box among the boxes of its hall, for work that is divided without agreement.
+
+use std::net::IpAddr;
+
+use crate::gateway::decisions::cold_start::HallRank;
+use crate::gateway::decisions::peers::{PEER_TIMEOUT_MS, Peer, Peers};
+use crate::names::short_id;
+
+impl Peers {
+    /// Rank of this box for an upstream; `None` if this box may not know all boxes of its hall,
+    /// because it has just started or hears none of them.
+    ///
+    /// Boxes that have stopped count until they are forgotten. Their part of the work remains
+    /// undone, but no two boxes take the same part, however their lists of live boxes differ.
+    #[must_use]
+    pub fn hall_rank(&self, now_ms: u64, upstream: u32) -> Option<HallRank> {
+        if !self.seeds.is_empty() && !self.knows_hall(now_ms) {
+            return None;
+        }
+        let own_score = score(upstream, self.local.address.ip());
+        let scores = self.possible_hall_peers().map(|(address, _)| score(upstream, *address));
+        Some(HallRank {
+            rank: scores.clone().filter(|peer_score| *peer_score > own_score).count(),
+            boxes: scores.count() + 1,
+        })
+    }
+
+    fn knows_hall(&self, now_ms: u64) -> bool {
+        let settled =
+            self.first_receive_ms.is_some_and(|receive_ms| now_ms >= receive_ms + PEER_TIMEOUT_MS);
+        let mut hall_peers = self.possible_hall_peers().peekable();
+        let is_alone = hall_peers.peek().is_none();
+        settled && (is_alone || hall_peers.any(|(_, peer)| is_heard(now_ms, peer)))
+    }
+
+    /// The peers that are in this box's hall, or whose hall is not known yet.
+    fn possible_hall_peers(&self) -> impl Iterator<Item = (&IpAddr, &Peer)> + Clone {
+        self.known
+            .iter()
+            .filter(|(_, peer)| peer.gossip.incarnation == 0 || peer.gossip.hall == self.local.hall)
+    }
+}
+
+fn is_heard(now_ms: u64, peer: &Peer) -> bool {
+    peer.gossip.incarnation > 0 && now_ms < peer.last_receive_ms + PEER_TIMEOUT_MS
+}
+
+/// Score of a box for an upstream, the same at every box; ties are broken by the address.
+fn score(upstream: u32, address: IpAddr) -> (u32, IpAddr) {
+    (short_id(&format!("{upstream} {address}")), address)
+}
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -5,6 +5,7 @@
 //! makes up for a lost one. What does not fit into a datagram is fetched by TCP from the peer
 //! that has it.
 
+mod hall_rank;
 mod halls;
 mod roles;
 mod sums;
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -106,7 +106,7 @@
                     .collect(),
                 has_copy,
                 save_to: stores
-                    .store_for_save(now_ms, key, part.tokens, placement)
+                    .store_for_save(now_ms, key, part.tokens, placement, demand.allowed_halls)
                     .filter(|_| saves),
             }
         });
--- a/src/gateway/decisions/stores.rs
+++ b/src/gateway/decisions/stores.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::decisions::cache_contents::{CacheContents, PartKey};
 use crate::gateway::decisions::configuration::Store;
+use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::units::as_f64;
 use crate::names::short_id;
 
@@ -261,30 +262,31 @@
         key: PartKey,
         tokens: u32,
         placement: Placement<'_>,
+        allowed_halls: AllowedHalls<'_>,
     ) -> Option<&Store> {
         let has_copy = |state: &StoreState| {
             state.contents.tokens(key) > 0 || state.pending_saves.contains_key(&key)
         };
-        if self.iter().any(|(store, state)| placement.includes(store) && has_copy(state)) {
+        let may_save_to =
+            |store: &Store| placement.includes(store) && allowed_halls.includes(&store.hall);
+        if self.iter().any(|(store, state)| may_save_to(store) && has_copy(state)) {
             return None;
         }
-        let store = match placement {
-            Placement::RendezvousHash => self.by_hash(now_ms, key, tokens),
-            Placement::RendezvousHashInHall { hall } => {
-                self.by_hash_in_hall(now_ms, key, tokens, hall)
+        let available = self.available(now_ms, tokens).filter(|(store, _)| may_save_to(store));
+        let cost = |(store, state): &(Store, StoreState)| match placement {
+            Placement::RendezvousHash => {
+                state.rendezvous_sample(key) / as_f64(store.capacity_tokens)
+            }
+            Placement::RendezvousHashInHall { .. } => {
+                state.rendezvous_sample(key) / store.link_mbps.max(1.0)
+            }
+            Placement::FastestLink { hall } => {
+                let hall_factor = if store.hall == hall { 1.0 } else { 2.0 };
+                hall_factor / store.link_mbps.max(1.0)
             }
-            Placement::FastestLink { hall } => self.fastest_link(now_ms, tokens, hall),
-        };
-        store.map(|(store, _)| store)
-    }
-
-    /// The available store with the fastest link; stores of `hall` count as twice as fast.
-    fn fastest_link(&self, now_ms: u64, tokens: u32, hall: &str) -> Option<&(Store, StoreState)> {
-        let cost = |(store, _): &(Store, StoreState)| {
-            let hall_factor = if store.hall == hall { 1.0 } else { 2.0 };
-            hall_factor / store.link_mbps.max(1.0)
         };
-        self.available(now_ms, tokens).min_by(|left, right| cost(left).total_cmp(&cost(right)))
+        let cheapest = available.min_by(|left, right| cost(left).total_cmp(&cost(right)));
+        cheapest.map(|(store, _)| store)
     }
 
     /// The stores that have reported their content, have free capacity and did not fail recently.
@@ -296,28 +298,4 @@
             !full && usable && now_ms >= state.full_until_ms
         })
     }
-
-    /// The available store of a hall, by the hash of the part, in proportion to link rates.
-    fn by_hash_in_hall(
-        &self,
-        now_ms: u64,
-        key: PartKey,
-        tokens: u32,
-        hall: &str,
-    ) -> Option<&(Store, StoreState)> {
-        let score = |(store, state): &(Store, StoreState)| {
-            state.rendezvous_sample(key) / store.link_mbps.max(1.0)
-        };
-        let available = self.available(now_ms, tokens).filter(|(store, _)| store.hall == hall);
-        available.min_by(|left, right| score(left).total_cmp(&score(right)))
-    }
-
-    /// The available store of the fleet, by the hash of the part, in proportion to store sizes.
-    fn by_hash(&self, now_ms: u64, key: PartKey, tokens: u32) -> Option<&(Store, StoreState)> {
-        let score = |(store, state): &(Store, StoreState)| {
-            state.rendezvous_sample(key) / as_f64(store.capacity_tokens)
-        };
-        let available = self.available(now_ms, tokens);
-        available.min_by(|left, right| score(left).total_cmp(&score(right)))
-    }
 }
--- a/src/gateway/decisions/units.rs
+++ b/src/gateway/decisions/units.rs
@@ -10,6 +10,17 @@
     count as f64
 }
 
+/// Rounds a count down.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts are neither negative nor above 2^52"
+)]
+#[must_use]
+pub fn rounded_down(count: f64) -> u64 {
+    count.max(0.0) as u64
+}
+
 /// Rounds a time to whole milliseconds.
 #[expect(
     clippy::cast_possible_truncation,
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::decisions::cache_contents::CacheContents;
+use crate::gateway::decisions::cold_start::ColdState;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_incarnation};
 use crate::gateway::decisions::notice::NoticeState;
 use crate::names::short_id;
@@ -31,6 +32,8 @@
     pub slots: u32,
     /// Whether it is about to leave the fleet.
     pub leaving: bool,
+    /// How much longer it was cold when it wrote the entry.
+    pub cold_left_ms: u64,
     /// Models with their weight versions.
     pub models: Vec<(String, u64)>,
     /// Start of its process, in Unix milliseconds, if it was reported.
@@ -89,6 +92,8 @@
     pub peer_load: Load,
     /// Its cached context.
     pub contents: CacheContents,
+    /// Whether it has just started, and what this box has sent to it since.
+    pub cold: ColdState,
     /// Start of its incarnation according to the newest report.
     started_at_ms: Option<u64>,
     /// When this box learned of that incarnation.
@@ -118,6 +123,8 @@
     #[must_use]
     pub fn new(now_ms: u64, id: &str, entry: UpstreamEntry) -> Self {
         let incarnation = Incarnation { id: id.to_owned(), started_at_ms: entry.started_at_ms };
+        let mut cold = ColdState::default();
+        cold.extend(now_ms, now_ms + entry.cold_left_ms);
         Self {
             short_id: incarnation.short_id(),
             id: incarnation.id,
@@ -127,6 +134,7 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             contents: CacheContents::default(),
+            cold,
             observed_versions: HashMap::new(),
             avoid_until_ms: 0,
             avoid_ms: FIRST_AVOID_MS,
@@ -186,6 +194,8 @@
         // An incarnation reports its start either in all of its entries or in none.
         let reports_start_now = self.started_at_ms.is_none() && entry.started_at_ms.is_some();
         if !reports_start_now && !is_other_incarnation(self.started_at_ms, entry.started_at_ms) {
+            // The entry may have been written some time ago, so this is an upper bound.
+            self.cold.extend(now_ms, now_ms + entry.cold_left_ms);
             self.entry = entry;
             return ReportedIncarnation::Current;
         }
@@ -295,6 +305,7 @@
     /// Records a request that is sent to it.
     pub fn record_sent(&mut self, now_ms: u64, pending_prefill_tokens: u32, memory_tokens: u32) {
         self.own_load.requests += 1;
+        self.cold.record_sent(now_ms);
         self.own_load.pending_prefill_tokens += pending_prefill_tokens;
         self.own_load.memory_tokens += memory_tokens;
         self.awaiting_answer_since_ms.get_or_insert(now_ms);
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams of all services, by id.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use crate::gateway::decisions::incarnation::Incarnation;
@@ -101,6 +101,18 @@
         self.ids_by_short_id.retain(|_, known| known != id);
     }
 
+    /// Number of halls with upstreams.
+    #[must_use]
+    pub fn hall_count(&self) -> usize {
+        self.iter().map(|upstream| upstream.entry.hall.as_str()).collect::<BTreeSet<_>>().len()
+    }
+
+    /// Whether an upstream of a service is cold.
+    #[must_use]
+    pub fn is_any_cold(&self, now_ms: u64, service: &str) -> bool {
+        self.of_service(service).any(|upstream| upstream.cold.is_cold(now_ms))
+    }
+
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Upstream> {
         self.by_id.get(id)
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -29,6 +29,9 @@
         entry.leaving,
         format_start(entry.started_at_ms)
     );
+    if entry.cold_left_ms > 0 {
+        info!(target: "entries", "event=upstream_cold upstream={id} left_ms={}", entry.cold_left_ms);
+    }
     match state.upstreams.upsert(now_ms, id, entry) {
         ReportedIncarnation::Current if changed => {
             info!(target: "entries", "event=upstream_seen {details}");
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -24,7 +24,7 @@
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Change, Freshness, Item, WatchResult, WatchWait};
 use crate::gateway::settings::Bounds;
-use crate::gateway::{claims, entries, members, quarantine};
+use crate::gateway::{claims, cold_starts, entries, members, quarantine};
 use crate::platform::keys::{self, KeyKind};
 
 /// A watch waits for at most this fraction (1/n) of the time in which a change must be in
@@ -132,6 +132,7 @@
         let now_ms = now_ms();
         update_role(&gateway, &mut state, now_ms);
         state.apply_peer_reports(now_ms);
+        cold_starts::update_allowances(&gateway, &mut state, now_ms);
         state.admission_limits.recover(TICK.as_secs_f64());
         let changes = state.view.apply_due_removals(now_ms);
         apply(&gateway, &mut state, now_ms, NamedAt::Now, changes);
@@ -378,6 +379,7 @@
         }
     }
     if upstreams_changed {
+        cold_starts::update_allowances(gateway, state, now_ms);
         gateway.upstreams_changed.send_modify(|count| *count += 1);
         gateway.capacity_changed.notify_waiters();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod catch_up;
 pub mod check;
 pub mod claims;
+mod cold_starts;
 pub mod connections;
 pub mod crashes;
 pub mod daemon;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,6 +17,7 @@
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::demand::Demand;
+use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
@@ -43,6 +44,8 @@
 const MAX_UNDELIVERED: u32 = 4;
 /// No retry is made with less time than this before the deadline; it is a few round trips.
 const MIN_RETRY_TIME_MS: u64 = 20;
+/// How often a request that waits for an upstream looks again at cold ones.
+const COLD_RECHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Pause before an attempt that follows one without a response.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -369,7 +372,11 @@
         if all_back_off_past(gateway, request, until) {
             return None;
         }
-        if timeout_at(until, woken).await.is_err() {
+        // Nothing wakes the request when a cold upstream may get the next one.
+        let is_any_cold = gateway.state().upstreams.is_any_cold(now_ms(), &request.service);
+        let recheck_at = Instant::now() + COLD_RECHECK_PERIOD;
+        let wake_at = if is_any_cold { until.min(recheck_at) } else { until };
+        if timeout_at(wake_at, woken).await.is_err() && Instant::now() >= until {
             return choose_upstream(&mut gateway.state(), gateway, request);
         }
     }
@@ -415,6 +422,11 @@
                 seed: now_ms ^ u64::from(short_id(&request.outgoing.request_id)) << 32,
             }
         },
+        allowed_halls: AllowedHalls {
+            regions: &gateway.settings.regions,
+            route: &request.route.allowed_regions,
+            account: &request.account_regions,
+        },
         tried: &request.tried,
         max_requests_per_upstream: (service.max_connections / (boxes + 1)).max(MIN_CONNECTIONS),
         admission: AdmissionCriteria {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,9 +3,11 @@
 //! The bounds are durations, since each deadline counts from its own event. Their defaults are
 //! the figures of the smallest known deployment.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
 use crate::error::Result;
+use crate::gateway::decisions::cold_start::ColdTolerance;
 use crate::ini_file::IniFile;
 
 /// Default time between SIGTERM and SIGKILL.
@@ -26,6 +28,8 @@
 const DEFAULT_HEARTBEAT_MS: u64 = 1200;
 /// Default time in which all engines must have a new weight version.
 const DEFAULT_WEIGHTS_APPLY_MS: u64 = 10_000;
+/// Default multiple of the rate that a cold upstream can take.
+const DEFAULT_COLD_RATIO: f64 = 1.0;
 
 /// Upper limit for durations: a day.
 const MAX_DURATION_MS: f64 = 86_400_000.0;
@@ -37,6 +41,8 @@
     pub name: String,
     /// Data hall of the box.
     pub hall: String,
+    /// Regions of all data halls, by the names of the halls; empty if they are not known.
+    pub regions: BTreeMap<String, String>,
     /// Address at which it accepts client requests.
     pub clients: SocketAddr,
     /// Address at which the load balancer checks whether it accepts new connections.
@@ -76,6 +82,8 @@
     pub heartbeat_ms: u64,
     /// Time in which all engines must have a new weight version.
     pub weights_apply_ms: u64,
+    /// How far the requests to a cold upstream may exceed the rate that it can take.
+    pub cold_tolerance: ColdTolerance,
 }
 
 impl Settings {
@@ -91,6 +99,7 @@
         let settings = Self {
             name: reader.required("box", "name"),
             hall: reader.required("box", "hall"),
+            regions: regions(&mut reader),
             clients: required_address(&mut reader, "clients"),
             ready: required_address(&mut reader, "ready"),
             peers: required_address(&mut reader, "peers"),
@@ -120,6 +129,10 @@
         ),
         heartbeat_ms: duration_ms(reader, "heartbeat_ms", 1.0, DEFAULT_HEARTBEAT_MS),
         weights_apply_ms: duration_ms(reader, "weights_apply_ms", 1.0, DEFAULT_WEIGHTS_APPLY_MS),
+        cold_tolerance: ColdTolerance {
+            ratio: reader.optional("bounds", "cold_ratio", DEFAULT_COLD_RATIO),
+            extra: reader.optional("bounds", "cold_extra", 0.0),
+        },
     }
 }
 
@@ -163,10 +176,25 @@
     seeds
 }
 
+/// Reads the regions of the data halls, each as `hall:region`.
+fn regions(reader: &mut IniFile<'_>) -> BTreeMap<String, String> {
+    let mut regions = BTreeMap::new();
+    for item in reader.list("box", "regions") {
+        if let Some((hall, region)) = item.split_once(':') {
+            regions.insert(hall.to_owned(), region.to_owned());
+        } else {
+            reader.add_finding("box", "regions", format!("regions: '{item}' names no region"));
+        }
+    }
+    regions
+}
+
 /// The keys that a section may have.
 fn known_keys(section: &str) -> &'static [&'static str] {
     match section {
-        "box" => &["name", "hall", "clients", "ready", "peers", "metrics", "seeds", "cores"],
+        "box" => {
+            &["name", "hall", "regions", "clients", "ready", "peers", "metrics", "seeds", "cores"]
+        }
         "platform" => &["address"],
         "bounds" => &[
             "stop_s",
@@ -178,6 +206,8 @@
             "departure_apply_ms",
             "heartbeat_ms",
             "weights_apply_ms",
+            "cold_ratio",
+            "cold_extra",
         ],
         _ => &[],
     }
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 
+use crate::gateway::decisions::cold_start::ColdStart;
 use crate::gateway::decisions::configuration::{
     Account, ClientLimits, Configuration, EngineSpec, RetryPolicy, Route, Service, Store, Target,
 };
@@ -49,6 +50,8 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +74,10 @@
     name: String,
     #[serde(default)]
     max_conns: Option<u32>,
+    #[serde(default)]
+    cold_start_s: f64,
+    #[serde(default)]
+    cold_per_s: f64,
     engine: Option<DocumentEngine>,
     /// Address of the context store; absent for a service.
     kv_store: Option<SocketAddr>,
@@ -118,6 +125,8 @@
     priority: Option<u8>,
     #[serde(default)]
     isolated: bool,
+    #[serde(default)]
+    allowed_regions: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -143,7 +152,12 @@
         } else {
             let engine = service.engine.as_ref().map(engine);
             let max_connections = service.max_conns.unwrap_or(u32::MAX);
-            configuration.services.insert(service.name, Service { max_connections, engine });
+            let cold_start = ColdStart {
+                duration_ms: rounded_ms(service.cold_start_s * 1000.0),
+                requests_per_s: service.cold_per_s,
+            };
+            let service_spec = Service { max_connections, cold_start, engine };
+            configuration.services.insert(service.name, service_spec);
         }
     }
     Ok(configuration.indexed())
@@ -179,6 +193,7 @@
         max_attempts: route.max_attempts.max(1),
         priority: route.priority,
         public: route.public,
+        allowed_regions: route.allowed_regions,
     }
 }
 
@@ -220,6 +235,7 @@
         keys: account.api_keys,
         priority: account.priority,
         isolated: account.isolated,
+        allowed_regions: account.allowed_regions,
     }
 }
 
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::gateway::decisions::units::rounded_ms;
 use crate::gateway::decisions::upstream::UpstreamEntry;
 
 /// An entry as every upstream writes it. A value that lacks a field, or has a field of another
@@ -20,10 +21,8 @@
     _software: String,
     slots: u32,
     state: State,
-    /// How long it will still be slow after its start, in milliseconds; must be present, but is
-    /// not used.
-    #[serde(rename = "cold_left_ms")]
-    _cold_left_ms: f64,
+    /// How much longer it is cold.
+    cold_left_ms: f64,
     /// Number of orders that it has accepted; must be present, but is not used.
     #[serde(rename = "seq")]
     _orders_taken: u64,
@@ -56,6 +55,7 @@
         hall: body.zone,
         slots: body.slots,
         leaving: body.state == State::Draining,
+        cold_left_ms: rounded_ms(body.cold_left_ms),
         models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
         started_at_ms: body.born,
     })
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -150,6 +150,11 @@
     /// Setting `lease_ms` of gateways started from now on: time that must pass between the
     /// orders of two leaders.
     pub lease_ms: u64,
+    /// Setting `cold_extra` of gateways started from now on: requests per second that a cold
+    /// upstream may get in addition to those that it can take.
+    pub cold_extra: f64,
+    /// Setting `regions` of gateways started from now on: `hall:region`, separated by commas.
+    pub regions: String,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -172,6 +177,8 @@
             distinct_peer_ports: false,
             weights_apply_ms: 10_000,
             lease_ms: 1000,
+            cold_extra: 0.0,
+            regions: String::new(),
             folder,
             network,
             next_box: 10,
@@ -202,14 +209,16 @@
         let seeds: Vec<&str> = seeds.iter().map(|seed| seed.peers.as_str()).collect();
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
-             peers = {peers}\nseeds = {}\n[platform]\naddress = {}\n\
+             peers = {peers}\nregions = {}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
-             weights_apply_ms = {}\n",
+             weights_apply_ms = {}\ncold_extra = {}\n",
+            self.regions,
             seeds.join(","),
             metadata,
             self.retry_extra,
             self.lease_ms,
             self.weights_apply_ms,
+            self.cold_extra,
         );
         let path = self.folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings).expect("settings");
--- a/tests/common/site.rs
+++ b/tests/common/site.rs
@@ -68,6 +68,11 @@
     .await;
 }
 
+/// Waits until the gateway's log contains `text`.
+pub async fn wait_for_log(fixture: &GatewayFixture, text: &str) {
+    eventually(text, async || fixture.gateway.log_text().contains(text)).await;
+}
+
 /// Whether the gateway's readiness check succeeds.
 pub async fn is_ready(gateway: &Gateway) -> bool {
     let url = format!("http://{}/coursestile/ready", gateway.ready);
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -12,6 +12,7 @@
 use coursestile::gateway::decisions::context::PartSource;
 use coursestile::gateway::decisions::demand::Demand;
 use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::upstream::UpstreamEntry;
 use coursestile::gateway::decisions::upstreams::Upstreams;
@@ -62,6 +63,7 @@
             hall: hall.to_owned(),
             slots: 24,
             leaving: false,
+            cold_left_ms: 0,
             models: vec![("m".to_owned(), 1)],
             started_at_ms: None,
         };
@@ -91,6 +93,7 @@
         excludes_overdue: true,
         placement: Placement::RendezvousHash,
         candidates: Candidates::Sampled { seed: 3 },
+        allowed_halls: AllowedHalls::ALL,
         tried: &[],
         max_requests_per_upstream: 100,
         admission: AdmissionCriteria {
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -12,6 +12,7 @@
 use coursestile::gateway::decisions::configuration::EngineSpec;
 use coursestile::gateway::decisions::demand::Demand;
 use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, rounded_ms};
 use coursestile::gateway::decisions::upstream::{Load, UpstreamEntry};
@@ -43,6 +44,7 @@
             hall: "north".to_owned(),
             slots: 24,
             leaving: false,
+            cold_left_ms: 0,
             models: vec![(MODEL.to_owned(), 1)],
             started_at_ms: None,
         };
@@ -213,6 +215,7 @@
         excludes_overdue: true,
         placement: Placement::RendezvousHash,
         candidates: Candidates::Sampled { seed },
+        allowed_halls: AllowedHalls::ALL,
         tried: &[],
         max_requests_per_upstream: 100,
         admission: AdmissionCriteria {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -14,6 +14,7 @@
 use coursestile::gateway::decisions::demand::Demand;
 use coursestile::gateway::decisions::incarnation::Incarnation;
 use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::upstream::UpstreamEntry;
 use coursestile::gateway::decisions::upstreams::Upstreams;
@@ -30,6 +31,7 @@
         hall: hall.to_owned(),
         slots: 4,
         leaving: false,
+        cold_left_ms: 0,
         models: vec![("m".to_owned(), version)],
         started_at_ms: None,
     }
@@ -61,6 +63,7 @@
         excludes_overdue: true,
         placement: Placement::FastestLink { hall: "north" },
         candidates: Candidates::All,
+        allowed_halls: AllowedHalls::ALL,
         tried,
         max_requests_per_upstream: 100,
         admission: AdmissionCriteria {
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -206,6 +206,7 @@
         hall: "north".to_owned(),
         slots: 4,
         leaving: false,
+        cold_left_ms: 0,
         models: vec![("m".to_owned(), 1)],
         started_at_ms,
     }
--- a/tests/gateway_rollout.rs
+++ b/tests/gateway_rollout.rs
@@ -118,6 +118,7 @@
             hall: "north".to_owned(),
             slots: 8,
             leaving: false,
+            cold_left_ms: 0,
             models: vec![("m".to_owned(), 1)],
             started_at_ms: None,
         };
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -7,6 +7,7 @@
     CacheChange, CacheChanges, CacheListing, CachedPart,
 };
 use coursestile::gateway::decisions::configuration::Store;
+use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use proptest::prelude::*;
 
@@ -147,7 +148,7 @@
     let (first, second) = (known_stores(), known_stores());
     let assigned_store = |stores: &Stores, part| {
         stores
-            .store_for_save(0, key(part), 100, Placement::RendezvousHash)
+            .store_for_save(0, key(part), 100, Placement::RendezvousHash, AllowedHalls::ALL)
             .map(|store| store.name.clone())
     };
     assert!(
@@ -176,6 +177,7 @@
     // A store that failed may come back empty, so that the part has to be saved again.
     stores.get_mut("a").unwrap().1.contents.mark_unknown();
     assert_eq!(stores.with_complete_copy(0, part, 100).count(), 0);
-    let target = stores.store_for_save(0, part, 100, Placement::FastestLink { hall: "north" });
+    let placement = Placement::FastestLink { hall: "north" };
+    let target = stores.store_for_save(0, part, 100, placement, AllowedHalls::ALL);
     assert_eq!(target.map(|store| store.name.as_str()), Some("b"));
 }
