Evacuated halls get no new requests

Ruled out: stopping weight orders and fetches of context, too.

Change: the item is part of the view, so it arrives by all ways of a configuration change. An outdated listing no longer brings back an item whose removal is known. When all halls of a service are evacuated, requests are refused at once, as not run. At the end the hall's upstreams count as cold.

--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -89,6 +89,7 @@
 ) -> Option<Choice> {
     let usable: Vec<&Upstream> = upstreams
         .of_service(demand.service)
+        .filter(|upstream| !upstreams.is_evacuated(upstream))
         .filter(|upstream| is_usable(now_ms, upstream, demand))
         .collect();
     let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! - Upstream of a request: `choose`, with `candidates`, `demand`, `prompt`, `upstream`,
 //!   `upstreams`, `notice` and `incarnation`.
-//! - Where it may run: `regions`.
+//! - Where it may run: `regions`, and the evacuated halls in `upstreams`.
 //! - Sources and destinations of context: `sources`, `stores`, `cache_contents`, `cache_reports`,
 //!   `context`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -15,6 +15,8 @@
     ids_by_short_id: HashMap<u32, String>,
     /// Notices of upstreams that have no entry at present.
     unlisted: UnlistedNotices,
+    /// Halls that operators evacuate, including those without upstreams at present.
+    evacuated_halls: BTreeSet<String>,
 }
 
 impl Upstreams {
@@ -101,6 +103,20 @@
         self.ids_by_short_id.retain(|_, known| known != id);
     }
 
+    /// Begins the evacuation of a hall: its upstreams get no new requests.
+    pub fn begin_evacuation(&mut self, hall: &str) {
+        self.evacuated_halls.insert(hall.to_owned());
+    }
+
+    /// Ends the evacuation of a hall. Its upstreams may have restarted meanwhile without a new
+    /// entry, so each counts as cold for the time that `cold_ms` gives for its service.
+    pub fn end_evacuation(&mut self, now_ms: u64, hall: &str, cold_ms: impl Fn(&str) -> u64) {
+        self.evacuated_halls.remove(hall);
+        for upstream in self.by_id.values_mut().filter(|upstream| upstream.entry.hall == hall) {
+            upstream.cold.extend(now_ms, now_ms + cold_ms(&upstream.entry.service));
+        }
+    }
+
     /// Number of halls with upstreams.
     #[must_use]
     pub fn hall_count(&self) -> usize {
@@ -113,6 +129,19 @@
         self.of_service(service).any(|upstream| upstream.cold.is_cold(now_ms))
     }
 
+    /// Whether an upstream gets no new requests because its hall is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuated_halls.contains(&upstream.entry.hall)
+    }
+
+    /// Whether a service has upstreams, all of them in evacuated halls.
+    #[must_use]
+    pub fn are_all_evacuated(&self, service: &str) -> bool {
+        let mut upstreams = self.of_service(service).peekable();
+        upstreams.peek().is_some() && upstreams.all(|upstream| self.is_evacuated(upstream))
+    }
+
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Upstream> {
         self.by_id.get(id)
--- a/src/gateway/decisions/view.rs
+++ b/src/gateway/decisions/view.rs
@@ -278,8 +278,15 @@
         // Later pages of a listing can contain newer items, but not all changes before those.
         // They must not advance `at_revision`.
         let complete_revision = self.at_revision.max(at_revision);
+        let is_outdated = at_revision < self.at_revision;
         for (key, item) in snapshot.items {
-            changes.extend(self.put(key, item));
+            // The view is complete up to its revision, so an older item that it lacks was removed
+            // after the snapshot. No watch would report that removal again.
+            let was_removed =
+                is_outdated && item.revision <= complete_revision && !self.items.contains_key(&key);
+            if !was_removed {
+                changes.extend(self.put(key, item));
+            }
         }
         self.last_change_revision = self.last_change_revision.max(snapshot.last_change_revision);
         self.at_revision = complete_revision;
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -367,6 +367,21 @@
                 entries::remove(gateway, state, now_ms, id);
                 upstreams_changed = true;
             }
+            (KeyKind::Evacuation { hall }, Some(_)) => {
+                info!(target: "follow", "event=evacuation_began hall={hall}");
+                state.upstreams.begin_evacuation(hall);
+                upstreams_changed = true;
+            }
+            (KeyKind::Evacuation { hall }, None) => {
+                info!(target: "follow", "event=evacuation_ended hall={hall}");
+                let configuration = state.configuration.clone();
+                state.upstreams.end_evacuation(now_ms, hall, |service| {
+                    let services = configuration.as_ref().map(|known| &known.services);
+                    let service = services.and_then(|services| services.get(service));
+                    service.map_or(0, |service| service.cold_start.duration_ms)
+                });
+                upstreams_changed = true;
+            }
             (KeyKind::Configuration | KeyKind::Weights { .. }, None) => {
                 warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
             }
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -20,8 +20,10 @@
     let backoff_until_ms =
         state.upstreams.all_backoff_until_ms(now_ms(), &request.service, &request.tried);
     let has_upstreams = state.upstreams.of_service(&request.service).next().is_some();
+    let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
     drop(state);
     match backoff_until_ms {
+        _ if are_all_evacuated => refuse(request, Reason::Evacuated),
         Some(until_ms) => {
             let spread_ms = u64::from(short_id(&request.outgoing.request_id)) % RETRY_AFTER_MS;
             refuse_until(request, Reason::UpstreamsFull, until_ms + spread_ms)
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -47,6 +47,8 @@
     NoUpstream,
     /// upstreams full
     UpstreamsFull,
+    /// all halls are evacuated
+    Evacuated,
     /// upstreams crash under it
     Quarantined,
     /// deadline passed
@@ -70,6 +72,7 @@
             Self::NotReady
             | Self::NoUpstream
             | Self::UpstreamsFull
+            | Self::Evacuated
             | Self::Quarantined
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -369,7 +369,7 @@
         if let Some(choice) = choose_upstream(&mut gateway.state(), gateway, request) {
             return Some(choice);
         }
-        if all_back_off_past(gateway, request, until) {
+        if none_available_until(gateway, request, until) {
             return None;
         }
         // Nothing wakes the request when a cold upstream may get the next one.
@@ -382,9 +382,13 @@
     }
 }
 
-/// Whether all untried upstreams have asked for back-offs that end after `until`.
-fn all_back_off_past(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
+/// Whether it is known that no upstream can take the request until `until`: all untried ones have
+/// asked for back-offs that end later, or operators evacuate all halls of the service.
+fn none_available_until(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
     let state = gateway.state();
+    if state.upstreams.are_all_evacuated(&request.service) {
+        return true;
+    }
     let backoff_until_ms =
         state.upstreams.all_backoff_until_ms(now_ms(), &request.service, &request.tried);
     backoff_until_ms.is_some_and(|backoff_until_ms| instant_at(backoff_until_ms) > until)
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -13,6 +13,8 @@
 const CONFIGURATION: &str = "op/config";
 /// Prefix of the keys that name the weight version of a model.
 const WEIGHTS_PREFIX: &str = "op/version/";
+/// Prefix of the keys that exist while operators evacuate a data hall.
+const EVACUATION_PREFIX: &str = "op/evacuate/";
 /// Prefix of the keys that the gateway writes.
 pub const OWN_PREFIX: &str = "coursestile/";
 
@@ -26,6 +28,11 @@
         /// Name of the model.
         model: &'a str,
     },
+    /// Present while operators evacuate a data hall, whatever its value.
+    Evacuation {
+        /// Name of the hall.
+        hall: &'a str,
+    },
     /// An upstream's entry.
     Upstream {
         /// Id of the upstream.
@@ -50,6 +57,9 @@
     if let Some(model) = key.strip_prefix(WEIGHTS_PREFIX) {
         return KeyKind::Weights { model };
     }
+    if let Some(hall) = key.strip_prefix(EVACUATION_PREFIX) {
+        return KeyKind::Evacuation { hall };
+    }
     if key == members() {
         return KeyKind::Members;
     }
