--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -53,7 +53,7 @@
     /// Upstreams of all services, by id.
     pub upstreams: Upstreams,
     pub stores: Stores,
-    /// The longest recent timeout of each route.
+    /// The recent timeouts of each route.
     pub route_timeouts: RouteTimeouts,
     /// Admission limits of the services.
     pub admission_limits: AdmissionLimits,
--- a/tests/gateway_urgency.rs
+++ b/tests/gateway_urgency.rs
@@ -40,6 +40,40 @@
     assert_eq!(timeouts.elapsed_ms(26_000, ROUTE, 4000), 0);
 }
 
+/// Timeouts of first attempts that are spread evenly over the last `part` of `longest_ms`.
+fn first_attempts(longest_ms: u64, part: f64, seed: u64) -> impl Iterator<Item = u64> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+    std::iter::repeat_with(move || (longest_ms as f64 * (1.0 - part * random.f64())) as u64)
+}
+
+/// Clients whose timeouts differ are not taken for ones that retry, whatever the spread; those that
+/// retry after an outage are.
+#[rstest]
+#[case::equal(0.0)]
+#[case::nearly_equal(0.01)]
+#[case::wider_than_objective(0.15)]
+#[case::widest(0.4)]
+fn spread_of_clients(#[case] part: f64) {
+    let (longest_ms, objective_ms) = (4000, 500);
+    let mut timeouts = RouteTimeouts::default();
+    let mut attempts = first_attempts(longest_ms, part, 7);
+    for timeout_ms in attempts.by_ref().take(40) {
+        timeouts.elapsed_ms(100, ROUTE, timeout_ms);
+    }
+    let calm: Vec<u64> = attempts.by_ref().take(1000).collect();
+    let mistaken =
+        calm.iter().filter(|timeout_ms| timeouts.elapsed_ms(200, ROUTE, **timeout_ms) > 0);
+    assert!(mistaken.count() <= 20);
+    // After an outage of 1.5 s every other request is a retry for two seconds.
+    let mut late = 0;
+    for timeout_ms in attempts.by_ref().take(20) {
+        timeouts.elapsed_ms(300, ROUTE, timeout_ms);
+        late += usize::from(timeouts.elapsed_ms(300, ROUTE, timeout_ms - 1500) >= objective_ms);
+    }
+    assert!(late >= 15 || part > 0.3, "{late} of 20 retries are late");
+}
+
 #[test]
 fn routes_dropped() {
     let mut timeouts = RouteTimeouts::default();
