--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -9,12 +9,10 @@
 use crate::gateway::decisions::weights::NamedVersions;
 
 /// Delay after sending within which a request is assumed to start, however short the wait is
-/// expected to be: an engine short of memory started one after 1.1 s, 83 ms after the deadline for
-/// replacing its weights.
+/// expected to be: an engine short of memory starts requests much later than its queue suggests.
 const START_DELAY_MS: u64 = 1500;
 
-/// The same as a multiple of the latency objective, since long objectives allow long queues: on
-/// engines with an objective of 1.2 s, a request started 1.76 s after it was sent.
+/// The same as a multiple of the latency objective, since long objectives allow long queues.
 const START_DELAY_OBJECTIVES: u64 = 2;
 
 /// The requirements of a request for its upstream, and the box that sends it.
--- a/src/gateway/overdue_weights.rs
+++ b/src/gateway/overdue_weights.rs
@@ -29,8 +29,8 @@
     !state.follows_metadata || state.view.store_available_for(now_ms, CONTACT_MS)
 }
 
-/// Waits until a request that the engine has not begun must not begin there any more. At an engine
-/// short of memory a request began 3.3 s after it was sent.
+/// Waits until a request that the engine has not begun must not begin there any more. Engines
+/// short of memory may begin requests seconds after they were sent.
 pub async fn wait_for_withdrawal(gateway: &Gateway, request: &AdmittedRequest, choice: &Choice) {
     loop {
         let wait_ms = remaining_begin_ms(gateway, request, choice);
