Store speeds: shared in large fleets, and idle engines recompute what comes too late

Cause: half of the large stores turn four times slower for five seconds. A box fetches from one store every 13 s, its estimate decays in 3 s, and a slow fetch shows only when it ends after a second, so 141 of 178 fetches took over 0.5 s where 0.2 to 0.3 s were expected. A fetch that took as long as a known slowdown had it expected counted as fast. And a transfer of up to 700 ms was planned for what an engine prefills in 100 ms, at an objective of 500 ms.

Change: what a fetch showed is gossiped within the hall; a fetch counts once it is overdue; the ratio is to the time without a slowdown. If the engine is idle and would prefill the part within its share of the objective, a longer transfer is not planned.

--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -34,6 +34,8 @@
     pub loads: Vec<LoadReport>,
     /// Tokens that the sender fetches from stores: short id of the store, tokens.
     pub fetches: Vec<(u32, u32)>,
+    /// How much longer than expected the sender's latest fetches from stores took.
+    pub slowdowns: Vec<SlowdownReport>,
     /// Admission limits that the box has found, in thousandths, by the short id of the service.
     pub limits: Vec<(u32, u16)>,
     /// Engines that load weights, by their short ids, with the remaining time in milliseconds.
@@ -114,6 +116,28 @@
     pub receive_age_ms: u16,
 }
 
+/// How much longer than expected one fetch from a store took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlowdownReport {
+    /// Short id of the store.
+    pub store: u32,
+    /// Ratio of the actual to the expected time, in tenths.
+    tenths: u16,
+}
+
+impl SlowdownReport {
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
+    pub fn new(store: u32, slowdown: f64) -> Self {
+        Self { store, tenths: (slowdown * 10.0).clamp(0.0, f64::from(u16::MAX)) as u16 }
+    }
+
+    #[must_use]
+    pub fn slowdown(self) -> f64 {
+        f64::from(self.tenths) / 10.0
+    }
+}
+
 /// A weight version that was named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedVersionReport {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -7,7 +7,7 @@
 //! - Upstream of a request: `choose`, with `candidates`, `demand`, `prompt`, `upstream`,
 //!   `upstreams`, `notice` and `incarnation`.
 //! - Where it may run: `regions`, and the evacuated halls in `upstreams`.
-//! - Sources and destinations of context: `sources`, `stores`, `cache_contents`, `cache_reports`,
+//! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`, `cache_reports`,
 //!   `context`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
 //! - Load on upstreams that have just started: `cold_start`.
@@ -39,6 +39,7 @@
 pub mod release;
 pub mod rollout;
 pub mod sources;
+pub mod store_speed;
 pub mod stores;
 pub mod units;
 pub mod upstream;
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -24,6 +24,9 @@
 /// Part of the latency objective that a transfer may take even if recomputing the part would be
 /// faster, which keeps the engine free for other requests.
 const TRANSFER_PART: f64 = 0.5;
+/// An engine with fewer tokens left to prefill is idle: it can recompute a part without delaying
+/// others.
+const IDLE_PREFILL_TOKENS: u32 = 1000;
 /// Engines do not start a transfer that would have to wait longer than this, so transfers that are
 /// expected to take longer are not planned.
 const MAX_PLANNED_TRANSFER_MS: f64 = 1000.0;
@@ -69,8 +72,7 @@
         version: u64,
     ) -> Self {
         let scope = scope(&prompt.model, version, demand.isolated_account);
-        // Context of replaced weights is released early to make room for that of the new weights:
-        // keeping it longer costs up to 2.8 million recomputed tokens in a day with two roll-outs.
+        // Context of replaced weights is released early to make room for that of the new weights.
         let behind_since_ms = demand.behind_since_ms(version);
         let reads_from_stores = behind_since_ms
             .is_none_or(|since_ms| now_ms < since_ms + OLD_CONTEXT_READ_MS)
@@ -203,17 +205,6 @@
     transfer_ms: f64,
 }
 
-impl SourceOption {
-    /// Whether the transfer is worth it for `tokens` that would be computed otherwise: it is
-    /// cheaper, or within its part of the latency objective.
-    fn is_worthwhile(&self, tokens: u32, objective_ms: u64) -> bool {
-        let prefill_ms = f64::from(tokens) / PREFILL_TOKENS_PER_MS;
-        let allowed_ms = as_f64(objective_ms) * TRANSFER_PART;
-        self.transfer_ms
-            < MAX_PLANNED_TRANSFER_MS.min(allowed_ms.max(prefill_ms * (1.0 + RECOMPUTE_WEIGHT)))
-    }
-}
-
 impl SourceSelector<'_> {
     /// Adds the source of the next part.
     fn add(&self, part: &PartLocations<'_>, plan: &mut PlanBuilder) {
@@ -238,6 +229,21 @@
         }));
     }
 
+    /// Whether a transfer is worth it for `tokens` that would be computed otherwise: it takes no
+    /// more than its part of the latency objective or, unless the engine is idle and would compute
+    /// them within that time, it is cheaper.
+    fn is_worthwhile(&self, option: &SourceOption, tokens: u32) -> bool {
+        let prefill_ms = f64::from(tokens) / PREFILL_TOKENS_PER_MS;
+        let allowed_ms = as_f64(self.objective_ms) * TRANSFER_PART;
+        let is_idle = self.upstream.total_load().pending_prefill_tokens < IDLE_PREFILL_TOKENS;
+        let limit_ms = if is_idle && prefill_ms <= allowed_ms {
+            allowed_ms
+        } else {
+            allowed_ms.max(prefill_ms * (1.0 + RECOMPUTE_WEIGHT))
+        };
+        option.transfer_ms < MAX_PLANNED_TRANSFER_MS.min(limit_ms)
+    }
+
     /// Tokens of a part in the engine's own cache.
     fn local_tokens(&self, part: &PartLocations<'_>) -> u32 {
         let contents = &self.upstream.contents;
@@ -255,9 +261,7 @@
     ) -> PartSource {
         let missing = part.tokens - local;
         let option = self.fastest(part).filter(|_| !plan.address_missing);
-        if let Some(option) =
-            option.filter(|option| option.is_worthwhile(missing, self.objective_ms))
-        {
+        if let Some(option) = option.filter(|option| self.is_worthwhile(option, missing)) {
             plan.fetch_ms += option.transfer_ms;
             plan.cached_tokens += part.tokens;
             return option.source;
@@ -295,7 +299,7 @@
         let transfer_ms = link_transfer_ms(tokens, self.engine, store.link_mbps) * factor;
         TRANSFER_OVERHEAD_MS
             + store.transfer_setup_ms
-            + (wait_ms + transfer_ms) * state.slowdown_factor(self.now_ms)
+            + (wait_ms + transfer_ms) * state.speed.slowdown(self.now_ms)
     }
 }
 
--- a/src/gateway/decisions/stores.rs
+++ b/src/gateway/decisions/stores.rs
@@ -6,18 +6,13 @@
 use crate::gateway::decisions::cache_contents::{CacheContents, PartKey};
 use crate::gateway::decisions::configuration::Store;
 use crate::gateway::decisions::regions::AllowedHalls;
+use crate::gateway::decisions::store_speed::StoreSpeed;
 use crate::gateway::decisions::units::as_f64;
 use crate::names::short_id;
 
 /// Part of a store's capacity that is used; the rest allows for errors in the estimate of its
 /// content.
 const MAX_FILL_PART: f64 = 0.97;
-/// Weight of the newest fetch in the estimate of a store's slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.25;
-/// Time constant with which the estimate decays.
-const SLOWDOWN_DECAY_MS: f64 = 3000.0;
-/// Upper bound of the slowdown estimate.
-const MAX_SLOWDOWN: f64 = 12.0;
 /// Time within which a store reports a saved part: the prompt has to be computed and transferred
 /// first.
 const SAVE_REPORT_MS: u64 = 3000;
@@ -67,11 +62,10 @@
     pub contents: CacheContents,
     /// Tokens of incomplete parts.
     pub partial_tokens: u64,
+    /// How fast it is, and what this box fetches from it.
+    pub speed: StoreSpeed,
     avoid_until_ms: u64,
-    own_fetch_tokens: u64,
     peer_fetch_tokens: u64,
-    slowdown: f64,
-    slowdown_at_ms: u64,
     full_until_ms: u64,
     pending_saves: HashMap<PartKey, PendingSave>,
     /// Short id of the store, by which boxes refer to it in messages.
@@ -118,13 +112,7 @@
     /// Tokens that all boxes are fetching from it.
     #[must_use]
     pub fn fetch_tokens(&self) -> u64 {
-        self.own_fetch_tokens + self.peer_fetch_tokens
-    }
-
-    /// Tokens that this box is fetching from it.
-    #[must_use]
-    pub fn own_fetch_tokens(&self) -> u64 {
-        self.own_fetch_tokens
+        self.speed.fetch_tokens() + self.peer_fetch_tokens
     }
 
     /// Sets the tokens that all other boxes are fetching.
@@ -132,31 +120,6 @@
         self.peer_fetch_tokens = tokens;
     }
 
-    /// Estimated ratio of the actual to the expected time of a fetch. Decays towards 1, so that a
-    /// recovered link is used again.
-    #[must_use]
-    pub fn slowdown_factor(&self, now_ms: u64) -> f64 {
-        let age_ms = as_f64(now_ms.saturating_sub(self.slowdown_at_ms));
-        1.0 + (self.slowdown.max(1.0) - 1.0) * (-age_ms / SLOWDOWN_DECAY_MS).exp()
-    }
-
-    /// Records the start of a fetch.
-    pub fn record_fetch_start(&mut self, tokens: u32) {
-        self.own_fetch_tokens += u64::from(tokens);
-    }
-
-    /// Records the end of a fetch, with the ratio of its actual to its expected time if that can be
-    /// attributed to the store.
-    pub fn record_fetch_end(&mut self, now_ms: u64, tokens: u32, slowdown: Option<f64>) {
-        self.own_fetch_tokens = self.own_fetch_tokens.saturating_sub(u64::from(tokens));
-        if let Some(slowdown) = slowdown {
-            let slowdown = slowdown.clamp(1.0, MAX_SLOWDOWN);
-            let estimate = self.slowdown_factor(now_ms);
-            self.slowdown = estimate + (slowdown - estimate) * SLOWDOWN_WEIGHT;
-            self.slowdown_at_ms = now_ms;
-        }
-    }
-
     /// Records a save to this store, if this box receives the store's reports.
     pub fn record_save(&mut self, now_ms: u64, part: PartKey, tokens: u32) {
         if !self.contents.is_known() {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -137,6 +137,11 @@
         let changes = state.view.apply_due_removals(now_ms);
         apply(&gateway, &mut state, now_ms, NamedAt::Now, changes);
         metrics::gauge!("coursestile_weights_behind_seconds").set(longest_lag_s(&state, now_ms));
+        if !state.small_fleet {
+            for (_, store) in state.stores.iter_mut() {
+                store.speed.check_overdue(now_ms);
+            }
+        }
         for (store, count) in state.stores.settle_saves(now_ms) {
             info!(target: "stores", "event=saves_lost store={store} count={count}");
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,8 @@
 use crate::clock::now_ms;
 use crate::gateway::claims::handover_pause_ms;
 use crate::gateway::decisions::gossip_message::{
-    Gossip, LoadChanges, LoadReport, NamedVersionReport, changed_loads, reported_loads,
+    Gossip, LoadChanges, LoadReport, NamedVersionReport, SlowdownReport, changed_loads,
+    reported_loads,
 };
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::notice::NoticeState;
@@ -172,6 +173,7 @@
         peers: state.peers.addresses_to_share(now_ms),
         loads: reported_loads(own_loads(state, now_ms)),
         fetches: fetches(state),
+        slowdowns: slowdowns(state),
         limits: state.admission_limits.own_limits(),
         loading_engines: loading_engines(state, now_ms),
         superseded: superseded(state),
@@ -190,13 +192,23 @@
 
 /// Number of tokens that this box is fetching from each context store.
 fn fetches(state: &State) -> Vec<(u32, u32)> {
-    let stores = state.stores.iter().filter(|(_, store)| store.own_fetch_tokens() > 0);
+    let stores = state.stores.iter().filter(|(_, store)| store.speed.fetch_tokens() > 0);
     let fetches = stores.map(|(_, store)| {
-        (store.short_id(), u32::try_from(store.own_fetch_tokens()).unwrap_or(u32::MAX))
+        (store.short_id(), u32::try_from(store.speed.fetch_tokens()).unwrap_or(u32::MAX))
     });
     fetches.collect()
 }
 
+/// How much longer than expected fetches from stores took since the last message.
+fn slowdowns(state: &mut State) -> Vec<SlowdownReport> {
+    let reports = state.stores.iter_mut().flat_map(|(_, store)| {
+        let store_id = store.short_id();
+        let observed = store.speed.take_unreported().into_iter();
+        observed.map(move |slowdown| SlowdownReport::new(store_id, slowdown))
+    });
+    reports.collect()
+}
+
 /// Upstreams whose address another incarnation has taken.
 fn superseded(state: &State) -> Vec<u32> {
     let superseded = state.upstreams.iter().filter(|upstream| upstream.is_superseded());
@@ -320,6 +332,7 @@
     supersede(&mut state, &gossip.superseded);
     apply_leaving(&mut state, &gossip.leaving);
     apply_backoffs(&mut state, now_ms, &gossip.backoffs);
+    apply_slowdowns(&mut state, now_ms, &gossip.slowdowns);
     quarantine::merge_peer_reports(gateway, &mut state, now_ms, &gossip);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.update_upstream_clock_offset(now_ms, clock_ms);
@@ -378,6 +391,19 @@
     }
 }
 
+/// Takes over how fast fetches of a peer were. A box of a small fleet fetches often enough itself.
+fn apply_slowdowns(state: &mut State, now_ms: u64, slowdowns: &[SlowdownReport]) {
+    if state.small_fleet {
+        return;
+    }
+    for (_, store) in state.stores.iter_mut() {
+        let store_id = store.short_id();
+        for report in slowdowns.iter().filter(|report| report.store == store_id) {
+            store.speed.observe(now_ms, report.slowdown());
+        }
+    }
+}
+
 /// Marks upstreams whose address another incarnation has taken.
 fn supersede(state: &mut State, upstreams: &[u32]) {
     for upstream in upstreams {
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -11,13 +11,10 @@
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{Notice, NoticeState};
-use crate::gateway::decisions::units::as_f64;
+use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::silence;
 
-/// Time to the first token that is spent on neither the prefill nor fetching context, with
-/// some margin.
-const FIRST_TOKEN_OVERHEAD_MS: f64 = 60.0;
 /// An upstream that rejects a request within this time did not queue it. It is a few round trips.
 const IMMEDIATE_REJECTION_MS: u64 = 100;
 /// Prompts of this length occupy an engine for about 20 ms or more. Other boxes learn of them
@@ -30,10 +27,8 @@
     pub upstream: Incarnation,
     pending_prefill_tokens: u32,
     memory_tokens: u32,
-    fetches: Vec<(String, u32)>,
-    fetch_ms: f64,
-    expected_first_token_ms: f64,
-    engine_wait_negligible: bool,
+    /// Fetches from stores, by the names of the stores, until the prefill ends.
+    fetches: Vec<(String, FetchId)>,
     begun_at_ms: u64,
     /// When the first token is due. Set only at an engine that was nearly full, until the first
     /// token arrives.
@@ -46,16 +41,22 @@
     pub fn begin(gateway: &Arc<Gateway>, choice: &Choice) -> Self {
         let context = choice.context.as_ref();
         let pending_prefill_tokens = context.map_or(0, |plan| plan.prefill_tokens);
-        let fetches: Vec<(String, u32)> =
-            context.map(ContextPlan::store_fetches).unwrap_or_default();
+        let planned_fetches = context.map(ContextPlan::store_fetches).unwrap_or_default();
+        // A prompt that has to wait for the engine says nothing about the stores.
+        let expected = choice.engine_wait_negligible.then(|| FetchExpectation {
+            first_token_ms: choice.expected_first_token_ms,
+            fetch_ms: context.map_or(0.0, |plan| plan.fetch_ms),
+        });
         let begun_at_ms = now_ms();
         let mut state = gateway.state();
         if let Some(upstream) = state.upstreams.get_incarnation_mut(&choice.upstream) {
             upstream.record_sent(begun_at_ms, pending_prefill_tokens, choice.memory_tokens);
         }
-        for (name, tokens) in &fetches {
-            if let Some((_, store)) = state.stores.get_mut(name) {
-                store.record_fetch_start(*tokens);
+        let mut fetches = Vec::new();
+        for (name, tokens) in planned_fetches {
+            if let Some((_, store)) = state.stores.get_mut(&name) {
+                let id = store.speed.record_start(begun_at_ms, tokens, expected);
+                fetches.push((name, id));
             }
         }
         drop(state);
@@ -68,9 +69,6 @@
             pending_prefill_tokens,
             memory_tokens: choice.memory_tokens,
             fetches,
-            fetch_ms: context.map_or(0.0, |plan| plan.fetch_ms),
-            expected_first_token_ms: choice.expected_first_token_ms,
-            engine_wait_negligible: choice.engine_wait_negligible,
             begun_at_ms,
             objective_at_ms: choice
                 .objective_at_ms
@@ -85,16 +83,18 @@
         }
     }
 
-    /// Records that the prefill has ended, and how long fetching context took. A prompt that
-    /// had to wait for the engine says nothing about the stores.
+    /// Records that the prefill has ended, and how long fetching context took.
     pub fn record_first_bytes(&mut self) {
-        let late_ms = as_f64(now_ms() - self.begun_at_ms)
-            - self.expected_first_token_ms
-            - FIRST_TOKEN_OVERHEAD_MS;
-        let slowdown = (self.engine_wait_negligible && self.fetch_ms > 0.0)
-            .then(|| 1.0 + late_ms.max(0.0) / self.fetch_ms);
         self.record_first_token();
-        self.end_prefill(slowdown);
+        let fetches = std::mem::take(&mut self.fetches);
+        let mut state = self.gateway.state();
+        for (name, id) in fetches {
+            if let Some((_, store)) = state.stores.get_mut(&name) {
+                store.speed.record_first_token(now_ms(), id);
+            }
+        }
+        drop(state);
+        self.end_prefill();
     }
 
     /// Reports to the admission limits whether the first token came in time.
@@ -129,15 +129,15 @@
         }
     }
 
-    fn end_prefill(&mut self, slowdown: Option<f64>) {
+    fn end_prefill(&mut self) {
         let tokens = std::mem::take(&mut self.pending_prefill_tokens);
         let mut state = self.gateway.state();
         if let Some(upstream) = state.upstreams.get_incarnation_mut(&self.upstream) {
             upstream.record_prefill_end(tokens);
         }
-        for (name, tokens) in std::mem::take(&mut self.fetches) {
+        for (name, id) in std::mem::take(&mut self.fetches) {
             if let Some((_, store)) = state.stores.get_mut(&name) {
-                store.record_fetch_end(now_ms(), tokens, slowdown);
+                store.speed.record_abort(id);
             }
         }
     }
@@ -243,7 +243,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.record_missing_first_token();
-        self.end_prefill(None);
+        self.end_prefill();
         if let Some(upstream) = self.gateway.state().upstreams.get_incarnation_mut(&self.upstream) {
             upstream.record_request_end(self.memory_tokens);
         }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -23,6 +23,7 @@
 use coursestile::platform::exchange;
 use hyper::{HeaderMap, Method, Uri};
 use proptest::prelude::*;
+use rstest::rstest;
 
 fn entry(hall: &str, port: u16, version: u64) -> UpstreamEntry {
     UpstreamEntry {
@@ -234,6 +235,29 @@
 }
 
 /// A busy engine may send nothing to one box for a second while it streams to others.
+/// While a store's link is slow, an idle engine recomputes what it can within the objective; a busy
+/// one waits for the transfer, since recomputing would delay other requests.
+#[rstest]
+#[case::idle(0, 5200)]
+#[case::busy(2000, 200)]
+fn slow_link(#[case] pending_prefill_tokens: u32, #[case] expected_prefill_tokens: u32) {
+    let mut upstreams = Upstreams::default();
+    upstreams.upsert(0, "a", entry("north", 1, 1));
+    upstreams.get_mut("a").unwrap().peer_load.pending_prefill_tokens = pending_prefill_tokens;
+    let mut stores = Stores::default();
+    stores.configure(&[store("large", 2, 28_000.0)]);
+    let (_, state) = stores.get_mut("large").unwrap();
+    state.contents.set_tokens(PartKey::new("1.m", "aa"), 5000);
+    // The transfer takes 26 ms, and more than half of the objective when it is slowed.
+    for _ in 0..40 {
+        state.speed.observe(0, 12.0);
+    }
+    let prompt = Prompt::parse("m", "5200,10", "aa:5000,bb:200").unwrap();
+    let request_demand = demand(Some(&prompt), &[]);
+    let choice = choose(0, &upstreams, &stores, Some(&engine_spec()), &request_demand).unwrap();
+    assert_eq!(choice.context.unwrap().prefill_tokens, expected_prefill_tokens);
+}
+
 #[test]
 fn busy_is_not_silent() {
     let mut upstreams = Upstreams::default();
