Hall ranks: a box that hears nobody sends nothing to cold upstreams, however long

Cause (by reading): after 30 s without any peer a box has forgotten its hall, and took the whole share of the hall for itself while the others may share it as well. The case is part of unsure_boxes; that it failed before was not run. Besides, two windows of timeouts have names, and a line of a module's head is wrapped.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -7,8 +7,8 @@
 //! - Upstream of a request: `choose`, with `candidates`, `demand`, `prompt`, `upstream`,
 //!   `upstreams`, `notice` and `incarnation`.
 //! - Where it may run: `regions`, and the evacuated halls in `upstreams`.
-//! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`, `cache_reports`,
-//!   `context`.
+//! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
+//!   `cache_reports`, `context`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
 //! - Load on upstreams that have just started: `cold_start`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
--- a/src/gateway/decisions/peers/hall_rank.rs
+++ b/src/gateway/decisions/peers/hall_rank.rs
@@ -24,12 +24,18 @@
         })
     }
 
+    /// Whether this box has had time to learn of the boxes of its hall and hears one of them, or
+    /// boxes of other halls if it has none.
     fn knows_hall(&self, now_ms: u64) -> bool {
-        let settled =
+        let had_time =
             self.first_receive_ms.is_some_and(|receive_ms| now_ms >= receive_ms + PEER_TIMEOUT_MS);
         let mut hall_peers = self.possible_hall_peers().peekable();
-        let is_alone = hall_peers.peek().is_none();
-        settled && (is_alone || hall_peers.any(|(_, peer)| is_heard(now_ms, peer)))
+        let hears_hall = if hall_peers.peek().is_none() {
+            self.live_peers(now_ms).next().is_some()
+        } else {
+            hall_peers.any(|(_, peer)| is_heard(now_ms, peer))
+        };
+        had_time && hears_hall
     }
 
     /// The peers that are in this box's hall, or whose hall is not known yet.
--- a/src/gateway/decisions/urgency.rs
+++ b/src/gateway/decisions/urgency.rs
@@ -33,8 +33,10 @@
 #[derive(Clone, Debug, Default)]
 struct RecentTimeouts {
     window: u64,
-    /// Longest timeout of the current and of the previous window.
-    longest_ms: (u64, u64),
+    /// Longest timeout of the current window.
+    current_ms: u64,
+    /// Longest timeout of the previous window.
+    previous_ms: u64,
     /// The most recent timeouts, oldest first.
     sample_ms: VecDeque<u64>,
 }
@@ -44,10 +46,11 @@
         let window = now_ms / WINDOW_MS;
         if window != self.window {
             let is_next = window == self.window + 1;
-            self.longest_ms = (0, if is_next { self.longest_ms.0 } else { 0 });
+            self.previous_ms = if is_next { self.current_ms } else { 0 };
+            self.current_ms = 0;
             self.window = window;
         }
-        self.longest_ms.0 = self.longest_ms.0.max(timeout_ms);
+        self.current_ms = self.current_ms.max(timeout_ms);
         self.sample_ms.push_back(timeout_ms);
         if self.sample_ms.len() > SAMPLE_SIZE {
             self.sample_ms.pop_front();
@@ -56,7 +59,7 @@
 
     /// The median timeout of first attempts, and the shortest.
     fn first_attempts_ms(&self) -> (u64, u64) {
-        let longest_ms = self.longest_ms.0.max(self.longest_ms.1);
+        let longest_ms = self.current_ms.max(self.previous_ms);
         if self.sample_ms.len() < MIN_SAMPLE_SIZE {
             return (longest_ms, longest_ms);
         }
--- a/tests/gateway_cold.rs
+++ b/tests/gateway_cold.rs
@@ -12,7 +12,7 @@
     ColdStart, ColdState, ColdTolerance, HallRank, allowance,
 };
 use coursestile::gateway::decisions::gossip_message::Gossip;
-use coursestile::gateway::decisions::peers::{LocalBox, Peers};
+use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
 use coursestile::gateway::decisions::view::ViewDigest;
 use coursestile::names::short_id;
 use coursestile_standins::site::{Site, config_document, service_entry};
@@ -103,6 +103,9 @@
     hear(&mut peers, 2, 11_500);
     let rank = peers.hall_rank(11_600, UPSTREAM).expect("it hears a box");
     assert_eq!(rank.boxes, 4, "boxes that were heard before still count");
+    let later_ms = 60_000;
+    peers.next_targets(later_ms, Audience::All, GossipScope::OwnHall);
+    assert_eq!(peers.hall_rank(later_ms, UPSTREAM), None, "all others are forgotten");
 }
 
 #[test]
