no_hall_left: wait for the log line, which is written behind the answer

A gateway queues its lines for the thread that writes them, so the line may follow the answer. Found by reading the trace; not provoked again.

Change: the test waits for the line, as other tests do; it still fails without it.

--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -66,7 +66,7 @@
     assert_eq!(answer.text(), "all halls are evacuated\n");
     assert!(answer.header("retry-after").is_some());
     assert_eq!(fixture.arrival_count("r-1"), 0);
-    assert!(fixture.gateway.log_text().contains("reason=\"all halls are evacuated\""));
+    wait_for_log(&fixture, "reason=\"all halls are evacuated\"").await;
 }
 
 #[tokio::test]
