--- a/src/gateway/decisions/cold_start.rs
+++ b/src/gateway/decisions/cold_start.rs
@@ -13,9 +13,14 @@
 
 use crate::gateway::decisions::units::rounded_down;
 
-/// Time within which a box stays within its allowance: the second for which the limit holds, and
-/// the time that a request may take from its choice to its arrival.
-const WINDOW_MS: u64 = 1300;
+/// Period for which the limit holds.
+const LIMIT_PERIOD_MS: u64 = 1000;
+/// Time that a request may take from the choice of its upstream to its arrival there: the connect
+/// timeout.
+const MAX_DELIVERY_MS: u64 = 300;
+/// Time within which a box stays within its allowance. Requests that are sent further apart than
+/// the limit's period may still arrive within it.
+const ALLOWANCE_WINDOW_MS: u64 = LIMIT_PERIOD_MS + MAX_DELIVERY_MS;
 
 /// How the upstreams of a service behave after a start.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -95,7 +100,7 @@
     /// without a restart.
     pub fn record_sent(&mut self, now_ms: u64) {
         self.sent_at_ms.push_back(now_ms);
-        while self.sent_at_ms.front().is_some_and(|at_ms| at_ms + WINDOW_MS <= now_ms) {
+        while self.sent_at_ms.front().is_some_and(|at_ms| at_ms + ALLOWANCE_WINDOW_MS <= now_ms) {
             self.sent_at_ms.pop_front();
         }
     }
@@ -103,7 +108,7 @@
     /// Whether this box may send a request now.
     #[must_use]
     pub fn may_send(&self, now_ms: u64) -> bool {
-        let recent = self.sent_at_ms.iter().filter(|at_ms| now_ms < **at_ms + WINDOW_MS);
+        let recent = self.sent_at_ms.iter().filter(|at_ms| now_ms < **at_ms + ALLOWANCE_WINDOW_MS);
         !self.is_cold(now_ms) || (recent.count() as u64) < self.allowance
     }
 }
--- a/src/gateway/decisions/store_speed.rs
+++ b/src/gateway/decisions/store_speed.rs
@@ -10,17 +10,17 @@
 use crate::gateway::decisions::units::as_f64;
 
 /// Weight of the newest observation in the estimate.
-const WEIGHT: f64 = 0.25;
+const OBSERVATION_WEIGHT: f64 = 0.25;
 /// Time constant with which the estimate decays.
 const DECAY_MS: f64 = 3000.0;
-/// Upper bound of the estimate.
+/// Upper bound of the estimate, so that one failed fetch does not keep the store from being used.
 const MAX_SLOWDOWN: f64 = 12.0;
 /// Multiple of its expected time after which a fetch counts although it has not ended.
 const OVERDUE_RATIO: f64 = 2.0;
 /// Time to the first token that is spent on neither the prefill nor fetching context, with
 /// some margin.
 const FIRST_TOKEN_OVERHEAD_MS: f64 = 60.0;
-/// Most observations kept for peers until the next message.
+/// Most observations kept for peers until the next message, which must fit a datagram.
 const MAX_UNREPORTED: usize = 16;
 
 /// Expected times of a request that fetches context.
@@ -60,7 +60,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct FetchId(u64);
 
-/// How fast a store has been lately, and the fetches of this box that have not ended.
+/// How fast a store has been lately as far as this box and its peers have observed, and the fetches of this box that have not ended.
 #[derive(Debug, Default)]
 pub struct StoreSpeed {
     slowdown: f64,
@@ -138,7 +138,8 @@
     /// Takes over an observation, of this box or of a peer.
     pub fn observe(&mut self, now_ms: u64, slowdown: f64) {
         let estimate = self.slowdown(now_ms);
-        self.slowdown = estimate + (slowdown.clamp(1.0, MAX_SLOWDOWN) - estimate) * WEIGHT;
+        self.slowdown =
+            estimate + (slowdown.clamp(1.0, MAX_SLOWDOWN) - estimate) * OBSERVATION_WEIGHT;
         self.slowdown_at_ms = now_ms;
     }
 
