Crash reports are acknowledged before the caller is answered (own interface)

Callers saw: a request under which three upstreams had crashed crashed a fourth, with all that ran there, when the caller repeated it at once at another box (`crashing_requests::call_crashes`, beside load).

Cause: a box sent its crash reports and answered the caller without waiting; the repeated request reached the other box 3 to 4 ms before the report.

Change: a crash is acknowledged by the peers before the box sends the request again or answers its caller. Limit 400 ms, twice that while another report is under way; a peer that misses it is not waited for until it is heard from. Crashes that occur while a report is under way share the next one. The record of a crash no longer ends with the caller's connection.

A line in the log now tells when an upstream aborts a request and its port is open.

--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -1,13 +1,19 @@
 //! Records requests that crash upstreams, and shares them with the other boxes. The module
 //! `gateway::crashes` does so for the gateway.
+//!
+//! A crash is acknowledged by the peers before the box sends the request again or answers its
+//! caller, who may repeat the request at any box.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
+use tokio::time::timeout;
 
 use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
 use crate::kernel::{Kernel, Plugin, Topic};
+use crate::member::Health;
 use crate::names::short_id;
 use crate::quarantine::UpdateUrgency;
 use crate::sync::locked;
@@ -16,6 +22,10 @@
 
 /// Number of peers to which a box forwards a crash that is new to it.
 const FANOUT: usize = 4;
+/// Maximum number of peers that a box reports a crash to itself; others learn of it from them.
+const MAX_REPORT_PEERS: usize = 64;
+/// Time limit for the acknowledgements of a report.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest time in which a crashed upstream restarts: crashes of an upstream in the same
 /// interval of this length are counted as those of one incarnation.
 const MIN_RESTART_MS: u64 = 5000;
@@ -27,35 +37,91 @@
 /// End of a request's quarantine; `None` if it is not quarantined.
 #[must_use]
 pub fn quarantined_until_ms(kernel: &Kernel, request: Fingerprint) -> Option<u64> {
-    locked(&kernel.quarantine).until_ms(now_ms(), request)
+    locked(&kernel.crashes.quarantine).until_ms(now_ms(), request)
 }
 
 /// Records that an upstream closed the connection before the request was answered. If its
-/// port then refuses connections, this counts as a crash.
-pub async fn record_abort(kernel: &Kernel, upstream: &str, url: &str, request: Fingerprint) {
-    if !refuses_connections(url).await {
-        return;
-    }
-    info!(target: "crashes", "Upstream {upstream} crashed while running request {request}.");
-    let now_ms = now_ms();
-    let incarnation_id = short_id(&format!("{upstream}/{}", now_ms / MIN_RESTART_MS));
-    locked(&kernel.quarantine).record_crash(now_ms, request, incarnation_id, now_ms);
-    notify_peers(kernel);
+/// port then refuses connections, this counts as a crash, and the peers have acknowledged it
+/// when this returns, unless one does not answer in time.
+pub async fn record_abort(kernel: &Arc<Kernel>, upstream: &str, url: &str, request: Fingerprint) {
+    let (kernel, upstream, url) = (kernel.clone(), upstream.to_owned(), url.to_owned());
+    // In a task of its own, so that a crash is also reported if the caller disconnects.
+    let recording = tokio::spawn(async move {
+        if !refuses_connections(&url).await {
+            info!(target: "crashes", "Upstream {upstream} aborted request {request}, but its port is open.");
+            return;
+        }
+        info!(target: "crashes", "Upstream {upstream} crashed while running request {request}.");
+        let now_ms = now_ms();
+        let incarnation_id = short_id(&format!("{upstream}/{}", now_ms / MIN_RESTART_MS));
+        locked(&kernel.crashes.quarantine).record_crash(now_ms, request, incarnation_id, now_ms);
+        report_crash(&kernel, request).await;
+    });
+    // Fails only if the task panics.
+    let _ = recording.await;
 }
 
 /// Records that an upstream has answered a request completely.
 pub fn record_answered(kernel: &Kernel, request: Fingerprint) {
-    if locked(&kernel.quarantine).record_answer(request, now_ms()) {
+    if locked(&kernel.crashes.quarantine).record_answer(request, now_ms()) {
         notify_peers(kernel);
     }
 }
 
+/// Reports the crashes of a request to the peers, and waits until they have acknowledged them or
+/// the time limit has passed. What is to be reported meanwhile goes into one message afterwards.
+async fn report_crash(kernel: &Kernel, request: Fingerprint) {
+    let crashes = &kernel.crashes;
+    locked(&crashes.unreported).push(request);
+    let _sending = crashes.sending.lock().await;
+    let requests = std::mem::take(&mut *locked(&crashes.unreported));
+    if requests.is_empty() {
+        // Reported together with another request while this task waited for its turn.
+        return;
+    }
+    let reported = locked(&crashes.quarantine).crashes_of(now_ms(), &requests);
+    let peers = peers_to_inform(kernel);
+    let report = kernel.unique_number();
+    locked(&crashes.acknowledgements).start(report, peers.iter().map(String::as_str));
+    for peer in &peers {
+        let message = Message::CrashReport {
+            acknowledge: Some(report),
+            crashes: reported.clone(),
+            answers: Vec::new(),
+        };
+        kernel.send(peer, message);
+    }
+    let acknowledged = async {
+        while !locked(&crashes.acknowledgements).is_complete() {
+            crashes.all_acknowledged.notified().await;
+        }
+    };
+    if timeout(ACKNOWLEDGE_TIMEOUT, acknowledged).await.is_err() {
+        let missing = locked(&crashes.acknowledgements).give_up();
+        metrics::counter!("coursestile_crash_reports_unacknowledged_total")
+            .increment(missing.len() as u64);
+        warn!(target: "crashes", "Crash report not acknowledged in time by {}.", missing.join(", "));
+    }
+}
+
+/// Addresses of the peers to which a caller may turn, those of the own hall first.
+fn peers_to_inform(kernel: &Kernel) -> Vec<String> {
+    let membership = kernel.membership();
+    let view = membership.view();
+    let mut peers: Vec<_> = view.others().filter(|member| member.health != Health::Dead).collect();
+    fastrand::shuffle(&mut peers);
+    peers.sort_by_key(|member| member.hall != view.me().hall);
+    peers.truncate(MAX_REPORT_PEERS);
+    peers.into_iter().map(|member| member.address.clone()).collect()
+}
+
 /// Sends recent crashes and answers to some peers.
 fn notify_peers(kernel: &Kernel) {
     let message = {
-        let (mut quarantine, now_ms) = (locked(&kernel.quarantine), now_ms());
+        let (mut quarantine, now_ms) = (locked(&kernel.crashes.quarantine), now_ms());
         let answers = quarantine.answers_to_announce(now_ms);
-        Message::CrashReport { crashes: quarantine.crashes_to_announce(now_ms), answers }
+        let crashes = quarantine.crashes_to_announce(now_ms);
+        Message::CrashReport { acknowledge: None, crashes, answers }
     };
     for address in random_peers(kernel) {
         kernel.send(&address, message.clone());
@@ -72,10 +138,23 @@
 }
 
 fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
-    let Message::CrashReport { crashes, answers } = envelope.message else { return };
-    let urgency = locked(&kernel.quarantine).merge_reports(now_ms(), &crashes, &answers);
-    if urgency != UpdateUrgency::None {
-        notify_peers(kernel);
+    match envelope.message {
+        Message::CrashReport { acknowledge, crashes, answers } => {
+            let urgency =
+                locked(&kernel.crashes.quarantine).merge_reports(now_ms(), &crashes, &answers);
+            if let Some(report) = acknowledge {
+                kernel.send(&envelope.reply_to, Message::CrashReportReceived { report });
+            }
+            if urgency != UpdateUrgency::None {
+                notify_peers(kernel);
+            }
+        }
+        Message::CrashReportReceived { report }
+            if locked(&kernel.crashes.acknowledgements).record(report, &envelope.reply_to) =>
+        {
+            kernel.crashes.all_acknowledged.notify_one();
+        }
+        _ => {}
     }
 }
 
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -16,6 +16,7 @@
 use crate::clock::{now_ms, now_us};
 use crate::config_in_force::Configuration;
 use crate::consul::Consul;
+use crate::crash_state::Crashes;
 use crate::dispatch_state::Dispatchers;
 use crate::error::Result;
 use crate::heartbeat::{HeartbeatAction, Heartbeats};
@@ -23,7 +24,6 @@
 use crate::membership::Membership;
 use crate::peer_sockets::{self, PeerSockets};
 use crate::placement_state::Placements;
-use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 use crate::streams::AnswerStreams;
 use crate::sync::locked;
@@ -69,7 +69,7 @@
             | Self::CallEnd { .. }
             | Self::Handover { .. }
             | Self::HandoverConfirmed { .. } => Topic::Calls,
-            Self::CrashReport { .. } => Topic::Crashes,
+            Self::CrashReport { .. } | Self::CrashReportReceived { .. } => Topic::Crashes,
         }
     }
 }
@@ -85,6 +85,7 @@
                 | Self::SlotReport { .. }
                 | Self::CallEnd { .. }
                 | Self::HandoverConfirmed { .. }
+                | Self::CrashReportReceived { .. }
         )
     }
 }
@@ -127,7 +128,7 @@
     /// Answers in progress.
     pub streams: AnswerStreams,
     /// Requests that crash upstreams.
-    pub quarantine: Mutex<Quarantine>,
+    pub crashes: Crashes,
     peer_sockets: PeerSockets,
     heartbeats: Mutex<Heartbeats>,
     membership: Mutex<Membership>,
@@ -160,7 +161,7 @@
             dispatchers: Dispatchers::default(),
             calls: Calls::default(),
             streams: AnswerStreams::default(),
-            quarantine: Mutex::default(),
+            crashes: Crashes::default(),
             peer_sockets: PeerSockets::new(settings.dial_addresses.clone()),
             heartbeats: Mutex::default(),
             membership: Mutex::new(membership),
@@ -209,6 +210,7 @@
         if envelope.message.is_reply() {
             locked(&self.heartbeats).record_reply(now_ms(), &envelope.reply_to);
         }
+        locked(&self.crashes.acknowledgements).record_heard(&envelope.reply_to);
         if envelope.config_revision > self.configuration.revision() {
             let after_revision = self.configuration.revision();
             self.send(&envelope.reply_to, Message::PullConfig { after_revision });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! send follow-up prompts after long pauses.
 
 pub mod account;
+pub mod acknowledgements;
 pub mod assembler;
 pub mod blocks;
 pub mod box_phase;
@@ -19,6 +20,7 @@
 pub mod consul;
 pub mod context;
 pub mod context_manager;
+pub mod crash_state;
 pub mod crashes;
 pub mod directory;
 pub mod dispatch;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -215,6 +215,17 @@
         urgency
     }
 
+    /// All known crashes of some requests.
+    #[must_use]
+    pub fn crashes_of(&self, now_ms: u64, requests: &[Fingerprint]) -> Vec<CrashReport> {
+        let suspects =
+            requests.iter().filter_map(|request| Some((request, self.suspects.get(request)?)));
+        let crashes = suspects.flat_map(|(request, suspect)| {
+            suspect.crashes.iter().map(|crash| crash_report(now_ms, *request, *crash))
+        });
+        crashes.collect()
+    }
+
     /// The crashes to announce: recent ones, starting with the requests that have the most crashes,
     /// and all crashes of some quarantined requests, which take turns.
     pub fn crashes_to_announce(&mut self, now_ms: u64) -> Vec<CrashReport> {
@@ -242,16 +253,14 @@
         quarantined.sort_unstable();
         let start = self.announce_offset % quarantined.len();
         self.announce_offset = self.announce_offset.wrapping_add(MAX_ANNOUNCED_QUARANTINED);
-        let announced = quarantined
+        let announced: Vec<Fingerprint> = quarantined
             .iter()
             .cycle()
             .skip(start)
-            .take(quarantined.len().min(MAX_ANNOUNCED_QUARANTINED));
-        let suspects = announced.filter_map(|request| Some((request, self.suspects.get(request)?)));
-        let crashes = suspects.flat_map(|(request, suspect)| {
-            suspect.crashes.iter().map(|crash| crash_report(now_ms, *request, *crash))
-        });
-        crashes.collect()
+            .take(quarantined.len().min(MAX_ANNOUNCED_QUARANTINED))
+            .copied()
+            .collect();
+        self.crashes_of(now_ms, &announced)
     }
 
     /// The recent answers to announce.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -114,8 +114,11 @@
     /// Confirms a handover.
     HandoverConfirmed { of: BoxRef },
     /// Reports upstreams that crashed, with the requests that they were running, and such
-    /// requests that were answered since.
-    CrashReport { crashes: Vec<CrashReport>, answers: Vec<AnswerReport> },
+    /// requests that were answered since. If `acknowledge` holds a number, the receiver confirms
+    /// it once it has recorded the report.
+    CrashReport { acknowledge: Option<u64>, crashes: Vec<CrashReport>, answers: Vec<AnswerReport> },
+    /// Confirms that a crash report was recorded.
+    CrashReportReceived { report: u64 },
 }
 
 /// A message with its sender and receiver.
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -55,6 +55,8 @@
     pub silences: u64,
     /// For TCP relays: drops all bytes.
     pub dark: bool,
+    /// For TCP relays: delay of the bytes that arrive from now on, in milliseconds.
+    pub delay_ms: u64,
     /// Ends the process.
     pub die: bool,
     /// Ends the process when it starts a request that contains this text.
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -216,6 +216,13 @@
         tokio::time::sleep(CUT_DELAY).await;
     }
 
+    /// Delays the bytes between halls, or no longer.
+    pub async fn delay_halls(&self, delay_ms: u64) {
+        for relay in &self.hall_relays {
+            self.set_fault(relay, json!({ "delay_ms": delay_ms })).await;
+        }
+    }
+
     fn upstream_settings(&self, plan: &Plan, hall: &str) -> String {
         let mut text = String::new();
         for engine in self.engines.iter().filter(|engine| engine.hall == hall) {
--- a/standins/src/wire.rs
+++ b/standins/src/wire.rs
@@ -4,7 +4,7 @@
 //! the fault `silences` silences the open connections: both ends stay open, but
 //! all bytes are dropped. While the fault `dark` is set, the bytes of all
 //! connections are dropped; a connection that has lost any stays silent after
-//! `dark` is reset.
+//! `dark` is reset. The fault `delay_ms` delays bytes, which stay in order.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -92,6 +92,10 @@
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(read @ 1..) = from.read(&mut buffer).await {
+        let delay_ms = connection.faults.current().delay_ms;
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
         if !connection.drops_bytes() && to.write_all(&buffer[..read]).await.is_err() {
             return;
         }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -3,8 +3,10 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{check_completion, completion_request, service_call, start_fleet};
-use coursestile_standins::fleet::{Fleet, Plan, Process};
+use coursestile_standins::fleet::{Fleet, HallPlan, Plan, Process};
 use coursestile_standins::site::eventually;
 use reqwest::Response;
 use serde_json::{Value, json};
@@ -13,9 +15,26 @@
 /// Number of upstreams that one request may crash before it is quarantined.
 const MAX_CRASHES: usize = 3;
 
+/// Time within which a call is answered while another box is paused.
+const PAUSED_PEER_BOUND: Duration = Duration::from_secs(5);
+/// Delay of messages between the boxes.
+const MESSAGE_DELAY_MS: u64 = 80;
+
 /// Starts a hall of two boxes whose upstreams all crash on requests that contain "deadly".
 async fn start_hall() -> Fleet {
-    let fleet = start_fleet(&Plan::one_hall(2, 8, 8)).await;
+    start_crashing(&Plan::one_hall(2, 8, 8)).await
+}
+
+/// Starts two boxes, each in its own hall, with delayed messages between them.
+async fn start_distant_boxes() -> Fleet {
+    let halls = ["north", "east"].map(|name| HallPlan::new(name, 1, 4, 4));
+    let fleet = start_crashing(&Plan { hall_relays: true, ..Plan::new(halls.to_vec()) }).await;
+    fleet.delay_halls(MESSAGE_DELAY_MS).await;
+    fleet
+}
+
+async fn start_crashing(plan: &Plan) -> Fleet {
+    let fleet = start_fleet(plan).await;
     for upstream in fleet.engines.iter().chain(&fleet.workers) {
         fleet.set_fault(upstream, json!({ "die_on": "deadly" })).await;
     }
@@ -70,3 +89,52 @@
     assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
     assert_eq!(service_call(&fleet, 1, KEY, "/fixtures/sound").send().await.unwrap().status(), 200);
 }
+
+// The other box must know of all crashes before the caller is answered. The report was not waited
+// for, so that a caller who asked the other box at once crashed a fourth upstream there.
+#[tokio::test]
+async fn call_report_delayed() {
+    let fleet = start_distant_boxes().await;
+    let response = service_call(&fleet, 0, KEY, "/fixtures/deadly").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    let repeated = service_call(&fleet, 1, KEY, "/fixtures/deadly").send().await.unwrap();
+    assert!(is_quarantined(repeated).await);
+    assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
+}
+
+// The same for completions.
+#[tokio::test]
+async fn completion_report_delayed() {
+    let fleet = start_distant_boxes().await;
+    let response = completion_request(&fleet, 0, KEY, "deadly", 10).send().await.unwrap();
+    let body: Value = response.json().await.unwrap();
+    assert_eq!(body["error"]["ran"], "outcome unknown", "{body}");
+    let repeated = completion_request(&fleet, 1, KEY, "deadly", 10).send().await.unwrap();
+    assert!(is_quarantined(repeated).await);
+    assert_eq!(running_count(&fleet, &fleet.engines).await, 8 - MAX_CRASHES);
+}
+
+// Each call that may not be repeated crashes one upstream. The crashes count together, whichever
+// box saw them.
+#[tokio::test]
+async fn orders_report_delayed() {
+    let fleet = start_distant_boxes().await;
+    for at in [0, 1, 0] {
+        let response = service_call(&fleet, at, KEY, "/orders/deadly").send().await.unwrap();
+        assert_eq!(response.status(), 502);
+    }
+    let repeated = service_call(&fleet, 1, KEY, "/orders/deadly").send().await.unwrap();
+    assert!(is_quarantined(repeated).await);
+    assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
+}
+
+// A box that does not acknowledge a report must not hold the caller up for long.
+#[tokio::test]
+async fn peer_paused() {
+    let fleet = start_hall().await;
+    fleet.boxes[1].process.signal("-STOP");
+    let call = service_call(&fleet, 0, KEY, "/fixtures/deadly").timeout(PAUSED_PEER_BOUND);
+    assert_eq!(call.send().await.unwrap().status(), 502);
+    fleet.boxes[1].process.signal("-CONT");
+    assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
+}
