A crash is recognized when the port closes after the connections

Callers saw: a request that crashes upstreams crashed a fourth one, and more (`crashing_requests::call_crashes`, `call_report_delayed` beside load).

Cause: a process that exits may close its connections before its listening socket; on a busy machine, tens of milliseconds lie between. A new connection that stayed open for 50 ms counted as a sign that the process was running, so that the crash was not recorded.

Change: an accepted connection proves nothing. The own interface sends `OPTIONS *`: an answer tells a running server, the end of the connection one that exits. In the own interface a request waits 500 ms at most for the record and its acknowledgements; if the upstream is silent, the check goes on for 2 s, and a crash is recorded and reported then.

--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -17,13 +17,15 @@
 use crate::names::short_id;
 use crate::quarantine::UpdateUrgency;
 use crate::sync::locked;
-use crate::upstream::refuses_connections;
+use crate::upstream::has_ended;
 use crate::wire::{Envelope, Message};
 
 /// Number of peers to which a box forwards a crash that is new to it.
 const FANOUT: usize = 4;
 /// Maximum number of peers that a box reports a crash to itself; others learn of it from them.
 const MAX_REPORT_PEERS: usize = 64;
+/// Longest time for which a request waits for the record of a crash.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time limit for the acknowledgements of a report.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest time in which a crashed upstream restarts: crashes of an upstream in the same
@@ -41,14 +43,14 @@
 }
 
 /// Records that an upstream closed the connection before the request was answered. If its
-/// port then refuses connections, this counts as a crash, and the peers have acknowledged it
-/// when this returns, unless one does not answer in time.
+/// process has ended, this counts as a crash, and the peers have acknowledged it when this
+/// returns. The time limit for both is [`RECORD_TIMEOUT`]; what is missing then follows later.
 pub async fn record_abort(kernel: &Arc<Kernel>, upstream: &str, url: &str, request: Fingerprint) {
     let (kernel, upstream, url) = (kernel.clone(), upstream.to_owned(), url.to_owned());
     // In a task of its own, so that a crash is also reported if the caller disconnects.
     let recording = tokio::spawn(async move {
-        if !refuses_connections(&url).await {
-            info!(target: "crashes", "Upstream {upstream} aborted request {request}, but its port is open.");
+        if !has_ended(&url).await {
+            info!(target: "crashes", "Upstream {upstream} aborted request {request} and is running.");
             return;
         }
         info!(target: "crashes", "Upstream {upstream} crashed while running request {request}.");
@@ -57,8 +59,8 @@
         locked(&kernel.crashes.quarantine).record_crash(now_ms, request, incarnation_id, now_ms);
         report_crash(&kernel, request).await;
     });
-    // Fails only if the task panics.
-    let _ = recording.await;
+    // The task continues after the time limit.
+    let _ = timeout(RECORD_TIMEOUT, recording).await;
 }
 
 /// Records that an upstream has answered a request completely.
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -23,7 +23,7 @@
 };
 use crate::ledger::{Answer, Outcome};
 use crate::pool::{ConnectionPool, ConnectionPools, PooledClient};
-use crate::port::is_closed;
+use crate::port::has_server_ended;
 use crate::wire::Call;
 
 /// Timeout of calls that do not transfer context or load weights.
@@ -62,11 +62,11 @@
     }
 }
 
-/// Whether the address of `url` refuses connections, as no process listens there.
-pub async fn refuses_connections(url: &str) -> bool {
+/// Whether the process of the upstream at `url` has ended.
+pub async fn has_ended(url: &str) -> bool {
     let Ok(url) = reqwest::Url::parse(url) else { return false };
     match (url.host_str(), url.port_or_known_default()) {
-        (Some(host), Some(port)) => is_closed((host, port)).await,
+        (Some(host), Some(port)) => has_server_ended((host, port)).await,
         _ => false,
     }
 }
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -4,7 +4,7 @@
 //! left out keep their value. `{"die": true}` ends the process immediately.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json};
 use poem::{
-    Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post,
+    Body, Endpoint, EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post,
 };
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpSocket;
@@ -61,6 +61,9 @@
     pub die: bool,
     /// Ends the process when it starts a request that contains this text.
     pub die_on: Option<String>,
+    /// Time between the end of the connection and that of the process with `die_on`, in
+    /// milliseconds.
+    pub die_delay_ms: u64,
 }
 
 /// Shared handle to the faults that are set.
@@ -68,6 +71,7 @@
 pub struct Faults {
     state: Arc<Mutex<FaultState>>,
     refused: Arc<AtomicU64>,
+    dying: Arc<AtomicBool>,
 }
 
 impl Faults {
@@ -80,11 +84,21 @@
         self.state.lock().expect("fault lock").clone()
     }
 
-    /// Ends the process if the fault `die_on` is set and `text` contains its value.
+    /// Ends the process if the fault `die_on` is set and `text` contains its value. With
+    /// `die_delay_ms`, breaks all answers off and ends the process later.
     pub fn crash_if_triggered(&self, text: &str) {
-        if self.current().die_on.is_some_and(|trigger| text.contains(&trigger)) {
+        let state = self.current();
+        if !state.die_on.is_some_and(|trigger| text.contains(&trigger)) {
+            return;
+        }
+        if state.die_delay_ms == 0 {
             std::process::exit(1);
         }
+        self.dying.store(true, Ordering::Relaxed);
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(state.die_delay_ms));
+            std::process::exit(1);
+        });
     }
 
     /// Number of completions and service calls refused during outages.
@@ -117,6 +131,12 @@
     if retry_s == 0 { response.finish() } else { response.header("retry-after", retry_s).finish() }
 }
 
+/// A response that is shorter than its head says; the server closes the connection after it.
+fn broken_response() -> Response {
+    let chunk = futures_util::stream::iter([Ok::<_, std::io::Error>(vec![b'.'])]);
+    Response::builder().header("content-length", 2).body(Body::from_bytes_stream(chunk))
+}
+
 #[handler]
 fn set_fault(Json(change): Json<serde_json::Value>, Data(faults): Data<&Faults>) -> Response {
     match faults.set(&change) {
@@ -139,7 +159,7 @@
     if matches!(request.uri().path(), "/fault" | "/counts" | "/runs") {
         return endpoint.call(request).await.map(IntoResponse::into_response);
     }
-    while faults.current().frozen {
+    while faults.current().frozen || faults.dying.load(Ordering::Relaxed) {
         tokio::time::sleep(FREEZE_POLL_PERIOD).await;
     }
     let state = faults.current();
@@ -152,6 +172,9 @@
     }
     tokio::time::sleep(Duration::from_millis(state.slow_ms)).await;
     let response = endpoint.call(request).await.map(IntoResponse::into_response);
+    if faults.dying.load(Ordering::Relaxed) {
+        return Ok(broken_response());
+    }
     if faults.take_lost_answer() {
         tokio::time::sleep(LOST_ANSWER_HOLD).await;
         return Ok(StatusCode::GATEWAY_TIMEOUT.into());
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -93,6 +93,8 @@
     /// Request body that makes the upstream crash.
     crash_body: Option<Vec<u8>>,
     crashed: watch::Sender<bool>,
+    /// Time for which the port stays open after a crash.
+    port_closes_after: Duration,
 }
 
 type Shared = Arc<Mutex<State>>;
@@ -133,6 +135,10 @@
                 () = accept => {}
                 () = wait_for_crash(&shared) => {}
             }
+            let port_closes_after =
+                shared.lock().expect("no task panics under the lock").port_closes_after;
+            tokio::time::sleep(port_closes_after).await;
+            drop(listener);
         });
         Self { address, id: id.to_owned(), state, accepting }
     }
@@ -157,6 +163,11 @@
         self.state().crash_body = Some(body.as_bytes().to_vec());
     }
 
+    /// Keeps the port open for a while after a crash, without accepting connections.
+    pub fn close_port_after(&self, delay: Duration) {
+        self.state().port_closes_after = delay;
+    }
+
     /// Whether it has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -17,6 +17,8 @@
 
 /// Time within which a call is answered while another box is paused.
 const PAUSED_PEER_BOUND: Duration = Duration::from_secs(5);
+/// Time for which an upstream's port stays open after a crash has closed its connections.
+const EXIT_DELAY: Duration = Duration::from_millis(150);
 /// Delay of messages between the boxes.
 const MESSAGE_DELAY_MS: u64 = 80;
 
@@ -138,3 +140,22 @@
     fleet.boxes[1].process.signal("-CONT");
     assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
 }
+
+// An upstream that crashes may close the connection of the request some time before its port. The
+// crash was not recognized, so that the request was sent to more upstreams than three.
+#[tokio::test]
+async fn port_closed_late() {
+    let fleet = start_hall().await;
+    for upstream in fleet.engines.iter().chain(&fleet.workers) {
+        fleet.set_fault(upstream, json!({ "die_delay_ms": EXIT_DELAY.as_millis() })).await;
+    }
+    let response = service_call(&fleet, 0, KEY, "/fixtures/deadly").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    tokio::time::sleep(2 * EXIT_DELAY).await;
+    assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
+    let response = completion_request(&fleet, 0, KEY, "deadly", 10).send().await.unwrap();
+    let body: Value = response.json().await.unwrap();
+    assert_eq!(body["error"]["ran"], "outcome unknown", "{body}");
+    tokio::time::sleep(2 * EXIT_DELAY).await;
+    assert_eq!(running_count(&fleet, &fleet.engines).await, 8 - MAX_CRASHES);
+}
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -16,6 +16,8 @@
 
 /// Time after the third crash within which boxes may still forward the request.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+/// Time for which an upstream's port stays open after a crash has closed its connections.
+const PORT_DELAY: Duration = Duration::from_millis(150);
 /// Crashes after which a request is quarantined.
 const QUARANTINE_CRASHES: usize = 3;
 /// Body of the request that crashes any upstream that runs it.
@@ -107,6 +109,18 @@
     assert_eq!(answer.status(), 200, "other requests of the client must be served");
 }
 
+/// An upstream that crashes may close the connections of requests some time before its port. The
+/// crash was not recognized.
+#[tokio::test]
+async fn port_closed_late() {
+    let mut fleet = Fleet::start(12).await;
+    for server in &fleet.servers {
+        server.close_port_after(PORT_DELAY);
+    }
+    fleet.crash_until_quarantined("/safe/").await;
+    fleet.assert_quarantined("/safe/").await;
+}
+
 /// The quarantine outlasts the restart of all boxes.
 #[tokio::test]
 async fn boxes_killed() {
