Calls are forwarded to a ledger's holder even if it is considered dead

Callers saw: 502 "outcome unknown" where the kept answer was due.

Cause: a box that considered the holder of a ledger dead did not ask it, but waited for another heir for 2 s, though membership may be wrong: beside load a paused box, or a hall whose connection is back, is dead in the views of others until the next probe of a dead member, up to 5 s later. A box that believed in an outdated holder, which did not answer, asked no peer for its heir either.

Which of the causes was behind the runs of `once::ledger_inherited` that failed beside load is not shown, since no line told what the box knew of the heirs; a line does now (`calls: Call ... not delivered`).

Change: what membership says of the holder's health only limits the time: the call goes to the last box in the chain of heirs, and peers are asked for a later heir every 0.4 s while it is not answered. If that box is considered dead, this ends after 2 s, as before. Peers considered dead are asked last.

--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -1,13 +1,15 @@
 //! Forwards calls to the box that issued their ticket, or to the heir of its ledger.
 //!
 //! Messages may be lost, and this box may learn of an heir late, so a call is sent again
-//! until it is answered, each time to the current holder of the ledger. It keeps its
-//! number: the receiver does not start a call again that is still running there, nor one
+//! until it is answered, each time to the current holder of the ledger, while peers are asked
+//! for its heir. What membership says of the holder's health only limits how long that goes on.
+//! The call keeps its number: the receiver does not start a call again that is still running there, nor one
 //! that it has answered as not run. In all other cases it answers from the ledger.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::info;
 use tokio::sync::mpsc;
 
 use crate::call_state::ReceivedCall;
@@ -15,6 +17,7 @@
 use crate::gossip::send_gossip;
 use crate::kernel::Kernel;
 use crate::ledger::Outcome;
+use crate::member::Health;
 use crate::refusal::Reason;
 use crate::spending::{answer_from_inherited_ledger, run_at_most_once};
 use crate::sync::locked;
@@ -57,44 +60,80 @@
     let unreachable = CallEnd::unknown(Reason::SpenderUnreachable);
     let lookup_deadline_ms = now_ms() + HEIR_LOOKUP_TIMEOUT_MS;
     let mut resend_after_ms = FIRST_RESEND_AFTER_MS;
-    let mut query_at_ms = now_ms();
+    let mut queries = HeirQueries { kernel, spender, next_at_ms: now_ms() };
     while now_ms() < call.deadline_ms {
         let ledger_holder = kernel.membership().view().ledger_holder(spender).cloned();
+        let mut is_considered_alive = false;
         let end = match ledger_holder {
             Some(member) if member.id == kernel.box_id => {
                 answer_from_inherited_ledger(kernel, spender, call)
             }
             Some(member) => {
                 let (spender, call) = (spender.clone(), Box::new(call.clone()));
-                let resend_at_ms = call.deadline_ms.min(now_ms() + resend_after_ms);
+                let call_deadline_ms = call.deadline_ms;
                 kernel.send(&member.address, Message::Call { number, spender, call });
-                resend_after_ms *= 2;
-                let received = tokio::time::timeout_at(instant_at(resend_at_ms), ends.recv());
-                match received.await {
-                    Ok(end) => end,
-                    Err(_) => continue,
-                }
+                // A box that is considered dead may be running, as the heir that is known may be
+                // outdated: both are tried until the lookup ends.
+                is_considered_alive = member.health != Health::Dead;
+                let resend_at_ms = if is_considered_alive {
+                    resend_after_ms *= 2;
+                    now_ms() + resend_after_ms / 2
+                } else {
+                    queries.send_if_due();
+                    now_ms() + HEIR_QUERY_PERIOD_MS
+                };
+                let resend_at = instant_at(resend_at_ms.min(call_deadline_ms));
+                tokio::time::timeout_at(resend_at, ends.recv()).await.unwrap_or_default()
             }
             None => None,
         };
+        // A box that has not answered may be running the call.
+        let may_be_running = is_considered_alive && end.is_none();
         match end {
             Some(end) if end != unreachable => return end,
-            // No ledger holder is known, or the box that was tried does not hold the ledger:
-            // this box may be about to learn of an heir.
-            Some(_) | None if now_ms() < lookup_deadline_ms => {
-                if now_ms() >= query_at_ms {
-                    query_at_ms = now_ms() + HEIR_QUERY_PERIOD_MS;
-                    let queries = kernel.membership().query_heirs(spender);
-                    send_gossip(kernel, queries);
-                }
-                tokio::time::sleep(HEIR_POLL_PERIOD).await;
-            }
-            Some(_) | None => break,
+            Some(_) | None => queries.send_if_due(),
+        }
+        if may_be_running {
+            continue;
+        }
+        if now_ms() >= lookup_deadline_ms {
+            break;
         }
+        tokio::time::sleep(HEIR_POLL_PERIOD).await;
     }
+    log_undelivered(kernel, spender, call);
     unreachable
 }
 
+/// Queries of peers for the heir of a ledger's holder.
+struct HeirQueries<'a> {
+    kernel: &'a Kernel,
+    spender: &'a BoxRef,
+    next_at_ms: u64,
+}
+
+impl HeirQueries<'_> {
+    fn send_if_due(&mut self) {
+        if now_ms() < self.next_at_ms {
+            return;
+        }
+        self.next_at_ms = now_ms() + HEIR_QUERY_PERIOD_MS;
+        let queries = self.kernel.membership().query_heirs(self.spender);
+        send_gossip(self.kernel, queries);
+    }
+}
+
+fn log_undelivered(kernel: &Kernel, spender: &BoxRef, call: &Call) {
+    let membership = kernel.membership();
+    let chain = membership.view().heir_chain(spender);
+    let chain: Vec<String> = chain
+        .into_iter()
+        .map(|member| format!("{} {:?} heir {:?}", member.id, member.health, member.heir))
+        .collect();
+    info!(target: "calls", "Call {} not delivered to the holder of the ledger of {spender}; heirs known: [{}].",
+        call.key.key, chain.join(", "));
+}
+
 /// Answers a call that the box `from`, which listens at `reply_to`, has forwarded. A
 /// repeated message for a call that still runs here is ignored.
 pub async fn handle_forwarded_call(
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -113,15 +113,16 @@
         self.view.record_inheritance(now_ms, leaver);
     }
 
-    /// Asks some peers which box holds the ledger of a box. A box that was unreachable when this
-    /// was announced cannot learn it in any other way.
+    /// Asks some peers which box holds the ledger of a box, those considered dead last. A box that
+    /// was unreachable when this was announced cannot learn it in any other way.
     pub fn query_heirs(&mut self, of: &BoxRef) -> Vec<Outgoing> {
-        let live = self.view.others().filter(|member| member.takes_work());
-        let mut peers: Vec<_> = live.map(|member| member.address.clone()).collect();
+        let mut peers: Vec<_> =
+            self.view.others().map(|member| (member.health, member.address.clone())).collect();
         self.rng.shuffle(&mut peers);
+        peers.sort_by_key(|(health, _)| *health == Health::Dead);
         peers.truncate(HEIR_QUERY_PEERS);
         let gossip = Gossip::Heirs { of: of.clone() };
-        peers.into_iter().map(|to| Outgoing { to, gossip: gossip.clone() }).collect()
+        peers.into_iter().map(|(_, to)| Outgoing { to, gossip: gossip.clone() }).collect()
     }
 
     fn heirs_reply(&self, to: &str, of: &BoxRef) -> Vec<Outgoing> {
--- a/src/view.rs
+++ b/src/view.rs
@@ -80,13 +80,12 @@
         self.members().filter(|member| member.hall == hall && member.takes_work()).collect()
     }
 
-    /// The box that holds the ledger of `spender`: `spender` itself, or its last heir. `None` if
-    /// no box is known to hold it.
+    /// The box that holds the ledger of `spender`: `spender` itself, or its last heir, which may
+    /// be considered dead. `None` if no box is known to hold it.
     #[must_use]
     pub fn ledger_holder(&self, spender: &BoxRef) -> Option<&Member> {
         let last = self.heir_chain(spender).into_iter().last()?;
-        let holds_ledger = last.heir.is_none() && last.health != Health::Dead;
-        holds_ledger.then_some(last)
+        last.heir.is_none().then_some(last)
     }
 
     /// A box, its heir, the heir of that one and so on, as far as they are known.
