A stopping box takes over no ledgers, and answers from its own until it stops

Callers saw: 502 "outcome unknown" where the kept answer was due, while boxes stop at the same time or a handover takes longer than 2 s.

Cause: two orders were not kept. A box that was handing its own ledgers over still confirmed a ledger of another stopping box, and ended with it. And it took the inherited ledgers out of use before their heir had them, so that calls that came to it meanwhile found no ledger.

Change: a box confirms a ledger only as long as it will hand it over itself (`inherited_ledgers`, pure). The candidates are chosen anew in the second round. Until it stops, a box answers from copies of what it hands over; they are closed, so that nothing runs.

--- a/src/call_state.rs
+++ b/src/call_state.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::{mpsc, watch};
 
+use crate::inherited_ledgers::InheritedLedgers;
 use crate::ledger::Ledger;
 use crate::sync::locked;
 use crate::ticket::BoxRef;
@@ -15,7 +16,7 @@
 pub struct Calls {
     pub(crate) own_ledger: Mutex<Ledger>,
     /// Ledgers that stopped boxes have handed over to this one.
-    pub(crate) inherited_ledgers: Mutex<HashMap<BoxRef, Ledger>>,
+    pub(crate) inherited_ledgers: Mutex<InheritedLedgers>,
     pub(crate) forwarded: ForwardedCalls,
     /// Availability of the workers of plain services.
     pub workers: WorkerStates,
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -14,11 +14,11 @@
 use crate::clock::now_ms;
 use crate::forwarding::{forward_call, handle_forwarded_call};
 use crate::kernel::{Kernel, Plugin, Topic};
-use crate::ledger::{Answer, CallKey, Outcome};
+use crate::ledger::{Answer, CallKey, Ledger, Outcome};
 use crate::refusal::{Reason, Refusal};
 use crate::spending::run_at_most_once;
 use crate::sync::locked;
-use crate::ticket::{Ticket, TicketError};
+use crate::ticket::{BoxRef, Ticket, TicketError};
 use crate::wire::{Call, CallEnd, Envelope, Message};
 use crate::workers::call_worker;
 
@@ -109,14 +109,7 @@
             kernel.calls.forwarded.deliver_end(number, end);
         }
         Message::Handover { of, ledger } => {
-            info!(target: "calls", "Took over the ledger of {of} with {} keys.", ledger.len());
-            let mut inherited = locked(&kernel.calls.inherited_ledgers);
-            inherited.insert(of.clone(), *ledger);
-            drop(inherited);
-            if of == envelope.from {
-                kernel.membership().record_inheritance(now_ms(), &of);
-            }
-            kernel.send(&envelope.reply_to, Message::HandoverConfirmed { of });
+            accept_ledger(kernel, &envelope.from, &envelope.reply_to, of, *ledger);
         }
         Message::HandoverConfirmed { of } => {
             kernel.calls.handover_confirmed.send_replace(Some((envelope.from, of)));
@@ -125,6 +118,21 @@
     }
 }
 
+/// Takes over a ledger that the leaving box `from` holds, and confirms it. A box that hands its own
+/// ledgers over does not confirm, so that the leaving box tries another heir.
+fn accept_ledger(kernel: &Kernel, from: &BoxRef, reply_to: &str, of: BoxRef, ledger: Ledger) {
+    let keys = ledger.len();
+    if !locked(&kernel.calls.inherited_ledgers).accept(of.clone(), ledger) {
+        return info!(target: "calls", "Did not take over the ledger of {of}: this box is stopping.");
+    }
+    info!(target: "calls", "Took over the ledger of {of} with {keys} keys.");
+    // The own ledger comes last: with it, this box has all ledgers of the leaving box.
+    if of == *from {
+        kernel.membership().record_inheritance(now_ms(), from);
+    }
+    kernel.send(reply_to, Message::HandoverConfirmed { of });
+}
+
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
     tokio::spawn(async move {
@@ -133,11 +141,7 @@
             ticks.tick().await;
             kernel.calls.ledger().expire(now_ms());
             kernel.calls.forwarded.expire(now_ms());
-            let mut inherited = locked(&kernel.calls.inherited_ledgers);
-            for ledger in inherited.values_mut() {
-                ledger.expire(now_ms());
-            }
-            inherited.retain(|_, ledger| !ledger.is_empty());
+            locked(&kernel.calls.inherited_ledgers).expire(now_ms());
         }
     });
 }
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -1,6 +1,5 @@
 //! Hands the ledgers of a stopping box over to a peer, their heir.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,25 +27,29 @@
 /// Delay after each announcement.
 const HEIR_ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(400);
 
-/// Closes the own ledger, and hands it and the inherited ones over to a peer.
+/// Closes the own ledger, and hands it and the inherited ones over to a peer. Until the box stops,
+/// it still answers from them.
 pub async fn hand_over(kernel: &Arc<Kernel>) {
-    let mut ledgers = std::mem::take(&mut *locked(&kernel.calls.inherited_ledgers));
-    {
+    let mut ledgers = locked(&kernel.calls.inherited_ledgers).close();
+    let own_ledger = {
         let mut own_ledger = kernel.calls.ledger();
         own_ledger.close();
-        ledgers.insert(kernel.box_id.clone(), own_ledger.handover_copy());
-    }
-    ledgers.retain(|_, ledger| !ledger.is_empty());
-    if ledgers.is_empty() {
+        own_ledger.handover_copy()
+    };
+    if ledgers.is_empty() && own_ledger.is_empty() {
         return;
     }
-    let candidates = heir_candidates(kernel);
-    for heir in std::iter::repeat_n(&candidates, HANDOVER_ROUNDS).flatten() {
-        if send_ledgers(kernel, heir, &ledgers).await {
-            info!(target: "calls", "Handed {} ledgers over to {}.", ledgers.len(), heir.id);
-            kernel.membership().leave(Some(heir.id.clone()));
-            announce_heir(kernel).await;
-            return;
+    if !own_ledger.is_empty() {
+        ledgers.push((kernel.box_id.clone(), own_ledger));
+    }
+    for _ in 0..HANDOVER_ROUNDS {
+        for heir in heir_candidates(kernel) {
+            if send_ledgers(kernel, &heir, &ledgers).await {
+                info!(target: "calls", "Handed {} ledgers over to {}.", ledgers.len(), heir.id);
+                kernel.membership().leave(Some(heir.id.clone()));
+                announce_heir(kernel, &heir).await;
+                return;
+            }
         }
     }
     warn!(target: "calls", "Nobody took the ledger: outcomes of its calls become unknown.");
@@ -54,7 +57,7 @@
 
 /// Announces the heir to all boxes. A box that first learns of this box's next incarnation
 /// would no longer get the heir by gossip.
-async fn announce_heir(kernel: &Arc<Kernel>) {
+async fn announce_heir(kernel: &Arc<Kernel>, heir: &Member) {
     for _ in 0..HEIR_ANNOUNCEMENTS {
         let (me, addresses): (Member, Vec<String>) = {
             let membership = kernel.membership();
@@ -63,19 +66,15 @@
             (view.me().clone(), live.map(|member| member.address.clone()).collect())
         };
         for address in &addresses {
-            let gossip = Gossip::Table { members: vec![me.clone()] };
+            let gossip = Gossip::Table { members: vec![heir.clone(), me.clone()] };
             kernel.send(address, Message::Gossip(gossip));
         }
         tokio::time::sleep(HEIR_ANNOUNCEMENT_PERIOD).await;
     }
 }
 
-/// Sends all ledgers to one heir; true if it has confirmed each of them in time.
-async fn send_ledgers(
-    kernel: &Arc<Kernel>,
-    heir: &Member,
-    ledgers: &HashMap<BoxRef, Ledger>,
-) -> bool {
+/// Sends all ledgers to one heir, in order; true if it has confirmed each of them in time.
+async fn send_ledgers(kernel: &Arc<Kernel>, heir: &Member, ledgers: &[(BoxRef, Ledger)]) -> bool {
     for (owner, ledger) in ledgers {
         let sent = send_ledger(kernel, heir, owner, ledger);
         if tokio::time::timeout(HANDOVER_TIMEOUT, sent).await.is_err() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod handover;
 pub mod heartbeat;
 pub mod import;
+pub mod inherited_ledgers;
 pub mod ini_file;
 pub mod invariant;
 pub mod kernel;
