An heir knows that it has all ledgers: the own one is handed over last

Callers saw: 502 "outcome unknown" where the kept answer was due.

Cause: an heir announced its inheritance only when it got the ledger that the leaving box had opened itself. A box whose own ledger was empty, but which had inherited others, did not send it: where those went was known from its own announcements alone, for which it has 1.2 s before it ends. With several ledgers, sent in no order, an heir could also announce itself with a part of them, and the box then hand all over to another one.

Evidence: a simulated heir: `handover::own_ledger_last` failed each time before, and passes.

Change: all ledgers go to the heir in order, each confirmed, the own one last and also when it is empty; an heir that has it has all, and announces that. Cost: one more message and its confirmation in a planned stop.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -39,9 +39,9 @@
     if ledgers.is_empty() && own_ledger.is_empty() {
         return;
     }
-    if !own_ledger.is_empty() {
-        ledgers.push((kernel.box_id.clone(), own_ledger));
-    }
+    // The own ledger comes last, even if it is empty: the heir that has it has all of them, and
+    // announces that itself, since this box may end before it has.
+    ledgers.push((kernel.box_id.clone(), own_ledger));
     for _ in 0..HANDOVER_ROUNDS {
         for heir in heir_candidates(kernel) {
             if send_ledgers(kernel, &heir, &ledgers).await {
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -58,6 +58,23 @@
     tokio::time::timeout(HANDOVER_START_TIMEOUT, handover).await.expect("a ledger is handed over")
 }
 
+// The heir must know that it has all ledgers of the leaving box. A box without calls of its own
+// handed over only what it had inherited: if it ended before it had announced the heir, no box
+// knew where that was.
+#[tokio::test]
+async fn own_ledger_last() {
+    let (fleet, mut peer) = start_heir().await;
+    fleet.boxes[0].process.signal("-TERM");
+    let inherited = next_handover(&mut peer).await;
+    assert_eq!(inherited, box_ref("earlier"));
+    peer.send(Message::HandoverConfirmed { of: inherited });
+    let mut last = next_handover(&mut peer).await;
+    while last == box_ref("earlier") {
+        last = next_handover(&mut peer).await;
+    }
+    assert_eq!(last, peer.spender);
+}
+
 // A box that hands its ledgers over must not take over another one, which would end with it.
 #[tokio::test]
 async fn heir_stopping() {
