A stopping box also tries heirs that it considers dead

Callers saw: 502 "outcome unknown" where the kept answer was due.

Cause: a box whose peers are all considered dead in its view handed its ledger to nobody.

Evidence: `handover::peers_considered_dead` failed each time before ("Nobody took the ledger"), and passes.

Change: boxes that are considered dead are the last choice as heirs, and the heir is announced to them, too.

--- a/src/handover.rs
+++ b/src/handover.rs
@@ -62,8 +62,7 @@
         let (me, addresses): (Member, Vec<String>) = {
             let membership = kernel.membership();
             let view = membership.view();
-            let live = view.others().filter(|member| member.health != Health::Dead);
-            (view.me().clone(), live.map(|member| member.address.clone()).collect())
+            (view.me().clone(), view.others().map(|member| member.address.clone()).collect())
         };
         for address in &addresses {
             let gossip = Gossip::Table { members: vec![heir.clone(), me.clone()] };
@@ -100,11 +99,12 @@
 }
 
 /// Peers that can take over the ledgers, in the order to try them: those that answer probes
-/// before suspects, and boxes of the own hall first within each group.
+/// before suspects, and those before boxes that are considered dead, which may be running; boxes
+/// of the own hall first within each group.
 fn heir_candidates(kernel: &Kernel) -> Vec<Member> {
     let membership = kernel.membership();
-    let available = membership.view().members().skip(1).filter(|member| member.takes_work());
-    let mut candidates: Vec<_> = available.cloned().collect();
+    let not_leaving = membership.view().others().filter(|member| member.health != Health::Leaving);
+    let mut candidates: Vec<_> = not_leaving.cloned().collect();
     fastrand::shuffle(&mut candidates);
     candidates.sort_by_key(|member| (member.health, member.hall != kernel.settings.hall));
     candidates.truncate(MAX_HEIR_CANDIDATES);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -101,6 +101,16 @@
     assert_eq!(end.outcome, Outcome::NotRun, "a key that a closed ledger does not have");
 }
 
+// If all peers are considered dead, one of them may be running nevertheless. The ledger was handed
+// to nobody.
+#[tokio::test]
+async fn peers_considered_dead() {
+    let (fleet, mut peer) = start_heir().await;
+    peer.introduce(Health::Dead);
+    fleet.boxes[0].process.signal("-TERM");
+    assert_eq!(next_handover(&mut peer).await, box_ref("earlier"));
+}
+
 #[test]
 fn closed_inheritance() {
     let mut inherited = InheritedLedgers::default();
