Soak: name the requests that reached a leaving upstream

The message of `with_restarts::case_1_one` has times only, so that the boxes' logs could not be searched for the requests: they show none routed at those times, which leaves open when and by which box they were. No check changes.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -154,10 +154,12 @@
                 .collect();
             if let Some(first) = late.first() {
                 let (count, id, at_ms) = (late.len(), &leave.id, self.at_ms(first.at));
+                let requests: Vec<&str> = late.iter().map(|run| run.request_id.as_str()).collect();
+                let requests = requests.join(", ");
                 let from_ms = self.at_ms(leave.from);
                 violations.push(format!(
                     "upstream {id} was about to leave from {from_ms} ms and got {count} requests \
-                     after {by_ms} ms, first at {at_ms} ms"
+                     after {by_ms} ms, first at {at_ms} ms: {requests}"
                 ));
             }
         }
