Soak: record when its own tasks ran late

The entries `with_restarts::case_1_one` and `short_runs::case_1_one` rest on times that the soak measured beside load: a request seen at an upstream 253 ms after the bound, one that ended 94 ms after the time allowed. Whether the box or the soak was late cannot be told from what is recorded. No check changes.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -12,6 +12,7 @@
 use coursestile_standins::site::server::WORK_HEADER;
 use tokio::time::{sleep, timeout};
 
+use crate::stalls::Stall;
 use crate::world::{NewestConfiguration, RUN_PATH, World, version_path};
 
 /// Delay before reconnecting after a failed connection attempt.
@@ -130,6 +131,8 @@
     pub requests: Vec<RequestRecord>,
     /// Cases where an older configuration came back into force on one connection, as text.
     pub reverted: Vec<String>,
+    /// When the soak's own tasks ran late.
+    pub stalls: Vec<Stall>,
 }
 
 /// Sends requests to one box until `stop` is set.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod notices;
 mod plan;
 mod proxy;
+mod stalls;
 mod world;
 
 use std::collections::BTreeMap;
@@ -98,6 +99,8 @@
     pub outcomes: BTreeMap<String, usize>,
     /// Steps that were carried out, one line each.
     pub steps: Vec<String>,
+    /// When the soak's own tasks ran late, one line each.
+    pub stalls: Vec<String>,
     /// Folder with the logs, if a guarantee was violated.
     pub logs: Option<PathBuf>,
 }
@@ -147,6 +150,7 @@
             clients.push(tokio::spawn(prompting));
         }
     }
+    clients.push(tokio::spawn(stalls::record_stalls(observations.clone(), stop.clone())));
     if with_crashing {
         clients.push(tokio::spawn(crashing::replace_crashed(world.clone(), stop.clone())));
         clients.push(tokio::spawn(crashing::send_crashing_requests(
@@ -182,7 +186,11 @@
     violations.extend(run_data.violations());
     let logs = if violations.is_empty() { None } else { Some(keep_logs(&world, options.seed)?) };
     let steps = steps.iter().map(describe).collect();
-    Ok(Report { violations, outcomes: count_outcomes(&run_data), steps, logs })
+    let stalls = observations.stalls.iter().map(|stall| {
+        format!("{} ms late at {} ms", stall.late_by.as_millis(), run_data.at_ms(stall.at))
+    });
+    let stalls = stalls.collect();
+    Ok(Report { violations, outcomes: count_outcomes(&run_data), steps, stalls, logs })
 }
 
 /// Carries out each step at its time and waits for all of them.
