Crash reports to be confirmed are messages of their own

Read as a newcomer: the report that peers confirm and the one that is passed on are told apart by their names, like a handover and its confirmation. Forwarding: the waiting times of both kinds of holders in one place.

--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -15,7 +15,7 @@
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::member::Health;
 use crate::names::short_id;
-use crate::quarantine::UpdateUrgency;
+use crate::quarantine::{AnswerReport, CrashReport, UpdateUrgency};
 use crate::sync::locked;
 use crate::upstream::has_ended;
 use crate::wire::{Envelope, Message};
@@ -76,22 +76,19 @@
     let crashes = &kernel.crashes;
     locked(&crashes.unreported).push(request);
     let _sending = crashes.sending.lock().await;
-    let requests = std::mem::take(&mut *locked(&crashes.unreported));
+    let mut requests = std::mem::take(&mut *locked(&crashes.unreported));
     if requests.is_empty() {
         // Reported together with another request while this task waited for its turn.
         return;
     }
+    requests.sort_unstable();
+    requests.dedup();
     let reported = locked(&crashes.quarantine).crashes_of(now_ms(), &requests);
     let peers = peers_to_inform(kernel);
     let report = kernel.unique_number();
     locked(&crashes.acknowledgements).start(report, peers.iter().map(String::as_str));
     for peer in &peers {
-        let message = Message::CrashReport {
-            acknowledge: Some(report),
-            crashes: reported.clone(),
-            answers: Vec::new(),
-        };
-        kernel.send(peer, message);
+        kernel.send(peer, Message::ReportCrashes { report, crashes: reported.clone() });
     }
     let acknowledged = async {
         while !locked(&crashes.acknowledgements).is_complete() {
@@ -122,8 +119,7 @@
     let message = {
         let (mut quarantine, now_ms) = (locked(&kernel.crashes.quarantine), now_ms());
         let answers = quarantine.answers_to_announce(now_ms);
-        let crashes = quarantine.crashes_to_announce(now_ms);
-        Message::CrashReport { acknowledge: None, crashes, answers }
+        Message::CrashReport { crashes: quarantine.crashes_to_announce(now_ms), answers }
     };
     for address in random_peers(kernel) {
         kernel.send(&address, message.clone());
@@ -141,17 +137,12 @@
 
 fn receive(kernel: &Arc<Kernel>, envelope: Envelope) {
     match envelope.message {
-        Message::CrashReport { acknowledge, crashes, answers } => {
-            let urgency =
-                locked(&kernel.crashes.quarantine).merge_reports(now_ms(), &crashes, &answers);
-            if let Some(report) = acknowledge {
-                kernel.send(&envelope.reply_to, Message::CrashReportReceived { report });
-            }
-            if urgency != UpdateUrgency::None {
-                notify_peers(kernel);
-            }
+        Message::CrashReport { crashes, answers } => merge_reports(kernel, &crashes, &answers),
+        Message::ReportCrashes { report, crashes } => {
+            merge_reports(kernel, &crashes, &[]);
+            kernel.send(&envelope.reply_to, Message::CrashesConfirmed { report });
         }
-        Message::CrashReportReceived { report }
+        Message::CrashesConfirmed { report }
             if locked(&kernel.crashes.acknowledgements).record(report, &envelope.reply_to) =>
         {
             kernel.crashes.all_acknowledged.notify_one();
@@ -160,4 +151,12 @@
     }
 }
 
+/// Merges reports of a peer, and forwards what is new.
+fn merge_reports(kernel: &Kernel, crashes: &[CrashReport], answers: &[AnswerReport]) {
+    let urgency = locked(&kernel.crashes.quarantine).merge_reports(now_ms(), crashes, answers);
+    if urgency != UpdateUrgency::None {
+        notify_peers(kernel);
+    }
+}
+
 fn start(_: &Arc<Kernel>) {}
--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -1,10 +1,11 @@
 //! Forwards calls to the box that issued their ticket, or to the heir of its ledger.
 //!
 //! Messages may be lost, and this box may learn of an heir late, so a call is sent again
-//! until it is answered, each time to the current holder of the ledger, while peers are asked
-//! for its heir. What membership says of the holder's health only limits how long that goes on.
-//! The call keeps its number: the receiver does not start a call again that is still running there, nor one
-//! that it has answered as not run. In all other cases it answers from the ledger.
+//! until it is answered, each time to the current holder of the ledger, while peers are
+//! asked for its heir. What membership says of the holder's health only limits how long
+//! that goes on. The call keeps its number: the receiver does not start a call again that
+//! is still running there, nor one that it has answered as not run. In all other cases it
+//! answers from the ledger.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,22 +73,23 @@
                 let (spender, call) = (spender.clone(), Box::new(call.clone()));
                 let call_deadline_ms = call.deadline_ms;
                 kernel.send(&member.address, Message::Call { number, spender, call });
-                // A box that is considered dead may be running, as the heir that is known may be
-                // outdated: both are tried until the lookup ends.
                 is_considered_alive = member.health != Health::Dead;
-                let resend_at_ms = if is_considered_alive {
-                    resend_after_ms *= 2;
-                    now_ms() + resend_after_ms / 2
+                let wait_ms = if is_considered_alive {
+                    resend_after_ms
                 } else {
+                    // It may be running, or have an heir that this box does not know.
                     queries.send_if_due();
-                    now_ms() + HEIR_QUERY_PERIOD_MS
+                    HEIR_QUERY_PERIOD_MS
                 };
-                let resend_at = instant_at(resend_at_ms.min(call_deadline_ms));
+                if is_considered_alive {
+                    resend_after_ms *= 2;
+                }
+                let resend_at = instant_at(call_deadline_ms.min(now_ms() + wait_ms));
                 tokio::time::timeout_at(resend_at, ends.recv()).await.unwrap_or_default()
             }
             None => None,
         };
-        // A box that has not answered may be running the call.
+        // A box that has not answered yet may be running the call.
         let may_be_running = is_considered_alive && end.is_none();
         match end {
             Some(end) if end != unreachable => return end,
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -69,7 +69,9 @@
             | Self::CallEnd { .. }
             | Self::Handover { .. }
             | Self::HandoverConfirmed { .. } => Topic::Calls,
-            Self::CrashReport { .. } | Self::CrashReportReceived { .. } => Topic::Crashes,
+            Self::CrashReport { .. }
+            | Self::ReportCrashes { .. }
+            | Self::CrashesConfirmed { .. } => Topic::Crashes,
         }
     }
 }
@@ -85,7 +87,7 @@
                 | Self::SlotReport { .. }
                 | Self::CallEnd { .. }
                 | Self::HandoverConfirmed { .. }
-                | Self::CrashReportReceived { .. }
+                | Self::CrashesConfirmed { .. }
         )
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -114,11 +114,12 @@
     /// Confirms a handover.
     HandoverConfirmed { of: BoxRef },
     /// Reports upstreams that crashed, with the requests that they were running, and such
-    /// requests that were answered since. If `acknowledge` holds a number, the receiver confirms
-    /// it once it has recorded the report.
-    CrashReport { acknowledge: Option<u64>, crashes: Vec<CrashReport>, answers: Vec<AnswerReport> },
-    /// Confirms that a crash report was recorded.
-    CrashReportReceived { report: u64 },
+    /// requests that were answered since.
+    CrashReport { crashes: Vec<CrashReport>, answers: Vec<AnswerReport> },
+    /// Reports crashes that the sender has seen; to be confirmed.
+    ReportCrashes { report: u64, crashes: Vec<CrashReport> },
+    /// Confirms that reported crashes were recorded.
+    CrashesConfirmed { report: u64 },
 }
 
 /// A message with its sender and receiver.
