rest_told: wait until the peer has noticed the removal as well

Cause: the test took an entry away, waited until the first box had noticed, put it back and waited for the second box to log it again. A box that sees the removal and the return together has no change to log, as it should be; nothing made the second box see the removal alone.

The test now waits for the removal in the logs of both boxes.

--- a/tests/gateway_notices.rs
+++ b/tests/gateway_notices.rs
@@ -204,12 +204,11 @@
         fixture.servers.iter().find(|server| server.id != backing_off.id).expect("two");
     // Without this entry, the first box can only send to `backing_off`.
     fixture.site.deregister(&other_upstream.id);
-    wait_logged(
-        &fixture.gateway,
-        &format!("event=upstream_gone upstream={}", other_upstream.id),
-        1,
-    )
-    .await;
+    // The peer must have noticed that, too: it would not log the entry's return otherwise.
+    for gateway in [&fixture.gateway, &peer] {
+        let line = format!("event=upstream_gone upstream={}", other_upstream.id);
+        wait_logged(gateway, &line, 1).await;
+    }
     backing_off.script(&[Behavior::RetryAfter(Duration::from_secs(20))]);
     send(&fixture.gateway, "/safe/", "told").await;
     fixture
