Names and comments after a newcomer's reading of the change

Forwarding: one name for the box that a call is sent to, one place that decides how long to wait for it. The simulated peer of tests calls the box under test `box_id`, not `spender`, which it is in one test only. What closed, empty and refused mean in `inherited_ledgers` and `port` is said. No behaviour changes.

--- a/src/crash_state.rs
+++ b/src/crash_state.rs
@@ -15,7 +15,7 @@
     pub quarantine: Mutex<Quarantine>,
     /// Requests with a crash that this box has seen and not reported yet.
     pub(crate) unreported: Mutex<Vec<Fingerprint>>,
-    /// Held while a report is sent, until it is acknowledged or its deadline has passed.
+    /// Held from sending a report until it is acknowledged or its time limit has passed.
     pub(crate) sending: AsyncMutex<()>,
     /// Acknowledgements of the report that is being sent.
     pub(crate) acknowledgements: Mutex<Acknowledgements>,
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -22,7 +22,7 @@
 
 /// Number of peers to which a box forwards a crash that is new to it.
 const FANOUT: usize = 4;
-/// Maximum number of peers that a box reports a crash to itself; others learn of it from them.
+/// Maximum number of peers to which a box reports a crash directly; others learn of it from them.
 const MAX_REPORT_PEERS: usize = 64;
 /// Longest time for which a request waits for the record of a crash.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/forwarding.rs
+++ b/src/forwarding.rs
@@ -66,26 +66,29 @@
         let ledger_holder = kernel.membership().view().ledger_holder(spender).cloned();
         let mut is_considered_alive = false;
         let end = match ledger_holder {
-            Some(member) if member.id == kernel.box_id => {
+            Some(holder) if holder.id == kernel.box_id => {
                 answer_from_inherited_ledger(kernel, spender, call)
             }
-            Some(member) => {
-                let (spender, call) = (spender.clone(), Box::new(call.clone()));
-                let call_deadline_ms = call.deadline_ms;
-                kernel.send(&member.address, Message::Call { number, spender, call });
-                is_considered_alive = member.health != Health::Dead;
+            Some(holder) => {
+                is_considered_alive = holder.health != Health::Dead;
                 let wait_ms = if is_considered_alive {
-                    resend_after_ms
+                    let wait_ms = resend_after_ms;
+                    resend_after_ms *= 2;
+                    wait_ms
                 } else {
                     // It may be running, or have an heir that this box does not know.
                     queries.send_if_due();
                     HEIR_QUERY_PERIOD_MS
                 };
-                if is_considered_alive {
-                    resend_after_ms *= 2;
-                }
-                let resend_at = instant_at(call_deadline_ms.min(now_ms() + wait_ms));
-                tokio::time::timeout_at(resend_at, ends.recv()).await.unwrap_or_default()
+                let resend_at_ms = call.deadline_ms.min(now_ms() + wait_ms);
+                let message = Message::Call {
+                    number,
+                    spender: spender.clone(),
+                    call: Box::new(call.clone()),
+                };
+                kernel.send(&holder.address, message);
+                let end = tokio::time::timeout_at(instant_at(resend_at_ms), ends.recv());
+                end.await.unwrap_or_default()
             }
             None => None,
         };
@@ -107,7 +110,8 @@
     unreachable
 }
 
-/// Queries of peers for the heir of a ledger's holder.
+/// Queries of peers for the heir of a ledger's holder, at most one for each
+/// [`HEIR_QUERY_PERIOD_MS`].
 struct HeirQueries<'a> {
     kernel: &'a Kernel,
     spender: &'a BoxRef,
@@ -125,6 +129,7 @@
     }
 }
 
+/// Logs what this box knows of the heirs of a ledger whose holder it has not found.
 fn log_undelivered(kernel: &Kernel, spender: &BoxRef, call: &Call) {
     let membership = kernel.membership();
     let chain = membership.view().heir_chain(spender);
--- a/src/inherited_ledgers.rs
+++ b/src/inherited_ledgers.rs
@@ -12,11 +12,13 @@
 #[derive(Debug, Default)]
 pub struct InheritedLedgers {
     ledgers: HashMap<BoxRef, Ledger>,
+    /// Whether this box hands its ledgers over.
     closed: bool,
 }
 
 impl InheritedLedgers {
-    /// Takes a ledger over; returns whether it was taken.
+    /// Takes a ledger over, unless this box hands its own over; returns whether it did. An empty
+    /// ledger counts as taken, but is not kept.
     pub fn accept(&mut self, of: BoxRef, ledger: Ledger) -> bool {
         if !self.closed && !ledger.is_empty() {
             self.ledgers.insert(of, ledger);
--- a/src/port.rs
+++ b/src/port.rs
@@ -44,6 +44,8 @@
     is_refused(address, HTTP_PING).await
 }
 
+/// Whether connections are refused, now or once an accepted one has been closed. `ping` is sent on
+/// each.
 async fn is_refused(address: impl ToSocketAddrs + Copy, ping: &[u8]) -> bool {
     for _ in 0..MAX_ATTEMPTS {
         match probe(address, ping).await {
--- a/tests/common/peer.rs
+++ b/tests/common/peer.rs
@@ -16,19 +16,22 @@
 pub struct SimulatedPeer {
     pub id: BoxRef,
     pub address: String,
-    pub spender: BoxRef,
+    /// The first box of the fleet.
+    pub box_id: BoxRef,
     box_address: String,
     sockets: PeerSockets,
     received: mpsc::Receiver<Vec<u8>>,
     _network: Network,
 }
 
+/// The key of the fleet's messages.
 pub fn cluster_key() -> ClusterKey {
     let byte_at = |at: usize| u8::from_str_radix(&CLUSTER_KEY[at..at + 2], 16).unwrap();
     std::array::from_fn(|byte| byte_at(2 * byte))
 }
 
 impl SimulatedPeer {
+    /// Starts to listen for messages of the first box, which does not know this peer yet.
     pub async fn new(fleet: &Fleet) -> Self {
         let network = Network::reserve();
         let address = format!("{}.1:7000", network.prefix());
@@ -41,15 +44,16 @@
             id: BoxRef { name: "other".to_owned(), incarnation: 1 },
             received: listen(&address).unwrap(),
             address,
-            spender: BoxRef { name: name.to_owned(), incarnation },
+            box_id: BoxRef { name: name.to_owned(), incarnation },
             box_address: host,
             sockets: PeerSockets::new(std::collections::BTreeMap::new()),
             _network: network,
         }
     }
 
+    /// Forwards a call whose ticket was issued by the first box.
     pub fn forward(&self, number: u64, key: &str) {
-        self.forward_for(&self.spender, number, key);
+        self.forward_for(&self.box_id, number, key);
     }
 
     /// Forwards a call whose ticket was issued by `spender`.
@@ -69,6 +73,7 @@
         self.send(Message::Call { number, spender, call: Box::new(call) });
     }
 
+    /// Sends a message to the first box.
     pub fn send(&self, message: Message) {
         let envelope = Envelope {
             from: self.id.clone(),
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -72,7 +72,7 @@
     while last == box_ref("earlier") {
         last = next_handover(&mut peer).await;
     }
-    assert_eq!(last, peer.spender);
+    assert_eq!(last, peer.box_id);
 }
 
 // A box that hands its ledgers over must not take over another one, which would end with it.
