--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -158,3 +158,19 @@
     tokio::time::sleep(2 * EXIT_DELAY).await;
     assert_eq!(running_count(&fleet, &fleet.engines).await, 8 - MAX_CRASHES);
 }
+
+// A box that starts must know of quarantined requests before it serves.
+#[tokio::test]
+async fn box_restarted() {
+    let fleet = start_hall().await;
+    let response = service_call(&fleet, 0, KEY, "/fixtures/deadly").send().await.unwrap();
+    assert_eq!(response.status(), 502);
+    let restarted_box = &fleet.boxes[1];
+    restarted_box.process.kill();
+    restarted_box.process.restart();
+    fleet.wait_for(&format!("http://{}/live", restarted_box.operators)).await;
+    fleet.wait_for_revision(&[restarted_box], 4, 2).await;
+    let repeated = service_call(&fleet, 1, KEY, "/fixtures/deadly").send().await.unwrap();
+    assert!(is_quarantined(repeated).await);
+    assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
+}
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -121,6 +121,22 @@
     fleet.assert_quarantined("/safe/").await;
 }
 
+/// All boxes must know of a crash before the client is answered, who may repeat the request at any
+/// box at once.
+#[rstest]
+#[case("/safe/")]
+#[case("/once/")]
+#[case("/stream/")]
+#[case("/resume/")]
+#[tokio::test]
+async fn repeated_at_once(#[case] path: &str) {
+    let mut fleet = Fleet::start(12).await;
+    for _ in 0..8 {
+        fleet.send(path, CRASHING_BODY).await;
+    }
+    assert_eq!(fleet.crash_count(), QUARANTINE_CRASHES);
+}
+
 /// The quarantine outlasts the restart of all boxes.
 #[tokio::test]
 async fn boxes_killed() {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -14,6 +14,13 @@
 
 const KEY: &str = "sanam-key";
 
+/// Time after the signal to stop at which a box is paused: 300 ms before it takes nothing new.
+const PAUSE_AFTER: Duration = Duration::from_millis(2200);
+/// Time for which it is paused.
+const PAUSE: Duration = Duration::from_millis(600);
+/// Clients that connect during the pause.
+const QUEUED_CLIENTS: usize = 20;
+
 async fn started_count(fleet: &Fleet, engine: usize) -> usize {
     let runs = fleet.get(&format!("{}/runs", fleet.engines[engine].url())).await.unwrap();
     runs["started"].as_array().unwrap().len()
@@ -133,3 +140,27 @@
     }
     assert!(served_count.load(Ordering::Relaxed) > 50);
 }
+
+// Connections that were established before a stopping box closes its port must get an answer, also
+// if it has not accepted them yet.
+#[tokio::test]
+async fn unaccepted_connections() {
+    let fleet = start_fleet(&Plan::one_hall(2, 1, 1)).await;
+    let stopping_box = &fleet.boxes[0].process;
+    stopping_box.signal("-TERM");
+    tokio::time::sleep(PAUSE_AFTER).await;
+    stopping_box.signal("-STOP");
+    let url = stopping_box.url();
+    let requests: Vec<_> = (0..QUEUED_CLIENTS)
+        .map(|_| {
+            let request = reqwest::Client::new().post(format!("{url}/app/scores/fixtures/1"));
+            tokio::spawn(request.bearer_auth(KEY).send())
+        })
+        .collect();
+    tokio::time::sleep(PAUSE).await;
+    stopping_box.signal("-CONT");
+    for request in requests {
+        let status = request.await.unwrap().map(|response| response.status().as_u16()).ok();
+        assert!(matches!(status, Some(200 | 503)), "{status:?}");
+    }
+}
