A gateway's abort is acknowledged by its peers before the client is answered

What callers saw: on routes of every kind, 4 to 6 upstreams crashed under one request that a client repeated at once at the other gateway, where 3 are allowed; each crash cuts the streams of other clients.

Cause: nothing ordered the abort, what the peers know of it, and the answer.

Change: a gateway reports an abort to all live boxes of its hall, and to others up to 64, and has their acknowledgements before it sends the request again or answers. Until it is known whether the upstream crashed, each box counts the abort like a crash to withhold the request, so that no request waits for the check itself (2 s where the upstream still runs). Bound: 0.2 s for a report, 0.3 s with the one before it; cost: one round trip where an upstream breaks off.

--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -73,32 +73,16 @@
 /// Reports the crashes of a request to the peers, and waits until they have acknowledged them or
 /// the time limit has passed. What is to be reported meanwhile goes into one message afterwards.
 async fn report_crash(kernel: &Kernel, request: Fingerprint) {
-    let crashes = &kernel.crashes;
-    locked(&crashes.unreported).push(request);
-    let _sending = crashes.sending.lock().await;
-    let mut requests = std::mem::take(&mut *locked(&crashes.unreported));
-    if requests.is_empty() {
-        // Reported together with another request while this task waited for its turn.
-        return;
-    }
-    requests.sort_unstable();
-    requests.dedup();
-    let reported = locked(&crashes.quarantine).crashes_of(now_ms(), &requests);
+    let Some(report) = kernel.crashes.reports.begin(request).await else { return };
+    let reported = locked(&kernel.crashes.quarantine).crashes_of(now_ms(), &report.requests);
     let peers = peers_to_inform(kernel);
-    let report = kernel.unique_number();
-    locked(&crashes.acknowledgements).start(report, peers.iter().map(String::as_str));
+    let number = kernel.unique_number();
+    report.expect_acknowledgements(number, peers.iter().map(String::as_str));
     for peer in &peers {
-        kernel.send(peer, Message::ReportCrashes { report, crashes: reported.clone() });
+        kernel.send(peer, Message::ReportCrashes { report: number, crashes: reported.clone() });
     }
-    let acknowledged = async {
-        while !locked(&crashes.acknowledgements).is_complete() {
-            crashes.all_acknowledged.notified().await;
-        }
-    };
-    if timeout(ACKNOWLEDGE_TIMEOUT, acknowledged).await.is_err() {
-        let missing = locked(&crashes.acknowledgements).give_up();
-        metrics::counter!("coursestile_crash_reports_unacknowledged_total")
-            .increment(missing.len() as u64);
+    let missing = report.wait_until_acknowledged(ACKNOWLEDGE_TIMEOUT).await;
+    if !missing.is_empty() {
         warn!(target: "crashes", "Crash report not acknowledged in time by {}.", missing.join(", "));
     }
 }
@@ -142,10 +126,8 @@
             merge_reports(kernel, &crashes, &[]);
             kernel.send(&envelope.reply_to, Message::CrashesConfirmed { report });
         }
-        Message::CrashesConfirmed { report }
-            if locked(&kernel.crashes.acknowledgements).record(report, &envelope.reply_to) =>
-        {
-            kernel.crashes.all_acknowledged.notify_one();
+        Message::CrashesConfirmed { report } => {
+            kernel.crashes.reports.record_acknowledgement(report, &envelope.reply_to);
         }
         _ => {}
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -194,7 +194,7 @@
         Ok(Err(SendError::NotSent(cause))) => return AttemptOutcome::NotSent { cause },
         Ok(Err(SendError::Unknown(cause))) => {
             in_flight.record_failure();
-            crashes::record_abort(gateway, &in_flight.upstream, outgoing.fingerprint);
+            crashes::record_abort(gateway, &in_flight.upstream, outgoing.fingerprint).await;
             return AttemptOutcome::Unknown { cause };
         }
         Err(_) => return AttemptOutcome::TimeOver,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,30 +1,98 @@
 //! Finds out whether an upstream that aborted requests has crashed.
 //!
 //! A connection that ends early proves little, since the upstream may have dropped that request
-//! alone. A crashed upstream refuses new connections until it is restarted.
+//! alone. A crashed upstream refuses new connections until it is restarted, but one that is exiting
+//! may accept them for a while. The check therefore takes up to some seconds where the upstream
+//! still runs, and no request waits for it: its peers have acknowledged the abort itself before the
+//! box sends the request again or answers its client, who may repeat it at any box. Until the check
+//! has ended, all of them count the abort like a crash (`quarantine`).
 
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
-use log::info;
+use log::{info, warn};
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
 
 use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
+use crate::gateway::decisions::gossip_message::AbortsReport;
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::quarantine;
 use crate::port::is_closed;
-use crate::quarantine::UpdateUrgency;
+use crate::quarantine::{AbortReport, UpdateUrgency};
 use crate::sync::locked;
 
-/// Records that an upstream aborted a request before its response was complete. A crash aborts all
-/// requests there, so they are collected and checked together.
-pub fn record_abort(gateway: &Arc<Gateway>, upstream: &Incarnation, request: Fingerprint) {
-    let mut aborts = locked(&gateway.unexplained_aborts);
-    let requests = aborts.entry(upstream.id.clone()).or_default();
-    requests.push(request);
-    if requests.len() == 1 {
+/// Longest time for which a request waits for the report of its abort, including earlier reports.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit for the acknowledgements of a report: several round trips between halls.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Records that an upstream aborted a request before its response was complete. When this returns,
+/// the peers have acknowledged it or [`REPORT_TIMEOUT`] has passed. A crash aborts all requests at
+/// the upstream, so they are collected and checked together.
+pub async fn record_abort(gateway: &Arc<Gateway>, upstream: &Incarnation, request: Fingerprint) {
+    let abort = AbortReport { request, incarnation_id: upstream.short_id(), age_ms: 0 };
+    gateway.state().quarantine.record_abort(now_ms(), abort);
+    let is_first = {
+        let mut aborts = locked(&gateway.unexplained_aborts);
+        let requests = aborts.entry(upstream.id.clone()).or_default();
+        requests.push(request);
+        requests.len() == 1
+    };
+    if is_first {
         tokio::spawn(check_for_crash(gateway.clone(), upstream.clone()));
     }
+    // In a task of its own, so that the abort is also reported if the client disconnects.
+    let _ = timeout(REPORT_TIMEOUT, tokio::spawn(report_abort(gateway.clone(), request))).await;
+}
+
+/// Reports the aborts and crashes of a request to the peers, and waits for their acknowledgements.
+async fn report_abort(gateway: Arc<Gateway>, request: Fingerprint) {
+    let Some(socket) = gateway.peer_socket.get() else { return };
+    let Some(report) = gateway.crash_reports.begin(request).await else { return };
+    let number = fastrand::u64(..);
+    let (peers, datagram) = {
+        let (state, now_ms) = (gateway.state(), now_ms());
+        let aborts = state.quarantine.open_aborts_of(now_ms, &report.requests);
+        let crashes = state.quarantine.crashes_of(now_ms, &report.requests);
+        let datagram = Datagram::AbortsReport(AbortsReport { number, aborts, crashes });
+        (state.peers.abort_report_targets(now_ms), datagram)
+    };
+    let names: Vec<String> = peers.iter().map(|peer| peer.ip().to_string()).collect();
+    report.expect_acknowledgements(number, names.iter().map(String::as_str));
+    send_to(socket, &datagram, &peers).await;
+    let missing = report.wait_until_acknowledged(ACKNOWLEDGE_TIMEOUT).await;
+    if !missing.is_empty() {
+        warn!(target: "crashes", "event=aborts_not_acknowledged peers={}", missing.join(","));
+    }
+}
+
+/// Merges a peer's report of aborts, and acknowledges it.
+pub async fn receive_aborts(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    from: SocketAddr,
+    report: AbortsReport,
+) {
+    {
+        let (mut state, now_ms) = (gateway.state(), now_ms());
+        // Of two boxes that have just started, one may know the other first.
+        state.peers.add_address(now_ms, from.ip());
+        for abort in &report.aborts {
+            state.quarantine.record_abort(now_ms, *abort);
+        }
+        quarantine::merge_peer_reports(gateway, &mut state, now_ms, &report.crashes, &[]);
+    }
+    send_to(socket, &Datagram::AbortsAcknowledged { number: report.number }, &[from]).await;
+}
+
+/// Records that a peer has acknowledged a report of aborts.
+pub fn record_acknowledgement(gateway: &Gateway, from: IpAddr, number: u64) {
+    gateway.crash_reports.record_acknowledgement(number, &from.to_string());
 }
 
 async fn check_for_crash(gateway: Arc<Gateway>, upstream: Incarnation) {
@@ -35,6 +103,13 @@
     if crashed {
         metrics::counter!("coursestile_upstream_crashes_total").increment(1);
         record_crash(&gateway, &upstream, &requests);
+    } else {
+        let mut state = gateway.state();
+        for request in &requests {
+            state.quarantine.settle_abort(*request, upstream.short_id());
+        }
+        drop(state);
+        gateway.quarantine_changed.notify_waiters();
     }
 }
 
@@ -65,6 +140,7 @@
     if gateway.state().quarantine.record_answer(request, now_ms()) {
         info!(target: "crashes", "event=suspect_answered fingerprint={request}");
         gateway.gossip_now.notify_one();
+        gateway.quarantine_changed.notify_waiters();
     }
 }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -37,6 +37,8 @@
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = socket.map_err(|error| bind_error(settings.peers, &error))?;
     let socket = Arc::new(socket);
+    // Fails only if the gateway is run twice, where the first socket remains in use.
+    let _ = gateway.peer_socket.set(socket.clone());
     info!(target: "daemon", "event=started box={} hall={} version={}",
         settings.name, settings.hall, env!("CARGO_PKG_VERSION"));
     if let Some(address) = settings.metrics {
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::ViewDigest;
-use crate::quarantine::{AnswerReport, CrashReport};
+use crate::quarantine::{AbortReport, AnswerReport, CrashReport};
 
 /// Most upstreams whose load is reported in one message, so that it fits a datagram.
 const MAX_LOADS: usize = 80;
@@ -106,6 +106,17 @@
     pub backoffs: Vec<(u32, u16)>,
 }
 
+/// Requests that upstreams have just aborted, to be acknowledged by the receiver.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AbortsReport {
+    /// Identifies the report among those of the sender.
+    pub number: u64,
+    /// Aborts of which the sender does not know yet whether they were crashes.
+    pub aborts: Vec<AbortReport>,
+    /// All known crashes of the same requests.
+    pub crashes: Vec<CrashReport>,
+}
+
 /// Load of one box or hall on an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -14,6 +14,9 @@
     GOSSIP_PERIOD_MS, OTHER_HALLS_FANOUT, PEER_TIMEOUT_MS, Peer, Peers, SMALL_FLEET,
 };
 
+/// Most boxes to which a report of aborts goes, unless the own hall has more.
+const MAX_ABORT_REPORT_TARGETS: usize = 64;
+
 /// Boxes for which a message is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
@@ -134,6 +137,24 @@
         bridges
     }
 
+    /// The boxes to which a client may turn next: all live ones of the own hall, and some others,
+    /// first those that this box has not heard from yet, since it may have just started itself.
+    #[must_use]
+    pub fn abort_report_targets(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let is_other_hall = |peer: &Peer| peer.gossip.hall != self.local.hall;
+        let (other_halls, own_hall): (Vec<_>, Vec<_>) =
+            self.live_peers(now_ms).partition(|(_, peer)| is_other_hall(peer));
+        let mut targets: Vec<IpAddr> = own_hall.into_iter().map(|(address, _)| *address).collect();
+        let unheard = self.known.iter().filter(|(_, peer)| peer.gossip.incarnation == 0);
+        let unknown_seeds = self.seeds.iter().filter(|seed| !self.known.contains_key(*seed));
+        let others = unknown_seeds
+            .chain(unheard.map(|(address, _)| address))
+            .chain(other_halls.into_iter().map(|(address, _)| address));
+        let more = MAX_ABORT_REPORT_TARGETS.saturating_sub(targets.len());
+        targets.extend(others.take(more));
+        self.at_peer_port(targets)
+    }
+
     fn own_hall(&self) -> Vec<IpAddr> {
         let own_hall = self.known.iter().filter(|(_, peer)| peer.gossip.hall == self.local.hall);
         own_hall.map(|(address, _)| *address).collect()
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,7 @@
 use crate::clock::now_ms;
 use crate::gateway::claims::handover_pause_ms;
 use crate::gateway::decisions::gossip_message::{
-    Gossip, LoadChanges, LoadReport, NamedVersionReport, SlowdownReport, changed_loads,
+    AbortsReport, Gossip, LoadChanges, LoadReport, NamedVersionReport, SlowdownReport, changed_loads,
     reported_loads,
 };
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
@@ -23,8 +23,8 @@
 use crate::gateway::decisions::weights::NamedVersion;
 use crate::gateway::kernel::{Gateway, ObservedVersion, State};
 use crate::gateway::leader_calls::{DelegatedCall, DelegatedReply, execute_for_peer};
-use crate::gateway::quarantine;
 use crate::gateway::weight_loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
+use crate::gateway::{crashes, quarantine};
 use crate::names::short_id;
 
 /// Maximum length of a datagram that is read.
@@ -54,6 +54,13 @@
     DelegatedCall(DelegatedCall),
     /// Result of such a call.
     DelegatedReply(DelegatedReply),
+    /// Requests that upstreams have just aborted.
+    AbortsReport(AbortsReport),
+    /// Acknowledges an [`AbortsReport`].
+    AbortsAcknowledged {
+        /// See [`AbortsReport::number`].
+        number: u64,
+    },
 }
 
 /// Sends gossip to peers, a few times a second and whenever something urgent changes.
@@ -68,7 +75,8 @@
     }
 }
 
-async fn send_to(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
+/// Sends a datagram to each target; one that cannot be sent counts as lost.
+pub async fn send_to(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
     if targets.is_empty() {
         return;
     }
@@ -294,6 +302,7 @@
                 continue;
             }
         };
+        gateway.crash_reports.record_heard(&from.ip().to_string());
         match postcard::from_bytes(&buffer[..length]) {
             Ok(Datagram::Gossip(gossip)) => apply_gossip(&gateway, from.ip(), *gossip),
             Ok(Datagram::LoadChanges(changes)) => apply_load_changes(&gateway, from.ip(), &changes),
@@ -309,6 +318,12 @@
             Ok(Datagram::DelegatedReply(reply)) => {
                 gateway.delegated_replies.send_replace(Some(reply));
             }
+            Ok(Datagram::AbortsReport(report)) => {
+                crashes::receive_aborts(&gateway, &socket, from, report).await;
+            }
+            Ok(Datagram::AbortsAcknowledged { number }) => {
+                crashes::record_acknowledgement(&gateway, from.ip(), number);
+            }
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
             }
@@ -333,7 +348,8 @@
     apply_leaving(&mut state, &gossip.leaving);
     apply_backoffs(&mut state, now_ms, &gossip.backoffs);
     apply_slowdowns(&mut state, now_ms, &gossip.slowdowns);
-    quarantine::merge_peer_reports(gateway, &mut state, now_ms, &gossip);
+    let (crashes, answers) = (&gossip.crashes, &gossip.answers);
+    quarantine::merge_peer_reports(gateway, &mut state, now_ms, crashes, answers);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
         state.update_upstream_clock_offset(now_ms, clock_ms);
     }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -1,12 +1,14 @@
 //! State that the tasks of a gateway process share.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
+use crate::crash_reports::CrashReports;
 use crate::error::Result;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::claims::ClaimRecord;
@@ -218,6 +220,10 @@
     /// Requests whose upstream aborted them, by upstream, while it is being checked whether the
     /// upstream crashed.
     pub unexplained_aborts: Mutex<HashMap<String, Vec<Fingerprint>>>,
+    /// Reports of aborts to the peers.
+    pub crash_reports: CrashReports,
+    /// Socket for datagrams to peers, once it is bound.
+    pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Serialises writes of claims.
     pub claim_lock: tokio::sync::Mutex<()>,
     state: Mutex<State>,
@@ -281,6 +287,8 @@
             resigned: watch::Sender::new(false),
             delegated_replies: watch::Sender::new(None),
             unexplained_aborts: Mutex::default(),
+            crash_reports: CrashReports::default(),
+            peer_socket: OnceLock::new(),
             claim_lock: tokio::sync::Mutex::new(()),
             state: Mutex::new(state),
             phase: watch::Sender::new(BoxPhase::Serving),
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -8,17 +8,16 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::box_phase::BoxPhase;
-use crate::clock::now_ms;
+use crate::clock::{instant_at, now_ms};
 use crate::error::{Error, Result};
 use crate::fingerprint::Fingerprint;
-use crate::gateway::decisions::gossip_message::Gossip;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::WriteOutcome;
 use crate::platform::keys;
-use crate::quarantine::UpdateUrgency;
+use crate::quarantine::{AnswerReport, CrashReport, UpdateUrgency};
 
 /// How often the leader compares the stored quarantine with its own, unless it is woken earlier.
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
@@ -32,6 +31,24 @@
     gateway.state().quarantine.until_ms(now_ms(), request)
 }
 
+/// Waits while a request is withheld because aborts of it are being checked, at most until
+/// `wait_until`. Returns until when it is still withheld, if it is.
+pub async fn wait_while_withheld(
+    gateway: &Gateway,
+    request: Fingerprint,
+    wait_until: Instant,
+) -> Option<u64> {
+    loop {
+        let changed = gateway.quarantine_changed.notified();
+        let until_ms = gateway.state().quarantine.withheld_until_ms(now_ms(), request)?;
+        if Instant::now() >= wait_until {
+            return Some(until_ms);
+        }
+        // The state is looked up again in either case.
+        let _ = timeout_at(wait_until.min(instant_at(until_ms)), changed).await;
+    }
+}
+
 /// Waits until a request is quarantined.
 pub async fn wait_until_quarantined(gateway: &Gateway, request: Fingerprint) {
     loop {
@@ -44,13 +61,17 @@
 }
 
 /// Merges what a peer reports of crashes and complete answers.
-pub fn merge_peer_reports(gateway: &Gateway, state: &mut State, now_ms: u64, gossip: &Gossip) {
-    if state.quarantine.merge_reports(now_ms, &gossip.crashes, &gossip.answers)
-        != UpdateUrgency::Urgent
-    {
+pub fn merge_peer_reports(
+    gateway: &Gateway,
+    state: &mut State,
+    now_ms: u64,
+    crashes: &[CrashReport],
+    answers: &[AnswerReport],
+) {
+    if state.quarantine.merge_reports(now_ms, crashes, answers) != UpdateUrgency::Urgent {
         return;
     }
-    for crash in &gossip.crashes {
+    for crash in crashes {
         log_quarantined(state, now_ms, crash.request);
     }
     // In a large fleet, other boxes learn of it only from this box.
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -189,7 +189,8 @@
             &self.gateway,
             &self.choice.upstream,
             self.request.outgoing.fingerprint,
-        );
+        )
+        .await;
         if self.request.outgoing.retry_policy != RetryPolicy::StreamResumable {
             return Some(BodyAborted::Upstream);
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -99,6 +99,10 @@
         instant_at(request.arrived_at_ms + request.route.latency_objective_ms / QUEUE_WAIT_DIVISOR);
     let mut next = None;
     loop {
+        if let Some(until_ms) = wait_while_withheld(gateway, &request).await {
+            return refuse_until(&request, Reason::Quarantined, until_ms);
+        }
+        // The wait may have ended because an abort was a crash.
         if let Some(until_ms) =
             quarantine::quarantined_until_ms(gateway, request.outgoing.fingerprint)
         {
@@ -138,6 +142,13 @@
     }
 }
 
+/// Waits while a request is withheld, as long as time is left to run it. Returns until when it is
+/// still withheld, if it is.
+async fn wait_while_withheld(gateway: &Gateway, request: &AdmittedRequest) -> Option<u64> {
+    let wait_until = instant_at(request.outgoing.deadline_ms.saturating_sub(MIN_RETRY_TIME_MS));
+    quarantine::wait_while_withheld(gateway, request.outgoing.fingerprint, wait_until).await
+}
+
 /// Handles the outcome of an attempt. Returns the response, or `None` if the request is to be sent
 /// again.
 async fn handle_outcome(
@@ -163,7 +174,7 @@
             handle_undelivered(gateway, request, choice)
         }
         AttemptOutcome::Unknown { cause } => {
-            handle_unknown_outcome(gateway, request, choice, &cause)
+            handle_unknown_outcome(gateway, request, choice, &cause).await
         }
         AttemptOutcome::TimeOver => Some(handle_timeout(request, choice)),
     }
@@ -201,7 +212,7 @@
 }
 
 /// Handles an attempt that may have run.
-fn handle_unknown_outcome(
+async fn handle_unknown_outcome(
     gateway: &Gateway,
     request: &mut AdmittedRequest,
     choice: &Choice,
@@ -209,6 +220,9 @@
 ) -> Option<ClientResponse> {
     request.may_have_run = true;
     log_attempt_end(request, choice, "unknown", cause);
+    if request.outgoing.retry_policy.may_retry() {
+        wait_while_withheld(gateway, request).await;
+    }
     retry_or_refuse(gateway, request, choice, Reason::UpstreamFailed)
 }
 
@@ -257,15 +271,15 @@
     allowed && request.attempts_made < request.route.max_attempts && time_left
 }
 
-/// Takes one retry from the budget. A quarantined request gets none, since it would crash another
-/// upstream.
+/// Takes one retry from the budget. A request that is quarantined or withheld gets none, since it
+/// might crash another upstream.
 pub(super) fn spend_retry_budget(
     gateway: &Gateway,
     request: &AdmittedRequest,
     now_ms: u64,
 ) -> bool {
     let mut state = gateway.state();
-    if state.quarantine.until_ms(now_ms, request.outgoing.fingerprint).is_some() {
+    if state.quarantine.is_withheld(now_ms, request.outgoing.fingerprint) {
         return false;
     }
     let boxes = state.peers.live_boxes(now_ms);
@@ -302,8 +316,8 @@
         }
         Ok(Err(cause)) => {
             response.in_flight.record_failure();
-            crashes::record_abort(gateway, &choice.upstream, request.outgoing.fingerprint);
-            handle_unknown_outcome(gateway, request, choice, &cause)
+            crashes::record_abort(gateway, &choice.upstream, request.outgoing.fingerprint).await;
+            handle_unknown_outcome(gateway, request, choice, &cause).await
         }
         Err(_) => Some(handle_timeout(request, choice)),
     }
@@ -334,6 +348,7 @@
     gateway: &Arc<Gateway>,
     request: &AdmittedRequest,
 ) -> Option<Choice> {
+    wait_while_withheld(gateway, request).await;
     let until = instant_at(now_ms() + request.route.latency_objective_ms / QUEUE_WAIT_DIVISOR);
     let choice = wait_for_upstream(gateway, request, until).await?;
     if !take_retry(gateway, request) {
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -212,7 +212,7 @@
         if envelope.message.is_reply() {
             locked(&self.heartbeats).record_reply(now_ms(), &envelope.reply_to);
         }
-        locked(&self.crashes.acknowledgements).record_heard(&envelope.reply_to);
+        self.crashes.reports.record_heard(&envelope.reply_to);
         if envelope.config_revision > self.configuration.revision() {
             let after_revision = self.configuration.revision();
             self.send(&envelope.reply_to, Message::PullConfig { after_revision });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod consul;
 pub mod context;
 pub mod context_manager;
+pub mod crash_reports;
 pub mod crash_state;
 pub mod crashes;
 pub mod directory;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -7,6 +7,11 @@
 //! ran it and none has answered it since. Its first run after the quarantine decides: an answer
 //! clears the request, a crash quarantines it again.
 //!
+//! An upstream that closes a connection early may have crashed or may not, which can take seconds
+//! to find out. Until then the abort counts like a crash for one purpose: a request whose crashes
+//! and open aborts together reach the limit is withheld, not refused. Clients that repeat a request
+//! at once, at any box, therefore cannot crash more upstreams than the limit.
+//!
 //! For a while, boxes announce crashes to each other and pass on what they receive. Quarantined
 //! requests are also kept in the platform's store.
 
@@ -29,6 +34,9 @@
 const MAX_ANNOUNCED_CRASHES: usize = 48;
 /// Maximum number of quarantined requests in one message; they take turns.
 const MAX_ANNOUNCED_QUARANTINED: usize = 8;
+/// Time after which an abort no longer counts if nobody has found out whether the upstream crashed.
+/// Longer than the check takes, since reports of its result may be lost.
+pub const ABORT_CHECK_MS: u64 = 3000;
 /// Maximum number of suspect requests; the crash of a large upstream adds dozens.
 const MAX_SUSPECTS: usize = 4096;
 
@@ -54,6 +62,18 @@
     pub age_ms: u32,
 }
 
+/// A request that an upstream aborted, as reported to other boxes while it is being checked whether
+/// the upstream has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AbortReport {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Short id of the incarnation that aborted it.
+    pub incarnation_id: u32,
+    /// Age in milliseconds.
+    pub age_ms: u32,
+}
+
 /// An answer to a suspect request, as announced to other boxes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerReport {
@@ -69,9 +89,24 @@
     at_ms: u64,
 }
 
+/// An abort of which is not known yet whether it was a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OpenAbort {
+    incarnation_id: u32,
+    at_ms: u64,
+}
+
+impl OpenAbort {
+    fn is_open(&self, now_ms: u64) -> bool {
+        now_ms < self.at_ms + ABORT_CHECK_MS
+    }
+}
+
 /// Crashes and answers of one request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
+    /// Aborts that are being checked, one for each incarnation.
+    open_aborts: Vec<OpenAbort>,
     /// Crashes since the latest answer, at most [`CRASHES_TO_QUARANTINE`].
     crashes: Vec<Crash>,
     answered_at_ms: Option<u64>,
@@ -91,12 +126,45 @@
         }
     }
 
+    /// Records an abort that is to be checked.
+    fn record_abort(&mut self, now_ms: u64, abort: OpenAbort) {
+        self.open_aborts.retain(|known| known.is_open(now_ms));
+        let is_cleared = self.answered_at_ms.is_some_and(|at_ms| abort.at_ms <= at_ms);
+        let is_known = self.has_crash(abort.incarnation_id)
+            || self.open_aborts.iter().any(|known| known.incarnation_id == abort.incarnation_id);
+        if !is_cleared && !is_known && abort.is_open(now_ms) {
+            self.open_aborts.push(abort);
+        }
+    }
+
+    /// Ends the check of an abort.
+    fn settle_abort(&mut self, incarnation_id: u32) {
+        self.open_aborts.retain(|abort| abort.incarnation_id != incarnation_id);
+    }
+
+    fn has_crash(&self, incarnation_id: u32) -> bool {
+        self.crashes.iter().any(|crash| crash.incarnation_id == incarnation_id)
+    }
+
+    /// When so many open aborts have expired that the request is no longer withheld; `None` if it
+    /// is not withheld, or is quarantined.
+    fn withheld_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let missing = CRASHES_TO_QUARANTINE.checked_sub(self.crashes.len()).filter(|n| *n > 0)?;
+        let mut open: Vec<u64> = self
+            .open_aborts
+            .iter()
+            .filter(|abort| abort.is_open(now_ms))
+            .map(|abort| abort.at_ms + ABORT_CHECK_MS)
+            .collect();
+        open.sort_unstable();
+        Some(open[open.len().checked_sub(missing)?])
+    }
+
     /// Records a crash; returns whether it is new.
     fn record_crash(&mut self, crash: Crash) -> bool {
+        self.settle_abort(crash.incarnation_id);
         let is_cleared = self.answered_at_ms.is_some_and(|at_ms| crash.at_ms <= at_ms);
-        let is_known =
-            self.crashes.iter().any(|known| known.incarnation_id == crash.incarnation_id);
-        if is_cleared || is_known {
+        if is_cleared || self.has_crash(crash.incarnation_id) {
             return false;
         }
         if self.crashes.len() == CRASHES_TO_QUARANTINE {
@@ -110,17 +178,19 @@
         true
     }
 
-    /// Records an answer; returns whether it clears a crash.
+    /// Records an answer; returns whether it clears a crash, or the request was withheld.
     fn record_answer(&mut self, at_ms: u64) -> bool {
-        let before = self.crashes.len();
+        let crashes_before = self.crashes.len();
+        let was_withheld = self.withheld_until_ms(at_ms).is_some();
         self.answered_at_ms = self.answered_at_ms.max(Some(at_ms));
         self.crashes.retain(|crash| crash.at_ms > at_ms);
-        self.crashes.len() < before
+        self.open_aborts.retain(|abort| abort.at_ms > at_ms);
+        self.crashes.len() < crashes_before || was_withheld
     }
 
     fn is_recent(&self, now_ms: u64) -> bool {
         let last_ms = self.last_crash_at_ms().max(self.answered_at_ms.unwrap_or_default());
-        now_ms < last_ms + SUSPECT_MS
+        now_ms < last_ms + SUSPECT_MS || self.open_aborts.iter().any(|abort| abort.is_open(now_ms))
     }
 }
 
@@ -153,7 +223,59 @@
         urgency
     }
 
-    /// Records that an upstream has answered a request; returns whether this clears a crash.
+    /// Records that an upstream has aborted a request, which counts until it is known whether the
+    /// upstream has crashed.
+    pub fn record_abort(&mut self, now_ms: u64, report: AbortReport) {
+        let abort = OpenAbort {
+            incarnation_id: report.incarnation_id,
+            at_ms: now_ms.saturating_sub(report.age_ms.into()),
+        };
+        self.suspects.entry(report.request).or_default().record_abort(now_ms, abort);
+        if self.suspects.len() > MAX_SUSPECTS {
+            self.evict(now_ms);
+        }
+    }
+
+    /// Records that an upstream that aborted a request has not crashed.
+    pub fn settle_abort(&mut self, request: Fingerprint, incarnation_id: u32) {
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.settle_abort(incarnation_id);
+        }
+    }
+
+    /// Aborts of some requests that are being checked.
+    #[must_use]
+    pub fn open_aborts_of(&self, now_ms: u64, requests: &[Fingerprint]) -> Vec<AbortReport> {
+        let suspects =
+            requests.iter().filter_map(|request| Some((request, self.suspects.get(request)?)));
+        let aborts = suspects.flat_map(|(request, suspect)| {
+            let open = suspect.open_aborts.iter().filter(|abort| abort.is_open(now_ms));
+            open.map(|abort| AbortReport {
+                request: *request,
+                incarnation_id: abort.incarnation_id,
+                age_ms: age_ms(now_ms, abort.at_ms),
+            })
+        });
+        aborts.collect()
+    }
+
+    /// Until when a request is withheld at most because aborts of it are being checked; `None` if
+    /// it may run, or is quarantined.
+    #[must_use]
+    pub fn withheld_until_ms(&self, now_ms: u64, request: Fingerprint) -> Option<u64> {
+        self.suspects.get(&request)?.withheld_until_ms(now_ms)
+    }
+
+    /// Whether a request must not run now, because it is quarantined or aborts of it are being
+    /// checked.
+    #[must_use]
+    pub fn is_withheld(&self, now_ms: u64, request: Fingerprint) -> bool {
+        self.until_ms(now_ms, request).is_some()
+            || self.withheld_until_ms(now_ms, request).is_some()
+    }
+
+    /// Records that an upstream has answered a request; returns whether this clears a crash, or the
+    /// request was withheld.
     pub fn record_answer(&mut self, request: Fingerprint, at_ms: u64) -> bool {
         self.suspects.get_mut(&request).is_some_and(|suspect| suspect.record_answer(at_ms))
     }
@@ -282,7 +404,9 @@
         }
         // The fingerprint breaks ties.
         let rank = |request: &Fingerprint, suspect: &Suspect| {
-            (suspect.crashes.len(), suspect.last_crash_at_ms(), *request)
+            let open_aborts = suspect.open_aborts.iter().filter(|abort| abort.is_open(now_ms));
+            let events = suspect.crashes.len() + open_aborts.count();
+            (events, suspect.last_crash_at_ms(), *request)
         };
         let mut ranks: Vec<_> =
             self.suspects.iter().map(|(request, suspect)| rank(request, suspect)).collect();
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,7 +3,9 @@
 
 use coursestile::fingerprint::Fingerprint;
 use coursestile::gateway::decisions::gossip_message::Gossip;
-use coursestile::quarantine::{CRASHES_TO_QUARANTINE, QUARANTINE_MS, Quarantine, UpdateUrgency};
+use coursestile::quarantine::{
+    ABORT_CHECK_MS, AbortReport, CRASHES_TO_QUARANTINE, QUARANTINE_MS, Quarantine, UpdateUrgency,
+};
 
 const NOW_MS: u64 = 1_000_000;
 const REQUEST: Fingerprint = Fingerprint(7);
@@ -194,3 +196,64 @@
     assert_eq!(send_reports(NOW_MS + 30, &mut quarantine, &mut receiver), UpdateUrgency::Urgent);
     assert_eq!(send_reports(NOW_MS + 40, &mut quarantine, &mut receiver), UpdateUrgency::None);
 }
+
+/// An abort of [`REQUEST`] that has just happened.
+fn abort(incarnation_id: u32) -> AbortReport {
+    AbortReport { request: REQUEST, incarnation_id, age_ms: 0 }
+}
+
+/// A client repeats a request at another box as soon as an upstream has aborted it, before anybody
+/// knows whether the upstream crashed: the third abort withholds it.
+#[test]
+fn open_aborts() {
+    let mut quarantine = quarantine_after_crashes(&[1]);
+    quarantine.record_abort(NOW_MS + 20, abort(2));
+    quarantine.record_abort(NOW_MS + 25, abort(2));
+    quarantine.record_abort(NOW_MS + 25, abort(1));
+    assert!(!quarantine.is_withheld(NOW_MS + 30, REQUEST), "two upstreams only");
+    quarantine.record_abort(NOW_MS + 30, abort(3));
+    assert_eq!(quarantine.until_ms(NOW_MS + 30, REQUEST), None, "withheld, not quarantined");
+    let until_ms = NOW_MS + 20 + ABORT_CHECK_MS;
+    assert_eq!(quarantine.withheld_until_ms(NOW_MS + 30, REQUEST), Some(until_ms));
+    assert!(!quarantine.is_withheld(until_ms, REQUEST), "nobody has confirmed the crash");
+}
+
+#[test]
+fn abort_settled() {
+    let mut quarantine = quarantine_after_crashes(&[1, 2]);
+    quarantine.record_abort(NOW_MS + 20, abort(3));
+    assert!(quarantine.is_withheld(NOW_MS + 30, REQUEST));
+    quarantine.settle_abort(REQUEST, 3);
+    assert!(!quarantine.is_withheld(NOW_MS + 30, REQUEST), "the upstream runs");
+    quarantine.record_abort(NOW_MS + 40, abort(4));
+    quarantine.record_crash(NOW_MS + 50, REQUEST, 4, NOW_MS + 50);
+    assert_eq!(quarantine.withheld_until_ms(NOW_MS + 60, REQUEST), None);
+    assert!(is_quarantined(&quarantine, NOW_MS + 60), "the upstream has crashed");
+}
+
+#[test]
+fn abort_answered() {
+    let mut quarantine = Quarantine::default();
+    for upstream in 1..=3 {
+        quarantine.record_abort(NOW_MS, abort(upstream));
+    }
+    assert!(quarantine.record_answer(REQUEST, NOW_MS + 10), "other boxes must learn of it");
+    assert!(!quarantine.is_withheld(NOW_MS + 20, REQUEST));
+    let late = AbortReport { age_ms: 50, ..abort(4) };
+    quarantine.record_abort(NOW_MS + 20, late);
+    assert!(quarantine.open_aborts_of(NOW_MS + 20, &[REQUEST]).is_empty(), "before the answer");
+}
+
+/// What one box reports before it answers its client withholds the request at another.
+#[test]
+fn aborts_reported() {
+    let (mut first, mut second) = (quarantine_after_crashes(&[1]), Quarantine::default());
+    first.record_abort(NOW_MS + 20, abort(2));
+    first.record_abort(NOW_MS + 30, abort(3));
+    for report in first.open_aborts_of(NOW_MS + 40, &[REQUEST]) {
+        second.record_abort(NOW_MS + 40, report);
+    }
+    assert!(!second.is_withheld(NOW_MS + 40, REQUEST));
+    second.merge_reports(NOW_MS + 40, &first.crashes_of(NOW_MS + 40, &[REQUEST]), &[]);
+    assert!(second.is_withheld(NOW_MS + 40, REQUEST));
+}
