Own interface: a stopping box accepts what its kernel has established

What callers saw: a box that is paused while it stops resets connections that were established before it closed its port.

Cause: the server stopped to accept when the box had stopped, and its listening socket was closed with its queue, at the moment at which the process ended.

--- a/src/box_phase.rs
+++ b/src/box_phase.rs
@@ -10,6 +10,8 @@
     Leaving,
     /// Accepts no new requests, and waits for running ones to end.
     Draining,
+    /// Accepts no new connections; those that were established get an answer.
+    Closing,
     /// All work has ended or was abandoned at the drain timeout.
     Stopped,
 }
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -27,7 +27,7 @@
 use crate::context::token_count;
 use crate::kernel::{Kernel, Plugin};
 use crate::ledger::{Answer, CallKey};
-use crate::listen::server;
+use crate::listen::serve_until;
 use crate::refusal::{Reason, Refusal};
 use crate::rejection::{Rejection, bad_request, header_value};
 use crate::streams::{AnswerStream, StreamEnd, StreamUpdate};
@@ -360,12 +360,9 @@
             .data(kernel.clone())
             .around(move |endpoint, request| add_headers(header_kernel.clone(), endpoint, request));
         let address = kernel.settings.callers;
-        let served = match server(address) {
-            Ok(server) => {
-                server.run_with_graceful_shutdown(app, kernel.stopped(), Some(CLOSE_TIMEOUT)).await
-            }
-            Err(error) => Err(error),
-        };
+        let closing = kernel.reached(BoxPhase::Closing);
+        let served = serve_until(address, app, closing, CLOSE_TIMEOUT).await;
+        kernel.port_closed.notify_one();
         if let Err(error) = served {
             error!(target: "callers", "Cannot serve {address}: {error}.");
             std::process::exit(1);
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use log::{debug, info, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::box_phase::BoxPhase;
 use crate::call_state::Calls;
@@ -134,6 +134,8 @@
     peer_sockets: PeerSockets,
     heartbeats: Mutex<Heartbeats>,
     membership: Mutex<Membership>,
+    /// Notified when the callers' port is closed and all answers there are sent.
+    pub port_closed: Notify,
     phase: watch::Sender<BoxPhase>,
     next_unique_number: AtomicU64,
 }
@@ -167,6 +169,7 @@
             peer_sockets: PeerSockets::new(settings.dial_addresses.clone()),
             heartbeats: Mutex::default(),
             membership: Mutex::new(membership),
+            port_closed: Notify::new(),
             phase: watch::Sender::new(BoxPhase::Serving),
             next_unique_number: AtomicU64::new(1),
             settings,
@@ -296,12 +299,12 @@
         self.phase.send_replace(phase);
     }
 
-    /// Waits until the box has stopped.
-    pub fn stopped(&self) -> impl Future<Output = ()> + use<> {
+    /// Waits until the box has reached a phase.
+    pub fn reached(&self, awaited: BoxPhase) -> impl Future<Output = ()> + use<> {
         let mut phase = self.phase.subscribe();
         async move {
             // The sender lives as long as the process.
-            let _ = phase.wait_for(|phase| *phase == BoxPhase::Stopped).await;
+            let _ = phase.wait_for(|phase| *phase >= awaited).await;
         }
     }
 
--- a/src/stopping.rs
+++ b/src/stopping.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use tokio::time::timeout;
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
@@ -15,6 +16,9 @@
 /// react first.
 const DRAIN_GRACE_MS: u64 = 2500;
 
+/// Time in which the callers' port closes, and the last answers are sent.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Stops as planned: waits for running requests, up to the drain timeout, and hands the
 /// ledgers over to a peer.
 pub async fn stop(kernel: &Arc<Kernel>) {
@@ -31,6 +35,10 @@
         warn!(target: "kernel", "Drain timeout reached: stopping with requests still running.");
     }
     hand_over(kernel).await;
+    kernel.enter_phase(BoxPhase::Closing);
+    if timeout(CLOSE_TIMEOUT, kernel.port_closed.notified()).await.is_err() {
+        warn!(target: "kernel", "Stopping with connections of callers still open.");
+    }
     info!(target: "kernel", "Box {} has stopped.", kernel.box_id);
     kernel.enter_phase(BoxPhase::Stopped);
 }
