Own interface: a box that starts learns first what is quarantined

What callers saw: a request that had crashed three upstreams crashed one more after the restart of a box.

Cause: crashes are told when they happen; nothing told them to a box that starts later.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -331,7 +331,8 @@
     Ok(answer?)
 }
 
-/// Adds the trace id to each response, and closes connections while the box stops.
+/// Adds the trace id to each response, and closes connections while the box stops. A box that has
+/// just started runs nothing before it knows which requests are quarantined.
 async fn add_headers<E: Endpoint>(
     kernel: Arc<Kernel>,
     endpoint: Arc<E>,
@@ -339,6 +340,7 @@
 ) -> poem::Result<Response> {
     let trace = TraceId::from_header(request.header("traceparent"));
     request.headers_mut().insert("traceparent", header_value(&trace.header()));
+    kernel.crashes.wait_until_informed().await;
     let mut response = endpoint.call(request).await?.into_response();
     response.headers_mut().insert(TRACE_ID_HEADER, header_value(&trace.to_string()));
     if kernel.phase() > BoxPhase::Serving {
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -2,8 +2,10 @@
 //! `gateway::crashes` does so for the gateway.
 //!
 //! A crash is acknowledged by the peers before the box sends the request again or answers its
-//! caller, who may repeat the request at any box.
+//! caller, who may repeat the request at any box. A box that starts runs no requests before a peer
+//! has told it which crashes are known.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +34,13 @@
 /// interval of this length are counted as those of one incarnation.
 const MIN_RESTART_MS: u64 = 5000;
 
+/// Longest time for which a box that starts waits for what its peers know.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two queries to the same peers.
+const QUERY_PERIOD: Duration = Duration::from_millis(100);
+/// Maximum number of requests whose crashes are told to a box that starts.
+const MAX_TOLD_REQUESTS: usize = 1024;
+
 inventory::submit! {
     Plugin { name: "crashes", start, receive: Some((Topic::Crashes, receive)) }
 }
@@ -126,6 +135,15 @@
             merge_reports(kernel, &crashes, &[]);
             kernel.send(&envelope.reply_to, Message::CrashesConfirmed { report });
         }
+        Message::QueryCrashes => {
+            let crashes =
+                locked(&kernel.crashes.quarantine).most_crashes(now_ms(), MAX_TOLD_REQUESTS);
+            let is_informed = kernel.crashes.is_informed();
+            kernel.send(&envelope.reply_to, Message::KnownCrashes { is_informed, crashes });
+        }
+        Message::KnownCrashes { is_informed, crashes } => {
+            receive_known(kernel, &envelope.reply_to, is_informed, &crashes);
+        }
         Message::CrashesConfirmed { report } => {
             kernel.crashes.reports.record_acknowledgement(report, &envelope.reply_to);
         }
@@ -141,4 +159,45 @@
     }
 }
 
-fn start(_: &Arc<Kernel>) {}
+fn start(kernel: &Arc<Kernel>) {
+    let kernel = kernel.clone();
+    tokio::spawn(async move {
+        if timeout(QUERY_TIMEOUT, query_peers(&kernel)).await.is_err() {
+            warn!(target: "crashes", "No peer has told in time which requests crash upstreams.");
+        }
+        kernel.crashes.mark_informed();
+    });
+}
+
+/// Asks the seeds and the known peers for the crashes that they know, until the box is informed. A
+/// box without seeds has no one to ask.
+async fn query_peers(kernel: &Kernel) {
+    let seeds = other_seeds(kernel);
+    let mut ticks = tokio::time::interval(QUERY_PERIOD);
+    while !seeds.is_empty() && !kernel.crashes.is_informed() {
+        ticks.tick().await;
+        let mut asked = random_peers(kernel);
+        asked.extend(seeds.iter().cloned());
+        for peer in &asked {
+            kernel.send(peer, Message::QueryCrashes);
+        }
+    }
+}
+
+fn other_seeds(kernel: &Kernel) -> BTreeSet<String> {
+    let own = kernel.membership().view().me().address.clone();
+    kernel.settings.seeds.iter().filter(|seed| **seed != own).cloned().collect()
+}
+
+/// Merges what a peer knows of crashes. A peer that has just started itself knows nothing; if none
+/// of the seeds knows more, the whole fleet has just started.
+fn receive_known(kernel: &Kernel, from: &str, is_informed: bool, crashes: &[CrashReport]) {
+    locked(&kernel.crashes.quarantine).merge_reports(now_ms(), crashes, &[]);
+    let mut uninformed = locked(&kernel.crashes.uninformed_peers);
+    if !is_informed {
+        uninformed.insert(from.to_owned());
+    }
+    if is_informed || other_seeds(kernel).is_subset(&uninformed) {
+        kernel.crashes.mark_informed();
+    }
+}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -71,7 +71,9 @@
             | Self::HandoverConfirmed { .. } => Topic::Calls,
             Self::CrashReport { .. }
             | Self::ReportCrashes { .. }
-            | Self::CrashesConfirmed { .. } => Topic::Crashes,
+            | Self::CrashesConfirmed { .. }
+            | Self::QueryCrashes
+            | Self::KnownCrashes { .. } => Topic::Crashes,
         }
     }
 }
@@ -88,6 +90,7 @@
                 | Self::CallEnd { .. }
                 | Self::HandoverConfirmed { .. }
                 | Self::CrashesConfirmed { .. }
+                | Self::KnownCrashes { .. }
         )
     }
 }
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -66,7 +66,8 @@
 }
 
 fn accepts_requests(kernel: &Kernel) -> bool {
-    kernel.phase() == BoxPhase::Serving && kernel.configuration.revision() > 0
+    let is_informed = kernel.configuration.revision() > 0 && kernel.crashes.is_informed();
+    kernel.phase() == BoxPhase::Serving && is_informed
 }
 
 #[handler]
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -337,6 +337,18 @@
         urgency
     }
 
+    /// The crashes of up to `max_requests` requests, those with the most crashes.
+    #[must_use]
+    pub fn most_crashes(&self, now_ms: u64, max_requests: usize) -> Vec<CrashReport> {
+        let suspects = self.suspects.iter().filter(|(_, suspect)| !suspect.crashes.is_empty());
+        let mut requests: Vec<(usize, Fingerprint)> =
+            suspects.map(|(request, suspect)| (suspect.crashes.len(), *request)).collect();
+        requests.sort_unstable_by_key(|ranked| std::cmp::Reverse(*ranked));
+        requests.truncate(max_requests);
+        let requests: Vec<Fingerprint> = requests.into_iter().map(|(_, request)| request).collect();
+        self.crashes_of(now_ms, &requests)
+    }
+
     /// All known crashes of some requests.
     #[must_use]
     pub fn crashes_of(&self, now_ms: u64, requests: &[Fingerprint]) -> Vec<CrashReport> {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -120,6 +120,15 @@
     ReportCrashes { report: u64, crashes: Vec<CrashReport> },
     /// Confirms that reported crashes were recorded.
     CrashesConfirmed { report: u64 },
+    /// Requests the crashes that the receiver knows.
+    QueryCrashes,
+    /// Answers such a query.
+    KnownCrashes {
+        /// Whether the sender has learned what its peers knew when it started.
+        is_informed: bool,
+        /// The crashes of the requests with the most of them.
+        crashes: Vec<CrashReport>,
+    },
 }
 
 /// A message with its sender and receiver.
