Periodic messages go to a part of a large hall at a time

Cause: each box told all of its hall four times a second, so that what a box hears grows with its hall (197 boxes: some 790 messages a second) and the fleet's messages with its square.

Change: in a hall of more than 64 others a periodic message goes to the next 64. What is urgent, changes of load, and all messages of followers, bridges and the leader go to the whole hall as before; a box that tells others in turn may be silent for longer before it counts as gone.

--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -25,11 +25,14 @@
 pub const GOSSIP_PERIOD_MS: u64 = 250;
 /// Most peers of a small fleet, in which every message goes to all peers in all halls.
 const SMALL_FLEET: usize = 12;
+/// Peers of the own hall that get a message in each period in a larger hall, in turn.
+const HALL_PART: usize = 64;
 /// Peers of other halls that get a message in each period in a larger fleet, in turn.
 const OTHER_HALLS_FANOUT: usize = 4;
-/// Silence after which a peer of the own hall is no longer counted as live.
+/// Silence after which a peer of the own hall is no longer counted as live, if each of its messages
+/// goes to this box.
 const PEER_TIMEOUT_MS: u64 = 1500;
-/// Number of consecutive messages from a peer of another hall that may be lost.
+/// Number of consecutive messages from a peer that sends to others in between that may be lost.
 const MAX_LOST_MESSAGES: u64 = 3;
 /// Silence after which a peer is forgotten.
 pub const PEER_RETENTION_MS: u64 = 30_000;
@@ -92,6 +95,11 @@
         }
     }
 
+    /// Whether each message of the peer goes to all boxes of its hall.
+    fn sends_to_whole_hall(&self) -> bool {
+        self.gossip.follows_caches || self.gossip.metadata_store != MetadataStoreStatus::NotUsed
+    }
+
     /// Whether the peer may be asked, because it has not recently failed to answer.
     fn may_be_asked(&self, now_ms: u64) -> bool {
         now_ms >= self.avoid_asking_until_ms
@@ -105,6 +113,7 @@
     seeds: Vec<IpAddr>,
     known: BTreeMap<IpAddr, Peer>,
     rotation: usize,
+    hall_rotation: usize,
     /// When the next message to all halls is due, however often the own hall gets one before.
     all_halls_due_at_ms: u64,
     delegate_rotation: usize,
@@ -130,6 +139,7 @@
             seeds,
             known,
             rotation: 0,
+            hall_rotation: 0,
             all_halls_due_at_ms: 0,
             delegate_rotation: 0,
             first_receive_ms: None,
@@ -357,7 +367,10 @@
         let rounds = (self.known.len() / OTHER_HALLS_FANOUT) as u64;
         let rounds_ms = MAX_LOST_MESSAGES * rounds * GOSSIP_PERIOD_MS;
         let other_hall_ms = PEER_TIMEOUT_MS + if self.is_small_fleet() { 0 } else { rounds_ms };
-        SilenceLimits { own_hall: self.local.hall, other_hall_ms }
+        let in_hall = self.known.values().filter(|peer| peer.gossip.hall == self.local.hall);
+        let parts = in_hall.count().div_ceil(HALL_PART).max(1) as u64;
+        let own_hall_ms = PEER_TIMEOUT_MS + MAX_LOST_MESSAGES * (parts - 1) * GOSSIP_PERIOD_MS;
+        SilenceLimits { own_hall: self.local.hall, own_hall_ms, other_hall_ms }
     }
 }
 
@@ -365,15 +378,22 @@
 #[derive(Clone, Copy, Debug)]
 struct SilenceLimits {
     own_hall: u32,
+    /// For peers of the own hall that send messages to a part of it at a time.
+    own_hall_ms: u64,
     /// For peers of other halls, which send messages to this box only in turn with others.
     other_hall_ms: u64,
 }
 
 impl SilenceLimits {
     fn is_live(&self, now_ms: u64, peer: &Peer) -> bool {
-        let is_own_hall = peer.gossip.hall == self.own_hall;
-        now_ms
-            < peer.last_receive_ms + if is_own_hall { PEER_TIMEOUT_MS } else { self.other_hall_ms }
+        let limit_ms = if peer.gossip.hall != self.own_hall {
+            self.other_hall_ms
+        } else if peer.sends_to_whole_hall() {
+            PEER_TIMEOUT_MS
+        } else {
+            self.own_hall_ms
+        };
+        now_ms < peer.last_receive_ms + limit_ms
     }
 }
 
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -1,7 +1,11 @@
 //! Decides to which boxes a message is sent.
 //!
 //! In a small fleet each box sends its messages to all others. In a large one it sends them to
-//! its own hall, and an abridged form to a few boxes of other halls in turn. The bridges of each
+//! its own hall, and an abridged form to a few boxes of other halls in turn. In a hall of hundreds
+//! of boxes the periodic messages go to a part of the hall at a time: if each box told all others
+//! four times a second, the messages that a box receives would grow with its hall, and those of the
+//! fleet with the square of it. What is urgent still goes to the whole hall at once, and the boxes
+//! that others depend on, followers, bridges and the leader, always send to all of it. The bridges of each
 //! hall (its highest-ranked boxes) and the leader also send theirs directly to the bridges of
 //! other halls, which pass on what their hall needs. Otherwise changes would cross halls only as
 //! fast as the boxes take turns.
@@ -11,7 +15,7 @@
 
 use crate::gateway::decisions::peers::roles::BRIDGES;
 use crate::gateway::decisions::peers::{
-    GOSSIP_PERIOD_MS, OTHER_HALLS_FANOUT, PEER_TIMEOUT_MS, Peer, Peers, SMALL_FLEET,
+    GOSSIP_PERIOD_MS, HALL_PART, OTHER_HALLS_FANOUT, PEER_TIMEOUT_MS, Peer, Peers, SMALL_FLEET,
 };
 
 /// Most boxes to which a report of aborts goes, unless the own hall has more.
@@ -22,6 +26,8 @@
 pub enum Audience {
     /// All boxes that get messages from this one.
     All,
+    /// The same, but only the next part of a large hall.
+    NextPart,
     /// The boxes of the own hall, which mostly use the same upstreams.
     OwnHall,
 }
@@ -29,8 +35,10 @@
 /// How far the messages of a box go directly in a large fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GossipScope {
-    /// To the own hall.
+    /// To the own hall, a part of it at a time if it is large.
     OwnHall,
+    /// To all of the own hall, because the box follows the metadata store for it.
+    WholeHall,
     /// Also to the bridges of all halls, because the box is a bridge or the leader.
     AllBridges,
 }
@@ -53,8 +61,10 @@
     /// if their regular message is due, or if this box has not introduced itself to some peer yet.
     #[must_use]
     pub fn due_audience(&self, now_ms: u64, audience: Audience) -> Audience {
-        if self.has_uninformed_peer || now_ms >= self.all_halls_due_at_ms {
+        if self.has_uninformed_peer {
             Audience::All
+        } else if audience == Audience::OwnHall && now_ms >= self.all_halls_due_at_ms {
+            Audience::NextPart
         } else {
             audience
         }
@@ -68,19 +78,27 @@
                 let full = self.at_peer_port(self.own_hall());
                 Targets { full, ..Targets::default() }
             }
-            Audience::All => {
+            audience @ (Audience::All | Audience::NextPart) => {
                 self.all_halls_due_at_ms = now_ms + GOSSIP_PERIOD_MS;
-                self.all_targets(now_ms, scope)
+                let in_parts = audience == Audience::NextPart && scope == GossipScope::OwnHall;
+                self.all_targets(now_ms, scope, in_parts)
             }
         }
     }
 
-    fn all_targets(&mut self, now_ms: u64, scope: GossipScope) -> Targets {
+    fn all_targets(&mut self, now_ms: u64, scope: GossipScope, in_parts: bool) -> Targets {
         let is_small = self.known.len() <= SMALL_FLEET;
         let hall = self.local.hall;
-        let gets_full = |peer: &Peer| is_small || peer.gossip.hall == hall || !peer.knows_this_box;
-        let (mut full, mut abridged): (Vec<IpAddr>, Vec<IpAddr>) =
-            self.known.keys().copied().partition(|address| gets_full(&self.known[address]));
+        let part = if in_parts { self.next_hall_part() } else { self.own_hall() };
+        let gets_full = |address: &IpAddr, peer: &Peer| {
+            is_small || !peer.knows_this_box || part.binary_search(address).is_ok()
+        };
+        let others = self.known.iter().filter(|(address, peer)| {
+            peer.gossip.hall != hall || gets_full(address, peer)
+        });
+        let (mut full, mut abridged): (Vec<IpAddr>, Vec<IpAddr>) = others
+            .map(|(address, _)| *address)
+            .partition(|address| gets_full(address, &self.known[address]));
         for address in &full {
             self.known.entry(*address).and_modify(|peer| peer.knows_this_box = true);
         }
@@ -155,6 +173,18 @@
         self.at_peer_port(targets)
     }
 
+    /// The part of the own hall that gets the next periodic message, in the order of addresses.
+    fn next_hall_part(&mut self) -> Vec<IpAddr> {
+        let mut part = self.own_hall();
+        if part.len() > HALL_PART {
+            part.rotate_left(self.hall_rotation % part.len());
+            self.hall_rotation = (self.hall_rotation + HALL_PART) % part.len();
+            part.truncate(HALL_PART);
+            part.sort_unstable();
+        }
+        part
+    }
+
     fn own_hall(&self) -> Vec<IpAddr> {
         let own_hall = self.known.iter().filter(|(_, peer)| peer.gossip.hall == self.local.hall);
         own_hall.map(|(address, _)| *address).collect()
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -126,10 +126,16 @@
     composed
 }
 
-/// Whether the gossip of this box goes to the bridges of other halls, too.
+/// How far the gossip of this box goes.
 fn gossip_scope(state: &State) -> GossipScope {
     let reaches_other_halls = state.is_bridge() || state.leadership.is_some();
-    if reaches_other_halls { GossipScope::AllBridges } else { GossipScope::OwnHall }
+    if reaches_other_halls {
+        GossipScope::AllBridges
+    } else if state.follows_metadata {
+        GossipScope::WholeHall
+    } else {
+        GossipScope::OwnHall
+    }
 }
 
 /// The loads that have changed since they were last sent.
@@ -160,7 +166,7 @@
     sleep(MIN_PERIOD).await;
     let period = Duration::from_millis(GOSSIP_PERIOD_MS);
     tokio::select! {
-        () = sleep(period) => Audience::All,
+        () = sleep(period) => Audience::NextPart,
         () = gateway.gossip_now.notified() => Audience::All,
         () = gateway.load_changed.notified() => Audience::OwnHall,
     }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -1,6 +1,7 @@
 //! Which boxes gossip with which, which ones follow the metadata store, and how the others catch
 //! up.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 
 use coursestile::gateway::decisions::gossip_message::{Gossip, MetadataStoreStatus};
@@ -337,3 +338,43 @@
     peers.add_address(1000, address(HALL, 8));
     assert_eq!(peers.abort_report_targets(1000).len(), 2, "boxes that were not heard from yet");
 }
+
+/// Gossip of all boxes to all others of their hall, four times a second, grows with the square of
+/// the hall. A periodic message goes to a part of a large hall, and each part is reached in turn.
+#[test]
+fn hall_parts() {
+    for (count, parts) in [(60_u8, 1), (200, 4)] {
+        let mut peers = Peers::new(local_box(), &[]);
+        let status = MetadataStoreStatus::NotUsed;
+        receive_from_hall(&mut peers, 1000, HALL, count, 120, status);
+        let introduced = peers.next_targets(1000, Audience::NextPart, GossipScope::OwnHall).full;
+        assert_eq!(introduced.len(), usize::from(count), "all are told of a new box at once");
+        let mut reached = BTreeSet::new();
+        for round in 1..=parts {
+            let now_ms = 1000 + round * 250;
+            let targets = peers.next_targets(now_ms, Audience::NextPart, GossipScope::OwnHall);
+            assert!(targets.full.len() <= 64, "{} of {count}", targets.full.len());
+            reached.extend(targets.full);
+        }
+        assert_eq!(reached.len(), usize::from(count));
+        for scope in [GossipScope::WholeHall, GossipScope::AllBridges] {
+            let targets = peers.next_targets(2500, Audience::NextPart, scope);
+            assert_eq!(targets.full.len(), usize::from(count), "others depend on this box");
+        }
+        let targets = peers.next_targets(2600, Audience::All, GossipScope::OwnHall);
+        assert_eq!(targets.full.len(), usize::from(count), "urgent news goes to all");
+    }
+}
+
+/// In a large hall, a box that tells this one only each fourth time stays live if some of its
+/// messages are lost; a follower, which tells all, is missed as soon as before.
+#[test]
+fn hall_parts_silence() {
+    let mut peers = Peers::new(local_box(), &[]);
+    receive_from_hall(&mut peers, 1000, HALL, 200, 120, MetadataStoreStatus::NotUsed);
+    receive_from_hall(&mut peers, 1000, HALL, 1, 500, MetadataStoreStatus::Available);
+    assert_eq!(peers.live_boxes(2499), 201);
+    assert_eq!(peers.live_boxes(2500), 200, "the follower is missed");
+    assert_eq!(peers.live_boxes(4749), 200);
+    assert_eq!(peers.live_boxes(4750), 1);
+}
