A box that starts does not begin to follow thousands of engines

Evidence: fleet baseline, 105 boxes end by themselves within the first seconds ("memory over the limit"), their last lines between the listing of 9,773 engines and the change of role; 106,567 calls to engines for 7,462 requests.

Cause: a box takes its fleet for a small one until it knows more than twelve peers, and boxes of small fleets follow each engine, with a task and a connection each.

--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -9,6 +9,10 @@
 /// Boxes of a hall that follow the metadata store in a larger fleet and publish its changes to
 /// the others. If one fails, the bridges of its hall learn of changes from those of other halls.
 const FOLLOWERS: usize = 1;
+/// Most engines whose context each box of a small fleet follows: an engine takes a connection and a
+/// call a second. A box of a large fleet that has just started takes its fleet for a small one until
+/// it knows more peers, and would otherwise begin to follow thousands.
+const MAX_FOLLOWED_ENGINES: usize = 512;
 /// Boxes of a hall that follow the context stores and pass messages on between halls. One of them
 /// may fail.
 pub(super) const BRIDGES: usize = 2;
@@ -20,6 +24,12 @@
         self.known.len() <= SMALL_FLEET
     }
 
+    /// Whether this box follows the context that engines have, if there are so many of them.
+    #[must_use]
+    pub fn is_engine_follower(&self, engines: usize) -> bool {
+        self.is_small_fleet() && engines <= MAX_FOLLOWED_ENGINES
+    }
+
     /// Whether this box has to follow the metadata store itself. In a small fleet all boxes do;
     /// in a large one, the highest-ranked box of each hall to which the store is available.
     #[must_use]
--- a/src/gateway/follow_caches.rs
+++ b/src/gateway/follow_caches.rs
@@ -15,7 +15,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::decisions::cache_contents::CacheContents;
 use crate::gateway::decisions::cache_reports::{CacheChanges, CacheListing};
-use crate::gateway::decisions::upstream::ReportedIncarnation;
+use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream};
 use crate::gateway::entries;
 use crate::gateway::kernel::{Gateway, State};
 
@@ -87,15 +87,15 @@
     if !state.follows_caches {
         return Vec::new();
     }
+    let is_engine = |upstream: &&Upstream| {
+        let service = configuration.services.get(&upstream.entry.service);
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    let engines = state.upstreams.current().filter(is_engine);
     // In a large fleet, engines evict context before all boxes could learn of it.
-    let follows_engines = state.small_fleet;
-    let engines = state.upstreams.current().filter(|upstream| {
-        follows_engines
-            && configuration
-                .services
-                .get(&upstream.entry.service)
-                .is_some_and(|service| service.engine.is_some())
-    });
+    let follows_engines =
+        state.small_fleet && state.peers.is_engine_follower(engines.clone().count());
+    let engines = engines.filter(|_| follows_engines);
     let engines = engines.map(|engine| (CacheId::Engine(engine.id.clone()), engine.entry.address));
     let stores =
         state.stores.iter().map(|(store, _)| (CacheId::Store(store.name.clone()), store.address));
