Views that fall behind are caught up by differences, and as slow links allow

Causes: (1) a peer that had missed more removals than are remembered (512) got all items, some 2.3 MB here; (2) that had to arrive within 0.8 s, while the boxes' links take 1 s for it, so that it was sent again and again; (3) each of 197 subscribers got a copy of its own.

Change: such a peer gets what was written since and the short ids of all keys (50 kB); the time for an update grows with what has arrived, at least 500 kB a second; encoded updates are shared. gateway_peers::many_removed failed before (all items were sent), views_alike covers listings.

--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -1,31 +1,38 @@
 //! Queries between boxes by TCP: for missing items of the metadata store, and for the contents
 //! of the context stores.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use log::{debug, info};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::connections::set_socket_options;
-use crate::gateway::decisions::view::{CatchUp, ViewDigest};
+use crate::gateway::decisions::view::{CatchUp, CatchUpNeed, ViewDigest};
 use crate::gateway::follow_metadata;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Bounds;
 use crate::gateway::store_updates::publish;
+use crate::sync::locked;
 
 /// Maximum length of a snapshot that is read: room for the metadata store's largest value and
 /// all upstreams.
 const MAX_SNAPSHOT_BYTES: u64 = 8 << 20;
-/// Maximum time in which a peer must send a snapshot.
+/// Maximum time in which a peer must begin to send an update; with each byte it gets more time.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Lowest rate at which an update is sent: a box with a slow link shares it with its requests.
+const MIN_BYTES_PER_MS: u64 = 500;
+/// Size of the pieces in which an update is sent and read.
+const PIECE_BYTES: usize = 64 << 10;
 /// Percentage of the time in which a change must be in force that one peer may take to
 /// answer: if it does not, there must be time to ask another.
 const SNAPSHOT_TIMEOUT_PERCENT: u64 = 40;
@@ -85,17 +92,32 @@
         let mut stream = TcpStream::connect(peer).await?;
         stream.write_all(&query).await?;
         stream.shutdown().await?;
-        let mut bytes = Vec::new();
-        stream.take(MAX_SNAPSHOT_BYTES).read_to_end(&mut bytes).await?;
-        std::io::Result::Ok(bytes)
+        std::io::Result::Ok(stream)
     };
-    let bytes = timeout(limit, read)
-        .await
-        .map_err(|_| Error::Message(format!("{peer}: no snapshot within {limit:?}")))?
-        .map_err(|error| Error::Message(format!("{peer}: {error}")))?;
+    let started_at = Instant::now();
+    let peer_error = |error: std::io::Error| Error::Message(format!("{peer}: {error}"));
+    let late = || Error::Message(format!("{peer}: no update in time"));
+    let stream = timeout(limit, read).await.map_err(|_| late())?.map_err(peer_error)?;
+    let mut stream = stream.take(MAX_SNAPSHOT_BYTES);
+    let mut bytes = Vec::new();
+    loop {
+        let due_at = started_at + limit + transfer_time(bytes.len());
+        bytes.reserve(PIECE_BYTES);
+        match timeout_at(due_at, stream.read_buf(&mut bytes)).await {
+            Ok(Ok(0)) => break,
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return Err(peer_error(error)),
+            Err(_) => return Err(late()),
+        }
+    }
     postcard::from_bytes(&bytes).map_err(|error| Error::Message(format!("{peer}: {error}")))
 }
 
+/// Longest time that sending so many bytes may take.
+fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_millis(u64::try_from(bytes).unwrap_or(u64::MAX) / MIN_BYTES_PER_MS)
+}
+
 /// Answers the queries of peers until the box stops.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
     while gateway.phase() != BoxPhase::Stopped {
@@ -116,6 +138,34 @@
     }
 }
 
+/// Encoded updates for peers that have fallen behind, all from the same view. Many peers need the
+/// same one at the same time, and each copy may have megabytes.
+#[derive(Default)]
+pub struct EncodedUpdates {
+    digest: ViewDigest,
+    by_need: HashMap<CatchUpNeed, Bytes>,
+}
+
+/// The update that a peer whose view has `digest` needs.
+fn encoded_update(gateway: &Gateway, digest: ViewDigest) -> postcard::Result<Bytes> {
+    let mut updates = locked(&gateway.encoded_updates);
+    let (need, catch_up) = {
+        let state = gateway.state();
+        let own = state.view.digest();
+        if updates.digest != own {
+            *updates = EncodedUpdates { digest: own, by_need: HashMap::new() };
+        }
+        let need = state.view.catch_up_need(digest);
+        if let Some(bytes) = updates.by_need.get(&need) {
+            return Ok(bytes.clone());
+        }
+        (need, state.view.catch_up(digest))
+    };
+    let bytes = Bytes::from(postcard::to_stdvec(&catch_up)?);
+    updates.by_need.insert(need, bytes.clone());
+    Ok(bytes)
+}
+
 async fn answer(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
     let codec_error = |error: postcard::Error| Error::Message(error.to_string());
     // Without this, data for a subscriber that stopped responding would stay unacknowledged for
@@ -126,13 +176,13 @@
     in_time(timeout(SNAPSHOT_TIMEOUT, limited.read_to_end(&mut query)).await)?;
     match postcard::from_bytes(&query).map_err(codec_error)? {
         PeerQuery::CatchUp(digest) => {
-            let catch_up = gateway.state().view.catch_up(digest);
-            let bytes = postcard::to_stdvec(&catch_up).map_err(codec_error)?;
-            let written = timeout(SNAPSHOT_TIMEOUT, async {
-                stream.write_all(&bytes).await?;
-                stream.shutdown().await
-            });
-            in_time(written.await)
+            let bytes = encoded_update(gateway, digest).map_err(codec_error)?;
+            let started_at = Instant::now();
+            for (piece, sent_bytes) in bytes.chunks(PIECE_BYTES).zip((0..).step_by(PIECE_BYTES)) {
+                let due_at = started_at + SNAPSHOT_TIMEOUT + transfer_time(sent_bytes);
+                in_time(timeout_at(due_at, stream.write_all(piece)).await)?;
+            }
+            in_time(timeout(SNAPSHOT_TIMEOUT, stream.shutdown()).await)
         }
         PeerQuery::ContextStores => publish(gateway, stream).await,
     }
--- a/src/gateway/decisions/view.rs
+++ b/src/gateway/decisions/view.rs
@@ -5,11 +5,17 @@
 //! during or shortly after an outage of the store is kept for a while, because upstreams that are
 //! still running register again once the store is back. A broken connection alone does not count
 //! as an outage: items can only expire after the store has been out of reach for some time.
+//!
+//! A peer that has fallen behind gets what has changed. If more was removed meanwhile than is
+//! remembered, as when thousands of upstreams are replaced, it also gets the keys that are left,
+//! not all items: those are megabytes, and take longer over a slow link than a change may take.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+use crate::names::short_id;
+
 /// Time within which running upstreams write their items again after an outage of the store.
 const REREGISTRATION_MS: u64 = 2000;
 /// Number of removals that are remembered for peers that have fallen behind.
@@ -48,6 +54,24 @@
         /// Keys that were removed since, with the revisions of the removals.
         removed: Vec<(String, u64)>,
     },
+    /// The changes since that revision, if not all removals since are remembered.
+    Listed {
+        /// Items that were written since.
+        changed: Snapshot,
+        /// Short ids of the keys of all items, sorted.
+        keys: Vec<u32>,
+    },
+}
+
+/// Which update a peer that has fallen behind needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum CatchUpNeed {
+    /// All items.
+    Full,
+    /// The changes since a revision.
+    DeltaSince(u64),
+    /// The changes since a revision, and the keys of all items.
+    ListedSince(u64),
 }
 
 /// Digest of a view. Boxes compare digests to find out whether their views are equal.
@@ -166,18 +190,43 @@
         Snapshot { at_revision, last_change_revision, items }
     }
 
-    /// The update that a peer whose view has `digest` needs.
+    /// Which update a peer whose view has `digest` needs.
     #[must_use]
-    pub fn catch_up(&self, digest: ViewDigest) -> CatchUp {
+    pub fn catch_up_need(&self, digest: ViewDigest) -> CatchUpNeed {
         let after = digest.last_change_revision;
         // A peer that knows the same last change and still differs needs all items.
-        if after < self.removal_log_start || after >= self.last_change_revision {
-            return CatchUp::Full(self.snapshot());
+        if after == 0 || after >= self.last_change_revision {
+            CatchUpNeed::Full
+        } else if after < self.removal_log_start {
+            CatchUpNeed::ListedSince(after)
+        } else {
+            CatchUpNeed::DeltaSince(after)
         }
+    }
+
+    /// The update that a peer whose view has `digest` needs.
+    #[must_use]
+    pub fn catch_up(&self, digest: ViewDigest) -> CatchUp {
+        match self.catch_up_need(digest) {
+            CatchUpNeed::Full => CatchUp::Full(self.snapshot()),
+            CatchUpNeed::DeltaSince(after) => {
+                let removed = self.removal_log.iter().filter(|(_, revision)| *revision > after);
+                CatchUp::Delta {
+                    changed: self.changed_since(after),
+                    removed: removed.cloned().collect(),
+                }
+            }
+            CatchUpNeed::ListedSince(after) => {
+                let mut keys: Vec<u32> = self.items.keys().map(|key| short_id(key)).collect();
+                keys.sort_unstable();
+                CatchUp::Listed { changed: self.changed_since(after), keys }
+            }
+        }
+    }
+
+    fn changed_since(&self, after: u64) -> Snapshot {
         let items = self.items.iter().filter(|(_, item)| item.revision > after);
-        let items = items.map(|(key, item)| (key.clone(), item.clone())).collect();
-        let removed = self.removal_log.iter().filter(|(_, revision)| *revision > after);
-        CatchUp::Delta { changed: self.snapshot_of(items), removed: removed.cloned().collect() }
+        self.snapshot_of(items.map(|(key, item)| (key.clone(), item.clone())).collect())
     }
 
     /// Notes a failed call to the store. Returns true if the call before succeeded.
@@ -258,17 +307,28 @@
         covers: impl Fn(&str) -> bool,
         is_ephemeral: impl Fn(&str) -> bool,
     ) -> Vec<ViewChange> {
-        let mut changes = Vec::new();
-        let at_revision = snapshot.at_revision;
-        // A snapshot does not say what was removed since the last update, so removals before it
-        // are unknown.
-        self.removal_log_start = at_revision;
         let missing: Vec<String> = self
             .items
             .keys()
             .filter(|key| covers(key) && !snapshot.items.contains_key(*key))
             .cloned()
             .collect();
+        self.replace_items(now_ms, missing, snapshot, is_ephemeral)
+    }
+
+    /// Removes the items that are missing from a listing and applies those that it contains.
+    fn replace_items(
+        &mut self,
+        now_ms: u64,
+        missing: Vec<String>,
+        snapshot: Snapshot,
+        is_ephemeral: impl Fn(&str) -> bool,
+    ) -> Vec<ViewChange> {
+        let mut changes = Vec::new();
+        let at_revision = snapshot.at_revision;
+        // A listing does not say when items were removed since the last update, so removals before
+        // it are unknown.
+        self.removal_log_start = at_revision;
         for key in missing {
             let is_ephemeral = is_ephemeral(&key);
             // A listing does not contain the revision of a removal; its own revision is the upper
@@ -304,6 +364,12 @@
             // The peer still lists items whose removal it has deferred, so removals are not
             // deferred here.
             CatchUp::Full(snapshot) => self.apply_snapshot(now_ms, snapshot, covers, |_| false),
+            CatchUp::Listed { changed, keys } => {
+                let is_missing =
+                    |key: &&String| covers(key) && keys.binary_search(&short_id(key)).is_err();
+                let missing = self.items.keys().filter(is_missing).cloned().collect();
+                self.replace_items(now_ms, missing, changed, |_| false)
+            }
             CatchUp::Delta { changed, removed } => {
                 let mut changes = Vec::new();
                 // Single items may be newer than the revision up to which the peer's view is
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -167,7 +167,9 @@
     let mut state = gateway.state();
     let (at_revision, is_full) = match &catch_up {
         CatchUp::Full(snapshot) => (snapshot.at_revision, true),
-        CatchUp::Delta { changed, .. } => (changed.at_revision, false),
+        CatchUp::Delta { changed, .. } | CatchUp::Listed { changed, .. } => {
+            (changed.at_revision, false)
+        }
     };
     if at_revision < state.view.last_change_revision() {
         return;
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -11,6 +11,7 @@
 use crate::crash_reports::CrashReports;
 use crate::error::Result;
 use crate::fingerprint::Fingerprint;
+use crate::gateway::catch_up::EncodedUpdates;
 use crate::gateway::claims::ClaimRecord;
 use crate::gateway::connections::Connections;
 use crate::gateway::decisions::admission::AdmissionLimits;
@@ -225,6 +226,8 @@
     /// Requests whose upstream aborted them, by upstream, while it is being checked whether the
     /// upstream crashed.
     pub unexplained_aborts: Mutex<HashMap<String, Vec<Fingerprint>>>,
+    /// Encoded updates for peers whose view of the metadata store is behind.
+    pub encoded_updates: Mutex<EncodedUpdates>,
     /// Reports of aborts to the peers.
     pub crash_reports: CrashReports,
     /// Socket for datagrams to peers, once it is bound.
@@ -292,6 +295,7 @@
             resigned: watch::Sender::new(false),
             delegated_replies: watch::Sender::new(None),
             unexplained_aborts: Mutex::default(),
+            encoded_updates: Mutex::default(),
             crash_reports: CrashReports::default(),
             peer_socket: OnceLock::new(),
             claim_lock: tokio::sync::Mutex::new(()),
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -6,7 +6,9 @@
 
 use coursestile::gateway::decisions::gossip_message::{Gossip, MetadataStoreStatus};
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
-use coursestile::gateway::decisions::view::{MetadataView, VersionedValue, ViewDigest};
+use coursestile::gateway::decisions::view::{
+    MetadataView, Snapshot, VersionedValue, ViewDigest,
+};
 use proptest::prelude::*;
 
 const HALL: u32 = 1;
@@ -169,6 +171,8 @@
 enum Step {
     Write { key: u8 },
     Remove { key: u8 },
+    /// The follower lists all items, after which it does not know what was removed before.
+    List,
     CatchUp,
 }
 
@@ -176,6 +180,7 @@
     let step = prop_oneof![
         3 => (0..9_u8).prop_map(|key| Step::Write { key }),
         2 => (0..9_u8).prop_map(|key| Step::Remove { key }),
+        1 => Just(Step::List),
         2 => Just(Step::CatchUp),
     ];
     prop::collection::vec(step, 1..60)
@@ -184,6 +189,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(6), ..ProptestConfig::default() })]
 
+    /// Whatever was written and removed, a peer that catches up has the same items.
     #[test]
     fn views_alike(steps in steps()) {
         let (mut follower, mut lagging) = (MetadataView::default(), MetadataView::default());
@@ -193,6 +199,10 @@
                     follower.put(key.to_string(), VersionedValue { revision, value: vec![key] });
                 }
                 Step::Remove { key } => drop(follower.remove(0, &key.to_string(), revision, false)),
+                Step::List => {
+                    let listing = Snapshot { at_revision: revision, ..follower.snapshot() };
+                    follower.apply_snapshot(0, listing, |_| true, |_| false);
+                }
                 Step::CatchUp => drop(lagging.apply_catch_up(0, follower.catch_up(lagging.digest()), |_| true)),
             }
         }
@@ -378,3 +388,40 @@
     assert_eq!(peers.live_boxes(4749), 200);
     assert_eq!(peers.live_boxes(4750), 1);
 }
+
+/// A fleet replaces thousands of upstreams at once, more than a box remembers as removed. Its peers
+/// must not need all items then: they did not arrive in time over slow links.
+#[test]
+fn many_removed() {
+    let entry = |revision| VersionedValue { revision, value: vec![7; 200] };
+    let key = |number: u64| format!("upstream/{number}");
+    let (mut follower, mut lagging) = (MetadataView::default(), MetadataView::default());
+    for number in 1..=10_000 {
+        follower.put(key(number), entry(number));
+    }
+    lagging.apply_catch_up(0, follower.catch_up(lagging.digest()), |_| true);
+    assert_eq!(lagging.digest(), follower.digest());
+    for number in 1..=4000 {
+        follower.remove(1000, &key(number), 10_000 + number, false);
+    }
+    follower.put(key(10_001), entry(20_000));
+    let update = follower.catch_up(lagging.digest());
+    let update_bytes = postcard::to_stdvec(&update).unwrap().len();
+    let full_bytes = postcard::to_stdvec(&follower.snapshot()).unwrap().len();
+    assert!(update_bytes * 20 < full_bytes, "{update_bytes} of {full_bytes}");
+    let changes = lagging.apply_catch_up(1000, update, |_| true);
+    assert_eq!(changes.len(), 4001);
+    assert_eq!(lagging.digest(), follower.digest());
+}
+
+/// A box that starts hears a few peers first, and must not begin to follow the thousands of engines
+/// of its fleet.
+#[test]
+fn engines_followed() {
+    let mut peers = Peers::new(local_box(), &[]);
+    receive_from_hall(&mut peers, 0, HALL, 4, 120, MetadataStoreStatus::Available);
+    assert!(peers.is_engine_follower(60));
+    assert!(!peers.is_engine_follower(9773));
+    receive_from_hall(&mut peers, 0, HALL, 20, 120, MetadataStoreStatus::Available);
+    assert!(!peers.is_engine_follower(60), "a large fleet");
+}
