Admission limits recover within seconds once no first token is late

Change: the increase with time doubles each half second in which no box has seen a late first token; boxes tell each other when they saw the last.

--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -9,6 +9,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, as_f64};
 use crate::gateway::decisions::upstream::Load;
 use crate::names::short_id;
@@ -35,9 +37,12 @@
 const THOUSAND: f64 = 1000.0;
 /// Part of the difference to the mean limit of all boxes that is made up with each first token.
 const MEAN_ADJUSTMENT_PART: f64 = 0.1;
-/// Increase of the limit per second without any first token: a limit that fell recovers within two
-/// minutes even if no request shows that it may.
+/// Increase of the limit per second without any first token, right after a late one.
 const RECOVERY_PER_S: f64 = 0.01;
+/// Time in which that increase doubles while no box sees a late first token.
+const RECOVERY_DOUBLING_MS: f64 = 500.0;
+/// The highest increase, at which a limit recovers fully within a second.
+const MAX_RECOVERY_PER_S: f64 = 1.0;
 /// Lower and upper bound of a limit. Limits start at the upper bound, since a short burst at
 /// moderate load is better queued than refused.
 const LIMIT_RANGE: (f64, f64) = (0.3, 1.1);
@@ -51,10 +56,50 @@
 /// As boxes share engines, they share limits: each applies the mean of its own limit and those of
 /// its peers. Otherwise, boxes with lower limits would leave capacity to the others, and the
 /// clients of one hall would be refused while those of another are not.
+///
+/// Load that exceeds the engines for some seconds, for example while they load new weights and have
+/// no context, takes the limits to their lower bound. Engines then have capacity again, but with a
+/// low limit hardly any of them is nearly full, and few first tokens show it. So the limits increase
+/// with time as well, slowly at first, and the faster the longer no box has seen a late first token.
 #[derive(Debug, Default)]
 pub struct AdmissionLimits {
-    own: HashMap<u32, f64>,
-    peer_limits: Vec<(u32, u16)>,
+    own: HashMap<u32, OwnLimit>,
+    peers: Vec<PeerLimit>,
+}
+
+/// A limit that this box has found.
+#[derive(Clone, Copy, Debug)]
+struct OwnLimit {
+    limit: f64,
+    late_at_ms: Option<u64>,
+}
+
+/// An admission limit that a box has found, as reported to other boxes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Short id of the service.
+    pub service: u32,
+    /// The limit, in thousandths.
+    pub thousandths: u16,
+    /// Time since the box last saw a late first token, in milliseconds; [`u16::MAX`] if it was
+    /// longer ago.
+    pub late_age_ms: u16,
+}
+
+/// A report of another box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLimit {
+    /// When the report was received.
+    pub received_at_ms: u64,
+    pub report: LimitReport,
+}
+
+impl PeerLimit {
+    /// When the box saw its last late first token, if that was recent.
+    fn late_at_ms(&self) -> Option<u64> {
+        let age_ms = Some(self.report.late_age_ms).filter(|age_ms| *age_ms < u16::MAX)?;
+        Some(self.received_at_ms.saturating_sub(age_ms.into()))
+    }
 }
 
 impl AdmissionLimits {
@@ -65,7 +110,7 @@
     }
 
     /// Adjusts the limit of a service by the outcome of a wait for a first token.
-    pub fn record_first_token(&mut self, service: &str, outcome: FirstTokenOutcome) {
+    pub fn record_first_token(&mut self, now_ms: u64, service: &str, outcome: FirstTokenOutcome) {
         let service = short_id(service);
         let mean_limit = self.mean_limit(service);
         let own_limit = self.own_limit(service);
@@ -75,42 +120,61 @@
             FirstTokenOutcome::InTime => adjusted + LIMIT_INCREASE,
             FirstTokenOutcome::Late => adjusted * (1.0 - LIMIT_CUT_PART),
         };
-        self.own.insert(service, limit.clamp(min, max));
+        let late_at_ms = match outcome {
+            FirstTokenOutcome::InTime => self.own.get(&service).and_then(|own| own.late_at_ms),
+            FirstTokenOutcome::Late => Some(now_ms),
+        };
+        self.own.insert(service, OwnLimit { limit: limit.clamp(min, max), late_at_ms });
     }
 
     /// Increases the limits with the time that has passed.
-    pub fn recover(&mut self, elapsed_s: f64) {
+    pub fn recover(&mut self, now_ms: u64, elapsed_s: f64) {
         let (min, max) = LIMIT_RANGE;
-        for limit in self.own.values_mut() {
-            *limit = (*limit + elapsed_s * RECOVERY_PER_S).clamp(min, max);
+        for (service, own) in &mut self.own {
+            let of_service = self.peers.iter().filter(|peer| peer.report.service == *service);
+            let late_at_ms = of_service.filter_map(PeerLimit::late_at_ms).max().max(own.late_at_ms);
+            let quiet_ms = now_ms.saturating_sub(late_at_ms.unwrap_or_default());
+            let doublings = as_f64(quiet_ms) / RECOVERY_DOUBLING_MS;
+            let recovery_per_s = (RECOVERY_PER_S * doublings.exp2()).min(MAX_RECOVERY_PER_S);
+            own.limit = (own.limit + elapsed_s * recovery_per_s).clamp(min, max);
         }
     }
 
-    /// This box's limits in thousandths, by the short ids of services.
+    /// The limits that this box has found, for other boxes.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "limits are positive and far below 65"
     )]
-    pub fn own_limits(&self) -> Vec<(u32, u16)> {
-        self.own.iter().map(|(service, limit)| (*service, (limit * THOUSAND) as u16)).collect()
+    pub fn own_limits(&self, now_ms: u64) -> Vec<LimitReport> {
+        let reports = self.own.iter().map(|(service, own)| {
+            let late_age_ms = own.late_at_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
+            let late_age_ms = late_age_ms.and_then(|age_ms| u16::try_from(age_ms).ok());
+            LimitReport {
+                service: *service,
+                thousandths: (own.limit * THOUSAND) as u16,
+                late_age_ms: late_age_ms.unwrap_or(u16::MAX),
+            }
+        });
+        reports.collect()
     }
 
     /// Sets the limits reported by other boxes.
-    pub fn set_peer_limits(&mut self, peer_limits: Vec<(u32, u16)>) {
-        self.peer_limits = peer_limits;
+    pub fn set_peer_limits(&mut self, peers: Vec<PeerLimit>) {
+        self.peers = peers;
     }
 
     fn own_limit(&self, service: u32) -> f64 {
-        self.own.get(&service).copied().unwrap_or(LIMIT_RANGE.1)
+        self.own.get(&service).map_or(LIMIT_RANGE.1, |own| own.limit)
     }
 
     fn mean_limit(&self, service: u32) -> f64 {
-        let peers = self.peer_limits.iter().filter(|(peer_service, _)| *peer_service == service);
-        let (sum, count) = peers
-            .fold((self.own_limit(service), 1.0), |(sum, count), (_, limit)| {
-                (sum + f64::from(*limit) / THOUSAND, count + 1.0)
+        let reports = self.peers.iter().map(|peer| peer.report);
+        let (sum, count) = reports
+            .filter(|report| report.service == service)
+            .fold((self.own_limit(service), 1.0), |(sum, count), report| {
+                (sum + f64::from(report.thousandths) / THOUSAND, count + 1.0)
             });
         sum / count
     }
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::admission::LimitReport;
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::ViewDigest;
 use crate::quarantine::{AbortReport, AnswerReport, CrashReport};
@@ -36,8 +37,8 @@
     pub fetches: Vec<(u32, u32)>,
     /// How much longer than expected the sender's latest fetches from stores took.
     pub slowdowns: Vec<SlowdownReport>,
-    /// Admission limits that the box has found, in thousandths, by the short id of the service.
-    pub limits: Vec<(u32, u16)>,
+    /// Admission limits that the box has found.
+    pub limits: Vec<LimitReport>,
     /// Engines that load weights, by their short ids, with the remaining time in milliseconds.
     pub loading_engines: Vec<(u32, u16)>,
     /// Upstreams whose address now belongs to another incarnation, by their short ids.
--- a/src/gateway/decisions/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 
+use crate::gateway::decisions::admission::PeerLimit;
 use crate::gateway::decisions::gossip_message::{Gossip, LoadReport};
 use crate::gateway::decisions::peers::{PEER_RETENTION_MS, Peers};
 use crate::gateway::decisions::upstream::Load;
@@ -125,10 +126,13 @@
         })
     }
 
-    /// Admission limits that all other boxes have found, in thousandths, by the short id of the
-    /// service.
+    /// Admission limits that all other boxes have found.
     #[must_use]
-    pub fn limits(&self, now_ms: u64) -> Vec<(u32, u16)> {
-        self.live_peers(now_ms).flat_map(|(_, peer)| peer.gossip.limits.iter().copied()).collect()
+    pub fn limits(&self, now_ms: u64) -> Vec<PeerLimit> {
+        let limits = self.live_peers(now_ms).flat_map(|(_, peer)| {
+            let received_at_ms = peer.last_receive_ms;
+            peer.gossip.limits.iter().map(move |report| PeerLimit { received_at_ms, report: *report })
+        });
+        limits.collect()
     }
 }
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -133,7 +133,7 @@
         update_role(&gateway, &mut state, now_ms);
         state.apply_peer_reports(now_ms);
         cold_starts::update_allowances(&gateway, &mut state, now_ms);
-        state.admission_limits.recover(TICK.as_secs_f64());
+        state.admission_limits.recover(now_ms, TICK.as_secs_f64());
         let changes = state.view.apply_due_removals(now_ms);
         apply(&gateway, &mut state, now_ms, NamedAt::Now, changes);
         if !state.small_fleet {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -188,7 +188,7 @@
         loads: reported_loads(own_loads(state, now_ms)),
         fetches: fetches(state),
         slowdowns: slowdowns(state),
-        limits: state.admission_limits.own_limits(),
+        limits: state.admission_limits.own_limits(now_ms),
         loading_engines: loading_engines(state, now_ms),
         superseded: superseded(state),
         leaving: leaving(state),
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -125,7 +125,7 @@
             .get_incarnation(&self.upstream)
             .map(|upstream| upstream.entry.service.clone());
         if let Some(service) = service {
-            state.admission_limits.record_first_token(&service, outcome);
+            state.admission_limits.record_first_token(now_ms(), &service, outcome);
         }
     }
 
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -2,11 +2,12 @@
 //! request is asked to come back.
 
 use coursestile::gateway::decisions::admission::{
-    AdmissionCriteria, AdmissionLimits, Capacity, FirstTokenOutcome, Occupancy, occupancy,
-    retry_after_ms,
+    AdmissionCriteria, AdmissionLimits, Capacity, FirstTokenOutcome, Occupancy, PeerLimit,
+    occupancy, retry_after_ms,
 };
 use coursestile::gateway::decisions::upstream::Load;
 
+const NOW_MS: u64 = 1_000_000;
 const CAPACITY: Capacity = Capacity { slots: 64, memory_tokens: 40_000 };
 const HIGHEST_PRIORITY: AdmissionCriteria = AdmissionCriteria {
     higher_priority_ranks: 0,
@@ -102,15 +103,15 @@
 fn limit_found() {
     let mut limits = AdmissionLimits::default();
     let initial_limit = limits.limit_of("llm");
-    limits.record_first_token("llm", FirstTokenOutcome::Late);
+    limits.record_first_token(NOW_MS, "llm", FirstTokenOutcome::Late);
     let lowered_limit = limits.limit_of("llm");
     assert!(
         lowered_limit < initial_limit && (limits.limit_of("other") - initial_limit).abs() < 1e-9
     );
-    limits.record_first_token("llm", FirstTokenOutcome::InTime);
+    limits.record_first_token(NOW_MS, "llm", FirstTokenOutcome::InTime);
     assert!(limits.limit_of("llm") > lowered_limit);
     for outcome in [FirstTokenOutcome::Late, FirstTokenOutcome::InTime] {
-        (0..10_000).for_each(|_| limits.record_first_token("llm", outcome));
+        (0..10_000).for_each(|_| limits.record_first_token(NOW_MS, "llm", outcome));
         let limit = limits.limit_of("llm");
         assert!((0.2..1.2).contains(&limit), "{limit}");
         assert!(has_room(
@@ -135,7 +136,7 @@
             } else {
                 FirstTokenOutcome::InTime
             };
-            limits.record_first_token("llm", outcome);
+            limits.record_first_token(NOW_MS, "llm", outcome);
             if step > 2000 {
                 settled_limits.push(limit);
             }
@@ -151,17 +152,18 @@
 #[test]
 fn limits_shared() {
     let (mut first, mut second) = (AdmissionLimits::default(), AdmissionLimits::default());
-    (0..20).for_each(|_| first.record_first_token("llm", FirstTokenOutcome::Late));
-    second.record_first_token("llm", FirstTokenOutcome::InTime);
+    (0..20).for_each(|_| first.record_first_token(NOW_MS, "llm", FirstTokenOutcome::Late));
+    second.record_first_token(NOW_MS, "llm", FirstTokenOutcome::InTime);
     assert!(second.limit_of("llm") - first.limit_of("llm") > 0.3);
     for _ in 0..60 {
-        first.set_peer_limits(second.own_limits());
-        second.set_peer_limits(first.own_limits());
-        first.record_first_token("llm", FirstTokenOutcome::InTime);
-        second.record_first_token("llm", FirstTokenOutcome::InTime);
+        first.set_peer_limits(received_limits(&second, NOW_MS));
+        second.set_peer_limits(received_limits(&first, NOW_MS));
+        first.record_first_token(NOW_MS, "llm", FirstTokenOutcome::InTime);
+        second.record_first_token(NOW_MS, "llm", FirstTokenOutcome::InTime);
     }
     assert!((first.limit_of("llm") - second.limit_of("llm")).abs() < 0.01);
-    assert!(first.own_limits()[0].1.abs_diff(second.own_limits()[0].1) < 50);
+    let thousandths = |limits: &AdmissionLimits| limits.own_limits(NOW_MS)[0].thousandths;
+    assert!(thousandths(&first).abs_diff(thousandths(&second)) < 50);
 }
 
 /// A lowered limit recovers with time alone: refused requests cannot show that the engines have
@@ -171,15 +173,53 @@
     let mut limits = AdmissionLimits::default();
     let initial_limit = limits.limit_of("a");
     for _ in 0..100 {
-        limits.record_first_token("a", FirstTokenOutcome::Late);
+        limits.record_first_token(NOW_MS, "a", FirstTokenOutcome::Late);
     }
     let lowered_limit = limits.limit_of("a");
-    limits.recover(20.0);
+    limits.recover(NOW_MS + 20, 20.0);
     assert!(
         limits.limit_of("a") > lowered_limit + 0.1,
         "{lowered_limit} to {}",
         limits.limit_of("a")
     );
-    limits.recover(600.0);
+    limits.recover(NOW_MS + 30, 600.0);
     assert!((limits.limit_of("a") - initial_limit).abs() < f64::EPSILON);
 }
+
+/// The limits of a box as its peers receive them.
+fn received_limits(limits: &AdmissionLimits, now_ms: u64) -> Vec<PeerLimit> {
+    let reports = limits.own_limits(now_ms).into_iter();
+    reports.map(|report| PeerLimit { received_at_ms: now_ms, report }).collect()
+}
+
+/// Limits that fell in an overload are back within seconds after its last late first token, not
+/// after a minute.
+#[test]
+fn overload_ends() {
+    let mut limits = AdmissionLimits::default();
+    let initial_limit = limits.limit_of("llm");
+    (0..100).for_each(|_| limits.record_first_token(NOW_MS, "llm", FirstTokenOutcome::Late));
+    let lowered_limit = limits.limit_of("llm");
+    for now_ms in (NOW_MS..NOW_MS + 1000).step_by(100) {
+        limits.recover(now_ms, 0.1);
+    }
+    assert!(limits.limit_of("llm") < lowered_limit + 0.05, "the overload may go on");
+    for now_ms in (NOW_MS + 1000..NOW_MS + 4000).step_by(100) {
+        limits.recover(now_ms, 0.1);
+    }
+    assert!((limits.limit_of("llm") - initial_limit).abs() < 0.05, "{}", limits.limit_of("llm"));
+}
+
+/// A box whose own clients see no late first token goes by what its peers see.
+#[test]
+fn overload_elsewhere() {
+    let (mut first, mut second) = (AdmissionLimits::default(), AdmissionLimits::default());
+    (0..100).for_each(|_| first.record_first_token(NOW_MS, "llm", FirstTokenOutcome::Late));
+    let lowered_limit = first.limit_of("llm");
+    for now_ms in (NOW_MS..NOW_MS + 10_000).step_by(100) {
+        second.record_first_token(now_ms, "llm", FirstTokenOutcome::Late);
+        first.set_peer_limits(received_limits(&second, now_ms));
+        first.recover(now_ms, 0.1);
+    }
+    assert!(first.own_limits(NOW_MS)[0].thousandths < 450, "{lowered_limit}");
+}
