A newcomer costs one message, not one to each box of the hall

Cause: whenever a box learned of another one, its next message went to all of its hall at once; when a fleet starts that happens up to fifty times a second at each box. Messages without content went out, too. Change: a box introduces itself to the newcomers only, to those of other halls that it knows by name with the abridged message; empty changes of load are not sent, and changes are counted from what the whole hall was told. gateway_peers::newcomers_only failed before.

--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -107,6 +107,14 @@
     pub backoffs: Vec<(u32, u16)>,
 }
 
+impl LoadChanges {
+    /// Whether there is nothing to report.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.loads.is_empty() && self.superseded.is_empty() && self.backoffs.is_empty()
+    }
+}
+
 /// Requests that upstreams have just aborted, to be acknowledged by the receiver.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AbortsReport {
--- a/src/gateway/decisions/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -131,7 +131,10 @@
     pub fn limits(&self, now_ms: u64) -> Vec<PeerLimit> {
         let limits = self.live_peers(now_ms).flat_map(|(_, peer)| {
             let received_at_ms = peer.last_receive_ms;
-            peer.gossip.limits.iter().map(move |report| PeerLimit { received_at_ms, report: *report })
+            peer.gossip
+                .limits
+                .iter()
+                .map(move |report| PeerLimit { received_at_ms, report: *report })
         });
         limits.collect()
     }
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -28,6 +28,8 @@
     All,
     /// The same, but only the next part of a large hall.
     NextPart,
+    /// The boxes that this one has not introduced itself to.
+    Newcomers,
     /// The boxes of the own hall, which mostly use the same upstreams.
     OwnHall,
 }
@@ -48,6 +50,8 @@
 pub struct Targets {
     /// Boxes that get the full gossip.
     pub full: Vec<SocketAddr>,
+    /// Whether all boxes of the own hall are among them.
+    pub includes_hall: bool,
     /// Boxes of other halls that get the abridged gossip.
     pub abridged: Vec<SocketAddr>,
     /// Bridges of other halls that get the summary of the own hall, if it is due.
@@ -58,15 +62,15 @@
 
 impl Peers {
     /// The audience of the next message when there is something to send to `audience`: all boxes
-    /// if their regular message is due, or if this box has not introduced itself to some peer yet.
+    /// if their regular message is due, or else only the newcomers if there are any.
     #[must_use]
     pub fn due_audience(&self, now_ms: u64, audience: Audience) -> Audience {
-        if self.has_uninformed_peer {
-            Audience::All
-        } else if audience == Audience::OwnHall && now_ms >= self.all_halls_due_at_ms {
-            Audience::NextPart
-        } else {
-            audience
+        match audience {
+            Audience::OwnHall | Audience::Newcomers if now_ms >= self.all_halls_due_at_ms => {
+                Audience::NextPart
+            }
+            Audience::OwnHall if self.has_uninformed_peer => Audience::Newcomers,
+            _ => audience,
         }
     }
 
@@ -76,8 +80,9 @@
         match self.due_audience(now_ms, audience) {
             Audience::OwnHall => {
                 let full = self.at_peer_port(self.own_hall());
-                Targets { full, ..Targets::default() }
+                Targets { full, includes_hall: true, ..Targets::default() }
             }
+            Audience::Newcomers => self.newcomers(),
             audience @ (Audience::All | Audience::NextPart) => {
                 self.all_halls_due_at_ms = now_ms + GOSSIP_PERIOD_MS;
                 let in_parts = audience == Audience::NextPart && scope == GossipScope::OwnHall;
@@ -86,16 +91,40 @@
         }
     }
 
+    /// The boxes that this one has not introduced itself to, and only these: when a fleet starts,
+    /// each box learns of others many times a second. A box of another hall that this one only
+    /// knows by name gets the abridged gossip, since others tell it of its peers.
+    fn newcomers(&mut self) -> Targets {
+        self.has_uninformed_peer = false;
+        let (is_small, hall) = (self.known.len() <= SMALL_FLEET, self.local.hall);
+        let (mut full, mut abridged) = (Vec::new(), Vec::new());
+        for (address, peer) in self.known.iter_mut().filter(|(_, peer)| !peer.knows_this_box) {
+            peer.knows_this_box = true;
+            let is_heard = peer.gossip.incarnation > 0;
+            let gets_full = is_small || is_heard || self.seeds.contains(address);
+            if gets_full || peer.gossip.hall == hall {
+                full.push(*address);
+            } else {
+                abridged.push(*address);
+            }
+        }
+        let (full, abridged) = (self.at_peer_port(full), self.at_peer_port(abridged));
+        Targets { full, abridged, ..Targets::default() }
+    }
+
     fn all_targets(&mut self, now_ms: u64, scope: GossipScope, in_parts: bool) -> Targets {
         let is_small = self.known.len() <= SMALL_FLEET;
         let hall = self.local.hall;
-        let part = if in_parts { self.next_hall_part() } else { self.own_hall() };
+        let own_hall = self.own_hall();
+        let includes_hall = !in_parts || own_hall.len() <= HALL_PART;
+        let part = if includes_hall { own_hall } else { self.next_hall_part(own_hall) };
         let gets_full = |address: &IpAddr, peer: &Peer| {
             is_small || !peer.knows_this_box || part.binary_search(address).is_ok()
         };
-        let others = self.known.iter().filter(|(address, peer)| {
-            peer.gossip.hall != hall || gets_full(address, peer)
-        });
+        let others = self
+            .known
+            .iter()
+            .filter(|(address, peer)| peer.gossip.hall != hall || gets_full(address, peer));
         let (mut full, mut abridged): (Vec<IpAddr>, Vec<IpAddr>) = others
             .map(|(address, _)| *address)
             .partition(|address| gets_full(address, &self.known[address]));
@@ -103,7 +132,7 @@
             self.known.entry(*address).and_modify(|peer| peer.knows_this_box = true);
         }
         self.has_uninformed_peer = false;
-        let mut targets = Targets::default();
+        let mut targets = Targets { includes_hall, ..Targets::default() };
         if scope == GossipScope::AllBridges && !is_small {
             let bridges = self.bridges(now_ms);
             full.extend(bridges.iter().filter(|bridge| abridged.contains(bridge)));
@@ -174,15 +203,13 @@
     }
 
     /// The part of the own hall that gets the next periodic message, in the order of addresses.
-    fn next_hall_part(&mut self) -> Vec<IpAddr> {
-        let mut part = self.own_hall();
-        if part.len() > HALL_PART {
-            part.rotate_left(self.hall_rotation % part.len());
-            self.hall_rotation = (self.hall_rotation + HALL_PART) % part.len();
-            part.truncate(HALL_PART);
-            part.sort_unstable();
-        }
-        part
+    fn next_hall_part(&mut self, mut own_hall: Vec<IpAddr>) -> Vec<IpAddr> {
+        let start = self.hall_rotation % own_hall.len();
+        self.hall_rotation = start + HALL_PART;
+        own_hall.rotate_left(start);
+        own_hall.truncate(HALL_PART);
+        own_hall.sort_unstable();
+        own_hall
     }
 
     fn own_hall(&self) -> Vec<IpAddr> {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,8 +14,8 @@
 use crate::clock::now_ms;
 use crate::gateway::claims::handover_pause_ms;
 use crate::gateway::decisions::gossip_message::{
-    AbortsReport, Gossip, LoadChanges, LoadReport, NamedVersionReport, SlowdownReport, changed_loads,
-    reported_loads,
+    AbortsReport, Gossip, LoadChanges, LoadReport, NamedVersionReport, SlowdownReport,
+    changed_loads, reported_loads,
 };
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::notice::NoticeState;
@@ -94,7 +94,8 @@
     }
 }
 
-/// The next datagrams, each with its targets. `sent_loads` holds the loads as last sent.
+/// The next datagrams, each with its targets. `sent_loads` holds the loads as last sent to the whole
+/// hall.
 fn compose(
     gateway: &Gateway,
     incarnation: u64,
@@ -108,6 +109,9 @@
     let targets = state.peers.next_targets(now_ms, audience, scope);
     if audience == Audience::OwnHall {
         let changes = compose_changes(&state, now_ms, incarnation, sent_loads);
+        if changes.is_empty() {
+            return Vec::new();
+        }
         return vec![(Datagram::LoadChanges(changes), targets.full)];
     }
     let mut composed = Vec::new();
@@ -119,7 +123,9 @@
         composed.push((Datagram::OtherHallsSummary(others), targets.own_hall));
     }
     let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation);
-    sent_loads.clone_from(&gossip.loads);
+    if targets.includes_hall {
+        sent_loads.clone_from(&gossip.loads);
+    }
     let abridged = Datagram::Gossip(Box::new(gossip.abridged()));
     composed.push((Datagram::Gossip(Box::new(gossip)), targets.full));
     composed.push((abridged, targets.abridged));
@@ -169,6 +175,7 @@
         () = sleep(period) => Audience::NextPart,
         () = gateway.gossip_now.notified() => Audience::All,
         () = gateway.load_changed.notified() => Audience::OwnHall,
+        () = gateway.introduce_now.notified() => Audience::Newcomers,
     }
 }
 
@@ -368,7 +375,7 @@
     if state.peers.receive_gossip(now_ms, from, gossip, own) {
         // Replies at once, so that boxes that start together discover each other within a few
         // round trips.
-        gateway.gossip_now.notify_one();
+        gateway.introduce_now.notify_one();
     }
     if state.peers.has_different_view(from, own) {
         gateway.catch_up_now.notify_one();
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -215,6 +215,8 @@
     pub load_changed: Notify,
     /// Sends gossip to all recipients at once.
     pub gossip_now: Notify,
+    /// Sends gossip to the boxes that this one has not introduced itself to.
+    pub introduce_now: Notify,
     /// Wakes tasks that wait for a request to be quarantined.
     pub quarantine_changed: Notify,
     /// Changes when upstreams, stores, the configuration or this box's role may have changed.
@@ -290,6 +292,7 @@
             catch_up_now: Notify::new(),
             load_changed: Notify::new(),
             gossip_now: Notify::new(),
+            introduce_now: Notify::new(),
             quarantine_changed: Notify::new(),
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -78,7 +78,7 @@
             for address in members {
                 peers.add_address(now_ms(), address);
             }
-            gateway.gossip_now.notify_one();
+            gateway.introduce_now.notify_one();
         }
         Err(error) => warn!(target: "members", "event=members_unreadable cause=\"{error}\""),
     }
--- a/tests/gateway_bridges.rs
+++ b/tests/gateway_bridges.rs
@@ -76,7 +76,7 @@
 #[test]
 fn bridges_reached() {
     let mut peers = fleet_box(0, 1, 0);
-    let Targets { full, abridged, bridges, own_hall } =
+    let Targets { full, abridged, bridges, own_hall, .. } =
         peers.next_targets(300, Audience::All, GossipScope::AllBridges);
     let full = ips(&full);
     assert!(bridges_of_other_halls(0).iter().all(|bridge| full.contains(bridge)));
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -6,9 +6,7 @@
 
 use coursestile::gateway::decisions::gossip_message::{Gossip, MetadataStoreStatus};
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
-use coursestile::gateway::decisions::view::{
-    MetadataView, Snapshot, VersionedValue, ViewDigest,
-};
+use coursestile::gateway::decisions::view::{MetadataView, Snapshot, VersionedValue, ViewDigest};
 use proptest::prelude::*;
 
 const HALL: u32 = 1;
@@ -169,8 +167,12 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Write { key: u8 },
-    Remove { key: u8 },
+    Write {
+        key: u8,
+    },
+    Remove {
+        key: u8,
+    },
     /// The follower lists all items, after which it does not know what was removed before.
     List,
     CatchUp,
@@ -336,7 +338,11 @@
     receive_from_hall(&mut peers, 1000, OTHER_HALL, 100, 120, status);
     let targets = peers.abort_report_targets(1000);
     assert_eq!(targets.len(), 100);
-    assert!(targets.iter().all(|target| target.ip() >= address(HALL, 1) && target.ip() < address(OTHER_HALL, 1)));
+    assert!(
+        targets
+            .iter()
+            .all(|target| target.ip() >= address(HALL, 1) && target.ip() < address(OTHER_HALL, 1))
+    );
     assert!(peers.abort_report_targets(60_000).is_empty(), "all are silent");
     let mut peers = Peers::new(local_box(), &[]);
     receive_from_hall(&mut peers, 1000, HALL, 4, 120, status);
@@ -425,3 +431,22 @@
     receive_from_hall(&mut peers, 0, HALL, 20, 120, MetadataStoreStatus::Available);
     assert!(!peers.is_engine_follower(60), "a large fleet");
 }
+
+/// When a fleet starts, each box learns of others many times a second. It introduces itself to those
+/// only: the rest of its hall was told of it before.
+#[test]
+fn newcomers_only() {
+    let mut peers = Peers::new(local_box(), &[]);
+    let status = MetadataStoreStatus::NotUsed;
+    receive_from_hall(&mut peers, 1000, HALL, 100, 120, status);
+    receive_from_hall(&mut peers, 1000, OTHER_HALL, 50, 120, status);
+    peers.next_targets(1000, Audience::All, GossipScope::OwnHall);
+    peers.add_address(1100, address(OTHER_HALL, 60));
+    receive_from_hall(&mut peers, 1100, HALL, 101, 120, status);
+    assert_eq!(peers.due_audience(1100, Audience::OwnHall), Audience::Newcomers);
+    let targets = peers.next_targets(1100, Audience::Newcomers, GossipScope::OwnHall);
+    assert_eq!(targets.full, [SocketAddr::new(address(HALL, 101), 7000)]);
+    assert_eq!(targets.abridged, [SocketAddr::new(address(OTHER_HALL, 60), 7000)]);
+    let targets = peers.next_targets(1110, Audience::Newcomers, GossipScope::OwnHall);
+    assert!(targets.full.is_empty() && targets.abridged.is_empty(), "each is told once");
+}
