A box that knows no peer yet pauses between watches

Cause: at a start, boxes that have not heard from each other watch without a pause, and each of 10,000 new entries ends a watch. Change: the pause of large fleets also holds while the size of the fleet is not known.

--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -74,7 +74,7 @@
                 freshness = Freshness::Latest;
                 wait_for_peers(&gateway).await;
                 pause_ms = MIN_RETRY_PAUSE_MS;
-                if !gateway.state().small_fleet {
+                if may_be_large_fleet(&gateway) {
                     sleep(BATCH_PAUSE).await;
                 }
             }
@@ -87,6 +87,13 @@
     }
 }
 
+/// Whether the fleet is large, or its size is not known yet: when it starts, boxes that have not
+/// heard from each other would all ask the store for each of thousands of new entries.
+fn may_be_large_fleet(gateway: &Gateway) -> bool {
+    let state = gateway.state();
+    !state.small_fleet || !state.peers.is_fleet_known(now_ms())
+}
+
 /// Waits, once after the start, until the box knows its peers and thus the size of its fleet.
 async fn wait_for_peers(gateway: &Gateway) {
     if gateway.state().warmed_up_at_ms.is_some() {
