The boxes of a hall fetch over the link to another hall one after the other

Cause: from second 25 the configuration has 1,701 routes. All boxes of a far hall that are behind ask the store, and peers of the near region, at the same time; each copy has a second or less to arrive over 60 Mbit/s between the regions, none does, and all are asked for again. Evidence: the logs of all boxes (docs/design/collapse.md): catch-ups fail in the far halls only; 43 boxes of the near region have listed the store two seconds after the power came back, none of the 44 others in the next 15.

Change: the boxes of a hall ask peers of other halls, and list again after a failure, in the order of their rank, 0.5 s apart (2 s and 4 s at most); the first tells its hall. A box that learned the items from a peer lists them no more unless it follows the store.

--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -41,6 +41,12 @@
 /// Time for which a peer's view must have been newer before this box asks for an update: the
 /// store usually delivers the change itself meanwhile.
 const LAG_TOLERANCE_MS: u64 = 300;
+/// Time by which each box of a hall asks a peer of another hall later than the box that ranks above
+/// it, and the longest such time. An update may be megabytes, and all boxes of a hall fall behind
+/// together: if each fetched it over the link between two halls or regions, none might get it in
+/// time. The boxes that rank below get it within their hall meanwhile.
+const OTHER_HALL_STEP_MS: u64 = 500;
+const MAX_OTHER_HALL_DELAY_MS: u64 = 2000;
 /// Time for which a peer that did not answer is asked only if there is no other. Without it, all
 /// the time left could go into asking the same peer again.
 const UNANSWERED_BACKOFF_MS: u64 = 2000;
@@ -253,6 +259,9 @@
     ) -> Option<SocketAddr> {
         let publisher =
             self.publisher(now_ms).filter(|_| metadata_store == MetadataStoreStatus::NotUsed);
+        let position = u64::try_from(self.hall_position(now_ms)).unwrap_or(u64::MAX);
+        let other_hall_delay_ms =
+            position.saturating_mul(OTHER_HALL_STEP_MS).min(MAX_OTHER_HALL_DELAY_MS);
         let ahead = self.live_peers(now_ms).filter(|(address, peer)| {
             let view_digest = peer.gossip.view_digest;
             let is_publisher = publisher.is_some_and(|publisher| publisher.ip() == **address);
@@ -260,7 +269,9 @@
                 return view_digest.checksum != own.checksum;
             }
             let at_once = is_publisher || metadata_store == MetadataStoreStatus::Failing;
-            let min_ms = if at_once { 0 } else { LAG_TOLERANCE_MS };
+            let is_own_hall = peer.gossip.hall == self.local.hall;
+            let min_ms = if at_once { 0 } else { LAG_TOLERANCE_MS }
+                + if is_own_hall { 0 } else { other_hall_delay_ms };
             let since_ms = peer.ahead_since_ms.filter(|_| is_ahead(view_digest, own));
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + min_ms)
         });
--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -56,6 +56,12 @@
         self.is_small_fleet() || self.higher_ranked(now_ms).count() < BRIDGES
     }
 
+    /// Number of live boxes of the own hall that rank higher than this one.
+    #[must_use]
+    pub fn hall_position(&self, now_ms: u64) -> usize {
+        self.higher_ranked(now_ms).count()
+    }
+
     /// Boxes of the own hall that rank higher than this one: first by processor share, then by
     /// address.
     fn higher_ranked(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use log::{debug, info, warn};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
@@ -48,6 +48,10 @@
 /// Maximum pause after failed calls: upstreams that left during an outage of the store must
 /// be known soon after it.
 const MAX_RETRY_PAUSE_MS: u64 = 400;
+/// Time by which each box of a hall lists the items later than the one that ranks above it, once
+/// listing them has failed, and the longest such time.
+const LISTING_STEP_MS: u64 = 500;
+const MAX_LISTING_STAGGER_MS: u64 = 4000;
 /// Maximum time for which a newly started box waits for gossip from its peers before it
 /// decides whether to follow the store: in a large fleet only a few boxes do.
 const PEER_DISCOVERY_MS: u64 = 500;
@@ -61,7 +65,8 @@
     // A stale listing costs the store little; all boxes of a fleet may start at once.
     let mut freshness = Freshness::Stale;
     while gateway.phase() != BoxPhase::Stopped {
-        if listed && !gateway.state().follows_metadata {
+        if !needs_store(&gateway, listed) {
+            wait_for_peers(&gateway).await;
             sleep(TICK).await;
             continue;
         }
@@ -80,13 +85,41 @@
             }
             Err(error) => {
                 note_store_failed(&gateway, asked_at_ms, &error);
-                sleep(Duration::from_millis(pause_ms + fastrand::u64(0..pause_ms))).await;
+                let stagger_ms = if listed { 0 } else { listing_stagger_ms(&gateway) };
+                let pause =
+                    Duration::from_millis(stagger_ms + pause_ms + fastrand::u64(0..pause_ms));
+                wait_unless_loaded(&gateway, pause).await;
                 pause_ms = (pause_ms * 2).min(MAX_RETRY_PAUSE_MS);
             }
         }
     }
 }
 
+/// Whether this box has to ask the store: if it follows the store, or has not learned its items yet,
+/// from the store or from a peer.
+fn needs_store(gateway: &Gateway, listed: bool) -> bool {
+    let state = gateway.state();
+    state.follows_metadata || !(listed || state.view.is_loaded())
+}
+
+/// Pause before this box lists the items again after that has failed. After a power failure all
+/// boxes list at once, which may take longer over the link to the store than a call may. Then the
+/// boxes of a hall try one after the other, and the first one that succeeds tells the others.
+fn listing_stagger_ms(gateway: &Gateway) -> u64 {
+    let position = gateway.state().peers.hall_position(now_ms());
+    let position = u64::try_from(position).unwrap_or(u64::MAX);
+    position.saturating_mul(LISTING_STEP_MS).min(MAX_LISTING_STAGGER_MS)
+}
+
+/// Waits, but no longer than until a peer has told this box the items of the store.
+async fn wait_unless_loaded(gateway: &Gateway, pause: Duration) {
+    let until = Instant::now() + pause;
+    let was_loaded = gateway.state().view.is_loaded();
+    while Instant::now() < until && gateway.state().view.is_loaded() == was_loaded {
+        sleep_until(until.min(Instant::now() + TICK)).await;
+    }
+}
+
 /// Whether the fleet is large, or its size is not known yet: when it starts, boxes that have not
 /// heard from each other would all ask the store for each of thousands of new entries.
 fn may_be_large_fleet(gateway: &Gateway) -> bool {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -450,3 +450,34 @@
     let targets = peers.next_targets(1110, Audience::Newcomers, GossipScope::OwnHall);
     assert!(targets.full.is_empty() && targets.abridged.is_empty(), "each is told once");
 }
+
+/// After all power was lost, the boxes of a hall know nothing, and those of a hall nearer to the
+/// store know everything. Fifteen boxes of each far hall fetched a large configuration over the same
+/// link again and again, and none got it in time.
+#[test]
+fn far_update_once() {
+    let known = ViewDigest { last_change_revision: 400, checksum: 7 };
+    let asks_at = |higher_ranked: u8| {
+        let mut peers = Peers::new(local_box(), &[]);
+        let status = MetadataStoreStatus::Failing;
+        let gossip = Gossip {
+            incarnation: 1,
+            hall: OTHER_HALL,
+            view_digest: known,
+            metadata_store: MetadataStoreStatus::Available,
+            ..Gossip::default()
+        };
+        let asks = |now_ms: &u64| {
+            let own = ViewDigest::default();
+            receive_from_hall(&mut peers, *now_ms, HALL, higher_ranked, 500, status);
+            peers.receive_gossip(*now_ms, address(OTHER_HALL, 1), gossip.clone(), own);
+            peers.catch_up_source(*now_ms, own, MetadataStoreStatus::Failing).is_some()
+        };
+        (1000..6000).step_by(100).find(asks)
+    };
+    assert_eq!(asks_at(0), Some(1000), "the first box of the hall asks at once");
+    let asked: Vec<u64> = (0..15).filter_map(asks_at).collect();
+    assert_eq!(asked.len(), 15, "each asks if those above it have not succeeded");
+    assert!(asked.iter().filter(|at_ms| **at_ms < 2000).count() <= 2, "{asked:?}");
+    assert!(asked.iter().all(|at_ms| *at_ms <= 3000), "{asked:?}");
+}
