--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -5,9 +5,9 @@
 //! of boxes the periodic messages go to a part of the hall at a time: if each box told all others
 //! four times a second, the messages that a box receives would grow with its hall, and those of the
 //! fleet with the square of it. What is urgent still goes to the whole hall at once, and the boxes
-//! that others depend on, followers, bridges and the leader, always send to all of it. The bridges of each
-//! hall (its highest-ranked boxes) and the leader also send theirs directly to the bridges of
-//! other halls, which pass on what their hall needs. Otherwise changes would cross halls only as
+//! that others depend on, followers, bridges and the leader, always send to all of it. The bridges
+//! of each hall (its highest-ranked boxes) and the leader also send theirs directly to the bridges
+//! of other halls, which pass on what their hall needs. Otherwise changes would cross halls only as
 //! fast as the boxes take turns.
 
 use std::collections::BTreeMap;
--- a/src/listen.rs
+++ b/src/listen.rs
@@ -61,7 +61,7 @@
         .await
 }
 
-/// A listening socket that is being closed.
+/// State of a listening socket.
 enum ListeningSocket {
     Open(TcpListener),
     /// The port is closing: connections that are established already are still accepted.
