Fetches from outside a hall: one delay for updates and listings, decided in roles

The delay by rank existed twice, once for updates from peers and once for listings after a failure, with the same constants. Both are now Peers::far_fetch_delay_ms; whether the fleet may be large is a pure decision beside it. No change of behaviour, except that a fleet whose role was not yet re-evaluated counts by its known peers. far_update_once also states the longest delay again; size_unknown covers the second decision.

--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -41,12 +41,6 @@
 /// Time for which a peer's view must have been newer before this box asks for an update: the
 /// store usually delivers the change itself meanwhile.
 const LAG_TOLERANCE_MS: u64 = 300;
-/// Time by which each box of a hall asks a peer of another hall later than the box that ranks above
-/// it, and the longest such time. An update may be megabytes, and all boxes of a hall fall behind
-/// together: if each fetched it over the link between two halls or regions, none might get it in
-/// time. The boxes that rank below get it within their hall meanwhile.
-const OTHER_HALL_STEP_MS: u64 = 500;
-const MAX_OTHER_HALL_DELAY_MS: u64 = 8000;
 /// Time for which a peer that did not answer is asked only if there is no other. Without it, all
 /// the time left could go into asking the same peer again.
 const UNANSWERED_BACKOFF_MS: u64 = 2000;
@@ -259,9 +253,7 @@
     ) -> Option<SocketAddr> {
         let publisher =
             self.publisher(now_ms).filter(|_| metadata_store == MetadataStoreStatus::NotUsed);
-        let position = u64::try_from(self.hall_position(now_ms)).unwrap_or(u64::MAX);
-        let other_hall_delay_ms =
-            position.saturating_mul(OTHER_HALL_STEP_MS).min(MAX_OTHER_HALL_DELAY_MS);
+        let other_hall_delay_ms = self.far_fetch_delay_ms(now_ms);
         let ahead = self.live_peers(now_ms).filter(|(address, peer)| {
             let view_digest = peer.gossip.view_digest;
             let is_publisher = publisher.is_some_and(|publisher| publisher.ip() == **address);
--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -17,6 +17,11 @@
 /// may fail.
 pub(super) const BRIDGES: usize = 2;
 
+/// Time between the fetches of one box of a hall and the next from outside the hall.
+const FAR_FETCH_STEP_MS: u64 = 500;
+/// Longest time by which such a fetch is delayed.
+const MAX_FAR_FETCH_DELAY_MS: u64 = 8000;
+
 impl Peers {
     /// Whether the fleet is small enough for all boxes to send each other everything.
     #[must_use]
@@ -56,10 +61,21 @@
         self.is_small_fleet() || self.higher_ranked(now_ms).count() < BRIDGES
     }
 
-    /// Number of live boxes of the own hall that rank higher than this one.
+    /// How much later than the first box of its hall this one fetches the items of the metadata
+    /// store from outside its hall. All boxes of a hall may fall behind together, and an update may
+    /// be megabytes: if all fetched it over the link to another hall or region at once, none might
+    /// get it in time. The boxes that rank below get it within their hall meanwhile.
+    #[must_use]
+    pub fn far_fetch_delay_ms(&self, now_ms: u64) -> u64 {
+        let position = u64::try_from(self.higher_ranked(now_ms).count()).unwrap_or(u64::MAX);
+        position.saturating_mul(FAR_FETCH_STEP_MS).min(MAX_FAR_FETCH_DELAY_MS)
+    }
+
+    /// Whether the fleet is large, or its size is not known yet: when it starts, boxes that have not
+    /// heard from each other would all ask the store for each of thousands of new entries.
     #[must_use]
-    pub fn hall_position(&self, now_ms: u64) -> usize {
-        self.higher_ranked(now_ms).count()
+    pub fn may_be_large_fleet(&self, now_ms: u64) -> bool {
+        !self.is_small_fleet() || !self.is_fleet_known(now_ms)
     }
 
     /// Boxes of the own hall that rank higher than this one: first by processor share, then by
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -48,10 +48,6 @@
 /// Maximum pause after failed calls: upstreams that left during an outage of the store must
 /// be known soon after it.
 const MAX_RETRY_PAUSE_MS: u64 = 400;
-/// Time by which each box of a hall lists the items later than the one that ranks above it, once
-/// listing them has failed, and the longest such time.
-const LISTING_STEP_MS: u64 = 500;
-const MAX_LISTING_STAGGER_MS: u64 = 8000;
 /// Maximum time for which a newly started box waits for gossip from its peers before it
 /// decides whether to follow the store: in a large fleet only a few boxes do.
 const PEER_DISCOVERY_MS: u64 = 500;
@@ -79,13 +75,15 @@
                 freshness = Freshness::Latest;
                 wait_for_peers(&gateway).await;
                 pause_ms = MIN_RETRY_PAUSE_MS;
-                if may_be_large_fleet(&gateway) {
+                if gateway.state().peers.may_be_large_fleet(now_ms()) {
                     sleep(BATCH_PAUSE).await;
                 }
             }
             Err(error) => {
                 note_store_failed(&gateway, asked_at_ms, &error);
-                let stagger_ms = if listed { 0 } else { listing_stagger_ms(&gateway) };
+                // After a power failure, the first listings of all boxes may fail together.
+                let stagger_ms =
+                    if listed { 0 } else { gateway.state().peers.far_fetch_delay_ms(now_ms()) };
                 let pause =
                     Duration::from_millis(stagger_ms + pause_ms + fastrand::u64(0..pause_ms));
                 wait_unless_loaded(&gateway, pause).await;
@@ -102,15 +100,6 @@
     state.follows_metadata || !(listed || state.view.is_loaded())
 }
 
-/// Pause before this box lists the items again after that has failed. After a power failure all
-/// boxes list at once, which may take longer over the link to the store than a call may. Then the
-/// boxes of a hall try one after the other, and the first one that succeeds tells the others.
-fn listing_stagger_ms(gateway: &Gateway) -> u64 {
-    let position = gateway.state().peers.hall_position(now_ms());
-    let position = u64::try_from(position).unwrap_or(u64::MAX);
-    position.saturating_mul(LISTING_STEP_MS).min(MAX_LISTING_STAGGER_MS)
-}
-
 /// Waits, but no longer than until a peer has told this box the items of the store.
 async fn wait_unless_loaded(gateway: &Gateway, pause: Duration) {
     let until = Instant::now() + pause;
@@ -120,13 +109,6 @@
     }
 }
 
-/// Whether the fleet is large, or its size is not known yet: when it starts, boxes that have not
-/// heard from each other would all ask the store for each of thousands of new entries.
-fn may_be_large_fleet(gateway: &Gateway) -> bool {
-    let state = gateway.state();
-    !state.small_fleet || !state.peers.is_fleet_known(now_ms())
-}
-
 /// Waits, once after the start, until the box knows its peers and thus the size of its fleet.
 async fn wait_for_peers(gateway: &Gateway) {
     if gateway.state().warmed_up_at_ms.is_some() {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -457,7 +457,7 @@
 #[test]
 fn far_update_once() {
     let known = ViewDigest { last_change_revision: 400, checksum: 7 };
-    let asks_at = |higher_ranked: u8| {
+    let asked_at = |higher_ranked: u8| {
         let mut peers = Peers::new(local_box(), &[]);
         let status = MetadataStoreStatus::Failing;
         let gossip = Gossip {
@@ -475,8 +475,21 @@
         };
         (1000..10_000).step_by(100).find(asks)
     };
-    assert_eq!(asks_at(0), Some(1000), "the first box of the hall asks at once");
-    let asked: Vec<u64> = (0..15).filter_map(asks_at).collect();
+    assert_eq!(asked_at(0), Some(1000), "the first box of the hall asks at once");
+    let asked: Vec<u64> = (0..15).filter_map(asked_at).collect();
     assert_eq!(asked.len(), 15, "each asks if those above it have not succeeded");
     assert!(asked.windows(2).all(|pair| pair[1] >= pair[0] + 500), "{asked:?}");
+    assert!(asked_at(200).is_some_and(|at_ms| at_ms <= 9000), "however large the hall is");
+}
+
+/// A box that has heard from nobody yet may be one of hundreds that start together. Each of them
+/// asked the store again with each of 10,000 entries that appeared.
+#[test]
+fn size_unknown() {
+    let mut peers = Peers::new(local_box(), &[address(HALL, 1)]);
+    assert!(peers.may_be_large_fleet(60_000));
+    receive_from_hall(&mut peers, 60_000, HALL, 8, 120, MetadataStoreStatus::Available);
+    assert!(!peers.may_be_large_fleet(60_500), "nine boxes");
+    receive_from_hall(&mut peers, 60_500, HALL, 20, 120, MetadataStoreStatus::Available);
+    assert!(peers.may_be_large_fleet(60_500));
 }
