--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -17,7 +17,7 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::connections::set_socket_options;
-use crate::gateway::decisions::view::{CatchUp, CatchUpNeed, ViewDigest};
+use crate::gateway::decisions::view::{CatchUp, CatchUpNeed, MetadataView, ViewDigest};
 use crate::gateway::follow_metadata;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::settings::Bounds;
@@ -113,8 +113,9 @@
     postcard::from_bytes(&bytes).map_err(|error| Error::Message(format!("{peer}: {error}")))
 }
 
-/// Longest time that sending so many bytes may take.
-fn transfer_time(bytes: usize) -> Duration {
+/// Longest time in which so many bytes of an update arrive, after the time to begin it.
+#[must_use]
+pub fn transfer_time(bytes: usize) -> Duration {
     Duration::from_millis(u64::try_from(bytes).unwrap_or(u64::MAX) / MIN_BYTES_PER_MS)
 }
 
@@ -146,24 +147,27 @@
     by_need: HashMap<CatchUpNeed, Bytes>,
 }
 
-/// The update that a peer whose view has `digest` needs.
-fn encoded_update(gateway: &Gateway, digest: ViewDigest) -> postcard::Result<Bytes> {
-    let mut updates = locked(&gateway.encoded_updates);
-    let (need, catch_up) = {
-        let state = gateway.state();
-        let own = state.view.digest();
-        if updates.digest != own {
-            *updates = EncodedUpdates { digest: own, by_need: HashMap::new() };
+impl EncodedUpdates {
+    /// The update that a peer whose view has `digest` needs.
+    ///
+    /// # Errors
+    /// Fails when it cannot be encoded.
+    pub fn update_for(
+        &mut self,
+        view: &MetadataView,
+        digest: ViewDigest,
+    ) -> postcard::Result<Bytes> {
+        if self.digest != view.digest() {
+            *self = Self { digest: view.digest(), by_need: HashMap::new() };
         }
-        let need = state.view.catch_up_need(digest);
-        if let Some(bytes) = updates.by_need.get(&need) {
+        let need = view.catch_up_need(digest);
+        if let Some(bytes) = self.by_need.get(&need) {
             return Ok(bytes.clone());
         }
-        (need, state.view.catch_up(digest))
-    };
-    let bytes = Bytes::from(postcard::to_stdvec(&catch_up)?);
-    updates.by_need.insert(need, bytes.clone());
-    Ok(bytes)
+        let bytes = Bytes::from(postcard::to_stdvec(&view.catch_up(digest))?);
+        self.by_need.insert(need, bytes.clone());
+        Ok(bytes)
+    }
 }
 
 async fn answer(gateway: &Gateway, stream: &mut TcpStream) -> Result<()> {
@@ -176,7 +180,9 @@
     in_time(timeout(SNAPSHOT_TIMEOUT, limited.read_to_end(&mut query)).await)?;
     match postcard::from_bytes(&query).map_err(codec_error)? {
         PeerQuery::CatchUp(digest) => {
-            let bytes = encoded_update(gateway, digest).map_err(codec_error)?;
+            let bytes = locked(&gateway.encoded_updates)
+                .update_for(&gateway.state().view, digest)
+                .map_err(codec_error)?;
             let started_at = Instant::now();
             for (piece, sent_bytes) in bytes.chunks(PIECE_BYTES).zip((0..).step_by(PIECE_BYTES)) {
                 let due_at = started_at + SNAPSHOT_TIMEOUT + transfer_time(sent_bytes);
