Own interface: a starting box holds no call beyond the caller's limit

What callers saw: a call to a box that had just started, while no peer answered its question about quarantined requests, waited for that question (up to 2 s) even if its own limit was 200 ms. Cause: the wait stands before the endpoints, which count the limit from their own beginning. Change: the limit counts from the arrival; when it passes first, the call is refused as not run. starting::caller_limit failed before (on: held for longer than 1.5 s).

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -54,6 +54,10 @@
     Plugin { name: "callers", start, receive: None }
 }
 
+/// When a request arrived, in Unix milliseconds.
+#[derive(Clone, Copy)]
+struct ArrivedAtMs(u64);
+
 /// The authenticated sender of a request, and the request's deadline.
 struct Caller {
     account: String,
@@ -65,7 +69,7 @@
 fn authenticate(kernel: &Kernel, request: &Request) -> Result<Caller, Rejection> {
     let config = kernel.configuration.current();
     if config.state.revision == 0 {
-        return Err(Refusal::not_run(Reason::NotReady).retry_at(now_ms() + 1000).into());
+        return Err(not_ready());
     }
     if kernel.phase() >= BoxPhase::Draining {
         return Err(Refusal::not_run(Reason::Stopping).retry_at(now_ms()).into());
@@ -78,10 +82,16 @@
     }
     let timeout_ms = timeout_ms(kernel, request)?;
     let trace = TraceId::from_header(request.header("traceparent"));
-    let deadline_ms = now_ms() + timeout_ms;
+    let arrived_at_ms = request.data::<ArrivedAtMs>().map_or_else(now_ms, |arrived| arrived.0);
+    let deadline_ms = arrived_at_ms + timeout_ms;
     Ok(Caller { account: account.to_owned(), terms, deadline_ms, trace })
 }
 
+/// The refusal of a box that does not know enough to run requests yet.
+fn not_ready() -> Rejection {
+    Refusal::not_run(Reason::NotReady).retry_at(now_ms() + 1000).into()
+}
+
 fn timeout_ms(kernel: &Kernel, request: &Request) -> Result<u64, Rejection> {
     let Some(text) = request.header(TIMEOUT_HEADER) else {
         return Ok(kernel.settings.default_timeout_ms);
@@ -332,7 +342,8 @@
 }
 
 /// Adds the trace id to each response, and closes connections while the box stops. A box that has
-/// just started runs nothing before it knows which requests are quarantined.
+/// just started runs nothing before it knows which requests are quarantined, and holds no request
+/// for that beyond its deadline.
 async fn add_headers<E: Endpoint>(
     kernel: Arc<Kernel>,
     endpoint: Arc<E>,
@@ -340,8 +351,14 @@
 ) -> poem::Result<Response> {
     let trace = TraceId::from_header(request.header("traceparent"));
     request.headers_mut().insert("traceparent", header_value(&trace.header()));
-    kernel.crashes.wait_until_informed().await;
-    let mut response = endpoint.call(request).await?.into_response();
+    let arrived_at_ms = now_ms();
+    request.set_data(ArrivedAtMs(arrived_at_ms));
+    let deadline_ms = arrived_at_ms + timeout_ms(&kernel, &request).unwrap_or_default();
+    let informed = kernel.crashes.wait_until_informed();
+    let mut response = match tokio::time::timeout_at(instant_at(deadline_ms), informed).await {
+        Ok(()) => endpoint.call(request).await?.into_response(),
+        Err(_) => not_ready().into_response(),
+    };
     response.headers_mut().insert(TRACE_ID_HEADER, header_value(&trace.to_string()));
     if kernel.phase() > BoxPhase::Serving {
         response.headers_mut().insert("connection", header_value("close"));
