An update with hundreds of changes of upstreams is one line in the log

Change: in an update with more than 256 changes they are logged at debug, and one line tells their number.

--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -1,15 +1,22 @@
 //! Applies what upstreams report about themselves, in their entries in the metadata store and in
 //! their answers. Connections to an upstream that has gone or restarted are discarded.
 
-use log::{info, warn};
+use log::{Level, info, log, warn};
 
 use crate::clock::now_ms;
 use crate::gateway::decisions::upstream::ReportedIncarnation;
 use crate::gateway::kernel::{Gateway, State};
 use crate::platform::keys;
 
-/// Applies an upstream's entry; returns whether the set of usable upstreams has changed.
-pub fn apply(gateway: &Gateway, state: &mut State, now_ms: u64, id: &str, value: &[u8]) -> bool {
+/// Applies an upstream's entry; returns whether the set of usable upstreams has changed. What it
+/// shows is logged at `level`.
+pub fn apply(
+    gateway: &Gateway,
+    state: &mut State,
+    now_ms: u64,
+    (id, value): (&str, &[u8]),
+    level: Level,
+) -> bool {
     let entry = match keys::read_upstream(id, value) {
         Ok(entry) => entry,
         Err(error) => {
@@ -34,14 +41,14 @@
     }
     match state.upstreams.upsert(now_ms, id, entry) {
         ReportedIncarnation::Current if changed => {
-            info!(target: "entries", "event=upstream_seen {details}");
+            log!(target: "entries", level, "event=upstream_seen {details}");
         }
         ReportedIncarnation::Current => {}
         ReportedIncarnation::Outdated => {
             info!(target: "entries", "event=upstream_outdated {details}");
         }
         ReportedIncarnation::Restarted => {
-            info!(target: "entries", "event=upstream_restarted {details}");
+            log!(target: "entries", level, "event=upstream_restarted {details}");
             gateway.connections.close_idle_to(id);
             changed = true;
         }
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{debug, info, warn};
+use log::{Level, debug, info, log, warn};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::box_phase::BoxPhase;
@@ -51,6 +51,9 @@
 /// Maximum time for which a newly started box waits for gossip from its peers before it
 /// decides whether to follow the store: in a large fleet only a few boxes do.
 const PEER_DISCOVERY_MS: u64 = 500;
+/// Most changes of upstreams in one update that are logged one by one. Otherwise each box of a fleet
+/// would log all of its upstreams whenever it starts or falls behind, which is boxes times upstreams.
+const MAX_LOGGED_CHANGES: usize = 256;
 /// Interval of the periodic work in [`tick`], and of checks while waiting.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -375,6 +378,11 @@
         // Other boxes learn of the changes from this one.
         gateway.gossip_now.notify_one();
     }
+    let is_logged = changes.len() <= MAX_LOGGED_CHANGES;
+    let level = if is_logged { Level::Info } else { Level::Debug };
+    if !is_logged {
+        info!(target: "follow", "event=many_changes count={}", changes.len());
+    }
     let mut upstreams_changed = false;
     for change in changes {
         let (key, value) = match &change {
@@ -389,10 +397,10 @@
                 apply_named_version(state, now_ms, named, model, value);
             }
             (KeyKind::Upstream { id }, Some(value)) => {
-                upstreams_changed |= entries::apply(gateway, state, now_ms, id, value);
+                upstreams_changed |= entries::apply(gateway, state, now_ms, (id, value), level);
             }
             (KeyKind::Upstream { id }, None) => {
-                info!(target: "follow", "event=upstream_gone upstream={id}");
+                log!(target: "follow", level, "event=upstream_gone upstream={id}");
                 entries::remove(gateway, state, now_ms, id);
                 upstreams_changed = true;
             }
