Hardly loaded fleets: boxes tell their hall of load with less haste

Cause: the need for news grows with the part of engines that is busy, its cost with requests times boxes. Change (decisions/news_pace): while there is less than one request for twenty upstreams, for 5 s, changes of load wait for the periodic message, and this goes to 16 boxes at a time and the bridges; from one for ten on, all is as before. Each message tells in which time the sender reaches its hall, from which follows when it counts as gone.

Also: boxes of other halls send to a box in turn, each 49 s here, and were forgotten after 30 s; they left the list of boxes in the store and had to be introduced again. They are kept as long as their turn takes.

gateway_news: sparse_load (at the hall's size and twice that), dense_load, round_told, other_halls_kept. gateway_peers::hall_parts_silence goes by what peers tell of themselves now; same times.

--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -22,6 +22,8 @@
     pub hall: u32,
     /// Processor share of the box, in thousandths of a core.
     pub millicores: u32,
+    /// Time in which the sender's messages reach all boxes of its hall, in milliseconds.
+    pub round_ms: u16,
     /// Digest of the sender's view of the metadata store.
     pub view_digest: ViewDigest,
     /// Version of the configuration that is in force at the box.
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -14,7 +14,7 @@
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
 //! - State received from the metadata store and from other boxes: `view`, `peers`, `configuration`,
-//!   `gossip_message`, `hall_summary`.
+//!   `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
 //! - Shared constants and conversions: `units`.
 
 pub mod admission;
@@ -31,6 +31,7 @@
 pub mod gossip_message;
 pub mod hall_summary;
 pub mod incarnation;
+pub mod news_pace;
 pub mod notice;
 pub mod orders;
 pub mod peers;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -15,6 +15,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::decisions::gossip_message::{Gossip, LoadChanges, MetadataStoreStatus};
+use crate::gateway::decisions::news_pace::{NewsPace, Pace};
 use crate::gateway::decisions::peers::halls::HallTotals;
 use crate::gateway::decisions::peers::sums::Sums;
 pub use crate::gateway::decisions::peers::targets::{Audience, GossipScope, Targets};
@@ -25,8 +26,6 @@
 pub const GOSSIP_PERIOD_MS: u64 = 250;
 /// Most peers of a small fleet, in which every message goes to all peers in all halls.
 const SMALL_FLEET: usize = 12;
-/// Peers of the own hall that get a message in each period in a larger hall, in turn.
-const HALL_PART: usize = 64;
 /// Peers of other halls that get a message in each period in a larger fleet, in turn.
 const OTHER_HALLS_FANOUT: usize = 4;
 /// Silence after which a peer of the own hall is no longer counted as live, if each of its messages
@@ -34,7 +33,7 @@
 const PEER_TIMEOUT_MS: u64 = 1500;
 /// Number of consecutive messages from a peer that sends to others in between that may be lost.
 const MAX_LOST_MESSAGES: u64 = 3;
-/// Silence after which a peer is forgotten.
+/// Silence after which a peer is forgotten, unless its messages reach this box less often than that.
 pub const PEER_RETENTION_MS: u64 = 30_000;
 /// Most peer addresses in one message.
 const MAX_SHARED_ADDRESSES: usize = 24;
@@ -95,11 +94,6 @@
         }
     }
 
-    /// Whether each message of the peer goes to all boxes of its hall.
-    fn sends_to_whole_hall(&self) -> bool {
-        self.gossip.follows_caches || self.gossip.metadata_store != MetadataStoreStatus::NotUsed
-    }
-
     /// Whether the peer may be asked, because it has not recently failed to answer.
     fn may_be_asked(&self, now_ms: u64) -> bool {
         now_ms >= self.avoid_asking_until_ms
@@ -126,6 +120,8 @@
     sums: Sums,
     /// Summaries of other halls, received from bridges.
     halls: HallTotals,
+    /// How soon this box tells its hall of load.
+    news_pace: NewsPace,
 }
 
 impl Peers {
@@ -147,6 +143,7 @@
             summaries_due_at_ms: 0,
             sums: Sums::default(),
             halls: HallTotals::default(),
+            news_pace: NewsPace::default(),
         }
     }
 
@@ -156,6 +153,17 @@
         self.local
     }
 
+    /// How soon this box tells its hall of load.
+    #[must_use]
+    pub fn news_pace(&self) -> Pace {
+        self.news_pace.pace()
+    }
+
+    /// Takes over the number of requests in progress at all `upstreams`, as far as this box knows.
+    pub fn update_news_pace(&mut self, now_ms: u64, requests: u32, upstreams: usize) {
+        self.news_pace.update(now_ms, requests, upstreams);
+    }
+
     /// Takes over gossip from a peer. Returns true if this box still has to introduce itself to
     /// some peer.
     pub fn receive_gossip(
@@ -300,9 +308,12 @@
 
     /// Forgets peers that have been silent for too long.
     fn forget_silent(&mut self, now_ms: u64) {
+        let (retention_ms, own_hall) = (self.retention_ms(), self.local.hall);
         let sums = &mut self.sums;
         self.known.retain(|_, peer| {
-            let is_kept = now_ms < peer.last_receive_ms + PEER_RETENTION_MS;
+            let is_of_other_hall = peer.gossip.incarnation > 0 && peer.gossip.hall != own_hall;
+            let peer_retention_ms = if is_of_other_hall { retention_ms } else { PEER_RETENTION_MS };
+            let is_kept = now_ms < peer.last_receive_ms + peer_retention_ms;
             if !is_kept && peer.in_sums {
                 sums.subtract(&peer.gossip);
             }
@@ -310,6 +321,13 @@
         });
     }
 
+    /// Time in which every running box has been heard from. Boxes of other halls send to this one in
+    /// turn with others: the larger the fleet, the less often.
+    #[must_use]
+    pub fn retention_ms(&self) -> u64 {
+        PEER_RETENTION_MS.max(self.silence_limits().other_hall_ms)
+    }
+
     /// Some peers to which the metadata store is available, in turn.
     pub fn next_delegates(&mut self, now_ms: u64) -> Vec<SocketAddr> {
         let mut delegates: Vec<IpAddr> = self
@@ -370,10 +388,7 @@
         let rounds = (self.known.len() / OTHER_HALLS_FANOUT) as u64;
         let rounds_ms = MAX_LOST_MESSAGES * rounds * GOSSIP_PERIOD_MS;
         let other_hall_ms = PEER_TIMEOUT_MS + if self.is_small_fleet() { 0 } else { rounds_ms };
-        let in_hall = self.known.values().filter(|peer| peer.gossip.hall == self.local.hall);
-        let parts = in_hall.count().div_ceil(HALL_PART).max(1) as u64;
-        let own_hall_ms = PEER_TIMEOUT_MS + MAX_LOST_MESSAGES * (parts - 1) * GOSSIP_PERIOD_MS;
-        SilenceLimits { own_hall: self.local.hall, own_hall_ms, other_hall_ms }
+        SilenceLimits { own_hall: self.local.hall, other_hall_ms }
     }
 }
 
@@ -381,20 +396,17 @@
 #[derive(Clone, Copy, Debug)]
 struct SilenceLimits {
     own_hall: u32,
-    /// For peers of the own hall that send messages to a part of it at a time.
-    own_hall_ms: u64,
     /// For peers of other halls, which send messages to this box only in turn with others.
     other_hall_ms: u64,
 }
 
 impl SilenceLimits {
     fn is_live(&self, now_ms: u64, peer: &Peer) -> bool {
-        let limit_ms = if peer.gossip.hall != self.own_hall {
-            self.other_hall_ms
-        } else if peer.sends_to_whole_hall() {
-            PEER_TIMEOUT_MS
+        let limit_ms = if peer.gossip.hall == self.own_hall {
+            let turn_ms = u64::from(peer.gossip.round_ms).saturating_sub(GOSSIP_PERIOD_MS);
+            PEER_TIMEOUT_MS + MAX_LOST_MESSAGES * turn_ms
         } else {
-            self.own_hall_ms
+            self.other_hall_ms
         };
         now_ms < peer.last_receive_ms + limit_ms
     }
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -4,8 +4,10 @@
 //! its own hall, and an abridged form to a few boxes of other halls in turn. In a hall of hundreds
 //! of boxes the periodic messages go to a part of the hall at a time: if each box told all others
 //! four times a second, the messages that a box receives would grow with its hall, and those of the
-//! fleet with the square of it. What is urgent still goes to the whole hall at once, and the boxes
-//! that others depend on, followers, bridges and the leader, always send to all of it. The bridges
+//! fleet with the square of it. While the load is sparse (`news_pace`), such a part is smaller. What
+//! is urgent still goes to the whole hall at once, and the boxes that others depend on, followers,
+//! bridges and the leader, always send to all of it. Bridges are in each part, since they sum up the
+//! load of the hall for others. The bridges
 //! of each hall (its highest-ranked boxes) and the leader also send theirs directly to the bridges
 //! of other halls, which pass on what their hall needs. Otherwise changes would cross halls only as
 //! fast as the boxes take turns.
@@ -13,11 +15,17 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
+use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::peers::roles::BRIDGES;
 use crate::gateway::decisions::peers::{
-    GOSSIP_PERIOD_MS, HALL_PART, OTHER_HALLS_FANOUT, PEER_TIMEOUT_MS, Peer, Peers, SMALL_FLEET,
+    GOSSIP_PERIOD_MS, OTHER_HALLS_FANOUT, PEER_TIMEOUT_MS, Peer, Peers, SMALL_FLEET,
 };
 
+/// Peers of the own hall that get a message in each period in a larger hall, in turn.
+const HALL_PART: usize = 64;
+/// The same, while the load is sparse.
+const SPARSE_HALL_PART: usize = 16;
+
 /// Most boxes to which a report of aborts goes, unless the own hall has more.
 const MAX_ABORT_REPORT_TARGETS: usize = 64;
 
@@ -116,7 +124,7 @@
         let is_small = self.known.len() <= SMALL_FLEET;
         let hall = self.local.hall;
         let own_hall = self.own_hall();
-        let includes_hall = !in_parts || own_hall.len() <= HALL_PART;
+        let includes_hall = !in_parts || self.hall_part(own_hall.len()) == own_hall.len();
         let part = if includes_hall { own_hall } else { self.next_hall_part(own_hall) };
         let gets_full = |address: &IpAddr, peer: &Peer| {
             is_small || !peer.knows_this_box || part.binary_search(address).is_ok()
@@ -204,14 +212,38 @@
 
     /// The part of the own hall that gets the next periodic message, in the order of addresses.
     fn next_hall_part(&mut self, mut own_hall: Vec<IpAddr>) -> Vec<IpAddr> {
+        let count = self.hall_part(own_hall.len());
         let start = self.hall_rotation % own_hall.len();
-        self.hall_rotation = start + HALL_PART;
+        self.hall_rotation = start + count;
         own_hall.rotate_left(start);
-        own_hall.truncate(HALL_PART);
+        let others = own_hall.split_off(count);
+        let is_bridge = |address: &IpAddr| self.known[address].gossip.follows_caches;
+        own_hall.extend(others.into_iter().filter(is_bridge));
         own_hall.sort_unstable();
         own_hall
     }
 
+    /// Number of boxes of the own hall, out of `hall_peers`, that get each periodic message.
+    fn hall_part(&self, hall_peers: usize) -> usize {
+        match self.news_pace.pace() {
+            // A hall that gets all messages at the prompt pace costs little.
+            _ if hall_peers <= HALL_PART => hall_peers,
+            Pace::Prompt => HALL_PART,
+            Pace::Relaxed => SPARSE_HALL_PART,
+        }
+    }
+
+    /// Time in which periodic messages that go as far as `scope` reach the own hall.
+    #[must_use]
+    pub fn round_ms(&self, scope: GossipScope) -> u16 {
+        let hall_peers = self.own_hall().len();
+        let rounds = match scope {
+            GossipScope::OwnHall => hall_peers.div_ceil(self.hall_part(hall_peers).max(1)).max(1),
+            GossipScope::WholeHall | GossipScope::AllBridges => 1,
+        };
+        u16::try_from(rounds as u64 * GOSSIP_PERIOD_MS).unwrap_or(u16::MAX)
+    }
+
     fn own_hall(&self) -> Vec<IpAddr> {
         let own_hall = self.known.iter().filter(|(_, peer)| peer.gossip.hall == self.local.hall);
         own_hall.map(|(address, _)| *address).collect()
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -214,6 +214,13 @@
         self.get_mut(&incarnation.id).filter(|upstream| upstream.is_incarnation(incarnation))
     }
 
+    /// Number of upstreams of all services.
+    #[must_use]
+    #[expect(clippy::len_without_is_empty, reason = "no caller asks")]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> + Clone {
         self.by_id.values()
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -122,7 +122,7 @@
         let others = state.peers.other_halls_summary(now_ms);
         composed.push((Datagram::OtherHallsSummary(others), targets.own_hall));
     }
-    let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation);
+    let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation, scope);
     if targets.includes_hall {
         sent_loads.clone_from(&gossip.loads);
     }
@@ -179,11 +179,18 @@
     }
 }
 
-fn compose_gossip(gateway: &Gateway, state: &mut State, now_ms: u64, incarnation: u64) -> Gossip {
+fn compose_gossip(
+    gateway: &Gateway,
+    state: &mut State,
+    now_ms: u64,
+    incarnation: u64,
+    scope: GossipScope,
+) -> Gossip {
     Gossip {
         incarnation,
         hall: state.peers.local().hall,
         millicores: state.peers.local().millicores,
+        round_ms: state.peers.round_ms(scope),
         view_digest: state.view.digest(),
         config_version: state
             .configuration
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -10,6 +10,7 @@
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::notice::{Notice, NoticeState};
 use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
 use crate::gateway::kernel::Gateway;
@@ -18,7 +19,7 @@
 /// An upstream that rejects a request within this time did not queue it. It is a few round trips.
 const IMMEDIATE_REJECTION_MS: u64 = 100;
 /// Prompts of this length occupy an engine for about 20 ms or more. Other boxes learn of them
-/// at once, not only with the next periodic gossip.
+/// at once, not only with the next periodic gossip, unless hardly any engine is busy.
 const LONG_PROMPT_TOKENS: u32 = 1000;
 
 /// A request in flight at an upstream, from its creation until it is dropped.
@@ -49,6 +50,8 @@
         });
         let begun_at_ms = now_ms();
         let mut state = gateway.state();
+        let is_urgent =
+            pending_prefill_tokens >= LONG_PROMPT_TOKENS && state.peers.news_pace() == Pace::Prompt;
         if let Some(upstream) = state.upstreams.get_incarnation_mut(&choice.upstream) {
             upstream.record_sent(begun_at_ms, pending_prefill_tokens, choice.memory_tokens);
         }
@@ -60,7 +63,7 @@
             }
         }
         drop(state);
-        if pending_prefill_tokens >= LONG_PROMPT_TOKENS {
+        if is_urgent {
             gateway.load_changed.notify_one();
         }
         Self {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -15,7 +15,7 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
-use crate::gateway::decisions::peers::{PEER_RETENTION_MS, Peers};
+use crate::gateway::decisions::peers::Peers;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::metadata::WriteOutcome;
 use crate::platform::keys;
@@ -42,7 +42,7 @@
     let started_at_ms = now_ms();
     while gateway.phase() != BoxPhase::Stopped {
         sleep(COMPARE_PERIOD).await;
-        let all_had_time = now_ms() >= started_at_ms + PEER_RETENTION_MS;
+        let all_had_time = now_ms() >= started_at_ms + gateway.state().peers.retention_ms();
         if let Err(error) = update_list(&gateway, all_had_time).await {
             info!(target: "members", "event=members_not_written cause=\"{error}\"");
         }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -388,7 +388,10 @@
 fn hall_parts_silence() {
     let mut peers = Peers::new(local_box(), &[]);
     receive_from_hall(&mut peers, 1000, HALL, 200, 120, MetadataStoreStatus::NotUsed);
-    receive_from_hall(&mut peers, 1000, HALL, 1, 500, MetadataStoreStatus::Available);
+    for host in 2..=200 {
+        let gossip = Gossip { incarnation: 1, hall: HALL, round_ms: 1000, ..Gossip::default() };
+        peers.receive_gossip(1000, address(HALL, host), gossip, ViewDigest::default());
+    }
     assert_eq!(peers.live_boxes(2499), 201);
     assert_eq!(peers.live_boxes(2500), 200, "the follower is missed");
     assert_eq!(peers.live_boxes(4749), 200);
