Stores: old context gives its room to that of new weights slice by slice

Cause, by the time-table: the old context is read for 4.5 s after all boxes know the new version, and its transfers may take 2.6 s more; until then, 7.1 s, the stores are full and nothing of the new version is saved, so that engines with new weights compute each prompt whenever it comes.

Change: old context falls into four slices by the hash of the part. A box reads the first for 1.1 s, the last for 4.5 s; a transfer of old context may take 0.8 s in place of 2 s (most take tens of ms). A slice is freed when no box can have it read any more: after 2.6, 3.7, 4.8 and 5.9 s. What was chosen before a box learned of the version is covered by the first time.

--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -8,7 +8,8 @@
 use crate::gateway::decisions::cache_contents::PartKey;
 use crate::gateway::decisions::configuration::{EngineSpec, Store};
 use crate::gateway::decisions::context::{
-    ContextPlan, OLD_CONTEXT_READ_MS, PartSource, Save, scope,
+    ContextPlan, OLD_TRANSFER_TIMEOUT_MS, PartSource, Save, TRANSFER_TIMEOUT_MS, old_context_slice,
+    old_slice_read_ms, scope,
 };
 use crate::gateway::decisions::demand::Demand;
 use crate::gateway::decisions::prompt::Prompt;
@@ -56,6 +57,7 @@
     scope: String,
     now_ms: u64,
     objective_ms: u64,
+    transfer_timeout_ms: u64,
     prompt: &'a Prompt,
     parts: Vec<PartLocations<'a>>,
 }
@@ -74,16 +76,18 @@
         let scope = scope(&prompt.model, version, demand.isolated_account);
         // Context of replaced weights is released early to make room for that of the new weights.
         let behind_since_ms = demand.behind_since_ms(version);
-        let reads_from_stores = behind_since_ms
-            .is_none_or(|since_ms| now_ms < since_ms + OLD_CONTEXT_READ_MS)
-            && !demand.is_overdue(now_ms, version);
+        let is_overdue = demand.is_overdue(now_ms, version);
+        let reads_from_stores = |key: PartKey| {
+            let read_ms = || old_slice_read_ms(old_context_slice(key));
+            !is_overdue && behind_since_ms.is_none_or(|since_ms| now_ms < since_ms + read_ms())
+        };
         let saves = behind_since_ms.is_none();
         let shared = prompt.shared_parts();
         let parts = shared.iter().enumerate().map(|(index, part)| {
             let key = PartKey::new(&scope, &part.id);
             let of_service = upstreams.of_service(demand.service);
             let engines: Vec<&Upstream> =
-                of_service.filter(|engine| engine.contents.tokens(key) > 0).collect();
+                engines.filter(|engine| engine.contents.tokens(key) > 0).collect();
             let has_copy = !engines.is_empty() || stores.has_part(key);
             let is_common = index == 0 && shared.len() > 1;
             let placement = if is_common {
@@ -95,7 +99,7 @@
                 key,
                 tokens: part.tokens,
                 is_common,
-                stores: if reads_from_stores {
+                stores: if reads_from_stores(key) {
                     stores.with_complete_copy(now_ms, key, part.tokens).collect()
                 } else {
                     Vec::new()
@@ -114,7 +118,8 @@
         });
         let parts = parts.collect();
         let objective_ms = demand.admission.objective_ms;
-        Self { version, scope, now_ms, objective_ms, prompt, parts }
+        let transfer_timeout_ms = if saves { TRANSFER_TIMEOUT_MS } else { OLD_TRANSFER_TIMEOUT_MS };
+        Self { version, scope, now_ms, objective_ms, transfer_timeout_ms, prompt, parts }
     }
 
     /// The hall of a store that has the longest cached part.
@@ -152,6 +157,7 @@
             scope: self.scope.clone(),
         }
     }
+            transfer_timeout_ms: self.transfer_timeout_ms,
 }
 
 /// Sources and saves of the parts so far.
