Upstreams are found by position, not by comparing ids

Each message names dozens of upstreams, each of which was found by a hash, two trees of ids, and once more for the index of active ones. Change: upstreams stand in a slab; the indexes by id, by short id and of active ones hold positions.

--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -1,11 +1,16 @@
 //! The upstreams of all services, by id.
 //!
 //! A box of a large fleet knows thousands of upstreams and uses a few at a time. Those that may not
-//! be at rest are indexed, so that periodic work and messages take time for these only.
+//! be at rest are indexed, so that periodic work and messages take time for these only. Indexes hold
+//! positions in a slab: *load pattern:* each of dozens of messages a second names dozens of
+//! upstreams, and to find each of them by its id takes more comparisons of text than all else that a
+//! message costs.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use slab::Slab;
+
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
@@ -13,11 +18,13 @@
 /// The upstreams of all services.
 #[derive(Debug, Default)]
 pub struct Upstreams {
-    by_id: BTreeMap<String, Upstream>,
-    /// Ids of the upstreams by the short ids of their incarnations.
-    ids_by_short_id: HashMap<u32, String>,
-    /// Ids of all upstreams that are not at rest, and of some that are.
-    active: BTreeSet<String>,
+    slab: Slab<Upstream>,
+    /// Positions in the slab by id.
+    by_id: BTreeMap<String, usize>,
+    /// Positions by the short ids of the incarnations.
+    by_short_id: HashMap<u32, usize>,
+    /// Positions of all upstreams that are not at rest, and of some that are.
+    active: BTreeSet<usize>,
     /// Notices of upstreams that have no entry at present.
     unlisted: UnlistedNotices,
     /// Halls that operators evacuate, including those without upstreams at present.
@@ -28,17 +35,19 @@
     /// Inserts or updates an upstream from its entry in the metadata store, which delivers entries
     /// in order.
     pub fn upsert(&mut self, now_ms: u64, id: &str, entry: UpstreamEntry) -> ReportedIncarnation {
-        let previous_short_id = self.short_id_of(id);
-        let reported = if let Some(known) = self.by_id.get_mut(id) {
-            known.update_entry(now_ms, entry)
-        } else {
+        let Some(position) = self.by_id.get(id).copied() else {
             let mut upstream = Upstream::new(now_ms, id, entry);
             upstream.apply_notices(self.unlisted.remove(&upstream.incarnation()));
-            self.by_id.insert(id.to_owned(), upstream);
-            ReportedIncarnation::Current
+            let position = self.slab.insert(upstream);
+            self.by_id.insert(id.to_owned(), position);
+            self.active.insert(position);
+            self.index_short_id(position, None);
+            return ReportedIncarnation::Current;
         };
-        self.active.insert(id.to_owned());
-        self.index_short_id(id, previous_short_id);
+        let previous_short_id = self.slab[position].short_id;
+        let reported = self.slab[position].update_entry(now_ms, entry);
+        self.active.insert(position);
+        self.index_short_id(position, Some(previous_short_id));
         reported
     }
 
@@ -50,55 +59,52 @@
         started_at_ms: Option<u64>,
         asked_at_ms: u64,
     ) -> ReportedIncarnation {
-        let Some(known) = self.by_id.get_mut(id) else { return ReportedIncarnation::Current };
-        let previous_short_id = Some(known.short_id);
-        let reported = known.record_answering_incarnation(now_ms, started_at_ms, asked_at_ms);
-        self.active.insert(id.to_owned());
-        self.index_short_id(id, previous_short_id);
+        let Some(position) = self.by_id.get(id).copied() else {
+            return ReportedIncarnation::Current;
+        };
+        let previous_short_id = self.slab[position].short_id;
+        let reported =
+            self.slab[position].record_answering_incarnation(now_ms, started_at_ms, asked_at_ms);
+        self.active.insert(position);
+        self.index_short_id(position, Some(previous_short_id));
         reported
     }
 
-    fn short_id_of(&self, id: &str) -> Option<u32> {
-        self.get(id).map(|upstream| upstream.short_id)
-    }
-
     /// Updates the index of short ids; each incarnation of an upstream has its own.
-    fn index_short_id(&mut self, id: &str, previous: Option<u32>) {
-        let short_id = self.short_id_of(id);
-        if short_id == previous {
+    fn index_short_id(&mut self, position: usize, previous: Option<u32>) {
+        let short_id = self.slab[position].short_id;
+        if Some(short_id) == previous {
             return;
         }
-        self.remove_short_id(id, previous);
-        if let Some(short_id) = short_id {
-            self.ids_by_short_id.insert(short_id, id.to_owned());
+        if let Some(previous) = previous {
+            self.remove_short_id(position, previous);
         }
+        self.by_short_id.insert(short_id, position);
     }
 
     /// Removes a short id from the index, unless another upstream has it by now.
-    fn remove_short_id(&mut self, id: &str, short_id: Option<u32>) {
-        if let Some(short_id) = short_id
-            && self.ids_by_short_id.get(&short_id).is_some_and(|known| known == id)
-        {
-            self.ids_by_short_id.remove(&short_id);
+    fn remove_short_id(&mut self, position: usize, short_id: u32) {
+        if self.by_short_id.get(&short_id) == Some(&position) {
+            self.by_short_id.remove(&short_id);
         }
     }
 
     /// The upstream whose present incarnation has the given short id.
     pub fn get_by_short_id_mut(&mut self, short_id: u32) -> Option<&mut Upstream> {
-        let id = self.ids_by_short_id.get(&short_id)?;
-        mark_active(&mut self.active, id);
-        self.by_id.get_mut(id)
+        let position = *self.by_short_id.get(&short_id)?;
+        self.active.insert(position);
+        self.slab.get_mut(position)
     }
 
     /// The upstreams that are not at rest, and some that are.
     pub fn active(&self) -> impl Iterator<Item = &Upstream> + Clone {
-        self.active.iter().filter_map(|id| self.by_id.get(id))
+        self.active.iter().filter_map(|position| self.slab.get(*position))
     }
 
     /// Updates all upstreams that are not at rest, and some that are.
     pub fn update_active(&mut self, mut update: impl FnMut(&mut Upstream)) {
-        for id in &self.active {
-            if let Some(upstream) = self.by_id.get_mut(id) {
+        for position in &self.active {
+            if let Some(upstream) = self.slab.get_mut(*position) {
                 update(upstream);
             }
         }
@@ -106,8 +112,9 @@
 
     /// Takes the upstreams that are at rest out of the index of active ones.
     pub fn retire_resting(&mut self, now_ms: u64) {
-        let by_id = &self.by_id;
-        self.active.retain(|id| by_id.get(id).is_some_and(|upstream| !upstream.is_at_rest(now_ms)));
+        let slab = &self.slab;
+        self.active
+            .retain(|position| slab.get(*position).is_some_and(|known| !known.is_at_rest(now_ms)));
     }
 
     /// Records that a connection to an upstream was not established in time. If two upstreams in
@@ -119,13 +126,12 @@
         let hall = upstream.entry.hall.clone();
         let in_hall = |upstream: &Upstream| upstream.entry.hall == hall;
         let timed_out = self
-            .by_id
-            .values()
+            .iter()
             .filter(|upstream| in_hall(upstream) && upstream.connect_timed_out_recently(now_ms));
         if hall != own_hall && timed_out.count() > 1 {
-            for upstream in self.by_id.values_mut().filter(|upstream| in_hall(upstream)) {
+            for (position, upstream) in self.slab.iter_mut().filter(|(_, known)| in_hall(known)) {
                 upstream.mark_unreachable();
-                mark_active(&mut self.active, &upstream.id);
+                self.active.insert(position);
             }
         }
     }
@@ -145,10 +151,11 @@
 
     /// Removes an upstream. Requests in progress there continue.
     pub fn remove(&mut self, now_ms: u64, id: &str) {
-        if let Some(upstream) = self.by_id.remove(id) {
+        if let Some(position) = self.by_id.remove(id) {
+            let upstream = self.slab.remove(position);
             self.unlisted.insert(now_ms, &upstream.incarnation(), upstream.notices());
-            self.active.remove(id);
-            self.remove_short_id(id, Some(upstream.short_id));
+            self.active.remove(&position);
+            self.remove_short_id(position, upstream.short_id);
         }
     }
 
@@ -161,9 +168,11 @@
     /// entry, so each counts as cold for the time that `cold_ms` gives for its service.
     pub fn end_evacuation(&mut self, now_ms: u64, hall: &str, cold_ms: impl Fn(&str) -> u64) {
         self.evacuated_halls.remove(hall);
-        for upstream in self.by_id.values_mut().filter(|upstream| upstream.entry.hall == hall) {
-            upstream.cold.extend(now_ms, now_ms + cold_ms(&upstream.entry.service));
-            mark_active(&mut self.active, &upstream.id);
+        for (position, upstream) in &mut self.slab {
+            if upstream.entry.hall == hall {
+                upstream.cold.extend(now_ms, now_ms + cold_ms(&upstream.entry.service));
+                self.active.insert(position);
+            }
         }
     }
 
@@ -194,13 +203,13 @@
 
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Upstream> {
-        self.by_id.get(id)
+        self.slab.get(*self.by_id.get(id)?)
     }
 
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
-        let upstream = self.by_id.get_mut(id)?;
-        mark_active(&mut self.active, id);
-        Some(upstream)
+        let position = *self.by_id.get(id)?;
+        self.active.insert(position);
+        self.slab.get_mut(position)
     }
 
     /// The upstream, if `incarnation` may be its present one.
@@ -218,22 +227,23 @@
     #[must_use]
     #[expect(clippy::len_without_is_empty, reason = "no caller asks")]
     pub fn len(&self) -> usize {
-        self.by_id.len()
+        self.slab.len()
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> + Clone {
-        self.by_id.values()
+        self.by_id.values().filter_map(|position| self.slab.get(*position))
     }
 
     /// Adds notices from an answer of an incarnation of an upstream.
     pub fn apply_notices(&mut self, now_ms: u64, upstream: &Incarnation, notices: NoticeState) {
-        match self.by_id.get_mut(&upstream.id) {
-            Some(known) if known.is_incarnation(upstream) => {
-                known.apply_notices(notices);
-                mark_active(&mut self.active, &upstream.id);
-            }
-            Some(_) => {}
-            None => self.unlisted.insert(now_ms, upstream, notices),
+        let Some(position) = self.by_id.get(&upstream.id).copied() else {
+            self.unlisted.insert(now_ms, upstream, notices);
+            return;
+        };
+        let known = &mut self.slab[position];
+        if known.is_incarnation(upstream) {
+            known.apply_notices(notices);
+            self.active.insert(position);
         }
     }
 
@@ -281,10 +291,3 @@
         self.get(id).map(|upstream| upstream.entry.address)
     }
 }
-
-/// Adds an upstream to the index of active ones.
-fn mark_active(active: &mut BTreeSet<String>, id: &str) {
-    if !active.contains(id) {
-        active.insert(id.to_owned());
-    }
-}
