Large fleets: reports of silent peers expire twice a second; roles end at the first answer

What peers report is applied as it arrives. Change: expiry each 0.5 s in a large fleet (reports count for 1.5 s and more); the search for boxes of higher rank ends when enough are found.

--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -17,6 +17,9 @@
 /// may fail.
 pub(super) const BRIDGES: usize = 2;
 
+/// Interval at which reports of silent peers expire in a small fleet, and in a large one.
+const EXPIRY_PERIOD_MS: u64 = 100;
+const LARGE_FLEET_EXPIRY_PERIOD_MS: u64 = 500;
 /// Time between the fetches of one box of a hall and the next from outside the hall.
 const FAR_FETCH_STEP_MS: u64 = 500;
 /// Longest time by which such a fetch is delayed.
@@ -42,15 +45,16 @@
         if self.is_small_fleet() {
             return true;
         }
-        let higher_ranked = self
+        let mut higher_ranked = self
             .higher_ranked(now_ms)
             .filter(|(_, peer)| peer.gossip.metadata_store != MetadataStoreStatus::Failing);
         // The boxes that rank higher may not have started to follow yet.
-        let following = self.live_peers(now_ms).filter(|(_, peer)| {
+        let mut following = self.live_peers(now_ms).filter(|(_, peer)| {
             peer.gossip.hall == self.local.hall
                 && peer.gossip.metadata_store == MetadataStoreStatus::Available
         });
-        higher_ranked.count() < FOLLOWERS || following.count() == 0
+        // Ends at the first one: each box asks ten times a second, of all boxes of the fleet.
+        higher_ranked.nth(FOLLOWERS - 1).is_none() || following.next().is_none()
     }
 
     /// Whether this box has to follow the context stores itself. In a small fleet all boxes do;
@@ -58,7 +62,7 @@
     /// available to no box.
     #[must_use]
     pub fn is_cache_follower(&self, now_ms: u64) -> bool {
-        self.is_small_fleet() || self.higher_ranked(now_ms).count() < BRIDGES
+        self.is_small_fleet() || self.higher_ranked(now_ms).nth(BRIDGES - 1).is_none()
     }
 
     /// How much later than the first box of its hall this one fetches the items of the metadata
@@ -78,6 +82,13 @@
         !self.is_small_fleet() || !self.is_fleet_known(now_ms)
     }
 
+    /// Interval at which reports of silent peers expire. What peers report is applied as it arrives;
+    /// in a large fleet, its expiry is work for hundreds of peers and upstreams.
+    #[must_use]
+    pub fn expiry_period_ms(&self) -> u64 {
+        if self.is_small_fleet() { EXPIRY_PERIOD_MS } else { LARGE_FLEET_EXPIRY_PERIOD_MS }
+    }
+
     /// Boxes of the own hall that rank higher than this one: first by processor share, then by
     /// address.
     fn higher_ranked(&self, now_ms: u64) -> impl Iterator<Item = (&IpAddr, &Peer)> {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -151,12 +151,16 @@
 /// Periodically updates the role of this box, applies removals that are due and expires
 /// outdated state.
 pub async fn tick(gateway: Arc<Gateway>) {
+    let mut expiry_due_at_ms = 0;
     while gateway.phase() != BoxPhase::Stopped {
         sleep(TICK).await;
         let mut state = gateway.state();
         let now_ms = now_ms();
         update_role(&gateway, &mut state, now_ms);
-        state.apply_peer_reports(now_ms);
+        if now_ms >= expiry_due_at_ms {
+            expiry_due_at_ms = now_ms + state.peers.expiry_period_ms();
+            state.apply_peer_reports(now_ms);
+        }
         cold_starts::update_allowances(&gateway, &mut state, now_ms);
         state.admission_limits.recover(now_ms, TICK.as_secs_f64());
         let changes = state.view.apply_due_removals(now_ms);
