Sources of context: engines that cache nothing known are left out once

Each part of each prompt went through all engines of the service; in a large fleet no box knows what engines cache. Now one pass finds those that do.

--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -83,9 +83,14 @@
         };
         let saves = behind_since_ms.is_none();
         let shared = prompt.shared_parts();
+        // In a large fleet no box follows what engines cache.
+        let caching: Vec<&Upstream> = upstreams
+            .of_service(demand.service)
+            .filter(|engine| engine.contents.total_tokens() > 0)
+            .collect();
         let parts = shared.iter().enumerate().map(|(index, part)| {
             let key = PartKey::new(&scope, &part.id);
-            let of_service = upstreams.of_service(demand.service);
+            let engines = caching.iter().copied();
             let engines: Vec<&Upstream> =
                 engines.filter(|engine| engine.contents.tokens(key) > 0).collect();
             let has_copy = !engines.is_empty() || stores.has_part(key);
@@ -152,12 +157,12 @@
             sources: plan.sources,
             saves: plan.saves,
             fetch_ms: plan.fetch_ms,
+            transfer_timeout_ms: self.transfer_timeout_ms,
             prefill_tokens: self.prompt.tokens.saturating_sub(plan.cached_tokens),
             recomputed_tokens: plan.recomputed_tokens,
             scope: self.scope.clone(),
         }
     }
-            transfer_timeout_ms: self.transfer_timeout_ms,
 }
 
 /// Sources and saves of the parts so far.
