--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,6 +22,8 @@
 use crate::gateway::kernel::Gateway;
 use crate::platform::exchange;
 
+/// Longest time for transfers of cached context to an engine, from the choice of their sources.
+const TRANSFER_TIMEOUT_MS: u64 = 2000;
 /// Responses up to this size are read whole before they are forwarded, so that the request can
 /// still be retried.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -183,7 +185,7 @@
             account: outgoing.account.as_deref(),
             priority: outgoing.rank(now_ms, choice, last_event_id),
             context: choice.context.as_ref(),
-            transfers_until_ms: transfers_until_ms(gateway, choice),
+            transfers_until_ms: transfers_until_ms(gateway, choice.chosen_at_ms),
             last_event_id,
         },
     );
@@ -276,8 +278,7 @@
 
 /// When transfers are aborted, by the upstreams' clock. Counted from the choice of their sources,
 /// because this process may be stalled between that and sending the request.
-fn transfers_until_ms(gateway: &Gateway, choice: &Choice) -> Option<u64> {
-    let timeout_ms = choice.context.as_ref()?.transfer_timeout_ms;
+fn transfers_until_ms(gateway: &Gateway, chosen_at_ms: u64) -> Option<u64> {
     let offset_ms = gateway.state().upstream_clock_offset_ms?;
-    choice.chosen_at_ms.checked_add_signed(offset_ms).map(|clock_ms| clock_ms + timeout_ms)
+    chosen_at_ms.checked_add_signed(offset_ms).map(|clock_ms| clock_ms + TRANSFER_TIMEOUT_MS)
 }
--- a/src/gateway/decisions/context.rs
+++ b/src/gateway/decisions/context.rs
@@ -7,33 +7,6 @@
 /// from stores. Until then it serves engines that have not loaded the new version, which would have
 /// to recompute it; afterwards its space is freed for context of the new version.
 pub const OLD_CONTEXT_READ_MS: u64 = 4500;
-/// Number of slices in which the context of older weights is given up, one after the other: while
-/// engines load the new version in turn, less of it is of use, and more room is needed.
-pub const OLD_CONTEXT_SLICES: u8 = 4;
-/// Longest time for transfers of cached context to an engine, from the choice of their sources.
-pub const TRANSFER_TIMEOUT_MS: u64 = 2000;
-/// The same for context of older weights, whose space is freed only after it. Most transfers take
-/// a few tens of milliseconds.
-pub const OLD_TRANSFER_TIMEOUT_MS: u64 = 800;
-
-/// The slice to which a part belongs when its weights are replaced, the same at every box.
-#[must_use]
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the fraction is above 0 and at most 1"
-)]
-pub fn old_context_slice(part: PartKey) -> u8 {
-    let slice = part.hash_fraction(0) * f64::from(OLD_CONTEXT_SLICES);
-    (slice as u8).min(OLD_CONTEXT_SLICES - 1)
-}
-
-/// Time after a new weight version is named during which a slice of the context of older weights is
-/// read from stores.
-#[must_use]
-pub fn old_slice_read_ms(slice: u8) -> u64 {
-    OLD_CONTEXT_READ_MS * (u64::from(slice) + 1) / u64::from(OLD_CONTEXT_SLICES)
-}
 
 /// Source of a part of a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,8 +69,6 @@
     pub saves: Vec<Option<Save>>,
     /// Expected time of the fetches.
     pub fetch_ms: f64,
-    /// Longest time for the fetches, from the choice of their sources.
-    pub transfer_timeout_ms: u64,
     /// Tokens that the engine has to compute.
     pub prefill_tokens: u32,
     /// Those among them in shared parts that some cache has.
--- a/src/gateway/decisions/release.rs
+++ b/src/gateway/decisions/release.rs
@@ -3,30 +3,19 @@
 //!
 //! The stores have no room for the context of two weight versions. As long as the old context
 //! stays, which would be for the whole roll-out and some seconds more, no context of the new
-//! version can be saved. *Load pattern:* for some seconds after a version was named, engines with
-//! the new weights read each prompt from its beginning, and those that come back once more, as long
-//! as nothing is saved. A box reads old context from stores only for a limited time after it
-//! learned of the new version, and some slices of it for less. Once every box that may still run is
-//! known to have learned of it, and that time and the longest transfer have passed, nobody can read
-//! that context any more. So the room is handed over slice by slice while engines load. A box that does not respond may still read: as long as there is one, all engines must
+//! version can be saved. A box reads old context from stores only for a limited time after it
+//! learned of the new version. Once every box that may still run is known to have learned of it,
+//! and that time and the longest transfer have passed, nobody can read the freed context any
+//! more. A box that does not respond may still read: as long as there is one, all engines must
 //! have newer weights first.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 
-use crate::gateway::decisions::cache_contents::PartKey;
-use crate::gateway::decisions::context::{
-    OLD_CONTEXT_SLICES, OLD_TRANSFER_TIMEOUT_MS, TRANSFER_TIMEOUT_MS, old_context_slice,
-    old_slice_read_ms,
-};
+use crate::gateway::decisions::context::OLD_CONTEXT_READ_MS;
 
-/// Time after which a transfer that should have ended is sure to have, whatever the errors of
-/// clocks.
-const TRANSFER_MARGIN_MS: u64 = 600;
-/// Upper bound of the duration of a transfer.
-pub const MAX_TRANSFER_MS: u64 = TRANSFER_TIMEOUT_MS + TRANSFER_MARGIN_MS;
-/// Upper bound of the duration of a transfer of context of older weights.
-const MAX_OLD_TRANSFER_MS: u64 = OLD_TRANSFER_TIMEOUT_MS + TRANSFER_MARGIN_MS;
+/// Upper bound, with a margin, of the duration of a transfer that was started under old weights.
+pub const MAX_TRANSFER_MS: u64 = 2600;
 /// Time for which a silent box may still be running: far longer than the longest network
 /// partition.
 const MAX_ABSENCE_MS: u64 = 600_000;
@@ -63,8 +52,6 @@
     pub revision: u64,
     uninformed: BTreeSet<IpAddr>,
     all_informed_at_ms: Option<u64>,
-    /// Slices of the old context that were found to be safe to free.
-    known_safe_slices: u8,
 }
 
 impl ContextRelease {
@@ -72,14 +59,7 @@
     #[must_use]
     pub fn new(model: &str, version: u64, revision: u64, boxes: &KnownBoxes) -> Self {
         let uninformed = boxes.all();
-        Self {
-            model: model.to_owned(),
-            version,
-            revision,
-            uninformed,
-            all_informed_at_ms: None,
-            known_safe_slices: 0,
-        }
+        Self { model: model.to_owned(), version, revision, uninformed, all_informed_at_ms: None }
     }
 
     /// Removes the boxes that know of the version. A box does not forget it, and one that
@@ -91,35 +71,10 @@
         }
     }
 
-    /// Number of slices of the old context that no box can read from a store any more.
-    #[must_use]
-    pub fn safe_slices(&self, now_ms: u64) -> u8 {
-        let Some(informed_at_ms) = self.all_informed_at_ms else { return 0 };
-        let is_safe = |slice: &u8| {
-            // Transfers that were chosen before the box learned of the version may take longer.
-            let unused_ms = (old_slice_read_ms(*slice) + MAX_OLD_TRANSFER_MS).max(MAX_TRANSFER_MS);
-            now_ms >= informed_at_ms + unused_ms
-        };
-        (0..OLD_CONTEXT_SLICES).take_while(is_safe).map(|slice| slice + 1).last().unwrap_or(0)
-    }
-
-    /// Whether more slices have become safe since the last call.
-    pub fn has_more_safe_slices(&mut self, now_ms: u64) -> bool {
-        let slices = self.safe_slices(now_ms);
-        std::mem::replace(&mut self.known_safe_slices, slices) < slices
-    }
-
-    /// Whether no box can read a part from a store any more, since it is old context.
-    #[must_use]
-    pub fn is_unread(&self, now_ms: u64, model: &str, version: u64, part: PartKey) -> bool {
-        self.model == model
-            && version < self.version
-            && old_context_slice(part) < self.safe_slices(now_ms)
-    }
-
     /// Whether no box can read the old context from a store any more.
     #[must_use]
     pub fn is_safe(&self, now_ms: u64) -> bool {
-        self.safe_slices(now_ms) == OLD_CONTEXT_SLICES
+        let stores_unused_at_ms = self.all_informed_at_ms.map(|at_ms| at_ms + OLD_CONTEXT_READ_MS);
+        stores_unused_at_ms.is_some_and(|at_ms| now_ms >= at_ms + MAX_TRANSFER_MS)
     }
 }
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -8,8 +8,7 @@
 use crate::gateway::decisions::cache_contents::PartKey;
 use crate::gateway::decisions::configuration::{EngineSpec, Store};
 use crate::gateway::decisions::context::{
-    ContextPlan, OLD_TRANSFER_TIMEOUT_MS, PartSource, Save, TRANSFER_TIMEOUT_MS, old_context_slice,
-    old_slice_read_ms, scope,
+    ContextPlan, OLD_CONTEXT_READ_MS, PartSource, Save, scope,
 };
 use crate::gateway::decisions::demand::Demand;
 use crate::gateway::decisions::prompt::Prompt;
@@ -57,7 +56,6 @@
     scope: String,
     now_ms: u64,
     objective_ms: u64,
-    transfer_timeout_ms: u64,
     prompt: &'a Prompt,
     parts: Vec<PartLocations<'a>>,
 }
@@ -76,11 +74,9 @@
         let scope = scope(&prompt.model, version, demand.isolated_account);
         // Context of replaced weights is released early to make room for that of the new weights.
         let behind_since_ms = demand.behind_since_ms(version);
-        let is_overdue = demand.is_overdue(now_ms, version);
-        let reads_from_stores = |key: PartKey| {
-            let read_ms = || old_slice_read_ms(old_context_slice(key));
-            !is_overdue && behind_since_ms.is_none_or(|since_ms| now_ms < since_ms + read_ms())
-        };
+        let reads_from_stores = behind_since_ms
+            .is_none_or(|since_ms| now_ms < since_ms + OLD_CONTEXT_READ_MS)
+            && !demand.is_overdue(now_ms, version);
         let saves = behind_since_ms.is_none();
         let shared = prompt.shared_parts();
         // In a large fleet no box follows what engines cache.
@@ -92,7 +88,7 @@
             let key = PartKey::new(&scope, &part.id);
             let engines = caching.iter().copied();
             let engines: Vec<&Upstream> =
-                engines.filter(|engine| engine.contents.tokens(key) > 0).collect();
+                of_service.filter(|engine| engine.contents.tokens(key) > 0).collect();
             let has_copy = !engines.is_empty() || stores.has_part(key);
             let is_common = index == 0 && shared.len() > 1;
             let placement = if is_common {
@@ -104,7 +100,7 @@
                 key,
                 tokens: part.tokens,
                 is_common,
-                stores: if reads_from_stores(key) {
+                stores: if reads_from_stores {
                     stores.with_complete_copy(now_ms, key, part.tokens).collect()
                 } else {
                     Vec::new()
@@ -123,8 +119,7 @@
         });
         let parts = parts.collect();
         let objective_ms = demand.admission.objective_ms;
-        let transfer_timeout_ms = if saves { TRANSFER_TIMEOUT_MS } else { OLD_TRANSFER_TIMEOUT_MS };
-        Self { version, scope, now_ms, objective_ms, transfer_timeout_ms, prompt, parts }
+        Self { version, scope, now_ms, objective_ms, prompt, parts }
     }
 
     /// The hall of a store that has the longest cached part.
--- a/src/gateway/store_cleanup.rs
+++ b/src/gateway/store_cleanup.rs
@@ -80,8 +80,7 @@
         }
     }
 
-    /// Updates the oldest readable version of each model, and how much of earlier context is not
-    /// read any more; returns whether any has risen.
+    /// Updates the oldest readable version of each model; returns whether any has risen.
     fn update_oldest_readable(&mut self, gateway: &Gateway, now_ms: u64) -> bool {
         let mut has_risen = false;
         let state = gateway.state();
@@ -93,9 +92,6 @@
             has_risen |= version > *oldest;
             *oldest = version.max(*oldest);
         }
-        for release in &mut self.releases {
-            has_risen |= release.has_more_safe_slices(now_ms);
-        }
         has_risen
     }
 
@@ -156,17 +152,9 @@
         listing: &CacheListing,
     ) -> Vec<CachedPart> {
         let is_outdated = |part: &CachedPart| {
-            let (Some(version), Some(model)) =
-                (scope_version(&part.scope), scope_model(&part.scope))
-            else {
-                return false;
-            };
-            let key = PartKey::new(&part.scope, &part.part_id);
-            self.oldest_readable.get(model).is_some_and(|oldest| version < *oldest)
-                || self
-                    .releases
-                    .iter()
-                    .any(|release| release.is_unread(now_ms, model, version, key))
+            let version = scope_version(&part.scope);
+            let oldest = scope_model(&part.scope).and_then(|model| self.oldest_readable.get(model));
+            oldest.is_some_and(|oldest| version.is_some_and(|version| version < *oldest))
         };
         let mut parts: Vec<CachedPart> = listing
             .complete
