--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -88,7 +88,7 @@
             let key = PartKey::new(&scope, &part.id);
             let engines = caching.iter().copied();
             let engines: Vec<&Upstream> =
-                of_service.filter(|engine| engine.contents.tokens(key) > 0).collect();
+                engines.filter(|engine| engine.contents.tokens(key) > 0).collect();
             let has_copy = !engines.is_empty() || stores.has_part(key);
             let is_common = index == 0 && shared.len() > 1;
             let placement = if is_common {
@@ -152,7 +152,6 @@
             sources: plan.sources,
             saves: plan.saves,
             fetch_ms: plan.fetch_ms,
-            transfer_timeout_ms: self.transfer_timeout_ms,
             prefill_tokens: self.prompt.tokens.saturating_sub(plan.cached_tokens),
             recomputed_tokens: plan.recomputed_tokens,
             scope: self.scope.clone(),
