Stores: parts are saved in the hall in which they are computed, while it has room

By reckoning the large ones' links are full: five in six saves cross halls, which takes twice the time. Change: the rendezvous hash chooses among the stores of the box's hall first (its engines are tried first), others when these are full. A part can now have a copy in two halls if both compute it at once.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -184,7 +184,7 @@
         weights: None,
         weights_apply_ms: 12_000,
         excludes_overdue: true,
-        placement: Placement::RendezvousHash,
+        placement: Placement::RendezvousHash { hall: "hall-0" },
         candidates: Candidates::Sampled { seed },
         allowed_halls: AllowedHalls::ALL,
         tried: &[],
--- a/src/gateway/decisions/stores.rs
+++ b/src/gateway/decisions/stores.rs
@@ -1,5 +1,11 @@
 //! The context stores: their content, the load on their links, and the store to which each part is
 //! saved.
+//!
+//! *Load pattern:* engines without context, after a start or a change of weights, save every prompt
+//! that they compute, hundreds of megabytes each, over the links of a few stores; a transfer between
+//! halls takes twice as long. When the links are full, saves come too late and prompts are computed
+//! again whenever they return. So parts go to a store of the hall in which they are computed, from
+//! where engines of this hall fetch them later.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -27,9 +33,10 @@
     /// The store with free capacity and the fastest link; a store of the given hall counts as twice
     /// as fast.
     FastestLink { hall: &'a str },
-    /// By the hash of the part and the store's name, weighted by store capacity. If many boxes
-    /// chose the fastest store, they would overload its link.
-    RendezvousHash,
+    /// By the hash of the part and the store's name, weighted by store capacity, among the stores of
+    /// the given hall as long as one has room. If many boxes chose the fastest store, they would
+    /// overload its link.
+    RendezvousHash { hall: &'a str },
     /// By the same hash, weighted by link bandwidth, among the stores of one hall, whether or not
     /// other halls have a copy. For parts that most requests share: engines that lack such a part
     /// would otherwise all fetch it over one link.
@@ -41,16 +48,24 @@
     #[must_use]
     pub fn for_common_part(self, hall: &'a str) -> Self {
         match self {
-            Self::RendezvousHash => Self::RendezvousHashInHall { hall },
+            Self::RendezvousHash { .. } => Self::RendezvousHashInHall { hall },
             Self::FastestLink { .. } | Self::RendezvousHashInHall { .. } => self,
         }
     }
 
+    /// Whether this store comes after those of the preferred hall, however they compare.
+    fn is_far(self, store: &Store) -> bool {
+        match self {
+            Self::RendezvousHash { hall } => store.hall != hall,
+            Self::FastestLink { .. } | Self::RendezvousHashInHall { .. } => false,
+        }
+    }
+
     /// Whether parts may be saved to this store.
     fn includes(self, store: &Store) -> bool {
         match self {
             Self::RendezvousHashInHall { hall } => store.hall == hall,
-            Self::FastestLink { .. } | Self::RendezvousHash => true,
+            Self::FastestLink { .. } | Self::RendezvousHash { .. } => true,
         }
     }
 }
@@ -237,7 +252,7 @@
         }
         let available = self.available(now_ms, tokens).filter(|(store, _)| may_save_to(store));
         let cost = |(store, state): &(Store, StoreState)| match placement {
-            Placement::RendezvousHash => {
+            Placement::RendezvousHash { .. } => {
                 state.rendezvous_sample(key) / as_f64(store.capacity_tokens)
             }
             Placement::RendezvousHashInHall { .. } => {
@@ -248,7 +263,10 @@
                 hall_factor / store.link_mbps.max(1.0)
             }
         };
-        let cheapest = available.min_by(|left, right| cost(left).total_cmp(&cost(right)));
+        let cheapest = available.min_by(|left, right| {
+            let by_hall = placement.is_far(&left.0).cmp(&placement.is_far(&right.0));
+            by_hall.then(cost(left).total_cmp(&cost(right)))
+        });
         cheapest.map(|(store, _)| store)
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -432,7 +432,7 @@
         placement: if state.peers.is_small_fleet() {
             Placement::FastestLink { hall: &gateway.settings.hall }
         } else {
-            Placement::RendezvousHash
+            Placement::RendezvousHash { hall: &gateway.settings.hall }
         },
         candidates: if state.peers.is_small_fleet() {
             Candidates::All
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -91,7 +91,7 @@
         weights: None,
         weights_apply_ms: 10_000,
         excludes_overdue: true,
-        placement: Placement::RendezvousHash,
+        placement: Placement::RendezvousHash { hall },
         candidates: Candidates::Sampled { seed: 3 },
         allowed_halls: AllowedHalls::ALL,
         tried: &[],
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -213,7 +213,7 @@
         weights: None,
         weights_apply_ms: 10_000,
         excludes_overdue: true,
-        placement: Placement::RendezvousHash,
+        placement: Placement::RendezvousHash { hall: "north" },
         candidates: Candidates::Sampled { seed },
         allowed_halls: AllowedHalls::ALL,
         tried: &[],
--- a/tests/gateway_stores.rs
+++ b/tests/gateway_stores.rs
@@ -143,12 +143,33 @@
     stores
 }
 
+const NEAR_NORTH: Placement<'_> = Placement::RendezvousHash { hall: "north" };
+
+/// Saves of all halls went to all stores by their size: five in six crossed halls, which takes the
+/// links twice the time, and half of the saves came too late.
+#[test]
+fn saved_in_hall() {
+    let mut stores = Stores::default();
+    let south = |name| Store { hall: "south".to_owned(), ..store(name, 9_000_000) };
+    stores.configure(&[store("a", 30_000), store("b", 10_000), south("c"), south("d")]);
+    stores.iter_mut().for_each(|(_, state)| state.contents.apply_listing(&listing(1)));
+    let mut in_hall = 0;
+    for part in 0..1000 {
+        let save_to = stores.store_for_save(0, key(part), 100, NEAR_NORTH, AllowedHalls::ALL);
+        let store = save_to.expect("some store has room").name.clone();
+        in_hall += usize::from(store == "a" || store == "b");
+        stores.get_mut(&store).unwrap().1.contents.set_tokens(key(part), 100);
+    }
+    assert!(in_hall >= 380, "the hall's stores are filled first: {in_hall}");
+    assert!(in_hall < 400, "then those of other halls are used");
+}
+
 #[test]
 fn homes_by_size() {
     let (first, second) = (known_stores(), known_stores());
     let assigned_store = |stores: &Stores, part| {
         stores
-            .store_for_save(0, key(part), 100, Placement::RendezvousHash, AllowedHalls::ALL)
+            .store_for_save(0, key(part), 100, NEAR_NORTH, AllowedHalls::ALL)
             .map(|store| store.name.clone())
     };
     assert!(
