--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -226,7 +226,7 @@
     /// Number of boxes of the own hall, out of `hall_peers`, that get each periodic message.
     fn hall_part(&self, hall_peers: usize) -> usize {
         match self.news_pace.pace() {
-            // A hall that gets all messages at the prompt pace costs little.
+            // A hall of this size is told as a whole at either pace.
             _ if hall_peers <= HALL_PART => hall_peers,
             Pace::Prompt => HALL_PART,
             Pace::Relaxed => SPARSE_HALL_PART,
