--- a/tests/gateway_entries.rs
+++ b/tests/gateway_entries.rs
@@ -6,10 +6,10 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use common::{GatewayFixture, is_ready, start_fixture};
+use common::{GatewayFixture, is_ready, start_fixture, wait_ready};
 use coursestile::gateway::decisions::cache_contents::CacheContents;
 use coursestile::platform::{caches, engine, keys};
-use coursestile_standins::site::{eventually, service_entry};
+use coursestile_standins::site::{Site, config_document, eventually, service_entry};
 use proptest::prelude::*;
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -222,3 +222,29 @@
         let _ = keys::read_upstream("u", &mixed);
     }
 }
+
+/// Each box of a fleet logged each of thousands of upstreams when it started.
+#[tokio::test]
+async fn many_entries() {
+    let mut site = Site::start().await;
+    for number in 0..1000 {
+        let entry = service_entry("plain", &format!("127.0.0.1:{}", 20_000 + number), "ready");
+        site.register(&format!("m-{number}"), &entry);
+    }
+    site.configure(&config_document(7));
+    let gateway = site.gateway("north", &[]);
+    wait_ready(&gateway).await;
+    eventually("the entries are logged", async || {
+        gateway.log_text().contains("event=many_changes count=")
+    })
+    .await;
+    site.register("late", &service_entry("plain", "127.0.0.1:19999", "ready"));
+    eventually("a single entry is logged", async || {
+        gateway.log_text().contains("event=upstream_seen upstream=late")
+    })
+    .await;
+    // The stand-ins' boxes log at debug, where each entry still has its line.
+    let text = gateway.log_text();
+    let lines = text.lines().filter(|line| !line.contains(" DEBUG ")).count();
+    assert!(lines <= 50, "{lines} lines for 1000 entries");
+}
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -496,3 +496,14 @@
     receive_from_hall(&mut peers, 60_500, HALL, 20, 120, MetadataStoreStatus::Available);
     assert!(peers.may_be_large_fleet(60_500));
 }
+
+/// Letting reports of silent peers expire is work for all peers and all upstreams in use: ten times a
+/// second it was a good part of what the boxes of a large fleet did.
+#[test]
+fn expiry_period() {
+    let mut peers = Peers::new(local_box(), &[]);
+    receive_from_hall(&mut peers, 1000, HALL, 8, 120, MetadataStoreStatus::Available);
+    assert_eq!(peers.expiry_period_ms(), 100, "nine boxes");
+    receive_from_hall(&mut peers, 1000, HALL, 200, 120, MetadataStoreStatus::NotUsed);
+    assert_eq!(peers.expiry_period_ms(), 500, "a third of the silence after which a peer is gone");
+}
