Answers: the log tells how each body was framed, and where streams end

Lines of answered and broken bodies now tell whether the upstream marked the end only by closing the connection, and a stream that ends within an event is logged even if it is still passed on as complete. Nothing that is sent changes; the scanner of events replaces the search for a blank line and also takes CR and CRLF.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use log::info;
 use tokio::time::timeout_at;
@@ -17,7 +17,7 @@
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::units::rounded_ms;
 use crate::gateway::decisions::urgency;
-use crate::gateway::heads::{ForwardHead, ResponseHead};
+use crate::gateway::heads::{ForwardHead, Framing, ResponseHead};
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::kernel::Gateway;
 use crate::platform::exchange;
@@ -212,7 +212,10 @@
     connection: Connection,
 ) -> AttemptOutcome {
     let (parts, body) = response.into_parts();
-    let response_head = exchange::answer_head(parts.status, &parts.headers);
+    let mut response_head = exchange::answer_head(parts.status, &parts.headers);
+    if body.is_end_stream() {
+        response_head.framing = Framing::Delimited;
+    }
     if !response_head.notice.is_empty() {
         in_flight.apply_notice(response_head.notice);
     }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,19 +1,60 @@
 //! Boundaries and ids of server-sent events.
 
-/// The blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
+/// What the line that is being scanned contains so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    /// A comment, which belongs to no event.
+    Comment,
+    Field,
+}
 
-/// End of the last complete event in `bytes`.
-#[must_use]
-pub fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let start = bytes.windows(EVENT_END.len()).rposition(|window| window == EVENT_END)?;
-    Some(start + EVENT_END.len())
+/// Finds the ends of events in a stream that arrives in pieces. Lines end with LF, CR or both.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventScanner {
+    line: Line,
+    within_event: bool,
+    /// Whether the last byte was a CR, to which an LF still belongs.
+    after_cr: bool,
+}
+
+impl EventScanner {
+    /// Scans the next bytes of the stream. Returns the end of the last line among them that ends
+    /// outside of any event.
+    pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut boundary = None;
+        for (position, &byte) in bytes.iter().enumerate() {
+            let follows_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+            if !matches!(byte, b'\n' | b'\r') {
+                if self.line == Line::Empty {
+                    self.line = if byte == b':' { Line::Comment } else { Line::Field };
+                    self.within_event |= self.line == Line::Field;
+                }
+                continue;
+            }
+            // An LF after a CR belongs to the same line end.
+            if byte == b'\r' || !follows_cr {
+                self.within_event &= std::mem::take(&mut self.line) != Line::Empty;
+            }
+            if !self.within_event {
+                boundary = Some(position + 1);
+            }
+        }
+        boundary
+    }
+
+    /// Whether the stream would end within an event if it ended now.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        self.within_event
+    }
 }
 
 /// Id of the last event that has one.
 #[must_use]
 pub fn last_event_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     Some(String::from_utf8_lossy(id).trim().to_owned())
 }
--- a/src/gateway/heads.rs
+++ b/src/gateway/heads.rs
@@ -17,6 +17,15 @@
     pub prompt: Option<Prompt>,
 }
 
+/// How the end of a response body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length or a last chunk; also if there is no body.
+    Delimited,
+    /// By the end of the connection alone. If that is closed, the body may have been broken off.
+    CloseDelimited,
+}
+
 /// What the head of an upstream's response says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -32,6 +41,7 @@
     pub ran_version: Option<u64>,
     /// Whether the body is encoded, which means that it is not the upstream's own.
     pub encoded: bool,
+    pub framing: Framing,
     /// Whether the upstream is about to leave, or asks for a back-off.
     pub notice: Notice,
 }
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -20,9 +20,10 @@
 use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::configuration::RetryPolicy;
-use crate::gateway::events::{last_event_end, last_event_id};
+use crate::gateway::events::{EventScanner, last_event_id};
+use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::request_log::{log_answered, log_attempt_start, seconds_since};
+use crate::gateway::request_log::{ForwardedBody, log_answered, log_attempt_start, seconds_since};
 use crate::gateway::response::{self, BodyAborted, ClientResponse};
 use crate::gateway::serve::{find_resume_upstream, record_abandoned};
 use crate::gateway::silence;
@@ -34,6 +35,8 @@
     choice: Choice,
     /// The response of the present upstream; `None` if no upstream is left.
     response: Option<UpstreamResponse>,
+    /// Finds where events end; reads the whole of each upstream's response.
+    scanner: EventScanner,
     /// The start of an event that is not complete yet.
     buffer: BytesMut,
     last_event_id: Option<String>,
@@ -64,6 +67,7 @@
         request: request.detach(),
         choice: choice.clone(),
         response: Some(response),
+        scanner: EventScanner::default(),
         buffer: BytesMut::new(),
         last_event_id: None,
         pending,
@@ -122,8 +126,8 @@
                 reason = moves::wait_for_reason(&response.in_flight, has_event, may_move_at) => Ok(reason),
             };
             let Ok(next) = next else {
-                self.response = None;
                 self.log_broken("time_over");
+                self.response = None;
                 return Some(Err(BodyAborted::TimeOver));
             };
             match next {
@@ -141,11 +145,20 @@
                 }
                 ReadOutcome::End if self.buffer.is_empty() => {
                     let status = response.status;
+                    let framing = response.head.framing;
                     if let Some(response) = self.response.take() {
                         response.finish();
                     }
+                    if self.is_stream() && self.scanner.is_within_event() {
+                        info!(target: "relay",
+                            "event=ended_within_event request={} upstream={} \
+                             close_delimited={} passed_bytes={}",
+                            self.request.outgoing.request_id, self.choice.upstream.id,
+                            framing == Framing::CloseDelimited, self.forwarded_bytes);
+                    }
                     crashes::record_answered(&self.gateway, self.request.outgoing.fingerprint);
-                    log_answered(&self.request, &self.choice, status, self.forwarded_bytes);
+                    let body = ForwardedBody { bytes: self.forwarded_bytes, framing };
+                    log_answered(&self.request, &self.choice, status, body);
                     return None;
                 }
                 ReadOutcome::End => {
@@ -167,14 +180,16 @@
 
     /// The bytes that can be forwarded now. Of a resumable stream, these are whole events.
     fn complete_events(&mut self, bytes: Bytes) -> Bytes {
+        let boundary = self.scanner.scan(&bytes);
         if self.request.outgoing.retry_policy != RetryPolicy::StreamResumable {
             return bytes;
         }
+        let buffered = self.buffer.len();
         self.buffer.extend_from_slice(&bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
+        let Some(boundary) = boundary else {
             return Bytes::new();
         };
-        let events = self.buffer.split_to(end).freeze();
+        let events = self.buffer.split_to(buffered + boundary).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_event_id = Some(id);
         }
@@ -222,6 +237,7 @@
     /// forwarded.
     fn switch_to(&mut self, response: UpstreamResponse, choice: Choice) {
         self.response = Some(response);
+        self.scanner = EventScanner::default();
         self.buffer.clear();
         self.choice = choice;
     }
@@ -252,6 +268,10 @@
         true
     }
 
+    fn is_stream(&self) -> bool {
+        self.request.outgoing.retry_policy.is_stream()
+    }
+
     fn log_begun(&self) {
         let first_s = seconds_since(self.request.arrived_at_ms);
         metrics::histogram!("coursestile_first_event_seconds").record(first_s);
@@ -260,10 +280,12 @@
     }
 
     fn log_broken(&self, cause: &str) {
+        let framing = self.response.as_ref().map(|response| response.head.framing);
         info!(target: "relay",
             "event=stream_broken request={} upstream={} cause=\"{cause}\" \
-             passed_bytes={} held_ms={}",
-            self.request.outgoing.request_id, self.choice.upstream.id, self.forwarded_bytes,
+             close_delimited={} passed_bytes={} held_ms={}",
+            self.request.outgoing.request_id, self.choice.upstream.id,
+            framing == Some(Framing::CloseDelimited), self.forwarded_bytes,
             now_ms() - self.request.arrived_at_ms);
     }
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -10,6 +10,7 @@
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::heads::Framing;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::response::Reason;
 
@@ -112,12 +113,25 @@
     Duration::from_millis(now_ms().saturating_sub(at_ms)).as_secs_f64()
 }
 
+/// A response body that was forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardedBody {
+    pub bytes: usize,
+    /// How the upstream marked its end.
+    pub framing: Framing,
+}
+
 /// Logs a request that was served.
-pub fn log_answered(request: &AdmittedRequest, choice: &Choice, status: StatusCode, bytes: usize) {
+pub fn log_answered(
+    request: &AdmittedRequest,
+    choice: &Choice,
+    status: StatusCode,
+    body: ForwardedBody,
+) {
     metrics::counter!("coursestile_requests_total", "end" => "answered").increment(1);
     metrics::histogram!("coursestile_request_seconds").record(seconds_since(request.arrived_at_ms));
     info!(target: "serve",
-        "event=answered request={} upstream={} status={} bytes={bytes} held_ms={}",
-        request.outgoing.request_id, choice.upstream.id, status.as_u16(),
-        now_ms() - request.arrived_at_ms);
+        "event=answered request={} upstream={} status={} bytes={} close_delimited={} held_ms={}",
+        request.outgoing.request_id, choice.upstream.id, status.as_u16(), body.bytes,
+        body.framing == Framing::CloseDelimited, now_ms() - request.arrived_at_ms);
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -26,7 +26,7 @@
     RETRY_AFTER_MS, no_upstream_found, refuse, refuse_immediately, refuse_until,
 };
 use crate::gateway::request_log::{
-    log_answered, log_attempt_end, log_attempt_start, log_early_refusal,
+    ForwardedBody, log_answered, log_attempt_end, log_attempt_start, log_early_refusal,
 };
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::{crashes, overdue_weights, quarantine, relay, silence};
@@ -303,12 +303,14 @@
     match timeout_at(deadline, response.read_start()).await {
         Ok(Ok(BodyStart::Complete(bytes))) => {
             let (status, headers) = (response.status, response.headers.clone());
+            let framing = response.head.framing;
             response.finish();
             crashes::record_answered(gateway, request.outgoing.fingerprint);
             if status.is_server_error() && retry_after_failure(gateway, request, choice, status) {
                 return None;
             }
-            log_answered(request, choice, status, bytes.len());
+            let body = ForwardedBody { bytes: bytes.len(), framing };
+            log_answered(request, choice, status, body);
             Some(response::from_upstream(status, &headers, response::full_body(bytes)))
         }
         Ok(Ok(BodyStart::Partial(bytes))) => {
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -9,7 +9,7 @@
 use crate::gateway::decisions::context::{ContextPlan, PartSource};
 use crate::gateway::decisions::notice::Notice;
 use crate::gateway::decisions::prompt::Prompt;
-use crate::gateway::heads::{ForwardHead, RequestHead, ResponseHead};
+use crate::gateway::heads::{ForwardHead, Framing, RequestHead, ResponseHead};
 use crate::platform::headers;
 
 /// Headers that apply to a single connection and are not forwarded.
@@ -127,10 +127,24 @@
         upstream_id: text(head, &HeaderName::from_static("x-instance-id")).map(str::to_owned),
         ran_version: text(head, &headers::RAN_VERSION).and_then(|version| version.parse().ok()),
         encoded: head.contains_key(header::CONTENT_ENCODING),
+        framing: framing(head),
         notice: Notice { leaving: is_leaving(head), backoff_ms: backoff_ms(status, head) },
     }
 }
 
+/// How the end of a body that follows the head is marked.
+fn framing(head: &HeaderMap) -> Framing {
+    let encoding = head.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let is_delimited = match encoding.map(|encoding| encoding.to_str().unwrap_or_default()) {
+        Some(encodings) => {
+            let last = encodings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        }
+        None => head.contains_key(header::CONTENT_LENGTH),
+    };
+    if is_delimited { Framing::Delimited } else { Framing::CloseDelimited }
+}
+
 /// Whether the upstream announces that it is about to leave.
 fn is_leaving(head: &HeaderMap) -> bool {
     text(head, &headers::LEAVING).is_some_and(|value| value.trim() == "1")
