--- a/soak/src/world/happening.rs
+++ b/soak/src/world/happening.rs
@@ -6,7 +6,7 @@
 use coursestile_standins::clock::now_ms;
 use coursestile_standins::site::engine::MODEL;
 use coursestile_standins::site::metadata::StoreFault;
-use coursestile_standins::site::server::Behavior;
+use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent};
 use coursestile_standins::site::{Gateway, engine_entry};
 use serde_json::json;
 use tokio::time::sleep;
@@ -41,7 +41,7 @@
     Behavior::MissingSeal,
     Behavior::TruncatedBody,
     Behavior::DuplicateAnswer,
-    Behavior::NoLength,
+    Behavior::CloseDelimited(Sent::Whole, ConnectionEnd::Close),
     Behavior::Status(500),
     Behavior::Events(2),
     Behavior::DelayedAnswer(Duration::from_millis(400)),
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -11,7 +11,7 @@
     pub headers: Vec<(String, String)>,
     /// Body, with any chunked encoding removed.
     pub body: Vec<u8>,
-    /// Whether the body was received completely.
+    /// Whether the body was received completely, as far as its framing tells.
     pub complete: bool,
 }
 
@@ -35,6 +35,12 @@
         self.path_or_status().parse().unwrap_or_default()
     }
 
+    /// Whether the body has neither a length nor chunks.
+    #[must_use]
+    pub fn is_close_delimited(&self) -> bool {
+        self.header("content-length").is_none() && self.header("transfer-encoding").is_none()
+    }
+
     /// Body as text, with invalid UTF-8 replaced.
     #[must_use]
     pub fn text(&self) -> String {
@@ -46,12 +52,14 @@
 pub struct MessageReader<S> {
     stream: S,
     buffer: Vec<u8>,
+    /// Whether the connection was reset.
+    reset: bool,
 }
 
 impl<S: AsyncRead + Unpin> MessageReader<S> {
     /// Reads from `stream`.
     pub fn new(stream: S) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), reset: false }
     }
 
     /// Reads the next message; `None` if the connection ends before its header does.
@@ -85,6 +93,7 @@
         } else if until_eof {
             while self.fill().await {}
             message.body = std::mem::take(&mut self.buffer);
+            message.complete = !self.reset;
         }
         Some(message)
     }
@@ -131,7 +140,11 @@
     async fn fill(&mut self) -> bool {
         let mut bytes = [0; 4096];
         match self.stream.read(&mut bytes).await {
-            Ok(0) | Err(_) => false,
+            Ok(0) => false,
+            Err(_) => {
+                self.reset = true;
+                false
+            }
             Ok(count) => {
                 self.buffer.extend_from_slice(&bytes[..count]);
                 true
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +17,28 @@
 /// Request header with the time that the upstream spends on the request, in milliseconds.
 pub const WORK_HEADER: &str = "x-work-ms";
 
+/// How much of its answer an upstream sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// All of it.
+    Whole,
+    /// The first half, which of a stream ends within an event.
+    Half,
+    /// The first half of a body of this many bytes.
+    HalfOf(usize),
+    /// This many whole events.
+    Events(u32),
+}
+
+/// How an upstream ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    Close,
+    Reset,
+    /// The upstream crashes, which closes the connection.
+    Crash,
+}
+
 /// What an upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behavior {
@@ -41,8 +64,8 @@
     TruncatedBody,
     /// Sends the complete answer twice.
     DuplicateAnswer,
-    /// Answers without a `Content-Length` and closes the connection.
-    NoLength,
+    /// Answers with neither a length nor chunks, and ends the connection.
+    CloseDelimited(Sent, ConnectionEnd),
     /// Answers with a body of this many bytes.
     LargeBody(usize),
     /// Closes the connection halfway through a body of this many bytes.
@@ -339,9 +362,11 @@
             return None;
         }
         Behavior::DuplicateAnswer => format!("{whole}{whole}"),
-        Behavior::NoLength => {
+        Behavior::CloseDelimited(sent, end) => {
             let head = head(200, id, &format!("X-Server-Seal: seal-{id}\r\n\r\n"));
-            write.write_all(format!("{head}{body}").as_bytes()).await.ok()?;
+            let sent = sent_part(*sent, body);
+            write.write_all(format!("{head}{sent}").as_bytes()).await.ok()?;
+            end_connection(write, *end, shared).await;
             return None;
         }
         Behavior::LargeBody(length) | Behavior::TruncatedLargeBody(length) => {
@@ -374,6 +399,35 @@
     write.write_all(text.as_bytes()).await.ok()
 }
 
+/// The part of a body that is sent.
+fn sent_part(sent: Sent, mut body: String) -> String {
+    match sent {
+        Sent::Whole => {}
+        Sent::Half => body.truncate(body.len() / 2),
+        Sent::HalfOf(length) => return "x".repeat(length / 2),
+        Sent::Events(count) => {
+            let ends = body.match_indices("\n\n").nth(count as usize - 1);
+            body.truncate(ends.map_or(body.len(), |(position, end)| position + end.len()));
+        }
+    }
+    body
+}
+
+/// Ends a connection, once the other side has had time to read what was sent.
+async fn end_connection(write: &mut OwnedWriteHalf, end: ConnectionEnd, shared: &Shared) {
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    match end {
+        ConnectionEnd::Close => {}
+        ConnectionEnd::Reset => {
+            let socket = SockRef::from(write.as_ref());
+            socket.set_linger(Some(Duration::ZERO)).expect("socket option");
+        }
+        ConnectionEnd::Crash => {
+            shared.lock().expect("no task panics under the lock").crashed.send_replace(true);
+        }
+    }
+}
+
 /// Number of events in a complete stream.
 pub const EVENTS: u32 = 5;
 
--- a/tests/gateway_once.rs
+++ b/tests/gateway_once.rs
@@ -6,7 +6,7 @@
 
 use common::{start_fixture, wait_ready};
 use coursestile_standins::site::client::request_once;
-use coursestile_standins::site::server::{Behavior, Server};
+use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server};
 use coursestile_standins::site::{eventually, service_entry};
 use rstest::rstest;
 use serde_json::json;
@@ -124,7 +124,7 @@
 #[tokio::test]
 async fn without_length() {
     let fixture = start_fixture(1).await;
-    fixture.servers[0].script(&[Behavior::NoLength]);
+    fixture.servers[0].script(&[Behavior::CloseDelimited(Sent::Whole, ConnectionEnd::Close)]);
     let answer = fixture.send("POST", "/once/", "r-1").await;
     assert_eq!((answer.status(), answer.text().as_str()), (200, "answer to r-1: "));
 }
