Streams: one that ends within an event has been broken off, on every route

Cause: the box looked at events only where a stream may be resumed. Of any other body it took the end of the connection for the end of the body, and vouched for it with a last chunk of its own.

Change: the relay follows the events of every stream, and one that ends within an event is broken: resumed where that is allowed, otherwise aborted, so that the client's own framing shows it. A success that says it has another content type is passed on as it is. A comment within a stream is no event. The break also counts against the upstream's health, as other breaks do.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,5 +1,9 @@
 //! Boundaries and ids of server-sent events.
 
+use hyper::{HeaderMap, header};
+
+const CONTENT_TYPE: &str = "text/event-stream";
+
 /// What the line that is being scanned contains so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Line {
@@ -51,6 +55,13 @@
     }
 }
 
+/// Whether a body on a streaming route consists of events; it does unless it says otherwise.
+#[must_use]
+pub fn has_events(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    content_type.is_none_or(|content_type| content_type.trim_start().starts_with(CONTENT_TYPE))
+}
+
 /// Id of the last event that has one.
 #[must_use]
 pub fn last_event_id(events: &[u8]) -> Option<String> {
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -1,7 +1,8 @@
 //! Forwards response bodies and event streams to clients as they arrive.
 //!
-//! A resumable stream is forwarded in whole events. If its upstream breaks off, or if it is moved
-//! (see `moves`), another upstream resumes it after the last event that was forwarded.
+//! A stream that ends within an event has been broken off, however its end is marked. A resumable
+//! stream is forwarded in whole events. If its upstream breaks off, or if it is moved (see `moves`),
+//! another upstream resumes it after the last event that was forwarded.
 
 mod moves;
 
@@ -20,7 +21,7 @@
 use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::configuration::RetryPolicy;
-use crate::gateway::events::{EventScanner, last_event_id};
+use crate::gateway::events::{EventScanner, has_events, last_event_id};
 use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::{ForwardedBody, log_answered, log_attempt_start, seconds_since};
@@ -35,8 +36,9 @@
     choice: Choice,
     /// The response of the present upstream; `None` if no upstream is left.
     response: Option<UpstreamResponse>,
-    /// Finds where events end; reads the whole of each upstream's response.
-    scanner: EventScanner,
+    /// Finds where events end in the response of the present upstream; `None` if the body does not
+    /// consist of events.
+    scanner: Option<EventScanner>,
     /// The start of an event that is not complete yet.
     buffer: BytesMut,
     last_event_id: Option<String>,
@@ -62,12 +64,13 @@
     pending: Bytes,
 ) -> ClientResponse {
     let (status, headers) = (response.status, response.headers.clone());
+    let is_stream = request.outgoing.retry_policy.is_stream() && status.is_success();
     let relay = Relay {
         gateway: gateway.clone(),
         request: request.detach(),
         choice: choice.clone(),
         response: Some(response),
-        scanner: EventScanner::default(),
+        scanner: (is_stream && has_events(&headers)).then(EventScanner::default),
         buffer: BytesMut::new(),
         last_event_id: None,
         pending,
@@ -110,13 +113,12 @@
             return Some(Ok(pending));
         }
         loop {
+            let may_move_at = self.may_move_at.filter(|_| self.is_resumable());
             // The stream has no upstream left. It is aborted, so that it does not look complete.
             let Some(response) = self.response.as_mut() else {
                 return Some(Err(BodyAborted::Upstream));
             };
             let deadline = instant_at(self.request.outgoing.deadline_ms);
-            let resumable = self.request.outgoing.retry_policy == RetryPolicy::StreamResumable;
-            let may_move_at = self.may_move_at.filter(|_| resumable);
             let has_event = self.last_event_id.is_some();
             let next = tokio::select! {
                 // Polled in order: data comes first, since dropping the read would lose
@@ -143,29 +145,30 @@
                         return Some(Ok(bytes));
                     }
                 }
-                ReadOutcome::End if self.buffer.is_empty() => {
-                    let status = response.status;
-                    let framing = response.head.framing;
+                ReadOutcome::End
+                    if self.scanner.is_some_and(|scanner| scanner.is_within_event()) =>
+                {
+                    response.in_flight.record_failure();
+                    if let Some(aborted) = self.resume("ends within an event").await {
+                        return Some(Err(aborted));
+                    }
+                }
+                ReadOutcome::End if !self.buffer.is_empty() => {
+                    // A comment without a line end, which belongs to no event.
+                    self.read_ahead = Some(ReadOutcome::End);
+                    self.forwarded_bytes += self.buffer.len();
+                    return Some(Ok(self.buffer.split().freeze()));
+                }
+                ReadOutcome::End => {
+                    let (status, framing) = (response.status, response.head.framing);
                     if let Some(response) = self.response.take() {
                         response.finish();
                     }
-                    if self.is_stream() && self.scanner.is_within_event() {
-                        info!(target: "relay",
-                            "event=ended_within_event request={} upstream={} \
-                             close_delimited={} passed_bytes={}",
-                            self.request.outgoing.request_id, self.choice.upstream.id,
-                            framing == Framing::CloseDelimited, self.forwarded_bytes);
-                    }
                     crashes::record_answered(&self.gateway, self.request.outgoing.fingerprint);
                     let body = ForwardedBody { bytes: self.forwarded_bytes, framing };
                     log_answered(&self.request, &self.choice, status, body);
                     return None;
                 }
-                ReadOutcome::End => {
-                    if let Some(aborted) = self.resume("ends within an event").await {
-                        return Some(Err(aborted));
-                    }
-                }
                 ReadOutcome::Silent => self.move_off_silent().await,
                 ReadOutcome::MustMove => self.move_off_loading().await,
                 ReadOutcome::Broken(cause) => {
@@ -180,8 +183,8 @@
 
     /// The bytes that can be forwarded now. Of a resumable stream, these are whole events.
     fn complete_events(&mut self, bytes: Bytes) -> Bytes {
-        let boundary = self.scanner.scan(&bytes);
-        if self.request.outgoing.retry_policy != RetryPolicy::StreamResumable {
+        let boundary = self.scanner.as_mut().and_then(|scanner| scanner.scan(&bytes));
+        if !self.is_resumable() {
             return bytes;
         }
         let buffered = self.buffer.len();
@@ -206,7 +209,7 @@
             self.request.outgoing.fingerprint,
         )
         .await;
-        if self.request.outgoing.retry_policy != RetryPolicy::StreamResumable {
+        if !self.is_resumable() {
             return Some(BodyAborted::Upstream);
         }
         loop {
@@ -237,7 +240,7 @@
     /// forwarded.
     fn switch_to(&mut self, response: UpstreamResponse, choice: Choice) {
         self.response = Some(response);
-        self.scanner = EventScanner::default();
+        self.scanner = Some(EventScanner::default());
         self.buffer.clear();
         self.choice = choice;
     }
@@ -268,8 +271,8 @@
         true
     }
 
-    fn is_stream(&self) -> bool {
-        self.request.outgoing.retry_policy.is_stream()
+    fn is_resumable(&self) -> bool {
+        self.scanner.is_some() && self.request.outgoing.retry_policy == RetryPolicy::StreamResumable
     }
 
     fn log_begun(&self) {
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -244,6 +244,8 @@
             return;
         }
         if answer(&mut write, &request, &behavior, &shared).await.is_none() {
+            // Otherwise the connection would be shut down in order before it is reset.
+            write.forget();
             return;
         }
     }
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -4,9 +4,12 @@
 #[path = "common/site.rs"]
 mod common;
 
-use common::{GatewayFixture, start_fixture};
+use common::{GatewayFixture, start_fixture, wait_for_log};
 use coursestile_standins::site::http::Message;
-use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent};
+use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server, events_text};
+use coursestile_standins::site::service_entry;
+use rstest::rstest;
+use serde_json::json;
 
 /// Fixture in which every upstream handles its first request in this way.
 async fn start_fixture_with(servers: usize, sent: Sent, end: ConnectionEnd) -> GatewayFixture {
@@ -17,6 +20,19 @@
     fixture
 }
 
+/// Fixture with an upstream that handles its first request in this way, and a sound one in another
+/// hall, which gets the requests that are sent again.
+async fn start_pair_with(sent: Sent, end: ConnectionEnd) -> GatewayFixture {
+    let mut fixture = start_fixture_with(1, sent, end).await;
+    let sound = Server::start("s-sound").await;
+    let mut entry = service_entry("plain", &sound.address, "ready");
+    entry["zone"] = json!("south");
+    fixture.site.register(&sound.id, &entry);
+    fixture.servers.push(sound);
+    wait_for_log(&fixture, "upstream=s-sound").await;
+    fixture
+}
+
 /// A complete answer with a status of success.
 fn is_success(answer: &Message) -> bool {
     answer.complete && answer.status() == 200
@@ -29,3 +45,50 @@
     assert!(!is_success(&answer), "it ends within an event: {}", answer.text());
     assert_eq!(fixture.arrival_count("r-1"), 1);
 }
+
+/// A stream that may be resumed goes on elsewhere, whichever way its connection ended.
+#[rstest]
+#[case(ConnectionEnd::Close)]
+#[case(ConnectionEnd::Reset)]
+#[tokio::test]
+async fn broken_stream_resumed(#[case] end: ConnectionEnd) {
+    let fixture = start_pair_with(Sent::Half, end).await;
+    let answer = fixture.send("POST", "/resume/", "r-1").await;
+    assert!(is_success(&answer));
+    assert_eq!(answer.text(), events_text("r-1", 0));
+    assert_eq!(fixture.arrival_count("r-1"), 2);
+}
+
+/// A whole answer is delivered, and its request is not repeated.
+#[rstest]
+#[tokio::test]
+async fn whole_delivered(#[values("/safe/", "/once/", "/stream/", "/resume/")] path: &str) {
+    let fixture = start_fixture_with(2, Sent::Whole, ConnectionEnd::Close).await;
+    let answer = fixture.send("POST", path, "r-1").await;
+    assert!(is_success(&answer));
+    assert!(answer.text().ends_with(if path.len() > 6 { "r-1\n\n" } else { "r-1: " }));
+    assert_eq!(fixture.arrival_count("r-1"), 1);
+}
+
+/// A reset breaks off an answer, also between two events.
+#[rstest]
+#[case::stream("/stream/", Sent::Events(2))]
+#[case::large_body("/once/", Sent::HalfOf(1 << 20))]
+#[tokio::test]
+async fn reset_incomplete(#[case] path: &str, #[case] sent: Sent) {
+    let fixture = start_fixture_with(2, sent, ConnectionEnd::Reset).await;
+    let answer = fixture.send("POST", path, "r-1").await;
+    assert!(!is_success(&answer));
+    assert_eq!(fixture.arrival_count("r-1"), 1);
+}
+
+/// An answer that has not been forwarded yet is repeated or failed.
+#[rstest]
+#[case("/safe/", 200, 2)]
+#[case("/once/", 502, 1)]
+#[tokio::test]
+async fn reset_unforwarded(#[case] path: &str, #[case] status: u16, #[case] attempts: usize) {
+    let fixture = start_pair_with(Sent::Half, ConnectionEnd::Reset).await;
+    let answer = fixture.send("POST", path, "r-1").await;
+    assert_eq!((answer.status(), fixture.arrival_count("r-1")), (status, attempts));
+}
