Close-delimited answers stay so: no length or last chunk vouches for their end

What callers saw: of an answer that its upstream marks by nothing but the end of its connection, a cut leaves no trace in the bytes where it falls between two events, or anywhere in a plain body. The client got a length or a last chunk, which says more than the upstream did.

Cause: each body was framed anew, by what was read of it. Evidence: gateway_framing::end_vouched_for (four cases) and old_client failed before; a client of HTTP/1.0, to whom chunks can't be sent, got a plain close even for a stream that was known to be broken off.

Change: such an answer is close-delimited for the client too, and its connection ends with it. What is known to be broken must then show: from the response's head on, the client's socket resets when it is closed, and only the complete response takes that back. So a reset, a deadline or the end of the process (box_killed, which fails when the socket option is left out) is no end of the answer either. The library sends a body without chunks only as HTTP/1.0.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -20,10 +20,12 @@
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
+use crate::gateway::client_stream::{ClientStream, CloseDelimited};
 use crate::gateway::connections::set_socket_options;
 use crate::gateway::decisions::configuration::ClientLimits;
 use crate::gateway::follow_metadata::longest_weight_lag_s;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::response::is_close_delimited;
 use crate::gateway::serve::serve;
 use crate::prometheus;
 
@@ -82,11 +84,17 @@
     let shared = gateway.clone();
     let request_begun = Arc::new(Notify::new());
     let begun = request_begun.clone();
+    let close_delimited = CloseDelimited::default();
+    let stream = ClientStream::new(stream, close_delimited.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         begun.notify_one();
-        let gateway = shared.clone();
+        let (gateway, close_delimited) = (shared.clone(), close_delimited.clone());
         async move {
+            let version = request.version();
             let mut response = serve(gateway.clone(), request).await;
+            if is_close_delimited(version, &response) {
+                close_delimited.set();
+            }
             if gateway.phase() >= BoxPhase::Leaving {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod catch_up;
 pub mod check;
 pub mod claims;
+mod client_stream;
 mod cold_starts;
 pub mod connections;
 pub mod crashes;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -64,6 +64,7 @@
     pending: Bytes,
 ) -> ClientResponse {
     let (status, headers) = (response.status, response.headers.clone());
+    let framing = response.head.framing;
     let is_stream = request.outgoing.retry_policy.is_stream() && status.is_success();
     let relay = Relay {
         gateway: gateway.clone(),
@@ -83,7 +84,7 @@
         let next = relay.next().await?;
         Some((next.map(Frame::data), relay))
     });
-    response::from_upstream(status, &headers, StreamBody::new(frames).boxed_unsync())
+    response::from_upstream(status, &headers, framing, StreamBody::new(frames).boxed_unsync())
 }
 
 enum ReadOutcome {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -4,12 +4,14 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use futures_util::{future, stream};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Response, StatusCode, header};
+use hyper::{HeaderMap, Response, StatusCode, Version, header};
 
+use crate::gateway::heads::Framing;
 use crate::platform::exchange;
 
 /// Why a response body was aborted. The client's connection is closed, so that the response does
@@ -104,11 +106,13 @@
     response
 }
 
-/// A response with an upstream's status and headers.
+/// A response with an upstream's status and headers. A close-delimited body stays so, since a length
+/// or a last chunk would vouch for an end that the upstream has not marked.
 #[must_use]
 pub fn from_upstream(
     status: StatusCode,
     upstream_headers: &HeaderMap,
+    framing: Framing,
     body: Body,
 ) -> ClientResponse {
     let mut response = Response::new(body);
@@ -116,15 +120,40 @@
     for (name, value) in exchange::end_to_end_headers(upstream_headers) {
         response.headers_mut().append(name, value.clone());
     }
+    if framing == Framing::CloseDelimited {
+        // The HTTP library sends a body without chunks only in this version.
+        *response.version_mut() = Version::HTTP_10;
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
+/// Whether the end of a response's body is marked by the end of the connection alone, when it is
+/// sent to a client that speaks `client_version`.
+#[must_use]
+pub fn is_close_delimited(client_version: Version, response: &ClientResponse) -> bool {
+    let has_chunks = client_version >= Version::HTTP_11 && response.version() >= Version::HTTP_11;
+    !has_chunks && response.body().size_hint().exact().is_none()
+}
+
 /// A body that is already complete.
 #[must_use]
 pub fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// A body that is already complete, with a length only if it is to be delimited by it.
+#[must_use]
+pub fn buffered_body(bytes: Bytes, framing: Framing) -> Body {
+    match framing {
+        Framing::Delimited => full_body(bytes),
+        Framing::CloseDelimited => {
+            let frame = Ok(Frame::data(bytes));
+            StreamBody::new(stream::once(future::ready(frame))).boxed_unsync()
+        }
+    }
+}
+
 /// A body that keeps `_guard` alive until it has been sent.
 struct GuardedBody<T> {
     body: Body,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -309,9 +309,10 @@
             if status.is_server_error() && retry_after_failure(gateway, request, choice, status) {
                 return None;
             }
-            let body = ForwardedBody { bytes: bytes.len(), framing };
-            log_answered(request, choice, status, body);
-            Some(response::from_upstream(status, &headers, response::full_body(bytes)))
+            let forwarded = ForwardedBody { bytes: bytes.len(), framing };
+            log_answered(request, choice, status, forwarded);
+            let body = response::buffered_body(bytes, framing);
+            Some(response::from_upstream(status, &headers, framing, body))
         }
         Ok(Ok(BodyStart::Partial(bytes))) => {
             Some(relay::stream(gateway, request, response, choice, bytes))
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -34,6 +34,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
     Close,
+    /// It is closed once the test calls `release`.
+    CloseLater,
     Reset,
     /// The upstream crashes, which closes the connection.
     Crash,
@@ -420,6 +422,7 @@
     tokio::time::sleep(Duration::from_millis(20)).await;
     match end {
         ConnectionEnd::Close => {}
+        ConnectionEnd::CloseLater => wait_for_release(shared).await,
         ConnectionEnd::Reset => {
             let socket = SockRef::from(write.as_ref());
             socket.set_linger(Some(Duration::ZERO)).expect("socket option");
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::{GatewayFixture, start_fixture, wait_for_log};
+use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server, events_text};
 use coursestile_standins::site::service_entry;
@@ -92,3 +93,44 @@
     let answer = fixture.send("POST", path, "r-1").await;
     assert_eq!((answer.status(), fixture.arrival_count("r-1")), (status, attempts));
 }
+
+/// A client got a length or a last chunk for an end that the upstream had not marked: an answer that
+/// was cut without a trace in its bytes was vouched for.
+#[rstest]
+#[case::body("/safe/", Sent::Half)]
+#[case::large_body("/once/", Sent::HalfOf(1 << 20))]
+#[case::stream("/stream/", Sent::Events(2))]
+#[case::resumable_stream("/resume/", Sent::Events(2))]
+#[tokio::test]
+async fn end_vouched_for(#[case] path: &str, #[case] sent: Sent) {
+    let fixture = start_fixture_with(2, sent, ConnectionEnd::Close).await;
+    let answer = fixture.send("POST", path, "r-1").await;
+    assert_eq!(answer.status(), 200);
+    assert!(answer.is_close_delimited());
+    assert!(answer.complete);
+}
+
+/// A box that is killed during such an answer leaves its client with a reset, not with an end.
+#[tokio::test]
+async fn box_killed() {
+    let fixture = start_fixture_with(1, Sent::Events(2), ConnectionEnd::CloseLater).await;
+    let mut client = Client::connect(&fixture.gateway.clients).await;
+    client.write(&request("POST", "/stream/", "r-1", "", "")).await;
+    wait_for_log(&fixture, "event=begun request=r-1").await;
+    fixture.gateway.signal("-KILL");
+    let answer = client.read().await;
+    assert!(answer.is_none_or(|answer| !answer.complete));
+}
+
+/// A client of HTTP/1.0 takes no chunks; a break resets its connection.
+#[rstest]
+#[case(Sent::Half, false)]
+#[case(Sent::Whole, true)]
+#[tokio::test]
+async fn old_client(#[case] sent: Sent, #[case] complete: bool) {
+    let fixture = start_fixture_with(1, sent, ConnectionEnd::Close).await;
+    let bytes = String::from_utf8(request("POST", "/stream/", "r-1", "", "")).unwrap();
+    let answer = fixture.send_raw(bytes.replace("HTTP/1.1", "HTTP/1.0").as_bytes()).await.unwrap();
+    assert!(answer.is_close_delimited());
+    assert_eq!(answer.complete, complete);
+}
