Crashes: the end of a close-delimited answer is confirmed by a new connection

What callers saw: an upstream that crashes closes its connections. Where nothing else marks the end of an answer, half a body or a stream cut between two events was a complete answer, with the upstream's status; and the request was recorded as answered, so that it crashed one upstream after the other (six of six in the test, where three are allowed).

Cause: the crash detection trusted the same end of the connection as the relay.

Change: when such an answer ends, the box opens the connection that the next request will need anyway. An upstream that refuses it has crashed: the answer was broken off, and is repeated, resumed, failed or aborted like any other. One that is exiting may still accept it, so the request only counts as answered once that connection has stayed open for two seconds; if it is closed, the port is looked at again, and a crash is recorded for the request. An upstream that was about to leave may end after its last answer, which stays one.

gateway_framing: crash_taken_for_end, crash_made_up_for and crash_recorded_as_answer (eleven cases) failed before. In the stand-ins a crash closes the port before the connections, as the kernel usually does, unless a test asks for the other order, which is among the cases.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -135,7 +135,7 @@
     ///
     /// # Errors
     /// Fails when the upstream aborts the response.
-    pub async fn read_start(&mut self) -> Result<BodyStart, String> {
+    pub async fn read_start(&mut self, request: Fingerprint) -> Result<BodyStart, String> {
         let mut bytes = Vec::new();
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
@@ -146,6 +146,10 @@
                 return Ok(BodyStart::Partial(bytes.into()));
             }
         }
+        let InFlight { gateway, upstream, .. } = &self.in_flight;
+        if !crashes::confirm_end(gateway, upstream, request, self.head.framing).await {
+            return Err("the upstream has crashed".to_owned());
+        }
         Ok(BodyStart::Complete(bytes.into()))
     }
 }
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -23,6 +23,7 @@
 use log::{debug, info};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::clock::now_ms;
 use crate::sync::locked;
@@ -96,10 +97,22 @@
         if let Some(connection) = self.take_idle(id) {
             return Ok(connection);
         }
-        self.open(address).await.map_err(|error| error.to_string())
+        let opened = self.open(address).await;
+        opened.map(|(connection, _)| connection).map_err(|error| error.to_string())
     }
 
-    async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
+    /// Opens a connection in place of one that the upstream has closed, and adds it to the pool.
+    /// The returned task ends when it is closed.
+    ///
+    /// # Errors
+    /// Fails when no connection can be established in time.
+    pub async fn reopen(&self, id: &str, address: SocketAddr) -> io::Result<JoinHandle<()>> {
+        let (connection, closed) = self.open(address).await?;
+        self.add_idle(id, connection);
+        Ok(closed)
+    }
+
+    async fn open(&self, address: SocketAddr) -> io::Result<(Connection, JoinHandle<()>)> {
         metrics::counter!("coursestile_connections_opened_total").increment(1);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let timed_out =
@@ -109,7 +122,7 @@
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (connection, driver) = handshake.map_err(io::Error::other)?;
         let pool = self.pool.clone();
-        tokio::spawn(async move {
+        let closed = tokio::spawn(async move {
             if let Err(error) = driver.await {
                 debug!(target: "connections", "event=closed upstream={address} cause=\"{error}\"");
                 if is_timeout(&error) {
@@ -118,7 +131,7 @@
                 }
             }
         });
-        Ok(connection)
+        Ok((connection, closed))
     }
 
     fn take_idle(&self, id: &str) -> Option<Connection> {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -6,13 +6,18 @@
 //! still runs, and no request waits for it: its peers have acknowledged the abort itself before the
 //! box sends the request again or answers its client, who may repeat it at any box. Until the check
 //! has ended, all of them count the abort like a crash (`quarantine`).
+//!
+//! A crash also closes connections on which the end of the response is marked by nothing else
+//! ([`confirm_end`]).
 
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
 use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::clock::now_ms;
@@ -20,9 +25,10 @@
 use crate::gateway::decisions::gossip_message::AbortsReport;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::gossip::{Datagram, send_to};
+use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::quarantine;
-use crate::port::is_closed;
+use crate::port::{EXIT_TIMEOUT, is_closed};
 use crate::quarantine::{AbortReport, UpdateUrgency};
 use crate::sync::locked;
 
@@ -101,7 +107,6 @@
     info!(target: "crashes", "event=upstream_broke_off upstream={} crashed={crashed} requests={}",
         upstream.id, join_fingerprints(&requests));
     if crashed {
-        metrics::counter!("coursestile_upstream_crashes_total").increment(1);
         record_crash(&gateway, &upstream, &requests);
     } else {
         let mut state = gateway.state();
@@ -114,6 +119,7 @@
 }
 
 fn record_crash(gateway: &Gateway, upstream: &Incarnation, requests: &[Fingerprint]) {
+    metrics::counter!("coursestile_upstream_crashes_total").increment(1);
     let mut state = gateway.state();
     let now_ms = now_ms();
     if let Some(upstream) = state.upstreams.get_incarnation_mut(upstream) {
@@ -135,8 +141,60 @@
     }
 }
 
+/// Whether a response that has ended is complete, as far as can be known, and thus answers its
+/// request. A close-delimited one is not if the upstream refuses a new connection now, as one that
+/// has crashed. An upstream that is exiting may still accept it, so the request only counts as
+/// answered once the new connection has stayed open for a while.
+pub async fn confirm_end(
+    gateway: &Arc<Gateway>,
+    upstream: &Incarnation,
+    request: Fingerprint,
+    framing: Framing,
+) -> bool {
+    if framing == Framing::Delimited {
+        record_answered(gateway, request);
+        return true;
+    }
+    let address = {
+        let state = gateway.state();
+        let listed = state.upstreams.get_incarnation(upstream);
+        listed.filter(|upstream| !upstream.is_leaving()).map(|upstream| upstream.entry.address)
+    };
+    let Some(address) = address else {
+        // An upstream that leaves after its last response refuses connections, too.
+        record_answered(gateway, request);
+        return true;
+    };
+    let reopened = gateway.connections.reopen(&upstream.id, address).await;
+    match reopened {
+        Ok(closed) => {
+            tokio::spawn(record_unless_crashed(gateway.clone(), upstream.clone(), request, closed));
+            true
+        }
+        Err(error) => error.kind() != ErrorKind::ConnectionRefused,
+    }
+}
+
+/// Records that an upstream has answered a request unless it crashes now. `closed` ends when a
+/// connection is closed that was opened after the response.
+async fn record_unless_crashed(
+    gateway: Arc<Gateway>,
+    upstream: Incarnation,
+    request: Fingerprint,
+    closed: JoinHandle<()>,
+) {
+    let is_closed = timeout(EXIT_TIMEOUT, closed).await.is_ok();
+    if is_closed && has_crashed(&gateway, &upstream).await {
+        info!(target: "crashes", "event=upstream_broke_off upstream={} crashed=true requests={request}",
+            upstream.id);
+        record_crash(&gateway, &upstream, &[request]);
+    } else {
+        record_answered(&gateway, request);
+    }
+}
+
 /// Records that an upstream has answered a request completely.
-pub fn record_answered(gateway: &Gateway, request: Fingerprint) {
+fn record_answered(gateway: &Gateway, request: Fingerprint) {
     if gateway.state().quarantine.record_answer(request, now_ms()) {
         info!(target: "crashes", "event=suspect_answered fingerprint={request}");
         gateway.gossip_now.notify_one();
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -162,10 +162,18 @@
                 }
                 ReadOutcome::End => {
                     let (status, framing) = (response.status, response.head.framing);
+                    let fingerprint = self.request.outgoing.fingerprint;
+                    let upstream = &self.choice.upstream;
+                    if !crashes::confirm_end(&self.gateway, upstream, fingerprint, framing).await {
+                        response.in_flight.record_failure();
+                        if let Some(aborted) = self.resume("the upstream has crashed").await {
+                            return Some(Err(aborted));
+                        }
+                        continue;
+                    }
                     if let Some(response) = self.response.take() {
                         response.finish();
                     }
-                    crashes::record_answered(&self.gateway, self.request.outgoing.fingerprint);
                     let body = ForwardedBody { bytes: self.forwarded_bytes, framing };
                     log_answered(&self.request, &self.choice, status, body);
                     return None;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -300,12 +300,11 @@
         return Some(relay::stream(gateway, request, response, choice, Bytes::new()));
     }
     let deadline = instant_at(request.outgoing.deadline_ms);
-    match timeout_at(deadline, response.read_start()).await {
+    match timeout_at(deadline, response.read_start(request.outgoing.fingerprint)).await {
         Ok(Ok(BodyStart::Complete(bytes))) => {
             let (status, headers) = (response.status, response.headers.clone());
             let framing = response.head.framing;
             response.finish();
-            crashes::record_answered(gateway, request.outgoing.fingerprint);
             if status.is_server_error() && retry_after_failure(gateway, request, choice, status) {
                 return None;
             }
--- a/src/port.rs
+++ b/src/port.rs
@@ -16,7 +16,7 @@
 /// packet again.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time within which a process that exits closes all of its sockets.
-const EXIT_TIMEOUT: Duration = Duration::from_secs(2);
+pub const EXIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// A request that every HTTP server answers, in whichever way, without running anything.
 const HTTP_PING: &[u8] = b"OPTIONS * HTTP/1.1\r\nHost: upstream\r\nConnection: close\r\n\r\n";
 /// Maximum number of connection attempts; another one follows only if the last connection
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -118,7 +118,10 @@
     /// Request body that makes the upstream crash.
     crash_body: Option<Vec<u8>>,
     crashed: watch::Sender<bool>,
-    /// Time for which the port stays open after a crash.
+    /// Whether the connections have been closed after a crash.
+    exited: watch::Sender<bool>,
+    /// Time for which the port stays open after a crash has closed the connections; if it is 0, the
+    /// port is closed before them.
     port_closes_after: Duration,
 }
 
@@ -151,7 +154,7 @@
                     tokio::spawn(async move {
                         tokio::select! {
                             () = serve(stream, shared.clone()) => {}
-                            () = wait_for_crash(&shared) => {}
+                            () = wait_for_exit(&shared) => {}
                         }
                     });
                 }
@@ -162,8 +165,13 @@
             }
             let port_closes_after =
                 shared.lock().expect("no task panics under the lock").port_closes_after;
-            tokio::time::sleep(port_closes_after).await;
+            // The kernel usually closes the port before the connections, which are newer.
+            if !port_closes_after.is_zero() {
+                exit(&shared);
+                tokio::time::sleep(port_closes_after).await;
+            }
             drop(listener);
+            exit(&shared);
         });
         Self { address, id: id.to_owned(), state, accepting }
     }
@@ -242,7 +250,7 @@
     while let Some(request) = reader.next(false).await {
         let behavior = record(&mut shared.lock().expect("no task panics under the lock"), &request);
         if crashes_on(&shared, &request) {
-            shared.lock().expect("no task panics under the lock").crashed.send_replace(true);
+            crash(&shared).await;
             return;
         }
         if answer(&mut write, &request, &behavior, &shared).await.is_none() {
@@ -311,6 +319,17 @@
     }
 }
 
+/// Makes the upstream crash; returns when connections are closed.
+async fn crash(shared: &Shared) {
+    shared.lock().expect("no task panics under the lock").crashed.send_replace(true);
+    wait_for_exit(shared).await;
+}
+
+/// Closes all connections.
+fn exit(shared: &Shared) {
+    shared.lock().expect("no task panics under the lock").exited.send_replace(true);
+}
+
 /// Waits until the upstream crashes.
 async fn wait_for_crash(shared: &Shared) {
     let mut crashed = shared.lock().expect("no task panics under the lock").crashed.subscribe();
@@ -318,6 +337,13 @@
     let _ = crashed.wait_for(|crashed| *crashed).await;
 }
 
+/// Waits until connections are closed after a crash.
+async fn wait_for_exit(shared: &Shared) {
+    let mut exited = shared.lock().expect("no task panics under the lock").exited.subscribe();
+    // The sender lives as long as `shared`.
+    let _ = exited.wait_for(|exited| *exited).await;
+}
+
 /// Writes the answer; `None` if the connection is to be closed.
 async fn answer(
     write: &mut OwnedWriteHalf,
@@ -427,9 +453,7 @@
             let socket = SockRef::from(write.as_ref());
             socket.set_linger(Some(Duration::ZERO)).expect("socket option");
         }
-        ConnectionEnd::Crash => {
-            shared.lock().expect("no task panics under the lock").crashed.send_replace(true);
-        }
+        ConnectionEnd::Crash => crash(shared).await,
     }
 }
 
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -4,6 +4,8 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::time::Duration;
+
 use common::{GatewayFixture, start_fixture, wait_for_log};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::http::Message;
@@ -134,3 +136,66 @@
     assert!(answer.is_close_delimited());
     assert_eq!(answer.complete, complete);
 }
+
+/// A crash closes the connections of an upstream. What it cut off there was taken for complete.
+#[rstest]
+#[case::failed("/once/", Sent::Half, Some(502))]
+#[case::large_body("/once/", Sent::HalfOf(1 << 20), None)]
+#[case::stream("/stream/", Sent::Events(2), None)]
+#[tokio::test]
+async fn crash_taken_for_end(#[case] path: &str, #[case] sent: Sent, #[case] status: Option<u16>) {
+    let fixture = start_pair_with(sent, ConnectionEnd::Crash).await;
+    let answer = fixture.send("POST", path, "r-1").await;
+    assert_eq!(answer.complete.then(|| answer.status()), status);
+}
+
+/// After a crash, what may run again does so.
+#[rstest]
+#[case("/safe/", Sent::Half, "answer to r-1: ".to_owned())]
+#[case("/resume/", Sent::Events(2), events_text("r-1", 0))]
+#[tokio::test]
+async fn crash_made_up_for(#[case] path: &str, #[case] sent: Sent, #[case] text: String) {
+    let fixture = start_pair_with(sent, ConnectionEnd::Crash).await;
+    let answer = fixture.send("POST", path, "r-1").await;
+    assert!(is_success(&answer));
+    assert_eq!(answer.text(), text);
+}
+
+/// An upstream that is about to leave may end right after its last answer, which stays one.
+#[tokio::test]
+async fn left_after_answer() {
+    let fixture = start_fixture_with(1, Sent::Whole, ConnectionEnd::Crash).await;
+    let mut client = Client::connect(&fixture.gateway.clients).await;
+    client.write(&request("POST", "/once/", "r-1", "X-Work-Ms: 800\r\n", "")).await;
+    wait_for_log(&fixture, "event=routed request=r-1").await;
+    let entry = service_entry("plain", &fixture.servers[0].address, "draining");
+    fixture.site.register(&fixture.servers[0].id, &entry);
+    wait_for_log(&fixture, "leaving=true").await;
+    let answer = client.read().await.expect("an answer");
+    assert_eq!((answer.status(), answer.text().as_str()), (200, "answer to r-1: "));
+}
+
+/// A request that crashes upstreams in the middle of such an answer was recorded as answered, and
+/// crashed one upstream after the other.
+#[rstest]
+#[case("/safe/", Sent::Half)]
+#[case("/once/", Sent::HalfOf(1 << 20))]
+#[case("/stream/", Sent::Events(2))]
+#[tokio::test]
+async fn crash_recorded_as_answer(
+    #[case] path: &str,
+    #[case] sent: Sent,
+    #[values(0, 100)] port_delay_ms: u64,
+) {
+    let fixture = start_fixture_with(6, sent, ConnectionEnd::Crash).await;
+    for server in &fixture.servers {
+        server.close_port_after(Duration::from_millis(port_delay_ms));
+    }
+    for number in 0..12 {
+        fixture.send_raw(&request("POST", path, &format!("r-{number}"), "", "deadly")).await;
+        // A box learns of a crash when the port is closed.
+        tokio::time::sleep(Duration::from_millis(3 * port_delay_ms)).await;
+    }
+    let crashed = fixture.servers.iter().filter(|server| server.has_crashed()).count();
+    assert_eq!(crashed, 3);
+}
