Calls to workers: a crash in the middle of a close-delimited answer is no answer

What callers saw: of a call of the own interface, half an answer with the worker's status, when the worker crashed in the middle of an answer that had neither a length nor chunks. The ledger kept it for repeated calls, and the call counted as answered, so that it was not held for a crash.

Cause: the end of the connection was taken for the end of the answer, as in the gateway.

Change: after such an answer the box asks whether the worker's process has ended; if it has, the outcome is unknown, and the crash is recorded like others. Calls have a connection each, so that nothing is reused.

worker_answers::half_kept (crash) failed before; a reset was an unknown outcome before, and a worker that goes on is believed.

--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -8,7 +8,7 @@
 use eventsource_stream::Eventsource;
 use futures_util::{StreamExt, stream};
 use log::debug;
-use reqwest::header::RETRY_AFTER;
+use reqwest::header::{RETRY_AFTER, TRANSFER_ENCODING};
 use reqwest::{Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -366,7 +366,11 @@
         match response {
             Ok(Ok(response)) => {
                 let retry_after_ms = retry_after_ms(&response);
-                let answer = read_answer(response).await;
+                let is_close_delimited = is_close_delimited(&response);
+                let mut answer = read_answer(response).await;
+                if is_close_delimited && has_crashed(url, call.deadline_ms).await {
+                    answer = None;
+                }
                 WorkerReply {
                     outcome: answer.map_or(Outcome::Unknown, Outcome::Answered),
                     retry_after_ms,
@@ -379,6 +383,17 @@
     }
 }
 
+/// Whether the end of the body is marked by the end of the connection alone. A worker that crashes
+/// closes it, too, and leaves a part of the body that looks complete.
+fn is_close_delimited(response: &Response) -> bool {
+    response.content_length().is_none() && !response.headers().contains_key(TRANSFER_ENCODING)
+}
+
+/// Whether the process of a worker has ended; false if that is not known by the deadline.
+async fn has_crashed(url: &str, deadline_ms: u64) -> bool {
+    tokio::time::timeout_at(instant_at(deadline_ms), has_ended(url)).await.unwrap_or(false)
+}
+
 /// Time in the Retry-After header of a 503 response; the header has whole seconds.
 fn retry_after_ms(response: &Response) -> Option<u64> {
     let header = response.headers().get(RETRY_AFTER);
