Cut boxes: the log tells whether an upstream answers other boxes

Attempts without a connection, and upstreams that broke off, are now logged with whether other boxes receive data from the upstream. Nothing that is sent changes.

For tests, a gateway can dial other addresses in place of those of its upstreams (routes, as the own interface has it for peers), and a proxy of the stand-ins can cut the path: packets dropped, refused, or only new connections refused.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -104,7 +104,14 @@
 async fn check_for_crash(gateway: Arc<Gateway>, upstream: Incarnation) {
     let crashed = has_crashed(&gateway, &upstream).await;
     let requests = locked(&gateway.unexplained_aborts).remove(&upstream.id).unwrap_or_default();
-    info!(target: "crashes", "event=upstream_broke_off upstream={} crashed={crashed} requests={}",
+    let answers_others = gateway
+        .state()
+        .upstreams
+        .get_incarnation(&upstream)
+        .is_some_and(|upstream| upstream.answers_other_boxes(now_ms()));
+    info!(target: "crashes",
+        "event=upstream_broke_off upstream={} crashed={crashed} answers_others={answers_others} \
+         requests={}",
         upstream.id, join_fingerprints(&requests));
     if crashed {
         record_crash(&gateway, &upstream, &requests);
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -4,7 +4,7 @@
 use log::{Level, info, log, warn};
 
 use crate::clock::now_ms;
-use crate::gateway::decisions::upstream::ReportedIncarnation;
+use crate::gateway::decisions::upstream::{ReportedIncarnation, UpstreamEntry};
 use crate::gateway::kernel::{Gateway, State};
 use crate::platform::keys;
 
@@ -18,7 +18,10 @@
     level: Level,
 ) -> bool {
     let entry = match keys::read_upstream(id, value) {
-        Ok(entry) => entry,
+        Ok(entry) => {
+            let address = gateway.settings.dial_addresses.get(&entry.address).copied();
+            UpstreamEntry { address: address.unwrap_or(entry.address), ..entry }
+        }
         Err(error) => {
             // Whoever wrote this value, the upstream of the previous entry is gone.
             warn!(target: "entries", "event=upstream_unreadable upstream={id} cause=\"{error}\"");
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -107,6 +107,18 @@
         request.outgoing.request_id, choice.upstream.id);
 }
 
+/// Logs an attempt for which no connection could be opened, and whether other boxes receive data
+/// from the upstream.
+pub fn log_not_sent(gateway: &Gateway, request: &AdmittedRequest, choice: &Choice, cause: &str) {
+    let state = gateway.state();
+    let upstream = state.upstreams.get_incarnation(&choice.upstream);
+    let answers_others = upstream.is_some_and(|upstream| upstream.answers_other_boxes(now_ms()));
+    info!(target: "serve",
+        "event=attempt_ended request={} upstream={} end=not_sent cause=\"{cause}\" \
+         answers_others={answers_others}",
+        request.outgoing.request_id, choice.upstream.id);
+}
+
 /// Seconds since `at_ms`, as metrics record them.
 #[must_use]
 pub fn seconds_since(at_ms: u64) -> f64 {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,6 +27,7 @@
 };
 use crate::gateway::request_log::{
     ForwardedBody, log_answered, log_attempt_end, log_attempt_start, log_early_refusal,
+    log_not_sent,
 };
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::{crashes, overdue_weights, quarantine, relay, silence};
@@ -170,7 +171,7 @@
             retry_or_refuse(gateway, request, choice, Reason::UpstreamsFull)
         }
         AttemptOutcome::NotSent { cause } => {
-            log_attempt_end(request, choice, "not_sent", &cause);
+            log_not_sent(gateway, request, choice, &cause);
             handle_undelivered(gateway, request, choice)
         }
         AttemptOutcome::Unknown { cause } => {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -53,6 +53,8 @@
     pub metrics: Option<SocketAddr>,
     /// Addresses of boxes from which it learns of the other ones.
     pub seeds: Vec<IpAddr>,
+    /// Addresses to dial instead of those of upstreams, for example those of proxies.
+    pub dial_addresses: BTreeMap<SocketAddr, SocketAddr>,
     /// CPU share of the box, in cores.
     pub cores: f64,
     /// Address of the platform's metadata store.
@@ -105,6 +107,7 @@
             peers: required_address(&mut reader, "peers"),
             metrics: (metrics.port() != 0).then_some(metrics),
             seeds: seeds(&mut reader),
+            dial_addresses: dial_addresses(&mut reader),
             cores: reader.optional("box", "cores", 1.0),
             metadata_address: reader.required("platform", "address"),
             bounds: bounds(&mut reader),
@@ -176,6 +179,22 @@
     seeds
 }
 
+/// Reads the addresses to dial instead of upstreams' own, each as `address>target`.
+fn dial_addresses(reader: &mut IniFile<'_>) -> BTreeMap<SocketAddr, SocketAddr> {
+    let mut dial_addresses = BTreeMap::new();
+    for pair in reader.list("box", "routes") {
+        let parsed =
+            pair.split_once('>').map(|(address, target)| (address.parse(), target.parse()));
+        if let Some((Ok(address), Ok(target))) = parsed {
+            dial_addresses.insert(address, target);
+        } else {
+            let text = format!("routes: '{pair}' is not of the form address>target");
+            reader.add_finding("box", "routes", text);
+        }
+    }
+    dial_addresses
+}
+
 /// Reads the regions of the data halls, each as `hall:region`.
 fn regions(reader: &mut IniFile<'_>) -> BTreeMap<String, String> {
     let mut regions = BTreeMap::new();
@@ -192,9 +211,10 @@
 /// The keys that a section may have.
 fn known_keys(section: &str) -> &'static [&'static str] {
     match section {
-        "box" => {
-            &["name", "hall", "regions", "clients", "ready", "peers", "metrics", "seeds", "cores"]
-        }
+        "box" => &[
+            "name", "hall", "regions", "clients", "ready", "peers", "metrics", "seeds", "routes",
+            "cores",
+        ],
         "platform" => &["address"],
         "bounds" => &[
             "stop_s",
--- a/standins/src/site/fault_proxy.rs
+++ b/standins/src/site/fault_proxy.rs
@@ -1,11 +1,12 @@
 //! A TCP proxy to one address that can silence or reset its open connections
-//! while new ones work.
+//! while new ones work, or cut the path to the address altogether.
 //!
 //! A silent connection stays open but carries nothing: a socket filter drops
 //! arriving packets before the kernel acknowledges them, so neither data nor
 //! keep-alive probes of either side are answered. The same happens when a NAT
 //! device or firewall between two machines loses the state of a connection.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::{Receiver, Sender, channel};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Code and operand of the BPF instruction `return 0`, which accepts no byte of a packet.
@@ -29,12 +31,26 @@
     Reset,
 }
 
+/// Whether the path through a proxy works.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Link {
+    #[default]
+    Open,
+    /// Open connections are reset, new ones refused.
+    Refused,
+    /// Packets of open connections and of new ones are dropped.
+    Dropped,
+    /// New connections are refused; open ones live on.
+    NewRefused,
+}
+
 /// A proxy to one address.
 pub struct FaultProxy {
     /// Address that clients connect to.
     pub address: String,
     target: Arc<Mutex<String>>,
     faults: Sender<Fault>,
+    link: watch::Sender<Link>,
     accepted_count: Arc<AtomicUsize>,
     accepting: JoinHandle<()>,
 }
@@ -49,10 +65,12 @@
         let address = listener.local_addr().expect("address").to_string();
         let target = Arc::new(Mutex::new(target.to_owned()));
         let (faults, _) = channel(FAULT_BACKLOG);
+        let link = watch::Sender::new(Link::Open);
         let accepted_count = Arc::new(AtomicUsize::new(0));
-        let accepting =
-            tokio::spawn(accept(listener, target.clone(), faults.clone(), accepted_count.clone()));
-        Self { address, target, faults, accepted_count, accepting }
+        let (target, shared_target) = (Arc::clone(&target), target);
+        let (opened, senders, links) = (accepted_count.clone(), faults.clone(), link.subscribe());
+        let accepting = tokio::spawn(accept(listener, target, senders, links, opened));
+        Self { address, target: shared_target, faults, link, accepted_count, accepting }
     }
 
     /// Sets the target of new connections; open ones keep theirs.
@@ -74,6 +92,16 @@
         let _ = self.faults.send(Fault::Reset);
     }
 
+    /// Sets whether the path works.
+    pub fn set_link(&self, link: Link) {
+        self.link.send_replace(link);
+        match link {
+            Link::Refused => self.reset_open_connections(),
+            Link::Dropped => self.silence_open_connections(),
+            Link::Open | Link::NewRefused => {}
+        }
+    }
+
     /// Number of connections accepted so far.
     #[must_use]
     pub fn accepted_count(&self) -> usize {
@@ -88,18 +116,60 @@
 }
 
 async fn accept(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: Arc<Mutex<String>>,
     faults: Sender<Fault>,
+    mut links: watch::Receiver<Link>,
     accepted_count: Arc<AtomicUsize>,
 ) {
-    while let Ok((near, _)) = listener.accept().await {
+    let address = listener.local_addr().expect("address");
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            changed = links.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                listener = follow_link(listener, address, &mut links).await;
+                continue;
+            }
+        };
+        let Ok((near, _)) = accepted else { return };
         accepted_count.fetch_add(1, Ordering::Relaxed);
         let target = target.lock().expect("target").clone();
         tokio::spawn(relay(near, target, faults.subscribe()));
     }
 }
 
+/// Returns the listener once the link lets new connections through.
+async fn follow_link(
+    listener: TcpListener,
+    address: SocketAddr,
+    links: &mut watch::Receiver<Link>,
+) -> TcpListener {
+    let link = *links.borrow_and_update();
+    let listener = match link {
+        Link::Open => return listener,
+        Link::Dropped => {
+            SockRef::from(&listener).attach_filter(&drop_all()).expect("socket filter");
+            Some(listener)
+        }
+        Link::Refused | Link::NewRefused => {
+            drop(listener);
+            None
+        }
+    };
+    // Fails when the proxy is dropped, which ends this task.
+    let _ = links.wait_for(|link| *link == Link::Open).await;
+    match listener {
+        Some(listener) => {
+            SockRef::from(&listener).detach_filter().expect("socket filter");
+            listener
+        }
+        None => TcpListener::bind(address).await.expect("the port is still free"),
+    }
+}
+
 async fn relay(mut near: TcpStream, target: String, mut faults: Receiver<Fault>) {
     let Ok(mut far) = TcpStream::connect(&target).await else {
         return;
@@ -126,11 +196,15 @@
     }
 }
 
+/// A socket filter that drops all packets.
+fn drop_all() -> [SockFilter; 1] {
+    let (code, accepted_bytes) = DROP_ALL;
+    [SockFilter::new(code, 0, 0, accepted_bytes)]
+}
+
 /// Has the kernel drop all packets that arrive on a connection.
 fn drop_incoming(stream: &TcpStream) {
-    let (code, accepted_bytes) = DROP_ALL;
-    let filter = SockFilter::new(code, 0, 0, accepted_bytes);
-    SockRef::from(stream).attach_filter(&[filter]).expect("socket filter");
+    SockRef::from(stream).attach_filter(&drop_all()).expect("socket filter");
 }
 
 /// Has the kernel reset a connection when its socket is dropped.
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -155,6 +155,9 @@
     pub cold_extra: f64,
     /// Setting `regions` of gateways started from now on: `hall:region`, separated by commas.
     pub regions: String,
+    /// Setting `routes` of gateways started from now on: `address>target`, separated by commas, where
+    /// `target` is dialled instead of an upstream's address.
+    pub routes: String,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -179,6 +182,7 @@
             lease_ms: 1000,
             cold_extra: 0.0,
             regions: String::new(),
+            routes: String::new(),
             folder,
             network,
             next_box: 10,
@@ -209,10 +213,11 @@
         let seeds: Vec<&str> = seeds.iter().map(|seed| seed.peers.as_str()).collect();
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
-             peers = {peers}\nregions = {}\nseeds = {}\n[platform]\naddress = {}\n\
+             peers = {peers}\nregions = {}\nroutes = {}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
              weights_apply_ms = {}\ncold_extra = {}\n",
             self.regions,
+            self.routes,
             seeds.join(","),
             metadata,
             self.retry_extra,
