--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -20,6 +20,7 @@
 use crate::gateway::heads::{ForwardHead, Framing, ResponseHead};
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::paths;
 use crate::platform::exchange;
 
 /// Longest time for transfers of cached context to an engine, from the choice of their sources.
@@ -165,9 +166,9 @@
     let Some(address) = gateway.state().upstreams.address(&choice.upstream.id) else {
         return AttemptOutcome::NotSent { cause: "the upstream is no longer listed".to_owned() };
     };
-    let in_flight = InFlight::begin(gateway, choice);
+    let mut in_flight = InFlight::begin(gateway, choice);
     let deadline = instant_at(outgoing.deadline_ms);
-    let connecting = gateway.connections.check_out(&choice.upstream.id, address);
+    let connecting = paths::connect(gateway, &choice.upstream.id, address, outgoing.retry_policy);
     let mut connection = match timeout_at(deadline, connecting).await {
         Ok(Ok(connection)) => connection,
         Ok(Err(cause)) => {
@@ -176,6 +177,7 @@
         }
         Err(_) => return AttemptOutcome::NotSent { cause: "deadline passed".to_owned() },
     };
+    in_flight.record_connected(connection.path);
     record_saves(gateway, choice);
     let now_ms = now_ms();
     let request = exchange::upstream_request(
@@ -193,7 +195,15 @@
             last_event_id,
         },
     );
-    let response = match timeout_at(deadline, send(&mut connection, request)).await {
+    let sent = tokio::select! {
+        // Polled in order: a response that has arrived is not abandoned.
+        biased;
+        sent = timeout_at(deadline, send(&mut connection, request)) => sent,
+        () = in_flight.wait_until_lost(), if outgoing.retry_policy.may_retry() => {
+            return AttemptOutcome::Unknown { cause: "this box is cut off".to_owned() };
+        }
+    };
+    let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(SendError::NotSent(cause))) => return AttemptOutcome::NotSent { cause },
         Ok(Err(SendError::Unknown(cause))) => {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -1,4 +1,5 @@
-//! Pool of HTTP/1 connections to upstreams. Each carries one request at a time.
+//! Pool of HTTP/1 connections to upstreams. Each carries one request at a time. A connection leads
+//! to its upstream directly, or through a peer (`tunnels`).
 //!
 //! A connection is reused only after a complete response, and not for long: an upstream may close
 //! an idle connection at any time, and a request that crosses the close may or may not have run.
@@ -10,7 +11,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, Write};
 use hyper::{HeaderMap, Request, Response, header};
 use hyper_util::rt::TokioIo;
 use log::{debug, info};
@@ -45,7 +47,22 @@
 /// How long the rest of a request may take to be sent after its response has ended.
 const REQUEST_SENT_TIMEOUT: Duration = Duration::from_secs(1);
 
-pub type Connection = SendRequest<Full<Bytes>>;
+/// How a connection leads to its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    Direct,
+    /// Through the peer at this address.
+    Tunnel(IpAddr),
+}
+
+/// A connection to an upstream.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    pub path: Path,
+}
+
+/// A new connection, with a task that ends when it is closed.
+pub type NewConnection = (Connection, JoinHandle<()>);
 
 struct IdleConnection {
     connection: Connection,
@@ -89,57 +106,52 @@
 }
 
 impl Connections {
-    /// Takes an idle connection to an upstream, or opens one.
-    ///
-    /// # Errors
-    /// Fails when no connection can be established in time.
-    pub async fn check_out(&self, id: &str, address: SocketAddr) -> Result<Connection, String> {
-        if let Some(connection) = self.take_idle(id) {
-            return Ok(connection);
-        }
-        let opened = self.open(address).await;
-        opened.map(|(connection, _)| connection).map_err(|error| error.to_string())
-    }
-
-    /// Opens a connection in place of one that the upstream has closed, and adds it to the pool.
-    /// The returned task ends when it is closed.
+    /// Opens a connection to an upstream's address.
     ///
     /// # Errors
     /// Fails when no connection can be established in time.
-    pub async fn reopen(&self, id: &str, address: SocketAddr) -> io::Result<JoinHandle<()>> {
-        let (connection, closed) = self.open(address).await?;
-        self.add_idle(id, connection);
-        Ok(closed)
-    }
-
-    async fn open(&self, address: SocketAddr) -> io::Result<(Connection, JoinHandle<()>)> {
+    pub async fn open(&self, address: SocketAddr) -> io::Result<NewConnection> {
         metrics::counter!("coursestile_connections_opened_total").increment(1);
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let timed_out =
             |_| io::Error::new(io::ErrorKind::TimedOut, "no connection within the connect timeout");
         let stream = connecting.await.map_err(timed_out)??;
         set_socket_options(&stream)?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (connection, driver) = handshake.map_err(io::Error::other)?;
+        self.start(TokioIo::new(stream), Path::Direct).await
+    }
+
+    /// Starts to use a byte stream that leads to an upstream.
+    ///
+    /// # Errors
+    /// Fails when the HTTP library does not accept it.
+    pub async fn start(
+        &self,
+        io: impl Read + Write + Unpin + Send + 'static,
+        path: Path,
+    ) -> io::Result<NewConnection> {
+        let handshake = http1::Builder::new().handshake(io).await;
+        let (sender, driver) = handshake.map_err(io::Error::other)?;
         let pool = self.pool.clone();
         let closed = tokio::spawn(async move {
             if let Err(error) = driver.await {
-                debug!(target: "connections", "event=closed upstream={address} cause=\"{error}\"");
-                if is_timeout(&error) {
+                debug!(target: "connections", "event=closed path={path:?} cause=\"{error}\"");
+                if path == Path::Direct && is_timeout(&error) {
                     // The first unanswered probe was sent this long ago.
                     close_all_idle(&pool, now_ms().saturating_sub(KEEPALIVE_PERIOD_S * 1000));
                 }
             }
         });
-        Ok((connection, closed))
+        Ok((Connection { sender, path }, closed))
     }
 
-    fn take_idle(&self, id: &str) -> Option<Connection> {
+    /// Takes an idle connection to an upstream.
+    #[must_use]
+    pub fn take_idle(&self, id: &str) -> Option<Connection> {
         let now_ms = now_ms();
         let mut pool = locked(&self.pool);
         let connections = pool.idle.get_mut(id)?;
         while let Some(idle) = connections.pop() {
-            if idle.until_ms > now_ms && idle.connection.is_ready() {
+            if idle.until_ms > now_ms && idle.connection.sender.is_ready() {
                 return Some(idle.connection);
             }
         }
@@ -151,7 +163,8 @@
         let Some(idle_ms) = idle_ms(head) else {
             return;
         };
-        let request_sent = tokio::time::timeout(REQUEST_SENT_TIMEOUT, connection.ready()).await;
+        let request_sent =
+            tokio::time::timeout(REQUEST_SENT_TIMEOUT, connection.sender.ready()).await;
         if matches!(request_sent, Ok(Ok(()))) {
             self.insert_idle(id, connection, idle_ms);
         }
@@ -171,11 +184,14 @@
             .push(IdleConnection { connection, until_ms });
     }
 
-    /// Closes connections that have reached their idle time.
-    pub fn close_expired(&self, now_ms: u64) {
+    /// Closes connections that have reached their idle time, or whose path is not usable any more.
+    pub fn close_expired(&self, now_ms: u64, is_usable: impl Fn(Path) -> bool) {
         let mut pool = locked(&self.pool);
         for connections in pool.idle.values_mut() {
-            connections.retain(|idle| idle.until_ms > now_ms && !idle.connection.is_closed());
+            connections.retain(|idle| {
+                let Connection { sender, path } = &idle.connection;
+                idle.until_ms > now_ms && !sender.is_closed() && is_usable(*path)
+            });
         }
         pool.idle.retain(|_, connections| !connections.is_empty());
     }
@@ -216,7 +232,7 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendError> {
-    match connection.try_send_request(request).await {
+    match connection.sender.try_send_request(request).await {
         Ok(response) => Ok(response),
         Err(mut error) => {
             let cause = error_with_cause(error.error());
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -28,6 +28,7 @@
 use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::quarantine;
+
 use crate::port::{EXIT_TIMEOUT, is_closed};
 use crate::quarantine::{AbortReport, UpdateUrgency};
 use crate::sync::locked;
@@ -172,9 +173,9 @@
         record_answered(gateway, request);
         return true;
     };
-    let reopened = gateway.connections.reopen(&upstream.id, address).await;
-    match reopened {
-        Ok(closed) => {
+    match gateway.connections.open(address).await {
+        Ok((connection, closed)) => {
+            gateway.connections.add_idle(&upstream.id, connection);
             tokio::spawn(record_unless_crashed(gateway.clone(), upstream.clone(), request, closed));
             true
         }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -1,6 +1,7 @@
 //! Life cycle of the gateway process: start, serve, graceful stop.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -14,7 +15,7 @@
 use crate::gateway::settings::Settings;
 use crate::gateway::{
     catch_up, follow_caches, follow_metadata, gossip, leader, leadership, listener, members,
-    quarantine, reachability, store_updates,
+    quarantine, reachability, store_updates, tunnels,
 };
 
 /// Time for which a stopping box still accepts requests: the load balancer checks it every second
@@ -34,6 +35,7 @@
     let clients = listen(settings.clients).await?;
     let ready = listen(settings.ready).await?;
     let peers = listen(settings.peers).await?;
+    let tunnels = listen(settings.tunnels).await?;
     let socket = UdpSocket::bind(settings.peers).await;
     let socket = socket.map_err(|error| bind_error(settings.peers, &error))?;
     let socket = Arc::new(socket);
@@ -59,6 +61,7 @@
     tokio::spawn(catch_up::serve(gateway.clone(), peers));
     tokio::spawn(store_updates::subscribe(gateway.clone()));
     tokio::spawn(reachability::run(gateway.clone()));
+    tokio::spawn(tunnels::serve(gateway.clone(), tunnels));
     tokio::spawn(leadership::run(gateway.clone(), socket.clone()));
     tokio::spawn(leader::run(gateway.clone(), socket.clone()));
     tokio::spawn(leader::free_store_space(gateway.clone(), socket.clone()));
@@ -76,11 +79,12 @@
     let stop_at_ms = now_ms() + gateway.settings.bounds.stop_ms - STOP_MARGIN_MS;
     info!(target: "daemon", "event=stopping box={}", gateway.settings.name);
     gateway.enter(BoxPhase::Leaving);
+    gateway.gossip_now.notify_one();
     sleep(Duration::from_millis(LEAVE_MS)).await;
     gateway.enter(BoxPhase::Draining);
     // Lets new connections send their first request, and idle ones close.
     sleep(listener::FIRST_REQUEST_TIMEOUT + STOP_POLL).await;
-    while gateway.state().requests_in_flight > 0 && now_ms() < stop_at_ms {
+    while is_busy(&gateway) && now_ms() < stop_at_ms {
         sleep(STOP_POLL).await;
     }
     let requests_in_flight = gateway.state().requests_in_flight;
@@ -94,6 +98,12 @@
     gateway.enter(BoxPhase::Stopped);
 }
 
+/// Whether requests are in flight, or peers use tunnels. They close those that are idle once they hear
+/// that this box is stopping.
+fn is_busy(gateway: &Gateway) -> bool {
+    gateway.state().requests_in_flight > 0 || gateway.tunnels_kept.load(Ordering::Relaxed) > 0
+}
+
 /// Logs whether the settings have changed. Changes apply only at the next start.
 pub fn reload(gateway: &Gateway, settings: &Settings) {
     if *settings == gateway.settings {
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -34,8 +34,12 @@
 const USABLE_MEMORY_PART: f64 = 0.8;
 /// Weight of the transfer time beyond its effect on the first token, for the load on network links.
 const FETCH_WEIGHT: f64 = 0.5;
+/// Cost of an upstream that is reached through a peer: some more round trips between boxes.
+const TUNNEL_COST_MS: f64 = 5.0;
 /// Cost of an unhealthy upstream; it is chosen only if all are unhealthy.
 const UNHEALTHY_COST_MS: f64 = 100_000.0;
+/// Cost of an upstream to which no connection could be opened just now; any other is preferred.
+const UNREACHABLE_COST_MS: f64 = 1_000_000.0;
 /// Cost of a full engine; any other is preferred except unhealthy ones.
 const FULL_ENGINE_COST_MS: f64 = 10_000.0;
 /// Cost of weights older than the newest named version; below the wait that would make a first
@@ -207,9 +211,17 @@
             _ => (plain_upstream_cost(upstream), None, Expected::UNKNOWN),
         };
         let hall_cost = if upstream.entry.hall == demand.hall { 0.0 } else { OTHER_HALL_COST_MS };
-        let unhealthy_cost = if upstream.is_unhealthy(now_ms) { UNHEALTHY_COST_MS } else { 0.0 };
-        let cost =
-            cost + hall_cost + unhealthy_cost + spread_ms(demand.box_short_id, upstream.short_id);
+        let unhealthy_cost = match upstream.is_unhealthy(now_ms) {
+            true if upstream.is_known_unreachable() => UNREACHABLE_COST_MS,
+            true => UNHEALTHY_COST_MS,
+            false => 0.0,
+        };
+        let tunnel_cost = if upstream.needs_tunnel() { TUNNEL_COST_MS } else { 0.0 };
+        let cost = cost
+            + hall_cost
+            + tunnel_cost
+            + unhealthy_cost
+            + spread_ms(demand.box_short_id, upstream.short_id);
         Candidate { cost, upstream, context, expected }
     }
 
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -31,6 +31,12 @@
     pub metadata_store: MetadataStoreStatus,
     /// Whether the box follows the context stores itself.
     pub follows_caches: bool,
+    /// Whether the sender keeps tunnels for others.
+    pub offers_tunnels: bool,
+    /// Number of tunnels that the sender keeps.
+    pub tunnels: u16,
+    /// Number of upstreams that the sender itself reaches only through tunnels.
+    pub missed_upstreams: u16,
     /// Other boxes from which the sender has recently received gossip.
     pub peers: Vec<IpAddr>,
     /// Load of the sender's requests on upstreams.
@@ -78,6 +84,9 @@
             config_version: self.config_version,
             metadata_store: self.metadata_store,
             follows_caches: self.follows_caches,
+            offers_tunnels: self.offers_tunnels,
+            tunnels: self.tunnels,
+            missed_upstreams: self.missed_upstreams,
             limits: self.limits.clone(),
             crashes: self.crashes.clone(),
             answers: self.answers.clone(),
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -15,6 +15,7 @@
 //!   `orders`, `claims`, `release`.
 //! - State received from the metadata store and from other boxes: `view`, `peers`, `configuration`,
 //!   `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
+//! - Whether this box reaches upstreams at all: `reach`.
 //! - Shared constants and conversions: `units`.
 
 pub mod admission;
@@ -36,6 +37,7 @@
 pub mod orders;
 pub mod peers;
 pub mod prompt;
+pub mod reach;
 pub mod regions;
 pub mod release;
 pub mod rollout;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -10,6 +10,7 @@
 mod roles;
 mod sums;
 mod targets;
+mod tunnel_peers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
@@ -71,6 +72,8 @@
     ahead_since_ms: Option<u64>,
     /// Until when other peers are preferred, because this one did not answer.
     avoid_asking_until_ms: u64,
+    /// Until when others are asked for tunnels first, because this one has declined one.
+    avoid_tunnels_until_ms: u64,
     /// Whether this box has introduced itself to the peer since the peer last started.
     knows_this_box: bool,
     /// Whether the peer's gossip is included in the sums.
--- a/src/gateway/decisions/upstream/health.rs
+++ b/src/gateway/decisions/upstream/health.rs
@@ -22,6 +22,19 @@
 /// Failure rate from which on an upstream is avoided.
 const FAILURE_RATE_LIMIT: f64 = 0.12;
 
+/// How this box can open connections to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Access {
+    Direct,
+    /// Only through peers.
+    Tunnel,
+    /// Not at all, or it fell silent; it gets no requests until a connection is established.
+    Unreachable {
+        /// Whether a probe has failed since this was found out.
+        probed: bool,
+    },
+}
+
 impl Upstream {
     /// Records that it rejected a request. As it looks idle, it would otherwise be chosen again and
     /// again.
@@ -56,7 +69,7 @@
     pub fn is_unhealthy(&self, now_ms: u64) -> bool {
         let avoid_until_ms = self.avoid_until_ms.max(self.peer_backoff_until_ms);
         let is_avoided = now_ms < avoid_until_ms.max(self.rejecting_until_ms);
-        self.unreachable || is_avoided || self.is_silent(now_ms)
+        self.is_unreachable() || is_avoided || self.is_silent(now_ms)
     }
 
     /// Whether it has requests in progress and has sent nothing for too long.
@@ -79,15 +92,44 @@
     /// requests until a connection is established.
     #[must_use]
     pub fn is_unreachable(&self) -> bool {
-        self.unreachable
+        matches!(self.access, Access::Unreachable { .. })
+    }
+
+    /// Whether it is unreachable, and a probe has failed since this was found out.
+    #[must_use]
+    pub fn is_known_unreachable(&self) -> bool {
+        self.access == Access::Unreachable { probed: true }
+    }
+
+    /// Whether only peers can open connections to it.
+    #[must_use]
+    pub fn needs_tunnel(&self) -> bool {
+        self.access == Access::Tunnel
     }
 
     /// Records that a connection was not established in time.
     pub fn record_connect_timeout(&mut self, now_ms: u64) {
-        self.unreachable = true;
+        self.mark_unreachable();
         self.connect_timeout_at_ms = Some(now_ms);
     }
 
+    /// Records that a probe could not establish a connection.
+    pub fn record_probe_failure(&mut self) {
+        if self.is_unreachable() {
+            self.access = Access::Unreachable { probed: true };
+        }
+    }
+
+    /// Records that a peer has established a connection, and this box cannot. That direct connections
+    /// broke or fell silent says nothing about the upstream.
+    pub fn record_tunnel(&mut self) {
+        self.access = Access::Tunnel;
+        self.awaiting_answer_since_ms = None;
+        self.avoid_until_ms = 0;
+        self.avoid_ms = FIRST_AVOID_MS;
+        self.failure_rate = 0.0;
+    }
+
     /// Whether a connect timeout is recent enough to count as the same event as another.
     #[must_use]
     pub fn connect_timed_out_recently(&self, now_ms: u64) -> bool {
@@ -96,12 +138,14 @@
 
     /// Keeps requests away until a connection is established.
     pub fn mark_unreachable(&mut self) {
-        self.unreachable = true;
+        if !self.is_unreachable() {
+            self.access = Access::Unreachable { probed: false };
+        }
     }
 
-    /// Records that a connection was established.
+    /// Records that this box has established a connection itself.
     pub fn mark_reachable(&mut self) {
-        self.unreachable = false;
+        self.access = Access::Direct;
     }
 
     /// Whether bytes arrived from it at other boxes recently.
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use health::Access;
 pub use health::SILENT_MS;
 use serde::{Deserialize, Serialize};
 
@@ -106,7 +107,7 @@
     peers_last_receive_ms: u64,
     awaiting_answer_since_ms: Option<u64>,
     loading_until_ms: u64,
-    unreachable: bool,
+    access: Access,
     connect_timeout_at_ms: Option<u64>,
     superseded: bool,
     /// Notices from its answers.
@@ -143,7 +144,7 @@
             peers_last_receive_ms: 0,
             awaiting_answer_since_ms: None,
             loading_until_ms: 0,
-            unreachable: false,
+            access: Access::Direct,
             connect_timeout_at_ms: None,
             superseded: false,
             notices: NoticeState::default(),
@@ -342,6 +343,7 @@
         self.total_load() == Load::default()
             && u64::from(self.receive_age_ms(now_ms)) >= SILENT_MS
             && !self.is_unhealthy(now_ms)
+            && self.access == Access::Direct
             && !self.is_superseded()
             && !self.notices.leaving
             && self.backoff_until_ms(now_ms).is_none()
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -275,14 +275,21 @@
         self.iter().filter(|upstream| !upstream.is_superseded())
     }
 
-    /// Whether this box is cut off from most engines of a model: they are unreachable from here
+    /// Number of upstreams that this box reaches only through peers.
+    #[must_use]
+    pub fn missed_count(&self) -> usize {
+        self.active().filter(|upstream| upstream.needs_tunnel()).count()
+    }
+
+    /// Whether this box is cut off from most engines of a model: it cannot open connections to them
     /// while other boxes receive bytes from them.
     #[must_use]
     pub fn is_partitioned(&self, now_ms: u64, model: &str) -> bool {
         let engines = self.current().filter(|upstream| upstream.weight_version(model) > 0);
-        let cut_off = engines
-            .clone()
-            .filter(|upstream| upstream.is_unreachable() && upstream.answers_other_boxes(now_ms));
+        let cut_off = engines.clone().filter(|upstream| {
+            upstream.needs_tunnel()
+                || upstream.is_unreachable() && upstream.answers_other_boxes(now_ms)
+        });
         2 * cut_off.count() > engines.count()
     }
 
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -19,8 +19,7 @@
 ) -> bool {
     let entry = match keys::read_upstream(id, value) {
         Ok(entry) => {
-            let address = gateway.settings.dial_addresses.get(&entry.address).copied();
-            UpstreamEntry { address: address.unwrap_or(entry.address), ..entry }
+            UpstreamEntry { address: gateway.settings.dial_address(entry.address), ..entry }
         }
         Err(error) => {
             // Whoever wrote this value, the upstream of the previous entry is gone.
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -173,8 +173,7 @@
         for (store, count) in state.stores.settle_saves(now_ms) {
             info!(target: "stores", "event=saves_lost store={store} count={count}");
         }
-        drop(state);
-        gateway.connections.close_expired(now_ms);
+        gateway.connections.close_expired(now_ms, |path| state.is_path_usable(now_ms, path));
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -3,6 +3,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::{debug, warn};
@@ -198,6 +199,9 @@
             .map_or(0, |configuration| configuration.version),
         metadata_store: state.metadata_store_status(),
         follows_caches: state.follows_caches,
+        offers_tunnels: gateway.phase() == BoxPhase::Serving,
+        tunnels: u16::try_from(gateway.tunnels_kept.load(Ordering::Relaxed)).unwrap_or(u16::MAX),
+        missed_upstreams: u16::try_from(state.upstreams.missed_count()).unwrap_or(u16::MAX),
         peers: state.peers.addresses_to_share(now_ms),
         loads: reported_loads(own_loads(state, now_ms)),
         fetches: fetches(state),
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -1,11 +1,15 @@
 //! A request in flight at an upstream. Accounts for its load, and records what the response shows
 //! of the upstream and of the stores that context is fetched from.
 
+use std::future::pending;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use log::info;
+use tokio::time::timeout_at;
 
-use crate::clock::now_ms;
+use crate::clock::{instant_at, now_ms};
+use crate::gateway::connections::Path;
 use crate::gateway::decisions::admission::{FirstTokenOutcome, Occupancy};
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
@@ -18,6 +22,9 @@
 
 /// An upstream that rejects a request within this time did not queue it. It is a few round trips.
 const IMMEDIATE_REJECTION_MS: u64 = 100;
+/// Time without bytes after which a direct connection of a box that is cut off counts as lost; a
+/// shorter cut leaves connections usable.
+const LOST_AFTER_MS: u64 = 600;
 /// Prompts of this length occupy an engine for about 20 ms or more. Other boxes learn of them
 /// at once, not only with the next periodic gossip, unless hardly any engine is busy.
 const LONG_PROMPT_TOKENS: u32 = 1000;
@@ -31,6 +38,10 @@
     /// Fetches from stores, by the names of the stores, until the prefill ends.
     fetches: Vec<(String, FetchId)>,
     begun_at_ms: u64,
+    /// How the connection leads to the upstream, once there is one.
+    path: Option<Path>,
+    /// When bytes last arrived on it, or when it was taken into use.
+    last_activity_ms: AtomicU64,
     /// When the first token is due. Set only at an engine that was nearly full, until the first
     /// token arrives.
     objective_at_ms: Option<u64>,
@@ -73,16 +84,55 @@
             memory_tokens: choice.memory_tokens,
             fetches,
             begun_at_ms,
+            path: None,
+            last_activity_ms: AtomicU64::new(begun_at_ms),
             objective_at_ms: choice
                 .objective_at_ms
                 .filter(|_| choice.occupancy == Occupancy::NearlyFull),
         }
     }
 
+    /// Records the connection on which the request is sent.
+    pub fn record_connected(&mut self, path: Path) {
+        self.path = Some(path);
+        self.last_activity_ms.store(now_ms(), Ordering::Relaxed);
+    }
+
+    /// Whether the box is cut off, and nothing arrives on the connection any more.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.path == Some(Path::Direct)
+            && *self.gateway.cut_off.borrow()
+            && now_ms() >= self.lost_at_ms()
+    }
+
+    /// When the connection counts as lost if nothing arrives until then.
+    fn lost_at_ms(&self) -> u64 {
+        self.last_activity_ms.load(Ordering::Relaxed) + LOST_AFTER_MS
+    }
+
+    /// Waits until the box is cut off, and nothing arrives on the connection any more.
+    pub async fn wait_until_lost(&self) {
+        if self.path != Some(Path::Direct) {
+            return pending().await;
+        }
+        let mut cut_off = self.gateway.cut_off.subscribe();
+        while !self.is_lost() {
+            // Cannot fail: the gateway owns the sender.
+            let _ = cut_off.wait_for(|cut_off| *cut_off).await;
+            let _ = timeout_at(instant_at(self.lost_at_ms()), cut_off.changed()).await;
+        }
+    }
+
     /// Records that bytes have arrived.
     pub fn record_activity(&self) {
+        let now_ms = now_ms();
+        self.last_activity_ms.store(now_ms, Ordering::Relaxed);
+        if self.path == Some(Path::Direct) {
+            self.gateway.last_receive_ms.store(now_ms, Ordering::Relaxed);
+        }
         if let Some(upstream) = self.gateway.state().upstreams.get_incarnation_mut(&self.upstream) {
-            upstream.record_receive(now_ms());
+            upstream.record_receive(now_ms);
         }
     }
 
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of a gateway process share.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use tokio::net::UdpSocket;
@@ -13,13 +14,14 @@
 use crate::fingerprint::Fingerprint;
 use crate::gateway::catch_up::EncodedUpdates;
 use crate::gateway::claims::ClaimRecord;
-use crate::gateway::connections::Connections;
+use crate::gateway::connections::{Connections, Path};
 use crate::gateway::decisions::admission::AdmissionLimits;
 use crate::gateway::decisions::budget::{self, RetryBudget};
 use crate::gateway::decisions::claims::LeaderTerms;
 use crate::gateway::decisions::configuration::Configuration;
 use crate::gateway::decisions::gossip_message::MetadataStoreStatus;
 use crate::gateway::decisions::peers::{LocalBox, Peers};
+use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::upstreams::Upstreams;
 use crate::gateway::decisions::urgency::RouteTimeouts;
@@ -64,6 +66,8 @@
     pub retry_budget: RetryBudget,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// Whether this box is cut off from all upstreams.
+    pub reach: Reach,
     /// The other boxes of the fleet.
     pub peers: Peers,
     /// Whether this box follows the metadata store itself instead of receiving changes from
@@ -166,6 +170,15 @@
         self.upstream_clock_offset_ms = Some(known.max(ahead_ms));
     }
 
+    /// Whether new requests may be sent on connections over this path.
+    #[must_use]
+    pub fn is_path_usable(&self, now_ms: u64, path: Path) -> bool {
+        match path {
+            Path::Direct => !self.reach.is_cut_off(),
+            Path::Tunnel(peer) => self.peers.offers_tunnels(now_ms, peer),
+        }
+    }
+
     /// How the metadata store responds to this box.
     #[must_use]
     pub fn metadata_store_status(&self) -> MetadataStoreStatus {
@@ -221,6 +234,14 @@
     pub introduce_now: Notify,
     /// Wakes tasks that wait for a request to be quarantined.
     pub quarantine_changed: Notify,
+    /// Starts the next round of probes early.
+    pub probe_now: Notify,
+    /// Whether this box is cut off from all upstreams, for tasks that wait for it.
+    pub cut_off: watch::Sender<bool>,
+    /// When data last arrived from any upstream on a direct connection.
+    pub last_receive_ms: AtomicU64,
+    /// Number of tunnels that this box keeps for its peers.
+    pub tunnels_kept: Arc<AtomicUsize>,
     /// Changes when upstreams, stores, the configuration or this box's role may have changed.
     pub upstreams_changed: watch::Sender<u64>,
     /// Whether this box must no longer lead because it is stopping.
@@ -265,6 +286,7 @@
             admission_limits: AdmissionLimits::default(),
             retry_budget: RetryBudget::new(retry_config, now_ms()),
             quarantine: Quarantine::default(),
+            reach: Reach::default(),
             peers: Peers::new(local_box(&settings), &settings.seeds),
             follows_metadata: true,
             follows_caches: true,
@@ -296,6 +318,10 @@
             gossip_now: Notify::new(),
             introduce_now: Notify::new(),
             quarantine_changed: Notify::new(),
+            probe_now: Notify::new(),
+            cut_off: watch::Sender::new(false),
+            last_receive_ms: AtomicU64::new(0),
+            tunnels_kept: Arc::default(),
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
             delegated_replies: watch::Sender::new(None),
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -1,4 +1,5 @@
-//! Probes upstreams that could not be reached.
+//! Probes upstreams to which this box could not open connections, and finds out whether it is cut
+//! off from all of them.
 //!
 //! A probe opens a connection without sending a request: requests that may run only once are
 //! risked neither on an unreachable upstream, nor on idle connections while an upstream is silent.
@@ -7,47 +8,160 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::{join, join_all};
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use log::info;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
+use crate::gateway::connections::NewConnection;
+use crate::gateway::decisions::reach::Reach;
+use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::{paths, tunnels};
 
-/// Time between probes of an upstream.
-const PROBE_PERIOD: Duration = Duration::from_millis(400);
+/// Shortest time between rounds of probes.
+const MIN_PROBE_PERIOD: Duration = Duration::from_millis(50);
+/// Time after that until the next round, unless an upstream is found out of reach.
+const PROBE_WAIT: Duration = Duration::from_millis(350);
+/// Timeout of a probe: many round trips.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Most upstreams that are probed in one round.
+const MAX_PROBES: usize = 64;
+/// Other upstreams that are tried to find out whether this box reaches any.
+const CONTROL_PROBES: usize = 3;
 
 /// Probes until the box stops.
 pub async fn run(gateway: Arc<Gateway>) {
     while gateway.phase() != BoxPhase::Stopped {
-        sleep(PROBE_PERIOD).await;
-        for (id, address) in unreachable(&gateway) {
-            tokio::spawn(probe(gateway.clone(), id, address));
+        sleep(MIN_PROBE_PERIOD).await;
+        let _ = timeout(PROBE_WAIT, gateway.probe_now.notified()).await;
+        probe_round(&gateway).await;
+    }
+}
+
+async fn probe_round(gateway: &Arc<Gateway>) {
+    let missing = missing(gateway);
+    if missing.is_empty() && gateway.state().reach == Reach::default() {
+        return;
+    }
+    let probes = missing.iter().map(|(id, address)| probe(gateway, id, *address));
+    let (reached, control) = join(join_all(probes), async {
+        if gateway.state().upstreams.missed_count() == 0 {
+            return None;
         }
+        reaches_control(gateway, None).await
+    })
+    .await;
+    let any_reached = control == Some(true) || reached.contains(&true);
+    let changed = {
+        let mut state = gateway.state();
+        let missed = state.upstreams.missed_count();
+        state.reach.update(missed, any_reached)
+    };
+    if changed {
+        record_reach(gateway);
+    }
+}
+
+/// Applies that this box is cut off from all upstreams, or is no more.
+fn record_reach(gateway: &Gateway) {
+    let is_cut_off = gateway.state().reach.is_cut_off();
+    info!(target: "reach", "event=reach_changed cut_off={is_cut_off}");
+    gateway.cut_off.send_replace(is_cut_off);
+    if is_cut_off {
+        metrics::counter!("coursestile_cut_offs_total").increment(1);
+        let (state, now_ms) = (gateway.state(), now_ms());
+        gateway.connections.close_expired(now_ms, |path| state.is_path_usable(now_ms, path));
     }
+    gateway.gossip_now.notify_one();
 }
 
-fn unreachable(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
+/// Upstreams to which this box could not open connections, or some of them if they are many.
+fn missing(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
     let mut state = gateway.state();
     if let Some(silent_since_ms) = state.upstreams.mark_silent_unreachable(now_ms()) {
         gateway.connections.close_all_idle(silent_since_ms);
     }
-    let unreachable = state
-        .upstreams
-        .active()
-        .filter(|upstream| upstream.is_unreachable() && !upstream.is_superseded());
-    unreachable.map(|upstream| (upstream.id.clone(), upstream.entry.address)).collect()
+    let missing = state.upstreams.active().filter(|upstream| {
+        (upstream.is_unreachable() || upstream.needs_tunnel()) && !upstream.is_superseded()
+    });
+    let drawn = fastrand::choose_multiple(missing, MAX_PROBES);
+    drawn.into_iter().map(|upstream| (upstream.id.clone(), upstream.entry.address)).collect()
 }
 
-async fn probe(gateway: Arc<Gateway>, id: String, address: SocketAddr) {
-    gateway.connections.close_idle_to(&id);
-    let Ok(connection) = gateway.connections.check_out(&id, address).await else {
-        return;
-    };
-    gateway.connections.add_idle(&id, connection);
-    if let Some(upstream) = gateway.state().upstreams.get_mut(&id) {
-        upstream.mark_reachable();
+/// Probes an upstream; returns whether this box reaches it itself.
+async fn probe(gateway: &Gateway, id: &str, address: SocketAddr) -> bool {
+    if let Some((connection, _)) = open_directly(gateway, address).await {
+        gateway.connections.close_idle_to(id);
+        gateway.connections.add_idle(id, connection);
+        if let Some(upstream) = gateway.state().upstreams.get_mut(id) {
+            upstream.mark_reachable();
+        }
+        info!(target: "reach", "event=upstream_reached upstream={id}");
+        gateway.capacity_changed.notify_waiters();
+        return true;
+    }
+    let is_unreachable = gateway.state().upstreams.get(id).is_some_and(Upstream::is_unreachable);
+    if is_unreachable {
+        probe_through_peer(gateway, id).await;
+    }
+    false
+}
+
+async fn open_directly(gateway: &Gateway, address: SocketAddr) -> Option<NewConnection> {
+    timeout(PROBE_TIMEOUT, gateway.connections.open(address)).await.ok()?.ok()
+}
+
+async fn probe_through_peer(gateway: &Gateway, id: &str) {
+    match tunnels::open(gateway, id).await {
+        Ok((connection, _)) => {
+            gateway.connections.close_idle_to(id);
+            gateway.connections.add_idle(id, connection);
+            paths::record_tunnel(gateway, id);
+        }
+        Err(_) => {
+            if let Some(upstream) = gateway.state().upstreams.get_mut(id) {
+                upstream.record_probe_failure();
+            }
+        }
+    }
+}
+
+/// Whether this box reaches another upstream than `except` itself; `None` if there is none that it
+/// is not known to miss. While it does, what it finds of that one is no fault of its own links.
+pub async fn reaches_control(gateway: &Arc<Gateway>, except: Option<&str>) -> Option<bool> {
+    let controls = controls(gateway, except);
+    if controls.is_empty() {
+        return None;
+    }
+    let mut probes: FuturesUnordered<_> = controls
+        .into_iter()
+        .map(async |(id, address)| (id, open_directly(gateway, address).await))
+        .collect();
+    while let Some((id, opened)) = probes.next().await {
+        if let Some((connection, _)) = opened {
+            gateway.connections.add_idle(&id, connection);
+            return Some(true);
+        }
+        let gateway = gateway.clone();
+        tokio::spawn(async move { probe_through_peer(&gateway, &id).await });
+    }
+    Some(false)
+}
+
+/// Upstreams that this box is not known to miss, in the hall of `except` if it has others.
+fn controls(gateway: &Gateway, except: Option<&str>) -> Vec<(String, SocketAddr)> {
+    let state = gateway.state();
+    let hall = except.and_then(|id| state.upstreams.get(id)).map(|known| &known.entry.hall);
+    let others = state.upstreams.current().filter(|upstream| {
+        !upstream.needs_tunnel() && !upstream.is_unreachable() && Some(&*upstream.id) != except
+    });
+    let in_hall = others.clone().filter(|upstream| Some(&upstream.entry.hall) == hall);
+    let mut drawn: Vec<&Upstream> = fastrand::choose_multiple(in_hall, CONTROL_PROBES);
+    if drawn.is_empty() {
+        drawn = fastrand::choose_multiple(others, CONTROL_PROBES);
     }
-    info!(target: "reach", "event=upstream_reached upstream={id}");
-    gateway.capacity_changed.notify_waiters();
+    drawn.into_iter().map(|upstream| (upstream.id.clone(), upstream.entry.address)).collect()
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -119,6 +119,9 @@
         if choice.occupancy == Occupancy::Full && !request.may_have_run {
             return refuse_immediately(&request);
         }
+        if is_known_unreachable(gateway, &choice) {
+            return refuse(&request, Reason::NoUpstream);
+        }
         log_attempt_start(gateway, &request, &choice);
         let outcome = tokio::select! {
             // Polled in order: a response that has arrived is not abandoned for another upstream.
@@ -143,6 +146,13 @@
     }
 }
 
+/// Whether a connection to the chosen upstream, and thus to any other, is known to fail now.
+fn is_known_unreachable(gateway: &Gateway, choice: &Choice) -> bool {
+    let state = gateway.state();
+    let upstream = state.upstreams.get_incarnation(&choice.upstream);
+    upstream.is_some_and(Upstream::is_known_unreachable)
+}
+
 /// Waits while a request is withheld, if time will be left to run it. Otherwise returns until when
 /// it may be withheld, so that it is refused now and not at its deadline.
 async fn wait_while_withheld(gateway: &Gateway, request: &AdmittedRequest) -> Option<u64> {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -49,11 +49,14 @@
     pub ready: SocketAddr,
     /// Address at which it accepts messages of peers, by UDP and TCP.
     pub peers: SocketAddr,
+    /// Address at which it keeps tunnels for peers; all boxes use the same port.
+    pub tunnels: SocketAddr,
     /// Address at which metrics are served, if they are.
     pub metrics: Option<SocketAddr>,
     /// Addresses of boxes from which it learns of the other ones.
     pub seeds: Vec<IpAddr>,
-    /// Addresses to dial instead of those of upstreams, for example those of proxies.
+    /// Addresses to dial instead of those of upstreams and context stores, for example those of
+    /// proxies.
     pub dial_addresses: BTreeMap<SocketAddr, SocketAddr>,
     /// CPU share of the box, in cores.
     pub cores: f64,
@@ -98,13 +101,16 @@
         reader.check_known_names(known_keys);
         let unspecified: SocketAddr = ([127, 0, 0, 1], 0).into();
         let metrics: SocketAddr = reader.optional("box", "metrics", unspecified);
+        let peers = required_address(&mut reader, "peers");
+        let next_port = SocketAddr::new(peers.ip(), peers.port().wrapping_add(1));
         let settings = Self {
             name: reader.required("box", "name"),
             hall: reader.required("box", "hall"),
             regions: regions(&mut reader),
             clients: required_address(&mut reader, "clients"),
             ready: required_address(&mut reader, "ready"),
-            peers: required_address(&mut reader, "peers"),
+            peers,
+            tunnels: reader.optional("box", "tunnels", next_port),
             metrics: (metrics.port() != 0).then_some(metrics),
             seeds: seeds(&mut reader),
             dial_addresses: dial_addresses(&mut reader),
@@ -114,6 +120,12 @@
         };
         reader.finish(settings)
     }
+
+    /// The address to dial for an upstream or a context store at `address`.
+    #[must_use]
+    pub fn dial_address(&self, address: SocketAddr) -> SocketAddr {
+        self.dial_addresses.get(&address).copied().unwrap_or(address)
+    }
 }
 
 fn bounds(reader: &mut IniFile<'_>) -> Bounds {
@@ -212,8 +224,8 @@
 fn known_keys(section: &str) -> &'static [&'static str] {
     match section {
         "box" => &[
-            "name", "hall", "regions", "clients", "ready", "peers", "metrics", "seeds", "routes",
-            "cores",
+            "name", "hall", "regions", "clients", "ready", "peers", "tunnels", "metrics", "seeds",
+            "routes", "cores",
         ],
         "platform" => &["address"],
         "bounds" => &[
--- a/standins/src/site/fault_proxy.rs
+++ b/standins/src/site/fault_proxy.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
     Silence,
+    /// Silence for this time.
+    Pause(Duration),
     Reset,
 }
 
@@ -87,6 +89,11 @@
         let _ = self.faults.send(Fault::Silence);
     }
 
+    /// Silences all open connections for a while; new ones work.
+    pub fn pause_open_connections(&self, time: Duration) {
+        let _ = self.faults.send(Fault::Pause(time));
+    }
+
     /// Resets all open connections; new ones work.
     pub fn reset_open_connections(&self) {
         let _ = self.faults.send(Fault::Reset);
@@ -177,22 +184,33 @@
     // Without TCP_NODELAY the proxy would delay small messages.
     let nodelay = near.set_nodelay(true).and(far.set_nodelay(true));
     nodelay.expect("socket option");
-    let fault = tokio::select! {
-        _ = copy_bidirectional(&mut near, &mut far) => return,
-        fault = faults.recv() => fault,
-    };
-    match fault {
-        Ok(Fault::Silence) => {
-            drop_incoming(&near);
-            drop_incoming(&far);
-            tokio::time::sleep(SILENT_HOLD_TIME).await;
-        }
-        Ok(Fault::Reset) => {
-            reset_on_drop(&near);
-            reset_on_drop(&far);
+    loop {
+        let fault = tokio::select! {
+            _ = copy_bidirectional(&mut near, &mut far) => return,
+            fault = faults.recv() => fault,
+        };
+        match fault {
+            Ok(Fault::Silence) => {
+                drop_incoming(&near);
+                drop_incoming(&far);
+                return tokio::time::sleep(SILENT_HOLD_TIME).await;
+            }
+            Ok(Fault::Pause(time)) => {
+                drop_incoming(&near);
+                drop_incoming(&far);
+                tokio::time::sleep(time).await;
+                for stream in [&near, &far] {
+                    SockRef::from(stream).detach_filter().expect("socket filter");
+                }
+            }
+            Ok(Fault::Reset) => {
+                reset_on_drop(&near);
+                reset_on_drop(&far);
+                return;
+            }
+            // The proxy was dropped.
+            Err(_) => return,
         }
-        // The proxy was dropped.
-        Err(_) => {}
     }
 }
 
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -98,6 +98,11 @@
         Some(message)
     }
 
+    /// Waits until the other side ends the connection.
+    pub async fn wait_for_end(&mut self) {
+        while self.fill().await {}
+    }
+
     async fn read_chunks(&mut self, body: &mut Vec<u8>) -> bool {
         loop {
             let line_end = loop {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -35,6 +35,7 @@
 const READY_PORT: u16 = 8001;
 /// Port of each gateway for its peers; the first of several if those are distinct.
 const PEERS_PORT: u16 = 7000;
+const TUNNELS_PORT: u16 = 7600;
 
 /// A gateway process.
 pub struct Gateway {
@@ -210,10 +211,11 @@
         let ready = format!("{ip}:{READY_PORT}");
         let port_offset = if self.distinct_peer_ports { u16::from(self.next_box) } else { 0 };
         let peers = format!("{ip}:{}", PEERS_PORT + port_offset);
+        let tunnels = format!("{ip}:{TUNNELS_PORT}");
         let seeds: Vec<&str> = seeds.iter().map(|seed| seed.peers.as_str()).collect();
         let settings = format!(
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
-             peers = {peers}\nregions = {}\nroutes = {}\nseeds = {}\n[platform]\naddress = {}\n\
+             peers = {peers}\ntunnels = {tunnels}\nregions = {}\nroutes = {}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
              weights_apply_ms = {}\ncold_extra = {}\n",
             self.regions,
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -113,6 +113,7 @@
     received: Vec<Message>,
     executed: Vec<ExecutedRequest>,
     handled: Vec<HandledRequest>,
+    abandoned: Vec<String>,
     script: VecDeque<Behavior>,
     released: bool,
     /// Request body that makes the upstream crash.
@@ -230,6 +231,12 @@
         self.state().handled.clone()
     }
 
+    /// Ids of requests whose connection ended before their answer.
+    #[must_use]
+    pub fn abandoned(&self) -> Vec<String> {
+        self.state().abandoned.clone()
+    }
+
     /// How often a request with this id has arrived.
     #[must_use]
     pub fn count(&self, request_id: &str) -> usize {
@@ -253,7 +260,16 @@
             crash(&shared).await;
             return;
         }
-        if answer(&mut write, &request, &behavior, &shared).await.is_none() {
+        let answered = tokio::select! {
+            answered = answer(&mut write, &request, &behavior, &shared) => answered,
+            () = reader.wait_for_end() => {
+                let request_id = request.header("x-request-id").unwrap_or_default().to_owned();
+                let mut state = shared.lock().expect("no task panics under the lock");
+                state.abandoned.push(request_id);
+                None
+            }
+        };
+        if answered.is_none() {
             // Otherwise the connection would be shut down in order before it is reset.
             write.forget();
             return;
--- a/tests/gateway_cut.rs
+++ b/tests/gateway_cut.rs
@@ -4,13 +4,13 @@
 #[path = "common/site.rs"]
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::wait_ready;
-use coursestile_standins::site::client::request_once;
+use coursestile_standins::site::client::{Client, request, request_once};
 use coursestile_standins::site::fault_proxy::{FaultProxy, Link};
-use coursestile_standins::site::server::Server;
-use coursestile_standins::site::{Gateway, Site, config_document, service_entry};
+use coursestile_standins::site::server::{Behavior, Server, events_text};
+use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
 use futures_util::future::join_all;
 use rstest::rstest;
 
@@ -18,25 +18,33 @@
 const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
 /// Time from the start of a cut until requests to the box are served.
 const SERVED_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for which a request is held that cannot be served: two round trips beyond what it
+/// takes to find that out once.
+const REFUSED_AFTER: Duration = Duration::from_millis(100);
+/// A cut that is over before connections count as lost.
+const MOMENT: Duration = Duration::from_millis(300);
+/// Ids of requests.
+const IDS: [&str; 6] = ["r-0", "r-1", "r-2", "r-3", "r-4", "r-5"];
 /// Methods and paths of requests of each kind.
 const KINDS: [(&str, &str); 4] =
     [("GET", "/safe/"), ("POST", "/once/"), ("POST", "/stream/"), ("POST", "/resume/")];
 
-/// Upstreams behind proxies through which one box reaches them, and boxes that reach them directly.
+/// Upstreams behind proxies through which some boxes reach them, and boxes that reach them directly.
 struct CutFleet {
-    _servers: Vec<Server>,
+    servers: Vec<Server>,
     links: Vec<FaultProxy>,
-    /// The box behind the proxies.
-    cut_box: Gateway,
+    /// The boxes behind the proxies.
+    cut_boxes: Vec<Gateway>,
     /// The other boxes.
-    _others: Vec<Gateway>,
+    others: Vec<Gateway>,
     /// Keeps the platform running while the boxes run.
     _site: Site,
 }
 
 impl CutFleet {
-    /// Starts upstreams and boxes, which know each other when it returns.
-    async fn start(servers: usize, others: usize) -> Self {
+    /// Starts upstreams and boxes, which know each other when it returns. The boxes behind the proxies
+    /// are in the hall of the upstreams, the others in `other_hall`.
+    async fn start(servers: usize, cut_boxes: usize, others: usize, other_hall: &str) -> Self {
         let mut site = Site::start().await;
         let (mut started, mut links, mut routes) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..servers {
@@ -48,16 +56,18 @@
             links.push(link);
         }
         site.configure(&config_document(7));
-        site.routes = routes.join(",");
-        let cut_box = site.gateway("north", &[]);
-        site.routes.clear();
+        let first = site.gateway(other_hall, &[]);
         let others: Vec<Gateway> =
-            (0..others).map(|_| site.gateway("north", &[&cut_box])).collect();
-        for gateway in others.iter().chain([&cut_box]) {
+            (1..others).map(|_| site.gateway(other_hall, &[&first])).collect();
+        site.routes = routes.join(",");
+        let cut_boxes: Vec<Gateway> =
+            (0..cut_boxes).map(|_| site.gateway("north", &[&first])).collect();
+        let others: Vec<Gateway> = others.into_iter().chain([first]).collect();
+        for gateway in others.iter().chain(&cut_boxes) {
             wait_ready(gateway).await;
         }
         tokio::time::sleep(ACQUAINTANCE_TIME).await;
-        Self { _servers: started, links, cut_box, _others: others, _site: site }
+        Self { servers: started, links, cut_boxes, others, _site: site }
     }
 
     fn set_link(&self, link: Link) {
@@ -66,11 +76,35 @@
         }
     }
 
-    /// Sends a request to the box behind the proxies; returns the status of the answer.
+    /// Cuts the first box off, and waits until it has noticed.
+    async fn cut(&self, link: Link) {
+        self.set_link(link);
+        eventually("the box notices that it is cut off", async || {
+            self.send("GET", "/safe/", "r-notice").await;
+            self.log().contains("cut_off=true")
+        })
+        .await;
+    }
+
+    fn log(&self) -> String {
+        self.cut_boxes[0].log_text()
+    }
+
+    /// Sends a request to the first box behind the proxies; returns the status of a complete answer.
     async fn send(&self, method: &str, path: &str, id: &str) -> Option<u16> {
-        let answer = request_once(&self.cut_box.clients, method, path, id).await?;
+        let answer = request_once(&self.cut_boxes[0].clients, method, path, id).await?;
         answer.complete.then(|| answer.status())
     }
+
+    fn script(&self, behavior: &Behavior) {
+        for server in &self.servers {
+            server.script(std::slice::from_ref(behavior));
+        }
+    }
+
+    fn arrival_count(&self, id: &str) -> usize {
+        self.servers.iter().map(|server| server.count(id)).sum()
+    }
 }
 
 impl CutFleet {
@@ -93,10 +127,136 @@
 #[case::new_refused(Link::NewRefused)]
 #[tokio::test]
 async fn cut_box_refuses(#[case] link: Link) {
-    let fleet = CutFleet::start(4, 2).await;
+    let fleet = CutFleet::start(4, 1, 2, "north").await;
     assert_eq!(fleet.count_served("before", 2).await, 8);
     fleet.set_link(link);
     tokio::time::sleep(SERVED_AFTER).await;
     let served = fleet.count_served("cut", 5).await;
     assert!(10 * served >= 9 * 20, "{served} of 20 served");
 }
+
+/// Boxes of another hall help, and boxes that are cut off themselves do not stand in the way.
+#[rstest]
+#[case::other_hall(1, "south", Link::Dropped)]
+#[case::most_cut(3, "north", Link::Dropped)]
+#[case::most_reset(3, "north", Link::Refused)]
+#[tokio::test]
+async fn helpers_scarce(#[case] cut_boxes: usize, #[case] hall: &str, #[case] link: Link) {
+    let fleet = CutFleet::start(4, cut_boxes, 1, hall).await;
+    fleet.set_link(link);
+    tokio::time::sleep(SERVED_AFTER).await;
+    fleet.count_served("first", 3).await;
+    let served = fleet.count_served("cut", 5).await;
+    assert!(10 * served >= 9 * 20, "{served} of 20 served");
+}
+
+/// Without a box that reaches the upstreams, requests are refused at once, as not run.
+#[tokio::test]
+async fn none_reaches() {
+    let fleet = CutFleet::start(3, 1, 1, "north").await;
+    for other in &fleet.others {
+        other.signal("-KILL");
+    }
+    fleet.set_link(Link::Dropped);
+    // The peer is silent, and the upstreams are found out of reach.
+    tokio::time::sleep(2 * SERVED_AFTER).await;
+    for number in 0..3 {
+        fleet.send("GET", "/safe/", &format!("r-first-{number}")).await;
+    }
+    tokio::time::sleep(SERVED_AFTER).await;
+    for (method, path) in KINDS {
+        let since = Instant::now();
+        let id = format!("r-{}", path.replace('/', "-"));
+        let answer = request_once(&fleet.cut_boxes[0].clients, method, path, &id).await.unwrap();
+        assert_eq!((answer.status(), fleet.arrival_count(&id)), (503, 0));
+        assert!(answer.header("retry-after").is_some());
+        assert!(since.elapsed() < REFUSED_AFTER, "{path}: held for {:?}", since.elapsed());
+    }
+}
+
+/// A request whose client leaves ends at its upstream, also through a tunnel.
+#[tokio::test]
+async fn client_leaves() {
+    let fleet = CutFleet::start(2, 1, 1, "north").await;
+    fleet.cut(Link::Refused).await;
+    fleet.script(&Behavior::HeldEvents(2));
+    let mut client = Client::connect(&fleet.cut_boxes[0].clients).await;
+    client.write(&request("POST", "/stream/", "r-1", "", "")).await;
+    eventually("the stream runs", async || fleet.log().contains("event=begun request=r-1")).await;
+    drop(client);
+    eventually("it ends at the upstream", async || {
+        fleet.servers.iter().any(|server| server.abandoned().contains(&"r-1".to_owned()))
+    })
+    .await;
+}
+
+/// A planned stop of the box that keeps the tunnels cuts no request of another box.
+#[tokio::test]
+async fn helper_stops() {
+    let fleet = CutFleet::start(3, 1, 2, "north").await;
+    fleet.cut(Link::Dropped).await;
+    fleet.script(&Behavior::HeldEvents(2));
+    let mut clients = Vec::new();
+    for number in 0..3 {
+        let mut client = Client::connect(&fleet.cut_boxes[0].clients).await;
+        let id = format!("r-{number}");
+        client.write(&request("POST", "/stream/", &id, "", "")).await;
+        let begun = format!("event=begun request={id}");
+        eventually("the stream runs", async || fleet.log().contains(&begun)).await;
+        clients.push((id, client));
+    }
+    for other in &fleet.others {
+        other.signal("-TERM");
+    }
+    tokio::time::sleep(SERVED_AFTER).await;
+    fleet.servers.iter().for_each(Server::release);
+    for (id, mut client) in clients {
+        let answer = client.read().await.expect("an answer");
+        assert!(answer.complete);
+        assert_eq!(answer.text(), events_text(&id, 0));
+    }
+}
+
+/// When the cut ends, requests go over the box's own links again within a second.
+#[tokio::test]
+async fn tunnels_kept_on() {
+    let fleet = CutFleet::start(3, 1, 1, "north").await;
+    fleet.cut(Link::Dropped).await;
+    fleet.set_link(Link::Open);
+    tokio::time::sleep(SERVED_AFTER).await;
+    assert!(fleet.log().contains("cut_off=false"));
+    let before: usize = fleet.links.iter().map(FaultProxy::accepted_count).sum();
+    assert_eq!(fleet.count_served("after", 3).await, 12);
+    let after: usize = fleet.links.iter().map(FaultProxy::accepted_count).sum();
+    assert!(after > before, "new connections are direct");
+}
+
+/// A cut of a moment moves nothing: what runs stays where it is, and goes on.
+#[tokio::test]
+async fn moved_by_moment() {
+    let fleet = CutFleet::start(3, 1, 1, "north").await;
+    fleet.script(&Behavior::HeldEvents(2));
+    let clients = &fleet.cut_boxes[0].clients;
+    let streams = (0..3).map(|number| request_once(clients, "POST", "/resume/", IDS[number]));
+    let moment = async {
+        eventually("the streams run", async || {
+            fleet.servers.iter().all(|server| !server.received().is_empty())
+        })
+        .await;
+        for link in &fleet.links {
+            link.set_link(Link::NewRefused);
+            link.pause_open_connections(MOMENT);
+        }
+        let served = fleet.count_served("moment", 1).await;
+        tokio::time::sleep(MOMENT).await;
+        fleet.set_link(Link::Open);
+        fleet.servers.iter().for_each(Server::release);
+        served
+    };
+    let (answers, served) = tokio::join!(join_all(streams), moment);
+    assert_eq!(served, KINDS.len());
+    for (id, answer) in IDS.iter().zip(answers) {
+        assert_eq!(answer.expect("an answer").text(), events_text(id, 0));
+        assert_eq!(fleet.arrival_count(id), 1);
+    }
+}
