Crashes: what breaks with a box's own links is no crash of an upstream

What callers saw: when a box was cut off by resets, each of its upstreams refused its next connection and counted as crashed. A stream that was resumed on two more kept connections had crashed three upstreams, so that its request was refused by all boxes for an hour.

Cause: a refused connection was taken for the state of the upstream, whoever was refused.

Change: a refusal counts if peers, up to three, are refused as well; a peer that reaches no other upstream does not count as a witness. If no peer can tell, it counts if this box reaches another upstream. The same holds for the end of a close-delimited answer.

gateway_cut: cut_called_crash and end_through_tunnel (close) failed before; crash_behind_cut holds that a box that is cut off still finds real crashes.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -27,8 +27,8 @@
 use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::quarantine;
-
+use crate::gateway::tunnels::TunnelError;
+use crate::gateway::{paths, quarantine, reachability, tunnels};
 use crate::port::{EXIT_TIMEOUT, is_closed};
 use crate::quarantine::{AbortReport, UpdateUrgency};
 use crate::sync::locked;
@@ -179,7 +179,9 @@
             tokio::spawn(record_unless_crashed(gateway.clone(), upstream.clone(), request, closed));
             true
         }
-        Err(error) => error.kind() != ErrorKind::ConnectionRefused,
+        Err(error) => {
+            error.kind() != ErrorKind::ConnectionRefused || !trusts_refusal(gateway, upstream).await
+        }
     }
 }
 
@@ -211,9 +213,26 @@
 }
 
 /// Whether nothing listens at the upstream's address any more.
-async fn has_crashed(gateway: &Gateway, upstream: &Incarnation) -> bool {
+async fn has_crashed(gateway: &Arc<Gateway>, upstream: &Incarnation) -> bool {
     let Some(address) = gateway.state().upstreams.address(&upstream.id) else { return false };
-    is_closed(address).await
+    is_closed(address).await && trusts_refusal(gateway, upstream).await
+}
+
+/// Whether a connection that an upstream refuses shows that it has crashed, and not that the links of
+/// this box are cut: peers are refused as well, or if none can tell, this box reaches others.
+async fn trusts_refusal(gateway: &Arc<Gateway>, upstream: &Incarnation) -> bool {
+    match tunnels::open(gateway, &upstream.id).await {
+        Ok((connection, _)) => {
+            gateway.connections.add_idle(&upstream.id, connection);
+            paths::record_tunnel(gateway, &upstream.id);
+            false
+        }
+        Err(TunnelError::UpstreamRefused) => true,
+        Err(TunnelError::UpstreamUnreachable | TunnelError::NoPeer) => {
+            let reaches_others = reachability::reaches_control(gateway, Some(&upstream.id)).await;
+            reaches_others.unwrap_or_else(|| !gateway.state().reach.is_cut_off())
+        }
+    }
 }
 
 fn join_fingerprints(requests: &[Fingerprint]) -> String {
--- a/tests/gateway_cut.rs
+++ b/tests/gateway_cut.rs
@@ -9,7 +9,7 @@
 use common::wait_ready;
 use coursestile_standins::site::client::{Client, request, request_once};
 use coursestile_standins::site::fault_proxy::{FaultProxy, Link};
-use coursestile_standins::site::server::{Behavior, Server, events_text};
+use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server, events_text};
 use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
 use futures_util::future::join_all;
 use rstest::rstest;
@@ -174,6 +174,20 @@
     }
 }
 
+/// A tunnel keeps the difference between a close and a reset.
+#[rstest]
+#[case(ConnectionEnd::Close, true)]
+#[case(ConnectionEnd::Reset, false)]
+#[tokio::test]
+async fn end_through_tunnel(#[case] end: ConnectionEnd, #[case] complete: bool) {
+    let fleet = CutFleet::start(2, 1, 1, "north").await;
+    fleet.cut(Link::Refused).await;
+    fleet.script(&Behavior::CloseDelimited(Sent::Events(2), end));
+    let clients = &fleet.cut_boxes[0].clients;
+    let answer = request_once(clients, "POST", "/stream/", "r-1").await.unwrap();
+    assert_eq!((answer.status(), answer.complete), (200, complete));
+}
+
 /// A request whose client leaves ends at its upstream, also through a tunnel.
 #[tokio::test]
 async fn client_leaves() {
@@ -260,3 +274,45 @@
         assert_eq!(fleet.arrival_count(id), 1);
     }
 }
+
+/// What breaks with a box's links is no crash of an upstream: each request was quarantined that broke
+/// off at three.
+#[tokio::test]
+async fn cut_called_crash() {
+    let fleet = CutFleet::start(6, 1, 2, "north").await;
+    fleet.script(&Behavior::HeldEvents(2));
+    let clients = &fleet.cut_boxes[0].clients;
+    let streams = (0..6).map(|number| request_once(clients, "POST", "/resume/", IDS[number]));
+    let cut = async {
+        eventually("the streams run", async || {
+            fleet.servers.iter().all(|server| !server.received().is_empty())
+        })
+        .await;
+        fleet.set_link(Link::Refused);
+    };
+    let (answers, ()) = tokio::join!(join_all(streams), cut);
+    for (id, answer) in IDS.iter().zip(answers) {
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.complete, answer.text()), (true, events_text(id, 0)));
+    }
+    for gateway in fleet.cut_boxes.iter().chain(&fleet.others) {
+        let log = gateway.log_text();
+        assert!(!log.contains("crashed=true") && !log.contains("request_quarantined"));
+    }
+}
+
+/// A box that is cut off still finds out that a request crashes upstreams.
+#[tokio::test]
+async fn crash_behind_cut() {
+    let fleet = CutFleet::start(8, 1, 2, "north").await;
+    fleet.cut(Link::Refused).await;
+    for server in &fleet.servers {
+        server.crash_on("deadly");
+    }
+    for number in 0..10 {
+        let bytes = request("POST", "/safe/", &format!("r-{number}"), "", "deadly");
+        Client::connect(&fleet.cut_boxes[0].clients).await.send(&bytes).await;
+    }
+    let crashed = fleet.servers.iter().filter(|server| server.has_crashed()).count();
+    assert_eq!(crashed, 3);
+}
