Silence: a sound upstream that is silent for a second keeps its requests

What callers saw: an upstream that sent nothing to anybody for 0.8 s lost all its requests that may be repeated, and its resumable streams, to others; with three upstreams that were each silent for 1.1 s, a request was sent to all three.

Change: after 0.8 s it gets no new requests and is probed, as before; what it runs is taken away after 1.2 s, or at once if it cannot be reached either. Silence to this box alone counts after 1.6 s, as before.

gateway_silence::sound_silence_repeated (a request, a stream) failed before, with three arrivals for one; dead_upstream_holds and repeat_on_new hold the other side (1.4 s), and passed before.

--- a/src/gateway/decisions/upstream/health.rs
+++ b/src/gateway/decisions/upstream/health.rs
@@ -5,6 +5,9 @@
 /// Time without any bytes after which an upstream with requests in progress gets no more of them;
 /// well above the longest step of a loaded engine.
 pub const SILENT_MS: u64 = 800;
+/// Time without any bytes after which requests that may be repeated are taken away from an upstream:
+/// a sound one may be silent for a second.
+const ABANDON_MS: u64 = 1200;
 /// Time without any bytes at this box after which an upstream gets no more requests from it
 /// although other boxes receive bytes, since the network path may be cut. It is below the 1.8 s
 /// after which the operating system closes a connection.
@@ -82,9 +85,22 @@
     /// limit is higher if other boxes receive bytes, since it is then busy rather than dead.
     #[must_use]
     pub fn silent_since_ms(&self, now_ms: u64) -> Option<u64> {
+        self.silent_for_ms(now_ms, SILENT_MS)
+    }
+
+    /// Whether requests in progress there are to be repeated elsewhere, if they may be.
+    #[must_use]
+    pub fn is_abandoned(&self, now_ms: u64) -> bool {
+        let is_silent = self.silent_since_ms(now_ms).is_some();
+        is_silent && self.is_known_unreachable() || self.silent_for_ms(now_ms, ABANDON_MS).is_some()
+    }
+
+    /// Since when it has had requests in progress and sent nothing, if it has been silent to all boxes
+    /// for longer than `limit_ms`, or to this one for much longer.
+    fn silent_for_ms(&self, now_ms: u64, limit_ms: u64) -> Option<u64> {
         let since_ms = self.awaiting_answer_since_ms?.max(self.last_receive_ms);
         let exceeds = |since_ms: u64, limit_ms: u64| now_ms.saturating_sub(since_ms) > limit_ms;
-        let silent_to_all = exceeds(since_ms.max(self.peers_last_receive_ms), SILENT_MS);
+        let silent_to_all = exceeds(since_ms.max(self.peers_last_receive_ms), limit_ms);
         (silent_to_all || exceeds(since_ms, SILENT_TO_THIS_BOX_MS)).then_some(since_ms)
     }
 
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -209,12 +209,11 @@
         }
     }
 
-    /// Whether the upstream owes responses and has sent nothing for too long. If so, all idle
-    /// connections are closed, since others may be silent too and the next attempt would use one
-    /// of them.
+    /// Whether the upstream owes responses and has sent nothing for so long that they are awaited no
+    /// more.
     #[must_use]
-    pub fn is_silent(&self) -> bool {
-        silence::is_silent(&self.gateway, &self.upstream)
+    pub fn is_abandoned(&self) -> bool {
+        silence::is_abandoned(&self.gateway, &self.upstream)
     }
 
     /// Records that the upstream rejected the request at once. If it did so after queuing the
--- a/src/gateway/relay/moves.rs
+++ b/src/gateway/relay/moves.rs
@@ -125,7 +125,7 @@
     let Some(may_move_at) = may_move_at else { return pending().await };
     sleep_until(may_move_at).await;
     loop {
-        if in_flight.is_lost() || in_flight.is_silent() {
+        if in_flight.is_lost() || in_flight.is_abandoned() {
             return ReadOutcome::Silent;
         }
         if has_event && in_flight.is_loading() {
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -23,22 +23,23 @@
 /// counts.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Whether an upstream owes responses and has sent nothing for too long. An upstream without an
-/// entry in the metadata store never counts as silent: it may go on serving for seconds, and its
-/// requests are not cut. If the upstream is silent, all idle connections are closed, since the
-/// next attempt might use another silent one.
+/// Whether an upstream owes responses and has sent nothing for so long that they are awaited no more.
+/// An upstream without an entry in the metadata store never counts as silent: it may go on serving
+/// for seconds, and its requests are not cut. Once an upstream is silent, all idle connections are
+/// closed, since the next attempt might use another silent one.
 #[must_use]
-pub fn is_silent(gateway: &Gateway, upstream: &Incarnation) -> bool {
-    let state = gateway.state();
-    let since_ms = state
-        .upstreams
-        .get_incarnation(upstream)
-        .and_then(|upstream| upstream.silent_since_ms(now_ms()));
-    drop(state);
+pub fn is_abandoned(gateway: &Gateway, upstream: &Incarnation) -> bool {
+    let now_ms = now_ms();
+    let (since_ms, is_abandoned) = {
+        let state = gateway.state();
+        let Some(upstream) = state.upstreams.get_incarnation(upstream) else { return false };
+        (upstream.silent_since_ms(now_ms), upstream.is_abandoned(now_ms))
+    };
     if let Some(since_ms) = since_ms {
         gateway.connections.close_all_idle(since_ms);
+        gateway.probe_now.notify_one();
     }
-    since_ms.is_some()
+    is_abandoned
 }
 
 /// Waits until the upstream of a request is silent and another one can take the request; takes a
@@ -53,7 +54,7 @@
     }
     loop {
         sleep(CHECK_PERIOD).await;
-        if !is_silent(gateway, &current.upstream) {
+        if !is_abandoned(gateway, &current.upstream) {
             continue;
         }
         if let Some(choice) = find_alternative(gateway, request, &current.upstream) {
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -79,6 +79,8 @@
     /// Sends up to this many events; breaks off within the next if that is not the last of
     /// the stream.
     Events(u32),
+    /// Sends this many events, and the others after this time.
+    PausedEvents(u32, Duration),
     /// Answers after the test calls `release`.
     Held,
     /// Sends this many events, and the others after the test calls `release`; sends nothing
@@ -427,6 +429,13 @@
         Behavior::NonUtf8Events(count) => {
             return stream_events(write, request, *count, b"\xff\xfe").await;
         }
+        Behavior::PausedEvents(count, time) => {
+            write_head(write, request).await?;
+            write_events(write, request, 1..=*count, b"piece").await?;
+            tokio::time::sleep(*time).await;
+            write_events(write, request, count + 1..=EVENTS, b"piece").await?;
+            return write.write_all(b"0\r\n\r\n").await.ok();
+        }
         Behavior::HeldEvents(count) if last_event(request) == 0 => {
             write_head(write, request).await?;
             write_events(write, request, 1..=*count, b"piece").await?;
--- a/tests/gateway_silence.rs
+++ b/tests/gateway_silence.rs
@@ -15,15 +15,19 @@
 use coursestile::gateway::gossip::Datagram;
 use coursestile::names::short_id;
 use coursestile_standins::site::client::{Client, request};
-use coursestile_standins::site::fault_proxy::FaultProxy;
-use coursestile_standins::site::server::{Server, WORK_HEADER};
+use coursestile_standins::site::fault_proxy::{FaultProxy, Link};
+use coursestile_standins::site::server::{Behavior, Server, WORK_HEADER};
 use coursestile_standins::site::{config_document, eventually, service_entry};
 use futures_util::future::join_all;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+/// Time for which a sound upstream is silent at times.
+const SILENT_SECOND: Duration = Duration::from_millis(1100);
+
 /// A proxy whose open connections are silenced passes no data on them, leaves probes unanswered,
 /// and accepts new connections.
 #[tokio::test]
@@ -153,6 +157,40 @@
     assert!(since.elapsed() < Duration::from_millis(1400), "{:?}", since.elapsed());
 }
 
+/// A sound upstream that was silent for a second lost its requests and streams to another one.
+#[rstest]
+#[case("/safe/", Behavior::DelayedAnswer(SILENT_SECOND))]
+#[case("/resume/", Behavior::PausedEvents(2, SILENT_SECOND))]
+#[tokio::test]
+async fn sound_silence_repeated(#[case] path: &str, #[case] behavior: Behavior) {
+    let fixture = start_fixture(3).await;
+    for server in &fixture.servers {
+        server.script(std::slice::from_ref(&behavior));
+    }
+    let answer = fixture.send("GET", path, "r-1").await;
+    assert_eq!((answer.status(), answer.complete), (200, true));
+    assert_eq!(fixture.arrival_count("r-1"), 1);
+}
+
+/// A dead upstream holds no request that may be repeated for long.
+#[tokio::test]
+async fn dead_upstream_holds() {
+    let proxied = ProxiedScene::start(2).await;
+    proxied.open_idle_connections().await;
+    proxied.fixture.servers[0].script(&[Behavior::Held]);
+    proxied.fixture.servers[1].script(&[Behavior::Held]);
+    let dead = async {
+        eventually("the request runs", async || proxied.fixture.arrival_count("r-1") == 1).await;
+        let ran = proxied.fixture.servers.iter().position(|server| server.count("r-1") == 1);
+        proxied.proxies[ran.unwrap()].set_link(Link::Dropped);
+        proxied.fixture.servers[1 - ran.unwrap()].clear_script();
+        Instant::now()
+    };
+    let (status, since) = tokio::join!(proxied.send("GET", "/safe/", "r-1", "0"), dead);
+    assert_eq!(status, 200);
+    assert!(since.elapsed() < Duration::from_millis(1400), "{:?}", since.elapsed());
+}
+
 /// No request was running when the connections went silent: the box must notice it by probes within
 /// two seconds, and send later requests on new connections.
 #[tokio::test]
