--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -33,12 +33,13 @@
 /// Connect timeout: many round trips, but less than the second after which a lost SYN is
 /// retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// A connection fails when sent bytes stay unacknowledged for this long.
+/// A connection fails when sent bytes stay unacknowledged for this long, or when nothing has arrived
+/// for so long while a keepalive probe is unanswered.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Interval between TCP keepalive probes on an idle connection, in seconds.
 const KEEPALIVE_PERIOD_S: u64 = 1;
-/// Unanswered probes after which a connection fails, on systems where [`SILENCE_TIMEOUT`] does not
-/// cover probes: their default count would tolerate ten seconds of silence.
+/// Unanswered probes after which a connection fails where [`SILENCE_TIMEOUT`] does not decide that, as
+/// it does on Linux whatever their count: the default count would tolerate ten seconds of silence.
 const KEEPALIVE_PROBES: u32 = 2;
 /// Longest idle time of a connection; the upstream may announce a shorter one.
 const MAX_IDLE_MS: u64 = 3000;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -18,14 +18,15 @@
 
 /// Maximum time to establish a connection: many round trips of a few ms each.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which unacknowledged data ends a connection: enough for some retransmissions.
+/// Time after which unacknowledged data ends a connection, or silence while a probe is unanswered:
+/// enough for some retransmissions.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval between probes of an idle connection: an interrupted connection is noticed within
 /// this time plus [`UNACKNOWLEDGED_TIMEOUT`].
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 
-/// Number of unanswered probes that end an idle connection; each takes another
-/// [`KEEPALIVE_PERIOD`].
+/// Unanswered probes that end a connection where [`UNACKNOWLEDGED_TIMEOUT`] does not decide that, as
+/// it does on Linux whatever their count.
 const KEEPALIVE_PROBES: u32 = 1;
 
 /// Which servers a client calls.
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -21,9 +21,11 @@
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time after which TCP sends a keep-alive probe, and time between probes.
 pub const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
-/// Unanswered keep-alive probes after which a connection is closed.
+/// Unanswered keep-alive probes after which a connection is closed where
+/// [`UNACKNOWLEDGED_TIMEOUT`] does not decide that, as it does on Linux whatever their count.
 pub const KEEPALIVE_RETRIES: u32 = 2;
-/// Time for which sent data may stay unacknowledged before the connection is closed.
+/// Time for which sent data may stay unacknowledged before the connection is closed, or the other
+/// end silent while a probe is unanswered.
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Pool of connections to one external system.
