Brittle upstreams get no more requests than they may reject

Change: the word is read from each answer, holds for the service, and is told to the other boxes. The number is divided among the boxes as that for cold upstreams is, and a request counts as rejected until it has been kept for 100 ms; so all parts together stay below the number, however late boxes hear of each other. No request goes to an upstream without a free slot, or that has just rejected one. A box without a part sends one request at a time to an upstream that is half empty.

gateway_brittle::fell_over (three and six boxes, calls that run once) failed before and now stays within the rule's two falls, with half or more of what the upstreams can do.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -189,6 +189,7 @@
         allowed_halls: AllowedHalls::ALL,
         tried: &[],
         max_requests_per_upstream: 100,
+        brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 1,
             objective_ms: 500,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -233,6 +233,9 @@
     if !response_head.notice.is_empty() {
         in_flight.apply_notice(response_head.notice);
     }
+    if let Some(max_rejections) = response_head.max_rejections {
+        in_flight.record_brittleness(max_rejections);
+    }
     let is_own = response_head.request_id.as_deref() == Some(outgoing.request_id.as_str());
     if response_head.not_run && (is_own || response_head.request_id.is_none()) {
         let cause = not_run_cause(parts.status, &response_head, &in_flight.upstream.id);
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -114,6 +114,7 @@
         || upstream.own_load.requests >= demand.max_requests_per_upstream
         || upstream.is_loading(now_ms)
         || !upstream.cold.may_send(now_ms)
+        || demand.brittle.is_some_and(|limit| !limit.may_send(now_ms, upstream))
     {
         return false;
     }
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -1,6 +1,7 @@
 //! The requirements of a request for its upstream.
 
 use crate::gateway::decisions::admission::AdmissionCriteria;
+use crate::gateway::decisions::brittle::BrittleLimit;
 use crate::gateway::decisions::candidates::Candidates;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
@@ -42,6 +43,8 @@
     pub tried: &'a [Incarnation],
     /// Maximum number of requests from this box to one upstream.
     pub max_requests_per_upstream: u32,
+    /// Limit for upstreams of the service that are brittle; `None` if they are not.
+    pub brittle: Option<BrittleLimit<'a>>,
     /// Decides whether an engine has capacity for the request.
     pub admission: AdmissionCriteria,
     /// Time by which the latency objective requires the first token.
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -58,6 +58,9 @@
     /// Upstreams to which the sender sends no requests for a while because they rejected its
     /// requests: short id of the upstream and remaining time in milliseconds.
     pub backoffs: Vec<(u32, u16)>,
+    /// Services whose upstreams are brittle by answers to the sender: short id of the service, and
+    /// requests that each upstream may reject within a second.
+    pub brittle_services: Vec<(u32, u64)>,
     /// The upstreams' clock at the time of sending, if the sender knows it.
     pub upstream_clock_ms: Option<u64>,
     /// Weight versions that engines have loaded: engine, model, version.
@@ -91,6 +94,7 @@
             tunnels: self.tunnels,
             missed_upstreams: self.missed_upstreams,
             limits: self.limits.clone(),
+            brittle_services: self.brittle_services.clone(),
             crashes: self.crashes.clone(),
             answers: self.answers.clone(),
             ..Self::default()
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -10,7 +10,7 @@
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
-//! - Load on upstreams that have just started: `cold_start`.
+//! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
 //! - State received from the metadata store and from other boxes: `view`, `peers`, `configuration`,
@@ -19,6 +19,7 @@
 //! - Shared constants and conversions: `units`.
 
 pub mod admission;
+pub mod brittle;
 pub mod budget;
 pub mod cache_contents;
 pub mod cache_reports;
--- a/src/gateway/decisions/upstream/health.rs
+++ b/src/gateway/decisions/upstream/health.rs
@@ -42,6 +42,7 @@
     /// Records that it rejected a request. As it looks idle, it would otherwise be chosen again and
     /// again.
     pub fn record_rejection(&mut self, now_ms: u64) {
+        self.rejections.record_rejected(now_ms);
         let backoff_ms =
             FIRST_REJECTION_BACKOFF_MS << self.consecutive_rejections.min(u32::BITS / 2);
         self.rejecting_until_ms = now_ms + backoff_ms.min(MAX_REJECTION_BACKOFF_MS);
@@ -50,6 +51,7 @@
 
     /// Records that it accepted a request.
     pub fn record_acceptance(&mut self) {
+        self.rejections.record_accepted();
         self.rejecting_until_ms = 0;
         self.consecutive_rejections = 0;
     }
@@ -67,6 +69,12 @@
         self.peer_backoff_until_ms = until_ms.max(self.peer_backoff_until_ms);
     }
 
+    /// Whether it has rejected requests of any box lately, or asked for a back-off.
+    #[must_use]
+    pub fn is_rejecting(&self, now_ms: u64) -> bool {
+        self.backoff_until_ms(now_ms).is_some() || now_ms < self.peer_backoff_until_ms
+    }
+
     /// Whether it failed, sent nothing for too long, or rejected requests recently.
     #[must_use]
     pub fn is_unhealthy(&self, now_ms: u64) -> bool {
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -12,6 +12,7 @@
 pub use health::SILENT_MS;
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::brittle::RecentRejections;
 use crate::gateway::decisions::cache_contents::CacheContents;
 use crate::gateway::decisions::cold_start::ColdState;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_incarnation};
@@ -95,6 +96,8 @@
     pub contents: CacheContents,
     /// Whether it has just started, and what this box has sent to it since.
     pub cold: ColdState,
+    /// Requests of this box that it has rejected, or may reject.
+    pub rejections: RecentRejections,
     /// Start of its incarnation according to the newest report.
     started_at_ms: Option<u64>,
     /// When this box learned of that incarnation.
@@ -136,6 +139,7 @@
             peer_load: Load::default(),
             contents: CacheContents::default(),
             cold,
+            rejections: RecentRejections::default(),
             observed_versions: HashMap::new(),
             avoid_until_ms: 0,
             avoid_ms: FIRST_AVOID_MS,
@@ -307,6 +311,7 @@
     pub fn record_sent(&mut self, now_ms: u64, pending_prefill_tokens: u32, memory_tokens: u32) {
         self.own_load.requests += 1;
         self.cold.record_sent(now_ms);
+        self.rejections.record_sent(now_ms);
         self.own_load.pending_prefill_tokens += pending_prefill_tokens;
         self.own_load.memory_tokens += memory_tokens;
         self.awaiting_answer_since_ms.get_or_insert(now_ms);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -212,6 +212,11 @@
         superseded: superseded(state),
         leaving: leaving(state),
         backoffs: backoffs(state, now_ms),
+        brittle_services: state
+            .brittle
+            .reports(now_ms)
+            .map(|(service, max_rejections)| (short_id(service), max_rejections))
+            .collect(),
         upstream_clock_ms: state
             .upstream_clock_offset_ms
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
@@ -372,6 +377,7 @@
     supersede(&mut state, &gossip.superseded);
     apply_leaving(&mut state, &gossip.leaving);
     apply_backoffs(&mut state, now_ms, &gossip.backoffs);
+    apply_brittle_services(&mut state, now_ms, &gossip.brittle_services);
     apply_slowdowns(&mut state, now_ms, &gossip.slowdowns);
     let (crashes, answers) = (&gossip.crashes, &gossip.answers);
     quarantine::merge_peer_reports(gateway, &mut state, now_ms, crashes, answers);
@@ -432,6 +438,17 @@
     }
 }
 
+/// Takes over which services are brittle.
+fn apply_brittle_services(state: &mut State, now_ms: u64, services: &[(u32, u64)]) {
+    let Some(configuration) = state.configuration.clone() else { return };
+    for (reported, max_rejections) in services {
+        let service = configuration.services.keys().find(|name| short_id(name) == *reported);
+        if let Some(service) = service {
+            state.brittle.record_report(now_ms, service, *max_rejections);
+        }
+    }
+}
+
 /// Takes over how fast fetches of a peer were. A box of a small fleet fetches often enough itself.
 fn apply_slowdowns(state: &mut State, now_ms: u64, slowdowns: &[SlowdownReport]) {
     if state.small_fleet {
--- a/src/gateway/heads.rs
+++ b/src/gateway/heads.rs
@@ -44,6 +44,8 @@
     pub framing: Framing,
     /// Whether the upstream is about to leave, or asks for a back-off.
     pub notice: Notice,
+    /// Requests that the upstream may reject within a second, if it is brittle.
+    pub max_rejections: Option<u64>,
 }
 
 /// What the gateway adds to the client's headers when it forwards a request.
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -17,7 +17,7 @@
 use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::notice::{Notice, NoticeState};
 use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
-use crate::gateway::kernel::Gateway;
+use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::silence;
 
 /// An upstream that rejects a request within this time did not queue it. It is a few round trips.
@@ -61,10 +61,12 @@
         });
         let begun_at_ms = now_ms();
         let mut state = gateway.state();
-        let is_urgent =
+        let mut is_urgent =
             pending_prefill_tokens >= LONG_PROMPT_TOKENS && state.peers.news_pace() == Pace::Prompt;
-        if let Some(upstream) = state.upstreams.get_incarnation_mut(&choice.upstream) {
+        let State { upstreams, brittle, .. } = &mut *state;
+        if let Some(upstream) = upstreams.get_incarnation_mut(&choice.upstream) {
             upstream.record_sent(begun_at_ms, pending_prefill_tokens, choice.memory_tokens);
+            is_urgent |= brittle.max_rejections(begun_at_ms, &upstream.entry.service).is_some();
         }
         let mut fetches = Vec::new();
         for (name, tokens) in planned_fetches {
@@ -236,6 +238,18 @@
         }
     }
 
+    /// Records that the upstream, and thus its service, is brittle.
+    pub fn record_brittleness(&self, max_rejections: u64) {
+        let mut state = self.gateway.state();
+        let Some(upstream) = state.upstreams.get_incarnation(&self.upstream) else { return };
+        let service = upstream.entry.service.clone();
+        if state.brittle.record_answer(now_ms(), &service, max_rejections) {
+            info!(target: "serve",
+                "event=service_brittle service={service} max_rejections={max_rejections}");
+            self.gateway.gossip_now.notify_one();
+        }
+    }
+
     /// Applies a notice of the upstream, and gossips it.
     pub fn apply_notice(&self, notice: Notice) {
         let now_ms = now_ms();
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -16,6 +16,7 @@
 use crate::gateway::claims::ClaimRecord;
 use crate::gateway::connections::{Connections, Path};
 use crate::gateway::decisions::admission::AdmissionLimits;
+use crate::gateway::decisions::brittle::BrittleServices;
 use crate::gateway::decisions::budget::{self, RetryBudget};
 use crate::gateway::decisions::claims::LeaderTerms;
 use crate::gateway::decisions::configuration::Configuration;
@@ -68,6 +69,8 @@
     pub quarantine: Quarantine,
     /// Whether this box is cut off from all upstreams.
     pub reach: Reach,
+    /// Services whose upstreams are brittle.
+    pub brittle: BrittleServices,
     /// The other boxes of the fleet.
     pub peers: Peers,
     /// Whether this box follows the metadata store itself instead of receiving changes from
@@ -287,6 +290,7 @@
             retry_budget: RetryBudget::new(retry_config, now_ms()),
             quarantine: Quarantine::default(),
             reach: Reach::default(),
+            brittle: BrittleServices::default(),
             peers: Peers::new(local_box(&settings), &settings.seeds),
             follows_metadata: true,
             follows_caches: true,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,6 +13,7 @@
 use crate::gateway::attempt::{AttemptOutcome, BodyStart, NotRunCause, UpstreamResponse, attempt};
 use crate::gateway::check::{AdmittedRequest, validate};
 use crate::gateway::decisions::admission::{AdmissionCriteria, Occupancy};
+use crate::gateway::decisions::brittle::BrittleLimit;
 use crate::gateway::decisions::candidates::Candidates;
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::configuration::RetryPolicy;
@@ -45,8 +46,8 @@
 const MAX_UNDELIVERED: u32 = 4;
 /// No retry is made with less time than this before the deadline; it is a few round trips.
 const MIN_RETRY_TIME_MS: u64 = 20;
-/// How often a request that waits for an upstream looks again at cold ones.
-const COLD_RECHECK_PERIOD: Duration = Duration::from_millis(50);
+/// How often a request that waits for an upstream looks again at cold and at brittle ones.
+const RECHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Pause before an attempt that follows one without a response.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -400,16 +401,22 @@
         if none_available_until(gateway, request, until) {
             return None;
         }
-        // Nothing wakes the request when a cold upstream may get the next one.
-        let is_any_cold = gateway.state().upstreams.is_any_cold(now_ms(), &request.service);
-        let recheck_at = Instant::now() + COLD_RECHECK_PERIOD;
-        let wake_at = if is_any_cold { until.min(recheck_at) } else { until };
+        let recheck_at = Instant::now() + RECHECK_PERIOD;
+        let wake_at = if needs_recheck(gateway, request) { until.min(recheck_at) } else { until };
         if timeout_at(wake_at, woken).await.is_err() && Instant::now() >= until {
             return choose_upstream(&mut gateway.state(), gateway, request);
         }
     }
 }
 
+/// Whether an upstream may get a request without anything that would wake one that waits: a cold or
+/// a brittle one.
+fn needs_recheck(gateway: &Gateway, request: &AdmittedRequest) -> bool {
+    let (state, now_ms) = (gateway.state(), now_ms());
+    state.upstreams.is_any_cold(now_ms, &request.service)
+        || state.brittle.max_rejections(now_ms, &request.service).is_some()
+}
+
 /// Whether it is known that no upstream can take the request until `until`: all untried ones have
 /// asked for back-offs that end later, or operators evacuate all halls of the service.
 fn none_available_until(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
@@ -461,6 +468,10 @@
         },
         tried: &request.tried,
         max_requests_per_upstream: (service.max_connections / (boxes + 1)).max(MIN_CONNECTIONS),
+        brittle: state.brittle.max_rejections(now_ms, &request.service).map(|max_rejections| {
+            let halls = gateway.settings.regions.len().max(state.upstreams.hall_count());
+            BrittleLimit { max_rejections, halls, peers: &state.peers }
+        }),
         admission: AdmissionCriteria {
             higher_priority_ranks: configuration
                 .higher_priority_ranks(&request.service, request.route.priority),
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -128,6 +128,7 @@
         ran_version: text(head, &headers::RAN_VERSION).and_then(|version| version.parse().ok()),
         encoded: head.contains_key(header::CONTENT_ENCODING),
         framing: framing(head),
+        max_rejections: text(head, &headers::BRITTLE).and_then(|text| text.trim().parse().ok()),
         notice: Notice { leaving: is_leaving(head), backoff_ms: backoff_ms(status, head) },
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,6 +18,8 @@
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
 /// Set by an upstream that is about to leave.
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Set by an upstream that falls over when it rejects more requests than this within a second.
+pub const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 /// Model to which a prompt is addressed.
 pub const MODEL: HeaderName = HeaderName::from_static("x-model");
 /// Lengths of a prompt and of its answer, in tokens.
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -41,6 +41,9 @@
     Crash,
 }
 
+/// Time within which rejections count together.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
+
 /// What an upstream does with a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behavior {
@@ -88,6 +91,17 @@
     HeldEvents(u32),
 }
 
+/// How many requests an upstream takes, and how many it may reject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Brittleness {
+    /// Requests that it works on or lets wait.
+    pub capacity: usize,
+    /// Requests that it may reject within a second; it says so in all its answers.
+    pub max_rejections: usize,
+    /// Whether it crashes when it has rejected more.
+    pub crashes: bool,
+}
+
 /// A request that arrived, and how it was handled.
 #[derive(Clone, Debug)]
 pub struct HandledRequest {
@@ -118,6 +132,13 @@
     abandoned: Vec<String>,
     script: VecDeque<Behavior>,
     released: bool,
+    brittleness: Option<Brittleness>,
+    /// Requests that it works on.
+    running: usize,
+    /// When it rejected requests for want of room.
+    rejected_at: VecDeque<Instant>,
+    /// How often it has rejected more requests than it may.
+    falls: usize,
     /// Request body that makes the upstream crash.
     crash_body: Option<Vec<u8>>,
     crashed: watch::Sender<bool>,
@@ -199,6 +220,17 @@
         self.state().crash_body = Some(body.as_bytes().to_vec());
     }
 
+    /// Limits the requests that it takes and may reject.
+    pub fn set_brittle(&self, brittleness: Brittleness) {
+        self.state().brittleness = Some(brittleness);
+    }
+
+    /// How often it has rejected more requests within a second than it may.
+    #[must_use]
+    pub fn falls(&self) -> usize {
+        self.state().falls
+    }
+
     /// Keeps the port open for a while after a crash, without accepting connections.
     pub fn close_port_after(&self, delay: Duration) {
         self.state().port_closes_after = delay;
@@ -262,6 +294,16 @@
             crash(&shared).await;
             return;
         }
+        let Some(_running) = Running::begin(&shared) else {
+            let answer = rejection(&shared, &request);
+            if write.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+            if falls_for_good(&shared) {
+                crash(&shared).await;
+            }
+            continue;
+        };
         let answered = tokio::select! {
             answered = answer(&mut write, &request, &behavior, &shared) => answered,
             () = reader.wait_for_end() => {
@@ -279,6 +321,52 @@
     }
 }
 
+/// A request that the upstream works on.
+struct Running(Shared);
+
+impl Running {
+    /// Begins a request if there is room for it.
+    fn begin(shared: &Shared) -> Option<Self> {
+        let mut state = shared.lock().expect("no task panics under the lock");
+        if state.brittleness.is_some_and(|limits| state.running >= limits.capacity) {
+            return None;
+        }
+        state.running += 1;
+        drop(state);
+        Some(Self(shared.clone()))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.lock().expect("no task panics under the lock").running -= 1;
+    }
+}
+
+/// Whether it has rejected more requests than it may, and crashes then.
+fn falls_for_good(shared: &Shared) -> bool {
+    let state = shared.lock().expect("no task panics under the lock");
+    state.falls > 0 && state.brittleness.is_some_and(|limits| limits.crashes)
+}
+
+/// Records a rejection for want of room; returns the answer.
+fn rejection(shared: &Shared, request: &Message) -> String {
+    let mut state = shared.lock().expect("no task panics under the lock");
+    let now = Instant::now();
+    state.rejected_at.retain(|at| now < *at + REJECTION_WINDOW);
+    state.rejected_at.push_back(now);
+    let max_rejections = state.brittleness.map_or(0, |limits| limits.max_rejections);
+    if state.rejected_at.len() > max_rejections {
+        state.falls += 1;
+        state.rejected_at.clear();
+    }
+    let id = request.header("x-request-id").unwrap_or("-");
+    format!(
+        "HTTP/1.1 503 X\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\n\
+         Server-Brittle: {max_rejections}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// Records a request and takes the behavior for it from the script.
 fn record(state: &mut State, request: &Message) -> Behavior {
     let usual = if is_stream(request) { Behavior::Events(EVENTS) } else { Behavior::Answer };
@@ -376,8 +464,12 @@
     } else {
         format!("answer to {id}: {}", String::from_utf8_lossy(&request.body))
     };
+    let brittleness = shared.lock().expect("no task panics under the lock").brittleness;
+    let brittle = brittleness.map_or_else(String::new, |limits| {
+        format!("Server-Brittle: {}\r\n", limits.max_rejections)
+    });
     let head = |status: u16, id: &str, extra: &str| {
-        format!("HTTP/1.1 {status} X\r\nX-Request-Id: {id}\r\n{extra}")
+        format!("HTTP/1.1 {status} X\r\nX-Request-Id: {id}\r\n{brittle}{extra}")
     };
     let sealed = format!("X-Server-Seal: seal-{id}\r\nContent-Length: {}\r\n\r\n", body.len());
     let whole = format!("{}{body}", head(200, id, &sealed));
--- /dev/null
+++ b/tests/gateway_brittle.rs
@@ -0,0 +1,108 @@
+//! Upstreams that say that they are brittle: each falls over when it has to reject more than a number
+//! of requests within a second, whichever boxes they come from.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::time::Duration;
+
+use common::wait_ready;
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::server::{Brittleness, Server};
+use coursestile_standins::site::{Gateway, Site, config_document, service_entry};
+use futures_util::future::join_all;
+use rstest::rstest;
+
+/// Requests that each upstream takes: fewer than its entry says, since it lets none wait.
+const CAPACITY: usize = 4;
+const UPSTREAMS: usize = 3;
+/// Requests that an upstream may reject within a second.
+const MAX_REJECTIONS: usize = 4;
+/// Falls that are allowed: two and a tenth of the upstreams.
+const MAX_FALLS: usize = 2 + UPSTREAMS / 10;
+/// Time in which boxes hear from each other.
+const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
+/// Time between the waves of a burst.
+const WAVE_PERIOD: Duration = Duration::from_millis(100);
+const WAVES: usize = 20;
+
+/// Boxes in front of brittle upstreams.
+struct BrittleFleet {
+    /// Keeps the platform running while the boxes run.
+    _site: Site,
+    gateways: Vec<Gateway>,
+    servers: Vec<Server>,
+}
+
+impl BrittleFleet {
+    async fn start(boxes: usize) -> Self {
+        let mut site = Site::start().await;
+        let mut servers = Vec::new();
+        for number in 0..UPSTREAMS {
+            let server = Server::start(&format!("s-{number}")).await;
+            let mut entry = service_entry("plain", &server.address, "ready");
+            entry["slots"] = CAPACITY.into();
+            site.register(&server.id, &entry);
+            server.set_brittle(Brittleness {
+                capacity: CAPACITY,
+                max_rejections: MAX_REJECTIONS,
+                crashes: false,
+            });
+            servers.push(server);
+        }
+        site.configure(&config_document(7));
+        let first = site.gateway("north", &[]);
+        let others = (1..boxes).map(|_| site.gateway("north", &[&first])).collect::<Vec<_>>();
+        let gateways: Vec<Gateway> = others.into_iter().chain([first]).collect();
+        for gateway in &gateways {
+            wait_ready(gateway).await;
+        }
+        tokio::time::sleep(ACQUAINTANCE_TIME).await;
+        Self { _site: site, gateways, servers }
+    }
+
+    /// Sends requests to each box at once; returns how many are served.
+    async fn send_wave(&self, path: &str, wave: usize, per_box: usize) -> usize {
+        let requests = self.gateways.iter().enumerate().flat_map(|(number, gateway)| {
+            (0..per_box).map(move |place| async move {
+                let id = format!("r-{wave}-{number}-{place}");
+                let bytes = request("POST", path, &id, "X-Work-Ms: 60\r\n", "");
+                Client::connect(&gateway.clients).await.send(&bytes).await
+            })
+        });
+        let answers = join_all(requests).await;
+        answers.into_iter().flatten().filter(|answer| answer.status() == 200).count()
+    }
+
+    fn falls(&self) -> usize {
+        self.servers.iter().map(Server::falls).sum()
+    }
+}
+
+/// All boxes together sent brittle upstreams more than they could take, and each fell over again and
+/// again.
+#[rstest]
+#[case::few_boxes("/safe/", 3, 12)]
+#[case::once("/once/", 3, 12)]
+#[case::more_boxes_than_rejections("/safe/", 6, 6)]
+#[tokio::test]
+async fn fell_over(#[case] path: &str, #[case] boxes: usize, #[case] per_box: usize) {
+    let fleet = BrittleFleet::start(boxes).await;
+    // One after the other, so that each box hears of it.
+    for gateway in &fleet.gateways {
+        let bytes = request("POST", path, "r-first", "", "");
+        Client::connect(&gateway.clients).await.send(&bytes).await;
+    }
+    let waves = (0..WAVES).map(|wave| {
+        let fleet = &fleet;
+        async move {
+            tokio::time::sleep(WAVE_PERIOD * u32::try_from(wave).unwrap()).await;
+            fleet.send_wave(path, wave, per_box).await
+        }
+    });
+    let served: usize = join_all(waves).await.into_iter().sum();
+    assert!(fleet.falls() <= MAX_FALLS, "{} falls, {served} served", fleet.falls());
+    // Half of what the upstreams can do in the time of the burst.
+    let possible = WAVES * UPSTREAMS * CAPACITY;
+    assert!(2 * served >= possible, "{served} of {possible} served");
+}
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -96,6 +96,7 @@
         allowed_halls: AllowedHalls::ALL,
         tried: &[],
         max_requests_per_upstream: 100,
+        brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
             objective_ms: 500,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -218,6 +218,7 @@
         allowed_halls: AllowedHalls::ALL,
         tried: &[],
         max_requests_per_upstream: 100,
+        brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
             objective_ms: OBJECTIVE_MS,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -67,6 +67,7 @@
         allowed_halls: AllowedHalls::ALL,
         tried,
         max_requests_per_upstream: 100,
+        brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
             objective_ms: 500,
