Crashes: a brittle upstream that falls over was not brought down by what it ran

What callers saw: a request that ran at three upstreams when they fell over, since they had rejected too many others, was quarantined for an hour.

Cause: a crash is put down to all that ran there. Change: a crash of an upstream of a brittle service that rejected requests just before, of any box, is no crash of the requests that it ran.

gateway_brittle::fall_called_crash fails without it: 503, upstreams crash under it.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -117,22 +117,33 @@
     if crashed {
         record_crash(&gateway, &upstream, &requests);
     } else {
-        let mut state = gateway.state();
-        for request in &requests {
-            state.quarantine.settle_abort(*request, upstream.short_id());
-        }
-        drop(state);
-        gateway.quarantine_changed.notify_waiters();
+        settle_aborts(&gateway, &upstream, &requests);
     }
 }
 
+/// Records that an upstream did not abort these requests because of them.
+fn settle_aborts(gateway: &Gateway, upstream: &Incarnation, requests: &[Fingerprint]) {
+    let mut state = gateway.state();
+    for request in requests {
+        state.quarantine.settle_abort(*request, upstream.short_id());
+    }
+    drop(state);
+    gateway.quarantine_changed.notify_waiters();
+}
+
 fn record_crash(gateway: &Gateway, upstream: &Incarnation, requests: &[Fingerprint]) {
     metrics::counter!("coursestile_upstream_crashes_total").increment(1);
     let mut state = gateway.state();
     let now_ms = now_ms();
+    let has_fallen = state.has_fallen(now_ms, upstream);
     if let Some(upstream) = state.upstreams.get_incarnation_mut(upstream) {
         upstream.mark_unreachable();
     }
+    if has_fallen {
+        drop(state);
+        info!(target: "crashes", "event=brittle_upstream_fell upstream={}", upstream.id);
+        return settle_aborts(gateway, upstream, requests);
+    }
     let mut is_urgent = false;
     for request in requests {
         if state.quarantine.record_crash(now_ms, *request, upstream.short_id(), now_ms)
--- a/src/gateway/decisions/brittle.rs
+++ b/src/gateway/decisions/brittle.rs
@@ -96,6 +96,12 @@
         self.expire(now_ms);
     }
 
+    /// Whether a request was rejected lately.
+    #[must_use]
+    pub fn has_rejected(&self, now_ms: u64) -> bool {
+        self.rejected_at_ms.back().is_some_and(|at_ms| now_ms < at_ms + REJECTION_WINDOW_MS)
+    }
+
     fn expire(&mut self, now_ms: u64) {
         let expired = |at_ms: &u64, after_ms: u64| at_ms + after_ms <= now_ms;
         while self.unanswered_at_ms.front().is_some_and(|at_ms| expired(at_ms, ACCEPTED_AFTER_MS)) {
--- a/src/gateway/decisions/upstream/health.rs
+++ b/src/gateway/decisions/upstream/health.rs
@@ -75,6 +75,12 @@
         self.backoff_until_ms(now_ms).is_some() || now_ms < self.peer_backoff_until_ms
     }
 
+    /// Whether it has rejected requests of any box within the time in which rejections add up.
+    #[must_use]
+    pub fn has_rejected(&self, now_ms: u64) -> bool {
+        self.rejections.has_rejected(now_ms) || self.is_rejecting(now_ms)
+    }
+
     /// Whether it failed, sent nothing for too long, or rejected requests recently.
     #[must_use]
     pub fn is_unhealthy(&self, now_ms: u64) -> bool {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -21,6 +21,7 @@
 use crate::gateway::decisions::claims::LeaderTerms;
 use crate::gateway::decisions::configuration::Configuration;
 use crate::gateway::decisions::gossip_message::MetadataStoreStatus;
+use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::peers::{LocalBox, Peers};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::stores::Stores;
@@ -173,6 +174,15 @@
         self.upstream_clock_offset_ms = Some(known.max(ahead_ms));
     }
 
+    /// Whether an upstream that has crashed is brittle, and rejected requests just before.
+    #[must_use]
+    pub fn has_fallen(&self, now_ms: u64, upstream: &Incarnation) -> bool {
+        self.upstreams.get_incarnation(upstream).is_some_and(|upstream| {
+            let limit = self.brittle.max_rejections(now_ms, &upstream.entry.service);
+            limit.is_some() && upstream.has_rejected(now_ms)
+        })
+    }
+
     /// Whether new requests may be sent on connections over this path.
     #[must_use]
     pub fn is_path_usable(&self, now_ms: u64, path: Path) -> bool {
--- a/tests/gateway_brittle.rs
+++ b/tests/gateway_brittle.rs
@@ -6,10 +6,10 @@
 
 use std::time::Duration;
 
-use common::wait_ready;
+use common::{start_fixture, wait_ready};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Brittleness, Server};
-use coursestile_standins::site::{Gateway, Site, config_document, service_entry};
+use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
 use futures_util::future::join_all;
 use rstest::rstest;
 
@@ -106,3 +106,33 @@
     let possible = WAVES * UPSTREAMS * CAPACITY;
     assert!(2 * served >= possible, "{served} of {possible} served");
 }
+
+/// A request that ran at upstreams that fell over was taken for the one that crashes them, and
+/// quarantined.
+#[tokio::test]
+async fn fall_called_crash() {
+    let mut fixture = start_fixture(4).await;
+    for number in 0..3 {
+        let id = format!("r-{number}");
+        let long = request("POST", "/once/", &id, "X-Work-Ms: 2000\r\n", "same");
+        let mut client = Client::connect(&fixture.gateway.clients).await;
+        client.write(&long).await;
+        eventually("the request runs", async || fixture.arrival_count(&id) == 1).await;
+        let at = fixture.servers.iter().position(|server| server.count(&id) == 1).unwrap();
+        let server = fixture.servers.remove(at);
+        server.set_brittle(Brittleness { capacity: 1, max_rejections: 0, crashes: true });
+        eventually("its upstream falls over", async || {
+            let others = (0..8).map(|place| {
+                let id = format!("r-{number}-{place}-{}", server.received().len());
+                let (fixture, work) = (&fixture, "X-Work-Ms: 50\r\n");
+                async move { fixture.send_with("/safe/", &id, work, "other").await }
+            });
+            join_all(others).await;
+            server.has_crashed()
+        })
+        .await;
+        assert_eq!(client.read().await.expect("an answer").status(), 502);
+    }
+    let answer = fixture.send_with("/once/", "r-last", "", "same").await;
+    assert_eq!(answer.status(), 200, "{}", answer.text());
+}
