--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -46,9 +46,9 @@
 /// Prints the table.
 pub fn run() -> ExitCode {
     println!(
-        "| boxes | peers notified of a change | bytes of gossip | bytes of a change | receive gossip, us | receive a change, us | choose, us |"
+        "| boxes | peers notified of a change | bytes of gossip | bytes of a change | receive gossip, us | receive a change, us | choose, us | choose peers for a tunnel, us |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for boxes in FLEET_SIZES {
         let (mut peers, target_count) = known_peers(boxes);
         let targets = peers.next_targets(1, Audience::OwnHall, GossipScope::OwnHall).full.len();
@@ -67,9 +67,13 @@
             let peer = 1 + iteration % (boxes - 1);
             peers.receive_load_changes(2, address(peer), &load_changes(boxes, peer, iteration));
         });
+        let mut rng = fastrand::Rng::with_seed(1);
+        let tunnel_us = mean_us(|iteration| {
+            black_box(peers.tunnel_peers(2, iteration % HALLS, &mut rng));
+        });
         black_box(target_count);
         println!(
-            "| {boxes} | {targets} | {gossip_bytes} | {change_bytes} | {gossip_us:.1} | {change_us:.1} | {:.1} |",
+            "| {boxes} | {targets} | {gossip_bytes} | {change_bytes} | {gossip_us:.1} | {change_us:.1} | {:.1} | {tunnel_us:.1} |",
             mean_choose_us(boxes)
         );
     }
@@ -107,7 +111,14 @@
         .map(|index| load_report(boxes, seed * LOADS_PER_GOSSIP + index, 2))
         .collect();
     let peers = (1..25).map(|offset| address((seed + offset) % boxes)).collect();
-    Gossip { incarnation: 1, hall: seed % HALLS, loads, peers, ..Gossip::default() }
+    Gossip {
+        incarnation: 1,
+        hall: seed % HALLS,
+        offers_tunnels: true,
+        loads,
+        peers,
+        ..Gossip::default()
+    }
 }
 
 fn load_changes(boxes: u32, seed: u32, requests: u32) -> LoadChanges {
--- a/src/gateway/decisions/upstream/health.rs
+++ b/src/gateway/decisions/upstream/health.rs
@@ -33,6 +33,8 @@
     Tunnel,
     /// Not at all, or it fell silent; it gets no requests until a connection is established.
     Unreachable {
+        /// Whether this is only concluded from others of its hall.
+        inferred: bool,
         /// Whether a probe has failed since this was found out.
         probed: bool,
     },
@@ -128,7 +130,7 @@
     /// Whether it is unreachable, and a probe has failed since this was found out.
     #[must_use]
     pub fn is_known_unreachable(&self) -> bool {
-        self.access == Access::Unreachable { probed: true }
+        matches!(self.access, Access::Unreachable { probed: true, .. })
     }
 
     /// Whether only peers can open connections to it.
@@ -145,8 +147,8 @@
 
     /// Records that a probe could not establish a connection.
     pub fn record_probe_failure(&mut self) {
-        if self.is_unreachable() {
-            self.access = Access::Unreachable { probed: true };
+        if let Access::Unreachable { probed, .. } = &mut self.access {
+            *probed = true;
         }
     }
 
@@ -168,11 +170,26 @@
 
     /// Keeps requests away until a connection is established.
     pub fn mark_unreachable(&mut self) {
+        if let Access::Unreachable { inferred, .. } = &mut self.access {
+            *inferred = false;
+        } else {
+            self.access = Access::Unreachable { inferred: false, probed: false };
+        }
+    }
+
+    /// The same, because others of its hall are out of reach.
+    pub fn infer_unreachable(&mut self) {
         if !self.is_unreachable() {
-            self.access = Access::Unreachable { probed: false };
+            self.access = Access::Unreachable { inferred: true, probed: false };
         }
     }
 
+    /// Whether it is taken to be unreachable only because others of its hall are.
+    #[must_use]
+    pub fn is_inferred_unreachable(&self) -> bool {
+        matches!(self.access, Access::Unreachable { inferred: true, .. })
+    }
+
     /// Records that this box has established a connection itself.
     pub fn mark_reachable(&mut self) {
         self.access = Access::Direct;
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -130,12 +130,27 @@
             .filter(|upstream| in_hall(upstream) && upstream.connect_timed_out_recently(now_ms));
         if hall != own_hall && timed_out.count() > 1 {
             for (position, upstream) in self.slab.iter_mut().filter(|(_, known)| in_hall(known)) {
-                upstream.mark_unreachable();
+                upstream.infer_unreachable();
                 self.active.insert(position);
             }
         }
     }
 
+    /// Records that this box has established a connection to an upstream itself. If it was taken to
+    /// be unreachable like all of its hall, the path to the hall works again.
+    pub fn record_reached(&mut self, id: &str) {
+        let Some(reached) = self.get_mut(id) else { return };
+        let (was_inferred, hall) = (reached.is_inferred_unreachable(), reached.entry.hall.clone());
+        reached.mark_reachable();
+        if was_inferred {
+            self.update_active(|upstream| {
+                if upstream.entry.hall == hall && upstream.is_inferred_unreachable() {
+                    upstream.mark_reachable();
+                }
+            });
+        }
+    }
+
     /// Marks silent upstreams unreachable until a connection to them is established. Returns the
     /// start of the most recent silence.
     pub fn mark_silent_unreachable(&mut self, now_ms: u64) -> Option<u64> {
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -96,9 +96,7 @@
     if let Some((connection, _)) = open_directly(gateway, address).await {
         gateway.connections.close_idle_to(id);
         gateway.connections.add_idle(id, connection);
-        if let Some(upstream) = gateway.state().upstreams.get_mut(id) {
-            upstream.mark_reachable();
-        }
+        gateway.state().upstreams.record_reached(id);
         info!(target: "reach", "event=upstream_reached upstream={id}");
         gateway.capacity_changed.notify_waiters();
         return true;
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -291,6 +291,22 @@
     assert!(!upstreams.get("d").unwrap().is_unhealthy(1200));
 }
 
+/// The path to a hall works again: its upstreams are not probed one by one, which would take longer
+/// the more there are.
+#[test]
+fn hall_reached() {
+    let mut upstreams = Upstreams::default();
+    for id in ["b", "c", "d", "e", "f"] {
+        upstreams.upsert(0, id, entry("south", 1, 1));
+    }
+    upstreams.record_connect_timeout(1000, &incarnation("b"), "north");
+    upstreams.record_connect_timeout(1200, &incarnation("c"), "north");
+    upstreams.record_reached("d");
+    let reached = |id| !upstreams.get(id).unwrap().is_unreachable();
+    assert!(reached("d") && reached("e") && reached("f"));
+    assert!(!reached("b") && !reached("c"), "these were missed themselves");
+}
+
 #[test]
 fn overdue_weights_avoided() {
     let mut upstreams = Upstreams::default();
