Cut boxes: requests lost with a box's own links are held against no upstream

What callers saw: after a cut, and during it through tunnels, the box avoided upstreams whose direct connections had timed out, and admitted fewer requests; it told its peers of the lower limit.

Cause: each request in flight when the cut began ended late or failed, and both are taken for the state of the upstream.

Change: what ends on a direct connection to an upstream that, as is known by then, only peers reach counts neither as its failure nor for the admission limit.

gateway_reach::cut_held_against_upstream (own cut) failed before. Tests of the pure parts beside it: when a box is cut off, which peers are asked, how tunnels spread over a hall.

--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -17,6 +17,7 @@
 use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::notice::{Notice, NoticeState};
 use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
+use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::silence;
 
@@ -168,7 +169,8 @@
     /// nothing about the load.
     fn record_missing_first_token(&mut self) {
         let objective_at_ms = self.objective_at_ms.take();
-        if objective_at_ms.is_some_and(|objective_at_ms| now_ms() > objective_at_ms) {
+        let is_late = objective_at_ms.is_some_and(|objective_at_ms| now_ms() > objective_at_ms);
+        if is_late && !self.is_on_missed_path() {
             self.report_first_token(FirstTokenOutcome::Late);
         }
     }
@@ -204,8 +206,19 @@
         }
     }
 
+    /// Whether its connection was direct, and this box has found since that only peers reach the
+    /// upstream. How such a request ends says nothing about the upstream.
+    fn is_on_missed_path(&self) -> bool {
+        let state = self.gateway.state();
+        let upstream = state.upstreams.get_incarnation(&self.upstream);
+        self.path == Some(Path::Direct) && upstream.is_some_and(Upstream::needs_tunnel)
+    }
+
     /// Records a failure of the upstream.
     pub fn record_failure(&self) {
+        if self.is_on_missed_path() {
+            return;
+        }
         if let Some(upstream) = self.gateway.state().upstreams.get_incarnation_mut(&self.upstream) {
             upstream.record_failure(now_ms());
         }
