--- /dev/null
+++ b/tests/gateway_probes.rs
@@ -0,0 +1,53 @@
+//! How much boxes do to find out whether they or upstreams are cut off, when many upstreams are.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::time::Duration;
+
+use common::wait_ready;
+use coursestile_standins::site::client::request_once;
+use coursestile_standins::site::{Gateway, Site, config_document, service_entry};
+
+const BOXES: usize = 4;
+/// Upstreams of the hall that is cut off.
+const UPSTREAMS: usize = 200;
+/// Time in which boxes that have started hear from each other.
+const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
+/// Several rounds of probes.
+const WATCHED: Duration = Duration::from_secs(2);
+
+/// Boxes of one hall, and upstreams of another that refuse all connections.
+async fn cut_halls() -> (Site, Vec<Gateway>) {
+    let mut site = Site::start().await;
+    for number in 0..UPSTREAMS {
+        // Nothing listens at these ports.
+        let mut entry = service_entry("plain", &format!("127.0.0.1:{}", 300 + number), "ready");
+        entry["zone"] = "south".into();
+        site.register(&format!("s-{number:03}"), &entry);
+    }
+    site.configure(&config_document(7));
+    let mut gateways = vec![site.gateway("north", &[])];
+    for _ in 1..BOXES {
+        let gateway = site.gateway("north", &[&gateways[0]]);
+        gateways.push(gateway);
+    }
+    for gateway in &gateways {
+        wait_ready(gateway).await;
+    }
+    tokio::time::sleep(ACQUAINTANCE_TIME).await;
+    (site, gateways)
+}
+
+/// Each peer that was asked for a tunnel to a hall that is cut off asked others for three tunnels: one
+/// refused connection kept all boxes of a fleet busy.
+#[tokio::test]
+async fn peers_ask_on() {
+    let (_site, gateways) = cut_halls().await;
+    let answer = request_once(&gateways[0].clients, "GET", "/safe/", "r-1").await;
+    assert_eq!(answer.map(|answer| answer.status()), Some(503));
+    tokio::time::sleep(WATCHED).await;
+    let declined = |gateway: &Gateway| gateway.log_text().matches("event=tunnel_declined").count();
+    let by_others: usize = gateways[1..].iter().map(declined).sum();
+    assert_eq!(by_others, 0, "tunnels asked by boxes that have no request");
+}
