Tunnels: a peer that is asked for one asks no other peers

Cause: a box that an upstream refuses asks up to three peers for a tunnel. A peer that is refused too probes three other upstreams of that hall, to see whether it reaches the hall at all, and asked three peers for each that refused, which did the same: nine for one in some 50 ms, until all boxes had found all 1,947 upstreams of the hall out of reach. Thirty refused connections kept the processors of 985 boxes busy for as long as the cut lasted. With few upstreams the chain soon ends, since a peer declines one that it knows to be out of reach.

Change: a peer that is asked probes its controls directly and asks nobody; that it reaches no upstream of a hall holds for 400 ms. Only that answer is kept: an old success would turn a refusal into a crash. What a box does is now bounded by its own requests and rounds, and by its asks received times a constant.

gateway_probes::peers_ask_on failed before: 2,485 tunnels asked by three boxes without a request in 2 s after one request, now none. gateway_cut and gateway_reach pass as before.

--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -250,6 +250,8 @@
     pub quarantine_changed: Notify,
     /// Starts the next round of probes early.
     pub probe_now: Notify,
+    /// Halls of which this box has just reached no upstream, until when they count as such.
+    pub unreached_halls: Mutex<HashMap<String, u64>>,
     /// Whether this box is cut off from all upstreams, for tasks that wait for it.
     pub cut_off: watch::Sender<bool>,
     /// When data last arrived from any upstream on a direct connection.
@@ -336,6 +338,7 @@
             introduce_now: Notify::new(),
             quarantine_changed: Notify::new(),
             probe_now: Notify::new(),
+            unreached_halls: Mutex::default(),
             cut_off: watch::Sender::new(false),
             last_receive_ms: AtomicU64::new(0),
             tunnels_kept: Arc::default(),
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -21,6 +21,7 @@
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::{paths, tunnels};
+use crate::sync::locked;
 
 /// Shortest time between rounds of probes.
 const MIN_PROBE_PERIOD: Duration = Duration::from_millis(50);
@@ -32,6 +33,8 @@
 const MAX_PROBES: usize = 64;
 /// Other upstreams that are tried to find out whether this box reaches any.
 const CONTROL_PROBES: usize = 3;
+/// Time for which peers are told that this box reaches no upstream of a hall, without another look.
+const UNREACHED_MS: u64 = 400;
 
 /// Probes until the box stops.
 pub async fn run(gateway: Arc<Gateway>) {
@@ -130,25 +133,47 @@
 }
 
 /// Whether this box reaches another upstream than `except` itself; `None` if there is none that it
-/// is not known to miss. While it does, what it finds of that one is no fault of its own links.
+/// is not known to miss. While it does, what it finds of that one is no fault of its own links. Peers
+/// are asked for those that it does not reach.
 pub async fn reaches_control(gateway: &Arc<Gateway>, except: Option<&str>) -> Option<bool> {
-    let controls = controls(gateway, except);
-    if controls.is_empty() {
-        return None;
+    let (reaches, missed) = probe_controls(gateway, except).await;
+    for id in missed {
+        let gateway = gateway.clone();
+        tokio::spawn(async move { probe_through_peer(&gateway, &id).await });
+    }
+    reaches
+}
+
+/// As [`reaches_control`], for a peer that asks for a tunnel to the upstream `id`. No peer is asked
+/// meanwhile: when a hall is cut off from others, each of the asked would ask others in turn.
+pub async fn reaches_control_for_peer(gateway: &Gateway, id: &str) -> Option<bool> {
+    let hall = gateway.state().upstreams.get(id).map(|upstream| upstream.entry.hall.clone())?;
+    if locked(&gateway.unreached_halls).get(&hall).is_some_and(|until_ms| now_ms() < *until_ms) {
+        return Some(false);
     }
-    let mut probes: FuturesUnordered<_> = controls
+    let (reaches, _) = probe_controls(gateway, Some(id)).await;
+    if reaches == Some(false) {
+        locked(&gateway.unreached_halls).insert(hall, now_ms() + UNREACHED_MS);
+    }
+    reaches
+}
+
+/// Probes some upstreams, those of `except`'s hall if there are others. Returns whether one was reached,
+/// and those that were not before that.
+async fn probe_controls(gateway: &Gateway, except: Option<&str>) -> (Option<bool>, Vec<String>) {
+    let mut missed = Vec::new();
+    let mut probes: FuturesUnordered<_> = controls(gateway, except)
         .into_iter()
         .map(async |(id, address)| (id, open_directly(gateway, address).await))
         .collect();
     while let Some((id, opened)) = probes.next().await {
         if let Some((connection, _)) = opened {
             gateway.connections.add_idle(&id, connection);
-            return Some(true);
+            return (Some(true), missed);
         }
-        let gateway = gateway.clone();
-        tokio::spawn(async move { probe_through_peer(&gateway, &id).await });
+        missed.push(id);
     }
-    Some(false)
+    ((!missed.is_empty()).then_some(false), missed)
 }
 
 /// Upstreams that this box is not known to miss, in the hall of `except` if it has others.
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -233,18 +233,13 @@
     let upstream = match timeout(UPSTREAM_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(upstream)) => upstream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            let reaches_others = reachability::reaches_control(gateway, Some(id)).await;
+            let reaches_others = reachability::reaches_control_for_peer(gateway, id).await;
             let is_reliable = reaches_others.unwrap_or(true);
             let status =
                 if is_reliable { StatusCode::BAD_GATEWAY } else { StatusCode::SERVICE_UNAVAILABLE };
             return Err(status);
         }
-        Ok(Err(_)) | Err(_) => {
-            // Finds out whether it is this box that is cut off, without keeping the peer waiting.
-            let (gateway, id) = (gateway.clone(), id.to_owned());
-            tokio::spawn(async move { reachability::reaches_control(&gateway, Some(&id)).await });
-            return Err(StatusCode::GATEWAY_TIMEOUT);
-        }
+        Ok(Err(_)) | Err(_) => return Err(StatusCode::GATEWAY_TIMEOUT),
     };
     set_socket_options(&upstream).map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
     let id = id.to_owned();
