Probes: a round costs the same however many upstreams are out of reach

Two refused connections to another hall make a box take all upstreams of that hall to be out of reach. It then probed 64 of them in each round, and asked three peers about each: 900 tunnels asked in 2 s by one box about a hall of 200. When a hall of the whole fleet is cut off, 985 boxes do so at once, and each is asked as often as it asks; no tunnel helps, since no box reaches the hall.

Change (decisions::reach::probes): of upstreams that are only inferred to be out of reach, four a round are probed, since one that is reached restores the hall; peers are asked about four a round, first about those of which none has been asked.

--- a/src/gateway/decisions/reach.rs
+++ b/src/gateway/decisions/reach.rs
@@ -4,7 +4,25 @@
 //! What it sees of upstreams then says nothing about them. A single upstream that only peers reach is
 //! no proof of it: the box is cut off if it reaches none of several, including some of those that it
 //! has not missed yet.
+//!
+//! A round of probes costs a box, and the peers that it asks for tunnels, the same however many upstreams
+//! are out of reach. *Load pattern:* a hall of thousands of upstreams is cut off from all boxes of the
+//! other halls, none of which can help another.
+
+use std::net::SocketAddr;
+
+use fastrand::Rng;
+
+use crate::gateway::decisions::upstream::Upstream;
 
+/// Most upstreams that are probed in one round.
+const MAX_PROBES: usize = 64;
+/// Most of them that are only taken to be out of reach, like others of their hall: one that is reached
+/// shows that the path to the hall works again.
+const MAX_INFERRED_PROBES: usize = 4;
+/// Most of them for which peers are asked, unless this box is cut off. The next round follows at once if
+/// a peer reaches one.
+const MAX_PEER_PROBES: usize = 4;
 /// Upstreams out of reach, while peers reach them, from which on it may be the box that is cut off.
 pub const MIN_MISSED: usize = 2;
 
@@ -42,3 +60,37 @@
         std::mem::replace(&mut self.cut_off, cut_off) != cut_off
     }
 }
+
+/// A probe of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    pub id: String,
+    pub address: SocketAddr,
+    /// Whether peers are asked for a tunnel if this box does not reach it.
+    pub asks_peers: bool,
+}
+
+/// The probes of one round, of those `upstreams` that this box is known not to reach.
+pub fn probes<'a>(
+    upstreams: impl Iterator<Item = &'a Upstream> + Clone,
+    is_cut_off: bool,
+    rng: &mut Rng,
+) -> Vec<Probe> {
+    let missing = upstreams.filter(|upstream| {
+        (upstream.is_unreachable() || upstream.needs_tunnel()) && !upstream.is_superseded()
+    });
+    let counts = |upstream: &&Upstream| is_cut_off || !upstream.is_inferred_unreachable();
+    let mut drawn = rng.choose_multiple(missing.clone().filter(counts), MAX_PROBES);
+    let inferred = missing.filter(|upstream| !counts(upstream));
+    drawn.extend(rng.choose_multiple(inferred, MAX_INFERRED_PROBES));
+    // First those for which no peer has been asked yet.
+    drawn.sort_by_key(|upstream| upstream.is_known_unreachable());
+    let max_asking = if is_cut_off { MAX_PROBES } else { MAX_PEER_PROBES };
+    let mut asking = 0;
+    let probes = drawn.into_iter().map(|upstream| {
+        let asks_peers = upstream.is_unreachable() && asking < max_asking;
+        asking += usize::from(asks_peers);
+        Probe { id: upstream.id.clone(), address: upstream.entry.address, asks_peers }
+    });
+    probes.collect()
+}
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -17,7 +17,7 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::gateway::connections::NewConnection;
-use crate::gateway::decisions::reach::Reach;
+use crate::gateway::decisions::reach::{Probe, Reach, probes};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::{paths, tunnels};
@@ -29,8 +29,6 @@
 const PROBE_WAIT: Duration = Duration::from_millis(350);
 /// Timeout of a probe: many round trips.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Most upstreams that are probed in one round.
-const MAX_PROBES: usize = 64;
 /// Other upstreams that are tried to find out whether this box reaches any.
 const CONTROL_PROBES: usize = 3;
 /// Time for which peers are told that this box reaches no upstream of a hall, without another look.
@@ -46,11 +44,11 @@
 }
 
 async fn probe_round(gateway: &Arc<Gateway>) {
-    let missing = missing(gateway);
-    if missing.is_empty() && gateway.state().reach == Reach::default() {
+    let round = next_probes(gateway);
+    if round.is_empty() && gateway.state().reach == Reach::default() {
         return;
     }
-    let probes = missing.iter().map(|(id, address)| probe(gateway, id, *address));
+    let probes = round.iter().map(|next| probe(gateway, next));
     let (reached, control) = join(join_all(probes), async {
         if gateway.state().upstreams.missed_count() == 0 {
             return None;
@@ -82,22 +80,19 @@
     gateway.gossip_now.notify_one();
 }
 
-/// Upstreams to which this box could not open connections, or some of them if they are many.
-fn missing(gateway: &Gateway) -> Vec<(String, SocketAddr)> {
+/// Probes of upstreams to which this box could not open connections, or of some if they are many.
+fn next_probes(gateway: &Gateway) -> Vec<Probe> {
     let mut state = gateway.state();
     if let Some(silent_since_ms) = state.upstreams.mark_silent_unreachable(now_ms()) {
         gateway.connections.close_all_idle(silent_since_ms);
     }
-    let missing = state.upstreams.active().filter(|upstream| {
-        (upstream.is_unreachable() || upstream.needs_tunnel()) && !upstream.is_superseded()
-    });
-    let drawn = fastrand::choose_multiple(missing, MAX_PROBES);
-    drawn.into_iter().map(|upstream| (upstream.id.clone(), upstream.entry.address)).collect()
+    let is_cut_off = state.reach.is_cut_off();
+    probes(state.upstreams.active(), is_cut_off, &mut fastrand::Rng::new())
 }
 
 /// Probes an upstream; returns whether this box reaches it itself.
-async fn probe(gateway: &Gateway, id: &str, address: SocketAddr) -> bool {
-    if let Some((connection, _)) = open_directly(gateway, address).await {
+async fn probe(gateway: &Gateway, Probe { id, address, asks_peers }: &Probe) -> bool {
+    if let Some((connection, _)) = open_directly(gateway, *address).await {
         gateway.connections.close_idle_to(id);
         gateway.connections.add_idle(id, connection);
         gateway.state().upstreams.record_reached(id);
@@ -106,7 +101,7 @@
         return true;
     }
     let is_unreachable = gateway.state().upstreams.get(id).is_some_and(Upstream::is_unreachable);
-    if is_unreachable {
+    if is_unreachable && *asks_peers {
         probe_through_peer(gateway, id).await;
     }
     false
--- a/tests/gateway_probes.rs
+++ b/tests/gateway_probes.rs
@@ -14,6 +14,9 @@
 const UPSTREAMS: usize = 200;
 /// Time in which boxes that have started hear from each other.
 const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
+/// Tunnels that a box may ask for in the time watched, about a hall of any size: three a round of
+/// probes for each of four upstreams, and rounds 0.4 s apart.
+const ASKED_ABOUT_HALL: usize = 3 * 4 * 5;
 /// Several rounds of probes.
 const WATCHED: Duration = Duration::from_secs(2);
 
@@ -51,3 +54,19 @@
     let by_others: usize = gateways[1..].iter().map(declined).sum();
     assert_eq!(by_others, 0, "tunnels asked by boxes that have no request");
 }
+
+/// A box asked peers for 64 upstreams of a hall that is cut off in each round of probes, several times a
+/// second: all boxes of a fleet, about a hall that none reaches.
+#[tokio::test]
+async fn hall_probed() {
+    let (_site, gateways) = cut_halls().await;
+    for id in ["r-1", "r-2"] {
+        let answer = request_once(&gateways[0].clients, "GET", "/safe/", id).await;
+        assert_eq!(answer.map(|answer| answer.status()), Some(503));
+    }
+    let declined = || gateways[0].log_text().matches("event=tunnel_declined").count();
+    let by_requests = declined();
+    tokio::time::sleep(WATCHED).await;
+    let asked = declined() - by_requests;
+    assert!(asked <= ASKED_ABOUT_HALL, "{asked} tunnels asked in {WATCHED:?}");
+}
