--- a/standins/src/site/metadata/calls.rs
+++ b/standins/src/site/metadata/calls.rs
@@ -88,7 +88,8 @@
     if let Err(answer) = check_call(shared, "kv-range").await {
         return answer;
     }
-    let tables = shared.tables();
+    let mut tables = shared.tables();
+    *tables.pages.entry(query.path_prefix.clone()).or_default() += 1;
     let mut items = tables
         .items
         .iter()
--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -52,6 +52,8 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     fault: StoreFault,
     calls: BTreeMap<&'static str, u64>,
+    /// Pages of listings that were sent, by their prefix.
+    pages: BTreeMap<String, u64>,
 }
 
 impl Tables {
@@ -210,6 +212,12 @@
     pub fn call_count(&self, name: &str) -> u64 {
         self.shared.tables().calls.get(name).copied().unwrap_or_default()
     }
+
+    /// Number of pages that listings of the items under `prefix` have received.
+    #[must_use]
+    pub fn page_count(&self, prefix: &str) -> u64 {
+        self.shared.tables().pages.get(prefix).copied().unwrap_or_default()
+    }
 }
 
 /// Another address of the store, for a single box, whose calls can be refused.
