Starts: boxes of a large fleet take turns to read a long listing, and pass it on

After all boxes of a fleet had lost power, each of them read all entries of upstreams from the metadata store: 985 boxes and 2.3 MB each over 1 Gbit/s, by reckoning 18 s, in which none serves, and 37 s at twice the size; 18 s are allowed until service is back. A page that missed its time limit of 3 s threw away all pages before it. That this was seen by callers of the fleet is not shown; 16 of 16 boxes do so in gateway_starts::listed_by_few.

Change: the boxes' own items are read first, since the list of members shows how large the fleet is and introduces the boxes to each other. Where the entries take more than a page, the boxes of a hall begin with the second one after the other, 0.5 s apart by rank, unless a peer has given them the items meanwhile; there is no longest delay, after which all would read. Pages that have arrived are kept when a call fails (decisions::listing). A box without items asks for them at once, each box another of those that have them, and a box sends four large updates at a time; one that has got its first tells its hall. So the items spread like in a tree: by gateway_starts::told_in_turns, in under 9 s in a hall of 394 boxes with links of 20 Mbit/s and 20,000 entries, where one box would have taken 157 s to send them all.

A listing of one page is read by each box at once, as before.

listed_by_few failed before (16 listings where 4 may be). Pages read from the store at a start are now boxes plus some listings a hall, not boxes x pages.

--- a/src/gateway/catch_up.rs
+++ b/src/gateway/catch_up.rs
@@ -34,6 +34,9 @@
 const MIN_BYTES_PER_MS: u64 = 50;
 /// Size of the pieces in which an update is sent and read.
 const PIECE_BYTES: usize = 64 << 10;
+/// Updates of more than a piece that a box sends at a time. The boxes that have got one send it on, so
+/// that a hall of any size is told in a few rounds over slow links.
+pub const MAX_LARGE_UPDATES: usize = 4;
 /// Percentage of the time in which a change must be in force that one peer may take to
 /// answer: if it does not, there must be time to ask another.
 const SNAPSHOT_TIMEOUT_PERCENT: u64 = 40;
@@ -201,6 +204,12 @@
             let bytes = locked(&gateway.encoded_updates)
                 .update_for(&gateway.state().view, digest)
                 .map_err(codec_error)?;
+            let _permit = if bytes.len() > PIECE_BYTES {
+                let permit = timeout(SNAPSHOT_TIMEOUT, gateway.large_updates.acquire()).await;
+                Some(permit.map_err(|_| Error::Message("too many updates at once".to_owned()))?)
+            } else {
+                None
+            };
             let started_at = Instant::now();
             for (piece, sent_bytes) in bytes.chunks(PIECE_BYTES).zip((0..).step_by(PIECE_BYTES)) {
                 let due_at = started_at + SNAPSHOT_TIMEOUT + transfer_time(sent_bytes);
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -13,8 +13,8 @@
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
-//! - State received from the metadata store and from other boxes: `view`, `peers`, `configuration`,
-//!   `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
+//! - State received from the metadata store and from other boxes: `listing`, `view`, `peers`,
+//!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
 //! - Whether this box reaches upstreams at all: `reach`.
 //! - Shared constants and conversions: `units`.
 
@@ -33,6 +33,7 @@
 pub mod gossip_message;
 pub mod hall_summary;
 pub mod incarnation;
+pub mod listing;
 pub mod news_pace;
 pub mod notice;
 pub mod orders;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -265,24 +265,29 @@
         let publisher =
             self.publisher(now_ms).filter(|_| metadata_store == MetadataStoreStatus::NotUsed);
         let other_hall_delay_ms = self.far_fetch_delay_ms(now_ms);
+        let has_items = own.last_change_revision > 0;
         let ahead = self.live_peers(now_ms).filter(|(address, peer)| {
             let view_digest = peer.gossip.view_digest;
             let is_publisher = publisher.is_some_and(|publisher| publisher.ip() == **address);
             if is_publisher && view_digest.last_change_revision == own.last_change_revision {
                 return view_digest.checksum != own.checksum;
             }
-            let at_once = is_publisher || metadata_store == MetadataStoreStatus::Failing;
+            let at_once =
+                is_publisher || !has_items || metadata_store == MetadataStoreStatus::Failing;
             let is_own_hall = peer.gossip.hall == self.local.hall;
             let min_ms = if at_once { 0 } else { LAG_TOLERANCE_MS }
                 + if is_own_hall { 0 } else { other_hall_delay_ms };
             let since_ms = peer.ahead_since_ms.filter(|_| is_ahead(view_digest, own));
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + min_ms)
         });
+        // To a box without items, each peer that has them is as good as the newest, and asking
+        // different ones spreads the load when all boxes start together.
         let (address, _) = ahead.max_by_key(|(_, peer)| {
             (
                 peer.may_be_asked(now_ms),
                 peer.gossip.hall == self.local.hall,
-                peer.gossip.view_digest.last_change_revision,
+                if has_items { peer.gossip.view_digest.last_change_revision } else { 0 },
+                peer.preference,
             )
         })?;
         Some(SocketAddr::new(*address, self.local.address.port()))
--- a/src/gateway/decisions/peers/roles.rs
+++ b/src/gateway/decisions/peers/roles.rs
@@ -24,6 +24,8 @@
 const FAR_FETCH_STEP_MS: u64 = 500;
 /// Longest time by which such a fetch is delayed.
 const MAX_FAR_FETCH_DELAY_MS: u64 = 8000;
+/// Time between the beginning of a long listing by one box of a hall and the next.
+const LISTING_STEP_MS: u64 = 500;
 
 impl Peers {
     /// Whether the fleet is small enough for all boxes to send each other everything.
@@ -77,6 +79,20 @@
         position.saturating_mul(FAR_FETCH_STEP_MS).min(MAX_FAR_FETCH_DELAY_MS)
     }
 
+    /// How much later than the first box of its hall this one reads a long listing of the metadata
+    /// store, unless a peer gives it the items before. There is no longest delay: otherwise the boxes
+    /// of a large hall would all read it then, and the store's link would be too slow for each of them.
+    #[must_use]
+    pub fn listing_delay_ms(&self, now_ms: u64) -> u64 {
+        if self.is_small_fleet() {
+            return 0;
+        }
+        let may_list = self
+            .higher_ranked(now_ms)
+            .filter(|(_, peer)| peer.gossip.metadata_store != MetadataStoreStatus::Failing);
+        u64::try_from(may_list.count()).unwrap_or(u64::MAX).saturating_mul(LISTING_STEP_MS)
+    }
+
     /// Whether the fleet is large, or its size is not known yet: when it starts, boxes that have not
     /// heard from each other would all ask the store for each of thousands of new entries.
     #[must_use]
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -18,8 +18,9 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
+use crate::gateway::decisions::listing::{Listing, PageRequest};
 use crate::gateway::decisions::units::rounded_ms;
-use crate::gateway::decisions::view::{CatchUp, Snapshot, VersionedValue, ViewChange};
+use crate::gateway::decisions::view::{CatchUp, VersionedValue, ViewChange};
 use crate::gateway::decisions::weights::UNKNOWN_TIME_MS;
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Change, Freshness, Item, WatchResult, WatchWait};
@@ -56,6 +57,9 @@
 const MAX_LOGGED_CHANGES: usize = 256;
 /// Interval of the periodic work in [`tick`], and of checks while waiting.
 const TICK: Duration = Duration::from_millis(100);
+/// What a listing reads. The boxes' own items are first: their list of members shows a box how many
+/// others start with it.
+const LISTED_PREFIXES: &[&str] = &[keys::OWN_PREFIX, keys::UPSTREAM_PREFIX, keys::OPERATOR_PREFIX];
 
 /// Follows the metadata store until the box stops.
 pub async fn run(gateway: Arc<Gateway>) {
@@ -63,14 +67,20 @@
     let mut listed = false;
     // A stale listing costs the store little; all boxes of a fleet may start at once.
     let mut freshness = Freshness::Stale;
+    let mut listing = None;
     while gateway.phase() != BoxPhase::Stopped {
         if !needs_store(&gateway, listed) {
+            listing = None;
             wait_for_peers(&gateway).await;
             sleep(TICK).await;
             continue;
         }
         let asked_at_ms = now_ms();
-        let result = if listed { watch(&gateway).await } else { list(&gateway, freshness).await };
+        let result = if listed {
+            watch(&gateway).await
+        } else {
+            list(&gateway, &mut listing, freshness).await
+        };
         match result {
             Ok(CallEnd::Interrupted) => {}
             Ok(end) => {
@@ -84,11 +94,7 @@
             }
             Err(error) => {
                 note_store_failed(&gateway, asked_at_ms, &error);
-                // After a power failure, the first listings of all boxes may fail together.
-                let stagger_ms =
-                    if listed { 0 } else { gateway.state().peers.far_fetch_delay_ms(now_ms()) };
-                let pause =
-                    Duration::from_millis(stagger_ms + pause_ms + fastrand::u64(0..pause_ms));
+                let pause = Duration::from_millis(pause_ms + fastrand::u64(0..pause_ms));
                 wait_unless_loaded(&gateway, pause).await;
                 pause_ms = (pause_ms * 2).min(MAX_RETRY_PAUSE_MS);
             }
@@ -204,10 +210,15 @@
     }
     let now_ms = now_ms();
     let named = named_at(gateway, &state, now_ms);
+    let is_first = !state.view.is_loaded();
     let changes = state.view.apply_catch_up(now_ms, catch_up, is_covered);
     info!(target: "follow",
         "event=caught_up at_revision={at_revision} whole={is_full} changes={}", changes.len());
     apply(gateway, &mut state, now_ms, named, changes);
+    if is_first {
+        // Boxes of the hall that have started together with this one can get the items from it.
+        gateway.gossip_now.notify_one();
+    }
 }
 
 /// How a listing or a watch ended.
@@ -221,18 +232,54 @@
     Interrupted,
 }
 
-/// Lists all items and replaces the view by them.
-async fn list(gateway: &Gateway, freshness: Freshness) -> Result<CallEnd> {
-    let mut snapshot = Snapshot { at_revision: u64::MAX, ..Snapshot::default() };
-    for prefix in [keys::OPERATOR_PREFIX, keys::UPSTREAM_PREFIX, keys::OWN_PREFIX] {
-        let listing = gateway.metadata.list(prefix, freshness).await?;
-        // The watch resumes at the oldest of the listings, so no change is missed.
-        snapshot.at_revision = snapshot.at_revision.min(listing.at_revision);
-        for Item { key, value, revision } in listing.items {
-            snapshot.items.insert(key, VersionedValue { revision, value });
+/// Reads the pages that `listing` still lacks, and replaces the view by it once it is complete.
+async fn list(
+    gateway: &Gateway,
+    listing: &mut Option<Listing>,
+    freshness: Freshness,
+) -> Result<CallEnd> {
+    let pending = listing.get_or_insert_with(|| Listing::new(now_ms(), LISTED_PREFIXES, freshness));
+    while let Some(PageRequest { prefix, after }) = pending.next_page() {
+        let is_long = prefix == keys::UPSTREAM_PREFIX && after.is_some();
+        if is_long && !wait_for_turn(gateway, pending).await {
+            return Ok(CallEnd::Interrupted);
+        }
+        metrics::counter!("coursestile_listing_pages_total").increment(1);
+        let freshness = pending.freshness();
+        let page = gateway.metadata.list_page(prefix, after.as_deref(), freshness).await?;
+        note_store_answered(gateway);
+        pending.add_page(page);
+        if prefix == keys::OWN_PREFIX
+            && let Some(members) = pending.get(&keys::members())
+        {
+            members::apply(gateway, &mut gateway.state().peers, &members.value);
         }
     }
-    note_store_answered(gateway);
+    if let Some(complete) = listing.take() {
+        apply_listing(gateway, complete);
+    }
+    Ok(CallEnd::Answered)
+}
+
+/// Waits until this box is to read the rest of a long listing. Returns false if it need not read it
+/// any more, because a peer has told it the items.
+async fn wait_for_turn(gateway: &Gateway, listing: &mut Listing) -> bool {
+    wait_for_peers(gateway).await;
+    let since_ms = listing.turn_awaited_since_ms(now_ms());
+    while gateway.phase() != BoxPhase::Stopped && needs_store(gateway, false) {
+        let now_ms = now_ms();
+        if now_ms >= since_ms + gateway.state().peers.listing_delay_ms(now_ms) {
+            return true;
+        }
+        sleep(TICK).await;
+    }
+    false
+}
+
+fn apply_listing(gateway: &Gateway, listing: Listing) {
+    let (pages, freshness) = (listing.pages(), listing.freshness());
+    let started_at_ms = listing.started_at_ms();
+    let snapshot = listing.into_snapshot();
     let mut state = gateway.state();
     let now_ms = now_ms();
     let named = NamedAt::After(state.view.synced_at_ms().unwrap_or(UNKNOWN_TIME_MS));
@@ -242,9 +289,9 @@
     let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
     let changes = state.view.apply_snapshot(now_ms, snapshot, is_covered, is_ephemeral);
     info!(target: "follow",
-        "event=listed at_revision={at_revision} items={items} changes={}", changes.len());
+        "event=listed at_revision={at_revision} items={items} changes={} pages={pages} took_ms={}",
+        changes.len(), now_ms.saturating_sub(started_at_ms));
     apply(gateway, &mut state, now_ms, named, changes);
-    Ok(CallEnd::Answered)
 }
 
 /// Waits for changes and applies them.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -5,14 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::crash_reports::CrashReports;
 use crate::error::Result;
 use crate::fingerprint::Fingerprint;
-use crate::gateway::catch_up::EncodedUpdates;
+use crate::gateway::catch_up::{EncodedUpdates, MAX_LARGE_UPDATES};
 use crate::gateway::claims::ClaimRecord;
 use crate::gateway::connections::{Connections, Path};
 use crate::gateway::decisions::admission::AdmissionLimits;
@@ -269,6 +269,8 @@
     pub unexplained_aborts: Mutex<HashMap<String, Vec<Fingerprint>>>,
     /// Encoded updates for peers whose view of the metadata store is behind.
     pub encoded_updates: Mutex<EncodedUpdates>,
+    /// Permits to send large updates to peers.
+    pub large_updates: Semaphore,
     /// What this box exchanges with its peers, and its probes.
     pub peer_traffic: PeerTraffic,
     /// Reports of aborts to the peers.
@@ -347,6 +349,7 @@
             delegated_replies: watch::Sender::new(None),
             unexplained_aborts: Mutex::default(),
             encoded_updates: Mutex::default(),
+            large_updates: Semaphore::new(MAX_LARGE_UPDATES),
             peer_traffic: PeerTraffic::default(),
             crash_reports: CrashReports::default(),
             peer_socket: OnceLock::new(),
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -57,12 +57,13 @@
     Stale,
 }
 
-/// The items under a key prefix.
+/// Some of the items under a key prefix, in the order of their keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Listing {
-    /// Items under the prefix.
+pub struct Page {
     pub items: Vec<Item>,
-    /// Revision from which to watch: that of the oldest page.
+    /// Whether there are more items after the last of these.
+    pub has_more: bool,
+    /// Revision of the store at the time of the answer.
     pub at_revision: u64,
 }
 
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -13,7 +13,7 @@
 
 use crate::error::Result;
 use crate::gateway::metadata::{
-    Change, Freshness, Item, Lease, Listing, WatchResult, WatchWait, WriteOutcome,
+    Change, Freshness, Item, Lease, Page, WatchResult, WatchWait, WriteOutcome,
 };
 use crate::platform::http::HttpClient;
 
@@ -102,32 +102,27 @@
         Self { http, address: address.to_owned() }
     }
 
-    /// Reads all items whose keys start with `prefix`. The pages are not a consistent snapshot:
-    /// the caller has to watch from the revision of the listing.
+    /// Reads items whose keys start with `prefix`, from the key `after` on. The pages are not a
+    /// consistent snapshot: the caller has to watch from the revision of the oldest.
     ///
     /// # Errors
     /// Fails when the store does not answer in time, or not with a valid answer.
-    pub async fn list(&self, prefix: &str, freshness: Freshness) -> Result<Listing> {
-        let mut listing = Listing { at_revision: u64::MAX, ..Listing::default() };
-        let mut after = String::new();
+    pub async fn list_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Page> {
         let stale = match freshness {
             Freshness::Latest => "",
             Freshness::Stale => "&stale=1",
         };
-        loop {
-            let path = format!("kv-range?path_prefix={prefix}{stale}{after}");
-            let answer = self.call(Method::GET, &path, None::<&()>, PAGE_TIMEOUT).await?;
-            let page: RangeBody = self.decode(answer).await?;
-            listing.at_revision = listing.at_revision.min(page.at);
-            let last = page.items.last().map(|body| body.key.clone());
-            for body in page.items {
-                listing.items.push(item(body));
-            }
-            let Some(last) = last.filter(|_| page.more) else {
-                return Ok(listing);
-            };
-            after = format!("&after={last}");
-        }
+        let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
+        let path = format!("kv-range?path_prefix={prefix}{stale}{after}");
+        let answer = self.call(Method::GET, &path, None::<&()>, PAGE_TIMEOUT).await?;
+        let body: RangeBody = self.decode(answer).await?;
+        let items = body.items.into_iter().map(item).collect();
+        Ok(Page { items, has_more: body.more, at_revision: body.at })
     }
 
     /// Waits for changes after the revision `after`.
