Hall summaries: those of a busy fleet are no longer cut short

While bkk-c was cut off, bridges of four halls sent summaries longer than the 8,192 bytes that are read of a datagram (759 unreadable ones in a second of the record): boxes knew nothing of the load of other halls, just when it was high.

Cause: a summary holds the load of each upstream in use, however many. Change: the 400 busiest; what is left out counts as idle, and the own hall's load is known of all. 16 KB of a datagram are read: 11 KB are needed with 394 boxes in a hall and 10,000 upstreams in use, 5 KB of them for revisions and addresses. gateway_bridges::summaries_cut_short failed before.

--- a/src/gateway/decisions/peers/halls.rs
+++ b/src/gateway/decisions/peers/halls.rs
@@ -12,6 +12,9 @@
 use crate::gateway::decisions::peers::{PEER_TIMEOUT_MS, Peers};
 use crate::gateway::decisions::upstream::Load;
 
+/// Most upstreams whose load is in one summary, so that it fits a datagram.
+const MAX_SUMMARY_LOADS: usize = 400;
+
 /// Totals over all other halls, from the summaries received from bridges.
 #[derive(Debug, Default)]
 pub(super) struct HallTotals {
@@ -147,7 +150,10 @@
 
     fn load_reports(&self, now_ms: u64, loads: &HashMap<u32, Load>) -> Vec<LoadReport> {
         let nonzero = loads.iter().filter(|(_, load)| load.requests > 0);
-        let reports = nonzero.map(|(upstream, load)| {
+        let mut nonzero: Vec<_> = nonzero.collect();
+        nonzero.sort_unstable_by_key(|(_, load)| std::cmp::Reverse(load.requests));
+        nonzero.truncate(MAX_SUMMARY_LOADS);
+        let reports = nonzero.into_iter().map(|(upstream, load)| {
             let age_ms = now_ms.saturating_sub(self.received_at_ms(*upstream));
             let receive_age_ms = u16::try_from(age_ms).unwrap_or(u16::MAX);
             LoadReport { upstream: *upstream, load: *load, receive_age_ms }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -29,7 +29,7 @@
 use crate::names::short_id;
 
 /// Maximum length of a datagram that is read.
-const MAX_DATAGRAM_BYTES: usize = 8192;
+pub const MAX_DATAGRAM_BYTES: usize = 16_384;
 /// Minimum interval between two rounds of gossip; changes in between are sent together.
 const MIN_PERIOD: Duration = Duration::from_millis(20);
 /// Boxes return to an upstream that has rejected requests at different times within this window: if
--- a/tests/gateway_bridges.rs
+++ b/tests/gateway_bridges.rs
@@ -4,9 +4,11 @@
 use std::net::{IpAddr, SocketAddr};
 
 use coursestile::gateway::decisions::gossip_message::{Gossip, LoadReport};
+use coursestile::gateway::decisions::hall_summary::HallSummary;
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers, Targets};
 use coursestile::gateway::decisions::upstream::Load;
 use coursestile::gateway::decisions::view::ViewDigest;
+use coursestile::gateway::gossip::{Datagram, MAX_DATAGRAM_BYTES};
 
 const HALLS: u32 = 5;
 /// Boxes of each hall, as in a fleet of 295 boxes; the first three have more CPU than the others.
@@ -153,3 +155,36 @@
     assert!((2..=BOXES_PER_HALL).all(|host| leader.has_reached_revision(address(1, host), 9)));
     assert!(!leader.has_reached_revision(address(2, 50), 9));
 }
+
+/// While a thousand upstreams were in use, the summaries were longer than what is read of a datagram, and
+/// boxes knew nothing of the load of other halls.
+#[test]
+fn summaries_cut_short() {
+    let own = LocalBox {
+        short_id: 1,
+        address: SocketAddr::new(address(0, 1), 7000),
+        hall: 0,
+        millicores: 500,
+    };
+    let mut peers = Peers::new(own, &[]);
+    // Twice the hall of the whole fleet, all of whose engines are in use.
+    for number in 1..=394_u32 {
+        let [.., high, low] = number.to_be_bytes();
+        let used = (0..26).map(|index| {
+            let mut report = load_report(1 + index % 4);
+            report.upstream = (number * 26 + index).wrapping_mul(0x9e37_79b9);
+            report
+        });
+        let message = Gossip { loads: used.collect(), ..gossip(0, 9, 0) };
+        let from = IpAddr::from([10, 0, 1 + high, low]);
+        peers.receive_gossip(0, from, message, ViewDigest::default());
+    }
+    let summary = peers.hall_summary(0, std::iter::empty(), &[]);
+    assert!(summary.loads.iter().all(|report| report.load.requests == 4), "the busiest");
+    peers.receive_hall_summary(0, HallSummary { hall: 1, ..summary.clone() });
+    let others = peers.other_halls_summary(0);
+    for datagram in [Datagram::HallSummary(summary), Datagram::OtherHallsSummary(others)] {
+        let bytes = postcard::to_stdvec(&datagram).unwrap();
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    }
+}
