Gossip: boxes without the metadata store do not tell their whole hall everything

Each of the 197 boxes of a hall that is cut off from the store takes itself for its follower (259 changes of role in the record), and followers send each of their messages to their whole hall: 784 a second to each box, by reckoning, on an eighth of a core.

Change: only a follower that the store answers has news that the hall waits for, and does so. That the store answers no more, or again, is told to the hall once and at once, so that the next box takes over. gateway_news::followers_without_store failed before.

--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -369,6 +369,7 @@
 
 fn note_store_answered(gateway: &Gateway) {
     if gateway.state().view.note_store_answer(now_ms()) {
+        gateway.gossip_now.notify_one();
         info!(target: "follow", "event=dependency_regained dependency=metadata_store");
     }
 }
@@ -382,6 +383,8 @@
         state.view.note_store_unavailable();
     }
     if state.view.note_store_failure() {
+        // Another box of the hall is to follow the store in place of this one.
+        gateway.gossip_now.notify_one();
         warn!(target: "follow",
             "event=dependency_lost dependency=metadata_store after_revision={after_revision} \
              waited_ms={waited_ms} cause=\"{error}\"");
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,8 +15,8 @@
 use crate::clock::now_ms;
 use crate::gateway::claims::handover_pause_ms;
 use crate::gateway::decisions::gossip_message::{
-    AbortsReport, Gossip, LoadChanges, LoadReport, NamedVersionReport, SlowdownReport,
-    changed_loads, reported_loads,
+    AbortsReport, Gossip, LoadChanges, LoadReport, MetadataStoreStatus, NamedVersionReport,
+    SlowdownReport, changed_loads, reported_loads,
 };
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::notice::NoticeState;
@@ -134,12 +134,14 @@
     composed
 }
 
-/// How far the gossip of this box goes.
-fn gossip_scope(state: &State) -> GossipScope {
+/// How far the gossip of this box goes. While the store does not answer, all boxes of a hall may follow
+/// it, and have nothing to tell that must reach the whole hall at once.
+#[must_use]
+pub fn gossip_scope(state: &State) -> GossipScope {
     let reaches_other_halls = state.is_bridge() || state.leadership.is_some();
     if reaches_other_halls {
         GossipScope::AllBridges
-    } else if state.follows_metadata {
+    } else if state.metadata_store_status() == MetadataStoreStatus::Available {
         GossipScope::WholeHall
     } else {
         GossipScope::OwnHall
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -6,6 +6,9 @@
 use coursestile::gateway::decisions::news_pace::Pace;
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
 use coursestile::gateway::decisions::view::ViewDigest;
+use coursestile::gateway::gossip::gossip_scope;
+use coursestile::gateway::kernel::Gateway;
+use coursestile::gateway::settings::Settings;
 
 const HALL: u32 = 1;
 const OTHER_HALL: u32 = 2;
@@ -110,3 +113,19 @@
     assert_eq!(far.count(), 788);
     assert!(peers.retention_ms() > 49_000, "nor does the leader drop them before");
 }
+
+/// Each of the 197 boxes of a hall that is cut off from the store takes itself for its follower, and sent
+/// all of its messages to all others.
+#[test]
+fn followers_without_store() {
+    let settings = "[box]\nname = a\nhall = north\nclients = 127.0.0.1:1\nready = 127.0.0.1:1\n\
+        peers = 127.0.0.1:1\n[platform]\naddress = 127.0.0.1:1\n";
+    let gateway = Gateway::new(Settings::parse("a.ini", settings).unwrap()).unwrap();
+    let mut state = gateway.state();
+    assert!(state.follows_metadata);
+    assert_eq!(gossip_scope(&state), GossipScope::OwnHall);
+    state.view.note_store_answer(1000);
+    assert_eq!(gossip_scope(&state), GossipScope::WholeHall);
+    state.view.note_store_failure();
+    assert_eq!(gossip_scope(&state), GossipScope::OwnHall);
+}
