Starts: boxes of a small fleet do not ask peers for what they read themselves

A box without items asks a peer for them at once only in a large fleet, where it may wait for its turn to read them; in a small one its own listing is as soon, and the update would be sent for nothing.

--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -265,7 +265,8 @@
         let publisher =
             self.publisher(now_ms).filter(|_| metadata_store == MetadataStoreStatus::NotUsed);
         let other_hall_delay_ms = self.far_fetch_delay_ms(now_ms);
-        let has_items = own.last_change_revision > 0;
+        // A box of a small fleet reads the items from the store itself, which is as soon.
+        let needs_items = own.last_change_revision == 0 && !self.is_small_fleet();
         let ahead = self.live_peers(now_ms).filter(|(address, peer)| {
             let view_digest = peer.gossip.view_digest;
             let is_publisher = publisher.is_some_and(|publisher| publisher.ip() == **address);
@@ -273,7 +274,7 @@
                 return view_digest.checksum != own.checksum;
             }
             let at_once =
-                is_publisher || !has_items || metadata_store == MetadataStoreStatus::Failing;
+                is_publisher || needs_items || metadata_store == MetadataStoreStatus::Failing;
             let is_own_hall = peer.gossip.hall == self.local.hall;
             let min_ms = if at_once { 0 } else { LAG_TOLERANCE_MS }
                 + if is_own_hall { 0 } else { other_hall_delay_ms };
@@ -286,7 +287,7 @@
             (
                 peer.may_be_asked(now_ms),
                 peer.gossip.hall == self.local.hall,
-                if has_items { peer.gossip.view_digest.last_change_revision } else { 0 },
+                if needs_items { 0 } else { peer.gossip.view_digest.last_change_revision },
                 peer.preference,
             )
         })?;
--- a/src/gateway/decisions/reach.rs
+++ b/src/gateway/decisions/reach.rs
@@ -79,9 +79,9 @@
     let missing = upstreams.filter(|upstream| {
         (upstream.is_unreachable() || upstream.needs_tunnel()) && !upstream.is_superseded()
     });
-    let counts = |upstream: &&Upstream| is_cut_off || !upstream.is_inferred_unreachable();
-    let mut drawn = rng.choose_multiple(missing.clone().filter(counts), MAX_PROBES);
-    let inferred = missing.filter(|upstream| !counts(upstream));
+    let is_found = |upstream: &&Upstream| is_cut_off || !upstream.is_inferred_unreachable();
+    let mut drawn = rng.choose_multiple(missing.clone().filter(is_found), MAX_PROBES);
+    let inferred = missing.filter(|upstream| !is_found(upstream));
     drawn.extend(rng.choose_multiple(inferred, MAX_INFERRED_PROBES));
     // First those for which no peer has been asked yet.
     drawn.sort_by_key(|upstream| upstream.is_known_unreachable());
--- a/src/gateway/peer_traffic.rs
+++ b/src/gateway/peer_traffic.rs
@@ -15,7 +15,7 @@
 /// Interval between two looks at the counts.
 const PERIOD: Duration = Duration::from_secs(1);
 /// Received datagrams, or probes and tunnels, within a period from which the counts are logged.
-const BUSY_DATAGRAMS: u64 = 500;
+const BUSY_DATAGRAMS: u64 = 1000;
 const BUSY_PROBES: u64 = 50;
 /// Kinds of datagrams, in the order of [`kind`].
 const KINDS: [&str; 6] =
