--- a/src/gateway/decisions/listing.rs
+++ b/src/gateway/decisions/listing.rs
@@ -21,6 +21,7 @@
     freshness: Freshness,
     /// Prefixes that are not complete yet.
     prefixes: &'static [&'static str],
+    /// Last key that has arrived of the first of them.
     after: Option<String>,
     snapshot: Snapshot,
     pages: usize,
