Probes: requests do not wait for upstreams of a hall that nobody reaches

Change: where peers were asked about two or more upstreams of a hall in a round and none was reached, those that this box has just probed in vain count as out of reach, and those that it only infers to be (decisions::reach::unreached_halls). Upstreams that it reaches, or found only after the round, are not touched, and peers go on to be asked about some in each round.

--- a/src/gateway/decisions/reach.rs
+++ b/src/gateway/decisions/reach.rs
@@ -9,6 +9,7 @@
 //! are out of reach. *Load pattern:* a hall of thousands of upstreams is cut off from all boxes of the
 //! other halls, none of which can help another.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use fastrand::Rng;
@@ -65,6 +66,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Probe {
     pub id: String,
+    pub hall: String,
     pub address: SocketAddr,
     /// Whether peers are asked for a tunnel if this box does not reach it.
     pub asks_peers: bool,
@@ -90,7 +92,27 @@
     let probes = drawn.into_iter().map(|upstream| {
         let asks_peers = upstream.is_unreachable() && asking < max_asking;
         asking += usize::from(asks_peers);
-        Probe { id: upstream.id.clone(), address: upstream.entry.address, asks_peers }
+        Probe {
+            id: upstream.id.clone(),
+            hall: upstream.entry.hall.clone(),
+            address: upstream.entry.address,
+            asks_peers,
+        }
     });
     probes.collect()
 }
+
+/// Halls about which peers were asked in a round, for more than one upstream and in vain. `is_missed`
+/// tells whether neither this box nor a peer has reached an upstream.
+pub fn unreached_halls<'a>(
+    round: &'a [Probe],
+    is_missed: impl Fn(&Probe) -> bool,
+) -> BTreeSet<&'a str> {
+    let asked = round.iter().filter(|probe| probe.asks_peers);
+    let halls: BTreeSet<&str> = asked.clone().map(|probe| probe.hall.as_str()).collect();
+    let is_unreached = |hall: &&str| {
+        let mut in_hall = asked.clone().filter(|probe| probe.hall == **hall);
+        in_hall.clone().count() >= MIN_MISSED && in_hall.all(&is_missed)
+    };
+    halls.into_iter().filter(is_unreached).collect()
+}
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -151,6 +151,17 @@
         }
     }
 
+    /// Records that neither this box nor peers reach a hall. Requests then wait neither for the upstreams
+    /// that this box has just probed, as `is_probed` tells, nor for those judged by others of the hall.
+    pub fn record_hall_unreached(&mut self, hall: &str, is_probed: impl Fn(&str) -> bool) {
+        self.update_active(|upstream| {
+            let is_judged = upstream.is_inferred_unreachable() || is_probed(&upstream.id);
+            if upstream.entry.hall == hall && is_judged {
+                upstream.record_probe_failure();
+            }
+        });
+    }
+
     /// Marks silent upstreams unreachable until a connection to them is established. Returns the
     /// start of the most recent silence.
     pub fn mark_silent_unreachable(&mut self, now_ms: u64) -> Option<u64> {
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -17,7 +17,7 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::gateway::connections::NewConnection;
-use crate::gateway::decisions::reach::{Probe, Reach, probes};
+use crate::gateway::decisions::reach::{Probe, Reach, probes, unreached_halls};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::{paths, tunnels};
@@ -56,6 +56,7 @@
         reaches_control(gateway, None).await
     })
     .await;
+    record_unreached_halls(gateway, &round);
     let any_reached = control == Some(true) || reached.contains(&true);
     let changed = {
         let mut state = gateway.state();
@@ -67,6 +68,17 @@
     }
 }
 
+/// Applies what the probes of a round show of the upstreams about which no peer was asked.
+fn record_unreached_halls(gateway: &Gateway, round: &[Probe]) {
+    let mut state = gateway.state();
+    let is_missed =
+        |probe: &Probe| state.upstreams.get(&probe.id).is_some_and(Upstream::is_known_unreachable);
+    for hall in unreached_halls(round, is_missed) {
+        let is_probed = |id: &str| round.iter().any(|probe| probe.id == id);
+        state.upstreams.record_hall_unreached(hall, is_probed);
+    }
+}
+
 /// Applies that this box is cut off from all upstreams, or is no more.
 fn record_reach(gateway: &Gateway) {
     let is_cut_off = gateway.state().reach.is_cut_off();
@@ -91,7 +103,7 @@
 }
 
 /// Probes an upstream; returns whether this box reaches it itself.
-async fn probe(gateway: &Gateway, Probe { id, address, asks_peers }: &Probe) -> bool {
+async fn probe(gateway: &Gateway, Probe { id, address, asks_peers, .. }: &Probe) -> bool {
     if let Some((connection, _)) = open_directly(gateway, *address).await {
         gateway.connections.close_idle_to(id);
         gateway.connections.add_idle(id, connection);
--- a/tests/gateway_cut.rs
+++ b/tests/gateway_cut.rs
@@ -154,17 +154,21 @@
     assert!(10 * served >= 9 * 20, "{served} of 20 served");
 }
 
-/// Without a box that reaches the upstreams, requests are refused at once, as not run.
+/// Without a box that reaches the upstreams, requests are refused at once, as not run, also where they
+/// are more than peers are asked about in a round.
+#[rstest]
+#[case::few(3)]
+#[case::many(12)]
 #[tokio::test]
-async fn none_reaches() {
-    let fleet = CutFleet::start(3, 1, 1, "north").await;
+async fn none_reaches(#[case] servers: usize) {
+    let fleet = CutFleet::start(servers, 1, 1, "north").await;
     for other in &fleet.others {
         other.signal("-KILL");
     }
     fleet.set_link(Link::Dropped);
     // The peer is silent, and the upstreams are found out of reach.
     tokio::time::sleep(2 * SERVED_AFTER).await;
-    for number in 0..3 {
+    for number in 0..servers {
         fleet.send("GET", "/safe/", &format!("r-first-{number}")).await;
     }
     tokio::time::sleep(SERVED_AFTER).await;
