Test: starts of a fleet whose first readers die, hang or are turned away

How boxes start together was tested with all of them well and with the store away for all. Added: the three that rank highest die as they begin, the first one hangs while its peers take it to be alive, the store turns a third away, those that rank highest, and a box that knows nobody by list or seed.

--- a/tests/gateway_starts.rs
+++ b/tests/gateway_starts.rs
@@ -22,18 +22,24 @@
 
 /// More boxes than a small fleet has.
 const BOXES: usize = 16;
+/// Boxes that the store turns away, a third.
+const TURNED_AWAY: usize = 5;
 const UPSTREAMS: u64 = 60;
 /// Items on a page of the stand-in.
 const PAGE_ITEMS: u64 = 3;
 
-/// A fleet of one hall that has written its list of members, and whose boxes were then all killed.
-async fn killed_fleet() -> (Site, Vec<Gateway>) {
-    let mut site = Site::start().await;
+fn register_upstreams(site: &Site) {
     for number in 0..UPSTREAMS {
         let address = format!("127.0.0.1:{}", 20_000 + number);
         site.register(&format!("s-{number:02}"), &service_entry("plain", &address, "ready"));
     }
     site.configure(&config_document(7));
+}
+
+/// A fleet of one hall that has written its list of members, and whose boxes were then all killed.
+async fn killed_fleet() -> (Site, Vec<Gateway>) {
+    let mut site = Site::start().await;
+    register_upstreams(&site);
     let mut gateways: Vec<Gateway> = Vec::new();
     for _ in 0..BOXES {
         let seeds: Vec<&Gateway> = gateways.iter().take(3).collect();
@@ -93,6 +99,67 @@
     assert!(listings <= BOXES as u64 / 4, "{listings} listings by {BOXES} boxes");
 }
 
+/// The boxes that rank highest, and thus read first, die as they begin.
+#[tokio::test]
+async fn readers_die() {
+    let (_site, gateways) = killed_fleet().await;
+    for gateway in &gateways {
+        gateway.restart_if_exited();
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for gateway in &gateways[..3] {
+        gateway.signal("-9");
+    }
+    for gateway in &gateways[3..] {
+        wait_ready(gateway).await;
+    }
+}
+
+/// The first reader hangs in the middle: it is alive to its peers, and reads nothing.
+#[tokio::test]
+async fn reader_hangs() {
+    let (_site, gateways) = killed_fleet().await;
+    for gateway in &gateways {
+        gateway.restart_if_exited();
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    gateways[0].signal("-STOP");
+    for gateway in &gateways[1..] {
+        wait_ready(gateway).await;
+    }
+    gateways[0].signal("-CONT");
+    wait_ready(&gateways[0]).await;
+}
+
+/// The store turns away the boxes that rank highest: the next one reads, and gives them the items.
+#[tokio::test]
+async fn readers_turned_away() {
+    let mut site = Site::start().await;
+    register_upstreams(&site);
+    let endpoint = site.metadata.open_endpoint().await;
+    endpoint.refuse_calls();
+    let mut gateways: Vec<Gateway> = Vec::new();
+    for number in 0..BOXES {
+        let address =
+            if number < TURNED_AWAY { &endpoint.address } else { &site.metadata.address }.clone();
+        let seeds: Vec<&Gateway> = gateways.iter().rev().take(3).collect();
+        gateways.push(site.gateway_at("north", &seeds, &address));
+    }
+    for gateway in &gateways {
+        wait_ready(gateway).await;
+    }
+}
+
+/// A box that knows nobody, by no list and no seed, reads everything itself.
+#[tokio::test]
+async fn nobody_known() {
+    let mut site = Site::start().await;
+    register_upstreams(&site);
+    let alone = site.gateway("north", &[]);
+    wait_ready(&alone).await;
+    assert_eq!(listings(&site), 1);
+}
+
 /// Milliseconds in which service must be back after a loss of power.
 const RECOVERY_MS: usize = 18_000;
 /// Bytes a millisecond of the slowest link, 20 Mbit/s.
