--- a/src/gateway/decisions/reach.rs
+++ b/src/gateway/decisions/reach.rs
@@ -72,8 +72,8 @@
     pub asks_peers: bool,
 }
 
-/// The probes of one round, of those `upstreams` that this box is known not to reach.
-pub fn probes<'a>(
+/// Draws the probes of one round from those `upstreams` that this box is known not to reach.
+pub fn draw_probes<'a>(
     upstreams: impl Iterator<Item = &'a Upstream> + Clone,
     is_cut_off: bool,
     rng: &mut Rng,
@@ -104,10 +104,7 @@
 
 /// Halls about which peers were asked in a round, for more than one upstream and in vain. `is_missed`
 /// tells whether neither this box nor a peer has reached an upstream.
-pub fn unreached_halls<'a>(
-    round: &'a [Probe],
-    is_missed: impl Fn(&Probe) -> bool,
-) -> BTreeSet<&'a str> {
+pub fn unreached_halls(round: &[Probe], is_missed: impl Fn(&Probe) -> bool) -> BTreeSet<&str> {
     let asked = round.iter().filter(|probe| probe.asks_peers);
     let halls: BTreeSet<&str> = asked.clone().map(|probe| probe.hall.as_str()).collect();
     let is_unreached = |hall: &&str| {
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -17,7 +17,7 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::gateway::connections::NewConnection;
-use crate::gateway::decisions::reach::{Probe, Reach, probes, unreached_halls};
+use crate::gateway::decisions::reach::{Probe, Reach, draw_probes, unreached_halls};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::{paths, tunnels};
@@ -99,7 +99,7 @@
         gateway.connections.close_all_idle(silent_since_ms);
     }
     let is_cut_off = state.reach.is_cut_off();
-    probes(state.upstreams.active(), is_cut_off, &mut fastrand::Rng::new())
+    draw_probes(state.upstreams.active(), is_cut_off, &mut fastrand::Rng::new())
 }
 
 /// Probes an upstream; returns whether this box reaches it itself.
