--- a/tests/gateway_probes.rs
+++ b/tests/gateway_probes.rs
@@ -22,6 +22,8 @@
 /// Tunnels that a box may ask for in the time watched, about a hall of any size: three a round of
 /// probes for each of four upstreams, and rounds 0.4 s apart.
 const ASKED_ABOUT_HALL: usize = 3 * 4 * 5;
+/// Time in which the tunnels are declined that were asked for requests already answered.
+const ASKS_ENDED: Duration = Duration::from_millis(250);
 /// Several rounds of probes.
 const WATCHED: Duration = Duration::from_secs(2);
 
@@ -75,6 +77,7 @@
         let answer = request_once(&gateways[0].clients, "GET", "/safe/", id).await;
         assert_eq!(answer.map(|answer| answer.status()), Some(503));
     }
+    tokio::time::sleep(ASKS_ENDED).await;
     let declined = || gateways[0].log_text().matches("event=tunnel_declined").count();
     let by_requests = declined();
     tokio::time::sleep(WATCHED).await;
