--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -148,6 +148,7 @@
     for engine in 0..engine_count(boxes) {
         let entry = UpstreamEntry {
             service: SERVICE.to_owned(),
+            software: "v1".to_owned(),
             address: SocketAddr::new(address(engine), 8080),
             hall: format!("hall-{}", engine % HALLS),
             slots: 24,
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -11,7 +11,7 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::gateway::attempt::OutgoingRequest;
-use crate::gateway::decisions::configuration::{Account, Configuration, Route};
+use crate::gateway::decisions::configuration::{Account, Configuration, RetryPolicy, Route};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::heads::RequestHead;
@@ -58,6 +58,12 @@
         self.attempts_made += 1;
     }
 
+    /// Whether its response is a stream that may be resumed.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        self.outgoing.retry_policy == RetryPolicy::StreamResumable
+    }
+
     /// Moves the request out, to be continued in a stream.
     #[must_use]
     pub fn detach(&mut self) -> Self {
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -27,6 +27,8 @@
 pub struct UpstreamEntry {
     /// Service that it belongs to.
     pub service: String,
+    /// Version of its software.
+    pub software: String,
     pub address: SocketAddr,
     /// Data hall.
     pub hall: String,
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -32,8 +32,9 @@
     let known = state.upstreams.get(id);
     let mut changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
     let details = format!(
-        "upstream={id} service={} hall={} leaving={} started_at_ms={}",
+        "upstream={id} service={} software={} hall={} leaving={} started_at_ms={}",
         entry.service,
+        entry.software,
         entry.hall,
         entry.leaving,
         format_start(entry.started_at_ms)
--- a/src/gateway/heads.rs
+++ b/src/gateway/heads.rs
@@ -15,6 +15,19 @@
     pub timeout_ms: Option<u64>,
     /// The prompt, if the headers describe one.
     pub prompt: Option<Prompt>,
+    /// The stream that the client resumes, if it has received events of one.
+    pub resumed: Option<ResumedStream>,
+}
+
+/// How a client refers to a stream that it resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResumedStream {
+    /// By the id of the request whose response began the stream.
+    Named(String),
+    /// Not at all; it only says which event it received last.
+    Unnamed,
+    /// By headers that are ambiguous or unreadable.
+    Malformed,
 }
 
 /// How the end of a response body is marked.
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -20,7 +20,6 @@
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
-use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::events::{EventScanner, has_events, last_event_id};
 use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
@@ -281,7 +280,7 @@
     }
 
     fn is_resumable(&self) -> bool {
-        self.scanner.is_some() && self.request.outgoing.retry_policy == RetryPolicy::StreamResumable
+        self.scanner.is_some() && self.request.is_resumable()
     }
 
     fn log_begun(&self) {
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -10,7 +10,7 @@
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
-use crate::gateway::heads::Framing;
+use crate::gateway::heads::{Framing, ResumedStream};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::response::Reason;
 
@@ -59,14 +59,15 @@
 
 /// Logs the start of an attempt.
 pub fn log_attempt_start(gateway: &Gateway, request: &AdmittedRequest, choice: &Choice) {
-    let (limit, behind_ms) = {
+    let (limit, behind_ms, software) = {
         let state = gateway.state();
-        (state.admission_limits.limit_of(&request.service), behind_ms(&state, request, choice))
+        let limit = state.admission_limits.limit_of(&request.service);
+        (limit, behind_ms(&state, request, choice), software_of(&state, choice))
     };
     let context = choice.context.as_ref();
     info!(target: "serve",
         "event=routed request={} fingerprint={} route={} configuration={} upstream={} \
-         attempt={} left_ms={} version={} behind_ms={behind_ms} read_tokens={} \
+         software={software} attempt={} left_ms={} version={} behind_ms={behind_ms} read_tokens={} \
          reread_tokens={} expected_ms={:.0} context={} part={} load_requests={} \
          load_unread={} load_memory={} limit={limit:.2}",
         request.outgoing.request_id,
@@ -91,6 +92,23 @@
         choice.load.memory_tokens);
 }
 
+/// Version of the software of the chosen upstream.
+fn software_of(state: &State, choice: &Choice) -> String {
+    let upstream = state.upstreams.get_incarnation(&choice.upstream);
+    upstream.map_or_else(|| "-".to_owned(), |upstream| upstream.entry.software.clone())
+}
+
+/// Logs a request by which a client resumes a stream.
+pub fn log_resumed_by_client(request: &AdmittedRequest, resumed: &ResumedStream) {
+    metrics::counter!("coursestile_streams_resumed_by_client_total").increment(1);
+    let began_as = match resumed {
+        ResumedStream::Named(request_id) => request_id,
+        ResumedStream::Unnamed | ResumedStream::Malformed => "-",
+    };
+    info!(target: "serve", "event=resumed_by_client request={} began_as={began_as}",
+        request.outgoing.request_id);
+}
+
 /// How long ago the first version newer than the chosen engine's was named, as far as this
 /// box knows; 0 if there is none.
 fn behind_ms(state: &State, request: &AdmittedRequest, choice: &Choice) -> u64 {
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -16,9 +16,9 @@
     addr: SocketAddr,
     /// Data hall.
     zone: String,
-    /// Version of its software; must be present, but is not used.
+    /// Version of its software.
     #[serde(rename = "version")]
-    _software: String,
+    software: String,
     slots: u32,
     state: State,
     /// How much longer it is cold.
@@ -51,6 +51,7 @@
     let body: EntryBody = serde_json::from_slice(bytes)?;
     Ok(UpstreamEntry {
         service: body.service,
+        software: body.software,
         address: body.addr,
         hall: body.zone,
         slots: body.slots,
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -9,7 +9,7 @@
 use crate::gateway::decisions::context::{ContextPlan, PartSource};
 use crate::gateway::decisions::notice::Notice;
 use crate::gateway::decisions::prompt::Prompt;
-use crate::gateway::heads::{ForwardHead, Framing, RequestHead, ResponseHead};
+use crate::gateway::heads::{ForwardHead, Framing, RequestHead, ResponseHead, ResumedStream};
 use crate::platform::headers;
 
 /// Headers that apply to a single connection and are not forwarded.
@@ -25,6 +25,9 @@
     header::UPGRADE,
 ];
 
+/// Longest id by which a client may name a request.
+const MAX_REQUEST_ID_BYTES: usize = 1024;
+
 /// Decodes the head of a client's request.
 #[must_use]
 pub fn request_head(uri: &Uri, head: &HeaderMap) -> RequestHead {
@@ -43,9 +46,36 @@
         api_key: text(head, &headers::API_KEY).map(str::to_owned),
         timeout_ms: text(head, &headers::TIME_LEFT_MS).and_then(parse_ms),
         prompt,
+        resumed: resumed_stream(head),
     }
 }
 
+/// The stream that a client resumes. Without the id of an event, it has received none.
+fn resumed_stream(head: &HeaderMap) -> Option<ResumedStream> {
+    let last_event = single(head, &headers::LAST_EVENT_ID)?;
+    if last_event.is_some_and(HeaderValue::is_empty) {
+        return None;
+    }
+    let name = match (last_event, single(head, &headers::RESUMES)) {
+        (None, _) | (_, Some(None)) => return Some(ResumedStream::Malformed),
+        (Some(_), None) => return Some(ResumedStream::Unnamed),
+        (Some(_), Some(Some(name))) => name,
+    };
+    match name.to_str() {
+        Ok(name) if (1..=MAX_REQUEST_ID_BYTES).contains(&name.len()) => {
+            Some(ResumedStream::Named(name.to_owned()))
+        }
+        _ => Some(ResumedStream::Malformed),
+    }
+}
+
+/// The value of a header that must not come twice: `Some(None)` if it does.
+fn single<'a>(head: &'a HeaderMap, name: &HeaderName) -> Option<Option<&'a HeaderValue>> {
+    let mut values = head.get_all(name).iter();
+    let first = values.next()?;
+    Some(values.next().is_none().then_some(first))
+}
+
 /// Builds the request that is sent to an upstream.
 #[must_use]
 pub fn upstream_request(
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -28,6 +28,8 @@
 pub const PARTS: HeaderName = HeaderName::from_static("x-prefix-hash");
 /// Id of the last event received, when a stream is resumed.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Id of the request whose response began a stream, when its client resumes it.
+pub const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Priority from 0 to 9; 0 is served first.
 pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
 /// Weight version with which the request must run.
--- a/tests/gateway_active.rs
+++ b/tests/gateway_active.rs
@@ -18,6 +18,7 @@
 fn entry(number: usize, started_at_ms: u64) -> UpstreamEntry {
     UpstreamEntry {
         service: "llm".to_owned(),
+        software: "v1".to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 8000)),
         hall: HALLS[number % HALLS.len()].to_owned(),
         slots: 8,
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -59,6 +59,7 @@
     for (hall, port) in HALLS.into_iter().zip(100..) {
         let entry = UpstreamEntry {
             service: "llm".to_owned(),
+            software: "v1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             hall: hall.to_owned(),
             slots: 24,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -40,6 +40,7 @@
     for (engine, port) in (0..ENGINES).zip(1..) {
         let entry = UpstreamEntry {
             service: "llm".to_owned(),
+            software: "v1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             hall: "north".to_owned(),
             slots: 24,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -28,6 +28,7 @@
 fn entry(hall: &str, port: u16, version: u64) -> UpstreamEntry {
     UpstreamEntry {
         service: "llm".to_owned(),
+        software: "v1".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         hall: hall.to_owned(),
         slots: 4,
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -102,6 +102,7 @@
     let gateway = Gateway::new(settings).expect("gateway");
     let entry = UpstreamEntry {
         service: "llm".to_owned(),
+        software: "v1".to_owned(),
         address: "127.0.0.1:1".parse().unwrap(),
         hall: "north".to_owned(),
         slots: 8,
--- a/tests/gateway_restarts.rs
+++ b/tests/gateway_restarts.rs
@@ -202,6 +202,7 @@
 fn outdated_entry(started_at_ms: Option<u64>) -> UpstreamEntry {
     UpstreamEntry {
         service: "llm".to_owned(),
+        software: "v1".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         hall: "north".to_owned(),
         slots: 4,
--- a/tests/gateway_rollout.rs
+++ b/tests/gateway_rollout.rs
@@ -114,6 +114,7 @@
     for number in 0..4 {
         let entry = UpstreamEntry {
             service: "llm".to_owned(),
+            software: "v1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 8000 + number)),
             hall: "north".to_owned(),
             slots: 8,
