--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -141,6 +141,8 @@
     falls: usize,
     /// Request body that makes the upstream crash.
     crash_body: Option<Vec<u8>>,
+    /// Version of its software, with which it marks each event.
+    software: Option<String>,
     crashed: watch::Sender<bool>,
     /// Whether the connections have been closed after a crash.
     exited: watch::Sender<bool>,
@@ -220,6 +222,11 @@
         self.state().crash_body = Some(body.as_bytes().to_vec());
     }
 
+    /// Marks the events that it sends with a version of its software.
+    pub fn set_software(&self, version: &str) {
+        self.state().software = Some(version.to_owned());
+    }
+
     /// Limits the requests that it takes and may reject.
     pub fn set_brittle(&self, brittleness: Brittleness) {
         self.state().brittleness = Some(brittleness);
@@ -413,11 +420,22 @@
 /// Text of the events after number `after`, up to the end of the stream of request `id`.
 #[must_use]
 pub fn events_text(id: &str, after: u32) -> String {
+    marked_events_text(id, after, "piece")
+}
+
+/// The same, with `mark` as the first word of the data.
+fn marked_events_text(id: &str, after: u32, mark: &str) -> String {
     let events = (after + 1..=EVENTS)
-        .map(|number| format!("id: {number}\ndata: piece {number} of {id}\n\n"));
+        .map(|number| format!("id: {number}\ndata: {mark} {number} of {id}\n\n"));
     events.collect::<Vec<_>>().concat()
 }
 
+/// First word of the data of each event: the version of the upstream's software, if it has one.
+fn event_mark(shared: &Shared) -> String {
+    let software = shared.lock().expect("no task panics under the lock").software.clone();
+    software.unwrap_or_else(|| "piece".to_owned())
+}
+
 /// Waits until the test releases the held answers.
 async fn wait_for_release(shared: &Shared) {
     while !shared.lock().expect("no task panics under the lock").released {
@@ -459,8 +477,9 @@
 ) -> Option<()> {
     tokio::time::sleep(work_time(request)).await;
     let id = request.header("x-request-id").unwrap_or("-");
+    let mark = event_mark(shared);
     let body = if is_stream(request) {
-        events_text(id, last_event(request))
+        marked_events_text(id, last_event(request), &mark)
     } else {
         format!("answer to {id}: {}", String::from_utf8_lossy(&request.body))
     };
@@ -517,28 +536,30 @@
             write.write_all("x".repeat(sent).as_bytes()).await.ok()?;
             return (!cut).then_some(());
         }
-        Behavior::Events(count) => return stream_events(write, request, *count, b"piece").await,
+        Behavior::Events(count) => {
+            return stream_events(write, request, *count, mark.as_bytes()).await;
+        }
         Behavior::NonUtf8Events(count) => {
             return stream_events(write, request, *count, b"\xff\xfe").await;
         }
         Behavior::PausedEvents(count, time) => {
             write_head(write, request).await?;
-            write_events(write, request, 1..=*count, b"piece").await?;
+            write_events(write, request, 1..=*count, mark.as_bytes()).await?;
             tokio::time::sleep(*time).await;
-            write_events(write, request, count + 1..=EVENTS, b"piece").await?;
+            write_events(write, request, count + 1..=EVENTS, mark.as_bytes()).await?;
             return write.write_all(b"0\r\n\r\n").await.ok();
         }
         Behavior::HeldEvents(count) if last_event(request) == 0 => {
             write_head(write, request).await?;
-            write_events(write, request, 1..=*count, b"piece").await?;
+            write_events(write, request, 1..=*count, mark.as_bytes()).await?;
             wait_for_release(shared).await;
-            write_events(write, request, count + 1..=EVENTS, b"piece").await?;
+            write_events(write, request, count + 1..=EVENTS, mark.as_bytes()).await?;
             return write.write_all(b"0\r\n\r\n").await.ok();
         }
         Behavior::Held | Behavior::HeldEvents(_) => {
             wait_for_release(shared).await;
             if is_stream(request) {
-                return stream_events(write, request, EVENTS, b"piece").await;
+                return stream_events(write, request, EVENTS, mark.as_bytes()).await;
             }
             whole
         }
