--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -47,6 +47,8 @@
     pub priority: u8,
     /// Whether the request may run more than once.
     pub retry_policy: RetryPolicy,
+    /// Whether its client has received events of its stream.
+    pub resumes: bool,
     /// Deadline of the request.
     pub deadline_ms: u64,
     /// When the response, or its first event, is due.
@@ -57,7 +59,7 @@
     /// Scheduling rank at the engine. A request that cannot meet its objective any more ranks
     /// lower, unless its stream has begun.
     fn rank(&self, now_ms: u64, choice: &Choice, last_event_id: Option<&str>) -> u8 {
-        if last_event_id.is_some() {
+        if self.resumes || last_event_id.is_some() {
             return self.priority;
         }
         let expected_at_ms = now_ms + rounded_ms(choice.expected_first_token_ms);
@@ -163,7 +165,12 @@
     choice: &Choice,
     last_event_id: Option<&str>,
 ) -> AttemptOutcome {
-    let Some(address) = gateway.state().upstreams.address(&choice.upstream.id) else {
+    let listed = gateway
+        .state()
+        .upstreams
+        .get_incarnation(&choice.upstream)
+        .map(|upstream| upstream.entry.address);
+    let Some(address) = listed else {
         return AttemptOutcome::NotSent { cause: "the upstream is no longer listed".to_owned() };
     };
     let mut in_flight = InFlight::begin(gateway, choice);
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -14,12 +14,17 @@
 use crate::gateway::decisions::configuration::{Account, Configuration, RetryPolicy, Route};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
-use crate::gateway::heads::RequestHead;
+use crate::gateway::decisions::stream_origins::{StreamId, StreamOrigin};
+use crate::gateway::heads::{RequestHead, ResumedStream};
 use crate::gateway::kernel::Gateway;
+use crate::gateway::origins::{self, FoundOrigin};
 use crate::gateway::response::Reason;
+use crate::names::short_id;
 
 /// Timeout of a request whose client sends none.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+/// Longest time for which a client is taken to wait.
+const MAX_CLIENT_TIMEOUT_MS: u64 = 600_000;
 /// Longest time for a request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a request waits for the first configuration after the start of the box.
@@ -41,6 +46,12 @@
     /// Regions to which its account is restricted; empty if it is not.
     pub account_regions: Vec<String>,
     pub arrived_at_ms: u64,
+    /// When its client stops waiting, as it says.
+    pub client_deadline_ms: u64,
+    /// The stream that it begins or resumes.
+    pub stream: StreamId,
+    /// Where the stream began, once its client has received an event of it.
+    pub origin: Option<StreamOrigin>,
     /// Upstreams that it has been sent to.
     pub tried: Vec<Incarnation>,
     /// Attempts that count towards the route's limit: the intended upstream may have received them.
@@ -93,9 +104,21 @@
     let route = configuration.route(host, target.path()).ok_or(Reason::NoRoute)?.clone();
     let account = authenticate(&configuration, &route, head)?.cloned();
     let body = read_body(&configuration, body).await?;
+    let account_name = account.as_ref().map_or("", |account| &account.name);
+    let stream = StreamId::new(account_name, began_as(head, request_id));
+    let origin = match &head.resumed {
+        Some(resumed) if route.retry_policy == RetryPolicy::StreamResumable => {
+            Some(find_origin(gateway, &route, resumed, stream).await?)
+        }
+        Some(_) | None => None,
+    };
     // Chosen only now, since a configuration change may have come into force while the body
     // arrived.
-    let service = route.service(routing_hash(request_id)).ok_or(Reason::NoUpstream)?;
+    let service = match origin {
+        Some(origin) => route.service_by_short_id(origin.service),
+        None => route.service(routing_hash(request_id)),
+    };
+    let service = service.ok_or(Reason::NoUpstream)?;
     let timeout_ms = head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let priority = account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority);
     let isolated_account = account.as_ref().filter(|account| account.isolated);
@@ -112,6 +135,9 @@
             .map(|account| account.allowed_regions.clone())
             .unwrap_or_default(),
         arrived_at_ms,
+        client_deadline_ms: arrived_at_ms + timeout_ms.min(MAX_CLIENT_TIMEOUT_MS),
+        stream,
+        origin,
         tried: Vec::new(),
         attempts_made: 0,
         undelivered_attempts: 0,
@@ -119,7 +145,7 @@
         outgoing: OutgoingRequest {
             request_id: request_id.clone(),
             fingerprint: Fingerprint::new(
-                account.as_ref().map_or("", |account| &account.name),
+                account_name,
                 &[
                     parts.method.as_str(),
                     host,
@@ -134,6 +160,7 @@
             account: account.map(|account| account.name),
             priority,
             retry_policy: route.retry_policy,
+            resumes: origin.is_some(),
             deadline_ms: arrived_at_ms + timeout_ms.min(route.timeout_ms),
             objective_at_ms,
         },
@@ -154,6 +181,38 @@
     gateway.state().configuration.clone()
 }
 
+/// The id of the request whose response begins or began the stream.
+fn began_as<'a>(head: &'a RequestHead, request_id: &'a str) -> &'a str {
+    match &head.resumed {
+        Some(ResumedStream::Named(began_as)) => began_as,
+        Some(ResumedStream::Unnamed | ResumedStream::Malformed) | None => request_id,
+    }
+}
+
+/// Finds out where the stream began that a client resumes.
+async fn find_origin(
+    gateway: &Gateway,
+    route: &Route,
+    resumed: &ResumedStream,
+    stream: StreamId,
+) -> Result<StreamOrigin, Reason> {
+    let found = match resumed {
+        ResumedStream::Named(_) => origins::find(gateway, stream).await,
+        ResumedStream::Unnamed => FoundOrigin::Unknown,
+        ResumedStream::Malformed => return Err(Reason::BadRequest),
+    };
+    match found {
+        FoundOrigin::Known(origin) => Ok(origin),
+        FoundOrigin::Unanswered => Err(Reason::StreamNotFound),
+        FoundOrigin::Unknown => {
+            let service = route.only_service().ok_or(Reason::StreamUnknown)?;
+            let software = origins::only_software(gateway, service, stream).await;
+            let software = software.ok_or(Reason::StreamUnknown)?;
+            Ok(StreamOrigin { service: short_id(service), software })
+        }
+    }
+}
+
 /// Hash that spreads requests evenly over the target services of a route.
 fn routing_hash(request_id: &str) -> u64 {
     let mut bytes = [0; 8];
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     pub upstream: Incarnation,
+    /// Short id of the version of its software.
+    pub software: u32,
     /// Cached context that the request tells the engine to use; `None` for services without
     /// model engines.
     pub context: Option<ContextPlan>,
@@ -122,6 +124,9 @@
         return false;
     }
     // Requests must not start on overdue weights even if no other engine is left.
+    if demand.software.is_some_and(|software| upstream.software != software) {
+        return false;
+    }
     let version = demand.prompt.map_or(0, |prompt| upstream.weight_version(&prompt.model));
     !(demand.excludes_overdue && demand.is_overdue(now_ms, version))
 }
@@ -143,6 +148,7 @@
     fn into_choice(self, now_ms: u64, demand: &Demand<'_>) -> Choice {
         Choice {
             upstream: self.upstream.incarnation(),
+            software: self.upstream.software,
             context: self.context,
             expected_first_token_ms: self.expected.first_token_ms,
             engine_wait_negligible: self.expected.wait_ms < NEGLIGIBLE_WAIT_MS,
--- a/src/gateway/decisions/configuration.rs
+++ b/src/gateway/decisions/configuration.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::decisions::cold_start::ColdStart;
+use crate::names::short_id;
 
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
@@ -223,6 +224,22 @@
 }
 
 impl Route {
+    /// The service to which all its requests go; `None` if there are several.
+    #[must_use]
+    pub fn only_service(&self) -> Option<&str> {
+        match self.targets.as_slice() {
+            [target] => Some(&target.service),
+            _ => None,
+        }
+    }
+
+    /// The service with a short id, if the route leads to it.
+    #[must_use]
+    pub fn service_by_short_id(&self, service: u32) -> Option<&str> {
+        let services = self.targets.iter().map(|target| target.service.as_str());
+        services.into_iter().find(|name| short_id(name) == service)
+    }
+
     /// The service for a request; `hash` selects among several by their weights.
     #[must_use]
     pub fn service(&self, hash: u64) -> Option<&str> {
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -39,6 +39,9 @@
     pub candidates: Candidates,
     /// The halls in which it may run.
     pub allowed_halls: AllowedHalls<'a>,
+    /// The version of software at which a stream must be resumed, as a short id; `None` if any
+    /// upstream may run the request.
+    pub software: Option<u32>,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Maximum number of requests from this box to one upstream.
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -9,6 +9,7 @@
 //! - Where it may run: `regions`, and the evacuated halls in `upstreams`.
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
+//! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
@@ -43,9 +44,11 @@
 pub mod regions;
 pub mod release;
 pub mod rollout;
+pub mod software_history;
 pub mod sources;
 pub mod store_speed;
 pub mod stores;
+pub mod stream_origins;
 pub mod units;
 pub mod upstream;
 pub mod upstreams;
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -90,6 +90,8 @@
     pub short_id: u32,
     /// Its newest entry in the metadata store.
     pub entry: UpstreamEntry,
+    /// Short id of the version of its software.
+    pub software: u32,
     /// Load from this box.
     pub own_load: Load,
     /// Load from all other boxes, as last reported.
@@ -136,6 +138,7 @@
             id: incarnation.id,
             started_at_ms: incarnation.started_at_ms,
             known_since_ms: now_ms,
+            software: short_id(&entry.software),
             entry,
             own_load: Load::default(),
             peer_load: Load::default(),
@@ -203,6 +206,7 @@
         if !reports_start_now && !is_other_incarnation(self.started_at_ms, entry.started_at_ms) {
             // The entry may have been written some time ago, so this is an upper bound.
             self.cold.extend(now_ms, now_ms + entry.cold_left_ms);
+            self.software = short_id(&entry.software);
             self.entry = entry;
             return ReportedIncarnation::Current;
         }
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -13,7 +13,9 @@
 
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
+use crate::gateway::decisions::software_history::{SoftwareHistory, SoftwareSeen};
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
+use crate::names::short_id;
 
 /// The upstreams of all services.
 #[derive(Debug, Default)]
@@ -27,6 +29,8 @@
     active: BTreeSet<usize>,
     /// Notices of upstreams that have no entry at present.
     unlisted: UnlistedNotices,
+    /// Versions of software that upstreams had.
+    software_history: SoftwareHistory,
     /// Halls that operators evacuate, including those without upstreams at present.
     evacuated_halls: BTreeSet<String>,
 }
@@ -45,6 +49,11 @@
             return ReportedIncarnation::Current;
         };
         let previous_short_id = self.slab[position].short_id;
+        let known = &self.slab[position];
+        if (&known.entry.service, &known.entry.software) != (&entry.service, &entry.software) {
+            let service = short_id(&known.entry.service);
+            self.software_history.record_gone(now_ms, service, known.software);
+        }
         let reported = self.slab[position].update_entry(now_ms, entry);
         self.active.insert(position);
         self.index_short_id(position, Some(previous_short_id));
@@ -179,6 +188,8 @@
     pub fn remove(&mut self, now_ms: u64, id: &str) {
         if let Some(position) = self.by_id.remove(id) {
             let upstream = self.slab.remove(position);
+            let service = short_id(&upstream.entry.service);
+            self.software_history.record_gone(now_ms, service, upstream.software);
             self.unlisted.insert(now_ms, &upstream.incarnation(), upstream.notices());
             self.active.remove(&position);
             self.remove_short_id(position, upstream.short_id);
@@ -301,6 +312,25 @@
         self.iter().filter(|upstream| !upstream.is_superseded())
     }
 
+    /// What is known of the versions that may have begun the streams of a service.
+    #[must_use]
+    pub fn software_seen(&self, now_ms: u64, service: &str) -> SoftwareSeen {
+        let of_service = self.iter().filter(|upstream| upstream.entry.service == service);
+        let listed = of_service.map(|upstream| upstream.software);
+        self.software_history.seen(now_ms, short_id(service), listed)
+    }
+
+    /// Records that all upstreams are known. `is_configured` tells whether they may have been used
+    /// before.
+    pub fn record_complete(&mut self, now_ms: u64, is_configured: bool) {
+        self.software_history.record_complete(now_ms, is_configured);
+    }
+
+    /// Records that upstreams may have come and gone without this box.
+    pub fn record_gap(&mut self, now_ms: u64) {
+        self.software_history.record_gap(now_ms);
+    }
+
     /// Number of upstreams that this box reaches only through peers.
     #[must_use]
     pub fn missed_count(&self) -> usize {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -404,6 +404,14 @@
     After(u64),
 }
 
+/// Whether items that this box has not seen may have come and gone since its view was last complete.
+fn is_after_gap(gateway: &Gateway, named: NamedAt, now_ms: u64) -> bool {
+    match named {
+        NamedAt::Now => false,
+        NamedAt::After(at_ms) => now_ms > at_ms + lost_watch_ms(&gateway.settings.bounds),
+    }
+}
+
 /// When weight versions that this box learns of now were named. If its view was last complete
 /// longer ago than a lost watch accounts for, they were named at some time since then.
 fn named_at(gateway: &Gateway, state: &State, now_ms: u64) -> NamedAt {
@@ -436,6 +444,9 @@
     if !is_logged {
         info!(target: "follow", "event=many_changes count={}", changes.len());
     }
+    if is_after_gap(gateway, named, now_ms) {
+        state.upstreams.record_gap(now_ms);
+    }
     let mut upstreams_changed = false;
     for change in changes {
         let (key, value) = match &change {
@@ -483,6 +494,9 @@
             }
         }
     }
+    if state.view.is_loaded() {
+        state.upstreams.record_complete(now_ms, state.configuration.is_some());
+    }
     if upstreams_changed {
         cold_starts::update_allowances(gateway, state, now_ms);
         gateway.upstreams_changed.send_modify(|count| *count += 1);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,11 +21,12 @@
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::notice::NoticeState;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, GossipScope};
+use crate::gateway::decisions::stream_origins::{OriginAnswer, OriginQuery, OriginReport};
 use crate::gateway::decisions::weights::NamedVersion;
 use crate::gateway::kernel::{Gateway, ObservedVersion, State};
 use crate::gateway::leader_calls::{DelegatedCall, DelegatedReply, execute_for_peer};
 use crate::gateway::weight_loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
-use crate::gateway::{crashes, quarantine};
+use crate::gateway::{crashes, origins, quarantine};
 use crate::names::short_id;
 
 /// Maximum length of a datagram that is read.
@@ -62,6 +63,12 @@
         /// See [`AbortsReport::number`].
         number: u64,
     },
+    /// Where a stream has begun.
+    StreamOrigin(OriginReport),
+    /// A question about where a stream began.
+    OriginQuery(OriginQuery),
+    /// The answer to an [`OriginQuery`].
+    OriginAnswer(OriginAnswer),
 }
 
 /// Sends gossip to peers, a few times a second and whenever something urgent changes.
@@ -361,6 +368,13 @@
             Ok(Datagram::AbortsAcknowledged { number }) => {
                 crashes::record_acknowledgement(&gateway, from.ip(), number);
             }
+            Ok(Datagram::StreamOrigin(report)) => origins::receive_report(&gateway, report),
+            Ok(Datagram::OriginQuery(query)) => {
+                origins::answer(&gateway, &socket, from, query).await;
+            }
+            Ok(Datagram::OriginAnswer(answer)) => {
+                gateway.origin_queries.receive_answer(from.ip(), answer);
+            }
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
             }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -25,6 +25,7 @@
 use crate::gateway::decisions::peers::{LocalBox, Peers};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::stores::Stores;
+use crate::gateway::decisions::stream_origins::StreamOrigins;
 use crate::gateway::decisions::upstreams::Upstreams;
 use crate::gateway::decisions::urgency::RouteTimeouts;
 use crate::gateway::decisions::view::MetadataView;
@@ -32,6 +33,7 @@
 use crate::gateway::follow_metadata;
 use crate::gateway::leader_calls::DelegatedReply;
 use crate::gateway::leadership::Leadership;
+use crate::gateway::origins::OriginQueries;
 use crate::gateway::peer_traffic::PeerTraffic;
 use crate::gateway::settings::{Bounds, Settings};
 use crate::names::short_id;
@@ -73,6 +75,8 @@
     pub reach: Reach,
     /// Services whose upstreams are brittle.
     pub brittle: BrittleServices,
+    /// Where streams began.
+    pub stream_origins: StreamOrigins,
     /// The other boxes of the fleet.
     pub peers: Peers,
     /// Whether this box follows the metadata store itself instead of receiving changes from
@@ -275,6 +279,8 @@
     pub peer_traffic: PeerTraffic,
     /// Reports of aborts to the peers.
     pub crash_reports: CrashReports,
+    /// Queries for the origins of streams.
+    pub origin_queries: OriginQueries,
     /// Socket for datagrams to peers, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Serialises writes of claims.
@@ -308,6 +314,7 @@
             quarantine: Quarantine::default(),
             reach: Reach::default(),
             brittle: BrittleServices::default(),
+            stream_origins: StreamOrigins::default(),
             peers: Peers::new(local_box(&settings), &settings.seeds),
             follows_metadata: true,
             follows_caches: true,
@@ -352,6 +359,7 @@
             large_updates: Semaphore::new(MAX_LARGE_UPDATES),
             peer_traffic: PeerTraffic::default(),
             crash_reports: CrashReports::default(),
+            origin_queries: OriginQueries::default(),
             peer_socket: OnceLock::new(),
             claim_lock: tokio::sync::Mutex::new(()),
             state: Mutex::new(state),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 //! - `attempt` sends a request to one upstream over one of the `connections`, `in_flight` accounts
 //!   for it there, and `relay` forwards the response; `heads`, `events` and `response` have its
 //!   parts.
+//! - `origins` tells peers where streams began, and finds it out for a client that resumes one.
 //! - `silence` and `overdue_weights` end attempts that should be made elsewhere.
 //! - `refuse` composes refusals, and `request_log` writes log lines.
 //! - `crashes` and `quarantine` withhold requests that crash upstreams, and `reachability` probes
@@ -54,6 +55,7 @@
 pub mod listener;
 pub mod members;
 pub mod metadata;
+pub mod origins;
 pub mod overdue_weights;
 pub mod paths;
 pub mod peer_traffic;
--- a/src/gateway/peer_traffic.rs
+++ b/src/gateway/peer_traffic.rs
@@ -18,8 +18,16 @@
 const BUSY_DATAGRAMS: u64 = 1000;
 const BUSY_PROBES: u64 = 50;
 /// Kinds of datagrams, in the order of [`kind`].
-const KINDS: [&str; 6] =
-    ["gossip", "load_changes", "hall_summary", "other_halls_summary", "aborts", "delegated"];
+const KINDS: [&str; 8] = [
+    "gossip",
+    "load_changes",
+    "hall_summary",
+    "other_halls_summary",
+    "aborts",
+    "delegated",
+    "stream_origin",
+    "origin_query",
+];
 
 /// Datagrams since the last look, by kind.
 #[derive(Debug, Default)]
@@ -53,6 +61,8 @@
         Datagram::OtherHallsSummary(_) => 3,
         Datagram::AbortsReport(_) | Datagram::AbortsAcknowledged { .. } => 4,
         Datagram::DelegatedCall(_) | Datagram::DelegatedReply(_) => 5,
+        Datagram::StreamOrigin(_) => 6,
+        Datagram::OriginQuery(_) | Datagram::OriginAnswer(_) => 7,
     }
 }
 
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -9,6 +9,7 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::log_refusal;
 use crate::gateway::response::{self, ClientResponse, Reason};
+use crate::gateway::serve::lacks_software;
 use crate::names::short_id;
 
 /// Default retry delay for refused clients.
@@ -21,8 +22,10 @@
         state.upstreams.all_backoff_until_ms(now_ms(), &request.service, &request.tried);
     let has_upstreams = state.upstreams.of_service(&request.service).next().is_some();
     let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
+    let lacks_software = lacks_software(&state, request);
     drop(state);
     match backoff_until_ms {
+        _ if lacks_software => refuse(request, Reason::SoftwareGone),
         _ if are_all_evacuated => refuse(request, Reason::Evacuated),
         Some(until_ms) => {
             let spread_ms = u64::from(short_id(&request.outgoing.request_id)) % RETRY_AFTER_MS;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -18,15 +18,16 @@
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::attempt::{AttemptOutcome, UpstreamResponse, attempt};
 use crate::gateway::check::AdmittedRequest;
-use crate::gateway::crashes;
 use crate::gateway::decisions::choose::Choice;
+use crate::gateway::decisions::stream_origins::StreamOrigin;
 use crate::gateway::events::{EventScanner, has_events, last_event_id};
 use crate::gateway::heads::Framing;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::{ForwardedBody, log_answered, log_attempt_start, seconds_since};
 use crate::gateway::response::{self, BodyAborted, ClientResponse};
 use crate::gateway::serve::{find_resume_upstream, record_abandoned};
-use crate::gateway::silence;
+use crate::gateway::{crashes, origins, silence};
+use crate::names::short_id;
 
 /// A response body or event stream that is being forwarded.
 struct Relay {
@@ -141,6 +142,7 @@
                     }
                     let bytes = self.complete_events(bytes);
                     if !bytes.is_empty() {
+                        self.report_origin().await;
                         self.forwarded_bytes += bytes.len();
                         return Some(Ok(bytes));
                     }
@@ -207,6 +209,19 @@
         events
     }
 
+    /// Fixes the software of a resumable stream, and reports it, before the first bytes of this response
+    /// are forwarded.
+    async fn report_origin(&mut self) {
+        if self.forwarded_bytes > 0 || !self.is_resumable() {
+            return;
+        }
+        let service = short_id(&self.request.service);
+        let origin = StreamOrigin { service, software: self.choice.software };
+        self.request.origin = Some(origin);
+        let (stream, until_ms) = (self.request.stream, self.request.client_deadline_ms);
+        origins::report(&self.gateway, stream, origin, until_ms).await;
+    }
+
     /// Has another upstream resume the stream. Returns why the body is aborted if none can.
     async fn resume(&mut self, cause: &str) -> Option<BodyAborted> {
         self.log_broken(cause);
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -55,6 +55,12 @@
     Quarantined,
     /// upstreams may have crashed under it
     Withheld,
+    /// not known where the stream began
+    StreamUnknown,
+    /// no answer about where the stream began
+    StreamNotFound,
+    /// no upstream has the software of the stream
+    SoftwareGone,
     /// deadline passed
     DeadlinePassed,
     /// upstream failed
@@ -79,6 +85,9 @@
             | Self::Evacuated
             | Self::Quarantined
             | Self::Withheld
+            | Self::StreamUnknown
+            | Self::StreamNotFound
+            | Self::SoftwareGone
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::UpstreamSilent => StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -77,7 +77,7 @@
     let request = match validate(&gateway, &head, parts, body, arrived_at_ms).await {
         Ok(request) => request,
         Err(reason) => {
-            let retry_after_ms = (reason == Reason::NotReady).then_some(RETRY_AFTER_MS);
+            let retry_after_ms = early_retry_after_ms(reason);
             let config_version = gateway
                 .state()
                 .configuration
@@ -98,6 +98,16 @@
     response
 }
 
+/// When a client may retry that was refused before its request was admitted.
+fn early_retry_after_ms(reason: Reason) -> Option<u64> {
+    match reason {
+        Reason::NotReady | Reason::StreamNotFound => Some(RETRY_AFTER_MS),
+        // Only a new stream can be served, and that at once.
+        Reason::StreamUnknown => Some(0),
+        _ => None,
+    }
+}
+
 /// Makes attempts, on one upstream after another if necessary, until there is a response.
 async fn run_attempts(gateway: &Arc<Gateway>, mut request: AdmittedRequest) -> ClientResponse {
     let wait_until =
@@ -120,7 +130,9 @@
         let Some(choice) = found else {
             return no_upstream_found(gateway, &request);
         };
-        if choice.occupancy == Occupancy::Full && !request.may_have_run {
+        // A stream that has begun is resumed late rather than not at all.
+        let may_refuse = !request.may_have_run && request.origin.is_none();
+        if choice.occupancy == Occupancy::Full && may_refuse {
             return refuse_immediately(&request);
         }
         if is_known_unreachable(gateway, &choice) {
@@ -421,10 +433,11 @@
 }
 
 /// Whether it is known that no upstream can take the request until `until`: all untried ones have
-/// asked for back-offs that end later, or operators evacuate all halls of the service.
+/// asked for back-offs that end later, operators evacuate all halls of the service, or none can
+/// resume the stream.
 fn none_available_until(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
     let state = gateway.state();
-    if state.upstreams.are_all_evacuated(&request.service) {
+    if state.upstreams.are_all_evacuated(&request.service) || lacks_software(&state, request) {
         return true;
     }
     let backoff_until_ms =
@@ -432,6 +445,17 @@
     backoff_until_ms.is_some_and(|backoff_until_ms| instant_at(backoff_until_ms) > until)
 }
 
+/// Whether no untried upstream has the software that began the request's stream.
+pub(super) fn lacks_software(state: &State, request: &AdmittedRequest) -> bool {
+    let Some(origin) = request.origin else { return false };
+    let is_tried =
+        |upstream: &Upstream| request.tried.iter().any(|tried| upstream.is_incarnation(tried));
+    !state
+        .upstreams
+        .of_service(&request.service)
+        .any(|upstream| upstream.software == origin.software && !is_tried(upstream))
+}
+
 /// Chooses the upstream for the request among those that can take it now.
 pub(super) fn choose_upstream(
     state: &mut State,
@@ -469,6 +493,7 @@
             route: &request.route.allowed_regions,
             account: &request.account_regions,
         },
+        software: request.origin.map(|origin| origin.software),
         tried: &request.tried,
         max_requests_per_upstream: (service.max_connections / (boxes + 1)).max(MIN_CONNECTIONS),
         brittle: state.brittle.max_rejections(now_ms, &request.service).map(|max_rejections| {
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -52,30 +52,25 @@
 
 /// The stream that a client resumes. Without the id of an event, it has received none.
 fn resumed_stream(head: &HeaderMap) -> Option<ResumedStream> {
-    let last_event = single(head, &headers::LAST_EVENT_ID)?;
-    if last_event.is_some_and(HeaderValue::is_empty) {
+    let mut last_events = head.get_all(&headers::LAST_EVENT_ID).iter();
+    let last_event = last_events.next()?;
+    if last_events.next().is_some() {
+        return Some(ResumedStream::Malformed);
+    }
+    if last_event.is_empty() {
         return None;
     }
-    let name = match (last_event, single(head, &headers::RESUMES)) {
-        (None, _) | (_, Some(None)) => return Some(ResumedStream::Malformed),
-        (Some(_), None) => return Some(ResumedStream::Unnamed),
-        (Some(_), Some(Some(name))) => name,
-    };
+    let mut names = head.get_all(&headers::RESUMES).iter();
+    let Some(name) = names.next() else { return Some(ResumedStream::Unnamed) };
+    let is_single = names.next().is_none();
     match name.to_str() {
-        Ok(name) if (1..=MAX_REQUEST_ID_BYTES).contains(&name.len()) => {
+        Ok(name) if is_single && (1..=MAX_REQUEST_ID_BYTES).contains(&name.len()) => {
             Some(ResumedStream::Named(name.to_owned()))
         }
         _ => Some(ResumedStream::Malformed),
     }
 }
 
-/// The value of a header that must not come twice: `Some(None)` if it does.
-fn single<'a>(head: &'a HeaderMap, name: &HeaderName) -> Option<Option<&'a HeaderValue>> {
-    let mut values = head.get_all(name).iter();
-    let first = values.next()?;
-    Some(values.next().is_none().then_some(first))
-}
-
 /// Builds the request that is sent to an upstream.
 #[must_use]
 pub fn upstream_request(
--- a/tests/common/streams.rs
+++ b/tests/common/streams.rs
@@ -25,11 +25,22 @@
         Self::send(address, id, &extra).await
     }
 
+    /// As `resume` after the second event, with another account's key.
+    pub async fn resume_with_key(address: &str, id: &str, began_as: &str, key: &str) -> Self {
+        let extra = format!("Last-Event-Id: 2\r\nResumes: {began_as}\r\n");
+        let bytes = request("POST", "/resume/x", id, &extra, "");
+        let text = String::from_utf8_lossy(&bytes).replace("key-1", key);
+        Self::send_bytes(address, text.as_bytes()).await
+    }
+
     /// Sends a request with additional headers.
     pub async fn send(address: &str, id: &str, extra: &str) -> Self {
+        Self::send_bytes(address, &request("POST", "/resume/x", id, extra, "")).await
+    }
+
+    async fn send_bytes(address: &str, bytes: &[u8]) -> Self {
         let mut connection = TcpStream::connect(address).await.expect("connection");
-        let bytes = request("POST", "/resume/x", id, extra, "");
-        connection.write_all(&bytes).await.expect("write");
+        connection.write_all(bytes).await.expect("write");
         Self { connection, text: String::new() }
     }
 
--- /dev/null
+++ b/tests/gateway_origins.rs
@@ -0,0 +1,191 @@
+//! Where streams began: how long it is kept, by whom, and what shows it when nobody keeps it.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use coursestile::gateway::decisions::gossip_message::Gossip;
+use coursestile::gateway::decisions::peers::{LocalBox, Peers};
+use coursestile::gateway::decisions::software_history::{SoftwareHistory, SoftwareSeen};
+use coursestile::gateway::decisions::stream_origins::{StreamId, StreamOrigin, StreamOrigins};
+use coursestile::gateway::decisions::view::ViewDigest;
+use coursestile::names::short_id;
+use rstest::rstest;
+
+const V1: StreamOrigin = StreamOrigin { service: 1, software: 1 };
+const V2: StreamOrigin = StreamOrigin { service: 1, software: 2 };
+
+fn stream(number: u32) -> StreamId {
+    StreamId::new("petra", &format!("r-{number}"))
+}
+
+#[test]
+fn kept_until_expiry() {
+    let mut origins = StreamOrigins::default();
+    origins.record(0, stream(1), V1, 100);
+    assert_eq!(origins.get(99, stream(1)), Some(V1));
+    assert_eq!(origins.get(100, stream(1)), None);
+    assert_eq!(origins.get(50, stream(2)), None);
+    origins.record(50, stream(1), V1, 80);
+    assert_eq!(origins.get(99, stream(1)), Some(V1), "the later expiry counts");
+    origins.record(100, stream(2), V1, 200);
+    assert_eq!(origins.count(), 1);
+}
+
+#[test]
+fn reports_differ() {
+    let mut origins = StreamOrigins::default();
+    origins.record(0, stream(1), V1, 100);
+    origins.record(10, stream(1), V2, 100);
+    assert_eq!(origins.get(20, stream(1)), None);
+    origins.record(20, stream(1), V1, 100);
+    assert_eq!(origins.get(30, stream(1)), None, "it stays unknown which one it was");
+    assert_eq!(origins.report(30, stream(1)), None);
+}
+
+#[test]
+fn reported_on() {
+    let (mut origins, mut others) = (StreamOrigins::default(), StreamOrigins::default());
+    origins.record(1000, stream(1), V1, 9000);
+    let report = origins.report(2000, stream(1)).unwrap();
+    // The clock of the other box shows another time.
+    others.merge(500_000, report);
+    assert_eq!(others.get(506_999, stream(1)), Some(V1));
+    assert_eq!(others.get(507_000, stream(1)), None);
+}
+
+#[test]
+fn many_streams() {
+    let mut origins = StreamOrigins::default();
+    for number in 0..100_000 {
+        origins.record(0, stream(number), V1, 600_000 + u64::from(number));
+    }
+    assert!(origins.count() <= 65_536);
+    assert_eq!(origins.get(1, stream(0)), None, "the one that expires first is forgotten");
+    assert_eq!(origins.get(1, stream(99_999)), Some(V1));
+}
+
+#[test]
+fn accounts_apart() {
+    assert_ne!(StreamId::new("a", "r-1"), StreamId::new("b", "r-1"));
+    assert_ne!(StreamId::new("a", "br-1"), StreamId::new("ab", "r-1"));
+}
+
+/// A fleet of which each box knows all others.
+struct Fleet {
+    boxes: u32,
+    halls: u32,
+}
+
+impl Fleet {
+    fn address(number: u32) -> IpAddr {
+        Ipv4Addr::from(0x0a00_0000 + number).into()
+    }
+
+    fn hall(&self, number: u32) -> u32 {
+        number % self.halls
+    }
+
+    /// What one box knows of the others, except those in `unknown`.
+    fn peers_of(&self, number: u32, unknown: &[u32]) -> Peers {
+        let address = SocketAddr::new(Self::address(number), 7000);
+        let local = LocalBox {
+            short_id: short_id(&address.ip().to_string()),
+            address,
+            hall: self.hall(number),
+            millicores: 250,
+        };
+        let mut peers = Peers::new(local, &[]);
+        for peer in (0..self.boxes).filter(|peer| *peer != number && !unknown.contains(peer)) {
+            let gossip = Gossip { incarnation: 1, hall: self.hall(peer), ..Gossip::default() };
+            peers.receive_gossip(0, Self::address(peer), gossip, ViewDigest::default());
+        }
+        peers
+    }
+
+    fn keepers(&self, number: u32, stream: StreamId) -> Vec<IpAddr> {
+        let keepers = self.peers_of(number, &[]).stream_keepers(1, stream);
+        keepers.into_iter().map(|address| address.ip()).collect()
+    }
+
+    fn asked(&self, number: u32, unknown: &[u32], stream: StreamId) -> Vec<IpAddr> {
+        let asked = self.peers_of(number, unknown).peers_to_ask(1, stream);
+        asked.into_iter().map(|address| address.ip()).collect()
+    }
+}
+
+/// Whichever box begins a stream, each other one finds a keeper of it among a few that it asks, also
+/// if a box has joined of which the first did not know, or one has left.
+#[rstest]
+#[case::small(9, 3)]
+#[case::one_hall(60, 1)]
+#[case::whole_fleet(985, 5)]
+fn keepers_found(#[case] boxes: u32, #[case] halls: u32) {
+    let fleet = Fleet { boxes, halls };
+    for number in 0..24 {
+        let (first, then, left) = (number % boxes, (number * 7 + 1) % boxes, (number + 5) % boxes);
+        let stream = stream(number);
+        let keepers = fleet.keepers(first, stream);
+        assert_eq!(keepers.len(), 3.min(boxes as usize - 1));
+        let asked = fleet.asked(then, &[left], stream);
+        assert!(asked.len() <= 16, "{} are asked", asked.len());
+        let is_keeper = keepers.contains(&Fleet::address(then));
+        let found = keepers.iter().filter(|keeper| asked.contains(keeper)).count();
+        assert!(is_keeper || found > 0, "stream {number} from {first} at {then}");
+    }
+}
+
+/// All boxes of the hall in which a stream began are gone.
+#[rstest]
+#[case::small(9, 3)]
+#[case::whole_fleet(985, 5)]
+fn hall_lost(#[case] boxes: u32, #[case] halls: u32) {
+    let fleet = Fleet { boxes, halls };
+    for number in 0..24 {
+        let (first, then) = (number % boxes, (number + 1) % boxes);
+        let lost: Vec<u32> =
+            (0..boxes).filter(|other| fleet.hall(*other) == fleet.hall(first)).collect();
+        let stream = stream(number);
+        let keepers = fleet.keepers(first, stream);
+        let asked = fleet.asked(then, &lost, stream);
+        assert!(
+            keepers.contains(&Fleet::address(then))
+                || keepers.iter().any(|keeper| asked.contains(keeper))
+        );
+    }
+}
+
+#[test]
+fn box_alone() {
+    let fleet = Fleet { boxes: 1, halls: 1 };
+    assert!(fleet.keepers(0, stream(1)).is_empty());
+    assert!(fleet.asked(0, &[], stream(1)).is_empty());
+}
+
+#[test]
+fn always_one_version() {
+    let mut history = SoftwareHistory::default();
+    assert_eq!(history.seen(0, 1, [7].into_iter()), SoftwareSeen::OnlyNow(7));
+    history.record_complete(0, false);
+    assert_eq!(history.seen(0, 1, [7, 7].into_iter()), SoftwareSeen::Only(7));
+    assert_eq!(history.seen(0, 1, [].into_iter()), SoftwareSeen::NotOne);
+}
+
+#[test]
+fn one_version_of_late() {
+    let mut history = SoftwareHistory::default();
+    history.record_complete(1000, true);
+    assert_eq!(history.seen(30_999, 1, [7].into_iter()), SoftwareSeen::OnlyNow(7));
+    assert_eq!(history.seen(31_000, 1, [7].into_iter()), SoftwareSeen::Only(7));
+    history.record_gap(40_000);
+    assert_eq!(history.seen(50_000, 1, [7].into_iter()), SoftwareSeen::OnlyNow(7));
+}
+
+#[test]
+fn version_gone() {
+    let mut history = SoftwareHistory::default();
+    history.record_complete(0, false);
+    assert_eq!(history.seen(0, 1, [7, 8].into_iter()), SoftwareSeen::NotOne);
+    history.record_gone(100, 1, 7);
+    assert_eq!(history.seen(30_099, 1, [8].into_iter()), SoftwareSeen::NotOne);
+    assert_eq!(history.seen(30_099, 2, [8].into_iter()), SoftwareSeen::Only(8));
+    assert_eq!(history.seen(30_100, 1, [8].into_iter()), SoftwareSeen::Only(8));
+}
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -118,6 +118,7 @@
     };
     let choice = Choice {
         upstream,
+        software: 0,
         context: None,
         expected_first_token_ms: 10.0,
         engine_wait_negligible: true,
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -5,11 +5,18 @@
 #[path = "common/streams.rs"]
 mod streams;
 
+use std::time::{Duration, Instant};
+
 use common::wait_ready;
 use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server};
 use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
+use rstest::rstest;
+use serde_json::json;
 use streams::{EventStream, numbers, versions};
 
+/// Longest time for a refusal that waits for nobody.
+const AT_ONCE: Duration = Duration::from_millis(100);
+
 /// Boxes in front of upstreams with versions of software.
 struct Fleet {
     gateways: Vec<Gateway>,
@@ -17,34 +24,105 @@
 }
 
 impl Fleet {
-    /// Starts one box for each of `halls`, and waits until all know each other.
+    /// Starts one box for each of `halls`, and waits until they know each other.
     async fn start(halls: &[&str]) -> Self {
-        let mut site = Site::start().await;
-        site.configure(&config_document(7));
-        let mut gateways: Vec<Gateway> = Vec::new();
+        let site = Site::start().await;
+        // The revision of an empty store shows nothing.
+        site.metadata.put("op/other", b"", 0);
+        let mut fleet = Self { gateways: Vec::new(), site };
         for hall in halls {
-            let seeds: Vec<&Gateway> = gateways.iter().collect();
-            let gateway = site.gateway(hall, &seeds);
-            gateways.push(gateway);
+            fleet.add_box(hall);
         }
-        for gateway in &gateways {
+        // Boxes that started before the configuration know that no stream is older.
+        for gateway in &fleet.gateways {
+            eventually("listed", async || gateway.log_text().contains("event=listed")).await;
+        }
+        let mut configuration = config_document(7);
+        let tenants = configuration["tenants"].as_array_mut().unwrap();
+        tenants.push(json!({ "name": "other", "api_keys": ["key-2"], "priority": 1 }));
+        fleet.site.configure(&configuration);
+        for gateway in &fleet.gateways {
             wait_ready(gateway).await;
         }
-        Self { gateways, site }
+        fleet.wait_acquainted().await;
+        fleet
+    }
+
+    fn add_box(&mut self, hall: &str) {
+        let seeds: Vec<&Gateway> = self.gateways.iter().collect();
+        let gateway = self.site.gateway(hall, &seeds);
+        self.gateways.push(gateway);
+    }
+
+    /// Waits until the leader has heard from all boxes.
+    async fn wait_acquainted(&self) {
+        let count = self.gateways.len();
+        let text = format!("event=members_written count={count} ");
+        eventually(&text, async || {
+            count == 1 || self.gateways.iter().any(|gateway| gateway.log_text().contains(&text))
+        })
+        .await;
     }
 
     /// Starts an upstream and waits until all live boxes know it.
     async fn upstream(&self, id: &str, version: &str) -> Server {
         let server = Server::start(id).await;
         server.set_software(version);
-        let mut entry = service_entry("plain", &server.address, "ready");
+        self.register(id, &server.address, version).await;
+        server
+    }
+
+    async fn register(&self, id: &str, address: &str, version: &str) {
+        let mut entry = service_entry("plain", address, "ready");
         entry["version"] = version.into();
         self.site.register(id, &entry);
-        let text = format!("event=upstream_seen upstream={id} ");
+        self.wait_logged(&format!("event=upstream_seen upstream={id} ")).await;
+    }
+
+    async fn deregister(&self, id: &str) {
+        self.site.deregister(id);
+        self.wait_logged(&format!("event=upstream_gone upstream={id}")).await;
+    }
+
+    /// Waits until all live boxes have logged `text`.
+    async fn wait_logged(&self, text: &str) {
         for gateway in self.gateways.iter().filter(|gateway| gateway.is_alive()) {
-            eventually(&text, async || gateway.log_text().contains(&text)).await;
+            eventually(text, async || gateway.log_text().contains(text)).await;
+        }
+    }
+
+    /// Begins the stream `r-1` at the first box, which breaks off after two events of `server`
+    /// once that is released or the box is killed.
+    async fn begin(&self, server: &Server) -> EventStream {
+        server.script(&[Behavior::HeldEvents(2)]);
+        let mut stream = EventStream::begin(&self.gateways[0].clients, "r-1").await;
+        assert_eq!(numbers(&stream.read_events(2).await), [1, 2]);
+        stream
+    }
+
+    /// Has a box resume the stream `r-1` after two events; returns status, events and the time that
+    /// the response took.
+    async fn resume(&self, index: usize, id: &str) -> (u16, Vec<(u32, String)>, Duration) {
+        let began = Instant::now();
+        let resumed = EventStream::resume(&self.gateways[index].clients, id, "r-1", 2).await;
+        let (status, events) = resumed.read_all().await;
+        (status, events, began.elapsed())
+    }
+
+    fn kill(&self, indexes: impl IntoIterator<Item = usize>) {
+        for index in indexes {
+            self.gateways[index].signal("-9");
+        }
+    }
+
+    /// Starts boxes again that were killed.
+    async fn restart(&self, indexes: impl IntoIterator<Item = usize>) {
+        for index in indexes {
+            let gateway = &self.gateways[index];
+            eventually("exited", async || !gateway.is_alive()).await;
+            gateway.restart_if_exited();
+            wait_ready(gateway).await;
         }
-        server
     }
 }
 
@@ -67,12 +145,207 @@
 async fn mixed_over_tries() {
     let fleet = Fleet::start(&["north", "north"]).await;
     let first = fleet.upstream("s-0", "v1").await;
-    first.script(&[Behavior::HeldEvents(2)]);
-    let mut stream = EventStream::begin(&fleet.gateways[0].clients, "r-1").await;
-    assert_eq!(versions(&stream.read_events(2).await), ["v1"]);
+    let _stream = fleet.begin(&first).await;
     let _other = fleet.upstream("s-1", "v2").await;
-    fleet.gateways[0].signal("-9");
-    let resumed = EventStream::resume(&fleet.gateways[1].clients, "r-2", "r-1", 2).await;
-    let (_, events) = resumed.read_all().await;
+    fleet.kill([0]);
+    let (_, events, _) = fleet.resume(1, "r-2").await;
     assert!(events.iter().all(|(_, version)| version == "v1"), "{events:?}");
 }
+
+#[tokio::test]
+async fn resumed_within_answer() {
+    let fleet = Fleet::start(&["north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    first.script(&[Behavior::CloseDelimited(Sent::Half, ConnectionEnd::CloseLater)]);
+    let mut stream = EventStream::begin(&fleet.gateways[0].clients, "r-1").await;
+    assert_eq!(numbers(&stream.read_events(2).await), [1, 2]);
+    let _others = [fleet.upstream("s-1", "v2").await, fleet.upstream("s-2", "v1").await];
+    first.release();
+    let (_, events) = stream.read_all().await;
+    assert_eq!((versions(&events), numbers(&events)), (vec!["v1"], vec![1, 2, 3, 4, 5]));
+}
+
+/// Boxes are killed, and one that lives resumes the stream.
+#[rstest]
+#[case::of_its_hall(&["north", "north", "north"], &[0], 2)]
+#[case::of_another_hall(&["north", "south", "south"], &[0], 2)]
+#[case::hall_killed(&["north", "north", "south"], &[0, 1], 2)]
+#[case::others_killed(&["north", "north", "north"], &[1, 2], 0)]
+#[tokio::test]
+async fn box_killed(#[case] halls: &[&str], #[case] killed: &[usize], #[case] resumes_at: usize) {
+    let fleet = Fleet::start(halls).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _others = [fleet.upstream("s-1", "v2").await, fleet.upstream("s-2", "v1").await];
+    fleet.kill(killed.iter().copied());
+    let (status, events, _) = fleet.resume(resumes_at, "r-2").await;
+    assert_eq!((status, versions(&events), numbers(&events)), (200, vec!["v1"], vec![3, 4, 5]));
+}
+
+/// Nobody knows where the stream began: it does not go on, and new ones begin.
+#[tokio::test]
+async fn all_killed() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _other = fleet.upstream("s-1", "v2").await;
+    fleet.kill([0, 1]);
+    fleet.restart([0, 1]).await;
+    let (status, events, _) = fleet.resume(1, "r-2").await;
+    assert_eq!((status, events.len()), (503, 0));
+    let (status, events) =
+        EventStream::begin(&fleet.gateways[1].clients, "r-3").await.read_all().await;
+    assert_eq!((status, events.len()), (200, 5));
+}
+
+/// All that have just started see one version, which may not be the one that began the stream.
+#[tokio::test]
+async fn version_guessed() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _other = fleet.upstream("s-1", "v2").await;
+    fleet.kill([0, 1]);
+    fleet.site.deregister("s-0");
+    fleet.restart([0, 1]).await;
+    let (status, events, _) = fleet.resume(1, "r-2").await;
+    assert_eq!((status, events.len()), (503, 0));
+}
+
+#[tokio::test]
+async fn box_added() {
+    let mut fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _others = [fleet.upstream("s-1", "v2").await, fleet.upstream("s-2", "v1").await];
+    fleet.add_box("north");
+    wait_ready(&fleet.gateways[2]).await;
+    fleet.wait_acquainted().await;
+    fleet.kill([0]);
+    let (status, events, _) = fleet.resume(2, "r-2").await;
+    assert_eq!((status, versions(&events)), (200, vec!["v1"]));
+}
+
+/// An address belongs to another incarnation by now, with other software.
+#[tokio::test]
+async fn address_reused() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    fleet.deregister("s-0").await;
+    fleet.register("s-1", &first.address, "v2").await;
+    let (status, events, held) = fleet.resume(1, "r-2").await;
+    assert_eq!((status, events.len()), (503, 0));
+    assert!(held < AT_ONCE, "{held:?}");
+    assert_eq!(first.count("r-2"), 0);
+}
+
+/// The version that began a stream goes, and comes back.
+#[tokio::test]
+async fn version_returns() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _second = fleet.upstream("s-1", "v1.1").await;
+    fleet.deregister("s-0").await;
+    let (status, events, held) = fleet.resume(1, "r-2").await;
+    assert_eq!((status, events.len()), (503, 0));
+    assert!(held < AT_ONCE, "{held:?}");
+    let _third = fleet.upstream("s-2", "v1").await;
+    fleet.deregister("s-1").await;
+    let (status, events, _) = fleet.resume(1, "r-3").await;
+    assert_eq!((status, versions(&events), numbers(&events)), (200, vec!["v1"], vec![3, 4, 5]));
+}
+
+/// A stream is resumed twice; its client names the first request each time.
+#[tokio::test]
+async fn resumed_twice() {
+    let fleet = Fleet::start(&["north", "north", "south"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let second = fleet.upstream("s-1", "v1").await;
+    let _other = fleet.upstream("s-2", "v2").await;
+    second.script(&[Behavior::PausedEvents(1, Duration::from_secs(2))]);
+    first.script(&[Behavior::PausedEvents(1, Duration::from_secs(2))]);
+    fleet.kill([0]);
+    let mut resumed = EventStream::resume(&fleet.gateways[1].clients, "r-2", "r-1", 2).await;
+    let _ = resumed.read_events(1).await;
+    fleet.kill([1]);
+    let resumed = EventStream::resume(&fleet.gateways[2].clients, "r-3", "r-1", 3).await;
+    let (status, events) = resumed.read_all().await;
+    assert_eq!((status, versions(&events)), (200, vec!["v1"]));
+}
+
+/// A client does not say which request began its stream.
+#[rstest]
+#[case::one_version("v1", 200)]
+#[case::two_versions("v2", 503)]
+#[tokio::test]
+async fn unnamed(#[case] other_version: &str, #[case] expected: u16) {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _other = fleet.upstream("s-1", other_version).await;
+    let resumed =
+        EventStream::send(&fleet.gateways[1].clients, "r-2", "Last-Event-Id: 2\r\n").await;
+    assert_eq!(resumed.read_all().await.0, expected);
+}
+
+/// A box that has just started learns from its peers that there was one version only.
+#[tokio::test]
+async fn unnamed_at_newcomer() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let _first = fleet.upstream("s-0", "v1").await;
+    fleet.kill([1]);
+    fleet.restart([1]).await;
+    eventually("the peer vouches for the version", async || {
+        let id = format!("r-{}", fastrand::u32(..));
+        let resumed =
+            EventStream::send(&fleet.gateways[1].clients, &id, "Last-Event-Id: 2\r\n").await;
+        resumed.read_all().await.0 == 200
+    })
+    .await;
+}
+
+#[rstest]
+#[case::empty_name("Last-Event-Id: 2\r\nResumes: \r\n", 400)]
+#[case::two_names("Last-Event-Id: 2\r\nResumes: r-1\r\nResumes: r-1\r\n", 400)]
+#[case::two_events("Last-Event-Id: 2\r\nLast-Event-Id: 3\r\nResumes: r-1\r\n", 400)]
+#[case::name_not_text("Last-Event-Id: 2\r\nResumes: r\u{e9}\r\n", 400)]
+#[case::nothing_received("Resumes: r-1\r\n", 200)]
+#[case::nothing_received_empty("Last-Event-Id: \r\nResumes: r-1\r\n", 200)]
+#[case::name_unknown("Last-Event-Id: 2\r\nResumes: r-9\r\n", 503)]
+#[tokio::test]
+async fn headers(#[case] extra: &str, #[case] expected: u16) {
+    let fleet = Fleet::start(&["north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _other = fleet.upstream("s-1", "v2").await;
+    let stream = EventStream::send(&fleet.gateways[0].clients, "r-2", extra).await;
+    let (status, events) = stream.read_all().await;
+    assert_eq!(status, expected);
+    if status == 200 {
+        assert_eq!(numbers(&events), [1, 2, 3, 4, 5], "it begins anew");
+    }
+}
+
+#[tokio::test]
+async fn name_too_long() {
+    let fleet = Fleet::start(&["north"]).await;
+    let _first = fleet.upstream("s-0", "v1").await;
+    let extra = format!("Last-Event-Id: 2\r\nResumes: {}\r\n", "r".repeat(2000));
+    let stream = EventStream::send(&fleet.gateways[0].clients, "r-2", &extra).await;
+    assert_eq!(stream.read_all().await.0, 400);
+}
+
+/// The id of another account's request says nothing about a stream.
+#[tokio::test]
+async fn other_account() {
+    let fleet = Fleet::start(&["north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _other = fleet.upstream("s-1", "v2").await;
+    let clients = &fleet.gateways[0].clients;
+    let stream = EventStream::resume_with_key(clients, "r-2", "r-1", "key-2").await;
+    assert_eq!(stream.read_all().await.0, 503);
+}
