Soak: roll-outs of upstreams, and clients that resume their streams elsewhere

A scenario of its own (--streams versions): upstreams of three software versions replace each other in overlapping roll-outs, some by a crash, while boxes are killed, paused, stopped and cut off. Clients break off or lose their streams and resume them at random boxes, up to three times. No stream may hold events of two versions, lack one or repeat one; of those that are resumed at boxes in touch while two upstreams have their version, half as large a share as of new ones must go on.

The stand-in upstream can send its events slowly and crash at once; the client that reads events moves to the stand-ins.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod proxy;
 mod stalls;
+mod versions;
 mod world;
 
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 use crate::callers::Observations;
 use crate::checks::RunData;
 use crate::plan::Step;
+use crate::versions::StreamRecord;
 use crate::world::{World, version_path};
 
 /// Clients for each box.
@@ -72,14 +74,22 @@
     /// Upstreams crash on a certain request and announce in their responses that they leave or want
     /// no requests for a while. Apart from that, only boxes and the metadata store fail.
     Words,
+    /// Upstreams of several software versions replace each other, and clients resume their streams at
+    /// other boxes. Boxes, the metadata store and the links between boxes fail.
+    Versions,
 }
 
 impl Scenario {
+    fn changes_weights(self) -> bool {
+        matches!(self, Self::Moves | Self::MovesAlone)
+    }
+
     fn steps(self, seed: u64, length_ms: u64) -> Vec<Step> {
         let all =
             [plan::fault_steps, plan::silence_steps, plan::restart_steps, plan::weights_steps];
         let generators = match self {
             Self::Words => &[plan::announcement_steps as fn(u64, u64) -> Vec<Step>][..],
+            Self::Versions => &[plan::version_steps as fn(u64, u64) -> Vec<Step>][..],
             Self::MovesAlone => &all[3..],
             Self::First => &all[..1],
             Self::Silences => &all[..2],
@@ -115,9 +125,9 @@
 ///
 /// Panics when a task of the soak test itself has failed.
 pub async fn run(options: Options) -> Result<Report> {
-    let weights_change = matches!(options.scenario, Scenario::Moves | Scenario::MovesAlone);
+    let weights_change = options.scenario.changes_weights();
     let with_crashing = options.scenario == Scenario::Words;
-    let world = Arc::new(World::start(options.boxes, weights_change, with_crashing).await?);
+    let world = Arc::new(World::start(options.boxes, options.scenario).await?);
     let mut violations = wait_for_configuration(&world).await;
     let (started_at, started_at_ms) = (Instant::now(), now_ms());
     let steps = options.scenario.steps(options.seed, options.seconds * 1000);
@@ -159,6 +169,20 @@
             options.seed,
         )));
     }
+    let streams = Arc::new(Mutex::new(Vec::new()));
+    if options.scenario == Scenario::Versions {
+        clients.push(tokio::spawn(versions::roll_out(world.clone(), stop.clone(), options.seed)));
+        for client in 0..options.boxes * CLIENTS {
+            let seed = options.seed.wrapping_mul(1000) + 500 + client as u64;
+            clients.push(tokio::spawn(versions::resume_streams(
+                world.clone(),
+                streams.clone(),
+                stop.clone(),
+                client,
+                seed,
+            )));
+        }
+    }
     if weights_change {
         clients.push(tokio::spawn(callers::watch_engine_weights(
             world.clone(),
@@ -184,11 +208,13 @@
         started_at_ms,
     };
     violations.extend(run_data.violations());
+    let streams = streams.lock().expect("no task panics under the lock");
+    violations.extend(run_data.version_violations(&streams));
     let logs = if violations.is_empty() { None } else { Some(keep_logs(&world, options.seed)?) };
     let steps = steps.iter().map(describe).collect();
     Ok(Report {
         violations,
-        outcomes: count_outcomes(&run_data),
+        outcomes: count_outcomes(&run_data, &streams),
         steps,
         notes: run_data.notes(),
         logs,
@@ -256,7 +282,7 @@
     answer.is_some_and(|answer| answer.status() == 200)
 }
 
-fn count_outcomes(run_data: &RunData<'_>) -> BTreeMap<String, usize> {
+fn count_outcomes(run_data: &RunData<'_>, streams: &[StreamRecord]) -> BTreeMap<String, usize> {
     let observations = run_data.observations;
     let mut outcomes = BTreeMap::new();
     for request in &observations.requests {
@@ -268,6 +294,14 @@
         *outcomes.entry(outcome).or_default() += 1;
     }
     outcomes.insert("newest in force".to_owned(), observations.newest_in_force);
+    if run_data.world.rolling.is_some() {
+        let shares = run_data.version_shares(streams);
+        outcomes.extend([
+            ("streams that went on".to_owned(), shares.resumed.0),
+            ("streams resumed in touch".to_owned(), shares.resumed.1),
+            ("streams begun in touch".to_owned(), shares.begun.0),
+        ]);
+    }
     if run_data.world.weights_change {
         let orders = run_data.world.engines.iter().map(|engine| engine.process.orders().len());
         outcomes.insert("orders".to_owned(), orders.sum());
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -20,7 +20,8 @@
                     restart too (default); 4: weights change too; only-4: only
                     weights change; words: upstreams crash on one request, and
                     announce in their responses that they leave or want no
-                    requests for a while
+                    requests for a while; versions: upstreams of several software
+                    versions replace each other
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -71,7 +72,8 @@
         "4" => Ok(Scenario::Moves),
         "only-4" => Ok(Scenario::MovesAlone),
         "words" => Ok(Scenario::Words),
-        _ => Err("--streams: 1, 2, 3, 4, only-4 or words is needed".into()),
+        "versions" => Ok(Scenario::Versions),
+        _ => Err("--streams: 1, 2, 3, 4, only-4, words or versions is needed".into()),
     }
 }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -58,6 +58,14 @@
 const ANNOUNCEMENT_CYCLE_MS: u64 = 12_000;
 /// Interval between two of `announcement_steps`.
 const ANNOUNCEMENT_INTERVAL_MS: std::ops::Range<u64> = 150..900;
+/// Distinguishes the random numbers of `version_steps` from those of the others.
+const VERSION_SEED_MASK: u64 = 0x5ea5_01d2;
+/// Length of a phase of `version_steps` with faults, and of that phase with the one of stops alone
+/// after it.
+const VERSION_FAULT_PHASE_MS: u64 = 5000;
+const VERSION_CYCLE_MS: u64 = 13_000;
+/// Interval between two of `version_steps`.
+const VERSION_INTERVAL_MS: std::ops::Range<u64> = 100..900;
 /// Value of `Step::pick` that selects the current leader; other values are smaller.
 pub const PICK_LEADER: usize = 1000;
 
@@ -238,6 +246,19 @@
     Action::WeightsNamed,
     Action::UpstreamLeaves,
 ];
+/// Actions of `version_steps` with faults.
+const VERSION_STEPS: [Action; 10] = [
+    Action::BoxKilled,
+    Action::BoxKilled,
+    Action::BoxKilled,
+    Action::BoxPaused,
+    Action::AllKilled,
+    Action::BoxStopped,
+    Action::StoreSilent,
+    Action::StoreLink(LinkState::Silent),
+    Action::PeersLink(LinkState::Silent, PeerDirection::Both),
+    Action::PeersLink(LinkState::Silent, PeerDirection::From),
+];
 
 /// One step of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -404,6 +425,25 @@
     steps
 }
 
+/// Boxes that are killed, paused, stopped or cut off from each other and from the metadata store, while
+/// upstreams are replaced. Between the phases with faults, boxes are stopped one at a time.
+#[must_use]
+pub fn version_steps(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = fastrand::Rng::with_seed(seed ^ VERSION_SEED_MASK);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.u64(VERSION_INTERVAL_MS);
+    while at_ms < length_ms {
+        let with_faults = at_ms % VERSION_CYCLE_MS < VERSION_FAULT_PHASE_MS;
+        let fault = VERSION_STEPS[rng.usize(..VERSION_STEPS.len())];
+        let action = if with_faults { fault } else { Action::BoxStopped };
+        let until_ms = at_ms + rng.u64(FAULT_DURATION_MS);
+        steps.push(Step { at_ms, until_ms, action, pick: rng.usize(..1000) });
+        let pauses = if with_faults { 1 } else { 6 };
+        at_ms += pauses * rng.u64(VERSION_INTERVAL_MS);
+    }
+    steps
+}
+
 /// Time by which every box has to apply what the metadata store accepted at `from_ms`:
 /// `bound_ms` later, or `bound_ms` after the end of the faults that begin before then.
 #[must_use]
--- /dev/null
+++ b/soak/src/versions.rs
@@ -0,0 +1,338 @@
+//! Upstreams of several software versions, replaced one by one, and clients that resume their streams at
+//! other boxes.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use coursestile_standins::site::event_stream::{
+    EventStream, Events, numbers, resume_headers, versions,
+};
+use coursestile_standins::site::server::{EVENTS, Server};
+use coursestile_standins::site::{Site, service_entry};
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
+
+use crate::checks::{RECOVERY_MS, RunData};
+use crate::plan::is_undisturbed;
+use crate::world::World;
+
+/// Service name of these upstreams, and path prefix of their route.
+const SERVICE: &str = "rolling";
+const PATH: &str = "/resume/rolling/";
+/// Number of upstreams that run at a time, besides those that leave.
+const UPSTREAMS: usize = 5;
+/// Versions in the order of their roll-outs, which goes back to an earlier one.
+const VERSIONS: [&str; 4] = ["v1", "v1.1", "v1.2", "v1.1"];
+/// Time between two replacements. Roll-outs overlap: the next one begins before all upstreams that it
+/// replaces have left.
+const REPLACE_INTERVAL_MS: std::ops::Range<u64> = 50..900;
+/// One upstream in this many crashes instead of leaving.
+const CRASH_ONE_IN: u32 = 4;
+/// Time from the announcement of an upstream that it leaves to its end.
+const LEAVE_TIME: Duration = Duration::from_secs(2);
+/// Pause before each event of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(60);
+/// Time limit of one try.
+const TRY_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Pause before a client resumes its stream.
+const RESUME_PAUSE: Duration = Duration::from_millis(40);
+/// Tries of a client, the first included.
+const MAX_TRIES: usize = 4;
+/// One try in this many is ended by its client.
+const LEAVE_ONE_IN: u32 = 3;
+/// Time for which two upstreams must have served a version, before and after a try begins, that it
+/// counts.
+const SERVING_TIME: Duration = Duration::from_millis(600);
+/// Fewest resumed streams of which a share must go on.
+const MIN_RESUMED: usize = 12;
+
+/// An upstream and the time in which it takes new requests.
+struct RollingUpstream {
+    server: Server,
+    version: &'static str,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+/// The upstreams, including those that have ended.
+#[derive(Default)]
+pub struct RollingUpstreams {
+    upstreams: Mutex<Vec<RollingUpstream>>,
+}
+
+/// One request of a client for its stream.
+struct Try {
+    id: String,
+    box_number: usize,
+    sent_at: Instant,
+    ended_at: Instant,
+    events: Events,
+}
+
+/// A stream over all tries of its client.
+pub struct StreamRecord {
+    tries: Vec<Try>,
+}
+
+/// Adds a service and a route for these upstreams to a configuration.
+pub fn add_route(document: &mut Value) {
+    let mut route = document["routes"][3].clone();
+    route["name"] = json!(SERVICE);
+    route["path_prefix"] = json!(PATH);
+    route["service"] = json!(SERVICE);
+    let service = json!({ "name": SERVICE, "health_path": "/health", "max_conns": 100,
+        "protocol": "h1", "tls": false });
+    for (list, item) in [("routes", route), ("services", service)] {
+        if let Some(items) = document[list].as_array_mut() {
+            items.push(item);
+        }
+    }
+}
+
+impl RollingUpstreams {
+    /// Starts upstreams of the first version.
+    pub async fn start(site: &Site) -> Self {
+        let rolling = Self::default();
+        for _ in 0..UPSTREAMS {
+            rolling.start_upstream(site, VERSIONS[0]).await;
+        }
+        rolling
+    }
+
+    fn upstreams(&self) -> MutexGuard<'_, Vec<RollingUpstream>> {
+        self.upstreams.lock().expect("no task panics under the lock")
+    }
+
+    async fn start_upstream(&self, site: &Site, version: &'static str) {
+        let number = self.upstreams().len();
+        let server = Server::start(&format!("rolling-{number}")).await;
+        server.set_software(version);
+        server.slow_streams(EVENT_PAUSE);
+        site.register(&server.id, &entry(&server, version, "ready"));
+        let from = Instant::now();
+        self.upstreams().push(RollingUpstream { server, version, from, until: None });
+    }
+
+    /// Ends the upstream that has run longest; returns its number, and its address if it only leaves.
+    fn end_oldest(&self, site: &Site, crashes: bool) -> Option<usize> {
+        let mut upstreams = self.upstreams();
+        let number = upstreams.iter().position(|upstream| upstream.until.is_none())?;
+        let upstream = &mut upstreams[number];
+        upstream.until = Some(Instant::now());
+        if crashes {
+            upstream.server.crash();
+        } else {
+            site.register(
+                &upstream.server.id,
+                &entry(&upstream.server, upstream.version, "draining"),
+            );
+        }
+        Some(number)
+    }
+
+    fn remove(&self, site: &Site, number: usize) {
+        let upstreams = self.upstreams();
+        upstreams[number].server.crash();
+        site.deregister(&upstreams[number].server.id);
+    }
+
+    /// Number of upstreams with a version that take requests around a time.
+    fn serving(&self, version: &str, at: Instant) -> usize {
+        let upstreams = self.upstreams();
+        let serving = upstreams.iter().filter(|upstream| {
+            upstream.version == version
+                && upstream.from + SERVING_TIME <= at
+                && upstream.until.is_none_or(|ended| ended >= at + SERVING_TIME)
+        });
+        serving.count()
+    }
+}
+
+fn entry(server: &Server, version: &str, state: &str) -> Value {
+    let mut entry = service_entry(SERVICE, &server.address, state);
+    entry["version"] = version.into();
+    entry
+}
+
+/// Replaces upstreams by others with the next version until `stop` is set.
+pub async fn roll_out(world: Arc<World>, stop: Arc<AtomicBool>, seed: u64) {
+    let Some(rolling) = &world.rolling else { return };
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut replaced = 0;
+    let mut removals = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        sleep(Duration::from_millis(rng.u64(REPLACE_INTERVAL_MS))).await;
+        let version = VERSIONS[(1 + replaced / UPSTREAMS) % VERSIONS.len()];
+        replaced += 1;
+        rolling.start_upstream(&world.site, version).await;
+        let Some(number) = rolling.end_oldest(&world.site, rng.u32(..CRASH_ONE_IN) == 0) else {
+            continue;
+        };
+        let world = world.clone();
+        removals.push(tokio::spawn(async move {
+            sleep(LEAVE_TIME).await;
+            if let Some(rolling) = &world.rolling {
+                rolling.remove(&world.site, number);
+            }
+        }));
+    }
+    for removal in removals {
+        // A panic in a removal is an error of the soak test itself.
+        removal.await.expect("a removal");
+    }
+}
+
+/// Begins streams and resumes them at random boxes until `stop` is set.
+pub async fn resume_streams(
+    world: Arc<World>,
+    records: Arc<Mutex<Vec<StreamRecord>>>,
+    stop: Arc<AtomicBool>,
+    client: usize,
+    seed: u64,
+) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut count = 0;
+    while !stop.load(Ordering::Relaxed) {
+        count += 1;
+        let mut record = StreamRecord { tries: Vec::new() };
+        for number in 0..MAX_TRIES {
+            let box_number = rng.usize(..world.boxes.len());
+            let id = format!("{box_number}-v{client}-{count}-{number}");
+            // Some clients leave after the first events, others wait for the end.
+            let leaves_after =
+                if rng.u32(..LEAVE_ONE_IN) == 0 { rng.usize(1..4) } else { usize::MAX };
+            let made = try_stream(&world, &record, id, box_number, leaves_after).await;
+            record.tries.push(made);
+            if record.last_event() == EVENTS {
+                break;
+            }
+            sleep(RESUME_PAUSE).await;
+        }
+        records.lock().expect("no task panics under the lock").push(record);
+    }
+}
+
+async fn try_stream(
+    world: &World,
+    record: &StreamRecord,
+    id: String,
+    box_number: usize,
+    leaves_after: usize,
+) -> Try {
+    let extra = match record.first_with_events() {
+        Some(first) => resume_headers(&first.id, record.last_event()),
+        None => String::new(),
+    };
+    let sent_at = Instant::now();
+    let mut events = Events::new();
+    let reading = async {
+        let address = &world.boxes[box_number].process.clients;
+        let Ok(mut stream) = EventStream::request(address, PATH, &id, &extra).await else { return };
+        loop {
+            let count = events.len() + 1;
+            let read = stream.read_events(count).await;
+            let has_ended = read.len() < count;
+            events = read;
+            if has_ended || events.len() >= leaves_after {
+                return;
+            }
+        }
+    };
+    // What has arrived until then counts.
+    let _ = timeout(TRY_TIMEOUT, reading).await;
+    Try { id, box_number, sent_at, ended_at: Instant::now(), events }
+}
+
+impl StreamRecord {
+    fn first_with_events(&self) -> Option<&Try> {
+        self.tries.iter().find(|made| !made.events.is_empty())
+    }
+
+    fn events(&self) -> Events {
+        self.tries.iter().flat_map(|made| made.events.clone()).collect()
+    }
+
+    fn last_event(&self) -> u32 {
+        self.events().last().map_or(0, |(number, _)| *number)
+    }
+
+    /// Tries that resume the stream, each with the version that began it.
+    fn resumed(&self) -> impl Iterator<Item = (&Try, &str)> {
+        let first = self.tries.iter().position(|made| !made.events.is_empty());
+        let version = self.first_with_events().map_or("", |made| made.events[0].1.as_str());
+        let after = first.map_or(self.tries.len(), |first| first + 1);
+        self.tries[after..].iter().map(move |made| (made, version))
+    }
+}
+
+impl RunData<'_> {
+    /// Streams with events of two versions, or with events that are missing or come twice; and whether
+    /// too few go on that could.
+    pub(crate) fn version_violations(&self, records: &[StreamRecord]) -> Vec<String> {
+        let mut violations = Vec::new();
+        for record in records {
+            let events = record.events();
+            let ids: Vec<&str> = record.tries.iter().map(|made| made.id.as_str()).collect();
+            if versions(&events).len() > 1 {
+                violations
+                    .push(format!("{}: events of several versions: {events:?}", ids.join(", ")));
+            }
+            if !numbers(&events).into_iter().eq(1..=record.last_event()) {
+                violations.push(format!("{}: events {:?}", ids.join(", "), numbers(&events)));
+            }
+        }
+        let share = self.version_shares(records);
+        if share.resumed.1 >= MIN_RESUMED && 2.0 * ratio(share.resumed) < ratio(share.begun) {
+            violations.push(format!(
+                "{} of {} streams went on that could, {} of {} new ones began",
+                share.resumed.0, share.resumed.1, share.begun.0, share.begun.1
+            ));
+        }
+        violations
+    }
+
+    /// How many tries at boxes in touch got events, of those that resumed streams of a version with two
+    /// upstreams, and of those that began streams.
+    pub(crate) fn version_shares(&self, records: &[StreamRecord]) -> VersionShares {
+        let mut shares = VersionShares::default();
+        for record in records {
+            let resumed: BTreeSet<&str> =
+                record.resumed().map(|(made, _)| made.id.as_str()).collect();
+            for (made, version) in record.resumed() {
+                let rolling = self.world.rolling.as_ref();
+                let serving = rolling.map_or(0, |rolling| rolling.serving(version, made.sent_at));
+                if serving >= 2 && self.is_in_touch(made) {
+                    shares.resumed.0 += usize::from(!made.events.is_empty());
+                    shares.resumed.1 += 1;
+                }
+            }
+            let begun = record.tries.iter().filter(|made| !resumed.contains(made.id.as_str()));
+            for made in begun.filter(|made| self.is_in_touch(made)) {
+                shares.begun.0 += usize::from(!made.events.is_empty());
+                shares.begun.1 += 1;
+            }
+        }
+        shares
+    }
+
+    fn is_in_touch(&self, made: &Try) -> bool {
+        let (from_ms, to_ms) = (self.at_ms(made.sent_at), self.at_ms(made.ended_at));
+        let unix_ms = self.started_at_ms + from_ms;
+        is_undisturbed(self.steps, from_ms, to_ms)
+            && !self.had_outage_at(Some(made.box_number), unix_ms, RECOVERY_MS, |_| true)
+    }
+}
+
+/// Tries that got events, and all of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct VersionShares {
+    pub(crate) resumed: (usize, usize),
+    pub(crate) begun: (usize, usize),
+}
+
+fn ratio((part, all): (usize, usize)) -> f64 {
+    let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    count(part) / count(all.max(1))
+}
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -17,10 +17,12 @@
 };
 use serde_json::{Value, json};
 
+use crate::Scenario;
 use crate::crashing::{self, CrashingUpstreams};
 use crate::mesh::Mesh;
 use crate::plan::LinkState;
 use crate::proxy::Proxy;
+use crate::versions::{self, RollingUpstreams};
 
 /// Number of plain upstreams.
 const UPSTREAMS: usize = 4;
@@ -106,6 +108,9 @@
     restarted_at_ms: Vec<AtomicU64>,
     /// Upstreams that crash on a certain request, if the scenario has any.
     pub crashing: Option<CrashingUpstreams>,
+    /// Upstreams of several software versions, if the scenario has any.
+    pub rolling: Option<RollingUpstreams>,
+    scenario: Scenario,
     /// Restarts of upstreams under the same id.
     upstream_restarts: Mutex<Vec<UpstreamRestart>>,
 }
@@ -125,9 +130,9 @@
     format!("/version-{version}/")
 }
 
-/// A configuration, optionally with a route to the engines and a route to the upstreams that
-/// crash.
-fn configuration(version: u64, with_engine_route: bool, with_crashing: bool) -> Value {
+/// A configuration with the routes that a scenario uses.
+fn configuration(version: u64, scenario: Scenario) -> Value {
+    let with_engine_route = scenario.changes_weights();
     let mut document = config_document(version);
     let mut version_route = document["routes"][0].clone();
     version_route["name"] = json!(format!("version-{version}"));
@@ -149,9 +154,12 @@
     if let Some(services) = document["services"].as_array_mut() {
         services.push(service);
     }
-    if with_crashing {
+    if scenario == Scenario::Words {
         crashing::add_route(&mut document);
     }
+    if scenario == Scenario::Versions {
+        versions::add_route(&mut document);
+    }
     document
 }
 
@@ -161,7 +169,8 @@
     /// # Errors
     ///
     /// Fails when an address cannot be bound.
-    pub async fn start(boxes: usize, weights_change: bool, with_crashing: bool) -> Result<Self> {
+    pub async fn start(boxes: usize, scenario: Scenario) -> Result<Self> {
+        let weights_change = scenario.changes_weights();
         let mut site = Site::start().await;
         site.distinct_peer_ports = true;
         if weights_change {
@@ -184,9 +193,16 @@
             engines.push(Proxied { process, proxy });
         }
         site.set_weight_version(MODEL, 1);
-        let crashing =
-            if with_crashing { Some(CrashingUpstreams::start(&site).await) } else { None };
-        site.configure(&configuration(1, weights_change, with_crashing));
+        let crashing = if scenario == Scenario::Words {
+            Some(CrashingUpstreams::start(&site).await)
+        } else {
+            None
+        };
+        let rolling = match scenario {
+            Scenario::Versions => Some(RollingUpstreams::start(&site).await),
+            _ => None,
+        };
+        site.configure(&configuration(1, scenario));
         let newest = Mutex::new(NewestConfiguration { version: 1, stored_at: Instant::now() });
         let mut started: Vec<GatewayBox> = Vec::new();
         for number in 0..boxes {
@@ -218,6 +234,8 @@
             pending_leaves,
             restarted_at_ms,
             crashing,
+            rolling,
+            scenario,
             upstream_restarts: Mutex::default(),
         })
     }
@@ -279,7 +297,7 @@
         // The lock is held so that the metadata store gets the versions in ascending order.
         let mut newest = self.newest.lock().expect("no task panics under the lock");
         newest.version += step;
-        let document = configuration(newest.version, self.weights_change, self.crashing.is_some());
+        let document = configuration(newest.version, self.scenario);
         self.site.configure(&document);
         newest.stored_at = Instant::now();
     }
--- a/tests/common/streams.rs
+++ b/standins/src/site/event_stream.rs
@@ -1,9 +1,10 @@
 //! A client of event streams that notes which version of software each event comes from.
 
-use coursestile_standins::site::client::request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::client::request;
+
 /// A response that is being read.
 pub struct EventStream {
     connection: TcpStream,
@@ -13,40 +14,39 @@
 /// Events of a response, by number and version.
 pub type Events = Vec<(u32, String)>;
 
-impl EventStream {
-    /// Sends the first request of a stream.
-    pub async fn begin(address: &str, id: &str) -> Self {
-        Self::send(address, id, "").await
-    }
-
-    /// Sends a request that resumes the stream that `began_as` began, after `last_event`.
-    pub async fn resume(address: &str, id: &str, began_as: &str, last_event: u32) -> Self {
-        let extra = format!("Last-Event-Id: {last_event}\r\nResumes: {began_as}\r\n");
-        Self::send(address, id, &extra).await
-    }
-
-    /// As `resume` after the second event, with another account's key.
-    pub async fn resume_with_key(address: &str, id: &str, began_as: &str, key: &str) -> Self {
-        let extra = format!("Last-Event-Id: 2\r\nResumes: {began_as}\r\n");
-        let bytes = request("POST", "/resume/x", id, &extra, "");
-        let text = String::from_utf8_lossy(&bytes).replace("key-1", key);
-        Self::send_bytes(address, text.as_bytes()).await
-    }
+/// Header lines by which a client resumes a stream that the response to `began_as` began.
+#[must_use]
+pub fn resume_headers(began_as: &str, last_event: u32) -> String {
+    format!("Last-Event-Id: {last_event}\r\nResumes: {began_as}\r\n")
+}
 
-    /// Sends a request with additional headers.
-    pub async fn send(address: &str, id: &str, extra: &str) -> Self {
-        Self::send_bytes(address, &request("POST", "/resume/x", id, extra, "")).await
+impl EventStream {
+    /// Connects and sends a request.
+    ///
+    /// # Errors
+    /// Fails when the gateway cannot be reached.
+    pub async fn send(address: &str, bytes: &[u8]) -> std::io::Result<Self> {
+        let mut connection = TcpStream::connect(address).await?;
+        connection.write_all(bytes).await?;
+        Ok(Self { connection, text: String::new() })
     }
 
-    async fn send_bytes(address: &str, bytes: &[u8]) -> Self {
-        let mut connection = TcpStream::connect(address).await.expect("connection");
-        connection.write_all(bytes).await.expect("write");
-        Self { connection, text: String::new() }
+    /// Sends a request without a body to `path`, with additional headers.
+    ///
+    /// # Errors
+    /// Fails when the gateway cannot be reached.
+    pub async fn request(
+        address: &str,
+        path: &str,
+        id: &str,
+        extra: &str,
+    ) -> std::io::Result<Self> {
+        Self::send(address, &request("POST", path, id, extra, "")).await
     }
 
-    /// Reads until `count` events have arrived, or the connection has ended.
+    /// Reads until `count` events have arrived, or the response has ended.
     pub async fn read_events(&mut self, count: usize) -> Events {
-        while self.events().len() < count && self.read_more().await {}
+        while self.events().len() < count && !self.is_complete() && self.read_more().await {}
         self.events()
     }
 
@@ -57,11 +57,13 @@
     }
 
     /// Status of the response; 0 if there is none.
+    #[must_use]
     pub fn status(&self) -> u16 {
         self.text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default()
     }
 
     /// Value of a header of the response.
+    #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
         let lines = self.text.split("\r\n\r\n").next().unwrap_or_default().lines();
         let mut fields = lines.filter_map(|line| line.split_once(": "));
@@ -79,7 +81,9 @@
         }
     }
 
-    fn is_complete(&self) -> bool {
+    /// Whether the whole response has arrived.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
         let Some((head, body)) = self.text.split_once("\r\n\r\n") else { return false };
         let length = self.header("content-length").and_then(|length| length.parse::<usize>().ok());
         body.ends_with("0\r\n\r\n")
@@ -98,6 +102,7 @@
 }
 
 /// The versions in events, each once.
+#[must_use]
 pub fn versions(events: &[(u32, String)]) -> Vec<&str> {
     let mut versions: Vec<&str> = events.iter().map(|(_, version)| version.as_str()).collect();
     versions.sort_unstable();
@@ -106,6 +111,7 @@
 }
 
 /// Numbers of events.
+#[must_use]
 pub fn numbers(events: &[(u32, String)]) -> Vec<u32> {
     events.iter().map(|(number, _)| *number).collect()
 }
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod event_stream;
 pub mod fault_proxy;
 pub mod http;
 pub mod metadata;
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -89,6 +89,8 @@
     /// Sends this many events, and the others after the test calls `release`; sends nothing
     /// before that if the request resumes a stream.
     HeldEvents(u32),
+    /// Sends all events, each after this time.
+    SlowEvents(Duration),
 }
 
 /// How many requests an upstream takes, and how many it may reject.
@@ -143,6 +145,8 @@
     crash_body: Option<Vec<u8>>,
     /// Version of its software, with which it marks each event.
     software: Option<String>,
+    /// Behavior for streams beyond the script, if it is not to send all events at once.
+    usual_stream: Option<Behavior>,
     crashed: watch::Sender<bool>,
     /// Whether the connections have been closed after a crash.
     exited: watch::Sender<bool>,
@@ -227,6 +231,16 @@
         self.state().software = Some(version.to_owned());
     }
 
+    /// Sends each event of streams beyond the script after a pause.
+    pub fn slow_streams(&self, pause: Duration) {
+        self.state().usual_stream = Some(Behavior::SlowEvents(pause));
+    }
+
+    /// Crashes now, together with all requests in progress.
+    pub fn crash(&self) {
+        self.state().crashed.send_replace(true);
+    }
+
     /// Limits the requests that it takes and may reject.
     pub fn set_brittle(&self, brittleness: Brittleness) {
         self.state().brittleness = Some(brittleness);
@@ -376,7 +390,8 @@
 
 /// Records a request and takes the behavior for it from the script.
 fn record(state: &mut State, request: &Message) -> Behavior {
-    let usual = if is_stream(request) { Behavior::Events(EVENTS) } else { Behavior::Answer };
+    let usual_stream = || state.usual_stream.clone().unwrap_or(Behavior::Events(EVENTS));
+    let usual = if is_stream(request) { usual_stream() } else { Behavior::Answer };
     let behavior = state.script.pop_front().unwrap_or(usual);
     state.received.push(request.clone());
     let request_id = request.header("x-request-id").unwrap_or_default().to_owned();
@@ -549,6 +564,14 @@
             write_events(write, request, count + 1..=EVENTS, mark.as_bytes()).await?;
             return write.write_all(b"0\r\n\r\n").await.ok();
         }
+        Behavior::SlowEvents(pause) => {
+            write_head(write, request).await?;
+            for number in last_event(request) + 1..=EVENTS {
+                tokio::time::sleep(*pause).await;
+                write_events(write, request, number..=number, mark.as_bytes()).await?;
+            }
+            return write.write_all(b"0\r\n\r\n").await.ok();
+        }
         Behavior::HeldEvents(count) if last_event(request) == 0 => {
             write_head(write, request).await?;
             write_events(write, request, 1..=*count, mark.as_bytes()).await?;
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -2,17 +2,16 @@
 
 #[path = "common/site.rs"]
 mod common;
-#[path = "common/streams.rs"]
-mod streams;
 
 use std::time::{Duration, Instant};
 
 use common::wait_ready;
+use coursestile_standins::site::client::request;
+use coursestile_standins::site::event_stream::{EventStream, numbers, resume_headers, versions};
 use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server};
 use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
 use rstest::rstest;
 use serde_json::json;
-use streams::{EventStream, numbers, versions};
 
 /// Longest time for a refusal that waits for nobody.
 const AT_ONCE: Duration = Duration::from_millis(100);
@@ -95,16 +94,21 @@
     /// once that is released or the box is killed.
     async fn begin(&self, server: &Server) -> EventStream {
         server.script(&[Behavior::HeldEvents(2)]);
-        let mut stream = EventStream::begin(&self.gateways[0].clients, "r-1").await;
+        let mut stream = self.send(0, "r-1", "").await;
         assert_eq!(numbers(&stream.read_events(2).await), [1, 2]);
         stream
     }
 
+    /// Sends a request with additional headers to a box.
+    async fn send(&self, index: usize, id: &str, extra: &str) -> EventStream {
+        EventStream::request(&self.gateways[index].clients, "/resume/x", id, extra).await.unwrap()
+    }
+
     /// Has a box resume the stream `r-1` after two events; returns status, events and the time that
     /// the response took.
     async fn resume(&self, index: usize, id: &str) -> (u16, Vec<(u32, String)>, Duration) {
         let began = Instant::now();
-        let resumed = EventStream::resume(&self.gateways[index].clients, id, "r-1", 2).await;
+        let resumed = self.send(index, id, &resume_headers("r-1", 2)).await;
         let (status, events) = resumed.read_all().await;
         (status, events, began.elapsed())
     }
@@ -132,7 +136,7 @@
     let fleet = Fleet::start(&["north"]).await;
     let first = fleet.upstream("s-0", "v1").await;
     first.script(&[Behavior::CloseDelimited(Sent::Half, ConnectionEnd::CloseLater)]);
-    let mut stream = EventStream::begin(&fleet.gateways[0].clients, "r-1").await;
+    let mut stream = fleet.send(0, "r-1", "").await;
     assert_eq!(numbers(&stream.read_events(2).await), [1, 2]);
     let _other = fleet.upstream("s-1", "v2").await;
     first.release();
@@ -157,7 +161,7 @@
     let fleet = Fleet::start(&["north"]).await;
     let first = fleet.upstream("s-0", "v1").await;
     first.script(&[Behavior::CloseDelimited(Sent::Half, ConnectionEnd::CloseLater)]);
-    let mut stream = EventStream::begin(&fleet.gateways[0].clients, "r-1").await;
+    let mut stream = fleet.send(0, "r-1", "").await;
     assert_eq!(numbers(&stream.read_events(2).await), [1, 2]);
     let _others = [fleet.upstream("s-1", "v2").await, fleet.upstream("s-2", "v1").await];
     first.release();
@@ -193,8 +197,7 @@
     fleet.restart([0, 1]).await;
     let (status, events, _) = fleet.resume(1, "r-2").await;
     assert_eq!((status, events.len()), (503, 0));
-    let (status, events) =
-        EventStream::begin(&fleet.gateways[1].clients, "r-3").await.read_all().await;
+    let (status, events) = fleet.send(1, "r-3", "").await.read_all().await;
     assert_eq!((status, events.len()), (200, 5));
 }
 
@@ -268,10 +271,10 @@
     second.script(&[Behavior::PausedEvents(1, Duration::from_secs(2))]);
     first.script(&[Behavior::PausedEvents(1, Duration::from_secs(2))]);
     fleet.kill([0]);
-    let mut resumed = EventStream::resume(&fleet.gateways[1].clients, "r-2", "r-1", 2).await;
+    let mut resumed = fleet.send(1, "r-2", &resume_headers("r-1", 2)).await;
     let _ = resumed.read_events(1).await;
     fleet.kill([1]);
-    let resumed = EventStream::resume(&fleet.gateways[2].clients, "r-3", "r-1", 3).await;
+    let resumed = fleet.send(2, "r-3", &resume_headers("r-1", 3)).await;
     let (status, events) = resumed.read_all().await;
     assert_eq!((status, versions(&events)), (200, vec!["v1"]));
 }
@@ -286,8 +289,7 @@
     let first = fleet.upstream("s-0", "v1").await;
     let _stream = fleet.begin(&first).await;
     let _other = fleet.upstream("s-1", other_version).await;
-    let resumed =
-        EventStream::send(&fleet.gateways[1].clients, "r-2", "Last-Event-Id: 2\r\n").await;
+    let resumed = fleet.send(1, "r-2", "Last-Event-Id: 2\r\n").await;
     assert_eq!(resumed.read_all().await.0, expected);
 }
 
@@ -300,8 +302,7 @@
     fleet.restart([1]).await;
     eventually("the peer vouches for the version", async || {
         let id = format!("r-{}", fastrand::u32(..));
-        let resumed =
-            EventStream::send(&fleet.gateways[1].clients, &id, "Last-Event-Id: 2\r\n").await;
+        let resumed = fleet.send(1, &id, "Last-Event-Id: 2\r\n").await;
         resumed.read_all().await.0 == 200
     })
     .await;
@@ -321,7 +322,7 @@
     let first = fleet.upstream("s-0", "v1").await;
     let _stream = fleet.begin(&first).await;
     let _other = fleet.upstream("s-1", "v2").await;
-    let stream = EventStream::send(&fleet.gateways[0].clients, "r-2", extra).await;
+    let stream = fleet.send(0, "r-2", extra).await;
     let (status, events) = stream.read_all().await;
     assert_eq!(status, expected);
     if status == 200 {
@@ -334,7 +335,7 @@
     let fleet = Fleet::start(&["north"]).await;
     let _first = fleet.upstream("s-0", "v1").await;
     let extra = format!("Last-Event-Id: 2\r\nResumes: {}\r\n", "r".repeat(2000));
-    let stream = EventStream::send(&fleet.gateways[0].clients, "r-2", &extra).await;
+    let stream = fleet.send(0, "r-2", &extra).await;
     assert_eq!(stream.read_all().await.0, 400);
 }
 
@@ -345,7 +346,8 @@
     let first = fleet.upstream("s-0", "v1").await;
     let _stream = fleet.begin(&first).await;
     let _other = fleet.upstream("s-1", "v2").await;
-    let clients = &fleet.gateways[0].clients;
-    let stream = EventStream::resume_with_key(clients, "r-2", "r-1", "key-2").await;
+    let bytes = request("POST", "/resume/x", "r-2", &resume_headers("r-1", 2), "");
+    let text = String::from_utf8_lossy(&bytes).replace("key-1", "key-2");
+    let stream = EventStream::send(&fleet.gateways[0].clients, text.as_bytes()).await.unwrap();
     assert_eq!(stream.read_all().await.0, 503);
 }
