Streams: upstreams that leave may still resume them for a second

In a roll-out the last upstreams with a version leave, and streams of that version were refused although these still serve for two seconds and more.

A stream that has begun may now be resumed at an upstream whose entry has said for less than half of the allowed time that it leaves, if nothing else has the version. One that says so in an answer gets nothing more, and neither does one that a box already finds leaving when it starts.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -199,7 +199,7 @@
         placement: Placement::RendezvousHash { hall: "hall-0" },
         candidates: Candidates::Sampled { seed },
         allowed_halls: AllowedHalls::ALL,
-        software: None,
+        resumption: None,
         tried: &[],
         max_requests_per_upstream: 100,
         brittle: None,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -297,7 +297,9 @@
     if run_data.world.rolling.is_some() {
         let shares = run_data.version_shares(streams);
         outcomes.extend([
-            ("streams that went on".to_owned(), shares.resumed.0),
+            ("streams resumed".to_owned(), shares.resumed_anywhere.1),
+            ("streams resumed that went on".to_owned(), shares.resumed_anywhere.0),
+            ("streams resumed in touch that went on".to_owned(), shares.resumed.0),
             ("streams resumed in touch".to_owned(), shares.resumed.1),
             ("streams begun in touch".to_owned(), shares.begun.0),
         ]);
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -301,6 +301,8 @@
             let resumed: BTreeSet<&str> =
                 record.resumed().map(|(made, _)| made.id.as_str()).collect();
             for (made, version) in record.resumed() {
+                shares.resumed_anywhere.0 += usize::from(!made.events.is_empty());
+                shares.resumed_anywhere.1 += 1;
                 let rolling = self.world.rolling.as_ref();
                 let serving = rolling.map_or(0, |rolling| rolling.serving(version, made.sent_at));
                 if serving >= 2 && self.is_in_touch(made) {
@@ -328,6 +330,8 @@
 /// Tries that got events, and all of them.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct VersionShares {
+    /// Whatever the box and the number of upstreams.
+    pub(crate) resumed_anywhere: (usize, usize),
     pub(crate) resumed: (usize, usize),
     pub(crate) begun: (usize, usize),
 }
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -15,6 +15,7 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::stream_origins::{StreamId, StreamOrigin};
+use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::heads::{RequestHead, ResumedStream};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::origins::{self, FoundOrigin};
@@ -69,6 +70,12 @@
         self.attempts_made += 1;
     }
 
+    /// Whether it has been sent to an upstream.
+    #[must_use]
+    pub fn has_tried(&self, upstream: &Upstream) -> bool {
+        self.tried.iter().any(|tried| upstream.is_incarnation(tried))
+    }
+
     /// Whether its response is a stream that may be resumed.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -8,7 +8,7 @@
 use crate::gateway::decisions::candidates::{CandidateSampler, Candidates};
 use crate::gateway::decisions::configuration::EngineSpec;
 use crate::gateway::decisions::context::ContextPlan;
-use crate::gateway::decisions::demand::Demand;
+use crate::gateway::decisions::demand::{Demand, Resumption};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::sources::{Lookup, RECOMPUTE_WEIGHT};
@@ -36,6 +36,9 @@
 const FETCH_WEIGHT: f64 = 0.5;
 /// Cost of an upstream that is reached through a peer: some more round trips between boxes.
 const TUNNEL_COST_MS: f64 = 5.0;
+/// Cost of an upstream that leaves and may only resume streams; any other is preferred except
+/// unhealthy ones.
+const LEAVING_COST_MS: f64 = 50_000.0;
 /// Cost of an unhealthy upstream; it is chosen only if all are unhealthy.
 const UNHEALTHY_COST_MS: f64 = 100_000.0;
 /// Cost of an upstream to which no connection could be opened just now; any other is preferred.
@@ -93,11 +96,16 @@
     engine: Option<&EngineSpec>,
     demand: &Demand<'a>,
 ) -> Option<Choice> {
-    let usable: Vec<&Upstream> = upstreams
-        .of_service(demand.service)
-        .filter(|upstream| !upstreams.is_evacuated(upstream))
-        .filter(|upstream| is_usable(now_ms, upstream, demand))
-        .collect();
+    let is_usable = |upstream: &&Upstream| {
+        !upstreams.is_evacuated(upstream) && is_usable(now_ms, upstream, demand)
+    };
+    let usable: Vec<&Upstream> = match demand.resumption {
+        None => upstreams.of_service(demand.service).filter(is_usable).collect(),
+        Some(Resumption { software, leaving_apply_ms }) => upstreams
+            .resuming(now_ms, demand.service, software, leaving_apply_ms)
+            .filter(is_usable)
+            .collect(),
+    };
     let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
     let best = match demand.candidates {
         Candidates::All => chooser.best(&usable),
@@ -124,9 +132,6 @@
         return false;
     }
     // Requests must not start on overdue weights even if no other engine is left.
-    if demand.software.is_some_and(|software| upstream.software != software) {
-        return false;
-    }
     let version = demand.prompt.map_or(0, |prompt| upstream.weight_version(&prompt.model));
     !(demand.excludes_overdue && demand.is_overdue(now_ms, version))
 }
@@ -223,10 +228,12 @@
             true => UNHEALTHY_COST_MS,
             false => 0.0,
         };
+        let leaving_cost = if upstream.is_leaving() { LEAVING_COST_MS } else { 0.0 };
         let tunnel_cost = if upstream.needs_tunnel() { TUNNEL_COST_MS } else { 0.0 };
         let cost = cost
             + hall_cost
             + tunnel_cost
+            + leaving_cost
             + unhealthy_cost
             + spread_ms(demand.box_short_id, upstream.short_id);
         Candidate { cost, upstream, context, expected }
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -16,6 +16,15 @@
 /// The same as a multiple of the latency objective, since long objectives allow long queues.
 const START_DELAY_OBJECTIVES: u64 = 2;
 
+/// Which upstreams may resume a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// Short id of the version of their software.
+    pub software: u32,
+    /// Time after which a leaving upstream must get no requests.
+    pub leaving_apply_ms: u64,
+}
+
 /// The requirements of a request for its upstream, and the box that sends it.
 pub struct Demand<'a> {
     pub service: &'a str,
@@ -39,9 +48,8 @@
     pub candidates: Candidates,
     /// The halls in which it may run.
     pub allowed_halls: AllowedHalls<'a>,
-    /// The version of software at which a stream must be resumed, as a short id; `None` if any
-    /// upstream may run the request.
-    pub software: Option<u32>,
+    /// Which upstreams may resume the request's stream; `None` if it has not begun.
+    pub resumption: Option<Resumption>,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Maximum number of requests from this box to one upstream.
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -104,6 +104,8 @@
     pub rejections: RecentRejections,
     /// Start of its incarnation according to the newest report.
     started_at_ms: Option<u64>,
+    /// When its entry changed to leaving, if this box saw it change.
+    leaving_since_ms: Option<u64>,
     /// When this box learned of that incarnation.
     known_since_ms: u64,
     observed_versions: HashMap<String, u64>,
@@ -138,6 +140,7 @@
             id: incarnation.id,
             started_at_ms: incarnation.started_at_ms,
             known_since_ms: now_ms,
+            leaving_since_ms: None,
             software: short_id(&entry.software),
             entry,
             own_load: Load::default(),
@@ -180,6 +183,14 @@
         self.entry.leaving || self.notices.leaving
     }
 
+    /// Whether it may still resume streams although its entry says that it leaves, which must get no
+    /// requests `apply_ms` after that. Half of that time is left for the way.
+    #[must_use]
+    pub fn may_resume_before_leaving(&self, now_ms: u64, apply_ms: u64) -> bool {
+        let since_ms = self.leaving_since_ms.filter(|_| !self.notices.leaving);
+        since_ms.is_some_and(|since_ms| now_ms < since_ms + apply_ms / 2)
+    }
+
     /// Time until which it asked this box not to send requests; `None` if it accepts them.
     #[must_use]
     pub fn requested_backoff_until_ms(&self, now_ms: u64) -> Option<u64> {
@@ -207,6 +218,11 @@
             // The entry may have been written some time ago, so this is an upper bound.
             self.cold.extend(now_ms, now_ms + entry.cold_left_ms);
             self.software = short_id(&entry.software);
+            self.leaving_since_ms = match (self.entry.leaving, entry.leaving) {
+                (false, true) => Some(now_ms),
+                (true, true) => self.leaving_since_ms,
+                (_, false) => None,
+            };
             self.entry = entry;
             return ReportedIncarnation::Current;
         }
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -307,6 +307,22 @@
             .filter(move |upstream| upstream.entry.service == service && !upstream.is_leaving())
     }
 
+    /// The upstreams that may resume streams of a service: those of `software`, also while they leave.
+    pub fn resuming<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+        software: u32,
+        leaving_apply_ms: u64,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        self.current().filter(move |upstream| {
+            upstream.entry.service == service
+                && upstream.software == software
+                && (!upstream.is_leaving()
+                    || upstream.may_resume_before_leaving(now_ms, leaving_apply_ms))
+        })
+    }
+
     /// All upstreams except those whose address another incarnation has.
     pub fn current(&self) -> impl Iterator<Item = &Upstream> + Clone {
         self.iter().filter(|upstream| !upstream.is_superseded())
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -22,8 +22,8 @@
         state.upstreams.all_backoff_until_ms(now_ms(), &request.service, &request.tried);
     let has_upstreams = state.upstreams.of_service(&request.service).next().is_some();
     let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
-    let lacks_software = lacks_software(&state, request);
     drop(state);
+    let lacks_software = lacks_software(gateway, request);
     match backoff_until_ms {
         _ if lacks_software => refuse(request, Reason::SoftwareGone),
         _ if are_all_evacuated => refuse(request, Reason::Evacuated),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,7 +17,7 @@
 use crate::gateway::decisions::candidates::Candidates;
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::configuration::RetryPolicy;
-use crate::gateway::decisions::demand::Demand;
+use crate::gateway::decisions::demand::{Demand, Resumption};
 use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
@@ -277,12 +277,24 @@
     (!take_retry(gateway, request)).then(|| refuse(request, reason))
 }
 
-/// Number of upstreams of the service that the request has not been sent to.
+/// Number of upstreams that the request may be sent to and has not been sent to.
 fn count_untried(gateway: &Gateway, request: &AdmittedRequest) -> usize {
     let state = gateway.state();
-    let is_tried =
-        |upstream: &Upstream| request.tried.iter().any(|tried| upstream.is_incarnation(tried));
-    state.upstreams.of_service(&request.service).filter(|upstream| !is_tried(upstream)).count()
+    let is_untried = |upstream: &&Upstream| !request.has_tried(upstream);
+    match resumption(gateway, request) {
+        None => state.upstreams.of_service(&request.service).filter(is_untried).count(),
+        Some(Resumption { software, leaving_apply_ms }) => state
+            .upstreams
+            .resuming(now_ms(), &request.service, software, leaving_apply_ms)
+            .filter(is_untried)
+            .count(),
+    }
+}
+
+/// Which upstreams may resume the request's stream.
+fn resumption(gateway: &Gateway, request: &AdmittedRequest) -> Option<Resumption> {
+    let leaving_apply_ms = gateway.settings.bounds.departure_apply_ms;
+    request.origin.map(|origin| Resumption { software: origin.software, leaving_apply_ms })
 }
 
 /// Whether the request may be sent to another upstream. If so, takes one retry from the budget.
@@ -436,8 +448,11 @@
 /// asked for back-offs that end later, operators evacuate all halls of the service, or none can
 /// resume the stream.
 fn none_available_until(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
+    if lacks_software(gateway, request) {
+        return true;
+    }
     let state = gateway.state();
-    if state.upstreams.are_all_evacuated(&request.service) || lacks_software(&state, request) {
+    if state.upstreams.are_all_evacuated(&request.service) {
         return true;
     }
     let backoff_until_ms =
@@ -446,14 +461,8 @@
 }
 
 /// Whether no untried upstream has the software that began the request's stream.
-pub(super) fn lacks_software(state: &State, request: &AdmittedRequest) -> bool {
-    let Some(origin) = request.origin else { return false };
-    let is_tried =
-        |upstream: &Upstream| request.tried.iter().any(|tried| upstream.is_incarnation(tried));
-    !state
-        .upstreams
-        .of_service(&request.service)
-        .any(|upstream| upstream.software == origin.software && !is_tried(upstream))
+pub(super) fn lacks_software(gateway: &Gateway, request: &AdmittedRequest) -> bool {
+    request.origin.is_some() && count_untried(gateway, request) == 0
 }
 
 /// Chooses the upstream for the request among those that can take it now.
@@ -493,7 +502,7 @@
             route: &request.route.allowed_regions,
             account: &request.account_regions,
         },
-        software: request.origin.map(|origin| origin.software),
+        resumption: resumption(gateway, request),
         tried: &request.tried,
         max_requests_per_upstream: (service.max_connections / (boxes + 1)).max(MIN_CONNECTIONS),
         brittle: state.brittle.max_rejections(now_ms, &request.service).map(|max_rejections| {
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -95,7 +95,7 @@
         placement: Placement::RendezvousHash { hall },
         candidates: Candidates::Sampled { seed: 3 },
         allowed_halls: AllowedHalls::ALL,
-        software: None,
+        resumption: None,
         tried: &[],
         max_requests_per_upstream: 100,
         brittle: None,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -217,7 +217,7 @@
         placement: Placement::RendezvousHash { hall: "north" },
         candidates: Candidates::Sampled { seed },
         allowed_halls: AllowedHalls::ALL,
-        software: None,
+        resumption: None,
         tried: &[],
         max_requests_per_upstream: 100,
         brittle: None,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -66,7 +66,7 @@
         placement: Placement::FastestLink { hall: "north" },
         candidates: Candidates::All,
         allowed_halls: AllowedHalls::ALL,
-        software: None,
+        resumption: None,
         tried,
         max_requests_per_upstream: 100,
         brittle: None,
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -351,3 +351,60 @@
     let stream = EventStream::send(&fleet.gateways[0].clients, text.as_bytes()).await.unwrap();
     assert_eq!(stream.read_all().await.0, 503);
 }
+
+/// An upstream that leaves is the last one with the software of a stream.
+#[tokio::test]
+async fn version_leaves() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    let _other = fleet.upstream("s-1", "v2").await;
+    let mut entry = service_entry("plain", &first.address, "draining");
+    entry["version"] = json!("v1");
+    fleet.site.register("s-0", &entry);
+    fleet
+        .wait_logged(
+            "event=upstream_seen upstream=s-0 service=plain software=v1 hall=north leaving=true",
+        )
+        .await;
+    let (status, events, _) = fleet.resume(1, "r-2").await;
+    assert_eq!((status, versions(&events)), (200, vec!["v1"]));
+    // It must get no requests two seconds after it said that it leaves.
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    let (status, _, held) = fleet.resume(1, "r-3").await;
+    assert_eq!((status, first.count("r-3")), (503, 0));
+    assert!(held < AT_ONCE, "{held:?}");
+}
+
+/// A route leads to two services; a stream stays at the one that began it, unless that is no longer
+/// allowed.
+#[tokio::test]
+async fn service_kept() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let mut configuration = config_document(8);
+    let service = |weight: u32| json!([{ "service": "plain", "weight": weight }, { "service": "second", "weight": 99 }]);
+    configuration["routes"][3].as_object_mut().unwrap().remove("service");
+    configuration["routes"][3]["split"] = service(1);
+    let mut second = configuration["services"][0].clone();
+    second["name"] = json!("second");
+    configuration["services"].as_array_mut().unwrap().push(second);
+    let first = fleet.upstream("s-0", "v1").await;
+    let _stream = fleet.begin(&first).await;
+    fleet.site.configure(&configuration);
+    fleet.wait_logged("event=configuration_in_force version=8").await;
+    let other = Server::start("s-1").await;
+    other.set_software("other");
+    fleet.site.register("s-1", &service_entry("second", &other.address, "ready"));
+    fleet.wait_logged("event=upstream_seen upstream=s-1 ").await;
+    for number in 2..8 {
+        let (status, events, _) = fleet.resume(1, &format!("r-{number}")).await;
+        assert_eq!((status, versions(&events)), (200, vec!["v1"]));
+    }
+    configuration["version"] = json!(9);
+    configuration["routes"][3].as_object_mut().unwrap().remove("split");
+    configuration["routes"][3]["service"] = json!("second");
+    fleet.site.configure(&configuration);
+    fleet.wait_logged("event=configuration_in_force version=9").await;
+    let (status, events, _) = fleet.resume(1, "r-8").await;
+    assert_eq!((status, events.len()), (503, 0));
+}
