Streams: the metadata store shows which version may have begun them

The leader now keeps the versions of each service in the metadata store, written when the first upstream of a version is listed, and removed when none has been for as long as streams last. One version there, listed and remembered is the proof; it counts once a watch has confirmed the view, which a box that has just listed asks for at once. What boxes told each other for this before, and the rule for boxes that start before the first configuration, are gone.

all_killed_one_version fails without it; version_guessed holds that a version that is no longer listed still counts. The software of an upstream is named last in the log, where it was before.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -19,7 +19,7 @@
 use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::stream_origins::{
-    AnswerContent, OriginAnswer, StreamId, StreamOrigin, StreamOrigins,
+    OriginAnswer, StreamId, StreamOrigin, StreamOrigins,
 };
 use coursestile::gateway::decisions::upstream::{Load, UpstreamEntry};
 use coursestile::gateway::decisions::upstreams::Upstreams;
@@ -101,8 +101,7 @@
     origins.record(1, StreamId(u64::MAX), origin, 12_000);
     let report = origins.report(2, StreamId(u64::MAX));
     let report_bytes = report.map_or(0, |report| encoded_bytes(&Datagram::StreamOrigin(report)));
-    let content = report.map_or(AnswerContent::Unknown, AnswerContent::Stream);
-    let answer = OriginAnswer { number: u64::MAX, content };
+    let answer = OriginAnswer { number: u64::MAX, report };
     let answer_bytes = encoded_bytes(&Datagram::OriginAnswer(answer));
     for boxes in FLEET_SIZES {
         let (peers, _) = known_peers(boxes);
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -213,8 +213,7 @@
         FoundOrigin::Unanswered => Err(Reason::StreamNotFound),
         FoundOrigin::Unknown => {
             let service = route.only_service().ok_or(Reason::StreamUnknown)?;
-            let software = origins::only_software(gateway, service, stream).await;
-            let software = software.ok_or(Reason::StreamUnknown)?;
+            let software = origins::only_version(gateway, service).ok_or(Reason::StreamUnknown)?;
             Ok(StreamOrigin { service: short_id(service), software })
         }
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -15,7 +15,7 @@
 use crate::gateway::settings::Settings;
 use crate::gateway::{
     catch_up, follow_caches, follow_metadata, gossip, leader, leadership, listener, members,
-    peer_traffic, quarantine, reachability, store_updates, tunnels,
+    peer_traffic, quarantine, reachability, store_updates, stored_versions, tunnels,
 };
 
 /// Time for which a stopping box still accepts requests: the load balancer checks it every second
@@ -68,6 +68,7 @@
     tokio::spawn(leader::free_store_space(gateway.clone(), socket.clone()));
     tokio::spawn(leader::prune_claims(gateway.clone(), socket));
     tokio::spawn(members::run(gateway.clone()));
+    tokio::spawn(stored_versions::run(gateway.clone()));
     tokio::spawn(quarantine::maintain_stored(gateway.clone()));
     tokio::spawn(listener::accept_clients(gateway.clone(), clients));
     gateway.wait_for_phase(BoxPhase::Stopped).await;
--- a/src/gateway/decisions/stream_origins.rs
+++ b/src/gateway/decisions/stream_origins.rs
@@ -9,7 +9,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fingerprint::Fingerprint;
-use crate::gateway::decisions::software_history::SoftwareSeen;
 
 /// Most streams of which the origin is kept. Beyond that, the one that expires first is forgotten.
 const MAX_STREAMS: usize = 65_536;
@@ -45,21 +44,12 @@
     pub left_ms: u32,
 }
 
-/// A question about a stream that a client resumes.
+/// A question about the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginQuery {
     /// Identifies the query among those of the sender.
     pub number: u64,
-    pub subject: QuerySubject,
-}
-
-/// What an [`OriginQuery`] is about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum QuerySubject {
-    /// Where a stream began.
-    Stream(StreamId),
-    /// Which versions may have begun the streams of a service, by its short id.
-    Service(u32),
+    pub stream: StreamId,
 }
 
 /// The answer to an [`OriginQuery`].
@@ -67,15 +57,8 @@
 pub struct OriginAnswer {
     /// See [`OriginQuery::number`].
     pub number: u64,
-    pub content: AnswerContent,
-}
-
-/// What the sender of an [`OriginAnswer`] knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AnswerContent {
-    Unknown,
-    Stream(OriginReport),
-    Service(SoftwareSeen),
+    /// `None` if the sender does not know the origin.
+    pub report: Option<OriginReport>,
 }
 
 /// The origins of streams that this box knows.
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -13,7 +13,7 @@
 
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
-use crate::gateway::decisions::software_history::{SoftwareHistory, SoftwareSeen};
+use crate::gateway::decisions::software_history::{SoftwareHistory, StoredVersions};
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
 use crate::names::short_id;
 
@@ -328,18 +328,30 @@
         self.iter().filter(|upstream| !upstream.is_superseded())
     }
 
-    /// What is known of the versions that may have begun the streams of a service.
+    /// The version that began all streams of a service that may be resumed, if it is the only one.
     #[must_use]
-    pub fn software_seen(&self, now_ms: u64, service: &str) -> SoftwareSeen {
+    pub fn only_version(&self, now_ms: u64, service: &str) -> Option<u32> {
         let of_service = self.iter().filter(|upstream| upstream.entry.service == service);
         let listed = of_service.map(|upstream| upstream.software);
-        self.software_history.seen(now_ms, short_id(service), listed)
+        self.software_history.only_version(now_ms, short_id(service), listed)
     }
 
-    /// Records that all upstreams are known. `is_configured` tells whether they may have been used
-    /// before.
-    pub fn record_complete(&mut self, now_ms: u64, is_configured: bool) {
-        self.software_history.record_complete(now_ms, is_configured);
+    /// The versions that the metadata store should have, if they have to change.
+    #[must_use]
+    pub fn next_stored_versions(&self, now_ms: u64) -> Option<StoredVersions> {
+        let listed =
+            self.iter().map(|upstream| (short_id(&upstream.entry.service), upstream.software));
+        self.software_history.next_stored(now_ms, listed)
+    }
+
+    /// Takes over the versions that the metadata store has.
+    pub fn set_stored_versions(&mut self, stored: StoredVersions) {
+        self.software_history.set_stored(stored);
+    }
+
+    /// Records that all upstreams are known now.
+    pub fn record_complete(&mut self, now_ms: u64) {
+        self.software_history.record_complete(now_ms);
     }
 
     /// Records that upstreams may have come and gone without this box.
--- a/src/gateway/entries.rs
+++ b/src/gateway/entries.rs
@@ -32,12 +32,12 @@
     let known = state.upstreams.get(id);
     let mut changed = known.is_none_or(|known| known.entry.leaving != entry.leaving);
     let details = format!(
-        "upstream={id} service={} software={} hall={} leaving={} started_at_ms={}",
+        "upstream={id} service={} hall={} leaving={} started_at_ms={} software={}",
         entry.service,
-        entry.software,
         entry.hall,
         entry.leaving,
-        format_start(entry.started_at_ms)
+        format_start(entry.started_at_ms),
+        entry.software
     );
     if entry.cold_left_ms > 0 {
         info!(target: "entries", "event=upstream_cold upstream={id} left_ms={}", entry.cold_left_ms);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! - `follow_caches` follows the cached context of engines and context stores; `store_updates`
 //!   publishes that of the stores to other boxes.
 //! - `gossip` and `catch_up` exchange state with other boxes.
+//! - `stored_versions` keeps in the metadata store which software may have begun streams.
 //! - `entries` applies what upstreams report about themselves, and `members` the addresses at
 //!   which other boxes may run.
 //!
@@ -70,5 +71,6 @@
 pub mod silence;
 pub mod store_cleanup;
 pub mod store_updates;
+pub mod stored_versions;
 pub mod tunnels;
 pub mod weight_loads;
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -13,13 +13,11 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::now_ms;
-use crate::gateway::decisions::software_history::SoftwareSeen;
 use crate::gateway::decisions::stream_origins::{
-    AnswerContent, OriginAnswer, OriginQuery, OriginReport, QuerySubject, StreamId, StreamOrigin,
+    OriginAnswer, OriginQuery, OriginReport, StreamId, StreamOrigin,
 };
 use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::kernel::{Gateway, State};
-use crate::names::short_id;
 use crate::sync::locked;
 
 /// How often peers are asked; those that have answered are not asked again.
@@ -93,107 +91,23 @@
 
 /// Answers a peer's query.
 pub async fn answer(gateway: &Gateway, socket: &UdpSocket, from: SocketAddr, query: OriginQuery) {
-    let content = answer_content(gateway, query.subject);
-    let answer = OriginAnswer { number: query.number, content };
+    let report = gateway.state().stream_origins.report(now_ms(), query.stream);
+    let answer = OriginAnswer { number: query.number, report };
     send(gateway, socket, Datagram::OriginAnswer(answer), &[from]).await;
 }
 
-fn answer_content(gateway: &Gateway, subject: QuerySubject) -> AnswerContent {
-    let (state, now_ms) = (gateway.state(), now_ms());
-    match subject {
-        QuerySubject::Stream(stream) => {
-            let report = state.stream_origins.report(now_ms, stream);
-            report.map_or(AnswerContent::Unknown, AnswerContent::Stream)
-        }
-        QuerySubject::Service(service) => {
-            let configuration = state.configuration.as_ref();
-            let mut services = configuration.iter().flat_map(|known| known.services.keys());
-            let name = services.find(|name| short_id(name) == service);
-            name.map_or(AnswerContent::Unknown, |name| {
-                AnswerContent::Service(state.upstreams.software_seen(now_ms, name))
-            })
-        }
-    }
-}
-
 /// Finds out where a stream began, from peers if this box does not know.
 pub async fn find(gateway: &Gateway, stream: StreamId) -> FoundOrigin {
-    let peers = {
+    let mut unanswered = {
         let (state, now_ms) = (gateway.state(), now_ms());
         if let Some(origin) = state.stream_origins.get(now_ms, stream) {
             return FoundOrigin::Known(origin);
         }
         state.peers.peers_to_ask(now_ms, stream)
     };
-    let found = ask(gateway, peers, QuerySubject::Stream(stream), |content| match content {
-        AnswerContent::Stream(report) => Some(report),
-        AnswerContent::Unknown | AnswerContent::Service(_) => None,
-    });
-    match found.await {
-        Asked::Told(report) => {
-            receive_report(gateway, report);
-            let origin = gateway.state().stream_origins.get(now_ms(), stream);
-            origin.map_or(FoundOrigin::Unknown, FoundOrigin::Known)
-        }
-        Asked::NotTold => FoundOrigin::Unknown,
-        Asked::Unanswered => FoundOrigin::Unanswered,
-    }
-}
-
-/// The version that began all streams of a service that a client may resume now, by its short id.
-/// `None` if that is not certain.
-pub async fn only_software(gateway: &Gateway, service: &str, stream: StreamId) -> Option<u32> {
-    let (seen, peers) = {
-        let (state, now_ms) = (gateway.state(), now_ms());
-        if !is_view_current(&state, now_ms) {
-            return None;
-        }
-        let seen = state.upstreams.software_seen(now_ms, service);
-        (seen, state.peers.peers_to_ask(now_ms, stream))
-    };
-    let software = match seen {
-        SoftwareSeen::NotOne => return None,
-        SoftwareSeen::Only(software) => return Some(software),
-        SoftwareSeen::OnlyNow(software) => software,
-    };
-    let subject = QuerySubject::Service(short_id(service));
-    let found = ask(gateway, peers, subject, |content| match content {
-        AnswerContent::Service(seen @ (SoftwareSeen::Only(_) | SoftwareSeen::NotOne)) => Some(seen),
-        AnswerContent::Service(SoftwareSeen::OnlyNow(_))
-        | AnswerContent::Unknown
-        | AnswerContent::Stream(_) => None,
-    });
-    let is_only = matches!(found.await, Asked::Told(SoftwareSeen::Only(only)) if only == software);
-    is_only.then_some(software)
-}
-
-/// Whether this box knows of new upstreams as soon as others do, as far as it can tell.
-fn is_view_current(state: &State, now_ms: u64) -> bool {
-    let has_source = state.view.is_store_available()
-        || state.peers.live_boxes(now_ms) > 1
-        || state.peers.is_only_box();
-    has_source && !state.peers.is_any_ahead(now_ms, state.view.digest())
-}
-
-/// How a question to peers ended.
-enum Asked<T> {
-    Told(T),
-    /// All have answered, and none knows.
-    NotTold,
-    /// Some have not answered.
-    Unanswered,
-}
-
-/// Asks peers until one of them tells what `told` finds in its answer.
-async fn ask<T>(
-    gateway: &Gateway,
-    mut unanswered: Vec<SocketAddr>,
-    subject: QuerySubject,
-    told: impl Fn(AnswerContent) -> Option<T>,
-) -> Asked<T> {
-    let Some(socket) = gateway.peer_socket.get() else { return Asked::Unanswered };
+    let Some(socket) = gateway.peer_socket.get() else { return FoundOrigin::Unanswered };
     let mut query = gateway.origin_queries.open();
-    let datagram = Datagram::OriginQuery(OriginQuery { number: query.number, subject });
+    let datagram = Datagram::OriginQuery(OriginQuery { number: query.number, stream });
     for _ in 0..ROUNDS {
         if unanswered.is_empty() {
             break;
@@ -203,13 +117,36 @@
         while !unanswered.is_empty()
             && let Ok(Some((from, answer))) = timeout_at(until, query.answers.recv()).await
         {
-            if let Some(found) = told(answer.content) {
-                return Asked::Told(found);
+            if let Some(report) = answer.report {
+                receive_report(gateway, report);
+                let origin = gateway.state().stream_origins.get(now_ms(), stream);
+                return origin.map_or(FoundOrigin::Unknown, FoundOrigin::Known);
             }
             unanswered.retain(|peer| peer.ip() != from);
         }
     }
-    if unanswered.is_empty() { Asked::NotTold } else { Asked::Unanswered }
+    if unanswered.is_empty() { FoundOrigin::Unknown } else { FoundOrigin::Unanswered }
+}
+
+/// The version that began all streams of a service that a client may resume now, by its short id.
+/// `None` if that is not certain.
+#[must_use]
+pub fn only_version(gateway: &Gateway, service: &str) -> Option<u32> {
+    let (state, now_ms) = (gateway.state(), now_ms());
+    if !is_view_current(&state, now_ms) {
+        return None;
+    }
+    state.upstreams.only_version(now_ms, service)
+}
+
+/// Whether this box knows of new upstreams as soon as others do, as far as it can tell.
+fn is_view_current(state: &State, now_ms: u64) -> bool {
+    // A listing of a box that has just started may be older than the streams.
+    let is_confirmed = state.view.synced_at_ms().is_some() || !state.follows_metadata;
+    let has_source = state.view.is_store_available()
+        || state.peers.live_boxes(now_ms) > 1
+        || state.peers.is_only_box();
+    is_confirmed && has_source && !state.peers.is_any_ahead(now_ms, state.view.digest())
 }
 
 async fn send(gateway: &Gateway, socket: &UdpSocket, datagram: Datagram, targets: &[SocketAddr]) {
--- /dev/null
+++ b/src/gateway/stored_versions.rs
@@ -0,0 +1,64 @@
+//! The versions of upstreams' software that may have begun streams, which the leader maintains in the
+//! metadata store (see `decisions::software_history`).
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use tokio::time::timeout;
+
+use crate::box_phase::BoxPhase;
+use crate::clock::now_ms;
+use crate::error::{Error, Result};
+use crate::gateway::decisions::software_history::StoredVersions;
+use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::metadata::WriteOutcome;
+use crate::platform::keys;
+
+/// Interval at which the leader compares what is stored with what it knows, unless upstreams change.
+const COMPARE_PERIOD: Duration = Duration::from_secs(2);
+
+/// Maintains the stored versions while this box is the leader.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut changed = gateway.upstreams_changed.subscribe();
+    while gateway.phase() != BoxPhase::Stopped {
+        // In either case the versions are compared.
+        let _ = timeout(COMPARE_PERIOD, changed.changed()).await;
+        if let Err(error) = update(&gateway).await {
+            info!(target: "versions", "event=versions_not_written cause=\"{error}\"");
+        }
+    }
+}
+
+/// Writes the versions if they have to change.
+async fn update(gateway: &Gateway) -> Result<()> {
+    let key = keys::software();
+    let (revision, next) = {
+        let (state, now_ms) = (gateway.state(), now_ms());
+        if state.leadership.is_none_or(|leadership| now_ms >= leadership.until_ms) {
+            return Ok(());
+        }
+        let revision = state.view.get(&key).map_or(0, |item| item.revision);
+        (revision, state.upstreams.next_stored_versions(now_ms))
+    };
+    let Some(next) = next else { return Ok(()) };
+    let value = postcard::to_stdvec(&next).map_err(|error| codec_error(&error))?;
+    let outcome = gateway.metadata.write(&key, revision, &value, None).await?;
+    info!(target: "versions", "event=versions_written services={} versions={} done={}",
+        next.len(), next.values().map(BTreeSet::len).sum::<usize>(),
+        matches!(outcome, WriteOutcome::Done { .. }));
+    Ok(())
+}
+
+/// Applies the versions that the metadata store has.
+pub fn apply(state: &mut State, value: &[u8]) {
+    match postcard::from_bytes::<StoredVersions>(value) {
+        Ok(stored) => state.upstreams.set_stored_versions(stored),
+        Err(error) => warn!(target: "versions", "event=versions_unreadable cause=\"{error}\""),
+    }
+}
+
+fn codec_error(error: &postcard::Error) -> Error {
+    Error::Message(error.to_string())
+}
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -42,6 +42,8 @@
     Members,
     /// The quarantined requests, which crash upstreams.
     Quarantine,
+    /// The versions of upstreams' software that may have begun streams.
+    Software,
     /// Another key that the gateway writes.
     Own,
     /// A key that the gateway does not use.
@@ -66,6 +68,9 @@
     if key == quarantine() {
         return KeyKind::Quarantine;
     }
+    if key == software() {
+        return KeyKind::Software;
+    }
     if key.starts_with(OWN_PREFIX) {
         return KeyKind::Own;
     }
@@ -87,6 +92,12 @@
     format!("{OWN_PREFIX}quarantine")
 }
 
+/// The key of the versions of upstreams' software that may have begun streams.
+#[must_use]
+pub fn software() -> String {
+    format!("{OWN_PREFIX}software")
+}
+
 /// The key of the item that the owner of a lease writes.
 #[must_use]
 pub fn lease(name: &str) -> String {
