--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -213,7 +213,8 @@
         FoundOrigin::Unanswered => Err(Reason::StreamNotFound),
         FoundOrigin::Unknown => {
             let service = route.only_service().ok_or(Reason::StreamUnknown)?;
-            let software = origins::only_version(gateway, service).ok_or(Reason::StreamUnknown)?;
+            let software =
+                origins::only_version(gateway, service).await.ok_or(Reason::StreamUnknown)?;
             Ok(StreamOrigin { service: short_id(service), software })
         }
     }
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -40,8 +40,6 @@
 /// Wait of a watch after a failed call: short, so that the recovery of the store is noticed
 /// soon, with a long grace period in case the store is only slow.
 const WAIT_AFTER_FAILURE: WatchWait = WatchWait { wait_ms: 200, grace_ms: 1000 };
-/// Wait of the first watch after a stale listing: short, since its answer shows that the view is current.
-const WAIT_AFTER_STALE_LISTING: WatchWait = WatchWait { wait_ms: 100, grace_ms: 1000 };
 /// Pause between two watches in a large fleet, so that one answer covers several changes:
 /// each change ends the watches of the followers in all halls. A small part of the two
 /// seconds in which a change must be in force.
@@ -298,16 +296,12 @@
 
 /// Waits for changes and applies them.
 async fn watch(gateway: &Gateway) -> Result<CallEnd> {
-    let (after, is_available, is_synced) = {
+    let (after, is_available) = {
         let state = gateway.state();
-        let view = &state.view;
-        (view.at_revision(), view.is_store_available(), view.synced_at_ms().is_some())
-    };
-    let wait = match (is_available, is_synced) {
-        (true, true) => regular_wait(&gateway.settings.bounds),
-        (true, false) => WAIT_AFTER_STALE_LISTING,
-        (false, _) => WAIT_AFTER_FAILURE,
+        (state.view.at_revision(), state.view.is_store_available())
     };
+    let wait =
+        if is_available { regular_wait(&gateway.settings.bounds) } else { WAIT_AFTER_FAILURE };
     let watched = tokio::select! {
         watched = gateway.metadata.watch("", after, with_jitter(wait)) => watched?,
         () = gateway.refresh_metadata.notified() => return Ok(CallEnd::Interrupted),
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -283,6 +283,8 @@
     pub origin_queries: OriginQueries,
     /// Socket for datagrams to peers, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
+    /// Whether the stored versions of software have been read for `confirm`; locked while they are.
+    pub versions_read: tokio::sync::Mutex<bool>,
     /// Serialises writes of claims.
     pub claim_lock: tokio::sync::Mutex<()>,
     state: Mutex<State>,
@@ -361,6 +363,7 @@
             crash_reports: CrashReports::default(),
             origin_queries: OriginQueries::default(),
             peer_socket: OnceLock::new(),
+            versions_read: tokio::sync::Mutex::new(false),
             claim_lock: tokio::sync::Mutex::new(()),
             state: Mutex::new(state),
             phase: watch::Sender::new(BoxPhase::Serving),
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -13,12 +13,15 @@
 use crate::error::{Error, Result};
 use crate::gateway::decisions::software_history::StoredVersions;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::metadata::WriteOutcome;
+use crate::gateway::metadata::{Freshness, WriteOutcome};
 use crate::platform::keys;
 
 /// Interval at which the leader compares what is stored with what it knows, unless upstreams change.
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time limit for a call that confirms the versions: many times the usual 4 ms.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Maintains the stored versions while this box is the leader.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut changed = gateway.upstreams_changed.subscribe();
@@ -51,6 +54,27 @@
     Ok(())
 }
 
+/// Whether this box knows the versions that the metadata store has had since its start. A listing may
+/// be older than that; the versions are then read once, in one call for all requests that wait.
+pub async fn confirm(gateway: &Gateway) -> bool {
+    let mut is_read = gateway.versions_read.lock().await;
+    let is_confirmed = {
+        let state = gateway.state();
+        state.view.synced_at_ms().is_some() || !state.follows_metadata
+    };
+    if *is_read || is_confirmed {
+        return true;
+    }
+    let key = keys::software();
+    let reading = gateway.metadata.list_page(&key, None, Freshness::Latest);
+    let Ok(Ok(page)) = timeout(CONFIRM_TIMEOUT, reading).await else { return false };
+    for item in page.items.iter().filter(|item| item.key == key) {
+        apply(&mut gateway.state(), &item.value);
+    }
+    *is_read = true;
+    true
+}
+
 /// Applies the versions that the metadata store has.
 pub fn apply(state: &mut State, value: &[u8]) {
     match postcard::from_bytes::<StoredVersions>(value) {
