Streams: the log tells what was found of a stream that a client resumes

Refused ones were not logged with the request that they name, since they are refused before they are admitted. The line now comes when the origin has been looked up and tells what was found; the metric tells it too.

No decision changes.

--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -100,6 +100,16 @@
     assert_no_violations(Options { seed, seconds: 14, boxes: 4, scenario: Scenario::Words }).await;
 }
 
+// Guards against streams that go on at another version of software than the one that began them.
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[tokio::test]
+async fn versions_kept(#[case] seed: u64) {
+    assert_no_violations(Options { seed, seconds: 12, boxes: 4, scenario: Scenario::Versions })
+        .await;
+}
+
 async fn assert_no_violations(options: Options) {
     let report = run(options).await.unwrap();
     // Shown if the test fails.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -165,12 +165,7 @@
     choice: &Choice,
     last_event_id: Option<&str>,
 ) -> AttemptOutcome {
-    let listed = gateway
-        .state()
-        .upstreams
-        .get_incarnation(&choice.upstream)
-        .map(|upstream| upstream.entry.address);
-    let Some(address) = listed else {
+    let Some(address) = gateway.state().upstreams.incarnation_address(&choice.upstream) else {
         return AttemptOutcome::NotSent { cause: "the upstream is no longer listed".to_owned() };
     };
     let mut in_flight = InFlight::begin(gateway, choice);
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -19,6 +19,7 @@
 use crate::gateway::heads::{RequestHead, ResumedStream};
 use crate::gateway::kernel::Gateway;
 use crate::gateway::origins::{self, FoundOrigin};
+use crate::gateway::request_log::log_resumed_by_client;
 use crate::gateway::response::Reason;
 use crate::names::short_id;
 
@@ -115,7 +116,13 @@
     let stream = StreamId::new(account_name, began_as(head, request_id));
     let origin = match &head.resumed {
         Some(resumed) if route.retry_policy == RetryPolicy::StreamResumable => {
-            Some(find_origin(gateway, &route, resumed, stream).await?)
+            let found = match resumed {
+                ResumedStream::Named(_) => origins::find(gateway, stream).await,
+                ResumedStream::Unnamed => FoundOrigin::Unknown,
+                ResumedStream::Malformed => return Err(Reason::BadRequest),
+            };
+            log_resumed_by_client(request_id, resumed, found);
+            Some(certain_origin(gateway, &route, found).await?)
         }
         Some(_) | None => None,
     };
@@ -196,25 +203,20 @@
     }
 }
 
-/// Finds out where the stream began that a client resumes.
-async fn find_origin(
+/// Where the stream began that a client resumes: where it was found to have begun, or else could only
+/// have begun.
+async fn certain_origin(
     gateway: &Gateway,
     route: &Route,
-    resumed: &ResumedStream,
-    stream: StreamId,
+    found: FoundOrigin,
 ) -> Result<StreamOrigin, Reason> {
-    let found = match resumed {
-        ResumedStream::Named(_) => origins::find(gateway, stream).await,
-        ResumedStream::Unnamed => FoundOrigin::Unknown,
-        ResumedStream::Malformed => return Err(Reason::BadRequest),
-    };
     match found {
         FoundOrigin::Known(origin) => Ok(origin),
-        FoundOrigin::Unanswered => Err(Reason::StreamNotFound),
+        FoundOrigin::Unanswered => Err(Reason::OriginUnanswered),
         FoundOrigin::Unknown => {
-            let service = route.only_service().ok_or(Reason::StreamUnknown)?;
+            let service = route.only_service().ok_or(Reason::OriginUnknown)?;
             let software =
-                origins::only_version(gateway, service).await.ok_or(Reason::StreamUnknown)?;
+                origins::only_version(gateway, service).await.ok_or(Reason::OriginUnknown)?;
             Ok(StreamOrigin { service: short_id(service), software })
         }
     }
--- a/src/gateway/decisions/stream_origins.rs
+++ b/src/gateway/decisions/stream_origins.rs
@@ -2,7 +2,8 @@
 //!
 //! What upstreams with different software write does not fit together, and upstreams do not check it.
 //! So a stream is only resumed at the version that sent its first event, however often its client
-//! resumes it and at whichever box. A box that does not know where a stream began does not resume it.
+//! resumes it and at whichever box. A box that does not know where a stream began does not resume it,
+//! unless it can only have begun at one version (`software_history`).
 
 use std::collections::{BTreeSet, HashMap};
 
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -377,6 +377,12 @@
         2 * cut_off.count() > engines.count()
     }
 
+    /// The address of an upstream, if `incarnation` may be its present one.
+    #[must_use]
+    pub fn incarnation_address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
+        self.get_incarnation(incarnation).map(|upstream| upstream.entry.address)
+    }
+
     #[must_use]
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
         self.get(id).map(|upstream| upstream.entry.address)
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -26,13 +26,14 @@
 /// Time limit for the answers of each round: several round trips between halls.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// What was found out about the origin of a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What was found out about the origin of a stream. The texts are logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum FoundOrigin {
+    /// known
     Known(StreamOrigin),
-    /// No peer knows it.
+    /// no peer knows it
     Unknown,
-    /// Peers that may know it have not answered.
+    /// peers have not answered
     Unanswered,
 }
 
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -12,6 +12,7 @@
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::heads::{Framing, ResumedStream};
 use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::origins::FoundOrigin;
 use crate::gateway::response::Reason;
 
 /// Longest time shown as `behind_ms`: a day.
@@ -98,15 +99,16 @@
     upstream.map_or_else(|| "-".to_owned(), |upstream| upstream.entry.software.clone())
 }
 
-/// Logs a request by which a client resumes a stream.
-pub fn log_resumed_by_client(request: &AdmittedRequest, resumed: &ResumedStream) {
-    metrics::counter!("coursestile_streams_resumed_by_client_total").increment(1);
+/// Logs a request by which a client resumes a stream, and what is known of it.
+pub fn log_resumed_by_client(request_id: &str, resumed: &ResumedStream, found: FoundOrigin) {
+    metrics::counter!("coursestile_streams_resumed_by_client_total", "origin" => found.to_string())
+        .increment(1);
     let began_as = match resumed {
-        ResumedStream::Named(request_id) => request_id,
+        ResumedStream::Named(began_as) => began_as,
         ResumedStream::Unnamed | ResumedStream::Malformed => "-",
     };
-    info!(target: "serve", "event=resumed_by_client request={} began_as={began_as}",
-        request.outgoing.request_id);
+    info!(target: "serve",
+        "event=resumed_by_client request={request_id} began_as={began_as} origin=\"{found}\"");
 }
 
 /// How long ago the first version newer than the chosen engine's was named, as far as this
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -56,9 +56,9 @@
     /// upstreams may have crashed under it
     Withheld,
     /// not known where the stream began
-    StreamUnknown,
+    OriginUnknown,
     /// no answer about where the stream began
-    StreamNotFound,
+    OriginUnanswered,
     /// no upstream has the software of the stream
     SoftwareGone,
     /// deadline passed
@@ -85,8 +85,8 @@
             | Self::Evacuated
             | Self::Quarantined
             | Self::Withheld
-            | Self::StreamUnknown
-            | Self::StreamNotFound
+            | Self::OriginUnknown
+            | Self::OriginUnanswered
             | Self::SoftwareGone
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -28,7 +28,7 @@
 };
 use crate::gateway::request_log::{
     ForwardedBody, log_answered, log_attempt_end, log_attempt_start, log_early_refusal,
-    log_not_sent, log_resumed_by_client,
+    log_not_sent,
 };
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::{crashes, overdue_weights, quarantine, relay, silence};
@@ -87,9 +87,6 @@
             return response::refusal(reason, request_id.as_deref(), retry_after_ms);
         }
     };
-    if let Some(resumed) = head.resumed.as_ref().filter(|_| request.is_resumable()) {
-        log_resumed_by_client(&request, resumed);
-    }
     gateway.state().retry_budget.record_request(arrived_at_ms, &request.service);
     let mut response = run_attempts(&gateway, request).await;
     // The request stays in flight until its response body has been sent.
@@ -101,9 +98,9 @@
 /// When a client may retry that was refused before its request was admitted.
 fn early_retry_after_ms(reason: Reason) -> Option<u64> {
     match reason {
-        Reason::NotReady | Reason::StreamNotFound => Some(RETRY_AFTER_MS),
+        Reason::NotReady | Reason::OriginUnanswered => Some(RETRY_AFTER_MS),
         // Only a new stream can be served, and that at once.
-        Reason::StreamUnknown => Some(0),
+        Reason::OriginUnknown => Some(0),
         _ => None,
     }
 }
