Streams: a box that has just started asks peers that it has not heard from

A box that had just started refused streams that its peers knew, until it had heard from them, some hundred milliseconds later. It asks its seeds and the members that it knows by address now. If some do not answer, what the metadata store shows decides, as when none of them knows.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -210,16 +210,14 @@
     route: &Route,
     found: FoundOrigin,
 ) -> Result<StreamOrigin, Reason> {
-    match found {
-        FoundOrigin::Known(origin) => Ok(origin),
-        FoundOrigin::Unanswered => Err(Reason::OriginUnanswered),
-        FoundOrigin::Unknown => {
-            let service = route.only_service().ok_or(Reason::OriginUnknown)?;
-            let software =
-                origins::only_version(gateway, service).await.ok_or(Reason::OriginUnknown)?;
-            Ok(StreamOrigin { service: short_id(service), software })
-        }
-    }
+    let reason = match found {
+        FoundOrigin::Known(origin) => return Ok(origin),
+        FoundOrigin::Unknown => Reason::OriginUnknown,
+        FoundOrigin::Unanswered => Reason::OriginUnanswered,
+    };
+    let service = route.only_service().ok_or(reason)?;
+    let software = origins::only_version(gateway, service).await.ok_or(reason)?;
+    Ok(StreamOrigin { service: short_id(service), software })
 }
 
 /// Hash that spreads requests evenly over the target services of a route.
--- a/src/gateway/decisions/peers/stream_keepers.rs
+++ b/src/gateway/decisions/peers/stream_keepers.rs
@@ -37,7 +37,8 @@
         self.at_peer_port(keepers.take(KEEPERS).map(|(_, address, _)| *address).collect())
     }
 
-    /// The peers that may know where a stream began, those of the own hall first.
+    /// The peers that may know where a stream began, those of the own hall first. A box that has just
+    /// started also asks those from which it has heard nothing yet.
     #[must_use]
     pub fn peers_to_ask(&self, now_ms: u64, stream: StreamId) -> Vec<SocketAddr> {
         let (own_hall, other_halls) = self.ranked_for(now_ms, stream);
@@ -48,7 +49,11 @@
             *taken += 1;
             (*taken <= OTHER_HALL_ASKED).then_some(address)
         });
-        self.at_peer_port(own_hall.chain(other_halls).take(MAX_ASKED).collect())
+        let unheard = self.known.iter().filter(|(_, peer)| peer.gossip.incarnation == 0);
+        let unheard = unheard.map(|(address, _)| *address);
+        let unknown = self.seeds.iter().filter(|seed| !self.known.contains_key(*seed)).copied();
+        let asked = own_hall.chain(other_halls).chain(unheard).chain(unknown);
+        self.at_peer_port(asked.take(MAX_ASKED).collect())
     }
 
     /// The live peers of the own hall and those of other halls, each in the order in which they
