--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -299,9 +299,9 @@
         outcomes.extend([
             ("streams resumed".to_owned(), shares.resumed_anywhere.1),
             ("streams resumed that went on".to_owned(), shares.resumed_anywhere.0),
-            ("streams resumed in touch that went on".to_owned(), shares.resumed.0),
-            ("streams resumed in touch".to_owned(), shares.resumed.1),
-            ("streams begun in touch".to_owned(), shares.begun.0),
+            ("streams resumed undisturbed that went on".to_owned(), shares.resumed.0),
+            ("streams resumed undisturbed".to_owned(), shares.resumed.1),
+            ("streams begun undisturbed".to_owned(), shares.begun.0),
         ]);
     }
     if run_data.world.weights_change {
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -115,7 +115,7 @@
         self.upstreams().push(RollingUpstream { server, version, from, until: None });
     }
 
-    /// Ends the upstream that has run longest; returns its number, and its address if it only leaves.
+    /// Has the upstream that has run longest leave or crash; returns its number.
     fn end_oldest(&self, site: &Site, crashes: bool) -> Option<usize> {
         let mut upstreams = self.upstreams();
         let number = upstreams.iter().position(|upstream| upstream.until.is_none())?;
@@ -293,7 +293,7 @@
         violations
     }
 
-    /// How many tries at boxes in touch got events, of those that resumed streams of a version with two
+    /// How many tries at undisturbed boxes got events, of those that resumed streams of a version with two
     /// upstreams, and of those that began streams.
     pub(crate) fn version_shares(&self, records: &[StreamRecord]) -> VersionShares {
         let mut shares = VersionShares::default();
@@ -305,13 +305,13 @@
                 shares.resumed_anywhere.1 += 1;
                 let rolling = self.world.rolling.as_ref();
                 let serving = rolling.map_or(0, |rolling| rolling.serving(version, made.sent_at));
-                if serving >= 2 && self.is_in_touch(made) {
+                if serving >= 2 && self.is_undisturbed_try(made) {
                     shares.resumed.0 += usize::from(!made.events.is_empty());
                     shares.resumed.1 += 1;
                 }
             }
             let begun = record.tries.iter().filter(|made| !resumed.contains(made.id.as_str()));
-            for made in begun.filter(|made| self.is_in_touch(made)) {
+            for made in begun.filter(|made| self.is_undisturbed_try(made)) {
                 shares.begun.0 += usize::from(!made.events.is_empty());
                 shares.begun.1 += 1;
             }
@@ -319,7 +319,7 @@
         shares
     }
 
-    fn is_in_touch(&self, made: &Try) -> bool {
+    fn is_undisturbed_try(&self, made: &Try) -> bool {
         let (from_ms, to_ms) = (self.at_ms(made.sent_at), self.at_ms(made.ended_at));
         let unix_ms = self.started_at_ms + from_ms;
         is_undisturbed(self.steps, from_ms, to_ms)
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -412,7 +412,7 @@
 
 /// A box that hears from neither the metadata store nor a peer may have missed a new version.
 #[tokio::test]
-async fn unnamed_out_of_touch() {
+async fn unnamed_uninformed() {
     let fleet = Fleet::start(&["north", "north"]).await;
     let _first = fleet.upstream("s-0", "v1").await;
     fleet.wait_versions_written(1).await;
