Log: all shared parts of the prompt with each attempt

Under a prompt part that crashes upstreams, the logs named the last shared part of a prompt only. Whether a part before it is common to all requests at the crashes, and which of the parts sound requests hold as well, could not be told. `routed` names all shared parts now; with the fingerprints in `upstream_broke_off` that gives the parts at each crash.

--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -10,6 +10,7 @@
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::heads::{Framing, ResumedStream};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::origins::FoundOrigin;
@@ -69,7 +70,7 @@
     info!(target: "serve",
         "event=routed request={} fingerprint={} route={} configuration={} upstream={} \
          software={software} attempt={} left_ms={} version={} behind_ms={behind_ms} read_tokens={} \
-         reread_tokens={} expected_ms={:.0} context={} part={} load_requests={} \
+         reread_tokens={} expected_ms={:.0} context={} parts={} load_requests={} \
          load_unread={} load_memory={} limit={limit:.2}",
         request.outgoing.request_id,
         request.outgoing.fingerprint,
@@ -83,16 +84,18 @@
         context.map_or(0, |plan| plan.recomputed_tokens),
         choice.expected_first_token_ms,
         context.map_or_else(|| "-".to_owned(), ContextPlan::summary),
-        request
-            .prompt
-            .as_ref()
-            .and_then(|prompt| prompt.shared_parts().last())
-            .map_or("-", |part| &part.id),
+        request.prompt.as_ref().map_or_else(|| "-".to_owned(), shared_part_ids),
         choice.load.requests,
         choice.load.pending_prefill_tokens,
         choice.load.memory_tokens);
 }
 
+/// Ids of the parts that other requests may share.
+fn shared_part_ids(prompt: &Prompt) -> String {
+    let ids: Vec<&str> = prompt.shared_parts().iter().map(|part| part.id.as_str()).collect();
+    if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
+}
+
 /// Version of the software of the chosen upstream.
 fn software_of(state: &State, choice: &Choice) -> String {
     let upstream = state.upstreams.get_incarnation(&choice.upstream);
