Quarantine: parts of prompts under which upstreams crash

Cause: crashes were put down to the whole request, by the hash of its caller, target and body. Where no two are alike, each is a suspect with one crash, three are never reached, and nothing is withheld.

Change: a crash also accuses all shared parts of all requests that ran there (`suspect_parts`). A complete answer clears the parts of its request, at any box, and so does a stream that has been written for much longer than the runs that crashed. After three crashes that followed each other, under more than one request, what has all parts that are still suspect together is withheld, refused as not run, and withdrawn where it waits; from five on whatever has the part. From two on, requests with it run one at a time: the owner of the part, found by rendezvous hashing, grants the trials (`trials`). A quarantined part is tried again after 30 s, and each further crash makes the pause four times as long. Peers acknowledge the parts of a crash before a request that has suspect ones is sent again or answered; the leader keeps the quarantined ones in the metadata store.

Why it works: what all requests share is answered all the time and never gathers three crashes; the part is never answered. Parts count for all accounts only once requests of two have crashed under them, so that none can have another's withheld.

New tests: two parts, hardly any answers, long streams, crashes without a cause, resets, boxes killed, two accounts.

An answer of an upstream that leaves, without a length or chunks, no longer counts as complete in this: it may be its crash.

--- a/src/crash_reports.rs
+++ b/src/crash_reports.rs
@@ -1,4 +1,4 @@
-//! Reports of crashed upstreams that peers acknowledge. A box sends one report at a time; what comes
+//! Reports about crashed upstreams that peers acknowledge. A box sends one report at a time; what comes
 //! up meanwhile goes into the next one.
 
 use std::sync::Mutex;
@@ -8,17 +8,15 @@
 use tokio::time::timeout;
 
 use crate::acknowledgements::Acknowledgements;
-use crate::fingerprint::Fingerprint;
 use crate::sync::locked;
 
-/// Maximum number of requests in one report, so that it fits into a datagram.
-const MAX_REQUESTS: usize = 48;
+/// Maximum number of subjects in one report, so that it fits into a datagram.
+const MAX_SUBJECTS: usize = 48;
 
-/// The reports of a box.
-#[derive(Default)]
-pub struct CrashReports {
-    /// Requests that are not part of a report yet.
-    unreported: Mutex<Vec<Fingerprint>>,
+/// The reports of a box about subjects of one kind: requests, or parts of prompts.
+pub struct CrashReports<T> {
+    /// Subjects that are not part of a report yet.
+    unreported: Mutex<Vec<T>>,
     /// Held from composing a report until it is acknowledged or its time limit has passed.
     sending: AsyncMutex<()>,
     /// Acknowledgements of the report that is being sent.
@@ -28,30 +26,44 @@
 }
 
 /// A report that is being sent.
-pub struct ReportInProgress<'a> {
-    reports: &'a CrashReports,
+pub struct ReportInProgress<'a, T> {
+    reports: &'a CrashReports<T>,
     _sending: AsyncMutexGuard<'a, ()>,
-    /// What it reports.
-    pub requests: Vec<Fingerprint>,
+    /// What it is about.
+    pub subjects: Vec<T>,
 }
 
-impl CrashReports {
-    /// Begins the next report when the previous one has ended; `None` if that one contained the
-    /// request.
-    pub async fn begin(&self, request: Fingerprint) -> Option<ReportInProgress<'_>> {
-        locked(&self.unreported).push(request);
+impl<T> Default for CrashReports<T> {
+    fn default() -> Self {
+        Self {
+            unreported: Mutex::default(),
+            sending: AsyncMutex::default(),
+            acknowledgements: Mutex::default(),
+            all_acknowledged: Notify::new(),
+        }
+    }
+}
+
+impl<T: Ord> CrashReports<T> {
+    /// Begins the next report when the previous one has ended; `None` if no subject is left to
+    /// report.
+    pub async fn begin(
+        &self,
+        subjects: impl IntoIterator<Item = T>,
+    ) -> Option<ReportInProgress<'_, T>> {
+        locked(&self.unreported).extend(subjects);
         let sending = self.sending.lock().await;
-        let mut requests = {
+        let mut subjects = {
             let mut unreported = locked(&self.unreported);
-            let count = unreported.len().min(MAX_REQUESTS);
+            let count = unreported.len().min(MAX_SUBJECTS);
             unreported.drain(..count).collect::<Vec<_>>()
         };
-        if requests.is_empty() {
+        if subjects.is_empty() {
             return None;
         }
-        requests.sort_unstable();
-        requests.dedup();
-        Some(ReportInProgress { reports: self, _sending: sending, requests })
+        subjects.sort_unstable();
+        subjects.dedup();
+        Some(ReportInProgress { reports: self, _sending: sending, subjects })
     }
 
     /// Records that a peer has acknowledged a report.
@@ -67,7 +79,7 @@
     }
 }
 
-impl ReportInProgress<'_> {
+impl<T> ReportInProgress<'_, T> {
     /// Starts to wait for the acknowledgements of `peers`, before the report is sent to them.
     pub fn expect_acknowledgements<'a>(
         &self,
--- a/src/crash_state.rs
+++ b/src/crash_state.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::crash_reports::CrashReports;
+use crate::fingerprint::Fingerprint;
 use crate::quarantine::Quarantine;
 
 /// Requests that crash upstreams, and the reports of them that are being sent.
@@ -14,7 +15,7 @@
     /// Requests that crash upstreams.
     pub quarantine: Mutex<Quarantine>,
     /// Reports to the peers.
-    pub reports: CrashReports,
+    pub reports: CrashReports<Fingerprint>,
     /// Whether this box has learned what its peers knew when it started.
     informed: watch::Sender<bool>,
     /// Addresses of peers that have just started as well.
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -82,8 +82,8 @@
 /// Reports the crashes of a request to the peers, and waits until they have acknowledged them or
 /// the time limit has passed. What is to be reported meanwhile goes into one message afterwards.
 async fn report_crash(kernel: &Kernel, request: Fingerprint) {
-    let Some(report) = kernel.crashes.reports.begin(request).await else { return };
-    let reported = locked(&kernel.crashes.quarantine).crashes_of(now_ms(), &report.requests);
+    let Some(report) = kernel.crashes.reports.begin([request]).await else { return };
+    let reported = locked(&kernel.crashes.quarantine).crashes_of(now_ms(), &report.subjects);
     let peers = peers_to_inform(kernel);
     let number = kernel.unique_number();
     report.expect_acknowledgements(number, peers.iter().map(String::as_str));
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use crate::clock::{instant_at, now_ms};
 use crate::fingerprint::Fingerprint;
 use crate::gateway::connections::{Connection, SendError, send};
-use crate::gateway::crashes;
+use crate::gateway::crashes::{self, AnswerEnd, EndedRun};
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::units::rounded_ms;
@@ -21,6 +21,8 @@
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::paths;
+use crate::gateway::trials::HeldTrial;
+use crate::part_key::PartKey;
 use crate::platform::exchange;
 
 /// Longest time for transfers of cached context to an engine, from the choice of their sources.
@@ -29,12 +31,24 @@
 /// still be retried.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// What a request asks, as crashes of upstreams are put down to it.
+#[derive(Clone)]
+pub struct RequestContent {
+    pub fingerprint: Fingerprint,
+    /// Short id of the account.
+    pub account: u32,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Arc<[PartKey]>,
+}
+
 /// A request as it is sent to any upstream.
 #[derive(Clone)]
 pub struct OutgoingRequest {
     pub request_id: String,
-    /// Identifies requests with the same content, whatever their id.
-    pub fingerprint: Fingerprint,
+    /// What it asks, whatever its id.
+    pub content: RequestContent,
+    /// The trial that it runs as.
+    pub trial: Option<Arc<HeldTrial>>,
     pub method: Method,
     /// Path and query.
     pub target: Uri,
@@ -138,7 +152,7 @@
     ///
     /// # Errors
     /// Fails when the upstream aborts the response.
-    pub async fn read_start(&mut self, request: Fingerprint) -> Result<BodyStart, String> {
+    pub async fn read_start(&mut self, request: &OutgoingRequest) -> Result<BodyStart, String> {
         let mut bytes = Vec::new();
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|error| error.to_string())?;
@@ -150,7 +164,9 @@
             }
         }
         let InFlight { gateway, upstream, .. } = &self.in_flight;
-        if !crashes::confirm_end(gateway, upstream, request, self.head.framing).await {
+        let run = EndedRun::new(request, &self.in_flight);
+        let end = AnswerEnd { status: self.status, framing: self.head.framing };
+        if !crashes::confirm_end(gateway, upstream, run, end).await {
             return Err("the upstream has crashed".to_owned());
         }
         Ok(BodyStart::Complete(bytes.into()))
@@ -210,7 +226,8 @@
         Ok(Err(SendError::NotSent(cause))) => return AttemptOutcome::NotSent { cause },
         Ok(Err(SendError::Unknown(cause))) => {
             in_flight.record_failure();
-            crashes::record_abort(gateway, &in_flight.upstream, outgoing.fingerprint).await;
+            let run = EndedRun::new(outgoing, &in_flight);
+            crashes::record_abort(gateway, &in_flight.upstream, run).await;
             return AttemptOutcome::Unknown { cause };
         }
         Err(_) => return AttemptOutcome::TimeOver,
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::fingerprint::Fingerprint;
-use crate::gateway::attempt::OutgoingRequest;
+use crate::gateway::attempt::{OutgoingRequest, RequestContent};
 use crate::gateway::decisions::configuration::{Account, Configuration, RetryPolicy, Route};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
@@ -22,6 +22,7 @@
 use crate::gateway::request_log::log_resumed_by_client;
 use crate::gateway::response::Reason;
 use crate::names::short_id;
+use crate::part_key::PartKey;
 
 /// Timeout of a request whose client sends none.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -158,15 +159,20 @@
         may_have_run: false,
         outgoing: OutgoingRequest {
             request_id: request_id.clone(),
-            fingerprint: Fingerprint::new(
-                account_name,
-                &[
-                    parts.method.as_str(),
-                    host,
-                    target.path_and_query().map_or("", |target| target.as_str()),
-                ],
-                &body,
-            ),
+            content: RequestContent {
+                fingerprint: Fingerprint::new(
+                    account_name,
+                    &[
+                        parts.method.as_str(),
+                        host,
+                        target.path_and_query().map_or("", |target| target.as_str()),
+                    ],
+                    &body,
+                ),
+                account: short_id(account_name),
+                parts: shared_part_keys(head.prompt.as_ref(), isolated_account),
+            },
+            trial: None,
             method: parts.method,
             target,
             headers: parts.headers,
@@ -182,6 +188,15 @@
     })
 }
 
+/// The shared parts of a prompt, as crashes are put down to them: whatever the service, and under any
+/// weights.
+fn shared_part_keys(prompt: Option<&Prompt>, isolated_account: Option<&Account>) -> Arc<[PartKey]> {
+    let Some(prompt) = prompt else { return Arc::default() };
+    let account = isolated_account.map_or("", |account| &account.name);
+    let scope = format!("{}/{account}", prompt.model);
+    prompt.shared_parts().iter().map(|part| PartKey::new(&scope, &part.id)).collect()
+}
+
 /// The configuration in force. A box that has just started waits for it briefly, since fetching it
 /// takes a few round trips.
 async fn wait_for_configuration(gateway: &Gateway) -> Option<Arc<Configuration>> {
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -9,6 +9,7 @@
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::ViewDigest;
 use crate::quarantine::{AbortReport, AnswerReport, CrashReport};
+use crate::suspect_parts::PartReport;
 
 /// Most upstreams whose load is reported in one message, so that it fits a datagram.
 const MAX_LOADS: usize = 80;
@@ -144,6 +145,14 @@
     pub crashes: Vec<CrashReport>,
 }
 
+/// Parts of prompts under which upstreams have crashed, and those that were cleared.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReports {
+    /// Identifies the message among those of the sender if it is to be acknowledged.
+    pub number: Option<u64>,
+    pub reports: Vec<PartReport>,
+}
+
 /// Load of one box or hall on an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -17,6 +17,7 @@
 //! - State received from the metadata store and from other boxes: `listing`, `view`, `peers`,
 //!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
 //! - Whether this box reaches upstreams at all: `reach`.
+//! - Requests with parts under which upstreams crash, one at a time: `trials`.
 //! - Shared constants and conversions: `units`.
 
 pub mod admission;
@@ -49,6 +50,7 @@
 pub mod store_speed;
 pub mod stores;
 pub mod stream_origins;
+pub mod trials;
 pub mod units;
 pub mod upstream;
 pub mod upstreams;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -11,6 +11,7 @@
 mod stream_keepers;
 mod sums;
 mod targets;
+mod trial_owners;
 mod tunnel_peers;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -490,8 +490,17 @@
             (KeyKind::Quarantine, Some(value)) => {
                 quarantine::restore(gateway, state, now_ms, value);
             }
+            (KeyKind::QuarantinedParts, Some(value)) => {
+                quarantine::restore_parts(gateway, state, now_ms, value);
+            }
             (KeyKind::Software, Some(value)) => stored_versions::apply(state, value),
-            (KeyKind::Members | KeyKind::Quarantine | KeyKind::Software, None)
+            (
+                KeyKind::Members
+                | KeyKind::Quarantine
+                | KeyKind::QuarantinedParts
+                | KeyKind::Software,
+                None,
+            )
             | (KeyKind::Own | KeyKind::Other, _) => {}
         }
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,17 +16,18 @@
 use crate::gateway::claims::handover_pause_ms;
 use crate::gateway::decisions::gossip_message::{
     AbortsReport, Gossip, LoadChanges, LoadReport, MetadataStoreStatus, NamedVersionReport,
-    SlowdownReport, changed_loads, reported_loads,
+    PartReports, SlowdownReport, changed_loads, reported_loads,
 };
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::notice::NoticeState;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, GossipScope};
 use crate::gateway::decisions::stream_origins::{OriginAnswer, OriginQuery, OriginReport};
+use crate::gateway::decisions::trials::{TrialAnswer, TrialQuery};
 use crate::gateway::decisions::weights::NamedVersion;
 use crate::gateway::kernel::{Gateway, ObservedVersion, State};
 use crate::gateway::leader_calls::{DelegatedCall, DelegatedReply, execute_for_peer};
 use crate::gateway::weight_loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
-use crate::gateway::{crashes, origins, quarantine};
+use crate::gateway::{crashes, origins, quarantine, trials};
 use crate::names::short_id;
 
 /// Maximum length of a datagram that is read.
@@ -58,9 +59,9 @@
     DelegatedReply(DelegatedReply),
     /// Requests that upstreams have just aborted.
     AbortsReport(AbortsReport),
-    /// Acknowledges an [`AbortsReport`].
-    AbortsAcknowledged {
-        /// See [`AbortsReport::number`].
+    /// Acknowledges a report that has a number.
+    Acknowledged {
+        /// See [`AbortsReport::number`] and [`PartReports::number`].
         number: u64,
     },
     /// Where a stream has begun.
@@ -69,6 +70,14 @@
     OriginQuery(OriginQuery),
     /// The answer to an [`OriginQuery`].
     OriginAnswer(OriginAnswer),
+    /// Parts of prompts under which upstreams have crashed, and those that were cleared.
+    PartReports(PartReports),
+    /// A question whether a request may run as the trial of a part.
+    TrialQuery(TrialQuery),
+    /// The answer to a [`TrialQuery`].
+    TrialAnswer(TrialAnswer),
+    /// The end of a trial that was granted.
+    TrialEnd(TrialQuery),
 }
 
 /// Sends gossip to peers, a few times a second and whenever something urgent changes.
@@ -135,6 +144,12 @@
     if targets.includes_hall {
         sent_loads.clone_from(&gossip.loads);
     }
+    let parts = state.suspect_parts.reports_to_announce(now_ms);
+    if !parts.is_empty() {
+        let all = targets.full.iter().chain(&targets.abridged).copied().collect();
+        let reports = PartReports { number: None, reports: parts };
+        composed.push((Datagram::PartReports(reports), all));
+    }
     let abridged = Datagram::Gossip(Box::new(gossip.abridged()));
     composed.push((Datagram::Gossip(Box::new(gossip)), targets.full));
     composed.push((abridged, targets.abridged));
@@ -342,7 +357,9 @@
                 continue;
             }
         };
-        gateway.crash_reports.record_heard(&from.ip().to_string());
+        let sender = from.ip().to_string();
+        gateway.crash_reports.record_heard(&sender);
+        gateway.part_reports.record_heard(&sender);
         let datagram = postcard::from_bytes::<Datagram>(&buffer[..length]);
         if let Ok(datagram) = &datagram {
             gateway.peer_traffic.record_received(datagram);
@@ -365,7 +382,7 @@
             Ok(Datagram::AbortsReport(report)) => {
                 crashes::receive_aborts(&gateway, &socket, from, report).await;
             }
-            Ok(Datagram::AbortsAcknowledged { number }) => {
+            Ok(Datagram::Acknowledged { number }) => {
                 crashes::record_acknowledgement(&gateway, from.ip(), number);
             }
             Ok(Datagram::StreamOrigin(report)) => origins::receive_report(&gateway, report),
@@ -375,6 +392,14 @@
             Ok(Datagram::OriginAnswer(answer)) => {
                 gateway.origin_queries.receive_answer(from.ip(), answer);
             }
+            Ok(Datagram::PartReports(message)) => {
+                crashes::receive_parts(&gateway, &socket, from, message).await;
+            }
+            Ok(Datagram::TrialQuery(query)) => {
+                trials::answer(&gateway, &socket, from, query).await;
+            }
+            Ok(Datagram::TrialAnswer(answer)) => gateway.trial_queries.receive_answer(answer),
+            Ok(Datagram::TrialEnd(query)) => trials::end(&gateway, from, query),
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
             }
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -39,6 +39,8 @@
     /// Fetches from stores, by the names of the stores, until the prefill ends.
     fetches: Vec<(String, FetchId)>,
     begun_at_ms: u64,
+    /// When the first bytes of a stream arrived.
+    written_since_ms: Option<u64>,
     /// How the connection leads to the upstream, once there is one.
     path: Option<Path>,
     /// When bytes last arrived on it, or when it was taken into use.
@@ -87,6 +89,7 @@
             memory_tokens: choice.memory_tokens,
             fetches,
             begun_at_ms,
+            written_since_ms: None,
             path: None,
             last_activity_ms: AtomicU64::new(begun_at_ms),
             objective_at_ms: choice
@@ -139,8 +142,21 @@
         }
     }
 
+    /// When the request was sent.
+    #[must_use]
+    pub fn begun_at_ms(&self) -> u64 {
+        self.begun_at_ms
+    }
+
+    /// Time for which a stream has been written.
+    #[must_use]
+    pub fn written_ms(&self) -> u64 {
+        self.written_since_ms.map_or(0, |since_ms| now_ms().saturating_sub(since_ms))
+    }
+
     /// Records that the prefill has ended, and how long fetching context took.
     pub fn record_first_bytes(&mut self) {
+        self.written_since_ms.get_or_insert_with(now_ms);
         self.record_first_token();
         let fetches = std::mem::take(&mut self.fetches);
         let mut state = self.gateway.state();
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -15,6 +15,7 @@
 use crate::gateway::catch_up::{EncodedUpdates, MAX_LARGE_UPDATES};
 use crate::gateway::claims::ClaimRecord;
 use crate::gateway::connections::{Connections, Path};
+use crate::gateway::crashes::UncheckedRuns;
 use crate::gateway::decisions::admission::AdmissionLimits;
 use crate::gateway::decisions::brittle::BrittleServices;
 use crate::gateway::decisions::budget::{self, RetryBudget};
@@ -26,6 +27,7 @@
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::stream_origins::StreamOrigins;
+use crate::gateway::decisions::trials::Trials;
 use crate::gateway::decisions::upstreams::Upstreams;
 use crate::gateway::decisions::urgency::RouteTimeouts;
 use crate::gateway::decisions::view::MetadataView;
@@ -36,12 +38,15 @@
 use crate::gateway::origins::OriginQueries;
 use crate::gateway::peer_traffic::PeerTraffic;
 use crate::gateway::settings::{Bounds, Settings};
+use crate::gateway::trials::TrialQueries;
 use crate::names::short_id;
+use crate::part_key::PartKey;
 use crate::platform::caches::CacheClient;
 use crate::platform::engine::EngineClient;
 use crate::platform::http::HttpClient;
 use crate::platform::metadata::MetadataClient;
 use crate::quarantine::Quarantine;
+use crate::suspect_parts::SuspectParts;
 use crate::sync::locked;
 
 /// Heartbeats for which the metadata store must have been unavailable before an upstream's entry
@@ -71,6 +76,10 @@
     pub retry_budget: RetryBudget,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// Parts of prompts under which upstreams crash.
+    pub suspect_parts: SuspectParts,
+    /// Trials of such parts that this box has granted.
+    pub trials: Trials,
     /// Whether this box is cut off from all upstreams.
     pub reach: Reach,
     /// Services whose upstreams are brittle.
@@ -270,7 +279,7 @@
     pub delegated_replies: watch::Sender<Option<DelegatedReply>>,
     /// Requests whose upstream aborted them, by upstream, while it is being checked whether the
     /// upstream crashed.
-    pub unexplained_aborts: Mutex<HashMap<String, Vec<Fingerprint>>>,
+    pub unchecked_runs: Mutex<HashMap<String, UncheckedRuns>>,
     /// Encoded updates for peers whose view of the metadata store is behind.
     pub encoded_updates: Mutex<EncodedUpdates>,
     /// Permits to send large updates to peers.
@@ -278,7 +287,11 @@
     /// What this box exchanges with its peers, and its probes.
     pub peer_traffic: PeerTraffic,
     /// Reports of aborts to the peers.
-    pub crash_reports: CrashReports,
+    pub crash_reports: CrashReports<Fingerprint>,
+    /// Reports of parts of prompts under which upstreams crash.
+    pub part_reports: CrashReports<PartKey>,
+    /// Queries for trials of such parts.
+    pub trial_queries: TrialQueries,
     /// Queries for the origins of streams.
     pub origin_queries: OriginQueries,
     /// Socket for datagrams to peers, once it is bound.
@@ -314,6 +327,8 @@
             admission_limits: AdmissionLimits::default(),
             retry_budget: RetryBudget::new(retry_config, now_ms()),
             quarantine: Quarantine::default(),
+            suspect_parts: SuspectParts::default(),
+            trials: Trials::default(),
             reach: Reach::default(),
             brittle: BrittleServices::default(),
             stream_origins: StreamOrigins::default(),
@@ -356,11 +371,13 @@
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
             delegated_replies: watch::Sender::new(None),
-            unexplained_aborts: Mutex::default(),
+            unchecked_runs: Mutex::default(),
             encoded_updates: Mutex::default(),
             large_updates: Semaphore::new(MAX_LARGE_UPDATES),
             peer_traffic: PeerTraffic::default(),
             crash_reports: CrashReports::default(),
+            part_reports: CrashReports::default(),
+            trial_queries: TrialQueries::default(),
             origin_queries: OriginQueries::default(),
             peer_socket: OnceLock::new(),
             versions_read: tokio::sync::Mutex::new(false),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -72,5 +72,6 @@
 pub mod store_cleanup;
 pub mod store_updates;
 pub mod stored_versions;
+pub mod trials;
 pub mod tunnels;
 pub mod weight_loads;
--- a/src/gateway/peer_traffic.rs
+++ b/src/gateway/peer_traffic.rs
@@ -18,7 +18,7 @@
 const BUSY_DATAGRAMS: u64 = 1000;
 const BUSY_PROBES: u64 = 50;
 /// Kinds of datagrams, in the order of [`kind`].
-const KINDS: [&str; 8] = [
+const KINDS: [&str; 10] = [
     "gossip",
     "load_changes",
     "hall_summary",
@@ -27,6 +27,8 @@
     "delegated",
     "stream_origin",
     "origin_query",
+    "parts",
+    "trials",
 ];
 
 /// Datagrams since the last look, by kind.
@@ -59,10 +61,12 @@
         Datagram::LoadChanges(_) => 1,
         Datagram::HallSummary(_) => 2,
         Datagram::OtherHallsSummary(_) => 3,
-        Datagram::AbortsReport(_) | Datagram::AbortsAcknowledged { .. } => 4,
+        Datagram::AbortsReport(_) | Datagram::Acknowledged { .. } => 4,
         Datagram::DelegatedCall(_) | Datagram::DelegatedReply(_) => 5,
         Datagram::StreamOrigin(_) => 6,
         Datagram::OriginQuery(_) | Datagram::OriginAnswer(_) => 7,
+        Datagram::PartReports(_) => 8,
+        Datagram::TrialQuery(_) | Datagram::TrialAnswer(_) | Datagram::TrialEnd(_) => 9,
     }
 }
 
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use log::{info, warn};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::box_phase::BoxPhase;
@@ -18,6 +20,7 @@
 use crate::gateway::metadata::WriteOutcome;
 use crate::platform::keys;
 use crate::quarantine::{AnswerReport, CrashReport, UpdateUrgency};
+use crate::suspect_parts::StoredPart;
 
 /// How often the leader compares the stored quarantine with its own, unless it is woken earlier.
 const COMPARE_PERIOD: Duration = Duration::from_secs(2);
@@ -94,54 +97,77 @@
             () = sleep(COMPARE_PERIOD) => {}
             () = gateway.quarantine_changed.notified() => {}
         }
-        if let Err(error) = write_if_changed(&gateway).await {
-            info!(target: "quarantine", "event=quarantine_not_written cause=\"{error}\"");
-        }
+        let requests = |state: &State, now_ms| -> StoredQuarantine {
+            state.quarantine.quarantined(now_ms).collect()
+        };
+        log_not_written(write_if_changed(&gateway, &keys::quarantine(), requests).await);
+        let parts = |state: &State, now_ms| state.suspect_parts.to_store(now_ms);
+        log_not_written(write_if_changed(&gateway, &keys::quarantined_parts(), parts).await);
+    }
+}
+
+fn log_not_written(written: Result<()>) {
+    if let Err(error) = written {
+        info!(target: "quarantine", "event=quarantine_not_written cause=\"{error}\"");
     }
 }
 
-async fn write_if_changed(gateway: &Gateway) -> Result<()> {
-    let key = keys::quarantine();
+/// Writes a stored list if it differs from what this box knows, and this box leads.
+async fn write_if_changed<T: Default + PartialEq + Serialize + DeserializeOwned>(
+    gateway: &Gateway,
+    key: &str,
+    current: impl Fn(&State, u64) -> T,
+) -> Result<()> {
     let now_ms = now_ms();
     let (revision, stored, current) = {
         let state = gateway.state();
         if state.leadership.is_none_or(|leadership| now_ms >= leadership.until_ms) {
             return Ok(());
         }
-        let item = state.view.get(&key);
-        // A value that cannot be read, which `restore` has logged, is overwritten.
-        let stored = item.and_then(|item| read(&item.value).ok());
-        let current: StoredQuarantine = state.quarantine.quarantined(now_ms).collect();
-        (item.map_or(0, |item| item.revision), stored, current)
+        let item = state.view.get(key);
+        // A value that cannot be read, which is logged when it arrives, is overwritten.
+        let stored = item.and_then(|item| read::<T>(&item.value).ok());
+        (item.map_or(0, |item| item.revision), stored, current(&state, now_ms))
     };
     let is_written =
-        if revision == 0 { current.is_empty() } else { stored.as_ref() == Some(&current) };
+        if revision == 0 { current == T::default() } else { stored.as_ref() == Some(&current) };
     if is_written {
         return Ok(());
     }
     let value = postcard::to_stdvec(&current).map_err(|error| codec_error(&error))?;
-    let outcome = gateway.metadata.write(&key, revision, &value, None).await?;
-    info!(target: "quarantine", "event=quarantine_written count={} done={}", current.len(),
+    let outcome = gateway.metadata.write(key, revision, &value, None).await?;
+    info!(target: "quarantine", "event=quarantine_written key={key} bytes={} done={}", value.len(),
         matches!(outcome, WriteOutcome::Done { .. }));
     Ok(())
 }
 
-/// Merges the quarantine as stored in the metadata store.
+/// Merges the quarantined requests as stored in the metadata store.
 pub fn restore(gateway: &Gateway, state: &mut State, now_ms: u64, value: &[u8]) {
-    match read(value) {
-        Ok(stored) => {
-            for (request, upstreams) in &stored {
-                state.quarantine.merge_listed(now_ms, *request, upstreams);
-            }
-            gateway.quarantine_changed.notify_waiters();
-        }
-        Err(error) => {
-            warn!(target: "quarantine", "event=quarantine_unreadable cause=\"{error}\"");
+    if let Some(stored) = read_logged::<StoredQuarantine>(value) {
+        for (request, upstreams) in &stored {
+            state.quarantine.merge_listed(now_ms, *request, upstreams);
         }
+        gateway.quarantine_changed.notify_waiters();
+    }
+}
+
+/// Merges the quarantined parts as stored in the metadata store.
+pub fn restore_parts(gateway: &Gateway, state: &mut State, now_ms: u64, value: &[u8]) {
+    if let Some(stored) = read_logged::<Vec<StoredPart>>(value) {
+        state.suspect_parts.merge_stored(now_ms, &stored);
+        gateway.quarantine_changed.notify_waiters();
+    }
+}
+
+fn read_logged<T: DeserializeOwned>(value: &[u8]) -> Option<T> {
+    let stored = read(value);
+    if let Err(error) = &stored {
+        warn!(target: "quarantine", "event=quarantine_unreadable cause=\"{error}\"");
     }
+    stored.ok()
 }
 
-fn read(value: &[u8]) -> Result<StoredQuarantine> {
+fn read<T: DeserializeOwned>(value: &[u8]) -> Result<T> {
     postcard::from_bytes(value).map_err(|error| codec_error(&error))
 }
 
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -18,6 +18,7 @@
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::attempt::{AttemptOutcome, UpstreamResponse, attempt};
 use crate::gateway::check::AdmittedRequest;
+use crate::gateway::crashes::{self, AnswerEnd, EndedRun};
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::stream_origins::StreamOrigin;
 use crate::gateway::events::{EventScanner, has_events, last_event_id};
@@ -26,7 +27,7 @@
 use crate::gateway::request_log::{ForwardedBody, log_answered, log_attempt_start, seconds_since};
 use crate::gateway::response::{self, BodyAborted, ClientResponse};
 use crate::gateway::serve::{find_resume_upstream, record_abandoned};
-use crate::gateway::{crashes, origins, silence};
+use crate::gateway::{origins, silence};
 use crate::names::short_id;
 
 /// A response body or event stream that is being forwarded.
@@ -136,6 +137,8 @@
             match next {
                 ReadOutcome::Data(bytes) => {
                     response.in_flight.record_activity();
+                    let written_ms = response.in_flight.written_ms();
+                    crashes::record_progress(&self.gateway, &self.request.outgoing, written_ms);
                     if !std::mem::replace(&mut self.begun, true) {
                         response.in_flight.record_first_bytes();
                         self.log_begun();
@@ -163,9 +166,10 @@
                 }
                 ReadOutcome::End => {
                     let (status, framing) = (response.status, response.head.framing);
-                    let fingerprint = self.request.outgoing.fingerprint;
                     let upstream = &self.choice.upstream;
-                    if !crashes::confirm_end(&self.gateway, upstream, fingerprint, framing).await {
+                    let run = EndedRun::new(&self.request.outgoing, &response.in_flight);
+                    let end = AnswerEnd { status, framing };
+                    if !crashes::confirm_end(&self.gateway, upstream, run, end).await {
                         response.in_flight.record_failure();
                         if let Some(aborted) = self.resume("the upstream has crashed").await {
                             return Some(Err(aborted));
@@ -225,13 +229,11 @@
     /// Has another upstream resume the stream. Returns why the body is aborted if none can.
     async fn resume(&mut self, cause: &str) -> Option<BodyAborted> {
         self.log_broken(cause);
-        self.response = None;
-        crashes::record_abort(
-            &self.gateway,
-            &self.choice.upstream,
-            self.request.outgoing.fingerprint,
-        )
-        .await;
+        if let Some(response) = self.response.take() {
+            let run = EndedRun::new(&self.request.outgoing, &response.in_flight);
+            drop(response);
+            crashes::record_abort(&self.gateway, &self.choice.upstream, run).await;
+        }
         if !self.is_resumable() {
             return Some(BodyAborted::Upstream);
         }
@@ -248,7 +250,7 @@
     /// Waits for another upstream to resume the stream; takes a retry from the budget.
     async fn find_other_upstream(&mut self) -> Option<Choice> {
         self.record_ran();
-        find_resume_upstream(&self.gateway, &self.request).await
+        find_resume_upstream(&self.gateway, &mut self.request).await
     }
 
     /// Records that the stream has run at its present upstream.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -36,7 +36,7 @@
     let held_ms = now_ms() - request.arrived_at_ms;
     write_refusal(
         request_id,
-        Some(request.outgoing.fingerprint),
+        Some(request.outgoing.content.fingerprint),
         reason,
         request.config_version,
         held_ms,
@@ -73,7 +73,7 @@
          reread_tokens={} expected_ms={:.0} context={} parts={} load_requests={} \
          load_unread={} load_memory={} limit={limit:.2}",
         request.outgoing.request_id,
-        request.outgoing.fingerprint,
+        request.outgoing.content.fingerprint,
         request.route.name,
         request.config_version,
         choice.upstream.id,
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -55,6 +55,10 @@
     Quarantined,
     /// upstreams may have crashed under it
     Withheld,
+    /// upstreams crash under a part of its prompt
+    PartQuarantined,
+    /// a part of its prompt is on trial
+    PartOnTrial,
     /// not known where the stream began
     OriginUnknown,
     /// no answer about where the stream began
@@ -85,6 +89,8 @@
             | Self::Evacuated
             | Self::Quarantined
             | Self::Withheld
+            | Self::PartQuarantined
+            | Self::PartOnTrial
             | Self::OriginUnknown
             | Self::OriginUnanswered
             | Self::SoftwareGone
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::attempt::{AttemptOutcome, BodyStart, NotRunCause, UpstreamResponse, attempt};
 use crate::gateway::check::{AdmittedRequest, validate};
+use crate::gateway::crashes::{self, EndedRun};
 use crate::gateway::decisions::admission::{AdmissionCriteria, Occupancy};
 use crate::gateway::decisions::brittle::BrittleLimit;
 use crate::gateway::decisions::candidates::Candidates;
@@ -31,13 +32,16 @@
     log_not_sent,
 };
 use crate::gateway::response::{self, ClientResponse, Reason};
-use crate::gateway::{crashes, overdue_weights, quarantine, relay, silence};
+use crate::gateway::trials::Permission;
+use crate::gateway::{overdue_weights, quarantine, relay, silence, trials};
 use crate::names::short_id;
 use crate::platform::exchange;
 
 /// A request for which no upstream was found is refused after the route's latency objective
 /// divided by this.
 const QUEUE_WAIT_DIVISOR: u64 = 4;
+/// A request waits for the trial of another for the route's latency objective divided by this.
+const TRIAL_WAIT_DIVISOR: u64 = 2;
 /// Connections to an upstream that a box may always open, whatever its share of the upstream's
 /// limit: one for a request and one for the reachability probe.
 const MIN_CONNECTIONS: u32 = 2;
@@ -109,6 +113,7 @@
 async fn run_attempts(gateway: &Arc<Gateway>, mut request: AdmittedRequest) -> ClientResponse {
     let wait_until =
         instant_at(request.arrived_at_ms + request.route.latency_objective_ms / QUEUE_WAIT_DIVISOR);
+    let trial_wait_until = trial_wait_until(&request, request.arrived_at_ms);
     let mut next = None;
     loop {
         if let Some(until_ms) = wait_while_withheld(gateway, &request).await {
@@ -116,10 +121,13 @@
         }
         // The wait may have ended because an abort was a crash.
         if let Some(until_ms) =
-            quarantine::quarantined_until_ms(gateway, request.outgoing.fingerprint)
+            quarantine::quarantined_until_ms(gateway, request.outgoing.content.fingerprint)
         {
             return refuse_until(&request, Reason::Quarantined, until_ms);
         }
+        if let Some(withheld) = trials::withheld(gateway, &request) {
+            return refuse_until(&request, withheld.reason, withheld.until_ms);
+        }
         let found = match next.take() {
             Some(choice) => Some(choice),
             None => wait_for_upstream(gateway, &request, wait_until).await,
@@ -135,6 +143,12 @@
         if is_known_unreachable(gateway, &choice) {
             return refuse(&request, Reason::NoUpstream);
         }
+        match trials::permit(gateway, &mut request, trial_wait_until).await {
+            Ok(Permission::AtOnce) => {}
+            // Another upstream may be better by now.
+            Ok(Permission::Waited) => continue,
+            Err(withheld) => return refuse_until(&request, withheld.reason, withheld.until_ms),
+        }
         log_attempt_start(gateway, &request, &choice);
         let outcome = tokio::select! {
             // Polled in order: a response that has arrived is not abandoned for another upstream.
@@ -148,9 +162,13 @@
             () = overdue_weights::wait_for_withdrawal(gateway, &request, &choice) => {
                 AttemptOutcome::Unknown { cause: "the engine's weights are too old".to_owned() }
             }
-            () = quarantine::wait_until_quarantined(gateway, request.outgoing.fingerprint) => {
+            () = quarantine::wait_until_quarantined(gateway, request.outgoing.content.fingerprint) => {
                 AttemptOutcome::Unknown { cause: "upstreams crash under it".to_owned() }
             }
+            () = trials::wait_until_withheld(gateway, &request) => {
+                let cause = "upstreams crash under a part of its prompt".to_owned();
+                AttemptOutcome::Unknown { cause }
+            }
         };
         if let Some(response) = handle_outcome(gateway, &mut request, &choice, outcome).await {
             return response;
@@ -159,6 +177,11 @@
     }
 }
 
+/// Until when a request waits for the trial of another to end.
+fn trial_wait_until(request: &AdmittedRequest, from_ms: u64) -> Instant {
+    instant_at(from_ms + request.route.latency_objective_ms / TRIAL_WAIT_DIVISOR)
+}
+
 /// Whether a connection to the chosen upstream, and thus to any other, is known to fail now.
 fn is_known_unreachable(gateway: &Gateway, choice: &Choice) -> bool {
     let state = gateway.state();
@@ -170,7 +193,7 @@
 /// it may be withheld, so that it is refused now and not at its deadline.
 async fn wait_while_withheld(gateway: &Gateway, request: &AdmittedRequest) -> Option<u64> {
     let wait_until = instant_at(request.outgoing.deadline_ms.saturating_sub(MIN_RETRY_TIME_MS));
-    quarantine::wait_while_withheld(gateway, request.outgoing.fingerprint, wait_until).await
+    quarantine::wait_while_withheld(gateway, request.outgoing.content.fingerprint, wait_until).await
 }
 
 /// Handles the outcome of an attempt. Returns the response, or `None` if the request is to be sent
@@ -315,7 +338,9 @@
     now_ms: u64,
 ) -> bool {
     let mut state = gateway.state();
-    if state.quarantine.is_withheld(now_ms, request.outgoing.fingerprint) {
+    if state.quarantine.is_withheld(now_ms, request.outgoing.content.fingerprint)
+        || trials::is_withheld(&state, now_ms, request)
+    {
         return false;
     }
     let boxes = state.peers.live_boxes(now_ms);
@@ -336,7 +361,7 @@
         return Some(relay::stream(gateway, request, response, choice, Bytes::new()));
     }
     let deadline = instant_at(request.outgoing.deadline_ms);
-    match timeout_at(deadline, response.read_start(request.outgoing.fingerprint)).await {
+    match timeout_at(deadline, response.read_start(&request.outgoing)).await {
         Ok(Ok(BodyStart::Complete(bytes))) => {
             let (status, headers) = (response.status, response.headers.clone());
             let framing = response.head.framing;
@@ -354,7 +379,8 @@
         }
         Ok(Err(cause)) => {
             response.in_flight.record_failure();
-            crashes::record_abort(gateway, &choice.upstream, request.outgoing.fingerprint).await;
+            let run = EndedRun::new(&request.outgoing, &response.in_flight);
+            crashes::record_abort(gateway, &choice.upstream, run).await;
             handle_unknown_outcome(gateway, request, choice, &cause).await
         }
         Err(_) => Some(handle_timeout(request, choice)),
@@ -384,9 +410,11 @@
 /// Waits for another upstream that can resume a stream; takes a retry from the budget.
 pub async fn find_resume_upstream(
     gateway: &Arc<Gateway>,
-    request: &AdmittedRequest,
+    request: &mut AdmittedRequest,
 ) -> Option<Choice> {
     wait_while_withheld(gateway, request).await;
+    let trial_wait_until = trial_wait_until(request, now_ms());
+    trials::permit(gateway, request, trial_wait_until).await.ok()?;
     let until = instant_at(now_ms() + request.route.latency_objective_ms / QUEUE_WAIT_DIVISOR);
     let choice = wait_for_upstream(gateway, request, until).await?;
     if !take_retry(gateway, request) {
@@ -403,7 +431,13 @@
     request: &AdmittedRequest,
     max_ms: f64,
 ) -> Option<Choice> {
-    let choice = choose_upstream(&mut gateway.state(), gateway, request)?;
+    let choice = {
+        let mut state = gateway.state();
+        if !trials::may_run(&state, now_ms(), request) {
+            return None;
+        }
+        choose_upstream(&mut state, gateway, request)?
+    };
     if choice.expected_first_token_ms > max_ms || !take_retry(gateway, request) {
         return None;
     }
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -18,6 +18,7 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::serve::{choose_upstream, is_retry_allowed, spend_retry_budget};
+use crate::gateway::trials;
 
 /// How often it is checked whether an upstream is silent; short compared to the silence that
 /// counts.
@@ -79,6 +80,9 @@
         return None;
     }
     let mut state = gateway.state();
+    if !trials::may_run(&state, now_ms, &request) {
+        return None;
+    }
     let choice = choose_upstream(&mut state, gateway, &request)?;
     let unhealthy = state
         .upstreams
--- a/src/platform/keys.rs
+++ b/src/platform/keys.rs
@@ -42,6 +42,8 @@
     Members,
     /// The quarantined requests, which crash upstreams.
     Quarantine,
+    /// The quarantined parts of prompts.
+    QuarantinedParts,
     /// The versions of upstreams' software that may have begun streams.
     Software,
     /// Another key that the gateway writes.
@@ -68,6 +70,9 @@
     if key == quarantine() {
         return KeyKind::Quarantine;
     }
+    if key == quarantined_parts() {
+        return KeyKind::QuarantinedParts;
+    }
     if key == software() {
         return KeyKind::Software;
     }
@@ -92,6 +97,12 @@
     format!("{OWN_PREFIX}quarantine")
 }
 
+/// The key of the quarantined parts of prompts.
+#[must_use]
+pub fn quarantined_parts() -> String {
+    format!("{OWN_PREFIX}quarantined-parts")
+}
+
 /// The key of the versions of upstreams' software that may have begun streams.
 #[must_use]
 pub fn software() -> String {
--- a/standins/src/site/crashing_pool.rs
+++ b/standins/src/site/crashing_pool.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::http::Message;
-use super::server::Server;
+use super::server::{Behavior, Server};
 use super::{Site, service_entry};
 
 /// How an upstream crashes under a part of a prompt.
@@ -127,6 +127,21 @@
         servers.iter().filter(|server| !server.has_crashed()).take(count).for_each(Server::crash);
     }
 
+    /// Crashes each upstream that now runs when it gets a request with this body.
+    pub fn crash_on(&self, body: &str) {
+        self.servers().iter().for_each(|server| server.crash_on(body));
+    }
+
+    /// Appends behaviors for the next requests of each upstream.
+    pub fn script(&self, behaviors: &[Behavior]) {
+        self.servers().iter().for_each(|server| server.script(behaviors));
+    }
+
+    /// Clears the script of each upstream.
+    pub fn clear_script(&self) {
+        self.servers().iter().for_each(Server::clear_script);
+    }
+
     /// When upstreams crashed, in order.
     #[must_use]
     pub fn crashed_at(&self) -> Vec<Instant> {
