Parts: crashes are counted where they are seen, answered parts are trusted

Cause: each box worked out from ages in reports which crash followed which. An age lacks the time of its message, the latest time of sending was kept, and boxes told each other again and again. So the time of sending crept past the crashes, and those of one instant counted as successive.

Change: the box that sees a crash counts by its own clock how many it follows, and reports that number; what it learns late makes it too small only. `many_lost_told_late` failed before. A part that was answered lately needs five crashes, not three, and is tried again each 30 s: it is more likely a bystander, or the upstreams have changed. Quarantined parts are announced once a second in place of four times.

--- a/src/suspect_parts.rs
+++ b/src/suspect_parts.rs
@@ -7,19 +7,24 @@
 //!
 //! Crashes of one part count only if they follow each other: a request that was sent before the last
 //! counted crash may have run beside the same cause. So the loss of many upstreams at once counts
-//! once. And they must be of more than one request, since one alone may crash upstreams by something
-//! that no other has.
+//! once. The box that sees a crash counts those that it follows, since only its own clock tells what
+//! came before; reports of others arrive late, and can make the count too small only. The crashes
+//! must be of more than one request, too, as one alone may crash upstreams by something that no other
+//! has.
 //!
 //! If several parts were in all crashes of one of them, any of these may be the cause. Only requests
 //! that have all of them are withheld, and any other runs: if it is answered, its parts are cleared,
 //! and if it crashes, those that it lacks are. From [`CRASHES_TO_BLOCK`] crashes on, a part is
 //! withheld whatever comes with it.
 //!
+//! A part that has been answered before is more likely a bystander, or the upstreams have changed: it
+//! takes [`CRASHES_TO_BLOCK`] crashes to quarantine it, and it is tried again soon each time.
+//!
 //! A part counts for all accounts once requests of two of them have crashed under it, and before
 //! only for the one that sent them, so that none can have a part of another withheld by sending it
 //! along with something that crashes.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -35,7 +40,8 @@
 /// crash makes it [`PAUSE_FACTOR`] times as long.
 pub const FIRST_PAUSE_MS: u64 = 30_000;
 const PAUSE_FACTOR: u64 = 4;
-/// Longest time from a crash to the next trial.
+/// Longest time from a crash to the next trial; that of a part that was answered before the crashes
+/// stays [`FIRST_PAUSE_MS`].
 pub const MAX_PAUSE_MS: u64 = 3_600_000;
 /// Time for which a part remains suspect after a crash.
 const SUSPECT_MS: u64 = 2 * MAX_PAUSE_MS;
@@ -45,6 +51,8 @@
 const SOUND_RUN_FACTOR: u64 = 4;
 /// Maximum number of parts; the crash of a large upstream adds hundreds.
 pub const MAX_PARTS: usize = 4096;
+/// Minimum number of answered parts that are remembered; at most twice as many are.
+const MIN_ANSWERED: usize = 4096;
 /// Maximum number of crashes that are kept of one part.
 const MAX_CRASHES: usize = 16;
 /// Time for which a crash or an answer is announced to other boxes.
@@ -53,6 +61,8 @@
 pub const MAX_REPORTED_CRASHES: usize = 200;
 /// Maximum number of quarantined parts in one message; they take turns.
 const MAX_ANNOUNCED_QUARANTINED: usize = 8;
+/// Time between two such messages.
+const QUARANTINED_PERIOD_MS: u64 = 1000;
 
 /// A request that an upstream was running when it crashed.
 #[derive(Clone, Copy, Debug)]
@@ -109,10 +119,10 @@
     pub incarnation_id: u32,
     /// Short id of the account that sent a request with the part.
     pub account: u32,
-    /// The last such request.
+    /// A request that crashed it.
     pub request: Fingerprint,
-    /// When it was sent.
-    pub sent_age_ms: u32,
+    /// Number of crashes up to this one that followed each other.
+    pub rank: u32,
     pub age_ms: u32,
     /// Shortest time for which the answer to such a request had been written.
     pub written_ms: u32,
@@ -122,13 +132,15 @@
 pub type StoredPart = (PartKey, Vec<StoredCrash>);
 
 /// A crash of an upstream under a part, as stored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StoredCrash {
     /// Short id of the incarnation that crashed.
     pub incarnation_id: u32,
     /// Short id of the account.
     pub account: u32,
     pub request: Fingerprint,
+    /// Number of crashes up to this one that followed each other.
+    pub rank: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,13 +148,20 @@
     incarnation_id: u32,
     account: u32,
     request: Fingerprint,
-    sent_at_ms: u64,
+    rank: u32,
     at_ms: u64,
     written_ms: u64,
     /// Whether this box saw it.
     is_own: bool,
 }
 
+impl Crash {
+    fn to_store(self) -> StoredCrash {
+        let Self { incarnation_id, account, request, rank, .. } = self;
+        StoredCrash { incarnation_id, account, request, rank }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     /// Crashes since the part was cleared, by time; one for each incarnation and account.
@@ -150,6 +169,8 @@
     cleared_at_ms: Option<u64>,
     /// Whether other boxes learn from this one that the part was cleared.
     announces_clearing: bool,
+    /// Whether this box knew an answer with the part before the first of the crashes.
+    was_answered: bool,
 }
 
 impl Suspect {
@@ -160,10 +181,9 @@
         }
         let id = |crash: &Crash| (crash.incarnation_id, crash.account);
         if let Some(known) = self.crashes.iter_mut().find(|known| id(known) == id(&crash)) {
-            if crash.sent_at_ms > known.sent_at_ms {
-                known.sent_at_ms = crash.sent_at_ms;
-                known.request = crash.request;
-            }
+            known.rank = known.rank.max(crash.rank);
+            // Reports arrive late, never early.
+            known.at_ms = known.at_ms.min(crash.at_ms);
             known.written_ms = known.written_ms.min(crash.written_ms);
             known.is_own |= crash.is_own;
             return false;
@@ -189,26 +209,26 @@
         successive
     }
 
-    /// The crashes of which each followed the one before.
-    fn successive(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes
-            .iter()
-            .scan(0, |last_at_ms, crash| {
-                let follows = crash.sent_at_ms >= *last_at_ms;
-                if follows {
-                    *last_at_ms = crash.at_ms;
-                }
-                Some(follows.then_some(crash))
-            })
-            .flatten()
+    /// Rank of a crash under a request that was sent at `sent_at_ms`.
+    fn rank_after(&self, sent_at_ms: u64) -> u32 {
+        let before = self.crashes.iter().filter(|crash| crash.at_ms <= sent_at_ms);
+        1 + before.map(|crash| crash.rank).max().unwrap_or_default()
     }
 
+    /// Number of crashes of which each followed the one before.
     fn successive_crashes(&self) -> usize {
-        self.successive().count()
+        let rank = self.crashes.iter().map(|crash| crash.rank).max().unwrap_or_default();
+        let is_first = |(index, crash): &(usize, &Crash)| {
+            let mut before = self.crashes[..*index].iter();
+            before.all(|earlier| earlier.incarnation_id != crash.incarnation_id)
+        };
+        let incarnations = self.crashes.iter().enumerate().filter(is_first).count();
+        // The box that counted may not have known that the part had been cleared.
+        incarnations.min(usize::try_from(rank).unwrap_or(usize::MAX))
     }
 
     fn last_crash_at_ms(&self) -> u64 {
-        self.crashes.last().map_or(0, |crash| crash.at_ms)
+        self.crashes.iter().map(|crash| crash.at_ms).max().unwrap_or_default()
     }
 
     fn has_crashed(&self, incarnation_id: u32) -> bool {
@@ -235,13 +255,18 @@
 
     /// When the next trial of a quarantined part is due.
     fn trial_due_at_ms(&self) -> u64 {
-        let further = self.successive_crashes().saturating_sub(CRASHES_TO_QUARANTINE);
+        let further = if self.was_answered {
+            0
+        } else {
+            self.successive_crashes().saturating_sub(CRASHES_TO_QUARANTINE)
+        };
         let factor = PAUSE_FACTOR.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
         self.last_crash_at_ms() + FIRST_PAUSE_MS.saturating_mul(factor).min(MAX_PAUSE_MS)
     }
 
     fn is_quarantined(&self) -> bool {
-        self.successive_crashes() >= CRASHES_TO_QUARANTINE && self.has_several_requests()
+        let crashes = if self.was_answered { CRASHES_TO_BLOCK } else { CRASHES_TO_QUARANTINE };
+        self.successive_crashes() >= crashes && self.has_several_requests()
     }
 
     fn has_several_requests(&self) -> bool {
@@ -269,7 +294,7 @@
             incarnation_id: crash.incarnation_id,
             account: crash.account,
             request: crash.request,
-            sent_age_ms: age_ms(now_ms, crash.sent_at_ms),
+            rank: crash.rank,
             age_ms: age_ms(now_ms, crash.at_ms),
             written_ms: u32::try_from(crash.written_ms).unwrap_or(u32::MAX),
         });
@@ -287,14 +312,46 @@
     pub cleared: Vec<PartKey>,
 }
 
+/// Parts that were answered lately. The older half is forgotten when the newer one is full.
+#[derive(Debug, Default)]
+struct AnsweredParts {
+    newer: HashSet<PartKey>,
+    older: HashSet<PartKey>,
+}
+
+impl AnsweredParts {
+    fn record(&mut self, parts: &[PartKey]) {
+        if self.newer.len() >= MIN_ANSWERED {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.extend(parts);
+    }
+
+    fn contains(&self, part: PartKey) -> bool {
+        self.newer.contains(&part) || self.older.contains(&part)
+    }
+}
+
 /// All suspect and quarantined parts.
 #[derive(Debug, Default)]
 pub struct SuspectParts {
     suspects: HashMap<PartKey, Suspect>,
+    answered: AnsweredParts,
     announce_offset: usize,
+    /// When quarantined parts are announced next.
+    quarantined_due_at_ms: u64,
 }
 
 impl SuspectParts {
+    /// What is known of a part, to which crashes are about to be added.
+    fn suspect_mut(&mut self, part: PartKey) -> &mut Suspect {
+        let suspect = self.suspects.entry(part).or_default();
+        if suspect.crashes.is_empty() {
+            suspect.was_answered = self.answered.contains(part);
+        }
+        suspect
+    }
+
     /// Number of parts that are known.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -304,18 +361,18 @@
     /// Records that an upstream has crashed while it ran a request; returns the parts that are
     /// quarantined by that.
     pub fn record_crash(&mut self, now_ms: u64, run: &CrashedRun<'_>) -> Vec<PartKey> {
-        let crash = Crash {
-            incarnation_id: run.incarnation_id,
-            account: run.account,
-            request: run.request,
-            sent_at_ms: run.sent_at_ms,
-            at_ms: run.at_ms,
-            written_ms: run.written_ms,
-            is_own: true,
-        };
         let mut quarantined = Vec::new();
         for part in run.parts {
-            let suspect = self.suspects.entry(*part).or_default();
+            let suspect = self.suspect_mut(*part);
+            let crash = Crash {
+                incarnation_id: run.incarnation_id,
+                account: run.account,
+                request: run.request,
+                rank: suspect.rank_after(run.sent_at_ms),
+                at_ms: run.at_ms,
+                written_ms: run.written_ms,
+                is_own: true,
+            };
             if suspect.record_crash(crash) && suspect.is_quarantined() {
                 quarantined.push(*part);
             }
@@ -327,6 +384,7 @@
     /// Records a complete answer to a request with these parts; returns those that it clears after
     /// [`CRASHES_TO_LIMIT`] crashes or more.
     pub fn record_answer(&mut self, at_ms: u64, parts: &[PartKey]) -> Vec<PartKey> {
+        self.answered.record(parts);
         self.clear(at_ms, parts, |_| true)
     }
 
@@ -433,7 +491,7 @@
         let mut merged = MergedReports::default();
         let at_ms = |age_ms: u32| now_ms.saturating_sub(age_ms.into());
         for report in reports {
-            let suspect = self.suspects.entry(report.part).or_default();
+            let suspect = self.suspect_mut(report.part);
             let cleared_at_ms = report.cleared_age_ms.map(at_ms);
             if cleared_at_ms.is_some_and(|at_ms| suspect.clear(at_ms, false) >= CRASHES_TO_LIMIT) {
                 merged.cleared.push(report.part);
@@ -444,7 +502,7 @@
                     incarnation_id: crash.incarnation_id,
                     account: crash.account,
                     request: crash.request,
-                    sent_at_ms: at_ms(crash.sent_age_ms),
+                    rank: crash.rank,
                     at_ms: at_ms(crash.age_ms),
                     written_ms: crash.written_ms.into(),
                     is_own: false,
@@ -478,6 +536,18 @@
         messages
     }
 
+    /// All that is known of parts with [`CRASHES_TO_LIMIT`] crashes or more, in messages of limited
+    /// length.
+    #[must_use]
+    pub fn limited_reports(&self, now_ms: u64) -> Vec<Vec<PartReport>> {
+        let limited = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.successive_crashes() >= CRASHES_TO_LIMIT);
+        let parts: Vec<PartKey> = limited.map(|(part, _)| *part).collect();
+        self.reports_of(now_ms, &parts)
+    }
+
     /// The reports to announce: of what has just happened, starting with the parts that have the
     /// most crashes, and of some quarantined parts, which take turns.
     pub fn reports_to_announce(&mut self, now_ms: u64) -> Vec<PartReport> {
@@ -496,10 +566,14 @@
 
     /// The quarantined parts whose turn it is to be announced.
     fn next_quarantined(&mut self, now_ms: u64) -> Vec<PartKey> {
+        if now_ms < self.quarantined_due_at_ms {
+            return Vec::new();
+        }
         let mut quarantined = self.quarantined(now_ms);
         if quarantined.is_empty() {
             return quarantined;
         }
+        self.quarantined_due_at_ms = now_ms + QUARANTINED_PERIOD_MS;
         let start = self.announce_offset % quarantined.len();
         self.announce_offset = self.announce_offset.wrapping_add(MAX_ANNOUNCED_QUARANTINED);
         quarantined.rotate_left(start);
@@ -522,13 +596,11 @@
     #[must_use]
     pub fn to_store(&self, now_ms: u64) -> Vec<StoredPart> {
         let stored = self.quarantined(now_ms).into_iter().filter_map(|part| {
-            let crashes = self.suspects.get(&part)?.successive();
-            let crashes = crashes.map(|crash| StoredCrash {
-                incarnation_id: crash.incarnation_id,
-                account: crash.account,
-                request: crash.request,
-            });
-            Some((part, crashes.collect()))
+            let crashes = &self.suspects.get(&part)?.crashes;
+            let mut crashes: Vec<StoredCrash> =
+                crashes.iter().map(|crash| crash.to_store()).collect();
+            crashes.sort_unstable();
+            Some((part, crashes))
         });
         stored.collect()
     }
@@ -541,14 +613,13 @@
             if suspect.cleared_at_ms.is_some() || suspect.is_quarantined() {
                 continue;
             }
-            for (age_ms, crash) in (0..).zip(crashes.iter().rev()) {
-                let at_ms = now_ms.saturating_sub(age_ms);
+            for crash in crashes {
                 suspect.record_crash(Crash {
                     incarnation_id: crash.incarnation_id,
                     account: crash.account,
                     request: crash.request,
-                    sent_at_ms: at_ms,
-                    at_ms,
+                    rank: crash.rank,
+                    at_ms: now_ms,
                     written_ms: 0,
                     is_own: false,
                 });
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_parts.rs
@@ -143,6 +143,43 @@
     assert_eq!(known.verdict(NOW_MS + 20, &[COMMON, OTHER]), Verdict::Run);
 }
 
+/// The same if boxes learn of the crashes late, each after another time, and tell each other again and
+/// again.
+#[test]
+fn many_lost_told_late() {
+    for seed in 0..50 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut boxes: Vec<SuspectParts> = (0..5).map(|_| SuspectParts::default()).collect();
+        for upstream in 0..8 {
+            for known in &mut boxes {
+                let run = CrashedRun {
+                    request: Fingerprint(rng.u64(..)),
+                    account: ACCOUNT,
+                    parts: &[COMMON, OTHER],
+                    incarnation_id: upstream,
+                    sent_at_ms: NOW_MS - rng.u64(5..300),
+                    at_ms: NOW_MS,
+                    written_ms: 20,
+                };
+                if rng.bool() {
+                    known.record_crash(NOW_MS, &run);
+                }
+            }
+        }
+        let mut now_ms = NOW_MS;
+        for _ in 0..200 {
+            now_ms += 5;
+            let (from, to) = (rng.usize(0..5), rng.usize(0..5));
+            let reports = boxes[from].reports_to_announce(now_ms);
+            boxes[to].merge_reports(now_ms + rng.u64(0..400), &reports);
+            for known in &boxes {
+                let verdict = known.verdict(now_ms, ACCOUNT, &[COMMON, OTHER], 0);
+                assert_eq!(verdict, Verdict::Run, "seed {seed}");
+            }
+        }
+    }
+}
+
 /// A request that crashes upstreams by itself does not have others withheld that share its parts.
 #[test]
 fn one_request_repeated() {
@@ -175,6 +212,23 @@
     assert!(matches!(known.parts.verdict(now_ms, 3, &[OTHER], 0), Verdict::Withheld { .. }));
 }
 
+/// What was answered before is less suspect, and is tried again soon.
+#[test]
+fn answered_before() {
+    let mut known = Knowledge::default();
+    known.parts.record_answer(NOW_MS, &[COMMON]);
+    for second in 1..5 {
+        known.crash(NOW_MS + 1000 * second, ACCOUNT, &[COMMON, PartKey(100 + second)]);
+        assert!(!known.is_withheld(NOW_MS + 1000 * second, &[COMMON]));
+    }
+    for _ in 0..4 {
+        let crashed_at_ms = NOW_MS + 5000;
+        known.crash(crashed_at_ms, ACCOUNT, &[COMMON]);
+        assert!(known.is_withheld(crashed_at_ms + FIRST_PAUSE_MS - 1, &[COMMON]));
+        assert!(!known.is_withheld(crashed_at_ms + FIRST_PAUSE_MS, &[COMMON]));
+    }
+}
+
 #[test]
 fn answer_clears() {
     let mut known = after_crashes(&[DEADLY]);
