Own interface: prompt sections under which engines crash are quarantined

The prefixes of a prompt, by the hashes under which their context is found, are its parts now, whatever the weights. Boxes report them with the crashes of requests and tell them to boxes that start. A quarantined part is tried again at its owner alone. What differs from the gateway: requests are not run one at a time after two crashes, and long streams clear nothing before they are complete.

--- a/src/completion.rs
+++ b/src/completion.rs
@@ -15,14 +15,17 @@
 use crate::assembler::Assembler;
 use crate::clock::{instant_at, now_ms, now_us};
 use crate::context::{PrefixChain, Scope, cache_salt, token_count};
-use crate::crashes::{quarantined_until_ms, record_abort, record_answered};
+use crate::crashes::{record_abort, record_answered, withheld_until_ms};
 use crate::external::{EngineError, EnginePiece, GenerateRequest, ModelEngines, PieceStream};
 use crate::fingerprint::Fingerprint;
 use crate::import::ContextImport;
 use crate::invariant::{Invariant, check};
 use crate::kernel::{Kernel, Plugin};
+use crate::names::short_id;
+use crate::part_key::PartKey;
 use crate::placing::{HeldSlot, acquire_slot};
 use crate::refusal::{Ran, Reason, Refusal};
+use crate::request_content::RequestContent;
 use crate::retry::RetryBudget;
 use crate::slot_guard::SlotGuard;
 use crate::slot_request::{SlotEnd, SlotReport, SlotRequest, SlotRequestId};
@@ -78,7 +81,7 @@
     kernel: &'a Arc<Kernel>,
     job: CompletionJob,
     stream: &'a AnswerStream,
-    fingerprint: Fingerprint,
+    content: RequestContent,
     assembler: Assembler,
     excluded_engines: Vec<String>,
     attempts: u32,
@@ -92,11 +95,7 @@
     retry_budget(&kernel.placements.retries).earn();
     let mut task = CompletionTask {
         kernel: &kernel,
-        fingerprint: Fingerprint::new(
-            &job.account,
-            &[FINGERPRINT_KIND, &job.model],
-            job.prompt.as_bytes(),
-        ),
+        content: content(&job),
         job,
         stream: &stream,
         assembler: Assembler::default(),
@@ -118,10 +117,22 @@
     stream.finish(end);
 }
 
+/// What a completion asks. The parts of its prompt are its prefixes, whatever the weights.
+fn content(job: &CompletionJob) -> RequestContent {
+    let (account, model, prompt) = (&job.account, &job.model, &job.prompt);
+    let scope = Scope { account: account.clone(), model: model.clone(), version: String::new() };
+    let prefixes = PrefixChain::new(&scope, prompt);
+    RequestContent {
+        fingerprint: Fingerprint::new(account, &[FINGERPRINT_KIND, model], prompt.as_bytes()),
+        account: short_id(account),
+        parts: prefixes.hashes().iter().copied().map(PartKey).collect(),
+    }
+}
+
 impl CompletionTask<'_> {
     async fn run(&mut self) -> StreamEnd {
         loop {
-            if let Some(until_ms) = quarantined_until_ms(self.kernel, self.fingerprint) {
+            if let Some(until_ms) = withheld_until_ms(self.kernel, &self.content) {
                 let refusal = Refusal::unknown(Reason::Quarantined).retry_at(until_ms);
                 return StreamEnd::Refused(self.with_run_state(refusal));
             }
@@ -130,9 +141,10 @@
                 Err(refusal) => return StreamEnd::Refused(self.with_run_state(refusal)),
             };
             let (engine, url) = (slot.grant.engine.clone(), slot.grant.url.clone());
+            let sent_at_ms = now_ms();
             match self.run_attempt(slot).await {
                 AttemptEnd::Finished(reason) => {
-                    record_answered(self.kernel, self.fingerprint);
+                    record_answered(self.kernel, &self.content);
                     return StreamEnd::Finished(reason);
                 }
                 AttemptEnd::Cancelled => {
@@ -143,7 +155,8 @@
                 AttemptEnd::OtherVersion { ran } => self.adopt_current_version(engine, ran),
                 ended @ (AttemptEnd::Unreachable | AttemptEnd::Failed(_)) => {
                     if matches!(ended, AttemptEnd::Failed(_)) {
-                        record_abort(self.kernel, &engine, &url, self.fingerprint).await;
+                        let content = &self.content;
+                        record_abort(self.kernel, &engine, &url, content, sent_at_ms).await;
                     }
                     self.excluded_engines.push(engine);
                     if !retry_budget(&self.kernel.placements.retries).spend() {
--- a/src/context.rs
+++ b/src/context.rs
@@ -77,6 +77,12 @@
         self.hashes.is_empty()
     }
 
+    /// Hashes of the prefixes, from the shortest to the longest.
+    #[must_use]
+    pub fn hashes(&self) -> &[u64] {
+        &self.hashes
+    }
+
     /// Hash of the longest prefix.
     #[must_use]
     pub fn last(&self) -> Option<PrefixHash> {
--- a/src/crash_state.rs
+++ b/src/crash_state.rs
@@ -8,12 +8,15 @@
 use crate::crash_reports::CrashReports;
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::Quarantine;
+use crate::suspect_parts::SuspectParts;
 
 /// Requests that crash upstreams, and the reports of them that are being sent.
 #[derive(Default)]
 pub struct Crashes {
     /// Requests that crash upstreams.
     pub quarantine: Mutex<Quarantine>,
+    /// Parts of prompts under which upstreams crash.
+    pub suspect_parts: Mutex<SuspectParts>,
     /// Reports to the peers.
     pub reports: CrashReports<Fingerprint>,
     /// Whether this box has learned what its peers knew when it started.
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -13,11 +13,13 @@
 use tokio::time::timeout;
 
 use crate::clock::now_ms;
-use crate::fingerprint::Fingerprint;
 use crate::kernel::{Kernel, Plugin, Topic};
-use crate::member::Health;
+use crate::member::{Health, Member};
 use crate::names::short_id;
+use crate::part_key::PartKey;
 use crate::quarantine::{AnswerReport, CrashReport, UpdateUrgency};
+use crate::request_content::RequestContent;
+use crate::suspect_parts::{CrashedRun, Verdict};
 use crate::sync::locked;
 use crate::upstream::has_ended;
 use crate::wire::{Envelope, Message};
@@ -38,6 +40,8 @@
 const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two queries to the same peers.
 const QUERY_PERIOD: Duration = Duration::from_millis(100);
+/// When a caller may retry whose request has a part that another box is to try.
+const TRIAL_RETRY_MS: u64 = 1000;
 /// Maximum number of requests whose crashes are told to a box that starts.
 const MAX_TOLD_REQUESTS: usize = 1024;
 
@@ -45,17 +49,52 @@
     Plugin { name: "crashes", start, receive: Some((Topic::Crashes, receive)) }
 }
 
-/// End of a request's quarantine; `None` if it is not quarantined.
+/// Until when a request must not run; `None` if it may.
 #[must_use]
-pub fn quarantined_until_ms(kernel: &Kernel, request: Fingerprint) -> Option<u64> {
-    locked(&kernel.crashes.quarantine).until_ms(now_ms(), request)
+pub fn withheld_until_ms(kernel: &Kernel, content: &RequestContent) -> Option<u64> {
+    let now_ms = now_ms();
+    let until_ms = locked(&kernel.crashes.quarantine).until_ms(now_ms, content.fingerprint);
+    until_ms.or_else(|| part_withheld_until_ms(kernel, now_ms, content))
 }
 
-/// Records that an upstream closed the connection before the request was answered. If its
-/// process has ended, this counts as a crash, and the peers have acknowledged it when this
-/// returns. The time limit for both is [`RECORD_TIMEOUT`]; what is missing then follows later.
-pub async fn record_abort(kernel: &Arc<Kernel>, upstream: &str, url: &str, request: Fingerprint) {
+/// Until when a request must not run because of the parts of its prompt. A quarantined part is tried
+/// again at its owner, the same for all boxes.
+fn part_withheld_until_ms(kernel: &Kernel, now_ms: u64, content: &RequestContent) -> Option<u64> {
+    let verdict = {
+        let parts = locked(&kernel.crashes.suspect_parts);
+        parts.verdict(now_ms, content.account, &content.parts, 0)
+    };
+    match verdict {
+        Verdict::Run | Verdict::Trial { is_quarantined: false, .. } => None,
+        Verdict::Trial { part, is_quarantined: true } => {
+            (!owns_part(kernel, part)).then_some(now_ms + TRIAL_RETRY_MS)
+        }
+        Verdict::Withheld { until_ms, .. } => Some(until_ms),
+    }
+}
+
+fn owns_part(kernel: &Kernel, part: PartKey) -> bool {
+    let membership = kernel.membership();
+    let view = membership.view();
+    let score = |member: &Member| part.hash_fraction(short_id(&member.address));
+    let own = score(view.me());
+    let mut others = view.others().filter(|member| member.health != Health::Dead);
+    others.all(|member| score(member) < own)
+}
+
+/// Records that an upstream closed the connection before the request was answered, which was sent
+/// at `sent_at_ms`. If its process has ended, this counts as a crash, and the peers have acknowledged
+/// it when this returns. The time limit for both is [`RECORD_TIMEOUT`]; what is missing then follows
+/// later.
+pub async fn record_abort(
+    kernel: &Arc<Kernel>,
+    upstream: &str,
+    url: &str,
+    content: &RequestContent,
+    sent_at_ms: u64,
+) {
     let (kernel, upstream, url) = (kernel.clone(), upstream.to_owned(), url.to_owned());
+    let (content, request, aborted_at_ms) = (content.clone(), content.fingerprint, now_ms());
     // In a task of its own, so that a crash is also reported if the caller disconnects.
     let recording = tokio::spawn(async move {
         if !has_ended(&url).await {
@@ -66,23 +105,45 @@
         let now_ms = now_ms();
         let incarnation_id = short_id(&format!("{upstream}/{}", now_ms / MIN_RESTART_MS));
         locked(&kernel.crashes.quarantine).record_crash(now_ms, request, incarnation_id, now_ms);
-        report_crash(&kernel, request).await;
+        let run = CrashedRun {
+            request,
+            account: content.account,
+            parts: &content.parts,
+            incarnation_id,
+            sent_at_ms,
+            at_ms: aborted_at_ms,
+            written_ms: 0,
+        };
+        for part in locked(&kernel.crashes.suspect_parts).record_crash(now_ms, &run) {
+            info!(target: "crashes", "Prompts with part {:016x} crash upstreams: quarantined.", part.0);
+        }
+        report_crash(&kernel, &content).await;
     });
     // The task continues after the time limit.
     let _ = timeout(RECORD_TIMEOUT, recording).await;
 }
 
 /// Records that an upstream has answered a request completely.
-pub fn record_answered(kernel: &Kernel, request: Fingerprint) {
-    if locked(&kernel.crashes.quarantine).record_answer(request, now_ms()) {
+pub fn record_answered(kernel: &Kernel, content: &RequestContent) {
+    let now_ms = now_ms();
+    let clears_request =
+        locked(&kernel.crashes.quarantine).record_answer(content.fingerprint, now_ms);
+    let cleared = locked(&kernel.crashes.suspect_parts).record_answer(now_ms, &content.parts);
+    if clears_request || !cleared.is_empty() {
         notify_peers(kernel);
     }
 }
 
 /// Reports the crashes of a request to the peers, and waits until they have acknowledged them or
 /// the time limit has passed. What is to be reported meanwhile goes into one message afterwards.
-async fn report_crash(kernel: &Kernel, request: Fingerprint) {
-    let Some(report) = kernel.crashes.reports.begin([request]).await else { return };
+async fn report_crash(kernel: &Kernel, content: &RequestContent) {
+    let peers = peers_to_inform(kernel);
+    let parts = locked(&kernel.crashes.suspect_parts).reports_of(now_ms(), &content.parts);
+    for (peer, reports) in peers.iter().flat_map(|peer| parts.iter().map(move |part| (peer, part)))
+    {
+        kernel.send(peer, Message::PartReports(reports.clone()));
+    }
+    let Some(report) = kernel.crashes.reports.begin([content.fingerprint]).await else { return };
     let reported = locked(&kernel.crashes.quarantine).crashes_of(now_ms(), &report.subjects);
     let peers = peers_to_inform(kernel);
     let number = kernel.unique_number();
@@ -114,8 +175,12 @@
         let answers = quarantine.answers_to_announce(now_ms);
         Message::CrashReport { crashes: quarantine.crashes_to_announce(now_ms), answers }
     };
+    let parts = locked(&kernel.crashes.suspect_parts).reports_to_announce(now_ms());
     for address in random_peers(kernel) {
         kernel.send(&address, message.clone());
+        if !parts.is_empty() {
+            kernel.send(&address, Message::PartReports(parts.clone()));
+        }
     }
 }
 
@@ -135,7 +200,16 @@
             merge_reports(kernel, &crashes, &[]);
             kernel.send(&envelope.reply_to, Message::CrashesConfirmed { report });
         }
+        Message::PartReports(reports) => {
+            let merged = locked(&kernel.crashes.suspect_parts).merge_reports(now_ms(), &reports);
+            if !merged.quarantined.is_empty() || !merged.cleared.is_empty() {
+                notify_peers(kernel);
+            }
+        }
         Message::QueryCrashes => {
+            for parts in locked(&kernel.crashes.suspect_parts).limited_reports(now_ms()) {
+                kernel.send(&envelope.reply_to, Message::PartReports(parts));
+            }
             let crashes =
                 locked(&kernel.crashes.quarantine).most_crashes(now_ms(), MAX_TOLD_REQUESTS);
             let is_informed = kernel.crashes.is_informed();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,7 +10,6 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
-use crate::fingerprint::Fingerprint;
 use crate::gateway::connections::{Connection, SendError, send};
 use crate::gateway::crashes::{self, AnswerEnd, EndedRun};
 use crate::gateway::decisions::choose::Choice;
@@ -22,8 +21,8 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::paths;
 use crate::gateway::trials::HeldTrial;
-use crate::part_key::PartKey;
 use crate::platform::exchange;
+use crate::request_content::RequestContent;
 
 /// Longest time for transfers of cached context to an engine, from the choice of their sources.
 const TRANSFER_TIMEOUT_MS: u64 = 2000;
@@ -31,16 +30,6 @@
 /// still be retried.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
-/// What a request asks, as crashes of upstreams are put down to it.
-#[derive(Clone)]
-pub struct RequestContent {
-    pub fingerprint: Fingerprint,
-    /// Short id of the account.
-    pub account: u32,
-    /// The parts of its prompt that other requests may share.
-    pub parts: Arc<[PartKey]>,
-}
-
 /// A request as it is sent to any upstream.
 #[derive(Clone)]
 pub struct OutgoingRequest {
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::fingerprint::Fingerprint;
-use crate::gateway::attempt::{OutgoingRequest, RequestContent};
+use crate::gateway::attempt::OutgoingRequest;
 use crate::gateway::decisions::configuration::{Account, Configuration, RetryPolicy, Route};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
@@ -23,6 +23,7 @@
 use crate::gateway::response::Reason;
 use crate::names::short_id;
 use crate::part_key::PartKey;
+use crate::request_content::RequestContent;
 
 /// Timeout of a request whose client sends none.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -24,7 +24,7 @@
 
 use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
-use crate::gateway::attempt::{OutgoingRequest, RequestContent};
+use crate::gateway::attempt::OutgoingRequest;
 use crate::gateway::decisions::gossip_message::{AbortsReport, PartReports};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::gossip::{Datagram, send_to};
@@ -37,6 +37,7 @@
 use crate::part_key::PartKey;
 use crate::port::{EXIT_TIMEOUT, is_closed};
 use crate::quarantine::{AbortReport, UpdateUrgency};
+use crate::request_content::RequestContent;
 use crate::suspect_parts::{CrashedRun, MIN_SOUND_RUN_MS};
 use crate::sync::locked;
 
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -73,7 +73,8 @@
             | Self::ReportCrashes { .. }
             | Self::CrashesConfirmed { .. }
             | Self::QueryCrashes
-            | Self::KnownCrashes { .. } => Topic::Crashes,
+            | Self::KnownCrashes { .. }
+            | Self::PartReports(_) => Topic::Crashes,
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod quarantine;
 pub mod refusal;
 pub mod rejection;
+pub mod request_content;
 pub mod retention;
 pub mod retry;
 pub mod route;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::{AnswerReport, CrashReport};
 use crate::refusal::Reason;
 use crate::slot_request::{SlotReport, SlotRequest, SlotRequestId, SlotResponse};
+use crate::suspect_parts::PartReport;
 use crate::ticket::{BoxRef, ClusterKey};
 use crate::trace::TraceId;
 
@@ -129,6 +130,9 @@
         /// The crashes of the requests with the most of them.
         crashes: Vec<CrashReport>,
     },
+    /// Reports parts of prompts under which upstreams crashed, and those that were cleared since.
+    /// Messages to one peer arrive in order, so that what confirms the next report confirms it too.
+    PartReports(Vec<PartReport>),
 }
 
 /// A message with its sender and receiver.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,13 +4,15 @@
 use std::sync::atomic::Ordering;
 
 use crate::clock::{now_ms, now_us};
-use crate::crashes::{quarantined_until_ms, record_abort, record_answered};
+use crate::crashes::{record_abort, record_answered, withheld_until_ms};
 use crate::external::{PlainServices, WorkerReply};
 use crate::fingerprint::Fingerprint;
 use crate::invariant::{Invariant, check};
 use crate::kernel::Kernel;
 use crate::ledger::Outcome;
+use crate::names::short_id;
 use crate::refusal::Reason;
+use crate::request_content::RequestContent;
 use crate::settings::UpstreamKind;
 use crate::sync::locked;
 use crate::trace::Hop;
@@ -24,7 +26,11 @@
 pub async fn call_worker(kernel: &Arc<Kernel>, call: &Call, repeatable: bool) -> CallEnd {
     let workers = select_workers(kernel, &call.service);
     let mut sent = 0;
-    let fingerprint = call_fingerprint(call);
+    let content = RequestContent {
+        fingerprint: call_fingerprint(call),
+        account: short_id(&call.key.account),
+        parts: Arc::default(),
+    };
     let mut end = match workers.retry_at_ms {
         Some(until_ms) if workers.ready.is_empty() => {
             CallEnd::not_run(Reason::UpstreamsRest).retry_at(until_ms)
@@ -35,7 +41,7 @@
         if now_ms() >= call.deadline_ms {
             break;
         }
-        if let Some(until_ms) = quarantined_until_ms(kernel, fingerprint) {
+        if let Some(until_ms) = withheld_until_ms(kernel, &content) {
             if sent == 0 {
                 end = CallEnd::not_run(Reason::Quarantined).retry_at(until_ms);
             }
@@ -45,7 +51,7 @@
         if !check(Invariant::SentOnce, may_send, || call.key.key.clone()) {
             break;
         }
-        let started_at_us = now_us();
+        let (started_at_us, sent_at_ms) = (now_us(), now_ms());
         let WorkerReply { outcome, retry_after_ms } = kernel.upstreams.call(&url, call).await;
         if let Some(retry_after_ms) = retry_after_ms {
             locked(&kernel.calls.workers.unavailable_until_ms)
@@ -56,12 +62,12 @@
         sent += u32::from(outcome != Outcome::NotRun);
         match outcome {
             Outcome::Answered(answer) => {
-                record_answered(kernel, fingerprint);
+                record_answered(kernel, &content);
                 return CallEnd::answered(answer);
             }
             Outcome::NotRun => start_cooldown(kernel, name),
             Outcome::Unknown => {
-                record_abort(kernel, &name, &url, fingerprint).await;
+                record_abort(kernel, &name, &url, &content, sent_at_ms).await;
                 end = CallEnd::unknown(Reason::UpstreamFailed);
                 let budget = &kernel.placements.retries;
                 let may_repeat = repeatable && locked(budget).spend();
--- a/standins/src/site/crashing_pool.rs
+++ b/standins/src/site/crashing_pool.rs
@@ -151,6 +151,17 @@
         crashed_at
     }
 
+    /// When upstreams crashed under a part, in order.
+    #[must_use]
+    pub fn crashed_under(&self, part: &str) -> Vec<Instant> {
+        let servers = self.servers();
+        let crashed =
+            servers.iter().filter(|server| server.crashed_under().as_deref() == Some(part));
+        let mut crashed_at: Vec<Instant> = crashed.filter_map(Server::crashed_at).collect();
+        crashed_at.sort_unstable();
+        crashed_at
+    }
+
     /// When requests with a part arrived, in order, with their ids.
     #[must_use]
     pub fn arrivals(&self, part: &str) -> Vec<(Instant, String)> {
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -152,6 +152,8 @@
     usual_stream: Option<Behavior>,
     crashed: watch::Sender<bool>,
     crashed_at: Option<Instant>,
+    /// The part of a prompt under which it crashed, if it did so.
+    crashed_under: Option<String>,
     /// Whether the connections have been closed after a crash.
     exited: watch::Sender<bool>,
     /// Time for which the port stays open after a crash has closed the connections; if it is 0, the
@@ -278,6 +280,12 @@
         self.state().crashed_at
     }
 
+    /// The part of a prompt under which it crashed, if it did so.
+    #[must_use]
+    pub fn crashed_under(&self) -> Option<String> {
+        self.state().crashed_under.clone()
+    }
+
     /// Sends all held answers; later requests are not held either.
     pub fn release(&self) {
         self.state().released = true;
@@ -475,6 +483,12 @@
         let _ = write.write_all(sent.as_bytes()).await;
     }
     tokio::time::sleep(part_crash.after).await;
+    {
+        let mut state = shared.lock().expect("no task panics under the lock");
+        if state.crashed_at.is_none() {
+            state.crashed_under = Some(part_crash.part.clone());
+        }
+    }
     crash(shared).await;
 }
 
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -174,3 +174,29 @@
     assert!(is_quarantined(repeated).await);
     assert_eq!(running_count(&fleet, &fleet.workers).await, 8 - MAX_CRASHES);
 }
+
+/// Length of a prompt section that has a prefix hash of its own.
+const SECTION_BYTES: usize = 1024;
+
+// Completions with one section in common crashed every engine, since no two of them were alike. A
+// first one crashes three engines by itself, which tells nothing of its sections, and a second one
+// more.
+#[tokio::test]
+async fn shared_section() {
+    let fleet = start_hall().await;
+    let common = "c".repeat(SECTION_BYTES);
+    let deadly = format!("{:x<SECTION_BYTES$}", "deadly");
+    for number in 0..6 {
+        let own = format!("{number:0>SECTION_BYTES$}");
+        let prompt = format!("{common}{deadly}{own}");
+        completion_request(&fleet, number % 2, KEY, &prompt, 10).send().await.unwrap();
+        check_completion(&fleet, number % 2, KEY, &format!("{common}{own}"), 10).await;
+    }
+    assert_eq!(running_count(&fleet, &fleet.engines).await, 8 - MAX_CRASHES - 1);
+    let own = "9".repeat(SECTION_BYTES);
+    for number in 0..2 {
+        let prompt = format!("{common}{deadly}{own}");
+        let response = completion_request(&fleet, number, KEY, &prompt, 10).send().await.unwrap();
+        assert!(is_quarantined(response).await);
+    }
+}
