Soak: parts of prompts that crash upstreams

Two parts crash eight upstreams 50 to 800 ms after they begin to write, after up to two events, in bodies of each framing; others crash by themselves, now and then all at once; boxes, the metadata store and links between boxes fail as in the runs with versions. Clients send prompts with the parts to random boxes, no two alike, and sound ones beside them. Checked: requests that arrive later than 3 s after the fifth crash, from boxes that could know, three at most; sound ones served at least half as often.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod crashing;
 mod mesh;
 mod notices;
+mod parts;
 mod plan;
 mod proxy;
 mod stalls;
@@ -77,6 +78,9 @@
     /// Upstreams of several software versions replace each other, and clients resume their streams at
     /// other boxes. Boxes, the metadata store and the links between boxes fail.
     Versions,
+    /// Upstreams crash under parts of prompts in requests that are never alike, and by themselves.
+    /// Boxes, the metadata store and the links between boxes fail.
+    Parts,
 }
 
 impl Scenario {
@@ -89,7 +93,7 @@
             [plan::fault_steps, plan::silence_steps, plan::restart_steps, plan::weights_steps];
         let generators = match self {
             Self::Words => &[plan::announcement_steps as fn(u64, u64) -> Vec<Step>][..],
-            Self::Versions => &[plan::version_steps as fn(u64, u64) -> Vec<Step>][..],
+            Self::Versions | Self::Parts => &[plan::version_steps as fn(u64, u64) -> Vec<Step>][..],
             Self::MovesAlone => &all[3..],
             Self::First => &all[..1],
             Self::Silences => &all[..2],
@@ -127,7 +131,7 @@
 pub async fn run(options: Options) -> Result<Report> {
     let weights_change = options.scenario.changes_weights();
     let with_crashing = options.scenario == Scenario::Words;
-    let world = Arc::new(World::start(options.boxes, options.scenario).await?);
+    let world = Arc::new(World::start(options.boxes, options.scenario, options.seed).await?);
     let mut violations = wait_for_configuration(&world).await;
     let (started_at, started_at_ms) = (Instant::now(), now_ms());
     let steps = options.scenario.steps(options.seed, options.seconds * 1000);
@@ -183,6 +187,10 @@
             )));
         }
     }
+    let sound_prompts = Arc::new(Mutex::new(Vec::new()));
+    if options.scenario == Scenario::Parts {
+        clients.extend(parts::start_clients(&world, &sound_prompts, &stop, options.seed));
+    }
     if weights_change {
         clients.push(tokio::spawn(callers::watch_engine_weights(
             world.clone(),
@@ -210,15 +218,13 @@
     violations.extend(run_data.violations());
     let streams = streams.lock().expect("no task panics under the lock");
     violations.extend(run_data.version_violations(&streams));
+    let sound_prompts = sound_prompts.lock().expect("no task panics under the lock");
+    violations.extend(run_data.part_violations(&sound_prompts));
     let logs = if violations.is_empty() { None } else { Some(keep_logs(&world, options.seed)?) };
     let steps = steps.iter().map(describe).collect();
-    Ok(Report {
-        violations,
-        outcomes: count_outcomes(&run_data, &streams),
-        steps,
-        notes: run_data.notes(),
-        logs,
-    })
+    let mut outcomes = count_outcomes(&run_data, &streams);
+    outcomes.extend(run_data.part_outcomes(&sound_prompts));
+    Ok(Report { violations, outcomes, steps, notes: run_data.notes(), logs })
 }
 
 /// Carries out each step at its time and waits for all of them.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -21,7 +21,8 @@
                     weights change; words: upstreams crash on one request, and
                     announce in their responses that they leave or want no
                     requests for a while; versions: upstreams of several software
-                    versions replace each other
+                    versions replace each other; parts: upstreams crash under
+                    parts of prompts
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -73,7 +74,8 @@
         "only-4" => Ok(Scenario::MovesAlone),
         "words" => Ok(Scenario::Words),
         "versions" => Ok(Scenario::Versions),
-        _ => Err("--streams: 1, 2, 3, 4, only-4, words or versions is needed".into()),
+        "parts" => Ok(Scenario::Parts),
+        _ => Err("--streams: 1, 2, 3, 4, only-4, words, versions or parts is needed".into()),
     }
 }
 
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use coursestile_standins::clock::now_ms;
+use coursestile_standins::site::crashing_pool::CrashingPool;
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::metadata::StoreFault;
 use coursestile_standins::site::server::Server;
@@ -20,6 +21,7 @@
 use crate::Scenario;
 use crate::crashing::{self, CrashingUpstreams};
 use crate::mesh::Mesh;
+use crate::parts;
 use crate::plan::LinkState;
 use crate::proxy::Proxy;
 use crate::versions::{self, RollingUpstreams};
@@ -110,6 +112,8 @@
     pub crashing: Option<CrashingUpstreams>,
     /// Upstreams of several software versions, if the scenario has any.
     pub rolling: Option<RollingUpstreams>,
+    /// Upstreams that crash under parts of prompts, if the scenario has any.
+    pub prompted: Option<CrashingPool>,
     scenario: Scenario,
     /// Restarts of upstreams under the same id.
     upstream_restarts: Mutex<Vec<UpstreamRestart>>,
@@ -160,6 +164,9 @@
     if scenario == Scenario::Versions {
         versions::add_route(&mut document);
     }
+    if scenario == Scenario::Parts {
+        parts::add_route(&mut document);
+    }
     document
 }
 
@@ -169,7 +176,7 @@
     /// # Errors
     ///
     /// Fails when an address cannot be bound.
-    pub async fn start(boxes: usize, scenario: Scenario) -> Result<Self> {
+    pub async fn start(boxes: usize, scenario: Scenario, seed: u64) -> Result<Self> {
         let weights_change = scenario.changes_weights();
         let mut site = Site::start().await;
         site.distinct_peer_ports = true;
@@ -202,6 +209,10 @@
             Scenario::Versions => Some(RollingUpstreams::start(&site).await),
             _ => None,
         };
+        let prompted = match scenario {
+            Scenario::Parts => Some(parts::start(&site, seed).await),
+            _ => None,
+        };
         site.configure(&configuration(1, scenario));
         let newest = Mutex::new(NewestConfiguration { version: 1, stored_at: Instant::now() });
         let mut started: Vec<GatewayBox> = Vec::new();
@@ -235,6 +246,7 @@
             restarted_at_ms,
             crashing,
             rolling,
+            prompted,
             scenario,
             upstream_restarts: Mutex::default(),
         })
