Clients: a box that most new connections go to reads what it can serve

The platform may hand most new connections of a hall to one box.

The box accepted and read whatever came, so that all work of all requests waited in one queue until their clients left. And its share of each upstream's connections was that of one box among all, so that a part of what it had read was refused as "upstreams full" with upstreams idle.

And a box may send what others leave of half of an upstream's connections, where that is more than its share.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -261,7 +261,8 @@
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried: &[],
-        max_requests_per_upstream: 100,
+        max_connections: 200,
+        boxes: 1,
         brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 1,
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -121,7 +121,7 @@
     let tried = demand.tried.iter().any(|incarnation| upstream.is_incarnation(incarnation));
     if tried
         || !demand.allowed_halls.includes(&upstream.entry.hall)
-        || upstream.own_load.requests >= demand.max_requests_per_upstream
+        || upstream.own_load.requests >= demand.max_requests(upstream)
         || upstream.is_loading(now_ms)
         || !upstream.cold.may_send(now_ms)
         || demand.brittle.is_some_and(|limit| !limit.may_send(now_ms, upstream))
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -7,8 +7,12 @@
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::stores::Placement;
+use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
 
+/// Connections to an upstream that a box may always open, whatever its share of the upstream's
+/// limit: one for a request and one for the reachability probe.
+const MIN_CONNECTIONS: u32 = 2;
 /// Delay after sending within which a request is assumed to start, however short the wait is
 /// expected to be: an engine short of memory starts requests much later than its queue suggests.
 const START_DELAY_MS: u64 = 1500;
@@ -52,8 +56,10 @@
     pub resumption: Option<Resumption>,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
-    /// Maximum number of requests from this box to one upstream.
-    pub max_requests_per_upstream: u32,
+    /// Connections that each upstream accepts from all boxes together.
+    pub max_connections: u32,
+    /// Number of live boxes.
+    pub boxes: u32,
     /// Limit for upstreams of the service that are brittle; `None` if they are not.
     pub brittle: Option<BrittleLimit<'a>>,
     /// Decides whether an engine has capacity for the request.
@@ -63,6 +69,16 @@
 }
 
 impl Demand<'_> {
+    /// Maximum number of requests from this box to an upstream: the box's share of the connections
+    /// that the upstream accepts, or what others leave of half of them, since most clients may be
+    /// turning to this box.
+    #[must_use]
+    pub fn max_requests(&self, upstream: &Upstream) -> u32 {
+        let share = self.max_connections / self.boxes.saturating_add(1);
+        let left = (self.max_connections / 2).saturating_sub(upstream.peer_load.requests);
+        share.max(left).max(MIN_CONNECTIONS)
+    }
+
     /// Since when an engine with `version` has been behind the newest named one.
     #[must_use]
     pub fn behind_since_ms(&self, version: u64) -> Option<u64> {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -16,6 +16,7 @@
 //!   `orders`, `claims`, `release`.
 //! - State received from the metadata store and from other boxes: `listing`, `view`, `peers`,
 //!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
+//! - Whether this box closes new connections, since it does not keep up: `shedding`.
 //! - Whether this box reaches upstreams at all: `reach`.
 //! - Requests with parts under which upstreams crash, one at a time: `trials`.
 //! - Shared constants and conversions: `units`.
@@ -45,6 +46,7 @@
 pub mod regions;
 pub mod release;
 pub mod rollout;
+pub mod shedding;
 pub mod software_history;
 pub mod sources;
 pub mod store_speed;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -329,6 +329,12 @@
         1 + self.live_peers(now_ms).count()
     }
 
+    /// Whether another box of the own hall is live.
+    #[must_use]
+    pub fn has_live_hall_peer(&self, now_ms: u64) -> bool {
+        self.live_peers(now_ms).any(|(_, peer)| peer.gossip.hall == self.local.hall)
+    }
+
     /// Forgets peers that have been silent for too long.
     fn forget_silent(&mut self, now_ms: u64) {
         let (retention_ms, own_hall) = (self.retention_ms(), self.local.hall);
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -25,6 +25,7 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::peers::{LocalBox, Peers};
 use crate::gateway::decisions::reach::Reach;
+use crate::gateway::decisions::shedding::Shedding;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::stream_origins::StreamOrigins;
 use crate::gateway::decisions::trials::Trials;
@@ -300,6 +301,8 @@
     pub versions_read: tokio::sync::Mutex<bool>,
     /// Serialises writes of claims.
     pub claim_lock: tokio::sync::Mutex<()>,
+    /// How long accepted connections wait.
+    pub shedding: Mutex<Shedding>,
     state: Mutex<State>,
     phase: watch::Sender<BoxPhase>,
 }
@@ -382,6 +385,7 @@
             peer_socket: OnceLock::new(),
             versions_read: tokio::sync::Mutex::new(false),
             claim_lock: tokio::sync::Mutex::new(()),
+            shedding: Mutex::default(),
             state: Mutex::new(state),
             phase: watch::Sender::new(BoxPhase::Serving),
             settings,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -28,6 +28,7 @@
 use crate::gateway::response::is_close_delimited;
 use crate::gateway::serve::serve;
 use crate::prometheus;
+use crate::sync::locked;
 
 /// Pause after `accept` failed, usually because file descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -45,7 +46,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_client(gateway.clone(), stream));
+                tokio::spawn(serve_or_shed(gateway.clone(), stream, now_ms()));
             }
             Err(error) => {
                 debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
@@ -56,6 +57,19 @@
     accept_queued(&gateway, listener);
 }
 
+/// Serves a connection that was accepted at `accepted_at_ms`, or closes it unread if this box does
+/// not keep up with its work and there are others for its clients to turn to.
+async fn serve_or_shed(gateway: Arc<Gateway>, stream: TcpStream, accepted_at_ms: u64) {
+    let (now_ms, wait_ms) = (now_ms(), now_ms().saturating_sub(accepted_at_ms));
+    let is_behind = locked(&gateway.shedding).record_wait(now_ms, wait_ms);
+    if is_behind && gateway.state().peers.has_live_hall_peer(now_ms) {
+        debug!(target: "listener", "event=connection_shed wait_ms={wait_ms}");
+        metrics::counter!("coursestile_connections_shed_total").increment(1);
+        return;
+    }
+    serve_client(gateway, stream).await;
+}
+
 /// Accepts the connections that the kernel has established already, since it resets them when the
 /// listening socket closes.
 fn accept_queued(gateway: &Arc<Gateway>, listener: TcpListener) {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -42,9 +42,6 @@
 const QUEUE_WAIT_DIVISOR: u64 = 4;
 /// A request waits for the trial of another for the route's latency objective divided by this.
 const TRIAL_WAIT_DIVISOR: u64 = 2;
-/// Connections to an upstream that a box may always open, whatever its share of the upstream's
-/// limit: one for a request and one for the reachability probe.
-const MIN_CONNECTIONS: u32 = 2;
 /// Attempts that may reach no upstream before the request is refused. Each may take the connect
 /// timeout of 300 ms.
 const MAX_UNDELIVERED: u32 = 4;
@@ -535,7 +532,8 @@
         },
         resumption: resumption(gateway, request),
         tried: &request.tried,
-        max_requests_per_upstream: (service.max_connections / (boxes + 1)).max(MIN_CONNECTIONS),
+        max_connections: service.max_connections,
+        boxes,
         brittle: state.brittle.max_rejections(now_ms, &request.service).map(|max_rejections| {
             let halls = gateway.settings.regions.len().max(state.upstreams.hall_count());
             BrittleLimit { max_rejections, halls, peers: &state.peers }
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -315,6 +315,12 @@
         self.state().abandoned.clone()
     }
 
+    /// Whether a request with this id has arrived.
+    #[must_use]
+    pub fn has_received(&self, request_id: &str) -> bool {
+        self.state().handled.iter().any(|handled| handled.request_id == request_id)
+    }
+
     /// How often a request with this id has arrived.
     #[must_use]
     pub fn count(&self, request_id: &str) -> usize {
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -97,7 +97,8 @@
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried: &[],
-        max_requests_per_upstream: 100,
+        max_connections: 200,
+        boxes: 1,
         brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -219,7 +219,8 @@
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried: &[],
-        max_requests_per_upstream: 100,
+        max_connections: 200,
+        boxes: 1,
         brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -68,7 +68,8 @@
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried,
-        max_requests_per_upstream: 100,
+        max_connections: 200,
+        boxes: 1,
         brittle: None,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
