--- a/soak/src/parts.rs
+++ b/soak/src/parts.rs
@@ -1,5 +1,6 @@
 //! Upstreams that crash under parts of prompts, and now and then by themselves; clients that send
-//! prompts with such parts to random boxes, no two alike, and others that send sound ones.
+//! prompts with such parts to random boxes, no two alike, and others that send sound ones. At times the
+//! latter all turn to one box, and send more.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -41,10 +42,16 @@
 const CRASH_INTERVAL_MS: std::ops::Range<u64> = 700..5000;
 /// One such crash in this many is of all upstreams at once.
 const ALL_CRASH_ONE_IN: u32 = 6;
-/// Pause of a client between two sound prompts.
+/// Pause of a client between two sound prompts, and while most clients turn to one box.
 const SOUND_PAUSE: Duration = Duration::from_millis(60);
+const CROWD_PAUSE: Duration = Duration::from_millis(20);
+/// Length of the time in which they do so, and of the one from its begin to the next.
+const CROWD_MS: u64 = 2500;
+const CROWD_CYCLE_MS: u64 = 7000;
 /// What a refusal says that a part is the reason for.
 const WITHHELD: &str = "part of its prompt";
+/// What it says if upstreams have no room.
+const FULL: &str = "upstreams full";
 const SEND_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Parts that prompts have in common.
 const COMMON_PARTS: usize = 3;
@@ -57,17 +64,30 @@
 const SOUND_MS: u64 = 2 * RECOVERY_MS;
 /// Fewest sound requests that are judged.
 const MIN_SOUND: usize = 20;
+/// At most one in this many prompts that the box with most clients reads may find all upstreams full.
+const MAX_FULL_ONE_IN: usize = 4;
 /// At most one of this many may be withheld.
 const MAX_WITHHELD_ONE_IN: usize = 10;
 
-/// A sound prompt, and whether it was served at the first attempt.
+/// How a sound prompt ended at its first attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Served,
+    /// Refused because of a part.
+    Withheld,
+    /// Refused for want of room at the upstreams.
+    Full,
+    Other,
+}
+
+/// A sound prompt.
 pub struct SoundPrompt {
     box_number: usize,
     sent_at: Instant,
     ended_at: Instant,
-    is_served: bool,
-    /// Whether it was refused because of a part.
-    is_withheld: bool,
+    /// Whether most clients turned to its box.
+    is_crowded: bool,
+    end: End,
 }
 
 /// Adds a service and a route for these upstreams to a configuration.
@@ -167,26 +187,39 @@
 ) {
     let mut rng = Rng::with_seed(seed);
     let mut number = 0;
+    let started_at = Instant::now();
+    let own_box = box_number;
     while !stop.load(Ordering::Relaxed) {
         number += 1;
         let (parts, sent_at) = (common_parts(&mut rng), Instant::now());
+        let crowded_box = crowded_box(started_at.elapsed(), world.boxes.len());
+        let box_number = crowded_box.unwrap_or(own_box);
         let id = format!("{box_number}-s{seed}-{number}");
-        let answer = send(&world, box_number, &id, parts).await;
-        let is_served =
-            answer.as_ref().is_some_and(|answer| answer.status() == 200 && answer.complete);
-        let is_withheld =
-            answer.is_some_and(|answer| answer.status() == 503 && answer.text().contains(WITHHELD));
+        let end = match send(&world, box_number, &id, parts).await {
+            Some(answer) if answer.status() == 200 && answer.complete => End::Served,
+            Some(answer) if answer.text().contains(WITHHELD) => End::Withheld,
+            Some(answer) if answer.text().contains(FULL) => End::Full,
+            Some(_) | None => End::Other,
+        };
         sent.lock().expect("no task panics under the lock").push(SoundPrompt {
             box_number,
             sent_at,
             ended_at: Instant::now(),
-            is_served,
-            is_withheld,
+            is_crowded: crowded_box.is_some(),
+            end,
         });
-        sleep(SOUND_PAUSE).await;
+        sleep(if crowded_box.is_some() { CROWD_PAUSE } else { SOUND_PAUSE }).await;
     }
 }
 
+/// The box that most clients turn to at a time, if there is one then.
+fn crowded_box(elapsed: Duration, boxes: usize) -> Option<usize> {
+    let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+    let is_crowded = elapsed_ms % CROWD_CYCLE_MS >= CROWD_CYCLE_MS - CROWD_MS;
+    let cycle = usize::try_from(elapsed_ms / CROWD_CYCLE_MS).unwrap_or_default();
+    is_crowded.then_some(cycle % boxes)
+}
+
 /// The parts that prompts share: the first, and further ones of those that follow it.
 fn common_parts(rng: &mut Rng) -> Vec<String> {
     (0..=rng.usize(..COMMON_PARTS)).map(|number| format!("c{number}")).collect()
@@ -235,6 +268,7 @@
             }
         }
         violations.extend(self.withheld_beside(sound));
+        violations.extend(self.full_for_crowd(sound));
         violations
     }
 
@@ -262,11 +296,21 @@
             self.at_ms(prompt.sent_at) > from_ms && self.is_undisturbed_prompt(prompt)
         });
         let judged: Vec<&SoundPrompt> = judged.collect();
-        let withheld = judged.iter().filter(|prompt| prompt.is_withheld).count();
+        let withheld = judged.iter().filter(|prompt| prompt.end == End::Withheld).count();
         (judged.len() >= MIN_SOUND && withheld * MAX_WITHHELD_ONE_IN > judged.len())
             .then(|| format!("{withheld} of {} sound prompts were withheld", judged.len()))
     }
 
+    /// A box that most clients turn to has room at the upstreams, which others do not use.
+    fn full_for_crowd(&self, sound: &[SoundPrompt]) -> Option<String> {
+        let crowded =
+            sound.iter().filter(|prompt| prompt.is_crowded && self.is_undisturbed_prompt(prompt));
+        let crowded: Vec<&SoundPrompt> = crowded.collect();
+        let full = crowded.iter().filter(|prompt| prompt.end == End::Full).count();
+        (crowded.len() >= MIN_SOUND && full * MAX_FULL_ONE_IN > crowded.len())
+            .then(|| format!("{full} of {} prompts at one box found upstreams full", crowded.len()))
+    }
+
     fn is_undisturbed_prompt(&self, prompt: &SoundPrompt) -> bool {
         let (from_ms, to_ms) = (self.at_ms(prompt.sent_at), self.at_ms(prompt.ended_at));
         is_undisturbed(self.steps, from_ms, to_ms)
@@ -284,12 +328,12 @@
         let count = |part: &str| pool.crashed_under(part).len();
         let undisturbed = sound.iter().filter(|prompt| self.is_undisturbed_prompt(prompt));
         let undisturbed: Vec<_> = undisturbed.collect();
-        let served = undisturbed.iter().filter(|prompt| prompt.is_served).count();
+        let served = undisturbed.iter().filter(|prompt| prompt.end == End::Served).count();
         let mut outcomes: Vec<(String, usize)> = DEADLY_PARTS
             .iter()
             .map(|part| (format!("upstreams ended under {part}"), count(part)))
             .collect();
-        let withheld = sound.iter().filter(|prompt| prompt.is_withheld).count();
+        let withheld = sound.iter().filter(|prompt| prompt.end == End::Withheld).count();
         outcomes.push(("sound prompts withheld".to_owned(), withheld));
         outcomes.push(("upstreams ended".to_owned(), pool.crashed_at().len()));
         outcomes.push(("sound prompts undisturbed".to_owned(), undisturbed.len()));
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -110,6 +110,16 @@
         .await;
 }
 
+// Guards against a part of prompts that crashes one upstream after another, in requests that are never
+// alike.
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[tokio::test]
+async fn parts_withheld(#[case] seed: u64) {
+    assert_no_violations(Options { seed, seconds: 14, boxes: 4, scenario: Scenario::Parts }).await;
+}
+
 async fn assert_no_violations(options: Options) {
     let report = run(options).await.unwrap();
     // Shown if the test fails.
