--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -1,11 +1,12 @@
 //! Measures the cost of gateway decisions on one box as the fleet grows: receiving gossip from
-//! peers, choosing an engine, and keeping where streams began.
+//! peers, choosing an engine, keeping where streams began, and suspecting parts of prompts.
 
 use std::hint::black_box;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::time::Instant;
 
+use coursestile::fingerprint::Fingerprint;
 use coursestile::gateway::decisions::admission::AdmissionCriteria;
 use coursestile::gateway::decisions::cache_reports::{CacheChange, CacheListing, CachedPart};
 use coursestile::gateway::decisions::candidates::Candidates;
@@ -13,7 +14,9 @@
 use coursestile::gateway::decisions::configuration::{EngineSpec, Store};
 use coursestile::gateway::decisions::context::scope;
 use coursestile::gateway::decisions::demand::Demand;
-use coursestile::gateway::decisions::gossip_message::{Gossip, LoadChanges, LoadReport};
+use coursestile::gateway::decisions::gossip_message::{
+    Gossip, LoadChanges, LoadReport, PartReports,
+};
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::regions::AllowedHalls;
@@ -25,6 +28,8 @@
 use coursestile::gateway::decisions::upstreams::Upstreams;
 use coursestile::gateway::decisions::view::ViewDigest;
 use coursestile::gateway::gossip::Datagram;
+use coursestile::part_key::PartKey;
+use coursestile::suspect_parts::{CrashedRun, PartReport, SuspectParts};
 
 use crate::figures::ratio;
 
@@ -47,6 +52,8 @@
 /// Service of all engines.
 const SERVICE: &str = "llm";
 
+/// Numbers of suspect parts, and of the crashes of each.
+const SUSPECT_PARTS: [(u64, u32); 5] = [(8, 1), (512, 1), (512, 3), (4096, 1), (4096, 5)];
 /// Streams that a box keeps when their number is measured.
 const KEPT_STREAMS: [u64; 3] = [100, 1000, 65_536];
 
@@ -86,9 +93,76 @@
     }
     print_stream_keepers();
     print_kept_streams();
+    print_suspect_parts();
     ExitCode::SUCCESS
 }
 
+/// Prints what suspecting parts costs, by their number and by that of the crashes of each.
+fn print_suspect_parts() {
+    println!();
+    println!(
+        "| suspect parts | crashes of each | bytes of a report of 32, of one message to announce | request without a suspect part, us | with one, us | record an answer, us | record a crash of 8 parts, us | merge that report, us |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (parts, crashes) in SUSPECT_PARTS {
+        let mut known = SuspectParts::default();
+        let keys: Vec<PartKey> = (0..parts).map(PartKey).collect();
+        for crash in 0..crashes {
+            let run = crashed_run(&keys, crash, 1000 * u64::from(crash));
+            known.record_crash(run.at_ms, &run);
+        }
+        // Requests with this part are compared with all others.
+        for crash in crashes..crashes + 2 {
+            let run = crashed_run(&keys[..1], crash, 1000 * u64::from(crash));
+            known.record_crash(run.at_ms, &run);
+        }
+        let now_ms = 1000 * u64::from(crashes + 1);
+        let reports: Vec<PartReport> =
+            known.reports_of(now_ms, &keys[..32.min(keys.len())]).into_iter().flatten().collect();
+        let announced = known.reports_to_announce(now_ms);
+        let bytes = |reports: &[PartReport]| {
+            let reports = PartReports { number: Some(u64::MAX), reports: reports.to_vec() };
+            encoded_bytes(&Datagram::PartReports(reports))
+        };
+        let sound: Vec<PartKey> = (1_000_000..1_000_004).map(PartKey).collect();
+        let mixed = [sound[0], sound[1], PartKey(0), sound[2]];
+        let verdict_us = |parts: &[PartKey]| {
+            mean_us(|_| {
+                black_box(known.verdict(now_ms, 1, black_box(parts), 0));
+            })
+        };
+        let (sound_us, mixed_us) = (verdict_us(&sound), verdict_us(&mixed));
+        let answered_us = mean_us(|_| {
+            black_box(known.record_answer(now_ms, &sound));
+        });
+        let merged_us = mean_us(|_| {
+            black_box(known.merge_reports(now_ms, &reports));
+        });
+        let crash_us = mean_us(|iteration| {
+            let first = 2_000_000 + 8 * u64::from(iteration);
+            let keys: Vec<PartKey> = (first..first + 8).map(PartKey).collect();
+            known.record_crash(now_ms, &crashed_run(&keys, u32::MAX - iteration, now_ms));
+        });
+        println!(
+            "| {parts} | {crashes} | {}, {} | {sound_us:.2} | {mixed_us:.2} | {answered_us:.2} | {crash_us:.2} | {merged_us:.2} |",
+            bytes(&reports),
+            bytes(&announced)
+        );
+    }
+}
+
+fn crashed_run(parts: &[PartKey], crash: u32, at_ms: u64) -> CrashedRun<'_> {
+    CrashedRun {
+        request: Fingerprint(u64::MAX - u64::from(crash)),
+        account: u32::MAX,
+        parts,
+        incarnation_id: crash.wrapping_mul(0x9e37_79b9),
+        sent_at_ms: at_ms.saturating_sub(100),
+        at_ms,
+        written_ms: 50,
+    }
+}
+
 /// Prints whom a box tells where a stream begins, and whom it asks, as the fleet grows.
 fn print_stream_keepers() {
     println!();
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -115,7 +115,7 @@
             written_ms: 0,
         };
         for part in locked(&kernel.crashes.suspect_parts).record_crash(now_ms, &run) {
-            info!(target: "crashes", "Prompts with part {:016x} crash upstreams: quarantined.", part.0);
+            info!(target: "crashes", "Prompts with part {part} crash upstreams: quarantined.");
         }
         report_crash(&kernel, &content).await;
     });
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -94,14 +94,23 @@
             && line.field("request").is_none()
             && (is_box_event || is_of_upstream)
     });
-    // A request may be quarantined because of crashes long before, under other request ids.
+    // A request or a part may be quarantined because of crashes long before, under other request ids.
     let fingerprint_lines = lines.iter().filter(|line| {
         let has_fingerprint =
             line.field("fingerprint").is_some_and(|fingerprint| fingerprints.contains(fingerprint));
         has_fingerprint && line.field("request").is_none() && line.time_ms <= to_ms
     });
-    let mut timeline: Vec<&LogLine> =
-        request_lines.iter().copied().chain(box_lines).chain(fingerprint_lines).collect();
+    let parts: BTreeSet<&str> =
+        request_lines.iter().filter_map(|line| line.field("part")).collect();
+    let part_lines = lines.iter().filter(|line| {
+        let named = ["part", "parts"].into_iter().filter_map(|name| line.field(name));
+        let mut named = named.flat_map(|names| names.split(','));
+        named.any(|part| parts.contains(part))
+            && line.field("request").is_none()
+            && line.time_ms <= to_ms
+    });
+    let of_others = box_lines.chain(fingerprint_lines).chain(part_lines);
+    let mut timeline: Vec<&LogLine> = request_lines.iter().copied().chain(of_others).collect();
     timeline.sort_by_key(|line| (line.time_ms, line.number));
     timeline.dedup_by_key(|line| line.number);
     timeline
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -10,6 +10,7 @@
 //! A crash also closes connections on which the end of the response is marked by nothing else
 //! ([`confirm_end`]).
 
+use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -43,6 +44,8 @@
 
 /// Longest time for which a request waits for the report of its abort, including earlier reports.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of parts that are logged of one crash.
+const MAX_LOGGED_PARTS: usize = 32;
 /// Time limit for the acknowledgements of a report: several round trips between halls.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -211,7 +214,8 @@
 ) {
     let merged = gateway.state().suspect_parts.merge_reports(now_ms(), &message.reports);
     if !merged.quarantined.is_empty() || !merged.cleared.is_empty() {
-        log_parts(&merged.quarantined, &merged.cleared);
+        log_quarantined_parts(&merged.quarantined);
+        log_cleared_parts(&merged.cleared, "peer");
         // In a large fleet, other boxes learn of it only from this box.
         gateway.gossip_now.notify_one();
         gateway.quarantine_changed.notify_waiters();
@@ -221,16 +225,19 @@
     }
 }
 
-fn log_parts(quarantined: &[PartKey], cleared: &[PartKey]) {
-    for part in quarantined {
-        info!(target: "crashes", "event=part_quarantined part={:016x}", part.0);
+fn log_quarantined_parts(parts: &[PartKey]) {
+    for part in parts {
+        info!(target: "crashes", "event=part_quarantined part={part}");
+        metrics::counter!("coursestile_parts_quarantined_total").increment(1);
     }
-    for part in cleared {
-        info!(target: "crashes", "event=part_cleared part={:016x}", part.0);
+}
+
+/// Logs parts that were cleared, and by what: the fingerprint of a request, or a peer.
+fn log_cleared_parts(parts: &[PartKey], by: &str) {
+    for part in parts {
+        info!(target: "crashes", "event=part_cleared part={part} by={by}");
+        metrics::counter!("coursestile_parts_cleared_total").increment(1);
     }
-    let count = |parts: &[PartKey]| u64::try_from(parts.len()).unwrap_or(u64::MAX);
-    metrics::counter!("coursestile_parts_quarantined_total").increment(count(quarantined));
-    metrics::counter!("coursestile_parts_cleared_total").increment(count(cleared));
 }
 
 /// Records that a peer has acknowledged a report.
@@ -311,12 +318,20 @@
         quarantined.extend(state.suspect_parts.record_crash(now_ms, &crashed));
     }
     drop(state);
-    log_parts(&quarantined, &[]);
+    let parts: BTreeSet<PartKey> =
+        runs.iter().flat_map(|run| run.content.parts.iter().copied()).collect();
+    if !parts.is_empty() {
+        let logged: Vec<String> =
+            parts.iter().take(MAX_LOGGED_PARTS).map(PartKey::to_string).collect();
+        info!(target: "crashes", "event=parts_accused upstream={} incarnation={:08x} count={} parts={}",
+            upstream.id, upstream.short_id(), parts.len(), logged.join(","));
+    }
+    log_quarantined_parts(&quarantined);
     if is_urgent || !quarantined.is_empty() {
         gateway.gossip_now.notify_one();
         gateway.quarantine_changed.notify_waiters();
     }
-    runs.iter().flat_map(|run| run.content.parts.iter().copied()).collect()
+    parts.into_iter().collect()
 }
 
 /// Whether a response that has ended is complete, as far as can be known, and thus answers its
@@ -391,7 +406,7 @@
     if clears_request {
         info!(target: "crashes", "event=suspect_answered fingerprint={}", content.fingerprint);
     }
-    announce_cleared(gateway, clears_request, &cleared);
+    announce_cleared(gateway, content, clears_request, &cleared);
 }
 
 /// Records for how long an upstream has been writing an answer that goes on.
@@ -399,14 +414,20 @@
     if written_ms < MIN_SOUND_RUN_MS || request.content.parts.is_empty() {
         return;
     }
-    let parts = &request.content.parts;
-    let cleared = gateway.state().suspect_parts.record_progress(now_ms(), parts, written_ms);
-    announce_cleared(gateway, false, &cleared);
+    let content = &request.content;
+    let cleared =
+        gateway.state().suspect_parts.record_progress(now_ms(), &content.parts, written_ms);
+    announce_cleared(gateway, content, false, &cleared);
 }
 
-fn announce_cleared(gateway: &Gateway, clears_request: bool, parts: &[PartKey]) {
+fn announce_cleared(
+    gateway: &Gateway,
+    content: &RequestContent,
+    clears_request: bool,
+    parts: &[PartKey],
+) {
     if clears_request || !parts.is_empty() {
-        log_parts(&[], parts);
+        log_cleared_parts(parts, &content.fingerprint.to_string());
         gateway.gossip_now.notify_one();
         gateway.quarantine_changed.notify_waiters();
     }
--- a/src/gateway/trials.rs
+++ b/src/gateway/trials.rs
@@ -179,8 +179,8 @@
         permission = Permission::Waited;
         match ask(gateway, part).await {
             TrialOutcome::Granted(trial) => {
-                info!(target: "crashes", "event=part_tried request={} part={:016x}",
-                    request.outgoing.request_id, part.0);
+                info!(target: "crashes", "event=part_tried request={} part={part}",
+                    request.outgoing.request_id);
                 request.outgoing.trial = Some(Arc::new(trial));
                 return Ok(permission);
             }
@@ -272,6 +272,6 @@
     let crashed: Vec<String> =
         state.suspect_parts.crashed(part).iter().map(|id| format!("{id:08x}")).collect();
     info!(target: "crashes",
-        "event=part_withheld request={} part_id={} part={:016x} crashes={} left_ms={left_ms}",
-        request.outgoing.request_id, id.map_or("-", |id| id), part.0, crashed.join(","));
+        "event=part_withheld request={} part_id={} part={part} crashes={} left_ms={left_ms}",
+        request.outgoing.request_id, id.map_or("-", |id| id), crashed.join(","));
 }
--- a/src/part_key.rs
+++ b/src/part_key.rs
@@ -1,5 +1,7 @@
 //! Identity of a part of a prompt, the same in every box.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Hash that identifies a part within a scope. If the hashes of two parts of cached context collide,
@@ -29,3 +31,9 @@
         (f64::from(upper) + 1.0) / (f64::from(u32::MAX) + 1.0)
     }
 }
+
+impl fmt::Display for PartKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/tests/explaining.rs
+++ b/tests/explaining.rs
@@ -57,6 +57,25 @@
     assert_eq!(request_timeline(&[line_of_other_request, line.clone()], "r-1"), [&line]);
 }
 
+/// Those that say which crashes accuse a part, and what cleared it, are found by the part.
+#[test]
+fn part_told() {
+    let parse = |number, text: &str| {
+        LogLine::parse(number, "a", &format!("2026-12-02T14:1{number}:00.000Z INFO {text}"))
+            .unwrap()
+    };
+    let lines = [
+        parse(0, "crashes: event=parts_accused upstream=i-1 incarnation=00000001 parts=0a,0b"),
+        parse(1, "crashes: event=parts_accused upstream=i-2 incarnation=00000002 parts=0c"),
+        parse(2, "crashes: event=part_quarantined part=0b"),
+        parse(3, "crashes: event=part_withheld request=r-1 part_id=dead part=0b crashes=00000001"),
+        parse(4, "crashes: event=part_withheld request=r-2 part_id=dead part=0b crashes=00000001"),
+        parse(5, "serve: event=refused request=r-1 status=503"),
+    ];
+    let told = [&lines[0], &lines[2], &lines[3], &lines[5]];
+    assert_eq!(request_timeline(&lines, "r-1"), told);
+}
+
 /// The log lines that say why a request is quarantined do not name it: they are found by its
 /// fingerprint.
 #[test]
