Rate limits: one box issues the permits for an upstream that names one

Cause: no box read the limit. What the record shows beside that: nine of ten requests to such an upstream come from one box, and the limit is a request a second, so that equal parts of it would be useless.

Change: each answer to a request sets, changes or ends the limit of the incarnation that sent it. What is known is numbered, so that an answer that was sent before the present limit was known cannot raise it, and neither can an old message of a frozen or restarted box. Changes are told at once, and with the gossip. To send to such an upstream a box needs a permit; a box of the upstream's hall, found by rendezvous hashing, issues them from a token bucket, empty at first. Every send passes the same gate (`InFlight::begin`). While there is none, other upstreams are chosen; if there are no others, the request is refused at once.

Why it works: one counter for all boxes, which goes on without a burst after a restart or a change of the issuer; whoever has the work asks.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -338,6 +338,7 @@
         max_connections: 200,
         boxes: 1,
         brittle: None,
+        may_ask_for_permits: true,
         admission: AdmissionCriteria {
             higher_priority_ranks: 1,
             objective_ms: 500,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -173,7 +173,9 @@
     let Some(address) = gateway.state().upstreams.incarnation_address(&choice.upstream) else {
         return AttemptOutcome::NotSent { cause: "the upstream is no longer listed".to_owned() };
     };
-    let mut in_flight = InFlight::begin(gateway, choice);
+    let Some(mut in_flight) = InFlight::begin(gateway, choice) else {
+        return AttemptOutcome::NotSent { cause: "no permit within its rate limit".to_owned() };
+    };
     let deadline = instant_at(outgoing.deadline_ms);
     let connecting = paths::connect(gateway, &choice.upstream.id, address, outgoing.retry_policy);
     let mut connection = match timeout_at(deadline, connecting).await {
@@ -250,7 +252,11 @@
             response_head.rate_limit);
     }
     let is_own = response_head.request_id.as_deref() == Some(outgoing.request_id.as_str());
-    if response_head.not_run && (is_own || response_head.request_id.is_none()) {
+    let is_rejection = response_head.not_run && response_head.request_id.is_none();
+    if is_own || is_rejection {
+        in_flight.record_rate_limit(&response_head);
+    }
+    if response_head.not_run && (is_own || is_rejection) {
         let cause = not_run_cause(parts.status, &response_head, &in_flight.upstream.id);
         match cause {
             NotRunCause::OtherIncarnation => in_flight.record_superseded(),
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -8,9 +8,10 @@
 use crate::gateway::decisions::candidates::{CandidateSampler, Candidates};
 use crate::gateway::decisions::configuration::EngineSpec;
 use crate::gateway::decisions::context::ContextPlan;
-use crate::gateway::decisions::demand::{Demand, Resumption};
+use crate::gateway::decisions::demand::Demand;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::rate_limit::Sending;
 use crate::gateway::decisions::sources::{Lookup, RECOMPUTE_WEIGHT};
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::units::PREFILL_TOKENS_PER_MS;
@@ -99,13 +100,8 @@
     let is_usable = |upstream: &&Upstream| {
         !upstreams.is_evacuated(upstream) && is_usable(now_ms, upstream, demand)
     };
-    let usable: Vec<&Upstream> = match demand.resumption {
-        None => upstreams.of_service(demand.service).filter(is_usable).collect(),
-        Some(Resumption { software, leaving_apply_ms }) => upstreams
-            .resuming(now_ms, demand.service, software, leaving_apply_ms)
-            .filter(is_usable)
-            .collect(),
-    };
+    let eligible = upstreams.eligible(now_ms, demand.service, demand.resumption);
+    let usable: Vec<&Upstream> = eligible.filter(is_usable).collect();
     let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
     let best = match demand.candidates {
         Candidates::All => chooser.best(&usable),
@@ -131,6 +127,14 @@
     if upstream.requested_backoff_until_ms(now_ms).is_some() {
         return false;
     }
+    let may_send = match upstream.rate_limit.sending(now_ms) {
+        Sending::Permitted => true,
+        Sending::ToBeAsked => demand.may_ask_for_permits,
+        Sending::Asked | Sending::DeniedUntil(_) => false,
+    };
+    if !may_send {
+        return false;
+    }
     // Requests must not start on overdue weights even if no other engine is left.
     let version = demand.prompt.map_or(0, |prompt| upstream.weight_version(&prompt.model));
     !(demand.excludes_overdue && demand.is_overdue(now_ms, version))
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -62,6 +62,8 @@
     pub boxes: u32,
     /// Limit for upstreams of the service that are brittle; `None` if they are not.
     pub brittle: Option<BrittleLimit<'a>>,
+    /// Whether there is time to ask for a permit to send to an upstream with a rate limit.
+    pub may_ask_for_permits: bool,
     /// Decides whether an engine has capacity for the request.
     pub admission: AdmissionCriteria,
     /// Time by which the latency objective requires the first token.
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::decisions::admission::LimitReport;
+use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::ViewDigest;
 use crate::quarantine::{AbortReport, AnswerReport, CrashReport};
@@ -62,6 +63,8 @@
     /// Services whose upstreams are brittle by answers to the sender: short id of the service, and
     /// requests that each upstream may reject within a second.
     pub brittle_services: Vec<(u32, u64)>,
+    /// Rate limits that upstreams have named: their short ids, and what is known.
+    pub rate_limits: Vec<(u32, RateLimit)>,
     /// The upstreams' clock at the time of sending, if the sender knows it.
     pub upstream_clock_ms: Option<u64>,
     /// Weight versions that engines have loaded: engine, model, version.
@@ -96,6 +99,7 @@
             missed_upstreams: self.missed_upstreams,
             limits: self.limits.clone(),
             brittle_services: self.brittle_services.clone(),
+            rate_limits: self.rate_limits.clone(),
             crashes: self.crashes.clone(),
             answers: self.answers.clone(),
             ..Self::default()
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -41,6 +41,7 @@
 pub mod notice;
 pub mod orders;
 pub mod peers;
+pub mod permits;
 pub mod prompt;
 pub mod rate_limit;
 pub mod reach;
--- a/src/gateway/decisions/notice.rs
+++ b/src/gateway/decisions/notice.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_incarnation};
+use crate::gateway::decisions::rate_limit::RateLimit;
 
 /// Upper limit of the back-off that an upstream can ask for.
 const MAX_BACKOFF_MS: u64 = 600_000;
@@ -65,30 +66,42 @@
 struct RetainedNotices {
     upstream: Incarnation,
     notices: NoticeState,
+    rate_limit: RateLimit,
     expires_at_ms: u64,
 }
 
 impl UnlistedNotices {
-    /// Remembers notices of an incarnation that is not listed, together with earlier ones.
-    pub fn insert(&mut self, now_ms: u64, upstream: &Incarnation, mut notices: NoticeState) {
+    /// Remembers notices of an incarnation that is not listed, together with earlier ones, and its
+    /// rate limit.
+    pub fn insert(
+        &mut self,
+        now_ms: u64,
+        upstream: &Incarnation,
+        mut notices: NoticeState,
+        rate_limit: RateLimit,
+    ) {
         self.by_id.retain(|_, retained| now_ms < retained.expires_at_ms);
-        notices.merge(self.remove(upstream));
-        if notices != NoticeState::default() {
+        let (earlier_notices, earlier_limit) = self.remove(upstream);
+        notices.merge(earlier_notices);
+        let rate_limit = rate_limit.newer(earlier_limit);
+        if notices != NoticeState::default() || rate_limit != RateLimit::default() {
             let retained = RetainedNotices {
                 upstream: upstream.clone(),
                 notices,
+                rate_limit,
                 expires_at_ms: now_ms + RETENTION_MS,
             };
             self.by_id.insert(upstream.id.clone(), retained);
         }
     }
 
-    /// Removes and returns the notices remembered for an incarnation that is listed again.
-    pub fn remove(&mut self, upstream: &Incarnation) -> NoticeState {
+    /// Removes and returns the notices and the rate limit remembered for an incarnation that is
+    /// listed again.
+    pub fn remove(&mut self, upstream: &Incarnation) -> (NoticeState, RateLimit) {
         let retained = self.by_id.remove(&upstream.id);
         let same_incarnation = retained.filter(|retained| {
             !is_other_incarnation(retained.upstream.started_at_ms, upstream.started_at_ms)
         });
-        same_incarnation.map(|retained| retained.notices).unwrap_or_default()
+        same_incarnation.map(|retained| (retained.notices, retained.rate_limit)).unwrap_or_default()
     }
 }
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -7,6 +7,7 @@
 
 mod hall_rank;
 mod halls;
+mod permit_issuer;
 mod roles;
 mod stream_keepers;
 mod sums;
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -17,6 +17,7 @@
 use crate::gateway::decisions::cold_start::ColdState;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_incarnation};
 use crate::gateway::decisions::notice::NoticeState;
+use crate::gateway::decisions::rate_limit::{LimitState, Sending};
 use crate::names::short_id;
 
 /// Time for which an upstream is avoided after its first failure.
@@ -102,6 +103,8 @@
     pub cold: ColdState,
     /// Requests of this box that it has rejected, or may reject.
     pub rejections: RecentRejections,
+    /// How many requests it takes from all boxes together.
+    pub rate_limit: LimitState,
     /// Start of its incarnation according to the newest report.
     started_at_ms: Option<u64>,
     /// When its entry changed to leaving, if this box saw it change.
@@ -148,6 +151,7 @@
             contents: CacheContents::default(),
             cold,
             rejections: RecentRejections::default(),
+            rate_limit: LimitState::default(),
             observed_versions: HashMap::new(),
             avoid_until_ms: 0,
             avoid_ms: FIRST_AVOID_MS,
@@ -376,6 +380,18 @@
             && self.backoff_until_ms(now_ms).is_none()
             && !self.is_loading(now_ms)
             && !self.cold.is_cold(now_ms)
+            && !self.rate_limit.is_told(now_ms)
+    }
+
+    /// Until when this box is known to have no leave to send it requests: because it asked for a
+    /// back-off, or has named a rate limit within which there is no permit. `None` if it may have.
+    #[must_use]
+    pub fn closed_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let denied_until_ms = match self.rate_limit.sending(now_ms) {
+            Sending::DeniedUntil(until_ms) => Some(until_ms),
+            Sending::Permitted | Sending::ToBeAsked | Sending::Asked => None,
+        };
+        denied_until_ms.max(self.requested_backoff_until_ms(now_ms))
     }
 
     /// Time since bytes last arrived from it, at most [`u16::MAX`].
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -11,8 +11,10 @@
 
 use slab::Slab;
 
+use crate::gateway::decisions::demand::Resumption;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
+use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::software_history::{SoftwareHistory, StoredVersions};
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
 use crate::names::short_id;
@@ -41,7 +43,9 @@
     pub fn upsert(&mut self, now_ms: u64, id: &str, entry: UpstreamEntry) -> ReportedIncarnation {
         let Some(position) = self.by_id.get(id).copied() else {
             let mut upstream = Upstream::new(now_ms, id, entry);
-            upstream.apply_notices(self.unlisted.remove(&upstream.incarnation()));
+            let (notices, rate_limit) = self.unlisted.remove(&upstream.incarnation());
+            upstream.apply_notices(notices);
+            upstream.rate_limit.merge(now_ms, rate_limit);
             let position = self.slab.insert(upstream);
             self.by_id.insert(id.to_owned(), position);
             self.active.insert(position);
@@ -190,7 +194,8 @@
             let upstream = self.slab.remove(position);
             let service = short_id(&upstream.entry.service);
             self.software_history.record_gone(now_ms, service, upstream.software);
-            self.unlisted.insert(now_ms, &upstream.incarnation(), upstream.notices());
+            let limit = upstream.rate_limit.limit();
+            self.unlisted.insert(now_ms, &upstream.incarnation(), upstream.notices(), limit);
             self.active.remove(&position);
             self.remove_short_id(position, upstream.short_id);
         }
@@ -274,7 +279,7 @@
     /// Adds notices from an answer of an incarnation of an upstream.
     pub fn apply_notices(&mut self, now_ms: u64, upstream: &Incarnation, notices: NoticeState) {
         let Some(position) = self.by_id.get(&upstream.id).copied() else {
-            self.unlisted.insert(now_ms, upstream, notices);
+            self.unlisted.insert(now_ms, upstream, notices, RateLimit::default());
             return;
         };
         let known = &mut self.slab[position];
@@ -284,21 +289,54 @@
         }
     }
 
-    /// When the first upstream of a service that is not in `tried` accepts requests from this box
-    /// again. `None` if one accepts them now, or there is none.
+    /// When this box may send to the first upstream again that may get a request and is not in `tried`.
+    /// `None` if it may now, or does not know when, or there is none.
     #[must_use]
-    pub fn all_backoff_until_ms(
+    pub fn all_closed_until_ms(
         &self,
         now_ms: u64,
         service: &str,
+        resumption: Option<Resumption>,
         tried: &[Incarnation],
     ) -> Option<u64> {
-        let untried = self.of_service(service).filter(|upstream| {
+        let untried = self.eligible(now_ms, service, resumption).filter(|upstream| {
             !tried.iter().any(|incarnation| upstream.is_incarnation(incarnation))
         });
-        let backoffs: Option<Vec<u64>> =
-            untried.map(|upstream| upstream.requested_backoff_until_ms(now_ms)).collect();
-        backoffs?.into_iter().min()
+        let closed: Option<Vec<u64>> =
+            untried.map(|upstream| upstream.closed_until_ms(now_ms)).collect();
+        closed?.into_iter().min()
+    }
+
+    /// The upstreams that may get a request: those of a service, or those that may resume its stream.
+    #[must_use]
+    pub fn eligible<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+        resumption: Option<Resumption>,
+    ) -> Box<dyn Iterator<Item = &'a Upstream> + 'a> {
+        match resumption {
+            None => Box::new(self.of_service(service)),
+            Some(Resumption { software, leaving_apply_ms }) => {
+                Box::new(self.resuming(now_ms, service, software, leaving_apply_ms))
+            }
+        }
+    }
+
+    /// Whether an upstream of a service has a rate limit.
+    #[must_use]
+    pub fn is_any_limited(&self, service: &str) -> bool {
+        self.of_service(service).any(|upstream| upstream.rate_limit.limit().rate.is_some())
+    }
+
+    /// Records a request that was refused although upstreams of its service might have taken it
+    /// within their rate limits.
+    pub fn record_unmet(&mut self, now_ms: u64, service: &str) {
+        self.update_active(|upstream| {
+            if upstream.entry.service == service {
+                upstream.rate_limit.record_unmet(now_ms);
+            }
+        });
     }
 
     /// The upstreams of a service that are not superseded or about to leave.
@@ -308,7 +346,7 @@
     }
 
     /// The upstreams that may resume streams of a service: those of `software`, also while they leave.
-    pub fn resuming<'a>(
+    fn resuming<'a>(
         &'a self,
         now_ms: u64,
         service: &'a str,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,13 +21,15 @@
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::notice::NoticeState;
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, GossipScope};
+use crate::gateway::decisions::permits::{PermitAnswer, PermitQuery};
+use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::stream_origins::{OriginAnswer, OriginQuery, OriginReport};
 use crate::gateway::decisions::trials::{TrialAnswer, TrialQuery};
 use crate::gateway::decisions::weights::NamedVersion;
 use crate::gateway::kernel::{Gateway, ObservedVersion, State};
 use crate::gateway::leader_calls::{DelegatedCall, DelegatedReply, execute_for_peer};
 use crate::gateway::weight_loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
-use crate::gateway::{crashes, origins, quarantine, trials};
+use crate::gateway::{crashes, origins, quarantine, rate_limits, trials};
 use crate::names::short_id;
 
 /// Maximum length of a datagram that is read.
@@ -37,6 +39,8 @@
 /// Boxes return to an upstream that has rejected requests at different times within this window: if
 /// it still rejects requests, the first box to return finds out and informs the others.
 const RETURN_SPREAD_MS: u64 = 500;
+/// Most rate limits in one message, so that it fits a datagram.
+const MAX_RATE_LIMITS: usize = 64;
 /// Pause after a socket error, so that a persistent error does not cause a busy loop.
 const SOCKET_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
@@ -78,6 +82,12 @@
     TrialAnswer(TrialAnswer),
     /// The end of a trial that was granted.
     TrialEnd(TrialQuery),
+    /// Rate limits that have changed: short ids of the upstreams, and what is known.
+    RateLimits(Vec<(u32, RateLimit)>),
+    /// A question for permits to send to an upstream with a rate limit.
+    PermitQuery(PermitQuery),
+    /// The answer to a [`PermitQuery`].
+    PermitAnswer(PermitAnswer),
 }
 
 /// Sends gossip to peers, a few times a second and whenever something urgent changes.
@@ -242,6 +252,7 @@
             .reports(now_ms)
             .map(|(service, max_rejections)| (short_id(service), max_rejections))
             .collect(),
+        rate_limits: rate_limits(state, now_ms),
         upstream_clock_ms: state
             .upstream_clock_offset_ms
             .and_then(|ahead_ms| now_ms.checked_add_signed(ahead_ms)),
@@ -294,6 +305,18 @@
     backoffs.collect()
 }
 
+/// Limits of upstreams that are in force or have just ended, in turn if there are many.
+fn rate_limits(state: &State, now_ms: u64) -> Vec<(u32, RateLimit)> {
+    let told = state.upstreams.active().filter(|upstream| upstream.rate_limit.is_told(now_ms));
+    let told = told.map(|upstream| (upstream.short_id, upstream.rate_limit.limit()));
+    let count = told.clone().count();
+    if count <= MAX_RATE_LIMITS {
+        return told.collect();
+    }
+    let start = usize::try_from(now_ms / GOSSIP_PERIOD_MS).unwrap_or_default() * MAX_RATE_LIMITS;
+    told.cycle().skip(start % count).take(MAX_RATE_LIMITS).collect()
+}
+
 /// Engines that load weights, with the remaining time: those that this box has ordered to, and
 /// on a bridge also those that it has learned of by gossip.
 fn loading_engines(state: &State, now_ms: u64) -> Vec<(u32, u16)> {
@@ -398,8 +421,19 @@
             Ok(Datagram::TrialQuery(query)) => {
                 trials::answer(&gateway, &socket, from, query).await;
             }
-            Ok(Datagram::TrialAnswer(answer)) => gateway.trial_queries.receive_answer(answer),
+            Ok(Datagram::TrialAnswer(answer)) => {
+                gateway.trial_queries.receive_answer(answer.number, answer.is_granted);
+            }
             Ok(Datagram::TrialEnd(query)) => trials::end(&gateway, from, query),
+            Ok(Datagram::RateLimits(reports)) => {
+                rate_limits::merge_reports(&gateway, &mut gateway.state(), &reports);
+            }
+            Ok(Datagram::PermitQuery(query)) => {
+                rate_limits::answer(&gateway, &socket, from, query).await;
+            }
+            Ok(Datagram::PermitAnswer(answer)) => {
+                gateway.permit_queries.receive_answer(answer.number, answer);
+            }
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
             }
@@ -424,6 +458,7 @@
     apply_leaving(&mut state, &gossip.leaving);
     apply_backoffs(&mut state, now_ms, &gossip.backoffs);
     apply_brittle_services(&mut state, now_ms, &gossip.brittle_services);
+    rate_limits::merge_reports(gateway, &mut state, &gossip.rate_limits);
     apply_slowdowns(&mut state, now_ms, &gossip.slowdowns);
     let (crashes, answers) = (&gossip.crashes, &gossip.answers);
     quarantine::merge_peer_reports(gateway, &mut state, now_ms, crashes, answers);
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -18,8 +18,9 @@
 use crate::gateway::decisions::notice::{Notice, NoticeState};
 use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
 use crate::gateway::decisions::upstream::Upstream;
+use crate::gateway::heads::ResponseHead;
 use crate::gateway::kernel::{Gateway, State};
-use crate::gateway::silence;
+use crate::gateway::{rate_limits, silence};
 
 /// An upstream that rejects a request within this time did not queue it. It is a few round trips.
 const IMMEDIATE_REJECTION_MS: u64 = 100;
@@ -51,9 +52,10 @@
 }
 
 impl InFlight {
-    /// Begins to account for a request.
+    /// Begins to account for a request. `None` if the upstream has a rate limit and this box has no
+    /// permit: this is the only way to it.
     #[must_use]
-    pub fn begin(gateway: &Arc<Gateway>, choice: &Choice) -> Self {
+    pub fn begin(gateway: &Arc<Gateway>, choice: &Choice) -> Option<Self> {
         let context = choice.context.as_ref();
         let pending_prefill_tokens = context.map_or(0, |plan| plan.prefill_tokens);
         let planned_fetches = context.map(ContextPlan::store_fetches).unwrap_or_default();
@@ -68,6 +70,9 @@
             pending_prefill_tokens >= LONG_PROMPT_TOKENS && state.peers.news_pace() == Pace::Prompt;
         let State { upstreams, brittle, .. } = &mut *state;
         if let Some(upstream) = upstreams.get_incarnation_mut(&choice.upstream) {
+            if !upstream.rate_limit.take_permit(begun_at_ms) {
+                return None;
+            }
             upstream.record_sent(begun_at_ms, pending_prefill_tokens, choice.memory_tokens);
             is_urgent |= brittle.max_rejections(begun_at_ms, &upstream.entry.service).is_some();
         }
@@ -82,7 +87,7 @@
         if is_urgent {
             gateway.load_changed.notify_one();
         }
-        Self {
+        Some(Self {
             gateway: gateway.clone(),
             upstream: choice.upstream.clone(),
             pending_prefill_tokens,
@@ -95,7 +100,7 @@
             objective_at_ms: choice
                 .objective_at_ms
                 .filter(|_| choice.occupancy == Occupancy::NearlyFull),
-        }
+        })
     }
 
     /// Records the connection on which the request is sent.
@@ -279,6 +284,16 @@
         }
     }
 
+    /// Records what a response to this request says of the upstream's rate limit. That of another
+    /// incarnation says nothing of it.
+    pub fn record_rate_limit(&self, response: &ResponseHead) {
+        let is_other = response.upstream_id.as_ref().is_some_and(|id| *id != self.upstream.id);
+        if !is_other {
+            let named = response.rate_limit;
+            rate_limits::record_answer(&self.gateway, &self.upstream, self.begun_at_ms, named);
+        }
+    }
+
     /// Applies a notice of the upstream, and gossips it.
     pub fn apply_notice(&self, notice: Notice) {
         let now_ms = now_ms();
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -24,6 +24,7 @@
 use crate::gateway::decisions::gossip_message::MetadataStoreStatus;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::peers::{LocalBox, Peers};
+use crate::gateway::decisions::permits::{PermitAnswer, PermitBuckets};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::shedding::Shedding;
 use crate::gateway::decisions::stores::Stores;
@@ -36,10 +37,10 @@
 use crate::gateway::follow_metadata;
 use crate::gateway::leader_calls::DelegatedReply;
 use crate::gateway::leadership::Leadership;
+use crate::gateway::open_queries::OpenQueries;
 use crate::gateway::origins::OriginQueries;
 use crate::gateway::peer_traffic::PeerTraffic;
 use crate::gateway::settings::{Bounds, Settings};
-use crate::gateway::trials::TrialQueries;
 use crate::names::short_id;
 use crate::part_key::PartKey;
 use crate::platform::caches::CacheClient;
@@ -85,6 +86,8 @@
     pub reach: Reach,
     /// Services whose upstreams are brittle.
     pub brittle: BrittleServices,
+    /// Permits that this box issues to send to upstreams with a rate limit.
+    pub permit_buckets: PermitBuckets,
     /// Where streams began.
     pub stream_origins: StreamOrigins,
     /// The other boxes of the fleet.
@@ -292,7 +295,9 @@
     /// Reports of parts of prompts under which upstreams crash.
     pub part_reports: CrashReports<PartKey>,
     /// Queries for trials of such parts.
-    pub trial_queries: TrialQueries,
+    pub trial_queries: OpenQueries<bool>,
+    /// Queries for permits to send to upstreams with a rate limit.
+    pub permit_queries: OpenQueries<PermitAnswer>,
     /// Queries for the origins of streams.
     pub origin_queries: OriginQueries,
     /// Socket for datagrams to peers, once it is bound.
@@ -334,6 +339,7 @@
             trials: Trials::default(),
             reach: Reach::default(),
             brittle: BrittleServices::default(),
+            permit_buckets: PermitBuckets::default(),
             stream_origins: StreamOrigins::default(),
             peers: Peers::new(local_box(&settings), &settings.seeds),
             follows_metadata: true,
@@ -380,7 +386,8 @@
             peer_traffic: PeerTraffic::default(),
             crash_reports: CrashReports::default(),
             part_reports: CrashReports::default(),
-            trial_queries: TrialQueries::default(),
+            trial_queries: OpenQueries::default(),
+            permit_queries: OpenQueries::default(),
             origin_queries: OriginQueries::default(),
             peer_socket: OnceLock::new(),
             versions_read: tokio::sync::Mutex::new(false),
--- a/src/gateway/peer_traffic.rs
+++ b/src/gateway/peer_traffic.rs
@@ -18,7 +18,7 @@
 const BUSY_DATAGRAMS: u64 = 1000;
 const BUSY_PROBES: u64 = 50;
 /// Kinds of datagrams, in the order of [`kind`].
-const KINDS: [&str; 10] = [
+const KINDS: [&str; 12] = [
     "gossip",
     "load_changes",
     "hall_summary",
@@ -29,6 +29,8 @@
     "origin_query",
     "parts",
     "trials",
+    "rate_limits",
+    "permits",
 ];
 
 /// Datagrams since the last look, by kind.
@@ -67,6 +69,8 @@
         Datagram::OriginQuery(_) | Datagram::OriginAnswer(_) => 7,
         Datagram::PartReports(_) => 8,
         Datagram::TrialQuery(_) | Datagram::TrialAnswer(_) | Datagram::TrialEnd(_) => 9,
+        Datagram::RateLimits(_) => 10,
+        Datagram::PermitQuery(_) | Datagram::PermitAnswer(_) => 11,
     }
 }
 
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -9,7 +9,7 @@
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::log_refusal;
 use crate::gateway::response::{self, ClientResponse, Reason};
-use crate::gateway::serve::lacks_software;
+use crate::gateway::serve::{lacks_software, resumption};
 use crate::names::short_id;
 
 /// Default retry delay for refused clients.
@@ -17,19 +17,30 @@
 
 /// The response if no upstream was found in time.
 pub fn no_upstream_found(gateway: &Gateway, request: &AdmittedRequest) -> ClientResponse {
-    let state = gateway.state();
-    let backoff_until_ms =
-        state.upstreams.all_backoff_until_ms(now_ms(), &request.service, &request.tried);
+    let mut state = gateway.state();
+    state.upstreams.record_unmet(now_ms(), &request.service);
+    let resumption = resumption(gateway, request);
+    let (now_ms, tried) = (now_ms(), &request.tried);
+    let closed_until_ms =
+        state.upstreams.all_closed_until_ms(now_ms, &request.service, resumption, tried);
     let has_upstreams = state.upstreams.of_service(&request.service).next().is_some();
+    let is_limited = state.upstreams.is_any_limited(&request.service);
     let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
     drop(state);
     let lacks_software = lacks_software(gateway, request);
-    match backoff_until_ms {
+    match closed_until_ms {
         _ if lacks_software => refuse(request, Reason::SoftwareGone),
         _ if are_all_evacuated => refuse(request, Reason::Evacuated),
         Some(until_ms) => {
-            let spread_ms = u64::from(short_id(&request.outgoing.request_id)) % RETRY_AFTER_MS;
-            refuse_until(request, Reason::UpstreamsFull, until_ms + spread_ms)
+            let seed = u64::from(short_id(&request.outgoing.request_id));
+            let remaining_ms = request.outgoing.deadline_ms.saturating_sub(now_ms);
+            let at_ms = if is_limited {
+                // As many come back as are refused, and the next permits are for few of them.
+                until_ms.max(now_ms + admission::retry_after_ms(seed, remaining_ms))
+            } else {
+                until_ms + seed % RETRY_AFTER_MS
+            };
+            refuse_until(request, Reason::UpstreamsFull, at_ms)
         }
         None if has_upstreams => refuse(request, Reason::UpstreamsFull),
         None => refuse(request, Reason::NoUpstream),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -33,7 +33,7 @@
 };
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::trials::Permission;
-use crate::gateway::{overdue_weights, quarantine, relay, silence, trials};
+use crate::gateway::{overdue_weights, quarantine, rate_limits, relay, silence, trials};
 use crate::names::short_id;
 use crate::platform::exchange;
 
@@ -47,7 +47,8 @@
 const MAX_UNDELIVERED: u32 = 4;
 /// No retry is made with less time than this before the deadline; it is a few round trips.
 const MIN_RETRY_TIME_MS: u64 = 20;
-/// How often a request that waits for an upstream looks again at cold and at brittle ones.
+/// How often a request that waits for an upstream looks again at cold and brittle ones, and at those with
+/// a rate limit.
 const RECHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Pause before an attempt that follows one without a response.
 const RETRY_PAUSE: Duration = Duration::from_millis(5);
@@ -132,9 +133,7 @@
         let Some(choice) = found else {
             return no_upstream_found(gateway, &request);
         };
-        // A stream that has begun is resumed late rather than not at all.
-        let may_refuse = !request.may_have_run && request.origin.is_none();
-        if choice.occupancy == Occupancy::Full && may_refuse {
+        if choice.occupancy == Occupancy::Full && may_refuse_if_full(&request) {
             return refuse_immediately(&request);
         }
         if is_known_unreachable(gateway, &choice) {
@@ -174,6 +173,12 @@
     }
 }
 
+/// Whether a request may be refused because all engines are full. A stream that has begun is resumed late
+/// rather than not at all.
+fn may_refuse_if_full(request: &AdmittedRequest) -> bool {
+    !request.may_have_run && request.origin.is_none()
+}
+
 /// Until when a request waits for the trial of another to end.
 fn trial_wait_until(request: &AdmittedRequest, from_ms: u64) -> Instant {
     instant_at(from_ms + request.route.latency_objective_ms / TRIAL_WAIT_DIVISOR)
@@ -296,20 +301,13 @@
 
 /// Number of upstreams that the request may be sent to and has not been sent to.
 fn count_untried(gateway: &Gateway, request: &AdmittedRequest) -> usize {
-    let state = gateway.state();
-    let is_untried = |upstream: &&Upstream| !request.has_tried(upstream);
-    match resumption(gateway, request) {
-        None => state.upstreams.of_service(&request.service).filter(is_untried).count(),
-        Some(Resumption { software, leaving_apply_ms }) => state
-            .upstreams
-            .resuming(now_ms(), &request.service, software, leaving_apply_ms)
-            .filter(is_untried)
-            .count(),
-    }
+    let (state, resumption) = (gateway.state(), resumption(gateway, request));
+    let eligible = state.upstreams.eligible(now_ms(), &request.service, resumption);
+    eligible.filter(|upstream| !request.has_tried(upstream)).count()
 }
 
 /// Which upstreams may resume the request's stream.
-fn resumption(gateway: &Gateway, request: &AdmittedRequest) -> Option<Resumption> {
+pub(super) fn resumption(gateway: &Gateway, request: &AdmittedRequest) -> Option<Resumption> {
     let leaving_apply_ms = gateway.settings.bounds.departure_apply_ms;
     request.origin.map(|origin| Resumption { software: origin.software, leaving_apply_ms })
 }
@@ -433,7 +431,7 @@
         if !trials::may_run(&state, now_ms(), request) {
             return None;
         }
-        choose_upstream(&mut state, gateway, request)?
+        choose_upstream(&mut state, gateway, request, false)?
     };
     if choice.expected_first_token_ms > max_ms || !take_retry(gateway, request) {
         return None;
@@ -450,8 +448,15 @@
 ) -> Option<Choice> {
     loop {
         let woken = gateway.capacity_changed.notified();
-        if let Some(choice) = choose_upstream(&mut gateway.state(), gateway, request) {
-            return Some(choice);
+        let may_ask = Instant::now() < until;
+        let choice = choose_upstream(&mut gateway.state(), gateway, request, may_ask);
+        if let Some(choice) = choice {
+            let is_refused = choice.occupancy == Occupancy::Full && may_refuse_if_full(request);
+            if is_refused || !rate_limits::needs_permit(gateway, &choice.upstream) {
+                return Some(choice);
+            }
+            rate_limits::ask(gateway, &choice.upstream).await;
+            continue;
         }
         if none_available_until(gateway, request, until) {
             return None;
@@ -459,21 +464,22 @@
         let recheck_at = Instant::now() + RECHECK_PERIOD;
         let wake_at = if needs_recheck(gateway, request) { until.min(recheck_at) } else { until };
         if timeout_at(wake_at, woken).await.is_err() && Instant::now() >= until {
-            return choose_upstream(&mut gateway.state(), gateway, request);
+            return choose_upstream(&mut gateway.state(), gateway, request, false);
         }
     }
 }
 
 /// Whether an upstream may get a request without anything that would wake one that waits: a cold or
-/// a brittle one.
+/// a brittle one, or one with a rate limit.
 fn needs_recheck(gateway: &Gateway, request: &AdmittedRequest) -> bool {
     let (state, now_ms) = (gateway.state(), now_ms());
     state.upstreams.is_any_cold(now_ms, &request.service)
         || state.brittle.max_rejections(now_ms, &request.service).is_some()
+        || state.upstreams.is_any_limited(&request.service)
 }
 
 /// Whether it is known that no upstream can take the request until `until`: all untried ones have
-/// asked for back-offs that end later, operators evacuate all halls of the service, or none can
+/// asked for back-offs that end later, or named rate limits that allow it later, operators evacuate all halls of the service, or none can
 /// resume the stream.
 fn none_available_until(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
     if lacks_software(gateway, request) {
@@ -483,9 +489,11 @@
     if state.upstreams.are_all_evacuated(&request.service) {
         return true;
     }
-    let backoff_until_ms =
-        state.upstreams.all_backoff_until_ms(now_ms(), &request.service, &request.tried);
-    backoff_until_ms.is_some_and(|backoff_until_ms| instant_at(backoff_until_ms) > until)
+    let resumption = resumption(gateway, request);
+    let (now_ms, tried) = (now_ms(), &request.tried);
+    let closed_until_ms =
+        state.upstreams.all_closed_until_ms(now_ms, &request.service, resumption, tried);
+    closed_until_ms.is_some_and(|closed_until_ms| instant_at(closed_until_ms) > until)
 }
 
 /// Whether no untried upstream has the software that began the request's stream.
@@ -493,11 +501,13 @@
     request.origin.is_some() && count_untried(gateway, request) == 0
 }
 
-/// Chooses the upstream for the request among those that can take it now.
+/// Chooses the upstream for the request among those that can take it now, or for which a permit may be
+/// asked.
 pub(super) fn choose_upstream(
     state: &mut State,
     gateway: &Gateway,
     request: &AdmittedRequest,
+    may_ask_for_permits: bool,
 ) -> Option<Choice> {
     let now_ms = now_ms();
     let boxes = u32::try_from(state.peers.live_boxes(now_ms)).unwrap_or(u32::MAX);
@@ -538,6 +548,7 @@
             let halls = gateway.settings.regions.len().max(state.upstreams.hall_count());
             BrittleLimit { max_rejections, halls, peers: &state.peers }
         }),
+        may_ask_for_permits,
         admission: AdmissionCriteria {
             higher_priority_ranks: configuration
                 .higher_priority_ranks(&request.service, request.route.priority),
--- a/src/gateway/silence.rs
+++ b/src/gateway/silence.rs
@@ -83,7 +83,7 @@
     if !trials::may_run(&state, now_ms, &request) {
         return None;
     }
-    let choice = choose_upstream(&mut state, gateway, &request)?;
+    let choice = choose_upstream(&mut state, gateway, &request, false)?;
     let unhealthy = state
         .upstreams
         .get_incarnation(&choice.upstream)
--- a/src/gateway/trials.rs
+++ b/src/gateway/trials.rs
@@ -1,14 +1,12 @@
 //! Withholds requests with parts under which upstreams crash, and lets those that may clear such a
 //! part run one at a time.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use log::info;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::clock::now_ms;
@@ -20,7 +18,6 @@
 use crate::gateway::response::Reason;
 use crate::part_key::PartKey;
 use crate::suspect_parts::Verdict;
-use crate::sync::locked;
 
 /// Boxes that are asked for a trial, one after the other, in case the owner has just stopped.
 const MAX_ASKED: usize = 2;
@@ -31,48 +28,6 @@
 /// When the client of a request may retry that has waited for a trial in vain.
 const TRIAL_RETRY_MS: u64 = 500;
 
-/// Queries of this box that wait for answers.
-#[derive(Debug, Default)]
-pub struct TrialQueries {
-    waiting: Mutex<HashMap<u64, oneshot::Sender<bool>>>,
-}
-
-/// A query that waits for its answer, until it is dropped.
-struct OpenQuery<'a> {
-    queries: &'a TrialQueries,
-    number: u64,
-    answer: oneshot::Receiver<bool>,
-}
-
-impl OpenQuery<'_> {
-    /// Whether the trial is granted.
-    async fn answer(mut self) -> Option<bool> {
-        (&mut self.answer).await.ok()
-    }
-}
-
-impl Drop for OpenQuery<'_> {
-    fn drop(&mut self) {
-        locked(&self.queries.waiting).remove(&self.number);
-    }
-}
-
-impl TrialQueries {
-    fn open(&self, number: u64) -> OpenQuery<'_> {
-        let (sender, answer) = oneshot::channel();
-        locked(&self.waiting).insert(number, sender);
-        OpenQuery { queries: self, number, answer }
-    }
-
-    /// Passes a peer's answer to the query that waits for it.
-    pub fn receive_answer(&self, answer: TrialAnswer) {
-        if let Some(query) = locked(&self.waiting).remove(&answer.number) {
-            // The query may have ended.
-            let _ = query.send(answer.is_granted);
-        }
-    }
-}
-
 /// A trial that a request of this box holds, until it is known how it ended.
 pub struct HeldTrial {
     gateway: Arc<Gateway>,
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -100,6 +100,7 @@
         max_connections: 200,
         boxes: 1,
         brittle: None,
+        may_ask_for_permits: true,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
             objective_ms: 500,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -222,6 +222,7 @@
         max_connections: 200,
         boxes: 1,
         brittle: None,
+        may_ask_for_permits: true,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
             objective_ms: OBJECTIVE_MS,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -71,6 +71,7 @@
         max_connections: 200,
         boxes: 1,
         brittle: None,
+        may_ask_for_permits: true,
         admission: AdmissionCriteria {
             higher_priority_ranks: 0,
             objective_ms: 500,
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -139,7 +139,7 @@
 fn cut_held_against_upstream(#[case] is_cut: bool) {
     let (gateway, choice) = gateway_with_engine();
     let before = gateway.state().admission_limits.limit_of("llm");
-    let mut in_flight = InFlight::begin(&gateway, &choice);
+    let mut in_flight = InFlight::begin(&gateway, &choice).expect("no rate limit");
     in_flight.record_connected(Path::Direct);
     if is_cut {
         gateway.state().upstreams.get_mut("e-0").unwrap().record_tunnel();
