Soak: upstreams that name rate limits, and change them

Four upstreams name limits of 0 to 9 requests a second, all, some or one of them, steady for 5 to 7 s or changed each second; clients send more than that, at times nearly all to one box, while boxes are killed, frozen, stopped and cut from each other and the metadata store fails. Judged by what arrived: the users' rule for the boxes that had passed on a limit for half a second, nine tenths of steady limits used while requests are refused and nothing fails, and refusals at once. The clients of the roll-outs are started in their own module, as those of the parts are.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod crashing;
+mod limits;
 mod mesh;
 mod notices;
 mod parts;
@@ -81,6 +82,9 @@
     /// Upstreams crash under parts of prompts in requests that are never alike, and by themselves.
     /// Boxes, the metadata store and the links between boxes fail.
     Parts,
+    /// Upstreams name how many requests a second they take from all boxes together, and change that.
+    /// Boxes, the metadata store and the links between boxes fail.
+    Limits,
 }
 
 impl Scenario {
@@ -93,7 +97,9 @@
             [plan::fault_steps, plan::silence_steps, plan::restart_steps, plan::weights_steps];
         let generators = match self {
             Self::Words => &[plan::announcement_steps as fn(u64, u64) -> Vec<Step>][..],
-            Self::Versions | Self::Parts => &[plan::version_steps as fn(u64, u64) -> Vec<Step>][..],
+            Self::Versions | Self::Parts | Self::Limits => {
+                &[plan::version_steps as fn(u64, u64) -> Vec<Step>][..]
+            }
             Self::MovesAlone => &all[3..],
             Self::First => &all[..1],
             Self::Silences => &all[..2],
@@ -175,22 +181,16 @@
     }
     let streams = Arc::new(Mutex::new(Vec::new()));
     if options.scenario == Scenario::Versions {
-        clients.push(tokio::spawn(versions::roll_out(world.clone(), stop.clone(), options.seed)));
-        for client in 0..options.boxes * CLIENTS {
-            let seed = options.seed.wrapping_mul(1000) + 500 + client as u64;
-            clients.push(tokio::spawn(versions::resume_streams(
-                world.clone(),
-                streams.clone(),
-                stop.clone(),
-                client,
-                seed,
-            )));
-        }
+        clients.extend(versions::start_clients(&world, &streams, &stop, options.seed));
     }
     let sound_prompts = Arc::new(Mutex::new(Vec::new()));
     if options.scenario == Scenario::Parts {
         clients.extend(parts::start_clients(&world, &sound_prompts, &stop, options.seed));
     }
+    let limited_requests = Arc::new(Mutex::new(Vec::new()));
+    if options.scenario == Scenario::Limits {
+        clients.extend(limits::start_clients(&world, &limited_requests, &stop, options.seed));
+    }
     if weights_change {
         clients.push(tokio::spawn(callers::watch_engine_weights(
             world.clone(),
@@ -220,10 +220,13 @@
     violations.extend(run_data.version_violations(&streams));
     let sound_prompts = sound_prompts.lock().expect("no task panics under the lock");
     violations.extend(run_data.part_violations(&sound_prompts));
+    let limited_requests = limited_requests.lock().expect("no task panics under the lock");
+    violations.extend(run_data.limit_violations(&limited_requests));
     let logs = if violations.is_empty() { None } else { Some(keep_logs(&world, options.seed)?) };
     let steps = steps.iter().map(describe).collect();
     let mut outcomes = count_outcomes(&run_data, &streams);
     outcomes.extend(run_data.part_outcomes(&sound_prompts));
+    outcomes.extend(run_data.limit_outcomes(&limited_requests));
     Ok(Report { violations, outcomes, steps, notes: run_data.notes(), logs })
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -22,7 +22,8 @@
                     announce in their responses that they leave or want no
                     requests for a while; versions: upstreams of several software
                     versions replace each other; parts: upstreams crash under
-                    parts of prompts
+                    parts of prompts; limits: upstreams name how many requests a
+                    second they take
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -75,7 +76,10 @@
         "words" => Ok(Scenario::Words),
         "versions" => Ok(Scenario::Versions),
         "parts" => Ok(Scenario::Parts),
-        _ => Err("--streams: 1, 2, 3, 4, only-4, words, versions or parts is needed".into()),
+        "limits" => Ok(Scenario::Limits),
+        _ => {
+            Err("--streams: 1, 2, 3, 4, only-4, words, versions, parts or limits is needed".into())
+        }
     }
 }
 
--- a/soak/src/parts.rs
+++ b/soak/src/parts.rs
@@ -213,7 +213,7 @@
 }
 
 /// The box that most clients turn to at a time, if there is one then.
-fn crowded_box(elapsed: Duration, boxes: usize) -> Option<usize> {
+pub fn crowded_box(elapsed: Duration, boxes: usize) -> Option<usize> {
     let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
     let is_crowded = elapsed_ms % CROWD_CYCLE_MS >= CROWD_CYCLE_MS - CROWD_MS;
     let cycle = usize::try_from(elapsed_ms / CROWD_CYCLE_MS).unwrap_or_default();
--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -12,8 +12,10 @@
 use coursestile_standins::site::server::{EVENTS, Server};
 use coursestile_standins::site::{Site, service_entry};
 use serde_json::{Value, json};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::CLIENTS;
 use crate::checks::{RECOVERY_MS, RunData};
 use crate::plan::is_undisturbed;
 use crate::world::World;
@@ -156,8 +158,24 @@
     entry
 }
 
+/// Starts the task that replaces upstreams, and the clients, which run until `stop` is set.
+pub fn start_clients(
+    world: &Arc<World>,
+    streams: &Arc<Mutex<Vec<StreamRecord>>>,
+    stop: &Arc<AtomicBool>,
+    seed: u64,
+) -> Vec<JoinHandle<()>> {
+    let mut tasks = vec![tokio::spawn(roll_out(world.clone(), stop.clone(), seed))];
+    for client in 0..world.boxes.len() * CLIENTS {
+        let (world, streams, stop) = (world.clone(), streams.clone(), stop.clone());
+        let seed = seed.wrapping_mul(1000) + 500 + client as u64;
+        tasks.push(tokio::spawn(resume_streams(world, streams, stop, client, seed)));
+    }
+    tasks
+}
+
 /// Replaces upstreams by others with the next version until `stop` is set.
-pub async fn roll_out(world: Arc<World>, stop: Arc<AtomicBool>, seed: u64) {
+async fn roll_out(world: Arc<World>, stop: Arc<AtomicBool>, seed: u64) {
     let Some(rolling) = &world.rolling else { return };
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut replaced = 0;
@@ -185,7 +203,7 @@
 }
 
 /// Begins streams and resumes them at random boxes until `stop` is set.
-pub async fn resume_streams(
+async fn resume_streams(
     world: Arc<World>,
     records: Arc<Mutex<Vec<StreamRecord>>>,
     stop: Arc<AtomicBool>,
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::Scenario;
 use crate::crashing::{self, CrashingUpstreams};
+use crate::limits::{self, LimitedUpstreams};
 use crate::mesh::Mesh;
 use crate::parts;
 use crate::plan::LinkState;
@@ -114,6 +115,8 @@
     pub rolling: Option<RollingUpstreams>,
     /// Upstreams that crash under parts of prompts, if the scenario has any.
     pub prompted: Option<CrashingPool>,
+    /// Upstreams that name how many requests they take, if the scenario has any.
+    pub limited: Option<LimitedUpstreams>,
     scenario: Scenario,
     /// Restarts of upstreams under the same id.
     upstream_restarts: Mutex<Vec<UpstreamRestart>>,
@@ -167,6 +170,9 @@
     if scenario == Scenario::Parts {
         parts::add_route(&mut document);
     }
+    if scenario == Scenario::Limits {
+        limits::add_route(&mut document);
+    }
     document
 }
 
@@ -209,6 +215,10 @@
             Scenario::Versions => Some(RollingUpstreams::start(&site).await),
             _ => None,
         };
+        let limited = match scenario {
+            Scenario::Limits => Some(LimitedUpstreams::start(&site).await),
+            _ => None,
+        };
         let prompted = match scenario {
             Scenario::Parts => Some(parts::start(&site, seed).await),
             _ => None,
@@ -247,6 +257,7 @@
             crashing,
             rolling,
             prompted,
+            limited,
             scenario,
             upstream_restarts: Mutex::default(),
         })
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -120,6 +120,16 @@
     assert_no_violations(Options { seed, seconds: 14, boxes: 4, scenario: Scenario::Parts }).await;
 }
 
+// Guards against upstreams that get more requests from all boxes together than they name in their
+// answers, and against limits that are left unused.
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[tokio::test]
+async fn limits_shared(#[case] seed: u64) {
+    assert_no_violations(Options { seed, seconds: 16, boxes: 4, scenario: Scenario::Limits }).await;
+}
+
 async fn assert_no_violations(options: Options) {
     let report = run(options).await.unwrap();
     // Shown if the test fails.
