Connections: beyond its share only where no upstream is left within it

A box may use what others leave of half of an upstream's connections, since most clients may be turning to it. It always did so, which gave up the share also where no box is crowded, and with it the spread of load that the share gives. Now a choice is first made within the share, and beyond it only if nothing was found.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -337,6 +337,7 @@
         tried: &[],
         max_connections: 200,
         boxes: 1,
+        exceeds_share: false,
         brittle: None,
         may_ask_for_permits: true,
         admission: AdmissionCriteria {
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -60,6 +60,8 @@
     pub max_connections: u32,
     /// Number of live boxes.
     pub boxes: u32,
+    /// Whether it may be sent beyond the box's share of an upstream's connections.
+    pub exceeds_share: bool,
     /// Limit for upstreams of the service that are brittle; `None` if they are not.
     pub brittle: Option<BrittleLimit<'a>>,
     /// Whether there is time to ask for a permit to send to an upstream with a rate limit.
@@ -72,13 +74,12 @@
 
 impl Demand<'_> {
     /// Maximum number of requests from this box to an upstream: the box's share of the connections
-    /// that the upstream accepts, or what others leave of half of them, since most clients may be
-    /// turning to this box.
+    /// that the upstream accepts, or if it may exceed that, what others leave of half of them.
     #[must_use]
     pub fn max_requests(&self, upstream: &Upstream) -> u32 {
         let share = self.max_connections / self.boxes.saturating_add(1);
         let left = (self.max_connections / 2).saturating_sub(upstream.peer_load.requests);
-        share.max(left).max(MIN_CONNECTIONS)
+        share.max(if self.exceeds_share { left } else { 0 }).max(MIN_CONNECTIONS)
     }
 
     /// Since when an engine with `version` has been behind the newest named one.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -514,7 +514,7 @@
     let configuration = state.configuration.as_ref()?;
     let service = configuration.services.get(&request.service)?;
     let weights = request.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
-    let demand = Demand {
+    let mut demand = Demand {
         service: &request.service,
         box_short_id: state.peers.local().short_id,
         hall: &gateway.settings.hall,
@@ -544,6 +544,7 @@
         tried: &request.tried,
         max_connections: service.max_connections,
         boxes,
+        exceeds_share: false,
         brittle: state.brittle.max_rejections(now_ms, &request.service).map(|max_rejections| {
             let halls = gateway.settings.regions.len().max(state.upstreams.hall_count());
             BrittleLimit { max_rejections, halls, peers: &state.peers }
@@ -558,7 +559,12 @@
         },
         objective_at_ms: Some(request.outgoing.objective_at_ms),
     };
-    choose(now_ms, &state.upstreams, &state.stores, service.engine.as_ref(), &demand)
+    let engine = service.engine.as_ref();
+    choose(now_ms, &state.upstreams, &state.stores, engine, &demand).or_else(|| {
+        // Most clients may be turning to this box.
+        demand.exceeds_share = true;
+        choose(now_ms, &state.upstreams, &state.stores, engine, &demand)
+    })
 }
 
 /// Updates what is known of an upstream's weight version after it rejected a request for another
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -99,6 +99,7 @@
         tried: &[],
         max_connections: 200,
         boxes: 1,
+        exceeds_share: false,
         brittle: None,
         may_ask_for_permits: true,
         admission: AdmissionCriteria {
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -221,6 +221,7 @@
         tried: &[],
         max_connections: 200,
         boxes: 1,
+        exceeds_share: false,
         brittle: None,
         may_ask_for_permits: true,
         admission: AdmissionCriteria {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -70,6 +70,7 @@
         tried,
         max_connections: 200,
         boxes: 1,
+        exceeds_share: false,
         brittle: None,
         may_ask_for_permits: true,
         admission: AdmissionCriteria {
