Upstreams: bytes without end are bounded, and count as broken off

Callers of a box whose upstreams send bytes without end lost all requests that it served: 500 such answers took 152 to 207 MB of a box that may have 110 (one header line, interim responses, a body of 2^63 bytes, one event).

Cause: the HTTP library's buffer may grow to 400 KB for each head, and it reads interim responses as long as they come; 256 KB of each body are read before it is passed on; an event of a resumable stream was kept until it ended; bodies of answers to the box's own calls were read to their end.

Change: a connection keeps 64 KB; a head that is not complete after 256 KB ends the connection; what is kept of one response is its share of 16 MB, 16 KB at least; an event that is longer ends the attempt, as if the upstream had broken off, so that another resumes the stream where that may be; bodies of calls to engines, stores and the metadata store end at 8 MB, all together at 24 MB. The bounds of time were there: the deadline of a request, the time-outs of calls.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,9 +26,6 @@
 
 /// Longest time for transfers of cached context to an engine, from the choice of their sources.
 const TRANSFER_TIMEOUT_MS: u64 = 2000;
-/// Responses up to this size are read whole before they are forwarded, so that the request can
-/// still be retried.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// A request as it is sent to any upstream.
 #[derive(Clone)]
@@ -137,7 +134,7 @@
         tokio::spawn(async move { gateway.connections.check_in(&id, &headers, connection).await });
     }
 
-    /// Reads the body until it ends or exceeds the buffer.
+    /// Reads the body until it ends or exceeds the buffer: a whole response can still be retried.
     ///
     /// # Errors
     /// Fails when the upstream aborts the response.
@@ -148,7 +145,7 @@
             let Ok(data) = frame.into_data() else { continue };
             self.in_flight.record_activity();
             bytes.extend_from_slice(&data);
-            if bytes.len() > MAX_BUFFERED_BYTES {
+            if bytes.len() > self.in_flight.gateway.max_buffered_bytes() {
                 return Ok(BodyStart::Partial(bytes.into()));
             }
         }
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -19,15 +19,16 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::rt::{Read, Write};
 use hyper::{HeaderMap, Request, Response, header};
 use hyper_util::rt::TokioIo;
 use log::{debug, info};
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::clock::now_ms;
+use crate::gateway::bounded_head::{BoundedHead, HeadBound, MAX_BUFFER_BYTES};
 use crate::sync::locked;
 
 /// Connect timeout: many round trips, but less than the second after which a lost SYN is
@@ -60,6 +61,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     pub path: Path,
+    head_bound: HeadBound,
 }
 
 /// A new connection, with a task that ends when it is closed.
@@ -118,7 +120,7 @@
             |_| io::Error::new(io::ErrorKind::TimedOut, "no connection within the connect timeout");
         let stream = connecting.await.map_err(timed_out)??;
         set_socket_options(&stream)?;
-        self.start(TokioIo::new(stream), Path::Direct).await
+        self.start(stream, Path::Direct).await
     }
 
     /// Starts to use a byte stream that leads to an upstream.
@@ -127,10 +129,12 @@
     /// Fails when the HTTP library does not accept it.
     pub async fn start(
         &self,
-        io: impl Read + Write + Unpin + Send + 'static,
+        io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
         path: Path,
     ) -> io::Result<NewConnection> {
-        let handshake = http1::Builder::new().handshake(io).await;
+        let head_bound = HeadBound::default();
+        let io = TokioIo::new(BoundedHead::new(io, head_bound.clone()));
+        let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
         let pool = self.pool.clone();
         let closed = tokio::spawn(async move {
@@ -142,7 +146,7 @@
                 }
             }
         });
-        Ok((Connection { sender, path }, closed))
+        Ok((Connection { sender, path, head_bound }, closed))
     }
 
     /// Takes an idle connection to an upstream.
@@ -190,7 +194,7 @@
         let mut pool = locked(&self.pool);
         for connections in pool.idle.values_mut() {
             connections.retain(|idle| {
-                let Connection { sender, path } = &idle.connection;
+                let Connection { sender, path, .. } = &idle.connection;
                 idle.until_ms > now_ms && !sender.is_closed() && is_usable(*path)
             });
         }
@@ -233,7 +237,10 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendError> {
-    match connection.sender.try_send_request(request).await {
+    connection.head_bound.begin();
+    let sent = connection.sender.try_send_request(request).await;
+    connection.head_bound.end();
+    match sent {
         Ok(response) => Ok(response),
         Err(mut error) => {
             let cause = error_with_cause(error.error());
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -59,6 +59,13 @@
 /// Allowance for the time that the store takes to answer a new watch, and for slow boxes.
 const RESPONSE_MS: u64 = 100;
 
+/// Bytes that a box keeps of all responses until they can be passed on, unless there are so many that
+/// each gets the least.
+const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Least and most bytes that are kept of one response.
+const MIN_RESPONSE_BUFFER_BYTES: usize = 16 << 10;
+const MAX_RESPONSE_BUFFER_BYTES: usize = 256 << 10;
+
 /// State behind the gateway's lock. No call is awaited while the lock is held.
 pub struct State {
     /// Items of the metadata store, as this box knows them.
@@ -313,6 +320,14 @@
 }
 
 impl Gateway {
+    /// How many bytes of one response may be kept before they are passed on: its share of what a box
+    /// has for all requests.
+    #[must_use]
+    pub fn max_buffered_bytes(&self) -> usize {
+        let requests = self.state().requests_in_flight.max(1);
+        (MAX_BUFFERED_BYTES / requests).clamp(MIN_RESPONSE_BUFFER_BYTES, MAX_RESPONSE_BUFFER_BYTES)
+    }
+
     /// Creates the shared state.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 //! reads the settings file, and `invariants` checks invariants.
 
 pub mod attempt;
+mod bounded_head;
 pub mod catch_up;
 pub mod check;
 pub mod claims;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -149,6 +149,14 @@
                         self.forwarded_bytes += bytes.len();
                         return Some(Ok(bytes));
                     }
+                    if self.buffer.len() > self.gateway.max_buffered_bytes() {
+                        if let Some(response) = &self.response {
+                            response.in_flight.record_failure();
+                        }
+                        if let Some(aborted) = self.resume("an event does not end").await {
+                            return Some(Err(aborted));
+                        }
+                    }
                 }
                 ReadOutcome::End
                     if self.scanner.is_some_and(|scanner| scanner.is_within_event()) =>
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -164,7 +164,7 @@
         return Err(OpenError::Declined(response.status()));
     }
     let upgraded = upgrade::on(response).await?;
-    Ok(gateway.connections.start(upgraded, Path::Tunnel(peer)).await?)
+    Ok(gateway.connections.start(TokioIo::new(upgraded), Path::Tunnel(peer)).await?)
 }
 
 /// Keeps tunnels for peers until the box stops.
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -5,6 +5,7 @@
 //! well. A client of a single server then discards all of them, so that the next call opens a
 //! new connection.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -29,6 +30,11 @@
 /// it does on Linux whatever their count.
 const KEEPALIVE_PROBES: u32 = 1;
 
+/// Longest body that is read: several times a listing of a context store that serves hundreds of boxes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// Most bytes of all bodies that are read at a time.
+const MAX_ALL_BODIES_BYTES: usize = 24 << 20;
+
 /// Which servers a client calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Servers {
@@ -45,6 +51,29 @@
     client: Arc<Mutex<Client>>,
     servers: Servers,
     to_error: fn(String) -> Error,
+    /// Bytes of the bodies that are being read.
+    body_bytes: Arc<AtomicUsize>,
+}
+
+/// What one body adds to the bytes that are being read, until it is dropped.
+struct ReservedBytes<'a> {
+    all: &'a AtomicUsize,
+    bytes: usize,
+}
+
+impl ReservedBytes<'_> {
+    /// Adds bytes; whether the body, and all of them together, are within their limits.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let all = self.all.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.bytes <= MAX_BODY_BYTES && all <= MAX_ALL_BODIES_BYTES
+    }
+}
+
+impl Drop for ReservedBytes<'_> {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
 }
 
 impl HttpClient {
@@ -54,7 +83,12 @@
     /// Fails when the HTTP library cannot create a client.
     pub fn new() -> Result<Self> {
         let client = Arc::new(Mutex::new(build_client()?));
-        Ok(Self { client, servers: Servers::Many, to_error: Error::Upstream })
+        Ok(Self {
+            client,
+            servers: Servers::Many,
+            to_error: Error::Upstream,
+            body_bytes: Arc::default(),
+        })
     }
 
     /// Creates a client for the metadata store.
@@ -63,7 +97,12 @@
     /// Fails when the HTTP library cannot create a client.
     pub fn for_metadata_store() -> Result<Self> {
         let client = Arc::new(Mutex::new(build_client()?));
-        Ok(Self { client, servers: Servers::Single, to_error: Error::Platform })
+        Ok(Self {
+            client,
+            servers: Servers::Single,
+            to_error: Error::Platform,
+            body_bytes: Arc::default(),
+        })
     }
 
     /// Creates a request.
@@ -100,17 +139,27 @@
     /// Reads the raw body of an answer.
     ///
     /// # Errors
-    /// Fails when it does not arrive completely.
-    pub async fn bytes(&self, answer: Response) -> Result<Bytes> {
-        answer.bytes().await.map_err(|error| self.convert_error(&error))
+    /// Fails when it does not arrive completely, or is too long.
+    pub async fn bytes(&self, mut answer: Response) -> Result<Bytes> {
+        let mut body = Vec::new();
+        let mut reserved = ReservedBytes { all: &self.body_bytes, bytes: 0 };
+        while let Some(piece) = answer.chunk().await.map_err(|error| self.convert_error(&error))? {
+            if !reserved.add(piece.len()) {
+                let url = answer.url();
+                return Err((self.to_error)(format!("the answer is too long: {url}")));
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.into())
     }
 
     /// Reads and decodes the JSON body of an answer.
     ///
     /// # Errors
-    /// Fails when it does not arrive completely or is invalid.
+    /// Fails when it does not arrive completely, is too long or invalid.
     pub async fn body<T: DeserializeOwned>(&self, answer: Response) -> Result<T> {
-        answer.json().await.map_err(|error| self.convert_error(&error))
+        let body = self.bytes(answer).await?;
+        serde_json::from_slice(&body).map_err(|error| (self.to_error)(error.to_string()))
     }
 
     /// Replaces the client, which discards the idle connections of its pool.
--- a/tests/gateway_endless.rs
+++ b/tests/gateway_endless.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::wait_ready;
+use coursestile::platform::http::HttpClient;
 use coursestile_standins::site::client::{request, request_once};
 use coursestile_standins::site::server::Server;
 use coursestile_standins::site::{Gateway, Site, config_document, service_entry};
@@ -27,6 +28,9 @@
 const PIECE_BYTES: usize = 8192;
 const PIECE_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time in which a body is read that is as long as it may be.
+const BODY_READ_WITHIN: Duration = Duration::from_secs(20);
+
 /// Where the bytes without end are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Endless {
@@ -74,20 +78,20 @@
     }
 }
 
-/// Starts an upstream that answers each request so.
-async fn start_endless(endless: Endless) -> String {
+/// Starts an upstream that answers each request so, with a pause after each piece.
+async fn start_endless(endless: Endless, pause: Duration) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("address");
     let address = listener.local_addr().expect("address").to_string();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(async move { answer_endlessly(stream, endless).await });
+            tokio::spawn(async move { answer_endlessly(stream, endless, pause).await });
         }
     });
     address
 }
 
 /// Returns once the box has closed the connection.
-async fn answer_endlessly(mut stream: TcpStream, endless: Endless) -> Option<()> {
+async fn answer_endlessly(mut stream: TcpStream, endless: Endless, pause: Duration) -> Option<()> {
     let mut request = Vec::new();
     while !request.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
         let mut piece = [0; 2048];
@@ -100,7 +104,7 @@
     stream.write_all(start.as_bytes()).await.ok()?;
     loop {
         stream.write_all(repeated.as_bytes()).await.ok()?;
-        sleep(PIECE_PAUSE).await;
+        sleep(pause).await;
     }
 }
 
@@ -141,7 +145,7 @@
     let mut site = Site::start().await;
     let sound = Server::start("sound").await;
     site.register("sound", &service_entry("plain", &sound.address, "ready"));
-    let address = start_endless(endless).await;
+    let address = start_endless(endless, PIECE_PAUSE).await;
     site.register("endless", &service_entry("endless", &address, "ready"));
     let mut document = config_document(7);
     for (route, path) in [(0, "/safe/endless/"), (3, "/resume/endless/")] {
@@ -177,3 +181,14 @@
     println!("{endless:?}: {before_kb} to {peak_kb} KB, others within {slowest:?}");
     assert!(peak_kb < BOX_MEMORY_KB, "{peak_kb} KB held, {before_kb} KB before");
 }
+
+/// The answer to a call about cached context was read as long as it came.
+#[tokio::test]
+async fn call_without_end() {
+    let address = start_endless(Endless::Body, Duration::ZERO).await;
+    let client = HttpClient::new().expect("a client");
+    let call = client.get(&format!("http://{address}/")).header("X-Request-Id", "r-1");
+    let answer = client.send(call).await.expect("a head");
+    let body = timeout(BODY_READ_WITHIN, client.bytes(answer)).await.expect("it is given up");
+    assert!(body.expect_err("it is too long").to_string().contains("too long"));
+}
