Rate limits: refusals, logs and metrics tell of them

A refused client and its operators could not tell limits from full upstreams: the refusal says "upstreams at their rate limits", `routed` names the limit, its age and the box's permits, and a gauge counts the limits in force. A test holds that a limit survives the loss of its upstream's entry, and ends with the incarnation.

--- a/src/gateway/decisions/rate_limit.rs
+++ b/src/gateway/decisions/rate_limit.rs
@@ -177,7 +177,7 @@
     #[must_use]
     pub fn sending(&self, now_ms: u64) -> Sending {
         let permits = &self.permits;
-        if self.limit.rate.is_none() || permits.left > 0 && now_ms < permits.expire_at_ms {
+        if self.limit.rate.is_none() || self.permits(now_ms) > 0 {
             Sending::Permitted
         } else if now_ms < permits.asked_until_ms {
             Sending::Asked
@@ -188,6 +188,12 @@
         }
     }
 
+    /// How many requests this box may send without asking again.
+    #[must_use]
+    pub fn permits(&self, now_ms: u64) -> u32 {
+        if now_ms < self.permits.expire_at_ms { self.permits.left } else { 0 }
+    }
+
     /// Uses a permit, if one is needed. Returns whether a request may be sent.
     pub fn take_permit(&mut self, now_ms: u64) -> bool {
         if self.limit.rate.is_none() {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -25,7 +25,9 @@
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Change, Freshness, Item, WatchResult, WatchWait};
 use crate::gateway::settings::Bounds;
-use crate::gateway::{claims, cold_starts, entries, members, quarantine, stored_versions};
+use crate::gateway::{
+    claims, cold_starts, entries, members, quarantine, rate_limits, stored_versions,
+};
 use crate::platform::keys::{self, KeyKind};
 
 /// A watch waits for at most this fraction (1/n) of the time in which a change must be in
@@ -168,6 +170,7 @@
             state.apply_peer_reports(now_ms);
         }
         cold_starts::update_allowances(&gateway, &mut state, now_ms);
+        rate_limits::update_gauge(&state);
         state.admission_limits.recover(now_ms, TICK.as_secs_f64());
         let changes = state.view.apply_due_removals(now_ms);
         apply(&gateway, &mut state, now_ms, NamedAt::Now, changes);
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -79,6 +79,13 @@
     }
 }
 
+/// Shows how many limits are in force.
+pub fn update_gauge(state: &State) {
+    let limits = state.upstreams.active().filter(|known| known.rate_limit.limit().rate.is_some());
+    let count = u32::try_from(limits.count()).unwrap_or(u32::MAX);
+    metrics::gauge!("coursestile_rate_limits").set(f64::from(count));
+}
+
 fn log_change(upstream: &str, limit: RateLimit, source: &str) {
     info!(target: "limits", "event=rate_limit upstream={upstream} per_s={} number={} source=\"{source}\"",
         limit.rate.map_or_else(|| "-".to_owned(), |rate| rate.to_string()), limit.number);
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -28,19 +28,18 @@
     let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
     drop(state);
     let lacks_software = lacks_software(gateway, request);
+    let seed = u64::from(short_id(&request.outgoing.request_id));
     match closed_until_ms {
         _ if lacks_software => refuse(request, Reason::SoftwareGone),
         _ if are_all_evacuated => refuse(request, Reason::Evacuated),
-        Some(until_ms) => {
-            let seed = u64::from(short_id(&request.outgoing.request_id));
+        Some(until_ms) if is_limited => {
+            // As many come back as are refused, and the next permits are for few of them.
             let remaining_ms = request.outgoing.deadline_ms.saturating_sub(now_ms);
-            let at_ms = if is_limited {
-                // As many come back as are refused, and the next permits are for few of them.
-                until_ms.max(now_ms + admission::retry_after_ms(seed, remaining_ms))
-            } else {
-                until_ms + seed % RETRY_AFTER_MS
-            };
-            refuse_until(request, Reason::UpstreamsFull, at_ms)
+            let spread_ms = admission::retry_after_ms(seed, remaining_ms);
+            refuse_until(request, Reason::RateLimited, until_ms.max(now_ms + spread_ms))
+        }
+        Some(until_ms) => {
+            refuse_until(request, Reason::UpstreamsFull, until_ms + seed % RETRY_AFTER_MS)
         }
         None if has_upstreams => refuse(request, Reason::UpstreamsFull),
         None => refuse(request, Reason::NoUpstream),
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -61,17 +61,18 @@
 
 /// Logs the start of an attempt.
 pub fn log_attempt_start(gateway: &Gateway, request: &AdmittedRequest, choice: &Choice) {
-    let (limit, behind_ms, software) = {
+    let (limit, behind_ms, software, rate_limit) = {
         let state = gateway.state();
         let limit = state.admission_limits.limit_of(&request.service);
-        (limit, behind_ms(&state, request, choice), software_of(&state, choice))
+        let behind_ms = behind_ms(&state, request, choice);
+        (limit, behind_ms, software_of(&state, choice), rate_limit_of(&state, choice))
     };
     let context = choice.context.as_ref();
     info!(target: "serve",
         "event=routed request={} fingerprint={} route={} configuration={} upstream={} \
          software={software} attempt={} left_ms={} version={} behind_ms={behind_ms} read_tokens={} \
          reread_tokens={} expected_ms={:.0} context={} parts={} load_requests={} \
-         load_unread={} load_memory={} limit={limit:.2}",
+         load_unread={} load_memory={} limit={limit:.2}{rate_limit}",
         request.outgoing.request_id,
         request.outgoing.content.fingerprint,
         request.route.name,
@@ -102,6 +103,17 @@
     upstream.map_or_else(|| "-".to_owned(), |upstream| upstream.entry.software.clone())
 }
 
+/// The rate limit of the chosen upstream, if it has one, and what this box may send there.
+fn rate_limit_of(state: &State, choice: &Choice) -> String {
+    let upstream = state.upstreams.get_incarnation(&choice.upstream);
+    let known = upstream.map(|upstream| &upstream.rate_limit);
+    let limited = known.and_then(|known| Some((known, known.limit().rate?)));
+    limited.map_or_else(String::new, |(known, rate)| {
+        let (age_ms, permits) = (known.age_ms(now_ms()), known.permits(now_ms()));
+        format!(" rate_limit={rate} rate_limit_age_ms={age_ms} permits={permits}")
+    })
+}
+
 /// Logs a request by which a client resumes a stream, and what is known of it.
 pub fn log_resumed_by_client(request_id: &str, resumed: &ResumedStream, found: FoundOrigin) {
     metrics::counter!("coursestile_streams_resumed_by_client_total", "origin" => found.to_string())
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -49,6 +49,8 @@
     NoUpstream,
     /// upstreams full
     UpstreamsFull,
+    /// upstreams at their rate limits
+    RateLimited,
     /// all halls are evacuated
     Evacuated,
     /// upstreams crash under it
@@ -86,6 +88,7 @@
             Self::NotReady
             | Self::NoUpstream
             | Self::UpstreamsFull
+            | Self::RateLimited
             | Self::Evacuated
             | Self::Quarantined
             | Self::Withheld
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -5,6 +5,8 @@
 
 use coursestile::gateway::decisions::permits::{Issued, PermitBuckets};
 use coursestile::gateway::decisions::rate_limit::{LimitState, Rate, RateLimit, Sending};
+use coursestile::gateway::decisions::upstream::UpstreamEntry;
+use coursestile::gateway::decisions::upstreams::Upstreams;
 use coursestile::gateway::heads::NamedRateLimit;
 use coursestile::platform::exchange::answer_head;
 use fastrand::Rng;
@@ -65,6 +67,33 @@
     assert_eq!(state.sending(300), Sending::Permitted);
 }
 
+/// An upstream whose entry had been lost and came back was taken to have no limit; or its successor at the
+/// address was taken to have it.
+#[test]
+fn lost_entry() {
+    let entry = |started_at_ms| UpstreamEntry {
+        service: "plain".to_owned(),
+        software: "v1".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "north".to_owned(),
+        slots: 8,
+        leaving: false,
+        cold_left_ms: 0,
+        models: Vec::new(),
+        started_at_ms: Some(started_at_ms),
+    };
+    let mut upstreams = Upstreams::default();
+    upstreams.upsert(0, "s-1", entry(5));
+    let known = upstreams.get_mut("s-1").expect("it is listed");
+    known.rate_limit.record_answer(10, 5, Some(rate(1.2)));
+    upstreams.remove(20, "s-1");
+    upstreams.upsert(30, "s-1", entry(5));
+    assert_eq!(upstreams.get("s-1").expect("it is back").rate_limit.limit().rate, Some(rate(1.2)));
+    upstreams.remove(40, "s-1");
+    upstreams.upsert(50, "s-1", entry(45));
+    assert_eq!(upstreams.get("s-1").expect("another").rate_limit.limit().rate, None);
+}
+
 /// What a box learned late, or had kept while it was frozen, brought an earlier limit back.
 #[test]
 fn outdated_report() {
