Parts: one that was answered before is tried ever more seldom, too

Each half minute an upstream ended, with all that it ran, under a part of a prompt that had been answered once and crashed whatever began to write on it since: its pause never grew. Its first four trials stay 30 s apart, since what was answered is more likely a bystander; from then on each failed trial makes the pause four times as long, up to an hour, as for any other part. `suspect_parts::answered_and_guilty` failed before: 30 s after each of eleven crashes.

--- a/src/suspect_parts.rs
+++ b/src/suspect_parts.rs
@@ -18,7 +18,7 @@
 //! withheld whatever comes with it.
 //!
 //! A part that has been answered before is more likely a bystander, or the upstreams have changed: it
-//! takes [`CRASHES_TO_BLOCK`] crashes to quarantine it, and it is tried again soon each time.
+//! takes [`CRASHES_TO_BLOCK`] crashes to quarantine it, and it is tried again soon some times.
 //!
 //! A part counts for all accounts once requests of two of them have crashed under it, and before
 //! only for the one that sent them, so that none can have a part of another withheld by sending it
@@ -40,8 +40,9 @@
 /// crash makes it [`PAUSE_FACTOR`] times as long.
 pub const FIRST_PAUSE_MS: u64 = 30_000;
 const PAUSE_FACTOR: u64 = 4;
-/// Longest time from a crash to the next trial; that of a part that was answered before the crashes
-/// stays [`FIRST_PAUSE_MS`].
+/// Failed trials of a part that was answered before the crashes until its pause grows, too.
+const SOON_TRIALS: usize = 3;
+/// Longest time from a crash to the next trial.
 pub const MAX_PAUSE_MS: u64 = 3_600_000;
 /// Time for which a part remains suspect after a crash.
 const SUSPECT_MS: u64 = 2 * MAX_PAUSE_MS;
@@ -255,11 +256,9 @@
 
     /// When the next trial of a quarantined part is due.
     fn trial_due_at_ms(&self) -> u64 {
-        let further = if self.was_answered {
-            0
-        } else {
-            self.successive_crashes().saturating_sub(CRASHES_TO_QUARANTINE)
-        };
+        let soon =
+            if self.was_answered { CRASHES_TO_BLOCK + SOON_TRIALS } else { CRASHES_TO_QUARANTINE };
+        let further = self.successive_crashes().saturating_sub(soon);
         let factor = PAUSE_FACTOR.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
         self.last_crash_at_ms() + FIRST_PAUSE_MS.saturating_mul(factor).min(MAX_PAUSE_MS)
     }
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_parts.rs
@@ -229,6 +229,30 @@
     }
 }
 
+/// A part that had been answered once, and crashed whatever began to write on it since, was tried each
+/// half minute for good.
+#[test]
+fn answered_and_guilty() {
+    let mut known = Knowledge::default();
+    known.parts.record_answer(NOW_MS, &[COMMON]);
+    let mut crashed_at_ms = NOW_MS;
+    let mut pauses = Vec::new();
+    for number in 1..16 {
+        crashed_at_ms += 1000;
+        known.crash(crashed_at_ms, ACCOUNT, &[COMMON, PartKey(100 + number)]);
+        let mut pause_ms = 0;
+        while known.is_withheld(crashed_at_ms + pause_ms, &[COMMON]) {
+            pause_ms += 1000;
+        }
+        crashed_at_ms += pause_ms;
+        pauses.push(pause_ms);
+    }
+    let soon = [0, 0, 0, 0, FIRST_PAUSE_MS, FIRST_PAUSE_MS, FIRST_PAUSE_MS, FIRST_PAUSE_MS];
+    assert_eq!(pauses[..8], soon);
+    let later = pauses[7..].windows(2);
+    assert!(later.clone().all(|pair| pair[1] == (4 * pair[0]).min(MAX_PAUSE_MS)), "{pauses:?}");
+}
+
 #[test]
 fn answer_clears() {
     let mut known = after_crashes(&[DEADLY]);
