--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -18,7 +18,9 @@
     Gossip, LoadChanges, LoadReport, PartReports,
 };
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers};
+use coursestile::gateway::decisions::permits::{Issued, PermitAnswer, PermitBuckets, PermitQuery};
 use coursestile::gateway::decisions::prompt::Prompt;
+use coursestile::gateway::decisions::rate_limit::{Rate, RateLimit};
 use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::stream_origins::{
@@ -54,6 +56,8 @@
 
 /// Numbers of suspect parts, and of the crashes of each.
 const SUSPECT_PARTS: [(u64, u32); 5] = [(8, 1), (512, 1), (512, 3), (4096, 1), (4096, 5)];
+/// Rate limits that are in force at a time.
+const RATE_LIMITS: u32 = 40;
 /// Streams that a box keeps when their number is measured.
 const KEPT_STREAMS: [u64; 3] = [100, 1000, 65_536];
 
@@ -94,9 +98,46 @@
     print_stream_keepers();
     print_kept_streams();
     print_suspect_parts();
+    print_rate_limits();
     ExitCode::SUCCESS
 }
 
+/// Prints what sharing the rate limits of upstreams costs, as the fleet grows.
+fn print_rate_limits() {
+    println!();
+    println!(
+        "| boxes | told of a change | bytes of a change, of a query, of an answer | bytes of gossip with {RATE_LIMITS} limits more | find the issuer, us | issue a permit, all boxes asking, us |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let limit = RateLimit { number: 40, rate: Rate::from_per_s(1.2) };
+    let query = PermitQuery { number: u64::MAX, upstream: u32::MAX, limit, wanted: 20 };
+    let issued = Issued::Permits { count: 1, next_in_ms: 833 };
+    let answer = PermitAnswer { number: u64::MAX, limit, issued };
+    let change = encoded_bytes(&Datagram::RateLimits(vec![(u32::MAX, limit)]));
+    let query_bytes = encoded_bytes(&Datagram::PermitQuery(query));
+    let answer_bytes = encoded_bytes(&Datagram::PermitAnswer(answer));
+    let rate_limits = (0..RATE_LIMITS).map(|number| (u32::MAX - number, limit)).collect();
+    let with_limits = encoded_bytes(&Gossip { rate_limits, ..Gossip::default() });
+    let more = with_limits - encoded_bytes(&Gossip::default());
+    for boxes in FLEET_SIZES {
+        let (peers, _) = known_peers(boxes);
+        let told = peers.urgent_report_targets(1).len();
+        let find_us = mean_us(|iteration| {
+            black_box(peers.permit_issuer(1000, iteration, iteration % HALLS, true));
+        });
+        let mut buckets = PermitBuckets::default();
+        let issue_us = mean_us(|iteration| {
+            if let Some(rate) = limit.rate {
+                let (now_ms, holder) = (u64::from(iteration), address(iteration % boxes));
+                black_box(buckets.issue(now_ms, 1, rate, holder, 1));
+            }
+        });
+        println!(
+            "| {boxes} | {told} | {change}, {query_bytes}, {answer_bytes} | {more} | {find_us:.1} | {issue_us:.1} |"
+        );
+    }
+}
+
 /// Prints what suspecting parts costs, by their number and by that of the crashes of each.
 fn print_suspect_parts() {
     println!();
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -146,7 +146,7 @@
         let aborts = state.quarantine.open_aborts_of(now_ms, &report.subjects);
         let crashes = state.quarantine.crashes_of(now_ms, &report.subjects);
         let datagram = Datagram::AbortsReport(AbortsReport { number, aborts, crashes });
-        (state.peers.abort_report_targets(now_ms), datagram)
+        (state.peers.urgent_report_targets(now_ms), datagram)
     };
     let names: Vec<String> = peers.iter().map(|peer| peer.ip().to_string()).collect();
     report.expect_acknowledgements(number, names.iter().map(String::as_str));
@@ -185,7 +185,7 @@
         let (peers, messages) = {
             let (state, now_ms) = (gateway.state(), now_ms());
             let messages = state.suspect_parts.reports_of(now_ms, &report.subjects);
-            (state.peers.abort_report_targets(now_ms), messages)
+            (state.peers.urgent_report_targets(now_ms), messages)
         };
         let names: Vec<String> = peers.iter().map(|peer| peer.ip().to_string()).collect();
         let last = messages.len().checked_sub(1);
--- a/src/gateway/decisions/peers/permit_issuer.rs
+++ b/src/gateway/decisions/peers/permit_issuer.rs
@@ -19,6 +19,7 @@
         if !self.is_fleet_known(now_ms) {
             return None;
         }
+        // Boxes offer tunnels for as long as they are not stopping.
         let peers = self
             .live_peers(now_ms)
             .filter(|(_, peer)| peer.gossip.offers_tunnels)
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -26,8 +26,8 @@
 /// The same, while the load is sparse.
 const SPARSE_HALL_PART: usize = 16;
 
-/// Most boxes to which a report of aborts goes, unless the own hall has more.
-const MAX_ABORT_REPORT_TARGETS: usize = 64;
+/// Most boxes to which a report goes that must not wait for the gossip, unless the own hall has more.
+const MAX_URGENT_REPORT_TARGETS: usize = 64;
 
 /// Boxes for which a message is meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -195,7 +195,7 @@
     /// The boxes to which a client may turn next: all live ones of the own hall, and some others,
     /// first those that this box has not heard from yet, since it may have just started itself.
     #[must_use]
-    pub fn abort_report_targets(&self, now_ms: u64) -> Vec<SocketAddr> {
+    pub fn urgent_report_targets(&self, now_ms: u64) -> Vec<SocketAddr> {
         let is_other_hall = |peer: &Peer| peer.gossip.hall != self.local.hall;
         let (other_halls, own_hall): (Vec<_>, Vec<_>) =
             self.live_peers(now_ms).partition(|(_, peer)| is_other_hall(peer));
@@ -205,7 +205,7 @@
         let others = unknown_seeds
             .chain(unheard.map(|(address, _)| address))
             .chain(other_halls.into_iter().map(|(address, _)| address));
-        let more = MAX_ABORT_REPORT_TARGETS.saturating_sub(targets.len());
+        let more = MAX_URGENT_REPORT_TARGETS.saturating_sub(targets.len());
         targets.extend(others.take(more));
         self.at_peer_port(targets)
     }
--- a/src/gateway/decisions/rate_limit.rs
+++ b/src/gateway/decisions/rate_limit.rs
@@ -3,8 +3,8 @@
 //!
 //! *Load pattern:* the limit may be a request a second for a fleet of hundreds of boxes, and most
 //! clients may turn to any one of them. Equal parts of it would be too small to be of use, and most of
-//! them would belong to boxes without work. So one box, the issuer, counts for an upstream
-//! (`permit_issuer`), and every other one asks it for permits when it has requests to send.
+//! them would belong to boxes without work. So one box, the issuer of an upstream, counts for all
+//! (`permits`), and whichever has requests to send asks it for permits.
 //!
 //! Answers may overtake each other, and boxes hear of them at different times. What is known of a limit
 //! is therefore numbered: an observation gets a higher number than all that the box knew when it sent
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -300,7 +300,8 @@
         tried: &[Incarnation],
     ) -> Option<u64> {
         let untried = self.eligible(now_ms, service, resumption).filter(|upstream| {
-            !tried.iter().any(|incarnation| upstream.is_incarnation(incarnation))
+            !self.is_evacuated(upstream)
+                && !tried.iter().any(|incarnation| upstream.is_incarnation(incarnation))
         });
         let closed: Option<Vec<u64>> =
             untried.map(|upstream| upstream.closed_until_ms(now_ms)).collect();
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -52,7 +52,7 @@
     let (short_id, limit) = (known.short_id, known.rate_limit.limit());
     log_change(&upstream.id, limit, "its answer");
     state.permit_buckets.open(now_ms, short_id);
-    let targets = state.peers.abort_report_targets(now_ms);
+    let targets = state.peers.urgent_report_targets(now_ms);
     drop(state);
     gateway.capacity_changed.notify_waiters();
     if let Some(socket) = gateway.peer_socket.get().cloned() {
