Rate limits: a box asks once at a time, and each 3 s where the limit is 0

Requests of a box that came together each asked for permits, since it was noted by the task that asks and not before it began; the answer that came last replaced what others had brought (`lost_permits`, which failed before). And an upstream with a limit of 0 got a request each 10 s, so long it was not known that the limit had ended. Now the query is noted when the choice is made, permits are added, and such an upstream gets a request each 3 s.

--- a/src/gateway/decisions/permits.rs
+++ b/src/gateway/decisions/permits.rs
@@ -14,8 +14,8 @@
 const BURST_S: f64 = 0.25;
 /// Fewest permits that a bucket holds: a low limit is used in full although requests come unevenly.
 const MIN_BURST: f64 = 2.0;
-/// Longest time between two permits, however low the limit: only an answer shows that it has ended.
-const MAX_INTERVAL_S: f64 = 10.0;
+/// Permits per second for an upstream that names a limit of 0: only an answer shows that it has ended.
+const TRIALS_PER_S: f64 = 1.0 / 3.0;
 /// Time after which a box that has not asked again no longer counts as one that does.
 const ASKING_MS: u64 = 2000;
 /// Time from one question to the next that all boxes together should ask while they get no permits.
@@ -93,7 +93,8 @@
     ) -> Issued {
         self.open(now_ms, upstream);
         let Some(bucket) = self.by_upstream.get_mut(&upstream) else { return Issued::Unknown };
-        bucket.issue(now_ms, rate.per_s().max(1.0 / MAX_INTERVAL_S), holder, wanted)
+        let per_s = if rate == Rate::default() { TRIALS_PER_S } else { rate.per_s() };
+        bucket.issue(now_ms, per_s, holder, wanted)
     }
 }
 
--- a/src/gateway/decisions/rate_limit.rs
+++ b/src/gateway/decisions/rate_limit.rs
@@ -24,7 +24,7 @@
 const MAX_WANTED: usize = 1000;
 
 /// Requests per second, in thousandths.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Rate {
     per_1000_s: u32,
 }
@@ -225,11 +225,12 @@
 
     /// Records the issuer's answer: how many permits this box gets, and until when it has no others.
     pub fn record_issued(&mut self, now_ms: u64, count: u16, denied_until_ms: u64) {
+        let left = self.permits(now_ms);
         let permits = &mut self.permits;
         permits.asked_until_ms = 0;
         permits.denied_until_ms = denied_until_ms;
         if count > 0 {
-            permits.left = u32::from(count);
+            permits.left = left + u32::from(count);
             permits.expire_at_ms = now_ms + PERMIT_TIME_MS;
         }
     }
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -98,28 +98,30 @@
     known.is_some_and(|known| known.rate_limit.sending(now_ms()) != Sending::Permitted)
 }
 
-/// Asks for permits to send to an upstream, and records how many this box gets.
+/// Asks for permits to send to an upstream, unless that is being done, and records how many this box
+/// gets.
 pub async fn ask(gateway: &Arc<Gateway>, upstream: &Incarnation) {
+    let Some(query) = begin_query(gateway, upstream) else { return };
     let asking = {
         let (gateway, upstream) = (gateway.clone(), upstream.clone());
-        async move { ask_issuer(&gateway, &upstream).await }
+        async move { ask_issuer(&gateway, &upstream, query).await }
     };
     // Others may wait for the permits if the client of this request leaves.
     let _ = tokio::spawn(asking).await;
 }
 
-async fn ask_issuer(gateway: &Gateway, upstream: &Incarnation) {
-    let until_ms = now_ms() + MAX_ASKED * ANSWER_TIMEOUT_MS;
-    let query = {
-        let mut state = gateway.state();
-        let Some(known) = state.upstreams.get_incarnation_mut(upstream) else { return };
-        PermitQuery {
-            number: fastrand::u64(..),
-            upstream: known.short_id,
-            limit: known.rate_limit.limit(),
-            wanted: known.rate_limit.begin_asking(now_ms(), until_ms),
-        }
-    };
+fn begin_query(gateway: &Gateway, upstream: &Incarnation) -> Option<PermitQuery> {
+    let (mut state, now_ms) = (gateway.state(), now_ms());
+    let known = state.upstreams.get_incarnation_mut(upstream)?;
+    (known.rate_limit.sending(now_ms) == Sending::ToBeAsked).then(|| PermitQuery {
+        number: fastrand::u64(..),
+        upstream: known.short_id,
+        limit: known.rate_limit.limit(),
+        wanted: known.rate_limit.begin_asking(now_ms, now_ms + MAX_ASKED * ANSWER_TIMEOUT_MS),
+    })
+}
+
+async fn ask_issuer(gateway: &Gateway, upstream: &Incarnation, query: PermitQuery) {
     let mut issuer = find_issuer(gateway, upstream);
     let mut answer = None;
     for _ in 0..MAX_ASKED {
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -123,6 +123,21 @@
     }
 }
 
+/// Permits that were left were lost when others came.
+#[test]
+fn lost_permits() {
+    let mut state = LimitState::default();
+    state.record_answer(100, 50, Some(rate(20.0)));
+    assert_eq!(state.begin_asking(100, 200), 1);
+    assert_eq!(state.sending(100), Sending::Asked);
+    state.record_issued(110, 2, 110);
+    assert!(state.take_permit(110));
+    state.begin_asking(120, 200);
+    state.record_issued(130, 1, 180);
+    assert!(state.take_permit(130) && state.take_permit(130));
+    assert_eq!(state.sending(130), Sending::DeniedUntil(180));
+}
+
 /// Boxes in front of one upstream with a limit, and the box that issues its permits.
 struct Model {
     boxes: Vec<LimitState>,
