Soak: how far rate limits are used is judged while nothing fails

The second half of a run has none now, limits stay for 7 to 9 s, all upstreams name them in every second phase, and windows end with the clients. A limit counts from half a second after an answer that names it, since nobody can know it before, and at the latest 4 s after it was named.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -106,7 +106,13 @@
             Self::Restarts => &all[..3],
             Self::Moves => &all[..],
         };
-        generators.iter().flat_map(|generate| generate(seed, length_ms)).collect()
+        let mut steps: Vec<Step> =
+            generators.iter().flat_map(|generate| generate(seed, length_ms)).collect();
+        if self == Self::Limits {
+            // How far limits are used is judged where nothing fails.
+            steps.retain(|step| step.until_ms <= length_ms / 2);
+        }
+        steps
     }
 }
 
@@ -199,6 +205,9 @@
         )));
     }
     run_steps(&world, &steps, started_at).await;
+    if options.scenario == Scenario::Limits {
+        sleep_until((started_at + Duration::from_secs(options.seconds)).into()).await;
+    }
     world.end_faults();
     violations.extend(wait_for_configuration(&world).await);
     violations.extend(wait_for_weights(&world).await);
--- a/soak/src/limits.rs
+++ b/soak/src/limits.rs
@@ -26,7 +26,7 @@
 /// Limits that they name, in requests a second.
 const LIMITS: [f64; 5] = [0.0, 0.3, 1.2, 4.0, 9.0];
 /// Time for which limits stay as they are, or change each second.
-const PHASE_MS: std::ops::Range<u64> = 5000..7500;
+const PHASE_MS: std::ops::Range<u64> = 7000..9000;
 const CHANGE_PERIOD: Duration = Duration::from_secs(1);
 const WORK: &str = "X-Work-Ms: 15\r\n";
 /// Pause of a client between two requests.
@@ -40,6 +40,8 @@
 /// Time after an answer that names a limit from which the requests of its box count, and after a change
 /// of a limit from which it must be followed.
 const NEWS_TIME: Duration = Duration::from_millis(500);
+/// Longest time after which an upstream must have been asked whether its limit has changed.
+const MAX_UNKNOWN_TIME: Duration = Duration::from_secs(4);
 /// Part of all limits that is used while requests are refused.
 const USED_PART: f64 = 0.9;
 /// Fewest refusals in a window that show more work than is allowed.
@@ -134,8 +136,12 @@
     async fn change_limits(&self, seed: u64, stop: &AtomicBool) {
         let mut rng = Rng::with_seed(seed);
         let any = |rng: &mut Rng| LIMITS[rng.usize(..LIMITS.len())];
-        while !stop.load(Ordering::Relaxed) {
-            let kind = rng.u32(..3);
+        for phase in 0.. {
+            if stop.load(Ordering::Relaxed) {
+                return;
+            }
+            // All of them; some of them; one of them, which changes.
+            let kind = if phase % 2 == 0 { 0 } else { rng.u32(..3) };
             for number in 0..UPSTREAMS {
                 let is_limited = kind == 0 || number == 0 || kind == 1 && rng.bool();
                 let limit = any(&mut rng);
@@ -253,7 +259,7 @@
             violations.extend(self.exceeded_limit(limited, number));
         }
         violations
-            .extend(self.windows().filter_map(|from| self.unused_limits(limited, sent, from)));
+            .extend(self.windows(sent).filter_map(|from| self.unused_limits(limited, sent, from)));
         let held = sent.iter().filter(|request| {
             request.end == End::Refused
                 && request.ended_at - request.sent_at > REFUSAL_TIME
@@ -272,9 +278,9 @@
     }
 
     /// The starts of the windows that are judged.
-    fn windows(&self) -> impl Iterator<Item = Instant> {
+    fn windows(&self, sent: &[LimitedRequest]) -> impl Iterator<Item = Instant> {
+        let ended_at = sent.iter().map(|request| request.sent_at).max().unwrap_or(self.started_at);
         let step = Duration::from_millis(500);
-        let ended_at = Instant::now();
         (0..)
             .map(move |number| step * number)
             .map(|after| self.started_at + after)
@@ -391,7 +397,7 @@
         let ended = |end: End| sent.iter().filter(|request| request.end == end).count();
         let arrived = (0..UPSTREAMS).map(|number| limited.arrivals(number).len()).sum();
         let judged: Vec<Usage> =
-            self.windows().filter_map(|from| self.usage(limited, sent, from)).collect();
+            self.windows(sent).filter_map(|from| self.usage(limited, sent, from)).collect();
         let used = judged.iter().map(|usage| usage.arrived).sum();
         let named = judged.iter().map(|usage| usage.named.round()).sum::<f64>();
         vec![
@@ -406,14 +412,19 @@
 }
 
 impl LimitedUpstreams {
-    /// Requests that the limit of an upstream allows in a time if it is the same all along; `None`
-    /// otherwise.
+    /// Requests that the limit of an upstream allows in a time if it is the same all along, and boxes
+    /// could know it; `None` otherwise.
     fn steady_limit(&self, number: usize, from: Instant, to: Instant) -> Option<f64> {
         let named = self.named();
-        let since = from.checked_sub(CHANGE_PERIOD)?;
-        let in_force = named[number].iter().rposition(|naming| naming.at <= since)?;
+        let in_force = named[number].iter().rposition(|naming| naming.at <= from)?;
+        let Naming { at, per_s } = named[number][in_force];
         let is_last = named[number].get(in_force + 1).is_none_or(|next| next.at >= to);
-        let per_s = named[number][in_force].per_s.filter(|_| is_last)?;
+        // Nobody can know before an answer names it.
+        let answers = self.arrivals(number).into_iter().map(|arrival| arrival.answered_at);
+        let told_at = answers.filter(|answered_at| *answered_at >= at).min();
+        let is_known = told_at.is_some_and(|told_at| told_at + NEWS_TIME <= from);
+        let is_late = at + MAX_UNKNOWN_TIME <= from;
+        let per_s = per_s.filter(|_| is_last && (is_known || is_late))?;
         Some(per_s * (to - from).as_secs_f64())
     }
 }
