--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -386,6 +386,8 @@
             objective_ms: 500,
             objective_missed: false,
             admission_limit: 1.1,
+            account_part: 1.0,
+            reserved_part: 0.0,
         },
         objective_at_ms: Some(500),
     }
--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -200,6 +200,10 @@
     pub objective_missed: bool,
     /// Admission limit of the service.
     pub admission_limit: f64,
+    /// Part of the normal capacity that requests of the account may use.
+    pub account_part: f64,
+    /// Part of the capacity that is kept for other requests.
+    pub reserved_part: f64,
 }
 
 /// Occupancy of an engine for an admission decision.
@@ -250,7 +254,8 @@
         - RANK_RESERVE_PART * f64::from(criteria.higher_priority_ranks.min(MAX_RESERVING_RANKS));
     let late_part =
         if criteria.objective_missed { criteria.admission_limit.min(1.0).powi(2) } else { 1.0 };
-    criteria.admission_limit * part * late_part
+    let available_part = criteria.account_part * (1.0 - criteria.reserved_part).max(0.0);
+    criteria.admission_limit * part * late_part * available_part
 }
 
 /// Delay after which a refused client may retry: at most a third of its remaining time, spread by
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -556,6 +556,8 @@
             objective_ms: request.route.latency_objective_ms,
             objective_missed: now_ms >= request.outgoing.objective_at_ms,
             admission_limit: state.admission_limits.limit_of(&request.service),
+            account_part: 1.0,
+            reserved_part: 0.0,
         },
         objective_at_ms: Some(request.outgoing.objective_at_ms),
     };
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -14,6 +14,8 @@
     objective_ms: 500,
     objective_missed: false,
     admission_limit: 1.0,
+    account_part: 1.0,
+    reserved_part: 0.0,
 };
 
 fn has_room(load: Load, capacity: Capacity, criteria: AdmissionCriteria) -> bool {
@@ -223,3 +225,15 @@
     }
     assert!(first.own_limits(NOW_MS)[0].thousandths < 450, "{lowered_limit}");
 }
+
+/// What is kept from a request lowers the capacity that it may use, and nothing else does.
+#[test]
+fn parts_kept() {
+    let half_account = AdmissionCriteria { account_part: 0.5, ..HIGHEST_PRIORITY };
+    let half_reserved = AdmissionCriteria { reserved_part: 0.5, ..HIGHEST_PRIORITY };
+    for criteria in [half_account, half_reserved] {
+        assert!(has_room(load_with_memory(20_000), CAPACITY, criteria));
+        assert!(!has_room(load_with_memory(30_000), CAPACITY, criteria));
+    }
+    assert!(has_room(load_with_memory(30_000), CAPACITY, HIGHEST_PRIORITY));
+}
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -107,6 +107,8 @@
             objective_ms: 500,
             objective_missed: false,
             admission_limit: 1.1,
+            account_part: 1.0,
+            reserved_part: 0.0,
         },
         objective_at_ms: None,
     };
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -229,6 +229,8 @@
             objective_ms: OBJECTIVE_MS,
             objective_missed: false,
             admission_limit: 1.1,
+            account_part: 1.0,
+            reserved_part: 0.0,
         },
         objective_at_ms: Some(now_ms + OBJECTIVE_MS),
     };
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -78,6 +78,8 @@
             objective_ms: 500,
             objective_missed: false,
             admission_limit: 1.0,
+            account_part: 1.0,
+            reserved_part: 0.0,
         },
         objective_at_ms: None,
     }
