Gossip: urgent messages to all boxes wait while gossip fills a fifth of the link

Each part of a prompt that is accused or cleared made every box send its gossip to all of its hall, up to 50 times a second: 1,241 messages of gossip and as many reports of parts in one second from a box with 10 Mbit/s. Periodic messages and changes of load are sent as before, and links of 1,000 Mbit/s never reach the limit.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -15,7 +15,8 @@
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
 //! - State received from the metadata store and from other boxes: `listing`, `view`, `peers`,
-//!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
+//!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`,
+//!   `gossip_budget`.
 //! - Whether this box closes new connections, since it does not keep up: `shedding`.
 //! - Whether this box reaches upstreams at all: `reach`.
 //! - Requests with parts under which upstreams crash, one at a time: `trials`.
@@ -33,6 +34,7 @@
 pub mod configuration;
 pub mod context;
 pub mod demand;
+pub mod gossip_budget;
 pub mod gossip_message;
 pub mod hall_summary;
 pub mod incarnation;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -9,11 +9,12 @@
 use log::{debug, warn};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use crate::box_phase::BoxPhase;
-use crate::clock::now_ms;
+use crate::clock::{instant_at, now_ms};
 use crate::gateway::claims::handover_pause_ms;
+use crate::gateway::decisions::gossip_budget::GossipBudget;
 use crate::gateway::decisions::gossip_message::{
     AbortsReport, Gossip, LoadChanges, LoadReport, MetadataStoreStatus, NamedVersionReport,
     PartReports, SlowdownReport, changed_loads, reported_loads,
@@ -94,25 +95,27 @@
 pub async fn send(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, incarnation: u64) {
     let mut audience = Audience::All;
     let mut sent_loads = Vec::new();
+    let mut budget = GossipBudget::new(now_ms(), gateway.settings.link_mbps);
     while gateway.phase() != BoxPhase::Stopped {
         for (datagram, targets) in compose(&gateway, incarnation, audience, &mut sent_loads) {
             gateway.peer_traffic.record_sent(&datagram, targets.len());
-            send_to(&socket, &datagram, &targets).await;
+            budget.record_sent(now_ms(), send_to(&socket, &datagram, &targets).await);
         }
-        audience = next_audience(&gateway).await;
+        audience = next_audience(&gateway, &budget).await;
     }
 }
 
-/// Sends a datagram to each target; one that cannot be sent counts as lost.
-pub async fn send_to(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) {
+/// Sends a datagram to each target; one that cannot be sent counts as lost. Returns the number of
+/// bytes.
+pub async fn send_to(socket: &UdpSocket, datagram: &Datagram, targets: &[SocketAddr]) -> usize {
     if targets.is_empty() {
-        return;
+        return 0;
     }
     let bytes = match postcard::to_stdvec(datagram) {
         Ok(bytes) => bytes,
         Err(error) => {
             warn!(target: "gossip", "event=gossip_unwritable cause=\"{error}\"");
-            return;
+            return 0;
         }
     };
     for target in targets {
@@ -120,6 +123,7 @@
             debug!(target: "gossip", "event=gossip_lost peer={target} cause=\"{error}\"");
         }
     }
+    bytes.len() * targets.len()
 }
 
 /// The next datagrams, each with its targets. `sent_loads` holds the loads as last sent to the whole
@@ -203,13 +207,18 @@
     })
 }
 
-/// Waits until the next gossip is due; returns to whom it goes.
-async fn next_audience(gateway: &Gateway) -> Audience {
+/// Waits until the next gossip is due; returns to whom it goes. Urgent gossip to all boxes waits until
+/// there is budget for it.
+async fn next_audience(gateway: &Gateway, budget: &GossipBudget) -> Audience {
     sleep(MIN_PERIOD).await;
     let period = Duration::from_millis(GOSSIP_PERIOD_MS);
+    let gossip_now = async {
+        sleep_until(instant_at(budget.next_urgent_at_ms())).await;
+        gateway.gossip_now.notified().await;
+    };
     tokio::select! {
         () = sleep(period) => Audience::NextPart,
-        () = gateway.gossip_now.notified() => Audience::All,
+        () = gossip_now => Audience::All,
         () = gateway.load_changed.notified() => Audience::OwnHall,
         () = gateway.introduce_now.notified() => Audience::Newcomers,
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -31,6 +31,9 @@
 /// Default multiple of the rate that a cold upstream can take.
 const DEFAULT_COLD_RATIO: f64 = 1.0;
 
+/// Default bandwidth of the box's link.
+const DEFAULT_LINK_MBPS: f64 = 1000.0;
+
 /// Upper limit for durations: a day.
 const MAX_DURATION_MS: f64 = 86_400_000.0;
 
@@ -60,6 +63,8 @@
     pub dial_addresses: BTreeMap<SocketAddr, SocketAddr>,
     /// CPU share of the box, in cores.
     pub cores: f64,
+    /// Bandwidth of the box's link.
+    pub link_mbps: f64,
     /// Address of the platform's metadata store.
     pub metadata_address: String,
     /// Service bounds that the deployment requires.
@@ -115,6 +120,7 @@
             seeds: seeds(&mut reader),
             dial_addresses: dial_addresses(&mut reader),
             cores: reader.optional("box", "cores", 1.0),
+            link_mbps: link_mbps(&mut reader),
             metadata_address: reader.required("platform", "address"),
             bounds: bounds(&mut reader),
         };
@@ -128,6 +134,15 @@
     }
 }
 
+fn link_mbps(reader: &mut IniFile<'_>) -> f64 {
+    let link_mbps = reader.optional("box", "link_mbps", DEFAULT_LINK_MBPS);
+    if link_mbps > 0.0 {
+        return link_mbps;
+    }
+    reader.add_finding("box", "link_mbps", "link_mbps: not a bandwidth".to_owned());
+    DEFAULT_LINK_MBPS
+}
+
 fn bounds(reader: &mut IniFile<'_>) -> Bounds {
     Bounds {
         stop_ms: duration_ms(reader, "stop_s", 1000.0, DEFAULT_STOP_MS),
@@ -224,8 +239,18 @@
 fn known_keys(section: &str) -> &'static [&'static str] {
     match section {
         "box" => &[
-            "name", "hall", "regions", "clients", "ready", "peers", "tunnels", "metrics", "seeds",
-            "routes", "cores",
+            "name",
+            "hall",
+            "regions",
+            "clients",
+            "ready",
+            "peers",
+            "tunnels",
+            "metrics",
+            "seeds",
+            "routes",
+            "cores",
+            "link_mbps",
         ],
         "platform" => &["address"],
         "bounds" => &[
