Candidates: more engines of the hall are compared where few boxes share many

They now compare as many engines of the hall as there are for each box, two at least and six at most, while load is told at once. Boxes that have fallen silent count, so that those cut off from each other do not compare more.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -372,7 +372,7 @@
         weights_apply_ms: 12_000,
         excludes_overdue: true,
         placement: Placement::RendezvousHash { hall: "hall-0" },
-        candidates: Candidates::Sampled { seed },
+        candidates: Candidates::Sampled { seed, hall_boxes: None },
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried: &[],
--- a/src/gateway/decisions/candidates.rs
+++ b/src/gateway/decisions/candidates.rs
@@ -4,14 +4,18 @@
 //! dozens of boxes compared all engines, those that decide within that delay would pick the same
 //! engine, which would queue their prompts while others idle. In a large fleet, a box therefore
 //! compares a few upstreams drawn at random for each request, mostly in its own hall, and more only
-//! if these have no capacity left.
+//! if these have no capacity left. Where few boxes share many engines, it compares more of them: at
+//! two thirds of the engines' prefill capacity, most prompts wait behind others if only two engines
+//! are compared, while other engines of the hall are idle.
 
 use fastrand::Rng;
 
 use crate::gateway::decisions::upstream::Upstream;
 
-/// Upstreams drawn from the box's own hall.
-const OWN_HALL_SAMPLE: usize = 2;
+/// Least upstreams drawn from the box's own hall.
+const MIN_HALL_SAMPLE: usize = 2;
+/// Most upstreams drawn from the box's own hall.
+const MAX_HALL_SAMPLE: usize = 6;
 /// Upstreams drawn from other halls.
 const OTHER_HALL_SAMPLE: usize = 1;
 /// Upstreams drawn from the hall that stores the prompt's context.
@@ -28,6 +32,9 @@
     Sampled {
         /// Seed of the sample; differs between the attempts of a request.
         seed: u64,
+        /// Boxes of the hall that choose at the same time, including those that have fallen silent;
+        /// `None` while they do not tell each other of load at once.
+        hall_boxes: Option<usize>,
     },
 }
 
@@ -35,18 +42,22 @@
 pub struct CandidateSampler<'u, 'a> {
     random: Rng,
     usable: &'u [&'a Upstream],
+    hall_boxes: Option<usize>,
 }
 
 impl<'u, 'a> CandidateSampler<'u, 'a> {
     /// Samples from `usable`.
     #[must_use]
-    pub fn new(seed: u64, usable: &'u [&'a Upstream]) -> Self {
-        Self { random: Rng::with_seed(seed), usable }
+    pub fn new(seed: u64, hall_boxes: Option<usize>, usable: &'u [&'a Upstream]) -> Self {
+        Self { random: Rng::with_seed(seed), usable, hall_boxes }
     }
 
     /// Upstreams in `hall`.
     pub fn from_hall(&mut self, hall: &str) -> Vec<&'a Upstream> {
-        self.sample(OWN_HALL_SAMPLE, |upstream| upstream.entry.hall == hall)
+        let in_hall = |upstream: &Upstream| upstream.entry.hall == hall;
+        let engines = self.usable.iter().filter(|upstream| in_hall(upstream)).count();
+        let engines_per_box = self.hall_boxes.map_or(0, |boxes| engines / boxes.max(1));
+        self.sample(engines_per_box.clamp(MIN_HALL_SAMPLE, MAX_HALL_SAMPLE), in_hall)
     }
 
     /// Upstreams outside `hall`: in the hall that stores the prompt's context if that is known,
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -105,8 +105,8 @@
     let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
     let best = match demand.candidates {
         Candidates::All => chooser.best(&usable),
-        Candidates::Sampled { seed } => {
-            chooser.best_sampled(&mut CandidateSampler::new(seed, &usable), &usable)
+        Candidates::Sampled { seed, hall_boxes } => {
+            chooser.best_sampled(&mut CandidateSampler::new(seed, hall_boxes, &usable), &usable)
         }
     };
     best.map(|best| best.into_choice(now_ms, demand))
--- a/src/gateway/decisions/peers/targets.rs
+++ b/src/gateway/decisions/peers/targets.rs
@@ -244,6 +244,12 @@
         u16::try_from(rounds as u64 * GOSSIP_PERIOD_MS).unwrap_or(u16::MAX)
     }
 
+    /// Number of boxes in the own hall, including this one and those that have fallen silent.
+    #[must_use]
+    pub fn known_hall_boxes(&self) -> usize {
+        1 + self.known.values().filter(|peer| peer.gossip.hall == self.local.hall).count()
+    }
+
     fn own_hall(&self) -> Vec<IpAddr> {
         let own_hall = self.known.iter().filter(|(_, peer)| peer.gossip.hall == self.local.hall);
         own_hall.map(|(address, _)| *address).collect()
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -19,6 +19,7 @@
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::demand::{Demand, Resumption};
+use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
@@ -533,6 +534,8 @@
         } else {
             Candidates::Sampled {
                 seed: now_ms ^ u64::from(short_id(&request.outgoing.request_id)) << 32,
+                hall_boxes: (state.peers.news_pace() == Pace::Prompt)
+                    .then(|| state.peers.known_hall_boxes()),
             }
         },
         allowed_halls: AllowedHalls {
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -93,7 +93,7 @@
         weights_apply_ms: 10_000,
         excludes_overdue: true,
         placement: Placement::RendezvousHash { hall },
-        candidates: Candidates::Sampled { seed: 3 },
+        candidates: Candidates::Sampled { seed: 3, hall_boxes: None },
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried: &[],
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -23,6 +23,7 @@
 const ENGINES: usize = 51;
 const MODEL: &str = "m";
 const OBJECTIVE_MS: u64 = 500;
+const LATE_MS: f64 = 500.0;
 const DURATION_MS: u64 = 4000;
 /// Requests per second in the hall on an ordinary day.
 const REQUESTS_PER_S: f64 = 285.0;
@@ -96,9 +97,9 @@
 }
 
 impl Hall {
-    fn new(report_delay_ms: u64) -> Self {
+    fn new(boxes: usize, report_delay_ms: u64) -> Self {
         Self {
-            views: (0..BOXES).map(|_| initial_view()).collect(),
+            views: (0..boxes).map(|_| initial_view()).collect(),
             idle_at_ms: vec![0.0; ENGINES],
             pending_updates: VecDeque::new(),
             scheduled: Vec::new(),
@@ -131,7 +132,7 @@
             else {
                 break;
             };
-            for peer in (0..BOXES).filter(|peer| *peer != box_index) {
+            for peer in (0..self.views.len()).filter(|peer| *peer != box_index) {
                 apply(&mut self.views[peer].get_mut(&engine_id(engine)).unwrap().peer_load, change);
             }
         }
@@ -167,13 +168,21 @@
 #[derive(Clone, Copy)]
 enum Selection {
     Decision,
+    /// The decision as if load were not told at once.
+    OfTwo,
     Random,
 }
 
-/// Number of requests whose first token was late, and of all requests.
-fn late_requests(selection: Selection, report_delay_ms: u64, load: f64) -> (usize, usize) {
+/// Number of requests whose first token came after `late_after_ms`, and of all requests.
+fn late_requests(
+    selection: Selection,
+    late_after_ms: f64,
+    boxes: usize,
+    report_delay_ms: u64,
+    load: f64,
+) -> (usize, usize) {
     let mut rng = fastrand::Rng::with_seed(11);
-    let mut hall = Hall::new(report_delay_ms);
+    let mut hall = Hall::new(boxes, report_delay_ms);
     let (mut late_count, mut all, mut now) = (0, 0, 0.0);
     loop {
         now += -(1.0 - rng.f64()).ln() / (REQUESTS_PER_S * load) * 1000.0;
@@ -182,21 +191,29 @@
             return (late_count, all);
         }
         hall.advance(now_ms);
-        let (box_index, tokens) = (rng.usize(..BOXES), *rng.choice(PREFILL_TOKENS.iter()).unwrap());
+        let (box_index, tokens) = (rng.usize(..boxes), *rng.choice(PREFILL_TOKENS.iter()).unwrap());
         let engine = match selection {
             Selection::Random => rng.usize(..ENGINES),
-            Selection::Decision => {
-                choose_engine(&hall.views[box_index], now_ms, box_index, tokens, rng.u64(..))
+            Selection::Decision | Selection::OfTwo => {
+                let hall_boxes = matches!(selection, Selection::Decision).then_some(boxes);
+                let candidates = Candidates::Sampled { seed: rng.u64(..), hall_boxes };
+                choose_engine(&hall.views[box_index], now_ms, box_index, tokens, candidates)
             }
         };
         all += 1;
-        if hall.send(now_ms, box_index, engine, tokens) > 500.0 {
+        if hall.send(now_ms, box_index, engine, tokens) > late_after_ms {
             late_count += 1;
         }
     }
 }
 
-fn choose_engine(view: &Upstreams, now_ms: u64, box_index: usize, tokens: u32, seed: u64) -> usize {
+fn choose_engine(
+    view: &Upstreams,
+    now_ms: u64,
+    box_index: usize,
+    tokens: u32,
+    candidates: Candidates,
+) -> usize {
     let prompt = Prompt::parse(MODEL, &format!("{tokens},60"), &format!("ff:{tokens}")).unwrap();
     let engine = EngineSpec {
         slots: 24,
@@ -215,7 +232,7 @@
         weights_apply_ms: 10_000,
         excludes_overdue: true,
         placement: Placement::RendezvousHash { hall: "north" },
-        candidates: Candidates::Sampled { seed },
+        candidates,
         allowed_halls: AllowedHalls::ALL,
         resumption: None,
         tried: &[],
@@ -251,10 +268,30 @@
 #[case(250, 1.7)]
 #[case(500, 1.7)]
 fn old_news(#[case] report_delay_ms: u64, #[case] load: f64) {
-    let (chosen, all) = late_requests(Selection::Decision, report_delay_ms, load);
-    let (random, _) = late_requests(Selection::Random, report_delay_ms, load);
+    let (chosen, all) = late_requests(Selection::Decision, LATE_MS, BOXES, report_delay_ms, load);
+    let (random, _) = late_requests(Selection::Random, LATE_MS, BOXES, report_delay_ms, load);
     println!(
         "delay {report_delay_ms} load {load}: {chosen} late, {random} late at random, of {all}"
     );
     assert!(chosen <= random, "{chosen} late, {random} late at random, of {all}");
 }
+
+/// Guards against prompts that wait for as long as they take while other engines are idle: few boxes
+/// share many engines, which compute for two thirds of the time.
+#[test]
+fn few_boxes() {
+    let (chosen, all) = late_requests(Selection::Decision, 150.0, 9, 20, 2.4);
+    let (of_two, _) = late_requests(Selection::OfTwo, 150.0, 9, 20, 2.4);
+    assert!(chosen < of_two, "{chosen} late, {of_two} of two engines, of {all}");
+}
+
+/// Guards against boxes that all choose the same engines: few boxes that learn of load late, or are
+/// cut off from each other.
+#[rstest]
+#[case::late(250)]
+#[case::cut_off(u64::MAX / 2)]
+fn few_boxes_old_news(#[case] report_delay_ms: u64) {
+    let (chosen, all) = late_requests(Selection::Decision, LATE_MS, 9, report_delay_ms, 1.7);
+    let (random, _) = late_requests(Selection::Random, LATE_MS, 9, report_delay_ms, 1.7);
+    assert!(chosen <= random, "{chosen} late, {random} late at random, of {all}");
+}
