Slow readers: responses are read ahead of clients within bounds, and aborted beyond them (in progress)

Cause: nothing bounds what the box and its sockets hold for clients that read slowly. On the unchanged code gateway_slow_readers::slow_clients showed 53 MB in the process and 306 MB in socket queues for 300 clients at 1 kB/s, and 127 ms for other requests instead of 56 ms.

--- a/src/gateway/client_stream.rs
+++ b/src/gateway/client_stream.rs
@@ -13,6 +13,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::gateway::relay::client_buffer::ClientReads;
+
 /// Whether the response that is being sent to a client ends with its connection.
 #[derive(Clone, Debug, Default)]
 pub struct CloseDelimited(Arc<AtomicBool>);
@@ -30,12 +32,18 @@
     close_delimited: CloseDelimited,
     /// Whether closing the socket resets the connection.
     resets: bool,
+    /// What is held for it, if that is bounded.
+    reads: Option<Arc<ClientReads>>,
 }
 
 impl ClientStream {
     #[must_use]
-    pub fn new(stream: TcpStream, close_delimited: CloseDelimited) -> Self {
-        Self { stream, close_delimited, resets: false }
+    pub fn new(
+        stream: TcpStream,
+        close_delimited: CloseDelimited,
+        reads: Option<Arc<ClientReads>>,
+    ) -> Self {
+        Self { stream, close_delimited, resets: false, reads }
     }
 
     /// Sets whether closing the socket resets the connection.
@@ -53,6 +61,22 @@
     fn begin_write(&mut self) {
         self.set_resets(self.close_delimited.0.load(Ordering::Relaxed));
     }
+
+    fn record_accepted(&self, polled: &Poll<io::Result<usize>>) {
+        if let (Some(reads), Poll::Ready(Ok(bytes))) = (&self.reads, polled) {
+            reads.record_accepted(*bytes);
+        }
+    }
+}
+
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        let Some(reads) = self.reads.take() else { return };
+        reads.release();
+        if reads.is_aborted() {
+            self.set_resets(true);
+        }
+    }
 }
 
 impl AsyncRead for ClientStream {
@@ -72,7 +96,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_accepted(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -81,7 +107,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_accepted(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -17,6 +17,7 @@
 //! - State received from the metadata store and from other boxes: `listing`, `view`, `peers`,
 //!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`.
 //! - Whether this box closes new connections, since it does not keep up: `shedding`.
+//! - What is buffered for clients that read slowly: `slow_readers`.
 //! - Whether this box reaches upstreams at all: `reach`.
 //! - Requests with parts under which upstreams crash, one at a time: `trials`.
 //! - Shared constants and conversions: `units`.
@@ -49,6 +50,7 @@
 pub mod release;
 pub mod rollout;
 pub mod shedding;
+pub mod slow_readers;
 pub mod software_history;
 pub mod sources;
 pub mod store_speed;
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -27,6 +27,7 @@
 use crate::gateway::decisions::permits::{PermitAnswer, PermitBuckets};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::shedding::Shedding;
+use crate::gateway::decisions::slow_readers::ClientBuffers;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::stream_origins::StreamOrigins;
 use crate::gateway::decisions::trials::Trials;
@@ -315,6 +316,8 @@
     pub claim_lock: tokio::sync::Mutex<()>,
     /// How long accepted connections wait.
     pub shedding: Mutex<Shedding>,
+    /// What is held for clients that have not read it yet.
+    pub client_buffers: Arc<Mutex<ClientBuffers>>,
     state: Mutex<State>,
     phase: watch::Sender<BoxPhase>,
 }
@@ -408,6 +411,7 @@
             versions_read: tokio::sync::Mutex::new(false),
             claim_lock: tokio::sync::Mutex::new(()),
             shedding: Mutex::default(),
+            client_buffers: Arc::default(),
             state: Mutex::new(state),
             phase: watch::Sender::new(BoxPhase::Serving),
             settings,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts client connections, and serves the load balancer's readiness check and the metrics.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::debug;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -25,6 +27,7 @@
 use crate::gateway::decisions::configuration::ClientLimits;
 use crate::gateway::follow_metadata::longest_weight_lag_s;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::relay::client_buffer::{ClientReads, read_ahead};
 use crate::gateway::response::is_close_delimited;
 use crate::gateway::serve::serve;
 use crate::prometheus;
@@ -34,6 +37,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time in which the first request on a connection is awaited while the box drains.
 pub const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
+/// Bytes that the system keeps for a client that reads slowly, where that is bounded; by default they
+/// are up to 4 MB, for 300 such clients more than the memory of a box. Responses are short.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 
@@ -99,10 +105,19 @@
     let request_begun = Arc::new(Notify::new());
     let begun = request_begun.clone();
     let close_delimited = CloseDelimited::default();
-    let stream = ClientStream::new(stream, close_delimited.clone());
+    let reads = gateway.settings.slow_readers.then(|| {
+        let bounded = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
+        if let Err(error) = bounded {
+            debug!(target: "listener", "event=socket_option_refused cause=\"{error}\"");
+        }
+        Arc::new(ClientReads::new(gateway.client_buffers.clone()))
+    });
+    let stream = ClientStream::new(stream, close_delimited.clone(), reads.clone());
+    let body_reads = reads.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         begun.notify_one();
         let (gateway, close_delimited) = (shared.clone(), close_delimited.clone());
+        let reads = body_reads.clone();
         async move {
             let version = request.version();
             let mut response = serve(gateway.clone(), request).await;
@@ -113,7 +128,10 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(match &reads {
+                Some(reads) => read_ahead(reads, response),
+                None => response,
+            })
         }
     });
     let mut connection =
@@ -122,14 +140,26 @@
         ended = connection.as_mut() => ended,
         () = wait_until_closing(&gateway, &request_begun) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = wait_until_aborted(reads.as_deref()) => return,
+            }
         }
+        // Closing the connection resets it.
+        () = wait_until_aborted(reads.as_deref()) => return,
     };
     if let Err(error) = ended {
         debug!(target: "listener", "event=client_connection_broken cause=\"{error}\"");
     }
 }
 
+async fn wait_until_aborted(reads: Option<&ClientReads>) {
+    match reads {
+        Some(reads) => reads.wait_until_aborted().await,
+        None => pending().await,
+    }
+}
+
 /// Waits until a connection is to be closed, after the request that is being served. A client that
 /// has just connected gets the time to send its first request.
 async fn wait_until_closing(gateway: &Gateway, request_begun: &Notify) {
@@ -165,6 +195,9 @@
     serve_endpoint(gateway, listener, |gateway| {
         let lag_s = longest_weight_lag_s(&gateway.state(), now_ms());
         metrics::gauge!("coursestile_weights_behind_seconds").set(lag_s);
+        let held_bytes = locked(&gateway.client_buffers).box_bytes();
+        #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^52 bytes")]
+        metrics::gauge!("coursestile_client_buffer_bytes").set(held_bytes as f64);
         (StatusCode::OK, prometheus::render())
     })
     .await;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -4,6 +4,7 @@
 //! stream is forwarded in whole events. If its upstream breaks off, or if it is moved (see `moves`),
 //! another upstream resumes it after the last event that was forwarded.
 
+pub mod client_buffer;
 mod moves;
 
 use std::sync::Arc;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,6 +27,7 @@
 use crate::gateway::refuse::{
     RETRY_AFTER_MS, no_upstream_found, refuse, refuse_immediately, refuse_until,
 };
+use crate::gateway::relay::client_buffer::ResponseOwner;
 use crate::gateway::request_log::{
     ForwardedBody, log_answered, log_attempt_end, log_attempt_start, log_early_refusal,
     log_not_sent,
@@ -90,7 +91,11 @@
         }
     };
     gateway.state().retry_budget.record_request(arrived_at_ms, &request.service);
+    let account = request.outgoing.content.account;
     let mut response = run_attempts(&gateway, request).await;
+    if let Some(request_id) = request_id.filter(|_| gateway.settings.slow_readers) {
+        response.extensions_mut().insert(ResponseOwner { request_id, account });
+    }
     // The request stays in flight until its response body has been sent.
     let body = std::mem::replace(response.body_mut(), response::full_body(Bytes::new()));
     *response.body_mut() = response::with_guard(body, active);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -64,6 +64,8 @@
     pub metadata_address: String,
     /// Service bounds that the deployment requires.
     pub bounds: Bounds,
+    /// Whether clients, or upstreams, may read slowly, so that what is buffered for them is bounded.
+    pub slow_readers: bool,
 }
 
 /// Service bounds that the deployment requires.
@@ -117,6 +119,7 @@
             cores: reader.optional("box", "cores", 1.0),
             metadata_address: reader.required("platform", "address"),
             bounds: bounds(&mut reader),
+            slow_readers: slow_readers(&mut reader),
         };
         reader.finish(settings)
     }
@@ -151,6 +154,13 @@
     }
 }
 
+/// Reads whether there are slow readers: `true`, or a list of contracts that names `pressure`, since
+/// the template cannot compare.
+fn slow_readers(reader: &mut IniFile<'_>) -> bool {
+    let values = reader.list("load", "slow_readers");
+    values.iter().any(|value| value == "true" || value == "pressure")
+}
+
 /// Reads a duration that is given in units of `unit_ms` and may have a fraction; returns
 /// milliseconds.
 fn duration_ms(reader: &mut IniFile<'_>, key: &str, unit_ms: f64, default_ms: u64) -> u64 {
@@ -228,6 +238,7 @@
             "routes", "cores",
         ],
         "platform" => &["address"],
+        "load" => &["slow_readers"],
         "bounds" => &[
             "stop_s",
             "retry_ratio",
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -161,6 +161,8 @@
     /// Setting `routes` of gateways started from now on: `address>target`, separated by commas, where
     /// `target` is dialled instead of an upstream's address.
     pub routes: String,
+    /// Setting `[load] slow_readers` of gateways started from now on, if they get one.
+    pub slow_readers: Option<&'static str>,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -186,6 +188,7 @@
             cold_extra: 0.0,
             regions: String::new(),
             routes: String::new(),
+            slow_readers: None,
             folder,
             network,
             next_box: 10,
@@ -219,7 +222,7 @@
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\ntunnels = {tunnels}\nregions = {}\nroutes = {}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
-             weights_apply_ms = {}\ncold_extra = {}\n",
+             weights_apply_ms = {}\ncold_extra = {}\n{}",
             self.regions,
             self.routes,
             seeds.join(","),
@@ -228,6 +231,8 @@
             self.lease_ms,
             self.weights_apply_ms,
             self.cold_extra,
+            self.slow_readers
+                .map_or_else(String::new, |value| format!("[load]\nslow_readers = {value}\n")),
         );
         let path = self.folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings).expect("settings");
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -42,6 +42,8 @@
     Crash,
 }
 
+/// What large bodies consist of.
+const BODY_PIECE: [u8; 16384] = [b'x'; 16384];
 /// Time within which rejections count together.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 
@@ -652,7 +654,9 @@
             let cut = matches!(behavior, Behavior::TruncatedLargeBody(_));
             let sent = if cut { length / 2 } else { *length };
             write.write_all(head(200, id, &sealed).as_bytes()).await.ok()?;
-            write.write_all("x".repeat(sent).as_bytes()).await.ok()?;
+            for start in (0..sent).step_by(BODY_PIECE.len()) {
+                write.write_all(&BODY_PIECE[..BODY_PIECE.len().min(sent - start)]).await.ok()?;
+            }
             return (!cut).then_some(());
         }
         Behavior::Events(count) => {
