--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use crate::gateway::crashes::{self, AnswerEnd, EndedRun};
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::configuration::RetryPolicy;
+use crate::gateway::decisions::slow_readers::REQUEST_TIMEOUT_MS;
 use crate::gateway::decisions::units::rounded_ms;
 use crate::gateway::decisions::urgency;
 use crate::gateway::heads::{ForwardHead, Framing, NamedRateLimit, ResponseHead};
@@ -201,6 +202,7 @@
             last_event_id,
         },
     );
+    let written = connection.written.clone();
     let sent = tokio::select! {
         // Polled in order: a response that has arrived is not abandoned.
         biased;
@@ -208,6 +210,10 @@
         () = in_flight.wait_until_lost(), if outgoing.retry_policy.may_retry() => {
             return AttemptOutcome::Unknown { cause: "this box is cut off".to_owned() };
         }
+        () = written.wait_until_blocked(REQUEST_TIMEOUT_MS), if gateway.settings.slow_readers => {
+            in_flight.record_failure();
+            return AttemptOutcome::Unknown { cause: "the upstream does not read it".to_owned() };
+        }
     };
     let response = match sent {
         Ok(Ok(response)) => response,
--- a/src/gateway/bounded_head.rs
+++ b/src/gateway/bounded_head.rs
@@ -1,15 +1,20 @@
 //! Bounds what an upstream sends before the head of its response is complete.
 //!
 //! The HTTP library bounds a head that does not end, but not the interim responses before it, which it
-//! reads as long as they come.
+//! reads as long as they come. Beside that it is noted here since when an upstream reads nothing of a
+//! request that is being sent.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::sleep_until;
+
+use crate::clock::{instant_at, now_ms};
+use crate::sync::locked;
 
 /// Most bytes that are kept of a connection until they can be passed on, and thus of one head.
 pub const MAX_BUFFER_BYTES: usize = 64 << 10;
@@ -53,15 +58,50 @@
     }
 }
 
+/// Since when an upstream accepts nothing of what is written to its connection.
+#[derive(Clone, Debug, Default)]
+pub struct WriteProgress(Arc<Mutex<Option<u64>>>);
+
+impl WriteProgress {
+    fn record(&self, is_accepted: bool) {
+        let mut blocked_since_ms = locked(&self.0);
+        if is_accepted {
+            *blocked_since_ms = None;
+        } else {
+            blocked_since_ms.get_or_insert_with(now_ms);
+        }
+    }
+
+    /// Waits until nothing has been accepted for `max_ms` of what is to be written.
+    pub async fn wait_until_blocked(&self, max_ms: u64) {
+        loop {
+            let blocked_since_ms = *locked(&self.0);
+            let due_ms = blocked_since_ms.unwrap_or_else(now_ms) + max_ms;
+            if now_ms() >= due_ms {
+                return;
+            }
+            sleep_until(instant_at(due_ms)).await;
+        }
+    }
+}
+
 /// A byte stream whose bytes up to the head of each response are bounded.
 pub struct BoundedHead<T> {
     io: T,
     bound: HeadBound,
+    written: WriteProgress,
+    /// Most bytes that are read at a time, if they are bounded.
+    max_read_bytes: Option<usize>,
 }
 
 impl<T> BoundedHead<T> {
-    pub fn new(io: T, bound: HeadBound) -> Self {
-        Self { io, bound }
+    pub fn new(
+        io: T,
+        bound: HeadBound,
+        written: WriteProgress,
+        max_read_bytes: Option<usize>,
+    ) -> Self {
+        Self { io, bound, written, max_read_bytes }
     }
 }
 
@@ -76,7 +116,17 @@
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
         }
         let filled_before = buffer.filled().len();
-        let polled = Pin::new(&mut self.io).poll_read(context, buffer);
+        let polled = match self.max_read_bytes {
+            Some(max_bytes) => {
+                let bytes = max_bytes.min(buffer.remaining());
+                let mut part = ReadBuf::new(buffer.initialize_unfilled_to(bytes));
+                let polled = Pin::new(&mut self.io).poll_read(context, &mut part);
+                let read_bytes = part.filled().len();
+                buffer.advance(read_bytes);
+                polled
+            }
+            None => Pin::new(&mut self.io).poll_read(context, buffer),
+        };
         self.bound.record(buffer.filled().len() - filled_before);
         polled
     }
@@ -88,7 +138,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.io).poll_write(context, bytes);
+        self.written.record(polled.is_ready());
+        polled
     }
 
     fn poll_write_vectored(
@@ -96,7 +148,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut self.io).poll_write_vectored(context, slices);
+        self.written.record(polled.is_ready());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -28,7 +28,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::now_ms;
-use crate::gateway::bounded_head::{BoundedHead, HeadBound, MAX_BUFFER_BYTES};
+use crate::gateway::bounded_head::{BoundedHead, HeadBound, MAX_BUFFER_BYTES, WriteProgress};
 use crate::sync::locked;
 
 /// Connect timeout: many round trips, but less than the second after which a lost SYN is
@@ -49,6 +49,13 @@
 /// How long the rest of a request may take to be sent after its response has ended.
 const REQUEST_SENT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Bytes that the system keeps in each direction, where that is bounded; by default they grow to
+/// megabytes, of which 300 connections would fill a small box.
+const SOCKET_BUFFER_BYTES: usize = 32 << 10;
+/// Bytes that are read at a time there. Each connection that waits for a slow client holds as many, and
+/// a buffer of up to twice the size.
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// How a connection leads to its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Path {
@@ -62,6 +69,7 @@
     sender: SendRequest<Full<Bytes>>,
     pub path: Path,
     head_bound: HeadBound,
+    pub written: WriteProgress,
 }
 
 /// A new connection, with a task that ends when it is closed.
@@ -97,6 +105,8 @@
 #[derive(Default)]
 pub struct Connections {
     pool: Arc<Mutex<Pool>>,
+    /// Bytes that the system keeps in each direction of a new connection, if they are bounded.
+    socket_buffer_bytes: Option<usize>,
 }
 
 /// Why there is no response to a request.
@@ -109,6 +119,12 @@
 }
 
 impl Connections {
+    /// Connections for which the system keeps little, whether or not the other side reads.
+    #[must_use]
+    pub fn bounded() -> Self {
+        Self { socket_buffer_bytes: Some(SOCKET_BUFFER_BYTES), ..Self::default() }
+    }
+
     /// Opens a connection to an upstream's address.
     ///
     /// # Errors
@@ -120,6 +136,11 @@
             |_| io::Error::new(io::ErrorKind::TimedOut, "no connection within the connect timeout");
         let stream = connecting.await.map_err(timed_out)??;
         set_socket_options(&stream)?;
+        if let Some(bytes) = self.socket_buffer_bytes {
+            let socket = SockRef::from(&stream);
+            socket.set_send_buffer_size(bytes)?;
+            socket.set_recv_buffer_size(bytes)?;
+        }
         self.start(stream, Path::Direct).await
     }
 
@@ -133,7 +154,10 @@
         path: Path,
     ) -> io::Result<NewConnection> {
         let head_bound = HeadBound::default();
-        let io = TokioIo::new(BoundedHead::new(io, head_bound.clone()));
+        let written = WriteProgress::default();
+        let max_read_bytes = self.socket_buffer_bytes.map(|_| MAX_READ_BYTES);
+        let io = BoundedHead::new(io, head_bound.clone(), written.clone(), max_read_bytes);
+        let io = TokioIo::new(io);
         let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
         let pool = self.pool.clone();
@@ -146,7 +170,7 @@
                 }
             }
         });
-        Ok((Connection { sender, path, head_bound }, closed))
+        Ok((Connection { sender, path, head_bound, written }, closed))
     }
 
     /// Takes an idle connection to an upstream.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -63,6 +63,8 @@
 /// Bytes that a box keeps of all responses until they can be passed on, unless there are so many that
 /// each gets the least.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Where there are slow readers, by what the bytes are divided: what is held for clients comes on top.
+const SLOW_READERS_DIVISOR: usize = 4;
 /// Least and most bytes that are kept of one response.
 const MIN_RESPONSE_BUFFER_BYTES: usize = 16 << 10;
 const MAX_RESPONSE_BUFFER_BYTES: usize = 256 << 10;
@@ -328,7 +330,9 @@
     #[must_use]
     pub fn max_buffered_bytes(&self) -> usize {
         let requests = self.state().requests_in_flight.max(1);
-        (MAX_BUFFERED_BYTES / requests).clamp(MIN_RESPONSE_BUFFER_BYTES, MAX_RESPONSE_BUFFER_BYTES)
+        let divisor = if self.settings.slow_readers { SLOW_READERS_DIVISOR } else { 1 };
+        (MAX_BUFFERED_BYTES / requests / divisor)
+            .clamp(MIN_RESPONSE_BUFFER_BYTES, MAX_RESPONSE_BUFFER_BYTES / divisor)
     }
 
     /// Creates the shared state.
@@ -382,7 +386,11 @@
             ),
             caches: CacheClient::new(http.clone()),
             engines: EngineClient::new(http),
-            connections: Connections::default(),
+            connections: if settings.slow_readers {
+                Connections::bounded()
+            } else {
+                Connections::default()
+            },
             capacity_changed: Notify::new(),
             refresh_metadata: Notify::new(),
             catch_up_now: Notify::new(),
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -318,6 +318,12 @@
         self.state().handled.clone()
     }
 
+    /// Number of requests that it works on.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state().running
+    }
+
     /// Ids of requests whose connection ended before their answer.
     #[must_use]
     pub fn abandoned(&self) -> Vec<String> {
