Slow readers: what is buffered is bounded, and responses that few read are aborted

Cause: on the unchanged code 300 clients at 1 kB/s left 306 MB in socket queues beside 53 MB in the process, other requests took 127 ms instead of 56 ms, an upstream that reads no request was given up after 2.2 s only, and the system reset a client that paused for 3 s although its response was ready.

Change: with [load] slow_readers the box reads responses ahead up to 256 KB for a connection, 4 MB for an account and 16 MB in all, bounds the sockets' buffers, and resets a client's connection once its upstream waits too long for it. Bodies of requests are counted and bounded likewise until a response.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::{HeaderMap, Uri, header};
 use tokio::time::timeout;
 
@@ -17,6 +17,7 @@
 use crate::gateway::decisions::stream_origins::{StreamId, StreamOrigin};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::heads::{RequestHead, ResumedStream};
+use crate::gateway::held_request::HeldRequest;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::origins::{self, FoundOrigin};
 use crate::gateway::request_log::log_resumed_by_client;
@@ -64,6 +65,8 @@
     pub undelivered_attempts: u32,
     /// Whether any attempt may have run.
     pub may_have_run: bool,
+    /// Counts its body until there is a response.
+    pub held_request: Option<Arc<HeldRequest>>,
 }
 
 impl AdmittedRequest {
@@ -113,6 +116,11 @@
     let target = parts.uri.path_and_query().cloned().map(Uri::from).ok_or(Reason::BadRequest)?;
     let route = configuration.route(host, target.path()).ok_or(Reason::NoRoute)?.clone();
     let account = authenticate(&configuration, &route, head)?.cloned();
+    let account_id = short_id(account.as_ref().map_or("", |account| &account.name));
+    // A body without a length counts as the longest.
+    let body_bytes = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
+    let body_bytes = body_bytes.unwrap_or(usize::MAX).min(configuration.limits.max_body_bytes);
+    let held_request = HeldRequest::reserve(gateway, account_id, body_bytes).await?;
     let body = read_body(&configuration, body).await?;
     let account_name = account.as_ref().map_or("", |account| &account.name);
     let stream = StreamId::new(account_name, began_as(head, request_id));
@@ -158,6 +166,7 @@
         attempts_made: 0,
         undelivered_attempts: 0,
         may_have_run: false,
+        held_request,
         outgoing: OutgoingRequest {
             request_id: request_id.clone(),
             content: RequestContent {
@@ -170,7 +179,7 @@
                     ],
                     &body,
                 ),
-                account: short_id(account_name),
+                account: account_id,
                 parts: shared_part_keys(head.prompt.as_ref(), isolated_account),
             },
             trial: None,
--- a/src/gateway/decisions/slow_readers.rs
+++ b/src/gateway/decisions/slow_readers.rs
@@ -18,21 +18,24 @@
 pub const UNBOUNDED_BYTES: usize = 16 << 10;
 /// Longest time for which a client accepts nothing while its upstream waits to be read.
 const ACCEPT_TIMEOUT_MS: u64 = 1500;
-/// Longest time for which an upstream waits to be read. Upstreams cut off a response after some seconds.
-const UNREAD_TIMEOUT_MS: u64 = 2500;
+/// Longest time for which an upstream waits to be read, at a time and altogether. Upstreams cut off a response after some seconds.
+const UNREAD_TIMEOUT_MS: u64 = 2000;
+/// Rate of a client for which an upstream may wait longer, though not at a time.
+const MIN_BYTES_PER_MS: usize = 32;
 /// Longest time for which an upstream accepts nothing of a request: as long as one may owe a response
 /// without sending a byte.
 pub const REQUEST_TIMEOUT_MS: u64 = 1200;
 
-/// Bytes that were read from upstreams and not yet accepted by the sockets of clients.
+/// Bytes held for others that may be slow: of responses, what was read from upstreams and not yet
+/// accepted by the sockets of clients; of requests, the bodies for which there is no response yet.
 #[derive(Debug, Default)]
-pub struct ClientBuffers {
+pub struct BufferedBytes {
     box_bytes: usize,
     /// By the short id of the client account.
     account_bytes: HashMap<u32, usize>,
 }
 
-impl ClientBuffers {
+impl BufferedBytes {
     pub fn add(&mut self, account: u32, bytes: usize) {
         self.box_bytes += bytes;
         *self.account_bytes.entry(account).or_default() += bytes;
@@ -49,27 +52,46 @@
         }
     }
 
-    /// Bytes held for all clients.
+    /// Bytes held altogether.
     #[must_use]
     pub fn box_bytes(&self) -> usize {
         self.box_bytes
     }
 
+    /// Whether more may be held for a client account.
+    #[must_use]
+    pub fn has_room(&self, account: u32) -> bool {
+        let account_bytes = self.account_bytes.get(&account).copied().unwrap_or_default();
+        account_bytes < ACCOUNT_BYTES && self.box_bytes < BOX_BYTES
+    }
+
     /// Whether more may be read for a connection that holds `connection_bytes`.
     #[must_use]
     pub fn may_read(&self, account: u32, connection_bytes: usize) -> bool {
-        let account_bytes = self.account_bytes.get(&account).copied().unwrap_or_default();
-        let has_room = connection_bytes < CONNECTION_BYTES
-            && account_bytes < ACCOUNT_BYTES
-            && self.box_bytes < BOX_BYTES;
-        has_room || connection_bytes < UNBOUNDED_BYTES
+        connection_bytes < UNBOUNDED_BYTES
+            || connection_bytes < CONNECTION_BYTES && self.has_room(account)
     }
 }
 
-/// When a response is aborted that has not been read from its upstream since `stopped_at_ms`, and of
-/// which the client last accepted bytes at `accepted_at_ms`.
-#[must_use]
-pub fn abort_at_ms(stopped_at_ms: u64, accepted_at_ms: u64) -> u64 {
-    let unaccepted_at_ms = stopped_at_ms.max(accepted_at_ms) + ACCEPT_TIMEOUT_MS;
-    unaccepted_at_ms.min(stopped_at_ms + UNREAD_TIMEOUT_MS)
+/// How an upstream waits for a client to accept what has been read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Wait {
+    /// Since when the upstream has not been read.
+    pub stopped_at_ms: u64,
+    /// How long it had not been read before, since the response began.
+    pub waited_ms: u64,
+    /// When the client last accepted bytes, and how many of the response it has accepted.
+    pub accepted_at_ms: u64,
+    pub accepted_bytes: usize,
+}
+
+impl Wait {
+    /// When the response is aborted. A client that reads at [`MIN_BYTES_PER_MS`] may go on.
+    #[must_use]
+    pub fn abort_at_ms(&self) -> u64 {
+        let earned_ms = (self.accepted_bytes / MIN_BYTES_PER_MS) as u64;
+        let allowed_ms = (UNREAD_TIMEOUT_MS + earned_ms).saturating_sub(self.waited_ms);
+        let unaccepted_at_ms = self.stopped_at_ms.max(self.accepted_at_ms) + ACCEPT_TIMEOUT_MS;
+        unaccepted_at_ms.min(self.stopped_at_ms + allowed_ms.min(UNREAD_TIMEOUT_MS))
+    }
 }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -27,7 +27,7 @@
 use crate::gateway::decisions::permits::{PermitAnswer, PermitBuckets};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::shedding::Shedding;
-use crate::gateway::decisions::slow_readers::ClientBuffers;
+use crate::gateway::decisions::slow_readers::BufferedBytes;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::stream_origins::StreamOrigins;
 use crate::gateway::decisions::trials::Trials;
@@ -319,7 +319,9 @@
     /// How long accepted connections wait.
     pub shedding: Mutex<Shedding>,
     /// What is held for clients that have not read it yet.
-    pub client_buffers: Arc<Mutex<ClientBuffers>>,
+    pub client_buffers: Arc<Mutex<BufferedBytes>>,
+    /// Bodies of requests that upstreams have not responded to yet, if they are bounded.
+    pub request_buffers: Arc<Mutex<BufferedBytes>>,
     state: Mutex<State>,
     phase: watch::Sender<BoxPhase>,
 }
@@ -420,6 +422,7 @@
             claim_lock: tokio::sync::Mutex::new(()),
             shedding: Mutex::default(),
             client_buffers: Arc::default(),
+            request_buffers: Arc::default(),
             state: Mutex::new(state),
             phase: watch::Sender::new(BoxPhase::Serving),
             settings,
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -40,6 +40,9 @@
 /// Bytes that the system keeps for a client that reads slowly, where that is bounded; by default they
 /// are up to 4 MB, for 300 such clients more than the memory of a box. Responses are short.
 const SEND_BUFFER_BYTES: usize = 32 << 10;
+/// Time after which the system resets a connection there whose client reads nothing at all. The usual
+/// time would end responses that the box holds and that keep no upstream.
+const CLOSED_WINDOW_TIMEOUT: Duration = Duration::from_secs(10);
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 
@@ -106,8 +109,9 @@
     let begun = request_begun.clone();
     let close_delimited = CloseDelimited::default();
     let reads = gateway.settings.slow_readers.then(|| {
-        let bounded = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
-        if let Err(error) = bounded {
+        let socket = SockRef::from(&stream);
+        let bounded = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        if let Err(error) = bounded.and(socket.set_tcp_user_timeout(Some(CLOSED_WINDOW_TIMEOUT))) {
             debug!(target: "listener", "event=socket_option_refused cause=\"{error}\"");
         }
         Arc::new(ClientReads::new(gateway.client_buffers.clone()))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 pub mod follow_metadata;
 pub mod gossip;
 pub mod heads;
+mod held_request;
 pub mod in_flight;
 pub mod invariants;
 pub mod kernel;
--- a/src/gateway/relay/client_buffer.rs
+++ b/src/gateway/relay/client_buffer.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
-use crate::gateway::decisions::slow_readers::{ClientBuffers, UNBOUNDED_BYTES, abort_at_ms};
+use crate::gateway::decisions::slow_readers::{BufferedBytes, UNBOUNDED_BYTES, Wait};
 use crate::gateway::response::{Body, BodyAborted, ClientResponse};
 use crate::sync::locked;
 
@@ -40,7 +40,7 @@
 
 /// Bytes that are held for a client's connection.
 pub struct ClientReads {
-    buffers: Arc<Mutex<ClientBuffers>>,
+    buffers: Arc<Mutex<BufferedBytes>>,
     held: Mutex<HeldBytes>,
     /// Wakes the task that reads ahead.
     accepted: Notify,
@@ -53,11 +53,13 @@
     account: u32,
     bytes: usize,
     accepted_at_ms: u64,
+    /// Bytes of the present response that the client has accepted.
+    accepted_bytes: usize,
 }
 
 impl ClientReads {
     #[must_use]
-    pub fn new(buffers: Arc<Mutex<ClientBuffers>>) -> Self {
+    pub fn new(buffers: Arc<Mutex<BufferedBytes>>) -> Self {
         Self {
             buffers,
             held: Mutex::default(),
@@ -70,7 +72,9 @@
     /// Begins to count for another account.
     fn begin(&self, account: u32) {
         self.release();
-        locked(&self.held).account = account;
+        let mut held = locked(&self.held);
+        held.account = account;
+        held.accepted_bytes = 0;
     }
 
     fn add(&self, bytes: usize) {
@@ -85,6 +89,7 @@
         let bytes = bytes.min(held.bytes);
         held.bytes -= bytes;
         held.accepted_at_ms = now_ms();
+        held.accepted_bytes += bytes;
         locked(&self.buffers).remove(held.account, bytes);
         self.accepted.notify_one();
     }
@@ -106,18 +111,22 @@
         self.aborted.notified().await;
     }
 
-    /// Waits until more may be read from the upstream; `false` if the response is to be aborted.
-    async fn wait_for_room(&self) -> bool {
+    /// Waits until more may be read from the upstream, and adds to `waited_ms` how long that took;
+    /// `false` if the response is to be aborted.
+    async fn wait_for_room(&self, waited_ms: &mut u64) -> bool {
         let stopped_at_ms = now_ms();
         loop {
-            let accepted_at_ms = {
+            let now_ms = now_ms();
+            let wait = {
                 let held = locked(&self.held);
                 if locked(&self.buffers).may_read(held.account, held.bytes) {
+                    *waited_ms += now_ms - stopped_at_ms;
                     return true;
                 }
-                held.accepted_at_ms
+                let HeldBytes { accepted_at_ms, accepted_bytes, .. } = *held;
+                Wait { stopped_at_ms, waited_ms: *waited_ms, accepted_at_ms, accepted_bytes }
             };
-            let (now_ms, abort_at_ms) = (now_ms(), abort_at_ms(stopped_at_ms, accepted_at_ms));
+            let abort_at_ms = wait.abort_at_ms();
             if now_ms >= abort_at_ms {
                 return false;
             }
@@ -198,7 +207,8 @@
     pieces: mpsc::UnboundedSender<Result<Bytes, BodyAborted>>,
 ) {
     reads.begin(owner.account);
-    while reads.wait_for_room().await {
+    let mut waited_ms = 0;
+    while reads.wait_for_room(&mut waited_ms).await {
         let sent = match body.frame().await {
             None => {
                 drop(pieces);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -105,7 +105,7 @@
 /// When a client may retry that was refused before its request was admitted.
 fn early_retry_after_ms(reason: Reason) -> Option<u64> {
     match reason {
-        Reason::NotReady | Reason::OriginUnanswered => Some(RETRY_AFTER_MS),
+        Reason::NotReady | Reason::OriginUnanswered | Reason::UpstreamsFull => Some(RETRY_AFTER_MS),
         // Only a new stream can be served, and that at once.
         Reason::OriginUnknown => Some(0),
         _ => None,
@@ -213,6 +213,7 @@
 ) -> Option<ClientResponse> {
     match outcome {
         AttemptOutcome::Answered(response) => {
+            request.held_request = None;
             forward_response(gateway, request, *response, choice).await
         }
         AttemptOutcome::NotRun { cause } => {
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -37,3 +37,15 @@
         assert!(error.contains(finding), "{finding} in {error}");
     }
 }
+
+/// The template cannot compare, so the key has the contracts of the deployment.
+#[test]
+fn contracts_read() {
+    for (value, expected) in
+        [("", false), ("true", true), ("cold, pressure", true), ("cold", false)]
+    {
+        let settings = parse_with_bounds(&format!("[load]\nslow_readers = {value}")).unwrap();
+        assert_eq!(settings.slow_readers, expected, "{value}");
+    }
+    assert!(!parse_with_bounds("").unwrap().slow_readers);
+}
--- a/tests/gateway_slow_readers.rs
+++ b/tests/gateway_slow_readers.rs
@@ -6,10 +6,14 @@
 use std::time::{Duration, Instant};
 
 use common::{GatewayFixture, start_fixture_on, wait_for_log};
+use coursestile::gateway::decisions::slow_readers::{
+    ACCOUNT_BYTES, BOX_BYTES, BufferedBytes, CONNECTION_BYTES, UNBOUNDED_BYTES, Wait,
+};
 use coursestile_standins::site::client::request;
 use coursestile_standins::site::server::{Behavior, Server};
-use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
+use coursestile_standins::site::{Gateway, Site, config_document, service_entry};
 use futures_util::future::join_all;
+use rstest::rstest;
 use serde_json::{Value, json};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,9 +23,11 @@
 /// What the settings name.
 const SLOW_READERS: Option<&str> = Some("pressure");
 /// Clients that read slowly, bytes that they read at a time, and the pause after them.
-const SLOW_CLIENTS: usize = 300;
+const SLOW_CLIENTS: u32 = 300;
 const SLOW_READ_BYTES: usize = 250;
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(250);
+/// Time in which they connect, one after another.
+const SLOW_START: Duration = Duration::from_secs(1);
 /// Length of the bodies that they ask for.
 const LARGE_BODY_BYTES: usize = 1 << 20;
 /// Memory that a small box has, and a client's receive buffer.
@@ -78,7 +84,9 @@
 }
 
 /// Reads slowly until `until` or the end.
-async fn read_slowly(gateway: &Gateway, number: usize, until: Instant) {
+async fn read_slowly(gateway: &Gateway, number: u32, until: Instant) {
+    // Clients read at moments of their own.
+    sleep(SLOW_START / SLOW_CLIENTS * number).await;
     let mut stream = ask(gateway, &format!("r-slow-{number}")).await;
     let mut piece = [0; SLOW_READ_BYTES];
     while Instant::now() < until && stream.read(&mut piece).await.is_ok_and(|read| read > 0) {
@@ -139,7 +147,7 @@
     let other = Server::start("other").await;
     fixture.site.register("other", &service_entry("other", &other.address, "ready"));
     let slow_server = &fixture.servers[0];
-    slow_server.script(&vec![Behavior::LargeBody(LARGE_BODY_BYTES); SLOW_CLIENTS]);
+    slow_server.script(&vec![Behavior::LargeBody(LARGE_BODY_BYTES); 300]);
     wait_for_log(&fixture, "event=upstream_seen upstream=other").await;
     let before_kb = peak_memory_kb(&fixture.gateway);
     let (served_before, before) = send_others(&fixture, "before").await;
@@ -155,7 +163,7 @@
         most_kb
     };
     let others = async {
-        sleep(Duration::from_secs(1)).await;
+        sleep(SLOW_START).await;
         send_others(&fixture, "beside").await
     };
     let (_, sockets_kb, (served, beside)) = tokio::join!(slow, sockets, others);
@@ -168,21 +176,50 @@
     assert!(beside < before.mul_f64(1.1), "{beside:?}, {before:?} before");
 }
 
-/// A client that read no more kept an upstream busy until that cut the response off.
+/// A client that read hardly anything more kept an upstream busy until that cut the response off.
+/// Without the key the system alone ends it.
+#[rstest]
+#[case::stops(SLOW_READERS, None)]
+#[case::trickles(SLOW_READERS, Some(Duration::from_millis(100)))]
+#[case::without_key(None, Some(Duration::from_millis(100)))]
 #[tokio::test]
-async fn stops_reading() {
-    let fixture = start(1, SLOW_READERS).await;
+async fn reads_too_little(
+    #[case] slow_readers: Option<&'static str>,
+    #[case] read_pause: Option<Duration>,
+) {
+    let fixture = start(1, slow_readers).await;
     let server = &fixture.servers[0];
     server.script(&[Behavior::LargeBody(64 * LARGE_BODY_BYTES)]);
     let mut stream = ask(&fixture.gateway, "r-1").await;
-    let mut start = [0; 1000];
-    stream.read_exact(&mut start).await.expect("the start of the response");
-    let since = Instant::now();
-    eventually("the run ends", async || server.running() == 0).await;
-    assert!(since.elapsed() < UPSTREAM_CUTS_AFTER, "{:?}", since.elapsed());
-    let mut rest = Vec::new();
-    let error = stream.read_to_end(&mut rest).await.expect_err("the connection is reset");
-    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    let mut piece = [0; 200];
+    stream.read_exact(&mut piece).await.expect("the start of the response");
+    let until = Instant::now() + UPSTREAM_CUTS_AFTER;
+    while server.running() > 0 && Instant::now() < until {
+        sleep(read_pause.unwrap_or(Duration::from_millis(10))).await;
+        if read_pause.is_some() {
+            let _ = stream.read(&mut piece).await;
+        }
+    }
+    let is_aborted = slow_readers.is_some();
+    assert_eq!(fixture.gateway.log_text().contains("slow_reader_aborted request=r-1"), is_aborted);
+    if is_aborted {
+        assert_eq!(server.running(), 0);
+        let error = stream.read_to_end(&mut Vec::new()).await.expect_err("the connection is reset");
+        assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+    }
+}
+
+/// A response that fits kept its upstream busy until the client had read it.
+#[tokio::test]
+async fn read_ahead() {
+    let fixture = start(1, SLOW_READERS).await;
+    let server = &fixture.servers[0];
+    server.script(&[Behavior::LargeBody(LARGE_BODY_BYTES / 5)]);
+    let mut stream = ask(&fixture.gateway, "r-1").await;
+    wait_for_log(&fixture, "event=answered request=r-1").await;
+    sleep(UPSTREAM_CUTS_AFTER).await;
+    let mut response = vec![0; LARGE_BODY_BYTES / 5];
+    stream.read_exact(&mut response).await.expect("the whole response");
 }
 
 /// An upstream that read a request's body slowly kept its client waiting.
@@ -203,3 +240,36 @@
     assert!(since.elapsed() < Duration::from_millis(1800), "{:?}", since.elapsed());
     drop(listener);
 }
+
+/// One connection, or one account, took all that is read ahead, and those that read got nothing.
+#[test]
+fn bounds_kept() {
+    let mut buffered = BufferedBytes::default();
+    assert!(buffered.may_read(1, CONNECTION_BYTES - 1));
+    assert!(!buffered.may_read(1, CONNECTION_BYTES));
+    buffered.add(1, ACCOUNT_BYTES);
+    assert!(!buffered.may_read(1, UNBOUNDED_BYTES) && buffered.may_read(1, UNBOUNDED_BYTES - 1));
+    assert!(buffered.may_read(2, UNBOUNDED_BYTES));
+    buffered.add(3, BOX_BYTES - ACCOUNT_BYTES);
+    assert!(!buffered.may_read(2, UNBOUNDED_BYTES) && buffered.may_read(2, 0));
+    buffered.remove(3, BOX_BYTES - ACCOUNT_BYTES);
+    buffered.remove(1, 1);
+    assert!(buffered.may_read(1, UNBOUNDED_BYTES));
+}
+
+/// Clients that accept a few bytes now and then held their upstreams for as long as they liked.
+#[rstest]
+#[case::nothing_accepted(Wait { stopped_at_ms: 1000, ..Wait::default() }, 2500)]
+#[case::accepted(Wait { stopped_at_ms: 1000, accepted_at_ms: 1200, ..Wait::default() }, 2700)]
+#[case::few(Wait { stopped_at_ms: 1000, accepted_at_ms: 2400, ..Wait::default() }, 3000)]
+#[case::in_all(
+    Wait { stopped_at_ms: 5000, waited_ms: 3000, accepted_at_ms: 4900, accepted_bytes: 64_000 },
+    6000
+)]
+#[case::reads(
+    Wait { stopped_at_ms: 9000, waited_ms: 4000, accepted_at_ms: 9900, accepted_bytes: 320_000 },
+    11_000
+)]
+fn aborted_at(#[case] wait: Wait, #[case] expected_ms: u64) {
+    assert_eq!(wait.abort_at_ms(), expected_ms);
+}
