Slow readers: the test measures sockets in a thread of its own; bodies of requests are tested

Reading the table of sockets took 140 ms and blocked the requests that were measured.

Change: a thread measures; what waits for room is looked at each 500 ms; a test of unread bodies.

--- a/src/gateway/decisions/slow_readers.rs
+++ b/src/gateway/decisions/slow_readers.rs
@@ -1,6 +1,6 @@
 //! How much is buffered for clients that read slowly, and when a response to one is aborted.
 //!
-//! With three hundred clients at 1 kB/s, responses fill the memory of a small box, or else wait at their
+//! With three hundred clients at 1 kB/s, responses fill the sockets of a small box, or else wait at their
 //! upstreams, which keep a slot and memory for each and cut it off after some seconds. So a response is
 //! read ahead up to a bound for the connection, the client account and the box: most responses fit, and
 //! their upstreams are free before their clients have read them. A connection that holds little may
--- a/src/gateway/relay/client_buffer.rs
+++ b/src/gateway/relay/client_buffer.rs
@@ -28,7 +28,7 @@
 /// would keep the whole read buffer that it arrived in.
 const PIECE_BYTES: usize = 8 << 10;
 /// How often it is checked whether other connections have made room.
-const RECHECK_MS: u64 = 200;
+const RECHECK_MS: u64 = 500;
 
 /// Whose response it is.
 #[derive(Clone, Debug)]
--- a/tests/gateway_slow_readers.rs
+++ b/tests/gateway_slow_readers.rs
@@ -3,6 +3,7 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::future::pending;
 use std::time::{Duration, Instant};
 
 use common::{GatewayFixture, start_fixture_on, wait_for_log};
@@ -115,22 +116,21 @@
 
 /// What the system holds of a box's data in queues of sockets: sent to clients and not acknowledged,
 /// and received from upstreams and not read.
-fn socket_memory_kb(gateway: &Gateway, upstreams: &[&Server]) -> u64 {
+fn socket_memory_kb(clients: &str, upstream: &str) -> u64 {
     let port =
         |address: &str| address.rsplit_once(':').expect("a port").1.parse::<u16>().expect("u16");
-    let octets = gateway.clients.split_once(':').expect("a port").0.split('.');
-    let clients = octets.rev().fold(String::new(), |text, octet| {
+    let octets = clients.split_once(':').expect("a port").0.split('.');
+    let listening = octets.rev().fold(String::new(), |text, octet| {
         text + &format!("{:02X}", octet.parse::<u8>().expect("an octet"))
-    }) + &format!(":{:04X}", port(&gateway.clients));
-    let upstreams: Vec<_> =
-        upstreams.iter().map(|server| format!(":{:04X}", port(&server.address))).collect();
+    }) + &format!(":{:04X}", port(clients));
+    let upstream = format!(":{:04X}", port(upstream));
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
     let queues = table.lines().filter_map(|line| {
         let columns: Vec<_> = line.split_whitespace().collect();
         let (unacknowledged, unread) = columns.get(4)?.split_once(':')?;
-        let held = if columns[1] == clients {
+        let held = if columns[1] == listening {
             unacknowledged
-        } else if upstreams.iter().any(|address| columns[2].ends_with(address)) {
+        } else if columns[2].ends_with(&upstream) {
             unread
         } else {
             return None;
@@ -154,19 +154,22 @@
     let until = Instant::now() + Duration::from_secs(6);
     let slow =
         join_all((0..SLOW_CLIENTS).map(|number| read_slowly(&fixture.gateway, number, until)));
-    let sockets = async {
+    let (clients, upstream) = (fixture.gateway.clients.clone(), slow_server.address.clone());
+    // Reading the table takes long, so a thread of its own does.
+    let sockets = std::thread::spawn(move || {
         let mut most_kb = 0;
         while Instant::now() < until {
-            most_kb = most_kb.max(socket_memory_kb(&fixture.gateway, &[slow_server]));
-            sleep(Duration::from_millis(200)).await;
+            most_kb = most_kb.max(socket_memory_kb(&clients, &upstream));
+            std::thread::sleep(Duration::from_millis(200));
         }
         most_kb
-    };
+    });
     let others = async {
         sleep(SLOW_START).await;
         send_others(&fixture, "beside").await
     };
-    let (_, sockets_kb, (served, beside)) = tokio::join!(slow, sockets, others);
+    let (_, (served, beside)) = tokio::join!(slow, others);
+    let sockets_kb = sockets.join().expect("the measurement");
     let memory_kb = peak_memory_kb(&fixture.gateway);
     println!(
         "{before_kb} to {memory_kb} KB and {sockets_kb} KB in sockets; {beside:?}, {before:?} before"
@@ -222,23 +225,32 @@
     stream.read_exact(&mut response).await.expect("the whole response");
 }
 
-/// An upstream that read a request's body slowly kept its client waiting.
-#[tokio::test]
-async fn unread_request() {
+/// A box whose only upstream accepts connections and reads nothing.
+async fn start_unread() -> GatewayFixture {
     let fixture = start(1, SLOW_READERS).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
     SockRef::from(&listener).set_recv_buffer_size(4096).expect("a size");
     let address = listener.local_addr().expect("an address").to_string();
+    tokio::spawn(async move {
+        let _listener = listener;
+        pending::<()>().await;
+    });
     fixture.site.register("unread", &service_entry("plain", &address, "ready"));
     fixture.site.deregister(&fixture.servers[0].id);
     wait_for_log(&fixture, "event=upstream_gone").await;
+    fixture
+}
+
+/// An upstream that read a request's body slowly kept its client waiting.
+#[tokio::test]
+async fn unread_request() {
+    let fixture = start_unread().await;
     let body = "x".repeat(8 << 20);
     let since = Instant::now();
     let answer = fixture.send_with("/once/", "r-1", "", &body).await;
     println!("{} after {:?}", answer.status(), since.elapsed());
     assert_eq!(answer.status(), 502);
     assert!(since.elapsed() < Duration::from_millis(1800), "{:?}", since.elapsed());
-    drop(listener);
 }
 
 /// One connection, or one account, took all that is read ahead, and those that read got nothing.
@@ -273,3 +285,20 @@
 fn aborted_at(#[case] wait: Wait, #[case] expected_ms: u64) {
     assert_eq!(wait.abort_at_ms(), expected_ms);
 }
+
+/// Bodies of requests that their upstreams did not read took the memory of the box.
+#[tokio::test]
+async fn unread_requests_bounded() {
+    let fixture = start_unread().await;
+    let body = "x".repeat(LARGE_BODY_BYTES);
+    let requests = (0..12).map(|number| {
+        let (fixture, body) = (&fixture, &body);
+        async move { fixture.send_with("/once/", &format!("r-{number}"), "", body).await }
+    });
+    let answers = join_all(requests).await;
+    let not_run = answers.iter().filter(|answer| answer.status() == 503);
+    assert!(not_run.clone().all(|answer| answer.header("retry-after").is_some()));
+    let held_at_once = ACCOUNT_BYTES / LARGE_BODY_BYTES;
+    println!("{} refused", not_run.clone().count());
+    assert!(not_run.count() >= answers.len() - 2 * held_at_once);
+}
