--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -253,13 +253,18 @@
     }
 
     /// Records that the upstream rejected the request at once. If it did so after queuing the
-    /// request, it is full, which its load shows already.
+    /// request, it is full, which its load shows already. A brittle one queues none, so that its
+    /// rejection was only late.
     pub fn record_rejection(&self) {
         let now_ms = now_ms();
-        if now_ms >= self.begun_at_ms + IMMEDIATE_REJECTION_MS {
-            return;
-        }
-        if let Some(upstream) = self.gateway.state().upstreams.get_incarnation_mut(&self.upstream) {
+        {
+            let mut state = self.gateway.state();
+            let State { upstreams, brittle, .. } = &mut *state;
+            let Some(upstream) = upstreams.get_incarnation_mut(&self.upstream) else { return };
+            let is_brittle = brittle.max_rejections(now_ms, &upstream.entry.service).is_some();
+            if now_ms >= self.begun_at_ms + IMMEDIATE_REJECTION_MS && !is_brittle {
+                return;
+            }
             upstream.record_rejection(now_ms);
         }
         self.gateway.load_changed.notify_one();
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -105,6 +105,8 @@
     pub max_rejections: usize,
     /// Whether it crashes when it has rejected more.
     pub crashes: bool,
+    /// How long it takes to reject a request.
+    pub rejects_after: Duration,
 }
 
 /// A request that arrived, and how it was handled.
@@ -368,6 +370,7 @@
         }
         let Some(_running) = Running::begin(&shared) else {
             let answer = rejection(&shared, &request);
+            tokio::time::sleep(rejection_time(&shared)).await;
             if write.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
@@ -421,6 +424,11 @@
     state.falls > 0 && state.brittleness.is_some_and(|limits| limits.crashes)
 }
 
+fn rejection_time(shared: &Shared) -> Duration {
+    let brittleness = shared.lock().expect("no task panics under the lock").brittleness;
+    brittleness.map_or(Duration::ZERO, |limits| limits.rejects_after)
+}
+
 /// Records a rejection for want of room; returns the answer.
 fn rejection(shared: &Shared, request: &Message) -> String {
     let mut state = shared.lock().expect("no task panics under the lock");
--- a/tests/gateway_brittle.rs
+++ b/tests/gateway_brittle.rs
@@ -25,6 +25,16 @@
 /// Time between the waves of a burst.
 const WAVE_PERIOD: Duration = Duration::from_millis(100);
 const WAVES: usize = 20;
+/// Time that a rejection takes on a busy machine.
+const LATE_REJECTION_TIME: Duration = Duration::from_millis(150);
+
+/// What boxes learn of rejections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rejections {
+    Prompt,
+    /// They arrive late, and boxes do not hear from each other.
+    LateAndUnknown,
+}
 
 /// Boxes in front of brittle upstreams.
 struct BrittleFleet {
@@ -35,7 +45,7 @@
 }
 
 impl BrittleFleet {
-    async fn start(boxes: usize) -> Self {
+    async fn start(boxes: usize, rejections: Rejections) -> Self {
         let mut site = Site::start().await;
         let mut servers = Vec::new();
         for number in 0..UPSTREAMS {
@@ -47,12 +57,20 @@
                 capacity: CAPACITY,
                 max_rejections: MAX_REJECTIONS,
                 crashes: false,
+                rejects_after: match rejections {
+                    Rejections::Prompt => Duration::ZERO,
+                    Rejections::LateAndUnknown => LATE_REJECTION_TIME,
+                },
             });
             servers.push(server);
         }
         site.configure(&config_document(7));
         let first = site.gateway("north", &[]);
-        let others = (1..boxes).map(|_| site.gateway("north", &[&first])).collect::<Vec<_>>();
+        let others = (1..boxes).map(|_| match rejections {
+            Rejections::Prompt => site.gateway("north", &[&first]),
+            Rejections::LateAndUnknown => site.gateway("north", &[]),
+        });
+        let others = others.collect::<Vec<_>>();
         let gateways: Vec<Gateway> = others.into_iter().chain([first]).collect();
         for gateway in &gateways {
             wait_ready(gateway).await;
@@ -80,14 +98,20 @@
 }
 
 /// All boxes together sent brittle upstreams more than they could take, and each fell over again and
-/// again.
+/// again; also after rejections that arrived late.
 #[rstest]
-#[case::few_boxes("/safe/", 3, 12)]
-#[case::once("/once/", 3, 12)]
-#[case::more_boxes_than_rejections("/safe/", 6, 6)]
+#[case::few_boxes("/safe/", 3, 12, Rejections::Prompt)]
+#[case::once("/once/", 3, 12, Rejections::Prompt)]
+#[case::more_boxes_than_rejections("/safe/", 6, 6, Rejections::Prompt)]
+#[case::late_rejections("/safe/", 2, 12, Rejections::LateAndUnknown)]
 #[tokio::test]
-async fn fell_over(#[case] path: &str, #[case] boxes: usize, #[case] per_box: usize) {
-    let fleet = BrittleFleet::start(boxes).await;
+async fn fell_over(
+    #[case] path: &str,
+    #[case] boxes: usize,
+    #[case] per_box: usize,
+    #[case] rejections: Rejections,
+) {
+    let fleet = BrittleFleet::start(boxes, rejections).await;
     // One after the other, so that each box hears of it.
     for gateway in &fleet.gateways {
         let bytes = request("POST", path, "r-first", "", "");
@@ -120,7 +144,12 @@
         eventually("the request runs", async || fixture.arrival_count(&id) == 1).await;
         let at = fixture.servers.iter().position(|server| server.count(&id) == 1).unwrap();
         let server = fixture.servers.remove(at);
-        server.set_brittle(Brittleness { capacity: 1, max_rejections: 0, crashes: true });
+        server.set_brittle(Brittleness {
+            capacity: 1,
+            max_rejections: 0,
+            crashes: true,
+            rejects_after: Duration::ZERO,
+        });
         eventually("its upstream falls over", async || {
             let others = (0..8).map(|place| {
                 let id = format!("r-{number}-{place}-{}", server.received().len());
