--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -18,6 +18,7 @@
 //!   `configuration`, `gossip_message`, `hall_summary`; how soon it is told: `news_pace`,
 //!   `gossip_budget`.
 //! - Whether this box closes new connections, since it does not keep up: `shedding`.
+//! - What is buffered for clients that read slowly: `slow_readers`.
 //! - Whether this box reaches upstreams at all: `reach`.
 //! - Requests with parts under which upstreams crash, one at a time: `trials`.
 //! - Shared constants and conversions: `units`.
@@ -51,6 +52,7 @@
 pub mod release;
 pub mod rollout;
 pub mod shedding;
+pub mod slow_readers;
 pub mod software_history;
 pub mod sources;
 pub mod store_speed;
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -27,6 +27,7 @@
 use crate::gateway::decisions::permits::{PermitAnswer, PermitBuckets};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::shedding::Shedding;
+use crate::gateway::decisions::slow_readers::BufferedBytes;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::stream_origins::StreamOrigins;
 use crate::gateway::decisions::trials::Trials;
@@ -62,6 +63,8 @@
 /// Bytes that a box keeps of all responses until they can be passed on, unless there are so many that
 /// each gets the least.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Where there are slow readers, by what the bytes are divided: what is held for clients comes on top.
+const SLOW_READERS_DIVISOR: usize = 4;
 /// Least and most bytes that are kept of one response.
 const MIN_RESPONSE_BUFFER_BYTES: usize = 16 << 10;
 const MAX_RESPONSE_BUFFER_BYTES: usize = 256 << 10;
@@ -315,6 +318,10 @@
     pub claim_lock: tokio::sync::Mutex<()>,
     /// How long accepted connections wait.
     pub shedding: Mutex<Shedding>,
+    /// What is held for clients that have not read it yet.
+    pub client_buffers: Arc<Mutex<BufferedBytes>>,
+    /// Bodies of requests that upstreams have not responded to yet, if they are bounded.
+    pub request_buffers: Arc<Mutex<BufferedBytes>>,
     state: Mutex<State>,
     phase: watch::Sender<BoxPhase>,
 }
@@ -325,7 +332,9 @@
     #[must_use]
     pub fn max_buffered_bytes(&self) -> usize {
         let requests = self.state().requests_in_flight.max(1);
-        (MAX_BUFFERED_BYTES / requests).clamp(MIN_RESPONSE_BUFFER_BYTES, MAX_RESPONSE_BUFFER_BYTES)
+        let divisor = if self.settings.slow_readers { SLOW_READERS_DIVISOR } else { 1 };
+        (MAX_BUFFERED_BYTES / requests / divisor)
+            .clamp(MIN_RESPONSE_BUFFER_BYTES, MAX_RESPONSE_BUFFER_BYTES / divisor)
     }
 
     /// Creates the shared state.
@@ -379,7 +388,11 @@
             ),
             caches: CacheClient::new(http.clone()),
             engines: EngineClient::new(http),
-            connections: Connections::default(),
+            connections: if settings.slow_readers {
+                Connections::bounded()
+            } else {
+                Connections::default()
+            },
             capacity_changed: Notify::new(),
             refresh_metadata: Notify::new(),
             catch_up_now: Notify::new(),
@@ -408,6 +421,8 @@
             versions_read: tokio::sync::Mutex::new(false),
             claim_lock: tokio::sync::Mutex::new(()),
             shedding: Mutex::default(),
+            client_buffers: Arc::default(),
+            request_buffers: Arc::default(),
             state: Mutex::new(state),
             phase: watch::Sender::new(BoxPhase::Serving),
             settings,
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -42,6 +42,8 @@
     Crash,
 }
 
+/// What large bodies consist of.
+const BODY_PIECE: [u8; 16384] = [b'x'; 16384];
 /// Time within which rejections count together.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 
@@ -103,6 +105,8 @@
     pub max_rejections: usize,
     /// Whether it crashes when it has rejected more.
     pub crashes: bool,
+    /// How long it takes to reject a request.
+    pub rejects_after: Duration,
 }
 
 /// A request that arrived, and how it was handled.
@@ -316,6 +320,12 @@
         self.state().handled.clone()
     }
 
+    /// Number of requests that it works on.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state().running
+    }
+
     /// Ids of requests whose connection ended before their answer.
     #[must_use]
     pub fn abandoned(&self) -> Vec<String> {
@@ -360,6 +370,7 @@
         }
         let Some(_running) = Running::begin(&shared) else {
             let answer = rejection(&shared, &request);
+            tokio::time::sleep(rejection_time(&shared)).await;
             if write.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
@@ -413,6 +424,11 @@
     state.falls > 0 && state.brittleness.is_some_and(|limits| limits.crashes)
 }
 
+fn rejection_time(shared: &Shared) -> Duration {
+    let brittleness = shared.lock().expect("no task panics under the lock").brittleness;
+    brittleness.map_or(Duration::ZERO, |limits| limits.rejects_after)
+}
+
 /// Records a rejection for want of room; returns the answer.
 fn rejection(shared: &Shared, request: &Message) -> String {
     let mut state = shared.lock().expect("no task panics under the lock");
@@ -652,7 +668,9 @@
             let cut = matches!(behavior, Behavior::TruncatedLargeBody(_));
             let sent = if cut { length / 2 } else { *length };
             write.write_all(head(200, id, &sealed).as_bytes()).await.ok()?;
-            write.write_all("x".repeat(sent).as_bytes()).await.ok()?;
+            for start in (0..sent).step_by(BODY_PIECE.len()) {
+                write.write_all(&BODY_PIECE[..BODY_PIECE.len().min(sent - start)]).await.ok()?;
+            }
             return (!cut).then_some(());
         }
         Behavior::Events(count) => {
