Retry scheduling: refused clients are told when capacity is reserved for them

Cause: the retry delay of a refused client was drawn at random, so it met the same overload.

Change: `decisions::returns` reserves part of the admitted work in buckets of 100 ms, by service and rank, counts the reservations of all boxes and halls (gossip, hall summaries), and names the first bucket with free capacity. New requests leave it free (`reserved_part`); a retry that is due is not treated as late. Retries are recognised by their fingerprint at the box that refused them, and elsewhere by a shortened timeout. Without a refusal in the last two seconds the delay is the one of `retry_after_ms` as before.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -14,6 +14,7 @@
 use crate::gateway::decisions::configuration::{Account, Configuration, RetryPolicy, Route};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::returns::{Arriving, Class, Standing};
 use crate::gateway::decisions::stream_origins::{StreamId, StreamOrigin};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::heads::{RequestHead, ResumedStream};
@@ -42,6 +43,10 @@
     /// The prompt, if the request describes one.
     pub prompt: Option<Prompt>,
     pub service: String,
+    /// The requests with which it shares capacity.
+    pub class: Class,
+    /// Whether it is a retry that takes precedence.
+    pub standing: Standing,
     pub route: Route,
     /// Version of the configuration under which it was admitted.
     pub config_version: u64,
@@ -138,12 +143,23 @@
     let timeout_ms = head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let priority = account.as_ref().and_then(|account| account.priority).unwrap_or(route.priority);
     let isolated_account = account.as_ref().filter(|account| account.isolated);
-    let waited_ms =
-        gateway.state().route_timeouts.elapsed_ms(arrived_at_ms, &route.name, timeout_ms);
+    let target_text = target.path_and_query().map_or("", |target| target.as_str());
+    let fingerprint =
+        Fingerprint::new(account_name, &[parts.method.as_str(), host, target_text], &body);
+    let rank = configuration.higher_priority_ranks(service, route.priority);
+    let class = Class { service: short_id(service), rank };
+    let (waited_ms, standing) = {
+        let mut state = gateway.state();
+        let elapsed_ms = state.route_timeouts.elapsed_ms(arrived_at_ms, &route.name, timeout_ms);
+        let arriving = Arriving { class, fingerprint, elapsed_ms, timeout_ms };
+        (elapsed_ms, state.returns.arrive(arrived_at_ms, arriving))
+    };
     let objective_at_ms = (arrived_at_ms + route.latency_objective_ms).saturating_sub(waited_ms);
     Ok(AdmittedRequest {
         prompt: head.prompt.clone(),
         service: service.to_owned(),
+        class,
+        standing,
         config_version: configuration.version,
         isolated_account: isolated_account.map(|account| account.name.clone()),
         account_regions: account
@@ -161,15 +177,7 @@
         outgoing: OutgoingRequest {
             request_id: request_id.clone(),
             content: RequestContent {
-                fingerprint: Fingerprint::new(
-                    account_name,
-                    &[
-                        parts.method.as_str(),
-                        host,
-                        target.path_and_query().map_or("", |target| target.as_str()),
-                    ],
-                    &body,
-                ),
+                fingerprint,
                 account: short_id(account_name),
                 parts: shared_part_keys(head.prompt.as_ref(), isolated_account),
             },
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::decisions::admission::LimitReport;
 use crate::gateway::decisions::rate_limit::RateLimit;
+use crate::gateway::decisions::returns::ReturnsReport;
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::ViewDigest;
 use crate::quarantine::{AbortReport, AnswerReport, CrashReport};
@@ -78,6 +79,8 @@
     pub crashes: Vec<CrashReport>,
     /// Requests that were answered although upstreams had crashed while running them.
     pub answers: Vec<AnswerReport>,
+    /// Work that the sender has reserved for retries.
+    pub returns: Vec<ReturnsReport>,
 }
 
 impl Gossip {
--- a/src/gateway/decisions/peers/halls.rs
+++ b/src/gateway/decisions/peers/halls.rs
@@ -98,9 +98,15 @@
         self.halls.recalculate(now_ms);
     }
 
+    /// Whether this box receives the summaries of other halls themselves.
+    #[must_use]
+    pub fn has_hall_summaries(&self) -> bool {
+        !self.halls.by_hall.is_empty()
+    }
+
     /// Takes over the summary of all other halls from a bridge of the own hall.
     pub fn receive_other_halls(&mut self, now_ms: u64, summary: &OtherHallsSummary) {
-        if !self.halls.by_hall.is_empty() {
+        if self.has_hall_summaries() {
             // A bridge receives the summaries of the halls themselves.
             return;
         }
@@ -136,6 +142,7 @@
             loads: self.load_reports(now_ms, &loads),
             fetches: fetch_reports(&fetches),
             revisions,
+            ..HallSummary::default()
         }
     }
 
@@ -145,6 +152,7 @@
         OtherHallsSummary {
             loads: self.load_reports(now_ms, &self.halls.loads),
             fetches: fetch_reports(&self.halls.fetch_tokens),
+            ..OtherHallsSummary::default()
         }
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -23,6 +23,7 @@
 use crate::gateway::decisions::peers::{Audience, GOSSIP_PERIOD_MS, GossipScope};
 use crate::gateway::decisions::permits::{PermitAnswer, PermitQuery};
 use crate::gateway::decisions::rate_limit::RateLimit;
+use crate::gateway::decisions::returns::Source;
 use crate::gateway::decisions::stream_origins::{OriginAnswer, OriginQuery, OriginReport};
 use crate::gateway::decisions::trials::{TrialAnswer, TrialQuery};
 use crate::gateway::decisions::weights::NamedVersion;
@@ -145,9 +146,11 @@
     let mut composed = Vec::new();
     if !targets.bridges.is_empty() {
         let fetches = fetches(&state);
-        let summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
+        let mut summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
+        summary.returns = state.returns.hall_reports(now_ms);
         composed.push((Datagram::HallSummary(summary), targets.bridges));
-        let others = state.peers.other_halls_summary(now_ms);
+        let mut others = state.peers.other_halls_summary(now_ms);
+        others.returns = state.returns.other_halls_reports(now_ms);
         composed.push((Datagram::OtherHallsSummary(others), targets.own_hall));
     }
     let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation, scope);
@@ -261,6 +264,10 @@
         leader_terms: leader_terms(state, now_ms, handover_pause_ms(&gateway.settings.bounds)),
         crashes: state.quarantine.crashes_to_announce(now_ms),
         answers: state.quarantine.answers_to_announce(now_ms),
+        returns: {
+            state.returns.expire(now_ms);
+            state.returns.own_reports(now_ms)
+        },
     }
 }
 
@@ -391,10 +398,19 @@
             Ok(Datagram::Gossip(gossip)) => apply_gossip(&gateway, from.ip(), *gossip),
             Ok(Datagram::LoadChanges(changes)) => apply_load_changes(&gateway, from.ip(), &changes),
             Ok(Datagram::HallSummary(summary)) => {
-                gateway.state().peers.receive_hall_summary(now_ms(), summary);
+                let (mut state, now_ms) = (gateway.state(), now_ms());
+                if summary.hall != state.peers.local().hall {
+                    state.returns.receive(now_ms, Source::Hall(summary.hall), &summary.returns);
+                    state.returns.receive(now_ms, Source::OtherHalls, &[]);
+                }
+                state.peers.receive_hall_summary(now_ms, summary);
             }
             Ok(Datagram::OtherHallsSummary(summary)) => {
-                gateway.state().peers.receive_other_halls(now_ms(), &summary);
+                let (mut state, now_ms) = (gateway.state(), now_ms());
+                if !state.peers.has_hall_summaries() {
+                    state.returns.receive(now_ms, Source::OtherHalls, &summary.returns);
+                }
+                state.peers.receive_other_halls(now_ms, &summary);
             }
             Ok(Datagram::DelegatedCall(request)) => {
                 tokio::spawn(execute_for_peer(gateway.clone(), socket.clone(), request, from));
@@ -460,6 +476,10 @@
     apply_brittle_services(&mut state, now_ms, &gossip.brittle_services);
     rate_limits::merge_reports(gateway, &mut state, &gossip.rate_limits);
     apply_slowdowns(&mut state, now_ms, &gossip.slowdowns);
+    if state.small_fleet || gossip.hall == state.peers.local().hall {
+        let source = Source::Box { address: from, incarnation: gossip.incarnation };
+        state.returns.receive(now_ms, source, &gossip.returns);
+    }
     let (crashes, answers) = (&gossip.crashes, &gossip.answers);
     quarantine::merge_peer_reports(gateway, &mut state, now_ms, crashes, answers);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -6,8 +6,10 @@
 use crate::clock::now_ms;
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::admission;
+use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::returns::Refused;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::request_log::log_refusal;
+use crate::gateway::request_log::{log_refusal, log_retry_time};
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::serve::{lacks_software, resumption};
 use crate::names::short_id;
@@ -57,12 +59,28 @@
 }
 
 /// The response if no engine can begin the request in time.
-pub fn refuse_immediately(request: &AdmittedRequest) -> ClientResponse {
+pub fn refuse_immediately(gateway: &Gateway, request: &AdmittedRequest) -> ClientResponse {
     let reason = Reason::UpstreamsFull;
-    let request_id = &request.outgoing.request_id;
-    let remaining_ms = request.outgoing.deadline_ms.saturating_sub(now_ms());
-    let after_ms = admission::retry_after_ms(short_id(request_id).into(), remaining_ms);
+    let (now_ms, request_id) = (now_ms(), &request.outgoing.request_id);
+    let refused = Refused {
+        class: request.class,
+        fingerprint: request.outgoing.content.fingerprint,
+        standing: request.standing,
+        tokens: request.prompt.as_ref().map_or(0, Prompt::memory_tokens),
+        remaining_ms: request.outgoing.deadline_ms.saturating_sub(now_ms),
+        objective_at_ms: request.outgoing.objective_at_ms,
+        account_part: 1.0,
+        seed: short_id(request_id).into(),
+    };
+    let retry_time = gateway.state().returns.refuse(now_ms, refused);
     log_refusal(request, reason);
+    if let Some(retry_time) = retry_time {
+        log_retry_time(request, retry_time);
+    }
+    let after_ms = retry_time.map_or_else(
+        || admission::retry_after_ms(refused.seed, refused.remaining_ms),
+        |retry_time| retry_time.after_ms,
+    );
     response::refusal(reason, Some(request_id), Some(after_ms))
 }
 
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -11,6 +11,7 @@
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::returns::{RetryTime, Standing};
 use crate::gateway::heads::{Framing, ResumedStream};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::origins::FoundOrigin;
@@ -43,6 +44,31 @@
     );
 }
 
+/// Logs when the client of a refused request may retry, if that was scheduled.
+pub fn log_retry_time(request: &AdmittedRequest, retry_time: RetryTime) {
+    let RetryTime { after_ms, is_reserved } = retry_time;
+    let end = match (request.standing, is_reserved) {
+        (Standing::New, true) => "reserved",
+        (Standing::New, false) => "overbooked",
+        (Standing::Due, _) => "refused_again",
+        (Standing::Unreserved, _) => "unreserved",
+    };
+    metrics::counter!("coursestile_retries_told_total", "end" => end).increment(1);
+    info!(target: "serve",
+        "event=retry_told request={} fingerprint={} after_ms={after_ms} end={end} rank={}",
+        request.outgoing.request_id,
+        request.outgoing.content.fingerprint,
+        request.class.rank);
+}
+
+/// Logs a retry that is sent to an upstream with precedence.
+pub fn log_retry_honoured(request: &AdmittedRequest) {
+    metrics::counter!("coursestile_retries_honoured_total").increment(1);
+    info!(target: "serve",
+        "event=retry_honoured request={} fingerprint={}",
+        request.outgoing.request_id, request.outgoing.content.fingerprint);
+}
+
 fn write_refusal(
     request_id: Option<&str>,
     fingerprint: Option<Fingerprint>,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,6 +20,7 @@
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::demand::{Demand, Resumption};
 use crate::gateway::decisions::regions::AllowedHalls;
+use crate::gateway::decisions::returns::Standing;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
@@ -29,7 +30,7 @@
 };
 use crate::gateway::request_log::{
     ForwardedBody, log_answered, log_attempt_end, log_attempt_start, log_early_refusal,
-    log_not_sent,
+    log_not_sent, log_retry_honoured,
 };
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::trials::Permission;
@@ -134,7 +135,7 @@
             return no_upstream_found(gateway, &request);
         };
         if choice.occupancy == Occupancy::Full && may_refuse_if_full(&request) {
-            return refuse_immediately(&request);
+            return refuse_immediately(gateway, &request);
         }
         if is_known_unreachable(gateway, &choice) {
             return refuse(&request, Reason::NoUpstream);
@@ -145,6 +146,9 @@
             Ok(Permission::Waited) => continue,
             Err(withheld) => return refuse_until(&request, withheld.reason, withheld.until_ms),
         }
+        if request.tried.is_empty() && request.undelivered_attempts == 0 {
+            record_admitted(gateway, &request);
+        }
         log_attempt_start(gateway, &request, &choice);
         let outcome = tokio::select! {
             // Polled in order: a response that has arrived is not abandoned for another upstream.
@@ -173,6 +177,15 @@
     }
 }
 
+/// Records the first attempt of a request, for the schedule of retries.
+fn record_admitted(gateway: &Gateway, request: &AdmittedRequest) {
+    let Some(prompt) = &request.prompt else { return };
+    gateway.state().returns.record_admitted(now_ms(), request.class, prompt.memory_tokens());
+    if request.standing == Standing::Due {
+        log_retry_honoured(request);
+    }
+}
+
 /// Whether a request may be refused because all engines are full. A stream that has begun is resumed late
 /// rather than not at all.
 fn may_refuse_if_full(request: &AdmittedRequest) -> bool {
@@ -514,6 +527,9 @@
     let configuration = state.configuration.as_ref()?;
     let service = configuration.services.get(&request.service)?;
     let weights = request.prompt.as_ref().and_then(|prompt| state.weights.get(&prompt.model));
+    // Capacity is reserved for a retry that is due, although it is late.
+    let is_due = request.standing == Standing::Due;
+    let objective_missed = now_ms >= request.outgoing.objective_at_ms;
     let mut demand = Demand {
         service: &request.service,
         box_short_id: state.peers.local().short_id,
@@ -554,12 +570,12 @@
             higher_priority_ranks: configuration
                 .higher_priority_ranks(&request.service, request.route.priority),
             objective_ms: request.route.latency_objective_ms,
-            objective_missed: now_ms >= request.outgoing.objective_at_ms,
+            objective_missed: objective_missed && !is_due,
             admission_limit: state.admission_limits.limit_of(&request.service),
             account_part: 1.0,
-            reserved_part: 0.0,
+            reserved_part: state.returns.reserved_part(now_ms, request.class, request.standing),
         },
-        objective_at_ms: Some(request.outgoing.objective_at_ms),
+        objective_at_ms: (!objective_missed).then_some(request.outgoing.objective_at_ms),
     };
     let engine = service.engine.as_ref();
     choose(now_ms, &state.upstreams, &state.stores, engine, &demand).or_else(|| {
