Retry scheduling: tests of bridges and of two running boxes

Change: one test follows reservations over bridges; another runs two gateways before a full engine, and shows that retries are recognised by their body and that refusals become known by gossip. Reports of many classes keep those with the most work.

--- a/src/gateway/decisions/returns.rs
+++ b/src/gateway/decisions/returns.rs
@@ -67,7 +67,7 @@
 const MAX_TOLD: usize = 4096;
 /// Tokens that a report counts as one, to be short.
 const REPORTED_TOKENS: u64 = 64;
-/// Most classes in one message, so that it fits a datagram.
+/// Most classes in one message, so that it fits a datagram; those with the most work are sent.
 const MAX_REPORTS: usize = 12;
 /// Most buckets in a report.
 const MAX_BUCKETS: u64 = MAX_WAIT_MS / BUCKET_MS;
@@ -411,7 +411,10 @@
             let (first, second) = sums(state);
             first.report(now_ms, *class, &second)
         });
-        reports.take(MAX_REPORTS).collect()
+        let mut reports: Vec<ReturnsReport> = reports.collect();
+        reports.sort_unstable_by_key(|report| std::cmp::Reverse(report.admitted_per_s));
+        reports.truncate(MAX_REPORTS);
+        reports
     }
 
     /// Takes over the reservations of others, in place of those that they reported before.
--- a/tests/gateway_returns.rs
+++ b/tests/gateway_returns.rs
@@ -1,9 +1,13 @@
 //! Retry scheduling: clients that wait as told are served when they return, and those that do not
 //! wait take nothing from them.
 
+#[path = "common/site.rs"]
+mod common;
+
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+use common::{start_engines, wait_ready};
 use coursestile::fingerprint::Fingerprint;
 use coursestile::gateway::decisions::admission::{
     AdmissionCriteria, Capacity, Occupancy, occupancy, retry_after_ms,
@@ -12,7 +16,11 @@
     Arriving, Class, Refused, RetryTime, Returns, ReturnsReport, Source, Standing,
 };
 use coursestile::gateway::decisions::upstream::Load;
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::engine::MODEL;
+use coursestile_standins::site::{Gateway, Site, config_document, engine_services, eventually};
 use rstest::rstest;
+use serde_json::json;
 
 const CLASS: Class = Class { service: 7, rank: 0 };
 const TOKENS: u32 = 1000;
@@ -307,6 +315,22 @@
     assert!(often.own_reports(10_000).is_empty());
 }
 
+/// Reservations reach the boxes of other halls through bridges, and do not come back.
+#[test]
+fn halls_counted() {
+    let (mut told, mut bridge, mut far_bridge, mut far) =
+        (overloaded_box(1000), Returns::default(), Returns::default(), Returns::default());
+    let due_ms = 1000 + told.refuse(1000, refused(1, Standing::New)).unwrap().after_ms;
+    told.expire(1000);
+    let source = Source::Box { address: IpAddr::from([10, 0, 0, 1]), incarnation: 1 };
+    bridge.receive(1000, source, &told.own_reports(1000));
+    far_bridge.receive(1000, Source::Hall(1), &bridge.hall_reports(1000));
+    far.receive(1000, Source::OtherHalls, &far_bridge.other_halls_reports(1000));
+    let part = |returns: &Returns| returns.reserved_part(due_ms, CLASS, Standing::New);
+    assert!(part(&far) > 0.0 && (part(&far) - part(&bridge)).abs() < 1e-9);
+    assert!(far_bridge.hall_reports(1000).iter().all(|report| report.reserved.is_empty()));
+}
+
 /// The reservations of a box with many clients fit into its message.
 #[test]
 fn reports_small() {
@@ -318,3 +342,63 @@
     let bytes = postcard::to_stdvec(&returns.own_reports(1000)).unwrap();
     assert!(bytes.len() < 120, "{} bytes", bytes.len());
 }
+
+/// Sends a prompt without waiting for its answer.
+async fn start_prompt(gateway: &Gateway, id: &str, body: &str) -> Client {
+    let headers = format!("X-Model: {MODEL}\r\nX-Token-Count: 700,10\r\nX-Prefix-Hash: aa:700\r\n");
+    let mut client = Client::connect(&gateway.clients).await;
+    client.write(&request("POST", "/run/x", id, &headers, body)).await;
+    client
+}
+
+/// Boxes schedule the retries of a full engine, recognise them by their bodies, and learn of refusals
+/// from each other.
+#[tokio::test]
+async fn boxes_schedule() {
+    let mut site = Site::start().await;
+    let engines = start_engines(&site, 1).await;
+    engines[0].queue_runs();
+    let mut config = config_document(7);
+    for (key, value) in
+        [("service", json!("llm")), ("path_prefix", json!("/run/")), ("slo_ms", json!(2000))]
+    {
+        config["routes"][2][key] = value;
+    }
+    config["services"] = engine_services(None);
+    site.configure(&config);
+    site.set_weight_version(MODEL, 1);
+    let first = site.gateway("north", &[]);
+    let second = site.gateway("north", &[&first]);
+    wait_ready(&first).await;
+    wait_ready(&second).await;
+    let mut held = Vec::new();
+    for number in 0..8 {
+        held.push(start_prompt(&first, &format!("held-{number}"), "held").await);
+    }
+    eventually("held", async || first.log_text().matches("event=routed").count() == 8).await;
+    for number in 0..20 {
+        let (id, body) = (format!("r-{number}"), format!("body {number}"));
+        let answer = start_prompt(&first, &id, &body).await.read().await.expect("an answer");
+        if answer.header("retry-after").is_none() {
+            println!("{} {}", answer.status(), first.log_text());
+        }
+        let delay_s: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+        assert!(answer.status() == 503 && (0.4..1.1).contains(&delay_s), "{delay_s}");
+    }
+    let log_has = async |gateway: &Gateway, text: &str| {
+        eventually(text, async || gateway.log_text().contains(text)).await;
+    };
+    log_has(&first, "end=reserved").await;
+    assert!(!first.log_text().contains("event=retry_told request=r-0 "), "it was the first");
+    start_prompt(&first, "again", "body 19").await.read().await.expect("an answer");
+    let is_retry = |line: &str| {
+        line.contains("event=retry_told request=again ")
+            && ["end=unreserved", "end=refused_again"].iter().any(|end| line.contains(end))
+    };
+    let was_recognised = async || first.log_text().lines().any(is_retry);
+    eventually("the retry recognised", was_recognised).await;
+    // Gossip tells of the refusals before any of its own.
+    tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+    start_prompt(&second, "other", "other").await.read().await.expect("an answer");
+    log_has(&second, "event=retry_told request=other").await;
+}
