--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -151,6 +151,7 @@
     let (waited_ms, standing) = {
         let mut state = gateway.state();
         let elapsed_ms = state.route_timeouts.elapsed_ms(arrived_at_ms, &route.name, timeout_ms);
+        let timeout_ms = timeout_ms.min(route.timeout_ms);
         let arriving = Arriving { class, fingerprint, elapsed_ms, timeout_ms };
         (elapsed_ms, state.returns.arrive(arrived_at_ms, arriving))
     };
