Account shares: a service that refuses requests is divided between client accounts

No decision took the client account into account: one that sent ten times its share got ten times the capacity. While a service refuses requests, what the fleet admits is now divided by weighted max-min fairness (`weight` of an account in the configuration). Boxes exchange the work that each account has requested by gossip, bridges exchange that of their halls. Requests beyond the share of their account leave part of the engines' capacity to others.

--- a/src/gateway/decisions/configuration.rs
+++ b/src/gateway/decisions/configuration.rs
@@ -23,6 +23,7 @@
     pub accounts: Vec<Account>,
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
+    weights: HashMap<u32, f64>,
 }
 
 /// Assigns requests to services, with the terms on which they are served.
@@ -166,6 +167,8 @@
     pub isolated: bool,
     /// Regions in which its requests may run; empty for all.
     pub allowed_regions: Vec<String>,
+    /// Weight by which services that refuse requests are divided between accounts.
+    pub weight: f64,
 }
 
 impl Configuration {
@@ -182,6 +185,7 @@
             for key in &account.keys {
                 self.by_key.insert(key.clone(), index);
             }
+            self.weights.insert(short_id(&account.name), account.weight);
         }
         self
     }
@@ -216,6 +220,14 @@
         self.by_key.get(key).map(|index| &self.accounts[*index])
     }
 
+    /// The weight of an account, by its short id; `None` if it does not exist. Requests without an
+    /// account count as one account.
+    #[must_use]
+    pub fn account_weight(&self, account: u32) -> Option<f64> {
+        let without_account = (account == short_id("")).then_some(1.0);
+        self.weights.get(&account).copied().or(without_account)
+    }
+
     /// Whether requests need a key, unless their route is public.
     #[must_use]
     pub fn requires_keys(&self) -> bool {
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::account_shares::AccountReports;
 use crate::gateway::decisions::admission::LimitReport;
 use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
@@ -78,6 +79,8 @@
     pub crashes: Vec<CrashReport>,
     /// Requests that were answered although upstreams had crashed while running them.
     pub answers: Vec<AnswerReport>,
+    /// Work that the sender's clients have requested of services that refuse requests.
+    pub accounts: AccountReports,
 }
 
 impl Gossip {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -10,7 +10,7 @@
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
 //! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
-//! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
+//! - Admission, retries and priorities: `admission`, `account_shares`, `budget`, `urgency`.
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
@@ -21,6 +21,7 @@
 //! - Requests with parts under which upstreams crash, one at a time: `trials`.
 //! - Shared constants and conversions: `units`.
 
+pub mod account_shares;
 pub mod admission;
 pub mod brittle;
 pub mod budget;
--- a/src/gateway/decisions/peers/halls.rs
+++ b/src/gateway/decisions/peers/halls.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use crate::gateway::decisions::account_shares::{AccountReports, AccountSums};
 use crate::gateway::decisions::gossip_message::LoadReport;
 use crate::gateway::decisions::hall_summary::{HallSummary, OtherHallsSummary};
 use crate::gateway::decisions::peers::{PEER_TIMEOUT_MS, Peers};
@@ -23,6 +24,7 @@
     /// Total load of all other halls, by the short id of the upstream.
     loads: HashMap<u32, Load>,
     fetch_tokens: HashMap<u32, u64>,
+    accounts: AccountSums,
     updated_at_ms: u64,
 }
 
@@ -42,6 +44,11 @@
         self.fetch_tokens.get(&store).copied().unwrap_or_default()
     }
 
+    /// Work of client accounts, and refusals, of other halls.
+    pub(super) fn accounts(&self) -> &AccountSums {
+        &self.accounts
+    }
+
     /// Removes summaries that are too old.
     pub(super) fn expire(&mut self, now_ms: u64) {
         let count_before = self.by_hall.len();
@@ -52,6 +59,7 @@
         if now_ms >= self.updated_at_ms + PEER_TIMEOUT_MS {
             self.loads.clear();
             self.fetch_tokens.clear();
+            self.accounts = AccountSums::default();
         }
     }
 
@@ -59,14 +67,18 @@
     fn recalculate(&mut self, now_ms: u64) {
         let mut loads: HashMap<u32, Load> = HashMap::new();
         let mut fetch_tokens: HashMap<u32, u64> = HashMap::new();
-        for (_, summary) in self.by_hall.values() {
+        let mut accounts = AccountSums::default();
+        for (received_at_ms, summary) in self.by_hall.values() {
             for report in &summary.loads {
                 loads.entry(report.upstream).or_default().add(report.load);
             }
             for (store, tokens) in &summary.fetches {
                 *fetch_tokens.entry(*store).or_default() += u64::from(*tokens);
             }
+            accounts.add_work(&summary.accounts);
+            accounts.note_refusals(*received_at_ms, &summary.accounts);
         }
+        self.accounts = accounts;
         self.set_totals(now_ms, loads, fetch_tokens);
     }
 
@@ -108,6 +120,9 @@
         let loads = summary.loads.iter().map(|report| (report.upstream, report.load)).collect();
         let fetches = summary.fetches.iter().map(|(store, tokens)| (*store, u64::from(*tokens)));
         self.halls.set_totals(now_ms, loads, fetches.collect());
+        self.halls.accounts = AccountSums::default();
+        self.halls.accounts.add_work(&summary.accounts);
+        self.halls.accounts.note_refusals(now_ms, &summary.accounts);
     }
 
     /// The summary of the own hall, made of the sums over its boxes and this box's own loads and
@@ -136,6 +151,7 @@
             loads: self.load_reports(now_ms, &loads),
             fetches: fetch_reports(&fetches),
             revisions,
+            accounts: AccountReports::default(),
         }
     }
 
@@ -145,6 +161,7 @@
         OtherHallsSummary {
             loads: self.load_reports(now_ms, &self.halls.loads),
             fetches: fetch_reports(&self.halls.fetch_tokens),
+            accounts: self.halls.accounts.reports(now_ms),
         }
     }
 
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -200,12 +200,15 @@
         }
         if peer.in_sums {
             self.sums.subtract(&peer.gossip);
+            self.sums.accounts.subtract_work(&peer.gossip.accounts);
         }
         // The load of other halls comes with the summaries from bridges.
         peer.in_sums = is_small || gossip.hall == self.local.hall;
         if peer.in_sums {
             self.sums.add(&gossip);
             self.sums.note_received(now_ms, &gossip.loads);
+            self.sums.accounts.add_work(&gossip.accounts);
+            self.sums.accounts.note_refusals(now_ms, &gossip.accounts);
         }
         peer.gossip = gossip;
         self.has_uninformed_peer
@@ -224,6 +227,8 @@
         }
         if peer.in_sums {
             self.sums.subtract(&peer.gossip);
+        } else {
+            self.sums.accounts.add_work(&peer.gossip.accounts);
         }
         peer.gossip.change_loads(&changes.loads);
         self.sums.add(&peer.gossip);
--- a/src/gateway/decisions/peers/sums.rs
+++ b/src/gateway/decisions/peers/sums.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 
+use crate::gateway::decisions::account_shares::{AccountReports, AccountSums};
 use crate::gateway::decisions::admission::PeerLimit;
 use crate::gateway::decisions::gossip_message::{Gossip, LoadReport};
 use crate::gateway::decisions::peers::{PEER_RETENTION_MS, Peers};
@@ -20,6 +21,8 @@
     fetch_tokens: HashMap<u32, u64>,
     /// When any peer last received data from an upstream, by the short id of the upstream.
     received_at_ms: HashMap<u32, u64>,
+    /// Work of client accounts, and refusals.
+    pub(super) accounts: AccountSums,
 }
 
 impl Sums {
@@ -85,6 +88,7 @@
             if peer.in_sums && !silence_limits.is_live(now_ms, peer) {
                 peer.in_sums = false;
                 self.sums.subtract(&peer.gossip);
+                self.sums.accounts.subtract_work(&peer.gossip.accounts);
             }
         }
         self.sums.forget_silent_upstreams(now_ms);
@@ -126,6 +130,23 @@
         })
     }
 
+    /// What all other boxes report of client accounts.
+    #[must_use]
+    pub fn account_sums(&self) -> AccountSums {
+        let mut sums = self.sums.accounts.clone();
+        sums.merge(self.halls.accounts());
+        sums
+    }
+
+    /// What the own hall reports of client accounts, with this box's own reports.
+    #[must_use]
+    pub fn hall_account_reports(&self, now_ms: u64, own: &AccountReports) -> AccountReports {
+        let mut sums = self.sums.accounts.clone();
+        sums.add_work(own);
+        sums.note_refusals(now_ms, own);
+        sums.reports(now_ms)
+    }
+
     /// Admission limits that all other boxes have found.
     #[must_use]
     pub fn limits(&self, now_ms: u64) -> Vec<PeerLimit> {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -19,7 +19,7 @@
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::decisions::listing::{Listing, PageRequest};
-use crate::gateway::decisions::units::rounded_ms;
+use crate::gateway::decisions::units::{as_f64, rounded_ms};
 use crate::gateway::decisions::view::{CatchUp, VersionedValue, ViewChange};
 use crate::gateway::decisions::weights::UNKNOWN_TIME_MS;
 use crate::gateway::kernel::{Gateway, State};
@@ -169,6 +169,9 @@
             expiry_due_at_ms = now_ms + state.peers.expiry_period_ms();
             state.apply_peer_reports(now_ms);
         }
+        state.update_account_shares(now_ms);
+        metrics::gauge!("coursestile_limited_accounts")
+            .set(as_f64(state.account_shares.limited_count() as u64));
         cold_starts::update_allowances(&gateway, &mut state, now_ms);
         rate_limits::update_gauge(&state);
         state.admission_limits.recover(now_ms, TICK.as_secs_f64());
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -145,7 +145,9 @@
     let mut composed = Vec::new();
     if !targets.bridges.is_empty() {
         let fetches = fetches(&state);
-        let summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
+        let mut summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
+        let accounts = state.account_shares.reports(now_ms);
+        summary.accounts = state.peers.hall_account_reports(now_ms, &accounts);
         composed.push((Datagram::HallSummary(summary), targets.bridges));
         let others = state.peers.other_halls_summary(now_ms);
         composed.push((Datagram::OtherHallsSummary(others), targets.own_hall));
@@ -261,6 +263,7 @@
         leader_terms: leader_terms(state, now_ms, handover_pause_ms(&gateway.settings.bounds)),
         crashes: state.quarantine.crashes_to_announce(now_ms),
         answers: state.quarantine.answers_to_announce(now_ms),
+        accounts: state.account_shares.reports(now_ms),
     }
 }
 
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -16,6 +16,7 @@
 use crate::gateway::claims::ClaimRecord;
 use crate::gateway::connections::{Connections, Path};
 use crate::gateway::crashes::UncheckedRuns;
+use crate::gateway::decisions::account_shares::AccountShares;
 use crate::gateway::decisions::admission::AdmissionLimits;
 use crate::gateway::decisions::brittle::BrittleServices;
 use crate::gateway::decisions::budget::{self, RetryBudget};
@@ -81,6 +82,8 @@
     pub route_timeouts: RouteTimeouts,
     /// Admission limits of the services.
     pub admission_limits: AdmissionLimits,
+    /// How services that refuse requests are divided between client accounts.
+    pub account_shares: AccountShares,
     /// Retry budgets, by service.
     pub retry_budget: RetryBudget,
     /// Requests that crash upstreams.
@@ -191,6 +194,14 @@
         admission_limits.set_peer_limits(peers.limits(now_ms));
     }
 
+    /// Divides services that refuse requests between client accounts.
+    pub fn update_account_shares(&mut self, now_ms: u64) {
+        if let Some(configuration) = &self.configuration {
+            let weight_of = |account| configuration.account_weight(account);
+            self.account_shares.update(now_ms, &self.peers.account_sums(), weight_of);
+        }
+    }
+
     /// Updates the offset from the time that the upstreams' clock showed when a message was sent.
     /// Transit time makes that clock appear late, never early, so the largest offset is kept.
     pub fn update_upstream_clock_offset(&mut self, now_ms: u64, clock_ms: u64) {
@@ -348,6 +359,7 @@
             stores: Stores::default(),
             route_timeouts: RouteTimeouts::default(),
             admission_limits: AdmissionLimits::default(),
+            account_shares: AccountShares::default(),
             retry_budget: RetryBudget::new(retry_config, now_ms()),
             quarantine: Quarantine::default(),
             suspect_parts: SuspectParts::default(),
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -5,11 +5,12 @@
 
 use crate::clock::now_ms;
 use crate::gateway::check::AdmittedRequest;
+use crate::gateway::decisions::account_shares::Admission;
 use crate::gateway::decisions::admission;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::log_refusal;
 use crate::gateway::response::{self, ClientResponse, Reason};
-use crate::gateway::serve::{lacks_software, resumption};
+use crate::gateway::serve::{lacks_software, record_work, resumption};
 use crate::names::short_id;
 
 /// Default retry delay for refused clients.
@@ -39,9 +40,13 @@
             refuse_until(request, Reason::RateLimited, until_ms.max(now_ms + spread_ms))
         }
         Some(until_ms) => {
+            record_work(gateway, request, None, Admission::Refused);
             refuse_until(request, Reason::UpstreamsFull, until_ms + seed % RETRY_AFTER_MS)
         }
-        None if has_upstreams => refuse(request, Reason::UpstreamsFull),
+        None if has_upstreams => {
+            record_work(gateway, request, None, Admission::Refused);
+            refuse(request, Reason::UpstreamsFull)
+        }
         None => refuse(request, Reason::NoUpstream),
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -7,12 +7,14 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use log::info;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::attempt::{AttemptOutcome, BodyStart, NotRunCause, UpstreamResponse, attempt};
 use crate::gateway::check::{AdmittedRequest, validate};
 use crate::gateway::crashes::{self, EndedRun};
+use crate::gateway::decisions::account_shares::{Admission, work_of};
 use crate::gateway::decisions::admission::{AdmissionCriteria, Occupancy};
 use crate::gateway::decisions::brittle::BrittleLimit;
 use crate::gateway::decisions::candidates::Candidates;
@@ -134,6 +136,7 @@
             return no_upstream_found(gateway, &request);
         };
         if choice.occupancy == Occupancy::Full && may_refuse_if_full(&request) {
+            record_work(gateway, &request, Some(&choice), Admission::Refused);
             return refuse_immediately(&request);
         }
         if is_known_unreachable(gateway, &choice) {
@@ -145,6 +148,7 @@
             Ok(Permission::Waited) => continue,
             Err(withheld) => return refuse_until(&request, withheld.reason, withheld.until_ms),
         }
+        record_work(gateway, &request, Some(&choice), Admission::Admitted);
         log_attempt_start(gateway, &request, &choice);
         let outcome = tokio::select! {
             // Polled in order: a response that has arrived is not abandoned for another upstream.
@@ -179,6 +183,35 @@
     !request.may_have_run && request.origin.is_none()
 }
 
+/// Records whether a request was admitted, for the shares of the client accounts. Further attempts at
+/// it are not counted.
+pub(super) fn record_work(
+    gateway: &Gateway,
+    request: &AdmittedRequest,
+    choice: Option<&Choice>,
+    admission: Admission,
+) {
+    if request.attempts_made + request.undelivered_attempts > 0 {
+        return;
+    }
+    let plan = choice.and_then(|choice| choice.context.as_ref());
+    let work = request.prompt.as_ref().map_or(1, |prompt| {
+        let prefill_tokens = plan.map_or(prompt.tokens, |plan| plan.prefill_tokens);
+        work_of(prefill_tokens, prompt.max_output_tokens)
+    });
+    let account = request.outgoing.content.account;
+    let mut state = gateway.state();
+    let shares = &mut state.account_shares;
+    let Some(limited) = shares.record(now_ms(), &request.service, account, work, admission) else {
+        return;
+    };
+    drop(state);
+    info!(target: "serve",
+        "event=account_limited account={} service={} share={:.0} offered={:.0}",
+        request.outgoing.account.as_deref().unwrap_or("-"), request.service, limited.share,
+        limited.offered);
+}
+
 /// Until when a request waits for the trial of another to end.
 fn trial_wait_until(request: &AdmittedRequest, from_ms: u64) -> Instant {
     instant_at(from_ms + request.route.latency_objective_ms / TRIAL_WAIT_DIVISOR)
@@ -556,7 +589,11 @@
             objective_ms: request.route.latency_objective_ms,
             objective_missed: now_ms >= request.outgoing.objective_at_ms,
             admission_limit: state.admission_limits.limit_of(&request.service),
-            account_part: 1.0,
+            account_part: state.account_shares.account_part(
+                now_ms,
+                &request.service,
+                request.outgoing.content.account,
+            ),
             reserved_part: 0.0,
         },
         objective_at_ms: Some(request.outgoing.objective_at_ms),
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -15,6 +15,8 @@
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 /// Latency objective of a route without one.
 const DEFAULT_LATENCY_OBJECTIVE_MS: u64 = 1000;
+/// Weight of an account without one, or with one that is not positive.
+const DEFAULT_ACCOUNT_WEIGHT: f64 = 1.0;
 
 #[derive(Deserialize)]
 struct Document {
@@ -127,6 +129,7 @@
     isolated: bool,
     #[serde(default)]
     allowed_regions: Vec<String>,
+    weight: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -236,6 +239,7 @@
         priority: account.priority,
         isolated: account.isolated,
         allowed_regions: account.allowed_regions,
+        weight: account.weight.filter(|weight| *weight > 0.0).unwrap_or(DEFAULT_ACCOUNT_WEIGHT),
     }
 }
 
--- a/tests/gateway_bridges.rs
+++ b/tests/gateway_bridges.rs
@@ -3,6 +3,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use coursestile::gateway::decisions::account_shares::{AccountReports, AccountWork, RefusalReport};
 use coursestile::gateway::decisions::gossip_message::{Gossip, LoadReport};
 use coursestile::gateway::decisions::hall_summary::HallSummary;
 use coursestile::gateway::decisions::peers::{Audience, GossipScope, LocalBox, Peers, Targets};
@@ -41,6 +42,18 @@
     }
 }
 
+/// Reports of accounts by a box that has refused requests.
+fn account_reports(accounts: std::ops::Range<u32>) -> AccountReports {
+    let work = accounts.map(|number| AccountWork {
+        account: number.wrapping_mul(0x9e37_79b9),
+        service: u32::MAX,
+        admitted: 50_000,
+        offered: 100_000,
+    });
+    let refusal = RefusalReport { service: u32::MAX, age_ms: 100 };
+    AccountReports { work: work.collect(), refusals: vec![refusal] }
+}
+
 /// A box that has received gossip from all others, each of which sends `requests` requests to one
 /// upstream.
 fn fleet_box(hall: u32, host: u8, requests: u32) -> Peers {
@@ -138,6 +151,27 @@
     assert_eq!(non_bridge.load(UPSTREAM), Load::default(), "all loads have expired");
 }
 
+/// An account whose clients turn to another hall was taken for a small one, and a hall that refused no
+/// requests itself did not divide its part.
+#[test]
+fn accounts_cross_halls() {
+    let north = fleet_box(0, 1, 0);
+    let mut summary = north.hall_summary(100, std::iter::empty(), &[]);
+    summary.accounts = north.hall_account_reports(100, &account_reports(1..4));
+    let mut south = fleet_box(1, 1, 0);
+    south.receive_hall_summary(100, summary.clone());
+    south.receive_hall_summary(110, summary);
+    let mut non_bridge = fleet_box(1, 40, 0);
+    non_bridge.receive_other_halls(200, &south.other_halls_summary(200));
+    let reports = non_bridge.account_sums().reports(250);
+    assert_eq!(reports.work.len(), 3);
+    assert!(reports.work.iter().all(|work| work.offered == 100_000), "{reports:?}");
+    let [refusal] = reports.refusals[..] else { panic!("{reports:?}") };
+    assert_eq!(refusal.age_ms, 240, "counted from when it was sent");
+    non_bridge.expire(1700);
+    assert_eq!(non_bridge.account_sums().reports(1700).work, []);
+}
+
 #[test]
 fn revisions_cross_halls() {
     let mut leader = fleet_box(0, 1, 0);
@@ -175,11 +209,13 @@
             report.upstream = (number * 26 + index).wrapping_mul(0x9e37_79b9);
             report
         });
-        let message = Gossip { loads: used.collect(), ..gossip(0, 9, 0) };
+        let accounts = account_reports(number..number + 64);
+        let message = Gossip { loads: used.collect(), accounts, ..gossip(0, 9, 0) };
         let from = IpAddr::from([10, 0, 1 + high, low]);
         peers.receive_gossip(0, from, message, ViewDigest::default());
     }
-    let summary = peers.hall_summary(0, std::iter::empty(), &[]);
+    let mut summary = peers.hall_summary(0, std::iter::empty(), &[]);
+    summary.accounts = peers.hall_account_reports(0, &AccountReports::default());
     assert!(summary.loads.iter().all(|report| report.load.requests == 4), "the busiest");
     peers.receive_hall_summary(0, HallSummary { hall: 1, ..summary.clone() });
     let others = peers.other_halls_summary(0);
--- a/tests/gateway_sums.rs
+++ b/tests/gateway_sums.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, SocketAddr};
 
+use coursestile::gateway::decisions::account_shares::{AccountReports, AccountWork};
 use coursestile::gateway::decisions::gossip_message::{
     Gossip, LoadChanges, LoadReport, changed_loads,
 };
@@ -35,7 +36,9 @@
 
 fn gossip(loads: Vec<LoadReport>, fetch_tokens: u32) -> Gossip {
     let fetches = vec![(STORE, fetch_tokens)];
-    Gossip { incarnation: 1, hall: HALL, loads, fetches, ..Gossip::default() }
+    let work = AccountWork { account: 1, service: 1, admitted: fetch_tokens, offered: 200 };
+    let accounts = AccountReports { work: vec![work], refusals: Vec::new() };
+    Gossip { incarnation: 1, hall: HALL, loads, fetches, accounts, ..Gossip::default() }
 }
 
 /// An event at the box.
@@ -98,6 +101,8 @@
             }
             let fetched: u64 = live_peers.iter().map(|(host, _)| u64::from(**host)).sum();
             prop_assert_eq!(peers.fetch_tokens(STORE), fetched);
+            let admitted = peers.account_sums().reports(now_ms).work.iter().map(|work| work.admitted).sum::<u32>();
+            prop_assert_eq!(u64::from(admitted), fetched);
         }
     }
 }
