Account shares: refusals within the shares limit the growth of the divided work

In trials the capacity that was divided followed what was admitted, so that it stayed low once it was, or grew beyond what engines could do. It now grows by at most a tenth, and not while 0.02 of the work within the shares is refused; boxes report that work. An account is served at least a quarter as often as all are. `account_part` holds for the prefill limit of engines, too. A balance replaces the sum of a second for accounts that are behind, so that they catch up by two requests and not by a burst.

--- a/src/gateway/decisions/account_shares.rs
+++ b/src/gateway/decisions/account_shares.rs
@@ -37,16 +37,18 @@
 /// hardly exceed it. The rest is left to the requests within their share that arrive meanwhile.
 /// Slots are full only below 0.76 of the normal capacity, which exceeds 1.
 const EXCESS_PART_RANGE: (f64, f64) = (0.5, 0.75);
-/// Part of its mean share that an account gets at least, whatever its weight.
-const MIN_MEAN_SHARE_PART: f64 = 0.25;
-/// Part of the divided work that is not admitted when the division fits the capacity: engines that
-/// are used well refuse a request now and then.
+/// Part of the mean share that an account gets at least, whatever its weight, and part of the mean
+/// rate at which requests are served, however much it offers.
+const MIN_MEAN_PART: f64 = 0.25;
+/// Steps of the bisection for the shares: an error of less than a millionth.
+const LEVEL_STEPS: u32 = 30;
+/// Part of the work within the shares that is refused when the division fits the capacity: engines
+/// that are used well refuse a request now and then. A higher part takes more from the accounts
+/// within their shares than it adds to the use.
 const NORMAL_UNMET_PART: f64 = 0.02;
-/// Largest surplus of the divided work over the admitted one. Without a surplus, capacity that is
-/// once unused would stay so.
-const MAX_SURPLUS: f64 = 0.25;
-/// Change of the surplus per second, relative to the difference from [`NORMAL_UNMET_PART`].
-const SURPLUS_CHANGE_PER_S: f64 = 5.0;
+/// Growth per second of the divided work while nothing within the shares is refused; less growth
+/// while less than [`NORMAL_UNMET_PART`] is. Without growth, unused capacity would stay so.
+const MAX_GROWTH: f64 = 0.1;
 /// Number of requests of the size of the last one by which an account may at least run ahead of or
 /// behind its share at one box.
 const MIN_BALANCE_REQUESTS: f64 = 2.0;
@@ -64,6 +66,8 @@
     pub admitted: u32,
     /// All that was requested, whether admitted or not.
     pub offered: u32,
+    /// What was refused although the account was within its share.
+    pub unmet: u32,
 }
 
 /// The latest refusal by a service for lack of capacity.
@@ -85,20 +89,48 @@
 /// Sums over the reports of several boxes or halls.
 #[derive(Clone, Debug, Default)]
 pub struct AccountSums {
-    /// Admitted and offered work.
-    work: HashMap<Key, (u64, u64)>,
+    work: HashMap<Key, WorkSum>,
     /// When requests of each service were last refused.
     refused_at_ms: HashMap<u32, u64>,
 }
 
+/// See [`AccountWork`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct WorkSum {
+    admitted: u64,
+    offered: u64,
+    unmet: u64,
+}
+
+impl WorkSum {
+    fn add(&mut self, other: Self) {
+        self.admitted += other.admitted;
+        self.offered += other.offered;
+        self.unmet += other.unmet;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.admitted -= other.admitted;
+        self.offered -= other.offered;
+        self.unmet -= other.unmet;
+    }
+}
+
+impl From<&AccountWork> for WorkSum {
+    fn from(report: &AccountWork) -> Self {
+        Self {
+            admitted: report.admitted.into(),
+            offered: report.offered.into(),
+            unmet: report.unmet.into(),
+        }
+    }
+}
+
 impl AccountSums {
     /// Adds the work of a report.
     pub fn add_work(&mut self, reports: &AccountReports) {
         for report in &reports.work {
-            let (admitted, offered) =
-                self.work.entry((report.service, report.account)).or_default();
-            *admitted += u64::from(report.admitted);
-            *offered += u64::from(report.offered);
+            self.work.entry((report.service, report.account)).or_default().add(report.into());
         }
     }
 
@@ -114,10 +146,9 @@
     pub fn subtract_work(&mut self, reports: &AccountReports) {
         for report in &reports.work {
             let key = (report.service, report.account);
-            let Some((admitted, offered)) = self.work.get_mut(&key) else { continue };
-            *admitted -= u64::from(report.admitted);
-            *offered -= u64::from(report.offered);
-            if (*admitted, *offered) == (0, 0) {
+            let Some(sum) = self.work.get_mut(&key) else { continue };
+            sum.subtract(report.into());
+            if *sum == WorkSum::default() {
                 self.work.remove(&key);
             }
         }
@@ -125,10 +156,8 @@
 
     /// Adds other sums.
     pub fn merge(&mut self, other: &Self) {
-        for (key, (more_admitted, more_offered)) in &other.work {
-            let (admitted, offered) = self.work.entry(*key).or_default();
-            *admitted += more_admitted;
-            *offered += more_offered;
+        for (key, sum) in &other.work {
+            self.work.entry(*key).or_default().add(*sum);
         }
         for (service, at_ms) in &other.refused_at_ms {
             let known_at_ms = self.refused_at_ms.entry(*service).or_default();
@@ -140,11 +169,12 @@
     #[must_use]
     pub fn reports(&self, now_ms: u64) -> AccountReports {
         let as_u32 = |work: u64| u32::try_from(work).unwrap_or(u32::MAX);
-        let work = self.work.iter().map(|((service, account), (admitted, offered))| AccountWork {
+        let work = self.work.iter().map(|((service, account), sum)| AccountWork {
             account: *account,
             service: *service,
-            admitted: as_u32(*admitted),
-            offered: as_u32(*offered),
+            admitted: as_u32(sum.admitted),
+            offered: as_u32(sum.offered),
+            unmet: as_u32(sum.unmet),
         });
         let refusals = self.refusing(now_ms).map(|(service, at_ms)| RefusalReport {
             service,
@@ -169,14 +199,15 @@
         weight_of: impl Fn(u32) -> Option<f64>,
     ) -> Vec<AccountDemand> {
         let of_service = self.work.iter().filter(|((of, _), _)| *of == service);
-        let recent = of_service.filter(|(_, (_, offered))| *offered >= MIN_RECENT_WORK);
-        let demands = recent.filter_map(|((_, account), (admitted, offered))| {
-            let (admitted, offered) = (as_f64(*admitted), as_f64(*offered));
+        let recent = of_service.filter(|(_, sum)| sum.offered >= MIN_RECENT_WORK);
+        let demands = recent.filter_map(|((_, account), sum)| {
+            let [admitted, offered, unmet] = [sum.admitted, sum.offered, sum.unmet].map(as_f64);
             Some(AccountDemand {
                 account: *account,
                 weight: weight_of(*account)?,
                 admitted,
                 offered,
+                unmet,
             })
         });
         demands.collect()
@@ -190,6 +221,7 @@
     weight: f64,
     admitted: f64,
     offered: f64,
+    unmet: f64,
 }
 
 /// The entries with the most work.
@@ -234,6 +266,7 @@
 struct OwnWork {
     admitted: f64,
     offered: f64,
+    unmet: f64,
     updated_at_ms: u64,
     /// Work admitted beyond the share; negative if the account has got less.
     ahead: f64,
@@ -246,6 +279,7 @@
         let kept = (-as_f64(now_ms.saturating_sub(self.updated_at_ms)) / WINDOW_MS).exp();
         self.admitted *= kept;
         self.offered *= kept;
+        self.unmet *= kept;
         self.updated_at_ms = self.updated_at_ms.max(now_ms);
     }
 }
@@ -254,9 +288,6 @@
 #[derive(Clone, Debug, Default)]
 struct Division {
     until_ms: u64,
-    updated_at_ms: u64,
-    /// Surplus of the divided work over the admitted one.
-    surplus: f64,
     /// Accounts that offer more than their share.
     accounts: HashMap<u32, LimitedAccount>,
 }
@@ -267,25 +298,14 @@
         self.accounts.get(&account).map_or(1.0, |limited| limited.share / limited.offered)
     }
 
-    /// Part of the divided work that was not admitted.
-    fn unmet_part(&self, demands: &[AccountDemand]) -> f64 {
-        let divided =
-            demands.iter().map(|demand| demand.offered * self.served_part(demand.account));
-        let (divided, admitted) = (divided.sum::<f64>(), total_admitted(demands));
-        (1.0 - admitted / divided.max(1.0)).max(0.0)
-    }
-
     /// Divides the capacity anew.
-    fn update(&mut self, now_ms: u64, refused_at_ms: u64, demands: Vec<AccountDemand>) {
-        let elapsed_s = as_f64((now_ms - self.updated_at_ms).min(ACTIVE_MS)) / 1000.0;
-        let change = NORMAL_UNMET_PART - self.unmet_part(&demands);
-        if self.updated_at_ms > 0 {
-            self.surplus += change * SURPLUS_CHANGE_PER_S * elapsed_s;
-        }
-        self.surplus = self.surplus.clamp(0.0, MAX_SURPLUS);
-        self.updated_at_ms = now_ms;
+    fn update(&mut self, refused_at_ms: u64, demands: &[AccountDemand]) {
+        let admitted: f64 = demands.iter().map(|demand| demand.admitted).sum();
+        let unmet: f64 = demands.iter().map(|demand| demand.unmet).sum();
+        let unmet_part = unmet / (admitted + unmet).max(1.0);
+        let growth = MAX_GROWTH * (1.0 - unmet_part / NORMAL_UNMET_PART).max(0.0);
         self.until_ms = refused_at_ms + ACTIVE_MS;
-        self.accounts = divide(total_admitted(&demands) * (1.0 + self.surplus), demands);
+        self.accounts = divide(admitted * (1.0 + growth), demands);
     }
 }
 
@@ -333,10 +353,11 @@
             }
             Admission::Refused => {
                 self.refused_at_ms.insert(service, now_ms);
+                own.unmet += if is_ahead { 0.0 } else { work };
             }
         }
         let max_ahead = (own.offered * served_part).max(MIN_BALANCE_REQUESTS * work);
-        own.ahead = own.ahead.clamp(-max_ahead, max_ahead);
+        own.ahead = own.ahead.clamp(-MIN_BALANCE_REQUESTS * work, max_ahead);
         if division.is_none() {
             own.ahead = 0.0;
         }
@@ -382,7 +403,7 @@
         sums.merge(others);
         let divided = sums.refusing(now_ms).map(|(service, refused_at_ms)| {
             let mut division = self.divided.remove(&service).unwrap_or_default();
-            division.update(now_ms, refused_at_ms, sums.of_service(service, &weight_of));
+            division.update(refused_at_ms, &sums.of_service(service, &weight_of));
             (service, division)
         });
         self.divided = divided.collect();
@@ -398,36 +419,40 @@
         let work = self.own.iter().map(|(key, own)| {
             let mut own = *own;
             own.decay(now_ms);
-            (*key, (rounded_down(own.admitted), rounded_down(own.offered)))
+            let [admitted, offered, unmet] =
+                [own.admitted, own.offered, own.unmet].map(rounded_down);
+            (*key, WorkSum { admitted, offered, unmet })
         });
         AccountSums { work: work.collect(), refused_at_ms: self.refused_at_ms.clone() }
     }
 }
 
-fn total_admitted(demands: &[AccountDemand]) -> f64 {
-    demands.iter().map(|demand| demand.admitted).sum()
-}
-
 /// Divides a capacity by weighted max-min fairness. Returns the accounts that offer more than their
 /// share.
-fn divide(capacity: f64, mut demands: Vec<AccountDemand>) -> HashMap<u32, LimitedAccount> {
+fn divide(capacity: f64, demands: &[AccountDemand]) -> HashMap<u32, LimitedAccount> {
     if demands.len() < 2 {
         return HashMap::new();
     }
-    let min_share = capacity / as_f64(demands.len() as u64) * MIN_MEAN_SHARE_PART;
-    let relative = |demand: &AccountDemand| demand.offered / demand.weight;
-    demands.sort_by(|left, right| relative(left).total_cmp(&relative(right)));
-    let mut left_weight: f64 = demands.iter().map(|demand| demand.weight).sum();
-    let mut left_capacity = capacity;
-    let mut limited = HashMap::new();
-    for AccountDemand { account, weight, offered, .. } in demands {
-        let share = (left_capacity * weight / left_weight).max(min_share);
-        if offered > share {
-            limited.insert(account, LimitedAccount { share, offered });
-        } else {
-            left_capacity = (left_capacity - offered).max(0.0);
-            left_weight -= weight;
-        }
+    let offered: f64 = demands.iter().map(|demand| demand.offered).sum();
+    let mean_share = capacity / as_f64(demands.len() as u64);
+    let mean_served_part = capacity / offered;
+    let share = |demand: &AccountDemand, level: f64| {
+        let least = mean_share.max(mean_served_part * demand.offered) * MIN_MEAN_PART;
+        (demand.weight * level).max(least)
+    };
+    let total = |level: f64| -> f64 {
+        demands.iter().map(|demand| share(demand, level).min(demand.offered)).sum()
+    };
+    // Bisection for the share of an account of weight 1.
+    let mut low = 0.0;
+    let mut high = demands.iter().map(|demand| demand.offered / demand.weight).fold(0.0, f64::max);
+    for _ in 0..LEVEL_STEPS {
+        let level = f64::midpoint(low, high);
+        if total(level) < capacity { low = level } else { high = level }
     }
-    limited
+    let limited = demands.iter().filter_map(|demand| {
+        let (share, offered) = (share(demand, high), demand.offered);
+        (share < offered).then_some((demand.account, LimitedAccount { share, offered }))
+    });
+    limited.collect()
 }
--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -235,8 +235,10 @@
     };
     let memory_part = occupied_part(load.memory_tokens, f64::from(capacity.memory_tokens) * part);
     let slots_part = occupied_part(load.requests, f64::from(capacity.slots) * part.min(1.0));
-    let max_prefill_ms =
-        as_f64(criteria.objective_ms) * PREFILL_WAIT_PART * criteria.admission_limit;
+    let max_prefill_ms = as_f64(criteria.objective_ms)
+        * PREFILL_WAIT_PART
+        * criteria.admission_limit
+        * available_part(criteria);
     let prefill_part =
         occupied_part(load.pending_prefill_tokens, max_prefill_ms * PREFILL_TOKENS_PER_MS);
     match memory_part.max(slots_part).max(prefill_part) {
@@ -254,8 +256,12 @@
         - RANK_RESERVE_PART * f64::from(criteria.higher_priority_ranks.min(MAX_RESERVING_RANKS));
     let late_part =
         if criteria.objective_missed { criteria.admission_limit.min(1.0).powi(2) } else { 1.0 };
-    let available_part = criteria.account_part * (1.0 - criteria.reserved_part).max(0.0);
-    criteria.admission_limit * part * late_part * available_part
+    criteria.admission_limit * part * late_part * available_part(criteria)
+}
+
+/// Part of the normal capacity that is not kept for other requests.
+fn available_part(criteria: AdmissionCriteria) -> f64 {
+    criteria.account_part * (1.0 - criteria.reserved_part).max(0.0)
 }
 
 /// Delay after which a refused client may retry: at most a third of its remaining time, spread by
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -229,11 +229,14 @@
 /// What is kept from a request lowers the capacity that it may use, and nothing else does.
 #[test]
 fn parts_kept() {
+    let prefilling = Load { requests: 4, pending_prefill_tokens: 8000, memory_tokens: 9000 };
     let half_account = AdmissionCriteria { account_part: 0.5, ..HIGHEST_PRIORITY };
     let half_reserved = AdmissionCriteria { reserved_part: 0.5, ..HIGHEST_PRIORITY };
     for criteria in [half_account, half_reserved] {
         assert!(has_room(load_with_memory(20_000), CAPACITY, criteria));
         assert!(!has_room(load_with_memory(30_000), CAPACITY, criteria));
+        assert!(!has_room(prefilling, CAPACITY, criteria));
     }
     assert!(has_room(load_with_memory(30_000), CAPACITY, HIGHEST_PRIORITY));
+    assert!(has_room(prefilling, CAPACITY, HIGHEST_PRIORITY));
 }
--- a/tests/gateway_bridges.rs
+++ b/tests/gateway_bridges.rs
@@ -49,6 +49,7 @@
         service: u32::MAX,
         admitted: 50_000,
         offered: 100_000,
+        unmet: 2_000,
     });
     let refusal = RefusalReport { service: u32::MAX, age_ms: 100 };
     AccountReports { work: work.collect(), refusals: vec![refusal] }
