--- a/src/gateway/decisions/account_shares.rs
+++ b/src/gateway/decisions/account_shares.rs
@@ -33,9 +33,9 @@
 const MAX_WORK_REPORTS: usize = 64;
 /// The same for the sums of a hall.
 const MAX_HALL_WORK_REPORTS: usize = 256;
-/// Part of the normal capacity that requests beyond the share may use: the first for accounts that
-/// hardly exceed it. The rest is left to the requests within their share that arrive meanwhile.
-/// Slots are full only below 0.76 of the normal capacity, which exceeds 1.
+/// Range of the part of the normal capacity that requests beyond the share may use: the upper bound
+/// for accounts that hardly exceed it. The rest is left to requests within their shares. The normal
+/// capacity is up to 1.32 times the slots, so that a part above 0.76 leaves no slots.
 const EXCESS_PART_RANGE: (f64, f64) = (0.5, 0.75);
 /// Part of the mean share that an account gets at least, whatever its weight, and part of the mean
 /// rate at which requests are served, however much it offers.
@@ -49,8 +49,8 @@
 /// Growth per second of the divided work while nothing within the shares is refused; less growth
 /// while less than [`NORMAL_UNMET_PART`] is. Without growth, unused capacity would stay so.
 const MAX_GROWTH: f64 = 0.1;
-/// Number of requests of the size of the last one by which an account may at least run ahead of or
-/// behind its share at one box.
+/// Number of requests of the size of the last one by which an account may be behind its share at one
+/// box, and ahead of it even if the box sees few of its requests.
 const MIN_BALANCE_REQUESTS: f64 = 2.0;
 
 /// A service and an account, by their short ids.
@@ -270,7 +270,6 @@
     updated_at_ms: u64,
     /// Work admitted beyond the share; negative if the account has got less.
     ahead: f64,
-    limit_logged_at_ms: u64,
 }
 
 impl OwnWork {
@@ -285,27 +284,27 @@
 }
 
 /// How the capacity of a service is divided.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Division {
     until_ms: u64,
     /// Accounts that offer more than their share.
-    accounts: HashMap<u32, LimitedAccount>,
+    limited: HashMap<u32, LimitedAccount>,
 }
 
 impl Division {
-    /// Part of the offered work that the account may have.
-    fn served_part(&self, account: u32) -> f64 {
-        self.accounts.get(&account).map_or(1.0, |limited| limited.share / limited.offered)
-    }
-
-    /// Divides the capacity anew.
-    fn update(&mut self, refused_at_ms: u64, demands: &[AccountDemand]) {
+    /// Divides what the fleet admits, given the last refusal.
+    fn new(refused_at_ms: u64, demands: &[AccountDemand]) -> Self {
         let admitted: f64 = demands.iter().map(|demand| demand.admitted).sum();
         let unmet: f64 = demands.iter().map(|demand| demand.unmet).sum();
         let unmet_part = unmet / (admitted + unmet).max(1.0);
         let growth = MAX_GROWTH * (1.0 - unmet_part / NORMAL_UNMET_PART).max(0.0);
-        self.until_ms = refused_at_ms + ACTIVE_MS;
-        self.accounts = divide(admitted * (1.0 + growth), demands);
+        let limited = divide(admitted * (1.0 + growth), demands);
+        Self { until_ms: refused_at_ms + ACTIVE_MS, limited }
+    }
+
+    /// Part of the offered work that the account may have.
+    fn served_part(&self, account: u32) -> f64 {
+        self.limited.get(&account).map_or(1.0, |limited| limited.share / limited.offered)
     }
 }
 
@@ -316,19 +315,15 @@
         let service = short_id(service);
         let Some(division) = self.divided.get(&service) else { return 1.0 };
         let is_ahead = self.own.get(&(service, account)).is_some_and(|own| own.ahead > 0.0);
-        if now_ms >= division.until_ms || !is_ahead {
+        if now_ms >= division.until_ms || !is_ahead || !division.limited.contains_key(&account) {
             return 1.0;
         }
         let (min, max) = EXCESS_PART_RANGE;
-        if division.accounts.contains_key(&account) {
-            division.served_part(account).clamp(min, max)
-        } else {
-            1.0
-        }
+        division.served_part(account).clamp(min, max)
     }
 
-    /// Records a request and how it was decided on. Returns the share that was exceeded by a
-    /// refused one, at most once a second.
+    /// Records a request and how it was decided on. Returns the share if a request beyond it was
+    /// refused.
     pub fn record(
         &mut self,
         now_ms: u64,
@@ -361,14 +356,8 @@
         if division.is_none() {
             own.ahead = 0.0;
         }
-        let limited = division?.accounts.get(&account).copied();
-        let is_logged = admission == Admission::Refused
-            && is_ahead
-            && now_ms >= own.limit_logged_at_ms + rounded_down(WINDOW_MS);
-        if is_logged {
-            own.limit_logged_at_ms = now_ms;
-        }
-        limited.filter(|_| is_logged)
+        let is_beyond_share = admission == Admission::Refused && is_ahead;
+        division?.limited.get(&account).copied().filter(|_| is_beyond_share)
     }
 
     /// What this box reports: nothing of services that refuse no requests.
@@ -402,9 +391,7 @@
         let mut sums = self.own_sums(now_ms);
         sums.merge(others);
         let divided = sums.refusing(now_ms).map(|(service, refused_at_ms)| {
-            let mut division = self.divided.remove(&service).unwrap_or_default();
-            division.update(refused_at_ms, &sums.of_service(service, &weight_of));
-            (service, division)
+            (service, Division::new(refused_at_ms, &sums.of_service(service, &weight_of)))
         });
         self.divided = divided.collect();
     }
@@ -412,7 +399,7 @@
     /// Number of accounts that offer more than their share, for metrics.
     #[must_use]
     pub fn limited_count(&self) -> usize {
-        self.divided.values().map(|division| division.accounts.len()).sum()
+        self.divided.values().map(|division| division.limited.len()).sum()
     }
 
     fn own_sums(&self, now_ms: u64) -> AccountSums {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -206,9 +206,10 @@
         return;
     };
     drop(state);
+    metrics::counter!("coursestile_over_share_refusals_total").increment(1);
     info!(target: "serve",
-        "event=account_limited account={} service={} share={:.0} offered={:.0}",
-        request.outgoing.account.as_deref().unwrap_or("-"), request.service, limited.share,
+        "event=account_limited request={} account={} service={} share={:.0} offered={:.0}",
+        request.outgoing.request_id, request.outgoing.account.as_deref().unwrap_or("-"), request.service, limited.share,
         limited.offered);
 }
 
--- a/tests/gateway_accounts.rs
+++ b/tests/gateway_accounts.rs
@@ -18,6 +18,7 @@
 use coursestile::gateway::decisions::upstream::Load;
 use coursestile::gateway::decisions::view::ViewDigest;
 use coursestile::names::short_id;
+use coursestile::platform::keys::read_configuration;
 use rstest::rstest;
 
 const NOW_MS: u64 = 1_000_000;
@@ -436,3 +437,14 @@
     );
     assert!(bytes[0] < 1500 && bytes[1] < 6000, "{bytes:?}");
 }
+
+/// Weights that cannot be used would have taken the whole share of an account, or of all others.
+#[test]
+fn weights_read() {
+    let document = br#"{ "version": 1, "tenants": [{ "name": "a", "weight": 2.5 }, { "name": "b" },
+        { "name": "c", "weight": 0 }, { "name": "d", "weight": -1 }] }"#;
+    let configuration = read_configuration(document).unwrap();
+    let weights =
+        ["a", "b", "c", "d", "", "e"].map(|name| configuration.account_weight(short_id(name)));
+    assert_eq!(weights, [Some(2.5), Some(1.0), Some(1.0), Some(1.0), Some(1.0), None]);
+}
