--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::account_shares::AccountReports;
 use crate::gateway::decisions::admission::LimitReport;
 use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::returns::ReturnsReport;
@@ -81,6 +82,8 @@
     pub answers: Vec<AnswerReport>,
     /// Work that the sender has reserved for retries.
     pub returns: Vec<ReturnsReport>,
+    /// Work that the sender's clients have requested of services that refuse requests.
+    pub accounts: AccountReports,
 }
 
 impl Gossip {
--- a/src/gateway/decisions/hall_summary.rs
+++ b/src/gateway/decisions/hall_summary.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::account_shares::AccountReports;
 use crate::gateway::decisions::gossip_message::LoadReport;
 use crate::gateway::decisions::returns::ReturnsReport;
 
@@ -22,6 +23,8 @@
     pub revisions: Vec<(IpAddr, u64)>,
     /// Work that the hall has reserved for retries.
     pub returns: Vec<ReturnsReport>,
+    /// Work of client accounts that the hall has seen.
+    pub accounts: AccountReports,
 }
 
 /// Summary of all other halls, sent to the boxes of a hall by its bridges.
@@ -33,4 +36,6 @@
     pub fetches: Vec<(u32, u32)>,
     /// Work that the other halls have reserved for retries.
     pub returns: Vec<ReturnsReport>,
+    /// Work of client accounts that the other halls have seen.
+    pub accounts: AccountReports,
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -152,6 +152,8 @@
         let fetches = fetches(&state);
         let mut summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
         summary.returns = state.returns.hall_reports(now_ms);
+        let accounts = state.account_shares.reports(now_ms);
+        summary.accounts = state.peers.hall_account_reports(now_ms, &accounts);
         composed.push((Datagram::HallSummary(summary), targets.bridges));
         let mut others = state.peers.other_halls_summary(now_ms);
         others.returns = state.returns.other_halls_reports(now_ms);
@@ -277,6 +279,7 @@
             state.returns.expire(now_ms);
             state.returns.own_reports(now_ms)
         },
+        accounts: state.account_shares.reports(now_ms),
     }
 }
 
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -5,13 +5,14 @@
 
 use crate::clock::now_ms;
 use crate::gateway::check::AdmittedRequest;
+use crate::gateway::decisions::account_shares::Admission;
 use crate::gateway::decisions::admission;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::returns::Refused;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::{log_refusal, log_retry_time};
 use crate::gateway::response::{self, ClientResponse, Reason};
-use crate::gateway::serve::{lacks_software, resumption};
+use crate::gateway::serve::{lacks_software, record_work, resumption};
 use crate::names::short_id;
 
 /// Default retry delay for refused clients.
@@ -41,9 +42,13 @@
             refuse_until(request, Reason::RateLimited, until_ms.max(now_ms + spread_ms))
         }
         Some(until_ms) => {
+            record_work(gateway, request, None, Admission::Refused);
             refuse_until(request, Reason::UpstreamsFull, until_ms + seed % RETRY_AFTER_MS)
         }
-        None if has_upstreams => refuse(request, Reason::UpstreamsFull),
+        None if has_upstreams => {
+            record_work(gateway, request, None, Admission::Refused);
+            refuse(request, Reason::UpstreamsFull)
+        }
         None => refuse(request, Reason::NoUpstream),
     }
 }
@@ -72,7 +77,11 @@
         route: &request.route.name,
         timeout_ms: request.outgoing.deadline_ms.saturating_sub(request.arrived_at_ms),
         objective_at_ms: request.outgoing.objective_at_ms,
-        account_part: 1.0,
+        account_part: state.account_shares.account_part(
+            now_ms,
+            &request.service,
+            request.outgoing.content.account,
+        ),
         seed: short_id(request_id).into(),
     };
     let retry_time = state.returns.refuse(now_ms, refused);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -7,12 +7,14 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
+use log::info;
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::attempt::{AttemptOutcome, BodyStart, NotRunCause, UpstreamResponse, attempt};
 use crate::gateway::check::{AdmittedRequest, validate};
 use crate::gateway::crashes::{self, EndedRun};
+use crate::gateway::decisions::account_shares::{Admission, work_of};
 use crate::gateway::decisions::admission::{AdmissionCriteria, Occupancy};
 use crate::gateway::decisions::brittle::BrittleLimit;
 use crate::gateway::decisions::candidates::Candidates;
@@ -141,6 +143,7 @@
             return no_upstream_found(gateway, &request);
         };
         if choice.occupancy == Occupancy::Full && may_refuse_if_full(&request) {
+            record_work(gateway, &request, Some(&choice), Admission::Refused);
             return refuse_immediately(gateway, &request);
         }
         if is_known_unreachable(gateway, &choice) {
@@ -155,6 +158,7 @@
         if request.tried.is_empty() && request.undelivered_attempts == 0 {
             record_admitted(gateway, &request);
         }
+        record_work(gateway, &request, Some(&choice), Admission::Admitted);
         log_attempt_start(gateway, &request, &choice);
         let outcome = tokio::select! {
             // Polled in order: a response that has arrived is not abandoned for another upstream.
@@ -198,6 +202,36 @@
     !request.may_have_run && request.origin.is_none()
 }
 
+/// Records whether a request was admitted, for the shares of the client accounts. Further attempts at
+/// it are not counted.
+pub(super) fn record_work(
+    gateway: &Gateway,
+    request: &AdmittedRequest,
+    choice: Option<&Choice>,
+    admission: Admission,
+) {
+    if request.attempts_made + request.undelivered_attempts > 0 {
+        return;
+    }
+    let plan = choice.and_then(|choice| choice.context.as_ref());
+    let work = request.prompt.as_ref().map_or(1, |prompt| {
+        let prefill_tokens = plan.map_or(prompt.tokens, |plan| plan.prefill_tokens);
+        work_of(prefill_tokens, prompt.max_output_tokens)
+    });
+    let account = request.outgoing.content.account;
+    let mut state = gateway.state();
+    let shares = &mut state.account_shares;
+    let Some(limited) = shares.record(now_ms(), &request.service, account, work, admission) else {
+        return;
+    };
+    drop(state);
+    metrics::counter!("coursestile_over_share_refusals_total").increment(1);
+    info!(target: "serve",
+        "event=account_limited request={} account={} service={} share={:.0} offered={:.0}",
+        request.outgoing.request_id, request.outgoing.account.as_deref().unwrap_or("-"), request.service, limited.share,
+        limited.offered);
+}
+
 /// Until when a request waits for the trial of another to end.
 fn trial_wait_until(request: &AdmittedRequest, from_ms: u64) -> Instant {
     instant_at(from_ms + request.route.latency_objective_ms / TRIAL_WAIT_DIVISOR)
@@ -581,8 +615,12 @@
             objective_ms: request.route.latency_objective_ms,
             objective_missed: objective_missed && !is_due,
             admission_limit: state.admission_limits.limit_of(&request.service),
-            account_part: 1.0,
             reserved_part: state.returns.reserved_part(now_ms, request.class, request.standing),
+            account_part: state.account_shares.account_part(
+                now_ms,
+                &request.service,
+                request.outgoing.content.account,
+            ),
         },
         objective_at_ms: (!objective_missed).then_some(request.outgoing.objective_at_ms),
     };
