Admission by the request on nearly full engines

Cause: an engine was admitted to by its load alone, whatever the request needs, so that in a burst of long prompts engines got more than their memory holds and preempted runs.

Change: `run_lengths` learns from completed streams how long runs of a service and route hold an engine, and how much of their maximum output they generate. `room` forecasts by that, and by the load of all boxes with what they are expected to have sent since their last reports, whether an engine finishes the request in time without preempting. An engine that does not is full for the request, and one that would start it late is avoided. Then any engine in time is taken of a wider sample, not the best one, which is the same for all boxes. `engines_full` tells by which limit a request is refused. Active only on engines of known memory that are nearly full by the current rule.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -390,6 +390,7 @@
             reserved_part: 0.0,
         },
         objective_at_ms: Some(500),
+        room: None,
     }
 }
 
--- a/src/gateway/decisions/candidates.rs
+++ b/src/gateway/decisions/candidates.rs
@@ -71,6 +71,12 @@
         self.sample(WIDE_SAMPLE, |_| true)
     }
 
+    /// One of `candidates`, drawn at random.
+    pub fn any_of<T>(&mut self, mut candidates: Vec<T>) -> Option<T> {
+        let index = self.random.choice(0..candidates.len())?;
+        Some(candidates.swap_remove(index))
+    }
+
     fn sample(&mut self, count: usize, is_wanted: impl Fn(&Upstream) -> bool) -> Vec<&'a Upstream> {
         let wanted = self.usable.iter().copied().filter(|upstream| is_wanted(upstream));
         self.random.choose_multiple(wanted, count)
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -12,9 +12,10 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::rate_limit::Sending;
+use crate::gateway::decisions::room::{Limit, Needs, forecast, speed};
 use crate::gateway::decisions::sources::{Lookup, RECOMPUTE_WEIGHT};
 use crate::gateway::decisions::stores::Stores;
-use crate::gateway::decisions::units::PREFILL_TOKENS_PER_MS;
+use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, rounded_ms};
 use crate::gateway::decisions::upstream::{Load, Upstream};
 use crate::gateway::decisions::upstreams::Upstreams;
 
@@ -46,6 +47,9 @@
 const UNREACHABLE_COST_MS: f64 = 1_000_000.0;
 /// Cost of a full engine; any other is preferred except unhealthy ones.
 const FULL_ENGINE_COST_MS: f64 = 10_000.0;
+/// Cost of an engine at which the first token is forecast to be late; any other with capacity that
+/// neither leaves nor has overdue weights is preferred.
+const LATE_FIRST_TOKEN_COST_MS: f64 = 5_000.0;
 /// Cost of weights older than the newest named version; below the wait that would make a first
 /// token late.
 const OLD_WEIGHTS_COST_MS: f64 = 60.0;
@@ -77,6 +81,8 @@
     pub engine_wait_negligible: bool,
     /// Occupancy of the upstream.
     pub occupancy: Occupancy,
+    /// Why the upstream is full, if it is.
+    pub limit: Option<Limit>,
     /// Time by which the latency objective requires the first token; `None` if that time has passed
     /// already, or without a prompt.
     pub objective_at_ms: Option<u64>,
@@ -109,7 +115,22 @@
             chooser.best_sampled(&mut CandidateSampler::new(seed, &usable), &usable)
         }
     };
-    best.map(|best| best.into_choice(now_ms, demand))
+    let mut best = best?;
+    if best.expected.limit == Some(Limit::Memory) && is_service_idle(&usable) {
+        (best.expected.occupancy, best.expected.limit) = (Occupancy::NearlyFull, None);
+    }
+    Some(best.into_choice(now_ms, demand))
+}
+
+/// Whether no prompt waits at any upstream, and less than half of the slots are in use. Then nothing is
+/// refused, whatever memory the runs are expected to need.
+fn is_service_idle(usable: &[&Upstream]) -> bool {
+    if usable.iter().any(|upstream| upstream.total_load().pending_prefill_tokens > 0) {
+        return false;
+    }
+    let slots: u32 = usable.iter().map(|upstream| upstream.entry.slots).sum();
+    let requests: u32 = usable.iter().map(|upstream| upstream.total_load().requests).sum();
+    2 * requests < slots
 }
 
 /// Whether a request may be sent to an upstream at all.
@@ -154,6 +175,11 @@
         self.expected.occupancy != Occupancy::Full && !self.upstream.is_unhealthy(now_ms)
     }
 
+    /// Whether it is suitable and its first token is not forecast to be late.
+    fn is_in_time(&self, now_ms: u64) -> bool {
+        self.is_suitable(now_ms) && !self.expected.is_late
+    }
+
     fn into_choice(self, now_ms: u64, demand: &Demand<'_>) -> Choice {
         Choice {
             upstream: self.upstream.incarnation(),
@@ -162,6 +188,7 @@
             expected_first_token_ms: self.expected.first_token_ms,
             engine_wait_negligible: self.expected.wait_ms < NEGLIGIBLE_WAIT_MS,
             occupancy: self.expected.occupancy,
+            limit: self.expected.limit,
             objective_at_ms: demand
                 .prompt
                 .and(demand.objective_at_ms)
@@ -200,15 +227,40 @@
         let context_hall = sample.first().and_then(|upstream| self.context_hall(upstream));
         sample.extend(sampler.from_other_halls(self.demand.hall, context_hall));
         let mut best = self.best(&sample);
-        if !best.as_ref().is_some_and(|best| best.is_suitable(self.now_ms)) {
-            best = self.best(&sampler.from_all_halls());
+        if !best.as_ref().is_some_and(|best| best.is_in_time(self.now_ms)) {
+            let wide = sampler.from_all_halls();
+            best = match best {
+                Some(best) if best.expected.is_forecast => self.any_in_time(sampler, &wide),
+                Some(_) | None => None,
+            }
+            .or_else(|| self.best(&wide));
         }
-        if !best.as_ref().is_some_and(|best| best.is_suitable(self.now_ms)) {
+        // A fleet without room is not searched through: boxes would do so for most of their requests.
+        let lacks_room = best.as_ref().is_some_and(|best| {
+            best.expected.is_forecast && !best.upstream.is_unhealthy(self.now_ms)
+        });
+        if !lacks_room && !best.as_ref().is_some_and(|best| best.is_suitable(self.now_ms)) {
             best = self.best(usable);
         }
         best
     }
 
+    /// Any of the candidates that are in time. The best one is the same for all boxes of a hall, which
+    /// together would overfill it before their reports arrive.
+    fn any_in_time(
+        &mut self,
+        sampler: &mut CandidateSampler<'_, 'a>,
+        candidates: &[&'a Upstream],
+    ) -> Option<Candidate<'a>> {
+        let now_ms = self.now_ms;
+        let evaluated = candidates.iter().map(|upstream| self.evaluate(upstream));
+        let in_time = evaluated.filter(|candidate| {
+            candidate.is_in_time(now_ms) && candidate.cost < LATE_FIRST_TOKEN_COST_MS
+        });
+        let in_time: Vec<Candidate<'_>> = in_time.collect();
+        sampler.any_of(in_time)
+    }
+
     /// The hall that stores the longest cached part of the prompt for the weight version of
     /// `upstream`.
     fn context_hall(&mut self, upstream: &Upstream) -> Option<&'a str> {
@@ -273,12 +325,24 @@
     first_token_ms: f64,
     /// Occupancy of the engine.
     occupancy: Occupancy,
+    /// Why the engine is full, if it is.
+    limit: Option<Limit>,
+    /// Whether the request was considered, not only the load.
+    is_forecast: bool,
+    /// Whether the first token would be late by that forecast.
+    is_late: bool,
 }
 
 impl Expected {
     /// For services without model engines, whose times are not modelled.
-    const UNKNOWN: Self =
-        Self { wait_ms: 0.0, first_token_ms: 0.0, occupancy: Occupancy::Available };
+    const UNKNOWN: Self = Self {
+        wait_ms: 0.0,
+        first_token_ms: 0.0,
+        occupancy: Occupancy::Available,
+        limit: None,
+        is_forecast: false,
+        is_late: false,
+    };
 }
 
 fn capacity(engine: &EngineSpec) -> Capacity {
@@ -305,28 +369,85 @@
     demand: &Demand<'_>,
 ) -> (f64, Expected) {
     let load = upstream.total_load();
-    let prefill_wait_ms = f64::from(load.pending_prefill_tokens) / PREFILL_TOKENS_PER_MS;
-    let prefill_ms = f64::from(plan.prefill_tokens) / PREFILL_TOKENS_PER_MS;
     let recompute_ms = f64::from(plan.recomputed_tokens) / PREFILL_TOKENS_PER_MS;
-    let queued = load.requests.saturating_sub(engine.slots);
-    let memory_wait_ms = memory_wait_ms(load.memory_tokens, engine, demand);
-    let wait_ms = prefill_wait_ms.max(memory_wait_ms);
-    let first_token_ms = wait_ms.max(plan.fetch_ms) + prefill_ms;
-    let occupancy = occupancy(load, capacity(engine), demand.admission);
+    let by_load = expected_by_load(load, engine, plan, demand);
+    let by_request = expected_by_request(now_ms, upstream, engine, plan, demand, by_load.occupancy);
+    // The forecast contains the wait for a slot.
+    let queued = match by_request {
+        Some(_) => 0,
+        None => load.requests.saturating_sub(engine.slots),
+    };
+    let expected = by_request.unwrap_or(by_load);
     let behind_since_ms = demand.behind_since_ms(plan.version);
     let old_weights_cost = match behind_since_ms {
         Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
         Some(since_ms) if now_ms >= since_ms + OLD_WEIGHTS_GRACE_MS => OLD_WEIGHTS_COST_MS,
         Some(_) | None => 0.0,
     };
-    let cost = first_token_ms
+    let cost = expected.first_token_ms
         + recompute_ms * RECOMPUTE_WEIGHT
         + plan.fetch_ms * FETCH_WEIGHT
         + f64::from(load.requests) * RUNNING_COST_MS
         + f64::from(queued) * QUEUED_COST_MS
         + old_weights_cost
-        + if occupancy == Occupancy::Full { FULL_ENGINE_COST_MS } else { 0.0 };
-    (cost, Expected { wait_ms, first_token_ms, occupancy })
+        + if expected.is_late { LATE_FIRST_TOKEN_COST_MS } else { 0.0 }
+        + if expected.occupancy == Occupancy::Full { FULL_ENGINE_COST_MS } else { 0.0 };
+    (cost, expected)
+}
+
+/// What the load of an engine alone lets expect.
+fn expected_by_load(
+    load: Load,
+    engine: &EngineSpec,
+    plan: &ContextPlan,
+    demand: &Demand<'_>,
+) -> Expected {
+    let prefill_wait_ms = f64::from(load.pending_prefill_tokens) / PREFILL_TOKENS_PER_MS;
+    let prefill_ms = f64::from(plan.prefill_tokens) / PREFILL_TOKENS_PER_MS;
+    let wait_ms = prefill_wait_ms.max(memory_wait_ms(load.memory_tokens, engine, demand));
+    let occupancy = occupancy(load, capacity(engine), demand.admission);
+    Expected {
+        wait_ms,
+        first_token_ms: wait_ms.max(plan.fetch_ms) + prefill_ms,
+        occupancy,
+        limit: (occupancy == Occupancy::Full).then_some(Limit::Load),
+        is_forecast: false,
+        is_late: false,
+    }
+}
+
+/// What the request and all that runs on an engine let expect; `None` if the load alone decides, as
+/// the engine is not nearly full, its memory is not known, or it finishes the request in time.
+fn expected_by_request(
+    now_ms: u64,
+    upstream: &Upstream,
+    engine: &EngineSpec,
+    plan: &ContextPlan,
+    demand: &Demand<'_>,
+    by_load: Occupancy,
+) -> Option<Expected> {
+    let (room, prompt) = (demand.room.as_ref()?, demand.prompt?);
+    if by_load == Occupancy::Available || engine.memory_tokens == 0 {
+        return None;
+    }
+    let needs = Needs::new(now_ms, prompt, plan, room);
+    let mut capacity = capacity(engine);
+    capacity.memory_tokens = capacity.memory_tokens.saturating_sub(prompt.common_tokens());
+    let load = room.expected_load(now_ms, upstream, &needs);
+    let forecast = forecast(load, capacity, speed(upstream), needs, demand.admission);
+    let fetched_ms = plan.fetch_ms + forecast.first_token_ms - forecast.wait_ms;
+    let first_token_ms = forecast.first_token_ms.max(fetched_ms);
+    let objective_at_ms = demand.objective_at_ms.filter(|_| !demand.admission.objective_missed);
+    let is_late = objective_at_ms.is_some_and(|at_ms| now_ms + rounded_ms(first_token_ms) > at_ms);
+    let is_in_time = forecast.limit.is_none() && !is_late;
+    (!is_in_time).then_some(Expected {
+        wait_ms: forecast.wait_ms,
+        first_token_ms,
+        occupancy: forecast.occupancy,
+        limit: forecast.limit,
+        is_forecast: true,
+        is_late,
+    })
 }
 
 /// Expected wait until an engine has memory for a request; memory in excess is freed at the rate at
--- a/src/gateway/decisions/configuration.rs
+++ b/src/gateway/decisions/configuration.rs
@@ -199,6 +199,12 @@
         self.routes.iter().any(|route| route.name == name)
     }
 
+    /// Whether a route has the given short id.
+    #[must_use]
+    pub fn has_route_id(&self, route: u32) -> bool {
+        self.routes.iter().any(|known| short_id(&known.name) == route)
+    }
+
     /// Number of different route priorities of a service that go before `priority`. Priorities of
     /// accounts are not counted.
     #[must_use]
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -6,6 +6,7 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::regions::AllowedHalls;
+use crate::gateway::decisions::room::RoomInputs;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
@@ -70,6 +71,8 @@
     pub admission: AdmissionCriteria,
     /// Time by which the latency objective requires the first token.
     pub objective_at_ms: Option<u64>,
+    /// For admission by the request; `None` if only the load of engines counts.
+    pub room: Option<RoomInputs>,
 }
 
 impl Demand<'_> {
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -10,7 +10,8 @@
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
 //! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
-//! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
+//! - Admission, retries and priorities: `admission`, `budget`, `urgency`; by the request: `room`,
+//!   `run_lengths`.
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
@@ -48,6 +49,8 @@
 pub mod regions;
 pub mod release;
 pub mod rollout;
+pub mod room;
+pub mod run_lengths;
 pub mod shedding;
 pub mod software_history;
 pub mod sources;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -330,6 +330,18 @@
         1 + self.live_peers(now_ms).count()
     }
 
+    /// When the load reports of other boxes of the own hall arrived, on average; now if there are none.
+    /// Those of boxes that have just fallen silent count until they expire.
+    #[must_use]
+    pub fn mean_report_at_ms(&self, now_ms: u64) -> u64 {
+        let hall = self.local.hall;
+        let reporting = self.known.values().filter(|peer| peer.in_sums && peer.gossip.hall == hall);
+        let ages_ms = reporting.map(|peer| now_ms.saturating_sub(peer.last_receive_ms));
+        let (sum_ms, count) =
+            ages_ms.fold((0_u64, 0_u64), |(sum_ms, count), age_ms| (sum_ms + age_ms, count + 1));
+        now_ms - sum_ms.checked_div(count).unwrap_or_default()
+    }
+
     /// Whether another box of the own hall is live.
     #[must_use]
     pub fn has_live_hall_peer(&self, now_ms: u64) -> bool {
--- a/src/gateway/decisions/prompt.rs
+++ b/src/gateway/decisions/prompt.rs
@@ -45,13 +45,18 @@
         &self.parts[..self.parts.len() - last]
     }
 
-    /// Engine memory that a request occupies, in tokens: the prompt and the maximum output. The
-    /// first of several shared parts is left out, since most requests on the engine share it.
+    /// Length of the first of several shared parts, which most requests on an engine share.
     #[must_use]
-    pub fn memory_tokens(&self) -> u32 {
+    pub fn common_tokens(&self) -> u32 {
         let shared = self.shared_parts();
-        let common = shared.first().filter(|_| shared.len() > 1).map_or(0, |part| part.tokens);
-        self.tokens.saturating_sub(common).saturating_add(self.max_output_tokens)
+        shared.first().filter(|_| shared.len() > 1).map_or(0, |part| part.tokens)
+    }
+
+    /// Engine memory that a request occupies, in tokens: the prompt without the common part, and the
+    /// maximum output.
+    #[must_use]
+    pub fn memory_tokens(&self) -> u32 {
+        self.tokens.saturating_sub(self.common_tokens()).saturating_add(self.max_output_tokens)
     }
 }
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -21,6 +21,8 @@
     within_event: bool,
     /// Whether the last byte was a CR, to which an LF still belongs.
     after_cr: bool,
+    /// Events that have ended.
+    ended: u32,
 }
 
 impl EventScanner {
@@ -39,7 +41,9 @@
             }
             // An LF after a CR belongs to the same line end.
             if byte == b'\r' || !follows_cr {
+                let was_within = self.within_event;
                 self.within_event &= std::mem::take(&mut self.line) != Line::Empty;
+                self.ended += u32::from(was_within && !self.within_event);
             }
             if !self.within_event {
                 boundary = Some(position + 1);
@@ -48,6 +52,12 @@
         boundary
     }
 
+    /// Number of events that have ended.
+    #[must_use]
+    pub fn ended(&self) -> u32 {
+        self.ended
+    }
+
     /// Whether the stream would end within an event if it ended now.
     #[must_use]
     pub fn is_within_event(&self) -> bool {
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -537,6 +537,7 @@
         configuration.version, configuration.routes.len(), configuration.accounts.len());
     state.stores.configure(&configuration.stores);
     state.route_timeouts.retain(|route| configuration.has_route(route));
+    state.run_lengths.retain(|route| configuration.has_route_id(route));
     state.configuration = Some(Arc::new(configuration));
     true
 }
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout_at;
 
 use crate::clock::{instant_at, now_ms};
+use crate::gateway::check::AdmittedRequest;
 use crate::gateway::connections::Path;
 use crate::gateway::decisions::admission::{FirstTokenOutcome, Occupancy};
 use crate::gateway::decisions::choose::Choice;
@@ -16,6 +17,7 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::notice::{Notice, NoticeState};
+use crate::gateway::decisions::run_lengths::CompletedRun;
 use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::heads::ResponseHead;
@@ -235,6 +237,26 @@
         self.path == Some(Path::Direct) && upstream.is_some_and(Upstream::needs_tunnel)
     }
 
+    /// Records a stream that has ended as it should, after `events`. One that another upstream began
+    /// does not show how long a run is.
+    pub fn record_run(&self, request: &AdmittedRequest, events: u32) {
+        let now_ms = now_ms();
+        let (Some(prompt), Some(since_ms)) = (&request.prompt, self.written_since_ms) else {
+            return;
+        };
+        if request.may_have_run || request.outgoing.resumes {
+            return;
+        }
+        let run = CompletedRun {
+            events,
+            max_output_tokens: prompt.max_output_tokens,
+            memory_tokens: self.memory_tokens,
+            held_ms: now_ms.saturating_sub(since_ms),
+            resident_ms: now_ms.saturating_sub(self.begun_at_ms),
+        };
+        self.gateway.state().run_lengths.record(&request.service, &request.route.name, run);
+    }
+
     /// Records a failure of the upstream.
     pub fn record_failure(&self) {
         if self.is_on_missed_path() {
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -26,6 +26,7 @@
 use crate::gateway::decisions::peers::{LocalBox, Peers};
 use crate::gateway::decisions::permits::{PermitAnswer, PermitBuckets};
 use crate::gateway::decisions::reach::Reach;
+use crate::gateway::decisions::run_lengths::RunLengths;
 use crate::gateway::decisions::shedding::Shedding;
 use crate::gateway::decisions::stores::Stores;
 use crate::gateway::decisions::stream_origins::StreamOrigins;
@@ -81,6 +82,8 @@
     pub route_timeouts: RouteTimeouts,
     /// Admission limits of the services.
     pub admission_limits: AdmissionLimits,
+    /// The lengths of recent runs, by service and route.
+    pub run_lengths: RunLengths,
     /// Retry budgets, by service.
     pub retry_budget: RetryBudget,
     /// Requests that crash upstreams.
@@ -348,6 +351,7 @@
             stores: Stores::default(),
             route_timeouts: RouteTimeouts::default(),
             admission_limits: AdmissionLimits::default(),
+            run_lengths: RunLengths::default(),
             retry_budget: RetryBudget::new(retry_config, now_ms()),
             quarantine: Quarantine::default(),
             suspect_parts: SuspectParts::default(),
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -6,8 +6,9 @@
 use crate::clock::now_ms;
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::admission;
+use crate::gateway::decisions::room::Limit;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::request_log::log_refusal;
+use crate::gateway::request_log::{log_full, log_refusal};
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::serve::{lacks_software, resumption};
 use crate::names::short_id;
@@ -56,12 +57,13 @@
     response::refusal(reason, Some(request_id), Some(until_ms.saturating_sub(now_ms())))
 }
 
-/// The response if no engine can begin the request in time.
-pub fn refuse_immediately(request: &AdmittedRequest) -> ClientResponse {
+/// The response if no engine can begin the request in time, or finish it.
+pub fn refuse_immediately(request: &AdmittedRequest, limit: Option<Limit>) -> ClientResponse {
     let reason = Reason::UpstreamsFull;
     let request_id = &request.outgoing.request_id;
     let remaining_ms = request.outgoing.deadline_ms.saturating_sub(now_ms());
     let after_ms = admission::retry_after_ms(short_id(request_id).into(), remaining_ms);
+    log_full(request, limit);
     log_refusal(request, reason);
     response::refusal(reason, Some(request_id), Some(after_ms))
 }
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -185,6 +185,8 @@
                         continue;
                     }
                     if let Some(response) = self.response.take() {
+                        let events = self.scanner.map_or(0, |scanner| scanner.ended());
+                        response.in_flight.record_run(&self.request, events);
                         response.finish();
                     }
                     let body = ForwardedBody { bytes: self.forwarded_bytes, framing };
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -11,6 +11,7 @@
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::prompt::Prompt;
+use crate::gateway::decisions::room::Limit;
 use crate::gateway::heads::{Framing, ResumedStream};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::origins::FoundOrigin;
@@ -43,6 +44,15 @@
     );
 }
 
+/// Logs by which limit all engines are full for a request.
+pub fn log_full(request: &AdmittedRequest, limit: Option<Limit>) {
+    let limit = limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string());
+    info!(target: "serve",
+        "event=engines_full request={} route={} limit={limit}",
+        request.outgoing.request_id, request.route.name);
+    metrics::counter!("coursestile_engines_full_total", "limit" => limit).increment(1);
+}
+
 fn write_refusal(
     request_id: Option<&str>,
     fingerprint: Option<Fingerprint>,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,6 +20,7 @@
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::demand::{Demand, Resumption};
 use crate::gateway::decisions::regions::AllowedHalls;
+use crate::gateway::decisions::room::RoomInputs;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
@@ -134,7 +135,7 @@
             return no_upstream_found(gateway, &request);
         };
         if choice.occupancy == Occupancy::Full && may_refuse_if_full(&request) {
-            return refuse_immediately(&request);
+            return refuse_immediately(&request, choice.limit);
         }
         if is_known_unreachable(gateway, &choice) {
             return refuse(&request, Reason::NoUpstream);
@@ -560,6 +561,11 @@
             reserved_part: 0.0,
         },
         objective_at_ms: Some(request.outgoing.objective_at_ms),
+        room: Some(RoomInputs {
+            expected: state.run_lengths.expected(&request.service, &request.route.name),
+            deadline_ms: request.outgoing.deadline_ms,
+            reports_at_ms: state.peers.mean_report_at_ms(now_ms),
+        }),
     };
     let engine = service.engine.as_ref();
     choose(now_ms, &state.upstreams, &state.stores, engine, &demand).or_else(|| {
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -111,6 +111,7 @@
             reserved_part: 0.0,
         },
         objective_at_ms: None,
+        room: None,
     };
     choose(0, &engines(), stores, Some(&engine), &demand).unwrap()
 }
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -233,6 +233,7 @@
             reserved_part: 0.0,
         },
         objective_at_ms: Some(now_ms + OBJECTIVE_MS),
+        room: None,
     };
     let stores = Stores::default();
     let choice = choose(now_ms, view, &stores, Some(&engine), &demand).unwrap();
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -82,6 +82,7 @@
             reserved_part: 0.0,
         },
         objective_at_ms: None,
+        room: None,
     }
 }
 
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -123,6 +123,7 @@
         expected_first_token_ms: 10.0,
         engine_wait_negligible: true,
         occupancy: Occupancy::NearlyFull,
+        limit: None,
         objective_at_ms: Some(now_ms() - 1),
         memory_tokens: 10,
         load: Load::default(),
