--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -11,7 +11,7 @@
 //!   `cache_reports`, `context`.
 //! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
 //! - Admission, retries and priorities: `admission`, `account_shares`, `budget`, `returns`,
-//!   `urgency`.
+//!   `urgency`; by the request: `room`, `run_lengths`.
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
@@ -54,6 +54,8 @@
 pub mod release;
 pub mod returns;
 pub mod rollout;
+pub mod room;
+pub mod run_lengths;
 pub mod shedding;
 pub mod slow_readers;
 pub mod software_history;
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -541,6 +541,7 @@
     state.stores.configure(&configuration.stores);
     state.route_timeouts.retain(|route| configuration.has_route(route));
     state.returns.retain_routes(|route| configuration.has_route(route));
+    state.run_lengths.retain(|route| configuration.has_route_id(route));
     state.configuration = Some(Arc::new(configuration));
     true
 }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -28,6 +28,7 @@
 use crate::gateway::decisions::permits::{PermitAnswer, PermitBuckets};
 use crate::gateway::decisions::reach::Reach;
 use crate::gateway::decisions::returns::Returns;
+use crate::gateway::decisions::run_lengths::RunLengths;
 use crate::gateway::decisions::shedding::Shedding;
 use crate::gateway::decisions::slow_readers::BufferedBytes;
 use crate::gateway::decisions::stores::Stores;
@@ -90,6 +91,8 @@
     pub returns: Returns,
     /// How services that refuse requests are divided between client accounts.
     pub account_shares: AccountShares,
+    /// The lengths of recent runs, by service and route.
+    pub run_lengths: RunLengths,
     /// Retry budgets, by service.
     pub retry_budget: RetryBudget,
     /// Requests that crash upstreams.
@@ -373,6 +376,7 @@
             admission_limits: AdmissionLimits::default(),
             returns: Returns::default(),
             account_shares: AccountShares::default(),
+            run_lengths: RunLengths::default(),
             retry_budget: RetryBudget::new(retry_config, now_ms()),
             quarantine: Quarantine::default(),
             suspect_parts: SuspectParts::default(),
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -9,8 +9,9 @@
 use crate::gateway::decisions::admission;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::returns::Refused;
+use crate::gateway::decisions::room::Limit;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::request_log::{log_refusal, log_retry_time};
+use crate::gateway::request_log::{log_full, log_refusal, log_retry_time};
 use crate::gateway::response::{self, ClientResponse, Reason};
 use crate::gateway::serve::{lacks_software, record_work, resumption};
 use crate::names::short_id;
@@ -63,8 +64,12 @@
     response::refusal(reason, Some(request_id), Some(until_ms.saturating_sub(now_ms())))
 }
 
-/// The response if no engine can begin the request in time.
-pub fn refuse_immediately(gateway: &Gateway, request: &AdmittedRequest) -> ClientResponse {
+/// The response if no engine can begin the request in time, or finish it.
+pub fn refuse_immediately(
+    gateway: &Gateway,
+    request: &AdmittedRequest,
+    limit: Option<Limit>,
+) -> ClientResponse {
     let reason = Reason::UpstreamsFull;
     let (now_ms, request_id) = (now_ms(), &request.outgoing.request_id);
     let mut state = gateway.state();
@@ -86,6 +91,8 @@
     };
     let retry_time = state.returns.refuse(now_ms, refused);
     drop(state);
+    log_full(request, limit);
+    log_full(request, limit);
     log_refusal(request, reason);
     if let Some(retry_time) = retry_time {
         log_retry_time(request, retry_time);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,6 +24,7 @@
 use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::returns::Standing;
+use crate::gateway::decisions::room::RoomInputs;
 use crate::gateway::decisions::stores::Placement;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
@@ -144,7 +145,7 @@
         };
         if choice.occupancy == Occupancy::Full && may_refuse_if_full(&request) {
             record_work(gateway, &request, Some(&choice), Admission::Refused);
-            return refuse_immediately(gateway, &request);
+            return refuse_immediately(gateway, &request, choice.limit);
         }
         if is_known_unreachable(gateway, &choice) {
             return refuse(&request, Reason::NoUpstream);
@@ -623,6 +624,11 @@
             ),
         },
         objective_at_ms: (!objective_missed).then_some(request.outgoing.objective_at_ms),
+        room: Some(RoomInputs {
+            expected: state.run_lengths.expected(&request.service, &request.route.name),
+            deadline_ms: request.outgoing.deadline_ms,
+            reports_at_ms: state.peers.mean_report_at_ms(now_ms),
+        }),
     };
     let engine = service.engine.as_ref();
     choose(now_ms, &state.upstreams, &state.stores, engine, &demand).or_else(|| {
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -250,6 +250,7 @@
             reserved_part: 0.0,
         },
         objective_at_ms: Some(now_ms + OBJECTIVE_MS),
+        room: None,
     };
     let stores = Stores::default();
     let choice = choose(now_ms, view, &stores, Some(&engine), &demand).unwrap();
