Engine speeds: measured by first tokens and event gaps, shared by gossip

choose and admission assumed one speed for all engines.

Each box learns what is usual for a service and, relative to it, how slow each engine is. Samples that differ from what other boxes know go to them by gossip, and by the summaries of bridges to other halls. Upstreams::speed gives the speed in place of the constants; unless it differs by more than a quarter, the constants stand.

admission::occupancy takes the speed; its tests pass the prior.

--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -11,7 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, as_f64};
+use crate::gateway::decisions::engine_speed::Speed;
+use crate::gateway::decisions::units::as_f64;
 use crate::gateway::decisions::upstream::Load;
 use crate::names::short_id;
 
@@ -228,7 +229,12 @@
 
 /// Occupancy of an engine under `load`, as seen by a request with `criteria`.
 #[must_use]
-pub fn occupancy(load: Load, capacity: Capacity, criteria: AdmissionCriteria) -> Occupancy {
+pub fn occupancy(
+    load: Load,
+    capacity: Capacity,
+    speed: Speed,
+    criteria: AdmissionCriteria,
+) -> Occupancy {
     let part = capacity_part(criteria);
     let occupied_part = |used: u32, available: f64| {
         if available > 0.0 { f64::from(used) / available } else { 0.0 }
@@ -238,7 +244,7 @@
     let max_prefill_ms =
         as_f64(criteria.objective_ms) * PREFILL_WAIT_PART * criteria.admission_limit;
     let prefill_part =
-        occupied_part(load.pending_prefill_tokens, max_prefill_ms * PREFILL_TOKENS_PER_MS);
+        occupied_part(load.pending_prefill_tokens, max_prefill_ms * speed.prefill_tokens_per_ms);
     match memory_part.max(slots_part).max(prefill_part) {
         occupied if occupied < NEARLY_FULL_PART => Occupancy::Available,
         occupied if occupied < 1.0 => Occupancy::NearlyFull,
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -9,12 +9,12 @@
 use crate::gateway::decisions::configuration::EngineSpec;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::demand::Demand;
+use crate::gateway::decisions::engine_speed::Speed;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::rate_limit::Sending;
 use crate::gateway::decisions::sources::{Lookup, RECOMPUTE_WEIGHT};
 use crate::gateway::decisions::stores::Stores;
-use crate::gateway::decisions::units::PREFILL_TOKENS_PER_MS;
 use crate::gateway::decisions::upstream::{Load, Upstream};
 use crate::gateway::decisions::upstreams::Upstreams;
 
@@ -221,7 +221,8 @@
         let (cost, context, expected) = match (demand.prompt, self.engine) {
             (Some(prompt), Some(engine)) => {
                 let plan = self.lookup(prompt, upstream).plan(engine, upstream);
-                let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
+                let speed = self.upstreams.speed(upstream, now_ms);
+                let (cost, expected) = engine_cost(now_ms, upstream, engine, speed, &plan, demand);
                 (cost, Some(plan), expected)
             }
             _ => (plain_upstream_cost(upstream), None, Expected::UNKNOWN),
@@ -301,18 +302,19 @@
     now_ms: u64,
     upstream: &Upstream,
     engine: &EngineSpec,
+    speed: Speed,
     plan: &ContextPlan,
     demand: &Demand<'_>,
 ) -> (f64, Expected) {
     let load = upstream.total_load();
-    let prefill_wait_ms = f64::from(load.pending_prefill_tokens) / PREFILL_TOKENS_PER_MS;
-    let prefill_ms = f64::from(plan.prefill_tokens) / PREFILL_TOKENS_PER_MS;
-    let recompute_ms = f64::from(plan.recomputed_tokens) / PREFILL_TOKENS_PER_MS;
+    let prefill_wait_ms = f64::from(load.pending_prefill_tokens) / speed.prefill_tokens_per_ms;
+    let prefill_ms = f64::from(plan.prefill_tokens) / speed.prefill_tokens_per_ms;
+    let recompute_ms = f64::from(plan.recomputed_tokens) / speed.prefill_tokens_per_ms;
     let queued = load.requests.saturating_sub(engine.slots);
     let memory_wait_ms = memory_wait_ms(load.memory_tokens, engine, demand);
     let wait_ms = prefill_wait_ms.max(memory_wait_ms);
     let first_token_ms = wait_ms.max(plan.fetch_ms) + prefill_ms;
-    let occupancy = occupancy(load, capacity(engine), demand.admission);
+    let occupancy = occupancy(load, capacity(engine), speed, demand.admission);
     let behind_since_ms = demand.behind_since_ms(plan.version);
     let old_weights_cost = match behind_since_ms {
         Some(_) if demand.is_overdue(now_ms, plan.version) => OVERDUE_COST_MS,
@@ -322,7 +324,7 @@
     let cost = first_token_ms
         + recompute_ms * RECOMPUTE_WEIGHT
         + plan.fetch_ms * FETCH_WEIGHT
-        + f64::from(load.requests) * RUNNING_COST_MS
+        + f64::from(load.requests) * RUNNING_COST_MS * speed.slowdown()
         + f64::from(queued) * QUEUED_COST_MS
         + old_weights_cost
         + if occupancy == Occupancy::Full { FULL_ENGINE_COST_MS } else { 0.0 };
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::decisions::admission::LimitReport;
+use crate::gateway::decisions::engine_speed::SpeedReport;
 use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
 use crate::gateway::decisions::view::ViewDigest;
@@ -78,6 +79,8 @@
     pub crashes: Vec<CrashReport>,
     /// Requests that were answered although upstreams had crashed while running them.
     pub answers: Vec<AnswerReport>,
+    /// Samples of the speed of engines.
+    pub speeds: Vec<SpeedReport>,
 }
 
 impl Gossip {
--- a/src/gateway/decisions/hall_summary.rs
+++ b/src/gateway/decisions/hall_summary.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::engine_speed::SpeedReport;
 use crate::gateway::decisions::gossip_message::LoadReport;
 
 /// Summary of all boxes of one hall, sent to the bridges of the other halls.
@@ -19,6 +20,8 @@
     pub fetches: Vec<(u32, u32)>,
     /// Revision of the metadata store that each box of the hall has reached.
     pub revisions: Vec<(IpAddr, u64)>,
+    /// Samples of the speed of engines that boxes of the hall have taken.
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// Summary of all other halls, sent to the boxes of a hall by its bridges.
@@ -28,4 +31,6 @@
     pub loads: Vec<LoadReport>,
     /// Tokens that the other halls fetch from stores: short id of the store, tokens.
     pub fetches: Vec<(u32, u32)>,
+    /// Samples of the speed of engines that boxes of the other halls have taken.
+    pub speeds: Vec<SpeedReport>,
 }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -10,6 +10,7 @@
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
 //! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
+//! - How fast engines are: `engine_speed`.
 //! - Admission, retries and priorities: `admission`, `budget`, `urgency`.
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
@@ -33,6 +34,7 @@
 pub mod configuration;
 pub mod context;
 pub mod demand;
+pub mod engine_speed;
 pub mod gossip_message;
 pub mod hall_summary;
 pub mod incarnation;
--- a/src/gateway/decisions/peers/halls.rs
+++ b/src/gateway/decisions/peers/halls.rs
@@ -111,7 +111,7 @@
     }
 
     /// The summary of the own hall, made of the sums over its boxes and this box's own loads and
-    /// fetches.
+    /// fetches. The caller adds the samples of speeds.
     #[must_use]
     pub fn hall_summary(
         &self,
@@ -136,15 +136,18 @@
             loads: self.load_reports(now_ms, &loads),
             fetches: fetch_reports(&fetches),
             revisions,
+            speeds: Vec::new(),
         }
     }
 
-    /// The summary of all other halls for the boxes of the own hall.
+    /// The summary of all other halls for the boxes of the own hall. The caller adds the samples of
+    /// speeds.
     #[must_use]
     pub fn other_halls_summary(&self, now_ms: u64) -> OtherHallsSummary {
         OtherHallsSummary {
             loads: self.load_reports(now_ms, &self.halls.loads),
             fetches: fetch_reports(&self.halls.fetch_tokens),
+            speeds: Vec::new(),
         }
     }
 
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -15,6 +15,7 @@
 use crate::gateway::decisions::brittle::RecentRejections;
 use crate::gateway::decisions::cache_contents::CacheContents;
 use crate::gateway::decisions::cold_start::ColdState;
+use crate::gateway::decisions::engine_speed::EngineSpeed;
 use crate::gateway::decisions::incarnation::{Incarnation, is_other_incarnation};
 use crate::gateway::decisions::notice::NoticeState;
 use crate::gateway::decisions::rate_limit::{LimitState, Sending};
@@ -105,6 +106,8 @@
     pub rejections: RecentRejections,
     /// How many requests it takes from all boxes together.
     pub rate_limit: LimitState,
+    /// How fast it is.
+    pub speed: EngineSpeed,
     /// Start of its incarnation according to the newest report.
     started_at_ms: Option<u64>,
     /// When its entry changed to leaving, if this box saw it change.
@@ -152,6 +155,7 @@
             cold,
             rejections: RecentRejections::default(),
             rate_limit: LimitState::default(),
+            speed: EngineSpeed::default(),
             observed_versions: HashMap::new(),
             avoid_until_ms: 0,
             avoid_ms: FIRST_AVOID_MS,
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -12,6 +12,9 @@
 use slab::Slab;
 
 use crate::gateway::decisions::demand::Resumption;
+use crate::gateway::decisions::engine_speed::{
+    PendingReports, SampleOrigin, ServiceSpeed, Speed, SpeedReport,
+};
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
 use crate::gateway::decisions::rate_limit::RateLimit;
@@ -35,6 +38,10 @@
     software_history: SoftwareHistory,
     /// Halls that operators evacuate, including those without upstreams at present.
     evacuated_halls: BTreeSet<String>,
+    /// Speeds of the engines of each service.
+    speeds: HashMap<String, ServiceSpeed>,
+    /// Samples of speeds for other boxes.
+    speed_reports: PendingReports,
 }
 
 impl Upstreams {
@@ -265,6 +272,105 @@
         self.get_mut(&incarnation.id).filter(|upstream| upstream.is_incarnation(incarnation))
     }
 
+    /// The speed of an engine, as the decisions use it.
+    #[must_use]
+    pub fn speed(&self, upstream: &Upstream, now_ms: u64) -> Speed {
+        let service = self.speeds.get(&upstream.entry.service);
+        service.map_or(Speed::PRIOR, |service| service.speed(now_ms, &upstream.speed))
+    }
+
+    /// Records the time that an engine took to a first token, where `tokens` were to be prefilled after
+    /// those `queued` before.
+    pub fn record_first_token(
+        &mut self,
+        now_ms: u64,
+        engine: &Incarnation,
+        (queued, tokens): (u32, u32),
+        time_ms: f64,
+    ) {
+        self.record_speed(now_ms, engine, |service, upstream| {
+            let speed = &mut upstream.speed;
+            service.add_first_token(
+                now_ms,
+                upstream.short_id,
+                speed,
+                (queued, tokens.into()),
+                time_ms,
+            )
+        });
+    }
+
+    /// Records the mean gap between events of a stream of an engine.
+    pub fn record_event_gap(&mut self, now_ms: u64, engine: &Incarnation, gap_ms: f64) {
+        self.record_speed(now_ms, engine, |service, upstream| {
+            let load = upstream.total_load();
+            let class = (load.requests, load.pending_prefill_tokens > 0);
+            service.add_gap(now_ms, upstream.short_id, &mut upstream.speed, class, gap_ms)
+        });
+    }
+
+    fn record_speed(
+        &mut self,
+        now_ms: u64,
+        engine: &Incarnation,
+        add: impl FnOnce(&mut ServiceSpeed, &mut Upstream) -> Option<SpeedReport>,
+    ) {
+        let Some(position) = self.by_id.get(&engine.id) else { return };
+        let upstream = &mut self.slab[*position];
+        if !upstream.is_incarnation(engine) {
+            return;
+        }
+        let service = service_speed(&mut self.speeds, &upstream.entry.service);
+        if let Some(report) = add(service, upstream) {
+            self.speed_reports.add(now_ms, SampleOrigin::ThisBox, report);
+        }
+    }
+
+    /// Applies samples of the speed of engines that other boxes have taken.
+    pub fn apply_speed_reports(
+        &mut self,
+        now_ms: u64,
+        origin: SampleOrigin,
+        reports: &[SpeedReport],
+    ) {
+        for report in reports {
+            let Some(position) = self.by_short_id.get(&report.upstream) else { continue };
+            let upstream = &mut self.slab[*position];
+            let service = service_speed(&mut self.speeds, &upstream.entry.service);
+            if service.apply(now_ms, &mut upstream.speed, *report) {
+                self.speed_reports.add(now_ms, origin, *report);
+            }
+        }
+    }
+
+    /// The number of active engines whose speed is not that of the prior, and those of which that has
+    /// changed since the last call.
+    pub fn note_differing_speeds(&mut self, now_ms: u64) -> (u32, Vec<(String, Speed)>) {
+        let (mut count, mut changed) = (0, Vec::new());
+        for position in &self.active {
+            let Some(upstream) = self.slab.get_mut(*position) else { continue };
+            let Some(service) = self.speeds.get(&upstream.entry.service) else { continue };
+            let speed = service.speed(now_ms, &upstream.speed);
+            let is_differing = speed != Speed::PRIOR;
+            count += u32::from(is_differing);
+            if upstream.speed.note_differing(is_differing) {
+                changed.push((upstream.id.clone(), speed));
+            }
+        }
+        (count, changed)
+    }
+
+    /// The newest samples of some origins, for other boxes.
+    #[must_use]
+    pub fn speed_reports(&self, now_ms: u64, origins: &[SampleOrigin]) -> Vec<SpeedReport> {
+        self.speed_reports.newest(now_ms, origins)
+    }
+
+    /// Drops the samples for other boxes that were sent for `sent_ms`.
+    pub fn expire_speed_reports(&mut self, now_ms: u64, sent_ms: u64) {
+        self.speed_reports.expire(now_ms, sent_ms);
+    }
+
     /// Number of upstreams of all services.
     #[must_use]
     #[expect(clippy::len_without_is_empty, reason = "no caller asks")]
@@ -427,3 +533,13 @@
         self.get(id).map(|upstream| upstream.entry.address)
     }
 }
+
+fn service_speed<'a>(
+    speeds: &'a mut HashMap<String, ServiceSpeed>,
+    service: &str,
+) -> &'a mut ServiceSpeed {
+    if !speeds.contains_key(service) {
+        speeds.insert(service.to_owned(), ServiceSpeed::default());
+    }
+    speeds.get_mut(service).expect("it was inserted above")
+}
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -26,7 +26,7 @@
 use crate::gateway::metadata::{Change, Freshness, Item, WatchResult, WatchWait};
 use crate::gateway::settings::Bounds;
 use crate::gateway::{
-    claims, cold_starts, entries, members, quarantine, rate_limits, stored_versions,
+    claims, cold_starts, engine_speeds, entries, members, quarantine, rate_limits, stored_versions,
 };
 use crate::platform::keys::{self, KeyKind};
 
@@ -168,6 +168,7 @@
         if now_ms >= expiry_due_at_ms {
             expiry_due_at_ms = now_ms + state.peers.expiry_period_ms();
             state.apply_peer_reports(now_ms);
+            engine_speeds::update_gauge(&mut state, now_ms);
         }
         cold_starts::update_allowances(&gateway, &mut state, now_ms);
         rate_limits::update_gauge(&state);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,6 +14,7 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::now_ms;
 use crate::gateway::claims::handover_pause_ms;
+use crate::gateway::decisions::engine_speed::{SampleOrigin, SpeedReport};
 use crate::gateway::decisions::gossip_message::{
     AbortsReport, Gossip, LoadChanges, LoadReport, MetadataStoreStatus, NamedVersionReport,
     PartReports, SlowdownReport, changed_loads, reported_loads,
@@ -41,6 +42,8 @@
 const RETURN_SPREAD_MS: u64 = 500;
 /// Most rate limits in one message, so that it fits a datagram.
 const MAX_RATE_LIMITS: usize = 64;
+/// Messages in which a sample of the speed of an engine is sent, so that one may be lost.
+const SPEED_MESSAGES: u64 = 2;
 /// Pause after a socket error, so that a persistent error does not cause a busy loop.
 const SOCKET_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
@@ -145,9 +148,12 @@
     let mut composed = Vec::new();
     if !targets.bridges.is_empty() {
         let fetches = fetches(&state);
-        let summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
+        let mut summary = state.peers.hall_summary(now_ms, own_loads(&state, now_ms), &fetches);
+        let of_hall = [SampleOrigin::ThisBox, SampleOrigin::OwnHall];
+        summary.speeds = state.upstreams.speed_reports(now_ms, &of_hall);
         composed.push((Datagram::HallSummary(summary), targets.bridges));
-        let others = state.peers.other_halls_summary(now_ms);
+        let mut others = state.peers.other_halls_summary(now_ms);
+        others.speeds = state.upstreams.speed_reports(now_ms, &[SampleOrigin::OtherHalls]);
         composed.push((Datagram::OtherHallsSummary(others), targets.own_hall));
     }
     let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation, scope);
@@ -261,9 +267,17 @@
         leader_terms: leader_terms(state, now_ms, handover_pause_ms(&gateway.settings.bounds)),
         crashes: state.quarantine.crashes_to_announce(now_ms),
         answers: state.quarantine.answers_to_announce(now_ms),
+        speeds: speeds(state, now_ms, scope),
     }
 }
 
+/// Samples of the speed of engines that this box has taken, until all of its hall were told.
+fn speeds(state: &mut State, now_ms: u64, scope: GossipScope) -> Vec<SpeedReport> {
+    let sent_ms = SPEED_MESSAGES * u64::from(state.peers.round_ms(scope));
+    state.upstreams.expire_speed_reports(now_ms, sent_ms);
+    state.upstreams.speed_reports(now_ms, &[SampleOrigin::ThisBox])
+}
+
 /// Number of tokens that this box is fetching from each context store.
 fn fetches(state: &State) -> Vec<(u32, u32)> {
     let stores = state.stores.iter().filter(|(_, store)| store.speed.fetch_tokens() > 0);
@@ -391,10 +405,16 @@
             Ok(Datagram::Gossip(gossip)) => apply_gossip(&gateway, from.ip(), *gossip),
             Ok(Datagram::LoadChanges(changes)) => apply_load_changes(&gateway, from.ip(), &changes),
             Ok(Datagram::HallSummary(summary)) => {
-                gateway.state().peers.receive_hall_summary(now_ms(), summary);
+                let (mut state, now_ms) = (gateway.state(), now_ms());
+                let origin = sample_origin(&state, summary.hall);
+                state.upstreams.apply_speed_reports(now_ms, origin, &summary.speeds);
+                state.peers.receive_hall_summary(now_ms, summary);
             }
             Ok(Datagram::OtherHallsSummary(summary)) => {
-                gateway.state().peers.receive_other_halls(now_ms(), &summary);
+                let (mut state, now_ms) = (gateway.state(), now_ms());
+                let origin = SampleOrigin::OtherHalls;
+                state.upstreams.apply_speed_reports(now_ms, origin, &summary.speeds);
+                state.peers.receive_other_halls(now_ms, &summary);
             }
             Ok(Datagram::DelegatedCall(request)) => {
                 tokio::spawn(execute_for_peer(gateway.clone(), socket.clone(), request, from));
@@ -460,6 +480,8 @@
     apply_brittle_services(&mut state, now_ms, &gossip.brittle_services);
     rate_limits::merge_reports(gateway, &mut state, &gossip.rate_limits);
     apply_slowdowns(&mut state, now_ms, &gossip.slowdowns);
+    let origin = sample_origin(&state, gossip.hall);
+    state.upstreams.apply_speed_reports(now_ms, origin, &gossip.speeds);
     let (crashes, answers) = (&gossip.crashes, &gossip.answers);
     quarantine::merge_peer_reports(gateway, &mut state, now_ms, crashes, answers);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
@@ -543,6 +565,11 @@
     }
 }
 
+/// Where samples come from that a box of `hall` has sent.
+fn sample_origin(state: &State, hall: u32) -> SampleOrigin {
+    if hall == state.peers.local().hall { SampleOrigin::OwnHall } else { SampleOrigin::OtherHalls }
+}
+
 /// Marks upstreams whose address another incarnation has taken.
 fn supersede(state: &mut State, upstreams: &[u32]) {
     for upstream in upstreams {
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -13,10 +13,12 @@
 use crate::gateway::decisions::admission::{FirstTokenOutcome, Occupancy};
 use crate::gateway::decisions::choose::Choice;
 use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::engine_speed::EventGaps;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::notice::{Notice, NoticeState};
 use crate::gateway::decisions::store_speed::{FetchExpectation, FetchId};
+use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, as_f64};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::heads::ResponseHead;
 use crate::gateway::kernel::{Gateway, State};
@@ -49,6 +51,11 @@
     /// When the first token is due. Set only at an engine that was nearly full, until the first
     /// token arrives.
     objective_at_ms: Option<u64>,
+    /// Tokens queued at the engine and those to be prefilled after them, and the time by which fetches
+    /// delay the first token. `None` if its time says nothing about the engine's speed.
+    prefill: Option<((u32, u32), f64)>,
+    /// Gaps between the events of its stream.
+    gaps: EventGaps,
 }
 
 impl InFlight {
@@ -69,7 +76,9 @@
         let mut is_urgent =
             pending_prefill_tokens >= LONG_PROMPT_TOKENS && state.peers.news_pace() == Pace::Prompt;
         let State { upstreams, brittle, .. } = &mut *state;
+        let mut slots = 0;
         if let Some(upstream) = upstreams.get_incarnation_mut(&choice.upstream) {
+            slots = upstream.entry.slots;
             if !upstream.rate_limit.take_permit(begun_at_ms) {
                 return None;
             }
@@ -100,6 +109,8 @@
             objective_at_ms: choice
                 .objective_at_ms
                 .filter(|_| choice.occupancy == Occupancy::NearlyFull),
+            prefill: prefill_sample(choice, slots),
+            gaps: EventGaps::default(),
         })
     }
 
@@ -174,6 +185,25 @@
         self.end_prefill();
     }
 
+    /// Records an event of a stream, which was awaited since `awaited_since_ms`, as a sample of the speed
+    /// of the engine.
+    pub fn record_event(&mut self, awaited_since_ms: u64) {
+        let now_ms = now_ms();
+        let gap_ms = self.gaps.record(now_ms, awaited_since_ms);
+        let prefill = self.prefill.take();
+        if gap_ms.is_none() && prefill.is_none() {
+            return;
+        }
+        let mut state = self.gateway.state();
+        if let Some((tokens, fetch_ms)) = prefill {
+            let time_ms = as_f64(now_ms.saturating_sub(self.begun_at_ms)) - fetch_ms;
+            state.upstreams.record_first_token(now_ms, &self.upstream, tokens, time_ms);
+        }
+        if let Some(gap_ms) = gap_ms {
+            state.upstreams.record_event_gap(now_ms, &self.upstream, gap_ms);
+        }
+    }
+
     /// Reports to the admission limits whether the first token came in time.
     pub(super) fn record_first_token(&mut self) {
         let Some(objective_at_ms) = self.objective_at_ms.take() else { return };
@@ -350,6 +380,18 @@
     }
 }
 
+/// See [`InFlight::prefill`]. An engine that is short of memory or slots delays first tokens for other
+/// reasons than its speed.
+fn prefill_sample(choice: &Choice, slots: u32) -> Option<((u32, u32), f64)> {
+    let plan = choice.context.as_ref()?;
+    if choice.occupancy != Occupancy::Available || choice.load.requests >= slots {
+        return None;
+    }
+    let queued = choice.load.pending_prefill_tokens;
+    let fetch_ms = plan.fetch_ms - f64::from(queued) / PREFILL_TOKENS_PER_MS;
+    Some(((queued, plan.prefill_tokens), fetch_ms.max(0.0)))
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.record_missing_first_token();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 pub mod crashes;
 pub mod daemon;
 pub mod decisions;
+pub mod engine_speeds;
 pub mod entries;
 pub mod events;
 pub mod follow_caches;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -122,6 +122,7 @@
             };
             let deadline = instant_at(self.request.outgoing.deadline_ms);
             let has_event = self.last_event_id.is_some();
+            let awaited_since_ms = now_ms();
             let next = tokio::select! {
                 // Polled in order: data comes first, since dropping the read would lose
                 // `read_ahead`.
@@ -137,6 +138,9 @@
             match next {
                 ReadOutcome::Data(bytes) => {
                     response.in_flight.record_activity();
+                    if self.scanner.is_some() {
+                        response.in_flight.record_event(awaited_since_ms);
+                    }
                     let written_ms = response.in_flight.written_ms();
                     crashes::record_progress(&self.gateway, &self.request.outgoing, written_ms);
                     if !std::mem::replace(&mut self.begun, true) {
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -5,6 +5,7 @@
     AdmissionCriteria, AdmissionLimits, Capacity, FirstTokenOutcome, Occupancy, PeerLimit,
     occupancy, retry_after_ms,
 };
+use coursestile::gateway::decisions::engine_speed::Speed;
 use coursestile::gateway::decisions::upstream::Load;
 
 const NOW_MS: u64 = 1_000_000;
@@ -19,7 +20,7 @@
 };
 
 fn has_room(load: Load, capacity: Capacity, criteria: AdmissionCriteria) -> bool {
-    occupancy(load, capacity, criteria) != Occupancy::Full
+    occupancy(load, capacity, Speed::PRIOR, criteria) != Occupancy::Full
 }
 
 fn load_with_memory(memory_tokens: u32) -> Load {
