Engine speeds: event gaps only of model engines; test with a gateway process

Streams of services without engines took samples that no decision uses. streams_measured shows that a gateway process learns from real streams.

Run: gateway_speeds::streams_measured, clippy.

--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -54,8 +54,8 @@
     /// Tokens queued at the engine and those to be prefilled after them, and the time by which fetches
     /// delay the first token. `None` if its time says nothing about the engine's speed.
     prefill: Option<((u32, u32), f64)>,
-    /// Gaps between the events of its stream.
-    gaps: EventGaps,
+    /// Gaps between the events of its stream; `None` for services without model engines.
+    gaps: Option<EventGaps>,
 }
 
 impl InFlight {
@@ -110,7 +110,7 @@
                 .objective_at_ms
                 .filter(|_| choice.occupancy == Occupancy::NearlyFull),
             prefill: prefill_sample(choice, slots),
-            gaps: EventGaps::default(),
+            gaps: context.map(|_| EventGaps::default()),
         })
     }
 
@@ -189,7 +189,7 @@
     /// of the engine.
     pub fn record_event(&mut self, awaited_since_ms: u64) {
         let now_ms = now_ms();
-        let gap_ms = self.gaps.record(now_ms, awaited_since_ms);
+        let gap_ms = self.gaps.as_mut().and_then(|gaps| gaps.record(now_ms, awaited_since_ms));
         let prefill = self.prefill.take();
         if gap_ms.is_none() && prefill.is_none() {
             return;
--- a/tests/gateway_speeds.rs
+++ b/tests/gateway_speeds.rs
@@ -1,9 +1,13 @@
 //! Engines that differ in speed, and boxes that learn of it from first tokens, gaps between events
 //! and each other's samples. Only the decision code runs, in a hall of 16 boxes and 48 engines.
 
+#[path = "common/site.rs"]
+mod common;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use common::{send_prompt, start_engines, wait_ready};
 use coursestile::gateway::decisions::admission::{AdmissionCriteria, Occupancy};
 use coursestile::gateway::decisions::candidates::Candidates;
 use coursestile::gateway::decisions::choose::{Choice, choose};
@@ -17,6 +21,8 @@
 use coursestile::gateway::decisions::units::rounded_ms;
 use coursestile::gateway::decisions::upstream::{Load, UpstreamEntry};
 use coursestile::gateway::decisions::upstreams::Upstreams;
+use coursestile_standins::site::engine::MODEL;
+use coursestile_standins::site::{Site, config_document, engine_services, eventually};
 use rstest::rstest;
 
 const BOXES: usize = 16;
@@ -625,3 +631,23 @@
     println!("{after} between the others, {served} served in the hall");
     assert!(after > 0 && served > 0);
 }
+
+/// A gateway process takes samples from real streams: engines answer at once, which is faster than assumed.
+#[tokio::test]
+async fn streams_measured() {
+    let mut site = Site::start().await;
+    let _engines = start_engines(&site, 1).await;
+    let mut config = config_document(7);
+    config["services"] = engine_services(None);
+    config["routes"][2]["service"] = "llm".into();
+    config["routes"][2]["path_prefix"] = "/run/".into();
+    site.configure(&config);
+    site.set_weight_version(MODEL, 1);
+    let gateway = site.gateway("north", &[]);
+    wait_ready(&gateway).await;
+    for number in 0..40 {
+        assert_eq!(send_prompt(&gateway, &format!("r-{number}")).await, 200);
+    }
+    let line = "event=engine_speed upstream=e-0";
+    eventually(line, async || gateway.log_text().contains(line)).await;
+}
