--- a/src/gateway/decisions/admission.rs
+++ b/src/gateway/decisions/admission.rs
@@ -11,7 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, as_f64};
+use crate::gateway::decisions::engine_speed::Speed;
+use crate::gateway::decisions::units::as_f64;
 use crate::gateway::decisions::upstream::Load;
 use crate::names::short_id;
 
@@ -206,6 +207,14 @@
     pub reserved_part: f64,
 }
 
+impl AdmissionCriteria {
+    /// Longest time for which the request may wait for the prefill of earlier prompts.
+    #[must_use]
+    pub fn max_prefill_ms(&self) -> f64 {
+        as_f64(self.objective_ms) * PREFILL_WAIT_PART * self.admission_limit * available_part(*self)
+    }
+}
+
 /// Occupancy of an engine for an admission decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Occupancy {
@@ -228,19 +237,21 @@
 
 /// Occupancy of an engine under `load`, as seen by a request with `criteria`.
 #[must_use]
-pub fn occupancy(load: Load, capacity: Capacity, criteria: AdmissionCriteria) -> Occupancy {
+pub fn occupancy(
+    load: Load,
+    capacity: Capacity,
+    speed: Speed,
+    criteria: AdmissionCriteria,
+) -> Occupancy {
     let part = capacity_part(criteria);
     let occupied_part = |used: u32, available: f64| {
         if available > 0.0 { f64::from(used) / available } else { 0.0 }
     };
     let memory_part = occupied_part(load.memory_tokens, f64::from(capacity.memory_tokens) * part);
     let slots_part = occupied_part(load.requests, f64::from(capacity.slots) * part.min(1.0));
-    let max_prefill_ms = as_f64(criteria.objective_ms)
-        * PREFILL_WAIT_PART
-        * criteria.admission_limit
-        * available_part(criteria);
+    let max_prefill_ms = criteria.max_prefill_ms();
     let prefill_part =
-        occupied_part(load.pending_prefill_tokens, max_prefill_ms * PREFILL_TOKENS_PER_MS);
+        occupied_part(load.pending_prefill_tokens, max_prefill_ms * speed.prefill_tokens_per_ms);
     match memory_part.max(slots_part).max(prefill_part) {
         occupied if occupied < NEARLY_FULL_PART => Occupancy::Available,
         occupied if occupied < 1.0 => Occupancy::NearlyFull,
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -9,13 +9,14 @@
 use crate::gateway::decisions::configuration::EngineSpec;
 use crate::gateway::decisions::context::ContextPlan;
 use crate::gateway::decisions::demand::Demand;
+use crate::gateway::decisions::engine_speed::Speed;
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::rate_limit::Sending;
-use crate::gateway::decisions::room::{Limit, Needs, forecast, speed};
+use crate::gateway::decisions::room::{Limit, Needs, forecast};
 use crate::gateway::decisions::sources::{Lookup, RECOMPUTE_WEIGHT};
 use crate::gateway::decisions::stores::Stores;
-use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, rounded_ms};
+use crate::gateway::decisions::units::rounded_ms;
 use crate::gateway::decisions::upstream::{Load, Upstream};
 use crate::gateway::decisions::upstreams::Upstreams;
 
@@ -24,6 +25,9 @@
 /// Cost of an upstream in another hall: the traffic between halls, and the requests lost if the
 /// halls are cut off from each other.
 const OTHER_HALL_COST_MS: f64 = 25.0;
+/// Cost of an upstream in a hall that needs its capacity itself. A full engine of the own hall is
+/// preferred, so that the request is refused.
+const LOADED_HALL_COST_MS: f64 = 12_000.0;
 /// Cost of an upstream without a model engine that has all slots in use; each slot in use costs an
 /// equal share of it.
 const BUSY_SLOTS_COST_MS: f64 = 100.0;
@@ -273,12 +277,13 @@
         let (cost, context, expected) = match (demand.prompt, self.engine) {
             (Some(prompt), Some(engine)) => {
                 let plan = self.lookup(prompt, upstream).plan(engine, upstream);
-                let (cost, expected) = engine_cost(now_ms, upstream, engine, &plan, demand);
+                let speed = self.upstreams.speed(upstream, now_ms);
+                let (cost, expected) = engine_cost(now_ms, upstream, engine, speed, &plan, demand);
                 (cost, Some(plan), expected)
             }
             _ => (plain_upstream_cost(upstream), None, Expected::UNKNOWN),
         };
-        let hall_cost = if upstream.entry.hall == demand.hall { 0.0 } else { OTHER_HALL_COST_MS };
+        let hall_cost = self.hall_cost(upstream);
         let unhealthy_cost = match upstream.is_unhealthy(now_ms) {
             true if upstream.is_known_unreachable() => UNREACHABLE_COST_MS,
             true => UNHEALTHY_COST_MS,
@@ -295,6 +300,26 @@
         Candidate { cost, upstream, context, expected }
     }
 
+    /// Cost of the hall of an upstream. Boxes of a small fleet know the loads of single engines in time,
+    /// and a hall that stores the prompt's context gets it also under load.
+    fn hall_cost(&mut self, upstream: &Upstream) -> f64 {
+        let (demand, other) = (self.demand, upstream.entry.hall.as_str());
+        if other == demand.hall {
+            return 0.0;
+        }
+        let (Some(engine), Candidates::Sampled { .. }) = (self.engine, demand.candidates) else {
+            return OTHER_HALL_COST_MS;
+        };
+        let (halls, max_prefill_ms) =
+            (&self.upstreams.hall_loads, demand.admission.max_prefill_ms());
+        let is_kept = halls.prefers_own(demand.service, demand.hall, other, engine, max_prefill_ms);
+        if is_kept && self.context_hall(upstream) != Some(other) {
+            OTHER_HALL_COST_MS + LOADED_HALL_COST_MS
+        } else {
+            OTHER_HALL_COST_MS
+        }
+    }
+
     /// Locations of the prompt's parts for the weight version of `upstream`.
     fn lookup(&mut self, prompt: &'a Prompt, upstream: &Upstream) -> &Lookup<'a> {
         let version = upstream.weight_version(&prompt.model);
@@ -365,13 +390,15 @@
     now_ms: u64,
     upstream: &Upstream,
     engine: &EngineSpec,
+    speed: Speed,
     plan: &ContextPlan,
     demand: &Demand<'_>,
 ) -> (f64, Expected) {
     let load = upstream.total_load();
-    let recompute_ms = f64::from(plan.recomputed_tokens) / PREFILL_TOKENS_PER_MS;
-    let by_load = expected_by_load(load, engine, plan, demand);
-    let by_request = expected_by_request(now_ms, upstream, engine, plan, demand, by_load.occupancy);
+    let recompute_ms = f64::from(plan.recomputed_tokens) / speed.prefill_tokens_per_ms;
+    let by_load = expected_by_load(load, engine, speed, plan, demand);
+    let by_request =
+        expected_by_request(now_ms, upstream, engine, speed, plan, demand, by_load.occupancy);
     // The forecast contains the wait for a slot.
     let queued = match by_request {
         Some(_) => 0,
@@ -387,7 +414,7 @@
     let cost = expected.first_token_ms
         + recompute_ms * RECOMPUTE_WEIGHT
         + plan.fetch_ms * FETCH_WEIGHT
-        + f64::from(load.requests) * RUNNING_COST_MS
+        + f64::from(load.requests) * RUNNING_COST_MS * speed.slowdown()
         + f64::from(queued) * QUEUED_COST_MS
         + old_weights_cost
         + if expected.is_late { LATE_FIRST_TOKEN_COST_MS } else { 0.0 }
@@ -399,13 +426,14 @@
 fn expected_by_load(
     load: Load,
     engine: &EngineSpec,
+    speed: Speed,
     plan: &ContextPlan,
     demand: &Demand<'_>,
 ) -> Expected {
-    let prefill_wait_ms = f64::from(load.pending_prefill_tokens) / PREFILL_TOKENS_PER_MS;
-    let prefill_ms = f64::from(plan.prefill_tokens) / PREFILL_TOKENS_PER_MS;
+    let prefill_wait_ms = f64::from(load.pending_prefill_tokens) / speed.prefill_tokens_per_ms;
+    let prefill_ms = f64::from(plan.prefill_tokens) / speed.prefill_tokens_per_ms;
     let wait_ms = prefill_wait_ms.max(memory_wait_ms(load.memory_tokens, engine, demand));
-    let occupancy = occupancy(load, capacity(engine), demand.admission);
+    let occupancy = occupancy(load, capacity(engine), speed, demand.admission);
     Expected {
         wait_ms,
         first_token_ms: wait_ms.max(plan.fetch_ms) + prefill_ms,
@@ -422,6 +450,7 @@
     now_ms: u64,
     upstream: &Upstream,
     engine: &EngineSpec,
+    speed: Speed,
     plan: &ContextPlan,
     demand: &Demand<'_>,
     by_load: Occupancy,
@@ -434,7 +463,7 @@
     let mut capacity = capacity(engine);
     capacity.memory_tokens = capacity.memory_tokens.saturating_sub(prompt.common_tokens());
     let load = room.expected_load(now_ms, upstream, &needs);
-    let forecast = forecast(load, capacity, speed(upstream), needs, demand.admission);
+    let forecast = forecast(load, capacity, speed, needs, demand.admission);
     let fetched_ms = plan.fetch_ms + forecast.first_token_ms - forecast.wait_ms;
     let first_token_ms = forecast.first_token_ms.max(fetched_ms);
     let objective_at_ms = demand.objective_at_ms.filter(|_| !demand.admission.objective_missed);
--- a/src/gateway/decisions/gossip_message.rs
+++ b/src/gateway/decisions/gossip_message.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::decisions::account_shares::AccountReports;
 use crate::gateway::decisions::admission::LimitReport;
+use crate::gateway::decisions::engine_speed::SpeedReport;
 use crate::gateway::decisions::rate_limit::RateLimit;
 use crate::gateway::decisions::returns::ReturnsReport;
 use crate::gateway::decisions::upstream::{Load, SILENT_MS};
@@ -84,6 +85,8 @@
     pub returns: Vec<ReturnsReport>,
     /// Work that the sender's clients have requested of services that refuse requests.
     pub accounts: AccountReports,
+    /// Samples of the speed of engines.
+    pub speeds: Vec<SpeedReport>,
 }
 
 impl Gossip {
--- a/src/gateway/decisions/hall_summary.rs
+++ b/src/gateway/decisions/hall_summary.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::decisions::account_shares::AccountReports;
+use crate::gateway::decisions::engine_speed::SpeedReport;
 use crate::gateway::decisions::gossip_message::LoadReport;
 use crate::gateway::decisions::returns::ReturnsReport;
 
@@ -25,6 +26,8 @@
     pub returns: Vec<ReturnsReport>,
     /// Work of client accounts that the hall has seen.
     pub accounts: AccountReports,
+    /// Samples of the speed of engines that boxes of the hall have taken.
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// Summary of all other halls, sent to the boxes of a hall by its bridges.
@@ -38,4 +41,6 @@
     pub returns: Vec<ReturnsReport>,
     /// Work of client accounts that the other halls have seen.
     pub accounts: AccountReports,
+    /// Samples of the speed of engines that boxes of the other halls have taken.
+    pub speeds: Vec<SpeedReport>,
 }
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -12,6 +12,7 @@
 //! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
 //! - Admission, retries and priorities: `admission`, `account_shares`, `budget`, `returns`,
 //!   `urgency`; by the request: `room`, `run_lengths`.
+//! - How fast engines are: `engine_speed`; when load goes to another hall: `hall_loads`.
 //! - Load on upstreams that have just started: `cold_start`; on those that fall over: `brittle`.
 //! - Weight versions of engines, and the release of context of old weights: `rollout`, `weights`,
 //!   `orders`, `claims`, `release`.
@@ -37,8 +38,10 @@
 pub mod configuration;
 pub mod context;
 pub mod demand;
+pub mod engine_speed;
 pub mod gossip_budget;
 pub mod gossip_message;
+pub mod hall_loads;
 pub mod hall_summary;
 pub mod incarnation;
 pub mod listing;
--- a/src/gateway/decisions/peers/halls.rs
+++ b/src/gateway/decisions/peers/halls.rs
@@ -132,7 +132,7 @@
     }
 
     /// The summary of the own hall, made of the sums over its boxes and this box's own loads and
-    /// fetches.
+    /// fetches. The caller adds the samples of speeds.
     #[must_use]
     pub fn hall_summary(
         &self,
@@ -161,7 +161,8 @@
         }
     }
 
-    /// The summary of all other halls for the boxes of the own hall.
+    /// The summary of all other halls for the boxes of the own hall. The caller adds the samples of
+    /// speeds.
     #[must_use]
     pub fn other_halls_summary(&self, now_ms: u64) -> OtherHallsSummary {
         OtherHallsSummary {
--- a/src/gateway/decisions/room.rs
+++ b/src/gateway/decisions/room.rs
@@ -10,9 +10,10 @@
 
 use crate::gateway::decisions::admission::{AdmissionCriteria, Capacity, Occupancy, occupancy};
 use crate::gateway::decisions::context::ContextPlan;
+use crate::gateway::decisions::engine_speed::Speed;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::run_lengths::ExpectedRun;
-use crate::gateway::decisions::units::{PREFILL_TOKENS_PER_MS, as_f64};
+use crate::gateway::decisions::units::as_f64;
 use crate::gateway::decisions::upstream::{Load, Upstream};
 
 /// Margin on the predicted output: runs of one route differ in length.
@@ -81,18 +82,6 @@
     }
 }
 
-/// How fast an engine is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Speed {
-    pub prefill_tokens_per_ms: f64,
-}
-
-/// The speed of an engine.
-#[must_use]
-pub fn speed(_upstream: &Upstream) -> Speed {
-    Speed { prefill_tokens_per_ms: PREFILL_TOKENS_PER_MS }
-}
-
 /// Why an engine cannot take a request. The texts are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Limit {
@@ -143,7 +132,7 @@
         .max(freed_ms(missing_slots, load.requests));
     let first_token_ms = wait_ms + f64::from(needs.prefill_tokens) / speed.prefill_tokens_per_ms;
     let end_ms = first_token_ms + needs.held_ms;
-    let by_load = occupancy(load, capacity, criteria);
+    let by_load = occupancy(load, capacity, speed, criteria);
     let limit = if missing_tokens > 0.0 {
         Some(Limit::Memory)
     } else if end_ms > needs.left_ms {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,6 +14,7 @@
 use crate::box_phase::BoxPhase;
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::claims::handover_pause_ms;
+use crate::gateway::decisions::engine_speed::{SampleOrigin, SpeedReport};
 use crate::gateway::decisions::gossip_budget::GossipBudget;
 use crate::gateway::decisions::gossip_message::{
     AbortsReport, Gossip, LoadChanges, LoadReport, MetadataStoreStatus, NamedVersionReport,
@@ -43,6 +44,8 @@
 const RETURN_SPREAD_MS: u64 = 500;
 /// Most rate limits in one message, so that it fits a datagram.
 const MAX_RATE_LIMITS: usize = 64;
+/// Messages in which a sample of the speed of an engine is sent, so that one may be lost.
+const SPEED_MESSAGES: u64 = 2;
 /// Pause after a socket error, so that a persistent error does not cause a busy loop.
 const SOCKET_ERROR_PAUSE: Duration = Duration::from_millis(10);
 
@@ -154,9 +157,12 @@
         summary.returns = state.returns.hall_reports(now_ms);
         let accounts = state.account_shares.reports(now_ms);
         summary.accounts = state.peers.hall_account_reports(now_ms, &accounts);
+        let of_hall = [SampleOrigin::ThisBox, SampleOrigin::OwnHall];
+        summary.speeds = state.upstreams.speed_reports(now_ms, &of_hall);
         composed.push((Datagram::HallSummary(summary), targets.bridges));
         let mut others = state.peers.other_halls_summary(now_ms);
         others.returns = state.returns.other_halls_reports(now_ms);
+        others.speeds = state.upstreams.speed_reports(now_ms, &[SampleOrigin::OtherHalls]);
         composed.push((Datagram::OtherHallsSummary(others), targets.own_hall));
     }
     let gossip = compose_gossip(gateway, &mut state, now_ms, incarnation, scope);
@@ -280,9 +286,17 @@
             state.returns.own_reports(now_ms)
         },
         accounts: state.account_shares.reports(now_ms),
+        speeds: speeds(state, now_ms, scope),
     }
 }
 
+/// Samples of the speed of engines that this box has taken, until all of its hall were told.
+fn speeds(state: &mut State, now_ms: u64, scope: GossipScope) -> Vec<SpeedReport> {
+    let sent_ms = SPEED_MESSAGES * u64::from(state.peers.round_ms(scope));
+    state.upstreams.expire_speed_reports(now_ms, sent_ms);
+    state.upstreams.speed_reports(now_ms, &[SampleOrigin::ThisBox])
+}
+
 /// Number of tokens that this box is fetching from each context store.
 fn fetches(state: &State) -> Vec<(u32, u32)> {
     let stores = state.stores.iter().filter(|(_, store)| store.speed.fetch_tokens() > 0);
@@ -415,6 +429,8 @@
                     state.returns.receive(now_ms, Source::Hall(summary.hall), &summary.returns);
                     state.returns.receive(now_ms, Source::OtherHalls, &[]);
                 }
+                let origin = sample_origin(&state, summary.hall);
+                state.upstreams.apply_speed_reports(now_ms, origin, &summary.speeds);
                 state.peers.receive_hall_summary(now_ms, summary);
             }
             Ok(Datagram::OtherHallsSummary(summary)) => {
@@ -422,6 +438,8 @@
                 if !state.peers.has_hall_summaries() {
                     state.returns.receive(now_ms, Source::OtherHalls, &summary.returns);
                 }
+                let origin = SampleOrigin::OtherHalls;
+                state.upstreams.apply_speed_reports(now_ms, origin, &summary.speeds);
                 state.peers.receive_other_halls(now_ms, &summary);
             }
             Ok(Datagram::DelegatedCall(request)) => {
@@ -492,6 +510,8 @@
         let source = Source::Box { address: from, incarnation: gossip.incarnation };
         state.returns.receive(now_ms, source, &gossip.returns);
     }
+    let origin = sample_origin(&state, gossip.hall);
+    state.upstreams.apply_speed_reports(now_ms, origin, &gossip.speeds);
     let (crashes, answers) = (&gossip.crashes, &gossip.answers);
     quarantine::merge_peer_reports(gateway, &mut state, now_ms, crashes, answers);
     if let Some(clock_ms) = gossip.upstream_clock_ms {
@@ -575,6 +595,11 @@
     }
 }
 
+/// Where samples come from that a box of `hall` has sent.
+fn sample_origin(state: &State, hall: u32) -> SampleOrigin {
+    if hall == state.peers.local().hall { SampleOrigin::OwnHall } else { SampleOrigin::OtherHalls }
+}
+
 /// Marks upstreams whose address another incarnation has taken.
 fn supersede(state: &mut State, upstreams: &[u32]) {
     for upstream in upstreams {
--- a/tests/gateway_returns.rs
+++ b/tests/gateway_returns.rs
@@ -12,6 +12,7 @@
 use coursestile::gateway::decisions::admission::{
     AdmissionCriteria, Capacity, Occupancy, occupancy, retry_after_ms,
 };
+use coursestile::gateway::decisions::engine_speed::Speed;
 use coursestile::gateway::decisions::returns::{
     Arriving, Class, Refused, RetryTime, Returns, ReturnsReport, Source, Standing,
 };
@@ -138,7 +139,7 @@
         let requests = u32::try_from(emptiest.len()).unwrap();
         let load = Load { requests, pending_prefill_tokens: 0, memory_tokens: requests * TOKENS };
         let criteria = AdmissionCriteria { reserved_part, ..CRITERIA };
-        if occupancy(load, CAPACITY, criteria) != Occupancy::Full {
+        if occupancy(load, CAPACITY, Speed::PRIOR, criteria) != Occupancy::Full {
             emptiest.push(now_ms + HELD_MS);
             returns.record_admitted(now_ms, CLASS, TOKENS);
             return None;
--- a/tests/gateway_room.rs
+++ b/tests/gateway_room.rs
@@ -447,7 +447,7 @@
             weights_apply_ms: 10_000,
             excludes_overdue: true,
             placement: Placement::RendezvousHash { hall },
-            candidates: Candidates::Sampled { seed },
+            candidates: Candidates::Sampled { seed, hall_boxes: Some(BOXES) },
             allowed_halls: AllowedHalls::ALL,
             resumption: None,
             tried: &[],
