Tunnels: a peer that once answered late is asked last, not left out

Cause: a peer that did not answer a request for a tunnel within 250 ms was not asked again for 2 s, also if it was the only one that reaches the upstreams.

Change: such peers come last, as for the other calls to peers.

--- a/src/gateway/decisions/peers/tunnel_peers.rs
+++ b/src/gateway/decisions/peers/tunnel_peers.rs
@@ -14,7 +14,8 @@
 
 impl Peers {
     /// Peers to ask for a connection to an upstream in the hall with the short id `upstream_hall`,
-    /// the preferred one first. Peers that reach their upstreams come first. Among them, those of the
+    /// the preferred one first. Peers that have lately not answered in time come last: on a busy machine
+    /// one may be late, and it may be the only helper. Peers that reach their upstreams come first. Among them, those of the
     /// own hall are preferred, then those of the upstream's: the bytes cross between halls once at
     /// most. Of those that are drawn, the one with the fewest tunnels for its processor share comes
     /// first.
@@ -28,11 +29,11 @@
             };
             let is_avoided = usize::from(peer.gossip.missed_upstreams) >= MIN_MISSED
                 || now_ms < peer.avoid_tunnels_until_ms;
-            (is_avoided, distance)
+            (!peer.may_be_asked(now_ms), is_avoided, distance)
         };
         let mut offering: Vec<_> = self
             .live_peers(now_ms)
-            .filter(|(_, peer)| peer.gossip.offers_tunnels && peer.may_be_asked(now_ms))
+            .filter(|(_, peer)| peer.gossip.offers_tunnels)
             .map(|(address, peer)| (rank(peer), *address, peer))
             .collect();
         rng.shuffle(&mut offering);
--- a/tests/gateway_cut.rs
+++ b/tests/gateway_cut.rs
@@ -154,6 +154,25 @@
     assert!(10 * served >= 9 * 20, "{served} of 20 served");
 }
 
+/// The only helper, once it had answered late, was not asked again for two seconds.
+#[rstest]
+#[case::hanging(Link::Dropped)]
+#[case::reset(Link::Refused)]
+#[tokio::test]
+async fn helper_pauses(#[case] link: Link) {
+    let fleet = CutFleet::start(4, 3, 1, "north").await;
+    fleet.set_link(link);
+    tokio::time::sleep(SERVED_AFTER).await;
+    fleet.others[0].signal("-STOP");
+    let pause = async {
+        tokio::time::sleep(MOMENT).await;
+        fleet.others[0].signal("-CONT");
+    };
+    tokio::join!(fleet.count_served("first", 3), pause);
+    let served = fleet.count_served("cut", 5).await;
+    assert!(10 * served >= 9 * 20, "{served} of 20 served");
+}
+
 /// Without a box that reaches the upstreams, requests are refused at once, as not run, also where they
 /// are more than peers are asked about in a round.
 #[rstest]
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -96,6 +96,15 @@
     assert!(!peers.offers_tunnels(2, address(3)), "it was never heard from");
 }
 
+/// The only helper, once it had answered late, was not asked for two seconds.
+#[test]
+fn unanswered_last() {
+    let mut peers = peers(&[(0, 0, 0), (0, 0, 7)]);
+    peers.note_unanswered(1, address(1));
+    let asked = peers.tunnel_peers(2, 1, &mut Rng::with_seed(1));
+    assert_eq!(asked, [address(2), address(1)]);
+}
+
 /// A box with one engine, which it knows and has used.
 fn gateway_with_engine() -> (std::sync::Arc<Gateway>, Choice) {
     let settings = Settings::parse("a.ini", SETTINGS).expect("settings");
