Slow readers: a request body without a length counts as 64 KB

Cause: counted as the longest allowed, four requests without a length would have taken all that an account may hold until upstreams respond.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -32,6 +32,9 @@
 const MAX_CLIENT_TIMEOUT_MS: u64 = 600_000;
 /// Longest time for a request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// What a body without a length counts as, where bodies are bounded: a long prompt. Counted as the longest
+/// allowed, a few of them would take all that an account may hold.
+const LENGTHLESS_BODY_BYTES: usize = 64 << 10;
 /// How long a request waits for the first configuration after the start of the box.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -117,9 +120,9 @@
     let route = configuration.route(host, target.path()).ok_or(Reason::NoRoute)?.clone();
     let account = authenticate(&configuration, &route, head)?.cloned();
     let account_id = short_id(account.as_ref().map_or("", |account| &account.name));
-    // A body without a length counts as the longest.
     let body_bytes = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let body_bytes = body_bytes.unwrap_or(usize::MAX).min(configuration.limits.max_body_bytes);
+    let body_bytes =
+        body_bytes.unwrap_or(LENGTHLESS_BODY_BYTES).min(configuration.limits.max_body_bytes);
     let held_request = HeldRequest::reserve(gateway, account_id, body_bytes).await?;
     let body = read_body(&configuration, body).await?;
     let account_name = account.as_ref().map_or("", |account| &account.name);
