--- a/tests/gateway_accounts.rs
+++ b/tests/gateway_accounts.rs
@@ -13,6 +13,7 @@
 use coursestile::gateway::decisions::admission::{
     AdmissionCriteria, Capacity, Occupancy, occupancy,
 };
+use coursestile::gateway::decisions::engine_speed::Speed;
 use coursestile::gateway::decisions::gossip_message::Gossip;
 use coursestile::gateway::decisions::peers::{LocalBox, Peers};
 use coursestile::gateway::decisions::upstream::Load;
@@ -209,7 +210,7 @@
         account_part,
         reserved_part: 0.0,
     };
-    occupancy(load, capacity, criteria) == Occupancy::Full
+    occupancy(load, capacity, Speed::PRIOR, criteria) == Occupancy::Full
 }
 
 /// Exchanges gossip: each box sends some every 250 ms, which takes 20 ms within a hall and 400 ms
