--- a/tests/gateway_room.rs
+++ b/tests/gateway_room.rs
@@ -13,9 +13,10 @@
 use coursestile::gateway::decisions::choose::{Choice, choose};
 use coursestile::gateway::decisions::configuration::{EngineSpec, Store};
 use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::engine_speed::Speed;
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::regions::AllowedHalls;
-use coursestile::gateway::decisions::room::{Limit, Needs, RoomInputs, Speed, forecast};
+use coursestile::gateway::decisions::room::{Limit, Needs, RoomInputs, forecast};
 use coursestile::gateway::decisions::run_lengths::{CompletedRun, ExpectedRun, RunLengths};
 use coursestile::gateway::decisions::stores::{Placement, Stores};
 use coursestile::gateway::decisions::units::rounded_ms;
@@ -375,7 +376,8 @@
             let by_request = self.choose(Selection::ByRequest, now_ms, box_index, kind, seed);
             let criteria = self.criteria(kind);
             let is_active = self.view.iter().any(|upstream| {
-                occupancy(upstream.total_load(), CAPACITY, criteria) != Occupancy::Available
+                occupancy(upstream.total_load(), CAPACITY, Speed::PRIOR, criteria)
+                    != Occupancy::Available
             });
             self.outcome.changed[usize::from(is_active)] += usize::from(choice != by_request);
         }
@@ -572,7 +574,7 @@
         left_ms,
     };
     let criteria = Fleet::new().criteria(&LONG);
-    let speed = Speed { prefill_tokens_per_ms: 50.0 };
+    let speed = Speed::PRIOR;
     let found = forecast(load, CAPACITY, speed, needs, criteria);
     assert_eq!(found.limit, limit, "{found:?}");
     assert_eq!(found.occupancy == Occupancy::Full, limit.is_some());
