Engine speeds: only prefills of 1,000 tokens or more tell the prefill rate

gateway_weights::long_prompts_stay failed in the gateway tests on: stand-in engines answer at once, and after 40 first tokens of short prompts four of 9,000 tokens made the prefill rate look eight times as high, so that streams with long prompts were moved. First tokens of shorter prompts are mostly overhead; they no longer count as samples of an engine, nor towards the 32 from which on the rate of a service is used.

Loads of halls are summed in large fleets only, where they are used.

Run: gateway_speeds, gateway_weights, clippy.

--- a/src/gateway/decisions/engine_speed.rs
+++ b/src/gateway/decisions/engine_speed.rs
@@ -50,6 +50,9 @@
 const MAX_AGE_MS: u64 = 5000;
 /// Most samples that determine what is usual for a service. It follows changes within a minute.
 const MAX_USUAL_SAMPLES: f64 = 1000.0;
+/// Shortest prefill whose time says something about its engine. That of a shorter one is mostly overhead, and
+/// made engines that answer short prompts at once look quick with long ones.
+const MIN_PREFILL_TOKENS: f64 = 1000.0;
 /// Weight of the prior in samples, half for a prompt without tokens and half for a long one.
 const PRIOR_SAMPLES: f64 = 8.0;
 /// Prior of the time to the first token of an empty prompt.
@@ -230,6 +233,7 @@
 /// tokens an event has.
 #[derive(Debug)]
 struct FirstTokens {
+    /// Those of prompts that are long enough.
     samples: u32,
     weight: f64,
     tokens: f64,
@@ -272,7 +276,7 @@
             *sum *= kept;
         }
         self.add_weighted(1.0, tokens, time_ms);
-        self.samples = self.samples.saturating_add(1);
+        self.samples = self.samples.saturating_add(u32::from(tokens >= MIN_PREFILL_TOKENS));
     }
 
     fn add_weighted(&mut self, weight: f64, tokens: f64, time_ms: f64) {
@@ -360,7 +364,7 @@
         let sample_ln = (time_ms.max(1.0) / self.first_tokens.expected_ms(tokens)).ln();
         let known_ln = engine.estimate.slowness_ln(now_ms, self.present_ln(now_ms));
         self.first_tokens.add(tokens, time_ms / known_ln.exp());
-        if self.first_tokens.samples <= MIN_SAMPLES {
+        if self.first_tokens.samples <= MIN_SAMPLES || tokens < MIN_PREFILL_TOKENS {
             return None;
         }
         self.add(now_ms, upstream, engine, sample_ln)
--- a/src/gateway/decisions/hall_loads.rs
+++ b/src/gateway/decisions/hall_loads.rs
@@ -59,21 +59,24 @@
 }
 
 impl HallLoads {
-    /// Takes over the present loads of healthy upstreams, each with its prefill rate.
+    /// Takes over the present loads of healthy upstreams. `tokens_per_ms` is the prefill rate of one.
     pub fn update<'a>(
         &mut self,
         now_ms: u64,
-        upstreams: impl Iterator<Item = (&'a Upstream, f64)>,
+        upstreams: impl Iterator<Item = &'a Upstream>,
+        tokens_per_ms: impl Fn(&Upstream) -> f64,
     ) {
         let mut sums: HashMap<(&str, &str), HallSum> = HashMap::new();
-        for (upstream, tokens_per_ms) in upstreams {
+        for upstream in upstreams {
             let load = upstream.total_load();
             let sum = sums.entry((&upstream.entry.service, &upstream.entry.hall)).or_default();
             sum.upstreams += 1.0;
             sum.slots += f64::from(upstream.entry.slots);
             sum.requests += f64::from(load.requests);
             sum.memory_tokens += f64::from(load.memory_tokens);
-            sum.prefill_ms += f64::from(load.pending_prefill_tokens) / tokens_per_ms;
+            if load.pending_prefill_tokens > 0 {
+                sum.prefill_ms += f64::from(load.pending_prefill_tokens) / tokens_per_ms(upstream);
+            }
         }
         let elapsed_ms = as_f64(now_ms.saturating_sub(self.updated_at_ms));
         let weight = 1.0 - (-elapsed_ms / SMOOTHING_MS).exp();
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -367,9 +367,9 @@
     pub fn update_hall_loads(&mut self, now_ms: u64) {
         let mut hall_loads = std::mem::take(&mut self.hall_loads);
         let healthy = self.current().filter(|upstream| !upstream.is_unhealthy(now_ms));
-        let with_rates =
-            healthy.map(|upstream| (upstream, self.speed(upstream, now_ms).prefill_tokens_per_ms));
-        hall_loads.update(now_ms, with_rates);
+        let tokens_per_ms =
+            |upstream: &Upstream| self.speed(upstream, now_ms).prefill_tokens_per_ms;
+        hall_loads.update(now_ms, healthy, tokens_per_ms);
         self.hall_loads = hall_loads;
     }
 
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -183,7 +183,9 @@
             upstream.record_peer_receive(peers.received_at_ms(upstream.short_id));
         });
         upstreams.retire_resting(now_ms);
-        upstreams.update_hall_loads(now_ms);
+        if !peers.is_small_fleet() {
+            upstreams.update_hall_loads(now_ms);
+        }
         let requests = upstreams.active().map(|upstream| upstream.total_load().requests).sum();
         peers.update_news_pace(now_ms, requests, upstreams.len());
         for (_, store) in stores.iter_mut() {
