--- a/tests/gateway_speeds.rs
+++ b/tests/gateway_speeds.rs
@@ -657,3 +657,20 @@
     let line = "event=engine_speed upstream=e-0";
     eventually(line, async || gateway.log_text().contains(line)).await;
 }
+
+/// All engines become slower and recover, as on deployment B.
+#[test]
+fn all_slow() {
+    let factor: fn(usize, u64) -> f64 =
+        |_, now_ms| if SLOW_MS.contains(&now_ms) { 3.5 } else { 1.0 };
+    let mean_slowdown = |duration_ms| {
+        let hall = Hall::play(Play { requests_per_s: 150.0, duration_ms, factor, ..PLAY });
+        let slowdowns = hall.views.iter().flat_map(|view| {
+            view.iter().map(move |upstream| view.speed(upstream, duration_ms).slowdown())
+        });
+        slowdowns.sum::<f64>() / f64::from(u32::try_from(BOXES * ENGINES).unwrap())
+    };
+    let (slow, after) = (mean_slowdown(5000), mean_slowdown(15_500));
+    println!("{slow:.2} times slower, {after:.2} after");
+    assert!(slow > 2.5 && after < 1.25, "{slow} {after}");
+}
