--- a/src/gateway/decisions/room.rs
+++ b/src/gateway/decisions/room.rs
@@ -64,8 +64,9 @@
 }
 
 impl Needs {
-    /// The needs of a request with `prompt`. A request that is smaller than others of its route counts
-    /// like them, or it would fill the gaps in which the larger ones have no room.
+    /// The needs of a request with `prompt`. All requests of a route count like their mean once that is
+    /// known: smaller ones would fill the gaps in which larger ones have no room, and larger ones would
+    /// be refused more often.
     #[must_use]
     pub fn new(now_ms: u64, prompt: &Prompt, plan: &ContextPlan, inputs: &RoomInputs) -> Self {
         let expected = inputs.expected;
@@ -74,7 +75,10 @@
         let memory_tokens = prompt.memory_tokens().saturating_sub(spared_tokens);
         Self {
             prefill_tokens: plan.prefill_tokens,
-            memory_tokens: memory_tokens.max(scaled(1, expected.mean_memory_tokens)),
+            memory_tokens: match scaled(1, expected.mean_memory_tokens) {
+                0 => memory_tokens,
+                mean_tokens => mean_tokens,
+            },
             held_ms: expected.held_ms,
             others_resident_ms: expected.others_resident_ms,
             left_ms: as_f64(inputs.deadline_ms.saturating_sub(now_ms)),
