Admission by the request: engines that are full by their load stay full

The exception for services with less than half of their slots in use also lifted refusals that the load alone asks for: `admitting::refused_when_full` got 200 where 503 is due, on engines whose memory was promised one and a half times. Only refusals for memory that the forecast adds are lifted now; the test passes.

--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -120,14 +120,15 @@
         }
     };
     let mut best = best?;
-    if best.expected.limit == Some(Limit::Memory) && is_service_idle(&usable) {
-        (best.expected.occupancy, best.expected.limit) = (Occupancy::NearlyFull, None);
+    let is_full_by_load = best.expected.by_load == Occupancy::Full;
+    if best.expected.limit == Some(Limit::Memory) && !is_full_by_load && is_service_idle(&usable) {
+        (best.expected.occupancy, best.expected.limit) = (best.expected.by_load, None);
     }
     Some(best.into_choice(now_ms, demand))
 }
 
-/// Whether no prompt waits at any upstream, and less than half of the slots are in use. Then nothing is
-/// refused, whatever memory the runs are expected to need.
+/// Whether no prompt waits at any upstream, and less than half of the slots are in use. Then the load
+/// alone decides, whatever memory the runs are expected to need.
 fn is_service_idle(usable: &[&Upstream]) -> bool {
     if usable.iter().any(|upstream| upstream.total_load().pending_prefill_tokens > 0) {
         return false;
@@ -350,6 +351,8 @@
     first_token_ms: f64,
     /// Occupancy of the engine.
     occupancy: Occupancy,
+    /// Occupancy of the engine by its load alone.
+    by_load: Occupancy,
     /// Why the engine is full, if it is.
     limit: Option<Limit>,
     /// Whether the request was considered, not only the load.
@@ -364,6 +367,7 @@
         wait_ms: 0.0,
         first_token_ms: 0.0,
         occupancy: Occupancy::Available,
+        by_load: Occupancy::Available,
         limit: None,
         is_forecast: false,
         is_late: false,
@@ -438,6 +442,7 @@
         wait_ms,
         first_token_ms: wait_ms.max(plan.fetch_ms) + prefill_ms,
         occupancy,
+        by_load: occupancy,
         limit: (occupancy == Occupancy::Full).then_some(Limit::Load),
         is_forecast: false,
         is_late: false,
@@ -473,6 +478,7 @@
         wait_ms: forecast.wait_ms,
         first_token_ms,
         occupancy: forecast.occupancy,
+        by_load,
         limit: forecast.limit,
         is_forecast: true,
         is_late,
