Slow readers: the size of socket buffers is a setting of its own

`[load] socket_buffer_kb` sets them; the template does not. The name of the contract moved to the platform module.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -49,9 +49,6 @@
 /// How long the rest of a request may take to be sent after its response has ended.
 const REQUEST_SENT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bytes that the system keeps in each direction, where that is bounded; by default they grow to
-/// megabytes, of which 300 connections would fill a small box.
-const SOCKET_BUFFER_BYTES: usize = 32 << 10;
 /// Bytes that are read at a time there. Each connection that waits for a slow client holds as many, and
 /// a buffer of up to twice the size.
 const MAX_READ_BYTES: usize = 16 << 10;
@@ -119,10 +116,11 @@
 }
 
 impl Connections {
-    /// Connections for which the system keeps little, whether or not the other side reads.
+    /// Connections for which the system keeps `socket_buffer_bytes` in each direction, or what it does
+    /// by default: up to megabytes if the other side does not read.
     #[must_use]
-    pub fn bounded() -> Self {
-        Self { socket_buffer_bytes: Some(SOCKET_BUFFER_BYTES), ..Self::default() }
+    pub fn new(socket_buffer_bytes: Option<usize>) -> Self {
+        Self { socket_buffer_bytes, ..Self::default() }
     }
 
     /// Opens a connection to an upstream's address.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -411,11 +411,7 @@
             ),
             caches: CacheClient::new(http.clone()),
             engines: EngineClient::new(http),
-            connections: if settings.slow_readers {
-                Connections::bounded()
-            } else {
-                Connections::default()
-            },
+            connections: Connections::new(settings.socket_buffer_bytes),
             capacity_changed: Notify::new(),
             refresh_metadata: Notify::new(),
             catch_up_now: Notify::new(),
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -37,10 +37,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time in which the first request on a connection is awaited while the box drains.
 pub const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
-/// Bytes that the system keeps for a client that reads slowly, where that is bounded; by default they
-/// are up to 4 MB, for 300 such clients more than the memory of a box. Responses are short.
-const SEND_BUFFER_BYTES: usize = 32 << 10;
-/// Time after which the system resets a connection there whose client reads nothing at all. The usual
+/// Time after which the system resets a connection whose client reads nothing at all, where the bytes
+/// that the system keeps are bounded. The usual
 /// time would end responses that the box holds and that keep no upstream.
 const CLOSED_WINDOW_TIMEOUT: Duration = Duration::from_secs(10);
 /// Smallest buffer that hyper accepts.
@@ -108,14 +106,17 @@
     let request_begun = Arc::new(Notify::new());
     let begun = request_begun.clone();
     let close_delimited = CloseDelimited::default();
-    let reads = gateway.settings.slow_readers.then(|| {
+    if let Some(bytes) = gateway.settings.socket_buffer_bytes {
         let socket = SockRef::from(&stream);
-        let bounded = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        let bounded = socket.set_send_buffer_size(bytes);
         if let Err(error) = bounded.and(socket.set_tcp_user_timeout(Some(CLOSED_WINDOW_TIMEOUT))) {
             debug!(target: "listener", "event=socket_option_refused cause=\"{error}\"");
         }
-        Arc::new(ClientReads::new(gateway.client_buffers.clone()))
-    });
+    }
+    let reads = gateway
+        .settings
+        .slow_readers
+        .then(|| Arc::new(ClientReads::new(gateway.client_buffers.clone())));
     let stream = ClientStream::new(stream, close_delimited.clone(), reads.clone());
     let body_reads = reads.clone();
     let service = service_fn(move |request: Request<Incoming>| {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,6 +9,7 @@
 use crate::error::Result;
 use crate::gateway::decisions::cold_start::ColdTolerance;
 use crate::ini_file::IniFile;
+use crate::platform::SLOW_READERS_CONTRACT;
 
 /// Default time between SIGTERM and SIGKILL.
 const DEFAULT_STOP_MS: u64 = 8000;
@@ -71,6 +72,8 @@
     pub bounds: Bounds,
     /// Whether clients, or upstreams, may read slowly, so that what is buffered for them is bounded.
     pub slow_readers: bool,
+    /// Bytes that the system keeps in each direction of a connection; `None` for its defaults.
+    pub socket_buffer_bytes: Option<usize>,
 }
 
 /// Service bounds that the deployment requires.
@@ -126,6 +129,7 @@
             metadata_address: reader.required("platform", "address"),
             bounds: bounds(&mut reader),
             slow_readers: slow_readers(&mut reader),
+            socket_buffer_bytes: socket_buffer_bytes(&mut reader),
         };
         reader.finish(settings)
     }
@@ -169,11 +173,17 @@
     }
 }
 
-/// Reads whether there are slow readers: `true`, or a list of contracts that names `pressure`, since
-/// the template cannot compare.
+/// Reads whether there are slow readers: `true`, or a list of contracts that names it, since the
+/// template cannot compare.
 fn slow_readers(reader: &mut IniFile<'_>) -> bool {
     let values = reader.list("load", "slow_readers");
-    values.iter().any(|value| value == "true" || value == "pressure")
+    values.iter().any(|value| value == "true" || value == SLOW_READERS_CONTRACT)
+}
+
+fn socket_buffer_bytes(reader: &mut IniFile<'_>) -> Option<usize> {
+    reader.text("load", "socket_buffer_kb")?;
+    let kilobytes: usize = reader.optional("load", "socket_buffer_kb", 0);
+    (kilobytes > 0).then_some(kilobytes << 10)
 }
 
 /// Reads a duration that is given in units of `unit_ms` and may have a fraction; returns
@@ -263,7 +273,7 @@
             "link_mbps",
         ],
         "platform" => &["address"],
-        "load" => &["slow_readers"],
+        "load" => &["slow_readers", "socket_buffer_kb"],
         "bounds" => &[
             "stop_s",
             "retry_ratio",
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,3 +14,6 @@
 pub mod http;
 pub mod keys;
 pub mod metadata;
+
+/// The contract of deployments whose clients and upstreams may read slowly.
+pub const SLOW_READERS_CONTRACT: &str = "pressure";
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -231,8 +231,9 @@
             self.lease_ms,
             self.weights_apply_ms,
             self.cold_extra,
-            self.slow_readers
-                .map_or_else(String::new, |value| format!("[load]\nslow_readers = {value}\n")),
+            self.slow_readers.map_or_else(String::new, |value| {
+                format!("[load]\nslow_readers = {value}\nsocket_buffer_kb = 32\n")
+            }),
         );
         let path = self.folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings).expect("settings");
