Refusals: a request for which all engines are full is logged once

The line `engines_full` and its metric were written twice for each refusal, since a merge kept the call of both sides. Found in the read-through; `cargo check` passes, no test was run on it.

--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -92,7 +92,6 @@
     let retry_time = state.returns.refuse(now_ms, refused);
     drop(state);
     log_full(request, limit);
-    log_full(request, limit);
     log_refusal(request, reason);
     if let Some(retry_time) = retry_time {
         log_retry_time(request, retry_time);
