Review, case 2: an answer with a length and chunks reaches its client cut

Cause: the worker's Content-Length is forwarded although its chunks decide the length, beside a body of another length.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, clients and checks of the scripts: `harness CASE RECORD`. Exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run.
 
+mod framing;
 mod http;
 mod json;
 mod site;
@@ -22,6 +23,7 @@
     let record = Record::create(path);
     let broken = catch_unwind(|| match case.as_str() {
         "slow-reader" => slow_reader::run(&record, trouble),
+        "framing" => framing::run(&record, trouble),
         "surplus" => surplus::run(&record, trouble),
         "wall" => wall::run(&record, trouble),
         _ => panic!("no such case"),
