--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/harness ] && [ -x target/release/coursestile-gateway ] || exit 2
-exec target/review/harness framing review/2/record.txt
+exec target/review/harness crash review/2/record.txt
