--- a/review/harness/crash.rs
+++ b/review/harness/crash.rs
@@ -1,4 +1,4 @@
-//! All workers of one rack crash together while they write streams that end with their connections.
+//! All workers of one domain crash together while they write streams that end with their connections.
 
 use std::io::{ErrorKind, Read};
 use std::net::TcpListener;
@@ -11,7 +11,7 @@
 use crate::store::Store;
 use crate::sys;
 
-/// Workers of the zones, each zone a rack; the crashing ones come first, three of ten.
+/// Workers of the zones, each zone a domain; the crashing ones come first, three of ten.
 const ZONES: [(&str, u8); 3] = [("abdali", 3), ("sweileh", 3), ("marka", 4)];
 const EVENTS: u32 = 30;
 const PAUSE: Duration = Duration::from_millis(100);
@@ -28,10 +28,10 @@
     closed: bool,
 }
 
-/// The process of all workers of a rack, which ends with this value.
-struct Rack(Child);
+/// The process of all workers of a domain, which ends with this value.
+struct Domain(Child);
 
-impl Rack {
+impl Domain {
     fn start(addresses: &[String]) -> Self {
         let program = std::env::current_exe().expect("own path");
         let mut command = Command::new(program);
@@ -44,7 +44,7 @@
     }
 }
 
-impl Drop for Rack {
+impl Drop for Domain {
     fn drop(&mut self) {
         let _ = self.0.kill();
         let _ = self.0.wait();
@@ -56,11 +56,11 @@
     let site = Site::new(record);
     let store = Store::start(&site.store_address());
     store.put("op/config", CONFIG);
-    let (mut racks, mut host) = (Vec::new(), 101);
+    let (mut domains, mut host) = (Vec::new(), 101);
     for (zone, count) in ZONES {
         let addresses: Vec<String> =
             (host..host + count).map(|host| format!("{}:8080", site.ip(host))).collect();
-        racks.push(Rack::start(&addresses));
+        domains.push(Domain::start(&addresses));
         for address in &addresses {
             let entry = format!(
                 r#"{{"service":"inkwell","addr":"{address}","zone":"{zone}","version":"v1","slots":64,"state":"ready","cold_left_ms":0,"seq":0}}"#
@@ -84,7 +84,7 @@
     thread::sleep(CRASH_AFTER.saturating_sub(started_at.elapsed()));
     if trouble {
         record.line("the three workers of abdali crash (SIGKILL)");
-        racks[0].crash();
+        domains[0].crash();
     }
     let streams: Vec<Stream> =
         clients.into_iter().map(|client| client.join().expect("client")).collect();
@@ -130,7 +130,7 @@
     Stream { id: id.to_owned(), status: head.status(), events, closed: end == "closed" }
 }
 
-/// Serves as the workers of a rack: each answer is a stream that ends with its connection.
+/// Serves as the workers of a domain: each answer is a stream that ends with its connection.
 pub fn serve(addresses: &str) {
     // The ports are opened before any connection, so that they are also closed first.
     let listeners: Vec<TcpListener> = addresses
