Review, case 1: only requests that ran twice count

A request that ran once and was refused breaks another rule, and no longer makes the script fail; none was seen.

--- a/review/harness/surplus.rs
+++ b/review/harness/surplus.rs
@@ -70,7 +70,7 @@
         answers.len(),
         answers.values().filter(|status| **status == 200).count()
     ));
-    twice + refused > 0
+    twice > 0
 }
 
 /// Sends unsafe requests; returns the status of each.
