--- a/review/harness/crash.rs
+++ b/review/harness/crash.rs
@@ -106,7 +106,7 @@
     connection.write(
         format!(
             "POST /check/x HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: {id}\r\n\
-             X-Api-Key: key-1\r\nX-Deadline-Ms: 12000\r\nContent-Length: 6\r\n\r\nspread"
+             X-Api-Key: key-1\r\nX-Deadline-Ms: 4000\r\nContent-Length: 6\r\n\r\nspread"
         )
         .as_bytes(),
     );
@@ -166,4 +166,4 @@
     }
 }
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-check","host":"api.example","path_prefix":"/check/","kind":"streaming","timeout_ms":12000,"slo_ms":500,"priority":1,"service":"inkwell","max_attempts":1,"public":false,"resumable":false,"gap_aim_ms":300}],"services":[{"name":"inkwell","health_path":"/health","max_conns":370,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"petra","api_keys":["key-1"],"priority":1}]}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-check","host":"api.example","path_prefix":"/check/","kind":"streaming","timeout_ms":4000,"slo_ms":500,"priority":1,"service":"inkwell","max_attempts":1,"public":false,"resumable":false,"gap_aim_ms":300}],"services":[{"name":"inkwell","health_path":"/health","max_conns":370,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"petra","api_keys":["key-1"],"priority":1}]}"#;
