Gateway: open connections show that an upstream runs

Cause: before the end of such an answer is forwarded, the box opens a new connection to the upstream. Refused here and at a peer that reaches others, the upstream counted as crashed.

Why it works: a crash closes all connections of the upstream. Peers are asked with a header of its own, since requests that look for a way should not wait for that; older boxes ignore the header. The cause of a refusal is logged (end_not_confirmed).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join;
 use hyper::StatusCode;
 use log::{info, warn};
 use tokio::net::UdpSocket;
@@ -33,7 +34,7 @@
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::trials::HeldTrial;
-use crate::gateway::tunnels::TunnelError;
+use crate::gateway::tunnels::{Purpose, TunnelError};
 use crate::gateway::{paths, quarantine, reachability, tunnels};
 use crate::part_key::PartKey;
 use crate::port::{EXIT_TIMEOUT, is_closed};
@@ -88,6 +89,17 @@
     pub framing: Framing,
 }
 
+/// Why an upstream refuses a connection. The texts are logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+enum RefusalCause {
+    /// it has crashed
+    Crash,
+    /// links are cut
+    Links,
+    /// unknown
+    Unknown,
+}
+
 /// Records that an upstream aborted a request before its response was complete. When this returns,
 /// the peers have acknowledged it or [`REPORT_TIMEOUT`] has passed. If upstreams have crashed under a
 /// part of its prompt before, the same holds for whether this one has. A crash aborts all requests at
@@ -365,9 +377,14 @@
             tokio::spawn(record_unless_crashed(gateway, upstream, run, end, closed));
             true
         }
-        Err(error) => {
-            error.kind() != ErrorKind::ConnectionRefused || !trusts_refusal(gateway, upstream).await
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            let cause = refusal_cause(gateway, upstream).await;
+            info!(target: "crashes",
+                "event=end_not_confirmed upstream={} request={} cause=\"{cause}\"",
+                upstream.id, run.content.fingerprint);
+            cause != RefusalCause::Crash
         }
+        Err(_) => true,
     }
 }
 
@@ -436,22 +453,34 @@
 /// Whether nothing listens at the upstream's address any more.
 async fn has_crashed(gateway: &Arc<Gateway>, upstream: &Incarnation) -> bool {
     let Some(address) = gateway.state().upstreams.address(&upstream.id) else { return false };
-    is_closed(address).await && trusts_refusal(gateway, upstream).await
+    is_closed(address).await && refusal_cause(gateway, upstream).await == RefusalCause::Crash
 }
 
-/// Whether a connection that an upstream refuses shows that it has crashed, and not that the links of
-/// this box are cut: peers are refused as well, or if none can tell, this box reaches others.
-async fn trusts_refusal(gateway: &Arc<Gateway>, upstream: &Incarnation) -> bool {
-    match tunnels::open(gateway, &upstream.id).await {
+/// Why an upstream refuses a connection of this box. It has not crashed if a peer reaches it, or if
+/// connections that were open before stay open here or there. It has if peers are refused as well or, if
+/// none of them can tell, this box reaches others.
+async fn refusal_cause(gateway: &Arc<Gateway>, upstream: &Incarnation) -> RefusalCause {
+    let (tunnel, stays_open) = join(
+        tunnels::open(gateway, &upstream.id, Purpose::CrashCheck),
+        gateway.connections.stays_open(&upstream.id),
+    )
+    .await;
+    match tunnel {
         Ok((connection, _)) => {
             gateway.connections.add_idle(&upstream.id, connection);
             paths::record_tunnel(gateway, &upstream.id);
-            false
+            RefusalCause::Links
         }
-        Err(TunnelError::UpstreamRefused) => true,
+        Err(TunnelError::UpstreamRuns) => RefusalCause::Links,
+        Err(_) if stays_open => RefusalCause::Links,
+        Err(TunnelError::UpstreamRefused) => RefusalCause::Crash,
         Err(TunnelError::UpstreamUnreachable | TunnelError::NoPeer) => {
             let reaches_others = reachability::reaches_control(gateway, Some(&upstream.id)).await;
-            reaches_others.unwrap_or_else(|| !gateway.state().reach.is_cut_off())
+            if reaches_others.unwrap_or_else(|| !gateway.state().reach.is_cut_off()) {
+                RefusalCause::Crash
+            } else {
+                RefusalCause::Unknown
+            }
         }
     }
 }
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -20,7 +20,7 @@
 use crate::gateway::decisions::configuration::RetryPolicy;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::tunnels::{self, TunnelError};
+use crate::gateway::tunnels::{self, Purpose, TunnelError};
 
 /// Time after the last data from any upstream within which idle connections are taken to work.
 const TRUSTED_MS: u64 = 200;
@@ -50,14 +50,14 @@
 
 async fn open(gateway: &Gateway, id: &str, address: SocketAddr) -> Result<NewConnection, String> {
     if needs_tunnel(gateway, id) {
-        match tunnels::open(gateway, id).await {
+        match tunnels::open(gateway, id, Purpose::Requests).await {
             Ok(connection) => return Ok(connection),
             Err(TunnelError::NoPeer) => {}
             Err(error) => return Err(error.to_string()),
         }
     }
     let mut direct = pin!(gateway.connections.open(address));
-    let mut tunnel = pin!(tunnels::open(gateway, id));
+    let mut tunnel = pin!(tunnels::open(gateway, id, Purpose::Requests));
     let direct_error = match timeout(DIRECT_HEAD_START, &mut direct).await {
         Ok(Ok(connection)) => return Ok(connection),
         Ok(Err(error)) => error,
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -20,7 +20,8 @@
 use crate::gateway::decisions::reach::{Probe, Reach, draw_probes, unreached_halls};
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::Gateway;
-use crate::gateway::{paths, tunnels};
+use crate::gateway::paths;
+use crate::gateway::tunnels::{self, Purpose};
 use crate::sync::locked;
 
 /// Shortest time between rounds of probes.
@@ -125,7 +126,7 @@
 }
 
 async fn probe_through_peer(gateway: &Gateway, id: &str) {
-    match tunnels::open(gateway, id).await {
+    match tunnels::open(gateway, id, Purpose::Requests).await {
         Ok((connection, _)) => {
             gateway.connections.close_idle_to(id);
             gateway.connections.add_idle(id, connection);
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -44,6 +44,8 @@
 const PROTOCOL: HeaderValue = HeaderValue::from_static("coursestile-tunnel");
 /// Id of the upstream to which the tunnel is to lead.
 const UPSTREAM: HeaderName = HeaderName::from_static("coursestile-upstream");
+/// Asks a peer that the upstream refuses whether it keeps open the connections that it has.
+const CRASH_CHECK: HeaderName = HeaderName::from_static("coursestile-crash-check");
 /// Longest time for a peer to answer: connecting to it, and its connecting to the upstream.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for a peer to connect to the upstream.
@@ -66,6 +68,17 @@
     UpstreamUnreachable,
     /// the upstream refuses connections from peers as well
     UpstreamRefused,
+    /// the upstream refuses connections from peers, but keeps older ones open
+    UpstreamRuns,
+}
+
+/// What a tunnel is opened for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// To send requests.
+    Requests,
+    /// To find out whether the upstream has crashed, which may take longer if it refuses connections.
+    CrashCheck,
 }
 
 /// Opens a tunnel to an upstream, through one peer or another; the next one is asked when the one
@@ -74,7 +87,11 @@
 ///
 /// # Errors
 /// Fails with what the peers found.
-pub async fn open(gateway: &Gateway, upstream_id: &str) -> Result<NewConnection, TunnelError> {
+pub async fn open(
+    gateway: &Gateway,
+    upstream_id: &str,
+    purpose: Purpose,
+) -> Result<NewConnection, TunnelError> {
     let mut peers = {
         let state = gateway.state();
         let hall = state.upstreams.get(upstream_id).map(|upstream| short_id(&upstream.entry.hall));
@@ -83,7 +100,7 @@
     .into_iter();
     let mut asked = FuturesUnordered::new();
     let mut found = TunnelError::NoPeer;
-    asked.extend(peers.next().map(|peer| ask(gateway, peer, upstream_id)));
+    asked.extend(peers.next().map(|peer| ask(gateway, peer, upstream_id, purpose)));
     loop {
         let end = tokio::select! {
             Some(end) = asked.next() => Some(end),
@@ -95,7 +112,7 @@
             Some(Err(error)) => found = found.max(error),
             None => {}
         }
-        asked.extend(peers.next().map(|peer| ask(gateway, peer, upstream_id)));
+        asked.extend(peers.next().map(|peer| ask(gateway, peer, upstream_id, purpose)));
     }
 }
 
@@ -104,9 +121,11 @@
     gateway: &Gateway,
     peer: IpAddr,
     upstream_id: &str,
+    purpose: Purpose,
 ) -> Result<NewConnection, TunnelError> {
     gateway.peer_traffic.tunnels_asked.fetch_add(1, Ordering::Relaxed);
-    let error = match timeout(OPEN_TIMEOUT, open_through(gateway, peer, upstream_id)).await {
+    let error = match timeout(OPEN_TIMEOUT, open_through(gateway, peer, upstream_id, purpose)).await
+    {
         Ok(Ok(connection)) => return Ok(connection),
         Ok(Err(error)) => error,
         Err(_) => {
@@ -117,6 +136,7 @@
     debug!(target: "tunnels", "event=tunnel_declined peer={peer} cause=\"{error}\"");
     gateway.state().peers.note_declined_tunnel(now_ms(), peer);
     Err(match error {
+        OpenError::Declined(StatusCode::CONFLICT) => TunnelError::UpstreamRuns,
         OpenError::Declined(StatusCode::BAD_GATEWAY) => TunnelError::UpstreamRefused,
         OpenError::Declined(StatusCode::GATEWAY_TIMEOUT) => TunnelError::UpstreamUnreachable,
         OpenError::Declined(_) | OpenError::Io(_) => TunnelError::NoPeer,
@@ -147,6 +167,7 @@
     gateway: &Gateway,
     peer: IpAddr,
     upstream_id: &str,
+    purpose: Purpose,
 ) -> Result<NewConnection, OpenError> {
     let address = SocketAddr::new(peer, gateway.settings.tunnels.port());
     let stream = TcpStream::connect(address).await?;
@@ -159,6 +180,9 @@
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
     headers.insert(header::UPGRADE, PROTOCOL);
     headers.insert(UPSTREAM, HeaderValue::from_str(upstream_id).map_err(io::Error::other)?);
+    if purpose == Purpose::CrashCheck {
+        headers.insert(CRASH_CHECK, HeaderValue::from_static("1"));
+    }
     let response = sender.send_request(request).await?;
     if response.status() != StatusCode::SWITCHING_PROTOCOLS {
         return Err(OpenError::Declined(response.status()));
@@ -227,12 +251,19 @@
         (upstream.entry.address, is_missed || state.reach.is_cut_off())
     };
     let open = OpenTunnel::begin(&gateway.tunnels_kept);
+    let checks_crash = request.headers().contains_key(CRASH_CHECK);
+    if is_missed && checks_crash && gateway.connections.stays_open(id).await {
+        return Err(StatusCode::CONFLICT);
+    }
     if is_missed || gateway.phase() != BoxPhase::Serving || open.count > MAX_TUNNELS {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
     let upstream = match timeout(UPSTREAM_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(upstream)) => upstream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            if checks_crash && gateway.connections.stays_open(id).await {
+                return Err(StatusCode::CONFLICT);
+            }
             let reaches_others = reachability::reaches_control_for_peer(gateway, id).await;
             let is_reliable = reaches_others.unwrap_or(true);
             let status =
--- a/tests/gateway_cut.rs
+++ b/tests/gateway_cut.rs
@@ -215,6 +215,28 @@
     assert_eq!((answer.status(), answer.complete), (200, complete));
 }
 
+/// An upstream refused new connections and kept open those that it had. Its whole answer counted as
+/// broken off by a crash, since another upstream accepted connections.
+#[tokio::test]
+async fn whole_behind_refusal() {
+    let fleet = CutFleet::start(2, 1, 1, "north").await;
+    fleet.others[0].signal("-KILL");
+    fleet.script(&Behavior::CloseDelimited(Sent::Whole, ConnectionEnd::CloseLater));
+    let mut client = Client::connect(&fleet.cut_boxes[0].clients).await;
+    client.write(&request("POST", "/stream/", "r-1", "", "")).await;
+    eventually("the stream runs", async || fleet.log().contains("event=begun request=r-1")).await;
+    let serving = usize::from(fleet.servers[1].has_received("r-1"));
+    fleet.servers[1 - serving].clear_script();
+    let received_before = fleet.servers[serving].received().len();
+    assert_eq!(fleet.count_served("other", 3).await, 12);
+    assert!(fleet.servers[serving].received().len() > received_before, "no other connection");
+    fleet.links[serving].set_link(Link::NewRefused);
+    fleet.servers[serving].release();
+    let answer = client.read().await.expect("an answer");
+    assert!(answer.complete, "a whole answer was broken off: {}", fleet.log());
+    assert_eq!(answer.text(), events_text("r-1", 0));
+}
+
 /// A request whose client leaves ends at its upstream, also through a tunnel.
 #[tokio::test]
 async fn client_leaves() {
