Gateway: an answer whose end cannot be confirmed is aborted

All upstreams of a hall crashed under plain streams without a length or chunks; six of six clients got 11 of 30 events and an orderly close.

Cause: the check of a refused connection returned whether the upstream had crashed, and false also where nobody could tell: peers and the box itself look for other upstreams of the hall, of which none was left. The answer then counted as complete. A request also counted as answered, which clears suspicions of it, if its upstream closed soon after and nobody could tell why.

Why it works: only an upstream that is known to run vouches for the end. What is not known is aborted, and resumed or repeated where that is allowed.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -259,7 +259,7 @@
 }
 
 async fn check_for_crash(gateway: &Arc<Gateway>, upstream: &Incarnation) {
-    let crashed = has_crashed(gateway, upstream).await;
+    let crashed = check_crash(gateway, upstream).await == Some(true);
     let unchecked = locked(&gateway.unchecked_runs).remove(&upstream.id);
     let runs = unchecked.map_or_else(Vec::new, |unchecked| unchecked.runs);
     let requests: Vec<Fingerprint> = runs.iter().map(|run| run.content.fingerprint).collect();
@@ -348,8 +348,8 @@
 
 /// Whether a response that has ended is complete, as far as can be known, and thus answers its
 /// request. A close-delimited one is not if the upstream refuses a new connection now, as one that
-/// has crashed. An upstream that is exiting may still accept it, so the request only counts as
-/// answered once the new connection has stayed open for a while.
+/// has crashed, unless it is known to run. An upstream that is exiting may still accept it, so the
+/// request only counts as answered once the new connection has stayed open for a while.
 pub async fn confirm_end(
     gateway: &Arc<Gateway>,
     upstream: &Incarnation,
@@ -382,7 +382,7 @@
             info!(target: "crashes",
                 "event=end_not_confirmed upstream={} request={} cause=\"{cause}\"",
                 upstream.id, run.content.fingerprint);
-            cause != RefusalCause::Crash
+            cause == RefusalCause::Links
         }
         Err(_) => true,
     }
@@ -398,12 +398,13 @@
     closed: JoinHandle<()>,
 ) {
     let is_closed = timeout(EXIT_TIMEOUT, closed).await.is_ok();
-    if is_closed && has_crashed(&gateway, &upstream).await {
+    let crash = if is_closed { check_crash(&gateway, &upstream).await } else { Some(false) };
+    if crash == Some(true) {
         info!(target: "crashes", "event=upstream_broke_off upstream={} crashed=true requests={}",
             upstream.id, run.content.fingerprint);
         let parts = record_crash(&gateway, &upstream, &[run]);
         report_parts(&gateway, parts).await;
-    } else {
+    } else if crash == Some(false) {
         record_answered(&gateway, &run, end.status);
     }
 }
@@ -450,10 +451,18 @@
     }
 }
 
-/// Whether nothing listens at the upstream's address any more.
-async fn has_crashed(gateway: &Arc<Gateway>, upstream: &Incarnation) -> bool {
-    let Some(address) = gateway.state().upstreams.address(&upstream.id) else { return false };
-    is_closed(address).await && refusal_cause(gateway, upstream).await == RefusalCause::Crash
+/// Whether an upstream has crashed, so that nothing listens at its address any more; `None` if that is
+/// not known.
+async fn check_crash(gateway: &Arc<Gateway>, upstream: &Incarnation) -> Option<bool> {
+    let Some(address) = gateway.state().upstreams.address(&upstream.id) else { return Some(false) };
+    if !is_closed(address).await {
+        return Some(false);
+    }
+    match refusal_cause(gateway, upstream).await {
+        RefusalCause::Crash => Some(true),
+        RefusalCause::Links => Some(false),
+        RefusalCause::Unknown => None,
+    }
 }
 
 /// Why an upstream refuses a connection of this box. It has not crashed if a peer reaches it, or if
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -6,14 +6,17 @@
 
 use std::time::Duration;
 
-use common::{GatewayFixture, start_fixture, wait_for_log};
+use common::{GatewayFixture, start_fixture, wait_for_log, wait_ready};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server, events_text};
-use coursestile_standins::site::service_entry;
+use coursestile_standins::site::{Site, config_document, eventually, service_entry};
 use rstest::rstest;
 use serde_json::json;
 
+/// Time in which boxes that have started hear from each other.
+const ACQUAINTANCE_TIME: Duration = Duration::from_millis(700);
+
 /// Fixture in which every upstream handles its first request in this way.
 async fn start_fixture_with(servers: usize, sent: Sent, end: ConnectionEnd) -> GatewayFixture {
     let fixture = start_fixture(servers).await;
@@ -149,6 +152,54 @@
     assert_eq!(answer.complete.then(|| answer.status()), status);
 }
 
+/// All upstreams of a hall crashed at the same moment. No box reached another one there, so that each
+/// took its own links for cut, and what it had received for complete.
+#[rstest]
+#[case::boxes_of_the_hall("north")]
+#[case::boxes_of_another_hall("east")]
+#[tokio::test]
+async fn hall_crash_taken_for_end(#[case] box_hall: &str) {
+    let mut site = Site::start().await;
+    let mut servers = Vec::new();
+    for (number, hall) in ["north", "north", "north", "south", "south"].into_iter().enumerate() {
+        let server = Server::start(&format!("s-{number}")).await;
+        let mut entry = service_entry("plain", &server.address, "ready");
+        entry["zone"] = json!(hall);
+        site.register(&server.id, &entry);
+        server
+            .script(&vec![Behavior::CloseDelimited(Sent::Events(2), ConnectionEnd::CloseLater); 6]);
+        servers.push(server);
+    }
+    site.configure(&config_document(7));
+    let first = site.gateway(box_hall, &[]);
+    let boxes = [site.gateway(box_hall, &[&first]), first];
+    for gateway in &boxes {
+        wait_ready(gateway).await;
+    }
+    tokio::time::sleep(ACQUAINTANCE_TIME).await;
+    let mut clients = Vec::new();
+    for number in 0..6 {
+        let (id, gateway) = (format!("r-{number}"), &boxes[number % 2]);
+        let mut client = Client::connect(&gateway.clients).await;
+        client.write(&request("POST", "/stream/", &id, "", "")).await;
+        let begun = format!("event=begun request={id} ");
+        eventually("the stream runs", async || gateway.log_text().contains(&begun)).await;
+        clients.push((id, client));
+    }
+    for server in &servers[..3] {
+        server.crash();
+    }
+    let mut broken = 0;
+    for (id, mut client) in clients {
+        if servers[..3].iter().any(|server| server.has_received(&id)) {
+            broken += 1;
+            let answer = client.read().await;
+            assert!(answer.is_none_or(|answer| !answer.complete), "{id} looks complete");
+        }
+    }
+    assert!(broken > 0, "no stream ran in the hall");
+}
+
 /// After a crash, what may run again does so.
 #[rstest]
 #[case("/safe/", Sent::Half, "answer to r-1: ".to_owned())]
