Gateway: any box stores a version of software that no leader has stored

On stand-ins, a stream that began at a version which appeared while no box led was resumed at another version, with status 200, after all boxes had been killed and the version had gone.

Cause: only the leader adds versions to the metadata store. After all boxes are killed there is no leader for the rest of the old lease, and boxes that start later take the one stored version for the only one that was ever there: what nobody has written counts as what was not there.

Only the leader removes versions.

--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -1,10 +1,11 @@
 //! Which versions of software may have begun streams that clients still resume.
 //!
 //! A client that resumes a stream may not say which request began it, and the boxes that knew where it
-//! began may all be gone. It can still be resumed if one version only may have begun it: the leader
-//! keeps the versions of each service in the metadata store, where boxes find them that have just
-//! started. A version is added when its first upstream is listed, and removed when none has been for as
-//! long as streams last.
+//! began may all be gone. It can still be resumed if one version only may have begun it: the boxes
+//! keep the versions of each service in the metadata store, where boxes find them that have just
+//! started. A version is added when its first upstream is listed, by the leader or, if it has not done
+//! so soon, by any box: while there is no leader, a version may begin streams and go. The leader removes
+//! a version when no upstream has been listed with it for as long as streams last.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -14,6 +15,15 @@
 /// Versions of the software of services, all by their short ids, as stored.
 pub type StoredVersions = BTreeMap<u32, BTreeSet<u32>>;
 
+/// What a box may change of the stored versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoredChange {
+    /// Add versions.
+    Add,
+    /// Add versions, and remove those that are gone.
+    AddAndRemove,
+}
+
 /// What a box knows of the versions that upstreams have had.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
@@ -65,18 +75,20 @@
         versions.all(|version| version == first).then_some(first)
     }
 
-    /// The versions that the metadata store should have, if it has to change. `listed` are services
-    /// and versions of all upstreams now. A version is only removed once this box has known all
+    /// The versions that the metadata store should have, if this box has to change it. `listed` are
+    /// services and versions of all upstreams now. A version is only removed once this box has known all
     /// upstreams for as long as streams last.
     #[must_use]
     pub fn next_stored(
         &self,
         now_ms: u64,
+        change: StoredChange,
         listed: impl Iterator<Item = (u32, u32)>,
     ) -> Option<StoredVersions> {
         let covers =
             self.complete_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MAX_STREAM_MS);
-        let mut next = if covers { StoredVersions::new() } else { self.stored.clone() };
+        let may_remove = change == StoredChange::AddAndRemove && covers;
+        let mut next = if may_remove { StoredVersions::new() } else { self.stored.clone() };
         for (service, software) in listed.chain(self.recently_gone(now_ms)) {
             next.entry(service).or_default().insert(software);
         }
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -19,7 +19,7 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
 use crate::gateway::decisions::rate_limit::RateLimit;
-use crate::gateway::decisions::software_history::{SoftwareHistory, StoredVersions};
+use crate::gateway::decisions::software_history::{SoftwareHistory, StoredChange, StoredVersions};
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
 use crate::names::short_id;
 
@@ -494,12 +494,16 @@
         self.software_history.only_version(now_ms, short_id(service), listed)
     }
 
-    /// The versions that the metadata store should have, if they have to change.
+    /// The versions that the metadata store should have, if this box has to change them.
     #[must_use]
-    pub fn next_stored_versions(&self, now_ms: u64) -> Option<StoredVersions> {
+    pub fn next_stored_versions(
+        &self,
+        now_ms: u64,
+        change: StoredChange,
+    ) -> Option<StoredVersions> {
         let listed =
             self.iter().map(|upstream| (short_id(&upstream.entry.service), upstream.software));
-        self.software_history.next_stored(now_ms, listed)
+        self.software_history.next_stored(now_ms, change, listed)
     }
 
     /// Takes over the versions that the metadata store has.
--- a/tests/gateway_origins.rs
+++ b/tests/gateway_origins.rs
@@ -4,7 +4,9 @@
 
 use coursestile::gateway::decisions::gossip_message::Gossip;
 use coursestile::gateway::decisions::peers::{LocalBox, Peers};
-use coursestile::gateway::decisions::software_history::{SoftwareHistory, StoredVersions};
+use coursestile::gateway::decisions::software_history::{
+    SoftwareHistory, StoredChange, StoredVersions,
+};
 use coursestile::gateway::decisions::stream_origins::{StreamId, StreamOrigin, StreamOrigins};
 use coursestile::gateway::decisions::view::ViewDigest;
 use coursestile::names::short_id;
@@ -197,10 +199,10 @@
 #[test]
 fn added_at_once() {
     let listed = [(SERVICE, 7), (SERVICE, 8), (2, 7)];
-    let next = history(&[7]).next_stored(0, listed.into_iter()).unwrap();
+    let next = history(&[7]).next_stored(0, StoredChange::Add, listed.into_iter()).unwrap();
     assert_eq!(next[&SERVICE], [7, 8].into());
     assert_eq!(next[&2], [7].into());
-    assert_eq!(history(&[7]).next_stored(0, [(SERVICE, 7)].into_iter()), None);
+    assert_eq!(history(&[7]).next_stored(0, StoredChange::Add, [(SERVICE, 7)].into_iter()), None);
 }
 
 /// A box that has just started does not know what others have seen.
@@ -208,10 +210,12 @@
 fn removed_late() {
     let mut history = history(&[7, 8]);
     let next = |history: &SoftwareHistory, now_ms: u64| {
-        history.next_stored(now_ms, [(SERVICE, 8)].into_iter())
+        history.next_stored(now_ms, StoredChange::AddAndRemove, [(SERVICE, 8)].into_iter())
     };
     assert_eq!(next(&history, 29_999), None);
     assert_eq!(next(&history, 30_000), Some(stored(&[8])));
+    let added = history.next_stored(30_000, StoredChange::Add, [(SERVICE, 8)].into_iter());
+    assert_eq!(added, None, "only the leader removes versions");
     history.record_gone(20_000, SERVICE, 7);
     assert_eq!(next(&history, 30_000), None);
     assert_eq!(next(&history, 50_000), Some(stored(&[8])));
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -17,6 +17,9 @@
 /// Longest time for a refusal that waits for nobody.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
+/// Time within which a box writes a version that no leader has written.
+const WRITTEN_WITHIN: Duration = Duration::from_secs(1);
+
 /// Boxes in front of upstreams with versions of software.
 struct Fleet {
     gateways: Vec<Gateway>,
@@ -218,6 +221,31 @@
     assert_eq!((status, events.len()), (503, 0));
 }
 
+/// No box led when a version appeared, as after all boxes were killed. The store never had it, and a
+/// stream that it began went on at the only version that was left.
+#[tokio::test]
+async fn version_without_leader() {
+    let fleet = Fleet::start(&["north", "north"]).await;
+    let old = fleet.upstream("s-0", "v1").await;
+    fleet.wait_versions_written(1).await;
+    fleet.kill([0, 1]);
+    // The lease belongs to nobody that runs.
+    fleet.site.metadata.put("coursestile/lease/leader", b"gone", 0);
+    fleet.restart([0, 1]).await;
+    let new = fleet.upstream("s-1", "v2").await;
+    old.script(&vec![Behavior::NotRun; 20]);
+    let _stream = fleet.begin(&new).await;
+    tokio::time::sleep(WRITTEN_WITHIN).await;
+    fleet.kill([0, 1]);
+    fleet.site.deregister("s-1");
+    old.clear_script();
+    fleet.restart([0, 1]).await;
+    for resumed in 0..5 {
+        let (status, events, _) = fleet.resume(resumed % 2, &format!("r-2{resumed}")).await;
+        assert_eq!((status, events.len()), (503, 0));
+    }
+}
+
 /// A box that has just started asks also those from which it has heard nothing.
 #[tokio::test]
 async fn box_added() {
