Gateway: a stale listing no longer hides a version of software

What callers saw: after all boxes of a large fleet were killed during a roll-out, streams that they resumed were joined from two versions, with status 200.

Cause: first listings are stale reads. A box relies on the stored versions once it has been in step with the store or, until now, if it does not follow the store; such a box has only its own stale listing or that of a peer. Besides, a stale listing replaced the result of a newer read.

Why it works: each box reads the item itself, up to date, before it takes a version for the only one, and never goes back to an older state. It costs one read for a box that does not follow the store, and only once a client resumes a stream of unknown origin.

--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -33,6 +33,8 @@
     gone_at_ms: HashMap<(u32, u32), u64>,
     /// Versions that the metadata store has.
     stored: StoredVersions,
+    /// Revision of their item.
+    stored_revision: u64,
 }
 
 impl SoftwareHistory {
@@ -54,9 +56,13 @@
         self.gone_at_ms.insert((service, software), now_ms);
     }
 
-    /// Takes over what the metadata store has.
-    pub fn set_stored(&mut self, stored: StoredVersions) {
-        self.stored = stored;
+    /// Takes over what the metadata store had at a revision. A stale listing may show an older one than
+    /// this box knows.
+    pub fn set_stored(&mut self, revision: u64, stored: StoredVersions) {
+        if revision >= self.stored_revision {
+            self.stored = stored;
+            self.stored_revision = revision;
+        }
     }
 
     /// The version that began all streams of a service that may be resumed, if it is the only one.
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -506,9 +506,9 @@
         self.software_history.next_stored(now_ms, change, listed)
     }
 
-    /// Takes over the versions that the metadata store has.
-    pub fn set_stored_versions(&mut self, stored: StoredVersions) {
-        self.software_history.set_stored(stored);
+    /// Takes over the versions that the metadata store had at a revision.
+    pub fn set_stored_versions(&mut self, revision: u64, stored: StoredVersions) {
+        self.software_history.set_stored(revision, stored);
     }
 
     /// Records that all upstreams are known now.
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -500,7 +500,10 @@
             (KeyKind::QuarantinedParts, Some(value)) => {
                 quarantine::restore_parts(gateway, state, now_ms, value);
             }
-            (KeyKind::Software, Some(value)) => stored_versions::apply(state, value),
+            (KeyKind::Software, Some(value)) => {
+                let revision = state.view.get(key).map_or(0, |item| item.revision);
+                stored_versions::apply(state, revision, value);
+            }
             (
                 KeyKind::Members
                 | KeyKind::Quarantine
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -76,31 +76,29 @@
     Ok(())
 }
 
-/// Whether this box knows the versions that the metadata store has had since its start. A listing may
-/// be older than that; the versions are then read once, in one call for all requests that wait.
+/// Whether this box knows the versions that the metadata store has had since its start. A listing, its
+/// own or a peer's, may be older than that; the versions are then read once, in one call for all
+/// requests that wait.
 pub async fn confirm(gateway: &Gateway) -> bool {
     let mut is_read = gateway.versions_read.lock().await;
-    let is_confirmed = {
-        let state = gateway.state();
-        state.view.synced_at_ms().is_some() || !state.follows_metadata
-    };
-    if *is_read || is_confirmed {
+    let is_synced = gateway.state().view.synced_at_ms().is_some();
+    if *is_read || is_synced {
         return true;
     }
     let key = keys::software();
     let reading = gateway.metadata.list_page(&key, None, Freshness::Latest);
     let Ok(Ok(page)) = timeout(CONFIRM_TIMEOUT, reading).await else { return false };
     for item in page.items.iter().filter(|item| item.key == key) {
-        apply(&mut gateway.state(), &item.value);
+        apply(&mut gateway.state(), item.revision, &item.value);
     }
     *is_read = true;
     true
 }
 
-/// Applies the versions that the metadata store has.
-pub fn apply(state: &mut State, value: &[u8]) {
+/// Applies the versions that the metadata store had at a revision.
+pub fn apply(state: &mut State, revision: u64, value: &[u8]) {
     match postcard::from_bytes::<StoredVersions>(value) {
-        Ok(stored) => state.upstreams.set_stored_versions(stored),
+        Ok(stored) => state.upstreams.set_stored_versions(revision, stored),
         Err(error) => warn!(target: "versions", "event=versions_unreadable cause=\"{error}\""),
     }
 }
--- a/standins/src/site/metadata/calls.rs
+++ b/standins/src/site/metadata/calls.rs
@@ -81,6 +81,9 @@
     path_prefix: String,
     #[serde(default)]
     after: String,
+    /// Whether the answer may be old.
+    #[serde(default)]
+    stale: u8,
 }
 
 #[handler]
@@ -90,14 +93,15 @@
     }
     let mut tables = shared.tables();
     *tables.pages.entry(query.path_prefix.clone()).or_default() += 1;
-    let mut items = tables
-        .items
-        .iter()
-        .filter(|(key, _)| key.starts_with(&query.path_prefix) && **key > query.after);
+    let newest = (tables.rev, &tables.items);
+    let held = tables.stale.as_ref().filter(|_| query.stale == 1);
+    let (at, items) = held.map_or(newest, |(rev, items)| (*rev, items));
+    let mut items =
+        items.iter().filter(|(key, _)| key.starts_with(&query.path_prefix) && **key > query.after);
     let page: Vec<Value> =
         items.by_ref().take(PAGE_ITEMS).map(|(key, item)| item_body(key, item)).collect();
     let more = items.next().is_some();
-    Json(json!({ "items": page, "more": more, "at": tables.rev })).into_response()
+    Json(json!({ "items": page, "more": more, "at": at })).into_response()
 }
 
 #[derive(Deserialize)]
--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -47,6 +47,8 @@
 struct Tables {
     rev: u64,
     items: BTreeMap<String, Item>,
+    /// Revision and items that stale reads get, if not the newest ones.
+    stale: Option<(u64, BTreeMap<String, Item>)>,
     history: VecDeque<(u64, String, Option<Item>)>,
     compacted_rev: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
@@ -198,6 +200,12 @@
         self.shared.notify_watches();
     }
 
+    /// Answers stale reads with what there is now, also later.
+    pub fn hold_stale_reads(&self) {
+        let mut tables = self.shared.tables();
+        tables.stale = Some((tables.rev, tables.items.clone()));
+    }
+
     /// Discards the history of changes; watches from before it get 410 (Gone).
     pub fn compact(&self) {
         let mut tables = self.shared.tables();
--- a/tests/gateway_origins.rs
+++ b/tests/gateway_origins.rs
@@ -172,7 +172,7 @@
 fn history(versions: &[u32]) -> SoftwareHistory {
     let mut history = SoftwareHistory::default();
     history.record_complete(0);
-    history.set_stored(stored(versions));
+    history.set_stored(1, stored(versions));
     history
 }
 
@@ -196,6 +196,16 @@
     assert_eq!(history.only_version(100, 2, [8].into_iter()), None, "of no other service");
 }
 
+/// A stale listing, applied after a newer read, hid a version.
+#[test]
+fn stale_stored() {
+    let mut history = history(&[7, 8]);
+    history.set_stored(0, stored(&[7]));
+    assert_eq!(history.only_version(0, SERVICE, [7].into_iter()), None);
+    history.set_stored(2, stored(&[7]));
+    assert_eq!(history.only_version(0, SERVICE, [7].into_iter()), Some(7));
+}
+
 #[test]
 fn added_at_once() {
     let listed = [(SERVICE, 7), (SERVICE, 8), (2, 7)];
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -11,6 +11,7 @@
 use coursestile_standins::site::metadata::StoreFault;
 use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server};
 use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
+use futures_util::future::join_all;
 use rstest::rstest;
 use serde_json::json;
 
@@ -20,6 +21,9 @@
 /// Time within which a box writes a version that no leader has written.
 const WRITTEN_WITHIN: Duration = Duration::from_secs(1);
 
+/// Time within which boxes that have started know what the metadata store has.
+const CATCH_UP_TIME: Duration = Duration::from_secs(3);
+
 /// Boxes in front of upstreams with versions of software.
 struct Fleet {
     gateways: Vec<Gateway>,
@@ -221,6 +225,42 @@
     assert_eq!((status, events.len()), (503, 0));
 }
 
+/// All boxes of a fleet in which few follow the metadata store were killed. The others had listed an old
+/// state of it, in which there was one version.
+#[tokio::test]
+async fn version_not_listed() {
+    let fleet = Fleet::start(&["north"; 16]).await;
+    let old = fleet.upstream("s-0", "v1").await;
+    fleet.wait_versions_written(1).await;
+    fleet.site.metadata.hold_stale_reads();
+    let new = fleet.upstream("s-1", "v2").await;
+    fleet.wait_versions_written(2).await;
+    old.script(&vec![Behavior::NotRun; 20]);
+    let _stream = fleet.begin(&new).await;
+    fleet.kill(0..16);
+    old.clear_script();
+    for gateway in &fleet.gateways {
+        eventually("exited", async || !gateway.is_alive()).await;
+    }
+    for gateway in &fleet.gateways {
+        gateway.restart_if_exited();
+    }
+    let until = Instant::now() + CATCH_UP_TIME;
+    let resume_often = async |index: usize| {
+        while Instant::now() < until {
+            let (id, headers) =
+                (format!("r-{index}-{}", fastrand::u32(..)), resume_headers("r-1", 2));
+            let address = &fleet.gateways[index].clients;
+            if let Ok(resumed) = EventStream::request(address, "/resume/x", &id, &headers).await {
+                let (status, events) = resumed.read_all().await;
+                assert!(status != 200 || versions(&events) == ["v2"], "box {index}: {events:?}");
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    join_all((0..16).map(resume_often)).await;
+}
+
 /// No box led when a version appeared, as after all boxes were killed. The store never had it, and a
 /// stream that it began went on at the only version that was left.
 #[tokio::test]
