Gateway: a length beside chunks is not forwarded

An answer was cut short at a length that its upstream named beside its chunks, and what was left of it stood in the place of the next answer; a buffered one closed the connection.

Cause: the box reads the chunks, which override the length (RFC 9112, section 6.3), but forwarded the length with the other headers.

Why it works: the length is no longer forwarded, so that the box frames the body as any other that came in chunks.

--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -208,7 +208,8 @@
 }
 
 /// The headers that are forwarded: all except those that apply to a single connection, which
-/// are [`HOP_BY_HOP`] and those that the `Connection` header lists.
+/// are [`HOP_BY_HOP`] and those that the `Connection` header lists, and a length that is overridden by
+/// a transfer encoding (RFC 9112, section 6.3).
 pub fn end_to_end_headers(head: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     let connection_headers: Vec<String> = head
         .get_all(header::CONNECTION)
@@ -217,8 +218,10 @@
         .flat_map(|value| value.split(','))
         .map(|name| name.trim().to_ascii_lowercase())
         .collect();
+    let is_length_overridden = head.contains_key(header::TRANSFER_ENCODING);
     head.iter().filter(move |(name, _)| {
         !HOP_BY_HOP.contains(name)
+            && (!is_length_overridden || *name != header::CONTENT_LENGTH)
             && !connection_headers.iter().any(|listed| listed == name.as_str())
     })
 }
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -74,6 +74,8 @@
     DuplicateAnswer,
     /// Answers with neither a length nor chunks, and ends the connection.
     CloseDelimited(Sent, ConnectionEnd),
+    /// Answers in chunks, and names this length as well.
+    ChunkedWithLength(usize),
     /// Answers with a body of this many bytes.
     LargeBody(usize),
     /// Closes the connection halfway through a body of this many bytes.
@@ -639,9 +641,7 @@
             let retry_after = format!("Retry-After: {}\r\n", time.as_secs_f64());
             head(503, id, &format!("X-Not-Executed: 1\r\n{retry_after}Content-Length: 0\r\n\r\n"))
         }
-        Behavior::Leaving => {
-            format!("{}{body}", head(200, id, &format!("Server-Leaving: 1\r\n{sealed}")))
-        }
+        Behavior::Leaving => head(200, id, &format!("Server-Leaving: 1\r\n{sealed}{body}")),
         Behavior::OtherIncarnation => {
             head(421, id, "X-Instance-Id: another\r\nContent-Length: 0\r\n\r\n")
         }
@@ -663,6 +663,7 @@
             end_connection(write, *end, shared).await;
             return None;
         }
+        Behavior::ChunkedWithLength(named) => head(200, id, &chunks_with_length(id, *named, &body)),
         Behavior::LargeBody(length) | Behavior::TruncatedLargeBody(length) => {
             let sealed = format!("X-Server-Seal: seal-{id}\r\nContent-Length: {length}\r\n\r\n");
             let cut = matches!(behavior, Behavior::TruncatedLargeBody(_));
@@ -712,6 +713,15 @@
     write.write_all(text.as_bytes()).await.ok()
 }
 
+/// The rest of the head and the body of an answer in chunks that names a length as well.
+fn chunks_with_length(id: &str, length: usize, body: &str) -> String {
+    format!(
+        "X-Server-Seal: seal-{id}\r\nContent-Length: {length}\r\nTransfer-Encoding: chunked\r\n\r\n\
+         {:x}\r\n{body}\r\n0\r\n\r\n",
+        body.len()
+    )
+}
+
 /// The part of a body that is sent.
 fn sent_part(sent: Sent, mut body: String) -> String {
     match sent {
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -127,6 +127,25 @@
     assert!(answer.is_none_or(|answer| !answer.complete));
 }
 
+/// A length that an upstream named beside its chunks was forwarded, so that the client took a part of the
+/// body for the whole, and the rest for its next answer.
+#[rstest]
+#[tokio::test]
+async fn length_beside_chunks(
+    #[values("/safe/", "/once/", "/stream/", "/resume/")] path: &str,
+    #[values(5, 5000)] named: usize,
+) {
+    let fixture = start_fixture(1).await;
+    fixture.servers[0].script(&[Behavior::ChunkedWithLength(named)]);
+    let mut client = Client::connect(&fixture.gateway.clients).await;
+    let first = client.send(&request("POST", path, "r-1", "", "")).await.expect("an answer");
+    assert!(is_success(&first));
+    let whole = if path.len() > 6 { events_text("r-1", 0) } else { "answer to r-1: ".to_owned() };
+    assert_eq!(first.text(), whole);
+    let second = client.send(&request("POST", path, "r-2", "", "")).await.expect("an answer");
+    assert_eq!(second.header("x-request-id"), Some("r-2"));
+}
+
 /// A client of HTTP/1.0 takes no chunks; a break resets its connection.
 #[rstest]
 #[case(Sent::Half, false)]
