Gateway: the planned end of an upstream no longer completes a stream

Cause: the end of such an answer was not checked where the upstream leaves or is no longer listed, since one that ends right after its last answer refuses connections as well. Not known counted as complete.

Why it works: the upstream is asked for a new connection at the address that the request was sent to. If it refuses, what may run again does so, which is safe in both cases: a whole stream goes on after its last event, and ends. What may run only once is forwarded as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -171,7 +171,7 @@
     let Some(address) = gateway.state().upstreams.incarnation_address(&choice.upstream) else {
         return AttemptOutcome::NotSent { cause: "the upstream is no longer listed".to_owned() };
     };
-    let Some(mut in_flight) = InFlight::begin(gateway, choice) else {
+    let Some(mut in_flight) = InFlight::begin(gateway, choice, address) else {
         return AttemptOutcome::NotSent { cause: "no permit within its rate limit".to_owned() };
     };
     let deadline = instant_at(outgoing.deadline_ms);
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -29,6 +29,7 @@
 use crate::gateway::attempt::OutgoingRequest;
 use crate::gateway::decisions::gossip_message::{AbortsReport, PartReports};
 use crate::gateway::decisions::incarnation::Incarnation;
+use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::heads::Framing;
 use crate::gateway::in_flight::InFlight;
@@ -57,6 +58,9 @@
     ended_at_ms: u64,
     /// Time for which its answer had been written.
     written_ms: u64,
+    /// Address that it was sent to.
+    address: SocketAddr,
+    may_run_again: bool,
     /// Keeps other trials from running until it is known whether the upstream has crashed.
     _trial: Option<Arc<HeldTrial>>,
 }
@@ -70,6 +74,8 @@
             sent_at_ms: in_flight.begun_at_ms(),
             ended_at_ms: now_ms(),
             written_ms: in_flight.written_ms(),
+            address: in_flight.address,
+            may_run_again: request.retry_policy.may_retry(),
             _trial: request.trial.clone(),
         }
     }
@@ -360,23 +366,24 @@
         record_answered(gateway, &run, end.status);
         return true;
     }
-    let address = {
-        let state = gateway.state();
-        let listed = state.upstreams.get_incarnation(upstream);
-        listed.filter(|upstream| !upstream.is_leaving()).map(|upstream| upstream.entry.address)
-    };
-    let Some(address) = address else {
-        // An upstream that leaves after its last response refuses connections, too, so that nobody
-        // can tell whether it has crashed.
-        return true;
-    };
-    match gateway.connections.open(address).await {
+    let is_departing =
+        gateway.state().upstreams.get_incarnation(upstream).is_none_or(Upstream::is_leaving);
+    match gateway.connections.open(run.address).await {
+        Ok(_) if is_departing => true,
         Ok((connection, closed)) => {
             gateway.connections.add_idle(&upstream.id, connection);
             let (gateway, upstream) = (gateway.clone(), upstream.clone());
             tokio::spawn(record_unless_crashed(gateway, upstream, run, end, closed));
             true
         }
+        // An upstream that leaves after its last response refuses connections, too, so that nobody can
+        // tell whether it was cut off. What may run again does so.
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused && is_departing => {
+            info!(target: "crashes",
+                "event=end_not_confirmed upstream={} request={} cause=\"it leaves\"",
+                upstream.id, run.content.fingerprint);
+            !run.may_run_again
+        }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
             let cause = refusal_cause(gateway, upstream).await;
             info!(target: "crashes",
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -2,6 +2,7 @@
 //! of the upstream and of the stores that context is fetched from.
 
 use std::future::pending;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -39,6 +40,8 @@
 pub struct InFlight {
     pub(super) gateway: Arc<Gateway>,
     pub upstream: Incarnation,
+    /// Address that the request was sent to.
+    pub address: SocketAddr,
     pending_prefill_tokens: u32,
     memory_tokens: u32,
     /// Fetches from stores, by the names of the stores, until the prefill ends.
@@ -64,7 +67,7 @@
     /// Begins to account for a request. `None` if the upstream has a rate limit and this box has no
     /// permit: this is the only way to it.
     #[must_use]
-    pub fn begin(gateway: &Arc<Gateway>, choice: &Choice) -> Option<Self> {
+    pub fn begin(gateway: &Arc<Gateway>, choice: &Choice, address: SocketAddr) -> Option<Self> {
         let context = choice.context.as_ref();
         let pending_prefill_tokens = context.map_or(0, |plan| plan.prefill_tokens);
         let planned_fetches = context.map(ContextPlan::store_fetches).unwrap_or_default();
@@ -101,6 +104,7 @@
         Some(Self {
             gateway: gateway.clone(),
             upstream: choice.upstream.clone(),
+            address,
             pending_prefill_tokens,
             memory_tokens: choice.memory_tokens,
             fetches,
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -245,6 +245,27 @@
     assert_eq!((answer.status(), answer.text().as_str()), (200, "answer to r-1: "));
 }
 
+/// The end of an upstream that was about to leave cut its answer off, which counted as complete. A whole
+/// one is not affected.
+#[rstest]
+#[case::body("/safe/", Sent::Half)]
+#[case::stream("/resume/", Sent::Events(2))]
+#[case::whole_stream("/resume/", Sent::Whole)]
+#[tokio::test]
+async fn cut_off_by_departure(#[case] path: &str, #[case] sent: Sent) {
+    let fixture = start_pair_with(sent, ConnectionEnd::Crash).await;
+    let mut client = Client::connect(&fixture.gateway.clients).await;
+    client.write(&request("POST", path, "r-1", "X-Work-Ms: 800\r\n", "")).await;
+    wait_for_log(&fixture, "event=routed request=r-1").await;
+    let entry = service_entry("plain", &fixture.servers[0].address, "draining");
+    fixture.site.register(&fixture.servers[0].id, &entry);
+    wait_for_log(&fixture, "leaving=true").await;
+    let answer = client.read().await.expect("an answer");
+    let whole = if path == "/safe/" { "answer to r-1: ".to_owned() } else { events_text("r-1", 0) };
+    assert!(is_success(&answer));
+    assert_eq!(answer.text(), whole);
+}
+
 /// A request that crashes upstreams in the middle of such an answer was recorded as answered, and
 /// crashed one upstream after the other.
 #[rstest]
--- a/tests/gateway_reach.rs
+++ b/tests/gateway_reach.rs
@@ -148,8 +148,10 @@
 #[case::upstream_late(false)]
 fn cut_held_against_upstream(#[case] is_cut: bool) {
     let (gateway, choice) = gateway_with_engine();
+    let upstream_address = gateway.state().upstreams.address("e-0").expect("an engine");
     let before = gateway.state().admission_limits.limit_of("llm");
-    let mut in_flight = InFlight::begin(&gateway, &choice).expect("no rate limit");
+    let mut in_flight =
+        InFlight::begin(&gateway, &choice, upstream_address).expect("no rate limit");
     in_flight.record_connected(Path::Direct);
     if is_cut {
         gateway.state().upstreams.get_mut("e-0").unwrap().record_tunnel();
