Soak: shared crashes, close-delimited streams and stale reads

The versions scenario drew upstreams that crash one at a time, whose streams all came in chunks, and a metadata store whose stale reads were never old. Now half of the upstreams write streams that end with their connections, all of them crash together at times, and stale reads get old states. A stream that looks complete to its client before its last event is a violation.

--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -1,5 +1,6 @@
 //! Upstreams of several software versions, replaced one by one, and clients that resume their streams at
-//! other boxes.
+//! other boxes. Half of the upstreams write answers that end with their connections. All of them crash
+//! together at times, and the metadata store answers stale reads with old states.
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -32,6 +33,12 @@
 const REPLACE_INTERVAL_MS: std::ops::Range<u64> = 50..900;
 /// One upstream in this many crashes instead of leaving.
 const CRASH_ONE_IN: u32 = 4;
+/// Before one replacement in this many, all upstreams crash together.
+const ALL_CRASH_ONE_IN: u32 = 12;
+/// Before one replacement in this many, stale reads of the metadata store get its state of then, also later.
+const STALE_ONE_IN: u32 = 4;
+/// Distinguishes the random numbers of these faults from those of the replacements.
+const SHARED_FAULT_SEED_MASK: u64 = 0x3c1d_77a9;
 /// Time from the announcement of an upstream that it leaves to its end.
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 /// Pause before each event of a stream.
@@ -71,6 +78,8 @@
     sent_at: Instant,
     ended_at: Instant,
     events: Events,
+    /// Whether it succeeded and looks complete to the client.
+    looks_complete: bool,
 }
 
 /// A stream over all tries of its client.
@@ -111,7 +120,11 @@
         let number = self.upstreams().len();
         let server = Server::start(&format!("rolling-{number}")).await;
         server.set_software(version);
-        server.slow_streams(EVENT_PAUSE);
+        if number.is_multiple_of(2) {
+            server.slow_streams(EVENT_PAUSE);
+        } else {
+            server.slow_close_delimited_streams(EVENT_PAUSE);
+        }
         site.register(&server.id, &entry(&server, version, "ready"));
         let from = Instant::now();
         self.upstreams().push(RollingUpstream { server, version, from, until: None });
@@ -134,6 +147,19 @@
         Some(number)
     }
 
+    /// Has all upstreams crash that take requests; returns their numbers.
+    fn crash_all(&self) -> Vec<usize> {
+        let mut crashed = Vec::new();
+        for (number, upstream) in self.upstreams().iter_mut().enumerate() {
+            if upstream.until.is_none() {
+                upstream.until = Some(Instant::now());
+                upstream.server.crash();
+                crashed.push(number);
+            }
+        }
+        crashed
+    }
+
     fn remove(&self, site: &Site, number: usize) {
         let upstreams = self.upstreams();
         upstreams[number].server.crash();
@@ -178,23 +204,27 @@
 async fn roll_out(world: Arc<World>, stop: Arc<AtomicBool>, seed: u64) {
     let Some(rolling) = &world.rolling else { return };
     let mut rng = fastrand::Rng::with_seed(seed);
+    let mut fault_rng = fastrand::Rng::with_seed(seed ^ SHARED_FAULT_SEED_MASK);
     let mut replaced = 0;
     let mut removals = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         sleep(Duration::from_millis(rng.u64(REPLACE_INTERVAL_MS))).await;
         let version = VERSIONS[(1 + replaced / UPSTREAMS) % VERSIONS.len()];
         replaced += 1;
+        if fault_rng.u32(..STALE_ONE_IN) == 0 {
+            world.site.metadata.hold_stale_reads();
+        }
+        if fault_rng.u32(..ALL_CRASH_ONE_IN) == 0 {
+            for number in rolling.crash_all() {
+                removals.push(tokio::spawn(remove_later(world.clone(), number)));
+                rolling.start_upstream(&world.site, version).await;
+            }
+        }
         rolling.start_upstream(&world.site, version).await;
         let Some(number) = rolling.end_oldest(&world.site, rng.u32(..CRASH_ONE_IN) == 0) else {
             continue;
         };
-        let world = world.clone();
-        removals.push(tokio::spawn(async move {
-            sleep(LEAVE_TIME).await;
-            if let Some(rolling) = &world.rolling {
-                rolling.remove(&world.site, number);
-            }
-        }));
+        removals.push(tokio::spawn(remove_later(world.clone(), number)));
     }
     for removal in removals {
         // A panic in a removal is an error of the soak test itself.
@@ -202,6 +232,14 @@
     }
 }
 
+/// Removes an upstream once it has left.
+async fn remove_later(world: Arc<World>, number: usize) {
+    sleep(LEAVE_TIME).await;
+    if let Some(rolling) = &world.rolling {
+        rolling.remove(&world.site, number);
+    }
+}
+
 /// Begins streams and resumes them at random boxes until `stop` is set.
 async fn resume_streams(
     world: Arc<World>,
@@ -244,7 +282,7 @@
         None => String::new(),
     };
     let sent_at = Instant::now();
-    let mut events = Events::new();
+    let (mut events, mut looks_complete) = (Events::new(), false);
     let reading = async {
         let address = &world.boxes[box_number].process.clients;
         let Ok(mut stream) = EventStream::request(address, PATH, &id, &extra).await else { return };
@@ -253,6 +291,7 @@
             let read = stream.read_events(count).await;
             let has_ended = read.len() < count;
             events = read;
+            looks_complete = stream.status() == 200 && stream.looks_complete();
             if has_ended || events.len() >= leaves_after {
                 return;
             }
@@ -260,7 +299,7 @@
     };
     // What has arrived until then counts.
     let _ = timeout(TRY_TIMEOUT, reading).await;
-    Try { id, box_number, sent_at, ended_at: Instant::now(), events }
+    Try { id, box_number, sent_at, ended_at: Instant::now(), events, looks_complete }
 }
 
 impl StreamRecord {
@@ -297,6 +336,10 @@
                 violations
                     .push(format!("{}: events of several versions: {events:?}", ids.join(", ")));
             }
+            let complete = record.tries.iter().filter(|made| made.looks_complete).count();
+            if complete > usize::from(record.last_event() == EVENTS) {
+                violations.push(format!("{}: ended before the last event", ids.join(", ")));
+            }
             if !numbers(&events).into_iter().eq(1..=record.last_event()) {
                 violations.push(format!("{}: events {:?}", ids.join(", "), numbers(&events)));
             }
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -100,7 +100,9 @@
     assert_no_violations(Options { seed, seconds: 14, boxes: 4, scenario: Scenario::Words }).await;
 }
 
-// Guards against streams that go on at another version of software than the one that began them.
+// Guards against streams that go on at another version of software than the one that began them, and
+// against those that end as complete before their last event: with seed 2, the planned end of an upstream
+// cut streams off. Runs of these seeds have shared crashes and stale reads since.
 #[rstest]
 #[case::one(1)]
 #[case::two(2)]
--- a/standins/src/site/event_stream.rs
+++ b/standins/src/site/event_stream.rs
@@ -9,6 +9,8 @@
 pub struct EventStream {
     connection: TcpStream,
     text: String,
+    /// Whether the server has closed the connection, not reset it.
+    closed: bool,
 }
 
 /// Events of a response, by number and version.
@@ -28,7 +30,7 @@
     pub async fn send(address: &str, bytes: &[u8]) -> std::io::Result<Self> {
         let mut connection = TcpStream::connect(address).await?;
         connection.write_all(bytes).await?;
-        Ok(Self { connection, text: String::new() })
+        Ok(Self { connection, text: String::new(), closed: false })
     }
 
     /// Sends a request without a body to `path`, with additional headers.
@@ -73,7 +75,11 @@
     async fn read_more(&mut self) -> bool {
         let mut bytes = [0; 4096];
         match self.connection.read(&mut bytes).await {
-            Ok(0) | Err(_) => false,
+            Ok(0) => {
+                self.closed = true;
+                false
+            }
+            Err(_) => false,
             Ok(length) => {
                 self.text.push_str(&String::from_utf8_lossy(&bytes[..length]));
                 true
@@ -90,6 +96,15 @@
             || length.is_some_and(|length| self.text.len() >= head.len() + 4 + length)
     }
 
+    /// Whether the response looks complete to a client, which takes the close of the connection for the
+    /// end of one without a length or chunks.
+    #[must_use]
+    pub fn looks_complete(&self) -> bool {
+        let has_end =
+            ["content-length", "transfer-encoding"].map(|name| self.header(name).is_some());
+        self.is_complete() || self.closed && has_end == [false; 2]
+    }
+
     /// The complete events that have arrived.
     fn events(&self) -> Events {
         let parts = self.text.split("id: ").skip(1).filter(|part| part.contains("\n\n"));
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -96,6 +96,8 @@
     HeldEvents(u32),
     /// Sends all events, each after this time.
     SlowEvents(Duration),
+    /// As `SlowEvents`, with neither a length nor chunks.
+    SlowCloseDelimited(Duration),
 }
 
 /// How many requests an upstream takes, and how many it may reject.
@@ -255,6 +257,11 @@
         self.state().usual_stream = Some(Behavior::SlowEvents(pause));
     }
 
+    /// As `slow_streams`, with neither a length nor chunks.
+    pub fn slow_close_delimited_streams(&self, pause: Duration) {
+        self.state().usual_stream = Some(Behavior::SlowCloseDelimited(pause));
+    }
+
     /// Crashes now, together with all requests in progress.
     pub fn crash(&self) {
         mark_crashed(&self.state);
@@ -689,11 +696,11 @@
         }
         Behavior::SlowEvents(pause) => {
             write_head(write, request, &notices).await?;
-            for number in last_event(request) + 1..=EVENTS {
-                tokio::time::sleep(*pause).await;
-                write_events(write, request, number..=number, mark.as_bytes()).await?;
-            }
-            return write.write_all(b"0\r\n\r\n").await.ok();
+            return slow_events(write, request, *pause, mark.as_bytes()).await;
+        }
+        Behavior::SlowCloseDelimited(pause) => {
+            write.write_all(head(200, id, "X-Server-Seal: seal\r\n\r\n").as_bytes()).await.ok()?;
+            return slow_close_delimited(write, request, *pause, &mark).await;
         }
         Behavior::HeldEvents(count) if last_event(request) == 0 => {
             write_head(write, request, &notices).await?;
@@ -782,6 +789,37 @@
     Some(())
 }
 
+/// Writes the events that follow in chunks, each after a pause.
+async fn slow_events(
+    write: &mut OwnedWriteHalf,
+    request: &Message,
+    pause: Duration,
+    data: &[u8],
+) -> Option<()> {
+    for number in last_event(request) + 1..=EVENTS {
+        tokio::time::sleep(pause).await;
+        write_events(write, request, number..=number, data).await?;
+    }
+    write.write_all(b"0\r\n\r\n").await.ok()
+}
+
+/// Writes the events that follow without chunks, each after a pause; `None`, as the end of the connection
+/// ends them.
+async fn slow_close_delimited(
+    write: &mut OwnedWriteHalf,
+    request: &Message,
+    pause: Duration,
+    data: &str,
+) -> Option<()> {
+    let id = request.header("x-request-id").unwrap_or("-");
+    for number in last_event(request) + 1..=EVENTS {
+        tokio::time::sleep(pause).await;
+        let event = format!("id: {number}\ndata: {data} {number} of {id}\n\n");
+        write.write_all(event.as_bytes()).await.ok()?;
+    }
+    None
+}
+
 async fn stream_events(
     write: &mut OwnedWriteHalf,
     request: &Message,
