Stand-ins: a crashed upstream's port closes at once

Cause: in the stand-in, not in the gateway. Its listening socket is shared with each process that another test thread is just starting, until that process runs its program. Connections are shut down explicitly, but the port stayed open, so that the gateway's check was accepted. The boxes logged no refusal in the failed runs, which rules out the earlier guess, connections that close late.

Change: the listening socket is shut down before it is dropped.

--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -1,6 +1,7 @@
 //! An upstream with scripted behavior, which includes violations of the protocol.
 
 use std::collections::VecDeque;
+use std::net::Shutdown;
 use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -216,6 +217,8 @@
                 exit(&shared);
                 tokio::time::sleep(port_closes_after).await;
             }
+            // A process that another thread is just starting shares the socket until its program runs.
+            SockRef::from(&listener).shutdown(Shutdown::Both).expect("a listening socket");
             drop(listener);
             exit(&shared);
         });
--- a/tests/gateway_framing.rs
+++ b/tests/gateway_framing.rs
@@ -10,7 +10,7 @@
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::http::Message;
 use coursestile_standins::site::server::{Behavior, ConnectionEnd, Sent, Server, events_text};
-use coursestile_standins::site::{Site, config_document, eventually, service_entry};
+use coursestile_standins::site::{Gateway, Site, config_document, eventually, service_entry};
 use rstest::rstest;
 use serde_json::json;
 
@@ -213,7 +213,13 @@
         if servers[..3].iter().any(|server| server.has_received(&id)) {
             broken += 1;
             let answer = client.read().await;
-            assert!(answer.is_none_or(|answer| !answer.complete), "{id} looks complete");
+            let logs = boxes.each_ref().map(Gateway::log_text).concat();
+            let checks: Vec<&str> =
+                logs.lines().filter(|line| line.contains("end_not_confirmed")).collect();
+            assert!(
+                answer.is_none_or(|answer| !answer.complete),
+                "{id} looks complete; the boxes logged {checks:#?}"
+            );
         }
     }
     assert!(broken > 0, "no stream ran in the hall");
