--- a/tests/gateway_cut.rs
+++ b/tests/gateway_cut.rs
@@ -215,6 +215,23 @@
     assert_eq!((answer.status(), answer.complete), (200, complete));
 }
 
+/// All upstreams crashed under answers that went through tunnels. Neither the box nor the one that keeps its
+/// tunnels reached another upstream, so that what had arrived counted as complete.
+#[tokio::test]
+async fn crash_through_tunnel() {
+    let fleet = CutFleet::start(2, 1, 1, "north").await;
+    fleet.cut(Link::Refused).await;
+    fleet.script(&Behavior::CloseDelimited(Sent::Events(2), ConnectionEnd::CloseLater));
+    let mut client = Client::connect(&fleet.cut_boxes[0].clients).await;
+    client.write(&request("POST", "/stream/", "r-1", "", "")).await;
+    eventually("the stream runs", async || fleet.log().contains("event=begun request=r-1")).await;
+    for server in &fleet.servers {
+        server.crash();
+    }
+    let answer = client.read().await;
+    assert!(answer.is_none_or(|answer| !answer.complete), "{}", fleet.log());
+}
+
 /// An upstream refused new connections and kept open those that it had. Its whole answer counted as
 /// broken off by a crash, since another upstream accepted connections.
 #[tokio::test]
