Gateway: liveness of an upstream as one type

The check of an upstream that may have crashed returned an optional flag in one place and the cause of a refusal in another. Both are `Liveness` now: crashed, running or unknown. A refused end has a function of its own, and is logged with the state of the upstream and whether it leaves.

One result changes: an upstream that is no longer listed when its connection closes is unknown, not running, so that its request does not count as answered. By reading; no test shows it.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -95,13 +95,13 @@
     pub framing: Framing,
 }
 
-/// Why an upstream refuses a connection. The texts are logged.
+/// What is known of an upstream that may have crashed. The texts are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
-enum RefusalCause {
-    /// it has crashed
-    Crash,
-    /// links are cut
-    Links,
+enum Liveness {
+    /// crashed
+    Crashed,
+    /// running
+    Running,
     /// unknown
     Unknown,
 }
@@ -265,7 +265,7 @@
 }
 
 async fn check_for_crash(gateway: &Arc<Gateway>, upstream: &Incarnation) {
-    let crashed = check_crash(gateway, upstream).await == Some(true);
+    let crashed = check_liveness(gateway, upstream).await == Liveness::Crashed;
     let unchecked = locked(&gateway.unchecked_runs).remove(&upstream.id);
     let runs = unchecked.map_or_else(Vec::new, |unchecked| unchecked.runs);
     let requests: Vec<Fingerprint> = runs.iter().map(|run| run.content.fingerprint).collect();
@@ -376,25 +376,37 @@
             tokio::spawn(record_unless_crashed(gateway, upstream, run, end, closed));
             true
         }
-        // An upstream that leaves after its last response refuses connections, too, so that nobody can
-        // tell whether it was cut off. What may run again does so.
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused && is_departing => {
-            info!(target: "crashes",
-                "event=end_not_confirmed upstream={} request={} cause=\"it leaves\"",
-                upstream.id, run.content.fingerprint);
-            !run.may_run_again
-        }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-            let cause = refusal_cause(gateway, upstream).await;
-            info!(target: "crashes",
-                "event=end_not_confirmed upstream={} request={} cause=\"{cause}\"",
-                upstream.id, run.content.fingerprint);
-            cause == RefusalCause::Links
+            confirm_refused_end(gateway, upstream, &run, is_departing).await
         }
+        // No sign of a crash: a full queue of new connections looks the same.
         Err(_) => true,
     }
 }
 
+/// As [`confirm_end`], where the upstream refuses a new connection. One that leaves after its last
+/// response does so, too, and cannot be told from one that was cut off: what may run again does so.
+async fn confirm_refused_end(
+    gateway: &Arc<Gateway>,
+    upstream: &Incarnation,
+    run: &EndedRun,
+    is_departing: bool,
+) -> bool {
+    let liveness = if is_departing {
+        Liveness::Unknown
+    } else {
+        liveness_when_refused(gateway, upstream).await
+    };
+    info!(target: "crashes",
+        "event=end_not_confirmed upstream={} request={} upstream_is={liveness} departing={is_departing}",
+        upstream.id, run.content.fingerprint);
+    match liveness {
+        Liveness::Running => true,
+        Liveness::Crashed => false,
+        Liveness::Unknown => is_departing && !run.may_run_again,
+    }
+}
+
 /// Records that an upstream has answered a request unless it crashes now. `closed` ends when a
 /// connection is closed that was opened after the response.
 async fn record_unless_crashed(
@@ -405,13 +417,14 @@
     closed: JoinHandle<()>,
 ) {
     let is_closed = timeout(EXIT_TIMEOUT, closed).await.is_ok();
-    let crash = if is_closed { check_crash(&gateway, &upstream).await } else { Some(false) };
-    if crash == Some(true) {
+    let liveness =
+        if is_closed { check_liveness(&gateway, &upstream).await } else { Liveness::Running };
+    if liveness == Liveness::Crashed {
         info!(target: "crashes", "event=upstream_broke_off upstream={} crashed=true requests={}",
             upstream.id, run.content.fingerprint);
         let parts = record_crash(&gateway, &upstream, &[run]);
         report_parts(&gateway, parts).await;
-    } else if crash == Some(false) {
+    } else if liveness == Liveness::Running {
         record_answered(&gateway, &run, end.status);
     }
 }
@@ -458,24 +471,23 @@
     }
 }
 
-/// Whether an upstream has crashed, so that nothing listens at its address any more; `None` if that is
-/// not known.
-async fn check_crash(gateway: &Arc<Gateway>, upstream: &Incarnation) -> Option<bool> {
-    let Some(address) = gateway.state().upstreams.address(&upstream.id) else { return Some(false) };
-    if !is_closed(address).await {
-        return Some(false);
-    }
-    match refusal_cause(gateway, upstream).await {
-        RefusalCause::Crash => Some(true),
-        RefusalCause::Links => Some(false),
-        RefusalCause::Unknown => None,
+/// Whether an upstream runs, by whether something listens at its address; unknown if it is no longer
+/// listed.
+async fn check_liveness(gateway: &Arc<Gateway>, upstream: &Incarnation) -> Liveness {
+    let Some(address) = gateway.state().upstreams.address(&upstream.id) else {
+        return Liveness::Unknown;
+    };
+    if is_closed(address).await {
+        liveness_when_refused(gateway, upstream).await
+    } else {
+        Liveness::Running
     }
 }
 
-/// Why an upstream refuses a connection of this box. It has not crashed if a peer reaches it, or if
-/// connections that were open before stay open here or there. It has if peers are refused as well or, if
-/// none of them can tell, this box reaches others.
-async fn refusal_cause(gateway: &Arc<Gateway>, upstream: &Incarnation) -> RefusalCause {
+/// Whether an upstream runs that refuses connections of this box, whose links may be cut. It does if a
+/// peer reaches it, or if connections that were open before stay open here or there. It has crashed if
+/// peers are refused as well or, if none of them can tell, this box reaches others.
+async fn liveness_when_refused(gateway: &Arc<Gateway>, upstream: &Incarnation) -> Liveness {
     let (tunnel, stays_open) = join(
         tunnels::open(gateway, &upstream.id, Purpose::CrashCheck),
         gateway.connections.stays_open(&upstream.id),
@@ -485,17 +497,17 @@
         Ok((connection, _)) => {
             gateway.connections.add_idle(&upstream.id, connection);
             paths::record_tunnel(gateway, &upstream.id);
-            RefusalCause::Links
+            Liveness::Running
         }
-        Err(TunnelError::UpstreamRuns) => RefusalCause::Links,
-        Err(_) if stays_open => RefusalCause::Links,
-        Err(TunnelError::UpstreamRefused) => RefusalCause::Crash,
+        Err(TunnelError::UpstreamRuns) => Liveness::Running,
+        Err(_) if stays_open => Liveness::Running,
+        Err(TunnelError::UpstreamRefused) => Liveness::Crashed,
         Err(TunnelError::UpstreamUnreachable | TunnelError::NoPeer) => {
             let reaches_others = reachability::reaches_control(gateway, Some(&upstream.id)).await;
             if reaches_others.unwrap_or_else(|| !gateway.state().reach.is_cut_off()) {
-                RefusalCause::Crash
+                Liveness::Crashed
             } else {
-                RefusalCause::Unknown
+                Liveness::Unknown
             }
         }
     }
