Gateway: only listed versions are stored again

Seen by reading: the leader removes a version 30 s after its last upstream. A box that learned of the departure later, as when it defers removals after an outage, counted the version as recently gone and would have stored it again, which the leader would have removed, and so on for some seconds.

Change: a box that does not lead adds versions that are listed, and none that are gone. not_added_again fails without it, and passes. The other tests of versions are as before.

--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -18,8 +18,9 @@
 /// What a box may change of the stored versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoredChange {
-    /// Add versions.
-    Add,
+    /// Add versions that are listed. Those that are gone may be missing because the leader, which may have
+    /// learned of it earlier, has removed them.
+    AddListed,
     /// Add versions, and remove those that are gone.
     AddAndRemove,
 }
@@ -95,7 +96,8 @@
             self.complete_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MAX_STREAM_MS);
         let may_remove = change == StoredChange::AddAndRemove && covers;
         let mut next = if may_remove { StoredVersions::new() } else { self.stored.clone() };
-        for (service, software) in listed.chain(self.recently_gone(now_ms)) {
+        let gone = self.recently_gone(now_ms).filter(|_| change == StoredChange::AddAndRemove);
+        for (service, software) in listed.chain(gone) {
             next.entry(service).or_default().insert(software);
         }
         (next != self.stored).then_some(next)
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -38,7 +38,7 @@
             StoredChange::AddAndRemove
         } else if is_version_missing(&gateway) {
             sleep(LEADER_HEAD_START + Duration::from_millis(fastrand::u64(0..ADD_JITTER_MS))).await;
-            StoredChange::Add
+            StoredChange::AddListed
         } else {
             continue;
         };
@@ -56,7 +56,7 @@
 fn is_version_missing(gateway: &Gateway) -> bool {
     let state = gateway.state();
     state.follows_metadata
-        && state.upstreams.next_stored_versions(now_ms(), StoredChange::Add).is_some()
+        && state.upstreams.next_stored_versions(now_ms(), StoredChange::AddListed).is_some()
 }
 
 /// Writes the versions if they have to change. A write that crosses another one does nothing.
--- a/tests/gateway_origins.rs
+++ b/tests/gateway_origins.rs
@@ -209,10 +209,22 @@
 #[test]
 fn added_at_once() {
     let listed = [(SERVICE, 7), (SERVICE, 8), (2, 7)];
-    let next = history(&[7]).next_stored(0, StoredChange::Add, listed.into_iter()).unwrap();
+    let next = history(&[7]).next_stored(0, StoredChange::AddListed, listed.into_iter()).unwrap();
     assert_eq!(next[&SERVICE], [7, 8].into());
     assert_eq!(next[&2], [7].into());
-    assert_eq!(history(&[7]).next_stored(0, StoredChange::Add, [(SERVICE, 7)].into_iter()), None);
+    assert_eq!(
+        history(&[7]).next_stored(0, StoredChange::AddListed, [(SERVICE, 7)].into_iter()),
+        None
+    );
+}
+
+/// A box that learned later than the leader that a version was gone added it again.
+#[test]
+fn not_added_again() {
+    let mut history = history(&[8]);
+    history.record_gone(20_000, SERVICE, 7);
+    let next = history.next_stored(40_000, StoredChange::AddListed, [(SERVICE, 8)].into_iter());
+    assert_eq!(next, None);
 }
 
 /// A box that has just started does not know what others have seen.
@@ -224,7 +236,7 @@
     };
     assert_eq!(next(&history, 29_999), None);
     assert_eq!(next(&history, 30_000), Some(stored(&[8])));
-    let added = history.next_stored(30_000, StoredChange::Add, [(SERVICE, 8)].into_iter());
+    let added = history.next_stored(30_000, StoredChange::AddListed, [(SERVICE, 8)].into_iter());
     assert_eq!(added, None, "only the leader removes versions");
     history.record_gone(20_000, SERVICE, 7);
     assert_eq!(next(&history, 30_000), None);
