Gateway: the check of an answer's end is logged

Change: each check logs what came of its new connection (end_checked), and when the upstream closed that connection (checked_connection_closed).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -368,7 +368,12 @@
     }
     let is_departing =
         gateway.state().upstreams.get_incarnation(upstream).is_none_or(Upstream::is_leaving);
-    match gateway.connections.open(run.address).await {
+    let opened = gateway.connections.open(run.address).await;
+    let result = opened.as_ref().map_or_else(ToString::to_string, |_| "accepted".to_owned());
+    info!(target: "crashes",
+        "event=end_checked upstream={} request={} connection=\"{result}\" departing={is_departing}",
+        upstream.id, run.content.fingerprint);
+    match opened {
         Ok(_) if is_departing => true,
         Ok((connection, closed)) => {
             gateway.connections.add_idle(&upstream.id, connection);
@@ -416,7 +421,13 @@
     end: AnswerEnd,
     closed: JoinHandle<()>,
 ) {
+    let opened_at_ms = now_ms();
     let is_closed = timeout(EXIT_TIMEOUT, closed).await.is_ok();
+    if is_closed {
+        info!(target: "crashes",
+            "event=checked_connection_closed upstream={} request={} open_ms={}",
+            upstream.id, run.content.fingerprint, now_ms() - opened_at_ms);
+    }
     let liveness =
         if is_closed { check_liveness(&gateway, &upstream).await } else { Liveness::Running };
     if liveness == Liveness::Crashed {
