Gateway: only a reply of the upstream confirms the end of its answer

Cause: the box opened a new connection and took its being accepted for a running upstream. The same held where the attempt timed out, where another process had the address, where a peer's connection was accepted or an older one stayed open, and for all upstreams that were about to leave.

Change: the upstream is asked for its report, by its id, and the end counts as complete once it has replied itself: directly, through a peer, or on an older connection. One that leaves may end without a reply once it has served for departure_apply_ms; what ends sooner has crashed. For upstreams that are no longer listed, the time at which they began to leave is kept.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -26,7 +26,6 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
 
 use crate::clock::now_ms;
 use crate::gateway::bounded_head::{BoundedHead, HeadBound, MAX_BUFFER_BYTES, WriteProgress};
@@ -47,10 +46,6 @@
 const MAX_IDLE_MS: u64 = 3000;
 /// Margin below the idle time that the upstream announces.
 const IDLE_MARGIN_MS: u64 = 500;
-/// Time within which a process that ends closes its connections. On a busy machine it may take longer.
-const TEARDOWN_TIME: Duration = Duration::from_millis(100);
-/// Interval at which connections are checked meanwhile.
-const TEARDOWN_CHECK_PERIOD: Duration = Duration::from_millis(10);
 /// How long the rest of a request may take to be sent after its response has ended.
 const REQUEST_SENT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -202,25 +197,6 @@
         }
     }
 
-    /// Whether an idle connection to an upstream stays open for [`TEARDOWN_TIME`], as none does after a
-    /// crash.
-    pub async fn stays_open(&self, id: &str) -> bool {
-        let until = Instant::now() + TEARDOWN_TIME;
-        while self.has_open_idle(id) {
-            if Instant::now() >= until {
-                return true;
-            }
-            sleep(TEARDOWN_CHECK_PERIOD).await;
-        }
-        false
-    }
-
-    fn has_open_idle(&self, id: &str) -> bool {
-        let pool = locked(&self.pool);
-        let mut connections = pool.idle.get(id).into_iter().flatten();
-        connections.any(|idle| !idle.connection.sender.is_closed())
-    }
-
     /// Adds a new connection to the pool.
     pub fn add_idle(&self, id: &str, connection: Connection) {
         self.insert_idle(id, connection, MAX_IDLE_MS);
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -7,21 +7,18 @@
 //! box sends the request again or answers its client, who may repeat it at any box. Until the check
 //! has ended, all of them count the abort like a crash (`quarantine`).
 //!
-//! A crash also closes connections on which the end of the response is marked by nothing else
-//! ([`confirm_end`]).
+//! A crash also closes connections on which the end of the response is marked by nothing else, so that
+//! an upstream is asked whether it still runs ([`confirm_end`]).
 
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join;
 use hyper::StatusCode;
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::clock::now_ms;
@@ -29,16 +26,14 @@
 use crate::gateway::attempt::OutgoingRequest;
 use crate::gateway::decisions::gossip_message::{AbortsReport, PartReports};
 use crate::gateway::decisions::incarnation::Incarnation;
-use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::heads::Framing;
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::kernel::Gateway;
+use crate::gateway::liveness::Liveness;
 use crate::gateway::trials::HeldTrial;
-use crate::gateway::tunnels::{Purpose, TunnelError};
-use crate::gateway::{paths, quarantine, reachability, tunnels};
+use crate::gateway::{liveness, quarantine};
 use crate::part_key::PartKey;
-use crate::port::{EXIT_TIMEOUT, is_closed};
 use crate::quarantine::{AbortReport, UpdateUrgency};
 use crate::request_content::RequestContent;
 use crate::suspect_parts::{CrashedRun, MIN_SOUND_RUN_MS};
@@ -61,6 +56,8 @@
     /// Address that it was sent to.
     address: SocketAddr,
     may_run_again: bool,
+    /// Deadline of the request.
+    deadline_ms: u64,
     /// Keeps other trials from running until it is known whether the upstream has crashed.
     _trial: Option<Arc<HeldTrial>>,
 }
@@ -76,6 +73,7 @@
             written_ms: in_flight.written_ms(),
             address: in_flight.address,
             may_run_again: request.retry_policy.may_retry(),
+            deadline_ms: request.deadline_ms,
             _trial: request.trial.clone(),
         }
     }
@@ -95,17 +93,6 @@
     pub framing: Framing,
 }
 
-/// What is known of an upstream that may have crashed. The texts are logged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
-enum Liveness {
-    /// crashed
-    Crashed,
-    /// running
-    Running,
-    /// unknown
-    Unknown,
-}
-
 /// Records that an upstream aborted a request before its response was complete. When this returns,
 /// the peers have acknowledged it or [`REPORT_TIMEOUT`] has passed. If upstreams have crashed under a
 /// part of its prompt before, the same holds for whether this one has. A crash aborts all requests at
@@ -265,7 +252,7 @@
 }
 
 async fn check_for_crash(gateway: &Arc<Gateway>, upstream: &Incarnation) {
-    let crashed = check_liveness(gateway, upstream).await == Liveness::Crashed;
+    let crashed = liveness::check_after_abort(gateway, upstream).await == Liveness::Crashed;
     let unchecked = locked(&gateway.unchecked_runs).remove(&upstream.id);
     let runs = unchecked.map_or_else(Vec::new, |unchecked| unchecked.runs);
     let requests: Vec<Fingerprint> = runs.iter().map(|run| run.content.fingerprint).collect();
@@ -353,9 +340,8 @@
 }
 
 /// Whether a response that has ended is complete, as far as can be known, and thus answers its
-/// request. A close-delimited one is not if the upstream refuses a new connection now, as one that
-/// has crashed, unless it is known to run. An upstream that is exiting may still accept it, so the
-/// request only counts as answered once the new connection has stayed open for a while.
+/// request. A close-delimited one is complete if its upstream still runs. One that has left by plan is
+/// not asked in vain: what may run again does so, and what may not counts as complete.
 pub async fn confirm_end(
     gateway: &Arc<Gateway>,
     upstream: &Incarnation,
@@ -366,78 +352,25 @@
         record_answered(gateway, &run, end.status);
         return true;
     }
-    let is_departing =
-        gateway.state().upstreams.get_incarnation(upstream).is_none_or(Upstream::is_leaving);
-    let opened = gateway.connections.open(run.address).await;
-    let result = opened.as_ref().map_or_else(ToString::to_string, |_| "accepted".to_owned());
-    info!(target: "crashes",
-        "event=end_checked upstream={} request={} connection=\"{result}\" departing={is_departing}",
-        upstream.id, run.content.fingerprint);
-    match opened {
-        Ok(_) if is_departing => true,
-        Ok((connection, closed)) => {
-            gateway.connections.add_idle(&upstream.id, connection);
-            let (gateway, upstream) = (gateway.clone(), upstream.clone());
-            tokio::spawn(record_unless_crashed(gateway, upstream, run, end, closed));
-            true
-        }
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-            confirm_refused_end(gateway, upstream, &run, is_departing).await
-        }
-        // No sign of a crash: a full queue of new connections looks the same.
-        Err(_) => true,
-    }
-}
-
-/// As [`confirm_end`], where the upstream refuses a new connection. One that leaves after its last
-/// response does so, too, and cannot be told from one that was cut off: what may run again does so.
-async fn confirm_refused_end(
-    gateway: &Arc<Gateway>,
-    upstream: &Incarnation,
-    run: &EndedRun,
-    is_departing: bool,
-) -> bool {
-    let liveness = if is_departing {
-        Liveness::Unknown
-    } else {
-        liveness_when_refused(gateway, upstream).await
+    let drain_ms = gateway.settings.bounds.departure_apply_ms;
+    let may_have_left =
+        gateway.state().upstreams.may_have_left(run.ended_at_ms, upstream, drain_ms);
+    let EndedRun { address, deadline_ms, .. } = run;
+    let liveness = liveness::confirm(gateway, upstream, address, deadline_ms, may_have_left).await;
+    let is_complete = match liveness {
+        Liveness::Running => true,
+        Liveness::Crashed | Liveness::Unknown => may_have_left && !run.may_run_again,
     };
     info!(target: "crashes",
-        "event=end_not_confirmed upstream={} request={} upstream_is={liveness} departing={is_departing}",
-        upstream.id, run.content.fingerprint);
-    match liveness {
-        Liveness::Running => true,
-        Liveness::Crashed => false,
-        Liveness::Unknown => is_departing && !run.may_run_again,
-    }
-}
-
-/// Records that an upstream has answered a request unless it crashes now. `closed` ends when a
-/// connection is closed that was opened after the response.
-async fn record_unless_crashed(
-    gateway: Arc<Gateway>,
-    upstream: Incarnation,
-    run: EndedRun,
-    end: AnswerEnd,
-    closed: JoinHandle<()>,
-) {
-    let opened_at_ms = now_ms();
-    let is_closed = timeout(EXIT_TIMEOUT, closed).await.is_ok();
-    if is_closed {
-        info!(target: "crashes",
-            "event=checked_connection_closed upstream={} request={} open_ms={}",
-            upstream.id, run.content.fingerprint, now_ms() - opened_at_ms);
-    }
-    let liveness =
-        if is_closed { check_liveness(&gateway, &upstream).await } else { Liveness::Running };
-    if liveness == Liveness::Crashed {
-        info!(target: "crashes", "event=upstream_broke_off upstream={} crashed=true requests={}",
-            upstream.id, run.content.fingerprint);
-        let parts = record_crash(&gateway, &upstream, &[run]);
-        report_parts(&gateway, parts).await;
-    } else if liveness == Liveness::Running {
-        record_answered(&gateway, &run, end.status);
+        "event=end_checked upstream={} request={} upstream_is={liveness} may_have_left={may_have_left} \
+         complete={is_complete} check_ms={}",
+        upstream.id, run.content.fingerprint, now_ms() - run.ended_at_ms);
+    if liveness == Liveness::Running {
+        record_answered(gateway, &run, end.status);
+    } else {
+        metrics::counter!("coursestile_ends_unconfirmed_total").increment(1);
     }
+    is_complete
 }
 
 /// Records that an upstream has answered a request completely. A response of another status than
@@ -482,48 +415,6 @@
     }
 }
 
-/// Whether an upstream runs, by whether something listens at its address; unknown if it is no longer
-/// listed.
-async fn check_liveness(gateway: &Arc<Gateway>, upstream: &Incarnation) -> Liveness {
-    let Some(address) = gateway.state().upstreams.address(&upstream.id) else {
-        return Liveness::Unknown;
-    };
-    if is_closed(address).await {
-        liveness_when_refused(gateway, upstream).await
-    } else {
-        Liveness::Running
-    }
-}
-
-/// Whether an upstream runs that refuses connections of this box, whose links may be cut. It does if a
-/// peer reaches it, or if connections that were open before stay open here or there. It has crashed if
-/// peers are refused as well or, if none of them can tell, this box reaches others.
-async fn liveness_when_refused(gateway: &Arc<Gateway>, upstream: &Incarnation) -> Liveness {
-    let (tunnel, stays_open) = join(
-        tunnels::open(gateway, &upstream.id, Purpose::CrashCheck),
-        gateway.connections.stays_open(&upstream.id),
-    )
-    .await;
-    match tunnel {
-        Ok((connection, _)) => {
-            gateway.connections.add_idle(&upstream.id, connection);
-            paths::record_tunnel(gateway, &upstream.id);
-            Liveness::Running
-        }
-        Err(TunnelError::UpstreamRuns) => Liveness::Running,
-        Err(_) if stays_open => Liveness::Running,
-        Err(TunnelError::UpstreamRefused) => Liveness::Crashed,
-        Err(TunnelError::UpstreamUnreachable | TunnelError::NoPeer) => {
-            let reaches_others = reachability::reaches_control(gateway, Some(&upstream.id)).await;
-            if reaches_others.unwrap_or_else(|| !gateway.state().reach.is_cut_off()) {
-                Liveness::Crashed
-            } else {
-                Liveness::Unknown
-            }
-        }
-    }
-}
-
 fn join_fingerprints(requests: &[Fingerprint]) -> String {
     let fingerprints: Vec<String> = requests.iter().map(Fingerprint::to_string).collect();
     fingerprints.join(",")
--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -5,7 +5,7 @@
 //! and the context of each part can be cached and transferred on its own.
 //!
 //! - Upstream of a request: `choose`, with `candidates`, `demand`, `prompt`, `upstream`,
-//!   `upstreams`, `notice` and `incarnation`.
+//!   `upstreams`, `departures`, `notice` and `incarnation`.
 //! - Where it may run: `regions`, and the evacuated halls in `upstreams`.
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
@@ -38,6 +38,7 @@
 pub mod configuration;
 pub mod context;
 pub mod demand;
+pub mod departures;
 pub mod engine_speed;
 pub mod gossip_budget;
 pub mod gossip_message;
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -191,6 +191,12 @@
         self.entry.leaving || self.notices.leaving
     }
 
+    /// Since when its entry says that it leaves, as far as this box knows.
+    #[must_use]
+    pub fn leaving_since_ms(&self) -> Option<u64> {
+        self.entry.leaving.then(|| self.leaving_since_ms.unwrap_or(self.known_since_ms))
+    }
+
     /// Whether it may still resume streams although its entry says that it leaves, which must get no
     /// requests `apply_ms` after that. Half of that time is left for the way.
     #[must_use]
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -12,6 +12,7 @@
 use slab::Slab;
 
 use crate::gateway::decisions::demand::Resumption;
+use crate::gateway::decisions::departures::Departures;
 use crate::gateway::decisions::engine_speed::{
     PendingReports, SampleOrigin, ServiceSpeed, Speed, SpeedReport,
 };
@@ -23,6 +24,9 @@
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
 use crate::names::short_id;
 
+/// Usual time from the metadata store's acknowledgement of an entry until a box knows it.
+const NEWS_DELAY_MS: u64 = 300;
+
 /// The upstreams of all services.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -35,6 +39,8 @@
     active: BTreeSet<usize>,
     /// Notices of upstreams that have no entry at present.
     unlisted: UnlistedNotices,
+    /// When such upstreams began to leave.
+    departures: Departures,
     /// Versions of software that upstreams had.
     software_history: SoftwareHistory,
     /// Halls that operators evacuate, including those without upstreams at present.
@@ -206,11 +212,25 @@
             self.software_history.record_gone(now_ms, service, upstream.software);
             let limit = upstream.rate_limit.limit();
             self.unlisted.insert(now_ms, &upstream.incarnation(), upstream.notices(), limit);
+            let leaving_since_ms = upstream.leaving_since_ms().unwrap_or(now_ms);
+            self.departures.record(now_ms, upstream.incarnation(), leaving_since_ms);
             self.active.remove(&position);
             self.remove_short_id(position, upstream.short_id);
         }
     }
 
+    /// Whether an incarnation may have ended by plan: it serves for `drain_ms` after it has announced
+    /// that, or after its entry went.
+    #[must_use]
+    pub fn may_have_left(&self, now_ms: u64, incarnation: &Incarnation, drain_ms: u64) -> bool {
+        let leaving_since_ms = match self.get(&incarnation.id) {
+            Some(known) if known.is_incarnation(incarnation) => known.leaving_since_ms(),
+            Some(_) => None,
+            None => self.departures.since_ms(incarnation),
+        };
+        leaving_since_ms.is_some_and(|since_ms| now_ms + NEWS_DELAY_MS >= since_ms + drain_ms)
+    }
+
     /// Begins the evacuation of a hall: its upstreams get no new requests.
     pub fn begin_evacuation(&mut self, hall: &str) {
         self.evacuated_halls.insert(hall.to_owned());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 pub mod leader_calls;
 pub mod leadership;
 pub mod listener;
+mod liveness;
 pub mod members;
 pub mod metadata;
 pub mod open_queries;
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -80,7 +80,8 @@
     Ok(connection)
 }
 
-fn needs_tunnel(gateway: &Gateway, id: &str) -> bool {
+/// Whether this box is known not to reach an upstream itself.
+pub fn needs_tunnel(gateway: &Gateway, id: &str) -> bool {
     let state = gateway.state();
     state.reach.is_cut_off() || state.upstreams.get(id).is_some_and(Upstream::needs_tunnel)
 }
--- a/src/gateway/tunnels.rs
+++ b/src/gateway/tunnels.rs
@@ -37,14 +37,14 @@
 use crate::clock::now_ms;
 use crate::gateway::connections::{NewConnection, Path, set_socket_options};
 use crate::gateway::kernel::Gateway;
-use crate::gateway::reachability;
+use crate::gateway::{liveness, reachability};
 use crate::names::short_id;
 
 /// Name of the protocol to which a connection between boxes is upgraded.
 const PROTOCOL: HeaderValue = HeaderValue::from_static("coursestile-tunnel");
 /// Id of the upstream to which the tunnel is to lead.
 const UPSTREAM: HeaderName = HeaderName::from_static("coursestile-upstream");
-/// Asks a peer that the upstream refuses whether it keeps open the connections that it has.
+/// Asks a peer that the upstream refuses whether it replies on the connections that it has.
 const CRASH_CHECK: HeaderName = HeaderName::from_static("coursestile-crash-check");
 /// Longest time for a peer to answer: connecting to it, and its connecting to the upstream.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
@@ -68,7 +68,7 @@
     UpstreamUnreachable,
     /// the upstream refuses connections from peers as well
     UpstreamRefused,
-    /// the upstream refuses connections from peers, but keeps older ones open
+    /// the upstream refuses connections from peers, but replies on older ones
     UpstreamRuns,
 }
 
@@ -244,15 +244,15 @@
     }
     gateway.peer_traffic.tunnels_served.fetch_add(1, Ordering::Relaxed);
     let id = request.headers().get(UPSTREAM).and_then(|id| id.to_str().ok()).unwrap_or_default();
-    let (address, is_missed) = {
+    let (address, incarnation, is_missed) = {
         let state = gateway.state();
         let upstream = state.upstreams.get(id).ok_or(StatusCode::NOT_FOUND)?;
         let is_missed = upstream.needs_tunnel() || upstream.is_known_unreachable();
-        (upstream.entry.address, is_missed || state.reach.is_cut_off())
+        (upstream.entry.address, upstream.incarnation(), is_missed || state.reach.is_cut_off())
     };
     let open = OpenTunnel::begin(&gateway.tunnels_kept);
     let checks_crash = request.headers().contains_key(CRASH_CHECK);
-    if is_missed && checks_crash && gateway.connections.stays_open(id).await {
+    if is_missed && checks_crash && liveness::replies_on_open(gateway, &incarnation).await {
         return Err(StatusCode::CONFLICT);
     }
     if is_missed || gateway.phase() != BoxPhase::Serving || open.count > MAX_TUNNELS {
@@ -261,7 +261,7 @@
     let upstream = match timeout(UPSTREAM_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(upstream)) => upstream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            if checks_crash && gateway.connections.stays_open(id).await {
+            if checks_crash && liveness::replies_on_open(gateway, &incarnation).await {
                 return Err(StatusCode::CONFLICT);
             }
             let reaches_others = reachability::reaches_control_for_peer(gateway, id).await;
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -111,6 +111,17 @@
     request
 }
 
+/// Builds a request to which the upstream with this id replies at once while it runs, and no other does.
+#[must_use]
+pub fn liveness_request(upstream_id: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static("/coursestile/report");
+    let head = request.headers_mut();
+    head.insert(header::HOST, HeaderValue::from_static("upstream"));
+    set(head, headers::UPSTREAM_ID, upstream_id);
+    request
+}
+
 /// Sets the headers that tell an engine which context to fetch and where to save it.
 fn set_context(head: &mut HeaderMap, context: &ContextPlan, until_ms: Option<u64>) {
     set(head, headers::CONTEXT_SCOPE, &context.scope);
--- a/standins/src/site/fault_proxy.rs
+++ b/standins/src/site/fault_proxy.rs
@@ -44,6 +44,8 @@
     Dropped,
     /// New connections are refused; open ones live on.
     NewRefused,
+    /// Packets of new connections are dropped; open ones live on.
+    NewDropped,
 }
 
 /// A proxy to one address.
@@ -105,7 +107,7 @@
         match link {
             Link::Refused => self.reset_open_connections(),
             Link::Dropped => self.silence_open_connections(),
-            Link::Open | Link::NewRefused => {}
+            Link::Open | Link::NewRefused | Link::NewDropped => {}
         }
     }
 
@@ -157,7 +159,7 @@
     let link = *links.borrow_and_update();
     let listener = match link {
         Link::Open => return listener,
-        Link::Dropped => {
+        Link::Dropped | Link::NewDropped => {
             SockRef::from(&listener).attach_filter(&drop_all()).expect("socket filter");
             Some(listener)
         }
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -153,6 +153,9 @@
     /// Setting `lease_ms` of gateways started from now on: time that must pass between the
     /// orders of two leaders.
     pub lease_ms: u64,
+    /// Setting `departure_apply_ms` of gateways started from now on: time for which an upstream serves
+    /// after it has announced its departure.
+    pub departure_apply_ms: u64,
     /// Setting `cold_extra` of gateways started from now on: requests per second that a cold
     /// upstream may get in addition to those that it can take.
     pub cold_extra: f64,
@@ -185,6 +188,7 @@
             distinct_peer_ports: false,
             weights_apply_ms: 10_000,
             lease_ms: 1000,
+            departure_apply_ms: 2000,
             cold_extra: 0.0,
             regions: String::new(),
             routes: String::new(),
@@ -222,7 +226,7 @@
             "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\ntunnels = {tunnels}\nregions = {}\nroutes = {}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
-             weights_apply_ms = {}\ncold_extra = {}\n{}",
+             weights_apply_ms = {}\ndeparture_apply_ms = {}\ncold_extra = {}\n{}",
             self.regions,
             self.routes,
             seeds.join(","),
@@ -230,6 +234,7 @@
             self.retry_extra,
             self.lease_ms,
             self.weights_apply_ms,
+            self.departure_apply_ms,
             self.cold_extra,
             self.slow_readers.map_or_else(String::new, |value| {
                 format!("[load]\nslow_readers = {value}\nsocket_buffer_kb = 32\n")
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -41,8 +41,12 @@
     Reset,
     /// The upstream crashes, which closes the connection.
     Crash,
+    /// It crashes once the test calls `release`.
+    CrashLater,
 }
 
+/// Path of the report, which takes no slot and is not recorded.
+const REPORT_PATH: &str = "/coursestile/report";
 /// What large bodies consist of.
 const BODY_PIECE: [u8; 16384] = [b'x'; 16384];
 /// Time within which rejections count together.
@@ -138,6 +142,7 @@
 
 #[derive(Default)]
 struct State {
+    id: String,
     received: Vec<Message>,
     executed: Vec<ExecutedRequest>,
     handled: Vec<HandledRequest>,
@@ -167,6 +172,10 @@
     crashed_under: Option<String>,
     /// Whether the connections have been closed after a crash.
     exited: watch::Sender<bool>,
+    /// Whether it resets new connections.
+    resets_new: bool,
+    /// Number of restarts at the same address.
+    restarts: watch::Sender<u32>,
     /// Time for which the port stays open after a crash has closed the connections; if it is 0, the
     /// port is closed before them.
     port_closes_after: Duration,
@@ -192,16 +201,22 @@
     pub async fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("address");
         let address = listener.local_addr().expect("address").to_string();
-        let state = Shared::default();
+        let state = Arc::new(Mutex::new(State { id: id.to_owned(), ..State::default() }));
         let shared = state.clone();
         let accepting = tokio::spawn(async move {
             let accept = async {
                 while let Ok((stream, _)) = listener.accept().await {
                     let shared = shared.clone();
+                    if shared.lock().expect("no task panics under the lock").resets_new {
+                        let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        linger.expect("socket option");
+                        continue;
+                    }
                     tokio::spawn(async move {
                         tokio::select! {
                             () = serve(stream, shared.clone()) => {}
                             () = wait_for_exit(&shared) => {}
+                            () = wait_for_restart(&shared) => {}
                         }
                     });
                 }
@@ -270,6 +285,18 @@
         mark_crashed(&self.state);
     }
 
+    /// Crashes, and is started at once at the same address under another id.
+    pub fn restart_as(&self, id: &str) {
+        let mut state = self.state();
+        id.clone_into(&mut state.id);
+        state.restarts.send_modify(|restarts| *restarts += 1);
+    }
+
+    /// Resets new connections from now on, as one with more of them than it takes, or does so no more.
+    pub fn reset_new_connections(&self, resets: bool) {
+        self.state().resets_new = resets;
+    }
+
     /// Limits the requests that it takes and may reject.
     pub fn set_brittle(&self, brittleness: Brittleness) {
         self.state().brittleness = Some(brittleness);
@@ -368,6 +395,13 @@
     let (read, mut write) = stream.into_split();
     let mut reader = MessageReader::new(read);
     while let Some(request) = reader.next(false).await {
+        if request.path_or_status() == REPORT_PATH {
+            let report = report(&shared, &request);
+            if write.write_all(report.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let behavior = record(&mut shared.lock().expect("no task panics under the lock"), &request);
         if crashes_on(&shared, &request) {
             crash(&shared).await;
@@ -408,6 +442,17 @@
     }
 }
 
+/// The answer to a request for the report: whether the right upstream is asked.
+fn report(shared: &Shared, request: &Message) -> String {
+    let id = &shared.lock().expect("no task panics under the lock").id;
+    match request.header("x-target-instance") {
+        Some(asked) if asked != id => {
+            format!("HTTP/1.1 421 X\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n")
+        }
+        _ => "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n".to_owned(),
+    }
+}
+
 /// A request that the upstream works on.
 struct Running(Shared);
 
@@ -618,6 +663,13 @@
     brittle + &limit.map_or_else(String::new, |limit| format!("Server-Limit: {limit}\r\n"))
 }
 
+/// Waits until the upstream is started again.
+async fn wait_for_restart(shared: &Shared) {
+    let mut restarts = shared.lock().expect("no task panics under the lock").restarts.subscribe();
+    // The sender lives as long as `shared`.
+    let _ = restarts.changed().await;
+}
+
 /// Writes the answer; `None` if the connection is to be closed.
 async fn answer(
     write: &mut OwnedWriteHalf,
@@ -757,6 +809,10 @@
             socket.set_linger(Some(Duration::ZERO)).expect("socket option");
         }
         ConnectionEnd::Crash => crash(shared).await,
+        ConnectionEnd::CrashLater => {
+            wait_for_release(shared).await;
+            crash(shared).await;
+        }
     }
 }
 
