Workers: an answer without a length needs a running worker

What callers saw (own interface): half an answer without a length or chunks, kept for repeated calls, after a crash of its worker.

Cause: as for the gateway, the answer counted as whole unless the worker's port refused connections. One that stays open without a process behind it, or whose connections something else accepts and closes, did not refuse them.

Change: the worker has to reply on a new connection by the deadline of the call.

half_kept::case_4_crash_behind_port and case_5_crash_behind_proxy failed before and pass. cut_anywhere passes before and after: an answer that breaks off after any byte is none. The cost is one round trip at the end of answers that have neither a length nor chunks, as before.

--- a/src/port.rs
+++ b/src/port.rs
@@ -19,8 +19,7 @@
 pub const EXIT_TIMEOUT: Duration = Duration::from_secs(2);
 /// A request that every HTTP server answers, in whichever way, without running anything.
 const HTTP_PING: &[u8] = b"OPTIONS * HTTP/1.1\r\nHost: upstream\r\nConnection: close\r\n\r\n";
-/// Maximum number of connection attempts; another one follows only if the last connection
-/// was closed.
+/// Maximum number of connection attempts.
 const MAX_ATTEMPTS: u32 = 3;
 
 /// Result of a connection attempt.
@@ -39,6 +38,18 @@
     is_refused(address, &[]).await
 }
 
+/// Whether the HTTP server at an address replies, and thus runs.
+pub async fn has_server_replied(address: impl ToSocketAddrs + Copy) -> bool {
+    for _ in 0..MAX_ATTEMPTS {
+        match probe(address, HTTP_PING).await {
+            Probe::Open => return true,
+            Probe::Refused => return false,
+            Probe::Closed | Probe::NoAnswer => {}
+        }
+    }
+    false
+}
+
 /// Whether the HTTP server at an address has ended. A running one is recognized by its answer.
 pub async fn has_server_ended(address: impl ToSocketAddrs + Copy) -> bool {
     is_refused(address, HTTP_PING).await
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -23,7 +23,7 @@
 };
 use crate::ledger::{Answer, Outcome};
 use crate::pool::{ConnectionPool, ConnectionPools, PooledClient};
-use crate::port::has_server_ended;
+use crate::port::{has_server_ended, has_server_replied};
 use crate::wire::Call;
 
 /// Timeout of calls that do not transfer context or load weights.
@@ -64,13 +64,25 @@
 
 /// Whether the process of the upstream at `url` has ended.
 pub async fn has_ended(url: &str) -> bool {
-    let Ok(url) = reqwest::Url::parse(url) else { return false };
-    match (url.host_str(), url.port_or_known_default()) {
-        (Some(host), Some(port)) => has_server_ended((host, port)).await,
-        _ => false,
+    match host_and_port(url) {
+        Some((host, port)) => has_server_ended((host.as_str(), port)).await,
+        None => false,
     }
 }
 
+/// Whether the upstream at `url` replies.
+async fn has_replied(url: &str) -> bool {
+    match host_and_port(url) {
+        Some((host, port)) => has_server_replied((host.as_str(), port)).await,
+        None => false,
+    }
+}
+
+fn host_and_port(url: &str) -> Option<(String, u16)> {
+    let url = reqwest::Url::parse(url).ok()?;
+    Some((url.host_str()?.to_owned(), url.port_or_known_default()?))
+}
+
 #[derive(Deserialize)]
 struct Chunk {
     id: String,
@@ -368,7 +380,7 @@
                 let retry_after_ms = retry_after_ms(&response);
                 let is_close_delimited = is_close_delimited(&response);
                 let mut answer = read_answer(response).await;
-                if is_close_delimited && has_crashed(url, call.deadline_ms).await {
+                if is_close_delimited && !is_running(url, call.deadline_ms).await {
                     answer = None;
                 }
                 WorkerReply {
@@ -389,9 +401,9 @@
     response.content_length().is_none() && !response.headers().contains_key(TRANSFER_ENCODING)
 }
 
-/// Whether the process of a worker has ended; false if that is not known by the deadline.
-async fn has_crashed(url: &str, deadline_ms: u64) -> bool {
-    tokio::time::timeout_at(instant_at(deadline_ms), has_ended(url)).await.unwrap_or(false)
+/// Whether a worker replies by the deadline.
+async fn is_running(url: &str, deadline_ms: u64) -> bool {
+    tokio::time::timeout_at(instant_at(deadline_ms), has_replied(url)).await.unwrap_or(false)
 }
 
 /// Time in the Retry-After header of a 503 response; the header has whole seconds.
