Soak: ports that outlast connections, and crashes of upstreams that leave

Change (--streams versions): every second upstream keeps its port open for up to 3 s after its connections, mostly for some milliseconds; every third that leaves crashes within 1.5 s of its announcement. Other seeds draw what they drew.

--- a/soak/src/versions.rs
+++ b/soak/src/versions.rs
@@ -1,6 +1,7 @@
 //! Upstreams of several software versions, replaced one by one, and clients that resume their streams at
-//! other boxes. Half of the upstreams write answers that end with their connections. All of them crash
-//! together at times, and the metadata store answers stale reads with old states.
+//! other boxes. Half of the upstreams write answers that end with their connections, and some of these keep
+//! their port open for longer. Some crash after they have announced that they leave, all of them together
+//! at times, and the metadata store answers stale reads with old states.
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -14,7 +15,7 @@
 use coursestile_standins::site::{Site, service_entry};
 use serde_json::{Value, json};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::CLIENTS;
 use crate::checks::{RECOVERY_MS, RunData};
@@ -37,6 +38,16 @@
 const ALL_CRASH_ONE_IN: u32 = 12;
 /// Before one replacement in this many, stale reads of the metadata store get its state of then, also later.
 const STALE_ONE_IN: u32 = 4;
+/// One upstream in this many that leaves crashes before its time, and one in as many closes its port later
+/// than its connections.
+const EARLY_CRASH_ONE_IN: u32 = 3;
+const LATE_PORT_ONE_IN: u32 = 2;
+/// Time from the announcement of an upstream that it leaves to such a crash.
+const EARLY_CRASH_MS: std::ops::Range<u64> = 0..1500;
+/// Longest time for which its port outlasts the connections of an upstream.
+const MAX_PORT_DELAY_MS: u64 = 3000;
+/// Distinguishes the random numbers of these ends from those of the replacements.
+const END_SEED_MASK: u64 = 0x71e5_0b26;
 /// Distinguishes the random numbers of these faults from those of the replacements.
 const SHARED_FAULT_SEED_MASK: u64 = 0x3c1d_77a9;
 /// Time from the announcement of an upstream that it leaves to its end.
@@ -107,7 +118,7 @@
     pub async fn start(site: &Site) -> Self {
         let rolling = Self::default();
         for _ in 0..UPSTREAMS {
-            rolling.start_upstream(site, VERSIONS[0]).await;
+            rolling.start_upstream(site, VERSIONS[0], Duration::ZERO).await;
         }
         rolling
     }
@@ -116,10 +127,11 @@
         self.upstreams.lock().expect("no task panics under the lock")
     }
 
-    async fn start_upstream(&self, site: &Site, version: &'static str) {
+    async fn start_upstream(&self, site: &Site, version: &'static str, port_delay: Duration) {
         let number = self.upstreams().len();
         let server = Server::start(&format!("rolling-{number}")).await;
         server.set_software(version);
+        server.close_port_after(port_delay);
         if number.is_multiple_of(2) {
             server.slow_streams(EVENT_PAUSE);
         } else {
@@ -205,6 +217,7 @@
     let Some(rolling) = &world.rolling else { return };
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut fault_rng = fastrand::Rng::with_seed(seed ^ SHARED_FAULT_SEED_MASK);
+    let mut end_rng = fastrand::Rng::with_seed(seed ^ END_SEED_MASK);
     let mut replaced = 0;
     let mut removals = Vec::new();
     while !stop.load(Ordering::Relaxed) {
@@ -216,15 +229,17 @@
         }
         if fault_rng.u32(..ALL_CRASH_ONE_IN) == 0 {
             for number in rolling.crash_all() {
-                removals.push(tokio::spawn(remove_later(world.clone(), number)));
-                rolling.start_upstream(&world.site, version).await;
+                removals.push(tokio::spawn(remove_later(world.clone(), number, None)));
+                rolling.start_upstream(&world.site, version, port_delay(&mut end_rng)).await;
             }
         }
-        rolling.start_upstream(&world.site, version).await;
+        rolling.start_upstream(&world.site, version, port_delay(&mut end_rng)).await;
         let Some(number) = rolling.end_oldest(&world.site, rng.u32(..CRASH_ONE_IN) == 0) else {
             continue;
         };
-        removals.push(tokio::spawn(remove_later(world.clone(), number)));
+        let crashes_early = end_rng.u32(..EARLY_CRASH_ONE_IN) == 0;
+        let crash_after = crashes_early.then(|| Duration::from_millis(end_rng.u64(EARLY_CRASH_MS)));
+        removals.push(tokio::spawn(remove_later(world.clone(), number, crash_after)));
     }
     for removal in removals {
         // A panic in a removal is an error of the soak test itself.
@@ -232,14 +247,27 @@
     }
 }
 
-/// Removes an upstream once it has left.
-async fn remove_later(world: Arc<World>, number: usize) {
-    sleep(LEAVE_TIME).await;
-    if let Some(rolling) = &world.rolling {
-        rolling.remove(&world.site, number);
+/// For how long the port of an upstream outlasts its connections: often not at all, seldom for long.
+fn port_delay(rng: &mut fastrand::Rng) -> Duration {
+    if rng.u32(..LATE_PORT_ONE_IN) == 0 {
+        Duration::from_millis(rng.u64(..=MAX_PORT_DELAY_MS) >> rng.u32(..10))
+    } else {
+        Duration::ZERO
     }
 }
 
+/// Removes an upstream once it has left, or at that time if it crashes before.
+async fn remove_later(world: Arc<World>, number: usize, crash_after: Option<Duration>) {
+    let Some(rolling) = &world.rolling else { return };
+    let leaves_at = tokio::time::Instant::now() + LEAVE_TIME;
+    if let Some(crash_after) = crash_after {
+        sleep(crash_after).await;
+        rolling.upstreams()[number].server.crash();
+    }
+    sleep_until(leaves_at).await;
+    rolling.remove(&world.site, number);
+}
+
 /// Begins streams and resumes them at random boxes until `stop` is set.
 async fn resume_streams(
     world: Arc<World>,
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -102,7 +102,8 @@
 
 // Guards against streams that go on at another version of software than the one that began them, and
 // against those that end as complete before their last event: with seed 2, the planned end of an upstream
-// cut streams off. Runs of these seeds have shared crashes and stale reads since.
+// cut streams off. Runs of these seeds have shared crashes and stale reads since, and then ports that outlast
+// connections, and crashes of upstreams that leave.
 #[rstest]
 #[case::one(1)]
 #[case::two(2)]
