Gateway: rejections without an id on used connections are checked

Cause: bytes after a whole answer that look like a rejection have no id, and were taken for the answer to the next request on the connection.

Change: where such a rejection comes on a connection that has carried an answer before, for a request that must not run again, another request follows on the connection. The upstream answers in order: if the answer of the request comes next, that is forwarded; if the reply comes, the rejection counts; otherwise nothing is known. So true rejections stay what they were, one round trip later.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -28,6 +28,9 @@
 /// Longest time for transfers of cached context to an engine, from the choice of their sources.
 const TRANSFER_TIMEOUT_MS: u64 = 2000;
 
+/// Largest body of a rejection that is read.
+const MAX_REJECTION_BYTES: usize = 64 << 10;
+
 /// A request as it is sent to any upstream.
 #[derive(Clone)]
 pub struct OutgoingRequest {
@@ -227,9 +230,68 @@
         Err(_) => return AttemptOutcome::TimeOver,
     };
     in_flight.record_activity();
+    let response = if is_ambiguous_rejection(outgoing, &response, &connection) {
+        let id = &choice.upstream.id;
+        match timeout_at(deadline, resolve_rejection(outgoing, id, response, &mut connection)).await
+        {
+            Ok(Some(response)) => response,
+            Ok(None) => {
+                in_flight.record_failure();
+                return AttemptOutcome::Unknown { cause: "a rejection without an id".to_owned() };
+            }
+            Err(_) => return AttemptOutcome::TimeOver,
+        }
+    } else {
+        response
+    };
     classify(outgoing, response, in_flight, connection)
 }
 
+/// Whether a rejection may be surplus bytes after the answer before, while the upstream runs this request,
+/// which must not run again: it has no id, and the connection has carried another answer.
+fn is_ambiguous_rejection(
+    outgoing: &OutgoingRequest,
+    response: &Response<Incoming>,
+    connection: &Connection,
+) -> bool {
+    let head = exchange::answer_head(response.status(), response.headers());
+    let is_named = head.request_id.is_some();
+    head.not_run && !is_named && connection.is_reused() && !outgoing.retry_policy.may_retry()
+}
+
+/// Finds out whether a rejection without an id belongs to a request, by another request on the connection,
+/// which the upstream answers in order: the answer that comes next is that of the request if it runs.
+/// Returns the response that belongs to it; `None` if that is not known.
+async fn resolve_rejection(
+    outgoing: &OutgoingRequest,
+    upstream_id: &str,
+    mut rejection: Response<Incoming>,
+    connection: &mut Connection,
+) -> Option<Response<Incoming>> {
+    let mut bytes = 0;
+    while let Some(frame) = rejection.body_mut().frame().await {
+        bytes += frame.ok()?.data_ref().map_or(0, Bytes::len);
+        if bytes > MAX_REJECTION_BYTES {
+            return None;
+        }
+    }
+    connection.forbid_reuse();
+    let next = send(connection, exchange::liveness_request(upstream_id)).await;
+    let is_own = |next: &Response<Incoming>| {
+        let head = exchange::answer_head(next.status(), next.headers());
+        head.request_id.as_deref() == Some(outgoing.request_id.as_str())
+    };
+    match next {
+        Ok(next) if is_own(&next) => {
+            info!(target: "serve", "event=surplus_rejection request={} upstream={upstream_id}",
+                outgoing.request_id);
+            Some(next)
+        }
+        Ok(_) => Some(rejection),
+        Err(_) => exchange::announces_close(rejection.headers()).then_some(rejection),
+    }
+}
+
 /// Checks that the response belongs to this request and comes from the upstream itself, and
 /// whether the upstream ran the request.
 fn classify(
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -67,6 +67,23 @@
     pub path: Path,
     head_bound: HeadBound,
     pub written: WriteProgress,
+    /// Responses that it has carried.
+    responses: u32,
+    /// Whether it may be used for another request.
+    reusable: bool,
+}
+
+impl Connection {
+    /// Whether it had carried a response before the present one.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.responses > 1
+    }
+
+    /// Keeps it from being used for another request.
+    pub fn forbid_reuse(&mut self) {
+        self.reusable = false;
+    }
 }
 
 /// A new connection, with a task that ends when it is closed.
@@ -168,7 +185,9 @@
                 }
             }
         });
-        Ok((Connection { sender, path, head_bound, written }, closed))
+        let connection =
+            Connection { sender, path, head_bound, written, responses: 0, reusable: true };
+        Ok((connection, closed))
     }
 
     /// Takes an idle connection to an upstream.
@@ -187,7 +206,7 @@
 
     /// Returns a connection to the pool once its request has been sent completely.
     pub async fn check_in(&self, id: &str, head: &HeaderMap, mut connection: Connection) {
-        let Some(idle_ms) = idle_ms(head) else {
+        let Some(idle_ms) = idle_ms(head).filter(|_| connection.reusable) else {
             return;
         };
         let request_sent =
@@ -263,7 +282,10 @@
     let sent = connection.sender.try_send_request(request).await;
     connection.head_bound.end();
     match sent {
-        Ok(response) => Ok(response),
+        Ok(response) => {
+            connection.responses += 1;
+            Ok(response)
+        }
         Err(mut error) => {
             let cause = error_with_cause(error.error());
             let is_unsent = error.take_message().is_some();
--- a/src/platform/exchange.rs
+++ b/src/platform/exchange.rs
@@ -201,6 +201,12 @@
     if is_delimited { Framing::Delimited } else { Framing::CloseDelimited }
 }
 
+/// Whether the sender closes the connection after this answer.
+#[must_use]
+pub fn announces_close(head: &HeaderMap) -> bool {
+    text(head, &header::CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
+
 /// Whether the upstream announces that it is about to leave.
 fn is_leaving(head: &HeaderMap) -> bool {
     text(head, &headers::LEAVING).is_some_and(|value| value.trim() == "1")
--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -47,6 +47,8 @@
 
 /// Path of the report, which takes no slot and is not recorded.
 const REPORT_PATH: &str = "/coursestile/report";
+/// A rejection that does not say of which request.
+const UNNAMED_REJECTION: &str = "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 /// What large bodies consist of.
 const BODY_PIECE: [u8; 16384] = [b'x'; 16384];
 /// Time within which rejections count together.
@@ -77,6 +79,10 @@
     TruncatedBody,
     /// Sends the complete answer twice.
     DuplicateAnswer,
+    /// Sends a rejection without an id, as surplus bytes of an answer before, and answers after this time.
+    RejectionThenAnswer(Duration),
+    /// As `NotRun`, without an id.
+    NotRunUnnamed,
     /// Answers with neither a length nor chunks, and ends the connection.
     CloseDelimited(Sent, ConnectionEnd),
     /// Answers in chunks, and names this length as well.
@@ -519,8 +525,14 @@
         answered_at,
         behavior: behavior.clone(),
     });
-    if !matches!(behavior, Behavior::NotRun | Behavior::RetryAfter(_) | Behavior::OtherIncarnation)
-    {
+    let is_run = !matches!(
+        behavior,
+        Behavior::NotRun
+            | Behavior::NotRunUnnamed
+            | Behavior::RetryAfter(_)
+            | Behavior::OtherIncarnation
+    );
+    if is_run {
         state.executed.push(ExecutedRequest { request_id, at });
     }
     behavior
@@ -718,6 +730,12 @@
             return None;
         }
         Behavior::DuplicateAnswer => format!("{whole}{whole}"),
+        Behavior::RejectionThenAnswer(time) => {
+            write.write_all(UNNAMED_REJECTION.as_bytes()).await.ok()?;
+            tokio::time::sleep(*time).await;
+            whole
+        }
+        Behavior::NotRunUnnamed => UNNAMED_REJECTION.to_owned(),
         Behavior::CloseDelimited(sent, end) => {
             let head = head(200, id, &format!("X-Server-Seal: seal-{id}\r\n\r\n"));
             let sent = sent_part(*sent, body);
