Gateway: a stopping box waits for clients that read late

Cause: a request counts as in flight until the HTTP library has taken the end of its response, of which it holds what the client's socket does not take.

Change: the box also waits for clients' connections on which a request has begun, within its time to stop.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -100,10 +100,12 @@
     gateway.enter(BoxPhase::Stopped);
 }
 
-/// Whether requests are in flight, or peers use tunnels. They close those that are idle once they hear
-/// that this box is stopping.
+/// Whether requests are in flight, clients have not read their responses yet, or peers use tunnels. They
+/// close those that are idle once they hear that this box is stopping.
 fn is_busy(gateway: &Gateway) -> bool {
-    gateway.state().requests_in_flight > 0 || gateway.tunnels_kept.load(Ordering::Relaxed) > 0
+    let connections = [&gateway.client_connections, &gateway.tunnels_kept];
+    gateway.state().requests_in_flight > 0
+        || connections.iter().any(|open| open.load(Ordering::Relaxed) > 0)
 }
 
 /// Logs whether the settings have changed. Changes apply only at the next start.
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -305,6 +305,8 @@
     pub last_receive_ms: AtomicU64,
     /// Number of tunnels that this box keeps for its peers.
     pub tunnels_kept: Arc<AtomicUsize>,
+    /// Connections of clients on which a request has begun.
+    pub client_connections: Arc<AtomicUsize>,
     /// Changes when upstreams, stores, the configuration or this box's role may have changed.
     pub upstreams_changed: watch::Sender<u64>,
     /// Whether this box must no longer lead because it is stopping.
@@ -424,6 +426,7 @@
             cut_off: watch::Sender::new(false),
             last_receive_ms: AtomicU64::new(0),
             tunnels_kept: Arc::default(),
+            client_connections: Arc::default(),
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
             delegated_replies: watch::Sender::new(None),
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -3,7 +3,8 @@
 use std::convert::Infallible;
 use std::future::pending;
 use std::pin::pin;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -119,8 +120,10 @@
         .then(|| Arc::new(ClientReads::new(gateway.client_buffers.clone())));
     let stream = ClientStream::new(stream, close_delimited.clone(), reads.clone());
     let body_reads = reads.clone();
+    let open = OnceLock::new();
     let service = service_fn(move |request: Request<Incoming>| {
         begun.notify_one();
+        open.get_or_init(|| OpenConnection::begin(&shared.client_connections));
         let (gateway, close_delimited) = (shared.clone(), close_delimited.clone());
         let reads = body_reads.clone();
         async move {
@@ -158,6 +161,23 @@
     }
 }
 
+/// Counts a connection on which a request has begun, for as long as this value lives. The last response is
+/// on its way until then: the HTTP library may have taken more of it than the client's socket has.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn begin(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn wait_until_aborted(reads: Option<&ClientReads>) {
     match reads {
         Some(reads) => reads.wait_until_aborted().await,
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -8,12 +8,18 @@
 use common::{is_ready, start_fixture};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::eventually;
+use coursestile_standins::site::http::MessageReader;
 use coursestile_standins::site::server::Behavior;
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 
 /// Time after the signal to stop at which the box is paused: 300 ms before it closes its port.
 const PAUSE_AFTER: Duration = Duration::from_millis(2200);
 /// Time for which the box is paused.
 const PAUSE: Duration = Duration::from_millis(600);
+/// Less than a box buffers of a response, and more than the system does for a client that does not read.
+const LARGE_BODY_BYTES: usize = 260_000;
 /// Clients that connect during the pause.
 const QUEUED_CLIENTS: usize = 20;
 
@@ -79,3 +85,24 @@
     .await;
     assert_eq!(fixture.send("GET", "/safe/", "r-1").await.status(), 200);
 }
+
+/// A box that stopped exited while a client that read late had a part of its response, since the HTTP
+/// library had taken all of it.
+#[tokio::test]
+async fn late_reader() {
+    let mut fixture = start_fixture(1).await;
+    fixture.servers[0].script(&[Behavior::LargeBody(LARGE_BODY_BYTES)]);
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(8192).unwrap();
+    // As on a network: the system takes less from a sender of small segments.
+    SockRef::from(&socket).set_tcp_mss(1460).unwrap();
+    let mut client = socket.connect(fixture.gateway.clients.parse().unwrap()).await.unwrap();
+    fixture.gateway.signal("-TERM");
+    tokio::time::sleep(PAUSE_AFTER).await;
+    client.write_all(&request("GET", "/safe/", "r-1", "", "")).await.unwrap();
+    // The box would have ended by then.
+    tokio::time::sleep(PAUSE).await;
+    let answer = MessageReader::new(client).next(true).await.expect("an answer");
+    assert_eq!((answer.complete, answer.body.len()), (true, LARGE_BODY_BYTES));
+    assert_eq!(fixture.gateway.wait_for_exit().await, Some(0));
+}
