Gateway: what is cached before an account is isolated is not shared on

Cause: the scope of all accounts that are not isolated is common, and stayed the same.

Change: while accounts are isolated, the common scope has a short hash of them, which all boxes derive from the configuration. Without such accounts it is as before. After a change of them, prompts are read again once.

--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -367,7 +367,7 @@
         box_short_id: 7,
         hall: "hall-0",
         prompt,
-        isolated_account: None,
+        context_group: None,
         weights: None,
         weights_apply_ms: 12_000,
         excludes_overdue: true,
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -54,8 +54,8 @@
     pub route: Route,
     /// Version of the configuration under which it was admitted.
     pub config_version: u64,
-    /// Account whose cached context is not shared with other accounts.
-    pub isolated_account: Option<String>,
+    /// Whose cached context it may use; see `Configuration::context_group`.
+    pub context_group: Option<String>,
     /// Regions to which its account is restricted; empty if it is not.
     pub account_regions: Vec<String>,
     pub arrived_at_ms: u64,
@@ -173,7 +173,7 @@
         class,
         standing,
         config_version: configuration.version,
-        isolated_account: isolated_account.map(|account| account.name.clone()),
+        context_group: configuration.context_group(isolated_account),
         account_regions: account
             .as_ref()
             .map(|account| account.allowed_regions.clone())
--- a/src/gateway/decisions/configuration.rs
+++ b/src/gateway/decisions/configuration.rs
@@ -172,6 +172,25 @@
 }
 
 impl Configuration {
+    /// Which accounts share cached context with the request of an isolated account, or of one of all
+    /// others: these use none that was made before one of the isolated accounts became that. `None` if
+    /// no account is isolated.
+    #[must_use]
+    pub fn context_group(&self, isolated: Option<&Account>) -> Option<String> {
+        if let Some(account) = isolated {
+            return Some(account.name.clone());
+        }
+        let mut names: Vec<&str> = self
+            .accounts
+            .iter()
+            .filter(|account| account.isolated)
+            .map(|account| account.name.as_str())
+            .collect();
+        names.sort_unstable();
+        // A group of others has an empty name before its dot.
+        (!names.is_empty()).then(|| format!(".{:08x}", short_id(&names.join("\n"))))
+    }
+
     /// Builds the lookup tables.
     #[must_use]
     pub fn indexed(mut self) -> Self {
--- a/src/gateway/decisions/context.rs
+++ b/src/gateway/decisions/context.rs
@@ -104,12 +104,12 @@
     }
 }
 
-/// The scope of cached context. Context is never shared between models, weight versions or isolated
+/// The scope of cached context. Context is never shared between models, weight versions or groups of
 /// accounts.
 #[must_use]
-pub fn scope(model: &str, version: u64, isolated_account: Option<&str>) -> String {
-    match isolated_account {
-        Some(account) => format!("{version}.{model}.{account}"),
+pub fn scope(model: &str, version: u64, group: Option<&str>) -> String {
+    match group {
+        Some(group) => format!("{version}.{model}.{group}"),
         None => format!("{version}.{model}"),
     }
 }
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -39,8 +39,8 @@
     pub hall: &'a str,
     /// Prompt; `None` for services without model engines.
     pub prompt: Option<&'a Prompt>,
-    /// Account whose cached context is not shared with others.
-    pub isolated_account: Option<&'a str>,
+    /// Whose cached context the request may use; see `Configuration::context_group`.
+    pub context_group: Option<&'a str>,
     /// Weight versions that operators have named for the prompt's model.
     pub weights: Option<&'a NamedVersions>,
     /// Time within which a named version must be loaded by all engines.
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -71,7 +71,7 @@
         demand: &Demand<'a>,
         version: u64,
     ) -> Self {
-        let scope = scope(&prompt.model, version, demand.isolated_account);
+        let scope = scope(&prompt.model, version, demand.context_group);
         // Context of replaced weights is released early to make room for that of the new weights.
         let behind_since_ms = demand.behind_since_ms(version);
         let reads_from_stores = behind_since_ms
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -577,7 +577,7 @@
         box_short_id: state.peers.local().short_id,
         hall: &gateway.settings.hall,
         prompt: request.prompt.as_ref(),
-        isolated_account: request.isolated_account.as_deref(),
+        context_group: request.context_group.as_deref(),
         weights,
         weights_apply_ms: gateway.settings.bounds.weights_apply_ms,
         excludes_overdue: overdue_weights::enforces_weight_deadline(state, now_ms),
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -88,7 +88,7 @@
         box_short_id: 0,
         hall,
         prompt: Some(&prompt),
-        isolated_account: None,
+        context_group: None,
         weights: None,
         weights_apply_ms: 10_000,
         excludes_overdue: true,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -227,7 +227,7 @@
         box_short_id: u32::try_from(box_index).unwrap(),
         hall: "north",
         prompt: Some(&prompt),
-        isolated_account: None,
+        context_group: None,
         weights: None,
         weights_apply_ms: 10_000,
         excludes_overdue: true,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -59,7 +59,7 @@
         box_short_id: 0,
         hall: "north",
         prompt,
-        isolated_account: None,
+        context_group: None,
         weights: None,
         weights_apply_ms: 10_000,
         excludes_overdue: true,
@@ -125,7 +125,7 @@
     engine.contents.set_tokens(PartKey::new("1.m", "aa"), 5000);
     let stores = Stores::default();
     let mut request_demand = demand(Some(&prompt), &[]);
-    request_demand.isolated_account = Some("petra");
+    request_demand.context_group = Some("petra");
     let plan = choose(0, &upstreams, &stores, Some(&engine_spec()), &request_demand)
         .unwrap()
         .context
--- /dev/null
+++ b/tests/gateway_isolation.rs
@@ -0,0 +1,72 @@
+//! Isolated accounts: what one had cached before it was declared isolated stayed where other accounts
+//! found it.
+
+#[path = "common/site.rs"]
+mod common;
+
+use std::collections::HashSet;
+
+use common::{send_prompt, start_engines, wait_ready};
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::engine::{Engine, MODEL};
+use coursestile_standins::site::{Gateway, Site, config_document, engine_services, eventually};
+use serde_json::{Value, json};
+
+/// A configuration with the accounts `petra` and `other`, of which some are isolated.
+fn config(version: u64, isolated: &[&str]) -> Value {
+    let mut config = config_document(version);
+    config["routes"][2]["service"] = json!("llm");
+    config["routes"][2]["path_prefix"] = json!("/run/");
+    config["services"] = engine_services(None);
+    let account = |name: &str, key: &str| {
+        json!({ "name": name, "api_keys": [key], "priority": 1,
+            "isolated": isolated.contains(&name) })
+    };
+    config["tenants"] = json!([account("petra", "key-1"), account("other", "key-2")]);
+    config
+}
+
+async fn apply(site: &Site, gateway: &Gateway, version: u64, isolated: &[&str]) {
+    site.configure(&config(version, isolated));
+    let applied = format!("in_force version={version}");
+    eventually("it is in force", async || gateway.log_text().contains(&applied)).await;
+}
+
+/// Sends a prompt of the account `other`.
+async fn send_other(gateway: &Gateway, id: &str) -> u16 {
+    let extra =
+        format!("X-Model: {MODEL}\r\nX-Token-Count: 700,10\r\nX-Prefix-Hash: aa:100,bb:600\r\n");
+    let bytes = request("POST", "/run/x", id, &extra, "prompt");
+    let bytes = String::from_utf8(bytes).unwrap().replace("key-1", "key-2");
+    let mut client = Client::connect(&gateway.clients).await;
+    client.send(bytes.as_bytes()).await.expect("an answer").status()
+}
+
+/// The scope of the context that a request may use.
+fn scope(engine: &Engine, id: &str) -> String {
+    let runs = engine.runs();
+    let run = runs.iter().find(|run| run.headers["x-request-id"] == id).expect("it has run");
+    run.headers["cache-salt"].clone()
+}
+
+#[tokio::test]
+async fn shared_before_isolation() {
+    let mut site = Site::start().await;
+    let engine = start_engines(&site, 1).await.remove(0);
+    site.configure(&config(7, &[]));
+    site.set_weight_version(MODEL, 1);
+    let gateway = site.gateway("north", &[]);
+    wait_ready(&gateway).await;
+    assert_eq!(send_prompt(&gateway, "petra-before").await, 200);
+    assert_eq!(send_other(&gateway, "other-before").await, 200);
+    apply(&site, &gateway, 8, &["petra"]).await;
+    assert_eq!(send_prompt(&gateway, "petra-isolated").await, 200);
+    assert_eq!(send_other(&gateway, "other-after").await, 200);
+    apply(&site, &gateway, 9, &[]).await;
+    assert_eq!(send_other(&gateway, "other-last").await, 200);
+    let shared = scope(&engine, "petra-before");
+    assert_eq!(scope(&engine, "other-before"), shared);
+    let scopes = ["petra-before", "petra-isolated", "other-after"].map(|id| scope(&engine, id));
+    assert_eq!(scopes.iter().collect::<HashSet<_>>().len(), 3, "{scopes:?}");
+    assert_eq!(scope(&engine, "other-last"), shared, "none of them is isolated now");
+}
--- a/tests/gateway_room.rs
+++ b/tests/gateway_room.rs
@@ -444,7 +444,7 @@
             box_short_id: u32::try_from(box_index).unwrap(),
             hall,
             prompt: Some(&kind.prompt()),
-            isolated_account: None,
+            context_group: None,
             weights: None,
             weights_apply_ms: 10_000,
             excludes_overdue: true,
--- a/tests/gateway_speeds.rs
+++ b/tests/gateway_speeds.rs
@@ -93,7 +93,7 @@
         box_short_id: 1,
         hall,
         prompt: Some(&prompt),
-        isolated_account: None,
+        context_group: None,
         weights: None,
         weights_apply_ms: 10_000,
         excludes_overdue: true,
