--- a/standins/src/site/server.rs
+++ b/standins/src/site/server.rs
@@ -748,11 +748,7 @@
             let sealed = format!("X-Server-Seal: seal-{id}\r\nContent-Length: {length}\r\n\r\n");
             let cut = matches!(behavior, Behavior::TruncatedLargeBody(_));
             let sent = if cut { length / 2 } else { *length };
-            write.write_all(head(200, id, &sealed).as_bytes()).await.ok()?;
-            for start in (0..sent).step_by(BODY_PIECE.len()) {
-                write.write_all(&BODY_PIECE[..BODY_PIECE.len().min(sent - start)]).await.ok()?;
-            }
-            return (!cut).then_some(());
+            return send_large(write, &head(200, id, &sealed), sent).await.filter(|()| !cut);
         }
         Behavior::Events(count) => {
             return stream_events(write, request, &notices, *count, mark.as_bytes()).await;
@@ -793,6 +789,15 @@
     write.write_all(text.as_bytes()).await.ok()
 }
 
+/// Sends a head and this many bytes of a body.
+async fn send_large(write: &mut OwnedWriteHalf, head: &str, length: usize) -> Option<()> {
+    write.write_all(head.as_bytes()).await.ok()?;
+    for start in (0..length).step_by(BODY_PIECE.len()) {
+        write.write_all(&BODY_PIECE[..BODY_PIECE.len().min(length - start)]).await.ok()?;
+    }
+    Some(())
+}
+
 /// The rest of the head and the body of an answer in chunks that names a length as well.
 fn chunks_with_length(id: &str, length: usize, body: &str) -> String {
     format!(
