Gateway: the check of a rejection waits until its connection is ready

Found by reading: the HTTP library takes no other request until its task has seen the end of the response before, so the request that checks a rejection could fail, and a true rejection became unknown (502 in place of 503). No test showed it. The check waits for the connection now.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -261,7 +261,7 @@
 
 /// Finds out whether a rejection without an id belongs to a request, by another request on the connection,
 /// which the upstream answers in order: the answer that comes next is that of the request if it runs.
-/// Returns the response that belongs to it; `None` if that is not known.
+/// Returns the response to it; `None` if that is not known.
 async fn resolve_rejection(
     outgoing: &OutgoingRequest,
     upstream_id: &str,
@@ -276,6 +276,9 @@
         }
     }
     connection.forbid_reuse();
+    if !connection.wait_until_ready().await {
+        return exchange::announces_close(rejection.headers()).then_some(rejection);
+    }
     let next = send(connection, exchange::liveness_request(upstream_id)).await;
     let is_own = |next: &Response<Incoming>| {
         let head = exchange::answer_head(next.status(), next.headers());
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -80,6 +80,11 @@
         self.responses > 1
     }
 
+    /// Waits until it takes another request; `false` if it is closed.
+    pub async fn wait_until_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
     /// Keeps it from being used for another request.
     pub fn forbid_reuse(&mut self) {
         self.reusable = false;
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -340,8 +340,8 @@
 }
 
 /// Whether a response that has ended is complete, as far as can be known, and thus answers its
-/// request. A close-delimited one is complete if its upstream still runs. One that has left by plan is
-/// not asked in vain: what may run again does so, and what may not counts as complete.
+/// request. A close-delimited one is complete if its upstream still runs. If that may have ended by plan,
+/// what may run again does so, and what may not counts as complete.
 pub async fn confirm_end(
     gateway: &Arc<Gateway>,
     upstream: &Incarnation,
