--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,8 +21,8 @@
 //! - `origins` tells peers where streams began, and finds it out for a client that resumes one.
 //! - `silence` and `overdue_weights` end attempts that should be made elsewhere.
 //! - `refuse` composes refusals, and `request_log` writes log lines.
-//! - `crashes`, `quarantine` and `trials` withhold requests that crash upstreams, and `reachability`
-//!   probes upstreams.
+//! - `crashes`, `quarantine` and `trials` withhold requests that crash upstreams; `liveness` finds out
+//!   whether an upstream runs, and `reachability` whether this box reaches it.
 //!
 //! Leader: `leadership`, `claims`, `leader`, `weight_loads` and `store_cleanup` do what a single
 //! box does for the whole fleet; `leader_calls` makes calls on behalf of a leader that cannot reach
