Gateway: a burst after one standstill is not shed

Cause: connections are shed while accepted ones wait for 10 ms on average. Each connection of a burst counted as a sign of its own, so one standstill of the process looked like a lasting backlog from the ninth on. The logs of two failures have 12 and 9 lines of connection_shed where 12 and 9 requests are missing.

--- a/tests/shedding.rs
+++ b/tests/shedding.rs
@@ -27,6 +27,20 @@
     assert!(!is_shed_after(&mut shedding, NOW_MS + 5101, 1, 10));
 }
 
+/// A process that stood still while many connections arrived at once closed most of them, although
+/// it had a backlog of some milliseconds.
+#[test]
+fn burst_after_standstill() {
+    let mut shedding = Shedding::default();
+    for number in 0..40 {
+        assert!(!shedding.record_wait(NOW_MS + number, 40 - number), "connection {number}");
+    }
+    // Those that arrive afterwards do not wait.
+    for number in 0..200 {
+        assert!(!shedding.record_wait(NOW_MS + 40 + number, 0), "connection {number} afterwards");
+    }
+}
+
 /// Once connections wait for a short time again, they are read.
 #[test]
 fn worked_off() {
