--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -41,6 +41,19 @@
     .await;
 }
 
+// Guards against a page of a listing that hangs until its timeout: the metadata store stops responding
+// while boxes that have just started read it, and the configuration came late once it responded again.
+#[tokio::test]
+async fn listings_lost_in_metadata_silence() {
+    assert_no_violations(Options {
+        seed: 74216,
+        seconds: 14,
+        boxes: 4,
+        scenario: Scenario::Restarts,
+    })
+    .await;
+}
+
 // Guards against the same loss of watches when an upstream is about to leave: it must not get
 // requests beyond the time bound.
 #[tokio::test]
