Gateway: log how a box came to the version of a stream of unknown origin

Cause: `resumed_by_client` says what peers have answered. It tells neither that the box then took the only version that it knew, nor which one, nor how old what it knew of the metadata store was, so a guess while out of step looks like one in the first moments of a roll-out (docs/incidents/boxes-out-of-step.md).

Change: `origin_guessed` with version, age counted from before the call to the store, revision, state of the store and live boxes; `versions_known` when stored versions are read. No decision has changed.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -21,7 +21,7 @@
 use crate::gateway::held_request::HeldRequest;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::origins::{self, FoundOrigin};
-use crate::gateway::request_log::log_resumed_by_client;
+use crate::gateway::request_log::{log_origin_guessed, log_resumed_by_client};
 use crate::gateway::response::Reason;
 use crate::names::short_id;
 use crate::part_key::PartKey;
@@ -140,7 +140,7 @@
                 ResumedStream::Malformed => return Err(Reason::BadRequest),
             };
             log_resumed_by_client(request_id, resumed, found);
-            Some(certain_origin(gateway, &route, found).await?)
+            Some(certain_origin(gateway, &route, request_id, found).await?)
         }
         Some(_) | None => None,
     };
@@ -245,6 +245,7 @@
 async fn certain_origin(
     gateway: &Gateway,
     route: &Route,
+    request_id: &str,
     found: FoundOrigin,
 ) -> Result<StreamOrigin, Reason> {
     let reason = match found {
@@ -253,8 +254,9 @@
         FoundOrigin::Unanswered => Reason::OriginUnanswered,
     };
     let service = route.only_service().ok_or(reason)?;
-    let software = origins::only_version(gateway, service).await.ok_or(reason)?;
-    Ok(StreamOrigin { service: short_id(service), software })
+    let software = origins::only_version(gateway, service).await;
+    log_origin_guessed(gateway, request_id, service, software);
+    Ok(StreamOrigin { service: short_id(service), software: software.ok_or(reason)? })
 }
 
 /// Hash that spreads requests evenly over the target services of a route.
--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -36,6 +36,8 @@
     stored: StoredVersions,
     /// Revision of their item.
     stored_revision: u64,
+    /// Time as of which this box knows what the metadata store has.
+    known_as_of_ms: Option<u64>,
 }
 
 impl SoftwareHistory {
@@ -66,6 +68,24 @@
         }
     }
 
+    /// Records that this box knows what the metadata store had at a time, which is not later than when
+    /// the store was asked.
+    pub fn record_known(&mut self, as_of_ms: u64) {
+        self.known_as_of_ms = self.known_as_of_ms.max(Some(as_of_ms));
+    }
+
+    /// Age of what this box knows of the metadata store; `None` if it has read only stale state.
+    #[must_use]
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.known_as_of_ms.map(|as_of_ms| now_ms.saturating_sub(as_of_ms))
+    }
+
+    /// Revision of the stored versions that this box knows.
+    #[must_use]
+    pub fn stored_revision(&self) -> u64 {
+        self.stored_revision
+    }
+
     /// The version that began all streams of a service that may be resumed, if it is the only one.
     /// `listed` are the versions of the service's upstreams now.
     #[must_use]
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -531,6 +531,17 @@
         self.software_history.set_stored(revision, stored);
     }
 
+    /// What this box knows of the versions that upstreams have had.
+    #[must_use]
+    pub fn software_history(&self) -> &SoftwareHistory {
+        &self.software_history
+    }
+
+    /// Records that this box knows what the metadata store had at a time.
+    pub fn record_store_known(&mut self, as_of_ms: u64) {
+        self.software_history.record_known(as_of_ms);
+    }
+
     /// Records that all upstreams are known now.
     pub fn record_complete(&mut self, now_ms: u64) {
         self.software_history.record_complete(now_ms);
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -292,6 +292,7 @@
     let named = NamedAt::After(state.view.synced_at_ms().unwrap_or(UNKNOWN_TIME_MS));
     if freshness == Freshness::Latest {
         state.view.mark_synced(now_ms);
+        state.upstreams.record_store_known(started_at_ms);
     }
     let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
     let changes = state.view.apply_snapshot(now_ms, snapshot, is_covered, is_ephemeral);
@@ -307,6 +308,7 @@
         let state = gateway.state();
         (state.view.at_revision(), state.view.is_store_available())
     };
+    let asked_at_ms = now_ms();
     let wait =
         if is_available { regular_wait(&gateway.settings.bounds) } else { WAIT_AFTER_FAILURE };
     let watched = tokio::select! {
@@ -340,6 +342,7 @@
     state.view.advance_to(at_revision);
     let named = named_at(gateway, &state, now_ms);
     state.view.mark_synced(now_ms);
+    state.upstreams.record_store_known(asked_at_ms);
     apply(gateway, &mut state, now_ms, named, applied);
     Ok(CallEnd::Answered)
 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -162,6 +162,23 @@
         "event=resumed_by_client request={request_id} began_as={began_as} origin=\"{found}\"");
 }
 
+/// Logs the version at which a stream of unknown origin is resumed, and on what grounds.
+pub fn log_origin_guessed(
+    gateway: &Gateway,
+    request_id: &str,
+    service: &str,
+    software: Option<u32>,
+) {
+    let (state, now_ms) = (gateway.state(), now_ms());
+    let history = state.upstreams.software_history();
+    let software = software.map_or_else(|| "-".to_owned(), |software| software.to_string());
+    let age_ms = history.age_ms(now_ms).map_or_else(|| "-".to_owned(), |age_ms| age_ms.to_string());
+    info!(target: "serve",
+        "event=origin_guessed request={request_id} service={service} software={software} \
+         known_age_ms={age_ms} stored_revision={} store={:?} live_boxes={}",
+        history.stored_revision(), state.metadata_store_status(), state.peers.live_boxes(now_ms));
+}
+
 /// How long ago the first version newer than the chosen engine's was named, as far as this
 /// box knows; 0 if there is none.
 fn behind_ms(state: &State, request: &AdmittedRequest, choice: &Choice) -> u64 {
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -85,12 +85,14 @@
     if *is_read || is_synced {
         return true;
     }
-    let key = keys::software();
+    let (key, asked_at_ms) = (keys::software(), now_ms());
     let reading = gateway.metadata.list_page(&key, None, Freshness::Latest);
     let Ok(Ok(page)) = timeout(CONFIRM_TIMEOUT, reading).await else { return false };
+    let mut state = gateway.state();
     for item in page.items.iter().filter(|item| item.key == key) {
-        apply(&mut gateway.state(), item.revision, &item.value);
+        apply(&mut state, item.revision, &item.value);
     }
+    state.upstreams.record_store_known(asked_at_ms);
     *is_read = true;
     true
 }
@@ -98,7 +100,11 @@
 /// Applies the versions that the metadata store had at a revision.
 pub fn apply(state: &mut State, revision: u64, value: &[u8]) {
     match postcard::from_bytes::<StoredVersions>(value) {
-        Ok(stored) => state.upstreams.set_stored_versions(revision, stored),
+        Ok(stored) => {
+            info!(target: "versions", "event=versions_known revision={revision} services={} versions={}",
+                stored.len(), stored.values().map(BTreeSet::len).sum::<usize>());
+            state.upstreams.set_stored_versions(revision, stored);
+        }
         Err(error) => warn!(target: "versions", "event=versions_unreadable cause=\"{error}\""),
     }
 }
