--- a/soak/src/mesh.rs
+++ b/soak/src/mesh.rs
@@ -84,6 +84,21 @@
         }
     }
 
+    /// Sets the state of the links between `group` and all other boxes; those within it stay as they are.
+    pub fn separate(&self, group: &[usize], side: PeerDirection, link: LinkState) {
+        for peer_link in &self.links {
+            let (from, to) = (group.contains(&peer_link.from), group.contains(&peer_link.to));
+            let is_affected = match side {
+                PeerDirection::From => from && !to,
+                PeerDirection::To => to && !from,
+                PeerDirection::Both => from != to,
+            };
+            if is_affected {
+                peer_link.set(link);
+            }
+        }
+    }
+
     /// Silences the connections that are open now, for good.
     pub fn silence(&self) {
         self.links.iter().for_each(|peer_link| peer_link.proxy.silence());
