--- a/load/src/gateway.rs
+++ b/load/src/gateway.rs
@@ -13,7 +13,7 @@
 use coursestile::gateway::decisions::choose::choose;
 use coursestile::gateway::decisions::configuration::{EngineSpec, Store};
 use coursestile::gateway::decisions::context::scope;
-use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::demand::{AllowedSoftware, Demand};
 use coursestile::gateway::decisions::gossip_message::{
     Gossip, LoadChanges, LoadReport, PartReports,
 };
@@ -374,7 +374,7 @@
         placement: Placement::RendezvousHash { hall: "hall-0" },
         candidates: Candidates::Sampled { seed, hall_boxes: None },
         allowed_halls: AllowedHalls::ALL,
-        resumption: None,
+        software: AllowedSoftware::Any,
         tried: &[],
         max_connections: 200,
         boxes: 1,
--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -65,6 +65,8 @@
     pub stream: StreamId,
     /// Where the stream began, once its client has received an event of it.
     pub origin: Option<StreamOrigin>,
+    /// Whether that was concluded from there being one version only. Others are not told then.
+    pub is_origin_guessed: bool,
     /// Upstreams that it has been sent to.
     pub tried: Vec<Incarnation>,
     /// Attempts that count towards the route's limit: the intended upstream may have received them.
@@ -132,7 +134,7 @@
     let body = read_body(&configuration, body).await?;
     let account_name = account.as_ref().map_or("", |account| &account.name);
     let stream = StreamId::new(account_name, began_as(head, request_id));
-    let origin = match &head.resumed {
+    let certain = match &head.resumed {
         Some(resumed) if route.retry_policy == RetryPolicy::StreamResumable => {
             let found = match resumed {
                 ResumedStream::Named(_) => origins::find(gateway, stream).await,
@@ -144,6 +146,7 @@
         }
         Some(_) | None => None,
     };
+    let (origin, is_origin_guessed) = certain.unzip();
     // Chosen only now, since a configuration change may have come into force while the body
     // arrived.
     let service = match origin {
@@ -182,6 +185,7 @@
         client_deadline_ms: arrived_at_ms + timeout_ms.min(MAX_CLIENT_TIMEOUT_MS),
         stream,
         origin,
+        is_origin_guessed: is_origin_guessed.unwrap_or_default(),
         tried: Vec::new(),
         attempts_made: 0,
         undelivered_attempts: 0,
@@ -241,22 +245,23 @@
 }
 
 /// Where the stream began that a client resumes: where it was found to have begun, or else could only
-/// have begun.
+/// have begun; and whether the latter was concluded.
 async fn certain_origin(
     gateway: &Gateway,
     route: &Route,
     request_id: &str,
     found: FoundOrigin,
-) -> Result<StreamOrigin, Reason> {
+) -> Result<(StreamOrigin, bool), Reason> {
     let reason = match found {
-        FoundOrigin::Known(origin) => return Ok(origin),
+        FoundOrigin::Known(origin) => return Ok((origin, false)),
         FoundOrigin::Unknown => Reason::OriginUnknown,
         FoundOrigin::Unanswered => Reason::OriginUnanswered,
     };
     let service = route.only_service().ok_or(reason)?;
     let software = origins::only_version(gateway, service).await;
     log_origin_guessed(gateway, request_id, service, software);
-    Ok(StreamOrigin { service: short_id(service), software: software.ok_or(reason)? })
+    let origin = StreamOrigin { service: short_id(service), software: software.ok_or(reason)? };
+    Ok((origin, true))
 }
 
 /// Hash that spreads requests evenly over the target services of a route.
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -110,7 +110,7 @@
     let is_usable = |upstream: &&Upstream| {
         !upstreams.is_evacuated(upstream) && is_usable(now_ms, upstream, demand)
     };
-    let eligible = upstreams.eligible(now_ms, demand.service, demand.resumption);
+    let eligible = upstreams.eligible(now_ms, demand.service, demand.software);
     let usable: Vec<&Upstream> = eligible.filter(is_usable).collect();
     let mut chooser = Chooser { now_ms, upstreams, stores, engine, demand, lookups: Vec::new() };
     let best = match demand.candidates {
--- a/src/gateway/decisions/demand.rs
+++ b/src/gateway/decisions/demand.rs
@@ -30,6 +30,17 @@
     pub leaving_apply_ms: u64,
 }
 
+/// The versions of software that may serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AllowedSoftware {
+    /// All of them.
+    Any,
+    /// Those that may begin streams that clients resume.
+    MayBegin,
+    /// The one that began the request's stream.
+    Began(Resumption),
+}
+
 /// The requirements of a request for its upstream, and the box that sends it.
 pub struct Demand<'a> {
     pub service: &'a str,
@@ -53,8 +64,8 @@
     pub candidates: Candidates,
     /// The halls in which it may run.
     pub allowed_halls: AllowedHalls<'a>,
-    /// Which upstreams may resume the request's stream; `None` if it has not begun.
-    pub resumption: Option<Resumption>,
+    /// The versions of software that may serve it.
+    pub software: AllowedSoftware,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Connections that each upstream accepts from all boxes together.
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -259,18 +259,6 @@
         })
     }
 
-    /// Whether there are no other boxes, not even ones from which nothing has been received.
-    #[must_use]
-    pub fn is_only_box(&self) -> bool {
-        self.seeds.is_empty() && self.known.is_empty()
-    }
-
-    /// Whether a live peer's view of the metadata store is newer than that of this box.
-    #[must_use]
-    pub fn is_any_ahead(&self, now_ms: u64, own: ViewDigest) -> bool {
-        self.live_peers(now_ms).any(|(_, peer)| is_ahead(peer.gossip.view_digest, own))
-    }
-
     /// The peer from which to fetch an update of the metadata view, if one has been ahead for
     /// long enough. A box that does not follow the metadata store itself asks its publisher at
     /// once. At equal revisions it goes by its publisher only: followers can differ for a while,
--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -1,4 +1,4 @@
-//! Which versions of software may have begun streams that clients still resume.
+//! Which versions of software may have begun streams that clients still resume, and which may begin them.
 //!
 //! A client that resumes a stream may not say which request began it, and the boxes that knew where it
 //! began may all be gone. It can still be resumed if one version only may have begun it: the boxes
@@ -6,14 +6,48 @@
 //! started. A version is added when its first upstream is listed, by the leader or, if it has not done
 //! so soon, by any box: while there is no leader, a version may begin streams and go. The leader removes
 //! a version when no upstream has been listed with it for as long as streams last.
+//!
+//! A box that is cut off, slow or suspended does not notice that a version was added. So it takes a version for
+//! the only one until `GUESS_LEASE_MS` after the time as of which it knows what is stored, and a version that
+//! was added begins streams only once it has been stored for longer than that. Ages count from before the
+//! store was asked, also if a peer asked it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 /// Longest time in which a client resumes a stream.
 const MAX_STREAM_MS: u64 = 30_000;
 
-/// Versions of the software of services, all by their short ids, as stored.
-pub type StoredVersions = BTreeMap<u32, BTreeSet<u32>>;
+/// Time for which what a box knows of the metadata store shows that a version is the only one.
+pub const GUESS_LEASE_MS: u64 = 2000;
+
+/// Time for which a version must have been stored before it begins streams beside others: the lease, and a
+/// margin for clocks that run at different rates.
+pub const SETTLE_MS: u64 = GUESS_LEASE_MS + 100;
+
+/// Versions of the software of services, all by their short ids.
+pub type Versions = BTreeMap<u32, BTreeSet<u32>>;
+
+/// The versions that the metadata store has. Earlier releases know the first field only, and ignore what
+/// follows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredVersions {
+    /// Those that may have begun streams.
+    pub versions: Versions,
+    /// Of services with several versions, those that may begin streams, as some box has found.
+    pub settled: Versions,
+}
+
+impl StoredVersions {
+    /// Versions that an earlier release has stored, whose boxes begin streams at any of them.
+    #[must_use]
+    pub fn all_settled(versions: Versions) -> Self {
+        let mut settled = versions.clone();
+        settled.retain(|_, versions| versions.len() > 1);
+        Self { versions, settled }
+    }
+}
 
 /// What a box may change of the stored versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,8 +68,12 @@
     gone_at_ms: HashMap<(u32, u32), u64>,
     /// Versions that the metadata store has.
     stored: StoredVersions,
+    /// Since when this box has known that they are stored, by the short ids of service and version.
+    stored_since_ms: HashMap<(u32, u32), u64>,
     /// Revision of their item.
     stored_revision: u64,
+    /// Whether the item at that revision cannot be read.
+    is_unreadable: bool,
     /// Time as of which this box knows what the metadata store has.
     known_as_of_ms: Option<u64>,
 }
@@ -61,13 +99,34 @@
 
     /// Takes over what the metadata store had at a revision. A stale listing may show an older one than
     /// this box knows.
-    pub fn set_stored(&mut self, revision: u64, stored: StoredVersions) {
+    pub fn set_stored(&mut self, now_ms: u64, revision: u64, stored: StoredVersions) {
+        if revision < self.stored_revision {
+            return;
+        }
+        let mut since_ms = HashMap::new();
+        for key in pairs(&stored.versions) {
+            since_ms.insert(key, self.stored_since_ms.get(&key).copied().unwrap_or(now_ms));
+        }
+        self.stored_since_ms = since_ms;
+        self.stored = stored;
+        self.stored_revision = revision;
+        self.is_unreadable = false;
+    }
+
+    /// Records that the item of the stored versions cannot be read at a revision.
+    pub fn set_unreadable(&mut self, revision: u64) {
         if revision >= self.stored_revision {
-            self.stored = stored;
             self.stored_revision = revision;
+            self.is_unreadable = true;
         }
     }
 
+    /// The versions that the metadata store has, as far as this box knows.
+    #[must_use]
+    pub fn stored(&self) -> &StoredVersions {
+        &self.stored
+    }
+
     /// Records that this box knows what the metadata store had at a time, which is not later than when
     /// the store was asked.
     pub fn record_known(&mut self, as_of_ms: u64) {
@@ -86,8 +145,14 @@
         self.stored_revision
     }
 
+    /// Whether what this box knows of the metadata store shows which version is the only one.
+    #[must_use]
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        !self.is_unreadable && self.age_ms(now_ms).is_some_and(|age_ms| age_ms <= GUESS_LEASE_MS)
+    }
+
     /// The version that began all streams of a service that may be resumed, if it is the only one.
-    /// `listed` are the versions of the service's upstreams now.
+    /// `listed` are the versions of the service's upstreams now. `None` if this box may be out of step.
     #[must_use]
     pub fn only_version(
         &self,
@@ -95,13 +160,48 @@
         service: u32,
         listed: impl Iterator<Item = u32>,
     ) -> Option<u32> {
-        let stored = self.stored.get(&service).filter(|stored| !stored.is_empty())?;
+        if !self.is_current(now_ms) {
+            return None;
+        }
+        let stored = self.stored.versions.get(&service)?;
         let gone = self.recently_gone(now_ms).filter(|(gone_service, _)| *gone_service == service);
         let mut versions = stored.iter().copied().chain(listed).chain(gone.map(|(_, gone)| gone));
         let first = versions.next()?;
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// When a version of a service may begin streams, if that is known: at once if no box can take
+    /// another one for the only one. While nothing is stored for the service, that is the version of the
+    /// upstream that this box has known longest.
+    #[must_use]
+    pub fn begins_at_ms(
+        &self,
+        service: u32,
+        software: u32,
+        first_known: impl FnOnce() -> Option<u32>,
+    ) -> Option<u64> {
+        let Some(stored) = self.stored.versions.get(&service) else {
+            return first_known().filter(|first| *first == software).map(|_| 0);
+        };
+        if !stored.contains(&software) {
+            return None;
+        }
+        if stored.len() == 1 || contains(&self.stored.settled, service, software) {
+            return Some(0);
+        }
+        self.stored_since_ms.get(&(service, software)).map(|since_ms| since_ms + SETTLE_MS)
+    }
+
+    /// When the next version may begin streams that may not yet.
+    #[must_use]
+    pub fn next_settled_at_ms(&self) -> Option<u64> {
+        let unsettled = self.stored_since_ms.iter().filter(|((service, software), _)| {
+            let is_only = self.stored.versions.get(service).is_some_and(|only| only.len() == 1);
+            !is_only && !contains(&self.stored.settled, *service, *software)
+        });
+        unsettled.map(|(_, since_ms)| since_ms + SETTLE_MS).min()
+    }
+
     /// The versions that the metadata store should have, if this box has to change it. `listed` are
     /// services and versions of all upstreams now. A version is only removed once this box has known all
     /// upstreams for as long as streams last.
@@ -115,12 +215,30 @@
         let covers =
             self.complete_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MAX_STREAM_MS);
         let may_remove = change == StoredChange::AddAndRemove && covers;
-        let mut next = if may_remove { StoredVersions::new() } else { self.stored.clone() };
+        let mut next = if may_remove { Versions::new() } else { self.stored.versions.clone() };
         let gone = self.recently_gone(now_ms).filter(|_| change == StoredChange::AddAndRemove);
         for (service, software) in listed.chain(gone) {
             next.entry(service).or_default().insert(software);
         }
-        (next != self.stored).then_some(next)
+        let next = StoredVersions { settled: self.next_settled(now_ms, &next), versions: next };
+        (self.is_unreadable || next != self.stored).then_some(next)
+    }
+
+    /// Those of the `next` versions that may begin streams.
+    fn next_settled(&self, now_ms: u64, next: &Versions) -> Versions {
+        // Nobody can take any of those for the only one that are stored first, and together.
+        let is_settled = |service: u32, software: u32| {
+            let begins_at_ms = self.begins_at_ms(service, software, || Some(software));
+            begins_at_ms.is_some_and(|begins_at_ms| now_ms >= begins_at_ms)
+        };
+        let mut settled = Versions::new();
+        for (service, versions) in next.iter().filter(|(_, versions)| versions.len() > 1) {
+            let of_service = versions.iter().copied();
+            let of_service =
+                of_service.filter(|software| is_settled(*service, *software)).collect();
+            settled.insert(*service, of_service);
+        }
+        settled
     }
 
     fn recently_gone(&self, now_ms: u64) -> impl Iterator<Item = (u32, u32)> {
@@ -129,6 +247,17 @@
     }
 }
 
+/// The short ids of each service and each of its versions.
+fn pairs(versions: &Versions) -> impl Iterator<Item = (u32, u32)> {
+    versions
+        .iter()
+        .flat_map(|(service, versions)| versions.iter().map(|version| (*service, *version)))
+}
+
+fn contains(versions: &Versions, service: u32, software: u32) -> bool {
+    versions.get(&service).is_some_and(|versions| versions.contains(&software))
+}
+
 /// Whether streams that began at a time may still be resumed.
 fn is_recent(now_ms: u64, at_ms: u64) -> bool {
     now_ms < at_ms + MAX_STREAM_MS
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -174,6 +174,12 @@
         }
     }
 
+    /// When this box learned of its incarnation.
+    #[must_use]
+    pub fn known_since_ms(&self) -> u64 {
+        self.known_since_ms
+    }
+
     /// Notices from its answers.
     #[must_use]
     pub fn notices(&self) -> NoticeState {
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -11,7 +11,7 @@
 
 use slab::Slab;
 
-use crate::gateway::decisions::demand::Resumption;
+use crate::gateway::decisions::demand::{AllowedSoftware, Resumption};
 use crate::gateway::decisions::departures::Departures;
 use crate::gateway::decisions::engine_speed::{
     PendingReports, SampleOrigin, ServiceSpeed, Speed, SpeedReport,
@@ -20,7 +20,9 @@
 use crate::gateway::decisions::incarnation::Incarnation;
 use crate::gateway::decisions::notice::{NoticeState, UnlistedNotices};
 use crate::gateway::decisions::rate_limit::RateLimit;
-use crate::gateway::decisions::software_history::{SoftwareHistory, StoredChange, StoredVersions};
+use crate::gateway::decisions::software_history::{
+    SETTLE_MS, SoftwareHistory, StoredChange, StoredVersions,
+};
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
 use crate::names::short_id;
 
@@ -435,10 +437,10 @@
         &self,
         now_ms: u64,
         service: &str,
-        resumption: Option<Resumption>,
+        software: AllowedSoftware,
         tried: &[Incarnation],
     ) -> Option<u64> {
-        let untried = self.eligible(now_ms, service, resumption).filter(|upstream| {
+        let untried = self.eligible(now_ms, service, software).filter(|upstream| {
             !self.is_evacuated(upstream)
                 && !tried.iter().any(|incarnation| upstream.is_incarnation(incarnation))
         });
@@ -447,22 +449,64 @@
         closed?.into_iter().min()
     }
 
-    /// The upstreams that may get a request: those of a service, or those that may resume its stream.
+    /// The upstreams that may get a request: those of a service, those of them that may begin a stream,
+    /// or those that may resume one.
     #[must_use]
     pub fn eligible<'a>(
         &'a self,
         now_ms: u64,
         service: &'a str,
-        resumption: Option<Resumption>,
+        software: AllowedSoftware,
     ) -> Box<dyn Iterator<Item = &'a Upstream> + 'a> {
-        match resumption {
-            None => Box::new(self.of_service(service)),
-            Some(Resumption { software, leaving_apply_ms }) => {
+        match software {
+            AllowedSoftware::Any => Box::new(self.of_service(service)),
+            AllowedSoftware::MayBegin => Box::new(self.beginning(now_ms, service)),
+            AllowedSoftware::Began(Resumption { software, leaving_apply_ms }) => {
                 Box::new(self.resuming(now_ms, service, software, leaving_apply_ms))
             }
         }
     }
 
+    /// The upstreams of a service whose versions may begin streams.
+    fn beginning<'a>(
+        &'a self,
+        now_ms: u64,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let mut last_version = None;
+        self.of_service(service).filter(move |upstream| {
+            // Most upstreams have the same version as the one before.
+            let may_begin = match last_version {
+                Some((software, may_begin)) if software == upstream.software => may_begin,
+                _ => self
+                    .begins_at_ms(service, upstream.software)
+                    .is_some_and(|at_ms| now_ms >= at_ms),
+            };
+            last_version = Some((upstream.software, may_begin));
+            may_begin
+        })
+    }
+
+    /// When a version may begin streams of a service, if that is known.
+    fn begins_at_ms(&self, service: &str, software: u32) -> Option<u64> {
+        let first_known = || {
+            let first = self.of_service(service).min_by_key(|upstream| upstream.known_since_ms());
+            first.map(|upstream| upstream.software)
+        };
+        self.software_history.begins_at_ms(short_id(service), software, first_known)
+    }
+
+    /// When the first upstream of a service may begin a stream, if all are too new; at the earliest after
+    /// the time that a version takes if one is not stored yet. `None` if one may begin it now, or there is
+    /// none.
+    #[must_use]
+    pub fn streams_begin_at_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+        let begin_at_ms = self.of_service(service).map(|upstream| {
+            self.begins_at_ms(service, upstream.software).unwrap_or(now_ms + SETTLE_MS)
+        });
+        begin_at_ms.min().filter(|at_ms| now_ms < *at_ms)
+    }
+
     /// Whether an upstream of a service has a rate limit.
     #[must_use]
     pub fn is_any_limited(&self, service: &str) -> bool {
@@ -527,8 +571,13 @@
     }
 
     /// Takes over the versions that the metadata store had at a revision.
-    pub fn set_stored_versions(&mut self, revision: u64, stored: StoredVersions) {
-        self.software_history.set_stored(revision, stored);
+    pub fn set_stored_versions(&mut self, now_ms: u64, revision: u64, stored: StoredVersions) {
+        self.software_history.set_stored(now_ms, revision, stored);
+    }
+
+    /// Records that the stored versions cannot be read at a revision.
+    pub fn set_versions_unreadable(&mut self, revision: u64) {
+        self.software_history.set_unreadable(revision);
     }
 
     /// What this box knows of the versions that upstreams have had.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -31,8 +31,9 @@
 use crate::gateway::decisions::weights::NamedVersion;
 use crate::gateway::kernel::{Gateway, ObservedVersion, State};
 use crate::gateway::leader_calls::{DelegatedCall, DelegatedReply, execute_for_peer};
+use crate::gateway::stored_versions::{VersionsAnswer, VersionsQuery};
 use crate::gateway::weight_loads::{LOADING_GOSSIP_MS, VERSION_GOSSIP_MS};
-use crate::gateway::{crashes, origins, quarantine, rate_limits, trials};
+use crate::gateway::{crashes, origins, quarantine, rate_limits, stored_versions, trials};
 use crate::names::short_id;
 
 /// Maximum length of a datagram that is read.
@@ -93,6 +94,10 @@
     PermitQuery(PermitQuery),
     /// The answer to a [`PermitQuery`].
     PermitAnswer(PermitAnswer),
+    /// A question for the stored versions of software.
+    VersionsQuery(VersionsQuery),
+    /// The answer to a [`VersionsQuery`].
+    VersionsAnswer(VersionsAnswer),
 }
 
 /// Sends gossip to peers, a few times a second and whenever something urgent changes.
@@ -480,6 +485,12 @@
             Ok(Datagram::PermitAnswer(answer)) => {
                 gateway.permit_queries.receive_answer(answer.number, answer);
             }
+            Ok(Datagram::VersionsQuery(query)) => {
+                stored_versions::answer(&gateway, &socket, from, query).await;
+            }
+            Ok(Datagram::VersionsAnswer(answer)) => {
+                gateway.versions_queries.receive_answer(answer.number, answer);
+            }
             Err(error) => {
                 warn!(target: "gossip", "event=gossip_unreadable peer={from} cause=\"{error}\"");
             }
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -45,6 +45,7 @@
 use crate::gateway::origins::OriginQueries;
 use crate::gateway::peer_traffic::PeerTraffic;
 use crate::gateway::settings::{Bounds, Settings};
+use crate::gateway::stored_versions::VersionsAnswer;
 use crate::names::short_id;
 use crate::part_key::PartKey;
 use crate::platform::caches::CacheClient;
@@ -334,8 +335,11 @@
     pub origin_queries: OriginQueries,
     /// Socket for datagrams to peers, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
-    /// Whether the stored versions of software have been read for `confirm`; locked while they are.
-    pub versions_read: tokio::sync::Mutex<bool>,
+    /// When the stored versions of software may be asked for again after nobody has answered; locked while
+    /// they are.
+    pub versions_retry_at_ms: tokio::sync::Mutex<u64>,
+    /// Queries to peers for the stored versions.
+    pub versions_queries: OpenQueries<VersionsAnswer>,
     /// Serialises writes of claims.
     pub claim_lock: tokio::sync::Mutex<()>,
     /// How long accepted connections wait.
@@ -440,7 +444,8 @@
             permit_queries: OpenQueries::default(),
             origin_queries: OriginQueries::default(),
             peer_socket: OnceLock::new(),
-            versions_read: tokio::sync::Mutex::new(false),
+            versions_retry_at_ms: tokio::sync::Mutex::default(),
+            versions_queries: OpenQueries::default(),
             claim_lock: tokio::sync::Mutex::new(()),
             shedding: Mutex::default(),
             client_buffers: Arc::default(),
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -17,7 +17,7 @@
     OriginAnswer, OriginQuery, OriginReport, StreamId, StreamOrigin,
 };
 use crate::gateway::gossip::{Datagram, send_to};
-use crate::gateway::kernel::{Gateway, State};
+use crate::gateway::kernel::Gateway;
 use crate::gateway::stored_versions;
 use crate::sync::locked;
 
@@ -133,20 +133,8 @@
 /// The version that began all streams of a service that a client may resume now, by its short id.
 /// `None` if that is not certain.
 pub async fn only_version(gateway: &Gateway, service: &str) -> Option<u32> {
-    if !stored_versions::confirm(gateway).await {
-        return None;
-    }
-    let (state, now_ms) = (gateway.state(), now_ms());
-    let is_current = is_view_current(&state, now_ms);
-    state.upstreams.only_version(now_ms, service).filter(|_| is_current)
-}
-
-/// Whether this box knows of new upstreams as soon as others do, as far as it can tell.
-fn is_view_current(state: &State, now_ms: u64) -> bool {
-    let has_source = state.view.is_store_available()
-        || state.peers.live_boxes(now_ms) > 1
-        || state.peers.is_only_box();
-    has_source && !state.peers.is_any_ahead(now_ms, state.view.digest())
+    stored_versions::confirm(gateway).await;
+    gateway.state().upstreams.only_version(now_ms(), service)
 }
 
 async fn send(gateway: &Gateway, socket: &UdpSocket, datagram: Datagram, targets: &[SocketAddr]) {
--- a/src/gateway/peer_traffic.rs
+++ b/src/gateway/peer_traffic.rs
@@ -18,7 +18,7 @@
 const BUSY_DATAGRAMS: u64 = 1000;
 const BUSY_PROBES: u64 = 50;
 /// Kinds of datagrams, in the order of [`kind`].
-const KINDS: [&str; 12] = [
+const KINDS: [&str; 13] = [
     "gossip",
     "load_changes",
     "hall_summary",
@@ -31,6 +31,7 @@
     "trials",
     "rate_limits",
     "permits",
+    "versions",
 ];
 
 /// Datagrams since the last look, by kind.
@@ -71,6 +72,7 @@
         Datagram::TrialQuery(_) | Datagram::TrialAnswer(_) | Datagram::TrialEnd(_) => 9,
         Datagram::RateLimits(_) => 10,
         Datagram::PermitQuery(_) | Datagram::PermitAnswer(_) => 11,
+        Datagram::VersionsQuery(_) | Datagram::VersionsAnswer(_) => 12,
     }
 }
 
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -7,13 +7,14 @@
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::account_shares::Admission;
 use crate::gateway::decisions::admission;
+use crate::gateway::decisions::demand::AllowedSoftware;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::returns::Refused;
 use crate::gateway::decisions::room::Limit;
 use crate::gateway::kernel::Gateway;
 use crate::gateway::request_log::{log_full, log_refusal, log_retry_time};
 use crate::gateway::response::{self, ClientResponse, Reason};
-use crate::gateway::serve::{lacks_software, record_work, resumption};
+use crate::gateway::serve::{allowed_software, lacks_software, record_work};
 use crate::names::short_id;
 
 /// Default retry delay for refused clients.
@@ -23,16 +24,23 @@
 pub fn no_upstream_found(gateway: &Gateway, request: &AdmittedRequest) -> ClientResponse {
     let mut state = gateway.state();
     state.upstreams.record_unmet(now_ms(), &request.service);
-    let resumption = resumption(gateway, request);
+    let software = allowed_software(gateway, request);
     let (now_ms, tried) = (now_ms(), &request.tried);
     let closed_until_ms =
-        state.upstreams.all_closed_until_ms(now_ms, &request.service, resumption, tried);
+        state.upstreams.all_closed_until_ms(now_ms, &request.service, software, tried);
+    let begins_at_ms = match software {
+        AllowedSoftware::MayBegin => state.upstreams.streams_begin_at_ms(now_ms, &request.service),
+        AllowedSoftware::Any | AllowedSoftware::Began(_) => None,
+    };
     let has_upstreams = state.upstreams.of_service(&request.service).next().is_some();
     let is_limited = state.upstreams.is_any_limited(&request.service);
     let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
     drop(state);
     let lacks_software = lacks_software(gateway, request);
     let seed = u64::from(short_id(&request.outgoing.request_id));
+    if let Some(begins_at_ms) = begins_at_ms.filter(|_| !are_all_evacuated) {
+        return refuse_until(request, Reason::SoftwareNew, begins_at_ms + seed % RETRY_AFTER_MS);
+    }
     match closed_until_ms {
         _ if lacks_software => refuse(request, Reason::SoftwareGone),
         _ if are_all_evacuated => refuse(request, Reason::Evacuated),
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -231,7 +231,7 @@
     /// Fixes the software of a resumable stream, and reports it, before the first bytes of this response
     /// are forwarded.
     async fn report_origin(&mut self) {
-        if self.forwarded_bytes > 0 || !self.is_resumable() {
+        if self.forwarded_bytes > 0 || !self.is_resumable() || self.request.is_origin_guessed {
             return;
         }
         let service = short_id(&self.request.service);
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -67,6 +67,8 @@
     OriginUnanswered,
     /// no upstream has the software of the stream
     SoftwareGone,
+    /// all software is too new to begin a stream
+    SoftwareNew,
     /// deadline passed
     DeadlinePassed,
     /// upstream failed
@@ -97,6 +99,7 @@
             | Self::OriginUnknown
             | Self::OriginUnanswered
             | Self::SoftwareGone
+            | Self::SoftwareNew
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
             Self::UpstreamSilent => StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,12 +20,13 @@
 use crate::gateway::decisions::candidates::Candidates;
 use crate::gateway::decisions::choose::{Choice, choose};
 use crate::gateway::decisions::configuration::RetryPolicy;
-use crate::gateway::decisions::demand::{Demand, Resumption};
+use crate::gateway::decisions::demand::{AllowedSoftware, Demand, Resumption};
 use crate::gateway::decisions::news_pace::Pace;
 use crate::gateway::decisions::regions::AllowedHalls;
 use crate::gateway::decisions::returns::Standing;
 use crate::gateway::decisions::room::RoomInputs;
 use crate::gateway::decisions::stores::Placement;
+use crate::gateway::decisions::stream_origins::StreamOrigin;
 use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::decisions::weights::NamedVersions;
 use crate::gateway::kernel::{Gateway, State};
@@ -356,15 +357,21 @@
 
 /// Number of upstreams that the request may be sent to and has not been sent to.
 fn count_untried(gateway: &Gateway, request: &AdmittedRequest) -> usize {
-    let (state, resumption) = (gateway.state(), resumption(gateway, request));
-    let eligible = state.upstreams.eligible(now_ms(), &request.service, resumption);
+    let (state, software) = (gateway.state(), allowed_software(gateway, request));
+    let eligible = state.upstreams.eligible(now_ms(), &request.service, software);
     eligible.filter(|upstream| !request.has_tried(upstream)).count()
 }
 
-/// Which upstreams may resume the request's stream.
-pub(super) fn resumption(gateway: &Gateway, request: &AdmittedRequest) -> Option<Resumption> {
+/// The versions of software that may serve the request.
+pub(super) fn allowed_software(gateway: &Gateway, request: &AdmittedRequest) -> AllowedSoftware {
     let leaving_apply_ms = gateway.settings.bounds.departure_apply_ms;
-    request.origin.map(|origin| Resumption { software: origin.software, leaving_apply_ms })
+    match request.origin {
+        Some(StreamOrigin { software, .. }) => {
+            AllowedSoftware::Began(Resumption { software, leaving_apply_ms })
+        }
+        None if request.is_resumable() => AllowedSoftware::MayBegin,
+        None => AllowedSoftware::Any,
+    }
 }
 
 /// Whether the request may be sent to another upstream. If so, takes one retry from the budget.
@@ -534,8 +541,8 @@
 }
 
 /// Whether it is known that no upstream can take the request until `until`: all untried ones have
-/// asked for back-offs that end later, or named rate limits that allow it later, operators evacuate all halls of the service, or none can
-/// resume the stream.
+/// asked for back-offs that end later, or named rate limits that allow it later, operators evacuate all halls of the service, their
+/// software is too new to begin a stream, or none can resume it.
 fn none_available_until(gateway: &Gateway, request: &AdmittedRequest, until: Instant) -> bool {
     if lacks_software(gateway, request) {
         return true;
@@ -544,10 +551,14 @@
     if state.upstreams.are_all_evacuated(&request.service) {
         return true;
     }
-    let resumption = resumption(gateway, request);
+    let software = allowed_software(gateway, request);
     let (now_ms, tried) = (now_ms(), &request.tried);
-    let closed_until_ms =
-        state.upstreams.all_closed_until_ms(now_ms, &request.service, resumption, tried);
+    let closed_until_ms = match software {
+        AllowedSoftware::MayBegin => state.upstreams.streams_begin_at_ms(now_ms, &request.service),
+        AllowedSoftware::Any | AllowedSoftware::Began(_) => None,
+    };
+    let closed_until_ms = closed_until_ms
+        .or_else(|| state.upstreams.all_closed_until_ms(now_ms, &request.service, software, tried));
     closed_until_ms.is_some_and(|closed_until_ms| instant_at(closed_until_ms) > until)
 }
 
@@ -600,7 +611,7 @@
             route: &request.route.allowed_regions,
             account: &request.account_regions,
         },
-        resumption: resumption(gateway, request),
+        software: allowed_software(gateway, request),
         tried: &request.tried,
         max_connections: service.max_connections,
         boxes,
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -2,16 +2,21 @@
 //! metadata store (see `decisions::software_history`).
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::{info, warn};
-use tokio::time::{sleep, timeout};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::box_phase::BoxPhase;
-use crate::clock::now_ms;
+use crate::clock::{instant_at, now_ms};
 use crate::error::{Error, Result};
-use crate::gateway::decisions::software_history::{StoredChange, StoredVersions};
+use crate::gateway::decisions::gossip_message::MetadataStoreStatus;
+use crate::gateway::decisions::software_history::{StoredChange, StoredVersions, Versions};
+use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Freshness, WriteOutcome};
 use crate::platform::keys;
@@ -28,12 +33,35 @@
 /// Time limit for a call that confirms the versions: many times the usual 4 ms.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Pause after a call that was not answered. Streams that depend on it are refused at once meanwhile.
+const CONFIRM_RETRY_MS: u64 = 250;
+
+/// Asks a peer for the stored versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionsQuery {
+    /// Identifies the query among those of the sender.
+    pub number: u64,
+}
+
+/// The answer to a [`VersionsQuery`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionsAnswer {
+    /// See [`VersionsQuery::number`].
+    pub number: u64,
+    /// Age of what the sender knows of the metadata store.
+    pub age_ms: u32,
+    /// Revision of the item.
+    pub revision: u64,
+    pub stored: StoredVersions,
+}
+
 /// Maintains the stored versions until the box stops.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut changed = gateway.upstreams_changed.subscribe();
     while gateway.phase() != BoxPhase::Stopped {
         // In either case the versions are compared.
-        let _ = timeout(COMPARE_PERIOD, changed.changed()).await;
+        let _ = timeout_at(compare_at(&gateway), changed.changed()).await;
+        wake_if_settled(&gateway);
         let change = if is_leader(&gateway.state(), now_ms()) {
             StoredChange::AddAndRemove
         } else if is_version_missing(&gateway) {
@@ -48,11 +76,28 @@
     }
 }
 
+/// When the versions are compared next: after a period, or when one may begin streams.
+fn compare_at(gateway: &Gateway) -> Instant {
+    let settled_at_ms = gateway.state().upstreams.software_history().next_settled_at_ms();
+    let period_ends_at = Instant::now() + COMPARE_PERIOD;
+    let settled_at = settled_at_ms.filter(|at_ms| now_ms() < *at_ms).map(instant_at);
+    settled_at.map_or(period_ends_at, |settled_at| settled_at.min(period_ends_at))
+}
+
+/// Wakes requests that wait for an upstream if there is a version that has not begun streams before.
+fn wake_if_settled(gateway: &Gateway) {
+    let settled_at_ms = gateway.state().upstreams.software_history().next_settled_at_ms();
+    if settled_at_ms.is_some_and(|at_ms| now_ms() >= at_ms) {
+        gateway.capacity_changed.notify_waiters();
+    }
+}
+
 fn is_leader(state: &State, now_ms: u64) -> bool {
     state.leadership.is_some_and(|leadership| now_ms < leadership.until_ms)
 }
 
-/// Whether this box follows the metadata store and finds upstreams with a version that it lacks.
+/// Whether this box follows the metadata store and finds that it lacks a version, or that one may begin
+/// streams.
 fn is_version_missing(gateway: &Gateway) -> bool {
     let state = gateway.state();
     state.follows_metadata
@@ -70,45 +115,119 @@
     let Some(next) = next else { return Ok(()) };
     let value = postcard::to_stdvec(&next).map_err(|error| codec_error(&error))?;
     let outcome = gateway.metadata.write(&key, revision, &value, None).await?;
-    info!(target: "versions", "event=versions_written services={} versions={} done={}",
-        next.len(), next.values().map(BTreeSet::len).sum::<usize>(),
-        matches!(outcome, WriteOutcome::Done { .. }));
+    info!(target: "versions", "event=versions_written services={} versions={} done={} settled={}",
+        next.versions.len(), count(&next.versions),
+        matches!(outcome, WriteOutcome::Done { .. }), count(&next.settled));
     Ok(())
 }
 
-/// Whether this box knows the versions that the metadata store has had since its start. A listing, its
-/// own or a peer's, may be older than that; the versions are then read once, in one call for all
-/// requests that wait.
-pub async fn confirm(gateway: &Gateway) -> bool {
-    let mut is_read = gateway.versions_read.lock().await;
-    let is_synced = gateway.state().view.synced_at_ms().is_some();
-    if *is_read || is_synced {
-        return true;
+/// Has this box know the versions that the metadata store has now, in one call for all requests that wait,
+/// unless it has known them a moment ago. A box to which the store does not respond asks peers first.
+pub async fn confirm(gateway: &Gateway) {
+    let is_current = || gateway.state().upstreams.software_history().is_current(now_ms());
+    if is_current() {
+        return;
+    }
+    let mut retry_at_ms = gateway.versions_retry_at_ms.lock().await;
+    if is_current() || now_ms() < *retry_at_ms {
+        return;
+    }
+    let asks_store_first =
+        gateway.state().metadata_store_status() == MetadataStoreStatus::Available;
+    if asks_store_first {
+        read_stored(gateway).await;
+    }
+    if !is_current() {
+        ask_peers(gateway).await;
+    }
+    if !asks_store_first && !is_current() {
+        read_stored(gateway).await;
+    }
+    if !is_current() {
+        *retry_at_ms = now_ms() + CONFIRM_RETRY_MS;
     }
+}
+
+/// Reads the versions from the metadata store.
+async fn read_stored(gateway: &Gateway) {
     let (key, asked_at_ms) = (keys::software(), now_ms());
     let reading = gateway.metadata.list_page(&key, None, Freshness::Latest);
-    let Ok(Ok(page)) = timeout(CONFIRM_TIMEOUT, reading).await else { return false };
+    let Ok(Ok(page)) = timeout(CONFIRM_TIMEOUT, reading).await else { return };
     let mut state = gateway.state();
     for item in page.items.iter().filter(|item| item.key == key) {
         apply(&mut state, item.revision, &item.value);
     }
     state.upstreams.record_store_known(asked_at_ms);
-    *is_read = true;
-    true
+}
+
+/// Asks peers to which the metadata store responds.
+async fn ask_peers(gateway: &Gateway) {
+    let Some(socket) = gateway.peer_socket.get() else { return };
+    let asked_at_ms = now_ms();
+    let targets = gateway.state().peers.next_delegates(asked_at_ms);
+    if targets.is_empty() {
+        return;
+    }
+    let number = fastrand::u64(..);
+    let open = gateway.versions_queries.open(number);
+    let datagram = Datagram::VersionsQuery(VersionsQuery { number });
+    gateway.peer_traffic.record_sent(&datagram, targets.len());
+    send_to(socket, &datagram, &targets).await;
+    let Ok(Some(answer)) = timeout(CONFIRM_TIMEOUT, open.answer()).await else { return };
+    let mut state = gateway.state();
+    state.upstreams.set_stored_versions(now_ms(), answer.revision, answer.stored);
+    let as_of_ms = asked_at_ms.saturating_sub(u64::from(answer.age_ms));
+    state.upstreams.record_store_known(as_of_ms);
+}
+
+/// Answers a peer's query, unless this box may be out of step itself.
+pub async fn answer(gateway: &Gateway, socket: &UdpSocket, from: SocketAddr, query: VersionsQuery) {
+    let answer = {
+        let (state, now_ms) = (gateway.state(), now_ms());
+        let history = state.upstreams.software_history();
+        let age_ms = history.age_ms(now_ms).and_then(|age_ms| u32::try_from(age_ms).ok());
+        age_ms.filter(|_| history.is_current(now_ms)).map(|age_ms| VersionsAnswer {
+            number: query.number,
+            age_ms,
+            revision: history.stored_revision(),
+            stored: history.stored().clone(),
+        })
+    };
+    let Some(answer) = answer else { return };
+    let datagram = Datagram::VersionsAnswer(answer);
+    gateway.peer_traffic.record_sent(&datagram, 1);
+    send_to(socket, &datagram, &[from]).await;
 }
 
 /// Applies the versions that the metadata store had at a revision.
 pub fn apply(state: &mut State, revision: u64, value: &[u8]) {
-    match postcard::from_bytes::<StoredVersions>(value) {
+    match decode(value) {
         Ok(stored) => {
-            info!(target: "versions", "event=versions_known revision={revision} services={} versions={}",
-                stored.len(), stored.values().map(BTreeSet::len).sum::<usize>());
-            state.upstreams.set_stored_versions(revision, stored);
+            info!(target: "versions",
+                "event=versions_known revision={revision} services={} versions={} settled={}",
+                stored.versions.len(), count(&stored.versions), count(&stored.settled));
+            state.upstreams.set_stored_versions(now_ms(), revision, stored);
+        }
+        Err(error) => {
+            warn!(target: "versions", "event=versions_unreadable cause=\"{error}\"");
+            state.upstreams.set_versions_unreadable(revision);
         }
-        Err(error) => warn!(target: "versions", "event=versions_unreadable cause=\"{error}\""),
     }
 }
 
+/// Decodes the stored versions, also as an earlier release writes them.
+fn decode(value: &[u8]) -> postcard::Result<StoredVersions> {
+    let (versions, rest) = postcard::take_from_bytes::<Versions>(value)?;
+    if rest.is_empty() {
+        return Ok(StoredVersions::all_settled(versions));
+    }
+    Ok(StoredVersions { versions, settled: postcard::from_bytes(rest)? })
+}
+
+fn count(versions: &Versions) -> usize {
+    versions.values().map(BTreeSet::len).sum()
+}
+
 fn codec_error(error: &postcard::Error) -> Error {
     Error::Message(error.to_string())
 }
--- a/tests/gateway_commons.rs
+++ b/tests/gateway_commons.rs
@@ -10,7 +10,7 @@
 use coursestile::gateway::decisions::choose::{Choice, choose};
 use coursestile::gateway::decisions::configuration::{EngineSpec, Store};
 use coursestile::gateway::decisions::context::PartSource;
-use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::demand::{AllowedSoftware, Demand};
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
@@ -95,7 +95,7 @@
         placement: Placement::RendezvousHash { hall },
         candidates: Candidates::Sampled { seed: 3, hall_boxes: None },
         allowed_halls: AllowedHalls::ALL,
-        resumption: None,
+        software: AllowedSoftware::Any,
         tried: &[],
         max_connections: 200,
         boxes: 1,
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -10,7 +10,7 @@
 use coursestile::gateway::decisions::candidates::Candidates;
 use coursestile::gateway::decisions::choose::choose;
 use coursestile::gateway::decisions::configuration::EngineSpec;
-use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::demand::{AllowedSoftware, Demand};
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::regions::AllowedHalls;
 use coursestile::gateway::decisions::stores::{Placement, Stores};
@@ -234,7 +234,7 @@
         placement: Placement::RendezvousHash { hall: "north" },
         candidates,
         allowed_halls: AllowedHalls::ALL,
-        resumption: None,
+        software: AllowedSoftware::Any,
         tried: &[],
         max_connections: 200,
         boxes: 1,
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -11,7 +11,7 @@
 use coursestile::gateway::decisions::choose::choose;
 use coursestile::gateway::decisions::configuration::{EngineSpec, Store};
 use coursestile::gateway::decisions::context::{scope_model, scope_version};
-use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::demand::{AllowedSoftware, Demand};
 use coursestile::gateway::decisions::incarnation::Incarnation;
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::regions::AllowedHalls;
@@ -66,7 +66,7 @@
         placement: Placement::FastestLink { hall: "north" },
         candidates: Candidates::All,
         allowed_halls: AllowedHalls::ALL,
-        resumption: None,
+        software: AllowedSoftware::Any,
         tried,
         max_connections: 200,
         boxes: 1,
--- a/tests/gateway_origins.rs
+++ b/tests/gateway_origins.rs
@@ -5,7 +5,7 @@
 use coursestile::gateway::decisions::gossip_message::Gossip;
 use coursestile::gateway::decisions::peers::{LocalBox, Peers};
 use coursestile::gateway::decisions::software_history::{
-    SoftwareHistory, StoredChange, StoredVersions,
+    GUESS_LEASE_MS, SETTLE_MS, SoftwareHistory, StoredChange, StoredVersions, Versions,
 };
 use coursestile::gateway::decisions::stream_origins::{StreamId, StreamOrigin, StreamOrigins};
 use coursestile::gateway::decisions::view::ViewDigest;
@@ -164,15 +164,27 @@
 
 const SERVICE: u32 = 1;
 
+fn of_service(versions: &[u32]) -> Versions {
+    [(SERVICE, versions.iter().copied().collect())].into_iter().collect()
+}
+
+/// Stored versions, of which those may begin streams that are `settled`.
+fn stored_settled(versions: &[u32], settled: &[u32]) -> StoredVersions {
+    StoredVersions { versions: of_service(versions), settled: of_service(settled) }
+}
+
 fn stored(versions: &[u32]) -> StoredVersions {
-    [(SERVICE, versions.iter().copied().collect())].into()
+    StoredVersions::all_settled(of_service(versions))
 }
 
-/// A history of which the metadata store has `versions`.
+/// A history of which the metadata store has `versions`, as this box has known since 0 ms.
 fn history(versions: &[u32]) -> SoftwareHistory {
     let mut history = SoftwareHistory::default();
     history.record_complete(0);
-    history.set_stored(1, stored(versions));
+    history.record_known(0);
+    if !versions.is_empty() {
+        history.set_stored(0, 1, stored(versions));
+    }
     history
 }
 
@@ -191,6 +203,7 @@
 fn version_gone() {
     let mut history = history(&[8]);
     history.record_gone(100, SERVICE, 7);
+    history.record_known(30_000);
     assert_eq!(history.only_version(30_099, SERVICE, [8].into_iter()), None);
     assert_eq!(history.only_version(30_100, SERVICE, [8].into_iter()), Some(8));
     assert_eq!(history.only_version(100, 2, [8].into_iter()), None, "of no other service");
@@ -200,9 +213,9 @@
 #[test]
 fn stale_stored() {
     let mut history = history(&[7, 8]);
-    history.set_stored(0, stored(&[7]));
+    history.set_stored(0, 0, stored(&[7]));
     assert_eq!(history.only_version(0, SERVICE, [7].into_iter()), None);
-    history.set_stored(2, stored(&[7]));
+    history.set_stored(0, 2, stored(&[7]));
     assert_eq!(history.only_version(0, SERVICE, [7].into_iter()), Some(7));
 }
 
@@ -210,8 +223,9 @@
 fn added_at_once() {
     let listed = [(SERVICE, 7), (SERVICE, 8), (2, 7)];
     let next = history(&[7]).next_stored(0, StoredChange::AddListed, listed.into_iter()).unwrap();
-    assert_eq!(next[&SERVICE], [7, 8].into());
-    assert_eq!(next[&2], [7].into());
+    assert_eq!(next.versions[&SERVICE], [7, 8].into());
+    assert_eq!(next.versions[&2], [7].into());
+    assert_eq!(next.settled, of_service(&[7]), "the other one has just been added");
     assert_eq!(
         history(&[7]).next_stored(0, StoredChange::AddListed, [(SERVICE, 7)].into_iter()),
         None
@@ -244,3 +258,87 @@
     history.record_gap(50_000);
     assert_eq!(next(&history, 79_999), None);
 }
+
+/// A box that was cut off, or stood still, took the version that it knew for the only one.
+#[test]
+fn lease_ends() {
+    let mut history = history(&[7]);
+    let only = |history: &SoftwareHistory, now_ms: u64| {
+        history.only_version(now_ms, SERVICE, [7].into_iter())
+    };
+    assert_eq!(only(&history, GUESS_LEASE_MS), Some(7));
+    assert_eq!(only(&history, GUESS_LEASE_MS + 1), None);
+    history.record_known(5000);
+    history.record_known(4000);
+    assert_eq!(only(&history, 5000 + GUESS_LEASE_MS), Some(7), "the newest time counts");
+    let mut unread = SoftwareHistory::default();
+    unread.set_stored(0, 1, stored(&[7]));
+    assert_eq!(only(&unread, 0), None, "a stale listing");
+}
+
+/// Another writer replaced the item of the stored versions.
+#[test]
+fn stored_unreadable() {
+    let mut history = history(&[7]);
+    history.set_unreadable(2);
+    assert_eq!(history.only_version(0, SERVICE, [7].into_iter()), None);
+    let next = history.next_stored(0, StoredChange::AddListed, [(SERVICE, 7)].into_iter());
+    assert_eq!(next, Some(stored(&[7])), "it is written again");
+    history.set_stored(0, 3, stored(&[7]));
+    assert_eq!(history.only_version(0, SERVICE, [7].into_iter()), Some(7));
+}
+
+#[rstest]
+#[case::only(&[8], &[], 7, Some(0))]
+#[case::settled(&[7, 8], &[7, 8], 7, Some(0))]
+#[case::added(&[7, 8], &[7], 7, Some(100 + SETTLE_MS))]
+#[case::not_stored(&[7], &[], 8, None)]
+#[case::none_stored(&[], &[], 8, Some(0))]
+#[case::none_stored_other_first(&[], &[], 7, None)]
+fn begins(
+    #[case] versions: &[u32],
+    #[case] settled: &[u32],
+    #[case] first_known: u32,
+    #[case] expected: Option<u64>,
+) {
+    let mut history = SoftwareHistory::default();
+    if !versions.is_empty() {
+        history.set_stored(100, 1, stored_settled(versions, settled));
+        history.set_stored(900, 2, stored_settled(versions, settled));
+    }
+    assert_eq!(history.begins_at_ms(SERVICE, 8, || Some(first_known)), expected);
+}
+
+/// Boxes that start later learn that a version may begin streams.
+#[test]
+fn settled_stored() {
+    let mut history = history(&[7]);
+    history.set_stored(0, 2, stored_settled(&[7, 8], &[7]));
+    let listed = [(SERVICE, 7), (SERVICE, 8)];
+    let next = |history: &SoftwareHistory, now_ms: u64| {
+        history.next_stored(now_ms, StoredChange::AddListed, listed.into_iter())
+    };
+    assert_eq!(next(&history, SETTLE_MS - 1), None);
+    assert_eq!(history.next_settled_at_ms(), Some(SETTLE_MS));
+    assert_eq!(next(&history, SETTLE_MS), Some(stored_settled(&[7, 8], &[7, 8])));
+    history.set_stored(SETTLE_MS, 3, stored_settled(&[7, 8], &[7, 8]));
+    assert_eq!(next(&history, SETTLE_MS), None);
+    // A version that comes back is new again.
+    history.set_stored(SETTLE_MS, 4, stored(&[7]));
+    history.set_stored(9000, 5, stored_settled(&[7, 8], &[7]));
+    assert_eq!(history.begins_at_ms(SERVICE, 8, || None), Some(9000 + SETTLE_MS));
+}
+
+/// No stream can begin at a version before every box has stopped taking another one for the only one.
+#[test]
+fn begun_after_lease() {
+    for stored_at_ms in [0, 1, 700, 5000] {
+        let mut begins = history(&[7]);
+        begins.set_stored(stored_at_ms, 2, stored_settled(&[7, 8], &[7]));
+        let begun_at_ms = begins.begins_at_ms(SERVICE, 8, || None).unwrap();
+        let mut guesses = history(&[7]);
+        // The last time as of which a box can know the state from before.
+        guesses.record_known(stored_at_ms);
+        assert_eq!(guesses.only_version(begun_at_ms, SERVICE, [7].into_iter()), None);
+    }
+}
--- a/tests/gateway_room.rs
+++ b/tests/gateway_room.rs
@@ -12,7 +12,7 @@
 use coursestile::gateway::decisions::candidates::Candidates;
 use coursestile::gateway::decisions::choose::{Choice, choose};
 use coursestile::gateway::decisions::configuration::{EngineSpec, Store};
-use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::demand::{AllowedSoftware, Demand};
 use coursestile::gateway::decisions::engine_speed::Speed;
 use coursestile::gateway::decisions::prompt::Prompt;
 use coursestile::gateway::decisions::regions::AllowedHalls;
@@ -451,7 +451,7 @@
             placement: Placement::RendezvousHash { hall },
             candidates: Candidates::Sampled { seed, hall_boxes: Some(BOXES) },
             allowed_halls: AllowedHalls::ALL,
-            resumption: None,
+            software: AllowedSoftware::Any,
             tried: &[],
             max_connections: 2000,
             boxes: 1,
--- a/tests/gateway_speeds.rs
+++ b/tests/gateway_speeds.rs
@@ -12,7 +12,7 @@
 use coursestile::gateway::decisions::candidates::Candidates;
 use coursestile::gateway::decisions::choose::{Choice, choose};
 use coursestile::gateway::decisions::configuration::EngineSpec;
-use coursestile::gateway::decisions::demand::Demand;
+use coursestile::gateway::decisions::demand::{AllowedSoftware, Demand};
 use coursestile::gateway::decisions::engine_speed::{EventGaps, SampleOrigin, SpeedReport};
 use coursestile::gateway::decisions::incarnation::Incarnation;
 use coursestile::gateway::decisions::prompt::Prompt;
@@ -100,7 +100,7 @@
         placement: Placement::RendezvousHash { hall },
         candidates: Candidates::Sampled { seed, hall_boxes: None },
         allowed_halls: AllowedHalls::ALL,
-        resumption: None,
+        software: AllowedSoftware::Any,
         tried: &[],
         max_connections: 200,
         boxes: 1,
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -21,6 +21,9 @@
 /// Time within which a box writes a version that no leader has written.
 const WRITTEN_WITHIN: Duration = Duration::from_secs(1);
 
+/// Time within which streams begin at a new version, beside load.
+const BEGUN_WITHIN: Duration = Duration::from_secs(8);
+
 /// Time within which boxes that have started know what the metadata store has.
 const CATCH_UP_TIME: Duration = Duration::from_secs(3);
 
@@ -108,6 +111,20 @@
         stream
     }
 
+    /// As `begin`, once streams begin at the new version of `server`; until then they are refused.
+    async fn begin_new(&self, server: &Server) -> EventStream {
+        server.script(&[Behavior::HeldEvents(2)]);
+        let until = Instant::now() + BEGUN_WITHIN;
+        loop {
+            let mut stream = self.send(0, "r-1", "").await;
+            if numbers(&stream.read_events(2).await) == [1, 2] {
+                return stream;
+            }
+            assert!(Instant::now() < until, "no stream begins at the new version");
+            assert_eq!(stream.status(), 503);
+        }
+    }
+
     /// Sends a request with additional headers to a box.
     async fn send(&self, index: usize, id: &str, extra: &str) -> EventStream {
         EventStream::request(&self.gateways[index].clients, "/resume/x", id, extra).await.unwrap()
@@ -235,8 +252,8 @@
     fleet.site.metadata.hold_stale_reads();
     let new = fleet.upstream("s-1", "v2").await;
     fleet.wait_versions_written(2).await;
-    old.script(&vec![Behavior::NotRun; 20]);
-    let _stream = fleet.begin(&new).await;
+    old.script(&vec![Behavior::NotRun; 3000]);
+    let _stream = fleet.begin_new(&new).await;
     fleet.kill(0..16);
     old.clear_script();
     for gateway in &fleet.gateways {
@@ -273,8 +290,8 @@
     fleet.site.metadata.put("coursestile/lease/leader", b"gone", 0);
     fleet.restart([0, 1]).await;
     let new = fleet.upstream("s-1", "v2").await;
-    old.script(&vec![Behavior::NotRun; 20]);
-    let _stream = fleet.begin(&new).await;
+    old.script(&vec![Behavior::NotRun; 3000]);
+    let _stream = fleet.begin_new(&new).await;
     tokio::time::sleep(WRITTEN_WITHIN).await;
     fleet.kill([0, 1]);
     fleet.site.deregister("s-1");
