Gateway: what boxes know of stored versions survives returns, odd writers and changes of role

An item that another writer has removed counts as unreadable. - An item that got an earlier value again was not taken over, since the view reports no change; the versions are taken from the view by its revision now. - A box that begins to follow the store with a view from its peers reads the item before it relies on watches (follower_reads). - While the store takes no writes, a new version never began streams, also after all others had gone: it does 10 s after that (others_gone). - A refusal because the box is out of step had Retry-After 0, and was repeated in vain; it has a reason and a time of its own now.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, Uri, header};
 use tokio::time::timeout;
 
+use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::attempt::OutgoingRequest;
 use crate::gateway::decisions::configuration::{Account, Configuration, RetryPolicy, Route};
@@ -259,6 +260,9 @@
     };
     let service = route.only_service().ok_or(reason)?;
     let software = origins::only_version(gateway, service).await;
+    // A retry may be served once this box is in step again.
+    let is_current = gateway.state().upstreams.software_history().is_current(now_ms());
+    let reason = if is_current { reason } else { Reason::OriginUnconfirmed };
     log_origin_guessed(gateway, request_id, service, software);
     let origin = StreamOrigin { service: short_id(service), software: software.ok_or(reason)? };
     Ok((origin, true))
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -493,14 +493,28 @@
             let first = self.of_service(service).min_by_key(|upstream| upstream.known_since_ms());
             first.map(|upstream| upstream.software)
         };
-        self.software_history.begins_at_ms(short_id(service), software, first_known)
+        let others_gone_at_ms = || {
+            let of_service = self.iter().filter(|upstream| upstream.entry.service == service);
+            let listed = of_service.map(|upstream| upstream.software);
+            self.software_history.others_gone_at_ms(short_id(service), software, listed)
+        };
+        let history = &self.software_history;
+        history.begins_at_ms(short_id(service), software, first_known, others_gone_at_ms)
     }
 
-    /// When the first upstream of a service may begin a stream, if all are too new; at the earliest after
-    /// the time that a version takes if one is not stored yet. `None` if one may begin it now, or there is
-    /// none.
+    /// When the first upstream of a service may begin a stream, if that is what `software` asks for and all
+    /// are too new; at the earliest after the time that a version takes if one is not stored yet. `None`
+    /// if one may begin it now, or there is none.
     #[must_use]
-    pub fn streams_begin_at_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+    pub fn streams_begin_at_ms(
+        &self,
+        now_ms: u64,
+        service: &str,
+        software: AllowedSoftware,
+    ) -> Option<u64> {
+        if software != AllowedSoftware::MayBegin {
+            return None;
+        }
         let begin_at_ms = self.of_service(service).map(|upstream| {
             self.begins_at_ms(service, upstream.software).unwrap_or(now_ms + SETTLE_MS)
         });
@@ -586,9 +600,19 @@
         &self.software_history
     }
 
-    /// Records that this box knows what the metadata store had at a time.
-    pub fn record_store_known(&mut self, as_of_ms: u64) {
-        self.software_history.record_known(as_of_ms);
+    /// Records that this box has followed the metadata store until a time.
+    pub fn record_followed(&mut self, as_of_ms: u64) {
+        self.software_history.record_followed(as_of_ms);
+    }
+
+    /// Records that the stored versions were read as of a time.
+    pub fn record_versions_read(&mut self, as_of_ms: u64) {
+        self.software_history.record_read(as_of_ms);
+    }
+
+    /// Has this box read the stored versions before it relies on watches.
+    pub fn require_versions_read(&mut self) {
+        self.software_history.require_read();
     }
 
     /// Records that all upstreams are known now.
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -148,6 +148,9 @@
     info!(target: "follow",
         "event=role_changed follows={follows} caches={caches} small_fleet={small_fleet} boxes={}",
         state.peers.live_boxes(now_ms));
+    if follows && !state.follows_metadata && state.view.is_loaded() {
+        state.upstreams.require_versions_read();
+    }
     state.follows_metadata = follows;
     state.follows_caches = caches;
     state.small_fleet = small_fleet;
@@ -292,7 +295,7 @@
     let named = NamedAt::After(state.view.synced_at_ms().unwrap_or(UNKNOWN_TIME_MS));
     if freshness == Freshness::Latest {
         state.view.mark_synced(now_ms);
-        state.upstreams.record_store_known(started_at_ms);
+        state.upstreams.record_followed(started_at_ms);
     }
     let (at_revision, items) = (snapshot.at_revision, snapshot.items.len());
     let changes = state.view.apply_snapshot(now_ms, snapshot, is_covered, is_ephemeral);
@@ -342,7 +345,7 @@
     state.view.advance_to(at_revision);
     let named = named_at(gateway, &state, now_ms);
     state.view.mark_synced(now_ms);
-    state.upstreams.record_store_known(asked_at_ms);
+    state.upstreams.record_followed(asked_at_ms);
     apply(gateway, &mut state, now_ms, named, applied);
     Ok(CallEnd::Answered)
 }
@@ -503,20 +506,12 @@
             (KeyKind::QuarantinedParts, Some(value)) => {
                 quarantine::restore_parts(gateway, state, now_ms, value);
             }
-            (KeyKind::Software, Some(value)) => {
-                let revision = state.view.get(key).map_or(0, |item| item.revision);
-                stored_versions::apply(state, revision, value);
-            }
-            (
-                KeyKind::Members
-                | KeyKind::Quarantine
-                | KeyKind::QuarantinedParts
-                | KeyKind::Software,
-                None,
-            )
-            | (KeyKind::Own | KeyKind::Other, _) => {}
+            (KeyKind::Members | KeyKind::Quarantine | KeyKind::QuarantinedParts, None)
+            // The stored versions are taken from the view below: it may have them again as they were.
+            | (KeyKind::Software | KeyKind::Own | KeyKind::Other, _) => {}
         }
     }
+    stored_versions::update_from_view(state);
     if state.view.is_loaded() {
         state.upstreams.record_complete(now_ms);
     }
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -7,7 +7,6 @@
 use crate::gateway::check::AdmittedRequest;
 use crate::gateway::decisions::account_shares::Admission;
 use crate::gateway::decisions::admission;
-use crate::gateway::decisions::demand::AllowedSoftware;
 use crate::gateway::decisions::prompt::Prompt;
 use crate::gateway::decisions::returns::Refused;
 use crate::gateway::decisions::room::Limit;
@@ -28,10 +27,7 @@
     let (now_ms, tried) = (now_ms(), &request.tried);
     let closed_until_ms =
         state.upstreams.all_closed_until_ms(now_ms, &request.service, software, tried);
-    let begins_at_ms = match software {
-        AllowedSoftware::MayBegin => state.upstreams.streams_begin_at_ms(now_ms, &request.service),
-        AllowedSoftware::Any | AllowedSoftware::Began(_) => None,
-    };
+    let begins_at_ms = state.upstreams.streams_begin_at_ms(now_ms, &request.service, software);
     let has_upstreams = state.upstreams.of_service(&request.service).next().is_some();
     let is_limited = state.upstreams.is_any_limited(&request.service);
     let are_all_evacuated = state.upstreams.are_all_evacuated(&request.service);
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -65,6 +65,8 @@
     OriginUnknown,
     /// no answer about where the stream began
     OriginUnanswered,
+    /// not confirmed which software may have begun the stream
+    OriginUnconfirmed,
     /// no upstream has the software of the stream
     SoftwareGone,
     /// all software is too new to begin a stream
@@ -98,6 +100,7 @@
             | Self::PartOnTrial
             | Self::OriginUnknown
             | Self::OriginUnanswered
+            | Self::OriginUnconfirmed
             | Self::SoftwareGone
             | Self::SoftwareNew
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -111,7 +111,10 @@
 /// When a client may retry that was refused before its request was admitted.
 fn early_retry_after_ms(reason: Reason) -> Option<u64> {
     match reason {
-        Reason::NotReady | Reason::OriginUnanswered | Reason::UpstreamsFull => Some(RETRY_AFTER_MS),
+        Reason::NotReady
+        | Reason::OriginUnanswered
+        | Reason::OriginUnconfirmed
+        | Reason::UpstreamsFull => Some(RETRY_AFTER_MS),
         // Only a new stream can be served, and that at once.
         Reason::OriginUnknown => Some(0),
         _ => None,
@@ -553,11 +556,8 @@
     }
     let software = allowed_software(gateway, request);
     let (now_ms, tried) = (now_ms(), &request.tried);
-    let closed_until_ms = match software {
-        AllowedSoftware::MayBegin => state.upstreams.streams_begin_at_ms(now_ms, &request.service),
-        AllowedSoftware::Any | AllowedSoftware::Began(_) => None,
-    };
-    let closed_until_ms = closed_until_ms
+    let begins_at_ms = state.upstreams.streams_begin_at_ms(now_ms, &request.service, software);
+    let closed_until_ms = begins_at_ms
         .or_else(|| state.upstreams.all_closed_until_ms(now_ms, &request.service, software, tried));
     closed_until_ms.is_some_and(|closed_until_ms| instant_at(closed_until_ms) > until)
 }
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -16,6 +16,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::decisions::gossip_message::MetadataStoreStatus;
 use crate::gateway::decisions::software_history::{StoredChange, StoredVersions, Versions};
+use crate::gateway::decisions::view::VersionedValue;
 use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Freshness, WriteOutcome};
@@ -64,7 +65,7 @@
         wake_if_settled(&gateway);
         let change = if is_leader(&gateway.state(), now_ms()) {
             StoredChange::AddAndRemove
-        } else if is_version_missing(&gateway) {
+        } else if needs_update(&gateway) {
             sleep(LEADER_HEAD_START + Duration::from_millis(fastrand::u64(0..ADD_JITTER_MS))).await;
             StoredChange::AddListed
         } else {
@@ -98,7 +99,7 @@
 
 /// Whether this box follows the metadata store and finds that it lacks a version, or that one may begin
 /// streams.
-fn is_version_missing(gateway: &Gateway) -> bool {
+fn needs_update(gateway: &Gateway) -> bool {
     let state = gateway.state();
     state.follows_metadata
         && state.upstreams.next_stored_versions(now_ms(), StoredChange::AddListed).is_some()
@@ -157,7 +158,7 @@
     for item in page.items.iter().filter(|item| item.key == key) {
         apply(&mut state, item.revision, &item.value);
     }
-    state.upstreams.record_store_known(asked_at_ms);
+    state.upstreams.record_versions_read(asked_at_ms);
 }
 
 /// Asks peers to which the metadata store responds.
@@ -177,7 +178,7 @@
     let mut state = gateway.state();
     state.upstreams.set_stored_versions(now_ms(), answer.revision, answer.stored);
     let as_of_ms = asked_at_ms.saturating_sub(u64::from(answer.age_ms));
-    state.upstreams.record_store_known(as_of_ms);
+    state.upstreams.record_versions_read(as_of_ms);
 }
 
 /// Answers a peer's query, unless this box may be out of step itself.
@@ -199,8 +200,26 @@
     send_to(socket, &datagram, &[from]).await;
 }
 
+/// Takes over the item of the view if it is newer than what this box knows. An item that had the same
+/// value before is newer, too, and one that is missing was removed by another writer.
+pub fn update_from_view(state: &mut State) {
+    let history = state.upstreams.software_history();
+    let (known_revision, is_known) = (history.stored_revision(), history.has_stored());
+    match state.view.get(&keys::software()) {
+        Some(item) if item.revision > known_revision => {
+            let VersionedValue { revision, value } = item.clone();
+            apply(state, revision, &value);
+        }
+        None if is_known && state.view.last_change_revision() > known_revision => {
+            warn!(target: "versions", "event=versions_missing");
+            state.upstreams.set_versions_unreadable(known_revision);
+        }
+        Some(_) | None => {}
+    }
+}
+
 /// Applies the versions that the metadata store had at a revision.
-pub fn apply(state: &mut State, revision: u64, value: &[u8]) {
+fn apply(state: &mut State, revision: u64, value: &[u8]) {
     match decode(value) {
         Ok(stored) => {
             info!(target: "versions",
