Gateway: a version that was removed and added again settles anew

Cause: a box that learns of the stored versions in larger steps (from a peer, or with the next watch) may miss the revision at which a version had been removed. It kept the time since which it had known the version, so it began streams of it at once, and stored that it had settled. A box that had seen the removal could still take the other version for the only one.

Change: only removal takes from a version that it may begin streams. One that could begin them, and by a newer revision cannot, counts as stored from then on.

Not seen with real processes.

--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -47,6 +47,14 @@
         settled.retain(|_, versions| versions.len() > 1);
         Self { versions, settled }
     }
+
+    /// Whether a version of a service may begin streams, whenever it was stored.
+    fn may_begin(&self, service: u32, software: u32) -> bool {
+        let is_only =
+            |versions: &BTreeSet<u32>| versions.len() == 1 && versions.contains(&software);
+        self.versions.get(&service).is_some_and(is_only)
+            || contains(&self.settled, service, software)
+    }
 }
 
 /// What a box may change of the stored versions.
@@ -104,8 +112,13 @@
             return;
         }
         let mut since_ms = HashMap::new();
-        for key in pairs(&stored.versions) {
-            since_ms.insert(key, self.stored_since_ms.get(&key).copied().unwrap_or(now_ms));
+        for (service, software) in pairs(&stored.versions) {
+            // Only removal takes the right to begin streams away. This box may not have seen the revision
+            // without the version.
+            let was_removed =
+                self.stored.may_begin(service, software) && !stored.may_begin(service, software);
+            let known_ms = self.stored_since_ms.get(&(service, software)).filter(|_| !was_removed);
+            since_ms.insert((service, software), known_ms.copied().unwrap_or(now_ms));
         }
         self.stored_since_ms = since_ms;
         self.stored = stored;
@@ -186,7 +199,7 @@
         if !stored.contains(&software) {
             return None;
         }
-        if stored.len() == 1 || contains(&self.stored.settled, service, software) {
+        if self.stored.may_begin(service, software) {
             return Some(0);
         }
         self.stored_since_ms.get(&(service, software)).map(|since_ms| since_ms + SETTLE_MS)
@@ -195,10 +208,9 @@
     /// When the next version may begin streams that may not yet.
     #[must_use]
     pub fn next_settled_at_ms(&self) -> Option<u64> {
-        let unsettled = self.stored_since_ms.iter().filter(|((service, software), _)| {
-            let is_only = self.stored.versions.get(service).is_some_and(|only| only.len() == 1);
-            !is_only && !contains(&self.stored.settled, *service, *software)
-        });
+        let unsettled = self.stored_since_ms.iter();
+        let unsettled = unsettled
+            .filter(|((service, software), _)| !self.stored.may_begin(*service, *software));
         unsettled.map(|(_, since_ms)| since_ms + SETTLE_MS).min()
     }
 
--- a/tests/gateway_origins.rs
+++ b/tests/gateway_origins.rs
@@ -342,3 +342,17 @@
         assert_eq!(guesses.only_version(begun_at_ms, SERVICE, [7].into_iter()), None);
     }
 }
+
+/// A box that learned of a version's removal only after it had been added again took it for settled.
+#[rstest]
+#[case::beside_another(stored(&[7, 8]))]
+#[case::only(stored(&[8]))]
+fn removal_missed(#[case] before: StoredVersions) {
+    let mut history = history(&[]);
+    history.set_stored(0, 1, before);
+    assert_eq!(history.begins_at_ms(SERVICE, 8, || None), Some(0));
+    history.set_stored(50_000, 3, stored_settled(&[7, 8], &[7]));
+    assert_eq!(history.begins_at_ms(SERVICE, 8, || None), Some(50_000 + SETTLE_MS));
+    let listed = [(SERVICE, 7), (SERVICE, 8)].into_iter();
+    assert_eq!(history.next_stored(50_000, StoredChange::AddListed, listed), None);
+}
