Gateway: the retry budget is divided by all boxes that may be running

What callers saw: upstreams got more repeats than the budget allows for all boxes together (BUDGET) while boxes, or halls, were cut off from each other.

Cause: the extra retries were divided by the boxes that a box hears. Boxes that are cut off from each other hear fewer each, so that n parts of a fleet spent the extra retries n times. That nothing is heard of others was taken for that there are none.

Change: they are divided by the boxes that may be running (`Peers::possible_boxes`): those known, seeds, and those that have been forgotten since, for ten minutes, unless they were stopping when they were last heard. Cost: after boxes are lost for good, their part of the extra retries is left unused for ten minutes; what requests earn is not affected.

--- a/src/gateway/decisions/budget.rs
+++ b/src/gateway/decisions/budget.rs
@@ -2,7 +2,9 @@
 //!
 //! In any time window, each service may get `ratio` retries per request and `extra` more from all
 //! boxes together. Each box may use the retries earned by its own requests and its share of the
-//! extra ones. A new process starts without any extra retries, since its predecessor may have used
+//! extra ones. That is divided by all boxes that may be running: halls that are cut off from each
+//! other hear fewer boxes each, and would together spend the extra retries several times. A new
+//! process starts without any extra retries, since its predecessor may have used
 //! them.
 
 use std::collections::{HashMap, VecDeque};
@@ -51,7 +53,8 @@
         counts.requests_at_ms.push_back(now_ms);
     }
 
-    /// Takes one retry from the budget; false if the share of one of `boxes` is used up.
+    /// Takes one retry from the budget; false if the share of one of the `boxes` that may be running is
+    /// used up.
     pub fn try_spend(&mut self, now_ms: u64, service: &str, boxes: usize) -> bool {
         let age_ms = now_ms.saturating_sub(self.started_at_ms).min(self.config.window_ms);
         let window_share = as_f64(age_ms) / as_f64(self.config.window_ms.max(1));
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -39,6 +39,9 @@
 const MAX_LOST_MESSAGES: u64 = 3;
 /// Silence after which a peer is forgotten, unless its messages reach this box less often than that.
 pub const PEER_RETENTION_MS: u64 = 30_000;
+/// Time for which a silent box may still be running, and be cut off: far longer than the longest network
+/// partition.
+pub const MAX_ABSENCE_MS: u64 = 600_000;
 /// Most peer addresses in one message.
 const MAX_SHARED_ADDRESSES: usize = 24;
 /// Time for which a peer's view must have been newer before this box asks for an update: the
@@ -112,6 +115,8 @@
     local: LocalBox,
     seeds: Vec<IpAddr>,
     known: BTreeMap<IpAddr, Peer>,
+    /// Boxes that are forgotten and may still be running, with the time when each was last heard.
+    absent: BTreeMap<IpAddr, u64>,
     rotation: usize,
     hall_rotation: usize,
     /// When the next message to all halls is due, however often the own hall gets one before.
@@ -140,6 +145,7 @@
             local,
             seeds,
             known,
+            absent: BTreeMap::new(),
             rotation: 0,
             hall_rotation: 0,
             all_halls_due_at_ms: 0,
@@ -184,6 +190,7 @@
         }
         let own_address = self.local.address.ip();
         let is_small = self.is_small_fleet();
+        self.absent.remove(&from);
         let peer = self.known.entry(from).or_insert_with(|| Peer::new(own_address, from));
         if gossip.incarnation < peer.gossip.incarnation {
             return false;
@@ -243,6 +250,7 @@
             let last_receive_ms = now_ms.saturating_sub(PEER_TIMEOUT_MS);
             let peer = Peer { last_receive_ms, ..Peer::new(own_address, address) };
             self.known.insert(address, peer);
+            self.absent.remove(&address);
             self.has_uninformed_peer = true;
         }
     }
@@ -323,6 +331,17 @@
         1 + self.live_peers(now_ms).count()
     }
 
+    /// Number of boxes that may be running, including this one, those that it does not hear and those
+    /// that it knows by name only. A box that is cut off hears none of the others.
+    #[must_use]
+    pub fn possible_boxes(&self) -> usize {
+        let unknown_seeds = self
+            .seeds
+            .iter()
+            .filter(|seed| !self.known.contains_key(*seed) && !self.absent.contains_key(*seed));
+        1 + self.known.len() + self.absent.len() + unknown_seeds.count()
+    }
+
     /// When the load reports of other boxes of the own hall arrived, on average; now if there are none.
     /// Those of boxes that have just fallen silent count until they expire.
     #[must_use]
@@ -344,14 +363,20 @@
     /// Forgets peers that have been silent for too long.
     fn forget_silent(&mut self, now_ms: u64) {
         let (retention_ms, own_hall) = (self.retention_ms(), self.local.hall);
-        let sums = &mut self.sums;
-        self.known.retain(|_, peer| {
+        let (sums, absent) = (&mut self.sums, &mut self.absent);
+        absent.retain(|_, last_receive_ms| now_ms < *last_receive_ms + MAX_ABSENCE_MS);
+        self.known.retain(|address, peer| {
             let is_of_other_hall = peer.gossip.incarnation > 0 && peer.gossip.hall != own_hall;
             let peer_retention_ms = if is_of_other_hall { retention_ms } else { PEER_RETENTION_MS };
             let is_kept = now_ms < peer.last_receive_ms + peer_retention_ms;
             if !is_kept && peer.in_sums {
                 sums.subtract(&peer.gossip);
             }
+            // Boxes offer tunnels for as long as they are not stopping.
+            let may_run = peer.gossip.incarnation == 0 || peer.gossip.offers_tunnels;
+            if !is_kept && may_run {
+                absent.insert(*address, peer.last_receive_ms);
+            }
             is_kept
         });
     }
--- a/src/gateway/decisions/release.rs
+++ b/src/gateway/decisions/release.rs
@@ -13,12 +13,10 @@
 use std::net::IpAddr;
 
 use crate::gateway::decisions::context::OLD_CONTEXT_READ_MS;
+use crate::gateway::decisions::peers::MAX_ABSENCE_MS;
 
 /// Upper bound, with a margin, of the duration of a transfer that was started under old weights.
 pub const MAX_TRANSFER_MS: u64 = 2600;
-/// Time for which a silent box may still be running: far longer than the longest network
-/// partition.
-const MAX_ABSENCE_MS: u64 = 600_000;
 
 /// The boxes that may still be running, with the time when each was last known to run or listed.
 #[derive(Debug, Default)]
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -400,7 +400,7 @@
     {
         return false;
     }
-    let boxes = state.peers.live_boxes(now_ms);
+    let boxes = state.peers.possible_boxes();
     state.retry_budget.try_spend(now_ms, &request.service, boxes)
 }
 
