Gateway: a version stays stored until all boxes know that it is not listed

Cause: the leader removed a version 30 s after it last found an upstream listed with it. Entries also go when an upstream or its hall is cut off from the metadata store, and a box that is cut off with them has not learned that and goes on beginning streams there. That the leader lists none was taken for that no stream can begin.

Change: the 30 s count from when every box that may be running, those forgotten for up to ten minutes included, has reached the revision at which the version was found to be unlisted (`version_release`, as for the context of old weights). The leader adds until then, and removes nothing. A hall that is cut off is not held up: it goes on beginning streams.

Why it works: who knows that an entry went begins no stream at its upstream; so after that no stream begins at the version, and 30 s later none can be resumed.

Cost: while a box is out of reach after a roll-out, at most ten minutes after it was last heard, streams whose origin no box knows are refused (503) and not guessed. A fleet in touch removes versions as soon as before, plus the time of gossip. Not covered: a leader whose process began later than 30 s after the cut did, and has not heard of the boxes that are cut off; a cut that lasts longer than ten minutes.

--- a/src/gateway/decisions/mod.rs
+++ b/src/gateway/decisions/mod.rs
@@ -9,7 +9,7 @@
 //! - Where it may run: `regions`, and the evacuated halls in `upstreams`.
 //! - Sources and destinations of context: `sources`, `stores`, `store_speed`, `cache_contents`,
 //!   `cache_reports`, `context`.
-//! - Which upstreams may resume a stream: `stream_origins`, `software_history`.
+//! - Which upstreams may resume a stream: `stream_origins`, `software_history`, `version_release`.
 //! - Admission, retries and priorities: `admission`, `account_shares`, `budget`, `returns`,
 //!   `urgency`; by the request: `room`, `run_lengths`.
 //! - How fast engines are: `engine_speed`; when load goes to another hall: `hall_loads`.
@@ -72,5 +72,6 @@
 pub mod upstream;
 pub mod upstreams;
 pub mod urgency;
+pub mod version_release;
 pub mod view;
 pub mod weights;
--- a/src/gateway/decisions/peers/mod.rs
+++ b/src/gateway/decisions/peers/mod.rs
@@ -342,6 +342,11 @@
         1 + self.known.len() + self.absent.len() + unknown_seeds.count()
     }
 
+    /// Boxes that are forgotten and may still be running, with the time when each was last heard.
+    pub fn absent(&self) -> impl Iterator<Item = (IpAddr, u64)> {
+        self.absent.iter().map(|(address, last_receive_ms)| (*address, *last_receive_ms))
+    }
+
     /// When the load reports of other boxes of the own hall arrived, on average; now if there are none.
     /// Those of boxes that have just fallen silent count until they expire.
     #[must_use]
--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -5,7 +5,8 @@
 //! keep the versions of each service in the metadata store, where boxes find them that have just
 //! started. A version is added when its first upstream is listed, by the leader or, if it has not done
 //! so soon, by any box: while there is no leader, a version may begin streams and go. The leader removes
-//! a version when no upstream has been listed with it for as long as streams last.
+//! a version when no upstream has been listed with it for as long as streams last, which counts from when
+//! all boxes know that (`version_release`).
 //!
 //! A box that is cut off, slow or suspended does not notice that a version was added. So it takes a version for
 //! the only one until `GUESS_LEASE_MS` after the time as of which it knows what is stored, and a version that
@@ -16,8 +17,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::decisions::version_release::VersionIds;
+
 /// Longest time in which a client resumes a stream.
-const MAX_STREAM_MS: u64 = 30_000;
+pub const MAX_STREAM_MS: u64 = 30_000;
 
 /// Time for which what a box knows of the metadata store shows that a version is the only one.
 pub const GUESS_LEASE_MS: u64 = 2000;
@@ -55,6 +58,8 @@
     /// Add versions that are listed. Those that are gone may be missing because the leader, which may have
     /// learned of it earlier, has removed them.
     AddListed,
+    /// Add versions that are listed or have been lately.
+    AddSeen,
     /// Add versions, and remove those that are gone.
     AddAndRemove,
 }
@@ -139,6 +144,13 @@
         self.known_as_of_ms.map(|as_of_ms| now_ms.saturating_sub(as_of_ms))
     }
 
+    /// The stored versions that are not among those of upstreams that are `listed`.
+    #[must_use]
+    pub fn unlisted(&self, listed: impl Iterator<Item = (u32, u32)>) -> VersionIds {
+        let listed: VersionIds = listed.collect();
+        pairs(&self.stored.versions).filter(|version| !listed.contains(version)).collect()
+    }
+
     /// Revision of the stored versions that this box knows.
     #[must_use]
     pub fn stored_revision(&self) -> u64 {
@@ -216,7 +228,7 @@
             self.complete_since_ms.is_some_and(|since_ms| now_ms >= since_ms + MAX_STREAM_MS);
         let may_remove = change == StoredChange::AddAndRemove && covers;
         let mut next = if may_remove { Versions::new() } else { self.stored.versions.clone() };
-        let gone = self.recently_gone(now_ms).filter(|_| change == StoredChange::AddAndRemove);
+        let gone = self.recently_gone(now_ms).filter(|_| change != StoredChange::AddListed);
         for (service, software) in listed.chain(gone) {
             next.entry(service).or_default().insert(software);
         }
--- a/src/gateway/decisions/upstreams.rs
+++ b/src/gateway/decisions/upstreams.rs
@@ -24,6 +24,7 @@
     SETTLE_MS, SoftwareHistory, StoredChange, StoredVersions,
 };
 use crate::gateway::decisions::upstream::{ReportedIncarnation, Upstream, UpstreamEntry};
+use crate::gateway::decisions::version_release::VersionIds;
 use crate::names::short_id;
 
 /// Usual time from the metadata store's acknowledgement of an entry until a box knows it.
@@ -565,9 +566,17 @@
         now_ms: u64,
         change: StoredChange,
     ) -> Option<StoredVersions> {
-        let listed =
-            self.iter().map(|upstream| (short_id(&upstream.entry.service), upstream.software));
-        self.software_history.next_stored(now_ms, change, listed)
+        self.software_history.next_stored(now_ms, change, self.listed_versions())
+    }
+
+    /// The stored versions that no upstream is listed with.
+    #[must_use]
+    pub fn unlisted_versions(&self) -> VersionIds {
+        self.software_history.unlisted(self.listed_versions())
+    }
+
+    fn listed_versions(&self) -> impl Iterator<Item = (u32, u32)> {
+        self.iter().map(|upstream| (short_id(&upstream.entry.service), upstream.software))
     }
 
     /// Takes over the versions that the metadata store had at a revision.
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -2,7 +2,7 @@
 //! metadata store (see `decisions::software_history`).
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use crate::error::{Error, Result};
 use crate::gateway::decisions::gossip_message::MetadataStoreStatus;
 use crate::gateway::decisions::software_history::{StoredChange, StoredVersions, Versions};
+use crate::gateway::decisions::version_release::VersionRelease;
 use crate::gateway::gossip::{Datagram, send_to};
 use crate::gateway::kernel::{Gateway, State};
 use crate::gateway::metadata::{Freshness, WriteOutcome};
@@ -58,12 +59,13 @@
 /// Maintains the stored versions until the box stops.
 pub async fn run(gateway: Arc<Gateway>) {
     let mut changed = gateway.upstreams_changed.subscribe();
+    let mut release = VersionRelease::default();
     while gateway.phase() != BoxPhase::Stopped {
         // In either case the versions are compared.
         let _ = timeout_at(compare_at(&gateway), changed.changed()).await;
         wake_if_settled(&gateway);
-        let change = if is_leader(&gateway.state(), now_ms()) {
-            StoredChange::AddAndRemove
+        let change = if let Some(change) = leader_change(&gateway, &mut release) {
+            change
         } else if is_version_missing(&gateway) {
             sleep(LEADER_HEAD_START + Duration::from_millis(fastrand::u64(0..ADD_JITTER_MS))).await;
             StoredChange::AddListed
@@ -92,8 +94,22 @@
     }
 }
 
-fn is_leader(state: &State, now_ms: u64) -> bool {
-    state.leadership.is_some_and(|leadership| now_ms < leadership.until_ms)
+/// What the leader may change; `None` if this box is not the leader.
+fn leader_change(gateway: &Gateway, release: &mut VersionRelease) -> Option<StoredChange> {
+    let (state, now_ms) = (gateway.state(), now_ms());
+    if state.leadership.is_none_or(|leadership| now_ms >= leadership.until_ms) {
+        *release = VersionRelease::default();
+        return None;
+    }
+    let absent = state.peers.absent().map(|(address, _)| address);
+    let boxes: BTreeSet<IpAddr> = state.peers.addresses().into_iter().chain(absent).collect();
+    let revision = state.view.last_change_revision();
+    let unlisted = state.upstreams.unlisted_versions();
+    release.note(now_ms, unlisted, revision, &boxes, |address, revision| {
+        state.peers.has_reached_revision(address, revision)
+    });
+    let may_remove = release.may_remove(now_ms);
+    Some(if may_remove { StoredChange::AddAndRemove } else { StoredChange::AddSeen })
 }
 
 /// Whether this box follows the metadata store and finds that it lacks a version, or that one may begin
