Gateway: a cold time in an entry is bounded

cold_left_ms of 1e300 or 2^64 - 1 overflowed an addition: a debug build panicked while it held the state's lock, so that the box followed the store no more and answered nothing, also after each restart as long as the item was there. A release build wrapped to a wrong time.

Entries are now bounded to ten minutes of cold time where they are decoded. The stand-in of the store can send an item as any JSON text.

--- a/src/gateway/decisions/units.rs
+++ b/src/gateway/decisions/units.rs
@@ -31,3 +31,10 @@
 pub fn rounded_ms(time_ms: f64) -> u64 {
     time_ms.max(0.0).round() as u64
 }
+
+/// Rounds a time from outside to whole milliseconds, from 0 to `max_ms`. Sums of times that are
+/// bounded where they are decoded cannot overflow.
+#[must_use]
+pub fn bounded_ms(time_ms: f64, max_ms: u64) -> u64 {
+    rounded_ms(time_ms).min(max_ms)
+}
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -4,9 +4,13 @@
 
 use serde::Deserialize;
 
-use crate::gateway::decisions::units::rounded_ms;
+use crate::gateway::decisions::units::bounded_ms;
 use crate::gateway::decisions::upstream::UpstreamEntry;
 
+/// Longest time for which an entry can call its upstream cold: far more than any start takes. An odd
+/// value would otherwise overflow, or limit the upstream for good.
+const MAX_COLD_LEFT_MS: u64 = 600_000;
+
 /// An entry as every upstream writes it. A value that lacks a field, or has a field of another
 /// type, was not written by an upstream and is rejected.
 #[derive(Deserialize)]
@@ -56,7 +60,7 @@
         hall: body.zone,
         slots: body.slots,
         leaving: body.state == State::Draining,
-        cold_left_ms: rounded_ms(body.cold_left_ms),
+        cold_left_ms: bounded_ms(body.cold_left_ms, MAX_COLD_LEFT_MS),
         models: body.models.into_iter().map(|model| (model.name, model.version)).collect(),
         started_at_ms: body.born,
     })
--- a/standins/src/site/metadata/calls.rs
+++ b/standins/src/site/metadata/calls.rs
@@ -9,7 +9,7 @@
 use poem::web::{Data, Json, Path, Query};
 use poem::{Endpoint, EndpointExt, IntoResponse, Response, Route, delete, get, handler, post};
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use super::{Item, Shared, StoreFault, Tables};
 
@@ -52,11 +52,18 @@
     answer
 }
 
-fn item_body(key: &str, item: &Item) -> Value {
-    let invalid_prefix = if item.undecodable { "!" } else { "" };
-    let value = format!("{invalid_prefix}{}", STANDARD.encode(&item.value));
-    json!({ "key": key, "value": value, "rev": item.rev,
+/// JSON text of an item.
+fn item_body(key: &str, item: &Item) -> String {
+    if let Some(raw) = &item.raw {
+        return raw.replace("$rev", &item.rev.to_string());
+    }
+    json!({ "key": key, "value": STANDARD.encode(&item.value), "rev": item.rev,
         "made": item.created_rev, "lease": item.lease })
+    .to_string()
+}
+
+fn json_response(text: String) -> Response {
+    Response::builder().content_type("application/json").body(text)
 }
 
 #[derive(Deserialize)]
@@ -71,7 +78,7 @@
     }
     let tables = shared.tables();
     match tables.items.get(&query.key) {
-        Some(item) => Json(item_body(&query.key, item)).into_response(),
+        Some(item) => json_response(item_body(&query.key, item)),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
@@ -98,10 +105,10 @@
     let (at, items) = held.map_or(newest, |(rev, items)| (*rev, items));
     let mut items =
         items.iter().filter(|(key, _)| key.starts_with(&query.path_prefix) && **key > query.after);
-    let page: Vec<Value> =
+    let page: Vec<String> =
         items.by_ref().take(PAGE_ITEMS).map(|(key, item)| item_body(key, item)).collect();
     let more = items.next().is_some();
-    Json(json!({ "items": page, "more": more, "at": at })).into_response()
+    json_response(format!(r#"{{"items":[{}],"more":{more},"at":{at}}}"#, page.join(",")))
 }
 
 #[derive(Deserialize)]
@@ -137,17 +144,18 @@
     if query.after < tables.compacted_rev {
         return Some(StatusCode::GONE.into_response());
     }
-    let events: Vec<Value> = tables
+    let events: Vec<String> = tables
         .history
         .iter()
         .filter(|(rev, key, _)| *rev > query.after && key.starts_with(&query.path_prefix))
         .map(|(rev, key, item)| match item {
             Some(item) => item_body(key, item),
-            None => json!({ "key": key, "rev": rev, "gone": true }),
+            None => json!({ "key": key, "rev": rev, "gone": true }).to_string(),
         })
         .collect();
     let at = tables.rev;
-    (!events.is_empty()).then(|| Json(json!({ "events": events, "at": at })).into_response())
+    let events = (!events.is_empty()).then(|| events.join(","))?;
+    Some(json_response(format!(r#"{{"events":[{events}],"at":{at}}}"#)))
 }
 
 #[derive(Deserialize)]
--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -39,8 +39,8 @@
     rev: u64,
     created_rev: u64,
     lease: u64,
-    /// Whether the content is sent as text that is not valid base64.
-    undecodable: bool,
+    /// JSON text that is sent in place of the item, if any; `$rev` stands for its revision.
+    raw: Option<String>,
 }
 
 #[derive(Default)]
@@ -62,8 +62,7 @@
     fn put(&mut self, key: &str, value: &[u8], lease: u64) {
         self.rev += 1;
         let created_rev = self.items.get(key).map_or(self.rev, |item| item.created_rev);
-        let item =
-            Item { value: value.to_vec(), rev: self.rev, created_rev, lease, undecodable: false };
+        let item = Item { value: value.to_vec(), rev: self.rev, created_rev, lease, raw: None };
         self.items.insert(key.to_owned(), item.clone());
         self.history.push_back((self.rev, key.to_owned(), Some(item)));
     }
@@ -170,11 +169,18 @@
     /// # Panics
     /// Panics when a task has panicked under the lock.
     pub fn put_undecodable(&self, key: &str) {
+        self.put_raw(key, &format!(r#"{{"key":"{key}","value":"!c3BvaWxlZA==","rev":$rev}}"#));
+    }
+
+    /// Writes an item that is sent as this JSON text, in which `$rev` stands for its revision.
+    ///
+    /// # Panics
+    /// Panics when a task has panicked under the lock.
+    pub fn put_raw(&self, key: &str, raw: &str) {
         let mut tables = self.shared.tables();
-        tables.put(key, b"spoiled", 0);
-        let items = tables.items.values_mut();
-        let newest = items.max_by_key(|item| item.rev).expect("it was written");
-        newest.undecodable = true;
+        tables.put(key, b"", 0);
+        let newest = tables.items.get_mut(key).expect("it was written");
+        newest.raw = Some(raw.to_owned());
         let newest = newest.clone();
         tables.history.back_mut().expect("it was written").2 = Some(newest);
         drop(tables);
