Gateway: an odd item does not make its page of the store unreadable

One item with a null value, without a revision, or nested too deeply made the whole page or watch unreadable, so that boxes learned of nothing more and did not become ready after a restart. A key with '#', '&', '%' or a blank went unescaped into the address of the next page, which then was another page or the same one again, so that a listing never ended. A revision above that of the answer would have hidden all later changes. A lease of 2^64 - 1 ms overflowed the time until which a box leads.

Items are now decoded one by one (numbers and nesting of unknown fields are not looked into), keys are percent-encoded, revisions and leases are bounded, and a page without a later key ends its prefix.

--- a/src/gateway/decisions/listing.rs
+++ b/src/gateway/decisions/listing.rs
@@ -56,8 +56,10 @@
     pub fn add_page(&mut self, page: Page) {
         self.pages += 1;
         self.snapshot.at_revision = self.snapshot.at_revision.min(page.at_revision);
-        let last_key = page.items.last().map(|item| item.key.clone());
-        self.after = last_key.filter(|_| page.has_more);
+        let last_key = page.items.iter().map(|item| &item.key).max().cloned();
+        // Without a later key than before, the same page would be read for ever.
+        let is_next = |key: &String| self.after.as_ref().is_none_or(|after| key > after);
+        self.after = last_key.filter(|key| page.has_more && is_next(key));
         if self.after.is_none() {
             self.prefixes = &self.prefixes[1..];
         }
--- a/src/platform/metadata.rs
+++ b/src/platform/metadata.rs
@@ -8,8 +8,10 @@
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
 use log::warn;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use reqwest::{Method, Response, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::error::Result;
 use crate::gateway::metadata::{
@@ -23,6 +25,13 @@
 const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of the renewal of a lease: short, so that there is time for another attempt.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest lease that the store grants. A longer one would let this box count on what nobody granted.
+const MAX_LEASE_MS: u64 = 600_000;
+/// Longest part of a key that is logged.
+const MAX_LOGGED_KEY_CHARS: usize = 200;
+/// Characters of a key that have another meaning in a query.
+const ESCAPED: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'/').remove(b'_').remove(b'~');
 /// Lease id of items that are written without a lease.
 const NO_LEASE: u64 = 0;
 
@@ -33,20 +42,22 @@
     address: String,
 }
 
+/// An item. A field other than its key may hold anything.
 #[derive(Deserialize)]
-struct ItemBody {
+struct ItemBody<'a> {
     key: String,
-    #[serde(default)]
-    value: String,
-    rev: u64,
+    #[serde(borrow)]
+    value: Option<&'a RawValue>,
+    #[serde(borrow)]
+    rev: Option<&'a RawValue>,
     /// Set by a watch if the item was removed.
-    #[serde(default)]
-    gone: bool,
+    #[serde(borrow)]
+    gone: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
 struct RangeBody {
-    items: Vec<ItemBody>,
+    items: Vec<Box<RawValue>>,
     more: bool,
     /// Revision of the store at the time of the answer.
     at: u64,
@@ -54,7 +65,7 @@
 
 #[derive(Deserialize)]
 struct WatchBody {
-    events: Vec<ItemBody>,
+    events: Vec<Box<RawValue>>,
     at: u64,
 }
 
@@ -117,11 +128,16 @@
             Freshness::Latest => "",
             Freshness::Stale => "&stale=1",
         };
-        let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
-        let path = format!("kv-range?path_prefix={prefix}{stale}{after}");
+        let after = after.map(|key| format!("&after={}", escape(key))).unwrap_or_default();
+        let path = format!("kv-range?path_prefix={}{stale}{after}", escape(prefix));
         let answer = self.call(Method::GET, &path, None::<&()>, PAGE_TIMEOUT).await?;
         let body: RangeBody = self.decode(answer).await?;
-        let items = body.items.into_iter().map(item).collect();
+        let changes = body.items.iter().filter_map(|item| change(item, body.at));
+        let items = changes.filter_map(|change| match change {
+            Change::Put(item) => Some(item),
+            Change::Removed { .. } => None,
+        });
+        let items = items.collect();
         Ok(Page { items, has_more: body.more, at_revision: body.at })
     }
 
@@ -131,6 +147,7 @@
     /// Fails when the store does not answer in time, or not with a valid answer.
     pub async fn watch(&self, prefix: &str, after: u64, wait: WatchWait) -> Result<WatchResult> {
         let WatchWait { wait_ms, grace_ms } = wait;
+        let prefix = escape(prefix);
         let path = format!("kv-watch?path_prefix={prefix}&after={after}&wait_ms={wait_ms}");
         let timeout = Duration::from_millis(wait_ms + grace_ms);
         let answer = self.call(Method::GET, &path, None::<&()>, timeout).await?;
@@ -138,7 +155,7 @@
             return Ok(WatchResult::HistoryLost);
         }
         let body: WatchBody = self.decode(answer).await?;
-        let changes = body.events.into_iter().map(change).collect();
+        let changes = body.events.iter().filter_map(|event| change(event, body.at)).collect();
         Ok(WatchResult::Changes { changes, at_revision: body.at })
     }
 
@@ -198,7 +215,7 @@
         let request = LeaseRequest { ttl_ms };
         let answer = self.call(Method::POST, "kv-lease", Some(&request), CALL_TIMEOUT).await?;
         let body: LeaseBody = self.decode(answer).await?;
-        Ok(Lease { id: body.lease, ttl_ms: body.ttl_ms })
+        Ok(Lease { id: body.lease, ttl_ms: body.ttl_ms.min(MAX_LEASE_MS) })
     }
 
     /// Renews a lease; returns false if it has ended.
@@ -248,19 +265,46 @@
     }
 }
 
-/// Decodes an item. An item whose value is not valid base64 gets an empty value, so that it does
-/// not make the other items unreadable.
-fn item(body: ItemBody) -> Item {
-    let value = BASE64_STANDARD.decode(&body.value).unwrap_or_else(|error| {
-        warn!(target: "metadata", "event=item_unreadable key={} cause=\"{error}\"", body.key);
+/// Escapes a key for a query.
+fn escape(key: &str) -> String {
+    utf8_percent_encode(key, ESCAPED).to_string()
+}
+
+/// Decodes an item of an answer that shows the store at the revision `at`; `None` if its key cannot be
+/// read.
+///
+/// An item whose value is not valid base64 gets an empty value: what its key held before is gone. A
+/// revision that is missing, or later than `at`, counts as `at`: a box that took it for known would
+/// ignore all changes up to it.
+fn change(text: &RawValue, at: u64) -> Option<Change> {
+    let ItemBody { key, value, rev, gone } = match serde_json::from_str(text.get()) {
+        Ok(body) => body,
+        Err(error) => {
+            log_unreadable("-", &error);
+            return None;
+        }
+    };
+    let revision = rev.and_then(|rev| serde_json::from_str(rev.get()).ok());
+    let revision = revision.unwrap_or(at).min(at);
+    if gone.is_some_and(|gone| serde_json::from_str(gone.get()).unwrap_or(false)) {
+        return Some(Change::Removed { key, revision });
+    }
+    let value = read_value(value).unwrap_or_else(|cause| {
+        log_unreadable(&key, &cause);
         Vec::new()
     });
-    Item { key: body.key, value, revision: body.rev }
+    Some(Change::Put(Item { key, value, revision }))
 }
 
-fn change(body: ItemBody) -> Change {
-    if body.gone {
-        return Change::Removed { key: body.key, revision: body.rev };
-    }
-    Change::Put(item(body))
+/// The bytes of a value; none if there is no value.
+fn read_value(value: Option<&RawValue>) -> std::result::Result<Vec<u8>, String> {
+    let Some(value) = value else { return Ok(Vec::new()) };
+    let text: String = serde_json::from_str(value.get()).map_err(|error| error.to_string())?;
+    BASE64_STANDARD.decode(text).map_err(|error| error.to_string())
+}
+
+fn log_unreadable(key: &str, cause: &dyn std::fmt::Display) {
+    let key: String = key.chars().take(MAX_LOGGED_KEY_CHARS).collect();
+    warn!(target: "metadata", "event=item_unreadable key={key} cause=\"{cause}\"");
+    metrics::counter!("coursestile_items_unreadable_total").increment(1);
 }
--- a/standins/src/site/metadata/calls.rs
+++ b/standins/src/site/metadata/calls.rs
@@ -222,8 +222,8 @@
     let id = fastrand::u64(1..1 << 40);
     let ttl = Duration::from_millis(request.ttl_ms);
     shared.tables().leases.insert(id, (ttl, Instant::now() + ttl));
-    answer_write(shared, Json(json!({ "lease": id, "ttl_ms": request.ttl_ms })).into_response())
-        .await
+    let ttl_ms = shared.tables().named_ttl_ms.unwrap_or(request.ttl_ms);
+    answer_write(shared, Json(json!({ "lease": id, "ttl_ms": ttl_ms })).into_response()).await
 }
 
 #[handler]
--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -52,6 +52,8 @@
     history: VecDeque<(u64, String, Option<Item>)>,
     compacted_rev: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
+    /// Duration that the answer to a call for a lease names, if not the one in force.
+    named_ttl_ms: Option<u64>,
     fault: StoreFault,
     calls: BTreeMap<&'static str, u64>,
     /// Pages of listings that were sent, by their prefix.
@@ -199,6 +201,11 @@
         self.shared.tables().items.get(key).map(|item| item.value.clone())
     }
 
+    /// Names this duration in the answers to calls for a lease, whatever is in force.
+    pub fn name_lease_ms(&self, ttl_ms: u64) {
+        self.shared.tables().named_ttl_ms = Some(ttl_ms);
+    }
+
     /// Sets the fault of the store, or clears it with `StoreFault::None`.
     pub fn set_fault(&self, fault: StoreFault) {
         self.shared.tables().fault = fault;
