Logging: a line break in a value does not begin a line

Keys and values of the metadata store are logged as they are, and a line break in one began a line that looked like one of the box itself. Control characters are escaped now, and lines are cut at 8 kB.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -21,6 +21,8 @@
 
 /// Pattern of a line; `{t}` is the log target.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {t}: {m}{n}";
+/// Longest line: longer ones are cut, since values from outside may have any length.
+const MAX_LINE_BYTES: usize = 8192;
 /// Capacity of the queue: some seconds of log lines of a box under load, in less than 1 MB.
 const QUEUE_LEN: usize = 4096;
 /// Maximum time for which the process waits at its exit for queued lines to be written.
@@ -49,7 +51,7 @@
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = SimpleWriter(Vec::with_capacity(256));
         self.encoder.encode(&mut line, record)?;
-        match self.lines.try_send(line.0) {
+        match self.lines.try_send(single_line(line.0)) {
             Ok(()) => self.counts.queued.fetch_add(1, Ordering::Relaxed),
             Err(_) => self.counts.dropped.fetch_add(1, Ordering::Relaxed),
         };
@@ -66,6 +68,32 @@
     }
 }
 
+/// Cuts a line that is too long, and escapes line breaks and other control characters within it: keys
+/// and values from outside must not look like lines of this process.
+fn single_line(bytes: Vec<u8>) -> Vec<u8> {
+    let text = String::from_utf8_lossy(&bytes);
+    let text = text.strip_suffix('\n').unwrap_or(&text);
+    let is_escaped =
+        |character: char| character.is_control() || matches!(character, '\u{2028}' | '\u{2029}');
+    if text.len() <= MAX_LINE_BYTES && !text.contains(is_escaped) {
+        return bytes;
+    }
+    let mut line = String::with_capacity(text.len().min(MAX_LINE_BYTES) + 64);
+    for character in text.chars() {
+        if line.len() >= MAX_LINE_BYTES {
+            line.push_str("...");
+            break;
+        }
+        if is_escaped(character) {
+            line.extend(character.escape_default());
+        } else {
+            line.push(character);
+        }
+    }
+    line.push('\n');
+    line.into_bytes()
+}
+
 /// Starts logging to standard output.
 ///
 /// # Errors
