Gateway: a version that nobody can exceed is not read

A configuration or a named weight version of 2^64 - 1 came into force, and all later ones were older. Versions above 2^53 are unreadable now; the last one is kept.

--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -4,7 +4,8 @@
 
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 
 use crate::gateway::decisions::cold_start::ColdStart;
 use crate::gateway::decisions::configuration::{
@@ -15,11 +16,15 @@
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 /// Latency objective of a route without one.
 const DEFAULT_LATENCY_OBJECTIVE_MS: u64 = 1000;
+/// Highest version that is read. Versions never go back, so that a higher one, which nobody can raise,
+/// would keep all later ones from coming into force.
+const MAX_VERSION: u64 = 1 << 53;
 /// Weight of an account without one, or with one that is not positive.
 const DEFAULT_ACCOUNT_WEIGHT: f64 = 1.0;
 
 #[derive(Deserialize)]
 struct Document {
+    #[serde(deserialize_with = "version")]
     version: u64,
     #[serde(default)]
     routes: Vec<DocumentRoute>,
@@ -134,9 +139,19 @@
 
 #[derive(Deserialize)]
 struct WeightsDocument {
+    #[serde(deserialize_with = "version")]
     version: u64,
 }
 
+/// Decodes a version; fails if it is out of range.
+fn version<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let version = u64::deserialize(deserializer)?;
+    if version > MAX_VERSION {
+        return Err(D::Error::custom(format!("version {version} is out of range")));
+    }
+    Ok(version)
+}
+
 fn one() -> u32 {
     1
 }
