Soak: services that appear shortly before their first roll-out

What it guards against: boxes that differ on which version of a new service came first, while the service is not among the stored versions yet. All services of `rollouts` were there from the start.

Change: one service in three appears up to 3 s before its first roll-out, while faults go on.

--- a/soak/src/roll_outs.rs
+++ b/soak/src/roll_outs.rs
@@ -22,6 +22,9 @@
 
 /// Services that have their first roll-out in each cycle of steps.
 const SERVICES: usize = 3;
+/// Time before its first roll-out at which the last of these services appears; boxes know its first version
+/// from the start of the run otherwise.
+const APPEARS_BEFORE_MS: std::ops::Range<u64> = 0..3000;
 /// Upstreams of the first version of a service.
 const UPSTREAMS: usize = 2;
 /// Distinguishes the random numbers of roll-outs from those of the clients.
@@ -91,18 +94,25 @@
     let mut services = Vec::new();
     let cycles = (seconds * 1000).div_ceil(plan::ROLL_OUT_CYCLE_MS);
     for number in 0..usize::try_from(cycles).unwrap_or_default() * SERVICES {
-        services.push(RollingUpstreams::start(site, format!("first-{number}"), UPSTREAMS).await);
+        let count = if appears_late(number) { 0 } else { UPSTREAMS };
+        services.push(RollingUpstreams::start(site, format!("first-{number}"), count).await);
     }
     services
 }
 
+fn appears_late(service: usize) -> bool {
+    service % SERVICES == SERVICES - 1
+}
+
 /// Waits until every box takes the first version of each service for the only one. Describes those that do
 /// not within the time limit.
 pub async fn wait_until_certain(world: &World) -> Vec<String> {
     let deadline = Instant::now() + CERTAIN_TIMEOUT;
     let mut uncertain = Vec::new();
     for (number, gateway_box) in world.boxes.iter().enumerate() {
-        for upstreams in &world.roll_outs {
+        for (_, upstreams) in
+            world.roll_outs.iter().enumerate().filter(|(service, _)| !appears_late(*service))
+        {
             while !resumes_unknown(&gateway_box.process.clients, &upstreams.service).await {
                 if Instant::now() > deadline {
                     uncertain.push(format!("box {number} is not sure of {}", upstreams.service));
@@ -149,9 +159,16 @@
 /// Brings other versions to a service, beginning at its time.
 async fn roll_out(run: Run, service: usize, seed: u64) {
     let mut rng = fastrand::Rng::with_seed(seed ^ ROLL_OUT_SEED_MASK ^ ((service as u64) << 32));
-    let at = run.started_at + Duration::from_millis(roll_out_at_ms(service, seed));
-    sleep_until(at.into()).await;
+    let at_ms = roll_out_at_ms(service, seed);
+    let after_start = |ms| run.started_at + Duration::from_millis(ms);
     let upstreams = &run.world.roll_outs[service];
+    if appears_late(service) {
+        sleep_until(after_start(at_ms - rng.u64(APPEARS_BEFORE_MS)).into()).await;
+        for _ in 0..UPSTREAMS {
+            upstreams.start_upstream(&run.world.site, FIRST_VERSION, Duration::ZERO).await;
+        }
+    }
+    sleep_until(after_start(at_ms).into()).await;
     let mut leaving = Vec::new();
     for version in ROLL_OUTS[rng.usize(..ROLL_OUTS.len())] {
         if run.stop.load(Ordering::Relaxed) {
