--- a/soak/tests/out_of_step.rs
+++ b/soak/tests/out_of_step.rs
@@ -165,12 +165,12 @@
 
     /// Checks that a response goes on with the stream at the version that began it, or refuses it; returns
     /// whether it goes on.
-    async fn check_response(&self, index: usize, stream: EventStream, began_at: &str) -> bool {
+    async fn check_response(&self, index: usize, stream: EventStream, began_version: &str) -> bool {
         let (status, events) = stream.read_all().await;
         let versions = versions(&events);
         assert!(
-            status == 503 || (status, &versions[..]) == (200, &[began_at]),
-            "box {index}: {status} {versions:?}, began at {began_at}\n{}",
+            status == 503 || (status, &versions[..]) == (200, &[began_version]),
+            "box {index}: {status} {versions:?}, began at {began_version}\n{}",
             self.boxes[index].log_text()
         );
         status == 200
@@ -181,7 +181,7 @@
         &self,
         group: &[usize],
         began_as: &str,
-        began_at: &str,
+        began_version: &str,
         naming: Naming,
     ) {
         let since = Instant::now();
@@ -189,7 +189,7 @@
             sleep_until((since + Duration::from_millis(after_ms)).into()).await;
             for index in group {
                 let stream = self.ask(*index, began_as, naming).await;
-                self.check_response(*index, stream, began_at).await;
+                self.check_response(*index, stream, began_version).await;
             }
         }
     }
@@ -200,7 +200,7 @@
         &self,
         group: &[usize],
         beginner: usize,
-        (server, began_at): (&Server, &str),
+        (server, began_version): (&Server, &str),
         other: &Server,
     ) {
         self.cut_store(group, LinkState::Sound);
@@ -209,9 +209,9 @@
             eventually("a healed box resumes a stream", async || {
                 let (began_as, _stream) = self.begin(beginner, server, other).await;
                 let unnamed = self.ask(*index, &began_as, Naming::Unnamed).await;
-                self.check_response(*index, unnamed, began_at).await;
+                self.check_response(*index, unnamed, began_version).await;
                 let named = self.ask(*index, &began_as, Naming::Named).await;
-                self.check_response(*index, named, began_at).await
+                self.check_response(*index, named, began_version).await
             })
             .await;
         }
@@ -333,7 +333,9 @@
 #[tokio::test]
 async fn stopped_boxes(#[case] halls: &[&str], #[case] group: &[usize]) {
     let (fleet, old) = Fleet::start(halls).await;
-    group.iter().for_each(|index| fleet.boxes[*index].signal("-STOP"));
+    for index in group {
+        fleet.boxes[*index].signal("-STOP");
+    }
     let new = fleet.upstream("s-1", "v2").await;
     let (began_as, _stream) = fleet.begin(0, &new, &old).await;
     let mut waiting = Vec::new();
@@ -342,7 +344,9 @@
         let naming = if number < WAITING { Naming::Unnamed } else { Naming::Named };
         waiting.push((index, fleet.ask(index, &began_as, naming).await));
     }
-    group.iter().for_each(|index| fleet.boxes[*index].signal("-CONT"));
+    for index in group {
+        fleet.boxes[*index].signal("-CONT");
+    }
     for (index, stream) in waiting {
         fleet.check_response(index, stream, "v2").await;
     }
@@ -359,7 +363,7 @@
     let new = fleet.upstream("s-1", "v2").await;
     sleep(Duration::from_millis(500)).await;
     fleet.boxes[0].signal("-STOP");
-    sleep(Duration::from_millis(1000)).await;
+    sleep(Duration::from_secs(1)).await;
     fleet.boxes[0].signal("-CONT");
     let (began_as, _stream) = fleet.begin(0, &new, &old).await;
     fleet.check_not_mixed(&[1, 2], &began_as, "v2", Naming::Unnamed).await;
