Gateway: numbers of clients and peers do not overflow sums

A peer's report of 2^32 - 1 requests or tokens, or of a clock of 2^63 ms, overflowed sums and differences: a debug build panicked under the state's lock, a release build wrapped. Clients name numbers of tokens that are summed likewise, and stored ranks of crashes are counted on.

Loads, planned tokens, work and ranks saturate now, and readings of clocks are bounded.

--- a/src/gateway/decisions/account_shares.rs
+++ b/src/gateway/decisions/account_shares.rs
@@ -104,15 +104,15 @@
 
 impl WorkSum {
     fn add(&mut self, other: Self) {
-        self.admitted += other.admitted;
-        self.offered += other.offered;
-        self.unmet += other.unmet;
+        self.admitted = self.admitted.saturating_add(other.admitted);
+        self.offered = self.offered.saturating_add(other.offered);
+        self.unmet = self.unmet.saturating_add(other.unmet);
     }
 
     fn subtract(&mut self, other: Self) {
-        self.admitted -= other.admitted;
-        self.offered -= other.offered;
-        self.unmet -= other.unmet;
+        self.admitted = self.admitted.saturating_sub(other.admitted);
+        self.offered = self.offered.saturating_sub(other.offered);
+        self.unmet = self.unmet.saturating_sub(other.unmet);
     }
 }
 
--- a/src/gateway/decisions/brittle.rs
+++ b/src/gateway/decisions/brittle.rs
@@ -143,6 +143,6 @@
         let rank = self.peers.hall_rank(now_ms, upstream.short_id);
         let allowed = rank.map_or(0, |rank| allowance(self.max_rejections, self.halls, rank));
         let open = upstream.rejections.count(now_ms);
-        open < allowed || open == 0 && 2 * requests < slots
+        open < allowed || open == 0 && requests < slots.div_ceil(2)
     }
 }
--- a/src/gateway/decisions/choose.rs
+++ b/src/gateway/decisions/choose.rs
@@ -133,8 +133,9 @@
     if usable.iter().any(|upstream| upstream.total_load().pending_prefill_tokens > 0) {
         return false;
     }
-    let slots: u32 = usable.iter().map(|upstream| upstream.entry.slots).sum();
-    let requests: u32 = usable.iter().map(|upstream| upstream.total_load().requests).sum();
+    let slots: u64 = usable.iter().map(|upstream| u64::from(upstream.entry.slots)).sum();
+    let requests: u64 =
+        usable.iter().map(|upstream| u64::from(upstream.total_load().requests)).sum();
     2 * requests < slots
 }
 
--- a/src/gateway/decisions/claims.rs
+++ b/src/gateway/decisions/claims.rs
@@ -150,7 +150,7 @@
         self.newest_leader = self.newest_leader.max(leader);
         // Boxes see the end of a term at different revisions; one entry for all of them keeps the
         // map small.
-        let end_revision = self.newest_leader.map_or(at_revision, |last| last + 1);
+        let end_revision = self.newest_leader.map_or(at_revision, |last| last.saturating_add(1));
         self.merge(leader.unwrap_or(end_revision), now_ms);
     }
 
--- a/src/gateway/decisions/room.rs
+++ b/src/gateway/decisions/room.rs
@@ -40,8 +40,9 @@
         if needed_by_as_many > load.memory_tokens {
             let age_ms = as_f64(now_ms.saturating_sub(self.reports_at_ms));
             let unseen_part = (age_ms / self.expected.others_resident_ms.max(1.0)).min(1.0);
-            load.requests += scaled(peers.requests, unseen_part);
-            load.memory_tokens += scaled(peers.memory_tokens, unseen_part);
+            load.requests = load.requests.saturating_add(scaled(peers.requests, unseen_part));
+            load.memory_tokens =
+                load.memory_tokens.saturating_add(scaled(peers.memory_tokens, unseen_part));
         }
         load.memory_tokens = scaled(load.memory_tokens, self.expected.others_memory_part);
         load
--- a/src/gateway/decisions/sources.rs
+++ b/src/gateway/decisions/sources.rs
@@ -185,8 +185,8 @@
             let tokens = tokens_of(source);
             if tokens > 0 && tokens < longest {
                 *source = PartSource::Prefill;
-                self.cached_tokens -= tokens;
-                self.recomputed_tokens += tokens;
+                self.cached_tokens = self.cached_tokens.saturating_sub(tokens);
+                self.recomputed_tokens = self.recomputed_tokens.saturating_add(tokens);
             }
         }
         let longest = self.saves.iter().flatten().map(|save| save.tokens).max();
@@ -215,10 +215,11 @@
     fn add(&self, part: &PartLocations<'_>, plan: &mut PlanBuilder) {
         let local = self.local_tokens(part);
         let source = if plan.prefix_ended {
-            plan.recomputed_tokens += if part.has_copy { part.tokens } else { 0 };
+            plan.recomputed_tokens =
+                plan.recomputed_tokens.saturating_add(if part.has_copy { part.tokens } else { 0 });
             PartSource::Prefill
         } else if local >= part.tokens {
-            plan.cached_tokens += part.tokens;
+            plan.cached_tokens = plan.cached_tokens.saturating_add(part.tokens);
             let alternate_address = self.fastest(part).and_then(|option| option.source.address());
             plan.address_missing |= alternate_address.is_none();
             PartSource::Local { alternate_address }
@@ -268,11 +269,12 @@
         let option = self.fastest(part).filter(|_| !plan.address_missing);
         if let Some(option) = option.filter(|option| self.is_worthwhile(option, missing)) {
             plan.fetch_ms += option.transfer_ms;
-            plan.cached_tokens += part.tokens;
+            plan.cached_tokens = plan.cached_tokens.saturating_add(part.tokens);
             return option.source;
         }
-        plan.cached_tokens += local;
-        plan.recomputed_tokens += if part.has_copy { missing } else { 0 };
+        plan.cached_tokens = plan.cached_tokens.saturating_add(local);
+        plan.recomputed_tokens =
+            plan.recomputed_tokens.saturating_add(if part.has_copy { missing } else { 0 });
         plan.prefix_ended = true;
         PartSource::Prefill
     }
--- a/src/gateway/decisions/upstream/mod.rs
+++ b/src/gateway/decisions/upstream/mod.rs
@@ -69,17 +69,20 @@
 }
 
 impl Load {
+    /// Adds a load. Clients and peers may name any number of tokens, so that sums do not overflow.
     pub fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.pending_prefill_tokens += other.pending_prefill_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.pending_prefill_tokens =
+            self.pending_prefill_tokens.saturating_add(other.pending_prefill_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
     }
 
     /// Subtracts a load that was added before.
     pub fn subtract(&mut self, earlier: Self) {
-        self.requests -= earlier.requests;
-        self.pending_prefill_tokens -= earlier.pending_prefill_tokens;
-        self.memory_tokens -= earlier.memory_tokens;
+        self.requests = self.requests.saturating_sub(earlier.requests);
+        self.pending_prefill_tokens =
+            self.pending_prefill_tokens.saturating_sub(earlier.pending_prefill_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(earlier.memory_tokens);
     }
 }
 
@@ -351,11 +354,9 @@
 
     /// Records a request that is sent to it.
     pub fn record_sent(&mut self, now_ms: u64, pending_prefill_tokens: u32, memory_tokens: u32) {
-        self.own_load.requests += 1;
+        self.own_load.add(Load { requests: 1, pending_prefill_tokens, memory_tokens });
         self.cold.record_sent(now_ms);
         self.rejections.record_sent(now_ms);
-        self.own_load.pending_prefill_tokens += pending_prefill_tokens;
-        self.own_load.memory_tokens += memory_tokens;
         self.awaiting_answer_since_ms.get_or_insert(now_ms);
     }
 
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -56,6 +56,8 @@
 use crate::suspect_parts::SuspectParts;
 use crate::sync::locked;
 
+/// Latest clock reading of a peer that counts, in Unix milliseconds: the year 10000.
+const MAX_CLOCK_MS: u64 = 253_402_300_800_000;
 /// Heartbeats for which the metadata store must have been unavailable before an upstream's entry
 /// can have expired. An entry expires after three missed heartbeats, the first of which may have
 /// been due at any time in the first period.
@@ -199,7 +201,8 @@
         if !peers.is_small_fleet() {
             upstreams.update_hall_loads(now_ms);
         }
-        let requests = upstreams.active().map(|upstream| upstream.total_load().requests).sum();
+        let requests = upstreams.active().map(|upstream| upstream.total_load().requests);
+        let requests = requests.fold(0, u32::saturating_add);
         peers.update_news_pace(now_ms, requests, upstreams.len());
         for (_, store) in stores.iter_mut() {
             store.set_peer_fetch_tokens(peers.fetch_tokens(store.short_id()));
@@ -218,7 +221,7 @@
     /// Updates the offset from the time that the upstreams' clock showed when a message was sent.
     /// Transit time makes that clock appear late, never early, so the largest offset is kept.
     pub fn update_upstream_clock_offset(&mut self, now_ms: u64, clock_ms: u64) {
-        let ahead_ms = clock_ms.cast_signed() - now_ms.cast_signed();
+        let ahead_ms = clock_ms.min(MAX_CLOCK_MS).cast_signed() - now_ms.cast_signed();
         let known = self.upstream_clock_offset_ms.unwrap_or(i64::MIN);
         self.upstream_clock_offset_ms = Some(known.max(ahead_ms));
     }
--- a/src/suspect_parts.rs
+++ b/src/suspect_parts.rs
@@ -213,7 +213,7 @@
     /// Rank of a crash under a request that was sent at `sent_at_ms`.
     fn rank_after(&self, sent_at_ms: u64) -> u32 {
         let before = self.crashes.iter().filter(|crash| crash.at_ms <= sent_at_ms);
-        1 + before.map(|crash| crash.rank).max().unwrap_or_default()
+        before.map(|crash| crash.rank).max().unwrap_or_default().saturating_add(1)
     }
 
     /// Number of crashes of which each followed the one before.
