Supervisor: a task that panics is started again

A panic ended a task, and nothing noticed: a box whose follower of the metadata store was gone stayed alive and said that it was ready. A panic under a lock made each later use of it panic as well.

Tasks that must not end are started again after half a second, which is logged (event=task_panicked) and counted (coursestile_task_panics_total). Where a task owns a listening socket, or a panic happened under a lock so that the state may be inconsistent, the process ends and the platform starts it again. So that it does not end again and again because of an item that stays, a panic while one item is applied is caught (event=item_failed), and the other items are applied.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -31,6 +31,7 @@
 use crate::refusal::{Reason, Refusal};
 use crate::rejection::{Rejection, bad_request, header_value};
 use crate::streams::{AnswerStream, StreamEnd, StreamUpdate};
+use crate::supervisor;
 use crate::trace::TraceId;
 use crate::wire::Call;
 use crate::workers::is_repeatable;
@@ -368,7 +369,7 @@
 
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
-    tokio::spawn(async move {
+    supervisor::spawn_single("callers", async move {
         let calls = get(app_call).post(app_call).put(app_call).delete(app_call);
         let header_kernel = kernel.clone();
         let app = Route::new()
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -17,6 +17,7 @@
 use crate::ledger::{Answer, CallKey, Ledger, Outcome};
 use crate::refusal::{Reason, Refusal};
 use crate::spending::run_at_most_once;
+use crate::supervisor;
 use crate::sync::locked;
 use crate::ticket::{BoxRef, Ticket, TicketError};
 use crate::wire::{Call, CallEnd, Envelope, Message};
@@ -135,13 +136,16 @@
 
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
-    tokio::spawn(async move {
-        let mut ticks = tokio::time::interval(EXPIRE_PERIOD);
-        while kernel.phase() != BoxPhase::Stopped {
-            ticks.tick().await;
-            kernel.calls.ledger().expire(now_ms());
-            kernel.calls.forwarded.expire(now_ms());
-            locked(&kernel.calls.inherited_ledgers).expire(now_ms());
+    supervisor::spawn("calls", move || {
+        let kernel = kernel.clone();
+        async move {
+            let mut ticks = tokio::time::interval(EXPIRE_PERIOD);
+            while kernel.phase() != BoxPhase::Stopped {
+                ticks.tick().await;
+                kernel.calls.ledger().expire(now_ms());
+                kernel.calls.forwarded.expire(now_ms());
+                locked(&kernel.calls.inherited_ledgers).expire(now_ms());
+            }
         }
     });
 }
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -17,6 +17,7 @@
 use crate::external::KeyValueStore;
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::owner::ranked;
+use crate::supervisor;
 use crate::wire::{Envelope, Message};
 
 /// Key of the head: the latest changes and the revision of their base state.
@@ -72,7 +73,8 @@
 }
 
 fn start(kernel: &Arc<Kernel>) {
-    tokio::spawn(follow_head(kernel.clone()));
+    let kernel = kernel.clone();
+    supervisor::spawn("config", move || follow_head(kernel.clone()));
 }
 
 async fn follow_head(kernel: Arc<Kernel>) {
--- a/src/crashes.rs
+++ b/src/crashes.rs
@@ -19,6 +19,7 @@
 use crate::part_key::PartKey;
 use crate::quarantine::{AnswerReport, CrashReport, UpdateUrgency};
 use crate::request_content::RequestContent;
+use crate::supervisor;
 use crate::suspect_parts::{CrashedRun, Verdict};
 use crate::sync::locked;
 use crate::upstream::has_ended;
@@ -235,7 +236,7 @@
 
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
-    tokio::spawn(async move {
+    supervisor::spawn_single("crashes", async move {
         if timeout(QUERY_TIMEOUT, query_peers(&kernel)).await.is_err() {
             warn!(target: "crashes", "No peer has told in time which requests crash upstreams.");
         }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::settings::{Settings, UpstreamKind};
 use crate::slot_request::{Grant, SlotReport, SlotRequest, SlotRequestId, SlotResponse};
 use crate::store::Store;
+use crate::supervisor;
 use crate::trace::Hop;
 use crate::wire::{Envelope, Message};
 
@@ -143,8 +144,10 @@
 }
 
 fn start(kernel: &Arc<Kernel>) {
-    tokio::spawn(run_dispatchers(kernel.clone()));
-    tokio::spawn(poll_engines_and_stores(kernel.clone()));
+    let shared = kernel.clone();
+    supervisor::spawn("dispatchers", move || run_dispatchers(shared.clone()));
+    let shared = kernel.clone();
+    supervisor::spawn("polls", move || poll_engines_and_stores(shared.clone()));
 }
 
 async fn run_dispatchers(kernel: Arc<Kernel>) {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,6 +17,7 @@
     catch_up, follow_caches, follow_metadata, gossip, leader, leadership, listener, members,
     peer_traffic, quarantine, reachability, store_updates, stored_versions, tunnels,
 };
+use crate::supervisor;
 
 /// Time for which a stopping box still accepts requests: the load balancer checks it every second
 /// and stops sending after two refusals; each answer tells its client to close the connection.
@@ -46,36 +47,61 @@
     if let Some(address) = settings.metrics {
         match listen(address).await {
             Ok(metrics) => {
-                tokio::spawn(listener::serve_metrics(gateway.clone(), metrics));
+                supervisor::spawn_single(
+                    "metrics",
+                    listener::serve_metrics(gateway.clone(), metrics),
+                );
             }
             Err(error) => warn!(target: "daemon", "event=no_metrics cause=\"{error}\""),
         }
     }
-    tokio::spawn(listener::serve_readiness(gateway.clone(), ready));
-    tokio::spawn(follow_metadata::run(gateway.clone()));
-    tokio::spawn(follow_metadata::tick(gateway.clone()));
-    tokio::spawn(follow_caches::run(gateway.clone()));
-    tokio::spawn(gossip::receive(gateway.clone(), socket.clone()));
-    tokio::spawn(gossip::send(gateway.clone(), socket.clone(), now_ms()));
-    tokio::spawn(peer_traffic::run(gateway.clone()));
-    tokio::spawn(catch_up::run(gateway.clone()));
-    tokio::spawn(catch_up::serve(gateway.clone(), peers));
-    tokio::spawn(store_updates::subscribe(gateway.clone()));
-    tokio::spawn(reachability::run(gateway.clone()));
-    tokio::spawn(tunnels::serve(gateway.clone(), tunnels));
-    tokio::spawn(leadership::run(gateway.clone(), socket.clone()));
-    tokio::spawn(leader::run(gateway.clone(), socket.clone()));
-    tokio::spawn(leader::free_store_space(gateway.clone(), socket.clone()));
-    tokio::spawn(leader::prune_claims(gateway.clone(), socket));
-    tokio::spawn(members::run(gateway.clone()));
-    tokio::spawn(stored_versions::run(gateway.clone()));
-    tokio::spawn(quarantine::maintain_stored(gateway.clone()));
-    tokio::spawn(listener::accept_clients(gateway.clone(), clients));
+    spawn_tasks(&gateway, &socket);
+    supervisor::spawn_single("readiness", listener::serve_readiness(gateway.clone(), ready));
+    supervisor::spawn_single("peer_queries", catch_up::serve(gateway.clone(), peers));
+    supervisor::spawn_single("tunnels", tunnels::serve(gateway.clone(), tunnels));
+    supervisor::spawn_single("clients", listener::accept_clients(gateway.clone(), clients));
     gateway.wait_for_phase(BoxPhase::Stopped).await;
     info!(target: "daemon", "event=stopped box={}", gateway.settings.name);
     Ok(())
 }
 
+/// Spawns the tasks that are started again after a panic.
+fn spawn_tasks(gateway: &Arc<Gateway>, socket: &Arc<UdpSocket>) {
+    keep(gateway, "follow_metadata", follow_metadata::run);
+    keep(gateway, "tick", follow_metadata::tick);
+    keep(gateway, "follow_caches", follow_caches::run);
+    keep(gateway, "peer_traffic", peer_traffic::run);
+    keep(gateway, "catch_up", catch_up::run);
+    keep(gateway, "store_updates", store_updates::subscribe);
+    keep(gateway, "reachability", reachability::run);
+    keep(gateway, "members", members::run);
+    keep(gateway, "stored_versions", stored_versions::run);
+    keep(gateway, "stored_quarantine", quarantine::maintain_stored);
+    let shared = socket.clone();
+    keep(gateway, "gossip_received", move |gateway| gossip::receive(gateway, shared.clone()));
+    let (shared, started_at_ms) = (socket.clone(), now_ms());
+    keep(gateway, "gossip_sent", move |gateway| {
+        gossip::send(gateway, shared.clone(), started_at_ms)
+    });
+    let shared = socket.clone();
+    keep(gateway, "leadership", move |gateway| leadership::run(gateway, shared.clone()));
+    let shared = socket.clone();
+    keep(gateway, "weights", move |gateway| leader::run(gateway, shared.clone()));
+    let shared = socket.clone();
+    keep(gateway, "store_space", move |gateway| leader::free_store_space(gateway, shared.clone()));
+    let shared = socket.clone();
+    keep(gateway, "claims", move |gateway| leader::prune_claims(gateway, shared.clone()));
+}
+
+fn keep<F: Future<Output = ()> + Send + 'static>(
+    gateway: &Arc<Gateway>,
+    task: &'static str,
+    run: impl Fn(Arc<Gateway>) -> F + Send + 'static,
+) {
+    let gateway = gateway.clone();
+    supervisor::spawn(task, move || run(gateway.clone()));
+}
+
 /// Stops gracefully: running requests are completed as far as the time to stop allows.
 pub async fn stop(gateway: Arc<Gateway>) {
     let stop_at_ms = now_ms() + gateway.settings.bounds.stop_ms - STOP_MARGIN_MS;
--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -9,10 +9,11 @@
 //! watches of all boxes at once, so all of their answers can be lost together. Watches are
 //! therefore short enough that a lost one is noticed well before a change must be in force.
 
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::{Level, debug, info, log, warn};
+use log::{Level, debug, error, info, log, warn};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::box_phase::BoxPhase;
@@ -29,6 +30,7 @@
     claims, cold_starts, engine_speeds, entries, members, quarantine, rate_limits, stored_versions,
 };
 use crate::platform::keys::{self, KeyKind};
+use crate::supervisor::panic_text;
 
 /// A watch waits for at most this fraction (1/n) of the time in which a change must be in
 /// force.
@@ -458,64 +460,15 @@
         state.upstreams.record_gap(now_ms);
     }
     let mut upstreams_changed = false;
-    for change in changes {
-        let (key, value) = match &change {
-            ViewChange::Put { key, value } => (key, Some(value.as_slice())),
-            ViewChange::Removed { key } => (key, None),
-        };
-        match (keys::kind(key), value) {
-            (KeyKind::Configuration, Some(value)) => {
-                upstreams_changed |= apply_configuration(state, value);
-            }
-            (KeyKind::Weights { model }, Some(value)) => {
-                apply_named_version(state, now_ms, named, model, value);
-            }
-            (KeyKind::Upstream { id }, Some(value)) => {
-                upstreams_changed |= entries::apply(gateway, state, now_ms, (id, value), level);
-            }
-            (KeyKind::Upstream { id }, None) => {
-                log!(target: "follow", level, "event=upstream_gone upstream={id}");
-                entries::remove(gateway, state, now_ms, id);
-                upstreams_changed = true;
-            }
-            (KeyKind::Evacuation { hall }, Some(_)) => {
-                info!(target: "follow", "event=evacuation_began hall={hall}");
-                state.upstreams.begin_evacuation(hall);
-                upstreams_changed = true;
-            }
-            (KeyKind::Evacuation { hall }, None) => {
-                info!(target: "follow", "event=evacuation_ended hall={hall}");
-                let configuration = state.configuration.clone();
-                state.upstreams.end_evacuation(now_ms, hall, |service| {
-                    let services = configuration.as_ref().map(|known| &known.services);
-                    let service = services.and_then(|services| services.get(service));
-                    service.map_or(0, |service| service.cold_start.duration_ms)
-                });
-                upstreams_changed = true;
-            }
-            (KeyKind::Configuration | KeyKind::Weights { .. }, None) => {
-                warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
-            }
-            (KeyKind::Members, Some(value)) => members::apply(gateway, &mut state.peers, value),
-            (KeyKind::Quarantine, Some(value)) => {
-                quarantine::restore(gateway, state, now_ms, value);
-            }
-            (KeyKind::QuarantinedParts, Some(value)) => {
-                quarantine::restore_parts(gateway, state, now_ms, value);
-            }
-            (KeyKind::Software, Some(value)) => {
-                let revision = state.view.get(key).map_or(0, |item| item.revision);
-                stored_versions::apply(state, revision, value);
-            }
-            (
-                KeyKind::Members
-                | KeyKind::Quarantine
-                | KeyKind::QuarantinedParts
-                | KeyKind::Software,
-                None,
-            )
-            | (KeyKind::Own | KeyKind::Other, _) => {}
-        }
+    for change in &changes {
+        // An item that has a fault of this program panic must not keep the others from being applied.
+        let applied = catch_unwind(AssertUnwindSafe(|| {
+            apply_change(gateway, state, now_ms, named, level, change)
+        }));
+        upstreams_changed |= applied.unwrap_or_else(|cause| {
+            log_failed(change, panic_text(&*cause));
+            true
+        });
     }
     if state.view.is_loaded() {
         state.upstreams.record_complete(now_ms);
@@ -527,6 +480,78 @@
     }
 }
 
+/// Applies a change of one item; returns whether the set of usable upstreams has changed.
+fn apply_change(
+    gateway: &Gateway,
+    state: &mut State,
+    now_ms: u64,
+    named: NamedAt,
+    level: Level,
+    change: &ViewChange,
+) -> bool {
+    let (key, value) = match change {
+        ViewChange::Put { key, value } => (key, Some(value.as_slice())),
+        ViewChange::Removed { key } => (key, None),
+    };
+    match (keys::kind(key), value) {
+        (KeyKind::Configuration, Some(value)) => {
+            return apply_configuration(state, value);
+        }
+        (KeyKind::Weights { model }, Some(value)) => {
+            apply_named_version(state, now_ms, named, model, value);
+        }
+        (KeyKind::Upstream { id }, Some(value)) => {
+            return entries::apply(gateway, state, now_ms, (id, value), level);
+        }
+        (KeyKind::Upstream { id }, None) => {
+            log!(target: "follow", level, "event=upstream_gone upstream={id}");
+            entries::remove(gateway, state, now_ms, id);
+            return true;
+        }
+        (KeyKind::Evacuation { hall }, Some(_)) => {
+            info!(target: "follow", "event=evacuation_began hall={hall}");
+            state.upstreams.begin_evacuation(hall);
+            return true;
+        }
+        (KeyKind::Evacuation { hall }, None) => {
+            info!(target: "follow", "event=evacuation_ended hall={hall}");
+            let configuration = state.configuration.clone();
+            state.upstreams.end_evacuation(now_ms, hall, |service| {
+                let services = configuration.as_ref().map(|known| &known.services);
+                let service = services.and_then(|services| services.get(service));
+                service.map_or(0, |service| service.cold_start.duration_ms)
+            });
+            return true;
+        }
+        (KeyKind::Configuration | KeyKind::Weights { .. }, None) => {
+            warn!(target: "follow", "event=removal_ignored key={key} reason=never_reverts");
+        }
+        (KeyKind::Members, Some(value)) => members::apply(gateway, &mut state.peers, value),
+        (KeyKind::Quarantine, Some(value)) => {
+            quarantine::restore(gateway, state, now_ms, value);
+        }
+        (KeyKind::QuarantinedParts, Some(value)) => {
+            quarantine::restore_parts(gateway, state, now_ms, value);
+        }
+        (KeyKind::Software, Some(value)) => {
+            let revision = state.view.get(key).map_or(0, |item| item.revision);
+            stored_versions::apply(state, revision, value);
+        }
+        (
+            KeyKind::Members | KeyKind::Quarantine | KeyKind::QuarantinedParts | KeyKind::Software,
+            None,
+        )
+        | (KeyKind::Own | KeyKind::Other, _) => {}
+    }
+    false
+}
+
+fn log_failed(change: &ViewChange, cause: &str) {
+    let (ViewChange::Put { key, .. } | ViewChange::Removed { key }) = change;
+    metrics::counter!("coursestile_items_failed_total").increment(1);
+    error!(target: "follow", "event=item_failed key={key} cause=\"{cause}\"");
+}
+
 /// Applies a configuration if it is newer than the one in force; returns whether it was.
 fn apply_configuration(state: &mut State, value: &[u8]) -> bool {
     let configuration = match keys::read_configuration(value) {
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -6,6 +6,7 @@
 use crate::clock::now_ms;
 use crate::kernel::{Kernel, Plugin, Topic};
 use crate::member::Outgoing;
+use crate::supervisor;
 use crate::wire::{Envelope, Message};
 
 /// How often the membership protocol checks for due work.
@@ -17,13 +18,16 @@
 
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
-    tokio::spawn(async move {
-        let mut ticks = tokio::time::interval(TICK);
-        loop {
-            ticks.tick().await;
-            let outgoing = kernel.membership().tick(now_ms());
-            send_gossip(&kernel, outgoing);
-            kernel.send_heartbeats();
+    supervisor::spawn("gossip", move || {
+        let kernel = kernel.clone();
+        async move {
+            let mut ticks = tokio::time::interval(TICK);
+            loop {
+                ticks.tick().await;
+                let outgoing = kernel.membership().tick(now_ms());
+                send_gossip(&kernel, outgoing);
+                kernel.send_heartbeats();
+            }
         }
     });
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod stopping;
 pub mod store;
 pub mod streams;
+pub mod supervisor;
 pub mod suspect_parts;
 pub mod sync;
 pub mod throughput;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -17,6 +17,7 @@
 use crate::member::Member;
 use crate::prometheus::render;
 use crate::stopping::stop;
+use crate::supervisor;
 use crate::trace::Span;
 
 inventory::submit! {
@@ -104,7 +105,7 @@
 
 fn start(kernel: &Arc<Kernel>) {
     let kernel = kernel.clone();
-    tokio::spawn(async move {
+    supervisor::spawn_single("operators", async move {
         let app = Route::new()
             .at("/live", get(live))
             .at("/ready", get(ready))
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -23,6 +23,7 @@
 };
 use crate::owner::ranked;
 use crate::settings::{EngineSettings, Upstream, UpstreamKind};
+use crate::supervisor;
 use crate::sync::locked;
 use crate::ticket::BoxRef;
 
@@ -71,7 +72,8 @@
 }
 
 fn start(kernel: &Arc<Kernel>) {
-    tokio::spawn(run_reconciliation(kernel.clone()));
+    let kernel = kernel.clone();
+    supervisor::spawn("orders", move || run_reconciliation(kernel.clone()));
 }
 
 async fn run_reconciliation(kernel: Arc<Kernel>) {
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -21,6 +21,7 @@
 use crate::placement_state::ReceivedResponse;
 use crate::refusal::{Reason, Refusal};
 use crate::slot_request::{Grant, SlotEnd, SlotReport, SlotRequest, SlotRequestId, SlotResponse};
+use crate::supervisor;
 use crate::sync::locked;
 use crate::trace::Hop;
 use crate::wire::{Envelope, Message};
@@ -342,7 +343,8 @@
 }
 
 fn start(kernel: &Arc<Kernel>) {
-    tokio::spawn(renew_held_slots(kernel.clone()));
+    let kernel = kernel.clone();
+    supervisor::spawn("placing", move || renew_held_slots(kernel.clone()));
 }
 
 async fn renew_held_slots(kernel: Arc<Kernel>) {
