Configuration: an odd head, base or template does not end a task

A base state of another revision than its head names, or a head that lacks a change, ended the task that follows the configuration by an assertion; such a head is an error now, and the next sound one is followed. A template with a time of 2^64 - 1 s to keep context for, which only the operators' tool refuses, overflowed in each request of its accounts, whose callers got no answer; terms are bounded where they are looked up.

--- a/src/account.rs
+++ b/src/account.rs
@@ -4,6 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest time for which context is kept, a year: its milliseconds do not overflow.
+const MAX_KEEP_FOR_S: u64 = 365 * 24 * 3600;
+/// Largest share or weight that counts: sums of larger ones might not be finite.
+const MAX_WEIGHT: f64 = 1e9;
+
 /// Weights of an account in the routing cost.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Weights {
@@ -58,6 +63,23 @@
         })
     }
 
+    /// These terms within bounds. Another program may have written them, without validation.
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        let weight = |weight: f64| weight.clamp(0.0, MAX_WEIGHT);
+        Self {
+            share: weight(self.share),
+            priority: self.priority.clamp(-2, 2),
+            keep_for_s: self.keep_for_s.min(MAX_KEEP_FOR_S),
+            weights: Weights {
+                first_token: weight(self.weights.first_token),
+                recompute: weight(self.weights.recompute),
+                link: weight(self.weights.link),
+            },
+            models: self.models,
+        }
+    }
+
     /// Validation errors of these terms, one per line.
     #[must_use]
     pub fn validation_errors(&self) -> Vec<String> {
--- a/src/configlog.rs
+++ b/src/configlog.rs
@@ -272,7 +272,7 @@
     pub fn terms(&self, account: &str) -> Option<Terms> {
         let account = self.state.accounts.get(account)?;
         let template = self.state.templates.get(&account.template)?;
-        Some(account.terms(template))
+        Some(account.terms(template).bounded())
     }
 }
 
@@ -320,7 +320,7 @@
             if entry.revision <= self.state.revision {
                 continue;
             }
-            if entry.revision > self.state.revision + 1 {
+            if entry.revision - 1 > self.state.revision {
                 return AdoptOutcome::Gap;
             }
             self.state.apply(entry);
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -24,6 +24,8 @@
 pub const HEAD_KEY: &str = "coursestile/config/head";
 /// Prefix of the keys of base states; the revision follows it.
 pub const BASE_KEY_PREFIX: &str = "coursestile/config/base/";
+/// Highest revision that counts: one that cannot be raised would keep all later changes out.
+const MAX_REVISION: u64 = 1 << 53;
 /// Number of boxes per hall that watch the head key.
 const WATCHERS_PER_HALL: usize = 2;
 /// Longest time between polls of a box that does not watch the head key, in milliseconds.
@@ -54,14 +56,21 @@
 /// Reads the base state of a head and applies the head's changes to it.
 ///
 /// # Errors
-/// Fails if the platform does not answer or the base state cannot be parsed.
+/// Fails if the platform does not answer, the base state cannot be parsed, or a revision is missing.
 pub async fn read_state(platform: &impl KeyValueStore, head: &ConfigHead) -> Result<ConfigState> {
     let mut state = ConfigState::default();
     if head.base_revision > 0 {
         let key = format!("{BASE_KEY_PREFIX}{}", head.base_revision);
         state = parse_json(&key, &platform.read(&key).await?.bytes)?;
+        if state.revision != head.base_revision || state.revision > MAX_REVISION {
+            return Err(Error::PlatformValue(key, format!("its revision is {}", state.revision)));
+        }
     }
     for entry in &head.entries {
+        if entry.revision != state.revision + 1 {
+            let text = format!("revision {} follows {}", entry.revision, state.revision);
+            return Err(Error::PlatformValue(HEAD_KEY.to_owned(), text));
+        }
         state.apply(entry);
     }
     Ok(state)
