Gateway: a new leader counts boxes that it has forgotten

What callers saw: context of old weights was freed in a store while a box that was cut off could still have an engine read it there (MIXED, if a fetch is under way).

Cause: context is freed before all engines have new weights once all boxes that may still be running know the new version. Each new leader began that list with the boxes that it remembered from gossip, 30 s long, and the ten minutes that a silent box counts for began anew.

Change: boxes that were forgotten in the last ten minutes count, with the time when each was last heard.

Not covered: a leader whose process began later than 30 s after the cut did.

--- a/src/gateway/decisions/release.rs
+++ b/src/gateway/decisions/release.rs
@@ -34,6 +34,14 @@
             .retain(|_, last_seen_at_ms| now_ms < *last_seen_at_ms + MAX_ABSENCE_MS);
     }
 
+    /// Notes boxes that have been forgotten, with the time when each was last heard.
+    pub fn note_absent(&mut self, boxes: impl IntoIterator<Item = (IpAddr, u64)>) {
+        for (address, last_heard_at_ms) in boxes {
+            let last_seen_at_ms = self.last_seen_at_ms.entry(address).or_default();
+            *last_seen_at_ms = last_heard_at_ms.max(*last_seen_at_ms);
+        }
+    }
+
     fn all(&self) -> BTreeSet<IpAddr> {
         self.last_seen_at_ms.keys().copied().collect()
     }
--- a/src/gateway/store_cleanup.rs
+++ b/src/gateway/store_cleanup.rs
@@ -98,6 +98,7 @@
     /// Remembers newly named weight versions, and notes which boxes have learned of them.
     fn note_named_versions(&mut self, state: &State, now_ms: u64) {
         self.boxes.note(now_ms, state.peers.addresses());
+        self.boxes.note_absent(state.peers.absent());
         for (model, named) in &state.weights {
             let version = named.newest();
             let is_known =
--- a/tests/gateway_release.rs
+++ b/tests/gateway_release.rs
@@ -50,6 +50,17 @@
     assert!(release.is_safe(710_000), "the box has been silent for ten minutes");
 }
 
+/// A leader that has just taken over did not count boxes that it had forgotten before.
+#[test]
+fn absent_box_counts() {
+    let mut boxes = boxes(1);
+    boxes.note_absent([(address(2), 20_000)]);
+    boxes.note(60_000, [address(1)]);
+    let mut release = ContextRelease::new("m", 2, 40, &boxes);
+    release.note_informed(61_000, |ip| ip == address(1));
+    assert!(!release.is_safe(100_000));
+}
+
 /// One engine takes no orders and keeps its old weights. The context of these weights was not freed
 /// then, and kept the stores full.
 #[tokio::test]
