Gateway: an engine without an entry may still have old weights

Cause: context of old weights is also freed once all engines have had the newest weights for longer than a transfer takes, whatever the boxes know. That held for the engines that were listed. An engine's entry goes when it is cut off from the metadata store, and it goes on serving the boxes that are cut off with it.

Change: an engine that had older weights when it was last listed counts for ten minutes, unless another one is listed at its address. Cost: after an engine crashed during a roll-out while a box is out of reach, old context takes space until either is back or ten minutes have passed; where all boxes are in reach, it is freed as before.

Evidence: soak out_of_step_long::unlisted_engine failed before (freed, 1 of 1), passes now. The four cases of that file, out_of_step (11) and out_of_step_elsewhere pass, and gateway_release, gateway_stores, gateway_weights, gateway_members, gateway_routing, gateway_departure, gateway_origins.

--- a/soak/tests/out_of_step_long.rs
+++ b/soak/tests/out_of_step_long.rs
@@ -181,3 +181,21 @@
     fleet.set_links(LinkState::Sound);
     fleet.wait_freed().await;
 }
+
+/// The leader took an engine whose entry had gone for one that does not run. A box that is cut off still
+/// sends it requests, with context of its old weights.
+#[tokio::test]
+async fn unlisted_engine() {
+    let (old, new) = (Engine::start().await, Engine::start().await);
+    old.refuse_orders();
+    let fleet = ContextFleet::start(&[&old, &new]).await;
+    fleet.set_links(LinkState::Silent);
+    fleet.site.set_weight_version(MODEL, 2);
+    eventually("the other engine has the new weights", async || new.version() == 2).await;
+    assert_eq!(old.version(), 1);
+    fleet.site.deregister("e-0");
+    sleep(FREED_AFTER).await;
+    assert_eq!(fleet.store.freed_parts(), [], "box 2 may have it read at the engine");
+    fleet.set_links(LinkState::Sound);
+    fleet.wait_freed().await;
+}
--- a/src/gateway/decisions/release.rs
+++ b/src/gateway/decisions/release.rs
@@ -7,10 +7,11 @@
 //! learned of the new version. Once every box that may still run is known to have learned of it,
 //! and that time and the longest transfer have passed, nobody can read the freed context any
 //! more. A box that does not respond may still read: as long as there is one, all engines must
-//! have newer weights first.
+//! have newer weights first, those included whose entries have gone: an engine that is cut off from the
+//! metadata store, too, serves the boxes that are cut off with it.
 
 use std::collections::{BTreeSet, HashMap};
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::decisions::context::OLD_CONTEXT_READ_MS;
 use crate::gateway::decisions::peers::MAX_ABSENCE_MS;
@@ -47,6 +48,33 @@
     }
 }
 
+/// The engines of one model that had older weights when they were last listed, and may still run.
+#[derive(Debug, Default)]
+pub struct OutdatedEngines {
+    /// Time of the last listing, by address: another engine there shows that an earlier one has ended.
+    last_listed_at_ms: HashMap<SocketAddr, u64>,
+}
+
+impl OutdatedEngines {
+    /// Notes the engines that are listed now, those with older weights than the newest and those with
+    /// the newest; returns whether none may have older weights.
+    pub fn note(
+        &mut self,
+        now_ms: u64,
+        outdated: impl IntoIterator<Item = SocketAddr>,
+        newest: impl IntoIterator<Item = SocketAddr>,
+    ) -> bool {
+        for address in newest {
+            self.last_listed_at_ms.remove(&address);
+        }
+        for address in outdated {
+            self.last_listed_at_ms.insert(address, now_ms);
+        }
+        self.last_listed_at_ms.retain(|_, listed_at_ms| now_ms < *listed_at_ms + MAX_ABSENCE_MS);
+        self.last_listed_at_ms.is_empty()
+    }
+}
+
 /// The pending release of the context of all versions before a newly named one, with the boxes
 /// that do not know that version yet.
 #[derive(Debug)]
--- a/src/gateway/store_cleanup.rs
+++ b/src/gateway/store_cleanup.rs
@@ -18,7 +18,10 @@
 use crate::gateway::decisions::cache_contents::PartKey;
 use crate::gateway::decisions::cache_reports::{CacheListing, CachedPart, FreeOutcome};
 use crate::gateway::decisions::context::{scope_model, scope_version};
-use crate::gateway::decisions::release::{ContextRelease, KnownBoxes, MAX_TRANSFER_MS};
+use crate::gateway::decisions::release::{
+    ContextRelease, KnownBoxes, MAX_TRANSFER_MS, OutdatedEngines,
+};
+use crate::gateway::decisions::upstream::Upstream;
 use crate::gateway::kernel::{Gateway, State};
 use crate::names::short_id;
 use crate::platform::keys;
@@ -41,6 +44,8 @@
     boxes: KnownBoxes,
     /// One for each newly named version, oldest first.
     releases: Vec<ContextRelease>,
+    /// Engines that may have older weights, by model.
+    outdated_engines: HashMap<String, OutdatedEngines>,
     /// When all engines of a model were first seen with its newest weights, by model.
     all_newest_since_ms: HashMap<String, u64>,
     /// Oldest weight version whose context may still be read, by model.
@@ -132,8 +137,14 @@
         let mut loaded = Vec::new();
         for (model, named) in &state.weights {
             let newest = named.newest();
-            let mut engines = state.upstreams.current();
-            if engines.any(|engine| (1..newest).contains(&engine.weight_version(model))) {
+            let engines = state.upstreams.current();
+            let is_outdated = |engine: &&Upstream| engine.weight_version(model) < newest;
+            let (outdated, newest_ones): (Vec<&Upstream>, Vec<&Upstream>) =
+                engines.filter(|engine| engine.weight_version(model) > 0).partition(is_outdated);
+            let address = |engine: &Upstream| engine.entry.address;
+            let known = self.outdated_engines.entry(model.clone()).or_default();
+            let outdated = outdated.into_iter().map(address);
+            if !known.note(now_ms, outdated, newest_ones.into_iter().map(address)) {
                 self.all_newest_since_ms.remove(model);
                 continue;
             }
--- a/tests/gateway_release.rs
+++ b/tests/gateway_release.rs
@@ -4,11 +4,14 @@
 #[path = "common/site.rs"]
 mod common;
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use common::{start_engines, wait_ready};
 use coursestile::gateway::decisions::context::OLD_CONTEXT_READ_MS;
-use coursestile::gateway::decisions::release::{ContextRelease, KnownBoxes, MAX_TRANSFER_MS};
+use coursestile::gateway::decisions::peers::MAX_ABSENCE_MS;
+use coursestile::gateway::decisions::release::{
+    ContextRelease, KnownBoxes, MAX_TRANSFER_MS, OutdatedEngines,
+};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::{Site, config_document, engine_services, eventually};
 
@@ -61,6 +64,31 @@
     assert!(!release.is_safe(100_000));
 }
 
+fn engine(last: u8) -> SocketAddr {
+    SocketAddr::new(address(last), 80)
+}
+
+/// An engine whose entry had gone was taken for one that does not run.
+#[test]
+fn unlisted_engine_counts() {
+    let mut engines = OutdatedEngines::default();
+    assert!(!engines.note(0, [engine(1), engine(2)], []));
+    assert!(!engines.note(1000, [], [engine(2)]), "engine 1 may still run");
+    assert!(!engines.note(2000, [engine(1)], [engine(2)]));
+    assert!(engines.note(3000, [], [engine(1), engine(2)]));
+    assert!(engines.note(4000, [], []), "both had the newest weights");
+}
+
+/// Context must not stay for ever because of an engine that has crashed.
+#[test]
+fn ended_engine() {
+    let mut engines = OutdatedEngines::default();
+    assert!(!engines.note(0, [engine(1), engine(2)], []));
+    assert!(!engines.note(1000, [], [engine(1)]), "engine 2 may still run");
+    assert!(!engines.note(MAX_ABSENCE_MS - 1, [], []));
+    assert!(engines.note(MAX_ABSENCE_MS, [], []));
+}
+
 /// One engine takes no orders and keeps its old weights. The context of these weights was not freed
 /// then, and kept the stores full.
 #[tokio::test]
