--- a/tests/gateway_release.rs
+++ b/tests/gateway_release.rs
@@ -4,11 +4,14 @@
 #[path = "common/site.rs"]
 mod common;
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use common::{start_engines, wait_ready};
 use coursestile::gateway::decisions::context::OLD_CONTEXT_READ_MS;
-use coursestile::gateway::decisions::release::{ContextRelease, KnownBoxes, MAX_TRANSFER_MS};
+use coursestile::gateway::decisions::peers::MAX_ABSENCE_MS;
+use coursestile::gateway::decisions::release::{
+    ContextRelease, KnownBoxes, MAX_TRANSFER_MS, OutdatedEngines,
+};
 use coursestile_standins::site::engine::{Engine, MODEL};
 use coursestile_standins::site::{Site, config_document, engine_services, eventually};
 
@@ -50,6 +53,42 @@
     assert!(release.is_safe(710_000), "the box has been silent for ten minutes");
 }
 
+/// A leader that has just taken over did not count boxes that it had forgotten before.
+#[test]
+fn absent_box_counts() {
+    let mut boxes = boxes(1);
+    boxes.note_absent([(address(2), 20_000)]);
+    boxes.note(60_000, [address(1)]);
+    let mut release = ContextRelease::new("m", 2, 40, &boxes);
+    release.note_informed(61_000, |ip| ip == address(1));
+    assert!(!release.is_safe(100_000));
+}
+
+fn engine(last: u8) -> SocketAddr {
+    SocketAddr::new(address(last), 80)
+}
+
+/// An engine whose entry had gone was taken for one that does not run.
+#[test]
+fn unlisted_engine_counts() {
+    let mut engines = OutdatedEngines::default();
+    assert!(!engines.note(0, [engine(1), engine(2)], []));
+    assert!(!engines.note(1000, [], [engine(2)]), "engine 1 may still run");
+    assert!(!engines.note(2000, [engine(1)], [engine(2)]));
+    assert!(engines.note(3000, [], [engine(1), engine(2)]));
+    assert!(engines.note(4000, [], []), "both had the newest weights");
+}
+
+/// Context must not stay for ever because of an engine that has crashed.
+#[test]
+fn ended_engine() {
+    let mut engines = OutdatedEngines::default();
+    assert!(!engines.note(0, [engine(1), engine(2)], []));
+    assert!(!engines.note(1000, [], [engine(1)]), "engine 2 may still run");
+    assert!(!engines.note(MAX_ABSENCE_MS - 1, [], []));
+    assert!(engines.note(MAX_ABSENCE_MS, [], []));
+}
+
 /// One engine takes no orders and keeps its old weights. The context of these weights was not freed
 /// then, and kept the stores full.
 #[tokio::test]
