--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -182,7 +182,7 @@
         rate_limits::update_gauge(&state);
         state.admission_limits.recover(now_ms, TICK.as_secs_f64());
         let changes = state.view.apply_due_removals(now_ms);
-        apply(&gateway, &mut state, now_ms, NamedAt::Now, changes);
+        apply(&gateway, &mut state, now_ms, NamedAt::Now, &changes);
         if !state.small_fleet {
             for (_, store) in state.stores.iter_mut() {
                 store.speed.check_overdue(now_ms);
@@ -226,7 +226,7 @@
     let changes = state.view.apply_catch_up(now_ms, catch_up, is_covered);
     info!(target: "follow",
         "event=caught_up at_revision={at_revision} whole={is_full} changes={}", changes.len());
-    apply(gateway, &mut state, now_ms, named, changes);
+    apply(gateway, &mut state, now_ms, named, &changes);
     if is_first {
         // Boxes of the hall that have started together with this one can get the items from it.
         gateway.gossip_now.notify_one();
@@ -304,7 +304,7 @@
     info!(target: "follow",
         "event=listed at_revision={at_revision} items={items} changes={} pages={pages} took_ms={}",
         changes.len(), now_ms.saturating_sub(started_at_ms));
-    apply(gateway, &mut state, now_ms, named, changes);
+    apply(gateway, &mut state, now_ms, named, &changes);
 }
 
 /// Waits for changes and applies them.
@@ -348,7 +348,7 @@
     let named = named_at(gateway, &state, now_ms);
     state.view.mark_synced(now_ms);
     state.upstreams.record_followed(asked_at_ms);
-    apply(gateway, &mut state, now_ms, named, applied);
+    apply(gateway, &mut state, now_ms, named, &applied);
     Ok(CallEnd::Answered)
 }
 
@@ -447,7 +447,7 @@
     state: &mut State,
     now_ms: u64,
     named: NamedAt,
-    changes: Vec<ViewChange>,
+    changes: &[ViewChange],
 ) {
     claims::note_leader(state, now_ms);
     if !changes.is_empty() && state.follows_metadata {
@@ -463,7 +463,7 @@
         state.upstreams.record_gap(now_ms);
     }
     let mut upstreams_changed = false;
-    for change in &changes {
+    for change in changes {
         // An item that has a fault of this program panic must not keep the others from being applied.
         let applied = catch_unwind(AssertUnwindSafe(|| {
             apply_change(gateway, state, now_ms, named, level, change)
