--- a/src/gateway/follow_metadata.rs
+++ b/src/gateway/follow_metadata.rs
@@ -464,7 +464,7 @@
     }
     let mut upstreams_changed = false;
     for change in changes {
-        // An item that has a fault of this program panic must not keep the others from being applied.
+        // An item that meets a fault of this program must not keep the others from being applied.
         let applied = catch_unwind(AssertUnwindSafe(|| {
             apply_change(gateway, state, now_ms, named, level, change)
         }));
