Soak: streams at boxes in touch while others are out of step

What it guards against: sound streams that boxes in touch no longer resume, because other boxes are cut off. Only the time without faults was judged.

Change: while a service has one version only, the share of its streams that go on at boxes that no fault affects is at least half of the share of new ones that begin there, whatever happens to other boxes.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -573,6 +573,19 @@
     current.flat_map(|step| step.boxes_out_of_step(boxes)).collect()
 }
 
+/// Whether no fault has an effect on a box between two times, whatever happens to others.
+#[must_use]
+pub fn is_in_touch(steps: &[Step], from_ms: u64, to_ms: u64, number: usize, boxes: usize) -> bool {
+    let affects = |step: &Step| match step.action {
+        Action::BoxStopped => step.pick % boxes == number,
+        Action::AllKilled | Action::StoreSilent | Action::StoreLosesAnswers => true,
+        _ => step.boxes_out_of_step(boxes).contains(&number),
+    };
+    !steps.iter().any(|step| {
+        affects(step) && step.at_ms <= to_ms && step.until_ms + FAULT_EFFECT_MS >= from_ms
+    })
+}
+
 /// Time by which every box has to apply what the metadata store accepted at `from_ms`:
 /// `bound_ms` later, or `bound_ms` after the end of the faults that begin before then.
 #[must_use]
--- a/soak/src/roll_outs.rs
+++ b/soak/src/roll_outs.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::checks::RunData;
+use crate::checks::{RECOVERY_MS, RunData};
 use crate::plan::{self, Step};
 use crate::versions::{RollingUpstreams, StreamRecord, Try, path, ratio};
 use crate::world::World;
@@ -354,6 +354,10 @@
     resumed_one_version: Share,
     /// Named resumed streams, where nothing fails and there may be several versions.
     resumed_named: Share,
+    /// New and resumed streams at boxes in touch, while others may be out of step and there is one version
+    /// only.
+    begun_in_touch: Share,
+    resumed_in_touch: Share,
     /// Resumed streams at boxes out of step.
     resumed_out_of_step: Share,
     /// Those of them that began at another version than the first.
@@ -379,13 +383,15 @@
         if new >= MIN_TRIES && shares.begun.ratio() < MIN_BEGUN {
             violations.push(format!("{begun} of {new} new streams began where nothing failed"));
         }
-        for (what, resumed) in
-            [("of one version", shares.resumed_one_version), ("named", shares.resumed_named)]
-        {
-            if resumed.1 >= MIN_TRIES && 2.0 * resumed.ratio() < shares.begun.ratio() {
+        for (what, resumed, begun) in [
+            ("of one version", shares.resumed_one_version, shares.begun),
+            ("named", shares.resumed_named, shares.begun),
+            ("at boxes in touch", shares.resumed_in_touch, shares.begun_in_touch),
+        ] {
+            if resumed.1 >= MIN_TRIES && 2.0 * resumed.ratio() < begun.ratio() {
                 violations.push(format!(
-                    "{} of {} streams {what} went on that could, {begun} of {new} new ones began",
-                    resumed.0, resumed.1
+                    "{} of {} streams {what} went on that could, {} of {} new ones began",
+                    resumed.0, resumed.1, begun.0, begun.1
                 ));
             }
         }
@@ -410,10 +416,17 @@
                         shares.resumed_new_version.add(made);
                     }
                 }
-                if upstreams.serving(version, made.sent_at) < 2 || !self.is_undisturbed_try(made) {
+                if upstreams.serving(version, made.sent_at) < 2 {
+                    continue;
+                }
+                let is_only = upstreams.versions_until(made.ended_at) == 1;
+                if is_only && self.is_in_touch_try(made) {
+                    shares.resumed_in_touch.add(made);
+                }
+                if !self.is_undisturbed_try(made) {
                     continue;
                 }
-                if upstreams.versions_until(made.ended_at) == 1 {
+                if is_only {
                     shares.resumed_one_version.add(made);
                 }
                 if stream.is_named {
@@ -424,13 +437,27 @@
             let begun = begun.filter(|made| {
                 !resumed_ids.contains(&made.id.as_str())
                     && upstreams.serving(FIRST_VERSION, made.sent_at) >= 2
-                    && self.is_undisturbed_try(made)
             });
-            begun.for_each(|made| shares.begun.add(made));
+            for made in begun {
+                if self.is_undisturbed_try(made) {
+                    shares.begun.add(made);
+                }
+                let is_only = upstreams.versions_until(made.ended_at) == 1;
+                if is_only && self.is_in_touch_try(made) {
+                    shares.begun_in_touch.add(made);
+                }
+            }
         }
         shares
     }
 
+    fn is_in_touch_try(&self, made: &Try) -> bool {
+        let (from_ms, to_ms) = (self.at_ms(made.sent_at), self.at_ms(made.ended_at));
+        let (number, unix_ms) = (made.box_number, self.started_at_ms + from_ms);
+        plan::is_in_touch(self.steps, from_ms, to_ms, number, self.world.boxes.len())
+            && !self.had_outage_at(Some(number), unix_ms, RECOVERY_MS, |_| true)
+    }
+
     pub(crate) fn roll_out_outcomes(&self, streams: &[RollOutStream]) -> BTreeMap<String, usize> {
         if streams.is_empty() {
             return BTreeMap::new();
@@ -441,6 +468,8 @@
             ("roll-outs: begun undisturbed", shares.begun),
             ("roll-outs: resumed undisturbed, one version", shares.resumed_one_version),
             ("roll-outs: resumed undisturbed, named", shares.resumed_named),
+            ("roll-outs: begun in touch, one version", shares.begun_in_touch),
+            ("roll-outs: resumed in touch, one version", shares.resumed_in_touch),
             ("roll-outs: resumed out of step", shares.resumed_out_of_step),
             ("roll-outs: resumed out of step, new version", shares.resumed_new_version),
         ] {
