Gateway: a read that finds no stored versions shows nothing

Cause (by reading): another writer may remove the item of stored versions. A watch that shows it was handled; a read of the item alone found none, and renewed the age of what the box had known before.

Change: both count as an item that cannot be read. A name in software_history says what it decides.

--- a/src/gateway/decisions/software_history.rs
+++ b/src/gateway/decisions/software_history.rs
@@ -304,7 +304,7 @@
         }
         let mut next = current.clone();
         for key @ (service, software) in pairs(&self.stored.versions) {
-            if !may_remove || !self.has_unsettled(now_ms, key) {
+            if !may_remove || !self.may_be_removed(now_ms, key) {
                 next.entry(service).or_default().insert(software);
             }
         }
@@ -321,7 +321,7 @@
     /// Whether a stored version may be removed: it is the only one, or has not been allowed to begin
     /// streams for longer than boxes may take another one for the only one. A write that is done late
     /// otherwise removes a version that has come back and begins streams.
-    fn has_unsettled(&self, now_ms: u64, (service, software): (u32, u32)) -> bool {
+    fn may_be_removed(&self, now_ms: u64, (service, software): (u32, u32)) -> bool {
         let is_only = self.stored.versions.get(&service).is_some_and(|only| only.len() == 1);
         is_only
             || !self.stored.is_settled(service, software)
--- a/src/gateway/stored_versions.rs
+++ b/src/gateway/stored_versions.rs
@@ -171,8 +171,9 @@
     let reading = gateway.metadata.list_page(&key, None, Freshness::Latest);
     let Ok(Ok(page)) = timeout(CONFIRM_TIMEOUT, reading).await else { return };
     let mut state = gateway.state();
-    for item in page.items.iter().filter(|item| item.key == key) {
-        apply(&mut state, item.revision, &item.value);
+    match page.items.iter().find(|item| item.key == key) {
+        Some(item) => apply(&mut state, item.revision, &item.value),
+        None => note_missing(&mut state),
     }
     state.upstreams.record_versions_read(asked_at_ms);
 }
@@ -219,21 +220,27 @@
 /// Takes over the item of the view if it is newer than what this box knows. An item that had the same
 /// value before is newer, too, and one that is missing was removed by another writer.
 pub fn update_from_view(state: &mut State) {
-    let history = state.upstreams.software_history();
-    let (known_revision, is_known) = (history.stored_revision(), history.has_stored());
+    let known_revision = state.upstreams.software_history().stored_revision();
     match state.view.get(&keys::software()) {
         Some(item) if item.revision > known_revision => {
             let VersionedValue { revision, value } = item.clone();
             apply(state, revision, &value);
         }
-        None if is_known && state.view.last_change_revision() > known_revision => {
-            warn!(target: "versions", "event=versions_missing");
-            state.upstreams.set_versions_unreadable(known_revision);
-        }
+        None if state.view.last_change_revision() > known_revision => note_missing(state),
         Some(_) | None => {}
     }
 }
 
+/// Notes that the metadata store has no item any more where this box has known one.
+fn note_missing(state: &mut State) {
+    let history = state.upstreams.software_history();
+    if history.has_stored() {
+        let revision = history.stored_revision();
+        warn!(target: "versions", "event=versions_missing revision={revision}");
+        state.upstreams.set_versions_unreadable(revision);
+    }
+}
+
 /// Applies the versions that the metadata store had at a revision.
 fn apply(state: &mut State, revision: u64, value: &[u8]) {
     match decode(value) {
