Stand-ins: keys of undecodable items are quoted

The stand-in wrote the key of an item that is no base64 into JSON text as it is, so a key with a quote made its whole answer invalid, which no store sends: all boxes followed nothing while the item was there.

--- a/standins/src/site/metadata/mod.rs
+++ b/standins/src/site/metadata/mod.rs
@@ -171,7 +171,8 @@
     /// # Panics
     /// Panics when a task has panicked under the lock.
     pub fn put_undecodable(&self, key: &str) {
-        self.put_raw(key, &format!(r#"{{"key":"{key}","value":"!c3BvaWxlZA==","rev":$rev}}"#));
+        let quoted = serde_json::Value::from(key);
+        self.put_raw(key, &format!(r#"{{"key":{quoted},"value":"!c3BvaWxlZA==","rev":$rev}}"#));
     }
 
     /// Writes an item that is sent as this JSON text, in which `$rev` stands for its revision.
