--- /dev/null
+++ b/tests/gateway_floods.rs
@@ -0,0 +1,110 @@
+//! Clients that leave requests unfinished, or send more than they may, all at once.
+
+#[path = "common/flood.rs"]
+mod flood;
+
+#[path = "common/site.rs"]
+mod common;
+
+use common::{GatewayFixture, start_fixture_on, wait_for_log};
+use coursestile_standins::site::client::{Client, request};
+use coursestile_standins::site::server::{Behavior, Server};
+use coursestile_standins::site::{Site, config_document, service_entry};
+use flood::{BOX_DESCRIPTORS, BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::sync::Mutex;
+
+/// Time that the requests of a flood may wait.
+const FLOOD_TIMEOUT_MS: u64 = 15_000;
+
+/// One of these tests runs at a time.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// The configuration with a service `other`, to which no flood is sent.
+fn document() -> Value {
+    let mut document = config_document(8);
+    for route in document["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(FLOOD_TIMEOUT_MS);
+        route["slo_ms"] = json!(2 * FLOOD_TIMEOUT_MS);
+    }
+    let mut route = document["routes"][0].clone();
+    route["name"] = json!("other");
+    route["path_prefix"] = json!("/other/");
+    route["service"] = json!("other");
+    document["routes"].as_array_mut().expect("routes").push(route);
+    let mut other = document["services"][0].clone();
+    other["name"] = json!("other");
+    document["services"].as_array_mut().expect("services").push(other);
+    document["services"][0]["max_conns"] = json!(1000);
+    document["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
+    document["limits"]["header_timeout_ms"] = json!(3000);
+    document["limits"]["idle_timeout_ms"] = json!(15_000);
+    document
+}
+
+/// A site with a box and an upstream for each service; that of the floods answers nothing.
+async fn start() -> (GatewayFixture, Server) {
+    let fixture = start_fixture_on(Site::start().await, 1).await;
+    let server = &fixture.servers[0];
+    server.script(&vec![Behavior::Held; 1000]);
+    let mut entry = service_entry("plain", &server.address, "ready");
+    entry["slots"] = json!(1000);
+    fixture.site.register(&server.id, &entry);
+    let other = Server::start("other").await;
+    fixture.site.register("other", &service_entry("other", &other.address, "ready"));
+    fixture.site.configure(&document());
+    wait_for_log(&fixture, "event=configuration_in_force version=8").await;
+    wait_for_log(&fixture, "event=upstream_seen upstream=other").await;
+    (fixture, other)
+}
+
+/// Waits until an ordinary request is answered.
+async fn wait_served(fixture: &GatewayFixture, name: &str) {
+    let mut number = 0;
+    wait_answered(async || {
+        number += 1;
+        let bytes = request("POST", "/other/", &format!("r-{name}-{number}"), "", "a body");
+        let Ok(mut client) = Client::try_connect(&fixture.gateway.clients).await else {
+            return false;
+        };
+        client.send(&bytes).await.is_some_and(|answer| answer.status() == 200)
+    })
+    .await;
+}
+
+/// What many clients sent at once took all memory, or all descriptors, of a box.
+#[rstest]
+#[case::announced_short(Flood::AnnouncedShort(MAX_BODY_BYTES), 600)]
+#[case::medium_short(Flood::AnnouncedShort(16_000), 800)]
+#[case::chunked_short(Flood::ChunkedShort(4096), 600)]
+#[case::tiny_chunks(Flood::ChunkedShort(1), 40)]
+#[case::whole_waiting(Flood::WholeWaiting, 400)]
+#[case::announced_long(Flood::AnnouncedLong, 600)]
+#[case::sent_long(Flood::SentLong, 60)]
+#[case::unfinished_heads(Flood::UnfinishedHead, 1000)]
+#[case::pipelined(Flood::Pipelined, 300)]
+#[case::silent(Flood::Silent, 800)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn memory_kept(#[case] flood: Flood, #[case] clients: usize) {
+    let _turn = TURN.lock().await;
+    let (fixture, _other) = start().await;
+    let watch = Watch::start(fixture.gateway.pid(), &fixture.gateway.clients);
+    let message = |number| {
+        let head = format!(
+            "POST /safe/ HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r-{number}\r\n\
+             X-Api-Key: key-1\r\nX-Deadline-Ms: {FLOOD_TIMEOUT_MS}\r\n"
+        );
+        flood.bytes(&head)
+    };
+    let connections = open(&fixture.gateway.clients, clients, message).await;
+    watch.settle().await;
+    wait_served(&fixture, "beside").await;
+    drop(connections);
+    wait_served(&fixture, "after").await;
+    let held = watch.stop();
+    println!("{flood:?}: {held:?}");
+    assert!(fixture.gateway.is_alive(), "it has ended");
+    assert!(held.all_memory_mb() < BOX_MEMORY_MB, "{held:?}");
+    assert!(flood != Flood::Silent || held.descriptors <= BOX_DESCRIPTORS, "{held:?}");
+}
