Gateway: unfinished and waiting requests share one bound

What callers saw: a box that ran out of memory, and with it every response on its way.

Change: `request_memory` (pure) accounts for what connections and their requests hold, bytes and descriptors, by what has arrived. Where room is short, the connection whose last progress is the longest ago gives way: an idle one is closed, an arriving body is refused with 503 and Retry-After, and what its client still sends is discarded, within limits, so that the refusal can be read. A complete request never gives way. Long bodies leave a quarter of the room to others. Bodies are copied into one buffer as they arrive and count until the last copy is dropped (`Bytes::from_owner`). A body that is announced as too long is refused from its head. A body that does not go on is refused with 408 instead of 400: it has not run. A box that drains waits 1 s for half bodies. With `[load] slow_readers`, an account's bound holds for bodies that have arrived, by their length, not for announcements.

--- a/src/gateway/check.rs
+++ b/src/gateway/check.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyDataStream;
 use hyper::body::{Body as _, Incoming};
 use hyper::{HeaderMap, Uri, header};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use crate::box_phase::BoxPhase;
+use crate::client_connections::{BodyError, ClientRequest, ReceivedBody};
 use crate::clock::now_ms;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::attempt::OutgoingRequest;
@@ -32,11 +34,8 @@
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 /// Longest time for which a client is taken to wait.
 const MAX_CLIENT_TIMEOUT_MS: u64 = 600_000;
-/// Longest time for a request body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// What a body without a length counts as, where bodies are bounded: a long prompt. Counted as the longest
-/// allowed, a few of them would take all that an account may hold.
-const LENGTHLESS_BODY_BYTES: usize = 64 << 10;
+/// Time in which a body still arrives once the box drains.
+const DRAIN_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a request waits for the first configuration after the start of the box.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -112,6 +111,7 @@
 /// Fails with the reason for refusing the request; no upstream has received it.
 pub async fn validate(
     gateway: &Gateway,
+    client: &ClientRequest,
     head: &RequestHead,
     parts: hyper::http::request::Parts,
     body: Incoming,
@@ -128,11 +128,9 @@
     let route = configuration.route(host, target.path()).ok_or(Reason::NoRoute)?.clone();
     let account = authenticate(&configuration, &route, head)?.cloned();
     let account_id = short_id(account.as_ref().map_or("", |account| &account.name));
-    let body_bytes = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let body_bytes =
-        body_bytes.unwrap_or(LENGTHLESS_BODY_BYTES).min(configuration.limits.max_body_bytes);
-    let held_request = HeldRequest::reserve(gateway, account_id, body_bytes).await?;
-    let body = read_body(&configuration, body).await?;
+    let body = read_body(gateway, client, configuration.limits.max_body_bytes, body).await?;
+    let held_request = HeldRequest::reserve(gateway, account_id, body.len()).await?;
+    client.begin_serving().map_err(|_| Reason::NoRoom)?;
     let account_name = account.as_ref().map_or("", |account| &account.name);
     let stream = StreamId::new(account_name, began_as(head, request_id));
     let certain = match &head.resumed {
@@ -294,13 +292,28 @@
     Ok(account)
 }
 
-async fn read_body(configuration: &Configuration, body: Incoming) -> Result<Bytes, Reason> {
-    let limited = Limited::new(body, configuration.limits.max_body_bytes);
-    match timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Reason::BodyTooLong)
-        }
-        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete),
+async fn read_body(
+    gateway: &Gateway,
+    client: &ClientRequest,
+    max_bytes: usize,
+    body: Incoming,
+) -> Result<Bytes, Reason> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
     }
+    let announced_bytes = body.size_hint().exact();
+    let announced_bytes = announced_bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    let stopped = async {
+        gateway.wait_for_phase(BoxPhase::Draining).await;
+        sleep(DRAIN_BODY_TIMEOUT).await;
+    };
+    let frames = BodyDataStream::new(body);
+    let received = client.read_body(frames, announced_bytes, max_bytes, stopped).await;
+    received.map(ReceivedBody::into_bytes).map_err(|error| match error {
+        BodyError::TooLong => Reason::BodyTooLong,
+        BodyError::Broken => Reason::BodyIncomplete,
+        BodyError::Stalled => Reason::BodyStalled,
+        BodyError::NoRoom => Reason::NoRoom,
+        BodyError::TimeOver => Reason::NotReady,
+    })
 }
--- a/src/gateway/held_request.rs
+++ b/src/gateway/held_request.rs
@@ -1,8 +1,9 @@
 //! The body of a request that no upstream has responded to yet.
 //!
 //! Upstreams that read requests slowly leave their bodies in the box. Where that is to be expected, a
-//! body is not read from its client while those of the account, or of the box, exceed their bounds; an
-//! attempt at an upstream that reads nothing ends soon, so the wait is as short.
+//! body that has arrived is not sent on while those of the account, or of the box, exceed their bounds; an
+//! attempt at an upstream that reads nothing ends soon, so the wait is as short. Bodies that are still
+//! arriving are bounded by `client_connections`.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/src/gateway/kernel.rs
+++ b/src/gateway/kernel.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::box_phase::BoxPhase;
+use crate::client_connections::ClientConnections;
 use crate::clock::now_ms;
 use crate::crash_reports::CrashReports;
 use crate::error::Result;
@@ -311,6 +312,8 @@
     pub tunnels_kept: Arc<AtomicUsize>,
     /// Connections of clients on which a request has begun.
     pub client_connections: Arc<AtomicUsize>,
+    /// Connections of clients, with what they and their requests hold.
+    pub clients: Arc<ClientConnections>,
     /// Changes when upstreams, stores, the configuration or this box's role may have changed.
     pub upstreams_changed: watch::Sender<u64>,
     /// Whether this box must no longer lead because it is stopping.
@@ -434,6 +437,7 @@
             last_receive_ms: AtomicU64::new(0),
             tunnels_kept: Arc::default(),
             client_connections: Arc::default(),
+            clients: ClientConnections::new(settings.memory_limits),
             upstreams_changed: watch::Sender::new(0),
             resigned: watch::Sender::new(false),
             delegated_replies: watch::Sender::new(None),
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -22,6 +22,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::box_phase::BoxPhase;
+use crate::client_connections::{ClientConnection, ClientIo};
 use crate::clock::now_ms;
 use crate::gateway::client_stream::{ClientStream, CloseDelimited};
 use crate::gateway::connections::set_socket_options;
@@ -54,10 +55,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_or_shed(gateway.clone(), stream, now_ms()));
+                // Without room for it, the connection is closed unread.
+                let Some(connection) = gateway.clients.open() else { continue };
+                tokio::spawn(serve_or_shed(gateway.clone(), stream, connection, now_ms()));
             }
             Err(error) => {
                 debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
+                gateway.clients.close_oldest();
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -67,7 +71,12 @@
 
 /// Serves a connection that was accepted at `accepted_at_ms`, or closes it unread if this box does
 /// not keep up with its work and there are others for its clients to turn to.
-async fn serve_or_shed(gateway: Arc<Gateway>, stream: TcpStream, accepted_at_ms: u64) {
+async fn serve_or_shed(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    connection: Arc<ClientConnection>,
+    accepted_at_ms: u64,
+) {
     let (now_ms, wait_ms) = (now_ms(), now_ms().saturating_sub(accepted_at_ms));
     let is_behind = locked(&gateway.shedding).record_wait(now_ms, wait_ms);
     if is_behind && gateway.state().peers.has_live_hall_peer(now_ms) {
@@ -75,7 +84,7 @@
         metrics::counter!("coursestile_connections_shed_total").increment(1);
         return;
     }
-    serve_client(gateway, stream).await;
+    serve_client(gateway, stream, connection).await;
 }
 
 /// Accepts the connections that the kernel has established already, since it resets them when the
@@ -86,14 +95,15 @@
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         match stream {
             Ok(stream) => {
-                tokio::spawn(serve_client(gateway.clone(), stream));
+                let Some(connection) = gateway.clients.open() else { continue };
+                tokio::spawn(serve_client(gateway.clone(), stream, connection));
             }
             Err(error) => debug!(target: "listener", "event=accept_failed cause=\"{error}\""),
         }
     }
 }
 
-async fn serve_client(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve_client(gateway: Arc<Gateway>, stream: TcpStream, client: Arc<ClientConnection>) {
     if let Err(error) = set_socket_options(&stream) {
         debug!(target: "listener", "event=socket_option_refused cause=\"{error}\"");
     }
@@ -119,6 +129,8 @@
         .slow_readers
         .then(|| Arc::new(ClientReads::new(gateway.client_buffers.clone())));
     let stream = ClientStream::new(stream, close_delimited.clone(), reads.clone());
+    let stream = ClientIo::new(stream, client.clone());
+    let served_client = client.clone();
     let body_reads = reads.clone();
     let open = OnceLock::new();
     let service = service_fn(move |request: Request<Incoming>| {
@@ -126,13 +138,15 @@
         open.get_or_init(|| OpenConnection::begin(&shared.client_connections));
         let (gateway, close_delimited) = (shared.clone(), close_delimited.clone());
         let reads = body_reads.clone();
+        let client = served_client.clone();
+        let client_request = client.begin_request(!request.body().is_end_stream());
         async move {
             let version = request.version();
-            let mut response = serve(gateway.clone(), request).await;
+            let mut response = serve(gateway.clone(), request, client_request).await;
             if is_close_delimited(version, &response) {
                 close_delimited.set();
             }
-            if gateway.phase() >= BoxPhase::Leaving {
+            if gateway.phase() >= BoxPhase::Leaving || client.gives_way() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -151,8 +165,10 @@
             tokio::select! {
                 ended = connection => ended,
                 () = wait_until_aborted(reads.as_deref()) => return,
+                () = client.wait_until_closed() => return,
             }
         }
+        () = client.wait_until_closed() => return,
         // Closing the connection resets it.
         () = wait_until_aborted(reads.as_deref()) => return,
     };
@@ -220,9 +236,15 @@
     serve_endpoint(gateway, listener, |gateway| {
         let lag_s = longest_weight_lag_s(&gateway.state(), now_ms());
         metrics::gauge!("coursestile_weights_behind_seconds").set(lag_s);
-        let held_bytes = locked(&gateway.client_buffers).box_bytes();
-        #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^52 bytes")]
-        metrics::gauge!("coursestile_client_buffer_bytes").set(held_bytes as f64);
+        let buffer_bytes = locked(&gateway.client_buffers).box_bytes();
+        let request_bytes = gateway.clients.held_bytes();
+        for (name, held_bytes) in [
+            ("coursestile_client_buffer_bytes", buffer_bytes),
+            ("coursestile_request_bytes", request_bytes),
+        ] {
+            #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^52 bytes")]
+            metrics::gauge!(name).set(held_bytes as f64);
+        }
         (StatusCode::OK, prometheus::render())
     })
     .await;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,17 +1,15 @@
 //! Responses to clients: an upstream's, forwarded, or the gateway's own refusal.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
-
 use bytes::Bytes;
 use futures_util::{future, stream};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::{Body as HttpBody, Frame};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response, StatusCode, Version, header};
 
 use crate::gateway::heads::Framing;
+use crate::guarded_body::GuardedBody;
 use crate::platform::exchange;
 
 /// Why a response body was aborted. The client's connection is closed, so that the response does
@@ -43,6 +41,10 @@
     BodyTooLong,
     /// body incomplete
     BodyIncomplete,
+    /// body not received in time
+    BodyStalled,
+    /// no room for the request
+    NoRoom,
     /// not ready
     NotReady,
     /// no upstream
@@ -80,7 +82,7 @@
 }
 
 impl Reason {
-    /// Status of the response. 503 means that the request has not run and never will; 502 and 504
+    /// Status of the response. 408 and 503 mean that the request has not run and never will; 502 and 504
     /// leave open whether it ran.
     #[must_use]
     pub fn status(self) -> StatusCode {
@@ -89,7 +91,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady
+            Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoom
+            | Self::NotReady
             | Self::NoUpstream
             | Self::UpstreamsFull
             | Self::RateLimited
@@ -178,33 +182,7 @@
     }
 }
 
-/// A body that keeps `_guard` alive until it has been sent.
-struct GuardedBody<T> {
-    body: Body,
-    _guard: T,
-}
-
-impl<T: Unpin> HttpBody for GuardedBody<T> {
-    type Data = Bytes;
-    type Error = BodyAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Keeps `guard` alive until `body` has been sent.
 pub fn with_guard<T: Unpin + Send + 'static>(body: Body, guard: T) -> Body {
-    GuardedBody { body, _guard: guard }.boxed_unsync()
+    GuardedBody::new(body, guard).boxed_unsync()
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,6 +10,7 @@
 use log::info;
 use tokio::time::{Instant, timeout_at};
 
+use crate::client_connections::ClientRequest;
 use crate::clock::{instant_at, now_ms};
 use crate::gateway::attempt::{AttemptOutcome, BodyStart, NotRunCause, UpstreamResponse, attempt};
 use crate::gateway::check::{AdmittedRequest, validate};
@@ -77,13 +78,17 @@
 }
 
 /// Serves a client's request, to its response or a refusal.
-pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> ClientResponse {
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    client: ClientRequest,
+) -> ClientResponse {
     let active = ActiveRequest::new(&gateway);
     let arrived_at_ms = now_ms();
     let (parts, body) = request.into_parts();
     let head = exchange::request_head(&parts.uri, &parts.headers);
     let request_id = head.request_id.clone();
-    let request = match validate(&gateway, &head, parts, body, arrived_at_ms).await {
+    let request = match validate(&gateway, &client, &head, parts, body, arrived_at_ms).await {
         Ok(request) => request,
         Err(reason) => {
             let retry_after_ms = early_retry_after_ms(reason);
@@ -104,7 +109,7 @@
     }
     // The request stays in flight until its response body has been sent.
     let body = std::mem::replace(response.body_mut(), response::full_body(Bytes::new()));
-    *response.body_mut() = response::with_guard(body, active);
+    *response.body_mut() = response::with_guard(body, (active, client));
     response
 }
 
@@ -114,6 +119,7 @@
         Reason::NotReady
         | Reason::OriginUnanswered
         | Reason::OriginUnconfirmed
+        | Reason::NoRoom
         | Reason::UpstreamsFull => Some(RETRY_AFTER_MS),
         // Only a new stream can be served, and that at once.
         Reason::OriginUnknown => Some(0),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,10 +6,12 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
+use crate::client_connections::memory_limits;
 use crate::error::Result;
 use crate::gateway::decisions::cold_start::ColdTolerance;
 use crate::ini_file::IniFile;
 use crate::platform::SLOW_READERS_CONTRACT;
+use crate::request_memory::MemoryLimits;
 
 /// Default time between SIGTERM and SIGKILL.
 const DEFAULT_STOP_MS: u64 = 8000;
@@ -32,6 +34,8 @@
 /// Default multiple of the rate that a cold upstream can take.
 const DEFAULT_COLD_RATIO: f64 = 1.0;
 
+/// Default memory of the box.
+const DEFAULT_MEMORY_MB: usize = 110;
 /// Default bandwidth of the box's link.
 const DEFAULT_LINK_MBPS: f64 = 1000.0;
 
@@ -66,6 +70,8 @@
     pub cores: f64,
     /// Bandwidth of the box's link.
     pub link_mbps: f64,
+    /// Most that connections and requests of clients hold together.
+    pub memory_limits: MemoryLimits,
     /// Address of the platform's metadata store.
     pub metadata_address: String,
     /// Service bounds that the deployment requires.
@@ -126,6 +132,7 @@
             dial_addresses: dial_addresses(&mut reader),
             cores: reader.optional("box", "cores", 1.0),
             link_mbps: link_mbps(&mut reader),
+            memory_limits: memory_limits(&mut reader, "box", DEFAULT_MEMORY_MB),
             metadata_address: reader.required("platform", "address"),
             bounds: bounds(&mut reader),
             slow_readers: slow_readers(&mut reader),
@@ -271,6 +278,8 @@
             "routes",
             "cores",
             "link_mbps",
+            "memory_mb",
+            "max_descriptors",
         ],
         "platform" => &["address"],
         "load" => &["slow_readers", "socket_buffer_kb"],
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -166,6 +166,8 @@
     pub routes: String,
     /// Setting `[load] slow_readers` of gateways started from now on, if they get one.
     pub slow_readers: Option<&'static str>,
+    /// Settings `memory_mb` and `max_descriptors` of gateways started from now on, if they get them.
+    pub box_limits: Option<(u64, u64)>,
     folder: PathBuf,
     network: Network,
     next_box: u8,
@@ -193,6 +195,7 @@
             regions: String::new(),
             routes: String::new(),
             slow_readers: None,
+            box_limits: None,
             folder,
             network,
             next_box: 10,
@@ -222,8 +225,11 @@
         let peers = format!("{ip}:{}", PEERS_PORT + port_offset);
         let tunnels = format!("{ip}:{TUNNELS_PORT}");
         let seeds: Vec<&str> = seeds.iter().map(|seed| seed.peers.as_str()).collect();
+        let box_limits = self.box_limits.map_or_else(String::new, |(memory_mb, descriptors)| {
+            format!("memory_mb = {memory_mb}\nmax_descriptors = {descriptors}\n")
+        });
         let settings = format!(
-            "[box]\nname = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
+            "[box]\n{box_limits}name = {name}\nhall = {hall}\nclients = {clients}\nready = {ready}\n\
              peers = {peers}\ntunnels = {tunnels}\nregions = {}\nroutes = {}\nseeds = {}\n[platform]\naddress = {}\n\
              [bounds]\nstop_s = 8\nretry_ratio = 0.2\nretry_extra = {}\nlease_ms = {}\n\
              weights_apply_ms = {}\ndeparture_apply_ms = {}\ncold_extra = {}\n{}",
--- a/tests/common/flood.rs
+++ b/tests/common/flood.rs
@@ -14,9 +14,11 @@
 
 /// Longest body that the settings of these tests allow.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
-/// Memory and descriptors of the box.
+/// Memory of the box.
 pub const BOX_MEMORY_MB: u64 = 40;
-pub const BOX_DESCRIPTORS: u64 = 300;
+/// Descriptors of a box that is to run out of them, and of the others.
+const FEW_DESCRIPTORS: u64 = 300;
+const MANY_DESCRIPTORS: u64 = 4000;
 /// Time after which a client gives up sending, or waiting for an answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two looks at the process.
@@ -44,6 +46,12 @@
 }
 
 impl Flood {
+    /// Descriptors that the settings of the box name.
+    #[must_use]
+    pub fn box_descriptors(self) -> u64 {
+        if self == Self::Silent { FEW_DESCRIPTORS } else { MANY_DESCRIPTORS }
+    }
+
     /// The bytes that a client sends. `head` ends with its last header line.
     #[must_use]
     pub fn bytes(self, head: &str) -> Vec<u8> {
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -7,7 +7,7 @@
 
 use common::{completion_request, start_fleet};
 use coursestile_standins::fleet::{Fleet, Plan};
-use flood::{BOX_DESCRIPTORS, BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
+use flood::{BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
 use rstest::rstest;
 use serde_json::json;
 use tokio::sync::Mutex;
@@ -62,5 +62,5 @@
     println!("{flood:?}: {held:?}");
     assert!(!entry_box.has_exited(), "it has ended");
     assert!(held.all_memory_mb() < BOX_MEMORY_MB, "{held:?}");
-    assert!(flood != Flood::Silent || held.descriptors <= BOX_DESCRIPTORS, "{held:?}");
+    assert!(held.descriptors <= flood.box_descriptors(), "{held:?}");
 }
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -10,7 +10,7 @@
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Behavior, Server};
 use coursestile_standins::site::{Site, config_document, service_entry};
-use flood::{BOX_DESCRIPTORS, BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
+use flood::{BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
 use rstest::rstest;
 use serde_json::{Value, json};
 use tokio::sync::Mutex;
@@ -44,8 +44,10 @@
 }
 
 /// A site with a box and an upstream for each service; that of the floods answers nothing.
-async fn start() -> (GatewayFixture, Server) {
-    let fixture = start_fixture_on(Site::start().await, 1).await;
+async fn start(flood: Flood) -> (GatewayFixture, Server) {
+    let mut site = Site::start().await;
+    site.box_limits = Some((BOX_MEMORY_MB, flood.box_descriptors()));
+    let fixture = start_fixture_on(site, 1).await;
     let server = &fixture.servers[0];
     server.script(&vec![Behavior::Held; 1000]);
     let mut entry = service_entry("plain", &server.address, "ready");
@@ -88,7 +90,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn memory_kept(#[case] flood: Flood, #[case] clients: usize) {
     let _turn = TURN.lock().await;
-    let (fixture, _other) = start().await;
+    let (fixture, _other) = start(flood).await;
     let watch = Watch::start(fixture.gateway.pid(), &fixture.gateway.clients);
     let message = |number| {
         let head = format!(
@@ -106,5 +108,5 @@
     println!("{flood:?}: {held:?}");
     assert!(fixture.gateway.is_alive(), "it has ended");
     assert!(held.all_memory_mb() < BOX_MEMORY_MB, "{held:?}");
-    assert!(flood != Flood::Silent || held.descriptors <= BOX_DESCRIPTORS, "{held:?}");
+    assert!(held.descriptors <= flood.box_descriptors(), "{held:?}");
 }
