Gateway: bytes that clients send and nobody reads are bounded

What callers saw: as before, a box over its memory; on the users' machines, bytes that have arrived and are not read count towards it. Cause: the system keeps 128 KB for a connection by default, and more once it has grown the buffer; a pipelined request behind one that is being served fills it, and so does a crowd that sends faster than it is read.

Change: the listening socket sets a receive buffer of 16 KB, which accepted connections inherit, and which keeps the system from growing it. A client 100 ms away still sends 160 KB a second, and a body may go on for as long as it makes progress, so sound ones far away are not cut off.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use crate::box_phase::BoxPhase;
+use crate::client_connections::bound_receive_buffers;
 use crate::clock::now_ms;
 use crate::error::{Error, Result};
 use crate::gateway::kernel::Gateway;
@@ -34,6 +35,7 @@
 pub async fn run(gateway: Arc<Gateway>) -> Result<()> {
     let settings = &gateway.settings;
     let clients = listen(settings.clients).await?;
+    bound_receive_buffers(&clients);
     let ready = listen(settings.ready).await?;
     let peers = listen(settings.peers).await?;
     let tunnels = listen(settings.tunnels).await?;
