Client connections: accepting waits until others have left

Cause: a connection that gave way counted as gone as soon as it was told, so a box that accepts faster than its tasks run held more than its limits. A box with two threads had 339 descriptors open where 300 are allowed, and 12.9 MB unread in 600 connections of 21 KB each.

Change: `open` waits for what gives way, as growing bodies do. A connection that has to give way discards for 0.1 s after its refusal, not for 2 s. Receive buffers are 8 KB: 10 KB unread for each connection, those included that are not accepted yet.

--- a/src/client_connections.rs
+++ b/src/client_connections.rs
@@ -30,8 +30,8 @@
 use crate::sync::locked;
 
 /// Size of the system's buffer for bytes that were received and not read. A client that is 100 ms away
-/// can still send 160 kB a second.
-const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// can still send 80 kB a second.
+const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
 /// Most by which a body's buffer grows at a time.
 const MAX_GROWTH_BYTES: usize = 128 << 10;
 /// Smallest buffer of a body.
@@ -45,6 +45,8 @@
 /// closing a connection with unread bytes resets it.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same for a client whose connection has to give way.
+const SHORT_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Descriptors of a process whose limit is not known.
 const FALLBACK_DESCRIPTORS: u64 = 1024;
 /// Bytes that are discarded at a time.
@@ -116,18 +118,21 @@
         Arc::new(Self { shared: Mutex::new(shared), freed: Notify::new() })
     }
 
-    /// Adds a connection that was accepted; `None` if there is no room for it.
-    pub fn open(self: &Arc<Self>) -> Option<Arc<ClientConnection>> {
-        let mut shared = locked(&self.shared);
-        let Some((id, told)) = shared.memory.open(now_ms()) else {
-            drop(shared);
+    /// Adds a connection that was accepted, once others have given way; `None` if there is no room for
+    /// it.
+    pub async fn open(self: &Arc<Self>) -> Option<Arc<ClientConnection>> {
+        let signal = Arc::new(Signal::default());
+        let open = |shared: &mut Shared| {
+            let opened = shared.memory.open(now_ms());
+            if let Grant::Held(id) = &opened {
+                shared.connections.insert(*id, signal.clone());
+            }
+            opened
+        };
+        let Some(id) = self.wait_for(open).await else {
             metrics::counter!("coursestile_connections_refused_total").increment(1);
             return None;
         };
-        shared.tell(&told);
-        let signal = Arc::new(Signal::default());
-        shared.connections.insert(id, signal.clone());
-        drop(shared);
         Some(Arc::new(ClientConnection {
             all: self.clone(),
             id,
@@ -138,6 +143,22 @@
         }))
     }
 
+    /// Holds more as soon as those that give way for it have left; `None` if it is refused.
+    async fn wait_for<T>(&self, grant: impl Fn(&mut Shared) -> Grant<T>) -> Option<T> {
+        loop {
+            let freed = self.freed.notified();
+            {
+                let mut shared = locked(&self.shared);
+                match grant(&mut shared) {
+                    Grant::Held(held) => return Some(held),
+                    Grant::AfterOthers(told) => shared.tell(&told),
+                    Grant::Refused => return None,
+                }
+            }
+            freed.await;
+        }
+    }
+
     /// Closes the connection whose last progress is the longest ago, since descriptors have run out.
     pub fn close_oldest(&self) {
         let mut shared = locked(&self.shared);
@@ -306,18 +327,8 @@
 
     async fn grow_body(&self, bytes: usize, body_bytes: usize) -> Result<(), BodyError> {
         let ClientConnection { all, id, .. } = &*self.connection;
-        loop {
-            let freed = all.freed.notified();
-            {
-                let mut shared = locked(&all.shared);
-                match shared.memory.grow_body(*id, bytes, body_bytes) {
-                    Grant::Held => return Ok(()),
-                    Grant::AfterOthers(told) => shared.tell(&told),
-                    Grant::Refused => return Err(BodyError::NoRoom),
-                }
-            }
-            freed.await;
-        }
+        let grow = |shared: &mut Shared| shared.memory.grow_body(*id, bytes, body_bytes);
+        all.wait_for(grow).await.ok_or(BodyError::NoRoom)
     }
 }
 
@@ -430,9 +441,11 @@
 impl<T: AsyncRead + Unpin> ClientIo<T> {
     /// Reads and discards until the client has closed the connection too, within limits.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let discarding = self.discarding.get_or_insert_with(|| Discarding {
-            left_bytes: MAX_DISCARDED_BYTES,
-            until: Box::pin(sleep_until(Instant::now() + DISCARD_TIMEOUT)),
+        let gives_way = self.connection.gives_way();
+        let discarding = self.discarding.get_or_insert_with(|| {
+            let timeout = if gives_way { SHORT_DISCARD_TIMEOUT } else { DISCARD_TIMEOUT };
+            let until = Box::pin(sleep_until(Instant::now() + timeout));
+            Discarding { left_bytes: MAX_DISCARDED_BYTES, until }
         });
         loop {
             if discarding.until.as_mut().poll(context).is_ready() {
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -56,7 +56,7 @@
         match accepted {
             Ok((stream, _)) => {
                 // Without room for it, the connection is closed unread.
-                let Some(connection) = gateway.clients.open() else { continue };
+                let Some(connection) = gateway.clients.open().await else { continue };
                 tokio::spawn(serve_or_shed(gateway.clone(), stream, connection, now_ms()));
             }
             Err(error) => {
@@ -66,7 +66,7 @@
             }
         }
     }
-    accept_queued(&gateway, listener);
+    accept_queued(&gateway, listener).await;
 }
 
 /// Serves a connection that was accepted at `accepted_at_ms`, or closes it unread if this box does
@@ -89,13 +89,13 @@
 
 /// Accepts the connections that the kernel has established already, since it resets them when the
 /// listening socket closes.
-fn accept_queued(gateway: &Arc<Gateway>, listener: TcpListener) {
+async fn accept_queued(gateway: &Arc<Gateway>, listener: TcpListener) {
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         match stream {
             Ok(stream) => {
-                let Some(connection) = gateway.clients.open() else { continue };
+                let Some(connection) = gateway.clients.open().await else { continue };
                 tokio::spawn(serve_client(gateway.clone(), stream, connection));
             }
             Err(error) => debug!(target: "listener", "event=accept_failed cause=\"{error}\""),
--- a/src/request_memory.rs
+++ b/src/request_memory.rs
@@ -90,11 +90,11 @@
     }
 }
 
-/// Whether a request may hold more.
+/// Whether more may be held.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Grant {
-    /// It holds it.
-    Held,
+pub enum Grant<T = ()> {
+    /// It is held.
+    Held(T),
     /// Once those that are leaving have left; among them these, which have to be told.
     AfterOthers(Vec<ConnectionId>),
     /// Nothing that could give way is left.
@@ -134,11 +134,15 @@
         self.held.bytes
     }
 
-    /// Adds a new connection, and returns those that have to be told to give way for it; `None` if
-    /// nothing can.
-    pub fn open(&mut self, now_ms: u64) -> Option<(ConnectionId, Vec<ConnectionId>)> {
+    /// Adds a new connection, if there is room.
+    pub fn open(&mut self, now_ms: u64) -> Grant<ConnectionId> {
         let sum = Sum { bytes: CONNECTION_BYTES, descriptors: 1 };
-        let told = self.make_room(None, sum, self.limits.bytes)?;
+        let is_full = self.held.bytes + sum.bytes > self.limits.bytes
+            || self.held.descriptors + sum.descriptors > self.limits.descriptors;
+        if is_full {
+            let told = self.make_room(None, sum, self.limits.bytes);
+            return told.map_or(Grant::Refused, Grant::AfterOthers);
+        }
         let id = self.next_id;
         self.next_id += 1;
         let connection = Connection {
@@ -151,7 +155,7 @@
         self.by_progress.insert((now_ms, id));
         self.held.add(sum);
         self.unfinished.add(sum);
-        Some((id, told))
+        Grant::Held(id)
     }
 
     /// Removes a connection, with what it holds.
@@ -197,7 +201,7 @@
         let sum = Sum { bytes, descriptors: 0 };
         if self.held.bytes + bytes <= limit {
             self.add_to(id, sum);
-            return Grant::Held;
+            return Grant::Held(());
         }
         self.make_room(Some(id), sum, limit).map_or(Grant::Refused, Grant::AfterOthers)
     }
