Box: callers share the bound on unfinished requests

Cause: a body waited as long as its caller said, up to an hour; sixteen times the limit of one too long was read and thrown away, 60 of them kept a box from answering for 8 s; heads and idle connections had no time limit; copies of a call that waits were not counted.

Change: `listen` serves connections by itself instead of poem's server, which gives no access to them, on the account of `client_connections`; the endpoints stay poem's. Copies of prompts and calls count while they are served. A body has to go on (408 `body_stalled`); without room, a request is refused with 503 `no_room` and a time to retry. `[limits] memory_mb`, `max_descriptors` and `idle_timeout_ms` are new. Operators have an account of their own, 4 MB and 128 descriptors.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::StreamExt;
 use log::error;
 use poem::http::StatusCode;
 use poem::web::sse::SSE;
@@ -17,11 +16,13 @@
 };
 use serde::Deserialize;
 use serde_json::json;
+use tokio::time::sleep_until;
 
 use crate::account::Terms;
 use crate::box_phase::BoxPhase;
 use crate::calls::{generate_key, issue_ticket, serve_at_most_once, serve_without_ticket};
 use crate::chunk::{events, last_chunk};
+use crate::client_connections::{BodyError, ClientRequest, ReceivedBody};
 use crate::clock::{instant_at, now_ms};
 use crate::completion::{self, CompletionJob};
 use crate::context::token_count;
@@ -44,8 +45,10 @@
 pub const TRACE_ID_HEADER: &str = "x-trace-id";
 /// Maximum value of [`TIMEOUT_HEADER`].
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
-/// A body that is too long is read and discarded up to this many times the limit.
-const DISCARD_LIMIT_FACTOR: usize = 16;
+/// Time after which a caller may retry for whose request there was no room.
+const NO_ROOM_RETRY_MS: u64 = 1000;
+/// Copies of a prompt, or of the body of a call, that are made while it is served.
+const BODY_COPIES: usize = 3;
 /// Maximum number of tokens that a completion may request.
 const MAX_COMPLETION_TOKENS: u32 = 32_768;
 /// Time that open connections get to close when the box stops.
@@ -105,33 +108,43 @@
     })
 }
 
-/// Reads a body, and waits for it until the deadline. If it is too long, more of it is read
-/// and discarded, so that its sender can still read the refusal.
-async fn read_body(kernel: &Kernel, body: Body, deadline_ms: u64) -> Result<Vec<u8>, Rejection> {
+/// Reads a body, and waits for it until the deadline as long as it makes progress.
+async fn read_body(
+    kernel: &Kernel,
+    request: &Request,
+    body: Body,
+    deadline_ms: u64,
+) -> Result<ReceivedBody, Rejection> {
     let limit = kernel.settings.max_body_bytes;
-    let deadline = instant_at(deadline_ms);
-    let mut chunks = body.into_bytes_stream();
-    let mut bytes = Vec::new();
-    let mut read_len = 0;
-    loop {
-        let next = tokio::time::timeout_at(deadline, chunks.next()).await;
-        let Some(chunk) = next.map_err(|_| Reason::DeadlinePassed)? else {
-            break;
-        };
-        let chunk =
-            chunk.map_err(|_| bad_request("the body could not be read to its end".to_owned()))?;
-        read_len += chunk.len();
-        if read_len <= limit {
-            bytes.extend_from_slice(&chunk);
-        } else if read_len > limit.saturating_mul(DISCARD_LIMIT_FACTOR) {
-            break;
+    let caller_request = caller_request(request)?;
+    let announced = request.header("content-length").and_then(|length| length.parse().ok());
+    let deadline = sleep_until(instant_at(deadline_ms));
+    let frames = body.into_bytes_stream();
+    let received = caller_request.read_body(frames, announced, limit, deadline).await;
+    let received = match received {
+        Ok(received) => caller_request.begin_serving().map(|()| received),
+        Err(error) => Err(error),
+    };
+    received.map_err(|error| match error {
+        BodyError::TooLong => {
+            let detail = format!("the body is longer than {limit} bytes");
+            Rejection { refusal: Refusal::not_run(Reason::TooLong), detail }
         }
-    }
-    if read_len <= limit {
-        return Ok(bytes);
-    }
-    let detail = format!("the body is longer than {limit} bytes");
-    Err(Rejection { refusal: Refusal::not_run(Reason::TooLong), detail })
+        BodyError::Broken => bad_request("the body could not be read to its end".to_owned()),
+        BodyError::Stalled => Reason::BodyStalled.into(),
+        BodyError::NoRoom => no_room(),
+        BodyError::TimeOver => Reason::DeadlinePassed.into(),
+    })
+}
+
+fn no_room() -> Rejection {
+    Refusal::not_run(Reason::NoRoom).retry_at(now_ms() + NO_ROOM_RETRY_MS).into()
+}
+
+/// What a request holds; the listener adds it to each.
+fn caller_request(request: &Request) -> Result<&Arc<ClientRequest>, Rejection> {
+    let held = request.data::<Arc<ClientRequest>>();
+    held.ok_or_else(|| bad_request("the request came through no listener".to_owned()))
 }
 
 #[derive(Deserialize)]
@@ -193,13 +206,19 @@
     body: Body,
 ) -> Result<(Arc<AnswerStream>, bool), Rejection> {
     let caller = authenticate(kernel, request)?;
-    let body = read_body(kernel, body, caller.deadline_ms).await?;
-    let (job, streamed) = completion_job(kernel, caller, &body)?;
+    let body = read_body(kernel, request, body, caller.deadline_ms).await?;
+    let (job, streamed) = completion_job(kernel, caller, &body.bytes)?;
+    let held = caller_request(request)?.hold(BODY_COPIES * body.bytes.len());
+    drop(body);
     metrics::counter!("coursestile_requests_total", "kind" => "completion").increment(1);
     let id = format!("{}-{:x}", kernel.box_id.name, fastrand::u128(..));
     let prompt_tokens = token_count(job.prompt.len());
     let stream = kernel.streams.open(id, &job.account, &job.model, prompt_tokens);
-    tokio::spawn(completion::serve(kernel.clone(), job, stream.clone()));
+    let serving = completion::serve(kernel.clone(), job, stream.clone());
+    tokio::spawn(async move {
+        serving.await;
+        drop(held);
+    });
     Ok((stream, streamed))
 }
 
@@ -244,7 +263,9 @@
     id: &str,
 ) -> Result<Arc<AnswerStream>, Rejection> {
     let caller = authenticate(kernel, request)?;
-    Ok(kernel.streams.find(&caller.account, id).ok_or(Reason::NotFound)?)
+    let stream = kernel.streams.find(&caller.account, id).ok_or(Reason::NotFound)?;
+    caller_request(request)?.begin_serving().map_err(|_| no_room())?;
+    Ok(stream)
 }
 
 #[handler]
@@ -323,13 +344,16 @@
         Some(key) => CallKey { account, key: key.clone() },
         None => generate_key(kernel, &account),
     };
+    let ReceivedBody { bytes: body, held: _held } =
+        read_body(kernel, request, body, caller.deadline_ms).await?;
+    let _held_copies = caller_request(request)?.hold(BODY_COPIES * body.len());
     let call = Call {
         key: call_key,
         ticket_expires_at_ms: 0,
         method: request.method().to_string(),
         path: format!("/app{path}{query}"),
         content_type: request.header("content-type").map(str::to_owned),
-        body: read_body(kernel, body, caller.deadline_ms).await?,
+        body,
         deadline_ms: caller.deadline_ms,
         trace: caller.trace,
         service,
@@ -381,7 +405,10 @@
             .around(move |endpoint, request| add_headers(header_kernel.clone(), endpoint, request));
         let address = kernel.settings.callers;
         let closing = kernel.reached(BoxPhase::Closing);
-        let served = serve_until(address, app, closing, CLOSE_TIMEOUT).await;
+        let connections = kernel.callers.clone();
+        let idle_timeout = Duration::from_millis(kernel.settings.idle_timeout_ms);
+        let served =
+            serve_until(address, app, connections, idle_timeout, closing, CLOSE_TIMEOUT).await;
         kernel.port_closed.notify_one();
         if let Err(error) = served {
             error!(target: "callers", "Cannot serve {address}: {error}.");
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -13,6 +13,7 @@
 
 use crate::box_phase::BoxPhase;
 use crate::call_state::Calls;
+use crate::client_connections::ClientConnections;
 use crate::clock::{now_ms, now_us};
 use crate::config_in_force::Configuration;
 use crate::consul::Consul;
@@ -24,6 +25,7 @@
 use crate::membership::Membership;
 use crate::peer_sockets::{self, PeerSockets};
 use crate::placement_state::Placements;
+use crate::request_memory::MemoryLimits;
 use crate::settings::Settings;
 use crate::streams::AnswerStreams;
 use crate::sync::locked;
@@ -34,6 +36,8 @@
 
 /// Age at which a message is dropped.
 const MAX_MESSAGE_AGE_MS: u64 = 10_000;
+/// Most that connections to the operators' port hold.
+const OPERATOR_LIMITS: MemoryLimits = MemoryLimits { bytes: 4 << 20, descriptors: 128 };
 
 /// Topic of a message, which selects the plug-in that handles it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -135,6 +139,10 @@
     pub streams: AnswerStreams,
     /// Requests that crash upstreams.
     pub crashes: Crashes,
+    /// Connections of callers, with what they and their requests hold.
+    pub callers: Arc<ClientConnections>,
+    /// Connections to the operators' port.
+    pub operators: Arc<ClientConnections>,
     peer_sockets: PeerSockets,
     heartbeats: Mutex<Heartbeats>,
     membership: Mutex<Membership>,
@@ -170,6 +178,8 @@
             calls: Calls::default(),
             streams: AnswerStreams::default(),
             crashes: Crashes::default(),
+            callers: ClientConnections::new(settings.memory_limits),
+            operators: ClientConnections::new(OPERATOR_LIMITS),
             peer_sockets: PeerSockets::new(settings.dial_addresses.clone()),
             heartbeats: Mutex::default(),
             membership: Mutex::new(membership),
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -1,6 +1,8 @@
 //! HTTP interface for operators and the load balancer.
 
+use std::future::pending;
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::error;
 use poem::http::StatusCode;
@@ -13,13 +15,16 @@
 use crate::dispatch_state::DispatcherStatus;
 use crate::invariant::violations;
 use crate::kernel::{Kernel, Plugin};
-use crate::listen::server;
+use crate::listen::serve_until;
 use crate::member::Member;
 use crate::prometheus::render;
 use crate::stopping::stop;
 use crate::supervisor;
 use crate::trace::Span;
 
+/// Time in which the head of a request arrives, also on an idle connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
 inventory::submit! {
     Plugin { name: "operators", start, receive: None }
 }
@@ -115,10 +120,9 @@
             .at("/drain", post(drain))
             .data(kernel.clone());
         let address = kernel.settings.operators;
-        let served = match server(address) {
-            Ok(server) => server.run(app).await,
-            Err(error) => Err(error),
-        };
+        let connections = kernel.operators.clone();
+        let served =
+            serve_until(address, app, connections, IDLE_TIMEOUT, pending(), Duration::ZERO).await;
         if let Err(error) = served {
             error!(target: "operators", "Cannot serve {address}: {error}.");
             std::process::exit(1);
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -56,6 +56,10 @@
     Cancelled,
     /// nothing by this name
     NotFound,
+    /// the box has no room for the request
+    NoRoom,
+    /// the body did not arrive in time
+    BodyStalled,
 }
 
 impl Reason {
@@ -67,11 +71,13 @@
             Self::BadKey => 401,
             Self::ModelNotAllowed | Self::NoShare => 403,
             Self::NotFound => 404,
+            Self::BodyStalled => 408,
             Self::Cancelled | Self::KeyMismatch => 409,
             Self::TooLong => 413,
             Self::Overloaded | Self::TooManyKeys => 429,
             Self::UpstreamFailed | Self::SpenderUnreachable | Self::TicketExpired => 502,
-            Self::NoUpstream
+            Self::NoRoom
+            | Self::NoUpstream
             | Self::NotReady
             | Self::Quarantined
             | Self::RetryBudget
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,14 +5,19 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use crate::client_connections::memory_limits;
 use crate::dispatcher::Policies;
 use crate::error::Result;
 use crate::ini_file::IniFile;
+use crate::request_memory::MemoryLimits;
 use crate::retention::RetentionPolicy;
 use crate::route::RoutePolicy;
 use crate::share::SharePolicy;
 use crate::ticket::ClusterKey;
 
+/// Default memory of the box.
+const DEFAULT_MEMORY_MB: usize = 256;
+
 /// Kind of an upstream, with its settings.
 #[derive(Clone, Debug, PartialEq)]
 pub enum UpstreamKind {
@@ -93,6 +98,10 @@
     pub platform_url: String,
     /// Maximum length of a request body.
     pub max_body_bytes: usize,
+    /// Time in which the head of a request arrives, also on an idle connection.
+    pub idle_timeout_ms: u64,
+    /// Most that connections and requests of callers hold together.
+    pub memory_limits: MemoryLimits,
     /// Timeout of requests that have no deadline of their own.
     pub default_timeout_ms: u64,
     /// Time for which a planned stop waits for running requests.
@@ -141,6 +150,8 @@
             cluster_key: self.cluster_key(&key),
             platform_url: self.url("platform"),
             max_body_bytes: self.0.optional("limits", "max_body_bytes", 1 << 20),
+            idle_timeout_ms: self.0.optional("limits", "idle_timeout_ms", 120_000),
+            memory_limits: memory_limits(&mut self.0, "limits", DEFAULT_MEMORY_MB),
             default_timeout_ms: self.0.optional("limits", "default_timeout_ms", 30_000),
             drain_timeout_ms: self.0.optional("limits", "drain_timeout_ms", 60_000),
             prompt_records: self.0.optional("limits", "prompt_records", 40_000),
@@ -259,7 +270,15 @@
             "cluster_key",
         ],
         "platform" => &["url"],
-        "limits" => &["max_body_bytes", "default_timeout_ms", "drain_timeout_ms", "prompt_records"],
+        "limits" => &[
+            "max_body_bytes",
+            "idle_timeout_ms",
+            "memory_mb",
+            "max_descriptors",
+            "default_timeout_ms",
+            "drain_timeout_ms",
+            "prompt_records",
+        ],
         "policy" => &["route", "share", "keep"],
         _ if section.starts_with("upstream.") => &[
             "kind",
--- a/tests/floods.rs
+++ b/tests/floods.rs
@@ -44,7 +44,10 @@
 async fn box_memory_kept(#[case] flood: Flood, #[case] clients: usize) {
     let _turn = TURN.lock().await;
     let mut plan = Plan::one_hall(1, 1, 1);
-    plan.limits = format!("max_body_bytes = {MAX_BODY_BYTES}");
+    plan.limits = format!(
+        "max_body_bytes = {MAX_BODY_BYTES}\nmemory_mb = {BOX_MEMORY_MB}\nmax_descriptors = {}",
+        flood.box_descriptors()
+    );
     let fleet = start_fleet(&plan).await;
     fleet.set_fault(&fleet.workers[0], json!({ "frozen": true })).await;
     let entry_box = &fleet.boxes[0].process;
