Soak: crowds that leave requests unfinished

Change: scenario `floods`: two crowds at a time of 20 to 350 clients send half bodies, small chunks, bodies over the limit, half heads, or nothing, to random boxes of 40 MB and 400 descriptors, beside the faults and planned work of `1`. Only memory with unread bytes, descriptors and life are judged. What a process holds is read in one place (`standins::usage`), which `gateway_floods` and `floods` use as well; their crowds and bounds are the same.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod crashing;
+mod floods;
 mod limits;
 pub mod mesh;
 mod notices;
@@ -33,6 +34,7 @@
 
 use crate::callers::Observations;
 use crate::checks::RunData;
+use crate::floods::FloodRecord;
 use crate::plan::Step;
 use crate::versions::StreamRecord;
 use crate::world::{World, version_path};
@@ -93,6 +95,9 @@
     /// Upstreams name how many requests a second they take from all boxes together, and change that.
     /// Boxes, the metadata store and the links between boxes fail.
     Limits,
+    /// Faults and planned work, beside clients that leave requests unfinished. Only the memory, the
+    /// descriptors and the life of the boxes are judged.
+    Floods,
 }
 
 impl Scenario {
@@ -112,7 +117,7 @@
                 &[plan::roll_out_steps as fn(u64, u64) -> Vec<Step>][..]
             }
             Self::MovesAlone => &all[3..],
-            Self::First => &all[..1],
+            Self::First | Self::Floods => &all[..1],
             Self::Silences => &all[..2],
             Self::Restarts => &all[..3],
             Self::Moves => &all[..],
@@ -198,6 +203,8 @@
     if options.scenario == Scenario::Limits {
         clients.extend(limits::start_clients(&world, &limited_requests, &stop, options.seed));
     }
+    let floods = Arc::new(Mutex::new(FloodRecord::default()));
+    clients.extend(floods::start_clients(&world, &floods, &stop, options));
     if weights_change {
         clients.push(tokio::spawn(callers::watch_engine_weights(
             world.clone(),
@@ -225,7 +232,11 @@
         started_at,
         started_at_ms,
     };
-    violations.extend(run_data.violations());
+    let floods = floods.lock().expect("no task panics under the lock");
+    violations.extend(match options.scenario {
+        Scenario::Floods => floods.violations(&world),
+        _ => run_data.violations(),
+    });
     let streams = streams.lock().expect("no task panics under the lock");
     violations.extend(run_data.version_violations(&streams));
     let roll_out_streams = roll_out_streams.lock().expect("no task panics under the lock");
@@ -240,6 +251,7 @@
     outcomes.extend(run_data.roll_out_outcomes(&roll_out_streams));
     outcomes.extend(run_data.part_outcomes(&sound_prompts));
     outcomes.extend(run_data.limit_outcomes(&limited_requests));
+    outcomes.extend(floods.outcomes());
     Ok(Report { violations, outcomes, steps, notes: run_data.notes(), logs })
 }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -25,7 +25,8 @@
                     get another one while boxes and halls are cut off; odd-items:
                     odd items in the metadata store too; parts: upstreams crash
                     under parts of prompts; limits: upstreams name how many
-                    requests a second they take
+                    requests a second they take; floods: clients leave
+                    requests unfinished
       --steps       Print what happens in each run
   -h, --help        Print this help
 
@@ -81,8 +82,10 @@
         "odd-items" => Ok(Scenario::OddItems),
         "parts" => Ok(Scenario::Parts),
         "limits" => Ok(Scenario::Limits),
+        "floods" => Ok(Scenario::Floods),
         _ => {
-            let names = "1, 2, 3, 4, only-4, words, versions, rollouts, odd-items, parts or limits";
+            let names =
+                "1, 2, 3, 4, only-4, words, versions, rollouts, odd-items, parts, limits or floods";
             Err(format!("--streams: {names} is needed").into())
         }
     }
--- a/soak/src/world/mod.rs
+++ b/soak/src/world/mod.rs
@@ -19,6 +19,7 @@
 use serde_json::{Value, json};
 
 use crate::crashing::{self, CrashingUpstreams};
+use crate::floods;
 use crate::limits::{self, LimitedUpstreams};
 use crate::mesh::Mesh;
 use crate::parts;
@@ -197,6 +198,9 @@
             (site.lease_ms, site.weights_apply_ms) =
                 (WEIGHTS_CHANGES_LEASE_MS, WEIGHTS_CHANGES_APPLY_MS);
         }
+        if scenario == Scenario::Floods {
+            site.box_limits = Some((floods::BOX_MEMORY_MB, floods::BOX_DESCRIPTORS));
+        }
         let mut upstreams = Vec::new();
         for number in 0..UPSTREAMS {
             let process = Server::start(&format!("s-{number}")).await;
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -157,6 +157,15 @@
     assert_no_violations(Options { seed, seconds: 24, boxes: 4, scenario: Scenario::Limits }).await;
 }
 
+// Guards against clients that take all memory or descriptors of boxes by leaving requests unfinished.
+#[rstest]
+#[case::one(1)]
+#[case::two(2)]
+#[tokio::test]
+async fn floods_bounded(#[case] seed: u64) {
+    assert_no_violations(Options { seed, seconds: 10, boxes: 3, scenario: Scenario::Floods }).await;
+}
+
 async fn assert_no_violations(options: Options) {
     let report = run(options).await.unwrap();
     // Shown if the test fails.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod service;
 pub mod site;
 pub mod store;
+pub mod usage;
 pub mod wire;
--- a/tests/common/flood.rs
+++ b/tests/common/flood.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use coursestile_standins::site::eventually;
+use coursestile_standins::usage::{descriptors, peak_memory_kb, unread_kb};
 use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -139,7 +140,7 @@
                 held.descriptors = held.descriptors.max(descriptors(pid));
                 std::thread::sleep(WATCH_PERIOD);
             }
-            held.memory_kb = peak_memory_kb(pid);
+            held.memory_kb = peak_memory_kb(pid).expect("it has not ended");
             held
         });
         Self { address: address.to_owned(), stopped, watching }
@@ -166,32 +167,3 @@
         self.watching.join().expect("the process runs")
     }
 }
-
-/// The most memory that a process has held.
-fn peak_memory_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("it runs");
-    let line = status.lines().find(|line| line.starts_with("VmHWM")).expect("it has not ended");
-    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number")
-}
-
-fn descriptors(pid: u32) -> u64 {
-    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |entries| entries.count() as u64)
-}
-
-/// Bytes that have arrived at the port of a process and were not read.
-fn unread_kb(address: &str) -> u64 {
-    let (host, port) = address.rsplit_once(':').expect("a port");
-    let octet = |text: &str| format!("{:02X}", text.parse::<u8>().expect("an octet"));
-    let host: String = host.split('.').rev().map(octet).collect();
-    let listening = format!("{host}:{:04X}", port.parse::<u16>().expect("a port"));
-    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
-    let unread = table.lines().filter_map(|line| {
-        let columns: Vec<_> = line.split_whitespace().collect();
-        // The state of a listening socket, whose queue counts connections.
-        if *columns.get(1)? != listening || columns[3] == "0A" {
-            return None;
-        }
-        u64::from_str_radix(columns[4].split_once(':')?.1, 16).ok()
-    });
-    unread.sum::<u64>() / 1024
-}
