Tests: floods end with refusals that are true and can be read

`drained_truthfully`: a box that drains refuses 100 half bodies with 503 and ends by itself. Failed on: they were reset when the box ended. `too_long_readable`: a client that sends all of a body of 2 MB reads 413, announced or in chunks.

--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -6,18 +6,29 @@
 #[path = "common/site.rs"]
 mod common;
 
+use std::time::Duration;
+
 use common::{GatewayFixture, start_fixture_on, wait_for_log};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Behavior, Server};
 use coursestile_standins::site::{Site, config_document, service_entry};
 use flood::{BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
+use futures_util::future::join_all;
 use rstest::rstest;
 use serde_json::{Value, json};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::timeout;
 
 /// Time that the requests of a flood may wait.
 const FLOOD_TIMEOUT_MS: u64 = 15_000;
 
+/// Length of a body that is too long.
+const LONG_BODY_BYTES: usize = 2 << 20;
+/// Time within which each connection of a flood is answered or closed.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// One of these tests runs at a time.
 static TURN: Mutex<()> = Mutex::const_new(());
 
@@ -75,6 +86,24 @@
     .await;
 }
 
+/// The head of a request of a flood, without the header lines that describe its body.
+fn flood_head(number: usize) -> String {
+    format!(
+        "POST /safe/ HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r-{number}\r\n\
+         X-Api-Key: key-1\r\nX-Deadline-Ms: {FLOOD_TIMEOUT_MS}\r\n"
+    )
+}
+
+/// What a client still receives until its connection is closed.
+async fn read_answer(connection: Option<TcpStream>) -> String {
+    let mut answer = Vec::new();
+    if let Some(mut connection) = connection {
+        // A reset ends it as well.
+        let _ = timeout(READ_TIMEOUT, connection.read_to_end(&mut answer)).await;
+    }
+    String::from_utf8_lossy(&answer).to_lowercase()
+}
+
 /// What many clients sent at once took all memory, or all descriptors, of a box.
 #[rstest]
 #[case::announced_short(Flood::AnnouncedShort(MAX_BODY_BYTES), 600)]
@@ -92,13 +121,7 @@
     let _turn = TURN.lock().await;
     let (fixture, _other) = start(flood).await;
     let watch = Watch::start(fixture.gateway.pid(), &fixture.gateway.clients);
-    let message = |number| {
-        let head = format!(
-            "POST /safe/ HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r-{number}\r\n\
-             X-Api-Key: key-1\r\nX-Deadline-Ms: {FLOOD_TIMEOUT_MS}\r\n"
-        );
-        flood.bytes(&head)
-    };
+    let message = |number| flood.bytes(&flood_head(number));
     let connections = open(&fixture.gateway.clients, clients, message).await;
     watch.settle().await;
     wait_served(&fixture, "beside").await;
@@ -110,3 +133,57 @@
     assert!(held.all_memory_mb() < BOX_MEMORY_MB, "{held:?}");
     assert!(held.descriptors <= flood.box_descriptors(), "{held:?}");
 }
+
+/// Bodies that gave way ended with a status after which clients do not come back.
+#[tokio::test]
+async fn gives_way_truthfully() {
+    let _turn = TURN.lock().await;
+    let (fixture, _other) = start(Flood::AnnouncedShort(MAX_BODY_BYTES)).await;
+    let message = |number| Flood::AnnouncedShort(MAX_BODY_BYTES).bytes(&flood_head(number));
+    let connections = open(&fixture.gateway.clients, 400, message).await;
+    wait_served(&fixture, "beside").await;
+    let answers = join_all(connections.into_iter().map(read_answer)).await;
+    let refused = answers.iter().filter(|answer| answer.starts_with("http/1.1 "));
+    println!("{} of {} refused", refused.clone().count(), answers.len());
+    assert!(refused.clone().count() > 0);
+    for answer in refused {
+        let is_full = answer.starts_with("http/1.1 503 ") && answer.contains("\r\nretry-after: ");
+        assert!(is_full || answer.starts_with("http/1.1 408 "), "{answer}");
+    }
+    assert_eq!(fixture.servers[0].received().len(), 0);
+}
+
+/// A client that sends all of a body that is too long got a reset instead of the refusal.
+#[rstest]
+#[case::announced(format!("Content-Length: {LONG_BODY_BYTES}\r\n\r\n{}", "x".repeat(LONG_BODY_BYTES)))]
+#[case::chunked(format!(
+    "Transfer-Encoding: chunked\r\n\r\n{LONG_BODY_BYTES:x}\r\n{}\r\n0\r\n\r\n",
+    "x".repeat(LONG_BODY_BYTES)
+))]
+#[tokio::test]
+async fn too_long_readable(#[case] body: String) {
+    let _turn = TURN.lock().await;
+    let (fixture, _other) = start(Flood::SentLong).await;
+    let message = |number| format!("{}{body}", flood_head(number)).into_bytes();
+    let connections = open(&fixture.gateway.clients, 4, message).await;
+    for answer in join_all(connections.into_iter().map(read_answer)).await {
+        assert!(answer.starts_with("http/1.1 413 "), "{answer}");
+    }
+}
+
+/// Half bodies kept a box that drains until it was killed, and were reset.
+#[tokio::test]
+async fn drained_truthfully() {
+    let _turn = TURN.lock().await;
+    let (mut fixture, _other) = start(Flood::ChunkedShort(4096)).await;
+    let message =
+        |number| format!("{}Content-Length: 4000\r\n\r\na part", flood_head(number)).into_bytes();
+    let connections = open(&fixture.gateway.clients, 100, message).await;
+    wait_served(&fixture, "before").await;
+    fixture.gateway.signal("-TERM");
+    for answer in join_all(connections.into_iter().map(read_answer)).await {
+        assert!(answer.starts_with("http/1.1 503 "), "{answer}");
+    }
+    assert_eq!(fixture.gateway.wait_for_exit().await, Some(0));
+    assert!(!fixture.gateway.log_text().contains("event=requests_cut"));
+}
