Gateway: ports for the load balancer and metrics are bounded

What callers saw: nothing yet; connections to these ports took all descriptors, so that none was left for clients, upstreams and stores. Cause: no limit on their number, and none on the time for a head.

Change: each port has an account of its own, 32 connections, of which the longest idle one gives way; a head arrives within 30 s.

--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -22,7 +22,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::box_phase::BoxPhase;
-use crate::client_connections::{ClientConnection, ClientIo};
+use crate::client_connections::{
+    ClientConnection, ClientConnections, ClientIo, bound_receive_buffers,
+};
 use crate::clock::now_ms;
 use crate::gateway::client_stream::{ClientStream, CloseDelimited};
 use crate::gateway::connections::set_socket_options;
@@ -32,7 +34,9 @@
 use crate::gateway::relay::client_buffer::{ClientReads, read_ahead};
 use crate::gateway::response::is_close_delimited;
 use crate::gateway::serve::serve;
+use crate::guarded_body::GuardedBody;
 use crate::prometheus;
+use crate::request_memory::MemoryLimits;
 use crate::sync::locked;
 
 /// Pause after `accept` failed, usually because file descriptors ran out.
@@ -43,6 +47,10 @@
 /// that the system keeps are bounded. The usual
 /// time would end responses that the box holds and that keep no upstream.
 const CLOSED_WINDOW_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most that connections to the port of the load balancer, or that of the metrics, hold.
+const ENDPOINT_LIMITS: MemoryLimits = MemoryLimits { bytes: 1 << 20, descriptors: 32 };
+/// Time in which a question arrives there, also on an idle connection.
+const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 
@@ -255,27 +263,49 @@
     listener: TcpListener,
     respond: fn(&Gateway) -> (StatusCode, String),
 ) {
+    let connections = ClientConnections::new(ENDPOINT_LIMITS);
+    bound_receive_buffers(&listener);
     while gateway.phase() != BoxPhase::Stopped {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
+                connections.close_oldest();
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let gateway = gateway.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let (status, text) = respond(&gateway);
-                let mut response = Response::new(Full::new(Bytes::from(text)));
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let server = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = server.await {
-                debug!(target: "listener", "event=question_broken cause=\"{error}\"");
-            }
-        });
+        let Some(connection) = connections.open().await else { continue };
+        tokio::spawn(answer_questions(gateway.clone(), stream, connection, respond));
+    }
+}
+
+async fn answer_questions(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    connection: Arc<ClientConnection>,
+    respond: fn(&Gateway) -> (StatusCode, String),
+) {
+    let io = TokioIo::new(ClientIo::new(stream, connection.clone()));
+    let asked = connection.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let request = asked.begin_request(!request.body().is_end_stream());
+        let (status, text) = respond(&gateway);
+        let mut response = Response::new(Full::new(Bytes::from(text)));
+        *response.status_mut() = status;
+        let response = response.map(|body| GuardedBody::new(body, request));
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(ENDPOINT_IDLE_TIMEOUT)
+        .max_buf_size(MIN_BUFFER_BYTES);
+    let answered = tokio::select! {
+        answered = builder.serve_connection(io, service) => answered,
+        () = connection.wait_until_closed() => return,
+    };
+    if let Err(error) = answered {
+        debug!(target: "listener", "event=question_broken cause=\"{error}\"");
     }
 }
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use common::{GatewayFixture, start_fixture_on, wait_for_log};
+use common::{GatewayFixture, is_ready, start_fixture_on, wait_for_log};
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Behavior, Server};
 use coursestile_standins::site::{Site, config_document, service_entry};
@@ -187,3 +187,18 @@
     assert_eq!(fixture.gateway.wait_for_exit().await, Some(0));
     assert!(!fixture.gateway.log_text().contains("event=requests_cut"));
 }
+
+/// Connections to the port of the load balancer took all descriptors of a box.
+#[tokio::test]
+async fn readiness_kept() {
+    let _turn = TURN.lock().await;
+    let (fixture, _other) = start(Flood::Silent).await;
+    let watch = Watch::start(fixture.gateway.pid(), &fixture.gateway.ready);
+    let connections = open(&fixture.gateway.ready, 800, |_| Vec::new()).await;
+    wait_answered(async || is_ready(&fixture.gateway).await).await;
+    wait_served(&fixture, "beside").await;
+    drop(connections);
+    let held = watch.stop();
+    println!("{held:?}");
+    assert!(held.descriptors <= Flood::Silent.box_descriptors(), "{held:?}");
+}
