Gateway: bytes of upstreams that nobody reads are bounded

What callers saw: a box over its memory. Cause: 400 clients that ask for 1 MB each and read nothing leave 64 to 79 MB unread in the sockets to upstreams, whose buffers the system grows, until TCP ends these connections after 1.8 s. The bound of `[load] socket_buffer_kb` is active only where it is set.

Change: connections to upstreams get a receive buffer of 32 KB unless the setting names another. The responses themselves stay as they were: what the system keeps of bytes that are sent is not bounded without the setting.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -49,7 +49,11 @@
 /// How long the rest of a request may take to be sent after its response has ended.
 const REQUEST_SENT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bytes that are read at a time there. Each connection that waits for a slow client holds as many, and
+/// Size of the system's buffer for bytes that an upstream has sent and nobody has read. By itself, it grows
+/// to megabytes for each client that does not read.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
+/// Bytes that are read at a time where the buffers are set. Each connection that waits for a slow client holds as many, and
 /// a buffer of up to twice the size.
 const MAX_READ_BYTES: usize = 16 << 10;
 
@@ -138,8 +142,8 @@
 }
 
 impl Connections {
-    /// Connections for which the system keeps `socket_buffer_bytes` in each direction, or what it does
-    /// by default: up to megabytes if the other side does not read.
+    /// Connections for which the system keeps `socket_buffer_bytes` in each direction. By default it
+    /// keeps up to megabytes of what is sent, and little of what is received.
     #[must_use]
     pub fn new(socket_buffer_bytes: Option<usize>) -> Self {
         Self { socket_buffer_bytes, ..Self::default() }
@@ -156,11 +160,11 @@
             |_| io::Error::new(io::ErrorKind::TimedOut, "no connection within the connect timeout");
         let stream = connecting.await.map_err(timed_out)??;
         set_socket_options(&stream)?;
+        let socket = SockRef::from(&stream);
         if let Some(bytes) = self.socket_buffer_bytes {
-            let socket = SockRef::from(&stream);
             socket.set_send_buffer_size(bytes)?;
-            socket.set_recv_buffer_size(bytes)?;
         }
+        socket.set_recv_buffer_size(self.socket_buffer_bytes.unwrap_or(RECEIVE_BUFFER_BYTES))?;
         self.start(stream, Path::Direct).await
     }
 
--- a/standins/src/usage.rs
+++ b/standins/src/usage.rs
@@ -19,20 +19,33 @@
     read_dir(format!("/proc/{pid}/fd")).map_or(0, |entries| entries.count() as u64)
 }
 
-/// Bytes that have arrived at a local address and were not read.
+/// Which end of a connection an address is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The one that has received bytes.
+    Local,
+    /// The one that has sent them.
+    Remote,
+}
+
+/// Bytes that have arrived on connections from or to an address and were not read.
 ///
 /// # Panics
 /// Panics when the address is not one of IPv4, or the table of sockets cannot be read.
 #[must_use]
-pub fn unread_kb(address: &str) -> u64 {
+pub fn unread_kb(end: End, address: &str) -> u64 {
     let (host, port) = address.rsplit_once(':').expect("a port");
     let octet = |text: &str| format!("{:02X}", text.parse::<u8>().expect("an octet"));
     let host: String = host.split('.').rev().map(octet).collect();
-    let local = format!("{host}:{:04X}", port.parse::<u16>().expect("a port"));
+    let address = format!("{host}:{:04X}", port.parse::<u16>().expect("a port"));
     let table = read_to_string("/proc/net/tcp").expect("the table of sockets");
     let unread = table.lines().filter_map(|line| {
         let columns: Vec<_> = line.split_whitespace().collect();
-        if *columns.get(1)? != local || columns[3] == LISTENING {
+        let column = match end {
+            End::Local => 1,
+            End::Remote => 2,
+        };
+        if *columns.get(column)? != address || columns[3] == LISTENING {
             return None;
         }
         u64::from_str_radix(columns[4].split_once(':')?.1, 16).ok()
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -24,6 +24,8 @@
 /// Time that the requests of a flood may wait.
 const FLOOD_TIMEOUT_MS: u64 = 15_000;
 
+/// Memory of the smallest box. What is kept of answers does not depend on it.
+const SMALL_BOX_MEMORY_MB: u64 = 110;
 /// Length of a body that is too long.
 const LONG_BODY_BYTES: usize = 2 << 20;
 /// Time within which each connection of a flood is answered or closed.
@@ -202,3 +204,22 @@
     println!("{held:?}");
     assert!(held.descriptors <= Flood::Silent.box_descriptors(), "{held:?}");
 }
+
+/// Answers that many clients asked for and did not read took all memory of a small box.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn unread_answers() {
+    let _turn = TURN.lock().await;
+    let (fixture, _other) = start(Flood::WholeWaiting).await;
+    let upstream = &fixture.servers[0];
+    upstream.clear_script();
+    upstream.script(&vec![Behavior::LargeBody(1 << 20); 500]);
+    let watch = Watch::from_upstream(fixture.gateway.pid(), &upstream.address);
+    let message = |number| format!("{}Content-Length: 0\r\n\r\n", flood_head(number)).into_bytes();
+    let connections = open(&fixture.gateway.clients, 400, message).await;
+    wait_served(&fixture, "beside").await;
+    watch.settle().await;
+    drop(connections);
+    let held = watch.stop();
+    println!("{held:?}");
+    assert!(held.all_memory_mb() < SMALL_BOX_MEMORY_MB, "{held:?}");
+}
