--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -223,3 +223,21 @@
     println!("{held:?}");
     assert!(held.all_memory_mb() < SMALL_BOX_MEMORY_MB, "{held:?}");
 }
+
+/// A request within the limits is served, however its body arrives.
+#[rstest]
+#[case::whole(format!("Content-Length: {MAX_BODY_BYTES}\r\n\r\n{}", "x".repeat(MAX_BODY_BYTES)))]
+#[case::tiny_chunks(format!(
+    "Transfer-Encoding: chunked\r\n\r\n{}0\r\n\r\n",
+    "1\r\nx\r\n".repeat(MAX_BODY_BYTES)
+))]
+#[tokio::test]
+async fn alone_served(#[case] body: String) {
+    let _turn = TURN.lock().await;
+    let (fixture, _other) = start(Flood::WholeWaiting).await;
+    fixture.servers[0].clear_script();
+    let answer = fixture.send_raw(format!("{}{body}", flood_head(1)).as_bytes()).await;
+    assert_eq!(answer.expect("an answer").status(), 200);
+    let arrived = fixture.first_arrival("r-1");
+    assert_eq!(arrived.body.len(), MAX_BODY_BYTES);
+}
