--- a/src/client_connections.rs
+++ b/src/client_connections.rs
@@ -1,6 +1,6 @@
 //! Connections of clients, and the bodies of their requests, within the limits of `request_memory`.
 //!
-//! A connection that has to give way is closed if it is idle or receives a head; a body that is being
+//! An evicted connection is closed if it is idle or receives a head; a body that is being
 //! received is refused instead, as not having run. Bodies are copied into one buffer as they arrive,
 //! since a frame of the HTTP library keeps the read buffer that it arrived in. The system's own buffers
 //! for received bytes are bounded by their size: the process does not see what they hold.
@@ -45,8 +45,8 @@
 /// closing a connection with unread bytes resets it.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-/// The same for a client whose connection has to give way.
-const SHORT_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+/// The same for an evicted connection.
+const EVICTED_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Descriptors of a process whose limit is not known.
 const FALLBACK_DESCRIPTORS: u64 = 1024;
 /// Bytes that are discarded at a time.
@@ -69,34 +69,34 @@
 
 struct Shared {
     memory: RequestMemory,
-    connections: HashMap<ConnectionId, Arc<Signal>>,
+    connections: HashMap<ConnectionId, Arc<EvictionSignal>>,
 }
 
 impl Shared {
-    fn tell(&self, told: &[ConnectionId]) {
-        if told.is_empty() {
+    fn notify(&self, evicted: &[ConnectionId]) {
+        if evicted.is_empty() {
             return;
         }
-        metrics::counter!("coursestile_connections_gave_way_total").increment(told.len() as u64);
-        for signal in told.iter().filter_map(|id| self.connections.get(id)) {
-            signal.gave_way.store(true, Ordering::Relaxed);
+        metrics::counter!("coursestile_connections_evicted_total").increment(evicted.len() as u64);
+        for signal in evicted.iter().filter_map(|id| self.connections.get(id)) {
+            signal.is_set.store(true, Ordering::Relaxed);
             signal.changed.notify_waiters();
         }
     }
 }
 
-/// Tells a connection that it has to give way.
+/// Notifies a connection that it is evicted.
 #[derive(Default)]
-struct Signal {
-    gave_way: AtomicBool,
+struct EvictionSignal {
+    is_set: AtomicBool,
     changed: Notify,
 }
 
-impl Signal {
+impl EvictionSignal {
     async fn wait(&self) {
         loop {
             let changed = self.changed.notified();
-            if self.gave_way.load(Ordering::Relaxed) {
+            if self.is_set.load(Ordering::Relaxed) {
                 return;
             }
             changed.await;
@@ -118,10 +118,10 @@
         Arc::new(Self { shared: Mutex::new(shared), freed: Notify::new() })
     }
 
-    /// Adds a connection that was accepted, once others have given way; `None` if there is no room for
+    /// Adds a connection that was accepted, once evicted ones are closed; `None` if there is no room for
     /// it.
     pub async fn open(self: &Arc<Self>) -> Option<Arc<ClientConnection>> {
-        let signal = Arc::new(Signal::default());
+        let signal = Arc::new(EvictionSignal::default());
         let open = |shared: &mut Shared| {
             let opened = shared.memory.open(now_ms());
             if let Grant::Held(id) = &opened {
@@ -143,7 +143,7 @@
         }))
     }
 
-    /// Holds more as soon as those that give way for it have left; `None` if it is refused.
+    /// Holds more as soon as the connections evicted for it are closed; `None` if it is refused.
     async fn wait_for<T>(&self, grant: impl Fn(&mut Shared) -> Grant<T>) -> Option<T> {
         loop {
             let freed = self.freed.notified();
@@ -151,7 +151,7 @@
                 let mut shared = locked(&self.shared);
                 match grant(&mut shared) {
                     Grant::Held(held) => return Some(held),
-                    Grant::AfterOthers(told) => shared.tell(&told),
+                    Grant::AfterEviction(evicted) => shared.notify(&evicted),
                     Grant::Refused => return None,
                 }
             }
@@ -159,11 +159,11 @@
         }
     }
 
-    /// Closes the connection whose last progress is the longest ago, since descriptors have run out.
-    pub fn close_oldest(&self) {
+    /// Evicts the connection with the least recent progress, since descriptors have run out.
+    pub fn evict_oldest(&self) {
         let mut shared = locked(&self.shared);
-        let oldest = shared.memory.close_oldest();
-        shared.tell(oldest.as_slice());
+        let oldest = shared.memory.evict_oldest();
+        shared.notify(oldest.as_slice());
     }
 
     /// Bytes that connections and requests hold.
@@ -182,7 +182,7 @@
 pub struct ClientConnection {
     all: Arc<ClientConnections>,
     id: ConnectionId,
-    signal: Arc<Signal>,
+    signal: Arc<EvictionSignal>,
     /// Whether the head of a request has arrived that is not answered yet.
     has_request: AtomicBool,
     /// Whether the client's socket has not taken all of the response.
@@ -201,10 +201,10 @@
         }
     }
 
-    /// Whether the connection is closed after the present response.
+    /// Whether the connection is to be closed after the present response.
     #[must_use]
-    pub fn gives_way(&self) -> bool {
-        self.signal.gave_way.load(Ordering::Relaxed)
+    pub fn is_evicted(&self) -> bool {
+        self.signal.is_set.load(Ordering::Relaxed)
     }
 
     /// Begins a request whose head has arrived.
@@ -213,8 +213,8 @@
         self.has_request.store(true, Ordering::Relaxed);
         self.has_unread_body.store(has_body, Ordering::Relaxed);
         let mut shared = locked(&self.all.shared);
-        let told = shared.memory.add(self.id, REQUEST_BYTES);
-        shared.tell(&told);
+        let evicted = shared.memory.add(self.id, REQUEST_BYTES);
+        shared.notify(&evicted);
         drop(shared);
         ClientRequest { connection: self.clone() }
     }
@@ -225,8 +225,8 @@
         }
         let mut shared = locked(&self.all.shared);
         shared.memory.record_received(self.id, now_ms(), bytes);
-        let told = shared.memory.add(self.id, HEAD_BUFFER_FACTOR * bytes);
-        shared.tell(&told);
+        let evicted = shared.memory.add(self.id, HEAD_BUFFER_FACTOR * bytes);
+        shared.notify(&evicted);
     }
 
     fn record_flushed(&self) {
@@ -235,7 +235,7 @@
         }
     }
 
-    /// A connection whose response is not sent completely does not give way.
+    /// A connection whose response is not sent completely is not evicted.
     fn end_if_answered(&self) {
         let is_busy =
             [&self.has_request, &self.is_unsent].iter().any(|flag| flag.load(Ordering::Relaxed));
@@ -302,15 +302,15 @@
         Ok(buffer.finish())
     }
 
-    /// Begins to serve the request, which is complete. From now on it does not give way.
+    /// Begins to serve the request, which is complete. From now on it is not evicted.
     ///
     /// # Errors
     /// Fails when there is no room for it.
     pub fn begin_serving(&self) -> Result<(), BodyError> {
         let ClientConnection { all, id, .. } = &*self.connection;
         let mut shared = locked(&all.shared);
-        let told = shared.memory.begin_serving(*id).ok_or(BodyError::NoRoom)?;
-        shared.tell(&told);
+        let evicted = shared.memory.begin_serving(*id).ok_or(BodyError::NoRoom)?;
+        shared.notify(&evicted);
         Ok(())
     }
 
@@ -319,8 +319,8 @@
     pub fn hold(&self, bytes: usize) -> HeldBytes {
         let all = self.connection.all.clone();
         let mut shared = locked(&all.shared);
-        let told = shared.memory.add_detached(bytes);
-        shared.tell(&told);
+        let evicted = shared.memory.add_detached(bytes);
+        shared.notify(&evicted);
         drop(shared);
         HeldBytes { all, bytes }
     }
@@ -441,9 +441,9 @@
 impl<T: AsyncRead + Unpin> ClientIo<T> {
     /// Reads and discards until the client has closed the connection too, within limits.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let gives_way = self.connection.gives_way();
+        let is_evicted = self.connection.is_evicted();
         let discarding = self.discarding.get_or_insert_with(|| {
-            let timeout = if gives_way { SHORT_DISCARD_TIMEOUT } else { DISCARD_TIMEOUT };
+            let timeout = if is_evicted { EVICTED_DISCARD_TIMEOUT } else { DISCARD_TIMEOUT };
             let until = Box::pin(sleep_until(Instant::now() + timeout));
             Discarding { left_bytes: MAX_DISCARDED_BYTES, until }
         });
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -53,8 +53,8 @@
 /// to megabytes for each client that does not read.
 const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 
-/// Bytes that are read at a time where the buffers are set. Each connection that waits for a slow client holds as many, and
-/// a buffer of up to twice the size.
+/// Bytes that are read at a time where the system's buffers are set. Each connection that waits for a slow
+/// client holds as many, and a buffer of up to twice the size.
 const MAX_READ_BYTES: usize = 16 << 10;
 
 /// How a connection leads to its upstream.
--- a/src/gateway/listener.rs
+++ b/src/gateway/listener.rs
@@ -49,7 +49,7 @@
 const CLOSED_WINDOW_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most that connections to the port of the load balancer, or that of the metrics, hold.
 const ENDPOINT_LIMITS: MemoryLimits = MemoryLimits { bytes: 1 << 20, descriptors: 32 };
-/// Time in which a question arrives there, also on an idle connection.
+/// Time in which the head of a request arrives there, also on an idle connection.
 const ENDPOINT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
@@ -69,7 +69,7 @@
             }
             Err(error) => {
                 debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
-                gateway.clients.close_oldest();
+                gateway.clients.evict_oldest();
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -154,7 +154,7 @@
             if is_close_delimited(version, &response) {
                 close_delimited.set();
             }
-            if gateway.phase() >= BoxPhase::Leaving || client.gives_way() {
+            if gateway.phase() >= BoxPhase::Leaving || client.is_evicted() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -270,26 +270,26 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 debug!(target: "listener", "event=accept_failed cause=\"{error}\"");
-                connections.close_oldest();
+                connections.evict_oldest();
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
         let Some(connection) = connections.open().await else { continue };
-        tokio::spawn(answer_questions(gateway.clone(), stream, connection, respond));
+        tokio::spawn(serve_endpoint_connection(gateway.clone(), stream, connection, respond));
     }
 }
 
-async fn answer_questions(
+async fn serve_endpoint_connection(
     gateway: Arc<Gateway>,
     stream: TcpStream,
     connection: Arc<ClientConnection>,
     respond: fn(&Gateway) -> (StatusCode, String),
 ) {
     let io = TokioIo::new(ClientIo::new(stream, connection.clone()));
-    let asked = connection.clone();
+    let served_connection = connection.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let request = asked.begin_request(!request.body().is_end_stream());
+        let request = served_connection.begin_request(!request.body().is_end_stream());
         let (status, text) = respond(&gateway);
         let mut response = Response::new(Full::new(Bytes::from(text)));
         *response.status_mut() = status;
--- a/src/listen.rs
+++ b/src/listen.rs
@@ -100,7 +100,7 @@
             }
             Some(Err(error)) => {
                 debug!(target: "listen", "Cannot accept a connection: {error}.");
-                connections.close_oldest();
+                connections.evict_oldest();
                 sleep(ACCEPT_PAUSE).await;
             }
             None => break,
@@ -133,7 +133,7 @@
         async move {
             let request = (request, addresses.0, addresses.1, Scheme::HTTP).into();
             let mut response = hyper::Response::from(app.get_response(request).await);
-            if connection.gives_way() {
+            if connection.is_evicted() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/src/request_memory.rs
+++ b/src/request_memory.rs
@@ -1,11 +1,11 @@
-//! How much unfinished and waiting requests may hold together, and which connection gives way.
+//! How much unfinished and waiting requests may hold together, and which connection is evicted.
 //!
 //! A crowd of clients that each stay within the limits of a request can still fill a box: with bodies
 //! that stop short of their end, heads that go on, connections that send nothing. So connections and
 //! their requests share one account of bytes and descriptors, by what they hold and not by what they
-//! announce. While there is room, any client may take its time. Where it is short, the connection whose
-//! last progress is the longest ago gives way, be it idle or in the middle of a request: clients that
-//! stop fall behind those that go on, however slow. A request that is complete never gives way.
+//! announce. While there is room, any client may take its time. Where it is short, the connection with the
+//! least recent progress is evicted, be it idle or in the middle of a request: clients that stop fall
+//! behind those that go on, however slow. A request that is complete is never evicted.
 //! Long bodies leave a part of the room to everything else, since most requests are short.
 
 use std::collections::{BTreeSet, HashMap};
@@ -53,18 +53,18 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
-    /// Idle, or its request is still arriving: it may have to give way.
+    /// Idle, or its request is still arriving: it may be evicted.
     Unfinished,
     /// Its request is complete, and the response not sent yet.
     Serving,
-    /// It has been told to give way.
-    Leaving,
+    /// It is being closed to make room.
+    Evicted,
 }
 
 #[derive(Debug)]
 struct Connection {
     phase: Phase,
-    /// What becomes free when it gives way.
+    /// What becomes free when it is evicted.
     held: Sum,
     progress_at_ms: u64,
     /// Bytes received since, if its request has begun.
@@ -95,9 +95,9 @@
 pub enum Grant<T = ()> {
     /// It is held.
     Held(T),
-    /// Once those that are leaving have left; among them these, which have to be told.
-    AfterOthers(Vec<ConnectionId>),
-    /// Nothing that could give way is left.
+    /// Once the evicted connections are closed, among them these, which have to be notified.
+    AfterEviction(Vec<ConnectionId>),
+    /// No connection is left to evict.
     Refused,
 }
 
@@ -108,9 +108,9 @@
     connections: HashMap<ConnectionId, Connection>,
     next_id: ConnectionId,
     held: Sum,
-    /// Of what is held, the parts of unfinished connections and of those that are leaving.
+    /// Of what is held, the parts of unfinished connections and of evicted ones.
     unfinished: Sum,
-    leaving: Sum,
+    being_evicted: Sum,
     /// Unfinished connections, by their last progress.
     by_progress: BTreeSet<(u64, ConnectionId)>,
 }
@@ -124,7 +124,7 @@
             next_id: 0,
             held: Sum::default(),
             unfinished: Sum::default(),
-            leaving: Sum::default(),
+            being_evicted: Sum::default(),
             by_progress: BTreeSet::new(),
         }
     }
@@ -140,8 +140,8 @@
         let is_full = self.held.bytes + sum.bytes > self.limits.bytes
             || self.held.descriptors + sum.descriptors > self.limits.descriptors;
         if is_full {
-            let told = self.make_room(None, sum, self.limits.bytes);
-            return told.map_or(Grant::Refused, Grant::AfterOthers);
+            let evicted = self.make_room(None, sum, self.limits.bytes);
+            return evicted.map_or(Grant::Refused, Grant::AfterEviction);
         }
         let id = self.next_id;
         self.next_id += 1;
@@ -165,15 +165,15 @@
         self.held.subtract(connection.held);
         match connection.phase {
             Phase::Unfinished => self.unfinished.subtract(connection.held),
-            Phase::Leaving => self.leaving.subtract(connection.held),
+            Phase::Evicted => self.being_evicted.subtract(connection.held),
             Phase::Serving => {}
         }
     }
 
-    /// The connection that gives way when descriptors have run out all the same.
-    pub fn close_oldest(&mut self) -> Option<ConnectionId> {
+    /// Evicts the connection with the least recent progress, when descriptors have run out all the same.
+    pub fn evict_oldest(&mut self) -> Option<ConnectionId> {
         let (_, id) = *self.by_progress.first()?;
-        self.set_phase(id, Phase::Leaving);
+        self.set_phase(id, Phase::Evicted);
         Some(id)
     }
 
@@ -187,8 +187,8 @@
         }
     }
 
-    /// Adds what has to be held already, such as the beginning of a head, and returns the connections that
-    /// have to be told to give way for it.
+    /// Adds what has to be held already, such as the beginning of a head, and returns the connections
+    /// that are evicted for it.
     pub fn add(&mut self, id: ConnectionId, bytes: usize) -> Vec<ConnectionId> {
         self.add_to(id, Sum { bytes, descriptors: 0 });
         self.make_room(Some(id), Sum::default(), self.limits.bytes).unwrap_or_default()
@@ -203,7 +203,7 @@
             self.add_to(id, sum);
             return Grant::Held(());
         }
-        self.make_room(Some(id), sum, limit).map_or(Grant::Refused, Grant::AfterOthers)
+        self.make_room(Some(id), sum, limit).map_or(Grant::Refused, Grant::AfterEviction)
     }
 
     /// Removes bytes that a connection has held.
@@ -223,8 +223,8 @@
         }
     }
 
-    /// Adds detached bytes, which have to be held already, and returns the connections that have to be told
-    /// to give way for them.
+    /// Adds detached bytes, which have to be held already, and returns the connections that are evicted
+    /// for them.
     pub fn add_detached(&mut self, bytes: usize) -> Vec<ConnectionId> {
         self.held.add(Sum { bytes, descriptors: 0 });
         self.make_room(None, Sum::default(), self.limits.bytes).unwrap_or_default()
@@ -235,17 +235,17 @@
         self.held.subtract(Sum { bytes, descriptors: 0 });
     }
 
-    /// Begins to serve a request that is complete, and returns the connections that have to be told to
-    /// give way for it; `None` if it may not be served.
+    /// Begins to serve a request that is complete, and returns the connections that are evicted for
+    /// it; `None` if it may not be served.
     pub fn begin_serving(&mut self, id: ConnectionId) -> Option<Vec<ConnectionId>> {
         if self.connections.get(&id)?.phase != Phase::Unfinished {
             return None;
         }
         let sum = Sum { bytes: SERVING_BYTES, descriptors: 1 };
-        let told = self.make_room(Some(id), sum, self.limits.bytes)?;
+        let evicted = self.make_room(Some(id), sum, self.limits.bytes)?;
         self.add_to(id, sum);
         self.set_phase(id, Phase::Serving);
-        Some(told)
+        Some(evicted)
     }
 
     /// Ends a request, served or refused: the connection is idle.
@@ -261,8 +261,8 @@
         self.record_progress(id, now_ms);
     }
 
-    /// Chooses connections other than `id` that give way, so that `sum` can be added within `limit_bytes`
-    /// once they have left; `None` if that is impossible.
+    /// Evicts connections other than `id`, so that `sum` can be added within `limit_bytes`
+    /// once they are closed; `None` if that is impossible.
     fn make_room(
         &mut self,
         id: Option<ConnectionId>,
@@ -273,7 +273,7 @@
         let own = own.filter(|own| own.phase == Phase::Unfinished).map(|own| own.held);
         let mut excess = self.held;
         excess.add(sum);
-        excess.subtract(self.leaving);
+        excess.subtract(self.being_evicted);
         let mut evictable = self.unfinished;
         evictable.subtract(own.unwrap_or_default());
         let fits = |sum: Sum, others: Sum| {
@@ -283,19 +283,19 @@
         if !fits(excess, evictable) {
             return None;
         }
-        let mut given_up = Sum::default();
-        let mut told = Vec::new();
+        let mut freed = Sum::default();
+        let mut evicted = Vec::new();
         for (_, other) in self.by_progress.iter().filter(|(_, other)| Some(*other) != id) {
-            if fits(excess, given_up) {
+            if fits(excess, freed) {
                 break;
             }
-            given_up.add(self.connections[other].held);
-            told.push(*other);
+            freed.add(self.connections[other].held);
+            evicted.push(*other);
         }
-        for other in &told {
-            self.set_phase(*other, Phase::Leaving);
+        for other in &evicted {
+            self.set_phase(*other, Phase::Evicted);
         }
-        Some(told)
+        Some(evicted)
     }
 
     fn record_progress(&mut self, id: ConnectionId, now_ms: u64) {
@@ -306,10 +306,10 @@
         connection.progress_at_ms = now_ms;
     }
 
-    /// A connection that is leaving does not come back.
+    /// An evicted connection stays so.
     fn set_phase(&mut self, id: ConnectionId, phase: Phase) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        if connection.phase == Phase::Leaving || connection.phase == phase {
+        if connection.phase == Phase::Evicted || connection.phase == phase {
             return;
         }
         if connection.phase == Phase::Unfinished {
@@ -321,7 +321,7 @@
                 self.unfinished.add(connection.held);
                 self.by_progress.insert((connection.progress_at_ms, id));
             }
-            Phase::Leaving => self.leaving.add(connection.held),
+            Phase::Evicted => self.being_evicted.add(connection.held),
             Phase::Serving => {}
         }
         connection.phase = phase;
@@ -333,7 +333,7 @@
         self.held.add(sum);
         match connection.phase {
             Phase::Unfinished => self.unfinished.add(sum),
-            Phase::Leaving => self.leaving.add(sum),
+            Phase::Evicted => self.being_evicted.add(sum),
             Phase::Serving => {}
         }
     }
@@ -344,7 +344,7 @@
         connection.held.subtract(sum);
         match connection.phase {
             Phase::Unfinished => self.unfinished.subtract(sum),
-            Phase::Leaving => self.leaving.subtract(sum),
+            Phase::Evicted => self.being_evicted.subtract(sum),
             Phase::Serving => {}
         }
         true
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -136,9 +136,9 @@
     assert!(held.descriptors <= flood.box_descriptors(), "{held:?}");
 }
 
-/// Bodies that gave way ended with a status after which clients do not come back.
+/// Evicted bodies ended with a status after which clients do not come back.
 #[tokio::test]
-async fn gives_way_truthfully() {
+async fn evicted_truthfully() {
     let _turn = TURN.lock().await;
     let (fixture, _other) = start(Flood::AnnouncedShort(MAX_BODY_BYTES)).await;
     let message = |number| Flood::AnnouncedShort(MAX_BODY_BYTES).bytes(&flood_head(number));
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -1,4 +1,4 @@
-//! What unfinished requests may hold together, and which connection gives way.
+//! What unfinished requests may hold together, and which connection is evicted.
 
 use coursestile::request_memory::{
     CONNECTION_BYTES, ConnectionId, Grant, MemoryLimits, RequestMemory, SERVING_BYTES,
@@ -28,23 +28,23 @@
 
 /// A client that sent most of a body and stopped kept its room before one that goes on slowly.
 #[test]
-fn stalled_gives_way() {
+fn stalled_evicted() {
     let mut memory = with_bodies(3, LONG_BODY_BYTES);
     memory.record_received(0, 100, 8 << 10);
     assert_eq!(
         memory.grow_body(2, LONG_BODY_BYTES, 2 * LONG_BODY_BYTES),
-        Grant::AfterOthers(vec![1])
+        Grant::AfterEviction(vec![1])
     );
-    // It is told once, and the room is there when it has left.
+    // It is evicted once, and the room is there when it is closed.
     assert_eq!(
         memory.grow_body(2, LONG_BODY_BYTES, 2 * LONG_BODY_BYTES),
-        Grant::AfterOthers(vec![])
+        Grant::AfterEviction(vec![])
     );
     memory.close(1);
     assert_eq!(memory.grow_body(2, LONG_BODY_BYTES, 2 * LONG_BODY_BYTES), Grant::Held(()));
 }
 
-/// A byte now and then kept a connection from giving way.
+/// A byte now and then kept a connection from being evicted.
 #[test]
 fn trickle_is_no_progress() {
     let mut memory = with_bodies(3, LONG_BODY_BYTES);
@@ -55,11 +55,11 @@
     }
     assert_eq!(
         memory.grow_body(2, LONG_BODY_BYTES, 2 * LONG_BODY_BYTES),
-        Grant::AfterOthers(vec![0])
+        Grant::AfterEviction(vec![0])
     );
 }
 
-/// Complete requests gave way, or others waited for them.
+/// Complete requests were evicted, or others waited for them.
 #[test]
 fn complete_stays() {
     let mut memory = with_bodies(3, LONG_BODY_BYTES);
@@ -73,7 +73,7 @@
     assert_eq!(memory.begin_serving(id), Some(Vec::new()));
     memory.end_request(0, 20);
     memory.remove(id, SHORT_BODY_BYTES);
-    assert_eq!(memory.close_oldest(), Some(0));
+    assert_eq!(memory.evict_oldest(), Some(0));
 }
 
 /// Connections that send nothing took all descriptors.
@@ -84,7 +84,7 @@
         opened(&mut memory, now_ms);
     }
     memory.end_request(0, 100);
-    assert_eq!(memory.open(101), Grant::AfterOthers(vec![1]));
+    assert_eq!(memory.open(101), Grant::AfterEviction(vec![1]));
     assert_eq!(memory.begin_serving(1), None);
     memory.close(1);
     let id = opened(&mut memory, 102);
