Box: a request that waits for a starting box can be evicted

What callers saw: nothing yet. Cause, by reading: a box that has just started holds requests until it knows what is quarantined, or until their deadline, an hour at most; such a request did not notice that it was evicted, and accepting waits for evicted connections to close.

Change: the wait ends with 503 `no_room` when the request is evicted.

The case itself was not run: no test of it.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -4,6 +4,7 @@
 //! `/app/<service>/`. Every refusal says whether the call has run, why it was refused,
 //! and when to retry.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 };
 use serde::Deserialize;
 use serde_json::json;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::account::Terms;
 use crate::box_phase::BoxPhase;
@@ -379,10 +380,21 @@
     let arrived_at_ms = now_ms();
     request.set_data(ArrivedAtMs(arrived_at_ms));
     let deadline_ms = arrived_at_ms + timeout_ms(&kernel, &request).unwrap_or_default();
-    let informed = kernel.crashes.wait_until_informed();
-    let mut response = match tokio::time::timeout_at(instant_at(deadline_ms), informed).await {
-        Ok(()) => endpoint.call(request).await?.into_response(),
-        Err(_) => not_ready().into_response(),
+    let informed = timeout_at(instant_at(deadline_ms), kernel.crashes.wait_until_informed());
+    let held = caller_request(&request).cloned();
+    let evicted = async {
+        match &held {
+            Ok(held) => held.wait_until_evicted().await,
+            Err(_) => pending().await,
+        }
+    };
+    let refused = tokio::select! {
+        informed = informed => informed.err().map(|_| not_ready()),
+        () = evicted => Some(no_room()),
+    };
+    let mut response = match refused {
+        None => endpoint.call(request).await?.into_response(),
+        Some(rejection) => rejection.into_response(),
     };
     response.headers_mut().insert(TRACE_ID_HEADER, header_value(&trace.to_string()));
     if kernel.phase() > BoxPhase::Serving {
--- a/src/client_connections.rs
+++ b/src/client_connections.rs
@@ -295,13 +295,18 @@
         };
         tokio::select! {
             received = receive => received?,
-            () = self.connection.signal.wait() => return Err(BodyError::NoRoom),
+            () = self.wait_until_evicted() => return Err(BodyError::NoRoom),
             () = stopped => return Err(BodyError::TimeOver),
         }
         self.connection.has_unread_body.store(false, Ordering::Relaxed);
         Ok(buffer.finish())
     }
 
+    /// Waits until the request is to be refused to make room for others.
+    pub async fn wait_until_evicted(&self) {
+        self.connection.signal.wait().await;
+    }
+
     /// Begins to serve the request, which is complete. From now on it is not evicted.
     ///
     /// # Errors
