--- a/soak/src/floods.rs
+++ b/soak/src/floods.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use coursestile_standins::usage::{End, descriptors, peak_memory_kb, unread_kb};
+use coursestile_standins::usage::{Queue, descriptors, peak_memory_kb, queued_kb};
 use fastrand::Rng;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -146,7 +146,7 @@
         let process = &gateway_box.process;
         let pid = process.pid();
         let Some(peak_kb) = peak_memory_kb(pid) else { continue };
-        let all_kb = peak_kb + unread_kb(End::Local, &process.clients);
+        let all_kb = peak_kb + queued_kb(Queue::UnreadAt, &process.clients);
         let held_mb = usize::try_from(all_kb.div_ceil(1024)).unwrap_or(usize::MAX);
         let open = descriptors(pid);
         let mut record = record.lock().expect("no task panics under the lock");
--- a/standins/src/usage.rs
+++ b/standins/src/usage.rs
@@ -19,36 +19,36 @@
     read_dir(format!("/proc/{pid}/fd")).map_or(0, |entries| entries.count() as u64)
 }
 
-/// Which end of a connection an address is.
+/// Which bytes of connections are counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// The one that has received bytes.
-    Local,
-    /// The one that has sent them.
-    Remote,
+pub enum Queue {
+    /// Those that arrived at an address and were not read.
+    UnreadAt,
+    /// Those that arrived from an address and were not read.
+    UnreadFrom,
+    /// Those that were sent from an address and are not acknowledged.
+    UnsentFrom,
 }
 
-/// Bytes that have arrived on connections from or to an address and were not read.
+/// Bytes that the system holds of connections at, or from, an address.
 ///
 /// # Panics
 /// Panics when the address is not one of IPv4, or the table of sockets cannot be read.
 #[must_use]
-pub fn unread_kb(end: End, address: &str) -> u64 {
+pub fn queued_kb(queue: Queue, address: &str) -> u64 {
     let (host, port) = address.rsplit_once(':').expect("a port");
     let octet = |text: &str| format!("{:02X}", text.parse::<u8>().expect("an octet"));
     let host: String = host.split('.').rev().map(octet).collect();
     let address = format!("{host}:{:04X}", port.parse::<u16>().expect("a port"));
     let table = read_to_string("/proc/net/tcp").expect("the table of sockets");
-    let unread = table.lines().filter_map(|line| {
+    let queued = table.lines().filter_map(|line| {
         let columns: Vec<_> = line.split_whitespace().collect();
-        let column = match end {
-            End::Local => 1,
-            End::Remote => 2,
-        };
+        let column = if queue == Queue::UnreadFrom { 2 } else { 1 };
         if *columns.get(column)? != address || columns[3] == LISTENING {
             return None;
         }
-        u64::from_str_radix(columns[4].split_once(':')?.1, 16).ok()
+        let (unsent, unread) = columns[4].split_once(':')?;
+        u64::from_str_radix(if queue == Queue::UnsentFrom { unsent } else { unread }, 16).ok()
     });
-    unread.sum::<u64>() / 1024
+    queued.sum::<u64>() / 1024
 }
--- a/tests/common/flood.rs
+++ b/tests/common/flood.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use coursestile_standins::site::eventually;
-use coursestile_standins::usage::{End, descriptors, peak_memory_kb, unread_kb};
+use coursestile_standins::usage::{Queue, descriptors, peak_memory_kb, queued_kb};
 use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -108,21 +108,21 @@
 pub struct Held {
     /// Memory of the process.
     pub memory_kb: u64,
-    /// Bytes that arrived and were not read.
-    pub unread_kb: u64,
+    /// Bytes that the system holds for it.
+    pub queued_kb: u64,
     pub descriptors: u64,
 }
 
 impl Held {
     #[must_use]
     pub fn all_memory_mb(self) -> u64 {
-        (self.memory_kb + self.unread_kb).div_ceil(1024)
+        (self.memory_kb + self.queued_kb).div_ceil(1024)
     }
 }
 
 /// Looks at a process until it is stopped.
 pub struct Watch {
-    end: End,
+    queue: Queue,
     address: String,
     stopped: Arc<AtomicBool>,
     watching: JoinHandle<Held>,
@@ -132,35 +132,31 @@
     /// Watches the process `pid`, which listens on `address`.
     #[must_use]
     pub fn start(pid: u32, address: &str) -> Self {
-        Self::start_at(pid, End::Local, address)
+        Self::on_queue(pid, Queue::UnreadAt, address)
     }
 
-    /// Watches the process `pid`, which receives answers from the upstream at `address`.
+    /// Watches the process `pid`, and what the system holds of these connections.
     #[must_use]
-    pub fn from_upstream(pid: u32, address: &str) -> Self {
-        Self::start_at(pid, End::Remote, address)
-    }
-
-    fn start_at(pid: u32, end: End, address: &str) -> Self {
+    pub fn on_queue(pid: u32, queue: Queue, address: &str) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
         let (is_stopped, watched) = (stopped.clone(), address.to_owned());
         let watching = std::thread::spawn(move || {
             let mut held = Held::default();
             while !is_stopped.load(Ordering::Relaxed) {
-                held.unread_kb = held.unread_kb.max(unread_kb(end, &watched));
+                held.queued_kb = held.queued_kb.max(queued_kb(queue, &watched));
                 held.descriptors = held.descriptors.max(descriptors(pid));
                 std::thread::sleep(WATCH_PERIOD);
             }
             held.memory_kb = peak_memory_kb(pid).expect("it has not ended");
             held
         });
-        Self { end, address: address.to_owned(), stopped, watching }
+        Self { queue, address: address.to_owned(), stopped, watching }
     }
 
     /// Waits until the process has read what has arrived, unless it does not intend to.
     pub async fn settle(&self) {
         let read = async {
-            while unread_kb(self.end, &self.address) > 0 {
+            while queued_kb(self.queue, &self.address) > 0 {
                 sleep(WATCH_PERIOD).await;
             }
         };
--- a/tests/gateway_floods.rs
+++ b/tests/gateway_floods.rs
@@ -12,6 +12,7 @@
 use coursestile_standins::site::client::{Client, request};
 use coursestile_standins::site::server::{Behavior, Server};
 use coursestile_standins::site::{Site, config_document, service_entry};
+use coursestile_standins::usage::Queue;
 use flood::{BOX_MEMORY_MB, Flood, MAX_BODY_BYTES, Watch, open, wait_answered};
 use futures_util::future::join_all;
 use rstest::rstest;
@@ -205,15 +206,21 @@
     assert!(held.descriptors <= Flood::Silent.box_descriptors(), "{held:?}");
 }
 
-/// Answers that many clients asked for and did not read took all memory of a small box.
+/// Answers that many clients asked for and did not read took all memory of a small box: what arrived and was
+/// not read, and what was sent and not accepted.
+#[rstest]
+#[case::received(Queue::UnreadFrom)]
+#[case::sent(Queue::UnsentFrom)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
-async fn unread_answers() {
+async fn unread_answers(#[case] queue: Queue) {
     let _turn = TURN.lock().await;
     let (fixture, _other) = start(Flood::WholeWaiting).await;
     let upstream = &fixture.servers[0];
     upstream.clear_script();
     upstream.script(&vec![Behavior::LargeBody(1 << 20); 500]);
-    let watch = Watch::from_upstream(fixture.gateway.pid(), &upstream.address);
+    let address =
+        if queue == Queue::UnreadFrom { &upstream.address } else { &fixture.gateway.clients };
+    let watch = Watch::on_queue(fixture.gateway.pid(), queue, address);
     let message = |number| format!("{}Content-Length: 0\r\n\r\n", flood_head(number)).into_bytes();
     let connections = open(&fixture.gateway.clients, 400, message).await;
     wait_served(&fixture, "beside").await;
