Review: a stream cut by a crash ends as complete, shown

Cause: once a worker has been draining for almost drain_ms, the end of an answer without a length counts as complete if the request must not run again. Done: a script in which a draining engine crashes in the middle of such a stream.

--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -5,6 +5,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use crate::http::BodyEnd;
 use crate::record::note;
 use crate::store::Store;
 use crate::system::{ClientRequest, EntryBox, Net, boxes};
@@ -20,6 +21,8 @@
     match case {
         "wall-restart" => wall_restart(folder, has_trouble),
         "wall-resume" => wall_resume(folder, has_trouble),
+        "wall-freeze" => wall_freeze(folder, has_trouble),
+        "leaving-crash" => leaving_crash(folder, has_trouble),
         _ => End::NotRun(format!("no case {case}")),
     }
 }
@@ -31,12 +34,15 @@
 const TENANT_B: &str = "pova417";
 /// Bound of the site in which a configuration is in force, and what an unstable core adds to it.
 const CONFIG_APPLY_MS: u64 = 2000;
+/// For how long a worker serves after the store has taken that it is draining.
+const DRAIN_MS: u64 = 2000;
 
-/// The configuration: one route to the engines, and two tenants.
+/// The configuration: two routes to the engines, for streams that may be resumed and those that may not,
+/// and two tenants.
 fn configuration(version: u64, a_is_isolated: bool) -> String {
     let isolated = if a_is_isolated { r#","isolated":true"# } else { "" };
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-2eek22x","host":"pule25.example","path_prefix":"/cufi501/","kind":"streaming","timeout_ms":12000,"slo_ms":300,"priority":0,"service":"{ENGINES}","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":300}}],"services":[{{"name":"{ENGINES}","health_path":"/health","max_conns":370,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity":41564,"kv_token_bytes":18432,"link_mbps":130000.0,"moves":true,"backups":true,"managed":true,"stride":6,"max_inflight":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT_A}","api_keys":["{KEY_A}"],"priority":1{isolated}}},{{"name":"{TENANT_B}","api_keys":["{KEY_B}"],"priority":1}}]}}"#
+        r#"{{"version":{version},"routes":[{{"name":"r-2eek22x","host":"pule25.example","path_prefix":"/cufi501/","kind":"streaming","timeout_ms":12000,"slo_ms":300,"priority":0,"service":"{ENGINES}","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":300}},{{"name":"r-z5k6pjs","host":"pule25.example","path_prefix":"/puxa400/","kind":"streaming","timeout_ms":4000,"slo_ms":500,"priority":1,"service":"{ENGINES}","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":300}}],"services":[{{"name":"{ENGINES}","health_path":"/health","max_conns":370,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity":41564,"kv_token_bytes":18432,"link_mbps":130000.0,"moves":true,"backups":true,"managed":true,"stride":6,"max_inflight":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{{"name":"{MODEL}"}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT_A}","api_keys":["{KEY_A}"],"priority":1{isolated}}},{{"name":"{TENANT_B}","api_keys":["{KEY_B}"],"priority":1}}]}}"#
     )
 }
 
@@ -196,3 +202,77 @@
         None => End::Held,
     }
 }
+
+/// A box freezes for four seconds, during which a tenant becomes isolated. As it wakes, a client of that
+/// tenant sends requests.
+fn wall_freeze(folder: &Path, has_trouble: bool) -> End {
+    let (store, engines, boxes) = match start(folder, 3, 1) {
+        Ok(started) => started,
+        Err(end) => return end,
+    };
+    let shared = boxes[0].send(&prompt("b-1", KEY_B, "e4402b7d"));
+    if shared.is_none_or(|answer| answer.status() != 200) {
+        return End::NotRun("tenant B is not served".to_owned());
+    }
+    if has_trouble {
+        boxes[1].signal("-STOP");
+    }
+    sleep(Duration::from_millis(500));
+    store.write("op/config", &configuration(9, true));
+    note(&format!("the store has acknowledged configuration 9: tenant {TENANT_A} is isolated"));
+    sleep(Duration::from_millis(CONFIG_APPLY_MS + 1500));
+    let in_force_from = Instant::now();
+    if has_trouble {
+        boxes[1].signal("-CONT");
+    }
+    let from = Instant::now();
+    let mut number = 0;
+    while from.elapsed() < Duration::from_secs(2) {
+        number += 1;
+        boxes[1].send(&prompt(&format!("a-r{number}"), KEY_A, &format!("00001{number:03}")));
+        sleep(Duration::from_millis(10));
+    }
+    match foreign(&all_runs(&engines), in_force_from) {
+        Some(text) => End::Broken(text),
+        None => End::Held,
+    }
+}
+
+/// A worker that has announced that it leaves crashes in the middle of a stream that has no length and must
+/// not run again.
+fn leaving_crash(folder: &Path, has_trouble: bool) -> End {
+    let (store, engines, boxes) = match start(folder, 2, 1) {
+        Ok(started) => started,
+        Err(end) => return end,
+    };
+    let engine = &engines[0];
+    engine.events.store(12, Ordering::Relaxed);
+    engine.pause_ms.store(280, Ordering::Relaxed);
+    engine.is_unframed.store(true, Ordering::Relaxed);
+    let mut request = prompt("s-1", KEY_A, "0000a001");
+    request.path = "/puxa400/2f".to_owned();
+    request.timeout_ms = 4000;
+    let answer = std::thread::scope(|scope| {
+        let stream = scope.spawn(|| boxes[0].send(&request));
+        sleep(Duration::from_millis(300));
+        let entry = engine.entry(ENGINES, "abdali", true).replace(r#""ready""#, r#""draining""#);
+        store.write(&format!("servers/{}", engine.id), &entry);
+        note(&format!("the store has taken that {} is draining", engine.id));
+        sleep(Duration::from_millis(DRAIN_MS + 200));
+        if has_trouble {
+            engine.crash();
+        }
+        stream.join().expect("the client")
+    });
+    let Some(answer) = answer else { return End::Held };
+    let pieces = answer.body_text().matches("data: ").count();
+    note(&format!("the client has {pieces} of 12 pieces, and its connection was {}", answer.end));
+    let looks_complete = answer.status() == 200 && answer.end == BodyEnd::Closed;
+    if looks_complete && pieces < 12 {
+        return End::Broken(format!("ORDER: the stream ended as complete after {pieces} of 12 pieces"));
+    }
+    if !has_trouble && !(looks_complete && pieces == 12) {
+        return End::NotRun("the stream is not served without the disruption".to_owned());
+    }
+    End::Held
+}
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -13,6 +13,26 @@
     pub body: Vec<u8>,
     /// Whether the end of the body was marked.
     pub whole: bool,
+    /// How a body ended whose end nothing but the connection marks.
+    pub end: BodyEnd,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BodyEnd {
+    #[default]
+    Delimited,
+    Closed,
+    Reset,
+}
+
+impl std::fmt::Display for BodyEnd {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str(match self {
+            Self::Delimited => "delimited",
+            Self::Closed => "closed in order",
+            Self::Reset => "reset",
+        })
+    }
 }
 
 impl Message {
@@ -152,10 +172,16 @@
             return Ok(());
         }
         if has_body {
-            while self.fill()? > 0 {}
+            message.end = loop {
+                match self.fill() {
+                    Ok(0) => break BodyEnd::Closed,
+                    Ok(_) => {}
+                    Err(_) => break BodyEnd::Reset,
+                }
+            };
             message.body = std::mem::take(&mut self.buffer);
         }
-        message.whole = !has_body;
+        message.whole = !has_body || message.end == BodyEnd::Closed;
         Ok(())
     }
 
--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -40,6 +40,8 @@
     /// Events of a stream, and the pause between them.
     pub events: AtomicU64,
     pub pause_ms: AtomicU64,
+    /// Whether its streams end with their connections alone.
+    pub is_unframed: AtomicBool,
     /// Whether it has crashed.
     crashed: AtomicBool,
     kept: Mutex<Kept>,
@@ -58,6 +60,7 @@
             address: listener.local_addr().expect("an address"),
             events: AtomicU64::new(3),
             pause_ms: AtomicU64::new(10),
+            is_unframed: AtomicBool::new(false),
             crashed: AtomicBool::new(false),
             kept: Mutex::default(),
             changed: Condvar::new(),
@@ -187,10 +190,10 @@
             thread::sleep(Duration::from_millis(self.pause_ms.load(Ordering::Relaxed)));
             return conn.respond("200 OK", &head, "done");
         }
-        conn.write(
-            format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-                .as_bytes(),
-        )?;
+        let is_unframed = self.is_unframed.load(Ordering::Relaxed);
+        let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
+        let head = format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
+        conn.write(head.as_bytes())?;
         let first: u64 = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
         for number in first..=self.events.load(Ordering::Relaxed) {
             thread::sleep(Duration::from_millis(self.pause_ms.load(Ordering::Relaxed)));
@@ -198,7 +201,15 @@
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
             let event = format!("id: {number}\ndata: token {number}\n\n");
-            conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            if is_unframed {
+                conn.write(event.as_bytes())?;
+            } else {
+                conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            }
+        }
+        if is_unframed {
+            note(&format!("worker {} has sent all of request {id}", self.id));
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
         conn.write(b"0\r\n\r\n")
     }
