--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -258,7 +258,7 @@
         let entry = engine.entry(ENGINES, "abdali", true).replace(r#""ready""#, r#""draining""#);
         store.write(&format!("servers/{}", engine.id), &entry);
         note(&format!("the store has taken that {} is draining", engine.id));
-        sleep(Duration::from_millis(DRAIN_MS + 200));
+        sleep(Duration::from_millis(DRAIN_MS - 150));
         if has_trouble {
             engine.crash();
         }
--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -196,7 +196,7 @@
         conn.write(head.as_bytes())?;
         let first: u64 = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
         for number in first..=self.events.load(Ordering::Relaxed) {
-            thread::sleep(Duration::from_millis(self.pause_ms.load(Ordering::Relaxed)));
+            self.pause();
             if self.has_crashed() {
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
@@ -214,6 +214,14 @@
         conn.write(b"0\r\n\r\n")
     }
 
+    /// Waits for the pause between two events, or until it crashes.
+    fn pause(&self) {
+        let until = Instant::now() + Duration::from_millis(self.pause_ms.load(Ordering::Relaxed));
+        while Instant::now() < until && !self.has_crashed() {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Uses what is kept of the prompt, then keeps all of it. Returns who made what was used.
     fn use_parts(&self, request: &Message, tenant: &str, salt: &str) -> Vec<String> {
         let parts = request.header("x-prefix-hash").unwrap_or_default();
