Review: a woken box mixes tenants' memory, shown

Cause: a box that has stood still serves what waits for it by the configuration from before; nothing tells it that its view is seconds old. Done: a script that stops a box for four seconds, in which a tenant becomes isolated, and sends it requests just before it goes on.

--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -34,6 +34,8 @@
 const TENANT_B: &str = "pova417";
 /// Bound of the site in which a configuration is in force, and what an unstable core adds to it.
 const CONFIG_APPLY_MS: u64 = 2000;
+/// How long a box is frozen.
+const FREEZE_MS: u64 = 4000;
 /// For how long a worker serves after the store has taken that it is draining.
 const DRAIN_MS: u64 = 2000;
 
@@ -203,8 +205,8 @@
     }
 }
 
-/// A box freezes for four seconds, during which a tenant becomes isolated. As it wakes, a client of that
-/// tenant sends requests.
+/// A box freezes for four seconds, during which a tenant becomes isolated. Clients of that tenant send it
+/// requests 0.2 s before it wakes, and one after the other from then on.
 fn wall_freeze(folder: &Path, has_trouble: bool) -> End {
     let (store, engines, boxes) = match start(folder, 3, 1) {
         Ok(started) => started,
@@ -220,18 +222,25 @@
     sleep(Duration::from_millis(500));
     store.write("op/config", &configuration(9, true));
     note(&format!("the store has acknowledged configuration 9: tenant {TENANT_A} is isolated"));
-    sleep(Duration::from_millis(CONFIG_APPLY_MS + 1500));
+    sleep(Duration::from_millis(FREEZE_MS - 700));
     let in_force_from = Instant::now();
-    if has_trouble {
-        boxes[1].signal("-CONT");
-    }
-    let from = Instant::now();
-    let mut number = 0;
-    while from.elapsed() < Duration::from_secs(2) {
-        number += 1;
-        boxes[1].send(&prompt(&format!("a-r{number}"), KEY_A, &format!("00001{number:03}")));
-        sleep(Duration::from_millis(10));
-    }
+    std::thread::scope(|scope| {
+        for number in 0..4 {
+            let entry_box = &boxes[1];
+            let request = prompt(&format!("a-w{number}"), KEY_A, &format!("0000200{number}"));
+            scope.spawn(move || entry_box.send(&request));
+        }
+        sleep(Duration::from_millis(200));
+        if has_trouble {
+            boxes[1].signal("-CONT");
+        }
+        let from = Instant::now();
+        let mut number = 0;
+        while from.elapsed() < Duration::from_secs(1) {
+            number += 1;
+            boxes[1].send(&prompt(&format!("a-r{number}"), KEY_A, &format!("00001{number:03}")));
+        }
+    });
     match foreign(&all_runs(&engines), in_force_from) {
         Some(text) => End::Broken(text),
         None => End::Held,
