--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -5,10 +5,10 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use crate::http::BodyEnd;
+use crate::http::{BodyEnd, Conn};
 use crate::record::note;
 use crate::store::Store;
-use crate::system::{ClientRequest, EntryBox, Net, boxes};
+use crate::system::{ClientRequest, EntryBox, Net, boxes, describe};
 use crate::worker::{MODEL, Run, Worker};
 
 pub enum End {
@@ -22,6 +22,7 @@
         "wall-restart" => wall_restart(folder, has_trouble),
         "wall-resume" => wall_resume(folder, has_trouble),
         "wall-freeze" => wall_freeze(folder, has_trouble),
+        "wall-body" => wall_body(folder, has_trouble),
         "leaving-crash" => leaving_crash(folder, has_trouble),
         _ => End::NotRun(format!("no case {case}")),
     }
@@ -285,3 +286,36 @@
     }
     End::Held
 }
+
+/// A tenant becomes isolated while the body of one of its requests arrives. Not a case of its own: it shows
+/// what the claim of case 5 says of slow bodies.
+fn wall_body(folder: &Path, has_trouble: bool) -> End {
+    let (store, engines, boxes) = match start(folder, 2, 1) {
+        Ok(started) => started,
+        Err(end) => return end,
+    };
+    boxes[0].send(&prompt("b-1", KEY_B, "e4402b7d"));
+    let bytes = prompt("a-1", KEY_A, "0000a001").bytes();
+    let Ok(mut conn) = Conn::connect(boxes[0].clients) else {
+        return End::NotRun("no connection".to_owned());
+    };
+    let head = bytes.len() - 4;
+    if conn.write(&bytes[..head]).is_err() {
+        return End::NotRun("the head is not taken".to_owned());
+    }
+    note("client has sent request a-1 but for the last 4 bytes of its body");
+    sleep(Duration::from_millis(500));
+    if has_trouble {
+        store.write("op/config", &configuration(9, true));
+        note(&format!("the store has acknowledged configuration 9: tenant {TENANT_A} is isolated"));
+    }
+    sleep(Duration::from_millis(CONFIG_APPLY_MS + 500));
+    let in_force_from = Instant::now();
+    let sent = conn.write(&bytes[head..]);
+    let answer = sent.ok().and_then(|()| conn.read_response().ok().flatten());
+    note(&format!("client gets for a-1: {}", describe(answer.as_ref())));
+    match foreign(&all_runs(&engines), in_force_from) {
+        Some(text) if has_trouble => End::Broken(text),
+        _ => End::Held,
+    }
+}
