--- a/review/harness-2/cases.rs
+++ b/review/harness-2/cases.rs
@@ -69,7 +69,8 @@
 fn foreign(runs: &[Run], since: Instant) -> Option<String> {
     let found = runs.iter().find(|run| {
         let is_foreign = run.used_from.iter().any(|maker| *maker != run.tenant);
-        let is_of_isolated = run.tenant == TENANT_A || run.used_from.iter().any(|maker| maker == TENANT_A);
+        let is_of_isolated =
+            run.tenant == TENANT_A || run.used_from.iter().any(|maker| maker == TENANT_A);
         run.at >= since && is_foreign && is_of_isolated
     })?;
     Some(format!(
@@ -78,7 +79,11 @@
     ))
 }
 
-fn start(folder: &Path, box_count: usize, engine_count: usize) -> Result<(std::sync::Arc<Store>, Vec<std::sync::Arc<Worker>>, Vec<EntryBox>), End> {
+fn start(
+    folder: &Path,
+    box_count: usize,
+    engine_count: usize,
+) -> Result<(std::sync::Arc<Store>, Vec<std::sync::Arc<Worker>>, Vec<EntryBox>), End> {
     let mut net = Net::new();
     let store = Store::start(net.address());
     let engines: Vec<_> = (1..=engine_count)
@@ -122,7 +127,8 @@
     sleep(Duration::from_millis(CONFIG_APPLY_MS + 500));
     let in_force_from = Instant::now();
     for (index, entry_box) in boxes.iter().enumerate() {
-        let answer = entry_box.send(&prompt(&format!("a-{index}"), KEY_A, &format!("0000000{index}")));
+        let answer =
+            entry_box.send(&prompt(&format!("a-{index}"), KEY_A, &format!("0000000{index}")));
         if answer.is_none_or(|answer| answer.status() != 200) {
             return End::NotRun("tenant A is not served".to_owned());
         }
@@ -143,13 +149,19 @@
         for entry_box in &boxes {
             if entry_box.is_ready() {
                 number += 1;
-                entry_box.send(&prompt(&format!("a-r{number}"), KEY_A, &format!("00001{number:03}")));
+                entry_box.send(&prompt(
+                    &format!("a-r{number}"),
+                    KEY_A,
+                    &format!("00001{number:03}"),
+                ));
             }
         }
         sleep(Duration::from_millis(20));
     }
     let after_ms = (from - acknowledged_at).as_millis();
-    note(&format!("{number} requests in two seconds, the first {after_ms} ms after the acknowledgement"));
+    note(&format!(
+        "{number} requests in two seconds, the first {after_ms} ms after the acknowledgement"
+    ));
     match foreign(&all_runs(&engines), in_force_from) {
         Some(text) => End::Broken(text),
         None => End::Held,
@@ -173,7 +185,13 @@
         std::thread::scope(|scope| {
             for number in 0..40 {
                 let entry_box = &boxes[number % 2];
-                scope.spawn(move || entry_box.send(&prompt(&format!("b-m{number}"), KEY_B, &format!("0000c0{number:02}"))));
+                scope.spawn(move || {
+                    entry_box.send(&prompt(
+                        &format!("b-m{number}"),
+                        KEY_B,
+                        &format!("0000c0{number:02}"),
+                    ))
+                });
             }
         });
     }
@@ -193,7 +211,8 @@
         sleep(Duration::from_millis(CONFIG_APPLY_MS + 500));
         in_force_from = Instant::now();
         if has_trouble {
-            let first = engines.iter().find(|engine| engine.runs().iter().any(|run| run.id == "a-stream"));
+            let first =
+                engines.iter().find(|engine| engine.runs().iter().any(|run| run.id == "a-stream"));
             if let Some(engine) = first {
                 engine.crash();
             }
@@ -279,7 +298,9 @@
     note(&format!("the client has {pieces} of 12 pieces, and its connection was {}", answer.end));
     let looks_complete = answer.status() == 200 && answer.end == BodyEnd::Closed;
     if looks_complete && pieces < 12 {
-        return End::Broken(format!("ORDER: the stream ended as complete after {pieces} of 12 pieces"));
+        return End::Broken(format!(
+            "ORDER: the stream ended as complete after {pieces} of 12 pieces"
+        ));
     }
     if !has_trouble && !(looks_complete && pieces == 12) {
         return End::NotRun("the stream is not served without the disruption".to_owned());
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -143,7 +143,8 @@
         if message.header("transfer-encoding").is_some() {
             loop {
                 let Some(line) = self.line()? else { return Ok(()) };
-                let length = usize::from_str_radix(line.split(';').next().unwrap_or("0").trim(), 16);
+                let length =
+                    usize::from_str_radix(line.split(';').next().unwrap_or("0").trim(), 16);
                 let length = length.unwrap_or(0);
                 if length == 0 {
                     while self.line()?.is_some_and(|line| !line.is_empty()) {}
--- a/review/harness-2/json.rs
+++ b/review/harness-2/json.rs
@@ -13,7 +13,9 @@
 impl Json {
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Json::Table(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Json::Table(fields) => {
+                fields.iter().find(|(key, _)| key == name).map(|(_, value)| value)
+            }
             _ => None,
         }
     }
@@ -102,10 +104,15 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
-                std::str::from_utf8(&self.bytes[start..self.at]).ok()?.parse().ok().map(Json::Number)
+                std::str::from_utf8(&self.bytes[start..self.at])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Number)
             }
         }
     }
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -55,8 +55,12 @@
 
     fn end_lease(&mut self, id: u64) {
         self.leases.remove(&id);
-        let keys: Vec<String> =
-            self.items.iter().filter(|(_, item)| item.lease == id).map(|(key, _)| key.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
         if !keys.is_empty() {
             self.rev += 1;
             for key in keys {
@@ -118,8 +122,12 @@
                 thread::sleep(Duration::from_millis(10));
                 let mut state = shared.state.lock().expect("state");
                 let now = Instant::now();
-                let over: Vec<u64> =
-                    state.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(id, _)| *id).collect();
+                let over: Vec<u64> = state
+                    .leases
+                    .iter()
+                    .filter(|(_, (until, _))| *until <= now)
+                    .map(|(id, _)| *id)
+                    .collect();
                 for id in over {
                     state.end_lease(id);
                     shared.changed.notify_all();
@@ -172,7 +180,8 @@
                     (state.items.clone(), state.rev)
                 };
                 drop(state);
-                let listed = items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+                let listed =
+                    items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let listed: Vec<String> = listed.map(|(key, item)| item_json(key, item)).collect();
                 let text = format!(r#"{{"items":[{}],"more":false,"at":{rev}}}"#, listed.join(","));
                 conn.respond_json("200 OK", &text)
@@ -189,7 +198,8 @@
                     let events: Vec<String> = news.map(event_json).collect();
                     let now = Instant::now();
                     if !events.is_empty() || now >= until {
-                        let text = format!(r#"{{"events":[{}],"at":{}}}"#, events.join(","), state.rev);
+                        let text =
+                            format!(r#"{{"events":[{}],"at":{}}}"#, events.join(","), state.rev);
                         drop(state);
                         return conn.respond_json("200 OK", &text);
                     }
@@ -200,19 +210,32 @@
                 let mut state = self.state.lock().expect("state");
                 let expected = body.get("expected").map_or(&[][..], Json::list);
                 let rows = expected.iter().map(|row| {
-                    (row.get("key").and_then(Json::text).unwrap_or(""), row.get("rev").and_then(Json::number).unwrap_or(0))
+                    (
+                        row.get("key").and_then(Json::text).unwrap_or(""),
+                        row.get("rev").and_then(Json::number).unwrap_or(0),
+                    )
                 });
                 let rows: Vec<(&str, u64)> = rows.collect();
-                let holds = rows.iter().all(|(key, rev)| state.items.get(*key).map_or(0, |item| item.rev) == *rev);
+                let holds = rows
+                    .iter()
+                    .all(|(key, rev)| state.items.get(*key).map_or(0, |item| item.rev) == *rev);
                 if !holds {
-                    let items = rows.iter().filter_map(|(key, _)| Some(item_json(key, state.items.get(*key)?)));
+                    let items = rows
+                        .iter()
+                        .filter_map(|(key, _)| Some(item_json(key, state.items.get(*key)?)));
                     let items: Vec<String> = items.collect();
                     drop(state);
-                    return conn.respond_json("412 Precondition Failed", &format!(r#"{{"items":[{}]}}"#, items.join(",")));
+                    return conn.respond_json(
+                        "412 Precondition Failed",
+                        &format!(r#"{{"items":[{}]}}"#, items.join(",")),
+                    );
                 }
                 let puts = body.get("put").map_or(&[][..], Json::list);
                 let lease_of = |put: &Json| put.get("lease").and_then(Json::number).unwrap_or(0);
-                if puts.iter().any(|put| lease_of(put) != 0 && !state.leases.contains_key(&lease_of(put))) {
+                if puts
+                    .iter()
+                    .any(|put| lease_of(put) != 0 && !state.leases.contains_key(&lease_of(put)))
+                {
                     drop(state);
                     return conn.respond_json("404 Not Found", "{}");
                 }
@@ -231,7 +254,8 @@
                 conn.respond_json("200 OK", &format!(r#"{{"rev":{rev}}}"#))
             }
             "kv-lease" => {
-                let ttl_ms = body.get("ttl_ms").and_then(Json::number).unwrap_or(1000).clamp(1000, 600_000);
+                let ttl_ms =
+                    body.get("ttl_ms").and_then(Json::number).unwrap_or(1000).clamp(1000, 600_000);
                 let mut state = self.state.lock().expect("state");
                 state.next_lease += 1;
                 let (id, ttl) = (state.next_lease, Duration::from_millis(ttl_ms));
--- a/review/harness-2/system.rs
+++ b/review/harness-2/system.rs
@@ -60,7 +60,12 @@
 }
 
 /// Starts entry boxes in one hall, with the settings of a small deployment.
-pub fn boxes(folder: &std::path::Path, net: &mut Net, store: SocketAddr, count: usize) -> Vec<EntryBox> {
+pub fn boxes(
+    folder: &std::path::Path,
+    net: &mut Net,
+    store: SocketAddr,
+    count: usize,
+) -> Vec<EntryBox> {
     let ips: Vec<IpAddr> = (0..count).map(|_| net.ip()).collect();
     let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:{CONTROL_PORT}")).collect();
     let seeds = seeds.join(",");
--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -192,9 +192,12 @@
         }
         let is_unframed = self.is_unframed.load(Ordering::Relaxed);
         let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
-        let head = format!("HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
+        );
         conn.write(head.as_bytes())?;
-        let first: u64 = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
+        let first: u64 =
+            request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0) + 1;
         for number in first..=self.events.load(Ordering::Relaxed) {
             self.pause();
             if self.has_crashed() {
@@ -236,7 +239,8 @@
                     is_prefix = false;
                     kept.parts.insert(key, tenant.to_owned());
                     let number = kept.events.len() + 1;
-                    let event = format!(r#"[{number},"+","{salt}","{}",{},"{MODEL}"]"#, part.0, part.1);
+                    let event =
+                        format!(r#"[{number},"+","{salt}","{}",{},"{MODEL}"]"#, part.0, part.1);
                     kept.events.push(event);
                 }
             }
