--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -41,10 +41,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -145,13 +145,6 @@
         self.changed.notify_all();
     }
 
-    pub fn delete(&self, key: &str) {
-        let mut state = self.state.lock().expect("state");
-        state.rev += 1;
-        state.remove(key);
-        self.changed.notify_all();
-    }
-
     fn answer(&self, conn: &mut Conn, request: &Message) -> std::io::Result<()> {
         let path = request.path().trim_start_matches("/coursestile/").to_owned();
         let (call, id) = path.split_once('/').unwrap_or((&path, ""));
--- a/review/harness-2/system.rs
+++ b/review/harness-2/system.rs
@@ -127,10 +127,6 @@
         }
     }
 
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = format!("GET /coursestile/ready HTTP/1.1\r\nHost: {}\r\n\r\n", self.ready);
         let answer = call(self.ready, request.as_bytes(), Duration::from_millis(500));
--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -20,11 +20,8 @@
     pub salt: String,
     pub worker: String,
     pub at: Instant,
-    pub target: String,
-    pub body: Vec<u8>,
     /// Tenants by whose requests the memory was made that it used.
     pub used_from: Vec<String>,
-    pub headers: Vec<(String, String)>,
 }
 
 #[derive(Default)]
@@ -180,10 +177,7 @@
             salt,
             worker: self.id.clone(),
             at: Instant::now(),
-            target: request.start.clone(),
-            body: request.body.clone(),
             used_from,
-            headers: request.headers.clone(),
         });
         let head = format!("X-Request-Id: {id}\r\nX-Server-Seal: {}.{id}\r\n", self.id);
         if request.header("x-prefix-hash").is_none() {
