--- a/review/harness-2/worker.rs
+++ b/review/harness-2/worker.rs
@@ -86,6 +86,7 @@
                             break;
                         }
                     }
+                    let _ = conn.stream.shutdown(Shutdown::Both);
                 });
             }
         });
